--- /dev/null
+++ b/spanwing/__init__.py
@@ -0,0 +1,1 @@
+"""spanwing: the decisions of a dispatcher that pushes jobs to workers."""
--- a/tackdeal/adapter.py
+++ b/spanwing/adapter.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-import orjson
+import msgspec
 
-from tackdeal import interface as api
-from tackdeal.logic import Dispatcher
+from spanwing import interface as api
+from spanwing.choice import Dispatcher
+from spanwing.settings import Options, settings_of
 
 RESULTS: dict[str, api.Result] = {
     "OK": "ok",
@@ -24,78 +25,12 @@
 }
 STATES: dict[str, api.State] = {"healthy": "healthy", "cordoned": "draining", "deregistered": "gone"}
 SCOPES = {"Complete": "complete", "Partial": "partial", "Persisted": "persisted", "Error": "error"}
-REPORT_FIELDS = {"rif": "inflight", "q": "queue"}
-REPORT_EXTRAS = {"free slots": "free_slots", "free memory": "free_memory"}
 
 
 class FrameError(Exception):
     """The input breaks the framing."""
 
 
-def settings_of(options: dict[str, Any]) -> api.Settings:
-    """Translate the wire's options; unknown keys are ignored, missing ones get the documented default."""
-    specifics = options.get("specifics") or {}
-    rules = options.get("rules") or {}
-    allow = options.get("permissions") or {}
-    report = options.get("report") or {}
-    kinds = options.get("kinds") or []
-
-    def per_class(name: str, index: int, default: Any) -> Any:
-        values = specifics.get(name) or []
-        return values[index] if index < len(values) else default
-
-    classes = []
-    for index, each in enumerate(options["classes"]):
-        kind = per_class("class_kind", index, -1)
-        classes.append(
-            api.ServiceClass(
-                name=each["name"],
-                aim=each["aim_ms"],
-                deadline=each["deadline_ms"],
-                worth=each.get("worth", 1.0),
-                late_worth=each.get("late_worth", 0.0),
-                stretch=per_class("class_stretch", index, each.get("aim_stretch") or 0.0),
-                effect=each.get("idempotency", "safe"),
-                group=each.get("group") or "all",
-                window=each.get("window_ms") or 0.0,
-                streamed=bool(each.get("streamed")),
-                kind=kinds[kind] if 0 <= kind < len(kinds) else None,
-                priority=per_class("class_priority", index, 0),
-            )
-        )
-    extras = {f"x{n}": REPORT_EXTRAS.get(specifics.get(f"report_x{n}") or "", f"x{n}") for n in (0, 1)}
-    fields = () if report.get("via") == "off" else report.get("fields") or ()
-    return api.Settings(
-        classes=tuple(classes),
-        node=options.get("position", 0),
-        nodes=options.get("balancers", 1),
-        zone=options.get("zone") or "",
-        zones=tuple(options.get("areas") or ()),
-        tenants=tuple(api.Tenant(o["name"], o["allowance_per_s"]) for o in options.get("orgs") or ()),
-        over_share_worth=options.get("over_share_worth", 1.0),
-        tick=options.get("tick_ms", 1.0),
-        subscribe=options.get("discovery") == "subscribe",
-        report_fields=tuple(extras.get(name, REPORT_FIELDS.get(name, name)) for name in fields),
-        live_weights=options.get("weight_source") == "live",
-        nominal_weights=options.get("weight_source") in ("nominal", "rough"),
-        tells_start=bool(specifics.get("tells_start")),
-        preempts=specifics.get("queue_order") == "priority",
-        counts_memory="memory_unit" in specifics,
-        cancel=bool(allow.get("cancel")),
-        second_copies=bool(allow.get("second_copies")),
-        probes=bool(allow.get("probes")),
-        peers=bool(allow.get("peer_messages")),
-        max_attempts=allow.get("max_attempts", 1),
-        max_retry_after=(allow.get("max_retry_after_ms") or 0.0) if allow.get("retry_after") else 0.0,
-        answer_grace=rules.get("grace_to_answer_ms", 0.0),
-        drain_grace=rules.get("stop_sending_within_ms", 0.0),
-        cold_from=rules.get("cold_from", 1.0),
-        cold_ms=rules.get("cold_ms", 0.0),
-        fall_multiple=rules.get("fall_multiple", 1.0),
-        fall_ms=rules.get("fall_ms", 0.0),
-    )
-
-
 def _report(values: list[float] | None) -> tuple[float, ...] | None:
     return None if values is None else tuple(values)
 
@@ -173,7 +108,7 @@
     def feed(self, line: bytes) -> bytes | None:
         """Take one input line; at the end of a batch, return the whole reply."""
         try:
-            message = orjson.loads(line)
+            message = msgspec.json.decode(line)
             name = message[0]
         except (ValueError, LookupError, TypeError):
             raise FrameError("not a JSON array with a name") from None
@@ -200,7 +135,7 @@
             now = self.now
 
             def start() -> None:
-                self.nodes[node] = Dispatcher(settings_of(options), seed, now)
+                self.nodes[node] = Dispatcher(settings_of(msgspec.convert(options, Options)), seed, now)
 
             self._guard(node, start)
         elif name in EVENTS:
@@ -218,10 +153,10 @@
         """A fault in a decision ends the day with its text; it is never swallowed."""
         try:
             for action in decide() or ():
-                self.reply.append(orjson.dumps(ACTIONS[type(action)](node, action)))
+                self.reply.append(msgspec.json.encode(ACTIONS[type(action)](node, action)))
         except Exception as error:  # noqa: BLE001 - reported on the wire, with the traceback on stderr
             traceback.print_exc(file=sys.stderr)
-            self.reply.append(orjson.dumps(["Die", node, f"{type(error).__name__}: {error}"]))
+            self.reply.append(msgspec.json.encode(["Die", node, f"{type(error).__name__}: {error}"]))
 
 
 def run(source: BinaryIO, sink: BinaryIO) -> int:
--- a/tackdeal/logic.py
+++ b/spanwing/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of a node. Its types, events and actions are in tackdeal/interface.py.
+"""Every decision of a node. Its types, events and actions are in spanwing/interface.py.
 
 Path of a request: `_arrive` -> `_place` (a worker whose counted slots have room) -> `_send`, or hold in
 the queues and leave by `_drain`: tenant of lowest spent / max(earned, 1) first, whenever a slot is idle.
@@ -11,8 +11,8 @@
 from bisect import bisect
 from collections import deque
 
-from tackdeal import interface as api
-from tackdeal.state import Alarms, Attempt, Job, View, mix
+from spanwing import interface as api
+from spanwing.state import Alarms, Attempt, Job, View, mix
 
 GUESS = 4.0  # slots assumed at a worker before anything is learned
 MEMORY_MS = 3000.0  # how long a view of what others hold at a worker lasts
--- /dev/null
+++ b/spanwing/core/exchange.py
@@ -0,0 +1,204 @@
+"""The module's actor: requests in, delivery attempts out, exactly one answer each."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from tornado.concurrent import Future
+from tornado.ioloop import IOLoop
+
+from spanwing import interface as api
+from spanwing.choice import Dispatcher
+from spanwing.core.actor import Actor
+from spanwing.core.clock import Clock
+from spanwing.core.messages import (
+    Answer,
+    Delivery,
+    Directory,
+    Due,
+    Ended,
+    Envelope,
+    Expired,
+    Left,
+    Listed,
+    NextHop,
+    Probed,
+    SenderSide,
+    Started,
+    Take,
+)
+
+EARLY_MS = 1.0  # an attempt's wait ends this long before the client's, so that its outcome comes first
+
+log = logging.getLogger("spanwing")
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that still owes its answer."""
+
+    envelope: Envelope
+    sender: SenderSide
+    deadline: float
+    sent: int = 0
+
+
+@dataclass(slots=True)
+class Out:
+    """A delivery attempt that has not ended."""
+
+    hop: NextHop
+    worker: int
+    at: float
+    timer: object
+
+
+class Exchange(Actor):
+    """Owns the decision module, the deadlines and the counters."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+        super().__init__()
+        self.settings, self.clock, self.loop = settings, clock, IOLoop.current()
+        self.module = Dispatcher(settings, seed, clock.now())
+        self.directory: Directory | None = None
+        self.calls: dict[str, Call] = {}
+        self.out: dict[tuple[str, int], Out] = {}
+        self.hops: dict[int, NextHop] = {}
+        self.counters: Counter[str] = Counter()
+        self.quiet: list[Future[None]] = []
+
+    def take(self, message: Any) -> None:
+        HANDLERS[type(message)](self, message)
+        if self.quiet and self.idle():
+            for waiting in self.quiet:
+                waiting.set_result(None)
+            self.quiet = []
+
+    def idle(self) -> bool:
+        return not self.calls and not self.out
+
+    def until_quiet(self) -> Future[None]:
+        """Done once nothing taken is unanswered and nothing sent is out."""
+        waiting: Future[None] = Future()
+        if self.idle():
+            waiting.set_result(None)
+        else:
+            self.quiet.append(waiting)
+        return waiting
+
+    def _decide(self, event: api.Event) -> None:
+        for action in self.module.handle(self.clock.now(), event):
+            ACTIONS[type(action)](self, action)
+
+    def _take(self, take: Take) -> None:
+        envelope = take.envelope
+        if envelope.id in self.calls:  # the first one still owes its answer, and must run once
+            self.counters["repeated"] += 1
+            take.sender.answer(envelope, Answer("repeated"))
+            return
+        deadline = self.clock.now() + envelope.budget
+        self.calls[envelope.id] = Call(envelope, take.sender, deadline)
+        self.counters["taken"] += 1
+        self.counters[f"taken.{envelope.cls}"] += 1
+        self._decide(api.Request(
+            envelope.id, envelope.cls, deadline, envelope.tenant, envelope.slots, envelope.memory,
+            envelope.hint, envelope.route_key, envelope.repeat,
+        ))
+
+    def _left(self, left: Left) -> None:
+        call = self.calls.get(left.request)
+        if call is not None and call.sender is left.sender:
+            del self.calls[left.request]
+            self.counters["left"] += 1
+            self._decide(api.ClientGone(left.request))
+
+    def _listed(self, listed: Listed) -> None:
+        self.hops = listed.hops
+        self.counters[f"listed.{listed.news.scope}"] += 1
+        self._decide(listed.news)
+
+    def _started(self, started: Started) -> None:
+        out = self.out.get((started.request, started.number))
+        if out is not None:
+            self._decide(api.Note(started.request, started.number, out.worker, started.began))
+
+    def _expired(self, expired: Expired) -> None:
+        out = self.out.get(expired[:2])
+        if out is not None:
+            out.hop.give_up(*expired, "timeout")
+
+    def _ended(self, ended: Ended) -> None:
+        # A next hop's word on an attempt that is over already (a repeated call-back) changes nothing.
+        out = self.out.pop((ended.request, ended.number), None)
+        if out is None:
+            return
+        self.loop.remove_timeout(out.timer)
+        self.counters[f"ended.{ended.result}"] += 1
+        if ended.result == "ok":
+            self._answer(ended.request, Answer("served", ended.body))
+        self._decide(api.Outcome(
+            ended.request, ended.number, out.worker, ended.result, ended.request not in self.calls,
+            self.clock.now() - out.at, ended.report,
+        ))
+
+    def _answer(self, request: str, answer: Answer) -> None:
+        call = self.calls.pop(request, None)
+        if call is not None:
+            self.counters["answered"] += 1
+            self.counters[f"answered.{answer.kind}.{call.envelope.cls}"] += 1
+            call.sender.answer(call.envelope, answer)
+
+    def _send(self, action: api.Send) -> None:
+        call, now = self.calls[action.request], self.clock.now()
+        number, call.sent = call.sent, call.sent + 1
+        budget = call.deadline - now - EARLY_MS
+        if action.timeout:
+            budget = min(budget, action.timeout)
+        key = (action.request, number)
+        timer = self.loop.call_later(max(0.0, budget) / 1000.0, self.post, Expired(*key))
+        hop = self.hops.get(action.worker)
+        self.out[key] = Out(hop, action.worker, now, timer)
+        if budget <= 0 or number >= self.settings.max_attempts or hop is None:
+            self.post(Ended(*key, "moot"))
+            return
+        self.counters["sent"] += 1
+        self.counters[f"sent.{call.envelope.cls}"] += 1
+        hop.deliver(Delivery(call.envelope, number, budget), self)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        out = self.out.get((action.request, action.attempt))
+        if out is not None and out.hop is not None:
+            out.hop.give_up(action.request, action.attempt, "cancelled")
+
+    def _probe(self, action: api.Probe) -> None:
+        hop = self.hops.get(action.worker)
+        if hop is not None:
+            self.counters["probed"] += 1
+            hop.probe(action.worker, self)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.loop.call_later(action.delay / 1000.0, self.post, Due(action.token))
+
+    def _log(self, action: api.Log) -> None:
+        log.info("%s", action.line)
+
+    def _tell_peers(self, action: api.TellPeers) -> None:
+        log.warning("peers cannot be told here: %s", action.payload)
+
+
+HANDLERS = {
+    Take: Exchange._take, Left: Exchange._left, Listed: Exchange._listed, Started: Exchange._started,
+    Ended: Exchange._ended, Expired: Exchange._expired,
+    Due: lambda self, due: self._decide(api.TimerDue(due.token)),
+    Probed: lambda self, probed: self._decide(probed.result),
+}
+ACTIONS = {
+    api.Send: Exchange._send, api.Cancel: Exchange._cancel, api.Probe: Exchange._probe,
+    api.Refuse: lambda self, a: self._answer(a.request, Answer("refused", retry_after=a.retry_after)),
+    api.Fail: lambda self, a: self._answer(a.request, Answer("failed")),
+    api.SetTimer: Exchange._set_timer, api.Log: Exchange._log, api.TellPeers: Exchange._tell_peers,
+    api.Watch: lambda self, _: self.directory.watch(),
+}
--- /dev/null
+++ b/spanwing/core/messages.py
@@ -0,0 +1,131 @@
+"""What the core is told and tells, and the two interfaces it stands between."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal, NamedTuple, Protocol
+
+from spanwing import interface as api
+
+Kind = Literal["served", "refused", "failed", "repeated"]
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A request as any front hands it in; target, body and key pass through unread."""
+
+    id: str
+    cls: str
+    budget: float  # ms that the client will wait
+    tenant: str | None = None
+    slots: int = 1
+    memory: float = 0.0
+    hint: float = 0.0
+    route_key: str | None = None
+    repeat: bool = False
+    method: str = "POST"
+    target: str = "/"
+    body: bytes = b""
+    effect_key: str | None = None
+
+
+class Answer(NamedTuple):
+    """The one final answer of a request."""
+
+    kind: Kind
+    body: bytes = b""
+    retry_after: float = 0.0  # ms
+
+
+class SenderSide(Protocol):
+    """Whoever handed in an envelope."""
+
+    def answer(self, envelope: Envelope, answer: Answer) -> None: ...
+
+
+class Delivery(NamedTuple):
+    """One delivery attempt of an envelope."""
+
+    envelope: Envelope
+    number: int
+    budget: float  # ms from now that the core will wait
+
+
+class Listener(Protocol):
+    """Where a next hop tells what became of a delivery attempt."""
+
+    def post(self, message: object) -> None: ...
+
+
+class NextHop(Protocol):
+    """A job worker, however it is reached. Each delivery ends in exactly one Ended."""
+
+    def deliver(self, delivery: Delivery, listener: Listener) -> None: ...
+
+    def give_up(self, request: str, number: int, result: api.Result) -> None: ...
+
+    def probe(self, worker: int, listener: Listener) -> None: ...
+
+
+class Directory(Protocol):
+    """Where news of job workers comes from."""
+
+    def watch(self) -> None: ...
+
+
+class Take(NamedTuple):
+    """A sender side hands in an envelope."""
+
+    envelope: Envelope
+    sender: SenderSide
+
+
+class Left(NamedTuple):
+    """The sender side went away; an id of another sender is left alone."""
+
+    request: str
+    sender: SenderSide
+
+
+class Listed(NamedTuple):
+    """News of job workers, with the next hops to reach those that are named."""
+
+    news: api.WorkerList
+    hops: dict[int, NextHop]
+
+
+class Started(NamedTuple):
+    """A job worker tells of progress; began is true when the job has just started."""
+
+    request: str
+    number: int
+    began: bool
+
+
+class Ended(NamedTuple):
+    """How a delivery attempt ended."""
+
+    request: str
+    number: int
+    result: api.Result
+    body: bytes = b""
+    report: tuple[float, ...] | None = None
+
+
+class Probed(NamedTuple):
+    """How a probe ended."""
+
+    result: api.ProbeResult
+
+
+class Expired(NamedTuple):
+    """The time of a delivery attempt is over."""
+
+    request: str
+    number: int
+
+
+class Due(NamedTuple):
+    """A timer of the module has come."""
+
+    token: int
--- /dev/null
+++ b/spanwing/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: HTTP, next hops, the transport map, and the fronts."""
--- /dev/null
+++ b/spanwing/net/buffers.py
@@ -0,0 +1,20 @@
+"""Read buffers of one size, used again."""
+
+from __future__ import annotations
+
+SIZE = 8192
+KEPT = 256  # spare ones at most
+
+
+class BufferPool:
+    """Hands out buffers; whoever takes one gives it back."""
+
+    def __init__(self) -> None:
+        self.spare: list[bytearray] = []
+
+    def take(self) -> bytearray:
+        return self.spare.pop() if self.spare else bytearray(SIZE)
+
+    def give(self, buffer: bytearray) -> None:
+        if len(self.spare) < KEPT:
+            self.spare.append(buffer)
--- /dev/null
+++ b/spanwing/net/http.py
@@ -0,0 +1,241 @@
+"""HTTP/1.1 messages: an incremental parser, and a connection that reads through pooled buffers."""
+
+from __future__ import annotations
+
+import re
+import socket
+from dataclasses import dataclass
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from spanwing.net.buffers import BufferPool
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+TARGET = re.compile(r"[!-~]+")
+REASONS = {
+    200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+    405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported",
+}
+
+
+class HttpError(Exception):
+    """Input that is no HTTP message we take; status is the answer to it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """A request (method, target) or a response (status)."""
+
+    method: str
+    target: str
+    status: int
+    headers: dict[str, str]  # names in lower case
+    keep: bool
+    body: bytes = b""
+
+
+class Parser:
+    """Fed bytes as they come; gives whole messages."""
+
+    def __init__(self, responses: bool = False) -> None:
+        self.responses = responses
+        self.data = bytearray()
+        self.head: Message | None = None
+        self.left: int | None = 0  # of the body; None: until the connection ends
+        self.chunked = False
+        self.chunk = -1  # bytes left of a chunk with its line end; -1: its size line comes next
+        self.body = bytearray()
+
+    def feed(self, data: memoryview) -> None:
+        self.data += data
+
+    def idle(self) -> bool:
+        """Between messages, with nothing read ahead."""
+        return self.head is None and not self.data
+
+    def next(self, ended: bool = False) -> Message | None:
+        """The next whole message, if it is there; ended: no more bytes will come."""
+        if self.head is None and not self._read_head():
+            return None
+        done = self._read_chunks() if self.chunked else self._read_plain(ended)
+        if not done:
+            return None
+        message, self.head = self.head, None
+        message.body, self.body = bytes(self.body), bytearray()
+        return message
+
+    def _read_head(self) -> bool:
+        while self.data[:2] == b"\r\n":  # empty lines before a message are passed over, as RFC 9112 asks
+            del self.data[:2]
+        end = self.data.find(b"\r\n\r\n")
+        if end < 0 and len(self.data) <= MAX_HEAD:
+            return False
+        if end < 0 or end > MAX_HEAD:
+            raise HttpError(431, "head too large")
+        lines = self.data[:end].decode("latin-1").split("\r\n")
+        del self.data[: end + 4]
+        headers: dict[str, str] = {}
+        for line in lines[1:]:
+            name, colon, value = line.partition(":")
+            if not colon or not TOKEN.fullmatch(name):
+                raise HttpError(400, "malformed header")
+            name, value = name.lower(), value.strip(" \t")
+            if name in ("content-length", "host") and headers.get(name, value) != value:
+                raise HttpError(400, f"{name} differs")
+            headers[name] = value
+        self.head = self._first_line(lines[0], headers)
+        self._frame(headers)
+        return True
+
+    def _first_line(self, line: str, headers: dict[str, str]) -> Message:
+        parts = line.split(" ", 2)
+        if len(parts) < 2 or (not self.responses and len(parts) != 3):
+            raise HttpError(400, "malformed first line")
+        version = parts[0] if self.responses else parts[2]
+        if not re.fullmatch(r"HTTP/\d\.\d", version):
+            raise HttpError(400, "no HTTP version")
+        if version not in ("HTTP/1.1", "HTTP/1.0"):
+            raise HttpError(505, "another HTTP version")
+        words = headers.get("connection", "").lower()
+        keep = "close" not in words and (version == "HTTP/1.1" or "keep-alive" in words)
+        if self.responses:
+            if not re.fullmatch(r"[1-5]\d\d", parts[1]):
+                raise HttpError(400, "malformed status")
+            return Message("", "", int(parts[1]), headers, keep)
+        if not TOKEN.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1]):
+            raise HttpError(400, "malformed first line")
+        return Message(parts[0], parts[1], 0, headers, keep)
+
+    def _frame(self, headers: dict[str, str]) -> None:
+        coding, length = headers.get("transfer-encoding"), headers.get("content-length")
+        self.chunked, self.left, self.chunk = coding is not None, 0, -1
+        if coding is not None:
+            # Two lengths let a request be read in two ways; only one form is taken.
+            if length is not None or coding.lower() != "chunked":
+                raise HttpError(400 if length is not None else 501, "transfer coding")
+        elif length is not None:
+            if not re.fullmatch(r"[0-9]{1,18}", length):
+                raise HttpError(400, "malformed content-length")
+            self.left = int(length)
+            if self.left > MAX_BODY:
+                raise HttpError(413, "body too large")
+        elif self.responses and self.head.status not in (204, 304):
+            self.left, self.head.keep = None, False
+
+    def _read_plain(self, ended: bool) -> bool:
+        take = len(self.data) if self.left is None else min(self.left, len(self.data))
+        self._move(take)
+        if self.left is None:
+            return ended
+        self.left -= take
+        return self.left == 0
+
+    def _read_chunks(self) -> bool:
+        while True:
+            if self.chunk < 0:
+                end = self.data.find(b"\r\n")
+                if end < 0:
+                    if len(self.data) > 1024:
+                        raise HttpError(400, "malformed chunk")
+                    return False
+                size = self.data[:end].split(b";")[0].strip().decode("latin-1")
+                if not re.fullmatch(r"[0-9a-fA-F]{1,8}", size):
+                    raise HttpError(400, "malformed chunk")
+                if size.strip("0") == "":
+                    return self._read_trailer(end)
+                del self.data[: end + 2]
+                self.chunk = int(size, 16)
+            if len(self.body) + self.chunk > MAX_BODY:
+                raise HttpError(413, "body too large")
+            if len(self.data) < self.chunk + 2:
+                return False
+            self._move(self.chunk)
+            if self.data[:2] != b"\r\n":
+                raise HttpError(400, "malformed chunk")
+            del self.data[:2]
+            self.chunk = -1
+
+    def _read_trailer(self, at: int) -> bool:
+        if self.data[at + 2 : at + 4] == b"\r\n":
+            del self.data[: at + 4]
+            return True
+        end = self.data.find(b"\r\n\r\n", at)
+        if end < 0 and len(self.data) > MAX_HEAD:
+            raise HttpError(431, "trailer too large")
+        if end >= 0:
+            del self.data[: end + 4]
+        return end >= 0
+
+    def _move(self, count: int) -> None:
+        if len(self.body) + count > MAX_BODY:
+            raise HttpError(413, "body too large")
+        self.body += self.data[:count]
+        del self.data[:count]
+
+
+class HttpStream:
+    """A connection that carries HTTP messages."""
+
+    def __init__(self, stream: IOStream, buffers: BufferPool, responses: bool = False) -> None:
+        self.stream, self.buffers, self.parser = stream, buffers, Parser(responses)
+        # Every answer is one small write; waiting to fill a packet would only delay it.
+        if stream.socket is not None and stream.socket.family in (socket.AF_INET, socket.AF_INET6):
+            stream.set_nodelay(True)
+
+    async def receive(self) -> Message | None:
+        """The next message; None when the connection ended first."""
+        while True:
+            message = self.parser.next()
+            if message is not None:
+                return message
+            buffer = self.buffers.take()
+            try:
+                count = await self.stream.read_into(buffer, partial=True)
+                self.parser.feed(memoryview(buffer)[:count])
+            except StreamClosedError:
+                return self.parser.next(ended=True)
+            finally:
+                self.buffers.give(buffer)
+
+    async def write(self, data: bytes) -> None:
+        await self.stream.write(data)
+
+    def close(self) -> None:
+        self.stream.close()
+
+    def fresh(self) -> bool:
+        """Whether the other side neither closed nor said anything: asked of the kernel, just before use."""
+        if self.stream.closed() or not self.parser.idle():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+
+def request_bytes(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def response_bytes(status: int, body: bytes = b"", keep: bool = True, **headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    if status != 204:
+        lines.append(f"Content-Length: {len(body)}")
+    if not keep:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- /dev/null
+++ b/spanwing/net/nexthop.py
@@ -0,0 +1,231 @@
+"""The actor of one job worker that is reached over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from tornado.gen import TimeoutError as WaitOver
+from tornado.gen import with_timeout
+from tornado.ioloop import IOLoop
+from tornado.iostream import StreamClosedError
+
+from spanwing import interface as api
+from spanwing.core.actor import Actor, spawn
+from spanwing.core.messages import Delivery, Ended, Listener, Probed, Started
+from spanwing.net.http import HttpError, HttpStream, Message, request_bytes
+from spanwing.net.load import LoadReader
+from spanwing.net.pool import ConnectionPool
+
+GIVE_UP_S = 1.0  # wait for the answer to a DELETE
+PROBE_S = 0.5
+
+CALLED_BACK: dict[str, api.Result] = {"done": "ok", "failed": "error", "returned": "full", "lost": "reset"}
+
+
+class CallBack(NamedTuple):
+    """What a job worker says of a job that it has taken."""
+
+    request: str
+    state: str
+    body: bytes
+    report: tuple[float, ...] | None
+
+
+class Deliver(NamedTuple):
+    delivery: Delivery
+    listener: Listener
+
+
+class GiveUp(NamedTuple):
+    request: str
+    number: int
+    result: api.Result
+
+
+class Probe(NamedTuple):
+    worker: int
+    listener: Listener
+
+
+class Retire(NamedTuple):
+    """The job worker is gone from the list (or is back): close up once nothing is out."""
+
+    gone: bool
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A delivery attempt here that has not ended."""
+
+    delivery: Delivery
+    listener: Listener
+    connection: HttpStream | None = None
+    taken: bool = False  # the 202 has come
+    given_up: api.Result | None = None
+
+
+class HttpNextHop(Actor):
+    """Delivers, gives up and probes; each delivery ends in one Ended."""
+
+    def __init__(self, pool: ConnectionPool, loads: LoadReader,
+                 retired: Callable[[HttpNextHop], None]) -> None:
+        super().__init__()
+        self.pool, self.loads, self.retired = pool, loads, retired
+        self.jobs: dict[str, Job] = {}
+        self.retiring = False
+        self.start()
+
+    def deliver(self, delivery: Delivery, listener: Listener) -> None:
+        self.post(Deliver(delivery, listener))
+
+    def give_up(self, request: str, number: int, result: api.Result) -> None:
+        self.post(GiveUp(request, number, result))
+
+    def probe(self, worker: int, listener: Listener) -> None:
+        self.post(Probe(worker, listener))
+
+    def take(self, message: Any) -> None:
+        HANDLERS[type(message)](self, message)
+
+    def _deliver(self, message: Deliver) -> None:
+        job = Job(*message)
+        if job.delivery.envelope.id in self.jobs:  # one attempt of a request at a time goes to a job worker
+            job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, "moot"))
+            return
+        self.jobs[job.delivery.envelope.id] = job
+        spawn(self._carry(job))
+
+    async def _carry(self, job: Job) -> None:
+        envelope = job.delivery.envelope
+        connection = await self.pool.take()
+        if connection is None:
+            self._end(job, "unreachable")
+            return
+        if not self._current(job):  # given up while the connection came up: nothing may be sent any more
+            self.pool.give(connection)
+            return
+        job.connection = connection
+        headers = {"Host": str(self.pool.address), "X-Call-Id": envelope.id,
+                   "X-Budget-Ms": str(max(1, int(job.delivery.budget)))}
+        if envelope.effect_key is not None:
+            headers["Idempotency-Key"] = envelope.effect_key
+        data = request_bytes(envelope.method, envelope.target, headers, envelope.body)
+        try:
+            await connection.write(data)
+        except StreamClosedError:  # its last byte was never written
+            self.pool.drop(connection)
+            self._end(job, "unreachable")
+            return
+        try:
+            reply = await connection.receive()
+        except HttpError:
+            reply = None
+        if reply is None or not reply.keep:
+            self.pool.drop(connection)
+        else:
+            self.pool.give(connection)
+        job.connection = None
+        self._replied(job, reply)
+
+    def _replied(self, job: Job, reply: Message | None) -> None:
+        report = self.loads.text(reply.headers.get("x-load-report", "")) if reply else None
+        if reply is None:
+            self._end(job, "reset")
+        elif reply.status == 202:
+            job.taken = True
+        elif reply.status == 200:  # an answer at once
+            self._end(job, "ok", reply.body, report)
+        elif reply.status in (503, 504) and reply.headers.get("x-rejected") == "1":
+            self._end(job, "full", report=report)
+        else:
+            self._end(job, "error", report=report)
+
+    def _current(self, job: Job) -> bool:
+        return self.jobs.get(job.delivery.envelope.id) is job
+
+    def _end(self, job: Job, result: api.Result, body: bytes = b"",
+             report: tuple[float, ...] | None = None) -> None:
+        # A call-back may come before the 202, or again: only the first word on an attempt counts.
+        if not self._current(job):
+            return
+        del self.jobs[job.delivery.envelope.id]
+        job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, result, body, report))
+        self._maybe_close()
+
+    def _called_back(self, event: CallBack) -> None:
+        job = self.jobs.get(event.request)
+        if job is None:
+            return
+        if event.state in CALLED_BACK:
+            self._end(job, CALLED_BACK[event.state], event.body, event.report)
+        elif event.state in ("started", "running"):
+            job.listener.post(Started(event.request, job.delivery.number, event.state == "started"))
+
+    def _give_up(self, message: GiveUp) -> None:
+        job = self.jobs.get(message.request)
+        if job is None or job.delivery.number != message.number or job.given_up is not None:
+            return
+        job.given_up = message.result
+        if job.taken:
+            spawn(self._delete(job))
+            return
+        if job.connection is not None:  # before the 202, closing the connection gives the attempt up
+            job.connection.close()
+        self._end(job, message.result)
+
+    async def _delete(self, job: Job) -> None:
+        """Give up a job that was taken; it has ended only once the job worker was told."""
+        try:
+            await self._ask("DELETE", f"/jobs/{job.delivery.envelope.id}", GIVE_UP_S)
+        finally:
+            self._end(job, job.given_up or "cancelled")
+
+    async def _ask(self, method: str, target: str, wait_s: float) -> Message | None:
+        connection = await self.pool.take()
+        if connection is None:
+            return None
+        reply = None
+        try:
+            await connection.write(request_bytes(method, target, {"Host": str(self.pool.address)}))
+            reply = await with_timeout(timedelta(seconds=wait_s), connection.receive(),
+                                       quiet_exceptions=(HttpError, StreamClosedError))
+        except (WaitOver, StreamClosedError, HttpError):
+            pass
+        if reply is not None and reply.keep:
+            self.pool.give(connection)
+        else:
+            self.pool.drop(connection)
+        return reply
+
+    def _probe(self, probe: Probe) -> None:
+        spawn(self._ask_load(probe))
+
+    async def _ask_load(self, probe: Probe) -> None:
+        loop = IOLoop.current()
+        start = loop.time()
+        reply = await self._ask("GET", "/metrics/load", PROBE_S)
+        report = None
+        result: api.Result = "unreachable" if reply is None else "ok" if reply.status == 200 else "error"
+        if reply is not None:
+            text = reply.headers.get("x-load-report") or reply.body.decode("utf-8", "replace")
+            report = self.loads.text(text)
+        elapsed = (loop.time() - start) * 1000.0
+        probe.listener.post(Probed(api.ProbeResult(probe.worker, result, elapsed, report)))
+
+    def _retire(self, message: Retire) -> None:
+        self.retiring = message.gone
+        self._maybe_close()
+
+    def _maybe_close(self) -> None:
+        if self.retiring and not self.jobs:
+            self.pool.clear()
+            self.retired(self)
+
+
+HANDLERS = {
+    Deliver: HttpNextHop._deliver, GiveUp: HttpNextHop._give_up, CallBack: HttpNextHop._called_back,
+    Probe: HttpNextHop._probe, Retire: HttpNextHop._retire,
+}
--- a/tackdeal/state.py
+++ b/spanwing/state.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tackdeal.interface import Request, ServiceClass, SetTimer, Worker
+from spanwing.interface import Request, ServiceClass, SetTimer, Worker
 
 
 @dataclass(slots=True, eq=False)
--- a/tackdeal/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""tackdeal: the decisions of a dispatcher that pushes jobs to workers."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from tackdeal.interface import (
+from spanwing.choice import Dispatcher
+from spanwing.interface import (
     Action,
     Event,
     Outcome,
@@ -16,7 +17,6 @@
     Worker,
     WorkerList,
 )
-from tackdeal.logic import Dispatcher
 
 SAFE = ServiceClass("look", aim=300, deadline=5000, worth=2, stretch=1.5)
 KEYED = ServiceClass("book", aim=300, deadline=5000, worth=8, effect="keyed", window=4000, late_worth=0.5)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tackdeal.adapter import run
+from spanwing.adapter import run
 
 ROOT = Path(__file__).parent.parent
 OPTIONS = {
@@ -71,7 +71,7 @@
 
     def actions(lines: list) -> list:
         text = "\n".join(map(json.dumps, lines)) + "\n"
-        done = subprocess.run([sys.executable, "-m", "tackdeal.adapter"], input=text, text=True,
+        done = subprocess.run([sys.executable, "-m", "spanwing.adapter"], input=text, text=True,
                               capture_output=True, cwd=ROOT, check=True)
         return [line for line in done.stdout.splitlines() if "Eor" not in line]
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,7 +10,7 @@
 import pytest
 from conftest import KEYED, SAFE, UNSAFE, Driver, sends, settings, tenants
 
-from tackdeal.interface import (
+from spanwing.interface import (
     Cancel,
     Fail,
     Note,
@@ -209,9 +209,9 @@
 
 
 def test_module_keeps_its_limits():
-    lines = (ROOT / "tackdeal" / "logic.py").read_text().splitlines()
+    lines = (ROOT / "spanwing" / "choice.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400 and max(map(len, lines)) <= 110
-    assert "tackdeal/interface.py" in lines[0]
+    assert "spanwing/interface.py" in lines[0]
 
 
 def test_readme_example_runs():
--- a/tests/test_rules_random.py
+++ b/tests/test_rules_random.py
@@ -11,7 +11,7 @@
 import pytest
 from conftest import KEYED, SAFE, UNSAFE, Driver, sends, settings, tenants
 
-from tackdeal.interface import (
+from spanwing.interface import (
     Cancel,
     ClientGone,
     Fail,
