Read all connections through one pooled stream

Cause: reading through pooled buffers sat inside the HTTP connection, where the next fronts cannot use it. Ruled out: a change in behaviour; the same reads are made, the parser's buffer is appended to directly.

--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import re
-import socket
 from dataclasses import dataclass
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from spanwing.net.buffers import BufferPool
+from spanwing.net.stream import PooledStream
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
@@ -43,7 +43,7 @@
 
 
 class Parser:
-    """Fed bytes as they come; gives whole messages."""
+    """Bytes are appended to data as they come; gives whole messages."""
 
     def __init__(self, responses: bool = False) -> None:
         self.responses = responses
@@ -54,9 +54,6 @@
         self.chunk = -1  # bytes left of a chunk with its line end; -1: its size line comes next
         self.body = bytearray()
 
-    def feed(self, data: memoryview) -> None:
-        self.data += data
-
     def idle(self) -> bool:
         """Between messages, with nothing read ahead."""
         return self.head is None and not self.data
@@ -181,14 +178,12 @@
         del self.data[:count]
 
 
-class HttpStream:
+class HttpStream(PooledStream):
     """A connection that carries HTTP messages."""
 
     def __init__(self, stream: IOStream, buffers: BufferPool, responses: bool = False) -> None:
-        self.stream, self.buffers, self.parser = stream, buffers, Parser(responses)
-        # Every answer is one small write; waiting to fill a packet would only delay it.
-        if stream.socket is not None and stream.socket.family in (socket.AF_INET, socket.AF_INET6):
-            stream.set_nodelay(True)
+        super().__init__(stream, buffers)
+        self.parser = Parser(responses)
 
     async def receive(self) -> Message | None:
         """The next message; None when the connection ended first."""
@@ -196,32 +191,12 @@
             message = self.parser.next()
             if message is not None:
                 return message
-            buffer = self.buffers.take()
-            try:
-                count = await self.stream.read_into(buffer, partial=True)
-                self.parser.feed(memoryview(buffer)[:count])
-            except StreamClosedError:
+            if not await self.read(self.parser.data):
                 return self.parser.next(ended=True)
-            finally:
-                self.buffers.give(buffer)
-
-    async def write(self, data: bytes) -> None:
-        await self.stream.write(data)
-
-    def close(self) -> None:
-        self.stream.close()
 
     def fresh(self) -> bool:
-        """Whether the other side neither closed nor said anything: asked of the kernel, just before use."""
-        if self.stream.closed() or not self.parser.idle():
-            return False
-        try:
-            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        """Whether a request may be written: the connection is open and stands between messages."""
+        return self.parser.idle() and self.silent()
 
 
 def request_bytes(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
--- /dev/null
+++ b/spanwing/net/stream.py
@@ -0,0 +1,73 @@
+"""A connection that reads through pooled buffers, and lines on top of it."""
+
+from __future__ import annotations
+
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from spanwing.net.buffers import BufferPool
+
+
+class LineTooLong(Exception):
+    """A line that goes past the limit."""
+
+
+class PooledStream:
+    """Bytes in and out; a buffer is held only while a read waits."""
+
+    def __init__(self, stream: IOStream, buffers: BufferPool) -> None:
+        self.stream, self.buffers = stream, buffers
+        # Every message is one small write; waiting to fill a packet would only delay it.
+        stream.set_nodelay(True)
+
+    async def read(self, sink: bytearray) -> bool:
+        """Append what comes next; False when the connection has ended."""
+        buffer = self.buffers.take()
+        try:
+            count = await self.stream.read_into(buffer, partial=True)
+            sink += memoryview(buffer)[:count]
+        except StreamClosedError:
+            return False
+        finally:
+            self.buffers.give(buffer)
+        return True
+
+    async def write(self, data: bytes) -> None:
+        await self.stream.write(data)
+
+    def close(self) -> None:
+        self.stream.close()
+
+    def silent(self) -> bool:
+        """Whether the other side neither closed nor said anything: asked of the kernel, just before use."""
+        if self.stream.closed():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+
+class LineStream(PooledStream):
+    """Lines that end in LF or CRLF."""
+
+    def __init__(self, stream: IOStream, buffers: BufferPool, longest: int) -> None:
+        super().__init__(stream, buffers)
+        self.data, self.longest = bytearray(), longest
+
+    async def line(self) -> bytes | None:
+        """The next line; None when the connection ended first."""
+        while True:
+            end = self.data.find(b"\n")
+            if end > self.longest or (end < 0 and len(self.data) > self.longest):
+                raise LineTooLong
+            if end >= 0:
+                line = bytes(self.data[:end])
+                del self.data[: end + 1]
+                return line.removesuffix(b"\r")
+            if not await self.read(self.data):
+                return None
