Add the store, the Faktory front and the balancer listeners, with recorded exchanges for HTTP

Seen: the daemon spoke the platform's protocol only, and no test ran it. Cause: not built yet. The core's next hops now belong to a directory each, since a whole list of one says nothing of the job workers of another. Actors no longer wait on an empty mailbox: one that nobody knows any more would have stayed for ever. Ruled out: a change on the platform; all three listeners are off there and the store is one member in memory.

--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -11,10 +11,14 @@
 from tornado.gen import sleep
 from tornado.ioloop import IOLoop
 
-from spanwing.config import Config, ConfigError, load
+from spanwing.config import Config, ConfigError, load, read_settings
 from spanwing.core.clock import Clock
 from spanwing.core.exchange import Exchange
+from spanwing.net.address import Address
+from spanwing.net.balancer import AgentCheck, HealthFront, Status
 from spanwing.net.buffers import BufferPool
+from spanwing.net.faktory import FaktoryFront
+from spanwing.net.faktoryworker import FaktoryWorkers
 from spanwing.net.load import LoadReader
 from spanwing.net.nexthop import HttpNextHop
 from spanwing.net.platform import PlatformFront
@@ -22,30 +26,73 @@
 from spanwing.net.senderside import HttpServer
 from spanwing.net.transportmap import TransportMap
 from spanwing.settings import Permissions
+from spanwing.store.acceptor import Acceptor
+from spanwing.store.claims import Claims
+from spanwing.store.disk import Disk, DiskError
+from spanwing.store.peer import Peer, PeerListener
+from spanwing.store.shared import shared_settings
+from spanwing.store.store import Store
 
 LAST_ARRIVALS_S = 0.5  # new connections still come this long after SIGTERM
+LAST_SETTLING = 100  # looks, 10 ms apart, at whether the last outcomes are in the store
 
 
 class Daemon:
     """All parts of one scheduler."""
 
     def __init__(self, config: Config) -> None:
-        self.stopping = False
-        buffers = BufferPool()
-        loads = LoadReader(config.settings.report_fields)
-        allow = config.options.permissions or Permissions()
-        self.core = Exchange(config.settings, config.seed, Clock())
+        self.config, self.stopping = config, False
+        self.buffers = BufferPool()
+        self.faktory: FaktoryFront | None = None
+        table = config.store
+        acceptor = Acceptor(Disk(table.directory) if table.directory else None)
+        peers = [Peer(address, self.buffers) for address in config.store_peers.values()]
+        self.store = Store(table.member, acceptor, peers, config.seed)
+        if config.store_listen:
+            self.say("store", _listening("store.listen", config.store_listen, lambda address:
+                     PeerListener(address, acceptor, self.buffers)).address)
+
+    async def start(self) -> None:
+        """Take the shared settings, then open the fronts."""
+        config, buffers = self.config, self.buffers
+        raw = await shared_settings(self.store, config.revision, config.raw_settings)
+        options, settings = read_settings(raw, config.options)
+        loads = LoadReader(settings.report_fields)
+        allow = options.permissions or Permissions()
+        self.core = Exchange(settings, config.seed, Clock())
 
         def make_hop(address, retired):
             pool = ConnectionPool(address, buffers, allow.conn_idle_ms, allow.connect_timeout_ms)
             return HttpNextHop(pool, loads, retired)
 
-        self.map = TransportMap(config.known, config.discovery, self.core, buffers, make_hop)
-        self.core.directory = self.map
-        front = PlatformFront(config.settings.classes, loads, self.map.post, self.counters,
-                              lambda: not self.stopping)
-        self.server = HttpServer(config.listen, front, self.core, buffers, most=config.sockets // 2)
-        self.core.start()
+        transport = TransportMap(config.known, config.discovery, self.core, buffers, make_hop)
+        self.core.directory = transport
+        platform = PlatformFront(settings.classes, loads, transport.post, self.counters,
+                                 lambda: not self.stopping)
+        most = config.sockets // 2
+        self.server = _listening("ROUTER_LISTEN", config.listen, lambda address:
+                                 HttpServer(address, platform, self.core, buffers, most))
+        if config.health:
+            health = HealthFront(self.status, self.counters)
+            self.say("health", _listening("health.listen", config.health, lambda address:
+                     HttpServer(address, health, self.core, buffers, most=16)).address)
+        if config.agent_check:
+            self.say("agent_check", _listening("agent_check.listen", config.agent_check, lambda address:
+                     AgentCheck(address, self.status)).address)
+        if config.faktory:
+            workers = FaktoryWorkers(self.core, settings.zone)
+            self.faktory = _listening("faktory.listen", config.faktory, lambda address: FaktoryFront(
+                address, settings.classes, self.core, workers, Claims(self.store), buffers, most // 2,
+                self.counters))
+            self.say("faktory", self.faktory.address)
+        self.say("clients", self.server.address)
+        gc.freeze()  # what is loaded now stays: collections need not look at it again
+
+    def say(self, front: str, address: Address) -> None:
+        print(f"spanwing: {front} on {address}", flush=True)
+
+    def status(self) -> Status:
+        return Status(self.stopping, *self.core.workers())
 
     def counters(self) -> dict[str, int]:
         return dict(sorted(self.core.counters.items()))
@@ -60,32 +107,57 @@
         self.stopping = True
         await sleep(LAST_ARRIVALS_S)
         self.server.drain()
-        await self.core.until_quiet()
+        if self.faktory is not None:
+            self.faktory.draining = True
         while self.server.busy() or not self.core.idle():
+            await self.core.until_quiet()
             await sleep(0.01)
+        if self.faktory is not None:
+            for _ in range(LAST_SETTLING):
+                if not self.faktory.claims.settling:
+                    break
+                await sleep(0.01)
         IOLoop.current().stop()
 
 
-def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(message)s")
-    try:
-        config = load()
-    except ConfigError as error:
-        print(f"spanwing: {error}", file=sys.stderr)
-        return 2
-    loop = IOLoop.current()
+def _listening(setting: str, address: Address, make):
     try:
-        daemon = Daemon(config)
+        return make(address)
     except OSError as error:
-        print(f"spanwing: ROUTER_LISTEN: cannot listen on {config.listen}: {error.strerror}", file=sys.stderr)
-        return 2
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.stop))
-    signal.signal(signal.SIGUSR1, lambda *_: loop.add_callback_from_signal(daemon.print_counters))
-    print(f"spanwing: listening on {daemon.server.address}", flush=True)
-    gc.freeze()  # what is loaded now stays: collections need not look at it again
+        raise ConfigError(f"{setting}: cannot listen on {address}: {error.strerror}") from None
+
+
+def run() -> None:
+    loop = IOLoop.current()
+    daemon = Daemon(load())
+    wrong: list[ConfigError] = []
+
+    async def start() -> None:
+        try:
+            await daemon.start()
+        except ConfigError as error:
+            wrong.append(error)
+            loop.stop()
+            return
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.stop))
+        signal.signal(signal.SIGUSR1, lambda *_: loop.add_callback_from_signal(daemon.print_counters))
+
+    loop.add_callback(start)
     loop.start()
+    if wrong:
+        raise wrong[0]
     daemon.print_counters()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(message)s")
+    try:
+        run()
+    except (ConfigError, DiskError) as error:
+        setting = "store.directory: " if isinstance(error, DiskError) else ""
+        print(f"spanwing: {setting}{error}", file=sys.stderr)
+        return 2
     return 0
 
 
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -14,6 +14,8 @@
 from spanwing.net.transportmap import MemberList
 from spanwing.settings import Options, settings_of
 
+FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.toml"
+
 
 class ConfigError(Exception):
     """One plain line that names the setting."""
@@ -26,7 +28,8 @@
 class Platform(msgspec.Struct):
     """The file named by ROUTER_CONFIG."""
 
-    settings: Options
+    settings: msgspec.Raw
+    revision: int = 0  # of the settings: the store keeps those of the highest
     name: str = ""
     listen: str = ""
     discovery: str = ""
@@ -35,8 +38,32 @@
     known: MemberList = msgspec.field(default_factory=MemberList)
 
 
+class Opened(msgspec.Struct, forbid_unknown_fields=True):
+    """A front that listens."""
+
+    listen: str
+
+
+class StoreTable(msgspec.Struct, forbid_unknown_fields=True):
+    """Our member of the store; without a directory it lives in memory, alone."""
+
+    member: str = "alone"
+    directory: str = ""
+    listen: str = ""
+    peers: dict[str, str] = {}
+
+
+class Fronts(msgspec.Struct, forbid_unknown_fields=True):
+    """The file under deploy/ that opens what is off by default."""
+
+    faktory: Opened | None = None
+    health: Opened | None = None
+    agent_check: Opened | None = None
+    store: StoreTable = msgspec.field(default_factory=StoreTable)
+
+
 class Config(msgspec.Struct):
-    """The same, checked and translated."""
+    """Both files, checked and translated."""
 
     name: str
     listen: Address
@@ -44,8 +71,16 @@
     seed: int
     sockets: int
     known: MemberList
+    revision: int
+    raw_settings: str
     options: Options
     settings: api.Settings
+    faktory: Address | None
+    health: Address | None
+    agent_check: Address | None
+    store: StoreTable
+    store_listen: Address | None
+    store_peers: dict[str, Address]
 
 
 def read_struct(path: str, setting: str, form: type, decode: Any) -> Any:
@@ -67,11 +102,21 @@
         raise ConfigError(f"{setting}: {error}") from None
 
 
+def read_settings(raw: str, own: Options | None = None) -> tuple[Options, api.Settings]:
+    """Decode the settings object; what is a member's own (its number and zone) comes from its own file."""
+    options = checked("settings", lambda text: msgspec.json.decode(text, type=Options), raw)
+    if own is not None:
+        options.position, options.zone = own.position, own.zone
+    return options, checked("settings", settings_of, options)
+
+
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     path = environment.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: not set; it names the configuration file")
     raw = read_struct(path, "ROUTER_CONFIG", Platform, msgspec.json.decode)
+    options, settings = read_settings(bytes(raw.settings).decode())
+    fronts = read_fronts(environment.get("SPANWING_FRONTS"))
     return Config(
         name=environment.get("ROUTER_NAME") or raw.name,
         listen=checked("ROUTER_LISTEN", parse_address, environment.get("ROUTER_LISTEN") or raw.listen),
@@ -80,11 +125,43 @@
         seed=checked("seed", lambda text: int(text, 16), raw.seed),
         sockets=checked("limits.sockets", _enough, raw.limits.sockets),
         known=raw.known,
-        options=raw.settings,
-        settings=checked("settings", settings_of, raw.settings),
+        revision=raw.revision,
+        raw_settings=bytes(raw.settings).decode(),
+        options=options,
+        settings=settings,
+        faktory=_opened("faktory", fronts.faktory),
+        health=_opened("health", fronts.health),
+        agent_check=_opened("agent_check", fronts.agent_check),
+        store=_store(fronts.store),
+        store_listen=checked("store.listen", parse_address, fronts.store.listen) if fronts.store.listen
+        else None,
+        store_peers={name: checked(f"store.peers.{name}", parse_address, text)
+                     for name, text in fronts.store.peers.items()},
     )
 
 
+def read_fronts(path: str | None) -> Fronts:
+    """The file that SPANWING_FRONTS names, else the repository's own."""
+    if path is None and not FRONTS.exists():
+        return Fronts()
+    return read_struct(path or str(FRONTS), "SPANWING_FRONTS", Fronts, msgspec.toml.decode)
+
+
+def _opened(name: str, front: Opened | None) -> Address | None:
+    return checked(f"{name}.listen", parse_address, front.listen) if front else None
+
+
+def _store(table: StoreTable) -> StoreTable:
+    if table.peers and not table.directory:
+        # A member that forgets its promises can let two proposers win.
+        raise ConfigError("store.directory: needed where store.peers are listed")
+    if table.peers and not table.listen:
+        raise ConfigError("store.listen: needed where store.peers are listed")
+    if table.member in table.peers:
+        raise ConfigError(f"store.peers: {table.member!r} is this member itself")
+    return table
+
+
 def _enough(sockets: int) -> int:
     if sockets < 64:
         raise ValueError(f"{sockets} is too few, 64 are needed")
--- a/spanwing/core/actor.py
+++ b/spanwing/core/actor.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Coroutine
 from typing import Any
 
 from tornado.ioloop import IOLoop
-from tornado.queues import Queue
 
 log = logging.getLogger("spanwing")
 
@@ -25,23 +25,30 @@
 
 
 class Actor:
-    """Takes messages in the order they were posted."""
+    """Takes messages in the order they were posted, on the loop it was made on."""
 
     def __init__(self) -> None:
-        self.mailbox: Queue[Any] = Queue()
+        self.mailbox: deque[Any] = deque()
+        self.loop = IOLoop.current()
+        self.running = False
 
     def post(self, message: object) -> None:
-        self.mailbox.put_nowait(message)
+        """Leave a message. Nothing waits on an empty mailbox, so an actor no one knows simply goes."""
+        self.mailbox.append(message)
+        if not self.running:
+            self.running = True
+            self.loop.add_callback(self._serve)
 
-    def start(self) -> None:
-        spawn(self._serve())
-
-    async def _serve(self) -> None:
-        async for message in self.mailbox:
-            try:
-                self.take(message)
-            except Exception:  # noqa: BLE001 - later messages still need their answers
-                log.exception("fault on %s", type(message).__name__)
+    def _serve(self) -> None:
+        try:
+            while self.mailbox:
+                message = self.mailbox.popleft()
+                try:
+                    self.take(message)
+                except Exception:  # noqa: BLE001 - later messages still need their answers
+                    log.exception("fault on %s", type(message).__name__)
+        finally:
+            self.running = False
 
     def take(self, message: Any) -> None:
         raise NotImplementedError
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from tornado.concurrent import Future
-from tornado.ioloop import IOLoop
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
@@ -50,7 +49,7 @@
 class Out:
     """A delivery attempt that has not ended."""
 
-    hop: NextHop
+    hop: NextHop | None
     worker: int
     at: float
     timer: object
@@ -61,12 +60,12 @@
 
     def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
         super().__init__()
-        self.settings, self.clock, self.loop = settings, clock, IOLoop.current()
+        self.settings, self.clock = settings, clock
         self.module = Dispatcher(settings, seed, clock.now())
         self.directory: Directory | None = None
         self.calls: dict[str, Call] = {}
         self.out: dict[tuple[str, int], Out] = {}
-        self.hops: dict[int, NextHop] = {}
+        self.hops: dict[str, dict[int, NextHop]] = {}  # by the directory that told
         self.counters: Counter[str] = Counter()
         self.quiet: list[Future[None]] = []
 
@@ -77,8 +76,13 @@
                 waiting.set_result(None)
             self.quiet = []
 
+    def workers(self) -> tuple[int, int]:
+        """How many job workers are listed, and how many of them take new work."""
+        states = [view.entry.state for view in self.module.views.values()]
+        return len(states) - states.count("gone"), states.count("healthy")
+
     def idle(self) -> bool:
-        return not self.calls and not self.out
+        return not self.calls and not self.out and not self.mailbox
 
     def until_quiet(self) -> Future[None]:
         """Done once nothing taken is unanswered and nothing sent is out."""
@@ -116,9 +120,18 @@
             self._decide(api.ClientGone(left.request))
 
     def _listed(self, listed: Listed) -> None:
-        self.hops = listed.hops
-        self.counters[f"listed.{listed.news.scope}"] += 1
-        self._decide(listed.news)
+        news, before = listed.news, self.hops.get(listed.source, {})
+        self.hops[listed.source] = listed.hops
+        self.counters[f"listed.{news.scope}"] += 1
+        if news.scope in ("complete", "persisted") and len(self.hops) > 1:
+            # A whole list of one directory says nothing of the job workers of another.
+            named = {each.id for each in news.workers}
+            gone = [api.Worker(worker, "gone") for worker in before if worker not in named]
+            news = api.WorkerList("partial", (*news.workers, *gone))
+        self._decide(news)
+
+    def _hop(self, worker: int) -> NextHop | None:
+        return next((hops[worker] for hops in self.hops.values() if worker in hops), None)
 
     def _started(self, started: Started) -> None:
         out = self.out.get((started.request, started.number))
@@ -127,7 +140,7 @@
 
     def _expired(self, expired: Expired) -> None:
         out = self.out.get(expired[:2])
-        if out is not None:
+        if out is not None and out.hop is not None:
             out.hop.give_up(*expired, "timeout")
 
     def _ended(self, ended: Ended) -> None:
@@ -159,7 +172,7 @@
             budget = min(budget, action.timeout)
         key = (action.request, number)
         timer = self.loop.call_later(max(0.0, budget) / 1000.0, self.post, Expired(*key))
-        hop = self.hops.get(action.worker)
+        hop = self._hop(action.worker)
         self.out[key] = Out(hop, action.worker, now, timer)
         if budget <= 0 or number >= self.settings.max_attempts or hop is None:
             self.post(Ended(*key, "moot"))
@@ -174,7 +187,7 @@
             out.hop.give_up(action.request, action.attempt, "cancelled")
 
     def _probe(self, action: api.Probe) -> None:
-        hop = self.hops.get(action.worker)
+        hop = self._hop(action.worker)
         if hop is not None:
             self.counters["probed"] += 1
             hop.probe(action.worker, self)
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -27,6 +27,7 @@
     target: str = "/"
     body: bytes = b""
     effect_key: str | None = None
+    media: str = ""  # what the body is, where a front says so
 
 
 class Answer(NamedTuple):
@@ -88,10 +89,11 @@
 
 
 class Listed(NamedTuple):
-    """News of job workers, with the next hops to reach those that are named."""
+    """News of job workers, with all next hops of the directory that tells."""
 
     news: api.WorkerList
     hops: dict[int, NextHop]
+    source: str = "map"
 
 
 class Started(NamedTuple):
--- a/spanwing/net/nexthop.py
+++ b/spanwing/net/nexthop.py
@@ -76,7 +76,6 @@
         self.pool, self.loads, self.retired = pool, loads, retired
         self.jobs: dict[str, Job] = {}
         self.retiring = False
-        self.start()
 
     def deliver(self, delivery: Delivery, listener: Listener) -> None:
         self.post(Deliver(delivery, listener))
--- a/spanwing/net/transportmap.py
+++ b/spanwing/net/transportmap.py
@@ -91,7 +91,6 @@
         self.revision = known.revision
         self.following = False
         self._apply(known, "persisted")
-        self.start()
 
     def watch(self) -> None:
         self.post(Follow())
--- /dev/null
+++ b/spanwing/store/__init__.py
@@ -0,0 +1,1 @@
+"""A small replicated store: compare-and-set registers by majority, after CASPaxos."""
--- /dev/null
+++ b/tests/player.py
@@ -0,0 +1,250 @@
+"""Starts the daemon and plays recorded byte exchanges against it.
+
+A recording is text, one step a line:
+
+    set PATH VALUE        before the start: a value of the configuration, JSON (`settings.zone "a"`)
+    front NAME [k=v ..]   before the start: open a front, on a port of the system's choice
+    listen NAME           a stand-in's listening socket; {NAME} is its port from here on
+    start                 starts the daemon; {now} is the Unix time in ms
+    open NAME FRONT       a connection to a front of the daemon (clients, faktory, health, agent_check)
+    accept NAME LISTENER  the next connection that the daemon opened to a stand-in
+    NAME> TEXT            sends a line with CRLF; NAME>> TEXT sends it bare, with escapes
+    NAME># TEXT           ends a head with the length of this body, and sends the body
+    NAME< TEXT            the next line must match, * stands for anything; NAME<< TEXT compares bare bytes
+    NAME<~ TEXT           lines are passed over until one matches
+    NAME close            closes it;  NAME ended: the daemon must have closed it
+    signal TERM           and so on;  exit N: the daemon must end with this status
+    error TEXT            what it wrote to standard error must match
+"""
+
+from __future__ import annotations
+
+import codecs
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PATIENCE_S = 20.0  # what never comes fails the test after this; nothing is measured against it
+SETTINGS = {
+    "areas": ["a"], "balancers": 1, "position": 0, "zone": "a", "kinds": ["big"], "tick_ms": 4.0,
+    "classes": [
+        {"name": "status-read", "aim_ms": 60000.0, "deadline_ms": 60000.0, "idempotency": "safe"},
+        {"name": "schedule-apply", "aim_ms": 60000.0, "deadline_ms": 60000.0, "idempotency": "unsafe"},
+        {"name": "setpoint-push", "aim_ms": 60000.0, "deadline_ms": 60000.0, "idempotency": "keyed",
+         "group": "zone", "window_ms": 12000.0},
+    ],
+    "permissions": {"max_attempts": 3, "cancel": True, "conn_idle_ms": 15000.0, "connect_timeout_ms": 250.0},
+    "rules": {"grace_to_answer_ms": 16.0, "stop_sending_within_ms": 2000.0, "cold_from": 0.3,
+              "cold_ms": 8600.0, "fall_multiple": 3.0, "fall_ms": 3000.0},
+    "specifics": {"tells_start": True},
+}
+
+
+class Daemon:
+    """One started program and the addresses that it printed."""
+
+    def __init__(self, config: dict, fronts: str) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        folder = Path(self.folder.name)
+        (folder / "config.json").write_text(json.dumps(config))
+        (folder / "fronts.toml").write_text(fronts)
+        self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by close()
+        environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
+                       "SPANWING_FRONTS": str(folder / "fronts.toml")}
+        self.process = subprocess.Popen([sys.executable, "-m", "spanwing"], cwd=ROOT, env=environment,
+                                        stdout=subprocess.PIPE, stderr=self.errors, text=True)
+        self.addresses: dict[str, tuple[str, int]] = {}
+
+    def ready(self) -> Daemon:
+        """Wait for the line that says the daemon takes clients."""
+        for line in self.process.stdout:
+            if match := re.match(r"spanwing: (\w+) on (.*):(\d+)$", line):
+                self.addresses[match[1]] = (match[2], int(match[3]))
+                if match[1] == "clients":
+                    return self
+        raise AssertionError(f"the daemon did not start: {self.said()}")
+
+    def connect(self, front: str) -> socket.socket:
+        return socket.create_connection(self.addresses[front], PATIENCE_S)
+
+    def said(self) -> str:
+        self.errors.seek(0)
+        return self.errors.read()
+
+    def wait(self) -> tuple[int, str]:
+        """The exit status and what was printed last."""
+        out = self.process.stdout.read()
+        return self.process.wait(PATIENCE_S), out
+
+    def close(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.process.stdout.close()
+        self.errors.close()
+        self.folder.cleanup()
+
+
+def config(members: list[dict] = (), discovery: str = "127.0.0.1:9", **settings) -> dict:
+    known = {"revision": 1, "complete": True, "members": list(members)}
+    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "2a", "known": known,
+            "limits": {"sockets": 256}, "settings": {**json.loads(json.dumps(SETTINGS)), **settings}}
+
+
+def member(name: str, port: int, **more) -> dict:
+    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
+            "phase": "active", "size": 1.0, "up_since_ms": 0, **more}
+
+
+class Player:
+    """Plays one recording."""
+
+    def __init__(self, path: Path) -> None:
+        self.path, self.config, self.fronts = path, config(), ""
+        self.words: dict[str, str] = {}
+        self.sockets: dict[str, socket.socket] = {}
+        self.read: dict[str, bytes] = {}
+        self.daemon: Daemon | None = None
+
+    def play(self) -> None:
+        try:
+            for number, line in enumerate(self.path.read_text().splitlines(), 1):
+                if line.strip() and not line.startswith("#"):
+                    try:
+                        self.step(line)
+                    except (AssertionError, OSError) as error:
+                        said = self.daemon.said() if self.daemon else ""
+                        raise AssertionError(f"{self.path.name}:{number}: {line}\n{error}\n{said}") from error
+            said = self.daemon.said()
+            assert "Traceback" not in said and "fault" not in said, said
+        finally:
+            for each in self.sockets.values():
+                each.close()
+            if self.daemon is not None:
+                self.daemon.close()
+
+    def step(self, line: str) -> None:
+        if match := re.match(r"(\w+)(>>|>#|>|<<|<~|<) ?(.*)$", line):
+            name, sign, text = match[1], match[2], self.filled(match[3])
+            getattr(self, {">": "send", ">>": "send_bare", ">#": "send_body", "<": "expect", "<<": "expect_bare",
+                           "<~": "expect_later"}[sign])(name, text)
+            return
+        word, *rest = line.split(" ")
+        if rest in (["close"], ["ended"]):
+            getattr(self, rest[0])(word)
+        else:
+            getattr(self, f"do_{word}")(*rest)
+
+    def filled(self, text: str) -> str:
+        for name, value in self.words.items():
+            text = text.replace("{" + name + "}", value)
+        return text
+
+    def do_set(self, path: str, *value: str) -> None:
+        *where, last = path.split(".")
+        into = self.config
+        for each in where:
+            into = into[int(each)] if each.isdigit() else into[each]
+        into[last] = json.loads(self.filled(" ".join(value)))
+
+    def do_front(self, name: str, *values: str) -> None:
+        pairs = [each.split("=", 1) for each in values or ("listen=127.0.0.1:0",)]
+        self.fronts += f"[{name}]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in pairs)
+
+    def do_listen(self, name: str) -> None:
+        self.sockets[name] = socket.create_server(("127.0.0.1", 0))
+        self.sockets[name].settimeout(PATIENCE_S)
+        self.words[name] = str(self.sockets[name].getsockname()[1])
+
+    def do_start(self) -> None:
+        self.words["now"] = str(int(time.time() * 1000))
+        self.daemon = Daemon(self.config, self.fronts).ready()
+
+    def do_fails(self) -> None:
+        self.daemon = Daemon(self.config, self.fronts)
+
+    def do_worker(self, name: str, *more: str) -> None:
+        """A listening stand-in that the configuration's list names."""
+        self.do_listen(name)
+        entry = member(name, int(self.words[name]), **json.loads(" ".join(more) or "{}"))
+        self.config["known"]["members"].append(entry)
+
+    def do_open(self, name: str, front: str) -> None:
+        self.sockets[name] = self.daemon.connect(front)
+
+    def do_accept(self, name: str, listener: str) -> None:
+        self.sockets[name] = self.sockets[listener].accept()[0]
+        self.sockets[name].settimeout(PATIENCE_S)
+
+    def do_signal(self, name: str) -> None:
+        self.daemon.process.send_signal(getattr(signal, f"SIG{name}"))
+
+    def do_exit(self, status: str) -> None:
+        code, self.words["out"] = self.daemon.wait()
+        assert code == int(status), f"it ended with {code}"
+
+    def do_error(self, *text: str) -> None:
+        said = self.daemon.said()
+        assert matches(" ".join(text), said.strip()), f"it said {said!r}"
+
+    def do_printed(self, *text: str) -> None:
+        assert matches(" ".join(text), self.words["out"].strip()), f"it printed {self.words['out']!r}"
+
+    def send(self, name: str, text: str) -> None:
+        self.sockets[name].sendall(text.encode() + b"\r\n")
+
+    def send_bare(self, name: str, text: str) -> None:
+        self.sockets[name].sendall(codecs.decode(text, "unicode_escape").encode("latin-1"))
+
+    def send_body(self, name: str, text: str) -> None:
+        self.sockets[name].sendall(f"Content-Length: {len(text)}\r\n\r\n{text}".encode())
+
+    def more(self, name: str) -> bool:
+        data = self.sockets[name].recv(65536)
+        self.read[name] = self.read.get(name, b"") + data
+        return bool(data)
+
+    def line(self, name: str) -> str:
+        while b"\r\n" not in self.read.get(name, b""):
+            if not self.more(name):
+                raise AssertionError(f"it ended after {self.read[name]!r}")
+        line, _, self.read[name] = self.read[name].partition(b"\r\n")
+        return line.decode("latin-1")
+
+    def expect(self, name: str, text: str) -> None:
+        got = self.line(name)
+        assert matches(text, got), f"got {got!r}"
+
+    def expect_later(self, name: str, text: str) -> None:
+        while not matches(text, self.line(name)):
+            pass
+
+    def expect_bare(self, name: str, text: str) -> None:
+        want = codecs.decode(text, "unicode_escape").encode("latin-1")
+        while len(self.read.get(name, b"")) < len(want) and self.more(name):
+            pass
+        got, self.read[name] = self.read[name][: len(want)], self.read[name][len(want):]
+        assert got == want, f"got {got!r}"
+
+    def close(self, name: str) -> None:
+        self.sockets.pop(name).close()
+
+    def ended(self, name: str) -> None:
+        try:
+            while self.more(name):
+                pass
+        except ConnectionResetError:
+            pass
+        assert not self.read.get(name), f"unread: {self.read[name]!r}"
+
+
+def matches(pattern: str, text: str) -> bool:
+    return re.fullmatch(".*".join(map(re.escape, pattern.split("*"))), text, re.DOTALL) is not None
