--- a/tests/player.py
+++ b/tests/player.py
@@ -5,14 +5,17 @@
     set PATH VALUE        before the start: a value of the configuration, JSON (`settings.zone "a"`)
     front NAME [k=v ..]   before the start: open a front, on a port of the system's choice
     listen NAME           a stand-in's listening socket; {NAME} is its port from here on
-    start                 starts the daemon; {now} is the Unix time in ms
+    start                 launch (starts the daemon) and ready (waits until it serves)
     open NAME FRONT       a connection to a front of the daemon (clients, faktory, health, agent_check)
     accept NAME LISTENER  the next connection that the daemon opened to a stand-in
     NAME> TEXT            sends a line with CRLF; NAME>> TEXT sends it bare, with escapes
     NAME># TEXT           ends a head with the length of this body, and sends the body
     NAME< TEXT            the next line must match, * stands for anything; NAME<< TEXT compares bare bytes
+    NAME<~~ TEXT          bytes are passed over until a line ends so
     NAME<~ TEXT           lines are passed over until one matches
     NAME close            closes it;  NAME ended: the daemon must have closed it
+    folder NAME           an empty folder; {NAME} is its path;  restart: kills the daemon and starts it again
+    until FRONT METHOD TARGET STATUS   asks a front until it answers so
     signal TERM           and so on;  exit N: the daemon must end with this status
     error TEXT            what it wrote to standard error must match
 """
@@ -28,7 +31,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -104,6 +106,10 @@
             "phase": "active", "size": 1.0, "up_since_ms": 0, **more}
 
 
+SIGNS = {">": "send", ">>": "send_bare", ">#": "send_body",
+         "<": "expect", "<<": "expect_bare", "<~": "expect_later", "<~~": "skip_to"}
+
+
 class Player:
     """Plays one recording."""
 
@@ -113,6 +119,7 @@
         self.sockets: dict[str, socket.socket] = {}
         self.read: dict[str, bytes] = {}
         self.daemon: Daemon | None = None
+        self.folders: list[tempfile.TemporaryDirectory] = []
 
     def play(self) -> None:
         try:
@@ -130,12 +137,13 @@
                 each.close()
             if self.daemon is not None:
                 self.daemon.close()
+            for folder in self.folders:
+                folder.cleanup()
 
     def step(self, line: str) -> None:
-        if match := re.match(r"(\w+)(>>|>#|>|<<|<~|<) ?(.*)$", line):
+        if match := re.match(r"(\w+)(>>|>#|>|<<|<~~|<~|<) ?(.*)$", line):
             name, sign, text = match[1], match[2], self.filled(match[3])
-            getattr(self, {">": "send", ">>": "send_bare", ">#": "send_body", "<": "expect", "<<": "expect_bare",
-                           "<~": "expect_later"}[sign])(name, text)
+            getattr(self, SIGNS[sign])(name, text)
             return
         word, *rest = line.split(" ")
         if rest in (["close"], ["ended"]):
@@ -156,7 +164,7 @@
         into[last] = json.loads(self.filled(" ".join(value)))
 
     def do_front(self, name: str, *values: str) -> None:
-        pairs = [each.split("=", 1) for each in values or ("listen=127.0.0.1:0",)]
+        pairs = [self.filled(each).split("=", 1) for each in values or ("listen=127.0.0.1:0",)]
         self.fronts += f"[{name}]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in pairs)
 
     def do_listen(self, name: str) -> None:
@@ -164,13 +172,36 @@
         self.sockets[name].settimeout(PATIENCE_S)
         self.words[name] = str(self.sockets[name].getsockname()[1])
 
-    def do_start(self) -> None:
-        self.words["now"] = str(int(time.time() * 1000))
-        self.daemon = Daemon(self.config, self.fronts).ready()
-
-    def do_fails(self) -> None:
+    def do_launch(self) -> None:
         self.daemon = Daemon(self.config, self.fronts)
 
+    def do_ready(self) -> None:
+        self.daemon.ready()
+
+    def do_start(self) -> None:
+        self.do_launch()
+        self.do_ready()
+
+    def do_restart(self) -> None:
+        """Killed outright, and started again with the same files."""
+        self.daemon.process.kill()
+        self.daemon.process.wait()
+        self.daemon.close()
+        self.do_start()
+
+    def do_folder(self, name: str) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.folders.append(folder)
+        self.words[name] = folder.name
+
+    def do_until(self, front: str, method: str, target: str, status: str) -> None:
+        """Ask until the answer has this status; a signal is an event that no socket tells."""
+        got = ""
+        while got != status:
+            with self.daemon.connect(front) as asked:
+                asked.sendall(f"{method} {target} HTTP/1.1\r\nConnection: close\r\n\r\n".encode())
+                got = asked.makefile().readline().split(" ")[1]
+
     def do_worker(self, name: str, *more: str) -> None:
         """A listening stand-in that the configuration's list names."""
         self.do_listen(name)
@@ -227,6 +258,12 @@
         while not matches(text, self.line(name)):
             pass
 
+    def skip_to(self, name: str, end: str) -> None:
+        """Pass over the bytes of a line up to its end."""
+        while not self.read[name].endswith(f"{end}\n".encode()) and self.more(name):
+            pass
+        self.read[name] = b""
+
     def expect_bare(self, name: str, text: str) -> None:
         want = codecs.decode(text, "unicode_escape").encode("latin-1")
         while len(self.read.get(name, b"")) < len(want) and self.more(name):
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,86 @@
+"""The store over real connections, in one process: three members, two proposers at once."""
+
+from __future__ import annotations
+
+import unittest
+
+from tornado.gen import multi
+from tornado.testing import AsyncTestCase, gen_test
+
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
+from spanwing.store.acceptor import Acceptor
+from spanwing.store.claims import Claims
+from spanwing.store.messages import Accept, Prepare
+from spanwing.store.peer import Peer, PeerListener
+from spanwing.store.store import NoMajority, Store
+
+ANY = Address("127.0.0.1", 0)
+
+
+class Members(AsyncTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.buffers = BufferPool()
+        self.acceptors = {name: Acceptor(None) for name in "abc"}
+
+    def listen(self) -> None:
+        self.listeners = {name: PeerListener(ANY, acceptor, self.buffers)
+                          for name, acceptor in self.acceptors.items()}
+
+    def store(self, name: str, gone: tuple[str, ...] = ()) -> Store:
+        peers = [Peer(Address("127.0.0.1", 9) if other in gone else listener.address, self.buffers)
+                 for other, listener in self.listeners.items() if other != name]
+        return Store(name, self.acceptors[name], peers, seed=1)
+
+    @gen_test
+    async def test_one_of_two_members_takes_a_job(self) -> None:
+        self.listen()
+        claims = [Claims(self.store(name)) for name in "ab"]
+        for number in range(10):
+            taken = await multi([each.take(f"job-{number}") for each in claims])
+            self.assertEqual([ours for ours, _ in taken].count(True), 1)
+            self.assertEqual(len({claim.token for _, claim in taken}), 1)
+
+    @gen_test
+    async def test_a_refused_job_is_free_again_and_a_served_one_is_not(self) -> None:
+        self.listen()
+        here, there = Claims(self.store("a")), Claims(self.store("b", gone=("c",)))
+        _, claim = await here.take("job")
+        await here.settle("job", claim, "refused")
+        ours, claim = await there.take("job")
+        self.assertTrue(ours)
+        await there.settle("job", claim, "served")
+        ours, claim = await here.take("job")
+        self.assertEqual((ours, claim.state), (False, "served"))
+
+    @gen_test
+    async def test_a_claim_of_which_no_majority_was_heard_is_ours_to_take_again(self) -> None:
+        self.listen()
+        claims = Claims(self.store("a", gone=("b", "c")))
+        for _ in range(2):
+            with self.assertRaises(NoMajority):
+                await claims.take("job")
+        claims.store = self.store("a")
+        self.assertTrue((await claims.take("job"))[0])
+        self.assertFalse((await claims.take("job"))[0])
+
+    @gen_test
+    async def test_compare_and_set_and_read(self) -> None:
+        self.listen()
+        store = self.store("a")
+        self.assertIsNone(await store.read("key"))
+        self.assertEqual(await store.compare_and_set("key", None, "one"), "one")
+        self.assertEqual(await store.compare_and_set("key", None, "two"), "one")
+        self.assertEqual(await self.store("c").read("key"), "one")
+
+    def test_an_acceptor_keeps_its_promise(self) -> None:
+        acceptor = self.acceptors["a"]
+        self.assertTrue(acceptor.answer(Prepare(1, "key", (2, "b"))).granted)
+        self.assertFalse(acceptor.answer(Prepare(2, "key", (1, "c"))).granted)
+        self.assertFalse(acceptor.answer(Accept(3, "key", (1, "c"), "old")).granted)
+        self.assertTrue(acceptor.answer(Accept(4, "key", (2, "b"), "new")).granted)
+
+
+if __name__ == "__main__":
+    unittest.main()
