--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -47,7 +47,7 @@
         table = config.store
         acceptor = Acceptor(Disk(table.directory) if table.directory else None)
         peers = [Peer(address, self.buffers) for address in config.store_peers.values()]
-        self.store = Store(table.member, acceptor, peers, config.seed)
+        self.store = Store(table.member, acceptor, peers, config.seed, table.answer_ms)
         if config.store_listen:
             self.say("store", _listening("store.listen", config.store_listen, lambda address:
                      PeerListener(address, acceptor, self.buffers)).address)
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -13,6 +13,7 @@
 from spanwing.net.address import Address, parse_address
 from spanwing.net.transportmap import MemberList
 from spanwing.settings import Options, settings_of
+from spanwing.store.store import ANSWER_MS
 
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.toml"
 
@@ -51,6 +52,7 @@
     directory: str = ""
     listen: str = ""
     peers: dict[str, str] = {}
+    answer_ms: float = ANSWER_MS
 
 
 class Fronts(msgspec.Struct, forbid_unknown_fields=True):
@@ -157,6 +159,8 @@
         raise ConfigError("store.directory: needed where store.peers are listed")
     if table.peers and not table.listen:
         raise ConfigError("store.listen: needed where store.peers are listed")
+    if table.answer_ms <= 0:
+        raise ConfigError(f"store.answer_ms: {table.answer_ms} is not possible")
     if table.member in table.peers:
         raise ConfigError(f"store.peers: {table.member!r} is this member itself")
     return table
--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -15,7 +15,7 @@
 from spanwing.store.messages import NONE, Accept, Ballot, Prepare, Reply
 from spanwing.store.peer import Peer
 
-ANSWER_S = 0.5  # a round waits so long for a majority
+ANSWER_MS = 500.0  # a round waits so long for a majority
 TRIES = 12  # rounds against other proposers
 
 Change = Callable[[str | None], str | None]
@@ -28,8 +28,10 @@
 class Store:
     """Registers shared with the peers; alone, a dictionary with ballots."""
 
-    def __init__(self, member: str, acceptor: Acceptor, peers: list[Peer], seed: int) -> None:
+    def __init__(self, member: str, acceptor: Acceptor, peers: list[Peer], seed: int,
+                 answer_ms: float = ANSWER_MS) -> None:
         self.member, self.acceptor, self.peers = member, acceptor, peers
+        self.wait = timedelta(milliseconds=answer_ms)
         self.majority = (len(peers) + 1) // 2 + 1
         self.numbers = itertools.count(1)
         self.random = random.Random(seed)
@@ -91,7 +93,7 @@
             for each in asked:
                 each.add_done_callback(heard)
             try:
-                await with_timeout(timedelta(seconds=ANSWER_S), enough)
+                await with_timeout(self.wait, enough)
             except WaitOver:
                 pass
         for each in asked:
