Count a peer's reply that is there but not yet heard

Seen: the store's recording failed now and then: a claim was refused for want of a majority, though the stand-in had granted it. Cause: spanwing/store/store.py, _round: it ended once every asked future was done; where another peer failed in the same turn of the loop, the reply of the first was done but its callback had not run. Ruled out: the load of the machine (it failed alone too), a lost reply (the bytes were on the connection). Conclusion: replies are counted as they are heard; a scripted test fails without the change.

--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -80,13 +80,17 @@
         asked = [peer.ask(make(next(self.numbers))) for peer in self.peers]
         replies = [self.acceptor.answer(make(next(self.numbers)))]
         enough: Future[None] = Future()
+        heard_of = 0
 
         def heard(done: Future[Reply | None]) -> None:
+            nonlocal heard_of
             if done.cancelled() or enough.done():
                 return
+            # A reply that is there but not yet heard must not be taken for one that will not come.
+            heard_of += 1
             if done.result() is not None:
                 replies.append(done.result())
-            if sum(each.granted for each in replies) >= self.majority or all(f.done() for f in asked):
+            if sum(each.granted for each in replies) >= self.majority or heard_of == len(asked):
                 enough.set_result(None)
 
         if len(replies) < self.majority:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from tornado.concurrent import Future
 from tornado.gen import multi
 from tornado.testing import AsyncTestCase, gen_test
 
@@ -74,6 +75,22 @@
         self.assertEqual(await store.compare_and_set("key", None, "two"), "one")
         self.assertEqual(await self.store("c").read("key"), "one")
 
+    @gen_test(timeout=60)
+    async def test_a_reply_counts_though_another_peer_fails_in_the_same_turn(self) -> None:
+        class Scripted:
+            def __init__(self, answer) -> None:
+                self.answer = answer
+
+            def ask(self, message):
+                reply = Future()
+                self.loop.call_soon(lambda: reply.set_result(self.answer(message)))
+                return reply
+
+        Scripted.loop = self.io_loop.asyncio_loop
+        store = Store("a", self.acceptors["a"], [Scripted(lambda _: None),
+                                                 Scripted(self.acceptors["b"].answer)], 1, 20000.0)
+        self.assertEqual(await store.compare_and_set("key", None, "one"), "one")
+
     def test_an_acceptor_keeps_its_promise(self) -> None:
         acceptor = self.acceptors["a"]
         self.assertTrue(acceptor.answer(Prepare(1, "key", (2, "b"))).granted)
