Try a worker again after its rest, with a job that may be repeated

Seen: a recording in which the only worker had been set aside never got another job, in 20 s. Cause: choice.py, _free: what others were last seen to hold fades by halves but never ends, and was taken off the limit of 1 job that holds after a rest; the difference stays under one slot for about two minutes.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -16,6 +16,7 @@
 
 GUESS = 4.0  # slots assumed at a worker before anything is learned
 MEMORY_MS = 3000.0  # how long a view of what others hold at a worker lasts
+FADED = 0.4  # of a slot: less than this, held by others as last seen, keeps no worker from its trial
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
 COPIES = 0.5  # second copies earned by each arrival: where a cancel stops nothing, each copy is load
@@ -66,6 +67,7 @@
         self.quick = {zone: 10.0 if zone == settings.zone else 60.0 for zone in (*settings.zones, "")}
         self.busy = 0.5  # share of slots in use as far as seen
         self.keyed = False  # jobs with keys have been seen: all nodes then use the same workers
+        self.proves = any(each.effect == "safe" for each in settings.classes)
         self.alarms = Alarms(settings.tick)
         if settings.subscribe:
             self.alarms.add(now + self.rng.uniform(0, 1000.0), lambda: self.out.append(api.Watch()))
@@ -226,6 +228,8 @@
         """Slots believed idle: the assumed total less what we hold and what others do, as last seen."""
         prior = 0.0 if view.home and not self.keyed else self.busy * view.total
         others = prior + (view.others - prior) * math.exp((view.seen - self.now) / MEMORY_MS)
+        if view.limit < view.total and others < FADED:
+            others = 0.0  # it fades but never ends: off the limit of 1 after a rest, it left no slot ever
         return min(view.total, view.limit) - view.held - others
 
     def _usable(self, view: View, job: Job) -> bool:
@@ -263,6 +267,8 @@
         if view.held + job.req.slots > min(view.total, view.limit) or (
                 self.set.counts_memory and view.held and view.memory + job.req.memory > view.total):
             return False
+        if view.limit <= 1.0 and self.proves and job.cls.effect != "safe":
+            return False  # back from a rest, a worker proves itself on a job that may be repeated
         return self._free(view) + slack >= job.req.slots and self._usable(view, job)
 
     def _place(self, job: Job) -> View | None:
