Bound the wait for a request that has begun, and share what next hops and listeners repeat

Seen: a client that stops in the middle of a request would hold its connection for ever, and the exit after SIGTERM with it. The search for duplicates named the messages of the two kinds of next hop and the listeners. Cause: reads had no time of their own; the Faktory worker was written after the HTTP one. Ruled out: idle connections, which may stay open between requests.

--- a/spanwing/net/address.py
+++ b/spanwing/net/address.py
@@ -4,8 +4,11 @@
 
 import ipaddress
 import socket
+from collections.abc import Callable
 from typing import NamedTuple
 
+from tornado.netutil import add_accept_handler
+
 
 class Address(NamedTuple):
     """A numeric address; names are not looked up (the platform has no DNS)."""
@@ -42,11 +45,12 @@
     return socket.socket(_family(address), socket.SOCK_STREAM)
 
 
-def listen_socket(address: Address) -> socket.socket:
-    """A listening socket on exactly this address."""
+def listen(address: Address, accept: Callable[[socket.socket], None]) -> Address:
+    """Listen on exactly this address; returns it with the port that the system chose for 0."""
     sock = open_socket(address)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
     sock.bind(address.target)
     sock.listen(512)
-    return sock
+    add_accept_handler(sock, lambda connection, _: accept(connection))
+    return Address(*sock.getsockname()[:2])
--- a/spanwing/net/balancer.py
+++ b/spanwing/net/balancer.py
@@ -7,11 +7,10 @@
 
 import msgspec
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from spanwing.core.actor import spawn
 from spanwing.core.messages import Answer, Envelope
-from spanwing.net.address import Address, listen_socket
+from spanwing.net.address import Address, listen
 from spanwing.net.http import Message, response_bytes
 
 
@@ -51,9 +50,7 @@
 
     def __init__(self, address: Address, status: Callable[[], Status]) -> None:
         self.status = status
-        sock = listen_socket(address)
-        self.address = Address(*sock.getsockname()[:2])
-        add_accept_handler(sock, lambda conn, _: spawn(self._serve(IOStream(conn))))
+        self.address = listen(address, lambda conn: spawn(self._serve(IOStream(conn))))
 
     async def _serve(self, stream: IOStream) -> None:
         try:
--- a/spanwing/net/faktory.py
+++ b/spanwing/net/faktory.py
@@ -10,13 +10,12 @@
 import msgspec
 from tornado.concurrent import Future
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 from tornado.queues import Queue
 
 from spanwing import interface as api
 from spanwing.core.actor import spawn
 from spanwing.core.messages import Answer, Envelope, Kind, Left, Listener, Take
-from spanwing.net.address import Address, listen_socket
+from spanwing.net.address import Address, listen
 from spanwing.net.buffers import BufferPool
 from spanwing.net.faktoryworker import (
     JOB_MEDIA,
@@ -115,11 +114,9 @@
         self.states: OrderedDict[str, Tracked] = OrderedDict()
         self.connections: set[FaktoryConnection] = set()
         self.draining = False
-        sock = listen_socket(address)
-        self.address = Address(*sock.getsockname()[:2])
-        add_accept_handler(sock, self._accept)
+        self.address = listen(address, self._accept)
 
-    def _accept(self, sock, _: object) -> None:
+    def _accept(self, sock) -> None:
         if len(self.connections) >= self.most:
             sock.close()
             return
--- a/spanwing/net/faktoryworker.py
+++ b/spanwing/net/faktoryworker.py
@@ -13,6 +13,7 @@
 from spanwing import interface as api
 from spanwing.core.actor import Actor
 from spanwing.core.messages import Delivery, Ended, Envelope, Listed, Listener, Probed, Started
+from spanwing.net.hop import Deliver, GiveUp, HopActor, Probe
 from spanwing.net.transportmap import number_of
 
 JOB_MEDIA = "application/vnd.faktory.job+json"
@@ -24,22 +25,6 @@
 Handed = tuple[bytes, Callable[[bool], None]]
 
 
-class Deliver(NamedTuple):
-    delivery: Delivery
-    listener: Listener
-
-
-class GiveUp(NamedTuple):
-    request: str
-    number: int
-    result: api.Result
-
-
-class Probe(NamedTuple):
-    worker: int
-    listener: Listener
-
-
 class Fetch(NamedTuple):
     """A free slot: the future gets a job's bytes and what to call once they are written, or None."""
 
@@ -94,7 +79,7 @@
     })
 
 
-class FaktoryNextHop(Actor):
+class FaktoryNextHop(HopActor):
     """A job worker that fetches. Each delivery ends in one Ended; a late ACK changes nothing."""
 
     def __init__(self) -> None:
@@ -103,18 +88,6 @@
         self.waiting: deque[Job] = deque()
         self.slots: deque[Slot] = deque()
 
-    def deliver(self, delivery: Delivery, listener: Listener) -> None:
-        self.post(Deliver(delivery, listener))
-
-    def give_up(self, request: str, number: int, result: api.Result) -> None:
-        self.post(GiveUp(request, number, result))
-
-    def probe(self, worker: int, listener: Listener) -> None:
-        self.post(Probe(worker, listener))
-
-    def take(self, message: Any) -> None:
-        HANDLERS[type(message)](self, message)
-
     def _deliver(self, message: Deliver) -> None:
         job = Job(*message)
         envelope = job.delivery.envelope
@@ -194,7 +167,7 @@
         probe.listener.post(Probed(api.ProbeResult(probe.worker, "ok", 0.0)))
 
 
-HANDLERS = {
+FaktoryNextHop.handlers = {
     Deliver: FaktoryNextHop._deliver, GiveUp: FaktoryNextHop._give_up, Fetch: FaktoryNextHop._fetch,
     Written: FaktoryNextHop._written, Finished: FaktoryNextHop._finished,
     Vanished: FaktoryNextHop._vanished, Probe: FaktoryNextHop._probe,
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
 from spanwing.net.buffers import BufferPool
@@ -185,14 +186,21 @@
         super().__init__(stream, buffers)
         self.parser = Parser(responses)
 
-    async def receive(self) -> Message | None:
-        """The next message; None when the connection ended first."""
-        while True:
-            message = self.parser.next()
-            if message is not None:
-                return message
-            if not await self.read(self.parser.data):
-                return self.parser.next(ended=True)
+    async def receive(self, stall_s: float | None = None) -> Message | None:
+        """The next message; None when the connection ended first, or one that began never came whole."""
+        timer = None
+        try:
+            while True:
+                message = self.parser.next()
+                if message is not None:
+                    return message
+                if timer is None and stall_s is not None and not self.parser.idle():
+                    timer = IOLoop.current().call_later(stall_s, self.close)
+                if not await self.read(self.parser.data):
+                    return self.parser.next(ended=True)
+        finally:
+            if timer is not None:
+                IOLoop.current().remove_timeout(timer)
 
     def fresh(self) -> bool:
         """Whether a request may be written: the connection is open and stands between messages."""
--- a/spanwing/net/nexthop.py
+++ b/spanwing/net/nexthop.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from tornado.gen import TimeoutError as WaitOver
 from tornado.gen import with_timeout
@@ -13,8 +13,9 @@
 from tornado.iostream import StreamClosedError
 
 from spanwing import interface as api
-from spanwing.core.actor import Actor, spawn
+from spanwing.core.actor import spawn
 from spanwing.core.messages import Delivery, Ended, Listener, Probed, Started
+from spanwing.net.hop import Deliver, GiveUp, HopActor, Probe
 from spanwing.net.http import HttpError, HttpStream, Message, request_bytes
 from spanwing.net.load import LoadReader
 from spanwing.net.pool import ConnectionPool
@@ -34,22 +35,6 @@
     report: tuple[float, ...] | None
 
 
-class Deliver(NamedTuple):
-    delivery: Delivery
-    listener: Listener
-
-
-class GiveUp(NamedTuple):
-    request: str
-    number: int
-    result: api.Result
-
-
-class Probe(NamedTuple):
-    worker: int
-    listener: Listener
-
-
 class Retire(NamedTuple):
     """The job worker is gone from the list (or is back): close up once nothing is out."""
 
@@ -67,7 +52,7 @@
     given_up: api.Result | None = None
 
 
-class HttpNextHop(Actor):
+class HttpNextHop(HopActor):
     """Delivers, gives up and probes; each delivery ends in one Ended."""
 
     def __init__(self, pool: ConnectionPool, loads: LoadReader,
@@ -77,18 +62,6 @@
         self.jobs: dict[str, Job] = {}
         self.retiring = False
 
-    def deliver(self, delivery: Delivery, listener: Listener) -> None:
-        self.post(Deliver(delivery, listener))
-
-    def give_up(self, request: str, number: int, result: api.Result) -> None:
-        self.post(GiveUp(request, number, result))
-
-    def probe(self, worker: int, listener: Listener) -> None:
-        self.post(Probe(worker, listener))
-
-    def take(self, message: Any) -> None:
-        HANDLERS[type(message)](self, message)
-
     def _deliver(self, message: Deliver) -> None:
         job = Job(*message)
         if job.delivery.envelope.id in self.jobs:  # one attempt of a request at a time goes to a job worker
@@ -224,7 +197,7 @@
             self.retired(self)
 
 
-HANDLERS = {
+HttpNextHop.handlers = {
     Deliver: HttpNextHop._deliver, GiveUp: HttpNextHop._give_up, CallBack: HttpNextHop._called_back,
     Probe: HttpNextHop._probe, Retire: HttpNextHop._retire,
 }
--- a/spanwing/net/senderside.py
+++ b/spanwing/net/senderside.py
@@ -6,15 +6,15 @@
 
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 from tornado.queues import Queue
 
 from spanwing.core.actor import spawn
 from spanwing.core.messages import Answer, Envelope, Left, Listener, Take
-from spanwing.net.address import Address, listen_socket
+from spanwing.net.address import Address, listen
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpError, HttpStream, Message, response_bytes
 
+STALL_S = 5.0  # a request that has begun must be there whole; one that never is would hold up an exit
 READ_AHEAD = 128 * 1024  # bytes that one connection may pile up
 
 
@@ -43,7 +43,7 @@
     async def serve(self) -> None:
         try:
             while not self.http.stream.closed():
-                message = await self.http.receive()
+                message = await self.http.receive(STALL_S)
                 if message is None:
                     break
                 self.busy = True
@@ -91,11 +91,9 @@
         self.front, self.core, self.buffers, self.most = front, core, buffers, most
         self.connections: set[SenderConnection] = set()
         self.draining = False
-        sock = listen_socket(address)
-        self.address = Address(*sock.getsockname()[:2])
-        add_accept_handler(sock, self._accept)
+        self.address = listen(address, self._accept)
 
-    def _accept(self, sock, _: object) -> None:
+    def _accept(self, sock) -> None:
         # Past the limit on sockets even the list could not be asked for: the longest idle one goes.
         if len(self.connections) >= self.most:
             idle = [each for each in self.connections if not each.busy and each.http.parser.idle()]
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -9,10 +9,9 @@
 from tornado.gen import TimeoutError as WaitOver
 from tornado.gen import with_timeout
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from spanwing.core.actor import Actor, spawn
-from spanwing.net.address import Address, listen_socket, open_socket
+from spanwing.net.address import Address, listen, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.stream import LineStream, LineTooLong
 from spanwing.store.acceptor import Acceptor
@@ -97,10 +96,8 @@
 
     def __init__(self, address: Address, acceptor: Acceptor, buffers: BufferPool) -> None:
         self.acceptor, self.buffers = acceptor, buffers
-        sock = listen_socket(address)
-        self.address = Address(*sock.getsockname()[:2])
         self.decoder = msgspec.json.Decoder(Request)
-        add_accept_handler(sock, lambda conn, _: spawn(self._serve(conn)))
+        self.address = listen(address, lambda conn: spawn(self._serve(conn)))
 
     async def _serve(self, sock) -> None:
         stream = LineStream(IOStream(sock), self.buffers, LONGEST)
