Name a wrong setting as the configuration file does

Seen: a wrong number of schedulers was told as 'settings: nodes', a word that the file does not hold. Cause: config.py passed the module's own names on. Ruled out: a change for the simulator's wire; the adapter tells the module's words as before. Conclusion: the line now names settings.balancers and the like.

--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -12,7 +12,7 @@
 from spanwing import interface as api
 from spanwing.net.address import Address, parse_address
 from spanwing.net.transportmap import MemberList
-from spanwing.settings import Options, settings_of
+from spanwing.settings import SAID_AS, Options, settings_of
 from spanwing.store.store import ANSWER_MS
 
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.toml"
@@ -109,7 +109,11 @@
     options = checked("settings", lambda text: msgspec.json.decode(text, type=Options), raw)
     if own is not None:
         options.position, options.zone = own.position, own.zone
-    return options, checked("settings", settings_of, options)
+    try:
+        return options, settings_of(options)
+    except ValueError as error:  # the module names what is wrong in its own words
+        name, _, fault = str(error).partition(": ")
+        raise ConfigError(f"settings.{SAID_AS.get(name, name)}: {fault}") from None
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
--- a/spanwing/settings.py
+++ b/spanwing/settings.py
@@ -12,6 +12,16 @@
 REPORT_EXTRAS = {"free slots": "free_slots", "free memory": "free_memory"}
 
 
+#: The module's names for what the settings object calls otherwise.
+SAID_AS = {
+    "nodes": "balancers", "node": "position", "tick": "tick_ms", "zones": "areas", "tenants": "orgs",
+    "max_attempts": "permissions.max_attempts", "max_retry_after": "permissions.max_retry_after_ms",
+    "answer_grace": "rules.grace_to_answer_ms", "drain_grace": "rules.stop_sending_within_ms",
+    "cold_from": "rules.cold_from", "cold_ms": "rules.cold_ms", "fall_ms": "rules.fall_ms",
+    "fall_multiple": "rules.fall_multiple",
+}
+
+
 class Class(msgspec.Struct):
     name: str
     aim_ms: float
