Follow SIGHUP: read the configuration anew and ask a moved discovery for its list

Cause: spanwing/__main__.py set no handler for SIGHUP, whose default ends the program, and TransportMap._ask in spanwing/net/transportmap.py kept the first discovery address for good. Ruled out: a bad list or a lost list, as the program ended within the same second. Change: a reload checks both files as a start does; a bad one changes nothing. A moved discovery is asked for its whole list, since revisions are its own; what the former still says is dropped. ROUTER_DISCOVERY yields to the file once the file has changed. SIGHUP during a shutdown is taken too.

--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -10,6 +10,7 @@
 import msgspec
 from tornado.gen import sleep
 from tornado.ioloop import IOLoop
+from tornado.locks import Event
 
 from spanwing.config import Config, ConfigError, load, read_settings
 from spanwing.core.clock import Clock
@@ -42,6 +43,7 @@
 
     def __init__(self, config: Config) -> None:
         self.config, self.stopping = config, False
+        self.started = Event()
         self.buffers = BufferPool()
         self.faktory: FaktoryFront | None = None
         table = config.store
@@ -65,7 +67,8 @@
             pool = ConnectionPool(address, buffers, allow.conn_idle_ms, allow.connect_timeout_ms)
             return HttpNextHop(pool, loads, retired)
 
-        transport = TransportMap(config.known, config.discovery, self.core, buffers, make_hop)
+        transport = self.transport = TransportMap(
+            config.known, config.discovery, self.core, buffers, make_hop)
         self.core.directory = transport
         platform = PlatformFront(settings.classes, loads, transport.post, self.counters,
                                  lambda: not self.stopping)
@@ -86,11 +89,28 @@
                 self.counters))
             self.say("faktory", self.faktory.address)
         self.say("clients", self.server.address)
+        self.started.set()
         gc.freeze()  # what is loaded now stays: collections need not look at it again
 
     def say(self, front: str, address: Address) -> None:
         print(f"spanwing: {front} on {address}", flush=True)
 
+    async def reload(self) -> None:
+        """Read the files anew. A bad one changes nothing: the old configuration goes on serving."""
+        await self.started.wait()
+        try:
+            config = load(before=self.config)
+        except ConfigError as error:
+            print(f"spanwing: not reloaded: {error}", file=sys.stderr, flush=True)
+            return
+        old, self.config = self.config, config
+        if config.discovery != old.discovery:
+            self.transport.move(config.discovery)
+        self.server.most = config.sockets // 2
+        for name in config.fixed(old):
+            print(f"spanwing: {name} has changed: it takes a restart", file=sys.stderr, flush=True)
+        print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
+
     def status(self) -> Status:
         return Status(self.stopping, *self.core.workers())
 
@@ -130,6 +150,8 @@
 def run() -> None:
     loop = IOLoop.current()
     daemon = Daemon(load())
+    # The default of SIGHUP ends the program; one that comes early is kept until the program serves.
+    signal.signal(signal.SIGHUP, lambda *_: loop.add_callback_from_signal(daemon.reload))
     wrong: list[ConfigError] = []
 
     async def start() -> None:
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -18,12 +18,18 @@
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.toml"
 
 
+#: By the fields of Config, what takes a restart to change.
+FIXED = {"listen": "listen", "raw_settings": "settings", "faktory": "faktory.listen",
+         "health": "health.listen", "agent_check": "agent_check.listen", "store": "store"}
+
+
 class ConfigError(Exception):
     """One plain line that names the setting."""
 
 
 class Limits(msgspec.Struct):
     sockets: int = 1024
+    memory_mb: int = 192
 
 
 class Platform(msgspec.Struct):
@@ -70,6 +76,7 @@
     name: str
     listen: Address
     discovery: Address
+    told: str  # `discovery` as the file has it, whatever the environment says
     seed: int
     sockets: int
     known: MemberList
@@ -84,6 +91,11 @@
     store_listen: Address | None
     store_peers: dict[str, Address]
 
+    def fixed(self, old: Config) -> list[str]:
+        """The settings that differ from the old ones and that a running program cannot take over."""
+        return [setting for name, setting in FIXED.items() if getattr(self, name) != getattr(old, name)]
+
+
 
 def read_struct(path: str, setting: str, form: type, decode: Any) -> Any:
     """Decode a file into its Struct; any fault is a plain line naming file setting and place."""
@@ -116,18 +128,24 @@
         raise ConfigError(f"settings.{SAID_AS.get(name, name)}: {fault}") from None
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
+def load(environment: Mapping[str, str] = os.environ, before: Config | None = None) -> Config:
+    """Read both files; before: what was read last, where this is a reload."""
     path = environment.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG: not set; it names the configuration file")
     raw = read_struct(path, "ROUTER_CONFIG", Platform, msgspec.json.decode)
     options, settings = read_settings(bytes(raw.settings).decode())
     fronts = read_fronts(environment.get("SPANWING_FRONTS"))
+    # The environment is as old as the process: an address that the file has changed since then is newer.
+    newer = before is not None and raw.discovery and raw.discovery != before.told
+    discovery = raw.discovery if newer else environment.get("ROUTER_DISCOVERY") or raw.discovery
+    if before is not None and not newer:
+        discovery = str(before.discovery)
     return Config(
         name=environment.get("ROUTER_NAME") or raw.name,
         listen=checked("ROUTER_LISTEN", parse_address, environment.get("ROUTER_LISTEN") or raw.listen),
-        discovery=checked("ROUTER_DISCOVERY", parse_address,
-                          environment.get("ROUTER_DISCOVERY") or raw.discovery),
+        discovery=checked("discovery" if newer else "ROUTER_DISCOVERY", parse_address, discovery),
+        told=raw.discovery,
         seed=checked("seed", lambda text: int(text, 16), raw.seed),
         sockets=checked("limits.sockets", _enough, raw.limits.sockets),
         known=raw.known,
--- a/spanwing/net/transportmap.py
+++ b/spanwing/net/transportmap.py
@@ -5,12 +5,13 @@
 import hashlib
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, NamedTuple
 
 import msgspec
 from tornado.gen import TimeoutError as WaitOver
-from tornado.gen import with_timeout
+from tornado.gen import sleep, with_timeout
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing import interface as api
@@ -23,6 +24,8 @@
 
 WATCH_MS = 10000  # a quiet watch answers after this
 ANSWER_S = 1.5  # and this much later at the latest, or the call has failed
+MOVED_TRIES, AGAIN_S = 6, 0.25  # a discovery that has just moved may not be up yet, and its list is due
+LIST_S = 3.0  # for the whole list, which waits for its turn
 PHASES: dict[str, api.State] = {"active": "healthy", "leaving": "draining", "left": "gone"}
 
 log = logging.getLogger("spanwing")
@@ -49,14 +52,31 @@
     members: list[Member] = []
 
 
+@dataclass(slots=True, eq=False)
+class Watch:
+    """The calls to one discovery; what they tell counts until the next watch has begun."""
+
+    discovery: Address
+    revision: int | None  # None: the whole list is asked for first
+    tries: int  # failed calls that are made again at once, before the core hears of a failure
+    connection: HttpStream | None = None
+
+
 class Follow(NamedTuple):
     """Begin to watch."""
 
 
+class Move(NamedTuple):
+    """Discovery has another address from now on."""
+
+    discovery: Address
+
+
 class News(NamedTuple):
     """Discovery has answered; None: the call failed."""
 
     members: MemberList | None
+    watch: Watch
 
 
 class Heard(NamedTuple):
@@ -88,67 +108,90 @@
         self.hops: dict[str, HttpNextHop] = {}
         self.addresses: dict[str, str] = {}
         self.listed: set[str] = set()  # not gone
-        self.revision = known.revision
-        self.following = False
+        self.revision: int | None = known.revision
+        self.watching: Watch | None = None
         self._apply(known, "persisted")
 
     def watch(self) -> None:
         self.post(Follow())
 
+    def move(self, discovery: Address) -> None:
+        """Ask another discovery from now on."""
+        self.post(Move(discovery))
+
     def take(self, message: Any) -> None:
         HANDLERS[type(message)](self, message)
 
     def _follow(self, _: Follow) -> None:
-        if not self.following:
-            self.following = True
-            spawn(self._ask(None))
+        if self.watching is None:
+            self._begin(tries=0)
 
-    async def _ask(self, connection: HttpStream | None) -> None:
+    def _move(self, move: Move) -> None:
+        if move.discovery == self.discovery:
+            return
+        # Revisions are a discovery's own: another one is asked for its whole list, and nothing that the
+        # former still says may undo it. What is in flight at next hops does not depend on either.
+        self.discovery, self.revision = move.discovery, None
+        if self.watching is not None and self.watching.connection is not None:
+            self.watching.connection.close()
+        self._begin(MOVED_TRIES)
+
+    def _begin(self, tries: int) -> None:
+        self.watching = Watch(self.discovery, self.revision, tries)
+        spawn(self._ask(self.watching))
+
+    async def _ask(self, watch: Watch) -> None:
         """One call of the watch, and the next at once: a pause of 200 ms would end the watch."""
-        while True:
-            target = f"/discovery/hosts?since={self.revision}&timeout_ms={WATCH_MS}"
-            connection, reply = await self._call(connection, target)
+        while self.watching is watch:
+            target = "/discovery/hosts"
+            if watch.revision is not None:
+                target += f"?since={watch.revision}&timeout_ms={WATCH_MS}"
+            reply = await self._call(watch, target)
             members = None
             if reply is not None and reply.status == 200:
                 try:
                     members = msgspec.json.decode(reply.body, type=MemberList)
                 except ValueError as error:
                     log.warning("discovery's list cannot be read: %s", error)
-            if members is None:
-                if connection is not None:
-                    connection.close()
-                self.post(News(None))
+            if members is not None:
+                watch.revision, watch.tries = members.revision, 0
+                self.post(News(members, watch))
+                continue
+            if watch.connection is not None:
+                watch.connection.close()
+            if watch.tries == 0:
+                self.post(News(None, watch))
                 return
-            self.revision = members.revision
-            self.post(News(members))
-
-    async def _call(self, connection: HttpStream | None,
-                    target: str) -> tuple[HttpStream | None, Message | None]:
-        if connection is None or not connection.fresh():
-            stream = IOStream(open_socket(self.discovery))
-            connection = HttpStream(stream, self.buffers, responses=True)
-            try:
-                await with_timeout(timedelta(seconds=ANSWER_S), stream.connect(self.discovery.target),
-                                   quiet_exceptions=StreamClosedError)
-            except (WaitOver, StreamClosedError):
-                return connection, None
+            watch.tries -= 1
+            await sleep(AGAIN_S)
+
+    async def _call(self, watch: Watch, target: str) -> Message | None:
+        connection = watch.connection
         try:
-            await connection.write(request_bytes("GET", target, {"Host": str(self.discovery)}))
-            wait = timedelta(milliseconds=WATCH_MS, seconds=ANSWER_S)
+            if connection is None or not connection.fresh():
+                stream = IOStream(open_socket(watch.discovery))
+                connection = watch.connection = HttpStream(stream, self.buffers, responses=True)
+                await with_timeout(timedelta(seconds=ANSWER_S), stream.connect(watch.discovery.target),
+                                   quiet_exceptions=StreamClosedError)
+            await connection.write(request_bytes("GET", target, {"Host": str(watch.discovery)}))
+            wait = timedelta(seconds=LIST_S if watch.revision is None else WATCH_MS / 1000.0 + ANSWER_S)
             reply = await with_timeout(wait, connection.receive(),
                                        quiet_exceptions=(HttpError, StreamClosedError))
         except (WaitOver, StreamClosedError, HttpError):
-            reply = None
+            return None
         if reply is not None and not reply.keep:
             connection.close()
-        return connection, reply
+        return reply
 
     def _news(self, news: News) -> None:
+        if news.watch is not self.watching:  # of a discovery that is no longer asked
+            return
         if news.members is None:
-            self.following = False
+            self.watching = None
             self.listener.post(Listed(api.WorkerList("error"), self._numbered()))
-        else:
-            self._apply(news.members, "complete" if news.members.complete else "partial")
+            return
+        self.revision = news.members.revision
+        self._apply(news.members, "complete" if news.members.complete else "partial")
 
     def _numbered(self) -> dict[int, HttpNextHop]:
         return {number_of(name): hop for name, hop in self.hops.items()}
@@ -205,6 +248,6 @@
 
 
 HANDLERS = {
-    Follow: TransportMap._follow, News: TransportMap._news, Heard: TransportMap._heard,
-    Retired: TransportMap._retired,
+    Follow: TransportMap._follow, Move: TransportMap._move, News: TransportMap._news,
+    Heard: TransportMap._heard, Retired: TransportMap._retired,
 }
--- a/tests/player.py
+++ b/tests/player.py
@@ -16,6 +16,8 @@
     NAME close            closes it;  NAME ended: the daemon must have closed it
     folder NAME           an empty folder; {NAME} is its path;  restart: kills the daemon and starts it again
     until FRONT METHOD TARGET STATUS   asks a front until it answers so
+    rewrite               the configuration file anew, with what was set since
+    said TEXT             waits until this stands on standard error
     signal TERM           and so on;  exit N: the daemon must end with this status
     error TEXT            what it wrote to standard error must match
 """
@@ -32,6 +34,7 @@
 import sys
 import tempfile
 import threading
+import time
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -58,7 +61,7 @@
     def __init__(self, config: dict, fronts: str) -> None:
         self.folder = tempfile.TemporaryDirectory()
         folder = Path(self.folder.name)
-        (folder / "config.json").write_text(json.dumps(config))
+        self.write(config)
         (folder / "fronts.toml").write_text(fronts)
         self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by close()
         environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
@@ -67,6 +70,12 @@
                                         stdout=subprocess.PIPE, stderr=self.errors, text=True)
         self.addresses: dict[str, tuple[str, int]] = {}
 
+    def write(self, config: dict) -> None:
+        """Put the configuration file there, whole at once."""
+        fresh = Path(self.folder.name) / "config.new"
+        fresh.write_text(json.dumps(config))
+        fresh.replace(fresh.with_suffix(".json"))
+
     def ready(self) -> Daemon:
         """Wait for the line that says the daemon takes clients."""
         with self.patience():
@@ -212,6 +221,16 @@
         self.folders.append(folder)
         self.words[name] = folder.name
 
+    def do_rewrite(self) -> None:
+        self.daemon.write(self.config)
+
+    def do_said(self, *text: str) -> None:
+        """Wait for a line on standard error: a signal is an event that no socket tells."""
+        with self.daemon.patience():
+            while " ".join(text) not in self.daemon.said():
+                assert self.daemon.process.poll() is None, self.daemon.said()
+                time.sleep(0.01)
+
     def do_until(self, front: str, method: str, target: str, status: str) -> None:
         """Ask until the answer has this status; a signal is an event that no socket tells."""
         got = ""
