Let stray route keys and requests that workers reject leave placement alone

Cause 1: choice.py _place set self.keyed for good at the first request with X-Route-Hash. Cause 2: nexthop.py _replied made a job worker's 400 an error, so choice.py _ended struck the worker and tried the same bad request at two more: four such requests set twelve workers aside. Ruled out: CPU (0.45 s in the worst second of 0.85), memory (20 of 80 MB), descriptors (224 of 384), bad clients left without an answer (none), usual connections closed under a request (none). Change: keys steer all placement only while a fifth of arrivals have one; a 4xx ends its request as failed and says nothing of the worker.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -22,6 +22,7 @@
 COPIES = 0.5  # second copies earned by each arrival: where a cancel stops nothing, each copy is load
 SCAN = 24  # workers looked at for one placement, at most
 LOG_LINES = 60
+KEYS_COUNT, KEYS_FADE = 0.2, 0.02  # keys steer all placement from this share of arrivals; how fast it moves
 BURST_S = 2.0  # seconds of unused share that a tenant's later arrivals may use
 
 
@@ -66,7 +67,9 @@
         self.work = [2.0 * each.aim for each in settings.classes]  # mean time of a served attempt, by class
         self.quick = {zone: 10.0 if zone == settings.zone else 60.0 for zone in (*settings.zones, "")}
         self.busy = 0.5  # share of slots in use as far as seen
-        self.keyed = False  # jobs with keys have been seen: all nodes then use the same workers
+        # Share of arrivals with a key. Where keys are usual, all nodes use the same workers; a few strays, of
+        # clients that send what no class here has, must not turn the whole placement over.
+        self.keys = 0.0
         self.proves = any(each.effect == "safe" for each in settings.classes)
         self.alarms = Alarms(settings.tick)
         if settings.subscribe:
@@ -144,6 +147,7 @@
         job = self.jobs[req.id] = Job(req, self.set.classes[index], index, self.now)
         ledger = self._ledger(job)
         ledger.refill(self.now)
+        self.keys += KEYS_FADE * ((req.key is not None) - self.keys)
         self.copies = min(self.copies + COPIES, 10.0)
         job.over = self.set.over_share_worth < 1.0 and not ledger.within_share()
         self.alarms.add(req.deadline, self._end, job)
@@ -224,9 +228,12 @@
         chance = math.exp(-max(0.0, self.now - job.born - job.cls.aim) / slack)
         return job.cls.worth * chance / (self.work[job.index] * job.req.slots + 1.0)
 
+    def keyed(self) -> bool:
+        return self.keys >= KEYS_COUNT
+
     def _free(self, view: View) -> float:
         """Slots believed idle: the assumed total less what we hold and what others do, as last seen."""
-        prior = 0.0 if view.home and not self.keyed else self.busy * view.total
+        prior = 0.0 if view.home and not self.keyed() else self.busy * view.total
         others = prior + (view.others - prior) * math.exp((view.seen - self.now) / MEMORY_MS)
         if view.limit < view.total and others < FADED:
             others = 0.0  # it fades but never ends: off the limit of 1 after a rest, it left no slot ever
@@ -277,7 +284,6 @@
                 not self.set.second_copies and any(each.open for each in job.attempts)):
             return None
         if job.req.key is not None:
-            self.keyed = True
             return self._place_key(job)
         best = None
         for view in self.home if len(self.home) <= SCAN else self.rng.sample(self.home, SCAN):
@@ -394,7 +400,7 @@
             self._served(view, job, attempt, full, event.elapsed)
         elif result == "full":
             view.heard = self.now
-            view.others, view.seen = (2.0 if self.keyed else 1.0) * view.total, self.now
+            view.others, view.seen = (2.0 if self.keyed() else 1.0) * view.total, self.now
             if view.home and full and not view.learned:
                 self._lower(view)
         elif result in ("error", "unreachable", "timeout") or (  # a reset may be a push-out by priority
@@ -403,6 +409,9 @@
         live = self.jobs.get(event.request)
         if live is not None and event.complete:
             self._finish(live, None)
+        elif live is not None and result == "rejected":
+            # The fault is the request's: no other worker would take it, and none is to be set aside for it.
+            self._finish(live, api.Fail(live.req.id))
         elif live is not None and not live.held and not any(each.open for each in live.attempts):
             self._again(live)
         self._drain()
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -8,8 +8,9 @@
 Effect = Literal["safe", "keyed", "unsafe"]
 Group = Literal["all", "zone", "cell"]
 State = Literal["healthy", "draining", "gone"]
-Result = Literal["ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "moot"]
+Result = Literal["ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "moot", "rejected"]
 
+#: "rejected": the worker holds the request itself to be bad; it says nothing of the worker.
 #: Results that prove an attempt never ran.
 NEVER_RAN: frozenset[str] = frozenset({"full", "unreachable", "moot"})
 
--- a/spanwing/net/nexthop.py
+++ b/spanwing/net/nexthop.py
@@ -112,6 +112,8 @@
             self._end(job, "ok", reply.body, report)
         elif reply.status in (503, 504) and reply.headers.get("x-rejected") == "1":
             self._end(job, "full", report=report)
+        elif 400 <= reply.status < 500:  # what a client sent is at fault, not this next hop
+            self._end(job, "rejected", report=report)
         else:
             self._end(job, "error", report=report)
 
