Bound bad clients in time, in the table and in memory, and let errors arrive

Seen: in senderside.py a silent connection had no time at all and half a request 5 s; a full table turned new connections away when none was idle and otherwise closed the longest idle one, a usual client's; an error written before closing on unread input could be lost to a reset (a probe sending 60 MB met a broken pipe after 2.7 MB); one attacker's id was taken up again while an attempt of it was still out (exchange.py _take looked at open calls only); pool.py let each next hop hold 12 connections whatever limits.sockets said.

--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -23,7 +23,7 @@
 from spanwing.net.load import LoadReader
 from spanwing.net.nexthop import HttpNextHop
 from spanwing.net.platform import PlatformFront
-from spanwing.net.pool import ConnectionPool
+from spanwing.net.pool import ConnectionPool, Descriptors
 from spanwing.net.senderside import HttpServer
 from spanwing.net.transportmap import TransportMap
 from spanwing.settings import Permissions
@@ -63,8 +63,12 @@
         allow = options.permissions or Permissions()
         self.core = Exchange(settings, config.seed, Clock())
 
+        shares = config.shares()
+        self.descriptors = Descriptors(shares.hops)
+
         def make_hop(address, retired):
-            pool = ConnectionPool(address, buffers, allow.conn_idle_ms, allow.connect_timeout_ms)
+            pool = ConnectionPool(address, buffers, self.descriptors, allow.conn_idle_ms,
+                                  allow.connect_timeout_ms)
             return HttpNextHop(pool, loads, retired)
 
         transport = self.transport = TransportMap(
@@ -72,9 +76,8 @@
         self.core.directory = transport
         platform = PlatformFront(settings.classes, loads, transport.post, self.counters,
                                  lambda: not self.stopping)
-        most = config.sockets // 2
         self.server = _listening("ROUTER_LISTEN", config.listen, lambda address:
-                                 HttpServer(address, platform, self.core, buffers, most))
+                                 HttpServer(address, platform, self.core, buffers, shares.clients))
         if config.health:
             health = HealthFront(self.status, self.counters)
             self.say("health", _listening("health.listen", config.health, lambda address:
@@ -85,7 +88,7 @@
         if config.faktory:
             workers = FaktoryWorkers(self.core, settings.zone)
             self.faktory = _listening("faktory.listen", config.faktory, lambda address: FaktoryFront(
-                address, settings.classes, self.core, workers, Claims(self.store), buffers, most // 2,
+                address, settings.classes, self.core, workers, Claims(self.store), buffers, shares.faktory,
                 self.counters))
             self.say("faktory", self.faktory.address)
         self.say("clients", self.server.address)
@@ -106,7 +109,8 @@
         old, self.config = self.config, config
         if config.discovery != old.discovery:
             self.transport.move(config.discovery)
-        self.server.most = config.sockets // 2
+        shares = config.shares()
+        self.server.most, self.descriptors.most = shares.clients, shares.hops
         for name in config.fixed(old):
             print(f"spanwing: {name} has changed: it takes a restart", file=sys.stderr, flush=True)
         print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -4,6 +4,7 @@
 
 import os
 from collections.abc import Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +19,13 @@
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.toml"
 
 
+OWN_SOCKETS = 28  # listeners, logs, the loop, discovery, members of the store, the balancers' checks
+MIN_SOCKETS = 64
+OWN_MB = 24  # of memory, with no connection open
+MIN_MB = 32
+CONNECTION_KB = 112  # a head, a body, what is read ahead and what is written, at their largest
+MIN_CONNECTIONS = 32
+
 #: By the fields of Config, what takes a restart to change.
 FIXED = {"listen": "listen", "raw_settings": "settings", "faktory": "faktory.listen",
          "health": "health.listen", "agent_check": "agent_check.listen", "store": "store"}
@@ -29,7 +37,15 @@
 
 class Limits(msgspec.Struct):
     sockets: int = 1024
-    memory_mb: int = 192
+    memory_mb: float = 192
+
+
+class Shares(msgspec.Struct):
+    """How many connections each side may hold, within the limits on descriptors and memory together."""
+
+    clients: int
+    faktory: int
+    hops: int
 
 
 class Platform(msgspec.Struct):
@@ -78,7 +94,7 @@
     discovery: Address
     told: str  # `discovery` as the file has it, whatever the environment says
     seed: int
-    sockets: int
+    limits: Limits
     known: MemberList
     revision: int
     raw_settings: str
@@ -91,6 +107,14 @@
     store_listen: Address | None
     store_peers: dict[str, Address]
 
+    def shares(self) -> Shares:
+        """Half of what is free is the clients' side's, where clients are told to hold a third of all."""
+        free = self.limits.sockets - OWN_SOCKETS
+        held = max(MIN_CONNECTIONS, int((self.limits.memory_mb - OWN_MB) * 1024 // CONNECTION_KB))
+        front = min(free // 2, held)
+        faktory = front // 2 if self.faktory else 0
+        return Shares(front - faktory, faktory, free - front)
+
     def fixed(self, old: Config) -> list[str]:
         """The settings that differ from the old ones and that a running program cannot take over."""
         return [setting for name, setting in FIXED.items() if getattr(self, name) != getattr(old, name)]
@@ -147,7 +171,8 @@
         discovery=checked("discovery" if newer else "ROUTER_DISCOVERY", parse_address, discovery),
         told=raw.discovery,
         seed=checked("seed", lambda text: int(text, 16), raw.seed),
-        sockets=checked("limits.sockets", _enough, raw.limits.sockets),
+        limits=Limits(checked("limits.sockets", partial(_enough, MIN_SOCKETS), raw.limits.sockets),
+                      checked("limits.memory_mb", partial(_enough, MIN_MB), raw.limits.memory_mb)),
         known=raw.known,
         revision=raw.revision,
         raw_settings=bytes(raw.settings).decode(),
@@ -188,7 +213,7 @@
     return table
 
 
-def _enough(sockets: int) -> int:
-    if sockets < 64:
-        raise ValueError(f"{sockets} is too few, 64 are needed")
-    return sockets
+def _enough(least: int, value: Any) -> Any:
+    if value < least:
+        raise ValueError(f"{value} is too few, {least} are needed")
+    return value
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -99,7 +99,10 @@
 
     def _take(self, take: Take) -> None:
         envelope = take.envelope
-        if envelope.id in self.calls:  # the first one still owes its answer, and must run once
+        # The first one of an id still owes its answer or has an attempt out, and must run once; an id taken
+        # up by another client must do it no harm.
+        if envelope.id in self.calls or any(
+                (envelope.id, number) in self.out for number in range(self.settings.max_attempts)):
             self.counters["repeated"] += 1
             take.sender.answer(envelope, Answer("repeated"))
             return
--- a/spanwing/net/buffers.py
+++ b/spanwing/net/buffers.py
@@ -4,6 +4,7 @@
 
 SIZE = 8192
 KEPT = 256  # spare ones at most
+SINK = 65536
 
 
 class BufferPool:
@@ -11,6 +12,7 @@
 
     def __init__(self) -> None:
         self.spare: list[bytearray] = []
+        self.sink = bytearray(SINK)  # one for all, for bytes that nobody will look at
 
     def take(self) -> bytearray:
         return self.spare.pop() if self.spare else bytearray(SIZE)
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -17,7 +17,8 @@
 TARGET = re.compile(r"[!-~]+")
 REASONS = {
     200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
     502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported",
 }
@@ -186,22 +187,30 @@
         super().__init__(stream, buffers)
         self.parser = Parser(responses)
 
-    async def receive(self, stall_s: float | None = None) -> Message | None:
-        """The next message; None when the connection ended first, or one that began never came whole."""
+    async def receive(self, whole_s: float | None = None, fresh: bool = False) -> Message | None:
+        """The next message; None when the connection ended first. One that has begun must be there whole
+        after whole_s; on a fresh connection that time runs already."""
         timer = None
         try:
             while True:
                 message = self.parser.next()
                 if message is not None:
                     return message
-                if timer is None and stall_s is not None and not self.parser.idle():
-                    timer = IOLoop.current().call_later(stall_s, self.close)
+                if timer is None and whole_s is not None and (fresh or not self.parser.idle()):
+                    timer = IOLoop.current().call_later(whole_s, self._stalled)
                 if not await self.read(self.parser.data):
                     return self.parser.next(ended=True)
         finally:
             if timer is not None:
                 IOLoop.current().remove_timeout(timer)
 
+    def _stalled(self) -> None:
+        """Half a message gets an answer; who said nothing is owed none."""
+        if self.parser.idle():
+            self.close()
+        else:
+            self.last_words(response_bytes(408, b"not whole in time", keep=False))
+
     def fresh(self) -> bool:
         """Whether a request may be written: the connection is open and stands between messages."""
         return self.parser.idle() and self.silent()
--- a/spanwing/net/platform.py
+++ b/spanwing/net/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +18,7 @@
 JOB_EVENTS = "/v1/job-events"
 LONGEST_MS = 3_600_000.0
 LONGEST_ID = 200
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 log = logging.getLogger("spanwing")
 
@@ -38,11 +40,9 @@
 def number(text: str | None, name: str, default: float) -> float:
     if text is None:
         return default
-    try:
-        value = float(text)
-    except ValueError:
-        raise Rejected(f"{name} is no number") from None
-    if not 0 <= value < 1e12:
+    if not NUMBER.fullmatch(text):  # float() takes more than a number: blanks, 1_0, infinity, other digits
+        raise Rejected(f"{name} is no number")
+    if (value := float(text)) >= 1e12:
         raise Rejected(f"{name} is out of range")
     return value
 
--- a/spanwing/net/pool.py
+++ b/spanwing/net/pool.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
-from contextlib import suppress
+from collections.abc import Callable
 from datetime import timedelta
 
 from tornado.gen import TimeoutError as WaitOver
@@ -17,17 +16,35 @@
 from spanwing.net.http import HttpStream
 
 CLOSE_AFTER = 0.6  # of the idle time allowed: a late timer of ours must still be in time
-MOST = 12  # connections to one next hop; further attempts wait for one
+MOST = 12  # connections in use at one next hop; further attempts wait for one
+
+
+class Descriptors:
+    """What the pools of all next hops may hold together; the oldest idle connection of any gives way."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.held = most, 0
+        self.idle: dict[HttpStream, Callable[[], None]] = {}  # oldest first, with what closes it
+
+    def take(self) -> bool:
+        """Whether one more connection may be opened."""
+        if self.held >= self.most and self.idle:
+            next(iter(self.idle.values()))()
+        if self.held >= self.most:
+            return False
+        self.held += 1
+        return True
 
 
 class ConnectionPool:
     """Hands out connections that are certainly not stale, opens others."""
 
-    def __init__(self, address: Address, buffers: BufferPool, idle_ms: float, connect_ms: float) -> None:
-        self.address, self.buffers = address, buffers
+    def __init__(self, address: Address, buffers: BufferPool, descriptors: Descriptors, idle_ms: float,
+                 connect_ms: float) -> None:
+        self.address, self.buffers, self.descriptors = address, buffers, descriptors
         self.keep_s, self.connect_s = idle_ms * CLOSE_AFTER / 1000.0, connect_ms / 1000.0
         self.loop = IOLoop.current()
-        self.idle: deque[tuple[HttpStream, float, object]] = deque()
+        self.idle: dict[HttpStream, tuple[float, object]] = {}  # since when, and the timer that ends it
         self.room = Semaphore(MOST)
 
     async def take(self) -> HttpStream | None:
@@ -37,46 +54,56 @@
         except WaitOver:
             return None
         while self.idle:
-            connection, since, timer = self.idle.pop()
-            self.loop.remove_timeout(timer)
+            connection = next(reversed(self.idle))
+            since = self._take_out(connection)
             # A request written to a connection that the next hop has closed may count as run: never write
             # on one that stood idle too long or that the kernel says was closed.
             if self.loop.time() - since < self.keep_s and connection.fresh():
                 return connection
-            connection.close()
+            self._close(connection)
+        if not self.descriptors.take():
+            self.room.release()
+            return None
         stream = IOStream(open_socket(self.address))
+        connection = HttpStream(stream, self.buffers, responses=True)
         try:
             await with_timeout(timedelta(seconds=self.connect_s), stream.connect(self.address.target),
                                quiet_exceptions=StreamClosedError)
         except (WaitOver, StreamClosedError):
-            stream.close()
-            self.room.release()
+            self.drop(connection)
             return None
-        return HttpStream(stream, self.buffers, responses=True)
+        return connection
 
     def give(self, connection: HttpStream) -> None:
         """Take back a connection that is ready for another request."""
         self.room.release()
         if connection.stream.closed():
+            self._close(connection)
             return
-        entry: list[tuple[HttpStream, float, object]] = []
-
-        def expire() -> None:
-            with suppress(ValueError):
-                self.idle.remove(entry[0])
-            connection.close()
-
-        timer = self.loop.call_later(self.keep_s, expire)
-        entry.append((connection, self.loop.time(), timer))
-        self.idle.append(entry[0])
+        timer = self.loop.call_later(self.keep_s, self._expire, connection)
+        self.idle[connection] = self.loop.time(), timer
+        self.descriptors.idle[connection] = lambda: self._expire(connection)
 
     def drop(self, connection: HttpStream) -> None:
-        connection.close()
+        self._close(connection)
         self.room.release()
 
     def clear(self) -> None:
         """Close what is idle."""
         while self.idle:
-            connection, _, timer = self.idle.popleft()
-            self.loop.remove_timeout(timer)
-            connection.close()
+            self._expire(next(iter(self.idle)))
+
+    def _expire(self, connection: HttpStream) -> None:
+        self._take_out(connection)
+        self._close(connection)
+
+    def _take_out(self, connection: HttpStream) -> float:
+        """No longer idle; since when it was."""
+        since, timer = self.idle.pop(connection)
+        del self.descriptors.idle[connection]
+        self.loop.remove_timeout(timer)
+        return since
+
+    def _close(self, connection: HttpStream) -> None:
+        connection.close()
+        self.descriptors.held -= 1
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -4,6 +4,8 @@
 
 import socket
 
+from tornado.gen import sleep
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing.net.buffers import BufferPool
@@ -39,6 +41,30 @@
     def close(self) -> None:
         self.stream.close()
 
+    def last_words(self, data: bytes) -> None:
+        """Write from a timer, where a read still waits, and close: all that came has been read."""
+        if not self.stream.closed():
+            self.stream.write(data).add_done_callback(lambda written: written.exception())
+            self.close()
+
+    async def finish(self, wait_s: float) -> None:
+        """Close so that what was written last arrives. Closing on unread input makes the kernel send a reset,
+        which may overtake the answer: what still comes is passed over until the other side has closed."""
+        if self.stream.closed():
+            return
+        timer = IOLoop.current().call_later(wait_s, self.close)
+        try:
+            self.stream.socket.shutdown(socket.SHUT_WR)
+            self.stream.max_buffer_size = len(self.buffers.sink)
+            while True:
+                await self.stream.read_into(self.buffers.sink, partial=True)
+                await sleep(0)  # who sends at full speed must not keep the loop to itself
+        except (StreamClosedError, OSError):
+            pass
+        finally:
+            IOLoop.current().remove_timeout(timer)
+            self.close()
+
     def silent(self) -> bool:
         """Whether the other side neither closed nor said anything: asked of the kernel, just before use."""
         if self.stream.closed():
--- a/tests/player.py
+++ b/tests/player.py
@@ -16,6 +16,8 @@
     NAME close            closes it;  NAME ended: the daemon must have closed it
     folder NAME           an empty folder; {NAME} is its path;  restart: kills the daemon and starts it again
     until FRONT METHOD TARGET STATUS   asks a front until it answers so
+    crowd N FRONT         N connections that say nothing;  crowded: the daemon must close them all
+    flood NAME N          sends N bytes;  grown N: since the start, the daemon must have grown by less, in MB
     rewrite               the configuration file anew, with what was set since
     said TEXT             waits until this stands on standard error
     signal TERM           and so on;  exit N: the daemon must end with this status
@@ -35,7 +37,7 @@
 import tempfile
 import threading
 import time
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -96,9 +98,15 @@
             if match := re.match(r"spanwing: (\w+) on (.*):(\d+)$", line):
                 self.addresses[match[1]] = (match[2], int(match[3]))
                 if match[1] == "clients":
+                    self.small = self.resident()
                     return self
         raise AssertionError(f"the daemon did not start: {self.said()}")
 
+    def resident(self) -> float:
+        """The most memory that it has held, in MB."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+
     def connect(self, front: str) -> socket.socket:
         return socket.create_connection(self.addresses[front], PATIENCE_S)
 
@@ -221,6 +229,22 @@
         self.folders.append(folder)
         self.words[name] = folder.name
 
+    def do_crowd(self, count: str, front: str) -> None:
+        self.crowd = [self.daemon.connect(front) for _ in range(int(count))]
+
+    def do_crowded(self) -> None:
+        for each in self.crowd:
+            with each, suppress(ConnectionResetError):
+                assert not each.recv(1), "a silent connection was told something"
+
+    def do_flood(self, name: str, count: str) -> None:
+        for _ in range(int(count) // 60000):
+            self.sockets[name].sendall(bytes(60000))
+
+    def do_grown(self, most: str) -> None:
+        grown = self.daemon.resident() - self.daemon.small
+        assert grown < float(most), f"{grown:.1f} MB more"
+
     def do_rewrite(self) -> None:
         self.daemon.write(self.config)
 
