Send what must not run twice on new connections, the last byte held back

Cause: pool.py take() trusts a kept connection that the kernel calls open; a trace showed nearly all resets within 0.2 ms of the last byte on connections that had stood 0.1 to 0.5 s, though the settings grant 15 s. Every unsafe job so lost is failed for good, and choice.py sets its worker aside. Ruled out: garbled replies (none), late call-backs for such jobs (none). Change: jobs that must not run twice take a new connection and write their last byte 2 ms after the rest, once the connection still stands; one that breaks before is no attempt, and a new one is tried (3 at most). What may run again uses kept ones; how long these may stand is learnt from resets. A DELETE that nobody heard is told once more. Three idle connections are kept to a next hop at most.

--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -62,6 +62,7 @@
         super().__init__()
         self.settings, self.clock = settings, clock
         self.module = Dispatcher(settings, seed, clock.now())
+        self.safe = {each.name for each in settings.classes if each.effect == "safe"}
         self.directory: Directory | None = None
         self.calls: dict[str, Call] = {}
         self.out: dict[tuple[str, int], Out] = {}
@@ -182,7 +183,7 @@
             return
         self.counters["sent"] += 1
         self.counters[f"sent.{call.envelope.cls}"] += 1
-        hop.deliver(Delivery(call.envelope, number, budget), self)
+        hop.deliver(Delivery(call.envelope, number, budget, call.envelope.cls in self.safe), self)
 
     def _cancel(self, action: api.Cancel) -> None:
         out = self.out.get((action.request, action.attempt))
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -50,6 +50,7 @@
     envelope: Envelope
     number: int
     budget: float  # ms from now that the core will wait
+    repeatable: bool = False  # no harm is done if it runs again
 
 
 class Listener(Protocol):
--- a/spanwing/net/nexthop.py
+++ b/spanwing/net/nexthop.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from tornado.gen import TimeoutError as WaitOver
-from tornado.gen import with_timeout
+from tornado.gen import sleep, with_timeout
 from tornado.ioloop import IOLoop
 from tornado.iostream import StreamClosedError
 
@@ -16,12 +16,14 @@
 from spanwing.core.actor import spawn
 from spanwing.core.messages import Delivery, Ended, Listener, Probed, Started
 from spanwing.net.hop import Deliver, GiveUp, HopActor, Probe
-from spanwing.net.http import HttpError, HttpStream, Message, request_bytes
+from spanwing.net.http import HttpError, Message, request_bytes
 from spanwing.net.load import LoadReader
-from spanwing.net.pool import ConnectionPool
+from spanwing.net.pool import ConnectionPool, PooledHttp
 
 GIVE_UP_S = 1.0  # wait for the answer to a DELETE
 PROBE_S = 0.5
+CONNECTIONS = 3  # tried for one request, all but the first newly opened
+HELD_S = 0.002  # a round trip, rather more than less
 
 CALLED_BACK: dict[str, api.Result] = {"done": "ok", "failed": "error", "returned": "full", "lost": "reset"}
 
@@ -47,7 +49,7 @@
 
     delivery: Delivery
     listener: Listener
-    connection: HttpStream | None = None
+    connection: PooledHttp | None = None
     taken: bool = False  # the 202 has come
     given_up: api.Result | None = None
 
@@ -72,36 +74,65 @@
 
     async def _carry(self, job: Job) -> None:
         envelope = job.delivery.envelope
-        connection = await self.pool.take()
-        if connection is None:
-            self._end(job, "unreachable")
-            return
-        if not self._current(job):  # given up while the connection came up: nothing may be sent any more
-            self.pool.give(connection)
-            return
-        job.connection = connection
         headers = {"Host": str(self.pool.address), "X-Call-Id": envelope.id,
                    "X-Budget-Ms": str(max(1, int(job.delivery.budget)))}
         if envelope.effect_key is not None:
             headers["Idempotency-Key"] = envelope.effect_key
         data = request_bytes(envelope.method, envelope.target, headers, envelope.body)
-        try:
-            await connection.write(data)
-        except StreamClosedError:  # its last byte was never written
-            self.pool.drop(connection)
+        careful = not job.delivery.repeatable
+        connection = await self._send(data, careful, lambda: self._current(job))
+        if connection is None:  # its last byte was never written
             self._end(job, "unreachable")
             return
-        try:
-            reply = await connection.receive()
-        except HttpError:
-            reply = None
-        if reply is None or not reply.keep:
+        if not self._current(job):  # given up while the last byte was written: closing says so
             self.pool.drop(connection)
-        else:
-            self.pool.give(connection)
+            return
+        job.connection = connection
+        reply = await self._receive(connection)
         job.connection = None
         self._replied(job, reply)
 
+    async def _send(self, data: bytes, careful: bool,
+                    wanted: Callable[[], bool] = lambda: True) -> PooledHttp | None:
+        """The connection that took a whole request, or None: then its last byte was written to none.
+
+        A kept connection that the other side has dropped without a word looks open, and a request written to
+        it may count as run. What must not run twice therefore goes on a new connection, and its last byte,
+        which makes an attempt of it, is held back until a reset would have come."""
+        for number in range(CONNECTIONS):
+            connection = await self.pool.take(new=careful or number > 0)
+            if connection is None:
+                return None
+            try:
+                if careful:
+                    await connection.write(data[:-1])
+                    await sleep(HELD_S)
+                if wanted() and connection.fresh():
+                    await connection.write(data[-1:] if careful else data)
+                    return connection
+            except StreamClosedError:
+                pass
+            self.pool.drop(connection)
+            if not wanted():  # given up meanwhile: nothing may be sent any more
+                return None
+        return None
+
+    async def _receive(self, connection: PooledHttp, wait_s: float | None = None) -> Message | None:
+        """The reply; None where none came. The connection goes back to its pool."""
+        reply, wait = None, None if wait_s is None else timedelta(seconds=wait_s)
+        try:
+            coming = connection.receive()
+            reply = await (coming if wait is None else with_timeout(
+                wait, coming, quiet_exceptions=(HttpError, StreamClosedError)))
+        except (WaitOver, StreamClosedError, HttpError):
+            pass
+        self.pool.learn(connection, reply is not None)
+        if reply is not None and reply.keep:
+            self.pool.give(connection)
+        else:
+            self.pool.drop(connection)
+        return reply
+
     def _replied(self, job: Job, reply: Message | None) -> None:
         report = self.loads.text(reply.headers.get("x-load-report", "")) if reply else None
         if reply is None:
@@ -153,26 +184,15 @@
     async def _delete(self, job: Job) -> None:
         """Give up a job that was taken; it has ended only once the job worker was told."""
         try:
-            await self._ask("DELETE", f"/jobs/{job.delivery.envelope.id}", GIVE_UP_S)
+            target = f"/jobs/{job.delivery.envelope.id}"
+            if await self._ask("DELETE", target, GIVE_UP_S) is None:
+                await self._ask("DELETE", target, GIVE_UP_S)  # on another connection: nobody was told
         finally:
             self._end(job, job.given_up or "cancelled")
 
     async def _ask(self, method: str, target: str, wait_s: float) -> Message | None:
-        connection = await self.pool.take()
-        if connection is None:
-            return None
-        reply = None
-        try:
-            await connection.write(request_bytes(method, target, {"Host": str(self.pool.address)}))
-            reply = await with_timeout(timedelta(seconds=wait_s), connection.receive(),
-                                       quiet_exceptions=(HttpError, StreamClosedError))
-        except (WaitOver, StreamClosedError, HttpError):
-            pass
-        if reply is not None and reply.keep:
-            self.pool.give(connection)
-        else:
-            self.pool.drop(connection)
-        return reply
+        connection = await self._send(request_bytes(method, target, {"Host": str(self.pool.address)}), False)
+        return None if connection is None else await self._receive(connection, wait_s)
 
     def _probe(self, probe: Probe) -> None:
         spawn(self._ask_load(probe))
--- a/spanwing/net/pool.py
+++ b/spanwing/net/pool.py
@@ -16,15 +16,23 @@
 from spanwing.net.http import HttpStream
 
 CLOSE_AFTER = 0.6  # of the idle time allowed: a late timer of ours must still be in time
+SPARE = 3  # idle ones kept open to one next hop
+SHORTEST_S = 0.02  # a connection may always be used again at once
 MOST = 12  # connections in use at one next hop; further attempts wait for one
 
 
+class PooledHttp(HttpStream):
+    """A connection to a next hop."""
+
+    stood_s = 0.0  # idle before its present use; 0: it is new
+
+
 class Descriptors:
     """What the pools of all next hops may hold together; the oldest idle connection of any gives way."""
 
     def __init__(self, most: int) -> None:
         self.most, self.held = most, 0
-        self.idle: dict[HttpStream, Callable[[], None]] = {}  # oldest first, with what closes it
+        self.idle: dict[PooledHttp, Callable[[], None]] = {}  # oldest first, with what closes it
 
     def take(self) -> bool:
         """Whether one more connection may be opened."""
@@ -42,30 +50,33 @@
     def __init__(self, address: Address, buffers: BufferPool, descriptors: Descriptors, idle_ms: float,
                  connect_ms: float) -> None:
         self.address, self.buffers, self.descriptors = address, buffers, descriptors
-        self.keep_s, self.connect_s = idle_ms * CLOSE_AFTER / 1000.0, connect_ms / 1000.0
+        self.longest_s, self.connect_s = idle_ms * CLOSE_AFTER / 1000.0, connect_ms / 1000.0
+        self.keep_s = self.longest_s  # shorter while the other side drops idle connections without a word
         self.loop = IOLoop.current()
-        self.idle: dict[HttpStream, tuple[float, object]] = {}  # since when, and the timer that ends it
+        self.idle: dict[PooledHttp, tuple[float, object]] = {}  # since when, and the timer that ends it
         self.room = Semaphore(MOST)
 
-    async def take(self) -> HttpStream | None:
-        """A connection to write on; None when none came up in time. Give it back, or drop it."""
+    async def take(self, new: bool = False) -> PooledHttp | None:
+        """A connection to write on, perhaps a new one only; None when none came up in time. Give it back, or
+        drop it."""
         try:
             await self.room.acquire(timedelta(seconds=self.connect_s))
         except WaitOver:
             return None
-        while self.idle:
+        while self.idle and not new:
             connection = next(reversed(self.idle))
             since = self._take_out(connection)
             # A request written to a connection that the next hop has closed may count as run: never write
             # on one that stood idle too long or that the kernel says was closed.
             if self.loop.time() - since < self.keep_s and connection.fresh():
+                connection.stood_s = self.loop.time() - since
                 return connection
             self._close(connection)
         if not self.descriptors.take():
             self.room.release()
             return None
         stream = IOStream(open_socket(self.address))
-        connection = HttpStream(stream, self.buffers, responses=True)
+        connection = PooledHttp(stream, self.buffers, responses=True)
         try:
             await with_timeout(timedelta(seconds=self.connect_s), stream.connect(self.address.target),
                                quiet_exceptions=StreamClosedError)
@@ -74,17 +85,24 @@
             return None
         return connection
 
-    def give(self, connection: HttpStream) -> None:
+    def give(self, connection: PooledHttp) -> None:
         """Take back a connection that is ready for another request."""
         self.room.release()
-        if connection.stream.closed():
+        if connection.stream.closed() or len(self.idle) >= SPARE:
             self._close(connection)
             return
         timer = self.loop.call_later(self.keep_s, self._expire, connection)
         self.idle[connection] = self.loop.time(), timer
         self.descriptors.idle[connection] = lambda: self._expire(connection)
 
-    def drop(self, connection: HttpStream) -> None:
+    def learn(self, connection: PooledHttp, answered: bool) -> None:
+        """How a request fared on a connection that had stood idle: how long others may stand."""
+        if connection.stood_s and not answered:
+            self.keep_s = max(SHORTEST_S, min(self.keep_s, connection.stood_s / 2.0))
+        elif connection.stood_s > self.keep_s / 2.0:
+            self.keep_s = min(self.longest_s, self.keep_s * 1.5)
+
+    def drop(self, connection: PooledHttp) -> None:
         self._close(connection)
         self.room.release()
 
@@ -93,17 +111,17 @@
         while self.idle:
             self._expire(next(iter(self.idle)))
 
-    def _expire(self, connection: HttpStream) -> None:
+    def _expire(self, connection: PooledHttp) -> None:
         self._take_out(connection)
         self._close(connection)
 
-    def _take_out(self, connection: HttpStream) -> float:
+    def _take_out(self, connection: PooledHttp) -> float:
         """No longer idle; since when it was."""
         since, timer = self.idle.pop(connection)
         del self.descriptors.idle[connection]
         self.loop.remove_timeout(timer)
         return since
 
-    def _close(self, connection: HttpStream) -> None:
+    def _close(self, connection: PooledHttp) -> None:
         connection.close()
         self.descriptors.held -= 1
--- a/tests/player.py
+++ b/tests/player.py
@@ -13,11 +13,12 @@
     NAME< TEXT            the next line must match, * stands for anything; NAME<< TEXT compares bare bytes
     NAME<~~ TEXT          bytes are passed over until a line ends so
     NAME<~ TEXT           lines are passed over until one matches
-    NAME close            closes it;  NAME ended: the daemon must have closed it
+    NAME close            closes it;  NAME reset: by a reset;  NAME ended: the daemon must have closed it
     folder NAME           an empty folder; {NAME} is its path;  restart: kills the daemon and starts it again
     until FRONT METHOD TARGET STATUS   asks a front until it answers so
     crowd N FRONT         N connections that say nothing;  crowded: the daemon must close them all
     flood NAME N          sends N bytes;  grown N: since the start, the daemon must have grown by less, in MB
+    still NAME S          for so long, GET /up on this connection is answered again and again
     rewrite               the configuration file anew, with what was set since
     said TEXT             waits until this stands on standard error
     signal TERM           and so on;  exit N: the daemon must end with this status
@@ -32,6 +33,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -180,7 +182,7 @@
             getattr(self, SIGNS[sign])(name, text)
             return
         word, *rest = line.split(" ")
-        if rest in (["close"], ["ended"]):
+        if rest in (["close"], ["ended"], ["reset"]):
             getattr(self, rest[0])(word)
         else:
             getattr(self, f"do_{word}")(*rest)
@@ -245,6 +247,14 @@
         grown = self.daemon.resident() - self.daemon.small
         assert grown < float(most), f"{grown:.1f} MB more"
 
+    def do_still(self, name: str, seconds: str) -> None:
+        over = time.monotonic() + float(seconds)
+        while time.monotonic() < over:
+            self.send_bare(name, "GET /up HTTP/1.1\\r\\n\\r\\n")
+            self.expect_later(name, "")
+            self.expect_bare(name, "going down")
+            time.sleep(0.02)
+
     def do_rewrite(self) -> None:
         self.daemon.write(self.config)
 
@@ -335,6 +345,10 @@
     def close(self, name: str) -> None:
         self.sockets.pop(name).close()
 
+    def reset(self, name: str) -> None:
+        self.sockets[name].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close(name)
+
     def ended(self, name: str) -> None:
         try:
             while self.more(name):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -49,7 +49,10 @@
     def serve(self, name: str, connection: socket.socket) -> None:
         with connection, connection.makefile("rb") as file:
             while True:
-                first, headers, body = read_http(file)
+                try:
+                    first, headers, body = read_http(file)
+                except ConnectionResetError:
+                    return
                 if not first:
                     return
                 taken = first.startswith("POST")
