Tell refused clients when to come back, end late requests before SIGKILL, bound Faktory

Seen: refusals carried no Retry-After though the settings allow one; a request on a connection that was opened before SIGTERM and used after it kept its whole deadline, so SIGKILL could find it unanswered, which counts as lost; the Faktory front had no time for half a line and 100 MB to read ahead (IOStream without a limit). Cause: choice.py _spoil refused without advice; platform.py _envelope knew nothing of a shutdown; faktory.py _accept made streams with Tornado's default and turned new ones away when its table was full. Change: a client beyond its share is told when the share allows one more, others one tick; what comes 0.5 s after SIGTERM has until 3.3 s; one table (net/table.py) bounds and orders both fronts; a connection reset while it was being opened is opened once more. Tried and taken back: serving kept connections for 2 s after SIGTERM.

--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import logging
+import math
 import signal
 import sys
 
@@ -35,6 +36,9 @@
 from spanwing.store.store import Store
 
 LAST_ARRIVALS_S = 0.5  # new connections still come this long after SIGTERM
+# SIGKILL comes no sooner than this after SIGTERM, or the longest deadline where that is shorter, and KILL_MS.
+LONGEST_MS, KILL_MS = 3000.0, 700.0
+MARGIN_MS = 400.0
 LAST_SETTLING = 100  # looks, 10 ms apart, at whether the last outcomes are in the store
 
 
@@ -43,6 +47,7 @@
 
     def __init__(self, config: Config) -> None:
         self.config, self.stopping = config, False
+        self.last = math.inf  # of the loop's time: when the latest answer is due
         self.started = Event()
         self.buffers = BufferPool()
         self.faktory: FaktoryFront | None = None
@@ -75,9 +80,10 @@
             config.known, config.discovery, self.core, buffers, make_hop)
         self.core.directory = transport
         platform = PlatformFront(settings.classes, loads, transport.post, self.counters,
-                                 lambda: not self.stopping)
+                                 lambda: not self.stopping, self.left_ms)
         self.server = _listening("ROUTER_LISTEN", config.listen, lambda address:
-                                 HttpServer(address, platform, self.core, buffers, shares.clients))
+                                 HttpServer(address, platform, self.core, buffers, shares.clients,
+                                            settings.max_retry_after))
         if config.health:
             health = HealthFront(self.status, self.counters)
             self.say("health", _listening("health.listen", config.health, lambda address:
@@ -110,7 +116,9 @@
         if config.discovery != old.discovery:
             self.transport.move(config.discovery)
         shares = config.shares()
-        self.server.most, self.descriptors.most = shares.clients, shares.hops
+        self.server.table.most, self.descriptors.most = shares.clients, shares.hops
+        if self.faktory is not None:
+            self.faktory.table.most = shares.faktory
         for name in config.fixed(old):
             print(f"spanwing: {name} has changed: it takes a restart", file=sys.stderr, flush=True)
         print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
@@ -124,12 +132,20 @@
     def print_counters(self) -> None:
         print("counters", msgspec.json.encode(self.counters()).decode(), flush=True)
 
+    def left_ms(self) -> float:
+        """How long a request that comes now may take."""
+        return (self.last - IOLoop.current().time()) * 1000.0
+
     async def stop(self) -> None:
         """Keep accepting for a while, answer all that was taken, then leave."""
         if self.stopping:
             return
         self.stopping = True
+        begun = IOLoop.current().time()
         await sleep(LAST_ARRIVALS_S)
+        # What comes from here on and is not answered by SIGKILL would be lost: it gets its answer before.
+        longest = max(each.deadline for each in self.core.settings.classes)
+        self.last = begun + (min(longest, LONGEST_MS) + KILL_MS - MARGIN_MS) / 1000.0
         self.server.drain()
         if self.faktory is not None:
             self.faktory.draining = True
--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -184,7 +184,7 @@
         """A held job that can hardly be in time is refused, or where late pays waits behind the others."""
         job.spoilt |= job.held
         if job.held and (job.cls.late_worth <= 0 or job.over) and self._may_refuse(job):
-            self._finish(job, api.Refuse(job.req.id))
+            self._finish(job, api.Refuse(job.req.id, self._comeback(job)))
         elif job.held:
             self.spoilt.append(job)
 
@@ -193,6 +193,14 @@
         while self.waiting and (found := self._next()):
             self._send(*found)
 
+    def _comeback(self, job: Job) -> float:
+        """When a client that is refused should come back: once its tenant's share allows one more; within its
+        share next tick, as its time runs and another node may have a slot. 0: no advice is allowed."""
+        ledger, wait = self._ledger(job), self.set.tick
+        if job.over:
+            wait = max(wait, (1.0 - ledger.credit) * 1000.0 / max(ledger.rate, 0.001))
+        return min(wait, self.set.max_retry_after)
+
     def _unhold(self, job: Job) -> None:
         self.waiting -= job.held
         job.held = False
--- a/spanwing/net/faktory.py
+++ b/spanwing/net/faktory.py
@@ -5,10 +5,13 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import UTC, datetime
 
 import msgspec
 from tornado.concurrent import Future
+from tornado.gen import sleep
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.queues import Queue
 
@@ -30,11 +33,13 @@
 )
 from spanwing.net.resp import OK, bulk, error, simple
 from spanwing.net.stream import LineStream, LineTooLong
+from spanwing.net.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.store import NoMajority
 
 LONGEST_LINE = 128 * 1024
 LONGEST_MS = 3_600_000.0
+LATE = error("ERR", "not whole in time")
 KEPT_STATES = 10_000  # jobs that TRACK GET still knows
 TRACKED: dict[Kind, str] = {"served": "success", "failed": "failed", "refused": "dead", "repeated": "dead"}
 
@@ -110,18 +115,20 @@
                  counters: Callable[[], dict[str, int]]) -> None:
         self.classes = {each.name: each for each in classes}
         self.core, self.workers, self.claims, self.buffers = core, workers, claims, buffers
-        self.most, self.counters = most, counters
+        self.counters = counters
         self.states: OrderedDict[str, Tracked] = OrderedDict()
-        self.connections: set[FaktoryConnection] = set()
+        self.table: Table[FaktoryConnection] = Table(most)
         self.draining = False
         self.address = listen(address, self._accept)
 
     def _accept(self, sock) -> None:
-        if len(self.connections) >= self.most:
+        if not self.table.room():
+            with suppress(OSError):
+                sock.send(error("ERR", "too many connections, try again later"))
             sock.close()
             return
-        connection = FaktoryConnection(self, IOStream(sock))
-        self.connections.add(connection)
+        connection = FaktoryConnection(self, IOStream(sock, max_buffer_size=LONGEST_LINE + READ_AHEAD))
+        self.table.seats.add(connection)
         spawn(connection.serve())
 
     def track(self, jid: str, state: str, desc: str = "") -> None:
@@ -131,7 +138,7 @@
             self.states.popitem(last=False)
 
     def busy(self) -> bool:
-        return any(each.busy for each in self.connections)
+        return any(each.busy for each in self.table.seats)
 
     async def claim(self, job: Job, cls: api.ServiceClass) -> Claim | Answer | None:
         """The claim on a job that must never run twice, or the answer if it has been claimed before."""
@@ -183,6 +190,8 @@
         self.mailbox: Queue[Answer | None] = Queue()
         self.closed = False
         self.busy = False
+        self.over = False
+        self.since = IOLoop.current().time()
         self.hello: Hello | None = None
         self.hop: FaktoryNextHop | None = None
         self.fetching: Future[Handed | None] | None = None
@@ -198,7 +207,7 @@
     async def serve(self) -> None:
         try:
             await self.lines.write(simple('HI {"v":2}'))
-            while (line := await self.lines.line()) is not None:
+            while (line := await self.lines.line(WHOLE_S, self.hello is None, LATE)) is not None:
                 self.busy = True
                 verb, _, rest = line.partition(b" ")
                 try:
@@ -207,7 +216,9 @@
                     reply = error(refusal.kind, str(refusal))
                 if reply is not None:
                     await self.lines.write(reply)
-                self.busy = False
+                self.busy, self.since = False, IOLoop.current().time()
+                if self.lines.data:
+                    await sleep(0)  # who sends many commands ahead must not keep the loop to itself
                 if verb.upper() == b"END":
                     break
         except (Protocol, LineTooLong) as wrong:
@@ -215,10 +226,26 @@
         except StreamClosedError:
             pass
         finally:
-            self.lines.close()
-            self.front.connections.discard(self)
+            self.busy, self.over = False, True
             if self.hop is not None:
                 self.front.workers.post(Leave(self.hello.wid))
+            await self.lines.finish(LINGER_S)
+            self.front.table.seats.discard(self)
+
+    def rank(self, waited_s: float) -> int | None:
+        if self.over:
+            return OVER
+        if self.busy or self.hop is not None:  # a job worker's connection is its life
+            return None
+        if self.lines.data:
+            return HALF if waited_s > HALF_S else None
+        return SILENT if self.hello is None else IDLE
+
+    def silent(self) -> bool:
+        return self.lines.silent()
+
+    def close(self) -> None:
+        self.lines.close()
 
     async def _last(self, data: bytes) -> None:
         try:
@@ -354,7 +381,7 @@
 
     async def _info(self, _: bytes) -> bytes:
         return bulk(msgspec.json.encode({
-            "server": {"faktory_version": "spanwing", "connections": len(self.front.connections)},
+            "server": {"faktory_version": "spanwing", "connections": len(self.front.table.seats)},
             "spanwing": self.front.counters(),
         }))
 
--- a/spanwing/net/platform.py
+++ b/spanwing/net/platform.py
@@ -52,9 +52,10 @@
 
     def __init__(self, classes: tuple[api.ServiceClass, ...], loads: LoadReader,
                  heard: Callable[[Heard], None], counters: Callable[[], dict[str, int]],
-                 up: Callable[[], bool]) -> None:
+                 up: Callable[[], bool], left_ms: Callable[[], float]) -> None:
         self.classes = {each.name: each for each in classes}
         self.loads, self.heard, self.counters, self.up = loads, heard, counters, up
+        self.left_ms = left_ms  # how long a request that comes now may take at most
         self.decoder = msgspec.json.Decoder(JobEvent)
 
     def read(self, message: Message) -> Envelope | tuple[int, bytes]:
@@ -87,7 +88,8 @@
         slots = number(info.get("slots"), "slots", 1.0)
         return Envelope(
             id=request, cls=cls.name, tenant=headers.get("x-caller"),
-            budget=min(number(headers.get("x-budget-ms"), "X-Budget-Ms", cls.deadline), LONGEST_MS),
+            budget=min(number(headers.get("x-budget-ms"), "X-Budget-Ms", cls.deadline), LONGEST_MS,
+                       max(0.0, self.left_ms())),
             slots=max(1, int(slots)), memory=number(info.get("memory"), "memory", 0.0),
             hint=number(headers.get("x-call-cost"), "X-Call-Cost", 0.0),
             route_key=headers.get("x-route-hash"), repeat=headers.get("x-again") == "1",
--- a/spanwing/net/pool.py
+++ b/spanwing/net/pool.py
@@ -16,6 +16,7 @@
 from spanwing.net.http import HttpStream
 
 CLOSE_AFTER = 0.6  # of the idle time allowed: a late timer of ours must still be in time
+OPENED = 2  # connections opened at most until one stands
 SPARE = 3  # idle ones kept open to one next hop
 SHORTEST_S = 0.02  # a connection may always be used again at once
 MOST = 12  # connections in use at one next hop; further attempts wait for one
@@ -72,18 +73,22 @@
                 connection.stood_s = self.loop.time() - since
                 return connection
             self._close(connection)
-        if not self.descriptors.take():
-            self.room.release()
-            return None
-        stream = IOStream(open_socket(self.address))
-        connection = PooledHttp(stream, self.buffers, responses=True)
-        try:
-            await with_timeout(timedelta(seconds=self.connect_s), stream.connect(self.address.target),
-                               quiet_exceptions=StreamClosedError)
-        except (WaitOver, StreamClosedError):
-            self.drop(connection)
-            return None
-        return connection
+        # A reset of one that was only just opened says nothing of the next hop; a refusal or silence does.
+        for _ in range(OPENED):
+            if not self.descriptors.take():
+                break
+            stream = IOStream(open_socket(self.address))
+            connection = PooledHttp(stream, self.buffers, responses=True)
+            try:
+                await with_timeout(timedelta(seconds=self.connect_s), stream.connect(self.address.target),
+                                   quiet_exceptions=StreamClosedError)
+                return connection
+            except (WaitOver, StreamClosedError):
+                self._close(connection)
+            if not isinstance(stream.error, ConnectionResetError):
+                break
+        self.room.release()
+        return None
 
     def give(self, connection: PooledHttp) -> None:
         """Take back a connection that is ready for another request."""
--- a/spanwing/net/senderside.py
+++ b/spanwing/net/senderside.py
@@ -15,11 +15,8 @@
 from spanwing.net.address import Address, listen
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpError, HttpStream, Message, response_bytes
+from spanwing.net.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 
-WHOLE_S = 2.4  # a request must be there whole so long after its first byte, a connection's first after accept
-LINGER_S = 2.4  # after a last answer, unread input is passed over so long
-HALF_S = 0.5  # a request that has begun may be cut off after this, if the table is full
-READ_AHEAD = 32 * 1024  # bytes that one connection may pile up while its request is answered
 AGAIN_MS = 100.0  # a client that finds no room is told to come back after this
 
 
@@ -40,7 +37,7 @@
         self.heard = False  # it has sent a whole request
         self.asks = False  # it carried a client's request
         self.busy = False
-        self.over = False  # the last answer is written, the other side has not closed yet
+        self.over = False
         self.since = IOLoop.current().time()
         stream.set_close_callback(lambda: self.mailbox.put_nowait(None))
 
@@ -67,7 +64,7 @@
         finally:
             self.busy, self.over = False, True
             await self.http.finish(LINGER_S)
-            self.server.forget(self)
+            self.server.table.seats.discard(self)
 
     async def _one(self, message: Message) -> bool:
         """Answer one request; whether the connection goes on."""
@@ -77,7 +74,7 @@
             await self.http.write(response_bytes(*read, keep=keep))
             return keep
         self.asks = True
-        answer = Answer("refused", retry_after=AGAIN_MS)
+        answer = Answer("refused", retry_after=self.server.again_ms)
         if self.server.enter():
             self.server.core.post(Take(read, self))
             answer = await self.mailbox.get()
@@ -99,53 +96,47 @@
         """Whether a request here is being read or answered."""
         return self.busy or not (self.over or self.http.parser.idle())
 
-    def spare(self, now: float) -> tuple[int, float] | None:
-        """How soon it goes where room is needed, least first; None: it must stay."""
+    def rank(self, waited_s: float) -> int | None:
         if self.over:
-            return 0, self.since
+            return OVER
         if self.busy:
             return None
-        if not self.http.parser.idle():  # half a request: a good one is whole soon
-            return (2, self.since) if now - self.since > HALF_S else None
-        return (3 if self.heard else 1), self.since
+        if not self.http.parser.idle():
+            return HALF if waited_s > HALF_S else None
+        return IDLE if self.heard else SILENT
+
+    def silent(self) -> bool:
+        return self.http.silent()
+
+    def close(self) -> None:
+        self.http.close()
 
 
 class HttpServer:
     """Listens for one front and owns its connections."""
 
     def __init__(self, address: Address, front: Front, core: Listener, buffers: BufferPool,
-                 most: int) -> None:
-        self.front, self.core, self.buffers, self.most = front, core, buffers, most
-        self.connections: set[SenderConnection] = set()
+                 most: int, longest_wait_ms: float = 0.0) -> None:
+        self.front, self.core, self.buffers = front, core, buffers
+        self.again_ms = min(AGAIN_MS, longest_wait_ms)  # 0: the settings allow no such advice
+        self.table: Table[SenderConnection] = Table(most)
         self.asking = 0  # clients' requests that the core has
         self.draining = False
         self.address = listen(address, self._accept)
 
     def _accept(self, sock) -> None:
-        # Past the limit on sockets even the list could not be asked for: the one that is least needed goes.
-        if len(self.connections) >= self.most and not self._make_room():
+        if not self.table.room():
             with suppress(OSError):
-                sock.send(self.front.render(Answer("refused", retry_after=AGAIN_MS), False))
+                sock.send(self.front.render(Answer("refused", retry_after=self.again_ms), False))
             sock.close()
             return
         connection = SenderConnection(self, IOStream(sock, max_buffer_size=READ_AHEAD))
-        self.connections.add(connection)
+        self.table.seats.add(connection)
         spawn(connection.serve())
 
-    def _make_room(self) -> bool:
-        now = IOLoop.current().time()
-        ranked = [(rank, each) for each in self.connections if (rank := each.spare(now)) is not None]
-        for _, each in sorted(ranked, key=lambda pair: pair[0]):
-            # What the kernel holds for us unread may be a good client's request: closing then would lose it.
-            if each.over or each.http.silent():
-                each.http.close()
-                self.connections.discard(each)
-                return True
-        return False
-
     def enter(self) -> bool:
         """Whether one more client's request may wait here: a third of the table is left for call-backs."""
-        room = self.asking < self.most * 2 // 3
+        room = self.asking < self.table.most * 2 // 3
         self.asking += room
         return room
 
@@ -156,16 +147,13 @@
         if self.draining and connection.asks:
             connection.http.close()
 
-    def forget(self, connection: SenderConnection) -> None:
-        self.connections.discard(connection)
-
     def busy(self) -> bool:
         """Whether a client's request is being read or answered."""
-        return any(each.unfinished() for each in self.connections)
+        return any(each.unfinished() for each in self.table.seats)
 
     def drain(self) -> None:
         """Close clients' connections between requests; those of call-backs stay, and so does the listener."""
         self.draining = True
-        for each in list(self.connections):
+        for each in list(self.table.seats):
             if each.asks and not each.unfinished():
-                each.http.close()
+                each.close()
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -85,15 +85,35 @@
         super().__init__(stream, buffers)
         self.data, self.longest = bytearray(), longest
 
-    async def line(self) -> bytes | None:
-        """The next line; None when the connection ended first."""
-        while True:
-            end = self.data.find(b"\n")
-            if end > self.longest or (end < 0 and len(self.data) > self.longest):
-                raise LineTooLong
-            if end >= 0:
-                line = bytes(self.data[:end])
-                del self.data[: end + 1]
-                return line.removesuffix(b"\r")
-            if not await self.read(self.data):
-                return None
+    async def line(self, whole_s: float | None = None, fresh: bool = False,
+                   late: bytes = b"") -> bytes | None:
+        """The next line; None when the connection ended first. One that has begun must be there whole after
+        whole_s, else late is said; on a fresh connection that time runs already."""
+        timer = None
+        try:
+            while (line := self._line()) is None:
+                if timer is None and whole_s is not None and (fresh or self.data):
+                    timer = IOLoop.current().call_later(whole_s, self._stalled, late)
+                if not await self.read(self.data):
+                    return None
+            return line
+        finally:
+            if timer is not None:
+                IOLoop.current().remove_timeout(timer)
+
+    def _stalled(self, late: bytes) -> None:
+        if self.data:
+            self.last_words(late)
+        else:
+            self.close()
+
+    def _line(self) -> bytes | None:
+        """The line that is there already."""
+        end = self.data.find(b"\n")
+        if end > self.longest or (end < 0 and len(self.data) > self.longest):
+            raise LineTooLong
+        if end < 0:
+            return None
+        line = bytes(self.data[:end])
+        del self.data[: end + 1]
+        return line.removesuffix(b"\r")
