Give up a started job of which its worker tells no more progress

Ruled out: call-backs lost, rejected or cut on our side (none); workers that hang (they go on with other jobs). Change: once a worker has told of progress, a job unheard of for 1.5 of its intervals, or 3 where nothing of others came either, is called off; the answer follows at once. Workers that never tell progress are left alone.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -20,6 +20,7 @@
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
 COPIES = 0.5  # second copies earned by each arrival: where a cancel stops nothing, each copy is load
+MISSED = 1.5  # of a worker's intervals of progress, without a word on a job
 SCAN = 24  # workers looked at for one placement, at most
 LOG_LINES = 60
 KEYS_COUNT, KEYS_FADE = 0.2, 0.02  # keys steer all placement from this share of arrivals; how fast it moves
@@ -336,7 +337,10 @@
     def _note(self, note: api.Note) -> None:
         attempt = self.open.get((note.request, note.attempt))
         if attempt is not None:
-            attempt.view.heard = self.now
+            attempt.view.heard = attempt.noted = self.now
+            attempt.view.tells |= not note.started
+            if self.set.progress > 0 and self.set.cancel:
+                self.alarms.add(self.now + MISSED * self.set.progress, self._unheard, attempt, note.attempt)
         if attempt is not None and note.started and not attempt.started:
             view = attempt.view
             attempt.started = self.now
@@ -361,6 +365,18 @@
         if self._copy(attempt.job):
             self.out.append(api.Cancel(attempt.job.req.id, number))
 
+    def _unheard(self, attempt: Attempt, number: int) -> None:
+        """A started job of which the worker tells nothing, though it tells of jobs: it was lost there, or its
+        end was. Give it up: it would hold its slots here until the client's time is over."""
+        view, patience = attempt.view, MISSED * self.set.progress
+        if not attempt.open or not view.tells or self.now < attempt.noted + patience - 1.0:
+            return
+        if view.heard < attempt.noted + self.set.progress and self.now < attempt.noted + 2 * patience - 1.0:
+            # Nothing of others either: it may stand still for a moment.
+            self.alarms.add(attempt.noted + 2 * patience, self._unheard, attempt, number)
+            return
+        self.out.append(api.Cancel(attempt.job.req.id, number))
+
     def _silent(self, attempt: Attempt) -> None:
         """Nothing heard since an attempt was due: the worker may hang. Rest it; copy what may repeat."""
         if attempt.open and attempt.view.heard <= attempt.at:
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -58,6 +58,7 @@
     live_weights: bool = False  # weight is size / (1 + requests held per core)
     nominal_weights: bool = False  # weight is the registered size
     tells_start: bool = False
+    progress: float = 0.0  # a worker tells of each running job this often; 0: never
     preempts: bool = False  # workers queue by priority and may kill a lower running job
     counts_memory: bool = False
     cancel: bool = False
@@ -84,7 +85,7 @@
         _need(self.fall_multiple > 0, "fall_multiple", self.fall_multiple)
         _need(self.tick > 0, "tick", self.tick)
         for name in ("over_share_worth", "max_retry_after", "answer_grace", "drain_grace", "cold_ms",
-                     "fall_ms"):
+                     "fall_ms", "progress"):
             _need(getattr(self, name) >= 0, name, getattr(self, name))
         _need(not self.zones or self.zone in self.zones, "zone", self.zone)
         for each in self.classes:
--- a/spanwing/settings.py
+++ b/spanwing/settings.py
@@ -18,7 +18,7 @@
     "max_attempts": "permissions.max_attempts", "max_retry_after": "permissions.max_retry_after_ms",
     "answer_grace": "rules.grace_to_answer_ms", "drain_grace": "rules.stop_sending_within_ms",
     "cold_from": "rules.cold_from", "cold_ms": "rules.cold_ms", "fall_ms": "rules.fall_ms",
-    "fall_multiple": "rules.fall_multiple",
+    "fall_multiple": "rules.fall_multiple", "progress": "specifics.progress_ms",
 }
 
 
@@ -75,6 +75,7 @@
     report_x0: str | None = None
     report_x1: str | None = None
     tells_start: bool = False
+    progress_ms: float = 0.0
 
 
 class Options(msgspec.Struct):
@@ -139,6 +140,7 @@
         live_weights=options.weight_source == "live",
         nominal_weights=options.weight_source in ("nominal", "rough"),
         tells_start=specifics.tells_start,
+        progress=specifics.progress_ms,
         preempts=specifics.queue_order == "priority",
         counts_memory=specifics.memory_unit is not None,
         cancel=allow.cancel,
--- a/spanwing/state.py
+++ b/spanwing/state.py
@@ -34,6 +34,7 @@
     at: float
     open: bool = True
     started: float = 0.0  # when the worker said so; 0: not yet
+    noted: float = 0.0  # the worker's last word on it
     proof: bool = False  # it ended, and never ran
 
 
@@ -54,6 +55,7 @@
     others: float = 0.0  # jobs of other nodes, as last seen
     seen: float = -math.inf
     heard: float = 0.0  # last sign of life
+    tells: bool = False  # it has told of a job's progress
     rest_until: float = 0.0
     strikes: int = 0
     limit: float = math.inf  # jobs at once, after a rest
