Give up a job that its worker neither takes nor turns down

Cause: nexthop.py _carry waited for the 202 without a limit of its own, so the job kept its slots and its client to the end of the time; choice.py _silent rests the worker after 8 s but leaves the attempt. Ruled out: half replies (nothing had come), a missing last byte (kept and new connections take it alike), workers that hang (their other jobs went on). Change: no reply within 2.5 s ends the attempt by closing its connection, which gives it up; what may run again is tried elsewhere, what may not is answered at once.

--- a/spanwing/net/nexthop.py
+++ b/spanwing/net/nexthop.py
@@ -20,6 +20,7 @@
 from spanwing.net.load import LoadReader
 from spanwing.net.pool import ConnectionPool, PooledHttp
 
+TAKEN_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
 GIVE_UP_S = 1.0  # wait for the answer to a DELETE
 PROBE_S = 0.5
 CONNECTIONS = 3  # tried for one request, all but the first newly opened
@@ -88,8 +89,14 @@
             self.pool.drop(connection)
             return
         job.connection = connection
-        reply = await self._receive(connection)
+        began = self.loop.time()
+        reply = await self._receive(connection, TAKEN_S)
         job.connection = None
+        if reply is None and self.loop.time() - began >= TAKEN_S:
+            # It says neither yes nor no, and closing the connection has given the job up: waiting on would
+            # only keep its slots here, and the client, to the end of its time.
+            self._end(job, "timeout")
+            return
         self._replied(job, reply)
 
     async def _send(self, data: bytes, careful: bool,
