Split net by concern into wire, hops and fronts

Need: net held nearly half the code, and store and net imported each other, so nothing could be added to either without widening the circle.

Change: wire/ (HTTP, RESP, streams, buffers, addresses, tables) knows no core; hops/ has job workers, pools and the transport map; fronts/ has the platform, Faktory, balancers and the sender side; actors stand by themselves. Moves and import lines only.

--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -16,17 +16,15 @@
 from spanwing.config import Config, ConfigError, load, read_settings
 from spanwing.core.clock import Clock
 from spanwing.core.exchange import Exchange
-from spanwing.net.address import Address
-from spanwing.net.balancer import AgentCheck, HealthFront, Status
-from spanwing.net.buffers import BufferPool
-from spanwing.net.faktory import FaktoryFront
-from spanwing.net.faktoryworker import FaktoryWorkers
-from spanwing.net.load import LoadReader
-from spanwing.net.nexthop import HttpNextHop
-from spanwing.net.platform import PlatformFront
-from spanwing.net.pool import ConnectionPool, Descriptors
-from spanwing.net.senderside import HttpServer
-from spanwing.net.transportmap import TransportMap
+from spanwing.fronts.balancer import AgentCheck, HealthFront, Status
+from spanwing.fronts.faktory import FaktoryFront
+from spanwing.fronts.platform import PlatformFront
+from spanwing.fronts.senderside import HttpServer
+from spanwing.hops.faktoryworker import FaktoryWorkers
+from spanwing.hops.load import LoadReader
+from spanwing.hops.nexthop import HttpNextHop
+from spanwing.hops.pool import ConnectionPool, Descriptors
+from spanwing.hops.transportmap import TransportMap
 from spanwing.settings import Permissions
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
@@ -34,6 +32,8 @@
 from spanwing.store.peer import Peer, PeerListener
 from spanwing.store.shared import shared_settings
 from spanwing.store.store import Store
+from spanwing.wire.address import Address
+from spanwing.wire.buffers import BufferPool
 
 LAST_ARRIVALS_S = 0.5  # new connections still come this long after SIGTERM
 # SIGKILL comes no sooner than this after SIGTERM, or the longest deadline where that is shorter, and KILL_MS.
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -11,10 +11,10 @@
 import msgspec
 
 from spanwing import interface as api
-from spanwing.net.address import Address, parse_address
-from spanwing.net.transportmap import MemberList
+from spanwing.hops.transportmap import MemberList
 from spanwing.settings import SAID_AS, Options, settings_of
 from spanwing.store.store import ANSWER_MS
+from spanwing.wire.address import Address, parse_address
 
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.toml"
 
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -10,8 +10,8 @@
 from tornado.concurrent import Future
 
 from spanwing import interface as api
+from spanwing.actor import Actor
 from spanwing.choice import Dispatcher
-from spanwing.core.actor import Actor
 from spanwing.core.clock import Clock
 from spanwing.core.messages import (
     Answer,
--- /dev/null
+++ b/spanwing/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Whatever listens for others: the platform, Faktory speakers, balancers."""
--- a/spanwing/fronts/balancer.py
+++ b/spanwing/fronts/balancer.py
@@ -8,10 +8,10 @@
 import msgspec
 from tornado.iostream import IOStream, StreamClosedError
 
-from spanwing.core.actor import spawn
+from spanwing.actor import spawn
 from spanwing.core.messages import Answer, Envelope
-from spanwing.net.address import Address, listen
-from spanwing.net.http import Message, response_bytes
+from spanwing.wire.address import Address, listen
+from spanwing.wire.http import Message, response_bytes
 
 
 class Status(NamedTuple):
--- a/spanwing/fronts/faktory.py
+++ b/spanwing/fronts/faktory.py
@@ -16,11 +16,9 @@
 from tornado.queues import Queue
 
 from spanwing import interface as api
-from spanwing.core.actor import spawn
+from spanwing.actor import spawn
 from spanwing.core.messages import Answer, Envelope, Kind, Left, Listener, Take
-from spanwing.net.address import Address, listen
-from spanwing.net.buffers import BufferPool
-from spanwing.net.faktoryworker import (
+from spanwing.hops.faktoryworker import (
     JOB_MEDIA,
     Beat,
     FaktoryNextHop,
@@ -31,11 +29,13 @@
     Join,
     Leave,
 )
-from spanwing.net.resp import OK, bulk, error, simple
-from spanwing.net.stream import LineStream, LineTooLong
-from spanwing.net.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.store import NoMajority
+from spanwing.wire.address import Address, listen
+from spanwing.wire.buffers import BufferPool
+from spanwing.wire.resp import OK, bulk, error, simple
+from spanwing.wire.stream import LineStream, LineTooLong
+from spanwing.wire.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 
 LONGEST_LINE = 128 * 1024
 LONGEST_MS = 3_600_000.0
--- a/spanwing/fronts/platform.py
+++ b/spanwing/fronts/platform.py
@@ -10,10 +10,10 @@
 
 from spanwing import interface as api
 from spanwing.core.messages import Answer, Envelope
-from spanwing.net.http import Message, response_bytes
-from spanwing.net.load import LoadReader
-from spanwing.net.nexthop import CallBack
-from spanwing.net.transportmap import Heard
+from spanwing.hops.load import LoadReader
+from spanwing.hops.nexthop import CallBack
+from spanwing.hops.transportmap import Heard
+from spanwing.wire.http import Message, response_bytes
 
 JOB_EVENTS = "/v1/job-events"
 LONGEST_MS = 3_600_000.0
--- a/spanwing/fronts/senderside.py
+++ b/spanwing/fronts/senderside.py
@@ -10,12 +10,12 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.queues import Queue
 
-from spanwing.core.actor import spawn
+from spanwing.actor import spawn
 from spanwing.core.messages import Answer, Envelope, Left, Listener, Take
-from spanwing.net.address import Address, listen
-from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpError, HttpStream, Message, response_bytes
-from spanwing.net.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
+from spanwing.wire.address import Address, listen
+from spanwing.wire.buffers import BufferPool
+from spanwing.wire.http import HttpError, HttpStream, Message, response_bytes
+from spanwing.wire.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 
 AGAIN_MS = 100.0  # a client that finds no room is told to come back after this
 
--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/hops/faktoryworker.py
@@ -11,10 +11,10 @@
 from tornado.concurrent import Future
 
 from spanwing import interface as api
-from spanwing.core.actor import Actor
+from spanwing.actor import Actor
 from spanwing.core.messages import Delivery, Ended, Envelope, Listed, Listener, Probed, Started
-from spanwing.net.hop import Deliver, GiveUp, HopActor, Probe
-from spanwing.net.transportmap import number_of
+from spanwing.hops.hop import Deliver, GiveUp, HopActor, Probe
+from spanwing.hops.transportmap import number_of
 
 JOB_MEDIA = "application/vnd.faktory.job+json"
 WAITING = 8  # jobs that may wait for a worker's FETCH, as in a job worker's queue
--- a/spanwing/hops/hop.py
+++ b/spanwing/hops/hop.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar, NamedTuple
 
 from spanwing import interface as api
-from spanwing.core.actor import Actor
+from spanwing.actor import Actor
 from spanwing.core.messages import Delivery, Listener
 
 
--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -13,12 +13,12 @@
 from tornado.iostream import StreamClosedError
 
 from spanwing import interface as api
-from spanwing.core.actor import spawn
+from spanwing.actor import spawn
 from spanwing.core.messages import Delivery, Ended, Listener, Probed, Started
-from spanwing.net.hop import Deliver, GiveUp, HopActor, Probe
-from spanwing.net.http import HttpError, Message, request_bytes
-from spanwing.net.load import LoadReader
-from spanwing.net.pool import ConnectionPool, PooledHttp
+from spanwing.hops.hop import Deliver, GiveUp, HopActor, Probe
+from spanwing.hops.load import LoadReader
+from spanwing.hops.pool import ConnectionPool, PooledHttp
+from spanwing.wire.http import HttpError, Message, request_bytes
 
 TAKEN_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
 GIVE_UP_S = 1.0  # wait for the answer to a DELETE
--- a/spanwing/hops/transportmap.py
+++ b/spanwing/hops/transportmap.py
@@ -15,12 +15,12 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing import interface as api
-from spanwing.core.actor import Actor, spawn
+from spanwing.actor import Actor, spawn
 from spanwing.core.messages import Listed, Listener
-from spanwing.net.address import Address, open_socket, parse_address
-from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpError, HttpStream, Message, request_bytes
-from spanwing.net.nexthop import CallBack, HttpNextHop, Retire
+from spanwing.hops.nexthop import CallBack, HttpNextHop, Retire
+from spanwing.wire.address import Address, open_socket, parse_address
+from spanwing.wire.buffers import BufferPool
+from spanwing.wire.http import HttpError, HttpStream, Message, request_bytes
 
 WATCH_MS = 10000  # a quiet watch answers after this
 ANSWER_S = 1.5  # and this much later at the latest, or the call has failed
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -10,12 +10,12 @@
 from tornado.gen import with_timeout
 from tornado.iostream import IOStream, StreamClosedError
 
-from spanwing.core.actor import Actor, spawn
-from spanwing.net.address import Address, listen, open_socket
-from spanwing.net.buffers import BufferPool
-from spanwing.net.stream import LineStream, LineTooLong
+from spanwing.actor import Actor, spawn
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.messages import Accept, Prepare, Reply
+from spanwing.wire.address import Address, listen, open_socket
+from spanwing.wire.buffers import BufferPool
+from spanwing.wire.stream import LineStream, LineTooLong
 
 LONGEST = 256 * 1024
 CONNECT_S = 0.3
--- a/spanwing/wire/__init__.py
+++ b/spanwing/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Sockets: HTTP, next hops, the transport map, and the fronts."""
+"""Bytes and sockets: HTTP, RESP, streams, buffers, addresses, tables of connections; no core."""
--- a/spanwing/wire/stream.py
+++ b/spanwing/wire/stream.py
@@ -8,7 +8,7 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
-from spanwing.net.buffers import BufferPool
+from spanwing.wire.buffers import BufferPool
 
 
 class LineTooLong(Exception):
