Decide in pure modules what balancers are told: state, weight, drains

Need: the balancers' front knew the share of listed job workers and nothing of CPU, waiting work, full tables, the store or discovery, and only SIGTERM could announce a drain.

--- /dev/null
+++ b/spanwing/health/policy.py
@@ -0,0 +1,36 @@
+"""The operator's settings of what is told to balancers, with their bounds."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Defaults suit checks every second; wrong values raise ValueError naming the setting."""
+
+    notice_ms: float = 2000.0  # from a drain's announcement on: new work is still taken, balancers hear of it
+    floor: float = 10.0  # percent: shortage alone never tells less
+    slow_from: float = 10.0  # percent: told first after a start, an undrain or an absence
+    slow_start_ms: float = 10_000.0  # from there to 100 percent; no rise is ever faster
+    fall_per_s: float = 60.0  # percentage points by which the weight may fall in a second
+    step: float = 3.0  # percentage points: a smaller change is not told
+    short_at: float = 0.85  # of the loop's time: from here on the daemon is short of CPU
+    ease_at: float = 0.6  # below this it has enough again
+    ease_ms: float = 2000.0  # for so long, before it says so
+    settle_ms: float = 1500.0  # between two cuts for CPU: a balancer has to hear of one before the next
+    starting_ms: float = 5000.0  # without a list of job workers the daemon is starting so long, then absent
+    discovery_ms: float = 30_000.0  # silent for longer, discovery's list is old news
+
+    def __post_init__(self) -> None:
+        percents = ("floor", "slow_from", "step")
+        for name in percents:
+            if not 0 <= getattr(self, name) <= 100:
+                raise ValueError(f"{name}: {getattr(self, name)} is no percentage")
+        for name in ("slow_start_ms", "fall_per_s"):
+            if not 0 < getattr(self, name) <= 3_600_000:
+                raise ValueError(f"{name}: {getattr(self, name)} is not possible, it must be above 0")
+        for name in ("notice_ms", "ease_ms", "settle_ms", "starting_ms", "discovery_ms"):
+            if not 0 <= getattr(self, name) <= 3_600_000:
+                raise ValueError(f"{name}: {getattr(self, name)} is not possible, 0 to 3600000 are")
+        if not 0 < self.ease_at < self.short_at <= 1:
+            raise ValueError(f"short_at: {self.short_at} must lie between ease_at and 1")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from hypothesis import settings as hypothesis_settings
+
 from spanwing.choice import Dispatcher
 from spanwing.interface import (
     Action,
@@ -18,6 +20,10 @@
     WorkerList,
 )
 
+# The same verdict every time: the examples are those of a fixed seed, and none is kept between runs.
+hypothesis_settings.register_profile("same", derandomize=True, database=None, deadline=None)
+hypothesis_settings.load_profile("same")
+
 SAFE = ServiceClass("look", aim=300, deadline=5000, worth=2, stretch=1.5)
 KEYED = ServiceClass("book", aim=300, deadline=5000, worth=8, effect="keyed", window=4000, late_worth=0.5)
 UNSAFE = ServiceClass("bill", aim=300, deadline=5000, worth=3, effect="unsafe", late_worth=0.5)
