Open agent-check, HTTP, gRPC, feedback and PROXY to balancers, and a command line

Need: a site operator puts a common balancer in front with its ordinary configuration. HAProxy's default check got 404, HEAD 405 with a body that broke the next answer, gRPC health and PROXY were not spoken, a drain could be ordered by SIGTERM alone, and faults of a configuration came one by one.

Change: fronts/balancers/ samples the daemon every 50 ms and tells the one verdict by agent-check, feedback line, HTTP (GET, HEAD, OPTIONS, JSON detail, Envoy's headers), gRPC Check and Watch over h2, and an admin socket of mode 0600. Drains come by SIGTERM, by command or through the store: announced, noticed for 2 s, then closed; an undrain reopens. wire/proxy.py reads PROXY v1 and v2 from listed addresses only. spanwing.log tells one event a line, bounded, by structlog on request. The command line (click) has serve, check, status, drain, undrain and weight; `check` names all faults and how to mend them. A reload follows these listeners; one that cannot be opened changes nothing. All of it is off without its table, and none of its libraries is loaded then. OWN limit `cores` is read.

Cause of a fault found on the way: a gRPC call cancelled in the same bytes that made it ended the whole connection, as h2 reports a send on it like an error of the connection; it ends the call alone now.

--- /dev/null
+++ b/spanwing/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line; click is loaded here and nowhere else."""
--- /dev/null
+++ b/spanwing/cli/main.py
@@ -0,0 +1,176 @@
+"""spanwing's commands.
+
+Exit statuses: 0 done; 1 the daemon refused, a configuration has faults, or the daemon takes no work (status
+--exit-code); 2 wrong usage; 3 no daemon was reached; 4 a drain was not over within its time.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import time
+from typing import Any
+
+import click
+
+from spanwing.cli import client
+from spanwing.cli.check import check as check_files
+
+REFUSED, UNREACHED, NOT_WITHIN = 1, 3, 4
+LOOK_S = 0.1
+
+socket_option = click.option("--socket", "path", envvar="SPANWING_ADMIN", metavar="PATH",
+                             help="The daemon's admin socket [default: admin.socket of the fronts file].")
+fronts_option = click.option("--fronts", envvar="SPANWING_FRONTS", metavar="FILE",
+                             help="The fronts file [default: deploy/fronts.toml].")
+member_option = click.option("--member", default="", metavar="NAME",
+                             help="Another member of the store, which the order reaches through the store.")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name="spanwing", prog_name="spanwing")
+def cli() -> None:
+    """A job scheduler for building-control jobs.
+
+    Exit statuses: 0 done, 1 refused or faulty, 2 wrong usage, 3 no daemon reached, 4 not drained in time.
+    """
+
+
+@cli.command()
+@click.option("--config", metavar="FILE", help="The platform's file [default: ROUTER_CONFIG].")
+@fronts_option
+def serve(config: str | None, fronts: str | None) -> None:
+    """Run the daemon in the foreground, until SIGTERM."""
+    if config:
+        os.environ["ROUTER_CONFIG"] = config
+    if fronts:
+        os.environ["SPANWING_FRONTS"] = fronts
+    from spanwing.daemon import serve as daemon
+
+    raise SystemExit(daemon())
+
+
+@cli.command()
+@click.argument("config", metavar="CONFIG")
+@fronts_option
+def check(config: str, fronts: str | None) -> None:
+    """Name everything that is wrong with CONFIG, and how to mend it.
+
+    CONFIG is the platform's JSON file, which is checked together with the fronts file; or a fronts file
+    alone, by its ending .toml.
+    """
+    alone = config.endswith(".toml")
+    found = check_files(None if alone else config, config if alone else fronts)
+    for setting, fault, mend in found:
+        click.echo(f"{setting}: {fault}\n    to mend it: {mend}", err=True)
+    if found:
+        click.echo(f"{len(found)} fault{'s' if len(found) > 1 else ''} in {config}", err=True)
+        raise SystemExit(REFUSED)
+    click.echo(f"{config} is good")
+
+
+@cli.command()
+@socket_option
+@fronts_option
+@click.option("--json", "as_json", is_flag=True, help="Everything that is known, as JSON.")
+@click.option("--watch", is_flag=True, help="Again every second, until interrupted.")
+@click.option("--exit-code", is_flag=True, help="Exit with 1 while no new work is taken.")
+def status(path: str | None, fronts: str | None, as_json: bool, watch: bool, exit_code: bool) -> None:
+    """Show the daemon's state, its weight and the reasons."""
+    show = _show_json if as_json else _show
+    path = client.socket_path(path, fronts)
+    if watch:
+        for reply in client.replies(path, do="watch"):
+            show(reply)
+        return
+    reply = client.ask(path, do="status")
+    show(reply)
+    if exit_code and reply["status"] == "fail":
+        raise SystemExit(REFUSED)
+
+
+@cli.command()
+@socket_option
+@fronts_option
+@click.option("--within", type=click.FloatRange(min=0, min_open=True, max=86_400), metavar="SECONDS",
+              help="Have everything answered after so long, and wait for it.")
+@member_option
+def drain(path: str | None, fronts: str | None, within: float | None, member: str) -> None:
+    """Announce a drain to every balancer, answer what was taken, take nothing new."""
+    path = client.socket_path(path, fronts)
+    reply = client.ask(path, do="drain", within_s=within, member=member)
+    if member:
+        click.echo(f"{member}: drain ordered")
+        return
+    if within is not None:
+        end = time.monotonic() + within
+        while reply["state"] != "drained":
+            if time.monotonic() >= end:
+                click.echo(f"not drained within {within:g} s: {reply['owed']} requests are owed", err=True)
+                raise SystemExit(NOT_WITHIN)
+            time.sleep(min(LOOK_S, max(0.0, end - time.monotonic())))
+            reply = client.ask(path, do="status")
+    _show(reply)
+
+
+@cli.command()
+@socket_option
+@fronts_option
+@member_option
+def undrain(path: str | None, fronts: str | None, member: str) -> None:
+    """Withdraw a drain and go back to serving."""
+    reply = client.ask(client.socket_path(path, fronts), do="undrain", member=member)
+    if member:
+        click.echo(f"{member}: undrain ordered")
+    else:
+        _show(reply)
+
+
+@cli.command()
+@click.argument("percent", type=click.FloatRange(0, 100))
+@socket_option
+@fronts_option
+def weight(percent: float, path: str | None, fronts: str | None) -> None:
+    """Tell balancers PERCENT of the weight at most; 100 withdraws it, 0 turns new work away."""
+    _show(client.ask(client.socket_path(path, fronts), do="weight", percent=percent))
+
+
+def _show(reply: dict[str, Any]) -> None:
+    click.echo(f"{reply['name']}: {reply['state']}, weight {reply['weight']}%, "
+               f"since {reply['since_s']:.0f} s, {reply['owed']} owed")
+    for note in reply["notes"]:
+        click.echo(f"    {note}")
+    for name, (seen, *_) in reply["checks"].items():
+        if seen.get("status") == "fail":
+            click.echo(f"    {name}: {seen.get('output') or 'fail'}")
+
+
+def _show_json(reply: dict[str, Any]) -> None:
+    click.echo(json.dumps(reply))
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a command; returns the exit status."""
+    try:
+        cli.main(args=arguments, prog_name="spanwing", standalone_mode=False)
+    except click.exceptions.Exit as ended:
+        return ended.exit_code
+    except click.ClickException as wrong:
+        wrong.show()
+        return wrong.exit_code
+    except (click.Abort, KeyboardInterrupt, BrokenPipeError):
+        return 130
+    except client.Unreachable as error:
+        click.echo(f"spanwing: no daemon reached: {error}", err=True)
+        return UNREACHED
+    except client.Refused as error:
+        click.echo(f"spanwing: refused: {error}", err=True)
+        return REFUSED
+    except SystemExit as ended:
+        return ended.code if isinstance(ended.code, int) else 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -69,6 +69,8 @@
         self.hops: dict[str, dict[int, NextHop]] = {}  # by the directory that told
         self.counters: Counter[str] = Counter()
         self.quiet: list[Future[None]] = []
+        self.heard = False  # a list of job workers that names any, or that discovery told
+        self.heard_at = self.loop.time()  # when discovery last told one, or we began
 
     def take(self, message: Any) -> None:
         HANDLERS[type(message)](self, message)
@@ -77,10 +79,33 @@
                 waiting.set_result(None)
             self.quiet = []
 
-    def workers(self) -> tuple[int, int]:
-        """How many job workers are listed, and how many of them take new work."""
-        states = [view.entry.state for view in self.module.views.values()]
-        return len(states) - states.count("gone"), states.count("healthy")
+    def fleet(self) -> dict[tuple[str, str], tuple[int, int]]:
+        """By zone and kind: how many job workers are listed, and how many of them take new work now: one that
+        drains, or that the module lets rest after failures, takes none."""
+        counts: dict[tuple[str, str], tuple[int, int]] = {}
+        now = self.clock.now()
+        for view in self.module.views.values():
+            entry = view.entry
+            if entry.state != "gone":
+                listed, taking = counts.get((entry.zone, entry.kind), (0, 0))
+                takes = entry.state == "healthy" and view.rest_until <= now
+                counts[entry.zone, entry.kind] = listed + 1, taking + takes
+        return counts
+
+    def held(self) -> dict[str, tuple[int, float]]:
+        """By class with held work: how much, and for how many ms the oldest has waited."""
+        if not self.module.waiting:
+            return {}
+        now, found = self.clock.now(), {}
+        for job in self.module.jobs.values():
+            if job.held:
+                count, oldest = found.get(job.cls.name, (0, 0.0))
+                found[job.cls.name] = count + 1, max(oldest, now - job.born)
+        return found
+
+    def discovery_age(self) -> float:
+        """Seconds since discovery last told anything, or since the start."""
+        return self.loop.time() - self.heard_at
 
     def idle(self) -> bool:
         return not self.calls and not self.out and not self.mailbox
@@ -127,6 +152,10 @@
         news, before = listed.news, self.hops.get(listed.source, {})
         self.hops[listed.source] = listed.hops
         self.counters[f"listed.{news.scope}"] += 1
+        if news.scope != "error":
+            self.heard |= bool(news.workers) or news.scope == "complete"
+            if news.scope != "persisted" and listed.source == "map":
+                self.heard_at = self.loop.time()
         if news.scope in ("complete", "persisted") and len(self.hops) > 1:
             # A whole list of one directory says nothing of the job workers of another.
             named = {each.id for each in news.workers}
--- /dev/null
+++ b/spanwing/daemon.py
@@ -0,0 +1,239 @@
+"""The daemon: reads its configuration, wires the parts together and runs until SIGTERM."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import math
+import signal
+import sys
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.gen import sleep
+from tornado.ioloop import IOLoop
+from tornado.locks import Event
+
+from spanwing.config import OWN_SOCKETS, Config, load, read_settings
+from spanwing.core.clock import Clock
+from spanwing.core.exchange import Exchange
+from spanwing.faults import ConfigError
+from spanwing.fronts.faktory import FaktoryFront
+from spanwing.fronts.platform import PlatformFront
+from spanwing.fronts.senderside import HttpServer
+from spanwing.hops.faktoryworker import FaktoryWorkers
+from spanwing.hops.load import LoadReader
+from spanwing.hops.nexthop import HttpNextHop
+from spanwing.hops.pool import ConnectionPool, Descriptors
+from spanwing.hops.transportmap import TransportMap
+from spanwing.log.events import LOG
+from spanwing.settings import Permissions
+from spanwing.store.acceptor import Acceptor
+from spanwing.store.claims import Claims
+from spanwing.store.disk import Disk, DiskError
+from spanwing.store.peer import Peer, PeerListener
+from spanwing.store.shared import shared_settings
+from spanwing.store.store import Store
+from spanwing.wire import meter
+from spanwing.wire.address import Address
+from spanwing.wire.buffers import BufferPool
+
+if TYPE_CHECKING:
+    from spanwing.fronts.balancers.side import BalancerSide
+
+LAST_ARRIVALS_S = 0.5  # new connections still come this long after SIGTERM
+# SIGKILL comes no sooner than this after SIGTERM, or the longest deadline where that is shorter, and KILL_MS.
+LONGEST_MS, KILL_MS = 3000.0, 700.0
+MARGIN_MS = 400.0
+LAST_SETTLING = 100  # looks, 10 ms apart, at whether the last outcomes are in the store
+
+
+class Daemon:
+    """All parts of one scheduler."""
+
+    def __init__(self, config: Config, busy: Callable[[], float] | None = None) -> None:
+        self.config, self.stopping, self.busy = config, False, busy
+        self.balancers: BalancerSide | None = None
+        self.last = math.inf  # of the loop's time: when the latest answer is due
+        self.started = Event()
+        self.buffers = BufferPool()
+        self.faktory: FaktoryFront | None = None
+        table = config.store
+        acceptor = Acceptor(Disk(table.directory) if table.directory else None)
+        peers = [Peer(address, self.buffers) for address in config.store_peers.values()]
+        self.store = Store(table.member, acceptor, peers, config.seed, table.answer_ms,
+                           tuple(config.store_peers))
+        if config.store_listen:
+            self.say("store", _listening("store.listen", config.store_listen, lambda address:
+                     PeerListener(address, acceptor, self.buffers)).address)
+
+    async def start(self) -> None:
+        """Take the shared settings, then open the fronts."""
+        config, buffers = self.config, self.buffers
+        raw = await shared_settings(self.store, config.revision, config.raw_settings)
+        options, settings = read_settings(raw, config.options)
+        loads = LoadReader(settings.report_fields)
+        allow = options.permissions or Permissions()
+        self.core = Exchange(settings, config.seed, Clock())
+
+        shares = config.shares()
+        self.descriptors = Descriptors(shares.hops)
+
+        def make_hop(address, retired):
+            pool = ConnectionPool(address, buffers, self.descriptors, allow.conn_idle_ms,
+                                  allow.connect_timeout_ms)
+            return HttpNextHop(pool, loads, retired)
+
+        transport = self.transport = TransportMap(
+            config.known, config.discovery, self.core, buffers, make_hop)
+        self.core.directory = transport
+        platform = PlatformFront(settings.classes, loads, transport.post, self.counters,
+                                 lambda: not self.stopping, self.left_ms)
+        self.server = _listening("ROUTER_LISTEN", config.listen, lambda address:
+                                 HttpServer(address, platform, self.core, buffers, shares.clients,
+                                            settings.max_retry_after, config.proxied.of("clients")))
+        if config.faktory:
+            workers = FaktoryWorkers(self.core, settings.zone)
+            self.faktory = _listening("faktory.listen", config.faktory, lambda address: FaktoryFront(
+                address, settings.classes, self.core, workers, Claims(self.store), buffers, shares.faktory,
+                self.counters, config.proxied.of("faktory")))
+            self.say("faktory", self.faktory.address)
+        self.tell_balancers(config)
+        self.say("clients", self.server.address)
+        self.started.set()
+        gc.freeze()  # what is loaded now stays: collections need not look at it again
+
+    def tell_balancers(self, config: Config) -> None:
+        """Open what the operator's file names. Where that is nothing, nothing of it is loaded either."""
+        wanted, limits = config.balancers, config.limits
+        if self.balancers is None and wanted.listeners():
+            from spanwing.fronts.balancers.side import BalancerSide, Bounds, Parts
+
+            parts = Parts(config.name or config.store.member, self.core, self.server, self.faktory,
+                          self.store, self.descriptors, self.buffers, self.counters,
+                          config.proxied.of("health"))
+            bounds = Bounds(limits.cores, limits.memory_mb, limits.sockets, OWN_SOCKETS)
+            self.balancers = BalancerSide(parts, bounds, wanted, self.busy)
+        if self.balancers is not None:
+            for name, address in self.balancers.listeners.move(wanted):
+                self.say(name, address)
+
+    def say(self, front: str, address: Address | str) -> None:
+        print(f"spanwing: {front} on {address}", flush=True)
+
+    async def reload(self) -> None:
+        """Read the files anew. A bad one changes nothing: the old configuration goes on serving."""
+        await self.started.wait()
+        try:
+            config = load(before=self.config)
+        except ConfigError as error:
+            print(f"spanwing: not reloaded: {error}", file=sys.stderr, flush=True)
+            return
+        try:
+            self.tell_balancers(config)
+        except ConfigError as error:
+            print(f"spanwing: not reloaded: {error}", file=sys.stderr, flush=True)
+            return
+        old, self.config = self.config, config
+        if config.discovery != old.discovery:
+            self.transport.move(config.discovery)
+        shares = config.shares()
+        self.server.table.most, self.descriptors.most = shares.clients, shares.hops
+        if self.faktory is not None:
+            self.faktory.table.most = shares.faktory
+        for name in config.fixed(old):
+            print(f"spanwing: {name} has changed: it takes a restart", file=sys.stderr, flush=True)
+        print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
+
+    def counters(self) -> dict[str, int]:
+        return dict(sorted(self.core.counters.items()))
+
+    def print_counters(self) -> None:
+        print("counters", msgspec.json.encode(self.counters()).decode(), flush=True)
+
+    def left_ms(self) -> float:
+        """How long a request that comes now may take."""
+        left = self.last - IOLoop.current().time()
+        if self.balancers is not None:
+            left = min(left, self.balancers.reporter.left_s())
+        return left * 1000.0
+
+    async def stop(self) -> None:
+        """Keep accepting for a while, answer all that was taken, then leave."""
+        if self.stopping:
+            return
+        self.stopping = True
+        begun, notice_s = IOLoop.current().time(), LAST_ARRIVALS_S
+        if self.balancers is not None:
+            # Balancers have to hear of it before connections are turned away.
+            self.balancers.reporter.drain("signal")
+            notice_s = max(notice_s, self.config.balancers.policy.notice_ms / 1000.0)
+        await sleep(notice_s)
+        # What comes from here on and is not answered by SIGKILL would be lost: it gets its answer before.
+        longest = max(each.deadline for each in self.core.settings.classes)
+        answers_s = (min(longest, LONGEST_MS) + KILL_MS - MARGIN_MS) / 1000.0
+        self.last = begun + notice_s - LAST_ARRIVALS_S + answers_s
+        self.server.drain()
+        if self.faktory is not None:
+            self.faktory.draining = True
+        while self.server.busy() or not self.core.idle():
+            await self.core.until_quiet()
+            await sleep(0.01)
+        if self.faktory is not None:
+            for _ in range(LAST_SETTLING):
+                if not self.faktory.claims.settling:
+                    break
+                await sleep(0.01)
+        if self.balancers is not None:
+            self.balancers.listeners.close()
+        IOLoop.current().stop()
+
+
+def _listening(setting: str, address: Address, make):
+    try:
+        return make(address)
+    except OSError as error:
+        raise ConfigError(f"{setting}: cannot listen on {address}: {error.strerror}") from None
+
+
+def run() -> None:
+    config = load()
+    busy = meter.install().busy if config.balancers.listeners() else None
+    loop = IOLoop.current()
+    if config.log.form != "plain":
+        LOG.open(config.log.form, config.log.per_second, {"name": config.name})
+    daemon = Daemon(config, busy)
+    # The default of SIGHUP ends the program; one that comes early is kept until the program serves.
+    signal.signal(signal.SIGHUP, lambda *_: loop.add_callback_from_signal(daemon.reload))
+    wrong: list[ConfigError] = []
+
+    async def start() -> None:
+        try:
+            await daemon.start()
+        except ConfigError as error:
+            wrong.append(error)
+            loop.stop()
+            return
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.stop))
+        signal.signal(signal.SIGUSR1, lambda *_: loop.add_callback_from_signal(daemon.print_counters))
+
+    loop.add_callback(start)
+    loop.start()
+    LOG.close()
+    if wrong:
+        raise wrong[0]
+    daemon.print_counters()
+
+
+def serve() -> int:
+    """The daemon, until SIGTERM; returns the exit status."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(message)s")
+    try:
+        run()
+    except (ConfigError, DiskError) as error:
+        setting = "store.directory: " if isinstance(error, DiskError) else ""
+        print(f"spanwing: {setting}{error}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/spanwing/fronts/balancers/__init__.py
@@ -0,0 +1,1 @@
+"""What common balancers ask a scheduler, each protocol a module, all from one verdict."""
--- a/spanwing/fronts/faktory.py
+++ b/spanwing/fronts/faktory.py
@@ -29,10 +29,13 @@
     Join,
     Leave,
 )
+from spanwing.log import tell
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.store import NoMajority
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
+from spanwing.wire.proxied import Network, listed, peer_of, read_header
+from spanwing.wire.proxy import ProxyError
 from spanwing.wire.resp import OK, bulk, error, simple
 from spanwing.wire.stream import LineStream, LineTooLong
 from spanwing.wire.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
@@ -112,14 +115,15 @@
 
     def __init__(self, address: Address, classes: tuple[api.ServiceClass, ...], core: Listener,
                  workers: FaktoryWorkers, claims: Claims, buffers: BufferPool, most: int,
-                 counters: Callable[[], dict[str, int]]) -> None:
+                 counters: Callable[[], dict[str, int]], proxied: tuple[Network, ...] = ()) -> None:
+        self.proxied = proxied
         self.classes = {each.name: each for each in classes}
         self.core, self.workers, self.claims, self.buffers = core, workers, claims, buffers
         self.counters = counters
         self.states: OrderedDict[str, Tracked] = OrderedDict()
         self.table: Table[FaktoryConnection] = Table(most)
         self.draining = False
-        self.address = listen(address, self._accept)
+        self.address = listen(address, self._accept).address
 
     def _accept(self, sock) -> None:
         if not self.table.room():
@@ -127,7 +131,9 @@
                 sock.send(error("ERR", "too many connections, try again later"))
             sock.close()
             return
-        connection = FaktoryConnection(self, IOStream(sock, max_buffer_size=LONGEST_LINE + READ_AHEAD))
+        peer = peer_of(sock) if self.proxied else ""
+        connection = FaktoryConnection(self, IOStream(sock, max_buffer_size=LONGEST_LINE + READ_AHEAD), peer,
+                                       listed(peer, self.proxied))
         self.table.seats.add(connection)
         spawn(connection.serve())
 
@@ -140,6 +146,16 @@
     def busy(self) -> bool:
         return any(each.busy for each in self.table.seats)
 
+    def announce(self) -> None:
+        """A drain has begun: producers are told with their next PUSH, job workers with their next BEAT."""
+        self.draining = True
+
+    def drain(self, refuse: bool = False) -> None:
+        self.draining = True
+
+    def reopen(self) -> None:
+        self.draining = False
+
     async def claim(self, job: Job, cls: api.ServiceClass) -> Claim | Answer | None:
         """The claim on a job that must never run twice, or the answer if it has been claimed before."""
         if cls.effect != "unsafe":
@@ -185,7 +201,8 @@
 class FaktoryConnection:
     """One connection: a command at a time."""
 
-    def __init__(self, front: FaktoryFront, stream: IOStream) -> None:
+    def __init__(self, front: FaktoryFront, stream: IOStream, peer: str = "", proxied: bool = False) -> None:
+        self.peer, self.proxied = peer, proxied  # the speaker's address; whether a balancer is to tell it
         self.front, self.lines = front, LineStream(stream, front.buffers, LONGEST_LINE)
         self.mailbox: Queue[Answer | None] = Queue()
         self.closed = False
@@ -206,6 +223,11 @@
 
     async def serve(self) -> None:
         try:
+            if self.proxied:
+                header = await read_header(self.lines, self.lines.data, WHOLE_S)
+                if header is None:
+                    return
+                self.peer = header.source[0] if header.source else self.peer
             await self.lines.write(simple('HI {"v":2}'))
             while (line := await self.lines.line(WHOLE_S, self.hello is None, LATE)) is not None:
                 self.busy = True
@@ -223,6 +245,8 @@
                     break
         except (Protocol, LineTooLong) as wrong:
             await self._last(error("ERR", str(wrong) or "line too long"))
+        except ProxyError as wrong:
+            tell("proxy", level="warning", peer=self.peer, reason=str(wrong))
         except StreamClosedError:
             pass
         finally:
--- a/spanwing/fronts/platform.py
+++ b/spanwing/fronts/platform.py
@@ -114,5 +114,6 @@
         if answer.kind == "failed":
             return response_bytes(502, b"failed", keep)
         if answer.retry_after > 0:
-            return response_bytes(503, b"refused", keep, Retry_After=f"{answer.retry_after / 1000.0:.3f}")
+            wait = {"Retry-After": f"{answer.retry_after / 1000.0:.3f}"}
+            return response_bytes(503, b"refused", keep, headers=wait)
         return response_bytes(503, b"refused", keep)
--- a/spanwing/fronts/senderside.py
+++ b/spanwing/fronts/senderside.py
@@ -12,18 +12,22 @@
 
 from spanwing.actor import spawn
 from spanwing.core.messages import Answer, Envelope, Left, Listener, Take
+from spanwing.log import tell
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.http import HttpError, HttpStream, Message, response_bytes
+from spanwing.wire.proxied import Network, listed, peer_of, read_header
+from spanwing.wire.proxy import ProxyError
 from spanwing.wire.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 
+Reply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
 AGAIN_MS = 100.0  # a client that finds no room is told to come back after this
 
 
 class Front(Protocol):
-    """Reads requests: an envelope goes to the core, bytes are the answer at once."""
+    """Reads requests: an envelope goes to the core, a reply is the answer at once."""
 
-    def read(self, message: Message) -> Envelope | tuple[int, bytes]: ...
+    def read(self, message: Message) -> Envelope | Reply: ...
 
     def render(self, answer: Answer, keep: bool) -> bytes: ...
 
@@ -31,7 +35,8 @@
 class SenderConnection:
     """One connection: a request at a time, answered before the next is read."""
 
-    def __init__(self, server: HttpServer, stream: IOStream) -> None:
+    def __init__(self, server: HttpServer, stream: IOStream, peer: str = "", proxied: bool = False) -> None:
+        self.peer, self.proxied = peer, proxied  # the client's address; whether a balancer is to tell it
         self.server, self.http = server, HttpStream(stream, server.buffers)
         self.mailbox: Queue[Answer | None] = Queue()  # None: the other side went away
         self.heard = False  # it has sent a whole request
@@ -46,6 +51,11 @@
 
     async def serve(self) -> None:
         try:
+            if self.proxied:
+                header = await read_header(self.http, self.http.parser.data, WHOLE_S)
+                if header is None:
+                    return
+                self.peer = header.source[0] if header.source else self.peer
             keep = True
             while keep:
                 message = await self.http.receive(WHOLE_S, fresh=not self.heard)
@@ -59,6 +69,8 @@
                     await sleep(0)  # who sends many requests ahead must not keep the loop to itself
         except HttpError as error:
             await self._reject(error)
+        except ProxyError as error:
+            tell("proxy", level="warning", peer=self.peer, reason=str(error))
         except StreamClosedError:
             return
         finally:
@@ -71,18 +83,20 @@
         keep = message.keep
         read = self.server.front.read(message)
         if isinstance(read, tuple):
-            await self.http.write(response_bytes(*read, keep=keep))
+            status, body, *headers = read
+            bare = message.method == "HEAD"  # a body would be taken for the next answer
+            await self.http.write(response_bytes(status, body, keep, bare, *headers))
             return keep
         self.asks = True
         answer = Answer("refused", retry_after=self.server.again_ms)
-        if self.server.enter():
+        if not self.server.refusing and self.server.enter():
             self.server.core.post(Take(read, self))
             answer = await self.mailbox.get()
             self.server.leave()
         if answer is None:
             self.server.core.post(Left(read.id, self))
             return False
-        keep = keep and not self.server.draining
+        keep = keep and not self.server.closing
         await self.http.write(self.server.front.render(answer, keep))
         return keep
 
@@ -116,13 +130,17 @@
     """Listens for one front and owns its connections."""
 
     def __init__(self, address: Address, front: Front, core: Listener, buffers: BufferPool,
-                 most: int, longest_wait_ms: float = 0.0) -> None:
+                 most: int, longest_wait_ms: float = 0.0, proxied: tuple[Network, ...] = ()) -> None:
+        self.proxied = proxied
         self.front, self.core, self.buffers = front, core, buffers
         self.again_ms = min(AGAIN_MS, longest_wait_ms)  # 0: the settings allow no such advice
         self.table: Table[SenderConnection] = Table(most)
         self.asking = 0  # clients' requests that the core has
-        self.draining = False
-        self.address = listen(address, self._accept)
+        self.closing = False  # a client's next answer is the last one on its connection
+        self.draining = False  # and connections between requests are closed
+        self.refusing = False  # and what is new is turned away
+        self.listening = listen(address, self._accept)
+        self.address = self.listening.address
 
     def _accept(self, sock) -> None:
         if not self.table.room():
@@ -130,7 +148,9 @@
                 sock.send(self.front.render(Answer("refused", retry_after=self.again_ms), False))
             sock.close()
             return
-        connection = SenderConnection(self, IOStream(sock, max_buffer_size=READ_AHEAD))
+        peer = peer_of(sock) if self.proxied else ""
+        connection = SenderConnection(self, IOStream(sock, max_buffer_size=READ_AHEAD), peer,
+                                      listed(peer, self.proxied))
         self.table.seats.add(connection)
         spawn(connection.serve())
 
@@ -151,9 +171,24 @@
         """Whether a client's request is being read or answered."""
         return any(each.unfinished() for each in self.table.seats)
 
-    def drain(self) -> None:
+    def announce(self) -> None:
+        """A drain has begun: with its next answer each client is told to come by another connection."""
+        self.closing = True
+
+    def reopen(self) -> None:
+        """The drain was withdrawn."""
+        self.closing = self.draining = self.refusing = False
+
+    def close(self) -> None:
+        """Listen no more, and close what is open: for fronts whose questions are answered at once."""
+        self.listening.close()
+        for each in list(self.table.seats):
+            each.close()
+
+    def drain(self, refuse: bool = False) -> None:
         """Close clients' connections between requests; those of call-backs stay, and so does the listener."""
-        self.draining = True
+        self.closing = self.draining = True
+        self.refusing |= refuse
         for each in list(self.table.seats):
             if each.asks and not each.unfinished():
                 each.close()
--- /dev/null
+++ b/spanwing/frontsfile.py
@@ -0,0 +1,183 @@
+"""The operator's own file under deploy/: what listens besides the platform's front, and how.
+
+Guarantees: everything is off unless its table is there; a fault is a ConfigError that names the setting.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import ipaddress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from spanwing.faults import ConfigError, Faults
+from spanwing.health.policy import Policy
+from spanwing.log.events import Form
+from spanwing.store.store import ANSWER_MS
+from spanwing.wire.address import Address, parse_address
+from spanwing.wire.proxied import Network
+
+FILE = Path(__file__).parent.parent / "deploy" / "fronts.toml"
+PROXIED = ("clients", "faktory", "health")
+LONGEST_PATH = 100  # of a Unix socket, which the kernel bounds at 108 bytes
+
+
+class Opened(msgspec.Struct, forbid_unknown_fields=True):
+    """A front that listens."""
+
+    listen: str
+
+
+class AgentTable(msgspec.Struct, forbid_unknown_fields=True):
+    """HAProxy's agent-check."""
+
+    listen: str
+    maxconn: bool = False  # tell how many requests are taken at once
+    asks: bool = False  # wait for a line of `agent-send` that names a class
+
+
+class AdminTable(msgspec.Struct, forbid_unknown_fields=True):
+    """The Unix socket of the command line."""
+
+    socket: str
+
+
+class ProxyTable(msgspec.Struct, forbid_unknown_fields=True):
+    """The PROXY protocol: on these fronts, and there from these addresses only."""
+
+    fronts: list[str]
+    sources: list[str]
+
+
+class LogTable(msgspec.Struct, forbid_unknown_fields=True):
+    form: Form = "plain"
+    per_second: float = 5.0  # of one event; a burst of four times as many passes
+
+
+class StoreTable(msgspec.Struct, forbid_unknown_fields=True):
+    """Our member of the store; without a directory it lives in memory, alone."""
+
+    member: str = "alone"
+    directory: str = ""
+    listen: str = ""
+    peers: dict[str, str] = {}
+    answer_ms: float = ANSWER_MS
+
+
+class Fronts(msgspec.Struct, forbid_unknown_fields=True):
+    """The file as it is written."""
+
+    faktory: Opened | None = None
+    health: Opened | None = None
+    agent_check: AgentTable | None = None
+    feedback: Opened | None = None
+    grpc: Opened | None = None
+    admin: AdminTable | None = None
+    proxy: ProxyTable | None = None
+    balancers: Policy = msgspec.field(default_factory=Policy)
+    log: LogTable = msgspec.field(default_factory=LogTable)
+    store: StoreTable = msgspec.field(default_factory=StoreTable)
+
+
+class Agent(msgspec.Struct, frozen=True):
+    """The agent-check, checked."""
+
+    listen: Address
+    maxconn: bool
+    asks: bool
+
+
+class Balancers(msgspec.Struct, frozen=True):
+    """What is told to balancers and to the operator, and where; a reload follows all of it."""
+
+    health: Address | None = None
+    agent: Agent | None = None
+    feedback: Address | None = None
+    grpc: Address | None = None
+    admin: str = ""
+    policy: Policy = msgspec.field(default_factory=Policy)
+
+    def listeners(self) -> int:
+        """How many protocols are open."""
+        return sum(bool(each) for each in (self.health, self.agent, self.feedback, self.grpc, self.admin))
+
+
+class Proxied(msgspec.Struct, frozen=True):
+    """Where the PROXY protocol is spoken, and by whom."""
+
+    fronts: frozenset[str] = frozenset()
+    sources: tuple[Network, ...] = ()
+
+    def of(self, front: str) -> tuple[Network, ...]:
+        """The addresses that send a header to this front; all others speak plainly."""
+        return self.sources if front in self.fronts else ()
+
+
+def balancers_of(fronts: Fronts, faults: Faults) -> Balancers:
+    if fronts.grpc:
+        _extra("grpc", "h2", faults)
+    agent = fronts.agent_check
+    return Balancers(
+        health=opened("health", fronts.health, faults),
+        agent=Agent(opened("agent_check", agent, faults), agent.maxconn, agent.asks) if agent else None,
+        feedback=opened("feedback", fronts.feedback, faults),
+        grpc=opened("grpc", fronts.grpc, faults),
+        admin=faults.check("admin.socket", _path, fronts.admin.socket) if fronts.admin else "",
+        policy=fronts.balancers,
+    )
+
+
+def opened(name: str, front: Any, faults: Faults) -> Address | None:
+    return faults.check(f"{name}.listen", parse_address, front.listen) if front else None
+
+
+def proxied_of(table: ProxyTable | None, faults: Faults) -> Proxied:
+    if table is None:
+        return Proxied()
+    _extra("proxy", "google_crc32c", faults)
+    for each in table.fronts:
+        if each not in PROXIED:
+            faults.add("proxy.fronts", f"{each!r} is none of {', '.join(PROXIED)}")
+    if not table.sources:
+        faults.add("proxy.sources", "no address is listed, so no balancer could speak it")
+    sources = [faults.check("proxy.sources", ipaddress.ip_network, each) for each in table.sources]
+    return Proxied(frozenset(table.fronts), tuple(each for each in sources if each is not None))
+
+
+def log_of(table: LogTable, faults: Faults) -> LogTable:
+    if not 0.1 <= table.per_second <= 10_000:
+        faults.add("log.per_second", f"{table.per_second} is not possible, 0.1 to 10000 are")
+    if table.form != "plain":
+        _extra("log.form", "structlog", faults)
+    return table
+
+
+def store_of(table: StoreTable, faults: Faults) -> StoreTable:
+    if table.peers and not table.directory:
+        # A member that forgets its promises can let two proposers win.
+        faults.add("store.directory", "needed where store.peers are listed")
+    if table.peers and not table.listen:
+        faults.add("store.listen", "needed where store.peers are listed")
+    if table.answer_ms <= 0:
+        faults.add("store.answer_ms", f"{table.answer_ms} is not possible")
+    if table.member in table.peers:
+        faults.add("store.peers", f"{table.member!r} is this member itself")
+    return table
+
+
+def _path(text: str) -> str:
+    if not text.startswith("/") or len(text.encode()) > LONGEST_PATH:
+        raise ValueError(f"{text!r} is no absolute path of at most {LONGEST_PATH} bytes")
+    if not Path(text).parent.is_dir():
+        raise ValueError(f"the folder of {text} is not there")
+    return text
+
+
+def _extra(setting: str, module: str, faults: Faults) -> None:
+    if importlib.util.find_spec(module) is None:
+        faults.add(setting, f"needs {module}, which spanwing[tools] installs")
+
+
+__all__ = ["ConfigError", "Fronts", "balancers_of", "log_of", "opened", "proxied_of", "store_of"]
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Literal, NamedTuple
 
@@ -41,6 +42,14 @@
     rate: float
 
 
+class SettingsError(ValueError):
+    """Settings that no decision could honour; its text is the first fault."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__(faults[0])
+        self.faults = faults
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that a node is told at its start. Wrong values raise ValueError naming the setting."""
@@ -76,35 +85,40 @@
 
     def __post_init__(self) -> None:
         """Reject settings that no decision could honour."""
+        if wrong := list(self._wrong()):
+            raise SettingsError(wrong)
+
+    def _wrong(self) -> Iterator[str]:
+        """All that is wrong, each naming its setting."""
         if not self.classes:
-            raise ValueError("classes: at least one is needed")
-        _need(self.nodes >= 1, "nodes", self.nodes)
-        _need(0 <= self.node < self.nodes, "node", self.node)
-        _need(self.max_attempts >= 1, "max_attempts", self.max_attempts)
-        _need(0 < self.cold_from <= 1, "cold_from", self.cold_from)
-        _need(self.fall_multiple > 0, "fall_multiple", self.fall_multiple)
-        _need(self.tick > 0, "tick", self.tick)
+            yield "classes: at least one is needed"
+        yield from _need(self.nodes >= 1, "nodes", self.nodes)
+        yield from _need(0 <= self.node < max(1, self.nodes), "node", self.node)
+        yield from _need(self.max_attempts >= 1, "max_attempts", self.max_attempts)
+        yield from _need(0 < self.cold_from <= 1, "cold_from", self.cold_from)
+        yield from _need(self.fall_multiple > 0, "fall_multiple", self.fall_multiple)
+        yield from _need(self.tick > 0, "tick", self.tick)
         for name in ("over_share_worth", "max_retry_after", "answer_grace", "drain_grace", "cold_ms",
                      "fall_ms", "progress"):
-            _need(getattr(self, name) >= 0, name, getattr(self, name))
-        _need(not self.zones or self.zone in self.zones, "zone", self.zone)
+            yield from _need(getattr(self, name) >= 0, name, getattr(self, name))
+        yield from _need(not self.zones or self.zone in self.zones, "zone", self.zone)
         for each in self.classes:
             where = f"classes[{each.name}]"
-            _need(each.aim > 0, f"{where}.aim", each.aim)
-            _need(each.deadline >= each.aim, f"{where}.deadline", each.deadline)
-            _need(each.effect in ("safe", "keyed", "unsafe"), f"{where}.effect", each.effect)
-            _need(each.group in ("all", "zone", "cell"), f"{where}.group", each.group)
+            yield from _need(each.aim > 0, f"{where}.aim", each.aim)
+            yield from _need(each.deadline >= each.aim, f"{where}.deadline", each.deadline)
+            yield from _need(each.effect in ("safe", "keyed", "unsafe"), f"{where}.effect", each.effect)
+            yield from _need(each.group in ("all", "zone", "cell"), f"{where}.group", each.group)
             for name in ("worth", "late_worth", "stretch", "window"):
-                _need(getattr(each, name) >= 0, f"{where}.{name}", getattr(each, name))
+                yield from _need(getattr(each, name) >= 0, f"{where}.{name}", getattr(each, name))
         for tenant in self.tenants:
-            _need(tenant.rate >= 0, f"tenants[{tenant.name}].rate", tenant.rate)
+            yield from _need(tenant.rate >= 0, f"tenants[{tenant.name}].rate", tenant.rate)
         for name, of in (("classes", self.classes), ("tenants", self.tenants)):
-            _need(len({each.name for each in of}) == len(of), name, "a name stands twice")
+            yield from _need(len({each.name for each in of}) == len(of), name, "a name stands twice")
 
 
-def _need(holds: bool, name: str, value: object) -> None:
+def _need(holds: bool, name: str, value: object) -> Iterator[str]:
     if not holds:
-        raise ValueError(f"{name}: {value!r} is not possible")
+        yield f"{name}: {value!r} is not possible"
 
 
 class Worker(NamedTuple):
--- a/spanwing/store/acceptor.py
+++ b/spanwing/store/acceptor.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from spanwing.store.disk import Disk
-from spanwing.store.messages import Accept, Prepare, Register, Reply
+from spanwing.store.messages import NONE, Accept, Ping, Prepare, Register, Reply
 
 
 class Acceptor:
@@ -15,7 +15,9 @@
         self.disk = disk
         self.registers: dict[str, Register] = disk.registers if disk else {}
 
-    def answer(self, message: Prepare | Accept) -> Reply:
+    def answer(self, message: Prepare | Accept | Ping) -> Reply:
+        if isinstance(message, Ping):
+            return Reply(message.n, True, NONE)
         now = self.registers.get(message.key) or Register(message.key)
         if isinstance(message, Prepare):
             granted = message.ballot > now.promised
--- a/spanwing/store/messages.py
+++ b/spanwing/store/messages.py
@@ -21,6 +21,12 @@
     value: str
 
 
+class Ping(msgspec.Struct, tag="ping"):
+    """Asks for a sign of life; nothing is promised and nothing written."""
+
+    n: int
+
+
 class Reply(msgspec.Struct, tag="reply"):
     """Whether it was granted, and what the register holds."""
 
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -12,7 +12,7 @@
 
 from spanwing.actor import Actor, spawn
 from spanwing.store.acceptor import Acceptor
-from spanwing.store.messages import Accept, Prepare, Reply
+from spanwing.store.messages import Accept, Ping, Prepare, Reply
 from spanwing.wire.address import Address, listen, open_socket
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.stream import LineStream, LineTooLong
@@ -20,7 +20,7 @@
 LONGEST = 256 * 1024
 CONNECT_S = 0.3
 
-Request = Prepare | Accept
+Request = Prepare | Accept | Ping
 
 
 class Peer(Actor):
@@ -97,7 +97,7 @@
     def __init__(self, address: Address, acceptor: Acceptor, buffers: BufferPool) -> None:
         self.acceptor, self.buffers = acceptor, buffers
         self.decoder = msgspec.json.Decoder(Request)
-        self.address = listen(address, lambda conn: spawn(self._serve(conn)))
+        self.address = listen(address, lambda conn: spawn(self._serve(conn))).address
 
     async def _serve(self, sock) -> None:
         stream = LineStream(IOStream(sock), self.buffers, LONGEST)
--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -12,7 +12,7 @@
 from tornado.gen import sleep, with_timeout
 
 from spanwing.store.acceptor import Acceptor
-from spanwing.store.messages import NONE, Accept, Ballot, Prepare, Reply
+from spanwing.store.messages import NONE, Accept, Ballot, Ping, Prepare, Reply
 from spanwing.store.peer import Peer
 
 ANSWER_MS = 500.0  # a round waits so long for a majority
@@ -29,7 +29,8 @@
     """Registers shared with the peers; alone, a dictionary with ballots."""
 
     def __init__(self, member: str, acceptor: Acceptor, peers: list[Peer], seed: int,
-                 answer_ms: float = ANSWER_MS) -> None:
+                 answer_ms: float = ANSWER_MS, names: tuple[str, ...] = ()) -> None:
+        self.names = names  # of the peers
         self.member, self.acceptor, self.peers = member, acceptor, peers
         self.wait = timedelta(milliseconds=answer_ms)
         self.majority = (len(peers) + 1) // 2 + 1
@@ -63,6 +64,10 @@
             self._give_up_if_alone(replies)
         raise NoMajority(f"{key}: other members kept changing it")
 
+    async def reachable(self) -> int:
+        """How many members answer now, ourselves among them."""
+        return len(await self._round(Ping))
+
     async def read(self, key: str) -> str | None:
         return await self.change(key, lambda value: value)
 
@@ -75,7 +80,7 @@
             raise NoMajority(f"{len(replies)} of {len(self.peers) + 1} members answered, "
                              f"{self.majority} are needed")
 
-    async def _round(self, make: Callable[[int], Prepare | Accept]) -> list[Reply]:
+    async def _round(self, make: Callable[[int], Prepare | Accept | Ping]) -> list[Reply]:
         """Ask all members; the replies that came until a majority was clear or time was up."""
         asked = [peer.ask(make(next(self.numbers))) for peer in self.peers]
         replies = [self.acceptor.answer(make(next(self.numbers)))]
--- a/spanwing/wire/address.py
+++ b/spanwing/wire/address.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import ipaddress
+import os
 import socket
+import stat
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -45,12 +47,74 @@
     return socket.socket(_family(address), socket.SOCK_STREAM)
 
 
-def listen(address: Address, accept: Callable[[socket.socket], None]) -> Address:
-    """Listen on exactly this address; returns it with the port that the system chose for 0."""
+class Listening(NamedTuple):
+    """A listening socket: its address, with the port that the system chose for 0, and what closes it."""
+
+    address: Address
+    close: Callable[[], None]
+
+
+def listen(address: Address, accept: Callable[[socket.socket], None]) -> Listening:
+    """Listen on exactly this address. Raises OSError."""
     sock = open_socket(address)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
-    sock.bind(address.target)
+    try:
+        sock.bind(address.target)
+    except OSError:
+        sock.close()
+        raise
     sock.listen(512)
-    add_accept_handler(sock, lambda connection, _: accept(connection))
-    return Address(*sock.getsockname()[:2])
+    remove = add_accept_handler(sock, lambda connection, _: accept(connection))
+
+    def close() -> None:
+        remove()
+        sock.close()
+
+    return Listening(Address(*sock.getsockname()[:2]), close)
+
+
+def listen_unix(path: str, accept: Callable[[socket.socket], None]) -> Listening:
+    """Listen on a path that only our own user may use; one left by a process that has ended is replaced.
+    Raises OSError."""
+    _remove_dead(path)
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    mask = os.umask(0o177)  # its mode must be right from the first moment on
+    try:
+        sock.bind(path)
+    except OSError:
+        sock.close()
+        raise
+    finally:
+        os.umask(mask)
+    ours = os.stat(path)
+    sock.listen(16)
+    remove = add_accept_handler(sock, lambda connection, _: accept(connection))
+
+    def close() -> None:
+        remove()
+        sock.close()
+        try:
+            there = os.stat(path)
+            if (there.st_dev, there.st_ino) == (ours.st_dev, ours.st_ino):
+                os.unlink(path)
+        except OSError:
+            pass  # already gone
+
+    return Listening(Address(path, 0), close)
+
+
+def _remove_dead(path: str) -> None:
+    try:
+        if not stat.S_ISSOCK(os.stat(path).st_mode):
+            raise OSError(17, "something else is there")
+    except FileNotFoundError:
+        return
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as asked:
+        try:
+            asked.connect(path)
+        except ConnectionRefusedError:
+            os.unlink(path)
+            return
+    raise OSError(98, "in use by another process")
--- a/spanwing/wire/http.py
+++ b/spanwing/wire/http.py
@@ -223,11 +223,14 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def response_bytes(status: int, body: bytes = b"", keep: bool = True, **headers: str) -> bytes:
+def response_bytes(status: int, body: bytes = b"", keep: bool = True, bare: bool = False,
+                   headers: dict[str, str] | None = None) -> bytes:
+    """bare: the head alone, as a HEAD request asks for."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    if headers:
+        lines += [f"{name}: {value}" for name, value in headers.items()]
     if status != 204:
         lines.append(f"Content-Length: {len(body)}")
     if not keep:
         lines.append("Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (b"" if bare else body)
--- /dev/null
+++ b/spanwing/wire/meter.py
@@ -0,0 +1,37 @@
+"""How long the event loop is busy: the time between one wait for input and the next.
+
+Guarantees: one reading of the clock more before and after each wait, nothing else; used only where health is
+told to balancers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import time
+
+
+class MeteredSelector(selectors.DefaultSelector):
+    """The platform's selector; sums up, in seconds, the time outside of its waits."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.spent, self.since = 0.0, time.monotonic()
+
+    def select(self, timeout=None):
+        self.spent += time.monotonic() - self.since
+        try:
+            return super().select(timeout)
+        finally:
+            self.since = time.monotonic()
+
+    def busy(self) -> float:
+        """Up to now, the present turn of the loop included."""
+        return self.spent + time.monotonic() - self.since
+
+
+def install() -> MeteredSelector:
+    """Make an event loop with a meter the current one; before Tornado has made another."""
+    selector = MeteredSelector()
+    asyncio.set_event_loop(asyncio.SelectorEventLoop(selector))
+    return selector
--- a/tests/player.py
+++ b/tests/player.py
@@ -323,7 +323,7 @@
 
     def skip_to(self, name: str, end: str) -> None:
         """Pass over the bytes of a line up to its end."""
-        while not self.read[name].endswith(f"{end}\n".encode()) and self.more(name):
+        while not self.read.get(name, b"").endswith(f"{end}\n".encode()) and self.more(name):
             pass
         self.read[name] = b""
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,12 +12,21 @@
 MAY = {
     "decisions": set(),
     "actor": set(),
+    "faults": set(),
+    "everyfault": set(),
+    "log": set(),
+    "health": set(),
     "wire": set(),
     "core": {"decisions", "actor"},
     "store": {"actor", "wire"},
     "hops": {"decisions", "actor", "core", "wire"},
-    "fronts": {"decisions", "actor", "core", "wire", "hops", "store"},
-    "config": {"decisions", "wire", "hops", "store"},
+    "frontsfile": {"faults", "health", "log", "store", "wire"},
+    "fronts": {"decisions", "actor", "core", "wire", "hops", "store", "health", "log", "faults",
+               "frontsfile"},
+    "config": {"decisions", "wire", "hops", "store", "faults", "everyfault", "frontsfile"},
+    "daemon": {"decisions", "actor", "core", "wire", "hops", "store", "fronts", "log", "faults", "config"},
+    "cli": {"config", "faults", "frontsfile", "daemon"},
+    "__main__": {"cli", "daemon"},
 }
 
 
