--- /dev/null
+++ b/measure/daemons.py
@@ -0,0 +1,104 @@
+"""Starts real daemons for measurements and tests, with their files in a folder of their own."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from spanwing.cli import client
+
+ROOT = Path(__file__).parent.parent
+START_S = 20.0
+ALL_FRONTS = ("health", "agent_check", "feedback", "grpc", "faktory")
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def settings(classes: list[dict[str, Any]] | None = None, **more: Any) -> dict[str, Any]:
+    """Settings of one scheduler, by default with the three classes of the trade."""
+    return {
+        "areas": ["a"], "balancers": 1, "position": 0, "zone": "a", "kinds": ["big"], "tick_ms": 4.0,
+        "classes": classes or [
+            {"name": "status-read", "aim_ms": 850.0, "deadline_ms": 5000.0, "idempotency": "safe"},
+            {"name": "schedule-apply", "aim_ms": 5000.0, "deadline_ms": 25000.0, "idempotency": "unsafe"},
+            {"name": "setpoint-push", "aim_ms": 1500.0, "deadline_ms": 8000.0, "idempotency": "keyed",
+             "group": "zone", "window_ms": 12000.0}],
+        "permissions": {"max_attempts": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0,
+                        "conn_idle_ms": 15000.0, "connect_timeout_ms": 250.0},
+        "rules": {"grace_to_answer_ms": 16.0, "stop_sending_within_ms": 2000.0, "cold_from": 0.3,
+                  "cold_ms": 8600.0, "fall_multiple": 3.0, "fall_ms": 3000.0},
+        **more,
+    }
+
+
+class Daemon:
+    """One started program."""
+
+    def __init__(self, name: str, workers: list[tuple[str, int]], fronts: tuple[str, ...] = ALL_FRONTS,
+                 balancers: str = "", admin: bool = True, cpus: set[int] | None = None,
+                 classes: list[dict[str, Any]] | None = None, **limits: Any) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        folder = Path(self.folder.name)
+        self.admin = str(folder / "admin")
+        members = [{"id": each, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
+                    "phase": "active", "size": 1.0, "up_since_ms": 0} for each, port in workers]
+        config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
+                  "known": {"revision": 1, "complete": True, "members": members},
+                  "limits": {"sockets": 1024, "memory_mb": 192, **limits}, "settings": settings(classes)}
+        (folder / "config.json").write_text(json.dumps(config))
+        text = "".join(f'[{each}]\nlisten = "127.0.0.1:0"\n' for each in fronts)
+        text += f'[admin]\nsocket = "{self.admin}"\n' if admin else ""
+        (folder / "fronts.toml").write_text(f"{text}{balancers}\n")
+        self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by stop()
+        environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
+                       "SPANWING_FRONTS": str(folder / "fronts.toml")}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "spanwing"], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
+            stderr=self.errors, text=True,
+            preexec_fn=None if cpus is None else lambda: os.sched_setaffinity(0, cpus))
+        self.addresses: dict[str, tuple[str, int]] = {}
+        for line in self.process.stdout:
+            if match := re.match(r"spanwing: (\w+) on (.*):(\d+)$", line):
+                self.addresses[match[1]] = (match[2], int(match[3]))
+                if match[1] == "clients":
+                    break
+        else:
+            raise RuntimeError(f"{name} did not start: {self.said()}")
+
+    def said(self) -> str:
+        self.errors.seek(0)
+        return self.errors.read()
+
+    def command(self, **ask: Any) -> dict[str, Any]:
+        return client.ask(self.admin, **ask)
+
+    def until(self, *states: str, wait_s: float = START_S) -> dict[str, Any]:
+        """Ask for the status until the state is one of these."""
+        end = time.monotonic() + wait_s
+        while (status := self.command(do="status"))["state"] not in states:
+            if time.monotonic() > end:
+                raise RuntimeError(f"still {status['state']}: {status['notes']}")
+            time.sleep(0.02)
+        return status
+
+    def cpu_s(self) -> float:
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def memory_mb(self) -> float:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+
+    def stop(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.process.stdout.close()
+        self.errors.close()
+        self.folder.cleanup()
--- a/spanwing/fronts/balancers/reporter.py
+++ b/spanwing/fronts/balancers/reporter.py
@@ -86,7 +86,12 @@
 
     def drain(self, source: Source, within_s: float = math.inf) -> None:
         """Announce a drain, to every protocol at once."""
-        self._publish(self.health.drain(source, self.loop.time(), within_s))
+        now = self.loop.time()
+        self._publish(self.health.drain(source, now, within_s))
+        drains = self.health.drains  # the notice ends on time, not with the next sample
+        end = drains.since + drains.notice_s
+        if end > now:
+            self.loop.call_at(end, self._publish, self.told)
 
     def undrain(self, source: Source) -> bool:
         """Withdraw a drain; whether any is left."""
--- a/spanwing/health/policy.py
+++ b/spanwing/health/policy.py
@@ -8,7 +8,7 @@
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Defaults suit checks every second; wrong values raise ValueError naming the setting."""
 
-    notice_ms: float = 2000.0  # from a drain's announcement on: new work is still taken, balancers hear of it
+    notice_ms: float = 1750.0  # from a drain's announcement on new work is still taken: balancers hear of it
     floor: float = 10.0  # percent: shortage alone never tells less
     slow_from: float = 10.0  # percent: told first after a start, an undrain or an absence
     slow_start_ms: float = 10_000.0  # from there to 100 percent; no rise is ever faster
