--- /dev/null
+++ b/spanwing/journal/files.py
@@ -0,0 +1,101 @@
+"""The few things that the journal asks of a disk, and the real one.
+
+Guarantees: append() returns once the operating system has the bytes, sync() once the disk has them; nothing
+is retried here, as a failed sync leaves unknown what the disk holds. Every error is an OSError.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+
+class Files(Protocol):
+    """One folder of append-only files."""
+
+    def names(self) -> list[str]: ...
+
+    def read(self, name: str) -> bytes: ...
+
+    def create(self, name: str) -> None:
+        """An empty file, open for append(); its name is lasting after sync_folder()."""
+
+    def append(self, name: str, data: bytes) -> None: ...
+
+    def sync(self, name: str) -> None: ...
+
+    def close(self, name: str) -> None: ...
+
+    def rename(self, old: str, new: str) -> None: ...
+
+    def remove(self, name: str) -> None: ...
+
+    def sync_folder(self) -> None: ...
+
+
+class InUse(OSError):
+    """Another process writes this folder."""
+
+
+class Folder:
+    """A real folder; one process at a time may write it, any may read."""
+
+    def __init__(self, path: str, write: bool = True) -> None:
+        self.path = Path(path)
+        self.open: dict[str, int] = {}
+        self.lock = -1
+        if not write:
+            return
+        self.path.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.lock = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(self.lock)
+            raise InUse(f"{path} is in use by another process") from None
+
+    def names(self) -> list[str]:
+        return sorted(each.name for each in self.path.iterdir() if each.is_file())
+
+    def read(self, name: str) -> bytes:
+        return (self.path / name).read_bytes()
+
+    def create(self, name: str) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
+        self.open[name] = os.open(self.path / name, flags, 0o600)
+
+    def append(self, name: str, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self.open[name], view):]
+
+    def sync(self, name: str) -> None:
+        os.fsync(self.open[name])
+
+    def close(self, name: str) -> None:
+        descriptor = self.open.pop(name, -1)
+        if descriptor >= 0:
+            os.close(descriptor)
+
+    def rename(self, old: str, new: str) -> None:
+        os.rename(self.path / old, self.path / new)
+
+    def remove(self, name: str) -> None:
+        os.unlink(self.path / name)
+
+    def sync_folder(self) -> None:
+        folder = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def stop(self) -> None:
+        """Close everything; the lock goes last."""
+        for name in list(self.open):
+            self.close(name)
+        if self.lock >= 0:
+            os.close(self.lock)
+            self.lock = -1
--- /dev/null
+++ b/tests/simdisk.py
@@ -0,0 +1,109 @@
+"""A stand-in disk that keeps what was synced; the rest may be there, torn, zeroed, swapped or gone."""
+
+from __future__ import annotations
+
+import random
+
+
+class Crash(BaseException):
+    """The power is gone; nothing catches this."""
+
+
+class SimDisk:
+    """Files as the journal asks for them. Every call may be the last one, and may fail."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.synced: dict[str, bytes] = {}  # lasting names and contents
+        self.files: dict[str, bytes] = {}  # as the operating system shows them
+        self.contents: dict[str, bytes] = {}  # synced contents of files, whatever their names
+        self.calls, self.crash_at = 0, 0
+        self.fail: dict[str, OSError] = {}  # by call: what it raises from now on
+        self.room: int | None = None  # bytes that still fit
+
+    def _call(self, name: str) -> None:
+        self.calls += 1
+        if self.calls == self.crash_at:
+            raise Crash
+        if name in self.fail:
+            raise self.fail[name]
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return self.files[name]
+
+    def create(self, name: str) -> None:
+        self._call("create")
+        if name in self.files:
+            raise FileExistsError(name)
+        self.files[name] = b""
+        self.contents[name] = b""
+
+    def append(self, name: str, data: bytes) -> None:
+        try:
+            self._call("append")
+        except Crash:
+            self.files[name] += data[: self.random.randrange(len(data) + 1)]
+            raise
+        if self.room is not None and len(data) > self.room:
+            self.files[name] += data[: self.room]
+            self.room = 0
+            raise OSError(28, "No space left on device")
+        if self.room is not None:
+            self.room -= len(data)
+        self.files[name] += data
+
+    def sync(self, name: str) -> None:
+        try:
+            self._call("sync")
+        except Crash:
+            if self.random.random() < 0.5:  # the crash came after the disk had all of it
+                self.contents[name] = self.files[name]
+            raise
+        self.contents[name] = self.files[name]
+
+    def close(self, name: str) -> None:
+        pass
+
+    def rename(self, old: str, new: str) -> None:
+        self._call("rename")
+        self.files[new], self.contents[new] = self.files.pop(old), self.contents.pop(old)
+
+    def remove(self, name: str) -> None:
+        self._call("remove")
+        self.files.pop(name)
+
+    def sync_folder(self) -> None:
+        self._call("sync_folder")
+        self.synced = {name: self.contents.get(name, b"") for name in self.files}
+
+    def stop(self) -> None:
+        pass
+
+    def after_power_loss(self) -> SimDisk:
+        """What is found when the machine is back."""
+        fresh = SimDisk(self.random.randrange(1 << 30))
+        names = set(self.synced) | {name for name in self.files if self.random.random() < 0.5}
+        for name in names:
+            if name not in self.files and self.random.random() < 0.5:
+                continue  # its removal had reached the disk
+            safe = self.contents.get(name, self.synced.get(name, b""))
+            now = self.files.get(name, safe)
+            fresh.files[name] = safe + self._damaged(now[len(safe):])
+            fresh.contents[name] = fresh.synced[name] = fresh.files[name]
+        return fresh
+
+    def _damaged(self, tail: bytes) -> bytes:
+        """Bytes that no sync covered: whole, cut, with holes of zeros, or with pieces in another order."""
+        data = bytearray(tail[: self.random.randrange(len(tail) + 1)] if self.random.random() < 0.7 else tail)
+        for _ in range(self.random.randrange(3) if data else 0):
+            begin = self.random.randrange(len(data))
+            end = min(len(data), begin + self.random.randrange(1, 64))
+            if self.random.random() < 0.5:
+                data[begin:end] = bytes(end - begin)
+            else:
+                other = self.random.randrange(len(data))
+                data[begin:end] = bytes(data[other : other + end - begin]).ljust(end - begin, b"\0")
+        return bytes(data)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,344 @@
+"""The journal's log: what a crash leaves, what damage leaves, and what may be said of a request then."""
+
+from __future__ import annotations
+
+import random
+import time
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from simdisk import Crash, SimDisk
+
+from spanwing.journal.committer import REST_S, WAITING, Committer
+from spanwing.journal.files import Folder, InUse
+from spanwing.journal.frames import (
+    HEADER_SIZE,
+    Frame,
+    FutureVersion,
+    Header,
+    Skipped,
+    frame_bytes,
+    header_bytes,
+    read_frames,
+    read_header,
+)
+from spanwing.journal.ledger import Ledger
+from spanwing.journal.log import Bounds, Log, Reader
+from spanwing.journal.records import (
+    LONGEST,
+    Answered,
+    Closed,
+    Gap,
+    Intent,
+    LastByte,
+    Outcome,
+    Taken,
+    Unsent,
+    encode,
+)
+
+SMALL = Bounds(segment_bytes=900, segment_ms=1e9, keep_ms=1e12, keep_bytes=1 << 40)
+
+
+def records(request: str, sent: bool = True, attempt: int = 0) -> list:
+    """One request's life."""
+    life = [Taken(request, 1.0, 1.0, "schedule-apply", "corrib", "", "platform", 25000.0),
+            Intent(request, 2.0, 2.0, attempt, "w1", "127.0.0.1:1")]
+    life += [LastByte(request, 3.0, 3.0, attempt), Outcome(request, 4.0, 4.0, attempt, "ok")] if sent else [
+        Unsent(request, 3.0, 3.0, attempt, "unreachable")]
+    return [*life, Answered(request, 5.0, 5.0, "served" if sent else "refused")]
+
+
+def found(data: bytes, first: int = 1) -> tuple[list[Frame], list[Skipped]]:
+    all_of_it = list(read_frames(data, first, 0))
+    return ([each for each in all_of_it if isinstance(each, Frame)],
+            [each for each in all_of_it if isinstance(each, Skipped)])
+
+
+class Frames(unittest.TestCase):
+    def setUp(self) -> None:
+        self.payloads = [encode(each) for number in range(4) for each in records(f"job-{number}")]
+        self.frames = [frame_bytes(number, each) for number, each in enumerate(self.payloads, 1)]
+        self.data = b"".join(self.frames)
+
+    def test_a_tail_cut_anywhere_gives_all_whole_records_before_it(self) -> None:
+        ends = [sum(map(len, self.frames[: n + 1])) for n in range(len(self.frames))]
+        for cut in range(len(self.data)):
+            whole, skipped = found(self.data[:cut])
+            self.assertEqual(len(whole), sum(end <= cut for end in ends))
+            self.assertEqual(bool(skipped), cut not in (0, *ends))
+
+    def test_a_damaged_byte_costs_its_own_record_alone(self) -> None:
+        for at in range(len(self.data)):
+            data = bytearray(self.data)
+            data[at] ^= 0x55
+            whole, skipped = found(bytes(data))
+            self.assertEqual(len(whole), len(self.frames) - 1, at)
+            self.assertEqual(sum(each.size for each in skipped) > 0, True)
+
+    def test_a_missing_record_is_told_by_number(self) -> None:
+        data = b"".join(self.frames[:3] + self.frames[5:])
+        whole, skipped = found(data)
+        self.assertEqual((len(whole), [each.missing for each in skipped]), (len(self.frames) - 2, [2]))
+
+    def test_an_old_frame_in_a_later_place_is_not_taken(self) -> None:
+        whole, _ = found(self.data + self.frames[2])
+        self.assertEqual([each.number for each in whole], list(range(1, len(self.frames) + 1)))
+
+    @given(st.binary(max_size=300), st.integers(0, 400), st.binary(max_size=40))
+    def test_any_bytes_end(self, noise: bytes, at: int, more: bytes) -> None:
+        data = self_data[:at] + noise + self_data[at:] + more
+        whole, _ = found(data)
+        numbers = [each.number for each in whole]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        # Noise between two frames, or within one, costs at most the one that it hits.
+        self.assertGreaterEqual(len(whole), SELF_COUNT - 1)
+
+    def test_headers(self) -> None:
+        good = header_bytes(Header(7, 1.5, 1, 6))
+        self.assertEqual(read_header(good), Header(7, 1.5, 1, 6))
+        for cut in range(len(good)):
+            with self.assertRaises(ValueError):
+                read_header(good[:cut])
+        with self.assertRaises(ValueError):
+            encode(Taken("x" * LONGEST, 0.0, 0.0))
+
+
+_payloads = [encode(each) for number in range(2) for each in records(f"job-{number}")]
+self_data = b"".join(frame_bytes(number, each) for number, each in enumerate(_payloads, 1))
+SELF_COUNT = len(_payloads)
+
+
+class Standing(unittest.TestCase):
+    def test_what_a_prefix_of_records_says(self) -> None:
+        expected = ("not sent", "possibly sent", "sent", "sent", "sent")
+        for count, finding in enumerate(expected, 1):
+            ledger, settled = Ledger(), None
+            for number, record in enumerate(records("job")[:count]):
+                settled = ledger.take(number, record)
+            request = settled or ledger.open["job"]
+            self.assertEqual((request.finding, request.settled), (finding, count == 5))
+
+    def test_an_attempt_that_was_certainly_not_sent(self) -> None:
+        ledger = Ledger()
+        for number, record in enumerate(records("job", sent=False)[:3]):
+            ledger.take(number, record)
+        self.assertEqual((ledger.open["job"].finding, ledger.left_open()), ("not sent", []))
+
+    def test_the_gravest_attempt_counts_and_a_closed_one_stays_possibly_sent(self) -> None:
+        ledger = Ledger()
+        for number, record in enumerate(records("job", sent=False)[:3]):
+            ledger.take(number, record)
+        ledger.take(4, Intent("job", 5.0, 5.0, 1, "w2", "x"))
+        self.assertEqual([each.number for _, each in ledger.left_open()], [1])
+        ledger.take(5, Closed("job", 6.0, 6.0, 1, "w2"))
+        self.assertEqual((ledger.open["job"].finding, ledger.left_open()), ("possibly sent", []))
+
+
+class PowerLoss(unittest.TestCase):
+    """A crash at every call of a seeded run, and what was not synced in every kind of ruin."""
+
+    def life(self, disk: SimDisk, seed: int, acknowledged: list, tried: list) -> None:
+        """Write seeded batches; acknowledged: records whose write() returned."""
+        source = random.Random(seed)
+        log = Log(disk, SMALL)
+        for number in range(6):
+            batch = [each for one in range(source.randrange(1, 4))
+                     for each in records(f"job-{seed}-{number}-{one}", source.random() < 0.7)[
+                         : source.randrange(1, 6)]]
+            tried += batch
+            log.write(batch, 1000.0 * number)
+            acknowledged += batch
+            if source.random() < 0.3:
+                log.retain(1000.0 * number)
+
+    def check(self, disk: SimDisk, acknowledged: list, tried: list) -> None:
+        read = [each.record for _, each in Reader(disk).read() if isinstance(each, Frame)]
+        there = set(read)
+        lost = [each for each in acknowledged if each not in there]
+        self.assertEqual(lost, [], "an acknowledged record is gone")
+        self.assertLessEqual(there, set(tried), "a record that nobody wrote")
+
+    def test_crashes(self) -> None:
+        crashes = 0
+        for seed in range(40):
+            disk = SimDisk(seed)
+            self.life(disk, seed, [], [])
+            for at in range(1, disk.calls + 1):
+                for again in range(1):
+                    broken, acknowledged, tried = SimDisk(seed * 1000 + at * 10 + again), [], []
+                    broken.crash_at = at
+                    with self.assertRaises(Crash):
+                        self.life(broken, seed, acknowledged, tried)
+                    found = broken.after_power_loss()
+                    self.check(found, acknowledged, tried)
+                    # A second life on what was found, and a crash in it too.
+                    found.crash_at = random.Random(at).randrange(1, 40)
+                    try:
+                        self.life(found, seed + 5000, acknowledged, tried)
+                    except Crash:
+                        pass
+                    last = found.after_power_loss()
+                    self.check(last, acknowledged, tried)
+                    log = Log(last, SMALL)  # snapshot and log give what the log alone gives
+                    alone = Ledger()
+                    for _, each in Reader(last).read():
+                        if isinstance(each, Frame):
+                            alone.take(each.number, each.record)
+                    self.assertEqual({name: each.finding for name, each in log.ledger.open.items()},
+                                     {name: each.finding for name, each in alone.open.items()})
+                    crashes += 2
+        self.assertGreater(crashes, 2000)
+
+
+class Failures(unittest.TestCase):
+    def test_a_failed_sync_is_never_retried_on_its_segment(self) -> None:
+        disk = SimDisk(1)
+        log = Log(disk, SMALL)
+        log.write(records("a"), 0.0)
+        broken = log.current
+        disk.fail["sync"] = OSError(5, "Input/output error")
+        with self.assertRaises(OSError):
+            log.write(records("b"), 0.0)
+        with self.assertRaises(OSError):
+            log.write(records("c"), 0.0)
+        disk.fail.clear()
+        size = len(disk.files[broken])
+        log.write(records("d"), 0.0)
+        self.assertEqual(len(disk.files[broken]), size)
+        self.assertNotEqual(log.current, broken)
+        there = {each.record.request for _, each in Reader(disk).read() if isinstance(each, Frame)}
+        self.assertLessEqual({"a", "d"}, there)
+        self.assertNotIn("b", log.ledger.open)
+
+    def test_a_disk_that_is_full_and_has_room_again(self) -> None:
+        disk = SimDisk(1)
+        log = Log(disk, SMALL)
+        log.write(records("a"), 0.0)
+        disk.room = 30
+        with self.assertRaises(OSError):
+            log.write(records("b"), 0.0)
+        disk.room = None
+        log.write(records("c"), 0.0)
+        again = Log(disk, SMALL)
+        self.assertIn("torn tail", " ".join(each.reason for _, each in again.skipped))
+        there = {each.record.request for _, each in Reader(disk).read() if isinstance(each, Frame)}
+        self.assertEqual(there, {"a", "c"})
+
+    def test_a_missing_segment_a_future_one_and_a_clock_that_steps_back(self) -> None:
+        disk = SimDisk(1)
+        log = Log(disk, SMALL)
+        for number in range(9):
+            log.write(records(f"job-{number}"), 1e6 - number * 1000)
+        names = Reader(disk).segments()
+        self.assertGreater(len(names), 3)
+        del disk.files[names[1]]
+        missing = sum(each.missing for _, each in Reader(disk).read() if isinstance(each, Skipped))
+        self.assertGreater(missing, 0)
+        head = bytearray(disk.files[names[2]][:HEADER_SIZE])
+        head[8:10] = (99).to_bytes(2, "big")
+        import google_crc32c
+        head[-4:] = google_crc32c.value(bytes(head[:-4])).to_bytes(4, "big")
+        disk.files[names[2]] = bytes(head) + disk.files[names[2]][HEADER_SIZE:]
+        with self.assertRaises(FutureVersion):
+            read_header(bytes(head))
+        with self.assertRaisesRegex(ValueError, "version 99"):
+            Log(disk, SMALL)
+        self.assertTrue(list(Reader(disk).read()))  # what can be read is read all the same
+
+    def test_retention_keeps_what_an_open_request_needs(self) -> None:
+        disk, bounds = SimDisk(1), Bounds(900, 1e9, 10.0, 1 << 40)
+        log = Log(disk, bounds)
+        log.write(records("open")[:3], 0.0)
+        for number in range(12):
+            log.write(records(f"job-{number}"), 100.0 + number)
+        self.assertEqual(log.retain(1e9), [])
+        log.write(records("open")[3:], 200.0)
+        gone = log.retain(1e9)
+        self.assertTrue(gone)
+        self.assertNotIn(log.current, gone)
+
+    def test_two_processes_on_one_folder(self) -> None:
+        import tempfile
+        with tempfile.TemporaryDirectory() as path:
+            first = Folder(path)
+            with self.assertRaisesRegex(InUse, "in use by another process"):
+                Folder(path)
+            log = Log(first)
+            log.write(records("a"), 0.0)
+            readers = Reader(Folder(path, write=False))  # a reader needs no lock
+            self.assertEqual(len([each for _, each in readers.read() if isinstance(each, Frame)]), 5)
+            log.close()
+            first.stop()
+            second = Folder(path)
+            self.assertEqual(Log(second).ledger.open, {})
+            second.stop()
+
+
+class GroupCommit(unittest.TestCase):
+    """Many hand over, few syncs; who hears good news finds his records on disk."""
+
+    def committer(self, disk: SimDisk) -> Committer:
+        self.now = 0.0
+        made = Committer(Log(disk, SMALL), lambda call, *values: call(*values), clock=lambda: self.now)
+        self.addCleanup(made.stop)
+        return made
+
+    def wait(self, made: Committer, count: int, told: list) -> None:
+        with made.awake:
+            made.awake.notify()
+        end = time.monotonic() + 20
+        while len(told) < count:
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.001)
+
+    def test_a_thousand_at_once_share_syncs_and_keep_their_order(self) -> None:
+        disk, told = SimDisk(1), []
+        made = self.committer(disk)
+
+        def hear(number: int):
+            def heard(reason: str) -> None:
+                on_disk = {each.record.request for _, each in Reader(disk).read() if isinstance(each, Frame)}
+                told.append((number, reason, f"job-{number}" in on_disk))
+            return heard
+
+        for number in range(300):
+            self.assertTrue(made.submit(records(f"job-{number}")[:2], hear(number)))
+        made.start()
+        self.wait(made, 300, told)
+        self.assertEqual(told, [(number, "", True) for number in range(300)])
+        self.assertLess(made.syncs, 10)
+
+    def test_a_failing_disk_is_told_at_once_and_the_gap_is_written_down(self) -> None:
+        disk, told = SimDisk(1), []
+        made = self.committer(disk)
+        disk.fail["sync"] = OSError(5, "Input/output error")
+        made.start()
+        made.submit(records("a")[:2], told.append)
+        self.wait(made, 1, told)
+        calls = disk.calls
+        made.submit(records("b")[:2], told.append)
+        self.wait(made, 2, told)
+        self.assertEqual((told, disk.calls), (["Input/output error"] * 2, calls))  # it rests
+        disk.fail.clear()
+        self.now += REST_S
+        made.submit(records("c")[:2], told.append)
+        self.wait(made, 3, told)
+        self.assertEqual(told[-1], "")
+        read = [each.record for _, each in Reader(disk).read() if isinstance(each, Frame)]
+        gaps = [each for each in read if isinstance(each, Gap)]
+        self.assertEqual([(each.count, each.why) for each in gaps], [(4, "Input/output error")])
+
+    def test_the_queue_is_bounded_and_a_slow_disk_holds_nobody_up(self) -> None:
+        made = self.committer(SimDisk(1))
+        one = records("job")[:2]
+        taken = sum(made.submit(one) for _ in range(WAITING))  # the thread has not started: a sync that lasts
+        self.assertEqual((taken, made.count), (WAITING // 2, WAITING))
+        self.assertEqual(made.lost, WAITING)
+        made.start()
+        self.assertTrue(made.stop(20))
+
+
+if __name__ == "__main__":
+    unittest.main()
