Say `short` of CPU within 300 ms, and measure it against late requests

Need: a scheduler that runs short of CPU must say so before its requests run late, and not on every pause of the machine.

Ruled out: the poll (50 ms) and the sampler (50 ms) as the larger part.

Change: 85% busy has to last 150 ms more; 97%, or 150 ms without a pause of which others took half, counts at once. The sampler rests to 250 ms while little is going on.

--- a/measure/balancers.py
+++ b/measure/balancers.py
@@ -265,6 +265,8 @@
         self.sent.append(sent)
         begun = time.monotonic()
         while True:
+            while backend.idle and backend.idle[-1][0].at_eof():  # closed while it was idle
+                backend.idle.pop()[1].close()
             kept = bool(backend.idle)
             try:
                 reader, writer = (backend.idle.pop() if kept
--- a/spanwing/fronts/balancers/reporter.py
+++ b/spanwing/fronts/balancers/reporter.py
@@ -1,6 +1,6 @@
 """Samples the daemon, lets the health machine judge, and tells whoever listens.
 
-Guarantees: a sample every TICK_S, a full one every FULL_TICKS of them; subscribers hear of every change of
+Guarantees: a sample every TICK_S, or CALM_S while little is going on; subscribers hear of every change of
 what is told in the same turn of the loop, a drain included; nothing of this runs where no balancer protocol
 is open.
 """
@@ -23,8 +23,9 @@
 from spanwing.health.signals import ClassLoad, Cpu, Signals, Use, Workers
 from spanwing.log import tell
 
-TICK_S = 0.05
-FULL_TICKS = 4
+TICK_S, CALM_S = 0.05, 0.25  # between samples; the longer one while little is going on
+CALM = 0.25  # of the loop's time busy, at most
+FULL_S = 0.25  # between full samples: between them CPU and what is owed alone are looked at
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1024 / 1024
 
 
@@ -70,7 +71,7 @@
         self.gates: list[Gate] = []
         self.listeners: set[Callable[[Verdict], None]] = set()
         self.phase: Phase = "none"
-        self.ticks = 0
+        self.full_at = -math.inf
         self.due = self.loop.time() + TICK_S
         self.told = self.health.verdict
         self.loop.call_at(self.due, self._tick)
@@ -111,13 +112,15 @@
         # A late timer is late for the loop's own work and for want of CPU alike; the meter tells them apart.
         reading = Reading(now, time.process_time(), busy, max(0.0, now - self.due))
         self.cpu = self.meter.read(reading)
-        self.ticks += 1
-        if self.ticks % FULL_TICKS == 1:
+        if now >= self.full_at + FULL_S * 0.9:
+            self.full_at = now
             self._publish(self.health.observe(now, self.signals()))
         else:
             self._publish(self.health.observe(now, self.health.signals._replace(
                 cpu=self.cpu, owed=self.owed())))
-        self.due = max(self.due + TICK_S, now + TICK_S / 5)
+        calm = self.cpu.demand <= CALM and self.told.state in ("ready", "absent")
+        wait = CALM_S if calm else TICK_S
+        self.due = max(self.due + wait, now + wait / 5)
         self.loop.call_at(self.due, self._tick)
 
     def owed(self) -> int:
--- a/spanwing/health/cpu.py
+++ b/spanwing/health/cpu.py
@@ -16,6 +16,7 @@
 from spanwing.health.signals import Cpu
 
 MOST = 64
+ROBBED_S, ROBBED_BUSY, ROBBED_SHARE = 0.15, 0.97, 0.5
 
 
 class Reading(NamedTuple):
@@ -54,4 +55,14 @@
             lost = sum(each.late for each in list(readings)[1:])
             return Cpu(used, min(1.0, max(used, (cpu + lost) / wall)), min(1.0, lost / wall), lag_ms)
         busy = min(wall, max(0.0, reading.busy - first.busy))
-        return Cpu(used, min(1.0, max(used, busy / wall)), max(0.0, busy - cpu) / wall, lag_ms)
+        return Cpu(used, min(1.0, max(used, busy / wall)), max(0.0, busy - cpu) / wall, lag_ms,
+                   self._robbed(reading))
+
+    def _robbed(self, last: Reading) -> bool:
+        """Over the last ROBBED_S or a little more: a neighbour that takes most of the core fills the queue
+        within a few hundred ms, and the whole window would tell too late."""
+        first = next((each for each in reversed(self.readings) if each.wall <= last.wall - ROBBED_S), None)
+        if first is None or first.busy is None:
+            return False
+        wall, busy = last.wall - first.wall, last.busy - first.busy
+        return busy >= ROBBED_BUSY * wall and busy - (last.cpu - first.cpu) >= ROBBED_SHARE * wall
--- a/spanwing/health/policy.py
+++ b/spanwing/health/policy.py
@@ -15,6 +15,7 @@
     fall_per_s: float = 60.0  # percentage points by which the weight may fall in a second
     step: float = 3.0  # percentage points: a smaller change is not told
     short_at: float = 0.85  # of the loop's time: from here on the daemon is short of CPU
+    short_ms: float = 150.0  # for so long: one burst or one pause of the machine is no shortage
     ease_at: float = 0.6  # below this it has enough again
     ease_ms: float = 2000.0  # for so long, before it says so
     settle_ms: float = 1500.0  # between two cuts for CPU: a balancer has to hear of one before the next
@@ -29,7 +30,7 @@
         for name in ("slow_start_ms", "fall_per_s"):
             if not 0 < getattr(self, name) <= 3_600_000:
                 raise ValueError(f"{name}: {getattr(self, name)} is not possible, it must be above 0")
-        for name in ("notice_ms", "ease_ms", "settle_ms", "starting_ms", "discovery_ms"):
+        for name in ("notice_ms", "short_ms", "ease_ms", "settle_ms", "starting_ms", "discovery_ms"):
             if not 0 <= getattr(self, name) <= 3_600_000:
                 raise ValueError(f"{name}: {getattr(self, name)} is not possible, 0 to 3600000 are")
         if not 0 < self.ease_at < self.short_at <= 1:
--- a/spanwing/health/signals.py
+++ b/spanwing/health/signals.py
@@ -16,6 +16,7 @@
     demand: float = 0.0  # time in which the loop had work, of all time: at 1 what comes in piles up
     stolen: float = 0.0  # time in which the loop had work and got no CPU, of all time
     lag_ms: float = 0.0  # the latest that a timer came
+    robbed: bool = False  # just now: no pause, and much of the time taken by others
 
 
 class ClassLoad(NamedTuple):
--- a/spanwing/health/weight.py
+++ b/spanwing/health/weight.py
@@ -20,6 +20,7 @@
 OLD_LIST = 0.5
 CUT_MOST = 0.25  # a single cut for CPU leaves so much at least
 MOST_SAMPLES = 256
+SATURATED = 0.97  # of the loop's time
 
 
 class Factor(NamedTuple):
@@ -104,18 +105,28 @@
         self.reason = ""
         self.cut_at = self.at = float("-inf")
         self.easy_since: float | None = None
+        self.over_since: float | None = None
 
     def step(self, now: float, cpu: Cpu) -> Factor:
         """Take a sample; returns what is left of the weight."""
         policy = self.policy
         passed = min(1.0, max(0.0, now - self.at))
-        if cpu.demand >= policy.short_at:
-            self.reason = reason_of(cpu)
+        if cpu.demand < policy.short_at and not cpu.robbed:
+            self.over_since = None
+        elif self.over_since is None:
+            self.over_since = now
+        if self.over_since is not None:
             self.easy_since = None
+            held = now - self.over_since >= policy.short_ms / 1000.0
+            # Busy without a pause over the whole window: every turn of waiting makes what comes later still.
+            if not (held or self.short or cpu.robbed or cpu.demand >= SATURATED):
+                self.at = now
+                return Factor(self.left, self.reason)
+            self.reason = reason_of(cpu)
             if not self.short or now - self.cut_at >= policy.settle_ms / 1000.0:
                 # What the process would have if its loop were busy only as long as is healthy, less what
                 # others take of it: known at once where CPU is stolen, found in steps where load is too high.
-                given = 1.0 - min(1.0, cpu.stolen / cpu.demand)
+                given = 1.0 - min(1.0, cpu.stolen / max(cpu.demand, 0.01))
                 cut = max(CUT_MOST, policy.ease_at * given)
                 self.left, self.cut_at = max(policy.floor / 100.0, self.left * cut), now
             self.short = True
--- a/spanwing/log/events.py
+++ b/spanwing/log/events.py
@@ -43,6 +43,7 @@
         handler = _ToWriter(self.writer, self.limiter, formatter)
         root = logging.getLogger()
         root.handlers[:] = [handler]
+        root.setLevel(logging.INFO)
         structlog.configure(
             processors=[structlog.stdlib.filter_by_level, *shared, _flat if form == "keys" else _as_it_is,
                         structlog.stdlib.ProcessorFormatter.wrap_for_formatter],
