--- a/measure/cost.py
+++ b/measure/cost.py
@@ -75,7 +75,7 @@
     workers = Workers((0.02, 0.4), 1)
     places = await workers.start(WORKERS)
     kinds = (("off", False, False), ("open", True, False), ("asked", True, True))
-    sets = [await asyncio.to_thread(Set, *kind, places) for kind in kinds]
+    sets = [Set(*kind, places) for kind in kinds]
     loads = [asyncio.ensure_future(each.load()) for each in sets]
     for each in sets:
         if each.asked:
--- a/measure/drains.py
+++ b/measure/drains.py
@@ -14,6 +14,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -54,6 +55,18 @@
         self.longest_s = max(self.longest_s, other.longest_s)
 
 
+async def open_loop(source: random.Random, tasks: set[asyncio.Task], ask: Callable) -> None:
+    """Requests at a constant rate for ever: a slow scheduler cannot slow them down."""
+    number, due = 0, time.monotonic()
+    while True:
+        number, due = number + 1, due + source.expovariate(RATE)
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        cls, budget = source.choices(CLASSES, (49, 32, 19))[0]
+        task = asyncio.ensure_future(ask(number, cls, budget))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+
 class Lane:
     """One pair of schedulers and its balancer."""
 
@@ -75,7 +88,9 @@
         backends = [Backend(name, each.addresses["clients"], each.addresses[front], self.protocol)
                     for name, each in self.daemons.items()]
         self.balancer = Balancer(backends, self.seed)
-        load = asyncio.ensure_future(self.load())
+        load = asyncio.ensure_future(open_loop(
+            self.random, self.tasks, lambda number, cls, budget: self.balancer.request(
+                f"r{self.seed}-{number}", cls, budget)))
         try:
             for number in range(drains):
                 await self.drain(backends[number % 2])
@@ -93,17 +108,6 @@
         self.result.refused = self.balancer.retried
         return self.result
 
-    async def load(self) -> None:
-        """Open loop: a slow scheduler cannot slow it down."""
-        number, due = 0, time.monotonic()
-        while True:
-            number, due = number + 1, due + self.random.expovariate(RATE)
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            cls, budget = self.random.choices(CLASSES, (49, 32, 19))[0]
-            task = asyncio.ensure_future(self.balancer.request(f"r{self.seed}-{number}", cls, budget))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
     async def drain(self, backend: Backend) -> None:
         while not backend.judge.share:
             await asyncio.sleep(0.02)
@@ -153,7 +157,9 @@
         workers = [FaktoryWorkers(place, 16, queues, (0.02, 0.4), self.seed, self.ran)
                    for place in places.values()]
         self.producers = Producers(places, self.seed)
-        load = asyncio.ensure_future(self.load())
+        load = asyncio.ensure_future(open_loop(
+            self.random, self.tasks, lambda number, cls, budget: self.producers.push(
+                f"faktory-{self.seed}-{number}", cls, budget)))
         try:
             for number in range(drains):
                 name = "ab"[number % 2]
@@ -172,16 +178,6 @@
         self.result.twice = sum(count > 1 for count in self.ran.values())
         return self.result
 
-    async def load(self) -> None:
-        number, due = 0, time.monotonic()
-        while True:
-            number, due = number + 1, due + self.random.expovariate(RATE)
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            cls, budget = self.random.choices(CLASSES, (49, 32, 19))[0]
-            task = asyncio.ensure_future(self.producers.push(f"faktory-{self.seed}-{number}", cls, budget))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
     async def drain(self, name: str, daemon: Daemon) -> None:
         await asyncio.sleep(self.random.uniform(0.4, 1.0))
         first, at = len(self.producers.sent), time.monotonic()
--- a/measure/workers.py
+++ b/measure/workers.py
@@ -33,7 +33,7 @@
                         await asyncio.sleep(self.random.uniform(*self.running_s))
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
