--- a/spanwing/fronts/faktory.py
+++ b/spanwing/fronts/faktory.py
@@ -34,7 +34,7 @@
 from spanwing.store.store import NoMajority
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
-from spanwing.wire.proxied import Network, listed, peer_of, read_header
+from spanwing.wire.proxied import Network, listed, peer_of, real_peer
 from spanwing.wire.proxy import ProxyError
 from spanwing.wire.resp import OK, bulk, error, simple
 from spanwing.wire.stream import LineStream, LineTooLong
@@ -224,10 +224,10 @@
     async def serve(self) -> None:
         try:
             if self.proxied:
-                header = await read_header(self.lines, self.lines.data, WHOLE_S)
-                if header is None:
+                peer = await real_peer(self.lines, self.lines.data, WHOLE_S, self.peer)
+                if peer is None:
                     return
-                self.peer = header.source[0] if header.source else self.peer
+                self.peer = peer
             await self.lines.write(simple('HI {"v":2}'))
             while (line := await self.lines.line(WHOLE_S, self.hello is None, LATE)) is not None:
                 self.busy = True
--- a/spanwing/fronts/senderside.py
+++ b/spanwing/fronts/senderside.py
@@ -16,7 +16,7 @@
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.http import HttpError, HttpStream, Message, response_bytes
-from spanwing.wire.proxied import Network, listed, peer_of, read_header
+from spanwing.wire.proxied import Network, listed, peer_of, real_peer
 from spanwing.wire.proxy import ProxyError
 from spanwing.wire.table import HALF, HALF_S, IDLE, LINGER_S, OVER, READ_AHEAD, SILENT, WHOLE_S, Table
 
@@ -52,10 +52,10 @@
     async def serve(self) -> None:
         try:
             if self.proxied:
-                header = await read_header(self.http, self.http.parser.data, WHOLE_S)
-                if header is None:
+                peer = await real_peer(self.http, self.http.parser.data, WHOLE_S, self.peer)
+                if peer is None:
                     return
-                self.peer = header.source[0] if header.source else self.peer
+                self.peer = peer
             keep = True
             while keep:
                 message = await self.http.receive(WHOLE_S, fresh=not self.heard)
--- a/spanwing/wire/proxied.py
+++ b/spanwing/wire/proxied.py
@@ -34,6 +34,15 @@
     return any(address in each for each in sources if each.version == address.version)
 
 
+async def real_peer(stream: PooledStream, data: bytearray, whole_s: float, peer: str) -> str | None:
+    """Read the header that this balancer (peer) owes; returns whom it speaks for, itself where it tells of
+    nobody, None as read_header() does. Raises ProxyError."""
+    header = await read_header(stream, data, whole_s)
+    if header is None:
+        return None
+    return header.source[0] if header.source else peer
+
+
 async def read_header(stream: PooledStream, data: bytearray, whole_s: float) -> Header | None:
     """Read one header into data and take it off; None: the connection ended, or it was not whole in time.
     Raises ProxyError."""
