Start programs in one place for tests and measurements; read heads of segments alone

Need: tests/player.py and measure/daemons.py each started the daemon, read its addresses and its errors.

--- a/measure/cost.py
+++ b/measure/cost.py
@@ -86,7 +86,7 @@
     await asyncio.sleep(seconds)
     took = time.monotonic() - begun
     found = [(each.name, 1000 * (each.cpu_s() - cpu) / took / SCHEDULERS,
-              max(daemon.memory_mb() for daemon in each.daemons), len(each.balancer.sent) - count)
+              max(daemon.resident() for daemon in each.daemons), len(each.balancer.sent) - count)
              for each, (cpu, count) in zip(sets, before, strict=True)]
     for each in loads:
         each.cancel()
@@ -95,7 +95,7 @@
             task.cancel()
         await each.balancer.stop()
         for daemon in each.daemons:
-            daemon.stop()
+            daemon.close()
     workers.stop()
     return found
 
--- a/measure/cpu.py
+++ b/measure/cpu.py
@@ -1,9 +1,9 @@
 """What a scheduler that runs short of CPU says, and when: before its first late request, or after.
 
 `cuts`: one scheduler, pinned to one core, under a constant load that needs a part of it; other programs on
-that core then leave it a half or a quarter. Measured: the time from the first answer that says `short` to
-the first request that is answered later than wanted, both as seen from outside; negative if the request
-came first.
+that core then leave it a half or a quarter. Measured: the time from the first answer to an agent-check that
+tells a lower weight because it is short of CPU (the log gives the reason) to the first request that is
+answered later than wanted; negative if the request came first.
 
 `starved`: four schedulers, one of them cut to a quarter, behind balancers that follow the weight that
 agent-check tells, or that keep a fixed one. Measured: the share of requests answered late or not served.
@@ -24,11 +24,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass
+from datetime import datetime
 from pathlib import Path
 
 import click
 
-from measure.balancers import PROTOCOLS, Backend, Balancer, Seen, exchange
+from measure.balancers import PROTOCOLS, Backend, Balancer, Seen, agent
 from measure.daemons import Daemon
 from measure.workers import Workers
 
@@ -167,7 +168,7 @@
         others.stop()
         await asyncio.gather(*clients)
         await balancer.stop()
-        daemon.stop()
+        daemon.close()
 
 
 @dataclass
@@ -188,20 +189,27 @@
         return self.late_s - (AFTER_S if self.short_s is None else max(0.0, self.short_s))
 
 
+def states(log: str) -> list[tuple[float, str]]:
+    """Changes of state, of the monotonic clock, from the daemon's log."""
+    offset = time.time() - time.monotonic()
+    lines = [json.loads(line) for line in log.splitlines() if line.startswith("{")]
+    return [(datetime.fromisoformat(each["timestamp"]).timestamp() - offset, each["state"])
+            for each in lines if each["event"] == "health"]
+
+
 async def cut(cpu: int, workers: WorkerProcess, rate: float, hogs: int, seed: int) -> Cut:
-    daemon = await asyncio.to_thread(Daemon, "d", workers.places, ("agent_check", "health"), cpus={cpu},
-                                     classes=CLASSES, balancers="[balancers]\nslow_start_ms = 500")
+    daemon = await asyncio.to_thread(
+        Daemon, "d", workers.places, ("agent_check",), cpus={cpu}, classes=CLASSES,
+        balancers='[balancers]\nslow_start_ms = 500\n[log]\nform = "json"')
     balancer = Balancer([backend(daemon, False)], seed)
     load, others = Load(balancer, rate, seed), Hogs(cpu, hogs)
-    said: list[float] = []
+    heard: list[tuple[float, int]] = []  # when an agent-check was answered, and the weight
 
     async def poll() -> None:
-        request = b"GET /health HTTP/1.0\r\nAccept: application/health+json\r\n\r\n"
-        while not said:
+        while True:
             begun = time.monotonic()
-            answer = await exchange(daemon.addresses["health"], request)
-            if json.loads(answer.partition(b"\r\n\r\n")[2])["state"] == "short":
-                said.append(time.monotonic())
+            weight = (await agent(daemon.addresses["agent_check"])).weight
+            heard.append((time.monotonic(), 0 if weight is None else weight))
             await asyncio.sleep(max(0.0, begun + POLL_S - time.monotonic()))
 
     running = asyncio.ensure_future(load.run(SLOTS_WARM_S + 1.0 + AFTER_S))
@@ -214,18 +222,20 @@
         polling = asyncio.ensure_future(poll())
         await asyncio.sleep(3 * POLL_S)
         at = time.monotonic()
-        before = bool(said)
         await asyncio.to_thread(others.start)
         await running
         polling.cancel()
+        # What a balancer has heard of it: the first lower weight after the log says why it is lower.
+        shorts = [when for when, state in states(daemon.said()) if state == "short"]
+        said = next((when for when, weight in heard if weight < 100 and shorts and when >= shorts[0]), None)
         late = [due + took for due, took, _ in load.done[early:] if took > WANTED_S and due + took > at]
-        short = None if not said else -1.0 if before else said[0] - at
+        short = None if said is None else -1.0 if said < at else said - at
         return Cut(1 / (hogs + 1), rate, short, min(late) - at if late else None, load.left_out)
     finally:
         others.stop()
         await asyncio.gather(*load.tasks)
         await balancer.stop()
-        daemon.stop()
+        daemon.close()
 
 
 @click.group()
@@ -272,7 +282,7 @@
 @main.command()
 @click.option("--runs", default=20, show_default=True, help="For each cut.")
 @click.option("--seed", default=1, show_default=True)
-@click.option("--half", default=1.25, show_default=True,
+@click.option("--half", default=1.4, show_default=True,
               help="Load, of what is served at most with half of the core.")
 @click.option("--quarter", default=1.5, show_default=True, help="The same with a quarter.")
 @click.option("--out", type=click.Path(path_type=Path))
@@ -359,7 +369,7 @@
     finally:
         others.stop()
         for each in daemons:
-            each.stop()
+            each.close()
         workers.stop()
 
 
--- a/measure/daemons.py
+++ b/measure/daemons.py
@@ -17,6 +17,7 @@
 ROOT = Path(__file__).parent.parent
 START_S = 20.0
 ALL_FRONTS = ("health", "agent_check", "feedback", "grpc", "faktory")
+Place = tuple[str, int]
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -37,44 +38,75 @@
     }
 
 
-class Daemon:
-    """One started program."""
+class Program:
+    """One started program, with its files, and the addresses that it printed."""
 
-    def __init__(self, name: str, workers: list[tuple[str, int]], fronts: tuple[str, ...] = ALL_FRONTS,
-                 balancers: str = "", admin: bool = True, cpus: set[int] | None = None,
-                 classes: list[dict[str, Any]] | None = None, **limits: Any) -> None:
+    def __init__(self, config: dict[str, Any], fronts: str, cpus: set[int] | None = None) -> None:
         self.folder = tempfile.TemporaryDirectory()
         folder = Path(self.folder.name)
-        self.admin = str(folder / "admin")
-        members = [{"id": each, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
-                    "phase": "active", "size": 1.0, "up_since_ms": 0} for each, port in workers]
-        config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
-                  "known": {"revision": 1, "complete": True, "members": members},
-                  "limits": {"sockets": 1024, "memory_mb": 192, **limits}, "settings": settings(classes)}
-        (folder / "config.json").write_text(json.dumps(config))
-        text = "".join(f'[{each}]\nlisten = "127.0.0.1:0"\n' for each in fronts)
-        text += f'[admin]\nsocket = "{self.admin}"\n' if admin else ""
-        (folder / "fronts.toml").write_text(f"{text}{balancers}\n")
-        self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by stop()
+        self.write(config)
+        (folder / "fronts.toml").write_text(fronts)
+        self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by close()
         environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
                        "SPANWING_FRONTS": str(folder / "fronts.toml")}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "spanwing"], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
             stderr=self.errors, text=True,
             preexec_fn=None if cpus is None else lambda: os.sched_setaffinity(0, cpus))
-        self.addresses: dict[str, tuple[str, int]] = {}
+        self.addresses: dict[str, Place] = {}
+
+    def write(self, config: dict[str, Any]) -> None:
+        """Put the configuration file there, whole at once."""
+        fresh = Path(self.folder.name) / "config.new"
+        fresh.write_text(json.dumps(config))
+        fresh.replace(fresh.with_suffix(".json"))
+
+    def serving(self) -> bool:
+        """Read what it prints until it takes clients; False where it ends before."""
         for line in self.process.stdout:
             if match := re.match(r"spanwing: (\w+) on (.*):(\d+)$", line):
                 self.addresses[match[1]] = (match[2], int(match[3]))
                 if match[1] == "clients":
-                    break
-        else:
-            raise RuntimeError(f"{name} did not start: {self.said()}")
+                    return True
+        return False
 
     def said(self) -> str:
         self.errors.seek(0)
         return self.errors.read()
 
+    def resident(self) -> float:
+        """The most memory that it has held, in MB."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+
+    def close(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.process.stdout.close()
+        self.errors.close()
+        self.folder.cleanup()
+
+
+class Daemon(Program):
+    """One that serves, with job workers and an admin socket."""
+
+    def __init__(self, name: str, workers: list[tuple[str, int]], fronts: tuple[str, ...] = ALL_FRONTS,
+                 balancers: str = "", admin: bool = True, cpus: set[int] | None = None,
+                 classes: list[dict[str, Any]] | None = None, **limits: Any) -> None:
+        members = [{"id": each, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
+                    "phase": "active", "size": 1.0, "up_since_ms": 0} for each, port in workers]
+        config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
+                  "known": {"revision": 1, "complete": True, "members": members},
+                  "limits": {"sockets": 1024, "memory_mb": 192, **limits}, "settings": settings(classes)}
+        self.sockets = tempfile.TemporaryDirectory()
+        self.admin = str(Path(self.sockets.name) / "admin")
+        text = "".join(f'[{each}]\nlisten = "127.0.0.1:0"\n' for each in fronts)
+        text += f'[admin]\nsocket = "{self.admin}"\n' if admin else ""
+        super().__init__(config, f"{text}{balancers}\n", cpus)
+        if not self.serving():
+            raise RuntimeError(f"{name} did not start: {self.said()}")
+
     def command(self, **ask: Any) -> dict[str, Any]:
         return client.ask(self.admin, **ask)
 
@@ -91,14 +123,6 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS
 
-    def memory_mb(self) -> float:
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
-
-    def stop(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
-        self.process.stdout.close()
-        self.errors.close()
-        self.folder.cleanup()
+    def close(self) -> None:
+        super().close()
+        self.sockets.cleanup()
--- a/measure/drains.py
+++ b/measure/drains.py
@@ -99,7 +99,7 @@
             await asyncio.gather(*self.tasks)
             await self.balancer.stop()
             for each in self.daemons.values():
-                each.stop()
+                each.close()
             self.workers.stop()
         self.result.requests = len(self.balancer.sent)
         self.result.unanswered = sum(len(each.answers) != 1 for each in self.balancer.sent)
@@ -134,7 +134,7 @@
         self.result.taken_late += sum(each.answers != [503] for each in late)
         if self.by_signal:
             fresh = await asyncio.to_thread(self.start, backend.name)
-            daemon.stop()
+            daemon.close()
             self.daemons[backend.name] = fresh
             backend.clients, backend.check = fresh.addresses["clients"], fresh.addresses[self.protocol.front]
             backend.idle.clear()
@@ -171,7 +171,7 @@
             for each in workers:
                 await each.stop()
             for each in daemons.values():
-                each.stop()
+                each.close()
         sent = self.producers.sent
         self.result.requests, self.result.refused = len(sent), self.producers.retried
         self.result.unanswered = sum(len(each.answers) != 1 for each in sent)
--- a/spanwing/journal/files.py
+++ b/spanwing/journal/files.py
@@ -17,7 +17,10 @@
 
     def names(self) -> list[str]: ...
 
-    def read(self, name: str) -> bytes: ...
+    def read(self, name: str, most: int = -1) -> bytes:
+        """Its first bytes, all of them by default. Raises FileNotFoundError."""
+
+    def size(self, name: str) -> int: ...
 
     def create(self, name: str) -> None:
         """An empty file, open for append(); its name is lasting after sync_folder()."""
@@ -59,8 +62,12 @@
     def names(self) -> list[str]:
         return sorted(each.name for each in self.path.iterdir() if each.is_file())
 
-    def read(self, name: str) -> bytes:
-        return (self.path / name).read_bytes()
+    def read(self, name: str, most: int = -1) -> bytes:
+        with open(self.path / name, "rb") as file:
+            return file.read(most)
+
+    def size(self, name: str) -> int:
+        return (self.path / name).stat().st_size
 
     def create(self, name: str) -> None:
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
--- a/spanwing/journal/log.py
+++ b/spanwing/journal/log.py
@@ -108,7 +108,7 @@
         reader = Reader(files)
         for name in reader.segments():
             try:
-                read_header(files.read(name)[:HEADER_SIZE])
+                read_header(files.read(name, HEADER_SIZE))
             except FutureVersion as error:
                 raise ValueError(f"{name}: {error}") from None
             except ValueError:
@@ -203,14 +203,14 @@
         """Remove segments that are too old or too much, but none that is needed; returns their names."""
         names = Reader(self.files).segments()
         oldest = self.ledger.oldest()
-        sizes = {name: len(self.files.read(name)) for name in names}
+        sizes = {name: self.files.size(name) for name in names}
         total, gone = sum(sizes.values()), []
         for name, following in zip(names, names[1:], strict=False):
             begins_next = first_of(following)
             if oldest is not None and oldest < begins_next:
                 break
             try:
-                ended_ms = read_header(self.files.read(following)).begun_ms
+                ended_ms = read_header(self.files.read(following, HEADER_SIZE)).begun_ms
             except ValueError:
                 break
             if now_ms - ended_ms <= self.bounds.keep_ms and total <= self.bounds.keep_bytes:
--- a/tests/player.py
+++ b/tests/player.py
@@ -28,20 +28,18 @@
 
 import codecs
 import json
-import os
 import re
 import signal
 import socket
 import struct
-import subprocess
-import sys
 import tempfile
 import threading
 import time
 from contextlib import contextmanager, suppress
 from pathlib import Path
 
-ROOT = Path(__file__).parent.parent
+from measure.daemons import ROOT, Program  # noqa: F401 - ROOT for other tests
+
 PATIENCE_S = 20.0  # what never comes fails the test after this; nothing is measured against it
 SETTINGS = {
     "areas": ["a"], "balancers": 1, "position": 0, "zone": "a", "kinds": ["big"], "tick_ms": 4.0,
@@ -58,31 +56,16 @@
 }
 
 
-class Daemon:
-    """One started program and the addresses that it printed."""
-
-    def __init__(self, config: dict, fronts: str) -> None:
-        self.folder = tempfile.TemporaryDirectory()
-        folder = Path(self.folder.name)
-        self.write(config)
-        (folder / "fronts.toml").write_text(fronts)
-        self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by close()
-        environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
-                       "SPANWING_FRONTS": str(folder / "fronts.toml")}
-        self.process = subprocess.Popen([sys.executable, "-m", "spanwing"], cwd=ROOT, env=environment,
-                                        stdout=subprocess.PIPE, stderr=self.errors, text=True)
-        self.addresses: dict[str, tuple[str, int]] = {}
-
-    def write(self, config: dict) -> None:
-        """Put the configuration file there, whole at once."""
-        fresh = Path(self.folder.name) / "config.new"
-        fresh.write_text(json.dumps(config))
-        fresh.replace(fresh.with_suffix(".json"))
+class Daemon(Program):
+    """One started program, which is waited for with patience."""
 
     def ready(self) -> Daemon:
         """Wait for the line that says the daemon takes clients."""
         with self.patience():
-            return self._ready()
+            if not self.serving():
+                raise AssertionError(f"the daemon did not start: {self.said()}")
+        self.small = self.resident()
+        return self
 
     @contextmanager
     def patience(self):
@@ -94,41 +77,15 @@
         finally:
             timer.cancel()
 
-    def _ready(self) -> Daemon:
-        for line in self.process.stdout:
-            if match := re.match(r"spanwing: (\w+) on (.*):(\d+)$", line):
-                self.addresses[match[1]] = (match[2], int(match[3]))
-                if match[1] == "clients":
-                    self.small = self.resident()
-                    return self
-        raise AssertionError(f"the daemon did not start: {self.said()}")
-
-    def resident(self) -> float:
-        """The most memory that it has held, in MB."""
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
-
     def connect(self, front: str) -> socket.socket:
         return socket.create_connection(self.addresses[front], PATIENCE_S)
 
-    def said(self) -> str:
-        self.errors.seek(0)
-        return self.errors.read()
-
     def wait(self) -> tuple[int, str]:
         """The exit status and what was printed last."""
         with self.patience():
             out = self.process.stdout.read()
             return self.process.wait(), out
 
-    def close(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
-        self.process.stdout.close()
-        self.errors.close()
-        self.folder.cleanup()
-
 
 def config(members: list[dict] = (), discovery: str = "127.0.0.1:9", **settings) -> dict:
     known = {"revision": 1, "complete": True, "members": list(members)}
--- a/tests/simdisk.py
+++ b/tests/simdisk.py
@@ -31,8 +31,11 @@
     def names(self) -> list[str]:
         return sorted(self.files)
 
-    def read(self, name: str) -> bytes:
-        return self.files[name]
+    def read(self, name: str, most: int = -1) -> bytes:
+        return self.files[name] if most < 0 else self.files[name][:most]
+
+    def size(self, name: str) -> int:
+        return len(self.files[name])
 
     def create(self, name: str) -> None:
         self._call("create")
