--- a/spanwing/journal/committer.py
+++ b/spanwing/journal/committer.py
@@ -22,6 +22,7 @@
 WAITING = 20_000
 BATCH = 1024  # records in one write
 REST_S = 1.0
+LAZY_S = 0.05
 RETAIN_S = 60.0
 
 Told = Callable[[str], None]
@@ -43,6 +44,7 @@
         self.log, self.post, self.wall_ms, self.clock = log, post, wall_ms, clock
         self.waiting: deque[Handed] = deque()
         self.count = 0  # records that wait
+        self.urgent = False  # somebody waits for one of them
         self.awake = threading.Condition()
         self.stopping = False
         self.failing, self.rest_until = "", 0.0
@@ -62,7 +64,12 @@
                 return False
             self.waiting.append(Handed(records, told))
             self.count += len(records)
-            self.awake.notify()
+            # What nobody waits for rides along with what somebody does, or goes LAZY_S later.
+            if told is not None or self.count >= BATCH:
+                self.urgent = True
+                self.awake.notify()
+            elif self.count == len(records):
+                self.awake.notify()
         return True
 
     def stop(self, wait_s: float = 5.0) -> bool:
@@ -78,7 +85,9 @@
             with self.awake:
                 while not self.waiting and not self.stopping:
                     self.awake.wait()
+                self.awake.wait_for(lambda: self.urgent or self.stopping, LAZY_S)
                 batch = self._next()
+                self.urgent = any(handed.told for handed in self.waiting)
             if not batch:
                 self.log.close()
                 return
--- /dev/null
+++ b/spanwing/journal/keeper.py
@@ -0,0 +1,102 @@
+"""The daemon's side of the journal: what the core tells, in records, and what an earlier life left.
+
+Guarantees: an intent is told back durable before anything may be sent on it; every other record is handed
+over in the order in which it happened and waits for nothing. With `refuse`, an intent that cannot be made
+durable is told so and nothing is sent; with `serve` it is sent all the same, and the journal has a gap that
+says so. Nothing here sends, retries or decides.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import Literal
+
+from spanwing.journal.committer import Committer
+from spanwing.journal.ledger import Attempt, Lost, Request
+from spanwing.journal.log import Log
+from spanwing.journal.records import (
+    Answered,
+    Any,
+    GivenUp,
+    Intent,
+    LastByte,
+    Outcome,
+    Started,
+    Taken,
+    Unsent,
+)
+
+Policy = Literal["refuse", "serve"]
+
+
+class Keeper:
+    """Writes down the requests of some classes."""
+
+    def __init__(self, log: Log, classes: frozenset[str], policy: Policy, name: str,
+                 post: Callable[..., object]) -> None:
+        self.classes, self.policy = classes, policy
+        now = self._now()
+        self.left_open: list[tuple[Request, Attempt]] = log.ledger.left_open()
+        # The first write of this life: what earlier ones left is closed, and nothing of it is done again.
+        # It goes before anything else, and a disk that cannot take it is known before the first client comes.
+        log.write([Started("", *now, name, secrets.token_hex(8)), *log.ledger.closing(*now)], now[0])
+        self.lost: dict[str, Lost] = dict(log.ledger.lost)
+        self.skipped = log.skipped
+        self.committer = Committer(log, post)
+        self.committer.start()
+
+    @staticmethod
+    def _now() -> tuple[float, float]:
+        """Both clocks, in ms."""
+        return time.time() * 1000.0, time.monotonic() * 1000.0
+
+    def wants(self, cls: str) -> bool:
+        return cls in self.classes
+
+    def refusing(self) -> str:
+        """Why work that has to be written down is turned away now; empty where it is taken."""
+        return self.committer.failing if self.policy == "refuse" else ""
+
+    def taken(self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float) -> None:
+        self._note(Taken(request, *self._now(), cls, tenant, key, front, budget_ms))
+
+    def intent(self, request: str, attempt: int, worker: str, address: str,
+               then: Callable[[bool], None]) -> None:
+        """then hears whether the attempt may be sent."""
+        def told(reason: str) -> None:
+            then(not reason or self.policy == "serve")
+
+        record = Intent(request, *self._now(), attempt, worker, address)
+        if not self.committer.submit([record], told):
+            told("too many records wait")
+
+    def last_byte(self, request: str, attempt: int) -> None:
+        self._note(LastByte(request, *self._now(), attempt))
+
+    def unsent(self, request: str, attempt: int, why: str) -> None:
+        self._note(Unsent(request, *self._now(), attempt, why))
+
+    def given_up(self, request: str, attempt: int, why: str) -> None:
+        self._note(GivenUp(request, *self._now(), attempt, why))
+
+    def outcome(self, request: str, attempt: int, result: str) -> None:
+        self._note(Outcome(request, *self._now(), attempt, result))
+
+    def answered(self, request: str, kind: str) -> None:
+        self._note(Answered(request, *self._now(), kind))
+
+    def _note(self, record: Any) -> None:
+        """What does not fit the queue is counted as a gap there."""
+        self.committer.submit([record])
+
+    def figures(self) -> dict[str, float | str]:
+        """For people."""
+        made = self.committer
+        return {"syncs": made.syncs, "records": made.written, "waiting": made.count, "lost": made.lost,
+                "failing": made.failing, "last": made.log.last}
+
+    def close(self) -> bool:
+        """Write what waits; whether all of it is on disk."""
+        return self.committer.stop() and not self.committer.lost
--- a/spanwing/journal/ledger.py
+++ b/spanwing/journal/ledger.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
-from typing import Literal
+from typing import Literal, NamedTuple
 
 from spanwing.journal.records import (
     Answered,
@@ -23,6 +24,8 @@
     Unsent,
 )
 
+MOST_LOST = 100_000
+NO_ATTEMPT = -1  # of a Closed: nothing of the request was out
 Finding = Literal["not sent", "possibly sent", "sent"]
 #: Outcomes that prove that an attempt never ran (the decision module's NEVER_RAN, as text on disk).
 NEVER_RAN = frozenset({"full", "unreachable", "moot"})
@@ -65,6 +68,7 @@
     taken: Taken | None = None
     answer: str = ""
     answered_ms: float | None = None
+    cut_short: bool = False  # a later life found it unanswered: it never will be
     attempts: dict[int, Attempt] = field(default_factory=dict)
 
     @property
@@ -75,18 +79,28 @@
 
     @property
     def settled(self) -> bool:
-        """Answered, and every attempt is over: no later record is owed."""
-        return self.answered_ms is not None and all(each.over for each in self.attempts.values())
+        """Answered, or cut short by a crash, and every attempt is over: no later record is owed."""
+        ended = self.answered_ms is not None or self.cut_short
+        return ended and all(each.over for each in self.attempts.values())
 
     def attempt(self, number: int) -> Attempt:
         return self.attempts.setdefault(number, Attempt(number))
 
 
+class Lost(NamedTuple):
+    """A request that an earlier life left open, as far as a repeat of it is to be told."""
+
+    finding: str
+    worker: str
+    wall_ms: float
+
+
 class Ledger:
-    """Requests that are not settled, from records in their order."""
+    """Requests that are not settled, from records in their order, and those that a crash has settled."""
 
     def __init__(self) -> None:
         self.open: dict[str, Request] = {}
+        self.lost: OrderedDict[str, Lost] = OrderedDict()  # MOST_LOST at most, the oldest goes
 
     def take(self, number: int, record: Any) -> Request | None:
         """Add a record; returns the request if this settles it."""
@@ -96,9 +110,15 @@
         if request is None:
             request = self.open[record.request] = Request(record.request, number)
         add(request, record)
-        if request.settled:
-            return self.open.pop(record.request)
-        return None
+        if not request.settled:
+            return None
+        if request.cut_short and request.finding != "not sent":
+            attempt = max(request.attempts.values(), key=lambda each: each.number)
+            self.lost[request.id] = Lost(request.finding, attempt.worker, attempt.intent_ms or record.wall_ms)
+            self.lost.move_to_end(request.id)
+            if len(self.lost) > MOST_LOST:
+                self.lost.popitem(last=False)
+        return self.open.pop(record.request)
 
     def oldest(self) -> int | None:
         """The number of the first record that is still needed."""
@@ -109,6 +129,17 @@
         return [(request, attempt) for request in self.open.values() for attempt in request.attempts.values()
                 if attempt.finding != "not sent" and not attempt.over]
 
+    def closing(self, wall_ms: float, mono_ms: float) -> list[Closed]:
+        """What a new life writes down so that nothing of an earlier one stays open: for each attempt of which
+        the end is not known, and for each request that has none, that no answer will come."""
+        records = []
+        for request in self.open.values():
+            ends = [each for each in request.attempts.values() if not each.over]
+            records += [Closed(request.id, wall_ms, mono_ms, each.number, each.worker) for each in ends]
+            if not ends:
+                records.append(Closed(request.id, wall_ms, mono_ms, NO_ATTEMPT))
+        return records
+
 
 def add(request: Request, record: Any) -> None:
     """Take one record of a request into account."""
@@ -130,6 +161,9 @@
         case Answered():
             request.answer, request.answered_ms = record.kind, record.wall_ms
         case Closed():
+            request.cut_short = True
+            if record.attempt == NO_ATTEMPT:
+                return
             attempt = request.attempt(record.attempt)
             attempt.closed = True
             if attempt.intent_ms is None:  # its intent was dropped with an old segment: it was there
--- a/spanwing/journal/snapshot.py
+++ b/spanwing/journal/snapshot.py
@@ -11,7 +11,7 @@
 import google_crc32c
 import msgspec
 
-from spanwing.journal.ledger import Attempt, Ledger, Request
+from spanwing.journal.ledger import Attempt, Ledger, Lost, Request
 from spanwing.journal.records import Taken
 
 MAGIC, VERSION = b"SPWJSNAP", 1
@@ -36,15 +36,16 @@
     taken: Taken | None
     answer: str
     answered_ms: float | None
+    cut_short: bool
     attempts: list[KeptAttempt]
 
 
 def snapshot_bytes(ledger: Ledger, last: int) -> bytes:
     """What is open after record `last`."""
-    kept = [KeptRequest(each.id, each.first, each.taken, each.answer, each.answered_ms, [
+    kept = [KeptRequest(each.id, each.first, each.taken, each.answer, each.answered_ms, each.cut_short, [
         KeptAttempt(*(getattr(attempt, name) for name in KeptAttempt.__struct_fields__))
         for attempt in each.attempts.values()]) for each in ledger.open.values()]
-    body = msgspec.msgpack.encode(kept)
+    body = msgspec.msgpack.encode((kept, list(ledger.lost.items())))
     return HEAD.pack(MAGIC, VERSION, last, google_crc32c.value(struct.pack("!Q", last) + body)) + body
 
 
@@ -60,8 +61,10 @@
     if google_crc32c.value(struct.pack("!Q", last) + body) != checksum:
         raise ValueError("damaged")
     ledger = Ledger()
-    for each in msgspec.msgpack.decode(body, type=list[KeptRequest]):
+    kept, lost = msgspec.msgpack.decode(body, type=tuple[list[KeptRequest], list[tuple[str, Lost]]])
+    ledger.lost.update(lost)
+    for each in kept:
         attempts = {kept.number: Attempt(*msgspec.structs.astuple(kept)) for kept in each.attempts}
         ledger.open[each.id] = Request(each.id, each.first, each.taken, each.answer, each.answered_ms,
-                                       attempts)
+                                       each.cut_short, attempts)
     return ledger, last
