--- a/spanwing/cli/check.py
+++ b/spanwing/cli/check.py
@@ -8,7 +8,7 @@
 
 from spanwing.config import CHECK_SOCKETS, MIN_CORES, MIN_MB, MIN_SOCKETS, load, read_fronts
 from spanwing.faults import Faults
-from spanwing.frontsfile import Fronts, balancers_of, log_of, opened, proxied_of, store_of
+from spanwing.frontsfile import Fronts, balancers_of, journal_of, log_of, opened, proxied_of, store_of
 
 #: By the setting's name, first match: what to do about it.
 MEND = (
@@ -22,7 +22,9 @@
     (r"settings\.classes.*", "each class needs a name of its own, aim_ms above 0, deadline_ms not below it"),
     (r"settings.*", "compare it with the settings object that the platform hands out"),
     (r"admin\.socket", "name an absolute path of at most 100 bytes in a folder that is there"),
-    (r"grpc|proxy|log\.form", "install the extra: pip install 'spanwing[tools]'"),
+    (r"journal\.directory", "name an absolute path on a disk that lasts, as /var/lib/spanwing/journal"),
+    (r"journal\..+", "see docs/operators/journal.md for what suits which rate"),
+    (r"grpc|proxy|log\.form|journal", "install the extra: pip install 'spanwing[tools]'"),
     (r"proxy\.fronts", "list clients, faktory or health"),
     (r"proxy\.sources", "list the balancers' addresses or networks, as 10.0.0.7 or 10.0.0.0/24"),
     (r"log\.per_second", "5 lines of one event in a second suit most"),
@@ -55,6 +57,7 @@
         proxied_of(table.proxy, faults)
         log_of(table.log, faults)
         store_of(table.store, faults)
+        journal_of(table.journal, faults)
         opened("faktory", table.faktory, faults)
     return [Fault(setting, fault, mend(setting, fault)) for setting, fault in faults.found]
 
--- a/spanwing/cli/main.py
+++ b/spanwing/cli/main.py
@@ -28,7 +28,21 @@
                              help="Another member of the store, which the order reaches through the store.")
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+class Lazy(click.Group):
+    """Its command journal is loaded when it is asked for: the daemon, which `serve` runs, has no use for it."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), "journal"])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name == "journal":
+            from spanwing.cli.journal import journal
+
+            return journal
+        return super().get_command(ctx, name)
+
+
+@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
 @click.version_option(package_name="spanwing", prog_name="spanwing")
 def cli() -> None:
     """A job scheduler for building-control jobs.
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -16,10 +16,12 @@
     FILE,
     Balancers,
     Fronts,
+    JournalTable,
     LogTable,
     Proxied,
     StoreTable,
     balancers_of,
+    journal_of,
     log_of,
     opened,
     proxied_of,
@@ -40,7 +42,7 @@
 
 #: By the fields of Config, what takes a restart to change.
 FIXED = {"listen": "listen", "raw_settings": "settings", "faktory": "faktory.listen", "proxied": "proxy",
-         "log": "log", "store": "store"}
+         "log": "log", "store": "store", "journal": "journal"}
 
 
 class Limits(msgspec.Struct):
@@ -91,6 +93,7 @@
     store: StoreTable
     store_listen: Address | None
     store_peers: dict[str, Address]
+    journal: JournalTable | None
 
     def shares(self) -> Shares:
         """Half of what is free is the clients' side's, where clients are told to hold a third of all."""
@@ -158,7 +161,7 @@
         faults.add("ROUTER_CONFIG", "not set; it names the configuration file")
     fronts = read_fronts(environment.get("SPANWING_FRONTS"), faults) or Fronts()
     balancers, proxied = balancers_of(fronts, faults), proxied_of(fronts.proxy, faults)
-    table = store_of(fronts.store, faults)
+    table, journal = store_of(fronts.store, faults), journal_of(fronts.journal, faults)
     check = faults.check
     faktory, log = opened("faktory", fronts.faktory, faults), log_of(fronts.log, faults)
     store_listen = check("store.listen", parse_address, table.listen) if table.listen else None
@@ -185,7 +188,7 @@
         told=raw.discovery, seed=seed, limits=limits, known=raw.known, revision=raw.revision,
         raw_settings=bytes(raw.settings).decode(), options=settings[0], settings=settings[1],
         faktory=faktory, balancers=balancers, proxied=proxied, log=log, store=table,
-        store_listen=store_listen, store_peers=peers,
+        store_listen=store_listen, store_peers=peers, journal=journal,
     )
 
 
--- a/spanwing/frontsfile.py
+++ b/spanwing/frontsfile.py
@@ -8,7 +8,7 @@
 import importlib.util
 import ipaddress
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -66,6 +66,18 @@
     answer_ms: float = ANSWER_MS
 
 
+class JournalTable(msgspec.Struct, forbid_unknown_fields=True):
+    """The journal of work that must not run twice."""
+
+    directory: str
+    when_failing: Literal["refuse", "serve"] = "refuse"
+    segment_mb: float = 64.0
+    segment_hours: float = 1.0
+    keep_days: float = 90.0
+    keep_gb: float = 4.0
+    keep_days_of: dict[str, float] = {}  # by class, where it differs from keep_days
+
+
 class Fronts(msgspec.Struct, forbid_unknown_fields=True):
     """The file as it is written."""
 
@@ -79,6 +91,7 @@
     balancers: Policy = msgspec.field(default_factory=Policy)
     log: LogTable = msgspec.field(default_factory=LogTable)
     store: StoreTable = msgspec.field(default_factory=StoreTable)
+    journal: JournalTable | None = None
 
 
 class Agent(msgspec.Struct, frozen=True):
@@ -167,6 +180,26 @@
     return table
 
 
+def journal_of(table: JournalTable | None, faults: Faults) -> JournalTable | None:
+    if table is None:
+        return None
+    _extra("journal", "google_crc32c", faults)
+    if not table.directory.startswith("/"):
+        faults.add("journal.directory", f"{table.directory!r} is no absolute path")
+    for name, least, most in (("segment_mb", 0.1, 4096), ("segment_hours", 0.001, 8760),
+                              ("keep_days", 0.01, 36_500), ("keep_gb", 0.001, 1_000_000)):
+        value = getattr(table, name)
+        if not least <= value <= most:
+            faults.add(f"journal.{name}", f"{value:g} is not possible, {least:g} to {most:g} are")
+    for cls, days in table.keep_days_of.items():
+        if not 0.01 <= days <= 36_500:
+            faults.add(f"journal.keep_days_of.{cls}", f"{days:g} is not possible, 0.01 to 36500 are")
+    if table.keep_gb * 1000 < 2 * table.segment_mb:
+        least = 2 * table.segment_mb / 1000
+        faults.add("journal.keep_gb", f"{table.keep_gb:g} is too few for two segments, {least:g} are needed")
+    return table
+
+
 def _path(text: str) -> str:
     if not text.startswith("/") or len(text.encode()) > LONGEST_PATH:
         raise ValueError(f"{text!r} is no absolute path of at most {LONGEST_PATH} bytes")
--- a/spanwing/journal/book.py
+++ b/spanwing/journal/book.py
@@ -20,7 +20,6 @@
 from spanwing.journal.records import Gap
 from spanwing.journal.rows import Row, rows_of
 
-
 STEPPED_MS = 3_600_000.0  # by which a clock may have stepped back
 
 
--- a/spanwing/journal/repair.py
+++ b/spanwing/journal/repair.py
@@ -70,7 +70,8 @@
         if len(wrong) > len(torn):
             yield Step(name, "rewrite", "; ".join(each.reason for each in wrong))
         elif torn:
-            yield Step(name, "leave", f"{torn[0].reason}: a crash leaves that, and nothing of it was acknowledged")
+            why = f"{torn[0].reason}: a crash leaves that, and nothing of it was acknowledged"
+            yield Step(name, "leave", why)
 
 
 def take(files: Files, step: Step) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     "log": set(),
     "health": set(),
     "wire": set(),
+    "journal": set(),
     "core": {"decisions", "actor"},
     "store": {"actor", "wire"},
     "hops": {"decisions", "actor", "core", "wire"},
@@ -24,8 +25,9 @@
     "fronts": {"decisions", "actor", "core", "wire", "hops", "store", "health", "log", "faults",
                "frontsfile"},
     "config": {"decisions", "wire", "hops", "store", "faults", "everyfault", "frontsfile"},
-    "daemon": {"decisions", "actor", "core", "wire", "hops", "store", "fronts", "log", "faults", "config"},
-    "cli": {"config", "faults", "frontsfile", "daemon"},
+    "daemon": {"decisions", "actor", "core", "wire", "hops", "store", "fronts", "log", "faults", "config",
+               "journal"},
+    "cli": {"config", "faults", "frontsfile", "daemon", "journal"},
     "__main__": {"cli", "daemon"},
 }
 
