Thin out old segments by class, and lose power 10,000 times in the tests

Need: classes are kept for different times, and a segment holds them all. A thread of its own rewrites what no open request needs, in slices, whole at once; what is not known to belong to a shorter class stays. Segments are 16 MB by default, as one is read at a time.

--- a/spanwing/frontsfile.py
+++ b/spanwing/frontsfile.py
@@ -72,7 +72,7 @@
     directory: str
     when_failing: Literal["refuse", "serve"] = "refuse"
     wait_ms: float = 250.0  # a send waits so long for its intent to be on disk
-    segment_mb: float = 64.0
+    segment_mb: float = 16.0
     segment_hours: float = 1.0
     keep_days: float = 90.0
     keep_gb: float = 4.0
--- a/spanwing/journal/committer.py
+++ b/spanwing/journal/committer.py
@@ -52,6 +52,7 @@
         self.syncs = self.written = 0
         self.busy_since: float | None = None  # a write is going on
         self.retained_at = clock()
+        self.oldest = log.ledger.oldest()  # as of the last look: the first record that is still needed
         self.thread = threading.Thread(target=self._run, name="journal", daemon=True)
 
     def start(self) -> None:
@@ -159,6 +160,7 @@
         if self.clock() - self.retained_at < RETAIN_S:
             return
         self.retained_at = self.clock()
+        self.oldest = self.log.ledger.oldest() or self.log.number
         try:
             self.log.retain(self.wall_ms())
         except OSError as error:
--- a/spanwing/journal/keeper.py
+++ b/spanwing/journal/keeper.py
@@ -29,6 +29,7 @@
     Taken,
     Unsent,
 )
+from spanwing.journal.thinning import Thinner, ThinningThread
 
 Policy = Literal["refuse", "serve"]
 
@@ -52,6 +53,11 @@
         self.skipped = log.skipped
         self.committer = Committer(log, post)
         self.committer.start()
+        # Where all classes are kept for the same time, whole segments go, and nothing has to be thinned.
+        self.thinning: ThinningThread | None = None
+        if log.bounds.keep_ms_of:
+            self.thinning = ThinningThread(Thinner(log.files, log.bounds), lambda: self.committer.oldest)
+            self.thinning.start()
 
     @staticmethod
     def _now() -> tuple[float, float]:
@@ -120,4 +126,6 @@
 
     def close(self) -> bool:
         """Write what waits; whether all of it is on disk."""
+        if self.thinning is not None:
+            self.thinning.stop()
         return self.committer.stop() and not self.committer.lost
--- a/spanwing/journal/log.py
+++ b/spanwing/journal/log.py
@@ -194,7 +194,7 @@
         name = f"{self.last:016x}{SNAPSHOT}"
         part = name + PART
         for each in self.files.names():
-            if each.endswith(PART):
+            if each.endswith(SNAPSHOT + PART):
                 self.files.remove(each)
         self.files.create(part)
         try:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -37,6 +37,7 @@
     Unsent,
     encode,
 )
+from spanwing.journal.thinning import Thinner
 
 SMALL = Bounds(segment_bytes=900, segment_ms=1e9, keep_ms=1e12, keep_bytes=1 << 40)
 
@@ -174,7 +175,7 @@
 
     def test_crashes(self) -> None:
         crashes = 0
-        for seed in range(40):
+        for seed in range(200):
             disk = SimDisk(seed)
             self.life(disk, seed, [], [])
             for at in range(1, disk.calls + 1):
@@ -201,7 +202,80 @@
                     self.assertEqual({name: each.finding for name, each in log.ledger.open.items()},
                                      {name: each.finding for name, each in alone.open.items()})
                     crashes += 2
-        self.assertGreater(crashes, 2000)
+        self.assertGreater(crashes, 10_000)
+
+
+class Thinning(unittest.TestCase):
+    """Old segments lose what its class keeps for a shorter time, whole at once."""
+
+    BOUNDS = Bounds(900, 1e12, 1e12, 1 << 40, {"setpoint-push": 1000.0})
+
+    def life(self, disk: SimDisk) -> tuple[Log, list, list]:
+        log, long, short = Log(disk, self.BOUNDS), [], []
+        for number in range(12):
+            one, other = records(f"long-{number}"), records(f"short-{number}")
+            other[0] = Taken(f"short-{number}", 1.0, 1.0, "setpoint-push")
+            log.write([*one, *other], 10.0 * number)
+            long, short = long + one, short + other
+        return log, long, short
+
+    def thin(self, disk: SimDisk, log: Log, now_ms: float = 1e6) -> None:
+        thinner = Thinner(disk, self.BOUNDS)
+        thinner.sweep()
+        for _ in thinner.run(log.ledger.oldest(), now_ms):
+            pass
+
+    def there(self, disk: SimDisk) -> list:
+        read = [each for _, each in Reader(disk).read()]
+        self.assertEqual([each for each in read if isinstance(each, Skipped)], [])
+        return [each.record for each in read]
+
+    def test_a_shorter_class_goes_and_all_others_stay(self) -> None:
+        disk = SimDisk(1)
+        log, long, short = self.life(disk)
+        self.thin(disk, log, 500.0)
+        self.assertEqual(len(self.there(disk)), len(long) + len(short))
+        before = sum(map(len, disk.files.values()))
+        self.thin(disk, log)
+        left = self.there(disk)
+        self.assertEqual([each for each in left if each in set(long)], long)
+        self.assertLess(len([each for each in left if each in set(short)]), len(short) / 4)
+        self.assertLess(sum(map(len, disk.files.values())), before * 0.7)
+        self.assertEqual(log.write(records("after"), 2e6), log.last)
+
+    def test_what_an_open_request_needs_is_left_alone(self) -> None:
+        disk = SimDisk(1)
+        log = Log(disk, self.BOUNDS)
+        log.write([Taken("open", 1.0, 1.0, "setpoint-push"), *records("x")[:1]], 0.0)
+        for number in range(9):
+            taken = Taken(f"short-{number}", 1.0, 1.0, "setpoint-push")
+            log.write([taken, *records(f"short-{number}")[1:]], 1.0)
+        before = dict(disk.files)
+        self.thin(disk, log)
+        self.assertEqual(disk.files, before)
+
+    def test_crashes(self) -> None:
+        crashes = 0
+        for seed in range(12):
+            whole = SimDisk(seed)
+            log, long, _ = self.life(whole)
+            first = whole.calls
+            self.thin(whole, log)
+            for at in range(first + 1, whole.calls + 1):
+                disk = SimDisk(seed * 100 + at)
+                log, long, _ = self.life(disk)
+                disk.crash_at = at
+                with self.assertRaises(Crash):
+                    self.thin(disk, log)
+                left = disk.after_power_loss()
+                again = Log(left, self.BOUNDS)  # it opens, and a second try ends what the first began
+                self.assertEqual(again.skipped, [])
+                self.thin(left, again)
+                kept = self.there(left)
+                self.assertEqual([each for each in kept if each in set(long)], long)
+                self.assertFalse([each for each in left.names() if each.endswith(".log.part")])
+                crashes += 1
+        self.assertGreater(crashes, 300)
 
 
 class Failures(unittest.TestCase):
