--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -160,7 +160,7 @@
 
             parts = Parts(config.name or config.store.member, self.core, self.server, self.faktory,
                           self.store, self.descriptors, self.buffers, self.counters,
-                          config.proxied.of("health"))
+                          config.proxied.of("health"), config.journal.directory if config.journal else "")
 
             def bounds() -> Bounds:
                 limits = self.config.limits
@@ -199,7 +199,11 @@
         print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
 
     def counters(self) -> dict[str, int]:
-        return dict(sorted(self.core.counters.items())) if self.started.is_set() else {}
+        if not self.started.is_set():
+            return {}
+        kept = {} if self.keeper is None else {f"journal.{name}": value
+                                               for name, value in self.keeper.figures().items()}
+        return dict(sorted({**self.core.counters, **kept}.items()))
 
     def print_counters(self) -> None:
         print("counters", msgspec.json.encode(self.counters()).decode(), flush=True)
--- a/spanwing/fronts/admin.py
+++ b/spanwing/fronts/admin.py
@@ -1,4 +1,4 @@
-"""The admin listener: a Unix socket for the command line, JSON, one message a line.
+"""The admin listener: a Unix socket for the command line, JSON, one message a line; and GET /journal/...
 
 Guarantees: only the daemon's own user reaches it (mode 0600 from the socket's first moment); MOST
 connections, lines of LONGEST bytes, a whole line within WHOLE_S, a reply read within WRITE_S; a socket file
@@ -21,6 +21,7 @@
 from spanwing.actor import spawn
 from spanwing.fronts.balancers.checks import detail
 from spanwing.fronts.balancers.reporter import Reporter
+from spanwing.fronts.journalpage import JournalPage
 from spanwing.log import tell
 from spanwing.wire.address import listen_unix
 from spanwing.wire.buffers import BufferPool
@@ -59,6 +60,9 @@
         try:
             while (line := await self.lines.line(WHOLE_S, not self.heard)) is not None:
                 self.heard = self.busy = True
+                if line.startswith((b"GET ", b"HEAD ", b"POST ", b"PUT ", b"DELETE ")):
+                    await self.front.journal.serve(self.lines, line, WHOLE_S)
+                    return
                 try:
                     ask = msgspec.json.decode(line, type=Ask)
                     if ask.do == "watch":
@@ -102,9 +106,10 @@
     """Listens on the socket's path."""
 
     def __init__(self, path: str, name: str, reporter: Reporter, counters: Callable[[], dict[str, int]],
-                 order: Callable[[str, bool, float | None], Awaitable[None]], buffers: BufferPool) -> None:
+                 order: Callable[[str, bool, float | None], Awaitable[None]], buffers: BufferPool,
+                 journal: str = "") -> None:
         self.name, self.reporter, self.counters, self.order = name, reporter, counters, order
-        self.buffers = buffers
+        self.buffers, self.journal = buffers, JournalPage(journal)
         self.table: Table[AdminConnection] = Table(MOST)
         self.listening = listen_unix(path, self._accept)
         self.address = path
--- a/spanwing/fronts/balancers/opened.py
+++ b/spanwing/fronts/balancers/opened.py
@@ -29,9 +29,10 @@
     def __init__(self, name: str, reporter: Reporter, core: Exchange, buffers: BufferPool,
                  counters: Callable[[], dict[str, int]], maxconn: Callable[[], int],
                  order: Callable[[str, bool, float | None], Awaitable[None]],
-                 proxied: tuple[Network, ...]) -> None:
+                 proxied: tuple[Network, ...], journal: str = "") -> None:
         self.name, self.reporter, self.core, self.buffers = name, reporter, core, buffers
         self.counters, self.maxconn, self.order, self.proxied = counters, maxconn, order, proxied
+        self.journal = journal  # the folder that is written
         self.open: dict[str, tuple[Any, Any]] = {}  # by name: what was asked for, and the front
 
     def move(self, wanted: Balancers) -> list[tuple[str, str]]:
@@ -95,7 +96,8 @@
         return GrpcFront(address, lambda: self.reporter.verdict, self.reporter.subscribe, self.buffers)
 
     def _admin(self, path):
-        return AdminFront(path, self.name, self.reporter, self.counters, self.order, self.buffers)
+        return AdminFront(path, self.name, self.reporter, self.counters, self.order, self.buffers,
+                          self.journal)
 
     def close(self) -> None:
         for _, front in self.open.values():
--- a/spanwing/fronts/balancers/side.py
+++ b/spanwing/fronts/balancers/side.py
@@ -47,6 +47,7 @@
     buffers: BufferPool
     counters: Callable[[], dict[str, int]]
     proxied: tuple[Network, ...]
+    journal: str = ""  # the folder that is written
 
 
 class BalancerSide:
@@ -59,7 +60,8 @@
         self.reporter = Reporter(core, wanted.policy, self, meter)
         self.reporter.gates = [parts.server, *([parts.faktory] if parts.faktory else [])]
         self.listeners = Listeners(parts.name, self.reporter, core, parts.buffers, parts.counters,
-                                   lambda: parts.server.table.most * 2 // 3, self.order, parts.proxied)
+                                   lambda: parts.server.table.most * 2 // 3, self.order, parts.proxied,
+                                   parts.journal)
         self.watch = StoreWatch(parts.store, self.reporter) if parts.store.peers else None
         if self.watch is not None:
             spawn(self.watch.run())
--- a/spanwing/journal/keeper.py
+++ b/spanwing/journal/keeper.py
@@ -118,11 +118,11 @@
         """What does not fit the queue is counted as a gap there."""
         self.committer.submit([record])
 
-    def figures(self) -> dict[str, float | str]:
-        """For people."""
+    def figures(self) -> dict[str, int]:
+        """Syncs and records since the start, records that wait, records that a gap will tell of."""
         made = self.committer
         return {"syncs": made.syncs, "records": made.written, "waiting": made.count, "lost": made.lost,
-                "failing": made.failing, "last": made.log.last}
+                "failing": int(bool(made.failing))}
 
     def close(self) -> bool:
         """Write what waits; whether all of it is on disk."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -47,6 +47,42 @@
         self.assertNotIn("Traceback", done.stderr)
         return done.stdout + done.stderr
 
+    def get(self, target: str) -> tuple[int, str]:
+        with socket.socket(socket.AF_UNIX) as asked:
+            asked.settimeout(PATIENCE_S)
+            asked.connect(self.socket)
+            asked.sendall(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            head, _, body = asked.makefile("rb").read().decode().partition("\r\n\r\n")
+        return int(head.split()[1]), body
+
+    def test_the_journal_of_a_living_daemon_and_of_a_dead_one(self) -> None:
+        folder = self.folder / "journal"
+        daemon = self.daemon(f'[journal]\ndirectory = "{folder}"\n')
+        with daemon.connect("clients") as client:  # its job worker takes the connection and says nothing
+            client.sendall(b"POST /schedule-apply/x HTTP/1.1\r\nX-Call-Id: job-1\r\nX-Caller: corrib\r\n"
+                           b"X-Budget-Ms: 300\r\nContent-Length: 0\r\n\r\n")
+            self.assertIn(b" 502 ", client.recv(4096))
+        for _ in range(2):
+            shown = json.loads(self.run_command("journal", "show", "job-1", "--json",
+                                                "--directory", str(folder)))
+            self.assertEqual((shown["state"], shown["worker"], shown["given_up"], shown["answer"]),
+                             ("sent", "w1", "timeout", "failed"))
+            found = self.run_command("journal", "query", "tenant = corrib and worker in (w1, w2)",
+                                     "--directory", str(folder))
+            self.assertIn("schedule-apply  job-1", found)
+            self.run_command("journal", "verify", "--directory", str(folder))
+            if daemon.process.poll() is None:
+                self.assertEqual(json.loads(self.get("/journal/show/job-1")[1]), shown)
+                self.assertEqual(self.get("/journal/query?q=worker%20%3D%20w1")[0], 200)
+                self.assertEqual(self.get("/journal/show/job-2")[0], 404)
+                status, fault = self.get("/journal/query?q=worker%20%3D%3D")
+                self.assertEqual((status, "column" in fault), (400, True), fault)
+                self.assertEqual([self.get(each)[0] for each in ("/journal/x", "/", "/journal/tail?n=-1")],
+                                 [404, 404, 404])
+                self.assertIn("journal.records", self.run_command("status", "--json"))
+            daemon.process.kill()
+            daemon.process.wait()
+
     def test_drain_undrain_weight_and_status(self) -> None:
         daemon = self.daemon()
         self.assertEqual(stat.S_IMODE(os.stat(self.socket).st_mode), 0o600)
