--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of parts, side by side with other ways; nothing here is a test."""
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from tornado.concurrent import Future
@@ -59,7 +60,7 @@
     at: float
     until: float
     timer: object
-    recorded: bool = False
+    recorded: bool = False  # its intent was handed to the journal
     waiting: bool = False  # for its intent to be on disk: nothing of it has been handed to the hop
 
 
@@ -265,20 +266,35 @@
         if not self._recorded(call.envelope):
             hop.deliver(Delivery(call.envelope, number, budget, call.envelope.cls in self.safe), self)
             return
+        if hop.asks:
+            def intent(then: Callable[[bool], None]) -> None:
+                out.recorded = True
+                self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, then))
+
+            hop.deliver(Delivery(call.envelope, number, budget, recorded=True, intent=intent), self)
+            return
         out.recorded = out.waiting = True
-        self.recorder.intent(*key, hop.name, hop.place, lambda may: self.post(Recorded(*key, may)))
+        self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, None))
+
+    def _told(self, key: tuple[str, int], then: Callable[[bool], None] | None, may: bool) -> None:
+        """The journal's word on an intent; then: the hop that asked. A refusal is answered before it ends."""
+        self.post(Recorded(*key, may))
+        if then is not None:
+            then(may)
 
     def _may_send(self, recorded: Recorded) -> None:
         """The intent of an attempt is on disk, or cannot be; it may have been given up meanwhile."""
         key = recorded[:2]
         out, call = self.out.get(key), self.calls.get(recorded.request)
-        if out is None or not out.waiting:
+        if out is None:
+            return
+        if not recorded.may:
+            self.counters["refused.journal"] += 1
+            self._answer(recorded.request, Answer("refused", retry_after=self.again_ms))
+        if not out.waiting:  # the hop has asked, and goes on or ends by itself
             return
         out.waiting = False
         if call is None or not recorded.may:
-            if not recorded.may:
-                self.counters["refused.journal"] += 1
-                self._answer(recorded.request, Answer("refused", retry_after=self.again_ms))
             self.post(Ended(*key, "moot", unsent=True))
             return
         budget = max(0.0, out.until - self.clock.now())
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -54,6 +54,8 @@
     budget: float  # ms from now that the core will wait
     repeatable: bool = False  # no harm is done if it runs again
     recorded: bool = False  # the listener wants to hear of the last byte
+    #: Where the next hop asks: to be called before its first byte, with what hears whether it may be sent.
+    intent: Callable[[Callable[[bool], None]], None] | None = None
 
 
 class Listener(Protocol):
@@ -67,6 +69,7 @@
 
     name: str  # as its directory has it
     place: str  # where it is reached
+    asks: bool  # it asks for the intent by itself, as work may wait there for long
 
     def deliver(self, delivery: Delivery, listener: Listener) -> None: ...
 
--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/hops/faktoryworker.py
@@ -40,6 +40,14 @@
     whole: bool
 
 
+class Permitted(NamedTuple):
+    """Whether a job that has to be written down first may be handed over."""
+
+    request: str
+    number: int
+    may: bool
+
+
 class Finished(NamedTuple):
     """ACK or FAIL."""
 
@@ -58,6 +66,8 @@
     delivery: Delivery
     listener: Listener
     handed: bool = False
+    permitted: bool = False
+    slot: Slot | None = None  # kept for it while its intent is on its way to the disk
 
 
 @dataclass(slots=True, eq=False)
@@ -82,6 +92,8 @@
 class FaktoryNextHop(HopActor):
     """A job worker that fetches. Each delivery ends in one Ended; a late ACK changes nothing."""
 
+    asks = True  # a job may wait here for its FETCH: until one comes nothing can leave
+
     def __init__(self, name: str, place: str) -> None:
         super().__init__()
         self.name, self.place = name, place
@@ -96,8 +108,12 @@
             job.listener.post(Ended(envelope.id, job.delivery.number, "moot", unsent=True))
             return
         self.jobs[envelope.id] = job
+        self._place(job)
+
+    def _place(self, job: Job) -> None:
+        """To a FETCH that waits, or among those that wait for one."""
         slot = next((each for each in self.slots
-                     if envelope.cls in each.fetch.queues and not each.fetch.reply.done()), None)
+                     if job.delivery.envelope.cls in each.fetch.queues and not each.fetch.reply.done()), None)
         if slot is not None:
             self.slots.remove(slot)
             self._hand(job, slot)
@@ -129,11 +145,28 @@
     def _hand(self, job: Job, slot: Slot) -> None:
         if slot.timer is not None:
             self.loop.remove_timeout(slot.timer)
+        if job.delivery.intent is not None and not job.permitted:
+            job.slot, key = slot, (job.delivery.envelope.id, job.delivery.number)
+            job.delivery.intent(lambda may: self.post(Permitted(*key, may)))
+            return
         job.handed = True
         key = (job.delivery.envelope.id, job.delivery.number)
         slot.fetch.reply.set_result((job_bytes(job.delivery.envelope),
                                      lambda whole: self.post(Written(*key, whole))))
 
+    def _permitted(self, permitted: Permitted) -> None:
+        job = self.jobs.get(permitted.request)
+        if job is None or job.delivery.number != permitted.number or job.slot is None:
+            return
+        if not permitted.may:
+            self._end(job, "moot")
+            return
+        job.permitted, slot, job.slot = True, job.slot, None
+        if slot.fetch.reply.done():  # its connection ended meanwhile
+            self._place(job)
+        else:
+            self._hand(job, slot)
+
     def _written(self, written: Written) -> None:
         job = self.jobs.get(written.request)
         if job is None or job.delivery.number != written.number:
@@ -164,6 +197,9 @@
         del self.jobs[job.delivery.envelope.id]
         if job in self.waiting:
             self.waiting.remove(job)
+        if job.slot is not None:  # another may have what was kept for it
+            slot, job.slot = job.slot, None
+            self._fetch(slot.fetch)
         job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, result,
                                 unsent=unsent or not job.handed))
 
@@ -173,8 +209,8 @@
 
 FaktoryNextHop.handlers = {
     Deliver: FaktoryNextHop._deliver, GiveUp: FaktoryNextHop._give_up, Fetch: FaktoryNextHop._fetch,
-    Written: FaktoryNextHop._written, Finished: FaktoryNextHop._finished,
-    Vanished: FaktoryNextHop._vanished, Probe: FaktoryNextHop._probe,
+    Permitted: FaktoryNextHop._permitted, Written: FaktoryNextHop._written,
+    Finished: FaktoryNextHop._finished, Vanished: FaktoryNextHop._vanished, Probe: FaktoryNextHop._probe,
 }
 
 
--- a/spanwing/hops/hop.py
+++ b/spanwing/hops/hop.py
@@ -29,6 +29,7 @@
     """The core's side of a next hop: every call is a message."""
 
     name = place = ""
+    asks = False
 
     handlers: ClassVar[dict[type, Any]] = {}
 
