--- a/benchmarks/journal_latency.py
+++ b/benchmarks/journal_latency.py
@@ -164,6 +164,17 @@
         self.base.close()
 
 
+def slow_disk(sync_ms: float) -> None:
+    """From now on each sync takes so much longer, as on a disk that has to turn."""
+    sync = os.fsync
+
+    def slow(descriptor: int) -> None:
+        time.sleep(sync_ms / 1000.0)
+        sync(descriptor)
+
+    os.fsync = slow
+
+
 WAYS = {"nothing": Nothing, "group commit": GroupCommit, "sync each send": SyncEach, "SQLite FULL": Sqlite}
 
 
@@ -217,33 +228,48 @@
 @click.option("--seconds", default=10.0, show_default=True, help="Of each run.")
 @click.option("--folder", help="On the disk to be measured [default: the system's temporary folder].")
 @click.option("--out", type=click.Path(path_type=Path))
-@click.option("--one", nargs=2, hidden=True, help="A way and a rate, in this process.")
-def main(seconds: float, folder: str | None, out: Path | None, one: tuple[str, str] | None) -> None:
+@click.option("--slow-ms", default=5.0, show_default=True, help="Of a sync, in the second table.")
+@click.option("--one", nargs=3, hidden=True, help="A way, a rate and ms more for a sync, in this process.")
+def main(seconds: float, folder: str | None, out: Path | None, slow_ms: float,
+         one: tuple[str, str, str] | None) -> None:
     """Measure all ways at all rates."""
     if one:
+        if float(one[2]):
+            slow_disk(float(one[2]))
         click.echo(json.dumps(run(one[0], float(one[1]), seconds, folder)))
         return
+    tables = [compare(RATES, list(WAYS), seconds, folder, 0.0),
+              compare(RATES, ["nothing", "group commit", "sync each send"], seconds, folder, slow_ms)]
+    for table in tables:
+        click.echo(table)
+    if out:
+        out.write_text("# What a send waits for its intent to be on disk\n\n"
+                       f"    .venv/bin/python -m benchmarks.journal_latency --seconds {seconds:g} "
+                       f"--slow-ms {slow_ms:g}\n\n"
+                       "Latency is all that the journal adds to a send; CPU and memory are beyond those of "
+                       f"the same arrivals with nothing written down.\n\n{tables[0]}\n\n"
+                       f"The same with {slow_ms:g} ms more for each sync, as on a slower disk (added to the "
+                       f"call; SQLite makes its own):\n\n{tables[1]}\n")
+
+
+def compare(rates: tuple[int, ...], ways: list[str], seconds: float, folder: str | None,
+            slow_ms: float) -> str:
     lines = ["| sends a second | way | sends | p50, ms | p99, ms | worst, ms | syncs a second "
              "| CPU, ms a second | memory, MB |", "| --- " * 9 + "|"]
-    for rate in RATES:
+    for rate in rates:
         base = None
-        for way in WAYS:
+        for way in ways:
             with tempfile.TemporaryDirectory(dir=folder) as place:
                 found = json.loads(subprocess.run(
                     [sys.executable, "-m", "benchmarks.journal_latency", "--seconds", str(seconds),
-                     "--folder", place, "--one", way, str(rate)], check=True, capture_output=True).stdout)
+                     "--folder", place, "--one", way, str(rate), str(slow_ms)], check=True,
+                    capture_output=True).stdout)
             base = base or found
             if way != "nothing":
                 lines.append(f"| {rate} | {way} | {found['sends']} | {found['p50']:.2f} | {found['p99']:.2f} "
                              f"| {found['worst']:.2f} | {found['syncs']:.0f} "
                              f"| {found['cpu'] - base['cpu']:.1f} | {found['memory'] - base['memory']:.1f} |")
-    table = "\n".join(lines)
-    click.echo(table)
-    if out:
-        out.write_text("# What a send waits for its intent to be on disk\n\n"
-                       f"    .venv/bin/python -m benchmarks.journal_latency --seconds {seconds:g}\n\n"
-                       "Latency is all that the journal adds to a send; CPU and memory are beyond those of "
-                       f"the same arrivals with nothing written down.\n\n{table}\n")
+    return "\n".join(lines)
 
 
 if __name__ == "__main__":
