Answer a worker's hour from the indexes in one pass, with segments mapped

Cause: a query by worker looked every request up by itself, over all segments, each read whole: thousands of requests over ten million records would have taken the better part of an hour. Names are now gathered first and looked up together; segments are mapped instead of read, and no index is kept in memory. Ruled out: the size of the indexes, which are read in 0.7 s for one request.

--- a/spanwing/journal/book.py
+++ b/spanwing/journal/book.py
@@ -1,13 +1,14 @@
 """Reads a journal's folder for people: beside a living daemon or after a dead one, without a lock.
 
 Guarantees: it never writes to a segment and never holds the daemon up; a segment that is being written is
-read as far as it is whole, and a torn tail there is no damage. Memory: one segment at a time, and the
-requests that are not settled at the end of it.
+read as far as it is whole, and a torn tail there is no damage. Memory: one segment's index at a time, the
+names that are asked for, and the requests that are not settled.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import mmap
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -21,6 +22,7 @@
 from spanwing.journal.rows import Row, rows_of
 
 STEPPED_MS = 3_600_000.0  # by which a clock may have stepped back
+LONGEST_MS = 3_600_000.0  # that a front lets a client wait
 
 
 @dataclass
@@ -40,7 +42,6 @@
         if not self.path.is_dir():
             raise FileNotFoundError(f"{path} is no folder")
         self.reader = Reader(Folder(path, write=False))
-        self.indexes: dict[str, indexes.Index] = {}
 
     def frames(self, after: int = 0) -> Iterator[tuple[str, Frame | Skipped]]:
         return self.reader.read(after)
@@ -58,10 +59,9 @@
     def rows(self, plan: Plan) -> Iterator[Row]:
         """Those that match; by the indexes where the plan names requests, or workers and a time."""
         if plan.requests is not None:
-            found = (self.request(each) for each in sorted(plan.requests))
-            chosen: Iterator[Request] = (each for each in found if each is not None)
+            chosen = self.of(plan.requests)
         elif plan.workers is not None:
-            chosen = self._of_workers(plan)
+            chosen = self.of(self._of_workers(plan))
         else:
             chosen = self.requests()
         for request in chosen:
@@ -69,43 +69,43 @@
 
     def request(self, name: str) -> Request | None:
         """All that is known of one request; None: the journal does not know it."""
-        ledger, ended = Ledger(), None
-        # Lives and gaps go along: what they make doubtful is the ledger's to say.
+        return max(self.of({name}), key=lambda each: each.first, default=None)
+
+    def of(self, names: Collection[str]) -> Iterator[Request]:
+        """All that is known of these, in one pass over the indexes and no record of any other."""
+        ledger, wanted = Ledger(), indexes.hashes({"", *names})
+        # Lives and gaps, which have no name, go along: what they make doubtful is the ledger's to say.
         for segment in self.reader.segments():
             data, header = self._data(segment)
             if header is None:
                 continue
-            index = self.index(segment, data)
-            for at in sorted({*index.of_request(name), *index.of_request("")}):
+            for at in self.index(segment, data).of_requests(wanted):
                 frame = next(read_frames(data, 0, at, True), None)
-                if isinstance(frame, Frame) and frame.record.request in ("", name):
-                    ended = ledger.take(frame.number, frame.record) or ended
-        return ledger.open.get(name) or ended
-
-    def _of_workers(self, plan: Plan) -> Iterator[Request]:
-        """Requests that had an intent for one of the workers. A request's time is that of its taking, so its
-        intents are bounded below alone, and by less than that, as a clock may have stepped back between."""
-        names: dict[str, None] = {}
+                if isinstance(frame, Frame) and (not frame.record.request or frame.record.request in names):
+                    settled = ledger.take(frame.number, frame.record)
+                    if settled is not None:
+                        yield settled
+        yield from ledger.open.values()
+
+    def _of_workers(self, plan: Plan) -> set[str]:
+        """Requests that had an intent for one of the workers. A request's time is that of its taking: its
+        intents come within the longest time that a client may wait, give or take what a clock has stepped."""
+        names: set[str] = set()
         for segment in self.reader.segments():
             data, header = self._data(segment)
             if header is None:
                 continue
             index = self.index(segment, data)
             for worker in sorted(plan.workers):
-                for at in index.of_worker(worker, plan.after - STEPPED_MS, float("inf")):
+                for at in index.of_worker(worker, plan.after - STEPPED_MS,
+                                          plan.before + LONGEST_MS + STEPPED_MS):
                     frame = next(read_frames(data, 0, at, True), None)
                     if isinstance(frame, Frame) and getattr(frame.record, "worker", "") == worker:
-                        names[frame.record.request] = None
-        for name in names:
-            request = self.request(name)
-            if request is not None:
-                yield request
-
-    def index(self, segment: str, data: bytes) -> indexes.Index:
-        """From memory, from its file, or made anew; kept on disk once the segment is not the last one."""
-        known = self.indexes.get(segment)
-        if known is not None and known.size == len(data):
-            return known
+                        names.add(frame.record.request)
+        return names
+
+    def index(self, segment: str, data: mmap.mmap | bytes) -> indexes.Index:
+        """From its file, or made anew; kept on disk once the segment is not the last one."""
         path = (self.path / segment).with_suffix(indexes.ENDING)
         try:
             found = indexes.read(path, len(data))
@@ -116,14 +116,15 @@
                     indexes.write(found, path)
                 except OSError:
                     pass  # a folder that we may only read
-        self.indexes[segment] = found
         return found
 
-    def _data(self, segment: str) -> tuple[bytes, Header | None]:
+    def _data(self, segment: str) -> tuple[mmap.mmap | bytes, Header | None]:
+        """Mapped, not read: only the pages that are looked at come into memory."""
         try:
-            data = self.reader.files.read(segment)
+            with open(self.path / segment, "rb") as file:
+                data = mmap.mmap(file.fileno(), 0, access=mmap.ACCESS_READ)
             return data, read_header(data)
-        except (OSError, ValueError):
+        except (OSError, ValueError):  # gone, empty, or of no use
             return b"", None
 
     def verify(self) -> Iterator[Finding]:
--- a/spanwing/journal/index.py
+++ b/spanwing/journal/index.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import struct
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -31,6 +32,11 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "little")
 
 
+def hashes(names: Iterable[str]) -> np.ndarray:
+    """Of many names, in order."""
+    return np.unique(np.array([hashed(each) for each in names], np.uint64))
+
+
 @dataclass
 class Index:
     """Of one segment; times are of the wall clock, in ms."""
@@ -41,12 +47,13 @@
     first_ms: float
     last_ms: float
 
-    def of_request(self, request: str) -> list[int]:
-        """Offsets of frames whose request has this hash, in order."""
-        wanted = np.uint64(hashed(request))
+    def of_requests(self, wanted: np.ndarray) -> list[int]:
+        """Offsets of frames whose request has one of these hashes, in order."""
         low = np.searchsorted(self.requests["hash"], wanted, "left")
         high = np.searchsorted(self.requests["hash"], wanted, "right")
-        return sorted(int(each) for each in self.requests["at"][low:high])
+        there = np.flatnonzero(high > low)
+        parts = [self.requests["at"][low[each] : high[each]] for each in there]
+        return sorted(int(at) for part in parts for at in part)
 
     def of_worker(self, worker: str, after: float, before: float) -> list[int]:
         """Offsets of intents for a worker of this hash between two times."""
