--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -116,6 +116,12 @@
                 found[job.cls.name] = count + 1, max(oldest, now - job.born)
         return found
 
+    def turning_away(self) -> dict[str, str]:
+        """Classes of which nothing is taken now, with the reason."""
+        reason = self.recorder.refusing() if self.recorder is not None else ""
+        return {each.name: f"journal: {reason}" for each in self.settings.classes
+                if reason and each.name not in self.safe}
+
     def discovery_age(self) -> float:
         """Seconds since discovery last told anything, or since the start."""
         return self.loop.time() - self.heard_at
--- a/spanwing/fronts/balancers/reporter.py
+++ b/spanwing/fronts/balancers/reporter.py
@@ -152,18 +152,20 @@
         else:
             self._publish(self.health.observe(now, self.health.signals._replace(
                 cpu=self.cpu, owed=self.owed())))
+
     def owed(self) -> int:
         return len(self.core.calls) + len(self.core.out)
 
     def signals(self) -> Signals:
         """Everything that is known now."""
         core, needing = self.core, self.gauges.needing_store()
-        held = core.held()
+        held, turned = core.held(), core.turning_away()
         counters = core.counters
         return Signals(
             cpu=self.cpu,
             classes=tuple(ClassLoad(each.name, each.aim, each.kind, *held.get(each.name, (0, 0.0)),
-                                    each.name in needing) for each in core.settings.classes),
+                                    each.name in needing, turned.get(each.name, ""))
+                          for each in core.settings.classes),
             workers=tuple(Workers(zone, kind, *counts) for (zone, kind), counts in core.fleet().items()),
             zone=core.settings.zone,
             answered=counters["answered"],
--- a/spanwing/health/signals.py
+++ b/spanwing/health/signals.py
@@ -28,6 +28,7 @@
     held: int = 0
     oldest_ms: float = 0.0  # how long the longest held has waited
     needs_store: bool = False
+    turned_away: str = ""  # why the daemon itself takes none of it now
 
 
 class Workers(NamedTuple):
--- a/spanwing/health/weight.py
+++ b/spanwing/health/weight.py
@@ -53,6 +53,8 @@
         return f"no job worker{f' of kind {load.kind}' if load.kind else ''} takes {load.name}"
     if load.needs_store and signals.majority is False:
         return f"the store has no majority, {load.name} needs it"
+    if load.turned_away:
+        return f"{load.name} is turned away: {load.turned_away}"
     return ""
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -96,6 +96,14 @@
         verdict = run.go(1.0, CALM._replace(classes=needs, majority=False))
         self.assertIn("no majority", dict(verdict.classes)["setpoint-push"])
 
+    def test_a_class_that_is_turned_away_counts_as_unserved_and_the_others_go_on(self) -> None:
+        run = Run()
+        classes = (CLASSES[0], CLASSES[1]._replace(turned_away="journal: No space left on device"))
+        verdict = run.go(1.0, CALM._replace(classes=classes))
+        self.assertIn("No space left", dict(verdict.classes)["setpoint-push"])
+        self.assertEqual(dict(verdict.classes)["status-read"], "")
+        self.assertLess(verdict.weight, 100)
+
     def test_each_shortage_has_its_reason(self) -> None:
         waits = (CLASSES[0]._replace(held=7, oldest_ms=200.0), CLASSES[1])
         for changes, word in (
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -196,6 +196,9 @@
         self.assertEqual({answer.kind for answer, _ in self.sender.answers.values()}, {"refused"})
         self.assertEqual(self.keeper.refusing(), "Input/output error")
         self.assertEqual(self.hop.got, [])
+        turned = self.core.turning_away()
+        self.assertEqual((sorted(turned), set(turned.values())),
+                         (["bill", "book"], {"journal: Input/output error"}))
         self.disk.fail.clear()
         begun = time.monotonic()
         await self.until(lambda: not self.keeper.refusing())
