--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -169,6 +169,9 @@
     if raw is None:
         return None
     settings = read_settings(bytes(raw.settings).decode(), faults=faults)
+    if journal is not None and settings is not None:
+        for cls in sorted(set(journal.keep_days_of) - {each.name for each in settings[1].classes}):
+            faults.add(f"journal.keep_days_of.{cls}", "no class has this name")
     # The environment is as old as the process: an address that the file has changed since then is newer.
     newer = before is not None and raw.discovery and raw.discovery != before.told
     discovery = raw.discovery if newer else environment.get("ROUTER_DISCOVERY") or raw.discovery
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -15,7 +15,6 @@
 from tornado.ioloop import IOLoop
 from tornado.locks import Event
 
-from spanwing import interface as api
 from spanwing.config import OWN_SOCKETS, Config, load, read_settings
 from spanwing.core.clock import Clock
 from spanwing.core.exchange import Exchange
@@ -82,7 +81,7 @@
         loads = LoadReader(settings.report_fields)
         allow = options.permissions or Permissions()
         self.core = Exchange(settings, config.seed, Clock())
-        self.open_journal(settings)
+        self.open_journal()
 
         shares = config.shares()
         self.descriptors = Descriptors(shares.hops)
@@ -112,7 +111,7 @@
         self.started.set()
         gc.freeze()  # what is loaded now stays: collections need not look at it again
 
-    def open_journal(self, settings: api.Settings) -> None:
+    def open_journal(self) -> None:
         """Close what an earlier life left, tell of it, and write down from now on. Raises ConfigError."""
         table = self.config.journal
         if table is None:
@@ -121,9 +120,6 @@
         from spanwing.journal.keeper import Keeper
         from spanwing.journal.log import Bounds, Log
 
-        unknown = sorted(set(table.keep_days_of) - {each.name for each in settings.classes})
-        if unknown:
-            raise ConfigError(f"journal.keep_days_of: no class has the name {unknown[0]}")
         loop = IOLoop.current()
         bounds = Bounds(int(table.segment_mb * 1e6), table.segment_hours * HOUR_MS, table.keep_days * DAY_MS,
                         int(table.keep_gb * 1e9),
--- a/spanwing/journal/keeper.py
+++ b/spanwing/journal/keeper.py
@@ -31,9 +31,16 @@
 )
 from spanwing.journal.thinning import Thinner, ThinningThread
 
+LONGEST_NAME = 200  # of a tenant, key, worker or address, in characters
+
 Policy = Literal["refuse", "serve"]
 
 
+def cut(text: str) -> str:
+    """What a client names may be long, and a record that does not fit would take its whole batch with it."""
+    return text if len(text) <= LONGEST_NAME else f"{text[:LONGEST_NAME - 1]}…"
+
+
 class Keeper:
     """Writes down the requests of some classes."""
 
@@ -78,7 +85,7 @@
         return f"{lost.finding}{worker} at {when}, before a crash; its outcome is not known"
 
     def taken(self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float) -> None:
-        self._note(Taken(request, *self._now(), cls, tenant, key, front, budget_ms))
+        self._note(Taken(request, *self._now(), cls, cut(tenant), cut(key), front, budget_ms))
 
     def intent(self, request: str, attempt: int, worker: str, address: str,
                then: Callable[[bool], None]) -> None:
@@ -93,7 +100,7 @@
                     self.cancel(timer)
                 then(not reason or self.policy == "serve")
 
-        record = Intent(request, *self._now(), attempt, worker, address)
+        record = Intent(request, *self._now(), attempt, cut(worker), cut(address))
         if not self.committer.submit([record], told):
             told("too many records wait")
         elif self.later is not None:
--- a/tests/player.py
+++ b/tests/player.py
@@ -98,6 +98,7 @@
             "phase": "active", "size": 1.0, "up_since_ms": 0, **more}
 
 
+NUMBER = r"-?[0-9.]+"  # written as it is, anything else as a string
 SIGNS = {">": "send", ">>": "send_bare", ">#": "send_body",
          "<": "expect", "<<": "expect_bare", "<~": "expect_later", "<~~": "skip_to"}
 
@@ -157,8 +158,9 @@
 
     def do_front(self, name: str, *values: str) -> None:
         pairs = [self.filled(each).split("=", 1) for each in values or ("listen=127.0.0.1:0",)]
-        self.fronts += f"[{name}]\n" + "".join(
-            f"{key} = {value if key.endswith('_ms') else json.dumps(value)}\n" for key, value in pairs)
+        self.fronts += f"[{name}]\n"
+        for key, value in pairs:
+            self.fronts += f"{key} = {value if re.fullmatch(NUMBER, value) else json.dumps(value)}\n"
 
     def do_listen(self, name: str) -> None:
         self.sockets[name] = socket.create_server(("127.0.0.1", 0))
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -185,6 +185,18 @@
             found = settled.get("job-1") or ledger.open["job-1"]
             self.assertEqual(found.finding, finding)
 
+    @gen_test(timeout=60)
+    async def test_a_name_of_any_length_fits_a_record(self) -> None:
+        self.begin()
+        long = "\N{SNOWMAN}" * 100_000
+        self.core.post(Take(Envelope("job-1", CLS, 5000.0, tenant=long, effect_key=long), self.sender))
+        self.ask("job-2")
+        await self.until(lambda: len(self.sender.answers) == 2)
+        self.assertEqual({answer.kind for answer, _ in self.sender.answers.values()}, {"served"})
+        self.assertTrue(self.keeper.close())
+        _, settled = self.ledger()
+        self.assertEqual(len(settled["job-1"].taken.key), 200)
+
     @gen_test(timeout=60)
     async def test_a_failing_disk_refuses_and_is_tried_again_by_itself(self) -> None:
         self.begin()
