--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,6 +18,7 @@
     "health": set(),
     "wire": set(),
     "journal": set(),
+    "world": {"decisions", "faults", "everyfault"},
     "core": {"decisions", "actor"},
     "store": {"actor", "wire"},
     "hops": {"decisions", "actor", "core", "wire"},
