Scenario files, checked as a whole, with a library of eight and troubles that compose

Need: a question about a fleet has to be written down once and played again. A scenario is TOML with unknown keys refused and every fault named with its place; troubles (silent, fast-failing, neighbour, heavy tail, deploy, crash, cold snap, flood, stolen CPU, partition, discovery down, a scheduler's end) begin and end by themselves and may overlap. check's list of faults had put a bound of a plain value at its table: it now names the value.

--- a/spanwing/everyfault.py
+++ b/spanwing/everyfault.py
@@ -9,11 +9,12 @@
 from collections.abc import Iterator
 from functools import reduce
 from operator import or_
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 import msgspec.inspect
 
+BOUNDS = ("gt", "ge", "lt", "le", "multiple_of", "min_length", "max_length", "pattern")  # of plain types
 ROUNDS = 32  # a struct's own check comes once its values are right
 
 
@@ -99,4 +100,7 @@
         case inspect.NoneType():
             return None
     plain = {inspect.BoolType: bool, inspect.IntType: int, inspect.FloatType: float, inspect.StrType: str}
-    return plain.get(type(form), Any)
+    if type(form) not in plain:
+        return Any
+    bounds = {name: getattr(form, name) for name in BOUNDS if getattr(form, name, None) is not None}
+    return Annotated[plain[type(form)], msgspec.Meta(**bounds)] if bounds else plain[type(form)]
--- a/spanwing/world/clients.py
+++ b/spanwing/world/clients.py
@@ -28,7 +28,9 @@
     cv: float = 1.0
     aim: float = 300.0
     deadline: float = 5000.0
+    stretch: float = 0.0  # the aim grows by this multiple of the job's own running time
     worth: float = 1.0
+    late_worth: float = 0.0  # of its worth, after the aim
     effect: Literal["safe", "keyed", "unsafe"] = "safe"
     priority: int = 0
     kind: str | None = None
--- a/spanwing/world/fleet.py
+++ b/spanwing/world/fleet.py
@@ -39,6 +39,7 @@
     delays: Delays = Delays()
     settings: Callable[[int, str], api.Settings] | None = None  # of the nth scheduler, in its zone
     discovery_ms: tuple[float, float] = (20.0, 120.0)  # until a scheduler hears of a change
+    decision_ms: float = 0.0  # of a scheduler's CPU for each thing that it hears
     notice_ms: float = 1000.0  # until the layer ahead notices that a scheduler is gone
 
 
@@ -104,6 +105,9 @@
         self.pick = self.streams.of("front")
         self.errors = self.streams.of("workers", "noise")
         self.lags = self.streams.of("discovery")
+        self.tails = self.streams.of("workers", "tail")
+        self.tail = (0.0, 1.0)  # share of attempts that take so many times their work
+        self.discovery_up, self.untold = True, set[int]()
         self.attempts = 0
         self.digest = hashlib.blake2b(digest_size=16)  # of everything that happened
         for node in self.nodes:
@@ -113,7 +117,8 @@
         """Those of a plain deployment with the plan's classes."""
         classes = tuple(api.ServiceClass(
             each.name, aim=each.aim, deadline=each.deadline, worth=each.worth, effect=each.effect,
-            window=each.window, kind=each.kind, priority=each.priority) for each in self.plan.classes)
+            late_worth=each.late_worth, stretch=each.stretch, window=each.window, kind=each.kind,
+            priority=each.priority) for each in self.plan.classes)
         zones = tuple(sorted({each.zone for each in self.plan.workers} | {zone}))
         return api.Settings(
             classes=classes, node=node, nodes=len(self.plan.schedulers), zone=zone, zones=zones, cancel=True,
@@ -162,7 +167,7 @@
         if delay is None:
             self.agenda.after(CONNECT_MS, self._refused, request, asked.tries, 0.0)
         else:
-            self.agenda.after(delay, self._at_node, request, asked.tries, node)
+            node.later(delay, self.plan.decision_ms, self._at_node, request, asked.tries, node)
 
     def _at_node(self, request: str, tries: int, node: Node) -> None:
         asked = self.asked.get(request)
@@ -256,6 +261,8 @@
             return
         noise, cls = self.plan.load.attempt_noise, wanted.cls
         work = wanted.work * (1.0 if noise <= 0 else float(self.errors.lognormal(-noise * noise / 2, noise)))
+        if self.tail[0] > 0 and float(self.tails.random()) < self.tail[0]:
+            work *= self.tail[1]
         job = Job(key, work, cls.slots, cls.memory, cls.priority, cls.effect != "unsafe",
                   wanted.at + wanted.patience, wanted.key if cls.effect == "keyed" else "", cls.window)
         place.attempts[key] = node, request, number
@@ -304,7 +311,7 @@
             if isinstance(each, Began):
                 delay = self.network.delay(worker.spec.zone, node.zone)
                 if delay is not None:
-                    self.agenda.after(delay, node.began, request, number)
+                    node.later(delay, self.plan.decision_ms, node.began, request, number)
             else:
                 del place.attempts[each.key]
                 self._back(node, place, request, number, RESULTS[each.result])
@@ -320,7 +327,8 @@
     def _back(self, node: Node, place: Place, request: str, number: int, result: api.Result) -> None:
         delay = self.network.delay(place.worker.spec.zone, node.zone)
         if delay is not None:
-            self.agenda.after(delay, node.ended, request, number, result, self._report(node, place))
+            node.later(delay, self.plan.decision_ms, node.ended, request, number, result,
+                       self._report(node, place))
 
     def _report(self, node: Node, place: Place) -> tuple[float, ...] | None:
         fields = node.settings.report_fields
@@ -351,15 +359,47 @@
     def state(self, place: Place, state: api.State) -> None:
         """Discovery has news of a worker; each scheduler hears of it after a while of its own."""
         place.state = state
+        if not self.discovery_up:
+            self.untold.add(place.number)
+            return
         for node in self.nodes:
-            self.agenda.after(float(self.lags.uniform(*self.plan.discovery_ms)), node.decide,
-                              api.WorkerList("partial", (self.entry(place),)))
+            node.later(float(self.lags.uniform(*self.plan.discovery_ms)), self.plan.decision_ms, node.decide,
+                       api.WorkerList("partial", (self.entry(place),)))
+
+    def discovery_back(self) -> None:
+        """It answers again, and tells what has changed meanwhile."""
+        self.discovery_up = True
+        for number in sorted(self.untold):
+            self.state(self.places[number], self.places[number].state)
+        self.untold.clear()
+
+    def heard_of(self, place: Place) -> None:
+        """Bring a worker up to the present."""
+        if not place.worker.fallen:
+            self._said(place, place.worker.advance(self.agenda.now))
+
+    def crash(self, place: Place) -> None:
+        """A worker ends without a word."""
+        self._said(place, place.worker.crash(self.agenda.now))
+
+    def drain(self, place: Place) -> None:
+        """It takes nothing new, and discovery says so."""
+        if not place.worker.fallen:
+            place.worker.draining = True
+            self.state(place, "draining")
+
+    def away(self, place: Place) -> None:
+        if not place.worker.fallen:
+            self.crash(place)
+
+    def start_again(self, place: Place) -> None:
+        if place.worker.fallen:
+            self.start(place)
 
     def start(self, place: Place) -> None:
         """A worker that was gone is back, cold."""
         place.worker = JobWorker(place.worker.spec, self.agenda.now, self.agenda.now,
                                  worked=place.worker.worked, busy=place.worker.busy)
-        place.state = "healthy"
         self.state(place, "healthy")
 
     def entry(self, place: Place) -> api.Worker:
--- a/spanwing/world/node.py
+++ b/spanwing/world/node.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
@@ -59,6 +60,8 @@
         self.calls: dict[str, Call] = {}
         self.out: dict[tuple[str, int], Out] = {}
         self.up = True
+        self.stolen = 0.0  # part of its CPU that others take
+        self.busy_until = 0.0
         self.decided = 0  # events that the module took
         self.spent_s = 0.0  # of real time, in the module
 
@@ -72,6 +75,17 @@
         for action in actions:
             self._act(action)
 
+    def later(self, delay: float, cost: float, call: Callable[..., object], *given: Any) -> None:
+        """Have it do what comes after delay and takes cost ms of its CPU, one thing after another."""
+        if cost <= 0:
+            self.agenda.after(delay, call, *given)
+        else:
+            self.agenda.after(delay, self._queue, cost, call, *given)
+
+    def _queue(self, cost: float, call: Callable[..., object], *given: Any) -> None:
+        self.busy_until = max(self.busy_until, self.agenda.now) + cost / (1.0 - self.stolen)
+        self.agenda.at(self.busy_until, call, *given)
+
     def request(self, event: api.Request) -> None:
         """A client's request has arrived."""
         assert event.id not in self.calls
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,139 @@
+"""Scenario files: ready ones play, damaged ones are refused with all their faults, troubles begin and end."""
+
+from __future__ import annotations
+
+import re
+import unittest
+
+from spanwing.faults import ConfigError, Faults
+from spanwing.world.fleet import Answered, Fleet
+from spanwing.world.scenario import LIBRARY, Scenario, load, parse
+from spanwing.world.troubles import Trouble, Troubles
+
+READY = sorted(each.stem for each in LIBRARY.glob("*.toml"))
+
+
+def scenario(name: str = "calm-day", more: str = "") -> Scenario:
+    faults = Faults()
+    return parse((LIBRARY / f"{name}.toml").read_bytes() + more.encode(), faults)
+
+
+def play(made: Scenario, seconds: float, seed: int = 1) -> tuple[Fleet, list[Answered]]:
+    told: list[Answered] = []
+    fleet = Fleet(made.plan(seed), seed, told.append)
+    Troubles(fleet, made.troubles, made.day_ms)
+    fleet.run(seconds * 1000.0)
+    return fleet, told
+
+
+class Files(unittest.TestCase):
+    def test_all_ready_ones_are_good(self) -> None:
+        self.assertGreaterEqual(len(READY), 8)
+        for name in READY:
+            faults = Faults(collect=True)
+            self.assertEqual((load(name, faults).name, faults.found), (name, []))
+
+    def test_damaged_ones_are_refused_each_with_a_plain_line(self) -> None:
+        tried = 0
+        for name in READY:
+            lines = (LIBRARY / f"{name}.toml").read_text().splitlines()
+            for at, line in enumerate(lines):
+                if not (match := re.match(r"(\w+) = (.*)", line)):
+                    continue
+                key, value = match[1], match[2]
+                damages = [f"zz_{key} = {value}", f"{key} = {{ a = 1 }}"]
+                if re.fullmatch(r"[0-9.]+", value):
+                    damages += [f"{key} = -1", f"{key} = nan"]
+                for damage in damages:
+                    text = "\n".join([*lines[:at], damage, *lines[at + 1 :]]).encode()
+                    faults = Faults(collect=True)
+                    self.assertIsNone(parse(text, faults), damage)
+                    self.assertTrue(faults.found, damage)
+                    for place, fault in faults.found:
+                        self.assertTrue(place and fault and "\n" not in place + fault, (place, fault))
+                    with self.assertRaises(ConfigError):
+                        parse(text, Faults())
+                    tried += 1
+        self.assertGreater(tried, 100)
+
+    def test_all_faults_are_named_at_once_with_their_places(self) -> None:
+        text = (LIBRARY / "calm-day.toml").read_text().replace("level = 0.5", "level = -1")
+        text = text.replace("speed = 0.9", 'speed = "fast"').replace("work_ms = 660", "work = 660")
+        faults = Faults(collect=True)
+        self.assertIsNone(parse(text.encode(), faults))
+        places = {place for place, _ in faults.found}
+        self.assertLessEqual({"workers[1].speed", "classes[2].work", "classes[2].work_ms", "load.level"},
+                             places)
+
+    def test_what_is_not_possible_together(self) -> None:
+        for more, place in (
+            ('what = "flood"\nat = 1\ntimes = 2.0\nbrand = "nobody"', "troubles[0].brand"),
+            ('what = "partition"\nat = 1\nbetween = ["galway", "galway"]', "troubles[0].between"),
+            ('what = "silent"\nat = 900\nshare = 0.5', "troubles[0].at"),
+            ('what = "silent"\nat = 1\nshare = 0.0', "troubles[0].share"),
+            ('what = "stolen_cpu"\nat = 1\nshare = 0.5\nscheduler = "s9"', "troubles[0].scheduler"),
+            ('what = "crash"\nat = 1\nshare = 0.5\nkind = "tiny"', "troubles[0].kind"),
+        ):
+            with self.assertRaisesRegex(ConfigError, re.escape(place)):
+                scenario(more=f"\n[[troubles]]\n{more}\n")
+
+
+class Played(unittest.TestCase):
+    def test_every_trouble_begins_and_ends(self) -> None:
+        common = {"at": 2.0, "lasts": 2.0}
+        troubles = [Trouble(**common, **each) for each in (
+            {"what": "silent", "share": 0.3}, {"what": "fast_failing", "share": 0.3},
+            {"what": "neighbour", "share": 0.5, "times": 0.4}, {"what": "crash", "share": 0.2},
+            {"what": "heavy_tail", "share": 0.05, "times": 20.0}, {"what": "cold_snap", "times": 2.0},
+            {"what": "flood", "times": 5.0, "brand": "burren"}, {"what": "discovery_down"},
+            {"what": "partition", "between": ("galway", "dublin")},
+            {"what": "stolen_cpu", "share": 0.9, "scheduler": "s0"})]
+        made = scenario()
+        fleet = Fleet(made.plan(1), 1)
+        Troubles(fleet, (*troubles, *troubles), made.day_ms)  # each twice: one end does not end the other
+        fleet.agenda.run(3000.0)
+        workers = [place.worker for place in fleet.places.values()]
+        during = (sum(each.silent for each in workers), sum(each.fast_failing for each in workers),
+                  sum(each.slowed < 1 for each in workers), sum(each.fallen for each in workers))
+        self.assertTrue(all(during), during)
+        self.assertEqual((fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)),
+                         (100.0, False, 1))
+        fleet.agenda.run(4100.0)
+        workers = [place.worker for place in fleet.places.values()]
+        self.assertFalse(any(each.silent or each.fast_failing or each.slowed < 1 or each.fallen
+                             for each in workers))
+        self.assertEqual((fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)),
+                         (1.0, True, 0))
+        self.assertEqual((fleet.tail, fleet.nodes[0].stolen), ((0.0, 1.0), 0.0))
+
+    def test_troubled_days_account_for_everything(self) -> None:
+        for name in ("deploy-with-silent", "retry-storm", "brand-flood"):
+            fleet, told = play(scenario(name), 16.0)  # run() checks places and work
+            self.assertEqual(len(told), fleet.account.made)
+            self.assertGreater(sum(each.kind == "served" for each in told), 0.5 * len(told))
+
+    def test_one_of_two_seeds_moves_nothing_of_the_other(self) -> None:
+        """More retries leave arrivals and work as they are, so that runs compare pair by pair."""
+        plain, storm = (scenario(name) for name in ("calm-day", "retry-storm"))
+        first, second = (Fleet(each.plan(5), 5) for each in (plain, storm))
+        for _ in range(200):
+            one, other = first.clients.next(), second.clients.next()
+            self.assertEqual((one.cls.name, one.brand, one.key, one.work),
+                             (other.cls.name, other.brand, other.key, other.work))
+
+    def test_stolen_cpu_holds_up_what_a_scheduler_decides(self) -> None:
+        took = []
+        for share in (0.0, 0.99):
+            made = scenario()
+            fleet, told = Fleet(made.plan(2)._replace(decision_ms=0.5), 2), []
+            fleet.told = told.append
+            if share:
+                Troubles(fleet, tuple(Trouble(what="stolen_cpu", at=0.0, share=share, scheduler=f"s{n}")
+                                      for n in range(4)), made.day_ms)
+            fleet.run(8000.0)
+            took.append(sum(each.took for each in told if each.kind == "served") / len(told))
+        self.assertGreater(took[1], took[0] + 50.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -35,10 +35,7 @@
     places = list(fleet.places.values())
     at = fleet.agenda.at
 
-    def crash() -> None:
-        fleet._said(places[0], places[0].worker.crash(fleet.agenda.now))
-
-    at(1000.0, crash)
+    at(1000.0, fleet.crash, places[0])
     at(2500.0, fleet.start, places[0])
     at(1200.0, setattr, places[1].worker, "silent", True)
     at(3000.0, setattr, places[1].worker, "silent", False)
@@ -97,8 +94,7 @@
     def look(self, fleet: Fleet, checks: list) -> None:
         checks.append(fleet.agenda.now)
         for place in fleet.places.values():
-            if not place.worker.fallen:
-                fleet._said(place, place.worker.advance(fleet.agenda.now))
+            fleet.heard_of(place)
         fleet.check()
 
     def test_each_request_is_told_once(self) -> None:
