--- a/spanwing/cli/main.py
+++ b/spanwing/cli/main.py
@@ -10,6 +10,7 @@
 import os
 import sys
 import time
+from importlib import import_module
 from typing import Any
 
 import click
@@ -29,16 +30,16 @@
 
 
 class Lazy(click.Group):
-    """Its command journal is loaded when asked for: the daemon, which `serve` runs, has no use for it."""
+    """Some commands are loaded when asked for: the daemon, which `serve` runs, has no use for them."""
+
+    later = ("experiment", "journal")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), "journal"])
+        return sorted([*super().list_commands(ctx), *self.later])
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
-        if name == "journal":
-            from spanwing.cli.journal import journal
-
-            return journal
+        if name in self.later:
+            return getattr(import_module(f"spanwing.cli.{name}"), name)
         return super().get_command(ctx, name)
 
 
--- /dev/null
+++ b/spanwing/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the model: a matrix of scenarios, variants, seeds and builds, kept, compared and shown."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,6 +19,7 @@
     "wire": set(),
     "journal": set(),
     "world": {"decisions", "faults", "everyfault"},
+    "experiment": {"world", "faults"},
     "core": {"decisions", "actor"},
     "store": {"actor", "wire"},
     "hops": {"decisions", "actor", "core", "wire"},
@@ -28,7 +29,7 @@
     "config": {"decisions", "wire", "hops", "store", "faults", "everyfault", "frontsfile"},
     "daemon": {"decisions", "actor", "core", "wire", "hops", "store", "fronts", "log", "faults", "config",
                "journal"},
-    "cli": {"config", "faults", "frontsfile", "daemon", "journal"},
+    "cli": {"config", "faults", "frontsfile", "daemon", "journal", "experiment"},
     "__main__": {"cli", "daemon"},
 }
 
