Believe for 0.4 s what others hold at a worker, not for 3 s

Cause: a scheduler counts the slots that others hold at a job worker as last seen, fading over 3 s. Jobs run for 0.3 to 2 s, so after a refusal or a load report a worker with idle slots looked full for several jobs' time, and work was refused or held meanwhile. Found by the model's comparison of builds; ruled out: the number of workers looked at (SCAN), how often held jobs look again, the slots assumed at first (each worse or the same).

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -15,7 +15,7 @@
 from spanwing.state import Alarms, Attempt, Job, View, mix
 
 GUESS = 4.0  # slots assumed at a worker before anything is learned
-MEMORY_MS = 3000.0  # how long a view of what others hold at a worker lasts
+MEMORY_MS = 400.0  # how long a view of what others hold at a worker lasts: about as long as a job runs
 FADED = 0.4  # of a slot: less than this, held by others as last seen, keeps no worker from its trial
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
--- a/spanwing/experiment/matrix.py
+++ b/spanwing/experiment/matrix.py
@@ -40,7 +40,7 @@
     seeds: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 10
     first_seed: Annotated[int, msgspec.Meta(ge=0)] = 1
     variants: dict[str, dict[str, Any]] = {}  # by name: changes of the scenario
-    #: `here`, or revisions whose decision modules are played in this model
+    #: `here`, or revisions or other checkouts' folders, whose decision modules are played in this model
     builds: list[str] = msgspec.field(default_factory=lambda: [HERE])
 
 
@@ -80,7 +80,7 @@
 
 
 def build(name: str, into: Path) -> Build:
-    """This source, or this model with the decision module of a revision. Raises ConfigError."""
+    """This source, or this model with another revision's or folder's decisions. Raises ConfigError."""
     if name == HERE:
         return Build(name, source_digest(ROOT), ROOT)
     folder = into / hashlib.blake2b(name.encode(), digest_size=6).hexdigest()
@@ -89,6 +89,12 @@
         for each in (ROOT / part).glob("*.py"):
             (folder / part / each.name).write_bytes(each.read_bytes())
     for each in DECISIONS:
+        if Path(name).is_dir():
+            try:
+                (folder / "spanwing" / each).write_bytes((Path(name) / "spanwing" / each).read_bytes())
+            except OSError as error:
+                raise ConfigError(f"builds: {name}: {each}: {error.strerror}") from None
+            continue
         done = subprocess.run(["git", "show", f"{name}:spanwing/{each}"], cwd=ROOT, capture_output=True)
         if done.returncode:
             fault = done.stderr.decode(errors="replace").strip().splitlines()[-1:]
