--- a/measure/scale.py
+++ b/measure/scale.py
@@ -1,7 +1,7 @@
-"""What a decision costs as the fleet grows, in simulated time: workers at 4 schedulers, schedulers at 150 workers.
+"""What a decision costs as the fleet grows, in simulated time: by workers, and by schedulers.
 
-Each world is the calm day's mix at half load for REQUESTS requests; the cost is the real time that the decision
-module takes, by event and by request, on one core.
+Each world is the calm day's mix at half load for REQUESTS requests; the cost is the real time that the
+decision module takes, by event and by request, on one core.
 
     .venv/bin/python -m measure.scale --out docs/results/emulator-scale.md
 """
@@ -67,8 +67,9 @@
     found = []
     for (file, _, name), (_, calls, own, _, _) in pstats.Stats(profiler).stats.items():
         if Path(file).name in ("choice.py", "state.py"):
-            found.append((own, f"{Path(file).name}:{name}: {1e6 * own / fleet.account.made:.1f} us a request, "
-                               f"{calls / fleet.account.made:.1f} calls"))
+            made = fleet.account.made
+            found.append((own, f"{Path(file).name}:{name}: {1e6 * own / made:.1f} us a request, "
+                               f"{calls / made:.1f} calls"))
     return [text for _, text in sorted(found, reverse=True)[:6]]
 
 
@@ -78,18 +79,22 @@
     """Measure, and name what bends the curve."""
     lines = ["| workers | schedulers | requests | us an event | us a request | events a request | all, s |",
              "| --- " * 7 + "|"]
-    for workers, schedulers in [*((each, 4) for each in WORKERS), *((150, each) for each in SCHEDULERS[1:])]:
+    for workers, schedulers in [*((each, 4) for each in WORKERS),
+                                *((150, each) for each in SCHEDULERS[1:])]:
         found = cost(workers, schedulers)
         lines.append(f"| {found.workers:,} | {found.schedulers} | {found.requests} | {found.event_us:.1f} "
                      f"| {found.request_us:.0f} | {found.events:.1f} | {found.whole_s:.1f} |")
         click.echo(lines[-1])
-    text = "\n".join(lines)
-    profiles = "\n".join(f"\n{workers:,} workers, {schedulers} schedulers (with the profiler's own cost):\n\n" + "\n".join(
-        f"- {each}" for each in profile(workers, schedulers)) for workers, schedulers in ((15, 4), (15_000, 4)))
+    text, profiles = "\n".join(lines), ""
+    for workers, schedulers in ((15, 4), (15_000, 4)):
+        found = "\n".join(f"- {each}" for each in profile(workers, schedulers))
+        profiles += (f"\n{workers:,} workers, {schedulers} schedulers, the profiler's own cost among it:"
+                     f"\n\n{found}\n")
     click.echo(profiles)
     if out:
-        out.write_text("# What a decision costs as the fleet grows\n\n    .venv/bin/python -m measure.scale\n\n"
-                       f"{text}\n\nWhere the time goes in the decision module:\n{profiles}\n")
+        out.write_text("# What a decision costs as the fleet grows\n\n"
+                       f"    .venv/bin/python -m measure.scale\n\n{text}\n\n"
+                       f"Where the time goes in the decision module:\n{profiles}\n")
 
 
 if __name__ == "__main__":
