Load real schedulers from a scenario, with open arrivals that wait for no answer

Need: a tool that waits for answers slows its load down together with a slow scheduler, and hides it. spanwing load sends a scenario's requests at their own times; latencies count from when a request was due, and the generator's own lateness is told and warned of.

--- /dev/null
+++ b/measure/holds.py
@@ -0,0 +1,75 @@
+"""How many requests a second one scheduler holds on one core before its own added time passes 10 ms.
+
+Job workers, in a process of their own, answer at once, so what a request takes beyond a round trip is the
+scheduler's. The load is open (spanwing/load), its latencies count from when a request was due.
+
+    .venv/bin/python -m measure.holds --out docs/results/sockets-holds.md
+"""
+
+from __future__ import annotations
+
+import asyncio
+import multiprocessing
+from multiprocessing.connection import Connection
+from pathlib import Path
+
+import click
+
+from measure.daemons import Daemon
+from measure.workers import Workers
+from spanwing.load.openloop import OpenLoop, Report
+from spanwing.world.clients import BrandSpec, ClassSpec, Clients, LoadSpec
+from spanwing.world.streams import Streams
+
+RATES, WORKERS, BOUND_MS = (50, 100, 200, 300, 400, 500, 600, 800), 12, 10.0
+CLASSES = (ClassSpec("status-read", 1.0, 1.0, deadline=5000.0),)
+
+
+def work(told: Connection) -> None:
+    async def run() -> None:
+        workers = Workers((0.0, 0.0), 1)
+        told.send(await workers.start(WORKERS))
+        await asyncio.Event().wait()
+
+    asyncio.run(run())
+
+
+def load(place: tuple[str, int], rate: float, seconds: float) -> Report:
+    clients = Clients(LoadSpec(rate), CLASSES, (BrandSpec("one", 1.0),), Streams(1))
+    return asyncio.run(OpenLoop([place], f"r{rate}").run(iter(clients.next, None), seconds))
+
+
+@click.command()
+@click.option("--seconds", default=6.0, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path))
+def main(seconds: float, out: Path | None) -> None:
+    """Raise the rate until the bound is passed."""
+    mine, theirs = multiprocessing.Pipe()
+    process = multiprocessing.Process(target=work, args=(theirs,), daemon=True)
+    process.start()
+    daemon = Daemon("one", mine.recv(), (), admin=False, cpus={0})
+    lines = ["| requests a second | served | p50, ms | p99, ms | worst, ms | CPU of the core "
+             "| generator late, p99 |", "| --- " * 7 + "|"]
+    load(daemon.addresses["clients"], 50, 2.0)  # it learns its workers
+    for rate in RATES:
+        before = daemon.cpu_s()
+        report = load(daemon.addresses["clients"], rate, seconds)
+        share = (daemon.cpu_s() - before) / report.seconds
+        served = report.kinds.get("served", 0) / report.asked
+        lines.append(f"| {rate} | {100 * served:.1f}% | {report.latency['50']:.1f} "
+                     f"| {report.latency['99']:.1f} | {report.latency['100']:.1f} | {100 * share:.0f}% | {report.late['99']:.1f} |")
+        click.echo(lines[-1])
+        if report.latency["99"] > 10 * BOUND_MS:
+            break
+    daemon.close()
+    process.terminate()
+    if out:
+        table = "\n".join(lines)
+        out.write_text("# What one scheduler holds on one core\n\n"
+                       f"    .venv/bin/python -m measure.holds --seconds {seconds:g}\n\n"
+                       f"{WORKERS} job workers that answer at once, status-read, open arrivals; latency from "
+                       f"when a request was due.\n\n{table}\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/spanwing/cli/load.py
@@ -0,0 +1,79 @@
+"""`spanwing load`: a scenario's requests to real schedulers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import secrets
+
+import click
+
+from spanwing.faults import Faults
+from spanwing.load.openloop import OpenLoop, Report
+from spanwing.world.clients import Clients
+from spanwing.world.scenario import load as load_scenario
+from spanwing.world.streams import Streams
+
+FAULTY, BROKEN = 1, 1
+
+
+def place_of(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise click.UsageError(f"{text!r} is no HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+@click.command()
+@click.argument("scenario")
+@click.option("--to", "places", multiple=True, required=True, metavar="HOST:PORT",
+              help="A scheduler's clients' address; several are asked in turn.")
+@click.option("--rate", type=click.FloatRange(0.01, 100_000),
+              help="Requests a second [default: the scenario's].")
+@click.option("--seconds", type=click.FloatRange(0.1, 86_400), help="[default: the scenario's].")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--most", type=click.IntRange(1, 60_000), default=2000, show_default=True, help="Connections.")
+@click.option("--json", "as_json", is_flag=True, help="The report as JSON.")
+def load(scenario: str, places: tuple[str, ...], rate: float | None, seconds: float | None, seed: int,
+         most: int, as_json: bool) -> None:
+    """Send SCENARIO's requests to schedulers at its own times, whatever they answer.
+
+    Latencies count from when a request was due: a scheduler that stalls is charged for all that came
+    meanwhile. Exit status 1 where an answer was missing or broken.
+    """
+    faults = Faults(collect=True)
+    made = load_scenario(scenario, faults)
+    if made is None:
+        for place, fault in faults.found:
+            click.echo(f"{place}: {fault}", err=True)
+        raise SystemExit(FAULTY)
+    plan = made.plan(seed)
+    spec = plan.load._replace(rate=rate or plan.load.rate)
+    clients = Clients(spec, plan.classes, plan.brands, Streams(seed))
+    wanted = iter(clients.next, None)
+
+    async def run() -> Report:
+        return await OpenLoop([place_of(each) for each in places], secrets.token_hex(4), most).run(
+            itertools.chain(wanted), seconds or made.seconds)
+
+    report = asyncio.run(run())
+    if as_json:
+        click.echo(json.dumps({**report._asdict(), "warning": report.warning}))
+    else:
+        show(report)
+    if report.kinds.get("broken"):
+        raise SystemExit(BROKEN)
+
+
+def show(report: Report) -> None:
+    click.echo(f"{report.asked} requests in {report.seconds:.1f} s: " + ", ".join(
+        f"{count} {kind}" for kind, count in sorted(report.kinds.items())))
+    rows = {"all, from due": report.latency, "all, from written": report.service,
+            **{f"{name}, from due": each for name, each in report.by_class.items()},
+            "generator late": report.late}
+    click.echo(f"{'ms at percentile':<30}" + "".join(f"{each:>10}" for each in report.latency))
+    for name, each in rows.items():
+        click.echo(f"{name:<30}" + "".join(f"{value:>10.1f}" for value in each.values()))
+    if report.warning:
+        click.echo(f"warning: {report.warning}", err=True)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,6 +20,7 @@
     "journal": set(),
     "world": {"decisions", "faults", "everyfault"},
     "experiment": {"world", "faults"},
+    "load": {"world"},
     "core": {"decisions", "actor"},
     "store": {"actor", "wire"},
     "hops": {"decisions", "actor", "core", "wire"},
@@ -29,7 +30,7 @@
     "config": {"decisions", "wire", "hops", "store", "faults", "everyfault", "frontsfile"},
     "daemon": {"decisions", "actor", "core", "wire", "hops", "store", "fronts", "log", "faults", "config",
                "journal"},
-    "cli": {"config", "faults", "frontsfile", "daemon", "journal", "experiment"},
+    "cli": {"config", "faults", "frontsfile", "daemon", "journal", "experiment", "load", "world"},
     "__main__": {"cli", "daemon"},
 }
 
