--- a/measure/holds.py
+++ b/measure/holds.py
@@ -57,7 +57,8 @@
         share = (daemon.cpu_s() - before) / report.seconds
         served = report.kinds.get("served", 0) / report.asked
         lines.append(f"| {rate} | {100 * served:.1f}% | {report.latency['50']:.1f} "
-                     f"| {report.latency['99']:.1f} | {report.latency['100']:.1f} | {100 * share:.0f}% | {report.late['99']:.1f} |")
+                     f"| {report.latency['99']:.1f} | {report.latency['100']:.1f} | {100 * share:.0f}% "
+                     f"| {report.late['99']:.1f} |")
         click.echo(lines[-1])
         if report.latency["99"] > 10 * BOUND_MS:
             break
