--- a/measure/holds.py
+++ b/measure/holds.py
@@ -21,7 +21,7 @@
 from spanwing.world.clients import BrandSpec, ClassSpec, Clients, LoadSpec
 from spanwing.world.streams import Streams
 
-RATES, WORKERS, BOUND_MS = (50, 100, 200, 300, 400, 500, 600, 800), 12, 10.0
+RATES, WORKERS, BOUND_MS = (100, 400, 800, 1200, 1600, 2000, 2400), 12, 10.0
 CLASSES = (ClassSpec("status-read", 1.0, 1.0, deadline=5000.0),)
 
 
