--- a/measure/daemons.py
+++ b/measure/daemons.py
@@ -41,7 +41,8 @@
 class Program:
     """One started program, with its files, and the addresses that it printed."""
 
-    def __init__(self, config: dict[str, Any], fronts: str, cpus: set[int] | None = None) -> None:
+    def __init__(self, config: dict[str, Any], fronts: str, cpus: set[int] | None = None,
+                 command: tuple[str, ...] = ("-m", "spanwing")) -> None:
         self.folder = tempfile.TemporaryDirectory()
         folder = Path(self.folder.name)
         self.write(config)
@@ -50,7 +51,7 @@
         environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
                        "SPANWING_FRONTS": str(folder / "fronts.toml")}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "spanwing"], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
+            [sys.executable, *command], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
             stderr=self.errors, text=True,
             preexec_fn=None if cpus is None else lambda: os.sched_setaffinity(0, cpus))
         self.addresses: dict[str, Place] = {}
@@ -93,7 +94,8 @@
 
     def __init__(self, name: str, workers: list[tuple[str, int]], fronts: tuple[str, ...] = ALL_FRONTS,
                  balancers: str = "", admin: bool = True, cpus: set[int] | None = None,
-                 classes: list[dict[str, Any]] | None = None, **limits: Any) -> None:
+                 classes: list[dict[str, Any]] | None = None,
+                 command: tuple[str, ...] = ("-m", "spanwing"), **limits: Any) -> None:
         members = [{"id": each, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
                     "phase": "active", "size": 1.0, "up_since_ms": 0} for each, port in workers]
         config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
@@ -103,7 +105,7 @@
         self.admin = str(Path(self.sockets.name) / "admin")
         text = "".join(f'[{each}]\nlisten = "127.0.0.1:0"\n' for each in fronts)
         text += f'[admin]\nsocket = "{self.admin}"\n' if admin else ""
-        super().__init__(config, f"{text}{balancers}\n", cpus)
+        super().__init__(config, f"{text}{balancers}\n", cpus, command)
         if not self.serving():
             raise RuntimeError(f"{name} did not start: {self.said()}")
 
--- a/measure/holds.py
+++ b/measure/holds.py
@@ -10,6 +10,9 @@
 
 import asyncio
 import multiprocessing
+import pstats
+import tempfile
+from collections import Counter
 from multiprocessing.connection import Connection
 from pathlib import Path
 
@@ -22,6 +25,7 @@
 from spanwing.world.streams import Streams
 
 RATES, WORKERS, BOUND_MS = (100, 400, 800, 1200, 1600, 2000, 2400), 12, 10.0
+PROFILED = 400
 CLASSES = (ClassSpec("status-read", 1.0, 1.0, deadline=5000.0),)
 
 
@@ -39,6 +43,27 @@
     return asyncio.run(OpenLoop([place], f"r{rate}").run(iter(clients.next, None), seconds))
 
 
+def profile(places: list[tuple[str, int]], rate: float, seconds: float) -> list[str]:
+    """Where the scheduler's own time goes at this rate: by module, the dearest first."""
+    with tempfile.TemporaryDirectory() as folder:
+        out = str(Path(folder) / "profile")
+        daemon = Daemon("one", places, (), admin=False, cpus={0},
+                        command=("-m", "cProfile", "-o", out, "-m", "spanwing"))
+        report = load(daemon.addresses["clients"], rate, seconds)
+        daemon.process.terminate()
+        daemon.process.wait(30)
+        daemon.close()
+        spent: Counter[str] = Counter()
+        for (file, _, name), (_, _, own, _, _) in pstats.Stats(out).stats.items():
+            if name != "<method 'poll' of 'select.epoll' objects>":
+                parts = Path(file).parts
+                package = next((each for each in ("spanwing", "tornado", "asyncio") if each in parts), "")
+                spent[f"{'/'.join(parts[parts.index(package):])}" if package else name] += own
+        whole = sum(spent.values())
+    return [f"{name}: {100 * own / whole:.0f}%, {1e6 * own / report.asked:.0f} us a request"
+            for name, own in spent.most_common(14)]
+
+
 @click.command()
 @click.option("--seconds", default=6.0, show_default=True)
 @click.option("--out", type=click.Path(path_type=Path))
@@ -47,7 +72,8 @@
     mine, theirs = multiprocessing.Pipe()
     process = multiprocessing.Process(target=work, args=(theirs,), daemon=True)
     process.start()
-    daemon = Daemon("one", mine.recv(), (), admin=False, cpus={0})
+    places = mine.recv()
+    daemon = Daemon("one", places, (), admin=False, cpus={0})
     lines = ["| requests a second | served | p50, ms | p99, ms | worst, ms | CPU of the core "
              "| generator late, p99 |", "| --- " * 7 + "|"]
     load(daemon.addresses["clients"], 50, 2.0)  # it learns its workers
@@ -63,13 +89,16 @@
         if report.latency["99"] > 10 * BOUND_MS:
             break
     daemon.close()
+    where = "\n".join(f"- {each}" for each in profile(places, PROFILED, seconds))
+    click.echo(where)
     process.terminate()
     if out:
         table = "\n".join(lines)
         out.write_text("# What one scheduler holds on one core\n\n"
                        f"    .venv/bin/python -m measure.holds --seconds {seconds:g}\n\n"
                        f"{WORKERS} job workers that answer at once, status-read, open arrivals; latency from "
-                       f"when a request was due.\n\n{table}\n")
+                       f"when a request was due.\n\n{table}\n\nWhere its time goes at {PROFILED} a second "
+                       f"(the start and the profiler's own cost among it):\n\n{where}\n")
 
 
 if __name__ == "__main__":
