--- a/spanwing/fronts/journalpage.py
+++ b/spanwing/fronts/journalpage.py
@@ -3,10 +3,11 @@
 Guarantees: the scheduler's loop reads no journal; AT_ONCE readers at most, each ended after WHOLE_S or as
 soon as the one who asked goes; its output is passed on as fast as it is read, HELD bytes at most are kept.
 
-    GET /journal/list, /journal/show/REQUEST, /journal/query?q=EXPRESSION, /journal/export?q=EXPRESSION,
-    /journal/tail?n=COUNT, /journal/verify, /journal/stats
+    GET /journal/list, /journal/show/REQUEST, /journal/query?q=EXPRESSION, /journal/tail?n=COUNT,
+    /journal/export?format=csv&q=EXPRESSION, /journal/verify, /journal/stats
 
-Answers are closed by the end of the connection: JSON, one object a line, plain text from verify. 400 is a
+Answers are closed by the end of the connection: JSON, one object a line, plain text from verify, CSV where
+it is asked for (Parquet needs a file of its own). 400 is a
 faulty question, 404 what the journal does not know, 503 no reader free.
 """
 
@@ -47,8 +48,8 @@
             return ["show", "--json", "--", request]
         case ["query"] if "q" in asked:
             return ["query", "--json", "--limit", "0", "--", asked["q"]]
-        case ["export"]:
-            return ["export", "--", asked.get("q", "")]
+        case ["export"] if (form := asked.get("format", "jsonl")) in ("jsonl", "csv"):
+            return ["export", "--format", form, "--", asked.get("q", "")]
         case ["tail"] if asked.get("n", "10").isdecimal() and len(asked.get("n", "10")) <= 6:
             return ["tail", "-n", asked.get("n", "10")]
         case ["verify"]:
@@ -104,7 +105,8 @@
             told = False
             while data := await self._read(reader.stdout):
                 if not told:
-                    form = "text/plain" if command[0] == "verify" else "application/x-ndjson"
+                    form = ("text/plain" if command[0] == "verify" else "text/csv" if "csv" in command[:3]
+                            else "application/x-ndjson")
                     await lines.write(head(200, form))
                     told = True
                 await lines.write(data)
--- a/spanwing/journal/index.py
+++ b/spanwing/journal/index.py
@@ -18,6 +18,7 @@
 import numpy as np
 
 from spanwing.journal.frames import COMPACTED, HEADER_SIZE, Frame, read_frames, read_header
+from spanwing.journal.log import INDEX
 from spanwing.journal.records import Intent
 
 MAGIC, VERSION = b"SPWJINDX", 2
@@ -25,7 +26,7 @@
 HEAD = struct.Struct("<8sHQQQddI")
 REQUEST = np.dtype([("hash", "<u8"), ("at", "<u4")])
 INTENT = np.dtype([("hash", "<u8"), ("wall", "<i8"), ("at", "<u4")])
-ENDING = ".idx"
+ENDING = INDEX
 
 
 def hashed(text: str) -> int:
--- a/spanwing/journal/log.py
+++ b/spanwing/journal/log.py
@@ -29,7 +29,7 @@
 from spanwing.journal.records import Any, encode
 from spanwing.journal.snapshot import read_snapshot, snapshot_bytes
 
-SEGMENT, SNAPSHOT, PART = ".log", ".snap", ".part"
+SEGMENT, SNAPSHOT, PART, INDEX = ".log", ".snap", ".part", ".idx"
 KEPT_SNAPSHOTS = 2
 NUMBERS_A_LIFE = 1 << 20
 
@@ -225,6 +225,9 @@
             if now_ms - ended_ms <= self.bounds.longest_ms and total <= self.bounds.keep_bytes:
                 break
             self.files.remove(name)
+            index = name.removesuffix(SEGMENT) + INDEX
+            if index in self.files.names():  # made by the command line; it would outlive its segment for ever
+                self.files.remove(index)
             total -= sizes[name]
             gone.append(name)
         if gone:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -76,6 +76,9 @@
                 self.assertEqual(json.loads(self.get("/journal/show/job-1")[1]), shown)
                 self.assertEqual(self.get("/journal/query?q=worker%20%3D%20w1")[0], 200)
                 self.assertEqual(self.get("/journal/show/job-2")[0], 404)
+                status, table = self.get("/journal/export?format=csv")
+                self.assertEqual((status, table.splitlines()[0][:8]), (200, "request,"))
+                self.assertIn("job-1", table)
                 status, fault = self.get("/journal/query?q=worker%20%3D%3D")
                 self.assertEqual((status, "column" in fault), (400, True), fault)
                 self.assertEqual([self.get(each)[0] for each in ("/journal/x", "/", "/journal/tail?n=-1")],
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -30,9 +30,11 @@
     Answered,
     Closed,
     Gap,
+    GivenUp,
     Intent,
     LastByte,
     Outcome,
+    Started,
     Taken,
     Unsent,
     encode,
@@ -149,6 +151,37 @@
             self.assertEqual((ledger.open, len(closing)), ({}, count < 5))
 
 
+    def test_where_records_may_be_missing_nothing_is_shown_unsent(self) -> None:
+        taken = Taken("job", 1.0, 1.0, "schedule-apply")
+        gap, life = Gap("", 3.0, 3.0, 2.0, 1, "full"), Started("", 4.0, 4.0, "n", "x")
+        for certain in (True, False):
+            for event in (gap, life):
+                disk = SimDisk(1)
+                log = Log(disk, SMALL)
+                log.write([Started("", 0.0, 0.0, "n", "w", certain), taken], 0.0)
+                log.write([event], 0.0)
+                log.snapshot()
+                for ledger in (log.ledger, Log(disk, SMALL).ledger):  # also by way of the snapshot
+                    finding = ledger.open["job"].finding
+                    self.assertEqual(finding, "not sent" if certain else "possibly sent")
+        for record in (Outcome("job", 2.0, 2.0, 0, "ok"), GivenUp("job", 2.0, 2.0, 0, "timeout"),
+                       Answered("job", 2.0, 2.0, "served")):
+            alone = Ledger()  # its first records are gone
+            found = alone.take(1, record) or alone.open["job"]
+            self.assertEqual(found.finding, "possibly sent")
+
+    def test_what_a_life_that_served_left_is_told_though_no_attempt_is_there(self) -> None:
+        ledger = Ledger()
+        for number, record in enumerate((Started("", 0.0, 0.0, "n", "w", False),
+                                         Taken("job", 1.0, 1.0, "schedule-apply"))):
+            ledger.take(number, record)
+        self.assertEqual([request.id for request, _ in ledger.left_open()], ["job"])
+        ledger.take(3, Started("", 2.0, 2.0, "n", "x"))
+        for number, record in enumerate(ledger.closing(2.0, 2.0), 4):
+            ledger.take(number, record)
+        self.assertEqual((ledger.lost["job"].finding, ledger.open), ("possibly sent", {}))
+
+
 class PowerLoss(unittest.TestCase):
     """A crash at every call of a seeded run, and what was not synced in every kind of ruin."""
 
@@ -341,8 +374,11 @@
             log.write(records(f"job-{number}"), 100.0 + number)
         self.assertEqual(log.retain(1e9), [])
         log.write(records("open")[3:], 200.0)
+        for name in Reader(disk).segments():
+            disk.files[name.replace(".log", ".idx")] = b"made by the command line"
         gone = log.retain(1e9)
         self.assertTrue(gone)
+        self.assertEqual([each for each in disk.files if each.replace(".idx", ".log") in gone], [])
         self.assertNotIn(log.current, gone)
 
     def test_two_processes_on_one_folder(self) -> None:
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -179,6 +179,16 @@
             if policy == "refuse":  # the disk is known to be slow: nothing waits for it again
                 self.assertNotIn("job-2", {name for name, _ in self.hop.got})
                 self.assertLess(at - begun, 5.0)
+                for number in range(3, 103):  # clients keep coming for as long as it lasts
+                    self.ask(f"job-{number}")
+                    self.ask(f"look-{number}", "look")
+                    if number % 10 == 0:
+                        await sleep(0.05)
+                await self.until(lambda: len(self.sender.answers) == 202)
+                kinds = Counter((name.split("-")[0], each.kind) for name, (each, _) in
+                                self.sender.answers.items())
+                self.assertEqual((kinds["job", "refused"], kinds["look", "served"]), (102, 100))
+                self.assertTrue(all(name.startswith("look") for name, _ in self.hop.got))
             self.disk.gate.set()
             self.assertTrue(self.keeper.close())
             ledger, settled = self.ledger()
