--- a/spanwing/load/openloop.py
+++ b/spanwing/load/openloop.py
@@ -3,9 +3,9 @@
 Guarantees: a request is due at its own time; its latency counts from there, not from when it was written, so
 a scheduler that stalls is charged for every request that came meanwhile (coordinated omission, G. Tene). How
 late the generator itself wrote is kept beside it, and told as a warning where that was LATE_MS or more at the
-99th percentile: then the load was not what was asked for. Bounds: `most` connections; requests that find none
-free wait for one, up to a second beyond their deadline, and that counts as their latency. Each request ends in
-exactly one Done.
+99th percentile: then the load was not what was asked for. Bounds: `most` connections; requests that find
+none free wait for one, up to a second beyond their deadline, and that counts as their latency. Each request
+ends in exactly one Done.
 """
 
 from __future__ import annotations
