Feed a cold job worker from several schedulers, each with its part of the budget

Ruled out: processor time (at most 0.31 of the core in a second), discovery (lists come within 0.5 s of each other), full connection tables (no failed connect but to the dead), refusals (3 to 6%). At fault: `_cold_allows` and `View.owner`. One scheduler alone, found by hash, fed a cold worker. It sees a fortieth of the traffic, looked at the worker only where one of four blind tries hit it, and may be the one killed: most of a fleet that came back cold stood idle for 8.6 s, and the warm rest was overrun. Change: as many feeders as a worker may have slots, if each part of the budget holds a mean job (both from the settings), found by the worker's id and the schedulers' count alone, so that lists heard at different times add none; each sends at most its part, and what it feeds is looked at like its home.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -10,6 +10,7 @@
 import random
 from bisect import bisect
 from collections import deque
+from heapq import nlargest
 
 from spanwing import interface as api
 from spanwing.state import Alarms, Attempt, Job, View, mix
@@ -17,6 +18,7 @@
 GUESS = 4.0  # slots assumed at a worker before anything is learned
 MEMORY_MS = 400.0  # how long a view of what others hold at a worker lasts: about as long as a job runs
 FADED = 0.4  # of a slot: less than this, held by others as last seen, keeps no worker from its trial
+COLD_PART = 0.6  # of a cold worker's budget is dealt out; the rest is for jobs longer than the mean
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
 COPIES = 0.5  # second copies earned by each arrival: where a cancel stops nothing, each copy is load
@@ -61,6 +63,12 @@
                         for each in settings.tenants or (api.Tenant("", 1.0),)}
         self.ledgers[None] = Ledger(0.0, now, len(self.index))  # whoever is on no list
         self.home, self.near, self.far = [], [], []  # own part of the fleet; others' in this zone and beyond
+        self.fed: list[View] = []  # others' that this node feeds while they are cold
+        # A cold worker is fed by as many nodes as it may have slots, whoever is down, each with a part of the
+        # budget that holds a job. They are found by the worker's id alone, so that late lists cannot add any.
+        jobs = COLD_PART * settings.fall_multiple * settings.cold_from * GUESS * settings.fall_ms / (
+            2.0 * sum(each.aim for each in settings.classes) / len(settings.classes))
+        self.feeders = max(1, min(settings.nodes, int(GUESS), int(jobs)))
         self.views, self.kinds, self.ring = {}, {}, []  # workers; slots by kind; hash ring of their ids
         self.jobs, self.open = {}, {}  # unanswered jobs by id; attempts that are out, by id and number
         self.spoilt, self.over = deque(), deque()  # held behind the rest: too late, beyond the share
@@ -96,8 +104,9 @@
         for entry in event.workers:
             view = self.views.get(entry.id)
             if view is None:
-                owner = max(range(self.set.nodes), key=lambda n: mix(entry.id, n)) == self.set.node
-                view = self.views[entry.id] = View(entry, owner, self.kinds.get(entry.kind, GUESS))
+                feeds = self.set.node in nlargest(self.feeders, range(self.set.nodes),
+                                                  key=lambda n: mix(entry.id, n))
+                view = self.views[entry.id] = View(entry, feeds, self.kinds.get(entry.kind, GUESS))
                 changed = True
             changed |= (view.entry.state, view.entry.started) != (entry.state, entry.started)
             if entry.started > view.entry.started:  # a new life: what was known of the old one is void
@@ -119,6 +128,7 @@
             if view.entry.state == "healthy":
                 near = view.entry.zone == self.set.zone
                 (self.home if view.home else self.near if near else self.far).append(view)
+        self.fed = [view for view in (*self.near, *self.far) if view.owner and view.entry.started > 0]
         self.ring = sorted((mix(v.entry.id, 7919, i), v.entry.id) for v in self.views.values()
                            if v.entry.state == "healthy" for i in range(math.ceil(16 * min(v.size, 8.0))))
 
@@ -242,7 +252,8 @@
 
     def _free(self, view: View) -> float:
         """Slots believed idle: the assumed total less what we hold and what others do, as last seen."""
-        prior = 0.0 if view.home and not self.keyed() else self.busy * view.total
+        alone = (view.home and not self.keyed()) or (view.owner and self._cold(view))
+        prior = 0.0 if alone else self.busy * view.total
         others = prior + (view.others - prior) * math.exp((view.seen - self.now) / MEMORY_MS)
         if view.limit < view.total and others < FADED:
             others = 0.0  # it fades but never ends: off the limit of 1 after a rest, it left no slot ever
@@ -267,18 +278,21 @@
                 cls.group == "zone" or first.cell == entry.cell))
 
     def _cold_allows(self, view: View, job: Job) -> bool:
-        """Keep a cold worker under its budget: one node alone (by hash) feeds it, with short work, slowly."""
+        """Keep a cold worker under its budget: its feeders alone, each with its part, send to it."""
         s, age = self.set, self.now - view.entry.started
-        if view.entry.started <= 0 or age >= s.cold_ms:
+        if not self._cold(view):
             return True
         if not view.owner:
             return False
-        share = s.cold_from + (1.0 - s.cold_from) * max(0.0, age) / s.cold_ms
-        budget = 0.4 * s.fall_multiple * share * view.total * s.fall_ms
+        share = (s.cold_from + (1.0 - s.cold_from) * max(0.0, age) / s.cold_ms) / self.feeders
+        budget = COLD_PART * s.fall_multiple * share * view.total * s.fall_ms
         spent = sum(work for at, work in view.sent if at > self.now - s.fall_ms)
         spent += self.work[job.index] * job.req.slots
         return spent <= budget and view.held + job.req.slots <= math.ceil(view.total * share)
 
+    def _cold(self, view: View) -> bool:
+        return view.entry.started > 0 and self.now - view.entry.started < self.set.cold_ms
+
     def _fits(self, view: View, job: Job, slack: float = 0.0) -> bool:
         if view.held + job.req.slots > min(view.total, view.limit) or (
                 self.set.counts_memory and view.held and view.memory + job.req.memory > view.total):
@@ -295,7 +309,10 @@
         if job.req.key is not None:
             return self._place_key(job)
         best = None
-        for view in self.home if len(self.home) <= SCAN else self.rng.sample(self.home, SCAN):
+        if self.fed:
+            self.fed = [view for view in self.fed if self._cold(view)]
+        own = self.home + self.fed
+        for view in own if len(own) <= SCAN else self.rng.sample(own, SCAN):
             if self._fits(view, job) and (best is None or view.pace < best.pace):
                 best = view
         for group in (self.near, self.far):
--- a/spanwing/state.py
+++ b/spanwing/state.py
@@ -43,7 +43,7 @@
     """What this node knows of a worker."""
 
     entry: Worker
-    owner: bool  # this node alone feeds it while it is cold
+    owner: bool  # this node is one of those that feed it while it is cold
     total: float  # slots assumed
     home: bool = False  # of this node's part of the fleet
     learned: bool = False  # total comes from reports
