--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -22,6 +22,7 @@
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
 COPIES = 0.5  # second copies earned by each arrival: where a cancel stops nothing, each copy is load
+ACCEPT_MS = 500.0  # a worker that takes jobs says so at once; its pauses are shorter
 MISSED = 1.5  # of a worker's intervals of progress, without a word on a job
 SCAN = 24  # workers looked at for one placement, at most
 LOG_LINES = 60
@@ -69,7 +70,7 @@
         jobs = COLD_PART * settings.fall_multiple * settings.cold_from * GUESS * settings.fall_ms / (
             2.0 * sum(each.aim for each in settings.classes) / len(settings.classes))
         self.feeders = max(1, min(settings.nodes, int(GUESS), int(jobs)))
-        self.views, self.kinds, self.ring = {}, {}, []  # workers; slots by kind; hash ring of their ids
+        self.views, self.kinds, self.ring = {}, {}, []  # workers; slots by kind; hash ring of ids if needed
         self.jobs, self.open = {}, {}  # unanswered jobs by id; attempts that are out, by id and number
         self.spoilt, self.over = deque(), deque()  # held behind the rest: too late, beyond the share
         self.waiting, self.looking, self.lines, self.copies = 0, False, 0, 1.0
@@ -79,6 +80,7 @@
         # Share of arrivals with a key. Where keys are usual, all nodes use the same workers; a few strays, of
         # clients that send what no class here has, must not turn the whole placement over.
         self.keys = 0.0
+        self.accepts = False  # the host tells of jobs that are taken
         self.proves = any(each.effect == "safe" for each in settings.classes)
         self.alarms = Alarms(settings.tick)
         if settings.subscribe:
@@ -129,8 +131,7 @@
                 near = view.entry.zone == self.set.zone
                 (self.home if view.home else self.near if near else self.far).append(view)
         self.fed = [view for view in (*self.near, *self.far) if view.owner and view.entry.started > 0]
-        self.ring = sorted((mix(v.entry.id, 7919, i), v.entry.id) for v in self.views.values()
-                           if v.entry.state == "healthy" for i in range(math.ceil(16 * min(v.size, 8.0))))
+        self.ring = []  # of no use to most nodes, and long to make: at the next key
 
     def _observe(self, view: View, inflight: float) -> None:
         """Take in a sight of how many jobs a worker holds; what is not ours is others'."""
@@ -306,6 +307,9 @@
         if len(job.attempts) >= self.set.max_attempts or (
                 not self.set.second_copies and any(each.open for each in job.attempts)):
             return None
+        return self._room(job)
+
+    def _room(self, job: Job) -> View | None:
         if job.req.key is not None:
             return self._place_key(job)
         best = None
@@ -322,6 +326,9 @@
         return best
 
     def _place_key(self, job: Job) -> View | None:
+        if not self.ring:
+            self.ring = sorted((mix(v.entry.id, 7919, i), v.entry.id) for v in self.views.values()
+                               if v.entry.state == "healthy" for i in range(math.ceil(16 * min(v.size, 8.0))))
         # All nodes send a key to the same workers: each may have its part of the slots there, one at least.
         most = max(1.0, 1.25 * GUESS / self.set.nodes)
         at, seen = bisect(self.ring, (mix(*job.req.key.encode()), 0)), set()
@@ -348,6 +355,8 @@
         self.out.append(api.Send(job.req.id, view.entry.id))
         quick = self.quick.get(view.entry.zone, 10.0)
         self.alarms.add(self.now + quick + 4.0 * self.work[job.index], self._silent, attempt)
+        if self.accepts:
+            self.alarms.add(self.now + ACCEPT_MS, self._untaken, attempt, number)
         if self.set.tells_start:
             self.alarms.add(self.now + 3.0 * quick + 2 * self.set.tick, self._late_start, attempt, number)
 
@@ -371,6 +380,19 @@
                     view.others = min(view.others, max(0.0, view.total - view.held))
                     view.seen = self.now
 
+    def _accepted(self, event: api.Accepted) -> None:
+        attempt = self.open.get((event.request, event.attempt))
+        if attempt is not None:
+            self.accepts = attempt.accepted = True
+            attempt.view.heard = self.now
+
+    def _untaken(self, attempt: Attempt, number: int) -> None:
+        """The worker does not even say that it has the job, as all do at once that are well."""
+        if attempt.open and not attempt.accepted and attempt.view.heard <= attempt.at:
+            self._strike(attempt.view, "silent")
+            if self.set.cancel and attempt.job.cls.effect != "unsafe":
+                self.out.append(api.Cancel(attempt.job.req.id, number))
+
     def _late_start(self, attempt: Attempt, number: int) -> None:
         """A job not yet started lies in a queue: the count was wrong. Correct it; move what may repeat."""
         view = attempt.view
@@ -379,7 +401,7 @@
         view.others, view.seen = max(0.0, view.total - view.running), self.now
         if view.running >= view.peak > 0 and view.total > view.peak and view.home:
             self._lower(view)
-        if self._copy(attempt.job):
+        if self._copy(attempt.job) or self._movable(attempt.job):
             self.out.append(api.Cancel(attempt.job.req.id, number))
 
     def _unheard(self, attempt: Attempt, number: int) -> None:
@@ -410,6 +432,12 @@
             self._send(job, view)
         return view is not None
 
+    def _movable(self, job: Job) -> bool:
+        """Whether a job that only waits would find an idle slot elsewhere, if it were called back first."""
+        return (self.set.cancel and not self.set.second_copies and job.cls.effect != "unsafe"
+                and job.req.id in self.jobs and len(job.attempts) < self.set.max_attempts - 1
+                and self._room(job) is not None)
+
     def _lower(self, view: View) -> None:
         view.total, view.no_raise = max(1.0, view.total - 1.0), self.now + MOST_ASIDE_MS
 
@@ -502,5 +530,6 @@
 
 HANDLERS = {
     api.WorkerList: Dispatcher._listed, api.Request: Dispatcher._arrive, api.Outcome: Dispatcher._ended,
-    api.Note: Dispatcher._note, api.ClientGone: Dispatcher._left, api.StreamStarted: Dispatcher._left,
+    api.Note: Dispatcher._note, api.Accepted: Dispatcher._accepted, api.ClientGone: Dispatcher._left,
+    api.StreamStarted: Dispatcher._left,
 }
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -16,6 +16,7 @@
 from spanwing.choice import Dispatcher
 from spanwing.core.clock import Clock
 from spanwing.core.messages import (
+    Accepted,
     Answer,
     Delivery,
     Directory,
@@ -208,6 +209,11 @@
         if out is not None:
             self._decide(api.Note(started.request, started.number, out.worker, started.began))
 
+    def _accepted(self, accepted: Accepted) -> None:
+        out = self.out.get(accepted)
+        if out is not None:
+            self._decide(api.Accepted(accepted.request, accepted.number, out.worker))
+
     def _expired(self, expired: Expired) -> None:
         self._give_up(*expired, "timeout")
 
@@ -327,7 +333,7 @@
 
 HANDLERS = {
     Take: Exchange._take, Left: Exchange._left, Listed: Exchange._listed, Started: Exchange._started,
-    Ended: Exchange._ended, Expired: Exchange._expired,
+    Accepted: Exchange._accepted, Ended: Exchange._ended, Expired: Exchange._expired,
     Recorded: Exchange._may_send,
     LastByte: Exchange._last_byte,
     Due: lambda self, due: self._decide(api.TimerDue(due.token)),
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -141,6 +141,13 @@
     began: bool
 
 
+class Accepted(NamedTuple):
+    """A job worker has taken a delivery attempt, which may still wait there."""
+
+    request: str
+    number: int
+
+
 class Recorded(NamedTuple):
     """Whether an attempt that had to be written down first may be sent."""
 
--- a/spanwing/experiment/score.py
+++ b/spanwing/experiment/score.py
@@ -71,6 +71,7 @@
             "offered": offered, "goodput": got / asked if asked else 1.0,
             **{name: self.count[name] / whole
                for name in ("in_time", "late", "refused", "failed", "left", "lost")},
+            "probes": sum(each.probed for each in fleet.nodes) / whole,
             "attempts": self.attempts / whole, "tries": self.tries / whole,
             "wasted": wasted / (done + wasted) if done + wasted else 0.0,
             "decision_us": 1e6 * sum(each.spent_s for each in fleet.nodes) / max(
--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -14,7 +14,7 @@
 
 from spanwing import interface as api
 from spanwing.actor import spawn
-from spanwing.core.messages import Delivery, Ended, LastByte, Listener, Probed, Started
+from spanwing.core.messages import Accepted, Delivery, Ended, LastByte, Listener, Probed, Started
 from spanwing.hops.hop import Deliver, GiveUp, HopActor, Probe
 from spanwing.hops.load import LoadReader
 from spanwing.hops.pool import ConnectionPool, PooledHttp
@@ -153,6 +153,7 @@
             self._end(job, "reset")
         elif reply.status == 202:
             job.taken = True
+            job.listener.post(Accepted(job.delivery.envelope.id, job.delivery.number))
         elif reply.status == 200:  # an answer at once
             self._end(job, "ok", reply.body, report)
         elif reply.status in (503, 504) and reply.headers.get("x-rejected") == "1":
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -175,6 +175,14 @@
     started: bool
 
 
+class Accepted(NamedTuple):
+    """A worker has taken an attempt, which may still wait there; hosts that cannot tell never say so."""
+
+    request: str
+    attempt: int
+    worker: int
+
+
 class ProbeResult(NamedTuple):
     """The answer to a probe, or why there is none."""
 
@@ -212,7 +220,8 @@
 
 
 Event = (
-    WorkerList | Request | Outcome | Note | ProbeResult | ClientGone | StreamStarted | TimerDue | PeerMessage
+    WorkerList | Request | Outcome | Note | Accepted | ProbeResult | ClientGone | StreamStarted | TimerDue
+    | PeerMessage
 )
 
 
--- a/spanwing/state.py
+++ b/spanwing/state.py
@@ -35,6 +35,7 @@
     open: bool = True
     started: float = 0.0  # when the worker said so; 0: not yet
     noted: float = 0.0  # the worker's last word on it
+    accepted: bool = False  # the worker said that it has taken it
     proof: bool = False  # it ended, and never ran
 
 
--- a/spanwing/world/clients.py
+++ b/spanwing/world/clients.py
@@ -35,9 +35,12 @@
     priority: int = 0
     kind: str | None = None
     window: float = 0.0
-    slots: int = 1
+    slots: tuple[float, ...] = (1.0,)  # shares of jobs that take 1, 2, 4, 8 slots
     memory: float = 0.0
 
+    def mean_slots(self) -> float:
+        return sum(share * 2 ** power for power, share in enumerate(self.slots)) / sum(self.slots)
+
 
 class BrandSpec(NamedTuple):
     """One brand (tenant): its share of the load, and the rate that its allowance permits."""
@@ -77,6 +80,7 @@
     zipf: float = 1.1  # of the keys' popularity
     impatient: float = 0.0  # of the clients leave before the deadline
     attempt_noise: float = 0.0  # coefficient of variation of the work from attempt to attempt
+    zones: tuple[tuple[str, float], ...] = ()  # shares of the clients by zone; none: they are of no zone
 
 
 class Wanted(NamedTuple):
@@ -90,6 +94,8 @@
     work: float
     patience: float  # ms until the client leaves
     heeds: float  # a draw in [0, 1): below `honour` it heeds a Retry-After
+    slots: int = 1
+    zone: str = ""
 
 
 class Drawn:
@@ -114,7 +120,7 @@
         self.floods: dict[str, float] = {}  # brand -> how many times its own load it sends now
         self.time = 0.0
         uniform = {name: Drawn(streams.of("clients", name).random) for name in (
-            "thin", "class", "brand", "leave", "heed", "leave when")}
+            "thin", "class", "brand", "leave", "heed", "leave when", "slots", "zone")}
         self.uniform = uniform
         gaps = streams.of("clients", "gap")
         self.gap = Drawn(lambda count: gaps.exponential(1.0, count))
@@ -160,7 +166,22 @@
         if leaves < self.load.impatient:
             patience *= when
         return Wanted(f"r{self.made:09d}", self.time, cls, brand, f"{cls.name}-{int(self.key())}",
-                      self.work[cls.name](), patience, draw["heed"]())
+                      self.work[cls.name](), patience, draw["heed"](),
+                      2 ** _drawn(cls.slots, draw["slots"]()), self._zone(draw["zone"]()))
+
+    def _zone(self, at: float) -> str:
+        zones = self.load.zones
+        return zones[_drawn(tuple(share for _, share in zones), at)][0] if zones else ""
+
+
+def _drawn(shares: tuple[float, ...], at: float) -> int:
+    """Which of these shares a draw in [0, 1) falls on."""
+    at *= sum(shares)
+    for place, share in enumerate(shares):
+        at -= share
+        if at < 0:
+            return place
+    return len(shares) - 1
 
 
 def _work(cls: ClassSpec, stream: np.random.Generator):
--- a/spanwing/world/fleet.py
+++ b/spanwing/world/fleet.py
@@ -41,6 +41,7 @@
     discovery_ms: tuple[float, float] = (20.0, 120.0)  # until a scheduler hears of a change
     decision_ms: float = 0.0  # of a scheduler's CPU for each thing that it hears
     notice_ms: float = 1000.0  # until the layer ahead notices that a scheduler is gone
+    report_ms: float = 25.0  # how old a load report may be
 
 
 class Answered(NamedTuple):
@@ -76,6 +77,8 @@
     wake: Entry | None = None
     state: api.State = "healthy"
     attempts: dict[str, tuple[Node, str, int]] = field(default_factory=dict)
+    told: dict[str, float] = field(default_factory=dict)  # its last report
+    noted: float = -1e12  # and when it was made
 
 
 def number_of(name: str) -> int:
@@ -120,9 +123,20 @@
             late_worth=each.late_worth, stretch=each.stretch, window=each.window, kind=each.kind,
             priority=each.priority) for each in self.plan.classes)
         zones = tuple(sorted({each.zone for each in self.plan.workers} | {zone}))
+        specs = self.plan.workers
+        cold = [each for each in specs if each.cold_ms > 0]
+        brands = tuple(api.Tenant(each.name, each.allowance) for each in self.plan.brands
+                       if each.allowance < 1e9)
         return api.Settings(
             classes=classes, node=node, nodes=len(self.plan.schedulers), zone=zone, zones=zones, cancel=True,
-            max_attempts=3, max_retry_after=2000.0, answer_grace=16.0, tells_start=True, tick=4.0)
+            max_attempts=3, max_retry_after=2000.0, answer_grace=16.0, tells_start=True, tick=4.0,
+            tenants=brands, over_share_worth=0.1 if brands else 1.0, probes=True,
+            report_fields=("latency", "queue", "free_slots", "free_memory"),
+            preempts=any(each.suspends for each in specs),
+            cold_from=min((each.cold_from for each in cold), default=1.0),
+            cold_ms=max((each.cold_ms for each in cold), default=0.0),
+            fall_multiple=min((each.fall_multiple for each in cold if each.fall_multiple < 1e9), default=1.0),
+            fall_ms=max((each.fall_ms for each in cold), default=0.0))
 
     def run(self, until: float) -> None:
         """The day up to this time, in ms; then whatever is under way ends."""
@@ -162,7 +176,9 @@
         if not self.seen_up:
             self._over(request, "lost")
             return
-        node = asked.node = self.seen_up[int(self.pick.integers(len(self.seen_up)))]
+        # Clients come to the schedulers of their zone, as long as the layer ahead believes one to be up.
+        near = [each for each in self.seen_up if each.zone == asked.wanted.zone] or self.seen_up
+        node = asked.node = near[int(self.pick.integers(len(near)))]
         delay = self.network.delay("", node.zone)
         if delay is None:
             self.agenda.after(CONNECT_MS, self._refused, request, asked.tries, 0.0)
@@ -181,7 +197,7 @@
         name = f"{request}.{tries}"
         self.tries[name] = request
         node.request(api.Request(
-            name, wanted.cls.name, asked.patience.when, wanted.brand, wanted.cls.slots, wanted.cls.memory,
+            name, wanted.cls.name, asked.patience.when, wanted.brand, wanted.slots, wanted.cls.memory,
             repeat=tries > 1))
 
     def answer(self, node: Node, request: str, kind: str, retry_after: float) -> None:
@@ -263,13 +279,17 @@
         work = wanted.work * (1.0 if noise <= 0 else float(self.errors.lognormal(-noise * noise / 2, noise)))
         if self.tail[0] > 0 and float(self.tails.random()) < self.tail[0]:
             work *= self.tail[1]
-        job = Job(key, work, cls.slots, cls.memory, cls.priority, cls.effect != "unsafe",
+        job = Job(key, work, wanted.slots, cls.memory, cls.priority, cls.effect != "unsafe",
                   wanted.at + wanted.patience, wanted.key if cls.effect == "keyed" else "", cls.window)
         place.attempts[key] = node, request, number
         said = worker.offer(self.agenda.now, job)
         if key in worker.held:
             self.account.work_asked += work
             self.attempts += 1
+        if not worker.silent and key in worker.held:
+            delay = self.network.delay(worker.spec.zone, node.zone)
+            if delay is not None:
+                node.later(delay, self.plan.decision_ms, node.accepted, request, number)
         if worker.silent:
             self.agenda.after(TAKEN_MS, self._untaken, place, key, node, request, number)
         self._said(place, said)
@@ -327,15 +347,13 @@
     def _back(self, node: Node, place: Place, request: str, number: int, result: api.Result) -> None:
         delay = self.network.delay(place.worker.spec.zone, node.zone)
         if delay is not None:
-            node.later(delay, self.plan.decision_ms, node.ended, request, number, result,
-                       self._report(node, place))
+            node.later(delay, self.plan.decision_ms, node.ended, request, number, result)
 
-    def _report(self, node: Node, place: Place) -> tuple[float, ...] | None:
-        fields = node.settings.report_fields
-        if not fields:
-            return None
-        told = place.worker.report()
-        return tuple(told[name] for name in fields)
+    def _report(self, node: Node, place: Place) -> tuple[float, ...]:
+        """What it last took note of: a report is up to so old."""
+        if self.agenda.now >= place.noted + self.plan.report_ms:
+            place.told, place.noted = place.worker.report(), self.agenda.now
+        return tuple(place.told.get(name, 0.0) for name in node.settings.report_fields)
 
     def probe(self, node: Node, worker: int) -> None:
         place = self.places.get(worker)
@@ -396,6 +414,14 @@
         if place.worker.fallen:
             self.start(place)
 
+    def join(self, place: Place) -> None:
+        """Another worker like this one starts, cold."""
+        spec = place.worker.spec._replace(name=f"{place.worker.spec.name}+")
+        number = number_of(spec.name)
+        new = self.places[number] = Place(JobWorker(spec, self.agenda.now, self.agenda.now), number)
+        self.by_name[spec.name] = new
+        self.state(new, "healthy")
+
     def start(self, place: Place) -> None:
         """A worker that was gone is back, cold."""
         place.worker = JobWorker(place.worker.spec, self.agenda.now, self.agenda.now,
@@ -415,6 +441,25 @@
                 self._over(request, "lost")
         self.agenda.after(self.plan.notice_ms, self._notice, node)
 
+    def start_node(self, name: str) -> None:
+        """A scheduler that was stopped starts from nothing, with the list as it last had it."""
+        number, old = next((place, each) for place, each in enumerate(self.nodes) if each.name == name)
+        if old.up:
+            return
+        node = self.nodes[number] = Node(old.name, old.zone, old.settings, old.seed + 500_000,
+                                         self.agenda, self)
+        node.spent_s, node.decided, node.probed = old.spent_s, old.decided, old.probed
+        if old in self.seen_up:
+            self.seen_up.remove(old)
+        self.seen_up.append(node)
+        node.decide(api.WorkerList("persisted", tuple(view.entry for view in old.module.views.values())))
+        # What it has missed comes with its first look at discovery.
+        self.agenda.after(float(self.lags.uniform(*self.plan.discovery_ms)) + 500.0, self._list_all, node)
+
+    def _list_all(self, node: Node) -> None:
+        node.decide(api.WorkerList("complete", tuple(
+            self.entry(each) for each in self.places.values() if each.state != "gone")))
+
     def _notice(self, node: Node) -> None:
         if node in self.seen_up and not node.up:
             self.seen_up.remove(node)
--- a/spanwing/world/node.py
+++ b/spanwing/world/node.py
@@ -56,13 +56,14 @@
                  side: Side) -> None:
         self.name, self.zone, self.agenda, self.side = name, zone, agenda, side
         self.module = Dispatcher(settings, seed, agenda.now)
-        self.settings = settings
+        self.settings, self.seed = settings, seed
         self.calls: dict[str, Call] = {}
         self.out: dict[tuple[str, int], Out] = {}
         self.up = True
         self.stolen = 0.0  # part of its CPU that others take
         self.busy_until = 0.0
         self.decided = 0  # events that the module took
+        self.probed = 0
         self.spent_s = 0.0  # of real time, in the module
 
     def decide(self, event: api.Event) -> None:
@@ -114,6 +115,11 @@
         if out is not None:
             self.decide(api.Note(request, number, out.worker, started))
 
+    def accepted(self, request: str, number: int) -> None:
+        out = self.out.get((request, number))
+        if out is not None:
+            self.decide(api.Accepted(request, number, out.worker))
+
     def stop(self) -> list[str]:
         """It is gone at once; the requests that never get their answer."""
         self.up = False
@@ -137,6 +143,7 @@
             case api.SetTimer():
                 self.agenda.after(action.delay, self._due, action.token)
             case api.Probe():
+                self.probed += 1
                 self.side.probe(self, action.worker)
             case api.Watch():
                 self.side.watch(self)
--- a/spanwing/world/scenario.py
+++ b/spanwing/world/scenario.py
@@ -73,9 +73,17 @@
     priority: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     kind: str = ""
     window_ms: Zero = 0.0
-    slots: Count = 1
+    slots: Count | list[Share] = 1  # of each job, or shares of the jobs that take 1, 2, 4, 8
     memory: Zero = 0.0
 
+    def slot_shares(self) -> tuple[float, ...]:
+        if isinstance(self.slots, list):
+            return tuple(self.slots)
+        return (0.0,) * (self.slots.bit_length() - 1) + (1.0,)
+
+    def most_slots(self) -> int:
+        return max((2 ** power for power, share in enumerate(self.slot_shares()) if share > 0), default=1)
+
 
 class Brand(Table):
     name: Name
@@ -90,6 +98,7 @@
     zipf: Annotated[float, msgspec.Meta(ge=0, le=10)] = 1.1
     impatient: Share = 0.0
     attempt_noise: Annotated[float, msgspec.Meta(ge=0, le=5)] = 0.0
+    zones: list[Positive] = []  # shares of the clients by zone, in the order of `zones`; none: of no zone
 
 
 class RetryTable(Table):
@@ -139,7 +148,8 @@
         capacity = sum(each.count * self.times * min(each.cores, each.slots) * each.speed
                        for each in self.workers)
         whole = sum(each.share for each in self.classes)
-        work = sum(each.share * each.work_ms for each in self.classes) / whole
+        work = sum(each.share * each.work_ms * sum(share * 2 ** power for power, share in enumerate(
+            each.slot_shares())) for each in self.classes) / whole
         return self.load.level * capacity / work * 1000.0
 
     def plan(self, seed: int) -> Plan:
@@ -155,13 +165,13 @@
         classes = tuple(ClassSpec(
             each.name, each.share, each.work_ms, each.dist, each.cv, each.aim_ms, each.deadline_ms,
             each.stretch, each.worth, each.late_worth, each.effect, each.priority, each.kind or None,
-            each.window_ms, each.slots, each.memory) for each in self.classes)
+            each.window_ms, each.slot_shares(), each.memory) for each in self.classes)
         brands = tuple(BrandSpec(each.name, each.share, each.allowance or math.inf) for each in self.brands)
         load, net, retries = self.load, self.network, self.retries
         return Plan(
             tuple(specs), tuple(self.schedulers_named()), classes,
             LoadSpec(self.rate(), load.swing, self.day_ms, load.keys, load.zipf, load.impatient,
-                     load.attempt_noise),
+                     load.attempt_noise, tuple(zip(self.zones, load.zones, strict=False))),
             brands or (BrandSpec("one", 1.0),),
             Retries(retries.most, retries.backoff, retries.wait_ms, retries.honour, retries.jitter),
             Delays(net.same_ms, net.cross_ms, net.client_ms, net.jitter), None, net.discovery_ms,
@@ -188,9 +198,15 @@
             if each.kind and each.kind not in kinds:
                 yield f"{where}.kind", f"{each.kind!r} is none of {', '.join(sorted(kinds))}"
             fit = [worker for worker in self.workers if each.kind in ("", worker.kind)]
-            if fit and not any(worker.slots >= each.slots and (worker.memory or math.inf) >= each.memory
-                               for worker in fit):
+            if isinstance(each.slots, list) and not (0 < len(each.slots) <= 4 and sum(each.slots) > 0):
+                yield f"{where}.slots", "one to four shares, for 1, 2, 4 and 8 slots, that are not all 0"
+            elif isinstance(each.slots, int) and each.slots.bit_count() != 1:
+                yield f"{where}.slots", f"{each.slots} is no power of two"
+            elif fit and not any(worker.slots >= each.most_slots()
+                                 and (worker.memory or math.inf) >= each.memory for worker in fit):
                 yield f"{where}.slots", "no worker is large enough for it"
+        if self.load.zones and len(self.load.zones) != len(self.zones):
+            yield "load.zones", f"{len(self.load.zones)} shares for {len(self.zones)} zones"
         for name in ("same_ms", "cross_ms", "client_ms", "discovery_ms"):
             least, most = getattr(self.network, name)
             if least > most:
--- a/spanwing/world/troubles.py
+++ b/spanwing/world/troubles.py
@@ -15,9 +15,11 @@
 import msgspec
 
 from spanwing.world.fleet import Fleet, Place
+from spanwing.world.node import Node
 
 What = Literal["silent", "fast_failing", "neighbour", "heavy_tail", "deploy", "crash", "cold_snap", "flood",
-               "stolen_cpu", "partition", "discovery_down", "scheduler_stop"]
+               "stolen_cpu", "partition", "discovery_down", "scheduler_stop", "schedulers_killed", "join",
+               "zone_lost"]
 
 
 class Trouble(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -32,6 +34,7 @@
     kind: str = ""  # of worker: others are left alone
     between: tuple[str, str] = ("", "")  # two zones
     scheduler: str = ""
+    zone: str = ""
 
     def wrong(self, zones: set[str], brands: set[str], kinds: set[str], schedulers: set[str],
               seconds: float) -> list[tuple[str, str]]:
@@ -47,7 +50,7 @@
             if not least <= value <= most:
                 found.append((name, f"{value:g} is not possible for {self.what}, {least:g} to {most:g} are"))
         for name, value, known, owner in (
-                ("brand", self.brand, brands, ("flood",)),
+                ("brand", self.brand, brands, ("flood",)), ("zone", self.zone, zones, ("zone_lost",)),
                 ("scheduler", self.scheduler, schedulers, ("stolen_cpu", "scheduler_stop"))):
             if self.what in owner and value not in known:
                 found.append((name, f"{value!r} is none of {', '.join(sorted(known))}"))
@@ -67,6 +70,7 @@
     "deploy": {"share": (0.001, 1.0)}, "crash": {"share": (0.001, 1.0)},
     "cold_snap": {"times": (1.0, 100.0)}, "flood": {"times": (1.0, 1000.0)},
     "stolen_cpu": {"share": (0.01, 0.99)}, "partition": {}, "discovery_down": {}, "scheduler_stop": {},
+    "schedulers_killed": {"share": (0.001, 1.0)}, "join": {"share": (0.001, 1.0)}, "zone_lost": {},
 }
 DRAIN_MS, DOWN_MS = 2000.0, 1000.0  # of a worker in a deploy: it drains so long, then is away so long
 
@@ -162,6 +166,57 @@
         fleet = self.fleet
         return lambda: setattr(fleet, "discovery_up", False), fleet.discovery_back
 
+    def _schedulers_killed(self, trouble: Trouble, number: int, *_: float):
+        """All at once; they are back, one after another within a second, when it ends."""
+        fleet, stream = self.fleet, self.fleet.streams.of("trouble", number)
+        names = [each.name for each in fleet.nodes]
+        count = max(1, round(trouble.share * len(names)))
+        chosen = {names[at] for at in stream.permutation(len(names))[:count]}
+        return self._stopped(lambda each: each.name in chosen)
+
+    def _stopped(self, struck: Callable[[Node], bool]):
+        """Calls that stop the schedulers that are struck, and start them within a second."""
+        fleet, stopped = self.fleet, list[str]()
+
+        def begin() -> None:
+            stopped.extend(each.name for each in fleet.nodes if struck(each) and each.up)
+            for node in [each for each in fleet.nodes if each.name in stopped]:
+                fleet.stop_node(node)
+
+        def end() -> None:
+            for turn, name in enumerate(stopped):
+                fleet.agenda.after(1000.0 * turn / len(stopped), fleet.start_node, name)
+        return begin, end
+
+    def _zone_lost(self, trouble: Trouble, *_: float):
+        """Its schedulers and workers are gone without a word; all come back, the workers cold."""
+        fleet = self.fleet
+        lose, back = self._stopped(lambda each: each.zone == trouble.zone)
+        places = [each for each in fleet.places.values() if each.worker.spec.zone == trouble.zone]
+
+        def begin() -> None:
+            lose()
+            for place in places:
+                fleet.away(place)
+
+        def end() -> None:
+            back()
+            for place in places:
+                fleet.start_again(place)
+        return begin, end
+
+    def _join(self, trouble: Trouble, number: int, begin: float, end: float):
+        """Others start beside them, cold, evenly over the time; each drains when its successor is up."""
+        places = self._struck(trouble, number)
+
+        def start() -> None:
+            for turn, place in enumerate(places):
+                when = (end - begin) * turn / len(places)
+                self.fleet.agenda.after(when, self.fleet.join, place)
+                self.fleet.agenda.after(when + DRAIN_MS, self.fleet.drain, place)
+                self.fleet.agenda.after(when + 4 * DRAIN_MS, self.fleet.away, place)
+        return start, None
+
     def _crash(self, trouble: Trouble, number: int, *_: float):
         places = self._struck(trouble, number)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from conftest import KEYED, SAFE, UNSAFE, Driver, sends, settings, tenants
 
 from spanwing.interface import (
+    Accepted,
     Cancel,
     Fail,
     Note,
@@ -145,6 +146,46 @@
     assert not sends(node.run(200.0))
 
 
+@pytest.mark.parametrize("cls, moves", [("look", True), ("book", True), ("bill", False)])
+def test_a_job_that_only_waits_is_called_back_for_an_idle_slot_elsewhere(cls, moves):
+    """Where no second copy may be out: called back, and sent on once that has ended; never what is unsafe."""
+    node = Driver(settings(tells_start=True, second_copies=False, max_attempts=3), workers=2)
+    rid, actions = node.ask(cls)
+    first = sends(actions)[0].worker
+    assert (Cancel(rid, 0) in node.run(100.0)) is moves
+    if moves:
+        assert [each.worker for each in sends(node.end(rid, 0, first, "cancelled"))] == [3 - first]
+
+
+def test_a_busy_worker_is_not_taken_for_a_silent_one():
+    """At forty nodes each hears of a worker seldom: a full queue looked like a worker that hangs."""
+    node = Driver(settings(tells_start=True), workers=1)
+    rid, _ = node.ask("bill")
+    node.feed(Accepted(rid, 0, 1))
+    node.run(4500.0)
+    node.end(rid, 0, 1, "ok")
+    assert sends(node.ask("bill")[1])
+
+
+def test_a_worker_that_does_not_even_take_a_job_rests_and_what_may_repeat_is_called_back():
+    node = Driver(settings(second_copies=False), workers=2)
+    rid, actions = node.ask("bill")
+    node.feed(Accepted(rid, 0, sends(actions)[0].worker))
+    node.end(rid, 0, sends(actions)[0].worker, "ok")
+    rid, actions = node.ask("book")
+    hangs = sends(actions)[0].worker
+    assert Cancel(rid, 0) in node.run(700.0)
+    assert [each.worker for each in sends(node.end(rid, 0, hangs, "cancelled"))] == [3 - hangs]
+
+
+def test_the_ring_of_ids_is_made_only_when_a_key_comes():
+    node = Driver(workers=50)
+    node.ask("look")
+    assert not node.node.ring
+    node.ask("look", key="a")
+    assert node.node.ring
+
+
 def test_unsafe_is_never_copied():
     node = Driver(settings(tells_start=True), workers=2)
     node.ask("bill")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -106,6 +106,32 @@
                          (1.0, True, 0))
         self.assertEqual((fleet.tail, fleet.nodes[0].stolen), ((0.0, 1.0), 0.0))
 
+    def test_a_zone_is_lost_and_schedulers_are_killed_and_all_come_back(self) -> None:
+        made = scenario("fleet-calm")
+        fleet = Fleet(made.plan(1), 1)
+        Troubles(fleet, (Trouble(what="zone_lost", at=1.0, lasts=2.0, zone="galway"),
+                         Trouble(what="schedulers_killed", at=1.5, lasts=2.0, share=0.5)), made.day_ms)
+        fleet.agenda.run(2000.0)
+        up = [each for each in fleet.nodes if each.up]
+        self.assertEqual({each.worker.spec.zone for each in fleet.places.values() if each.worker.fallen},
+                         {"galway"})
+        self.assertTrue(0 < len(up) <= 20 and all(each.zone != "galway" for each in up))
+        fleet.agenda.run(5600.0)
+        self.assertTrue(all(each.up for each in fleet.nodes) and len(fleet.seen_up) == len(fleet.nodes))
+        self.assertFalse(any(each.worker.fallen for each in fleet.places.values()))
+        fleet.agenda.run(7000.0)  # by now the last has its list
+        self.assertEqual({len(each.module.views) for each in fleet.nodes}, {60})
+
+    def test_workers_are_replaced_by_cold_ones_while_all_is_accounted_for(self) -> None:
+        made = scenario("fleet-join")
+        fleet, told = Fleet(made.plan(1), 1), []
+        fleet.told = told.append
+        Troubles(fleet, (Trouble(what="join", at=1.0, lasts=2.0, share=0.6),), made.day_ms)
+        fleet.run(4000.0)
+        alive = [each for each in fleet.places.values() if not each.worker.fallen]
+        self.assertEqual((len(fleet.places), len(alive), len(told)), (96, 60, fleet.account.made))
+        self.assertEqual({each.slots for each in [fleet.clients.next() for _ in range(200)]}, {1, 2, 4})
+
     def test_troubled_days_account_for_everything(self) -> None:
         for name in ("deploy-with-silent", "retry-storm", "brand-flood"):
             fleet, told = play(scenario(name), 16.0)  # run() checks places and work
