Look before a send beyond home, deal homes out stably, and end a give-up only once it was told

At fault: `_room` took any of four random workers beyond home for idle by a mean (`busy`), and filled others' homes; `_divide` dealt by rank, so that one worker more or less moved nearly all homes, and what the former owner's jobs held there was uncounted; a job in a queue was looked at once and then left. Change: where reports tell free slots, a scheduler probes up to two workers when home has no room, one probe a request at most on average, and sends beyond home only where it saw an idle slot within 100 ms. What cannot be called back waits for a sight of home as well, unless nobody answers. Homes are dealt by hash with even bounds. A waiting job is looked after until it starts. Second copies, which no site here allows, are gone. Prints at each give-up: a DELETE to a lost zone was tried twice, nobody answered, and the attempt counted as ended (`HttpNextHop._delete`); the job then went elsewhere. It is now told again, with doubling pauses, until it is answered or the job's time is over. A give-up before the 202 ends 20 ms after the close, which may be overtaken. Faktory: a job that waits for its FETCH counts as taken.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -21,7 +21,8 @@
 COLD_PART = 0.6  # of a cold worker's budget is dealt out; the rest is for jobs longer than the mean
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
-COPIES = 0.5  # second copies earned by each arrival: where a cancel stops nothing, each copy is load
+FRESH_MS = 100.0  # a sight of a worker's idle slots is good for this long
+LOOKS, LOOK_AT = 1.0, 2  # probes earned by each arrival, as they are priced by the request; most for one job
 ACCEPT_MS = 500.0  # a worker that takes jobs says so at once; its pauses are shorter
 MISSED = 1.5  # of a worker's intervals of progress, without a word on a job
 SCAN = 24  # workers looked at for one placement, at most
@@ -73,13 +74,13 @@
         self.views, self.kinds, self.ring = {}, {}, []  # workers; slots by kind; hash ring of ids if needed
         self.jobs, self.open = {}, {}  # unanswered jobs by id; attempts that are out, by id and number
         self.spoilt, self.over = deque(), deque()  # held behind the rest: too late, beyond the share
-        self.waiting, self.looking, self.lines, self.copies = 0, False, 0, 1.0
+        self.waiting, self.looking, self.lines = 0, False, 0
         self.work = [2.0 * each.aim for each in settings.classes]  # mean time of a served attempt, by class
         self.quick = {zone: 10.0 if zone == settings.zone else 60.0 for zone in (*settings.zones, "")}
         self.busy = 0.5  # share of slots in use as far as seen
-        # Share of arrivals with a key. Where keys are usual, all nodes use the same workers; a few strays, of
-        # clients that send what no class here has, must not turn the whole placement over.
-        self.keys = 0.0
+        self.keys = 0.0  # share of arrivals with a key: a few strays must not turn all placement over
+        self.asks = settings.probes and "free_slots" in settings.report_fields
+        self.looks, self.seen = 1.0, []  # probes that may be sent; others' workers that were seen just now
         self.accepts = False  # the host tells of jobs that are taken
         self.proves = any(each.effect == "safe" for each in settings.classes)
         self.alarms = Alarms(settings.tick)
@@ -121,12 +122,17 @@
         self._drain()
 
     def _divide(self) -> None:
-        """Divide the workers among the nodes: a node's own counts then tell what its workers hold."""
+        """Deal the workers out evenly, so that a change moves few: own counts tell what own workers hold."""
         self.views = {i: v for i, v in self.views.items() if v.entry.state != "gone" or v.held}
         self.home, self.near, self.far = [], [], []
+        loads = [0] * self.set.nodes
         dealt = sorted(self.views.values(), key=lambda v: (v.entry.kind, mix(v.entry.id)))
         for rank, view in enumerate(dealt):
-            view.home = rank % self.set.nodes == self.set.node
+            turn, most = 17, rank // self.set.nodes + 1
+            while loads[node := mix(view.entry.id, turn) % self.set.nodes] >= most:
+                turn += 1
+            loads[node] += 1
+            view.home = node == self.set.node
             if view.entry.state == "healthy":
                 near = view.entry.zone == self.set.zone
                 (self.home if view.home else self.near if near else self.far).append(view)
@@ -160,7 +166,7 @@
         ledger = self._ledger(job)
         ledger.refill(self.now)
         self.keys += KEYS_FADE * ((req.key is not None) - self.keys)
-        self.copies = min(self.copies + COPIES, 10.0)
+        self.looks = min(self.looks + LOOKS, 10.0)
         job.over = self.set.over_share_worth < 1.0 and not ledger.within_share()
         self.alarms.add(req.deadline, self._end, job)
         view = self._place(job) if ledger.earned - ledger.spent > 0 else None
@@ -169,6 +175,33 @@
         else:
             self._hold(job)
             self._drain()
+            if job.held:
+                self._look(job)
+
+    def _look(self, job: Job) -> None:
+        """Ask some workers how many slots are idle: others' where home has no room, and home for what cannot
+        be called back from a queue there."""
+        if not self.asks or job.req.key is not None or job.req.id not in self.jobs:
+            return
+        todo, others = min(LOOK_AT, int(self.looks)), self.near + self.far
+        some = self.rng.sample(others, min(len(others), 4 * LOOK_AT))
+        for view in [each for each in self.home + self.fed if self._fits(each, job)] + some:
+            if todo > 0 and self.now - max(view.seen, view.asked) > FRESH_MS and self._usable(view, job):
+                view.asked, todo, self.looks = self.now, todo - 1, self.looks - 1.0
+                self.out.append(api.Probe(view.entry.id))
+
+    def _probed(self, event: api.ProbeResult) -> None:
+        view = self.views.get(event.worker)
+        if view is not None and event.result == "ok":
+            view.heard, view.seen = self.now, -math.inf  # what is asked for is no mean with what was seen
+            self._report(view, event.report)
+            view.seen = self.now
+            self.seen = [each for each in self.seen if self._fresh(each) and each is not view]
+            self.seen += [] if view.home else [view]
+            self._drain()
+
+    def _fresh(self, view: View) -> bool:
+        return self.now - view.seen < FRESH_MS
 
     def _ledger(self, job: Job) -> Ledger:
         return self.ledgers.get(job.req.tenant or "", self.ledgers[None])
@@ -188,6 +221,8 @@
 
     def _look_again(self) -> None:
         self._drain()
+        for queue in [queue for ledger in self.ledgers.values() for queue in ledger.held if queue]:
+            self._look(queue[0])
         self.looking = self.waiting > 0
         if self.looking:
             self.alarms.add(self.now + HOLD_MS, self._look_again)
@@ -206,8 +241,7 @@
             self._send(*found)
 
     def _comeback(self, job: Job) -> float:
-        """When a client that is refused should come back: once its tenant's share allows one more; within its
-        share next tick, as its time runs and another node may have a slot. 0: no advice is allowed."""
+        """When to come back: once the tenant's share allows one more; within it next tick. 0: no advice."""
         ledger, wait = self._ledger(job), self.set.tick
         if job.over:
             wait = max(wait, (1.0 - ledger.credit) * 1000.0 / max(ledger.rate, 0.001))
@@ -304,8 +338,7 @@
 
     def _place(self, job: Job) -> View | None:
         """A worker with room: for keys one that keeps them; else the fastest at home; else a neighbour."""
-        if len(job.attempts) >= self.set.max_attempts or (
-                not self.set.second_copies and any(each.open for each in job.attempts)):
+        if len(job.attempts) >= self.set.max_attempts or any(each.open for each in job.attempts):
             return None
         return self._room(job)
 
@@ -313,13 +346,17 @@
         if job.req.key is not None:
             return self._place_key(job)
         best = None
-        if self.fed:
-            self.fed = [view for view in self.fed if self._cold(view)]
-        own = self.home + self.fed
+        self.fed = [view for view in self.fed if self._cold(view)]
+        # What cannot be called back from a queue goes only where a slot was seen to be idle.
+        own, blind = self.home + self.fed, not self.asks or job.cls.effect != "unsafe" or self.looks < 1.0
         for view in own if len(own) <= SCAN else self.rng.sample(own, SCAN):
-            if self._fits(view, job) and (best is None or view.pace < best.pace):
+            known = blind or self._fresh(view) or view.seen < view.asked < self.now - FRESH_MS  # no answer
+            if (best is None or view.pace < best.pace) and known and self._fits(view, job):
                 best = view
-        for group in (self.near, self.far):
+        for view in self.seen if best is None else ():
+            if (best is None or view.pace < best.pace) and self._fresh(view) and self._fits(view, job):
+                best = view
+        for group in (self.near, self.far) if not self.asks else ():
             for view in [self.rng.choice(group) for _ in range(4)] if best is None and group else ():
                 if self._fits(view, job) and (best is None or self._free(view) > self._free(best)):
                     best = view
@@ -354,9 +391,9 @@
         view.sent.append((self.now, self.work[job.index] * job.req.slots))
         self.out.append(api.Send(job.req.id, view.entry.id))
         quick = self.quick.get(view.entry.zone, 10.0)
-        self.alarms.add(self.now + quick + 4.0 * self.work[job.index], self._silent, attempt)
+        self.alarms.add(self.now + quick + 4.0 * self.work[job.index], self._silent, attempt, number)
         if self.accepts:
-            self.alarms.add(self.now + ACCEPT_MS, self._untaken, attempt, number)
+            self.alarms.add(self.now + ACCEPT_MS, self._silent, attempt, number)
         if self.set.tells_start:
             self.alarms.add(self.now + 3.0 * quick + 2 * self.set.tick, self._late_start, attempt, number)
 
@@ -383,15 +420,7 @@
     def _accepted(self, event: api.Accepted) -> None:
         attempt = self.open.get((event.request, event.attempt))
         if attempt is not None:
-            self.accepts = attempt.accepted = True
-            attempt.view.heard = self.now
-
-    def _untaken(self, attempt: Attempt, number: int) -> None:
-        """The worker does not even say that it has the job, as all do at once that are well."""
-        if attempt.open and not attempt.accepted and attempt.view.heard <= attempt.at:
-            self._strike(attempt.view, "silent")
-            if self.set.cancel and attempt.job.cls.effect != "unsafe":
-                self.out.append(api.Cancel(attempt.job.req.id, number))
+            self.accepts, attempt.view.heard = True, self.now
 
     def _late_start(self, attempt: Attempt, number: int) -> None:
         """A job not yet started lies in a queue: the count was wrong. Correct it; move what may repeat."""
@@ -401,8 +430,13 @@
         view.others, view.seen = max(0.0, view.total - view.running), self.now
         if view.running >= view.peak > 0 and view.total > view.peak and view.home:
             self._lower(view)
-        if self._copy(attempt.job) or self._movable(attempt.job):
+        if not self._may_move(attempt.job):
+            return
+        if self._room(attempt.job) is not None:
             self.out.append(api.Cancel(attempt.job.req.id, number))
+        elif self.asks:  # perhaps soon
+            self._look(attempt.job)
+            self.alarms.add(self.now + HOLD_MS, self._late_start, attempt, number)
 
     def _unheard(self, attempt: Attempt, number: int) -> None:
         """A started job of which the worker tells nothing, though it tells of jobs: it was lost there, or its
@@ -416,27 +450,17 @@
             return
         self.out.append(api.Cancel(attempt.job.req.id, number))
 
-    def _silent(self, attempt: Attempt) -> None:
-        """Nothing heard since an attempt was due: the worker may hang. Rest it; copy what may repeat."""
+    def _silent(self, attempt: Attempt, number: int) -> None:
+        """Nothing heard of the worker since it should have taken the job, or ended it: it may hang."""
         if attempt.open and attempt.view.heard <= attempt.at:
             self._strike(attempt.view, "silent")
-            self._copy(attempt.job)
-
-    def _copy(self, job: Job) -> bool:
-        """Send a second copy into a spare slot, where that is allowed."""
-        allowed = self.set.cancel and self.set.second_copies and job.cls.effect != "unsafe"
-        known = job.req.id in self.jobs and len(job.attempts) < self.set.max_attempts - 1
-        view = self._place(job) if allowed and known and self.copies >= 1.0 else None
-        if view is not None:
-            self.copies -= 1.0
-            self._send(job, view)
-        return view is not None
+            if self._may_move(attempt.job):
+                self.out.append(api.Cancel(attempt.job.req.id, number))
 
-    def _movable(self, job: Job) -> bool:
-        """Whether a job that only waits would find an idle slot elsewhere, if it were called back first."""
-        return (self.set.cancel and not self.set.second_copies and job.cls.effect != "unsafe"
-                and job.req.id in self.jobs and len(job.attempts) < self.set.max_attempts - 1
-                and self._room(job) is not None)
+    def _may_move(self, job: Job) -> bool:
+        """Whether a job may be called back, to be sent elsewhere once that attempt has ended."""
+        return (self.set.cancel and job.cls.effect != "unsafe" and job.req.id in self.jobs
+                and len(job.attempts) < self.set.max_attempts - 1)
 
     def _lower(self, view: View) -> None:
         view.total, view.no_raise = max(1.0, view.total - 1.0), self.now + MOST_ASIDE_MS
@@ -530,6 +554,6 @@
 
 HANDLERS = {
     api.WorkerList: Dispatcher._listed, api.Request: Dispatcher._arrive, api.Outcome: Dispatcher._ended,
-    api.Note: Dispatcher._note, api.Accepted: Dispatcher._accepted, api.ClientGone: Dispatcher._left,
-    api.StreamStarted: Dispatcher._left,
+    api.Note: Dispatcher._note, api.Accepted: Dispatcher._accepted, api.ProbeResult: Dispatcher._probed,
+    api.ClientGone: Dispatcher._left, api.StreamStarted: Dispatcher._left,
 }
--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/hops/faktoryworker.py
@@ -12,7 +12,17 @@
 
 from spanwing import interface as api
 from spanwing.actor import Actor
-from spanwing.core.messages import Delivery, Ended, Envelope, LastByte, Listed, Listener, Probed, Started
+from spanwing.core.messages import (
+    Accepted,
+    Delivery,
+    Ended,
+    Envelope,
+    LastByte,
+    Listed,
+    Listener,
+    Probed,
+    Started,
+)
 from spanwing.hops.hop import Deliver, GiveUp, HopActor, Probe
 from spanwing.hops.transportmap import number_of
 
@@ -122,6 +132,7 @@
             self._end(job, "full")
         else:
             self.waiting.append(job)
+            job.listener.post(Accepted(job.delivery.envelope.id, job.delivery.number))
 
     def _fetch(self, fetch: Fetch) -> None:
         if fetch.reply.done():
--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -22,8 +23,10 @@
 
 TAKEN_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
 GIVE_UP_S = 1.0  # wait for the answer to a DELETE
+GIVE_UP_AGAIN_S, GIVE_UP_MOST_S = 0.1, 2.0  # first and longest pause before it is sent again
 PROBE_S = 0.5
 CONNECTIONS = 3  # tried for one request, all but the first newly opened
+CLOSED_S = 0.02  # a close has arrived by then: another job worker must not have the request before
 HELD_S = 0.002  # a round trip, rather more than less
 
 CALLED_BACK: dict[str, api.Result] = {"done": "ok", "failed": "error", "returned": "full", "lost": "reset"}
@@ -50,6 +53,7 @@
 
     delivery: Delivery
     listener: Listener
+    until: float = 0.0  # of the loop's time: nobody waits for it longer
     connection: PooledHttp | None = None
     last: bool = False  # its last byte is being written, or is
     taken: bool = False  # the 202 has come
@@ -68,7 +72,7 @@
         self.retiring = False
 
     def _deliver(self, message: Deliver) -> None:
-        job = Job(*message)
+        job = Job(*message, self.loop.time() + message.delivery.budget / 1000.0)
         if job.delivery.envelope.id in self.jobs:  # one attempt of a request at a time goes to a job worker
             job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, "moot", unsent=True))
             return
@@ -96,10 +100,12 @@
         began = self.loop.time()
         reply = await self._receive(connection, TAKEN_S)
         job.connection = None
+        if reply is None and job.given_up is not None:  # we have closed the connection, and the end is set
+            return
         if reply is None and self.loop.time() - began >= TAKEN_S:
             # It says neither yes nor no, and closing the connection has given the job up: waiting on would
             # only keep its slots here, and the client, to the end of its time.
-            self._end(job, "timeout")
+            self.loop.call_later(CLOSED_S, self._end, job, "timeout")
             return
         self._replied(job, reply)
 
@@ -195,16 +201,24 @@
         if job.taken:
             spawn(self._delete(job))
             return
-        if job.connection is not None:  # before the 202, closing the connection gives the attempt up
-            job.connection.close()
-        self._end(job, message.result, unsent=not job.last)
+        if job.connection is None:
+            self._end(job, message.result, unsent=not job.last)
+            return
+        job.connection.close()  # before the 202, that gives the attempt up
+        self.loop.call_later(CLOSED_S, self._end, job, message.result)
 
     async def _delete(self, job: Job) -> None:
-        """Give up a job that was taken; it has ended only once the job worker was told."""
+        """Give up a job that was taken; it has ended only once the job worker was told. One that is cut off
+        is told again, to the end of the job's time: sent elsewhere meanwhile, it would be out twice."""
+        pause = GIVE_UP_AGAIN_S
         try:
             target = f"/jobs/{job.delivery.envelope.id}"
-            if await self._ask("DELETE", target, GIVE_UP_S) is None:
-                await self._ask("DELETE", target, GIVE_UP_S)  # on another connection: nobody was told
+            while await self._ask("DELETE", target, GIVE_UP_S) is None and self._current(job):
+                left = job.until - self.loop.time()
+                if left <= 0:
+                    break
+                await sleep(min(left, random.uniform(pause / 2, pause)))
+                pause = min(2 * pause, GIVE_UP_MOST_S)
         finally:
             self._end(job, job.given_up or "cancelled")
 
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -71,7 +71,6 @@
     preempts: bool = False  # workers queue by priority and may kill a lower running job
     counts_memory: bool = False
     cancel: bool = False
-    second_copies: bool = False
     probes: bool = False
     peers: bool = False
     max_attempts: int = 1
--- a/spanwing/settings.py
+++ b/spanwing/settings.py
@@ -47,7 +47,6 @@
 
 class Permissions(msgspec.Struct):
     cancel: bool = False
-    second_copies: bool = False
     probes: bool = False
     peer_messages: bool = False
     max_attempts: int = 1
@@ -144,7 +143,6 @@
         preempts=specifics.queue_order == "priority",
         counts_memory=specifics.memory_unit is not None,
         cancel=allow.cancel,
-        second_copies=allow.second_copies,
         probes=allow.probes,
         peers=allow.peer_messages,
         max_attempts=allow.max_attempts,
--- a/spanwing/state.py
+++ b/spanwing/state.py
@@ -35,7 +35,6 @@
     open: bool = True
     started: float = 0.0  # when the worker said so; 0: not yet
     noted: float = 0.0  # the worker's last word on it
-    accepted: bool = False  # the worker said that it has taken it
     proof: bool = False  # it ended, and never ran
 
 
@@ -55,6 +54,7 @@
     no_raise: float = 0.0  # total is not raised before
     others: float = 0.0  # jobs of other nodes, as last seen
     seen: float = -math.inf
+    asked: float = -math.inf  # for its report
     heard: float = 0.0  # last sign of life
     tells: bool = False  # it has told of a job's progress
     rest_until: float = 0.0
