--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -58,7 +58,7 @@
     """One node. It shares nothing with other nodes; same events, same actions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
-        self.set, self.now, self.rng = settings, now, random.Random(seed)
+        self.set, self.now, self.born, self.rng = settings, now, now, random.Random(seed)
         self.out: list[api.Action] = []
         self.index = {each.name: i for i, each in enumerate(settings.classes)}
         self.ledgers = {each.name: Ledger(each.rate / settings.nodes, now, len(self.index))
@@ -315,11 +315,11 @@
     def _cold_allows(self, view: View, job: Job) -> bool:
         """Keep a cold worker under its budget: its feeders alone, each with its part, send to it."""
         s, age = self.set, self.now - view.entry.started
-        if not self._cold(view):
-            return True
-        if not view.owner:
-            return False
+        if not self._cold(view) or not view.owner:
+            return not self._cold(view)
         share = (s.cold_from + (1.0 - s.cold_from) * max(0.0, age) / s.cold_ms) / self.feeders
+        if view.entry.started < self.born and self.now < self.born + s.fall_ms:
+            share /= 2.0  # an earlier life of this node may just have sent all of its part
         budget = COLD_PART * s.fall_multiple * share * view.total * s.fall_ms
         spent = sum(work for at, work in view.sent if at > self.now - s.fall_ms)
         spent += self.work[job.index] * job.req.slots
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -260,6 +260,24 @@
     assert sum(fed) >= 0.8 * len(fed)
 
 
+def test_feeders_that_are_all_killed_and_start_again_do_not_push_a_cold_worker_over():
+    """A scheduler that starts knows nothing of what it sent a moment ago; seven in ten may be killed."""
+    short, work = ServiceClass("look", aim=100, deadline=5000), 0.0
+    for life in (40.0, 600.0):
+        for n in range(40):
+            node = Driver(settings(classes=(short,), nodes=40, node=n, cold_from=0.3, cold_ms=8600.0,
+                                   fall_ms=3000.0))
+            node.now = life
+            node.node.__init__(node.node.set, n, life)
+            node.feed(WorkerList("persisted", (Worker(1000, started=50.0),)))
+            for _ in range(20):
+                rid, actions = node.ask("look")
+                work += 200.0 * len(sends(actions))
+                for each in sends(actions):
+                    node.end(rid, 0, each.worker, "ok")
+    assert 0 < work <= 3.0 * 0.3 * 4 * 3000.0
+
+
 def test_discovery_is_asked_again_after_an_error():
     node = Driver(settings(subscribe=True), workers=1)
     assert any(isinstance(each, Watch) for each in node.run(1100.0))
