Give a feeder its part of a cold worker's slots from the start

At fault: `_cold_allows` bounded what a feeder holds by the worker's warmth as well, one of five at first, though the budget for work bounds it already and a slot holds work no longer than it is sent. Change: a feeder holds as many slots as its part of the total, rounded up; the budget stays the bound.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -323,7 +323,7 @@
         budget = COLD_PART * s.fall_multiple * share * view.total * s.fall_ms
         spent = sum(work for at, work in view.sent if at > self.now - s.fall_ms)
         spent += self.work[job.index] * job.req.slots
-        return spent <= budget and view.held + job.req.slots <= math.ceil(view.total * share)
+        return spent <= budget and view.held + job.req.slots <= math.ceil(view.total / self.feeders)
 
     def _cold(self, view: View) -> bool:
         return view.entry.started > 0 and self.now - view.entry.started < self.set.cold_ms
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -260,6 +260,19 @@
     assert sum(fed) >= 0.8 * len(fed)
 
 
+def test_a_feeder_has_its_part_of_a_cold_workers_slots_from_the_start():
+    """By the worker's warmth each of four had one slot of five, and the fifth stood idle."""
+    short, held = ServiceClass("look", aim=100, deadline=5000), []
+    for n in range(4):
+        node = Driver(settings(classes=(short,), nodes=4, node=n, cold_from=0.3, cold_ms=8600.0,
+                               fall_ms=3000.0, **PROBED), workers=1)
+        sight(node, 1, 5.0)
+        node.now = 50.0
+        node.feed(WorkerList("complete", (Worker(1000, started=40.0),)))
+        held.append(sum(len(sends(node.ask("look")[1])) for _ in range(10)))
+    assert held == [2] * 4
+
+
 def test_feeders_that_are_all_killed_and_start_again_do_not_push_a_cold_worker_over():
     """A scheduler that starts knows nothing of what it sent a moment ago; seven in ten may be killed."""
     short, work = ServiceClass("look", aim=100, deadline=5000), 0.0
