--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable, Container
 from dataclasses import dataclass
@@ -53,6 +54,7 @@
     sender: SenderSide
     deadline: float
     sent: int = 0
+    until: float = math.inf  # none may be sent later: job workers would no longer drop it as a repeat
 
 
 @dataclass(slots=True)
@@ -367,6 +369,8 @@
         if out.recorded:
             tell = self.recorder.unsent if ended.unsent else self.recorder.outcome
             tell(ended.request, ended.number, ended.result)
+        if ended.result not in api.NEVER_RAN and ended.request in self.calls:
+            self._ran(self.calls[ended.request], out.at)
         if ended.result == "ok":
             self._answer(ended.request, Answer("served", ended.body))
         self._decide(api.Outcome(
@@ -405,14 +409,13 @@
         if budget <= 0 or number >= self.acting.set.max_attempts or hop is None:
             self.post(Ended(*key, "moot"))
             return
-        may = None
+        may = self._permit(call, action.worker)
         if self.zones is not None:
             if not self.zones.may(action.worker):
                 self.counters["zones.moot"] += 1
                 self.post(Ended(*key, "moot", unsent=True))
                 return
             self.zones.sent(action.worker, key)
-            may = partial(self.zones.may, action.worker)
         self.counters["sent"] += 1
         self.counters[f"sent.{call.envelope.cls}"] += 1
         if not self._recorded(call.envelope):
@@ -429,6 +432,21 @@
         out.recorded = out.waiting = True
         self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, None))
 
+    def _ran(self, call: Call, at: float) -> None:
+        """An attempt that was sent at this time may have run."""
+        module = self._of(call.envelope.id)
+        for each in module.set.classes:
+            if each.name == call.envelope.cls and each.effect == "keyed":
+                call.until = min(call.until, at + each.window - module.set.tick)
+
+    def _permit(self, call: Call, worker: int) -> Callable[[], bool] | None:
+        """What is asked at the moment of use, just before an attempt is sent; None: nothing can forbid it. A
+        place in a pool, a connection and the journal may have taken their time since it was decided."""
+        zones = self.zones
+        if zones is None and call.until == math.inf:
+            return None
+        return lambda: self.clock.now() < call.until and (zones is None or zones.may(worker))
+
     def _told(self, key: tuple[str, int], then: Callable[[bool], None] | None, may: bool) -> None:
         """The journal's word on an intent; then: the hop that asked. A refusal is answered before it ends."""
         self.post(Recorded(*key, may))
@@ -451,7 +469,7 @@
             self.post(Ended(*key, "moot", unsent=True))
             return
         budget = max(0.0, out.until - self.clock.now())
-        may = None if self.zones is None else partial(self.zones.may, out.worker)
+        may = self._permit(call, out.worker)
         out.hop.deliver(Delivery(call.envelope, recorded.number, budget, recorded=True, may=may), self)
 
     def _cancel(self, action: api.Cancel) -> None:
--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/hops/faktoryworker.py
@@ -156,6 +156,10 @@
     def _hand(self, job: Job, slot: Slot) -> None:
         if slot.timer is not None:
             self.loop.remove_timeout(slot.timer)
+        if job.delivery.may is not None and not job.delivery.may():  # the moment of use: it has waited
+            job.slot = slot
+            self._end(job, "moot")
+            return
         if job.delivery.intent is not None and not job.permitted:
             job.slot, key = slot, (job.delivery.envelope.id, job.delivery.number)
             job.delivery.intent(lambda may: self.post(Permitted(*key, may)))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -12,7 +13,16 @@
 from pathlib import Path
 
 from player import PATIENCE_S, SETTINGS, Daemon, config, member
-from standins import read_http
+from standins import FaktorySpeaker, read_http
+from tornado.concurrent import Future
+
+from spanwing.core.messages import Delivery, Ended, Envelope
+from spanwing.hops.faktoryworker import FaktoryNextHop, Fetch
+from spanwing.hops.load import LoadReader
+from spanwing.hops.nexthop import HttpNextHop
+from spanwing.hops.pool import MOST, ConnectionPool, Descriptors
+from spanwing.wire.address import Address
+from spanwing.wire.buffers import BufferPool
 
 ODDLY = str(Path(__file__).parent / "oddly.py")
 
@@ -99,6 +109,12 @@
             f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
 
+def push(cls: str, job: str) -> bytes:
+    """A Faktory client's command that waits for the outcome."""
+    told = {"jid": job, "jobtype": cls, "queue": cls, "args": [], "custom": {"answer": "outcome"}}
+    return f"PUSH {json.dumps(told)}\r\n".encode()
+
+
 class Discovery(Hears):
     """Answers a watch when the test says so."""
 
@@ -124,11 +140,13 @@
 
 class Endings(unittest.TestCase):
     def start(self, *members: dict, at: Discovery | None = None, cancel: bool = True, pushed: bool = True,
-              command: tuple[str, ...] = ("-m", "spanwing"), environment: dict | None = None) -> Daemon:
+              command: tuple[str, ...] = ("-m", "spanwing"), fronts: str = "",
+              window_ms: float = 12000.0) -> Daemon:
         allowed = {**SETTINGS["permissions"], "connect_timeout_ms": 20000.0, "cancel": cancel}
         given = config(members, f"127.0.0.1:{at.port if at else 9}", permissions=allowed)
         given["settings"]["discovery"] = "automatic" if pushed else "subscribe"
-        self.daemon = Daemon(given, "", command=command, environment=environment)
+        given["settings"]["classes"][2]["window_ms"] = window_ms
+        self.daemon = Daemon(given, fronts, command=command)
         self.addCleanup(self.stop)
         return self.daemon.ready()
 
@@ -280,6 +298,91 @@
         self.assertEqual(worker.accept().read()[1]["x-call-id"], "job-2")
 
 
+    def test_while_it_waits_for_a_workers_fetch(self) -> None:
+        for ahead in (b"", b"INFO\r\nBE"):
+            for cls in ("status-read", "schedule-apply"):
+                with self.subTest(cls, ahead=ahead):
+                    self.start(cancel=False, fronts='[faktory]\nlisten = "127.0.0.1:0"\n')
+                    worker = FaktorySpeaker(self.daemon, wid="w1", labels=["zone:a", "kind:big"])
+                    self.addCleanup(worker.close)
+                    self.until("listed.partial", 1)
+                    client = FaktorySpeaker(self.daemon)
+                    client.socket.sendall(push(cls, "job-0001") + ahead)
+                    self.until("sent", 1)
+                    client.close()
+                    self.until("left", 1)
+                    other = FaktorySpeaker(self.daemon)
+                    self.addCleanup(other.close)
+                    other.socket.sendall(push(cls, "job-0002"))
+                    self.until("sent", 2)
+                    self.assertEqual(json.loads(worker.ask("FETCH", cls))["jid"], "job-0002")
+                    self.stop()
+
+
+class Hop(unittest.IsolatedAsyncioTestCase):
+    """A next hop at all of whose connections others are at work."""
+
+    async def asyncSetUp(self) -> None:
+        self.worker, self.ended = Hears(self), asyncio.Queue()
+        pool = ConnectionPool(Address("127.0.0.1", self.worker.port), BufferPool(), Descriptors(99), 9e3, 9e3)
+        self.hop = HttpNextHop("w1", pool, LoadReader(()), lambda hop: None)
+        for _ in range(MOST):
+            await pool.room.acquire()
+        self.pool, self.may = pool, True
+
+    def post(self, message: object) -> None:
+        if isinstance(message, Ended):
+            self.ended.put_nowait((message.result, message.unsent))
+
+    async def deliver(self, repeatable: bool) -> None:
+        envelope = Envelope("job-1", "look", 9e3)
+        self.hop.deliver(Delivery(envelope, 0, 9e3, repeatable, may=lambda: self.may), self)
+        while "job-1" not in self.hop.jobs:
+            await asyncio.sleep(0)
+
+    async def goes_nowhere(self) -> None:
+        self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
+        self.pool.room.release()  # a place is free; nothing takes it
+        await self.pool.room.acquire()
+        self.assertTrue(self.worker.none_waits())
+        self.assertEqual(self.pool.descriptors.held, 0)
+
+    async def test_what_is_withdrawn_while_it_waits_for_a_place_takes_none(self) -> None:
+        for repeatable in (True, False):
+            await self.deliver(repeatable)
+            self.hop.withdraw("job-1", 0)
+            await self.goes_nowhere()
+
+    async def test_what_may_not_be_sent_once_there_is_a_place_is_not(self) -> None:
+        for repeatable in (True, False):
+            self.may = True
+            await self.deliver(repeatable)
+            self.may = False
+            self.pool.room.release()
+            self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
+            self.assertTrue(self.worker.none_waits())
+            await self.pool.room.acquire()
+
+
+class Fetches(unittest.IsolatedAsyncioTestCase):
+    async def test_what_may_not_be_sent_any_more_leaves_its_fetch_to_the_next(self) -> None:
+        told: asyncio.Queue[Ended] = asyncio.Queue()
+
+        class Listens:
+            def post(self, message: object) -> None:
+                if isinstance(message, Ended):
+                    told.put_nowait(message)
+
+        hop, reply = FaktoryNextHop("w1", "here"), Future()
+        for job, may in (("job-1", False), ("job-2", True)):
+            delivery = Delivery(Envelope(job, "look", 9e3), 0, 9e3, may=lambda may=may: may)
+            hop.deliver(delivery, Listens())
+        hop.post(Fetch(("look",), reply))
+        ended = await asyncio.wait_for(told.get(), PATIENCE_S)
+        self.assertEqual((ended.request, ended.result, ended.unsent), ("job-1", "moot", True))
+        self.assertIn(b"job-2", (await asyncio.wait_for(reply, PATIENCE_S))[0])
+
+
 class Attempts(Endings):
     def test_one_that_is_given_up_in_the_midst_of_its_bytes_gets_no_last_byte(self) -> None:
         """Its job worker takes in only a part, the client's time is over, and only then is the rest read."""
@@ -293,6 +396,25 @@
         self.assertLess(len(taken.rest()), 60_000)
         self.assertNotIn("tries", self.counters())
 
+    def test_a_repeat_is_not_sent_once_job_workers_no_longer_drop_it(self) -> None:
+        """It was decided within the window, and its connection comes up after it: the backlog is full, and
+        TCP tries again after a second."""
+        one, two, discovery = Hears(self), Hears(self, backlog=0), Discovery(self)
+        filling = two.fill()
+        self.start(member("w1", one.port), at=discovery, window_ms=900.0)
+        discovery.called()
+        client = self.client()
+        client.ask("setpoint-push", "job-1")
+        worker = one.accept()
+        worker.read()
+        discovery.tell(member("w2", two.port), member("w1", one.port, phase="leaving"))
+        worker.say(500)  # it may have run
+        self.until("sent", 2)
+        for _ in range(filling):
+            two.accept().close()
+        self.assertEqual(two.accept().rest(), b"")
+        self.assertEqual(self.until("ended.moot", 1)["tries"], 1)
+
     def test_who_answers_twice_is_asked_once_on_a_connection(self) -> None:
         """A second answer that comes late would be taken for that to the next request."""
         worker = Hears(self)
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -250,7 +250,14 @@
 
     @gen_test(timeout=60)
     async def test_a_client_that_leaves_while_the_disk_is_awaited_causes_no_send(self) -> None:
-        self.begin(cancel=True)
+        await self.leave(cancel=True)
+
+    @gen_test(timeout=60)
+    async def test_nor_where_nothing_may_be_called_off(self) -> None:
+        await self.leave(cancel=False)
+
+    async def leave(self, cancel: bool) -> None:
+        self.begin(cancel=cancel)
         self.disk.gate.clear()
         self.ask("job-1")
         await self.until(lambda: self.core.out)
