Take no job that waited for a change of policy and whose client left just before

Read, then shown by a test that fails without: _release (policy/side.py) takes what waited out of `held` and posts it to the core anew. Where the word of its client's leaving lay ahead of it in the core's mailbox, `left` found nothing in `held`, and the job was taken and sent on. What is on its way is remembered now until it comes back, with those whose client has left.

--- a/spanwing/policy/side.py
+++ b/spanwing/policy/side.py
@@ -73,6 +73,8 @@
         self.core: Exchange | None = None
         self.version = Version()  # under which our module is
         self.held: deque[tuple[float, Take]] = deque()
+        self.passing: list[Take] = []  # posted again, until they come here anew
+        self.gone: list[Take] = []  # of these, those whose client left meanwhile
         self.first: Future[Version] = Future()
         self.kept_at, self.keeping = -1e9, False
         self.service: FleetService | None = None
@@ -113,6 +115,10 @@
 
     def admits(self, take: Take) -> bool:
         """Whether it may be taken now; else it is answered, or posted again."""
+        if any(take is each for each in self.gone):  # the word of its leaving was ahead of it in the mailbox
+            self.gone = [each for each in self.gone if each is not take]
+            return False
+        self.passing = [each for each in self.passing if each is not take]
         may = self.hand.may(clock_ms())
         if may.do == "take" and may.version == self.version.number:
             if take.envelope.cls in self.core.module.index:
@@ -128,8 +134,12 @@
 
     def left(self, request: str, sender: SenderSide) -> None:
         """Its client is gone: it is not taken any more."""
-        self.held = deque(each for each in self.held
-                          if each[1].envelope.id != request or each[1].sender is not sender)
+        def its(take: Take) -> bool:
+            return take.envelope.id == request and take.sender is sender
+
+        self.held = deque(each for each in self.held if not its(each[1]))
+        self.gone += [each for each in self.passing if its(each)]
+        self.passing = [each for each in self.passing if not its(each)]
 
     def _refuse(self, take: Take) -> None:
         self.core.counters["policy.refused"] += 1
@@ -143,7 +153,9 @@
             until, take = self.held.popleft()
             if may == "take":  # what it has waited is gone of its client's time
                 left = max(1.0, take.envelope.budget - (now - until + HOLD_MS))
-                self.core.post(take._replace(envelope=replace(take.envelope, budget=left)))
+                again = take._replace(envelope=replace(take.envelope, budget=left))
+                self.passing.append(again)
+                self.core.post(again)
             else:
                 self._refuse(take)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+import tempfile
 import unittest
+from types import SimpleNamespace
+
+from conftest import settings
 
 from measure import policymodel
 from measure.policymodel import World, begun, calm
+from spanwing.core.clock import Clock
+from spanwing.core.exchange import Exchange
+from spanwing.core.messages import Answer, Envelope, Left, Take
 from spanwing.policy.chair import Says
 from spanwing.policy.hand import HOLD_MS
 from spanwing.policy.record import CHANGE, LONGEST, read
+from spanwing.policy.side import PolicySide
 from spanwing.store.document import Document, Txn
+from spanwing.wire.buffers import BufferPool
 
 
 def rounds(world: World, who: tuple[int, ...], count: int = 1) -> None:
@@ -136,6 +146,48 @@
         self.assertFalse(chair.may_hold("s0.0", Document()))
 
 
+class Waiting(unittest.IsolatedAsyncioTestCase):
+    """Jobs that wait for a change, in the core's own mailbox."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        wanted = SimpleNamespace(directory=folder.name, away_ms=1e4, members={}, lease_ms=2e3)
+        self.side = PolicySide("a", wanted, settings(), BufferPool(), 1)
+        self.core = Exchange(settings(), 1, Clock())
+        self.core.policy, self.side.core = self.side, self.core
+        self.does = "wait"
+        self.side.hand = SimpleNamespace(may=lambda now: SimpleNamespace(do=self.does, version=0))
+
+    def answer(self, envelope: Envelope, answer: Answer) -> None:
+        raise AssertionError("its client has gone")
+
+    async def settled(self) -> None:
+        while self.core.running or self.core.mailbox:
+            await asyncio.sleep(0)
+
+    async def leaves(self, *turns) -> None:
+        """It was handed in, and waits; then all of this comes in one turn of the loop."""
+        self.core.post(Take(Envelope("job-1", "look", 5e3), self))
+        await self.settled()
+        self.assertEqual(len(self.side.held), 1)
+        self.does = "take"
+        for each in turns:
+            each()
+        await self.settled()
+        self.assertNotIn("taken", self.core.counters)
+        self.assertEqual((len(self.side.held), self.side.passing, self.side.gone), (0, [], []))
+
+    async def test_a_client_that_leaves_while_its_job_waits(self) -> None:
+        await self.leaves(lambda: self.core.post(Left("job-1", self)))
+        self.side._release()
+        await self.settled()
+        self.assertNotIn("taken", self.core.counters)
+
+    async def test_one_whose_leaving_lies_ahead_of_its_job_in_the_mailbox(self) -> None:
+        await self.leaves(lambda: self.core.post(Left("job-1", self)), self.side._release)
+
+
 class Model(unittest.TestCase):
     """The checks find deliberate bugs, and nothing without one."""
 
