Keep the window of a repeat across a replacement; show what is no list

A request that goes to a successor took its attempts along, but not until when a repeat may be sent (handover.py _moved): it is counted anew from the attempts that may have run. tests/test_watch.py: a list that is cut, never ends, is too large, no JSON, of another form, refused or no HTTP is asked for again and changes nothing; an indented one counts.

--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -370,7 +370,7 @@
             tell = self.recorder.unsent if ended.unsent else self.recorder.outcome
             tell(ended.request, ended.number, ended.result)
         if ended.result not in api.NEVER_RAN and ended.request in self.calls:
-            self._ran(self.calls[ended.request], out.at)
+            self.ran(self.calls[ended.request], out.at)
         if ended.result == "ok":
             self._answer(ended.request, Answer("served", ended.body))
         self._decide(api.Outcome(
@@ -432,7 +432,7 @@
         out.recorded = out.waiting = True
         self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, None))
 
-    def _ran(self, call: Call, at: float) -> None:
+    def ran(self, call: Call, at: float) -> None:
         """An attempt that was sent at this time may have run."""
         module = self._of(call.envelope.id)
         for each in module.set.classes:
--- a/spanwing/handover/handover.py
+++ b/spanwing/handover/handover.py
@@ -191,14 +191,16 @@
         core, envelope = self.parts.core, moved.envelope
         self.others.discard(envelope.id)
         sender = self._passed(moved.connection, fd, (envelope, moved.keep))
-        out = None
+        call, out = Call(envelope, sender, moved.deadline, moved.sent), None
         for number, each in enumerate(moved.tried):
+            if not each.open and not each.proof:
+                core.ran(call, each.at)
             if each.open:
                 hop = self.parts.transport.hop_at(moved.hop, moved.place)
                 budget = max(0.0, moved.until - core.clock.now())
                 hop.resume(Delivery(envelope, number, budget, envelope.cls in core.safe), core)
                 out = number, Out(hop, each.worker, each.at, moved.until, None)
-        core.resume(Call(envelope, sender, moved.deadline, moved.sent), out, Resumed(
+        core.resume(call, out, Resumed(
             api.Request(envelope.id, envelope.cls, moved.deadline, envelope.tenant, envelope.slots,
                         envelope.memory, envelope.hint, envelope.route_key, envelope.repeat),
             moved.born, moved.spoilt, moved.over, moved.tried))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -114,6 +114,33 @@
         self.assertTrue(self.told.empty())
 
 
+    async def test_whatever_is_no_list_is_asked_for_again_and_changes_nothing(self) -> None:
+        """Cut, never ending, too large, no JSON, of another form, a refusal, no HTTP; and then one that is
+        indented."""
+        part = b'{"revision":8,"complete":true,"members":['
+        for wrong, ends in ((b"Content-Length: 900\r\n\r\n" + part, True),
+                            (b"Content-Length: 900\r\n\r\n" + part, False),
+                            (b"Transfer-Encoding: chunked\r\n\r\n2\r\n{ \r\n", False),
+                            (b"Content-Length: 70000\r\n\r\n", False),
+                            (b"Content-Length: 4\r\n\r\nlist", False),
+                            (b'Content-Length: 16\r\n\r\n{"revision":"x"}', False),
+                            (b'Content-Length: 14\r\n\r\n{"members":{}}', False),
+                            (b"Content-Length: x\r\n\r\n", False)):
+            target, writer = await self.called()
+            self.assertIn("since=7", target)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + wrong)
+            if ends:
+                writer.close()
+        for whole in (b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", b"what?\r\n\r\n"):
+            (await self.called())[1].write(whole)
+        self.assertTrue(self.told.empty())
+        _, writer = await self.called()
+        body = b'\n{\n  "revision": 8,\n  "complete": false,\n  "members": [\n  ]\n}\n'
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        self.assertEqual(await asyncio.wait_for(self.told.get(), 10), "partial")
+        self.assertIn("since=8", (await self.called())[0])
+
+
 class Paces(unittest.TestCase):
     @given(st.floats(0.0, 5000.0), st.booleans(), st.floats(0.0, 60000.0))
     def test_a_silent_watch_is_opened_anew_before_sends_must_have_stopped(
