--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -226,7 +226,7 @@
         side, posted = object.__new__(PolicySide), []
         side.core = SimpleNamespace(post=posted.append)
         side.hand = SimpleNamespace(may=lambda now: May("take", 2))
-        waited = 100.0
+        waited, side.passing = 100.0, []
         side.held = deque([(clock_ms() + HOLD_MS - waited, Take(Envelope("j", "look", 900.0), None))])
         side._release()
         self.assertAlmostEqual(posted[0].envelope.budget, 900.0 - waited, delta=50.0)
