Give a request that comes again under its id its own time

Cause: choice.py _end and _ended looked the job up by its id alone. A client whose connection broke sends once more under the same id; what was left of the former ended the new one at the former's time, and its job went on waiting and was sent. Ruled out: an answer within the same turn (an ended job is not held), the core's own order (Left before ClientGone).

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -500,7 +500,7 @@
         elif result in ("error", "unreachable", "timeout") or (  # a reset may be a push-out by priority
                 result == "reset" and not (self.set.preempts and job.cls.effect == "safe")):
             self._strike(view, result)
-        live = self.jobs.get(event.request)
+        live = job if self.jobs.get(event.request) is job else None
         if live is not None and event.complete:
             self._finish(live, None)
         elif live is not None and result == "rejected":
@@ -534,7 +534,7 @@
 
     def _end(self, job: Job) -> None:
         """The answer owed when nothing more can be tried, or time is up."""
-        if job.req.id in self.jobs:
+        if self.jobs.get(job.req.id) is job:  # and no later one whose client came again under its id
             self._finish(job, api.Refuse(job.req.id) if self._may_refuse(job) else api.Fail(job.req.id))
 
     def _may_refuse(self, job: Job) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,12 +13,14 @@
 from spanwing.interface import (
     Accepted,
     Cancel,
+    ClientGone,
     Fail,
     Log,
     Note,
     Probe,
     ProbeResult,
     Refuse,
+    Request,
     ServiceClass,
     Watch,
     Worker,
@@ -306,6 +308,18 @@
     assert node.end("none", 3, 77, "error") == [] == node.feed(Note("none", 0, 77, True))
 
 
+def test_an_id_that_comes_again_is_another_request_with_its_own_time():
+    """A client whose connection broke may send once more; what is left of the former ends nothing of this."""
+    node = Driver()
+    rid, _ = node.ask("bill", wait=250.0)
+    node.feed(ClientGone(rid))
+    node.feed(Request(rid, "bill", node.now + 290.0))
+    assert node.run(260.0) == []
+    actions = node.feed(WorkerList("complete", (Worker(1),)))
+    assert [each.request for each in sends(actions)] == [rid]
+    assert [each for each in node.run(310.0) if not isinstance(each, Log)] == [Fail(rid), Cancel(rid, 0)]
+
+
 def test_memory_stays_bounded_and_work_does_not_grow_with_the_fleet():
     node = Driver(settings(nodes=50), workers=1000)
     assert len(node.node.home) == 20
