Read what is on its way when an attempt is given up before its 202

An attempt whose connection comes up late is often called back within a millisecond of its last byte. Cause: nexthop.py _give_up and the wait for the 202 closed the connection at once and took that for the end; only before the 202 it is one. One that came in the 20 ms after the wait was over ended at once. Ruled out: repeats by the pool (attempts numbered in the trace), the core (one Ended each). Now one place ends such an attempt (_part): the sending side is shut, what still comes is read for CLOSED_S, and a 202, or what is no whole answer, is followed by a DELETE before the attempt has ended.

--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -114,17 +114,13 @@
             self._end(job, job.given_up or ("unreachable" if self._allowed(job) else "moot"), unsent=True)
             return
         job.listener.post(LastByte(envelope.id, job.delivery.number))
-        began = self.loop.time()
-        reply = await self._receive(connection, TAKEN_S)
+        # Who says neither yes nor no is waited for no longer: that would only keep its slots here, and the
+        # client, to the end of its time.
+        patience = self.loop.call_later(TAKEN_S, self._part, job, "timeout")
+        reply = await self._receive(connection)
+        self.loop.remove_timeout(patience)
         job.connection = None
-        if reply is None and job.given_up is not None:  # we have closed the connection, and the end is set
-            return
-        if reply is None and self.loop.time() - began >= TAKEN_S:
-            # It says neither yes nor no, and closing the connection has given the job up: waiting on would
-            # only keep its slots here, and the client, to the end of its time.
-            self.loop.call_later(CLOSED_S, self._end, job, "timeout")
-            return
-        self._replied(job, reply)
+        self._replied(job, reply, connection.garbled)
 
     async def _send(self, data: bytes, careful: bool, job: Job | None = None) -> PooledHttp | None:
         """The connection that took a whole request, or None: then its last byte was written to none.
@@ -161,19 +157,30 @@
             coming = connection.receive()
             reply = await (coming if wait is None else with_timeout(
                 wait, coming, quiet_exceptions=(HttpError, StreamClosedError)))
-        except (WaitOver, StreamClosedError, HttpError):
+        except HttpError:
+            connection.garbled = True
+        except (WaitOver, StreamClosedError):
             pass
         self.pool.learn(connection, reply is not None)
-        if reply is not None and reply.keep:
+        if reply is not None and reply.keep and not connection.shut:
             self.pool.give(connection)
         else:
             self.pool.drop(connection)
         return reply
 
-    def _replied(self, job: Job, reply: Message | None) -> None:
+    def _replied(self, job: Job, reply: Message | None, garbled: bool) -> None:
+        if not self._current(job):
+            return
         report = self.loads.text(reply.headers.get("x-load-report", "")) if reply else None
-        if reply is None:
+        if reply is None and garbled:  # whatever it was saying: perhaps that it has taken the job
+            job.given_up = job.given_up or "reset"
+            spawn(self._delete(job))
+        elif reply is None and job.given_up is not None:
+            self.loop.call_later(CLOSED_S, self._end, job, job.given_up)
+        elif reply is None:
             self._end(job, "reset")
+        elif reply.status == 202 and job.given_up is not None:  # it was on its way
+            spawn(self._delete(job))
         elif reply.status == 202:
             job.taken = True
             job.listener.post(Accepted(job.delivery.envelope.id, job.delivery.number))
@@ -219,15 +226,23 @@
         job = self.jobs.get(message.request)
         if job is None or job.delivery.number != message.number or job.given_up is not None:
             return
+        if job.connection is not None:
+            self._part(job, message.result)
+            return
         job.given_up = message.result
         if job.taken:
             spawn(self._delete(job))
-            return
-        if job.connection is None:
-            self._end(job, message.result, unsent=not job.last)
-            return
-        job.connection.close()  # before the 202, that gives the attempt up
-        self.loop.call_later(CLOSED_S, self._end, job, message.result)
+        else:
+            self._end(job, message.result, unsent=True)
+
+    def _part(self, job: Job, why: api.Result) -> None:
+        """Give up what was sent and not answered yet: before the 202, the end of the connection does that. A
+        202 may be on its way, and then the job is out there: what still comes is read, until that end has
+        certainly arrived."""
+        if job.connection is not None and job.given_up is None:
+            job.given_up = why
+            job.connection.shut_down()
+            self.loop.call_later(CLOSED_S, job.connection.hang_up)
 
     def _withdraw(self, message: Withdraw) -> None:
         job = self.jobs.get(message.request)
--- a/spanwing/hops/pool.py
+++ b/spanwing/hops/pool.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 
 from tornado.gen import TimeoutError as WaitOver
@@ -26,6 +28,21 @@
     """A connection to a next hop."""
 
     stood_s = 0.0  # idle before its present use; 0: it is new
+    shut = False  # nothing more is written here
+    garbled = False  # what came was no whole answer, and we have ended it
+
+    def shut_down(self) -> None:
+        """Let the other side see our end, and still read what comes."""
+        self.shut = True
+        if not self.stream.closed():
+            with suppress(OSError):  # the other side may just have reset it
+                self.stream.socket.shutdown(socket.SHUT_WR)
+
+    def hang_up(self) -> None:
+        """Close it, whatever is coming."""
+        if not self.stream.closed():
+            self.garbled = not self.parser.idle()
+            self.close()
 
 
 class Descriptors:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,12 +11,14 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from player import PATIENCE_S, SETTINGS, Daemon, config, member
 from standins import FaktorySpeaker, read_http
 from tornado.concurrent import Future
 
 from spanwing.core.messages import Delivery, Ended, Envelope
+from spanwing.hops import nexthop
 from spanwing.hops.faktoryworker import FaktoryNextHop, Fetch
 from spanwing.hops.load import LoadReader
 from spanwing.hops.nexthop import HttpNextHop
@@ -298,6 +300,25 @@
         self.assertEqual(worker.accept().read()[1]["x-call-id"], "job-2")
 
 
+    def test_one_that_comes_again_under_its_id_has_its_own_time(self) -> None:
+        """The time of the former is over before that of a third, which came last and says so."""
+        worker, discovery = Hears(self), Discovery(self)
+        self.start(at=discovery)
+        discovery.called()
+        first, again, third = self.client(), self.client(), self.client()
+        first.ask("status-read", "job-1", budget=300)
+        self.until("taken", 1)
+        first.close()
+        self.until("left", 1)
+        again.ask("status-read", "job-1")
+        third.ask("status-read", "job-2", budget=300)
+        self.assertIn("503", third.read()[0])
+        discovery.tell(member("w1", worker.port))
+        serving = worker.accept()
+        self.assertEqual(serving.read()[1]["x-call-id"], "job-1")
+        serving.say(200, b"served")
+        self.assertEqual(again.read()[2], b"served")
+
     def test_while_it_waits_for_a_workers_fetch(self) -> None:
         for ahead in (b"", b"INFO\r\nBE"):
             for cls in ("status-read", "schedule-apply"):
@@ -320,14 +341,12 @@
 
 
 class Hop(unittest.IsolatedAsyncioTestCase):
-    """A next hop at all of whose connections others are at work."""
+    """A next hop in the test's own loop: what it does in one turn, the test can answer before the next."""
 
     async def asyncSetUp(self) -> None:
         self.worker, self.ended = Hears(self), asyncio.Queue()
         pool = ConnectionPool(Address("127.0.0.1", self.worker.port), BufferPool(), Descriptors(99), 9e3, 9e3)
         self.hop = HttpNextHop("w1", pool, LoadReader(()), lambda hop: None)
-        for _ in range(MOST):
-            await pool.room.acquire()
         self.pool, self.may = pool, True
 
     def post(self, message: object) -> None:
@@ -340,6 +359,90 @@
         while "job-1" not in self.hop.jobs:
             await asyncio.sleep(0)
 
+
+class GivenUp(Hop):
+    """Sent and not answered yet: what the job worker is saying just then may be that it has the job."""
+
+    async def sent(self) -> Speaks:
+        await self.deliver(True)
+        connection = await asyncio.to_thread(self.worker.accept)
+        self.assertEqual((await asyncio.to_thread(connection.read))[1]["x-call-id"], "job-1")
+        while not self.hop.jobs["job-1"].last:
+            await asyncio.sleep(0)
+        return connection
+
+    async def given_up(self) -> None:
+        while self.hop.jobs["job-1"].given_up is None:
+            await asyncio.sleep(0)
+
+    async def is_told(self, result: str) -> None:
+        """It is out, and so nowhere else, until the job worker was told."""
+        ended, told = asyncio.ensure_future(self.ended.get()), asyncio.ensure_future(
+            asyncio.to_thread(self.worker.accept))
+        await asyncio.wait({ended, told}, timeout=PATIENCE_S, return_when=asyncio.FIRST_COMPLETED)
+        self.assertFalse(ended.done())
+        connection = await told
+        self.assertIn("DELETE /jobs/job-1 ", (await asyncio.to_thread(connection.read))[0])
+        self.assertFalse(ended.done())
+        connection.say(204)
+        self.assertEqual(await asyncio.wait_for(ended, PATIENCE_S), (result, False))
+
+    async def test_a_202_that_was_on_its_way_is_read_and_its_job_called_off(self) -> None:
+        worker = await self.sent()
+        self.hop.give_up("job-1", 0, "cancelled")
+        await self.given_up()
+        worker.say(202)  # before the loop's next turn
+        await self.is_told("cancelled")
+
+    async def test_so_is_one_that_came_as_the_wait_for_it_ended(self) -> None:
+        with mock.patch.object(nexthop, "TAKEN_S", 0.0):
+            worker = await self.sent()
+            await self.given_up()
+            worker.say(202)
+            await self.is_told("timeout")
+
+    async def test_whoever_says_what_is_no_answer_may_have_the_job(self) -> None:
+        worker = await self.sent()
+        worker.socket.sendall(b"HTTP/1.1 2o2 Accepted\r\n\r\n")
+        await self.is_told("reset")
+
+    async def test_or_does_not_come_to_an_end(self) -> None:
+        worker = await self.sent()
+        worker.socket.sendall(b"HTTP/1.1 202 Accepted\r\nX-Load-Report: ")
+        self.hop.give_up("job-1", 0, "cancelled")
+        await self.is_told("cancelled")
+
+    async def test_another_answer_on_its_way_counts(self) -> None:
+        worker = await self.sent()
+        self.hop.give_up("job-1", 0, "cancelled")
+        await self.given_up()
+        worker.say(503, X_Rejected="1")
+        self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("full", False))
+
+    async def test_one_that_breaks_off_in_its_answer_has_ended_the_attempt(self) -> None:
+        worker = await self.sent()
+        worker.socket.sendall(b"HTTP/1.1 20")
+        worker.close()
+        self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("reset", False))
+        self.assertTrue(self.worker.none_waits())
+
+    async def test_one_that_says_nothing_is_told_by_the_end_of_the_connection(self) -> None:
+        worker = await self.sent()
+        self.hop.give_up("job-1", 0, "cancelled")
+        self.assertEqual(await asyncio.to_thread(worker.rest), b"")
+        self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("cancelled", False))
+        self.assertTrue(self.worker.none_waits())
+        self.assertEqual(self.pool.descriptors.held, 0)
+
+
+class Busy(Hop):
+    """Others are at work at all of its connections."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for _ in range(MOST):
+            await self.pool.room.acquire()
+
     async def goes_nowhere(self) -> None:
         self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
         self.pool.room.release()  # a place is free; nothing takes it
