Stop an attempt whose client left in the midst of its bytes, also without cancel

Read, then shown by a test that fails without: nexthop.py _withdraw took an attempt for sent once the write of its last byte had begun. A body that a job worker takes in slowly was written to its end after its client had left, wherever the settings allow nothing to be called off. While bytes of it are still here the connection is closed now.

A test that a reply half written when SIGTERM comes is written whole; no fault was found there.

--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -246,9 +246,14 @@
 
     def _withdraw(self, message: Withdraw) -> None:
         job = self.jobs.get(message.request)
-        if job is not None and job.delivery.number == message.number and not job.last:
+        if job is None or job.delivery.number != message.number:
+            return
+        if not job.last:
             job.given_up = job.given_up or "moot"
             self._end(job, "moot", unsent=True)
+        elif job.connection is not None and job.connection.stream.writing():  # the last byte is still here
+            job.given_up = job.given_up or "moot"
+            job.connection.close()
 
     async def _delete(self, job: Job) -> None:
         """Give up a job that was taken; it has ended only once the job worker was told. One that is cut off
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -499,6 +499,19 @@
         self.assertLess(len(taken.rest()), 60_000)
         self.assertNotIn("tries", self.counters())
 
+    def test_one_whose_client_leaves_in_the_midst_of_its_bytes_gets_no_last_byte(self) -> None:
+        """Also where nothing may be called off: what is unsent is not sent on."""
+        worker = Hears(self, receives=1024)
+        self.start(member("w1", worker.port), command=(ODDLY, "small"), cancel=False)
+        client = self.client()
+        client.ask("status-read", "job-1", bytes(60_000))
+        taken = worker.accept()
+        taken.socket.recv(1)
+        client.close()
+        self.until("ended.moot", 1)
+        self.assertLess(len(taken.rest()), 60_000)
+        self.assertNotIn("tries", self.counters())
+
     def test_a_repeat_is_not_sent_once_job_workers_no_longer_drop_it(self) -> None:
         """It was decided within the window, and its connection comes up after it: the backlog is full, and
         TCP tries again after a second."""
@@ -555,6 +568,29 @@
         self.daemon.process.send_signal(signal.SIGTERM)
         self.assertEqual(self.daemon.wait()[0], 0)
 
+    def test_a_reply_half_written_is_written_whole(self) -> None:
+        """Its client reads on only once the end has begun, and is known to have."""
+        worker = Hears(self)
+        self.start(member("w1", worker.port), command=(ODDLY, "small"))
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        client.connect(self.daemon.addresses["clients"])
+        client = Speaks(self, client)
+        client.ask("status-read", "job-1")
+        serving = worker.accept()
+        serving.read()
+        serving.say(200, bytes(60_000))
+        self.until("answered", 1)
+        self.daemon.process.send_signal(signal.SIGTERM)
+        with self.daemon.patience():
+            while True:
+                with self.daemon.connect("clients") as asked:
+                    asked.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+                    if "503" in read_http(asked.makefile("rb"))[0]:
+                        break
+        self.assertEqual(len(client.read()[2]), 60_000)
+        self.assertEqual(self.daemon.wait()[0], 0)
+
     def test_nothing_is_accepted_any_more_once_it_ends(self) -> None:
         """A listener that stood while the interpreter comes down would take connections and reset them."""
         folder = tempfile.TemporaryDirectory()
