--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -159,7 +159,9 @@
                 wait, coming, quiet_exceptions=(HttpError, StreamClosedError)))
         except HttpError:
             connection.garbled = True
-        except (WaitOver, StreamClosedError):
+        except WaitOver:
+            connection.garbled = not connection.parser.idle()
+        except StreamClosedError:
             pass
         self.pool.learn(connection, reply is not None)
         if reply is not None and reply.keep and not connection.shut:
@@ -260,8 +262,7 @@
         is told again, to the end of the job's time: sent elsewhere meanwhile, it would be out twice."""
         pause = GIVE_UP_AGAIN_S
         try:
-            target = f"/jobs/{job.delivery.envelope.id}"
-            while await self._ask("DELETE", target, GIVE_UP_S) is None and self._current(job):
+            while not await self._told(f"/jobs/{job.delivery.envelope.id}") and self._current(job):
                 left = job.until - self.loop.time()
                 if left <= 0:
                     break
@@ -270,10 +271,15 @@
         finally:
             self._end(job, job.given_up or "cancelled")
 
-    async def _ask(self, method: str, target: str, wait_s: float) -> Message | None:
+    async def _told(self, target: str) -> bool:
+        """Whether the job worker has our DELETE: whatever it says to it, it has read it."""
+        connection = await self._ask("DELETE", target)
+        return connection is not None and (
+            await self._receive(connection, GIVE_UP_S) is not None or connection.garbled)
+
+    async def _ask(self, method: str, target: str) -> PooledHttp | None:
         data = request_bytes(method, target, {"Host": str(self.pool.address)})
-        connection = await self._send(data, careful=False)
-        return None if connection is None else await self._receive(connection, wait_s)
+        return await self._send(data, careful=False)
 
     def _probe(self, probe: Probe) -> None:
         spawn(self._ask_load(probe))
@@ -281,7 +287,8 @@
     async def _ask_load(self, probe: Probe) -> None:
         loop = IOLoop.current()
         start = loop.time()
-        reply = await self._ask("GET", "/metrics/load", PROBE_S)
+        connection = await self._ask("GET", "/metrics/load")
+        reply = None if connection is None else await self._receive(connection, PROBE_S)
         report = None
         result: api.Result = "unreachable" if reply is None else "ok" if reply.status == 200 else "error"
         if reply is not None:
