Have a fleet's stand-in workers take no job whose connection has ended

The stand-in read a request whose connection had ended before its 202, which gives it up by the protocol's word, and ran it all the same; so the verdict rested on speed.

--- a/measure/fleet/parts.py
+++ b/measure/fleet/parts.py
@@ -173,6 +173,8 @@
         while (message := await read_message(reader)) is not None:
             first, headers, _ = message
             method, target, _ = first.split(" ", 2)
+            if reader.at_eof():  # before the 202, the end of its connection has given a job up
+                break
             try:
                 writer.write(self._answer(method, target, headers))
                 await writer.drain()
