Judge a job as given up by the end of its connection, as the link hears of it

Cause: where a job worker gets no processor time for half a second its jobs are called back before their 202 by the end of their connection; the stand-in comes to read them later, and the checker went by that moment. The protocol's word is that the end of the connection before the 202 gives the job up. The relay, which all links share, now writes down when it hears of such an end; the checker takes the job for given up from then on, and passes over the one late reading.

--- a/measure/fleet/check.py
+++ b/measure/fleet/check.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -60,12 +60,21 @@
 
 def at_once(records: Iterable[Mapping[str, Any]], spared: Collection[str] = ()) -> list[str]:
     """No job is at two workers at a time; spared: workers that were killed or stopped, or whose links were
-    touched, so that they could not be told."""
+    touched, so that they could not be told. A job whose connection ended before its 202 is given up, as soon
+    as the link hears of that end; its worker may come to read it later."""
     out: dict[str, set[str]] = defaultdict(set)
+    unread: Counter[tuple[str, str]] = Counter()
     wrong = []
     for each in records:
         if each["ev"] in ("done", "dropped"):
             out[each["job"]].discard(each["worker"])
+        elif each["ev"] == "ended":
+            if each["worker"] in out[each["job"]]:
+                out[each["job"]].discard(each["worker"])
+            else:
+                unread[each["job"], each["worker"]] += 1
+        elif each["ev"] == "got" and unread[each["job"], each["worker"]]:
+            unread[each["job"], each["worker"]] -= 1
         elif each["ev"] == "got" and each["how"] == "up":
             others = out[each["job"]] - {each["worker"]}
             if others.difference(spared):
--- a/measure/fleet/ground.py
+++ b/measure/fleet/ground.py
@@ -101,7 +101,7 @@
         links = {**{f"{one}>{other}": 9 for one in self.schedulers for other in (*self.workers, *self.members,
                                                                                 "discovery")},
                  **{f"{worker}>{one}": 9 for worker in self.workers for one in self.schedulers}}
-        self.relay = Part("relay", {"links": links})
+        self.relay = Part("relay", {"links": links, "log": str(self.path / "relay.log")})
         self.ports: dict[str, int] = self.relay.begun["ports"]
         try:
             self._start(rate)
--- /dev/null
+++ b/tests/test_fleetcheck.py
@@ -0,0 +1,37 @@
+"""What a fleet's checker takes for a job at two workers at a time."""
+
+from __future__ import annotations
+
+import unittest
+
+from measure.fleet.check import at_once
+from measure.fleet.parts import take
+
+
+def at(ev: str, worker: str, how: str = "up") -> dict[str, str]:
+    return {"ev": ev, "job": "j1", "worker": worker, "how": how}
+
+
+class AtOnce(unittest.TestCase):
+    def test_a_job_at_two_workers_is_found_unless_the_first_has_ended_or_lost_it(self) -> None:
+        self.assertEqual(len(at_once([at("got", "w1"), at("got", "w2")])), 1)
+        for ends in ("done", "dropped", "ended"):
+            self.assertEqual(at_once([at("got", "w1"), at(ends, "w1"), at("got", "w2")]), [])
+
+    def test_one_that_reads_late_what_was_given_up_has_nothing(self) -> None:
+        late = [at("ended", "w1"), at("got", "w2"), at("got", "w1")]
+        self.assertEqual(at_once(late), [])
+        self.assertEqual(at_once([at("ended", "w1"), at("got", "w1", "ended"), at("got", "w2")]), [])
+        # Only that one: what comes there after it is out again.
+        self.assertEqual(len(at_once([*late, at("got", "w1")])), 1)
+
+    def test_a_link_tells_of_whole_requests(self) -> None:
+        asked = b"POST /look HTTP/1.1\r\nHost: x\r\nX-Call-Id: j1\r\nContent-Length: 2\r\n\r\nab"
+        said = bytearray(asked[:-1])
+        self.assertIsNone(take(said))
+        said += asked[-1:] + b"DELETE /jobs/j1 HTTP/1.1\r\nHost: x\r\n\r\n"
+        self.assertEqual([take(said), take(said), take(said)], [b"j1", b"", None])
+
+
+if __name__ == "__main__":
+    unittest.main()
