--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -250,6 +250,27 @@
         self.assertEqual(worker.accept().rest(), b"")
         self.assertNotIn("tries", self.counters())
 
+    def test_while_its_last_byte_is_held_back(self) -> None:
+        for cancel in (True, False):
+            for cls in ("schedule-apply", "setpoint-push"):
+                with self.subTest(cls, cancel=cancel), tempfile.TemporaryDirectory() as folder:
+                    gate = Path(folder) / "gate"
+                    os.mkfifo(gate)
+                    worker = Hears(self)
+                    self.start(member("w1", worker.port), cancel=cancel, command=(ODDLY, f"hold={gate}"))
+                    client = self.client()
+                    client.ask(cls, "job-1", b"body")
+                    taken = worker.accept()
+                    while not taken.file.readline().strip() == b"":
+                        pass
+                    self.assertEqual(taken.file.read(3), b"bod")
+                    client.close()
+                    self.until("left", 1)
+                    gate.write_bytes(b"1")
+                    self.assertEqual(taken.rest(), b"")
+                    self.assertNotIn("tries", self.counters())
+                    self.stop()
+
     def test_while_it_is_held_behind_bytes_that_its_client_sent_ahead(self) -> None:
         for ahead in (b"POST /stat", request("status-read", "job-2"), bytes(60_000)):
             with self.subTest(ahead=len(ahead)):
