--- a/measure/fleet/check.py
+++ b/measure/fleet/check.py
@@ -61,14 +61,17 @@
 def at_once(records: Iterable[Mapping[str, Any]], spared: Collection[str] = ()) -> list[str]:
     """No job is at two workers at a time; spared: workers that were killed or stopped, or whose links were
     touched, so that they could not be told. A job whose connection ended before its 202 is given up, as soon
-    as the link hears of that end; its worker may come to read it later."""
+    as the link hears of that end; its worker may come to read it later. A `schedule-apply` is not: it may
+    have run, and goes nowhere else."""
+    records = list(records)
+    once = {each["job"] for each in records if each["ev"] == "got" and each["cls"] == "schedule-apply"}
     out: dict[str, set[str]] = defaultdict(set)
     unread: Counter[tuple[str, str]] = Counter()
     wrong = []
     for each in records:
         if each["ev"] in ("done", "dropped"):
             out[each["job"]].discard(each["worker"])
-        elif each["ev"] == "ended":
+        elif each["ev"] == "ended" and each["job"] not in once:
             if each["worker"] in out[each["job"]]:
                 out[each["job"]].discard(each["worker"])
             else:
--- a/tests/test_fleetcheck.py
+++ b/tests/test_fleetcheck.py
@@ -8,8 +8,8 @@
 from measure.fleet.parts import take
 
 
-def at(ev: str, worker: str, how: str = "up") -> dict[str, str]:
-    return {"ev": ev, "job": "j1", "worker": worker, "how": how}
+def at(ev: str, worker: str, how: str = "up", cls: str = "status-read") -> dict[str, str]:
+    return {"ev": ev, "job": "j1", "worker": worker, "how": how, "cls": cls}
 
 
 class AtOnce(unittest.TestCase):
@@ -25,6 +25,10 @@
         # Only that one: what comes there after it is out again.
         self.assertEqual(len(at_once([*late, at("got", "w1")])), 1)
 
+    def test_what_must_run_once_is_given_up_by_no_end_of_a_connection(self) -> None:
+        first, second = (at("got", worker, cls="schedule-apply") for worker in ("w1", "w2"))
+        self.assertEqual(len(at_once([first, at("ended", "w1"), second])), 1)
+
     def test_a_link_tells_of_whole_requests(self) -> None:
         asked = b"POST /look HTTP/1.1\r\nHost: x\r\nX-Call-Id: j1\r\nContent-Length: 2\r\n\r\nab"
         said = bytearray(asked[:-1])
