--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -376,7 +376,7 @@
 
     async def deliver(self, repeatable: bool) -> None:
         envelope = Envelope("job-1", "look", 9e3)
-        self.hop.deliver(Delivery(envelope, 0, 9e3, repeatable, may=lambda: self.may), self)
+        self.hop.deliver(Delivery(envelope, 0, 9e5, repeatable, may=lambda: self.may), self)
         while "job-1" not in self.hop.jobs:
             await asyncio.sleep(0)
 
