Build the golden structs that go by position by keyword, so that a swap of two fields is seen

Change: structs that go by position are built by keyword; open and proof, learned and tells, cut_short and doubtful now differ in their values.

--- a/tests/golden_messages.py
+++ b/tests/golden_messages.py
@@ -2,7 +2,8 @@
 
 This file and golden_folders.py are the only places of these tests that use names of the program: a rename in
 the program is followed here, and never in tests/golden/. `full` sets every field to something other than its
-default, `least` only the fields that have none.
+default, `least` only the fields that have none. Structs that go by position are built by keyword, or a swap
+of two fields would not be seen.
 """
 
 from __future__ import annotations
@@ -73,26 +74,41 @@
 
 
 def _journal_records() -> dict[str, Any]:
-    request = ("job-1", 1700000000123.5, 5000.25)
-    life = ("", 1700000000000.0, 4000.0)
+    request = {"request": "job-1", "wall_ms": 1700000000123.5, "mono_ms": 5000.25}
+    life = {"request": "", "wall_ms": 1700000000000.0, "mono_ms": 4000.0}
     names = {
-        "started": (records.Started, life, ("scheduler-a", "0123456789abcdef", False)),
-        "taken": (records.Taken, request, ("schedule-apply", "corrib", "key-1", "platform", 25000.5)),
-        "intent": (records.Intent, request, (2, "worker-1", "127.0.0.1:4001")),
-        "last byte": (records.LastByte, request, (2,)),
-        "unsent": (records.Unsent, request, (2, "unreachable")),
-        "given up": (records.GivenUp, request, (2, "deadline")),
-        "outcome": (records.Outcome, request, (2, "ok")),
-        "answered": (records.Answered, request, ("served",)),
-        "closed": (records.Closed, request, (2, "worker-1")),
-        "gap": (records.Gap, life, (1699999999000.5, 7, "the disk is slow")),
+        "started": (
+            records.Started,
+            life,
+            {"name": "scheduler-a", "life": "0123456789abcdef", "certain": False},
+        ),
+        "taken": (records.Taken, request, _TAKEN),
+        "intent": (
+            records.Intent,
+            request,
+            {"attempt": 2, "worker": "worker-1", "address": "127.0.0.1:4001"},
+        ),
+        "last byte": (records.LastByte, request, {"attempt": 2}),
+        "unsent": (records.Unsent, request, {"attempt": 2, "why": "unreachable"}),
+        "given up": (records.GivenUp, request, {"attempt": 2, "why": "deadline"}),
+        "outcome": (records.Outcome, request, {"attempt": 2, "result": "ok"}),
+        "answered": (records.Answered, request, {"kind": "served"}),
+        "closed": (records.Closed, request, {"attempt": 2, "worker": "worker-1"}),
+        "gap": (records.Gap, life, {"since_wall_ms": 1699999999000.5, "count": 7, "why": "the disk is slow"}),
     }
-    full = {f"{name} full": kind(*common, *own) for name, (kind, common, own) in names.items()}
-    return full | {f"{name} least": kind(*common) for name, (kind, common, _) in names.items()}
+    full = {f"{name} full": kind(**common, **own) for name, (kind, common, own) in names.items()}
+    return full | {f"{name} least": kind(**common) for name, (kind, common, _) in names.items()}
 
 
-_CHANGE = document.Change(8, "change-8", {"zone/galway": '{"state":"left"}', "deal": None})
-_ENTRY = document.Entry('{"member":"a","term":3}', 7)
+_TAKEN = {
+    "cls": "schedule-apply",
+    "tenant": "corrib",
+    "key": "key-1",
+    "front": "platform",
+    "budget_ms": 25000.5,
+}
+_CHANGE = document.Change(revision=8, id="change-8", writes={"zone/galway": '{"state":"left"}', "deal": None})
+_ENTRY = document.Entry(value='{"member":"a","term":3}', revision=7)
 _DOCUMENT = document.Document(8, {"keeper": _ENTRY}, (_CHANGE,))
 
 
@@ -143,6 +159,18 @@
     } | {f"claim {name}": claims.Claim("01", name) for name in ("claimed", "failed", "refused")}
 
 
+_ZONE_PAST = {
+    "number": 9,
+    "wall_ms": 1700000000123.5,
+    "zone": "galway",
+    "state": "left",
+    "step": 1,
+    "reason": "silent",
+    "author": "member-a",
+}
+_WORDS = evidence.Words(good=[1, 2], bad=[3], held=4.5, idle=5.5)
+
+
 def _zones() -> dict[str, Any]:
     return {
         "zone full": state.Zone(
@@ -151,11 +179,11 @@
         "zone least": state.Zone(),
         "deal full": state.Deal(4, ["a.01"], ["b.02"], True),
         "deal least": state.Deal(4, ["a.01"]),
-        "past full": state.Past(9, 1700000000123.5, "galway", "left", 1, "silent", "member-a", 0.25),
-        "past least": state.Past(9, 1700000000123.5, "galway", "left", 1, "silent", "member-a"),
-        "words full": evidence.Words([1, 2], [3], 4.5, 5.5),
-        "words least": evidence.Words([1, 2], [3]),
-        "report full": evidence.Report({"galway": evidence.Words([1, 2], [3], 4.5, 5.5)}),
+        "past full": state.Past(**_ZONE_PAST, share=0.25),
+        "past least": state.Past(**_ZONE_PAST),
+        "words full": _WORDS,
+        "words least": evidence.Words(good=[1, 2], bad=[3]),
+        "report full": evidence.Report(zones={"galway": _WORDS}),
         "order full": steward.Order("leave", "galway", 30.5, "operator at a"),
         "order least": steward.Order("return", "galway"),
     } | {f"zone {name}": state.Zone(name) for name in ("leaving", "left")}
@@ -164,14 +192,21 @@
 def _policy() -> dict[str, Any]:
     version = record.Version(3, "0123456789abcdef", '{"a":1}', "operator", "more room", 1700000000123.5)
     change = record.Change("change-1", "closing", 60000.5, ["b.02"], 2)
-    past = record.Past(3, 1700000000123.5, True, "more room", "operator", "0123456789abcdef")
+    past = record.Past(
+        number=3,
+        wall_ms=1700000000123.5,
+        taken=True,
+        reason="more room",
+        author="operator",
+        digest="0123456789abcdef",
+    )
     return {
         "version full": version,
         "version least": record.Version(),
         "change full": change,
         "change least": record.Change("change-1", "asking", 60000.5),
         "past full": past,
-        "says full": chair.Says(True, "change-1", "no"),
+        "says full": chair.Says(wants=True, change="change-1", no="no"),
         "says least": chair.Says(),
         "order full": minds.PolicyOrder("propose", '{"a":1}', 2, "operator at a", "more room", 30.5, ["b"]),
         "order least": minds.PolicyOrder("abort"),
@@ -181,9 +216,39 @@
 
 
 _SEEN = messages.WorkerSeen(
-    11, 4.5, True, 2, 1.5, 90.5, 80.5, True, 70.5, 3, 2.5, 6.5, 60.5, 1.25, [(50.5, 40.5)]
+    id=11,
+    total=4.5,
+    learned=True,
+    held=2,
+    others=1.5,
+    seen=90.5,
+    heard=80.5,
+    tells=False,
+    rest_until=70.5,
+    strikes=3,
+    limit=2.5,
+    peak=6.5,
+    no_raise=60.5,
+    pace=1.25,
+    sent=[(50.5, 40.5)],
+)
+_NEVER_SEEN = messages.WorkerSeen(
+    id=12,
+    total=4.5,
+    learned=False,
+    held=0,
+    others=0.0,
+    seen=None,
+    heard=0.0,
+    tells=False,
+    rest_until=0.0,
+    strikes=0,
+    limit=None,
+    peak=0.0,
+    no_raise=0.0,
+    pace=1.0,
+    sent=[],
 )
-_NEVER_SEEN = messages.WorkerSeen(12, 4.5, False, 0, 0.0, None, 0.0, False, 0.0, 0, None, 0.0, 0.0, 1.0, [])
 _MEMBER = Member("worker-1", "127.0.0.1:4001", "galway", "large", 7, "leaving", 8.5, 1700000000123.5)
 _ENVELOPE = Envelope(
     "job-1",
@@ -203,7 +268,7 @@
     "platform",
 )
 _PASSED = messages.Passed(b"read already", True, True, "127.0.0.1:5001")
-_TRIED = messages.Tried(11, 1.5, True, 2.5, 3.5, True)
+_TRIED = messages.Tried(worker=11, at=1.5, open=False, started=2.5, noted=3.5, proof=True)
 
 
 def _handover() -> dict[str, Any]:
@@ -267,26 +332,26 @@
 
 def _view() -> View:
     view = View(
-        api.Worker(11),
-        0.0,
-        4.5,
-        False,
-        True,
-        2,
-        1,
-        5.5,
-        6.5,
-        60.5,
-        1.5,
-        90.5,
-        95.5,
-        80.5,
-        True,
-        70.5,
-        3,
-        2.5,
-        7.5,
-        1.25,
+        entry=api.Worker(11),
+        owner=0.0,
+        total=4.5,
+        home=False,
+        learned=True,
+        held=2,
+        running=1,
+        memory=5.5,
+        peak=6.5,
+        no_raise=60.5,
+        others=1.5,
+        seen=90.5,
+        asked=95.5,
+        heard=80.5,
+        tells=False,
+        rest_until=70.5,
+        strikes=3,
+        limit=2.5,
+        size=7.5,
+        pace=1.25,
     )
     view.sent.append((50.5, 40.5))
     return view
@@ -317,7 +382,9 @@
 def _job() -> Job:
     request = api.Request("job-1", "schedule-apply", 25000.0)
     job = Job(request, api.ServiceClass("schedule-apply", aim=300.0, deadline=5000.0), 0, 1.5)
-    job.attempts.append(Attempt(job, _view(), 1.5, True, 2.5, 3.5, True))
+    job.attempts.append(
+        Attempt(job=job, view=_view(), at=1.5, open=False, started=2.5, noted=3.5, proof=True)
+    )
     return job
 
 
@@ -339,12 +406,30 @@
 
 def _snapshot_parts() -> dict[str, Any]:
     attempt = snapshot.KeptAttempt(
-        2, "worker-1", "127.0.0.1:4001", 1.5, 2.5, "unreachable", "deadline", "ok", True
+        number=2,
+        worker="worker-1",
+        address="127.0.0.1:4001",
+        intent_ms=1.5,
+        last_byte_ms=2.5,
+        unsent="unreachable",
+        given_up="deadline",
+        result="ok",
+        closed=True,
+    )
+    taken = records.Taken(request="job-1", wall_ms=1.5, mono_ms=2.5, **_TAKEN)
+    request = snapshot.KeptRequest(
+        id="job-1",
+        first=9,
+        taken=taken,
+        answer="served",
+        answered_ms=3.5,
+        cut_short=True,
+        attempts=[attempt],
+        doubtful=False,
     )
-    taken = records.Taken("job-1", 1.5, 2.5, "schedule-apply", "corrib", "key-1", "platform", 25000.5)
     return {
         "kept attempt full": attempt,
-        "kept request full": snapshot.KeptRequest("job-1", 9, taken, "served", 3.5, True, [attempt], True),
+        "kept request full": request,
     }
 
 
