--- a/tests/golden_files.py
+++ b/tests/golden_files.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import shutil
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -14,6 +15,7 @@
 
 GOLDEN = Path(__file__).parent / "golden"
 FORMS, TOLERANCE = GOLDEN / "forms", GOLDEN / "tolerance.json"
+FOLDERS, ANSWERS = GOLDEN / "folders", GOLDEN / "answers"
 LOCK = "lock"  # an empty file of a folder that one process at a time may write
 
 
@@ -31,6 +33,12 @@
     return {each.name: each.read_bytes() for each in sorted(folder.iterdir()) if each.name != LOCK}
 
 
+def copied(subject: str, place: Path) -> Path:
+    """A copy of a golden folder, which may be opened and written."""
+    shutil.copytree(FOLDERS / subject / "written", place)
+    return place
+
+
 def answers(name: str) -> Any:
     return json.loads((GOLDEN / name).read_text())
 
--- a/tests/golden_make.py
+++ b/tests/golden_make.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import json
+import shutil
 import sys
+import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
-from golden_files import FORMS, TOLERANCE, tolerance  # noqa: E402
+import golden_folders  # noqa: E402
+from golden_files import ANSWERS, FOLDERS, FORMS, TOLERANCE, copied, folder_bytes, tolerance  # noqa: E402
 from golden_messages import SUBJECTS  # noqa: E402
 
 
@@ -47,5 +51,42 @@
     _new(TOLERANCE, json.dumps(found, indent=1) + "\n")
 
 
+def _new_folder(path: Path, write: Callable[[Path], object]) -> None:
+    """With all of its files but the lock; what write returns goes beside it, where that is anything."""
+    if path.exists():
+        print(f"{path.name} is there and stays as it is")
+        return
+    with tempfile.TemporaryDirectory() as made:
+        write(Path(made))
+        path.mkdir(parents=True)
+        for name, data in folder_bytes(Path(made)).items():
+            (path / name).write_bytes(data)
+
+
+def make_folders() -> None:
+    """The folders first, then what is read from them, from copies."""
+    own = golden_folders
+    for subject, write in own.WRITTEN.items():
+        _new_folder(FOLDERS / subject / "written", write)
+    read = {}
+    with tempfile.TemporaryDirectory() as place:
+        for subject, open_it in own.OPENED.items():
+            copy = copied(subject, Path(place) / subject)
+            read[subject] = open_it(copy)
+            if folder_bytes(copy) != folder_bytes(FOLDERS / subject / "written"):
+                _new_folder(
+                    FOLDERS / subject / "opened",
+                    lambda made, copy=copy: shutil.copytree(copy, made, dirs_exist_ok=True),
+                )
+        copy = copied("journal", Path(place) / "restart")
+        read["journal, restarted"] = own.restart_journal(copy)
+        _new_folder(
+            FOLDERS / "journal" / "restarted", lambda made: shutil.copytree(copy, made, dirs_exist_ok=True)
+        )
+    for name, answer in {**read, "claims": own.taken_claims(), "status": own.status()}.items():
+        _new(ANSWERS / f"{name}.json", json.dumps(answer, indent=1) + "\n")
+
+
 if __name__ == "__main__":
     make_forms()
+    make_folders()
