Add golden forms of the settings, which a policy's text in the store is read as

Cause: the store and the policy folder keep a policy as its text, which is decoded by the field names of spanwing/settings.py; a rename there would leave stored policies unread or read with defaults. The list of job workers in a settings file likewise.

Change: a subject `settings` (every field set, and defaults), and the settings that the module is told from the full text.

--- a/tests/golden_files.py
+++ b/tests/golden_files.py
@@ -14,7 +14,7 @@
 import msgspec
 
 GOLDEN = Path(__file__).parent / "golden"
-FORMS, TOLERANCE = GOLDEN / "forms", GOLDEN / "tolerance.json"
+FORMS, TOLERANCE = GOLDEN / "forms", GOLDEN / "tolerance"
 FOLDERS, ANSWERS = GOLDEN / "folders", GOLDEN / "answers"
 LOCK = "lock"  # an empty file of a folder that one process at a time may write
 
@@ -43,6 +43,11 @@
     return json.loads((GOLDEN / name).read_text())
 
 
+def known_tolerance() -> dict[str, Any]:
+    """By subject and name: how the program took each form when the golden files were made."""
+    return {each.stem: json.loads(each.read_text()) for each in TOLERANCE.iterdir()}
+
+
 def _pack(value: object, binary: bool) -> bytes:
     return (msgspec.msgpack if binary else msgspec.json).encode(value)
 
--- a/tests/golden_make.py
+++ b/tests/golden_make.py
@@ -17,8 +17,8 @@
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
 import golden_folders  # noqa: E402
-from golden_files import ANSWERS, FOLDERS, FORMS, TOLERANCE, copied, folder_bytes, tolerance  # noqa: E402
-from golden_messages import SUBJECTS  # noqa: E402
+from golden_files import ANSWERS, FOLDERS, FORMS, TOLERANCE, copied, folder_bytes, forms, tolerance  # noqa: E402
+from golden_messages import SUBJECTS, settings_read  # noqa: E402
 
 
 def _new(path: Path, text: str) -> None:
@@ -34,13 +34,12 @@
 
 
 def make_forms() -> None:
-    found: dict[str, dict[str, object]] = {}
     for subject, each in SUBJECTS.items():
         coded = {name: each.encode(value) for name, value in each.objects.items()}
         _new(
             FORMS / f"{subject}.tsv", "".join(_line(name, data, each.binary) for name, data in coded.items())
         )
-        found[subject] = {
+        taken = {
             name: tolerance(
                 data,
                 each.binary,
@@ -48,11 +47,11 @@
             )
             for name, data in coded.items()
         }
-    _new(TOLERANCE, json.dumps(found, indent=1) + "\n")
+        _new(TOLERANCE / f"{subject}.json", json.dumps(taken, indent=1) + "\n")
 
 
 def _new_folder(path: Path, write: Callable[[Path], object]) -> None:
-    """With all of its files but the lock; what write returns goes beside it, where that is anything."""
+    """With all that is written into a folder but its lock."""
     if path.exists():
         print(f"{path.name} is there and stays as it is")
         return
@@ -83,7 +82,12 @@
         _new_folder(
             FOLDERS / "journal" / "restarted", lambda made: shutil.copytree(copy, made, dirs_exist_ok=True)
         )
-    for name, answer in {**read, "claims": own.taken_claims(), "status": own.status()}.items():
+    for name, answer in {
+        **read,
+        "claims": own.taken_claims(),
+        "status": own.status(),
+        "settings": settings_read(forms("settings")["options full"]),
+    }.items():
         _new(ANSWERS / f"{name}.json", json.dumps(answer, indent=1) + "\n")
 
 
--- a/tests/golden_messages.py
+++ b/tests/golden_messages.py
@@ -15,10 +15,11 @@
 import msgspec
 
 from spanwing import interface as api
+from spanwing import settings
 from spanwing.choice import Dispatcher
 from spanwing.core.messages import Envelope
 from spanwing.handover import learned, messages
-from spanwing.hops.transportmap import Member
+from spanwing.hops.transportmap import Member, MemberList
 from spanwing.journal import records, snapshot
 from spanwing.policy import chair, kept, minds, record
 from spanwing.state import Attempt, Job, View
@@ -42,6 +43,7 @@
     minds,
     kept,
     messages,
+    settings,
 )  # every struct that one of these defines has a golden form
 NOT_STORED = {records.Record, state.Fleet, record.Policy}  # a base, and what is made of a document
 
@@ -363,10 +365,10 @@
 
 def _dispatcher() -> Dispatcher:
     cls = api.ServiceClass("schedule-apply", aim=300.0, deadline=5000.0)
-    settings = api.Settings(
+    told = api.Settings(
         (cls,), zone="galway", zones=("galway", "sligo"), tenants=(api.Tenant("corrib", 2.0),)
     )
-    module = Dispatcher(settings, 1, 1.5)
+    module = Dispatcher(told, 1, 1.5)
     module.work, module.kinds, module.busy, module.keys, module.accepts = (
         [2.5],
         {"large": 4.5},
@@ -433,6 +435,64 @@
     }
 
 
+def _settings() -> dict[str, Any]:
+    """What a policy's text in the store is read as, and the list of job workers in a settings file."""
+    own = settings
+    cls = own.Class("bill", 300.5, 5000.5, 2.5, 0.5, 1.5, "keyed", "zone", 4000.5, True)
+    org = own.Org("corrib", 2.5)
+    report = own.Report(["rif", "q", "x0"], "header")
+    permissions = own.Permissions(True, True, True, 5, True, 900.5, 14000.5, 240.5)
+    rules = own.Rules(16.5, 500.5, 9000.5, 0.25, 10000.5, 3.5, 1000.5)
+    specifics = own.Specifics([1], [2], [1.25], "mb", "priority", "free slots", "free memory", True, 100.5)
+    options = own.Options(
+        classes=[cls],
+        position=2,
+        balancers=3,
+        zone="galway",
+        areas=["galway", "sligo"],
+        kinds=["small", "large"],
+        orgs=[org],
+        over_share_worth=0.5,
+        tick_ms=1.5,
+        discovery="subscribe",
+        weight_source="live",
+        report=report,
+        permissions=permissions,
+        rules=rules,
+        specifics=specifics,
+    )
+    return {
+        "class full": cls,
+        "class least": own.Class("bill", 300.5, 5000.5),
+        "org full": org,
+        "report full": report,
+        "report least": own.Report(),
+        "permissions full": permissions,
+        "permissions least": own.Permissions(),
+        "rules full": rules,
+        "rules least": own.Rules(),
+        "specifics full": specifics,
+        "specifics least": own.Specifics(),
+        "options full": options,
+        "options least": own.Options([]),
+        "member full": _MEMBER,
+        "member least": Member("worker-1"),
+        "member list full": MemberList(7, True, [_MEMBER]),
+        "member list least": MemberList(),
+    }
+
+
+def settings_read(text: bytes) -> list[Any]:
+    """What the module is told at its start, from a policy's text, by position."""
+    made = settings.settings_of(msgspec.json.decode(text, type=settings.Options))
+    return [
+        [dataclasses.astuple(part) if dataclasses.is_dataclass(part) else part for part in value]
+        if isinstance(value, tuple)
+        else value
+        for value in (getattr(made, each.name) for each in dataclasses.fields(made))
+    ]
+
+
 def _msgpack_value(data: bytes, kind: type) -> Any:
     return msgspec.msgpack.decode(data, type=kind)
 
@@ -445,6 +505,7 @@
     "store-messages": Subject(_json_bytes, _peer_value, _store_messages()),
     "store-values": Subject(_json_bytes, _json_value, _store_values()),
     "zones": Subject(_json_bytes, _json_value, _zones()),
+    "settings": Subject(_json_bytes, _json_value, _settings()),
     "policy": Subject(_json_bytes, _json_value, _policy()),
     "handover-messages": Subject(messages.encode, lambda data, _: messages.decode(data), _handover(), True),
     "handover-parts": Subject(msgspec.msgpack.encode, _msgpack_value, _parts(), True),
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -6,16 +6,18 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
-from golden_files import FORMS, GOLDEN, answers, forms, shortened, tolerance
-from golden_messages import SUBJECTS, fields_left_at_default, kinds_without_form, taken_over
+from golden_files import ANSWERS, FORMS, GOLDEN, answers, forms, known_tolerance, shortened, tolerance
+from golden_messages import SUBJECTS, fields_left_at_default, kinds_without_form, settings_read, taken_over
 
 CASES = [
     pytest.param(subject, name, id=f"{subject}: {name}")
     for subject in SUBJECTS
     for name in SUBJECTS[subject].objects
 ]
-TOLERANCE = answers("tolerance.json")
+TOLERANCE = known_tolerance()
 REFUSED = [line.split("\t") for line in (GOLDEN / "refused.tsv").read_text().splitlines()]
 
 
@@ -72,3 +74,8 @@
     golden = forms("handover-messages")
     workers, module = taken_over(golden["state of workers"], golden["state of the module"])
     assert (workers, module) == (golden["state of workers, told on"], golden["state of the module"])
+
+
+def test_a_policy_of_the_store_makes_the_same_settings() -> None:
+    made = settings_read(forms("settings")["options full"])
+    assert json.loads(json.dumps(made)) == answers(f"{ANSWERS.name}/settings.json")
