--- a/tests/golden_messages.py
+++ b/tests/golden_messages.py
@@ -4,6 +4,9 @@
 the program is followed here, and never in tests/golden/. `full` sets every field to something other than its
 default, `least` only the fields that have none. Structs that go by position are built by keyword, or a swap
 of two fields would not be seen.
+
+To rename a field that is stored by name, keep its old name with msgspec.field(name=...); a class keeps its
+tag. Envelope is a dataclass, which has no such names: its fields are stored as they are called.
 """
 
 from __future__ import annotations
