--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -13,7 +13,7 @@
 from heapq import nlargest
 
 from spanwing import interface as api
-from spanwing.state import Alarms, Attempt, Job, View, mix
+from spanwing.state import Alarms, Attempt, Job, Ledger, View, mix
 
 GUESS = 4.0  # slots assumed at a worker before anything is learned
 MEMORY_MS = 400.0  # how long a view of what others hold at a worker lasts: about as long as a job runs
@@ -28,30 +28,6 @@
 SCAN = 24  # workers looked at for one placement, at most
 LOG_LINES = 60
 KEYS_COUNT, KEYS_FADE = 0.2, 0.02  # keys steer all placement from this share of arrivals; how fast it moves
-BURST_S = 2.0  # seconds of unused share that a tenant's later arrivals may use
-
-
-class Ledger:
-    """A tenant's counters: tokens earned by elapsed time x rate, tokens spent by dispatches."""
-
-    def __init__(self, rate: float, now: float, classes: int) -> None:
-        self.rate, self.earned, self.spent, self.at = rate, 0.0, 0.0, now
-        self.credit = rate  # of its share, unused by arrivals; at most BURST_S seconds' worth
-        self.held: list[deque[Job]] = [deque() for _ in range(classes)]
-
-    def refill(self, now: float) -> None:
-        gain = (now - self.at) * self.rate / 1000.0
-        self.earned, self.at = self.earned + gain, now
-        self.credit = min(self.credit + gain, max(1.0, self.rate * BURST_S))
-
-    def within_share(self) -> bool:
-        """Count an arrival; whether it is within the tenant's share."""
-        within = self.credit >= 1.0
-        self.credit -= within
-        return within
-
-    def ratio(self) -> float:
-        return self.spent / max(self.earned, 1.0)
 
 
 class Dispatcher:
@@ -61,25 +37,34 @@
         self.set, self.now, self.born, self.rng = settings, now, now, random.Random(seed)
         self.out: list[api.Action] = []
         self.index = {each.name: i for i, each in enumerate(settings.classes)}
-        self.ledgers = {each.name: Ledger(each.rate / settings.nodes, now, len(self.index))
-                        for each in settings.tenants or (api.Tenant("", 1.0),)}
+        tenants = settings.tenants or (api.Tenant("", 1.0),)
+        self.ledgers: dict[str | None, Ledger] = {
+            each.name: Ledger(each.rate / settings.nodes, now, len(self.index)) for each in tenants}
         self.ledgers[None] = Ledger(0.0, now, len(self.index))  # whoever is on no list
-        self.home, self.near, self.far = [], [], []  # own part of the fleet; others' in this zone and beyond
-        self.others, self.fed = [], []  # near and far; those of them that this node feeds while they are cold
+        self.home: list[View] = []  # own part of the fleet
+        self.near: list[View] = []  # others' in this zone
+        self.far: list[View] = []  # others' beyond
+        self.others: list[View] = []  # near and far
+        self.fed: list[View] = []  # those of them that this node feeds while they are cold
         # A cold worker is fed by as many nodes as it may have slots, whoever is down, each with a part of the
         # budget that holds a job. They are found by the worker's id alone, so that late lists cannot add any.
         jobs = COLD_PART * settings.fall_multiple * settings.cold_from * GUESS * settings.fall_ms / (
             2.0 * sum(each.aim for each in settings.classes) / len(settings.classes))
         self.feeders = max(1, min(settings.nodes, int(GUESS), int(jobs)))
-        self.views, self.kinds, self.ring = {}, {}, []  # workers; slots by kind; hash ring of ids if needed
-        self.jobs, self.open = {}, {}  # unanswered jobs by id; attempts that are out, by id and number
-        self.spoilt, self.over = deque(), deque()  # held behind the rest: too late, beyond the share
+        self.views: dict[int, View] = {}  # workers
+        self.kinds: dict[str, float] = {}  # slots by kind
+        self.ring: list[tuple[int, int]] = []  # hash ring of ids, if needed
+        self.jobs: dict[str, Job] = {}  # unanswered jobs by id
+        self.open: dict[tuple[str, int], Attempt] = {}  # attempts that are out, by id and number
+        self.spoilt: deque[Job] = deque()  # held behind the rest: too late
+        self.over: deque[Job] = deque()  # held behind the rest: beyond the share
         self.waiting, self.looking, self.lines = 0, False, 0
         self.work = [2.0 * each.aim for each in settings.classes]  # mean time of a served attempt, by class
         self.quick = {zone: 10.0 if zone == settings.zone else 60.0 for zone in (*settings.zones, "")}
         self.busy, self.keys = 0.5, 0.0  # shares: of slots in use, as far as seen; of arrivals with a key
         self.asks = settings.probes and "free_slots" in settings.report_fields
-        self.looks, self.seen = 1.0, []  # probes that may be sent; others' workers that were seen just now
+        self.looks = 1.0  # probes that may be sent
+        self.seen: list[View] = []  # others' workers that were seen just now
         self.accepts, self.feeding = False, True  # the host tells of taken jobs; cold workers may be fed here
         self.proves = any(each.effect == "safe" for each in settings.classes)
         self.alarms = Alarms(settings.tick)
@@ -253,7 +238,9 @@
         self.waiting, job.held = self.waiting - job.held, False
 
     def _next(self) -> tuple[Job, View] | None:
-        queues, order, failed = [], [], []
+        queues: list[deque[Job]] = []
+        order: list[tuple[float, Ledger]] = []
+        failed: list[tuple[int, float, str | None]] = []
         for ledger in self.ledgers.values():
             for queue in ledger.held:
                 while queue and (not queue[0].held or queue[0].spoilt):
@@ -346,7 +333,7 @@
     def _room(self, job: Job) -> View | None:
         if job.req.key is not None:
             return self._place_key(job)
-        best = None
+        best: View | None = None
         self.fed = [view for view in self.fed if self._cold(view)]
         # What cannot be called back from a queue goes only where a slot was seen to be idle.
         own, blind = self.home + self.fed, not self.asks or job.cls.effect != "unsafe" or self.looks < 1.0
--- a/spanwing/handover/learned.py
+++ b/spanwing/handover/learned.py
@@ -11,9 +11,9 @@
 from typing import NamedTuple
 
 from spanwing import interface as api
-from spanwing.choice import GUESS, HANDLERS, MISSED, Dispatcher, Ledger
+from spanwing.choice import GUESS, HANDLERS, MISSED, Dispatcher
 from spanwing.handover.messages import Learned, Tried, WorkerSeen
-from spanwing.state import Attempt, Job, View
+from spanwing.state import Attempt, Job, Ledger, View
 
 
 def of_worker(view: View) -> WorkerSeen:
--- a/spanwing/state.py
+++ b/spanwing/state.py
@@ -10,6 +10,8 @@
 
 from spanwing.interface import Request, ServiceClass, SetTimer, Worker
 
+BURST_S = 2.0  # seconds of unused share that a tenant's later arrivals may use
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -65,6 +67,29 @@
     sent: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=64))  # work
 
 
+class Ledger:
+    """A tenant's counters: tokens earned by elapsed time x rate, tokens spent by dispatches."""
+
+    def __init__(self, rate: float, now: float, classes: int) -> None:
+        self.rate, self.earned, self.spent, self.at = rate, 0.0, 0.0, now
+        self.credit = rate  # of its share, unused by arrivals; at most BURST_S seconds' worth
+        self.held: list[deque[Job]] = [deque() for _ in range(classes)]
+
+    def refill(self, now: float) -> None:
+        gain = (now - self.at) * self.rate / 1000.0
+        self.earned, self.at = self.earned + gain, now
+        self.credit = min(self.credit + gain, max(1.0, self.rate * BURST_S))
+
+    def within_share(self) -> bool:
+        """Count an arrival; whether it is within the tenant's share."""
+        within = self.credit >= 1.0
+        self.credit -= within
+        return within
+
+    def ratio(self) -> float:
+        return self.spent / max(self.earned, 1.0)
+
+
 class Alarms:
     """Calls due later, on the timers of the node that runs it."""
 
