Have the help of the policy's sub-commands need no daemon

Change: the socket is looked for once a sub-command runs. A wrong argument is therefore named (2, wrong usage) before an unreached daemon (3); with right arguments all statuses are as before.

--- a/spanwing/cli/policy.py
+++ b/spanwing/cli/policy.py
@@ -7,7 +7,9 @@
 
 import json
 import time
+from collections.abc import Callable
 from datetime import UTC, datetime
+from functools import wraps
 from pathlib import Path
 from typing import Any
 
@@ -26,12 +28,22 @@
 @click.pass_context
 def policy(ctx: click.Context, path: str | None, fronts: str | None) -> None:
     """One policy for all schedulers: look at it, change it."""
-    ctx.obj = client.socket_path(path, fronts)
+    ctx.obj = path, fronts
+
+
+def pass_path(command: Callable[..., None]) -> Callable[..., None]:
+    """Hand the command its daemon's socket, looked for once the command runs: its help needs no daemon."""
+    @click.pass_obj
+    @wraps(command)
+    def run(given: tuple[str | None, str | None], *values: Any, **named: Any) -> None:
+        command(client.socket_path(*given), *values, **named)
+
+    return run
 
 
 @policy.command()
 @json_option
-@click.pass_obj
+@pass_path
 def status(path: str, as_json: bool) -> None:
     """Show the version here, whether a change is under way, and on whom it waits."""
     reply = client.ask(path, do="policy")
@@ -42,7 +54,7 @@
 
 @policy.command()
 @json_option
-@click.pass_obj
+@pass_path
 def history(path: str, as_json: bool) -> None:
     """Show how the last changes ended, the newest last."""
     past = client.ask(path, do="policy_history")["history"]
@@ -58,7 +70,7 @@
 
 @policy.command()
 @click.argument("version", type=int, default=0)
-@click.pass_obj
+@pass_path
 def show(path: str, version: int) -> None:
     """Print version VERSION, or the one in force."""
     click.echo(_pretty(client.ask(path, do="policy_text", version=version)["text"]))
@@ -66,7 +78,7 @@
 
 @policy.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.pass_obj
+@pass_path
 def check(path: str, file: str) -> None:
     """Whether FILE could be taken over by this scheduler now."""
     _refuse_if(client.ask(path, do="policy_check", text=_text(file))["no"])
@@ -75,7 +87,7 @@
 
 @policy.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.pass_obj
+@pass_path
 def diff(path: str, file: str) -> None:
     """What FILE would change of the version in force."""
     from spanwing.policy.sound import differences
@@ -93,7 +105,7 @@
 @click.option("--gone", multiple=True, metavar="NAME",
               help="Your word that this scheduler is gone for good, and takes no jobs.")
 @click.option("--by", default="operator", show_default=True)
-@click.pass_obj
+@pass_path
 def propose(path: str, file: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...],
             by: str) -> None:
     """Have all schedulers take over FILE, or none."""
@@ -104,7 +116,7 @@
 @click.argument("version", type=int)
 @click.option("--wait", "wait_s", type=click.FloatRange(1, 86_400), default=60.0, show_default=True)
 @click.option("--by", default="operator", show_default=True)
-@click.pass_obj
+@pass_path
 def rollback(path: str, version: int, wait_s: float, by: str) -> None:
     """Have all take over the text of an earlier VERSION, as a new one."""
     text = client.ask(path, do="policy_text", version=version)["text"]
@@ -113,7 +125,7 @@
 
 @policy.command()
 @click.option("--by", default="operator", show_default=True)
-@click.pass_obj
+@pass_path
 def abort(path: str, by: str) -> None:
     """Give up the change that is under way; nobody takes it over."""
     click.echo(client.ask(path, do="policy_order", order="abort", by=by)["text"])
