Keep what the command line says, and start on a folder that an earlier daemon left

Cause: texts, statuses and JSON keys of the commands and the files in the daemon's folders must outlive a rename. With other names of the policy's files the folder's tests still pass: the store has the policy too, so reading a policy from its own folder alone is not covered here.

--- a/tests/test_golden_cli.py
+++ b/tests/test_golden_cli.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import re
+import shutil
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
 
-from goldenfiles import compare_text
+import pytest
+from goldenfiles import GOLDEN, compare_text
+from player import PATIENCE_S, ROOT
 
 from spanwing.cli.main import main
 
@@ -37,3 +44,100 @@
         waiting += [(*command, each) for each in commands_in(text)]
     assert not failed
     compare_text("cli/help.txt", "\n".join(told))
+
+
+JOURNAL = GOLDEN / "folder" / "journal"
+
+
+def run_apart(*arguments: str) -> str:
+    """A command in a process of its own: what it printed on which side, and its exit status."""
+    done = subprocess.run(
+        [sys.executable, "-m", "spanwing", *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_S,
+        env={"PATH": os.environ["PATH"], "SPANWING_FRONTS": NOWHERE, "TZ": "UTC", "COLUMNS": "100"},
+    )
+    told = f"$ spanwing {' '.join(map(repr, arguments))}\n{done.stdout}"
+    told += "".join(f"stderr: {line}\n" for line in done.stderr.splitlines())
+    return f"{told}exit {done.returncode}\n\n".replace(str(GOLDEN), "GOLDEN")
+
+
+@pytest.mark.parametrize(
+    ("name", "commands"),
+    [
+        (
+            "journal",
+            [
+                ("list",),
+                ("list", "--json"),
+                ("show", "job-done"),
+                ("show", "job-failing", "--json"),
+                ("show", "job-left-open", "--json"),
+                ("show", "nothing"),
+                ("query", "class = schedule-apply and worker = f0"),
+                ("query", "result = ok", "--json"),
+                ("query", "state in (sent, 'possibly sent')", "--limit", "1"),
+                ("query", "no_such_field = 1"),
+                ("query", "class ="),
+                ("tail", "-n", "100"),
+                ("verify",),
+                ("stats",),
+                ("stats", "--json"),
+                ("export",),
+                ("export", "--format", "csv"),
+                ("export", "--format", "parquet"),
+                ("repair", "--dry-run"),
+            ],
+        ),
+    ],
+)
+def test_the_journal_of_an_earlier_daemon(name: str, commands: list[tuple[str, ...]], tmp_path) -> None:
+    shutil.copytree(JOURNAL, tmp_path / "journal")
+    where = ("--directory", str(tmp_path / "journal"))
+    told = "".join(run_apart("journal", *each, *where) for each in commands)
+    compare_text(f"cli/{name}.txt", told.replace(str(tmp_path), "TMP"))
+
+
+def test_what_is_said_without_a_daemon_or_with_wrong_usage() -> None:
+    """The statuses that scripts read: 1 refused or faulty, 2 wrong usage, 3 no daemon reached."""
+    text = str(GOLDEN / "folder" / "policy" / "version-1.json")
+    commands = [
+        (),
+        ("nothing",),
+        ("status",),
+        ("status", "--json", "--socket", "/nowhere/admin"),
+        ("status", "--nothing"),
+        ("drain",),
+        ("drain", "--within", "0"),
+        ("undrain",),
+        ("weight",),
+        ("weight", "101"),
+        ("weight", "50"),
+        ("zones",),
+        ("zones", "leave"),
+        ("zones", "leave", "a", "--over", "0"),
+        ("zones", "leave", "a"),
+        ("zones", "history", "--json"),
+        ("policy",),
+        ("policy", "status", "--json"),
+        ("policy", "history"),
+        ("policy", "show", "x"),
+        ("policy", "show"),
+        ("policy", "check", "/nowhere/policy"),
+        ("policy", "check", text),
+        ("policy", "diff", text),
+        ("policy", "propose", text, "--wait", "0"),
+        ("policy", "propose", text),
+        ("policy", "rollback"),
+        ("policy", "rollback", "1"),
+        ("policy", "abort"),
+        ("journal", "list"),
+        ("journal", "list", "--directory", "/nowhere/journal"),
+        ("serve",),
+        ("serve", "--config", "/nowhere/config"),
+    ]
+    with ThreadPoolExecutor(2) as pool:
+        told = "".join(pool.map(lambda each: run_apart(*each), commands))
+    compare_text("cli/refused.txt", told)
