Ask for the permission of an attempt each time its bytes are handed to the kernel

Cause: the next hop asked whether an attempt may still be sent (window of a keyed repeat, lease, permit) before it called write. Bytes that the kernel had no room for then waited in the stream's buffer, and were written whenever the job worker read on: the last byte of a repeat could leave after the window.

Change: connections to job workers are `GuardedStream`s. While the bytes that make an attempt are written, each `send` asks the permission first; once it has ended the connection is closed, and the attempt ends as `moot`, unsent. Decisions, settings and the wire's form are as before.

Measured: the new tests `Stuck` fill the kernel's buffer, end the permission and read on.

--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -139,7 +139,9 @@
                 if self._wanted(job) and connection.fresh():
                     if job is not None:
                         job.last, job.connection = True, connection
+                        connection.stream.permit = job.delivery.may  # also of bytes that have to wait here
                     await connection.write(data[-1:] if careful else data)
+                    connection.stream.permit = None
                     return connection
             except StreamClosedError:
                 pass
--- a/spanwing/hops/pool.py
+++ b/spanwing/hops/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -24,9 +25,23 @@
 MOST = 12  # connections in use at one next hop; further attempts wait for one
 
 
+class GuardedStream(IOStream):
+    """Asks, each time bytes are handed to the kernel, whether they may still be sent. Bytes that the kernel
+    had no room for wait here, perhaps past the end of the permission under which they were written."""
+
+    permit: Callable[[], bool] | None = None  # None: nothing can forbid it
+
+    def write_to_fd(self, data: memoryview) -> int:
+        if self.permit is not None and not self.permit():
+            del data  # the traceback must not keep the buffer
+            raise ConnectionAbortedError(errno.ECONNABORTED, "may not be sent any more")
+        return super().write_to_fd(data)
+
+
 class PooledHttp(HttpStream):
     """A connection to a next hop."""
 
+    stream: GuardedStream
     stood_s = 0.0  # idle before its present use; 0: it is new
     shut = False  # nothing more is written here
     garbled = False  # what came was no whole answer, and we have ended it
@@ -105,7 +120,7 @@
         for _ in range(OPENED):
             if not wanted() or not self.descriptors.take():
                 break
-            stream = IOStream(open_socket(self.address))
+            stream = GuardedStream(open_socket(self.address))
             connection = PooledHttp(stream, self.buffers, responses=True)
             try:
                 await with_timeout(timedelta(seconds=self.connect_s), stream.connect(self.address.target),
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,7 +9,9 @@
 import signal
 import socket
 import tempfile
+import time
 import unittest
+from contextlib import suppress
 from pathlib import Path
 from unittest import mock
 
@@ -22,10 +24,12 @@
 from spanwing.hops.faktoryworker import FaktoryNextHop, Fetch
 from spanwing.hops.load import LoadReader
 from spanwing.hops.nexthop import HttpNextHop
-from spanwing.hops.pool import MOST, ConnectionPool, Descriptors
+from spanwing.hops.pool import MOST, ConnectionPool, Descriptors, PooledHttp
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
 
+FILLING = b"0" * 65536
+SETTLES_S = 0.05
 ODDLY = str(Path(__file__).parent / "oddly.py")
 
 
@@ -488,6 +492,56 @@
             await self.pool.room.acquire()
 
 
+def fill(sock: socket.socket) -> int:
+    """Write until the kernel takes no more; how many bytes it took."""
+    taken = 0
+    with suppress(BlockingIOError):
+        while True:
+            taken += sock.send(FILLING)
+    return taken
+
+
+class Stuck(Hop):
+    """The kernel takes no more bytes for the job worker, which does not read."""
+
+    async def stuck(self, repeatable: bool) -> Speaks:
+        """All is written but what is written last, which finds no room; what the test put before it is read
+        with it."""
+        fresh = PooledHttp.fresh
+
+        def fill_before_last_write(connection: PooledHttp) -> bool:
+            while fill(connection.stream.socket):
+                time.sleep(SETTLES_S)  # what the job worker's kernel takes in late makes room again
+            return fresh(connection)
+
+        with mock.patch.object(PooledHttp, "fresh", fill_before_last_write):
+            await self.deliver(repeatable)
+            worker = await asyncio.to_thread(self.worker.accept)
+            while not self.hop.jobs["job-1"].last:
+                await asyncio.sleep(0)
+        self.assertTrue(self.hop.jobs["job-1"].connection.stream.writing())
+        return worker
+
+    async def test_what_may_not_be_sent_once_there_is_room_is_not(self) -> None:
+        """As the last byte of a repeat whose window is over by then, or of a lease that has ended."""
+        for repeatable in (True, False):
+            with self.subTest(repeatable=repeatable):
+                self.may = True
+                worker = await self.stuck(repeatable)
+                self.may = False
+                said = await asyncio.to_thread(worker.rest)
+                self.assertEqual(said[-1:], FILLING[-1:])
+                self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
+                self.assertEqual(self.pool.descriptors.held, 0)
+
+    async def test_what_may_be_sent_is_sent_once_there_is_room(self) -> None:
+        worker = await self.stuck(False)
+        while (await asyncio.to_thread(worker.socket.recv, len(FILLING))).strip(b"0") != b"\n":
+            pass
+        worker.say(200, b"served")
+        self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("ok", False))
+
+
 class Fetches(unittest.IsolatedAsyncioTestCase):
     async def test_what_may_not_be_sent_any_more_leaves_its_fetch_to_the_next(self) -> None:
         told: asyncio.Queue[Ended] = asyncio.Queue()
