Wait for a begun connection in the tests that end something while it comes up

Cause: the counter `sent` rises when an attempt is handed to the next hop, before its connection is begun. The test of a repeat past its window emptied the job worker's backlog at `sent`; where the daemon lost the processor in between, its SYN came afterwards and the connection was up at once, within the window. The daemon was right.

Change: the tests that use a full backlog wait until /proc/net/tcp has the connection in SYN_SENT. The end of the window comes by an event: the daemon's clock is put ahead (`ahead=FILE` of tests/oddly.py) by a window of 12 s, where 900 ms of real time ran out before. The checks are the same: nothing is said on the connection, the attempt ends as `moot`, one try. Another test holds the last byte over the window's end.

--- a/tests/oddly.py
+++ b/tests/oddly.py
@@ -2,6 +2,7 @@
 
     small       sockets that it opens or accepts hold only some KB of what is to be sent
     hold=PIPE   each last byte of work that must not run twice is held until a byte comes by this pipe
+    ahead=FILE  its clock is ahead by as many milliseconds as this file has bytes
     end=PIPE    it says "ending" once it has served, and ends when something comes by this pipe
 """
 
@@ -30,6 +31,7 @@
 
     address.open_socket = small  # before others take it by name
 
+from spanwing.core.clock import Clock  # noqa: E402
 from spanwing.daemon import serve  # noqa: E402
 from spanwing.hops import nexthop  # noqa: E402
 
@@ -44,6 +46,10 @@
 
     nexthop.sleep = held
 
+if "ahead" in WORDS:
+    plain_now = Clock.now
+    Clock.now = lambda clock: plain_now(clock) + os.path.getsize(WORDS["ahead"])
+
 status = serve()
 if "end" in WORDS:
     print("ending", flush=True)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,6 +28,8 @@
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
 
+SYN_SENT = "02"  # of /proc/net/tcp
+WINDOW_MS = 12000  # in which job workers drop a repeat
 FILLING = b"0" * 65536
 SETTLES_S = 0.05
 ODDLY = str(Path(__file__).parent / "oddly.py")
@@ -77,6 +79,13 @@
                 one.close()
                 return len(held) - 1
 
+    def until_one_asks(self) -> None:
+        """Wait for a connection that was begun and has not come up: the backlog is full."""
+        ending, end = f":{self.port:04X}", time.monotonic() + PATIENCE_S
+        while not any(remote.endswith(ending) and state == SYN_SENT for remote, state in (
+                line.split()[2:4] for line in Path("/proc/net/tcp").read_text().splitlines()[1:])):
+            self.case.assertLess(time.monotonic(), end, "no connection was begun")
+
 
 class Speaks:
     """One connection, read by messages."""
@@ -146,12 +155,11 @@
 
 class Endings(unittest.TestCase):
     def start(self, *members: dict, at: Discovery | None = None, cancel: bool = True, pushed: bool = True,
-              command: tuple[str, ...] = ("-m", "spanwing"), fronts: str = "",
-              window_ms: float = 12000.0) -> Daemon:
+              command: tuple[str, ...] = ("-m", "spanwing"), fronts: str = "") -> Daemon:
         allowed = {**SETTINGS["permissions"], "connect_timeout_ms": 20000.0, "cancel": cancel}
         given = config(members, f"127.0.0.1:{at.port if at else 9}", permissions=allowed)
         given["settings"]["discovery"] = "automatic" if pushed else "subscribe"
-        given["settings"]["classes"][2]["window_ms"] = window_ms
+        given["settings"]["classes"][2]["window_ms"] = WINDOW_MS
         self.daemon = Daemon(given, fronts, command=command)
         self.addCleanup(self.stop)
         return self.daemon.ready()
@@ -200,7 +208,7 @@
                 self.start(member("w1", one.port), at=discovery)
                 discovery.called()
                 self.client().ask(cls, "job-1")
-                self.until("sent", 1)
+                one.until_one_asks()
                 discovery.tell(member("w1", one.port, phase="leaving"), member("w2", two.port))
                 # It goes elsewhere at once, and not when the connection comes up or its time is over.
                 self.assertEqual(two.accept().read()[1]["x-call-id"], "job-1")
@@ -246,7 +254,7 @@
         self.start(member("w1", worker.port), cancel=cancel)
         client = self.client()
         client.ask(cls, "job-1")
-        self.until("sent", 1)
+        worker.until_one_asks()
         client.close()
         self.until("left", 1)
         for _ in range(filling):
@@ -587,12 +595,21 @@
         self.assertLess(len(taken.rest()), 60_000)
         self.assertNotIn("tries", self.counters())
 
+    def files(self) -> tuple[Path, Path]:
+        """A pipe for `hold`, and an empty file for `ahead`."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        gate, ahead = Path(folder.name) / "gate", Path(folder.name) / "ahead"
+        os.mkfifo(gate)
+        ahead.touch()
+        return gate, ahead
+
     def test_a_repeat_is_not_sent_once_job_workers_no_longer_drop_it(self) -> None:
-        """It was decided within the window, and its connection comes up after it: the backlog is full, and
-        TCP tries again after a second."""
+        """It was decided within the window, and its connection, which has been begun, comes up after it: the
+        backlog is full, and TCP tries again after a second."""
         one, two, discovery = Hears(self), Hears(self, backlog=0), Discovery(self)
-        filling = two.fill()
-        self.start(member("w1", one.port), at=discovery, window_ms=900.0)
+        filling, (_, ahead) = two.fill(), self.files()
+        self.start(member("w1", one.port), at=discovery, command=(ODDLY, f"ahead={ahead}"))
         discovery.called()
         client = self.client()
         client.ask("setpoint-push", "job-1")
@@ -601,11 +618,36 @@
         discovery.tell(member("w2", two.port), member("w1", one.port, phase="leaving"))
         worker.say(500)  # it may have run
         self.until("sent", 2)
+        two.until_one_asks()
+        os.truncate(ahead, WINDOW_MS)
         for _ in range(filling):
             two.accept().close()
         self.assertEqual(two.accept().rest(), b"")
         self.assertEqual(self.until("ended.moot", 1)["tries"], 1)
 
+    def test_nor_its_last_byte_that_was_held(self) -> None:
+        """All bytes but the last are at the job worker when the window ends."""
+        one, two, discovery = Hears(self), Hears(self), Discovery(self)
+        gate, ahead = self.files()
+        self.start(member("w1", one.port), at=discovery,
+                   command=(ODDLY, f"hold={gate}", f"ahead={ahead}"))
+        discovery.called()
+        client = self.client()
+        client.ask("setpoint-push", "job-1", b"body")
+        worker = one.accept()
+        gate.write_bytes(b"1")
+        worker.read()
+        discovery.tell(member("w2", two.port), member("w1", one.port, phase="leaving"))
+        worker.say(500)  # it may have run
+        repeat = two.accept()
+        while repeat.file.readline() != b"\r\n":
+            pass
+        self.assertEqual(repeat.file.read(3), b"bod")
+        os.truncate(ahead, WINDOW_MS)
+        gate.write_bytes(b"2")
+        self.assertEqual(repeat.rest(), b"")
+        self.assertEqual(self.until("ended.moot", 1)["tries"], 1)
+
     def test_who_answers_twice_is_asked_once_on_a_connection(self) -> None:
         """A second answer that comes late would be taken for that to the next request."""
         worker = Hears(self)
