Have schedulers send a job on trial to a zone that the keeper asks about

Cause: tests/test_fleet.py, Lost.test_failing_fast: zone c was never left. Its jobs fail and its probes are answered. With little traffic one scheduler alone sent there (s1: 11 jobs in 30 s, all others none), and saw both workers as bad; a verdict takes two. The keeper did have the others look, but a look was a probe, which is answered and is no word where failure with jobs is suspected: the verdict stayed unknown for as long as the zone failed, and the one scheduler went on trying it after each rest. Change: a scheduler that is asked to look also sends its next job that may be repeated, within a second, to a worker of the zone that it has no word on (zones/trial.py). One job a look and zone; rests, room and the budgets of cold workers hold for it; the job is sent elsewhere if it fails. The rule of the verdict is as it was: one scheduler alone, which may be cut off, still talks nobody out of a zone. Nothing of the wire has changed. Test: Trials in tests/test_zones.py, on evidence, local part, module and verdict, fails without the change.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -74,7 +74,7 @@
         self.views, self.kinds, self.ring = {}, {}, []  # workers; slots by kind; hash ring of ids if needed
         self.jobs, self.open = {}, {}  # unanswered jobs by id; attempts that are out, by id and number
         self.spoilt, self.over = deque(), deque()  # held behind the rest: too late, beyond the share
-        self.waiting, self.looking, self.lines = 0, False, 0
+        self.waiting, self.looking, self.lines, self.first = 0, False, 0, None  # first: see zones/trial.py
         self.work = [2.0 * each.aim for each in settings.classes]  # mean time of a served attempt, by class
         self.quick = {zone: 10.0 if zone == settings.zone else 60.0 for zone in (*settings.zones, "")}
         self.busy, self.keys = 0.5, 0.0  # shares: of slots in use, as far as seen; of arrivals with a key
@@ -341,7 +341,7 @@
         """A worker with room: for keys one that keeps them; else the fastest at home; else a neighbour."""
         if len(job.attempts) >= self.set.max_attempts or any(each.open for each in job.attempts):
             return None
-        return self._room(job)
+        return (self.first and self.first(job)) or self._room(job)
 
     def _room(self, job: Job) -> View | None:
         if job.req.key is not None:
--- a/spanwing/world/zoned.py
+++ b/spanwing/world/zoned.py
@@ -20,6 +20,7 @@
 from spanwing.store.messages import Granted, Renew
 from spanwing.world.fleet import Fleet
 from spanwing.world.node import Node
+from spanwing.zones import trial
 from spanwing.zones.gate import ON_ITS_WAY_MS, Rules
 from spanwing.zones.local import Local
 from spanwing.zones.solo import TURN_MS as SOLO_MS
@@ -108,6 +109,8 @@
             self._changed()
         if granted.look:
             self._ask(self.local.look(granted.look))
+            now = self.agenda.now
+            trial.begin(self.node.module, self.local.tries(now, granted.look), now)
         if granted.n == self.renewals and granted.n > self.heard:
             self.heard = granted.n
             self.agenda.after(GAP_MS, self._renew)
--- a/spanwing/zones/evidence.py
+++ b/spanwing/zones/evidence.py
@@ -196,6 +196,11 @@
             self._good(now, sight)
         return False
 
+    def word(self, now: float, worker: int) -> bool | None:
+        """On one worker: good or bad; None: nothing was seen lately."""
+        sight = self.sights.get(worker)
+        return None if sight is None else sight.word(now, self._elsewhere(sight.zone))
+
     def words(self, now: float) -> dict[str, Words]:
         """What would be told of each zone now."""
         found: dict[str, Words] = {}
--- a/spanwing/zones/local.py
+++ b/spanwing/zones/local.py
@@ -139,6 +139,19 @@
         workers = self.gate.workers.values()
         return [worker for zone in zones for worker in suspects(zone, workers, self.random, self.rules.zone)]
 
+    def tries(self, now: float, zones: Iterable[str]) -> list[int]:
+        """When the keeper has us look at these zones: a worker of each that we have no word on, for a job on
+        trial. A zone that fails with jobs may well answer probes, and who sends it nothing has no word on it:
+        one scheduler alone would go on sending there, and no verdict would fall."""
+        if self.rules.solo:
+            return []
+        found = []
+        for zone in zones:
+            unseen = [worker for worker in self.gate.zones().get(zone, ())
+                      if self.witness.word(now, worker) is None]
+            found += [self.random.choice(unseen)] if unseen else []
+        return found
+
     def ask_around(self) -> list[int]:
         """Once a second: whom to ask of the zones that are not open, and one of those that are: where we send
         little, it is all that we see."""
--- a/spanwing/zones/side.py
+++ b/spanwing/zones/side.py
@@ -3,8 +3,8 @@
 Guarantees: nothing in the core waits for it; the core asks may() of one local structure. What changes is told
 to the module as news of job workers, and as one event a zone. Probes: one worker of an open zone a second; at
 a zone that is not open, PROBERS a worker and second over the whole fleet; on bad news of an open one, five a
-SUSPECT_MS at most, and as many when the keeper asks. What waits at a zone that is left is called back within
-RECALL_S, at random. """
+SUSPECT_MS at most, and as many when the keeper asks, with one job on trial for each zone that it asks about.
+What waits at a zone that is left is called back within RECALL_S, at random. """
 
 from __future__ import annotations
 
@@ -30,6 +30,7 @@
 from spanwing.store.store import Store
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
+from spanwing.zones import trial
 from spanwing.zones.gate import ON_ITS_WAY_MS, Rules
 from spanwing.zones.local import Local
 from spanwing.zones.solo import TURN_MS, Solo
@@ -108,6 +109,7 @@
         self.service: FleetService | None = None
         def look(zones: tuple[str, ...]) -> None:
             self._ask(self.local.look(zones))
+            trial.begin(self.core.module, self.local.tries(clock_ms(), zones), self.core.clock.now())
 
         self.contact = contact
         if contact is not None:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import msgspec
+from conftest import Driver, sends, settings
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -17,8 +18,10 @@
 from spanwing.store.document import Document, Txn
 from spanwing.store.keeper import Keeper
 from spanwing.store.messages import Granted, Renew
+from spanwing.zones import trial
 from spanwing.zones.evidence import LONGEST, Report, Witness, Words, read_report
 from spanwing.zones.gate import Gate, Rules, admits
+from spanwing.zones.local import Local
 from spanwing.zones.state import STEPS, ZONE, Deal, Fleet, Zone, encode, feeders_of, read
 from spanwing.zones.steward import Bounds, Listed, Steward
 from spanwing.zones.strand import Stranded
@@ -152,6 +155,69 @@
         self.assertEqual(self.left({"a": "returning", "b": "left", "c": "open"}), set())
 
 
+class Trials(unittest.TestCase):
+    """A zone that fails with jobs and answers probes, of which one scheduler alone has a word."""
+
+    WORKERS = tuple(api.Worker(number, zone=zone) for number, zone in enumerate("aabbcc", 1))
+
+    def scheduler(self, zone: str, node: int, **changes) -> tuple[Local, Driver]:
+        driver = Driver(settings(zone=zone, node=node, nodes=3, **changes))
+        driver.feed(api.WorkerList("complete", self.WORKERS))
+        rules = Rules(f"s{node}.1", zone, 2000.0, 1000.0, 2)
+        local = Local(rules, node, 3, driver.node.feeds, random.Random(node))
+        local.screen(api.WorkerList("complete", self.WORKERS), 0.0, 0.0, True)
+        return local, driver
+
+    def look(self, local: Local, driver: Driver, zone: str = "c") -> None:
+        """The keeper asks, and every worker answers probes; jobs fail in this zone alone."""
+        for worker in local.look((zone,)):
+            local.probed(driver.now, worker, "ok")
+        trial.begin(driver.node, local.tries(driver.now, (zone,)), driver.now)
+        rid, actions = driver.ask()
+        worker = sends(actions)[0].worker
+        local.sent(driver.now, worker, (rid, 0))
+        result = "error" if self.WORKERS[worker - 1].zone == zone else "ok"
+        local.ended(driver.now, worker, (rid, 0), result)
+        driver.end(rid, 0, worker, result)
+
+    def test_others_come_to_a_word_of_their_own_when_the_keeper_asks(self) -> None:
+        observers = [observer("b", a=([1, 2], []), c=([], [5, 6]))]  # who sends jobs there
+        self.assertEqual(judge("c", observers, (5, 6), 3).finding, "unknown")
+        for zone, node in (("a", 0), ("c", 2)):
+            local, driver = self.scheduler(zone, node)
+            for _ in range(2):
+                self.look(local, driver)
+                driver.run(driver.now + 500.0)
+            observers.append(Observer(zone, local.report(driver.now, (), driver.now).zones))
+            self.assertEqual(sorted(observers[-1].words["c"].bad), [5, 6])
+        self.assertEqual(judge("c", observers, (5, 6), 3).finding, "failed")
+
+    def test_a_worker_with_a_word_is_not_tried(self) -> None:
+        local, driver = self.scheduler("a", 0)
+        self.look(local, driver)
+        self.look(local, driver)
+        self.assertEqual(local.tries(driver.now, ("c", "no such zone")), [])
+
+    def test_only_a_job_that_may_be_repeated_is_sent_on_trial_and_only_soon(self) -> None:
+        for cls, max_attempts, after, tried in (("look", 5, 0.0, True), ("look", 1, 0.0, False),
+                                                ("bill", 5, 0.0, False), ("book", 5, 0.0, False),
+                                                ("look", 5, 1001.0, False)):
+            with self.subTest(cls=cls, max_attempts=max_attempts, after=after):
+                _, driver = self.scheduler("a", 0, max_attempts=max_attempts)
+                away = next(each.entry.id for each in driver.node.far)
+                trial.begin(driver.node, [away], driver.now)
+                driver.run(after)
+                sent = [each.worker for _ in range(2) for each in sends(driver.ask(cls)[1])]
+                self.assertEqual(sent.count(away), int(tried), sent)
+
+    def test_a_cold_worker_gets_no_job_on_trial_beyond_its_feeders(self) -> None:
+        _, driver = self.scheduler("a", 0)
+        away = next(each for each in driver.node.far if not each.owner)
+        driver.feed(api.WorkerList("partial", (away.entry._replace(started=1.0, feeder=0.0),)))
+        trial.begin(driver.node, [away.entry.id], driver.now)
+        self.assertNotEqual(sends(driver.ask()[1])[0].worker, away.entry.id)
+
+
 class Words16(unittest.TestCase):
     def test_silence_counts_only_from_jobs_and_ends_with_a_word(self) -> None:
         witness = Witness()
