--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -10,6 +10,7 @@
 import random
 from bisect import bisect
 from collections import deque
+from collections.abc import Callable
 from heapq import nlargest
 
 from spanwing import interface as api
@@ -59,6 +60,7 @@
         self.spoilt: deque[Job] = deque()  # held behind the rest: too late
         self.over: deque[Job] = deque()  # held behind the rest: beyond the share
         self.waiting, self.looking, self.lines = 0, False, 0
+        self.first: Callable[[Job], View | None] | None = None  # see zones/trial.py
         self.work = [2.0 * each.aim for each in settings.classes]  # mean time of a served attempt, by class
         self.quick = {zone: 10.0 if zone == settings.zone else 60.0 for zone in (*settings.zones, "")}
         self.busy, self.keys = 0.5, 0.0  # shares: of slots in use, as far as seen; of arrivals with a key
@@ -328,7 +330,7 @@
         """A worker with room: for keys one that keeps them; else the fastest at home; else a neighbour."""
         if len(job.attempts) >= self.set.max_attempts or any(each.open for each in job.attempts):
             return None
-        return self._room(job)
+        return (self.first and self.first(job)) or self._room(job)
 
     def _room(self, job: Job) -> View | None:
         if job.req.key is not None:
