--- a/.ci/knownred.py
+++ b/.ci/knownred.py
@@ -1,10 +1,10 @@
 """Tests that are red for a real fault which could not be mended yet: KNOWN-RED.txt, a line each.
 
-    TEST | CAUSE | ISSUE        TEST as pytest names it: tests/test_x.py::Case::test_y
+TEST | CAUSE | ISSUE        TEST as pytest names it: tests/test_x.py::Case::test_y
 
-    knownred.py names FILE      prints them, one a line
-    knownred.py check FILE      runs them and prints each: fails where one passes, where a line names no
-                                test or has another form, and where there are more than three
+knownred.py names FILE      prints them, one a line
+knownred.py check FILE      runs them and prints each: fails where one passes, where a line names no
+                            test or has another form, and where there are more than three
 """
 
 from __future__ import annotations
--- a/benchmarks/journal_latency.py
+++ b/benchmarks/journal_latency.py
@@ -62,8 +62,9 @@
 
     def __init__(self, folder: str, post: Callable) -> None:
         loop = IOLoop.current()
-        self.keeper = Keeper(Log(Folder(folder)), "refuse", "bench", post, 60.0, loop.call_later,
-                             loop.remove_timeout)
+        self.keeper = Keeper(
+            Log(Folder(folder)), "refuse", "bench", post, 60.0, loop.call_later, loop.remove_timeout
+        )
 
     def begin(self, name: str, then: Then) -> None:
         self.keeper.taken(name, "schedule-apply", "corrib", "key", "platform", 25000.0)
@@ -94,13 +95,28 @@
 
     def begin(self, name: str, then: Then) -> None:
         now = time.time() * 1000.0
-        self.work.put(([Taken(name, now, now, "schedule-apply", "corrib", "key", "platform", 25000.0),
-                        Intent(name, now, now, 0, "w17", "127.0.0.1:7000")], then))
+        self.work.put(
+            (
+                [
+                    Taken(name, now, now, "schedule-apply", "corrib", "key", "platform", 25000.0),
+                    Intent(name, now, now, 0, "w17", "127.0.0.1:7000"),
+                ],
+                then,
+            )
+        )
 
     def end(self, name: str) -> None:
         now = time.time() * 1000.0
-        self.work.put(([LastByte(name, now, now, 0), Outcome(name, now, now, 0, "ok"),
-                        Answered(name, now, now, "served")], None))
+        self.work.put(
+            (
+                [
+                    LastByte(name, now, now, 0),
+                    Outcome(name, now, now, 0, "ok"),
+                    Answered(name, now, now, "served"),
+                ],
+                None,
+            )
+        )
 
     def _run(self) -> None:
         self.open()
@@ -220,8 +236,15 @@
     made.close()
     p50, p99 = np.percentile(waits, (50, 99))
     memory = int(re.search(r"VmHWM:\s+(\d+) kB", Path("/proc/self/status").read_text())[1]) / 1024
-    return {"sends": len(waits), "p50": p50, "p99": p99, "worst": max(waits), "syncs": syncs / took,
-            "cpu": 1000.0 * cpu / took, "memory": memory}
+    return {
+        "sends": len(waits),
+        "p50": p50,
+        "p99": p99,
+        "worst": max(waits),
+        "syncs": syncs / took,
+        "cpu": 1000.0 * cpu / took,
+        "memory": memory,
+    }
 
 
 @click.command()
@@ -230,45 +253,71 @@
 @click.option("--out", type=click.Path(path_type=Path))
 @click.option("--slow-ms", default=5.0, show_default=True, help="Of a sync, in the second table.")
 @click.option("--one", nargs=3, hidden=True, help="A way, a rate and ms more for a sync, in this process.")
-def main(seconds: float, folder: str | None, out: Path | None, slow_ms: float,
-         one: tuple[str, str, str] | None) -> None:
+def main(
+    seconds: float, folder: str | None, out: Path | None, slow_ms: float, one: tuple[str, str, str] | None
+) -> None:
     """Measure all ways at all rates."""
     if one:
         if float(one[2]):
             slow_disk(float(one[2]))
         click.echo(json.dumps(run(one[0], float(one[1]), seconds, folder)))
         return
-    tables = [compare(RATES, list(WAYS), seconds, folder, 0.0),
-              compare(RATES, ["nothing", "group commit", "sync each send"], seconds, folder, slow_ms)]
+    tables = [
+        compare(RATES, list(WAYS), seconds, folder, 0.0),
+        compare(RATES, ["nothing", "group commit", "sync each send"], seconds, folder, slow_ms),
+    ]
     for table in tables:
         click.echo(table)
     if out:
-        out.write_text("# What a send waits for its intent to be on disk\n\n"
-                       f"    .venv/bin/python -m benchmarks.journal_latency --seconds {seconds:g} "
-                       f"--slow-ms {slow_ms:g}\n\n"
-                       "Latency is all that the journal adds to a send; CPU and memory are beyond those of "
-                       f"the same arrivals with nothing written down.\n\n{tables[0]}\n\n"
-                       f"The same with {slow_ms:g} ms more for each sync, as on a slower disk (added to the "
-                       f"call; SQLite makes its own):\n\n{tables[1]}\n")
-
-
-def compare(rates: tuple[int, ...], ways: list[str], seconds: float, folder: str | None,
-            slow_ms: float) -> str:
-    lines = ["| sends a second | way | sends | p50, ms | p99, ms | worst, ms | syncs a second "
-             "| CPU, ms a second | memory, MB |", "| --- " * 9 + "|"]
+        out.write_text(
+            "# What a send waits for its intent to be on disk\n\n"
+            f"    .venv/bin/python -m benchmarks.journal_latency --seconds {seconds:g} "
+            f"--slow-ms {slow_ms:g}\n\n"
+            "Latency is all that the journal adds to a send; CPU and memory are beyond those of "
+            f"the same arrivals with nothing written down.\n\n{tables[0]}\n\n"
+            f"The same with {slow_ms:g} ms more for each sync, as on a slower disk (added to the "
+            f"call; SQLite makes its own):\n\n{tables[1]}\n"
+        )
+
+
+def compare(
+    rates: tuple[int, ...], ways: list[str], seconds: float, folder: str | None, slow_ms: float
+) -> str:
+    lines = [
+        "| sends a second | way | sends | p50, ms | p99, ms | worst, ms | syncs a second "
+        "| CPU, ms a second | memory, MB |",
+        "| --- " * 9 + "|",
+    ]
     for rate in rates:
         base = None
         for way in ways:
             with tempfile.TemporaryDirectory(dir=folder) as place:
-                found = json.loads(subprocess.run(
-                    [sys.executable, "-m", "benchmarks.journal_latency", "--seconds", str(seconds),
-                     "--folder", place, "--one", way, str(rate), str(slow_ms)], check=True,
-                    capture_output=True).stdout)
+                found = json.loads(
+                    subprocess.run(
+                        [
+                            sys.executable,
+                            "-m",
+                            "benchmarks.journal_latency",
+                            "--seconds",
+                            str(seconds),
+                            "--folder",
+                            place,
+                            "--one",
+                            way,
+                            str(rate),
+                            str(slow_ms),
+                        ],
+                        check=True,
+                        capture_output=True,
+                    ).stdout
+                )
             base = base or found
             if way != "nothing":
-                lines.append(f"| {rate} | {way} | {found['sends']} | {found['p50']:.2f} | {found['p99']:.2f} "
-                             f"| {found['worst']:.2f} | {found['syncs']:.0f} "
-                             f"| {found['cpu'] - base['cpu']:.1f} | {found['memory'] - base['memory']:.1f} |")
+                lines.append(
+                    f"| {rate} | {way} | {found['sends']} | {found['p50']:.2f} | {found['p99']:.2f} "
+                    f"| {found['worst']:.2f} | {found['syncs']:.0f} "
+                    f"| {found['cpu'] - base['cpu']:.1f} | {found['memory'] - base['memory']:.1f} |"
+                )
     return "\n".join(lines)
 
 
--- a/benchmarks/journal_scale.py
+++ b/benchmarks/journal_scale.py
@@ -1,6 +1,6 @@
 """A restart with a million records, and queries over ten million: time, memory and size on disk.
 
-    .venv/bin/python -m benchmarks.journal_scale --out docs/results/journal-scale.md
+.venv/bin/python -m benchmarks.journal_scale --out docs/results/journal-scale.md
 """
 
 from __future__ import annotations
@@ -36,12 +36,25 @@
         batch = []
         for number in range(begin, min(requests, begin + BATCH)):
             name, now = f"job-{number:08d}", FIRST_MS + number * STEP_MS
-            batch += [Taken(name, now, now, "schedule-apply", f"tenant-{number % 40}", f"key-{number}",
-                            "platform", 25000.0),
-                      Intent(name, now + 2, now, 0, f"w{number % WORKERS}", "127.0.0.1:7000")]
+            batch += [
+                Taken(
+                    name,
+                    now,
+                    now,
+                    "schedule-apply",
+                    f"tenant-{number % 40}",
+                    f"key-{number}",
+                    "platform",
+                    25000.0,
+                ),
+                Intent(name, now + 2, now, 0, f"w{number % WORKERS}", "127.0.0.1:7000"),
+            ]
             if number < requests - OPEN:
-                batch += [LastByte(name, now + 5, now, 0), Outcome(name, now + 900, now, 0, "ok"),
-                          Answered(name, now + 901, now, "served")]
+                batch += [
+                    LastByte(name, now + 5, now, 0),
+                    Outcome(name, now + 900, now, 0, "ok"),
+                    Answered(name, now + 901, now, "served"),
+                ]
         log.write(batch, FIRST_MS + begin * STEP_MS)
     log.close()
     log.files.stop()
@@ -50,8 +63,9 @@
 def timed(*command: str) -> tuple[float, float, str]:
     """Seconds, the most memory in MB, and the output of a program of ours."""
     begun = time.perf_counter()
-    done = subprocess.run([sys.executable, "-c", AROUND, *command], check=True, capture_output=True,
-                          text=True)
+    done = subprocess.run(
+        [sys.executable, "-c", AROUND, *command], check=True, capture_output=True, text=True
+    )
     took = time.perf_counter() - begun
     return took, int(re.search(r"VmHWM:\s+(\d+) kB", done.stderr)[1]) / 1024, done.stdout
 
@@ -77,8 +91,9 @@
 @click.option("--folder", help="On the disk to be used [default: the system's temporary folder].")
 @click.option("--out", type=click.Path(path_type=Path))
 @click.option("--open", "opened", hidden=True, help="Open this folder's log, and say how long it took.")
-def main(restart_records: int, query_records: int, folder: str | None, out: Path | None,
-         opened: str | None) -> None:
+def main(
+    restart_records: int, query_records: int, folder: str | None, out: Path | None, opened: str | None
+) -> None:
     """Fill folders, then measure."""
     if opened:
         begun = time.perf_counter()
@@ -95,13 +110,25 @@
         fill(place, restart_records)
         disk = size_mb(place, ".log")
         _, memory, said = timed("benchmarks.journal_scale", "--open", place)
-        told("restart, with its snapshot", restart_records, disk, json.loads(said)["s"], memory,
-             f"{json.loads(said)['open']} open")
+        told(
+            "restart, with its snapshot",
+            restart_records,
+            disk,
+            json.loads(said)["s"],
+            memory,
+            f"{json.loads(said)['open']} open",
+        )
         for each in Path(place).glob(f"*{SNAPSHOT}"):
             each.unlink()
         _, memory, said = timed("benchmarks.journal_scale", "--open", place)
-        told("restart, its snapshots lost", restart_records, disk, json.loads(said)["s"], memory,
-             f"{json.loads(said)['open']} open")
+        told(
+            "restart, its snapshots lost",
+            restart_records,
+            disk,
+            json.loads(said)["s"],
+            memory,
+            f"{json.loads(said)['open']} open",
+        )
         shutil.rmtree(place, ignore_errors=True)
         Path(place).mkdir()
         fill(place, query_records)
@@ -109,21 +136,29 @@
         requests = query_records // A_RECORD
         one = f"request = job-{requests // 3:08d}"
         begin = FIRST_MS + (requests // 2) * STEP_MS
-        when = [time.strftime("%Y-%m-%dT%H:%M:%S", time.localtime((begin + shift) / 1000))
-                for shift in (0.0, 3_600_000.0)]
+        when = [
+            time.strftime("%Y-%m-%dT%H:%M:%S", time.localtime((begin + shift) / 1000))
+            for shift in (0.0, 3_600_000.0)
+        ]
         hour = f"worker = w7 and time >= {when[0]} and time < {when[1]}"
-        for what, expression in (("one request, indexes made", one), ("one request, indexes there", one),
-                                 ("a worker's hour, indexes there", hour)):
-            took, memory, said = timed("spanwing.cli.main", "journal", "query", expression,
-                                       "--directory", place, "--limit", "0")
+        for what, expression in (
+            ("one request, indexes made", one),
+            ("one request, indexes there", one),
+            ("a worker's hour, indexes there", hour),
+        ):
+            took, memory, said = timed(
+                "spanwing.cli.main", "journal", "query", expression, "--directory", place, "--limit", "0"
+            )
             told(what, query_records, disk, took, memory, f"{len(said.splitlines())} rows")
         told("size of the indexes", query_records, size_mb(place, ".idx"), 0.0, 0.0, "")
     if out:
         table = "\n".join(lines)
-        out.write_text("# The journal at size\n\n    .venv/bin/python -m benchmarks.journal_scale\n\n"
-                       f"{A_RECORD} records a request, {WORKERS} workers, segments of {SEGMENT / 1e6:.0f} "
-                       "MB. A restart is the time to open the log; a query is the whole command, its own "
-                       f"start among it.\n\n{table}\n")
+        out.write_text(
+            "# The journal at size\n\n    .venv/bin/python -m benchmarks.journal_scale\n\n"
+            f"{A_RECORD} records a request, {WORKERS} workers, segments of {SEGMENT / 1e6:.0f} "
+            "MB. A restart is the time to open the log; a query is the whole command, its own "
+            f"start among it.\n\n{table}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/balancers.py
+++ b/measure/balancers.py
@@ -165,10 +165,17 @@
 
     def call(self) -> int:
         stream = self.h2.get_next_available_stream_id()
-        self.h2.send_headers(stream, [
-            (":method", "POST"), (":scheme", "http"), (":authority", "x"),
-            (":path", f"/grpc.health.v1.Health/{self.method}"), ("te", "trailers"),
-            ("content-type", "application/grpc")])
+        self.h2.send_headers(
+            stream,
+            [
+                (":method", "POST"),
+                (":scheme", "http"),
+                (":authority", "x"),
+                (":path", f"/grpc.health.v1.Health/{self.method}"),
+                ("te", "trailers"),
+                ("content-type", "application/grpc"),
+            ],
+        )
         self.h2.send_data(stream, struct.pack("!BI", 0, 0), end_stream=True)
         return stream
 
@@ -306,8 +313,10 @@
         return sent
 
     async def _send(self, backend: Backend, job: str, cls: str, budget_ms: int, body: bytes) -> Sent:
-        data = (f"POST /{cls} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget_ms}\r\n"
-                f"Idempotency-Key: {job}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+        data = (
+            f"POST /{cls} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget_ms}\r\n"
+            f"Idempotency-Key: {job}\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         sent = Sent(job, backend.name, 0.0)
         self.sent.append(sent)
         begun = time.monotonic()
@@ -316,8 +325,9 @@
                 backend.idle.pop()[1].close()
             kept = bool(backend.idle)
             try:
-                reader, writer = (backend.idle.pop() if kept
-                                  else await asyncio.open_connection(*backend.clients))
+                reader, writer = (
+                    backend.idle.pop() if kept else await asyncio.open_connection(*backend.clients)
+                )
             except OSError:
                 return sent
             try:
--- a/measure/cost.py
+++ b/measure/cost.py
@@ -36,11 +36,17 @@
 
     def __init__(self, name: str, is_open: bool, asked: bool, places: list[tuple[str, int]]) -> None:
         self.name, self.asked = name, asked
-        self.daemons = [Daemon(f"{name}{n}", places, FRONTS if is_open else (), admin=is_open)
-                        for n in range(SCHEDULERS)]
+        self.daemons = [
+            Daemon(f"{name}{n}", places, FRONTS if is_open else (), admin=is_open) for n in range(SCHEDULERS)
+        ]
         plain = PROTOCOLS["agent-check"]._replace(check=fixed)
-        self.balancer = Balancer([Backend(f"{name}{n}", each.addresses["clients"], ("", 0), plain)
-                                  for n, each in enumerate(self.daemons)], 1)
+        self.balancer = Balancer(
+            [
+                Backend(f"{name}{n}", each.addresses["clients"], ("", 0), plain)
+                for n, each in enumerate(self.daemons)
+            ],
+            1,
+        )
         self.tasks: list[asyncio.Task] = []
 
     async def load(self) -> None:
@@ -49,15 +55,17 @@
             number, due = number + 1, due + source.expovariate(RATE)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             cls, budget, _ = source.choices(CLASSES, [each[2] for each in CLASSES])[0]
-            self.tasks.append(asyncio.ensure_future(
-                self.balancer.request(f"{self.name}-{number}", cls, budget, b"x" * 200)))
+            self.tasks.append(
+                asyncio.ensure_future(self.balancer.request(f"{self.name}-{number}", cls, budget, b"x" * 200))
+            )
 
     def ask(self) -> None:
         """One asker of each protocol for each scheduler."""
         for daemon in self.daemons:
             for name, protocol in PROTOCOLS.items():
-                asker = Backend(name, ("", 0), daemon.addresses[protocol.front],
-                                protocol._replace(inter_s=1.0))
+                asker = Backend(
+                    name, ("", 0), daemon.addresses[protocol.front], protocol._replace(inter_s=1.0)
+                )
                 self.tasks.append(asyncio.ensure_future(asker.follow()))
             self.tasks.append(asyncio.ensure_future(self._status(daemon)))
 
@@ -85,9 +93,15 @@
     begun = time.monotonic()
     await asyncio.sleep(seconds)
     took = time.monotonic() - begun
-    found = [(each.name, 1000 * (each.cpu_s() - cpu) / took / SCHEDULERS,
-              max(daemon.resident() for daemon in each.daemons), len(each.balancer.sent) - count)
-             for each, (cpu, count) in zip(sets, before, strict=True)]
+    found = [
+        (
+            each.name,
+            1000 * (each.cpu_s() - cpu) / took / SCHEDULERS,
+            max(daemon.resident() for daemon in each.daemons),
+            len(each.balancer.sent) - count,
+        )
+        for each, (cpu, count) in zip(sets, before, strict=True)
+    ]
     for each in loads:
         each.cancel()
     for each in sets:
@@ -107,18 +121,25 @@
     """Compare the daemon's CPU and memory with balancers' protocols off, open and asked."""
     found = asyncio.run(measure(seconds))
     base = found[0]
-    lines = ["| protocols | requests | CPU, ms a second of one scheduler | more, of a core "
-             "| more, of its own | memory, MB | more |", "| --- " * 7 + "|"]
+    lines = [
+        "| protocols | requests | CPU, ms a second of one scheduler | more, of a core "
+        "| more, of its own | memory, MB | more |",
+        "| --- " * 7 + "|",
+    ]
     for name, cpu, memory, count in found:
-        lines.append(f"| {name} | {count} | {cpu:.2f} | {(cpu - base[1]) / 10:.2f}% "
-                     f"| {100 * (cpu / base[1] - 1):.1f}% | {memory:.1f} | {memory - base[2]:.1f} |")
+        lines.append(
+            f"| {name} | {count} | {cpu:.2f} | {(cpu - base[1]) / 10:.2f}% "
+            f"| {100 * (cpu / base[1] - 1):.1f}% | {memory:.1f} | {memory - base[2]:.1f} |"
+        )
     table = "\n".join(lines)
     click.echo(table)
     if out:
-        out.write_text("# What telling balancers costs\n\n"
-                       f"    .venv/bin/python -m measure.cost --seconds {seconds:g}\n\n"
-                       f"{RATE:.0f} jobs a second over {SCHEDULERS} schedulers and {WORKERS} job workers, "
-                       f"three sets side by side; `asked`: all protocols, every second.\n\n{table}\n")
+        out.write_text(
+            "# What telling balancers costs\n\n"
+            f"    .venv/bin/python -m measure.cost --seconds {seconds:g}\n\n"
+            f"{RATE:.0f} jobs a second over {SCHEDULERS} schedulers and {WORKERS} job workers, "
+            f"three sets side by side; `asked`: all protocols, every second.\n\n{table}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/cpu.py
+++ b/measure/cpu.py
@@ -36,8 +36,9 @@
 RUNNING_S = 0.23  # the least mean of a status-read, so the least slack
 WANTED_S = 0.15 + 2 * RUNNING_S  # as for status-read: 150 ms plus twice its running time
 BUDGET_MS = 5000
-CLASSES = [{"name": "status-read", "aim_ms": 1000 * WANTED_S, "deadline_ms": BUDGET_MS,
-            "idempotency": "safe"}]
+CLASSES = [
+    {"name": "status-read", "aim_ms": 1000 * WANTED_S, "deadline_ms": BUDGET_MS, "idempotency": "safe"}
+]
 WORKERS, SLOTS_WARM_S = 40, 3.0
 CLIENTS, CALIBRATE_S = 150, 3.0
 POLL_S = 0.05
@@ -84,8 +85,10 @@
 
     def __init__(self, cpu: int, count: int) -> None:
         self.stop_event = multiprocessing.Event()
-        self.processes = [multiprocessing.Process(target=hog, args=(cpu, self.stop_event), daemon=True)
-                          for _ in range(count)]
+        self.processes = [
+            multiprocessing.Process(target=hog, args=(cpu, self.stop_event), daemon=True)
+            for _ in range(count)
+        ]
 
     def start(self) -> None:
         for each in self.processes:
@@ -136,16 +139,21 @@
 
 def backend(daemon: Daemon, weighted: bool) -> Backend:
     protocol = PROTOCOLS["agent-check"]
-    return Backend(daemon.process.pid, daemon.addresses["clients"], daemon.addresses["agent_check"],
-                   protocol if weighted else protocol._replace(check=fixed))
+    return Backend(
+        daemon.process.pid,
+        daemon.addresses["clients"],
+        daemon.addresses["agent_check"],
+        protocol if weighted else protocol._replace(check=fixed),
+    )
 
 
 async def served_rate(cpu: int, workers: WorkerProcess, hogs: int) -> float:
     """Requests a second that a scheduler serves at most with these others on its core: so many clients that
     each ask again at once. It grows with the load, as a turn of the loop then serves several; a rate reckoned
     from the cost of single requests would be too low to be an overload."""
-    daemon = await asyncio.to_thread(Daemon, "c", workers.places, ("agent_check",), cpus={cpu},
-                                     classes=CLASSES)
+    daemon = await asyncio.to_thread(
+        Daemon, "c", workers.places, ("agent_check",), cpus={cpu}, classes=CLASSES
+    )
     balancer, others = Balancer([backend(daemon, False)], 1), Hogs(cpu, hogs)
     count, stop = 0, False
 
@@ -193,14 +201,23 @@
     """Changes of state, of the monotonic clock, from the daemon's log."""
     offset = time.time() - time.monotonic()
     lines = [json.loads(line) for line in log.splitlines() if line.startswith("{")]
-    return [(datetime.fromisoformat(each["timestamp"]).timestamp() - offset, each["state"])
-            for each in lines if each["event"] == "health"]
+    return [
+        (datetime.fromisoformat(each["timestamp"]).timestamp() - offset, each["state"])
+        for each in lines
+        if each["event"] == "health"
+    ]
 
 
 async def cut(cpu: int, workers: WorkerProcess, rate: float, hogs: int, seed: int) -> Cut:
     daemon = await asyncio.to_thread(
-        Daemon, "d", workers.places, ("agent_check",), cpus={cpu}, classes=CLASSES,
-        balancers='[balancers]\nslow_start_ms = 500\n[log]\nform = "json"')
+        Daemon,
+        "d",
+        workers.places,
+        ("agent_check",),
+        cpus={cpu},
+        classes=CLASSES,
+        balancers='[balancers]\nslow_start_ms = 500\n[log]\nform = "json"',
+    )
     balancer = Balancer([backend(daemon, False)], seed)
     load, others = Load(balancer, rate, seed), Hogs(cpu, hogs)
     heard: list[tuple[float, int]] = []  # when an agent-check was answered, and the weight
@@ -250,8 +267,10 @@
     workers = WorkerProcess({core + 2})
 
     async def all_runs() -> list[Cut]:
-        rates = {hogs: over * await served_rate(core, workers, hogs)
-                 for hogs, over in zip((1, 3), overs, strict=True)}
+        rates = {
+            hogs: over * await served_rate(core, workers, hogs)
+            for hogs, over in zip((1, 3), overs, strict=True)
+        }
         found = []
         for number in range(lane, 2 * runs, lanes):
             hogs = 1 if number % 2 == 0 else 3
@@ -282,46 +301,66 @@
 @main.command()
 @click.option("--runs", default=20, show_default=True, help="For each cut.")
 @click.option("--seed", default=1, show_default=True)
-@click.option("--half", default=1.4, show_default=True,
-              help="Load, of what is served at most with half of the core.")
+@click.option(
+    "--half", default=1.4, show_default=True, help="Load, of what is served at most with half of the core."
+)
 @click.option("--quarter", default=1.5, show_default=True, help="The same with a quarter.")
 @click.option("--out", type=click.Path(path_type=Path))
 def cuts(runs: int, seed: int, half: float, quarter: float, out: Path | None) -> None:
     """From the first `short` to the first late request."""
     lanes = 2
-    found = [each for lane in spread(cuts_on, [(n, lanes, runs, (half, quarter), seed) for n in range(lanes)])
-             for each in lane]
-    lines = ["| CPU left | rates, a second | runs | said short | of these before the cut | said first "
-             "| lead, least | median | most | short after the cut, median | most | none late | left out |",
-             "| --- " * 13 + "|"]
+    found = [
+        each
+        for lane in spread(cuts_on, [(n, lanes, runs, (half, quarter), seed) for n in range(lanes)])
+        for each in lane
+    ]
+    lines = [
+        "| CPU left | rates, a second | runs | said short | of these before the cut | said first "
+        "| lead, least | median | most | short after the cut, median | most | none late | left out |",
+        "| --- " * 13 + "|",
+    ]
     for share in (0.5, 0.25):
         of = [each for each in found if each.share == share]
         leads = [each.lead_s for each in of if each.lead_s is not None]
         shorts = [each.short_s for each in of if each.short_s is not None]
-        first = sum(each.short_s is not None and (each.late_s is None or each.short_s < each.late_s)
-                    for each in of)
+        first = sum(
+            each.short_s is not None and (each.late_s is None or each.short_s < each.late_s) for each in of
+        )
         figures = [f"{function(leads):.2f} s" if leads else "-" for function in (min, statistics.median, max)]
         rates = " and ".join(sorted({f"{each.rate:.0f}" for each in of}))
-        lines.append(f"| {share:.0%} | {rates} | {len(of)} | {len(shorts)} "
-                     f"| {sum(each < 0 for each in shorts)} | {first} "
-                     f"| {' | '.join(figures)} | {statistics.median(shorts):.2f} s | {max(shorts):.2f} s "
-                     f"| {sum(each.late_s is None for each in of)} | {sum(each.left_out for each in of)} |")
-    lines += ["", "Each run, in seconds from the cut:", "", "| CPU left | `short` | first late | lead |",
-              "| --- | --- | --- | --- |"]
+        lines.append(
+            f"| {share:.0%} | {rates} | {len(of)} | {len(shorts)} "
+            f"| {sum(each < 0 for each in shorts)} | {first} "
+            f"| {' | '.join(figures)} | {statistics.median(shorts):.2f} s | {max(shorts):.2f} s "
+            f"| {sum(each.late_s is None for each in of)} | {sum(each.left_out for each in of)} |"
+        )
+    lines += [
+        "",
+        "Each run, in seconds from the cut:",
+        "",
+        "| CPU left | `short` | first late | lead |",
+        "| --- | --- | --- | --- |",
+    ]
     for each in sorted(found, key=lambda each: -each.share):
         first = "-" if each.short_s is None else f"{each.short_s:.2f}"
         first = "before the cut" if (each.short_s or 0) < 0 else first
         late = "-" if each.late_s is None else f"{each.late_s:.2f}"
         lead = "-" if each.lead_s is None else f"{each.lead_s:.2f}"
         lines.append(f"| {each.share:.0%} | {first} | {late} | {lead} |")
-    report("CPU cut under constant load: `short` against the first late request", "cuts", lines, out,
-           f"--runs {runs} --seed {seed} --half {half} --quarter {quarter}",
-           f"Wanted within {1000 * WANTED_S:.0f} ms; a run ends {AFTER_S:.0f} s after the cut. `left out`: "
-           f"requests that the generator itself sent over {1000 * GENERATOR_LATE_S:.0f} ms late.")
-
-
-async def starved_run(weighted: bool, workers: WorkerProcess, rate: float, seed: int, daemons: list[Daemon],
-                      seconds: float) -> tuple[int, int, int]:
+    report(
+        "CPU cut under constant load: `short` against the first late request",
+        "cuts",
+        lines,
+        out,
+        f"--runs {runs} --seed {seed} --half {half} --quarter {quarter}",
+        f"Wanted within {1000 * WANTED_S:.0f} ms; a run ends {AFTER_S:.0f} s after the cut. `left out`: "
+        f"requests that the generator itself sent over {1000 * GENERATOR_LATE_S:.0f} ms late.",
+    )
+
+
+async def starved_run(
+    weighted: bool, workers: WorkerProcess, rate: float, seed: int, daemons: list[Daemon], seconds: float
+) -> tuple[int, int, int]:
     """Requests, late or not served, and left out, of one balancer."""
     balancer = Balancer([backend(each, weighted) for each in daemons], seed)
     load = Load(balancer, rate, seed)
@@ -348,8 +387,17 @@
     """One run: four schedulers on cores 0 to 3, the first one cut, two balancers, job workers on the rest."""
     workers = WorkerProcess({4, 5})
     os.sched_setaffinity(0, {6, 7})
-    daemons = [Daemon(f"n{n}", workers.places, ("agent_check",), cpus={n}, classes=CLASSES,
-                      balancers="[balancers]\nslow_start_ms = 5000") for n in range(4)]
+    daemons = [
+        Daemon(
+            f"n{n}",
+            workers.places,
+            ("agent_check",),
+            cpus={n},
+            classes=CLASSES,
+            balancers="[balancers]\nslow_start_ms = 5000",
+        )
+        for n in range(4)
+    ]
     others = Hogs(0, 3)
     try:
         time.sleep(6.0)  # the slow start is over
@@ -381,21 +429,31 @@
 @click.option("--out", type=click.Path(path_type=Path))
 def starved(runs: int, seed: int, need: float, seconds: float, out: Path | None) -> None:
     """Late requests with one of four schedulers cut to a quarter of its core."""
-    lines = ["| weight | runs | requests | late or unserved | mean share | least | most | left out |",
-             "| --- " * 8 + "|"]
+    lines = [
+        "| weight | runs | requests | late or unserved | mean share | least | most | left out |",
+        "| --- " * 8 + "|",
+    ]
     most = spread(calibrated, [()])[0]
     for weighted in (False, True):
-        found = [spread(starved_on, [(weighted, need * most, seconds, seed * 100 + n)])[0]
-                 for n in range(runs)]
+        found = [
+            spread(starved_on, [(weighted, need * most, seconds, seed * 100 + n)])[0] for n in range(runs)
+        ]
         shares = [bad / total for total, bad, _ in found]
-        lines.append(f"| {'told' if weighted else 'fixed'} | {runs} | {sum(each[0] for each in found)} "
-                     f"| {sum(each[1] for each in found)} | {statistics.mean(shares):.1%} "
-                     f"| {min(shares):.1%} | {max(shares):.1%} | {sum(each[2] for each in found)} |")
-    report("Four schedulers, one cut to a quarter of its core", "starved", lines, out,
-           f"--runs {runs} --seed {seed} --need {need} --seconds {seconds}",
-           f"Each run {seconds:.0f} s from the cut on, at {need:.0%} of its most for each "
-           f"scheduler, of {most:.0f} requests a second at most; agent-check every second. "
-           f"Wanted within {1000 * WANTED_S:.0f} ms.")
+        lines.append(
+            f"| {'told' if weighted else 'fixed'} | {runs} | {sum(each[0] for each in found)} "
+            f"| {sum(each[1] for each in found)} | {statistics.mean(shares):.1%} "
+            f"| {min(shares):.1%} | {max(shares):.1%} | {sum(each[2] for each in found)} |"
+        )
+    report(
+        "Four schedulers, one cut to a quarter of its core",
+        "starved",
+        lines,
+        out,
+        f"--runs {runs} --seed {seed} --need {need} --seconds {seconds}",
+        f"Each run {seconds:.0f} s from the cut on, at {need:.0%} of its most for each "
+        f"scheduler, of {most:.0f} requests a second at most; agent-check every second. "
+        f"Wanted within {1000 * WANTED_S:.0f} ms.",
+    )
 
 
 def report(title: str, command: str, lines: list[str], out: Path | None, options: str, text: str) -> None:
--- a/measure/crashes.py
+++ b/measure/crashes.py
@@ -108,8 +108,14 @@
 
     def __init__(self, server: subprocess.Popen, folder: Path, name: str, at: int, after: bool) -> None:
         self.server, self.out, self.trace = server, folder / f"{name}.out", folder / f"{name}.trace"
-        order = Order(at, after, str(folder / "config.json"), str(folder / "fronts.toml"), str(self.out),
-                      str(self.trace))
+        order = Order(
+            at,
+            after,
+            str(folder / "config.json"),
+            str(folder / "fronts.toml"),
+            str(self.out),
+            str(self.trace),
+        )
         server.stdin.write(msgspec.json.encode(order) + b"\n")
         server.stdin.flush()
         self.pid = int(server.stdout.readline())
@@ -226,12 +232,31 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _files(self, folder: Path, ports: list[int]) -> None:
-        members = [{"id": f"w{n}", "host_port": f"{HOP_HOST}:{port}", "locality": "a", "flavor": "big",
-                    "cell": 0, "phase": "active", "size": 1.0, "up_since_ms": 0}
-                   for n, port in enumerate(ports)]
-        (folder / "config.json").write_text(json.dumps({
-            "name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
-            "known": {"revision": 1, "complete": True, "members": members}, "settings": settings()}))
+        members = [
+            {
+                "id": f"w{n}",
+                "host_port": f"{HOP_HOST}:{port}",
+                "locality": "a",
+                "flavor": "big",
+                "cell": 0,
+                "phase": "active",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for n, port in enumerate(ports)
+        ]
+        (folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": "127.0.0.1:0",
+                    "discovery": "127.0.0.1:9",
+                    "seed": "2a",
+                    "known": {"revision": 1, "complete": True, "members": members},
+                    "settings": settings(),
+                }
+            )
+        )
         front = '[faktory]\nlisten = "127.0.0.1:0"\n' if self.front == "faktory" else ""
         (folder / "fronts.toml").write_text(f'{front}[journal]\ndirectory = "{folder}/journal"\n')
 
@@ -242,8 +267,10 @@
     async def _post(self, place: tuple[str, int], budget_ms: float) -> tuple[int, str]:
         reader, writer = await asyncio.open_connection(*place)
         try:
-            writer.write(f"POST /{CLS}/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.id}\r\nX-Budget-Ms: "
-                         f"{budget_ms:.3f}\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi".encode())
+            writer.write(
+                f"POST /{CLS}/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.id}\r\nX-Budget-Ms: "
+                f"{budget_ms:.3f}\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi".encode()
+            )
             if not (line := await reader.readline()):
                 raise ConnectionResetError
             return int(line.split()[1]), (await reader.read(4096)).decode()
@@ -263,9 +290,16 @@
     async def _push(self, place: tuple[str, int], budget_ms: float) -> str:
         speaker = await Speaker(place).open()
         try:
-            return await speaker.ask("PUSH", {
-                "jid": self.id, "jobtype": CLS, "queue": CLS, "args": [],
-                "custom": {"answer": "outcome", "budget_ms": budget_ms, "effect_key": "k"}})
+            return await speaker.ask(
+                "PUSH",
+                {
+                    "jid": self.id,
+                    "jobtype": CLS,
+                    "queue": CLS,
+                    "args": [],
+                    "custom": {"answer": "outcome", "budget_ms": budget_ms, "effect_key": "k"},
+                },
+            )
         finally:
             speaker.close()
 
@@ -277,8 +311,7 @@
         gone.close()
         await self._fetch(place, "stays", 0.0)
 
-    async def _fetch(self, place: tuple[str, int], wid: str, delay: float,
-                     running_s: float = 0.003) -> None:
+    async def _fetch(self, place: tuple[str, int], wid: str, delay: float, running_s: float = 0.003) -> None:
         with suppress(OSError, asyncio.IncompleteReadError):
             speaker = await self._worker(place, wid).open()
             try:
@@ -316,8 +349,9 @@
             life = Life(server, folder, "first", 0, False)
             place = await life.address("clients" if self.front == "platform" else "faktory")
             if self.front == "faktory":
-                self.tasks += [asyncio.ensure_future(self._fetch(place, "stays", 0.0, 0.2))
-                               for _ in range(FETCHERS)]
+                self.tasks += [
+                    asyncio.ensure_future(self._fetch(place, "stays", 0.0, 0.2)) for _ in range(FETCHERS)
+                ]
             asked = asyncio.ensure_future(self._ask(place))
             await asyncio.sleep(self.random.uniform(*LOAD_S))
             life.end()
@@ -334,10 +368,14 @@
             found = {each.id: each.finding for each in Book(str(folder / "journal")).requests()}
             result.findings.update(found.values())
             result.wrong += [each for each in self.seen if found.get(each, "not sent") == "not sent"]
-            result.unseen["load"] += sum(finding != "not sent" and name not in self.seen
-                                         for name, finding in found.items())
-            left = {request.id for request in Book(str(folder / "journal")).requests()
-                    if not request.settled and request.finding != "not sent"}
+            result.unseen["load"] += sum(
+                finding != "not sent" and name not in self.seen for name, finding in found.items()
+            )
+            left = {
+                request.id
+                for request in Book(str(folder / "journal")).requests()
+                if not request.settled and request.finding != "not sent"
+            }
             before = sum((self.seen + workers.seen).values())
             second = Life(server, folder, "second", 0, False)
             place = await second.address("clients" if self.front == "platform" else "faktory")
@@ -361,8 +399,9 @@
 
 def loaded(front: str, seed: int, kills: int) -> tuple[str, Result]:
     result = Result()
-    with subprocess.Popen([sys.executable, "-m", "measure.killed"], cwd=ROOT, stdin=subprocess.PIPE,
-                          stdout=subprocess.PIPE) as server:
+    with subprocess.Popen(
+        [sys.executable, "-m", "measure.killed"], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    ) as server:
         for number in range(kills):
             asyncio.run(asyncio.wait_for(Loaded(front, seed * 1000 + number).under_load(server, result), 60))
         server.stdin.close()
@@ -372,8 +411,9 @@
 def lane(front: str, kind: str, after: bool, seed: int, step: int) -> tuple[str, Result]:
     """All calls of one scenario, every step-th; returns its name."""
     result = Result()
-    with subprocess.Popen([sys.executable, "-m", "measure.killed"], cwd=ROOT, stdin=subprocess.PIPE,
-                          stdout=subprocess.PIPE) as server:
+    with subprocess.Popen(
+        [sys.executable, "-m", "measure.killed"], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    ) as server:
         try:
             missed = 0
             for at in range(1 + seed % step, MOST_CALLS, step):
@@ -389,18 +429,23 @@
 
 
 def table(results: dict[str, Result]) -> str:
-    lines = ["| front, attempt | runs | killed | seen by a worker | not there | not sent | possibly sent "
-             "| sent | shown unsent, yet seen | sent by the next life | not told at the next start "
-             "| repeats taken | possibly sent, not seen |", "| --- " * 13 + "|"]
+    lines = [
+        "| front, attempt | runs | killed | seen by a worker | not there | not sent | possibly sent "
+        "| sent | shown unsent, yet seen | sent by the next life | not told at the next start "
+        "| repeats taken | possibly sent, not seen |",
+        "| --- " * 13 + "|",
+    ]
     total = Result()
     for each in results.values():
         total.add(each)
     for name, each in [*sorted(results.items()), ("all", total)]:
         found = each.findings
-        lines.append(f"| {name} | {each.runs} | {each.kills} | {each.seen} | {found['not there']} "
-                     f"| {found['not sent']} | {found['possibly sent']} | {found['sent']} "
-                     f"| {len(each.wrong)} | {each.again} | {each.untold} | {each.accepted} "
-                     f"| {sum(each.unseen.values())} |")
+        lines.append(
+            f"| {name} | {each.runs} | {each.kills} | {each.seen} | {found['not there']} "
+            f"| {found['not sent']} | {found['possibly sent']} | {found['sent']} "
+            f"| {len(each.wrong)} | {each.again} | {each.untold} | {each.accepted} "
+            f"| {sum(each.unseen.values())} |"
+        )
     at = "; ".join(f"{where}: {count}" for where, count in total.unseen.most_common(12))
     return "\n".join(lines) + f"\n\nPossibly sent and not seen, by their last call: {at or 'none'}."
 
@@ -408,11 +453,20 @@
 def measure(rounds: int, step: int, lanes: int, seed: int, loads: int = 0) -> dict[str, Result]:
     results: dict[str, Result] = {}
     with ProcessPoolExecutor(lanes) as pool:
-        runs = [pool.submit(lane, front, kind, after, seed + number, step) for number in range(rounds)
-                for front in FRONTS for kind in KINDS for after in (False, True)]
+        runs = [
+            pool.submit(lane, front, kind, after, seed + number, step)
+            for number in range(rounds)
+            for front in FRONTS
+            for kind in KINDS
+            for after in (False, True)
+        ]
         share = -(-loads // lanes)
-        runs += [pool.submit(loaded, front, seed + 500 + number, share) for front in FRONTS
-                 for number in range(lanes) if loads]
+        runs += [
+            pool.submit(loaded, front, seed + 500 + number, share)
+            for front in FRONTS
+            for number in range(lanes)
+            if loads
+        ]
         for run in runs:
             name, result = run.result()
             results.setdefault(name, Result()).add(result)
@@ -436,11 +490,13 @@
         for wrong in each.wrong:
             click.echo(f"WRONG: {wrong}", err=True)
     if out:
-        out.write_text("# A daemon killed at every call\n\n"
-                       f"    .venv/bin/python -m measure.crashes --rounds {rounds} --step {step} "
-                       f"--loads {loads} --seed {seed}\n\nSIGKILL before and after each system call on "
-                       "the journal's files and on next hops' sockets, and at random moments under load; "
-                       f"{time.monotonic() - begun:.0f} s.\n\n{text}\n")
+        out.write_text(
+            "# A daemon killed at every call\n\n"
+            f"    .venv/bin/python -m measure.crashes --rounds {rounds} --step {step} "
+            f"--loads {loads} --seed {seed}\n\nSIGKILL before and after each system call on "
+            "the journal's files and on next hops' sockets, and at random moments under load; "
+            f"{time.monotonic() - begun:.0f} s.\n\n{text}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/daemons.py
+++ b/measure/daemons.py
@@ -24,16 +24,41 @@
 def settings(classes: list[dict[str, Any]] | None = None, **more: Any) -> dict[str, Any]:
     """Settings of one scheduler, by default with the three classes of the trade."""
     return {
-        "areas": ["a"], "balancers": 1, "position": 0, "zone": "a", "kinds": ["big"], "tick_ms": 4.0,
-        "classes": classes or [
+        "areas": ["a"],
+        "balancers": 1,
+        "position": 0,
+        "zone": "a",
+        "kinds": ["big"],
+        "tick_ms": 4.0,
+        "classes": classes
+        or [
             {"name": "status-read", "aim_ms": 850.0, "deadline_ms": 5000.0, "idempotency": "safe"},
             {"name": "schedule-apply", "aim_ms": 5000.0, "deadline_ms": 25000.0, "idempotency": "unsafe"},
-            {"name": "setpoint-push", "aim_ms": 1500.0, "deadline_ms": 8000.0, "idempotency": "keyed",
-             "group": "zone", "window_ms": 12000.0}],
-        "permissions": {"max_attempts": 3, "cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0,
-                        "conn_idle_ms": 15000.0, "connect_timeout_ms": 250.0},
-        "rules": {"grace_to_answer_ms": 16.0, "stop_sending_within_ms": 2000.0, "cold_from": 0.3,
-                  "cold_ms": 8600.0, "fall_multiple": 3.0, "fall_ms": 3000.0},
+            {
+                "name": "setpoint-push",
+                "aim_ms": 1500.0,
+                "deadline_ms": 8000.0,
+                "idempotency": "keyed",
+                "group": "zone",
+                "window_ms": 12000.0,
+            },
+        ],
+        "permissions": {
+            "max_attempts": 3,
+            "cancel": True,
+            "retry_after": True,
+            "max_retry_after_ms": 2000.0,
+            "conn_idle_ms": 15000.0,
+            "connect_timeout_ms": 250.0,
+        },
+        "rules": {
+            "grace_to_answer_ms": 16.0,
+            "stop_sending_within_ms": 2000.0,
+            "cold_from": 0.3,
+            "cold_ms": 8600.0,
+            "fall_multiple": 3.0,
+            "fall_ms": 3000.0,
+        },
         **more,
     }
 
@@ -41,20 +66,36 @@
 class Program:
     """One started program, with its files, and the addresses that it printed."""
 
-    def __init__(self, config: dict[str, Any], fronts: str, cpus: set[int] | None = None,
-                 command: tuple[str, ...] = ("-m", "spanwing"), environment: dict[str, str] | None = None,
-                 inherits: tuple[int, ...] = ()) -> None:
+    def __init__(
+        self,
+        config: dict[str, Any],
+        fronts: str,
+        cpus: set[int] | None = None,
+        command: tuple[str, ...] = ("-m", "spanwing"),
+        environment: dict[str, str] | None = None,
+        inherits: tuple[int, ...] = (),
+    ) -> None:
         self.folder = tempfile.TemporaryDirectory()
         folder = Path(self.folder.name)
         self.write(config)
         (folder / "fronts.toml").write_text(fronts)
         self.errors = open(folder / "errors", "w+")  # noqa: SIM115 - closed by close()
-        environment = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(folder / "config.json"),
-                       "SPANWING_FRONTS": str(folder / "fronts.toml"), **(environment or {})}
+        environment = {
+            "PATH": os.environ["PATH"],
+            "ROUTER_CONFIG": str(folder / "config.json"),
+            "SPANWING_FRONTS": str(folder / "fronts.toml"),
+            **(environment or {}),
+        }
         self.process = subprocess.Popen(
-            [sys.executable, *command], cwd=ROOT, env=environment, stdout=subprocess.PIPE,
-            stderr=self.errors, text=True, pass_fds=inherits,
-            preexec_fn=None if cpus is None else lambda: os.sched_setaffinity(0, cpus))
+            [sys.executable, *command],
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=self.errors,
+            text=True,
+            pass_fds=inherits,
+            preexec_fn=None if cpus is None else lambda: os.sched_setaffinity(0, cpus),
+        )
         self.addresses: dict[str, Place] = {}
 
     def write(self, config: dict[str, Any]) -> None:
@@ -93,15 +134,40 @@
 class Daemon(Program):
     """One that serves, with job workers and an admin socket."""
 
-    def __init__(self, name: str, workers: list[tuple[str, int]], fronts: tuple[str, ...] = ALL_FRONTS,
-                 balancers: str = "", admin: bool = True, cpus: set[int] | None = None,
-                 classes: list[dict[str, Any]] | None = None,
-                 command: tuple[str, ...] = ("-m", "spanwing"), **limits: Any) -> None:
-        members = [{"id": each, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
-                    "phase": "active", "size": 1.0, "up_since_ms": 0} for each, port in workers]
-        config = {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
-                  "known": {"revision": 1, "complete": True, "members": members},
-                  "limits": {"sockets": 1024, "memory_mb": 192, **limits}, "settings": settings(classes)}
+    def __init__(
+        self,
+        name: str,
+        workers: list[tuple[str, int]],
+        fronts: tuple[str, ...] = ALL_FRONTS,
+        balancers: str = "",
+        admin: bool = True,
+        cpus: set[int] | None = None,
+        classes: list[dict[str, Any]] | None = None,
+        command: tuple[str, ...] = ("-m", "spanwing"),
+        **limits: Any,
+    ) -> None:
+        members = [
+            {
+                "id": each,
+                "host_port": f"127.0.0.1:{port}",
+                "locality": "a",
+                "flavor": "big",
+                "cell": 0,
+                "phase": "active",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for each, port in workers
+        ]
+        config = {
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:9",
+            "seed": "2a",
+            "known": {"revision": 1, "complete": True, "members": members},
+            "limits": {"sockets": 1024, "memory_mb": 192, **limits},
+            "settings": settings(classes),
+        }
         self.sockets = tempfile.TemporaryDirectory()
         self.admin = str(Path(self.sockets.name) / "admin")
         text = "".join(f'[{each}]\nlisten = "127.0.0.1:0"\n' for each in fronts)
--- a/measure/drains.py
+++ b/measure/drains.py
@@ -48,8 +48,16 @@
     longest_s: float = 0.0  # until all was answered
 
     def add(self, other: Result) -> None:
-        for name in ("drains", "requests", "sent_late", "taken_late", "unanswered", "twice", "crossed",
-                     "refused"):
+        for name in (
+            "drains",
+            "requests",
+            "sent_late",
+            "taken_late",
+            "unanswered",
+            "twice",
+            "crossed",
+            "refused",
+        ):
             setattr(self, name, getattr(self, name) + getattr(other, name))
         self.last_s = max(self.last_s, other.last_s)
         self.longest_s = max(self.longest_s, other.longest_s)
@@ -85,12 +93,18 @@
         self.places = await self.workers.start(4)
         self.daemons = {name: await asyncio.to_thread(self.start, name) for name in ("a", "b")}
         front = self.protocol.front
-        backends = [Backend(name, each.addresses["clients"], each.addresses[front], self.protocol)
-                    for name, each in self.daemons.items()]
+        backends = [
+            Backend(name, each.addresses["clients"], each.addresses[front], self.protocol)
+            for name, each in self.daemons.items()
+        ]
         self.balancer = Balancer(backends, self.seed)
-        load = asyncio.ensure_future(open_loop(
-            self.random, self.tasks, lambda number, cls, budget: self.balancer.request(
-                f"r{self.seed}-{number}", cls, budget)))
+        load = asyncio.ensure_future(
+            open_loop(
+                self.random,
+                self.tasks,
+                lambda number, cls, budget: self.balancer.request(f"r{self.seed}-{number}", cls, budget),
+            )
+        )
         try:
             for number in range(drains):
                 await self.drain(backends[number % 2])
@@ -154,12 +168,17 @@
         queues = " ".join(each for each, _ in CLASSES)
         daemons = {name: await asyncio.to_thread(Daemon, name, [], ("faktory",)) for name in ("a", "b")}
         places = {name: each.addresses["faktory"] for name, each in daemons.items()}
-        workers = [FaktoryWorkers(place, 16, queues, (0.02, 0.4), self.seed, self.ran)
-                   for place in places.values()]
+        workers = [
+            FaktoryWorkers(place, 16, queues, (0.02, 0.4), self.seed, self.ran) for place in places.values()
+        ]
         self.producers = Producers(places, self.seed)
-        load = asyncio.ensure_future(open_loop(
-            self.random, self.tasks, lambda number, cls, budget: self.producers.push(
-                f"faktory-{self.seed}-{number}", cls, budget)))
+        load = asyncio.ensure_future(
+            open_loop(
+                self.random,
+                self.tasks,
+                lambda number, cls, budget: self.producers.push(f"faktory-{self.seed}-{number}", cls, budget),
+            )
+        )
         try:
             for number in range(drains):
                 name = "ab"[number % 2]
@@ -209,13 +228,17 @@
 
 
 def table(results: dict[str, Result]) -> str:
-    lines = ["| protocol | drains | requests | last sent after, s | sent after 2 s | taken after 2 s "
-             "| without one answer | run twice | closes that crossed | refused, sent on | longest drain, s |",
-             "| --- " * 11 + "|"]
+    lines = [
+        "| protocol | drains | requests | last sent after, s | sent after 2 s | taken after 2 s "
+        "| without one answer | run twice | closes that crossed | refused, sent on | longest drain, s |",
+        "| --- " * 11 + "|",
+    ]
     for name, each in results.items():
-        lines.append(f"| {name} | {each.drains} | {each.requests} | {each.last_s:.2f} | {each.sent_late} "
-                     f"| {each.taken_late} | {each.unanswered} | {each.twice} | {each.crossed} "
-                     f"| {each.refused} | {each.longest_s:.2f} |")
+        lines.append(
+            f"| {name} | {each.drains} | {each.requests} | {each.last_s:.2f} | {each.sent_late} "
+            f"| {each.taken_late} | {each.unanswered} | {each.twice} | {each.crossed} "
+            f"| {each.refused} | {each.longest_s:.2f} |"
+        )
     return "\n".join(lines)
 
 
@@ -234,8 +257,11 @@
     begun = time.monotonic()
     with ProcessPoolExecutor(lanes * (len(kinds) + 1)) as pool:
         each = -(-drains // lanes)
-        runs = [pool.submit(lane, name, each, seed * 1000 + index * 50 + number, by_signal)
-                for index, (name, by_signal) in enumerate(kinds) for number in range(lanes)]
+        runs = [
+            pool.submit(lane, name, each, seed * 1000 + index * 50 + number, by_signal)
+            for index, (name, by_signal) in enumerate(kinds)
+            for number in range(lanes)
+        ]
         if not only or "faktory" in only:
             runs += [pool.submit(faktory_lane, each, seed * 1000 + 900 + number) for number in range(lanes)]
         for run in runs:
@@ -250,7 +276,8 @@
             "\n\n"
             f"Two schedulers a lane, {lanes} lanes a protocol, all at once on 8 cores, {RATE:.0f} requests a "
             f"second a lane; {time.monotonic() - begun:.0f} s in all. Columns: see measure/drains.py."
-            f"\n\n{text}\n")
+            f"\n\n{text}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/faktory.py
+++ b/measure/faktory.py
@@ -44,8 +44,15 @@
 class FaktoryWorkers:
     """Threads that fetch, run and acknowledge; they go on fetching whatever a BEAT tells them."""
 
-    def __init__(self, place: Place, threads: int, queues: str, running_s: tuple[float, float], seed: int,
-                 ran: Counter[str]) -> None:
+    def __init__(
+        self,
+        place: Place,
+        threads: int,
+        queues: str,
+        running_s: tuple[float, float],
+        seed: int,
+        ran: Counter[str],
+    ) -> None:
         self.random, self.running_s, self.ran, self.queues = random.Random(seed), running_s, ran, queues
         self.tasks = [asyncio.ensure_future(self._fetch(place, n)) for n in range(threads)]
         self.states: set[str] = set()  # that BEATs were answered with
@@ -89,9 +96,16 @@
             self.sent.append(sent)
             speaker = self.idle[name].pop() if self.idle[name] else await Speaker(self.places[name]).open()
             sent.at = time.monotonic()
-            reply = await speaker.ask("PUSH", {
-                "jid": sent.id, "jobtype": queue, "queue": queue, "args": [],
-                "custom": {"answer": "outcome", "budget_ms": budget_ms}})
+            reply = await speaker.ask(
+                "PUSH",
+                {
+                    "jid": sent.id,
+                    "jobtype": queue,
+                    "queue": queue,
+                    "args": [],
+                    "custom": {"answer": "outcome", "budget_ms": budget_ms},
+                },
+            )
             self.idle[name].append(speaker)
             sent.answers.append(200 if reply == "+OK" else 503 if reply.startswith("-BUSY") else 502)
             if sent.answers != [503]:
--- a/measure/fleet/bugged.py
+++ b/measure/fleet/bugged.py
@@ -44,8 +44,12 @@
     Rules.wait_ms = lambda self: 0.0
 
 
-BUGS: dict[str, Callable[[], None]] = {"no-lease": no_lease, "minority": minority, "unsafe": unsafe,
-                                       "no-wait": no_wait}
+BUGS: dict[str, Callable[[], None]] = {
+    "no-lease": no_lease,
+    "minority": minority,
+    "unsafe": unsafe,
+    "no-wait": no_wait,
+}
 
 
 if __name__ == "__main__":
--- a/measure/fleet/check.py
+++ b/measure/fleet/check.py
@@ -95,8 +95,9 @@
     budget: float
 
 
-def windows(records: Iterable[Mapping[str, Any]], started: Mapping[str, list[float]],
-            cold: Cold) -> Iterator[Window]:
+def windows(
+    records: Iterable[Mapping[str, Any]], started: Mapping[str, list[float]], cold: Cold
+) -> Iterator[Window]:
     """One at each arrival at a cold worker. started: by worker, when each of its cold lives began, in ms of
     the wall clock."""
     came: dict[str, deque[tuple[float, float]]] = defaultdict(deque)
@@ -112,15 +113,23 @@
         while window[0][0] <= at - cold.fall_ms or window[0][0] < life:
             window.popleft()
         share = cold.cold_from + (1.0 - cold.cold_from) * (at - life) / cold.cold_ms
-        yield Window(worker, at - life, sum(one for _, one in window),
-                     cold.fall_multiple * share * cold.slots * cold.fall_ms)
+        yield Window(
+            worker,
+            at - life,
+            sum(one for _, one in window),
+            cold.fall_multiple * share * cold.slots * cold.fall_ms,
+        )
 
 
-def budgets(records: Iterable[Mapping[str, Any]], started: Mapping[str, list[float]],
-            cold: Cold) -> list[str]:
-    return [f"{each.worker}: {each.work:.0f} ms of work in a window of {each.budget:.0f}, "
-            f"{each.after:.0f} ms after its start"
-            for each in windows(records, started, cold) if each.work > each.budget]
+def budgets(
+    records: Iterable[Mapping[str, Any]], started: Mapping[str, list[float]], cold: Cold
+) -> list[str]:
+    return [
+        f"{each.worker}: {each.work:.0f} ms of work in a window of {each.budget:.0f}, "
+        f"{each.after:.0f} ms after its start"
+        for each in windows(records, started, cold)
+        if each.work > each.budget
+    ]
 
 
 def versions(records: Iterable[Mapping[str, Any]]) -> list[str]:
@@ -130,20 +139,32 @@
         if each["ev"] != "taken":
             continue
         if each["version"] < highest:
-            wrong.append(f"{each['job']} was taken under version {each['version']} by {each['scheduler']}, "
-                         f"after one under {highest} by {by}")
+            wrong.append(
+                f"{each['job']} was taken under version {each['version']} by {each['scheduler']}, "
+                f"after one under {highest} by {by}"
+            )
         elif each["version"] > highest:
             highest, by = each["version"], each["scheduler"]
     return wrong
 
 
-def into(records: Iterable[Mapping[str, Any]], workers: Iterable[str], begin: float, end: float,
-         schedulers: Iterable[str] | None = None) -> list[str]:
+def into(
+    records: Iterable[Mapping[str, Any]],
+    workers: Iterable[str],
+    begin: float,
+    end: float,
+    schedulers: Iterable[str] | None = None,
+) -> list[str]:
     """Jobs that came to these workers from begin to end, in s of the wall clock, by these schedulers."""
     names, by = set(workers), None if schedulers is None else set(schedulers)
-    return [f"{each['job']} at {each['worker']}, {each['t'] - begin:.3f} s after" for each in records
-            if each["ev"] == "got" and each["worker"] in names and begin <= each["t"] < end
-            and (by is None or each["job"].split("-")[0] in by)]
+    return [
+        f"{each['job']} at {each['worker']}, {each['t'] - begin:.3f} s after"
+        for each in records
+        if each["ev"] == "got"
+        and each["worker"] in names
+        and begin <= each["t"] < end
+        and (by is None or each["job"].split("-")[0] in by)
+    ]
 
 
 def fates(records: Iterable[Mapping[str, Any]], begin: float, end: float) -> dict[str, int]:
--- a/measure/fleet/drawn.py
+++ b/measure/fleet/drawn.py
@@ -31,8 +31,12 @@
 HOME = {name: ZONES[number % len(ZONES)] for number, name in enumerate(SCHEDULERS)}
 QUIET_S = 2.0  # after the last step of a day on which nothing may be left
 LEFT_S, OPEN_S = 15.0, 40.0
-WAYS: tuple[dict[str, Any], ...] = ({"there": False, "back": False}, {"back": False}, {"there": False},
-                                    {"refused": True})
+WAYS: tuple[dict[str, Any], ...] = (
+    {"there": False, "back": False},
+    {"back": False},
+    {"there": False},
+    {"refused": True},
+)
 
 
 class Step(NamedTuple):
@@ -107,8 +111,10 @@
             case "all":
                 steps += [Step(at, "restart", SCHEDULERS)]
             case "cut":
-                steps += [Step(at, "cut", (one, draw.choice(WAYS))),
-                          Step(at + draw.uniform(0.5, 4.0), "cut", (one, {}))]
+                steps += [
+                    Step(at, "cut", (one, draw.choice(WAYS))),
+                    Step(at + draw.uniform(0.5, 4.0), "cut", (one, {})),
+                ]
             case "keeper":
                 steps += [Step(at, "keeper", ("restart",))]
             case _:
@@ -219,16 +225,26 @@
     try:
         ground.until(ground.contact)
         ground.load(True)
-        ground.until(lambda: all(sum(ground.zones_of(name)["zones"].get(zone, {}).get("seen_good", 0)
-                                     for name in ground.reached()) for zone in ZONES))
+        ground.until(
+            lambda: all(
+                sum(
+                    ground.zones_of(name)["zones"].get(zone, {}).get("seen_good", 0)
+                    for name in ground.reached()
+                )
+                for zone in ZONES
+            )
+        )
         zone, how = draw.choice(ZONES), draw.choice(("killed", "silent", "late", "failing"))
         if form == "false":
             row["steps"] = steps = disturbances(draw, draw.randint(1, 3))
             played.play(steps)
             time.sleep(QUIET_S)
         else:
-            row["steps"] = steps = (disturbances(draw, draw.randint(0, 2), zone) if form == "lost"
-                                    else broken(draw, draw.randint(1, 4)))
+            row["steps"] = steps = (
+                disturbances(draw, draw.randint(0, 2), zone)
+                if form == "lost"
+                else broken(draw, draw.randint(1, 4))
+            )
             row["how"] = how if form == "lost" else "killed"
             lost = time.time()
             played.lose(zone, row["how"])
@@ -246,13 +262,18 @@
                     ground.until(lambda: "returning" in ground.states(zone), OPEN_S)
                     played.play(steps)
                     played.go_on(*list(ground.stopped))
-                ground.until(lambda: not ground.starting and ground.contact()
-                             and ground.states(zone) == {"open"}, OPEN_S)
+                ground.until(
+                    lambda: not ground.starting and ground.contact() and ground.states(zone) == {"open"},
+                    OPEN_S,
+                )
                 row["open_s"] = time.time() - back
         history = ground.history(next(name for name in ground.reached() if ground.contact([name])))
         may = () if form == "false" else (zone,)
-        row["wrong"] += [f"{each['zone']} was left: {each['reason']}" for each in history
-                         if each["state"] == "leaving" and each["zone"] not in may]
+        row["wrong"] += [
+            f"{each['zone']} was left: {each['reason']}"
+            for each in history
+            if each["state"] == "leaving" and each["zone"] not in may
+        ]
         ground.settle()
         row["wrong"] += ground.wrong(tuple(played.gone))[:5]
         row["fullest"] = ground.fullest()
--- a/measure/fleet/followers.py
+++ b/measure/fleet/followers.py
@@ -4,7 +4,7 @@
     .venv/bin/python -m measure.fleet.followers --count 5 --count 40 --count 400
 
 Of each count: renewals and bytes of evidence a second, each member's processor time, and how long after a
-change each follower has it (by this machine's clock, from the change's own time). """
+change each follower has it (by this machine's clock, from the change's own time)."""
 
 from __future__ import annotations
 
@@ -25,8 +25,9 @@
 from spanwing.wire.buffers import BufferPool
 
 SETTLE_S, LOOK_S, PROCESSES = 6.0, 10.0, 4
-WORDS = json.dumps([{zone: [[number * 11 + place for place in range(5)], [], 4.0, 8.0]
-                     for number, zone in enumerate("abc")}]).encode()
+WORDS = json.dumps(
+    [{zone: [[number * 11 + place for place in range(5)], [], 4.0, 8.0] for number, zone in enumerate("abc")}]
+).encode()
 
 
 def follow(start: dict[str, Any]) -> None:
@@ -37,8 +38,19 @@
     def changed(document: Any) -> None:
         heard.setdefault(document.revision, []).append(time.time())
 
-    followers = [Follower(f"f{position}", "abc"[position % 3], position, members, BufferPool(),
-                          lambda: WORDS, changed, lambda _: None) for position in start["positions"]]
+    followers = [
+        Follower(
+            f"f{position}",
+            "abc"[position % 3],
+            position,
+            members,
+            BufferPool(),
+            lambda: WORDS,
+            changed,
+            lambda _: None,
+        )
+        for position in start["positions"]
+    ]
     for each in followers:
         spawn(each.run())
     loop = IOLoop.current()
@@ -48,8 +60,17 @@
         if not line:
             loop.stop()
             return
-        print(json.dumps({"renewals": sum(each.numbers for each in followers), "at": time.time(),
-                          "hold": sum(each.holds() for each in followers), "heard": heard}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "renewals": sum(each.numbers for each in followers),
+                    "at": time.time(),
+                    "hold": sum(each.holds() for each in followers),
+                    "heard": heard,
+                }
+            ),
+            flush=True,
+        )
 
     loop.add_handler(sys.stdin, told, loop.READ)
     loop.start()
@@ -63,8 +84,13 @@
         members = {name: ground.programs[name].addresses["store"][1] for name in ground.members}
         self.parts = []
         for number in range(PROCESSES):
-            part = subprocess.Popen([sys.executable, "-m", "measure.fleet.followers", "--follow"], cwd=ROOT,
-                                    stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+            part = subprocess.Popen(
+                [sys.executable, "-m", "measure.fleet.followers", "--follow"],
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
             positions = list(range(3 + number, 3 + count, PROCESSES))
             part.stdin.write(json.dumps({"members": members, "positions": positions}) + "\n")
             part.stdin.flush()
@@ -110,17 +136,22 @@
             time.sleep(2.0)
             told, history = many.ask(), ground.history()
             first = history[0]
-            late = sorted((at - first["wall_ms"] / 1000.0) * 1000.0 for each in told
-                          for at in each["heard"].get(str(first["number"]), []))
+            late = sorted(
+                (at - first["wall_ms"] / 1000.0) * 1000.0
+                for each in told
+                for at in each["heard"].get(str(first["number"]), [])
+            )
             hold = sum(each["hold"] for each in told)
         finally:
             many.close()
     keeps = max(spent, key=spent.get)
     others = max(value for name, value in spent.items() if name != keeps)
     heard = f"{late[len(late) // 2]:.0f}, {late[int(len(late) * 0.99)]:.0f}, {late[-1]:.0f} ms of {len(late)}"
-    return (f"| {count} | {rate:.0f} | {rate * len(WORDS):.0f} | {100 * spent[keeps]:.1f}% | "
-            f"{100 * others:.1f}% | "
-            f"{heard} | {hold} |")
+    return (
+        f"| {count} | {rate:.0f} | {rate * len(WORDS):.0f} | {100 * spent[keeps]:.1f}% | "
+        f"{100 * others:.1f}% | "
+        f"{heard} | {hold} |"
+    )
 
 
 @click.command()
@@ -130,9 +161,11 @@
     if part:
         follow(json.loads(sys.stdin.readline()))
         return
-    click.echo("| followers | renewals a second | bytes of evidence a second | the keeper's CPU | most of "
-               "another member | a change is heard after: p50, p99, most | hold a lease |\n"
-               "| --- | --- | --- | --- | --- | --- | --- |")
+    click.echo(
+        "| followers | renewals a second | bytes of evidence a second | the keeper's CPU | most of "
+        "another member | a change is heard after: p50, p99, most | hold a lease |\n"
+        "| --- | --- | --- | --- | --- | --- | --- |"
+    )
     for count in counts:
         click.echo(measure(count))
 
--- a/measure/fleet/ground.py
+++ b/measure/fleet/ground.py
@@ -31,9 +31,11 @@
 
 PATIENCE_S = 30.0
 HOST = "127.0.0.1"
-CLASSES = {"status-read": {"share": 0.6, "deadline_ms": 4000.0, "run_ms": 120.0},
-           "schedule-apply": {"share": 0.25, "deadline_ms": 6000.0, "run_ms": 200.0},
-           "setpoint-push": {"share": 0.15, "deadline_ms": 4000.0, "run_ms": 160.0}}
+CLASSES = {
+    "status-read": {"share": 0.6, "deadline_ms": 4000.0, "run_ms": 120.0},
+    "schedule-apply": {"share": 0.25, "deadline_ms": 6000.0, "run_ms": 200.0},
+    "setpoint-push": {"share": 0.15, "deadline_ms": 4000.0, "run_ms": 160.0},
+}
 COLD_MS, FALL_MS = 2000.0, 1000.0  # with which two feed a cold worker
 SLOTS = 4
 START_S = 60.0
@@ -45,8 +47,9 @@
 
     def __init__(self, kind: str, start: dict[str, Any]) -> None:
         command, self.lock = [sys.executable, "-m", "measure.fleet.parts", kind], threading.Lock()
-        self.process = subprocess.Popen(command, cwd=ROOT, text=True, stdin=subprocess.PIPE,
-                                        stdout=subprocess.PIPE)
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
         self.do(start)
         self.begun = json.loads(self.process.stdout.readline())
 
@@ -66,12 +69,24 @@
 class Ground:
     """A fleet, from its start to close()."""
 
-    def __init__(self, schedulers: int = 5, zones: Iterable[str] = ("a", "b", "c"), per_zone: int = 2,
-                 members: int = 3, seed: int = 1, rate: float = 12.0,
-                 regions: dict[str, list[str]] | None = None, fleet_zones: bool = True, solo: bool = False,
-                 policy: bool = False, away_ms: float = AWAY_MS,
-                 command: tuple[str, ...] = ("-m", "spanwing"), slots: int = SLOTS,
-                 cold_ms: float = COLD_MS, balancers: int = 0) -> None:
+    def __init__(
+        self,
+        schedulers: int = 5,
+        zones: Iterable[str] = ("a", "b", "c"),
+        per_zone: int = 2,
+        members: int = 3,
+        seed: int = 1,
+        rate: float = 12.0,
+        regions: dict[str, list[str]] | None = None,
+        fleet_zones: bool = True,
+        solo: bool = False,
+        policy: bool = False,
+        away_ms: float = AWAY_MS,
+        command: tuple[str, ...] = ("-m", "spanwing"),
+        slots: int = SLOTS,
+        cold_ms: float = COLD_MS,
+        balancers: int = 0,
+    ) -> None:
         """command: what starts a scheduler; balancers: how many the settings name, where there are more;
         solo: each follows the zones by what it sees itself; policy: the fleet has one."""
         self.random, self.zones, self.seed = random.Random(seed), tuple(zones), seed
@@ -86,8 +101,9 @@
         self.regions, self.with_zones, self.command = regions or {}, fleet_zones, command
         if policy and command == ("-m", "spanwing"):
             self.command = "-m", "measure.fleet.watched", "FOLDER"
-        self.zone = {name: self.zones[number % len(self.zones)]
-                     for number, name in enumerate(self.schedulers)}
+        self.zone = {
+            name: self.zones[number % len(self.zones)] for number, name in enumerate(self.schedulers)
+        }
         self.workers = {f"w{zone}{number}": zone for zone in self.zones for number in range(per_zone)}
         self.started = dict.fromkeys(self.workers, 0.0)
         self.cold: dict[str, list[float]] = {}  # when each cold life of a worker began
@@ -98,9 +114,14 @@
         self.touched: set[str] = set()  # workers that may not have heard what they were told
         self.lives: dict[str, int] = dict.fromkeys(self.schedulers, 0)
         # Ports are taken by the relays first; what each leads to is told once it is there.
-        links = {**{f"{one}>{other}": 9 for one in self.schedulers for other in (*self.workers, *self.members,
-                                                                                "discovery")},
-                 **{f"{worker}>{one}": 9 for worker in self.workers for one in self.schedulers}}
+        links = {
+            **{
+                f"{one}>{other}": 9
+                for one in self.schedulers
+                for other in (*self.workers, *self.members, "discovery")
+            },
+            **{f"{worker}>{one}": 9 for worker in self.workers for one in self.schedulers},
+        }
         self.relay = Part("relay", {"links": links, "log": str(self.path / "relay.log")})
         self.ports: dict[str, int] = self.relay.begun["ports"]
         try:
@@ -121,16 +142,28 @@
         for name in self.schedulers:
             self.serving(name)
         rates = {name: rate * self.random.choice((0.3, 1.0, 1.0, 2.0)) for name in self.schedulers}
-        self.parts["clients"] = Part("clients", {
-            "log": str(self.path / "clients.log"), "seed": self.seed, "rates": rates, "classes": CLASSES,
-            "ports": {name: self.programs[name].addresses["clients"][1] for name in self.schedulers}})
+        self.parts["clients"] = Part(
+            "clients",
+            {
+                "log": str(self.path / "clients.log"),
+                "seed": self.seed,
+                "rates": rates,
+                "classes": CLASSES,
+                "ports": {name: self.programs[name].addresses["clients"][1] for name in self.schedulers},
+            },
+        )
 
     # -- processes
 
     def start_worker(self, name: str, cold: bool = False) -> None:
-        start = {"name": name, "slots": self.bears.slots, "run_ms": self.bears.run_ms,
-                 "log": str(self.path / f"{name}.log"), "seed": self.seed,
-                 "back": {one: self.ports[f"{name}>{one}"] for one in self.schedulers}}
+        start = {
+            "name": name,
+            "slots": self.bears.slots,
+            "run_ms": self.bears.run_ms,
+            "log": str(self.path / f"{name}.log"),
+            "seed": self.seed,
+            "back": {one: self.ports[f"{name}>{one}"] for one in self.schedulers},
+        }
         self.parts[name] = part = Part("worker", start)
         self.started[name] = time.time() * 1000.0 if cold else 0.0
         if cold:
@@ -139,37 +172,79 @@
 
     def list_workers(self, names: Iterable[str], phase: str = "active") -> None:
         """Have discovery tell of them."""
-        self.parts["discovery"].do({"members": {name: {
-            "id": name, "locality": self.workers[name], "flavor": "big", "cell": 0, "phase": phase,
-            "size": float(self.bears.slots), "up_since_ms": self.started[name],
-            "ports": {one: self.ports[f"{one}>{name}"] for one in self.schedulers}} for name in names}})
+        self.parts["discovery"].do(
+            {
+                "members": {
+                    name: {
+                        "id": name,
+                        "locality": self.workers[name],
+                        "flavor": "big",
+                        "cell": 0,
+                        "phase": phase,
+                        "size": float(self.bears.slots),
+                        "up_since_ms": self.started[name],
+                        "ports": {one: self.ports[f"{one}>{name}"] for one in self.schedulers},
+                    }
+                    for name in names
+                }
+            }
+        )
 
     def start(self, name: str, wait: bool = True, disk: bool = True) -> None:
         """Start a scheduler (again); disk: with what its earlier life left there."""
         number = self.schedulers.index(name)
         store = self.path / f"store-{name}-{self.lives[name] if not disk else 0}"
         settings = {
-            "areas": list(self.zones), "balancers": self.balancers, "position": number,
-            "zone": self.zone[name], "kinds": ["big"], "tick_ms": 4.0, "discovery": "subscribe",
+            "areas": list(self.zones),
+            "balancers": self.balancers,
+            "position": number,
+            "zone": self.zone[name],
+            "kinds": ["big"],
+            "tick_ms": 4.0,
+            "discovery": "subscribe",
             "classes": [
                 {"name": "status-read", "aim_ms": 300.0, "deadline_ms": 4000.0, "idempotency": "safe"},
                 {"name": "schedule-apply", "aim_ms": 600.0, "deadline_ms": 6000.0, "idempotency": "unsafe"},
-                {"name": "setpoint-push", "aim_ms": 400.0, "deadline_ms": 4000.0, "idempotency": "keyed",
-                 "group": "zone", "window_ms": 12000.0}],
-            "permissions": {"max_attempts": 3, "cancel": True, "probes": True, "conn_idle_ms": 15000.0,
-                            "connect_timeout_ms": 250.0},
-            "rules": {"grace_to_answer_ms": 16.0, "stop_sending_within_ms": 2000.0, "cold_from": 0.3,
-                      "cold_ms": self.bears.cold_ms, "fall_multiple": 3.0, "fall_ms": FALL_MS}}
-        config = {"name": name, "listen": f"{HOST}:0",
-                  "discovery": f"{HOST}:{self.ports[f'{name}>discovery']}", "seed": f"{number + 16:x}",
-                  "settings": settings,
-                  "known": {"revision": 0, "complete": True, "members": []},
-                  "limits": {"sockets": 1024, "memory_mb": 192}}
+                {
+                    "name": "setpoint-push",
+                    "aim_ms": 400.0,
+                    "deadline_ms": 4000.0,
+                    "idempotency": "keyed",
+                    "group": "zone",
+                    "window_ms": 12000.0,
+                },
+            ],
+            "permissions": {
+                "max_attempts": 3,
+                "cancel": True,
+                "probes": True,
+                "conn_idle_ms": 15000.0,
+                "connect_timeout_ms": 250.0,
+            },
+            "rules": {
+                "grace_to_answer_ms": 16.0,
+                "stop_sending_within_ms": 2000.0,
+                "cold_from": 0.3,
+                "cold_ms": self.bears.cold_ms,
+                "fall_multiple": 3.0,
+                "fall_ms": FALL_MS,
+            },
+        }
+        config = {
+            "name": name,
+            "listen": f"{HOST}:0",
+            "discovery": f"{HOST}:{self.ports[f'{name}>discovery']}",
+            "seed": f"{number + 16:x}",
+            "settings": settings,
+            "known": {"revision": 0, "complete": True, "members": []},
+            "limits": {"sockets": 1024, "memory_mb": 192},
+        }
         fronts = f'[admin]\nsocket = "{self.path}/{name}.sock"\n[log]\nform = "json"\nper_second = 200.0\n'
         members = ", ".join(f'{each} = "{HOST}:{self.ports[f"{name}>{each}"]}"' for each in self.members)
         if name in self.members:
-            peers = ", ".join(f'{each} = "{HOST}:{self.ports[f"{name}>{each}"]}"'
-                              for each in self.members if each != name)
+            peers = ", ".join(
+                f'{each} = "{HOST}:{self.ports[f"{name}>{each}"]}"' for each in self.members if each != name
+            )
             fronts += f'[store]\nmember = "{name}"\ndirectory = "{store}"\nlisten = "{HOST}:0"\n'
             fronts += f"peers = {{ {peers} }}\n" if peers else ""
         if self.with_zones and self.solo:
@@ -182,8 +257,9 @@
             fronts += f'[policy]\ndirectory = "{self.path}/policy-{name}"\naway_ms = {self.away_ms}\n'
         self.lives[name] += 1
         self.starting.add(name)
-        self.programs[name] = program = Program(config, fronts, command=tuple(
-            each.replace("FOLDER", str(self.path)) for each in self.command))
+        self.programs[name] = program = Program(
+            config, fronts, command=tuple(each.replace("FOLDER", str(self.path)) for each in self.command)
+        )
         if name in self.members:  # the store listens before all else, and the others wait for it
             for line in program.process.stdout:
                 if line.startswith("spanwing: store on "):
@@ -300,16 +376,21 @@
         return client.ask(f"{self.path}/{name}.sock", **what)
 
     def reached(self) -> list[str]:
-        return [name for name in self.schedulers
-                if name in self.programs and name not in self.stopped | self.starting]
+        return [
+            name
+            for name in self.schedulers
+            if name in self.programs and name not in self.stopped | self.starting
+        ]
 
     def zones_of(self, name: str) -> dict[str, Any]:
         return self.ask(name, do="zones")
 
     def states(self, zone: str, names: Iterable[str] | None = None) -> set[str]:
         """The zone's state as each of these schedulers has it."""
-        return {self.zones_of(name)["zones"].get(zone, {}).get("state", "open")
-                for name in (names or self.reached())}
+        return {
+            self.zones_of(name)["zones"].get(zone, {}).get("state", "open")
+            for name in (names or self.reached())
+        }
 
     def contact(self, names: Iterable[str] | None = None) -> bool:
         return all(self.zones_of(name)["contact"] for name in (names or self.reached()))
@@ -322,11 +403,15 @@
                 seen = []
                 for name in self.reached():
                     told = self.zones_of(name)
-                    zones = ", ".join(f"{zone} {each['state']} {each['step']} +{each['seen_good']}"
-                                      f"-{each['seen_bad']}" for zone, each in told["zones"].items())
+                    zones = ", ".join(
+                        f"{zone} {each['state']} {each['step']} +{each['seen_good']}-{each['seen_bad']}"
+                        for zone, each in told["zones"].items()
+                    )
                     seen.append(f"{name}: {told['why'] or told['contact']}; {told['revision']}; {zones}")
-                past = [f"{each['number']} {each['zone']} {each['state']} {each['step']} {each['reason']}"
-                        for each in self.history()]
+                past = [
+                    f"{each['number']} {each['zone']} {each['state']} {each['step']} {each['reason']}"
+                    for each in self.history()
+                ]
                 raise AssertionError("\n".join(["did not come", *seen, *past]))
             time.sleep(0.1)
 
@@ -357,14 +442,20 @@
     def wrong(self, gone: Iterable[str] = ()) -> list[str]:
         """Every rule that this day has broken so far; gone: schedulers that were killed."""
         records = self.records()
-        return [*check.answers(records, frozenset(gone)), *check.runs(records),
-                *check.at_once(records, self.touched), *check.versions(records),
-                *check.budgets(records, self.cold, self.bears)]
+        return [
+            *check.answers(records, frozenset(gone)),
+            *check.runs(records),
+            *check.at_once(records, self.touched),
+            *check.versions(records),
+            *check.budgets(records, self.cold, self.bears),
+        ]
 
     def fullest(self) -> float:
         """The most work that came to a cold worker in a window, of its budget."""
-        return max((each.work / each.budget for each in check.windows(self.records(), self.cold, self.bears)),
-                   default=0.0)
+        return max(
+            (each.work / each.budget for each in check.windows(self.records(), self.cold, self.bears)),
+            default=0.0,
+        )
 
     def records(self) -> list[dict[str, Any]]:
         """All that clients and job workers wrote down, in the order in which it happened."""
@@ -376,5 +467,3 @@
                 except ValueError:
                     continue  # the last line of a process that was killed
         return sorted(found, key=lambda each: each["t"])
-
-
--- a/measure/fleet/long.py
+++ b/measure/fleet/long.py
@@ -42,8 +42,9 @@
     return found
 
 
-def day(way: str, kind: str, seed: int, schedulers: int, zones: int, per_zone: int,
-        rate: float) -> dict[str, Any]:
+def day(
+    way: str, kind: str, seed: int, schedulers: int, zones: int, per_zone: int, rate: float
+) -> dict[str, Any]:
     names = [chr(ord("a") + number) for number in range(zones)]
     with Ground(schedulers, names, per_zone, 3, seed, rate, fleet_zones=way != "alone") as ground:
         if way != "alone":
@@ -102,8 +103,10 @@
             # ms may be on the way here.
             tried = [at for told in heard.values() for at, state in told if state == "returning"]
             until = min([*tried, back])
-            row["into"] = sum(len(check.into(records, ground.of_zone(zone), at + 0.05, until, [name]))
-                              for name, at in first.items())
+            row["into"] = sum(
+                len(check.into(records, ground.of_zone(zone), at + 0.05, until, [name]))
+                for name, at in first.items()
+            )
         row["fates"] = check.fates(records, lost, lost + WINDOW_S)
         row["late"] = late(records, lost, lost + WINDOW_S)
         row["wrong"] = ground.wrong()
@@ -114,8 +117,13 @@
     """Served later than an aim of theirs with their own time to run."""
     aims = {"status-read": 300.0 + 240.0, "schedule-apply": 600.0 + 400.0, "setpoint-push": 400.0 + 320.0}
     asked = {each["job"]: each["t"] for each in records if each["ev"] == "asked"}
-    return sum(each["ev"] == "answer" and each["status"] == 200 and each["took"] > aims[each["cls"]]
-               and begin <= asked.get(each["job"], 0.0) < end for each in records)
+    return sum(
+        each["ev"] == "answer"
+        and each["status"] == 200
+        and each["took"] > aims[each["cls"]]
+        and begin <= asked.get(each["job"], 0.0) < end
+        for each in records
+    )
 
 
 def part(values: list[float], share: float) -> float:
@@ -130,8 +138,9 @@
 @click.option("--rate", default=1.5, show_default=True, help="jobs a second and scheduler, about")
 @click.option("--days", default=4, show_default=True)
 @click.option("--kind", "kinds", multiple=True, type=click.Choice(KINDS))
-def main(way: str, schedulers: int, zones: int, per_zone: int, rate: float, days: int,
-         kinds: tuple[str, ...]) -> None:
+def main(
+    way: str, schedulers: int, zones: int, per_zone: int, rate: float, days: int, kinds: tuple[str, ...]
+) -> None:
     rows, kinds = [], kinds or KINDS
     for number in range(days):
         kind = kinds[number % len(kinds)]
@@ -142,14 +151,18 @@
     if way != "alone":
         decided, opened = [row["decided_s"] for row in rows], [row["open_s"] for row in rows]
         follow = [each for row in rows for each in row["follow_ms"]]
-        click.echo(f"decided after {part(decided, 0.5):.2f} s (p50), {max(decided):.2f} (most); "
-                   f"followed after {part(follow, 0.5):.0f} ms (p50), {part(follow, 0.99):.0f} (p99), "
-                   f"{max(follow):.0f} (most); into the zone after that {sum(row['into'] for row in rows)}; "
-                   f"open {part(opened, 0.5):.1f} s after its return (p50), {max(opened):.1f} (most), "
-                   f"of which {COLD_MS / 1000:.0f} s it is cold")
+        click.echo(
+            f"decided after {part(decided, 0.5):.2f} s (p50), {max(decided):.2f} (most); "
+            f"followed after {part(follow, 0.5):.0f} ms (p50), {part(follow, 0.99):.0f} (p99), "
+            f"{max(follow):.0f} (most); into the zone after that {sum(row['into'] for row in rows)}; "
+            f"open {part(opened, 0.5):.1f} s after its return (p50), {max(opened):.1f} (most), "
+            f"of which {COLD_MS / 1000:.0f} s it is cold"
+        )
     fates = sum((Counter(row["fates"]) for row in rows), Counter())
-    click.echo(f"fates {dict(sorted(fates.items()))}, late {sum(row['late'] for row in rows)}, "
-               f"rules broken {sum(len(row['wrong']) for row in rows)}")
+    click.echo(
+        f"fates {dict(sorted(fates.items()))}, late {sum(row['late'] for row in rows)}, "
+        f"rules broken {sum(len(row['wrong']) for row in rows)}"
+    )
 
 
 if __name__ == "__main__":
--- a/measure/fleet/parts.py
+++ b/measure/fleet/parts.py
@@ -5,7 +5,7 @@
 Each reads one JSON object on standard input first, prints one with its ports, then does what further lines
 say. What happens is written to the file that `log` names, a JSON object a line, with this machine's wall
 clock in `t`, so that the checker can put all of it in one order. They serve loopback alone, and end with
-their standard input. """
+their standard input."""
 
 from __future__ import annotations
 
@@ -47,8 +47,9 @@
     return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
 
 
-async def ask(port: int, method: str, target: str, body: bytes = b"",
-              **headers: str) -> tuple[int, bytes] | None:
+async def ask(
+    port: int, method: str, target: str, body: bytes = b"", **headers: str
+) -> tuple[int, bytes] | None:
     """One request on a connection of its own; None where no answer came."""
     try:
         reader, writer = await asyncio.open_connection(HOST, port)
@@ -102,8 +103,10 @@
             theirs, other = await asyncio.open_connection(HOST, self.target)
             self.open.add(other)
             waits: list[bytes] = []  # the job that was asked for here and has had no answer
-            await asyncio.gather(self._pump(reader, other, lambda: self.there, waits, True),
-                                 self._pump(theirs, writer, lambda: self.back, waits, False))
+            await asyncio.gather(
+                self._pump(reader, other, lambda: self.there, waits, True),
+                self._pump(theirs, writer, lambda: self.back, waits, False),
+            )
         except OSError:
             pass
         finally:
@@ -112,8 +115,14 @@
                     self.open.discard(each)
                     each.transport.abort()
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    passes: Callable[[], bool], waits: list[bytes], asks: bool) -> None:
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        passes: Callable[[], bool],
+        waits: list[bytes],
+        asks: bool,
+    ) -> None:
         due: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(1000)
 
         async def give() -> None:
@@ -149,8 +158,15 @@
         else:  # an end that is lost is not seen on the other side either
             await asyncio.sleep(3600)
 
-    def set(self, there: bool = True, back: bool = True, refused: bool = False, slow_s: float = 0.0,
-            rate: float = 0.0, reset: bool = False) -> None:
+    def set(
+        self,
+        there: bool = True,
+        back: bool = True,
+        refused: bool = False,
+        slow_s: float = 0.0,
+        rate: float = 0.0,
+        reset: bool = False,
+    ) -> None:
         self.there, self.back, self.refused, self.slow_s, self.rate = there, back, refused, slow_s, rate
         if refused or reset:
             for each in list(self.open):
@@ -199,8 +215,13 @@
             first, headers, _ = message
             method, target, _ = first.split(" ", 2)
             if reader.at_eof():  # before the 202, the end of its connection has given a job up
-                self.log.put(ev="got", worker=self.name, job=headers.get("x-call-id", ""),
-                             cls=target.strip("/"), how="ended")
+                self.log.put(
+                    ev="got",
+                    worker=self.name,
+                    job=headers.get("x-call-id", ""),
+                    cls=target.strip("/"),
+                    how="ended",
+                )
                 break
             try:
                 writer.write(self._answer(method, target, headers))
@@ -268,9 +289,11 @@
     news: set[asyncio.Future] = set()
 
     def listing(scheduler: str, since: int | None) -> bytes:
-        members = [dict(each, host_port=f"{HOST}:{each['ports'][scheduler]}")
-                   for name, each in state["members"].items()
-                   if since is None or state["changed"][name] > since]
+        members = [
+            dict(each, host_port=f"{HOST}:{each['ports'][scheduler]}")
+            for name, each in state["members"].items()
+            if since is None or state["changed"][name] > since
+        ]
         for each in members:
             each.pop("ports")
         told = {"revision": state["revision"], "complete": since is None, "members": members}
@@ -293,6 +316,7 @@
                 except ConnectionError:
                     return
             writer.close()
+
         return accept
 
     ports = {}
@@ -331,14 +355,29 @@
         running["open"] += 1
         began = time.monotonic()
         try:
-            answer = await asyncio.wait_for(ask(ports[scheduler], "POST", f"/{cls}", b"x", X_Call_Id=job,
-                                                X_Budget_Ms=str(int(budget)), Idempotency_Key=job),
-                                            budget / 1000.0 + 5.0)
+            answer = await asyncio.wait_for(
+                ask(
+                    ports[scheduler],
+                    "POST",
+                    f"/{cls}",
+                    b"x",
+                    X_Call_Id=job,
+                    X_Budget_Ms=str(int(budget)),
+                    Idempotency_Key=job,
+                ),
+                budget / 1000.0 + 5.0,
+            )
         except TimeoutError:
             answer = None
         running["open"] -= 1
-        log.put(ev="answer", job=job, cls=cls, status=0 if answer is None else answer[0],
-                took=(time.monotonic() - began) * 1000.0, budget=budget)
+        log.put(
+            ev="answer",
+            job=job,
+            cls=cls,
+            status=0 if answer is None else answer[0],
+            took=(time.monotonic() - began) * 1000.0,
+            budget=budget,
+        )
 
     async def drive(scheduler: str) -> None:
         number, due = 0, time.monotonic()
--- a/measure/fleet/simulated.py
+++ b/measure/fleet/simulated.py
@@ -79,6 +79,7 @@
                 self.missed.append(due)
             else:
                 what()
+
         self.world.agenda.after(after, due)
 
     def go_on(self) -> None:
@@ -98,8 +99,9 @@
     def begin(self) -> None:
         world = self.world
         bounds = Bounds(FALL_MS + LATE_MS, world.cold, world.count, world.regions)
-        self.steward = Steward(bounds, world.listing, lambda: world.agenda.now, self.name,
-                               lambda: f"{world.random.random()}")
+        self.steward = Steward(
+            bounds, world.listing, lambda: world.agenda.now, self.name, lambda: f"{world.random.random()}"
+        )
         self.keeper = Keeper(self.name, world.lease, self.steward, self.now(), world.random.random)
         self.call(25.0, self.turn)
 
@@ -146,8 +148,13 @@
         rules = Rules(self.session, self.zone, world.cold, FALL_MS, FEEDERS)
         if "no-wait" in world.bugs:
             rules = rules._replace(fall_ms=-LATE_MS)
-        self.local = Local(rules, self.position, world.count,
-                           lambda worker: self.position in world.hashed(worker), world.random)
+        self.local = Local(
+            rules,
+            self.position,
+            world.count,
+            lambda worker: self.position in world.hashed(worker),
+            world.random,
+        )
         self.renewals, self.jobs, self.granted = 0, 0, 0
         self.look()
         self.ask_around()
@@ -156,9 +163,14 @@
 
     def look(self) -> None:
         """Discovery's list, which is late."""
-        news = api.WorkerList("complete", tuple(
-            api.Worker(each.number, zone=each.zone, started=each.started)
-            for each in self.world.workers if each.listed))
+        news = api.WorkerList(
+            "complete",
+            tuple(
+                api.Worker(each.number, zone=each.zone, started=each.started)
+                for each in self.world.workers
+                if each.listed
+            ),
+        )
         self.local.screen(news, self.now(), self.world.agenda.now, self.holds())
         self.call(500.0, self.look)
 
@@ -167,8 +179,9 @@
         n, now = self.renewals, self.now()
         self.lease.ask(n, now)
         payload = msgspec.json.encode(self.local.report(now, (), 0.0))
-        message = Renew(n, self.session, self.zone, self.position, self.document.revision,
-                        msgspec.Raw(payload))
+        message = Renew(
+            n, self.session, self.zone, self.position, self.document.revision, msgspec.Raw(payload)
+        )
         member, life = self.world.random.choice(self.world.members), self.life
         self.world.tell(self, member, lambda: self.world.pass_on(self, life, member, message))
         self.call(1000.0 + self.world.random.uniform(0, 500), lambda: self.unanswered(n))
@@ -204,8 +217,12 @@
         if worker.number not in gate.workers:
             return
         use = gate.uses[worker.number]
-        by_hash = (self.position in world.hashed(worker.number) or not lease or use.started <= 0
-                   or clock >= use.started + world.cold)
+        by_hash = (
+            self.position in world.hashed(worker.number)
+            or not lease
+            or use.started <= 0
+            or clock >= use.started + world.cold
+        )
         if gate.may(worker.number, now, lease, clock) and (use.feeds is not None or by_hash):
             # By a list that does not show its new life yet, a worker of an open zone is fed as ever.
             inside = gate.fleet is not None and gate.fleet.zone(worker.zone).inside
@@ -233,22 +250,32 @@
 class World:
     """All of it, from a seed."""
 
-    def __init__(self, seed: int, bugs: tuple[str, ...] = (), schedulers: int = 9, per_zone: int = 3,
-                 regions: dict[str, tuple[str, ...]] | None = None, lease: float = LEASE_MS,
-                 cold: float = COLD_MS) -> None:
+    def __init__(
+        self,
+        seed: int,
+        bugs: tuple[str, ...] = (),
+        schedulers: int = 9,
+        per_zone: int = 3,
+        regions: dict[str, tuple[str, ...]] | None = None,
+        lease: float = LEASE_MS,
+        cold: float = COLD_MS,
+    ) -> None:
         self.lease, self.cold, self.aimed = lease, cold, ""  # aimed: a zone that most jobs go to
         self.random, self.agenda, self.bugs = random.Random(seed), Agenda(), bugs
         self.document, self.regions, self.count = Document(), regions or {}, schedulers
-        self.workers = [Worker(mix(number, seed) & 0xFFFFFFFFFFFF, ZONES[number % len(ZONES)])
-                        for number in range(per_zone * len(ZONES))]
+        self.workers = [
+            Worker(mix(number, seed) & 0xFFFFFFFFFFFF, ZONES[number % len(ZONES)])
+            for number in range(per_zone * len(ZONES))
+        ]
         self.hashes: dict[int, list[int]] = {}
         self.fed: dict[tuple[int, float], list[tuple[float, tuple[str, float, bool], bool]]]
         self.fed = defaultdict(list)
         self.into: Counter[str] = Counter()
         self.states: list[tuple[float, str, str]] = []  # when, zone, state
         self.members = [Member(self, f"m{number}") for number in range(3)]
-        self.schedulers = [Scheduler(self, f"s{number}", ZONES[number % len(ZONES)], number)
-                           for number in range(schedulers)]
+        self.schedulers = [
+            Scheduler(self, f"s{number}", ZONES[number % len(ZONES)], number) for number in range(schedulers)
+        ]
         self.wrong: list[str] = []
         if "no-acknowledge" in bugs:
             for each in self.members:
@@ -288,13 +315,21 @@
             def told(granted: Granted) -> None:
                 if scheduler.life == life:
                     self.tell(by, scheduler, lambda: scheduler.hear(granted))
+
             return told
 
         if member.keeper.ours():
             member.keeper.renew(member.now(), message, answer(member))
         elif keeper is not None and keeper is not member:
-            self.tell(member, keeper, lambda: keeper.keeper.renew(keeper.now(), message, answer(keeper))
-                      if keeper.keeper.ours() else None)
+            self.tell(
+                member,
+                keeper,
+                lambda: (
+                    keeper.keeper.renew(keeper.now(), message, answer(keeper))
+                    if keeper.keeper.ours()
+                    else None
+                ),
+            )
         elif member.keeper.document.revision < self.document.revision:
             self.read(member, lambda: None)
 
@@ -317,7 +352,9 @@
                     then()
                 else:
                     member.call(25.0, member.turn)
+
             member.call(self.delay() / 2, heard)
+
         self.agenda.after(self.delay() / 2, at)
 
     def change(self, member: Member, txn: Txn) -> None:
@@ -333,7 +370,9 @@
                 if can:
                     member.keeper.changed(member.now(), document)
                 member.call(25.0, member.turn)
+
             member.call(self.delay() / 2, heard)
+
         self.agenda.after(self.delay() / 2, at)
 
     def note(self, before: Document) -> None:
@@ -344,16 +383,31 @@
 
     # -- job workers
 
-    def job(self, scheduler: Scheduler, worker: Worker, key: tuple[str, int], who: tuple[str, float, bool],
-            lease: bool | None) -> None:
+    def job(
+        self,
+        scheduler: Scheduler,
+        worker: Worker,
+        key: tuple[str, int],
+        who: tuple[str, float, bool],
+        lease: bool | None,
+    ) -> None:
         """who: whose part of a cold worker's budget it takes, how much of a part, and whether by a deal;
         lease: None where no part of it is taken knowingly."""
         delay = self.delay()
-        self.agenda.after(delay, self.arrive, scheduler, scheduler.life, worker, key, who, lease,
-                          worker.started)
-
-    def arrive(self, scheduler: Scheduler, life: int, worker: Worker, key: tuple[str, int],
-               who: tuple[str, float, bool], lease: bool | None, began: float) -> None:
+        self.agenda.after(
+            delay, self.arrive, scheduler, scheduler.life, worker, key, who, lease, worker.started
+        )
+
+    def arrive(
+        self,
+        scheduler: Scheduler,
+        life: int,
+        worker: Worker,
+        key: tuple[str, int],
+        who: tuple[str, float, bool],
+        lease: bool | None,
+        began: float,
+    ) -> None:
         now = self.agenda.now
         cold = worker.started > 0 and now < worker.started + self.cold
         # What set out before this life, or by a list that does not show it, is no feeding of ours.
@@ -365,6 +419,7 @@
         def ended(result: str) -> Callable[[], None]:
             def tell() -> None:
                 scheduler.ask(scheduler.local.ended(scheduler.now(), worker.number, key, result))
+
             return tell
 
         if scheduler.life != life or worker.how == "silent" or scheduler.cut:
@@ -373,8 +428,9 @@
             scheduler.call(self.delay(), ended("error" if worker.how == "failing" else "unreachable"))
             return
         late = 2000.0 if worker.how == "slow" else 0.0
-        scheduler.call(late + self.delay(), lambda: scheduler.local.witness.answered(
-            scheduler.now(), worker.number, key))
+        scheduler.call(
+            late + self.delay(), lambda: scheduler.local.witness.answered(scheduler.now(), worker.number, key)
+        )
         scheduler.call(late + 400.0 + self.delay(), ended("ok"))
 
     def probe(self, scheduler: Scheduler, number: int) -> None:
@@ -383,6 +439,7 @@
         def heard() -> None:
             result = "ok" if worker.how in ("up", "failing") and not scheduler.cut else "unreachable"
             scheduler.ask(scheduler.local.probed(scheduler.now(), number, result))
+
         scheduler.call(2 * self.delay(), heard)
 
     # -- faults
@@ -415,8 +472,9 @@
         for _ in range(count):
             at, lasts = self.random.uniform(begin, until), self.random.uniform(1000, 14_000)
             kind = self.random.choice(("stop", "stop", "cut", "restart", "lonely"))
-            process = self.random.choice(self.members if kind == "lonely" else
-                                         [*self.members, *self.schedulers, *self.schedulers])
+            process = self.random.choice(
+                self.members if kind == "lonely" else [*self.members, *self.schedulers, *self.schedulers]
+            )
             if kind == "restart":
                 self.agenda.at(at, self.restart, process, min(lasts, 2000.0))
             elif kind == "stop":
@@ -435,6 +493,7 @@
             if process.life == life:
                 process.up, process.stopped = True, False
                 process.begin()
+
         self.agenda.after(lasts, start)
 
     # -- what must hold
@@ -445,7 +504,7 @@
         for (worker, _), fed in self.fed.items():
             fed.sort()
             for place, (at, _, _) in enumerate(fed):
-                window = [each for each in fed[:place + 1] if each[0] > at - FALL_MS]
+                window = [each for each in fed[: place + 1] if each[0] > at - FALL_MS]
                 parts: dict[str, float] = {}
                 for _, (who, part, _), _ in window:
                     parts[who] = max(part, parts.get(who, 0.0))
@@ -454,12 +513,14 @@
                 # By deals k parts; with those by the hash of all positions just before, one and a half times
                 # k.
                 if len(dealt) > FEEDERS or sum(parts.values()) > 1.5 * FEEDERS or len(alone) > 1:
-                    wrong.append(f"{at:.0f}: worker {worker} fed by {sorted(parts.items())}, "
-                                 f"{sorted(alone)} alone")
+                    wrong.append(
+                        f"{at:.0f}: worker {worker} fed by {sorted(parts.items())}, {sorted(alone)} alone"
+                    )
                     break
         for at, zone, state in self.states:
-            if state == "leaving" and not any(name == zone and begun <= at <= ended + 9000.0
-                                              for name, (begun, ended) in lost.items()):
+            if state == "leaving" and not any(
+                name == zone and begun <= at <= ended + 9000.0 for name, (begun, ended) in lost.items()
+            ):
                 wrong.append(f"{at:.0f}: {zone} was left, which had not failed")
         return wrong
 
@@ -484,10 +545,17 @@
     mine = [(when, state) for when, zone, state in world.states if zone == "galway"]
     left = next((when - at for when, state in mine if state == "leaving"), None)
     last = mine[-1][1] if mine else "open"
-    return {"seed": seed, "how": how, "missed": left is None, "wrong": wrong, "left_after": left,
-            "last": last, "lasts": lasts,
-            "followed": next((when - at for when, state in mine if state == "left"), None),
-            "opened": next((when - at - lasts for when, state in reversed(mine) if state == "open"), None)}
+    return {
+        "seed": seed,
+        "how": how,
+        "missed": left is None,
+        "wrong": wrong,
+        "left_after": left,
+        "last": last,
+        "lasts": lasts,
+        "followed": next((when - at for when, state in mine if state == "left"), None),
+        "opened": next((when - at - lasts for when, state in reversed(mine) if state == "open"), None),
+    }
 
 
 def _play(given: tuple[int, tuple[str, ...], int, str]) -> dict[str, Any]:
@@ -514,9 +582,11 @@
     for how in sorted({row["how"] for row in rows}):
         some = sorted(row["left_after"] for row in rows if row["how"] == how and not row["missed"])
         click.echo(f"{how}: left after {_told(some)} ms")
-    click.echo(f"{len(rows)} worlds, {len(bad)} with a rule broken; {len(left)} left the zone, after "
-               f"{_told(left)} ms; {len(opened)} opened it again, {_told(opened)} ms after its return; "
-               f"at the end {dict(Counter(row['last'] for row in rows))}")
+    click.echo(
+        f"{len(rows)} worlds, {len(bad)} with a rule broken; {len(left)} left the zone, after "
+        f"{_told(left)} ms; {len(opened)} opened it again, {_told(opened)} ms after its return; "
+        f"at the end {dict(Counter(row['last'] for row in rows))}"
+    )
 
 
 def _told(values: list[float]) -> str:
--- a/measure/fleetday.py
+++ b/measure/fleetday.py
@@ -49,8 +49,9 @@
             served = sum(int(at // self.step) == place for at in self.served)
             counts = " | ".join(str(self.aside[place][why]) for why in REASONS)
             rows.append(f"| {place * self.step:g} | {counts} | {served} |")
-        totals = " | ".join(f"{sum(self.struck[why].values())} of {len(self.struck[why])} workers"
-                            for why in REASONS)
+        totals = " | ".join(
+            f"{sum(self.struck[why].values())} of {len(self.struck[why])} workers" for why in REASONS
+        )
         rows.append(f"| all | {totals} | {len(self.served)} of {self.schedulers} schedulers |")
         return "\n".join(rows)
 
--- a/measure/holds.py
+++ b/measure/holds.py
@@ -47,8 +47,9 @@
     """Where the scheduler's own time goes at this rate: by module, the dearest first."""
     with tempfile.TemporaryDirectory() as folder:
         out = str(Path(folder) / "profile")
-        daemon = Daemon("one", places, (), admin=False, cpus={0},
-                        command=("-m", "cProfile", "-o", out, "-m", "spanwing"))
+        daemon = Daemon(
+            "one", places, (), admin=False, cpus={0}, command=("-m", "cProfile", "-o", out, "-m", "spanwing")
+        )
         report = load(daemon.addresses["clients"], rate, seconds)
         daemon.process.terminate()
         daemon.process.wait(30)
@@ -58,10 +59,12 @@
             if name != "<method 'poll' of 'select.epoll' objects>":
                 parts = Path(file).parts
                 package = next((each for each in ("spanwing", "tornado", "asyncio") if each in parts), "")
-                spent[f"{'/'.join(parts[parts.index(package):])}" if package else name] += own
+                spent[f"{'/'.join(parts[parts.index(package) :])}" if package else name] += own
         whole = sum(spent.values())
-    return [f"{name}: {100 * own / whole:.0f}%, {1e6 * own / report.asked:.0f} us a request"
-            for name, own in spent.most_common(14)]
+    return [
+        f"{name}: {100 * own / whole:.0f}%, {1e6 * own / report.asked:.0f} us a request"
+        for name, own in spent.most_common(14)
+    ]
 
 
 @click.command()
@@ -74,17 +77,22 @@
     process.start()
     places = mine.recv()
     daemon = Daemon("one", places, (), admin=False, cpus={0})
-    lines = ["| requests a second | served | p50, ms | p99, ms | worst, ms | CPU of the core "
-             "| generator late, p99 |", "| --- " * 7 + "|"]
+    lines = [
+        "| requests a second | served | p50, ms | p99, ms | worst, ms | CPU of the core "
+        "| generator late, p99 |",
+        "| --- " * 7 + "|",
+    ]
     load(daemon.addresses["clients"], 50, 2.0)  # it learns its workers
     for rate in RATES:
         before = daemon.cpu_s()
         report = load(daemon.addresses["clients"], rate, seconds)
         share = (daemon.cpu_s() - before) / report.seconds
         served = report.kinds.get("served", 0) / report.asked
-        lines.append(f"| {rate} | {100 * served:.1f}% | {report.latency['50']:.1f} "
-                     f"| {report.latency['99']:.1f} | {report.latency['100']:.1f} | {100 * share:.0f}% "
-                     f"| {report.late['99']:.1f} |")
+        lines.append(
+            f"| {rate} | {100 * served:.1f}% | {report.latency['50']:.1f} "
+            f"| {report.latency['99']:.1f} | {report.latency['100']:.1f} | {100 * share:.0f}% "
+            f"| {report.late['99']:.1f} |"
+        )
         click.echo(lines[-1])
         if report.latency["99"] > 10 * BOUND_MS:
             break
@@ -94,11 +102,13 @@
     process.terminate()
     if out:
         table = "\n".join(lines)
-        out.write_text("# What one scheduler holds on one core\n\n"
-                       f"    .venv/bin/python -m measure.holds --seconds {seconds:g}\n\n"
-                       f"{WORKERS} job workers that answer at once, status-read, open arrivals; latency from "
-                       f"when a request was due.\n\n{table}\n\nWhere its time goes at {PROFILED} a second "
-                       f"(the start and the profiler's own cost among it):\n\n{where}\n")
+        out.write_text(
+            "# What one scheduler holds on one core\n\n"
+            f"    .venv/bin/python -m measure.holds --seconds {seconds:g}\n\n"
+            f"{WORKERS} job workers that answer at once, status-read, open arrivals; latency from "
+            f"when a request was due.\n\n{table}\n\nWhere its time goes at {PROFILED} a second "
+            f"(the start and the profiler's own cost among it):\n\n{where}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/killed.py
+++ b/measure/killed.py
@@ -81,6 +81,7 @@
             if not is_hop(self):
                 return original(self, *given, **named)
             return killer.call(f"hop {name}", lambda: original(self, *given, **named))
+
         return call
 
     for name in ("write_to_fd", "read_from_fd", "close_fd"):
--- a/measure/management.py
+++ b/measure/management.py
@@ -34,8 +34,10 @@
 
 async def job(place: Place, number: int) -> None:
     reader, writer = await asyncio.open_connection(*place)
-    writer.write(b"POST /status-read HTTP/1.1\r\nX-Call-Id: j%d\r\nX-Budget-Ms: 5000\r\n"
-                 b"Content-Length: 0\r\n\r\n" % number)
+    writer.write(
+        b"POST /status-read HTTP/1.1\r\nX-Call-Id: j%d\r\nX-Budget-Ms: 5000\r\n"
+        b"Content-Length: 0\r\n\r\n" % number
+    )
     await reader.read(100)
     writer.close()
 
@@ -49,12 +51,32 @@
 
 async def measure(times: int) -> list[str]:
     workers = Workers((0.0, 0.0), 1)
-    members = [{"id": name, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
-                "phase": "active", "size": 1.0, "up_since_ms": 0} for name, port in await workers.start(8)]
-    daemon = Program({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "2a",
-                      "management": "127.0.0.1:0", "limits": {"sockets": 2400, "memory_mb": 400},
-                      "known": {"revision": 1, "complete": True, "members": members},
-                      "settings": settings()}, "")
+    members = [
+        {
+            "id": name,
+            "host_port": f"127.0.0.1:{port}",
+            "locality": "a",
+            "flavor": "big",
+            "cell": 0,
+            "phase": "active",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+        for name, port in await workers.start(8)
+    ]
+    daemon = Program(
+        {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:9",
+            "seed": "2a",
+            "management": "127.0.0.1:0",
+            "limits": {"sockets": 2400, "memory_mb": 400},
+            "known": {"revision": 1, "complete": True, "members": members},
+            "settings": settings(),
+        },
+        "",
+    )
     if not await asyncio.to_thread(daemon.serving):
         raise RuntimeError(daemon.said())
     clients, place = daemon.addresses["clients"], daemon.addresses["management"]
--- a/measure/open_requests.py
+++ b/measure/open_requests.py
@@ -29,17 +29,23 @@
     """Open requests, and the daemon's memory in kB with so many."""
     workers = Workers((60.0, 60.0), 1)
     places = await workers.start(12)
-    classes = [{"name": "schedule-apply", "aim_ms": 60_000.0, "deadline_ms": 120_000.0,
-                "idempotency": "unsafe"}]
-    daemon = await asyncio.to_thread(Daemon, "one", places, (), admin=False, classes=classes, sockets=20_000,
-                                     memory_mb=4000)
+    classes = [
+        {"name": "schedule-apply", "aim_ms": 60_000.0, "deadline_ms": 120_000.0, "idempotency": "unsafe"}
+    ]
+    daemon = await asyncio.to_thread(
+        Daemon, "one", places, (), admin=False, classes=classes, sockets=20_000, memory_mb=4000
+    )
     found, writers, answers = [], [], []
     try:
         for count in STEPS:
             while len(writers) < count:
                 reader, writer = await asyncio.open_connection(*daemon.addresses["clients"])
-                writer.write((f"POST /schedule-apply HTTP/1.1\r\nHost: x\r\nX-Call-Id: r{len(writers)}\r\n"
-                              "X-Budget-Ms: 120000\r\nContent-Length: 64\r\n\r\n" + "x" * 64).encode())
+                writer.write(
+                    (
+                        f"POST /schedule-apply HTTP/1.1\r\nHost: x\r\nX-Call-Id: r{len(writers)}\r\n"
+                        "X-Budget-Ms: 120000\r\nContent-Length: 64\r\n\r\n" + "x" * 64
+                    ).encode()
+                )
                 writers.append(writer)
                 answers.append(asyncio.ensure_future(reader.read(1)))
                 await asyncio.sleep(0.0005)
@@ -71,9 +77,11 @@
     table = "\n".join(lines)
     click.echo(table)
     if out:
-        out.write_text("# What an open request costs in memory\n\n"
-                       "    .venv/bin/python -m measure.open_requests\n\n"
-                       f"64 bytes of body, a connection each; nearly all wait in the scheduler.\n\n{table}\n")
+        out.write_text(
+            "# What an open request costs in memory\n\n"
+            "    .venv/bin/python -m measure.open_requests\n\n"
+            f"64 bytes of body, a connection each; nearly all wait in the scheduler.\n\n{table}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/policymodel.py
+++ b/measure/policymodel.py
@@ -61,8 +61,11 @@
 def by_name(chair: Chair, now: float, policy: Policy, keeper: Any) -> dict[str, str]:
     """A bug: whoever has the name of one that is gone is gone too."""
     gone = {name_of(each) for each in policy.change.gone} if policy.change is not None else set()
-    return {name: session for name, session in policy.register.items()
-            if name not in gone and not chair.lapsed(now, session, keeper)}
+    return {
+        name: session
+        for name, session in policy.register.items()
+        if name not in gone and not chair.lapsed(now, session, keeper)
+    }
 
 
 @dataclass
@@ -214,8 +217,7 @@
             session.confirmed, session.seen = self.now, request.seen
             member.chair.heard(request.session, request.says)
             if each.up and each.hand.session == request.session:
-                permit = (member.chair.may_hold(request.session, self.document)
-                          or self.bug == "no-register")
+                permit = member.chair.may_hold(request.session, self.document) or self.bug == "no-register"
                 each.answer = Answer(request.n, member.document, permit)
 
     def _txn(self, place: int) -> Txn | None:
@@ -295,8 +297,12 @@
         for each in self.schedulers:
             if each.up and not each.stopped:
                 may = each.hand.may(self.now)
-                if may.do == "take" or (self.bug == "stopped" and each.lease.until > float("-inf")
-                                        and not each.hand.policy.closed() and each.hand.policy.now.number):
+                if may.do == "take" or (
+                    self.bug == "stopped"
+                    and each.lease.until > float("-inf")
+                    and not each.hand.policy.closed()
+                    and each.hand.policy.now.number
+                ):
                     found[each.name] = may.version or each.hand.policy.now.number
         return found
 
@@ -310,8 +316,9 @@
         policy = read(self.document)
         if policy.change is None:
             self.proposed += 1
-            txn = self.members[0].chair.propose(self.document, f"v{self.proposed}", policy.now.number, "o",
-                                                "", 4 * TICK, list(gone))
+            txn = self.members[0].chair.propose(
+                self.document, f"v{self.proposed}", policy.now.number, "o", "", 4 * TICK, list(gone)
+            )
             self.document = self.document.apply(txn)
             self._hold()
 
@@ -322,9 +329,13 @@
 
         def copy(document: Document) -> tuple[Any, ...]:
             policy, change = read(document), read(document).change
-            return (revision - document.revision, policy.now.number, document.value(KEEPER),
-                    None if change is None else (change.state, change.tries, change.id == now_id),
-                    tuple(sorted(policy.register.items())))
+            return (
+                revision - document.revision,
+                policy.now.number,
+                document.value(KEEPER),
+                None if change is None else (change.state, change.tries, change.id == now_id),
+                tuple(sorted(policy.register.items())),
+            )
 
         change = read(self.document).change
         now_id = change.id if change is not None else ""
@@ -336,20 +347,42 @@
         for each in self.schedulers:
             request, answer = each.request, each.answer
             asked = each.lease.asked
-            parts.append((each.life, each.up, each.stopped, copy(each.document), age(each.lease.until),
-                          each.hand.word.change == now_id,
-                          request and (request.came, revision - request.seen, request.says.change == now_id,
-                                       age(asked.get(request.n, 0.0))),
-                          answer and (copy(answer.document), answer.permit, age(asked.get(answer.n, 0.0)))))
+            parts.append(
+                (
+                    each.life,
+                    each.up,
+                    each.stopped,
+                    copy(each.document),
+                    age(each.lease.until),
+                    each.hand.word.change == now_id,
+                    request
+                    and (
+                        request.came,
+                        revision - request.seen,
+                        request.says.change == now_id,
+                        age(asked.get(request.n, 0.0)),
+                    ),
+                    answer and (copy(answer.document), answer.permit, age(asked.get(answer.n, 0.0))),
+                )
+            )
         for member in self.members:
             chair = member.chair
-            parts.append((age(member.since), copy(member.document),
-                          tuple((id, age(each.confirmed), revision - each.seen)
-                                for id, each in sorted(member.sessions.items())),
-                          tuple(sorted((id, says.change == now_id) for id, says in chair.words.items())),
-                          tuple(sorted((id, age(at)) for id, at in chair.confirmed.items())),
-                          revision - chair.entered[0], age(chair.entered[1]), chair.begun[0] == now_id,
-                          age(chair.begun[1])))
+            parts.append(
+                (
+                    age(member.since),
+                    copy(member.document),
+                    tuple(
+                        (id, age(each.confirmed), revision - each.seen)
+                        for id, each in sorted(member.sessions.items())
+                    ),
+                    tuple(sorted((id, says.change == now_id) for id, says in chair.words.items())),
+                    tuple(sorted((id, age(at)) for id, at in chair.confirmed.items())),
+                    revision - chair.entered[0],
+                    age(chair.entered[1]),
+                    chair.begun[0] == now_id,
+                    age(chair.begun[1]),
+                )
+            )
         return pickle.dumps(parts)
 
 
@@ -413,8 +446,22 @@
     return len(seen), depth, ""
 
 
-WEIGHTS = {"tick": 1.0, "kill": 0.6, "stop": 0.5, "go_on": 1.5, "lose": 0.3, "stray": 0.3, "take_over": 0.3,
-           "unheard": 1.0, "start": 1.5, "renew": 4.0, "come": 4.0, "read": 4.0, "hear": 4.0, "decide": 4.0}
+WEIGHTS = {
+    "tick": 1.0,
+    "kill": 0.6,
+    "stop": 0.5,
+    "go_on": 1.5,
+    "lose": 0.3,
+    "stray": 0.3,
+    "take_over": 0.3,
+    "unheard": 1.0,
+    "start": 1.5,
+    "renew": 4.0,
+    "come": 4.0,
+    "read": 4.0,
+    "hear": 4.0,
+    "decide": 4.0,
+}
 
 
 def walk(bug: str, seed: int, depth: int) -> tuple[str, int, int]:
@@ -424,8 +471,11 @@
         for number in range(depth):
             if number % 10 == 9:
                 policy = read(world.document)
-                gone = [name for each in world.schedulers if not each.up
-                        and (name := each.name) in policy.register]
+                gone = [
+                    name
+                    for each in world.schedulers
+                    if not each.up and (name := each.name) in policy.register
+                ]
                 world.propose(gone if draw.random() < 0.7 else ())
             steps = world.steps()
             step = draw.choices(steps, [WEIGHTS[name] for name, _ in steps])[0]
@@ -467,13 +517,18 @@
         for new in (False, True):
             states, done, wrong = explore(bug, depth, most, new)
             begin = "one is new" if new else "all are known"
-            click.echo(f"{bug or 'no bug'}, {begin}: {states} states, all to depth {done}; "
-                       f"{wrong or 'nothing wrong'}")
+            click.echo(
+                f"{bug or 'no bug'}, {begin}: {states} states, all to depth {done}; "
+                f"{wrong or 'nothing wrong'}"
+            )
         return
     size = 250
     with ProcessPoolExecutor() as pool:
-        found = list(pool.map(_walks, [(bug, begin, min(size, walks - begin), depth)
-                                       for begin in range(0, walks, size)]))
+        found = list(
+            pool.map(
+                _walks, [(bug, begin, min(size, walks - begin), depth) for begin in range(0, walks, size)]
+            )
+        )
     counts = sum((each for _, each in found), Counter())
     for line in [line for wrong, _ in found for line in wrong][:3]:
         click.echo(line)
--- a/measure/polled.py
+++ b/measure/polled.py
@@ -72,9 +72,14 @@
                 for front, host, port in OPENED.findall(file.read_text(errors="replace")):
                     if (front, port) not in asked:
                         asked[front, port] = [
-                            asyncio.ensure_future(Backend(name, ("", 0), (host, int(port)),
-                                                          each._replace(inter_s=EVERY_S)).follow())
-                            for name, each in PROTOCOLS.items() if each.front == front]
+                            asyncio.ensure_future(
+                                Backend(
+                                    name, ("", 0), (host, int(port)), each._replace(inter_s=EVERY_S)
+                                ).follow()
+                            )
+                            for name, each in PROTOCOLS.items()
+                            if each.front == front
+                        ]
         await asyncio.sleep(LOOK_S)
     tasks = [task for each in asked.values() for task in each]
     for each in tasks:
@@ -92,8 +97,10 @@
     lived = [each for each in seen.values() if each.until - each.begun > 5.0]
     for each in lived:
         span = each.until - each.begun
-        click.echo(f"{span:.0f} s, {1000 * (each.last_s - each.first_s) / span:.1f} ms of CPU a second, "
-                   f"{each.memory_mb:.1f} MB")
+        click.echo(
+            f"{span:.0f} s, {1000 * (each.last_s - each.first_s) / span:.1f} ms of CPU a second, "
+            f"{each.memory_mb:.1f} MB"
+        )
     if lived:
         total = sum(each.last_s - each.first_s for each in lived)
         spans = sum(each.until - each.begun for each in lived)
--- a/measure/replacements.py
+++ b/measure/replacements.py
@@ -64,15 +64,38 @@
         self.discovery = "127.0.0.1:9"
 
     def start(self, fd: int | None = None, command: tuple[str, ...] = ("-m", "spanwing")) -> Program:
-        members = [{"id": each, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
-                    "phase": "active", "size": 1.0, "up_since_ms": 0} for each, port in self.places]
+        members = [
+            {
+                "id": each,
+                "host_port": f"127.0.0.1:{port}",
+                "locality": "a",
+                "flavor": "big",
+                "cell": 0,
+                "phase": "active",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for each, port in self.places
+        ]
         known = {"revision": 1, "complete": True, "members": members}
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.place[1]}", "discovery": self.discovery,
-                  "seed": "2a", "management": "127.0.0.1:0", "known": known, "limits": self.limits,
-                  "settings": settings(specifics={"tells_start": True, "progress_ms": 1000})}
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.place[1]}",
+            "discovery": self.discovery,
+            "seed": "2a",
+            "management": "127.0.0.1:0",
+            "known": known,
+            "limits": self.limits,
+            "settings": settings(specifics={"tells_start": True, "progress_ms": 1000}),
+        }
         fd = self.listening.fileno() if fd is None else fd
-        started = Program(config, "", command=command, inherits=(self.listening.fileno(),),
-                          environment={"ROUTER_FD": str(fd), "TMPDIR": self.folder.name})
+        started = Program(
+            config,
+            "",
+            command=command,
+            inherits=(self.listening.fileno(),),
+            environment={"ROUTER_FD": str(fd), "TMPDIR": self.folder.name},
+        )
         self.running.append(started)
         return started
 
@@ -155,8 +178,10 @@
                     self.result.met["refused"] += 1
                     self.result.unanswered += 1
                     continue
-            head = (f"POST /{cls} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget}\r\n"
-                    f"Idempotency-Key: {job}\r\nContent-Length: 4\r\n\r\n").encode()
+            head = (
+                f"POST /{cls} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget}\r\n"
+                f"Idempotency-Key: {job}\r\nContent-Length: 4\r\n\r\n"
+            ).encode()
             try:
                 cut = self.random.randrange(len(head))
                 writer.write(head[:cut])
@@ -219,11 +244,22 @@
     met = sum(result.met.values())
     failed = sum(count for status, count in result.answers.items() if status not in ("200", "503"))
     answers = result.answers
-    cells = [name, result.replaced, result.requests, answers["200"], answers["503"], failed, met,
-             result.unanswered, result.most_out, result.twice, f"{yes[len(yes) // 2]:.2f}, {yes[-1]:.2f}",
-             f"{left[len(left) // 2]:.2f}, {left[-1]:.2f}",
-             f"{result.memory_mb:.0f} of {limits['memory_mb']:g}",
-             f"{result.descriptors} of {limits['sockets']:g}"]
+    cells = [
+        name,
+        result.replaced,
+        result.requests,
+        answers["200"],
+        answers["503"],
+        failed,
+        met,
+        result.unanswered,
+        result.most_out,
+        result.twice,
+        f"{yes[len(yes) // 2]:.2f}, {yes[-1]:.2f}",
+        f"{left[len(left) // 2]:.2f}, {left[-1]:.2f}",
+        f"{result.memory_mb:.0f} of {limits['memory_mb']:g}",
+        f"{result.descriptors} of {limits['sockets']:g}",
+    ]
     return f"| {' | '.join(map(str, cells))} |"
 
 
@@ -233,11 +269,16 @@
 @click.option("--out", type=click.Path(path_type=Path))
 def main(times: int, clients: int, out: Path | None) -> None:
     """Replace the process under load, with the usual limits and with halved ones."""
-    lines = ["| limits | replaced | requests | 200 | 503 | failed | refused, reset, unread | unanswered "
-             "| most attempts at once | ran twice | s to yes, median, most | s to leave, likewise | MB, both "
-             "| descriptors, both |", "|" + " --- |" * 14]
-    for name, limits in (("usual", {"sockets": 384, "memory_mb": 80}),
-                         ("halved", {"sockets": 192, "memory_mb": 48})):
+    lines = [
+        "| limits | replaced | requests | 200 | 503 | failed | refused, reset, unread | unanswered "
+        "| most attempts at once | ran twice | s to yes, median, most | s to leave, likewise | MB, both "
+        "| descriptors, both |",
+        "|" + " --- |" * 14,
+    ]
+    for name, limits in (
+        ("usual", {"sockets": 384, "memory_mb": 80}),
+        ("halved", {"sockets": 192, "memory_mb": 48}),
+    ):
         result = asyncio.run(lane(times, 1, clients, **limits))
         lines.append(row(name, limits, result))
         click.echo(f"{lines[-1]}\n{dict(result.met)} {dict(result.answers)}\n{result.said[-2000:]}", err=True)
--- a/measure/scale.py
+++ b/measure/scale.py
@@ -42,8 +42,9 @@
     specs = tuple(names[n % len(names)]._replace(name=f"w{n}") for n in range(workers))
     nodes = tuple((f"s{n}", day.zones[n % len(day.zones)]) for n in range(schedulers))
     rate = day.rate() * workers / len(names)
-    fleet = Fleet(plan._replace(workers=specs, schedulers=nodes,
-                                load=plan.load._replace(rate=rate, swing=0.0)), 1)
+    fleet = Fleet(
+        plan._replace(workers=specs, schedulers=nodes, load=plan.load._replace(rate=rate, swing=0.0)), 1
+    )
     return fleet, 1000.0 * REQUESTS / rate
 
 
@@ -55,8 +56,15 @@
     fleet.run(day)
     spent, decided = sum(each.spent_s for each in fleet.nodes), sum(each.decided for each in fleet.nodes)
     made = fleet.account.made
-    return Cost(workers, schedulers, made, 1e6 * spent / decided, 1e6 * spent / made, decided / made,
-                time.perf_counter() - begun)
+    return Cost(
+        workers,
+        schedulers,
+        made,
+        1e6 * spent / decided,
+        1e6 * spent / made,
+        decided / made,
+        time.perf_counter() - begun,
+    )
 
 
 def profile(workers: int, schedulers: int) -> list[str]:
@@ -68,8 +76,13 @@
     for (file, _, name), (_, calls, own, _, _) in pstats.Stats(profiler).stats.items():
         if Path(file).name in ("choice.py", "state.py"):
             made = fleet.account.made
-            found.append((own, f"{Path(file).name}:{name}: {1e6 * own / made:.1f} us a request, "
-                               f"{calls / made:.1f} calls"))
+            found.append(
+                (
+                    own,
+                    f"{Path(file).name}:{name}: {1e6 * own / made:.1f} us a request, "
+                    f"{calls / made:.1f} calls",
+                )
+            )
     return [text for _, text in sorted(found, reverse=True)[:6]]
 
 
@@ -77,24 +90,30 @@
 @click.option("--out", type=click.Path(path_type=Path))
 def main(out: Path | None) -> None:
     """Measure, and name what bends the curve."""
-    lines = ["| workers | schedulers | requests | us an event | us a request | events a request | all, s |",
-             "| --- " * 7 + "|"]
-    for workers, schedulers in [*((each, 4) for each in WORKERS),
-                                *((150, each) for each in SCHEDULERS[1:])]:
+    lines = [
+        "| workers | schedulers | requests | us an event | us a request | events a request | all, s |",
+        "| --- " * 7 + "|",
+    ]
+    for workers, schedulers in [*((each, 4) for each in WORKERS), *((150, each) for each in SCHEDULERS[1:])]:
         found = cost(workers, schedulers)
-        lines.append(f"| {found.workers:,} | {found.schedulers} | {found.requests} | {found.event_us:.1f} "
-                     f"| {found.request_us:.0f} | {found.events:.1f} | {found.whole_s:.1f} |")
+        lines.append(
+            f"| {found.workers:,} | {found.schedulers} | {found.requests} | {found.event_us:.1f} "
+            f"| {found.request_us:.0f} | {found.events:.1f} | {found.whole_s:.1f} |"
+        )
         click.echo(lines[-1])
     text, profiles = "\n".join(lines), ""
     for workers, schedulers in ((15, 4), (15_000, 4)):
         found = "\n".join(f"- {each}" for each in profile(workers, schedulers))
-        profiles += (f"\n{workers:,} workers, {schedulers} schedulers, the profiler's own cost among it:"
-                     f"\n\n{found}\n")
+        profiles += (
+            f"\n{workers:,} workers, {schedulers} schedulers, the profiler's own cost among it:\n\n{found}\n"
+        )
     click.echo(profiles)
     if out:
-        out.write_text("# What a decision costs as the fleet grows\n\n"
-                       f"    .venv/bin/python -m measure.scale\n\n{text}\n\n"
-                       f"Where the time goes in the decision module:\n{profiles}\n")
+        out.write_text(
+            "# What a decision costs as the fleet grows\n\n"
+            f"    .venv/bin/python -m measure.scale\n\n{text}\n\n"
+            f"Where the time goes in the decision module:\n{profiles}\n"
+        )
 
 
 if __name__ == "__main__":
--- a/measure/sites.py
+++ b/measure/sites.py
@@ -17,8 +17,11 @@
 from typing import Any
 
 SITES = Path(__file__).parent.parent / "deploy" / "sites"
-WANTED = {"real.json": "sites/real.json", "wire.json": "sites/wire.json",
-          "unlock.txt": "more/mass/unlock.txt"}
+WANTED = {
+    "real.json": "sites/real.json",
+    "wire.json": "sites/wire.json",
+    "unlock.txt": "more/mass/unlock.txt",
+}
 OTHERS = ("sites/corrib-controls-eu.toml", "more/mass/other/lj-labels.toml")
 OURS = ("orla-lifts.toml", "visla-meters.toml")
 
@@ -40,9 +43,13 @@
     site["name"] = f"drawn-{seed}"
     site["discovery"]["mode"] = draw.choice(["push", "ask"])
     site["allow"].update(
-        cancel=draw.random() < 0.6, probes=draw.random() < 0.6, second_copies=draw.random() < 0.3,
-        retry_after=draw.random() < 0.6, max_attempts=draw.choice([1, 2, 3, 4, 5]),
-        cpu_ms_per_s=draw.choice([15, 25, 40, 80]))
+        cancel=draw.random() < 0.6,
+        probes=draw.random() < 0.6,
+        second_copies=draw.random() < 0.3,
+        retry_after=draw.random() < 0.6,
+        max_attempts=draw.choice([1, 2, 3, 4, 5]),
+        cpu_ms_per_s=draw.choice([15, 25, 40, 80]),
+    )
     site["rules"]["drain_grace_ms"] = draw.choice([100, 200, 300, 500, 900, 1500, 2500, 4000])
     site["rules"]["fall_multiple"] = draw.choice([2, 2.5, 3, 4])
     tier = site["tier"][0]
@@ -53,19 +60,24 @@
     for index, each in enumerate(site["class"]):
         each.pop("group", None)
         each.pop("window_ms", None)
-        each.update(name=f"cls-{chr(97 + index)}{seed}", effect=draw.choice(["safe", "keyed", "unsafe"]),
-                    deadline_ms=draw.choice([1000, 1500, 2500, 4000, 8000, 15000, 25000]))
+        each.update(
+            name=f"cls-{chr(97 + index)}{seed}",
+            effect=draw.choice(["safe", "keyed", "unsafe"]),
+            deadline_ms=draw.choice([1000, 1500, 2500, 4000, 8000, 15000, 25000]),
+        )
         each["aim_ms"] = min(each["aim_ms"], each["deadline_ms"] // 2)
         if each["effect"] == "keyed":
-            each.update(group=draw.choice(["all", "zone", "cell"]),
-                        window_ms=draw.choice([700, 1500, 3000, 6000, 12000]))
+            each.update(
+                group=draw.choice(["all", "zone", "cell"]),
+                window_ms=draw.choice([700, 1500, 3000, 6000, 12000]),
+            )
     family = site["fam"]
     family["tells_start"] = draw.random() < 0.6
     family["progress_s"] = draw.choice([0.0, 0.0, 0.5, 1.0]) if family["tells_start"] else 0.0
     family["order"] = draw.choice(["fifo", "backfill", "priority"])
     family["drain_returns"] = draw.random() < 0.5
     site["clients"]["impatient"] = [0.02, 0.1]
-    site["net"]["zones"] = [f"z{seed}{letter}" for letter in "abcd"[:draw.choice([1, 2, 3, 4])]]
+    site["net"]["zones"] = [f"z{seed}{letter}" for letter in "abcd"[: draw.choice([1, 2, 3, 4])]]
     return site
 
 
--- a/measure/zoneday.py
+++ b/measure/zoneday.py
@@ -53,8 +53,14 @@
 
     def _at_worker(self, node: Node, request: str, number: int, place: Place, wanted: Wanted | None) -> None:
         worker, now = place.worker, self.agenda.now
-        if (wanted is not None and (request, number) in node.out and worker.spec.zone == self.zone
-                and now >= self.back_ms and not worker.fallen and worker.warmth() < 1.0):
+        if (
+            wanted is not None
+            and (request, number) in node.out
+            and worker.spec.zone == self.zone
+            and now >= self.back_ms
+            and not worker.fallen
+            and worker.warmth() < 1.0
+        ):
             spec, window = worker.spec, self.windows.setdefault(place.number, deque())
             window.append((now, wanted.work * wanted.slots))
             while window[0][0] <= now - spec.fall_ms:
@@ -82,8 +88,11 @@
         rate = (at[last] - at[first]) / (last - first)
         for now, done in self.done:
             before = at.get(now - 4 * STEP_MS)
-            if now >= self.back_ms + 4 * STEP_MS and before is not None and (
-                    done - before >= WHOLE * rate * 4 * STEP_MS):
+            if (
+                now >= self.back_ms + 4 * STEP_MS
+                and before is not None
+                and (done - before >= WHOLE * rate * 4 * STEP_MS)
+            ):
                 return now - self.back_ms
         return None
 
@@ -127,10 +136,17 @@
         fleet.agenda.at(step * STEP_MS, fleet.look)
     fleet.run(day.day_ms)
     last = sorted(fleet.last.values())
-    return {"into": fleet.into, "first_ms": last[0] - lost if last else 0.0,
-            "last_ms": last[-1] - lost if last else 0.0, "over": fleet.over, "most": fleet.most,
-            "falls": fleet.falls, "whole_ms": fleet.whole_after() if zone else None, **fates,
-            **_changes(fleet, lost, back, {each.zone for each in day.troubles if each.zone})}
+    return {
+        "into": fleet.into,
+        "first_ms": last[0] - lost if last else 0.0,
+        "last_ms": last[-1] - lost if last else 0.0,
+        "over": fleet.over,
+        "most": fleet.most,
+        "falls": fleet.falls,
+        "whole_ms": fleet.whole_after() if zone else None,
+        **fates,
+        **_changes(fleet, lost, back, {each.zone for each in day.troubles if each.zone}),
+    }
 
 
 def _changes(fleet: Watched, lost: float, back: float, may: set[str]) -> dict[str, Any]:
@@ -139,12 +155,15 @@
         return {}
     mine = [(at, state) for at, zone, state, _ in fleet.changes if zone == fleet.zone]
     others = sum(state == "leaving" and zone not in may for _, zone, state, _ in fleet.changes)
-    return {"decided_ms": next((at - lost for at, state in mine if state == "leaving"), None),
-            "returning_ms": next((at - back for at, state in mine if state == "returning"), None),
-            "open_ms": next((at - back for at, state in mine if state == "open"), None),
-            "left": sum(state == "leaving" for _, _, state, _ in fleet.changes), "false_alarms": others,
-            "messages_s": getattr(fleet, "messages", 0) / (fleet.agenda.now / 1000.0),
-            "bytes_s": getattr(fleet, "bytes", 0) / (fleet.agenda.now / 1000.0)}
+    return {
+        "decided_ms": next((at - lost for at, state in mine if state == "leaving"), None),
+        "returning_ms": next((at - back for at, state in mine if state == "returning"), None),
+        "open_ms": next((at - back for at, state in mine if state == "open"), None),
+        "left": sum(state == "leaving" for _, _, state, _ in fleet.changes),
+        "false_alarms": others,
+        "messages_s": getattr(fleet, "messages", 0) / (fleet.agenda.now / 1000.0),
+        "bytes_s": getattr(fleet, "bytes", 0) / (fleet.agenda.now / 1000.0),
+    }
 
 
 def table(rows: list[dict[str, Any]]) -> str:
@@ -163,8 +182,13 @@
 @click.command()
 @click.option("--scenario", default="fleet-zone", show_default=True)
 @click.option("--seeds", default=20, show_default=True)
-@click.option("--way", type=click.Choice(sorted(WAYS)), default="none", show_default=True,
-              help="together: the schedulers leave and return as one; solo: each by its own evidence.")
+@click.option(
+    "--way",
+    type=click.Choice(sorted(WAYS)),
+    default="none",
+    show_default=True,
+    help="together: the schedulers leave and return as one; solo: each by its own evidence.",
+)
 @click.option("--times", default=1, show_default=True, help="So many times the fleet.")
 @click.option("--json", "into", type=click.Path(), help="Keep each day's figures there.")
 def main(scenario: str, seeds: int, way: str, times: int, into: str | None) -> None:
--- a/spanwing/adapter.py
+++ b/spanwing/adapter.py
@@ -52,18 +52,44 @@
 
 
 def _submit(
-    _: str, rid: str, memory: Any, slots: Any, hint: Any, cls: str, write: Any, again: Any, tenant: Any,
-    deadline: float, key: Any = None, retry: Any = False, *rest: Any,
+    _: str,
+    rid: str,
+    memory: Any,
+    slots: Any,
+    hint: Any,
+    cls: str,
+    write: Any,
+    again: Any,
+    tenant: Any,
+    deadline: float,
+    key: Any = None,
+    retry: Any = False,
+    *rest: Any,
 ) -> api.Event:
     return api.Request(
-        rid, cls, deadline, tenant or None, int(slots or 1), memory or 0.0, hint or 0.0, key or None,
+        rid,
+        cls,
+        deadline,
+        tenant or None,
+        int(slots or 1),
+        memory or 0.0,
+        hint or 0.0,
+        key or None,
         bool(retry),
     )
 
 
 def _returned(
-    _: str, rid: str, elapsed: float, detail: Any, trial: int, worker: int, how: str, complete: bool,
-    report: Any = None, *rest: Any,
+    _: str,
+    rid: str,
+    elapsed: float,
+    detail: Any,
+    trial: int,
+    worker: int,
+    how: str,
+    complete: bool,
+    report: Any = None,
+    *rest: Any,
 ) -> api.Event:
     return api.Outcome(rid, trial, worker, RESULTS[how], bool(complete), elapsed, _report(report))
 
--- a/spanwing/cli/check.py
+++ b/spanwing/cli/check.py
@@ -26,8 +26,10 @@
     (r"limits\.sockets", f"give it {MIN_SOCKETS}, and {CHECK_SOCKETS} for each listener for balancers"),
     (r"limits\.memory_mb", f"give it {MIN_MB} MB or more"),
     (r"limits\.cores", f"give it {MIN_CORES} of a core or more"),
-    (r".*(listen|LISTEN|DISCOVERY|discovery)|store\.peers\..*|zones\.members\..*",
-     "write HOST:PORT with a numeric host, as 127.0.0.1:7420 or [::1]:7420; port 0 lets the system choose"),
+    (
+        r".*(listen|LISTEN|DISCOVERY|discovery)|store\.peers\..*|zones\.members\..*",
+        "write HOST:PORT with a numeric host, as 127.0.0.1:7420 or [::1]:7420; port 0 lets the system choose",
+    ),
     (r"seed", "write it as hexadecimal digits"),
     (r"settings\.(balancers|position)", "balancers counts all schedulers from 1, position ours from 0"),
     (r"settings\.classes.*", "each class needs a name of its own, aim_ms above 0, deadline_ms not below it"),
--- a/spanwing/cli/experiment.py
+++ b/spanwing/cli/experiment.py
@@ -37,8 +37,12 @@
 
 @experiment.command()
 @click.argument("plan", type=click.Path(path_type=Path))
-@click.option("--out", type=click.Path(path_type=Path, file_okay=False), required=True,
-              help="A folder; cells that are there already are not played again.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    required=True,
+    help="A folder; cells that are there already are not played again.",
+)
 @click.option("--lanes", default=os.cpu_count() or 1, show_default="all cores")
 def run(plan: Path, out: Path, lanes: int) -> None:
     """Play all cells of PLAN; killed, it goes on where it was.
@@ -84,10 +88,16 @@
 @click.argument("folder", type=click.Path(path_type=Path))
 @click.argument("a")
 @click.argument("b")
-@click.option("--by", type=click.Choice(["variant", "build", "scenario"]), default="variant",
-              show_default=True)
-@click.option("--figure", "figures", multiple=True, type=click.Choice(sorted(COMPARED)),
-              help="This one, and others so named [default: all].")
+@click.option(
+    "--by", type=click.Choice(["variant", "build", "scenario"]), default="variant", show_default=True
+)
+@click.option(
+    "--figure",
+    "figures",
+    multiple=True,
+    type=click.Choice(sorted(COMPARED)),
+    help="This one, and others so named [default: all].",
+)
 def compare(folder: Path, a: str, b: str, by: str, figures: tuple[str, ...]) -> None:
     """Say whether column B differs from column A, by a paired bootstrap over seeds."""
     _, rows = rows_of(folder)
@@ -99,5 +109,7 @@
         rows = [{**row, "scenario": "", "was": row["scenario"]} for row in rows]
         by = "was"
     for each in differences(rows, {by: a}, {by: b}, list(figures or COMPARED)):
-        click.echo(f"{each.figure:<9} {a} {each.a:.4g}, {b} {each.b:.4g}: {each.mean:+.4g} "
-                   f"({each.low:+.4g} to {each.high:+.4g}, {each.pairs} pairs): {each.verdict}")
+        click.echo(
+            f"{each.figure:<9} {a} {each.a:.4g}, {b} {each.b:.4g}: {each.mean:+.4g} "
+            f"({each.low:+.4g} to {each.high:+.4g}, {each.pairs} pairs): {each.verdict}"
+        )
--- a/spanwing/cli/journal.py
+++ b/spanwing/cli/journal.py
@@ -65,16 +65,20 @@
 
 
 def stamp(wall_ms: float | None) -> str:
-    return "-" if wall_ms is None else datetime.fromtimestamp(wall_ms / 1000.0).astimezone().isoformat(
-        timespec="milliseconds")
+    return (
+        "-"
+        if wall_ms is None
+        else datetime.fromtimestamp(wall_ms / 1000.0).astimezone().isoformat(timespec="milliseconds")
+    )
 
 
 def plain(row: Row) -> dict[str, Any]:
     """As JSON has it; times in ISO 8601."""
     values = row._asdict()
     values["class"] = values.pop("cls")
-    return {name: stamp(value) if name in TIMES and value is not None else value
-            for name, value in values.items()}
+    return {
+        name: stamp(value) if name in TIMES and value is not None else value for name, value in values.items()
+    }
 
 
 def show_rows(rows: Iterable[Row], as_json: bool, limit: int) -> int:
@@ -91,13 +95,16 @@
             attempt = "" if row.attempt is None else f"#{row.attempt} {row.worker} {row.address}"
             ended = row.result or row.given_up or ("left open by a crash" if row.closed else "")
             answer = row.answer or "no answer"
-            click.echo(f"{stamp(row.intent or row.time)}  {row.state:<13}  {row.cls}  {row.request}  "
-                       f"{attempt}  {ended}  {answer}".rstrip())
+            click.echo(
+                f"{stamp(row.intent or row.time)}  {row.state:<13}  {row.cls}  {row.request}  "
+                f"{attempt}  {ended}  {answer}".rstrip()
+            )
     return shown
 
 
-directory_option = click.option("--directory", metavar="DIR",
-                                help="The journal's folder [default: journal.directory of the fronts file].")
+directory_option = click.option(
+    "--directory", metavar="DIR", help="The journal's folder [default: journal.directory of the fronts file]."
+)
 fronts_option = click.option("--fronts", envvar="SPANWING_FRONTS", metavar="FILE", help="The fronts file.")
 json_option = click.option("--json", "as_json", is_flag=True, help="JSON, one object a line.")
 limit_option = click.option("--limit", default=1000, show_default=True, help="Rows at most; 0: all.")
@@ -138,8 +145,10 @@
     show_rows(rows_of(found), as_json, 0)
 
 
-@journal.command(epilog=f"Fields: {', '.join(FIELDS)}. Operators: = != < <= > >= ~ (pattern), in, not in, "
-                 "and, or, not. Times: 2026-12-01T06:30, now, -90s, -15m, -2h, -1d.")
+@journal.command(
+    epilog=f"Fields: {', '.join(FIELDS)}. Operators: = != < <= > >= ~ (pattern), in, not in, "
+    "and, or, not. Times: 2026-12-01T06:30, now, -90s, -15m, -2h, -1d."
+)
 @click.argument("expression")
 @directory_option
 @fronts_option
@@ -175,8 +184,16 @@
 
 def _echo(frame: Frame) -> None:
     record = frame.record
-    click.echo(json.dumps({"number": frame.number, "record": type(record).__name__.lower(),
-                           "time": stamp(record.wall_ms), **msgspec.structs.asdict(record)}))
+    click.echo(
+        json.dumps(
+            {
+                "number": frame.number,
+                "record": type(record).__name__.lower(),
+                "time": stamp(record.wall_ms),
+                **msgspec.structs.asdict(record),
+            }
+        )
+    )
     sys.stdout.flush()
 
 
@@ -228,8 +245,9 @@
 
 
 @journal.command()
-@click.option("--format", "form", type=click.Choice(["jsonl", "csv", "parquet"]), default="jsonl",
-              show_default=True)
+@click.option(
+    "--format", "form", type=click.Choice(["jsonl", "csv", "parquet"]), default="jsonl", show_default=True
+)
 @click.option("--out", type=click.Path(path_type=Path, dir_okay=False), help="A file; Parquet needs one.")
 @click.argument("expression", default="")
 @directory_option
@@ -242,7 +260,7 @@
     if form == "parquet":
         count = _parquet(rows, out)
     else:
-        with (open(out, "w", newline="") if out else click.get_text_stream("stdout")) as file:
+        with open(out, "w", newline="") if out else click.get_text_stream("stdout") as file:
             count = _lines(rows, form, file)
     click.echo(f"{count} rows", err=True)
 
@@ -271,6 +289,7 @@
     schema = pa.schema([("class" if name == "cls" else name, each) for name, each in types.items()])
     count, batch = 0, []
     with pq.ParquetWriter(out, schema) as writer:
+
         def flush() -> None:
             columns = {name: [getattr(row, name) for row in batch] for name in Row._fields}
             for name in TIMES:
@@ -300,9 +319,18 @@
         counts.update((row.cls, row.state) for row in rows_of(request))
     sizes = book.sizes()
     if as_json:
-        click.echo(json.dumps({"attempts": [{"class": cls, "state": state, "count": count}
-                                            for (cls, state), count in sorted(counts.items())],
-                               "segments": len(sizes), "bytes": sum(size for *_, size in sizes)}))
+        click.echo(
+            json.dumps(
+                {
+                    "attempts": [
+                        {"class": cls, "state": state, "count": count}
+                        for (cls, state), count in sorted(counts.items())
+                    ],
+                    "segments": len(sizes),
+                    "bytes": sum(size for *_, size in sizes),
+                }
+            )
+        )
         return
     for (cls, state), count in sorted(counts.items()):
         click.echo(f"{cls or '-'}  {state}  {count}")
--- a/spanwing/cli/load.py
+++ b/spanwing/cli/load.py
@@ -27,16 +27,30 @@
 
 @click.command()
 @click.argument("scenario")
-@click.option("--to", "places", multiple=True, required=True, metavar="HOST:PORT",
-              help="A scheduler's clients' address; several are asked in turn.")
-@click.option("--rate", type=click.FloatRange(0.01, 100_000),
-              help="Requests a second [default: the scenario's].")
+@click.option(
+    "--to",
+    "places",
+    multiple=True,
+    required=True,
+    metavar="HOST:PORT",
+    help="A scheduler's clients' address; several are asked in turn.",
+)
+@click.option(
+    "--rate", type=click.FloatRange(0.01, 100_000), help="Requests a second [default: the scenario's]."
+)
 @click.option("--seconds", type=click.FloatRange(0.1, 86_400), help="[default: the scenario's].")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 @click.option("--most", type=click.IntRange(1, 60_000), default=2000, show_default=True, help="Connections.")
 @click.option("--json", "as_json", is_flag=True, help="The report as JSON.")
-def load(scenario: str, places: tuple[str, ...], rate: float | None, seconds: float | None, seed: int,
-         most: int, as_json: bool) -> None:
+def load(
+    scenario: str,
+    places: tuple[str, ...],
+    rate: float | None,
+    seconds: float | None,
+    seed: int,
+    most: int,
+    as_json: bool,
+) -> None:
     """Send SCENARIO's requests to schedulers at its own times, whatever they answer.
 
     Latencies count from when a request was due: a scheduler that stalls is charged for all that came
@@ -55,7 +69,8 @@
 
     async def run() -> Report:
         return await OpenLoop([place_of(each) for each in places], secrets.token_hex(4), most).run(
-            itertools.chain(wanted), seconds or made.seconds)
+            itertools.chain(wanted), seconds or made.seconds
+        )
 
     report = asyncio.run(run())
     if as_json:
@@ -67,11 +82,16 @@
 
 
 def show(report: Report) -> None:
-    click.echo(f"{report.asked} requests in {report.seconds:.1f} s: " + ", ".join(
-        f"{count} {kind}" for kind, count in sorted(report.kinds.items())))
-    rows = {"all, from due": report.latency, "all, from written": report.service,
-            **{f"{name}, from due": each for name, each in report.by_class.items()},
-            "generator late": report.late}
+    click.echo(
+        f"{report.asked} requests in {report.seconds:.1f} s: "
+        + ", ".join(f"{count} {kind}" for kind, count in sorted(report.kinds.items()))
+    )
+    rows = {
+        "all, from due": report.latency,
+        "all, from written": report.service,
+        **{f"{name}, from due": each for name, each in report.by_class.items()},
+        "generator late": report.late,
+    }
     click.echo(f"{'ms at percentile':<30}" + "".join(f"{each:>10}" for each in report.latency))
     for name, each in rows.items():
         click.echo(f"{name:<30}" + "".join(f"{value:>10.1f}" for value in each.values()))
--- a/spanwing/cli/main.py
+++ b/spanwing/cli/main.py
@@ -21,12 +21,25 @@
 REFUSED, UNREACHED, NOT_WITHIN = 1, 3, 4
 LOOK_S = 0.1
 
-socket_option = click.option("--socket", "path", envvar="SPANWING_ADMIN", metavar="PATH",
-                             help="The daemon's admin socket [default: admin.socket of the fronts file].")
-fronts_option = click.option("--fronts", envvar="SPANWING_FRONTS", metavar="FILE",
-                             help="The fronts file [default: deploy/fronts.toml].")
-member_option = click.option("--member", default="", metavar="NAME",
-                             help="Another member of the store, which the order reaches through the store.")
+socket_option = click.option(
+    "--socket",
+    "path",
+    envvar="SPANWING_ADMIN",
+    metavar="PATH",
+    help="The daemon's admin socket [default: admin.socket of the fronts file].",
+)
+fronts_option = click.option(
+    "--fronts",
+    envvar="SPANWING_FRONTS",
+    metavar="FILE",
+    help="The fronts file [default: deploy/fronts.toml].",
+)
+member_option = click.option(
+    "--member",
+    default="",
+    metavar="NAME",
+    help="Another member of the store, which the order reaches through the store.",
+)
 
 
 class Lazy(click.Group):
@@ -108,8 +121,12 @@
 @cli.command()
 @socket_option
 @fronts_option
-@click.option("--within", type=click.FloatRange(min=0, min_open=True, max=86_400), metavar="SECONDS",
-              help="Have everything answered after so long, and wait for it.")
+@click.option(
+    "--within",
+    type=click.FloatRange(min=0, min_open=True, max=86_400),
+    metavar="SECONDS",
+    help="Have everything answered after so long, and wait for it.",
+)
 @member_option
 def drain(path: str | None, fronts: str | None, within: float | None, member: str) -> None:
     """Announce a drain to every balancer, answer what was taken, take nothing new."""
@@ -152,8 +169,10 @@
 
 
 def _show(reply: dict[str, Any]) -> None:
-    click.echo(f"{reply['name']}: {reply['state']}, weight {reply['weight']}%, "
-               f"since {reply['since_s']:.0f} s, {reply['owed']} owed")
+    click.echo(
+        f"{reply['name']}: {reply['state']}, weight {reply['weight']}%, "
+        f"since {reply['since_s']:.0f} s, {reply['owed']} owed"
+    )
     for note in reply["notes"]:
         click.echo(f"    {note}")
     for name, (seen, *_) in reply["checks"].items():
--- a/spanwing/cli/policy.py
+++ b/spanwing/cli/policy.py
@@ -33,6 +33,7 @@
 
 def pass_path(command: Callable[..., None]) -> Callable[..., None]:
     """Hand the command its daemon's socket, looked for once the command runs: its help needs no daemon."""
+
     @click.pass_obj
     @wraps(command)
     def run(given: tuple[str | None, str | None], *values: Any, **named: Any) -> None:
@@ -64,8 +65,9 @@
     for each in past:
         at = datetime.fromtimestamp(each["wall_ms"] / 1000.0, UTC).isoformat(timespec="milliseconds")
         done = "taken" if each["taken"] else "not taken"
-        click.echo(f"{each['number']:>5}  {at}  {done}  {each['digest']}  "
-                   f"({each['reason']}; by {each['author']})")
+        click.echo(
+            f"{each['number']:>5}  {at}  {done}  {each['digest']}  ({each['reason']}; by {each['author']})"
+        )
 
 
 @policy.command()
@@ -98,16 +100,27 @@
 
 @policy.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.option("--wait", "wait_s", type=click.FloatRange(1, 86_400), default=60.0, show_default=True,
-              help="Seconds until the change ends as nowhere.")
+@click.option(
+    "--wait",
+    "wait_s",
+    type=click.FloatRange(1, 86_400),
+    default=60.0,
+    show_default=True,
+    help="Seconds until the change ends as nowhere.",
+)
 @click.option("--base", type=int, help="The version that FILE was made from [default: the one here].")
 @click.option("--reason", default="", help="Stands in the history.")
-@click.option("--gone", multiple=True, metavar="NAME",
-              help="Your word that this scheduler is gone for good, and takes no jobs.")
+@click.option(
+    "--gone",
+    multiple=True,
+    metavar="NAME",
+    help="Your word that this scheduler is gone for good, and takes no jobs.",
+)
 @click.option("--by", default="operator", show_default=True)
 @pass_path
-def propose(path: str, file: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...],
-            by: str) -> None:
+def propose(
+    path: str, file: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...], by: str
+) -> None:
     """Have all schedulers take over FILE, or none."""
     _propose(path, _text(file), wait_s, base, reason, gone, by)
 
@@ -131,8 +144,9 @@
     click.echo(client.ask(path, do="policy_order", order="abort", by=by)["text"])
 
 
-def _propose(path: str, text: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...],
-             by: str) -> None:
+def _propose(
+    path: str, text: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...], by: str
+) -> None:
     here = client.ask(path, do="policy")
     base = here["in_force"] if base is None else base
     # The first word comes from this scheduler, before anybody else is asked.
@@ -140,8 +154,17 @@
     before = client.ask(path, do="policy_history")["history"]
     lost = None
     try:
-        client.ask(path, do="policy_order", order="propose", text=text, base=base, reason=reason,
-                   within_s=wait_s, gone=list(gone), by=by)
+        client.ask(
+            path,
+            do="policy_order",
+            order="propose",
+            text=text,
+            base=base,
+            reason=reason,
+            within_s=wait_s,
+            gone=list(gone),
+            by=by,
+        )
     except client.Refused as error:
         if "may still take hold" not in str(error):
             raise
@@ -186,8 +209,9 @@
 
 def _told(reply: dict[str, Any]) -> str:
     permit = f"a permit for {reply['permit_ms'] / 1000:.1f} s" if reply["permit_ms"] else "no permit"
-    lines = [f"{reply['name']}: version {reply['version']} ({reply['digest']}), by {reply['author']}, "
-             f"{permit}"]
+    lines = [
+        f"{reply['name']}: version {reply['version']} ({reply['digest']}), by {reply['author']}, {permit}"
+    ]
     if reply["may"] != "take":
         lines.append(f"    takes no jobs: {reply['why']}")
     if reply["open_under_earlier"]:
@@ -195,7 +219,9 @@
     change = reply["change"]
     if change is not None:
         here = "ready" if change["ready"] else change["no"]
-        lines.append(f"    version {change['version']} by {change['author']} is {change['state']}, here "
-                     f"{here}; waits: {reply.get('waits') or 'nobody'}")
+        lines.append(
+            f"    version {change['version']} by {change['author']} is {change['state']}, here "
+            f"{here}; waits: {reply.get('waits') or 'nobody'}"
+        )
     lines.append(f"    schedulers: {', '.join(reply['schedulers'])}")
     return "\n".join(lines)
--- a/spanwing/cli/zones.py
+++ b/spanwing/cli/zones.py
@@ -45,14 +45,20 @@
     @socket_option
     @fronts_option
     @click.pass_context
-    def order(ctx: click.Context, name: str, path: str | None, fronts: str | None,
-              over_s: float | None = None) -> None:
+    def order(
+        ctx: click.Context, name: str, path: str | None, fronts: str | None, over_s: float | None = None
+    ) -> None:
         path = client.socket_path(path or ctx.obj[0], fronts or ctx.obj[1])
         click.echo(client.ask(path, do="zones_order", order=do, zone=name, within_s=over_s)["text"])
 
     if over:
-        click.option("--over", "over_s", type=click.FloatRange(min=0, min_open=True, max=3600),
-                     metavar="SECONDS", help="In quarters over so long, not at once.")(order)
+        click.option(
+            "--over",
+            "over_s",
+            type=click.FloatRange(min=0, min_open=True, max=3600),
+            metavar="SECONDS",
+            help="In quarters over so long, not at once.",
+        )(order)
 
 
 _order("leave", "Leave a zone or region NAME, and stay away until it is ordered otherwise.", over=True)
@@ -77,8 +83,10 @@
         at = datetime.fromtimestamp(each["wall_ms"] / 1000.0, UTC).isoformat(timespec="milliseconds")
         step = f" step {each['step']}" if each["step"] else ""
         step += f" {each['share']:.0%} in use" if each["share"] else ""
-        click.echo(f"{each['number']:>5}  {at}  {each['zone']}: {each['state']}{step}  "
-                   f"({each['reason']}; by {each['author']})")
+        click.echo(
+            f"{each['number']:>5}  {at}  {each['zone']}: {each['state']}{step}  "
+            f"({each['reason']}; by {each['author']})"
+        )
 
 
 def _table(reply: dict[str, Any]) -> str:
@@ -87,9 +95,11 @@
     for name, zone in reply["zones"].items():
         state = zone["state"] + (f" step {zone['step']} of {zone['steps']}" if zone["step"] else "")
         state += ", held" if zone["held"] else ""
-        lines.append(f"    {name}: {state}, number {zone['number']}, "
-                     f"{zone['used']} of {zone['workers']} workers used here, "
-                     f"{zone['seen_good']} seen good, {zone['seen_bad']} bad")
+        lines.append(
+            f"    {name}: {state}, number {zone['number']}, "
+            f"{zone['used']} of {zone['workers']} workers used here, "
+            f"{zone['seen_good']} seen good, {zone['seen_bad']} bad"
+        )
         if zone["reason"]:
             lines.append(f"        {zone['reason']}, by {zone['author']}")
     return "\n".join(lines)
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -48,9 +48,18 @@
 MIN_CORES = 0.05
 
 #: By the fields of Config, what takes a restart to change.
-FIXED = {"listen": "listen", "management": "management", "raw_settings": "settings",
-         "faktory": "faktory.listen", "proxied": "proxy", "log": "log", "store": "store",
-         "journal": "journal", "zones": "zones", "policy": "policy"}
+FIXED = {
+    "listen": "listen",
+    "management": "management",
+    "raw_settings": "settings",
+    "faktory": "faktory.listen",
+    "proxied": "proxy",
+    "log": "log",
+    "store": "store",
+    "journal": "journal",
+    "zones": "zones",
+    "policy": "policy",
+}
 
 
 class Limits(msgspec.Struct):
@@ -126,7 +135,6 @@
         return [setting for name, setting in FIXED.items() if getattr(self, name) != getattr(old, name)]
 
 
-
 def read_struct(path: str, setting: str, form: type, decode: Any, faults: Faults) -> Any:
     """Decode a file into its Struct; any fault is a plain line naming file, setting and place."""
     try:
@@ -148,8 +156,9 @@
         return left
 
 
-def read_settings(raw: str, own: Options | None = None,
-                  faults: Faults | None = None) -> tuple[Options, api.Settings] | None:
+def read_settings(
+    raw: str, own: Options | None = None, faults: Faults | None = None
+) -> tuple[Options, api.Settings] | None:
     """Decode the settings object; what is a member's own (its number and zone) comes from its own file."""
     faults = faults or Faults()
     options = faults.check("settings", lambda text: msgspec.json.decode(text, type=Options), raw)
@@ -166,8 +175,9 @@
         return None
 
 
-def load(environment: Mapping[str, str] = os.environ, before: Config | None = None,
-         faults: Faults | None = None) -> Config | None:
+def load(
+    environment: Mapping[str, str] = os.environ, before: Config | None = None, faults: Faults | None = None
+) -> Config | None:
     """Read both files; before: what was read last, where this is a reload. Raises the first fault as a
     ConfigError; with faults that collect, all are there afterwards, and None is returned if there are any."""
     faults = faults or Faults()
@@ -217,13 +227,29 @@
     if faults.found:
         return None
     return Config(
-        name=environment.get("ROUTER_NAME") or raw.name, listen=listen, discovery=discovery,
-        management=management, shared=shared, told=raw.discovery, seed=seed, limits=limits,
-        known=raw.known, revision=raw.revision,
-        raw_settings=bytes(raw.settings).decode(), options=settings[0], settings=settings[1],
-        faktory=faktory, balancers=balancers, proxied=proxied, log=log, store=table,
-        store_listen=store_listen, store_peers=peers, journal=journal,
-        zones=zones, policy=policy,
+        name=environment.get("ROUTER_NAME") or raw.name,
+        listen=listen,
+        discovery=discovery,
+        management=management,
+        shared=shared,
+        told=raw.discovery,
+        seed=seed,
+        limits=limits,
+        known=raw.known,
+        revision=raw.revision,
+        raw_settings=bytes(raw.settings).decode(),
+        options=settings[0],
+        settings=settings[1],
+        faktory=faktory,
+        balancers=balancers,
+        proxied=proxied,
+        log=log,
+        store=table,
+        store_listen=store_listen,
+        store_peers=peers,
+        journal=journal,
+        zones=zones,
+        policy=policy,
     )
 
 
--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -139,8 +139,11 @@
     def turning_away(self) -> dict[str, str]:
         """Classes of which nothing is taken now, with the reason."""
         reason = self.recorder.refusing() if self.recorder is not None else ""
-        return {each.name: f"journal: {reason}" for each in self.settings.classes
-                if reason and each.name not in self.safe}
+        return {
+            each.name: f"journal: {reason}"
+            for each in self.settings.classes
+            if reason and each.name not in self.safe
+        }
 
     def discovery_age(self) -> float:
         """Seconds since discovery last told anything, or since the start."""
@@ -189,11 +192,15 @@
     def _rules(self) -> None:
         """What holds for each class by all policies under which jobs are open; where they differ, the more
         careful one: a class counts as safe only if it is so in all."""
-        kinds = [(each.name, each.effect) for module in (*self.retiring, self.module)
-                 for each in module.set.classes]
+        kinds = [
+            (each.name, each.effect)
+            for module in (*self.retiring, self.module)
+            for each in module.set.classes
+        ]
         self.once = {name for name, effect in kinds if effect == "unsafe"}
         self.safe = {name for name, effect in kinds if effect == "safe"} - {
-            name for name, effect in kinds if effect != "safe"}
+            name for name, effect in kinds if effect != "safe"
+        }
 
     def _let_go(self) -> None:
         """Drop modules all of whose jobs have ended."""
@@ -221,8 +228,14 @@
                 self._turned(Turned(envelope.cls))
                 take.sender.answer(envelope, Answer("refused", retry_after=self.again_ms))
                 return
-            self.recorder.taken(envelope.id, envelope.cls, envelope.tenant or "", envelope.effect_key or "",
-                                envelope.front, envelope.budget)
+            self.recorder.taken(
+                envelope.id,
+                envelope.cls,
+                envelope.tenant or "",
+                envelope.effect_key or "",
+                envelope.front,
+                envelope.budget,
+            )
         if self.under:  # an earlier request of this id is over, whatever its policy was
             self.under.pop(envelope.id, None)
         deadline = self.clock.now() + envelope.budget
@@ -231,22 +244,35 @@
             self.mirror(envelope.id, True)
         self.counters["taken"] += 1
         self.counters[f"taken.{envelope.cls}"] += 1
-        self._decide(api.Request(
-            envelope.id, envelope.cls, deadline, envelope.tenant, envelope.slots, envelope.memory,
-            envelope.hint, envelope.route_key, envelope.repeat,
-        ))
+        self._decide(
+            api.Request(
+                envelope.id,
+                envelope.cls,
+                deadline,
+                envelope.tenant,
+                envelope.slots,
+                envelope.memory,
+                envelope.hint,
+                envelope.route_key,
+                envelope.repeat,
+            )
+        )
 
     def _is_open(self, request: str) -> bool:
         return request in self.calls or any(
-            (request, number) in self.out for number in range(self._of(request).set.max_attempts))
+            (request, number) in self.out for number in range(self._of(request).set.max_attempts)
+        )
 
     def open_ids(self) -> set[str]:
         """Requests that owe their answer or have an attempt out."""
         return {*self.calls, *(request for request, _ in self.out)}
 
     def attempts_out(self, request: str) -> list[tuple[int, Out]]:
-        return [(number, self.out[request, number]) for number in range(self._of(request).set.max_attempts)
-                if (request, number) in self.out]
+        return [
+            (number, self.out[request, number])
+            for number in range(self._of(request).set.max_attempts)
+            if (request, number) in self.out
+        ]
 
     def give_away(self, request: str) -> None:
         """Another process owes the answer from now on, and has what is out."""
@@ -373,10 +399,18 @@
             self.ran(self.calls[ended.request], out.at)
         if ended.result == "ok":
             self._answer(ended.request, Answer("served", ended.body))
-        self._decide(api.Outcome(
-            ended.request, ended.number, out.worker, ended.result, ended.request not in self.calls,
-            self.clock.now() - out.at, ended.report,
-        ), self._of(ended.request))
+        self._decide(
+            api.Outcome(
+                ended.request,
+                ended.number,
+                out.worker,
+                ended.result,
+                ended.request not in self.calls,
+                self.clock.now() - out.at,
+                ended.report,
+            ),
+            self._of(ended.request),
+        )
         self._tell_ended(ended.request)
 
     def _last_byte(self, last: LastByte) -> None:
@@ -423,6 +457,7 @@
             hop.deliver(Delivery(call.envelope, number, budget, safe, may=may), self)
             return
         if hop.asks:
+
             def intent(then: Callable[[bool], None]) -> None:
                 out.recorded = True
                 self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, then))
@@ -514,17 +549,27 @@
 
 
 HANDLERS = {
-    Take: Exchange._take, Left: Exchange._left, Listed: Exchange._listed, Started: Exchange._started,
-    Accepted: Exchange._accepted, Ended: Exchange._ended, Expired: Exchange._expired,
-    Recorded: Exchange._may_send, Turned: Exchange._turned,
+    Take: Exchange._take,
+    Left: Exchange._left,
+    Listed: Exchange._listed,
+    Started: Exchange._started,
+    Accepted: Exchange._accepted,
+    Ended: Exchange._ended,
+    Expired: Exchange._expired,
+    Recorded: Exchange._may_send,
+    Turned: Exchange._turned,
     LastByte: Exchange._last_byte,
     Due: Exchange._due,
     Probed: Exchange._probed,
 }
 ACTIONS = {
-    api.Send: Exchange._send, api.Cancel: Exchange._cancel, api.Probe: Exchange._probe,
+    api.Send: Exchange._send,
+    api.Cancel: Exchange._cancel,
+    api.Probe: Exchange._probe,
     api.Refuse: lambda self, a: self._answer(a.request, Answer("refused", retry_after=a.retry_after)),
     api.Fail: lambda self, a: self._answer(a.request, Answer("failed")),
-    api.SetTimer: Exchange._set_timer, api.Log: Exchange._log, api.TellPeers: Exchange._tell_peers,
+    api.SetTimer: Exchange._set_timer,
+    api.Log: Exchange._log,
+    api.TellPeers: Exchange._tell_peers,
     api.Watch: lambda self, _: self.directory.watch(),
 }
--- a/spanwing/core/figures.py
+++ b/spanwing/core/figures.py
@@ -14,15 +14,26 @@
 
 #: By figure, the core's counts of a class that make it up. A request that a front turned away was refused all
 #: the same, and one whose id was taken before got an error.
-SUMS = {"ok": ("answered.served",), "shed": ("answered.refused", "turned"),
-        "errors": ("answered.failed", "repeated")}
+SUMS = {
+    "ok": ("answered.served",),
+    "shed": ("answered.refused", "turned"),
+    "errors": ("answered.failed", "repeated"),
+}
 
 
 def figures(core: Exchange) -> dict[str, int]:
     """All figures now; counts run from the start of the process."""
     counts = core.counters
-    told = {f"{name}.{each.name}": sum(counts[f"{part}.{each.name}"] for part in parts)
-            for name, parts in SUMS.items() for each in core.settings.classes}
+    told = {
+        f"{name}.{each.name}": sum(counts[f"{part}.{each.name}"] for part in parts)
+        for name, parts in SUMS.items()
+        for each in core.settings.classes
+    }
     listed, aside = core.pool()
-    return {**told, "tries": counts["tries"], "active": len(core.calls), "pool_size": listed,
-            "pool_ejected": aside}
+    return {
+        **told,
+        "tries": counts["tries"],
+        "active": len(core.calls),
+        "pool_size": listed,
+        "pool_ejected": aside,
+    }
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -101,8 +101,9 @@
 
     def taken(self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float) -> None: ...
 
-    def intent(self, request: str, attempt: int, worker: str, address: str,
-               then: Callable[[bool], None]) -> None:
+    def intent(
+        self, request: str, attempt: int, worker: str, address: str, then: Callable[[bool], None]
+    ) -> None:
         """then hears whether the attempt may be sent."""
 
     def last_byte(self, request: str, attempt: int) -> None: ...
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -80,11 +80,15 @@
         table = config.store
         acceptor = Acceptor(Disk(table.directory) if table.directory else None)
         peers = [Peer(address, self.buffers) for address in config.store_peers.values()]
-        self.store = Store(table.member, acceptor, peers, config.seed, table.answer_ms,
-                           tuple(config.store_peers))
+        self.store = Store(
+            table.member, acceptor, peers, config.seed, table.answer_ms, tuple(config.store_peers)
+        )
         if config.store_listen:
-            self.listener = _listening("store.listen", config.store_listen, lambda address:
-                                       PeerListener(address, acceptor, self.buffers))
+            self.listener = _listening(
+                "store.listen",
+                config.store_listen,
+                lambda address: PeerListener(address, acceptor, self.buffers),
+            )
             self.say("store", self.listener.address)
 
     async def start(self) -> None:
@@ -118,30 +122,59 @@
         self.descriptors = Descriptors(shares.hops)
 
         def make_hop(name, address, retired):
-            pool = ConnectionPool(address, buffers, self.descriptors, allow.conn_idle_ms,
-                                  allow.connect_timeout_ms)
+            pool = ConnectionPool(
+                address, buffers, self.descriptors, allow.conn_idle_ms, allow.connect_timeout_ms
+            )
             return HttpNextHop(name, pool, loads, retired)
 
         transport = self.transport = TransportMap(
-            config.known, config.discovery, self.core, buffers, make_hop,
-            Pace.of(settings.drain_grace, not settings.subscribe,
-                    (options.rules or Rules()).ask_every_ms))
+            config.known,
+            config.discovery,
+            self.core,
+            buffers,
+            make_hop,
+            Pace.of(settings.drain_grace, not settings.subscribe, (options.rules or Rules()).ask_every_ms),
+        )
         self.core.directory = transport
         if not settings.subscribe:  # the module asks for nothing then; what discovery has counts all the same
             transport.watch()
-        platform = PlatformFront(settings.classes, loads, transport.post, self.counters,
-                                 self.taking, self.left_ms)
+        platform = PlatformFront(
+            settings.classes, loads, transport.post, self.counters, self.taking, self.left_ms
+        )
         if handover is not None:
             await handover.take_over(Parts(self.core, transport, self.descriptors))
-        self.server = _listening("ROUTER_LISTEN", config.listen, lambda address:
-                                 HttpServer(address, platform, self.core, buffers, shares.clients,
-                                            settings.max_retry_after, config.proxied.of("clients"), shared))
+        self.server = _listening(
+            "ROUTER_LISTEN",
+            config.listen,
+            lambda address: HttpServer(
+                address,
+                platform,
+                self.core,
+                buffers,
+                shares.clients,
+                settings.max_retry_after,
+                config.proxied.of("clients"),
+                shared,
+            ),
+        )
         if config.faktory:
             workers = FaktoryWorkers(self.core, settings.zone)
-            self.faktory = _listening("faktory.listen", config.faktory, lambda address: FaktoryFront(
-                address, settings.classes, self.core, workers, Claims(self.store), buffers, shares.faktory,
-                self.counters, config.proxied.of("faktory"),
-                self.keeper.earlier if self.keeper else lambda jid: ""))
+            self.faktory = _listening(
+                "faktory.listen",
+                config.faktory,
+                lambda address: FaktoryFront(
+                    address,
+                    settings.classes,
+                    self.core,
+                    workers,
+                    Claims(self.store),
+                    buffers,
+                    shares.faktory,
+                    self.counters,
+                    config.proxied.of("faktory"),
+                    self.keeper.earlier if self.keeper else lambda jid: "",
+                ),
+            )
             self.say("faktory", self.faktory.address)
         if self.policy is not None:
             self.policy.began.append(self.serve_classes)
@@ -166,8 +199,13 @@
             from spanwing.fronts.management import ManagementFront
 
             front = ManagementFront(self.taking, lambda: figures(self.core) if self.started.is_set() else {})
-            server = _listening("management", address, lambda address: HttpServer(
-                address, front, None, self.buffers, MANAGEMENT_CALLS, once=True, half_s=0.0))
+            server = _listening(
+                "management",
+                address,
+                lambda address: HttpServer(
+                    address, front, None, self.buffers, MANAGEMENT_CALLS, once=True, half_s=0.0
+                ),
+            )
             self.say("management", server.address)
 
     def taking(self) -> bool:
@@ -184,32 +222,68 @@
         from spanwing.journal.log import Bounds, Log
 
         loop = IOLoop.current()
-        bounds = Bounds(int(table.segment_mb * 1e6), table.segment_hours * HOUR_MS, table.keep_days * DAY_MS,
-                        int(table.keep_gb * 1e9),
-                        {cls: days * DAY_MS for cls, days in table.keep_days_of.items()})
+        bounds = Bounds(
+            int(table.segment_mb * 1e6),
+            table.segment_hours * HOUR_MS,
+            table.keep_days * DAY_MS,
+            int(table.keep_gb * 1e9),
+            {cls: days * DAY_MS for cls, days in table.keep_days_of.items()},
+        )
         try:
             begun = Log(Folder(table.directory), bounds)
-            self.keeper = Keeper(begun, table.when_failing, self.config.name, loop.add_callback,
-                                 table.wait_ms / 1000.0, loop.call_later, loop.remove_timeout)
+            self.keeper = Keeper(
+                begun,
+                table.when_failing,
+                self.config.name,
+                loop.add_callback,
+                table.wait_ms / 1000.0,
+                loop.call_later,
+                loop.remove_timeout,
+            )
         except (OSError, ValueError) as error:
             fault = getattr(error, "strerror", None) or str(error)
             raise ConfigError(f"journal.directory: {table.directory}: {fault}") from None
         self.core.recorder = self.keeper
         for file, skipped in begun.skipped[:MOST_TOLD]:
-            tell("journal_skipped", level="warning", bounded=False, file=file, at=skipped.at,
-                 bytes=skipped.size, reason=skipped.reason)
+            tell(
+                "journal_skipped",
+                level="warning",
+                bounded=False,
+                file=file,
+                at=skipped.at,
+                bytes=skipped.size,
+                reason=skipped.reason,
+            )
         left = self.keeper.left_open
-        tell("journal", level="warning" if left else "info", directory=table.directory,
-             possibly_sent=len({request.id for request, _ in left}))
+        tell(
+            "journal",
+            level="warning" if left else "info",
+            directory=table.directory,
+            possibly_sent=len({request.id for request, _ in left}),
+        )
         for request, attempt in left[:MOST_TOLD]:
             taken = request.taken
-            tell("possibly_sent", level="warning", bounded=False, request=request.id, finding=attempt.finding,
-                 attempt=attempt.number, worker=attempt.worker, address=attempt.address,
-                 intent=as_time(attempt.intent_ms), last_byte=as_time(attempt.last_byte_ms),
-                 cls=taken.cls if taken else "", tenant=taken.tenant if taken else "")
+            tell(
+                "possibly_sent",
+                level="warning",
+                bounded=False,
+                request=request.id,
+                finding=attempt.finding,
+                attempt=attempt.number,
+                worker=attempt.worker,
+                address=attempt.address,
+                intent=as_time(attempt.intent_ms),
+                last_byte=as_time(attempt.last_byte_ms),
+                cls=taken.cls if taken else "",
+                tenant=taken.tenant if taken else "",
+            )
         if len(left) > MOST_TOLD:
-            tell("possibly_sent_more", level="warning", left_out=len(left) - MOST_TOLD,
-                 hint="spanwing journal list")
+            tell(
+                "possibly_sent_more",
+                level="warning",
+                left_out=len(left) - MOST_TOLD,
+                hint="spanwing journal list",
+            )
 
     async def learn_policy(self) -> str:
         """The policy in force in the fleet, once we may take jobs under it. Raises ConfigError."""
@@ -236,8 +310,14 @@
             return
         from spanwing.zones.side import ZoneSide
 
-        self.zones = ZoneSide(config.name or config.store.member, config.zones, self.core, self.buffers,
-                              config.seed, self.policy)
+        self.zones = ZoneSide(
+            config.name or config.store.member,
+            config.zones,
+            self.core,
+            self.buffers,
+            config.seed,
+            self.policy,
+        )
         if self.listener is not None and config.store.member in config.zones.members:
             self.zones.serve(self.store, self.listener)
         self.zones.start()
@@ -248,10 +328,20 @@
         if self.balancers is None and wanted.listeners():
             from spanwing.fronts.balancers.side import BalancerSide, Bounds, Parts
 
-            parts = Parts(config.name or config.store.member, self.core, self.server, self.faktory,
-                          self.store, self.descriptors, self.buffers, self.counters,
-                          config.proxied.of("health"), config.journal.directory if config.journal else "",
-                          self.zones, self.policy)
+            parts = Parts(
+                config.name or config.store.member,
+                self.core,
+                self.server,
+                self.faktory,
+                self.store,
+                self.descriptors,
+                self.buffers,
+                self.counters,
+                config.proxied.of("health"),
+                config.journal.directory if config.journal else "",
+                self.zones,
+                self.policy,
+            )
 
             def bounds() -> Bounds:
                 limits = self.config.limits
@@ -307,8 +397,11 @@
     def counters(self) -> dict[str, int]:
         if not self.started.is_set():
             return {}
-        kept = {} if self.keeper is None else {f"journal.{name}": value
-                                               for name, value in self.keeper.figures().items()}
+        kept = (
+            {}
+            if self.keeper is None
+            else {f"journal.{name}": value for name, value in self.keeper.figures().items()}
+        )
         told = {name: value for name, value in figures(self.core).items() if value}
         return dict(sorted({**self.core.counters, **kept, **told}.items()))
 
--- a/spanwing/everyfault.py
+++ b/spanwing/everyfault.py
@@ -67,7 +67,7 @@
             elif name not in value and each.required:
                 found = True
                 yield where, "is missing"
-        for name in (set(value) - set(fields) if form.forbid_unknown_fields else ()):
+        for name in set(value) - set(fields) if form.forbid_unknown_fields else ():
             found = True
             yield f"{place}.{name}" if place else name, f"unknown; known are {', '.join(sorted(fields))}"
     if not found and form != msgspec.inspect.AnyType():
@@ -76,8 +76,11 @@
         except ValueError as error:
             # A struct names the field that it turns down itself.
             name, colon, fault = str(error).partition(": ")
-            if colon and isinstance(form, msgspec.inspect.StructType) and name in {
-                    each.encode_name for each in form.fields}:
+            if (
+                colon
+                and isinstance(form, msgspec.inspect.StructType)
+                and name in {each.encode_name for each in form.fields}
+            ):
                 yield f"{place}.{name}" if place else name, fault.partition(" - at `")[0]
             else:
                 yield place, str(error).partition(" - at `")[0]
--- a/spanwing/experiment/cell.py
+++ b/spanwing/experiment/cell.py
@@ -70,9 +70,15 @@
     for second in range(seconds):
         fleet.agenda.at(second * 1000.0 + 999.0, tally.look, fleet)
     fleet.run(scenario.day_ms)
-    return {"row": tally.row(fleet), "series": tally.series(seconds), "digest": fleet.digest.hexdigest(),
-            "troubles": [[each.what, each.at, each.at + each.lasts if each.lasts else scenario.seconds]
-                         for each in scenario.troubles]}
+    return {
+        "row": tally.row(fleet),
+        "series": tally.series(seconds),
+        "digest": fleet.digest.hexdigest(),
+        "troubles": [
+            [each.what, each.at, each.at + each.lasts if each.lasts else scenario.seconds]
+            for each in scenario.troubles
+        ],
+    }
 
 
 def _fleet(scenario: Scenario, plan: Plan, seed: int, tally: Tally) -> Fleet:
