--- a/spanwing/experiment/compare.py
+++ b/spanwing/experiment/compare.py
@@ -34,14 +34,27 @@
         return "higher" if self.mean > 0 else "lower"
 
 
-def differences(rows: list[dict[str, Any]], a: dict[str, str], b: dict[str, str],
-                figures: list[str]) -> list[Difference]:
+def differences(
+    rows: list[dict[str, Any]], a: dict[str, str], b: dict[str, str], figures: list[str]
+) -> list[Difference]:
     """a and b: what the rows of each side have in common, as {"variant": "at once"}."""
-    sides = [{(row["scenario"], row["seed"]): row["row"] for row in rows
-              if all(row[name] == value for name, value in side.items())} for side in (a, b)]
+    sides = [
+        {
+            (row["scenario"], row["seed"]): row["row"]
+            for row in rows
+            if all(row[name] == value for name, value in side.items())
+        }
+        for side in (a, b)
+    ]
     pairs = sorted(sides[0].keys() & sides[1].keys())
-    return [difference(figure, np.array([sides[0][each][figure] for each in pairs], float),
-                       np.array([sides[1][each][figure] for each in pairs], float)) for figure in figures]
+    return [
+        difference(
+            figure,
+            np.array([sides[0][each][figure] for each in pairs], float),
+            np.array([sides[1][each][figure] for each in pairs], float),
+        )
+        for figure in figures
+    ]
 
 
 def difference(figure: str, a: np.ndarray, b: np.ndarray) -> Difference:
@@ -52,5 +65,6 @@
     source = np.random.Generator(np.random.PCG64(1))
     means = gaps[source.integers(len(gaps), size=(RESAMPLED, len(gaps)))].mean(axis=1)
     low, high = np.percentile(means, [50 * (1 - LEVEL), 100 - 50 * (1 - LEVEL)])
-    return Difference(figure, float(a.mean()), float(b.mean()), float(gaps.mean()), float(low), float(high),
-                      len(gaps))
+    return Difference(
+        figure, float(a.mean()), float(b.mean()), float(gaps.mean()), float(low), float(high), len(gaps)
+    )
--- a/spanwing/experiment/matrix.py
+++ b/spanwing/experiment/matrix.py
@@ -120,17 +120,23 @@
                 raise ConfigError(f"variants.{variant}: {name}: {error}") from None
             for each in builds:
                 for seed in range(plan.first_seed, plan.first_seed + plan.seeds):
-                    order = msgspec.json.encode({"scenario": text, "changes": changes, "seed": seed},
-                                                order="sorted")
+                    order = msgspec.json.encode(
+                        {"scenario": text, "changes": changes, "seed": seed}, order="sorted"
+                    )
                     digest = hashlib.blake2b(order + each.digest.encode(), digest_size=12).hexdigest()
                     yield Cell(scenario.name, variant, each.name, seed, digest, order, each.folder)
 
 
 def play(cell: Cell) -> dict[str, Any]:
     """In a process of the cell's build. Raises RuntimeError with its last line."""
-    done = subprocess.run([sys.executable, "-m", "spanwing.experiment.cell"], cwd=cell.folder,
-                          input=cell.order, capture_output=True, timeout=CELL_S,
-                          env={**os.environ, "PYTHONPATH": str(cell.folder), "OMP_NUM_THREADS": "1"})
+    done = subprocess.run(
+        [sys.executable, "-m", "spanwing.experiment.cell"],
+        cwd=cell.folder,
+        input=cell.order,
+        capture_output=True,
+        timeout=CELL_S,
+        env={**os.environ, "PYTHONPATH": str(cell.folder), "OMP_NUM_THREADS": "1"},
+    )
     if done.returncode:
         said = done.stderr.decode(errors="replace").strip().splitlines()
         raise RuntimeError(f"{cell.scenario}, {cell.variant}, {cell.build}, seed {cell.seed}: {said[-1:]}")
@@ -161,8 +167,13 @@
 
 
 def _keep(folder: Path, cell: Cell, found: dict[str, Any]) -> None:
-    row = {"scenario": cell.scenario, "variant": cell.variant, "build": cell.build, "seed": cell.seed,
-           **found}
+    row = {
+        "scenario": cell.scenario,
+        "variant": cell.variant,
+        "build": cell.build,
+        "seed": cell.seed,
+        **found,
+    }
     part = folder / f"{cell.digest}.part"
     part.write_text(json.dumps(row))
     part.replace(folder / f"{cell.digest}.json")
--- a/spanwing/experiment/report.py
+++ b/spanwing/experiment/report.py
@@ -44,20 +44,29 @@
     import pyarrow as pa
     import pyarrow.parquet as pq
 
-    flat = [{name: row[name] for name in ("scenario", "variant", "build", "seed")} | row["row"]
-            for row in rows]
+    flat = [
+        {name: row[name] for name in ("scenario", "variant", "build", "seed")} | row["row"] for row in rows
+    ]
     names = list(dict.fromkeys(name for each in flat for name in each))
     pq.write_table(pa.table({name: [each.get(name) for each in flat] for name in names}), out)
 
 
 def page(name: str, rows: Rows) -> str:
     """The whole page."""
-    parts = [f"<!doctype html><meta charset=utf-8><title>{html.escape(name)}</title><style>{STYLE}</style>",
-             f"<h1>{html.escape(name)}</h1>"]
+    parts = [
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(name)}</title><style>{STYLE}</style>",
+        f"<h1>{html.escape(name)}</h1>",
+    ]
     for scenario, columns in groups(rows).items():
         seeds = max(len(each) for each in columns.values())
-        parts += [f"<h2>{html.escape(scenario)}</h2>", f"<p>{seeds} seeds; means with 95% intervals.</p>",
-                  table(columns), fates(columns), latencies(columns), over_time(columns)]
+        parts += [
+            f"<h2>{html.escape(scenario)}</h2>",
+            f"<p>{seeds} seeds; means with 95% intervals.</p>",
+            table(columns),
+            fates(columns),
+            latencies(columns),
+            over_time(columns),
+        ]
     return "\n".join(parts)
 
 
@@ -113,6 +122,7 @@
         right.set_yticks(np.arange(len(keys)) + 0.4 - high / 2, labels)
         right.set(title="goodput by class and brand", xlim=(0, 1))
         right.legend(fontsize=8)
+
     return _figure(11, 2.5 + 0.4 * len(names), draw)
 
 
@@ -130,11 +140,13 @@
             axis.set(title=cls, yscale="log", xlabel="percentile")
         axes[0].set_ylabel("ms until the answer")
         axes[0].legend(fontsize=8)
+
     return _figure(11, 3, draw)
 
 
 def over_time(columns: dict[str, Rows]) -> str:
     """Shares of late and refused by the second of arrival, and the work at workers; troubles are shaded."""
+
     def draw(figure) -> None:
         axes = figure.subplots(3, 1, sharex=True)
         for name, rows in columns.items():
@@ -153,4 +165,5 @@
             axis.set_ylabel(title, fontsize=8)
         axes[0].legend(fontsize=8)
         axes[2].set_xlabel("seconds")
+
     return _figure(11, 5.5, draw)
--- a/spanwing/experiment/score.py
+++ b/spanwing/experiment/score.py
@@ -17,8 +17,17 @@
 
 PERCENTILES = (50.0, 95.0, 99.0)
 #: Figures of a row that a comparison may be about, and whether more is better.
-COMPARED = {"goodput": True, "in_time": True, "refused": False, "late": False, "failed": False,
-            "attempts": False, "wasted": False, "p50": False, "p99": False}
+COMPARED = {
+    "goodput": True,
+    "in_time": True,
+    "refused": False,
+    "late": False,
+    "failed": False,
+    "attempts": False,
+    "wasted": False,
+    "p50": False,
+    "p99": False,
+}
 
 
 class Tally:
@@ -31,7 +40,8 @@
         self.got: Counter[tuple[str, str]] = Counter()
         self.took: dict[str, list[float]] = {each.name: [] for each in classes}
         self.seconds: dict[str, Counter[int]] = {
-            name: Counter() for name in ("offered", "in_time", "late", "refused", "other")}
+            name: Counter() for name in ("offered", "in_time", "late", "refused", "other")
+        }
         self.attempts = self.tries = 0
         self.flight: list[tuple[int, int]] = []  # each second: jobs at workers, and at the fullest one
 
@@ -68,14 +78,19 @@
         workers = [place.worker.worked for place in fleet.places.values()]
         done, wasted = sum(each.done for each in workers), sum(each.wasted for each in workers)
         row: dict[str, Any] = {
-            "offered": offered, "goodput": got / asked if asked else 1.0,
-            **{name: self.count[name] / whole
-               for name in ("in_time", "late", "refused", "failed", "left", "lost")},
+            "offered": offered,
+            "goodput": got / asked if asked else 1.0,
+            **{
+                name: self.count[name] / whole
+                for name in ("in_time", "late", "refused", "failed", "left", "lost")
+            },
             "probes": sum(each.probed for each in fleet.nodes) / whole,
-            "attempts": self.attempts / whole, "tries": self.tries / whole,
+            "attempts": self.attempts / whole,
+            "tries": self.tries / whole,
             "wasted": wasted / (done + wasted) if done + wasted else 0.0,
-            "decision_us": 1e6 * sum(each.spent_s for each in fleet.nodes) / max(
-                1, sum(each.decided for each in fleet.nodes)),
+            "decision_us": 1e6
+            * sum(each.spent_s for each in fleet.nodes)
+            / max(1, sum(each.decided for each in fleet.nodes)),
         }
         row |= _percentiles("p", took)
         for name, values in self.took.items():
@@ -95,5 +110,10 @@
 def _percentiles(name: str, values: list[float]) -> dict[str, float]:
     if not values:
         return {f"{name}{each:g}": 0.0 for each in PERCENTILES}
-    return dict(zip((f"{name}{each:g}" for each in PERCENTILES),
-                    (float(each) for each in np.percentile(values, PERCENTILES)), strict=True))
+    return dict(
+        zip(
+            (f"{name}{each:g}" for each in PERCENTILES),
+            (float(each) for each in np.percentile(values, PERCENTILES)),
+            strict=True,
+        )
+    )
--- a/spanwing/fronts/admin.py
+++ b/spanwing/fronts/admin.py
@@ -55,8 +55,9 @@
 class PolicyOrders(Protocol):
     """The fleet's policy, as this daemon follows it."""
 
-    async def order(self, do: str, by: str, text: str, base: int, reason: str, wait_s: float,
-                    gone: list[str]) -> str:
+    async def order(
+        self, do: str, by: str, text: str, base: int, reason: str, wait_s: float, gone: list[str]
+    ) -> str:
         """Raises ValueError with what is wrong."""
 
     def status(self) -> dict[str, Any]: ...
@@ -124,8 +125,9 @@
 
     async def _say(self, reply: dict[str, Any]) -> None:
         wait = timedelta(seconds=WRITE_S)
-        await with_timeout(wait, self.lines.write(msgspec.json.encode(reply) + b"\n"),
-                           quiet_exceptions=StreamClosedError)
+        await with_timeout(
+            wait, self.lines.write(msgspec.json.encode(reply) + b"\n"), quiet_exceptions=StreamClosedError
+        )
 
     def rank(self, waited_s: float) -> int | None:
         if self.over:
@@ -142,10 +144,18 @@
 class AdminFront:
     """Listens on the socket's path."""
 
-    def __init__(self, path: str, name: str, reporter: Reporter, counters: Callable[[], dict[str, int]],
-                 order: Callable[[str, bool, float | None], Awaitable[None]], buffers: BufferPool,
-                 journal: str = "", zones: ZoneOrders | None = None,
-                 policy: PolicyOrders | None = None) -> None:
+    def __init__(
+        self,
+        path: str,
+        name: str,
+        reporter: Reporter,
+        counters: Callable[[], dict[str, int]],
+        order: Callable[[str, bool, float | None], Awaitable[None]],
+        buffers: BufferPool,
+        journal: str = "",
+        zones: ZoneOrders | None = None,
+        policy: PolicyOrders | None = None,
+    ) -> None:
         self.name, self.reporter, self.counters, self.order = name, reporter, counters, order
         self.buffers, self.journal, self.zones, self.policy = buffers, JournalPage(journal), zones, policy
         self.table: Table[AdminConnection] = Table(MOST)
@@ -164,8 +174,14 @@
     def status(self) -> dict[str, Any]:
         drains = self.reporter.health.drains
         version = {} if self.policy is None else {"policy": self.policy.status()}
-        return {"name": self.name, **detail(self.reporter), **version, "drained_by": sorted(drains.orders),
-                "owed": self.reporter.owed(), "counters": self.counters()}
+        return {
+            "name": self.name,
+            **detail(self.reporter),
+            **version,
+            "drained_by": sorted(drains.orders),
+            "owed": self.reporter.owed(),
+            "counters": self.counters(),
+        }
 
     async def do(self, ask: Ask) -> dict[str, Any]:
         """Carry out a command; raises Fault or ValueError with what is wrong with it."""
@@ -204,7 +220,8 @@
                 tell("order", do=f"zones {ask.order}", zone=ask.zone)
                 return {"text": await self.zones.order(ask.order, ask.zone, ask.within_s or 0.0)}
             case "policy" | "policy_history" | "policy_text" | "policy_check" | "policy_order" if (
-                    self.policy is None):
+                self.policy is None
+            ):
                 raise Fault("the fleet's policy is not switched on here: there is no [policy] table")
             case "policy":
                 return {"name": self.name, **self.policy.status()}
@@ -216,8 +233,11 @@
                 return {"no": self.policy.check(ask.text)}
             case "policy_order":
                 tell("order", do=f"policy {ask.order}", by=ask.by)
-                return {"text": await self.policy.order(ask.order, ask.by, ask.text, ask.base, ask.reason,
-                                                        ask.within_s or 60.0, ask.gone)}
+                return {
+                    "text": await self.policy.order(
+                        ask.order, ask.by, ask.text, ask.base, ask.reason, ask.within_s or 60.0, ask.gone
+                    )
+                }
         raise Fault(f"unknown command {ask.do[:20]!r}")
 
     def close(self) -> None:
--- a/spanwing/fronts/balancers/checks.py
+++ b/spanwing/fronts/balancers/checks.py
@@ -55,17 +55,27 @@
         checks["store:majority"] = [{"status": "pass" if signals.majority else "fail"}]
     for load in signals.classes:
         lost = dict(verdict.classes).get(load.name, "")
-        checks[f"class:{load.name}"] = [{
-            "status": "fail" if lost else "pass", "output": lost, "held": load.held,
-            "oldest_ms": round(load.oldest_ms), "aim_ms": load.aim_ms,
-        }]
+        checks[f"class:{load.name}"] = [
+            {
+                "status": "fail" if lost else "pass",
+                "output": lost,
+                "held": load.held,
+                "oldest_ms": round(load.oldest_ms),
+                "aim_ms": load.aim_ms,
+            }
+        ]
     for each in signals.workers:
         checks[f"workers:{each.zone or '-'}/{each.kind or '-'}"] = [
-            {"observedValue": each.taking, "observedUnit": "job workers", "listed": each.listed}]
+            {"observedValue": each.taking, "observedUnit": "job workers", "listed": each.listed}
+        ]
     return {
-        "status": told_status(verdict), "state": verdict.state, "weight": verdict.weight,
-        "notes": list(verdict.reasons), "output": verdict.reason,
-        "since_s": round(now - verdict.changed_s, 3), "checks": checks,
+        "status": told_status(verdict),
+        "state": verdict.state,
+        "weight": verdict.weight,
+        "notes": list(verdict.reasons),
+        "output": verdict.reason,
+        "since_s": round(now - verdict.changed_s, 3),
+        "checks": checks,
     }
 
 
@@ -78,8 +88,11 @@
     def read(self, message: Message) -> Envelope | Reply:
         path, _, query = message.target.partition("?")
         cls = path.removeprefix("/health/") if path.startswith("/health/") else ""
-        known = path in READY | LIVE or path == "/counters" or any(
-            cls == name for name, _ in self.reporter.verdict.classes)
+        known = (
+            path in READY | LIVE
+            or path == "/counters"
+            or any(cls == name for name, _ in self.reporter.verdict.classes)
+        )
         if not known:
             return 404, b"/health, /health/CLASS, /live, /counters"
         if message.method not in METHODS:
--- a/spanwing/fronts/balancers/grpc.py
+++ b/spanwing/fronts/balancers/grpc.py
@@ -123,9 +123,12 @@
     def __init__(self, verdict: Callable[[], Verdict]) -> None:
         self.verdict = verdict
         self.h2 = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
-        self.h2.local_settings.update({
-            SettingCodes.MAX_CONCURRENT_STREAMS: STREAMS, SettingCodes.MAX_HEADER_LIST_SIZE: HEAD,
-        })
+        self.h2.local_settings.update(
+            {
+                SettingCodes.MAX_CONCURRENT_STREAMS: STREAMS,
+                SettingCodes.MAX_HEADER_LIST_SIZE: HEAD,
+            }
+        )
         self.h2.initiate_connection()
         # Our settings bind the peer only once it has heard of them; these hold from its first frame.
         self.h2.decoder.max_header_list_size = HEAD
@@ -264,9 +267,16 @@
 
     def _end(self, stream: int, status: int, text: str) -> None:
         """An answer of trailers only; percent signs and line ends are not in our texts."""
-        self.h2.send_headers(stream, [
-            (":status", "200"), ("content-type", "application/grpc"), ("grpc-status", str(status)),
-            ("grpc-message", text.replace("%", ""))], end_stream=True)
+        self.h2.send_headers(
+            stream,
+            [
+                (":status", "200"),
+                ("content-type", "application/grpc"),
+                ("grpc-status", str(status)),
+                ("grpc-message", text.replace("%", "")),
+            ],
+            end_stream=True,
+        )
         self._forget(stream)
 
     def _trailers(self, stream: int, status: int) -> None:
@@ -348,9 +358,13 @@
 class GrpcFront:
     """Listens for gRPC health."""
 
-    def __init__(self, address: Address, verdict: Callable[[], Verdict],
-                 subscribe: Callable[[Callable[[Verdict], None]], Callable[[], None]],
-                 buffers: BufferPool) -> None:
+    def __init__(
+        self,
+        address: Address,
+        verdict: Callable[[], Verdict],
+        subscribe: Callable[[Callable[[Verdict], None]], Callable[[], None]],
+        buffers: BufferPool,
+    ) -> None:
         self.verdict, self.subscribe, self.buffers = verdict, subscribe, buffers
         self.table: Table[GrpcConnection] = Table(MOST)
         self.listening = listen(address, self._accept)
--- a/spanwing/fronts/balancers/lines.py
+++ b/spanwing/fronts/balancers/lines.py
@@ -118,8 +118,12 @@
     """Listens for one of the two. No coroutine, Future or stream is made for a check: they would cost several
     times what the check itself does."""
 
-    def __init__(self, address: Address, verdict: Callable[[], Verdict],
-                 line: Callable[[Verdict, str, int | None], bytes]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        verdict: Callable[[], Verdict],
+        line: Callable[[Verdict, str, int | None], bytes],
+    ) -> None:
         self.verdict, self.line = verdict, line
         self.maxconn: Callable[[], int] | None = None  # what is told as `maxconn:`
         self.asks = False  # whether a line is waited for that names a class
--- a/spanwing/fronts/balancers/opened.py
+++ b/spanwing/fronts/balancers/opened.py
@@ -26,11 +26,20 @@
 class Listeners:
     """Owns what is open."""
 
-    def __init__(self, name: str, reporter: Reporter, core: Exchange, buffers: BufferPool,
-                 counters: Callable[[], dict[str, int]], maxconn: Callable[[], int],
-                 order: Callable[[str, bool, float | None], Awaitable[None]],
-                 proxied: tuple[Network, ...], journal: str = "", zones: ZoneOrders | None = None,
-                 policy: PolicyOrders | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        reporter: Reporter,
+        core: Exchange,
+        buffers: BufferPool,
+        counters: Callable[[], dict[str, int]],
+        maxconn: Callable[[], int],
+        order: Callable[[str, bool, float | None], Awaitable[None]],
+        proxied: tuple[Network, ...],
+        journal: str = "",
+        zones: ZoneOrders | None = None,
+        policy: PolicyOrders | None = None,
+    ) -> None:
         self.name, self.reporter, self.core, self.buffers = name, reporter, core, buffers
         self.counters, self.maxconn, self.order, self.proxied = counters, maxconn, order, proxied
         self.policy = policy
@@ -39,8 +48,13 @@
 
     def move(self, wanted: Balancers) -> list[tuple[str, str]]:
         """Open and close until all is as wanted; returns the new ones, and where. Raises ConfigError."""
-        asked = {"health": wanted.health, "agent_check": wanted.agent, "feedback": wanted.feedback,
-                 "grpc": wanted.grpc, "admin": wanted.admin or None}
+        asked = {
+            "health": wanted.health,
+            "agent_check": wanted.agent,
+            "feedback": wanted.feedback,
+            "grpc": wanted.grpc,
+            "admin": wanted.admin or None,
+        }
         fresh: dict[str, tuple[Any, Any]] = {}
         try:
             for name, what in asked.items():
@@ -98,8 +112,17 @@
         return GrpcFront(address, lambda: self.reporter.verdict, self.reporter.subscribe, self.buffers)
 
     def _admin(self, path):
-        return AdminFront(path, self.name, self.reporter, self.counters, self.order, self.buffers,
-                          self.journal, self.zones, self.policy)
+        return AdminFront(
+            path,
+            self.name,
+            self.reporter,
+            self.counters,
+            self.order,
+            self.buffers,
+            self.journal,
+            self.zones,
+            self.policy,
+        )
 
     def close(self) -> None:
         for _, front in self.open.values():
--- a/spanwing/fronts/balancers/reporter.py
+++ b/spanwing/fronts/balancers/reporter.py
@@ -68,8 +68,9 @@
 class Reporter:
     """Owns the health machine of this daemon."""
 
-    def __init__(self, core: Exchange, policy: Policy, gauges: Gauges,
-                 meter: MeteredSelector | None = None) -> None:
+    def __init__(
+        self, core: Exchange, policy: Policy, gauges: Gauges, meter: MeteredSelector | None = None
+    ) -> None:
         self.core, self.gauges, self.loop_meter = core, gauges, meter
         self.loop = IOLoop.current()
         self.health = Health(policy, self.loop.time())
@@ -119,8 +120,12 @@
         finally:  # a fault in one sample must not end them all: what is told would stay as it was for good
             now = self.loop.time()
             wait = TICK_S
-            if self.loop_meter and now > self.alert_until and self.cpu.demand <= CALM and (
-                    self.told.state in ("ready", "absent")):
+            if (
+                self.loop_meter
+                and now > self.alert_until
+                and self.cpu.demand <= CALM
+                and (self.told.state in ("ready", "absent"))
+            ):
                 wait = CALM_S
                 self.loop_meter.watch(ALARM_S, self._alarm)
             self.due = max(self.due + wait, now + wait / 5)
@@ -150,8 +155,9 @@
             self.full_at = now
             self._publish(self.health.observe(now, self.signals()))
         else:
-            self._publish(self.health.observe(now, self.health.signals._replace(
-                cpu=self.cpu, owed=self.owed())))
+            self._publish(
+                self.health.observe(now, self.health.signals._replace(cpu=self.cpu, owed=self.owed()))
+            )
 
     def owed(self) -> int:
         return len(self.core.calls) + len(self.core.out)
@@ -163,18 +169,28 @@
         counters = core.counters
         return Signals(
             cpu=self.cpu,
-            classes=tuple(ClassLoad(each.name, each.aim, each.kind, *held.get(each.name, (0, 0.0)),
-                                    each.name in needing, turned.get(each.name, ""))
-                          for each in core.settings.classes),
+            classes=tuple(
+                ClassLoad(
+                    each.name,
+                    each.aim,
+                    each.kind,
+                    *held.get(each.name, (0, 0.0)),
+                    each.name in needing,
+                    turned.get(each.name, ""),
+                )
+                for each in core.settings.classes
+            ),
             workers=tuple(Workers(zone, kind, *counts) for (zone, kind), counts in core.fleet().items()),
             zone=core.settings.zone,
             answered=counters["answered"],
             refused=sum(counters[f"answered.refused.{each.name}"] for each in core.settings.classes),
-            table=self.gauges.table(), descriptors=self.gauges.descriptors(),
+            table=self.gauges.table(),
+            descriptors=self.gauges.descriptors(),
             memory_mb=Use(resident_mb(self.statm), self.gauges.memory_mb()),
             majority=self.gauges.majority(),
             discovery_age_s=core.discovery_age() if core.settings.subscribe else None,
-            heard=core.heard, owed=self.owed(),
+            heard=core.heard,
+            owed=self.owed(),
         )
 
     def _publish(self, verdict: Verdict) -> None:
@@ -183,11 +199,19 @@
         if verdict.told == before.told:
             return
         if verdict.state != before.state:
-            tell("health", state=verdict.state, was=before.state, weight=verdict.weight,
-                 reason=verdict.reason or "enough of everything")
+            tell(
+                "health",
+                state=verdict.state,
+                was=before.state,
+                weight=verdict.weight,
+                reason=verdict.reason or "enough of everything",
+            )
         elif verdict.classes != before.classes:
-            tell("classes", unserved=[name for name, reason in verdict.classes if reason],
-                 reason=next((reason for _, reason in verdict.classes if reason), "all served again"))
+            tell(
+                "classes",
+                unserved=[name for name, reason in verdict.classes if reason],
+                reason=next((reason for _, reason in verdict.classes if reason), "all served again"),
+            )
         for listener in list(self.listeners):
             listener(verdict)
 
--- a/spanwing/fronts/balancers/side.py
+++ b/spanwing/fronts/balancers/side.py
@@ -55,15 +55,26 @@
 class BalancerSide:
     """Owns the reporter, the listeners and the watch on the store."""
 
-    def __init__(self, parts: Parts, bounds: Callable[[], Bounds], wanted: Balancers,
-                 meter: MeteredSelector | None) -> None:
+    def __init__(
+        self, parts: Parts, bounds: Callable[[], Bounds], wanted: Balancers, meter: MeteredSelector | None
+    ) -> None:
         self.parts, self.bounds = parts, bounds
         core = parts.core
         self.reporter = Reporter(core, wanted.policy, self, meter)
         self.reporter.gates = [parts.server, *([parts.faktory] if parts.faktory else [])]
-        self.listeners = Listeners(parts.name, self.reporter, core, parts.buffers, parts.counters,
-                                   lambda: parts.server.table.most * 2 // 3, self.order, parts.proxied,
-                                   parts.journal, parts.zones, parts.policy)
+        self.listeners = Listeners(
+            parts.name,
+            self.reporter,
+            core,
+            parts.buffers,
+            parts.counters,
+            lambda: parts.server.table.most * 2 // 3,
+            self.order,
+            parts.proxied,
+            parts.journal,
+            parts.zones,
+            parts.policy,
+        )
         self.watch = StoreWatch(parts.store, self.reporter) if parts.store.peers else None
         if self.watch is not None:
             spawn(self.watch.run())
@@ -85,8 +96,11 @@
         return Use(len(table.seats), table.most)
 
     def descriptors(self) -> Use:
-        fronts = [self.parts.server, *([self.parts.faktory] if self.parts.faktory else []),
-                  *self.listeners.fronts()]
+        fronts = [
+            self.parts.server,
+            *([self.parts.faktory] if self.parts.faktory else []),
+            *self.listeners.fronts(),
+        ]
         held = sum(len(each.table.seats) + 1 for each in fronts) + self.parts.hops.held
         bounds = self.bounds()
         return Use(held + bounds.own_sockets, bounds.sockets)
--- a/spanwing/fronts/faktory.py
+++ b/spanwing/fronts/faktory.py
@@ -124,10 +124,19 @@
 class FaktoryFront:
     """The listener; it knows the classes, the states of recent jobs and its connections."""
 
-    def __init__(self, address: Address, classes: tuple[api.ServiceClass, ...], core: Listener,
-                 workers: FaktoryWorkers, claims: Claims, buffers: BufferPool, most: int,
-                 counters: Callable[[], dict[str, int]], proxied: tuple[Network, ...] = (),
-                 earlier: Callable[[str], str] = lambda jid: "") -> None:
+    def __init__(
+        self,
+        address: Address,
+        classes: tuple[api.ServiceClass, ...],
+        core: Listener,
+        workers: FaktoryWorkers,
+        claims: Claims,
+        buffers: BufferPool,
+        most: int,
+        counters: Callable[[], dict[str, int]],
+        proxied: tuple[Network, ...] = (),
+        earlier: Callable[[str], str] = lambda jid: "",
+    ) -> None:
         self.proxied = proxied
         self.earlier = earlier  # what the journal knows of a jid that a crash left open
         self.classes = {each.name: each for each in classes}
@@ -145,8 +154,9 @@
             sock.close()
             return
         peer = peer_of(sock)
-        connection = FaktoryConnection(self, IOStream(sock, max_buffer_size=LONGEST_LINE + READ_AHEAD), peer,
-                                       listed(peer, self.proxied))
+        connection = FaktoryConnection(
+            self, IOStream(sock, max_buffer_size=LONGEST_LINE + READ_AHEAD), peer, listed(peer, self.proxied)
+        )
         self.table.seats.add(connection)
         spawn(connection.serve())
 
@@ -187,18 +197,29 @@
         if custom.slots < 1 or custom.memory < 0 or not 0 <= budget:
             raise Refusal("custom: slots, memory or budget_ms out of range")
         return Envelope(
-            id=job.jid, cls=cls.name, budget=min(budget, LONGEST_MS), tenant=custom.tenant,
-            slots=custom.slots, memory=custom.memory, hint=custom.hint, route_key=custom.route_key,
-            repeat=custom.again, target=f"/{cls.name}", body=body, effect_key=custom.effect_key,
-            media=JOB_MEDIA, front="faktory",
+            id=job.jid,
+            cls=cls.name,
+            budget=min(budget, LONGEST_MS),
+            tenant=custom.tenant,
+            slots=custom.slots,
+            memory=custom.memory,
+            hint=custom.hint,
+            route_key=custom.route_key,
+            repeat=custom.again,
+            target=f"/{cls.name}",
+            body=body,
+            effect_key=custom.effect_key,
+            media=JOB_MEDIA,
+            front="faktory",
         )
 
 
 class Pushed:
     """The sender side of one job: keeps its state, settles its claim, passes its one answer on."""
 
-    def __init__(self, front: FaktoryFront, claim: Claim | None,
-                 passed: Callable[[Answer], None] | None) -> None:
+    def __init__(
+        self, front: FaktoryFront, claim: Claim | None, passed: Callable[[Answer], None] | None
+    ) -> None:
         self.front, self.claim, self.passed = front, claim, passed
 
     def answer(self, envelope: Envelope, answer: Answer) -> None:
@@ -428,10 +449,14 @@
         return simple('{"state":"quiet"}') if self.front.draining else OK
 
     async def _info(self, _: bytes) -> bytes:
-        return bulk(msgspec.json.encode({
-            "server": {"faktory_version": "spanwing", "connections": len(self.front.table.seats)},
-            "spanwing": self.front.counters(),
-        }))
+        return bulk(
+            msgspec.json.encode(
+                {
+                    "server": {"faktory_version": "spanwing", "connections": len(self.front.table.seats)},
+                    "spanwing": self.front.counters(),
+                }
+            )
+        )
 
     async def _track(self, rest: bytes) -> bytes:
         verb, _, jid = rest.decode("utf-8", "replace").partition(" ")
@@ -456,8 +481,14 @@
 
 
 COMMANDS = {
-    "HELLO": FaktoryConnection._hello, "PUSH": FaktoryConnection._push, "PUSHB": FaktoryConnection._push_many,
-    "FETCH": FaktoryConnection._fetch, "ACK": FaktoryConnection._acknowledge, "FAIL": FaktoryConnection._fail,
-    "BEAT": FaktoryConnection._beat, "INFO": FaktoryConnection._info, "TRACK": FaktoryConnection._track,
+    "HELLO": FaktoryConnection._hello,
+    "PUSH": FaktoryConnection._push,
+    "PUSHB": FaktoryConnection._push_many,
+    "FETCH": FaktoryConnection._fetch,
+    "ACK": FaktoryConnection._acknowledge,
+    "FAIL": FaktoryConnection._fail,
+    "BEAT": FaktoryConnection._beat,
+    "INFO": FaktoryConnection._info,
+    "TRACK": FaktoryConnection._track,
     "END": FaktoryConnection._end,
 }
--- a/spanwing/fronts/journalpage.py
+++ b/spanwing/fronts/journalpage.py
@@ -32,8 +32,13 @@
 HELD = 256 * 1024
 LONGEST_HEAD = 50  # lines
 SHOWN = 500  # bytes of a fault
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    503: "Service Unavailable",
+}
 
 
 def arguments(target: str) -> list[str]:
@@ -58,8 +63,9 @@
 
 
 def head(status: int, form: str = "text/plain") -> bytes:
-    return (f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {form}\r\n"
-            "Connection: close\r\n\r\n").encode()
+    return (
+        f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {form}\r\nConnection: close\r\n\r\n"
+    ).encode()
 
 
 class JournalPage:
@@ -79,8 +85,11 @@
         if method != "GET":
             return await lines.write(head(405) + b"GET only\n")
         if not self.directory or not target.startswith("/journal/"):
-            return await lines.write(head(404) + b"no journal is kept here\n" if not self.directory
-                                     else head(404) + b"only /journal/ is here\n")
+            return await lines.write(
+                head(404) + b"no journal is kept here\n"
+                if not self.directory
+                else head(404) + b"only /journal/ is here\n"
+            )
         if self.running >= AT_ONCE:
             return await lines.write(head(503) + b"the journal is being read by others\n")
         try:
@@ -95,8 +104,20 @@
 
     async def _run(self, lines: LineStream, command: list[str]) -> None:
         reader = Subprocess(
-            [sys.executable, "-m", "spanwing.cli.main", "journal", command[0], "--directory", self.directory,
-             *command[1:]], stdin=subprocess.DEVNULL, stdout=Subprocess.STREAM, stderr=Subprocess.STREAM)
+            [
+                sys.executable,
+                "-m",
+                "spanwing.cli.main",
+                "journal",
+                command[0],
+                "--directory",
+                self.directory,
+                *command[1:],
+            ],
+            stdin=subprocess.DEVNULL,
+            stdout=Subprocess.STREAM,
+            stderr=Subprocess.STREAM,
+        )
         reader.stdout.max_buffer_size = reader.stderr.max_buffer_size = HELD
         end = IOLoop.current().call_later(WHOLE_S, reader.proc.kill)
         # Who goes away while nothing is written is noticed here, and the reader ends at once.
@@ -105,8 +126,13 @@
             told = False
             while data := await self._read(reader.stdout):
                 if not told:
-                    form = ("text/plain" if command[0] == "verify" else "text/csv" if "csv" in command[:3]
-                            else "application/x-ndjson")
+                    form = (
+                        "text/plain"
+                        if command[0] == "verify"
+                        else "text/csv"
+                        if "csv" in command[:3]
+                        else "application/x-ndjson"
+                    )
                     await lines.write(head(200, form))
                     told = True
                 await lines.write(data)
@@ -134,6 +160,7 @@
     async def _ended(reader: Subprocess) -> int:
         """Its exit status; it has closed its output, or was killed, and ends now."""
         with suppress(WaitOver):
-            return await with_timeout(timedelta(seconds=5), IOLoop.current().run_in_executor(
-                None, reader.proc.wait))
+            return await with_timeout(
+                timedelta(seconds=5), IOLoop.current().run_in_executor(None, reader.proc.wait)
+            )
         return -1
--- a/spanwing/fronts/platform.py
+++ b/spanwing/fronts/platform.py
@@ -50,9 +50,15 @@
 class PlatformFront:
     """Reads what clients, job workers and the layer in front send."""
 
-    def __init__(self, classes: tuple[api.ServiceClass, ...], loads: LoadReader,
-                 heard: Callable[[Heard], None], counters: Callable[[], dict[str, int]],
-                 up: Callable[[], bool], left_ms: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        classes: tuple[api.ServiceClass, ...],
+        loads: LoadReader,
+        heard: Callable[[Heard], None],
+        counters: Callable[[], dict[str, int]],
+        up: Callable[[], bool],
+        left_ms: Callable[[], float],
+    ) -> None:
         self.classes = {each.name: each for each in classes}
         self.loads, self.heard, self.counters, self.up = loads, heard, counters, up
         self.left_ms = left_ms  # how long a request that comes now may take at most
@@ -83,18 +89,29 @@
         request = headers.get("x-call-id", "")
         if not request or len(request) > LONGEST_ID or not request.isprintable() or " " in request:
             raise Rejected("X-Call-Id is missing or malformed")
-        info = dict(part.strip().split("=", 1) for part in headers.get("x-call-info", "").split(",")
-                    if "=" in part)
+        info = dict(
+            part.strip().split("=", 1) for part in headers.get("x-call-info", "").split(",") if "=" in part
+        )
         slots = number(info.get("slots"), "slots", 1.0)
         return Envelope(
-            id=request, cls=cls.name, tenant=headers.get("x-caller"),
-            budget=min(number(headers.get("x-budget-ms"), "X-Budget-Ms", cls.deadline), LONGEST_MS,
-                       max(0.0, self.left_ms())),
-            slots=max(1, int(slots)), memory=number(info.get("memory"), "memory", 0.0),
+            id=request,
+            cls=cls.name,
+            tenant=headers.get("x-caller"),
+            budget=min(
+                number(headers.get("x-budget-ms"), "X-Budget-Ms", cls.deadline),
+                LONGEST_MS,
+                max(0.0, self.left_ms()),
+            ),
+            slots=max(1, int(slots)),
+            memory=number(info.get("memory"), "memory", 0.0),
             hint=number(headers.get("x-call-cost"), "X-Call-Cost", 0.0),
-            route_key=headers.get("x-route-hash"), repeat=headers.get("x-again") == "1",
-            method=message.method, target=message.target, body=message.body,
-            effect_key=headers.get("idempotency-key"), front="platform",
+            route_key=headers.get("x-route-hash"),
+            repeat=headers.get("x-again") == "1",
+            method=message.method,
+            target=message.target,
+            body=message.body,
+            effect_key=headers.get("idempotency-key"),
+            front="platform",
         )
 
     def _job_event(self, message: Message) -> tuple[int, bytes]:
--- a/spanwing/fronts/senderside.py
+++ b/spanwing/fronts/senderside.py
@@ -152,9 +152,15 @@
         longest bytes. None while it cannot go: what has begun to come must come whole, and what is answered
         must be written. One that waits for its answer can, and owes it no more here."""
         parser, waits = self.http.parser, self.asked is not None and self.mailbox.empty()
-        if self.over or self.proxied or parser.head is not None or self.http.stream.closed() or (
-                len(parser.data) > longest - READ_AHEAD) or not waits and (
-                self.busy or not self.http.waits()):
+        if (
+            self.over
+            or self.proxied
+            or parser.head is not None
+            or self.http.stream.closed()
+            or (len(parser.data) > longest - READ_AHEAD)
+            or not waits
+            and (self.busy or not self.http.waits())
+        ):
             return None
         if waits:
             self.http.take_ahead()
@@ -193,9 +199,19 @@
 class HttpServer:
     """Listens for one front and owns its connections."""
 
-    def __init__(self, address: Address, front: Front, core: Listener, buffers: BufferPool,
-                 most: int, longest_wait_ms: float = 0.0, proxied: tuple[Network, ...] = (),
-                 shared: socket.socket | None = None, once: bool = False, half_s: float = HALF_S) -> None:
+    def __init__(
+        self,
+        address: Address,
+        front: Front,
+        core: Listener,
+        buffers: BufferPool,
+        most: int,
+        longest_wait_ms: float = 0.0,
+        proxied: tuple[Network, ...] = (),
+        shared: socket.socket | None = None,
+        once: bool = False,
+        half_s: float = HALF_S,
+    ) -> None:
         self.proxied = proxied
         self.once = once  # a connection carries one request
         self.half_s = half_s  # a request that has begun may be cut off after this, if the table is full
@@ -223,8 +239,9 @@
             sock.close()
             return
         peer = peer_of(sock) if self.proxied else ""
-        connection = SenderConnection(self, IOStream(sock, max_buffer_size=READ_AHEAD), peer,
-                                      listed(peer, self.proxied))
+        connection = SenderConnection(
+            self, IOStream(sock, max_buffer_size=READ_AHEAD), peer, listed(peer, self.proxied)
+        )
         self.table.seats.add(connection)
         spawn(connection.serve())
         if self.sharing:
@@ -243,8 +260,15 @@
             self.table.trim(self.table.most - 1)
         self.accepting(not sharing or len(self.table.seats) < self.table.most)
 
-    def adopt(self, sock: socket.socket, data: bytes, heard: bool, asks: bool, peer: str,
-              asked: tuple[Envelope, bool] | None = None) -> SenderConnection:
+    def adopt(
+        self,
+        sock: socket.socket,
+        data: bytes,
+        heard: bool,
+        asks: bool,
+        peer: str,
+        asked: tuple[Envelope, bool] | None = None,
+    ) -> SenderConnection:
         """Go on with a connection that another process gave away; it is within both processes' limit.
         asked: the request that waits there, and whether the connection goes on after its answer."""
         connection = SenderConnection(self, IOStream(sock, max_buffer_size=READ_AHEAD), peer)
@@ -276,8 +300,12 @@
         """Whether a client's request is being read or answered, or lies unread; or may be under way on a
         connection that has only just been opened, where no other can come any more."""
         fresh = IOLoop.current().time() - JUST_S if self.left else math.inf
-        return any(each.unfinished() or not each.over and (not each.silent() or each.stood > fresh and
-                                                           not each.heard) for each in self.table.seats)
+        return any(
+            each.unfinished()
+            or not each.over
+            and (not each.silent() or each.stood > fresh and not each.heard)
+            for each in self.table.seats
+        )
 
     def leave_off(self) -> None:
         """Accept what waits in the backlog, and listen no more."""
--- a/spanwing/frontsfile.py
+++ b/spanwing/frontsfile.py
@@ -225,9 +225,13 @@
     _extra("journal", "google_crc32c", faults)
     if not table.directory.startswith("/"):
         faults.add("journal.directory", f"{table.directory!r} is no absolute path")
-    for name, least, most in (("wait_ms", 1, 60_000), ("segment_mb", 0.1, 4096),
-                              ("segment_hours", 0.001, 8760), ("keep_days", 0.01, 36_500),
-                              ("keep_gb", 0.001, 1_000_000)):
+    for name, least, most in (
+        ("wait_ms", 1, 60_000),
+        ("segment_mb", 0.1, 4096),
+        ("segment_hours", 0.001, 8760),
+        ("keep_days", 0.01, 36_500),
+        ("keep_gb", 0.001, 1_000_000),
+    ):
         value = getattr(table, name)
         if not least <= value <= most:
             faults.add(f"journal.{name}", f"{value:g} is not possible, {least:g} to {most:g} are")
@@ -243,8 +247,10 @@
 def zones_of(table: ZonesTable | None, store: StoreTable, faults: Faults) -> Zones | None:
     if table is None:
         return None
-    members = {name: faults.check(f"zones.members.{name}", parse_address, text)
-               for name, text in table.members.items()}
+    members = {
+        name: faults.check(f"zones.members.{name}", parse_address, text)
+        for name, text in table.members.items()
+    }
     if table.alone and members:
         faults.add("zones.alone", "members are listed: a scheduler follows them, or acts alone")
     if not members and not table.alone:
@@ -254,8 +260,10 @@
     if store.listen and not store.peers and store.member not in members and members:
         faults.add("zones.members", f"store.member {store.member!r} is not among them")
     if not LEAST_LEASE_MS <= table.lease_ms <= MOST_LEASE_MS:
-        faults.add("zones.lease_ms", f"{table.lease_ms:g} is not possible, {LEAST_LEASE_MS:g} to "
-                                     f"{MOST_LEASE_MS:g} are")
+        faults.add(
+            "zones.lease_ms",
+            f"{table.lease_ms:g} is not possible, {LEAST_LEASE_MS:g} to {MOST_LEASE_MS:g} are",
+        )
     seen: dict[str, str] = {}
     for region, names in table.regions.items():
         if not names:
@@ -276,8 +284,10 @@
         faults.add("policy", "needs [zones] with the members of the store that all schedulers follow")
         return None
     if not zones.lease_ms <= table.away_ms <= MOST_AWAY_MS:
-        faults.add("policy.away_ms", f"{table.away_ms:g} is not possible, {zones.lease_ms:g} (zones.lease_ms)"
-                                     f" to {MOST_AWAY_MS:g} are")
+        faults.add(
+            "policy.away_ms",
+            f"{table.away_ms:g} is not possible, {zones.lease_ms:g} (zones.lease_ms) to {MOST_AWAY_MS:g} are",
+        )
     return FleetPolicy(table.directory, table.away_ms, zones.members, zones.lease_ms)
 
 
@@ -292,4 +302,3 @@
 def _extra(setting: str, module: str, faults: Faults) -> None:
     if importlib.util.find_spec(module) is None:
         faults.add(setting, f"needs {module}, which spanwing[tools] installs")
-
--- a/spanwing/handover/handover.py
+++ b/spanwing/handover/handover.py
@@ -200,10 +200,27 @@
                 budget = max(0.0, moved.until - core.clock.now())
                 hop.resume(Delivery(envelope, number, budget, envelope.cls in core.safe), core)
                 out = number, Out(hop, each.worker, each.at, moved.until, None)
-        core.resume(call, out, Resumed(
-            api.Request(envelope.id, envelope.cls, moved.deadline, envelope.tenant, envelope.slots,
-                        envelope.memory, envelope.hint, envelope.route_key, envelope.repeat),
-            moved.born, moved.spoilt, moved.over, moved.tried))
+        core.resume(
+            call,
+            out,
+            Resumed(
+                api.Request(
+                    envelope.id,
+                    envelope.cls,
+                    moved.deadline,
+                    envelope.tenant,
+                    envelope.slots,
+                    envelope.memory,
+                    envelope.hint,
+                    envelope.route_key,
+                    envelope.repeat,
+                ),
+                moved.born,
+                moved.spoilt,
+                moved.over,
+                moved.tried,
+            ),
+        )
 
     # As the predecessor.
 
@@ -238,10 +255,10 @@
         seen = [of_worker(view) for view in module.views.values()]
         feed_no_more(module)
         for at in range(0, max(len(members), len(seen)), PART):
-            link.send(Workers(members[at:at + PART], seen[at:at + PART]))
+            link.send(Workers(members[at : at + PART], seen[at : at + PART]))
         ids = list(core.open_ids())
         for at in range(0, len(ids), PART):
-            link.send(Ids(opened=ids[at:at + PART]))
+            link.send(Ids(opened=ids[at : at + PART]))
         link.send(of_module(module, transport.revision, str(transport.discovery)))
         link.send(Over())
 
@@ -319,8 +336,17 @@
         call, job = core.calls.get(envelope.id), core.module.jobs.get(envelope.id)
         if call is None or call.sender is not connection or job is None or core.recorder is not None:
             return None
-        moved = Moved(Passed(b"", True, True, ""), keep, envelope, call.deadline, job.born, job.spoilt,
-                      job.over, call.sent, of_job(job))
+        moved = Moved(
+            Passed(b"", True, True, ""),
+            keep,
+            envelope,
+            call.deadline,
+            job.born,
+            job.spoilt,
+            job.over,
+            call.sent,
+            of_job(job),
+        )
         for number, out in core.attempts_out(envelope.id):
             if not isinstance(out.hop, HttpNextHop) or out.hop.open_job(envelope.id, number) is None:
                 return None
@@ -376,4 +402,3 @@
         for link in (self.before, self.after):
             if link is not None:
                 link.close()
-
--- a/spanwing/handover/learned.py
+++ b/spanwing/handover/learned.py
@@ -18,9 +18,22 @@
 
 def of_worker(view: View) -> WorkerSeen:
     return WorkerSeen(
-        view.entry.id, view.total, view.learned, view.held, view.others,
-        None if math.isinf(view.seen) else view.seen, view.heard, view.tells, view.rest_until, view.strikes,
-        None if math.isinf(view.limit) else view.limit, view.peak, view.no_raise, view.pace, list(view.sent))
+        view.entry.id,
+        view.total,
+        view.learned,
+        view.held,
+        view.others,
+        None if math.isinf(view.seen) else view.seen,
+        view.heard,
+        view.tells,
+        view.rest_until,
+        view.strikes,
+        None if math.isinf(view.limit) else view.limit,
+        view.peak,
+        view.no_raise,
+        view.pace,
+        list(view.sent),
+    )
 
 
 def into_worker(view: View, seen: WorkerSeen, now: float) -> None:
@@ -53,10 +66,21 @@
 def of_module(module: Dispatcher, revision: int | None, discovery: str) -> Learned:
     names = [each.name for each in module.set.classes]
     return Learned(
-        revision, discovery, module.born, dict(zip(names, module.work, strict=True)), dict(module.quick),
-        dict(module.kinds), module.busy, module.keys, module.accepts,
-        {name: (each.earned, each.spent, each.credit)
-         for name, each in module.ledgers.items() if name is not None})
+        revision,
+        discovery,
+        module.born,
+        dict(zip(names, module.work, strict=True)),
+        dict(module.quick),
+        dict(module.kinds),
+        module.busy,
+        module.keys,
+        module.accepts,
+        {
+            name: (each.earned, each.spent, each.credit)
+            for name, each in module.ledgers.items()
+            if name is not None
+        },
+    )
 
 
 def into_module(module: Dispatcher, learned: Learned, now: float) -> None:
@@ -84,8 +108,10 @@
 
 
 def of_job(job: Job) -> list[Tried]:
-    return [Tried(each.view.entry.id, each.at, each.open, each.started, each.noted, each.proof)
-            for each in job.attempts]
+    return [
+        Tried(each.view.entry.id, each.at, each.open, each.started, each.noted, each.proof)
+        for each in job.attempts
+    ]
 
 
 def forget(module: Dispatcher, request: str) -> None:
--- a/spanwing/health/cpu.py
+++ b/spanwing/health/cpu.py
@@ -55,8 +55,9 @@
             lost = sum(each.late for each in list(readings)[1:])
             return Cpu(used, min(1.0, max(used, (cpu + lost) / wall)), min(1.0, lost / wall), lag_ms)
         busy = min(wall, max(0.0, reading.busy - first.busy))
-        return Cpu(used, min(1.0, max(used, busy / wall)), max(0.0, busy - cpu) / wall, lag_ms,
-                   self._robbed(reading))
+        return Cpu(
+            used, min(1.0, max(used, busy / wall)), max(0.0, busy - cpu) / wall, lag_ms, self._robbed(reading)
+        )
 
     def _robbed(self, last: Reading) -> bool:
         """Over the last ROBBED_S or a little more: a neighbour that takes most of the core fills the queue
--- a/spanwing/health/weight.py
+++ b/spanwing/health/weight.py
@@ -185,8 +185,14 @@
 
 def shortages(signals: Signals, refusals: Factor, cpu: Factor, policy: Policy) -> list[Factor]:
     """All factors below 1, the least first."""
-    found = [cpu, refusals, of_fleet(signals), full("connection table", signals.table),
-             full("descriptors", signals.descriptors), full("memory", signals.memory_mb)]
+    found = [
+        cpu,
+        refusals,
+        of_fleet(signals),
+        full("connection table", signals.table),
+        full("descriptors", signals.descriptors),
+        full("memory", signals.memory_mb),
+    ]
     found += [held(load) for load in signals.classes if load.held]
     age = signals.discovery_age_s
     if age is not None and age * 1000.0 > policy.discovery_ms:
--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/hops/faktoryworker.py
@@ -92,11 +92,15 @@
     """The job as a worker gets it: its own text where it came by Faktory, else one made of the envelope."""
     if envelope.media == JOB_MEDIA:
         return envelope.body
-    return msgspec.json.encode({
-        "jid": envelope.id, "queue": envelope.cls, "jobtype": envelope.cls,
-        "args": [envelope.target, envelope.body.decode("utf-8", "replace")],
-        "custom": {"effect_key": envelope.effect_key},
-    })
+    return msgspec.json.encode(
+        {
+            "jid": envelope.id,
+            "queue": envelope.cls,
+            "jobtype": envelope.cls,
+            "args": [envelope.target, envelope.body.decode("utf-8", "replace")],
+            "custom": {"effect_key": envelope.effect_key},
+        }
+    )
 
 
 class FaktoryNextHop(HopActor):
@@ -122,8 +126,14 @@
 
     def _place(self, job: Job) -> None:
         """To a FETCH that waits, or among those that wait for one."""
-        slot = next((each for each in self.slots
-                     if job.delivery.envelope.cls in each.fetch.queues and not each.fetch.reply.done()), None)
+        slot = next(
+            (
+                each
+                for each in self.slots
+                if job.delivery.envelope.cls in each.fetch.queues and not each.fetch.reply.done()
+            ),
+            None,
+        )
         if slot is not None:
             self.slots.remove(slot)
             self._hand(job, slot)
@@ -166,8 +176,9 @@
             return
         job.handed = True
         key = (job.delivery.envelope.id, job.delivery.number)
-        slot.fetch.reply.set_result((job_bytes(job.delivery.envelope),
-                                     lambda whole: self.post(Written(*key, whole))))
+        slot.fetch.reply.set_result(
+            (job_bytes(job.delivery.envelope), lambda whole: self.post(Written(*key, whole)))
+        )
 
     def _permitted(self, permitted: Permitted) -> None:
         job = self.jobs.get(permitted.request)
@@ -219,18 +230,24 @@
         if job.slot is not None:  # another may have what was kept for it
             slot, job.slot = job.slot, None
             self._fetch(slot.fetch)
-        job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, result,
-                                unsent=unsent or not job.handed))
+        job.listener.post(
+            Ended(job.delivery.envelope.id, job.delivery.number, result, unsent=unsent or not job.handed)
+        )
 
     def _probe(self, probe: Probe) -> None:
         probe.listener.post(Probed(api.ProbeResult(probe.worker, "ok", 0.0)))
 
 
 FaktoryNextHop.handlers = {
-    Deliver: FaktoryNextHop._deliver, GiveUp: FaktoryNextHop._give_up, Fetch: FaktoryNextHop._fetch,
-    Permitted: FaktoryNextHop._permitted, Written: FaktoryNextHop._written,
-    Withdraw: FaktoryNextHop._withdraw, Finished: FaktoryNextHop._finished,
-    Vanished: FaktoryNextHop._vanished, Probe: FaktoryNextHop._probe,
+    Deliver: FaktoryNextHop._deliver,
+    GiveUp: FaktoryNextHop._give_up,
+    Fetch: FaktoryNextHop._fetch,
+    Permitted: FaktoryNextHop._permitted,
+    Written: FaktoryNextHop._written,
+    Withdraw: FaktoryNextHop._withdraw,
+    Finished: FaktoryNextHop._finished,
+    Vanished: FaktoryNextHop._vanished,
+    Probe: FaktoryNextHop._probe,
 }
 
 
@@ -286,12 +303,15 @@
         if member is None:
             started = join.labels.get("started_ms", "0")
             entry = api.Worker(
-                id=number_of(f"faktory {join.wid}"), zone=join.labels.get("zone", self.zone),
-                cell=int(join.labels.get("cell", "0")), kind=join.labels.get("kind", ""),
+                id=number_of(f"faktory {join.wid}"),
+                zone=join.labels.get("zone", self.zone),
+                cell=int(join.labels.get("cell", "0")),
+                kind=join.labels.get("kind", ""),
                 started=float(started),
             )
             member = self.members[join.wid] = Member(
-                entry, FaktoryNextHop(join.wid, join.peer), 0, self._silence(join.wid))
+                entry, FaktoryNextHop(join.wid, join.peer), 0, self._silence(join.wid)
+            )
             self._tell(member.entry)
         member.connections += 1
         join.hop.set_result(member.hop)
@@ -330,6 +350,8 @@
 
 
 LIST_HANDLERS = {
-    Join: FaktoryWorkers._join, Beat: FaktoryWorkers._beat, Leave: FaktoryWorkers._leave,
+    Join: FaktoryWorkers._join,
+    Beat: FaktoryWorkers._beat,
+    Leave: FaktoryWorkers._leave,
     Silent: lambda self, silent: self._gone(silent.wid),
 }
--- a/spanwing/hops/load.py
+++ b/spanwing/hops/load.py
@@ -6,8 +6,14 @@
 
 #: The names of a report's values on the sockets, in the module's words.
 NAMES = {
-    "x0": "free_slots", "x1": "free_memory", "rif": "inflight", "q": "queue", "lat_ms": "latency_ms",
-    "busy": "util", "rate": "qps", "fail_rate": "eps",
+    "x0": "free_slots",
+    "x1": "free_memory",
+    "rif": "inflight",
+    "q": "queue",
+    "lat_ms": "latency_ms",
+    "busy": "util",
+    "rate": "qps",
+    "fail_rate": "eps",
 }
 
 
--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -67,8 +67,9 @@
 class HttpNextHop(HopActor):
     """Delivers, gives up and probes; each delivery ends in one Ended."""
 
-    def __init__(self, name: str, pool: ConnectionPool, loads: LoadReader,
-                 retired: Callable[[HttpNextHop], None]) -> None:
+    def __init__(
+        self, name: str, pool: ConnectionPool, loads: LoadReader, retired: Callable[[HttpNextHop], None]
+    ) -> None:
         super().__init__()
         self.name, self.place = name, str(pool.address)
         self.pool, self.loads, self.retired = pool, loads, retired
@@ -91,7 +92,8 @@
     def resume(self, delivery: Delivery, listener: Listener) -> None:
         """An attempt that the job worker took from another process."""
         self.jobs[delivery.envelope.id] = Job(
-            delivery, listener, self.loop.time() + delivery.budget / 1000.0, last=True, taken=True)
+            delivery, listener, self.loop.time() + delivery.budget / 1000.0, last=True, taken=True
+        )
 
     def _deliver(self, message: Deliver) -> None:
         job = Job(*message, self.loop.time() + message.delivery.budget / 1000.0)
@@ -103,8 +105,11 @@
 
     async def _carry(self, job: Job) -> None:
         envelope = job.delivery.envelope
-        headers = {"Host": str(self.pool.address), "X-Call-Id": envelope.id,
-                   "X-Budget-Ms": str(max(1, int(job.delivery.budget)))}
+        headers = {
+            "Host": str(self.pool.address),
+            "X-Call-Id": envelope.id,
+            "X-Budget-Ms": str(max(1, int(job.delivery.budget))),
+        }
         if envelope.effect_key is not None:
             headers["Idempotency-Key"] = envelope.effect_key
         data = request_bytes(envelope.method, envelope.target, headers, envelope.body)
@@ -157,8 +162,11 @@
         reply, wait = None, None if wait_s is None else timedelta(seconds=wait_s)
         try:
             coming = connection.receive()
-            reply = await (coming if wait is None else with_timeout(
-                wait, coming, quiet_exceptions=(HttpError, StreamClosedError)))
+            reply = await (
+                coming
+                if wait is None
+                else with_timeout(wait, coming, quiet_exceptions=(HttpError, StreamClosedError))
+            )
         except HttpError:
             connection.garbled = True
         except WaitOver:
@@ -208,8 +216,14 @@
     def _current(self, job: Job) -> bool:
         return self.jobs.get(job.delivery.envelope.id) is job
 
-    def _end(self, job: Job, result: api.Result, body: bytes = b"",
-             report: tuple[float, ...] | None = None, unsent: bool = False) -> None:
+    def _end(
+        self,
+        job: Job,
+        result: api.Result,
+        body: bytes = b"",
+        report: tuple[float, ...] | None = None,
+        unsent: bool = False,
+    ) -> None:
         # A call-back may come before the 202, or again: only the first word on an attempt counts.
         if not self._current(job):
             return
@@ -277,7 +291,8 @@
         """Whether the job worker has our DELETE: whatever it says to it, it has read it."""
         connection = await self._ask("DELETE", target)
         return connection is not None and (
-            await self._receive(connection, GIVE_UP_S) is not None or connection.garbled)
+            await self._receive(connection, GIVE_UP_S) is not None or connection.garbled
+        )
 
     async def _ask(self, method: str, target: str) -> PooledHttp | None:
         data = request_bytes(method, target, {"Host": str(self.pool.address)})
@@ -321,7 +336,11 @@
 
 
 HttpNextHop.handlers = {
-    Deliver: HttpNextHop._deliver, GiveUp: HttpNextHop._give_up, CallBack: HttpNextHop._called_back,
-    Withdraw: HttpNextHop._withdraw, Probe: HttpNextHop._probe, Retire: HttpNextHop._retire,
+    Deliver: HttpNextHop._deliver,
+    GiveUp: HttpNextHop._give_up,
+    CallBack: HttpNextHop._called_back,
+    Withdraw: HttpNextHop._withdraw,
+    Probe: HttpNextHop._probe,
+    Retire: HttpNextHop._retire,
     Leave: HttpNextHop._leave,
 }
--- a/spanwing/hops/pool.py
+++ b/spanwing/hops/pool.py
@@ -86,8 +86,14 @@
 class ConnectionPool:
     """Hands out connections that are certainly not stale, opens others."""
 
-    def __init__(self, address: Address, buffers: BufferPool, descriptors: Descriptors, idle_ms: float,
-                 connect_ms: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        buffers: BufferPool,
+        descriptors: Descriptors,
+        idle_ms: float,
+        connect_ms: float,
+    ) -> None:
         self.address, self.buffers, self.descriptors = address, buffers, descriptors
         self.longest_s, self.connect_s = idle_ms * CLOSE_AFTER / 1000.0, connect_ms / 1000.0
         self.keep_s = self.longest_s  # shorter while the other side drops idle connections without a word
@@ -98,8 +104,7 @@
         #: be taken for the answer to another request, so a connection carries one.
         self.spoilt = False
 
-    async def take(self, new: bool = False,
-                   wanted: Callable[[], bool] = lambda: True) -> PooledHttp | None:
+    async def take(self, new: bool = False, wanted: Callable[[], bool] = lambda: True) -> PooledHttp | None:
         """A connection to write on, perhaps a new one only; None when none came up in time, or what it is for
         is no longer wanted. Give it back, or drop it."""
         try:
@@ -123,8 +128,11 @@
             stream = GuardedStream(open_socket(self.address))
             connection = PooledHttp(stream, self.buffers, responses=True)
             try:
-                await with_timeout(timedelta(seconds=self.connect_s), stream.connect(self.address.target),
-                                   quiet_exceptions=StreamClosedError)
+                await with_timeout(
+                    timedelta(seconds=self.connect_s),
+                    stream.connect(self.address.target),
+                    quiet_exceptions=StreamClosedError,
+                )
                 return connection
             except (WaitOver, StreamClosedError):
                 self._close(connection)
--- a/spanwing/hops/transportmap.py
+++ b/spanwing/hops/transportmap.py
@@ -131,9 +131,15 @@
 class TransportMap(Actor):
     """Owns the list; tells the core of changes."""
 
-    def __init__(self, known: MemberList, discovery: Address, listener: Listener, buffers: BufferPool,
-                 make_hop: Callable[[str, Address, Callable[[HttpNextHop], None]], HttpNextHop],
-                 pace: Pace = Pace()) -> None:  # noqa: B008 - a tuple
+    def __init__(
+        self,
+        known: MemberList,
+        discovery: Address,
+        listener: Listener,
+        buffers: BufferPool,
+        make_hop: Callable[[str, Address, Callable[[HttpNextHop], None]], HttpNextHop],
+        pace: Pace = Pace(),  # noqa: B008 - a tuple
+    ) -> None:
         super().__init__()
         self.pace = pace
         self.closing_up: dict[str, list[HttpNextHop]] = {}  # those that were replaced, with what is out there
@@ -233,15 +239,19 @@
             if connection is None or not connection.fresh():
                 stream = IOStream(open_socket(watch.discovery))
                 connection = watch.connection = HttpStream(stream, self.buffers, responses=True)
-                await with_timeout(timedelta(seconds=self.pace.answer_s),
-                                   stream.connect(watch.discovery.target),
-                                   quiet_exceptions=StreamClosedError)
+                await with_timeout(
+                    timedelta(seconds=self.pace.answer_s),
+                    stream.connect(watch.discovery.target),
+                    quiet_exceptions=StreamClosedError,
+                )
             await connection.write(request_bytes("GET", target, {"Host": str(watch.discovery)}))
             asked = watch.revision is not None
-            wait = timedelta(seconds=LIST_S if watch.revision is None else
-                             self.pace.watch_s + self.pace.answer_s)
-            reply = await with_timeout(wait, connection.receive(),
-                                       quiet_exceptions=(HttpError, StreamClosedError))
+            wait = timedelta(
+                seconds=LIST_S if watch.revision is None else self.pace.watch_s + self.pace.answer_s
+            )
+            reply = await with_timeout(
+                wait, connection.receive(), quiet_exceptions=(HttpError, StreamClosedError)
+            )
         except WaitOver:
             watch.silent = asked
             return None
@@ -272,11 +282,17 @@
         for each in members.members:
             if each.phase not in PHASES:
                 log.warning("unknown phase %r of a job worker, taken as leaving", each.phase)
-            workers.append(api.Worker(
-                id=number_of(each.id), state=PHASES.get(each.phase, "draining"), zone=each.locality or "",
-                cell=each.cell or 0, weight=1.0 if each.size is None else each.size, kind=each.flavor or "",
-                started=each.up_since_ms or 0.0,
-            ))
+            workers.append(
+                api.Worker(
+                    id=number_of(each.id),
+                    state=PHASES.get(each.phase, "draining"),
+                    zone=each.locality or "",
+                    cell=each.cell or 0,
+                    weight=1.0 if each.size is None else each.size,
+                    kind=each.flavor or "",
+                    started=each.up_since_ms or 0.0,
+                )
+            )
             self._keep_hop(each)
         self.listener.post(Listed(api.WorkerList(scope, tuple(workers)), self._numbered()))
 
@@ -340,6 +356,9 @@
 
 
 HANDLERS = {
-    Follow: TransportMap._follow, Move: TransportMap._move, News: TransportMap._news,
-    Heard: TransportMap._heard, Retired: TransportMap._retired,
+    Follow: TransportMap._follow,
+    Move: TransportMap._move,
+    News: TransportMap._news,
+    Heard: TransportMap._heard,
+    Retired: TransportMap._retired,
 }
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -97,8 +97,15 @@
         yield from _need(0 < self.cold_from <= 1, "cold_from", self.cold_from)
         yield from _need(self.fall_multiple > 0, "fall_multiple", self.fall_multiple)
         yield from _need(self.tick > 0, "tick", self.tick)
-        for name in ("over_share_worth", "max_retry_after", "answer_grace", "drain_grace", "cold_ms",
-                     "fall_ms", "progress"):
+        for name in (
+            "over_share_worth",
+            "max_retry_after",
+            "answer_grace",
+            "drain_grace",
+            "cold_ms",
+            "fall_ms",
+            "progress",
+        ):
             yield from _need(getattr(self, name) >= 0, name, getattr(self, name))
         yield from _need(not self.zones or self.zone in self.zones, "zone", self.zone)
         for each in self.classes:
@@ -220,7 +227,15 @@
 
 
 Event = (
-    WorkerList | Request | Outcome | Note | Accepted | ProbeResult | ClientGone | StreamStarted | TimerDue
+    WorkerList
+    | Request
+    | Outcome
+    | Note
+    | Accepted
+    | ProbeResult
+    | ClientGone
+    | StreamStarted
+    | TimerDue
     | PeerMessage
 )
 
--- a/spanwing/journal/book.py
+++ b/spanwing/journal/book.py
@@ -97,8 +97,9 @@
                 continue
             index = self.index(segment, data)
             for worker in sorted(plan.workers):
-                for at in index.of_worker(worker, plan.after - STEPPED_MS,
-                                          plan.before + LONGEST_MS + STEPPED_MS):
+                for at in index.of_worker(
+                    worker, plan.after - STEPPED_MS, plan.before + LONGEST_MS + STEPPED_MS
+                ):
                     frame = next(read_frames(data, 0, at, True), None)
                     if isinstance(frame, Frame) and getattr(frame.record, "worker", "") == worker:
                         names.add(frame.record.request)
@@ -136,8 +137,9 @@
     @staticmethod
     def harmless(skipped: Skipped) -> bool:
         """A torn tail was never acknowledged: of the segments after it, none counts on more than is there."""
-        return skipped.missing == 0 and (skipped.reason.startswith("torn tail")
-                                         or skipped.at + skipped.size <= HEADER_SIZE)
+        return skipped.missing == 0 and (
+            skipped.reason.startswith("torn tail") or skipped.at + skipped.size <= HEADER_SIZE
+        )
 
     def gaps(self) -> Iterator[Gap]:
         for _, each in self.frames():
--- a/spanwing/journal/committer.py
+++ b/spanwing/journal/committer.py
@@ -38,9 +38,13 @@
 class Committer:
     """Owns the log from its start on; post: runs a call on the loop, from any thread."""
 
-    def __init__(self, log: Log, post: Callable[..., object],
-                 wall_ms: Callable[[], float] = lambda: time.time() * 1000.0,
-                 clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        log: Log,
+        post: Callable[..., object],
+        wall_ms: Callable[[], float] = lambda: time.time() * 1000.0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.log, self.post, self.wall_ms, self.clock = log, post, wall_ms, clock
         self.waiting: deque[Handed] = deque()
         self.count = 0  # records that wait
--- a/spanwing/journal/files.py
+++ b/spanwing/journal/files.py
@@ -76,7 +76,7 @@
     def append(self, name: str, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(self.open[name], view):]
+            view = view[os.write(self.open[name], view) :]
 
     def sync(self, name: str) -> None:
         os.fsync(self.open[name])
--- a/spanwing/journal/frames.py
+++ b/spanwing/journal/frames.py
@@ -103,8 +103,9 @@
     return FRAME.size + FRAME.unpack_from(data, frame.at)[1]
 
 
-def read_frames(data: bytes | memoryview, first: int, at: int = HEADER_SIZE,
-                sparse: bool = False) -> Iterator[Frame | Skipped]:
+def read_frames(
+    data: bytes | memoryview, first: int, at: int = HEADER_SIZE, sparse: bool = False
+) -> Iterator[Frame | Skipped]:
     """All whole frames from a place on, in order, and what lies between them.
 
     first: the least number that the next frame may have. sparse: numbers may skip (a compacted segment)."""
@@ -122,8 +123,12 @@
             if frame is None:
                 return
         elif frame.number != last + 1 and not sparse:
-            yield Skipped(frame.at, 0, f"numbers {last + 1} to {frame.number - 1} are not there",
-                          frame.number - last - 1)
+            yield Skipped(
+                frame.at,
+                0,
+                f"numbers {last + 1} to {frame.number - 1} are not there",
+                frame.number - last - 1,
+            )
         yield frame
         last, at = frame.number, frame.at + size_of(view, frame)
 
--- a/spanwing/journal/index.py
+++ b/spanwing/journal/index.py
@@ -80,15 +80,28 @@
         if isinstance(record, Intent):
             intents.append((hashed(record.worker), int(record.wall_ms), each.at))
     by_request, by_worker = np.array(requests, REQUEST), np.array(intents, INTENT)
-    return Index(len(data), np.sort(by_request, order=("hash", "at")),
-                 np.sort(by_worker, order=("hash", "wall", "at")), first, last)
+    return Index(
+        len(data),
+        np.sort(by_request, order=("hash", "at")),
+        np.sort(by_worker, order=("hash", "wall", "at")),
+        first,
+        last,
+    )
 
 
 def write(index: Index, path: Path) -> None:
     """Beside its segment, whole at once; a folder that cannot be written keeps none."""
     body = index.requests.tobytes() + index.intents.tobytes()
-    head = HEAD.pack(MAGIC, VERSION, index.size, len(index.requests), len(index.intents), index.first_ms,
-                     index.last_ms, google_crc32c.value(body))
+    head = HEAD.pack(
+        MAGIC,
+        VERSION,
+        index.size,
+        len(index.requests),
+        len(index.intents),
+        index.first_ms,
+        index.last_ms,
+        google_crc32c.value(body),
+    )
     part = path.with_suffix(ENDING + ".part")
     part.write_bytes(head + body)
     part.replace(path)
--- a/spanwing/journal/keeper.py
+++ b/spanwing/journal/keeper.py
@@ -38,15 +38,22 @@
 
 def cut(text: str) -> str:
     """What a client names may be long, and a record that does not fit would take its whole batch with it."""
-    return text if len(text) <= LONGEST_NAME else f"{text[:LONGEST_NAME - 1]}…"
+    return text if len(text) <= LONGEST_NAME else f"{text[: LONGEST_NAME - 1]}…"
 
 
 class Keeper:
     """Writes down the requests of some classes."""
 
-    def __init__(self, log: Log, policy: Policy, name: str, post: Callable[..., object],
-                 wait_s: float = 0.25, later: Callable[[float, Callable[[], None]], object] | None = None,
-                 cancel: Callable[[object], None] = lambda timer: None) -> None:
+    def __init__(
+        self,
+        log: Log,
+        policy: Policy,
+        name: str,
+        post: Callable[..., object],
+        wait_s: float = 0.25,
+        later: Callable[[float, Callable[[], None]], object] | None = None,
+        cancel: Callable[[object], None] = lambda timer: None,
+    ) -> None:
         """post: runs a call on the loop, from any thread; later and cancel: the loop's timers."""
         self.policy = policy
         self.wait_s, self.later, self.cancel = wait_s, later, cancel
@@ -87,8 +94,9 @@
     def taken(self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float) -> None:
         self._note(Taken(request, *self._now(), cls, cut(tenant), cut(key), front, budget_ms))
 
-    def intent(self, request: str, attempt: int, worker: str, address: str,
-               then: Callable[[bool], None]) -> None:
+    def intent(
+        self, request: str, attempt: int, worker: str, address: str, then: Callable[[bool], None]
+    ) -> None:
         """then hears whether the attempt may be sent."""
         done, timer = False, None
 
@@ -128,8 +136,13 @@
     def figures(self) -> dict[str, int]:
         """Syncs and records since the start, records that wait, records that a gap will tell of."""
         made = self.committer
-        return {"syncs": made.syncs, "records": made.written, "waiting": made.count, "lost": made.lost,
-                "failing": int(bool(made.failing))}
+        return {
+            "syncs": made.syncs,
+            "records": made.written,
+            "waiting": made.count,
+            "lost": made.lost,
+            "failing": int(bool(made.failing)),
+        }
 
     def close(self) -> bool:
         """Write what waits; whether all of it is on disk."""
--- a/spanwing/journal/ledger.py
+++ b/spanwing/journal/ledger.py
@@ -147,8 +147,9 @@
         attempt of no number stands for what is not known."""
         found = []
         for request in self.open.values():
-            ends = [each for each in request.attempts.values()
-                    if each.finding != "not sent" and not each.over]
+            ends = [
+                each for each in request.attempts.values() if each.finding != "not sent" and not each.over
+            ]
             if not ends and (request.missing or not self.certain):
                 ends = [Attempt(NO_ATTEMPT)]
             found += [(request, each) for each in ends]
--- a/spanwing/journal/log.py
+++ b/spanwing/journal/log.py
@@ -75,8 +75,9 @@
         self.files = files
 
     def segments(self) -> list[str]:
-        return sorted(name for name in self.files.names()
-                      if name.endswith(SEGMENT) and first_of(name) is not None)
+        return sorted(
+            name for name in self.files.names() if name.endswith(SEGMENT) and first_of(name) is not None
+        )
 
     def read(self, after: int = 0) -> Iterator[tuple[str, Frame | Skipped]]:
         """Every whole record with a number above after, and whatever is not whole, by segment."""
@@ -95,8 +96,15 @@
                 yield name, Skipped(0, len(data), f"{error}", 0)
                 continue
             if whole and header.after > last:
-                yield name, Skipped(0, 0, f"records up to {header.after} are not there before this segment",
-                                    header.after - last)
+                yield (
+                    name,
+                    Skipped(
+                        0,
+                        0,
+                        f"records up to {header.after} are not there before this segment",
+                        header.after - last,
+                    ),
+                )
             # Before the oldest segment that is there nothing is missed: retention has taken it.
             whole = not header.flags & COMPACTED
             for each in read_frames(data, header.first, HEADER_SIZE, bool(header.flags & COMPACTED)):
@@ -147,8 +155,9 @@
         """Write and sync; returns the number of the last record. Raises OSError: then none of the batch may
         be relied on, and all of it may be there."""
         numbers = range(self.number, self.number + len(batch))
-        data = b"".join(frame_bytes(number, encode(record))
-                        for number, record in zip(numbers, batch, strict=True))
+        data = b"".join(
+            frame_bytes(number, encode(record)) for number, record in zip(numbers, batch, strict=True)
+        )
         # A clock that stepped back must not keep a segment open for ever.
         old = not 0 <= now_ms - self.begun_ms < self.bounds.segment_ms
         if self.current is None or old or self.size + len(data) > self.bounds.segment_bytes:
--- a/spanwing/journal/query.py
+++ b/spanwing/journal/query.py
@@ -45,15 +45,31 @@
 WORD: /[^\s(),"'=<>!~]+/
 %ignore /\s+/
 """
-TEXTS = {"request": "request", "class": "cls", "tenant": "tenant", "key": "key", "front": "front",
-         "worker": "worker", "address": "address", "state": "state", "given_up": "given_up",
-         "result": "result", "answer": "answer"}
+TEXTS = {
+    "request": "request",
+    "class": "cls",
+    "tenant": "tenant",
+    "key": "key",
+    "front": "front",
+    "worker": "worker",
+    "address": "address",
+    "state": "state",
+    "given_up": "given_up",
+    "result": "result",
+    "answer": "answer",
+}
 NUMBERS = {"attempt": "attempt"}
 TIMES = {"time": "time", "intent": "intent", "last_byte": "last_byte", "answered": "answered"}
 FLAGS = {"closed": "closed"}
 FIELDS = sorted({*TEXTS, *NUMBERS, *TIMES, *FLAGS})
-ORDERS = {"=": operator.eq, "!=": operator.ne, "<": operator.lt, "<=": operator.le, ">": operator.gt,
-          ">=": operator.ge}
+ORDERS = {
+    "=": operator.eq,
+    "!=": operator.ne,
+    "<": operator.lt,
+    "<=": operator.le,
+    ">": operator.gt,
+    ">=": operator.ge,
+}
 UNITS = {"ms": 1.0, "s": 1e3, "m": 60e3, "h": 3600e3, "d": 86400e3}
 LONGEST = 4096
 
@@ -180,8 +196,11 @@
 
     def all(self, parts: list[_Node]) -> _Node:
         tests = [each.test for each in parts]
-        node = _Node(lambda row: all(each(row) for each in tests), max(each.after for each in parts),
-                     min(each.before for each in parts))
+        node = _Node(
+            lambda row: all(each(row) for each in tests),
+            max(each.after for each in parts),
+            min(each.before for each in parts),
+        )
         for each in parts:
             for name, values in each.sets.items():
                 node.sets[name] = node.sets.get(name, values) & values
@@ -189,8 +208,11 @@
 
     def any(self, parts: list[_Node]) -> _Node:
         tests = [each.test for each in parts]
-        node = _Node(lambda row: any(each(row) for each in tests), min(each.after for each in parts),
-                     max(each.before for each in parts))
+        node = _Node(
+            lambda row: any(each(row) for each in tests),
+            min(each.after for each in parts),
+            max(each.before for each in parts),
+        )
         for name in set.intersection(*(set(each.sets) for each in parts)):
             node.sets[name] = frozenset().union(*(each.sets[name] for each in parts))
         return node
--- a/spanwing/journal/repair.py
+++ b/spanwing/journal/repair.py
@@ -64,8 +64,9 @@
                 yield Step(name, "rewrite", f"{error}")
             continue
         sparse = bool(header.flags & COMPACTED)
-        wrong = [each for each in read_frames(data, header.first, HEADER_SIZE, sparse)
-                 if isinstance(each, Skipped)]
+        wrong = [
+            each for each in read_frames(data, header.first, HEADER_SIZE, sparse) if isinstance(each, Skipped)
+        ]
         torn = [each for each in wrong if each.reason.startswith("torn tail")]
         if len(wrong) > len(torn):
             yield Step(name, "rewrite", "; ".join(each.reason for each in wrong))
--- a/spanwing/journal/rows.py
+++ b/spanwing/journal/rows.py
@@ -41,8 +41,11 @@
     attempts = sorted(request.attempts.values(), key=lambda each: each.number)
     for attempt in attempts:
         yield _row(request, attempt)
-    if not attempts or request.finding == "possibly sent" and all(
-            each.finding == "not sent" for each in attempts):
+    if (
+        not attempts
+        or request.finding == "possibly sent"
+        and all(each.finding == "not sent" for each in attempts)
+    ):
         yield _row(request, None)  # what is known of the request as a whole
 
 
@@ -53,10 +56,21 @@
     if attempt is not None:
         result = attempt.result or attempt.unsent
     return Row(
-        request.id, taken.cls if taken else "", taken.tenant if taken else "", taken.key if taken else "",
-        taken.front if taken else "", attempt.number if attempt else None, attempt.worker if attempt else "",
-        attempt.address if attempt else "", attempt.finding if attempt else request.finding,
-        taken.wall_ms if taken else intent, intent, attempt.last_byte_ms if attempt else None,
-        attempt.given_up if attempt else "", result,
-        request.answer, request.answered_ms, attempt.closed if attempt else request.cut_short,
+        request.id,
+        taken.cls if taken else "",
+        taken.tenant if taken else "",
+        taken.key if taken else "",
+        taken.front if taken else "",
+        attempt.number if attempt else None,
+        attempt.worker if attempt else "",
+        attempt.address if attempt else "",
+        attempt.finding if attempt else request.finding,
+        taken.wall_ms if taken else intent,
+        intent,
+        attempt.last_byte_ms if attempt else None,
+        attempt.given_up if attempt else "",
+        result,
+        request.answer,
+        request.answered_ms,
+        attempt.closed if attempt else request.cut_short,
     )
--- a/spanwing/journal/snapshot.py
+++ b/spanwing/journal/snapshot.py
@@ -43,9 +43,22 @@
 
 def snapshot_bytes(ledger: Ledger, last: int) -> bytes:
     """What is open after record `last`."""
-    kept = [KeptRequest(each.id, each.first, each.taken, each.answer, each.answered_ms, each.cut_short, [
-        KeptAttempt(*(getattr(attempt, name) for name in KeptAttempt.__struct_fields__))
-        for attempt in each.attempts.values()], each.doubtful) for each in ledger.open.values()]
+    kept = [
+        KeptRequest(
+            each.id,
+            each.first,
+            each.taken,
+            each.answer,
+            each.answered_ms,
+            each.cut_short,
+            [
+                KeptAttempt(*(getattr(attempt, name) for name in KeptAttempt.__struct_fields__))
+                for attempt in each.attempts.values()
+            ],
+            each.doubtful,
+        )
+        for each in ledger.open.values()
+    ]
     body = msgspec.msgpack.encode((kept, list(ledger.lost.items()), ledger.certain))
     return HEAD.pack(MAGIC, VERSION, last, google_crc32c.value(struct.pack("!Q", last) + body)) + body
 
@@ -67,6 +80,14 @@
     ledger.lost.update(lost)
     for each in kept:
         attempts = {kept.number: Attempt(*msgspec.structs.astuple(kept)) for kept in each.attempts}
-        ledger.open[each.id] = Request(each.id, each.first, each.taken, each.answer, each.answered_ms,
-                                       each.cut_short, each.doubtful, attempts)
+        ledger.open[each.id] = Request(
+            each.id,
+            each.first,
+            each.taken,
+            each.answer,
+            each.answered_ms,
+            each.cut_short,
+            each.doubtful,
+            attempts,
+        )
     return ledger, last
--- a/spanwing/journal/thinning.py
+++ b/spanwing/journal/thinning.py
@@ -58,8 +58,11 @@
             try:
                 ended_ms = read_header(self.files.read(following, HEADER_SIZE)).begun_ms
                 # No class has the empty name: it stands for all that have the general time.
-                over = frozenset(cls for cls in ("", *self.bounds.keep_ms_of)
-                                 if now_ms - ended_ms > self.bounds.keep_of(cls))
+                over = frozenset(
+                    cls
+                    for cls in ("", *self.bounds.keep_ms_of)
+                    if now_ms - ended_ms > self.bounds.keep_of(cls)
+                )
                 if over != self.done.get(name, frozenset()):
                     yield from self._thin(before, name, ended_ms, now_ms)
                     self.done[name] = over
--- a/spanwing/load/openloop.py
+++ b/spanwing/load/openloop.py
@@ -50,8 +50,13 @@
     @property
     def warning(self) -> str:
         late = self.late["99"]
-        return "" if late < LATE_MS else (
-            f"the generator ran {late:.0f} ms late at its 99th percentile: the load was not as asked for")
+        return (
+            ""
+            if late < LATE_MS
+            else (
+                f"the generator ran {late:.0f} ms late at its 99th percentile: the load was not as asked for"
+            )
+        )
 
 
 def percentiles(values: list[float]) -> dict[str, float]:
@@ -68,7 +73,8 @@
         assert places and most > 0
         self.places, self.name, self.most = places, name, most
         self.idle: dict[Place, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {
-            place: [] for place in places}
+            place: [] for place in places
+        }
         self.room = asyncio.Semaphore(most)
         self.done: list[Done] = []
         self.tasks: set[asyncio.Task] = set()
@@ -99,15 +105,24 @@
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             pass
         now = time.perf_counter()
-        self.done.append(Done(wanted.cls.name, kind, (now - due) * 1000.0, (now - written) * 1000.0,
-                              (started - due) * 1000.0))
+        self.done.append(
+            Done(
+                wanted.cls.name,
+                kind,
+                (now - due) * 1000.0,
+                (now - written) * 1000.0,
+                (started - due) * 1000.0,
+            )
+        )
 
     async def _exchange(self, wanted: Wanted, place: Place) -> tuple[str, float]:
         """Raises OSError or IncompleteReadError where no whole answer came."""
         body = b"x" * 64
-        data = (f"POST /{wanted.cls.name} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.name}-{wanted.id}\r\n"
-                f"X-Caller: {wanted.brand}\r\nX-Budget-Ms: {wanted.patience:.3f}\r\n"
-                f"Idempotency-Key: {wanted.key}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+        data = (
+            f"POST /{wanted.cls.name} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.name}-{wanted.id}\r\n"
+            f"X-Caller: {wanted.brand}\r\nX-Budget-Ms: {wanted.patience:.3f}\r\n"
+            f"Idempotency-Key: {wanted.key}\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         idle = self.idle[place]
         while idle and idle[-1][0].at_eof():  # closed while it was idle
             idle.pop()[1].close()
@@ -131,10 +146,14 @@
     def report(self, seconds: float) -> Report:
         classes = sorted({each.cls for each in self.done})
         return Report(
-            len(self.done), seconds, dict(Counter(each.kind for each in self.done)),
+            len(self.done),
+            seconds,
+            dict(Counter(each.kind for each in self.done)),
             percentiles([each.latency for each in self.done]),
-            percentiles([each.service for each in self.done]), percentiles([each.late for each in self.done]),
-            {cls: percentiles([each.latency for each in self.done if each.cls == cls]) for cls in classes})
+            percentiles([each.service for each in self.done]),
+            percentiles([each.late for each in self.done]),
+            {cls: percentiles([each.latency for each in self.done if each.cls == cls]) for cls in classes},
+        )
 
     def close(self) -> None:
         for idle in self.idle.values():
--- a/spanwing/log/events.py
+++ b/spanwing/log/events.py
@@ -35,19 +35,29 @@
         self.limiter = Limiter(per_second, max(1.0, per_second * BURST / PER_SECOND))
         self.writer = Writer()
         shared = [structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True)]
-        render = (structlog.processors.JSONRenderer() if form == "json"
-                  else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"],
-                                                           bool_as_flag=False))
+        render = (
+            structlog.processors.JSONRenderer()
+            if form == "json"
+            else structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False
+            )
+        )
         formatter = structlog.stdlib.ProcessorFormatter(
-            processor=render, foreign_pre_chain=[*shared, structlog.processors.format_exc_info])
+            processor=render, foreign_pre_chain=[*shared, structlog.processors.format_exc_info]
+        )
         handler = _ToWriter(self.writer, self.limiter, formatter)
         root = logging.getLogger()
         root.handlers[:] = [handler]
         root.setLevel(logging.INFO)
         structlog.configure(
-            processors=[structlog.stdlib.filter_by_level, *shared, _flat if form == "keys" else _as_it_is,
-                        structlog.stdlib.ProcessorFormatter.wrap_for_formatter],
-            logger_factory=structlog.stdlib.LoggerFactory(), wrapper_class=structlog.stdlib.BoundLogger,
+            processors=[
+                structlog.stdlib.filter_by_level,
+                *shared,
+                _flat if form == "keys" else _as_it_is,
+                structlog.stdlib.ProcessorFormatter.wrap_for_formatter,
+            ],
+            logger_factory=structlog.stdlib.LoggerFactory(),
+            wrapper_class=structlog.stdlib.BoundLogger,
         )
         self.structured = structlog.get_logger("spanwing").bind(**fields)
 
@@ -70,8 +80,10 @@
 
 def _flat(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
     """Lists as one word: a line of key=value has no other place for them."""
-    return {key: ",".join(map(str, value)) if isinstance(value, list | tuple) else value
-            for key, value in fields.items()}
+    return {
+        key: ",".join(map(str, value)) if isinstance(value, list | tuple) else value
+        for key, value in fields.items()
+    }
 
 
 def _as_it_is(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
--- a/spanwing/log/writer.py
+++ b/spanwing/log/writer.py
@@ -36,7 +36,7 @@
                 line += b"event=log_lost lines=%d\n" % lost
             try:
                 while line:
-                    line = line[os.write(self.descriptor, line):]
+                    line = line[os.write(self.descriptor, line) :]
             except OSError:
                 self.lost += 1  # nobody reads any more; the daemon goes on
 
--- a/spanwing/policy/chair.py
+++ b/spanwing/policy/chair.py
@@ -123,8 +123,11 @@
     def _can_act(self, now: float, policy: Policy, keeper: Keeps) -> dict[str, str]:
         """Sessions that may hold a permit, by name."""
         gone = set(policy.change.gone) if policy.change is not None else set()
-        return {name: session for name, session in policy.register.items()
-                if session not in gone and not self.lapsed(now, session, keeper)}
+        return {
+            name: session
+            for name, session in policy.register.items()
+            if session not in gone and not self.lapsed(now, session, keeper)
+        }
 
     def waits_for(self, now: float, document: Document, keeper: Keeps) -> dict[str, str]:
         """By name, why the change has not gone on."""
@@ -163,9 +166,15 @@
         register = dict(policy.register)
         for session, says in self.words.items():
             name, known = name_of(session), keeper.sessions.get(session)
-            if (says.wants and known is not None and known.confirmed > -math.inf and 0 < len(name)
-                    and len(name) <= LONGEST_NAME and register.get(name) != session
-                    and (name in register or len(register) < MOST_NAMES)):
+            if (
+                says.wants
+                and known is not None
+                and known.confirmed > -math.inf
+                and 0 < len(name)
+                and len(name) <= LONGEST_NAME
+                and register.get(name) != session
+                and (name in register or len(register) < MOST_NAMES)
+            ):
                 register[name] = session
         if register == policy.register:
             return None
@@ -199,18 +208,30 @@
         """The decision: one change of the document, whichever it is. The register must be the one that was
         looked at, as who is in it may hold a permit."""
         new = policy.next
-        past = Past(new.number, self.wall_ms(), taken, (reason or new.reason)[:LONGEST_REASON], new.author,
-                    new.digest)
-        writes: dict[str, str | None] = {CHANGE: None, NEXT: None,
-                                         PAST: encode([*policy.past, past][-HISTORY:])}
+        past = Past(
+            new.number, self.wall_ms(), taken, (reason or new.reason)[:LONGEST_REASON], new.author, new.digest
+        )
+        writes: dict[str, str | None] = {
+            CHANGE: None,
+            NEXT: None,
+            PAST: encode([*policy.past, past][-HISTORY:]),
+        }
         if taken:
             writes[NOW] = encode(new)
         return Txn(self.draw(), writes, document.at(CHANGE, NEXT, NOW, REGISTER, PAST))
 
     # -- orders
 
-    def propose(self, document: Document, text: str, base: int, author: str, reason: str, wait_ms: float,
-                gone: list[str]) -> Txn:
+    def propose(
+        self,
+        document: Document,
+        text: str,
+        base: int,
+        author: str,
+        reason: str,
+        wait_ms: float,
+        gone: list[str],
+    ) -> Txn:
         """Raises ValueError with why it is refused."""
         policy = read(document)
         if policy.unread:
@@ -218,14 +239,17 @@
         if policy.change is not None:
             raise ValueError(f"version {policy.next.number} by {policy.next.author} is under way")
         if base != policy.now.number:
-            raise ValueError(f"it was made from version {base}, and {policy.now.number} by "
-                             f"{policy.now.author or 'nobody'} is in force")
+            raise ValueError(
+                f"it was made from version {base}, and {policy.now.number} by "
+                f"{policy.now.author or 'nobody'} is in force"
+            )
         if len(text.encode()) > LONGEST:
             raise ValueError(f"{len(text.encode())} bytes, {LONGEST} at most")
         if unknown := sorted(set(gone) - set(policy.register)):
             raise ValueError(f"{unknown[0]!r} is no scheduler that is known")
-        new = Version(base + 1, digest(text), text, author[:LONGEST_REASON], reason[:LONGEST_REASON],
-                      self.wall_ms())
+        new = Version(
+            base + 1, digest(text), text, author[:LONGEST_REASON], reason[:LONGEST_REASON], self.wall_ms()
+        )
         # Their sessions: a later life of the same name is another matter.
         change = Change(self.draw(), "asking", wait_ms, sorted(policy.register[name] for name in gone))
         return Txn(self.draw(), {NEXT: encode(new), CHANGE: encode(change)}, document.at(NOW, NEXT, CHANGE))
--- a/spanwing/policy/minds.py
+++ b/spanwing/policy/minds.py
@@ -53,8 +53,9 @@
         txn = self.chair.decide(now, document, keeper)
         return self.zones.decide(now, document, keeper) if txn is None and self.zones is not None else txn
 
-    def order(self, now: float, order: msgspec.Raw, document: Document,
-              keeper: Keeper) -> tuple[Txn | None, str]:
+    def order(
+        self, now: float, order: msgspec.Raw, document: Document, keeper: Keeper
+    ) -> tuple[Txn | None, str]:
         try:
             wanted = msgspec.json.decode(order, type=PolicyOrder)
         except ValueError:
@@ -68,6 +69,7 @@
             return None, "; ".join(f"{name} {why}" for name, why in sorted(waits.items()))
         if not LEAST_WAIT_S <= wanted.wait_s <= MOST_WAIT_S:
             raise ValueError(f"--wait: {LEAST_WAIT_S:g} to {MOST_WAIT_S:g} seconds are possible")
-        txn = self.chair.propose(document, wanted.text, wanted.base, wanted.by, wanted.reason,
-                                 1000.0 * wanted.wait_s, wanted.gone)
+        txn = self.chair.propose(
+            document, wanted.text, wanted.base, wanted.by, wanted.reason, 1000.0 * wanted.wait_s, wanted.gone
+        )
         return txn, f"version {read(document).now.number + 1} is proposed"
--- a/spanwing/policy/record.py
+++ b/spanwing/policy/record.py
@@ -14,8 +14,13 @@
 
 from spanwing.store.document import Document
 
-NOW, NEXT, CHANGE, REGISTER, PAST = ("policy/now", "policy/next", "policy/change", "policy/register",
-                                     "policy/history")
+NOW, NEXT, CHANGE, REGISTER, PAST = (
+    "policy/now",
+    "policy/next",
+    "policy/change",
+    "policy/register",
+    "policy/history",
+)
 HISTORY = 40
 LONGEST = 20 * 1024
 MOST_NAMES, LONGEST_NAME = 500, 24
@@ -70,8 +75,13 @@
         return bool(self.unread) or (self.change is not None and self.change.state == "closing")
 
 
-KINDS = {NOW: ("now", Version), NEXT: ("next", Version), CHANGE: ("change", Change),
-         REGISTER: ("register", dict[str, str]), PAST: ("past", list[Past])}
+KINDS = {
+    NOW: ("now", Version),
+    NEXT: ("next", Version),
+    CHANGE: ("change", Change),
+    REGISTER: ("register", dict[str, str]),
+    PAST: ("past", list[Past]),
+}
 
 
 def read(document: Document) -> Policy:
--- a/spanwing/policy/side.py
+++ b/spanwing/policy/side.py
@@ -63,8 +63,16 @@
         """own: of our own file, of which our position and our zone count. Raises KeptError."""
         self.name, self.wanted, self.own, self.seed = name, wanted, own, seed
         self.kept = Kept(wanted.directory)
-        self.follower = Follower(name, own.zone, own.node, wanted.members, buffers, lambda: b"[{}]",
-                                 self._changed, lambda zones: self.look(zones))
+        self.follower = Follower(
+            name,
+            own.zone,
+            own.node,
+            wanted.members,
+            buffers,
+            lambda: b"[{}]",
+            self._changed,
+            lambda zones: self.look(zones),
+        )
         self.hand = Hand(self.follower.session, self._check, self.follower.permit)
         self.follower.says = lambda: msgspec.Raw(msgspec.json.encode(self.hand.word))
         self.look: Callable[[tuple[str, ...]], None] = lambda zones: None  # the zones'
@@ -134,6 +142,7 @@
 
     def left(self, request: str, sender: SenderSide) -> None:
         """Its client is gone: it is not taken any more."""
+
         def its(take: Take) -> bool:
             return take.envelope.id == request and take.sender is sender
 
@@ -176,12 +185,27 @@
         change, was = policy.change, before.change
         if change is not None and (was is None or (was.id, was.state) != (change.id, change.state)):
             word = self.hand.word
-            tell("policy", bounded=False, step=change.state, version=policy.next.number,
-                 author=policy.next.author, digest=policy.next.digest, ready=not word.no, reason=word.no)
+            tell(
+                "policy",
+                bounded=False,
+                step=change.state,
+                version=policy.next.number,
+                author=policy.next.author,
+                digest=policy.next.digest,
+                ready=not word.no,
+                reason=word.no,
+            )
         for past in policy.past[-1:]:
             if not before.past or before.past[-1] != past:
-                tell("policy", bounded=False, step="taken" if past.taken else "not taken",
-                     version=past.number, author=past.author, digest=past.digest, reason=past.reason)
+                tell(
+                    "policy",
+                    bounded=False,
+                    step="taken" if past.taken else "not taken",
+                    version=past.number,
+                    author=past.author,
+                    digest=past.digest,
+                    reason=past.reason,
+                )
 
     def _maybe_first(self) -> None:
         if not self.first.done() and self.hand.may(clock_ms()).do == "take":
@@ -207,8 +231,13 @@
         self.version = now
         for hears in self.began:
             hears(settings)
-        tell("policy_taken", bounded=False, version=now.number, digest=now.digest,
-             ms=round((time.perf_counter() - begun) * 1000.0, 2))
+        tell(
+            "policy_taken",
+            bounded=False,
+            version=now.number,
+            digest=now.digest,
+            ms=round((time.perf_counter() - begun) * 1000.0, 2),
+        )
         self._release()
         self._keep(clock_ms())
 
@@ -223,14 +252,17 @@
             job = self.core._of(request).jobs.get(request)
             if job is not None and request not in self.core.calls:
                 open_jobs[job.cls.name] += 1
-        return unsound(text, Running(self.core.settings, open_jobs, self._windows(),
-                                     text=self.version.text))
+        return unsound(text, Running(self.core.settings, open_jobs, self._windows(), text=self.version.text))
 
     def _windows(self) -> dict[str, float]:
         """By keyed class, how long a key that is open now may come again: as long as its window, while jobs
         of it are open."""
-        return {each.name: each.window for each in self.core.settings.classes if each.effect == "keyed"
-                and any(call.envelope.cls == each.name for call in self.core.calls.values())}
+        return {
+            each.name: each.window
+            for each in self.core.settings.classes
+            if each.effect == "keyed"
+            and any(call.envelope.cls == each.name for call in self.core.calls.values())
+        }
 
     async def _tick(self) -> None:
         """What changes without news: a permit ends or is granted, a wait is over."""
@@ -265,8 +297,16 @@
 
     # -- orders and status
 
-    async def order(self, do: str, by: str, text: str = "", base: int = 0, reason: str = "",
-                    wait_s: float = 60.0, gone: list[str] = ()) -> str:
+    async def order(
+        self,
+        do: str,
+        by: str,
+        text: str = "",
+        base: int = 0,
+        reason: str = "",
+        wait_s: float = 60.0,
+        gone: list[str] = (),
+    ) -> str:
         """Raises ValueError with what is wrong."""
         order = PolicyOrder(do, text, base, f"{by} at {self.name}", reason, wait_s, list(gone))
         done = await self.follower.order(order)
@@ -278,15 +318,29 @@
         policy, now = self.hand.policy, clock_ms()
         change = policy.change
         return {
-            "version": self.version.number, "digest": self.version.digest, "author": self.version.author,
-            "in_force": policy.now.number, "permit_ms": max(0.0, self.follower.permit.until - now),
-            "may": self.hand.may(now).do, "why": self.hand.may(now).why, "by": self.follower.by,
-            "contact": self.follower.holds(), "schedulers": sorted(policy.register),
+            "version": self.version.number,
+            "digest": self.version.digest,
+            "author": self.version.author,
+            "in_force": policy.now.number,
+            "permit_ms": max(0.0, self.follower.permit.until - now),
+            "may": self.hand.may(now).do,
+            "why": self.hand.may(now).why,
+            "by": self.follower.by,
+            "contact": self.follower.holds(),
+            "schedulers": sorted(policy.register),
             "open_under_earlier": len(self.core.under) if self.core is not None else 0,
-            "change": None if change is None else {
-                "version": policy.next.number, "state": change.state, "author": policy.next.author,
-                "reason": policy.next.reason, "tries": change.tries, "ready": not self.hand.word.no,
-                "no": self.hand.word.no}}
+            "change": None
+            if change is None
+            else {
+                "version": policy.next.number,
+                "state": change.state,
+                "author": policy.next.author,
+                "reason": policy.next.reason,
+                "tries": change.tries,
+                "ready": not self.hand.word.no,
+                "no": self.hand.word.no,
+            },
+        }
 
     def history(self) -> list[dict[str, Any]]:
         return [msgspec.structs.asdict(each) for each in self.hand.policy.past]
--- a/spanwing/policy/sound.py
+++ b/spanwing/policy/sound.py
@@ -105,12 +105,16 @@
         for what in ("effect", "group", "kind"):
             was, becomes = getattr(old, what), getattr(now, what)
             if was != becomes and count:
-                yield f"classes.{old.name}: its {what} turns from {was} to {becomes}, while {_jobs(count)} " \
-                      "of it are open"
+                yield (
+                    f"classes.{old.name}: its {what} turns from {was} to {becomes}, while {_jobs(count)} "
+                    "of it are open"
+                )
         kept = now.effect == "keyed" and now.group == old.group and now.window >= old.window
         if old.effect == "keyed" and rest > 0 and not kept:
-            yield f"classes.{old.name}: keys of it may come again for {rest / 1000:.1f} s, which its " \
-                  "window or its effect would no longer see"
+            yield (
+                f"classes.{old.name}: keys of it may come again for {rest / 1000:.1f} s, which its "
+                "window or its effect would no longer see"
+            )
 
 
 def _jobs(count: int) -> str:
--- a/spanwing/settings.py
+++ b/spanwing/settings.py
@@ -14,11 +14,20 @@
 
 #: The module's names for what the settings object calls otherwise.
 SAID_AS = {
-    "nodes": "balancers", "node": "position", "tick": "tick_ms", "zones": "areas", "tenants": "orgs",
-    "max_attempts": "permissions.max_attempts", "max_retry_after": "permissions.max_retry_after_ms",
-    "answer_grace": "rules.grace_to_answer_ms", "drain_grace": "rules.stop_sending_within_ms",
-    "cold_from": "rules.cold_from", "cold_ms": "rules.cold_ms", "fall_ms": "rules.fall_ms",
-    "fall_multiple": "rules.fall_multiple", "progress": "specifics.progress_ms",
+    "nodes": "balancers",
+    "node": "position",
+    "tick": "tick_ms",
+    "zones": "areas",
+    "tenants": "orgs",
+    "max_attempts": "permissions.max_attempts",
+    "max_retry_after": "permissions.max_retry_after_ms",
+    "answer_grace": "rules.grace_to_answer_ms",
+    "drain_grace": "rules.stop_sending_within_ms",
+    "cold_from": "rules.cold_from",
+    "cold_ms": "rules.cold_ms",
+    "fall_ms": "rules.fall_ms",
+    "fall_multiple": "rules.fall_multiple",
+    "progress": "specifics.progress_ms",
 }
 
 
@@ -104,10 +113,17 @@
 
     kind = told(specifics.class_kind, -1)
     return api.ServiceClass(
-        name=each.name, aim=each.aim_ms, deadline=each.deadline_ms, worth=each.worth,
-        late_worth=each.late_worth, stretch=told(specifics.class_stretch, each.aim_stretch or 0.0),
-        effect=each.idempotency, group=each.group or "all", window=each.window_ms or 0.0,
-        streamed=each.streamed, kind=kinds[kind] if 0 <= kind < len(kinds) else None,
+        name=each.name,
+        aim=each.aim_ms,
+        deadline=each.deadline_ms,
+        worth=each.worth,
+        late_worth=each.late_worth,
+        stretch=told(specifics.class_stretch, each.aim_stretch or 0.0),
+        effect=each.idempotency,
+        group=each.group or "all",
+        window=each.window_ms or 0.0,
+        streamed=each.streamed,
+        kind=kinds[kind] if 0 <= kind < len(kinds) else None,
         priority=told(specifics.class_priority, 0),
     )
 
@@ -126,8 +142,10 @@
     specifics = options.specifics or Specifics()
     allow, rules = options.permissions or Permissions(), options.rules or Rules()
     return api.Settings(
-        classes=tuple(_service_class(each, index, specifics, options.kinds or [])
-                      for index, each in enumerate(options.classes)),
+        classes=tuple(
+            _service_class(each, index, specifics, options.kinds or [])
+            for index, each in enumerate(options.classes)
+        ),
         node=options.position,
         nodes=options.balancers,
         zone=options.zone or "",
--- a/spanwing/store/disk.py
+++ b/spanwing/store/disk.py
@@ -2,7 +2,7 @@
 
 Guarantees: what save() returned from is read again after any crash; a log that has grown beyond GROWN times
 what is in it, and LEAST bytes, is written anew without what was overwritten, so the disk is bounded by the
-registers. """
+registers."""
 
 from __future__ import annotations
 
--- a/spanwing/store/document.py
+++ b/spanwing/store/document.py
@@ -74,8 +74,9 @@
                 entries.pop(key, None)
                 continue
             if len(key.encode()) > LONGEST_KEY or len(value.encode()) > LONGEST_VALUE:
-                raise ValueError(f"{key[:40]!r}: a key has {LONGEST_KEY} bytes at most, a value "
-                                 f"{LONGEST_VALUE}")
+                raise ValueError(
+                    f"{key[:40]!r}: a key has {LONGEST_KEY} bytes at most, a value {LONGEST_VALUE}"
+                )
             entries[key] = Entry(value, revision)
         if len(entries) > MOST_KEYS or sum(len(k) + len(e.value) for k, e in entries.items()) > LARGEST:
             raise ValueError(f"the fleet's state would go beyond {MOST_KEYS} keys or {LARGEST} bytes")
@@ -94,7 +95,7 @@
             return ()
         if not self.history or not self.history[0].revision - 1 <= revision < self.revision:
             return None
-        return self.history[revision + 1 - self.history[0].revision:]
+        return self.history[revision + 1 - self.history[0].revision :]
 
     def follow(self, changes: tuple[Change, ...]) -> Document:
         """A watcher's copy with the next changes. Raises ValueError where one is missing between."""
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -41,9 +41,17 @@
 class Follower:
     """One session."""
 
-    def __init__(self, name: str, zone: str, position: int, members: dict[str, Address], buffers: BufferPool,
-                 brings: Callable[[], bytes], changed: Callable[[Document], None],
-                 look: Callable[[tuple[str, ...]], None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        position: int,
+        members: dict[str, Address],
+        buffers: BufferPool,
+        brings: Callable[[], bytes],
+        changed: Callable[[Document], None],
+        look: Callable[[tuple[str, ...]], None],
+    ) -> None:
         """brings: what goes with a renewal, JSON; look: the keeper would have us look at these."""
         self.session = f"{name[:60]}.{secrets.token_hex(4)}"
         self.zone, self.position, self.members, self.buffers = zone, position, members, buffers
@@ -98,8 +106,11 @@
         """Renew by one member until that fails; whether it ever granted."""
         stream = IOStream(open_socket(address), max_write_buffer_size=LONGEST)
         try:
-            await with_timeout(timedelta(seconds=CONNECT_S), stream.connect(address.target),
-                               quiet_exceptions=StreamClosedError)
+            await with_timeout(
+                timedelta(seconds=CONNECT_S),
+                stream.connect(address.target),
+                quiet_exceptions=StreamClosedError,
+            )
         except (WaitOver, StreamClosedError):
             stream.close()
             self.why = f"{name} cannot be connected to"
@@ -131,8 +142,18 @@
             self.lease.ask(n, now)
             self.permit.ask(n, now)
             says = msgspec.Raw(b"null") if self.says is None else self.says()
-            if not await self._write(Renew(n, self.session, self.zone, self.position, self.document.revision,
-                                           msgspec.Raw(self.brings()), False, says)):
+            if not await self._write(
+                Renew(
+                    n,
+                    self.session,
+                    self.zone,
+                    self.position,
+                    self.document.revision,
+                    msgspec.Raw(self.brings()),
+                    False,
+                    says,
+                )
+            ):
                 self.why = f"{name} has closed the connection"
                 return False
             try:
@@ -162,8 +183,14 @@
         stream.close()
         for n, done in self.orders.items():
             if not done.done():
-                done.set_result(Done(n, False, "the connection was lost: the order may still take hold, so "
-                                               "look before you order again"))
+                done.set_result(
+                    Done(
+                        n,
+                        False,
+                        "the connection was lost: the order may still take hold, so "
+                        "look before you order again",
+                    )
+                )
         if self.stream is stream and self.grants is not None and not self.grants.done():
             self.grants.set_result(Granted(0, why="the connection was closed"))
 
--- a/spanwing/store/keeper.py
+++ b/spanwing/store/keeper.py
@@ -74,8 +74,9 @@
     def decide(self, now: float, document: Document, keeper: Keeper) -> Txn | None:
         """The next change, if one is due."""
 
-    def order(self, now: float, order: msgspec.Raw, document: Document,
-              keeper: Keeper) -> tuple[Txn | None, str]:
+    def order(
+        self, now: float, order: msgspec.Raw, document: Document, keeper: Keeper
+    ) -> tuple[Txn | None, str]:
         """What an order comes to: a change, or none; and what is said of it. Raises ValueError: refused."""
 
 
@@ -94,8 +95,9 @@
 
     permits: Permits | None = None
 
-    def __init__(self, member: str, lease_ms: float, mind: Mind, now: float,
-                 draw: Callable[[], float]) -> None:
+    def __init__(
+        self, member: str, lease_ms: float, mind: Mind, now: float, draw: Callable[[], float]
+    ) -> None:
         """draw: a number from 0 to 1 at random."""
         self.member, self.lease_ms, self.mind, self.draw = member, lease_ms, mind, draw
         self.document, self.sessions = Document(), dict[str, Session]()
@@ -132,7 +134,8 @@
                 answer(Granted(message.n, why=f"{MOST_SESSIONS} sessions are all that are kept"))
                 return
             session = self.sessions[message.session] = Session(
-                message.session, message.zone, message.position, message.seen)
+                message.session, message.zone, message.position, message.seen
+            )
         if session.poll is not None:
             self._answer(session)
         session.fresh = now
@@ -193,11 +196,17 @@
                 self._answer(waiting.pop(int(self.draw() * len(waiting))), look)
         for session in self.sessions.values():
             poll = session.poll
-            if poll is not None and poll.confirmed and (
-                    self.document.revision > poll.message.seen or now - poll.came >= HOLD_MS):
+            if (
+                poll is not None
+                and poll.confirmed
+                and (self.document.revision > poll.message.seen or now - poll.came >= HOLD_MS)
+            ):
                 self._answer(session)
-        for each in [each for each in self.sessions.values() if each.poll is None
-                     and now - max(each.fresh, self.since) > FORGET_MS]:
+        for each in [
+            each
+            for each in self.sessions.values()
+            if each.poll is None and now - max(each.fresh, self.since) > FORGET_MS
+        ]:
             del self.sessions[each.id]
 
     def _answer(self, session: Session, look: tuple[str, ...] = ()) -> None:
@@ -226,8 +235,11 @@
 
     def in_contact(self, now: float) -> list[Session]:
         """Those that hold a lease of ours, as far as we know."""
-        return [each for each in self.sessions.values()
-                if each.confirmed > -math.inf and now < lapsed_at(each.confirmed, self.lease_ms)]
+        return [
+            each
+            for each in self.sessions.values()
+            if each.confirmed > -math.inf and now < lapsed_at(each.confirmed, self.lease_ms)
+        ]
 
     def acknowledged(self, revision: int, sessions: list[str], now: float) -> bool:
         """Whether each of these follows this revision, or has lapsed."""
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -72,8 +72,11 @@
     async def _open(self) -> None:
         stream = IOStream(open_socket(self.address))
         try:
-            await with_timeout(timedelta(seconds=CONNECT_S), stream.connect(self.address.target),
-                               quiet_exceptions=StreamClosedError)
+            await with_timeout(
+                timedelta(seconds=CONNECT_S),
+                stream.connect(self.address.target),
+                quiet_exceptions=StreamClosedError,
+            )
         except (WaitOver, StreamClosedError):
             stream.close()
             self.opening = None
--- a/spanwing/store/service.py
+++ b/spanwing/store/service.py
@@ -125,8 +125,9 @@
             spawn(self._learn())
             return _none(message, "this member does not keep, and knows of none that does")
         if isinstance(message, Renew):
-            self.keeper.renew(clock_ms(), message, lambda granted: answered.done() or
-            answered.set_result(granted))
+            self.keeper.renew(
+                clock_ms(), message, lambda granted: answered.done() or answered.set_result(granted)
+            )
         elif len(self.orders) < ORDERS:
             self.orders.append((message, answered))
         else:
--- a/spanwing/store/shared.py
+++ b/spanwing/store/shared.py
@@ -21,6 +21,7 @@
 
 async def shared_settings(store: Store, revision: int, settings: str) -> str:
     """Offer ours, take what stands. Without a majority it waits: a guess could differ from the others'."""
+
     def change(held: str | None) -> str:
         if held is not None and msgspec.json.decode(held, type=Shared).revision >= revision:
             return held
--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -28,8 +28,15 @@
 class Store:
     """Registers shared with the peers; alone, a dictionary with ballots."""
 
-    def __init__(self, member: str, acceptor: Acceptor, peers: list[Peer], seed: int,
-                 answer_ms: float = ANSWER_MS, names: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        member: str,
+        acceptor: Acceptor,
+        peers: list[Peer],
+        seed: int,
+        answer_ms: float = ANSWER_MS,
+        names: tuple[str, ...] = (),
+    ) -> None:
         self.names = names  # of the peers
         self.member, self.acceptor, self.peers = member, acceptor, peers
         self.wait = timedelta(milliseconds=answer_ms)
@@ -88,8 +95,9 @@
 
     def _give_up_if_alone(self, replies: list[Reply]) -> None:
         if len(replies) < self.majority:
-            raise NoMajority(f"{len(replies)} of {len(self.peers) + 1} members answered, "
-                             f"{self.majority} are needed")
+            raise NoMajority(
+                f"{len(replies)} of {len(self.peers) + 1} members answered, {self.majority} are needed"
+            )
 
     async def _round(self, make: Callable[[int], Prepare | Accept | Look | Ping]) -> list[Reply]:
         """Ask all members; the replies that came until a majority was clear or time was up."""
--- a/spanwing/wire/address.py
+++ b/spanwing/wire/address.py
@@ -60,15 +60,19 @@
 def inherited(number: int) -> socket.socket:
     """The listening socket that whoever started us holds open under this descriptor. Raises OSError."""
     sock = socket.socket(fileno=number)
-    if not (sock.family in (socket.AF_INET, socket.AF_INET6) and sock.type == socket.SOCK_STREAM
-            and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+    if not (
+        sock.family in (socket.AF_INET, socket.AF_INET6)
+        and sock.type == socket.SOCK_STREAM
+        and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    ):
         sock.detach()
         raise OSError(22, "it is no listening TCP socket")
     return sock
 
 
-def listen(address: Address, accept: Callable[[socket.socket], None],
-           shared: socket.socket | None = None) -> Listening:
+def listen(
+    address: Address, accept: Callable[[socket.socket], None], shared: socket.socket | None = None
+) -> Listening:
     """Listen on exactly this address, or take part in a socket that other processes accept on too: that one
     is closed here at the end, and never shut down. Raises OSError."""
     sock = shared or open_socket(address)
--- a/spanwing/wire/http.py
+++ b/spanwing/wire/http.py
@@ -16,11 +16,22 @@
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 TARGET = re.compile(r"[!-~]+")
 REASONS = {
-    200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
     429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-    502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
 }
 
 
@@ -211,7 +222,7 @@
         buffer = bytearray(self.stream.max_buffer_size)
         read = self.stream.read_into(buffer, partial=True)
         if read.done() and read.exception() is None:
-            self.parser.data += buffer[:read.result()]
+            self.parser.data += buffer[: read.result()]
         else:
             read.add_done_callback(lambda read: read.exception())  # nothing was there, and nobody waits
 
@@ -242,8 +253,13 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def response_bytes(status: int, body: bytes = b"", keep: bool = True, bare: bool = False,
-                   headers: dict[str, str] | None = None) -> bytes:
+def response_bytes(
+    status: int,
+    body: bytes = b"",
+    keep: bool = True,
+    bare: bool = False,
+    headers: dict[str, str] | None = None,
+) -> bytes:
     """bare: the head alone, as a HEAD request asks for."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
     if headers:
--- a/spanwing/wire/stream.py
+++ b/spanwing/wire/stream.py
@@ -61,7 +61,7 @@
             return False
         brought = reading is not None and reading.done() and reading.exception() is None
         if brought:
-            sink += memoryview(buffer)[:reading.result()]
+            sink += memoryview(buffer)[: reading.result()]
             self.read_at = IOLoop.current().time()
         self.buffers.give(buffer)
         return brought
@@ -190,8 +190,9 @@
         super().__init__(stream, buffers)
         self.data, self.longest = bytearray(), longest
 
-    async def line(self, whole_s: float | None = None, fresh: bool = False,
-                   late: bytes = b"") -> bytes | None:
+    async def line(
+        self, whole_s: float | None = None, fresh: bool = False, late: bytes = b""
+    ) -> bytes | None:
         """The next line; None when the connection ended first. One that has begun must be there whole after
         whole_s, else late is said; on a fresh connection that time runs already."""
         try:
--- a/spanwing/wire/table.py
+++ b/spanwing/wire/table.py
@@ -54,9 +54,13 @@
     def _make_room(self, spared: tuple[int, ...] = (), waited_s: float = 0.0) -> bool:
         """Close one of a rank that is not spared, and that has been so for so long."""
         now = IOLoop.current().time()
-        ranked = [(rank, each.since, number, each) for number, each in enumerate(self.seats)
-                  if (rank := each.rank(now - each.since)) is not None
-                  and rank not in spared and now - each.since >= waited_s]
+        ranked = [
+            (rank, each.since, number, each)
+            for number, each in enumerate(self.seats)
+            if (rank := each.rank(now - each.since)) is not None
+            and rank not in spared
+            and now - each.since >= waited_s
+        ]
         for *_, each in sorted(ranked):
             # What the kernel holds for us unread may be a good client's request: closing then would lose it.
             if each.over or each.silent():
--- a/spanwing/world/account.py
+++ b/spanwing/world/account.py
@@ -73,4 +73,6 @@
         worked = work.done + work.wasted + work.under_way
         assert abs(worked - work.busy) <= nearly, work
         assert abs(worked + work.withdrawn + work.still_to_do - self.work_asked) <= nearly, (
-            self.work_asked, work)
+            self.work_asked,
+            work,
+        )
--- a/spanwing/world/clients.py
+++ b/spanwing/world/clients.py
@@ -39,7 +39,7 @@
     memory: float = 0.0
 
     def mean_slots(self) -> float:
-        return sum(share * 2 ** power for power, share in enumerate(self.slots)) / sum(self.slots)
+        return sum(share * 2**power for power, share in enumerate(self.slots)) / sum(self.slots)
 
 
 class BrandSpec(NamedTuple):
@@ -113,19 +113,23 @@
 class Clients:
     """Makes requests one after another."""
 
-    def __init__(self, load: LoadSpec, classes: tuple[ClassSpec, ...], brands: tuple[BrandSpec, ...],
-                 streams: Streams) -> None:
+    def __init__(
+        self, load: LoadSpec, classes: tuple[ClassSpec, ...], brands: tuple[BrandSpec, ...], streams: Streams
+    ) -> None:
         assert load.rate > 0 and 0 <= load.swing < 1 and classes and brands
         self.load, self.classes, self.brands, self.made = load, classes, brands, 0
         self.floods: dict[str, float] = {}  # brand -> how many times its own load it sends now
         self.time = 0.0
-        uniform = {name: Drawn(streams.of("clients", name).random) for name in (
-            "thin", "class", "brand", "leave", "heed", "leave when", "slots", "zone")}
+        uniform = {
+            name: Drawn(streams.of("clients", name).random)
+            for name in ("thin", "class", "brand", "leave", "heed", "leave when", "slots", "zone")
+        }
         self.uniform = uniform
         gaps = streams.of("clients", "gap")
         self.gap = Drawn(lambda count: gaps.exponential(1.0, count))
-        self.work = {each.name: Drawn(_work(each, streams.of("clients", "work", each.name)))
-                     for each in classes}
+        self.work = {
+            each.name: Drawn(_work(each, streams.of("clients", "work", each.name))) for each in classes
+        }
         self.class_at = np.cumsum([each.share for each in classes]) / sum(each.share for each in classes)
         ranks = np.arange(1, load.keys + 1, dtype=float) ** -load.zipf
         popular = np.cumsum(ranks) / ranks.sum()
@@ -165,9 +169,18 @@
         leaves, when = draw["leave"](), draw["leave when"]()
         if leaves < self.load.impatient:
             patience *= when
-        return Wanted(f"r{self.made:09d}", self.time, cls, brand, f"{cls.name}-{int(self.key())}",
-                      self.work[cls.name](), patience, draw["heed"](),
-                      2 ** _drawn(cls.slots, draw["slots"]()), self._zone(draw["zone"]()))
+        return Wanted(
+            f"r{self.made:09d}",
+            self.time,
+            cls,
+            brand,
+            f"{cls.name}-{int(self.key())}",
+            self.work[cls.name](),
+            patience,
+            draw["heed"](),
+            2 ** _drawn(cls.slots, draw["slots"]()),
+            self._zone(draw["zone"]()),
+        )
 
     def _zone(self, at: float) -> str:
         zones = self.load.zones
@@ -189,8 +202,8 @@
     if cls.dist == "fixed" or cls.cv == 0:
         return lambda count: np.full(count, cls.work)
     if cls.dist == "lognormal":
-        sigma = math.sqrt(math.log1p(cls.cv ** 2))
+        sigma = math.sqrt(math.log1p(cls.cv**2))
         return lambda count: cls.work * stream.lognormal(-sigma * sigma / 2, sigma, count)
     # An exponential one of another spread than its mean is a gamma.
-    shape = 1.0 / cls.cv ** 2
+    shape = 1.0 / cls.cv**2
     return lambda count: stream.gamma(shape, cls.work / shape, count)
--- a/spanwing/world/fleet.py
+++ b/spanwing/world/fleet.py
@@ -23,8 +23,13 @@
 
 CONNECT_MS = 250.0  # until a place that does not answer counts as unreachable
 TAKEN_MS = 2500.0  # until a worker that says neither yes nor no is given up
-RESULTS: dict[str, api.Result] = {"ok": "ok", "error": "error", "full": "full", "cancelled": "cancelled",
-                                  "expired": "full"}  # one that only waited never ran
+RESULTS: dict[str, api.Result] = {
+    "ok": "ok",
+    "error": "error",
+    "full": "full",
+    "cancelled": "cancelled",
+    "expired": "full",
+}  # one that only waited never ran
 
 
 class Plan(NamedTuple):
@@ -100,8 +105,10 @@
         self.by_name = {place.worker.spec.name: place for place in self.places.values()}
         assert len(self.places) == len(plan.workers), "two workers of one name"
         make = plan.settings or self._settings
-        self.nodes = [Node(name, zone, make(place, zone), seed * 1000 + place, self.agenda, self)
-                      for place, (name, zone) in enumerate(plan.schedulers)]
+        self.nodes = [
+            Node(name, zone, make(place, zone), seed * 1000 + place, self.agenda, self)
+            for place, (name, zone) in enumerate(plan.schedulers)
+        ]
         self.seen_up = list(self.nodes)  # by the layer ahead
         self.asked: dict[str, Asked] = {}
         self.tries: dict[str, str] = {}  # of a try: its request
@@ -118,25 +125,49 @@
 
     def _settings(self, node: int, zone: str) -> api.Settings:
         """Those of a plain deployment with the plan's classes."""
-        classes = tuple(api.ServiceClass(
-            each.name, aim=each.aim, deadline=each.deadline, worth=each.worth, effect=each.effect,
-            late_worth=each.late_worth, stretch=each.stretch, window=each.window, kind=each.kind,
-            priority=each.priority) for each in self.plan.classes)
+        classes = tuple(
+            api.ServiceClass(
+                each.name,
+                aim=each.aim,
+                deadline=each.deadline,
+                worth=each.worth,
+                effect=each.effect,
+                late_worth=each.late_worth,
+                stretch=each.stretch,
+                window=each.window,
+                kind=each.kind,
+                priority=each.priority,
+            )
+            for each in self.plan.classes
+        )
         zones = tuple(sorted({each.zone for each in self.plan.workers} | {zone}))
         specs = self.plan.workers
         cold = [each for each in specs if each.cold_ms > 0]
-        brands = tuple(api.Tenant(each.name, each.allowance) for each in self.plan.brands
-                       if each.allowance < 1e9)
+        brands = tuple(
+            api.Tenant(each.name, each.allowance) for each in self.plan.brands if each.allowance < 1e9
+        )
         return api.Settings(
-            classes=classes, node=node, nodes=len(self.plan.schedulers), zone=zone, zones=zones, cancel=True,
-            max_attempts=3, max_retry_after=2000.0, answer_grace=16.0, tells_start=True, tick=4.0,
-            tenants=brands, over_share_worth=0.1 if brands else 1.0, probes=True,
+            classes=classes,
+            node=node,
+            nodes=len(self.plan.schedulers),
+            zone=zone,
+            zones=zones,
+            cancel=True,
+            max_attempts=3,
+            max_retry_after=2000.0,
+            answer_grace=16.0,
+            tells_start=True,
+            tick=4.0,
+            tenants=brands,
+            over_share_worth=0.1 if brands else 1.0,
+            probes=True,
             report_fields=("latency", "queue", "free_slots", "free_memory"),
             preempts=any(each.suspends for each in specs),
             cold_from=min((each.cold_from for each in cold), default=1.0),
             cold_ms=max((each.cold_ms for each in cold), default=0.0),
             fall_multiple=min((each.fall_multiple for each in cold if each.fall_multiple < 1e9), default=1.0),
-            fall_ms=max((each.fall_ms for each in cold), default=0.0))
+            fall_ms=max((each.fall_ms for each in cold), default=0.0),
+        )
 
     def run(self, until: float) -> None:
         """The day up to this time, in ms; then whatever is under way ends."""
@@ -150,10 +181,15 @@
         self.account.check()
         workers = [place.worker for place in self.places.values()]
         self.account.work(
-            Work(*(sum(getattr(each.worked, name) for each in workers) for name in ("done", "wasted")),
-                 sum(each.under_way() for each in workers), sum(each.worked.withdrawn for each in workers),
-                 sum(each.still_to_do() for each in workers), sum(each.busy for each in workers)),
-            self.attempts)
+            Work(
+                *(sum(getattr(each.worked, name) for each in workers) for name in ("done", "wasted")),
+                sum(each.under_way() for each in workers),
+                sum(each.worked.withdrawn for each in workers),
+                sum(each.still_to_do() for each in workers),
+                sum(each.busy for each in workers),
+            ),
+            self.attempts,
+        )
 
     def _arrive(self, wanted: Wanted, until: float) -> None:
         """Enter a request at its time, and the next one after it."""
@@ -196,9 +232,17 @@
         self.account.move(request, "scheduler")
         name = f"{request}.{tries}"
         self.tries[name] = request
-        node.request(api.Request(
-            name, wanted.cls.name, asked.patience.when, wanted.brand, wanted.slots, wanted.cls.memory,
-            repeat=tries > 1))
+        node.request(
+            api.Request(
+                name,
+                wanted.cls.name,
+                asked.patience.when,
+                wanted.brand,
+                wanted.slots,
+                wanted.cls.memory,
+                repeat=tries > 1,
+            )
+        )
 
     def answer(self, node: Node, request: str, kind: str, retry_after: float) -> None:
         """The scheduler's answer sets out."""
@@ -223,8 +267,12 @@
         if asked is None or asked.tries != tries:
             return
         retries = self.plan.retries
-        wait = retries.delay(tries, retry_after, asked.wanted.heeds < retries.honour,
-                             float(self.streams.of("clients", "backoff").random()))
+        wait = retries.delay(
+            tries,
+            retry_after,
+            asked.wanted.heeds < retries.honour,
+            float(self.streams.of("clients", "backoff").random()),
+        )
         if wait is None or self.agenda.now + wait >= asked.patience.when:
             self._over(request, "refused")
             return
@@ -249,8 +297,16 @@
         asked.patience.strike()
         self.account.move(request, "over")
         wanted, now = asked.wanted, self.agenda.now
-        answered = Answered(wanted.at, wanted.cls.name, wanted.brand, kind, now - wanted.at, asked.tries,
-                            asked.attempts, wanted.work)
+        answered = Answered(
+            wanted.at,
+            wanted.cls.name,
+            wanted.brand,
+            kind,
+            now - wanted.at,
+            asked.tries,
+            asked.attempts,
+            wanted.work,
+        )
         self.digest.update(repr((request, answered)).encode())
         self.told(answered)
 
@@ -279,8 +335,17 @@
         work = wanted.work * (1.0 if noise <= 0 else float(self.errors.lognormal(-noise * noise / 2, noise)))
         if self.tail[0] > 0 and float(self.tails.random()) < self.tail[0]:
             work *= self.tail[1]
-        job = Job(key, work, wanted.slots, cls.memory, cls.priority, cls.effect != "unsafe",
-                  wanted.at + wanted.patience, wanted.key if cls.effect == "keyed" else "", cls.window)
+        job = Job(
+            key,
+            work,
+            wanted.slots,
+            cls.memory,
+            cls.priority,
+            cls.effect != "unsafe",
+            wanted.at + wanted.patience,
+            wanted.key if cls.effect == "keyed" else "",
+            cls.window,
+        )
         place.attempts[key] = node, request, number
         said = worker.offer(self.agenda.now, job)
         if key in worker.held:
@@ -361,8 +426,9 @@
         if delay is None or place.worker.fallen or place.worker.silent:
             self.agenda.after(500.0, node.decide, api.ProbeResult(worker, "unreachable", 500.0))
         else:
-            self.agenda.after(2 * delay, node.decide, api.ProbeResult(
-                worker, "ok", 2 * delay, self._report(node, place)))
+            self.agenda.after(
+                2 * delay, node.decide, api.ProbeResult(worker, "ok", 2 * delay, self._report(node, place))
+            )
 
     def watch(self, node: Node) -> None:
         """Changes are told as they come."""
@@ -381,8 +447,12 @@
             self.untold.add(place.number)
             return
         for node in self.nodes:
-            node.later(float(self.lags.uniform(*self.plan.discovery_ms)), self.plan.decision_ms, node.decide,
-                       api.WorkerList("partial", (self.entry(place),)))
+            node.later(
+                float(self.lags.uniform(*self.plan.discovery_ms)),
+                self.plan.decision_ms,
+                node.decide,
+                api.WorkerList("partial", (self.entry(place),)),
+            )
 
     def discovery_back(self) -> None:
         """It answers again, and tells what has changed meanwhile."""
@@ -424,14 +494,26 @@
 
     def start(self, place: Place) -> None:
         """A worker that was gone is back, cold."""
-        place.worker = JobWorker(place.worker.spec, self.agenda.now, self.agenda.now,
-                                 worked=place.worker.worked, busy=place.worker.busy)
+        place.worker = JobWorker(
+            place.worker.spec,
+            self.agenda.now,
+            self.agenda.now,
+            worked=place.worker.worked,
+            busy=place.worker.busy,
+        )
         self.state(place, "healthy")
 
     def entry(self, place: Place) -> api.Worker:
         spec = place.worker.spec
-        return api.Worker(place.number, place.state, spec.zone, spec.cell, spec.slots * spec.speed, spec.kind,
-                          max(0.0, place.worker.started))
+        return api.Worker(
+            place.number,
+            place.state,
+            spec.zone,
+            spec.cell,
+            spec.slots * spec.speed,
+            spec.kind,
+            max(0.0, place.worker.started),
+        )
 
     def stop_node(self, node: Node) -> None:
         """A scheduler ends without a word."""
@@ -446,8 +528,9 @@
         number, old = next((place, each) for place, each in enumerate(self.nodes) if each.name == name)
         if old.up:
             return
-        node = self.nodes[number] = Node(old.name, old.zone, old.settings, old.seed + 500_000,
-                                         self.agenda, self)
+        node = self.nodes[number] = Node(
+            old.name, old.zone, old.settings, old.seed + 500_000, self.agenda, self
+        )
         node.spent_s, node.decided, node.probed = old.spent_s, old.decided, old.probed
         if old in self.seen_up:
             self.seen_up.remove(old)
@@ -457,8 +540,11 @@
         self.agenda.after(float(self.lags.uniform(*self.plan.discovery_ms)) + 500.0, self._list_all, node)
 
     def _list_all(self, node: Node) -> None:
-        node.decide(api.WorkerList("complete", tuple(
-            self.entry(each) for each in self.places.values() if each.state != "gone")))
+        node.decide(
+            api.WorkerList(
+                "complete", tuple(self.entry(each) for each in self.places.values() if each.state != "gone")
+            )
+        )
 
     def _notice(self, node: Node) -> None:
         if node in self.seen_up and not node.up:
--- a/spanwing/world/network.py
+++ b/spanwing/world/network.py
@@ -52,7 +52,7 @@
         if self.delays.jitter <= 0:
             return 1.0
         if not self.drawn:
-            sigma = float(np.sqrt(np.log1p(self.delays.jitter ** 2)))
+            sigma = float(np.sqrt(np.log1p(self.delays.jitter**2)))
             self.drawn = self.jitter.lognormal(-sigma * sigma / 2, sigma, 1000).tolist()
         return self.drawn.pop()
 
--- a/spanwing/world/node.py
+++ b/spanwing/world/node.py
@@ -68,8 +68,9 @@
 class Node:
     """A scheduler; up until it is stopped."""
 
-    def __init__(self, name: str, zone: str, settings: api.Settings, seed: int, agenda: Agenda,
-                 side: Side) -> None:
+    def __init__(
+        self, name: str, zone: str, settings: api.Settings, seed: int, agenda: Agenda, side: Side
+    ) -> None:
         self.name, self.zone, self.agenda, self.side = name, zone, agenda, side
         self.module = Dispatcher(settings, seed, agenda.now)
         self.settings, self.seed = settings, seed
@@ -124,8 +125,9 @@
         if self.calls.pop(request, None) is not None:
             self.decide(api.ClientGone(request))
 
-    def ended(self, request: str, number: int, result: api.Result,
-              report: tuple[float, ...] | None = None) -> None:
+    def ended(
+        self, request: str, number: int, result: api.Result, report: tuple[float, ...] | None = None
+    ) -> None:
         """How an attempt ended; a second word on it changes nothing."""
         out = self.out.pop((request, number), None)
         if out is None or not self.up:
@@ -135,8 +137,17 @@
             self.watch.ended(out.worker, (request, number), result)
         if result == "ok":
             self._answer(request, "served", 0.0)
-        self.decide(api.Outcome(request, number, out.worker, result, request not in self.calls,
-                                self.agenda.now - out.at, report))
+        self.decide(
+            api.Outcome(
+                request,
+                number,
+                out.worker,
+                result,
+                request not in self.calls,
+                self.agenda.now - out.at,
+                report,
+            )
+        )
 
     def began(self, request: str, number: int, started: bool = True) -> None:
         out = self.out.get((request, number))
--- a/spanwing/world/scenario.py
+++ b/spanwing/world/scenario.py
@@ -82,7 +82,7 @@
         return (0.0,) * (self.slots.bit_length() - 1) + (1.0,)
 
     def most_slots(self) -> int:
-        return max((2 ** power for power, share in enumerate(self.slot_shares()) if share > 0), default=1)
+        return max((2**power for power, share in enumerate(self.slot_shares()) if share > 0), default=1)
 
 
 class Brand(Table):
@@ -147,11 +147,19 @@
 
     def rate(self) -> float:
         """Requests a second on average, from the level and what workers can do when warm."""
-        capacity = sum(each.count * self.times * min(each.cores, each.slots) * each.speed
-                       for each in self.workers)
+        capacity = sum(
+            each.count * self.times * min(each.cores, each.slots) * each.speed for each in self.workers
+        )
         whole = sum(each.share for each in self.classes)
-        work = sum(each.share * each.work_ms * sum(share * 2 ** power for power, share in enumerate(
-            each.slot_shares())) for each in self.classes) / whole
+        work = (
+            sum(
+                each.share
+                * each.work_ms
+                * sum(share * 2**power for power, share in enumerate(each.slot_shares()))
+                for each in self.classes
+            )
+            / whole
+        )
         return self.load.level * capacity / work * 1000.0
 
     def plan(self, seed: int) -> Plan:
@@ -159,31 +167,79 @@
         for table in self.workers:
             for number in range(table.count * self.times):
                 speed = table.speed * math.exp(float(speeds.normal()) * table.speed_cv)
-                specs.append(Spec(
-                    f"{table.kind}-{number}", self.zones[number % len(self.zones)], table.kind, 0,
-                    table.cores, speed, table.slots, table.queue, table.memory or math.inf, table.order,
-                    table.suspends, table.cold_from, table.cold_ms, table.fall_multiple or math.inf,
-                    table.fall_ms))
-        classes = tuple(ClassSpec(
-            each.name, each.share, each.work_ms, each.dist, each.cv, each.aim_ms, each.deadline_ms,
-            each.stretch, each.worth, each.late_worth, each.effect, each.priority, each.kind or None,
-            each.window_ms, each.slot_shares(), each.memory) for each in self.classes)
+                specs.append(
+                    Spec(
+                        f"{table.kind}-{number}",
+                        self.zones[number % len(self.zones)],
+                        table.kind,
+                        0,
+                        table.cores,
+                        speed,
+                        table.slots,
+                        table.queue,
+                        table.memory or math.inf,
+                        table.order,
+                        table.suspends,
+                        table.cold_from,
+                        table.cold_ms,
+                        table.fall_multiple or math.inf,
+                        table.fall_ms,
+                    )
+                )
+        classes = tuple(
+            ClassSpec(
+                each.name,
+                each.share,
+                each.work_ms,
+                each.dist,
+                each.cv,
+                each.aim_ms,
+                each.deadline_ms,
+                each.stretch,
+                each.worth,
+                each.late_worth,
+                each.effect,
+                each.priority,
+                each.kind or None,
+                each.window_ms,
+                each.slot_shares(),
+                each.memory,
+            )
+            for each in self.classes
+        )
         brands = tuple(BrandSpec(each.name, each.share, each.allowance or math.inf) for each in self.brands)
         load, net, retries = self.load, self.network, self.retries
         return Plan(
-            tuple(specs), tuple(self.schedulers_named()), classes,
-            LoadSpec(self.rate(), load.swing, self.day_ms, load.keys, load.zipf, load.impatient,
-                     load.attempt_noise, tuple(zip(self.zones, load.zones, strict=False))),
+            tuple(specs),
+            tuple(self.schedulers_named()),
+            classes,
+            LoadSpec(
+                self.rate(),
+                load.swing,
+                self.day_ms,
+                load.keys,
+                load.zipf,
+                load.impatient,
+                load.attempt_noise,
+                tuple(zip(self.zones, load.zones, strict=False)),
+            ),
             brands or (BrandSpec("one", 1.0),),
             Retries(retries.most, retries.backoff, retries.wait_ms, retries.honour, retries.jitter),
-            Delays(net.same_ms, net.cross_ms, net.client_ms, net.jitter), None, net.discovery_ms,
-            self.decision_ms, net.notice_ms)
+            Delays(net.same_ms, net.cross_ms, net.client_ms, net.jitter),
+            None,
+            net.discovery_ms,
+            self.decision_ms,
+            net.notice_ms,
+        )
 
     def wrong(self) -> Iterator[tuple[str, str]]:
         """What is not possible together: place and fault."""
-        for name, values in (("zones", self.zones), ("classes", [each.name for each in self.classes]),
-                             ("brands", [each.name for each in self.brands]),
-                             ("workers", [each.kind for each in self.workers])):
+        for name, values in (
+            ("zones", self.zones),
+            ("classes", [each.name for each in self.classes]),
+            ("brands", [each.name for each in self.brands]),
+            ("workers", [each.kind for each in self.workers]),
+        ):
             if not values and name != "brands":
                 yield name, "at least one is needed"
             if len(set(values)) < len(values):
@@ -207,8 +263,10 @@
                 yield f"{where}.slots", "one to four shares, for 1, 2, 4 and 8 slots, that are not all 0"
             elif isinstance(each.slots, int) and each.slots.bit_count() != 1:
                 yield f"{where}.slots", f"{each.slots} is no power of two"
-            elif fit and not any(worker.slots >= each.most_slots()
-                                 and (worker.memory or math.inf) >= each.memory for worker in fit):
+            elif fit and not any(
+                worker.slots >= each.most_slots() and (worker.memory or math.inf) >= each.memory
+                for worker in fit
+            ):
                 yield f"{where}.slots", "no worker is large enough for it"
         if self.load.zones and len(self.load.zones) != len(self.zones):
             yield "load.zones", f"{len(self.load.zones)} shares for {len(self.zones)} zones"
@@ -239,8 +297,9 @@
     sound = dict(value)
     for name, form in LISTS.items():
         if isinstance(value.get(name), list):
-            checked = [_check(each, form, f"{name}[{number}]", faults)
-                       for number, each in enumerate(value[name])]
+            checked = [
+                _check(each, form, f"{name}[{number}]", faults) for number, each in enumerate(value[name])
+            ]
             sound[name] = value[name] if all(checked) else []
     for name, form in TABLES.items():
         if isinstance(value.get(name), dict) and not _check(value[name], form, name, faults):
--- a/spanwing/world/streams.py
+++ b/spanwing/world/streams.py
@@ -25,6 +25,7 @@
         if key not in self.made:
             digest = hashlib.blake2b("\0".join(key).encode(), digest_size=16).digest()
             words = tuple(int.from_bytes(digest[at : at + 4], "big") for at in range(0, 16, 4))
-            self.made[key] = np.random.Generator(np.random.PCG64(
-                np.random.SeedSequence(self.seed, spawn_key=words)))
+            self.made[key] = np.random.Generator(
+                np.random.PCG64(np.random.SeedSequence(self.seed, spawn_key=words))
+            )
         return self.made[key]
--- a/spanwing/world/troubles.py
+++ b/spanwing/world/troubles.py
@@ -17,9 +17,23 @@
 from spanwing.world.fleet import Fleet, Place
 from spanwing.world.node import Node
 
-What = Literal["silent", "fast_failing", "neighbour", "heavy_tail", "deploy", "crash", "cold_snap", "flood",
-               "stolen_cpu", "partition", "discovery_down", "scheduler_stop", "schedulers_killed", "join",
-               "zone_lost"]
+What = Literal[
+    "silent",
+    "fast_failing",
+    "neighbour",
+    "heavy_tail",
+    "deploy",
+    "crash",
+    "cold_snap",
+    "flood",
+    "stolen_cpu",
+    "partition",
+    "discovery_down",
+    "scheduler_stop",
+    "schedulers_killed",
+    "join",
+    "zone_lost",
+]
 
 
 class Trouble(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -36,8 +50,9 @@
     scheduler: str = ""
     zone: str = ""
 
-    def wrong(self, zones: set[str], brands: set[str], kinds: set[str], schedulers: set[str],
-              seconds: float) -> list[tuple[str, str]]:
+    def wrong(
+        self, zones: set[str], brands: set[str], kinds: set[str], schedulers: set[str], seconds: float
+    ) -> list[tuple[str, str]]:
         """What is not possible: field and fault."""
         found = []
         if not 0 <= self.at < seconds:
@@ -50,8 +65,10 @@
             if not least <= value <= most:
                 found.append((name, f"{value:g} is not possible for {self.what}, {least:g} to {most:g} are"))
         for name, value, known, owner in (
-                ("brand", self.brand, brands, ("flood",)), ("zone", self.zone, zones, ("zone_lost",)),
-                ("scheduler", self.scheduler, schedulers, ("stolen_cpu", "scheduler_stop"))):
+            ("brand", self.brand, brands, ("flood",)),
+            ("zone", self.zone, zones, ("zone_lost",)),
+            ("scheduler", self.scheduler, schedulers, ("stolen_cpu", "scheduler_stop")),
+        ):
             if self.what in owner and value not in known:
                 found.append((name, f"{value!r} is none of {', '.join(sorted(known))}"))
         if self.kind and self.kind not in kinds:
@@ -64,13 +81,21 @@
 ANY = (0.0, math.inf)
 #: By trouble: the figures that it needs, with their bounds.
 NEEDS: dict[str, dict[str, tuple[float, float]]] = {
-    "silent": {"share": (0.001, 1.0)}, "fast_failing": {"share": (0.001, 1.0)},
+    "silent": {"share": (0.001, 1.0)},
+    "fast_failing": {"share": (0.001, 1.0)},
     "neighbour": {"share": (0.001, 1.0), "times": (0.01, 1.0)},
     "heavy_tail": {"share": (0.0001, 1.0), "times": (1.0, 1000.0)},
-    "deploy": {"share": (0.001, 1.0)}, "crash": {"share": (0.001, 1.0)},
-    "cold_snap": {"times": (1.0, 100.0)}, "flood": {"times": (1.0, 1000.0)},
-    "stolen_cpu": {"share": (0.01, 0.99)}, "partition": {}, "discovery_down": {}, "scheduler_stop": {},
-    "schedulers_killed": {"share": (0.001, 1.0)}, "join": {"share": (0.001, 1.0)}, "zone_lost": {},
+    "deploy": {"share": (0.001, 1.0)},
+    "crash": {"share": (0.001, 1.0)},
+    "cold_snap": {"times": (1.0, 100.0)},
+    "flood": {"times": (1.0, 1000.0)},
+    "stolen_cpu": {"share": (0.01, 0.99)},
+    "partition": {},
+    "discovery_down": {},
+    "scheduler_stop": {},
+    "schedulers_killed": {"share": (0.001, 1.0)},
+    "join": {"share": (0.001, 1.0)},
+    "zone_lost": {},
 }
 DRAIN_MS, DOWN_MS = 2000.0, 1000.0  # of a worker in a deploy: it drains so long, then is away so long
 
@@ -97,6 +122,7 @@
 
     def _each(self, what: str, places: list[Place], change: Callable[[Place, bool], None]):
         """Calls that begin and end something on each; it ends with the last of its kind."""
+
         def begin() -> None:
             for place in places:
                 self.count[what, place.number] += 1
@@ -108,6 +134,7 @@
                 self.count[what, place.number] -= 1
                 if self.count[what, place.number] == 0:
                     self._change(place, change, False)
+
         return begin, end
 
     def _change(self, place: Place, change: Callable[[Place, bool], None], on: bool) -> None:
@@ -116,21 +143,30 @@
         self.fleet.heard_of(place)
 
     def _silent(self, trouble: Trouble, number: int, *_: float):
-        return self._each("silent", self._struck(trouble, number),
-                          lambda place, on: setattr(place.worker, "silent", on))
+        return self._each(
+            "silent", self._struck(trouble, number), lambda place, on: setattr(place.worker, "silent", on)
+        )
 
     def _fast_failing(self, trouble: Trouble, number: int, *_: float):
-        return self._each("fast_failing", self._struck(trouble, number),
-                          lambda place, on: setattr(place.worker, "fast_failing", on))
+        return self._each(
+            "fast_failing",
+            self._struck(trouble, number),
+            lambda place, on: setattr(place.worker, "fast_failing", on),
+        )
 
     def _neighbour(self, trouble: Trouble, number: int, *_: float):
-        return self._each("neighbour", self._struck(trouble, number),
-                          lambda place, on: setattr(place.worker, "slowed", trouble.times if on else 1.0))
+        return self._each(
+            "neighbour",
+            self._struck(trouble, number),
+            lambda place, on: setattr(place.worker, "slowed", trouble.times if on else 1.0),
+        )
 
     def _heavy_tail(self, trouble: Trouble, *_: float):
         fleet = self.fleet
-        return (lambda: setattr(fleet, "tail", (trouble.share, trouble.times)),
-                lambda: setattr(fleet, "tail", (0.0, 1.0)))
+        return (
+            lambda: setattr(fleet, "tail", (trouble.share, trouble.times)),
+            lambda: setattr(fleet, "tail", (0.0, 1.0)),
+        )
 
     def _cold_snap(self, trouble: Trouble, *_: float):
         return self._flooded([each.name for each in self.fleet.plan.brands], trouble.times)
@@ -146,6 +182,7 @@
 
         def end() -> None:
             floods.update({each: floods[each] / times for each in brands})
+
         return begin, end
 
     def _partition(self, trouble: Trouble, *_: float):
@@ -186,6 +223,7 @@
         def end() -> None:
             for turn, name in enumerate(stopped):
                 fleet.agenda.after(1000.0 * turn / len(stopped), fleet.start_node, name)
+
         return begin, end
 
     def _zone_lost(self, trouble: Trouble, *_: float):
@@ -203,6 +241,7 @@
             back()
             for place in places:
                 fleet.start_again(place)
+
         return begin, end
 
     def _join(self, trouble: Trouble, number: int, begin: float, end: float):
@@ -215,6 +254,7 @@
                 self.fleet.agenda.after(when, self.fleet.join, place)
                 self.fleet.agenda.after(when + DRAIN_MS, self.fleet.drain, place)
                 self.fleet.agenda.after(when + 4 * DRAIN_MS, self.fleet.away, place)
+
         return start, None
 
     def _crash(self, trouble: Trouble, number: int, *_: float):
@@ -229,6 +269,7 @@
             for place in places:
                 if place.worker.fallen:
                     self.fleet.start(place)
+
         return begin, end
 
     def _deploy(self, trouble: Trouble, number: int, begin: float, end: float):
@@ -241,4 +282,5 @@
                 self.fleet.agenda.after(turn * gap, self.fleet.drain, place)
                 self.fleet.agenda.after(turn * gap + DRAIN_MS, self.fleet.away, place)
                 self.fleet.agenda.after(turn * gap + DRAIN_MS + DOWN_MS, self.fleet.start_again, place)
+
         return start, None
--- a/spanwing/world/worker.py
+++ b/spanwing/world/worker.py
@@ -190,8 +190,9 @@
             times.append(self.started + steps * STEP_MS)
         if self.over_since is not None:
             times.append(self.over_since + self.spec.fall_ms)
-        times += [each.job.deadline for each in self.waiting
-                  if each.job.deadline < math.inf and not each.began]
+        times += [
+            each.job.deadline for each in self.waiting if each.job.deadline < math.inf and not each.began
+        ]
         return max(self.now, min(times)) if times else None
 
     def lost(self) -> list[str]:
@@ -214,9 +215,12 @@
 
     def report(self) -> dict[str, float]:
         """What a load report says."""
-        return {"inflight": float(len(self.held) - len(self.waiting)), "queue": float(len(self.waiting)),
-                "free_slots": float(self.spec.slots - self.used),
-                "free_memory": self.spec.memory - self.memory}
+        return {
+            "inflight": float(len(self.held) - len(self.waiting)),
+            "queue": float(len(self.waiting)),
+            "free_slots": float(self.spec.slots - self.used),
+            "free_memory": self.spec.memory - self.memory,
+        }
 
     def _pass(self, now: float) -> None:
         step = self.rate() * (now - self.now)
@@ -287,8 +291,7 @@
             self.windows = {effect: until for effect, until in self.windows.items() if until > self.now}
 
     def _fits(self, job: Job) -> bool:
-        return (self.used + job.slots <= self.spec.slots
-                and self.memory + job.memory <= self.spec.memory)
+        return self.used + job.slots <= self.spec.slots and self.memory + job.memory <= self.spec.memory
 
     def _serve(self) -> list[Said]:
         """Start what may start."""
@@ -320,8 +323,14 @@
         """Suspend repeatable work of a lower priority, the latest first, if that makes enough room."""
         if not self.spec.suspends:
             return False
-        lower = sorted((each for _, _, each in self.running if not each.gone and each.job.repeatable
-                        and each.job.priority < job.priority), key=lambda each: -each.came)
+        lower = sorted(
+            (
+                each
+                for _, _, each in self.running
+                if not each.gone and each.job.repeatable and each.job.priority < job.priority
+            ),
+            key=lambda each: -each.came,
+        )
         chosen: list[Held] = []
         slots, memory = self.used, self.memory
         for each in lower:
--- a/spanwing/world/zoned.py
+++ b/spanwing/world/zoned.py
@@ -3,7 +3,7 @@
 Guarantees: the program's own keeper, steward, lease, gate and witness decide; what is the model's is the way
 of the messages, which take the network's time and are lost where it is cut. The document is changed at one
 moment, and a member that ends is followed by another TAKEN_OVER_MS later. The same plan and seed give the
-same world. """
+same world."""
 
 from __future__ import annotations
 
@@ -90,8 +90,9 @@
         n, now, module = self.renewals, self.agenda.now, self.node.module
         self.lease.ask(n, now)
         payload = msgspec.json.encode(self.local.report(now, module.views.values(), now))
-        message = Renew(n, self.session, self.node.zone, self.position, self.document.revision,
-                        msgspec.Raw(payload))
+        message = Renew(
+            n, self.session, self.node.zone, self.position, self.document.revision, msgspec.Raw(payload)
+        )
         self.fleet.renewal(self, message, len(payload))
         self.agenda.after(ANSWER_MS, self._unanswered, n)
 
@@ -162,8 +163,9 @@
     def __init__(self, fleet: SoloFleet, node: Node, life: int) -> None:
         settings = node.settings
         bounds = Bounds(settings.fall_ms + ON_ITS_WAY_MS, settings.cold_ms, 1, fleet.regions, sampled=True)
-        mind = Steward(bounds, self._listing, lambda: self.agenda.now, node.name,
-                       lambda: f"{self.random.random()}")
+        mind = Steward(
+            bounds, self._listing, lambda: self.agenda.now, node.name, lambda: f"{self.random.random()}"
+        )
         super().__init__(fleet, node, life)
         self.local.gate.rules = self.local.rules = self.local.rules._replace(solo=True)
         self.solo = Solo(self.session, node.zone, mind, self.agenda.now)
@@ -234,8 +236,11 @@
 
 
 def changes(now: float, before: Any, after: Any) -> list[tuple[float, str, str, str]]:
-    return [(now, name, zone.state, zone.reason) for name, zone in after.zones.items()
-            if before.zone(name) != zone]
+    return [
+        (now, name, zone.state, zone.reason)
+        for name, zone in after.zones.items()
+        if before.zone(name) != zone
+    ]
 
 
 class ZonedFleet(JoinedFleet):
@@ -267,8 +272,13 @@
     def _mind(self, node: Node) -> Steward:
         settings, name = node.settings, node.name
         bounds = Bounds(settings.fall_ms + ON_ITS_WAY_MS, settings.cold_ms, settings.nodes, self.regions)
-        return Steward(bounds, lambda: self._listing(name), lambda: self.agenda.now, name,
-                       lambda: f"{self.draw.random()}")
+        return Steward(
+            bounds,
+            lambda: self._listing(name),
+            lambda: self.agenda.now,
+            name,
+            lambda: f"{self.draw.random()}",
+        )
 
     def _look(self) -> None:
         """Every member that is up keeps the list in mind."""
@@ -331,4 +341,5 @@
         def come() -> None:
             if self.keeper is keeper:
                 keeper.renew(self.agenda.now, message, answer)
+
         self.agenda.after(delay, come)
--- a/spanwing/zones/evidence.py
+++ b/spanwing/zones/evidence.py
@@ -55,7 +55,8 @@
     report = DECODER.decode(payload)
     for words in report.zones.values():
         if max(len(words.good), len(words.bad)) > TOLD or not all(
-                0 <= each <= 0xFFFF for each in (*words.good, *words.bad)):
+            0 <= each <= 0xFFFF for each in (*words.good, *words.bad)
+        ):
             raise ValueError("words beyond their bounds")
         if not (0 <= words.held < math.inf and 0 <= words.idle < math.inf):
             raise ValueError("slots beyond their bounds")
@@ -73,7 +74,8 @@
             (inside if each.zone == zone else near if each.zone == own else outside).append(each.id)
     outside = outside or near
     return random.sample(inside, min(ASK_INSIDE, len(inside))) + random.sample(
-        outside, min(ASK_OUTSIDE, len(outside)))
+        outside, min(ASK_OUTSIDE, len(outside))
+    )
 
 
 @dataclass(slots=True)
--- a/spanwing/zones/gate.py
+++ b/spanwing/zones/gate.py
@@ -71,8 +71,11 @@
     def follow(self, fleet: Fleet, now: float, clock: float) -> None:
         """The state has changed; now: by the lease's clock, clock: by the module's."""
         self.fleet = fleet
-        self.begun = {name: self.begun.get(name, (now, clock)) for name, zone in fleet.zones.items()
-                      if zone.state == "returning"}
+        self.begun = {
+            name: self.begun.get(name, (now, clock))
+            for name, zone in fleet.zones.items()
+            if zone.state == "returning"
+        }
         self._all(now)
 
     def zones(self) -> dict[str, list[int]]:
@@ -87,7 +90,7 @@
         dealt: set[int] = set()
         for name, ids in self.zones().items():
             zone = self.fleet.zone(name) if self.fleet is not None else Zone()
-            admitted = set(ids[:admits(zone, len(ids), name == self.rules.zone)])
+            admitted = set(ids[: admits(zone, len(ids), name == self.rules.zone)])
             for worker in ids:
                 uses[worker] = self._use(zone, self.workers[worker], worker in admitted, dealt, now)
         self.ready = {worker: at for worker, at in self.ready.items() if worker in dealt}
@@ -139,8 +142,9 @@
             return use.alone_feeds
         return use.feeds is None or (use.feeds and now >= use.from_ms)
 
-    def screened(self, workers: Iterable[api.Worker], now: float, lease: bool,
-                 feeds: Callable[[int], bool]) -> tuple[api.Worker, ...]:
+    def screened(
+        self, workers: Iterable[api.Worker], now: float, lease: bool, feeds: Callable[[int], bool]
+    ) -> tuple[api.Worker, ...]:
         """The workers as the module is to see them; feeds: whether we feed one by the hash of all
         positions."""
         found = []
@@ -162,8 +166,10 @@
 
     def next_change(self, now: float) -> float:
         """When feeding next begins by itself, by the lease's clock."""
-        return min((at for use in self.uses.values() if use.feeds for at in (use.from_ms, use.full_ms)
-                    if now < at), default=math.inf)
+        return min(
+            (at for use in self.uses.values() if use.feeds for at in (use.from_ms, use.full_ms) if now < at),
+            default=math.inf,
+        )
 
 
 def admits(zone: Zone, workers: int, own: bool) -> int:
--- a/spanwing/zones/local.py
+++ b/spanwing/zones/local.py
@@ -27,8 +27,9 @@
 class Local:
     """One scheduler's part."""
 
-    def __init__(self, rules: Rules, node: int, nodes: int, feeds: Callable[[int], bool],
-                 draw: random.Random) -> None:
+    def __init__(
+        self, rules: Rules, node: int, nodes: int, feeds: Callable[[int], bool], draw: random.Random
+    ) -> None:
         """feeds: whether we feed a worker by the hash of all positions."""
         self.rules, self.node, self.nodes, self.feeds, self.random = rules, node, nodes, feeds, draw
         self.gate, self.witness = Gate(rules, lambda worker: self._first(worker) == node), Witness(rules.zone)
@@ -147,8 +148,9 @@
             return []
         found = []
         for zone in zones:
-            unseen = [worker for worker in self.gate.zones().get(zone, ())
-                      if self.witness.word(now, worker) is None]
+            unseen = [
+                worker for worker in self.gate.zones().get(zone, ()) if self.witness.word(now, worker) is None
+            ]
             found += [self.random.choice(unseen)] if unseen else []
         return found
 
@@ -160,8 +162,11 @@
             if self.is_open(name):
                 wide += ids
             else:
-                found += (self.random.sample(ids, min(SOLO_ASKS, len(ids))) if self.rules.solo else
-                          [worker for worker in ids if self.random.random() < part])
+                found += (
+                    self.random.sample(ids, min(SOLO_ASKS, len(ids)))
+                    if self.rules.solo
+                    else [worker for worker in ids if self.random.random() < part]
+                )
         self.around = {self.random.choice(wide)} if wide else set()
         return [*found, *self.around]
 
--- a/spanwing/zones/side.py
+++ b/spanwing/zones/side.py
@@ -4,7 +4,7 @@
 to the module as news of job workers, and as one event a zone. Probes: one worker of an open zone a second; at
 a zone that is not open, PROBERS a worker and second over the whole fleet; on bad news of an open one, five a
 SUSPECT_MS at most, and as many when the keeper asks, with one job on trial for each zone that it asks about.
-What waits at a zone that is left is called back within RECALL_S, at random. """
+What waits at a zone that is left is called back within RECALL_S, at random."""
 
 from __future__ import annotations
 
@@ -67,8 +67,13 @@
 
     by, why = "itself", ""
 
-    def __init__(self, solo: Solo, brings: Callable[[], bytes], changed: Callable[[Document], None],
-                 look: Callable[[tuple[str, ...]], None]) -> None:
+    def __init__(
+        self,
+        solo: Solo,
+        brings: Callable[[], bytes],
+        changed: Callable[[Document], None],
+        look: Callable[[tuple[str, ...]], None],
+    ) -> None:
         self.solo, self.brings, self.changed, self.look = solo, brings, changed, look
         self.session, self.lease = solo.session, solo.lease
 
@@ -99,14 +104,22 @@
 class ZoneSide:
     """One scheduler's part in the fleet's zones."""
 
-    def __init__(self, name: str, wanted: Wanted, core: Exchange, buffers: BufferPool, seed: int,
-                 contact: Contact | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        wanted: Wanted,
+        core: Exchange,
+        buffers: BufferPool,
+        seed: int,
+        contact: Contact | None = None,
+    ) -> None:
         """contact: a follower that is there already, with what else hears by it."""
         settings = core.settings
         self.name, self.wanted, self.core, self.random = name, wanted, core, random.Random(seed)
         self.held: bool | None = None  # whether we held a lease when we last told the module
         self.next_ms = float("inf")
         self.service: FleetService | None = None
+
         def look(zones: tuple[str, ...]) -> None:
             self._ask(self.local.look(zones))
             trial.begin(self.core.module, self.local.tries(clock_ms(), zones), self.core.clock.now())
@@ -117,16 +130,25 @@
             self.follower.brings, contact.look, contact.also = self._brings, look, self._changed
             contact.began.append(self._began)
         elif wanted.members:
-            self.follower = Follower(name, settings.zone, settings.node, wanted.members, buffers,
-                                     self._brings, self._changed, look)
+            self.follower = Follower(
+                name, settings.zone, settings.node, wanted.members, buffers, self._brings, self._changed, look
+            )
         else:
             mind = self._steward(name)
-            self.follower = Alone(Solo(name, settings.zone, mind, clock_ms()), self._brings, self._changed,
-                                  look)
-        rules = Rules(self.follower.session, settings.zone, settings.cold_ms, settings.fall_ms,
-                      core.module.feeders, not wanted.members)
-        self.local = Local(rules, settings.node, settings.nodes, lambda worker: core.module.feeds(worker),
-                           self.random)
+            self.follower = Alone(
+                Solo(name, settings.zone, mind, clock_ms()), self._brings, self._changed, look
+            )
+        rules = Rules(
+            self.follower.session,
+            settings.zone,
+            settings.cold_ms,
+            settings.fall_ms,
+            core.module.feeders,
+            not wanted.members,
+        )
+        self.local = Local(
+            rules, settings.node, settings.nodes, lambda worker: core.module.feeds(worker), self.random
+        )
         core.zones = self
         if contact is not None and self.follower.document.revision:
             self._changed(self.follower.document)
@@ -142,8 +164,14 @@
 
     def _steward(self, author: str) -> Steward:
         settings, together = self.core.settings, bool(self.wanted.members)
-        bounds = Bounds(settings.fall_ms + ON_ITS_WAY_MS, settings.cold_ms, settings.nodes if together else 1,
-                        self.wanted.regions, settings.probes, not together)
+        bounds = Bounds(
+            settings.fall_ms + ON_ITS_WAY_MS,
+            settings.cold_ms,
+            settings.nodes if together else 1,
+            self.wanted.regions,
+            settings.probes,
+            not together,
+        )
         return Steward(bounds, self._listing, lambda: time.time() * 1000.0, author)
 
     def start(self) -> None:
@@ -201,8 +229,17 @@
             old = before.zone(name) if before is not None else Zone()
             if zone == old:
                 continue
-            tell("zone", bounded=False, zone=name, state=zone.state, step=zone.step, held=zone.held,
-                 number=fleet.numbers[name], reason=zone.reason, author=zone.author)
+            tell(
+                "zone",
+                bounded=False,
+                zone=name,
+                state=zone.state,
+                step=zone.step,
+                held=zone.held,
+                number=fleet.numbers[name],
+                reason=zone.reason,
+                author=zone.author,
+            )
             if zone.state == "leaving" and old.state != "leaving":
                 self._recall(name)
         for key in fleet.unread:
@@ -210,8 +247,9 @@
 
     def _began(self, settings: api.Settings) -> None:
         """Another policy: what cold workers bear, and who feeds them."""
-        rules = self.local.rules._replace(cold_ms=settings.cold_ms, fall_ms=settings.fall_ms,
-                                          feeders=self.core.module.feeders)
+        rules = self.local.rules._replace(
+            cold_ms=settings.cold_ms, fall_ms=settings.fall_ms, feeders=self.core.module.feeders
+        )
         self.local.rules = self.local.gate.rules = rules
         self.local.fed.clear()
         self._retell()
@@ -292,19 +330,36 @@
             zone = fleet.zone(name)
             seen = words.get(name)
             zones[name] = {
-                "state": zone.state, "step": zone.step, "steps": STEPS, "held": zone.held,
-                "share": zone.share, "inside": zone.inside, "number": fleet.numbers.get(name, 0),
-                "reason": zone.reason, "author": zone.author, "failures": zone.failures,
+                "state": zone.state,
+                "step": zone.step,
+                "steps": STEPS,
+                "held": zone.held,
+                "share": zone.share,
+                "inside": zone.inside,
+                "number": fleet.numbers.get(name, 0),
+                "reason": zone.reason,
+                "author": zone.author,
+                "failures": zone.failures,
                 "workers": len(ids.get(name, ())),
-                "seen_good": len(seen.good) if seen else 0, "seen_bad": len(seen.bad) if seen else 0,
-                "used": sum(self.may(each) for each in ids.get(name, ()))}
+                "seen_good": len(seen.good) if seen else 0,
+                "seen_bad": len(seen.bad) if seen else 0,
+                "used": sum(self.may(each) for each in ids.get(name, ())),
+            }
         deal = fleet.deal
         refused = self.service.keeper.refused if self.service is not None else 0
-        return {"refused": refused, "contact": valid, "by": self.follower.by, "why": self.follower.why,
-                "revision": self.follower.document.revision, "session": self.follower.session, "zones": zones,
-                "regions": {name: list(each) for name, each in self.wanted.regions.items()},
-                "deal": None if deal is None else {"number": deal.number, "in_force": deal.in_force,
-                                                   "sessions": len(deal.sessions)}}
+        return {
+            "refused": refused,
+            "contact": valid,
+            "by": self.follower.by,
+            "why": self.follower.why,
+            "revision": self.follower.document.revision,
+            "session": self.follower.session,
+            "zones": zones,
+            "regions": {name: list(each) for name, each in self.wanted.regions.items()},
+            "deal": None
+            if deal is None
+            else {"number": deal.number, "in_force": deal.in_force, "sessions": len(deal.sessions)},
+        }
 
     def history(self) -> list[dict[str, Any]]:
         past = self.local.fleet.past if self.local.fleet is not None else []
--- a/spanwing/zones/state.py
+++ b/spanwing/zones/state.py
@@ -86,7 +86,7 @@
     for key, entry in document.entries.items():
         try:
             if key.startswith(ZONE):
-                name = key[len(ZONE):]
+                name = key[len(ZONE) :]
                 zones[name] = msgspec.json.decode(entry.value, type=Zone)
                 numbers[name] = entry.revision
             elif key == DEAL:
--- a/spanwing/zones/steward.py
+++ b/spanwing/zones/steward.py
@@ -65,8 +65,14 @@
 class Steward:
     """The keeper's mind."""
 
-    def __init__(self, bounds: Bounds, workers: Callable[[], Mapping[str, list[Listed]]],
-                 wall_ms: Callable[[], float], author: str, draw: Callable[[], str] = _token) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        workers: Callable[[], Mapping[str, list[Listed]]],
+        wall_ms: Callable[[], float],
+        author: str,
+        draw: Callable[[], str] = _token,
+    ) -> None:
         """workers: of each zone, as our own list has them; draw: an id for a change."""
         self.bounds, self.workers, self.wall_ms = bounds, workers, wall_ms
         self.author, self.draw = author, draw
@@ -118,8 +124,11 @@
         """Those in contact, with what they saw lately."""
         contact = {each.id for each in keeper.in_contact(now)}
         self.reports = {id: each for id, each in self.reports.items() if id in keeper.sessions}
-        return [Observer(zone, report.zones if now - at <= GOOD_MS else _only_bad(report.zones))
-                for id, (at, zone, report) in self.reports.items() if id in contact and now - at <= BAD_MS]
+        return [
+            Observer(zone, report.zones if now - at <= GOOD_MS else _only_bad(report.zones))
+            for id, (at, zone, report) in self.reports.items()
+            if id in contact and now - at <= BAD_MS
+        ]
 
     def _judge(self, name: str, observers: list[Observer]) -> Verdict:
         return judge(name, observers, self.most[name], self.bounds.schedulers, self.bounds.sampled)
@@ -147,8 +156,11 @@
             else:
                 self.begun.pop(name, None)
         observers = self.observers(now, keeper)
-        made = (self._leave(now, fleet, listed, observers) or self._left(now, fleet, keeper)
-                or self._return(now, fleet, listed, observers, keeper))
+        made = (
+            self._leave(now, fleet, listed, observers)
+            or self._left(now, fleet, keeper)
+            or self._return(now, fleet, listed, observers, keeper)
+        )
         if made:
             return self._txn(document, fleet, made)
         return self._deal(now, document, fleet, listed, keeper)
@@ -156,9 +168,13 @@
     def _txn(self, document: Document, fleet: Fleet, made: Mapping[str, Zone]) -> Txn:
         """The change of some zones, with its lines in the history."""
         number, wall = document.revision + 1, self.wall_ms()
-        past = [*fleet.past, *(Past(number, wall, name, _called(each), each.step, each.reason, each.author,
-                                    each.share)
-                               for name, each in made.items())]
+        past = [
+            *fleet.past,
+            *(
+                Past(number, wall, name, _called(each), each.step, each.reason, each.author, each.share)
+                for name, each in made.items()
+            ),
+        ]
         writes = {ZONE + name: encode(each) for name, each in made.items()}
         at = document.at(*writes, PAST)
         return Txn(self.draw(), {**writes, PAST: encode(past[-HISTORY:])}, at)
@@ -166,8 +182,9 @@
     def _stay(self, zone: Zone) -> float:
         return min(STAY_MOST_MS, STAY_MS * 2 ** min(10, max(0, zone.failures - 1)))
 
-    def _leave(self, now: float, fleet: Fleet, listed: Mapping[str, list[Listed]],
-               observers: list[Observer]) -> dict[str, Zone]:
+    def _leave(
+        self, now: float, fleet: Fleet, listed: Mapping[str, list[Listed]], observers: list[Observer]
+    ) -> dict[str, Zone]:
         """Zones that have failed, as far as the others can bear it."""
         found: dict[str, tuple[Verdict, str]] = {}
         for name in self.most:  # also one of which the list has just dropped all workers
@@ -195,11 +212,21 @@
         if whole <= set(found):  # one is kept: the one of which most is seen good
             keep = sorted(whole) or sorted(found)
             del found[max(keep, key=lambda name: found[name][0].good / max(1, found[name][0].of))]
-        return {name: self._gone(now, name, fleet, verdict, reason, observers, set(found) | out)
-                for name, (verdict, reason) in found.items()}
-
-    def _gone(self, now: float, name: str, fleet: Fleet, verdict: Verdict, reason: str,
-              observers: list[Observer], without: set[str]) -> Zone:
+        return {
+            name: self._gone(now, name, fleet, verdict, reason, observers, set(found) | out)
+            for name, (verdict, reason) in found.items()
+        }
+
+    def _gone(
+        self,
+        now: float,
+        name: str,
+        fleet: Fleet,
+        verdict: Verdict,
+        reason: str,
+        observers: list[Observer],
+        without: set[str],
+    ) -> Zone:
         zone = fleet.zone(name)
         calm = name in fleet.numbers and self._since(now, name, fleet.numbers[name]) > FORGIVEN_MS
         words = [(zone_name, each) for observer in observers for zone_name, each in observer.words.items()]
@@ -236,8 +263,14 @@
         # Sessions that only an earlier keeper knew of count as lapsed once ours have lasted for a lease.
         return keeper.lapsed("", now) and keeper.acknowledged(number, list(keeper.sessions), now)
 
-    def _return(self, now: float, fleet: Fleet, listed: Mapping[str, list[Listed]], observers: list[Observer],
-                keeper: Keeper) -> dict[str, Zone]:
+    def _return(
+        self,
+        now: float,
+        fleet: Fleet,
+        listed: Mapping[str, list[Listed]],
+        observers: list[Observer],
+        keeper: Keeper,
+    ) -> dict[str, Zone]:
         for name, zone in fleet.zones.items():
             if zone.held or zone.state not in ("left", "returning"):
                 continue
@@ -251,7 +284,7 @@
                     why = f"{word.well} of {len(workers)} answer again after {since / 1000:.1f} s"
                     return {name: self._begin(now, zone, workers, since, why, self.author)}
                 continue
-            admitted = rank([each.id for each in workers])[:math.ceil(zone.step / STEPS * len(workers))]
+            admitted = rank([each.id for each in workers])[: math.ceil(zone.step / STEPS * len(workers))]
             word = self._seen(name, observers, admitted)
             most = max(1, math.ceil(DOWN * (word.well + word.bad)))
             if admitted and word.bad >= most and since >= STEP_MS / 2:
@@ -259,13 +292,27 @@
                 why = f"{word.bad} of {len(admitted)} admitted workers are down at step {zone.step}"
                 if back:
                     return {name: _with(zone, step=back, reason=why, author=self.author)}
-                return {name: _with(zone, state="leaving", step=0, failures=zone.failures + 1, reason=why,
-                                    author=self.author)}
+                return {
+                    name: _with(
+                        zone,
+                        state="leaving",
+                        step=0,
+                        failures=zone.failures + 1,
+                        reason=why,
+                        author=self.author,
+                    )
+                }
             if since < STEP_MS or word.well < DOWN * self._count(word, len(admitted)):
                 continue
             if zone.step < STEPS:
-                return {name: _with(zone, step=zone.step + 1, author=self.author,
-                                    reason=f"{word.well} of {len(admitted)} admitted workers are well")}
+                return {
+                    name: _with(
+                        zone,
+                        step=zone.step + 1,
+                        author=self.author,
+                        reason=f"{word.well} of {len(admitted)} admitted workers are well",
+                    )
+                }
             if now - self.begun[name] >= self.bounds.cold_ms and not any(each.cold for each in workers):
                 return {name: _with(zone, state="open", step=0, reason="whole", author=self.author)}
         return {}
@@ -275,11 +322,21 @@
         is as cold as that; of any other the list may be late, so it counts as just begun."""
         gone = self.wall_ms() - since - self.bounds.wait_ms
         starts = {str(short(each.id)): each.started for each in workers if each.started >= gone}
-        return _with(zone, state="returning", step=1, inside=False, share=0.0, held=False, starts=starts,
-                     reason=why, author=by)
-
-    def _deal(self, now: float, document: Document, fleet: Fleet, listed: Mapping[str, list[Listed]],
-              keeper: Keeper) -> Txn | None:
+        return _with(
+            zone,
+            state="returning",
+            step=1,
+            inside=False,
+            share=0.0,
+            held=False,
+            starts=starts,
+            reason=why,
+            author=by,
+        )
+
+    def _deal(
+        self, now: float, document: Document, fleet: Fleet, listed: Mapping[str, list[Listed]], keeper: Keeper
+    ) -> Txn | None:
         """Who feeds the cold workers of returning zones."""
         deal, at = fleet.deal, document.at(DEAL)
         returning = [name for name, zone in fleet.zones.items() if zone.state == "returning"]
@@ -321,15 +378,18 @@
 
     # -- orders
 
-    def order(self, now: float, order: msgspec.Raw, document: Document,
-              keeper: Keeper) -> tuple[Txn | None, str]:
+    def order(
+        self, now: float, order: msgspec.Raw, document: Document, keeper: Keeper
+    ) -> tuple[Txn | None, str]:
         wanted = msgspec.json.decode(bytes(order), type=Order)
         fleet, listed = self._fleet(document), self._listing(now)
         names = self.bounds.regions.get(wanted.name, (wanted.name,))
         unknown = [name for name in names if name not in self.most and name not in fleet.zones]
         if unknown:
-            raise ValueError(f"{unknown[0]!r} is no zone or region that has job workers; "
-                             f"known: {', '.join(sorted({*self.most, *self.bounds.regions}))}")
+            raise ValueError(
+                f"{unknown[0]!r} is no zone or region that has job workers; "
+                f"known: {', '.join(sorted({*self.most, *self.bounds.regions}))}"
+            )
         if not 0 <= wanted.over_s <= OVER_MOST_S:
             raise ValueError(f"--over: 0 to {OVER_MOST_S:.0f} seconds are possible")
         made = getattr(self, f"_order_{wanted.do}", self._order_unknown)(now, wanted, names, fleet, listed)
@@ -339,10 +399,19 @@
     def _order_unknown(self, now: float, wanted: Order, *_: object) -> dict[str, Zone]:
         raise ValueError(f"unknown order {wanted.do[:20]!r}")
 
-    def _order_leave(self, now: float, wanted: Order, names: tuple[str, ...], fleet: Fleet,
-                     listed: Mapping[str, list[Listed]]) -> dict[str, Zone]:
-        rest = [name for name, workers in listed.items()
-                if workers and name not in names and fleet.zone(name).state in ("open", "returning")]
+    def _order_leave(
+        self,
+        now: float,
+        wanted: Order,
+        names: tuple[str, ...],
+        fleet: Fleet,
+        listed: Mapping[str, list[Listed]],
+    ) -> dict[str, Zone]:
+        rest = [
+            name
+            for name, workers in listed.items()
+            if workers and name not in names and fleet.zone(name).state in ("open", "returning")
+        ]
         if not rest:
             raise ValueError(f"{wanted.name}: no other zone is in use, and the last one is never left")
         if all(fleet.zone(name).state in ("leaving", "left") and fleet.zone(name).held for name in names):
@@ -352,11 +421,19 @@
             self.leaving_over.pop(name, None)
             if wanted.over_s:
                 self.leaving_over[name] = now, wanted.over_s * 1000.0
-        return {name: Zone("leaving", 0, share, False, True, fleet.zone(name).failures, "ordered", wanted.by)
-                for name in names}
-
-    def _order_return(self, now: float, wanted: Order, names: tuple[str, ...], fleet: Fleet,
-                      listed: Mapping[str, list[Listed]]) -> dict[str, Zone]:
+        return {
+            name: Zone("leaving", 0, share, False, True, fleet.zone(name).failures, "ordered", wanted.by)
+            for name in names
+        }
+
+    def _order_return(
+        self,
+        now: float,
+        wanted: Order,
+        names: tuple[str, ...],
+        fleet: Fleet,
+        listed: Mapping[str, list[Listed]],
+    ) -> dict[str, Zone]:
         made = {}
         for name in names:
             zone = fleet.zone(name)
@@ -369,18 +446,33 @@
             raise ValueError(f"{wanted.name} is not left")
         return made
 
-    def _order_hold(self, now: float, wanted: Order, names: tuple[str, ...], fleet: Fleet,
-                    listed: Mapping[str, list[Listed]]) -> dict[str, Zone]:
+    def _order_hold(
+        self,
+        now: float,
+        wanted: Order,
+        names: tuple[str, ...],
+        fleet: Fleet,
+        listed: Mapping[str, list[Listed]],
+    ) -> dict[str, Zone]:
         return self._held(wanted, names, fleet, True)
 
-    def _order_release(self, now: float, wanted: Order, names: tuple[str, ...], fleet: Fleet,
-                       listed: Mapping[str, list[Listed]]) -> dict[str, Zone]:
+    def _order_release(
+        self,
+        now: float,
+        wanted: Order,
+        names: tuple[str, ...],
+        fleet: Fleet,
+        listed: Mapping[str, list[Listed]],
+    ) -> dict[str, Zone]:
         return self._held(wanted, names, fleet, False)
 
     def _held(self, wanted: Order, names: tuple[str, ...], fleet: Fleet, held: bool) -> dict[str, Zone]:
         reason = "held by order" if held else "released by order"
-        made = {name: _with(fleet.zone(name), held=held, reason=reason, author=wanted.by)
-                for name in names if fleet.zone(name).held != held}
+        made = {
+            name: _with(fleet.zone(name), held=held, reason=reason, author=wanted.by)
+            for name in names
+            if fleet.zone(name).held != held
+        }
         if not made:
             raise ValueError(f"{wanted.name} is {'held already' if held else 'not held'}")
         return made
@@ -409,4 +501,3 @@
 
 def _called(zone: Zone) -> str:
     return f"{zone.state}, held" if zone.held else zone.state
-
