--- a/spanwing/zones/verdict.py
+++ b/spanwing/zones/verdict.py
@@ -44,8 +44,9 @@
 
 def counts(zone: str, observer: Observer) -> bool:
     """Whether its word on the zone counts: it sees others as good, also some that are not its own."""
-    others = {name: words for name, words in observer.words.items() if name != zone and (words.good or
-    words.bad)}
+    others = {
+        name: words for name, words in observer.words.items() if name != zone and (words.good or words.bad)
+    }
     if not any(words.good for words in others.values()):
         return False
     far = [words for name, words in others.items() if name != observer.zone]
@@ -59,8 +60,13 @@
     return max(least, min(MOST_AGREE, math.ceil(schedulers / 3), observers - 1))
 
 
-def judge(zone: str, observers: Collection[Observer], workers: Collection[int], schedulers: int,
-          sampled: bool = False) -> Verdict:
+def judge(
+    zone: str,
+    observers: Collection[Observer],
+    workers: Collection[int],
+    schedulers: int,
+    sampled: bool = False,
+) -> Verdict:
     """workers: all of the zone, by their short numbers; schedulers: that there are, up or down: where there
     are more than two, one alone is never enough. sampled: the observers cannot know all workers, and those
     that they know something of stand for all, if they are SAMPLE."""
@@ -96,8 +102,9 @@
     well = sum(good[worker] >= max(1, bad[worker]) for worker in known)
     # Those of one zone may be cut off together, and what they last saw of others may be older than that.
     zones = min(2, len({each.zone for each in observers}))
-    agreed = (agree >= enough(schedulers, len(observers)) and 2 * agree >= speakers
-              and len(from_zones) >= zones)
+    agreed = (
+        agree >= enough(schedulers, len(observers)) and 2 * agree >= speakers and len(from_zones) >= zones
+    )
     most = of > 0 and down >= max(min(2, of), math.ceil(DOWN * of - 1e-9))
     if most and agreed:
         if len(inside) >= INSIDE * of:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,8 +32,15 @@
 def settings(**changes) -> Settings:
     """Settings of one node with the three kinds of class; changes by name."""
     base = dict(
-        classes=(SAFE, KEYED, UNSAFE), cancel=True, max_attempts=5, answer_grace=16.0,
-        drain_grace=500.0, cold_from=0.2, cold_ms=10000.0, fall_multiple=3.0, fall_ms=1000.0,
+        classes=(SAFE, KEYED, UNSAFE),
+        cancel=True,
+        max_attempts=5,
+        answer_grace=16.0,
+        drain_grace=500.0,
+        cold_from=0.2,
+        cold_ms=10000.0,
+        fall_multiple=3.0,
+        fall_ms=1000.0,
     )
     return Settings(**{**base, **changes})
 
@@ -61,8 +68,9 @@
         rid = f"r{self.count}"
         return rid, self.feed(Request(rid, cls, self.now + wait, **more))
 
-    def end(self, rid: str, attempt: int, worker: int, result: str, complete: bool | None = None,
-            report=None):
+    def end(
+        self, rid: str, attempt: int, worker: int, result: str, complete: bool | None = None, report=None
+    ):
         complete = result == "ok" if complete is None else complete
         return self.feed(Outcome(rid, attempt, worker, result, complete, 100.0, report))
 
--- a/tests/oddly.py
+++ b/tests/oddly.py
@@ -1,9 +1,9 @@
 """The daemon with something of the machine or of time in the test's hands: `python tests/oddly.py WORD ..`.
 
-    small       sockets that it opens or accepts hold only some KB of what is to be sent
-    hold=PIPE   each last byte of work that must not run twice is held until a byte comes by this pipe
-    ahead=FILE  its clock is ahead by as many milliseconds as this file has bytes
-    end=PIPE    it says "ending" once it has served, and ends when something comes by this pipe
+small       sockets that it opens or accepts hold only some KB of what is to be sent
+hold=PIPE   each last byte of work that must not run twice is held until a byte comes by this pipe
+ahead=FILE  its clock is ahead by as many milliseconds as this file has bytes
+end=PIPE    it says "ending" once it has served, and ends when something comes by this pipe
 """
 
 from __future__ import annotations
--- a/tests/player.py
+++ b/tests/player.py
@@ -50,16 +50,33 @@
 
 PATIENCE_S = 20.0  # what never comes fails the test after this; nothing is measured against it
 SETTINGS = {
-    "areas": ["a"], "balancers": 1, "position": 0, "zone": "a", "kinds": ["big"], "tick_ms": 4.0,
+    "areas": ["a"],
+    "balancers": 1,
+    "position": 0,
+    "zone": "a",
+    "kinds": ["big"],
+    "tick_ms": 4.0,
     "classes": [
         {"name": "status-read", "aim_ms": 60000.0, "deadline_ms": 60000.0, "idempotency": "safe"},
         {"name": "schedule-apply", "aim_ms": 60000.0, "deadline_ms": 60000.0, "idempotency": "unsafe"},
-        {"name": "setpoint-push", "aim_ms": 60000.0, "deadline_ms": 60000.0, "idempotency": "keyed",
-         "group": "zone", "window_ms": 12000.0},
+        {
+            "name": "setpoint-push",
+            "aim_ms": 60000.0,
+            "deadline_ms": 60000.0,
+            "idempotency": "keyed",
+            "group": "zone",
+            "window_ms": 12000.0,
+        },
     ],
     "permissions": {"max_attempts": 3, "cancel": True, "conn_idle_ms": 15000.0, "connect_timeout_ms": 250.0},
-    "rules": {"grace_to_answer_ms": 16.0, "stop_sending_within_ms": 2000.0, "cold_from": 0.3,
-              "cold_ms": 8600.0, "fall_multiple": 3.0, "fall_ms": 3000.0},
+    "rules": {
+        "grace_to_answer_ms": 16.0,
+        "stop_sending_within_ms": 2000.0,
+        "cold_from": 0.3,
+        "cold_ms": 8600.0,
+        "fall_multiple": 3.0,
+        "fall_ms": 3000.0,
+    },
     "specifics": {"tells_start": True},
 }
 
@@ -97,18 +114,41 @@
 
 def config(members: list[dict] = (), discovery: str = "127.0.0.1:9", **settings) -> dict:
     known = {"revision": 1, "complete": True, "members": list(members)}
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "2a", "known": known,
-            "limits": {"sockets": 256}, "settings": {**json.loads(json.dumps(SETTINGS)), **settings}}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "2a",
+        "known": known,
+        "limits": {"sockets": 256},
+        "settings": {**json.loads(json.dumps(SETTINGS)), **settings},
+    }
 
 
 def member(name: str, port: int, **more) -> dict:
-    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "big", "cell": 0,
-            "phase": "active", "size": 1.0, "up_since_ms": 0, **more}
+    return {
+        "id": name,
+        "host_port": f"127.0.0.1:{port}",
+        "locality": "a",
+        "flavor": "big",
+        "cell": 0,
+        "phase": "active",
+        "size": 1.0,
+        "up_since_ms": 0,
+        **more,
+    }
 
 
 NUMBER = r"-?[0-9.]+"  # written as it is, anything else as a string
-SIGNS = {">": "send", ">>": "send_bare", ">#": "send_body",
-         "<": "expect", "<<": "expect_bare", "<~": "expect_later", "<~~": "skip_to"}
+SIGNS = {
+    ">": "send",
+    ">>": "send_bare",
+    ">#": "send_body",
+    "<": "expect",
+    "<<": "expect_bare",
+    "<~": "expect_later",
+    "<~~": "skip_to",
+}
 
 
 class Player:
@@ -319,7 +359,7 @@
         want = codecs.decode(text, "unicode_escape").encode("latin-1")
         while len(self.read.get(name, b"")) < len(want) and self.more(name):
             pass
-        got, self.read[name] = self.read[name][: len(want)], self.read[name][len(want):]
+        got, self.read[name] = self.read[name][: len(want)], self.read[name][len(want) :]
         assert got == want, f"got {got!r}"
 
     def close(self, name: str) -> None:
--- a/tests/simdisk.py
+++ b/tests/simdisk.py
@@ -94,7 +94,7 @@
                 continue  # its removal had reached the disk
             safe = self.contents.get(name, self.synced.get(name, b""))
             now = self.files.get(name, safe)
-            fresh.files[name] = safe + self._damaged(now[len(safe):])
+            fresh.files[name] = safe + self._damaged(now[len(safe) :])
             fresh.contents[name] = fresh.synced[name] = fresh.files[name]
         return fresh
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -68,8 +68,9 @@
         if state is not None:
             event = json.dumps({"id": job, "from": name, "state": state, "result": text}).encode()
             with self.daemon.connect("clients") as back:
-                back.sendall(b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s"
-                             % (len(event), event))
+                back.sendall(
+                    b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(event), event)
+                )
                 read_http(back.makefile("rb"))
 
     def close(self) -> None:
@@ -105,8 +106,9 @@
 
     def __init__(self, daemon: Daemon, name: str, threads: int, queues: list[str], barrier: Barrier) -> None:
         self.queues, self.barrier = " ".join(queues), barrier
-        self.speakers = [FaktorySpeaker(daemon, wid=name, labels=["zone:a", "kind:big"])
-                         for _ in range(threads)]
+        self.speakers = [
+            FaktorySpeaker(daemon, wid=name, labels=["zone:a", "kind:big"]) for _ in range(threads)
+        ]
         for each in self.speakers:
             thread(self.work, each)
 
@@ -149,19 +151,23 @@
 
 
 def ask_http(daemon: Daemon, job: str, cls: str, text: str, slots: int, budget: int, seen: Counter) -> None:
-    head = (f"POST /{cls} HTTP/1.1\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget}\r\nX-Call-Info: slots={slots}"
-            f"\r\nContent-Length: {len(text)}\r\n\r\n{text}")
+    head = (
+        f"POST /{cls} HTTP/1.1\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget}\r\nX-Call-Info: slots={slots}"
+        f"\r\nContent-Length: {len(text)}\r\n\r\n{text}"
+    )
     with daemon.connect("clients") as connection:
         connection.sendall(head.encode())
         status = read_http(connection.makefile("rb"))[0].split(" ")[1]
     seen[cls, {"200": "served", "503": "refused"}.get(status, "failed")] += 1
 
 
-def ask_faktory(daemon: Daemon, job: str, cls: str, text: str, slots: int, budget: int,
-                seen: Counter) -> None:
+def ask_faktory(
+    daemon: Daemon, job: str, cls: str, text: str, slots: int, budget: int, seen: Counter
+) -> None:
     speaker = FaktorySpeaker(daemon)
     custom = {"answer": "outcome", "slots": slots, "budget_ms": budget}
-    reply = speaker.ask("PUSH", json.dumps({"jid": job, "jobtype": cls, "queue": cls, "args": [text],
-                                            "custom": custom}))
+    reply = speaker.ask(
+        "PUSH", json.dumps({"jid": job, "jobtype": cls, "queue": cls, "args": [text], "custom": custom})
+    )
     seen[cls, {"+OK": "served", "-BUS": "refused"}.get(reply[:4].strip(), "failed")] += 1
     speaker.close()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -14,9 +14,14 @@
 
 ROOT = Path(__file__).parent.parent
 OPTIONS = {
-    "balancers": 1, "position": 0, "zone": "a", "areas": ["a"], "unheard_of": 1,
+    "balancers": 1,
+    "position": 0,
+    "zone": "a",
+    "areas": ["a"],
+    "unheard_of": 1,
     "classes": [{"name": "look", "aim_ms": 300.0, "deadline_ms": 5000.0, "idempotency": "safe"}],
-    "permissions": {"max_attempts": 3, "cancel": True}, "rules": {"stop_sending_within_ms": 500.0},
+    "permissions": {"max_attempts": 3, "cancel": True},
+    "rules": {"stop_sending_within_ms": 500.0},
 }
 INIT = ["Init", "node_0", 5, OPTIONS]
 LIST = ["Membership", "node_0", "Persisted", 1, [["healthy", "a", 0, 1, "std", None, 11, "extra"]]]
@@ -36,18 +41,27 @@
 
 def test_start_request_outcome_and_crash_in_one_session():
     code, out, _ = serve(
-        *batch(0.0, INIT, LIST), *batch(10.0, SUBMIT, ["Novelty", "node_0", 1]),
+        *batch(0.0, INIT, LIST),
+        *batch(10.0, SUBMIT, ["Novelty", "node_0", 1]),
         *batch(20.0, ["Returned", "node_0", "t/1", 9.0, None, 0, 11, "OK", True, None]),
-        *batch(30.0, ["CrashNow", "node_0"], INIT, LIST, [*SUBMIT[:2], "t/2", *SUBMIT[3:]]), *batch(31.0),
+        *batch(30.0, ["CrashNow", "node_0"], INIT, LIST, [*SUBMIT[:2], "t/2", *SUBMIT[3:]]),
+        *batch(31.0),
     )
     assert code == 0 and [m for m in out if m == ["Eor"]] == [["Eor"]] * 5
     assert [m[2:4] for m in out if m[0] == "CallOut"] == [["t/1", 11], ["t/2", 11]]
 
 
-@pytest.mark.parametrize("lines", [
-    ["not json"], [["Go"]], [["Sync", 1.0], ["Sync", 2.0]], [["Sync"]],
-    [*batch(0.0, INIT, LIST)[:-1], ["Submit", "node_0"]], [["Sync", 0.0], ["Init", "node_0"]],
-])
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["not json"],
+        [["Go"]],
+        [["Sync", 1.0], ["Sync", 2.0]],
+        [["Sync"]],
+        [*batch(0.0, INIT, LIST)[:-1], ["Submit", "node_0"]],
+        [["Sync", 0.0], ["Init", "node_0"]],
+    ],
+)
 def test_broken_frame_ends_with_code_2_and_a_plain_line(lines, capsys):
     code, out, _ = serve(*lines)
     assert code == 2 and out == []
@@ -66,13 +80,22 @@
         events = [[name, node, *rest] for name, _, *rest in (INIT, LIST, SUBMIT)]
         return [*batch(0.0, *events[:2]), *batch(5.0, events[2]), *batch(5000.0, ["Wakeup", node, 0])]
 
-    both = [m for pair in zip(day("node_1"), day("node_2"), strict=True)
-            for m in (pair if pair[0] != pair[1] else pair[:1])]
+    both = [
+        m
+        for pair in zip(day("node_1"), day("node_2"), strict=True)
+        for m in (pair if pair[0] != pair[1] else pair[:1])
+    ]
 
     def actions(lines: list) -> list:
         text = "\n".join(map(json.dumps, lines)) + "\n"
-        done = subprocess.run([sys.executable, "-m", "spanwing.adapter"], input=text, text=True,
-                              capture_output=True, cwd=ROOT, check=True)
+        done = subprocess.run(
+            [sys.executable, "-m", "spanwing.adapter"],
+            input=text,
+            text=True,
+            capture_output=True,
+            cwd=ROOT,
+            check=True,
+        )
         return [line for line in done.stdout.splitlines() if "Eor" not in line]
 
     assert sorted(actions(both)) == sorted(actions(day("node_1")) + actions(day("node_2")))
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -85,6 +85,7 @@
 class Drains(unittest.TestCase):
     def test_under_load_at_any_moment_of_each_protocols_interval(self) -> None:
         """Nothing taken after 2 s, and one final answer for all that was taken."""
+
         def run(name: str, by_signal: bool):
             lane = Lane(name, 11, by_signal)
             return name, asyncio.run(asyncio.wait_for(lane.run(2), 90))
@@ -95,16 +96,19 @@
             for each in runs:
                 name, result = each.result()
                 with self.subTest(name):
-                    self.assertEqual((result.drains, result.taken_late, result.unanswered, result.twice),
-                                     (2, 0, 0, 0))
+                    self.assertEqual(
+                        (result.drains, result.taken_late, result.unanswered, result.twice), (2, 0, 0, 0)
+                    )
                     self.assertGreater(result.requests, 0)
 
 
 class Orders(Started):
     def test_drain_undrain_drain_within_one_interval(self) -> None:
         path = str(self.folder / "admin")
-        daemon = self.daemon(self.table(agent_check="127.0.0.1:0", health="127.0.0.1:0")
-                             + f'[admin]\nsocket = "{path}"\n[balancers]\nnotice_ms = 400\n')
+        daemon = self.daemon(
+            self.table(agent_check="127.0.0.1:0", health="127.0.0.1:0")
+            + f'[admin]\nsocket = "{path}"\n[balancers]\nnotice_ms = 400\n'
+        )
         agent = daemon.addresses["agent_check"]
         self.until(lambda: ask(agent, b"").startswith(b"ready"), "ready")
         with daemon.connect("clients") as kept:
@@ -119,15 +123,21 @@
                 file.read(2 if b"200" in lines[0] else 10)
                 return lines[0]
 
-            for do, says in (("drain", b"drain\n"), ("undrain", b"ready"), ("drain", b"drain\n"),
-                             ("undrain", b"ready")):
+            for do, says in (
+                ("drain", b"drain\n"),
+                ("undrain", b"ready"),
+                ("drain", b"drain\n"),
+                ("undrain", b"ready"),
+            ):
                 client.ask(path, do=do)
                 self.assertTrue(ask(agent, b"").startswith(says), do)
                 self.assertIn(b"200", up())  # a connection without a client's request is left alone
             client.ask(path, do="drain")
             self.until(lambda: client.ask(path, do="status")["state"] == "drained", "drained")
-        refused = ask(daemon.addresses["clients"],
-                      b"POST /status-read HTTP/1.1\r\nX-Call-Id: late-1\r\nContent-Length: 0\r\n\r\n")
+        refused = ask(
+            daemon.addresses["clients"],
+            b"POST /status-read HTTP/1.1\r\nX-Call-Id: late-1\r\nContent-Length: 0\r\n\r\n",
+        )
         self.assertTrue(refused.startswith(b"HTTP/1.1 503"), refused)
         self.assertIn(b"Connection: close", refused)
 
@@ -169,8 +179,10 @@
             daemon.process.send_signal(signal.SIGHUP)
             self.until(lambda: said in daemon.said(), said)
 
-        reload(self.table(health=f"127.0.0.1:{two}", agent_check=f"127.0.0.1:{busy}") + admin,
-               f"not reloaded: agent_check.listen: cannot listen on 127.0.0.1:{busy}")
+        reload(
+            self.table(health=f"127.0.0.1:{two}", agent_check=f"127.0.0.1:{busy}") + admin,
+            f"not reloaded: agent_check.listen: cannot listen on 127.0.0.1:{busy}",
+        )
         self.assertIn(b"alive", ask(("127.0.0.1", one), live))
         with self.assertRaises(OSError):
             ask(("127.0.0.1", two), live)
@@ -197,8 +209,9 @@
 
         def serve() -> None:
             while not stop.is_set():
-                served.append(ask(daemon.addresses["clients"], b"GET /up HTTP/1.0\r\n\r\n").startswith(
-                    b"HTTP/1.1 200"))
+                served.append(
+                    ask(daemon.addresses["clients"], b"GET /up HTTP/1.0\r\n\r\n").startswith(b"HTTP/1.1 200")
+                )
 
         clients = threading.Thread(target=serve)
         clients.start()
@@ -244,8 +257,10 @@
         fronts = self.table(health="127.0.0.1:0", faktory="127.0.0.1:0")
         daemon = self.daemon(fronts, [], kinds=["big", "old"], specifics={"class_kind": [-1, -1, 0]})
         health = daemon.addresses["health"]
-        workers = {kind: FaktorySpeaker(daemon, wid=f"w-{kind}", labels=["zone:a", f"kind:{kind}"])
-                   for kind in ("big", "old")}
+        workers = {
+            kind: FaktorySpeaker(daemon, wid=f"w-{kind}", labels=["zone:a", f"kind:{kind}"])
+            for kind in ("big", "old")
+        }
 
         def answer(path: str) -> bytes:
             return ask(health, f"GET {path} HTTP/1.0\r\n\r\n".encode())
@@ -265,8 +280,9 @@
         producer = FaktorySpeaker(daemon)
 
         def push(jid: str) -> str:
-            return producer.ask("PUSH", json.dumps({"jid": jid, "jobtype": "j", "queue": "status-read",
-                                                    "args": []}))
+            return producer.ask(
+                "PUSH", json.dumps({"jid": jid, "jobtype": "j", "queue": "status-read", "args": []})
+            )
 
         self.assertEqual(push("job-00001"), "+OK")
         client.ask(path, do="drain")
@@ -279,8 +295,12 @@
 
     def test_a_kind_of_job_worker_that_is_gone(self) -> None:
         workers = [member("w1", 9, flavor="old"), member("w2", 9, flavor="big", phase="leaving")]
-        daemon = self.daemon(self.table(health="127.0.0.1:0"), workers, kinds=["big", "old"],
-                             specifics={"class_kind": [-1, -1, 0]})
+        daemon = self.daemon(
+            self.table(health="127.0.0.1:0"),
+            workers,
+            kinds=["big", "old"],
+            specifics={"class_kind": [-1, -1, 0]},
+        )
         health = daemon.addresses["health"]
         self.until(lambda: b" 200 " in ask(health, b"GET /health HTTP/1.0\r\n\r\n"), "up")
         lost = ask(health, b"GET /health/setpoint-push HTTP/1.0\r\n\r\n")
@@ -296,10 +316,12 @@
             own = names.index(name)
             places = zip(names, ports, strict=True)
             peers = ", ".join(f'{other} = "127.0.0.1:{port}"' for other, port in places if other != name)
-            fronts = (self.table(agent_check="127.0.0.1:0", faktory="127.0.0.1:0", health="127.0.0.1:0")
-                      + f'[admin]\nsocket = "{self.folder / name}"\n[balancers]\nnotice_ms = 100\n'
-                      f'[store]\nmember = "{name}"\ndirectory = "{self.folder / name}-store"\n'
-                      f'listen = "127.0.0.1:{ports[own]}"\npeers = {{ {peers} }}\n')
+            fronts = (
+                self.table(agent_check="127.0.0.1:0", faktory="127.0.0.1:0", health="127.0.0.1:0")
+                + f'[admin]\nsocket = "{self.folder / name}"\n[balancers]\nnotice_ms = 100\n'
+                f'[store]\nmember = "{name}"\ndirectory = "{self.folder / name}-store"\n'
+                f'listen = "127.0.0.1:{ports[own]}"\npeers = {{ {peers} }}\n'
+            )
             worker = member("w1", 9)
             started = Daemon({**config([worker]), "name": name}, fronts)
             self.addCleanup(started.close)
@@ -326,8 +348,10 @@
             daemons[name].process.wait()
         self.until(lambda: state("a")["checks"]["class:schedule-apply"][0]["status"] == "fail", "no majority")
         self.assertEqual(state("a")["checks"]["class:status-read"][0]["status"], "pass")
-        self.assertIn(b"cannot serve schedule-apply", ask(
-            daemons["a"].addresses["health"], b"GET /health/schedule-apply HTTP/1.0\r\n\r\n"))
+        self.assertIn(
+            b"cannot serve schedule-apply",
+            ask(daemons["a"].addresses["health"], b"GET /health/schedule-apply HTTP/1.0\r\n\r\n"),
+        )
         with self.assertRaises(client.Refused):
             client.ask(str(self.folder / "a"), do="drain", member="b")
 
@@ -335,8 +359,9 @@
 class StolenCpu(unittest.TestCase):
     """A queue in virtual time whose CPU is cut in steps while the load stays."""
 
-    def first(self, steps: tuple[float, ...], load: float, slack_s: float,
-              listens: bool) -> tuple[float, float]:
+    def first(
+        self, steps: tuple[float, ...], load: float, slack_s: float, listens: bool
+    ) -> tuple[float, float]:
         """When it first says short, and when work first waits longer than slack_s."""
         classes = (ClassLoad("status-read", 150.0),)
         health, policy = Health(Policy(), 0.0), Policy()
@@ -402,8 +427,16 @@
         with self.assertRaises(ValueError):
             agent_reply("fine")
         judge = Judge(rise=2, fall=3)
-        for up, told in ((False, True), (False, True), (True, True), (False, True), (False, True),
-                         (False, False), (True, False), (True, True)):
+        for up, told in (
+            (False, True),
+            (False, True),
+            (True, True),
+            (False, True),
+            (False, True),
+            (False, False),
+            (True, False),
+            (True, True),
+        ):
             judge.take(Seen(up))
             self.assertEqual(judge.up, told)
         self.assertEqual(Backend("a", ("", 0), ("", 0), PROTOCOLS["envoy-http"]).judge.share, 100)
@@ -417,21 +450,29 @@
         self.assertLessEqual(len(limiter.buckets), KINDS)
 
     def test_structured_lines_and_a_reader_that_does_not_read(self) -> None:
-        code = ("import logging, sys, time\nfrom spanwing.log.events import LOG\n"
-                "LOG.open(sys.argv[1], 1000.0, {'name': 'n1'})\nbegun = time.monotonic()\n"
-                "LOG.tell('health', state='short', reasons=['a b', 'c'])\n"
-                "logging.getLogger('spanwing').warning('plain %s', 'text')\n"
-                "for n in range(int(sys.argv[2])): LOG.tell('flood', n=n, pad='x' * 2000)\n"
-                "assert time.monotonic() - begun < 20\nLOG.close()\n")
+        code = (
+            "import logging, sys, time\nfrom spanwing.log.events import LOG\n"
+            "LOG.open(sys.argv[1], 1000.0, {'name': 'n1'})\nbegun = time.monotonic()\n"
+            "LOG.tell('health', state='short', reasons=['a b', 'c'])\n"
+            "logging.getLogger('spanwing').warning('plain %s', 'text')\n"
+            "for n in range(int(sys.argv[2])): LOG.tell('flood', n=n, pad='x' * 2000)\n"
+            "assert time.monotonic() - begun < 20\nLOG.close()\n"
+        )
 
         def run(form: str, flood: str) -> subprocess.Popen:
-            return subprocess.Popen([sys.executable, "-c", code, form, flood], cwd=ROOT,
-                                    stderr=subprocess.PIPE, env={"PATH": os.environ["PATH"]})
+            return subprocess.Popen(
+                [sys.executable, "-c", code, form, flood],
+                cwd=ROOT,
+                stderr=subprocess.PIPE,
+                env={"PATH": os.environ["PATH"]},
+            )
 
         lines = run("json", "0").communicate(timeout=PATIENCE_S)[1].decode().splitlines()
         first, second = map(json.loads, lines)
-        self.assertEqual((first["event"], first["state"], first["name"], first["reasons"]),
-                         ("health", "short", "n1", ["a b", "c"]))
+        self.assertEqual(
+            (first["event"], first["state"], first["name"], first["reasons"]),
+            ("health", "short", "n1", ["a b", "c"]),
+        )
         self.assertEqual((second["event"], second["level"]), ("plain text", "warning"))
         line = run("keys", "0").communicate(timeout=PATIENCE_S)[1].decode().splitlines()[0]
         self.assertRegex(line, r'^timestamp=\S+ level=info event=health .*reasons="a b,c"')
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,8 +16,14 @@
 
 
 def spanwing(*arguments: str, **environment: str) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-m", "spanwing", *arguments], cwd=ROOT, capture_output=True,
-                          text=True, timeout=PATIENCE_S * 2, env={"PATH": os.environ["PATH"], **environment})
+    return subprocess.run(
+        [sys.executable, "-m", "spanwing", *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_S * 2,
+        env={"PATH": os.environ["PATH"], **environment},
+    )
 
 
 class Commands(unittest.TestCase):
@@ -31,8 +37,10 @@
         self.members = [member("w1", worker.getsockname()[1])]
 
     def daemon(self, more: str = "") -> Daemon:
-        fronts = (f'[admin]\nsocket = "{self.socket}"\n[agent_check]\nlisten = "127.0.0.1:0"\n'
-                  f"[balancers]\nnotice_ms = 200\n{more}")
+        fronts = (
+            f'[admin]\nsocket = "{self.socket}"\n[agent_check]\nlisten = "127.0.0.1:0"\n'
+            f"[balancers]\nnotice_ms = 200\n{more}"
+        )
         started = Daemon(config(self.members), fronts).ready()
         self.addCleanup(started.close)
         return started
@@ -59,17 +67,23 @@
         folder = self.folder / "journal"
         daemon = self.daemon(f'[journal]\ndirectory = "{folder}"\n')
         with daemon.connect("clients") as client:  # its job worker takes the connection and says nothing
-            client.sendall(b"POST /schedule-apply/x HTTP/1.1\r\nX-Call-Id: job-1\r\nX-Caller: corrib\r\n"
-                           b"X-Budget-Ms: 300\r\nContent-Length: 0\r\n\r\n")
+            client.sendall(
+                b"POST /schedule-apply/x HTTP/1.1\r\nX-Call-Id: job-1\r\nX-Caller: corrib\r\n"
+                b"X-Budget-Ms: 300\r\nContent-Length: 0\r\n\r\n"
+            )
             self.assertIn(b" 502 ", client.recv(4096))
         for _ in range(2):
-            shown = json.loads(self.run_command("journal", "show", "job-1", "--json",
-                                                "--directory", str(folder)))
-            self.assertEqual((shown["state"], shown["worker"], shown["given_up"], shown["answer"]),
-                             ("sent", "w1", shown["given_up"], "failed"))
+            shown = json.loads(
+                self.run_command("journal", "show", "job-1", "--json", "--directory", str(folder))
+            )
+            self.assertEqual(
+                (shown["state"], shown["worker"], shown["given_up"], shown["answer"]),
+                ("sent", "w1", shown["given_up"], "failed"),
+            )
             self.assertIn(shown["given_up"], ("timeout", "cancelled"))
-            found = self.run_command("journal", "query", "tenant = corrib and worker in (w1, w2)",
-                                     "--directory", str(folder))
+            found = self.run_command(
+                "journal", "query", "tenant = corrib and worker in (w1, w2)", "--directory", str(folder)
+            )
             self.assertIn("schedule-apply  job-1", found)
             self.run_command("journal", "verify", "--directory", str(folder))
             if daemon.process.poll() is None:
@@ -81,8 +95,9 @@
                 self.assertIn("job-1", table)
                 status, fault = self.get("/journal/query?q=worker%20%3D%3D")
                 self.assertEqual((status, "column" in fault), (400, True), fault)
-                self.assertEqual([self.get(each)[0] for each in ("/journal/x", "/", "/journal/tail?n=-1")],
-                                 [404, 404, 404])
+                self.assertEqual(
+                    [self.get(each)[0] for each in ("/journal/x", "/", "/journal/tail?n=-1")], [404, 404, 404]
+                )
                 self.assertIn("journal.records", self.run_command("status", "--json"))
             daemon.process.kill()
             daemon.process.wait()
@@ -133,16 +148,27 @@
         self.assertEqual((nobody.returncode, nobody.stdout), (3, ""))
 
     def test_check_names_everything_and_how_to_mend_it(self) -> None:
-        (self.folder / "f.toml").write_text('[balancers]\nfloor = 300\nbogus = 1\n[health]\nlisten = "x"\n'
-                                            '[admin]\nsocket = "rel"\n[log]\nform = "xml"\n')
+        (self.folder / "f.toml").write_text(
+            '[balancers]\nfloor = 300\nbogus = 1\n[health]\nlisten = "x"\n'
+            '[admin]\nsocket = "rel"\n[log]\nform = "xml"\n'
+        )
         bad = config(self.members, discovery="nowhere", balancers=0, tick_ms=-1)
         bad["limits"] = {"sockets": 3, "memory_mb": "much"}
         (self.folder / "c.json").write_text(json.dumps(bad))
         done = spanwing("check", str(self.folder / "c.json"), "--fronts", str(self.folder / "f.toml"))
         self.assertEqual(done.returncode, 1)
-        for name in ("balancers.floor", "balancers.bogus", "health.listen", "admin.socket", "log.form",
-                     "limits.memory_mb", "limits.sockets", "ROUTER_DISCOVERY", "settings.balancers",
-                     "settings.tick_ms"):
+        for name in (
+            "balancers.floor",
+            "balancers.bogus",
+            "health.listen",
+            "admin.socket",
+            "log.form",
+            "limits.memory_mb",
+            "limits.sockets",
+            "ROUTER_DISCOVERY",
+            "settings.balancers",
+            "settings.tick_ms",
+        ):
             self.assertRegex(done.stderr, rf"(?m)^{name}: .+\n    to mend it: .+$")
         self.assertIn("10 faults", done.stderr)
         (self.folder / "good.json").write_text(json.dumps(config(self.members)))
@@ -150,9 +176,11 @@
         self.assertEqual(spanwing("check", str(ROOT / "deploy" / "fronts.toml")).returncode, 0)
 
     def test_bare_is_the_daemon_without_any_of_this(self) -> None:
-        code = ("import sys; import spanwing.daemon; "
-                "print([m for m in ('click', 'h2', 'structlog', 'google_crc32c', "
-                "'spanwing.fronts.balancers.side', 'spanwing.everyfault') if m in sys.modules])")
+        code = (
+            "import sys; import spanwing.daemon; "
+            "print([m for m in ('click', 'h2', 'structlog', 'google_crc32c', "
+            "'spanwing.fronts.balancers.side', 'spanwing.everyfault') if m in sys.modules])"
+        )
         done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(done.stdout.strip(), "[]")
 
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -11,8 +11,15 @@
 
 AT_ONCE = 4
 #: What they say of messages that stall, or of how much is sent at once, is no longer true of parts.
-OWN_PACE = {"http_stalled", "http_huge", "http_flood", "http_malformed", "faktory_malformed",
-            "faktory_bounds", "http_dropped"}
+OWN_PACE = {
+    "http_stalled",
+    "http_huge",
+    "http_flood",
+    "http_malformed",
+    "faktory_malformed",
+    "faktory_bounds",
+    "http_dropped",
+}
 
 
 def single(count: int) -> list[int]:
@@ -29,8 +36,11 @@
 
 class Cut(unittest.TestCase):
     def play(self, cut) -> None:
-        recordings = [each for each in sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
-                      if each.stem not in OWN_PACE and not each.stem.startswith("bad_")]
+        recordings = [
+            each
+            for each in sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
+            if each.stem not in OWN_PACE and not each.stem.startswith("bad_")
+        ]
         with ThreadPoolExecutor(AT_ONCE) as pool:
             for path, played in [(path, pool.submit(Player(path, cut).play)) for path in recordings]:
                 with self.subTest(path.stem):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -267,8 +267,12 @@
     """By the worker's warmth each of four had one slot of five, and the fifth stood idle."""
     short, held = ServiceClass("look", aim=100, deadline=5000), []
     for n in range(4):
-        node = Driver(settings(classes=(short,), nodes=4, node=n, cold_from=0.3, cold_ms=8600.0,
-                               fall_ms=3000.0, **PROBED), workers=1)
+        node = Driver(
+            settings(
+                classes=(short,), nodes=4, node=n, cold_from=0.3, cold_ms=8600.0, fall_ms=3000.0, **PROBED
+            ),
+            workers=1,
+        )
         sight(node, 1, 5.0)
         node.now = 50.0
         node.feed(WorkerList("complete", (Worker(1000, started=40.0),)))
@@ -281,8 +285,9 @@
     short, work = ServiceClass("look", aim=100, deadline=5000), 0.0
     for life in (40.0, 600.0):
         for n in range(40):
-            node = Driver(settings(classes=(short,), nodes=40, node=n, cold_from=0.3, cold_ms=8600.0,
-                                   fall_ms=3000.0))
+            node = Driver(
+                settings(classes=(short,), nodes=40, node=n, cold_from=0.3, cold_ms=8600.0, fall_ms=3000.0)
+            )
             node.now = life
             node.node.__init__(node.node.set, n, life)
             node.feed(WorkerList("persisted", (Worker(1000, started=50.0),)))
@@ -342,11 +347,22 @@
     assert len(picks) == 1
 
 
-@pytest.mark.parametrize("change", [
-    dict(classes=()), dict(nodes=0), dict(node=5), dict(max_attempts=0), dict(cold_from=0.0), dict(tick=0.0),
-    dict(drain_grace=-1.0), dict(tenants=tenants(x=-1.0)), dict(zone="c", zones=("a",)),
-    dict(classes=(ServiceClass("x", aim=10, deadline=5),)), dict(classes=(UNSAFE, UNSAFE)),
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        dict(classes=()),
+        dict(nodes=0),
+        dict(node=5),
+        dict(max_attempts=0),
+        dict(cold_from=0.0),
+        dict(tick=0.0),
+        dict(drain_grace=-1.0),
+        dict(tenants=tenants(x=-1.0)),
+        dict(zone="c", zones=("a",)),
+        dict(classes=(ServiceClass("x", aim=10, deadline=5),)),
+        dict(classes=(UNSAFE, UNSAFE)),
+    ],
+)
 def test_wrong_settings_name_the_setting(change):
     with pytest.raises(ValueError, match=next(iter(change))):
         settings(**change)
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -22,8 +22,10 @@
 
 
 class Documents(unittest.TestCase):
-    @given(st.lists(st.dictionaries(KEYS, st.none() | st.text("xyz", max_size=4), min_size=1), max_size=90),
-           st.lists(st.integers(0, 90), max_size=8))
+    @given(
+        st.lists(st.dictionaries(KEYS, st.none() | st.text("xyz", max_size=4), min_size=1), max_size=90),
+        st.lists(st.integers(0, 90), max_size=8),
+    )
     def test_a_watcher_that_looks_now_and_then_misses_no_change(self, writes, looks) -> None:
         document, watcher = Document(), Document()
         for number, each in enumerate(writes):
@@ -47,8 +49,12 @@
         self.assertIs(document.apply(Txn("1", {"a": "x"}, {"a": 0})), document)
 
     def test_bounds_are_told_and_change_nothing(self) -> None:
-        for writes in ({"k" * 129: "x"}, {"k": "x" * 24577}, {f"k{n}": "" for n in range(513)},
-                       {f"k{n}": "x" * 20_000 for n in range(4)}):
+        for writes in (
+            {"k" * 129: "x"},
+            {"k": "x" * 24577},
+            {f"k{n}": "" for n in range(513)},
+            {f"k{n}": "x" * 20_000 for n in range(4)},
+        ):
             with self.assertRaises(ValueError):
                 Document().apply(Txn("1", writes))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -82,8 +82,12 @@
     def until_one_asks(self) -> None:
         """Wait for a connection that was begun and has not come up: the backlog is full."""
         ending, end = f":{self.port:04X}", time.monotonic() + PATIENCE_S
-        while not any(remote.endswith(ending) and state == SYN_SENT for remote, state in (
-                line.split()[2:4] for line in Path("/proc/net/tcp").read_text().splitlines()[1:])):
+        while not any(
+            remote.endswith(ending) and state == SYN_SENT
+            for remote, state in (
+                line.split()[2:4] for line in Path("/proc/net/tcp").read_text().splitlines()[1:]
+            )
+        ):
             self.case.assertLess(time.monotonic(), end, "no connection was begun")
 
 
@@ -111,8 +115,11 @@
             return b""
 
     def say(self, status: int, body: bytes = b"", **headers: str) -> None:
-        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}",
-                 *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items())]
+        lines = [
+            f"HTTP/1.1 {status} X",
+            f"Content-Length: {len(body)}",
+            *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
+        ]
         self.socket.sendall("\r\n".join([*lines, "", ""]).encode() + body)
 
     def ask(self, cls: str, job: str, body: bytes = b"", budget: int = 60000) -> None:
@@ -120,8 +127,10 @@
 
 
 def request(cls: str, job: str, body: bytes = b"", budget: int = 60000) -> bytes:
-    return (f"POST /{cls} HTTP/1.1\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"POST /{cls} HTTP/1.1\r\nX-Call-Id: {job}\r\nX-Budget-Ms: {budget}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 def push(cls: str, job: str) -> bytes:
@@ -154,8 +163,15 @@
 
 
 class Endings(unittest.TestCase):
-    def start(self, *members: dict, at: Discovery | None = None, cancel: bool = True, pushed: bool = True,
-              command: tuple[str, ...] = ("-m", "spanwing"), fronts: str = "") -> Daemon:
+    def start(
+        self,
+        *members: dict,
+        at: Discovery | None = None,
+        cancel: bool = True,
+        pushed: bool = True,
+        command: tuple[str, ...] = ("-m", "spanwing"),
+        fronts: str = "",
+    ) -> Daemon:
         allowed = {**SETTINGS["permissions"], "connect_timeout_ms": 20000.0, "cancel": cancel}
         given = config(members, f"127.0.0.1:{at.port if at else 9}", permissions=allowed)
         given["settings"]["discovery"] = "automatic" if pushed else "subscribe"
@@ -188,7 +204,6 @@
         return told
 
 
-
 class Lists(Endings):
     def test_a_pushed_list_is_watched_from_the_first_moment(self) -> None:
         """Where discovery is `automatic` the module asks for nothing; what discovery has counts anyhow."""
@@ -229,8 +244,9 @@
         discovery.tell(member("w1", two.port))
         event = json.dumps({"id": "job-1", "from": "w1", "state": "done", "result": "served"}).encode()
         with self.daemon.connect("clients") as back:
-            back.sendall(b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s"
-                         % (len(event), event))
+            back.sendall(
+                b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(event), event)
+            )
             self.assertIn("204", read_http(back.makefile("rb"))[0])
         self.assertEqual(client.read()[2], b"served")
 
@@ -332,7 +348,6 @@
         self.client().ask("schedule-apply", "job-2")
         self.assertEqual(worker.accept().read()[1]["x-call-id"], "job-2")
 
-
     def test_one_that_comes_again_under_its_id_has_its_own_time(self) -> None:
         """The time of the former is over before that of a third, which came last and says so."""
         worker, discovery = Hears(self), Discovery(self)
@@ -410,8 +425,10 @@
 
     async def is_told(self, result: str, says: bytes = b"HTTP/1.1 204 X\r\n\r\n") -> None:
         """It is out, and so nowhere else, until the job worker was told."""
-        ended, told = asyncio.ensure_future(self.ended.get()), asyncio.ensure_future(
-            asyncio.to_thread(self.worker.accept))
+        ended, told = (
+            asyncio.ensure_future(self.ended.get()),
+            asyncio.ensure_future(asyncio.to_thread(self.worker.accept)),
+        )
         await asyncio.wait({ended, told}, timeout=PATIENCE_S, return_when=asyncio.FIRST_COMPLETED)
         self.assertFalse(ended.done())
         connection = await told
@@ -629,8 +646,7 @@
         """All bytes but the last are at the job worker when the window ends."""
         one, two, discovery = Hears(self), Hears(self), Discovery(self)
         gate, ahead = self.files()
-        self.start(member("w1", one.port), at=discovery,
-                   command=(ODDLY, f"hold={gate}", f"ahead={ahead}"))
+        self.start(member("w1", one.port), at=discovery, command=(ODDLY, f"hold={gate}", f"ahead={ahead}"))
         discovery.called()
         client = self.client()
         client.ask("setpoint-push", "job-1", b"body")
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -38,8 +38,10 @@
 
 def figures(rows: list[dict]) -> list[dict]:
     """What has to be the same each time: all but the measured cost."""
-    return [{**row, "row": {key: value for key, value in row["row"].items() if key != "decision_us"}}
-            for row in rows]
+    return [
+        {**row, "row": {key: value for key, value in row["row"].items() if key != "decision_us"}}
+        for row in rows
+    ]
 
 
 class Matrix(unittest.TestCase):
@@ -54,9 +56,24 @@
         whole = run(read_plan(self.plan), self.folder / "whole", 4, lambda there, of: None)
         self.assertEqual(len(whole), 8)
         broken = self.folder / "broken"
-        process = subprocess.Popen([sys.executable, "-m", "spanwing", "experiment", "run", str(self.plan),
-                                    "--out", str(broken), "--lanes", "1"], cwd=ROOT, start_new_session=True,
-                                   stdout=subprocess.DEVNULL, env={"PATH": os.environ["PATH"]})
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "spanwing",
+                "experiment",
+                "run",
+                str(self.plan),
+                "--out",
+                str(broken),
+                "--lanes",
+                "1",
+            ],
+            cwd=ROOT,
+            start_new_session=True,
+            stdout=subprocess.DEVNULL,
+            env={"PATH": os.environ["PATH"]},
+        )
         end = time.monotonic() + PATIENCE_S
         while len(list(broken.glob("cells/*.json"))) < 2 and time.monotonic() < end:
             time.sleep(0.01)
@@ -73,6 +90,7 @@
         self.assertIn("<svg", page("small", again))
         parquet(again, self.folder / "rows.parquet")
         import pyarrow.parquet as pq
+
         self.assertEqual(pq.read_table(self.folder / "rows.parquet").num_rows, 8)
 
     def test_builds_do_not_mix(self) -> None:
@@ -91,11 +109,14 @@
 
     def test_bad_plans_are_refused_in_one_line(self) -> None:
         for old, new, word in (
-            ('name = "small"', 'name = "a b"', "name"), ('"calm-day"', '"no-day"', "no-day"),
-            ("seeds = 2", "seeds = 0", "seeds"), ("seeds = 2", "seed = 2", "seed"),
+            ('name = "small"', 'name = "a b"', "name"),
+            ('"calm-day"', '"no-day"', "no-day"),
+            ("seeds = 2", "seeds = 0", "seeds"),
+            ("seeds = 2", "seed = 2", "seed"),
             ('"load.level"', '"load.levle"', "load.levle"),
             ('"workers[0].count"', '"workers[9].count"', "workers"),
-            ("seconds = 6\n", 'seconds = "six"\n', "seconds"), ("seeds = 2", 'builds = ["-"]', "builds"),
+            ("seconds = 6\n", 'seconds = "six"\n', "seconds"),
+            ("seeds = 2", 'builds = ["-"]', "builds"),
         ):
             self.plan.write_text(PLAN.replace(old, new))
             with self.assertRaisesRegex(ConfigError, word) as caught:
@@ -130,8 +151,11 @@
         self.assertTrue(2 <= wrong <= 28, wrong)  # 5% of 200, and what small samples add
 
     def test_only_pairs_count(self) -> None:
-        rows = [{"scenario": "s", "seed": seed, "variant": variant, "row": {"x": float(seed)}}
-                for variant, seeds in (("a", range(6)), ("b", range(2, 9))) for seed in seeds]
+        rows = [
+            {"scenario": "s", "seed": seed, "variant": variant, "row": {"x": float(seed)}}
+            for variant, seeds in (("a", range(6)), ("b", range(2, 9)))
+            for seed in seeds
+        ]
         found = differences(rows, {"variant": "a"}, {"variant": "b"}, ["x"])[0]
         self.assertEqual((found.pairs, found.mean, json.dumps(found.a)), (4, 0.0, "3.5"))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,8 +35,9 @@
         return ground
 
     def seen(self, ground: Ground, zone: str) -> int:
-        return sum(ground.zones_of(name)["zones"].get(zone, {}).get("seen_good", 0)
-                   for name in ground.reached())
+        return sum(
+            ground.zones_of(name)["zones"].get(zone, {}).get("seen_good", 0) for name in ground.reached()
+        )
 
     def left(self, ground: Ground, *zones: str) -> None:
         for zone in zones:
@@ -120,8 +121,11 @@
         followed = time.time()
         ground.until(lambda: self.seen(ground, "a") > 0)
         # Nothing is sent there by those in contact, but what was on its way.
-        came = [each for each in ground.records() if each["ev"] == "got" and each["worker"] in
-                ground.of_zone("c") and each["t"] > followed + 0.05]
+        came = [
+            each
+            for each in ground.records()
+            if each["ev"] == "got" and each["worker"] in ground.of_zone("c") and each["t"] > followed + 0.05
+        ]
         self.assertEqual(came, [])
         ground.how("c", "up")
         self.opened(ground, "c")
@@ -150,11 +154,17 @@
         ground.how("b", "up")
         for step in (2, 3, 4):
             before = len(ground.history())
-            ground.until(lambda step=step, before=before: any(
-                each["zone"] == "b" and each["step"] == step for each in ground.history()[before:]))
+            ground.until(
+                lambda step=step, before=before: any(
+                    each["zone"] == "b" and each["step"] == step for each in ground.history()[before:]
+                )
+            )
             ground.how("b", "failing")
-            ground.until(lambda before=before: any(
-                each["zone"] == "b" and each["state"] == "leaving" for each in ground.history()[before:]))
+            ground.until(
+                lambda before=before: any(
+                    each["zone"] == "b" and each["state"] == "leaving" for each in ground.history()[before:]
+                )
+            )
             ground.how("b", "up")
         self.opened(ground, "b")
         self.assertGreaterEqual(ground.zones_of("s0")["zones"]["b"]["failures"], 4)
@@ -226,8 +236,9 @@
         ground.set(ground.links(ground.schedulers, ["discovery"]), there=False, back=False)
         ground.parts["wa0"].do({"how": "failing"})
         ground.how("b", "full")
-        ground.until(lambda: any(ground.zones_of(name)["zones"]["a"]["seen_bad"]
-                                 for name in ground.reached()))
+        ground.until(
+            lambda: any(ground.zones_of(name)["zones"]["a"]["seen_bad"] for name in ground.reached())
+        )
         self.stays(ground)
         ground.settle()
         self.assertEqual(ground.wrong()[:5], [])
@@ -320,8 +331,11 @@
         ground.start_zone("b")
         stopped: list[str] = []
         for step in (1, 2, 3, 4):
-            ground.until(lambda step=step: any(each["zone"] == "b" and each["step"] == step
-                                               for each in ground.history()))
+            ground.until(
+                lambda step=step: any(
+                    each["zone"] == "b" and each["step"] == step for each in ground.history()
+                )
+            )
             name = self.keeper(ground)
             ground.stop(name)
             # Another member keeps by then; the stopped one finds that it does not.
@@ -341,8 +355,11 @@
         ground.kill(lost)
         rest = [name for name in ground.schedulers if name != lost]
         for step in (2, 3, 4):
-            ground.until(lambda step=step: any(each["zone"] == "c" and each["step"] >= step
-                                               for each in ground.history()))
+            ground.until(
+                lambda step=step: any(
+                    each["zone"] == "c" and each["step"] >= step for each in ground.history()
+                )
+            )
             ground.kill(*rest)
             for name in rest:
                 ground.start(name, wait=False)
@@ -464,9 +481,24 @@
         self.left(ground, "b")
         ground.how("b", "up")
         self.opened(ground, "b")
-        two = [subprocess.Popen([sys.executable, "-m", "spanwing", "zones", "leave", zone, "--socket",
-                                 f"{ground.path}/{at}.sock"], cwd=ROOT, stderr=subprocess.PIPE, text=True)
-               for zone, at in (("west", "s1"), ("c", "s2"))]
+        two = [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "spanwing",
+                    "zones",
+                    "leave",
+                    zone,
+                    "--socket",
+                    f"{ground.path}/{at}.sock",
+                ],
+                cwd=ROOT,
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+            for zone, at in (("west", "s1"), ("c", "s2"))
+        ]
         ended = [(each.wait(30), each.stderr.read()) for each in two]
         for each in two:
             each.stderr.close()
@@ -517,26 +549,52 @@
                 return link.makefile("rb").readline()
 
         def renew(**what) -> bytes:
-            return say(json.dumps({"type": "renew", "n": 1, "session": "x.1", "zone": "a", "position": 0,
-                                   "seen": 0, "payload": [{}], **what}).encode() + b"\n")
+            return say(
+                json.dumps(
+                    {
+                        "type": "renew",
+                        "n": 1,
+                        "session": "x.1",
+                        "zone": "a",
+                        "position": 0,
+                        "seen": 0,
+                        "payload": [{}],
+                        **what,
+                    }
+                ).encode()
+                + b"\n"
+            )
 
         self.assertEqual(say(b"garbage\n"), b"")
         self.assertEqual(say(b"x" * 300_000 + b"\n"), b"")
-        for bad in ({"session": ""}, {"session": "x" * 200}, {"seen": -1}, {"seen": 10 ** 9}):
+        for bad in ({"session": ""}, {"session": "x" * 200}, {"seen": -1}, {"seen": 10**9}):
             reply = json.loads(renew(**bad))
             self.assertEqual(reply.get("lease_ms", 0.0), 0.0, bad)
-        for payload in ("text", [{"a": [[70000], [], 0, 0]}], [{"a": [[1] * 30, [], 0, 0]}],
-                        [{"a": [[], [], -1, 0]}], [{"a": [[], [], 1e400, 0]}]):
+        for payload in (
+            "text",
+            [{"a": [[70000], [], 0, 0]}],
+            [{"a": [[1] * 30, [], 0, 0]}],
+            [{"a": [[], [], -1, 0]}],
+            [{"a": [[], [], 1e400, 0]}],
+        ):
             renew(payload=payload)  # the lease is granted, the evidence is not taken
         refused = ground.zones_of("s1")["refused"] + ground.zones_of("s0")["refused"]
         # Observers that the settings do not know tell of a zone that is lost: nobody listens.
         bad = [short(number_of(name)) for name in ground.of_zone("a")]
         good = [short(number_of(name)) for zone in "bc" for name in ground.of_zone(zone)]
         for number in range(30):
-            renew(session=f"x{number % 6}.1", position=3 + number % 6, zone="b",
-                  payload=[{"a": [[], bad, 0, 0], "b": [good[:2], [], 0, 0], "c": [good[2:], [], 0, 0]}])
-        self.assertGreater(ground.zones_of("s1")["refused"] + ground.zones_of("s0")["refused"]
-                           + ground.zones_of("s2")["refused"], refused)
+            renew(
+                session=f"x{number % 6}.1",
+                position=3 + number % 6,
+                zone="b",
+                payload=[{"a": [[], bad, 0, 0], "b": [good[:2], [], 0, 0], "c": [good[2:], [], 0, 0]}],
+            )
+        self.assertGreater(
+            ground.zones_of("s1")["refused"]
+            + ground.zones_of("s0")["refused"]
+            + ground.zones_of("s2")["refused"],
+            refused,
+        )
         many = {f"z{number}": [[], [1], 0, 0] for number in range(60)}
         renew(payload=[many])
         ground.until(ground.contact)
@@ -549,31 +607,39 @@
     """The checker finds what must not be."""
 
     def test_a_job_at_two_workers_at_a_time(self) -> None:
-        day = [{"ev": ev, "job": "j", "worker": worker, "how": "up"}
-               for ev, worker in (("got", "a"), ("got", "b"), ("done", "b"))]
+        day = [
+            {"ev": ev, "job": "j", "worker": worker, "how": "up"}
+            for ev, worker in (("got", "a"), ("got", "b"), ("done", "b"))
+        ]
         self.assertEqual(len(check.at_once(day)), 1)
         self.assertEqual(check.at_once(day, {"a"}), [])
         self.assertEqual(check.at_once([day[0], {**day[0], "ev": "dropped"}, day[1]]), [])
 
     def test_a_job_taken_under_an_earlier_version(self) -> None:
-        day = [{"ev": "taken", "job": str(number), "scheduler": "s", "version": version}
-               for number, version in enumerate((1, 1, 2, 2))]
+        day = [
+            {"ev": "taken", "job": str(number), "scheduler": "s", "version": version}
+            for number, version in enumerate((1, 1, 2, 2))
+        ]
         self.assertEqual(check.versions(day), [])
         self.assertEqual(len(check.versions([*day, day[0]])), 1)
 
     def test_a_window_over_its_budget(self) -> None:
         bears = check.Cold(0.5, 1000.0, 2.0, 100.0, 1, {"x": 60.0})
-        day = [{"ev": "got", "worker": "a", "job": str(number), "cls": "x", "t": 1.0 + number / 1000.0}
-               for number in range(2)]
+        day = [
+            {"ev": "got", "worker": "a", "job": str(number), "cls": "x", "t": 1.0 + number / 1000.0}
+            for number in range(2)
+        ]
         self.assertEqual(len(check.budgets(day, {"a": [1000.0]}, bears)), 1)
         self.assertEqual(check.budgets(day[:1], {"a": [1000.0]}, bears), [])
 
 
 class Off(unittest.TestCase):
     def test_nothing_of_it_is_loaded(self) -> None:
-        code = ("import sys, spanwing.daemon; print([name for name in sys.modules if name.startswith("
-                "('spanwing.zones', 'spanwing.store.keeper', 'spanwing.store.service', "
-                "'spanwing.store.follower', 'spanwing.cli'))])")
+        code = (
+            "import sys, spanwing.daemon; print([name for name in sys.modules if name.startswith("
+            "('spanwing.zones', 'spanwing.store.keeper', 'spanwing.store.service', "
+            "'spanwing.store.follower', 'spanwing.cli'))])"
+        )
         said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(said.stdout.strip(), "[]", said.stderr)
 
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -62,7 +62,8 @@
         ended: list[tuple[int, str]] = []
         path = self.file(ground, at, aim_ms=320.0)
         thread = threading.Thread(
-            target=lambda: ended.append(self.run_command(ground, "propose", path, *words, at=at)))
+            target=lambda: ended.append(self.run_command(ground, "propose", path, *words, at=at))
+        )
         thread.start()
         self.addCleanup(thread.join)
         return ended
@@ -150,8 +151,12 @@
         ground.until(lambda: len(ground.records()) > served + 50)
         ground.go_on("s3")
         ground.until(lambda: self.versions(ground) == {2})
-        ground.until(lambda: any(each["ev"] == "taken" and each["scheduler"] == "s3" and each["version"] == 2
-                                 for each in ground.records()))
+        ground.until(
+            lambda: any(
+                each["ev"] == "taken" and each["scheduler"] == "s3" and each["version"] == 2
+                for each in ground.records()
+            )
+        )
         self.end(ground, ("s3",))
 
     def test_one_that_was_down_learns_it_before_its_first_job(self) -> None:
@@ -161,8 +166,12 @@
             code, said = self.propose(ground, "--wait", "30", "--gone", "s3", aim_ms=aim)
             self.assertEqual(code, 0, said)
         ground.start("s3")
-        ground.until(lambda: any(each["ev"] == "taken" and each["scheduler"] == "s3" and each["version"] == 4
-                                 for each in ground.records()))
+        ground.until(
+            lambda: any(
+                each["ev"] == "taken" and each["scheduler"] == "s3" and each["version"] == 4
+                for each in ground.records()
+            )
+        )
         self.end(ground, ("s3",))
 
 
@@ -215,8 +224,12 @@
             ground.start(name, wait=False)
         for name in ground.schedulers:
             ground.serving(name)
-        ground.until(lambda: ground.contact() and all(self.of(ground, name)["change"] is None
-                                                      for name in ground.reached()), 45.0)
+        ground.until(
+            lambda: (
+                ground.contact() and all(self.of(ground, name)["change"] is None for name in ground.reached())
+            ),
+            45.0,
+        )
         ground.until(lambda: len(self.versions(ground)) == 1)
         self.end(ground, tuple(ground.schedulers))
 
@@ -235,8 +248,10 @@
 
 class Off(unittest.TestCase):
     def test_nothing_of_it_is_loaded(self) -> None:
-        code = ("import sys, spanwing.daemon; print([name for name in sys.modules "
-                "if name.startswith(('spanwing.policy', 'spanwing.handover'))])")
+        code = (
+            "import sys, spanwing.daemon; print([name for name in sys.modules "
+            "if name.startswith(('spanwing.policy', 'spanwing.handover'))])"
+        )
         said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(said.stdout.strip(), "[]", said.stderr)
 
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -22,8 +22,13 @@
 
 UP = Verdict("ready", 100, (), (("status-read", ""), ("setpoint-push", "no big-box")))
 DRAINING = UP._replace(state="draining", weight=0, reasons=("draining",))
-HEADERS = [(":method", "POST"), (":scheme", "http"), (":authority", "x"), ("te", "trailers"),
-           ("content-type", "application/grpc")]
+HEADERS = [
+    (":method", "POST"),
+    (":scheme", "http"),
+    (":authority", "x"),
+    ("te", "trailers"),
+    ("content-type", "application/grpc"),
+]
 
 
 def request(service: str) -> bytes:
@@ -104,8 +109,13 @@
         self.assertEqual([each.data[-1] for each in pair.pump() if isinstance(each, DataReceived)], [2])
 
     def test_malformed_and_too_large(self) -> None:
-        for data, status in ((b"\x01" + bytes(4), "3"), (b"\x00\x00\x00\x00\x09ab", "3"), (b"", "3"),
-                             (struct.pack("!BI", 0, 3) + b"\x0a\x05a", "3"), (bytes(2000), "8")):
+        for data, status in (
+            (b"\x01" + bytes(4), "3"),
+            (b"\x00\x00\x00\x00\x09ab", "3"),
+            (b"", "3"),
+            (struct.pack("!BI", 0, 3) + b"\x0a\x05a", "3"),
+            (bytes(2000), "8"),
+        ):
             pair = Pair()
             stream = pair.client.get_next_available_stream_id()
             pair.client.send_headers(stream, [(":path", CHECK), *HEADERS])
@@ -127,8 +137,11 @@
         def reset(pair: Pair) -> None:
             pair.client.reset_stream(pair.ask(CHECK, ""), ErrorCodes.CANCEL)
 
-        for what in (lambda pair: pair.client.ping(bytes(8)), reset,
-                     lambda pair: pair.client.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: 70000})):
+        for what in (
+            lambda pair: pair.client.ping(bytes(8)),
+            reset,
+            lambda pair: pair.client.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: 70000}),
+        ):
             pair = Pair()
             pair.pump()
             for _ in range(CONTROLS + 2):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -50,8 +50,10 @@
 
     async def figures(self, lane: Lane, process) -> dict[str, int]:
         body = (await lane.call(process, "stats")).partition(b"\r\n\r\n")[2].decode()
-        return {name.removeprefix("app."): int(value) for name, value in
-                (line.split("=") for line in body.split())}
+        return {
+            name.removeprefix("app."): int(value)
+            for name, value in (line.split("=") for line in body.split())
+        }
 
     async def test_three_in_a_row_under_load_with_halved_limits(self) -> None:
         lane, current = await self.opened(sockets=192, memory_mb=48)
@@ -66,23 +68,29 @@
         """Nothing new comes: what the successor answers was all taken by the one before it."""
         lane, old = await self.opened(clients=0, running_s=(0.0, 0.1))
         lane.workers.may_end.clear()
-        answers = [asyncio.ensure_future(self.ask(lane, cls, number))
-                   for number in range(4) for cls in ("status-read", "schedule-apply", "setpoint-push")]
+        answers = [
+            asyncio.ensure_future(self.ask(lane, cls, number))
+            for number in range(4)
+            for cls in ("status-read", "schedule-apply", "setpoint-push")
+        ]
         await self.until(lambda: len(lane.workers.ran) == 12, "all have been sent")
         new = await lane.replace(old)
         lane.workers.may_end.set()
         self.assertEqual([await each for each in answers], [b"200"] * 12)
         told = await self.figures(lane, new)
-        self.assertEqual([told[f"ok.{cls}"] for cls in ("status-read", "schedule-apply", "setpoint-push")],
-                         [4, 4, 4])
+        self.assertEqual(
+            [told[f"ok.{cls}"] for cls in ("status-read", "schedule-apply", "setpoint-push")], [4, 4, 4]
+        )
         self.assertEqual((told["active"], told["pool_ejected"]), (0, 0))
         await self.closed(lane)
 
     async def ask(self, lane: Lane, cls: str, number: int) -> bytes:
         reader, writer = await asyncio.open_connection(*lane.place)
         job = f"{cls}-x-{number}"
-        writer.write(f"POST /{cls} HTTP/1.1\r\nX-Call-Id: {job}\r\nIdempotency-Key: {job}\r\n"
-                     f"X-Budget-Ms: {BUDGET_MS}\r\nContent-Length: 0\r\n\r\n".encode())
+        writer.write(
+            f"POST /{cls} HTTP/1.1\r\nX-Call-Id: {job}\r\nIdempotency-Key: {job}\r\n"
+            f"X-Budget-Ms: {BUDGET_MS}\r\nContent-Length: 0\r\n\r\n".encode()
+        )
         try:
             return (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
         finally:
@@ -233,15 +241,17 @@
         await self.closed(lane)
 
     async def test_nothing_of_it_exists_without_the_descriptor_and_the_address(self) -> None:
-        code = ("import os, sys, threading\n"
-                "from tornado.ioloop import IOLoop\n"
-                "from spanwing.daemon import serve\n"
-                "def tell():\n"
-                "    found = [each for each in sys.modules if 'handover' in each or 'management' in each]\n"
-                "    print(found, threading.active_count(), os.listdir(os.environ['TMPDIR']), flush=True)\n"
-                "    os._exit(0)\n"
-                "IOLoop.current().call_later(0.3, tell)\n"
-                "serve()\n")
+        code = (
+            "import os, sys, threading\n"
+            "from tornado.ioloop import IOLoop\n"
+            "from spanwing.daemon import serve\n"
+            "def tell():\n"
+            "    found = [each for each in sys.modules if 'handover' in each or 'management' in each]\n"
+            "    print(found, threading.active_count(), os.listdir(os.environ['TMPDIR']), flush=True)\n"
+            "    os._exit(0)\n"
+            "IOLoop.current().call_later(0.3, tell)\n"
+            "serve()\n"
+        )
         with tempfile.TemporaryDirectory() as folder:
             plain = Program(config(), "", command=("-c", code), environment={"TMPDIR": folder})
             self.addCleanup(plain.close)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -107,10 +107,12 @@
     def test_each_shortage_has_its_reason(self) -> None:
         waits = (CLASSES[0]._replace(held=7, oldest_ms=200.0), CLASSES[1])
         for changes, word in (
-            ({"table": Use(95, 100)}, "connection table"), ({"descriptors": Use(95, 100)}, "descriptors"),
-            ({"memory_mb": Use(190, 192)}, "memory"), ({"discovery_age_s": 40.0}, "discovery silent"),
-            ({"classes": waits}, "7 status-read held"), ({"zone": "b", "workers": (
-                Workers("b", "big-box", 2, 0), *FLEET)}, "zone b"),
+            ({"table": Use(95, 100)}, "connection table"),
+            ({"descriptors": Use(95, 100)}, "descriptors"),
+            ({"memory_mb": Use(190, 192)}, "memory"),
+            ({"discovery_age_s": 40.0}, "discovery silent"),
+            ({"classes": waits}, "7 status-read held"),
+            ({"zone": "b", "workers": (Workers("b", "big-box", 2, 0), *FLEET)}, "zone b"),
         ):
             verdict = Run().go(3.0, CALM._replace(**changes))
             self.assertEqual(verdict.state, "weighted", word)
@@ -208,8 +210,9 @@
             for step in range(20):
                 cpu = meter.read(Reading(step * 0.05, step * 0.02, step * 0.021, 0.0))
             for step in range(1, 5):
-                cpu = meter.read(Reading(0.95 + step * 0.05, 0.38 + step * 0.05 * part,
-                                         0.399 + step * 0.05, 0.0))
+                cpu = meter.read(
+                    Reading(0.95 + step * 0.05, 0.38 + step * 0.05 * part, 0.399 + step * 0.05, 0.0)
+                )
             self.assertEqual(cpu.robbed, robbed)
             self.assertLess(cpu.demand, 0.85)
 
@@ -232,15 +235,29 @@
 
 share = st.floats(0, 1)
 samples = st.builds(
-    Signals, cpu=st.builds(Cpu, share, share, share, st.floats(0, 5000)),
-    classes=st.just(CLASSES), zone=st.sampled_from(["a", "b", ""]), heard=st.booleans(),
-    workers=st.lists(st.builds(lambda z, k, n, t: Workers(z, k, n + t, t), st.sampled_from("ab"),
-                               st.sampled_from(["big-box", "old-box"]), st.integers(1, 9),
-                               st.integers(0, 9)), max_size=4).map(tuple),
-    table=st.builds(Use, st.floats(0, 200), st.just(100.0)), descriptors=st.just(Use(1, 100)),
-    memory_mb=st.builds(Use, st.floats(0, 300), st.just(192.0)), answered=st.just(0), refused=st.just(0),
+    Signals,
+    cpu=st.builds(Cpu, share, share, share, st.floats(0, 5000)),
+    classes=st.just(CLASSES),
+    zone=st.sampled_from(["a", "b", ""]),
+    heard=st.booleans(),
+    workers=st.lists(
+        st.builds(
+            lambda z, k, n, t: Workers(z, k, n + t, t),
+            st.sampled_from("ab"),
+            st.sampled_from(["big-box", "old-box"]),
+            st.integers(1, 9),
+            st.integers(0, 9),
+        ),
+        max_size=4,
+    ).map(tuple),
+    table=st.builds(Use, st.floats(0, 200), st.just(100.0)),
+    descriptors=st.just(Use(1, 100)),
+    memory_mb=st.builds(Use, st.floats(0, 300), st.just(192.0)),
+    answered=st.just(0),
+    refused=st.just(0),
     majority=st.sampled_from([None, True, False]),
-    discovery_age_s=st.none() | st.floats(0, 100), owed=st.integers(0, 3),
+    discovery_age_s=st.none() | st.floats(0, 100),
+    owed=st.integers(0, 3),
 )
 orders = st.sampled_from(["none", "drain", "undrain", "store", "unstore", "weight"])
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -46,17 +46,24 @@
 
 def records(request: str, sent: bool = True, attempt: int = 0) -> list:
     """One request's life."""
-    life = [Taken(request, 1.0, 1.0, "schedule-apply", "corrib", "", "platform", 25000.0),
-            Intent(request, 2.0, 2.0, attempt, "w1", "127.0.0.1:1")]
-    life += [LastByte(request, 3.0, 3.0, attempt), Outcome(request, 4.0, 4.0, attempt, "ok")] if sent else [
-        Unsent(request, 3.0, 3.0, attempt, "unreachable")]
+    life = [
+        Taken(request, 1.0, 1.0, "schedule-apply", "corrib", "", "platform", 25000.0),
+        Intent(request, 2.0, 2.0, attempt, "w1", "127.0.0.1:1"),
+    ]
+    life += (
+        [LastByte(request, 3.0, 3.0, attempt), Outcome(request, 4.0, 4.0, attempt, "ok")]
+        if sent
+        else [Unsent(request, 3.0, 3.0, attempt, "unreachable")]
+    )
     return [*life, Answered(request, 5.0, 5.0, "served" if sent else "refused")]
 
 
 def found(data: bytes, first: int = 1) -> tuple[list[Frame], list[Skipped]]:
     all_of_it = list(read_frames(data, first, 0))
-    return ([each for each in all_of_it if isinstance(each, Frame)],
-            [each for each in all_of_it if isinstance(each, Skipped)])
+    return (
+        [each for each in all_of_it if isinstance(each, Frame)],
+        [each for each in all_of_it if isinstance(each, Skipped)],
+    )
 
 
 class Frames(unittest.TestCase):
@@ -150,7 +157,6 @@
                 self.assertEqual((settled.finding, settled.cut_short), (before, True))
             self.assertEqual((ledger.open, len(closing)), ({}, count < 5))
 
-
     def test_where_records_may_be_missing_nothing_is_shown_unsent(self) -> None:
         taken = Taken("job", 1.0, 1.0, "schedule-apply")
         gap, life = Gap("", 3.0, 3.0, 2.0, 1, "full"), Started("", 4.0, 4.0, "n", "x")
@@ -164,16 +170,20 @@
                 for ledger in (log.ledger, Log(disk, SMALL).ledger):  # also by way of the snapshot
                     finding = ledger.open["job"].finding
                     self.assertEqual(finding, "not sent" if certain else "possibly sent")
-        for record in (Outcome("job", 2.0, 2.0, 0, "ok"), GivenUp("job", 2.0, 2.0, 0, "timeout"),
-                       Answered("job", 2.0, 2.0, "served")):
+        for record in (
+            Outcome("job", 2.0, 2.0, 0, "ok"),
+            GivenUp("job", 2.0, 2.0, 0, "timeout"),
+            Answered("job", 2.0, 2.0, "served"),
+        ):
             alone = Ledger()  # its first records are gone
             found = alone.take(1, record) or alone.open["job"]
             self.assertEqual(found.finding, "possibly sent")
 
     def test_what_a_life_that_served_left_is_told_though_no_attempt_is_there(self) -> None:
         ledger = Ledger()
-        for number, record in enumerate((Started("", 0.0, 0.0, "n", "w", False),
-                                         Taken("job", 1.0, 1.0, "schedule-apply"))):
+        for number, record in enumerate(
+            (Started("", 0.0, 0.0, "n", "w", False), Taken("job", 1.0, 1.0, "schedule-apply"))
+        ):
             ledger.take(number, record)
         self.assertEqual([request.id for request, _ in ledger.left_open()], ["job"])
         ledger.take(3, Started("", 2.0, 2.0, "n", "x"))
@@ -190,9 +200,13 @@
         source = random.Random(seed)
         log = Log(disk, SMALL)
         for number in range(6):
-            batch = [each for one in range(source.randrange(1, 4))
-                     for each in records(f"job-{seed}-{number}-{one}", source.random() < 0.7)[
-                         : source.randrange(1, 6)]]
+            batch = [
+                each
+                for one in range(source.randrange(1, 4))
+                for each in records(f"job-{seed}-{number}-{one}", source.random() < 0.7)[
+                    : source.randrange(1, 6)
+                ]
+            ]
             tried += batch
             log.write(batch, 1000.0 * number)
             acknowledged += batch
@@ -232,8 +246,10 @@
                     for _, each in Reader(last).read():
                         if isinstance(each, Frame):
                             alone.take(each.number, each.record)
-                    self.assertEqual({name: each.finding for name, each in log.ledger.open.items()},
-                                     {name: each.finding for name, each in alone.open.items()})
+                    self.assertEqual(
+                        {name: each.finding for name, each in log.ledger.open.items()},
+                        {name: each.finding for name, each in alone.open.items()},
+                    )
                     crashes += 2
         self.assertGreater(crashes, 10_000)
 
@@ -358,6 +374,7 @@
         head = bytearray(disk.files[names[2]][:HEADER_SIZE])
         head[8:10] = (99).to_bytes(2, "big")
         import google_crc32c
+
         head[-4:] = google_crc32c.value(bytes(head[:-4])).to_bytes(4, "big")
         disk.files[names[2]] = bytes(head) + disk.files[names[2]][HEADER_SIZE:]
         with self.assertRaises(FutureVersion):
@@ -383,6 +400,7 @@
 
     def test_two_processes_on_one_folder(self) -> None:
         import tempfile
+
         with tempfile.TemporaryDirectory() as path:
             first = Folder(path)
             with self.assertRaisesRegex(InUse, "in use by another process"):
@@ -423,6 +441,7 @@
             def heard(reason: str) -> None:
                 on_disk = {each.record.request for _, each in Reader(disk).read() if isinstance(each, Frame)}
                 told.append((number, reason, f"job-{number}" in on_disk))
+
             return heard
 
         for number in range(300):
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -58,9 +58,11 @@
         key = (delivery.envelope.id, delivery.number)
         self.got.append(key)
         if key not in self.intents:
-            self.intents |= {(each.record.request, each.record.attempt)
-                             for _, each in Reader(Synced(self.disk)).read()
-                             if isinstance(each, Frame) and isinstance(each.record, Intent)}
+            self.intents |= {
+                (each.record.request, each.record.attempt)
+                for _, each in Reader(Synced(self.disk)).read()
+                if isinstance(each, Frame) and isinstance(each.record, Intent)
+            }
         self.early += key not in self.intents
         listener.post(LastByte(*key))
         listener.post(Ended(*key, "ok", b"done"))
@@ -99,8 +101,15 @@
         self.core = Exchange(settings(max_retry_after=2000.0, **changes), 1, Clock())
         self.hop = Hop(self.disk)
         self.core.post(Listed(api.WorkerList("complete", (api.Worker(1),)), {1: self.hop}))
-        self.keeper = Keeper(Log(self.disk, Bounds()), policy, "test", self.io_loop.add_callback, wait_s,
-                             self.io_loop.call_later, self.io_loop.remove_timeout)
+        self.keeper = Keeper(
+            Log(self.disk, Bounds()),
+            policy,
+            "test",
+            self.io_loop.add_callback,
+            wait_s,
+            self.io_loop.call_later,
+            self.io_loop.remove_timeout,
+        )
         self.core.recorder = self.keeper
         self.addCleanup(self.end)
 
@@ -159,8 +168,10 @@
         self.assertEqual(set(kinds) - {"refused"}, {"served"})
         self.assertTrue(self.keeper.close())
         _, settled = self.ledger()
-        self.assertEqual({name for name, each in settled.items() if each.finding == "sent"},
-                         {name for name, _ in self.hop.got})
+        self.assertEqual(
+            {name for name, each in settled.items() if each.finding == "sent"},
+            {name for name, _ in self.hop.got},
+        )
         self.assertLess(self.keeper.committer.syncs, len(self.hop.got))
 
     @gen_test(timeout=60)
@@ -185,8 +196,9 @@
                     if number % 10 == 0:
                         await sleep(0.05)
                 await self.until(lambda: len(self.sender.answers) == 202)
-                kinds = Counter((name.split("-")[0], each.kind) for name, (each, _) in
-                                self.sender.answers.items())
+                kinds = Counter(
+                    (name.split("-")[0], each.kind) for name, (each, _) in self.sender.answers.items()
+                )
                 self.assertEqual((kinds["job", "refused"], kinds["look", "served"]), (102, 100))
                 self.assertTrue(all(name.startswith("look") for name, _ in self.hop.got))
             self.disk.gate.set()
@@ -219,8 +231,9 @@
         self.assertEqual(self.keeper.refusing(), "Input/output error")
         self.assertEqual(self.hop.got, [])
         turned = self.core.turning_away()
-        self.assertEqual((sorted(turned), set(turned.values())),
-                         (["bill", "book"], {"journal: Input/output error"}))
+        self.assertEqual(
+            (sorted(turned), set(turned.values())), (["bill", "book"], {"journal: Input/output error"})
+        )
         self.disk.fail.clear()
         begun = time.monotonic()
         await self.until(lambda: not self.keeper.refusing())
@@ -278,8 +291,9 @@
         await self.until(lambda: hop.got)
         self.keeper.committer.stop()
         again = Keeper(Log(self.disk), "refuse", "again", self.io_loop.add_callback)
-        self.assertEqual([(request.id, attempt.worker) for request, attempt in again.left_open],
-                         [("job-1", "w1")])
+        self.assertEqual(
+            [(request.id, attempt.worker) for request, attempt in again.left_open], [("job-1", "w1")]
+        )
         core = Exchange(settings(), 1, Clock())
         core.recorder = again
         core.post(Listed(api.WorkerList("complete", (api.Worker(1),)), {1: hop}))
@@ -304,8 +318,16 @@
             self.ended[message.request] = message
 
     def deliver(self, name: str) -> None:
-        self.hop.deliver(Delivery(Envelope(name, CLS, 5000.0), 0, 5000.0, recorded=True,
-                                  intent=lambda then: self.asked.setdefault(name, then)), self)
+        self.hop.deliver(
+            Delivery(
+                Envelope(name, CLS, 5000.0),
+                0,
+                5000.0,
+                recorded=True,
+                intent=lambda then: self.asked.setdefault(name, then),
+            ),
+            self,
+        )
 
     def fetch(self) -> Future:
         reply: Future = Future()
@@ -331,8 +353,10 @@
     @gen_test(timeout=60)
     async def test_a_job_given_up_or_refused_meanwhile_leaves_its_fetch_to_the_next(self) -> None:
         reply = self.fetch()
-        for name, end in (("job-1", lambda: self.hop.give_up("job-1", 0, "timeout")),
-                          ("job-2", lambda: self.asked["job-2"](False))):
+        for name, end in (
+            ("job-1", lambda: self.hop.give_up("job-1", 0, "timeout")),
+            ("job-2", lambda: self.asked["job-2"](False)),
+        ):
             self.deliver(name)
             await sleep(0.01)
             end()
--- a/tests/test_journal_query.py
+++ b/tests/test_journal_query.py
@@ -23,9 +23,25 @@
 
 
 def row(**values) -> Row:
-    base = dict(request="r1", cls="schedule-apply", tenant="corrib", key="", front="platform", attempt=0,
-                worker="w3", address="127.0.0.1:1", state="sent", time=NOW - 1000, intent=NOW - 900,
-                last_byte=None, given_up="", result="ok", answer="served", answered=NOW, closed=False)
+    base = dict(
+        request="r1",
+        cls="schedule-apply",
+        tenant="corrib",
+        key="",
+        front="platform",
+        attempt=0,
+        worker="w3",
+        address="127.0.0.1:1",
+        state="sent",
+        time=NOW - 1000,
+        intent=NOW - 900,
+        last_byte=None,
+        given_up="",
+        result="ok",
+        answer="served",
+        answered=NOW,
+        closed=False,
+    )
     return Row(**{**base, **values})
 
 
@@ -34,17 +50,37 @@
         return parse(text, NOW).test(row(**values))
 
     def test_what_holds(self) -> None:
-        for text in ("", "class = schedule-apply", "class=schedule-apply and worker in (w1, w3)",
-                     "worker not in (w1,w2)", 'state = "sent"', "state != 'possibly sent'",
-                     "attempt < 1", "not attempt > 0",
-                     "time >= -1h and time < now", "tenant ~ cor*", "not (tenant = a or key = b)",
-                     "closed = false", "request = r1 AND NOT worker = w1", "last_byte != now", "intent > -1s",
-                     "tenant = a or tenant = b or tenant = corrib and class ~ *apply"):
+        for text in (
+            "",
+            "class = schedule-apply",
+            "class=schedule-apply and worker in (w1, w3)",
+            "worker not in (w1,w2)",
+            'state = "sent"',
+            "state != 'possibly sent'",
+            "attempt < 1",
+            "not attempt > 0",
+            "time >= -1h and time < now",
+            "tenant ~ cor*",
+            "not (tenant = a or key = b)",
+            "closed = false",
+            "request = r1 AND NOT worker = w1",
+            "last_byte != now",
+            "intent > -1s",
+            "tenant = a or tenant = b or tenant = corrib and class ~ *apply",
+        ):
             self.assertTrue(self.holds(text), text)
 
     def test_what_does_not(self) -> None:
-        for text in ("class = x", "worker not in (w3)", "last_byte > -1h", "last_byte < now", "time > now",
-                     "closed = true", "tenant = corrib and attempt = 1", "not state = sent"):
+        for text in (
+            "class = x",
+            "worker not in (w3)",
+            "last_byte > -1h",
+            "last_byte < now",
+            "time > now",
+            "closed = true",
+            "tenant = corrib and attempt = 1",
+            "not state = sent",
+        ):
             self.assertFalse(self.holds(text), text)
 
     def test_absolute_times(self) -> None:
@@ -52,13 +88,19 @@
 
     def test_errors_point_at_the_column(self) -> None:
         for text, column, word in (
-            ("classs = x", 1, "unknown field 'classs'"), ("class = ", 9, "ends too early"),
-            ("class = x and", 14, "ends too early"), ("class x", 7, "not expected|understood"),
-            ("attempt = many", 11, "no number"), ("time > soon", 8, "no time"), ("tenant < b", 8, "no order"),
-            ("attempt ~ 1*", 9, "~ compares text"), ("(class = x", 11, "ends too early"),
+            ("classs = x", 1, "unknown field 'classs'"),
+            ("class = ", 9, "ends too early"),
+            ("class = x and", 14, "ends too early"),
+            ("class x", 7, "not expected|understood"),
+            ("attempt = many", 11, "no number"),
+            ("time > soon", 8, "no time"),
+            ("tenant < b", 8, "no order"),
+            ("attempt ~ 1*", 9, "~ compares text"),
+            ("(class = x", 11, "ends too early"),
             ("class = x) ", 10, "not expected"),
             ("closed = maybe", 10, "true or false"),
-            ("worker in ()", 12, "not expected"), ("class = x ? y", 11, "not"),
+            ("worker in ()", 12, "not expected"),
+            ("class = x ? y", 11, "not"),
             ("x" * 5000, 4096, "more than"),
         ):
             with self.subTest(text[:20]), self.assertRaisesRegex(QueryError, word) as wrong:
@@ -74,8 +116,18 @@
 
     def test_bounds_never_leave_out_what_matches(self) -> None:
         source = random.Random(1)
-        tests = ["time > -50s", "time <= -20s", "request = r1", "request in (r1, r2)", "worker = w3",
-                 "worker in (w1, w2)", "attempt = 0", "not time > -50s", "not request = r1", "tenant ~ c*"]
+        tests = [
+            "time > -50s",
+            "time <= -20s",
+            "request = r1",
+            "request in (r1, r2)",
+            "worker = w3",
+            "worker in (w1, w2)",
+            "attempt = 0",
+            "not time > -50s",
+            "not request = r1",
+            "tenant ~ c*",
+        ]
 
         def expression(depth: int) -> str:
             if depth == 0:
@@ -136,11 +188,18 @@
         self.assertEqual(len(by_name), 300)
         for name, request in by_name.items():
             found = Book(self.path).request(name) if name == "job-17" else book.request(name)
-            self.assertEqual((found.attempts, found.answer, found.taken, found.finding),
-                             (request.attempts, request.answer, request.taken, request.finding))
+            self.assertEqual(
+                (found.attempts, found.answer, found.taken, found.finding),
+                (request.attempts, request.answer, request.taken, request.finding),
+            )
         self.assertIsNone(book.request("nobody"))
-        for text in ("worker = w1 and time > 1970-01-12T13:48Z", "worker in (w0, w3) and attempt = 1",
-                     "request in (job-3, job-250, nobody)", 'state = "possibly sent"', "answer = ''"):
+        for text in (
+            "worker = w1 and time > 1970-01-12T13:48Z",
+            "worker in (w0, w3) and attempt = 1",
+            "request in (job-3, job-250, nobody)",
+            'state = "possibly sent"',
+            "answer = ''",
+        ):
             plan = parse(text, NOW)
             plain = sorted(each for each in self.all_rows(book) if plan.test(each))
             self.assertEqual(sorted(book.rows(plan)), plain, text)
@@ -173,8 +232,9 @@
         data[200] ^= 1
         middle.write_bytes(data)
         found = list(Book(self.path).verify())
-        self.assertEqual([(each.segment, each.harmless) for each in found],
-                         [(segments[2], False), (segments[-1], True)])
+        self.assertEqual(
+            [(each.segment, each.harmless) for each in found], [(segments[2], False), (segments[-1], True)]
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_knownred.py
+++ b/tests/test_knownred.py
@@ -21,8 +21,13 @@
 
     def run_with(self, do: str, *lines: str) -> tuple[int, str]:
         (self.folder / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in lines))
-        ran = subprocess.run([sys.executable, SCRIPT, do, "KNOWN-RED.txt"], cwd=self.folder, text=True,
-                             stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        ran = subprocess.run(
+            [sys.executable, SCRIPT, do, "KNOWN-RED.txt"],
+            cwd=self.folder,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
         return ran.returncode, ran.stdout
 
     def test_one_that_is_red_is_passed_over_and_printed(self) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,14 +25,38 @@
     "store": {"actor", "wire"},
     "hops": {"decisions", "actor", "core", "wire"},
     "frontsfile": {"faults", "health", "log", "store", "wire"},
-    "fronts": {"decisions", "actor", "core", "wire", "hops", "store", "health", "log", "faults",
-               "frontsfile"},
+    "fronts": {
+        "decisions",
+        "actor",
+        "core",
+        "wire",
+        "hops",
+        "store",
+        "health",
+        "log",
+        "faults",
+        "frontsfile",
+    },
     "zones": {"decisions", "actor", "core", "store", "wire", "log"},
     "policy": {"decisions", "actor", "core", "store", "wire", "log", "handover"},
     "handover": {"decisions", "actor", "core", "wire", "hops", "fronts"},
     "config": {"decisions", "wire", "hops", "store", "faults", "everyfault", "frontsfile"},
-    "daemon": {"decisions", "actor", "core", "wire", "hops", "store", "fronts", "log", "faults", "config",
-               "journal", "handover", "zones", "policy"},
+    "daemon": {
+        "decisions",
+        "actor",
+        "core",
+        "wire",
+        "hops",
+        "store",
+        "fronts",
+        "log",
+        "faults",
+        "config",
+        "journal",
+        "handover",
+        "zones",
+        "policy",
+    },
     "cli": {"config", "faults", "frontsfile", "daemon", "journal", "experiment", "load", "policy", "world"},
     "__main__": {"cli", "daemon"},
 }
@@ -51,12 +75,18 @@
             if own not in MAY:
                 continue
             for node in ast.walk(ast.parse(path.read_text())):
-                names = [node.module or ""] if isinstance(node, ast.ImportFrom) else (
-                    [each.name for each in node.names] if isinstance(node, ast.Import) else [])
+                names = (
+                    [node.module or ""]
+                    if isinstance(node, ast.ImportFrom)
+                    else ([each.name for each in node.names] if isinstance(node, ast.Import) else [])
+                )
                 if names == ["spanwing"]:
                     names = [f"spanwing.{each.name}" for each in node.names]
-                wrong += [f"{path.relative_to(ROOT)}: {name}" for name in names
-                          if name.startswith("spanwing.") and part(name) not in MAY[own] | {own}]
+                wrong += [
+                    f"{path.relative_to(ROOT)}: {name}"
+                    for name in names
+                    if name.startswith("spanwing.") and part(name) not in MAY[own] | {own}
+                ]
         self.assertEqual(wrong, [])
 
     def test_allowed_imports_have_no_circle(self) -> None:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -85,12 +85,22 @@
     def test_the_command_against_a_daemon(self) -> None:
         async def run():
             workers = Workers((0.0, 0.01), 1)
-            (name, port), = await workers.start(1)
+            ((name, port),) = await workers.start(1)
             daemon = await asyncio.to_thread(Daemon(config([member(name, port)]), "").ready)
             self.addCleanup(daemon.close)
             host, port = daemon.addresses["clients"]
-            done = await asyncio.to_thread(spanwing, "load", "calm-day", "--to", f"{host}:{port}",
-                                           "--rate", "20", "--seconds", "1", "--json")
+            done = await asyncio.to_thread(
+                spanwing,
+                "load",
+                "calm-day",
+                "--to",
+                f"{host}:{port}",
+                "--rate",
+                "20",
+                "--seconds",
+                "1",
+                "--json",
+            )
             workers.stop()
             return json.loads(done.stdout), workers.ran
 
--- a/tests/test_mix.py
+++ b/tests/test_mix.py
@@ -14,17 +14,25 @@
 MIX = [("done", 1, 60000), ("done", 1, 60000), ("failing", 1, 3000), ("silent", 1, 3000), ("done", 99, 300)]
 SENT = len(CLASSES) * 4  # the last one fits nowhere
 EXPECTED = {
-    ("status-read", "served"): 2, ("status-read", "refused"): 3,  # safe: trying again does no harm
-    ("schedule-apply", "served"): 2, ("schedule-apply", "failed"): 2, ("schedule-apply", "refused"): 1,
-    ("setpoint-push", "served"): 2, ("setpoint-push", "failed"): 2, ("setpoint-push", "refused"): 1,
+    ("status-read", "served"): 2,
+    ("status-read", "refused"): 3,  # safe: trying again does no harm
+    ("schedule-apply", "served"): 2,
+    ("schedule-apply", "failed"): 2,
+    ("schedule-apply", "refused"): 1,
+    ("setpoint-push", "served"): 2,
+    ("setpoint-push", "failed"): 2,
+    ("setpoint-push", "refused"): 1,
 }
 
 
 class Mix(unittest.TestCase):
     def ask_all(self, daemon: Daemon, ask) -> Counter:
         seen: Counter = Counter()
-        clients = [thread(ask, daemon, f"job-{cls}-{number}", cls, text, slots, budget, seen)
-                   for cls in CLASSES for number, (text, slots, budget) in enumerate(MIX)]
+        clients = [
+            thread(ask, daemon, f"job-{cls}-{number}", cls, text, slots, budget, seen)
+            for cls in CLASSES
+            for number, (text, slots, budget) in enumerate(MIX)
+        ]
         for each in clients:
             each.join(PATIENCE_S)
         return seen
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -97,8 +97,9 @@
         world.do(("decide", 0))
         rounds(world, (0, 1, 2))
         hand, now = world.schedulers[0].hand, world.now
-        self.assertEqual([hand.may(now + wait).do for wait in (0.0, HOLD_MS - 1, HOLD_MS)],
-                         ["hold", "hold", "refuse"])
+        self.assertEqual(
+            [hand.may(now + wait).do for wait in (0.0, HOLD_MS - 1, HOLD_MS)], ["hold", "hold", "refuse"]
+        )
 
     def test_closing_goes_back_before_jobs_wait_for_long(self) -> None:
         world = begun("")
@@ -108,8 +109,9 @@
         world.do(("decide", 0))  # it sees its own change
         world.do(("tick", 0))
         world.do(("decide", 0))
-        self.assertEqual((read(world.document).change.state, read(world.document).change.tries),
-                         ("asking", 1))
+        self.assertEqual(
+            (read(world.document).change.state, read(world.document).change.tries), ("asking", 1)
+        )
 
     def test_proposals_that_cannot_stand_are_refused(self) -> None:
         world = begun("")
@@ -118,9 +120,11 @@
             chair.propose(document, "x", 1, "p", "", 1000.0, [])
         done = document.apply(chair.abort(document, "p"))
         self.assertEqual(read(done).past[-1].reason, "given up by p")
-        for text, base, gone, why in (("x", 0, [], "made from version 0, and 1"),
-                                      ("x" * (LONGEST + 1), 1, [], "bytes"),
-                                      ("x", 1, ["mars"], "no scheduler that is known")):
+        for text, base, gone, why in (
+            ("x", 0, [], "made from version 0, and 1"),
+            ("x" * (LONGEST + 1), 1, [], "bytes"),
+            ("x", 1, ["mars"], "no scheduler that is known"),
+        ):
             with self.assertRaisesRegex(ValueError, why):
                 chair.propose(done, text, base, "p", "", 1000.0, gone)
         with self.assertRaisesRegex(ValueError, "no change"):
@@ -225,7 +229,7 @@
 
     def test_all_interleavings_to_a_depth(self) -> None:
         for new in (False, True):
-            states, depth, wrong = policymodel.explore("", 4, 10 ** 6, new)
+            states, depth, wrong = policymodel.explore("", 4, 10**6, new)
             self.assertEqual((depth, wrong), (4, ""))
             self.assertGreater(states, 1000)
 
--- a/tests/test_policy_sound.py
+++ b/tests/test_policy_sound.py
@@ -16,8 +16,11 @@
 from spanwing.settings import Options, settings_of
 
 NAMES = st.sampled_from(["classes", "orgs", "name", "rules", "aim_ms", "x"])
-JSON = st.recursive(st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=8),
-                    lambda each: st.lists(each, max_size=4) | st.dictionaries(NAMES, each), max_leaves=12)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=8),
+    lambda each: st.lists(each, max_size=4) | st.dictionaries(NAMES, each),
+    max_leaves=12,
+)
 
 
 def policy(**changes) -> dict:
@@ -52,15 +55,28 @@
         newer["classes"][1]["preempts"] = True
         aim = copy.deepcopy(wanted)
         aim["classes"][0]["aim_ms"] = -1.0
-        many = policy(classes=[{"name": f"c{number}", "aim_ms": 1.0, "deadline_ms": 2.0}
-                               for number in range(MOST_CLASSES + 1)])
-        for text, why in ((longer, "bytes"), ("{", "cannot be read"), ("[]", "no object"),
-                          (dict(wanted, position=1), "a member's own"),
-                          (newer, r"classes\[1\].preempts: this"), (aim, "aim"), (many, "classes: 65"),
-                          (dict(wanted, orgs=[{"name": "corrib", "allowance_per_s": 0.0}]), "a share of 0"),
-                          (dict(wanted, areas=["b"]), "zone"), (dict(wanted, balancers=0), "nodes"),
-                          (dict(wanted, orgs=[{"name": f"o{number}", "allowance_per_s": 1.0}
-                                              for number in range(300)]), "MB")):
+        many = policy(
+            classes=[
+                {"name": f"c{number}", "aim_ms": 1.0, "deadline_ms": 2.0}
+                for number in range(MOST_CLASSES + 1)
+            ]
+        )
+        for text, why in (
+            (longer, "bytes"),
+            ("{", "cannot be read"),
+            ("[]", "no object"),
+            (dict(wanted, position=1), "a member's own"),
+            (newer, r"classes\[1\].preempts: this"),
+            (aim, "aim"),
+            (many, "classes: 65"),
+            (dict(wanted, orgs=[{"name": "corrib", "allowance_per_s": 0.0}]), "a share of 0"),
+            (dict(wanted, areas=["b"]), "zone"),
+            (dict(wanted, balancers=0), "nodes"),
+            (
+                dict(wanted, orgs=[{"name": f"o{number}", "allowance_per_s": 1.0} for number in range(300)]),
+                "MB",
+            ),
+        ):
             with self.subTest(why):
                 self.assertRegex(self.says(text, spare_mb=0.1), why)
 
@@ -75,10 +91,14 @@
         grows["classes"][2]["window_ms"] = 99000.0
         keys = {"windows": {"setpoint-push": 800.0}}
         for wanted, more, why in (
-                (gone, {"open": {"schedule-apply": 2}}, "goes, while 2 jobs"), (gone, {}, "^$"),
-                (safe, {"open": {"schedule-apply": 1}}, "effect turns from unsafe to safe, while 1 job"),
-                (safe, {}, "^$"), (shrinks, keys, "may come again for 0.8 s"),
-                (shrinks, {}, "^$"), (grows, keys, "^$")):
+            (gone, {"open": {"schedule-apply": 2}}, "goes, while 2 jobs"),
+            (gone, {}, "^$"),
+            (safe, {"open": {"schedule-apply": 1}}, "effect turns from unsafe to safe, while 1 job"),
+            (safe, {}, "^$"),
+            (shrinks, keys, "may come again for 0.8 s"),
+            (shrinks, {}, "^$"),
+            (grows, keys, "^$"),
+        ):
             with self.subTest(why):
                 self.assertRegex(self.says(wanted, **more), why)
 
@@ -95,9 +115,15 @@
         new["classes"][0]["aim_ms"] = 500.0
         del new["kinds"]
         new["orgs"] = [{"name": "corrib", "allowance_per_s": 3.0}]
-        self.assertEqual(differences(json.dumps(policy()), json.dumps(new)),
-                         ["  classes[status-read].aim_ms: 850.0 -> 500.0", "- kinds = ['big']",
-                          "+ orgs[corrib].allowance_per_s = 3.0", "+ orgs[corrib].name = corrib"])
+        self.assertEqual(
+            differences(json.dumps(policy()), json.dumps(new)),
+            [
+                "  classes[status-read].aim_ms: 850.0 -> 500.0",
+                "- kinds = ['big']",
+                "+ orgs[corrib].allowance_per_s = 3.0",
+                "+ orgs[corrib].name = corrib",
+            ],
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -33,11 +33,16 @@
     def test_whole_headers_at_every_cut(self) -> None:
         v6 = v2(family=0x21, body=socket.inet_pton(socket.AF_INET6, "2001:db8::7") * 2 + bytes(4))
         for data, local, source in (
-            (V1, False, ("192.0.2.7", 51000)), (b"PROXY TCP6 ::1 ::1 1 2\r\n", False, ("::1", 1)),
-            (b"PROXY UNKNOWN\r\n", True, None), (b"PROXY UNKNOWN ffff:: ffff:: 1 2\r\n", True, None),
-            (v2(), False, ("192.0.2.7", 51000)), (v6, False, ("2001:db8::7", 0)),
-            (v2(command=0, family=0), True, None), (v2(command=0, family=0x11), True, None),
-            (v2(family=0, body=b""), True, None), (v2(family=0x31, body=bytes(216)), True, None),
+            (V1, False, ("192.0.2.7", 51000)),
+            (b"PROXY TCP6 ::1 ::1 1 2\r\n", False, ("::1", 1)),
+            (b"PROXY UNKNOWN\r\n", True, None),
+            (b"PROXY UNKNOWN ffff:: ffff:: 1 2\r\n", True, None),
+            (v2(), False, ("192.0.2.7", 51000)),
+            (v6, False, ("2001:db8::7", 0)),
+            (v2(command=0, family=0), True, None),
+            (v2(command=0, family=0x11), True, None),
+            (v2(family=0, body=b""), True, None),
+            (v2(family=0x31, body=bytes(216)), True, None),
             (with_checksum(), False, ("192.0.2.7", 51000)),
         ):
             for cut in range(len(data)):
@@ -47,12 +52,22 @@
 
     def test_what_is_no_header(self) -> None:
         for data in (
-            b"GET / HTTP/1.1\r\n", b"PROXY TCP4 1.2.3.4 5.6.7.8 1\r\n", b"PROXY TCP4 1.2.3 5.6.7.8 1 2\r\n",
-            b"PROXY TCP4 1.2.3.4 5.6.7.8 01 2\r\n", b"PROXY TCP4 1.2.3.4 5.6.7.8 1 65536\r\n",
-            b"PROXY TCP4 ::1 ::1 1 2\r\n", b"PROXY " + b"x" * 120,
+            b"GET / HTTP/1.1\r\n",
+            b"PROXY TCP4 1.2.3.4 5.6.7.8 1\r\n",
+            b"PROXY TCP4 1.2.3 5.6.7.8 1 2\r\n",
+            b"PROXY TCP4 1.2.3.4 5.6.7.8 01 2\r\n",
+            b"PROXY TCP4 1.2.3.4 5.6.7.8 1 65536\r\n",
+            b"PROXY TCP4 ::1 ::1 1 2\r\n",
+            b"PROXY " + b"x" * 120,
             SIGNATURE + b"\x11\x11\x00\x0c" + bytes(12),
-            v2(command=2), v2(family=0x41), v2(family=0x13, body=bytes(12)), v2(body=bytes(4)),
-            v2(tlvs=b"\x04\x00\x05ab"), v2(tlvs=b"\x04"), v2(tlvs=b"\x03\x00\x03abc"), with_checksum(flip=1),
+            v2(command=2),
+            v2(family=0x41),
+            v2(family=0x13, body=bytes(12)),
+            v2(body=bytes(4)),
+            v2(tlvs=b"\x04\x00\x05ab"),
+            v2(tlvs=b"\x04"),
+            v2(tlvs=b"\x03\x00\x03abc"),
+            with_checksum(flip=1),
             SIGNATURE + struct.pack("!BBH", 0x21, 0x11, LONGEST),
         ):
             with self.assertRaises(ProxyError, msg=data):
@@ -68,9 +83,16 @@
 
     def test_addresses(self) -> None:
         import ipaddress
+
         sources = (ipaddress.ip_network("10.0.0.0/8"), ipaddress.ip_network("::1"))
-        for peer, is_listed in (("10.1.2.3", True), ("11.1.2.3", False), ("::1", True), ("", False),
-                                ("::ffff:10.0.0.1", True), ("fe80::1%eth0", False)):
+        for peer, is_listed in (
+            ("10.1.2.3", True),
+            ("11.1.2.3", False),
+            ("::1", True),
+            ("", False),
+            ("::ffff:10.0.0.1", True),
+            ("fe80::1%eth0", False),
+        ):
             self.assertEqual(listed(peer, sources), is_listed, peer)
 
 
@@ -78,8 +100,9 @@
     def start(self, sources: str) -> Daemon:
         worker = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(worker.close)
-        fronts = (f'[proxy]\nfronts = ["clients", "faktory", "health"]\nsources = ["{sources}"]\n'
-                  + "".join(f'[{name}]\nlisten = "127.0.0.1:0"\n' for name in ("health", "faktory")))
+        fronts = f'[proxy]\nfronts = ["clients", "faktory", "health"]\nsources = ["{sources}"]\n' + "".join(
+            f'[{name}]\nlisten = "127.0.0.1:0"\n' for name in ("health", "faktory")
+        )
         daemon = Daemon(config([member("w1", worker.getsockname()[1])]), fronts).ready()
         self.addCleanup(daemon.close)
         return daemon
--- a/tests/test_rules_random.py
+++ b/tests/test_rules_random.py
@@ -91,13 +91,21 @@
     group = rng.choice(["all", "zone", "cell"])
     classes = (SAFE, replace(KEYED, group=group), replace(UNSAFE, late_worth=rng.choice([0.0, 0.5])))
     given = settings(
-        classes=classes, zones=("a", "b"), zone="a", nodes=rng.choice([1, 2, 6]),
-        tenants=rng.choice([(), tenants(x=20.0, y=5.0)]), tells_start=rng.random() < 0.5,
-        cancel=rng.random() < 0.7, subscribe=rng.random() < 0.5,
+        classes=classes,
+        zones=("a", "b"),
+        zone="a",
+        nodes=rng.choice([1, 2, 6]),
+        tenants=rng.choice([(), tenants(x=20.0, y=5.0)]),
+        tells_start=rng.random() < 0.5,
+        cancel=rng.random() < 0.7,
+        subscribe=rng.random() < 0.5,
         report_fields=rng.choice([(), ("inflight", "queue", "free_slots"), ("queue", "free_slots")]),
         counts_memory=rng.random() < 0.5,
-        preempts=rng.random() < 0.5, max_attempts=rng.choice([1, 3, 5]), peers=rng.random() < 0.5,
-        probes=rng.random() < 0.5, live_weights=rng.random() < 0.3,
+        preempts=rng.random() < 0.5,
+        max_attempts=rng.choice([1, 3, 5]),
+        peers=rng.random() < 0.5,
+        probes=rng.random() < 0.5,
+        live_weights=rng.random() < 0.3,
     )
     return rng, given
 
@@ -126,23 +134,35 @@
             log.append((node.now, action))
         check.overdue(node.now)
         while asked:
-            report = (rng.randrange(3), rng.randrange(5), 1.0)[:len(given.report_fields)]
+            report = (rng.randrange(3), rng.randrange(5), 1.0)[: len(given.report_fields)]
             feed(ProbeResult(asked.pop(), rng.choice(["ok", "ok", "unreachable"]), 2.0, report))
-        outs = [(rid, n) for rid, tries in check.tries.items() for n, each in enumerate(tries)
-                if each["result"] is None and rid not in dead]
+        outs = [
+            (rid, n)
+            for rid, tries in check.tries.items()
+            for n, each in enumerate(tries)
+            if each["result"] is None and rid not in dead
+        ]
         roll = rng.random()
         if roll < 0.4 and not quiet:
             rid = f"q{len(check.reqs)}"
-            req = Request(rid, rng.choice(["look", "book", "bill"]), node.now + rng.uniform(50, 5000),
-                          rng.choice([None, "x", "y"]) if given.tenants else None, rng.choice([1, 1, 1, 2]),
-                          rng.random(), 0.0, rng.choice([None, "k1", "k2"]))
+            req = Request(
+                rid,
+                rng.choice(["look", "book", "bill"]),
+                node.now + rng.uniform(50, 5000),
+                rng.choice([None, "x", "y"]) if given.tenants else None,
+                rng.choice([1, 1, 1, 2]),
+                rng.random(),
+                0.0,
+                rng.choice([None, "k1", "k2"]),
+            )
             check.reqs[rid], check.tries[rid] = req, []
             feed(req)
         elif roll < 0.8 and outs:
             rid, n = rng.choice(outs)
             each = check.tries[rid][n]
             each["result"] = result = rng.choice(
-                ["ok"] * 5 + ["error", "full", "timeout", "unreachable", "reset", "cancelled"])
+                ["ok"] * 5 + ["error", "full", "timeout", "unreachable", "reset", "cancelled"]
+            )
             done = rid in check.answers or result == "ok"
             if done:
                 check.answers.setdefault(rid, node.now)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -62,8 +62,9 @@
         faults = Faults(collect=True)
         self.assertIsNone(parse(text.encode(), faults))
         places = {place for place, _ in faults.found}
-        self.assertLessEqual({"workers[1].speed", "classes[2].work", "classes[2].work_ms", "load.level"},
-                             places)
+        self.assertLessEqual(
+            {"workers[1].speed", "classes[2].work", "classes[2].work_ms", "load.level"}, places
+        )
 
     def test_what_is_not_possible_together(self) -> None:
         for more, place in (
@@ -81,40 +82,62 @@
 class Played(unittest.TestCase):
     def test_every_trouble_begins_and_ends(self) -> None:
         common = {"at": 2.0, "lasts": 2.0}
-        troubles = [Trouble(**common, **each) for each in (
-            {"what": "silent", "share": 0.3}, {"what": "fast_failing", "share": 0.3},
-            {"what": "neighbour", "share": 0.5, "times": 0.4}, {"what": "crash", "share": 0.2},
-            {"what": "heavy_tail", "share": 0.05, "times": 20.0}, {"what": "cold_snap", "times": 2.0},
-            {"what": "flood", "times": 5.0, "brand": "burren"}, {"what": "discovery_down"},
-            {"what": "partition", "between": ("galway", "dublin")},
-            {"what": "stolen_cpu", "share": 0.9, "scheduler": "s0"})]
+        troubles = [
+            Trouble(**common, **each)
+            for each in (
+                {"what": "silent", "share": 0.3},
+                {"what": "fast_failing", "share": 0.3},
+                {"what": "neighbour", "share": 0.5, "times": 0.4},
+                {"what": "crash", "share": 0.2},
+                {"what": "heavy_tail", "share": 0.05, "times": 20.0},
+                {"what": "cold_snap", "times": 2.0},
+                {"what": "flood", "times": 5.0, "brand": "burren"},
+                {"what": "discovery_down"},
+                {"what": "partition", "between": ("galway", "dublin")},
+                {"what": "stolen_cpu", "share": 0.9, "scheduler": "s0"},
+            )
+        ]
         made = scenario()
         fleet = Fleet(made.plan(1), 1)
         Troubles(fleet, (*troubles, *troubles), made.day_ms)  # each twice: one end does not end the other
         fleet.agenda.run(3000.0)
         workers = [place.worker for place in fleet.places.values()]
-        during = (sum(each.silent for each in workers), sum(each.fast_failing for each in workers),
-                  sum(each.slowed < 1 for each in workers), sum(each.fallen for each in workers))
+        during = (
+            sum(each.silent for each in workers),
+            sum(each.fast_failing for each in workers),
+            sum(each.slowed < 1 for each in workers),
+            sum(each.fallen for each in workers),
+        )
         self.assertTrue(all(during), during)
-        self.assertEqual((fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)),
-                         (100.0, False, 1))
+        self.assertEqual(
+            (fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)), (100.0, False, 1)
+        )
         fleet.agenda.run(4100.0)
         workers = [place.worker for place in fleet.places.values()]
-        self.assertFalse(any(each.silent or each.fast_failing or each.slowed < 1 or each.fallen
-                             for each in workers))
-        self.assertEqual((fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)),
-                         (1.0, True, 0))
+        self.assertFalse(
+            any(each.silent or each.fast_failing or each.slowed < 1 or each.fallen for each in workers)
+        )
+        self.assertEqual(
+            (fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)), (1.0, True, 0)
+        )
         self.assertEqual((fleet.tail, fleet.nodes[0].stolen), ((0.0, 1.0), 0.0))
 
     def test_a_zone_is_lost_and_schedulers_are_killed_and_all_come_back(self) -> None:
         made = scenario("fleet-calm")
         fleet = Fleet(made.plan(1), 1)
-        Troubles(fleet, (Trouble(what="zone_lost", at=1.0, lasts=2.0, zone="galway"),
-                         Trouble(what="schedulers_killed", at=1.5, lasts=2.0, share=0.5)), made.day_ms)
+        Troubles(
+            fleet,
+            (
+                Trouble(what="zone_lost", at=1.0, lasts=2.0, zone="galway"),
+                Trouble(what="schedulers_killed", at=1.5, lasts=2.0, share=0.5),
+            ),
+            made.day_ms,
+        )
         fleet.agenda.run(2000.0)
         up = [each for each in fleet.nodes if each.up]
-        self.assertEqual({each.worker.spec.zone for each in fleet.places.values() if each.worker.fallen},
-                         {"galway"})
+        self.assertEqual(
+            {each.worker.spec.zone for each in fleet.places.values() if each.worker.fallen}, {"galway"}
+        )
         self.assertTrue(0 < len(up) <= 20 and all(each.zone != "galway" for each in up))
         fleet.agenda.run(5600.0)
         self.assertTrue(all(each.up for each in fleet.nodes) and len(fleet.seen_up) == len(fleet.nodes))
@@ -144,8 +167,10 @@
         first, second = (Fleet(each.plan(5), 5) for each in (plain, storm))
         for _ in range(200):
             one, other = first.clients.next(), second.clients.next()
-            self.assertEqual((one.cls.name, one.brand, one.key, one.work),
-                             (other.cls.name, other.brand, other.key, other.work))
+            self.assertEqual(
+                (one.cls.name, one.brand, one.key, one.work),
+                (other.cls.name, other.brand, other.key, other.work),
+            )
 
     def test_stolen_cpu_holds_up_what_a_scheduler_decides(self) -> None:
         took = []
@@ -154,8 +179,13 @@
             fleet, told = Fleet(made.plan(2)._replace(decision_ms=0.5), 2), []
             fleet.told = told.append
             if share:
-                Troubles(fleet, tuple(Trouble(what="stolen_cpu", at=0.0, share=share, scheduler=f"s{n}")
-                                      for n in range(4)), made.day_ms)
+                Troubles(
+                    fleet,
+                    tuple(
+                        Trouble(what="stolen_cpu", at=0.0, share=share, scheduler=f"s{n}") for n in range(4)
+                    ),
+                    made.day_ms,
+                )
             fleet.run(8000.0)
             took.append(sum(each.took for each in told if each.kind == "served") / len(told))
         self.assertGreater(took[1], took[0] + 50.0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -26,21 +26,26 @@
         address that finish no call."""
         worker = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(worker.close)
-        given = {**config([member("w1", worker.getsockname()[1])]), "management": "127.0.0.1:0",
-                 "limits": {"sockets": 2400, "memory_mb": 400}}
+        given = {
+            **config([member("w1", worker.getsockname()[1])]),
+            "management": "127.0.0.1:0",
+            "limits": {"sockets": 2400, "memory_mb": 400},
+        }
         daemon = Daemon(given, "").ready()
         self.addCleanup(daemon.close)
         idle = [daemon.connect("clients") for _ in range(1000)]
         stalled = [daemon.connect("management") for _ in range(20)]
         for number, each in enumerate(stalled):
-            each.sendall(b"GET /stats HTTP/1.1\r\n"[: number])
+            each.sendall(b"GET /stats HTTP/1.1\r\n"[:number])
         over = threading.Event()
 
         def busy() -> None:
             while not over.is_set():
                 with daemon.connect("clients") as one:
-                    one.sendall(b"POST /status-read HTTP/1.1\r\nX-Call-Id: x\r\nX-Budget-Ms: 20\r\n"
-                                b"Content-Length: 0\r\n\r\n")
+                    one.sendall(
+                        b"POST /status-read HTTP/1.1\r\nX-Call-Id: x\r\nX-Budget-Ms: 20\r\n"
+                        b"Content-Length: 0\r\n\r\n"
+                    )
                     one.recv(1000)
 
         crowd = [thread(busy) for _ in range(4)]
@@ -99,13 +104,15 @@
     def test_says_no_while_it_leaves(self) -> None:
         worker = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(worker.close)
-        daemon = Daemon({**config([member("w1", worker.getsockname()[1])]), "management": "127.0.0.1:0"},
-                        "").ready()
+        daemon = Daemon(
+            {**config([member("w1", worker.getsockname()[1])]), "management": "127.0.0.1:0"}, ""
+        ).ready()
         self.addCleanup(daemon.close)
         self.assertEqual(figures(daemon)["active"], 0)
         waiting = daemon.connect("clients")
-        waiting.sendall(b"POST /status-read HTTP/1.1\r\nX-Call-Id: a1\r\nX-Budget-Ms: 3000\r\n"
-                        b"Content-Length: 0\r\n\r\n")
+        waiting.sendall(
+            b"POST /status-read HTTP/1.1\r\nX-Call-Id: a1\r\nX-Budget-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+        )
         while figures(daemon)["tries"] < 1:
             time.sleep(0.01)
         daemon.process.terminate()
@@ -185,9 +192,20 @@
         # An attempt whose last byte comes after it was given up was made all the same.
         self.core.take(LastByte("gone", 0))
         told = self.told()
-        self.assertEqual({name: value for name, value in told.items() if value},
-                         {"ok.look": 1, "errors.bill": 1, "shed.look": 1, "errors.look": 1, "shed.book": 1,
-                          "tries": 3, "active": 1, "pool_size": 2, "pool_ejected": told["pool_ejected"]})
+        self.assertEqual(
+            {name: value for name, value in told.items() if value},
+            {
+                "ok.look": 1,
+                "errors.bill": 1,
+                "shed.look": 1,
+                "errors.look": 1,
+                "shed.book": 1,
+                "tries": 3,
+                "active": 1,
+                "pool_size": 2,
+                "pool_ejected": told["pool_ejected"],
+            },
+        )
 
     def test_pool_when_the_list_shrinks_and_a_worker_set_aside_leaves_and_comes_back(self) -> None:
         self.list(Worker(1), Worker(2), Worker(3, "draining"))
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -15,9 +15,13 @@
         bases = [SITES / name for name in OURS]
         sites = [drawn(seed, bases) for seed in range(40)]
         self.assertEqual(sites, [drawn(seed, bases) for seed in range(40)])
-        for said in (lambda site: site["allow"]["cancel"], lambda site: site["discovery"]["mode"],
-                     lambda site: tuple(each["effect"] for each in site["class"]),
-                     lambda site: site["rules"]["drain_grace_ms"], lambda site: site["fam"]["tells_start"]):
+        for said in (
+            lambda site: site["allow"]["cancel"],
+            lambda site: site["discovery"]["mode"],
+            lambda site: tuple(each["effect"] for each in site["class"]),
+            lambda site: site["rules"]["drain_grace_ms"],
+            lambda site: site["fam"]["tells_start"],
+        ):
             self.assertGreater(len({said(site) for site in sites}), 1)
         for site in sites:
             self.assertEqual(tomllib.loads(tomli_w.dumps(site)), site)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -26,12 +26,16 @@
         self.acceptors = {name: Acceptor(None) for name in "abc"}
 
     def listen(self) -> None:
-        self.listeners = {name: PeerListener(ANY, acceptor, self.buffers)
-                          for name, acceptor in self.acceptors.items()}
+        self.listeners = {
+            name: PeerListener(ANY, acceptor, self.buffers) for name, acceptor in self.acceptors.items()
+        }
 
     def store(self, name: str, gone: tuple[str, ...] = ()) -> Store:
-        peers = [Peer(Address("127.0.0.1", 9) if other in gone else listener.address, self.buffers)
-                 for other, listener in self.listeners.items() if other != name]
+        peers = [
+            Peer(Address("127.0.0.1", 9) if other in gone else listener.address, self.buffers)
+            for other, listener in self.listeners.items()
+            if other != name
+        ]
         return Store(name, self.acceptors[name], peers, seed=1, answer_ms=20000.0)
 
     @gen_test(timeout=60)
@@ -104,8 +108,13 @@
                 return reply
 
         Scripted.loop = self.io_loop.asyncio_loop
-        store = Store("a", self.acceptors["a"], [Scripted(lambda _: None),
-                                                 Scripted(self.acceptors["b"].answer)], 1, 20000.0)
+        store = Store(
+            "a",
+            self.acceptors["a"],
+            [Scripted(lambda _: None), Scripted(self.acceptors["b"].answer)],
+            1,
+            20000.0,
+        )
         self.assertEqual(await store.compare_and_set("key", None, "one"), "one")
 
     def test_an_acceptor_keeps_its_promise(self) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -25,9 +25,15 @@
 
 class Passed(unittest.TestCase):
     def test_a_successor_hears_what_discovery_told_whatever_the_module_was_told(self) -> None:
-        listed = MemberList(3, True, [Member("w1", "127.0.0.1:1", "a"),
-                                      Member("w2", "127.0.0.1:2", "b", phase="leaving"),
-                                      Member("w3", "127.0.0.1:3", "b", phase="left")])
+        listed = MemberList(
+            3,
+            True,
+            [
+                Member("w1", "127.0.0.1:1", "a"),
+                Member("w2", "127.0.0.1:2", "b", phase="leaving"),
+                Member("w3", "127.0.0.1:3", "b", phase="left"),
+            ],
+        )
 
         class Hears:
             def post(self, _: object) -> None:
@@ -37,8 +43,9 @@
                 """A next hop."""
 
         found = TransportMap(listed, parse_address("127.0.0.1:9"), Hears(), BufferPool(), lambda *_: Hears())
-        self.assertEqual(sorted((each.id, each.phase) for each in found.members()),
-                         [("w1", "active"), ("w2", "leaving")])
+        self.assertEqual(
+            sorted((each.id, each.phase) for each in found.members()), [("w1", "active"), ("w2", "leaving")]
+        )
 
 
 class Silent(unittest.IsolatedAsyncioTestCase):
@@ -51,8 +58,14 @@
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         self.told: asyncio.Queue[str] = asyncio.Queue()
         host, port = self.server.sockets[0].getsockname()
-        self.map = TransportMap(MemberList(revision=7), parse_address(f"{host}:{port}"), self, BufferPool(),
-                                lambda *_: None, Pace(0.1, 0.1, 0.05, self.again_s))
+        self.map = TransportMap(
+            MemberList(revision=7),
+            parse_address(f"{host}:{port}"),
+            self,
+            BufferPool(),
+            lambda *_: None,
+            Pace(0.1, 0.1, 0.05, self.again_s),
+        )
         self.told.get_nowait()  # of the list that it began with
         self.map.watch()
 
@@ -124,19 +137,20 @@
             self.assertEqual(again, first)
         self.assertTrue(self.told.empty())
 
-
     async def test_whatever_is_no_list_is_asked_for_again_and_changes_nothing(self) -> None:
         """Cut, never ending, too large, no JSON, of another form, a refusal, no HTTP; and then one that is
         indented."""
         part = b'{"revision":8,"complete":true,"members":['
-        for wrong, ends in ((b"Content-Length: 900\r\n\r\n" + part, True),
-                            (b"Content-Length: 900\r\n\r\n" + part, False),
-                            (b"Transfer-Encoding: chunked\r\n\r\n2\r\n{ \r\n", False),
-                            (b"Content-Length: 70000\r\n\r\n", False),
-                            (b"Content-Length: 4\r\n\r\nlist", False),
-                            (b'Content-Length: 16\r\n\r\n{"revision":"x"}', False),
-                            (b'Content-Length: 14\r\n\r\n{"members":{}}', False),
-                            (b"Content-Length: x\r\n\r\n", False)):
+        for wrong, ends in (
+            (b"Content-Length: 900\r\n\r\n" + part, True),
+            (b"Content-Length: 900\r\n\r\n" + part, False),
+            (b"Transfer-Encoding: chunked\r\n\r\n2\r\n{ \r\n", False),
+            (b"Content-Length: 70000\r\n\r\n", False),
+            (b"Content-Length: 4\r\n\r\nlist", False),
+            (b'Content-Length: 16\r\n\r\n{"revision":"x"}', False),
+            (b'Content-Length: 14\r\n\r\n{"members":{}}', False),
+            (b"Content-Length: x\r\n\r\n", False),
+        ):
             target, writer = await self.called()
             self.assertIn("since=7", target)
             writer.write(b"HTTP/1.1 200 OK\r\n" + wrong)
@@ -154,7 +168,8 @@
 class Paces(unittest.TestCase):
     @given(st.floats(0.0, 5000.0), st.booleans(), st.floats(0.0, 60000.0))
     def test_a_silent_watch_is_opened_anew_before_sends_must_have_stopped(
-            self, grace_ms: float, pushed: bool, ask_every_ms: float) -> None:
+        self, grace_ms: float, pushed: bool, ask_every_ms: float
+    ) -> None:
         """Wherever in its wait it fell silent, there is time left for the call that opens it anew."""
         pace, grace_s = Pace.of(grace_ms, pushed, ask_every_ms), grace_ms / 1000.0
         opened = pace.watch_s + pace.answer_s + pace.silent_s  # after its call, at the latest
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -17,17 +17,36 @@
 from spanwing.world.streams import Streams
 from spanwing.world.worker import STEP_MS, Began, Ended, Job, JobWorker, Spec
 
-CLASSES = (ClassSpec("look", 0.5, 30.0, aim=150.0, deadline=2000.0, worth=5.0),
-           ClassSpec("apply", 0.3, 120.0, "lognormal", 1.0, aim=600.0, deadline=5000.0, effect="unsafe"),
-           ClassSpec("push", 0.2, 50.0, aim=300.0, deadline=3000.0, effect="keyed", window=500.0))
+CLASSES = (
+    ClassSpec("look", 0.5, 30.0, aim=150.0, deadline=2000.0, worth=5.0),
+    ClassSpec("apply", 0.3, 120.0, "lognormal", 1.0, aim=600.0, deadline=5000.0, effect="unsafe"),
+    ClassSpec("push", 0.2, 50.0, aim=300.0, deadline=3000.0, effect="keyed", window=500.0),
+)
 
 
 def plan(rate: float = 120.0, **changes) -> Plan:
-    workers = tuple(Spec(f"w{n}", zone="ab"[n % 2], kind="big", cold_from=0.3, cold_ms=3000.0,
-                         fall_multiple=3.0, fall_ms=3000.0) for n in range(6))
-    return Plan(**{"workers": workers, "schedulers": (("s0", "a"), ("s1", "b")), "classes": CLASSES,
-                   "load": LoadSpec(rate, swing=0.3, day_ms=6000.0, impatient=0.03, attempt_noise=0.2),
-                   "retries": Retries(2, "exponential"), **changes})
+    workers = tuple(
+        Spec(
+            f"w{n}",
+            zone="ab"[n % 2],
+            kind="big",
+            cold_from=0.3,
+            cold_ms=3000.0,
+            fall_multiple=3.0,
+            fall_ms=3000.0,
+        )
+        for n in range(6)
+    )
+    return Plan(
+        **{
+            "workers": workers,
+            "schedulers": (("s0", "a"), ("s1", "b")),
+            "classes": CLASSES,
+            "load": LoadSpec(rate, swing=0.3, day_ms=6000.0, impatient=0.03, attempt_noise=0.2),
+            "retries": Retries(2, "exponential"),
+            **changes,
+        }
+    )
 
 
 def troubled(fleet: Fleet) -> None:
@@ -107,20 +126,49 @@
         self.assertLessEqual({"served", "refused", "left", "lost"}, kinds | {"refused"})
         self.assertGreater(sum(each.kind == "served" for each in told), 0.7 * len(told))
 
-    @given(st.lists(st.tuples(st.sampled_from(["offer", "cancel", "pass"]), st.floats(0, 40),
-                              st.integers(0, 9), st.integers(1, 3), st.integers(0, 2)), max_size=60),
-           st.sampled_from(["fifo", "backfill", "priority"]), st.booleans())
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["offer", "cancel", "pass"]),
+                st.floats(0, 40),
+                st.integers(0, 9),
+                st.integers(1, 3),
+                st.integers(0, 2),
+            ),
+            max_size=60,
+        ),
+        st.sampled_from(["fifo", "backfill", "priority"]),
+        st.booleans(),
+    )
     def test_a_worker_ends_each_job_once_and_loses_no_work(self, steps, order, suspends) -> None:
-        worker = JobWorker(Spec("w", slots=4, cores=3.0, queue=5, memory=6.0, order=order, suspends=suspends,
-                                cold_from=0.5, cold_ms=200.0))
+        worker = JobWorker(
+            Spec(
+                "w",
+                slots=4,
+                cores=3.0,
+                queue=5,
+                memory=6.0,
+                order=order,
+                suspends=suspends,
+                cold_from=0.5,
+                cold_ms=200.0,
+            )
+        )
         now, asked, ended, offered = 0.0, 0.0, [], 0
         for number, (what, span, which, slots, priority) in enumerate(steps):
             now += span
             said = []
             if what == "offer":
                 offered += 1
-                job = Job(f"j{number}", span * 3, slots, float(slots), priority, which % 2 == 0,
-                          now + 50.0 if which == 0 else math.inf)
+                job = Job(
+                    f"j{number}",
+                    span * 3,
+                    slots,
+                    float(slots),
+                    priority,
+                    which % 2 == 0,
+                    now + 50.0 if which == 0 else math.inf,
+                )
                 said = worker.offer(now, job)
                 asked += job.work if job.key in worker.held else 0.0
             elif what == "cancel":
@@ -130,8 +178,10 @@
             ended += [each.key for each in said if isinstance(each, Ended)]
             self.assertLessEqual(worker.used, 4)
             self.assertLessEqual(worker.memory, 6.0)
-            self.assertEqual(worker.used, sum(each.job.slots for each in worker.held.values()
-                                              if each not in worker.waiting))
+            self.assertEqual(
+                worker.used,
+                sum(each.job.slots for each in worker.held.values() if each not in worker.waiting),
+            )
             worked = worker.worked
             done = worked.done + worked.wasted + worker.under_way()
             self.assertAlmostEqual(done, worker.busy, places=3)
@@ -145,7 +195,7 @@
 
     def waits(self, servers: int, gaps: np.ndarray, works: np.ndarray) -> np.ndarray:
         """How long each job waited before it began."""
-        worker = JobWorker(Spec("w", cores=servers, slots=servers, queue=10 ** 9, order="fifo"))
+        worker = JobWorker(Spec("w", cores=servers, slots=servers, queue=10**9, order="fifo"))
         at = np.cumsum(gaps)
         began: dict[str, float] = {}
         agenda = Agenda()
@@ -184,8 +234,8 @@
         gaps = source.exponential(work / (servers * load), count)
         offered = servers * load
         # Erlang C: the chance to wait, and the mean wait.
-        terms = [offered ** n / math.factorial(n) for n in range(servers)]
-        last = offered ** servers / math.factorial(servers) / (1 - load)
+        terms = [offered**n / math.factorial(n) for n in range(servers)]
+        last = offered**servers / math.factorial(servers) / (1 - load)
         wanted = last / (sum(terms) + last) * work / (servers * (1 - load))
         self.close(self.waits(servers, gaps, source.exponential(work, count)), wanted)
 
@@ -193,14 +243,24 @@
         load, work, cv, count = 0.6, 10.0, 1.5, 40_000
         source = Streams(6).of("M/G/1")
         gaps = source.exponential(work / load, count)
-        sigma = math.sqrt(math.log1p(cv ** 2))
+        sigma = math.sqrt(math.log1p(cv**2))
         works = work * source.lognormal(-sigma * sigma / 2, sigma, count)
-        wanted = load / (1 - load) * (1 + cv ** 2) / 2 * work  # Pollaczek and Khinchine
+        wanted = load / (1 - load) * (1 + cv**2) / 2 * work  # Pollaczek and Khinchine
         self.close(self.waits(1, gaps, works), wanted)
 
     def cold(self) -> JobWorker:
-        return JobWorker(Spec("w", cores=10, slots=10, queue=100, cold_from=0.3, cold_ms=100_000.0,
-                              fall_multiple=3.0, fall_ms=500.0))
+        return JobWorker(
+            Spec(
+                "w",
+                cores=10,
+                slots=10,
+                queue=100,
+                cold_from=0.3,
+                cold_ms=100_000.0,
+                fall_multiple=3.0,
+                fall_ms=500.0,
+            )
+        )
 
     def test_a_cold_worker_falls_over_beyond_its_multiple_and_no_sooner(self) -> None:
         # At its start it has 3 of 10 slots' capacity: 9 are three times that, the tenth is one too many.
@@ -242,8 +302,9 @@
         worker = JobWorker(Spec("w"))
         worker.offer(0.0, Job("a", 10.0, effect="k", window_ms=100.0))
         worker.advance(10.0)
-        self.assertEqual(worker.offer(109.0, Job("b", 10.0, effect="k", window_ms=100.0)),
-                         [Began("b"), Ended("b", "ok")])
+        self.assertEqual(
+            worker.offer(109.0, Job("b", 10.0, effect="k", window_ms=100.0)), [Began("b"), Ended("b", "ok")]
+        )
         self.assertEqual(worker.offer(111.0, Job("c", 10.0, effect="k", window_ms=100.0)), [Began("c")])
         self.assertEqual(worker.worked.done, 10.0)
 
@@ -258,8 +319,7 @@
         self.assertEqual(worker.offer(112.0, Job("other", 1.0, priority=1)), [])
 
     def test_arrivals_follow_the_days_shape_and_a_flood(self) -> None:
-        clients = Clients(LoadSpec(1000.0, swing=0.5, day_ms=10_000.0), CLASSES,
-                          plan().brands, Streams(4))
+        clients = Clients(LoadSpec(1000.0, swing=0.5, day_ms=10_000.0), CLASSES, plan().brands, Streams(4))
         times = []
         while (wanted := clients.next()).at < 10_000.0:
             times.append(wanted.at)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -68,8 +68,10 @@
         return judge("a", observers, self.A, schedulers).finding
 
     def test_failed_by_observers_of_other_zones(self) -> None:
-        others = [observer("b", a=([], [1, 2]), b=([7], [])),
-                  observer("c", a=([], [2, 3]), b=([7], []), c=([9], []))]
+        others = [
+            observer("b", a=([], [1, 2]), b=([7], [])),
+            observer("c", a=([], [2, 3]), b=([7], []), c=([9], [])),
+        ]
         self.assertEqual(self.find(others), "failed")
 
     def test_one_observer_is_not_enough_but_where_there_are_two_schedulers(self) -> None:
@@ -115,8 +117,12 @@
         self.assertEqual(finding([1, 2], []), "unknown")  # two of thirty say nothing of all
         self.assertNotEqual(finding([1, 2, 3], [4, 5]), "failed")
         self.assertNotEqual(finding([1, 2, 3], [], []), "failed")  # nothing else is seen well
-        self.assertEqual(judge("b", [Observer("a", {"b": Words([], [1, 2, 3]), "a": Words([9], [])})],
-                               range(1, 31), 1).finding, "unknown")
+        self.assertEqual(
+            judge(
+                "b", [Observer("a", {"b": Words([], [1, 2, 3]), "a": Words([9], [])})], range(1, 31), 1
+            ).finding,
+            "unknown",
+        )
 
     @given(st.integers(3, 400), st.integers(0, 400))
     def test_enough_is_two_at_least_and_within_reach(self, schedulers: int, observers: int) -> None:
@@ -137,10 +143,16 @@
         document = Document().apply(Txn("states", writes))
         listed = {name: [Listed(each, 0.0, False) for each in ids] for name, ids in self.WORKERS.items()}
         steward = Steward(Bounds(3500.0, schedulers=3), lambda: listed, lambda: 0.0, "s0", lambda: "change")
-        sessions = {f"s{number}": mock.Mock(id=f"s{number}", zone=zone, position=number)
-                    for number, zone in enumerate("abc")}
-        keeper = mock.Mock(sessions=sessions, in_contact=lambda now: list(sessions.values()),
-                           lapsed=lambda *_: False, acknowledged=lambda *_: False)
+        sessions = {
+            f"s{number}": mock.Mock(id=f"s{number}", zone=zone, position=number)
+            for number, zone in enumerate("abc")
+        }
+        keeper = mock.Mock(
+            sessions=sessions,
+            in_contact=lambda now: list(sessions.values()),
+            lapsed=lambda *_: False,
+            acknowledged=lambda *_: False,
+        )
         evidence = msgspec.Raw(msgspec.json.encode(Report({"a": Words([1, 2], []), "c": Words([], [5, 6])})))
         for each in sessions.values():
             steward.heard(10.0, each, evidence)
@@ -199,9 +211,13 @@
         self.assertEqual(local.tries(driver.now, ("c", "no such zone")), [])
 
     def test_only_a_job_that_may_be_repeated_is_sent_on_trial_and_only_soon(self) -> None:
-        for cls, max_attempts, after, tried in (("look", 5, 0.0, True), ("look", 1, 0.0, False),
-                                                ("bill", 5, 0.0, False), ("book", 5, 0.0, False),
-                                                ("look", 5, 1001.0, False)):
+        for cls, max_attempts, after, tried in (
+            ("look", 5, 0.0, True),
+            ("look", 1, 0.0, False),
+            ("bill", 5, 0.0, False),
+            ("book", 5, 0.0, False),
+            ("look", 5, 1001.0, False),
+        ):
             with self.subTest(cls=cls, max_attempts=max_attempts, after=after):
                 _, driver = self.scheduler("a", 0, max_attempts=max_attempts)
                 away = next(each.entry.id for each in driver.node.far)
@@ -291,8 +307,11 @@
             pass
 
     def test_bounds(self) -> None:
-        for report in (Report({"a": Words([1] * 25, [])}), Report({"a": Words([70000], [])}),
-                       Report({f"z{n}": Words([], []) for n in range(33)})):
+        for report in (
+            Report({"a": Words([1] * 25, [])}),
+            Report({"a": Words([70000], [])}),
+            Report({f"z{n}": Words([], []) for n in range(33)}),
+        ):
             with self.assertRaises(ValueError):
                 read_report(msgspec.json.encode(report))
         with self.assertRaises(ValueError):
