--- a/benchmarks/journal_latency.py
+++ b/benchmarks/journal_latency.py
@@ -28,11 +28,18 @@
 import numpy as np
 from tornado.ioloop import IOLoop
 
-from spanwing.journal.files import Folder
-from spanwing.journal.frames import frame_bytes
-from spanwing.journal.keeper import Keeper
-from spanwing.journal.log import Log
-from spanwing.journal.records import Answered, Intent, LastByte, Outcome, Taken, encode
+from spanwing.journal.files import LocalFolder
+from spanwing.journal.frames import encode_frame
+from spanwing.journal.keeper import JournalWriter
+from spanwing.journal.log import SegmentLog
+from spanwing.journal.records import (
+    AttemptCompleted,
+    AttemptIntent,
+    LastByteWritten,
+    RequestAccepted,
+    RequestAnswered,
+    encode_record,
+)
 
 RATES = (45, 450, 2000)
 RUNNING_S = 0.05  # from the intent to the other records
@@ -62,18 +69,24 @@
 
     def __init__(self, folder: str, post: Callable) -> None:
         loop = IOLoop.current()
-        self.keeper = Keeper(
-            Log(Folder(folder)), "refuse", "bench", post, 60.0, loop.call_later, loop.remove_timeout
+        self.keeper = JournalWriter(
+            SegmentLog(LocalFolder(folder)),
+            "refuse",
+            "bench",
+            post,
+            60.0,
+            loop.call_later,
+            loop.remove_timeout,
         )
 
     def begin(self, name: str, then: Then) -> None:
-        self.keeper.taken(name, "schedule-apply", "corrib", "key", "platform", 25000.0)
-        self.keeper.intent(name, 0, "w17", "127.0.0.1:7000", then)
+        self.keeper.record_accepted(name, "schedule-apply", "corrib", "key", "platform", 25000.0)
+        self.keeper.record_intent(name, 0, "w17", "127.0.0.1:7000", then)
 
     def end(self, name: str) -> None:
-        self.keeper.last_byte(name, 0)
-        self.keeper.outcome(name, 0, "ok")
-        self.keeper.answered(name, "served")
+        self.keeper.record_last_byte(name, 0)
+        self.keeper.record_outcome(name, 0, "ok")
+        self.keeper.record_answered(name, "served")
 
     def close(self) -> None:
         assert self.keeper.close()
@@ -98,8 +111,8 @@
         self.work.put(
             (
                 [
-                    Taken(name, now, now, "schedule-apply", "corrib", "key", "platform", 25000.0),
-                    Intent(name, now, now, 0, "w17", "127.0.0.1:7000"),
+                    RequestAccepted(name, now, now, "schedule-apply", "corrib", "key", "platform", 25000.0),
+                    AttemptIntent(name, now, now, 0, "w17", "127.0.0.1:7000"),
                 ],
                 then,
             )
@@ -110,9 +123,9 @@
         self.work.put(
             (
                 [
-                    LastByte(name, now, now, 0),
-                    Outcome(name, now, now, 0, "ok"),
-                    Answered(name, now, now, "served"),
+                    LastByteWritten(name, now, now, 0),
+                    AttemptCompleted(name, now, now, 0, "ok"),
+                    RequestAnswered(name, now, now, "served"),
                 ],
                 None,
             )
@@ -149,7 +162,7 @@
         self.file = os.open(f"{self.folder}/log", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
 
     def write(self, records: list, sync: bool) -> None:
-        os.write(self.file, b"".join(frame_bytes(1, encode(each)) for each in records))
+        os.write(self.file, b"".join(encode_frame(1, encode_record(each)) for each in records))
         if sync:
             os.fsync(self.file)
 
@@ -169,7 +182,7 @@
         self.held: list[tuple[str, bytes]] = []
 
     def write(self, records: list, sync: bool) -> None:
-        self.held += [(each.request, encode(each)) for each in records]
+        self.held += [(each.request, encode_record(each)) for each in records]
         if sync:  # the others ride along
             self.base.execute("BEGIN")
             self.base.executemany("INSERT INTO records (request, record) VALUES (?, ?)", self.held)
--- a/benchmarks/journal_scale.py
+++ b/benchmarks/journal_scale.py
@@ -16,9 +16,15 @@
 
 import click
 
-from spanwing.journal.files import Folder
-from spanwing.journal.log import SNAPSHOT, Bounds, Log
-from spanwing.journal.records import Answered, Intent, LastByte, Outcome, Taken
+from spanwing.journal.files import LocalFolder
+from spanwing.journal.log import SNAPSHOT_SUFFIX, RetentionLimits, SegmentLog
+from spanwing.journal.records import (
+    AttemptCompleted,
+    AttemptIntent,
+    LastByteWritten,
+    RequestAccepted,
+    RequestAnswered,
+)
 
 BATCH = 200  # requests in one write
 A_RECORD = 5  # records of a request
@@ -29,7 +35,7 @@
 
 def fill(folder: str, records: int) -> None:
     """Requests one after another, the last OPEN of them left open."""
-    log = Log(Folder(folder), Bounds(SEGMENT, 1e15, 1e15, 1 << 50))
+    log = SegmentLog(LocalFolder(folder), RetentionLimits(SEGMENT, 1e15, 1e15, 1 << 50))
     log.files.sync = lambda name: None  # how long the disk takes is another measurement
     requests = records // A_RECORD
     for begin in range(0, requests, BATCH):
@@ -37,7 +43,7 @@
         for number in range(begin, min(requests, begin + BATCH)):
             name, now = f"job-{number:08d}", FIRST_MS + number * STEP_MS
             batch += [
-                Taken(
+                RequestAccepted(
                     name,
                     now,
                     now,
@@ -47,13 +53,13 @@
                     "platform",
                     25000.0,
                 ),
-                Intent(name, now + 2, now, 0, f"w{number % WORKERS}", "127.0.0.1:7000"),
+                AttemptIntent(name, now + 2, now, 0, f"w{number % WORKERS}", "127.0.0.1:7000"),
             ]
             if number < requests - OPEN:
                 batch += [
-                    LastByte(name, now + 5, now, 0),
-                    Outcome(name, now + 900, now, 0, "ok"),
-                    Answered(name, now + 901, now, "served"),
+                    LastByteWritten(name, now + 5, now, 0),
+                    AttemptCompleted(name, now + 900, now, 0, "ok"),
+                    RequestAnswered(name, now + 901, now, "served"),
                 ]
         log.write(batch, FIRST_MS + begin * STEP_MS)
     log.close()
@@ -97,8 +103,10 @@
     """Fill folders, then measure."""
     if opened:
         begun = time.perf_counter()
-        log = Log(Folder(opened))
-        click.echo(json.dumps({"s": time.perf_counter() - begun, "open": len(log.ledger.open)}))
+        log = SegmentLog(LocalFolder(opened))
+        click.echo(
+            json.dumps({"s": time.perf_counter() - begun, "open": len(log.request_states.open_requests)})
+        )
         return
     lines = ["| what | records | on disk, MB | seconds | memory, MB | found |", "| --- " * 6 + "|"]
 
@@ -118,7 +126,7 @@
             memory,
             f"{json.loads(said)['open']} open",
         )
-        for each in Path(place).glob(f"*{SNAPSHOT}"):
+        for each in Path(place).glob(f"*{SNAPSHOT_SUFFIX}"):
             each.unlink()
         _, memory, said = timed("benchmarks.journal_scale", "--open", place)
         told(
--- a/measure/crashes.py
+++ b/measure/crashes.py
@@ -33,7 +33,7 @@
 from measure.daemons import ROOT, settings
 from measure.faktory import Speaker
 from measure.killed import HOP_HOST, Order
-from spanwing.journal.book import Book
+from spanwing.journal.book import JournalReader
 
 KINDS = ("first", "second", "race")
 LOAD_RATE, LOAD_S, FETCHERS = 45.0, (0.4, 1.6), 24
@@ -200,14 +200,14 @@
         seen = bool(self.seen[self.id])
         result.seen += seen
         journal = folder / "journal"
-        found = Book(str(journal)).request(self.id) if journal.is_dir() else None
-        finding = found.finding if found is not None else "not there"
+        found = JournalReader(str(journal)).find_request(self.id) if journal.is_dir() else None
+        finding = found.delivery_state if found is not None else "not there"
         result.findings[finding] += 1
         calls = life.calls()
         where = calls[-1] if calls else "nothing"
         if seen and finding in ("not sent", "not there"):
             result.wrong.append(f"{self.front} {self.kind} at {len(calls)} {where}")
-        left = found is not None and not found.settled and finding != "not sent"
+        left = found is not None and not found.is_settled and finding != "not sent"
         if finding == "possibly sent" and not seen:
             result.unseen[where] += 1
         before = sum(self.seen.values())
@@ -365,7 +365,10 @@
             result.runs += 1
             result.kills += 1
             result.seen += len(self.seen)
-            found = {each.id: each.finding for each in Book(str(folder / "journal")).requests()}
+            found = {
+                each.id: each.delivery_state
+                for each in JournalReader(str(folder / "journal")).read_requests()
+            }
             result.findings.update(found.values())
             result.wrong += [each for each in self.seen if found.get(each, "not sent") == "not sent"]
             result.unseen["load"] += sum(
@@ -373,8 +376,8 @@
             )
             left = {
                 request.id
-                for request in Book(str(folder / "journal")).requests()
-                if not request.settled and request.finding != "not sent"
+                for request in JournalReader(str(folder / "journal")).read_requests()
+                if not request.is_settled and request.delivery_state != "not sent"
             }
             before = sum((self.seen + workers.seen).values())
             second = Life(server, folder, "second", 0, False)
--- a/measure/daemons.py
+++ b/measure/daemons.py
@@ -177,7 +177,7 @@
             raise RuntimeError(f"{name} did not start: {self.said()}")
 
     def command(self, **ask: Any) -> dict[str, Any]:
-        return client.ask(self.admin, **ask)
+        return client.send_command(self.admin, **ask)
 
     def until(self, *states: str, wait_s: float = START_S) -> dict[str, Any]:
         """Ask for the status until the state is one of these."""
--- a/measure/fleet/bugged.py
+++ b/measure/fleet/bugged.py
@@ -16,32 +16,34 @@
 def no_lease() -> None:
     from spanwing.store.lease import Lease
 
-    Lease.valid = lambda self, now: self.until > float("-inf")
+    Lease.is_valid = lambda self, now: self.expires_at_ms > float("-inf")
 
 
 def minority() -> None:
     from spanwing.zones import evidence, steward, verdict
 
-    verdict.counts = lambda zone, observer: True
-    verdict.enough = steward.enough = lambda schedulers, observers: 1
-    evidence.Witness.report = lambda self, now, slots=(): evidence.Report(self.words(now))
+    verdict.is_credible = lambda zone, observer: True
+    verdict.required_observers = steward.required_observers = lambda schedulers, observers: 1
+    evidence.EvidenceCollector.build_report = lambda self, now, slots=(): evidence.EvidenceReport(
+        self.evidence_by_zone(now)
+    )
 
 
 def unsafe() -> None:
-    from spanwing.core.exchange import Exchange
-    from spanwing.core.messages import Ended
+    from spanwing.core.exchange import RequestManager
+    from spanwing.core.messages import AttemptEnded
 
-    def recall(self: Exchange, request: str, number: int) -> None:
-        if (request, number) in self.out and request in self.calls:
-            self.post(Ended(request, number, "moot", unsent=True))  # as if nothing had been sent
+    def recall(self: RequestManager, request: str, number: int) -> None:
+        if (request, number) in self.in_flight and request in self.pending_requests:
+            self.post(AttemptEnded(request, number, "moot", is_unsent=True))  # as if nothing had been sent
 
-    Exchange.recall = recall
+    RequestManager.cancel_repeatable = recall
 
 
 def no_wait() -> None:
-    from spanwing.zones.gate import Rules
+    from spanwing.zones.gate import RoutingRules
 
-    Rules.wait_ms = lambda self: 0.0
+    RoutingRules.feeder_change_delay_ms = lambda self: 0.0
 
 
 BUGS: dict[str, Callable[[], None]] = {
--- a/measure/fleet/followers.py
+++ b/measure/fleet/followers.py
@@ -19,8 +19,8 @@
 
 from measure.daemons import ROOT, TICKS
 from measure.fleet.ground import HOST, Ground
-from spanwing.actor import spawn
-from spanwing.store.follower import Follower
+from spanwing.actor import spawn_task
+from spanwing.store.follower import DocumentFollower
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
 
@@ -39,7 +39,7 @@
         heard.setdefault(document.revision, []).append(time.time())
 
     followers = [
-        Follower(
+        DocumentFollower(
             f"f{position}",
             "abc"[position % 3],
             position,
@@ -52,7 +52,7 @@
         for position in start["positions"]
     ]
     for each in followers:
-        spawn(each.run())
+        spawn_task(each.run())
     loop = IOLoop.current()
 
     def told(*_: Any) -> None:
@@ -63,9 +63,9 @@
         print(
             json.dumps(
                 {
-                    "renewals": sum(each.numbers for each in followers),
+                    "renewals": sum(each.last_message_id for each in followers),
                     "at": time.time(),
-                    "hold": sum(each.holds() for each in followers),
+                    "hold": sum(each.has_lease() for each in followers),
                     "heard": heard,
                 }
             ),
--- a/measure/fleet/ground.py
+++ b/measure/fleet/ground.py
@@ -373,7 +373,7 @@
     # -- what is told
 
     def ask(self, name: str, **what: Any) -> dict[str, Any]:
-        return client.ask(f"{self.path}/{name}.sock", **what)
+        return client.send_command(f"{self.path}/{name}.sock", **what)
 
     def reached(self) -> list[str]:
         return [
--- a/measure/fleet/simulated.py
+++ b/measure/fleet/simulated.py
@@ -28,15 +28,15 @@
 
 from spanwing import interface as api
 from spanwing.state import mix
-from spanwing.store.document import Document, Txn, caught_up
-from spanwing.store.keeper import Keeper
+from spanwing.store.document import Document, Transaction, catch_up
+from spanwing.store.keeper import Leader
 from spanwing.store.lease import Lease
-from spanwing.store.messages import Granted, Renew
-from spanwing.world.agenda import Agenda
-from spanwing.zones.gate import Rules
-from spanwing.zones.local import Local
-from spanwing.zones.state import read
-from spanwing.zones.steward import Bounds, Listed, Steward
+from spanwing.store.messages import Renew, RenewalGranted
+from spanwing.world.agenda import EventQueue
+from spanwing.zones.gate import RoutingRules
+from spanwing.zones.local import ZoneAgent
+from spanwing.zones.state import read_fleet_zones
+from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
 
 LEASE_MS, COLD_MS, FALL_MS, FEEDERS = 2000.0, 8600.0, 3000.0, 3
 ZONES = ("athlone", "galway", "limerick")
@@ -65,7 +65,7 @@
         self.missed: list[Callable[[], None]] = []
 
     def now(self) -> float:
-        return self.offset + self.rate * self.world.agenda.now
+        return self.offset + self.rate * self.world.agenda.now_ms
 
     def call(self, after: float, what: Callable[[], None]) -> None:
         """Have it do something later, unless it has started anew since; when it is stopped, once it
@@ -80,7 +80,7 @@
             else:
                 what()
 
-        self.world.agenda.after(after, due)
+        self.world.agenda.schedule_after(after, due)
 
     def go_on(self) -> None:
         self.stopped = False
@@ -98,39 +98,41 @@
 
     def begin(self) -> None:
         world = self.world
-        bounds = Bounds(FALL_MS + LATE_MS, world.cold, world.count, world.regions)
-        self.steward = Steward(
-            bounds, world.listing, lambda: world.agenda.now, self.name, lambda: f"{world.random.random()}"
+        bounds = ZoneLimits(FALL_MS + LATE_MS, world.cold, world.count, world.regions)
+        self.steward = ZoneController(
+            bounds, world.listing, lambda: world.agenda.now_ms, self.name, lambda: f"{world.random.random()}"
         )
-        self.keeper = Keeper(self.name, world.lease, self.steward, self.now(), world.random.random)
+        self.keeper = Leader(self.name, world.lease, self.steward, self.now(), world.random.random)
         self.call(25.0, self.turn)
 
     def turn(self) -> None:
         keeper, now = self.keeper, self.now()
-        keeper.due(now)
-        if keeper.quiet(now):
+        keeper.answer_due_renewals(now)
+        if keeper.is_leader_silent(now):
             self.world.read(self, lambda: self.take_over())
-        elif keeper.ours():
+        elif keeper.is_leader():
             if "no-read" in self.world.bugs:
-                keeper.read(now, now, keeper.document)
+                keeper.handle_read(now, now, keeper.document)
             self.world.read(self, self.keep)
         else:
             self.call(25.0, self.turn)
 
     def take_over(self) -> None:
-        if self.keeper.quiet(self.now()):
-            self.world.change(self, self.keeper.take_over(self.now(), f"{self.world.random.random()}"))
+        if self.keeper.is_leader_silent(self.now()):
+            self.world.change(
+                self, self.keeper.takeover_transaction(self.now(), f"{self.world.random.random()}")
+            )
         else:
             self.call(25.0, self.turn)
 
     def keep(self) -> None:
         txn = None
-        if self.keeper.ours():
-            txn = self.steward.decide(self.now(), self.keeper.document, self.keeper)
+        if self.keeper.is_leader():
+            txn = self.steward.decide_next_change(self.now(), self.keeper.document, self.keeper)
         if txn is None:
             self.call(25.0, self.turn)
         else:
-            self.world.change(self, self.keeper.as_keeper(txn))
+            self.world.change(self, self.keeper.on_condition_of_leadership(txn))
 
 
 class Scheduler(Process):
@@ -145,10 +147,10 @@
         world = self.world
         self.session = f"{self.name}.{self.life}"
         self.lease, self.document = Lease(), Document()
-        rules = Rules(self.session, self.zone, world.cold, FALL_MS, FEEDERS)
+        rules = RoutingRules(self.session, self.zone, world.cold, FALL_MS, FEEDERS)
         if "no-wait" in world.bugs:
             rules = rules._replace(fall_ms=-LATE_MS)
-        self.local = Local(
+        self.local = ZoneAgent(
             rules,
             self.position,
             world.count,
@@ -171,14 +173,14 @@
                 if each.listed
             ),
         )
-        self.local.screen(news, self.now(), self.world.agenda.now, self.holds())
+        self.local.filter_workers(news, self.now(), self.world.agenda.now_ms, self.holds())
         self.call(500.0, self.look)
 
     def renew(self) -> None:
         self.renewals += 1
         n, now = self.renewals, self.now()
-        self.lease.ask(n, now)
-        payload = msgspec.json.encode(self.local.report(now, (), 0.0))
+        self.lease.record_renewal(n, now)
+        payload = msgspec.json.encode(self.local.build_evidence_report(now, (), 0.0))
         message = Renew(
             n, self.session, self.zone, self.position, self.document.revision, msgspec.Raw(payload)
         )
@@ -190,52 +192,58 @@
         if self.granted < n == self.renewals:
             self.renew()
 
-    def hear(self, granted: Granted) -> None:
+    def hear(self, granted: RenewalGranted) -> None:
         before = self.document
-        self.document = caught_up(before, granted.changes, granted.whole)
+        self.document = catch_up(before, granted.changes, granted.document)
         if self.document is not before:
-            self.local.gate.follow(read(self.document), self.now(), self.world.agenda.now)
-        self.lease.granted(granted.n, granted.lease_ms)
-        if granted.look:
-            self.ask(self.local.look(granted.look))
+            self.local.routing_filter.update_zones(
+                read_fleet_zones(self.document), self.now(), self.world.agenda.now_ms
+            )
+        self.lease.extend(granted.n, granted.lease_ms)
+        if granted.zones_to_probe:
+            self.ask(self.local.choose_workers_to_probe(granted.zones_to_probe))
         if granted.n == self.renewals and granted.n > self.granted:
             self.granted = granted.n
             self.call(100.0 if granted.lease_ms else self.world.random.uniform(50, 400), self.renew)
 
     def holds(self) -> bool:
-        return self.lease.valid(self.now()) or ("no-lease" in self.world.bugs and self.granted > 0)
+        return self.lease.is_valid(self.now()) or ("no-lease" in self.world.bugs and self.granted > 0)
 
     def job(self) -> None:
         """A job for some worker, if it may have one."""
         world, now = self.world, self.now()
         self.call(world.random.uniform(20, 100), self.job)
-        lease, clock = self.holds(), world.agenda.now
+        lease, clock = self.holds(), world.agenda.now_ms
         worker = world.random.choice(world.workers)
         if world.aimed and world.random.random() < 0.7:
             worker = world.random.choice([each for each in world.workers if each.zone == world.aimed])
-        gate = self.local.gate
+        gate = self.local.routing_filter
         if worker.number not in gate.workers:
             return
-        use = gate.uses[worker.number]
+        use = gate.routing[worker.number]
         by_hash = (
             self.position in world.hashed(worker.number)
             or not lease
-            or use.started <= 0
-            or clock >= use.started + world.cold
+            or use.started_at_ms <= 0
+            or clock >= use.started_at_ms + world.cold
         )
-        if gate.may(worker.number, now, lease, clock) and (use.feeds is not None or by_hash):
+        if gate.may_forward(worker.number, now, lease, clock) and (use.is_feeder is not None or by_hash):
             # By a list that does not show its new life yet, a worker of an open zone is fed as ever.
-            inside = gate.fleet is not None and gate.fleet.zone(worker.zone).inside
-            blind = use.started < worker.started and (use.feeds is None or not lease or inside)
+            inside = gate.fleet is not None and gate.fleet.get_zone(worker.zone).inside
+            blind = use.started_at_ms < worker.started and (use.is_feeder is None or not lease or inside)
             self.jobs += 1
             key = f"{self.session} {self.jobs}", 0
-            self.local.sent(now, worker.number, key)
-            dealt = use.feeds is not None and lease
-            who = (self.session if dealt else self.name, 0.5 if dealt and now < use.full_ms else 1.0, dealt)
+            self.local.attempt_sent(now, worker.number, key)
+            dealt = use.is_feeder is not None and lease
+            who = (
+                self.session if dealt else self.name,
+                0.5 if dealt and now < use.full_budget_from_ms else 1.0,
+                dealt,
+            )
             world.job(self, worker, key, who, None if blind else lease)
 
     def ask_around(self) -> None:
-        for number in self.local.ask_around():
+        for number in self.local.choose_background_probes():
             self.world.probe(self, number)
         self.call(self.world.random.uniform(800, 1200), self.ask_around)
 
@@ -261,7 +269,7 @@
         cold: float = COLD_MS,
     ) -> None:
         self.lease, self.cold, self.aimed = lease, cold, ""  # aimed: a zone that most jobs go to
-        self.random, self.agenda, self.bugs = random.Random(seed), Agenda(), bugs
+        self.random, self.agenda, self.bugs = random.Random(seed), EventQueue(), bugs
         self.document, self.regions, self.count = Document(), regions or {}, schedulers
         self.workers = [
             Worker(mix(number, seed) & 0xFFFFFFFFFFFF, ZONES[number % len(ZONES)])
@@ -279,7 +287,7 @@
         self.wrong: list[str] = []
         if "no-acknowledge" in bugs:
             for each in self.members:
-                each.keeper.acknowledged = lambda *_: True
+                each.keeper.is_acknowledged_by = lambda *_: True
 
     def hashed(self, worker: int) -> list[int]:
         """The positions that feed a cold worker while nothing is dealt, as in the module."""
@@ -287,12 +295,12 @@
             self.hashes[worker] = nlargest(FEEDERS, range(self.count), key=lambda node: mix(worker, node))
         return self.hashes[worker]
 
-    def listing(self) -> dict[str, list[Listed]]:
-        found: dict[str, list[Listed]] = defaultdict(list)
+    def listing(self) -> dict[str, list[ListedWorker]]:
+        found: dict[str, list[ListedWorker]] = defaultdict(list)
         for each in self.workers:
             if each.listed:
-                cold = each.started > 0 and self.agenda.now < each.started + self.cold
-                found[each.zone].append(Listed(each.number, each.started, cold))
+                cold = each.started > 0 and self.agenda.now_ms < each.started + self.cold
+                found[each.zone].append(ListedWorker(each.number, each.started, cold))
         return found
 
     # -- the network and the register
@@ -307,26 +315,26 @@
             other.call(self.delay(), what)
 
     def pass_on(self, scheduler: Scheduler, life: int, member: Member, message: Renew) -> None:
-        keeps = member.keeper.keeps()
+        keeps = member.keeper.leadership()
         named = None if keeps is None else keeps.member
         keeper = next((each for each in self.members if each.name == named), None)
 
-        def answer(by: Member) -> Callable[[Granted], None]:
-            def told(granted: Granted) -> None:
+        def answer(by: Member) -> Callable[[RenewalGranted], None]:
+            def told(granted: RenewalGranted) -> None:
                 if scheduler.life == life:
                     self.tell(by, scheduler, lambda: scheduler.hear(granted))
 
             return told
 
-        if member.keeper.ours():
-            member.keeper.renew(member.now(), message, answer(member))
+        if member.keeper.is_leader():
+            member.keeper.handle_renewal(member.now(), message, answer(member))
         elif keeper is not None and keeper is not member:
             self.tell(
                 member,
                 keeper,
                 lambda: (
-                    keeper.keeper.renew(keeper.now(), message, answer(keeper))
-                    if keeper.keeper.ours()
+                    keeper.keeper.handle_renewal(keeper.now(), message, answer(keeper))
+                    if keeper.keeper.is_leader()
                     else None
                 ),
             )
@@ -345,19 +353,21 @@
 
             def heard() -> None:
                 if can:
-                    member.keeper.read(member.now(), begun, document)
-                    if member.keeper.ours():
+                    member.keeper.handle_read(member.now(), begun, document)
+                    if member.keeper.is_leader():
                         for each in self.members:
-                            self.tell(member, each, lambda to=each: to.keeper.read_by(to.now(), member.name))
+                            self.tell(
+                                member, each, lambda to=each: to.keeper.record_read(to.now(), member.name)
+                            )
                     then()
                 else:
                     member.call(25.0, member.turn)
 
             member.call(self.delay() / 2, heard)
 
-        self.agenda.after(self.delay() / 2, at)
+        self.agenda.schedule_after(self.delay() / 2, at)
 
-    def change(self, member: Member, txn: Txn) -> None:
+    def change(self, member: Member, txn: Transaction) -> None:
         def at() -> None:
             can = self.majority(member)
             before = self.document
@@ -368,18 +378,18 @@
 
             def heard() -> None:
                 if can:
-                    member.keeper.changed(member.now(), document)
+                    member.keeper.handle_change(member.now(), document)
                 member.call(25.0, member.turn)
 
             member.call(self.delay() / 2, heard)
 
-        self.agenda.after(self.delay() / 2, at)
+        self.agenda.schedule_after(self.delay() / 2, at)
 
     def note(self, before: Document) -> None:
-        old, new = read(before), read(self.document)
+        old, new = read_fleet_zones(before), read_fleet_zones(self.document)
         for zone, state in new.zones.items():
-            if old.zone(zone) != state:
-                self.states.append((self.agenda.now, zone, state.state))
+            if old.get_zone(zone) != state:
+                self.states.append((self.agenda.now_ms, zone, state.state))
 
     # -- job workers
 
@@ -394,7 +404,7 @@
         """who: whose part of a cold worker's budget it takes, how much of a part, and whether by a deal;
         lease: None where no part of it is taken knowingly."""
         delay = self.delay()
-        self.agenda.after(
+        self.agenda.schedule_after(
             delay, self.arrive, scheduler, scheduler.life, worker, key, who, lease, worker.started
         )
 
@@ -408,7 +418,7 @@
         lease: bool | None,
         began: float,
     ) -> None:
-        now = self.agenda.now
+        now = self.agenda.now_ms
         cold = worker.started > 0 and now < worker.started + self.cold
         # What set out before this life, or by a list that does not show it, is no feeding of ours.
         if lease is not None and began == worker.started and cold and worker.how == "up":
@@ -418,7 +428,7 @@
 
         def ended(result: str) -> Callable[[], None]:
             def tell() -> None:
-                scheduler.ask(scheduler.local.ended(scheduler.now(), worker.number, key, result))
+                scheduler.ask(scheduler.local.attempt_ended(scheduler.now(), worker.number, key, result))
 
             return tell
 
@@ -429,7 +439,8 @@
             return
         late = 2000.0 if worker.how == "slow" else 0.0
         scheduler.call(
-            late + self.delay(), lambda: scheduler.local.witness.answered(scheduler.now(), worker.number, key)
+            late + self.delay(),
+            lambda: scheduler.local.evidence_collector.attempt_accepted(scheduler.now(), worker.number, key),
         )
         scheduler.call(late + 400.0 + self.delay(), ended("ok"))
 
@@ -438,7 +449,7 @@
 
         def heard() -> None:
             result = "ok" if worker.how in ("up", "failing") and not scheduler.cut else "unreachable"
-            scheduler.ask(scheduler.local.probed(scheduler.now(), number, result))
+            scheduler.ask(scheduler.local.probe_finished(scheduler.now(), number, result))
 
         scheduler.call(2 * self.delay(), heard)
 
@@ -447,10 +458,10 @@
     def lose(self, zone: str, at: float, lasts: float, how: str) -> None:
         """A zone's workers fail together, and are back cold."""
         for worker in [each for each in self.workers if each.zone == zone]:
-            self.agenda.at(at, setattr, worker, "how", how)
-            self.agenda.at(at + lasts, setattr, worker, "how", "up")
+            self.agenda.schedule_at(at, setattr, worker, "how", how)
+            self.agenda.schedule_at(at + lasts, setattr, worker, "how", "up")
             if how == "down":
-                self.agenda.at(at + lasts, setattr, worker, "started", at + lasts)
+                self.agenda.schedule_at(at + lasts, setattr, worker, "started", at + lasts)
 
     def faults(self, until: float, count: int) -> None:
         """Processes that are stopped, cut off or started anew, at random."""
@@ -459,13 +470,13 @@
             process = self.random.choice([*self.members, *self.schedulers])
             kind = self.random.choice(("stop", "cut", "restart", "slow stop"))
             if kind == "cut":
-                self.agenda.at(at, setattr, process, "cut", True)
-                self.agenda.at(at + lasts, setattr, process, "cut", False)
+                self.agenda.schedule_at(at, setattr, process, "cut", True)
+                self.agenda.schedule_at(at + lasts, setattr, process, "cut", False)
             elif kind == "restart":
-                self.agenda.at(at, self.restart, process, lasts)
+                self.agenda.schedule_at(at, self.restart, process, lasts)
             else:
-                self.agenda.at(at, setattr, process, "stopped", True)
-                self.agenda.at(at + lasts, process.go_on)
+                self.agenda.schedule_at(at, setattr, process, "stopped", True)
+                self.agenda.schedule_at(at + lasts, process.go_on)
 
     def faults_in_return(self, begin: float, until: float, count: int) -> None:
         """Long ones, while cold workers are fed by those to whom they are dealt."""
@@ -476,13 +487,13 @@
                 self.members if kind == "lonely" else [*self.members, *self.schedulers, *self.schedulers]
             )
             if kind == "restart":
-                self.agenda.at(at, self.restart, process, min(lasts, 2000.0))
+                self.agenda.schedule_at(at, self.restart, process, min(lasts, 2000.0))
             elif kind == "stop":
-                self.agenda.at(at, setattr, process, "stopped", True)
-                self.agenda.at(at + lasts, process.go_on)
+                self.agenda.schedule_at(at, setattr, process, "stopped", True)
+                self.agenda.schedule_at(at + lasts, process.go_on)
             else:
-                self.agenda.at(at, setattr, process, kind, True)
-                self.agenda.at(at + lasts, setattr, process, kind, False)
+                self.agenda.schedule_at(at, setattr, process, kind, True)
+                self.agenda.schedule_at(at + lasts, setattr, process, kind, False)
 
     def restart(self, process: Process, lasts: float) -> None:
         process.up, process.missed = False, []
@@ -494,7 +505,7 @@
                 process.up, process.stopped = True, False
                 process.begin()
 
-        self.agenda.after(lasts, start)
+        self.agenda.schedule_after(lasts, start)
 
     # -- what must hold
 
@@ -540,7 +551,7 @@
         how = world.random.choice(("down", "down", "silent", "failing", "slow"))
         world.faults(30_000.0, faults)
     world.lose("galway", at, lasts, how)
-    world.agenda.run(until)
+    world.agenda.run_until(until)
     wrong = world.check({"galway": (at, at + lasts)}, until)
     mine = [(when, state) for when, zone, state in world.states if zone == "galway"]
     left = next((when - at for when, state in mine if state == "leaving"), None)
--- a/measure/fleet/watched.py
+++ b/measure/fleet/watched.py
@@ -15,28 +15,32 @@
 
 
 def watch(folder: str, bug: str) -> None:
-    from spanwing.core.messages import Take
-    from spanwing.policy.hand import Hand, May
-    from spanwing.policy.side import PolicySide
+    from spanwing.core.messages import RequestSubmitted
+    from spanwing.policy.hand import AdmissionDecision, PolicyParticipant
+    from spanwing.policy.side import PolicyService
     from spanwing.store.lease import Lease
 
-    log, admits, may = Log(f"{folder}/takes-{os.getpid()}.log"), PolicySide.admits, Hand.may
+    log, admits, may = (
+        Log(f"{folder}/takes-{os.getpid()}.log"),
+        PolicyService.admit,
+        PolicyParticipant.decide_admission,
+    )
 
-    def written(self: PolicySide, take: Take) -> bool:
+    def written(self: PolicyService, take: RequestSubmitted) -> bool:
         taken = admits(self, take)
         if taken:
-            log.put(ev="taken", job=take.envelope.id, version=self.version.number, scheduler=self.name)
+            log.put(ev="taken", job=take.request.id, version=self.active_version.number, scheduler=self.name)
         return taken
 
-    def careless(self: Hand, now: float) -> May:
+    def careless(self: PolicyParticipant, now: float) -> AdmissionDecision:
         found = may(self, now)
-        return May("take", self.policy.now.number) if found.do == "hold" else found
+        return AdmissionDecision("take", self.policy.now.number) if found.action == "hold" else found
 
-    PolicySide.admits = written
+    PolicyService.admit = written
     if bug == "stopped":
-        Lease.valid = lambda self, now: self.until > float("-inf")
+        Lease.is_valid = lambda self, now: self.expires_at_ms > float("-inf")
     if bug == "closing":
-        Hand.may = careless
+        PolicyParticipant.decide_admission = careless
 
 
 if __name__ == "__main__":
--- a/measure/holds.py
+++ b/measure/holds.py
@@ -20,13 +20,13 @@
 
 from measure.daemons import Daemon
 from measure.workers import Workers
-from spanwing.load.openloop import OpenLoop, Report
-from spanwing.world.clients import BrandSpec, ClassSpec, Clients, LoadSpec
-from spanwing.world.streams import Streams
+from spanwing.load.openloop import LoadTestResult, OpenLoopGenerator
+from spanwing.world.clients import ClassSpec, ClientModel, LoadSpec, TenantSpec
+from spanwing.world.streams import RandomStreams
 
 RATES, WORKERS, BOUND_MS = (100, 400, 800, 1200, 1600, 2000, 2400), 12, 10.0
 PROFILED = 400
-CLASSES = (ClassSpec("status-read", 1.0, 1.0, deadline=5000.0),)
+CLASSES = (ClassSpec("status-read", 1.0, 1.0, deadline_ms=5000.0),)
 
 
 def work(told: Connection) -> None:
@@ -38,9 +38,9 @@
     asyncio.run(run())
 
 
-def load(place: tuple[str, int], rate: float, seconds: float) -> Report:
-    clients = Clients(LoadSpec(rate), CLASSES, (BrandSpec("one", 1.0),), Streams(1))
-    return asyncio.run(OpenLoop([place], f"r{rate}").run(iter(clients.next, None), seconds))
+def load(place: tuple[str, int], rate: float, seconds: float) -> LoadTestResult:
+    clients = ClientModel(LoadSpec(rate), CLASSES, (TenantSpec("one", 1.0),), RandomStreams(1))
+    return asyncio.run(OpenLoopGenerator([place], f"r{rate}").run(iter(clients.next_request, None), seconds))
 
 
 def profile(places: list[tuple[str, int]], rate: float, seconds: float) -> list[str]:
--- a/measure/policymodel.py
+++ b/measure/policymodel.py
@@ -28,10 +28,17 @@
 import click
 import msgspec
 
-from spanwing.policy.chair import Bounds, Chair, Says
-from spanwing.policy.hand import Hand
-from spanwing.policy.record import NOW, Policy, Version, encode, name_of, read
-from spanwing.store.document import Document, Txn
+from spanwing.policy.chair import PermitSettings, PolicyCoordinator, PolicyVote
+from spanwing.policy.hand import PolicyParticipant
+from spanwing.policy.record import (
+    CURRENT_KEY,
+    PolicyState,
+    PolicyVersion,
+    encode_value,
+    read_policy,
+    scheduler_name,
+)
+from spanwing.store.document import Document, Transaction
 from spanwing.store.lease import Lease
 
 TICK, AWAY = 1000.0, 2000.0
@@ -58,20 +65,24 @@
     return ""
 
 
-def by_name(chair: Chair, now: float, policy: Policy, keeper: Any) -> dict[str, str]:
+def by_name(chair: PolicyCoordinator, now: float, policy: PolicyState, keeper: Any) -> dict[str, str]:
     """A bug: whoever has the name of one that is gone is gone too."""
-    gone = {name_of(each) for each in policy.change.gone} if policy.change is not None else set()
+    gone = (
+        {scheduler_name(each) for each in policy.change.removed_sessions}
+        if policy.change is not None
+        else set()
+    )
     return {
         name: session
         for name, session in policy.register.items()
-        if name not in gone and not chair.lapsed(now, session, keeper)
+        if name not in gone and not chair.has_permit_expired(now, session, keeper)
     }
 
 
 @dataclass
 class Session:
-    confirmed: float = float("-inf")
-    seen: int = 0
+    confirmed_at_ms: float = float("-inf")
+    acknowledged_revision: int = 0
 
 
 @dataclass
@@ -79,7 +90,7 @@
     session: str
     n: int
     seen: int
-    says: Says
+    says: PolicyVote
     came: int = -1  # the member to which it has come; -1: under way
 
 
@@ -92,8 +103,8 @@
 
 @dataclass
 class Member:
-    chair: Chair
-    since: float = 0.0
+    chair: PolicyCoordinator
+    leading_since_ms: float = 0.0
     sessions: dict[str, Session] = field(default_factory=dict)
     document: Document = Document()
     told: Document | None = None  # what it tells before it has taken hold (a bug)
@@ -102,7 +113,7 @@
 @dataclass
 class Scheduler:
     name: str
-    hand: Hand
+    hand: PolicyParticipant
     lease: Lease
     life: int = 0
     document: Document = Document()
@@ -118,25 +129,27 @@
 
     def __init__(self, bug: str, schedulers: int = 3) -> None:
         self.bug, self.draw, self.now = bug, Draw(), 0.0
-        first = Version(1, "", "one", "begin")
-        self.document = Document().apply(Txn("begin", {NOW: encode(first), KEEPER: "0"}))
-        self.members = [Member(Chair(Bounds(AWAY), wall, self.draw)) for _ in range(2)]
+        first = PolicyVersion(1, "", "one", "begin")
+        self.document = Document().apply(
+            Transaction("begin", {CURRENT_KEY: encode_value(first), KEEPER: "0"})
+        )
+        self.members = [Member(PolicyCoordinator(PermitSettings(AWAY), wall, self.draw)) for _ in range(2)]
         self.members[0].document = self.document
         if bug == "gone-name":
             for each in self.members:
-                each.chair._can_act = partial(by_name, each.chair)
+                each.chair._possible_permit_holders = partial(by_name, each.chair)
         self.most = 0  # the highest version under which anybody could take a job
         self.schedulers = [self._begin(f"s{number}", 0) for number in range(schedulers)]
         self.proposed = 0
 
     def _begin(self, name: str, life: int) -> Scheduler:
         lease = Lease()
-        made = Scheduler(name, Hand(f"{name}.{life}", sound, lease), lease, life)
+        made = Scheduler(name, PolicyParticipant(f"{name}.{life}", sound, lease), lease, life)
         if self.bug == "start" and life:  # what its folder has, without a word from the fleet
             before = next(each for each in self.schedulers if each.name == name)
             made.document = before.document
-            made.hand.follow(self.now, read(made.document))
-            lease.until = self.now + AWAY
+            made.hand.update_policy(self.now, read_policy(made.document))
+            lease.expires_at_ms = self.now + AWAY
         return made
 
     def _hold(self) -> None:
@@ -171,7 +184,7 @@
         return found
 
     def keeps(self) -> int:
-        return int(self.document.value(KEEPER))
+        return int(self.document.get_value(KEEPER))
 
     def do(self, step: tuple[str, int]) -> None:
         name, place = step
@@ -184,8 +197,8 @@
     def _renew(self, place: int) -> None:
         each = self.schedulers[place]
         each.n += 1
-        each.lease.ask(each.n, self.now)
-        each.request = Request(each.hand.session, each.n, each.document.revision, each.hand.word)
+        each.lease.record_renewal(each.n, self.now)
+        each.request = Request(each.hand.session, each.n, each.document.revision, each.hand.vote)
 
     def _come(self, place: int) -> None:
         self.schedulers[place].request.came = self.keeps()
@@ -199,13 +212,13 @@
 
     def _read(self, place: int) -> None:
         member = self.members[place]
-        was = member.document.value(KEEPER) == str(place)
+        was = member.document.get_value(KEEPER) == str(place)
         member.document, member.told = self.document, None
         ours = self.keeps() == place
         if not ours:
             member.sessions = {}
         elif not was:
-            member.since = self.now
+            member.leading_since_ms = self.now
         for each in self.schedulers:
             request = each.request
             if request is None or request.came != place:
@@ -214,31 +227,33 @@
             if not ours or request.seen > self.document.revision:
                 continue
             session = member.sessions.setdefault(request.session, Session())
-            session.confirmed, session.seen = self.now, request.seen
-            member.chair.heard(request.session, request.says)
+            session.confirmed_at_ms, session.acknowledged_revision = self.now, request.seen
+            member.chair.record_vote(request.session, request.says)
             if each.up and each.hand.session == request.session:
-                permit = member.chair.may_hold(request.session, self.document) or self.bug == "no-register"
+                permit = (
+                    member.chair.may_hold_permit(request.session, self.document) or self.bug == "no-register"
+                )
                 each.answer = Answer(request.n, member.document, permit)
 
-    def _txn(self, place: int) -> Txn | None:
+    def _txn(self, place: int) -> Transaction | None:
         member = self.members[place]
         chair = member.chair
         if self.bug == "ready-twice":
-            waits = chair.waits_for(self.now, member.document, member)
-            policy = read(member.document)
+            waits = chair.blocking_schedulers(self.now, member.document, member)
+            policy = read_policy(member.document)
             if policy.change is not None and policy.register and not waits:
-                return chair._end(policy, member.document, True, "")
-        return chair.decide(self.now, member.document, member)
+                return chair._end_change(policy, member.document, True, "")
+        return chair.decide_next_change(self.now, member.document, member)
 
     def _decide(self, place: int) -> None:
         """It reads what a majority has, makes its next change, and that takes hold."""
         member = self.members[place]
-        if member.document.value(KEEPER) != str(place):
+        if member.document.get_value(KEEPER) != str(place):
             return  # it has taken over, and has not heard of it
         txn = self._txn(place)
         if txn is None:
             return
-        txn = msgspec.structs.replace(txn, at={**txn.at, **member.document.at(KEEPER)})
+        txn = msgspec.structs.replace(txn, at={**txn.at, **member.document.current_revisions(KEEPER)})
         after = self.document.apply(txn)
         if after is not None:
             self.document = after
@@ -251,7 +266,7 @@
         """The same, but no majority has it; nobody may hear of it."""
         if self.bug == "told-first":
             member = self.members[place]
-            txn = self._txn(place) if member.document.value(KEEPER) == str(place) else None
+            txn = self._txn(place) if member.document.get_value(KEEPER) == str(place) else None
             after = member.document.apply(txn) if txn is not None else None
             if after is not None:
                 for each in self.schedulers:
@@ -260,19 +275,19 @@
 
     def _take_over(self, place: int) -> None:
         member = self.members[place]
-        txn = Txn(self.draw(), {KEEPER: str(place)}, self.document.at(KEEPER))
+        txn = Transaction(self.draw(), {KEEPER: str(place)}, self.document.current_revisions(KEEPER))
         self.document = self.document.apply(txn)
         self._hold()
-        member.document, member.since, member.sessions = self.document, self.now, {}
+        member.document, member.leading_since_ms, member.sessions = self.document, self.now, {}
 
     def _hear(self, place: int) -> None:
         each = self.schedulers[place]
         answer, each.answer = each.answer, None
         if answer.document.revision > each.document.revision:
             each.document = answer.document
-            each.hand.follow(self.now, read(each.document))
+            each.hand.update_policy(self.now, read_policy(each.document))
         if answer.permit:
-            each.lease.granted(answer.n, AWAY)
+            each.lease.extend(answer.n, AWAY)
 
     def _stop(self, place: int) -> None:
         self.schedulers[place].stopped = True
@@ -296,11 +311,11 @@
         found = {}
         for each in self.schedulers:
             if each.up and not each.stopped:
-                may = each.hand.may(self.now)
-                if may.do == "take" or (
+                may = each.hand.decide_admission(self.now)
+                if may.action == "take" or (
                     self.bug == "stopped"
-                    and each.lease.until > float("-inf")
-                    and not each.hand.policy.closed()
+                    and each.lease.expires_at_ms > float("-inf")
+                    and not each.hand.policy.is_closed()
                     and each.hand.policy.now.number
                 ):
                     found[each.name] = may.version or each.hand.policy.now.number
@@ -313,7 +328,7 @@
         self.most = max(self.most, *can.values()) if can else self.most
 
     def propose(self, gone: list[str] = ()) -> None:
-        policy = read(self.document)
+        policy = read_policy(self.document)
         if policy.change is None:
             self.proposed += 1
             txn = self.members[0].chair.propose(
@@ -328,16 +343,16 @@
         revision = self.document.revision
 
         def copy(document: Document) -> tuple[Any, ...]:
-            policy, change = read(document), read(document).change
+            policy, change = read_policy(document), read_policy(document).change
             return (
                 revision - document.revision,
                 policy.now.number,
-                document.value(KEEPER),
+                document.get_value(KEEPER),
                 None if change is None else (change.state, change.tries, change.id == now_id),
                 tuple(sorted(policy.register.items())),
             )
 
-        change = read(self.document).change
+        change = read_policy(self.document).change
         now_id = change.id if change is not None else ""
 
         def age(at: float) -> float:
@@ -346,20 +361,20 @@
         parts: list[Any] = [copy(self.document), self.most]
         for each in self.schedulers:
             request, answer = each.request, each.answer
-            asked = each.lease.asked
+            asked = each.lease.renewals_sent
             parts.append(
                 (
                     each.life,
                     each.up,
                     each.stopped,
                     copy(each.document),
-                    age(each.lease.until),
-                    each.hand.word.change == now_id,
+                    age(each.lease.expires_at_ms),
+                    each.hand.vote.change_id == now_id,
                     request
                     and (
                         request.came,
                         revision - request.seen,
-                        request.says.change == now_id,
+                        request.says.change_id == now_id,
                         age(asked.get(request.n, 0.0)),
                     ),
                     answer and (copy(answer.document), answer.permit, age(asked.get(answer.n, 0.0))),
@@ -369,18 +384,18 @@
             chair = member.chair
             parts.append(
                 (
-                    age(member.since),
+                    age(member.leading_since_ms),
                     copy(member.document),
                     tuple(
-                        (id, age(each.confirmed), revision - each.seen)
+                        (id, age(each.confirmed_at_ms), revision - each.acknowledged_revision)
                         for id, each in sorted(member.sessions.items())
                     ),
-                    tuple(sorted((id, says.change == now_id) for id, says in chair.words.items())),
-                    tuple(sorted((id, age(at)) for id, at in chair.confirmed.items())),
-                    revision - chair.entered[0],
-                    age(chair.entered[1]),
-                    chair.begun[0] == now_id,
-                    age(chair.begun[1]),
+                    tuple(sorted((id, says.change_id == now_id) for id, says in chair.votes.items())),
+                    tuple(sorted((id, age(at)) for id, at in chair.permit_confirmed_at_ms.items())),
+                    revision - chair.change_revision_seen[0],
+                    age(chair.change_revision_seen[1]),
+                    chair.change_started[0] == now_id,
+                    age(chair.change_started[1]),
                 )
             )
         return pickle.dumps(parts)
@@ -470,7 +485,7 @@
     try:
         for number in range(depth):
             if number % 10 == 9:
-                policy = read(world.document)
+                policy = read_policy(world.document)
                 gone = [
                     name
                     for each in world.schedulers
@@ -485,14 +500,14 @@
             world.do(("tick", 0))
             calm(world, 1)
         calm(world, 4)
-        if read(world.document).change is not None:
+        if read_policy(world.document).change is not None:
             raise AssertionError("the change has not ended")
         can = world.can_take()
         if len(can) < 3 or len(set(can.values())) != 1:
             raise AssertionError(f"not all take jobs under one version: {can}")
     except AssertionError as error:
         return f"{error}: {path[-25:]}", 0, 0
-    past = read(world.document).past
+    past = read_policy(world.document).past
     return "", sum(each.taken for each in past), sum(not each.taken for each in past)
 
 
--- a/measure/scale.py
+++ b/measure/scale.py
@@ -16,9 +16,9 @@
 
 import click
 
-from spanwing.faults import Faults
-from spanwing.world.fleet import Fleet
-from spanwing.world.scenario import load
+from spanwing.faults import ErrorCollector
+from spanwing.world.fleet import FleetSimulation
+from spanwing.world.scenario import load_scenario
 
 WORKERS, SCHEDULERS = (15, 150, 1500, 15_000), (4, 40, 400)
 REQUESTS = 4000
@@ -34,15 +34,15 @@
     whole_s: float
 
 
-def world(workers: int, schedulers: int) -> tuple[Fleet, float]:
+def world(workers: int, schedulers: int) -> tuple[FleetSimulation, float]:
     """A fleet, and how long its day has to be for REQUESTS requests, in ms."""
-    day = load("calm-day", Faults())
-    plan = day.plan(1)
+    day = load_scenario("calm-day", ErrorCollector())
+    plan = day.build_plan(1)
     names = [each for each in plan.workers]
     specs = tuple(names[n % len(names)]._replace(name=f"w{n}") for n in range(workers))
     nodes = tuple((f"s{n}", day.zones[n % len(day.zones)]) for n in range(schedulers))
-    rate = day.rate() * workers / len(names)
-    fleet = Fleet(
+    rate = day.mean_request_rate() * workers / len(names)
+    fleet = FleetSimulation(
         plan._replace(workers=specs, schedulers=nodes, load=plan.load._replace(rate=rate, swing=0.0)), 1
     )
     return fleet, 1000.0 * REQUESTS / rate
@@ -50,12 +50,15 @@
 
 def cost(workers: int, schedulers: int) -> Cost:
     fleet, day = world(workers, schedulers)
-    for node in fleet.nodes:  # the list of all workers is told once, and is not what a request costs
-        node.spent_s, node.decided = 0.0, 0
+    for node in fleet.schedulers:  # the list of all workers is told once, and is not what a request costs
+        node.decision_time_s, node.event_count = 0.0, 0
     begun = time.perf_counter()
     fleet.run(day)
-    spent, decided = sum(each.spent_s for each in fleet.nodes), sum(each.decided for each in fleet.nodes)
-    made = fleet.account.made
+    spent, decided = (
+        sum(each.decision_time_s for each in fleet.schedulers),
+        sum(each.event_count for each in fleet.schedulers),
+    )
+    made = fleet.accounting.request_count
     return Cost(
         workers,
         schedulers,
@@ -75,7 +78,7 @@
     found = []
     for (file, _, name), (_, calls, own, _, _) in pstats.Stats(profiler).stats.items():
         if Path(file).name in ("choice.py", "state.py"):
-            made = fleet.account.made
+            made = fleet.accounting.request_count
             found.append(
                 (
                     own,
--- a/measure/zoneday.py
+++ b/measure/zoneday.py
@@ -20,12 +20,12 @@
 import click
 import msgspec
 
-from spanwing.faults import Faults
-from spanwing.world.fleet import Answered, Fleet, Place, Wanted
-from spanwing.world.node import Node
-from spanwing.world.scenario import parse
-from spanwing.world.troubles import Troubles
-from spanwing.world.zoned import SoloFleet, ZonedFleet
+from spanwing.faults import ErrorCollector
+from spanwing.world.fleet import AnsweredRequest, FleetSimulation, GeneratedRequest, WorkerHost
+from spanwing.world.node import SimulatedScheduler
+from spanwing.world.scenario import parse_scenario
+from spanwing.world.troubles import FaultInjector
+from spanwing.world.zoned import LeaderFleet, StandaloneFleet
 
 BEFORE_S = 4.0  # the zone's work in this time before its loss is what it did
 WHOLE = 0.9  # of that work again: whole capacity
@@ -33,7 +33,7 @@
 AFTER_S = 8.0  # requests that come up to so long after the return are counted
 
 
-class Watched(Fleet):
+class Watched(FleetSimulation):
     """A fleet that counts what goes to one zone."""
 
     def __init__(self, *given: Any, zone: str, lost_ms: float, back_ms: float, **more: Any) -> None:
@@ -44,41 +44,56 @@
         self.done: list[tuple[float, float]] = []
         super().__init__(*given, **more)
 
-    def send(self, node: Node, request: str, number: int, worker: int) -> None:
-        now, place = self.agenda.now, self.places.get(worker)
-        if place is not None and place.worker.spec.zone == self.zone and self.lost_ms <= now < self.back_ms:
+    def send_attempt(
+        self, scheduler: SimulatedScheduler, request_id: str, attempt_number: int, worker_id: int
+    ) -> None:
+        now, host = self.event_queue.now_ms, self.worker_hosts.get(worker_id)
+        if host is not None and host.worker.spec.zone == self.zone and self.lost_ms <= now < self.back_ms:
             self.into += 1
-            self.last[node.name] = now
-        super().send(node, request, number, worker)
-
-    def _at_worker(self, node: Node, request: str, number: int, place: Place, wanted: Wanted | None) -> None:
-        worker, now = place.worker, self.agenda.now
+            self.last[scheduler.name] = now
+        super().send_attempt(scheduler, request_id, attempt_number, worker_id)
+
+    def _arrive_at_worker(
+        self,
+        scheduler: SimulatedScheduler,
+        request_id: str,
+        attempt_number: int,
+        host: WorkerHost,
+        generated: GeneratedRequest | None,
+    ) -> None:
+        worker, now = host.worker, self.event_queue.now_ms
         if (
-            wanted is not None
-            and (request, number) in node.out
+            generated is not None
+            and (request_id, attempt_number) in scheduler.open_attempts
             and worker.spec.zone == self.zone
             and now >= self.back_ms
-            and not worker.fallen
-            and worker.warmth() < 1.0
+            and not worker.is_down
+            and worker.capacity_fraction() < 1.0
         ):
-            spec, window = worker.spec, self.windows.setdefault(place.number, deque())
-            window.append((now, wanted.work * wanted.slots))
-            while window[0][0] <= now - spec.fall_ms:
+            spec, window = worker.spec, self.windows.setdefault(host.worker_id, deque())
+            window.append((now, generated.work_ms * generated.slots))
+            while window[0][0] <= now - spec.overload_window_ms:
                 window.popleft()
-            capacity = min(spec.cores, spec.slots) * spec.speed * worker.warmth()
-            used = sum(work for _, work in window) / (spec.fall_multiple * capacity * spec.fall_ms)
+            capacity = min(spec.cores, spec.slots) * spec.speed * worker.capacity_fraction()
+            used = sum(work for _, work in window) / (
+                spec.overload_multiple * capacity * spec.overload_window_ms
+            )
             self.most = max(self.most, used)
             self.over += used > 1.0 and len(window) > 1  # one job alone may be larger than the budget
-        super()._at_worker(node, request, number, place, wanted)
+        super()._arrive_at_worker(scheduler, request_id, attempt_number, host, generated)
 
-    def fell(self, place: Place) -> None:
-        self.falls += place.worker.spec.zone == self.zone and self.agenda.now >= self.back_ms
-        super().fell(place)
+    def worker_went_down(self, host: WorkerHost) -> None:
+        self.falls += host.worker.spec.zone == self.zone and self.event_queue.now_ms >= self.back_ms
+        super().worker_went_down(host)
 
     def look(self) -> None:
         """What the zone has worked so far."""
-        done = sum(each.worker.busy for each in self.places.values() if each.worker.spec.zone == self.zone)
-        self.done.append((self.agenda.now, done))
+        done = sum(
+            each.worker.processed_work
+            for each in self.worker_hosts.values()
+            if each.worker.spec.zone == self.zone
+        )
+        self.done.append((self.event_queue.now_ms, done))
 
     def whole_after(self) -> float | None:
         """ms from the return until a second's work of the zone is what it was; None: not on this day."""
@@ -97,11 +112,11 @@
         return None
 
 
-class Together(Watched, ZonedFleet):
+class Together(Watched, LeaderFleet):
     """The same, where the schedulers leave and return as one."""
 
 
-class Solo(Watched, SoloFleet):
+class Solo(Watched, StandaloneFleet):
     """The same, where each leaves and returns by its own evidence."""
 
 
@@ -111,29 +126,34 @@
 def play(scenario: str, seed: int, way: str = "none", times: int = 1) -> dict[str, Any]:
     """One day; times: so many times the schedulers, the workers and the jobs."""
     text = (resources.files("spanwing.world") / "scenarios" / f"{scenario}.toml").read_bytes()
-    day = msgspec.structs.replace(parse(text, Faults()), times=times)
-    loss = next((each for each in day.troubles if each.what == "zone_lost"), None)
+    day = msgspec.structs.replace(parse_scenario(text, ErrorCollector()), times=times)
+    loss = next((each for each in day.faults if each.what == "zone_lost"), None)
     zone, lost, back = "", day.day_ms, day.day_ms  # a day on which no zone may be left
     if loss is not None:
         zone, lost, back = loss.zone, loss.at * 1000.0, (loss.at + loss.lasts) * 1000.0
-    plan = day.plan(seed)
+    plan = day.build_plan(seed)
     fates, aims = Counter[str](), {each.name: each for each in plan.classes}
 
-    def told(answered: Answered) -> None:
-        if lost <= answered.at < back + AFTER_S * 1000.0:
-            cls, fate = aims[answered.cls], answered.kind
+    def told(answered: AnsweredRequest) -> None:
+        if lost <= answered.asked_at_ms < back + AFTER_S * 1000.0:
+            cls, fate = aims[answered.class_name], answered.outcome
             if fate == "served":
-                fate = "in time" if answered.took <= cls.aim + cls.stretch * answered.running else "late"
-            fates[f"{answered.cls} {fate}"] += 1
+                fate = (
+                    "in time"
+                    if answered.elapsed_ms
+                    <= cls.latency_objective_ms + cls.objective_stretch * answered.work_ms
+                    else "late"
+                )
+            fates[f"{answered.class_name} {fate}"] += 1
             fates[f"all {fate}"] += 1
-            fates["worth"] += cls.worth
-            fates["worth in time"] += cls.worth * (fate == "in time")
+            fates["worth"] += cls.priority_weight
+            fates["worth in time"] += cls.priority_weight * (fate == "in time")
 
     regions = {"regions": {name: tuple(each) for name, each in day.regions.items()}} if way != "none" else {}
     fleet = WAYS[way](plan, seed, told, zone=zone, lost_ms=lost, back_ms=back, **regions)
-    Troubles(fleet, tuple(day.troubles), day.day_ms)
+    FaultInjector(fleet, tuple(day.faults), day.day_ms)
     for step in range(int(day.day_ms / STEP_MS) + 1):
-        fleet.agenda.at(step * STEP_MS, fleet.look)
+        fleet.event_queue.schedule_at(step * STEP_MS, fleet.look)
     fleet.run(day.day_ms)
     last = sorted(fleet.last.values())
     return {
@@ -145,24 +165,24 @@
         "falls": fleet.falls,
         "whole_ms": fleet.whole_after() if zone else None,
         **fates,
-        **_changes(fleet, lost, back, {each.zone for each in day.troubles if each.zone}),
+        **_changes(fleet, lost, back, {each.zone for each in day.faults if each.zone}),
     }
 
 
 def _changes(fleet: Watched, lost: float, back: float, may: set[str]) -> dict[str, Any]:
     """When the fleet decided what of the zone, and what it cost; may: zones that are lost this day."""
-    if not isinstance(fleet, ZonedFleet | SoloFleet):
+    if not isinstance(fleet, LeaderFleet | StandaloneFleet):
         return {}
-    mine = [(at, state) for at, zone, state, _ in fleet.changes if zone == fleet.zone]
-    others = sum(state == "leaving" and zone not in may for _, zone, state, _ in fleet.changes)
+    mine = [(at, state) for at, zone, state, _ in fleet.zone_changes if zone == fleet.zone]
+    others = sum(state == "leaving" and zone not in may for _, zone, state, _ in fleet.zone_changes)
     return {
         "decided_ms": next((at - lost for at, state in mine if state == "leaving"), None),
         "returning_ms": next((at - back for at, state in mine if state == "returning"), None),
         "open_ms": next((at - back for at, state in mine if state == "open"), None),
-        "left": sum(state == "leaving" for _, _, state, _ in fleet.changes),
+        "left": sum(state == "leaving" for _, _, state, _ in fleet.zone_changes),
         "false_alarms": others,
-        "messages_s": getattr(fleet, "messages", 0) / (fleet.agenda.now / 1000.0),
-        "bytes_s": getattr(fleet, "bytes", 0) / (fleet.agenda.now / 1000.0),
+        "messages_s": getattr(fleet, "messages", 0) / (fleet.event_queue.now_ms / 1000.0),
+        "bytes_s": getattr(fleet, "bytes", 0) / (fleet.event_queue.now_ms / 1000.0),
     }
 
 
--- a/spanwing/actor.py
+++ b/spanwing/actor.py
@@ -9,19 +9,19 @@
 
 from tornado.ioloop import IOLoop
 
-log = logging.getLogger("spanwing")
+logger = logging.getLogger("spanwing")
 
 
-def spawn(work: Coroutine[Any, Any, None]) -> None:
+def spawn_task(coroutine: Coroutine[Any, Any, None]) -> None:
     """Run a coroutine by itself; what it raises is a fault of ours and is logged, never swallowed."""
 
-    async def guarded() -> None:
+    async def run_guarded() -> None:
         try:
-            await work
+            await coroutine
         except Exception:  # noqa: BLE001 - one connection's fault must not end the others
-            log.exception("fault in %s", work)
+            logger.exception("fault in %s", coroutine)
 
-    IOLoop.current().spawn_callback(guarded)
+    IOLoop.current().spawn_callback(run_guarded)
 
 
 class Actor:
@@ -30,25 +30,25 @@
     def __init__(self) -> None:
         self.mailbox: deque[Any] = deque()
         self.loop = IOLoop.current()
-        self.running = False
+        self.is_scheduled = False
 
     def post(self, message: object) -> None:
         """Leave a message. Nothing waits on an empty mailbox, so an actor no one knows simply goes."""
         self.mailbox.append(message)
-        if not self.running:
-            self.running = True
-            self.loop.add_callback(self._serve)
+        if not self.is_scheduled:
+            self.is_scheduled = True
+            self.loop.add_callback(self._drain_mailbox)
 
-    def _serve(self) -> None:
+    def _drain_mailbox(self) -> None:
         try:
             while self.mailbox:
                 message = self.mailbox.popleft()
                 try:
-                    self.take(message)
+                    self.handle_message(message)
                 except Exception:  # noqa: BLE001 - later messages still need their answers
-                    log.exception("fault on %s", type(message).__name__)
+                    logger.exception("fault on %s", type(message).__name__)
         finally:
-            self.running = False
+            self.is_scheduled = False
 
-    def take(self, message: Any) -> None:
+    def handle_message(self, message: Any) -> None:
         raise NotImplementedError
--- a/spanwing/adapter.py
+++ b/spanwing/adapter.py
@@ -11,9 +11,9 @@
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.settings import Options, settings_of
+from spanwing.settings import PlatformSettings, scheduler_settings
 
-RESULTS: dict[str, api.Result] = {
+RESULTS_BY_WIRE_NAME: dict[str, api.Result] = {
     "OK": "ok",
     "INTERNAL": "error",
     "RESOURCE_EXHAUSTED": "full",
@@ -23,43 +23,54 @@
     "CANCELLED": "cancelled",
     "TOO_LATE": "moot",
 }
-STATES: dict[str, api.State] = {"healthy": "healthy", "cordoned": "draining", "deregistered": "gone"}
-SCOPES = {"Complete": "complete", "Partial": "partial", "Persisted": "persisted", "Error": "error"}
+PHASES_BY_WIRE_NAME: dict[str, api.State] = {
+    "healthy": "healthy",
+    "cordoned": "draining",
+    "deregistered": "gone",
+}
+SCOPES_BY_WIRE_NAME = {
+    "Complete": "complete",
+    "Partial": "partial",
+    "Persisted": "persisted",
+    "Error": "error",
+}
 
 
 class FrameError(Exception):
     """The input breaks the framing."""
 
 
-def _report(values: list[float] | None) -> tuple[float, ...] | None:
+def _decode_report(values: list[float] | None) -> tuple[float, ...] | None:
     return None if values is None else tuple(values)
 
 
-def _membership(_: str, scope: str, version: int, records: list[list] | None = None, *rest: Any) -> api.Event:
+def _decode_membership(
+    _: str, scope: str, version: int, rows: list[list] | None = None, *rest: Any
+) -> api.Event:
     workers = tuple(
         api.Worker(
             id=each[6],
-            state=STATES[each[0]],
+            state=PHASES_BY_WIRE_NAME[each[0]],
             zone=each[1] or "",
             cell=each[2] or 0,
             weight=1.0 if each[3] is None else each[3],
             kind=each[4] or "",
             started=each[5] or 0.0,
         )
-        for each in records or ()
+        for each in rows or ()
     )
-    return api.WorkerList(SCOPES[scope], workers)
+    return api.WorkerList(SCOPES_BY_WIRE_NAME[scope], workers)
 
 
-def _submit(
+def _decode_submit(
     _: str,
-    rid: str,
+    request_id: str,
     memory: Any,
     slots: Any,
     hint: Any,
-    cls: str,
-    write: Any,
-    again: Any,
+    class_name: str,
+    is_write: Any,
+    is_repeat: Any,
     tenant: Any,
     deadline: float,
     key: Any = None,
@@ -67,8 +78,8 @@
     *rest: Any,
 ) -> api.Event:
     return api.Request(
-        rid,
-        cls,
+        request_id,
+        class_name,
         deadline,
         tenant or None,
         int(slots or 1),
@@ -79,30 +90,40 @@
     )
 
 
-def _returned(
+def _decode_returned(
     _: str,
-    rid: str,
+    request_id: str,
     elapsed: float,
     detail: Any,
-    trial: int,
+    attempt: int,
     worker: int,
-    how: str,
+    result_name: str,
     complete: bool,
     report: Any = None,
     *rest: Any,
 ) -> api.Event:
-    return api.Outcome(rid, trial, worker, RESULTS[how], bool(complete), elapsed, _report(report))
+    return api.Outcome(
+        request_id,
+        attempt,
+        worker,
+        RESULTS_BY_WIRE_NAME[result_name],
+        bool(complete),
+        elapsed,
+        _decode_report(report),
+    )
 
 
-def _pong(_: str, how: str, elapsed: float, worker: int, report: Any = None, *rest: Any) -> api.Event:
-    return api.ProbeResult(worker, RESULTS[how], elapsed, _report(report))
+def _decode_pong(
+    _: str, result_name: str, elapsed: float, worker: int, report: Any = None, *rest: Any
+) -> api.Event:
+    return api.ProbeResult(worker, RESULTS_BY_WIRE_NAME[result_name], elapsed, _decode_report(report))
 
 
-EVENTS: dict[str, Callable[..., api.Event]] = {
-    "Membership": _membership,
-    "Submit": _submit,
-    "Returned": _returned,
-    "Pong": _pong,
+EVENT_DECODERS: dict[str, Callable[..., api.Event]] = {
+    "Membership": _decode_membership,
+    "Submit": _decode_submit,
+    "Returned": _decode_returned,
+    "Pong": _decode_pong,
     "Datagram": lambda _, source, payload="", *rest: api.PeerMessage(source, payload),
     "Wakeup": lambda _, token, *rest: api.TimerDue(token),
     "AckFirst": lambda _, rid, trial, worker, *rest: api.StreamStarted(rid, trial, worker),
@@ -110,7 +131,7 @@
     "StatusNote": lambda _, rid, trial, worker, topic, *rest: api.Note(rid, trial, worker, topic == 1),
 }
 
-ACTIONS: dict[type, Callable[[str, Any], list]] = {
+ACTION_ENCODERS: dict[type, Callable[[str, Any], list]] = {
     api.Send: lambda node, a: ["CallOut", node, a.request, a.worker, a.timeout],
     api.Cancel: lambda node, a: ["CallOff", node, a.request, a.attempt],
     api.Refuse: lambda node, a: ["Deny", node, a.request, a.retry_after],
@@ -123,15 +144,15 @@
 }
 
 
-class Session:
+class AdapterSession:
     """The nodes hosted by this process and the batch being read."""
 
     def __init__(self) -> None:
-        self.nodes: dict[str, Dispatcher] = {}
-        self.now: float | None = None
-        self.reply: list[bytes] = []
+        self.schedulers: dict[str, Dispatcher] = {}
+        self.now_ms: float | None = None
+        self.reply_lines: list[bytes] = []
 
-    def feed(self, line: bytes) -> bytes | None:
+    def handle_line(self, line: bytes) -> bytes | None:
         """Take one input line; at the end of a batch, return the whole reply."""
         try:
             message = msgspec.json.decode(line)
@@ -139,60 +160,64 @@
         except (ValueError, LookupError, TypeError):
             raise FrameError("not a JSON array with a name") from None
         if name == "Sync":
-            if self.now is not None:
+            if self.now_ms is not None:
                 raise FrameError("Sync inside a batch")
             if len(message) < 2 or not isinstance(message[1], (int, float)):
                 raise FrameError("Sync without a clock")
-            self.now, self.reply = message[1], []
-        elif self.now is None:
+            self.now_ms, self.reply_lines = message[1], []
+        elif self.now_ms is None:
             raise FrameError(f"{name} outside a batch")
         elif name == "Go":
-            reply, self.now = self.reply, None
+            reply, self.now_ms = self.reply_lines, None
             return b"\n".join([*reply, b'["Eor"]', b""])
         else:
-            self._event(name, message)
+            self._handle_message(name, message)
         return None
 
-    def _event(self, name: str, message: list) -> None:
+    def _handle_message(self, name: str, message: list) -> None:
         if name == "CrashNow" and len(message) > 1:
-            self.nodes.pop(message[1], None)
+            self.schedulers.pop(message[1], None)
         elif name == "Init" and len(message) > 3:
-            node, seed, options = message[1:4]
-            now = self.now
+            node_name, seed, options = message[1:4]
+            now_ms = self.now_ms
 
-            def start() -> None:
-                self.nodes[node] = Dispatcher(settings_of(msgspec.convert(options, Options)), seed, now)
+            def create_scheduler() -> None:
+                self.schedulers[node_name] = Dispatcher(
+                    scheduler_settings(msgspec.convert(options, PlatformSettings)), seed, now_ms
+                )
 
-            self._guard(node, start)
-        elif name in EVENTS:
+            self._run_guarded(node_name, create_scheduler)
+        elif name in EVENT_DECODERS:
             try:
-                event = EVENTS[name](*message[1:])
-                dispatcher = self.nodes.get(message[1])
+                event = EVENT_DECODERS[name](*message[1:])
+                scheduler = self.schedulers.get(message[1])
             except (TypeError, LookupError, ValueError) as error:
                 raise FrameError(f"malformed {name}: {error}") from None
-            if dispatcher is not None:
-                self._guard(message[1], lambda: dispatcher.handle(self.now, event))
+            if scheduler is not None:
+                self._run_guarded(message[1], lambda: scheduler.handle(self.now_ms, event))
         elif name in ("CrashNow", "Init"):
             raise FrameError(f"malformed {name}: too short")
 
-    def _guard(self, node: str, decide: Callable[[], list[api.Action] | None]) -> None:
+    def _run_guarded(self, node_name: str, decide: Callable[[], list[api.Action] | None]) -> None:
         """A fault in a decision ends the day with its text; it is never swallowed."""
         try:
             for action in decide() or ():
-                self.reply.append(msgspec.json.encode(ACTIONS[type(action)](node, action)))
+                self.reply_lines.append(msgspec.json.encode(ACTION_ENCODERS[type(action)](node_name, action)))
         except Exception as error:  # noqa: BLE001 - reported on the wire, with the traceback on stderr
             traceback.print_exc(file=sys.stderr)
-            self.reply.append(msgspec.json.encode(["Die", node, f"{type(error).__name__}: {error}"]))
+            self.reply_lines.append(
+                msgspec.json.encode(["Die", node_name, f"{type(error).__name__}: {error}"])
+            )
 
 
-def run(source: BinaryIO, sink: BinaryIO) -> int:
+def serve(source: BinaryIO, sink: BinaryIO) -> int:
     """Serve the wire until the input ends."""
-    session = Session()
+    session = AdapterSession()
     for number, line in enumerate(source, 1):
         if not line.strip():
             continue
         try:
-            reply = session.feed(line)
+            reply = session.handle_line(line)
         except FrameError as error:
             print(f"line {number}: {error}", file=sys.stderr)
             return 2
@@ -203,4 +228,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(sys.stdin.buffer, sys.stdout.buffer))
+    sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer))
--- a/spanwing/cli/check.py
+++ b/spanwing/cli/check.py
@@ -6,25 +6,35 @@
 import re
 from typing import NamedTuple
 
-from spanwing.config import CHECK_SOCKETS, MIN_CORES, MIN_MB, MIN_SOCKETS, load, read_fronts
-from spanwing.faults import Faults
+from spanwing.config import (
+    MIN_CORES,
+    MIN_MEMORY_MB,
+    MIN_SOCKETS,
+    SOCKETS_PER_CHECK_LISTENER,
+    load_configuration,
+    read_operator_file,
+)
+from spanwing.faults import ErrorCollector
 from spanwing.frontsfile import (
-    LEAST_LEASE_MS,
-    Fronts,
-    balancers_of,
-    journal_of,
-    log_of,
-    opened,
-    policy_of,
-    proxied_of,
-    store_of,
-    zones_of,
+    MIN_LEASE_MS,
+    OperatorFile,
+    check_balancers,
+    check_journal,
+    check_log,
+    check_policy,
+    check_proxy_protocol,
+    check_store,
+    check_zones,
+    parse_listen_address,
 )
 
 #: By the setting's name, first match: what to do about it.
-MEND = (
-    (r"limits\.sockets", f"give it {MIN_SOCKETS}, and {CHECK_SOCKETS} for each listener for balancers"),
-    (r"limits\.memory_mb", f"give it {MIN_MB} MB or more"),
+REMEDIES = (
+    (
+        r"limits\.sockets",
+        f"give it {MIN_SOCKETS}, and {SOCKETS_PER_CHECK_LISTENER} for each listener for balancers",
+    ),
+    (r"limits\.memory_mb", f"give it {MIN_MEMORY_MB} MB or more"),
     (r"limits\.cores", f"give it {MIN_CORES} of a core or more"),
     (
         r".*(listen|LISTEN|DISCOVERY|discovery)|store\.peers\..*|zones\.members\..*",
@@ -43,7 +53,7 @@
     (r"log\.per_second", "5 lines of one event in a second suit most"),
     (r"balancers\.?.*", "leave the setting out for its default; see docs/operators/balancers.md"),
     (r"zones\.members", "list every member of the store by its store.member, the same at all schedulers"),
-    (r"zones\.lease_ms", f"{LEAST_LEASE_MS:g} or more: a scheduler renews three times within it"),
+    (r"zones\.lease_ms", f"{MIN_LEASE_MS:g} or more: a scheduler renews three times within it"),
     (r"policy\.directory", "name a folder of this scheduler's own, on a disk that lasts"),
     (r"policy\.away_ms", "from zones.lease_ms to a day: a change waits so long for one without contact"),
     (r"policy", "add [zones] with members; leave ROUTER_FD out"),
@@ -52,41 +62,43 @@
     (r"store.*", "see the store's table in README.md"),
     (r"ROUTER_CONFIG|SPANWING_FRONTS", "name a file that is there and has the form that README.md describes"),
 )
-UNKNOWN = "remove it, or correct its spelling"
+UNKNOWN_SETTING_REMEDY = "remove it, or correct its spelling"
 
 
-class Fault(NamedTuple):
+class ConfigurationFault(NamedTuple):
     setting: str
-    fault: str
-    mend: str
+    problem: str
+    remedy: str
 
 
-def check(config: str | None, fronts: str | None) -> list[Fault]:
+def check_configuration(config: str | None, operator_file: str | None) -> list[ConfigurationFault]:
     """Look at the platform's file, the fronts file, or both; an empty list if all is well."""
-    faults = Faults(collect=True)
+    errors = ErrorCollector(collects_all=True)
     environment = dict(os.environ)
-    if fronts:
-        environment["SPANWING_FRONTS"] = fronts
+    if operator_file:
+        environment["SPANWING_FRONTS"] = operator_file
     if config:
         environment["ROUTER_CONFIG"] = config
-        load(environment, faults=faults)
+        load_configuration(environment, errors=errors)
     else:
-        table = read_fronts(environment.get("SPANWING_FRONTS"), faults) or Fronts()
-        balancers_of(table, faults)
-        proxied_of(table.proxy, faults)
-        log_of(table.log, faults)
-        store_of(table.store, faults)
-        journal_of(table.journal, faults)
-        policy_of(table.policy, zones_of(table.zones, table.store, faults), faults)
-        opened("faktory", table.faktory, faults)
-    return [Fault(setting, fault, mend(setting, fault)) for setting, fault in faults.found]
+        table = read_operator_file(environment.get("SPANWING_FRONTS"), errors) or OperatorFile()
+        check_balancers(table, errors)
+        check_proxy_protocol(table.proxy, errors)
+        check_log(table.log, errors)
+        check_store(table.store, errors)
+        check_journal(table.journal, errors)
+        check_policy(table.policy, check_zones(table.zones, table.store, errors), errors)
+        parse_listen_address("faktory", table.faktory, errors)
+    return [
+        ConfigurationFault(setting, fault, remedy_for(setting, fault)) for setting, fault in errors.errors
+    ]
 
 
-def mend(setting: str, fault: str) -> str:
-    if fault.startswith("unknown"):
-        return UNKNOWN
-    if fault.startswith("Invalid enum"):
+def remedy_for(setting: str, problem: str) -> str:
+    if problem.startswith("unknown"):
+        return UNKNOWN_SETTING_REMEDY
+    if problem.startswith("Invalid enum"):
         return "plain, keys and json are possible" if setting == "log.form" else "correct its spelling"
-    if fault == "is missing":
+    if problem == "is missing":
         return "add it"
-    return next((text for pattern, text in MEND if re.fullmatch(pattern, setting)), "correct the value")
+    return next((text for pattern, text in REMEDIES if re.fullmatch(pattern, setting)), "correct the value")
--- a/spanwing/cli/client.py
+++ b/spanwing/cli/client.py
@@ -13,53 +13,53 @@
 from pathlib import Path
 from typing import Any
 
-from spanwing.frontsfile import FILE
+from spanwing.frontsfile import DEFAULT_OPERATOR_FILE
 
-WAIT_S = 5.0
-LONGEST = 1 << 20
+REPLY_TIMEOUT_S = 5.0
+MAX_REPLY_BYTES = 1 << 20
 
 
-class Unreachable(Exception):
+class DaemonUnreachableError(Exception):
     """No daemon answers there."""
 
 
-class Refused(Exception):
+class CommandRefusedError(Exception):
     """The daemon answered that it will not, and why."""
 
 
-def socket_path(given: str | None, fronts: str | None) -> str:
+def socket_path(explicit_path: str | None, operator_file: str | None) -> str:
     """From the flag, else SPANWING_ADMIN (click reads both), else the fronts file's admin.socket."""
-    if given:
-        return given
-    file = Path(fronts or os.environ.get("SPANWING_FRONTS") or FILE)
+    if explicit_path:
+        return explicit_path
+    file = Path(operator_file or os.environ.get("SPANWING_FRONTS") or DEFAULT_OPERATOR_FILE)
     try:
         table = tomllib.loads(file.read_text()).get("admin", {})
     except (OSError, ValueError) as error:
-        raise Unreachable(f"no --socket was given, and {file} cannot be read: {error}") from None
+        raise DaemonUnreachableError(f"no --socket was given, and {file} cannot be read: {error}") from None
     if not table.get("socket"):
-        raise Unreachable(f"no --socket was given, and {file} has no [admin] table with a socket")
+        raise DaemonUnreachableError(f"no --socket was given, and {file} has no [admin] table with a socket")
     return table["socket"]
 
 
-def replies(path: str, **ask: Any) -> Iterator[dict[str, Any]]:
+def stream_replies(path: str, **ask: Any) -> Iterator[dict[str, Any]]:
     """The replies to one command, as they come."""
     try:
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as admin:
-            admin.settimeout(WAIT_S)
-            admin.connect(path)
-            admin.sendall(json.dumps(ask).encode() + b"\n")
-            with admin.makefile("rb") as file:
-                while line := file.readline(LONGEST):
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as admin_socket:
+            admin_socket.settimeout(REPLY_TIMEOUT_S)
+            admin_socket.connect(path)
+            admin_socket.sendall(json.dumps(ask).encode() + b"\n")
+            with admin_socket.makefile("rb") as file:
+                while line := file.readline(MAX_REPLY_BYTES):
                     reply = json.loads(line)
                     if not reply.pop("ok"):
-                        raise Refused(reply["error"])
+                        raise CommandRefusedError(reply["error"])
                     yield reply
     except (OSError, ValueError) as error:
-        raise Unreachable(f"{path}: {getattr(error, 'strerror', None) or error}") from None
+        raise DaemonUnreachableError(f"{path}: {getattr(error, 'strerror', None) or error}") from None
 
 
-def ask(path: str, **what: Any) -> dict[str, Any]:
+def send_command(path: str, **what: Any) -> dict[str, Any]:
     """One command, one reply."""
-    for reply in replies(path, **what):
+    for reply in stream_replies(path, **what):
         return reply
-    raise Unreachable(f"{path}: closed without a reply")
+    raise DaemonUnreachableError(f"{path}: closed without a reply")
--- a/spanwing/cli/experiment.py
+++ b/spanwing/cli/experiment.py
@@ -9,25 +9,25 @@
 
 import click
 
-from spanwing.experiment.compare import differences
+from spanwing.experiment.compare import compare_columns
 from spanwing.experiment.matrix import read_plan
-from spanwing.experiment.matrix import run as play
-from spanwing.experiment.score import COMPARED
-from spanwing.faults import ConfigError
+from spanwing.experiment.matrix import run_experiment as play
+from spanwing.experiment.score import COMPARABLE_FIGURES
+from spanwing.faults import ConfigurationError
 
-FAULTY = 1
+EXIT_FAULTY = 1
 
 
-class Closing(click.ClickException):
-    exit_code = FAULTY
+class ExperimentCommandFailed(click.ClickException):
+    exit_code = EXIT_FAULTY
 
 
-def rows_of(folder: Path) -> tuple[str, list[dict[str, Any]]]:
+def read_rows(folder: Path) -> tuple[str, list[dict[str, Any]]]:
     try:
-        found = json.loads((folder / "rows.json").read_text())
+        stored = json.loads((folder / "rows.json").read_text())
     except (OSError, ValueError) as error:
-        raise Closing(f"{folder}: no finished experiment: {error}") from None
-    return found["name"], found["rows"]
+        raise ExperimentCommandFailed(f"{folder}: no finished experiment: {error}") from None
+    return stored["name"], stored["rows"]
 
 
 @click.group()
@@ -51,24 +51,24 @@
     "load.level" = 0.8), builds (`here`, or revisions whose decisions are played).
     """
     try:
-        wanted = read_plan(plan)
-        bar = None
-
-        def told(there: int, of: int) -> None:
-            nonlocal bar
-            if bar is None:
-                bar = click.progressbar(length=of, label=wanted.name)
-                bar.__enter__()
-            bar.update(there - bar.pos)
-
-        rows = play(wanted, out, lanes, told)
-        if bar is not None:
-            bar.__exit__(None, None, None)
-    except (ConfigError, RuntimeError) as error:
-        raise Closing(str(error)) from None
-    part = out / "rows.part"
-    part.write_text(json.dumps({"name": wanted.name, "rows": rows}))
-    part.replace(out / "rows.json")
+        matrix = read_plan(plan)
+        progress_bar = None
+
+        def show_progress(there: int, of: int) -> None:
+            nonlocal progress_bar
+            if progress_bar is None:
+                progress_bar = click.progressbar(length=of, label=matrix.name)
+                progress_bar.__enter__()
+            progress_bar.update(there - progress_bar.pos)
+
+        rows = play(matrix, out, lanes, show_progress)
+        if progress_bar is not None:
+            progress_bar.__exit__(None, None, None)
+    except (ConfigurationError, RuntimeError) as error:
+        raise ExperimentCommandFailed(str(error)) from None
+    partial_file = out / "rows.part"
+    partial_file.write_text(json.dumps({"name": matrix.name, "rows": rows}))
+    partial_file.replace(out / "rows.json")
     click.echo(f"{len(rows)} cells in {out}; next: spanwing experiment report {out}")
 
 
@@ -76,11 +76,11 @@
 @click.argument("folder", type=click.Path(path_type=Path))
 def report(folder: Path) -> None:
     """Write report.html and rows.parquet into FOLDER."""
-    from spanwing.experiment.report import page, parquet
+    from spanwing.experiment.report import render_page, write_parquet
 
-    name, rows = rows_of(folder)
-    (folder / "report.html").write_text(page(name, rows))
-    parquet(rows, folder / "rows.parquet")
+    name, rows = read_rows(folder)
+    (folder / "report.html").write_text(render_page(name, rows))
+    write_parquet(rows, folder / "rows.parquet")
     click.echo(f"{folder / 'report.html'}, {folder / 'rows.parquet'}")
 
 
@@ -95,21 +95,22 @@
     "--figure",
     "figures",
     multiple=True,
-    type=click.Choice(sorted(COMPARED)),
+    type=click.Choice(sorted(COMPARABLE_FIGURES)),
     help="This one, and others so named [default: all].",
 )
 def compare(folder: Path, a: str, b: str, by: str, figures: tuple[str, ...]) -> None:
     """Say whether column B differs from column A, by a paired bootstrap over seeds."""
-    _, rows = rows_of(folder)
-    known = sorted({row[by] for row in rows})
+    _, rows = read_rows(folder)
+    known_columns = sorted({row[by] for row in rows})
     for each in (a, b):
-        if each not in known:
-            raise click.UsageError(f"{each!r} is no {by} here: {', '.join(known)}")
+        if each not in known_columns:
+            raise click.UsageError(f"{each!r} is no {by} here: {', '.join(known_columns)}")
     if by == "scenario":  # pairs are of the same seed then
         rows = [{**row, "scenario": "", "was": row["scenario"]} for row in rows]
         by = "was"
-    for each in differences(rows, {by: a}, {by: b}, list(figures or COMPARED)):
+    for each in compare_columns(rows, {by: a}, {by: b}, list(figures or COMPARABLE_FIGURES)):
         click.echo(
-            f"{each.figure:<9} {a} {each.a:.4g}, {b} {each.b:.4g}: {each.mean:+.4g} "
-            f"({each.low:+.4g} to {each.high:+.4g}, {each.pairs} pairs): {each.verdict}"
+            f"{each.figure:<9} {a} {each.mean_a:.4g}, {b} {each.mean_b:.4g}: {each.mean_difference:+.4g} "
+            f"({each.interval_low:+.4g} to {each.interval_high:+.4g}, {each.pair_count} pairs): "
+            f"{each.verdict}"
         )
--- a/spanwing/cli/journal.py
+++ b/spanwing/cli/journal.py
@@ -15,56 +15,57 @@
 import click
 import msgspec
 
-from spanwing.frontsfile import FILE, Fronts
-from spanwing.journal.book import Book
-from spanwing.journal.files import Folder, InUse
-from spanwing.journal.frames import Frame, Skipped
-from spanwing.journal.query import FIELDS, Plan, QueryError, parse
-from spanwing.journal.repair import steps, take
-from spanwing.journal.rows import Row, rows_of
-
-FAULTY, NOTHING = 1, 1
-TAIL_S = 0.2
-BATCH = 10_000  # rows of a Parquet group
-TIMES = ("time", "intent", "last_byte", "answered")
-
-
-class Closing(click.ClickException):
+from spanwing.frontsfile import DEFAULT_OPERATOR_FILE, OperatorFile
+from spanwing.journal.book import JournalReader
+from spanwing.journal.files import FolderInUseError, LocalFolder
+from spanwing.journal.frames import DamagedBytes, RecordFrame
+from spanwing.journal.query import FIELDS, QueryError, QueryPlan, parse_query
+from spanwing.journal.records import RECORD_KINDS
+from spanwing.journal.repair import apply_step, plan_repair
+from spanwing.journal.rows import AttemptRow, attempt_rows
+
+EXIT_FAULTY, EXIT_NOT_FOUND = 1, 1
+TAIL_INTERVAL_S = 0.2
+PARQUET_BATCH_ROWS = 10_000  # rows of a Parquet group
+TIME_FIELDS = ("time", "intent", "last_byte", "answered")
+
+
+class JournalCommandFailed(click.ClickException):
     """A fault told in one line."""
 
-    exit_code = FAULTY
+    exit_code = EXIT_FAULTY
 
 
-def folder_of(directory: str | None, fronts: str | None) -> str:
+def find_journal_directory(directory: str | None, operator_file: str | None) -> str:
     """From the flag, else the fronts file's journal.directory."""
     if directory:
         return directory
-    file = Path(fronts or FILE)
+    file = Path(operator_file or DEFAULT_OPERATOR_FILE)
     try:
-        table = msgspec.toml.decode(file.read_bytes(), type=Fronts).journal
+        table = msgspec.toml.decode(file.read_bytes(), type=OperatorFile).journal
     except (OSError, ValueError) as error:
-        raise Closing(f"no --directory was given, and {file} cannot be read: {error}") from None
+        raise JournalCommandFailed(f"no --directory was given, and {file} cannot be read: {error}") from None
     if table is None:
-        raise Closing(f"no --directory was given, and {file} has no [journal] table")
+        raise JournalCommandFailed(f"no --directory was given, and {file} has no [journal] table")
     return table.directory
 
 
-def book_of(directory: str | None, fronts: str | None) -> Book:
+def open_journal(directory: str | None, operator_file: str | None) -> JournalReader:
     try:
-        return Book(folder_of(directory, fronts))
+        return JournalReader(find_journal_directory(directory, operator_file))
     except OSError as error:
-        raise Closing(str(error)) from None
+        raise JournalCommandFailed(str(error)) from None
 
 
-def plan_of(expression: str) -> Plan:
+def parse_expression(expression: str) -> QueryPlan:
     try:
-        return parse(expression, time.time() * 1000.0)
+        return parse_query(expression, time.time() * 1000.0)
     except QueryError as error:
         mark = " " * (error.column - 1) + "^"
         raise click.UsageError(f"{error}\n    {expression[:200]}\n    {mark[:200]}") from None
 
 
-def stamp(wall_ms: float | None) -> str:
+def format_time(wall_ms: float | None) -> str:
     return (
         "-"
         if wall_ms is None
@@ -72,16 +73,17 @@
     )
 
 
-def plain(row: Row) -> dict[str, Any]:
+def row_as_json(row: AttemptRow) -> dict[str, Any]:
     """As JSON has it; times in ISO 8601."""
     values = row._asdict()
     values["class"] = values.pop("cls")
     return {
-        name: stamp(value) if name in TIMES and value is not None else value for name, value in values.items()
+        name: format_time(value) if name in TIME_FIELDS and value is not None else value
+        for name, value in values.items()
     }
 
 
-def show_rows(rows: Iterable[Row], as_json: bool, limit: int) -> int:
+def show_rows(rows: Iterable[AttemptRow], as_json: bool, limit: int) -> int:
     """Returns how many were shown."""
     shown = 0
     for row in rows:
@@ -90,14 +92,14 @@
             break
         shown += 1
         if as_json:
-            click.echo(json.dumps(plain(row)))
+            click.echo(json.dumps(row_as_json(row)))
         else:
             attempt = "" if row.attempt is None else f"#{row.attempt} {row.worker} {row.address}"
-            ended = row.result or row.given_up or ("left open by a crash" if row.closed else "")
+            outcome = row.result or row.given_up or ("left open by a crash" if row.closed else "")
             answer = row.answer or "no answer"
             click.echo(
-                f"{stamp(row.intent or row.time)}  {row.state:<13}  {row.cls}  {row.request}  "
-                f"{attempt}  {ended}  {answer}".rstrip()
+                f"{format_time(row.intent or row.time)}  {row.state:<13}  {row.cls}  {row.request}  "
+                f"{attempt}  {outcome}  {answer}".rstrip()
             )
     return shown
 
@@ -125,8 +127,8 @@
 @limit_option
 def list_(directory: str | None, fronts: str | None, as_json: bool, limit: int) -> None:
     """All attempts that are possibly sent or sent and not known to have ended."""
-    plan = plan_of("state in ('possibly sent', sent) and result = '' ")
-    show_rows(book_of(directory, fronts).rows(plan), as_json, limit)
+    plan = parse_expression("state in ('possibly sent', sent) and result = '' ")
+    show_rows(open_journal(directory, fronts).find_rows(plan), as_json, limit)
 
 
 @journal.command()
@@ -136,13 +138,13 @@
 @json_option
 def show(request: str, directory: str | None, fronts: str | None, as_json: bool) -> None:
     """Everything that is known of one REQUEST; exit status 1 if that is nothing."""
-    found = book_of(directory, fronts).request(request)
+    found = open_journal(directory, fronts).find_request(request)
     if found is None:
         click.echo(f"{request}: not in the journal", err=True)
-        raise SystemExit(NOTHING)
+        raise SystemExit(EXIT_NOT_FOUND)
     if not as_json:
-        click.echo(f"{request}: {found.finding}")
-    show_rows(rows_of(found), as_json, 0)
+        click.echo(f"{request}: {found.delivery_state}")
+    show_rows(attempt_rows(found), as_json, 0)
 
 
 @journal.command(
@@ -156,7 +158,7 @@
 @limit_option
 def query(expression: str, directory: str | None, fronts: str | None, as_json: bool, limit: int) -> None:
     """All attempts that match EXPRESSION, as: class = schedule-apply and worker = w3 and time > -2h."""
-    show_rows(book_of(directory, fronts).rows(plan_of(expression)), as_json, limit)
+    show_rows(open_journal(directory, fronts).find_rows(parse_expression(expression)), as_json, limit)
 
 
 @journal.command()
@@ -166,30 +168,30 @@
 @fronts_option
 def tail(follow: bool, count: int, directory: str | None, fronts: str | None) -> None:
     """The last records, as they stand."""
-    book, last = book_of(directory, fronts), 0
-    kept: list[Frame] = []
-    for _, each in book.frames():
-        if isinstance(each, Frame):
-            kept = [*kept, each][-count:] if count else []
+    book, last = open_journal(directory, fronts), 0
+    last_records: list[RecordFrame] = []
+    for _, each in book.read_frames():
+        if isinstance(each, RecordFrame):
+            last_records = [*last_records, each][-count:] if count else []
             last = each.number
-    for each in kept:
-        _echo(each)
+    for each in last_records:
+        print_record(each)
     while follow:
-        time.sleep(TAIL_S)
-        for _, each in book.frames(last):
-            if isinstance(each, Frame):
+        time.sleep(TAIL_INTERVAL_S)
+        for _, each in book.read_frames(last):
+            if isinstance(each, RecordFrame):
                 last = each.number
-                _echo(each)
+                print_record(each)
 
 
-def _echo(frame: Frame) -> None:
+def print_record(frame: RecordFrame) -> None:
     record = frame.record
     click.echo(
         json.dumps(
             {
                 "number": frame.number,
-                "record": type(record).__name__.lower(),
-                "time": stamp(record.wall_ms),
+                "record": RECORD_KINDS[type(record)],
+                "time": format_time(record.wall_ms),
                 **msgspec.structs.asdict(record),
             }
         )
@@ -202,21 +204,21 @@
 @fronts_option
 def verify(directory: str | None, fronts: str | None) -> None:
     """Read everything; exit status 1 if a record that was acknowledged is missing or damaged."""
-    book, whole, bad = book_of(directory, fronts), 0, 0
-    for segment, each in book.frames():
-        if isinstance(each, Skipped):
-            harmless = book.harmless(each)
-            bad += not harmless
+    book, intact, faulty = open_journal(directory, fronts), 0, 0
+    for segment, each in book.read_frames():
+        if isinstance(each, DamagedBytes):
+            harmless = book.is_harmless(each)
+            faulty += not harmless
             click.echo(f"{segment}: {each.reason}{' (a crash leaves that)' if harmless else ''}")
         else:
-            whole += 1
-    gaps = list(book.gaps())
+            intact += 1
+    gaps = list(book.read_gaps())
     for gap in gaps:
-        span = f"from {stamp(gap.since_wall_ms)} to {stamp(gap.wall_ms)}"
+        span = f"from {format_time(gap.since_wall_ms)} to {format_time(gap.wall_ms)}"
         click.echo(f"gap of {gap.count} records {span}: {gap.why}")
-    click.echo(f"{whole} whole records, {bad} faults, {len(gaps)} gaps")
-    if bad:
-        raise SystemExit(FAULTY)
+    click.echo(f"{intact} whole records, {faulty} faults, {len(gaps)} gaps")
+    if faulty:
+        raise SystemExit(EXIT_FAULTY)
 
 
 @journal.command()
@@ -225,23 +227,23 @@
 @fronts_option
 def repair(dry_run: bool, directory: str | None, fronts: str | None) -> None:
     """Set damaged files aside and keep every whole record; the daemon must not run."""
-    path = folder_of(directory, fronts)
+    path = find_journal_directory(directory, fronts)
     try:
-        files = Folder(path, write=not dry_run)
-    except InUse as error:
-        raise Closing(f"{error}: stop the daemon first") from None
+        folder = LocalFolder(path, for_writing=not dry_run)
+    except FolderInUseError as error:
+        raise JournalCommandFailed(f"{error}: stop the daemon first") from None
     except OSError as error:
-        raise Closing(f"{path}: {error.strerror}") from None
+        raise JournalCommandFailed(f"{path}: {error.strerror}") from None
     try:
         count = 0
-        for step in list(steps(files)):
-            count += step.what != "leave"
-            click.echo(f"{step.file}: {step.what}: {step.why}")
+        for step in list(plan_repair(folder)):
+            count += step.action != "leave"
+            click.echo(f"{step.file_name}: {step.action}: {step.reason}")
             if not dry_run:
-                take(files, step)
+                apply_step(folder, step)
         click.echo(f"{count} step{'s' if count != 1 else ''} {'to do' if dry_run else 'done'}")
     finally:
-        files.stop()
+        folder.close_all()
 
 
 @journal.command()
@@ -256,19 +258,19 @@
     """All attempts that match EXPRESSION, by default all there are, for other programs."""
     if form == "parquet" and out is None:
         raise click.UsageError("--out is needed for parquet")
-    rows = book_of(directory, fronts).rows(plan_of(expression))
+    rows = open_journal(directory, fronts).find_rows(parse_expression(expression))
     if form == "parquet":
-        count = _parquet(rows, out)
+        count = _write_parquet(rows, out)
     else:
         with open(out, "w", newline="") if out else click.get_text_stream("stdout") as file:
-            count = _lines(rows, form, file)
+            count = _write_text(rows, form, file)
     click.echo(f"{count} rows", err=True)
 
 
-def _lines(rows: Iterator[Row], form: str, file: Any) -> int:
+def _write_text(rows: Iterator[AttemptRow], form: str, file: Any) -> int:
     count, writer = 0, None
     for count, row in enumerate(rows, 1):  # noqa: B007 - the count is what is wanted
-        values = plain(row)
+        values = row_as_json(row)
         if form == "jsonl":
             file.write(json.dumps(values) + "\n")
             continue
@@ -279,20 +281,20 @@
     return count
 
 
-def _parquet(rows: Iterator[Row], out: Path) -> int:
+def _write_parquet(rows: Iterator[AttemptRow], out: Path) -> int:
     import pyarrow as pa
     import pyarrow.parquet as pq
 
-    types = {name: pa.string() for name in Row._fields}
-    types |= {name: pa.timestamp("ms", tz="UTC") for name in TIMES}
+    types = {name: pa.string() for name in AttemptRow._fields}
+    types |= {name: pa.timestamp("ms", tz="UTC") for name in TIME_FIELDS}
     types |= {"attempt": pa.int32(), "closed": pa.bool_()}
     schema = pa.schema([("class" if name == "cls" else name, each) for name, each in types.items()])
     count, batch = 0, []
     with pq.ParquetWriter(out, schema) as writer:
 
         def flush() -> None:
-            columns = {name: [getattr(row, name) for row in batch] for name in Row._fields}
-            for name in TIMES:
+            columns = {name: [getattr(row, name) for row in batch] for name in AttemptRow._fields}
+            for name in TIME_FIELDS:
                 columns[name] = [None if each is None else int(each) for each in columns[name]]
             columns["class"] = columns.pop("cls")
             writer.write_table(pa.table({name: columns[name] for name in schema.names}, schema=schema))
@@ -300,7 +302,7 @@
         for row in rows:
             batch.append(row)
             count += 1
-            if len(batch) >= BATCH:
+            if len(batch) >= PARQUET_BATCH_ROWS:
                 flush()
                 batch = []
         flush()
@@ -313,11 +315,11 @@
 @click.option("--json", "as_json", is_flag=True)
 def stats(directory: str | None, fronts: str | None, as_json: bool) -> None:
     """Counts by class and state, and the size on disk."""
-    book = book_of(directory, fronts)
+    book = open_journal(directory, fronts)
     counts: Counter[tuple[str, str]] = Counter()
-    for request in book.requests():
-        counts.update((row.cls, row.state) for row in rows_of(request))
-    sizes = book.sizes()
+    for request in book.read_requests():
+        counts.update((row.cls, row.state) for row in attempt_rows(request))
+    sizes = book.segment_sizes()
     if as_json:
         click.echo(
             json.dumps(
@@ -332,6 +334,6 @@
             )
         )
         return
-    for (cls, state), count in sorted(counts.items()):
-        click.echo(f"{cls or '-'}  {state}  {count}")
+    for (class_name, state), count in sorted(counts.items()):
+        click.echo(f"{class_name or '-'}  {state}  {count}")
     click.echo(f"{len(sizes)} segments, {sum(size for *_, size in sizes) / 1e6:.1f} MB")
--- a/spanwing/cli/load.py
+++ b/spanwing/cli/load.py
@@ -9,16 +9,16 @@
 
 import click
 
-from spanwing.faults import Faults
-from spanwing.load.openloop import OpenLoop, Report
-from spanwing.world.clients import Clients
-from spanwing.world.scenario import load as load_scenario
-from spanwing.world.streams import Streams
+from spanwing.faults import ErrorCollector
+from spanwing.load.openloop import LoadTestResult, OpenLoopGenerator
+from spanwing.world.clients import ClientModel
+from spanwing.world.scenario import load_scenario as load_scenario
+from spanwing.world.streams import RandomStreams
 
-FAULTY, BROKEN = 1, 1
+EXIT_FAULTY, EXIT_BROKEN = 1, 1
 
 
-def place_of(text: str) -> tuple[str, int]:
+def parse_place(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise click.UsageError(f"{text!r} is no HOST:PORT")
@@ -56,32 +56,32 @@
     Latencies count from when a request was due: a scheduler that stalls is charged for all that came
     meanwhile. Exit status 1 where an answer was missing or broken.
     """
-    faults = Faults(collect=True)
-    made = load_scenario(scenario, faults)
-    if made is None:
-        for place, fault in faults.found:
+    faults = ErrorCollector(collects_all=True)
+    parsed = load_scenario(scenario, faults)
+    if parsed is None:
+        for place, fault in faults.errors:
             click.echo(f"{place}: {fault}", err=True)
-        raise SystemExit(FAULTY)
-    plan = made.plan(seed)
-    spec = plan.load._replace(rate=rate or plan.load.rate)
-    clients = Clients(spec, plan.classes, plan.brands, Streams(seed))
-    wanted = iter(clients.next, None)
+        raise SystemExit(EXIT_FAULTY)
+    plan = parsed.build_plan(seed)
+    load_spec = plan.load._replace(rate=rate or plan.load.rate)
+    clients = ClientModel(load_spec, plan.classes, plan.tenants, RandomStreams(seed))
+    requests = iter(clients.next_request, None)
 
-    async def run() -> Report:
-        return await OpenLoop([place_of(each) for each in places], secrets.token_hex(4), most).run(
-            itertools.chain(wanted), seconds or made.seconds
-        )
+    async def run() -> LoadTestResult:
+        return await OpenLoopGenerator(
+            [parse_place(each) for each in places], secrets.token_hex(4), most
+        ).run(itertools.chain(requests), seconds or parsed.seconds)
 
     report = asyncio.run(run())
     if as_json:
         click.echo(json.dumps({**report._asdict(), "warning": report.warning}))
     else:
-        show(report)
+        print_report(report)
     if report.kinds.get("broken"):
-        raise SystemExit(BROKEN)
+        raise SystemExit(EXIT_BROKEN)
 
 
-def show(report: Report) -> None:
+def print_report(report: LoadTestResult) -> None:
     click.echo(
         f"{report.asked} requests in {report.seconds:.1f} s: "
         + ", ".join(f"{count} {kind}" for kind, count in sorted(report.kinds.items()))
--- a/spanwing/cli/main.py
+++ b/spanwing/cli/main.py
@@ -16,10 +16,10 @@
 import click
 
 from spanwing.cli import client
-from spanwing.cli.check import check as check_files
+from spanwing.cli.check import check_configuration as check_files
 
-REFUSED, UNREACHED, NOT_WITHIN = 1, 3, 4
-LOOK_S = 0.1
+EXIT_REFUSED, EXIT_UNREACHABLE, EXIT_DRAIN_TIMEOUT = 1, 3, 4
+POLL_INTERVAL_S = 0.1
 
 socket_option = click.option(
     "--socket",
@@ -42,21 +42,23 @@
 )
 
 
-class Lazy(click.Group):
+class LazyGroup(click.Group):
     """Some commands are loaded when asked for: the daemon, which `serve` runs, has no use for them."""
 
-    later = ("experiment", "journal", "load", "policy", "zones")
+    lazy_commands = ("experiment", "journal", "load", "policy", "zones")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), *self.later])
+        return sorted([*super().list_commands(ctx), *self.lazy_commands])
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
-        if name in self.later:
+        if name in self.lazy_commands:
             return getattr(import_module(f"spanwing.cli.{name}"), name)
         return super().get_command(ctx, name)
 
 
-@click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.group(
+    cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100}
+)
 @click.version_option(package_name="spanwing", prog_name="spanwing")
 def cli() -> None:
     """A job scheduler for building-control jobs.
@@ -88,13 +90,15 @@
     CONFIG is the platform's JSON file, which is checked together with the fronts file; or a fronts file
     alone, by its ending .toml.
     """
-    alone = config.endswith(".toml")
-    found = check_files(None if alone else config, config if alone else fronts)
-    for setting, fault, mend in found:
-        click.echo(f"{setting}: {fault}\n    to mend it: {mend}", err=True)
-    if found:
-        click.echo(f"{len(found)} fault{'s' if len(found) > 1 else ''} in {config}", err=True)
-        raise SystemExit(REFUSED)
+    is_operator_file_only = config.endswith(".toml")
+    faults = check_files(
+        None if is_operator_file_only else config, config if is_operator_file_only else fronts
+    )
+    for setting, fault, remedy in faults:
+        click.echo(f"{setting}: {fault}\n    to mend it: {remedy}", err=True)
+    if faults:
+        click.echo(f"{len(faults)} fault{'s' if len(faults) > 1 else ''} in {config}", err=True)
+        raise SystemExit(EXIT_REFUSED)
     click.echo(f"{config} is good")
 
 
@@ -106,16 +110,16 @@
 @click.option("--exit-code", is_flag=True, help="Exit with 1 while no new work is taken.")
 def status(path: str | None, fronts: str | None, as_json: bool, watch: bool, exit_code: bool) -> None:
     """Show the daemon's state, its weight and the reasons."""
-    show = _show_json if as_json else _show
+    print_reply = _print_json if as_json else _print_status
     path = client.socket_path(path, fronts)
     if watch:
-        for reply in client.replies(path, do="watch"):
-            show(reply)
+        for reply in client.stream_replies(path, do="watch"):
+            print_reply(reply)
         return
-    reply = client.ask(path, do="status")
-    show(reply)
+    reply = client.send_command(path, do="status")
+    print_reply(reply)
     if exit_code and reply["status"] == "fail":
-        raise SystemExit(REFUSED)
+        raise SystemExit(EXIT_REFUSED)
 
 
 @cli.command()
@@ -131,19 +135,19 @@
 def drain(path: str | None, fronts: str | None, within: float | None, member: str) -> None:
     """Announce a drain to every balancer, answer what was taken, take nothing new."""
     path = client.socket_path(path, fronts)
-    reply = client.ask(path, do="drain", within_s=within, member=member)
+    reply = client.send_command(path, do="drain", within_s=within, member=member)
     if member:
         click.echo(f"{member}: drain ordered")
         return
     if within is not None:
-        end = time.monotonic() + within
+        deadline_s = time.monotonic() + within
         while reply["state"] != "drained":
-            if time.monotonic() >= end:
+            if time.monotonic() >= deadline_s:
                 click.echo(f"not drained within {within:g} s: {reply['owed']} requests are owed", err=True)
-                raise SystemExit(NOT_WITHIN)
-            time.sleep(min(LOOK_S, max(0.0, end - time.monotonic())))
-            reply = client.ask(path, do="status")
-    _show(reply)
+                raise SystemExit(EXIT_DRAIN_TIMEOUT)
+            time.sleep(min(POLL_INTERVAL_S, max(0.0, deadline_s - time.monotonic())))
+            reply = client.send_command(path, do="status")
+    _print_status(reply)
 
 
 @cli.command()
@@ -152,11 +156,11 @@
 @member_option
 def undrain(path: str | None, fronts: str | None, member: str) -> None:
     """Withdraw a drain and go back to serving."""
-    reply = client.ask(client.socket_path(path, fronts), do="undrain", member=member)
+    reply = client.send_command(client.socket_path(path, fronts), do="undrain", member=member)
     if member:
         click.echo(f"{member}: undrain ordered")
     else:
-        _show(reply)
+        _print_status(reply)
 
 
 @cli.command()
@@ -165,22 +169,22 @@
 @fronts_option
 def weight(percent: float, path: str | None, fronts: str | None) -> None:
     """Tell balancers PERCENT of the weight at most; 100 withdraws it, 0 turns new work away."""
-    _show(client.ask(client.socket_path(path, fronts), do="weight", percent=percent))
+    _print_status(client.send_command(client.socket_path(path, fronts), do="weight", percent=percent))
 
 
-def _show(reply: dict[str, Any]) -> None:
+def _print_status(reply: dict[str, Any]) -> None:
     click.echo(
         f"{reply['name']}: {reply['state']}, weight {reply['weight']}%, "
         f"since {reply['since_s']:.0f} s, {reply['owed']} owed"
     )
     for note in reply["notes"]:
         click.echo(f"    {note}")
-    for name, (seen, *_) in reply["checks"].items():
-        if seen.get("status") == "fail":
-            click.echo(f"    {name}: {seen.get('output') or 'fail'}")
+    for name, (observed, *_) in reply["checks"].items():
+        if observed.get("status") == "fail":
+            click.echo(f"    {name}: {observed.get('output') or 'fail'}")
 
 
-def _show_json(reply: dict[str, Any]) -> None:
+def _print_json(reply: dict[str, Any]) -> None:
     click.echo(json.dumps(reply))
 
 
@@ -188,21 +192,21 @@
     """Run a command; returns the exit status."""
     try:
         cli.main(args=arguments, prog_name="spanwing", standalone_mode=False)
-    except click.exceptions.Exit as ended:
-        return ended.exit_code
-    except click.ClickException as wrong:
-        wrong.show()
-        return wrong.exit_code
+    except click.exceptions.Exit as exit_request:
+        return exit_request.exit_code
+    except click.ClickException as usage_error:
+        usage_error.show()
+        return usage_error.exit_code
     except (click.Abort, KeyboardInterrupt, BrokenPipeError):
         return 130
-    except client.Unreachable as error:
+    except client.DaemonUnreachableError as error:
         click.echo(f"spanwing: no daemon reached: {error}", err=True)
-        return UNREACHED
-    except client.Refused as error:
+        return EXIT_UNREACHABLE
+    except client.CommandRefusedError as error:
         click.echo(f"spanwing: refused: {error}", err=True)
-        return REFUSED
-    except SystemExit as ended:
-        return ended.code if isinstance(ended.code, int) else 1
+        return EXIT_REFUSED
+    except SystemExit as exit_request:
+        return exit_request.code if isinstance(exit_request.code, int) else 1
     return 0
 
 
--- a/spanwing/cli/policy.py
+++ b/spanwing/cli/policy.py
@@ -18,7 +18,7 @@
 from spanwing.cli import client
 from spanwing.cli.main import fronts_option, socket_option
 
-LOOK_S, MORE_S = 0.1, 10.0  # after the fleet's own time to wait, for the answer to come here
+POLL_INTERVAL_S, EXTRA_WAIT_S = 0.1, 10.0  # after the fleet's own time to wait, for the answer to come here
 json_option = click.option("--json", "as_json", is_flag=True, help="Everything that is known, as JSON.")
 
 
@@ -47,10 +47,10 @@
 @pass_path
 def status(path: str, as_json: bool) -> None:
     """Show the version here, whether a change is under way, and on whom it waits."""
-    reply = client.ask(path, do="policy")
+    reply = client.send_command(path, do="policy")
     if reply["change"] is not None and reply["contact"]:
-        reply["waits"] = client.ask(path, do="policy_order", order="waits")["text"]
-    click.echo(json.dumps(reply) if as_json else _told(reply))
+        reply["waits"] = client.send_command(path, do="policy_order", order="waits")["text"]
+    click.echo(json.dumps(reply) if as_json else _format_status(reply))
 
 
 @policy.command()
@@ -58,15 +58,16 @@
 @pass_path
 def history(path: str, as_json: bool) -> None:
     """Show how the last changes ended, the newest last."""
-    past = client.ask(path, do="policy_history")["history"]
+    changes = client.send_command(path, do="policy_history")["history"]
     if as_json:
-        click.echo(json.dumps(past))
+        click.echo(json.dumps(changes))
         return
-    for each in past:
-        at = datetime.fromtimestamp(each["wall_ms"] / 1000.0, UTC).isoformat(timespec="milliseconds")
-        done = "taken" if each["taken"] else "not taken"
+    for each in changes:
+        changed_at = datetime.fromtimestamp(each["wall_ms"] / 1000.0, UTC).isoformat(timespec="milliseconds")
+        outcome = "taken" if each["taken"] else "not taken"
         click.echo(
-            f"{each['number']:>5}  {at}  {done}  {each['digest']}  ({each['reason']}; by {each['author']})"
+            f"{each['number']:>5}  {changed_at}  {outcome}  {each['digest']}  "
+            f"({each['reason']}; by {each['author']})"
         )
 
 
@@ -75,7 +76,7 @@
 @pass_path
 def show(path: str, version: int) -> None:
     """Print version VERSION, or the one in force."""
-    click.echo(_pretty(client.ask(path, do="policy_text", version=version)["text"]))
+    click.echo(_format_json(client.send_command(path, do="policy_text", version=version)["text"]))
 
 
 @policy.command()
@@ -83,7 +84,7 @@
 @pass_path
 def check(path: str, file: str) -> None:
     """Whether FILE could be taken over by this scheduler now."""
-    _refuse_if(client.ask(path, do="policy_check", text=_text(file))["no"])
+    _raise_if_refused(client.send_command(path, do="policy_check", text=_read_text(file))["no"])
     click.echo("it could be taken over here")
 
 
@@ -92,9 +93,9 @@
 @pass_path
 def diff(path: str, file: str) -> None:
     """What FILE would change of the version in force."""
-    from spanwing.policy.sound import differences
+    from spanwing.policy.sound import describe_differences
 
-    for line in differences(client.ask(path, do="policy_text")["text"], _text(file)):
+    for line in describe_differences(client.send_command(path, do="policy_text")["text"], _read_text(file)):
         click.echo(line)
 
 
@@ -122,7 +123,7 @@
     path: str, file: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...], by: str
 ) -> None:
     """Have all schedulers take over FILE, or none."""
-    _propose(path, _text(file), wait_s, base, reason, gone, by)
+    _propose(path, _read_text(file), wait_s, base, reason, gone, by)
 
 
 @policy.command()
@@ -132,7 +133,7 @@
 @pass_path
 def rollback(path: str, version: int, wait_s: float, by: str) -> None:
     """Have all take over the text of an earlier VERSION, as a new one."""
-    text = client.ask(path, do="policy_text", version=version)["text"]
+    text = client.send_command(path, do="policy_text", version=version)["text"]
     _propose(path, text, wait_s, None, f"as version {version}", (), by)
 
 
@@ -141,20 +142,20 @@
 @pass_path
 def abort(path: str, by: str) -> None:
     """Give up the change that is under way; nobody takes it over."""
-    click.echo(client.ask(path, do="policy_order", order="abort", by=by)["text"])
+    click.echo(client.send_command(path, do="policy_order", order="abort", by=by)["text"])
 
 
 def _propose(
     path: str, text: str, wait_s: float, base: int | None, reason: str, gone: tuple[str, ...], by: str
 ) -> None:
-    here = client.ask(path, do="policy")
-    base = here["in_force"] if base is None else base
+    current = client.send_command(path, do="policy")
+    base = current["in_force"] if base is None else base
     # The first word comes from this scheduler, before anybody else is asked.
-    _refuse_if(client.ask(path, do="policy_check", text=text)["no"])
-    before = client.ask(path, do="policy_history")["history"]
-    lost = None
+    _raise_if_refused(client.send_command(path, do="policy_check", text=text)["no"])
+    earlier_changes = client.send_command(path, do="policy_history")["history"]
+    unconfirmed_error = None
     try:
-        client.ask(
+        client.send_command(
             path,
             do="policy_order",
             order="propose",
@@ -165,49 +166,55 @@
             gone=list(gone),
             by=by,
         )
-    except client.Refused as error:
+    except client.CommandRefusedError as error:
         if "may still take hold" not in str(error):
             raise
-        lost = error  # nobody has answered: look whether it has come there
-    begun, said = time.monotonic(), ""
-    end = begun + wait_s + MORE_S
-    while time.monotonic() < end:
-        past = client.ask(path, do="policy_history")["history"]
-        ended = [each for each in past if each not in before and each["number"] == base + 1]
-        if ended:
-            last = ended[-1]
-            if last["taken"]:
+        unconfirmed_error = error  # nobody has answered: look whether it has come there
+    started_s, last_waits = time.monotonic(), ""
+    deadline_s = started_s + wait_s + EXTRA_WAIT_S
+    while time.monotonic() < deadline_s:
+        changes = client.send_command(path, do="policy_history")["history"]
+        matching = [each for each in changes if each not in earlier_changes and each["number"] == base + 1]
+        if matching:
+            newest = matching[-1]
+            if newest["taken"]:
                 click.echo(f"version {base + 1} is in force")
                 return
-            raise client.Refused(f"version {base + 1} was not taken: {last['reason']}")
-        here = client.ask(path, do="policy")
-        if lost is not None and here["change"] is None and time.monotonic() > begun + MORE_S / 2:
-            raise lost
+            raise client.CommandRefusedError(f"version {base + 1} was not taken: {newest['reason']}")
+        current = client.send_command(path, do="policy")
+        if (
+            unconfirmed_error is not None
+            and current["change"] is None
+            and time.monotonic() > started_s + EXTRA_WAIT_S / 2
+        ):
+            raise unconfirmed_error
         try:
-            waits = client.ask(path, do="policy_order", order="waits")["text"]
-        except client.Refused:
+            waits = client.send_command(path, do="policy_order", order="waits")["text"]
+        except client.CommandRefusedError:
             waits = ""
-        if waits and waits != said:
+        if waits and waits != last_waits:
             click.echo(f"waits: {waits}", err=True)
-            said = waits
-        time.sleep(LOOK_S)
-    raise client.Refused(f"nothing is heard of version {base + 1} here: look at its history at another one")
+            last_waits = waits
+        time.sleep(POLL_INTERVAL_S)
+    raise client.CommandRefusedError(
+        f"nothing is heard of version {base + 1} here: look at its history at another one"
+    )
 
 
-def _refuse_if(no: str) -> None:
-    if no:
-        raise client.Refused(no)
+def _raise_if_refused(reason: str) -> None:
+    if reason:
+        raise client.CommandRefusedError(reason)
 
 
-def _text(file: str) -> str:
+def _read_text(file: str) -> str:
     return Path(file).read_text()
 
 
-def _pretty(text: str) -> str:
+def _format_json(text: str) -> str:
     return json.dumps(json.loads(text), indent=2)
 
 
-def _told(reply: dict[str, Any]) -> str:
+def _format_status(reply: dict[str, Any]) -> str:
     permit = f"a permit for {reply['permit_ms'] / 1000:.1f} s" if reply["permit_ms"] else "no permit"
     lines = [
         f"{reply['name']}: version {reply['version']} ({reply['digest']}), by {reply['author']}, {permit}"
@@ -218,10 +225,10 @@
         lines.append(f"    {reply['open_under_earlier']} jobs are decided under earlier versions")
     change = reply["change"]
     if change is not None:
-        here = "ready" if change["ready"] else change["no"]
+        local_state = "ready" if change["ready"] else change["no"]
         lines.append(
             f"    version {change['version']} by {change['author']} is {change['state']}, here "
-            f"{here}; waits: {reply.get('waits') or 'nobody'}"
+            f"{local_state}; waits: {reply.get('waits') or 'nobody'}"
         )
     lines.append(f"    schedulers: {', '.join(reply['schedulers'])}")
     return "\n".join(lines)
--- a/spanwing/cli/zones.py
+++ b/spanwing/cli/zones.py
@@ -15,7 +15,7 @@
 from spanwing.cli import client
 from spanwing.cli.main import fronts_option, socket_option
 
-LOOK_S = 1.0
+WATCH_INTERVAL_S = 1.0
 json_option = click.option("--json", "as_json", is_flag=True, help="Everything that is known, as JSON.")
 
 
@@ -32,15 +32,15 @@
         return
     path = client.socket_path(path, fronts)
     while True:
-        reply = client.ask(path, do="zones")
-        click.echo(json.dumps(reply) if as_json else _table(reply))
+        reply = client.send_command(path, do="zones")
+        click.echo(json.dumps(reply) if as_json else _format_zones(reply))
         if not watch:
             return
-        time.sleep(LOOK_S)
+        time.sleep(WATCH_INTERVAL_S)
 
 
-def _order(do: str, about: str, over: bool = False) -> None:
-    @zones.command(do, help=about)
+def _add_order_command(command_name: str, help_text: str, has_duration: bool = False) -> None:
+    @zones.command(command_name, help=help_text)
     @click.argument("name")
     @socket_option
     @fronts_option
@@ -49,9 +49,13 @@
         ctx: click.Context, name: str, path: str | None, fronts: str | None, over_s: float | None = None
     ) -> None:
         path = client.socket_path(path or ctx.obj[0], fronts or ctx.obj[1])
-        click.echo(client.ask(path, do="zones_order", order=do, zone=name, within_s=over_s)["text"])
+        click.echo(
+            client.send_command(path, do="zones_order", order=command_name, zone=name, within_s=over_s)[
+                "text"
+            ]
+        )
 
-    if over:
+    if has_duration:
         click.option(
             "--over",
             "over_s",
@@ -61,10 +65,12 @@
         )(order)
 
 
-_order("leave", "Leave a zone or region NAME, and stay away until it is ordered otherwise.", over=True)
-_order("return", "Return to NAME, which was left, step by step.")
-_order("hold", "Keep NAME as it is, whatever is seen of it.")
-_order("release", "Let NAME change by itself again.")
+_add_order_command(
+    "leave", "Leave a zone or region NAME, and stay away until it is ordered otherwise.", has_duration=True
+)
+_add_order_command("return", "Return to NAME, which was left, step by step.")
+_add_order_command("hold", "Keep NAME as it is, whatever is seen of it.")
+_add_order_command("release", "Let NAME change by itself again.")
 
 
 @zones.command()
@@ -75,23 +81,23 @@
 def history(ctx: click.Context, path: str | None, fronts: str | None, as_json: bool) -> None:
     """Show the last changes, the newest last."""
     path = client.socket_path(path or ctx.obj[0], fronts or ctx.obj[1])
-    reply = client.ask(path, do="zones_history")
+    reply = client.send_command(path, do="zones_history")
     if as_json:
         click.echo(json.dumps(reply["history"]))
         return
     for each in reply["history"]:
-        at = datetime.fromtimestamp(each["wall_ms"] / 1000.0, UTC).isoformat(timespec="milliseconds")
+        changed_at = datetime.fromtimestamp(each["wall_ms"] / 1000.0, UTC).isoformat(timespec="milliseconds")
         step = f" step {each['step']}" if each["step"] else ""
         step += f" {each['share']:.0%} in use" if each["share"] else ""
         click.echo(
-            f"{each['number']:>5}  {at}  {each['zone']}: {each['state']}{step}  "
+            f"{each['number']:>5}  {changed_at}  {each['zone']}: {each['state']}{step}  "
             f"({each['reason']}; by {each['author']})"
         )
 
 
-def _table(reply: dict[str, Any]) -> str:
-    contact = f"in contact by {reply['by']}" if reply["contact"] else f"no contact: {reply['why']}"
-    lines = [f"{reply['name']}: {contact}, revision {reply['revision']}"]
+def _format_zones(reply: dict[str, Any]) -> str:
+    contact_text = f"in contact by {reply['by']}" if reply["contact"] else f"no contact: {reply['why']}"
+    lines = [f"{reply['name']}: {contact_text}, revision {reply['revision']}"]
     for name, zone in reply["zones"].items():
         state = zone["state"] + (f" step {zone['step']} of {zone['steps']}" if zone["step"] else "")
         state += ", held" if zone["held"] else ""
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -11,49 +11,52 @@
 import msgspec
 
 from spanwing import interface as api
-from spanwing.faults import Faults
+from spanwing.faults import ErrorCollector
 from spanwing.frontsfile import (
-    FILE,
-    Balancers,
-    FleetPolicy,
-    Fronts,
+    DEFAULT_OPERATOR_FILE,
+    BalancerSettings,
     JournalTable,
     LogTable,
-    Proxied,
+    OperatorFile,
+    PolicyConfiguration,
+    ProxyProtocolSettings,
     StoreTable,
-    Zones,
-    balancers_of,
-    journal_of,
-    log_of,
-    opened,
-    policy_of,
-    proxied_of,
-    store_of,
-    zones_of,
+    ZonesConfiguration,
+    check_balancers,
+    check_journal,
+    check_log,
+    check_policy,
+    check_proxy_protocol,
+    check_store,
+    check_zones,
+    parse_listen_address,
 )
-from spanwing.hops.transportmap import MemberList
-from spanwing.settings import SAID_AS, Options, settings_of
+from spanwing.hops.transportmap import DiscoveredEndpoints
+from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
 from spanwing.wire.address import Address, parse_address
 
-OWN_SOCKETS = 28  # listeners, logs, the loop, discovery, members of the store
-MANAGEMENT_CALLS = 16  # callers of the management address at once
-CHECK_SOCKETS = 13  # a listener for balancers and its connections
+RESERVED_SOCKETS = 28  # listeners, logs, the loop, discovery, members of the store
+MAX_MANAGEMENT_CONNECTIONS = 16  # callers of the management address at once
+SOCKETS_PER_CHECK_LISTENER = 13  # a listener for balancers and its connections
 MIN_SOCKETS = 64
-MIN_FREE = 16  # descriptors for connections, whatever else there is
-OWN_MB = 24  # of memory, with no connection open
-SECOND_SOCKETS, SECOND_MB = 12, 18  # what a second process takes besides, by measurement
-MIN_MB = 32
-CONNECTION_KB = 112  # a head, a body, what is read ahead and what is written, at their largest
+MIN_CONNECTION_SOCKETS = 16  # descriptors for connections, whatever else there is
+BASE_MEMORY_MB = 24  # of memory, with no connection open
+SECOND_PROCESS_SOCKETS, SECOND_PROCESS_MEMORY_MB = (
+    12,
+    18,
+)  # what a second process takes besides, by measurement
+MIN_MEMORY_MB = 32
+CONNECTION_MEMORY_KB = 112  # a head, a body, what is read ahead and what is written, at their largest
 MIN_CONNECTIONS = 32
 MIN_CORES = 0.05
 
 #: By the fields of Config, what takes a restart to change.
-FIXED = {
+RESTART_ONLY_SETTINGS = {
     "listen": "listen",
     "management": "management",
-    "raw_settings": "settings",
+    "settings_json": "settings",
     "faktory": "faktory.listen",
-    "proxied": "proxy",
+    "proxy_protocol": "proxy",
     "log": "log",
     "store": "store",
     "journal": "journal",
@@ -62,211 +65,253 @@
 }
 
 
-class Limits(msgspec.Struct):
+class ResourceLimits(msgspec.Struct):
     sockets: int = 1024
     memory_mb: float = 192
     cores: float = 1.0
 
 
-class Shares(msgspec.Struct):
+class ConnectionShares(msgspec.Struct):
     """How many connections each side may hold, within the limits on descriptors and memory together."""
 
     clients: int
     faktory: int
-    hops: int
+    workers: int = msgspec.field(name="hops")
 
 
-class Platform(msgspec.Struct):
+class PlatformFile(msgspec.Struct):
     """The file named by ROUTER_CONFIG."""
 
     settings: msgspec.Raw
-    revision: int = 0  # of the settings: the store keeps those of the highest
+    settings_revision: int = msgspec.field(
+        default=0, name="revision"
+    )  # of the settings: the store keeps those of the highest
     name: str = ""
     listen: str = ""
     management: str = ""
     discovery: str = ""
     seed: str = "0"
-    limits: Limits = msgspec.field(default_factory=Limits)
-    known: MemberList = msgspec.field(default_factory=MemberList)
+    limits: ResourceLimits = msgspec.field(default_factory=ResourceLimits)
+    known_endpoints: DiscoveredEndpoints = msgspec.field(name="known", default_factory=DiscoveredEndpoints)
 
 
-class Config(msgspec.Struct):
+class Configuration(msgspec.Struct):
     """Both files, checked and translated."""
 
     name: str
     listen: Address
     discovery: Address
-    told: str  # `discovery` as the file has it, whatever the environment says
+    file_discovery: str = msgspec.field(
+        name="told"
+    )  # `discovery` as the file has it, whatever the environment says
     seed: int
-    limits: Limits
-    known: MemberList
-    revision: int
-    raw_settings: str
-    options: Options
+    limits: ResourceLimits
+    known_endpoints: DiscoveredEndpoints = msgspec.field(name="known")
+    settings_revision: int = msgspec.field(name="revision")
+    settings_json: str = msgspec.field(name="raw_settings")
+    platform_settings: PlatformSettings = msgspec.field(name="options")
     settings: api.Settings
     management: Address | None
-    shared: int | None  # the descriptor of a listening socket that the platform holds
+    inherited_descriptor: int | None = msgspec.field(
+        name="shared"
+    )  # the descriptor of a listening socket that the platform holds
     faktory: Address | None
-    balancers: Balancers
-    proxied: Proxied
+    balancers: BalancerSettings
+    proxy_protocol: ProxyProtocolSettings = msgspec.field(name="proxied")
     log: LogTable
     store: StoreTable
     store_listen: Address | None
     store_peers: dict[str, Address]
     journal: JournalTable | None
-    zones: Zones | None
-    policy: FleetPolicy | None
+    zones: ZonesConfiguration | None
+    policy: PolicyConfiguration | None
 
-    def shares(self, processes: int = 1) -> Shares:
+    def connection_shares(self, process_count: int = 1) -> ConnectionShares:
         """Half of what is free is the clients' side's, where clients are told to hold a third of all.
         processes: that share the limits just now; the shares are those of all together."""
-        own = OWN_SOCKETS + CHECK_SOCKETS * self.balancers.listeners() + (processes - 1) * SECOND_SOCKETS
+        reserved_sockets = (
+            RESERVED_SOCKETS
+            + SOCKETS_PER_CHECK_LISTENER * self.balancers.listener_count()
+            + (process_count - 1) * SECOND_PROCESS_SOCKETS
+        )
         if self.management:
-            own += processes * (MANAGEMENT_CALLS + 1)
-        free = max(MIN_FREE, self.limits.sockets - own)
-        room_mb = self.limits.memory_mb - OWN_MB - (processes - 1) * SECOND_MB
-        held = max(MIN_CONNECTIONS, int(room_mb * 1024 // CONNECTION_KB))
-        front = min(free // 2, held)
-        faktory = front // 2 if self.faktory else 0
-        return Shares(front - faktory, faktory, free - front)
-
-    def fixed(self, old: Config) -> list[str]:
+            reserved_sockets += process_count * (MAX_MANAGEMENT_CONNECTIONS + 1)
+        free_sockets = max(MIN_CONNECTION_SOCKETS, self.limits.sockets - reserved_sockets)
+        connection_memory_mb = (
+            self.limits.memory_mb - BASE_MEMORY_MB - (process_count - 1) * SECOND_PROCESS_MEMORY_MB
+        )
+        max_connections = max(MIN_CONNECTIONS, int(connection_memory_mb * 1024 // CONNECTION_MEMORY_KB))
+        client_sockets = min(free_sockets // 2, max_connections)
+        faktory = client_sockets // 2 if self.faktory else 0
+        return ConnectionShares(client_sockets - faktory, faktory, free_sockets - client_sockets)
+
+    def changed_restart_settings(self, previous: Configuration) -> list[str]:
         """The settings that differ from the old ones and that a running program cannot take over."""
-        return [setting for name, setting in FIXED.items() if getattr(self, name) != getattr(old, name)]
+        return [
+            setting
+            for name, setting in RESTART_ONLY_SETTINGS.items()
+            if getattr(self, name) != getattr(previous, name)
+        ]
 
 
-def read_struct(path: str, setting: str, form: type, decode: Any, faults: Faults) -> Any:
+def read_file(path: str, setting: str, struct_type: type, decode: Any, errors: ErrorCollector) -> Any:
     """Decode a file into its Struct; any fault is a plain line naming file, setting and place."""
     try:
         data = Path(path).read_bytes()
     except OSError as error:
-        faults.add(setting, f"cannot read {path}: {error.strerror}")
+        errors.add_error(setting, f"cannot read {path}: {error.strerror}")
         return None
     try:
-        return decode(data, type=form)
+        return decode(data, type=struct_type)
     except (ValueError, UnicodeDecodeError) as error:
         # Decoded at once, only the first fault would be known: where all are wanted, each value is looked at.
-        if not faults.collect:
-            faults.add(setting, f"{path}: {error}")
-        from spanwing.everyfault import every_fault
+        if not errors.collects_all:
+            errors.add_error(setting, f"{path}: {error}")
+        from spanwing.everyfault import find_all_errors
 
-        left, found = every_fault(data, form, decode)
-        for place, fault in found:
-            faults.add(place or setting, fault if place else f"{path}: {fault}")
-        return left
+        value, file_errors = find_all_errors(data, struct_type, decode)
+        for path_in_file, message in file_errors:
+            errors.add_error(path_in_file or setting, message if path_in_file else f"{path}: {message}")
+        return value
 
 
-def read_settings(
-    raw: str, own: Options | None = None, faults: Faults | None = None
-) -> tuple[Options, api.Settings] | None:
+def parse_settings(
+    text: str, own_settings: PlatformSettings | None = None, errors: ErrorCollector | None = None
+) -> tuple[PlatformSettings, api.Settings] | None:
     """Decode the settings object; what is a member's own (its number and zone) comes from its own file."""
-    faults = faults or Faults()
-    options = faults.check("settings", lambda text: msgspec.json.decode(text, type=Options), raw)
-    if options is None:
+    errors = errors or ErrorCollector()
+    platform_settings = errors.run_check(
+        "settings", lambda text: msgspec.json.decode(text, type=PlatformSettings), text
+    )
+    if platform_settings is None:
         return None
-    if own is not None:
-        options.position, options.zone = own.position, own.zone
+    if own_settings is not None:
+        platform_settings.node_index, platform_settings.zone = own_settings.node_index, own_settings.zone
     try:
-        return options, settings_of(options)
+        return platform_settings, scheduler_settings(platform_settings)
     except api.SettingsError as error:  # the module names what is wrong in its own words
-        for each in error.faults:
-            name, _, fault = each.partition(": ")
-            faults.add(f"settings.{SAID_AS.get(name, name)}", fault)
+        for message_line in error.faults:
+            name, _, message = message_line.partition(": ")
+            errors.add_error(f"settings.{SETTING_NAMES.get(name, name)}", message)
         return None
 
 
-def load(
-    environment: Mapping[str, str] = os.environ, before: Config | None = None, faults: Faults | None = None
-) -> Config | None:
+def load_configuration(
+    environment: Mapping[str, str] = os.environ,
+    previous: Configuration | None = None,
+    errors: ErrorCollector | None = None,
+) -> Configuration | None:
     """Read both files; before: what was read last, where this is a reload. Raises the first fault as a
     ConfigError; with faults that collect, all are there afterwards, and None is returned if there are any."""
-    faults = faults or Faults()
+    errors = errors or ErrorCollector()
     path = environment.get("ROUTER_CONFIG")
-    raw = None
+    platform = None
     if path:
-        raw = read_struct(path, "ROUTER_CONFIG", Platform, msgspec.json.decode, faults)
+        platform = read_file(path, "ROUTER_CONFIG", PlatformFile, msgspec.json.decode, errors)
     else:
-        faults.add("ROUTER_CONFIG", "not set; it names the configuration file")
-    fronts = read_fronts(environment.get("SPANWING_FRONTS"), faults) or Fronts()
-    balancers, proxied = balancers_of(fronts, faults), proxied_of(fronts.proxy, faults)
-    table, journal = store_of(fronts.store, faults), journal_of(fronts.journal, faults)
-    zones = zones_of(fronts.zones, table, faults)
-    policy = policy_of(fronts.policy, zones, faults)
+        errors.add_error("ROUTER_CONFIG", "not set; it names the configuration file")
+    operator_file = read_operator_file(environment.get("SPANWING_FRONTS"), errors) or OperatorFile()
+    balancers, proxy_protocol = (
+        check_balancers(operator_file, errors),
+        check_proxy_protocol(operator_file.proxy, errors),
+    )
+    store, journal = check_store(operator_file.store, errors), check_journal(operator_file.journal, errors)
+    zones = check_zones(operator_file.zones, store, errors)
+    policy = check_policy(operator_file.policy, zones, errors)
     if policy is not None and environment.get("ROUTER_FD"):
-        faults.add("policy", "cannot stand beside ROUTER_FD: two processes would hold one permit")
-    check = faults.check
-    faktory, log = opened("faktory", fronts.faktory, faults), log_of(fronts.log, faults)
-    store_listen = check("store.listen", parse_address, table.listen) if table.listen else None
-    peers = {name: check(f"store.peers.{name}", parse_address, text) for name, text in table.peers.items()}
-    if raw is None:
+        errors.add_error("policy", "cannot stand beside ROUTER_FD: two processes would hold one permit")
+    run_check = errors.run_check
+    faktory_address, log = (
+        parse_listen_address("faktory", operator_file.faktory, errors),
+        check_log(operator_file.log, errors),
+    )
+    store_listen = run_check("store.listen", parse_address, store.listen) if store.listen else None
+    store_peers = {
+        name: run_check(f"store.peers.{name}", parse_address, text) for name, text in store.peers.items()
+    }
+    if platform is None:
         return None
-    settings = read_settings(bytes(raw.settings).decode(), faults=faults)
+    settings = parse_settings(bytes(platform.settings).decode(), errors=errors)
     if journal is not None and settings is not None:
-        for cls in sorted(set(journal.keep_days_of) - {each.name for each in settings[1].classes}):
-            faults.add(f"journal.keep_days_of.{cls}", "no class has this name")
+        for class_name in sorted(
+            set(journal.keep_days_by_class) - {each.name for each in settings[1].classes}
+        ):
+            errors.add_error(f"journal.keep_days_of.{class_name}", "no class has this name")
     if zones is not None and settings is not None:
         for region, names in zones.regions.items():
             for name in sorted(set(names) - set(settings[1].zones)):
-                faults.add(f"zones.regions.{region}", f"{name!r} is no zone of the settings")
+                errors.add_error(f"zones.regions.{region}", f"{name!r} is no zone of the settings")
     # The environment is as old as the process: an address that the file has changed since then is newer.
-    newer = before is not None and raw.discovery and raw.discovery != before.told
-    discovery = raw.discovery if newer else environment.get("ROUTER_DISCOVERY") or raw.discovery
-    if before is not None and not newer:
-        discovery = str(before.discovery)
-    listen = check("ROUTER_LISTEN", parse_address, environment.get("ROUTER_LISTEN") or raw.listen)
-    management = environment.get("ROUTER_MANAGEMENT") or raw.management
-    management = check("management", parse_address, management) if management else None
-    shared = environment.get("ROUTER_FD")
-    shared = check("ROUTER_FD", _descriptor, shared) if shared else None
-    discovery = check("discovery" if newer else "ROUTER_DISCOVERY", parse_address, discovery)
-    seed = check("seed", lambda text: int(text, 16), raw.seed)
-    limits = raw.limits
-    sockets = MIN_SOCKETS + CHECK_SOCKETS * balancers.listeners()
-    for name, least in (("sockets", sockets), ("memory_mb", MIN_MB), ("cores", MIN_CORES)):
-        check(f"limits.{name}", partial(_enough, least), getattr(limits, name))
-    if faults.found:
+    uses_file_discovery = (
+        previous is not None and platform.discovery and platform.discovery != previous.file_discovery
+    )
+    discovery = (
+        platform.discovery
+        if uses_file_discovery
+        else environment.get("ROUTER_DISCOVERY") or platform.discovery
+    )
+    if previous is not None and not uses_file_discovery:
+        discovery = str(previous.discovery)
+    listen = run_check("ROUTER_LISTEN", parse_address, environment.get("ROUTER_LISTEN") or platform.listen)
+    management = environment.get("ROUTER_MANAGEMENT") or platform.management
+    management = run_check("management", parse_address, management) if management else None
+    inherited_descriptor = environment.get("ROUTER_FD")
+    inherited_descriptor = (
+        run_check("ROUTER_FD", _parse_descriptor, inherited_descriptor) if inherited_descriptor else None
+    )
+    discovery = run_check(
+        "discovery" if uses_file_discovery else "ROUTER_DISCOVERY", parse_address, discovery
+    )
+    seed = run_check("seed", lambda text: int(text, 16), platform.seed)
+    limits = platform.limits
+    min_sockets = MIN_SOCKETS + SOCKETS_PER_CHECK_LISTENER * balancers.listener_count()
+    for name, minimum in (("sockets", min_sockets), ("memory_mb", MIN_MEMORY_MB), ("cores", MIN_CORES)):
+        run_check(f"limits.{name}", partial(_check_minimum, minimum), getattr(limits, name))
+    if errors.errors:
         return None
-    return Config(
-        name=environment.get("ROUTER_NAME") or raw.name,
+    return Configuration(
+        name=environment.get("ROUTER_NAME") or platform.name,
         listen=listen,
         discovery=discovery,
         management=management,
-        shared=shared,
-        told=raw.discovery,
+        inherited_descriptor=inherited_descriptor,
+        file_discovery=platform.discovery,
         seed=seed,
         limits=limits,
-        known=raw.known,
-        revision=raw.revision,
-        raw_settings=bytes(raw.settings).decode(),
-        options=settings[0],
+        known_endpoints=platform.known_endpoints,
+        settings_revision=platform.settings_revision,
+        settings_json=bytes(platform.settings).decode(),
+        platform_settings=settings[0],
         settings=settings[1],
-        faktory=faktory,
+        faktory=faktory_address,
         balancers=balancers,
-        proxied=proxied,
+        proxy_protocol=proxy_protocol,
         log=log,
-        store=table,
+        store=store,
         store_listen=store_listen,
-        store_peers=peers,
+        store_peers=store_peers,
         journal=journal,
         zones=zones,
         policy=policy,
     )
 
 
-def read_fronts(path: str | None, faults: Faults) -> Fronts | None:
+def read_operator_file(path: str | None, errors: ErrorCollector) -> OperatorFile | None:
     """The file that SPANWING_FRONTS names, else the repository's own."""
-    if path is None and not FILE.exists():
-        return Fronts()
-    return read_struct(path or str(FILE), "SPANWING_FRONTS", Fronts, msgspec.toml.decode, faults)
+    if path is None and not DEFAULT_OPERATOR_FILE.exists():
+        return OperatorFile()
+    return read_file(
+        path or str(DEFAULT_OPERATOR_FILE), "SPANWING_FRONTS", OperatorFile, msgspec.toml.decode, errors
+    )
 
 
-def _descriptor(text: str) -> int:
+def _parse_descriptor(text: str) -> int:
     if not text.isascii() or not text.isdigit() or len(text) > 9:
         raise ValueError(f"{text!r} is no descriptor's number")
     return int(text)
 
 
-def _enough(least: float, value: Any) -> Any:
-    if not value >= least:
-        raise ValueError(f"{value} is too few, {least} are needed")
+def _check_minimum(minimum: float, value: Any) -> Any:
+    if not value >= minimum:
+        raise ValueError(f"{value} is too few, {minimum} are needed")
     return value
--- a/spanwing/core/clock.py
+++ b/spanwing/core/clock.py
@@ -9,7 +9,7 @@
     """Anchored once to the wall clock, then carried on by the monotonic one."""
 
     def __init__(self) -> None:
-        self.base = time.time() - time.monotonic()
+        self.offset_s = time.time() - time.monotonic()
 
-    def now(self) -> float:
-        return (self.base + time.monotonic()) * 1000.0
+    def now_ms(self) -> float:
+        return (self.offset_s + time.monotonic()) * 1000.0
