--- a/spanwing/core/exchange.py
+++ b/spanwing/core/exchange.py
@@ -17,559 +17,622 @@
 from spanwing.choice import Dispatcher
 from spanwing.core.clock import Clock
 from spanwing.core.messages import (
-    Accepted,
-    Answer,
-    Delivery,
-    Directory,
-    Due,
-    Ended,
-    Envelope,
-    Expired,
-    LastByte,
-    Left,
-    Listed,
-    NextHop,
-    PolicyWatch,
-    Probed,
-    Recorded,
-    Recorder,
-    SenderSide,
-    Started,
-    Take,
-    Turned,
-    ZoneWatch,
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptExpired,
+    AttemptProgress,
+    AttemptRecorded,
+    AttemptRecorder,
+    ClientConnection,
+    ClientDisconnected,
+    DeliveryAttempt,
+    EndpointDirectory,
+    EndpointsChanged,
+    FinalAnswer,
+    JobRequest,
+    LastByteSent,
+    PolicyAdmission,
+    ProbeEnded,
+    RequestRejected,
+    RequestSubmitted,
+    TimerExpired,
+    WorkerConnection,
+    ZoneRouting,
 )
 
-AGAIN_MS = 1000.0  # a client whose work cannot be written down is told to come back after this
-EARLY_MS = 1.0  # an attempt's wait ends this long before the client's, so that its outcome comes first
+JOURNAL_RETRY_AFTER_MS = 1000.0  # a client whose work cannot be written down is told to come back after this
+TIMEOUT_MARGIN_MS = (
+    1.0  # an attempt's wait ends this long before the client's, so that its outcome comes first
+)
 
 log = logging.getLogger("spanwing")
 
 
 @dataclass(slots=True)
-class Call:
+class PendingRequest:
     """A request that still owes its answer."""
 
-    envelope: Envelope
-    sender: SenderSide
-    deadline: float
-    sent: int = 0
-    until: float = math.inf  # none may be sent later: job workers would no longer drop it as a repeat
+    request: JobRequest
+    client: ClientConnection
+    deadline_ms: float
+    attempt_count: int = 0
+    send_until_ms: float = math.inf  # none may be sent later: job workers would no longer drop it as a repeat
 
 
 @dataclass(slots=True)
-class Out:
+class InFlightAttempt:
     """A delivery attempt that has not ended."""
 
-    hop: NextHop | None
+    connection: WorkerConnection | None
     worker: int
-    at: float
-    until: float
+    forwarded_ms: float
+    expires_ms: float
     timer: object
-    recorded: bool = False  # its intent was handed to the journal
-    waiting: bool = False  # for its intent to be on disk: nothing of it has been handed to the hop
+    is_recorded: bool = False  # its intent was handed to the journal
+    awaits_record: bool = False  # for its intent to be on disk: nothing of it has been handed to the hop
 
 
-class Exchange(Actor):
+class RequestManager(Actor):
     """Owns the decision module, the deadlines and the counters."""
 
     def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
         super().__init__()
         self.settings, self.clock = settings, clock
-        self.module = Dispatcher(settings, seed, clock.now())
-        self.safe = {each.name for each in settings.classes if each.effect == "safe"}
-        self.once = {each.name for each in settings.classes if each.effect == "unsafe"}
-        self.recorder: Recorder | None = None
-        self.again_ms = min(AGAIN_MS, settings.max_retry_after)
-        self.directory: Directory | None = None
-        self.zones: ZoneWatch | None = None
-        self.policy: PolicyWatch | None = None
+        self.scheduler = Dispatcher(settings, seed, clock.now_ms())
+        self.safe_classes = {each.name for each in settings.classes if each.effect == "safe"}
+        self.unsafe_classes = {each.name for each in settings.classes if each.effect == "unsafe"}
+        self.recorder: AttemptRecorder | None = None
+        self.journal_retry_after_ms = min(JOURNAL_RETRY_AFTER_MS, settings.max_retry_after)
+        self.directory: EndpointDirectory | None = None
+        self.zone_routing: ZoneRouting | None = None
+        self.policy_admission: PolicyAdmission | None = None
         # Modules of earlier policies decide to the end about the jobs that they took; and whose those are.
-        self.retiring: list[Dispatcher] = []
-        self.under: dict[str, Dispatcher] = {}
-        self.acting = self.module
-        self.calls: dict[str, Call] = {}
-        self.out: dict[tuple[str, int], Out] = {}
-        self.hops: dict[str, dict[int, NextHop]] = {}  # by the directory that told
+        self.retiring_schedulers: list[Dispatcher] = []
+        self.scheduler_by_request: dict[str, Dispatcher] = {}
+        self.acting_scheduler = self.scheduler
+        self.pending_requests: dict[str, PendingRequest] = {}
+        self.in_flight: dict[tuple[str, int], InFlightAttempt] = {}
+        self.connections_by_source: dict[str, dict[int, WorkerConnection]] = {}  # by the directory that told
         self.counters: Counter[str] = Counter()
-        self.elsewhere: Container[str] = ()  # ids that are open at another process of this scheduler
-        self.mirror: Callable[[str, bool], None] | None = None  # hears of ids that open here or end
-        self.quiet: list[Future[None]] = []
-        self.news: Callable[[], None] | None = None  # called after each news of job workers
-        self.heard = False  # a list of job workers that names any, or that discovery told
-        self.heard_at = self.loop.time()  # when discovery last told one, or we began
-
-    def take(self, message: Any) -> None:
-        HANDLERS[type(message)](self, message)
-        if self.quiet and self.idle():
-            for waiting in self.quiet:
+        self.remote_open_ids: Container[str] = ()  # ids that are open at another process of this scheduler
+        self.on_open_change: Callable[[str, bool], None] | None = None  # hears of ids that open here or end
+        self.idle_waiters: list[Future[None]] = []
+        self.on_endpoints_changed: Callable[[], None] | None = None  # called after each news of job workers
+        self.endpoints_known = False  # a list of job workers that names any, or that discovery told
+        self.discovery_heard_s = self.loop.time()  # when discovery last told one, or we began
+
+    def handle_message(self, message: Any) -> None:
+        MESSAGE_HANDLERS[type(message)](self, message)
+        if self.idle_waiters and self.is_idle():
+            for waiting in self.idle_waiters:
                 waiting.set_result(None)
-            self.quiet = []
+            self.idle_waiters = []
 
-    def fleet(self) -> dict[tuple[str, str], tuple[int, int]]:
+    def worker_counts(self) -> dict[tuple[str, str], tuple[int, int]]:
         """By zone and kind: how many job workers are listed, and how many of them take new work now: one that
         drains, or that the module lets rest after failures, takes none."""
         counts: dict[tuple[str, str], tuple[int, int]] = {}
-        now = self.clock.now()
-        for view in self.module.views.values():
-            entry = view.entry
-            if entry.state != "gone":
-                listed, taking = counts.get((entry.zone, entry.kind), (0, 0))
-                takes = entry.state == "healthy" and view.rest_until <= now
-                counts[entry.zone, entry.kind] = listed + 1, taking + takes
+        now_ms = self.clock.now_ms()
+        for worker in self.scheduler.views.values():
+            endpoint = worker.entry
+            if endpoint.state != "gone":
+                listed, available = counts.get((endpoint.zone, endpoint.kind), (0, 0))
+                is_available = endpoint.state == "healthy" and worker.rest_until <= now_ms
+                counts[endpoint.zone, endpoint.kind] = listed + 1, available + is_available
         return counts
 
-    def pool(self) -> tuple[int, int]:
+    def pool_counts(self) -> tuple[int, int]:
         """How many job workers are listed, and how many of them are set aside now."""
-        now = self.clock.now()
-        views = [view for view in self.module.views.values() if view.entry.state != "gone"]
-        return len(views), sum(view.rest_until > now for view in views)
+        now_ms = self.clock.now_ms()
+        workers = [view for view in self.scheduler.views.values() if view.entry.state != "gone"]
+        return len(workers), sum(view.rest_until > now_ms for view in workers)
 
-    def held(self) -> dict[str, tuple[int, float]]:
+    def queued_by_class(self) -> dict[str, tuple[int, float]]:
         """By class with held work: how much, and for how many ms the oldest has waited."""
-        if not self.module.waiting:
+        if not self.scheduler.waiting:
             return {}
-        now, found = self.clock.now(), {}
-        for job in self.module.jobs.values():
+        now_ms, queued = self.clock.now_ms(), {}
+        for job in self.scheduler.jobs.values():
             if job.held:
-                count, oldest = found.get(job.cls.name, (0, 0.0))
-                found[job.cls.name] = count + 1, max(oldest, now - job.born)
-        return found
+                count, oldest_ms = queued.get(job.cls.name, (0, 0.0))
+                queued[job.cls.name] = count + 1, max(oldest_ms, now_ms - job.born)
+        return queued
 
-    def turning_away(self) -> dict[str, str]:
+    def unavailable_classes(self) -> dict[str, str]:
         """Classes of which nothing is taken now, with the reason."""
-        reason = self.recorder.refusing() if self.recorder is not None else ""
+        reason = self.recorder.unavailable_reason() if self.recorder is not None else ""
         return {
             each.name: f"journal: {reason}"
             for each in self.settings.classes
-            if reason and each.name not in self.safe
+            if reason and each.name not in self.safe_classes
         }
 
-    def discovery_age(self) -> float:
+    def discovery_age_s(self) -> float:
         """Seconds since discovery last told anything, or since the start."""
-        return self.loop.time() - self.heard_at
+        return self.loop.time() - self.discovery_heard_s
 
-    def idle(self) -> bool:
-        return not self.calls and not self.out and not self.mailbox
+    def is_idle(self) -> bool:
+        return not self.pending_requests and not self.in_flight and not self.mailbox
 
-    def until_quiet(self) -> Future[None]:
+    def wait_until_idle(self) -> Future[None]:
         """Done once nothing taken is unanswered and nothing sent is out."""
-        waiting: Future[None] = Future()
-        if self.idle():
-            waiting.set_result(None)
+        waiter: Future[None] = Future()
+        if self.is_idle():
+            waiter.set_result(None)
         else:
-            self.quiet.append(waiting)
-        return waiting
-
-    def _decide(self, event: api.Event, module: Dispatcher | None = None) -> None:
-        acting, self.acting = self.acting, module or self.module
-        for action in self.acting.handle(self.clock.now(), event):
-            ACTIONS[type(action)](self, action)
-        self.acting = acting
-        if self.retiring:
-            self._let_go()
-
-    def _decide_all(self, event: api.Event) -> None:
+            self.idle_waiters.append(waiter)
+        return waiter
+
+    def _dispatch_event(self, event: api.Event, scheduler: Dispatcher | None = None) -> None:
+        previous, self.acting_scheduler = self.acting_scheduler, scheduler or self.scheduler
+        for action in self.acting_scheduler.handle(self.clock.now_ms(), event):
+            ACTION_HANDLERS[type(action)](self, action)
+        self.acting_scheduler = previous
+        if self.retiring_schedulers:
+            self._drop_retired_schedulers()
+
+    def _dispatch_to_all(self, event: api.Event) -> None:
         """News that every module has to have."""
-        for module in (*self.retiring, self.module):
-            self._decide(event, module)
+        for scheduler in (*self.retiring_schedulers, self.scheduler):
+            self._dispatch_event(event, scheduler)
 
-    def _of(self, request: str) -> Dispatcher:
+    def _scheduler_of(self, request: str) -> Dispatcher:
         """The module that decides about this request."""
-        return self.under.get(request, self.module) if self.under else self.module
+        return (
+            self.scheduler_by_request.get(request, self.scheduler)
+            if self.scheduler_by_request
+            else self.scheduler
+        )
 
-    def turn_over(self, settings: api.Settings, module: Dispatcher) -> None:
+    def switch_policy(self, settings: api.Settings, scheduler: Dispatcher) -> None:
         """Another policy from now on, in this turn of the loop: its module decides about jobs that come, the
         former one goes on about those that it took."""
-        old = self.module
-        self.under.update(dict.fromkeys((*old.jobs, *(request for request, _ in old.open)), old))
-        if old.jobs or old.open:
-            self.retiring.append(old)
-        self.module, self.settings = module, settings
-        self.again_ms = min(AGAIN_MS, settings.max_retry_after)
-        self._rules()
-
-    def _rules(self) -> None:
+        previous = self.scheduler
+        self.scheduler_by_request.update(
+            dict.fromkeys((*previous.jobs, *(request for request, _ in previous.open)), previous)
+        )
+        if previous.jobs or previous.open:
+            self.retiring_schedulers.append(previous)
+        self.scheduler, self.settings = scheduler, settings
+        self.journal_retry_after_ms = min(JOURNAL_RETRY_AFTER_MS, settings.max_retry_after)
+        self._update_class_sets()
+
+    def _update_class_sets(self) -> None:
         """What holds for each class by all policies under which jobs are open; where they differ, the more
         careful one: a class counts as safe only if it is so in all."""
-        kinds = [
+        class_effects = [
             (each.name, each.effect)
-            for module in (*self.retiring, self.module)
+            for module in (*self.retiring_schedulers, self.scheduler)
             for each in module.set.classes
         ]
-        self.once = {name for name, effect in kinds if effect == "unsafe"}
-        self.safe = {name for name, effect in kinds if effect == "safe"} - {
-            name for name, effect in kinds if effect != "safe"
+        self.unsafe_classes = {name for name, effect in class_effects if effect == "unsafe"}
+        self.safe_classes = {name for name, effect in class_effects if effect == "safe"} - {
+            name for name, effect in class_effects if effect != "safe"
         }
 
-    def _let_go(self) -> None:
+    def _drop_retired_schedulers(self) -> None:
         """Drop modules all of whose jobs have ended."""
-        left = [each for each in self.retiring if each.jobs or each.open]
-        if len(left) < len(self.retiring):
-            self.retiring = left
-            self.under = {request: module for request, module in self.under.items() if module in left}
-            self._rules()
-
-    def _take(self, take: Take) -> None:
-        envelope = take.envelope
-        if self.policy is not None and not self.policy.admits(take):
+        remaining = [each for each in self.retiring_schedulers if each.jobs or each.open]
+        if len(remaining) < len(self.retiring_schedulers):
+            self.retiring_schedulers = remaining
+            self.scheduler_by_request = {
+                request: module
+                for request, module in self.scheduler_by_request.items()
+                if module in remaining
+            }
+            self._update_class_sets()
+
+    def _handle_submitted(self, submission: RequestSubmitted) -> None:
+        request = submission.request
+        if self.policy_admission is not None and not self.policy_admission.admit(submission):
             return
         # The first one of an id still owes its answer or has an attempt out, and must run once; an id taken
         # up by another client must do it no harm.
-        if envelope.id in self.elsewhere or self._is_open(envelope.id):
-            self._repeated(take, "")
+        if request.id in self.remote_open_ids or self._is_open(request.id):
+            self._answer_repeated(submission, "")
             return
-        if self._recorded(envelope):
-            if envelope.cls in self.once and (known := self.recorder.earlier(envelope.id)):
-                self._repeated(take, known)
+        if self._needs_record(request):
+            if request.cls in self.unsafe_classes and (
+                earlier_state := self.recorder.find_interrupted(request.id)
+            ):
+                self._answer_repeated(submission, earlier_state)
                 return
-            if self.recorder.refusing():
+            if self.recorder.unavailable_reason():
                 self.counters["refused.journal"] += 1
-                self._turned(Turned(envelope.cls))
-                take.sender.answer(envelope, Answer("refused", retry_after=self.again_ms))
+                self._handle_rejected(RequestRejected(request.cls))
+                submission.client.answer(
+                    request, FinalAnswer("refused", retry_after_ms=self.journal_retry_after_ms)
+                )
                 return
-            self.recorder.taken(
-                envelope.id,
-                envelope.cls,
-                envelope.tenant or "",
-                envelope.effect_key or "",
-                envelope.front,
-                envelope.budget,
+            self.recorder.record_accepted(
+                request.id,
+                request.cls,
+                request.tenant or "",
+                request.effect_key or "",
+                request.front,
+                request.budget,
             )
-        if self.under:  # an earlier request of this id is over, whatever its policy was
-            self.under.pop(envelope.id, None)
-        deadline = self.clock.now() + envelope.budget
-        self.calls[envelope.id] = Call(envelope, take.sender, deadline)
-        if self.mirror is not None:
-            self.mirror(envelope.id, True)
+        if self.scheduler_by_request:  # an earlier request of this id is over, whatever its policy was
+            self.scheduler_by_request.pop(request.id, None)
+        deadline_ms = self.clock.now_ms() + request.budget
+        self.pending_requests[request.id] = PendingRequest(request, submission.client, deadline_ms)
+        if self.on_open_change is not None:
+            self.on_open_change(request.id, True)
         self.counters["taken"] += 1
-        self.counters[f"taken.{envelope.cls}"] += 1
-        self._decide(
+        self.counters[f"taken.{request.cls}"] += 1
+        self._dispatch_event(
             api.Request(
-                envelope.id,
-                envelope.cls,
-                deadline,
-                envelope.tenant,
-                envelope.slots,
-                envelope.memory,
-                envelope.hint,
-                envelope.route_key,
-                envelope.repeat,
+                request.id,
+                request.cls,
+                deadline_ms,
+                request.tenant,
+                request.slots,
+                request.memory,
+                request.hint,
+                request.route_key,
+                request.repeat,
             )
         )
 
     def _is_open(self, request: str) -> bool:
-        return request in self.calls or any(
-            (request, number) in self.out for number in range(self._of(request).set.max_attempts)
+        return request in self.pending_requests or any(
+            (request, number) in self.in_flight
+            for number in range(self._scheduler_of(request).set.max_attempts)
         )
 
     def open_ids(self) -> set[str]:
         """Requests that owe their answer or have an attempt out."""
-        return {*self.calls, *(request for request, _ in self.out)}
+        return {*self.pending_requests, *(request for request, _ in self.in_flight)}
 
-    def attempts_out(self, request: str) -> list[tuple[int, Out]]:
+    def in_flight_attempts(self, request: str) -> list[tuple[int, InFlightAttempt]]:
         return [
-            (number, self.out[request, number])
-            for number in range(self._of(request).set.max_attempts)
-            if (request, number) in self.out
+            (number, self.in_flight[request, number])
+            for number in range(self._scheduler_of(request).set.max_attempts)
+            if (request, number) in self.in_flight
         ]
 
-    def give_away(self, request: str) -> None:
+    def hand_over(self, request: str) -> None:
         """Another process owes the answer from now on, and has what is out."""
-        del self.calls[request]
-        for number, out in self.attempts_out(request):
-            self.loop.remove_timeout(out.timer)
-            del self.out[request, number]
+        del self.pending_requests[request]
+        for number, attempt in self.in_flight_attempts(request):
+            self.loop.remove_timeout(attempt.timer)
+            del self.in_flight[request, number]
         self.counters["moved.away"] += 1
 
-    def resume(self, call: Call, out: tuple[int, Out] | None, event: Any) -> None:
+    def resume_request(
+        self, pending: PendingRequest, numbered_attempt: tuple[int, InFlightAttempt] | None, event: Any
+    ) -> None:
         """A request that another process had; out: its attempt that is out, with its number. event: what the
         module is told."""
-        request, now = call.envelope.id, self.clock.now()
-        self.calls[request] = call
+        request, now_ms = pending.request.id, self.clock.now_ms()
+        self.pending_requests[request] = pending
         self.counters["moved.here"] += 1
-        if out is not None:
-            number, attempt = out
-            wait = max(0.0, attempt.until - now) / 1000.0
-            attempt.timer = self.loop.call_later(wait, self.post, Expired(request, number))
-            self.out[request, number] = attempt
-        self._decide(event)
-
-    def _tell_ended(self, request: str) -> None:
-        if self.mirror is not None and not self._is_open(request):
-            self.mirror(request, False)
-
-    def _repeated(self, take: Take, known: str) -> None:
+        if numbered_attempt is not None:
+            number, attempt = numbered_attempt
+            wait_s = max(0.0, attempt.expires_ms - now_ms) / 1000.0
+            attempt.timer = self.loop.call_later(wait_s, self.post, AttemptExpired(request, number))
+            self.in_flight[request, number] = attempt
+        self._dispatch_event(event)
+
+    def _notify_ended(self, request: str) -> None:
+        if self.on_open_change is not None and not self._is_open(request):
+            self.on_open_change(request, False)
+
+    def _answer_repeated(self, submission: RequestSubmitted, earlier_state: str) -> None:
         self.counters["repeated"] += 1
-        self.counters[f"repeated.{take.envelope.cls}"] += 1
-        take.sender.answer(take.envelope, Answer("repeated", known.encode()))
-
-    def _turned(self, turned: Turned) -> None:
-        self.counters[f"turned.{turned.cls}"] += 1
-
-    def _recorded(self, envelope: Envelope) -> bool:
-        return self.recorder is not None and envelope.cls not in self.safe
-
-    def _left(self, left: Left) -> None:
-        call = self.calls.get(left.request)
-        if call is None and self.policy is not None:
-            self.policy.left(left.request, left.sender)
-        if call is not None and call.sender is left.sender:
-            del self.calls[left.request]
-            if self._recorded(call.envelope):
-                self.recorder.answered(left.request, "left")
+        self.counters[f"repeated.{submission.request.cls}"] += 1
+        submission.client.answer(submission.request, FinalAnswer("repeated", earlier_state.encode()))
+
+    def _handle_rejected(self, message: RequestRejected) -> None:
+        self.counters[f"turned.{message.class_name}"] += 1
+
+    def _needs_record(self, request: JobRequest) -> bool:
+        return self.recorder is not None and request.cls not in self.safe_classes
+
+    def _handle_client_disconnected(self, message: ClientDisconnected) -> None:
+        pending = self.pending_requests.get(message.request)
+        if pending is None and self.policy_admission is not None:
+            self.policy_admission.client_disconnected(message.request, message.client)
+        if pending is not None and pending.client is message.client:
+            del self.pending_requests[message.request]
+            if self._needs_record(pending.request):
+                self.recorder.record_answered(message.request, "left")
             self.counters["left"] += 1
-            self._decide(api.ClientGone(left.request), self._of(left.request))
-            self._withdraw(left.request)
-            self._tell_ended(left.request)
+            self._dispatch_event(api.ClientGone(message.request), self._scheduler_of(message.request))
+            self._withdraw_attempts(message.request)
+            self._notify_ended(message.request)
 
-    def _withdraw(self, request: str) -> None:
+    def _withdraw_attempts(self, request: str) -> None:
         """Nothing is owed for it any more: what of it still waits to be sent is not sent on, also where the
         settings allow nothing to be called off. What has been sent keeps the rules of its class."""
-        for number, out in self.attempts_out(request):
-            if out.waiting:
-                self._give_up(request, number, "cancelled")
-            elif out.hop is not None:
-                out.hop.withdraw(request, number)
-
-    def _listed(self, listed: Listed) -> None:
-        news, before = listed.news, self.hops.get(listed.source, {})
-        self.hops[listed.source] = listed.hops
-        self.counters[f"listed.{news.scope}"] += 1
-        if news.scope != "error":
-            self.heard |= bool(news.workers) or news.scope == "complete"
-            if news.scope != "persisted" and listed.source == "map":
-                self.heard_at = self.loop.time()
-        if news.scope in ("complete", "persisted") and len(self.hops) > 1:
+        for number, attempt in self.in_flight_attempts(request):
+            if attempt.awaits_record:
+                self._cancel_attempt(request, number, "cancelled")
+            elif attempt.connection is not None:
+                attempt.connection.withdraw(request, number)
+
+    def _handle_endpoints_changed(self, message: EndpointsChanged) -> None:
+        update, previous_connections = message.update, self.connections_by_source.get(message.source, {})
+        self.connections_by_source[message.source] = message.connections
+        self.counters[f"listed.{update.scope}"] += 1
+        if update.scope != "error":
+            self.endpoints_known |= bool(update.workers) or update.scope == "complete"
+            if update.scope != "persisted" and message.source == "map":
+                self.discovery_heard_s = self.loop.time()
+        if update.scope in ("complete", "persisted") and len(self.connections_by_source) > 1:
             # A whole list of one directory says nothing of the job workers of another.
-            named = {each.id for each in news.workers}
-            gone = [api.Worker(worker, "gone") for worker in before if worker not in named]
-            news = api.WorkerList("partial", (*news.workers, *gone))
-        if self.zones is not None:
-            news = self.zones.screen(news)
-        self._decide_all(news)
-        if self.news is not None:
-            self.news()
-
-    def _hop(self, worker: int) -> NextHop | None:
-        return next((hops[worker] for hops in self.hops.values() if worker in hops), None)
-
-    def _started(self, started: Started) -> None:
-        out = self.out.get((started.request, started.number))
-        if out is not None:
-            note = api.Note(started.request, started.number, out.worker, started.began)
-            self._decide(note, self._of(started.request))
-
-    def _accepted(self, accepted: Accepted) -> None:
-        out = self.out.get(accepted)
-        if out is not None:
-            if self.zones is not None:
-                self.zones.accepted(out.worker, accepted)
-            told = api.Accepted(accepted.request, accepted.number, out.worker)
-            self._decide(told, self._of(accepted.request))
-
-    def _expired(self, expired: Expired) -> None:
-        self._give_up(*expired, "timeout")
-
-    def _give_up(self, request: str, number: int, why: api.Result) -> None:
-        out = self.out.get((request, number))
-        if out is None or out.hop is None:
+            listed_ids = {each.id for each in update.workers}
+            gone = [api.Worker(worker, "gone") for worker in previous_connections if worker not in listed_ids]
+            update = api.WorkerList("partial", (*update.workers, *gone))
+        if self.zone_routing is not None:
+            update = self.zone_routing.filter_workers(update)
+        self._dispatch_to_all(update)
+        if self.on_endpoints_changed is not None:
+            self.on_endpoints_changed()
+
+    def _connection_to(self, worker_id: int) -> WorkerConnection | None:
+        return next(
+            (hops[worker_id] for hops in self.connections_by_source.values() if worker_id in hops), None
+        )
+
+    def _handle_progress(self, message: AttemptProgress) -> None:
+        attempt = self.in_flight.get((message.request, message.number))
+        if attempt is not None:
+            event = api.Note(message.request, message.number, attempt.worker, message.has_started)
+            self._dispatch_event(event, self._scheduler_of(message.request))
+
+    def _handle_accepted(self, message: AttemptAccepted) -> None:
+        attempt = self.in_flight.get(message)
+        if attempt is not None:
+            if self.zone_routing is not None:
+                self.zone_routing.attempt_accepted(attempt.worker, message)
+            event = api.Accepted(message.request, message.number, attempt.worker)
+            self._dispatch_event(event, self._scheduler_of(message.request))
+
+    def _handle_expired(self, message: AttemptExpired) -> None:
+        self._cancel_attempt(*message, "timeout")
+
+    def _cancel_attempt(self, request: str, number: int, result: api.Result) -> None:
+        attempt = self.in_flight.get((request, number))
+        if attempt is None or attempt.connection is None:
             return
-        if out.recorded:
-            self.recorder.given_up(request, number, why)
-        if out.waiting:  # the hop does not know of it: it is over here and now
-            out.waiting = False
-            self.post(Ended(request, number, "moot", unsent=True))
+        if attempt.is_recorded:
+            self.recorder.record_cancelled(request, number, result)
+        if attempt.awaits_record:  # the hop does not know of it: it is over here and now
+            attempt.awaits_record = False
+            self.post(AttemptEnded(request, number, "moot", is_unsent=True))
         else:
-            out.hop.give_up(request, number, why)
+            attempt.connection.cancel(request, number, result)
 
-    def _ended(self, ended: Ended) -> None:
+    def _handle_attempt_ended(self, message: AttemptEnded) -> None:
         # A next hop's word on an attempt that is over already (a repeated call-back) changes nothing.
-        out = self.out.pop((ended.request, ended.number), None)
-        if out is None:
+        attempt = self.in_flight.pop((message.request, message.number), None)
+        if attempt is None:
             return
-        self.loop.remove_timeout(out.timer)
-        self.counters[f"ended.{ended.result}"] += 1
-        if self.zones is not None:
-            self.zones.ended(out.worker, ended[:2], ended.result)
-        if out.recorded:
-            tell = self.recorder.unsent if ended.unsent else self.recorder.outcome
-            tell(ended.request, ended.number, ended.result)
-        if ended.result not in api.NEVER_RAN and ended.request in self.calls:
-            self.ran(self.calls[ended.request], out.at)
-        if ended.result == "ok":
-            self._answer(ended.request, Answer("served", ended.body))
-        self._decide(
+        self.loop.remove_timeout(attempt.timer)
+        self.counters[f"ended.{message.result}"] += 1
+        if self.zone_routing is not None:
+            self.zone_routing.attempt_ended(attempt.worker, message[:2], message.result)
+        if attempt.is_recorded:
+            record = self.recorder.record_unsent if message.is_unsent else self.recorder.record_outcome
+            record(message.request, message.number, message.result)
+        if message.result not in api.NEVER_RAN and message.request in self.pending_requests:
+            self.attempt_may_have_run(self.pending_requests[message.request], attempt.forwarded_ms)
+        if message.result == "ok":
+            self._answer_request(message.request, FinalAnswer("served", message.body))
+        self._dispatch_event(
             api.Outcome(
-                ended.request,
-                ended.number,
-                out.worker,
-                ended.result,
-                ended.request not in self.calls,
-                self.clock.now() - out.at,
-                ended.report,
+                message.request,
+                message.number,
+                attempt.worker,
+                message.result,
+                message.request not in self.pending_requests,
+                self.clock.now_ms() - attempt.forwarded_ms,
+                message.report,
             ),
-            self._of(ended.request),
+            self._scheduler_of(message.request),
         )
-        self._tell_ended(ended.request)
+        self._notify_ended(message.request)
 
-    def _last_byte(self, last: LastByte) -> None:
+    def _handle_last_byte(self, message: LastByteSent) -> None:
         self.counters["tries"] += 1
-        out = self.out.get(last[:2])
-        if out is not None and out.recorded:  # of an attempt that is over nothing more is written down
-            self.recorder.last_byte(*last)
-
-    def _answer(self, request: str, answer: Answer) -> None:
-        call = self.calls.pop(request, None)
-        if call is not None:
+        attempt = self.in_flight.get(message[:2])
+        if (
+            attempt is not None and attempt.is_recorded
+        ):  # of an attempt that is over nothing more is written down
+            self.recorder.record_last_byte(*message)
+
+    def _answer_request(self, request: str, answer: FinalAnswer) -> None:
+        pending = self.pending_requests.pop(request, None)
+        if pending is not None:
             self.counters["answered"] += 1
-            self.counters[f"answered.{answer.kind}.{call.envelope.cls}"] += 1
-            if self._recorded(call.envelope):
-                self.recorder.answered(request, answer.kind)
-            call.sender.answer(call.envelope, answer)
-            self._withdraw(request)
-            self._tell_ended(request)
-
-    def _send(self, action: api.Send) -> None:
-        call, now = self.calls[action.request], self.clock.now()
-        number, call.sent = call.sent, call.sent + 1
-        budget = call.deadline - now - EARLY_MS
+            self.counters[f"answered.{answer.kind}.{pending.request.cls}"] += 1
+            if self._needs_record(pending.request):
+                self.recorder.record_answered(request, answer.kind)
+            pending.client.answer(pending.request, answer)
+            self._withdraw_attempts(request)
+            self._notify_ended(request)
+
+    def _forward(self, action: api.Send) -> None:
+        pending, now_ms = self.pending_requests[action.request], self.clock.now_ms()
+        number, pending.attempt_count = pending.attempt_count, pending.attempt_count + 1
+        timeout_ms = pending.deadline_ms - now_ms - TIMEOUT_MARGIN_MS
         if action.timeout:
-            budget = min(budget, action.timeout)
+            timeout_ms = min(timeout_ms, action.timeout)
         key = (action.request, number)
-        timer = self.loop.call_later(max(0.0, budget) / 1000.0, self.post, Expired(*key))
-        hop = self._hop(action.worker)
-        out = self.out[key] = Out(hop, action.worker, now, now + budget, timer)
-        if budget <= 0 or number >= self.acting.set.max_attempts or hop is None:
-            self.post(Ended(*key, "moot"))
+        timer = self.loop.call_later(max(0.0, timeout_ms) / 1000.0, self.post, AttemptExpired(*key))
+        connection = self._connection_to(action.worker)
+        attempt = self.in_flight[key] = InFlightAttempt(
+            connection, action.worker, now_ms, now_ms + timeout_ms, timer
+        )
+        if timeout_ms <= 0 or number >= self.acting_scheduler.set.max_attempts or connection is None:
+            self.post(AttemptEnded(*key, "moot"))
             return
-        may = self._permit(call, action.worker)
-        if self.zones is not None:
-            if not self.zones.may(action.worker):
+        may_send = self._send_permission(pending, action.worker)
+        if self.zone_routing is not None:
+            if not self.zone_routing.may_forward(action.worker):
                 self.counters["zones.moot"] += 1
-                self.post(Ended(*key, "moot", unsent=True))
+                self.post(AttemptEnded(*key, "moot", is_unsent=True))
                 return
-            self.zones.sent(action.worker, key)
+            self.zone_routing.attempt_sent(action.worker, key)
         self.counters["sent"] += 1
-        self.counters[f"sent.{call.envelope.cls}"] += 1
-        if not self._recorded(call.envelope):
-            safe = call.envelope.cls in self.safe
-            hop.deliver(Delivery(call.envelope, number, budget, safe, may=may), self)
+        self.counters[f"sent.{pending.request.cls}"] += 1
+        if not self._needs_record(pending.request):
+            is_safe = pending.request.cls in self.safe_classes
+            connection.deliver(
+                DeliveryAttempt(pending.request, number, timeout_ms, is_safe, may_send=may_send), self
+            )
             return
-        if hop.asks:
-
-            def intent(then: Callable[[bool], None]) -> None:
-                out.recorded = True
-                self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, then))
-
-            hop.deliver(Delivery(call.envelope, number, budget, recorded=True, intent=intent, may=may), self)
+        if connection.records_intent_itself:
+
+            def record_intent(then: Callable[[bool], None]) -> None:
+                attempt.is_recorded = True
+                self.recorder.record_intent(
+                    *key,
+                    connection.name,
+                    connection.address,
+                    partial(self._handle_intent_recorded, key, then),
+                )
+
+            connection.deliver(
+                DeliveryAttempt(
+                    pending.request,
+                    number,
+                    timeout_ms,
+                    is_recorded=True,
+                    record_intent=record_intent,
+                    may_send=may_send,
+                ),
+                self,
+            )
             return
-        out.recorded = out.waiting = True
-        self.recorder.intent(*key, hop.name, hop.place, partial(self._told, key, None))
+        attempt.is_recorded = attempt.awaits_record = True
+        self.recorder.record_intent(
+            *key, connection.name, connection.address, partial(self._handle_intent_recorded, key, None)
+        )
 
-    def ran(self, call: Call, at: float) -> None:
+    def attempt_may_have_run(self, pending: PendingRequest, forwarded_ms: float) -> None:
         """An attempt that was sent at this time may have run."""
-        module = self._of(call.envelope.id)
-        for each in module.set.classes:
-            if each.name == call.envelope.cls and each.effect == "keyed":
-                call.until = min(call.until, at + each.window - module.set.tick)
-
-    def _permit(self, call: Call, worker: int) -> Callable[[], bool] | None:
+        scheduler = self._scheduler_of(pending.request.id)
+        for each in scheduler.set.classes:
+            if each.name == pending.request.cls and each.effect == "keyed":
+                pending.send_until_ms = min(
+                    pending.send_until_ms, forwarded_ms + each.window - scheduler.set.tick
+                )
+
+    def _send_permission(self, pending: PendingRequest, worker: int) -> Callable[[], bool] | None:
         """What is asked at the moment of use, just before an attempt is sent; None: nothing can forbid it. A
         place in a pool, a connection and the journal may have taken their time since it was decided."""
-        zones = self.zones
-        if zones is None and call.until == math.inf:
+        zones = self.zone_routing
+        if zones is None and pending.send_until_ms == math.inf:
             return None
-        return lambda: self.clock.now() < call.until and (zones is None or zones.may(worker))
+        return lambda: (
+            self.clock.now_ms() < pending.send_until_ms and (zones is None or zones.may_forward(worker))
+        )
 
-    def _told(self, key: tuple[str, int], then: Callable[[bool], None] | None, may: bool) -> None:
+    def _handle_intent_recorded(
+        self, key: tuple[str, int], on_recorded: Callable[[bool], None] | None, may_send: bool
+    ) -> None:
         """The journal's word on an intent; then: the hop that asked. A refusal is answered before it ends."""
-        self.post(Recorded(*key, may))
-        if then is not None:
-            then(may)
+        self.post(AttemptRecorded(*key, may_send))
+        if on_recorded is not None:
+            on_recorded(may_send)
 
-    def _may_send(self, recorded: Recorded) -> None:
+    def _handle_recorded(self, message: AttemptRecorded) -> None:
         """The intent of an attempt is on disk, or cannot be; it may have been given up meanwhile."""
-        key = recorded[:2]
-        out, call = self.out.get(key), self.calls.get(recorded.request)
-        if out is None:
+        key = message[:2]
+        attempt, pending = self.in_flight.get(key), self.pending_requests.get(message.request)
+        if attempt is None:
             return
-        if not recorded.may:
+        if not message.may_send:
             self.counters["refused.journal"] += 1
-            self._answer(recorded.request, Answer("refused", retry_after=self.again_ms))
-        if not out.waiting:  # the hop has asked, and goes on or ends by itself
+            self._answer_request(
+                message.request, FinalAnswer("refused", retry_after_ms=self.journal_retry_after_ms)
+            )
+        if not attempt.awaits_record:  # the hop has asked, and goes on or ends by itself
             return
-        out.waiting = False
-        if call is None or not recorded.may:
-            self.post(Ended(*key, "moot", unsent=True))
+        attempt.awaits_record = False
+        if pending is None or not message.may_send:
+            self.post(AttemptEnded(*key, "moot", is_unsent=True))
             return
-        budget = max(0.0, out.until - self.clock.now())
-        may = self._permit(call, out.worker)
-        out.hop.deliver(Delivery(call.envelope, recorded.number, budget, recorded=True, may=may), self)
+        timeout_ms = max(0.0, attempt.expires_ms - self.clock.now_ms())
+        may_send = self._send_permission(pending, attempt.worker)
+        attempt.connection.deliver(
+            DeliveryAttempt(pending.request, message.number, timeout_ms, is_recorded=True, may_send=may_send),
+            self,
+        )
 
-    def _cancel(self, action: api.Cancel) -> None:
-        self._give_up(action.request, action.attempt, "cancelled")
+    def _handle_cancel(self, action: api.Cancel) -> None:
+        self._cancel_attempt(action.request, action.attempt, "cancelled")
 
-    def _probe(self, action: api.Probe) -> None:
-        self.probe(action.worker)
+    def _handle_probe(self, action: api.Probe) -> None:
+        self.probe_worker(action.worker)
 
-    def probe(self, worker: int) -> None:
-        hop = self._hop(worker)
-        if hop is not None:
+    def probe_worker(self, worker: int) -> None:
+        connection = self._connection_to(worker)
+        if connection is not None:
             self.counters["probed"] += 1
-            hop.probe(worker, self)
+            connection.probe(worker, self)
 
-    def _probed(self, probed: Probed) -> None:
-        if self.zones is not None:
-            self.zones.probed(probed.result.worker, probed.result.result)
-        self._decide_all(probed.result)
+    def _handle_probe_ended(self, message: ProbeEnded) -> None:
+        if self.zone_routing is not None:
+            self.zone_routing.probe_finished(message.result.worker, message.result.result)
+        self._dispatch_to_all(message.result)
 
-    def tell(self, event: Any) -> None:
+    def notify_schedulers(self, event: Any) -> None:
         """An event for the module from beside the core."""
-        self._decide_all(event)
+        self._dispatch_to_all(event)
 
-    def recall(self, request: str, number: int) -> None:
+    def cancel_repeatable(self, request: str, number: int) -> None:
         """Give an attempt up that may be repeated anywhere, if it is still out and its answer is owed."""
-        call = self.calls.get(request)
-        if call is not None and call.envelope.cls in self.safe:
-            self._give_up(request, number, "cancelled")
+        pending = self.pending_requests.get(request)
+        if pending is not None and pending.request.cls in self.safe_classes:
+            self._cancel_attempt(request, number, "cancelled")
 
     def _set_timer(self, action: api.SetTimer) -> None:
-        self.loop.call_later(action.delay / 1000.0, self.post, Due(action.token, self.acting))
+        self.loop.call_later(
+            action.delay / 1000.0, self.post, TimerExpired(action.token, self.acting_scheduler)
+        )
 
-    def _due(self, due: Due) -> None:
-        if due.module is None or due.module is self.module or due.module in self.retiring:
-            self._decide(api.TimerDue(due.token), due.module)
+    def _handle_timer(self, message: TimerExpired) -> None:
+        if (
+            message.scheduler is None
+            or message.scheduler is self.scheduler
+            or message.scheduler in self.retiring_schedulers
+        ):
+            self._dispatch_event(api.TimerDue(message.token), message.scheduler)
 
-    def _log(self, action: api.Log) -> None:
+    def _log_line(self, action: api.Log) -> None:
         log.info("%s", action.line)
 
-    def _tell_peers(self, action: api.TellPeers) -> None:
+    def _broadcast_to_peers(self, action: api.TellPeers) -> None:
         log.warning("peers cannot be told here: %s", action.payload)
 
 
-HANDLERS = {
-    Take: Exchange._take,
-    Left: Exchange._left,
-    Listed: Exchange._listed,
-    Started: Exchange._started,
-    Accepted: Exchange._accepted,
-    Ended: Exchange._ended,
-    Expired: Exchange._expired,
-    Recorded: Exchange._may_send,
-    Turned: Exchange._turned,
-    LastByte: Exchange._last_byte,
-    Due: Exchange._due,
-    Probed: Exchange._probed,
+MESSAGE_HANDLERS = {
+    RequestSubmitted: RequestManager._handle_submitted,
+    ClientDisconnected: RequestManager._handle_client_disconnected,
+    EndpointsChanged: RequestManager._handle_endpoints_changed,
+    AttemptProgress: RequestManager._handle_progress,
+    AttemptAccepted: RequestManager._handle_accepted,
+    AttemptEnded: RequestManager._handle_attempt_ended,
+    AttemptExpired: RequestManager._handle_expired,
+    AttemptRecorded: RequestManager._handle_recorded,
+    RequestRejected: RequestManager._handle_rejected,
+    LastByteSent: RequestManager._handle_last_byte,
+    TimerExpired: RequestManager._handle_timer,
+    ProbeEnded: RequestManager._handle_probe_ended,
 }
-ACTIONS = {
-    api.Send: Exchange._send,
-    api.Cancel: Exchange._cancel,
-    api.Probe: Exchange._probe,
-    api.Refuse: lambda self, a: self._answer(a.request, Answer("refused", retry_after=a.retry_after)),
-    api.Fail: lambda self, a: self._answer(a.request, Answer("failed")),
-    api.SetTimer: Exchange._set_timer,
-    api.Log: Exchange._log,
-    api.TellPeers: Exchange._tell_peers,
+ACTION_HANDLERS = {
+    api.Send: RequestManager._forward,
+    api.Cancel: RequestManager._handle_cancel,
+    api.Probe: RequestManager._handle_probe,
+    api.Refuse: lambda self, a: self._answer_request(
+        a.request, FinalAnswer("refused", retry_after_ms=a.retry_after)
+    ),
+    api.Fail: lambda self, a: self._answer_request(a.request, FinalAnswer("failed")),
+    api.SetTimer: RequestManager._set_timer,
+    api.Log: RequestManager._log_line,
+    api.TellPeers: RequestManager._broadcast_to_peers,
     api.Watch: lambda self, _: self.directory.watch(),
 }
--- a/spanwing/core/figures.py
+++ b/spanwing/core/figures.py
@@ -10,30 +10,30 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from spanwing.core.exchange import Exchange
+    from spanwing.core.exchange import RequestManager
 
 #: By figure, the core's counts of a class that make it up. A request that a front turned away was refused all
 #: the same, and one whose id was taken before got an error.
-SUMS = {
+COUNTERS_BY_FIGURE = {
     "ok": ("answered.served",),
     "shed": ("answered.refused", "turned"),
     "errors": ("answered.failed", "repeated"),
 }
 
 
-def figures(core: Exchange) -> dict[str, int]:
+def collect_statistics(request_manager: RequestManager) -> dict[str, int]:
     """All figures now; counts run from the start of the process."""
-    counts = core.counters
-    told = {
+    counts = request_manager.counters
+    totals = {
         f"{name}.{each.name}": sum(counts[f"{part}.{each.name}"] for part in parts)
-        for name, parts in SUMS.items()
-        for each in core.settings.classes
+        for name, parts in COUNTERS_BY_FIGURE.items()
+        for each in request_manager.settings.classes
     }
-    listed, aside = core.pool()
+    listed, ejected = request_manager.pool_counts()
     return {
-        **told,
+        **totals,
         "tries": counts["tries"],
-        "active": len(core.calls),
+        "active": len(request_manager.pending_requests),
         "pool_size": listed,
-        "pool_ejected": aside,
+        "pool_ejected": ejected,
     }
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -17,223 +17,257 @@
 from tornado.locks import Event
 
 from spanwing import interface as api
-from spanwing.config import MANAGEMENT_CALLS, OWN_SOCKETS, Config, load, read_settings
+from spanwing.config import (
+    MAX_MANAGEMENT_CONNECTIONS,
+    RESERVED_SOCKETS,
+    Configuration,
+    load_configuration,
+    parse_settings,
+)
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import Exchange
-from spanwing.core.figures import figures
-from spanwing.faults import ConfigError
-from spanwing.fronts.faktory import FaktoryFront
-from spanwing.fronts.platform import PlatformFront
+from spanwing.core.exchange import RequestManager
+from spanwing.core.figures import collect_statistics
+from spanwing.faults import ConfigurationError
+from spanwing.fronts.faktory import FaktoryFrontend
+from spanwing.fronts.platform import PlatformFrontend
 from spanwing.fronts.senderside import HttpServer
-from spanwing.hops.faktoryworker import FaktoryWorkers
-from spanwing.hops.load import LoadReader
-from spanwing.hops.nexthop import HttpNextHop
-from spanwing.hops.pool import ConnectionPool, Descriptors
-from spanwing.hops.transportmap import Pace, TransportMap
-from spanwing.log import tell
-from spanwing.log.events import LOG
-from spanwing.settings import Permissions, Rules
+from spanwing.hops.faktoryworker import FaktoryWorkerDirectory
+from spanwing.hops.load import LoadReportReader
+from spanwing.hops.nexthop import HttpWorker
+from spanwing.hops.pool import ConnectionPool, DescriptorBudget
+from spanwing.hops.transportmap import DiscoveryClient, WatchTiming
+from spanwing.log import log_event
+from spanwing.log.events import EVENT_LOG
+from spanwing.settings import PermissionSettings, RuleSettings
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
-from spanwing.store.disk import Disk, DiskError
+from spanwing.store.disk import RegisterLog, RegisterLogError
 from spanwing.store.peer import Peer, PeerListener
-from spanwing.store.shared import shared_settings
+from spanwing.store.shared import agree_on_settings
 from spanwing.store.store import Store
 from spanwing.wire import meter
-from spanwing.wire.address import Address, inherited
+from spanwing.wire.address import Address, adopt_listening_socket
 from spanwing.wire.buffers import BufferPool
 
 if TYPE_CHECKING:
-    from spanwing.fronts.balancers.side import BalancerSide
-    from spanwing.handover.handover import Handover
-    from spanwing.journal.keeper import Keeper
-    from spanwing.policy.side import PolicySide
-    from spanwing.zones.side import ZoneSide
+    from spanwing.fronts.balancers.side import BalancerService
+    from spanwing.handover.handover import HotRestart
+    from spanwing.journal.keeper import JournalWriter
+    from spanwing.policy.side import PolicyService
+    from spanwing.zones.side import ZoneService
 
 HOUR_MS, DAY_MS = 3_600_000.0, 86_400_000.0
-LAST_ARRIVALS_S = 0.5  # new connections still come this long after SIGTERM
+SHUTDOWN_NOTICE_S = 0.5  # new connections still come this long after SIGTERM
 # SIGKILL comes no sooner than this after SIGTERM, or the longest deadline where that is shorter, and KILL_MS.
-LONGEST_MS, KILL_MS = 3000.0, 700.0
-MARGIN_MS = 400.0
-MOST_TOLD = 500  # attempts that a crash left, told one by one at a start
-LEAST_SHARE = 8  # connections of either side while two processes share the limits
-LAST_SETTLING = 100  # looks, 10 ms apart, at whether the last outcomes are in the store
+MAX_DRAIN_DEADLINE_MS, KILL_MARGIN_MS = 3000.0, 700.0
+ANSWER_MARGIN_MS = 400.0
+MAX_REPORTED_ATTEMPTS = 500  # attempts that a crash left, told one by one at a start
+MIN_SHARE = 8  # connections of either side while two processes share the limits
+MAX_SETTLING_CHECKS = 100  # looks, 10 ms apart, at whether the last outcomes are in the store
 
 
 class Daemon:
     """All parts of one scheduler."""
 
-    def __init__(self, config: Config, loop_meter: meter.MeteredSelector | None = None) -> None:
-        self.config, self.stopping, self.meter = config, False, loop_meter
-        self.balancers: BalancerSide | None = None
-        self.last = math.inf  # of the loop's time: when the latest answer is due
+    def __init__(self, config: Configuration, loop_meter: meter.MeteredSelector | None = None) -> None:
+        self.config, self.is_stopping, self.loop_meter = config, False, loop_meter
+        self.balancers: BalancerService | None = None
+        self.last_answer_s = math.inf  # of the loop's time: when the latest answer is due
         self.started = Event()
-        self.buffers = BufferPool()
-        self.faktory: FaktoryFront | None = None
-        self.server: HttpServer | None = None
-        self.handover: Handover | None = None
-        self.keeper: Keeper | None = None
-        self.zones: ZoneSide | None = None
-        self.policy: PolicySide | None = None
-        self.listener: PeerListener | None = None
+        self.buffer_pool = BufferPool()
+        self.faktory_frontend: FaktoryFrontend | None = None
+        self.http_server: HttpServer | None = None
+        self.hot_restart: HotRestart | None = None
+        self.journal: JournalWriter | None = None
+        self.zone_routing: ZoneService | None = None
+        self.fleet_policy: PolicyService | None = None
+        self.store_listener: PeerListener | None = None
         self.open_management()
         table = config.store
-        acceptor = Acceptor(Disk(table.directory) if table.directory else None)
-        peers = [Peer(address, self.buffers) for address in config.store_peers.values()]
+        acceptor = Acceptor(RegisterLog(table.directory) if table.directory else None)
+        peers = [Peer(address, self.buffer_pool) for address in config.store_peers.values()]
         self.store = Store(
-            table.member, acceptor, peers, config.seed, table.answer_ms, tuple(config.store_peers)
+            table.member, acceptor, peers, config.seed, table.answer_timeout_ms, tuple(config.store_peers)
         )
         if config.store_listen:
-            self.listener = _listening(
+            self.store_listener = _open_listener(
                 "store.listen",
                 config.store_listen,
-                lambda address: PeerListener(address, acceptor, self.buffers),
+                lambda address: PeerListener(address, acceptor, self.buffer_pool),
             )
-            self.say("store", self.listener.address)
+            self.print_address("store", self.store_listener.address)
 
     async def start(self) -> None:
         """Take the shared settings, then open the fronts."""
-        config, buffers = self.config, self.buffers
+        config, buffers = self.config, self.buffer_pool
         if config.policy is not None:
-            raw = await self.learn_policy()
+            settings_json = await self.join_policy()
         else:
-            raw = await shared_settings(self.store, config.revision, config.raw_settings)
-        options, settings = read_settings(raw, config.options)
-        loads = LoadReader(settings.report_fields)
-        allow = options.permissions or Permissions()
-        self.core = Exchange(settings, config.seed, Clock())
+            settings_json = await agree_on_settings(
+                self.store, config.settings_revision, config.settings_json
+            )
+        platform_settings, settings = parse_settings(settings_json, config.platform_settings)
+        load_reader = LoadReportReader(settings.report_fields)
+        permissions = platform_settings.permissions or PermissionSettings()
+        self.request_manager = RequestManager(settings, config.seed, Clock())
         self.open_journal()
         self.join_zones()
-        if self.policy is not None:
-            self.policy.bind(self.core)
+        if self.fleet_policy is not None:
+            self.fleet_policy.attach_request_manager(self.request_manager)
 
         # What is wrong with it must be said before the process in service hears of us.
-        shared = None if config.shared is None else _listening("ROUTER_FD", config.shared, inherited)
-        handover = None
-        if shared is not None:
-            from spanwing.handover.handover import Handover, Parts
-            from spanwing.handover.link import Place
-
-            name = str(Address(*shared.getsockname()[:2]))
-            handover = self.handover = Handover(Place(os.environ.get("TMPDIR") or "/tmp", name), self.deal)
-            await handover.join()
+        inherited_socket = (
+            None
+            if config.inherited_descriptor is None
+            else _open_listener("ROUTER_FD", config.inherited_descriptor, adopt_listening_socket)
+        )
+        hot_restart = None
+        if inherited_socket is not None:
+            from spanwing.handover.handover import HotRestart, HotRestartContext
+            from spanwing.handover.link import RendezvousSocket
+
+            name = str(Address(*inherited_socket.getsockname()[:2]))
+            hot_restart = self.hot_restart = HotRestart(
+                RendezvousSocket(os.environ.get("TMPDIR") or "/tmp", name), self.apply_connection_shares
+            )
+            await hot_restart.connect_to_predecessor()
 
-        shares = config.shares()
-        self.descriptors = Descriptors(shares.hops)
+        shares = config.connection_shares()
+        self.descriptors = DescriptorBudget(shares.workers)
 
-        def make_hop(name, address, retired):
+        def make_worker_connection(name, address, retired):
             pool = ConnectionPool(
-                address, buffers, self.descriptors, allow.conn_idle_ms, allow.connect_timeout_ms
+                address, buffers, self.descriptors, permissions.conn_idle_ms, permissions.connect_timeout_ms
             )
-            return HttpNextHop(name, pool, loads, retired)
+            return HttpWorker(name, pool, load_reader, retired)
 
-        transport = self.transport = TransportMap(
-            config.known,
+        discovery = self.discovery = DiscoveryClient(
+            config.known_endpoints,
             config.discovery,
-            self.core,
+            self.request_manager,
             buffers,
-            make_hop,
-            Pace.of(settings.drain_grace, not settings.subscribe, (options.rules or Rules()).ask_every_ms),
+            make_worker_connection,
+            WatchTiming.from_settings(
+                settings.drain_grace,
+                not settings.subscribe,
+                (platform_settings.rules or RuleSettings()).poll_interval_ms,
+            ),
         )
-        self.core.directory = transport
+        self.request_manager.directory = discovery
         if not settings.subscribe:  # the module asks for nothing then; what discovery has counts all the same
-            transport.watch()
-        platform = PlatformFront(
-            settings.classes, loads, transport.post, self.counters, self.taking, self.left_ms
+            discovery.watch()
+        platform_frontend = PlatformFrontend(
+            settings.classes,
+            load_reader,
+            discovery.post,
+            self.collect_counters,
+            self.accepts_clients,
+            self.remaining_ms,
         )
-        if handover is not None:
-            await handover.take_over(Parts(self.core, transport, self.descriptors))
-        self.server = _listening(
+        if hot_restart is not None:
+            await hot_restart.take_over(HotRestartContext(self.request_manager, discovery, self.descriptors))
+        self.http_server = _open_listener(
             "ROUTER_LISTEN",
             config.listen,
             lambda address: HttpServer(
                 address,
-                platform,
-                self.core,
+                platform_frontend,
+                self.request_manager,
                 buffers,
                 shares.clients,
                 settings.max_retry_after,
-                config.proxied.of("clients"),
-                shared,
+                config.proxy_protocol.sources_for("clients"),
+                inherited_socket,
             ),
         )
         if config.faktory:
-            workers = FaktoryWorkers(self.core, settings.zone)
-            self.faktory = _listening(
+            workers = FaktoryWorkerDirectory(self.request_manager, settings.zone)
+            self.faktory_frontend = _open_listener(
                 "faktory.listen",
                 config.faktory,
-                lambda address: FaktoryFront(
+                lambda address: FaktoryFrontend(
                     address,
                     settings.classes,
-                    self.core,
+                    self.request_manager,
                     workers,
                     Claims(self.store),
                     buffers,
                     shares.faktory,
-                    self.counters,
-                    config.proxied.of("faktory"),
-                    self.keeper.earlier if self.keeper else lambda jid: "",
+                    self.collect_counters,
+                    config.proxy_protocol.sources_for("faktory"),
+                    self.journal.find_interrupted if self.journal else lambda jid: "",
                 ),
             )
-            self.say("faktory", self.faktory.address)
-        if self.policy is not None:
-            self.policy.began.append(self.serve_classes)
-        self.tell_balancers(config)
-        if handover is not None:
-            _listening("TMPDIR", handover.place.folder, lambda _: handover.serve(self.server))
-            self.deal()
-        self.say("clients", self.server.address)
+            self.print_address("faktory", self.faktory_frontend.address)
+        if self.fleet_policy is not None:
+            self.fleet_policy.on_policy_change.append(self.update_classes)
+        self.open_balancer_listeners(config)
+        if hot_restart is not None:
+            _open_listener(
+                "TMPDIR", hot_restart.rendezvous.folder, lambda _: hot_restart.start_serving(self.http_server)
+            )
+            self.apply_connection_shares()
+        self.print_address("clients", self.http_server.address)
         self.started.set()
         gc.freeze()  # what is loaded now stays: collections need not look at it again
 
-    def serve_classes(self, settings: api.Settings) -> None:
+    def update_classes(self, settings: api.Settings) -> None:
         """Another policy: the fronts take jobs of its classes."""
-        for front in (self.server.front, self.faktory):
-            if front is not None:
-                front.classes = {each.name: each for each in settings.classes}
+        for frontend in (self.http_server.frontend, self.faktory_frontend):
+            if frontend is not None:
+                frontend.service_classes = {each.name: each for each in settings.classes}
 
     def open_management(self) -> None:
         """Before all else, so that whoever asks hears no until clients are taken. Raises ConfigError."""
         address = self.config.management
         if address is not None:
-            from spanwing.fronts.management import ManagementFront
+            from spanwing.fronts.management import ManagementFrontend
 
-            front = ManagementFront(self.taking, lambda: figures(self.core) if self.started.is_set() else {})
-            server = _listening(
+            frontend = ManagementFrontend(
+                self.accepts_clients,
+                lambda: collect_statistics(self.request_manager) if self.started.is_set() else {},
+            )
+            server = _open_listener(
                 "management",
                 address,
                 lambda address: HttpServer(
-                    address, front, None, self.buffers, MANAGEMENT_CALLS, once=True, half_s=0.0
+                    address,
+                    frontend,
+                    None,
+                    self.buffer_pool,
+                    MAX_MANAGEMENT_CONNECTIONS,
+                    is_single_request=True,
+                    partial_message_s=0.0,
                 ),
             )
-            self.say("management", server.address)
+            self.print_address("management", server.address)
 
-    def taking(self) -> bool:
+    def accepts_clients(self) -> bool:
         """Whether this process takes clients."""
-        return self.started.is_set() and not self.stopping
+        return self.started.is_set() and not self.is_stopping
 
     def open_journal(self) -> None:
         """Close what an earlier life left, tell of it, and write down from now on. Raises ConfigError."""
         table = self.config.journal
         if table is None:
             return
-        from spanwing.journal.files import Folder
-        from spanwing.journal.keeper import Keeper
-        from spanwing.journal.log import Bounds, Log
+        from spanwing.journal.files import LocalFolder
+        from spanwing.journal.keeper import JournalWriter
+        from spanwing.journal.log import RetentionLimits, SegmentLog
 
         loop = IOLoop.current()
-        bounds = Bounds(
+        limits = RetentionLimits(
             int(table.segment_mb * 1e6),
             table.segment_hours * HOUR_MS,
             table.keep_days * DAY_MS,
             int(table.keep_gb * 1e9),
-            {cls: days * DAY_MS for cls, days in table.keep_days_of.items()},
+            {cls: days * DAY_MS for cls, days in table.keep_days_by_class.items()},
         )
         try:
-            begun = Log(Folder(table.directory), bounds)
-            self.keeper = Keeper(
-                begun,
-                table.when_failing,
+            journal_log = SegmentLog(LocalFolder(table.directory), limits)
+            self.journal = JournalWriter(
+                journal_log,
+                table.failure_mode,
                 self.config.name,
                 loop.add_callback,
                 table.wait_ms / 1000.0,
@@ -242,65 +276,69 @@
             )
         except (OSError, ValueError) as error:
             fault = getattr(error, "strerror", None) or str(error)
-            raise ConfigError(f"journal.directory: {table.directory}: {fault}") from None
-        self.core.recorder = self.keeper
-        for file, skipped in begun.skipped[:MOST_TOLD]:
-            tell(
+            raise ConfigurationError(f"journal.directory: {table.directory}: {fault}") from None
+        self.request_manager.recorder = self.journal
+        for file_name, skipped in journal_log.damaged[:MAX_REPORTED_ATTEMPTS]:
+            log_event(
                 "journal_skipped",
                 level="warning",
-                bounded=False,
-                file=file,
-                at=skipped.at,
+                rate_limited=False,
+                file=file_name,
+                at=skipped.offset,
                 bytes=skipped.size,
                 reason=skipped.reason,
             )
-        left = self.keeper.left_open
-        tell(
+        interrupted = self.journal.unfinished_attempts
+        log_event(
             "journal",
-            level="warning" if left else "info",
+            level="warning" if interrupted else "info",
             directory=table.directory,
-            possibly_sent=len({request.id for request, _ in left}),
+            possibly_sent=len({request.id for request, _ in interrupted}),
         )
-        for request, attempt in left[:MOST_TOLD]:
-            taken = request.taken
-            tell(
+        for request, attempt in interrupted[:MAX_REPORTED_ATTEMPTS]:
+            accepted = request.accepted
+            log_event(
                 "possibly_sent",
                 level="warning",
-                bounded=False,
+                rate_limited=False,
                 request=request.id,
-                finding=attempt.finding,
+                finding=attempt.delivery_state,
                 attempt=attempt.number,
                 worker=attempt.worker,
                 address=attempt.address,
-                intent=as_time(attempt.intent_ms),
-                last_byte=as_time(attempt.last_byte_ms),
-                cls=taken.cls if taken else "",
-                tenant=taken.tenant if taken else "",
+                intent=format_time(attempt.intent_ms),
+                last_byte=format_time(attempt.last_byte_ms),
+                cls=accepted.cls if accepted else "",
+                tenant=accepted.tenant if accepted else "",
             )
-        if len(left) > MOST_TOLD:
-            tell(
+        if len(interrupted) > MAX_REPORTED_ATTEMPTS:
+            log_event(
                 "possibly_sent_more",
                 level="warning",
-                left_out=len(left) - MOST_TOLD,
+                left_out=len(interrupted) - MAX_REPORTED_ATTEMPTS,
                 hint="spanwing journal list",
             )
 
-    async def learn_policy(self) -> str:
+    async def join_policy(self) -> str:
         """The policy in force in the fleet, once we may take jobs under it. Raises ConfigError."""
-        from spanwing.policy.kept import KeptError
-        from spanwing.policy.side import PolicySide
-        from spanwing.policy.sound import without_own
+        from spanwing.policy.kept import PolicyCacheError
+        from spanwing.policy.side import PolicyService
+        from spanwing.policy.sound import remove_member_settings
 
         config = self.config
         try:
             name = config.name or config.store.member
-            side = self.policy = PolicySide(name, config.policy, config.settings, self.buffers, config.seed)
-        except KeptError as error:
-            raise ConfigError(f"policy.directory: {error}") from None
-        if self.listener is not None and config.store.member in config.policy.members:
-            side.serve(self.store, self.listener, without_own(config.raw_settings))
-        side.start()
-        return await side.begin()
+            participant = self.fleet_policy = PolicyService(
+                name, config.policy, config.settings, self.buffer_pool, config.seed
+            )
+        except PolicyCacheError as error:
+            raise ConfigurationError(f"policy.directory: {error}") from None
+        if self.store_listener is not None and config.store.member in config.policy.members:
+            participant.serve_as_member(
+                self.store, self.store_listener, remove_member_settings(config.settings_json)
+            )
+        participant.start()
+        return await participant.wait_for_policy()
 
     def join_zones(self) -> None:
         """Follow the fleet's zones, and keep them as a member of the store; where the operator's file says
@@ -308,203 +346,213 @@
         config = self.config
         if config.zones is None:
             return
-        from spanwing.zones.side import ZoneSide
+        from spanwing.zones.side import ZoneService
 
-        self.zones = ZoneSide(
+        self.zone_routing = ZoneService(
             config.name or config.store.member,
             config.zones,
-            self.core,
-            self.buffers,
+            self.request_manager,
+            self.buffer_pool,
             config.seed,
-            self.policy,
+            self.fleet_policy,
         )
-        if self.listener is not None and config.store.member in config.zones.members:
-            self.zones.serve(self.store, self.listener)
-        self.zones.start()
+        if self.store_listener is not None and config.store.member in config.zones.members:
+            self.zone_routing.serve_as_member(self.store, self.store_listener)
+        self.zone_routing.start()
 
-    def tell_balancers(self, config: Config) -> None:
+    def open_balancer_listeners(self, config: Configuration) -> None:
         """Open what the operator's file names. Where that is nothing, nothing of it is loaded either."""
-        wanted = config.balancers
-        if self.balancers is None and wanted.listeners():
-            from spanwing.fronts.balancers.side import BalancerSide, Bounds, Parts
+        balancer_settings = config.balancers
+        if self.balancers is None and balancer_settings.listener_count():
+            from spanwing.fronts.balancers.side import BalancerService, DaemonLimits, DaemonParts
 
-            parts = Parts(
+            parts = DaemonParts(
                 config.name or config.store.member,
-                self.core,
-                self.server,
-                self.faktory,
+                self.request_manager,
+                self.http_server,
+                self.faktory_frontend,
                 self.store,
                 self.descriptors,
-                self.buffers,
-                self.counters,
-                config.proxied.of("health"),
+                self.buffer_pool,
+                self.collect_counters,
+                config.proxy_protocol.sources_for("health"),
                 config.journal.directory if config.journal else "",
-                self.zones,
-                self.policy,
+                self.zone_routing,
+                self.fleet_policy,
             )
 
-            def bounds() -> Bounds:
+            def resource_limits() -> DaemonLimits:
                 limits = self.config.limits
-                return Bounds(limits.cores, limits.memory_mb, limits.sockets, OWN_SOCKETS)
+                return DaemonLimits(limits.cores, limits.memory_mb, limits.sockets, RESERVED_SOCKETS)
 
-            self.balancers = BalancerSide(parts, bounds, wanted, self.meter)
+            self.balancers = BalancerService(parts, resource_limits, balancer_settings, self.loop_meter)
         if self.balancers is not None:
-            for name, address in self.balancers.listeners.move(wanted):
-                self.say(name, address)
+            for name, address in self.balancers.listeners.reconfigure(balancer_settings):
+                self.print_address(name, address)
 
-    def say(self, front: str, address: Address | str) -> None:
-        print(f"spanwing: {front} on {address}", flush=True)
+    def print_address(self, listener_name: str, address: Address | str) -> None:
+        print(f"spanwing: {listener_name} on {address}", flush=True)
 
     async def reload(self) -> None:
         """Read the files anew. A bad one changes nothing: the old configuration goes on serving."""
         await self.started.wait()
         try:
-            config = load(before=self.config)
-        except ConfigError as error:
+            config = load_configuration(previous=self.config)
+        except ConfigurationError as error:
             print(f"spanwing: not reloaded: {error}", file=sys.stderr, flush=True)
             return
         try:
-            self.tell_balancers(config)
-        except ConfigError as error:
+            self.open_balancer_listeners(config)
+        except ConfigurationError as error:
             print(f"spanwing: not reloaded: {error}", file=sys.stderr, flush=True)
             return
-        old, self.config = self.config, config
-        if config.discovery != old.discovery:
-            self.transport.move(config.discovery)
-        self.deal()
-        for name in config.fixed(old):
+        previous, self.config = self.config, config
+        if config.discovery != previous.discovery:
+            self.discovery.change_discovery(config.discovery)
+        self.apply_connection_shares()
+        for name in config.changed_restart_settings(previous):
             print(f"spanwing: {name} has changed: it takes a restart", file=sys.stderr, flush=True)
         print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
 
-    def deal(self) -> None:
+    def apply_connection_shares(self) -> None:
         """The shares of connections anew: limits or the other process of this scheduler have changed."""
-        if self.server is None:
+        if self.http_server is None:
             return
-        handover, table = self.handover, self.server.table
-        two = handover is not None and handover.two()
-        shares = self.config.shares(1 + two)
-        if self.faktory is not None:
-            self.faktory.table.most = shares.faktory
-        if two and handover.after is not None:  # our successor's connections come out of ours, one by one
-            table.trim(shares.clients - LEAST_SHARE)
-            self.descriptors.limit(max(LEAST_SHARE, shares.hops // 2))
+        hot_restart, table = self.hot_restart, self.http_server.table
+        is_shared = hot_restart is not None and hot_restart.has_peer()
+        shares = self.config.connection_shares(1 + is_shared)
+        if self.faktory_frontend is not None:
+            self.faktory_frontend.table.max_connections = shares.faktory
+        if (
+            is_shared and hot_restart.successor is not None
+        ):  # our successor's connections come out of ours, one by one
+            table.trim(shares.clients - MIN_SHARE)
+            self.descriptors.set_limit(max(MIN_SHARE, shares.workers // 2))
             return
-        away = handover.away if two else None
-        table.most = max(LEAST_SHARE, shares.clients - away.clients) if away else shares.clients
-        self.descriptors.limit(max(LEAST_SHARE, shares.hops - away.hops) if away else shares.hops)
-        self.server.share(two)
+        handed_over = hot_restart.predecessor_counts if is_shared else None
+        table.max_connections = (
+            max(MIN_SHARE, shares.clients - handed_over.client_connections) if handed_over else shares.clients
+        )
+        self.descriptors.set_limit(
+            max(MIN_SHARE, shares.workers - handed_over.worker_connections) if handed_over else shares.workers
+        )
+        self.http_server.set_sharing(is_shared)
 
-    def counters(self) -> dict[str, int]:
+    def collect_counters(self) -> dict[str, int]:
         if not self.started.is_set():
             return {}
-        kept = (
+        journal_counters = (
             {}
-            if self.keeper is None
-            else {f"journal.{name}": value for name, value in self.keeper.figures().items()}
+            if self.journal is None
+            else {f"journal.{name}": value for name, value in self.journal.counters().items()}
         )
-        told = {name: value for name, value in figures(self.core).items() if value}
-        return dict(sorted({**self.core.counters, **kept, **told}.items()))
+        statistics = {
+            name: value for name, value in collect_statistics(self.request_manager).items() if value
+        }
+        return dict(sorted({**self.request_manager.counters, **journal_counters, **statistics}.items()))
 
     def print_counters(self) -> None:
-        print("counters", msgspec.json.encode(self.counters()).decode(), flush=True)
+        print("counters", msgspec.json.encode(self.collect_counters()).decode(), flush=True)
 
-    def left_ms(self) -> float:
+    def remaining_ms(self) -> float:
         """How long a request that comes now may take."""
-        left = self.last - IOLoop.current().time()
+        remaining_s = self.last_answer_s - IOLoop.current().time()
         if self.balancers is not None:
-            left = min(left, self.balancers.reporter.left_s())
-        return left * 1000.0
+            remaining_s = min(remaining_s, self.balancers.reporter.remaining_s())
+        return remaining_s * 1000.0
 
-    def answers_s(self) -> float:
+    def answer_window_s(self) -> float:
         """How long after SIGTERM an answer is surely still in time."""
-        longest = max(each.deadline for each in self.core.settings.classes)
-        return (min(longest, LONGEST_MS) + KILL_MS - MARGIN_MS) / 1000.0
+        longest_ms = max(each.deadline for each in self.request_manager.settings.classes)
+        return (min(longest_ms, MAX_DRAIN_DEADLINE_MS) + KILL_MARGIN_MS - ANSWER_MARGIN_MS) / 1000.0
 
-    async def settled(self) -> None:
+    async def wait_until_settled(self) -> None:
         """Until nobody is owed an answer, also for what has not been read yet."""
-        while self.server.owes() or not self.core.idle():
-            await self.core.until_quiet()
+        while self.http_server.owes_answers() or not self.request_manager.is_idle():
+            await self.request_manager.wait_until_idle()
             await sleep(0.01)
 
-    async def stop(self) -> None:
+    async def shut_down(self) -> None:
         """Keep accepting for a while, answer all that was taken, then leave."""
-        if self.stopping:
+        if self.is_stopping:
             return
-        self.stopping = True
+        self.is_stopping = True
         if not self.started.is_set():  # nothing was taken yet, and a store without a majority may not end
             IOLoop.current().stop()
             return
-        begun, notice_s = IOLoop.current().time(), LAST_ARRIVALS_S
-        if self.handover is not None and self.handover.handed:
-            self.last = begun + self.answers_s()
-            if await self.handover.leave():  # new connections come to the successor
-                begun, notice_s = IOLoop.current().time(), 0.0
+        started_s, notice_s = IOLoop.current().time(), SHUTDOWN_NOTICE_S
+        if self.hot_restart is not None and self.hot_restart.has_transferred_state:
+            self.last_answer_s = started_s + self.answer_window_s()
+            if await self.hot_restart.transfer_connections():  # new connections come to the successor
+                started_s, notice_s = IOLoop.current().time(), 0.0
         if self.balancers is not None:
             # Balancers have to hear of it before connections are turned away; what an earlier order has told
             # them counts.
             self.balancers.reporter.drain("signal")
-            notice_s = max(notice_s, self.balancers.reporter.health.drains.closes - begun)
+            notice_s = max(notice_s, self.balancers.reporter.health.drain_orders.notice_ends_at_s - started_s)
         await sleep(notice_s)
         # What comes from here on and is not answered by SIGKILL would be lost: it gets its answer before.
-        self.last = min(self.last, begun + notice_s - LAST_ARRIVALS_S + self.answers_s())
-        self.server.drain()
-        if self.faktory is not None:
-            self.faktory.draining = True
-        await self.settled()
-        self.server.leave_off()
-        await self.settled()
-        if self.faktory is not None:
-            for _ in range(LAST_SETTLING):
-                if not self.faktory.claims.settling:
+        self.last_answer_s = min(
+            self.last_answer_s, started_s + notice_s - SHUTDOWN_NOTICE_S + self.answer_window_s()
+        )
+        self.http_server.drain()
+        if self.faktory_frontend is not None:
+            self.faktory_frontend.is_draining = True
+        await self.wait_until_settled()
+        self.http_server.stop_listening()
+        await self.wait_until_settled()
+        if self.faktory_frontend is not None:
+            for _ in range(MAX_SETTLING_CHECKS):
+                if not self.faktory_frontend.claims.settling_count:
                     break
                 await sleep(0.01)
-        if self.keeper is not None and not self.keeper.close():
-            tell("journal", level="error", reason="not all that was to be written down is on disk")
+        if self.journal is not None and not self.journal.close():
+            log_event("journal", level="error", reason="not all that was to be written down is on disk")
         if self.balancers is not None:
             self.balancers.listeners.close()
-        if self.handover is not None:
-            self.handover.close()
+        if self.hot_restart is not None:
+            self.hot_restart.close()
         IOLoop.current().stop()
 
 
-def as_time(wall_ms: float | None) -> str:
+def format_time(wall_ms: float | None) -> str:
     """The wall clock's time, in ISO 8601; empty where none is known."""
     if wall_ms is None:
         return ""
     return datetime.fromtimestamp(wall_ms / 1000.0, UTC).isoformat(timespec="milliseconds")
 
 
-def _listening(setting: str, address: Address | int | str, make):
+def _open_listener(setting: str, address: Address | int | str, factory):
     try:
-        return make(address)
+        return factory(address)
     except OSError as error:
-        raise ConfigError(f"{setting}: cannot listen on {address}: {error.strerror}") from None
+        raise ConfigurationError(f"{setting}: cannot listen on {address}: {error.strerror}") from None
 
 
 def run() -> None:
-    config = load()
-    loop_meter = meter.install() if config.balancers.listeners() else None
+    config = load_configuration()
+    loop_meter = meter.install_metered_loop() if config.balancers.listener_count() else None
     loop = IOLoop.current()
-    if config.log.form != "plain":
-        LOG.open(config.log.form, config.log.per_second, {"name": config.name})
+    if config.log.log_format != "plain":
+        EVENT_LOG.open(config.log.log_format, config.log.max_per_second, {"name": config.name})
     daemon = Daemon(config, loop_meter)
     # The default of these ends the program; one that comes early is kept until the program serves.
     signal.signal(signal.SIGHUP, lambda *_: loop.add_callback_from_signal(daemon.reload))
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.stop))
+        signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.shut_down))
     signal.signal(signal.SIGUSR1, lambda *_: loop.add_callback_from_signal(daemon.print_counters))
-    wrong: list[ConfigError] = []
+    wrong: list[ConfigurationError] = []
 
     async def start() -> None:
         try:
             await daemon.start()
-        except ConfigError as error:
+        except ConfigurationError as error:
             wrong.append(error)
             loop.stop()
 
     loop.add_callback(start)
     loop.start()
-    LOG.close()
+    EVENT_LOG.close()
     if wrong:
         raise wrong[0]
     daemon.print_counters()
@@ -515,8 +563,8 @@
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(message)s")
     try:
         run()
-    except (ConfigError, DiskError) as error:
-        setting = "store.directory: " if isinstance(error, DiskError) else ""
+    except (ConfigurationError, RegisterLogError) as error:
+        setting = "store.directory: " if isinstance(error, RegisterLogError) else ""
         print(f"spanwing: {setting}{error}", file=sys.stderr)
         return 2
     return 0
--- a/spanwing/everyfault.py
+++ b/spanwing/everyfault.py
@@ -14,37 +14,46 @@
 import msgspec
 import msgspec.inspect
 
-BOUNDS = ("gt", "ge", "lt", "le", "multiple_of", "min_length", "max_length", "pattern")  # of plain types
-ROUNDS = 32  # a struct's own check comes once its values are right
+CONSTRAINT_NAMES = (
+    "gt",
+    "ge",
+    "lt",
+    "le",
+    "multiple_of",
+    "min_length",
+    "max_length",
+    "pattern",
+)  # of plain types
+MAX_ROUNDS = 32  # a struct's own check comes once its values are right
 
 
-def every_fault(data: bytes, form: type, decode: Any) -> tuple[Any, list[tuple[str, str]]]:
+def find_all_errors(data: bytes, struct_type: type, decode: Any) -> tuple[Any, list[tuple[str, str]]]:
     """Each place in a file that its form does not allow, and why; and what is left without those places, or
     None where that is nothing."""
     try:
         value = decode(data)
     except (ValueError, UnicodeDecodeError) as error:
         return None, [("", str(error))]
-    found: list[tuple[str, str]] = []
-    for _ in range(ROUNDS):
-        now = list(_faults_in(value, msgspec.inspect.type_info(form), ""))
-        found += now
-        if not now:
-            return _converted(value, form), found
-        if not all(_remove(value, place) for place, _ in now):
+    errors: list[tuple[str, str]] = []
+    for _ in range(MAX_ROUNDS):
+        round_errors = list(_find_errors(value, msgspec.inspect.type_info(struct_type), ""))
+        errors += round_errors
+        if not round_errors:
+            return _convert(value, struct_type), errors
+        if not all(_remove_path(value, place) for place, _ in round_errors):
             break
-    return None, found
+    return None, errors
 
 
-def _converted(value: Any, form: Any) -> Any:
+def _convert(value: Any, target_type: Any) -> Any:
     """By way of JSON: what a form keeps as raw text cannot be converted from values."""
-    return msgspec.json.decode(msgspec.json.encode(value), type=form)
+    return msgspec.json.decode(msgspec.json.encode(value), type=target_type)
 
 
-def _remove(value: Any, place: str) -> bool:
+def _remove_path(value: Any, path: str) -> bool:
     """Take a place out; whether there was one."""
-    *where, last = place.split(".")
-    for each in where:
+    *parents, last = path.split(".")
+    for each in parents:
         value = value.get(each) if isinstance(value, dict) else None
     if not isinstance(value, dict) or last not in value:
         return False
@@ -52,58 +61,73 @@
     return True
 
 
-def _faults_in(value: Any, form: Any, place: str) -> Iterator[tuple[str, str]]:
-    found = False
-    if isinstance(form, msgspec.inspect.UnionType):
-        form = next((each for each in form.types if isinstance(each, msgspec.inspect.StructType)), form)
-    if isinstance(form, msgspec.inspect.StructType) and isinstance(value, dict):
-        fields = {each.encode_name: each for each in form.fields}
+def _find_errors(value: Any, type_info: Any, path: str) -> Iterator[tuple[str, str]]:
+    has_errors = False
+    if isinstance(type_info, msgspec.inspect.UnionType):
+        type_info = next(
+            (each for each in type_info.types if isinstance(each, msgspec.inspect.StructType)), type_info
+        )
+    if isinstance(type_info, msgspec.inspect.StructType) and isinstance(value, dict):
+        fields = {each.encode_name: each for each in type_info.fields}
         for name, each in fields.items():
-            where = f"{place}.{name}" if place else name
+            field_path = f"{path}.{name}" if path else name
             if name in value and not isinstance(each.type, msgspec.inspect.RawType):
-                for fault in _faults_in(value[name], each.type, where):
-                    found = True
-                    yield fault
+                for error in _find_errors(value[name], each.type, field_path):
+                    has_errors = True
+                    yield error
             elif name not in value and each.required:
-                found = True
-                yield where, "is missing"
-        for name in set(value) - set(fields) if form.forbid_unknown_fields else ():
-            found = True
-            yield f"{place}.{name}" if place else name, f"unknown; known are {', '.join(sorted(fields))}"
-    if not found and form != msgspec.inspect.AnyType():
+                has_errors = True
+                yield field_path, "is missing"
+        for name in set(value) - set(fields) if type_info.forbid_unknown_fields else ():
+            has_errors = True
+            yield f"{path}.{name}" if path else name, f"unknown; known are {', '.join(sorted(fields))}"
+    if not has_errors and type_info != msgspec.inspect.AnyType():
         try:
-            _converted(value, _type(form))
+            _convert(value, _python_type(type_info))
         except ValueError as error:
             # A struct names the field that it turns down itself.
-            name, colon, fault = str(error).partition(": ")
+            name, colon, message = str(error).partition(": ")
             if (
                 colon
-                and isinstance(form, msgspec.inspect.StructType)
-                and name in {each.encode_name for each in form.fields}
+                and isinstance(type_info, msgspec.inspect.StructType)
+                and name in {each.encode_name for each in type_info.fields}
             ):
-                yield f"{place}.{name}" if place else name, fault.partition(" - at `")[0]
+                yield f"{path}.{name}" if path else name, message.partition(" - at `")[0]
             else:
-                yield place, str(error).partition(" - at `")[0]
+                yield path, str(error).partition(" - at `")[0]
 
 
-def _type(form: Any) -> Any:
+def _python_type(type_info: Any) -> Any:
     """The Python type of a plain description, for the conversion of one value."""
     inspect = msgspec.inspect
-    match form:
+    match type_info:
         case inspect.UnionType():
-            return reduce(or_, (_type(each) for each in form.types))
+            return reduce(or_, (_python_type(each) for each in type_info.types))
         case inspect.StructType():
-            return form.cls
+            return type_info.cls
         case inspect.LiteralType():
-            return Literal[tuple(form.values)]
+            return Literal[tuple(type_info.values)]
         case inspect.ListType():
-            return list[_type(form.item_type)]
+            return list[_python_type(type_info.item_type)]
         case inspect.DictType():
-            return dict[_type(form.key_type), _type(form.value_type)]
+            return dict[_python_type(type_info.key_type), _python_type(type_info.value_type)]
         case inspect.NoneType():
             return None
-    plain = {inspect.BoolType: bool, inspect.IntType: int, inspect.FloatType: float, inspect.StrType: str}
-    if type(form) not in plain:
+    plain_types = {
+        inspect.BoolType: bool,
+        inspect.IntType: int,
+        inspect.FloatType: float,
+        inspect.StrType: str,
+    }
+    if type(type_info) not in plain_types:
         return Any
-    bounds = {name: getattr(form, name) for name in BOUNDS if getattr(form, name, None) is not None}
-    return Annotated[plain[type(form)], msgspec.Meta(**bounds)] if bounds else plain[type(form)]
+    constraints = {
+        name: getattr(type_info, name)
+        for name in CONSTRAINT_NAMES
+        if getattr(type_info, name, None) is not None
+    }
+    return (
+        Annotated[plain_types[type(type_info)], msgspec.Meta(**constraints)]
+        if constraints
+        else plain_types[type(type_info)]
+    )
--- a/spanwing/experiment/cell.py
+++ b/spanwing/experiment/cell.py
@@ -12,14 +12,14 @@
 
 import msgspec
 
-from spanwing.experiment.score import Tally
-from spanwing.faults import Faults
-from spanwing.world.fleet import Fleet, Plan
-from spanwing.world.scenario import Scenario, parse
-from spanwing.world.troubles import Troubles
+from spanwing.experiment.score import OutcomeTally
+from spanwing.faults import ErrorCollector
+from spanwing.world.fleet import FleetPlan, FleetSimulation
+from spanwing.world.scenario import Scenario, parse_scenario
+from spanwing.world.troubles import FaultInjector
 
 
-class Order(msgspec.Struct):
+class CellOrder(msgspec.Struct):
     """What to play; changes: by place in the scenario, as `load.level` or `workers[0].count`."""
 
     scenario: str  # the file's text
@@ -27,72 +27,72 @@
     seed: int
 
 
-def changed(scenario: Scenario, changes: dict[str, Any]) -> Scenario:
+def apply_changes(scenario: Scenario, changes: dict[str, Any]) -> Scenario:
     """The scenario with some values replaced. Raises ConfigError where a place or value is not possible."""
     value = msgspec.to_builtins(scenario)
-    for place, wanted in changes.items():
-        into: Any = value
-        *path, last = _steps(place)
+    for path_in_scenario, new_value in changes.items():
+        container: Any = value
+        *path, last_step = _parse_path(path_in_scenario)
         try:
             for step in path:
-                into = into[step]
-            into[last], _ = wanted, into[last]
+                container = container[step]
+            container[last_step], _ = new_value, container[last_step]
         except (KeyError, IndexError, TypeError):
-            Faults().add(place, "there is no such place in the scenario")
+            ErrorCollector().add_error(path_in_scenario, "there is no such place in the scenario")
     try:
-        made = msgspec.convert(value, Scenario)
+        changed_scenario = msgspec.convert(value, Scenario)
     except msgspec.ValidationError as error:
-        Faults().add(", ".join(changes), str(error))
+        ErrorCollector().add_error(", ".join(changes), str(error))
         raise
-    for place, fault in made.wrong():
-        Faults().add(place, fault)
-    return made
+    for path_in_scenario, message in changed_scenario.find_errors():
+        ErrorCollector().add_error(path_in_scenario, message)
+    return changed_scenario
 
 
-def _steps(place: str) -> list[str | int]:
+def _parse_path(path: str) -> list[str | int]:
     """`workers[0].count` as workers, 0, count."""
     steps: list[str | int] = []
-    for part in place.split("."):
-        name, _, rest = part.partition("[")
+    for part in path.split("."):
+        name, _, indexes = part.partition("[")
         steps.append(name)
-        steps += [int(each) for each in rest.replace("]", "").split("[") if each.isdigit()]
+        steps += [int(each) for each in indexes.replace("]", "").split("[") if each.isdigit()]
     return steps
 
 
-def play(order: Order) -> dict[str, Any]:
+def play_cell(order: CellOrder) -> dict[str, Any]:
     """A row of figures, the series, and the troubles' spans for a chart."""
-    scenario = changed(parse(order.scenario.encode(), Faults()), order.changes)
-    plan = scenario.plan(order.seed)
-    tally = Tally(plan.classes)
-    fleet = _fleet(scenario, plan, order.seed, tally)
-    Troubles(fleet, tuple(scenario.troubles), scenario.day_ms)
+    scenario = apply_changes(parse_scenario(order.scenario.encode(), ErrorCollector()), order.changes)
+    plan = scenario.build_plan(order.seed)
+    tally = OutcomeTally(plan.classes)
+    simulation = _build_simulation(scenario, plan, order.seed, tally)
+    FaultInjector(simulation, tuple(scenario.faults), scenario.day_ms)
     seconds = int(scenario.seconds)
     for second in range(seconds):
-        fleet.agenda.at(second * 1000.0 + 999.0, tally.look, fleet)
-    fleet.run(scenario.day_ms)
+        simulation.event_queue.schedule_at(second * 1000.0 + 999.0, tally.sample_workers, simulation)
+    simulation.run(scenario.day_ms)
     return {
-        "row": tally.row(fleet),
-        "series": tally.series(seconds),
-        "digest": fleet.digest.hexdigest(),
+        "row": tally.figures_row(simulation),
+        "series": tally.series_by_second(seconds),
+        "digest": simulation.digest.hexdigest(),
         "troubles": [
             [each.what, each.at, each.at + each.lasts if each.lasts else scenario.seconds]
-            for each in scenario.troubles
+            for each in scenario.faults
         ],
     }
 
 
-def _fleet(scenario: Scenario, plan: Plan, seed: int, tally: Tally) -> Fleet:
-    if not scenario.together:
-        return Fleet(plan, seed, tally.take)
-    from spanwing.world.zoned import ZonedFleet
+def _build_simulation(scenario: Scenario, plan: FleetPlan, seed: int, tally: OutcomeTally) -> FleetSimulation:
+    if not scenario.has_zone_leader:
+        return FleetSimulation(plan, seed, tally.record_answer)
+    from spanwing.world.zoned import LeaderFleet
 
     regions = {name: tuple(each) for name, each in scenario.regions.items()}
-    return ZonedFleet(plan, seed, tally.take, regions=regions)
+    return LeaderFleet(plan, seed, tally.record_answer, regions=regions)
 
 
 def main() -> None:
-    order = msgspec.json.decode(sys.stdin.buffer.read(), type=Order)
-    sys.stdout.buffer.write(msgspec.json.encode(play(order)))
+    order = msgspec.json.decode(sys.stdin.buffer.read(), type=CellOrder)
+    sys.stdout.buffer.write(msgspec.json.encode(play_cell(order)))
 
 
 if __name__ == "__main__":
--- a/spanwing/experiment/compare.py
+++ b/spanwing/experiment/compare.py
@@ -11,32 +11,32 @@
 
 import numpy as np
 
-RESAMPLED, LEVEL, FEWEST = 10_000, 0.95, 5
+RESAMPLE_COUNT, CONFIDENCE_LEVEL, MIN_PAIRS = 10_000, 0.95, 5
 
 
-class Difference(NamedTuple):
+class FigureDifference(NamedTuple):
     """Of B against A in one figure."""
 
     figure: str
-    a: float
-    b: float
-    mean: float
-    low: float
-    high: float
-    pairs: int
+    mean_a: float
+    mean_b: float
+    mean_difference: float
+    interval_low: float
+    interval_high: float
+    pair_count: int
 
     @property
     def verdict(self) -> str:
-        if self.pairs < FEWEST:
+        if self.pair_count < MIN_PAIRS:
             return "too few pairs"
-        if self.low <= 0.0 <= self.high:
+        if self.interval_low <= 0.0 <= self.interval_high:
             return "no difference seen"
-        return "higher" if self.mean > 0 else "lower"
+        return "higher" if self.mean_difference > 0 else "lower"
 
 
-def differences(
+def compare_columns(
     rows: list[dict[str, Any]], a: dict[str, str], b: dict[str, str], figures: list[str]
-) -> list[Difference]:
+) -> list[FigureDifference]:
     """a and b: what the rows of each side have in common, as {"variant": "at once"}."""
     sides = [
         {
@@ -48,7 +48,7 @@
     ]
     pairs = sorted(sides[0].keys() & sides[1].keys())
     return [
-        difference(
+        compare_paired(
             figure,
             np.array([sides[0][each][figure] for each in pairs], float),
             np.array([sides[1][each][figure] for each in pairs], float),
@@ -57,14 +57,22 @@
     ]
 
 
-def difference(figure: str, a: np.ndarray, b: np.ndarray) -> Difference:
+def compare_paired(figure: str, a: np.ndarray, b: np.ndarray) -> FigureDifference:
     """Of paired values."""
     if not len(a):
-        return Difference(figure, 0.0, 0.0, 0.0, 0.0, 0.0, 0)
-    gaps = b - a
-    source = np.random.Generator(np.random.PCG64(1))
-    means = gaps[source.integers(len(gaps), size=(RESAMPLED, len(gaps)))].mean(axis=1)
-    low, high = np.percentile(means, [50 * (1 - LEVEL), 100 - 50 * (1 - LEVEL)])
-    return Difference(
-        figure, float(a.mean()), float(b.mean()), float(gaps.mean()), float(low), float(high), len(gaps)
+        return FigureDifference(figure, 0.0, 0.0, 0.0, 0.0, 0.0, 0)
+    paired_differences = b - a
+    generator = np.random.Generator(np.random.PCG64(1))
+    means = paired_differences[
+        generator.integers(len(paired_differences), size=(RESAMPLE_COUNT, len(paired_differences)))
+    ].mean(axis=1)
+    low, high = np.percentile(means, [50 * (1 - CONFIDENCE_LEVEL), 100 - 50 * (1 - CONFIDENCE_LEVEL)])
+    return FigureDifference(
+        figure,
+        float(a.mean()),
+        float(b.mean()),
+        float(paired_differences.mean()),
+        float(low),
+        float(high),
+        len(paired_differences),
     )
--- a/spanwing/experiment/matrix.py
+++ b/spanwing/experiment/matrix.py
@@ -21,18 +21,18 @@
 
 import msgspec
 
-from spanwing.experiment.cell import changed
-from spanwing.faults import ConfigError, Faults
-from spanwing.world.scenario import LIBRARY, load
+from spanwing.experiment.cell import apply_changes
+from spanwing.faults import ConfigurationError, ErrorCollector
+from spanwing.world.scenario import SCENARIO_LIBRARY, load_scenario
 
-ROOT = Path(__file__).parent.parent.parent
-DECISIONS = ("choice.py", "state.py", "interface.py")
-HERE = "here"
-MOST_CELLS = 100_000
-CELL_S = 3600.0
+REPOSITORY_ROOT = Path(__file__).parent.parent.parent
+DECISION_FILES = ("choice.py", "state.py", "interface.py")
+THIS_SOURCE = "here"
+MAX_CELLS = 100_000
+CELL_TIMEOUT_S = 3600.0
 
 
-class Plan(msgspec.Struct, forbid_unknown_fields=True):
+class ExperimentPlan(msgspec.Struct, forbid_unknown_fields=True):
     """The file as it is written."""
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{1,60}$")]
@@ -41,10 +41,10 @@
     first_seed: Annotated[int, msgspec.Meta(ge=0)] = 1
     variants: dict[str, dict[str, Any]] = {}  # by name: changes of the scenario
     #: `here`, or revisions or other checkouts' folders, whose decision modules are played in this model
-    builds: list[str] = msgspec.field(default_factory=lambda: [HERE])
+    builds: list[str] = msgspec.field(default_factory=lambda: [THIS_SOURCE])
 
 
-class Build(NamedTuple):
+class DecisionBuild(NamedTuple):
     """A decision module in a folder of its own."""
 
     name: str
@@ -52,22 +52,22 @@
     folder: Path
 
 
-class Cell(NamedTuple):
+class ExperimentCell(NamedTuple):
     scenario: str
     variant: str
     build: str
     seed: int
     digest: str
-    order: bytes
+    encoded_order: bytes
     folder: Path
 
 
-def read_plan(path: Path) -> Plan:
+def read_plan(path: Path) -> ExperimentPlan:
     """Raises ConfigError in one line."""
     try:
-        return msgspec.convert(tomllib.loads(path.read_text()), Plan)
+        return msgspec.convert(tomllib.loads(path.read_text()), ExperimentPlan)
     except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+        raise ConfigurationError(f"{path}: {error}") from None
 
 
 def source_digest(folder: Path) -> str:
@@ -79,101 +79,107 @@
     return digest.hexdigest()
 
 
-def build(name: str, into: Path) -> Build:
+def prepare_build(name: str, into: Path) -> DecisionBuild:
     """This source, or this model with another revision's or folder's decisions. Raises ConfigError."""
-    if name == HERE:
-        return Build(name, source_digest(ROOT), ROOT)
+    if name == THIS_SOURCE:
+        return DecisionBuild(name, source_digest(REPOSITORY_ROOT), REPOSITORY_ROOT)
     folder = into / hashlib.blake2b(name.encode(), digest_size=6).hexdigest()
     for part in ("spanwing", "spanwing/world", "spanwing/experiment"):
         (folder / part).mkdir(parents=True, exist_ok=True)
-        for each in (ROOT / part).glob("*.py"):
+        for each in (REPOSITORY_ROOT / part).glob("*.py"):
             (folder / part / each.name).write_bytes(each.read_bytes())
-    for each in DECISIONS:
+    for each in DECISION_FILES:
         if Path(name).is_dir():
             try:
                 (folder / "spanwing" / each).write_bytes((Path(name) / "spanwing" / each).read_bytes())
             except OSError as error:
-                raise ConfigError(f"builds: {name}: {each}: {error.strerror}") from None
+                raise ConfigurationError(f"builds: {name}: {each}: {error.strerror}") from None
             continue
-        done = subprocess.run(["git", "show", f"{name}:spanwing/{each}"], cwd=ROOT, capture_output=True)
+        done = subprocess.run(
+            ["git", "show", f"{name}:spanwing/{each}"], cwd=REPOSITORY_ROOT, capture_output=True
+        )
         if done.returncode:
             fault = done.stderr.decode(errors="replace").strip().splitlines()[-1:]
-            raise ConfigError(f"builds: {name}: {''.join(fault)}")
+            raise ConfigurationError(f"builds: {name}: {''.join(fault)}")
         (folder / "spanwing" / each).write_bytes(done.stdout)
-    return Build(name, source_digest(folder), folder)
+    return DecisionBuild(name, source_digest(folder), folder)
 
 
-def cells(plan: Plan, into: Path) -> Iterator[Cell]:
+def list_cells(plan: ExperimentPlan, builds_folder: Path) -> Iterator[ExperimentCell]:
     """All of them, checked. Raises ConfigError."""
-    builds = [build(each, into) for each in plan.builds]
+    builds = [prepare_build(each, builds_folder) for each in plan.builds]
     variants = plan.variants or {"as it is": {}}
-    if len(plan.scenarios) * len(variants) * len(builds) * plan.seeds > MOST_CELLS:
-        raise ConfigError(f"seeds: more than {MOST_CELLS} cells")
+    if len(plan.scenarios) * len(variants) * len(builds) * plan.seeds > MAX_CELLS:
+        raise ConfigurationError(f"seeds: more than {MAX_CELLS} cells")
     for name in plan.scenarios:
-        scenario = load(name, Faults())
-        ready = LIBRARY / f"{name}.toml"
-        text = (ready if ready.is_file() else Path(name)).read_text()
+        scenario = load_scenario(name, ErrorCollector())
+        library_file = SCENARIO_LIBRARY / f"{name}.toml"
+        text = (library_file if library_file.is_file() else Path(name)).read_text()
         for variant, changes in variants.items():
             try:
-                changed(scenario, changes)
-            except (ConfigError, msgspec.ValidationError) as error:
-                raise ConfigError(f"variants.{variant}: {name}: {error}") from None
+                apply_changes(scenario, changes)
+            except (ConfigurationError, msgspec.ValidationError) as error:
+                raise ConfigurationError(f"variants.{variant}: {name}: {error}") from None
             for each in builds:
                 for seed in range(plan.first_seed, plan.first_seed + plan.seeds):
                     order = msgspec.json.encode(
                         {"scenario": text, "changes": changes, "seed": seed}, order="sorted"
                     )
                     digest = hashlib.blake2b(order + each.digest.encode(), digest_size=12).hexdigest()
-                    yield Cell(scenario.name, variant, each.name, seed, digest, order, each.folder)
+                    yield ExperimentCell(scenario.name, variant, each.name, seed, digest, order, each.folder)
 
 
-def play(cell: Cell) -> dict[str, Any]:
+def play_cell(cell: ExperimentCell) -> dict[str, Any]:
     """In a process of the cell's build. Raises RuntimeError with its last line."""
-    done = subprocess.run(
+    completed = subprocess.run(
         [sys.executable, "-m", "spanwing.experiment.cell"],
         cwd=cell.folder,
-        input=cell.order,
+        input=cell.encoded_order,
         capture_output=True,
-        timeout=CELL_S,
+        timeout=CELL_TIMEOUT_S,
         env={**os.environ, "PYTHONPATH": str(cell.folder), "OMP_NUM_THREADS": "1"},
     )
-    if done.returncode:
-        said = done.stderr.decode(errors="replace").strip().splitlines()
-        raise RuntimeError(f"{cell.scenario}, {cell.variant}, {cell.build}, seed {cell.seed}: {said[-1:]}")
-    return json.loads(done.stdout)
+    if completed.returncode:
+        error_lines = completed.stderr.decode(errors="replace").strip().splitlines()
+        raise RuntimeError(
+            f"{cell.scenario}, {cell.variant}, {cell.build}, seed {cell.seed}: {error_lines[-1:]}"
+        )
+    return json.loads(completed.stdout)
 
 
-def run(plan: Plan, folder: Path, lanes: int, told: Callable[[int, int], None]) -> list[dict[str, Any]]:
+def run_experiment(
+    plan: ExperimentPlan, folder: Path, process_count: int, on_progress: Callable[[int, int], None]
+) -> list[dict[str, Any]]:
     """Play what is not there yet; all rows in the matrix's order. told: cells there, of how many."""
-    kept = folder / "cells"
-    kept.mkdir(parents=True, exist_ok=True)
+    cells_folder = folder / "cells"
+    cells_folder.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as into:
-        wanted = list(cells(plan, Path(into)))
-        missing = [each for each in wanted if not (kept / f"{each.digest}.json").is_file()]
-        there = len(wanted) - len(missing)
-        told(there, len(wanted))
-        with ThreadPoolExecutor(lanes) as pool:
-            running = {pool.submit(play, each): each for each in missing}
+        all_cells = list(list_cells(plan, Path(into)))
+        cells_to_play = [each for each in all_cells if not (cells_folder / f"{each.digest}.json").is_file()]
+        finished_count = len(all_cells) - len(cells_to_play)
+        on_progress(finished_count, len(all_cells))
+        with ThreadPoolExecutor(process_count) as pool:
+            running = {pool.submit(play_cell, each): each for each in cells_to_play}
             try:
                 for done in as_completed(running):
-                    _keep(kept, running[done], done.result())
-                    there += 1
-                    told(there, len(wanted))
+                    _write_row(cells_folder, running[done], done.result())
+                    finished_count += 1
+                    on_progress(finished_count, len(all_cells))
             except BaseException:
                 for each in running:
                     each.cancel()
                 raise
-    return [json.loads((kept / f"{each.digest}.json").read_text()) for each in wanted]
+    return [json.loads((cells_folder / f"{each.digest}.json").read_text()) for each in all_cells]
 
 
-def _keep(folder: Path, cell: Cell, found: dict[str, Any]) -> None:
+def _write_row(folder: Path, cell: ExperimentCell, result: dict[str, Any]) -> None:
     row = {
         "scenario": cell.scenario,
         "variant": cell.variant,
         "build": cell.build,
         "seed": cell.seed,
-        **found,
+        **result,
     }
-    part = folder / f"{cell.digest}.part"
-    part.write_text(json.dumps(row))
-    part.replace(folder / f"{cell.digest}.json")
+    partial_path = folder / f"{cell.digest}.part"
+    partial_path.write_text(json.dumps(row))
+    partial_path.replace(folder / f"{cell.digest}.json")
--- a/spanwing/experiment/report.py
+++ b/spanwing/experiment/report.py
@@ -11,11 +11,12 @@
 
 import numpy as np
 
-from spanwing.experiment.compare import difference
+from spanwing.experiment.compare import compare_paired
 
-SHOWN = ("goodput", "in_time", "late", "refused", "failed", "attempts", "wasted", "p50", "p99")
-TIMES = ("p50", "p99")
-STYLE = """body{font:15px/1.5 system-ui,sans-serif;margin:2em auto;max-width:70em;padding:0 1em;color:#222}
+SHOWN_FIGURES = ("goodput", "in_time", "late", "refused", "failed", "attempts", "wasted", "p50", "p99")
+TIME_FIGURES = ("p50", "p99")
+PAGE_STYLE = """body{font:15px/1.5 system-ui,sans-serif;margin:2em auto;max-width:70em;\
+padding:0 1em;color:#222}
 table{border-collapse:collapse;margin:1em 0}
 td,th{border-bottom:1px solid #ddd;padding:.3em .8em;text-align:right}
 td:first-child,th:first-child{text-align:left}svg{max-width:100%;height:auto}h2{margin-top:2em}"""
@@ -23,7 +24,7 @@
 Rows = list[dict[str, Any]]
 
 
-def groups(rows: Rows) -> dict[str, dict[str, Rows]]:
+def group_rows(rows: Rows) -> dict[str, dict[str, Rows]]:
     """By scenario, then by column: a variant, with its build where there are several."""
     builds = {row["build"] for row in rows}
     found: dict[str, dict[str, Rows]] = defaultdict(lambda: defaultdict(list))
@@ -33,59 +34,61 @@
     return found
 
 
-def interval(values: list[float]) -> tuple[float, float, float]:
+def mean_and_interval(values: list[float]) -> tuple[float, float, float]:
     """The mean over seeds and its bootstrap interval."""
-    found = difference("", np.zeros(len(values)), np.array(values, float))
-    return found.mean, found.low, found.high
+    found = compare_paired("", np.zeros(len(values)), np.array(values, float))
+    return found.mean_difference, found.interval_low, found.interval_high
 
 
-def parquet(rows: Rows, out: Path) -> None:
+def write_parquet(rows: Rows, out: Path) -> None:
     """One row a cell, all figures as columns."""
     import pyarrow as pa
     import pyarrow.parquet as pq
 
-    flat = [
+    flat_rows = [
         {name: row[name] for name in ("scenario", "variant", "build", "seed")} | row["row"] for row in rows
     ]
-    names = list(dict.fromkeys(name for each in flat for name in each))
-    pq.write_table(pa.table({name: [each.get(name) for each in flat] for name in names}), out)
+    names = list(dict.fromkeys(name for each in flat_rows for name in each))
+    pq.write_table(pa.table({name: [each.get(name) for each in flat_rows] for name in names}), out)
 
 
-def page(name: str, rows: Rows) -> str:
+def render_page(name: str, rows: Rows) -> str:
     """The whole page."""
     parts = [
-        f"<!doctype html><meta charset=utf-8><title>{html.escape(name)}</title><style>{STYLE}</style>",
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(name)}</title><style>{PAGE_STYLE}</style>",
         f"<h1>{html.escape(name)}</h1>",
     ]
-    for scenario, columns in groups(rows).items():
+    for scenario, columns in group_rows(rows).items():
         seeds = max(len(each) for each in columns.values())
         parts += [
             f"<h2>{html.escape(scenario)}</h2>",
             f"<p>{seeds} seeds; means with 95% intervals.</p>",
-            table(columns),
-            fates(columns),
-            latencies(columns),
-            over_time(columns),
+            render_table(columns),
+            outcome_chart(columns),
+            latency_chart(columns),
+            time_chart(columns),
         ]
     return "\n".join(parts)
 
 
-def table(columns: dict[str, Rows]) -> str:
+def render_table(columns: dict[str, Rows]) -> str:
     head = "".join(f"<th>{html.escape(each)}</th>" for each in columns)
     lines = [f"<table><tr><th>figure</th>{head}</tr>"]
     first = next(iter(columns.values()))[0]["row"]
-    keys = [*SHOWN, *sorted(key for key in first if key.endswith(".goodput"))]
+    keys = [*SHOWN_FIGURES, *sorted(key for key in first if key.endswith(".goodput"))]
     for key in keys:
         cells = []
         for rows in columns.values():
-            mean, low, high = interval([row["row"].get(key, 0.0) for row in rows])
-            digits = 0 if key in TIMES else 3
+            mean, low, high = mean_and_interval([row["row"].get(key, 0.0) for row in rows])
+            digits = 0 if key in TIME_FIGURES else 3
             cells.append(f"<td>{mean:.{digits}f} <small>({low:.{digits}f} to {high:.{digits}f})</small></td>")
-        lines.append(f"<tr><td>{html.escape(key)}{', ms' if key in TIMES else ''}</td>{''.join(cells)}</tr>")
+        lines.append(
+            f"<tr><td>{html.escape(key)}{', ms' if key in TIME_FIGURES else ''}</td>{''.join(cells)}</tr>"
+        )
     return "".join(lines) + "</table>"
 
 
-def _figure(width: float, height: float, draw) -> str:
+def _render_svg(width: float, height: float, draw) -> str:
     """An SVG of what draw puts on the axes."""
     import matplotlib
 
@@ -100,7 +103,7 @@
     return out.getvalue().partition("<svg")[1] + out.getvalue().partition("<svg")[2]
 
 
-def fates(columns: dict[str, Rows]) -> str:
+def outcome_chart(columns: dict[str, Rows]) -> str:
     """What became of the requests, and goodput by class and brand."""
     names = list(columns)
 
@@ -123,10 +126,10 @@
         right.set(title="goodput by class and brand", xlim=(0, 1))
         right.legend(fontsize=8)
 
-    return _figure(11, 2.5 + 0.4 * len(names), draw)
+    return _render_svg(11, 2.5 + 0.4 * len(names), draw)
 
 
-def latencies(columns: dict[str, Rows]) -> str:
+def latency_chart(columns: dict[str, Rows]) -> str:
     """Percentiles of what was served, by class."""
     first = next(iter(columns.values()))[0]["row"]
     classes = sorted(key.removesuffix(".p50") for key in first if key.endswith(".p50") and key != "p50")
@@ -141,10 +144,10 @@
         axes[0].set_ylabel("ms until the answer")
         axes[0].legend(fontsize=8)
 
-    return _figure(11, 3, draw)
+    return _render_svg(11, 3, draw)
 
 
-def over_time(columns: dict[str, Rows]) -> str:
+def time_chart(columns: dict[str, Rows]) -> str:
     """Shares of late and refused by the second of arrival, and the work at workers; troubles are shaded."""
 
     def draw(figure) -> None:
@@ -166,4 +169,4 @@
         axes[0].legend(fontsize=8)
         axes[2].set_xlabel("seconds")
 
-    return _figure(11, 5.5, draw)
+    return _render_svg(11, 5.5, draw)
--- a/spanwing/experiment/score.py
+++ b/spanwing/experiment/score.py
@@ -13,11 +13,11 @@
 import numpy as np
 
 from spanwing.world.clients import ClassSpec
-from spanwing.world.fleet import Answered, Fleet
+from spanwing.world.fleet import AnsweredRequest, FleetSimulation
 
 PERCENTILES = (50.0, 95.0, 99.0)
 #: Figures of a row that a comparison may be about, and whether more is better.
-COMPARED = {
+COMPARABLE_FIGURES = {
     "goodput": True,
     "in_time": True,
     "refused": False,
@@ -30,80 +30,95 @@
 }
 
 
-class Tally:
+class OutcomeTally:
     """Takes answers as they come; hand take() to a Fleet."""
 
     def __init__(self, classes: tuple[ClassSpec, ...]) -> None:
         self.classes = {each.name: each for each in classes}
-        self.count: Counter[str] = Counter()
-        self.worth: Counter[tuple[str, str]] = Counter()  # asked for and got, by class and by brand
-        self.got: Counter[tuple[str, str]] = Counter()
-        self.took: dict[str, list[float]] = {each.name: [] for each in classes}
-        self.seconds: dict[str, Counter[int]] = {
+        self.count_by_outcome: Counter[str] = Counter()
+        self.weight_offered: Counter[tuple[str, str]] = Counter()  # asked for and got, by class and by brand
+        self.weight_earned: Counter[tuple[str, str]] = Counter()
+        self.latencies_by_class: dict[str, list[float]] = {each.name: [] for each in classes}
+        self.counts_by_second: dict[str, Counter[int]] = {
             name: Counter() for name in ("offered", "in_time", "late", "refused", "other")
         }
-        self.attempts = self.tries = 0
-        self.flight: list[tuple[int, int]] = []  # each second: jobs at workers, and at the fullest one
+        self.attempt_count = self.submission_count = 0
+        self.jobs_at_workers: list[
+            tuple[int, int]
+        ] = []  # each second: jobs at workers, and at the fullest one
 
-    def take(self, answered: Answered) -> None:
-        cls = self.classes[answered.cls]
-        fate = answered.kind
-        got = 0.0
-        if fate == "served":
-            on_time = answered.took <= cls.aim + cls.stretch * answered.running
-            fate, got = ("in_time", cls.worth) if on_time else ("late", cls.worth * cls.late_worth)
-            self.took[answered.cls].append(answered.took)
-        self.count[fate] += 1
-        for key in (("class", answered.cls), ("brand", answered.brand)):
-            self.worth[key] += cls.worth
-            self.got[key] += got
-        second = int(answered.at // 1000.0)
-        self.seconds["offered"][second] += 1
-        self.seconds[fate if fate in self.seconds else "other"][second] += 1
-        self.attempts += answered.attempts
-        self.tries += answered.tries
+    def record_answer(self, answered: AnsweredRequest) -> None:
+        class_spec = self.classes[answered.class_name]
+        outcome = answered.outcome
+        earned = 0.0
+        if outcome == "served":
+            on_time = (
+                answered.elapsed_ms
+                <= class_spec.latency_objective_ms + class_spec.objective_stretch * answered.work_ms
+            )
+            outcome, earned = (
+                ("in_time", class_spec.priority_weight)
+                if on_time
+                else ("late", class_spec.priority_weight * class_spec.late_weight)
+            )
+            self.latencies_by_class[answered.class_name].append(answered.elapsed_ms)
+        self.count_by_outcome[outcome] += 1
+        for key in (("class", answered.class_name), ("brand", answered.tenant)):
+            self.weight_offered[key] += class_spec.priority_weight
+            self.weight_earned[key] += earned
+        second = int(answered.asked_at_ms // 1000.0)
+        self.counts_by_second["offered"][second] += 1
+        self.counts_by_second[outcome if outcome in self.counts_by_second else "other"][second] += 1
+        self.attempt_count += answered.attempt_count
+        self.submission_count += answered.submission_count
 
-    def look(self, fleet: Fleet) -> None:
+    def sample_workers(self, simulation: FleetSimulation) -> None:
         """Once a second: what is at the workers."""
-        held = [len(each.worker.held) for each in fleet.places.values() if not each.worker.fallen]
-        self.flight.append((sum(held), max(held, default=0)))
+        jobs_per_worker = [
+            len(each.worker.accepted_jobs)
+            for each in simulation.worker_hosts.values()
+            if not each.worker.is_down
+        ]
+        self.jobs_at_workers.append((sum(jobs_per_worker), max(jobs_per_worker, default=0)))
 
-    def row(self, fleet: Fleet) -> dict[str, Any]:
+    def figures_row(self, simulation: FleetSimulation) -> dict[str, Any]:
         """One number for each figure; shares are of all requests."""
-        offered = sum(self.count.values())
-        whole = max(1, offered)
-        asked = sum(worth for (kind, _), worth in self.worth.items() if kind == "class")
-        got = sum(worth for (kind, _), worth in self.got.items() if kind == "class")
-        took = [each for values in self.took.values() for each in values]
-        workers = [place.worker.worked for place in fleet.places.values()]
+        offered = sum(self.count_by_outcome.values())
+        request_count = max(1, offered)
+        offered_weight = sum(worth for (kind, _), worth in self.weight_offered.items() if kind == "class")
+        earned_weight = sum(worth for (kind, _), worth in self.weight_earned.items() if kind == "class")
+        latencies = [each for values in self.latencies_by_class.values() for each in values]
+        workers = [place.worker.work_totals for place in simulation.worker_hosts.values()]
         done, wasted = sum(each.done for each in workers), sum(each.wasted for each in workers)
         row: dict[str, Any] = {
             "offered": offered,
-            "goodput": got / asked if asked else 1.0,
+            "goodput": earned_weight / offered_weight if offered_weight else 1.0,
             **{
-                name: self.count[name] / whole
+                name: self.count_by_outcome[name] / request_count
                 for name in ("in_time", "late", "refused", "failed", "left", "lost")
             },
-            "probes": sum(each.probed for each in fleet.nodes) / whole,
-            "attempts": self.attempts / whole,
-            "tries": self.tries / whole,
+            "probes": sum(each.probe_count for each in simulation.schedulers) / request_count,
+            "attempts": self.attempt_count / request_count,
+            "tries": self.submission_count / request_count,
             "wasted": wasted / (done + wasted) if done + wasted else 0.0,
             "decision_us": 1e6
-            * sum(each.spent_s for each in fleet.nodes)
-            / max(1, sum(each.decided for each in fleet.nodes)),
+            * sum(each.decision_time_s for each in simulation.schedulers)
+            / max(1, sum(each.event_count for each in simulation.schedulers)),
         }
-        row |= _percentiles("p", took)
-        for name, values in self.took.items():
+        row |= _percentiles("p", latencies)
+        for name, values in self.latencies_by_class.items():
             row |= _percentiles(f"{name}.p", values)
-        for (kind, name), worth in self.worth.items():
-            row[f"{kind}.{name}.goodput"] = self.got[kind, name] / worth
+        for (kind, name), worth in self.weight_offered.items():
+            row[f"{kind}.{name}.goodput"] = self.weight_earned[kind, name] / worth
         return row
 
-    def series(self, seconds: int) -> dict[str, list[int]]:
+    def series_by_second(self, seconds: int) -> dict[str, list[int]]:
         """By second of the requests' arrival."""
-        found = {name: [counts[each] for each in range(seconds)] for name, counts in self.seconds.items()}
-        found["at_workers"] = [each for each, _ in self.flight[:seconds]]
-        found["at_fullest"] = [each for _, each in self.flight[:seconds]]
+        found = {
+            name: [counts[each] for each in range(seconds)] for name, counts in self.counts_by_second.items()
+        }
+        found["at_workers"] = [each for each, _ in self.jobs_at_workers[:seconds]]
+        found["at_fullest"] = [each for _, each in self.jobs_at_workers[:seconds]]
         return found
 
 
--- a/spanwing/faults.py
+++ b/spanwing/faults.py
@@ -6,27 +6,27 @@
 from typing import Any
 
 
-class ConfigError(Exception):
+class ConfigurationError(Exception):
     """One plain line that names the setting."""
 
 
-class Faults:
+class ErrorCollector:
     """Raises the first fault as a ConfigError; where all are wanted, collects them and goes on."""
 
-    def __init__(self, collect: bool = False) -> None:
-        self.collect = collect
-        self.found: list[tuple[str, str]] = []  # setting and fault
+    def __init__(self, collects_all: bool = False) -> None:
+        self.collects_all = collects_all
+        self.errors: list[tuple[str, str]] = []  # setting and fault
 
-    def add(self, setting: str, fault: str) -> None:
-        if not self.collect:
-            raise ConfigError(f"{setting}: {fault}")
-        if (setting, fault) not in self.found:
-            self.found.append((setting, fault))
+    def add_error(self, setting: str, message: str) -> None:
+        if not self.collects_all:
+            raise ConfigurationError(f"{setting}: {message}")
+        if (setting, message) not in self.errors:
+            self.errors.append((setting, message))
 
-    def check(self, setting: str, check: Callable[[Any], Any], value: Any) -> Any:
+    def run_check(self, setting: str, converter: Callable[[Any], Any], value: Any) -> Any:
         """What check makes of the value, or None where it raises ValueError and faults are collected."""
         try:
-            return check(value)
+            return converter(value)
         except ValueError as error:
-            self.add(setting, str(error))
+            self.add_error(setting, str(error))
             return None
--- a/spanwing/fronts/admin.py
+++ b/spanwing/fronts/admin.py
@@ -18,38 +18,47 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from spanwing.actor import spawn
-from spanwing.fronts.balancers.checks import detail
-from spanwing.fronts.balancers.reporter import Reporter
-from spanwing.fronts.journalpage import JournalPage
-from spanwing.log import tell
+from spanwing.actor import spawn_task
+from spanwing.fronts.balancers.checks import health_report
+from spanwing.fronts.balancers.reporter import HealthReporter
+from spanwing.fronts.journalpage import JournalEndpoint
+from spanwing.log import log_event
 from spanwing.wire.address import listen_unix
 from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import LineStream, LineTooLong
-from spanwing.wire.table import IDLE, LINGER_S, OVER, SILENT, WHOLE_S, Table
-
-MOST = 8
-LONGEST = 64 * 1024  # a proposed policy is the longest
-UNREAD = 256 * 1024
-WATCH_S = 1.0
-WRITE_S = 5.0  # a reader that does not read is closed after this, or it would keep its place
-
-
-class Ask(msgspec.Struct):
+from spanwing.wire.stream import LineStream, LineTooLongError
+from spanwing.wire.table import (
+    LINGER_TIMEOUT_S,
+    MESSAGE_TIMEOUT_S,
+    RANK_FINISHED,
+    RANK_IDLE,
+    RANK_SILENT,
+    ConnectionTable,
+)
+
+MAX_CONNECTIONS = 8
+MAX_LINE_BYTES = 64 * 1024  # a proposed policy is the longest
+MAX_BUFFERED_BYTES = 256 * 1024
+WATCH_INTERVAL_S = 1.0
+WRITE_TIMEOUT_S = 5.0  # a reader that does not read is closed after this, or it would keep its place
+
+
+class AdminCommand(msgspec.Struct):
     """One command."""
 
-    do: str
+    name: str = msgspec.field(name="do")
     within_s: float | None = None
     percent: float | None = None
     member: str = ""  # of the store: another daemon than this one
     zone: str = ""  # or region
-    order: str = ""  # for it, or for the policy
+    action: str = msgspec.field(default="", name="order")  # for it, or for the policy
     text: str = ""  # of a policy
-    base: int = 0  # the version that it was made from
+    base_version: int = msgspec.field(default=0, name="base")  # the version that it was made from
     version: int = 0
     reason: str = ""
-    by: str = "operator"
-    gone: list[str] = []  # schedulers that are gone for good
+    author: str = msgspec.field(default="operator", name="by")
+    departed_schedulers: list[str] = msgspec.field(
+        default=[], name="gone"
+    )  # schedulers that are gone for good
 
 
 class PolicyOrders(Protocol):
@@ -82,165 +91,180 @@
     def history(self) -> list[dict[str, Any]]: ...
 
 
-class Fault(Exception):
+class AdminError(Exception):
     """A command that is answered with an error."""
 
 
 class AdminConnection:
     """One connection, a command at a time."""
 
-    def __init__(self, front: AdminFront, stream: IOStream) -> None:
-        self.front, self.lines = front, LineStream(stream, front.buffers, LONGEST)
-        self.over = self.heard = self.busy = False
-        self.since = IOLoop.current().time()
+    def __init__(self, frontend: AdminFrontend, stream: IOStream) -> None:
+        self.frontend, self.line_stream = frontend, LineStream(stream, frontend.buffers, MAX_LINE_BYTES)
+        self.is_finished = self.has_sent_command = self.is_busy = False
+        self.last_activity_s = IOLoop.current().time()
 
     async def serve(self) -> None:
         try:
-            while (line := await self.lines.line(WHOLE_S, not self.heard)) is not None:
-                self.heard = self.busy = True
+            while (
+                line := await self.line_stream.read_line(MESSAGE_TIMEOUT_S, not self.has_sent_command)
+            ) is not None:
+                self.has_sent_command = self.is_busy = True
                 if line.startswith((b"GET ", b"HEAD ", b"POST ", b"PUT ", b"DELETE ")):
-                    await self.front.journal.serve(self.lines, line, WHOLE_S)
+                    await self.frontend.journal_endpoint.serve(self.line_stream, line, MESSAGE_TIMEOUT_S)
                     return
                 try:
-                    ask = msgspec.json.decode(line, type=Ask)
-                    if ask.do == "watch":
-                        await self._watch()
+                    command = msgspec.json.decode(line, type=AdminCommand)
+                    if command.name == "watch":
+                        await self._stream_status()
                         return
-                    await self._say({"ok": True, **await self.front.do(ask)})
-                except (ValueError, Fault) as fault:
-                    await self._say({"ok": False, "error": str(fault)})
-                self.busy, self.since = False, IOLoop.current().time()
-        except (StreamClosedError, StreamBufferFullError, LineTooLong, WaitOver):
+                    await self._write_reply({"ok": True, **await self.frontend.execute(command)})
+                except (ValueError, AdminError) as fault:
+                    await self._write_reply({"ok": False, "error": str(fault)})
+                self.is_busy, self.last_activity_s = False, IOLoop.current().time()
+        except (StreamClosedError, StreamBufferFullError, LineTooLongError, WaitOver):
             pass
         finally:
-            self.over = True
-            await self.lines.finish(LINGER_S)
-            self.front.table.seats.discard(self)
+            self.is_finished = True
+            await self.line_stream.close_gracefully(LINGER_TIMEOUT_S)
+            self.frontend.table.connections.discard(self)
 
-    async def _watch(self) -> None:
+    async def _stream_status(self) -> None:
         """The whole state every second until the other side goes."""
-        while not self.lines.stream.closed() and self.lines.silent():
-            await self._say({"ok": True, **self.front.status()})
-            await sleep(WATCH_S)
+        while not self.line_stream.stream.closed() and self.line_stream.has_no_pending_input():
+            await self._write_reply({"ok": True, **self.frontend.status()})
+            await sleep(WATCH_INTERVAL_S)
 
-    async def _say(self, reply: dict[str, Any]) -> None:
-        wait = timedelta(seconds=WRITE_S)
+    async def _write_reply(self, reply: dict[str, Any]) -> None:
+        timeout = timedelta(seconds=WRITE_TIMEOUT_S)
         await with_timeout(
-            wait, self.lines.write(msgspec.json.encode(reply) + b"\n"), quiet_exceptions=StreamClosedError
+            timeout,
+            self.line_stream.write(msgspec.json.encode(reply) + b"\n"),
+            quiet_exceptions=StreamClosedError,
         )
 
-    def rank(self, waited_s: float) -> int | None:
-        if self.over:
-            return OVER
-        return None if self.busy else IDLE if self.heard else SILENT
+    def eviction_rank(self, unchanged_s: float) -> int | None:
+        if self.is_finished:
+            return RANK_FINISHED
+        return None if self.is_busy else RANK_IDLE if self.has_sent_command else RANK_SILENT
 
-    def silent(self) -> bool:
-        return self.lines.silent()
+    def has_no_pending_input(self) -> bool:
+        return self.line_stream.has_no_pending_input()
 
     def close(self) -> None:
-        self.lines.close()
+        self.line_stream.close()
 
 
-class AdminFront:
+class AdminFrontend:
     """Listens on the socket's path."""
 
     def __init__(
         self,
         path: str,
         name: str,
-        reporter: Reporter,
+        reporter: HealthReporter,
         counters: Callable[[], dict[str, int]],
-        order: Callable[[str, bool, float | None], Awaitable[None]],
+        order_drain: Callable[[str, bool, float | None], Awaitable[None]],
         buffers: BufferPool,
-        journal: str = "",
+        journal_directory: str = "",
         zones: ZoneOrders | None = None,
         policy: PolicyOrders | None = None,
     ) -> None:
-        self.name, self.reporter, self.counters, self.order = name, reporter, counters, order
-        self.buffers, self.journal, self.zones, self.policy = buffers, JournalPage(journal), zones, policy
-        self.table: Table[AdminConnection] = Table(MOST)
-        self.listening = listen_unix(path, self._accept)
+        self.name, self.reporter, self.counters, self.order_drain = name, reporter, counters, order_drain
+        self.buffers, self.journal_endpoint, self.zones, self.policy = (
+            buffers,
+            JournalEndpoint(journal_directory),
+            zones,
+            policy,
+        )
+        self.table: ConnectionTable[AdminConnection] = ConnectionTable(MAX_CONNECTIONS)
+        self.listening_socket = listen_unix(path, self._accept)
         self.address = path
 
     def _accept(self, sock) -> None:
-        if not self.table.room():
+        if not self.table.make_room():
             sock.close()
             return
-        stream = IOStream(sock, max_buffer_size=UNREAD, max_write_buffer_size=UNREAD)
+        stream = IOStream(sock, max_buffer_size=MAX_BUFFERED_BYTES, max_write_buffer_size=MAX_BUFFERED_BYTES)
         connection = AdminConnection(self, stream)
-        self.table.seats.add(connection)
-        spawn(connection.serve())
+        self.table.connections.add(connection)
+        spawn_task(connection.serve())
 
     def status(self) -> dict[str, Any]:
-        drains = self.reporter.health.drains
+        drains = self.reporter.health.drain_orders
         version = {} if self.policy is None else {"policy": self.policy.status()}
         return {
             "name": self.name,
-            **detail(self.reporter),
+            **health_report(self.reporter),
             **version,
-            "drained_by": sorted(drains.orders),
-            "owed": self.reporter.owed(),
+            "drained_by": sorted(drains.deadlines),
+            "owed": self.reporter.outstanding_requests(),
             "counters": self.counters(),
         }
 
-    async def do(self, ask: Ask) -> dict[str, Any]:
+    async def execute(self, command: AdminCommand) -> dict[str, Any]:
         """Carry out a command; raises Fault or ValueError with what is wrong with it."""
-        if ask.within_s is not None and not 0 < ask.within_s <= 86_400:
-            raise Fault("within: 0 to 86400 seconds are possible")
-        match ask.do:
+        if command.within_s is not None and not 0 < command.within_s <= 86_400:
+            raise AdminError("within: 0 to 86400 seconds are possible")
+        match command.name:
             case "status":
                 return self.status()
-            case "drain" | "undrain" if ask.member:
-                tell("order", do=ask.do, member=ask.member)
-                await self.order(ask.member, ask.do == "drain", ask.within_s)
-                return {"member": ask.member}
+            case "drain" | "undrain" if command.member:
+                log_event("order", do=command.name, member=command.member)
+                await self.order_drain(command.member, command.name == "drain", command.within_s)
+                return {"member": command.member}
             case "drain":
-                tell("order", do="drain", within_s=ask.within_s)
-                self.reporter.drain("command", math.inf if ask.within_s is None else ask.within_s)
+                log_event("order", do="drain", within_s=command.within_s)
+                self.reporter.drain("command", math.inf if command.within_s is None else command.within_s)
                 return self.status()
             case "undrain":
-                tell("order", do="undrain")
+                log_event("order", do="undrain")
                 if self.reporter.undrain("command"):
-                    asked = " and ".join(sorted(self.reporter.health.drains.orders))
-                    raise Fault(f"still draining, asked for by {asked}")
+                    sources = " and ".join(sorted(self.reporter.health.drain_orders.deadlines))
+                    raise AdminError(f"still draining, asked for by {sources}")
                 return self.status()
             case "weight":
-                if ask.percent is None:
-                    raise Fault("weight: a percentage is needed")
-                tell("order", do="weight", percent=ask.percent)
-                self.reporter.set_weight(ask.percent)
+                if command.percent is None:
+                    raise AdminError("weight: a percentage is needed")
+                log_event("order", do="weight", percent=command.percent)
+                self.reporter.set_weight(command.percent)
                 return self.status()
             case "zones" | "zones_history" | "zones_order" if self.zones is None:
-                raise Fault("the fleet's zones are not switched on here: there is no [zones] table")
+                raise AdminError("the fleet's zones are not switched on here: there is no [zones] table")
             case "zones":
                 return {"name": self.name, **self.zones.status()}
             case "zones_history":
                 return {"history": self.zones.history()}
             case "zones_order":
-                tell("order", do=f"zones {ask.order}", zone=ask.zone)
-                return {"text": await self.zones.order(ask.order, ask.zone, ask.within_s or 0.0)}
+                log_event("order", do=f"zones {command.action}", zone=command.zone)
+                return {"text": await self.zones.order(command.action, command.zone, command.within_s or 0.0)}
             case "policy" | "policy_history" | "policy_text" | "policy_check" | "policy_order" if (
                 self.policy is None
             ):
-                raise Fault("the fleet's policy is not switched on here: there is no [policy] table")
+                raise AdminError("the fleet's policy is not switched on here: there is no [policy] table")
             case "policy":
                 return {"name": self.name, **self.policy.status()}
             case "policy_history":
                 return {"history": self.policy.history()}
             case "policy_text":
-                return {"text": self.policy.text(ask.version)}
+                return {"text": self.policy.text(command.version)}
             case "policy_check":
-                return {"no": self.policy.check(ask.text)}
+                return {"no": self.policy.check(command.text)}
             case "policy_order":
-                tell("order", do=f"policy {ask.order}", by=ask.by)
+                log_event("order", do=f"policy {command.action}", by=command.author)
                 return {
                     "text": await self.policy.order(
-                        ask.order, ask.by, ask.text, ask.base, ask.reason, ask.within_s or 60.0, ask.gone
+                        command.action,
+                        command.author,
+                        command.text,
+                        command.base_version,
+                        command.reason,
+                        command.within_s or 60.0,
+                        command.departed_schedulers,
                     )
                 }
-        raise Fault(f"unknown command {ask.do[:20]!r}")
+        raise AdminError(f"unknown command {command.name[:20]!r}")
 
     def close(self) -> None:
-        self.listening.close()
-        for each in list(self.table.seats):
+        self.listening_socket.close()
+        for each in list(self.table.connections):
             each.close()
--- a/spanwing/fronts/balancers/checks.py
+++ b/spanwing/fronts/balancers/checks.py
@@ -12,114 +12,116 @@
 
 import msgspec
 
-from spanwing.core.messages import Answer, Envelope
-from spanwing.fronts.balancers.reporter import Reporter
-from spanwing.fronts.senderside import Reply
-from spanwing.health.machine import Verdict
-from spanwing.wire.http import Message, response_bytes
-
-READY = frozenset({"/", "*", "/health", "/ready", "/readyz"})
-LIVE = frozenset({"/live", "/livez"})
+from spanwing.core.messages import FinalAnswer, JobRequest
+from spanwing.fronts.balancers.reporter import HealthReporter
+from spanwing.fronts.senderside import HttpReply
+from spanwing.health.machine import HealthVerdict
+from spanwing.wire.http import HttpMessage, encode_response
+
+READINESS_PATHS = frozenset({"/", "*", "/health", "/ready", "/readyz"})
+LIVENESS_PATHS = frozenset({"/live", "/livez"})
 METHODS = ("GET", "HEAD", "OPTIONS")
-JSON = "application/health+json"
+JSON_CONTENT_TYPE = "application/health+json"
 
 
-def told_status(verdict: Verdict) -> str:
+def check_status(verdict: HealthVerdict) -> str:
     """In the words of the JSON form."""
-    if not verdict.taking:
+    if not verdict.accepts_work:
         return "fail"
     return "pass" if verdict.state == "ready" else "warn"
 
 
-def detail(reporter: Reporter) -> dict:
+def health_report(reporter: HealthReporter) -> dict:
     """Everything that is known, for people and for `spanwing status`."""
     verdict, signals = reporter.verdict, reporter.health.signals
     now = reporter.loop.time()
 
-    def seen(value: float, unit: str) -> list[dict]:
+    def observed(value: float, unit: str) -> list[dict]:
         return [{"observedValue": round(value, 2), "observedUnit": unit}]
 
     checks = {
-        "cpu:used": seen(100 * reporter.cpu.used, "percent"),
-        "cpu:busy": seen(100 * reporter.cpu.demand, "percent"),
-        "cpu:stolen": seen(100 * reporter.cpu.stolen, "percent"),
-        "loop:lag": seen(reporter.cpu.lag_ms, "ms"),
-        "connections:use": seen(100 * signals.table.share, "percent"),
-        "descriptors:use": seen(100 * signals.descriptors.share, "percent"),
-        "memory:use": seen(100 * signals.memory_mb.share, "percent"),
-        "requests:owed": seen(reporter.owed(), "requests"),
+        "cpu:used": observed(100 * reporter.cpu_usage.used, "percent"),
+        "cpu:busy": observed(100 * reporter.cpu_usage.demand, "percent"),
+        "cpu:stolen": observed(100 * reporter.cpu_usage.stolen, "percent"),
+        "loop:lag": observed(reporter.cpu_usage.lag_ms, "ms"),
+        "connections:use": observed(100 * signals.client_connections.used_ratio, "percent"),
+        "descriptors:use": observed(100 * signals.descriptors.used_ratio, "percent"),
+        "memory:use": observed(100 * signals.memory_mb.used_ratio, "percent"),
+        "requests:owed": observed(reporter.outstanding_requests(), "requests"),
     }
     if signals.discovery_age_s is not None:
-        checks["discovery:age"] = seen(signals.discovery_age_s, "s")
-    if signals.majority is not None:
-        checks["store:majority"] = [{"status": "pass" if signals.majority else "fail"}]
+        checks["discovery:age"] = observed(signals.discovery_age_s, "s")
+    if signals.has_store_quorum is not None:
+        checks["store:majority"] = [{"status": "pass" if signals.has_store_quorum else "fail"}]
     for load in signals.classes:
-        lost = dict(verdict.classes).get(load.name, "")
+        unserved_reason = dict(verdict.classes).get(load.name, "")
         checks[f"class:{load.name}"] = [
             {
-                "status": "fail" if lost else "pass",
-                "output": lost,
-                "held": load.held,
-                "oldest_ms": round(load.oldest_ms),
-                "aim_ms": load.aim_ms,
+                "status": "fail" if unserved_reason else "pass",
+                "output": unserved_reason,
+                "held": load.queued,
+                "oldest_ms": round(load.oldest_queued_ms),
+                "aim_ms": load.latency_objective_ms,
             }
         ]
     for each in signals.workers:
         checks[f"workers:{each.zone or '-'}/{each.kind or '-'}"] = [
-            {"observedValue": each.taking, "observedUnit": "job workers", "listed": each.listed}
+            {"observedValue": each.accepting, "observedUnit": "job workers", "listed": each.listed}
         ]
     return {
-        "status": told_status(verdict),
+        "status": check_status(verdict),
         "state": verdict.state,
         "weight": verdict.weight,
         "notes": list(verdict.reasons),
         "output": verdict.reason,
-        "since_s": round(now - verdict.changed_s, 3),
+        "since_s": round(now - verdict.state_since_s, 3),
         "checks": checks,
     }
 
 
-class HealthFront:
+class HealthFrontend:
     """Reads what balancers ask; it never hands in an envelope."""
 
-    def __init__(self, reporter: Reporter, counters: Callable[[], dict[str, int]]) -> None:
+    def __init__(self, reporter: HealthReporter, counters: Callable[[], dict[str, int]]) -> None:
         self.reporter, self.counters = reporter, counters
 
-    def read(self, message: Message) -> Envelope | Reply:
+    def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
         path, _, query = message.target.partition("?")
-        cls = path.removeprefix("/health/") if path.startswith("/health/") else ""
-        known = (
-            path in READY | LIVE
+        class_name = path.removeprefix("/health/") if path.startswith("/health/") else ""
+        is_known = (
+            path in READINESS_PATHS | LIVENESS_PATHS
             or path == "/counters"
-            or any(cls == name for name, _ in self.reporter.verdict.classes)
+            or any(class_name == name for name, _ in self.reporter.verdict.classes)
         )
-        if not known:
+        if not is_known:
             return 404, b"/health, /health/CLASS, /live, /counters"
         if message.method not in METHODS:
             return 405, b"GET, HEAD or OPTIONS", {"Allow": ", ".join(METHODS)}
         if path == "/counters":
             return 200, msgspec.json.encode(self.counters())
         headers = {"Allow": ", ".join(METHODS)} if message.method == "OPTIONS" else {}
-        if path in LIVE:
+        if path in LIVENESS_PATHS:
             return 200, b"alive", headers
-        return self._readiness(cls, JSON in message.headers.get("accept", "") or query == "detail", headers)
+        return self._readiness(
+            class_name, JSON_CONTENT_TYPE in message.headers.get("accept", "") or query == "detail", headers
+        )
 
-    def _readiness(self, cls: str, in_full: bool, headers: dict[str, str]) -> Reply:
+    def _readiness(self, class_name: str, as_json: bool, headers: dict[str, str]) -> HttpReply:
         verdict = self.reporter.verdict
-        lost = dict(verdict.classes).get(cls, "")
-        up = verdict.taking and not lost
+        unserved_reason = dict(verdict.classes).get(class_name, "")
+        is_up = verdict.accepts_work and not unserved_reason
         if verdict.state in ("draining", "drained"):
             # Envoy stops at once, without the failures that it otherwise waits for.
             headers["x-envoy-immediate-health-check-fail"] = "true"
-        elif up and verdict.state == "short":  # it prefers others while enough of them are well
+        elif is_up and verdict.state == "short":  # it prefers others while enough of them are well
             headers["x-envoy-degraded"] = "true"
-        status = 200 if up else 503
-        if in_full:
-            headers["Content-Type"] = JSON
-            return status, msgspec.json.encode(detail(self.reporter)), headers
-        word = "up" if up else f"cannot serve {cls}" if lost else verdict.state
-        return status, word.encode(), headers
-
-    def render(self, answer: Answer, keep: bool) -> bytes:
+        status = 200 if is_up else 503
+        if as_json:
+            headers["Content-Type"] = JSON_CONTENT_TYPE
+            return status, msgspec.json.encode(health_report(self.reporter)), headers
+        text = "up" if is_up else f"cannot serve {class_name}" if unserved_reason else verdict.state
+        return status, text.encode(), headers
+
+    def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes:
         """For a connection that finds no room: what it most likely came for."""
-        return response_bytes(*self._readiness("", False, {})[:2], keep)
+        return encode_response(*self._readiness("", False, {})[:2], keep_alive)
--- a/spanwing/fronts/balancers/grpc.py
+++ b/spanwing/fronts/balancers/grpc.py
@@ -34,238 +34,247 @@
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from spanwing.actor import spawn
-from spanwing.health.machine import Verdict
+from spanwing.actor import spawn_task
+from spanwing.health.machine import HealthVerdict
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.stream import PooledStream
-from spanwing.wire.table import IDLE, LINGER_S, OVER, SILENT, WHOLE_S, Table
-
-STREAMS = 16  # at once on a connection
-HEAD = 8 * 1024  # bytes of a request's headers
-MESSAGE = 512  # bytes of a request's message: a service's name
-CONTROLS, CONTROLS_S = 100, 10.0  # control frames and resets within so many seconds
-UNREAD = 64 * 1024  # bytes that wait to be written; a peer that lets more pile up is closed
-MOST = 12  # connections
-KEEP_S = 20.0  # between signs of life that are asked for; one that gives none until the next is closed
-CHECK, WATCH = "/grpc.health.v1.Health/Check", "/grpc.health.v1.Health/Watch"
+from spanwing.wire.table import (
+    LINGER_TIMEOUT_S,
+    MESSAGE_TIMEOUT_S,
+    RANK_FINISHED,
+    RANK_IDLE,
+    RANK_SILENT,
+    ConnectionTable,
+)
+
+MAX_STREAMS = 16  # at once on a connection
+MAX_HEADER_BYTES = 8 * 1024  # bytes of a request's headers
+MAX_MESSAGE_BYTES = 512  # bytes of a request's message: a service's name
+MAX_CONTROL_FRAMES, CONTROL_WINDOW_S = 100, 10.0  # control frames and resets within so many seconds
+MAX_UNWRITTEN_BYTES = 64 * 1024  # bytes that wait to be written; a peer that lets more pile up is closed
+MAX_CONNECTIONS = 12  # connections
+KEEPALIVE_INTERVAL_S = (
+    20.0  # between signs of life that are asked for; one that gives none until the next is closed
+)
+CHECK_PATH, WATCH_PATH = "/grpc.health.v1.Health/Check", "/grpc.health.v1.Health/Watch"
 SERVING, NOT_SERVING, SERVICE_UNKNOWN = 1, 2, 3
 OK, INVALID_ARGUMENT, NOT_FOUND, RESOURCE_EXHAUSTED, UNIMPLEMENTED = 0, 3, 5, 8, 12
 CONTROL_EVENTS = (PingReceived, PriorityUpdated, RemoteSettingsChanged, StreamReset, UnknownFrameReceived)
 
 
-def serving(verdict: Verdict, service: str) -> int | None:
+def serving_status(verdict: HealthVerdict, service: str) -> int | None:
     """The status of a service; None: there is none of this name."""
     if service and service not in dict(verdict.classes):
         return None
-    up = verdict.taking and not dict(verdict.classes).get(service, "")
-    return SERVING if up else NOT_SERVING
+    is_up = verdict.accepts_work and not dict(verdict.classes).get(service, "")
+    return SERVING if is_up else NOT_SERVING
 
 
-def service_of(message: bytes) -> str:
+def parse_service(request: bytes) -> str:
     """HealthCheckRequest: field 1 is the service's name, others are passed over. Raises ValueError."""
-    at, service = 0, ""
-    while at < len(message):
-        key, at = _varint(message, at)
+    offset, service = 0, ""
+    while offset < len(request):
+        key, offset = _read_varint(request, offset)
         match key & 7:
             case 0:
-                _, at = _varint(message, at)
+                _, offset = _read_varint(request, offset)
             case 1:
-                at += 8
+                offset += 8
             case 2:
-                length, at = _varint(message, at)
-                if at + length > len(message):
+                length, offset = _read_varint(request, offset)
+                if offset + length > len(request):
                     raise ValueError("cut off")
                 if key >> 3 == 1:
-                    service = message[at : at + length].decode()
-                at += length
+                    service = request[offset : offset + length].decode()
+                offset += length
             case 5:
-                at += 4
+                offset += 4
             case _:
                 raise ValueError("unknown wire type")
-    if at != len(message):
+    if offset != len(request):
         raise ValueError("cut off")
     return service
 
 
-def _varint(data: bytes, at: int) -> tuple[int, int]:
+def _read_varint(data: bytes, offset: int) -> tuple[int, int]:
     value = 0
     for shift in range(0, 70, 7):
-        if at >= len(data):
+        if offset >= len(data):
             break
-        value |= (data[at] & 127) << shift
-        at += 1
-        if not data[at - 1] & 128:
-            return value, at
+        value |= (data[offset] & 127) << shift
+        offset += 1
+        if not data[offset - 1] & 128:
+            return value, offset
     raise ValueError("malformed varint")
 
 
-def status_message(status: int) -> bytes:
+def encode_status(status: int) -> bytes:
     """HealthCheckResponse with gRPC's prefix: not compressed, and its length."""
     body = bytes((8, status))
     return struct.pack("!BI", 0, len(body)) + body
 
 
 @dataclass(slots=True)
-class Call:
+class GrpcCall:
     """One stream."""
 
     path: str
     data: bytearray = field(default_factory=bytearray)
     service: str | None = None  # of a Watch that runs
-    told: int | None = None
-    owed: int | None = None  # a status that the peer's window has no room for yet
+    sent_status: int | None = None
+    pending_status: int | None = None  # a status that the peer's window has no room for yet
 
 
-class Session:
+class GrpcSession:
     """One connection's HTTP/2 and gRPC; bytes in by receive(), bytes out by take()."""
 
-    def __init__(self, verdict: Callable[[], Verdict]) -> None:
+    def __init__(self, verdict: Callable[[], HealthVerdict]) -> None:
         self.verdict = verdict
         self.h2 = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
         self.h2.local_settings.update(
             {
-                SettingCodes.MAX_CONCURRENT_STREAMS: STREAMS,
-                SettingCodes.MAX_HEADER_LIST_SIZE: HEAD,
+                SettingCodes.MAX_CONCURRENT_STREAMS: MAX_STREAMS,
+                SettingCodes.MAX_HEADER_LIST_SIZE: MAX_HEADER_BYTES,
             }
         )
         self.h2.initiate_connection()
         # Our settings bind the peer only once it has heard of them; these hold from its first frame.
-        self.h2.decoder.max_header_list_size = HEAD
-        self.calls: dict[int, Call] = {}
-        self.controls: list[float] = []
-        self.asked = self.closed = False
-        self.pinged = False  # and no sign of life since
+        self.h2.decoder.max_header_list_size = MAX_HEADER_BYTES
+        self.calls: dict[int, GrpcCall] = {}
+        self.control_frame_times: list[float] = []
+        self.has_request = self.is_closed = False
+        self.awaits_pong = False  # and no sign of life since
 
-    def take(self) -> bytes:
+    def pending_output(self) -> bytes:
         """What is to be written."""
         return self.h2.data_to_send()
 
-    def receive(self, data: bytes, now: float) -> None:
+    def receive(self, received: bytes, now: float) -> None:
         """Take bytes; after it, take() and closed tell what to do."""
-        self.pinged = False
+        self.awaits_pong = False
         try:
-            for event in self.h2.receive_data(data):
-                self._event(event, now)
+            for event in self.h2.receive_data(received):
+                self._handle_event(event, now)
         except (ProtocolError, UnicodeDecodeError):
-            self.closed = True  # h2 has put the GOAWAY that says why into its output
+            self.is_closed = True  # h2 has put the GOAWAY that says why into its output
 
     def keep_alive(self) -> bool:
         """Ask for a sign of life; False where the last one was never answered."""
-        if self.pinged or self.closed:
+        if self.awaits_pong or self.is_closed:
             return False
-        self.pinged = True
+        self.awaits_pong = True
         self.h2.ping(b"spanwing")
         return True
 
-    def publish(self) -> None:
+    def publish_verdict(self) -> None:
         """The verdict has changed."""
         for stream, call in list(self.calls.items()):
-            if call.service is not None and not self.closed:
+            if call.service is not None and not self.is_closed:
                 try:
-                    self._tell(stream, call)
+                    self._send_status(stream, call)
                 except ProtocolError:
                     self.calls.pop(stream, None)
 
-    def goodbye(self) -> None:
+    def close_connection(self) -> None:
         """No further streams; what is open has been told."""
-        if not self.closed:
-            self.closed = True
+        if not self.is_closed:
+            self.is_closed = True
             self.h2.close_connection()
 
-    def _event(self, event: Any, now: float) -> None:
-        if isinstance(event, CONTROL_EVENTS) and self._flooded(now):
-            self.closed = True
+    def _handle_event(self, event: Any, now: float) -> None:
+        if isinstance(event, CONTROL_EVENTS) and self._is_flooded(now):
+            self.is_closed = True
             self.h2.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
             return
-        if self.closed:
+        if self.is_closed:
             return
         try:
-            self._take(event)
+            self._dispatch_event(event)
         except StreamOver:
             # The same bytes that asked have also cancelled: that is the stream's end, not the connection's.
             self.calls.pop(event.stream_id, None)
 
-    def _take(self, event: Any) -> None:
+    def _dispatch_event(self, event: Any) -> None:
         match event:
             case RequestReceived():
-                self.asked = True
-                self._request(event.stream_id, dict(event.headers))
+                self.has_request = True
+                self._handle_request(event.stream_id, dict(event.headers))
             case DataReceived():
                 self.h2.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
                 call = self.calls.get(event.stream_id)
                 if call is not None and call.service is None:
                     call.data += event.data
-                    if len(call.data) > MESSAGE + 5:
-                        self._end(event.stream_id, RESOURCE_EXHAUSTED, "message too large")
+                    if len(call.data) > MAX_MESSAGE_BYTES + 5:
+                        self._send_error(event.stream_id, RESOURCE_EXHAUSTED, "message too large")
             case StreamEnded():
                 call = self.calls.get(event.stream_id)
                 if call is not None and call.service is None:
-                    self._call(event.stream_id, call)
+                    self._answer_call(event.stream_id, call)
             case StreamReset():
                 self.calls.pop(event.stream_id, None)
             case WindowUpdated():
                 for stream, call in list(self.calls.items()):
-                    if call.owed is not None:
-                        self._tell(stream, call)
+                    if call.pending_status is not None:
+                        self._send_status(stream, call)
             case RemoteSettingsChanged():
-                self.publish()
+                self.publish_verdict()
             case ConnectionTerminated():
-                self.closed = True
+                self.is_closed = True
 
-    def _flooded(self, now: float) -> bool:
-        self.controls = [at for at in self.controls if at > now - CONTROLS_S]
-        self.controls.append(now)
-        return len(self.controls) > CONTROLS
+    def _is_flooded(self, now: float) -> bool:
+        self.control_frame_times = [at for at in self.control_frame_times if at > now - CONTROL_WINDOW_S]
+        self.control_frame_times.append(now)
+        return len(self.control_frame_times) > MAX_CONTROL_FRAMES
 
-    def _request(self, stream: int, headers: dict[str, str]) -> None:
-        self.calls[stream] = Call(headers.get(":path", ""))
-        assert len(self.calls) <= STREAMS  # h2 turns further ones away
+    def _handle_request(self, stream: int, headers: dict[str, str]) -> None:
+        self.calls[stream] = GrpcCall(headers.get(":path", ""))
+        assert len(self.calls) <= MAX_STREAMS  # h2 turns further ones away
         if not headers.get("content-type", "").startswith("application/grpc"):
             self.h2.send_headers(stream, [(":status", "415")], end_stream=True)
-            self._forget(stream)
-        elif headers.get(":method") != "POST" or headers.get(":path") not in (CHECK, WATCH):
-            self._end(stream, UNIMPLEMENTED, "only grpc.health.v1.Health Check and Watch")
+            self._drop_stream(stream)
+        elif headers.get(":method") != "POST" or headers.get(":path") not in (CHECK_PATH, WATCH_PATH):
+            self._send_error(stream, UNIMPLEMENTED, "only grpc.health.v1.Health Check and Watch")
 
-    def _call(self, stream: int, call: Call) -> None:
+    def _answer_call(self, stream: int, call: GrpcCall) -> None:
         data = bytes(call.data)
         try:
             compressed, length = struct.unpack_from("!BI", data)
             if compressed or length != len(data) - 5:
                 raise ValueError("one message, not compressed")
-            service = service_of(data[5:])
+            service = parse_service(data[5:])
         except (struct.error, ValueError) as error:
-            self._end(stream, INVALID_ARGUMENT, f"malformed: {error}")
+            self._send_error(stream, INVALID_ARGUMENT, f"malformed: {error}")
             return
-        status = serving(self.verdict(), service)
-        if call.path == CHECK and status is None:
-            self._end(stream, NOT_FOUND, "unknown service")
+        status = serving_status(self.verdict(), service)
+        if call.path == CHECK_PATH and status is None:
+            self._send_error(stream, NOT_FOUND, "unknown service")
             return
         self.h2.send_headers(stream, [(":status", "200"), ("content-type", "application/grpc")])
-        if call.path == CHECK:
-            call.owed = status
-            self._tell(stream, call)
+        if call.path == CHECK_PATH:
+            call.pending_status = status
+            self._send_status(stream, call)
         else:
             call.service = service
-            self._tell(stream, call)
+            self._send_status(stream, call)
 
-    def _tell(self, stream: int, call: Call) -> None:
+    def _send_status(self, stream: int, call: GrpcCall) -> None:
         """Send what is newest, if the peer's window has room for it."""
         if call.service is not None:
-            status = serving(self.verdict(), call.service)
-            call.owed = SERVICE_UNKNOWN if status is None else status
-            if call.owed == call.told:
-                call.owed = None
+            status = serving_status(self.verdict(), call.service)
+            call.pending_status = SERVICE_UNKNOWN if status is None else status
+            if call.pending_status == call.sent_status:
+                call.pending_status = None
                 return
-        message = status_message(call.owed)
+        message = encode_status(call.pending_status)
         if self.h2.local_flow_control_window(stream) < len(message):
             return
         self.h2.send_data(stream, message)
-        call.told, call.owed = call.owed, None
+        call.sent_status, call.pending_status = call.pending_status, None
         if call.service is None:
-            self._trailers(stream, OK)
+            self._send_trailers(stream, OK)
 
-    def _end(self, stream: int, status: int, text: str) -> None:
+    def _send_error(self, stream: int, status: int, text: str) -> None:
         """An answer of trailers only; percent signs and line ends are not in our texts."""
         self.h2.send_headers(
             stream,
@@ -277,13 +286,13 @@
             ],
             end_stream=True,
         )
-        self._forget(stream)
+        self._drop_stream(stream)
 
-    def _trailers(self, stream: int, status: int) -> None:
+    def _send_trailers(self, stream: int, status: int) -> None:
         self.h2.send_headers(stream, [("grpc-status", str(status))], end_stream=True)
-        self._forget(stream)
+        self._drop_stream(stream)
 
-    def _forget(self, stream: int) -> None:
+    def _drop_stream(self, stream: int) -> None:
         """The answer is whole; a peer that still sends is told that nobody reads it."""
         del self.calls[stream]
         try:
@@ -296,16 +305,16 @@
 class GrpcConnection:
     """A connection around a session."""
 
-    def __init__(self, front: GrpcFront, stream: PooledStream) -> None:
-        self.front, self.stream, self.session = front, stream, Session(front.verdict)
-        self.over, self.since = False, IOLoop.current().time()
+    def __init__(self, frontend: GrpcFrontend, stream: PooledStream) -> None:
+        self.frontend, self.stream, self.session = frontend, stream, GrpcSession(frontend.verdict)
+        self.is_finished, self.last_activity_s = False, IOLoop.current().time()
 
-    def publish(self, _: Verdict) -> None:
-        self.session.publish()
+    def publish_verdict(self, _: HealthVerdict) -> None:
+        self.session.publish_verdict()
         self.flush()
 
     def flush(self) -> None:
-        data = self.session.take()
+        data = self.session.pending_output()
         if data and not self.stream.stream.closed():
             try:
                 self.stream.stream.write(data).add_done_callback(lambda written: written.exception())
@@ -315,25 +324,27 @@
     async def serve(self) -> None:
         loop, data = IOLoop.current(), bytearray()
         # One that has asked may idle between its checks; the table takes it when there is no room.
-        timer = loop.call_later(WHOLE_S, lambda: self.session.asked or self.stream.close())
-        unsubscribe = self.front.subscribe(self.publish)
+        request_timer = loop.call_later(
+            MESSAGE_TIMEOUT_S, lambda: self.session.has_request or self.stream.close()
+        )
+        unsubscribe = self.frontend.subscribe(self.publish_verdict)
         # A balancer that vanished says nothing: without asking, its Watch would keep its place for good.
-        keeping = PeriodicCallback(self._keep_alive, KEEP_S * 1000.0)
-        keeping.start()
+        keepalive_timer = PeriodicCallback(self._keep_alive, KEEPALIVE_INTERVAL_S * 1000.0)
+        keepalive_timer.start()
         try:
             self.flush()
-            while not self.session.closed and await self.stream.read(data):
+            while not self.session.is_closed and await self.stream.read(data):
                 self.session.receive(bytes(data), loop.time())
                 data.clear()
-                self.since = loop.time()
+                self.last_activity_s = loop.time()
                 self.flush()
         finally:
             unsubscribe()
-            keeping.stop()
-            loop.remove_timeout(timer)
-            self.over = True
-            await self.stream.finish(LINGER_S)
-            self.front.table.seats.discard(self)
+            keepalive_timer.stop()
+            loop.remove_timeout(request_timer)
+            self.is_finished = True
+            await self.stream.close_gracefully(LINGER_TIMEOUT_S)
+            self.frontend.table.connections.discard(self)
 
     def _keep_alive(self) -> None:
         if self.session.keep_alive():
@@ -341,47 +352,49 @@
         else:
             self.stream.close()
 
-    def rank(self, waited_s: float) -> int | None:
-        if self.over:
-            return OVER
-        if not self.session.asked:
-            return SILENT
-        return None if self.session.calls else IDLE
+    def eviction_rank(self, unchanged_s: float) -> int | None:
+        if self.is_finished:
+            return RANK_FINISHED
+        if not self.session.has_request:
+            return RANK_SILENT
+        return None if self.session.calls else RANK_IDLE
 
-    def silent(self) -> bool:
-        return self.stream.silent()
+    def has_no_pending_input(self) -> bool:
+        return self.stream.has_no_pending_input()
 
     def close(self) -> None:
         self.stream.close()
 
 
-class GrpcFront:
+class GrpcFrontend:
     """Listens for gRPC health."""
 
     def __init__(
         self,
         address: Address,
-        verdict: Callable[[], Verdict],
-        subscribe: Callable[[Callable[[Verdict], None]], Callable[[], None]],
+        verdict: Callable[[], HealthVerdict],
+        subscribe: Callable[[Callable[[HealthVerdict], None]], Callable[[], None]],
         buffers: BufferPool,
     ) -> None:
         self.verdict, self.subscribe, self.buffers = verdict, subscribe, buffers
-        self.table: Table[GrpcConnection] = Table(MOST)
-        self.listening = listen(address, self._accept)
-        self.address = self.listening.address
+        self.table: ConnectionTable[GrpcConnection] = ConnectionTable(MAX_CONNECTIONS)
+        self.listening_socket = listen(address, self._accept)
+        self.address = self.listening_socket.address
 
     def _accept(self, sock) -> None:
-        if not self.table.room():
+        if not self.table.make_room():
             sock.close()
             return
-        stream = IOStream(sock, max_buffer_size=UNREAD, max_write_buffer_size=UNREAD)
+        stream = IOStream(
+            sock, max_buffer_size=MAX_UNWRITTEN_BYTES, max_write_buffer_size=MAX_UNWRITTEN_BYTES
+        )
         connection = GrpcConnection(self, PooledStream(stream, self.buffers))
-        self.table.seats.add(connection)
-        spawn(connection.serve())
+        self.table.connections.add(connection)
+        spawn_task(connection.serve())
 
     def close(self) -> None:
-        self.listening.close()
-        for each in list(self.table.seats):
-            each.session.goodbye()
+        self.listening_socket.close()
+        for each in list(self.table.connections):
+            each.session.close_connection()
             each.flush()
             each.close()
--- a/spanwing/fronts/balancers/opened.py
+++ b/spanwing/fronts/balancers/opened.py
@@ -9,18 +9,18 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from spanwing.core.exchange import Exchange
-from spanwing.faults import ConfigError
-from spanwing.fronts.admin import AdminFront, PolicyOrders, ZoneOrders
-from spanwing.fronts.balancers.checks import HealthFront
-from spanwing.fronts.balancers.lines import LineFront, agent_line, feedback_line
-from spanwing.fronts.balancers.reporter import Reporter
+from spanwing.core.exchange import RequestManager
+from spanwing.faults import ConfigurationError
+from spanwing.fronts.admin import AdminFrontend, PolicyOrders, ZoneOrders
+from spanwing.fronts.balancers.checks import HealthFrontend
+from spanwing.fronts.balancers.lines import AgentCheckFrontend, agent_check_reply, feedback_reply
+from spanwing.fronts.balancers.reporter import HealthReporter
 from spanwing.fronts.senderside import HttpServer
-from spanwing.frontsfile import Balancers
+from spanwing.frontsfile import BalancerSettings
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.proxied import Network
 
-CHECKS = 12  # connections to the health listener
+MAX_HEALTH_CONNECTIONS = 12  # connections to the health listener
 
 
 class Listeners:
@@ -29,102 +29,122 @@
     def __init__(
         self,
         name: str,
-        reporter: Reporter,
-        core: Exchange,
+        reporter: HealthReporter,
+        request_manager: RequestManager,
         buffers: BufferPool,
         counters: Callable[[], dict[str, int]],
         maxconn: Callable[[], int],
-        order: Callable[[str, bool, float | None], Awaitable[None]],
-        proxied: tuple[Network, ...],
-        journal: str = "",
+        order_drain: Callable[[str, bool, float | None], Awaitable[None]],
+        proxy_sources: tuple[Network, ...],
+        journal_directory: str = "",
         zones: ZoneOrders | None = None,
         policy: PolicyOrders | None = None,
     ) -> None:
-        self.name, self.reporter, self.core, self.buffers = name, reporter, core, buffers
-        self.counters, self.maxconn, self.order, self.proxied = counters, maxconn, order, proxied
+        self.name, self.reporter, self.request_manager, self.buffers = (
+            name,
+            reporter,
+            request_manager,
+            buffers,
+        )
+        self.counters, self.maxconn, self.order_drain, self.proxy_sources = (
+            counters,
+            maxconn,
+            order_drain,
+            proxy_sources,
+        )
         self.policy = policy
-        self.journal, self.zones = journal, zones  # the folder that is written; None: not switched on
-        self.open: dict[str, tuple[Any, Any]] = {}  # by name: what was asked for, and the front
+        self.journal_directory, self.zones = (
+            journal_directory,
+            zones,
+        )  # the folder that is written; None: not switched on
+        self.open_listeners: dict[str, tuple[Any, Any]] = {}  # by name: what was asked for, and the front
 
-    def move(self, wanted: Balancers) -> list[tuple[str, str]]:
+    def reconfigure(self, settings: BalancerSettings) -> list[tuple[str, str]]:
         """Open and close until all is as wanted; returns the new ones, and where. Raises ConfigError."""
-        asked = {
-            "health": wanted.health,
-            "agent_check": wanted.agent,
-            "feedback": wanted.feedback,
-            "grpc": wanted.grpc,
-            "admin": wanted.admin or None,
+        requested = {
+            "health": settings.health,
+            "agent_check": settings.agent_check,
+            "feedback": settings.feedback,
+            "grpc": settings.grpc,
+            "admin": settings.admin or None,
         }
-        fresh: dict[str, tuple[Any, Any]] = {}
+        opened: dict[str, tuple[Any, Any]] = {}
         try:
-            for name, what in asked.items():
-                if what is not None and not self._stays(name, what):
-                    fresh[name] = what, self._make(name, what)
-        except ConfigError:
-            for _, front in fresh.values():
-                front.close()
+            for name, listener_settings in requested.items():
+                if listener_settings is not None and not self._is_unchanged(name, listener_settings):
+                    opened[name] = listener_settings, self._open_listener(name, listener_settings)
+        except ConfigurationError:
+            for _, frontend in opened.values():
+                frontend.close()
             raise
-        for name, (_, front) in list(self.open.items()):
-            if asked[name] is None or name in fresh:
-                front.close()
-                del self.open[name]
-        self.open.update(fresh)
-        if wanted.agent is not None:  # its words may change where its address stays
-            front = self.open["agent_check"][1]
-            front.maxconn = self.maxconn if wanted.agent.maxconn else None
-            front.asks = wanted.agent.asks
-            self.open["agent_check"] = wanted.agent, front
-        self.reporter.health.policy_is(wanted.policy)
-        return [(name, str(front.address)) for name, (_, front) in fresh.items()]
-
-    def _stays(self, name: str, what: Any) -> bool:
+        for name, (_, frontend) in list(self.open_listeners.items()):
+            if requested[name] is None or name in opened:
+                frontend.close()
+                del self.open_listeners[name]
+        self.open_listeners.update(opened)
+        if settings.agent_check is not None:  # its words may change where its address stays
+            frontend = self.open_listeners["agent_check"][1]
+            frontend.maxconn = self.maxconn if settings.agent_check.reports_maxconn else None
+            frontend.expects_class_name = settings.agent_check.expects_class_name
+            self.open_listeners["agent_check"] = settings.agent_check, frontend
+        self.reporter.health.update_settings(settings.health_policy)
+        return [(name, str(front.address)) for name, (_, front) in opened.items()]
+
+    def _is_unchanged(self, name: str, settings: Any) -> bool:
         """Whether a listener is open where it should be."""
-        if name not in self.open:
+        if name not in self.open_listeners:
             return False
-        was = self.open[name][0]
-        return was.listen == what.listen if name == "agent_check" else was == what
+        previous = self.open_listeners[name][0]
+        return previous.listen == settings.listen if name == "agent_check" else previous == settings
 
-    def fronts(self) -> list[Any]:
+    def frontends(self) -> list[Any]:
         """All that are open; each has a table of its connections."""
-        return [front for _, front in self.open.values()]
+        return [front for _, front in self.open_listeners.values()]
 
-    def _make(self, name: str, what: Any) -> Any:
+    def _open_listener(self, name: str, settings: Any) -> Any:
         try:
-            return getattr(self, f"_{name}")(what)
+            return getattr(self, f"_{name}")(settings)
         except OSError as error:
             setting = "admin.socket" if name == "admin" else f"{name}.listen"
-            where = what.listen if name == "agent_check" else what
-            raise ConfigError(f"{setting}: cannot listen on {where}: {error.strerror}") from None
+            where = settings.listen if name == "agent_check" else settings
+            raise ConfigurationError(f"{setting}: cannot listen on {where}: {error.strerror}") from None
 
     def _health(self, address):
-        front = HealthFront(self.reporter, self.counters)
-        return HttpServer(address, front, self.core, self.buffers, most=CHECKS, proxied=self.proxied)
+        front = HealthFrontend(self.reporter, self.counters)
+        return HttpServer(
+            address,
+            front,
+            self.request_manager,
+            self.buffers,
+            max_connections=MAX_HEALTH_CONNECTIONS,
+            proxy_sources=self.proxy_sources,
+        )
 
     def _agent_check(self, agent):
-        return LineFront(agent.listen, lambda: self.reporter.verdict, agent_line)
+        return AgentCheckFrontend(agent.listen, lambda: self.reporter.verdict, agent_check_reply)
 
     def _feedback(self, address):
-        return LineFront(address, lambda: self.reporter.verdict, feedback_line)
+        return AgentCheckFrontend(address, lambda: self.reporter.verdict, feedback_reply)
 
     def _grpc(self, address):
-        from spanwing.fronts.balancers.grpc import GrpcFront  # h2 is loaded where this is opened
+        from spanwing.fronts.balancers.grpc import GrpcFrontend  # h2 is loaded where this is opened
 
-        return GrpcFront(address, lambda: self.reporter.verdict, self.reporter.subscribe, self.buffers)
+        return GrpcFrontend(address, lambda: self.reporter.verdict, self.reporter.subscribe, self.buffers)
 
     def _admin(self, path):
-        return AdminFront(
+        return AdminFrontend(
             path,
             self.name,
             self.reporter,
             self.counters,
-            self.order,
+            self.order_drain,
             self.buffers,
-            self.journal,
+            self.journal_directory,
             self.zones,
             self.policy,
         )
 
     def close(self) -> None:
-        for _, front in self.open.values():
-            front.close()
-        self.open.clear()
+        for _, frontend in self.open_listeners.values():
+            frontend.close()
+        self.open_listeners.clear()
