--- a/spanwing/fronts/balancers/reporter.py
+++ b/spanwing/fronts/balancers/reporter.py
@@ -16,214 +16,234 @@
 
 from tornado.ioloop import IOLoop
 
-from spanwing.core.exchange import Exchange
-from spanwing.health.cpu import CpuMeter, Reading
-from spanwing.health.drain import Phase, Source
-from spanwing.health.machine import Health, Verdict
-from spanwing.health.policy import Policy
-from spanwing.health.signals import ClassLoad, Cpu, Signals, Use, Workers
-from spanwing.log import tell
+from spanwing.core.exchange import RequestManager
+from spanwing.health.cpu import CpuMeter, CpuReading
+from spanwing.health.drain import DrainPhase, DrainSource
+from spanwing.health.machine import HealthStateMachine, HealthVerdict
+from spanwing.health.policy import HealthSettings
+from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
+from spanwing.log import log_event
 from spanwing.wire.meter import MeteredSelector
 
-TICK_S, CALM_S = 0.05, 1.0  # between samples; the longer one while little is going on
-CALM = 0.12  # of the loop's time busy, at most
-ALARM_S, ALERT_S = CALM * CALM_S, 1.0  # busy so long since a sample: samples are frequent for a while
-FULL_S = 0.25  # between full samples: between them CPU and what is owed alone are looked at
-PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1024 / 1024
+SAMPLE_INTERVAL_S, CALM_SAMPLE_INTERVAL_S = (
+    0.05,
+    1.0,
+)  # between samples; the longer one while little is going on
+CALM_CPU_RATIO = 0.12  # of the loop's time busy, at most
+BUSY_ALARM_S, FREQUENT_SAMPLES_S = (
+    CALM_CPU_RATIO * CALM_SAMPLE_INTERVAL_S,
+    1.0,
+)  # busy so long since a sample: samples are frequent for a while
+FULL_SAMPLE_INTERVAL_S = 0.25  # between full samples: between them CPU and what is owed alone are looked at
+PAGE_SIZE_MB = os.sysconf("SC_PAGE_SIZE") / 1024 / 1024
 
 
-class Gate(Protocol):
+class WorkFrontend(Protocol):
     """A front that takes work."""
 
-    def announce(self) -> None:
+    def announce_drain(self) -> None:
         """A drain has begun: say so with every answer."""
 
-    def drain(self, refuse: bool) -> None:
+    def drain(self, reject_new: bool) -> None:
         """The notice is over: close what is idle, and turn new work away where refuse is set."""
 
-    def reopen(self) -> None: ...
+    def cancel_drain(self) -> None: ...
 
 
-class Gauges(Protocol):
+class DaemonGauges(Protocol):
     """Figures that only the daemon's other parts have."""
 
-    def table(self) -> Use: ...
+    def client_connections(self) -> ResourceUsage: ...
 
-    def descriptors(self) -> Use: ...
+    def descriptors(self) -> ResourceUsage: ...
 
-    def cores(self) -> float: ...
+    def cpu_cores(self) -> float: ...
 
-    def memory_mb(self) -> float: ...
+    def memory_limit_mb(self) -> float: ...
 
-    def majority(self) -> bool | None: ...
+    def has_store_quorum(self) -> bool | None: ...
 
-    def needing_store(self) -> frozenset[str]: ...
+    def classes_needing_store(self) -> frozenset[str]: ...
 
 
-def resident_mb(statm: int) -> float:
+def resident_memory_mb(statm_fd: int) -> float:
     """From an open /proc/self/statm; the second figure is the resident pages."""
-    return int(os.pread(statm, 128, 0).split()[1]) * PAGE_MB
+    return int(os.pread(statm_fd, 128, 0).split()[1]) * PAGE_SIZE_MB
 
 
-class Reporter:
+class HealthReporter:
     """Owns the health machine of this daemon."""
 
     def __init__(
-        self, core: Exchange, policy: Policy, gauges: Gauges, meter: MeteredSelector | None = None
+        self,
+        request_manager: RequestManager,
+        settings: HealthSettings,
+        gauges: DaemonGauges,
+        loop_meter: MeteredSelector | None = None,
     ) -> None:
-        self.core, self.gauges, self.loop_meter = core, gauges, meter
+        self.request_manager, self.gauges, self.loop_meter = request_manager, gauges, loop_meter
         self.loop = IOLoop.current()
-        self.health = Health(policy, self.loop.time())
-        self.meter, self.cpu = CpuMeter(), Cpu()
-        self.statm = os.open("/proc/self/statm", os.O_RDONLY)
-        self.gates: list[Gate] = []
-        self.listeners: set[Callable[[Verdict], None]] = set()
-        self.phase: Phase = "none"
-        self.full_at = -math.inf
-        self.told = self.health.verdict
-        self.alert_until = 0.0
-        self.due = self.loop.time() + TICK_S
-        self.timer = self.loop.call_at(self.due, self._tick)
-        core.news = self.look
+        self.health = HealthStateMachine(settings, self.loop.time())
+        self.cpu_meter, self.cpu_usage = CpuMeter(), CpuUsage()
+        self.statm_fd = os.open("/proc/self/statm", os.O_RDONLY)
+        self.work_frontends: list[WorkFrontend] = []
+        self.subscribers: set[Callable[[HealthVerdict], None]] = set()
+        self.drain_phase: DrainPhase = "none"
+        self.last_full_sample_s = -math.inf
+        self.announced_verdict = self.health.verdict
+        self.frequent_samples_until_s = 0.0
+        self.next_sample_s = self.loop.time() + SAMPLE_INTERVAL_S
+        self.sample_timer = self.loop.call_at(self.next_sample_s, self._handle_sample_timer)
+        request_manager.on_endpoints_changed = self.sample_soon
 
     @property
-    def verdict(self) -> Verdict:
-        return self.told
+    def verdict(self) -> HealthVerdict:
+        return self.announced_verdict
 
-    def subscribe(self, listener: Callable[[Verdict], None]) -> Callable[[], None]:
+    def subscribe(self, subscriber: Callable[[HealthVerdict], None]) -> Callable[[], None]:
         """Hear of changes from now on; returns what ends it."""
-        self.listeners.add(listener)
-        return lambda: self.listeners.discard(listener)
+        self.subscribers.add(subscriber)
+        return lambda: self.subscribers.discard(subscriber)
 
-    def drain(self, source: Source, within_s: float = math.inf) -> None:
+    def drain(self, source: DrainSource, within_s: float = math.inf) -> None:
         """Announce a drain, to every protocol at once."""
         now = self.loop.time()
         self._publish(self.health.drain(source, now, within_s))
-        if (end := self.health.drains.closes) > now:  # on time, not with the next sample
-            self.loop.call_at(end, self._move_gates)
+        if (
+            notice_ends_at_s := self.health.drain_orders.notice_ends_at_s
+        ) > now:  # on time, not with the next sample
+            self.loop.call_at(notice_ends_at_s, self._update_frontends)
 
-    def undrain(self, source: Source) -> bool:
+    def undrain(self, source: DrainSource) -> bool:
         """Withdraw a drain; whether any is left."""
         self._publish(self.health.undrain(source, self.loop.time()))
-        return self.health.drains.active
+        return self.health.drain_orders.is_draining
 
     def set_weight(self, percent: float) -> None:
         self._publish(self.health.set_weight(percent, self.loop.time()))
 
-    def left_s(self) -> float:
+    def remaining_s(self) -> float:
         """How long what is taken now may still take, for a drain with an end."""
-        return self.health.drains.end - self.loop.time()
+        return self.health.drain_orders.earliest_deadline_s - self.loop.time()
 
-    def _tick(self) -> None:
+    def _handle_sample_timer(self) -> None:
         try:
-            self._sample()
+            self._take_sample()
         finally:  # a fault in one sample must not end them all: what is told would stay as it was for good
             now = self.loop.time()
-            wait = TICK_S
+            interval_s = SAMPLE_INTERVAL_S
             if (
                 self.loop_meter
-                and now > self.alert_until
-                and self.cpu.demand <= CALM
-                and (self.told.state in ("ready", "absent"))
+                and now > self.frequent_samples_until_s
+                and self.cpu_usage.demand <= CALM_CPU_RATIO
+                and (self.announced_verdict.state in ("ready", "absent"))
             ):
-                wait = CALM_S
-                self.loop_meter.watch(ALARM_S, self._alarm)
-            self.due = max(self.due + wait, now + wait / 5)
-            self.timer = self.loop.call_at(self.due, self._tick)
+                interval_s = CALM_SAMPLE_INTERVAL_S
+                self.loop_meter.set_alarm(BUSY_ALARM_S, self._handle_busy_alarm)
+            self.next_sample_s = max(self.next_sample_s + interval_s, now + interval_s / 5)
+            self.sample_timer = self.loop.call_at(self.next_sample_s, self._handle_sample_timer)
 
-    def _alarm(self) -> None:
+    def _handle_busy_alarm(self) -> None:
         """Busy again while samples are rare: some are taken soon, one after the other."""
-        self.alert_until = self.loop.time() + ALERT_S
-        self.look()
+        self.frequent_samples_until_s = self.loop.time() + FREQUENT_SAMPLES_S
+        self.sample_soon()
 
-    def look(self) -> None:
+    def sample_soon(self) -> None:
         """Take a full sample in the next turn of the loop: something has changed that is told."""
         now = self.loop.time()
-        if self.due > now:
-            self.loop.remove_timeout(self.timer)
-            self.full_at, self.due = -math.inf, now
-            self.timer = self.loop.call_at(now, self._tick)
+        if self.next_sample_s > now:
+            self.loop.remove_timeout(self.sample_timer)
+            self.last_full_sample_s, self.next_sample_s = -math.inf, now
+            self.sample_timer = self.loop.call_at(now, self._handle_sample_timer)
 
-    def _sample(self) -> None:
+    def _take_sample(self) -> None:
         now = self.loop.time()
-        busy = self.loop_meter.busy() if self.loop_meter else None
+        busy_s = self.loop_meter.busy_s() if self.loop_meter else None
         # A late timer is late for the loop's own work and for want of CPU alike; the meter tells them apart.
-        self.meter.cores = self.gauges.cores()
-        reading = Reading(now, time.process_time(), busy, max(0.0, now - self.due))
-        self.cpu = self.meter.read(reading)
-        if now >= self.full_at + FULL_S * 0.9:
-            self.full_at = now
-            self._publish(self.health.observe(now, self.signals()))
+        self.cpu_meter.cores = self.gauges.cpu_cores()
+        reading = CpuReading(now, time.process_time(), busy_s, max(0.0, now - self.next_sample_s))
+        self.cpu_usage = self.cpu_meter.add_reading(reading)
+        if now >= self.last_full_sample_s + FULL_SAMPLE_INTERVAL_S * 0.9:
+            self.last_full_sample_s = now
+            self._publish(self.health.observe(now, self.collect_signals()))
         else:
             self._publish(
-                self.health.observe(now, self.health.signals._replace(cpu=self.cpu, owed=self.owed()))
+                self.health.observe(
+                    now,
+                    self.health.signals._replace(cpu=self.cpu_usage, outstanding=self.outstanding_requests()),
+                )
             )
 
-    def owed(self) -> int:
-        return len(self.core.calls) + len(self.core.out)
+    def outstanding_requests(self) -> int:
+        return len(self.request_manager.pending_requests) + len(self.request_manager.in_flight)
 
-    def signals(self) -> Signals:
+    def collect_signals(self) -> HealthSignals:
         """Everything that is known now."""
-        core, needing = self.core, self.gauges.needing_store()
-        held, turned = core.held(), core.turning_away()
-        counters = core.counters
-        return Signals(
-            cpu=self.cpu,
+        request_manager, needing_store = self.request_manager, self.gauges.classes_needing_store()
+        queued, unavailable = request_manager.queued_by_class(), request_manager.unavailable_classes()
+        counters = request_manager.counters
+        return HealthSignals(
+            cpu=self.cpu_usage,
             classes=tuple(
                 ClassLoad(
                     each.name,
                     each.aim,
                     each.kind,
-                    *held.get(each.name, (0, 0.0)),
-                    each.name in needing,
-                    turned.get(each.name, ""),
+                    *queued.get(each.name, (0, 0.0)),
+                    each.name in needing_store,
+                    unavailable.get(each.name, ""),
                 )
-                for each in core.settings.classes
+                for each in request_manager.settings.classes
+            ),
+            workers=tuple(
+                WorkerCounts(zone, kind, *counts)
+                for (zone, kind), counts in request_manager.worker_counts().items()
             ),
-            workers=tuple(Workers(zone, kind, *counts) for (zone, kind), counts in core.fleet().items()),
-            zone=core.settings.zone,
+            zone=request_manager.settings.zone,
             answered=counters["answered"],
-            refused=sum(counters[f"answered.refused.{each.name}"] for each in core.settings.classes),
-            table=self.gauges.table(),
+            rejected=sum(
+                counters[f"answered.refused.{each.name}"] for each in request_manager.settings.classes
+            ),
+            client_connections=self.gauges.client_connections(),
             descriptors=self.gauges.descriptors(),
-            memory_mb=Use(resident_mb(self.statm), self.gauges.memory_mb()),
-            majority=self.gauges.majority(),
-            discovery_age_s=core.discovery_age() if core.settings.subscribe else None,
-            heard=core.heard,
-            owed=self.owed(),
+            memory_mb=ResourceUsage(resident_memory_mb(self.statm_fd), self.gauges.memory_limit_mb()),
+            has_store_quorum=self.gauges.has_store_quorum(),
+            discovery_age_s=request_manager.discovery_age_s() if request_manager.settings.subscribe else None,
+            endpoints_known=request_manager.endpoints_known,
+            outstanding=self.outstanding_requests(),
         )
 
-    def _publish(self, verdict: Verdict) -> None:
-        self._move_gates()
-        before, self.told = self.told, verdict
-        if verdict.told == before.told:
+    def _publish(self, verdict: HealthVerdict) -> None:
+        self._update_frontends()
+        previous, self.announced_verdict = self.announced_verdict, verdict
+        if verdict.announced == previous.announced:
             return
-        if verdict.state != before.state:
-            tell(
+        if verdict.state != previous.state:
+            log_event(
                 "health",
                 state=verdict.state,
-                was=before.state,
+                was=previous.state,
                 weight=verdict.weight,
                 reason=verdict.reason or "enough of everything",
             )
-        elif verdict.classes != before.classes:
-            tell(
+        elif verdict.classes != previous.classes:
+            log_event(
                 "classes",
                 unserved=[name for name, reason in verdict.classes if reason],
                 reason=next((reason for _, reason in verdict.classes if reason), "all served again"),
             )
-        for listener in list(self.listeners):
-            listener(verdict)
+        for subscriber in list(self.subscribers):
+            subscriber(verdict)
 
-    def _move_gates(self) -> None:
-        phase = self.health.drains.phase(self.loop.time())
-        if phase == self.phase:
+    def _update_frontends(self) -> None:
+        phase = self.health.drain_orders.phase(self.loop.time())
+        if phase == self.drain_phase:
             return
-        before, self.phase = self.phase, phase
-        for gate in self.gates:
+        previous, self.drain_phase = self.drain_phase, phase
+        for frontend in self.work_frontends:
             if phase == "none":
-                gate.reopen()
-            elif before == "none":
-                gate.announce()
+                frontend.cancel_drain()
+            elif previous == "none":
+                frontend.announce_drain()
             if phase == "closed":
-                gate.drain(True)
+                frontend.drain(True)
--- a/spanwing/fronts/balancers/side.py
+++ b/spanwing/fronts/balancers/side.py
@@ -9,113 +9,125 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from spanwing.actor import spawn
-from spanwing.core.exchange import Exchange
-from spanwing.fronts.admin import Fault, PolicyOrders, ZoneOrders
+from spanwing.actor import spawn_task
+from spanwing.core.exchange import RequestManager
+from spanwing.fronts.admin import AdminError, PolicyOrders, ZoneOrders
 from spanwing.fronts.balancers.opened import Listeners
-from spanwing.fronts.balancers.reporter import Reporter
-from spanwing.fronts.balancers.storewatch import Order, StoreWatch, order
-from spanwing.fronts.faktory import FaktoryFront
+from spanwing.fronts.balancers.reporter import HealthReporter
+from spanwing.fronts.balancers.storewatch import DrainOrder, DrainWatcher, write_drain_order
+from spanwing.fronts.faktory import FaktoryFrontend
 from spanwing.fronts.senderside import HttpServer
-from spanwing.frontsfile import Balancers
-from spanwing.health.signals import Use
-from spanwing.hops.pool import Descriptors
+from spanwing.frontsfile import BalancerSettings
+from spanwing.health.signals import ResourceUsage
+from spanwing.hops.pool import DescriptorBudget
 from spanwing.store.store import NoMajority, Store
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.meter import MeteredSelector
 from spanwing.wire.proxied import Network
 
 
-class Bounds(NamedTuple):
+class DaemonLimits(NamedTuple):
     """The daemon's limits, which a reload may change."""
 
-    cores: float
+    cpu_cores: float
     memory_mb: float
     sockets: int
-    own_sockets: int  # that are neither clients' nor job workers'
+    reserved_sockets: int  # that are neither clients' nor job workers'
 
 
-class Parts(NamedTuple):
+class DaemonParts(NamedTuple):
     """The daemon's parts whose state is told."""
 
     name: str
-    core: Exchange
-    server: HttpServer
-    faktory: FaktoryFront | None
+    request_manager: RequestManager
+    http_server: HttpServer
+    faktory_frontend: FaktoryFrontend | None
     store: Store
-    hops: Descriptors
+    descriptor_budget: DescriptorBudget
     buffers: BufferPool
     counters: Callable[[], dict[str, int]]
-    proxied: tuple[Network, ...]
-    journal: str = ""  # the folder that is written
+    proxy_sources: tuple[Network, ...]
+    journal_directory: str = ""  # the folder that is written
     zones: ZoneOrders | None = None
     policy: PolicyOrders | None = None
 
 
-class BalancerSide:
+class BalancerService:
     """Owns the reporter, the listeners and the watch on the store."""
 
     def __init__(
-        self, parts: Parts, bounds: Callable[[], Bounds], wanted: Balancers, meter: MeteredSelector | None
+        self,
+        parts: DaemonParts,
+        limits: Callable[[], DaemonLimits],
+        settings: BalancerSettings,
+        loop_meter: MeteredSelector | None,
     ) -> None:
-        self.parts, self.bounds = parts, bounds
-        core = parts.core
-        self.reporter = Reporter(core, wanted.policy, self, meter)
-        self.reporter.gates = [parts.server, *([parts.faktory] if parts.faktory else [])]
+        self.parts, self.limits = parts, limits
+        request_manager = parts.request_manager
+        self.reporter = HealthReporter(request_manager, settings.health_policy, self, loop_meter)
+        self.reporter.work_frontends = [
+            parts.http_server,
+            *([parts.faktory_frontend] if parts.faktory_frontend else []),
+        ]
         self.listeners = Listeners(
             parts.name,
             self.reporter,
-            core,
+            request_manager,
             parts.buffers,
             parts.counters,
-            lambda: parts.server.table.most * 2 // 3,
-            self.order,
-            parts.proxied,
-            parts.journal,
+            lambda: parts.http_server.table.max_connections * 2 // 3,
+            self.order_drain,
+            parts.proxy_sources,
+            parts.journal_directory,
             parts.zones,
             parts.policy,
         )
-        self.watch = StoreWatch(parts.store, self.reporter) if parts.store.peers else None
-        if self.watch is not None:
-            spawn(self.watch.run())
+        self.drain_watcher = DrainWatcher(parts.store, self.reporter) if parts.store.peers else None
+        if self.drain_watcher is not None:
+            spawn_task(self.drain_watcher.run())
 
-    async def order(self, member: str, drain: bool, within_s: float | None) -> None:
+    async def order_drain(self, member: str, drain: bool, within_s: float | None) -> None:
         """A drain of any member, through the store; raises Fault."""
         store = self.parts.store
         if not store.peers:
-            raise Fault("there is no shared store here: drain each daemon by its own socket")
-        if member != store.member and member not in store.names:
-            raise Fault(f"{member!r} is no member of the store")
+            raise AdminError("there is no shared store here: drain each daemon by its own socket")
+        if member != store.member and member not in store.peer_names:
+            raise AdminError(f"{member!r} is no member of the store")
         try:
-            await order(store, member, Order(drain, store.member, within_s))
+            await write_drain_order(store, member, DrainOrder(drain, store.member, within_s))
         except NoMajority as reason:
-            raise Fault(f"the store has no majority: {reason}") from None
+            raise AdminError(f"the store has no majority: {reason}") from None
 
-    def table(self) -> Use:
-        table = self.parts.server.table
-        return Use(len(table.seats), table.most)
+    def client_connections(self) -> ResourceUsage:
+        table = self.parts.http_server.table
+        return ResourceUsage(len(table.connections), table.max_connections)
 
-    def descriptors(self) -> Use:
-        fronts = [
-            self.parts.server,
-            *([self.parts.faktory] if self.parts.faktory else []),
-            *self.listeners.fronts(),
+    def descriptors(self) -> ResourceUsage:
+        frontends = [
+            self.parts.http_server,
+            *([self.parts.faktory_frontend] if self.parts.faktory_frontend else []),
+            *self.listeners.frontends(),
         ]
-        held = sum(len(each.table.seats) + 1 for each in fronts) + self.parts.hops.held
-        bounds = self.bounds()
-        return Use(held + bounds.own_sockets, bounds.sockets)
+        open_count = (
+            sum(len(each.table.connections) + 1 for each in frontends)
+            + self.parts.descriptor_budget.open_count
+        )
+        limits = self.limits()
+        return ResourceUsage(open_count + limits.reserved_sockets, limits.sockets)
 
-    def cores(self) -> float:
-        return self.bounds().cores
+    def cpu_cores(self) -> float:
+        return self.limits().cpu_cores
 
-    def memory_mb(self) -> float:
-        return self.bounds().memory_mb
+    def memory_limit_mb(self) -> float:
+        return self.limits().memory_mb
 
-    def majority(self) -> bool | None:
-        return None if self.watch is None else self.watch.majority
+    def has_store_quorum(self) -> bool | None:
+        return None if self.drain_watcher is None else self.drain_watcher.has_quorum
 
-    def needing_store(self) -> frozenset[str]:
+    def classes_needing_store(self) -> frozenset[str]:
         """The classes that only a majority of the store lets in: by Faktory, what must not run twice."""
-        if self.parts.faktory is None or self.watch is None:
+        if self.parts.faktory_frontend is None or self.drain_watcher is None:
             return frozenset()
-        return frozenset(each.name for each in self.parts.core.settings.classes if each.effect == "unsafe")
+        return frozenset(
+            each.name for each in self.parts.request_manager.settings.classes if each.effect == "unsafe"
+        )
--- a/spanwing/fronts/balancers/storewatch.py
+++ b/spanwing/fronts/balancers/storewatch.py
@@ -12,16 +12,16 @@
 import msgspec
 from tornado.gen import sleep
 
-from spanwing.fronts.balancers.reporter import Reporter
-from spanwing.log import tell
+from spanwing.fronts.balancers.reporter import HealthReporter
+from spanwing.log import log_event
 from spanwing.store.store import NoMajority, Store
 
-LOOK_S, PING_S, CONFIRM_S = 0.25, 1.0, 10.0
+LOCAL_CHECK_INTERVAL_S, QUORUM_CHECK_INTERVAL_S, CONFIRM_INTERVAL_S = 0.25, 1.0, 10.0
 
-log = logging.getLogger("spanwing")
+logger = logging.getLogger("spanwing")
 
 
-class Order(msgspec.Struct):
+class DrainOrder(msgspec.Struct):
     """What the store holds for a member."""
 
     drain: bool
@@ -29,58 +29,58 @@
     within_s: float | None = None
 
 
-def key_of(member: str) -> str:
+def drain_key(member: str) -> str:
     return f"drain/{member}"
 
 
-async def order(store: Store, member: str, order: Order) -> None:
+async def write_drain_order(store: Store, member: str, drain_order: DrainOrder) -> None:
     """Write an order for a member. Raises NoMajority."""
-    text = msgspec.json.encode(order).decode()
-    await store.change(key_of(member), lambda _: text)
+    text = msgspec.json.encode(drain_order).decode()
+    await store.change(drain_key(member), lambda _: text)
 
 
-class StoreWatch:
+class DrainWatcher:
     """Follows the orders for this member."""
 
-    def __init__(self, store: Store, reporter: Reporter) -> None:
+    def __init__(self, store: Store, reporter: HealthReporter) -> None:
         self.store, self.reporter = store, reporter
-        self.majority: bool | None = None
-        self.held: str | None = None  # the value that was confirmed last
+        self.has_quorum: bool | None = None
+        self.confirmed_value: str | None = None  # the value that was confirmed last
 
     async def run(self) -> None:
-        key, turns = key_of(self.store.member), 0
+        key, ticks = drain_key(self.store.member), 0
         while True:
-            if turns % round(PING_S / LOOK_S) == 0:
-                await self._ask_majority()
+            if ticks % round(QUORUM_CHECK_INTERVAL_S / LOCAL_CHECK_INTERVAL_S) == 0:
+                await self._check_quorum()
             register = self.store.acceptor.registers.get(key)
-            changed = register is not None and register.value != self.held
-            if changed or turns % round(CONFIRM_S / LOOK_S) == 0:
-                await self._confirm(key)
-            turns += 1
-            await sleep(LOOK_S)
-
-    async def _ask_majority(self) -> None:
-        majority = await self.store.reachable() >= self.store.majority
-        if majority != self.majority:
-            tell("store", majority=majority)
-            self.majority = majority
-            self.reporter.look()
-
-    async def _confirm(self, key: str) -> None:
+            changed = register is not None and register.value != self.confirmed_value
+            if changed or ticks % round(CONFIRM_INTERVAL_S / LOCAL_CHECK_INTERVAL_S) == 0:
+                await self._confirm_order(key)
+            ticks += 1
+            await sleep(LOCAL_CHECK_INTERVAL_S)
+
+    async def _check_quorum(self) -> None:
+        has_quorum = await self.store.count_reachable_members() >= self.store.majority
+        if has_quorum != self.has_quorum:
+            log_event("store", majority=has_quorum)
+            self.has_quorum = has_quorum
+            self.reporter.sample_soon()
+
+    async def _confirm_order(self, key: str) -> None:
         try:
-            held = await self.store.read(key)
+            value = await self.store.read_through_change(key)
         except (NoMajority, OSError):  # the latter of our own disk, to which a round writes
             return  # what was ordered before still stands
-        if held == self.held:
+        if value == self.confirmed_value:
             return
-        self.held = held
+        self.confirmed_value = value
         try:
-            wanted = msgspec.json.decode(held or '{"drain":false}', type=Order)
+            drain_order = msgspec.json.decode(value or '{"drain":false}', type=DrainOrder)
         except ValueError as error:
-            log.warning("the order in the store cannot be read: %s", error)
+            logger.warning("the order in the store cannot be read: %s", error)
             return
-        if wanted.drain:
-            within = float("inf") if wanted.within_s is None else wanted.within_s
-            self.reporter.drain("store", within)
+        if drain_order.drain:
+            within_s = float("inf") if drain_order.within_s is None else drain_order.within_s
+            self.reporter.drain("store", within_s)
         else:
             self.reporter.undrain("store")
--- a/spanwing/fronts/faktory.py
+++ b/spanwing/fronts/faktory.py
@@ -16,51 +16,63 @@
 from tornado.queues import Queue
 
 from spanwing import interface as api
-from spanwing.actor import spawn
-from spanwing.core.messages import Answer, Envelope, Kind, Left, Listener, Take
+from spanwing.actor import spawn_task
+from spanwing.core.messages import (
+    AnswerKind,
+    AttemptListener,
+    ClientDisconnected,
+    FinalAnswer,
+    JobRequest,
+    RequestSubmitted,
+)
 from spanwing.hops.faktoryworker import (
-    JOB_MEDIA,
-    Beat,
-    FaktoryNextHop,
-    FaktoryWorkers,
-    Fetch,
-    Finished,
-    Handed,
-    Join,
-    Leave,
+    JOB_CONTENT_TYPE,
+    ConnectionClosed,
+    FaktoryWorker,
+    FaktoryWorkerDirectory,
+    FetchedJob,
+    FetchRequested,
+    HeartbeatReceived,
+    JobFinished,
+    WorkerJoined,
 )
-from spanwing.log import tell
+from spanwing.log import log_event
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.store import NoMajority
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
-from spanwing.wire.proxied import Network, listed, peer_of, real_peer
+from spanwing.wire.proxied import Network, is_proxy_source, peer_address_of, read_peer_address
 from spanwing.wire.proxy import ProxyError
-from spanwing.wire.resp import OK, bulk, error, simple
-from spanwing.wire.stream import LineStream, LineTooLong
+from spanwing.wire.resp import OK, encode_bulk, encode_error, encode_simple
+from spanwing.wire.stream import LineStream, LineTooLongError
 from spanwing.wire.table import (
-    HALF,
-    HALF_S,
-    IDLE,
-    LINGER_S,
-    OVER,
-    READ_AHEAD,
-    SILENT,
-    STUCK_S,
-    WHOLE_S,
-    Table,
+    LINGER_TIMEOUT_S,
+    MESSAGE_TIMEOUT_S,
+    PARTIAL_MESSAGE_S,
+    RANK_FINISHED,
+    RANK_IDLE,
+    RANK_PARTIAL,
+    RANK_SILENT,
+    READ_AHEAD_BYTES,
+    WRITE_STALL_TIMEOUT_S,
+    ConnectionTable,
 )
 
-LONGEST_LINE = 128 * 1024
-LONGEST_MS = 3_600_000.0
-LATE = error("ERR", "not whole in time")
-KEPT_STATES = 10_000  # jobs that TRACK GET still knows
-TRACKED: dict[Kind, str] = {"served": "success", "failed": "failed", "refused": "dead", "repeated": "dead"}
+MAX_LINE_BYTES = 128 * 1024
+MAX_TIMEOUT_MS = 3_600_000.0
+TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
+MAX_TRACKED_JOBS = 10_000  # jobs that TRACK GET still knows
+STATE_OF_ANSWER: dict[AnswerKind, str] = {
+    "served": "success",
+    "failed": "failed",
+    "refused": "dead",
+    "repeated": "dead",
+}
 
-log = logging.getLogger("spanwing")
+logger = logging.getLogger("spanwing")
 
 
-class Hello(msgspec.Struct):
+class FaktoryHello(msgspec.Struct):
     """HELLO; a wid makes the connection a job worker's, labels `name:value` tell its zone, kind, cell."""
 
     v: int = 2
@@ -68,7 +80,7 @@
     labels: list[str] = []
 
 
-class Custom(msgspec.Struct):
+class FaktoryCustom(msgspec.Struct):
     """What a job's `custom` may say to us."""
 
     tenant: str | None = None
@@ -82,37 +94,37 @@
     answer: str = "accepted"  # "outcome": the reply to PUSH is the job's final answer
 
 
-class Job(msgspec.Struct):
+class FaktoryJob(msgspec.Struct):
     jid: str
     jobtype: str
     args: list[msgspec.Raw]
     queue: str = "default"
     at: str | None = None
-    custom: Custom | None = None
+    custom: FaktoryCustom | None = None
 
 
-class JobId(msgspec.Struct):
+class FaktoryJobId(msgspec.Struct):
     jid: str
 
 
-class BeatBody(msgspec.Struct):
+class HeartbeatBody(msgspec.Struct):
     wid: str
     current_state: str = ""
 
 
-class Refusal(Exception):
+class CommandError(Exception):
     """A command that is answered with an error; the connection goes on."""
 
-    def __init__(self, text: str, kind: str = "ERR") -> None:
+    def __init__(self, text: str, error_code: str = "ERR") -> None:
         super().__init__(text)
-        self.kind = kind
+        self.error_code = error_code
 
 
-class Protocol(Exception):
+class FaktoryProtocolError(Exception):
     """What no Faktory speaker sends here: an error, then a clean close."""
 
 
-class Tracked(msgspec.Struct):
+class TrackedJob(msgspec.Struct):
     """The reply to TRACK GET."""
 
     jid: str
@@ -121,374 +133,413 @@
     updated_at: str = ""
 
 
-class FaktoryFront:
+class FaktoryFrontend:
     """The listener; it knows the classes, the states of recent jobs and its connections."""
 
     def __init__(
         self,
         address: Address,
         classes: tuple[api.ServiceClass, ...],
-        core: Listener,
-        workers: FaktoryWorkers,
+        request_manager: AttemptListener,
+        worker_directory: FaktoryWorkerDirectory,
         claims: Claims,
         buffers: BufferPool,
-        most: int,
+        max_connections: int,
         counters: Callable[[], dict[str, int]],
-        proxied: tuple[Network, ...] = (),
-        earlier: Callable[[str], str] = lambda jid: "",
+        proxy_sources: tuple[Network, ...] = (),
+        find_interrupted: Callable[[str], str] = lambda jid: "",
     ) -> None:
-        self.proxied = proxied
-        self.earlier = earlier  # what the journal knows of a jid that a crash left open
-        self.classes = {each.name: each for each in classes}
-        self.core, self.workers, self.claims, self.buffers = core, workers, claims, buffers
+        self.proxy_sources = proxy_sources
+        self.find_interrupted = find_interrupted  # what the journal knows of a jid that a crash left open
+        self.service_classes = {each.name: each for each in classes}
+        self.request_manager, self.worker_directory, self.claims, self.buffers = (
+            request_manager,
+            worker_directory,
+            claims,
+            buffers,
+        )
         self.counters = counters
-        self.states: OrderedDict[str, Tracked] = OrderedDict()
-        self.table: Table[FaktoryConnection] = Table(most)
-        self.draining = False
+        self.tracked_jobs: OrderedDict[str, TrackedJob] = OrderedDict()
+        self.table: ConnectionTable[FaktoryConnection] = ConnectionTable(max_connections)
+        self.is_draining = False
         self.address = listen(address, self._accept).address
 
     def _accept(self, sock) -> None:
-        if not self.table.room():
+        if not self.table.make_room():
             with suppress(OSError):
-                sock.send(error("ERR", "too many connections, try again later"))
+                sock.send(encode_error("ERR", "too many connections, try again later"))
             sock.close()
             return
-        peer = peer_of(sock)
+        peer_address = peer_address_of(sock)
         connection = FaktoryConnection(
-            self, IOStream(sock, max_buffer_size=LONGEST_LINE + READ_AHEAD), peer, listed(peer, self.proxied)
+            self,
+            IOStream(sock, max_buffer_size=MAX_LINE_BYTES + READ_AHEAD_BYTES),
+            peer_address,
+            is_proxy_source(peer_address, self.proxy_sources),
         )
-        self.table.seats.add(connection)
-        spawn(connection.serve())
+        self.table.connections.add(connection)
+        spawn_task(connection.serve())
 
-    def track(self, jid: str, state: str, desc: str = "") -> None:
-        self.states[jid] = Tracked(jid, state, desc, datetime.now(UTC).isoformat())
-        self.states.move_to_end(jid)
-        if len(self.states) > KEPT_STATES:
-            self.states.popitem(last=False)
+    def set_state(self, jid: str, state: str, description: str = "") -> None:
+        self.tracked_jobs[jid] = TrackedJob(jid, state, description, datetime.now(UTC).isoformat())
+        self.tracked_jobs.move_to_end(jid)
+        if len(self.tracked_jobs) > MAX_TRACKED_JOBS:
+            self.tracked_jobs.popitem(last=False)
 
-    def busy(self) -> bool:
-        return any(each.busy for each in self.table.seats)
+    def has_busy_connections(self) -> bool:
+        return any(each.is_busy for each in self.table.connections)
 
-    def announce(self) -> None:
+    def announce_drain(self) -> None:
         """A drain has begun: producers are told with their next PUSH, job workers with their next BEAT."""
-        self.draining = True
+        self.is_draining = True
 
-    def drain(self, refuse: bool = False) -> None:
-        self.draining = True
+    def drain(self, reject_new: bool = False) -> None:
+        self.is_draining = True
 
-    def reopen(self) -> None:
-        self.draining = False
+    def cancel_drain(self) -> None:
+        self.is_draining = False
 
-    async def claim(self, job: Job, cls: api.ServiceClass) -> Claim | Answer | None:
+    async def claim_job(self, job: FaktoryJob, service_class: api.ServiceClass) -> Claim | FinalAnswer | None:
         """The claim on a job that must never run twice, or the answer if it has been claimed before."""
-        if cls.effect != "unsafe":
+        if service_class.effect != "unsafe":
             return None
         try:
-            ours, claim = await self.claims.take(job.jid)
+            is_new, claim = await self.claims.claim(job.jid)
         except NoMajority as reason:
-            raise Refusal(f"not taken, the store has no majority: {reason}", "BUSY") from None
-        if ours:
+            raise CommandError(f"not taken, the store has no majority: {reason}", "BUSY") from None
+        if is_new:
             return claim
-        return Answer("repeated" if claim.state == "claimed" else claim.state)
-
-    def envelope(self, job: Job, cls: api.ServiceClass, body: bytes) -> Envelope:
-        custom = job.custom or Custom()
-        budget = cls.deadline if custom.budget_ms is None else custom.budget_ms
-        if custom.slots < 1 or custom.memory < 0 or not 0 <= budget:
-            raise Refusal("custom: slots, memory or budget_ms out of range")
-        return Envelope(
+        return FinalAnswer("repeated" if claim.state == "claimed" else claim.state)
+
+    def build_request(self, job: FaktoryJob, service_class: api.ServiceClass, body: bytes) -> JobRequest:
+        custom = job.custom or FaktoryCustom()
+        timeout_ms = service_class.deadline if custom.budget_ms is None else custom.budget_ms
+        if custom.slots < 1 or custom.memory < 0 or not 0 <= timeout_ms:
+            raise CommandError("custom: slots, memory or budget_ms out of range")
+        return JobRequest(
             id=job.jid,
-            cls=cls.name,
-            budget=min(budget, LONGEST_MS),
+            cls=service_class.name,
+            budget=min(timeout_ms, MAX_TIMEOUT_MS),
             tenant=custom.tenant,
             slots=custom.slots,
             memory=custom.memory,
             hint=custom.hint,
             route_key=custom.route_key,
             repeat=custom.again,
-            target=f"/{cls.name}",
+            target=f"/{service_class.name}",
             body=body,
             effect_key=custom.effect_key,
-            media=JOB_MEDIA,
+            media=JOB_CONTENT_TYPE,
             front="faktory",
         )
 
 
-class Pushed:
+class FaktoryClientJob:
     """The sender side of one job: keeps its state, settles its claim, passes its one answer on."""
 
     def __init__(
-        self, front: FaktoryFront, claim: Claim | None, passed: Callable[[Answer], None] | None
+        self, frontend: FaktoryFrontend, claim: Claim | None, on_answer: Callable[[FinalAnswer], None] | None
     ) -> None:
-        self.front, self.claim, self.passed = front, claim, passed
+        self.frontend, self.claim, self.on_answer = frontend, claim, on_answer
 
-    def answer(self, envelope: Envelope, answer: Answer) -> None:
+    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
         if answer.kind != "repeated":  # the first one of this id goes on and keeps its state
-            desc = f"try again after {answer.retry_after:.0f} ms" if answer.kind == "refused" else ""
-            self.front.track(envelope.id, TRACKED[answer.kind], desc)
+            description = (
+                f"try again after {answer.retry_after_ms:.0f} ms" if answer.kind == "refused" else ""
+            )
+            self.frontend.set_state(request.id, STATE_OF_ANSWER[answer.kind], description)
             if self.claim is not None:
-                spawn(self.front.claims.settle(envelope.id, self.claim, answer.kind))
-        if self.passed is not None:
-            self.passed(answer)
+                spawn_task(self.frontend.claims.settle(request.id, self.claim, answer.kind))
+        if self.on_answer is not None:
+            self.on_answer(answer)
 
 
 class FaktoryConnection:
     """One connection: a command at a time."""
 
-    def __init__(self, front: FaktoryFront, stream: IOStream, peer: str = "", proxied: bool = False) -> None:
-        self.peer, self.proxied = peer, proxied  # the speaker's address; whether a balancer is to tell it
-        self.front, self.lines = front, LineStream(stream, front.buffers, LONGEST_LINE)
-        self.mailbox: Queue[Answer | None] = Queue()
-        self.closed = False
-        self.busy = False
-        self.over = False
-        self.stood = IOLoop.current().time()
-        self.hello: Hello | None = None
-        self.hop: FaktoryNextHop | None = None
-        self.fetching: Future[Handed | None] | None = None
-        stream.set_close_callback(self._on_close)
-
-    def _on_close(self) -> None:
-        self.closed = True
+    def __init__(
+        self,
+        frontend: FaktoryFrontend,
+        stream: IOStream,
+        peer_address: str = "",
+        awaits_proxy_header: bool = False,
+    ) -> None:
+        self.peer_address, self.awaits_proxy_header = (
+            peer_address,
+            awaits_proxy_header,
+        )  # the speaker's address; whether a balancer is to tell it
+        self.frontend, self.line_stream = frontend, LineStream(stream, frontend.buffers, MAX_LINE_BYTES)
+        self.mailbox: Queue[FinalAnswer | None] = Queue()
+        self.is_closed = False
+        self.is_busy = False
+        self.is_finished = False
+        self.idle_since_s = IOLoop.current().time()
+        self.hello: FaktoryHello | None = None
+        self.worker: FaktoryWorker | None = None
+        self.pending_fetch: Future[FetchedJob | None] | None = None
+        stream.set_close_callback(self._handle_close)
+
+    def _handle_close(self) -> None:
+        self.is_closed = True
         self.mailbox.put_nowait(None)
         # A slot of a connection that ended is no slot: a job handed to it would count as an attempt.
-        if self.fetching is not None and not self.fetching.done():
-            self.fetching.set_result(None)
+        if self.pending_fetch is not None and not self.pending_fetch.done():
+            self.pending_fetch.set_result(None)
 
     async def serve(self) -> None:
         try:
-            if self.proxied:
-                peer = await real_peer(self.lines, self.lines.data, WHOLE_S, self.peer)
+            if self.awaits_proxy_header:
+                peer = await read_peer_address(
+                    self.line_stream, self.line_stream.data, MESSAGE_TIMEOUT_S, self.peer_address
+                )
                 if peer is None:
                     return
-                self.peer = peer
-            await self.lines.write(simple('HI {"v":2}'))
-            while (line := await self.lines.line(WHOLE_S, self.hello is None, LATE)) is not None:
-                self.busy = True
-                verb, _, rest = line.partition(b" ")
+                self.peer_address = peer
+            await self.line_stream.write(encode_simple('HI {"v":2}'))
+            while (
+                line := await self.line_stream.read_line(MESSAGE_TIMEOUT_S, self.hello is None, TIMEOUT_REPLY)
+            ) is not None:
+                self.is_busy = True
+                verb, _, arguments = line.partition(b" ")
                 # Or the end of one that has sent more commands ahead would not show while this one waits.
-                self.lines.read_ahead(self.lines.data, READ_AHEAD)
+                self.line_stream.start_read_ahead(self.line_stream.data, READ_AHEAD_BYTES)
                 try:
-                    reply = await self._command(verb.decode("ascii", "replace").upper(), rest)
-                except Refusal as refusal:
-                    reply = error(refusal.kind, str(refusal))
+                    reply = await self._run_command(verb.decode("ascii", "replace").upper(), arguments)
+                except CommandError as refusal:
+                    reply = encode_error(refusal.error_code, str(refusal))
                 finally:
-                    self.lines.stop_ahead()
+                    self.line_stream.stop_read_ahead()
                 if reply is not None:
-                    await self.lines.write(reply, STUCK_S)
-                self.busy, self.stood = False, IOLoop.current().time()
-                if self.lines.data:
+                    await self.line_stream.write(reply, WRITE_STALL_TIMEOUT_S)
+                self.is_busy, self.idle_since_s = False, IOLoop.current().time()
+                if self.line_stream.data:
                     await sleep(0)  # who sends many commands ahead must not keep the loop to itself
                 if verb.upper() == b"END":
                     break
-        except (Protocol, LineTooLong) as wrong:
-            await self._last(error("ERR", str(wrong) or "line too long"))
-        except ProxyError as wrong:
-            tell("proxy", level="warning", peer=self.peer, reason=str(wrong))
+        except (FaktoryProtocolError, LineTooLongError) as protocol_error:
+            await self._write_last(encode_error("ERR", str(protocol_error) or "line too long"))
+        except ProxyError as protocol_error:
+            log_event("proxy", level="warning", peer=self.peer_address, reason=str(protocol_error))
         except StreamClosedError:
             pass
         finally:
-            self.busy, self.over = False, True
-            if self.hop is not None:
-                self.front.workers.post(Leave(self.hello.wid))
-            await self.lines.finish(LINGER_S)
-            self.front.table.seats.discard(self)
+            self.is_busy, self.is_finished = False, True
+            if self.worker is not None:
+                self.frontend.worker_directory.post(ConnectionClosed(self.hello.wid))
+            await self.line_stream.close_gracefully(LINGER_TIMEOUT_S)
+            self.frontend.table.connections.discard(self)
 
     @property
-    def since(self) -> float:
+    def last_activity_s(self) -> float:
         """When it came, was answered, or something came last: a message that grows is no stalled one."""
-        return max(self.stood, self.lines.read_at)
+        return max(self.idle_since_s, self.line_stream.last_read_s)
 
-    def rank(self, waited_s: float) -> int | None:
-        if self.over:
-            return OVER
-        if self.busy or self.hop is not None:  # a job worker's connection is its life
+    def eviction_rank(self, unchanged_s: float) -> int | None:
+        if self.is_finished:
+            return RANK_FINISHED
+        if self.is_busy or self.worker is not None:  # a job worker's connection is its life
             return None
-        if self.lines.data:
-            return HALF if waited_s > HALF_S else None
-        return SILENT if self.hello is None else IDLE
+        if self.line_stream.data:
+            return RANK_PARTIAL if unchanged_s > PARTIAL_MESSAGE_S else None
+        return RANK_SILENT if self.hello is None else RANK_IDLE
 
-    def silent(self) -> bool:
-        return self.lines.silent()
+    def has_no_pending_input(self) -> bool:
+        return self.line_stream.has_no_pending_input()
 
     def close(self) -> None:
-        self.lines.close()
+        self.line_stream.close()
 
-    async def _last(self, data: bytes) -> None:
+    async def _write_last(self, data: bytes) -> None:
         try:
-            await self.lines.write(data)
+            await self.line_stream.write(data)
         except StreamClosedError:
             pass
 
-    async def _command(self, verb: str, rest: bytes) -> bytes | None:
+    async def _run_command(self, verb: str, arguments: bytes) -> bytes | None:
         if self.hello is None and verb not in ("HELLO", "END"):
-            raise Protocol("HELLO comes first")
+            raise FaktoryProtocolError("HELLO comes first")
         command = COMMANDS.get(verb)
         if command is None:
-            raise Refusal(f"unknown command {verb[:20]!a}")
-        return await command(self, rest)
+            raise CommandError(f"unknown command {verb[:20]!a}")
+        return await command(self, arguments)
 
-    def _decode(self, rest: bytes, form: type):
+    def _decode(self, data: bytes, message_type: type):
         try:
-            return msgspec.json.decode(rest, type=form)
+            return msgspec.json.decode(data, type=message_type)
         except ValueError as reason:
-            raise Refusal(f"malformed: {reason}") from None
+            raise CommandError(f"malformed: {reason}") from None
 
-    async def _hello(self, rest: bytes) -> bytes:
+    async def _handle_hello(self, body: bytes) -> bytes:
         if self.hello is not None:
-            raise Protocol("HELLO came before")
+            raise FaktoryProtocolError("HELLO came before")
         try:
-            hello = msgspec.json.decode(rest, type=Hello)
+            hello = msgspec.json.decode(body, type=FaktoryHello)
             labels = dict(each.split(":", 1) for each in hello.labels if ":" in each)
             int(labels.get("cell", "0")), float(labels.get("started_ms", "0"))
         except ValueError as reason:
-            raise Protocol(f"malformed HELLO: {reason}") from None
+            raise FaktoryProtocolError(f"malformed HELLO: {reason}") from None
         if hello.v > 2:
-            raise Protocol(f"protocol version {hello.v} is not spoken here")
+            raise FaktoryProtocolError(f"protocol version {hello.v} is not spoken here")
         self.hello = hello
         if hello.wid:
-            hop: Future[FaktoryNextHop] = Future()
-            self.front.workers.post(Join(hello.wid, labels, self.peer, hop))
-            self.hop = await hop
+            worker: Future[FaktoryWorker] = Future()
+            self.frontend.worker_directory.post(WorkerJoined(hello.wid, labels, self.peer_address, worker))
+            self.worker = await worker
         return OK
 
-    async def _push(self, rest: bytes) -> bytes:
-        return await self._push_job(self._decode(rest, Job), rest)
+    async def _handle_push(self, body: bytes) -> bytes:
+        return await self._submit_job(self._decode(body, FaktoryJob), body)
 
-    async def _push_many(self, rest: bytes) -> bytes:
+    async def _handle_push_bulk(self, body: bytes) -> bytes:
         """Each job by itself; the reply names those that were not taken."""
-        wrong = {}
-        for raw in self._decode(rest, list[msgspec.Raw]):
+        errors = {}
+        for raw in self._decode(body, list[msgspec.Raw]):
             jid = ""
             try:
-                jid = self._decode(raw, JobId).jid
-                job = self._decode(raw, Job)
+                jid = self._decode(raw, FaktoryJobId).jid
+                job = self._decode(raw, FaktoryJob)
                 if job.custom is not None:
                     job.custom.answer = "accepted"
-                reply = await self._push_job(job, bytes(raw))
+                reply = await self._submit_job(job, bytes(raw))
                 if reply != OK:
-                    wrong[jid] = reply[1:].decode().strip()
-            except Refusal as refusal:
-                wrong[jid] = str(refusal)
-        return bulk(msgspec.json.encode(wrong))
-
-    async def _push_job(self, job: Job, body: bytes) -> bytes:
-        cls = self.front.classes.get(job.queue)
-        if cls is None:
-            raise Refusal(f"no class of the name of queue {job.queue[:40]!a}")
+                    errors[jid] = reply[1:].decode().strip()
+            except CommandError as refusal:
+                errors[jid] = str(refusal)
+        return encode_bulk(msgspec.json.encode(errors))
+
+    async def _submit_job(self, job: FaktoryJob, body: bytes) -> bytes:
+        service_class = self.frontend.service_classes.get(job.queue)
+        if service_class is None:
+            raise CommandError(f"no class of the name of queue {job.queue[:40]!a}")
         if len(job.jid) < 8 or len(job.jid) > 200 or not job.jid.isprintable() or not job.jobtype:
-            raise Refusal("jid needs 8 to 200 plain characters, jobtype a name")
+            raise CommandError("jid needs 8 to 200 plain characters, jobtype a name")
         if job.at is not None:
-            raise Refusal("jobs for later are not taken")
-        if self.front.draining:
-            raise Refusal("going down, try another", "BUSY")
-        waits = job.custom is not None and job.custom.answer == "outcome"
-        envelope = self.front.envelope(job, cls, body)
-        if cls.effect == "unsafe" and (known := self.front.earlier(job.jid)):
-            raise Refusal(known, "REPEATED")
-        claim = await self.front.claim(job, cls)
-        if isinstance(claim, Answer):
+            raise CommandError("jobs for later are not taken")
+        if self.frontend.is_draining:
+            raise CommandError("going down, try another", "BUSY")
+        waits_for_outcome = job.custom is not None and job.custom.answer == "outcome"
+        request = self.frontend.build_request(job, service_class, body)
+        if service_class.effect == "unsafe" and (
+            interrupted_state := self.frontend.find_interrupted(job.jid)
+        ):
+            raise CommandError(interrupted_state, "REPEATED")
+        claim = await self.frontend.claim_job(job, service_class)
+        if isinstance(claim, FinalAnswer):
             # Taken before, here or elsewhere: it never runs again, and only what is known is said.
-            return OK if not waits and claim.kind in ("repeated", "served") else reply_of(claim)
-        if self.closed and claim is not None:  # nothing was sent: the claim is given back
-            await self.front.claims.settle(job.jid, claim, "refused")
+            return (
+                OK if not waits_for_outcome and claim.kind in ("repeated", "served") else encode_answer(claim)
+            )
+        if self.is_closed and claim is not None:  # nothing was sent: the claim is given back
+            await self.frontend.claims.settle(job.jid, claim, "refused")
             return OK
-        if waits:
-            sender = Pushed(self.front, claim, self.mailbox.put_nowait)
-            self.front.core.post(Take(envelope, sender))
+        if waits_for_outcome:
+            client = FaktoryClientJob(self.frontend, claim, self.mailbox.put_nowait)
+            self.frontend.request_manager.post(RequestSubmitted(request, client))
             answer = await self.mailbox.get()
             if answer is None:
-                self.front.core.post(Left(envelope.id, sender))
+                self.frontend.request_manager.post(ClientDisconnected(request.id, client))
                 raise StreamClosedError
-            return reply_of(answer)
-        if job.jid not in self.front.states or self.front.states[job.jid].state != "enqueued":
-            self.front.track(job.jid, "enqueued")
-            self.front.core.post(Take(envelope, Pushed(self.front, claim, None)))
+            return encode_answer(answer)
+        if (
+            job.jid not in self.frontend.tracked_jobs
+            or self.frontend.tracked_jobs[job.jid].state != "enqueued"
+        ):
+            self.frontend.set_state(job.jid, "enqueued")
+            self.frontend.request_manager.post(
+                RequestSubmitted(request, FaktoryClientJob(self.frontend, claim, None))
+            )
         return OK
 
-    async def _fetch(self, rest: bytes) -> bytes | None:
-        if self.hop is None:
-            raise Refusal("FETCH is for job workers: HELLO named no wid")
-        queues = tuple(rest.decode("utf-8", "replace").split())
-        unknown = [each for each in queues if each not in self.front.classes]
-        if not queues or unknown:
-            raise Refusal(f"no class of the name of queue {' '.join(unknown)[:40]!a}")
-        self.fetching = Future()
-        self.hop.post(Fetch(queues, self.fetching))
-        handed = await self.fetching
-        if handed is None:
-            return bulk(None)
-        data, written = handed
+    async def _handle_fetch(self, body: bytes) -> bytes | None:
+        if self.worker is None:
+            raise CommandError("FETCH is for job workers: HELLO named no wid")
+        queues = tuple(body.decode("utf-8", "replace").split())
+        unknown_queues = [each for each in queues if each not in self.frontend.service_classes]
+        if not queues or unknown_queues:
+            raise CommandError(f"no class of the name of queue {' '.join(unknown_queues)[:40]!a}")
+        self.pending_fetch = Future()
+        self.worker.post(FetchRequested(queues, self.pending_fetch))
+        fetched = await self.pending_fetch
+        if fetched is None:
+            return encode_bulk(None)
+        data, on_written = fetched
         try:
-            await self.lines.write(bulk(data))
+            await self.line_stream.write(encode_bulk(data))
         except StreamClosedError:
-            written(False)
+            on_written(False)
             raise
-        written(True)
+        on_written(True)
         return None
 
-    async def _acknowledge(self, rest: bytes) -> bytes:
-        return self._finish(rest, "ok")
+    async def _handle_ack(self, body: bytes) -> bytes:
+        return self._finish_job(body, "ok")
 
-    async def _fail(self, rest: bytes) -> bytes:
-        return self._finish(rest, "error")
+    async def _handle_fail(self, body: bytes) -> bytes:
+        return self._finish_job(body, "error")
 
-    def _finish(self, rest: bytes, result: api.Result) -> bytes:
-        jid = self._decode(rest, JobId).jid
-        if self.hop is None:
-            raise Refusal("only job workers tell of outcomes: HELLO named no wid")
+    def _finish_job(self, body: bytes, result: api.Result) -> bytes:
+        jid = self._decode(body, FaktoryJobId).jid
+        if self.worker is None:
+            raise CommandError("only job workers tell of outcomes: HELLO named no wid")
         # Late, repeated or unknown: the worker has done its part, and no second answer comes of it.
-        self.hop.post(Finished(jid, result))
+        self.worker.post(JobFinished(jid, result))
         return OK
 
-    async def _beat(self, rest: bytes) -> bytes:
-        beat = self._decode(rest, BeatBody)
-        if self.hop is None or beat.wid != self.hello.wid:
-            raise Refusal("BEAT names another wid than HELLO")
-        self.front.workers.post(Beat(beat.wid, beat.current_state))
-        return simple('{"state":"quiet"}') if self.front.draining else OK
+    async def _handle_heartbeat(self, body: bytes) -> bytes:
+        heartbeat = self._decode(body, HeartbeatBody)
+        if self.worker is None or heartbeat.wid != self.hello.wid:
+            raise CommandError("BEAT names another wid than HELLO")
+        self.frontend.worker_directory.post(HeartbeatReceived(heartbeat.wid, heartbeat.current_state))
+        return encode_simple('{"state":"quiet"}') if self.frontend.is_draining else OK
 
-    async def _info(self, _: bytes) -> bytes:
-        return bulk(
+    async def _handle_info(self, _: bytes) -> bytes:
+        return encode_bulk(
             msgspec.json.encode(
                 {
-                    "server": {"faktory_version": "spanwing", "connections": len(self.front.table.seats)},
-                    "spanwing": self.front.counters(),
+                    "server": {
+                        "faktory_version": "spanwing",
+                        "connections": len(self.frontend.table.connections),
+                    },
+                    "spanwing": self.frontend.counters(),
                 }
             )
         )
 
-    async def _track(self, rest: bytes) -> bytes:
-        verb, _, jid = rest.decode("utf-8", "replace").partition(" ")
+    async def _handle_track(self, body: bytes) -> bytes:
+        verb, _, jid = body.decode("utf-8", "replace").partition(" ")
         if verb.upper() != "GET" or not jid:
-            raise Refusal("only TRACK GET JID is known")
-        return bulk(msgspec.json.encode(self.front.states.get(jid) or Tracked(jid, "unknown")))
+            raise CommandError("only TRACK GET JID is known")
+        return encode_bulk(
+            msgspec.json.encode(self.frontend.tracked_jobs.get(jid) or TrackedJob(jid, "unknown"))
+        )
 
-    async def _end(self, _: bytes) -> bytes:
+    async def _handle_end(self, _: bytes) -> bytes:
         return OK
 
 
-def reply_of(answer: Answer) -> bytes:
+def encode_answer(answer: FinalAnswer) -> bytes:
     """A final answer in words: OK served, BUSY refused and harmless to try again, ERR failed."""
     if answer.kind == "served":
         return OK
     if answer.kind == "refused":
-        return error("BUSY", f"refused, try again after {answer.retry_after:.0f} ms")
+        return encode_error("BUSY", f"refused, try again after {answer.retry_after_ms:.0f} ms")
     if answer.kind == "repeated":
-        known = answer.body.decode() or "this jid was taken before, and its outcome is not known here"
-        return error("REPEATED", known)
-    return error("ERR", "failed")
+        earlier_outcome = (
+            answer.body.decode() or "this jid was taken before, and its outcome is not known here"
+        )
+        return encode_error("REPEATED", earlier_outcome)
+    return encode_error("ERR", "failed")
 
 
 COMMANDS = {
-    "HELLO": FaktoryConnection._hello,
-    "PUSH": FaktoryConnection._push,
-    "PUSHB": FaktoryConnection._push_many,
-    "FETCH": FaktoryConnection._fetch,
-    "ACK": FaktoryConnection._acknowledge,
-    "FAIL": FaktoryConnection._fail,
-    "BEAT": FaktoryConnection._beat,
-    "INFO": FaktoryConnection._info,
-    "TRACK": FaktoryConnection._track,
-    "END": FaktoryConnection._end,
+    "HELLO": FaktoryConnection._handle_hello,
+    "PUSH": FaktoryConnection._handle_push,
+    "PUSHB": FaktoryConnection._handle_push_bulk,
+    "FETCH": FaktoryConnection._handle_fetch,
+    "ACK": FaktoryConnection._handle_ack,
+    "FAIL": FaktoryConnection._handle_fail,
+    "BEAT": FaktoryConnection._handle_heartbeat,
+    "INFO": FaktoryConnection._handle_info,
+    "TRACK": FaktoryConnection._handle_track,
+    "END": FaktoryConnection._handle_end,
 }
--- a/spanwing/fronts/journalpage.py
+++ b/spanwing/fronts/journalpage.py
@@ -27,12 +27,12 @@
 
 from spanwing.wire.stream import LineStream
 
-AT_ONCE = 2
-WHOLE_S = 120.0
-HELD = 256 * 1024
-LONGEST_HEAD = 50  # lines
-SHOWN = 500  # bytes of a fault
-REASONS = {
+MAX_READERS = 2
+READER_TIMEOUT_S = 120.0
+MAX_BUFFERED_BYTES = 256 * 1024
+MAX_HEADER_LINES = 50  # lines
+MAX_ERROR_BYTES = 500  # bytes of a fault
+REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
@@ -41,68 +41,69 @@
 }
 
 
-def arguments(target: str) -> list[str]:
+def command_arguments(target: str) -> list[str]:
     """Those of the command. Raises ValueError on a path that there is not."""
     parts = urlsplit(target)
-    asked = {name: values[-1] for name, values in parse_qs(parts.query).items()}
+    query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
     path = [unquote(each) for each in parts.path.split("/")[2:]]
     match path:
         case ["list" | "stats" as what]:
             return [what, "--json"]
         case ["show", request] if request:
             return ["show", "--json", "--", request]
-        case ["query"] if "q" in asked:
-            return ["query", "--json", "--limit", "0", "--", asked["q"]]
-        case ["export"] if (form := asked.get("format", "jsonl")) in ("jsonl", "csv"):
-            return ["export", "--format", form, "--", asked.get("q", "")]
-        case ["tail"] if asked.get("n", "10").isdecimal() and len(asked.get("n", "10")) <= 6:
-            return ["tail", "-n", asked.get("n", "10")]
+        case ["query"] if "q" in query:
+            return ["query", "--json", "--limit", "0", "--", query["q"]]
+        case ["export"] if (export_format := query.get("format", "jsonl")) in ("jsonl", "csv"):
+            return ["export", "--format", export_format, "--", query.get("q", "")]
+        case ["tail"] if query.get("n", "10").isdecimal() and len(query.get("n", "10")) <= 6:
+            return ["tail", "-n", query.get("n", "10")]
         case ["verify"]:
             return ["verify"]
     raise ValueError("the pages are list, show/REQUEST, query?q=, export?q=, tail?n=, verify and stats")
 
 
-def head(status: int, form: str = "text/plain") -> bytes:
+def response_head(status: int, content_type: str = "text/plain") -> bytes:
     return (
-        f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {form}\r\nConnection: close\r\n\r\n"
+        f"HTTP/1.1 {status} {REASON_PHRASES[status]}\r\n"
+        f"Content-Type: {content_type}\r\nConnection: close\r\n\r\n"
     ).encode()
 
 
-class JournalPage:
+class JournalEndpoint:
     """Runs the readers."""
 
     def __init__(self, directory: str) -> None:
-        self.directory, self.running = directory, 0
+        self.directory, self.reader_count = directory, 0
 
-    async def serve(self, lines: LineStream, request: bytes, whole_s: float) -> None:
+    async def serve(self, line_stream: LineStream, request: bytes, timeout_s: float) -> None:
         """Answer one question, of which the first line was read."""
-        for _ in range(LONGEST_HEAD):
-            line = await lines.line(whole_s)
+        for _ in range(MAX_HEADER_LINES):
+            line = await line_stream.read_line(timeout_s)
             if not line:
                 break
         method, _, rest = request.decode("latin-1").partition(" ")
         target = rest.partition(" ")[0]
         if method != "GET":
-            return await lines.write(head(405) + b"GET only\n")
+            return await line_stream.write(response_head(405) + b"GET only\n")
         if not self.directory or not target.startswith("/journal/"):
-            return await lines.write(
-                head(404) + b"no journal is kept here\n"
+            return await line_stream.write(
+                response_head(404) + b"no journal is kept here\n"
                 if not self.directory
-                else head(404) + b"only /journal/ is here\n"
+                else response_head(404) + b"only /journal/ is here\n"
             )
-        if self.running >= AT_ONCE:
-            return await lines.write(head(503) + b"the journal is being read by others\n")
+        if self.reader_count >= MAX_READERS:
+            return await line_stream.write(response_head(503) + b"the journal is being read by others\n")
         try:
-            command = arguments(target)
-        except ValueError as fault:
-            return await lines.write(head(404) + f"{fault}\n".encode())
-        self.running += 1
+            command = command_arguments(target)
+        except ValueError as error:
+            return await line_stream.write(response_head(404) + f"{error}\n".encode())
+        self.reader_count += 1
         try:
-            await self._run(lines, command)
+            await self._run_reader(line_stream, command)
         finally:
-            self.running -= 1
+            self.reader_count -= 1
 
-    async def _run(self, lines: LineStream, command: list[str]) -> None:
+    async def _run_reader(self, line_stream: LineStream, command: list[str]) -> None:
         reader = Subprocess(
             [
                 sys.executable,
@@ -118,46 +119,48 @@
             stdout=Subprocess.STREAM,
             stderr=Subprocess.STREAM,
         )
-        reader.stdout.max_buffer_size = reader.stderr.max_buffer_size = HELD
-        end = IOLoop.current().call_later(WHOLE_S, reader.proc.kill)
+        reader.stdout.max_buffer_size = reader.stderr.max_buffer_size = MAX_BUFFERED_BYTES
+        timer = IOLoop.current().call_later(READER_TIMEOUT_S, reader.proc.kill)
         # Who goes away while nothing is written is noticed here, and the reader ends at once.
-        lines.stream.set_close_callback(reader.proc.kill)
+        line_stream.stream.set_close_callback(reader.proc.kill)
         try:
-            told = False
-            while data := await self._read(reader.stdout):
-                if not told:
-                    form = (
+            is_head_written = False
+            while data := await self._read_chunk(reader.stdout):
+                if not is_head_written:
+                    content_type = (
                         "text/plain"
                         if command[0] == "verify"
                         else "text/csv"
                         if "csv" in command[:3]
                         else "application/x-ndjson"
                     )
-                    await lines.write(head(200, form))
-                    told = True
-                await lines.write(data)
-            if not told:
-                fault = (await self._read(reader.stderr))[:SHOWN]
-                status = await self._ended(reader)
-                code = {0: 200, 2: 400}.get(status, 404)
-                await lines.write(head(code) + (b"" if code == 200 else fault))
+                    await line_stream.write(response_head(200, content_type))
+                    is_head_written = True
+                await line_stream.write(data)
+            if not is_head_written:
+                error_text = (await self._read_chunk(reader.stderr))[:MAX_ERROR_BYTES]
+                status = await self._wait_for_exit(reader)
+                http_status = {0: 200, 2: 400}.get(status, 404)
+                await line_stream.write(
+                    response_head(http_status) + (b"" if http_status == 200 else error_text)
+                )
         finally:
-            IOLoop.current().remove_timeout(end)
-            lines.stream.set_close_callback(None)
+            IOLoop.current().remove_timeout(timer)
+            line_stream.stream.set_close_callback(None)
             if reader.proc.poll() is None:
                 reader.proc.kill()
-            await self._ended(reader)
+            await self._wait_for_exit(reader)
             reader.stdout.close()
             reader.stderr.close()
 
     @staticmethod
-    async def _read(stream) -> bytes:
+    async def _read_chunk(stream) -> bytes:
         with suppress(StreamClosedError):
             return await stream.read_bytes(65536, partial=True)
         return b""
 
     @staticmethod
-    async def _ended(reader: Subprocess) -> int:
+    async def _wait_for_exit(reader: Subprocess) -> int:
         """Its exit status; it has closed its output, or was killed, and ends now."""
         with suppress(WaitOver):
             return await with_timeout(
--- a/spanwing/fronts/management.py
+++ b/spanwing/fronts/management.py
@@ -10,31 +10,33 @@
 
 from collections.abc import Callable
 
-from spanwing.core.messages import Answer, Envelope
-from spanwing.fronts.senderside import Reply
-from spanwing.wire.http import Message, response_bytes
+from spanwing.core.messages import FinalAnswer, JobRequest
+from spanwing.fronts.senderside import HttpReply
+from spanwing.wire.http import HttpMessage, encode_response
 
-CALLS = ("/healthcheck", "/stats")
+PATHS = ("/healthcheck", "/stats")
 
 
-class ManagementFront:
+class ManagementFrontend:
     """Reads the calls; taking and figures are asked anew for each."""
 
-    def __init__(self, taking: Callable[[], bool], figures: Callable[[], dict[str, int]]) -> None:
-        self.taking, self.figures = taking, figures
+    def __init__(
+        self, accepts_clients: Callable[[], bool], collect_figures: Callable[[], dict[str, int]]
+    ) -> None:
+        self.accepts_clients, self.collect_figures = accepts_clients, collect_figures
 
-    def read(self, message: Message) -> Envelope | Reply:
+    def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
         path = message.target.partition("?")[0]
-        if path not in CALLS:
+        if path not in PATHS:
             return 404, b"/healthcheck, /stats"
         if message.method not in ("GET", "HEAD"):
             return 405, b"GET only", {"Allow": "GET, HEAD"}
         if path == "/healthcheck":
-            return (200, b"yes\n") if self.taking() else (503, b"no\n")
-        told = self.figures()
-        lines = "".join(f"app.{name}={value}\n" for name, value in told.items())
-        return (200, lines.encode(), {"Content-Type": "text/plain"}) if told else (503, b"not yet\n")
+            return (200, b"yes\n") if self.accepts_clients() else (503, b"no\n")
+        figures = self.collect_figures()
+        lines = "".join(f"app.{name}={value}\n" for name, value in figures.items())
+        return (200, lines.encode(), {"Content-Type": "text/plain"}) if figures else (503, b"not yet\n")
 
-    def render(self, answer: Answer, keep: bool) -> bytes:
+    def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes:
         """For a connection that finds no room."""
-        return response_bytes(503, b"too many callers\n", keep)
+        return encode_response(503, b"too many callers\n", keep_alive)
--- a/spanwing/fronts/senderside.py
+++ b/spanwing/fronts/senderside.py
@@ -13,184 +13,213 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.queues import Queue
 
-from spanwing.actor import spawn
-from spanwing.core.messages import Answer, Envelope, Left, Listener, Take, Turned
-from spanwing.log import tell
+from spanwing.actor import spawn_task
+from spanwing.core.messages import (
+    AttemptListener,
+    ClientDisconnected,
+    FinalAnswer,
+    JobRequest,
+    RequestRejected,
+    RequestSubmitted,
+)
+from spanwing.log import log_event
 from spanwing.wire.address import Address, listen
 from spanwing.wire.buffers import BufferPool
-from spanwing.wire.http import HttpError, HttpStream, Message, response_bytes
-from spanwing.wire.proxied import Network, listed, peer_of, real_peer
+from spanwing.wire.http import HttpError, HttpMessage, HttpStream, encode_response
+from spanwing.wire.proxied import Network, is_proxy_source, peer_address_of, read_peer_address
 from spanwing.wire.proxy import ProxyError
 from spanwing.wire.table import (
-    HALF,
-    HALF_S,
-    IDLE,
-    LINGER_S,
-    OVER,
-    READ_AHEAD,
-    SILENT,
-    STALE,
-    STUCK_S,
-    WHOLE_S,
-    Table,
+    LINGER_TIMEOUT_S,
+    MESSAGE_TIMEOUT_S,
+    PARTIAL_MESSAGE_S,
+    RANK_FINISHED,
+    RANK_IDLE,
+    RANK_PARTIAL,
+    RANK_SILENT,
+    RANK_STALE,
+    READ_AHEAD_BYTES,
+    WRITE_STALL_TIMEOUT_S,
+    ConnectionTable,
 )
 
-Reply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
-SOON_S = 0.005  # a caller of a front with one request a connection waits so long for room, and again
-JUST_S = 0.1  # a client that has opened a connection has sent its request by then
-AGAIN_MS = 100.0  # a client that finds no room is told to come back after this
+HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
+ACCEPT_RETRY_S = 0.005  # a caller of a front with one request a connection waits so long for room, and again
+FRESH_CONNECTION_S = 0.1  # a client that has opened a connection has sent its request by then
+FULL_TABLE_RETRY_AFTER_MS = 100.0  # a client that finds no room is told to come back after this
 
 
-class Front(Protocol):
+class HttpFrontend(Protocol):
     """Reads requests: an envelope goes to the core, a reply is the answer at once."""
 
-    def read(self, message: Message) -> Envelope | Reply: ...
+    def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply: ...
 
-    def render(self, answer: Answer, keep: bool) -> bytes: ...
+    def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes: ...
 
 
-class SenderConnection:
+class HttpClientConnection:
     """One connection: a request at a time, answered before the next is read."""
 
-    def __init__(self, server: HttpServer, stream: IOStream, peer: str = "", proxied: bool = False) -> None:
-        self.peer, self.proxied = peer, proxied  # the client's address; whether a balancer is to tell it
+    def __init__(
+        self, server: HttpServer, stream: IOStream, peer_address: str = "", awaits_proxy_header: bool = False
+    ) -> None:
+        self.peer_address, self.awaits_proxy_header = (
+            peer_address,
+            awaits_proxy_header,
+        )  # the client's address; whether a balancer is to tell it
         self.server, self.http = server, HttpStream(stream, server.buffers)
-        self.mailbox: Queue[Answer | None] = Queue()  # None: the other side went away
-        self.heard = False  # it has sent a whole request
-        self.asks = False  # it carried a client's request
-        self.busy = False
-        self.over = False
-        self.asked: tuple[Envelope, bool] | None = None  # what waits for its answer; to go on then?
-        self.stood = IOLoop.current().time()
+        self.mailbox: Queue[FinalAnswer | None] = Queue()  # None: the other side went away
+        self.has_sent_request = False  # it has sent a whole request
+        self.is_client = False  # it carried a client's request
+        self.is_busy = False
+        self.is_finished = False
+        self.pending_request: tuple[JobRequest, bool] | None = (
+            None  # what waits for its answer; to go on then?
+        )
+        self.idle_since_s = IOLoop.current().time()
         stream.set_close_callback(lambda: self.mailbox.put_nowait(None))
 
-    def answer(self, envelope: Envelope, answer: Answer) -> None:
+    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
         self.mailbox.put_nowait(answer)
 
     async def serve(self) -> None:
         try:
-            if self.proxied:
-                peer = await real_peer(self.http, self.http.parser.data, WHOLE_S, self.peer)
+            if self.awaits_proxy_header:
+                peer = await read_peer_address(
+                    self.http, self.http.parser.data, MESSAGE_TIMEOUT_S, self.peer_address
+                )
                 if peer is None:
                     return
-                self.peer, self.proxied = peer, False  # from here on like any other, also to a successor
-            keep = True
-            if self.asked is not None:  # by way of another process
-                keep = await self._resumed(*self.asked)
-            while keep:
-                message = await self.http.receive(WHOLE_S, fresh=not self.heard)
+                self.peer_address, self.awaits_proxy_header = (
+                    peer,
+                    False,
+                )  # from here on like any other, also to a successor
+            keep_alive = True
+            if self.pending_request is not None:  # by way of another process
+                keep_alive = await self._resume_request(*self.pending_request)
+            while keep_alive:
+                message = await self.http.receive(MESSAGE_TIMEOUT_S, is_fresh=not self.has_sent_request)
                 if message is None:
                     return
-                self.heard = self.busy = True
-                keep = await self._one(message)
-                self.busy, self.stood = False, IOLoop.current().time()
-                self.server.settle(self)
-                if not self.http.parser.idle():
+                self.has_sent_request = self.is_busy = True
+                keep_alive = await self._handle_request(message)
+                self.is_busy, self.idle_since_s = False, IOLoop.current().time()
+                self.server.close_if_draining(self)
+                if not self.http.parser.is_idle():
                     await sleep(0)  # who sends many requests ahead must not keep the loop to itself
         except HttpError as error:
-            await self._reject(error)
+            await self._reject_malformed(error)
         except ProxyError as error:
-            tell("proxy", level="warning", peer=self.peer, reason=str(error))
+            log_event("proxy", level="warning", peer=self.peer_address, reason=str(error))
         except StreamClosedError:
             return
         finally:
-            self.busy, self.over = False, True
-            await self.http.finish(LINGER_S)
-            self.server.table.seats.discard(self)
+            self.is_busy, self.is_finished = False, True
+            await self.http.close_gracefully(LINGER_TIMEOUT_S)
+            self.server.table.connections.discard(self)
 
-    async def _one(self, message: Message) -> bool:
+    async def _handle_request(self, message: HttpMessage) -> bool:
         """Answer one request; whether the connection goes on."""
-        keep = message.keep and not self.server.once
-        read = self.server.front.read(message)
-        if isinstance(read, tuple):
-            status, body, *headers = read
-            bare = message.method == "HEAD"  # a body would be taken for the next answer
-            await self.http.write(response_bytes(status, body, keep, bare, *headers), STUCK_S)
-            return keep
-        self.asks = True
-        if self.http.ended():  # its client went while it lay unread, or behind what was sent before it
+        keep_alive = message.keep_alive and not self.server.is_single_request
+        parsed = self.server.frontend.parse_request(message)
+        if isinstance(parsed, tuple):
+            status, body, *headers = parsed
+            head_only = message.method == "HEAD"  # a body would be taken for the next answer
+            await self.http.write(
+                encode_response(status, body, keep_alive, head_only, *headers), WRITE_STALL_TIMEOUT_S
+            )
+            return keep_alive
+        self.is_client = True
+        if (
+            self.http.has_peer_closed()
+        ):  # its client went while it lay unread, or behind what was sent before it
             return False
-        if not self.server.refusing and self.server.enter():
-            self.server.core.post(Take(read, self))
-            return await self._answered(read, keep)
-        self.server.core.post(Turned(read.cls))
-        return await self._write(Answer("refused", retry_after=self.server.again_ms), keep)
+        if not self.server.is_rejecting and self.server.admit_request():
+            self.server.request_manager.post(RequestSubmitted(parsed, self))
+            return await self._await_answer(parsed, keep_alive)
+        self.server.request_manager.post(RequestRejected(parsed.cls))
+        return await self._write_answer(
+            FinalAnswer("refused", retry_after_ms=self.server.retry_after_ms), keep_alive
+        )
 
-    async def _answered(self, envelope: Envelope, keep: bool) -> bool:
+    async def _await_answer(self, request: JobRequest, keep_alive: bool) -> bool:
         """Wait for the answer and pass it on; whether the connection goes on."""
-        self.asked = envelope, keep
-        self.http.read_ahead(self.http.parser.data, READ_AHEAD)  # or a client's leaving would not show
+        self.pending_request = request, keep_alive
+        self.http.start_read_ahead(
+            self.http.parser.data, READ_AHEAD_BYTES
+        )  # or a client's leaving would not show
         answer = await self.mailbox.get()
-        self.http.stop_ahead()
-        self.asked = None
-        self.server.leave()
+        self.http.stop_read_ahead()
+        self.pending_request = None
+        self.server.release_request()
         if answer is None:
-            self.server.core.post(Left(envelope.id, self))
+            self.server.request_manager.post(ClientDisconnected(request.id, self))
             return False
-        return await self._write(answer, keep)
+        return await self._write_answer(answer, keep_alive)
 
-    async def _write(self, answer: Answer, keep: bool) -> bool:
-        keep = keep and not self.server.closing
-        await self.http.write(self.server.front.render(answer, keep), STUCK_S)
-        return keep
+    async def _write_answer(self, answer: FinalAnswer, keep_alive: bool) -> bool:
+        keep_alive = keep_alive and not self.server.is_closing
+        await self.http.write(self.server.frontend.render_answer(answer, keep_alive), WRITE_STALL_TIMEOUT_S)
+        return keep_alive
 
-    async def _resumed(self, envelope: Envelope, keep: bool) -> bool:
-        self.busy = self.heard = True
-        keep = await self._answered(envelope, keep)
-        self.busy, self.stood = False, IOLoop.current().time()
-        self.server.settle(self)
-        return keep
+    async def _resume_request(self, request: JobRequest, keep_alive: bool) -> bool:
+        self.is_busy = self.has_sent_request = True
+        keep_alive = await self._await_answer(request, keep_alive)
+        self.is_busy, self.idle_since_s = False, IOLoop.current().time()
+        self.server.close_if_draining(self)
+        return keep_alive
 
-    async def _reject(self, error: HttpError) -> None:
+    async def _reject_malformed(self, error: HttpError) -> None:
         try:
-            await self.http.write(response_bytes(error.status, str(error).encode(), keep=False), STUCK_S)
+            await self.http.write(
+                encode_response(error.status, str(error).encode(), keep_alive=False), WRITE_STALL_TIMEOUT_S
+            )
         except StreamClosedError:
             pass
 
-    def detach(self, longest: int) -> tuple[int, bytes] | None:
+    def detach(self, max_bytes: int) -> tuple[int, bytes] | None:
         """Give the connection away: a descriptor of it, and what was read of its next request, at most
         longest bytes. None while it cannot go: what has begun to come must come whole, and what is answered
         must be written. One that waits for its answer can, and owes it no more here."""
-        parser, waits = self.http.parser, self.asked is not None and self.mailbox.empty()
+        parser, awaits_answer = self.http.parser, self.pending_request is not None and self.mailbox.empty()
         if (
-            self.over
-            or self.proxied
+            self.is_finished
+            or self.awaits_proxy_header
             or parser.head is not None
             or self.http.stream.closed()
-            or (len(parser.data) > longest - READ_AHEAD)
-            or not waits
-            and (self.busy or not self.http.waits())
+            or (len(parser.data) > max_bytes - READ_AHEAD_BYTES)
+            or not awaits_answer
+            and (self.is_busy or not self.http.is_waiting_for_input())
         ):
             return None
-        if waits:
-            self.http.take_ahead()
+        if awaits_answer:
+            self.http.collect_read_ahead()
         fd, data = os.dup(self.http.stream.socket.fileno()), bytes(parser.data)
         parser.data.clear()
         self.http.close()  # of ours: the other side does not notice
         return fd, data
 
-    def unfinished(self) -> bool:
+    def has_unfinished_request(self) -> bool:
         """Whether a request here is being read or answered."""
-        return self.busy or not (self.over or self.http.parser.idle())
+        return self.is_busy or not (self.is_finished or self.http.parser.is_idle())
 
     @property
-    def since(self) -> float:
+    def last_activity_s(self) -> float:
         """When it came, was answered, or something came last: a message that grows is no stalled one."""
-        return max(self.stood, self.http.read_at)
+        return max(self.idle_since_s, self.http.last_read_s)
 
-    def rank(self, waited_s: float) -> int | None:
-        if self.over:
-            return OVER
-        if self.busy:
+    def eviction_rank(self, unchanged_s: float) -> int | None:
+        if self.is_finished:
+            return RANK_FINISHED
+        if self.is_busy:
             return None
-        if not self.http.parser.idle():
-            return HALF if waited_s > self.server.half_s else None
-        if not self.heard:
-            return SILENT
-        return STALE if waited_s > HALF_S else IDLE
+        if not self.http.parser.is_idle():
+            return RANK_PARTIAL if unchanged_s > self.server.partial_message_s else None
+        if not self.has_sent_request:
+            return RANK_SILENT
+        return RANK_STALE if unchanged_s > PARTIAL_MESSAGE_S else RANK_IDLE
 
-    def silent(self) -> bool:
-        return self.http.silent()
+    def has_no_pending_input(self) -> bool:
+        return self.http.has_no_pending_input()
 
     def close(self) -> None:
         self.http.close()
@@ -202,134 +231,159 @@
     def __init__(
         self,
         address: Address,
-        front: Front,
-        core: Listener,
+        frontend: HttpFrontend,
+        request_manager: AttemptListener,
         buffers: BufferPool,
-        most: int,
-        longest_wait_ms: float = 0.0,
-        proxied: tuple[Network, ...] = (),
-        shared: socket.socket | None = None,
-        once: bool = False,
-        half_s: float = HALF_S,
+        max_connections: int,
+        max_retry_after_ms: float = 0.0,
+        proxy_sources: tuple[Network, ...] = (),
+        shared_socket: socket.socket | None = None,
+        is_single_request: bool = False,
+        partial_message_s: float = PARTIAL_MESSAGE_S,
     ) -> None:
-        self.proxied = proxied
-        self.once = once  # a connection carries one request
-        self.half_s = half_s  # a request that has begun may be cut off after this, if the table is full
-        self.front, self.core, self.buffers = front, core, buffers
-        self.again_ms = min(AGAIN_MS, longest_wait_ms)  # 0: the settings allow no such advice
-        self.table: Table[SenderConnection] = Table(most)
-        self.asking = 0  # clients' requests that the core has
-        self.closing = False  # a client's next answer is the last one on its connection
-        self.draining = False  # and connections between requests are closed
-        self.refusing = False  # and what is new is turned away
-        self.left = False  # nothing more is accepted
-        self.sharing = False  # another process accepts here too, or will: without room, none is accepted
-        self.listening = listen(address, self._accept, shared)
-        self.address = self.listening.address
+        self.proxy_sources = proxy_sources
+        self.is_single_request = is_single_request  # a connection carries one request
+        self.partial_message_s = (
+            partial_message_s  # a request that has begun may be cut off after this, if the table is full
+        )
+        self.frontend, self.request_manager, self.buffers = frontend, request_manager, buffers
+        self.retry_after_ms = min(
+            FULL_TABLE_RETRY_AFTER_MS, max_retry_after_ms
+        )  # 0: the settings allow no such advice
+        self.table: ConnectionTable[HttpClientConnection] = ConnectionTable(max_connections)
+        self.pending_requests = 0  # clients' requests that the core has
+        self.is_closing = False  # a client's next answer is the last one on its connection
+        self.is_draining = False  # and connections between requests are closed
+        self.is_rejecting = False  # and what is new is turned away
+        self.has_stopped_accepting = False  # nothing more is accepted
+        self.is_sharing = False  # another process accepts here too, or will: without room, none is accepted
+        self.listening_socket = listen(address, self._accept, shared_socket)
+        self.address = self.listening_socket.address
 
     def _accept(self, sock) -> None:
-        if not self.table.room():
-            if self.once:
+        if not self.table.make_room():
+            if self.is_single_request:
                 # Those here have sent what is not read yet; by the next turn of the loop one of them can go.
-                self.accepting(False)
-                IOLoop.current().call_later(SOON_S, self._accept_waiting, sock)
+                self.set_accepting(False)
+                IOLoop.current().call_later(ACCEPT_RETRY_S, self._accept_waiting, sock)
                 return
             with suppress(OSError):
-                sock.send(self.front.render(Answer("refused", retry_after=self.again_ms), False))
+                sock.send(
+                    self.frontend.render_answer(
+                        FinalAnswer("refused", retry_after_ms=self.retry_after_ms), False
+                    )
+                )
             sock.close()
             return
-        peer = peer_of(sock) if self.proxied else ""
-        connection = SenderConnection(
-            self, IOStream(sock, max_buffer_size=READ_AHEAD), peer, listed(peer, self.proxied)
+        peer_address = peer_address_of(sock) if self.proxy_sources else ""
+        connection = HttpClientConnection(
+            self,
+            IOStream(sock, max_buffer_size=READ_AHEAD_BYTES),
+            peer_address,
+            is_proxy_source(peer_address, self.proxy_sources),
         )
-        self.table.seats.add(connection)
-        spawn(connection.serve())
-        if self.sharing:
-            self.share(True)
+        self.table.connections.add(connection)
+        spawn_task(connection.serve())
+        if self.is_sharing:
+            self.set_sharing(True)
 
     def _accept_waiting(self, sock: socket.socket) -> None:
         """One that found no room, before any other is accepted."""
-        self.accepting(True)
+        self.set_accepting(True)
         self._accept(sock)
 
-    def share(self, sharing: bool) -> None:
+    def set_sharing(self, is_sharing: bool) -> None:
         """Whether another process still holds a part of what is ours. For as long, a connection that finds no
         room here waits to be accepted: there will be soon."""
-        self.sharing = sharing
-        if sharing:
-            self.table.trim(self.table.most - 1)
-        self.accepting(not sharing or len(self.table.seats) < self.table.most)
+        self.is_sharing = is_sharing
+        if is_sharing:
+            self.table.trim(self.table.max_connections - 1)
+        self.set_accepting(not is_sharing or len(self.table.connections) < self.table.max_connections)
 
-    def adopt(
+    def adopt_connection(
         self,
-        sock: socket.socket,
+        connected_socket: socket.socket,
         data: bytes,
-        heard: bool,
-        asks: bool,
-        peer: str,
-        asked: tuple[Envelope, bool] | None = None,
-    ) -> SenderConnection:
+        has_sent_request: bool,
+        is_client: bool,
+        peer_address: str,
+        pending_request: tuple[JobRequest, bool] | None = None,
+    ) -> HttpClientConnection:
         """Go on with a connection that another process gave away; it is within both processes' limit.
         asked: the request that waits there, and whether the connection goes on after its answer."""
-        connection = SenderConnection(self, IOStream(sock, max_buffer_size=READ_AHEAD), peer)
-        connection.heard, connection.asks, connection.asked = heard, asks, asked
-        connection.busy = asked is not None
-        self.asking += connection.busy
+        connection = HttpClientConnection(
+            self, IOStream(connected_socket, max_buffer_size=READ_AHEAD_BYTES), peer_address
+        )
+        connection.has_sent_request, connection.is_client, connection.pending_request = (
+            has_sent_request,
+            is_client,
+            pending_request,
+        )
+        connection.is_busy = pending_request is not None
+        self.pending_requests += connection.is_busy
         connection.http.parser.data += data
-        self.table.seats.add(connection)
-        spawn(connection.serve())
+        self.table.connections.add(connection)
+        spawn_task(connection.serve())
         return connection
 
-    def accepting(self, accepts: bool) -> None:
-        self.listening.accepting(accepts)
+    def set_accepting(self, is_accepting: bool) -> None:
+        self.listening_socket.set_accepting(is_accepting)
 
-    def enter(self) -> bool:
+    def admit_request(self) -> bool:
         """Whether one more client's request may wait here: a third of the table is left for call-backs."""
-        room = self.asking < self.table.most * 2 // 3
-        self.asking += room
-        return room
+        has_room = self.pending_requests < self.table.max_connections * 2 // 3
+        self.pending_requests += has_room
+        return has_room
 
-    def leave(self) -> None:
-        self.asking -= 1
+    def release_request(self) -> None:
+        self.pending_requests -= 1
 
-    def settle(self, connection: SenderConnection) -> None:
-        if self.draining and connection.asks and connection.silent():  # else it is read, and answered
+    def close_if_draining(self, connection: HttpClientConnection) -> None:
+        if (
+            self.is_draining and connection.is_client and connection.has_no_pending_input()
+        ):  # else it is read, and answered
             connection.http.close()
 
-    def owes(self) -> bool:
+    def owes_answers(self) -> bool:
         """Whether a client's request is being read or answered, or lies unread; or may be under way on a
         connection that has only just been opened, where no other can come any more."""
-        fresh = IOLoop.current().time() - JUST_S if self.left else math.inf
+        fresh_since_s = (
+            IOLoop.current().time() - FRESH_CONNECTION_S if self.has_stopped_accepting else math.inf
+        )
         return any(
-            each.unfinished()
-            or not each.over
-            and (not each.silent() or each.stood > fresh and not each.heard)
-            for each in self.table.seats
+            each.has_unfinished_request()
+            or not each.is_finished
+            and (
+                not each.has_no_pending_input()
+                or each.idle_since_s > fresh_since_s
+                and not each.has_sent_request
+            )
+            for each in self.table.connections
         )
 
-    def leave_off(self) -> None:
+    def stop_listening(self) -> None:
         """Accept what waits in the backlog, and listen no more."""
-        self.left = True
-        self.listening.last()
+        self.has_stopped_accepting = True
+        self.listening_socket.accept_pending_and_close()
 
-    def announce(self) -> None:
+    def announce_drain(self) -> None:
         """A drain has begun: with its next answer each client is told to come by another connection."""
-        self.closing = True
+        self.is_closing = True
 
-    def reopen(self) -> None:
+    def cancel_drain(self) -> None:
         """The drain was withdrawn."""
-        self.closing = self.draining = self.refusing = False
+        self.is_closing = self.is_draining = self.is_rejecting = False
 
     def close(self) -> None:
         """Listen no more, and close what is open: for fronts whose questions are answered at once."""
-        self.listening.close()
-        for each in list(self.table.seats):
+        self.listening_socket.close()
+        for each in list(self.table.connections):
             each.close()
 
-    def drain(self, refuse: bool = False) -> None:
+    def drain(self, reject_new: bool = False) -> None:
         """Close clients' connections between requests; those of call-backs stay, and so does the listener."""
-        self.closing = self.draining = True
-        self.refusing |= refuse
-        for each in list(self.table.seats):
-            if each.asks and not each.unfinished() and each.silent():
+        self.is_closing = self.is_draining = True
+        self.is_rejecting |= reject_new
+        for each in list(self.table.connections):
+            if each.is_client and not each.has_unfinished_request() and each.has_no_pending_input():
                 each.close()
--- a/spanwing/frontsfile.py
+++ b/spanwing/frontsfile.py
@@ -12,21 +12,21 @@
 
 import msgspec
 
-from spanwing.faults import Faults
-from spanwing.health.policy import Policy
-from spanwing.log.events import Form
-from spanwing.store.store import ANSWER_MS
+from spanwing.faults import ErrorCollector
+from spanwing.health.policy import HealthSettings
+from spanwing.log.events import LogFormat
+from spanwing.store.store import ROUND_TIMEOUT_MS
 from spanwing.wire.address import Address, parse_address
 from spanwing.wire.proxied import Network
 
-FILE = Path(__file__).parent.parent / "deploy" / "fronts.toml"
-PROXIED = ("clients", "faktory", "health")
-MOST_AWAY_MS = 86_400_000.0
-LEAST_LEASE_MS, MOST_LEASE_MS = 1500.0, 60_000.0  # three renewals at least
-LONGEST_PATH = 100  # of a Unix socket, which the kernel bounds at 108 bytes
+DEFAULT_OPERATOR_FILE = Path(__file__).parent.parent / "deploy" / "fronts.toml"
+PROXY_PROTOCOL_LISTENERS = ("clients", "faktory", "health")
+MAX_AWAY_MS = 86_400_000.0
+MIN_LEASE_MS, MAX_LEASE_MS = 1500.0, 60_000.0  # three renewals at least
+MAX_SOCKET_PATH_BYTES = 100  # of a Unix socket, which the kernel bounds at 108 bytes
 
 
-class Opened(msgspec.Struct, forbid_unknown_fields=True):
+class ListenerTable(msgspec.Struct, forbid_unknown_fields=True):
     """A front that listens."""
 
     listen: str
@@ -36,8 +36,12 @@
     """HAProxy's agent-check."""
 
     listen: str
-    maxconn: bool = False  # tell how many requests are taken at once
-    asks: bool = False  # wait for a line of `agent-send` that names a class
+    reports_maxconn: bool = msgspec.field(
+        default=False, name="maxconn"
+    )  # tell how many requests are taken at once
+    expects_class_name: bool = msgspec.field(
+        default=False, name="asks"
+    )  # wait for a line of `agent-send` that names a class
 
 
 class AdminTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -54,8 +58,10 @@
 
 
 class LogTable(msgspec.Struct, forbid_unknown_fields=True):
-    form: Form = "plain"
-    per_second: float = 5.0  # of one event; a burst of four times as many passes
+    log_format: LogFormat = msgspec.field(default="plain", name="form")
+    max_per_second: float = msgspec.field(
+        default=5.0, name="per_second"
+    )  # of one event; a burst of four times as many passes
 
 
 class StoreTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -65,20 +71,22 @@
     directory: str = ""
     listen: str = ""
     peers: dict[str, str] = {}
-    answer_ms: float = ANSWER_MS
+    answer_timeout_ms: float = msgspec.field(default=ROUND_TIMEOUT_MS, name="answer_ms")
 
 
 class JournalTable(msgspec.Struct, forbid_unknown_fields=True):
     """The journal of work that must not run twice."""
 
     directory: str
-    when_failing: Literal["refuse", "serve"] = "refuse"
+    failure_mode: Literal["refuse", "serve"] = msgspec.field(default="refuse", name="when_failing")
     wait_ms: float = 250.0  # a send waits so long for its intent to be on disk
     segment_mb: float = 16.0
     segment_hours: float = 1.0
     keep_days: float = 90.0
     keep_gb: float = 4.0
-    keep_days_of: dict[str, float] = {}  # by class, where it differs from keep_days
+    keep_days_by_class: dict[str, float] = msgspec.field(
+        default={}, name="keep_days_of"
+    )  # by class, where it differs from keep_days
 
 
 class ZonesTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -86,7 +94,7 @@
     each alone, by what it sees itself."""
 
     members: dict[str, str] = {}
-    alone: bool = False
+    is_standalone: bool = msgspec.field(default=False, name="alone")
     regions: dict[str, list[str]] = {}
     lease_ms: float = 2000.0
 
@@ -98,17 +106,17 @@
     away_ms: float = 10_000.0  # a scheduler goes on for so long without contact, also from a start
 
 
-class Fronts(msgspec.Struct, forbid_unknown_fields=True):
+class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
     """The file as it is written."""
 
-    faktory: Opened | None = None
-    health: Opened | None = None
+    faktory: ListenerTable | None = None
+    health: ListenerTable | None = None
     agent_check: AgentTable | None = None
-    feedback: Opened | None = None
-    grpc: Opened | None = None
+    feedback: ListenerTable | None = None
+    grpc: ListenerTable | None = None
     admin: AdminTable | None = None
     proxy: ProxyTable | None = None
-    balancers: Policy = msgspec.field(default_factory=Policy)
+    health_policy: HealthSettings = msgspec.field(name="balancers", default_factory=HealthSettings)
     log: LogTable = msgspec.field(default_factory=LogTable)
     store: StoreTable = msgspec.field(default_factory=StoreTable)
     journal: JournalTable | None = None
@@ -116,30 +124,32 @@
     policy: PolicyTable | None = None
 
 
-class Agent(msgspec.Struct, frozen=True):
+class AgentCheckSettings(msgspec.Struct, frozen=True):
     """The agent-check, checked."""
 
     listen: Address
-    maxconn: bool
-    asks: bool
+    reports_maxconn: bool = msgspec.field(name="maxconn")
+    expects_class_name: bool = msgspec.field(name="asks")
 
 
-class Balancers(msgspec.Struct, frozen=True):
+class BalancerSettings(msgspec.Struct, frozen=True):
     """What is told to balancers and to the operator, and where; a reload follows all of it."""
 
     health: Address | None = None
-    agent: Agent | None = None
+    agent_check: AgentCheckSettings | None = msgspec.field(default=None, name="agent")
     feedback: Address | None = None
     grpc: Address | None = None
     admin: str = ""
-    policy: Policy = msgspec.field(default_factory=Policy)
+    health_policy: HealthSettings = msgspec.field(name="policy", default_factory=HealthSettings)
 
-    def listeners(self) -> int:
+    def listener_count(self) -> int:
         """How many protocols are open."""
-        return sum(bool(each) for each in (self.health, self.agent, self.feedback, self.grpc, self.admin))
+        return sum(
+            bool(each) for each in (self.health, self.agent_check, self.feedback, self.grpc, self.admin)
+        )
 
 
-class Zones(msgspec.Struct, frozen=True):
+class ZonesConfiguration(msgspec.Struct, frozen=True):
     """The fleet's zones, checked."""
 
     members: dict[str, Address]
@@ -147,7 +157,7 @@
     lease_ms: float
 
 
-class FleetPolicy(msgspec.Struct, frozen=True):
+class PolicyConfiguration(msgspec.Struct, frozen=True):
     """The fleet's policy, checked."""
 
     directory: str
@@ -156,76 +166,84 @@
     lease_ms: float
 
 
-class Proxied(msgspec.Struct, frozen=True):
+class ProxyProtocolSettings(msgspec.Struct, frozen=True):
     """Where the PROXY protocol is spoken, and by whom."""
 
-    fronts: frozenset[str] = frozenset()
+    listeners: frozenset[str] = msgspec.field(default=frozenset(), name="fronts")
     sources: tuple[Network, ...] = ()
 
-    def of(self, front: str) -> tuple[Network, ...]:
+    def sources_for(self, listener: str) -> tuple[Network, ...]:
         """The addresses that send a header to this front; all others speak plainly."""
-        return self.sources if front in self.fronts else ()
-
-
-def balancers_of(fronts: Fronts, faults: Faults) -> Balancers:
-    if fronts.grpc:
-        _extra("grpc", "h2", faults)
-    agent = fronts.agent_check
-    return Balancers(
-        health=opened("health", fronts.health, faults),
-        agent=Agent(opened("agent_check", agent, faults), agent.maxconn, agent.asks) if agent else None,
-        feedback=opened("feedback", fronts.feedback, faults),
-        grpc=opened("grpc", fronts.grpc, faults),
-        admin=faults.check("admin.socket", _path, fronts.admin.socket) if fronts.admin else "",
-        policy=fronts.balancers,
+        return self.sources if listener in self.listeners else ()
+
+
+def check_balancers(operator_file: OperatorFile, errors: ErrorCollector) -> BalancerSettings:
+    if operator_file.grpc:
+        _require_package("grpc", "h2", errors)
+    agent = operator_file.agent_check
+    return BalancerSettings(
+        health=parse_listen_address("health", operator_file.health, errors),
+        agent_check=AgentCheckSettings(
+            parse_listen_address("agent_check", agent, errors),
+            agent.reports_maxconn,
+            agent.expects_class_name,
+        )
+        if agent
+        else None,
+        feedback=parse_listen_address("feedback", operator_file.feedback, errors),
+        grpc=parse_listen_address("grpc", operator_file.grpc, errors),
+        admin=errors.run_check("admin.socket", _check_socket_path, operator_file.admin.socket)
+        if operator_file.admin
+        else "",
+        health_policy=operator_file.health_policy,
     )
 
 
-def opened(name: str, front: Any, faults: Faults) -> Address | None:
-    return faults.check(f"{name}.listen", parse_address, front.listen) if front else None
+def parse_listen_address(name: str, table: Any, errors: ErrorCollector) -> Address | None:
+    return errors.run_check(f"{name}.listen", parse_address, table.listen) if table else None
 
 
-def proxied_of(table: ProxyTable | None, faults: Faults) -> Proxied:
+def check_proxy_protocol(table: ProxyTable | None, errors: ErrorCollector) -> ProxyProtocolSettings:
     if table is None:
-        return Proxied()
-    _extra("proxy", "google_crc32c", faults)
+        return ProxyProtocolSettings()
+    _require_package("proxy", "google_crc32c", errors)
     for each in table.fronts:
-        if each not in PROXIED:
-            faults.add("proxy.fronts", f"{each!r} is none of {', '.join(PROXIED)}")
+        if each not in PROXY_PROTOCOL_LISTENERS:
+            errors.add_error("proxy.fronts", f"{each!r} is none of {', '.join(PROXY_PROTOCOL_LISTENERS)}")
     if not table.sources:
-        faults.add("proxy.sources", "no address is listed, so no balancer could speak it")
-    sources = [faults.check("proxy.sources", ipaddress.ip_network, each) for each in table.sources]
-    return Proxied(frozenset(table.fronts), tuple(each for each in sources if each is not None))
+        errors.add_error("proxy.sources", "no address is listed, so no balancer could speak it")
+    sources = [errors.run_check("proxy.sources", ipaddress.ip_network, each) for each in table.sources]
+    return ProxyProtocolSettings(frozenset(table.fronts), tuple(each for each in sources if each is not None))
 
 
-def log_of(table: LogTable, faults: Faults) -> LogTable:
-    if not 0.1 <= table.per_second <= 10_000:
-        faults.add("log.per_second", f"{table.per_second} is not possible, 0.1 to 10000 are")
-    if table.form != "plain":
-        _extra("log.form", "structlog", faults)
+def check_log(table: LogTable, errors: ErrorCollector) -> LogTable:
+    if not 0.1 <= table.max_per_second <= 10_000:
+        errors.add_error("log.per_second", f"{table.max_per_second} is not possible, 0.1 to 10000 are")
+    if table.log_format != "plain":
+        _require_package("log.form", "structlog", errors)
     return table
 
 
-def store_of(table: StoreTable, faults: Faults) -> StoreTable:
+def check_store(table: StoreTable, errors: ErrorCollector) -> StoreTable:
     if table.peers and not table.directory:
         # A member that forgets its promises can let two proposers win.
-        faults.add("store.directory", "needed where store.peers are listed")
+        errors.add_error("store.directory", "needed where store.peers are listed")
     if table.peers and not table.listen:
-        faults.add("store.listen", "needed where store.peers are listed")
-    if table.answer_ms <= 0:
-        faults.add("store.answer_ms", f"{table.answer_ms} is not possible")
+        errors.add_error("store.listen", "needed where store.peers are listed")
+    if table.answer_timeout_ms <= 0:
+        errors.add_error("store.answer_ms", f"{table.answer_timeout_ms} is not possible")
     if table.member in table.peers:
-        faults.add("store.peers", f"{table.member!r} is this member itself")
+        errors.add_error("store.peers", f"{table.member!r} is this member itself")
     return table
 
 
-def journal_of(table: JournalTable | None, faults: Faults) -> JournalTable | None:
+def check_journal(table: JournalTable | None, errors: ErrorCollector) -> JournalTable | None:
     if table is None:
         return None
-    _extra("journal", "google_crc32c", faults)
+    _require_package("journal", "google_crc32c", errors)
     if not table.directory.startswith("/"):
-        faults.add("journal.directory", f"{table.directory!r} is no absolute path")
-    for name, least, most in (
+        errors.add_error("journal.directory", f"{table.directory!r} is no absolute path")
+    for name, minimum, maximum in (
         ("wait_ms", 1, 60_000),
         ("segment_mb", 0.1, 4096),
         ("segment_hours", 0.001, 8760),
@@ -233,72 +251,84 @@
         ("keep_gb", 0.001, 1_000_000),
     ):
         value = getattr(table, name)
-        if not least <= value <= most:
-            faults.add(f"journal.{name}", f"{value:g} is not possible, {least:g} to {most:g} are")
-    for cls, days in table.keep_days_of.items():
+        if not minimum <= value <= maximum:
+            errors.add_error(f"journal.{name}", f"{value:g} is not possible, {minimum:g} to {maximum:g} are")
+    for class_name, days in table.keep_days_by_class.items():
         if not 0.01 <= days <= 36_500:
-            faults.add(f"journal.keep_days_of.{cls}", f"{days:g} is not possible, 0.01 to 36500 are")
+            errors.add_error(
+                f"journal.keep_days_of.{class_name}", f"{days:g} is not possible, 0.01 to 36500 are"
+            )
     if table.keep_gb * 1000 < 2 * table.segment_mb:
-        least = 2 * table.segment_mb / 1000
-        faults.add("journal.keep_gb", f"{table.keep_gb:g} is too few for two segments, {least:g} are needed")
+        minimum = 2 * table.segment_mb / 1000
+        errors.add_error(
+            "journal.keep_gb", f"{table.keep_gb:g} is too few for two segments, {minimum:g} are needed"
+        )
     return table
 
 
-def zones_of(table: ZonesTable | None, store: StoreTable, faults: Faults) -> Zones | None:
+def check_zones(
+    table: ZonesTable | None, store: StoreTable, errors: ErrorCollector
+) -> ZonesConfiguration | None:
     if table is None:
         return None
     members = {
-        name: faults.check(f"zones.members.{name}", parse_address, text)
+        name: errors.run_check(f"zones.members.{name}", parse_address, text)
         for name, text in table.members.items()
     }
-    if table.alone and members:
-        faults.add("zones.alone", "members are listed: a scheduler follows them, or acts alone")
-    if not members and not table.alone:
-        faults.add("zones.members", "none is listed, so nobody could keep the fleet's state")
-    if store.peers and not table.alone and set(members) != {store.member, *store.peers}:
-        faults.add("zones.members", "not the members that store.member and store.peers name")
+    if table.is_standalone and members:
+        errors.add_error("zones.alone", "members are listed: a scheduler follows them, or acts alone")
+    if not members and not table.is_standalone:
+        errors.add_error("zones.members", "none is listed, so nobody could keep the fleet's state")
+    if store.peers and not table.is_standalone and set(members) != {store.member, *store.peers}:
+        errors.add_error("zones.members", "not the members that store.member and store.peers name")
     if store.listen and not store.peers and store.member not in members and members:
-        faults.add("zones.members", f"store.member {store.member!r} is not among them")
-    if not LEAST_LEASE_MS <= table.lease_ms <= MOST_LEASE_MS:
-        faults.add(
+        errors.add_error("zones.members", f"store.member {store.member!r} is not among them")
+    if not MIN_LEASE_MS <= table.lease_ms <= MAX_LEASE_MS:
+        errors.add_error(
             "zones.lease_ms",
-            f"{table.lease_ms:g} is not possible, {LEAST_LEASE_MS:g} to {MOST_LEASE_MS:g} are",
+            f"{table.lease_ms:g} is not possible, {MIN_LEASE_MS:g} to {MAX_LEASE_MS:g} are",
         )
-    seen: dict[str, str] = {}
+    region_by_zone: dict[str, str] = {}
     for region, names in table.regions.items():
         if not names:
-            faults.add(f"zones.regions.{region}", "no zone is listed")
+            errors.add_error(f"zones.regions.{region}", "no zone is listed")
         for name in names:
-            if name in seen:
-                faults.add(f"zones.regions.{region}", f"{name!r} is in region {seen[name]!r} already")
-            seen[name] = region
-    return Zones(members, {region: tuple(names) for region, names in table.regions.items()}, table.lease_ms)
+            if name in region_by_zone:
+                errors.add_error(
+                    f"zones.regions.{region}", f"{name!r} is in region {region_by_zone[name]!r} already"
+                )
+            region_by_zone[name] = region
+    return ZonesConfiguration(
+        members, {region: tuple(names) for region, names in table.regions.items()}, table.lease_ms
+    )
 
 
-def policy_of(table: PolicyTable | None, zones: Zones | None, faults: Faults) -> FleetPolicy | None:
+def check_policy(
+    table: PolicyTable | None, zones: ZonesConfiguration | None, errors: ErrorCollector
+) -> PolicyConfiguration | None:
     if table is None:
         return None
     if not table.directory.startswith("/"):
-        faults.add("policy.directory", f"{table.directory!r} is no absolute path")
+        errors.add_error("policy.directory", f"{table.directory!r} is no absolute path")
     if zones is None or not zones.members:
-        faults.add("policy", "needs [zones] with the members of the store that all schedulers follow")
+        errors.add_error("policy", "needs [zones] with the members of the store that all schedulers follow")
         return None
-    if not zones.lease_ms <= table.away_ms <= MOST_AWAY_MS:
-        faults.add(
+    if not zones.lease_ms <= table.away_ms <= MAX_AWAY_MS:
+        errors.add_error(
             "policy.away_ms",
-            f"{table.away_ms:g} is not possible, {zones.lease_ms:g} (zones.lease_ms) to {MOST_AWAY_MS:g} are",
+            f"{table.away_ms:g} is not possible, {zones.lease_ms:g} (zones.lease_ms) to {MAX_AWAY_MS:g} are",
         )
-    return FleetPolicy(table.directory, table.away_ms, zones.members, zones.lease_ms)
+    return PolicyConfiguration(table.directory, table.away_ms, zones.members, zones.lease_ms)
 
 
-def _path(text: str) -> str:
-    if not text.startswith("/") or len(text.encode()) > LONGEST_PATH:
-        raise ValueError(f"{text!r} is no absolute path of at most {LONGEST_PATH} bytes")
+def _check_socket_path(text: str) -> str:
+    if not text.startswith("/") or len(text.encode()) > MAX_SOCKET_PATH_BYTES:
+        raise ValueError(f"{text!r} is no absolute path of at most {MAX_SOCKET_PATH_BYTES} bytes")
     if not Path(text).parent.is_dir():
         raise ValueError(f"the folder of {text} is not there")
     return text
 
 
-def _extra(setting: str, module: str, faults: Faults) -> None:
-    if importlib.util.find_spec(module) is None:
-        faults.add(setting, f"needs {module}, which spanwing[tools] installs")
+def _require_package(setting: str, package: str, errors: ErrorCollector) -> None:
+    if importlib.util.find_spec(package) is None:
+        errors.add_error(setting, f"needs {package}, which spanwing[tools] installs")
--- a/spanwing/handover/handover.py
+++ b/spanwing/handover/handover.py
@@ -20,385 +20,454 @@
 from tornado.ioloop import IOLoop
 
 from spanwing import interface as api
-from spanwing.actor import spawn
-from spanwing.core.exchange import Call, Exchange, Out
-from spanwing.core.messages import Delivery, Envelope, SenderSide
-from spanwing.fronts.senderside import HttpServer, SenderConnection
+from spanwing.actor import spawn_task
+from spanwing.core.exchange import InFlightAttempt, PendingRequest, RequestManager
+from spanwing.core.messages import ClientConnection, DeliveryAttempt, JobRequest
+from spanwing.fronts.senderside import HttpClientConnection, HttpServer
 from spanwing.handover.learned import (
-    Resumed,
-    feed_again,
-    feed_no_more,
-    forget,
-    into_module,
-    into_worker,
-    of_job,
-    of_module,
-    of_worker,
+    RequestResumed,
+    export_attempts,
+    export_scheduler,
+    export_worker,
+    import_scheduler,
+    import_worker,
+    release_request,
+    resume_feeding,
+    stop_feeding,
 )
-from spanwing.handover.link import Link, Place
+from spanwing.handover.link import HotRestartLink, RendezvousSocket
 from spanwing.handover.messages import (
-    LONGEST_DATA,
-    PART,
+    ITEMS_PER_MESSAGE,
+    MAX_BUFFERED_BYTES,
     VERSION,
-    Bye,
-    Called,
-    Held,
-    Hello,
-    Ids,
-    Learned,
-    Message,
-    Moved,
-    Over,
-    Passed,
-    Ready,
-    Workers,
-    WorkerSeen,
+    AcceptingStopped,
+    ConnectionCounts,
+    ForwardedCallback,
+    HotRestartMessage,
+    PredecessorDone,
+    RequestIdChanges,
+    SchedulerEstimates,
+    SuccessorHello,
+    SuccessorReady,
+    TransferredConnection,
+    TransferredRequest,
+    WorkerEstimates,
+    WorkerEstimatesBatch,
+)
+from spanwing.hops.nexthop import HttpWorker, WorkerCallback
+from spanwing.hops.pool import DescriptorBudget
+from spanwing.hops.transportmap import (
+    DiscoveredEndpoints,
+    DiscoveredWorker,
+    DiscoveryClient,
+    WorkerCallbackReceived,
 )
-from spanwing.hops.nexthop import CallBack, HttpNextHop
-from spanwing.hops.pool import Descriptors
-from spanwing.hops.transportmap import Heard, Member, MemberList, TransportMap
 
-ANSWER_S = 1.0  # a predecessor that has not answered by then is taken for hung, and told nothing more
-WATCH_S = 0.2  # a watch continues another if it begins within this, by the protocol
-TELL_S = 0.05  # between looks at how much is held here
-PASS_S = 0.005  # between looks at which connections can go
+ANSWER_TIMEOUT_S = 1.0  # a predecessor that has not answered by then is taken for hung, and told nothing more
+WATCH_RESUME_S = 0.2  # a watch continues another if it begins within this, by the protocol
+COUNTS_INTERVAL_S = 0.05  # between looks at how much is held here
+TRANSFER_INTERVAL_S = 0.005  # between looks at which connections can go
 
 
-class Parts(NamedTuple):
+class HotRestartContext(NamedTuple):
     """The daemon's parts that are told of, or taken over."""
 
-    core: Exchange
-    transport: TransportMap
-    descriptors: Descriptors
+    core: RequestManager
+    discovery_client: DiscoveryClient
+    descriptors: DescriptorBudget
 
 
-class Handover:
+class HotRestart:
     """Both roles of this process: successor of the one before, predecessor of the next."""
 
-    def __init__(self, place: Place, deal: Callable[[], None]) -> None:
-        self.place, self.deal = place, deal
-        self.parts: Parts | None = None
+    def __init__(self, rendezvous: RendezvousSocket, divide_connections: Callable[[], None]) -> None:
+        self.rendezvous, self.divide_connections = rendezvous, divide_connections
+        self.context: HotRestartContext | None = None
         self.server: HttpServer | None = None
-        self.before: Link | None = None  # the process that we replace
-        self.after: Link | None = None  # the one that replaces us
-        self.away = Held(0, 0)  # what the predecessor holds
-        self.handed = False  # all was told to the successor
-        self.leaving = self.done = False  # done: nothing is left here
-        self.others: set[str] = set()  # requests open at the other process: no more than it has connections
-        self.gone: set[str] = set()  # requests that went to the successor, each with a connection of ours
-        self.waiting: Future[None] | None = None
-        self.members: list[Member] = []
-        self.seen: list[WorkerSeen] = []
-        self.learned: Learned | None = None
-        self.unlisten: Callable[[], None] | None = None
+        self.predecessor: HotRestartLink | None = None  # the process that we replace
+        self.successor: HotRestartLink | None = None  # the one that replaces us
+        self.predecessor_counts = ConnectionCounts(0, 0)  # what the predecessor holds
+        self.has_transferred_state = False  # all was told to the successor
+        self.is_draining = self.is_finished = False  # done: nothing is left here
+        self.peer_request_ids: set[str] = (
+            set()
+        )  # requests open at the other process: no more than it has connections
+        self.transferred_request_ids: set[str] = (
+            set()
+        )  # requests that went to the successor, each with a connection of ours
+        self.answer_received: Future[None] | None = None
+        self.members: list[DiscoveredWorker] = []
+        self.worker_estimates: list[WorkerEstimates] = []
+        self.scheduler_estimates: SchedulerEstimates | None = None
+        self.stop_listening: Callable[[], None] | None = None
 
     # As the successor.
 
-    async def join(self) -> None:
+    async def connect_to_predecessor(self) -> None:
         """Find the process before us, if there is one, and hear what it holds."""
-        link = self.place.call()
+        link = self.rendezvous.connect()
         if link is None:
             return
-        self.before = link
-        link.hear, link.ended = self._hear_before, self._before_ended
-        link.send(Hello(VERSION))
-        await self._answer()
+        self.predecessor = link
+        link.on_message, link.on_close = self._handle_predecessor_message, self._handle_predecessor_closed
+        link.send(SuccessorHello(VERSION))
+        await self._wait_for_answer()
 
-    async def take_over(self, parts: Parts) -> None:
+    async def take_over(self, context: HotRestartContext) -> None:
         """Say that we are ready, and take in what the process before us has learned."""
-        self._connect(parts)
-        if self.before is None:
+        self._attach(context)
+        if self.predecessor is None:
             return
-        self.before.send(Ready())
-        if not await self._answer() or self.learned is None:
+        self.predecessor.send(SuccessorReady())
+        if not await self._wait_for_answer() or self.scheduler_estimates is None:
             return
-        core, transport = parts.core, parts.transport
-        if self.learned.discovery == str(transport.discovery):
-            transport.adopt(MemberList(self.learned.revision or 0, True, self.members))
+        core, discovery_client = context.core, context.discovery_client
+        if self.scheduler_estimates.discovery == str(discovery_client.discovery_address):
+            discovery_client.adopt_endpoints(
+                DiscoveredEndpoints(self.scheduler_estimates.revision or 0, True, self.members)
+            )
         while core.mailbox:  # the list comes first
             await sleep(0)
-        now = core.clock.now()
-        into_module(core.module, self.learned, now)
-        for each in self.seen:
-            if each.id in core.module.views:
-                into_worker(core.module.views[each.id], each, now)
-        self.members, self.seen, self.learned = [], [], None
+        now = core.clock.now_ms()
+        import_scheduler(core.scheduler, self.scheduler_estimates, now)
+        for each in self.worker_estimates:
+            if each.worker_id in core.scheduler.views:
+                import_worker(core.scheduler.views[each.worker_id], each, now)
+        self.members, self.worker_estimates, self.scheduler_estimates = [], [], None
         # The watch goes on where the predecessor's ends; 200 that are replaced at once call apart.
-        transport.loop.call_later(random.uniform(0.0, WATCH_S), transport.watch)
+        discovery_client.loop.call_later(random.uniform(0.0, WATCH_RESUME_S), discovery_client.watch)
 
-    def serve(self, server: HttpServer) -> None:
+    def start_serving(self, server: HttpServer) -> None:
         """We take clients from now on, and a successor may come. Raises OSError."""
         self.server = server
-        self.unlisten = self.place.listen(self._come)
+        self.stop_listening = self.rendezvous.listen(self._accept_successor)
 
-    async def _answer(self) -> bool:
+    async def _wait_for_answer(self) -> bool:
         """Whether the predecessor's answer came in time; where not, it is given up."""
-        self.waiting = Future()
-        timer = IOLoop.current().call_later(ANSWER_S, self._no_answer)
-        await self.waiting
+        self.answer_received = Future()
+        timer = IOLoop.current().call_later(ANSWER_TIMEOUT_S, self._handle_answer_timeout)
+        await self.answer_received
         IOLoop.current().remove_timeout(timer)
-        self.waiting = None
-        return self.before is not None
+        self.answer_received = None
+        return self.predecessor is not None
 
-    def _no_answer(self) -> None:
-        if self.before is not None:
-            self.before.close()
-        self._before_ended()
+    def _handle_answer_timeout(self) -> None:
+        if self.predecessor is not None:
+            self.predecessor.close()
+        self._handle_predecessor_closed()
 
-    def _answered(self) -> None:
-        if self.waiting is not None and not self.waiting.done():
-            self.waiting.set_result(None)
+    def _resolve_answer(self) -> None:
+        if self.answer_received is not None and not self.answer_received.done():
+            self.answer_received.set_result(None)
 
-    def _before_ended(self) -> None:
-        self.before, self.away = None, Held(0, 0)
-        self._apart()
-        self._answered()
-        self.deal()
+    def _handle_predecessor_closed(self) -> None:
+        self.predecessor, self.predecessor_counts = None, ConnectionCounts(0, 0)
+        self._forget_peer_requests()
+        self._resolve_answer()
+        self.divide_connections()
 
-    def _hear_before(self, message: Message, fd: int | None) -> None:
+    def _handle_predecessor_message(self, message: HotRestartMessage, fd: int | None) -> None:
         if fd is not None and self.server is None:  # nothing goes over before our yes
             os.close(fd)
             return
-        if isinstance(message, Passed):
+        if isinstance(message, TransferredConnection):
             if fd is not None:
-                self._passed(message, fd)
-        elif isinstance(message, Held):
-            self.away = message
-            self._answered()
-            self.deal()
-        elif isinstance(message, Workers):
+                self._adopt_connection(message, fd)
+        elif isinstance(message, ConnectionCounts):
+            self.predecessor_counts = message
+            self._resolve_answer()
+            self.divide_connections()
+        elif isinstance(message, WorkerEstimatesBatch):
             self.members += message.members
-            self.seen += message.seen
-        elif isinstance(message, Learned):
-            self.learned = message
-        elif isinstance(message, Over):
-            self._answered()
-        elif isinstance(message, Moved):
+            self.worker_estimates += message.estimates
+        elif isinstance(message, SchedulerEstimates):
+            self.scheduler_estimates = message
+        elif isinstance(message, AcceptingStopped):
+            self._resolve_answer()
+        elif isinstance(message, TransferredRequest):
             if fd is not None:
-                self._moved(message, fd)
-        elif isinstance(message, Bye):
-            self.before.close()
+                self._adopt_request(message, fd)
+        elif isinstance(message, PredecessorDone):
+            self.predecessor.close()
         else:
-            self._hear(message)
+            self._handle_common_message(message)
 
-    def _passed(self, passed: Passed, fd: int, asked: tuple[Envelope, bool] | None = None) -> SenderSide:
+    def _adopt_connection(
+        self, transferred: TransferredConnection, fd: int, pending: tuple[JobRequest, bool] | None = None
+    ) -> ClientConnection:
         sock = socket.socket(fileno=fd)
-        self.away.clients = max(0, self.away.clients - 1)
-        self.server.table.most += 1
-        return self.server.adopt(sock, passed.data, passed.heard, passed.asks, passed.peer, asked)
-
-    def _moved(self, moved: Moved, fd: int) -> None:
-        core, envelope = self.parts.core, moved.envelope
-        self.others.discard(envelope.id)
-        sender = self._passed(moved.connection, fd, (envelope, moved.keep))
-        call, out = Call(envelope, sender, moved.deadline, moved.sent), None
-        for number, each in enumerate(moved.tried):
-            if not each.open and not each.proof:
-                core.ran(call, each.at)
-            if each.open:
-                hop = self.parts.transport.hop_at(moved.hop, moved.place)
-                budget = max(0.0, moved.until - core.clock.now())
-                hop.resume(Delivery(envelope, number, budget, envelope.cls in core.safe), core)
-                out = number, Out(hop, each.worker, each.at, moved.until, None)
-        core.resume(
+        self.predecessor_counts.client_connections = max(0, self.predecessor_counts.client_connections - 1)
+        self.server.table.max_connections += 1
+        return self.server.adopt_connection(
+            sock,
+            transferred.buffered_bytes,
+            transferred.has_sent_request,
+            transferred.is_client,
+            transferred.peer_address,
+            pending,
+        )
+
+    def _adopt_request(self, transferred: TransferredRequest, fd: int) -> None:
+        core, request = self.context.core, transferred.request
+        self.peer_request_ids.discard(request.id)
+        sender = self._adopt_connection(transferred.connection, fd, (request, transferred.keep_alive))
+        call, in_flight = (
+            PendingRequest(request, sender, transferred.deadline_ms, transferred.attempt_count),
+            None,
+        )
+        for number, each in enumerate(transferred.attempts):
+            if not each.is_open and not each.never_ran:
+                core.attempt_may_have_run(call, each.forwarded_ms)
+            if each.is_open:
+                worker_connection = self.context.discovery_client.worker_at(
+                    transferred.worker_name, transferred.worker_address
+                )
+                budget = max(0.0, transferred.expires_ms - core.clock.now_ms())
+                worker_connection.resume_attempt(
+                    DeliveryAttempt(request, number, budget, request.cls in core.safe_classes), core
+                )
+                in_flight = (
+                    number,
+                    InFlightAttempt(
+                        worker_connection, each.worker_id, each.forwarded_ms, transferred.expires_ms, None
+                    ),
+                )
+        core.resume_request(
             call,
-            out,
-            Resumed(
+            in_flight,
+            RequestResumed(
                 api.Request(
-                    envelope.id,
-                    envelope.cls,
-                    moved.deadline,
-                    envelope.tenant,
-                    envelope.slots,
-                    envelope.memory,
-                    envelope.hint,
-                    envelope.route_key,
-                    envelope.repeat,
+                    request.id,
+                    request.cls,
+                    transferred.deadline_ms,
+                    request.tenant,
+                    request.slots,
+                    request.memory,
+                    request.hint,
+                    request.route_key,
+                    request.repeat,
                 ),
-                moved.born,
-                moved.spoilt,
-                moved.over,
-                moved.tried,
+                transferred.arrived_ms,
+                transferred.is_late,
+                transferred.is_over_quota,
+                transferred.attempts,
             ),
         )
 
     # As the predecessor.
 
-    def _come(self, link: Link) -> None:
-        if self.after is not None or self.leaving:  # one successor at a time
+    def _accept_successor(self, link: HotRestartLink) -> None:
+        if self.successor is not None or self.is_draining:  # one successor at a time
             link.close()
             return
-        self.after = link
-        link.hear, link.ended = self._hear_after, self._after_ended
+        self.successor = link
+        link.on_message, link.on_close = self._handle_successor_message, self._handle_successor_closed
 
-    def _hear_after(self, message: Message, fd: int | None) -> None:
+    def _handle_successor_message(self, message: HotRestartMessage, fd: int | None) -> None:
         if fd is not None:
             os.close(fd)
-        if isinstance(message, Hello):
+        if isinstance(message, SuccessorHello):
             if message.version != VERSION:
-                self.after.close()
+                self.successor.close()
                 return
-            self.deal()
-            spawn(self._tell_held(self.after))
-        elif isinstance(message, Ready):
-            self._hand_over()
+            self.divide_connections()
+            spawn_task(self._report_connection_counts(self.successor))
+        elif isinstance(message, SuccessorReady):
+            self._transfer_state()
         else:
-            self._hear(message)
-
-    def _hand_over(self) -> None:
-        core, transport, link = self.parts.core, self.parts.transport, self.after
-        self.handed = True
-        self.server.accepting(False)
-        self._unlisten()
-        module = core.module
-        members = transport.members()
-        seen = [of_worker(view) for view in module.views.values()]
-        feed_no_more(module)
-        for at in range(0, max(len(members), len(seen)), PART):
-            link.send(Workers(members[at : at + PART], seen[at : at + PART]))
+            self._handle_common_message(message)
+
+    def _transfer_state(self) -> None:
+        core, discovery_client, link = self.context.core, self.context.discovery_client, self.successor
+        self.has_transferred_state = True
+        self.server.set_accepting(False)
+        self._stop_listening()
+        scheduler = core.scheduler
+        members = discovery_client.listed_workers()
+        estimates = [export_worker(view) for view in scheduler.views.values()]
+        stop_feeding(scheduler)
+        for start in range(0, max(len(members), len(estimates)), ITEMS_PER_MESSAGE):
+            link.send(
+                WorkerEstimatesBatch(
+                    members[start : start + ITEMS_PER_MESSAGE], estimates[start : start + ITEMS_PER_MESSAGE]
+                )
+            )
         ids = list(core.open_ids())
-        for at in range(0, len(ids), PART):
-            link.send(Ids(opened=ids[at : at + PART]))
-        link.send(of_module(module, transport.revision, str(transport.discovery)))
-        link.send(Over())
+        for start in range(0, len(ids), ITEMS_PER_MESSAGE):
+            link.send(RequestIdChanges(opened=ids[start : start + ITEMS_PER_MESSAGE]))
+        link.send(
+            export_scheduler(scheduler, discovery_client.revision, str(discovery_client.discovery_address))
+        )
+        link.send(AcceptingStopped())
 
-    async def _tell_held(self, link: Link) -> None:
+    async def _report_connection_counts(self, link: HotRestartLink) -> None:
         """What the successor may not use, at each change, for as long as the link stands."""
-        told = None
-        while link.open:
-            held = self.held()
-            if held != told:
-                link.send(told := held)
-            await sleep(TELL_S)
-
-    def held(self) -> Held:
+        reported = None
+        while link.is_open:
+            counts = self.connection_counts()
+            if counts != reported:
+                link.send(reported := counts)
+            await sleep(COUNTS_INTERVAL_S)
+
+    def connection_counts(self) -> ConnectionCounts:
         """What we hold, or may still open."""
-        hops = self.parts.descriptors
-        return Held(len(self.server.table.seats), hops.held if self.leaving else max(hops.held, hops.most))
+        descriptors = self.context.descriptors
+        return ConnectionCounts(
+            len(self.server.table.connections),
+            descriptors.open_count if self.is_draining else max(descriptors.open_count, descriptors.max_open),
+        )
 
-    def _after_ended(self) -> None:
+    def _handle_successor_closed(self) -> None:
         """The successor is gone, and this process is the only one again; or all has gone to it."""
-        if self.done:
+        if self.is_finished:
             return
-        self.after, handed, self.handed = None, self.handed, False
-        self._apart()
-        if handed:
-            feed_again(self.parts.core.module)
-            self.server.accepting(True)
-            if not self.leaving:
-                self.unlisten = self.place.listen(self._come)
-        self.deal()
-
-    async def leave(self) -> bool:
+        self.successor, had_transferred_state, self.has_transferred_state = (
+            None,
+            self.has_transferred_state,
+            False,
+        )
+        self._forget_peer_requests()
+        if had_transferred_state:
+            resume_feeding(self.context.core.scheduler)
+            self.server.set_accepting(True)
+            if not self.is_draining:
+                self.stop_listening = self.rendezvous.listen(self._accept_successor)
+        self.divide_connections()
+
+    async def transfer_connections(self) -> bool:
         """After SIGTERM: pass everything on until nothing is left here; False if the successor went first."""
-        self.leaving = True
-        while self.handed and (self.server.table.seats or not self.parts.core.idle() or self.after.queue):
-            for each in list(self.server.table.seats):
-                self._pass_on(each)
-            await sleep(PASS_S)
+        self.is_draining = True
+        while self.has_transferred_state and (
+            self.server.table.connections or not self.context.core.is_idle() or self.successor.queue
+        ):
+            for each in list(self.server.table.connections):
+                self._transfer_connection(each)
+            await sleep(TRANSFER_INTERVAL_S)
         # Ended from this side, the link could lose what is still on it.
-        self.done = self.handed
-        if self.done:
-            end = IOLoop.current().time() + ANSWER_S
-            self.after.send(Bye())
-            while self.after.open and IOLoop.current().time() < end:
-                await sleep(PASS_S)
-        return self.done
-
-    def _pass_on(self, connection: SenderConnection) -> None:
+        self.is_finished = self.has_transferred_state
+        if self.is_finished:
+            deadline = IOLoop.current().time() + ANSWER_TIMEOUT_S
+            self.successor.send(PredecessorDone())
+            while self.successor.is_open and IOLoop.current().time() < deadline:
+                await sleep(TRANSFER_INTERVAL_S)
+        return self.is_finished
+
+    def _transfer_connection(self, connection: HttpClientConnection) -> None:
         """Give one connection to the successor, with the request that waits there, if it can go now."""
-        asked, link, moved = connection.asked, self.after, None
-        if link is None or not link.open:
+        pending, link, transferred_request = connection.pending_request, self.successor, None
+        if link is None or not link.is_open:
             return
-        if asked is not None and (moved := self._movable(connection, *asked)) is None:
+        if (
+            pending is not None
+            and (transferred_request := self._build_transferred_request(connection, *pending)) is None
+        ):
             return
-        given = connection.detach(LONGEST_DATA)
-        if given is None:
+        detached = connection.detach(MAX_BUFFERED_BYTES)
+        if detached is None:
             return
-        fd, data = given
-        passed = Passed(data, connection.heard, connection.asks, connection.peer)
-        if moved is None:
-            link.send(passed, fd)
+        fd, data = detached
+        transferred_connection = TransferredConnection(
+            data, connection.has_sent_request, connection.is_client, connection.peer_address
+        )
+        if transferred_request is None:
+            link.send(transferred_connection, fd)
             return
-        moved.connection = passed
-        core, request = self.parts.core, moved.envelope.id
-        for _, out in core.attempts_out(request):
-            out.hop.forget(request)
-        core.give_away(request)
-        forget(core.module, request)
-        self.gone.add(request)
-        link.send(moved, fd)
-
-    def _movable(self, connection: SenderConnection, envelope: Envelope, keep: bool) -> Moved | None:
+        transferred_request.connection = transferred_connection
+        core, request_id = self.context.core, transferred_request.request.id
+        for _, out in core.in_flight_attempts(request_id):
+            out.connection.release_attempt(request_id)
+        core.hand_over(request_id)
+        release_request(core.scheduler, request_id)
+        self.transferred_request_ids.add(request_id)
+        link.send(transferred_request, fd)
+
+    def _build_transferred_request(
+        self, connection: HttpClientConnection, request: JobRequest, keep_alive: bool
+    ) -> TransferredRequest | None:
         """What there is to tell of a request; None while an attempt of it is being sent or given up, and
         where a journal has it."""
-        core = self.parts.core
-        call, job = core.calls.get(envelope.id), core.module.jobs.get(envelope.id)
-        if call is None or call.sender is not connection or job is None or core.recorder is not None:
+        core = self.context.core
+        call, job = core.pending_requests.get(request.id), core.scheduler.jobs.get(request.id)
+        if call is None or call.client is not connection or job is None or core.recorder is not None:
             return None
-        moved = Moved(
-            Passed(b"", True, True, ""),
-            keep,
-            envelope,
-            call.deadline,
+        transferred = TransferredRequest(
+            TransferredConnection(b"", True, True, ""),
+            keep_alive,
+            request,
+            call.deadline_ms,
             job.born,
             job.spoilt,
             job.over,
-            call.sent,
-            of_job(job),
+            call.attempt_count,
+            export_attempts(job),
         )
-        for number, out in core.attempts_out(envelope.id):
-            if not isinstance(out.hop, HttpNextHop) or out.hop.open_job(envelope.id, number) is None:
+        for number, out in core.in_flight_attempts(request.id):
+            if (
+                not isinstance(out.connection, HttpWorker)
+                or out.connection.find_transferable(request.id, number) is None
+            ):
                 return None
-            moved.hop, moved.place, moved.until = out.hop.name, out.hop.place, out.until
-        return moved
+            transferred.worker_name, transferred.worker_address, transferred.expires_ms = (
+                out.connection.name,
+                out.connection.address,
+                out.expires_ms,
+            )
+        return transferred
 
     # Both.
 
-    def _connect(self, parts: Parts) -> None:
-        self.parts = parts
-        parts.core.elsewhere = self.others
-        parts.core.mirror = self._mirror
-        parts.transport.stray = self._stray
+    def _attach(self, context: HotRestartContext) -> None:
+        self.context = context
+        context.core.remote_open_ids = self.peer_request_ids
+        context.core.on_open_change = self._announce_request
+        context.discovery_client.on_unknown_callback = self._forward_callback
 
-    def linked(self) -> Link | None:
+    def peer_link(self) -> HotRestartLink | None:
         """The other process, once both know of each other."""
-        return self.after if self.handed else self.before
-
-    def two(self) -> bool:
-        return self.before is not None or self.after is not None
-
-    def _hear(self, message: Message) -> None:
-        if isinstance(message, Called) and message.request in self.gone and self.after is not None:
-            self.after.send(message)  # it met the request on its way
-        elif isinstance(message, Called):
-            event = CallBack(message.request, message.state, message.body, message.report)
-            self.parts.transport.post(Heard(message.name, event, True))
-        elif isinstance(message, Ids):
-            self.others.update(message.opened)
-            self.others.difference_update(message.ended)
-
-    def _stray(self, heard: Heard) -> None:
-        link = self.linked()
+        return self.successor if self.has_transferred_state else self.predecessor
+
+    def has_peer(self) -> bool:
+        return self.predecessor is not None or self.successor is not None
+
+    def _handle_common_message(self, message: HotRestartMessage) -> None:
+        if (
+            isinstance(message, ForwardedCallback)
+            and message.request_id in self.transferred_request_ids
+            and self.successor is not None
+        ):
+            self.successor.send(message)  # it met the request on its way
+        elif isinstance(message, ForwardedCallback):
+            event = WorkerCallback(message.request_id, message.state, message.body, message.report)
+            self.context.discovery_client.post(WorkerCallbackReceived(message.worker_name, event, True))
+        elif isinstance(message, RequestIdChanges):
+            self.peer_request_ids.update(message.opened)
+            self.peer_request_ids.difference_update(message.ended)
+
+    def _forward_callback(self, callback: WorkerCallbackReceived) -> None:
+        link = self.peer_link()
         if link is not None:
-            event = heard.event
-            link.send(Called(heard.name, event.request, event.state, event.body, event.report))
+            event = callback.callback
+            link.send(
+                ForwardedCallback(callback.worker_name, event.request, event.state, event.body, event.report)
+            )
 
-    def _mirror(self, request: str, opened: bool) -> None:
-        link = self.linked()
+    def _announce_request(self, request_id: str, is_open: bool) -> None:
+        link = self.peer_link()
         if link is not None:
-            link.send(Ids(opened=[request]) if opened else Ids(ended=[request]))
+            link.send(
+                RequestIdChanges(opened=[request_id]) if is_open else RequestIdChanges(ended=[request_id])
+            )
 
-    def _apart(self) -> None:
-        self.others.clear()
+    def _forget_peer_requests(self) -> None:
+        self.peer_request_ids.clear()
 
-    def _unlisten(self) -> None:
-        if self.unlisten is not None:
-            self.unlisten()
-            self.unlisten = None
+    def _stop_listening(self) -> None:
+        if self.stop_listening is not None:
+            self.stop_listening()
+            self.stop_listening = None
 
     def close(self) -> None:
-        self._unlisten()
-        for link in (self.before, self.after):
+        self._stop_listening()
+        for link in (self.predecessor, self.successor):
             if link is not None:
                 link.close()
--- a/spanwing/handover/learned.py
+++ b/spanwing/handover/learned.py
@@ -12,156 +12,221 @@
 
 from spanwing import interface as api
 from spanwing.choice import GUESS, HANDLERS, MISSED, Dispatcher
-from spanwing.handover.messages import Learned, Tried, WorkerSeen
+from spanwing.handover.messages import SchedulerEstimates, TransferredAttempt, WorkerEstimates
 from spanwing.state import Attempt, Job, Ledger, View
 
 
-def of_worker(view: View) -> WorkerSeen:
-    return WorkerSeen(
-        view.entry.id,
-        view.total,
-        view.learned,
-        view.held,
-        view.others,
-        None if math.isinf(view.seen) else view.seen,
-        view.heard,
-        view.tells,
-        view.rest_until,
-        view.strikes,
-        None if math.isinf(view.limit) else view.limit,
-        view.peak,
-        view.no_raise,
-        view.pace,
-        list(view.sent),
+def export_worker(worker: View) -> WorkerEstimates:
+    return WorkerEstimates(
+        worker.entry.id,
+        worker.total,
+        worker.learned,
+        worker.held,
+        worker.others,
+        None if math.isinf(worker.seen) else worker.seen,
+        worker.heard,
+        worker.tells,
+        worker.rest_until,
+        worker.strikes,
+        None if math.isinf(worker.limit) else worker.limit,
+        worker.peak,
+        worker.no_raise,
+        worker.pace,
+        list(worker.sent),
     )
 
 
-def into_worker(view: View, seen: WorkerSeen, now: float) -> None:
+def import_worker(worker: View, estimates: WorkerEstimates, now: float) -> None:
     """What the predecessor holds there counts as others', seen now."""
-    view.total, view.learned = seen.total, seen.learned
-    view.others = seen.others + seen.held
-    view.seen = now if seen.held else -math.inf if seen.seen is None else seen.seen
-    view.heard, view.tells, view.rest_until = seen.heard, seen.tells, seen.rest_until
-    view.strikes, view.limit = seen.strikes, math.inf if seen.limit is None else seen.limit
-    view.peak, view.no_raise, view.pace = seen.peak, seen.no_raise, seen.pace
-    view.sent.extend(seen.sent)
+    worker.total, worker.learned = estimates.estimated_slots, estimates.slots_reported
+    worker.others = estimates.foreign_slots + estimates.reserved_slots
+    worker.seen = (
+        now
+        if estimates.reserved_slots
+        else -math.inf
+        if estimates.last_observed_ms is None
+        else estimates.last_observed_ms
+    )
+    worker.heard, worker.tells, worker.rest_until = (
+        estimates.last_heard_ms,
+        estimates.reports_progress,
+        estimates.ejected_until_ms,
+    )
+    worker.strikes, worker.limit = (
+        estimates.ejection_count,
+        math.inf if estimates.concurrency_limit is None else estimates.concurrency_limit,
+    )
+    worker.peak, worker.no_raise, worker.pace = (
+        estimates.peak_running_slots,
+        estimates.capacity_fixed_until_ms,
+        estimates.relative_service_time,
+    )
+    worker.sent.extend(estimates.recent_work)
 
 
-def feed_no_more(module: Dispatcher) -> None:
+def stop_feeding(scheduler: Dispatcher) -> None:
     """The successor feeds the cold job workers from now on: one budget, one feeder."""
-    module.feeding, module.fed = False, []
-    for view in module.views.values():
+    scheduler.feeding, scheduler.fed = False, []
+    for view in scheduler.views.values():
         view.owner = 0.0
 
 
-def feed_again(module: Dispatcher) -> None:
+def resume_feeding(scheduler: Dispatcher) -> None:
     """There is no successor any more. What it sent is not known: feeding begins with halved parts, as after a
     restart."""
-    module.feeding, module.born = True, module.now
-    for view in module.views.values():
-        view.owner = module.feeds(view.entry.id)
-    module.divide()
+    scheduler.feeding, scheduler.born = True, scheduler.now
+    for view in scheduler.views.values():
+        view.owner = scheduler.feeds(view.entry.id)
+    scheduler.divide()
 
 
-def of_module(module: Dispatcher, revision: int | None, discovery: str) -> Learned:
-    names = [each.name for each in module.set.classes]
-    return Learned(
+def export_scheduler(scheduler: Dispatcher, revision: int | None, discovery: str) -> SchedulerEstimates:
+    class_names = [each.name for each in scheduler.set.classes]
+    return SchedulerEstimates(
         revision,
         discovery,
-        module.born,
-        dict(zip(names, module.work, strict=True)),
-        dict(module.quick),
-        dict(module.kinds),
-        module.busy,
-        module.keys,
-        module.accepts,
+        scheduler.born,
+        dict(zip(class_names, scheduler.work, strict=True)),
+        dict(scheduler.quick),
+        dict(scheduler.kinds),
+        scheduler.busy,
+        scheduler.keys,
+        scheduler.accepts,
         {
             name: (each.earned, each.spent, each.credit)
-            for name, each in module.ledgers.items()
+            for name, each in scheduler.ledgers.items()
             if name is not None
         },
     )
 
 
-def into_module(module: Dispatcher, learned: Learned, now: float) -> None:
-    module.born, module.busy, module.keys = learned.born, learned.busy, learned.keys
-    module.accepts |= learned.accepts
-    module.kinds.update(learned.kinds)
-    module.quick.update(learned.quick)
-    for name, work in learned.work.items():
-        if name in module.index:
-            module.work[module.index[name]] = work
-    for name, (earned, spent, credit) in learned.ledgers.items():
-        ledger: Ledger | None = module.ledgers.get(name)
-        if ledger is not None:
-            ledger.earned, ledger.spent, ledger.credit, ledger.at = earned, spent, credit, now
-
-
-class Resumed(NamedTuple):
+def import_scheduler(scheduler: Dispatcher, estimates: SchedulerEstimates, now: float) -> None:
+    scheduler.born, scheduler.busy, scheduler.keys = (
+        estimates.started_ms,
+        estimates.fleet_utilization,
+        estimates.sticky_share,
+    )
+    scheduler.accepts |= estimates.acceptance_reported
+    scheduler.kinds.update(estimates.slots_by_kind)
+    scheduler.quick.update(estimates.start_delay_by_zone)
+    for name, service_ms in estimates.mean_service_ms.items():
+        if name in scheduler.index:
+            scheduler.work[scheduler.index[name]] = service_ms
+    for name, (earned, spent, credit) in estimates.token_accounts.items():
+        account: Ledger | None = scheduler.ledgers.get(name)
+        if account is not None:
+            account.earned, account.spent, account.credit, account.at = (
+                earned,
+                spent,
+                credit,
+                now,
+            )
+
+
+class RequestResumed(NamedTuple):
     """An event of the module: a request that another process had, with its attempts so far."""
 
     request: api.Request
-    born: float
-    spoilt: bool
-    over: bool
-    tried: list[Tried]
+    arrived_ms: float
+    is_late: bool
+    is_over_quota: bool
+    attempts: list[TransferredAttempt]
 
 
-def of_job(job: Job) -> list[Tried]:
+def export_attempts(request: Job) -> list[TransferredAttempt]:
     return [
-        Tried(each.view.entry.id, each.at, each.open, each.started, each.noted, each.proof)
-        for each in job.attempts
+        TransferredAttempt(
+            each.view.entry.id,
+            each.at,
+            each.open,
+            each.started,
+            each.noted,
+            each.proof,
+        )
+        for each in request.attempts
     ]
 
 
-def forget(module: Dispatcher, request: str) -> None:
+def release_request(scheduler: Dispatcher, request_id: str) -> None:
     """The request is another process's from now on: nothing is decided on it here, nor held for it."""
-    job = module.jobs.pop(request)
-    module._unhold(job)
+    job = scheduler.jobs.pop(request_id)
+    scheduler._unhold(job)
     for number, attempt in enumerate(job.attempts):
         if attempt.open:
-            del module.open[request, number]
-            attempt.open, view = False, attempt.view
-            view.held -= job.req.slots
-            view.memory -= job.req.memory
-            view.running -= job.req.slots if attempt.started else 0
+            del scheduler.open[request_id, number]
+            attempt.open, worker = False, attempt.view
+            worker.held -= job.req.slots
+            worker.memory -= job.req.memory
+            worker.running -= job.req.slots if attempt.started else 0
 
 
-def _resumed(module: Dispatcher, event: Resumed) -> None:
+def _resume_request(scheduler: Dispatcher, event: RequestResumed) -> None:
     """As if this module had begun it: the same counts, the same alarms from the same moments."""
     req = event.request
-    index = module.index.get(req.cls, 0)
-    job = Job(req, module.set.classes[index], index, event.born, spoilt=event.spoilt, over=event.over)
-    module.jobs[req.id] = job
-    module.alarms.add(req.deadline, module._end, job)
-    for number, told in enumerate(event.tried):
-        view = module.views.get(told.worker)
-        if view is None:  # gone from the list, and what it has may still end
-            view = module.views[told.worker] = View(api.Worker(told.worker, "gone"), False, GUESS)
-        attempt = Attempt(job, view, told.at, told.open, told.started, told.noted, told.proof)
+    index = scheduler.index.get(req.cls, 0)
+    job = Job(
+        req,
+        scheduler.set.classes[index],
+        index,
+        event.arrived_ms,
+        spoilt=event.is_late,
+        over=event.is_over_quota,
+    )
+    scheduler.jobs[req.id] = job
+    scheduler.alarms.add(req.deadline, scheduler._end, job)
+    for number, transferred in enumerate(event.attempts):
+        worker = scheduler.views.get(transferred.worker_id)
+        if worker is None:  # gone from the list, and what it has may still end
+            worker = scheduler.views[transferred.worker_id] = View(
+                api.Worker(transferred.worker_id, "gone"), False, GUESS
+            )
+        attempt = Attempt(
+            job,
+            worker,
+            transferred.forwarded_ms,
+            transferred.is_open,
+            transferred.started_ms,
+            transferred.last_progress_ms,
+            transferred.never_ran,
+        )
         job.attempts.append(attempt)
-        if told.open:
-            module.open[req.id, number] = attempt
-            _hold_slots(module, attempt, number)
+        if transferred.is_open:
+            scheduler.open[req.id, number] = attempt
+            _reserve_slots(scheduler, attempt, number)
     if not any(each.open for each in job.attempts):
-        module._hold(job)
-        module._drain()
+        scheduler._hold(job)
+        scheduler._drain()
 
 
-def _hold_slots(module: Dispatcher, attempt: Attempt, number: int) -> None:
-    job, view, settings = attempt.job, attempt.view, module.set
-    view.others = max(0.0, view.others - job.req.slots)  # counted there until now
-    view.held += job.req.slots
-    view.memory += job.req.memory
-    quick = module.quick.get(view.entry.zone, 10.0)
+def _reserve_slots(scheduler: Dispatcher, attempt: Attempt, number: int) -> None:
+    job, worker, settings = attempt.job, attempt.view, scheduler.set
+    worker.others = max(0.0, worker.others - job.req.slots)  # counted there until now
+    worker.held += job.req.slots
+    worker.memory += job.req.memory
+    start_delay_ms = scheduler.quick.get(worker.entry.zone, 10.0)
     if attempt.started:
-        view.running += job.req.slots
-        view.peak = max(view.peak, view.running)
+        worker.running += job.req.slots
+        worker.peak = max(worker.peak, worker.running)
     elif settings.tells_start:
-        module.alarms.add(attempt.at + 3.0 * quick + 2 * settings.tick, module._late_start, attempt, number)
+        scheduler.alarms.add(
+            attempt.at + 3.0 * start_delay_ms + 2 * settings.tick,
+            scheduler._late_start,
+            attempt,
+            number,
+        )
     if attempt.noted and settings.progress > 0 and settings.cancel:
-        module.alarms.add(attempt.noted + MISSED * settings.progress, module._unheard, attempt, number)
-    module.alarms.add(attempt.at + quick + 4.0 * module.work[job.index], module._silent, attempt, number)
+        scheduler.alarms.add(
+            attempt.noted + MISSED * settings.progress,
+            scheduler._unheard,
+            attempt,
+            number,
+        )
+    scheduler.alarms.add(
+        attempt.at + start_delay_ms + 4.0 * scheduler.work[job.index],
+        scheduler._silent,
+        attempt,
+        number,
+    )
 
 
-HANDLERS[Resumed] = _resumed
+HANDLERS[RequestResumed] = _resume_request
--- a/spanwing/handover/link.py
+++ b/spanwing/handover/link.py
@@ -19,36 +19,36 @@
 import msgspec
 from tornado.ioloop import IOLoop
 
-from spanwing.handover.messages import LONGEST, Message, decode, encode
+from spanwing.handover.messages import MAX_MESSAGE_BYTES, HotRestartMessage, decode_message, encode_message
 
-MOST = 5000  # messages that wait to be sent
-AT_ONCE = 64  # messages read in one turn of the loop
+MAX_QUEUED_MESSAGES = 5000  # messages that wait to be sent
+MAX_READS_PER_EVENT = 64  # messages read in one turn of the loop
 
 
-class Link:
+class HotRestartLink:
     """One end; hear is called with each message and its descriptor, which is then the hearer's to close."""
 
     def __init__(self, sock: socket.socket) -> None:
-        self.sock, self.loop, self.open = sock, IOLoop.current(), True
-        self.hear: Callable[[Message, int | None], None] = lambda message, fd: None
-        self.ended: Callable[[], None] = lambda: None
+        self.sock, self.loop, self.is_open = sock, IOLoop.current(), True
+        self.on_message: Callable[[HotRestartMessage, int | None], None] = lambda message, fd: None
+        self.on_close: Callable[[], None] = lambda: None
         self.queue: deque[tuple[bytes, int | None]] = deque()
         sock.setblocking(False)
-        self.loop.add_handler(sock.fileno(), self._event, IOLoop.READ)
+        self.loop.add_handler(sock.fileno(), self._handle_events, IOLoop.READ)
 
-    def send(self, message: Message, fd: int | None = None) -> None:
-        data = encode(message)
-        if not self.open or len(data) > LONGEST or len(self.queue) >= MOST:
+    def send(self, message: HotRestartMessage, fd: int | None = None) -> None:
+        data = encode_message(message)
+        if not self.is_open or len(data) > MAX_MESSAGE_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES:
             if fd is not None:
                 os.close(fd)
-            if self.open:
+            if self.is_open:
                 self.close()
             return
         self.queue.append((data, fd))
         if len(self.queue) == 1:
-            self._write()
+            self._flush()
 
-    def _write(self) -> None:
+    def _flush(self) -> None:
         try:
             while self.queue:
                 data, fd = self.queue[0]
@@ -63,16 +63,16 @@
             return
         self.loop.update_handler(self.sock.fileno(), IOLoop.READ | (IOLoop.WRITE if self.queue else 0))
 
-    def _event(self, _: int, events: int) -> None:
-        if events & IOLoop.WRITE and self.open:
-            self._write()
-        for _ in range(AT_ONCE):
-            if not self.open or not self._read():
+    def _handle_events(self, _: int, events: int) -> None:
+        if events & IOLoop.WRITE and self.is_open:
+            self._flush()
+        for _ in range(MAX_READS_PER_EVENT):
+            if not self.is_open or not self._read_message():
                 return
 
-    def _read(self) -> bool:
+    def _read_message(self) -> bool:
         try:
-            data, fds, flags, _ = socket.recv_fds(self.sock, LONGEST, 4)
+            data, fds, flags, _ = socket.recv_fds(self.sock, MAX_MESSAGE_BYTES, 4)
         except BlockingIOError:
             return False
         except OSError:
@@ -83,40 +83,40 @@
         try:
             if flags & socket.MSG_TRUNC:
                 raise ValueError("a message too long")
-            message = decode(data)
+            message = decode_message(data)
         except (ValueError, msgspec.MsgspecError):  # the other side has closed, or is no kin of ours
             if fd is not None:
                 os.close(fd)
             self.close()
             return False
-        self.hear(message, fd)
+        self.on_message(message, fd)
         return True
 
     def close(self) -> None:
-        if not self.open:
+        if not self.is_open:
             return
-        self.open = False
+        self.is_open = False
         self.loop.remove_handler(self.sock.fileno())
         self.sock.close()
         while self.queue:
             _, fd = self.queue.popleft()
             if fd is not None:
                 os.close(fd)
-        self.loop.add_callback(self.ended)
+        self.loop.add_callback(self.on_close)
 
 
-class Place:
+class RendezvousSocket:
     """Where the successor finds us: a Unix socket in a folder, however long the folder's path is."""
 
-    def __init__(self, folder: str, listening: str) -> None:
+    def __init__(self, folder: str, client_address: str) -> None:
         """listening: the clients' address, as other schedulers may use the same folder."""
-        self.folder, self.name = folder, f"spanwing-{listening}"
+        self.folder, self.socket_name = folder, f"spanwing-{client_address}"
 
     def _path(self, folder: int) -> str:
         # The kernel bounds a socket's path at 108 bytes; that of an open folder is short.
-        return f"/proc/self/fd/{folder}/{self.name}"
+        return f"/proc/self/fd/{folder}/{self.socket_name}"
 
-    def call(self) -> Link | None:
+    def connect(self) -> HotRestartLink | None:
         """A link to whoever listens there; None where nobody does."""
         sock = None
         try:
@@ -133,18 +133,18 @@
             return None
         finally:
             os.close(folder)
-        return Link(sock)
+        return HotRestartLink(sock)
 
-    def listen(self, accept: Callable[[Link], None]) -> Callable[[], None]:
+    def listen(self, on_connect: Callable[[HotRestartLink], None]) -> Callable[[], None]:
         """Listen, in the place of whoever did; returns what ends it. Raises OSError."""
         folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
             with suppress(FileNotFoundError):
-                os.unlink(self.name, dir_fd=folder)
+                os.unlink(self.socket_name, dir_fd=folder)
             sock.bind(self._path(folder))
-            os.chmod(self.name, 0o600, dir_fd=folder)
-            ours = os.stat(self.name, dir_fd=folder)
+            os.chmod(self.socket_name, 0o600, dir_fd=folder)
+            own_stat = os.stat(self.socket_name, dir_fd=folder)
         except OSError:
             sock.close()
             raise
@@ -154,19 +154,19 @@
         sock.listen(4)
         loop = IOLoop.current()
 
-        def come(_: int, __: int) -> None:
+        def accept_connection(_: int, __: int) -> None:
             with suppress(OSError):
-                accept(Link(sock.accept()[0]))
+                on_connect(HotRestartLink(sock.accept()[0]))
 
-        loop.add_handler(sock.fileno(), come, IOLoop.READ)
+        loop.add_handler(sock.fileno(), accept_connection, IOLoop.READ)
 
         def close() -> None:
             loop.remove_handler(sock.fileno())
             sock.close()
-            path = Path(self.folder) / self.name
+            path = Path(self.folder) / self.socket_name
             with suppress(OSError):
                 there = path.stat()
-                if (there.st_dev, there.st_ino) == (ours.st_dev, ours.st_ino):
+                if (there.st_dev, there.st_ino) == (own_stat.st_dev, own_stat.st_ino):
                     path.unlink()
 
         return close
--- a/spanwing/health/cpu.py
+++ b/spanwing/health/cpu.py
@@ -13,19 +13,19 @@
 from collections import deque
 from typing import NamedTuple
 
-from spanwing.health.signals import Cpu
+from spanwing.health.signals import CpuUsage
 
-MOST = 64
-ROBBED_S, ROBBED_BUSY, ROBBED_SHARE = 0.15, 0.97, 0.5
+MAX_READINGS = 64
+CONTENTION_WINDOW_S, CONTENTION_BUSY_RATIO, CONTENTION_STOLEN_RATIO = 0.15, 0.97, 0.5
 
 
-class Reading(NamedTuple):
+class CpuReading(NamedTuple):
     """Cumulative, in seconds of one clock each."""
 
-    wall: float
-    cpu: float  # of the whole process
-    busy: float | None  # the loop outside its wait for input; None: not metered
-    late: float  # by which the timer that took this reading came after its time
+    wall_s: float
+    cpu_s: float  # of the whole process
+    busy_s: float | None  # the loop outside its wait for input; None: not metered
+    late_s: float  # by which the timer that took this reading came after its time
 
 
 class CpuMeter:
@@ -34,36 +34,48 @@
     def __init__(self, cores: float = 1.0, window_s: float = 0.3) -> None:
         assert cores > 0 and window_s > 0
         self.cores, self.window_s = cores, window_s
-        self.readings: deque[Reading] = deque(maxlen=MOST)
+        self.readings: deque[CpuReading] = deque(maxlen=MAX_READINGS)
 
-    def read(self, reading: Reading) -> Cpu:
+    def add_reading(self, reading: CpuReading) -> CpuUsage:
         """Take a reading; returns the figures up to it."""
         readings = self.readings
         readings.append(reading)
         # The first reading kept is the last one that is older than the window: its end is where ours begins.
-        while len(readings) > 2 and readings[1].wall <= reading.wall - self.window_s:
+        while len(readings) > 2 and readings[1].wall_s <= reading.wall_s - self.window_s:
             readings.popleft()
-        first = readings[0]
-        wall = reading.wall - first.wall
+        oldest = readings[0]
+        wall = reading.wall_s - oldest.wall_s
         if wall <= 0:
-            return Cpu()
-        cpu = max(0.0, reading.cpu - first.cpu)
+            return CpuUsage()
+        cpu = max(0.0, reading.cpu_s - oldest.cpu_s)
         used = cpu / (wall * self.cores)
-        lag_ms = 1000.0 * max(each.late for each in list(readings)[1:])
-        if reading.busy is None or first.busy is None:
+        lag_ms = 1000.0 * max(each.late_s for each in list(readings)[1:])
+        if reading.busy_s is None or oldest.busy_s is None:
             # Without the loop's meter, late timers are the only sight of CPU that was wanted and not given.
-            lost = sum(each.late for each in list(readings)[1:])
-            return Cpu(used, min(1.0, max(used, (cpu + lost) / wall)), min(1.0, lost / wall), lag_ms)
-        busy = min(wall, max(0.0, reading.busy - first.busy))
-        return Cpu(
-            used, min(1.0, max(used, busy / wall)), max(0.0, busy - cpu) / wall, lag_ms, self._robbed(reading)
+            waited_s = sum(each.late_s for each in list(readings)[1:])
+            return CpuUsage(
+                used, min(1.0, max(used, (cpu + waited_s) / wall)), min(1.0, waited_s / wall), lag_ms
+            )
+        busy = min(wall, max(0.0, reading.busy_s - oldest.busy_s))
+        return CpuUsage(
+            used,
+            min(1.0, max(used, busy / wall)),
+            max(0.0, busy - cpu) / wall,
+            lag_ms,
+            self._is_contended(reading),
         )
 
-    def _robbed(self, last: Reading) -> bool:
+    def _is_contended(self, latest: CpuReading) -> bool:
         """Over the last ROBBED_S or a little more: a neighbour that takes most of the core fills the queue
         within a few hundred ms, and the whole window would tell too late."""
-        first = next((each for each in reversed(self.readings) if each.wall <= last.wall - ROBBED_S), None)
-        if first is None or first.busy is None:
+        earlier = next(
+            (each for each in reversed(self.readings) if each.wall_s <= latest.wall_s - CONTENTION_WINDOW_S),
+            None,
+        )
+        if earlier is None or earlier.busy_s is None:
             return False
-        wall, busy = last.wall - first.wall, last.busy - first.busy
-        return busy >= ROBBED_BUSY * wall and busy - (last.cpu - first.cpu) >= ROBBED_SHARE * wall
+        wall, busy = latest.wall_s - earlier.wall_s, latest.busy_s - earlier.busy_s
+        return (
+            busy >= CONTENTION_BUSY_RATIO * wall
+            and busy - (latest.cpu_s - earlier.cpu_s) >= CONTENTION_STOLEN_RATIO * wall
+        )
--- a/spanwing/health/drain.py
+++ b/spanwing/health/drain.py
@@ -10,54 +10,56 @@
 import math
 from typing import Literal
 
-Source = Literal["signal", "command", "store"]
-Phase = Literal["none", "notice", "closed"]
+DrainSource = Literal["signal", "command", "store"]
+DrainPhase = Literal["none", "notice", "closed"]
 
 
-class Drains:
+class DrainOrders:
     """The orders that stand."""
 
     def __init__(self, notice_ms: float) -> None:
         self.notice_s = notice_ms / 1000.0
-        self.orders: dict[Source, float] = {}  # when each wants it done, of the caller's clock in seconds
-        self.since: float | None = None
+        self.deadlines: dict[
+            DrainSource, float
+        ] = {}  # when each wants it done, of the caller's clock in seconds
+        self.started_at_s: float | None = None
 
-    def order(self, source: Source, now: float, within_s: float = math.inf) -> bool:
+    def add(self, source: DrainSource, now: float, within_s: float = math.inf) -> bool:
         """Ask for a drain, with all answered after within_s; whether it begins now."""
-        begins = not self.orders
-        if begins:
-            self.since = now
-        self.orders[source] = now + within_s
-        return begins
+        is_first = not self.deadlines
+        if is_first:
+            self.started_at_s = now
+        self.deadlines[source] = now + within_s
+        return is_first
 
-    def withdraw(self, source: Source) -> bool:
+    def withdraw(self, source: DrainSource) -> bool:
         """Whether the drain ends."""
-        if source == "signal" or self.orders.pop(source, None) is None:
+        if source == "signal" or self.deadlines.pop(source, None) is None:
             return False
-        if self.orders:
+        if self.deadlines:
             return False
-        self.since = None
+        self.started_at_s = None
         return True
 
     @property
-    def active(self) -> bool:
-        return bool(self.orders)
+    def is_draining(self) -> bool:
+        return bool(self.deadlines)
 
     @property
-    def end(self) -> float:
+    def earliest_deadline_s(self) -> float:
         """When the first of the orders wants all answered."""
-        return min(self.orders.values(), default=math.inf)
+        return min(self.deadlines.values(), default=math.inf)
 
     @property
-    def closes(self) -> float:
+    def notice_ends_at_s(self) -> float:
         """When the notice ends; never where no drain stands."""
-        return math.inf if self.since is None else self.since + self.notice_s
+        return math.inf if self.started_at_s is None else self.started_at_s + self.notice_s
 
-    def phase(self, now: float) -> Phase:
+    def phase(self, now: float) -> DrainPhase:
         """notice: balancers still learn of it and new work is taken; closed: it is turned away."""
-        if self.since is None:
+        if self.started_at_s is None:
             return "none"
-        return "notice" if now < self.closes else "closed"
+        return "notice" if now < self.notice_ends_at_s else "closed"
 
-    def text(self) -> str:
-        return "draining, asked for by " + " and ".join(sorted(self.orders))
+    def describe(self) -> str:
+        return "draining, asked for by " + " and ".join(sorted(self.deadlines))
--- a/spanwing/health/policy.py
+++ b/spanwing/health/policy.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class HealthSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Defaults suit checks every second; wrong values raise ValueError naming the setting."""
 
     notice_ms: float = 1750.0  # from a drain's announcement on new work is still taken: balancers hear of it
