--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/hops/faktoryworker.py
@@ -13,345 +13,367 @@
 from spanwing import interface as api
 from spanwing.actor import Actor
 from spanwing.core.messages import (
-    Accepted,
-    Delivery,
-    Ended,
-    Envelope,
-    LastByte,
-    Listed,
-    Listener,
-    Probed,
-    Started,
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptListener,
+    AttemptProgress,
+    DeliveryAttempt,
+    EndpointsChanged,
+    JobRequest,
+    LastByteSent,
+    ProbeEnded,
 )
-from spanwing.hops.hop import Deliver, GiveUp, HopActor, Probe, Withdraw
-from spanwing.hops.transportmap import number_of
-
-JOB_MEDIA = "application/vnd.faktory.job+json"
-WAITING = 8  # jobs that may wait for a worker's FETCH, as in a job worker's queue
-FETCH_S = 2.0  # an empty FETCH is answered after this
-SILENT_S = 60.0  # a worker that has not sent a BEAT for so long is gone
-STATES: dict[str, api.State] = {"quiet": "draining", "terminate": "draining", "terminating": "draining"}
+from spanwing.hops.hop import (
+    CancelDelivery,
+    DeliverAttempt,
+    ProbeRequested,
+    WithdrawAttempt,
+    WorkerConnectionActor,
+)
+from spanwing.hops.transportmap import worker_id_of
+
+JOB_CONTENT_TYPE = "application/vnd.faktory.job+json"
+MAX_QUEUED_JOBS = 8  # jobs that may wait for a worker's FETCH, as in a job worker's queue
+FETCH_TIMEOUT_S = 2.0  # an empty FETCH is answered after this
+HEARTBEAT_TIMEOUT_S = 60.0  # a worker that has not sent a BEAT for so long is gone
+WORKER_STATES: dict[str, api.State] = {
+    "quiet": "draining",
+    "terminate": "draining",
+    "terminating": "draining",
+}
 
-Handed = tuple[bytes, Callable[[bool], None]]
+FetchedJob = tuple[bytes, Callable[[bool], None]]
 
 
-class Fetch(NamedTuple):
+class FetchRequested(NamedTuple):
     """A free slot: the future gets a job's bytes and what to call once they are written, or None."""
 
     queues: tuple[str, ...]
-    reply: Future[Handed | None]
+    reply: Future[FetchedJob | None]
 
 
-class Written(NamedTuple):
+class JobWritten(NamedTuple):
     """Whether the bytes of a job reached the worker's connection whole."""
 
     request: str
     number: int
-    whole: bool
+    is_complete: bool
 
 
-class Permitted(NamedTuple):
+class JobPermitted(NamedTuple):
     """Whether a job that has to be written down first may be handed over."""
 
     request: str
     number: int
-    may: bool
+    may_send: bool
 
 
-class Finished(NamedTuple):
+class JobFinished(NamedTuple):
     """ACK or FAIL."""
 
     request: str
     result: api.Result
 
 
-class Vanished(NamedTuple):
+class WorkerVanished(NamedTuple):
     """The worker's last connection ended, or it fell silent."""
 
 
 @dataclass(slots=True, eq=False)
-class Job:
+class FaktoryAttempt:
     """A delivery attempt here that has not ended."""
 
-    delivery: Delivery
-    listener: Listener
-    handed: bool = False
-    permitted: bool = False
-    slot: Slot | None = None  # kept for it while its intent is on its way to the disk
+    delivery: DeliveryAttempt
+    listener: AttemptListener
+    is_handed_out: bool = False
+    is_permitted: bool = False
+    reserved_fetch: WaitingFetch | None = None  # kept for it while its intent is on its way to the disk
 
 
 @dataclass(slots=True, eq=False)
-class Slot:
+class WaitingFetch:
     """A FETCH that waits."""
 
-    fetch: Fetch
+    fetch: FetchRequested
     timer: object
 
 
-def job_bytes(envelope: Envelope) -> bytes:
+def encode_job(request: JobRequest) -> bytes:
     """The job as a worker gets it: its own text where it came by Faktory, else one made of the envelope."""
-    if envelope.media == JOB_MEDIA:
-        return envelope.body
+    if request.media == JOB_CONTENT_TYPE:
+        return request.body
     return msgspec.json.encode(
         {
-            "jid": envelope.id,
-            "queue": envelope.cls,
-            "jobtype": envelope.cls,
-            "args": [envelope.target, envelope.body.decode("utf-8", "replace")],
-            "custom": {"effect_key": envelope.effect_key},
+            "jid": request.id,
+            "queue": request.cls,
+            "jobtype": request.cls,
+            "args": [request.target, request.body.decode("utf-8", "replace")],
+            "custom": {"effect_key": request.effect_key},
         }
     )
 
 
-class FaktoryNextHop(HopActor):
+class FaktoryWorker(WorkerConnectionActor):
     """A job worker that fetches. Each delivery ends in one Ended; a late ACK changes nothing."""
 
-    asks = True  # a job may wait here for its FETCH: until one comes nothing can leave
+    records_intent_itself = True  # a job may wait here for its FETCH: until one comes nothing can leave
 
-    def __init__(self, name: str, place: str) -> None:
+    def __init__(self, name: str, address: str) -> None:
         super().__init__()
-        self.name, self.place = name, place
-        self.jobs: dict[str, Job] = {}
-        self.waiting: deque[Job] = deque()
-        self.slots: deque[Slot] = deque()
-
-    def _deliver(self, message: Deliver) -> None:
-        job = Job(*message)
-        envelope = job.delivery.envelope
-        if envelope.id in self.jobs:  # one attempt of a request at a time goes to a job worker
-            job.listener.post(Ended(envelope.id, job.delivery.number, "moot", unsent=True))
+        self.name, self.address = name, address
+        self.attempts: dict[str, FaktoryAttempt] = {}
+        self.queued_attempts: deque[FaktoryAttempt] = deque()
+        self.waiting_fetches: deque[WaitingFetch] = deque()
+
+    def _handle_deliver(self, message: DeliverAttempt) -> None:
+        attempt = FaktoryAttempt(*message)
+        request = attempt.delivery.request
+        if request.id in self.attempts:  # one attempt of a request at a time goes to a job worker
+            attempt.listener.post(AttemptEnded(request.id, attempt.delivery.number, "moot", is_unsent=True))
             return
-        self.jobs[envelope.id] = job
-        self._place(job)
+        self.attempts[request.id] = attempt
+        self._assign_fetch(attempt)
 
-    def _place(self, job: Job) -> None:
+    def _assign_fetch(self, attempt: FaktoryAttempt) -> None:
         """To a FETCH that waits, or among those that wait for one."""
-        slot = next(
+        waiting_fetch = next(
             (
                 each
-                for each in self.slots
-                if job.delivery.envelope.cls in each.fetch.queues and not each.fetch.reply.done()
+                for each in self.waiting_fetches
+                if attempt.delivery.request.cls in each.fetch.queues and not each.fetch.reply.done()
             ),
             None,
         )
-        if slot is not None:
-            self.slots.remove(slot)
-            self._hand(job, slot)
+        if waiting_fetch is not None:
+            self.waiting_fetches.remove(waiting_fetch)
+            self._hand_out(attempt, waiting_fetch)
             return
-        if len(self.waiting) >= WAITING:
-            self._end(job, "full")
+        if len(self.queued_attempts) >= MAX_QUEUED_JOBS:
+            self._end_attempt(attempt, "full")
         else:
-            self.waiting.append(job)
-            job.listener.post(Accepted(job.delivery.envelope.id, job.delivery.number))
+            self.queued_attempts.append(attempt)
+            attempt.listener.post(AttemptAccepted(attempt.delivery.request.id, attempt.delivery.number))
 
-    def _fetch(self, fetch: Fetch) -> None:
+    def _handle_fetch(self, fetch: FetchRequested) -> None:
         if fetch.reply.done():
             return
-        slot = Slot(fetch, None)
-        for job in self.waiting:
-            if job.delivery.envelope.cls in fetch.queues:
-                self.waiting.remove(job)
-                self._hand(job, slot)
+        waiting_fetch = WaitingFetch(fetch, None)
+        for attempt in self.queued_attempts:
+            if attempt.delivery.request.cls in fetch.queues:
+                self.queued_attempts.remove(attempt)
+                self._hand_out(attempt, waiting_fetch)
                 return
 
-        def empty() -> None:
-            if slot in self.slots:
-                self.slots.remove(slot)
+        def answer_empty() -> None:
+            if waiting_fetch in self.waiting_fetches:
+                self.waiting_fetches.remove(waiting_fetch)
             if not fetch.reply.done():
                 fetch.reply.set_result(None)
 
-        slot.timer = self.loop.call_later(FETCH_S, empty)
-        self.slots.append(slot)
-
-    def _hand(self, job: Job, slot: Slot) -> None:
-        if slot.timer is not None:
-            self.loop.remove_timeout(slot.timer)
-        if job.delivery.may is not None and not job.delivery.may():  # the moment of use: it has waited
-            job.slot = slot
-            self._end(job, "moot")
+        waiting_fetch.timer = self.loop.call_later(FETCH_TIMEOUT_S, answer_empty)
+        self.waiting_fetches.append(waiting_fetch)
+
+    def _hand_out(self, attempt: FaktoryAttempt, waiting_fetch: WaitingFetch) -> None:
+        if waiting_fetch.timer is not None:
+            self.loop.remove_timeout(waiting_fetch.timer)
+        if (
+            attempt.delivery.may_send is not None and not attempt.delivery.may_send()
+        ):  # the moment of use: it has waited
+            attempt.reserved_fetch = waiting_fetch
+            self._end_attempt(attempt, "moot")
             return
-        if job.delivery.intent is not None and not job.permitted:
-            job.slot, key = slot, (job.delivery.envelope.id, job.delivery.number)
-            job.delivery.intent(lambda may: self.post(Permitted(*key, may)))
+        if attempt.delivery.record_intent is not None and not attempt.is_permitted:
+            attempt.reserved_fetch, key = (
+                waiting_fetch,
+                (attempt.delivery.request.id, attempt.delivery.number),
+            )
+            attempt.delivery.record_intent(lambda may: self.post(JobPermitted(*key, may)))
             return
-        job.handed = True
-        key = (job.delivery.envelope.id, job.delivery.number)
-        slot.fetch.reply.set_result(
-            (job_bytes(job.delivery.envelope), lambda whole: self.post(Written(*key, whole)))
+        attempt.is_handed_out = True
+        key = (attempt.delivery.request.id, attempt.delivery.number)
+        waiting_fetch.fetch.reply.set_result(
+            (encode_job(attempt.delivery.request), lambda whole: self.post(JobWritten(*key, whole)))
         )
 
-    def _permitted(self, permitted: Permitted) -> None:
-        job = self.jobs.get(permitted.request)
-        if job is None or job.delivery.number != permitted.number or job.slot is None:
+    def _handle_permitted(self, permitted: JobPermitted) -> None:
+        attempt = self.attempts.get(permitted.request)
+        if attempt is None or attempt.delivery.number != permitted.number or attempt.reserved_fetch is None:
             return
-        if not permitted.may:
-            self._end(job, "moot")
+        if not permitted.may_send:
+            self._end_attempt(attempt, "moot")
             return
-        job.permitted, slot, job.slot = True, job.slot, None
-        if slot.fetch.reply.done():  # its connection ended meanwhile
-            self._place(job)
+        attempt.is_permitted, waiting_fetch, attempt.reserved_fetch = True, attempt.reserved_fetch, None
+        if waiting_fetch.fetch.reply.done():  # its connection ended meanwhile
+            self._assign_fetch(attempt)
         else:
-            self._hand(job, slot)
+            self._hand_out(attempt, waiting_fetch)
 
-    def _written(self, written: Written) -> None:
-        job = self.jobs.get(written.request)
-        if job is None or job.delivery.number != written.number:
+    def _handle_written(self, written: JobWritten) -> None:
+        attempt = self.attempts.get(written.request)
+        if attempt is None or attempt.delivery.number != written.number:
             return
-        if written.whole:
-            job.listener.post(LastByte(written.request, written.number))
-            job.listener.post(Started(written.request, written.number, True))
+        if written.is_complete:
+            attempt.listener.post(LastByteSent(written.request, written.number))
+            attempt.listener.post(AttemptProgress(written.request, written.number, True))
         else:  # the job's last byte was never written: it cannot have run
-            self._end(job, "unreachable", unsent=True)
+            self._end_attempt(attempt, "unreachable", is_unsent=True)
 
-    def _finished(self, finished: Finished) -> None:
-        job = self.jobs.get(finished.request)
-        if job is not None and job.handed:
-            self._end(job, finished.result)
+    def _handle_finished(self, finished: JobFinished) -> None:
+        attempt = self.attempts.get(finished.request)
+        if attempt is not None and attempt.is_handed_out:
+            self._end_attempt(attempt, finished.result)
 
-    def _give_up(self, message: GiveUp) -> None:
-        job = self.jobs.get(message.request)
-        if job is not None and job.delivery.number == message.number:
+    def _handle_cancel(self, message: CancelDelivery) -> None:
+        attempt = self.attempts.get(message.request)
+        if attempt is not None and attempt.delivery.number == message.number:
             # What no FETCH has taken never ran, and says so: an unsafe job may then be refused, not failed.
-            self._end(job, message.result if job.handed else "full")
-
-    def _withdraw(self, message: Withdraw) -> None:
-        job = self.jobs.get(message.request)
-        if job is not None and job.delivery.number == message.number and not job.handed:
-            self._end(job, "moot")
-
-    def _vanished(self, _: Vanished) -> None:
-        for job in list(self.jobs.values()):
-            self._end(job, "reset" if job.handed else "unreachable")
-
-    def _end(self, job: Job, result: api.Result, unsent: bool = False) -> None:
-        del self.jobs[job.delivery.envelope.id]
-        if job in self.waiting:
-            self.waiting.remove(job)
-        if job.slot is not None:  # another may have what was kept for it
-            slot, job.slot = job.slot, None
-            self._fetch(slot.fetch)
-        job.listener.post(
-            Ended(job.delivery.envelope.id, job.delivery.number, result, unsent=unsent or not job.handed)
+            self._end_attempt(attempt, message.result if attempt.is_handed_out else "full")
+
+    def _handle_withdraw(self, message: WithdrawAttempt) -> None:
+        attempt = self.attempts.get(message.request)
+        if attempt is not None and attempt.delivery.number == message.number and not attempt.is_handed_out:
+            self._end_attempt(attempt, "moot")
+
+    def _handle_vanished(self, _: WorkerVanished) -> None:
+        for attempt in list(self.attempts.values()):
+            self._end_attempt(attempt, "reset" if attempt.is_handed_out else "unreachable")
+
+    def _end_attempt(self, attempt: FaktoryAttempt, result: api.Result, is_unsent: bool = False) -> None:
+        del self.attempts[attempt.delivery.request.id]
+        if attempt in self.queued_attempts:
+            self.queued_attempts.remove(attempt)
+        if attempt.reserved_fetch is not None:  # another may have what was kept for it
+            waiting_fetch, attempt.reserved_fetch = attempt.reserved_fetch, None
+            self._handle_fetch(waiting_fetch.fetch)
+        attempt.listener.post(
+            AttemptEnded(
+                attempt.delivery.request.id,
+                attempt.delivery.number,
+                result,
+                is_unsent=is_unsent or not attempt.is_handed_out,
+            )
         )
 
-    def _probe(self, probe: Probe) -> None:
-        probe.listener.post(Probed(api.ProbeResult(probe.worker, "ok", 0.0)))
+    def _handle_probe(self, probe: ProbeRequested) -> None:
+        probe.listener.post(ProbeEnded(api.ProbeResult(probe.worker, "ok", 0.0)))
 
 
-FaktoryNextHop.handlers = {
-    Deliver: FaktoryNextHop._deliver,
-    GiveUp: FaktoryNextHop._give_up,
-    Fetch: FaktoryNextHop._fetch,
-    Permitted: FaktoryNextHop._permitted,
-    Written: FaktoryNextHop._written,
-    Withdraw: FaktoryNextHop._withdraw,
-    Finished: FaktoryNextHop._finished,
-    Vanished: FaktoryNextHop._vanished,
-    Probe: FaktoryNextHop._probe,
+FaktoryWorker.handlers = {
+    DeliverAttempt: FaktoryWorker._handle_deliver,
+    CancelDelivery: FaktoryWorker._handle_cancel,
+    FetchRequested: FaktoryWorker._handle_fetch,
+    JobPermitted: FaktoryWorker._handle_permitted,
+    JobWritten: FaktoryWorker._handle_written,
+    WithdrawAttempt: FaktoryWorker._handle_withdraw,
+    JobFinished: FaktoryWorker._handle_finished,
+    WorkerVanished: FaktoryWorker._handle_vanished,
+    ProbeRequested: FaktoryWorker._handle_probe,
 }
 
 
-class Join(NamedTuple):
+class WorkerJoined(NamedTuple):
     """A connection said HELLO with a wid; the future gets the worker's next hop."""
 
     wid: str
     labels: dict[str, str]
-    peer: str
-    hop: Future[FaktoryNextHop]
+    peer_address: str
+    worker: Future[FaktoryWorker]
 
 
-class Beat(NamedTuple):
+class HeartbeatReceived(NamedTuple):
     wid: str
     state: str
 
 
-class Leave(NamedTuple):
+class ConnectionClosed(NamedTuple):
     """A connection of a worker has ended."""
 
     wid: str
 
 
-class Silent(NamedTuple):
+class HeartbeatMissed(NamedTuple):
     """No BEAT came in time."""
 
     wid: str
 
 
 @dataclass(slots=True, eq=False)
-class Member:
+class FaktoryMember:
     """What the list knows of a worker."""
 
-    entry: api.Worker
-    hop: FaktoryNextHop
-    connections: int
-    timer: object
+    endpoint: api.Worker
+    worker: FaktoryWorker
+    connection_count: int
+    heartbeat_timer: object
 
 
-class FaktoryWorkers(Actor):
+class FaktoryWorkerDirectory(Actor):
     """The list of Faktory job workers; tells the core of changes."""
 
-    def __init__(self, listener: Listener, zone: str) -> None:
+    def __init__(self, listener: AttemptListener, default_zone: str) -> None:
         super().__init__()
-        self.listener, self.zone = listener, zone
-        self.members: dict[str, Member] = {}
+        self.listener, self.default_zone = listener, default_zone
+        self.members: dict[str, FaktoryMember] = {}
 
-    def take(self, message: Any) -> None:
-        LIST_HANDLERS[type(message)](self, message)
+    def handle_message(self, message: Any) -> None:
+        DIRECTORY_HANDLERS[type(message)](self, message)
 
-    def _join(self, join: Join) -> None:
+    def _handle_joined(self, join: WorkerJoined) -> None:
         member = self.members.get(join.wid)
         if member is None:
-            started = join.labels.get("started_ms", "0")
-            entry = api.Worker(
-                id=number_of(f"faktory {join.wid}"),
-                zone=join.labels.get("zone", self.zone),
+            started_ms = join.labels.get("started_ms", "0")
+            endpoint = api.Worker(
+                id=worker_id_of(f"faktory {join.wid}"),
+                zone=join.labels.get("zone", self.default_zone),
                 cell=int(join.labels.get("cell", "0")),
                 kind=join.labels.get("kind", ""),
-                started=float(started),
+                started=float(started_ms),
             )
-            member = self.members[join.wid] = Member(
-                entry, FaktoryNextHop(join.wid, join.peer), 0, self._silence(join.wid)
+            member = self.members[join.wid] = FaktoryMember(
+                endpoint, FaktoryWorker(join.wid, join.peer_address), 0, self._start_heartbeat_timer(join.wid)
             )
-            self._tell(member.entry)
-        member.connections += 1
-        join.hop.set_result(member.hop)
+            self._publish_change(member.endpoint)
+        member.connection_count += 1
+        join.worker.set_result(member.worker)
 
-    def _silence(self, wid: str) -> object:
-        return self.loop.call_later(SILENT_S, self.post, Silent(wid))
+    def _start_heartbeat_timer(self, wid: str) -> object:
+        return self.loop.call_later(HEARTBEAT_TIMEOUT_S, self.post, HeartbeatMissed(wid))
 
-    def _beat(self, beat: Beat) -> None:
-        member = self.members.get(beat.wid)
+    def _handle_heartbeat(self, heartbeat: HeartbeatReceived) -> None:
+        member = self.members.get(heartbeat.wid)
         if member is None:
             return
-        self.loop.remove_timeout(member.timer)
-        member.timer = self._silence(beat.wid)
-        state = STATES.get(beat.state, member.entry.state)  # quiet is for good, as with Faktory
-        if state != member.entry.state:
-            member.entry = member.entry._replace(state=state)
-            self._tell(member.entry)
-
-    def _leave(self, leave: Leave) -> None:
-        member = self.members.get(leave.wid)
+        self.loop.remove_timeout(member.heartbeat_timer)
+        member.heartbeat_timer = self._start_heartbeat_timer(heartbeat.wid)
+        state = WORKER_STATES.get(
+            heartbeat.state, member.endpoint.state
+        )  # quiet is for good, as with Faktory
+        if state != member.endpoint.state:
+            member.endpoint = member.endpoint._replace(state=state)
+            self._publish_change(member.endpoint)
+
+    def _handle_connection_closed(self, closed: ConnectionClosed) -> None:
+        member = self.members.get(closed.wid)
         if member is not None:
-            member.connections -= 1
-            if member.connections == 0:
-                self._gone(leave.wid)
+            member.connection_count -= 1
+            if member.connection_count == 0:
+                self._remove_worker(closed.wid)
 
-    def _gone(self, wid: str) -> None:
+    def _remove_worker(self, wid: str) -> None:
         member = self.members.pop(wid, None)
         if member is not None:
-            self.loop.remove_timeout(member.timer)
-            self._tell(member.entry._replace(state="gone"))
-            member.hop.post(Vanished())
+            self.loop.remove_timeout(member.heartbeat_timer)
+            self._publish_change(member.endpoint._replace(state="gone"))
+            member.worker.post(WorkerVanished())
 
-    def _tell(self, entry: api.Worker) -> None:
-        hops = {each.entry.id: each.hop for each in self.members.values()}
-        self.listener.post(Listed(api.WorkerList("partial", (entry,)), hops, "faktory"))
+    def _publish_change(self, endpoint: api.Worker) -> None:
+        workers = {each.endpoint.id: each.worker for each in self.members.values()}
+        self.listener.post(EndpointsChanged(api.WorkerList("partial", (endpoint,)), workers, "faktory"))
 
 
-LIST_HANDLERS = {
-    Join: FaktoryWorkers._join,
-    Beat: FaktoryWorkers._beat,
-    Leave: FaktoryWorkers._leave,
-    Silent: lambda self, silent: self._gone(silent.wid),
+DIRECTORY_HANDLERS = {
+    WorkerJoined: FaktoryWorkerDirectory._handle_joined,
+    HeartbeatReceived: FaktoryWorkerDirectory._handle_heartbeat,
+    ConnectionClosed: FaktoryWorkerDirectory._handle_connection_closed,
+    HeartbeatMissed: lambda self, silent: self._remove_worker(silent.wid),
 }
--- a/spanwing/hops/hop.py
+++ b/spanwing/hops/hop.py
@@ -6,49 +6,49 @@
 
 from spanwing import interface as api
 from spanwing.actor import Actor
-from spanwing.core.messages import Delivery, Listener
+from spanwing.core.messages import AttemptListener, DeliveryAttempt
 
 
-class Deliver(NamedTuple):
-    delivery: Delivery
-    listener: Listener
+class DeliverAttempt(NamedTuple):
+    delivery: DeliveryAttempt
+    listener: AttemptListener
 
 
-class GiveUp(NamedTuple):
+class CancelDelivery(NamedTuple):
     request: str
     number: int
     result: api.Result
 
 
-class Withdraw(NamedTuple):
+class WithdrawAttempt(NamedTuple):
     request: str
     number: int
 
 
-class Probe(NamedTuple):
+class ProbeRequested(NamedTuple):
     worker: int
-    listener: Listener
+    listener: AttemptListener
 
 
-class HopActor(Actor):
+class WorkerConnectionActor(Actor):
     """The core's side of a next hop: every call is a message."""
 
-    name = place = ""
-    asks = False
+    name = address = ""
+    records_intent_itself = False
 
     handlers: ClassVar[dict[type, Any]] = {}
 
-    def deliver(self, delivery: Delivery, listener: Listener) -> None:
-        self.post(Deliver(delivery, listener))
+    def deliver(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None:
+        self.post(DeliverAttempt(delivery, listener))
 
-    def give_up(self, request: str, number: int, result: api.Result) -> None:
-        self.post(GiveUp(request, number, result))
+    def cancel(self, request: str, number: int, result: api.Result) -> None:
+        self.post(CancelDelivery(request, number, result))
 
     def withdraw(self, request: str, number: int) -> None:
-        self.post(Withdraw(request, number))
+        self.post(WithdrawAttempt(request, number))
 
-    def probe(self, worker: int, listener: Listener) -> None:
-        self.post(Probe(worker, listener))
+    def probe(self, worker: int, listener: AttemptListener) -> None:
+        self.post(ProbeRequested(worker, listener))
 
-    def take(self, message: Any) -> None:
+    def handle_message(self, message: Any) -> None:
         self.handlers[type(message)](self, message)
--- a/spanwing/hops/load.py
+++ b/spanwing/hops/load.py
@@ -5,7 +5,7 @@
 import msgspec
 
 #: The names of a report's values on the sockets, in the module's words.
-NAMES = {
+REPORT_FIELD_NAMES = {
     "x0": "free_slots",
     "x1": "free_memory",
     "rif": "inflight",
@@ -17,27 +17,27 @@
 }
 
 
-class LoadReader:
+class LoadReportReader:
     """Gives the values in the order in which the settings name them."""
 
-    def __init__(self, fields: tuple[str, ...]) -> None:
-        self.fields = tuple(NAMES.get(name, name) for name in fields)
+    def __init__(self, field_names: tuple[str, ...]) -> None:
+        self.field_names = tuple(REPORT_FIELD_NAMES.get(name, name) for name in field_names)
 
-    def values(self, load: dict[str, float] | None) -> tuple[float, ...] | None:
+    def read_values(self, report: dict[str, float] | None) -> tuple[float, ...] | None:
         """None where the report is absent or lacks a value."""
-        if not load or not self.fields:
+        if not report or not self.field_names:
             return None
-        named = {NAMES.get(name, name): value for name, value in load.items()}
-        if any(name not in named for name in self.fields):
+        named = {REPORT_FIELD_NAMES.get(name, name): value for name, value in report.items()}
+        if any(name not in named for name in self.field_names):
             return None
-        return tuple(named[name] for name in self.fields)
+        return tuple(named[name] for name in self.field_names)
 
-    def text(self, text: str) -> tuple[float, ...] | None:
+    def read_text(self, text: str) -> tuple[float, ...] | None:
         """Read `TEXT name=value, name=value` or a JSON object of numbers."""
         try:
             if text.lstrip().startswith("{"):
-                return self.values(msgspec.json.decode(text, type=dict[str, float]))
+                return self.read_values(msgspec.json.decode(text, type=dict[str, float]))
             pairs = [part.split("=") for part in text.removeprefix("TEXT").split(",") if "=" in part]
-            return self.values({name.strip(): float(value) for name, value in pairs})
+            return self.read_values({name.strip(): float(value) for name, value in pairs})
         except ValueError:
             return None
--- a/spanwing/hops/nexthop.py
+++ b/spanwing/hops/nexthop.py
@@ -14,25 +14,44 @@
 from tornado.iostream import StreamClosedError
 
 from spanwing import interface as api
-from spanwing.actor import spawn
-from spanwing.core.messages import Accepted, Delivery, Ended, LastByte, Listener, Probed, Started
-from spanwing.hops.hop import Deliver, GiveUp, HopActor, Probe, Withdraw
-from spanwing.hops.load import LoadReader
-from spanwing.hops.pool import ConnectionPool, PooledHttp
-from spanwing.wire.http import HttpError, Message, request_bytes
-
-TAKEN_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
-GIVE_UP_S = 1.0  # wait for the answer to a DELETE
-GIVE_UP_AGAIN_S, GIVE_UP_MOST_S = 0.1, 2.0  # first and longest pause before it is sent again
-PROBE_S = 0.5
-CONNECTIONS = 3  # tried for one request, all but the first newly opened
-CLOSED_S = 0.02  # a close has arrived by then: another job worker must not have the request before
-HELD_S = 0.002  # a round trip, rather more than less
-
-CALLED_BACK: dict[str, api.Result] = {"done": "ok", "failed": "error", "returned": "full", "lost": "reset"}
+from spanwing.actor import spawn_task
+from spanwing.core.messages import (
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptListener,
+    AttemptProgress,
+    DeliveryAttempt,
+    LastByteSent,
+    ProbeEnded,
+)
+from spanwing.hops.hop import (
+    CancelDelivery,
+    DeliverAttempt,
+    ProbeRequested,
+    WithdrawAttempt,
+    WorkerConnectionActor,
+)
+from spanwing.hops.load import LoadReportReader
+from spanwing.hops.pool import ConnectionPool, PooledConnection
+from spanwing.wire.http import HttpError, HttpMessage, encode_request
+
+ACCEPT_TIMEOUT_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
+CANCEL_TIMEOUT_S = 1.0  # wait for the answer to a DELETE
+CANCEL_RETRY_MIN_S, CANCEL_RETRY_MAX_S = 0.1, 2.0  # first and longest pause before it is sent again
+PROBE_TIMEOUT_S = 0.5
+MAX_SEND_CONNECTIONS = 3  # tried for one request, all but the first newly opened
+CLOSE_GRACE_S = 0.02  # a close has arrived by then: another job worker must not have the request before
+LAST_BYTE_DELAY_S = 0.002  # a round trip, rather more than less
+
+CALLBACK_RESULTS: dict[str, api.Result] = {
+    "done": "ok",
+    "failed": "error",
+    "returned": "full",
+    "lost": "reset",
+}
 
 
-class CallBack(NamedTuple):
+class WorkerCallback(NamedTuple):
     """What a job worker says of a job that it has taken."""
 
     request: str
@@ -41,306 +60,349 @@
     report: tuple[float, ...] | None
 
 
-class Retire(NamedTuple):
+class RetireWorker(NamedTuple):
     """The job worker is gone from the list (or is back): close up once nothing is out."""
 
-    gone: bool
+    is_retired: bool
 
 
-class Leave(NamedTuple):
+class WithdrawQueued(NamedTuple):
     """What waits to be sent here is not sent any more."""
 
 
 @dataclass(slots=True, eq=False)
-class Job:
+class HttpAttempt:
     """A delivery attempt here that has not ended."""
 
-    delivery: Delivery
-    listener: Listener
-    until: float = 0.0  # of the loop's time: nobody waits for it longer
-    connection: PooledHttp | None = None  # since its last byte may leave, and until the 202
-    last: bool = False  # its last byte is being written, or is
-    taken: bool = False  # the 202 has come
-    given_up: api.Result | None = None
+    delivery: DeliveryAttempt
+    listener: AttemptListener
+    expires_s: float = 0.0  # of the loop's time: nobody waits for it longer
+    connection: PooledConnection | None = None  # since its last byte may leave, and until the 202
+    is_last_byte_written: bool = False  # its last byte is being written, or is
+    is_accepted: bool = False  # the 202 has come
+    cancel_result: api.Result | None = None
 
 
-class HttpNextHop(HopActor):
+class HttpWorker(WorkerConnectionActor):
     """Delivers, gives up and probes; each delivery ends in one Ended."""
 
     def __init__(
-        self, name: str, pool: ConnectionPool, loads: LoadReader, retired: Callable[[HttpNextHop], None]
+        self,
+        name: str,
+        connection_pool: ConnectionPool,
+        load_reader: LoadReportReader,
+        on_retired: Callable[[HttpWorker], None],
     ) -> None:
         super().__init__()
-        self.name, self.place = name, str(pool.address)
-        self.pool, self.loads, self.retired = pool, loads, retired
-        self.jobs: dict[str, Job] = {}
-        self.retiring = False
-        self.leaving = False  # it drains, or is gone: nothing new may be sent to it
+        self.name, self.address = name, str(connection_pool.address)
+        self.connection_pool, self.load_reader, self.on_retired = connection_pool, load_reader, on_retired
+        self.attempts: dict[str, HttpAttempt] = {}
+        self.is_retiring = False
+        self.is_draining = False  # it drains, or is gone: nothing new may be sent to it
 
-    def open_job(self, request: str, number: int) -> Job | None:
+    def find_transferable(self, request: str, number: int) -> HttpAttempt | None:
         """The attempt, if its job worker has taken it and nobody has given it up: it can go to another
         process."""
-        job = self.jobs.get(request)
-        known = job is not None and job.delivery.number == number and job.taken and job.given_up is None
-        return job if known else None
+        attempt = self.attempts.get(request)
+        is_transferable = (
+            attempt is not None
+            and attempt.delivery.number == number
+            and attempt.is_accepted
+            and attempt.cancel_result is None
+        )
+        return attempt if is_transferable else None
 
-    def forget(self, request: str) -> None:
+    def release_attempt(self, request: str) -> None:
         """The attempt is another process's from now on."""
-        del self.jobs[request]
-        self._maybe_close()
+        del self.attempts[request]
+        self._close_if_retired()
 
-    def resume(self, delivery: Delivery, listener: Listener) -> None:
+    def resume_attempt(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None:
         """An attempt that the job worker took from another process."""
-        self.jobs[delivery.envelope.id] = Job(
-            delivery, listener, self.loop.time() + delivery.budget / 1000.0, last=True, taken=True
+        self.attempts[delivery.request.id] = HttpAttempt(
+            delivery,
+            listener,
+            self.loop.time() + delivery.timeout_ms / 1000.0,
+            is_last_byte_written=True,
+            is_accepted=True,
         )
 
-    def _deliver(self, message: Deliver) -> None:
-        job = Job(*message, self.loop.time() + message.delivery.budget / 1000.0)
-        if job.delivery.envelope.id in self.jobs:  # one attempt of a request at a time goes to a job worker
-            job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, "moot", unsent=True))
+    def _handle_deliver(self, message: DeliverAttempt) -> None:
+        attempt = HttpAttempt(*message, self.loop.time() + message.delivery.timeout_ms / 1000.0)
+        if (
+            attempt.delivery.request.id in self.attempts
+        ):  # one attempt of a request at a time goes to a job worker
+            attempt.listener.post(
+                AttemptEnded(attempt.delivery.request.id, attempt.delivery.number, "moot", is_unsent=True)
+            )
             return
-        self.jobs[job.delivery.envelope.id] = job
-        spawn(self._carry(job))
+        self.attempts[attempt.delivery.request.id] = attempt
+        spawn_task(self._run_attempt(attempt))
 
-    async def _carry(self, job: Job) -> None:
-        envelope = job.delivery.envelope
+    async def _run_attempt(self, attempt: HttpAttempt) -> None:
+        request = attempt.delivery.request
         headers = {
-            "Host": str(self.pool.address),
-            "X-Call-Id": envelope.id,
-            "X-Budget-Ms": str(max(1, int(job.delivery.budget))),
+            "Host": str(self.connection_pool.address),
+            "X-Call-Id": request.id,
+            "X-Budget-Ms": str(max(1, int(attempt.delivery.timeout_ms))),
         }
-        if envelope.effect_key is not None:
-            headers["Idempotency-Key"] = envelope.effect_key
-        data = request_bytes(envelope.method, envelope.target, headers, envelope.body)
-        careful = not job.delivery.repeatable
-        connection = await self._send(data, careful, job)
+        if request.effect_key is not None:
+            headers["Idempotency-Key"] = request.effect_key
+        data = encode_request(request.method, request.target, headers, request.body)
+        holds_last_byte = not attempt.delivery.is_repeatable
+        connection = await self._send_request(data, holds_last_byte, attempt)
         if connection is None:  # its last byte was never written
-            self._end(job, job.given_up or ("unreachable" if self._allowed(job) else "moot"), unsent=True)
+            self._end_attempt(
+                attempt,
+                attempt.cancel_result or ("unreachable" if self._may_send(attempt) else "moot"),
+                is_unsent=True,
+            )
             return
-        job.listener.post(LastByte(envelope.id, job.delivery.number))
+        attempt.listener.post(LastByteSent(request.id, attempt.delivery.number))
         # Who says neither yes nor no is waited for no longer: that would only keep its slots here, and the
         # client, to the end of its time.
-        patience = self.loop.call_later(TAKEN_S, self._part, job, "timeout")
-        reply = await self._receive(connection)
-        self.loop.remove_timeout(patience)
-        job.connection = None
-        self._replied(job, reply, connection.garbled)
-
-    async def _send(self, data: bytes, careful: bool, job: Job | None = None) -> PooledHttp | None:
+        accept_timer = self.loop.call_later(ACCEPT_TIMEOUT_S, self._abort_unanswered, attempt, "timeout")
+        response = await self._receive_response(connection)
+        self.loop.remove_timeout(accept_timer)
+        attempt.connection = None
+        self._handle_response(attempt, response, connection.is_garbled)
+
+    async def _send_request(
+        self, data: bytes, hold_last_byte: bool, attempt: HttpAttempt | None = None
+    ) -> PooledConnection | None:
         """The connection that took a whole request, or None: then its last byte was written to none.
 
         A kept connection that the other side has dropped without a word looks open, and a request written to
         it may count as run. What must not run twice therefore goes on a new connection, and its last byte,
         which makes an attempt of it, is held back until a reset would have come."""
-        for number in range(CONNECTIONS):
-            connection = await self.pool.take(careful or number > 0, lambda: self._wanted(job))
+        for number in range(MAX_SEND_CONNECTIONS):
+            connection = await self.connection_pool.acquire(
+                hold_last_byte or number > 0, lambda: self._is_wanted(attempt)
+            )
             if connection is None:
                 return None
             try:
-                if careful and self._wanted(job):
+                if hold_last_byte and self._is_wanted(attempt):
                     await connection.write(data[:-1])
-                    await sleep(HELD_S)
-                if self._wanted(job) and connection.fresh():
-                    if job is not None:
-                        job.last, job.connection = True, connection
-                        connection.stream.permit = job.delivery.may  # also of bytes that have to wait here
-                    await connection.write(data[-1:] if careful else data)
+                    await sleep(LAST_BYTE_DELAY_S)
+                if self._is_wanted(attempt) and connection.is_reusable():
+                    if attempt is not None:
+                        attempt.is_last_byte_written, attempt.connection = True, connection
+                        connection.stream.permit = (
+                            attempt.delivery.may_send
+                        )  # also of bytes that have to wait here
+                    await connection.write(data[-1:] if hold_last_byte else data)
                     connection.stream.permit = None
                     return connection
             except StreamClosedError:
                 pass
-            self.pool.drop(connection)
-            if job is not None:
-                job.last, job.connection = False, None
-            if not self._wanted(job):  # given up meanwhile: nothing may be sent any more
+            self.connection_pool.discard(connection)
+            if attempt is not None:
+                attempt.is_last_byte_written, attempt.connection = False, None
+            if not self._is_wanted(attempt):  # given up meanwhile: nothing may be sent any more
                 return None
         return None
 
-    async def _receive(self, connection: PooledHttp, wait_s: float | None = None) -> Message | None:
+    async def _receive_response(
+        self, connection: PooledConnection, timeout_s: float | None = None
+    ) -> HttpMessage | None:
         """The reply; None where none came. The connection goes back to its pool."""
-        reply, wait = None, None if wait_s is None else timedelta(seconds=wait_s)
+        response, timeout = None, None if timeout_s is None else timedelta(seconds=timeout_s)
         try:
-            coming = connection.receive()
-            reply = await (
-                coming
-                if wait is None
-                else with_timeout(wait, coming, quiet_exceptions=(HttpError, StreamClosedError))
+            incoming = connection.receive()
+            response = await (
+                incoming
+                if timeout is None
+                else with_timeout(timeout, incoming, quiet_exceptions=(HttpError, StreamClosedError))
             )
         except HttpError:
-            connection.garbled = True
+            connection.is_garbled = True
         except WaitOver:
-            connection.garbled = not connection.parser.idle()
+            connection.is_garbled = not connection.parser.is_idle()
         except StreamClosedError:
             pass
-        self.pool.learn(connection, reply is not None)
-        if reply is not None and reply.keep and not connection.shut:
-            self.pool.give(connection)
+        self.connection_pool.record_outcome(connection, response is not None)
+        if response is not None and response.keep_alive and not connection.is_shut_down:
+            self.connection_pool.release(connection)
         else:
-            self.pool.drop(connection)
-        return reply
+            self.connection_pool.discard(connection)
+        return response
 
-    def _replied(self, job: Job, reply: Message | None, garbled: bool) -> None:
-        if not self._current(job):
+    def _handle_response(self, attempt: HttpAttempt, response: HttpMessage | None, is_garbled: bool) -> None:
+        if not self._is_current(attempt):
             return
-        report = self.loads.text(reply.headers.get("x-load-report", "")) if reply else None
-        if reply is None and garbled:  # whatever it was saying: perhaps that it has taken the job
-            job.given_up = job.given_up or "reset"
-            spawn(self._delete(job))
-        elif reply is None and job.given_up is not None:
-            self.loop.call_later(CLOSED_S, self._end, job, job.given_up)
-        elif reply is None:
-            self._end(job, "reset")
-        elif reply.status == 202 and job.given_up is not None:  # it was on its way
-            spawn(self._delete(job))
-        elif reply.status == 202:
-            job.taken = True
-            job.listener.post(Accepted(job.delivery.envelope.id, job.delivery.number))
-        elif reply.status == 200:  # an answer at once
-            self._end(job, "ok", reply.body, report)
-        elif reply.status in (503, 504) and reply.headers.get("x-rejected") == "1":
-            self._end(job, "full", report=report)
-        elif 400 <= reply.status < 500:  # what a client sent is at fault, not this next hop
-            self._end(job, "rejected", report=report)
+        report = self.load_reader.read_text(response.headers.get("x-load-report", "")) if response else None
+        if response is None and is_garbled:  # whatever it was saying: perhaps that it has taken the job
+            attempt.cancel_result = attempt.cancel_result or "reset"
+            spawn_task(self._cancel_at_worker(attempt))
+        elif response is None and attempt.cancel_result is not None:
+            self.loop.call_later(CLOSE_GRACE_S, self._end_attempt, attempt, attempt.cancel_result)
+        elif response is None:
+            self._end_attempt(attempt, "reset")
+        elif response.status == 202 and attempt.cancel_result is not None:  # it was on its way
+            spawn_task(self._cancel_at_worker(attempt))
+        elif response.status == 202:
+            attempt.is_accepted = True
+            attempt.listener.post(AttemptAccepted(attempt.delivery.request.id, attempt.delivery.number))
+        elif response.status == 200:  # an answer at once
+            self._end_attempt(attempt, "ok", response.body, report)
+        elif response.status in (503, 504) and response.headers.get("x-rejected") == "1":
+            self._end_attempt(attempt, "full", report=report)
+        elif 400 <= response.status < 500:  # what a client sent is at fault, not this next hop
+            self._end_attempt(attempt, "rejected", report=report)
         else:
-            self._end(job, "error", report=report)
+            self._end_attempt(attempt, "error", report=report)
 
-    def _wanted(self, job: Job | None) -> bool:
-        return job is None or (self._current(job) and job.given_up is None and self._allowed(job))
+    def _is_wanted(self, attempt: HttpAttempt | None) -> bool:
+        return attempt is None or (
+            self._is_current(attempt) and attempt.cancel_result is None and self._may_send(attempt)
+        )
 
-    def _allowed(self, job: Job) -> bool:
+    def _may_send(self, attempt: HttpAttempt) -> bool:
         """The moment of use: a lease that ended while the connection was made is seen here, and a job worker
         that has begun to drain."""
-        return not self.leaving and (job.delivery.may is None or job.delivery.may())
+        return not self.is_draining and (attempt.delivery.may_send is None or attempt.delivery.may_send())
 
-    def _current(self, job: Job) -> bool:
-        return self.jobs.get(job.delivery.envelope.id) is job
+    def _is_current(self, attempt: HttpAttempt) -> bool:
+        return self.attempts.get(attempt.delivery.request.id) is attempt
 
-    def _end(
+    def _end_attempt(
         self,
-        job: Job,
+        attempt: HttpAttempt,
         result: api.Result,
         body: bytes = b"",
         report: tuple[float, ...] | None = None,
-        unsent: bool = False,
+        is_unsent: bool = False,
     ) -> None:
         # A call-back may come before the 202, or again: only the first word on an attempt counts.
-        if not self._current(job):
+        if not self._is_current(attempt):
             return
-        del self.jobs[job.delivery.envelope.id]
-        job.listener.post(Ended(job.delivery.envelope.id, job.delivery.number, result, body, report, unsent))
-        self._maybe_close()
+        del self.attempts[attempt.delivery.request.id]
+        attempt.listener.post(
+            AttemptEnded(
+                attempt.delivery.request.id, attempt.delivery.number, result, body, report, is_unsent
+            )
+        )
+        self._close_if_retired()
 
-    def _called_back(self, event: CallBack) -> None:
-        job = self.jobs.get(event.request)
-        if job is None:
+    def _handle_callback(self, callback: WorkerCallback) -> None:
+        attempt = self.attempts.get(callback.request)
+        if attempt is None:
             return
-        if event.state in CALLED_BACK:
-            self._end(job, CALLED_BACK[event.state], event.body, event.report)
-        elif event.state in ("started", "running"):
-            job.listener.post(Started(event.request, job.delivery.number, event.state == "started"))
-
-    def _give_up(self, message: GiveUp) -> None:
-        job = self.jobs.get(message.request)
-        if job is None or job.delivery.number != message.number or job.given_up is not None:
+        if callback.state in CALLBACK_RESULTS:
+            self._end_attempt(attempt, CALLBACK_RESULTS[callback.state], callback.body, callback.report)
+        elif callback.state in ("started", "running"):
+            attempt.listener.post(
+                AttemptProgress(callback.request, attempt.delivery.number, callback.state == "started")
+            )
+
+    def _handle_cancel(self, message: CancelDelivery) -> None:
+        attempt = self.attempts.get(message.request)
+        if attempt is None or attempt.delivery.number != message.number or attempt.cancel_result is not None:
             return
-        if job.connection is not None:
-            self._part(job, message.result)
+        if attempt.connection is not None:
+            self._abort_unanswered(attempt, message.result)
             return
-        job.given_up = message.result
-        if job.taken:
-            spawn(self._delete(job))
+        attempt.cancel_result = message.result
+        if attempt.is_accepted:
+            spawn_task(self._cancel_at_worker(attempt))
         else:
-            self._end(job, message.result, unsent=True)
+            self._end_attempt(attempt, message.result, is_unsent=True)
 
-    def _part(self, job: Job, why: api.Result) -> None:
+    def _abort_unanswered(self, attempt: HttpAttempt, result: api.Result) -> None:
         """Give up what was sent and not answered yet: before the 202, the end of the connection does that. A
         202 may be on its way, and then the job is out there: what still comes is read, until that end has
         certainly arrived."""
-        if job.connection is not None and job.given_up is None:
-            job.given_up = why
-            job.connection.shut_down()
-            self.loop.call_later(CLOSED_S, job.connection.hang_up)
-
-    def _withdraw(self, message: Withdraw) -> None:
-        job = self.jobs.get(message.request)
-        if job is None or job.delivery.number != message.number:
+        if attempt.connection is not None and attempt.cancel_result is None:
+            attempt.cancel_result = result
+            attempt.connection.shut_down_writing()
+            self.loop.call_later(CLOSE_GRACE_S, attempt.connection.abort)
+
+    def _handle_withdraw(self, message: WithdrawAttempt) -> None:
+        attempt = self.attempts.get(message.request)
+        if attempt is None or attempt.delivery.number != message.number:
             return
-        if not job.last:
-            job.given_up = job.given_up or "moot"
-            self._end(job, "moot", unsent=True)
-        elif job.connection is not None and job.connection.stream.writing():  # the last byte is still here
-            job.given_up = job.given_up or "moot"
-            job.connection.close()
-
-    async def _delete(self, job: Job) -> None:
+        if not attempt.is_last_byte_written:
+            attempt.cancel_result = attempt.cancel_result or "moot"
+            self._end_attempt(attempt, "moot", is_unsent=True)
+        elif (
+            attempt.connection is not None and attempt.connection.stream.writing()
+        ):  # the last byte is still here
+            attempt.cancel_result = attempt.cancel_result or "moot"
+            attempt.connection.close()
+
+    async def _cancel_at_worker(self, attempt: HttpAttempt) -> None:
         """Give up a job that was taken; it has ended only once the job worker was told. One that is cut off
         is told again, to the end of the job's time: sent elsewhere meanwhile, it would be out twice."""
-        pause = GIVE_UP_AGAIN_S
+        backoff_s = CANCEL_RETRY_MIN_S
         try:
-            while not await self._told(f"/jobs/{job.delivery.envelope.id}") and self._current(job):
-                left = job.until - self.loop.time()
-                if left <= 0:
+            while not await self._delete_job(f"/jobs/{attempt.delivery.request.id}") and self._is_current(
+                attempt
+            ):
+                remaining_s = attempt.expires_s - self.loop.time()
+                if remaining_s <= 0:
                     break
-                await sleep(min(left, random.uniform(pause / 2, pause)))
-                pause = min(2 * pause, GIVE_UP_MOST_S)
+                await sleep(min(remaining_s, random.uniform(backoff_s / 2, backoff_s)))
+                backoff_s = min(2 * backoff_s, CANCEL_RETRY_MAX_S)
         finally:
-            self._end(job, job.given_up or "cancelled")
+            self._end_attempt(attempt, attempt.cancel_result or "cancelled")
 
-    async def _told(self, target: str) -> bool:
+    async def _delete_job(self, target: str) -> bool:
         """Whether the job worker has our DELETE: whatever it says to it, it has read it."""
-        connection = await self._ask("DELETE", target)
+        connection = await self._send_bodiless("DELETE", target)
         return connection is not None and (
-            await self._receive(connection, GIVE_UP_S) is not None or connection.garbled
+            await self._receive_response(connection, CANCEL_TIMEOUT_S) is not None or connection.is_garbled
         )
 
-    async def _ask(self, method: str, target: str) -> PooledHttp | None:
-        data = request_bytes(method, target, {"Host": str(self.pool.address)})
-        return await self._send(data, careful=False)
+    async def _send_bodiless(self, method: str, target: str) -> PooledConnection | None:
+        data = encode_request(method, target, {"Host": str(self.connection_pool.address)})
+        return await self._send_request(data, hold_last_byte=False)
 
-    def _probe(self, probe: Probe) -> None:
-        spawn(self._ask_load(probe))
+    def _handle_probe(self, probe: ProbeRequested) -> None:
+        spawn_task(self._probe_load(probe))
 
-    async def _ask_load(self, probe: Probe) -> None:
+    async def _probe_load(self, probe: ProbeRequested) -> None:
         loop = IOLoop.current()
-        start = loop.time()
-        connection = await self._ask("GET", "/metrics/load")
-        reply = None if connection is None else await self._receive(connection, PROBE_S)
+        started_s = loop.time()
+        connection = await self._send_bodiless("GET", "/metrics/load")
+        response = None if connection is None else await self._receive_response(connection, PROBE_TIMEOUT_S)
         report = None
-        result: api.Result = "unreachable" if reply is None else "ok" if reply.status == 200 else "error"
-        if reply is not None:
-            text = reply.headers.get("x-load-report") or reply.body.decode("utf-8", "replace")
-            report = self.loads.text(text)
-        elapsed = (loop.time() - start) * 1000.0
-        probe.listener.post(Probed(api.ProbeResult(probe.worker, result, elapsed, report)))
-
-    def leave(self) -> None:
+        result: api.Result = (
+            "unreachable" if response is None else "ok" if response.status == 200 else "error"
+        )
+        if response is not None:
+            text = response.headers.get("x-load-report") or response.body.decode("utf-8", "replace")
+            report = self.load_reader.read_text(text)
+        elapsed_ms = (loop.time() - started_s) * 1000.0
+        probe.listener.post(ProbeEnded(api.ProbeResult(probe.worker, result, elapsed_ms, report)))
+
+    def start_draining(self) -> None:
         """It drains, or is gone: at once nothing new is sent, and what waits here to be sent ends unsent."""
-        if not self.leaving:
-            self.leaving = True
-            self.post(Leave())
-
-    def _leave(self, _: Leave) -> None:
-        for job in list(self.jobs.values()):
-            if self.leaving and not job.last:
-                self._end(job, "moot", unsent=True)
-
-    def _retire(self, message: Retire) -> None:
-        self.retiring = message.gone
-        self._maybe_close()
-
-    def _maybe_close(self) -> None:
-        if self.retiring and not self.jobs:
-            self.pool.clear()
-            self.retired(self)
-
-
-HttpNextHop.handlers = {
-    Deliver: HttpNextHop._deliver,
-    GiveUp: HttpNextHop._give_up,
-    CallBack: HttpNextHop._called_back,
-    Withdraw: HttpNextHop._withdraw,
-    Probe: HttpNextHop._probe,
-    Retire: HttpNextHop._retire,
-    Leave: HttpNextHop._leave,
+        if not self.is_draining:
+            self.is_draining = True
+            self.post(WithdrawQueued())
+
+    def _withdraw_queued(self, _: WithdrawQueued) -> None:
+        for attempt in list(self.attempts.values()):
+            if self.is_draining and not attempt.is_last_byte_written:
+                self._end_attempt(attempt, "moot", is_unsent=True)
+
+    def _handle_retire(self, message: RetireWorker) -> None:
+        self.is_retiring = message.is_retired
+        self._close_if_retired()
+
+    def _close_if_retired(self) -> None:
+        if self.is_retiring and not self.attempts:
+            self.connection_pool.close_idle()
+            self.on_retired(self)
+
+
+HttpWorker.handlers = {
+    DeliverAttempt: HttpWorker._handle_deliver,
+    CancelDelivery: HttpWorker._handle_cancel,
+    WorkerCallback: HttpWorker._handle_callback,
+    WithdrawAttempt: HttpWorker._handle_withdraw,
+    ProbeRequested: HttpWorker._handle_probe,
+    RetireWorker: HttpWorker._handle_retire,
+    WithdrawQueued: HttpWorker._withdraw_queued,
 }
--- a/spanwing/journal/committer.py
+++ b/spanwing/journal/committer.py
@@ -16,23 +16,23 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from spanwing.journal.log import Log
-from spanwing.journal.records import Any, Gap
+from spanwing.journal.log import SegmentLog
+from spanwing.journal.records import AnyRecord, JournalGap
 
-WAITING = 20_000
-BATCH = 1024  # records in one write
-REST_S = 1.0
-LAZY_S = 0.05
-RETAIN_S = 60.0
+MAX_PENDING_RECORDS = 20_000
+MAX_BATCH_RECORDS = 1024  # records in one write
+DISK_BACKOFF_S = 1.0
+BATCH_DELAY_S = 0.05
+RETENTION_INTERVAL_S = 60.0
 
-Told = Callable[[str], None]
+CommitCallback = Callable[[str], None]
 
 
-class Handed(NamedTuple):
+class PendingBatch(NamedTuple):
     """Records that go together, and who hears of it."""
 
-    records: list[Any]
-    told: Told | None
+    records: list[AnyRecord]
+    on_commit: CommitCallback | None
 
 
 class Committer:
@@ -40,137 +40,153 @@
 
     def __init__(
         self,
-        log: Log,
-        post: Callable[..., object],
-        wall_ms: Callable[[], float] = lambda: time.time() * 1000.0,
+        segment_log: SegmentLog,
+        call_on_loop: Callable[..., object],
+        wall_clock_ms: Callable[[], float] = lambda: time.time() * 1000.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.log, self.post, self.wall_ms, self.clock = log, post, wall_ms, clock
-        self.waiting: deque[Handed] = deque()
-        self.count = 0  # records that wait
-        self.urgent = False  # somebody waits for one of them
-        self.awake = threading.Condition()
-        self.stopping = False
-        self.failing, self.rest_until = "", 0.0
-        self.lost, self.lost_since, self.lost_why = 0, 0.0, ""
-        self.syncs = self.written = 0
-        self.busy_since: float | None = None  # a write is going on
-        self.retained_at = clock()
-        self.oldest = log.ledger.oldest()  # as of the last look: the first record that is still needed
+        self.segment_log, self.call_on_loop, self.wall_clock_ms, self.clock = (
+            segment_log,
+            call_on_loop,
+            wall_clock_ms,
+            clock,
+        )
+        self.pending: deque[PendingBatch] = deque()
+        self.pending_records = 0  # records that wait
+        self.has_waiter = False  # somebody waits for one of them
+        self.condition = threading.Condition()
+        self.is_stopping = False
+        self.failure_reason, self.retry_at_s = "", 0.0
+        self.lost_records, self.lost_since_ms, self.lost_reason = 0, 0.0, ""
+        self.syncs = self.written_records = 0
+        self.write_started_at_s: float | None = None  # a write is going on
+        self.last_retention_at_s = clock()
+        self.oldest_needed_number = (
+            segment_log.request_states.oldest_needed_number()
+        )  # as of the last look: the first record that is still needed
         self.thread = threading.Thread(target=self._run, name="journal", daemon=True)
 
     def start(self) -> None:
         self.thread.start()
 
-    def submit(self, records: list[Any], told: Told | None = None) -> bool:
+    def submit(self, records: list[AnyRecord], on_commit: CommitCallback | None = None) -> bool:
         """Hand records over; False where too many wait: then nothing was taken, and told hears nothing."""
-        with self.awake:
-            if self.stopping or self.count + len(records) > WAITING:
-                self._miss(len(records), "too many records wait")
+        with self.condition:
+            if self.is_stopping or self.pending_records + len(records) > MAX_PENDING_RECORDS:
+                self._count_lost(len(records), "too many records wait")
                 return False
-            self.waiting.append(Handed(records, told))
-            self.count += len(records)
+            self.pending.append(PendingBatch(records, on_commit))
+            self.pending_records += len(records)
             # What nobody waits for rides along with what somebody does, or goes LAZY_S later.
-            if told is not None or self.count >= BATCH:
-                self.urgent = True
-                self.awake.notify()
-            elif self.count == len(records):
-                self.awake.notify()
+            if on_commit is not None or self.pending_records >= MAX_BATCH_RECORDS:
+                self.has_waiter = True
+                self.condition.notify()
+            elif self.pending_records == len(records):
+                self.condition.notify()
         return True
 
-    def trouble(self, slow_s: float) -> str:
+    def unavailable_reason(self, slow_after_s: float) -> str:
         """Why nothing can be relied on to be written soon; empty where it can. Slow: a write that goes on
         for longer than this."""
-        busy = self.busy_since
-        if busy is not None and self.clock() - busy > slow_s:
+        started_at_s = self.write_started_at_s
+        if started_at_s is not None and self.clock() - started_at_s > slow_after_s:
             return "the disk is slow"
-        return self.failing
+        return self.failure_reason
 
-    def stop(self, wait_s: float = 5.0) -> bool:
+    def stop(self, timeout_s: float = 5.0) -> bool:
         """Write what waits, then end; whether that was done in time."""
-        with self.awake:
-            self.stopping = True
-            self.awake.notify()
-        self.thread.join(wait_s)
+        with self.condition:
+            self.is_stopping = True
+            self.condition.notify()
+        self.thread.join(timeout_s)
         return not self.thread.is_alive()
 
     def _run(self) -> None:
         while True:
-            with self.awake:
-                while not self.waiting and not self.stopping and not self._to_try():
-                    self.awake.wait(REST_S if self.failing else None)
-                self.awake.wait_for(lambda: self.urgent or self.stopping, LAZY_S)
-                batch = self._next()
-                self.urgent = any(handed.told for handed in self.waiting)
-            if not batch and self.stopping:
-                self.log.close()
+            with self.condition:
+                while not self.pending and not self.is_stopping and not self._is_retry_due():
+                    self.condition.wait(DISK_BACKOFF_S if self.failure_reason else None)
+                self.condition.wait_for(lambda: self.has_waiter or self.is_stopping, BATCH_DELAY_S)
+                batch = self._dequeue_batch()
+                self.has_waiter = any(handed.on_commit for handed in self.pending)
+            if not batch and self.is_stopping:
+                self.segment_log.close()
                 return
             self._commit(batch)
-            self._retain()
+            self._apply_retention()
 
-    def _to_try(self) -> bool:
+    def _is_retry_due(self) -> bool:
         """A disk that failed has rested: who turns work away until it is back must hear that it is."""
-        return bool(self.failing) and self.clock() >= self.rest_until
+        return bool(self.failure_reason) and self.clock() >= self.retry_at_s
 
-    def _next(self) -> list[Handed]:
+    def _dequeue_batch(self) -> list[PendingBatch]:
         """What is written together; one that is larger than a batch goes alone."""
-        batch: list[Handed] = []
+        batch: list[PendingBatch] = []
         size = 0
-        while self.waiting and (not batch or size + len(self.waiting[0].records) <= BATCH):
-            batch.append(self.waiting.popleft())
+        while self.pending and (not batch or size + len(self.pending[0].records) <= MAX_BATCH_RECORDS):
+            batch.append(self.pending.popleft())
             size += len(batch[-1].records)
-        self.count -= size
+        self.pending_records -= size
         return batch
 
-    def _commit(self, batch: list[Handed]) -> None:
+    def _commit(self, batch: list[PendingBatch]) -> None:
         records = [record for handed in batch for record in handed.records]
-        reason = self.failing if self.failing and self.clock() < self.rest_until else self._write(records)
+        reason = (
+            self.failure_reason
+            if self.failure_reason and self.clock() < self.retry_at_s
+            else self._write(records)
+        )
         if reason:
-            with self.awake:
-                self._miss(len(records), reason)
+            with self.condition:
+                self._count_lost(len(records), reason)
         # All that were told the same way go back in one call: a wake-up of the loop for each would cost more
         # than the sync that they shared.
-        told = [handed.told for handed in batch if handed.told is not None]
-        if told:
-            self.post(_tell_all, told, reason)
-
-    def _write(self, records: list[Any]) -> str:
-        now = self.wall_ms()
-        with self.awake:
-            lost, since, why = self.lost, self.lost_since, self.lost_why
-        if lost:
-            records = [Gap("", now, self.clock() * 1000.0, since, lost, why), *records]
-        self.busy_since = self.clock()
+        callbacks = [handed.on_commit for handed in batch if handed.on_commit is not None]
+        if callbacks:
+            self.call_on_loop(_run_callbacks, callbacks, reason)
+
+    def _write(self, records: list[AnyRecord]) -> str:
+        now = self.wall_clock_ms()
+        with self.condition:
+            lost_records, lost_since_ms, lost_reason = self.lost_records, self.lost_since_ms, self.lost_reason
+        if lost_records:
+            records = [
+                JournalGap("", now, self.clock() * 1000.0, lost_since_ms, lost_records, lost_reason),
+                *records,
+            ]
+        self.write_started_at_s = self.clock()
         try:
-            self.log.write(records, now)
+            self.segment_log.write(records, now)
         except (OSError, ValueError) as error:
-            self.failing = getattr(error, "strerror", None) or str(error)
-            self.rest_until = self.clock() + REST_S
-            return self.failing
+            self.failure_reason = getattr(error, "strerror", None) or str(error)
+            self.retry_at_s = self.clock() + DISK_BACKOFF_S
+            return self.failure_reason
         finally:
-            self.busy_since = None
-        with self.awake:
-            self.lost -= lost
-        self.failing = ""
-        self.syncs, self.written = self.syncs + 1, self.written + len(records)
+            self.write_started_at_s = None
+        with self.condition:
+            self.lost_records -= lost_records
+        self.failure_reason = ""
+        self.syncs, self.written_records = self.syncs + 1, self.written_records + len(records)
         return ""
 
-    def _miss(self, count: int, why: str) -> None:
-        if not self.lost:
-            self.lost_since = self.wall_ms()
-        self.lost, self.lost_why = self.lost + count, why
+    def _count_lost(self, count: int, reason: str) -> None:
+        if not self.lost_records:
+            self.lost_since_ms = self.wall_clock_ms()
+        self.lost_records, self.lost_reason = self.lost_records + count, reason
 
-    def _retain(self) -> None:
-        if self.clock() - self.retained_at < RETAIN_S:
+    def _apply_retention(self) -> None:
+        if self.clock() - self.last_retention_at_s < RETENTION_INTERVAL_S:
             return
-        self.retained_at = self.clock()
-        self.oldest = self.log.ledger.oldest() or self.log.number
+        self.last_retention_at_s = self.clock()
+        self.oldest_needed_number = (
+            self.segment_log.request_states.oldest_needed_number() or self.segment_log.next_number
+        )
         try:
-            self.log.retain(self.wall_ms())
+            self.segment_log.remove_expired(self.wall_clock_ms())
         except OSError as error:
-            self.failing = self.failing or (error.strerror or str(error))
+            self.failure_reason = self.failure_reason or (error.strerror or str(error))
 
 
-def _tell_all(told: list[Told], reason: str) -> None:
-    for each in told:
+def _run_callbacks(callbacks: list[CommitCallback], reason: str) -> None:
+    for each in callbacks:
         each(reason)
--- a/spanwing/journal/files.py
+++ b/spanwing/journal/files.py
@@ -12,12 +12,12 @@
 from typing import Protocol
 
 
-class Files(Protocol):
+class FolderFiles(Protocol):
     """One folder of append-only files."""
 
     def names(self) -> list[str]: ...
 
-    def read(self, name: str, most: int = -1) -> bytes:
+    def read(self, name: str, max_bytes: int = -1) -> bytes:
         """Its first bytes, all of them by default. Raises FileNotFoundError."""
 
     def size(self, name: str) -> int: ...
@@ -38,51 +38,51 @@
     def sync_folder(self) -> None: ...
 
 
-class InUse(OSError):
+class FolderInUseError(OSError):
     """Another process writes this folder."""
 
 
-class Folder:
+class LocalFolder:
     """A real folder; one process at a time may write it, any may read."""
 
-    def __init__(self, path: str, write: bool = True) -> None:
+    def __init__(self, path: str, for_writing: bool = True) -> None:
         self.path = Path(path)
-        self.open: dict[str, int] = {}
-        self.lock = -1
-        if not write:
+        self.descriptors: dict[str, int] = {}
+        self.lock_descriptor = -1
+        if not for_writing:
             return
         self.path.mkdir(mode=0o700, parents=True, exist_ok=True)
-        self.lock = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self.lock_descriptor = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self.lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
-            os.close(self.lock)
-            raise InUse(f"{path} is in use by another process") from None
+            os.close(self.lock_descriptor)
+            raise FolderInUseError(f"{path} is in use by another process") from None
 
     def names(self) -> list[str]:
         return sorted(each.name for each in self.path.iterdir() if each.is_file())
 
-    def read(self, name: str, most: int = -1) -> bytes:
+    def read(self, name: str, max_bytes: int = -1) -> bytes:
         with open(self.path / name, "rb") as file:
-            return file.read(most)
+            return file.read(max_bytes)
 
     def size(self, name: str) -> int:
         return (self.path / name).stat().st_size
 
     def create(self, name: str) -> None:
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
-        self.open[name] = os.open(self.path / name, flags, 0o600)
+        self.descriptors[name] = os.open(self.path / name, flags, 0o600)
 
     def append(self, name: str, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self.open[name], view) :]
+        remaining = memoryview(data)
+        while remaining:
+            remaining = remaining[os.write(self.descriptors[name], remaining) :]
 
     def sync(self, name: str) -> None:
-        os.fsync(self.open[name])
+        os.fsync(self.descriptors[name])
 
     def close(self, name: str) -> None:
-        descriptor = self.open.pop(name, -1)
+        descriptor = self.descriptors.pop(name, -1)
         if descriptor >= 0:
             os.close(descriptor)
 
@@ -99,10 +99,10 @@
         finally:
             os.close(folder)
 
-    def stop(self) -> None:
+    def close_all(self) -> None:
         """Close everything; the lock goes last."""
-        for name in list(self.open):
+        for name in list(self.descriptors):
             self.close(name)
-        if self.lock >= 0:
-            os.close(self.lock)
-            self.lock = -1
+        if self.lock_descriptor >= 0:
+            os.close(self.lock_descriptor)
+            self.lock_descriptor = -1
--- a/spanwing/journal/frames.py
+++ b/spanwing/journal/frames.py
@@ -17,130 +17,141 @@
 
 import google_crc32c
 
-from spanwing.journal.records import LONGEST, Any, decode
+from spanwing.journal.records import MAX_RECORD_BYTES, AnyRecord, decode_record
 
 MAGIC, VERSION = b"SPWNJRNL", 1
-HEADER = struct.Struct("!8sHHQdQ")
-HEADER_SIZE = HEADER.size + 4
-MARK = b"\xa5\x4a"
-FRAME = struct.Struct("!2sIQI")
-NUMBERED = struct.Struct("!IQ")
-COMPACTED = 1  # a flag: records that nobody wants any more were left out, so numbers may skip
+HEADER_STRUCT = struct.Struct("!8sHHQdQ")
+HEADER_SIZE = HEADER_STRUCT.size + 4
+FRAME_MARK = b"\xa5\x4a"
+FRAME_STRUCT = struct.Struct("!2sIQI")
+CHECKSUM_PREFIX_STRUCT = struct.Struct("!IQ")
+COMPACTED_FLAG = 1  # a flag: records that nobody wants any more were left out, so numbers may skip
 
 
-class FutureVersion(ValueError):
+class FutureVersionError(ValueError):
     """A segment that a newer program wrote."""
 
 
-class Header(NamedTuple):
-    first: int  # the number of its first record
-    begun_ms: float  # wall clock
+class SegmentHeader(NamedTuple):
+    first_number: int  # the number of its first record
+    started_ms: float  # wall clock
     flags: int = 0
-    after: int = 0  # the last record that was on disk before it: what of them is not there has been lost
+    last_number_before: int = (
+        0  # the last record that was on disk before it: what of them is not there has been lost
+    )
 
 
-class Frame(NamedTuple):
+class RecordFrame(NamedTuple):
     """A whole record and where it stands."""
 
     number: int
-    at: int
-    record: Any
+    offset: int
+    record: AnyRecord
 
 
-class Skipped(NamedTuple):
+class DamagedBytes(NamedTuple):
     """Bytes that are no whole frame; reason is one plain line. missing: numbers that are not there."""
 
-    at: int
+    offset: int
     size: int
     reason: str
-    missing: int = 0
+    missing_numbers: int = 0
 
 
-def header_bytes(header: Header) -> bytes:
-    head = HEADER.pack(MAGIC, VERSION, header.flags, header.first, header.begun_ms, header.after)
+def encode_header(header: SegmentHeader) -> bytes:
+    head = HEADER_STRUCT.pack(
+        MAGIC, VERSION, header.flags, header.first_number, header.started_ms, header.last_number_before
+    )
     return head + struct.pack("!I", google_crc32c.value(head))
 
 
-def read_header(data: bytes | memoryview) -> Header:
+def decode_header(data: bytes | memoryview) -> SegmentHeader:
     """Raises FutureVersion, and ValueError on any other header that cannot be used."""
     if len(data) < HEADER_SIZE:
         raise ValueError("cut off within its header")
-    head = bytes(data[: HEADER.size])
-    magic, version, flags, first, begun, after = HEADER.unpack(head)
+    head = bytes(data[: HEADER_STRUCT.size])
+    magic, version, flags, first, started_ms, after = HEADER_STRUCT.unpack(head)
     if magic != MAGIC:
         raise ValueError("not a journal's segment")
-    if struct.unpack_from("!I", data, HEADER.size)[0] != google_crc32c.value(head):
+    if struct.unpack_from("!I", data, HEADER_STRUCT.size)[0] != google_crc32c.value(head):
         raise ValueError("damaged header")
     if version > VERSION:
-        raise FutureVersion(f"version {version}, this program reads up to {VERSION}")
-    return Header(first, begun, flags, after)
+        raise FutureVersionError(f"version {version}, this program reads up to {VERSION}")
+    return SegmentHeader(first, started_ms, flags, after)
 
 
-def frame_bytes(number: int, payload: bytes) -> bytes:
-    checksum = google_crc32c.value(NUMBERED.pack(len(payload), number) + payload)
-    return FRAME.pack(MARK, len(payload), number, checksum) + payload
+def encode_frame(number: int, payload: bytes) -> bytes:
+    checksum = google_crc32c.value(CHECKSUM_PREFIX_STRUCT.pack(len(payload), number) + payload)
+    return FRAME_STRUCT.pack(FRAME_MARK, len(payload), number, checksum) + payload
 
 
-def _whole(data: memoryview, at: int, after: int) -> Frame | None:
+def _decode_frame(data: memoryview, offset: int, last_number: int) -> RecordFrame | None:
     """The frame that stands here, if its number is above after; None if none does."""
-    if at + FRAME.size > len(data):
+    if offset + FRAME_STRUCT.size > len(data):
         return None
-    mark, length, number, checksum = FRAME.unpack_from(data, at)
-    end = at + FRAME.size + length
-    if mark != MARK or length > LONGEST or number <= after or end > len(data):
+    mark, length, number, checksum = FRAME_STRUCT.unpack_from(data, offset)
+    end = offset + FRAME_STRUCT.size + length
+    if mark != FRAME_MARK or length > MAX_RECORD_BYTES or number <= last_number or end > len(data):
         return None
-    payload = bytes(data[at + FRAME.size : end])
-    if google_crc32c.value(NUMBERED.pack(length, number) + payload) != checksum:
+    payload = bytes(data[offset + FRAME_STRUCT.size : end])
+    if google_crc32c.value(CHECKSUM_PREFIX_STRUCT.pack(length, number) + payload) != checksum:
         return None
     try:
-        return Frame(number, at, decode(payload))
+        return RecordFrame(number, offset, decode_record(payload))
     except ValueError:
         return None
 
 
-def size_of(data: memoryview, frame: Frame) -> int:
+def frame_size(data: memoryview, frame: RecordFrame) -> int:
     """Bytes of a frame that was read there."""
-    return FRAME.size + FRAME.unpack_from(data, frame.at)[1]
+    return FRAME_STRUCT.size + FRAME_STRUCT.unpack_from(data, frame.offset)[1]
 
 
 def read_frames(
-    data: bytes | memoryview, first: int, at: int = HEADER_SIZE, sparse: bool = False
-) -> Iterator[Frame | Skipped]:
+    data: bytes | memoryview, first_number: int, offset: int = HEADER_SIZE, is_compacted: bool = False
+) -> Iterator[RecordFrame | DamagedBytes]:
     """All whole frames from a place on, in order, and what lies between them.
 
     first: the least number that the next frame may have. sparse: numbers may skip (a compacted segment)."""
     view = memoryview(data)
-    last = first - 1
-    while at < len(view):
-        frame = _whole(view, at, last)
-        skipped = at
+    last_number = first_number - 1
+    while offset < len(view):
+        frame = _decode_frame(view, offset, last_number)
+        damage_start = offset
         if frame is None:
-            frame = _search(data, view, at + 1, last)
-            end = len(view) if frame is None else frame.at
-            missing = frame.number - last - 1 if frame is not None and not sparse else 0
-            where = "torn tail" if frame is None else "damaged"
-            yield Skipped(skipped, end - skipped, f"{where}: {end - skipped} bytes at {skipped}", missing)
+            frame = _find_next_frame(data, view, offset + 1, last_number)
+            end = len(view) if frame is None else frame.offset
+            missing = frame.number - last_number - 1 if frame is not None and not is_compacted else 0
+            kind = "torn tail" if frame is None else "damaged"
+            yield DamagedBytes(
+                damage_start,
+                end - damage_start,
+                f"{kind}: {end - damage_start} bytes at {damage_start}",
+                missing,
+            )
             if frame is None:
                 return
-        elif frame.number != last + 1 and not sparse:
-            yield Skipped(
-                frame.at,
+        elif frame.number != last_number + 1 and not is_compacted:
+            yield DamagedBytes(
+                frame.offset,
                 0,
-                f"numbers {last + 1} to {frame.number - 1} are not there",
-                frame.number - last - 1,
+                f"numbers {last_number + 1} to {frame.number - 1} are not there",
+                frame.number - last_number - 1,
             )
         yield frame
-        last, at = frame.number, frame.at + size_of(view, frame)
+        last_number, offset = frame.number, frame.offset + frame_size(view, frame)
 
 
-def _search(data: bytes | memoryview, view: memoryview, at: int, last: int) -> Frame | None:
+def _find_next_frame(
+    data: bytes | memoryview, view: memoryview, start: int, last_number: int
+) -> RecordFrame | None:
     """The next whole frame; the mark makes the search fast, the checksum makes it right."""
-    raw = data if isinstance(data, bytes) else bytes(data[at:])
-    offset = 0 if isinstance(data, bytes) else at
-    place = raw.find(MARK, at - offset)
-    while place >= 0:
-        frame = _whole(view, place + offset, last)
+    raw = data if isinstance(data, bytes) else bytes(data[start:])
+    raw_start = 0 if isinstance(data, bytes) else start
+    position = raw.find(FRAME_MARK, start - raw_start)
+    while position >= 0:
+        frame = _decode_frame(view, position + raw_start, last_number)
         if frame is not None:
             return frame
-        place = raw.find(MARK, place + 1)
+        position = raw.find(FRAME_MARK, position + 1)
     return None
--- a/spanwing/journal/index.py
+++ b/spanwing/journal/index.py
@@ -17,107 +17,117 @@
 import google_crc32c
 import numpy as np
 
-from spanwing.journal.frames import COMPACTED, HEADER_SIZE, Frame, read_frames, read_header
-from spanwing.journal.log import INDEX
-from spanwing.journal.records import Intent
+from spanwing.journal.frames import COMPACTED_FLAG, HEADER_SIZE, RecordFrame, decode_header, read_frames
+from spanwing.journal.log import INDEX_SUFFIX
+from spanwing.journal.records import AttemptIntent
 
 MAGIC, VERSION = b"SPWJINDX", 2
 # Magic, version, bytes of the segment, requests, intents, first and last time, checksum.
-HEAD = struct.Struct("<8sHQQQddI")
-REQUEST = np.dtype([("hash", "<u8"), ("at", "<u4")])
-INTENT = np.dtype([("hash", "<u8"), ("wall", "<i8"), ("at", "<u4")])
-ENDING = INDEX
+HEADER_STRUCT = struct.Struct("<8sHQQQddI")
+REQUEST_DTYPE = np.dtype([("hash", "<u8"), ("at", "<u4")])
+INTENT_DTYPE = np.dtype([("hash", "<u8"), ("wall", "<i8"), ("at", "<u4")])
+FILE_SUFFIX = INDEX_SUFFIX
 
 
-def hashed(text: str) -> int:
+def hash_name(text: str) -> int:
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "little")
 
 
-def hashes(names: Iterable[str]) -> np.ndarray:
+def hash_names(names: Iterable[str]) -> np.ndarray:
     """Of many names, in order."""
-    return np.unique(np.array([hashed(each) for each in names], np.uint64))
+    return np.unique(np.array([hash_name(each) for each in names], np.uint64))
 
 
 @dataclass
-class Index:
+class SegmentIndex:
     """Of one segment; times are of the wall clock, in ms."""
 
-    size: int
+    segment_bytes: int
     requests: np.ndarray  # by hash
     intents: np.ndarray  # by hash of the worker, then time
     first_ms: float
     last_ms: float
 
-    def of_requests(self, wanted: np.ndarray) -> list[int]:
+    def offsets_of_requests(self, request_hashes: np.ndarray) -> list[int]:
         """Offsets of frames whose request has one of these hashes, in order."""
-        low = np.searchsorted(self.requests["hash"], wanted, "left")
-        high = np.searchsorted(self.requests["hash"], wanted, "right")
+        low = np.searchsorted(self.requests["hash"], request_hashes, "left")
+        high = np.searchsorted(self.requests["hash"], request_hashes, "right")
         there = np.flatnonzero(high > low)
         parts = [self.requests["at"][low[each] : high[each]] for each in there]
         return sorted(int(at) for part in parts for at in part)
 
-    def of_worker(self, worker: str, after: float, before: float) -> list[int]:
+    def offsets_of_intents(self, worker: str, after_ms: float, before_ms: float) -> list[int]:
         """Offsets of intents for a worker of this hash between two times."""
-        wanted = np.uint64(hashed(worker))
+        wanted = np.uint64(hash_name(worker))
         low = np.searchsorted(self.intents["hash"], wanted, "left")
         high = np.searchsorted(self.intents["hash"], wanted, "right")
         part = self.intents[low:high]
-        fits = (part["wall"] >= np.floor(max(after, -9e18))) & (part["wall"] <= np.ceil(min(before, 9e18)))
-        return sorted(int(each) for each in part["at"][fits])
+        in_range = (part["wall"] >= np.floor(max(after_ms, -9e18))) & (
+            part["wall"] <= np.ceil(min(before_ms, 9e18))
+        )
+        return sorted(int(each) for each in part["at"][in_range])
 
 
-def build(data: bytes) -> Index:
+def build_index(data: bytes) -> SegmentIndex:
     """From a segment's bytes; damaged parts are left out. Raises ValueError on an unusable header."""
-    header = read_header(data)
+    header = decode_header(data)
     requests, intents = [], []
-    first, last = float("inf"), float("-inf")
-    for each in read_frames(data, header.first, HEADER_SIZE, bool(header.flags & COMPACTED)):
-        if not isinstance(each, Frame):
+    first_ms, last_ms = float("inf"), float("-inf")
+    for each in read_frames(data, header.first_number, HEADER_SIZE, bool(header.flags & COMPACTED_FLAG)):
+        if not isinstance(each, RecordFrame):
             continue
         record = each.record
-        first, last = min(first, record.wall_ms), max(last, record.wall_ms)
-        requests.append((hashed(record.request), each.at))  # lives and gaps: under no name
-        if isinstance(record, Intent):
-            intents.append((hashed(record.worker), int(record.wall_ms), each.at))
-    by_request, by_worker = np.array(requests, REQUEST), np.array(intents, INTENT)
-    return Index(
+        first_ms, last_ms = min(first_ms, record.wall_ms), max(last_ms, record.wall_ms)
+        requests.append((hash_name(record.request), each.offset))  # lives and gaps: under no name
+        if isinstance(record, AttemptIntent):
+            intents.append((hash_name(record.worker), int(record.wall_ms), each.offset))
+    by_request, by_worker = np.array(requests, REQUEST_DTYPE), np.array(intents, INTENT_DTYPE)
+    return SegmentIndex(
         len(data),
         np.sort(by_request, order=("hash", "at")),
         np.sort(by_worker, order=("hash", "wall", "at")),
-        first,
-        last,
+        first_ms,
+        last_ms,
     )
 
 
-def write(index: Index, path: Path) -> None:
+def write_index(index: SegmentIndex, path: Path) -> None:
     """Beside its segment, whole at once; a folder that cannot be written keeps none."""
     body = index.requests.tobytes() + index.intents.tobytes()
-    head = HEAD.pack(
+    head = HEADER_STRUCT.pack(
         MAGIC,
         VERSION,
-        index.size,
+        index.segment_bytes,
         len(index.requests),
         len(index.intents),
         index.first_ms,
         index.last_ms,
         google_crc32c.value(body),
     )
-    part = path.with_suffix(ENDING + ".part")
-    part.write_bytes(head + body)
-    part.replace(path)
+    partial_path = path.with_suffix(FILE_SUFFIX + ".part")
+    partial_path.write_bytes(head + body)
+    partial_path.replace(path)
 
 
-def read(path: Path, size: int) -> Index:
+def read_index(path: Path, segment_bytes: int) -> SegmentIndex:
     """Raises ValueError where it is not the index of a segment of this size."""
     data = path.read_bytes()
     try:
-        magic, version, of, requests, intents, first, last, checksum = HEAD.unpack_from(data)
+        magic, version, indexed_bytes, requests, intents, first_ms, last_ms, checksum = (
+            HEADER_STRUCT.unpack_from(data)
+        )
     except struct.error:
         raise ValueError("cut off") from None
-    if magic != MAGIC or version != VERSION or of != size:
+    if magic != MAGIC or version != VERSION or indexed_bytes != segment_bytes:
         raise ValueError("another version, or of another segment")
-    body = data[HEAD.size :]
-    split = requests * REQUEST.itemsize
-    if len(body) != split + intents * INTENT.itemsize or google_crc32c.value(body) != checksum:
+    body = data[HEADER_STRUCT.size :]
+    split = requests * REQUEST_DTYPE.itemsize
+    if len(body) != split + intents * INTENT_DTYPE.itemsize or google_crc32c.value(body) != checksum:
         raise ValueError("damaged")
-    return Index(size, np.frombuffer(body[:split], REQUEST), np.frombuffer(body[split:], INTENT), first, last)
+    return SegmentIndex(
+        segment_bytes,
+        np.frombuffer(body[:split], REQUEST_DTYPE),
+        np.frombuffer(body[split:], INTENT_DTYPE),
+        first_ms,
+        last_ms,
+    )
--- a/spanwing/journal/keeper.py
+++ b/spanwing/journal/keeper.py
@@ -16,136 +16,157 @@
 from typing import Literal
 
 from spanwing.journal.committer import Committer
-from spanwing.journal.ledger import Attempt, Lost, Request
-from spanwing.journal.log import Log
+from spanwing.journal.ledger import InterruptedRequest, JournalAttempt, JournalRequest
+from spanwing.journal.log import SegmentLog
 from spanwing.journal.records import (
-    Answered,
-    Any,
-    GivenUp,
-    Intent,
-    LastByte,
-    Outcome,
-    Started,
-    Taken,
-    Unsent,
+    AnyRecord,
+    AttemptCancelled,
+    AttemptCompleted,
+    AttemptIntent,
+    AttemptUnsent,
+    LastByteWritten,
+    ProcessStarted,
+    RequestAccepted,
+    RequestAnswered,
 )
-from spanwing.journal.thinning import Thinner, ThinningThread
+from spanwing.journal.thinning import CompactionThread, SegmentCompactor
 
-LONGEST_NAME = 200  # of a tenant, key, worker or address, in characters
+MAX_NAME_CHARS = 200  # of a tenant, key, worker or address, in characters
 
-Policy = Literal["refuse", "serve"]
+FailurePolicy = Literal["refuse", "serve"]
 
 
-def cut(text: str) -> str:
+def truncate(text: str) -> str:
     """What a client names may be long, and a record that does not fit would take its whole batch with it."""
-    return text if len(text) <= LONGEST_NAME else f"{text[: LONGEST_NAME - 1]}…"
+    return text if len(text) <= MAX_NAME_CHARS else f"{text[: MAX_NAME_CHARS - 1]}…"
 
 
-class Keeper:
+class JournalWriter:
     """Writes down the requests of some classes."""
 
     def __init__(
         self,
-        log: Log,
-        policy: Policy,
+        segment_log: SegmentLog,
+        failure_policy: FailurePolicy,
         name: str,
-        post: Callable[..., object],
-        wait_s: float = 0.25,
-        later: Callable[[float, Callable[[], None]], object] | None = None,
-        cancel: Callable[[object], None] = lambda timer: None,
+        call_on_loop: Callable[..., object],
+        intent_timeout_s: float = 0.25,
+        call_later: Callable[[float, Callable[[], None]], object] | None = None,
+        cancel_timer: Callable[[object], None] = lambda timer: None,
     ) -> None:
         """post: runs a call on the loop, from any thread; later and cancel: the loop's timers."""
-        self.policy = policy
-        self.wait_s, self.later, self.cancel = wait_s, later, cancel
-        now = self._now()
-        self.left_open: list[tuple[Request, Attempt]] = log.ledger.left_open()
+        self.failure_policy = failure_policy
+        self.intent_timeout_s, self.call_later, self.cancel_timer = intent_timeout_s, call_later, cancel_timer
+        now = self._clocks_ms()
+        self.unfinished_attempts: list[tuple[JournalRequest, JournalAttempt]] = (
+            segment_log.request_states.unfinished_attempts()
+        )
         # The first write of this life: what earlier ones left is closed, and nothing of it is done again.
         # It goes before anything else, and a disk that cannot take it is known before the first client comes.
-        closing = log.ledger.closing(*now)
-        log.write([Started("", *now, name, secrets.token_hex(8), policy == "refuse"), *closing], now[0])
-        self.lost: dict[str, Lost] = dict(log.ledger.lost)
-        self.skipped = log.skipped
-        self.committer = Committer(log, post)
+        closing_records = segment_log.request_states.closing_records(*now)
+        segment_log.write(
+            [
+                ProcessStarted("", *now, name, secrets.token_hex(8), failure_policy == "refuse"),
+                *closing_records,
+            ],
+            now[0],
+        )
+        self.interrupted: dict[str, InterruptedRequest] = dict(segment_log.request_states.interrupted)
+        self.damaged = segment_log.damaged
+        self.committer = Committer(segment_log, call_on_loop)
         self.committer.start()
         # Where all classes are kept for the same time, whole segments go, and nothing has to be thinned.
-        self.thinning: ThinningThread | None = None
-        if log.bounds.keep_ms_of:
-            self.thinning = ThinningThread(Thinner(log.files, log.bounds), lambda: self.committer.oldest)
-            self.thinning.start()
+        self.compaction: CompactionThread | None = None
+        if segment_log.limits.retention_ms_by_class:
+            self.compaction = CompactionThread(
+                SegmentCompactor(segment_log.files, segment_log.limits),
+                lambda: self.committer.oldest_needed_number,
+            )
+            self.compaction.start()
 
     @staticmethod
-    def _now() -> tuple[float, float]:
+    def _clocks_ms() -> tuple[float, float]:
         """Both clocks, in ms."""
         return time.time() * 1000.0, time.monotonic() * 1000.0
 
-    def refusing(self) -> str:
+    def unavailable_reason(self) -> str:
         """Why work that has to be written down is turned away now; empty where it is taken."""
-        return self.committer.trouble(self.wait_s) if self.policy == "refuse" else ""
+        return (
+            self.committer.unavailable_reason(self.intent_timeout_s)
+            if self.failure_policy == "refuse"
+            else ""
+        )
 
-    def earlier(self, request: str) -> str:
+    def find_interrupted(self, request: str) -> str:
         """What is known of a request that an earlier life left open; empty where that is nothing."""
-        lost = self.lost.get(request)
-        if lost is None:
+        interrupted = self.interrupted.get(request)
+        if interrupted is None:
             return ""
-        when = datetime.fromtimestamp(lost.wall_ms / 1000.0, UTC).isoformat(timespec="milliseconds")
-        worker = f" to {lost.worker}" if lost.worker else ""
-        return f"{lost.finding}{worker} at {when}, before a crash; its outcome is not known"
+        when = datetime.fromtimestamp(interrupted.wall_ms / 1000.0, UTC).isoformat(timespec="milliseconds")
+        worker = f" to {interrupted.worker}" if interrupted.worker else ""
+        return f"{interrupted.delivery_state}{worker} at {when}, before a crash; its outcome is not known"
 
-    def taken(self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float) -> None:
-        self._note(Taken(request, *self._now(), cls, cut(tenant), cut(key), front, budget_ms))
+    def record_accepted(
+        self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float
+    ) -> None:
+        self._submit(
+            RequestAccepted(
+                request, *self._clocks_ms(), cls, truncate(tenant), truncate(key), front, budget_ms
+            )
+        )
 
-    def intent(
+    def record_intent(
         self, request: str, attempt: int, worker: str, address: str, then: Callable[[bool], None]
     ) -> None:
         """then hears whether the attempt may be sent."""
-        done, timer = False, None
+        is_decided, timer = False, None
 
-        def told(reason: str) -> None:
-            nonlocal done
-            if not done:
-                done = True
+        def decide(reason: str) -> None:
+            nonlocal is_decided
+            if not is_decided:
+                is_decided = True
                 if timer is not None:
-                    self.cancel(timer)
-                then(not reason or self.policy == "serve")
+                    self.cancel_timer(timer)
+                then(not reason or self.failure_policy == "serve")
 
-        record = Intent(request, *self._now(), attempt, cut(worker), cut(address))
-        if not self.committer.submit([record], told):
-            told("too many records wait")
-        elif self.later is not None:
-            timer = self.later(self.wait_s, lambda: told("the disk is slow"))
+        record = AttemptIntent(request, *self._clocks_ms(), attempt, truncate(worker), truncate(address))
+        if not self.committer.submit([record], decide):
+            decide("too many records wait")
+        elif self.call_later is not None:
+            timer = self.call_later(self.intent_timeout_s, lambda: decide("the disk is slow"))
 
-    def last_byte(self, request: str, attempt: int) -> None:
-        self._note(LastByte(request, *self._now(), attempt))
+    def record_last_byte(self, request: str, attempt: int) -> None:
+        self._submit(LastByteWritten(request, *self._clocks_ms(), attempt))
 
-    def unsent(self, request: str, attempt: int, why: str) -> None:
-        self._note(Unsent(request, *self._now(), attempt, why))
+    def record_unsent(self, request: str, attempt: int, why: str) -> None:
+        self._submit(AttemptUnsent(request, *self._clocks_ms(), attempt, why))
 
-    def given_up(self, request: str, attempt: int, why: str) -> None:
-        self._note(GivenUp(request, *self._now(), attempt, why))
+    def record_cancelled(self, request: str, attempt: int, why: str) -> None:
+        self._submit(AttemptCancelled(request, *self._clocks_ms(), attempt, why))
 
-    def outcome(self, request: str, attempt: int, result: str) -> None:
-        self._note(Outcome(request, *self._now(), attempt, result))
+    def record_outcome(self, request: str, attempt: int, result: str) -> None:
+        self._submit(AttemptCompleted(request, *self._clocks_ms(), attempt, result))
 
-    def answered(self, request: str, kind: str) -> None:
-        self._note(Answered(request, *self._now(), kind))
+    def record_answered(self, request: str, kind: str) -> None:
+        self._submit(RequestAnswered(request, *self._clocks_ms(), kind))
 
-    def _note(self, record: Any) -> None:
+    def _submit(self, record: AnyRecord) -> None:
         """What does not fit the queue is counted as a gap there."""
         self.committer.submit([record])
 
-    def figures(self) -> dict[str, int]:
+    def counters(self) -> dict[str, int]:
         """Syncs and records since the start, records that wait, records that a gap will tell of."""
-        made = self.committer
+        committer = self.committer
         return {
-            "syncs": made.syncs,
-            "records": made.written,
-            "waiting": made.count,
-            "lost": made.lost,
-            "failing": int(bool(made.failing)),
+            "syncs": committer.syncs,
+            "records": committer.written_records,
+            "waiting": committer.pending_records,
+            "lost": committer.lost_records,
+            "failing": int(bool(committer.failure_reason)),
         }
 
     def close(self) -> bool:
         """Write what waits; whether all of it is on disk."""
-        if self.thinning is not None:
-            self.thinning.stop()
-        return self.committer.stop() and not self.committer.lost
+        if self.compaction is not None:
+            self.compaction.stop()
+        return self.committer.stop() and not self.committer.lost_records
--- a/spanwing/journal/ledger.py
+++ b/spanwing/journal/ledger.py
@@ -14,28 +14,28 @@
 from typing import Literal, NamedTuple
 
 from spanwing.journal.records import (
-    Answered,
-    Any,
-    Closed,
-    Gap,
-    GivenUp,
-    Intent,
-    LastByte,
-    Outcome,
-    Started,
-    Taken,
-    Unsent,
+    AnyRecord,
+    AttemptCancelled,
+    AttemptClosed,
+    AttemptCompleted,
+    AttemptIntent,
+    AttemptUnsent,
+    JournalGap,
+    LastByteWritten,
+    ProcessStarted,
+    RequestAccepted,
+    RequestAnswered,
 )
 
-MOST_LOST = 100_000
+MAX_INTERRUPTED = 100_000
 NO_ATTEMPT = -1  # of a Closed: nothing of the request was out
-Finding = Literal["not sent", "possibly sent", "sent"]
+DeliveryState = Literal["not sent", "possibly sent", "sent"]
 #: Outcomes that prove that an attempt never ran (the decision module's NEVER_RAN, as text on disk).
-NEVER_RAN = frozenset({"full", "unreachable", "moot"})
+NEVER_RAN_OUTCOMES = frozenset({"full", "unreachable", "moot"})
 
 
 @dataclass(slots=True)
-class Attempt:
+class JournalAttempt:
     """One delivery attempt as the journal knows it."""
 
     number: int
@@ -43,154 +43,162 @@
     address: str = ""
     intent_ms: float | None = None  # wall clock
     last_byte_ms: float | None = None
-    unsent: str = ""  # why its last byte was certainly not written
-    given_up: str = ""
+    unsent_reason: str = ""  # why its last byte was certainly not written
+    cancel_reason: str = ""
     result: str = ""
-    closed: bool = False  # a later life found it open
+    is_closed_at_start: bool = False  # a later life found it open
 
     @property
-    def finding(self) -> Finding:
+    def delivery_state(self) -> DeliveryState:
         if self.last_byte_ms is not None:
             return "sent"
-        return "not sent" if self.unsent else "possibly sent"
+        return "not sent" if self.unsent_reason else "possibly sent"
 
     @property
-    def over(self) -> bool:
+    def is_ended(self) -> bool:
         """Nothing more is to come of it."""
-        return bool(self.unsent or self.result or self.closed)
+        return bool(self.unsent_reason or self.result or self.is_closed_at_start)
 
 
 @dataclass(slots=True)
-class Request:
+class JournalRequest:
     """All that is known of one request."""
 
     id: str
-    first: int  # the number of its first record
-    taken: Taken | None = None
+    first_number: int  # the number of its first record
+    accepted: RequestAccepted | None = None
     answer: str = ""
     answered_ms: float | None = None
-    cut_short: bool = False  # a later life found it unanswered: it never will be
-    doubtful: bool = False  # an attempt of it may be missing here
-    attempts: dict[int, Attempt] = field(default_factory=dict)
+    is_interrupted: bool = False  # a later life found it unanswered: it never will be
+    may_lack_attempts: bool = False  # an attempt of it may be missing here
+    attempts: dict[int, JournalAttempt] = field(default_factory=dict)
 
     @property
-    def finding(self) -> Finding:
+    def delivery_state(self) -> DeliveryState:
         """The gravest of its attempts."""
-        found = {each.finding for each in self.attempts.values()}
-        if self.missing:
-            found.add("possibly sent")
-        return "sent" if "sent" in found else "possibly sent" if "possibly sent" in found else "not sent"
+        states = {each.delivery_state for each in self.attempts.values()}
+        if self.is_incomplete:
+            states.add("possibly sent")
+        return "sent" if "sent" in states else "possibly sent" if "possibly sent" in states else "not sent"
 
     @property
-    def missing(self) -> bool:
+    def is_incomplete(self) -> bool:
         """Records of it may not be there."""
-        return self.doubtful or self.taken is None
+        return self.may_lack_attempts or self.accepted is None
 
     @property
-    def settled(self) -> bool:
+    def is_settled(self) -> bool:
         """Answered, or cut short by a crash, and every attempt is over: no later record is owed."""
-        ended = self.answered_ms is not None or self.cut_short
-        return ended and all(each.over for each in self.attempts.values())
+        has_ended = self.answered_ms is not None or self.is_interrupted
+        return has_ended and all(each.is_ended for each in self.attempts.values())
 
-    def attempt(self, number: int) -> Attempt:
-        return self.attempts.setdefault(number, Attempt(number))
+    def get_or_add_attempt(self, number: int) -> JournalAttempt:
+        return self.attempts.setdefault(number, JournalAttempt(number))
 
 
-class Lost(NamedTuple):
+class InterruptedRequest(NamedTuple):
     """A request that an earlier life left open, as far as a repeat of it is to be told."""
 
-    finding: str
+    delivery_state: str
     worker: str
     wall_ms: float
 
 
-class Ledger:
+class RequestStates:
     """Requests that are not settled, from records in their order, and those that a crash has settled."""
 
     def __init__(self) -> None:
-        self.open: dict[str, Request] = {}
-        self.lost: OrderedDict[str, Lost] = OrderedDict()  # MOST_LOST at most, the oldest goes
-        self.certain = True  # of the life whose records come: none of its intents can be missing
+        self.open_requests: dict[str, JournalRequest] = {}
+        self.interrupted: OrderedDict[str, InterruptedRequest] = (
+            OrderedDict()
+        )  # MOST_LOST at most, the oldest goes
+        self.has_every_intent = True  # of the life whose records come: none of its intents can be missing
 
-    def take(self, number: int, record: Any) -> Request | None:
+    def apply(self, number: int, record: AnyRecord) -> JournalRequest | None:
         """Add a record; returns the request if this settles it."""
         if not record.request:
-            self._of_a_life(record)
+            self._apply_process_record(record)
             return None
-        request = self.open.get(record.request)
+        request = self.open_requests.get(record.request)
         if request is None:
-            request = self.open[record.request] = Request(record.request, number)
-        add(request, record)
-        if not request.settled:
+            request = self.open_requests[record.request] = JournalRequest(record.request, number)
+        update_request(request, record)
+        if not request.is_settled:
             return None
-        if request.cut_short and request.finding != "not sent":
-            attempt = max(request.attempts.values(), key=lambda each: each.number, default=Attempt(0))
-            self.lost[request.id] = Lost(request.finding, attempt.worker, attempt.intent_ms or record.wall_ms)
-            self.lost.move_to_end(request.id)
-            if len(self.lost) > MOST_LOST:
-                self.lost.popitem(last=False)
-        return self.open.pop(record.request)
-
-    def _of_a_life(self, record: Any) -> None:
-        if isinstance(record, Gap | Started) and not self.certain:
-            for each in self.open.values():
-                each.doubtful = True
-        if isinstance(record, Started):
-            self.certain = record.certain
-
-    def oldest(self) -> int | None:
+        if request.is_interrupted and request.delivery_state != "not sent":
+            attempt = max(request.attempts.values(), key=lambda each: each.number, default=JournalAttempt(0))
+            self.interrupted[request.id] = InterruptedRequest(
+                request.delivery_state, attempt.worker, attempt.intent_ms or record.wall_ms
+            )
+            self.interrupted.move_to_end(request.id)
+            if len(self.interrupted) > MAX_INTERRUPTED:
+                self.interrupted.popitem(last=False)
+        return self.open_requests.pop(record.request)
+
+    def _apply_process_record(self, record: AnyRecord) -> None:
+        if isinstance(record, JournalGap | ProcessStarted) and not self.has_every_intent:
+            for each in self.open_requests.values():
+                each.may_lack_attempts = True
+        if isinstance(record, ProcessStarted):
+            self.has_every_intent = record.certain
+
+    def oldest_needed_number(self) -> int | None:
         """The number of the first record that is still needed."""
-        return min((each.first for each in self.open.values()), default=None)
+        return min((each.first_number for each in self.open_requests.values()), default=None)
 
-    def left_open(self) -> list[tuple[Request, Attempt]]:
+    def unfinished_attempts(self) -> list[tuple[JournalRequest, JournalAttempt]]:
         """After a crash: attempts with an intent and no end; where records of a request may be missing, an
         attempt of no number stands for what is not known."""
-        found = []
-        for request in self.open.values():
-            ends = [
-                each for each in request.attempts.values() if each.finding != "not sent" and not each.over
+        unfinished = []
+        for request in self.open_requests.values():
+            attempts = [
+                each
+                for each in request.attempts.values()
+                if each.delivery_state != "not sent" and not each.is_ended
             ]
-            if not ends and (request.missing or not self.certain):
-                ends = [Attempt(NO_ATTEMPT)]
-            found += [(request, each) for each in ends]
-        return found
+            if not attempts and (request.is_incomplete or not self.has_every_intent):
+                attempts = [JournalAttempt(NO_ATTEMPT)]
+            unfinished += [(request, each) for each in attempts]
+        return unfinished
 
-    def closing(self, wall_ms: float, mono_ms: float) -> list[Closed]:
+    def closing_records(self, wall_ms: float, mono_ms: float) -> list[AttemptClosed]:
         """What a new life writes down so that nothing of an earlier one stays open: for each attempt of which
         the end is not known, and for each request that has none, that no answer will come."""
         records = []
-        for request in self.open.values():
-            ends = [each for each in request.attempts.values() if not each.over]
-            records += [Closed(request.id, wall_ms, mono_ms, each.number, each.worker) for each in ends]
-            if not ends:
-                records.append(Closed(request.id, wall_ms, mono_ms, NO_ATTEMPT))
+        for request in self.open_requests.values():
+            attempts = [each for each in request.attempts.values() if not each.is_ended]
+            records += [
+                AttemptClosed(request.id, wall_ms, mono_ms, each.number, each.worker) for each in attempts
+            ]
+            if not attempts:
+                records.append(AttemptClosed(request.id, wall_ms, mono_ms, NO_ATTEMPT))
         return records
 
 
-def add(request: Request, record: Any) -> None:
+def update_request(request: JournalRequest, record: AnyRecord) -> None:
     """Take one record of a request into account."""
     match record:
-        case Taken():
-            request.taken = record
-        case Intent():
-            attempt = request.attempt(record.attempt)
+        case RequestAccepted():
+            request.accepted = record
+        case AttemptIntent():
+            attempt = request.get_or_add_attempt(record.attempt)
             attempt.worker, attempt.address = record.worker, record.address
             attempt.intent_ms = record.wall_ms
-        case LastByte():
-            request.attempt(record.attempt).last_byte_ms = record.wall_ms
-        case Unsent():
-            request.attempt(record.attempt).unsent = record.why or "unsent"
-        case GivenUp():
-            request.attempt(record.attempt).given_up = record.why or "given up"
-        case Outcome():
-            request.attempt(record.attempt).result = record.result
-        case Answered():
+        case LastByteWritten():
+            request.get_or_add_attempt(record.attempt).last_byte_ms = record.wall_ms
+        case AttemptUnsent():
+            request.get_or_add_attempt(record.attempt).unsent_reason = record.why or "unsent"
+        case AttemptCancelled():
+            request.get_or_add_attempt(record.attempt).cancel_reason = record.why or "given up"
+        case AttemptCompleted():
+            request.get_or_add_attempt(record.attempt).result = record.result
+        case RequestAnswered():
             request.answer, request.answered_ms = record.kind, record.wall_ms
-        case Closed():
-            request.cut_short = True
+        case AttemptClosed():
+            request.is_interrupted = True
             if record.attempt == NO_ATTEMPT:
                 return
-            attempt = request.attempt(record.attempt)
-            attempt.closed = True
+            attempt = request.get_or_add_attempt(record.attempt)
+            attempt.is_closed_at_start = True
             if attempt.intent_ms is None:  # its intent was dropped with an old segment: it was there
                 attempt.intent_ms, attempt.worker = record.wall_ms, record.worker
--- a/spanwing/journal/log.py
+++ b/spanwing/journal/log.py
@@ -12,36 +12,36 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from spanwing.journal.files import Files
+from spanwing.journal.files import FolderFiles
 from spanwing.journal.frames import (
-    COMPACTED,
+    COMPACTED_FLAG,
     HEADER_SIZE,
-    Frame,
-    FutureVersion,
-    Header,
-    Skipped,
-    frame_bytes,
-    header_bytes,
+    DamagedBytes,
+    FutureVersionError,
+    RecordFrame,
+    SegmentHeader,
+    decode_header,
+    encode_frame,
+    encode_header,
     read_frames,
-    read_header,
 )
-from spanwing.journal.ledger import Ledger
-from spanwing.journal.records import Any, encode
-from spanwing.journal.snapshot import read_snapshot, snapshot_bytes
+from spanwing.journal.ledger import RequestStates
+from spanwing.journal.records import AnyRecord, encode_record
+from spanwing.journal.snapshot import decode_snapshot, encode_snapshot
 
-SEGMENT, SNAPSHOT, PART, INDEX = ".log", ".snap", ".part", ".idx"
-KEPT_SNAPSHOTS = 2
-NUMBERS_A_LIFE = 1 << 20
+SEGMENT_SUFFIX, SNAPSHOT_SUFFIX, PARTIAL_SUFFIX, INDEX_SUFFIX = ".log", ".snap", ".part", ".idx"
+MAX_SNAPSHOTS = 2
+NUMBERS_SKIPPED_AT_START = 1 << 20
 
 
-def segment_name(first: int) -> str:
-    return f"{first:016x}{SEGMENT}"
+def segment_name(first_number: int) -> str:
+    return f"{first_number:016x}{SEGMENT_SUFFIX}"
 
 
-def first_of(name: str) -> int | None:
+def number_in_name(name: str) -> int | None:
     """The number in a file's name; None for a file that is not ours."""
-    stem, _, ending = name.rpartition(".")
-    if f".{ending}" not in (SEGMENT, SNAPSHOT) or len(stem) != 16:
+    stem, _, suffix = name.rpartition(".")
+    if f".{suffix}" not in (SEGMENT_SUFFIX, SNAPSHOT_SUFFIX) or len(stem) != 16:
         return None
     try:
         return int(stem, 16)
@@ -50,198 +50,220 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bounds:
+class RetentionLimits:
     """When a segment ends, and what is kept."""
 
     segment_bytes: int = 64 * 1024 * 1024
     segment_ms: float = 3_600_000.0
-    keep_ms: float = 90 * 86_400_000.0
-    keep_bytes: int = 4 * 1024 * 1024 * 1024
-    keep_ms_of: Mapping[str, float] = field(default_factory=dict)  # by class, where it differs
+    retention_ms: float = 90 * 86_400_000.0
+    retention_bytes: int = 4 * 1024 * 1024 * 1024
+    retention_ms_by_class: Mapping[str, float] = field(default_factory=dict)  # by class, where it differs
 
-    def keep_of(self, cls: str) -> float:
-        return self.keep_ms_of.get(cls, self.keep_ms)
+    def retention_ms_for(self, cls: str) -> float:
+        return self.retention_ms_by_class.get(cls, self.retention_ms)
 
     @property
-    def longest_ms(self) -> float:
+    def longest_retention_ms(self) -> float:
         """Nothing that is settled is kept for longer."""
-        return max(self.keep_ms, *self.keep_ms_of.values()) if self.keep_ms_of else self.keep_ms
+        return (
+            max(self.retention_ms, *self.retention_ms_by_class.values())
+            if self.retention_ms_by_class
+            else self.retention_ms
+        )
 
 
-class Reader:
+class SegmentReader:
     """All that a folder holds, in order, without a lock."""
 
-    def __init__(self, files: Files) -> None:
+    def __init__(self, files: FolderFiles) -> None:
         self.files = files
 
-    def segments(self) -> list[str]:
+    def segment_names(self) -> list[str]:
         return sorted(
-            name for name in self.files.names() if name.endswith(SEGMENT) and first_of(name) is not None
+            name
+            for name in self.files.names()
+            if name.endswith(SEGMENT_SUFFIX) and number_in_name(name) is not None
         )
 
-    def read(self, after: int = 0) -> Iterator[tuple[str, Frame | Skipped]]:
+    def read_all(self, after_number: int = 0) -> Iterator[tuple[str, RecordFrame | DamagedBytes]]:
         """Every whole record with a number above after, and whatever is not whole, by segment."""
-        names, last, whole = self.segments(), after, bool(after)
-        for place, name in enumerate(names):
-            following = first_of(names[place + 1]) if place + 1 < len(names) else None
-            if following is not None and following <= after + 1:
+        names, last_number, expects_predecessor = self.segment_names(), after_number, bool(after_number)
+        for position, name in enumerate(names):
+            next_first_number = number_in_name(names[position + 1]) if position + 1 < len(names) else None
+            if next_first_number is not None and next_first_number <= after_number + 1:
                 continue  # all of it is older
             try:
                 data = self.files.read(name)
             except FileNotFoundError:
                 continue  # retention has removed it while we read
             try:
-                header = read_header(data)
+                header = decode_header(data)
             except ValueError as error:
-                yield name, Skipped(0, len(data), f"{error}", 0)
+                yield name, DamagedBytes(0, len(data), f"{error}", 0)
                 continue
-            if whole and header.after > last:
+            if expects_predecessor and header.last_number_before > last_number:
                 yield (
                     name,
-                    Skipped(
+                    DamagedBytes(
                         0,
                         0,
-                        f"records up to {header.after} are not there before this segment",
-                        header.after - last,
+                        f"records up to {header.last_number_before} are not there before this segment",
+                        header.last_number_before - last_number,
                     ),
                 )
             # Before the oldest segment that is there nothing is missed: retention has taken it.
-            whole = not header.flags & COMPACTED
-            for each in read_frames(data, header.first, HEADER_SIZE, bool(header.flags & COMPACTED)):
-                if isinstance(each, Skipped):
+            expects_predecessor = not header.flags & COMPACTED_FLAG
+            for each in read_frames(
+                data, header.first_number, HEADER_SIZE, bool(header.flags & COMPACTED_FLAG)
+            ):
+                if isinstance(each, DamagedBytes):
                     yield name, each
-                elif each.number > last:
-                    last = each.number
+                elif each.number > last_number:
+                    last_number = each.number
                     yield name, each
 
 
-class Log:
+class SegmentLog:
     """Opened by one process at a time; the ledger follows what is on disk."""
 
-    def __init__(self, files: Files, bounds: Bounds = Bounds()) -> None:  # noqa: B008 - immutable
-        self.files, self.bounds = files, bounds
-        self.skipped: list[tuple[str, Skipped]] = []
-        self.ledger, self.last = self._snapshot()
-        reader = Reader(files)
-        for name in reader.segments():
+    def __init__(self, files: FolderFiles, limits: RetentionLimits = RetentionLimits()) -> None:  # noqa: B008 - immutable
+        self.files, self.limits = files, limits
+        self.damaged: list[tuple[str, DamagedBytes]] = []
+        self.request_states, self.last_number = self._load_snapshot()
+        reader = SegmentReader(files)
+        for name in reader.segment_names():
             try:
-                read_header(files.read(name, HEADER_SIZE))
-            except FutureVersion as error:
+                decode_header(files.read(name, HEADER_SIZE))
+            except FutureVersionError as error:
                 raise ValueError(f"{name}: {error}") from None
             except ValueError:
                 pass  # told below, and nothing is written to it
-        for name, each in reader.read(self.last):
-            if isinstance(each, Skipped):
-                self.skipped.append((name, each))
+        for name, each in reader.read_all(self.last_number):
+            if isinstance(each, DamagedBytes):
+                self.damaged.append((name, each))
             else:
-                self.last = each.number
-                self.ledger.take(each.number, each.record)
+                self.last_number = each.number
+                self.request_states.apply(each.number, each.record)
         # Numbers that a lost tail may have used are left out: they must not stand for two records.
-        highest = max([self.last, *(first_of(name) or 0 for name in reader.segments())])
-        self.number = highest + NUMBERS_A_LIFE if reader.segments() else 1
-        self.current: str | None = None
-        self.size, self.begun_ms = 0, 0.0
+        highest_number = max(
+            [self.last_number, *(number_in_name(name) or 0 for name in reader.segment_names())]
+        )
+        self.next_number = highest_number + NUMBERS_SKIPPED_AT_START if reader.segment_names() else 1
+        self.current_segment: str | None = None
+        self.current_bytes, self.segment_started_ms = 0, 0.0
 
-    def _snapshot(self) -> tuple[Ledger, int]:
+    def _load_snapshot(self) -> tuple[RequestStates, int]:
         for name in sorted(self.files.names(), reverse=True):
-            if name.endswith(SNAPSHOT) and first_of(name) is not None:
+            if name.endswith(SNAPSHOT_SUFFIX) and number_in_name(name) is not None:
                 try:
-                    return read_snapshot(self.files.read(name))
+                    return decode_snapshot(self.files.read(name))
                 except ValueError as error:
-                    self.skipped.append((name, Skipped(0, 0, f"snapshot: {error}")))
-        return Ledger(), 0
+                    self.damaged.append((name, DamagedBytes(0, 0, f"snapshot: {error}")))
+        return RequestStates(), 0
 
-    def write(self, batch: list[Any], now_ms: float) -> int:
+    def write(self, batch: list[AnyRecord], now_ms: float) -> int:
         """Write and sync; returns the number of the last record. Raises OSError: then none of the batch may
         be relied on, and all of it may be there."""
-        numbers = range(self.number, self.number + len(batch))
+        numbers = range(self.next_number, self.next_number + len(batch))
         data = b"".join(
-            frame_bytes(number, encode(record)) for number, record in zip(numbers, batch, strict=True)
+            encode_frame(number, encode_record(record)) for number, record in zip(numbers, batch, strict=True)
         )
         # A clock that stepped back must not keep a segment open for ever.
-        old = not 0 <= now_ms - self.begun_ms < self.bounds.segment_ms
-        if self.current is None or old or self.size + len(data) > self.bounds.segment_bytes:
-            self._rotate(now_ms)
-        name, self.number = self.current, numbers.stop  # also where it fails: no number stands twice
+        is_too_old = not 0 <= now_ms - self.segment_started_ms < self.limits.segment_ms
+        if (
+            self.current_segment is None
+            or is_too_old
+            or self.current_bytes + len(data) > self.limits.segment_bytes
+        ):
+            self._start_segment(now_ms)
+        name, self.next_number = (
+            self.current_segment,
+            numbers.stop,
+        )  # also where it fails: no number stands twice
         try:
             self.files.append(name, data)
             self.files.sync(name)
         except OSError:
-            self._abandon()
+            self._close_segment()
             raise
-        self.size += len(data)
-        self.last = self.number - 1
+        self.current_bytes += len(data)
+        self.last_number = self.next_number - 1
         for number, record in zip(numbers, batch, strict=True):
-            self.ledger.take(number, record)
-        return self.last
+            self.request_states.apply(number, record)
+        return self.last_number
 
-    def _rotate(self, now_ms: float) -> None:
+    def _start_segment(self, now_ms: float) -> None:
         """Begin a segment; it counts only once its header and its name are on disk."""
-        before = self.current
-        self._abandon()
-        name = segment_name(self.number)
+        previous = self.current_segment
+        self._close_segment()
+        name = segment_name(self.next_number)
         try:
             self.files.create(name)
-            self.files.append(name, header_bytes(Header(self.number, now_ms, 0, self.last)))
+            self.files.append(
+                name, encode_header(SegmentHeader(self.next_number, now_ms, 0, self.last_number))
+            )
             self.files.sync(name)
             self.files.sync_folder()
         except OSError:
             self.files.close(name)
-            self.number += 1  # another try makes another file
+            self.next_number += 1  # another try makes another file
             raise
-        self.current, self.size, self.begun_ms = name, HEADER_SIZE, now_ms
-        if before is not None:
-            self.snapshot()
+        self.current_segment, self.current_bytes, self.segment_started_ms = name, HEADER_SIZE, now_ms
+        if previous is not None:
+            self.write_snapshot()
 
-    def _abandon(self) -> None:
-        if self.current is not None:
-            self.files.close(self.current)
-            self.current = None
+    def _close_segment(self) -> None:
+        if self.current_segment is not None:
+            self.files.close(self.current_segment)
+            self.current_segment = None
 
-    def snapshot(self) -> None:
+    def write_snapshot(self) -> None:
         """Write down what is open; a crash at any point of it leaves the one before."""
-        name = f"{self.last:016x}{SNAPSHOT}"
-        part = name + PART
+        name = f"{self.last_number:016x}{SNAPSHOT_SUFFIX}"
+        partial_name = name + PARTIAL_SUFFIX
         for each in self.files.names():
-            if each.endswith(SNAPSHOT + PART):
+            if each.endswith(SNAPSHOT_SUFFIX + PARTIAL_SUFFIX):
                 self.files.remove(each)
-        self.files.create(part)
+        self.files.create(partial_name)
         try:
-            self.files.append(part, snapshot_bytes(self.ledger, self.last))
-            self.files.sync(part)
+            self.files.append(partial_name, encode_snapshot(self.request_states, self.last_number))
+            self.files.sync(partial_name)
         finally:
-            self.files.close(part)
-        self.files.rename(part, name)
+            self.files.close(partial_name)
+        self.files.rename(partial_name, name)
         self.files.sync_folder()
-        kept = sorted(each for each in self.files.names() if each.endswith(SNAPSHOT))
-        for each in kept[:-KEPT_SNAPSHOTS]:
+        snapshots = sorted(each for each in self.files.names() if each.endswith(SNAPSHOT_SUFFIX))
+        for each in snapshots[:-MAX_SNAPSHOTS]:
             self.files.remove(each)
 
-    def retain(self, now_ms: float) -> list[str]:
+    def remove_expired(self, now_ms: float) -> list[str]:
         """Remove segments that are too old or too much, but none that is needed; returns their names."""
-        names = Reader(self.files).segments()
-        oldest = self.ledger.oldest()
+        names = SegmentReader(self.files).segment_names()
+        oldest_needed = self.request_states.oldest_needed_number()
         sizes = {name: self.files.size(name) for name in names}
-        total, gone = sum(sizes.values()), []
+        total_bytes, removed = sum(sizes.values()), []
         for name, following in zip(names, names[1:], strict=False):
-            begins_next = first_of(following)
-            if oldest is not None and oldest < begins_next:
+            next_first_number = number_in_name(following)
+            if oldest_needed is not None and oldest_needed < next_first_number:
                 break
             try:
-                ended_ms = read_header(self.files.read(following, HEADER_SIZE)).begun_ms
+                ended_ms = decode_header(self.files.read(following, HEADER_SIZE)).started_ms
             except ValueError:
                 break
-            if now_ms - ended_ms <= self.bounds.longest_ms and total <= self.bounds.keep_bytes:
+            if (
+                now_ms - ended_ms <= self.limits.longest_retention_ms
+                and total_bytes <= self.limits.retention_bytes
+            ):
                 break
             self.files.remove(name)
-            index = name.removesuffix(SEGMENT) + INDEX
+            index = name.removesuffix(SEGMENT_SUFFIX) + INDEX_SUFFIX
             if index in self.files.names():  # made by the command line; it would outlive its segment for ever
                 self.files.remove(index)
-            total -= sizes[name]
-            gone.append(name)
-        if gone:
+            total_bytes -= sizes[name]
+            removed.append(name)
+        if removed:
             self.files.sync_folder()
-        return gone
+        return removed
 
     def close(self) -> None:
-        self._abandon()
+        self._close_segment()
--- a/spanwing/journal/query.py
+++ b/spanwing/journal/query.py
@@ -23,7 +23,7 @@
 from lark import Lark, Token, Transformer
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput, VisitError
 
-from spanwing.journal.rows import Row
+from spanwing.journal.rows import AttemptRow
 
 GRAMMAR = r"""
 ?start: any
@@ -45,7 +45,7 @@
 WORD: /[^\s(),"'=<>!~]+/
 %ignore /\s+/
 """
-TEXTS = {
+TEXT_FIELDS = {
     "request": "request",
     "class": "cls",
     "tenant": "tenant",
@@ -58,11 +58,11 @@
     "result": "result",
     "answer": "answer",
 }
-NUMBERS = {"attempt": "attempt"}
-TIMES = {"time": "time", "intent": "intent", "last_byte": "last_byte", "answered": "answered"}
-FLAGS = {"closed": "closed"}
-FIELDS = sorted({*TEXTS, *NUMBERS, *TIMES, *FLAGS})
-ORDERS = {
+NUMBER_FIELDS = {"attempt": "attempt"}
+TIME_FIELDS = {"time": "time", "intent": "intent", "last_byte": "last_byte", "answered": "answered"}
+FLAG_FIELDS = {"closed": "closed"}
+FIELDS = sorted({*TEXT_FIELDS, *NUMBER_FIELDS, *TIME_FIELDS, *FLAG_FIELDS})
+COMPARISONS = {
     "=": operator.eq,
     "!=": operator.ne,
     "<": operator.lt,
@@ -70,10 +70,10 @@
     ">": operator.gt,
     ">=": operator.ge,
 }
-UNITS = {"ms": 1.0, "s": 1e3, "m": 60e3, "h": 3600e3, "d": 86400e3}
-LONGEST = 4096
+UNIT_MS = {"ms": 1.0, "s": 1e3, "m": 60e3, "h": 3600e3, "d": 86400e3}
+MAX_EXPRESSION_CHARS = 4096
 
-Test = Callable[[Row], bool]
+RowPredicate = Callable[[AttemptRow], bool]
 
 
 class QueryError(ValueError):
@@ -85,33 +85,33 @@
 
 
 @dataclass
-class Plan:
+class QueryPlan:
     """A filter, and what it tells of where to look."""
 
-    test: Test
-    after: float = float("-inf")  # rows' times lie between these
-    before: float = float("inf")
-    requests: frozenset[str] | None = None  # only these ids can match; None: any
+    matches: RowPredicate
+    after_ms: float = float("-inf")  # rows' times lie between these
+    before_ms: float = float("inf")
+    request_ids: frozenset[str] | None = None  # only these ids can match; None: any
     workers: frozenset[str] | None = None
 
 
 @dataclass
-class _Node:
+class _QueryNode:
     """A part of an expression."""
 
-    test: Test
-    after: float = float("-inf")
-    before: float = float("inf")
-    sets: dict[str, frozenset[str]] = field(default_factory=dict)
+    matches: RowPredicate
+    after_ms: float = float("-inf")
+    before_ms: float = float("inf")
+    required_values: dict[str, frozenset[str]] = field(default_factory=dict)
 
 
-def instant(text: str, now_ms: float) -> float:
+def parse_time(text: str, now_ms: float) -> float:
     """A time as people write it, in wall-clock ms: ISO 8601 (local where it has no zone), `now`, or relative
     to now as -90s, -15m, -2h, -1d. Raises ValueError."""
     if text == "now":
         return now_ms
     if match := re.fullmatch(r"([-+])(\d+(?:\.\d+)?)(ms|s|m|h|d)", text):
-        amount = float(match[2]) * UNITS[match[3]]
+        amount = float(match[2]) * UNIT_MS[match[3]]
         return now_ms + (amount if match[1] == "+" else -amount)
     try:
         return datetime.fromisoformat(text).timestamp() * 1000.0
@@ -119,102 +119,102 @@
         raise ValueError(f"{text!r} is no time: write 2026-12-01T06:30, now, -15m, -2h or -1d") from None
 
 
-def _plain(token: Token) -> str:
+def _unquote(token: Token) -> str:
     return token[1:-1] if token.type == "STRING" else str(token)
 
 
-class _Build(Transformer):
+class _PlanBuilder(Transformer):
     """From the parse tree to a test and its bounds."""
 
     def __init__(self, now_ms: float) -> None:
         super().__init__()
         self.now_ms = now_ms
 
-    def _field(self, name: Token) -> str:
-        for names in (TEXTS, NUMBERS, TIMES, FLAGS):
+    def _row_field(self, name: Token) -> str:
+        for names in (TEXT_FIELDS, NUMBER_FIELDS, TIME_FIELDS, FLAG_FIELDS):
             if name in names:
                 return names[name]
         raise QueryError(f"unknown field {str(name)!r}, known are {', '.join(FIELDS)}", name.column)
 
-    def _value(self, name: Token, value: Token) -> Any:
-        text = _plain(value)
+    def _parse_value(self, name: Token, value: Token) -> Any:
+        text = _unquote(value)
         try:
-            if name in NUMBERS:
+            if name in NUMBER_FIELDS:
                 return float(text)
-            if name in TIMES:
-                return instant(text, self.now_ms)
+            if name in TIME_FIELDS:
+                return parse_time(text, self.now_ms)
         except ValueError as error:
-            fault = str(error) if name in TIMES else f"{text!r} is no number"
+            fault = str(error) if name in TIME_FIELDS else f"{text!r} is no number"
             raise QueryError(fault, value.column) from None
-        if name in FLAGS:
+        if name in FLAG_FIELDS:
             if text not in ("true", "false"):
                 raise QueryError(f"{str(name)} is true or false", value.column)
             return text == "true"
         return text
 
-    def test(self, parts: list[Token]) -> _Node:
+    def test(self, parts: list[Token]) -> _QueryNode:
         name, order, raw = parts
-        place = self._field(name)
-        if order == "~" and name not in TEXTS:
+        row_field = self._row_field(name)
+        if order == "~" and name not in TEXT_FIELDS:
             raise QueryError("~ compares text with a pattern of * and ?", order.column)
-        value = self._value(name, raw)
+        value = self._parse_value(name, raw)
         if order == "~":
             pattern = re.compile(fnmatch.translate(value))
-            return _Node(lambda row: pattern.fullmatch(getattr(row, place)) is not None)
-        if name in (*TEXTS, *FLAGS) and order not in ("=", "!="):
+            return _QueryNode(lambda row: pattern.fullmatch(getattr(row, row_field)) is not None)
+        if name in (*TEXT_FIELDS, *FLAG_FIELDS) and order not in ("=", "!="):
             raise QueryError(f"{str(name)} has no order: = and != are possible, and ~ for text", order.column)
-        compare = ORDERS[order]
+        compare = COMPARISONS[order]
 
-        def holds(row: Row) -> bool:
-            there = getattr(row, place)
+        def matches_row(row: AttemptRow) -> bool:
+            there = getattr(row, row_field)
             # What is not known is neither before nor after anything, but it is not equal to it either.
             return compare(there, value) if there is not None else order == "!="
 
-        node = _Node(holds)
-        if order == "=" and name in TEXTS:
-            node.sets[name] = frozenset((value,))
+        node = _QueryNode(matches_row)
+        if order == "=" and name in TEXT_FIELDS:
+            node.required_values[name] = frozenset((value,))
         if name == "time":
-            node.after = value if order in (">", ">=", "=") else node.after
-            node.before = value if order in ("<", "<=", "=") else node.before
+            node.after_ms = value if order in (">", ">=", "=") else node.after_ms
+            node.before_ms = value if order in ("<", "<=", "=") else node.before_ms
         return node
 
-    def among(self, parts: list[Token]) -> _Node:
+    def among(self, parts: list[Token]) -> _QueryNode:
         name, *raws = parts
-        place, values = self._field(name), frozenset(self._value(name, raw) for raw in raws)
-        node = _Node(lambda row: getattr(row, place) in values)
-        if name in TEXTS:
-            node.sets[name] = values
+        row_field, values = self._row_field(name), frozenset(self._parse_value(name, raw) for raw in raws)
+        node = _QueryNode(lambda row: getattr(row, row_field) in values)
+        if name in TEXT_FIELDS:
+            node.required_values[name] = values
         return node
 
-    def not_among(self, parts: list[Token]) -> _Node:
-        inner = self.among(parts).test
-        return _Node(lambda row: not inner(row))
+    def not_among(self, parts: list[Token]) -> _QueryNode:
+        inner = self.among(parts).matches
+        return _QueryNode(lambda row: not inner(row))
 
-    def no(self, parts: list[_Node]) -> _Node:
-        inner = parts[0].test
-        return _Node(lambda row: not inner(row))
+    def no(self, parts: list[_QueryNode]) -> _QueryNode:
+        inner = parts[0].matches
+        return _QueryNode(lambda row: not inner(row))
 
-    def all(self, parts: list[_Node]) -> _Node:
-        tests = [each.test for each in parts]
-        node = _Node(
+    def all(self, parts: list[_QueryNode]) -> _QueryNode:
+        tests = [each.matches for each in parts]
+        node = _QueryNode(
             lambda row: all(each(row) for each in tests),
-            max(each.after for each in parts),
-            min(each.before for each in parts),
+            max(each.after_ms for each in parts),
+            min(each.before_ms for each in parts),
         )
         for each in parts:
-            for name, values in each.sets.items():
-                node.sets[name] = node.sets.get(name, values) & values
+            for name, values in each.required_values.items():
+                node.required_values[name] = node.required_values.get(name, values) & values
         return node
 
-    def any(self, parts: list[_Node]) -> _Node:
-        tests = [each.test for each in parts]
-        node = _Node(
+    def any(self, parts: list[_QueryNode]) -> _QueryNode:
+        tests = [each.matches for each in parts]
+        node = _QueryNode(
             lambda row: any(each(row) for each in tests),
-            min(each.after for each in parts),
-            max(each.before for each in parts),
+            min(each.after_ms for each in parts),
+            max(each.before_ms for each in parts),
         )
-        for name in set.intersection(*(set(each.sets) for each in parts)):
-            node.sets[name] = frozenset().union(*(each.sets[name] for each in parts))
+        for name in set.intersection(*(set(each.required_values) for each in parts)):
+            node.required_values[name] = frozenset().union(*(each.required_values[name] for each in parts))
         return node
 
 
@@ -223,14 +223,16 @@
     return Lark(GRAMMAR, parser="lalr", maybe_placeholders=False)
 
 
-def parse(text: str, now_ms: float) -> Plan:
+def parse_query(text: str, now_ms: float) -> QueryPlan:
     """An expression; an empty one lets everything through. Raises QueryError."""
     if not text.strip():
-        return Plan(lambda row: True)
-    if len(text) > LONGEST:
-        raise QueryError(f"an expression of more than {LONGEST} characters", LONGEST)
+        return QueryPlan(lambda row: True)
+    if len(text) > MAX_EXPRESSION_CHARS:
+        raise QueryError(
+            f"an expression of more than {MAX_EXPRESSION_CHARS} characters", MAX_EXPRESSION_CHARS
+        )
     try:
-        node = _Build(now_ms).transform(_parser().parse(text))
+        node = _PlanBuilder(now_ms).transform(_parser().parse(text))
     except VisitError as error:
         raise error.orig_exc from None
     except UnexpectedEOF:
@@ -242,4 +244,10 @@
         if token is None or token.type == "$END":
             raise QueryError("it ends too early", len(text) + 1) from None
         raise QueryError(f"{str(token)!r} was not expected here", token.column) from None
-    return Plan(node.test, node.after, node.before, node.sets.get("request"), node.sets.get("worker"))
+    return QueryPlan(
+        node.matches,
+        node.after_ms,
+        node.before_ms,
+        node.required_values.get("request"),
+        node.required_values.get("worker"),
+    )
--- a/spanwing/journal/records.py
+++ b/spanwing/journal/records.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-LONGEST = 16 * 1024  # bytes of one record: ids and keys are bounded by the fronts
+MAX_RECORD_BYTES = 16 * 1024  # bytes of one record: ids and keys are bounded by the fronts
 
 
-class Record(msgspec.Struct, array_like=True, frozen=True, omit_defaults=False):
+class JournalRecord(msgspec.Struct, array_like=True, frozen=True, omit_defaults=False):
     """What all have."""
 
     request: str
@@ -20,7 +20,7 @@
     mono_ms: float
 
 
-class Started(Record, tag="S"):
+class ProcessStarted(JournalRecord, tag="S"):
     """A life of the daemon begins; request is empty."""
 
     name: str = ""
@@ -28,7 +28,7 @@
     certain: bool = True  # in this life nothing is sent without an intent on disk
 
 
-class Taken(Record, tag="T"):
+class RequestAccepted(JournalRecord, tag="T"):
     """A request that must not run twice was taken, and from whom."""
 
     cls: str = ""
@@ -38,7 +38,7 @@
     budget_ms: float = 0.0
 
 
-class Intent(Record, tag="I"):
+class AttemptIntent(JournalRecord, tag="I"):
     """An attempt is about to be sent; on disk before its first byte may leave."""
 
     attempt: int = 0
@@ -46,47 +46,47 @@
     address: str = ""
 
 
-class LastByte(Record, tag="L"):
+class LastByteWritten(JournalRecord, tag="L"):
     """The attempt's last byte is written: from here on it counts."""
 
     attempt: int = 0
 
 
-class Unsent(Record, tag="U"):
+class AttemptUnsent(JournalRecord, tag="U"):
     """The attempt is over, and its last byte was certainly not written."""
 
     attempt: int = 0
     why: str = ""
 
 
-class GivenUp(Record, tag="G"):
+class AttemptCancelled(JournalRecord, tag="G"):
     """We stopped waiting for the attempt."""
 
     attempt: int = 0
     why: str = ""
 
 
-class Outcome(Record, tag="O"):
+class AttemptCompleted(JournalRecord, tag="O"):
     """What the job worker told of the attempt, or what became of its connection."""
 
     attempt: int = 0
     result: str = ""
 
 
-class Answered(Record, tag="A"):
+class RequestAnswered(JournalRecord, tag="A"):
     """The request's one final answer."""
 
     kind: str = ""
 
 
-class Closed(Record, tag="C"):
+class AttemptClosed(JournalRecord, tag="C"):
     """At a start: an attempt that an earlier life left open, possibly sent."""
 
     attempt: int = 0
     worker: str = ""
 
 
-class Gap(Record, tag="X"):
+class JournalGap(JournalRecord, tag="X"):
     """Work was served without being written down, as the operator chose; request is empty."""
 
     since_wall_ms: float = 0.0
@@ -94,21 +94,46 @@
     why: str = ""
 
 
-Any = Started | Taken | Intent | LastByte | Unsent | GivenUp | Outcome | Answered | Closed | Gap
+AnyRecord = (
+    ProcessStarted
+    | RequestAccepted
+    | AttemptIntent
+    | LastByteWritten
+    | AttemptUnsent
+    | AttemptCancelled
+    | AttemptCompleted
+    | RequestAnswered
+    | AttemptClosed
+    | JournalGap
+)
+
+#: What the command line calls each record.
+RECORD_KINDS: dict[type[JournalRecord], str] = {
+    ProcessStarted: "started",
+    RequestAccepted: "taken",
+    AttemptIntent: "intent",
+    LastByteWritten: "lastbyte",
+    AttemptUnsent: "unsent",
+    AttemptCancelled: "givenup",
+    AttemptCompleted: "outcome",
+    RequestAnswered: "answered",
+    AttemptClosed: "closed",
+    JournalGap: "gap",
+}
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Any)
+_decoder = msgspec.msgpack.Decoder(AnyRecord)
 
 
-def encode(record: Any) -> bytes:
+def encode_record(record: AnyRecord) -> bytes:
     """Raises ValueError where the record is too long to be written."""
     data = _encoder.encode(record)
-    if len(data) > LONGEST:
-        raise ValueError(f"a record of {len(data)} bytes, {LONGEST} are possible")
+    if len(data) > MAX_RECORD_BYTES:
+        raise ValueError(f"a record of {len(data)} bytes, {MAX_RECORD_BYTES} are possible")
     return data
 
 
-def decode(data: bytes | memoryview) -> Any:
+def decode_record(data: bytes | memoryview) -> AnyRecord:
     """Raises ValueError on what is no record."""
     try:
         return _decoder.decode(data)
--- a/spanwing/journal/repair.py
+++ b/spanwing/journal/repair.py
@@ -10,96 +10,105 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from spanwing.journal.files import Files
+from spanwing.journal.files import FolderFiles
 from spanwing.journal.frames import (
-    COMPACTED,
+    COMPACTED_FLAG,
     HEADER_SIZE,
-    Frame,
-    FutureVersion,
-    Header,
-    Skipped,
-    frame_bytes,
-    header_bytes,
+    DamagedBytes,
+    FutureVersionError,
+    RecordFrame,
+    SegmentHeader,
+    decode_header,
+    encode_frame,
+    encode_header,
     read_frames,
-    read_header,
 )
-from spanwing.journal.log import PART, SNAPSHOT, Reader, first_of
-from spanwing.journal.records import encode
-from spanwing.journal.snapshot import read_snapshot
+from spanwing.journal.log import PARTIAL_SUFFIX, SNAPSHOT_SUFFIX, SegmentReader, number_in_name
+from spanwing.journal.records import encode_record
+from spanwing.journal.snapshot import decode_snapshot
 
-DAMAGED = ".damaged"
+DAMAGED_SUFFIX = ".damaged"
 
 
-class Step(NamedTuple):
+class RepairStep(NamedTuple):
     """One thing to do, and why."""
 
-    file: str
-    what: str  # remove, rewrite, or leave
-    why: str
+    file_name: str
+    action: str  # remove, rewrite, or leave
+    reason: str
 
 
-def steps(files: Files) -> Iterator[Step]:
+def plan_repair(files: FolderFiles) -> Iterator[RepairStep]:
     """What there is to do."""
     names = files.names()
     for name in names:
-        if name.endswith(PART):
-            yield Step(name, "remove", "left by a crash before it was whole")
-        elif name.endswith(SNAPSHOT) and first_of(name) is not None:
+        if name.endswith(PARTIAL_SUFFIX):
+            yield RepairStep(name, "remove", "left by a crash before it was whole")
+        elif name.endswith(SNAPSHOT_SUFFIX) and number_in_name(name) is not None:
             try:
-                read_snapshot(files.read(name))
+                decode_snapshot(files.read(name))
             except ValueError as error:
-                yield Step(name, "remove", f"snapshot: {error}; the log gives the same")
-    segments = Reader(files).segments()
+                yield RepairStep(name, "remove", f"snapshot: {error}; the log gives the same")
+    segments = SegmentReader(files).segment_names()
     for name in segments:
         data = files.read(name)
         try:
-            header = read_header(data)
-        except FutureVersion as error:
-            yield Step(name, "leave", f"{error}")
+            header = decode_header(data)
+        except FutureVersionError as error:
+            yield RepairStep(name, "leave", f"{error}")
             continue
         except ValueError as error:
             if len(data) <= HEADER_SIZE and name == segments[-1]:
-                yield Step(name, "remove", f"{error}: it never held a record")
+                yield RepairStep(name, "remove", f"{error}: it never held a record")
             else:
-                yield Step(name, "rewrite", f"{error}")
+                yield RepairStep(name, "rewrite", f"{error}")
             continue
-        sparse = bool(header.flags & COMPACTED)
-        wrong = [
-            each for each in read_frames(data, header.first, HEADER_SIZE, sparse) if isinstance(each, Skipped)
+        is_compacted = bool(header.flags & COMPACTED_FLAG)
+        damaged = [
+            each
+            for each in read_frames(data, header.first_number, HEADER_SIZE, is_compacted)
+            if isinstance(each, DamagedBytes)
         ]
-        torn = [each for each in wrong if each.reason.startswith("torn tail")]
-        if len(wrong) > len(torn):
-            yield Step(name, "rewrite", "; ".join(each.reason for each in wrong))
+        torn = [each for each in damaged if each.reason.startswith("torn tail")]
+        if len(damaged) > len(torn):
+            yield RepairStep(name, "rewrite", "; ".join(each.reason for each in damaged))
         elif torn:
-            why = f"{torn[0].reason}: a crash leaves that, and nothing of it was acknowledged"
-            yield Step(name, "leave", why)
+            reason = f"{torn[0].reason}: a crash leaves that, and nothing of it was acknowledged"
+            yield RepairStep(name, "leave", reason)
 
 
-def take(files: Files, step: Step) -> None:
+def apply_step(files: FolderFiles, step: RepairStep) -> None:
     """Carry one step out. Raises OSError."""
-    if step.what == "remove":
-        files.remove(step.file)
-    elif step.what == "rewrite":
-        _rewrite(files, step.file)
+    if step.action == "remove":
+        files.remove(step.file_name)
+    elif step.action == "rewrite":
+        _rewrite(files, step.file_name)
     files.sync_folder()
 
 
-def _rewrite(files: Files, name: str) -> None:
+def _rewrite(files: FolderFiles, name: str) -> None:
     data = files.read(name)
-    first = first_of(name) or 0
+    first_number = number_in_name(name) or 0
     try:
-        header = read_header(data)
+        header = decode_header(data)
     except ValueError:
-        header = Header(first, 0.0)
-    part = name + PART
-    files.create(part)
+        header = SegmentHeader(first_number, 0.0)
+    partial_name = name + PARTIAL_SUFFIX
+    files.create(partial_name)
     try:
-        files.append(part, header_bytes(Header(header.first, header.begun_ms, COMPACTED, header.after)))
-        for each in read_frames(data, header.first, HEADER_SIZE, True):
-            if isinstance(each, Frame):
-                files.append(part, frame_bytes(each.number, encode(each.record)))
-        files.sync(part)
+        files.append(
+            partial_name,
+            encode_header(
+                SegmentHeader(
+                    header.first_number, header.started_ms, COMPACTED_FLAG, header.last_number_before
+                )
+            ),
+        )
+        for each in read_frames(data, header.first_number, HEADER_SIZE, True):
+            if isinstance(each, RecordFrame):
+                files.append(partial_name, encode_frame(each.number, encode_record(each.record)))
+        files.sync(partial_name)
     finally:
-        files.close(part)
-    files.rename(name, name + DAMAGED)
-    files.rename(part, name)
+        files.close(partial_name)
+    files.rename(name, name + DAMAGED_SUFFIX)
+    files.rename(partial_name, name)
--- a/spanwing/journal/rows.py
+++ b/spanwing/journal/rows.py
@@ -9,12 +9,12 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from spanwing.journal.ledger import Attempt, Request
+from spanwing.journal.ledger import JournalAttempt, JournalRequest
 
-MISSING = "records are missing"
+RECORDS_MISSING = "records are missing"
 
 
-class Row(NamedTuple):
+class AttemptRow(NamedTuple):
     """What is known of one attempt."""
 
     request: str
@@ -36,41 +36,41 @@
     closed: bool  # a later life found it open
 
 
-def rows_of(request: Request) -> Iterator[Row]:
+def attempt_rows(request: JournalRequest) -> Iterator[AttemptRow]:
     """In the order of the attempts."""
     attempts = sorted(request.attempts.values(), key=lambda each: each.number)
     for attempt in attempts:
-        yield _row(request, attempt)
+        yield _build_row(request, attempt)
     if (
         not attempts
-        or request.finding == "possibly sent"
-        and all(each.finding == "not sent" for each in attempts)
+        or request.delivery_state == "possibly sent"
+        and all(each.delivery_state == "not sent" for each in attempts)
     ):
-        yield _row(request, None)  # what is known of the request as a whole
+        yield _build_row(request, None)  # what is known of the request as a whole
 
 
-def _row(request: Request, attempt: Attempt | None) -> Row:
-    taken = request.taken
+def _build_row(request: JournalRequest, attempt: JournalAttempt | None) -> AttemptRow:
+    accepted = request.accepted
     intent = attempt.intent_ms if attempt else None
-    result = MISSING if request.missing else ""
+    result = RECORDS_MISSING if request.is_incomplete else ""
     if attempt is not None:
-        result = attempt.result or attempt.unsent
-    return Row(
+        result = attempt.result or attempt.unsent_reason
+    return AttemptRow(
         request.id,
-        taken.cls if taken else "",
-        taken.tenant if taken else "",
-        taken.key if taken else "",
-        taken.front if taken else "",
+        accepted.cls if accepted else "",
+        accepted.tenant if accepted else "",
+        accepted.key if accepted else "",
+        accepted.front if accepted else "",
         attempt.number if attempt else None,
         attempt.worker if attempt else "",
         attempt.address if attempt else "",
-        attempt.finding if attempt else request.finding,
-        taken.wall_ms if taken else intent,
+        attempt.delivery_state if attempt else request.delivery_state,
+        accepted.wall_ms if accepted else intent,
         intent,
         attempt.last_byte_ms if attempt else None,
-        attempt.given_up if attempt else "",
+        attempt.cancel_reason if attempt else "",
         result,
         request.answer,
         request.answered_ms,
-        attempt.closed if attempt else request.cut_short,
+        attempt.is_closed_at_start if attempt else request.is_interrupted,
     )
--- a/spanwing/journal/snapshot.py
+++ b/spanwing/journal/snapshot.py
@@ -11,83 +11,88 @@
 import google_crc32c
 import msgspec
 
-from spanwing.journal.ledger import Attempt, Ledger, Lost, Request
-from spanwing.journal.records import Taken
+from spanwing.journal.ledger import InterruptedRequest, JournalAttempt, JournalRequest, RequestStates
+from spanwing.journal.records import RequestAccepted
 
 MAGIC, VERSION = b"SPWJSNAP", 2
-HEAD = struct.Struct("!8sHQI")
+HEADER_STRUCT = struct.Struct("!8sHQI")
 
 
-class KeptAttempt(msgspec.Struct, array_like=True):
+class AttemptSnapshot(msgspec.Struct, array_like=True):
     number: int
     worker: str
     address: str
     intent_ms: float | None
     last_byte_ms: float | None
-    unsent: str
-    given_up: str
+    unsent_reason: str
+    cancel_reason: str
     result: str
-    closed: bool
+    is_closed_at_start: bool
 
 
-class KeptRequest(msgspec.Struct, array_like=True):
+class RequestSnapshot(msgspec.Struct, array_like=True):
     id: str
-    first: int
-    taken: Taken | None
+    first_number: int
+    accepted: RequestAccepted | None
     answer: str
     answered_ms: float | None
-    cut_short: bool
-    attempts: list[KeptAttempt]
-    doubtful: bool
+    is_interrupted: bool
+    attempts: list[AttemptSnapshot]
+    may_lack_attempts: bool
 
 
-def snapshot_bytes(ledger: Ledger, last: int) -> bytes:
+def encode_snapshot(states: RequestStates, last_number: int) -> bytes:
     """What is open after record `last`."""
-    kept = [
-        KeptRequest(
+    requests = [
+        RequestSnapshot(
             each.id,
-            each.first,
-            each.taken,
+            each.first_number,
+            each.accepted,
             each.answer,
             each.answered_ms,
-            each.cut_short,
+            each.is_interrupted,
             [
-                KeptAttempt(*(getattr(attempt, name) for name in KeptAttempt.__struct_fields__))
+                AttemptSnapshot(*(getattr(attempt, name) for name in AttemptSnapshot.__struct_fields__))
                 for attempt in each.attempts.values()
             ],
-            each.doubtful,
+            each.may_lack_attempts,
         )
-        for each in ledger.open.values()
+        for each in states.open_requests.values()
     ]
-    body = msgspec.msgpack.encode((kept, list(ledger.lost.items()), ledger.certain))
-    return HEAD.pack(MAGIC, VERSION, last, google_crc32c.value(struct.pack("!Q", last) + body)) + body
+    body = msgspec.msgpack.encode((requests, list(states.interrupted.items()), states.has_every_intent))
+    return (
+        HEADER_STRUCT.pack(
+            MAGIC, VERSION, last_number, google_crc32c.value(struct.pack("!Q", last_number) + body)
+        )
+        + body
+    )
 
 
-def read_snapshot(data: bytes) -> tuple[Ledger, int]:
+def decode_snapshot(data: bytes) -> tuple[RequestStates, int]:
     """The ledger and the last number in it. Raises ValueError on what cannot be used."""
     try:
-        magic, version, last, checksum = HEAD.unpack_from(data)
+        magic, version, last_number, checksum = HEADER_STRUCT.unpack_from(data)
     except struct.error:
         raise ValueError("cut off") from None
-    body = data[HEAD.size :]
+    body = data[HEADER_STRUCT.size :]
     if magic != MAGIC or version != VERSION:
         raise ValueError("not a snapshot of this version")
-    if google_crc32c.value(struct.pack("!Q", last) + body) != checksum:
+    if google_crc32c.value(struct.pack("!Q", last_number) + body) != checksum:
         raise ValueError("damaged")
-    ledger = Ledger()
-    form = tuple[list[KeptRequest], list[tuple[str, Lost]], bool]
-    kept, lost, ledger.certain = msgspec.msgpack.decode(body, type=form)
-    ledger.lost.update(lost)
+    states = RequestStates()
+    body_type = tuple[list[RequestSnapshot], list[tuple[str, InterruptedRequest]], bool]
+    kept, interrupted, states.has_every_intent = msgspec.msgpack.decode(body, type=body_type)
+    states.interrupted.update(interrupted)
     for each in kept:
-        attempts = {kept.number: Attempt(*msgspec.structs.astuple(kept)) for kept in each.attempts}
-        ledger.open[each.id] = Request(
+        attempts = {kept.number: JournalAttempt(*msgspec.structs.astuple(kept)) for kept in each.attempts}
+        states.open_requests[each.id] = JournalRequest(
             each.id,
-            each.first,
-            each.taken,
+            each.first_number,
+            each.accepted,
             each.answer,
             each.answered_ms,
-            each.cut_short,
-            each.doubtful,
+            each.is_interrupted,
+            each.may_lack_attempts,
             attempts,
         )
-    return ledger, last
+    return states, last_number
--- a/spanwing/journal/thinning.py
+++ b/spanwing/journal/thinning.py
@@ -13,112 +13,129 @@
 import time
 from collections.abc import Callable, Iterator
 
-from spanwing.journal.files import Files
+from spanwing.journal.files import FolderFiles
 from spanwing.journal.frames import (
-    COMPACTED,
-    FRAME,
+    COMPACTED_FLAG,
+    FRAME_STRUCT,
     HEADER_SIZE,
-    Frame,
-    Header,
-    header_bytes,
+    RecordFrame,
+    SegmentHeader,
+    decode_header,
+    encode_header,
     read_frames,
-    read_header,
 )
-from spanwing.journal.log import PART, SEGMENT, Bounds, Reader, first_of
-from spanwing.journal.records import Taken
+from spanwing.journal.log import (
+    PARTIAL_SUFFIX,
+    SEGMENT_SUFFIX,
+    RetentionLimits,
+    SegmentReader,
+    number_in_name,
+)
+from spanwing.journal.records import RequestAccepted
 
-SLICE = 200  # frames between two pauses
+FRAMES_PER_SLICE = 200  # frames between two pauses
 PAUSE_S = 0.005
-EVERY_S = 600.0
+INTERVAL_S = 600.0
 
 
-class Thinner:
+class SegmentCompactor:
     """Knows which segments were looked at, and for which classes."""
 
-    def __init__(self, files: Files, bounds: Bounds) -> None:
-        self.files, self.bounds = files, bounds
-        self.done: dict[str, frozenset[str]] = {}  # by segment: the classes that are out of it
+    def __init__(self, files: FolderFiles, limits: RetentionLimits) -> None:
+        self.files, self.limits = files, limits
+        self.removed_classes: dict[str, frozenset[str]] = {}  # by segment: the classes that are out of it
 
-    def sweep(self) -> None:
+    def remove_leftovers(self) -> None:
         """Remove what a crash left of a thinning; once, before the first."""
         for name in self.files.names():
-            if name.endswith(SEGMENT + PART):
+            if name.endswith(SEGMENT_SUFFIX + PARTIAL_SUFFIX):
                 self.files.remove(name)
 
-    def run(self, oldest: int | None, now_ms: float) -> Iterator[None]:
+    def compact(self, oldest_needed: int | None, now_ms: float) -> Iterator[None]:
         """Thin out what is due, in slices. oldest: the first record that an open request needs. Raises
         OSError; what was done until then stands."""
-        reader = Reader(self.files)
-        names = reader.segments()
-        self.done = {name: classes for name, classes in self.done.items() if name in names}
-        before = ""
-        for name, following in zip(names, names[1:], strict=False):
-            if oldest is not None and oldest < first_of(following):
+        reader = SegmentReader(self.files)
+        names = reader.segment_names()
+        self.removed_classes = {
+            name: classes for name, classes in self.removed_classes.items() if name in names
+        }
+        previous = ""
+        for name, next_name in zip(names, names[1:], strict=False):
+            if oldest_needed is not None and oldest_needed < number_in_name(next_name):
                 return
             try:
-                ended_ms = read_header(self.files.read(following, HEADER_SIZE)).begun_ms
+                ended_ms = decode_header(self.files.read(next_name, HEADER_SIZE)).started_ms
                 # No class has the empty name: it stands for all that have the general time.
-                over = frozenset(
+                expired_classes = frozenset(
                     cls
-                    for cls in ("", *self.bounds.keep_ms_of)
-                    if now_ms - ended_ms > self.bounds.keep_of(cls)
+                    for cls in ("", *self.limits.retention_ms_by_class)
+                    if now_ms - ended_ms > self.limits.retention_ms_for(cls)
                 )
-                if over != self.done.get(name, frozenset()):
-                    yield from self._thin(before, name, ended_ms, now_ms)
-                    self.done[name] = over
+                if expired_classes != self.removed_classes.get(name, frozenset()):
+                    yield from self._compact_segment(previous, name, ended_ms, now_ms)
+                    self.removed_classes[name] = expired_classes
             except (ValueError, FileNotFoundError):
                 pass  # damaged: repair's to mend; or removed meanwhile
-            before = name
+            previous = name
 
-    def _thin(self, before: str, name: str, ended_ms: float, now_ms: float) -> Iterator[None]:
+    def _compact_segment(self, previous: str, name: str, ended_ms: float, now_ms: float) -> Iterator[None]:
         classes: dict[str, str] = {}
-        if before:
-            yield from self._classes(before, classes)
+        if previous:
+            yield from self._collect_classes(previous, classes)
         data = self.files.read(name)
-        header = read_header(data)
-        sparse = bool(header.flags & COMPACTED)
-        yield from self._classes(name, classes)
-        kept, dropped = [header_bytes(Header(header.first, header.begun_ms, COMPACTED, header.after))], 0
-        for count, each in enumerate(read_frames(data, header.first, HEADER_SIZE, sparse), 1):
-            if not isinstance(each, Frame):
+        header = decode_header(data)
+        is_compacted = bool(header.flags & COMPACTED_FLAG)
+        yield from self._collect_classes(name, classes)
+        kept, dropped = (
+            [
+                encode_header(
+                    SegmentHeader(
+                        header.first_number, header.started_ms, COMPACTED_FLAG, header.last_number_before
+                    )
+                )
+            ],
+            0,
+        )
+        for count, each in enumerate(read_frames(data, header.first_number, HEADER_SIZE, is_compacted), 1):
+            if not isinstance(each, RecordFrame):
                 return  # what is damaged is left as it is
             cls = classes.get(each.record.request)
-            if cls is not None and now_ms - ended_ms > self.bounds.keep_of(cls):
+            if cls is not None and now_ms - ended_ms > self.limits.retention_ms_for(cls):
                 dropped += 1
             else:
-                size = FRAME.size + FRAME.unpack_from(data, each.at)[1]
-                kept.append(data[each.at : each.at + size])
-            if count % SLICE == 0:
+                size = FRAME_STRUCT.size + FRAME_STRUCT.unpack_from(data, each.offset)[1]
+                kept.append(data[each.offset : each.offset + size])
+            if count % FRAMES_PER_SLICE == 0:
                 yield
         if not dropped:
             return
-        part = name + PART
-        self.files.create(part)
+        partial_name = name + PARTIAL_SUFFIX
+        self.files.create(partial_name)
         try:
-            self.files.append(part, b"".join(kept))
-            self.files.sync(part)
+            self.files.append(partial_name, b"".join(kept))
+            self.files.sync(partial_name)
         finally:
-            self.files.close(part)
-        self.files.rename(part, name)
+            self.files.close(partial_name)
+        self.files.rename(partial_name, name)
         self.files.sync_folder()
 
-    def _classes(self, name: str, classes: dict[str, str]) -> Iterator[None]:
+    def _collect_classes(self, name: str, classes: dict[str, str]) -> Iterator[None]:
         data = self.files.read(name)
-        header = read_header(data)
-        for count, each in enumerate(read_frames(data, header.first, HEADER_SIZE, True), 1):
-            if isinstance(each, Frame) and isinstance(each.record, Taken):
+        header = decode_header(data)
+        for count, each in enumerate(read_frames(data, header.first_number, HEADER_SIZE, True), 1):
+            if isinstance(each, RecordFrame) and isinstance(each.record, RequestAccepted):
                 classes[each.record.request] = each.record.cls
-            if count % SLICE == 0:
+            if count % FRAMES_PER_SLICE == 0:
                 yield
 
 
-class ThinningThread:
+class CompactionThread:
     """Thins out every EVERY_S; asks at each time what is still needed."""
 
-    def __init__(self, thinner: Thinner, oldest: Callable[[], int | None]) -> None:
-        self.thinner, self.oldest = thinner, oldest
+    def __init__(self, compactor: SegmentCompactor, oldest_needed: Callable[[], int | None]) -> None:
+        self.compactor, self.oldest_needed = compactor, oldest_needed
         self.fault = ""
-        self.over = threading.Event()
+        self.stop_event = threading.Event()
         self.thread = threading.Thread(target=self._run, name="journal-thinning", daemon=True)
 
     def start(self) -> None:
@@ -126,15 +143,15 @@
 
     def stop(self) -> None:
         """It ends within a slice."""
-        self.over.set()
+        self.stop_event.set()
         self.thread.join(1.0)
 
     def _run(self) -> None:
-        while not self.over.wait(EVERY_S):
+        while not self.stop_event.wait(INTERVAL_S):
             try:
-                self.thinner.sweep()
-                for _ in self.thinner.run(self.oldest(), time.time() * 1000.0):
-                    if self.over.wait(PAUSE_S):
+                self.compactor.remove_leftovers()
+                for _ in self.compactor.compact(self.oldest_needed(), time.time() * 1000.0):
+                    if self.stop_event.wait(PAUSE_S):
                         return
                 self.fault = ""
             except OSError as error:
--- a/spanwing/load/openloop.py
+++ b/spanwing/load/openloop.py
@@ -18,25 +18,25 @@
 
 import numpy as np
 
-from spanwing.world.clients import Wanted
+from spanwing.world.clients import GeneratedRequest
 
-LATE_MS = 5.0
+LATENESS_WARNING_MS = 5.0
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
-KINDS = {200: "served", 409: "repeated", 502: "failed", 503: "refused"}
-Place = tuple[str, int]
+OUTCOME_BY_STATUS = {200: "served", 409: "repeated", 502: "failed", 503: "refused"}
+HostAndPort = tuple[str, int]
 
 
-class Done(NamedTuple):
+class CompletedRequest(NamedTuple):
     """One request; times in ms."""
 
-    cls: str
-    kind: str  # of KINDS, or `broken`: no whole answer came
-    latency: float  # from when it was due
-    service: float  # from when its last byte was written
-    late: float  # the generator's own
+    class_name: str
+    outcome: str  # of KINDS, or `broken`: no whole answer came
+    latency_ms: float  # from when it was due
+    service_ms: float  # from when its last byte was written
+    lateness_ms: float  # the generator's own
 
 
-class Report(NamedTuple):
+class LoadTestResult(NamedTuple):
     """What a load came to."""
 
     asked: int
@@ -52,85 +52,88 @@
         late = self.late["99"]
         return (
             ""
-            if late < LATE_MS
+            if late < LATENESS_WARNING_MS
             else (
                 f"the generator ran {late:.0f} ms late at its 99th percentile: the load was not as asked for"
             )
         )
 
 
-def percentiles(values: list[float]) -> dict[str, float]:
+def compute_percentiles(values: list[float]) -> dict[str, float]:
     if not values:
         return {f"{each:g}": 0.0 for each in PERCENTILES}
     found = np.percentile(values, PERCENTILES)
     return {f"{each:g}": float(value) for each, value in zip(PERCENTILES, found, strict=True)}
 
 
-class OpenLoop:
+class OpenLoopGenerator:
     """One run against some schedulers, which are asked in turn."""
 
-    def __init__(self, places: list[Place], name: str, most: int = 2000) -> None:
-        assert places and most > 0
-        self.places, self.name, self.most = places, name, most
-        self.idle: dict[Place, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {
-            place: [] for place in places
+    def __init__(self, endpoints: list[HostAndPort], run_id: str, max_connections: int = 2000) -> None:
+        assert endpoints and max_connections > 0
+        self.endpoints, self.run_id, self.max_connections = endpoints, run_id, max_connections
+        self.idle_connections: dict[HostAndPort, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {
+            place: [] for place in endpoints
         }
-        self.room = asyncio.Semaphore(most)
-        self.done: list[Done] = []
+        self.connection_slots = asyncio.Semaphore(max_connections)
+        self.completed: list[CompletedRequest] = []
         self.tasks: set[asyncio.Task] = set()
 
-    async def run(self, wanted: Iterable[Wanted], seconds: float) -> Report:
+    async def run(self, requests: Iterable[GeneratedRequest], seconds: float) -> LoadTestResult:
         """Send all that are due within so many seconds, and wait for their answers or deadlines."""
-        begun = time.perf_counter()
-        for number, each in enumerate(wanted):
-            if each.at >= seconds * 1000.0:
+        started_at_s = time.perf_counter()
+        for number, each in enumerate(requests):
+            if each.arrives_at_ms >= seconds * 1000.0:
                 break
-            due = begun + each.at / 1000.0
-            if (wait := due - time.perf_counter()) > 0:
-                await asyncio.sleep(wait)
-            task = asyncio.ensure_future(self._one(each, due, self.places[number % len(self.places)]))
+            due_at_s = started_at_s + each.arrives_at_ms / 1000.0
+            if (wait_s := due_at_s - time.perf_counter()) > 0:
+                await asyncio.sleep(wait_s)
+            task = asyncio.ensure_future(
+                self._send_request(each, due_at_s, self.endpoints[number % len(self.endpoints)])
+            )
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         while self.tasks:
             await asyncio.wait(self.tasks)
-        self.close()
-        return self.report(time.perf_counter() - begun)
+        self.close_idle_connections()
+        return self.build_result(time.perf_counter() - started_at_s)
 
-    async def _one(self, wanted: Wanted, due: float, place: Place) -> None:
-        started = time.perf_counter()
-        kind, written = "broken", started
+    async def _send_request(self, request: GeneratedRequest, due_at_s: float, endpoint: HostAndPort) -> None:
+        started_at_s = time.perf_counter()
+        outcome, written_at_s = "broken", started_at_s
         try:
-            async with asyncio.timeout(wanted.cls.deadline / 1000.0 + 1.0), self.room:
-                kind, written = await self._exchange(wanted, place)
+            async with asyncio.timeout(request.class_spec.deadline_ms / 1000.0 + 1.0), self.connection_slots:
+                outcome, written_at_s = await self._exchange_http(request, endpoint)
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             pass
         now = time.perf_counter()
-        self.done.append(
-            Done(
-                wanted.cls.name,
-                kind,
-                (now - due) * 1000.0,
-                (now - written) * 1000.0,
-                (started - due) * 1000.0,
+        self.completed.append(
+            CompletedRequest(
+                request.class_spec.name,
+                outcome,
+                (now - due_at_s) * 1000.0,
+                (now - written_at_s) * 1000.0,
+                (started_at_s - due_at_s) * 1000.0,
             )
         )
 
-    async def _exchange(self, wanted: Wanted, place: Place) -> tuple[str, float]:
+    async def _exchange_http(self, request: GeneratedRequest, endpoint: HostAndPort) -> tuple[str, float]:
         """Raises OSError or IncompleteReadError where no whole answer came."""
         body = b"x" * 64
         data = (
-            f"POST /{wanted.cls.name} HTTP/1.1\r\nHost: x\r\nX-Call-Id: {self.name}-{wanted.id}\r\n"
-            f"X-Caller: {wanted.brand}\r\nX-Budget-Ms: {wanted.patience:.3f}\r\n"
-            f"Idempotency-Key: {wanted.key}\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"POST /{request.class_spec.name} HTTP/1.1\r\nHost: x\r\n"
+            f"X-Call-Id: {self.run_id}-{request.id}\r\n"
+            f"X-Caller: {request.tenant}\r\nX-Budget-Ms: {request.patience_ms:.3f}\r\n"
+            f"Idempotency-Key: {request.sticky_key}\r\nContent-Length: {len(body)}\r\n\r\n"
         ).encode() + body
-        idle = self.idle[place]
+        idle = self.idle_connections[endpoint]
         while idle and idle[-1][0].at_eof():  # closed while it was idle
             idle.pop()[1].close()
-        reader, writer = idle.pop() if idle else await asyncio.open_connection(*place)
+        reader, writer = idle.pop() if idle else await asyncio.open_connection(*endpoint)
         try:
             writer.write(data)
             await writer.drain()
-            written = time.perf_counter()
+            written_at_s = time.perf_counter()
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
             await reader.readexactly(int(fields.get("content-length", 0)))
@@ -141,21 +144,26 @@
             writer.close()
         else:
             idle.append((reader, writer))
-        return KINDS.get(int(head.split(" ")[1]), "failed"), written
+        return OUTCOME_BY_STATUS.get(int(head.split(" ")[1]), "failed"), written_at_s
 
-    def report(self, seconds: float) -> Report:
-        classes = sorted({each.cls for each in self.done})
-        return Report(
-            len(self.done),
+    def build_result(self, seconds: float) -> LoadTestResult:
+        classes = sorted({each.class_name for each in self.completed})
+        return LoadTestResult(
+            len(self.completed),
             seconds,
-            dict(Counter(each.kind for each in self.done)),
-            percentiles([each.latency for each in self.done]),
-            percentiles([each.service for each in self.done]),
-            percentiles([each.late for each in self.done]),
-            {cls: percentiles([each.latency for each in self.done if each.cls == cls]) for cls in classes},
+            dict(Counter(each.outcome for each in self.completed)),
+            compute_percentiles([each.latency_ms for each in self.completed]),
+            compute_percentiles([each.service_ms for each in self.completed]),
+            compute_percentiles([each.lateness_ms for each in self.completed]),
+            {
+                cls: compute_percentiles(
+                    [each.latency_ms for each in self.completed if each.class_name == cls]
+                )
+                for cls in classes
+            },
         )
 
-    def close(self) -> None:
-        for idle in self.idle.values():
+    def close_idle_connections(self) -> None:
+        for idle in self.idle_connections.values():
             while idle:
                 idle.pop()[1].close()
--- a/spanwing/log/__init__.py
+++ b/spanwing/log/__init__.py
@@ -1,5 +1,5 @@
 """One event a line, for operators; see spanwing/log/events.py."""
 
-from spanwing.log.events import tell
+from spanwing.log.events import log_event
 
-__all__ = ["tell"]
+__all__ = ["log_event"]
--- a/spanwing/log/events.py
+++ b/spanwing/log/events.py
@@ -11,49 +11,54 @@
 import time
 from typing import Any, Literal
 
-from spanwing.log.limit import Limiter
-from spanwing.log.writer import Writer
+from spanwing.log.limit import RateLimiter
+from spanwing.log.writer import StderrWriter
 
-Form = Literal["plain", "keys", "json"]
-PER_SECOND, BURST = 5.0, 20.0
+LogFormat = Literal["plain", "keys", "json"]
+DEFAULT_LINES_PER_S, DEFAULT_BURST_LINES = 5.0, 20.0
 
-plain = logging.getLogger("spanwing")
+fallback_logger = logging.getLogger("spanwing")
 
 
-class Log:
+class EventLog:
     """Where events go; opened once by the daemon."""
 
     def __init__(self) -> None:
-        self.limiter = Limiter(PER_SECOND, BURST)
-        self.writer: Writer | None = None
+        self.limiter = RateLimiter(DEFAULT_LINES_PER_S, DEFAULT_BURST_LINES)
+        self.writer: StderrWriter | None = None
         self.structured: Any = None
 
-    def open(self, form: Form, per_second: float, fields: dict[str, str]) -> None:
+    def open(self, log_format: LogFormat, lines_per_s: float, fields: dict[str, str]) -> None:
         """Write by structlog from now on, the standard library's records too; fields stand in each line."""
         import structlog
 
-        self.limiter = Limiter(per_second, max(1.0, per_second * BURST / PER_SECOND))
-        self.writer = Writer()
-        shared = [structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True)]
-        render = (
+        self.limiter = RateLimiter(
+            lines_per_s, max(1.0, lines_per_s * DEFAULT_BURST_LINES / DEFAULT_LINES_PER_S)
+        )
+        self.writer = StderrWriter()
+        shared_processors = [
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+        ]
+        renderer = (
             structlog.processors.JSONRenderer()
-            if form == "json"
+            if log_format == "json"
             else structlog.processors.LogfmtRenderer(
                 key_order=["timestamp", "level", "event"], bool_as_flag=False
             )
         )
         formatter = structlog.stdlib.ProcessorFormatter(
-            processor=render, foreign_pre_chain=[*shared, structlog.processors.format_exc_info]
+            processor=renderer, foreign_pre_chain=[*shared_processors, structlog.processors.format_exc_info]
         )
-        handler = _ToWriter(self.writer, self.limiter, formatter)
+        handler = _StderrHandler(self.writer, self.limiter, formatter)
         root = logging.getLogger()
         root.handlers[:] = [handler]
         root.setLevel(logging.INFO)
         structlog.configure(
             processors=[
                 structlog.stdlib.filter_by_level,
-                *shared,
-                _flat if form == "keys" else _as_it_is,
+                *shared_processors,
+                _flatten_lists if log_format == "keys" else _keep_fields,
                 structlog.stdlib.ProcessorFormatter.wrap_for_formatter,
             ],
             logger_factory=structlog.stdlib.LoggerFactory(),
@@ -65,20 +70,22 @@
         if self.writer is not None:
             self.writer.close()
 
-    def tell(self, event: str, level: str = "info", bounded: bool = True, **fields: Any) -> None:
+    def log_event(self, event: str, level: str = "info", rate_limited: bool = True, **fields: Any) -> None:
         """bounded: false for events whose number the caller bounds."""
-        missed = self.limiter.admit(event, time.monotonic()) if bounded else 0
-        if missed is None:
+        left_out = self.limiter.admit(event, time.monotonic()) if rate_limited else 0
+        if left_out is None:
             return
-        if missed:
-            fields["left_out"] = missed
+        if left_out:
+            fields["left_out"] = left_out
         if self.structured is not None:
             getattr(self.structured, level)(event, **fields)
         else:
-            getattr(plain, level)("%s %s", event, " ".join(f"{key}={value}" for key, value in fields.items()))
+            getattr(fallback_logger, level)(
+                "%s %s", event, " ".join(f"{key}={value}" for key, value in fields.items())
+            )
 
 
-def _flat(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
+def _flatten_lists(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
     """Lists as one word: a line of key=value has no other place for them."""
     return {
         key: ",".join(map(str, value)) if isinstance(value, list | tuple) else value
@@ -86,32 +93,32 @@
     }
 
 
-def _as_it_is(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
+def _keep_fields(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
     return fields
 
 
-class _ToWriter(logging.Handler):
+class _StderrHandler(logging.Handler):
     """Records of the standard library, bounded by their message's text as it stands in the code."""
 
-    def __init__(self, writer: Writer, limiter: Limiter, formatter: logging.Formatter) -> None:
+    def __init__(self, writer: StderrWriter, limiter: RateLimiter, formatter: logging.Formatter) -> None:
         super().__init__()
         self.writer, self.limiter = writer, limiter
         self.setFormatter(formatter)
 
     def emit(self, record: logging.LogRecord) -> None:
-        ours = isinstance(record.msg, dict)  # of structlog, and bounded by tell() already
-        if not ours and self.limiter.admit(str(record.msg), time.monotonic()) is None:
+        is_structured = isinstance(record.msg, dict)  # of structlog, and bounded by tell() already
+        if not is_structured and self.limiter.admit(str(record.msg), time.monotonic()) is None:
             return
         try:
-            self.writer.put(self.format(record))
+            self.writer.enqueue(self.format(record))
         except Exception:  # noqa: BLE001 - a line that cannot be formed must not end what it tells of
-            self.writer.put(f"event=log_fault message={record.msg!r}")
+            self.writer.enqueue(f"event=log_fault message={record.msg!r}")
 
 
-LOG = Log()
-tell = LOG.tell
+EVENT_LOG = EventLog()
+log_event = EVENT_LOG.log_event
 
 
-def say(text: str) -> None:
+def print_line(text: str) -> None:
     """A line to whoever watches the start: plain, on standard error."""
     print(f"spanwing: {text}", file=sys.stderr, flush=True)
--- a/spanwing/log/writer.py
+++ b/spanwing/log/writer.py
@@ -10,39 +10,39 @@
 import queue
 import threading
 
-WAITING = 1000
-LAST_S = 0.5
+MAX_QUEUED_LINES = 1000
+CLOSE_TIMEOUT_S = 0.5
 
 
-class Writer:
+class StderrWriter:
     """A thread of its own writes; a terminal or pipe may block it as long as it likes."""
 
     def __init__(self, descriptor: int = 2) -> None:
-        self.descriptor, self.lost = descriptor, 0
-        self.lines: queue.Queue[bytes | None] = queue.Queue(WAITING)
-        self.thread = threading.Thread(target=self._run, name="log", daemon=True)
+        self.descriptor, self.dropped_lines = descriptor, 0
+        self.lines: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_LINES)
+        self.thread = threading.Thread(target=self._write_lines, name="log", daemon=True)
         self.thread.start()
 
-    def put(self, line: str) -> None:
+    def enqueue(self, line: str) -> None:
         try:
             self.lines.put_nowait(line.encode("utf-8", "replace") + b"\n")
         except queue.Full:
-            self.lost += 1
+            self.dropped_lines += 1
 
-    def _run(self) -> None:
+    def _write_lines(self) -> None:
         while (line := self.lines.get()) is not None:
-            lost, self.lost = self.lost, 0
-            if lost:
-                line += b"event=log_lost lines=%d\n" % lost
+            dropped, self.dropped_lines = self.dropped_lines, 0
+            if dropped:
+                line += b"event=log_lost lines=%d\n" % dropped
             try:
                 while line:
                     line = line[os.write(self.descriptor, line) :]
             except OSError:
-                self.lost += 1  # nobody reads any more; the daemon goes on
+                self.dropped_lines += 1  # nobody reads any more; the daemon goes on
 
     def close(self) -> None:
         try:
             self.lines.put_nowait(None)
         except queue.Full:
             return
-        self.thread.join(LAST_S)
+        self.thread.join(CLOSE_TIMEOUT_S)
--- a/spanwing/policy/anew.py
+++ b/spanwing/policy/anew.py
@@ -9,31 +9,37 @@
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.handover.learned import feed_no_more, into_module, into_worker, of_module, of_worker
+from spanwing.handover.learned import (
+    export_scheduler,
+    export_worker,
+    import_scheduler,
+    import_worker,
+    stop_feeding,
+)
 
 
-def module_of(settings: api.Settings, seed: int, now: float, old: Dispatcher) -> Dispatcher:
+def create_scheduler(settings: api.Settings, seed: int, now: float, previous: Dispatcher) -> Dispatcher:
     """One that has heard of no list yet: see known()."""
-    new = Dispatcher(settings, seed, now)
-    into_module(new, of_module(old, None, ""), now)
-    for name, ledger in new.ledgers.items():
-        before = old.ledgers.get(name)
-        if before is not None and before.rate > 0:
-            ledger.credit = before.credit * ledger.rate / before.rate
-            ledger.earned = before.earned * ledger.rate / before.rate
-    return new
+    scheduler = Dispatcher(settings, seed, now)
+    import_scheduler(scheduler, export_scheduler(previous, None, ""), now)
+    for name, account in scheduler.ledgers.items():
+        previous_account = previous.ledgers.get(name)
+        if previous_account is not None and previous_account.rate > 0:
+            account.credit = previous_account.credit * account.rate / previous_account.rate
+            account.earned = previous_account.earned * account.rate / previous_account.rate
+    return scheduler
 
 
-def known(old: Dispatcher) -> api.WorkerList:
+def known_workers(previous: Dispatcher) -> api.WorkerList:
     """The list that the former module has, for the new one."""
-    entries = (view.entry for view in old.views.values() if view.entry.state != "gone")
+    entries = (view.entry for view in previous.views.values() if view.entry.state != "gone")
     return api.WorkerList("persisted", tuple(entries))
 
 
-def learned(new: Dispatcher, old: Dispatcher, now: float) -> None:
+def transfer_worker_estimates(scheduler: Dispatcher, previous: Dispatcher, now: float) -> None:
     """What was learned of each worker; called once the new module knows the list."""
-    for worker, view in new.views.items():
-        before = old.views.get(worker)
-        if before is not None:
-            into_worker(view, of_worker(before), now)
-    feed_no_more(old)
+    for worker, worker_state in scheduler.views.items():
+        previous_state = previous.views.get(worker)
+        if previous_state is not None:
+            import_worker(worker_state, export_worker(previous_state), now)
+    stop_feeding(previous)
