--- a/spanwing/policy/chair.py
+++ b/spanwing/policy/chair.py
@@ -15,210 +15,270 @@
 import msgspec
 
 from spanwing.policy.record import (
-    CHANGE,
-    HISTORY,
-    LONGEST,
-    LONGEST_NAME,
-    MOST_NAMES,
-    NEXT,
-    NOW,
-    PAST,
-    REGISTER,
-    Change,
-    Past,
-    Policy,
-    Version,
-    digest,
-    encode,
-    name_of,
-    read,
+    CHANGE_KEY,
+    CURRENT_KEY,
+    HISTORY_KEY,
+    MAX_HISTORY_ENTRIES,
+    MAX_NAME_BYTES,
+    MAX_POLICY_BYTES,
+    MAX_SCHEDULERS,
+    PROPOSED_KEY,
+    REGISTER_KEY,
+    PolicyChange,
+    PolicyHistoryEntry,
+    PolicyState,
+    PolicyVersion,
+    encode_value,
+    policy_digest,
+    read_policy,
+    scheduler_name,
 )
-from spanwing.store.document import Document, Txn
-from spanwing.store.lease import lapsed_at
+from spanwing.store.document import Document, Transaction
+from spanwing.store.lease import lease_expiry_ms
 
-CLOSE_MS = 200.0  # jobs wait while a change is closing: after this it goes back to asking
-FRESH_MS = 1000.0  # closing begins only if everybody was heard of within this
-AGAIN_MS = 500.0  # and not sooner than this after it had to go back
-LONGEST_REASON = 200
+CLOSING_TIMEOUT_MS = 200.0  # jobs wait while a change is closing: after this it goes back to asking
+MAX_CONTACT_AGE_MS = 1000.0  # closing begins only if everybody was heard of within this
+REVERT_BACKOFF_MS = 500.0  # and not sooner than this after it had to go back
+MAX_REASON_LENGTH = 200
 
 
-class Says(msgspec.Struct, frozen=True, array_like=True):
+class PolicyVote(msgspec.Struct, frozen=True, array_like=True):
     """What a renewal brings of the policy."""
 
-    wants: bool = False  # a permit
-    change: str = ""  # the id of the change that was looked at
-    no: str = ""  # why it cannot be taken over; empty: ready
+    wants_permit: bool = False  # a permit
+    change_id: str = ""  # the id of the change that was looked at
+    objection: str = ""  # why it cannot be taken over; empty: ready
 
 
-class Known(Protocol):
+class ParticipantSession(Protocol):
     """A session as the keeper has it."""
 
-    confirmed: float
-    seen: int
+    confirmed_at_ms: float
+    acknowledged_revision: int
 
 
-class Keeps(Protocol):
+class SessionRegistry(Protocol):
     """What is asked of the keeper."""
 
-    since: float
-    sessions: Mapping[str, Known]
+    leading_since_ms: float
+    sessions: Mapping[str, ParticipantSession]
 
 
-class Bounds(NamedTuple):
+class PermitSettings(NamedTuple):
     """From the operator's file."""
 
-    away_ms: float  # a permit
+    permit_duration_ms: float  # a permit
 
 
-class Chair:
+class PolicyCoordinator:
     """The keeper's mind for the policy."""
 
-    def __init__(self, bounds: Bounds, wall_ms: Callable[[], float], draw: Callable[[], str]) -> None:
+    def __init__(
+        self, permit_settings: PermitSettings, wall_clock_ms: Callable[[], float], new_id: Callable[[], str]
+    ) -> None:
         """draw: an id for a change."""
-        self.bounds, self.wall_ms, self.draw = bounds, wall_ms, draw
-        self.words: dict[str, Says] = {}  # by session: the last
-        self.confirmed: dict[str, float] = {}  # by session: when a permit of it was last granted, or may be
-        self.entered: tuple[int, float] = (0, 0.0)  # the change's number, and when we first saw it
-        self.begun: tuple[str, float] = ("", 0.0)  # the change's id, and since when we know of it
-        self.ours_since = -math.inf
-        self.first = ""  # the policy that a fleet without any begins with
+        self.permit_settings, self.wall_clock_ms, self.new_id = permit_settings, wall_clock_ms, new_id
+        self.votes: dict[str, PolicyVote] = {}  # by session: the last
+        self.permit_confirmed_at_ms: dict[
+            str, float
+        ] = {}  # by session: when a permit of it was last granted, or may be
+        self.change_revision_seen: tuple[int, float] = (
+            0,
+            0.0,
+        )  # the change's number, and when we first saw it
+        self.change_started: tuple[str, float] = ("", 0.0)  # the change's id, and since when we know of it
+        self.leading_since_ms = -math.inf
+        self.initial_policy = ""  # the policy that a fleet without any begins with
 
     # -- what comes in
 
-    def heard(self, session: str, says: Says | msgspec.Raw) -> None:
+    def record_vote(self, session: str, vote: PolicyVote | msgspec.Raw) -> None:
         """Raises ValueError where it says nothing of ours."""
-        self.words[session] = says if isinstance(says, Says) else msgspec.json.decode(says, type=Says)
+        self.votes[session] = (
+            vote if isinstance(vote, PolicyVote) else msgspec.json.decode(vote, type=PolicyVote)
+        )
 
-    def permit(self, session: str, document: Document) -> float:
-        return self.bounds.away_ms if self.may_hold(session, document) else 0.0
+    def permit_duration_ms(self, session: str, document: Document) -> float:
+        return self.permit_settings.permit_duration_ms if self.may_hold_permit(session, document) else 0.0
 
-    def may_hold(self, session: str, document: Document) -> bool:
+    def may_hold_permit(self, session: str, document: Document) -> bool:
         """Whether a permit may be granted to this session: the document names it. Asked after the read that
         confirms the renewal."""
-        return read(document).register.get(name_of(session)) == session
+        return read_policy(document).register.get(scheduler_name(session)) == session
 
     # -- who may still act
 
-    def _note(self, now: float, keeper: Keeps, policy: Policy) -> None:
-        if keeper.since != self.ours_since:  # we keep anew: whatever was granted before may still be held
-            self.ours_since, self.confirmed = keeper.since, {}
+    def _update_session_state(self, now: float, leader: SessionRegistry, policy: PolicyState) -> None:
+        if (
+            leader.leading_since_ms != self.leading_since_ms
+        ):  # we keep anew: whatever was granted before may still be held
+            self.leading_since_ms, self.permit_confirmed_at_ms = leader.leading_since_ms, {}
         registered = set(policy.register.values())
-        self.confirmed = {id: at for id, at in self.confirmed.items() if id in registered}
-        self.words = {id: says for id, says in self.words.items() if id in keeper.sessions}
+        self.permit_confirmed_at_ms = {
+            id: at for id, at in self.permit_confirmed_at_ms.items() if id in registered
+        }
+        self.votes = {id: says for id, says in self.votes.items() if id in leader.sessions}
         for id in registered:
-            known = keeper.sessions.get(id)
-            if known is not None and known.confirmed > -math.inf:
-                self.confirmed[id] = max(known.confirmed, self.confirmed.get(id, -math.inf))
+            session = leader.sessions.get(id)
+            if session is not None and session.confirmed_at_ms > -math.inf:
+                self.permit_confirmed_at_ms[id] = max(
+                    session.confirmed_at_ms, self.permit_confirmed_at_ms.get(id, -math.inf)
+                )
         change = policy.change
-        if change is not None and self.entered[0] != policy.change_number:
-            self.entered = policy.change_number, now
-        if change is not None and self.begun[0] != change.id:
-            self.begun = change.id, now
+        if change is not None and self.change_revision_seen[0] != policy.change_number:
+            self.change_revision_seen = policy.change_number, now
+        if change is not None and self.change_started[0] != change.id:
+            self.change_started = change.id, now
 
-    def lapsed(self, now: float, session: str, keeper: Keeps) -> bool:
+    def has_permit_expired(self, now: float, session: str, leader: SessionRegistry) -> bool:
         """Whether its permit has ended, whoever granted it."""
-        granted = max(keeper.since, self.confirmed.get(session, -math.inf))
-        return now >= lapsed_at(granted, self.bounds.away_ms)
+        granted_at = max(leader.leading_since_ms, self.permit_confirmed_at_ms.get(session, -math.inf))
+        return now >= lease_expiry_ms(granted_at, self.permit_settings.permit_duration_ms)
 
-    def _can_act(self, now: float, policy: Policy, keeper: Keeps) -> dict[str, str]:
+    def _possible_permit_holders(
+        self, now: float, policy: PolicyState, leader: SessionRegistry
+    ) -> dict[str, str]:
         """Sessions that may hold a permit, by name."""
-        gone = set(policy.change.gone) if policy.change is not None else set()
+        removed_sessions = set(policy.change.removed_sessions) if policy.change is not None else set()
         return {
             name: session
             for name, session in policy.register.items()
-            if session not in gone and not self.lapsed(now, session, keeper)
+            if session not in removed_sessions and not self.has_permit_expired(now, session, leader)
         }
 
-    def waits_for(self, now: float, document: Document, keeper: Keeps) -> dict[str, str]:
+    def blocking_schedulers(self, now: float, document: Document, leader: SessionRegistry) -> dict[str, str]:
         """By name, why the change has not gone on."""
-        policy = read(document)
+        policy = read_policy(document)
         change = policy.change
         if change is None:
             return {}
         found = {}
-        for name, session in self._can_act(now, policy, keeper).items():
-            known, says = keeper.sessions.get(session), self.words.get(session, Says())
-            if known is None or now - known.confirmed > FRESH_MS:
+        for name, session in self._possible_permit_holders(now, policy, leader).items():
+            participant, vote = leader.sessions.get(session), self.votes.get(session, PolicyVote())
+            if participant is None or now - participant.confirmed_at_ms > MAX_CONTACT_AGE_MS:
                 found[name] = "is not in contact"
             elif change.state == "closing":
-                if known.seen < policy.change_number:
+                if participant.acknowledged_revision < policy.change_number:
                     found[name] = "has not said that it takes nothing"
-            elif says.change != change.id:
+            elif vote.change_id != change.id:
                 found[name] = "has not answered"
-            elif says.no:
-                found[name] = f"no: {says.no}"
+            elif vote.objection:
+                found[name] = f"no: {vote.objection}"
         return found
 
     # -- what comes out
 
-    def decide(self, now: float, document: Document, keeper: Keeps) -> Txn | None:
-        policy = read(document)
+    def decide_next_change(
+        self, now: float, document: Document, leader: SessionRegistry
+    ) -> Transaction | None:
+        policy = read_policy(document)
         if policy.unread:
             return None
-        self._note(now, keeper, policy)
-        if policy.now.number == 0 and self.first:
-            first = Version(1, digest(self.first), self.first, "the first keeper's file", "", self.wall_ms())
-            return Txn(self.draw(), {NOW: encode(first)}, document.at(NOW))
-        return self._register(policy, keeper, document) or self._change(now, policy, keeper, document)
+        self._update_session_state(now, leader, policy)
+        if policy.now.number == 0 and self.initial_policy:
+            initial_version = PolicyVersion(
+                1,
+                policy_digest(self.initial_policy),
+                self.initial_policy,
+                "the first keeper's file",
+                "",
+                self.wall_clock_ms(),
+            )
+            return Transaction(
+                self.new_id(),
+                {CURRENT_KEY: encode_value(initial_version)},
+                document.current_revisions(CURRENT_KEY),
+            )
+        return self._register_sessions(policy, leader, document) or self._advance_change(
+            now, policy, leader, document
+        )
 
-    def _register(self, policy: Policy, keeper: Keeps, document: Document) -> Txn | None:
+    def _register_sessions(
+        self, policy: PolicyState, leader: SessionRegistry, document: Document
+    ) -> Transaction | None:
         """All that ask for a permit and are not in the register, in one change."""
         register = dict(policy.register)
-        for session, says in self.words.items():
-            name, known = name_of(session), keeper.sessions.get(session)
+        for session, vote in self.votes.items():
+            name, participant = scheduler_name(session), leader.sessions.get(session)
             if (
-                says.wants
-                and known is not None
-                and known.confirmed > -math.inf
+                vote.wants_permit
+                and participant is not None
+                and participant.confirmed_at_ms > -math.inf
                 and 0 < len(name)
-                and len(name) <= LONGEST_NAME
+                and len(name) <= MAX_NAME_BYTES
                 and register.get(name) != session
-                and (name in register or len(register) < MOST_NAMES)
+                and (name in register or len(register) < MAX_SCHEDULERS)
             ):
                 register[name] = session
         if register == policy.register:
             return None
-        return Txn(self.draw(), {REGISTER: encode(register)}, document.at(REGISTER))
+        return Transaction(
+            self.new_id(), {REGISTER_KEY: encode_value(register)}, document.current_revisions(REGISTER_KEY)
+        )
 
-    def _change(self, now: float, policy: Policy, keeper: Keeps, document: Document) -> Txn | None:
+    def _advance_change(
+        self, now: float, policy: PolicyState, leader: SessionRegistry, document: Document
+    ) -> Transaction | None:
         change = policy.change
         if change is None or policy.next is None:
             return None
-        waits, since = self.waits_for(now, document, keeper), now - self.entered[1]
-        no = [f"{name} {why}" for name, why in waits.items() if why.startswith("no: ")]
-        if no:
-            return self._end(policy, document, False, no[0])
+        blocking, state_age_ms = (
+            self.blocking_schedulers(now, document, leader),
+            now - self.change_revision_seen[1],
+        )
+        objections = [f"{name} {why}" for name, why in blocking.items() if why.startswith("no: ")]
+        if objections:
+            return self._end_change(policy, document, False, objections[0])
         if change.state == "closing":
-            if not waits:
-                return self._end(policy, document, True, "")
-            if since < CLOSE_MS:
+            if not blocking:
+                return self._end_change(policy, document, True, "")
+            if state_age_ms < CLOSING_TIMEOUT_MS:
                 return None
-            again = msgspec.structs.replace(change, state="asking", tries=change.tries + 1)
-            return Txn(self.draw(), {CHANGE: encode(again)}, document.at(CHANGE))
-        if now - self.begun[1] >= change.wait_ms:
-            named = "; ".join(f"{name} {why}" for name, why in sorted(waits.items()))
-            return self._end(policy, document, False, f"not in time: {named or 'it had to go back'}")
-        if waits or (change.tries and since < AGAIN_MS):
+            reopened = msgspec.structs.replace(change, state="asking", tries=change.tries + 1)
+            return Transaction(
+                self.new_id(), {CHANGE_KEY: encode_value(reopened)}, document.current_revisions(CHANGE_KEY)
+            )
+        if now - self.change_started[1] >= change.timeout_ms:
+            blocking_summary = "; ".join(f"{name} {why}" for name, why in sorted(blocking.items()))
+            return self._end_change(
+                policy, document, False, f"not in time: {blocking_summary or 'it had to go back'}"
+            )
+        if blocking or (change.tries and state_age_ms < REVERT_BACKOFF_MS):
             return None
         # The register stays as it is from here to the end: who comes anew hears `closing` first.
         closing = msgspec.structs.replace(change, state="closing")
-        return Txn(self.draw(), {CHANGE: encode(closing)}, document.at(CHANGE, NOW))
+        return Transaction(
+            self.new_id(),
+            {CHANGE_KEY: encode_value(closing)},
+            document.current_revisions(CHANGE_KEY, CURRENT_KEY),
+        )
 
-    def _end(self, policy: Policy, document: Document, taken: bool, reason: str) -> Txn:
+    def _end_change(
+        self, policy: PolicyState, document: Document, is_accepted: bool, reason: str
+    ) -> Transaction:
         """The decision: one change of the document, whichever it is. The register must be the one that was
         looked at, as who is in it may hold a permit."""
-        new = policy.next
-        past = Past(
-            new.number, self.wall_ms(), taken, (reason or new.reason)[:LONGEST_REASON], new.author, new.digest
+        proposed = policy.next
+        history_entry = PolicyHistoryEntry(
+            proposed.number,
+            self.wall_clock_ms(),
+            is_accepted,
+            (reason or proposed.reason)[:MAX_REASON_LENGTH],
+            proposed.author,
+            proposed.digest,
         )
         writes: dict[str, str | None] = {
-            CHANGE: None,
-            NEXT: None,
-            PAST: encode([*policy.past, past][-HISTORY:]),
+            CHANGE_KEY: None,
+            PROPOSED_KEY: None,
+            HISTORY_KEY: encode_value([*policy.past, history_entry][-MAX_HISTORY_ENTRIES:]),
         }
-        if taken:
-            writes[NOW] = encode(new)
-        return Txn(self.draw(), writes, document.at(CHANGE, NEXT, NOW, REGISTER, PAST))
+        if is_accepted:
+            writes[CURRENT_KEY] = encode_value(proposed)
+        return Transaction(
+            self.new_id(),
+            writes,
+            document.current_revisions(CHANGE_KEY, PROPOSED_KEY, CURRENT_KEY, REGISTER_KEY, HISTORY_KEY),
+        )
 
     # -- orders
 
@@ -226,37 +286,48 @@
         self,
         document: Document,
         text: str,
-        base: int,
+        base_version: int,
         author: str,
         reason: str,
-        wait_ms: float,
-        gone: list[str],
-    ) -> Txn:
+        timeout_ms: float,
+        removed_names: list[str],
+    ) -> Transaction:
         """Raises ValueError with why it is refused."""
-        policy = read(document)
+        policy = read_policy(document)
         if policy.unread:
             raise ValueError(f"{policy.unread[0]} cannot be read: it is of a newer program, or damaged")
         if policy.change is not None:
             raise ValueError(f"version {policy.next.number} by {policy.next.author} is under way")
-        if base != policy.now.number:
+        if base_version != policy.now.number:
             raise ValueError(
-                f"it was made from version {base}, and {policy.now.number} by "
+                f"it was made from version {base_version}, and {policy.now.number} by "
                 f"{policy.now.author or 'nobody'} is in force"
             )
-        if len(text.encode()) > LONGEST:
-            raise ValueError(f"{len(text.encode())} bytes, {LONGEST} at most")
-        if unknown := sorted(set(gone) - set(policy.register)):
+        if len(text.encode()) > MAX_POLICY_BYTES:
+            raise ValueError(f"{len(text.encode())} bytes, {MAX_POLICY_BYTES} at most")
+        if unknown := sorted(set(removed_names) - set(policy.register)):
             raise ValueError(f"{unknown[0]!r} is no scheduler that is known")
-        new = Version(
-            base + 1, digest(text), text, author[:LONGEST_REASON], reason[:LONGEST_REASON], self.wall_ms()
+        proposed = PolicyVersion(
+            base_version + 1,
+            policy_digest(text),
+            text,
+            author[:MAX_REASON_LENGTH],
+            reason[:MAX_REASON_LENGTH],
+            self.wall_clock_ms(),
         )
         # Their sessions: a later life of the same name is another matter.
-        change = Change(self.draw(), "asking", wait_ms, sorted(policy.register[name] for name in gone))
-        return Txn(self.draw(), {NEXT: encode(new), CHANGE: encode(change)}, document.at(NOW, NEXT, CHANGE))
+        change = PolicyChange(
+            self.new_id(), "asking", timeout_ms, sorted(policy.register[name] for name in removed_names)
+        )
+        return Transaction(
+            self.new_id(),
+            {PROPOSED_KEY: encode_value(proposed), CHANGE_KEY: encode_value(change)},
+            document.current_revisions(CURRENT_KEY, PROPOSED_KEY, CHANGE_KEY),
+        )
 
-    def abort(self, document: Document, author: str) -> Txn:
+    def abort(self, document: Document, author: str) -> Transaction:
         """Raises ValueError where there is nothing to give up."""
-        policy = read(document)
+        policy = read_policy(document)
         if policy.change is None or policy.next is None:
             raise ValueError("no change is under way")
-        return self._end(policy, document, False, f"given up by {author}")
+        return self._end_change(policy, document, False, f"given up by {author}")
--- a/spanwing/policy/hand.py
+++ b/spanwing/policy/hand.py
@@ -9,59 +9,59 @@
 from collections.abc import Callable
 from typing import Literal, NamedTuple
 
-from spanwing.policy.chair import LONGEST_REASON, Says
-from spanwing.policy.record import Policy, digest
+from spanwing.policy.chair import MAX_REASON_LENGTH, PolicyVote
+from spanwing.policy.record import PolicyState, policy_digest
 from spanwing.store.lease import Lease
 
-HOLD_MS = 250.0  # a job that comes while a change is closing waits so long at most
+MAX_ADMISSION_WAIT_MS = 250.0  # a job that comes while a change is closing waits so long at most
 
 
-class May(NamedTuple):
+class AdmissionDecision(NamedTuple):
     """What to do with a job that comes now."""
 
-    do: Literal["take", "hold", "refuse"]
+    action: Literal["take", "hold", "refuse"]
     version: int = 0
-    why: str = ""
+    reason: str = ""
 
 
-class Hand:
+class PolicyParticipant:
     """One scheduler's part, in one life."""
 
-    def __init__(self, session: str, check: Callable[[str], str], permit: Lease) -> None:
+    def __init__(self, session: str, find_objection: Callable[[str], str], permit: Lease) -> None:
         """check: why a policy's text cannot be taken over here; empty: it can."""
-        self.session, self.check, self.permit = session, check, permit
-        self.policy = Policy()
-        self.word = Says(True)
-        self.closed_at: float | None = None
+        self.session, self.find_objection, self.permit = session, find_objection, permit
+        self.policy = PolicyState()
+        self.vote = PolicyVote(True)
+        self.closed_since_ms: float | None = None
 
-    def follow(self, now: float, policy: Policy) -> bool:
+    def update_policy(self, now: float, policy: PolicyState) -> bool:
         """A later copy of the document; whether another version is in force now."""
-        before, self.policy = self.policy, policy
-        if not policy.closed():
-            self.closed_at = None
-        elif self.closed_at is None:
-            self.closed_at = now
+        previous, self.policy = self.policy, policy
+        if not policy.is_closed():
+            self.closed_since_ms = None
+        elif self.closed_since_ms is None:
+            self.closed_since_ms = now
         change = policy.change
         if change is None or policy.next is None:
-            self.word = Says(True)
-        elif self.word.change != change.id:
-            sound = digest(policy.next.text) == policy.next.digest
-            no = self.check(policy.next.text) if sound else "its text is damaged"
-            self.word = Says(True, change.id, no[:LONGEST_REASON])
-        return policy.now != before.now
+            self.vote = PolicyVote(True)
+        elif self.vote.change_id != change.id:
+            is_intact = policy_digest(policy.next.text) == policy.next.digest
+            objection = self.find_objection(policy.next.text) if is_intact else "its text is damaged"
+            self.vote = PolicyVote(True, change.id, objection[:MAX_REASON_LENGTH])
+        return policy.now != previous.now
 
-    def may(self, now: float) -> May:
+    def decide_admission(self, now: float) -> AdmissionDecision:
         """now: by the permit's clock."""
         policy = self.policy
         if policy.unread:
-            return May("refuse", why=f"{policy.unread[0]} cannot be read here")
+            return AdmissionDecision("refuse", reason=f"{policy.unread[0]} cannot be read here")
         if policy.now.number == 0:
-            return May("refuse", why="no policy is in force")
-        if not self.permit.valid(now):
-            return May("refuse", why="no permit: the fleet's policy may be another by now")
-        if policy.closed():
-            waited = now - (self.closed_at if self.closed_at is not None else now)
-            if waited < HOLD_MS:
-                return May("hold", why="a change of policy is being made")
-            return May("refuse", why="cut off in a change of policy")
-        return May("take", policy.now.number)
+            return AdmissionDecision("refuse", reason="no policy is in force")
+        if not self.permit.is_valid(now):
+            return AdmissionDecision("refuse", reason="no permit: the fleet's policy may be another by now")
+        if policy.is_closed():
+            waited_ms = now - (self.closed_since_ms if self.closed_since_ms is not None else now)
+            if waited_ms < MAX_ADMISSION_WAIT_MS:
+                return AdmissionDecision("hold", reason="a change of policy is being made")
+            return AdmissionDecision("refuse", reason="cut off in a change of policy")
+        return AdmissionDecision("take", policy.now.number)
--- a/spanwing/policy/kept.py
+++ b/spanwing/policy/kept.py
@@ -13,89 +13,95 @@
 
 import msgspec
 
-from spanwing.policy.record import Version, digest
+from spanwing.policy.record import PolicyVersion, policy_digest
 
-KEPT = 40
+MAX_CACHED_VERSIONS = 40
 
 
-class KeptError(Exception):
+class PolicyCacheError(Exception):
     """The folder cannot be used; the text says why."""
 
 
-class Permit(msgspec.Struct):
+class CachedPermit(msgspec.Struct):
     """What is left of one, by the clock of one boot."""
 
     version: int
-    until: float
-    boot: str
+    expires_at_ms: float = msgspec.field(name="until")
+    boot_id: str = msgspec.field(name="boot")
 
 
-def boot() -> str:
+def current_boot_id() -> str:
     """Which boot of the machine this is; a clock since the start says nothing of another one."""
     return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
 
 
-class Kept:
+class PolicyCache:
     """The folder."""
 
     def __init__(self, directory: str) -> None:
-        self.folder, self.skipped = Path(directory), list[str]()
+        self.folder, self.skipped_files = Path(directory), list[str]()
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
-            self.lock = open(self.folder / "lock", "w")  # noqa: SIM115 - held for the life of the process
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            self.versions = self._read()
+            self.lock_file = open(self.folder / "lock", "w")  # noqa: SIM115 - held for the life of the process
+            fcntl.flock(self.lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.versions = self._load_versions()
         except BlockingIOError:
-            raise KeptError(f"{directory} is in use by another process") from None
+            raise PolicyCacheError(f"{directory} is in use by another process") from None
         except OSError as error:
-            raise KeptError(f"{directory}: {error.strerror}") from None
+            raise PolicyCacheError(f"{directory}: {error.strerror}") from None
 
-    def _read(self) -> dict[int, Version]:
+    def _load_versions(self) -> dict[int, PolicyVersion]:
         found = {}
         for path in self.folder.glob("version-*.json"):
             try:
-                version = msgspec.json.decode(path.read_bytes(), type=Version)
+                version = msgspec.json.decode(path.read_bytes(), type=PolicyVersion)
             except ValueError as error:
-                self.skipped.append(f"{path.name}: {error}")
+                self.skipped_files.append(f"{path.name}: {error}")
                 continue
-            if version.digest and digest(version.text) != version.digest:
-                self.skipped.append(f"{path.name}: its text is not the one that was written")
+            if version.digest and policy_digest(version.text) != version.digest:
+                self.skipped_files.append(f"{path.name}: its text is not the one that was written")
             else:
                 found[version.number] = version
         return dict(sorted(found.items()))
 
-    def put(self, version: Version) -> None:
+    def store_version(self, version: PolicyVersion) -> None:
         """Raises OSError; then nothing has changed."""
         if self.versions.get(version.number) == version:
             return
-        self._write(f"version-{version.number}.json", msgspec.json.encode(version))
+        self._write_file(f"version-{version.number}.json", msgspec.json.encode(version))
         self.versions[version.number] = version
-        for number in sorted(self.versions)[:-KEPT]:
+        for number in sorted(self.versions)[:-MAX_CACHED_VERSIONS]:
             del self.versions[number]
             (self.folder / f"version-{number}.json").unlink(missing_ok=True)
 
-    def put_permit(self, version: int, until: float) -> None:
+    def store_permit(self, version_number: int, expires_at_ms: float) -> None:
         """Raises OSError."""
-        self._write("permit.json", msgspec.json.encode(Permit(version, until, boot())))
+        self._write_file(
+            "permit.json", msgspec.json.encode(CachedPermit(version_number, expires_at_ms, current_boot_id()))
+        )
 
-    def permit(self) -> tuple[Version, float] | None:
+    def load_permit(self) -> tuple[PolicyVersion, float] | None:
         """What may be started with, and until when, by this boot's clock."""
         try:
-            permit = msgspec.json.decode((self.folder / "permit.json").read_bytes(), type=Permit)
+            permit = msgspec.json.decode((self.folder / "permit.json").read_bytes(), type=CachedPermit)
         except (OSError, ValueError):
             return None
         version = self.versions.get(permit.version)
-        return (version, permit.until) if version is not None and permit.boot == boot() else None
-
-    def _write(self, name: str, data: bytes) -> None:
-        fresh = self.folder / f"{name}.new"
-        with open(fresh, "wb") as file:
+        return (
+            (version, permit.expires_at_ms)
+            if version is not None and permit.boot_id == current_boot_id()
+            else None
+        )
+
+    def _write_file(self, name: str, data: bytes) -> None:
+        new_path = self.folder / f"{name}.new"
+        with open(new_path, "wb") as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        os.replace(fresh, self.folder / name)
-        folder = os.open(self.folder, os.O_RDONLY)
+        os.replace(new_path, self.folder / name)
+        folder_descriptor = os.open(self.folder, os.O_RDONLY)
         try:
-            os.fsync(folder)
+            os.fsync(folder_descriptor)
         finally:
-            os.close(folder)
+            os.close(folder_descriptor)
--- a/spanwing/policy/minds.py
+++ b/spanwing/policy/minds.py
@@ -9,67 +9,79 @@
 
 import msgspec
 
-from spanwing.policy.chair import Chair
-from spanwing.policy.record import read
-from spanwing.store.document import Document, Txn
-from spanwing.store.keeper import Keeper, Mind, Session
+from spanwing.policy.chair import PolicyCoordinator
+from spanwing.policy.record import read_policy
+from spanwing.store.document import Document, Transaction
+from spanwing.store.keeper import Controller, Leader, SchedulerSession
 
-LEAST_WAIT_S, MOST_WAIT_S = 1.0, 86_400.0
+MIN_CHANGE_TIMEOUT_S, MAX_CHANGE_TIMEOUT_S = 1.0, 86_400.0
 
 
 class PolicyOrder(msgspec.Struct, forbid_unknown_fields=True):
     """An operator's, of the policy."""
 
-    policy: Literal["propose", "abort", "waits"]
+    action: Literal["propose", "abort", "waits"] = msgspec.field(name="policy")
     text: str = ""
-    base: int = 0
-    by: str = "operator"
+    base_version: int = msgspec.field(default=0, name="base")
+    author: str = msgspec.field(default="operator", name="by")
     reason: str = ""
-    wait_s: float = 60.0
-    gone: list[str] = []
+    timeout_s: float = msgspec.field(default=60.0, name="wait_s")
+    removed_names: list[str] = msgspec.field(default=[], name="gone")
 
 
-class Minds:
+class CombinedController:
     """Both; zones come once the scheduler has its policy."""
 
-    def __init__(self, chair: Chair) -> None:
-        self.chair, self.zones = chair, None
+    def __init__(self, policy_coordinator: PolicyCoordinator) -> None:
+        self.policy_coordinator, self.zone_controller = policy_coordinator, None
 
-    def join(self, zones: Mind) -> None:
-        self.zones = zones
+    def join(self, zone_controller: Controller) -> None:
+        self.zone_controller = zone_controller
 
-    def look(self, now: float) -> None:
-        if self.zones is not None:
-            self.zones.look(now)
+    def refresh_worker_list(self, now: float) -> None:
+        if self.zone_controller is not None:
+            self.zone_controller.refresh_worker_list(now)
 
-    def heard(self, now: float, session: Session, payload: msgspec.Raw) -> None:
-        if self.zones is not None:
-            self.zones.heard(now, session, payload)
+    def record_evidence(self, now: float, session: SchedulerSession, evidence: msgspec.Raw) -> None:
+        if self.zone_controller is not None:
+            self.zone_controller.record_evidence(now, session, evidence)
 
-    def wonders(self, now: float, keeper: Keeper) -> tuple[str, ...]:
-        return () if self.zones is None else self.zones.wonders(now, keeper)
+    def zones_to_probe(self, now: float, leader: Leader) -> tuple[str, ...]:
+        return () if self.zone_controller is None else self.zone_controller.zones_to_probe(now, leader)
 
-    def decide(self, now: float, document: Document, keeper: Keeper) -> Txn | None:
-        txn = self.chair.decide(now, document, keeper)
-        return self.zones.decide(now, document, keeper) if txn is None and self.zones is not None else txn
+    def decide_next_change(self, now: float, document: Document, leader: Leader) -> Transaction | None:
+        transaction = self.policy_coordinator.decide_next_change(now, document, leader)
+        return (
+            self.zone_controller.decide_next_change(now, document, leader)
+            if transaction is None and self.zone_controller is not None
+            else transaction
+        )
 
-    def order(
-        self, now: float, order: msgspec.Raw, document: Document, keeper: Keeper
-    ) -> tuple[Txn | None, str]:
+    def handle_order(
+        self, now: float, order: msgspec.Raw, document: Document, leader: Leader
+    ) -> tuple[Transaction | None, str]:
         try:
-            wanted = msgspec.json.decode(order, type=PolicyOrder)
+            policy_order = msgspec.json.decode(order, type=PolicyOrder)
         except ValueError:
-            if self.zones is None:
+            if self.zone_controller is None:
                 raise
-            return self.zones.order(now, order, document, keeper)
-        if wanted.policy == "abort":
-            return self.chair.abort(document, wanted.by), "given up"
-        if wanted.policy == "waits":
-            waits = self.chair.waits_for(now, document, keeper)
-            return None, "; ".join(f"{name} {why}" for name, why in sorted(waits.items()))
-        if not LEAST_WAIT_S <= wanted.wait_s <= MOST_WAIT_S:
-            raise ValueError(f"--wait: {LEAST_WAIT_S:g} to {MOST_WAIT_S:g} seconds are possible")
-        txn = self.chair.propose(
-            document, wanted.text, wanted.base, wanted.by, wanted.reason, 1000.0 * wanted.wait_s, wanted.gone
+            return self.zone_controller.handle_order(now, order, document, leader)
+        if policy_order.action == "abort":
+            return self.policy_coordinator.abort(document, policy_order.author), "given up"
+        if policy_order.action == "waits":
+            blocking = self.policy_coordinator.blocking_schedulers(now, document, leader)
+            return None, "; ".join(f"{name} {why}" for name, why in sorted(blocking.items()))
+        if not MIN_CHANGE_TIMEOUT_S <= policy_order.timeout_s <= MAX_CHANGE_TIMEOUT_S:
+            raise ValueError(
+                f"--wait: {MIN_CHANGE_TIMEOUT_S:g} to {MAX_CHANGE_TIMEOUT_S:g} seconds are possible"
+            )
+        transaction = self.policy_coordinator.propose(
+            document,
+            policy_order.text,
+            policy_order.base_version,
+            policy_order.author,
+            policy_order.reason,
+            1000.0 * policy_order.timeout_s,
+            policy_order.removed_names,
         )
-        return txn, f"version {read(document).now.number + 1} is proposed"
+        return transaction, f"version {read_policy(document).now.number + 1} is proposed"
--- a/spanwing/policy/record.py
+++ b/spanwing/policy/record.py
@@ -14,19 +14,19 @@
 
 from spanwing.store.document import Document
 
-NOW, NEXT, CHANGE, REGISTER, PAST = (
+CURRENT_KEY, PROPOSED_KEY, CHANGE_KEY, REGISTER_KEY, HISTORY_KEY = (
     "policy/now",
     "policy/next",
     "policy/change",
     "policy/register",
     "policy/history",
 )
-HISTORY = 40
-LONGEST = 20 * 1024
-MOST_NAMES, LONGEST_NAME = 500, 24
+MAX_HISTORY_ENTRIES = 40
+MAX_POLICY_BYTES = 20 * 1024
+MAX_SCHEDULERS, MAX_NAME_BYTES = 500, 24
 
 
-class Version(msgspec.Struct, frozen=True):
+class PolicyVersion(msgspec.Struct, frozen=True):
     """One policy; number 0 is none."""
 
     number: int = 0
@@ -37,17 +37,19 @@
     wall_ms: float = 0.0
 
 
-class Change(msgspec.Struct, frozen=True):
+class PolicyChange(msgspec.Struct, frozen=True):
     """What is being made of a proposal, which stands under NEXT."""
 
     id: str
     state: Literal["asking", "closing"]
-    wait_ms: float  # in all, by the clock of whoever keeps
-    gone: list[str] = []  # sessions that the operator says are gone for good
+    timeout_ms: float = msgspec.field(name="wait_ms")  # in all, by the clock of whoever keeps
+    removed_sessions: list[str] = msgspec.field(
+        default=[], name="gone"
+    )  # sessions that the operator says are gone for good
     tries: int = 0  # times that it was closing and had to go back
 
 
-class Past(msgspec.Struct, frozen=True, array_like=True):
+class PolicyHistoryEntry(msgspec.Struct, frozen=True, array_like=True):
     """How a change ended."""
 
     number: int  # of the version that was proposed
@@ -58,57 +60,57 @@
     digest: str
 
 
-class Policy(msgspec.Struct, frozen=True):
+class PolicyState(msgspec.Struct, frozen=True):
     """All of it, as read from a document."""
 
-    now: Version = Version()
-    next: Version | None = None
-    change: Change | None = None
+    now: PolicyVersion = PolicyVersion()
+    next: PolicyVersion | None = None
+    change: PolicyChange | None = None
     change_number: int = 0  # the document's revision that the change last came with
     register: dict[str, str] = {}  # by name: the session that may hold a permit
     register_number: int = 0
-    past: list[Past] = []
+    past: list[PolicyHistoryEntry] = []
     unread: tuple[str, ...] = ()
 
-    def closed(self) -> bool:
+    def is_closed(self) -> bool:
         """Whether nobody may take anything now."""
         return bool(self.unread) or (self.change is not None and self.change.state == "closing")
 
 
-KINDS = {
-    NOW: ("now", Version),
-    NEXT: ("next", Version),
-    CHANGE: ("change", Change),
-    REGISTER: ("register", dict[str, str]),
-    PAST: ("past", list[Past]),
+FIELDS_BY_KEY = {
+    CURRENT_KEY: ("now", PolicyVersion),
+    PROPOSED_KEY: ("next", PolicyVersion),
+    CHANGE_KEY: ("change", PolicyChange),
+    REGISTER_KEY: ("register", dict[str, str]),
+    HISTORY_KEY: ("past", list[PolicyHistoryEntry]),
 }
 
 
-def read(document: Document) -> Policy:
-    found: dict[str, object] = {}
-    unread = []
-    for key, (name, kind) in KINDS.items():
+def read_policy(document: Document) -> PolicyState:
+    fields: dict[str, object] = {}
+    unreadable_keys = []
+    for key, (name, value_type) in FIELDS_BY_KEY.items():
         entry = document.entries.get(key)
         if entry is None:
             continue
         try:
-            found[name] = msgspec.json.decode(entry.value, type=kind)
+            fields[name] = msgspec.json.decode(entry.value, type=value_type)
         except ValueError:
-            unread.append(key)
+            unreadable_keys.append(key)
             continue
-        if key in (CHANGE, REGISTER):
-            found[f"{name}_number"] = entry.revision
-    return Policy(**found, unread=tuple(unread))
+        if key in (CHANGE_KEY, REGISTER_KEY):
+            fields[f"{name}_number"] = entry.revision
+    return PolicyState(**fields, unread=tuple(unreadable_keys))
 
 
-def encode(value: object) -> str:
+def encode_value(value: object) -> str:
     return msgspec.json.encode(value).decode()
 
 
-def digest(text: str) -> str:
+def policy_digest(text: str) -> str:
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
-def name_of(session: str) -> str:
+def scheduler_name(session: str) -> str:
     """The scheduler's name, of which a session is one life."""
     return session.rpartition(".")[0]
--- a/spanwing/policy/side.py
+++ b/spanwing/policy/side.py
@@ -21,33 +21,33 @@
 from tornado.ioloop import IOLoop
 
 from spanwing import interface as api
-from spanwing.actor import spawn
-from spanwing.core.exchange import Exchange
-from spanwing.core.messages import Answer, SenderSide, Take
-from spanwing.log import tell
-from spanwing.policy.anew import known, learned, module_of
-from spanwing.policy.chair import Bounds, Chair
-from spanwing.policy.hand import HOLD_MS, Hand
-from spanwing.policy.kept import Kept
-from spanwing.policy.minds import Minds, PolicyOrder
-from spanwing.policy.record import Version, read
-from spanwing.policy.sound import Running, parse, unsound
+from spanwing.actor import spawn_task
+from spanwing.core.exchange import RequestManager
+from spanwing.core.messages import ClientConnection, FinalAnswer, RequestSubmitted
+from spanwing.log import log_event
+from spanwing.policy.anew import create_scheduler, known_workers, transfer_worker_estimates
+from spanwing.policy.chair import PermitSettings, PolicyCoordinator
+from spanwing.policy.hand import MAX_ADMISSION_WAIT_MS, PolicyParticipant
+from spanwing.policy.kept import PolicyCache
+from spanwing.policy.minds import CombinedController, PolicyOrder
+from spanwing.policy.record import PolicyVersion, read_policy
+from spanwing.policy.sound import RunningState, find_objection, parse_policy
 from spanwing.store.document import Document
-from spanwing.store.follower import Follower
+from spanwing.store.follower import DocumentFollower
 from spanwing.store.lease import clock_ms
 from spanwing.store.peer import PeerListener
-from spanwing.store.service import FleetService
+from spanwing.store.service import DocumentService
 from spanwing.store.store import Store
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
 
-HELD_MOST = 10_000
-TICK_S = 0.02
-KEEP_PART = 0.25  # of a permit: the folder's copy is renewed as often
-RETIRING_MOST = 4  # earlier policies under which jobs may still be open
+MAX_QUEUED_REQUESTS = 10_000
+TIMER_INTERVAL_S = 0.02
+CACHE_RENEWAL_FRACTION = 0.25  # of a permit: the folder's copy is renewed as often
+MAX_RETIRING_VERSIONS = 4  # earlier policies under which jobs may still be open
 
 
-class Wanted(Protocol):
+class PolicySettings(Protocol):
     """The operator's table, checked."""
 
     directory: str
@@ -56,279 +56,334 @@
     lease_ms: float
 
 
-class PolicySide:
+class PolicyService:
     """One scheduler's part."""
 
-    def __init__(self, name: str, wanted: Wanted, own: api.Settings, buffers: BufferPool, seed: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        policy_settings: PolicySettings,
+        own_settings: api.Settings,
+        buffers: BufferPool,
+        seed: int,
+    ) -> None:
         """own: of our own file, of which our position and our zone count. Raises KeptError."""
-        self.name, self.wanted, self.own, self.seed = name, wanted, own, seed
-        self.kept = Kept(wanted.directory)
-        self.follower = Follower(
+        self.name, self.policy_settings, self.own_settings, self.seed = (
+            name,
+            policy_settings,
+            own_settings,
+            seed,
+        )
+        self.cache = PolicyCache(policy_settings.directory)
+        self.follower = DocumentFollower(
             name,
-            own.zone,
-            own.node,
-            wanted.members,
+            own_settings.zone,
+            own_settings.node,
+            policy_settings.members,
             buffers,
             lambda: b"[{}]",
-            self._changed,
-            lambda zones: self.look(zones),
+            self._handle_document_change,
+            lambda zones: self.on_probe_request(zones),
+        )
+        self.participant = PolicyParticipant(
+            self.follower.session, self._find_objection, self.follower.permit
         )
-        self.hand = Hand(self.follower.session, self._check, self.follower.permit)
-        self.follower.says = lambda: msgspec.Raw(msgspec.json.encode(self.hand.word))
-        self.look: Callable[[tuple[str, ...]], None] = lambda zones: None  # the zones'
-        self.also: Callable[[Document], None] = lambda document: None
-        self.began: list[Callable[[api.Settings], None]] = []  # hear of each policy that takes hold here
-        self.core: Exchange | None = None
-        self.version = Version()  # under which our module is
-        self.held: deque[tuple[float, Take]] = deque()
-        self.passing: list[Take] = []  # posted again, until they come here anew
-        self.gone: list[Take] = []  # of these, those whose client left meanwhile
-        self.first: Future[Version] = Future()
-        self.kept_at, self.keeping = -1e9, False
-        self.service: FleetService | None = None
-        for each in self.kept.skipped:
-            tell("policy_skipped", level="warning", bounded=False, file=each)
-        left = self.kept.permit()
-        if left is not None:  # until we hear more: what an earlier life had
-            self.follower.permit.until = left[1]
-            self.hand.follow(clock_ms(), msgspec.structs.replace(self.hand.policy, now=left[0]))
-
-    def serve(self, store: Store, listener: PeerListener, text: str) -> Minds:
+        self.follower.policy_vote = lambda: msgspec.Raw(msgspec.json.encode(self.participant.vote))
+        self.on_probe_request: Callable[[tuple[str, ...]], None] = lambda zones: None  # the zones'
+        self.on_document_change: Callable[[Document], None] = lambda document: None
+        self.on_policy_change: list[
+            Callable[[api.Settings], None]
+        ] = []  # hear of each policy that takes hold here
+        self.request_manager: RequestManager | None = None
+        self.active_version = PolicyVersion()  # under which our module is
+        self.queued_requests: deque[tuple[float, RequestSubmitted]] = deque()
+        self.resubmitted_requests: list[RequestSubmitted] = []  # posted again, until they come here anew
+        self.abandoned_requests: list[RequestSubmitted] = []  # of these, those whose client left meanwhile
+        self.first_version: Future[PolicyVersion] = Future()
+        self.cache_written_at_ms, self.is_writing_cache = -1e9, False
+        self.document_service: DocumentService | None = None
+        for each in self.cache.skipped_files:
+            log_event("policy_skipped", level="warning", rate_limited=False, file=each)
+        cached_permit = self.cache.load_permit()
+        if cached_permit is not None:  # until we hear more: what an earlier life had
+            self.follower.permit.expires_at_ms = cached_permit[1]
+            self.participant.update_policy(
+                clock_ms(), msgspec.structs.replace(self.participant.policy, now=cached_permit[0])
+            )
+
+    def serve_as_member(
+        self, store: Store, listener: PeerListener, initial_policy: str
+    ) -> CombinedController:
         """We are a member: keep, when it is our turn; text: what a fleet without a policy begins with."""
-        chair = Chair(Bounds(self.wanted.away_ms), lambda: time.time() * 1000.0, _token)
-        chair.first = text
-        minds = Minds(chair)
-        self.service = FleetService(store, listener, minds, self.wanted.lease_ms)
-        self.service.keeper.permits = chair
-        return minds
+        coordinator = PolicyCoordinator(
+            PermitSettings(self.policy_settings.away_ms), lambda: time.time() * 1000.0, _random_id
+        )
+        coordinator.initial_policy = initial_policy
+        combined_controller = CombinedController(coordinator)
+        self.document_service = DocumentService(
+            store, listener, combined_controller, self.policy_settings.lease_ms
+        )
+        self.document_service.leader.permit_authority = coordinator
+        return combined_controller
 
     def start(self) -> None:
-        if self.service is not None:
-            spawn(self.service.run())
-        spawn(self.follower.run())
-        spawn(self._tick())
+        if self.document_service is not None:
+            spawn_task(self.document_service.run())
+        spawn_task(self.follower.run())
+        spawn_task(self._run_timer())
 
-    async def begin(self) -> str:
+    async def wait_for_policy(self) -> str:
         """The version in force, once we may take jobs under it."""
-        self._maybe_first()
-        self.version = await self.first
-        return self.version.text
+        self._resolve_first_version()
+        self.active_version = await self.first_version
+        return self.active_version.text
 
-    def bind(self, core: Exchange) -> None:
-        self.core = core
-        core.policy = self
-        self._take_over()
+    def attach_request_manager(self, request_manager: RequestManager) -> None:
+        self.request_manager = request_manager
+        request_manager.policy_admission = self
+        self._apply_current_version()
 
     # -- jobs
 
-    def admits(self, take: Take) -> bool:
+    def admit(self, submitted: RequestSubmitted) -> bool:
         """Whether it may be taken now; else it is answered, or posted again."""
-        if any(take is each for each in self.gone):  # the word of its leaving was ahead of it in the mailbox
-            self.gone = [each for each in self.gone if each is not take]
+        if any(
+            submitted is each for each in self.abandoned_requests
+        ):  # the word of its leaving was ahead of it in the mailbox
+            self.abandoned_requests = [each for each in self.abandoned_requests if each is not submitted]
             return False
-        self.passing = [each for each in self.passing if each is not take]
-        may = self.hand.may(clock_ms())
-        if may.do == "take" and may.version == self.version.number:
-            if take.envelope.cls in self.core.module.index:
+        self.resubmitted_requests = [each for each in self.resubmitted_requests if each is not submitted]
+        decision = self.participant.decide_admission(clock_ms())
+        if decision.action == "take" and decision.version == self.active_version.number:
+            if submitted.request.cls in self.request_manager.scheduler.index:
                 return True
-            self._refuse(take)  # its class went while it waited
+            self._reject(submitted)  # its class went while it waited
             return False
-        if may.do != "refuse" and len(self.held) < HELD_MOST:
-            self.core.counters["policy.held"] += 1
-            self.held.append((clock_ms() + HOLD_MS, take))
+        if decision.action != "refuse" and len(self.queued_requests) < MAX_QUEUED_REQUESTS:
+            self.request_manager.counters["policy.held"] += 1
+            self.queued_requests.append((clock_ms() + MAX_ADMISSION_WAIT_MS, submitted))
         else:
-            self._refuse(take)
+            self._reject(submitted)
         return False
 
-    def left(self, request: str, sender: SenderSide) -> None:
+    def client_disconnected(self, request_id: str, client: ClientConnection) -> None:
         """Its client is gone: it is not taken any more."""
 
-        def its(take: Take) -> bool:
-            return take.envelope.id == request and take.sender is sender
+        def is_of_client(take: RequestSubmitted) -> bool:
+            return take.request.id == request_id and take.client is client
 
-        self.held = deque(each for each in self.held if not its(each[1]))
-        self.gone += [each for each in self.passing if its(each)]
-        self.passing = [each for each in self.passing if not its(each)]
+        self.queued_requests = deque(each for each in self.queued_requests if not is_of_client(each[1]))
+        self.abandoned_requests += [each for each in self.resubmitted_requests if is_of_client(each)]
+        self.resubmitted_requests = [each for each in self.resubmitted_requests if not is_of_client(each)]
 
-    def _refuse(self, take: Take) -> None:
-        self.core.counters["policy.refused"] += 1
-        take.sender.answer(take.envelope, Answer("refused", retry_after=self.core.again_ms))
+    def _reject(self, submitted: RequestSubmitted) -> None:
+        self.request_manager.counters["policy.refused"] += 1
+        submitted.client.answer(
+            submitted.request,
+            FinalAnswer("refused", retry_after_ms=self.request_manager.journal_retry_after_ms),
+        )
 
-    def _release(self) -> None:
+    def _release_queued(self) -> None:
         """What waited is taken, in its order, once it may be; or refused when it has waited for too long."""
         now = clock_ms()
-        may = self.hand.may(now).do
-        while self.held and (may == "take" or now >= self.held[0][0]):
-            until, take = self.held.popleft()
-            if may == "take":  # what it has waited is gone of its client's time
-                left = max(1.0, take.envelope.budget - (now - until + HOLD_MS))
-                again = take._replace(envelope=replace(take.envelope, budget=left))
-                self.passing.append(again)
-                self.core.post(again)
+        action = self.participant.decide_admission(now).action
+        while self.queued_requests and (action == "take" or now >= self.queued_requests[0][0]):
+            wait_ends_at, submitted = self.queued_requests.popleft()
+            if action == "take":  # what it has waited is gone of its client's time
+                remaining_ms = max(
+                    1.0, submitted.request.budget - (now - wait_ends_at + MAX_ADMISSION_WAIT_MS)
+                )
+                resubmitted = submitted._replace(request=replace(submitted.request, budget=remaining_ms))
+                self.resubmitted_requests.append(resubmitted)
+                self.request_manager.post(resubmitted)
             else:
-                self._refuse(take)
+                self._reject(submitted)
 
     # -- news
 
-    def _changed(self, document: Document) -> None:
+    def _handle_document_change(self, document: Document) -> None:
         """The document is another; acknowledged once we return."""
-        before, policy = self.hand.policy, read(document)
-        if policy.now.number >= before.now.number:  # what our folder had may be newer than nothing at all
-            self.hand.follow(clock_ms(), policy)
-        self._told(before, policy)
-        self._maybe_first()
-        self._take_over()
-        self.also(document)
-
-    def _told(self, before: Any, policy: Any) -> None:
+        previous, policy = self.participant.policy, read_policy(document)
+        if policy.now.number >= previous.now.number:  # what our folder had may be newer than nothing at all
+            self.participant.update_policy(clock_ms(), policy)
+        self._log_change_steps(previous, policy)
+        self._resolve_first_version()
+        self._apply_current_version()
+        self.on_document_change(document)
+
+    def _log_change_steps(self, previous: Any, policy: Any) -> None:
         """One event for each step."""
-        change, was = policy.change, before.change
-        if change is not None and (was is None or (was.id, was.state) != (change.id, change.state)):
-            word = self.hand.word
-            tell(
+        change, previous_change = policy.change, previous.change
+        if change is not None and (
+            previous_change is None
+            or (previous_change.id, previous_change.state) != (change.id, change.state)
+        ):
+            vote = self.participant.vote
+            log_event(
                 "policy",
-                bounded=False,
+                rate_limited=False,
                 step=change.state,
                 version=policy.next.number,
                 author=policy.next.author,
                 digest=policy.next.digest,
-                ready=not word.no,
-                reason=word.no,
+                ready=not vote.objection,
+                reason=vote.objection,
             )
-        for past in policy.past[-1:]:
-            if not before.past or before.past[-1] != past:
-                tell(
+        for entry in policy.past[-1:]:
+            if not previous.past or previous.past[-1] != entry:
+                log_event(
                     "policy",
-                    bounded=False,
-                    step="taken" if past.taken else "not taken",
-                    version=past.number,
-                    author=past.author,
-                    digest=past.digest,
-                    reason=past.reason,
+                    rate_limited=False,
+                    step="taken" if entry.taken else "not taken",
+                    version=entry.number,
+                    author=entry.author,
+                    digest=entry.digest,
+                    reason=entry.reason,
                 )
 
-    def _maybe_first(self) -> None:
-        if not self.first.done() and self.hand.may(clock_ms()).do == "take":
-            self.first.set_result(self.hand.policy.now)
+    def _resolve_first_version(self) -> None:
+        if not self.first_version.done() and self.participant.decide_admission(clock_ms()).action == "take":
+            self.first_version.set_result(self.participant.policy.now)
 
-    def _take_over(self) -> None:
+    def _apply_current_version(self) -> None:
         """Have the module be the one of the version in force."""
-        now = self.hand.policy.now
-        core = self.core
-        if core is None or now.number == 0 or self.version.number >= now.number:
+        current = self.participant.policy.now
+        request_manager = self.request_manager
+        if request_manager is None or current.number == 0 or self.active_version.number >= current.number:
             return
-        begun = time.perf_counter()
+        started_at_s = time.perf_counter()
         try:
-            settings = parse(now.text, self.own)
+            settings = parse_policy(current.text, self.own_settings)
         except ValueError as error:  # it was taken without our word: jobs are refused here until it is mended
-            tell("policy_unfit", level="error", version=now.number, reason=str(error))
+            log_event("policy_unfit", level="error", version=current.number, reason=str(error))
             return
-        old, clock = core.module, core.clock.now()
-        new = module_of(settings, self.seed + now.number, clock, old)
-        core.turn_over(settings, new)
-        core.tell(known(old))
-        learned(new, old, clock)
-        self.version = now
-        for hears in self.began:
-            hears(settings)
-        tell(
+        previous_scheduler, module_now = request_manager.scheduler, request_manager.clock.now_ms()
+        new_scheduler = create_scheduler(settings, self.seed + current.number, module_now, previous_scheduler)
+        request_manager.switch_policy(settings, new_scheduler)
+        request_manager.notify_schedulers(known_workers(previous_scheduler))
+        transfer_worker_estimates(new_scheduler, previous_scheduler, module_now)
+        self.active_version = current
+        for callback in self.on_policy_change:
+            callback(settings)
+        log_event(
             "policy_taken",
-            bounded=False,
-            version=now.number,
-            digest=now.digest,
-            ms=round((time.perf_counter() - begun) * 1000.0, 2),
+            rate_limited=False,
+            version=current.number,
+            digest=current.digest,
+            ms=round((time.perf_counter() - started_at_s) * 1000.0, 2),
         )
-        self._release()
-        self._keep(clock_ms())
+        self._release_queued()
+        self._start_cache_write(clock_ms())
 
-    def _check(self, text: str) -> str:
+    def _find_objection(self, text: str) -> str:
         """Whether we could take it over now."""
-        if self.core is None:
-            return unsound(text, Running(self.own))
-        if len(self.core.retiring) >= RETIRING_MOST:
-            return f"jobs are open under {RETIRING_MOST} earlier versions"
-        open_jobs = Counter(call.envelope.cls for call in self.core.calls.values())
-        for request, _ in self.core.out:
-            job = self.core._of(request).jobs.get(request)
-            if job is not None and request not in self.core.calls:
+        if self.request_manager is None:
+            return find_objection(text, RunningState(self.own_settings))
+        if len(self.request_manager.retiring_schedulers) >= MAX_RETIRING_VERSIONS:
+            return f"jobs are open under {MAX_RETIRING_VERSIONS} earlier versions"
+        open_jobs = Counter(call.request.cls for call in self.request_manager.pending_requests.values())
+        for request, _ in self.request_manager.in_flight:
+            job = self.request_manager._scheduler_of(request).jobs.get(request)
+            if job is not None and request not in self.request_manager.pending_requests:
                 open_jobs[job.cls.name] += 1
-        return unsound(text, Running(self.core.settings, open_jobs, self._windows(), text=self.version.text))
+        return find_objection(
+            text,
+            RunningState(
+                self.request_manager.settings,
+                open_jobs,
+                self._idempotency_windows_ms(),
+                policy_text=self.active_version.text,
+            ),
+        )
 
-    def _windows(self) -> dict[str, float]:
+    def _idempotency_windows_ms(self) -> dict[str, float]:
         """By keyed class, how long a key that is open now may come again: as long as its window, while jobs
         of it are open."""
         return {
             each.name: each.window
-            for each in self.core.settings.classes
+            for each in self.request_manager.settings.classes
             if each.effect == "keyed"
-            and any(call.envelope.cls == each.name for call in self.core.calls.values())
+            and any(call.request.cls == each.name for call in self.request_manager.pending_requests.values())
         }
 
-    async def _tick(self) -> None:
+    async def _run_timer(self) -> None:
         """What changes without news: a permit ends or is granted, a wait is over."""
-        holds = None
+        logged_permit = None
         while True:
-            await sleep(TICK_S)
+            await sleep(TIMER_INTERVAL_S)
             now = clock_ms()
-            self._maybe_first()
-            if self.held:
-                self._release()
-            valid = self.follower.permit.valid(now)
-            if valid != holds:
-                holds = valid
-                tell("policy_permit", valid=valid, reason="" if valid else self.follower.why)
-            if valid and now - self.kept_at >= KEEP_PART * self.wanted.away_ms:
-                self._keep(now)
-
-    def _keep(self, now: float) -> None:
+            self._resolve_first_version()
+            if self.queued_requests:
+                self._release_queued()
+            has_permit = self.follower.permit.is_valid(now)
+            if has_permit != logged_permit:
+                logged_permit = has_permit
+                log_event(
+                    "policy_permit", valid=has_permit, reason="" if has_permit else self.follower.last_failure
+                )
+            if (
+                has_permit
+                and now - self.cache_written_at_ms >= CACHE_RENEWAL_FRACTION * self.policy_settings.away_ms
+            ):
+                self._start_cache_write(now)
+
+    def _start_cache_write(self, now: float) -> None:
         """Have the folder written, beside the loop: no job waits for a disk."""
-        if self.version.number and not self.keeping:
-            self.keeping, self.kept_at = True, now
-            IOLoop.current().run_in_executor(None, self._write, self.version, self.follower.permit.until)
+        if self.active_version.number and not self.is_writing_cache:
+            self.is_writing_cache, self.cache_written_at_ms = True, now
+            IOLoop.current().run_in_executor(
+                None, self._write_cache, self.active_version, self.follower.permit.expires_at_ms
+            )
 
-    def _write(self, version: Version, until: float) -> None:
+    def _write_cache(self, version: PolicyVersion, expires_at_ms: float) -> None:
         try:
-            self.kept.put(version)
-            self.kept.put_permit(version.number, until)
+            self.cache.store_version(version)
+            self.cache.store_permit(version.number, expires_at_ms)
         except OSError as error:
-            tell("policy_kept", level="error", reason=f"{self.wanted.directory}: {error.strerror}")
+            log_event(
+                "policy_kept", level="error", reason=f"{self.policy_settings.directory}: {error.strerror}"
+            )
         finally:
-            self.keeping = False
+            self.is_writing_cache = False
 
     # -- orders and status
 
     async def order(
         self,
-        do: str,
-        by: str,
+        action: str,
+        author: str,
         text: str = "",
-        base: int = 0,
+        base_version: int = 0,
         reason: str = "",
-        wait_s: float = 60.0,
-        gone: list[str] = (),
+        timeout_s: float = 60.0,
+        removed_names: list[str] = (),
     ) -> str:
         """Raises ValueError with what is wrong."""
-        order = PolicyOrder(do, text, base, f"{by} at {self.name}", reason, wait_s, list(gone))
-        done = await self.follower.order(order)
-        if not done.ok:
-            raise ValueError(done.text)
-        return done.text
+        order = PolicyOrder(
+            action, text, base_version, f"{author} at {self.name}", reason, timeout_s, list(removed_names)
+        )
+        result = await self.follower.submit_order(order)
+        if not result.is_accepted:
+            raise ValueError(result.text)
+        return result.text
 
     def status(self) -> dict[str, Any]:
-        policy, now = self.hand.policy, clock_ms()
+        policy, now = self.participant.policy, clock_ms()
         change = policy.change
         return {
-            "version": self.version.number,
-            "digest": self.version.digest,
-            "author": self.version.author,
+            "version": self.active_version.number,
+            "digest": self.active_version.digest,
+            "author": self.active_version.author,
             "in_force": policy.now.number,
-            "permit_ms": max(0.0, self.follower.permit.until - now),
-            "may": self.hand.may(now).do,
-            "why": self.hand.may(now).why,
-            "by": self.follower.by,
-            "contact": self.follower.holds(),
+            "permit_ms": max(0.0, self.follower.permit.expires_at_ms - now),
+            "may": self.participant.decide_admission(now).action,
+            "why": self.participant.decide_admission(now).reason,
+            "by": self.follower.connected_member,
+            "contact": self.follower.has_lease(),
             "schedulers": sorted(policy.register),
-            "open_under_earlier": len(self.core.under) if self.core is not None else 0,
+            "open_under_earlier": len(self.request_manager.scheduler_by_request)
+            if self.request_manager is not None
+            else 0,
             "change": None
             if change is None
             else {
@@ -337,27 +392,27 @@
                 "author": policy.next.author,
                 "reason": policy.next.reason,
                 "tries": change.tries,
-                "ready": not self.hand.word.no,
-                "no": self.hand.word.no,
+                "ready": not self.participant.vote.objection,
+                "no": self.participant.vote.objection,
             },
         }
 
     def history(self) -> list[dict[str, Any]]:
-        return [msgspec.structs.asdict(each) for each in self.hand.policy.past]
+        return [msgspec.structs.asdict(each) for each in self.participant.policy.past]
 
     def check(self, text: str) -> str:
-        return self._check(text)
+        return self._find_objection(text)
 
-    def text(self, number: int) -> str:
+    def text(self, version_number: int) -> str:
         """Of a version; 0: of the one in force. Raises ValueError."""
-        number = number or self.version.number
-        version = self.kept.versions.get(number)
-        if number == self.version.number:
-            version = self.version
+        version_number = version_number or self.active_version.number
+        version = self.cache.versions.get(version_number)
+        if version_number == self.active_version.number:
+            version = self.active_version
         if version is None:
-            raise ValueError(f"version {number} is not kept here")
+            raise ValueError(f"version {version_number} is not kept here")
         return version.text
 
 
-def _token() -> str:
+def _random_id() -> str:
     return secrets.token_hex(8)
--- a/spanwing/policy/sound.py
+++ b/spanwing/policy/sound.py
@@ -15,157 +15,182 @@
 import msgspec.inspect
 
 from spanwing import interface as api
-from spanwing.policy.record import LONGEST
-from spanwing.settings import SAID_AS, Options, settings_of
+from spanwing.policy.record import MAX_POLICY_BYTES
+from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
 
-MOST_CLASSES, MOST_BRANDS = 64, 2000
-OWN = ("position", "zone")  # a member's own, which no policy says
-FIXED = ("report_fields", "max_retry_after", "subscribe", "probes")  # read at a start alone
-CONNECTIONS = ("conn_idle_ms", "connect_timeout_ms")
-LEDGER_KB, CLASS_KB = 0.4, 0.1  # of a brand, and of a class of it
+MAX_CLASSES, MAX_TENANTS = 64, 2000
+MEMBER_SETTINGS = ("position", "zone")  # a member's own, which no policy says
+RESTART_SETTINGS = ("report_fields", "max_retry_after", "subscribe", "probes")  # read at a start alone
+CONNECTION_SETTINGS = ("conn_idle_ms", "connect_timeout_ms")
+TENANT_MEMORY_KB, TENANT_CLASS_MEMORY_KB = 0.4, 0.1  # of a brand, and of a class of it
 
 
-class Running(NamedTuple):
+class RunningState(NamedTuple):
     """What is going on at this scheduler."""
 
     settings: api.Settings  # in use, with our own position and zone
-    open: Mapping[str, int] = {}  # by class: jobs that owe their answer or have an attempt out
-    windows: Mapping[str, float] = {}  # by keyed class: ms until the last key that is open may come no more
-    spare_mb: float = 64.0
-    text: str = ""  # of the policy in use
+    open_requests: Mapping[str, int] = {}  # by class: jobs that owe their answer or have an attempt out
+    idempotency_windows_ms: Mapping[
+        str, float
+    ] = {}  # by keyed class: ms until the last key that is open may come no more
+    available_memory_mb: float = 64.0
+    policy_text: str = ""  # of the policy in use
 
 
-def unsound(text: str, running: Running) -> str:
+def find_objection(text: str, state: RunningState) -> str:
     """Why it cannot be taken over, one line; empty: it can."""
     try:
-        return next(_reasons(text, running), "")
+        return next(_objections(text, state), "")
     except (ValueError, TypeError, RecursionError) as error:
-        return _line(f"cannot be read: {error}")
+        return _single_line(f"cannot be read: {error}")
 
 
-def without_own(text: str) -> str:
+def remove_member_settings(text: str) -> str:
     """The policy in a settings object. Raises ValueError."""
     raw = msgspec.json.decode(text)
-    return msgspec.json.encode({name: each for name, each in raw.items() if name not in OWN}).decode()
+    return msgspec.json.encode(
+        {name: each for name, each in raw.items() if name not in MEMBER_SETTINGS}
+    ).decode()
 
 
-def parse(text: str, own: api.Settings) -> api.Settings:
+def parse_policy(text: str, own_settings: api.Settings) -> api.Settings:
     """The settings that a scheduler with this position and zone makes of a policy. Raises ValueError."""
-    options = msgspec.json.decode(text, type=Options)
-    options.position, options.zone = own.node, own.zone
-    return settings_of(options)
+    options = msgspec.json.decode(text, type=PlatformSettings)
+    options.node_index, options.zone = own_settings.node, own_settings.zone
+    return scheduler_settings(options)
 
 
-def _reasons(text: str, running: Running) -> Iterator[str]:
-    if len(text.encode()) > LONGEST:
-        yield f"{len(text.encode())} bytes, {LONGEST} at most"
+def _objections(text: str, state: RunningState) -> Iterator[str]:
+    if len(text.encode()) > MAX_POLICY_BYTES:
+        yield f"{len(text.encode())} bytes, {MAX_POLICY_BYTES} at most"
         return
-    raw, own = msgspec.json.decode(text), running.settings
+    raw, current_settings = msgspec.json.decode(text), state.settings
     if not isinstance(raw, dict):
         yield "is no object"
         return
-    for name in OWN:
+    for name in MEMBER_SETTINGS:
         if name in raw:
             yield f"{name}: is a member's own, and no policy's"
-    for place in _unknown(raw, msgspec.inspect.type_info(Options), ""):
-        yield f"{place}: this program does not know it"
-    if len(raw.get("classes") or ()) > MOST_CLASSES:
-        yield f"classes: {len(raw['classes'])}, {MOST_CLASSES} at most"
-    if len(raw.get("orgs") or ()) > MOST_BRANDS:
-        yield f"orgs: {len(raw['orgs'])}, {MOST_BRANDS} at most"
-    new = parse(text, own)
-    for name in FIXED:
-        if getattr(new, name) != getattr(own, name):
-            yield f"{SAID_AS.get(name, name)}: takes a restart of every scheduler, not a change while serving"
-    for name in CONNECTIONS if running.text else ():
-        before = (msgspec.json.decode(running.text).get("permissions") or {}).get(name)
-        if (raw.get("permissions") or {}).get(name) != before:
+    for path in _unknown_fields(raw, msgspec.inspect.type_info(PlatformSettings), ""):
+        yield f"{path}: this program does not know it"
+    if len(raw.get("classes") or ()) > MAX_CLASSES:
+        yield f"classes: {len(raw['classes'])}, {MAX_CLASSES} at most"
+    if len(raw.get("orgs") or ()) > MAX_TENANTS:
+        yield f"orgs: {len(raw['orgs'])}, {MAX_TENANTS} at most"
+    new_settings = parse_policy(text, current_settings)
+    for name in RESTART_SETTINGS:
+        if getattr(new_settings, name) != getattr(current_settings, name):
+            setting = SETTING_NAMES.get(name, name)
+            yield f"{setting}: takes a restart of every scheduler, not a change while serving"
+    for name in CONNECTION_SETTINGS if state.policy_text else ():
+        current_value = (msgspec.json.decode(state.policy_text).get("permissions") or {}).get(name)
+        if (raw.get("permissions") or {}).get(name) != current_value:
             yield f"permissions.{name}: takes a restart of every scheduler, not a change while serving"
-    for tenant in new.tenants:
+    for tenant in new_settings.tenants:
         if not tenant.rate > 0:
             yield f"orgs.{tenant.name}: a share of {tenant.rate:g} would turn away all of its work"
-    needs_mb = len(new.tenants) * (LEDGER_KB + CLASS_KB * len(new.classes)) / 1024.0
-    if needs_mb > running.spare_mb:
-        yield f"needs {needs_mb:.0f} MB, {running.spare_mb:.0f} are spare"
-    yield from _promises(new, running)
+    needs_mb = (
+        len(new_settings.tenants)
+        * (TENANT_MEMORY_KB + TENANT_CLASS_MEMORY_KB * len(new_settings.classes))
+        / 1024.0
+    )
+    if needs_mb > state.available_memory_mb:
+        yield f"needs {needs_mb:.0f} MB, {state.available_memory_mb:.0f} are spare"
+    yield from _broken_promises(new_settings, state)
 
 
-def _promises(new: api.Settings, running: Running) -> Iterator[str]:
+def _broken_promises(new_settings: api.Settings, state: RunningState) -> Iterator[str]:
     """What jobs and windows that are open here forbid."""
-    classes = {each.name: each for each in new.classes}
-    for old in running.settings.classes:
-        count, rest = running.open.get(old.name, 0), running.windows.get(old.name, 0.0)
-        now = classes.get(old.name)
-        if now is None:
+    classes = {each.name: each for each in new_settings.classes}
+    for old_class in state.settings.classes:
+        count, remaining_window_ms = (
+            state.open_requests.get(old_class.name, 0),
+            state.idempotency_windows_ms.get(old_class.name, 0.0),
+        )
+        new_class = classes.get(old_class.name)
+        if new_class is None:
             if count:
-                yield f"classes.{old.name}: goes, while {_jobs(count)} of it are open"
-            if rest > 0:
-                yield f"classes.{old.name}: goes, while keys of it may come again for {rest / 1000:.1f} s"
+                yield f"classes.{old_class.name}: goes, while {_request_count(count)} of it are open"
+            if remaining_window_ms > 0:
+                yield (
+                    f"classes.{old_class.name}: goes, while keys of it may come again "
+                    f"for {remaining_window_ms / 1000:.1f} s"
+                )
             continue
-        for what in ("effect", "group", "kind"):
-            was, becomes = getattr(old, what), getattr(now, what)
-            if was != becomes and count:
+        compared = (
+            ("effect", old_class.effect, new_class.effect),
+            ("group", old_class.group, new_class.group),
+            ("kind", old_class.kind, new_class.kind),
+        )
+        for attribute, old_value, new_value in compared:
+            if old_value != new_value and count:
                 yield (
-                    f"classes.{old.name}: its {what} turns from {was} to {becomes}, while {_jobs(count)} "
+                    f"classes.{old_class.name}: its {attribute} turns from {old_value} to {new_value}, "
+                    f"while {_request_count(count)} "
                     "of it are open"
                 )
-        kept = now.effect == "keyed" and now.group == old.group and now.window >= old.window
-        if old.effect == "keyed" and rest > 0 and not kept:
+        window_is_preserved = (
+            new_class.effect == "keyed"
+            and new_class.group == old_class.group
+            and new_class.window >= old_class.window
+        )
+        if old_class.effect == "keyed" and remaining_window_ms > 0 and not window_is_preserved:
             yield (
-                f"classes.{old.name}: keys of it may come again for {rest / 1000:.1f} s, which its "
+                f"classes.{old_class.name}: keys of it may come again "
+                f"for {remaining_window_ms / 1000:.1f} s, which its "
                 "window or its effect would no longer see"
             )
 
 
-def _jobs(count: int) -> str:
+def _request_count(count: int) -> str:
     return "1 job" if count == 1 else f"{count} jobs"
 
 
-def _unknown(value: Any, known: msgspec.inspect.Type, place: str) -> Iterator[str]:
+def _unknown_fields(value: Any, known_type: msgspec.inspect.Type, path: str) -> Iterator[str]:
     """Places of the text that no field of ours has."""
-    if isinstance(known, msgspec.inspect.UnionType):
-        for each in known.types:
+    if isinstance(known_type, msgspec.inspect.UnionType):
+        for each in known_type.types:
             if isinstance(each, msgspec.inspect.StructType | msgspec.inspect.ListType):
-                yield from _unknown(value, each, place)
-    elif isinstance(known, msgspec.inspect.ListType) and isinstance(value, list):
+                yield from _unknown_fields(value, each, path)
+    elif isinstance(known_type, msgspec.inspect.ListType) and isinstance(value, list):
         for number, each in enumerate(value):
-            yield from _unknown(each, known.item_type, f"{place}[{number}]")
-    elif isinstance(known, msgspec.inspect.StructType) and isinstance(value, dict):
-        fields = {each.encode_name: each.type for each in known.fields}
+            yield from _unknown_fields(each, known_type.item_type, f"{path}[{number}]")
+    elif isinstance(known_type, msgspec.inspect.StructType) and isinstance(value, dict):
+        fields = {each.encode_name: each.type for each in known_type.fields}
         for name, each in value.items():
-            where = f"{place}.{name}" if place else name
+            field_path = f"{path}.{name}" if path else name
             if name not in fields:
-                yield where[:120]
+                yield field_path[:120]
             else:
-                yield from _unknown(each, fields[name], where)
+                yield from _unknown_fields(each, fields[name], field_path)
 
 
-def _line(text: str) -> str:
+def _single_line(text: str) -> str:
     return " ".join(text.split())[:200]
 
 
-def differences(old: str, new: str) -> list[str]:
+def describe_differences(old: str, new: str) -> list[str]:
     """What changes from one policy to another, a line each; for an operator to read. Raises ValueError."""
-    before, after = (dict(_flat(msgspec.json.decode(text), "")) for text in (old, new))
+    before, after = (dict(_flatten(msgspec.json.decode(text), "")) for text in (old, new))
     found = []
-    for place in sorted({*before, *after}):
-        if place not in after:
-            found.append(f"- {place} = {before[place]}")
-        elif place not in before:
-            found.append(f"+ {place} = {after[place]}")
-        elif before[place] != after[place]:
-            found.append(f"  {place}: {before[place]} -> {after[place]}")
+    for path in sorted({*before, *after}):
+        if path not in after:
+            found.append(f"- {path} = {before[path]}")
+        elif path not in before:
+            found.append(f"+ {path} = {after[path]}")
+        elif before[path] != after[path]:
+            found.append(f"  {path}: {before[path]} -> {after[path]}")
     return found
 
 
-def _flat(value: Any, place: str) -> Iterator[tuple[str, Any]]:
+def _flatten(value: Any, path: str) -> Iterator[tuple[str, Any]]:
     """Every leaf with its place; things of a list by their name, where they have one."""
     if isinstance(value, dict) and value:
         for name, each in value.items():
-            yield from _flat(each, f"{place}.{name}" if place else name)
+            yield from _flatten(each, f"{path}.{name}" if path else name)
     elif isinstance(value, list) and value and isinstance(value[0], dict):
         for number, each in enumerate(value):
             name = each.get("name", number) if isinstance(each, dict) else number
-            yield from _flat(each, f"{place}[{name}]")
+            yield from _flatten(each, f"{path}[{name}]")
     else:
-        yield place, value
+        yield path, value
--- a/spanwing/settings.py
+++ b/spanwing/settings.py
@@ -8,12 +8,12 @@
 
 from spanwing import interface as api
 
-REPORT_FIELDS = {"rif": "inflight", "q": "queue"}
-REPORT_EXTRAS = {"free slots": "free_slots", "free memory": "free_memory"}
+FIELD_NAMES = {"rif": "inflight", "q": "queue"}
+EXTRA_FIELD_NAMES = {"free slots": "free_slots", "free memory": "free_memory"}
 
 
 #: The module's names for what the settings object calls otherwise.
-SAID_AS = {
+SETTING_NAMES = {
     "nodes": "balancers",
     "node": "position",
     "tick": "tick_ms",
@@ -31,30 +31,30 @@
 }
 
 
-class Class(msgspec.Struct):
+class ClassSettings(msgspec.Struct):
     name: str
-    aim_ms: float
+    latency_objective_ms: float = msgspec.field(name="aim_ms")
     deadline_ms: float
-    worth: float = 1.0
-    late_worth: float = 0.0
-    aim_stretch: float | None = None
+    priority_weight: float = msgspec.field(default=1.0, name="worth")
+    late_weight: float = msgspec.field(default=0.0, name="late_worth")
+    objective_stretch: float | None = msgspec.field(default=None, name="aim_stretch")
     idempotency: str = "safe"
-    group: str | None = None
-    window_ms: float | None = None
+    repeat_group: str | None = msgspec.field(default=None, name="group")
+    deduplication_window_ms: float | None = msgspec.field(default=None, name="window_ms")
     streamed: bool = False
 
 
-class Org(msgspec.Struct):
+class TenantSettings(msgspec.Struct):
     name: str
-    allowance_per_s: float
+    quota_per_s: float = msgspec.field(name="allowance_per_s")
 
 
-class Report(msgspec.Struct):
+class ReportSettings(msgspec.Struct):
     fields: list[str] | None = None
     via: str = ""
 
 
-class Permissions(msgspec.Struct):
+class PermissionSettings(msgspec.Struct):
     cancel: bool = False
     probes: bool = False
     peer_messages: bool = False
@@ -65,17 +65,17 @@
     connect_timeout_ms: float = 250.0
 
 
-class Rules(msgspec.Struct):
-    grace_to_answer_ms: float = 0.0
-    stop_sending_within_ms: float = 0.0
-    ask_every_ms: float = 10000.0
-    cold_from: float = 1.0
-    cold_ms: float = 0.0
+class RuleSettings(msgspec.Struct):
+    answer_grace_ms: float = msgspec.field(default=0.0, name="grace_to_answer_ms")
+    drain_grace_ms: float = msgspec.field(default=0.0, name="stop_sending_within_ms")
+    poll_interval_ms: float = msgspec.field(default=10000.0, name="ask_every_ms")
+    slow_start_initial_fraction: float = msgspec.field(default=1.0, name="cold_from")
+    slow_start_ms: float = msgspec.field(default=0.0, name="cold_ms")
     fall_multiple: float = 1.0
     fall_ms: float = 0.0
 
 
-class Specifics(msgspec.Struct):
+class SpecificSettings(msgspec.Struct):
     class_kind: list[int] = []
     class_priority: list[int] = []
     class_stretch: list[float] = []
@@ -87,89 +87,91 @@
     progress_ms: float = 0.0
 
 
-class Options(msgspec.Struct):
+class PlatformSettings(msgspec.Struct):
     """The values in use; unknown keys are ignored, missing ones get the documented default."""
 
-    classes: list[Class]
-    position: int = 0
-    balancers: int = 1
+    classes: list[ClassSettings]
+    node_index: int = msgspec.field(default=0, name="position")
+    node_count: int = msgspec.field(default=1, name="balancers")
     zone: str | None = None
-    areas: list[str] | None = None
+    zones: list[str] | None = msgspec.field(default=None, name="areas")
     kinds: list[str] | None = None
-    orgs: list[Org] | None = None
-    over_share_worth: float = 1.0
+    tenants: list[TenantSettings] | None = msgspec.field(default=None, name="orgs")
+    over_quota_weight: float = msgspec.field(default=1.0, name="over_share_worth")
     tick_ms: float = 1.0
     discovery: str | None = None
     weight_source: str | None = None
-    report: Report | None = None
-    permissions: Permissions | None = None
-    rules: Rules | None = None
-    specifics: Specifics | None = None
+    report: ReportSettings | None = None
+    permissions: PermissionSettings | None = None
+    rules: RuleSettings | None = None
+    specifics: SpecificSettings | None = None
 
 
-def _service_class(each: Class, index: int, specifics: Specifics, kinds: list[str]) -> api.ServiceClass:
-    def told(values: list, default: Any) -> Any:
+def _service_class(
+    class_settings: ClassSettings, index: int, specifics: SpecificSettings, kinds: list[str]
+) -> api.ServiceClass:
+    def value_at(values: list, default: Any) -> Any:
         return values[index] if index < len(values) else default
 
-    kind = told(specifics.class_kind, -1)
+    kind_index = value_at(specifics.class_kind, -1)
     return api.ServiceClass(
-        name=each.name,
-        aim=each.aim_ms,
-        deadline=each.deadline_ms,
-        worth=each.worth,
-        late_worth=each.late_worth,
-        stretch=told(specifics.class_stretch, each.aim_stretch or 0.0),
-        effect=each.idempotency,
-        group=each.group or "all",
-        window=each.window_ms or 0.0,
-        streamed=each.streamed,
-        kind=kinds[kind] if 0 <= kind < len(kinds) else None,
-        priority=told(specifics.class_priority, 0),
+        name=class_settings.name,
+        aim=class_settings.latency_objective_ms,
+        deadline=class_settings.deadline_ms,
+        worth=class_settings.priority_weight,
+        late_worth=class_settings.late_weight,
+        stretch=value_at(specifics.class_stretch, class_settings.objective_stretch or 0.0),
+        effect=class_settings.idempotency,
+        group=class_settings.repeat_group or "all",
+        window=class_settings.deduplication_window_ms or 0.0,
+        streamed=class_settings.streamed,
+        kind=kinds[kind_index] if 0 <= kind_index < len(kinds) else None,
+        priority=value_at(specifics.class_priority, 0),
     )
 
 
-def report_fields(options: Options) -> tuple[str, ...]:
+def load_report_fields(options: PlatformSettings) -> tuple[str, ...]:
     """The names of a load report's values, in the module's words."""
-    report, specifics = options.report or Report(), options.specifics or Specifics()
-    said = {"x0": specifics.report_x0, "x1": specifics.report_x1}
-    extras = {name: REPORT_EXTRAS.get(text or "", name) for name, text in said.items()}
+    report, specifics = options.report or ReportSettings(), options.specifics or SpecificSettings()
+    extra_texts = {"x0": specifics.report_x0, "x1": specifics.report_x1}
+    extra_names = {name: EXTRA_FIELD_NAMES.get(text or "", name) for name, text in extra_texts.items()}
     fields = () if report.via == "off" else report.fields or ()
-    return tuple(extras.get(name, REPORT_FIELDS.get(name, name)) for name in fields)
+    return tuple(extra_names.get(name, FIELD_NAMES.get(name, name)) for name in fields)
 
 
-def settings_of(options: Options) -> api.Settings:
+def scheduler_settings(options: PlatformSettings) -> api.Settings:
     """Translate; a value that no decision could honour raises ValueError naming it."""
-    specifics = options.specifics or Specifics()
-    allow, rules = options.permissions or Permissions(), options.rules or Rules()
+    specifics = options.specifics or SpecificSettings()
+    permissions, rules = options.permissions or PermissionSettings(), options.rules or RuleSettings()
     return api.Settings(
         classes=tuple(
             _service_class(each, index, specifics, options.kinds or [])
             for index, each in enumerate(options.classes)
         ),
-        node=options.position,
-        nodes=options.balancers,
+        node=options.node_index,
+        nodes=options.node_count,
         zone=options.zone or "",
-        zones=tuple(options.areas or ()),
-        tenants=tuple(api.Tenant(each.name, each.allowance_per_s) for each in options.orgs or ()),
-        over_share_worth=options.over_share_worth,
+        zones=tuple(options.zones or ()),
+        tenants=tuple(api.Tenant(each.name, each.quota_per_s) for each in options.tenants or ()),
+        over_share_worth=options.over_quota_weight,
         tick=options.tick_ms,
         subscribe=options.discovery == "subscribe",
-        report_fields=report_fields(options),
+        report_fields=load_report_fields(options),
         live_weights=options.weight_source == "live",
         nominal_weights=options.weight_source in ("nominal", "rough"),
         tells_start=specifics.tells_start,
         progress=specifics.progress_ms,
         preempts=specifics.queue_order == "priority",
         counts_memory=specifics.memory_unit is not None,
-        cancel=allow.cancel,
-        probes=allow.probes,
-        peers=allow.peer_messages,
-        max_attempts=allow.max_attempts,
-        max_retry_after=(allow.max_retry_after_ms or 0.0) if allow.retry_after else 0.0,
-        answer_grace=rules.grace_to_answer_ms,
-        drain_grace=rules.stop_sending_within_ms,
-        cold_from=rules.cold_from,
-        cold_ms=rules.cold_ms,
+        cancel=permissions.cancel,
+        probes=permissions.probes,
+        peers=permissions.peer_messages,
+        max_attempts=permissions.max_attempts,
+        max_retry_after=(permissions.max_retry_after_ms or 0.0) if permissions.retry_after else 0.0,
+        answer_grace=rules.answer_grace_ms,
+        drain_grace=rules.drain_grace_ms,
+        cold_from=rules.slow_start_initial_fraction,
+        cold_ms=rules.slow_start_ms,
         fall_multiple=rules.fall_multiple,
         fall_ms=rules.fall_ms,
     )
--- a/spanwing/store/acceptor.py
+++ b/spanwing/store/acceptor.py
@@ -4,31 +4,31 @@
 
 import msgspec
 
-from spanwing.store.disk import Disk
-from spanwing.store.messages import NONE, Accept, Look, Ping, Prepare, Register, Reply
+from spanwing.store.disk import RegisterLog
+from spanwing.store.messages import NO_BALLOT, Accept, Ping, Prepare, ReadRegister, Register, RegisterReply
 
 
 class Acceptor:
     """Answers proposers; with a disk, only what is already on it."""
 
-    def __init__(self, disk: Disk | None) -> None:
-        self.disk = disk
-        self.registers: dict[str, Register] = disk.registers if disk else {}
+    def __init__(self, log: RegisterLog | None) -> None:
+        self.log = log
+        self.registers: dict[str, Register] = log.registers if log else {}
 
-    def answer(self, message: Prepare | Accept | Look | Ping) -> Reply:
+    def handle_message(self, message: Prepare | Accept | ReadRegister | Ping) -> RegisterReply:
         if isinstance(message, Ping):
-            return Reply(message.n, True, NONE)
-        now = self.registers.get(message.key) or Register(message.key)
-        if isinstance(message, Look):
-            return Reply(message.n, True, now.promised, now.accepted, now.value)
+            return RegisterReply(message.n, True, NO_BALLOT)
+        register = self.registers.get(message.key) or Register(message.key)
+        if isinstance(message, ReadRegister):
+            return RegisterReply(message.n, True, register.promised, register.accepted_ballot, register.value)
         if isinstance(message, Prepare):
-            granted = message.ballot > now.promised
-            new = msgspec.structs.replace(now, promised=message.ballot)
+            granted = message.ballot > register.promised
+            changed = msgspec.structs.replace(register, promised=message.ballot)
         else:
-            granted = message.ballot >= now.promised
-            new = Register(message.key, message.ballot, message.ballot, message.value)
+            granted = message.ballot >= register.promised
+            changed = Register(message.key, message.ballot, message.ballot, message.value)
         if granted:
-            if self.disk is not None:
-                self.disk.save(new)
-            self.registers[message.key] = now = new
-        return Reply(message.n, granted, now.promised, now.accepted, now.value)
+            if self.log is not None:
+                self.log.save(changed)
+            self.registers[message.key] = register = changed
+        return RegisterReply(message.n, granted, register.promised, register.accepted_ballot, register.value)
--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -11,7 +11,7 @@
 
 from spanwing.store.store import NoMajority, Store
 
-State = Literal["claimed", "served", "failed", "refused"]
+ClaimState = Literal["claimed", "served", "failed", "refused"]
 
 log = logging.getLogger("spanwing")
 
@@ -20,7 +20,7 @@
     """What the store holds of a job; the token makes each taking its own."""
 
     token: str
-    state: State
+    state: ClaimState
 
 
 class Claims:
@@ -28,53 +28,53 @@
 
     def __init__(self, store: Store) -> None:
         self.store = store
-        self.settling = 0  # outcomes on their way into the store
-        self.ending: dict[str, Claim] = {}  # and what they are, by job: as many as `settling`
-        self.doubtful: dict[str, set[str]] = {}  # our tokens of which no majority was heard, by job
+        self.settling_count = 0  # outcomes on their way into the store
+        self.settling_claims: dict[str, Claim] = {}  # and what they are, by job: as many as `settling`
+        self.unconfirmed_tokens: dict[str, set[str]] = {}  # our tokens of which no majority was heard, by job
 
-    async def take(self, job: str) -> tuple[bool, Claim]:
+    async def claim(self, request_id: str) -> tuple[bool, Claim]:
         """Whether the job is ours to run now, and the claim that stands. May raise NoMajority."""
         token = secrets.token_hex(8)
-        mine = msgspec.json.encode(Claim(token, "claimed")).decode()
-        before = frozenset(self.doubtful.get(job, ()))
+        encoded_claim = msgspec.json.encode(Claim(token, "claimed")).decode()
+        earlier_tokens = frozenset(self.unconfirmed_tokens.get(request_id, ()))
 
-        def change(held: str | None) -> str:
+        def replace_if_free(held: str | None) -> str:
             if held is not None:
                 claim = msgspec.json.decode(held, type=Claim)
                 # A refused job never ran; neither did one whose claim we doubted, for we sent nothing then.
-                if claim.state != "refused" and claim.token not in {token, *before}:
+                if claim.state != "refused" and claim.token not in {token, *earlier_tokens}:
                     return held
-            return mine
+            return encoded_claim
 
         try:
-            held = await self.store.change(f"claim/{job}", change)
+            held = await self.store.change(f"claim/{request_id}", replace_if_free)
         except NoMajority:
-            self.doubtful.setdefault(job, set()).add(token)
+            self.unconfirmed_tokens.setdefault(request_id, set()).add(token)
             raise
-        self.doubtful.pop(job, None)
+        self.unconfirmed_tokens.pop(request_id, None)
         claim = msgspec.json.decode(held, type=Claim)
         # A client that has its answer may ask again before the store has the outcome: we know it already.
-        ending = self.ending.get(job)
-        if ending is not None and ending.token == claim.token:
-            claim = ending
+        settled = self.settling_claims.get(request_id)
+        if settled is not None and settled.token == claim.token:
+            claim = settled
         return claim.token == token, claim
 
-    def settle(self, job: str, claim: Claim, state: State) -> Coroutine[Any, Any, None]:
+    def settle(self, request_id: str, claim: Claim, state: ClaimState) -> Coroutine[Any, Any, None]:
         """Write down how a job of ours ended; known from the call on, whenever what it returns is run."""
-        self.settling += 1
-        self.ending[job] = Claim(claim.token, state)
-        return self._settle(job, claim, state)
+        self.settling_count += 1
+        self.settling_claims[request_id] = Claim(claim.token, state)
+        return self._write_outcome(request_id, claim, state)
 
-    async def _settle(self, job: str, claim: Claim, state: State) -> None:
-        def change(held: str | None) -> str | None:
+    async def _write_outcome(self, request_id: str, claim: Claim, state: ClaimState) -> None:
+        def replace_if_ours(held: str | None) -> str | None:
             if held is None or msgspec.json.decode(held, type=Claim).token != claim.token:
                 return held
             return msgspec.json.encode(Claim(claim.token, state)).decode()
 
         try:
-            await self.store.change(f"claim/{job}", change)
+            await self.store.change(f"claim/{request_id}", replace_if_ours)
         except NoMajority as error:  # it stays claimed, which is safe: it cannot run again
-            log.warning("outcome %s of job %s is not in the store: %s", state, job, error)
+            log.warning("outcome %s of job %s is not in the store: %s", state, request_id, error)
         finally:
-            self.settling -= 1
-            self.ending.pop(job, None)
+            self.settling_count -= 1
+            self.settling_claims.pop(request_id, None)
--- a/spanwing/store/disk.py
+++ b/spanwing/store/disk.py
@@ -14,14 +14,14 @@
 
 from spanwing.store.messages import Register
 
-GROWN, LEAST = 4, 4 << 20
+COMPACTION_FACTOR, MIN_COMPACTION_BYTES = 4, 4 << 20
 
 
-class DiskError(Exception):
+class RegisterLogError(Exception):
     """The directory cannot be used; the text says why."""
 
 
-class Disk:
+class RegisterLog:
     """Appends and syncs; at its start it reads the log and writes it anew without what was overwritten."""
 
     def __init__(self, directory: str) -> None:
@@ -29,17 +29,17 @@
         self.path = self.folder / "registers.log"
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
-            self.lock = open(self.folder / "lock", "w")  # noqa: SIM115 - held for the life of the process
+            self.lock_file = open(self.folder / "lock", "w")  # noqa: SIM115 - held for the life of the process
             # Two processes over one log would promise the same ballot twice.
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            self.registers = self._read()
-            self.file = self._compact()
+            fcntl.flock(self.lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.registers = self._load()
+            self.log_file = self._compact()
         except BlockingIOError:
-            raise DiskError(f"{directory} is in use by another process") from None
+            raise RegisterLogError(f"{directory} is in use by another process") from None
         except OSError as error:
-            raise DiskError(f"{directory}: {error.strerror}") from None
+            raise RegisterLogError(f"{directory}: {error.strerror}") from None
 
-    def _read(self) -> dict[str, Register]:
+    def _load(self) -> dict[str, Register]:
         registers: dict[str, Register] = {}
         lines = self.path.read_bytes().split(b"\n") if self.path.exists() else []
         # A last line without its end was being written when the process died: it was never spoken of.
@@ -47,33 +47,33 @@
             try:
                 register = msgspec.json.decode(line, type=Register)
             except ValueError as error:
-                raise DiskError(f"{self.path} line {number} is damaged: {error}") from None
+                raise RegisterLogError(f"{self.path} line {number} is damaged: {error}") from None
             registers[register.key] = register
         return registers
 
     def _compact(self):
-        fresh = self.path.with_suffix(".new")
-        with open(fresh, "wb") as file:
+        new_path = self.path.with_suffix(".new")
+        with open(new_path, "wb") as new_file:
             for register in self.registers.values():
-                file.write(msgspec.json.encode(register) + b"\n")
-            file.flush()
-            self.live = self.size = file.tell()
-            os.fsync(file.fileno())
-        os.replace(fresh, self.path)
-        folder = os.open(self.folder, os.O_RDONLY)
-        os.fsync(folder)
-        os.close(folder)
+                new_file.write(msgspec.json.encode(register) + b"\n")
+            new_file.flush()
+            self.compacted_bytes = self.log_bytes = new_file.tell()
+            os.fsync(new_file.fileno())
+        os.replace(new_path, self.path)
+        folder_descriptor = os.open(self.folder, os.O_RDONLY)
+        os.fsync(folder_descriptor)
+        os.close(folder_descriptor)
         return open(self.path, "ab", buffering=0)
 
     def save(self, register: Register) -> None:
         line = msgspec.json.encode(register) + b"\n"
-        self.file.write(line)
-        os.fsync(self.file.fileno())
-        self.size += len(line)
-        if self.size > max(LEAST, GROWN * self.live):
+        self.log_file.write(line)
+        os.fsync(self.log_file.fileno())
+        self.log_bytes += len(line)
+        if self.log_bytes > max(MIN_COMPACTION_BYTES, COMPACTION_FACTOR * self.compacted_bytes):
             self.registers[register.key] = register
             try:
-                old, self.file = self.file, self._compact()
-                old.close()
+                old_file, self.log_file = self.log_file, self._compact()
+                old_file.close()
             except OSError:  # what was saved stands in the old log, which goes on
-                self.live = self.size
+                self.compacted_bytes = self.log_bytes
--- a/spanwing/store/document.py
+++ b/spanwing/store/document.py
@@ -11,30 +11,30 @@
 
 import msgspec
 
-MOST_KEYS, LONGEST_KEY, LONGEST_VALUE = 512, 128, 24 * 1024
-LARGEST = 64 * 1024
-KEPT, KEPT_BYTES = 64, 24 * 1024
+MAX_KEYS, MAX_KEY_BYTES, MAX_VALUE_BYTES = 512, 128, 24 * 1024
+MAX_DOCUMENT_BYTES = 64 * 1024
+MAX_HISTORY_CHANGES, MAX_HISTORY_BYTES = 64, 24 * 1024
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
+class DocumentEntry(msgspec.Struct, frozen=True, array_like=True):
     """A value, and the revision that it came with."""
 
     value: str
     revision: int
 
 
-class Change(msgspec.Struct, frozen=True, array_like=True):
+class DocumentChange(msgspec.Struct, frozen=True, array_like=True):
     """What one transaction wrote; None: a key that went."""
 
     revision: int
-    id: str
+    transaction_id: str
     writes: dict[str, str | None]
 
-    def size(self) -> int:
+    def size_in_bytes(self) -> int:
         return 40 + sum(len(key) + len(value or "") for key, value in self.writes.items())
 
 
-class Txn(msgspec.Struct, frozen=True):
+class Transaction(msgspec.Struct, frozen=True):
     """Writes that hold only if each named key is still at its revision; 0: it is not there."""
 
     id: str
@@ -46,49 +46,54 @@
     """Never changed: apply() makes another one."""
 
     revision: int = 0
-    entries: dict[str, Entry] = {}
-    history: tuple[Change, ...] = ()
+    entries: dict[str, DocumentEntry] = {}
+    history: tuple[DocumentChange, ...] = ()
 
-    def value(self, key: str) -> str | None:
+    def get_value(self, key: str) -> str | None:
         entry = self.entries.get(key)
         return None if entry is None else entry.value
 
-    def at(self, *keys: str) -> dict[str, int]:
+    def current_revisions(self, *keys: str) -> dict[str, int]:
         """The conditions that these keys stay as they are."""
         return {key: self.entries[key].revision if key in self.entries else 0 for key in keys}
 
-    def knows(self, id: str) -> bool:
+    def has_applied(self, transaction_id: str) -> bool:
         """Whether this transaction has taken hold, as far as the history reaches."""
-        return any(each.id == id for each in self.history)
+        return any(each.transaction_id == transaction_id for each in self.history)
 
-    def apply(self, txn: Txn) -> Document | None:
+    def apply(self, transaction: Transaction) -> Document | None:
         """The document with the transaction; itself where that has taken hold already; None where a condition
         does not hold. Raises ValueError where it goes beyond the bounds."""
-        if self.knows(txn.id):
+        if self.has_applied(transaction.id):
             return self
-        if self.at(*txn.at) != txn.at:
+        if self.current_revisions(*transaction.at) != transaction.at:
             return None
         revision, entries = self.revision + 1, dict(self.entries)
-        for key, value in txn.writes.items():
+        for key, value in transaction.writes.items():
             if value is None:
                 entries.pop(key, None)
                 continue
-            if len(key.encode()) > LONGEST_KEY or len(value.encode()) > LONGEST_VALUE:
+            if len(key.encode()) > MAX_KEY_BYTES or len(value.encode()) > MAX_VALUE_BYTES:
                 raise ValueError(
-                    f"{key[:40]!r}: a key has {LONGEST_KEY} bytes at most, a value {LONGEST_VALUE}"
+                    f"{key[:40]!r}: a key has {MAX_KEY_BYTES} bytes at most, a value {MAX_VALUE_BYTES}"
                 )
-            entries[key] = Entry(value, revision)
-        if len(entries) > MOST_KEYS or sum(len(k) + len(e.value) for k, e in entries.items()) > LARGEST:
-            raise ValueError(f"the fleet's state would go beyond {MOST_KEYS} keys or {LARGEST} bytes")
-        history, size = [Change(revision, txn.id, txn.writes)], 0
+            entries[key] = DocumentEntry(value, revision)
+        if (
+            len(entries) > MAX_KEYS
+            or sum(len(k) + len(e.value) for k, e in entries.items()) > MAX_DOCUMENT_BYTES
+        ):
+            raise ValueError(
+                f"the fleet's state would go beyond {MAX_KEYS} keys or {MAX_DOCUMENT_BYTES} bytes"
+            )
+        history, size = [DocumentChange(revision, transaction.id, transaction.writes)], 0
         for each in reversed(self.history):
-            size += each.size()
-            if len(history) >= KEPT or size > KEPT_BYTES:
+            size += each.size_in_bytes()
+            if len(history) >= MAX_HISTORY_CHANGES or size > MAX_HISTORY_BYTES:
                 break
             history.append(each)
         return Document(revision, entries, tuple(reversed(history)))
 
-    def changes_after(self, revision: int) -> tuple[Change, ...] | None:
+    def changes_after(self, revision: int) -> tuple[DocumentChange, ...] | None:
         """Every change after this revision, in order; None where the history does not reach so far back, or
         where the revision is none of ours."""
         if revision == self.revision:
@@ -97,7 +102,7 @@
             return None
         return self.history[revision + 1 - self.history[0].revision :]
 
-    def follow(self, changes: tuple[Change, ...]) -> Document:
+    def apply_changes(self, changes: tuple[DocumentChange, ...]) -> Document:
         """A watcher's copy with the next changes. Raises ValueError where one is missing between."""
         entries, revision = dict(self.entries), self.revision
         for change in changes:
@@ -108,26 +113,28 @@
                 if value is None:
                     entries.pop(key, None)
                 else:
-                    entries[key] = Entry(value, revision)
+                    entries[key] = DocumentEntry(value, revision)
         return Document(revision, entries)
 
 
-def caught_up(mine: Document, changes: tuple[Change, ...] | None, whole: Document | None) -> Document:
+def catch_up(
+    local_copy: Document, changes: tuple[DocumentChange, ...] | None, document: Document | None
+) -> Document:
     """A watcher's copy after an answer of the keeper: later changes, or the whole. Raises ValueError at a
     gap."""
-    if whole is not None:
-        return whole if whole.revision > mine.revision else mine
-    later = tuple(each for each in changes or () if each.revision > mine.revision)
-    return mine.follow(later) if later else mine
+    if document is not None:
+        return document if document.revision > local_copy.revision else local_copy
+    later = tuple(each for each in changes or () if each.revision > local_copy.revision)
+    return local_copy.apply_changes(later) if later else local_copy
 
 
-DECODER = msgspec.json.Decoder(Document)
+DOCUMENT_DECODER = msgspec.json.Decoder(Document)
 
 
-def encode(document: Document) -> str:
+def encode_document(document: Document) -> str:
     return msgspec.json.encode(document).decode()
 
 
-def decode(text: str | None) -> Document:
+def decode_document(text: str | None) -> Document:
     """Raises ValueError where it is none."""
-    return Document() if text is None else DECODER.decode(text)
+    return Document() if text is None else DOCUMENT_DECODER.decode(text)
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -19,26 +19,26 @@
 from tornado.gen import sleep, with_timeout
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from spanwing.actor import spawn
-from spanwing.store.document import Document, caught_up
-from spanwing.store.keeper import HOLD_MS
+from spanwing.actor import spawn_task
+from spanwing.store.document import Document, catch_up
+from spanwing.store.keeper import POLL_HOLD_MS
 from spanwing.store.lease import Lease, clock_ms
-from spanwing.store.messages import Done, Granted, Renew, Submit
-from spanwing.store.peer import CONNECT_S, LONGEST
+from spanwing.store.messages import OrderResult, Renew, RenewalGranted, SubmitOrder
+from spanwing.store.peer import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
 from spanwing.wire.address import Address, open_socket
 from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import LineStream, LineTooLong
+from spanwing.wire.stream import LineStream, LineTooLongError
 
-ANSWER_S = HOLD_MS / 1000.0 + 0.8  # a member that takes longer is left for another
-GAP_S = 0.1
-FIRST_S, MOST_S = 0.1, 2.0
-ORDER_S = 4.0
-ORDERS = 8
+ANSWER_TIMEOUT_S = POLL_HOLD_MS / 1000.0 + 0.8  # a member that takes longer is left for another
+MIN_RENEWAL_INTERVAL_S = 0.1
+MIN_BACKOFF_S, MAX_BACKOFF_S = 0.1, 2.0
+ORDER_TIMEOUT_S = 4.0
+MAX_PENDING_ORDERS = 8
 
-Heard = Granted | Done
+LeaderReply = RenewalGranted | OrderResult
 
 
-class Follower:
+class DocumentFollower:
     """One session."""
 
     def __init__(
@@ -48,165 +48,175 @@
         position: int,
         members: dict[str, Address],
         buffers: BufferPool,
-        brings: Callable[[], bytes],
-        changed: Callable[[Document], None],
-        look: Callable[[tuple[str, ...]], None],
+        collect_evidence: Callable[[], bytes],
+        on_change: Callable[[Document], None],
+        on_probe_request: Callable[[tuple[str, ...]], None],
     ) -> None:
         """brings: what goes with a renewal, JSON; look: the keeper would have us look at these."""
         self.session = f"{name[:60]}.{secrets.token_hex(4)}"
         self.zone, self.position, self.members, self.buffers = zone, position, members, buffers
-        self.brings, self.changed, self.look = brings, changed, look
+        self.collect_evidence, self.on_change, self.on_probe_request = (
+            collect_evidence,
+            on_change,
+            on_probe_request,
+        )
         self.lease, self.document = Lease(), Document()
         self.permit = Lease()
-        self.says: Callable[[], msgspec.Raw] | None = None  # of the policy
-        self.numbers, self.stream = 0, None
-        self.orders: dict[int, Future[Done]] = {}
-        self.grants: Future[Granted | None] | None = None  # what is waited for; None: we were urged
-        self.renewing, self.asked_s = 0, float("-inf")
-        self.why = "no member has been asked yet"
-        self.by = ""  # the member that is asked
-
-    def holds(self) -> bool:
-        return self.lease.valid(clock_ms())
-
-    def urge(self) -> None:
+        self.policy_vote: Callable[[], msgspec.Raw] | None = None  # of the policy
+        self.last_message_id, self.stream = 0, None
+        self.pending_orders: dict[int, Future[OrderResult]] = {}
+        self.pending_grant: Future[RenewalGranted | None] | None = (
+            None  # what is waited for; None: we were urged
+        )
+        self.renewal_id, self.renewed_at_s = 0, float("-inf")
+        self.last_failure = "no member has been asked yet"
+        self.connected_member = ""  # the member that is asked
+
+    def has_lease(self) -> bool:
+        return self.lease.is_valid(clock_ms())
+
+    def renew_now(self) -> None:
         """There is something to be told now: the renewal that waits does not bring it."""
-        if self.grants is not None and not self.grants.done():
-            self.grants.set_result(None)
+        if self.pending_grant is not None and not self.pending_grant.done():
+            self.pending_grant.set_result(None)
 
-    async def order(self, order: object) -> Done:
+    async def submit_order(self, order: object) -> OrderResult:
         """Give an order; what came of it, or that nobody answered."""
-        if self.stream is None or len(self.orders) >= ORDERS:
-            return Done(0, False, f"no member of the store is reached: {self.why}")
-        self.numbers += 1
-        n, done = self.numbers, Future()
-        self.orders[n] = done
-        await self._write(Submit(n, self.session, msgspec.Raw(msgspec.json.encode(order))))
+        if self.stream is None or len(self.pending_orders) >= MAX_PENDING_ORDERS:
+            return OrderResult(0, False, f"no member of the store is reached: {self.last_failure}")
+        self.last_message_id += 1
+        message_id, result_future = self.last_message_id, Future()
+        self.pending_orders[message_id] = result_future
+        await self._write_message(
+            SubmitOrder(message_id, self.session, msgspec.Raw(msgspec.json.encode(order)))
+        )
         try:
-            return await with_timeout(timedelta(seconds=ORDER_S), done)
+            return await with_timeout(timedelta(seconds=ORDER_TIMEOUT_S), result_future)
         except WaitOver:
-            return Done(n, False, "no answer: it may still take hold, so look before you order again")
+            return OrderResult(
+                message_id, False, "no answer: it may still take hold, so look before you order again"
+            )
         finally:
-            self.orders.pop(n, None)
+            self.pending_orders.pop(message_id, None)
 
     async def run(self) -> None:
         """Stay in contact, to the end of the program."""
-        names, wait_s = list(self.members), FIRST_S
+        names, backoff_s = list(self.members), MIN_BACKOFF_S
         random.shuffle(names)
-        turn = 0
+        attempt = 0
         while True:
-            name = names[turn % len(names)]
-            turn += 1
-            if await self._contact(name, self.members[name]):
-                wait_s = FIRST_S
-            await sleep(random.uniform(0.0, wait_s))
-            wait_s = min(2.0 * wait_s, MOST_S)
-
-    async def _contact(self, name: str, address: Address) -> bool:
+            name = names[attempt % len(names)]
+            attempt += 1
+            if await self._follow_member(name, self.members[name]):
+                backoff_s = MIN_BACKOFF_S
+            await sleep(random.uniform(0.0, backoff_s))
+            backoff_s = min(2.0 * backoff_s, MAX_BACKOFF_S)
+
+    async def _follow_member(self, name: str, address: Address) -> bool:
         """Renew by one member until that fails; whether it ever granted."""
-        stream = IOStream(open_socket(address), max_write_buffer_size=LONGEST)
+        stream = IOStream(open_socket(address), max_write_buffer_size=MAX_FRAME_BYTES)
         try:
             await with_timeout(
-                timedelta(seconds=CONNECT_S),
-                stream.connect(address.target),
+                timedelta(seconds=CONNECT_TIMEOUT_S),
+                stream.connect(address.socket_address),
                 quiet_exceptions=StreamClosedError,
             )
         except (WaitOver, StreamClosedError):
             stream.close()
-            self.why = f"{name} cannot be connected to"
+            self.last_failure = f"{name} cannot be connected to"
             return False
-        self.stream, self.by = LineStream(stream, self.buffers, LONGEST), name
-        spawn(self._read(self.stream))
+        self.stream, self.connected_member = LineStream(stream, self.buffers, MAX_FRAME_BYTES), name
+        spawn_task(self._read_replies(self.stream))
         granted = False
         try:
             while await self._renew(name):
                 granted = True
-                await self._pause()
+                await self._wait_for_next_renewal()
         finally:
             self.stream.close()
             self.stream = None
         return granted
 
-    async def _pause(self) -> None:
+    async def _wait_for_next_renewal(self) -> None:
         """Until the next renewal may go."""
-        await sleep(max(0.0, self.asked_s + GAP_S - clock_ms() / 1000.0))
+        await sleep(max(0.0, self.renewed_at_s + MIN_RENEWAL_INTERVAL_S - clock_ms() / 1000.0))
 
-    async def _renew(self, name: str) -> bool:
+    async def _renew(self, member: str) -> bool:
         """One renewal, and another beside it when urged; whether it was granted."""
         while True:
-            granted = self.grants = Future()
-            self.numbers += 1
-            self.renewing = n = self.numbers
+            grant_future = self.pending_grant = Future()
+            self.last_message_id += 1
+            self.renewal_id = message_id = self.last_message_id
             now = clock_ms()
-            self.asked_s = now / 1000.0
-            self.lease.ask(n, now)
-            self.permit.ask(n, now)
-            says = msgspec.Raw(b"null") if self.says is None else self.says()
-            if not await self._write(
+            self.renewed_at_s = now / 1000.0
+            self.lease.record_renewal(message_id, now)
+            self.permit.record_renewal(message_id, now)
+            policy_vote = msgspec.Raw(b"null") if self.policy_vote is None else self.policy_vote()
+            if not await self._write_message(
                 Renew(
-                    n,
+                    message_id,
                     self.session,
                     self.zone,
                     self.position,
                     self.document.revision,
-                    msgspec.Raw(self.brings()),
+                    msgspec.Raw(self.collect_evidence()),
                     False,
-                    says,
+                    policy_vote,
                 )
             ):
-                self.why = f"{name} has closed the connection"
+                self.last_failure = f"{member} has closed the connection"
                 return False
             try:
-                reply = await with_timeout(timedelta(seconds=ANSWER_S), granted)
+                reply = await with_timeout(timedelta(seconds=ANSWER_TIMEOUT_S), grant_future)
             except WaitOver:
-                self.why = f"{name} does not answer"
+                self.last_failure = f"{member} does not answer"
                 return False
             if reply is None:  # urged: another one goes, which has the keeper answer this one
-                await self._pause()
+                await self._wait_for_next_renewal()
                 continue
-            self.why = f"{name}: {reply.why}" if reply.why else ""
+            self.last_failure = f"{member}: {reply.reason}" if reply.reason else ""
             return reply.lease_ms > 0
 
-    async def _write(self, message: Renew | Submit) -> bool:
+    async def _write_message(self, message: Renew | SubmitOrder) -> bool:
         try:
             await self.stream.write(msgspec.json.encode(message) + b"\n")
             return True
         except (StreamClosedError, StreamBufferFullError):
             return False
 
-    async def _read(self, stream: LineStream) -> None:
+    async def _read_replies(self, stream: LineStream) -> None:
         try:
-            while (line := await stream.line()) is not None:
-                self._heard(msgspec.json.decode(line, type=Heard))
-        except (LineTooLong, ValueError):
+            while (line := await stream.read_line()) is not None:
+                self._handle_reply(msgspec.json.decode(line, type=LeaderReply))
+        except (LineTooLongError, ValueError):
             pass  # what speaks otherwise is no member
         stream.close()
-        for n, done in self.orders.items():
-            if not done.done():
-                done.set_result(
-                    Done(
-                        n,
+        for message_id, result_future in self.pending_orders.items():
+            if not result_future.done():
+                result_future.set_result(
+                    OrderResult(
+                        message_id,
                         False,
                         "the connection was lost: the order may still take hold, so "
                         "look before you order again",
                     )
                 )
-        if self.stream is stream and self.grants is not None and not self.grants.done():
-            self.grants.set_result(Granted(0, why="the connection was closed"))
-
-    def _heard(self, reply: Heard) -> None:
-        if isinstance(reply, Done):
-            waiting = self.orders.get(reply.n)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(reply)
+        if self.stream is stream and self.pending_grant is not None and not self.pending_grant.done():
+            self.pending_grant.set_result(RenewalGranted(0, reason="the connection was closed"))
+
+    def _handle_reply(self, reply: LeaderReply) -> None:
+        if isinstance(reply, OrderResult):
+            pending_result = self.pending_orders.get(reply.n)
+            if pending_result is not None and not pending_result.done():
+                pending_result.set_result(reply)
             return
-        before = self.document
-        self.document = caught_up(before, reply.changes, reply.whole)
-        if self.document is not before:
-            self.changed(self.document)
-        self.lease.granted(reply.n, reply.lease_ms)
-        self.permit.granted(reply.n, reply.permit_ms)
-        if reply.look:
-            self.look(reply.look)
-        if reply.n == self.renewing and self.grants is not None and not self.grants.done():
-            self.grants.set_result(reply)
+        previous = self.document
+        self.document = catch_up(previous, reply.changes, reply.document)
+        if self.document is not previous:
+            self.on_change(self.document)
+        self.lease.extend(reply.n, reply.lease_ms)
+        self.permit.extend(reply.n, reply.permit_ms)
+        if reply.zones_to_probe:
+            self.on_probe_request(reply.zones_to_probe)
+        if reply.n == self.renewal_id and self.pending_grant is not None and not self.pending_grant.done():
+            self.pending_grant.set_result(reply)
--- a/spanwing/store/keeper.py
+++ b/spanwing/store/keeper.py
@@ -16,20 +16,23 @@
 
 import msgspec
 
-from spanwing.store.document import Document, Txn
-from spanwing.store.lease import lapsed_at
-from spanwing.store.messages import Granted, Renew
-
-KEEPER = "keeper"  # the key that says who keeps
-HOLD_MS = 400.0  # a renewal that nothing is new for is answered after this
-QUIET_MS = 1000.0  # another member keeps if the keeper has not read for this, and up to as much more
-LOOK_MS, LOOKERS = 500.0, 8  # so many schedulers are asked to look so often at most
-MOST_SESSIONS = 1000
-FORGET_MS = 60_000.0
-LONGEST_NAME = 80
-
-
-class Keeps(msgspec.Struct, frozen=True):
+from spanwing.store.document import Document, Transaction
+from spanwing.store.lease import lease_expiry_ms
+from spanwing.store.messages import Renew, RenewalGranted
+
+LEADERSHIP_KEY = "keeper"  # the key that says who keeps
+POLL_HOLD_MS = 400.0  # a renewal that nothing is new for is answered after this
+LEADER_SILENCE_MS = 1000.0  # another member keeps if the keeper has not read for this, and up to as much more
+PROBE_REQUEST_INTERVAL_MS, MAX_PROBE_REQUESTS = (
+    500.0,
+    8,
+)  # so many schedulers are asked to look so often at most
+MAX_SESSIONS = 1000
+SESSION_RETENTION_MS = 60_000.0
+MAX_SESSION_NAME_LENGTH = 80
+
+
+class Leadership(msgspec.Struct, frozen=True):
     """Who keeps; each taking over has the next term."""
 
     member: str
@@ -37,229 +40,289 @@
 
 
 @dataclass(slots=True)
-class Poll:
+class PendingRenewal:
     """A renewal that waits for its answer."""
 
-    message: Renew
-    answer: Callable[[Granted], None]
-    came: float
-    confirmed: bool = False
+    renewal: Renew
+    send_answer: Callable[[RenewalGranted], None]
+    received_at_ms: float
+    is_confirmed: bool = False
 
 
 @dataclass(slots=True)
-class Session:
+class SchedulerSession:
     """A scheduler in one life."""
 
     id: str
     zone: str
     position: int
-    seen: int  # the revision that it follows, and so has acknowledged
-    confirmed: float = -math.inf  # when a renewal was last granted, by our clock
-    poll: Poll | None = None
-    fresh: float = -math.inf  # when its last renewal came
+    acknowledged_revision: int  # the revision that it follows, and so has acknowledged
+    confirmed_at_ms: float = -math.inf  # when a renewal was last granted, by our clock
+    pending_renewal: PendingRenewal | None = None
+    last_renewal_at_ms: float = -math.inf  # when its last renewal came
 
 
-class Mind(Protocol):
+class Controller(Protocol):
     """Decides what the document becomes while we keep."""
 
-    def look(self, now: float) -> None:
+    def refresh_worker_list(self, now: float) -> None:
         """Called now and then at every member: what has to be known already when it comes to keep."""
 
-    def heard(self, now: float, session: Session, payload: msgspec.Raw) -> None:
+    def record_evidence(self, now: float, session: SchedulerSession, evidence: msgspec.Raw) -> None:
         """What a renewal brought."""
 
-    def wonders(self, now: float, keeper: Keeper) -> tuple[str, ...]:
+    def zones_to_probe(self, now: float, leader: Leader) -> tuple[str, ...]:
         """What some schedulers should look at, as too few have seen it."""
 
-    def decide(self, now: float, document: Document, keeper: Keeper) -> Txn | None:
+    def decide_next_change(self, now: float, document: Document, leader: Leader) -> Transaction | None:
         """The next change, if one is due."""
 
-    def order(
-        self, now: float, order: msgspec.Raw, document: Document, keeper: Keeper
-    ) -> tuple[Txn | None, str]:
+    def handle_order(
+        self, now: float, order: msgspec.Raw, document: Document, leader: Leader
+    ) -> tuple[Transaction | None, str]:
         """What an order comes to: a change, or none; and what is said of it. Raises ValueError: refused."""
 
 
-class Permits(Protocol):
+class PermitAuthority(Protocol):
     """Grants what lasts for longer than a lease, to sessions that the document names."""
 
-    def heard(self, session: str, says: msgspec.Raw) -> None:
+    def record_vote(self, session: str, vote: msgspec.Raw) -> None:
         """What a renewal brought. Raises ValueError."""
 
-    def permit(self, session: str, document: Document) -> float:
+    def permit_duration_ms(self, session: str, document: Document) -> float:
         """For how many ms; 0: none."""
 
 
-class Keeper:
+class Leader:
     """One member's part."""
 
-    permits: Permits | None = None
+    permit_authority: PermitAuthority | None = None
 
     def __init__(
-        self, member: str, lease_ms: float, mind: Mind, now: float, draw: Callable[[], float]
+        self,
+        member: str,
+        lease_ms: float,
+        controller: Controller,
+        now: float,
+        draw_random: Callable[[], float],
     ) -> None:
         """draw: a number from 0 to 1 at random."""
-        self.member, self.lease_ms, self.mind, self.draw = member, lease_ms, mind, draw
-        self.document, self.sessions = Document(), dict[str, Session]()
-        self.since = now  # when we took over, or began
-        self.heard_at = now  # when the keeper last showed that it reads
-        self.asked_at = -math.inf  # when we last had schedulers look at something
-        self.patience = QUIET_MS * (1.0 + draw())
-        self.refused = 0  # renewals that were none
-
-    def keeps(self) -> Keeps | None:
-        text = self.document.value(KEEPER)
-        return None if text is None else msgspec.json.decode(text, type=Keeps)
-
-    def ours(self) -> bool:
-        keeps = self.keeps()
+        self.member, self.lease_ms, self.controller, self.draw_random = (
+            member,
+            lease_ms,
+            controller,
+            draw_random,
+        )
+        self.document, self.sessions = Document(), dict[str, SchedulerSession]()
+        self.leading_since_ms = now  # when we took over, or began
+        self.leader_seen_at_ms = now  # when the keeper last showed that it reads
+        self.probes_requested_at_ms = -math.inf  # when we last had schedulers look at something
+        self.takeover_delay_ms = LEADER_SILENCE_MS * (1.0 + draw_random())
+        self.rejected_renewals = 0  # renewals that were none
+
+    def leadership(self) -> Leadership | None:
+        text = self.document.get_value(LEADERSHIP_KEY)
+        return None if text is None else msgspec.json.decode(text, type=Leadership)
+
+    def is_leader(self) -> bool:
+        keeps = self.leadership()
         return keeps is not None and keeps.member == self.member
 
-    def read_by(self, now: float, member: str) -> None:
+    def record_read(self, now: float, member: str) -> None:
         """A member has read the document; where it is the keeper, it lives."""
-        keeps = self.keeps()
+        keeps = self.leadership()
         if keeps is not None and keeps.member == member:
-            self.heard_at = now
+            self.leader_seen_at_ms = now
 
-    def renew(self, now: float, message: Renew, answer: Callable[[Granted], None]) -> None:
+    def handle_renewal(
+        self, now: float, renewal: Renew, send_answer: Callable[[RenewalGranted], None]
+    ) -> None:
         """A renewal has come to us as the keeper; it is answered once, now or by due()."""
-        if not 0 < len(message.session) <= LONGEST_NAME or message.seen < 0:
-            self.refused += 1
-            answer(Granted(message.n, why="no renewal of ours"))
+        if not 0 < len(renewal.session) <= MAX_SESSION_NAME_LENGTH or renewal.acknowledged_revision < 0:
+            self.rejected_renewals += 1
+            send_answer(RenewalGranted(renewal.n, reason="no renewal of ours"))
             return
-        session = self.sessions.get(message.session)
+        session = self.sessions.get(renewal.session)
         if session is None:
-            if len(self.sessions) >= MOST_SESSIONS:
-                self.refused += 1
-                answer(Granted(message.n, why=f"{MOST_SESSIONS} sessions are all that are kept"))
+            if len(self.sessions) >= MAX_SESSIONS:
+                self.rejected_renewals += 1
+                send_answer(
+                    RenewalGranted(renewal.n, reason=f"{MAX_SESSIONS} sessions are all that are kept")
+                )
                 return
-            session = self.sessions[message.session] = Session(
-                message.session, message.zone, message.position, message.seen
+            session = self.sessions[renewal.session] = SchedulerSession(
+                renewal.session, renewal.zone, renewal.position, renewal.acknowledged_revision
             )
-        if session.poll is not None:
-            self._answer(session)
-        session.fresh = now
-        session.poll = Poll(message, answer, now)
+        if session.pending_renewal is not None:
+            self._answer_renewal(session)
+        session.last_renewal_at_ms = now
+        session.pending_renewal = PendingRenewal(renewal, send_answer, now)
         try:
-            if self.permits is not None and bytes(message.says) != b"null":
-                self.permits.heard(session.id, message.says)
-            self.mind.heard(now, session, message.payload)
+            if self.permit_authority is not None and bytes(renewal.policy_vote) != b"null":
+                self.permit_authority.record_vote(session.id, renewal.policy_vote)
+            self.controller.record_evidence(now, session, renewal.evidence)
         except ValueError:
-            self.refused += 1
+            self.rejected_renewals += 1
 
-    def wants_read(self) -> bool:
-        return any(each.poll is not None and not each.poll.confirmed for each in self.sessions.values())
+    def needs_confirming_read(self) -> bool:
+        return any(
+            each.pending_renewal is not None and not each.pending_renewal.is_confirmed
+            for each in self.sessions.values()
+        )
 
-    def read(self, now: float, begun: float, document: Document) -> None:
+    def handle_read(self, now: float, read_started_at: float, document: Document) -> None:
         """The document as a majority has it, from a read that began then."""
-        was, before = self.ours(), self.document.value(KEEPER)
+        was_leader, previous_leadership = self.is_leader(), self.document.get_value(LEADERSHIP_KEY)
         if document.revision >= self.document.revision:
             self.document = document
-        if self.document.value(KEEPER) != before:
-            self.heard_at = now  # whoever keeps now has its own time to show that it lives
-        if not self.ours():
-            if was:
-                self.drop("another member keeps now")
+        if self.document.get_value(LEADERSHIP_KEY) != previous_leadership:
+            self.leader_seen_at_ms = now  # whoever keeps now has its own time to show that it lives
+        if not self.is_leader():
+            if was_leader:
+                self.reject_pending_renewals("another member keeps now")
             return
-        if not was:
-            self._begin(now)
-        self.heard_at = now
+        if not was_leader:
+            self._begin_leading(now)
+        self.leader_seen_at_ms = now
         for session in self.sessions.values():
-            poll = session.poll
-            if poll is None or poll.came > begun or poll.confirmed:
+            pending = session.pending_renewal
+            if pending is None or pending.received_at_ms > read_started_at or pending.is_confirmed:
                 continue
-            if poll.message.seen > document.revision:  # a number from the future: no document of ours had it
-                self.refused += 1
-                session.poll = None
-                poll.answer(Granted(poll.message.n, why=f"revision {poll.message.seen} is none of ours"))
+            if (
+                pending.renewal.acknowledged_revision > document.revision
+            ):  # a number from the future: no document of ours had it
+                self.rejected_renewals += 1
+                session.pending_renewal = None
+                pending.send_answer(
+                    RenewalGranted(
+                        pending.renewal.n,
+                        reason=f"revision {pending.renewal.acknowledged_revision} is none of ours",
+                    )
+                )
                 continue
-            poll.confirmed, session.confirmed, session.seen = True, now, poll.message.seen
+            pending.is_confirmed, session.confirmed_at_ms, session.acknowledged_revision = (
+                True,
+                now,
+                pending.renewal.acknowledged_revision,
+            )
 
-    def changed(self, now: float, document: Document) -> None:
+    def handle_change(self, now: float, document: Document) -> None:
         """A change of ours has been taken by a majority."""
-        was = self.ours()
+        was_leader = self.is_leader()
         self.document = document
-        if self.ours() and not was:
-            self._begin(now)
+        if self.is_leader() and not was_leader:
+            self._begin_leading(now)
 
-    def _begin(self, now: float) -> None:
+    def _begin_leading(self, now: float) -> None:
         """We keep from now on: whatever was granted before may be in use for one more lease."""
-        self.since = now
+        self.leading_since_ms = now
 
-    def due(self, now: float) -> None:
+    def answer_due_renewals(self, now: float) -> None:
         """Answer what can be answered."""
-        if self.ours() and now - self.asked_at >= LOOK_MS and (look := self.mind.wonders(now, self)):
-            waiting = [each for each in self.sessions.values() if each.poll and each.poll.confirmed]
+        if (
+            self.is_leader()
+            and now - self.probes_requested_at_ms >= PROBE_REQUEST_INTERVAL_MS
+            and (zones := self.controller.zones_to_probe(now, self))
+        ):
+            waiting = [
+                each
+                for each in self.sessions.values()
+                if each.pending_renewal and each.pending_renewal.is_confirmed
+            ]
             if waiting:
-                self.asked_at = now
-            for _ in range(min(LOOKERS, len(waiting))):
-                self._answer(waiting.pop(int(self.draw() * len(waiting))), look)
+                self.probes_requested_at_ms = now
+            for _ in range(min(MAX_PROBE_REQUESTS, len(waiting))):
+                self._answer_renewal(waiting.pop(int(self.draw_random() * len(waiting))), zones)
         for session in self.sessions.values():
-            poll = session.poll
+            pending = session.pending_renewal
             if (
-                poll is not None
-                and poll.confirmed
-                and (self.document.revision > poll.message.seen or now - poll.came >= HOLD_MS)
+                pending is not None
+                and pending.is_confirmed
+                and (
+                    self.document.revision > pending.renewal.acknowledged_revision
+                    or now - pending.received_at_ms >= POLL_HOLD_MS
+                )
             ):
-                self._answer(session)
+                self._answer_renewal(session)
         for each in [
             each
             for each in self.sessions.values()
-            if each.poll is None and now - max(each.fresh, self.since) > FORGET_MS
+            if each.pending_renewal is None
+            and now - max(each.last_renewal_at_ms, self.leading_since_ms) > SESSION_RETENTION_MS
         ]:
             del self.sessions[each.id]
 
-    def _answer(self, session: Session, look: tuple[str, ...] = ()) -> None:
-        poll, session.poll = session.poll, None
-        if not poll.confirmed:
-            poll.answer(Granted(poll.message.n, why="renewed again"))
+    def _answer_renewal(self, session: SchedulerSession, zones_to_probe: tuple[str, ...] = ()) -> None:
+        pending, session.pending_renewal = session.pending_renewal, None
+        if not pending.is_confirmed:
+            pending.send_answer(RenewalGranted(pending.renewal.n, reason="renewed again"))
             return
-        changes = self.document.changes_after(poll.message.seen)
-        whole = self.document if changes is None else None
-        permit = 0.0 if self.permits is None else self.permits.permit(session.id, self.document)
-        poll.answer(Granted(poll.message.n, self.lease_ms, "", changes, whole, look, permit))
-
-    def drop(self, why: str) -> None:
+        changes = self.document.changes_after(pending.renewal.acknowledged_revision)
+        document = self.document if changes is None else None
+        permit_ms = (
+            0.0
+            if self.permit_authority is None
+            else self.permit_authority.permit_duration_ms(session.id, self.document)
+        )
+        pending.send_answer(
+            RenewalGranted(pending.renewal.n, self.lease_ms, "", changes, document, zones_to_probe, permit_ms)
+        )
+
+    def reject_pending_renewals(self, reason: str) -> None:
         """We do not keep: nobody waits here for nothing."""
         for session in self.sessions.values():
-            poll, session.poll = session.poll, None
-            if poll is not None:
-                poll.answer(Granted(poll.message.n, why=why))
+            pending, session.pending_renewal = session.pending_renewal, None
+            if pending is not None:
+                pending.send_answer(RenewalGranted(pending.renewal.n, reason=reason))
         self.sessions.clear()
 
-    def lapsed(self, session: str, now: float) -> bool:
+    def has_lease_expired(self, session_id: str, now: float) -> bool:
         """Whether this session's holder can act no more; it never can again without a new grant."""
-        known = self.sessions.get(session)
-        confirmed = self.since if known is None else max(self.since, known.confirmed)
-        return now >= lapsed_at(confirmed, self.lease_ms)
-
-    def in_contact(self, now: float) -> list[Session]:
+        known_session = self.sessions.get(session_id)
+        confirmed_at = (
+            self.leading_since_ms
+            if known_session is None
+            else max(self.leading_since_ms, known_session.confirmed_at_ms)
+        )
+        return now >= lease_expiry_ms(confirmed_at, self.lease_ms)
+
+    def active_sessions(self, now: float) -> list[SchedulerSession]:
         """Those that hold a lease of ours, as far as we know."""
         return [
             each
             for each in self.sessions.values()
-            if each.confirmed > -math.inf and now < lapsed_at(each.confirmed, self.lease_ms)
+            if each.confirmed_at_ms > -math.inf and now < lease_expiry_ms(each.confirmed_at_ms, self.lease_ms)
         ]
 
-    def acknowledged(self, revision: int, sessions: list[str], now: float) -> bool:
+    def is_acknowledged_by(self, revision: int, session_ids: list[str], now: float) -> bool:
         """Whether each of these follows this revision, or has lapsed."""
-        for each in sessions:
-            known = self.sessions.get(each)
-            if not self.lapsed(each, now) and (known is None or known.seen < revision):
+        for session_id in session_ids:
+            session = self.sessions.get(session_id)
+            if not self.has_lease_expired(session_id, now) and (
+                session is None or session.acknowledged_revision < revision
+            ):
                 return False
         return True
 
-    def quiet(self, now: float) -> bool:
+    def is_leader_silent(self, now: float) -> bool:
         """Whether the keeper has been silent for so long that we should keep."""
-        return not self.ours() and now - self.heard_at > self.patience
+        return not self.is_leader() and now - self.leader_seen_at_ms > self.takeover_delay_ms
 
-    def take_over(self, now: float, id: str) -> Txn:
+    def takeover_transaction(self, now: float, transaction_id: str) -> Transaction:
         """The change by which we keep. Another try waits anew."""
-        self.heard_at, self.patience = now, QUIET_MS * (1.0 + self.draw())
-        keeps = self.keeps()
-        mine = Keeps(self.member, 1 if keeps is None else keeps.term + 1)
-        return Txn(id, {KEEPER: msgspec.json.encode(mine).decode()}, self.document.at(KEEPER))
-
-    def as_keeper(self, txn: Txn) -> Txn:
+        self.leader_seen_at_ms, self.takeover_delay_ms = now, LEADER_SILENCE_MS * (1.0 + self.draw_random())
+        previous = self.leadership()
+        mine = Leadership(self.member, 1 if previous is None else previous.term + 1)
+        return Transaction(
+            transaction_id,
+            {LEADERSHIP_KEY: msgspec.json.encode(mine).decode()},
+            self.document.current_revisions(LEADERSHIP_KEY),
+        )
+
+    def on_condition_of_leadership(self, transaction: Transaction) -> Transaction:
         """The change on the condition that we still keep."""
-        return Txn(txn.id, txn.writes, {**txn.at, **self.document.at(KEEPER)})
+        return Transaction(
+            transaction.id,
+            transaction.writes,
+            {**transaction.at, **self.document.current_revisions(LEADERSHIP_KEY)},
+        )
--- a/spanwing/store/lease.py
+++ b/spanwing/store/lease.py
@@ -11,8 +11,8 @@
 import time
 from collections import OrderedDict
 
-ASKED = 64
-SLACK = 1.1  # whoever granted waits this much longer: clocks may differ by a tenth in rate
+MAX_REMEMBERED_RENEWALS = 64
+CLOCK_RATE_MARGIN = 1.1  # whoever granted waits this much longer: clocks may differ by a tenth in rate
 
 
 def clock_ms() -> float:
@@ -24,26 +24,26 @@
     """One session's right to act."""
 
     def __init__(self) -> None:
-        self.asked: OrderedDict[int, float] = OrderedDict()
-        self.until = -math.inf
+        self.renewals_sent: OrderedDict[int, float] = OrderedDict()
+        self.expires_at_ms = -math.inf
 
-    def ask(self, n: int, now: float) -> None:
+    def record_renewal(self, message_id: int, now: float) -> None:
         """Renewal n is about to be sent."""
-        self.asked[n] = now
-        while len(self.asked) > ASKED:
-            self.asked.popitem(last=False)
+        self.renewals_sent[message_id] = now
+        while len(self.renewals_sent) > MAX_REMEMBERED_RENEWALS:
+            self.renewals_sent.popitem(last=False)
 
-    def granted(self, n: int, lease_ms: float) -> None:
+    def extend(self, message_id: int, lease_ms: float) -> None:
         """Renewal n was granted; an unknown one gives nothing."""
-        asked = self.asked.pop(n, None)
-        if asked is not None and lease_ms > 0:
-            self.until = max(self.until, asked + lease_ms)
+        sent_at = self.renewals_sent.pop(message_id, None)
+        if sent_at is not None and lease_ms > 0:
+            self.expires_at_ms = max(self.expires_at_ms, sent_at + lease_ms)
 
-    def valid(self, now: float) -> bool:
-        return now < self.until
+    def is_valid(self, now: float) -> bool:
+        return now < self.expires_at_ms
 
 
-def lapsed_at(confirmed: float, lease_ms: float) -> float:
+def lease_expiry_ms(confirmed_at_ms: float, lease_ms: float) -> float:
     """When whoever granted may take it that the holder acts no more; confirmed: by its own clock, after a
     read by majority that began after the renewal had come."""
-    return confirmed + SLACK * lease_ms
+    return confirmed_at_ms + CLOCK_RATE_MARGIN * lease_ms
--- a/spanwing/store/messages.py
+++ b/spanwing/store/messages.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from spanwing.store.document import Change, Document
+from spanwing.store.document import Document, DocumentChange
 
 Ballot = tuple[int, str]  # a counter and the proposing member, which makes it unique
-NONE: Ballot = (0, "")
+NO_BALLOT: Ballot = (0, "")
 
 
 class Prepare(msgspec.Struct, tag="prepare"):
@@ -29,12 +29,12 @@
     n: int
 
 
-class Look(msgspec.Struct, tag="look"):
+class ReadRegister(msgspec.Struct, tag="look"):
     """Asks what a register holds; nothing is promised and nothing written."""
 
     n: int
     key: str
-    by: str = ""  # the member that reads
+    reader: str = msgspec.field(default="", name="by")  # the member that reads
 
 
 class Renew(msgspec.Struct, tag="renew"):
@@ -44,13 +44,15 @@
     session: str
     zone: str
     position: int
-    seen: int
-    payload: msgspec.Raw = msgspec.Raw(b"null")
+    acknowledged_revision: int = msgspec.field(name="seen")
+    evidence: msgspec.Raw = msgspec.field(default=msgspec.Raw(b"null"), name="payload")
     passed: bool = False  # by a member that does not keep
-    says: msgspec.Raw = msgspec.Raw(b"null")  # of the policy, where that is the fleet's
+    policy_vote: msgspec.Raw = msgspec.field(
+        default=msgspec.Raw(b"null"), name="says"
+    )  # of the policy, where that is the fleet's
 
 
-class Submit(msgspec.Struct, tag="submit"):
+class SubmitOrder(msgspec.Struct, tag="submit"):
     """An order for the keeper."""
 
     n: int
@@ -59,33 +61,35 @@
     passed: bool = False
 
 
-class Granted(msgspec.Struct, tag="granted"):
+class RenewalGranted(msgspec.Struct, tag="granted"):
     """Answers a Renew: the lease counts from when that was sent; 0: none is granted here and now."""
 
     n: int
     lease_ms: float = 0.0
-    why: str = ""  # where none is granted
-    changes: tuple[Change, ...] | None = None  # all that came after `seen`; None: `whole` is there
-    whole: Document | None = None
-    look: tuple[str, ...] = ()  # what the keeper would have this scheduler look at
+    reason: str = msgspec.field(default="", name="why")  # where none is granted
+    changes: tuple[DocumentChange, ...] | None = None  # all that came after `seen`; None: `whole` is there
+    document: Document | None = msgspec.field(default=None, name="whole")
+    zones_to_probe: tuple[str, ...] = msgspec.field(
+        default=(), name="look"
+    )  # what the keeper would have this scheduler look at
     permit_ms: float = 0.0  # to take jobs under the policy in force, counted as the lease is
 
 
-class Done(msgspec.Struct, tag="done"):
+class OrderResult(msgspec.Struct, tag="done"):
     """Answers a Submit."""
 
     n: int
-    ok: bool
+    is_accepted: bool = msgspec.field(name="ok")
     text: str
 
 
-class Reply(msgspec.Struct, tag="reply"):
+class RegisterReply(msgspec.Struct, tag="reply"):
     """Whether it was granted, and what the register holds."""
 
     n: int
-    granted: bool
-    promised: Ballot
-    accepted: Ballot = NONE
+    is_granted: bool = msgspec.field(name="granted")
+    promised_ballot: Ballot = msgspec.field(name="promised")
+    accepted_ballot: Ballot = msgspec.field(default=NO_BALLOT, name="accepted")
     value: str | None = None
 
 
@@ -93,6 +97,6 @@
     """One key at one member."""
 
     key: str
-    promised: Ballot = NONE
-    accepted: Ballot = NONE
+    promised: Ballot = NO_BALLOT
+    accepted_ballot: Ballot = msgspec.field(default=NO_BALLOT, name="accepted")
     value: str | None = None
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -15,22 +15,34 @@
 from tornado.gen import with_timeout
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from spanwing.actor import Actor, spawn
+from spanwing.actor import Actor, spawn_task
 from spanwing.store.acceptor import Acceptor
-from spanwing.store.messages import Accept, Done, Granted, Look, Ping, Prepare, Renew, Reply, Submit
+from spanwing.store.messages import (
+    Accept,
+    OrderResult,
+    Ping,
+    Prepare,
+    ReadRegister,
+    RegisterReply,
+    Renew,
+    RenewalGranted,
+    SubmitOrder,
+)
 from spanwing.wire.address import Address, listen, open_socket
 from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import LineStream, LineTooLong
+from spanwing.wire.stream import LineStream, LineTooLongError
 
-LONGEST = 256 * 1024
-CONNECT_S = 0.3
-SILENT_S = 2.0  # four rounds: a connection that answers none of them is dead, whatever TCP still hopes
-MOST_LINKS = 1024
+MAX_FRAME_BYTES = 256 * 1024
+CONNECT_TIMEOUT_S = 0.3
+SILENCE_TIMEOUT_S = (
+    2.0  # four rounds: a connection that answers none of them is dead, whatever TCP still hopes
+)
+MAX_CONNECTIONS = 1024
 
-Request = Prepare | Accept | Look | Ping | Renew | Submit
-Response = Reply | Granted | Done
+StoreRequest = Prepare | Accept | ReadRegister | Ping | Renew | SubmitOrder
+StoreResponse = RegisterReply | RenewalGranted | OrderResult
 #: Answers what schedulers ask; what it returns is awaited and written back.
-Serve = Callable[[Renew | Submit], Awaitable[Granted | Done]]
+MessageHandler = Callable[[Renew | SubmitOrder], Awaitable[RenewalGranted | OrderResult]]
 
 
 class Peer(Actor):
@@ -39,77 +51,81 @@
     def __init__(self, address: Address, buffers: BufferPool) -> None:
         super().__init__()
         self.address, self.buffers = address, buffers
-        self.waiting: dict[int, Future[Response | None]] = {}
-        self.unheard: float | None = None  # of the loop's time: since when all that was asked is unanswered
+        self.pending_replies: dict[int, Future[StoreResponse | None]] = {}
+        self.unanswered_since_s: float | None = (
+            None  # of the loop's time: since when all that was asked is unanswered
+        )
         self.stream: LineStream | None = None
-        self.opening: list[Request] | None = None  # what is to be sent once the connection is up
+        self.queued_until_open: list[StoreRequest] | None = (
+            None  # what is to be sent once the connection is up
+        )
 
-    def ask(self, message: Request) -> Future[Response | None]:
+    def send_request(self, message: StoreRequest) -> Future[StoreResponse | None]:
         """The peer's reply, or None when there is no connection; the asker keeps the time."""
-        reply: Future[Response | None] = Future()
+        reply: Future[StoreResponse | None] = Future()
         self.post((message, reply))
         return reply
 
-    def take(self, message: tuple[Request, Future[Response | None]]) -> None:
+    def handle_message(self, message: tuple[StoreRequest, Future[StoreResponse | None]]) -> None:
         request, reply = message
-        for n in [n for n, each in self.waiting.items() if each.done()]:  # the asker's time was over
-            del self.waiting[n]
-        self.waiting[request.n] = reply
+        for n in [n for n, each in self.pending_replies.items() if each.done()]:  # the asker's time was over
+            del self.pending_replies[n]
+        self.pending_replies[request.n] = reply
         now = self.loop.time()
-        if self.unheard is None:
-            self.unheard = now
-        elif now - self.unheard > SILENT_S and self.stream is not None:
+        if self.unanswered_since_s is None:
+            self.unanswered_since_s = now
+        elif now - self.unanswered_since_s > SILENCE_TIMEOUT_S and self.stream is not None:
             self.stream.close()
-            self.unheard = now
-        if self.opening is not None:
-            self.opening.append(request)
+            self.unanswered_since_s = now
+        if self.queued_until_open is not None:
+            self.queued_until_open.append(request)
         elif self.stream is None or self.stream.stream.closed():
-            self.opening = [request]
-            spawn(self._open())
+            self.queued_until_open = [request]
+            spawn_task(self._open_connection())
         else:
-            spawn(self._write(self.stream, [request]))
+            spawn_task(self._write_requests(self.stream, [request]))
 
-    async def _open(self) -> None:
+    async def _open_connection(self) -> None:
         stream = IOStream(open_socket(self.address))
         try:
             await with_timeout(
-                timedelta(seconds=CONNECT_S),
-                stream.connect(self.address.target),
+                timedelta(seconds=CONNECT_TIMEOUT_S),
+                stream.connect(self.address.socket_address),
                 quiet_exceptions=StreamClosedError,
             )
         except (WaitOver, StreamClosedError):
             stream.close()
-            self.opening = None
-            self._fail()
+            self.queued_until_open = None
+            self._fail_pending_replies()
             return
-        self.stream = LineStream(stream, self.buffers, LONGEST)
-        requests, self.opening = self.opening, None
-        spawn(self._read(self.stream))
-        await self._write(self.stream, requests)
+        self.stream = LineStream(stream, self.buffers, MAX_FRAME_BYTES)
+        requests, self.queued_until_open = self.queued_until_open, None
+        spawn_task(self._read_replies(self.stream))
+        await self._write_requests(self.stream, requests)
 
-    async def _write(self, stream: LineStream, requests: list[Request]) -> None:
+    async def _write_requests(self, stream: LineStream, requests: list[StoreRequest]) -> None:
         try:
             await stream.write(b"".join(msgspec.json.encode(each) + b"\n" for each in requests))
         except StreamClosedError:
-            self._fail()
+            self._fail_pending_replies()
 
-    async def _read(self, stream: LineStream) -> None:
+    async def _read_replies(self, stream: LineStream) -> None:
         try:
-            while (line := await stream.line()) is not None:
-                reply = msgspec.json.decode(line, type=Response)
-                self.unheard = None
-                waiting = self.waiting.pop(reply.n, None)
-                if waiting is not None:
-                    future_set_result_unless_cancelled(waiting, reply)
-        except (LineTooLong, ValueError):
+            while (line := await stream.read_line()) is not None:
+                reply = msgspec.json.decode(line, type=StoreResponse)
+                self.unanswered_since_s = None
+                pending = self.pending_replies.pop(reply.n, None)
+                if pending is not None:
+                    future_set_result_unless_cancelled(pending, reply)
+        except (LineTooLongError, ValueError):
             pass
         stream.close()
-        self._fail()
+        self._fail_pending_replies()
 
-    def _fail(self) -> None:
-        for waiting in self.waiting.values():
-            future_set_result_unless_cancelled(waiting, None)
-        self.waiting.clear()
+    def _fail_pending_replies(self) -> None:
+        for pending in self.pending_replies.values():
+            future_set_result_unless_cancelled(pending, None)
+        self.pending_replies.clear()
 
 
 class PeerListener:
@@ -117,37 +133,43 @@
 
     def __init__(self, address: Address, acceptor: Acceptor, buffers: BufferPool) -> None:
         self.acceptor, self.buffers = acceptor, buffers
-        self.serve: Serve | None = None
-        self.read_by: Callable[[str], None] | None = None  # hears which member reads
-        self.links = 0
-        self.decoder = msgspec.json.Decoder(Request)
-        self.address = listen(address, lambda conn: spawn(self._link(conn))).address
-
-    async def _link(self, sock) -> None:
-        if self.links >= MOST_LINKS:
-            sock.close()
+        self.handle_message: MessageHandler | None = None
+        self.on_read: Callable[[str], None] | None = None  # hears which member reads
+        self.open_connections = 0
+        self.decoder = msgspec.json.Decoder(StoreRequest)
+        self.address = listen(address, lambda conn: spawn_task(self._serve_connection(conn))).address
+
+    async def _serve_connection(self, connected_socket) -> None:
+        if self.open_connections >= MAX_CONNECTIONS:
+            connected_socket.close()
             return
-        self.links += 1
-        stream = LineStream(IOStream(sock, max_write_buffer_size=4 * LONGEST), self.buffers, LONGEST)
+        self.open_connections += 1
+        stream = LineStream(
+            IOStream(connected_socket, max_write_buffer_size=4 * MAX_FRAME_BYTES),
+            self.buffers,
+            MAX_FRAME_BYTES,
+        )
         try:
-            while (line := await stream.line()) is not None:
+            while (line := await stream.read_line()) is not None:
                 message = self.decoder.decode(line)
-                if isinstance(message, Renew | Submit):
-                    if self.serve is None:
+                if isinstance(message, Renew | SubmitOrder):
+                    if self.handle_message is None:
                         break
-                    spawn(self._serve(self.serve(message), stream))
+                    spawn_task(self._write_answer(self.handle_message(message), stream))
                     continue
-                if isinstance(message, Look) and self.read_by is not None:
-                    self.read_by(message.by)
-                await stream.write(msgspec.json.encode(self.acceptor.answer(message)) + b"\n")
-        except (LineTooLong, ValueError, StreamClosedError, StreamBufferFullError):
+                if isinstance(message, ReadRegister) and self.on_read is not None:
+                    self.on_read(message.reader)
+                await stream.write(msgspec.json.encode(self.acceptor.handle_message(message)) + b"\n")
+        except (LineTooLongError, ValueError, StreamClosedError, StreamBufferFullError):
             pass  # whatever speaks otherwise is no member: a clean close is all it gets
         finally:
-            self.links -= 1
+            self.open_connections -= 1
             stream.close()
 
-    async def _serve(self, answer: Awaitable[Granted | Done], stream: LineStream) -> None:
-        reply = await answer
+    async def _write_answer(
+        self, pending_answer: Awaitable[RenewalGranted | OrderResult], stream: LineStream
+    ) -> None:
+        reply = await pending_answer
         try:
             await stream.write(msgspec.json.encode(reply) + b"\n")
         except (StreamClosedError, StreamBufferFullError):
--- a/spanwing/store/service.py
+++ b/spanwing/store/service.py
@@ -17,152 +17,175 @@
 from tornado.gen import TimeoutError as WaitOver
 from tornado.gen import sleep, with_timeout
 
-from spanwing.actor import spawn
-from spanwing.store.document import Document, Txn, decode, encode
-from spanwing.store.keeper import HOLD_MS, Keeper, Mind
+from spanwing.actor import spawn_task
+from spanwing.store.document import Document, Transaction, decode_document, encode_document
+from spanwing.store.keeper import POLL_HOLD_MS, Controller, Leader
 from spanwing.store.lease import clock_ms
-from spanwing.store.messages import Done, Granted, Renew, Submit
+from spanwing.store.messages import OrderResult, Renew, RenewalGranted, SubmitOrder
 from spanwing.store.peer import Peer, PeerListener
 from spanwing.store.store import NoMajority, Store
 
-KEY = "fleet"
-TURN_S = 0.025
-READ_MS = 300.0  # the keeper reads so often at least, which is how the others know that it lives
-LOOK_MS = 1000.0
-WAIT_S = 3.0
-ORDERS = 16
+DOCUMENT_KEY = "fleet"
+LOOP_INTERVAL_S = 0.025
+LEADER_READ_INTERVAL_MS = (
+    300.0  # the keeper reads so often at least, which is how the others know that it lives
+)
+LIST_REFRESH_INTERVAL_MS = 1000.0
+ANSWER_TIMEOUT_S = 3.0
+MAX_PENDING_ORDERS = 16
 
 log = logging.getLogger("spanwing")
 
 
-class FleetService:
+class DocumentService:
     """One member's side of the fleet's document."""
 
-    def __init__(self, store: Store, listener: PeerListener, mind: Mind, lease_ms: float) -> None:
-        self.store, self.mind = store, mind
-        self.peers: dict[str, Peer] = dict(zip(store.names, store.peers, strict=True))
-        self.keeper = Keeper(store.member, lease_ms, mind, clock_ms(), random.random)
-        self.orders: list[tuple[Submit, Future[Done]]] = []
-        self.read_at, self.failing = float("-inf"), ""
-        self.looked_at = float("-inf")
-        listener.serve = self.serve
-        listener.read_by = lambda member: self.keeper.read_by(clock_ms(), member)
+    def __init__(self, store: Store, listener: PeerListener, controller: Controller, lease_ms: float) -> None:
+        self.store, self.controller = store, controller
+        self.peers: dict[str, Peer] = dict(zip(store.peer_names, store.peers, strict=True))
+        self.leader = Leader(store.member, lease_ms, controller, clock_ms(), random.random)
+        self.pending_orders: list[tuple[SubmitOrder, Future[OrderResult]]] = []
+        self.last_read_at_ms, self.failure = float("-inf"), ""
+        self.list_refreshed_at_ms = float("-inf")
+        listener.handle_message = self.handle_message
+        listener.on_read = lambda member: self.leader.record_read(clock_ms(), member)
 
     async def run(self) -> None:
         while True:
             try:
-                await self.turn()
-                if self.failing:
+                await self.run_once()
+                if self.failure:
                     log.warning("the fleet's state can be changed again")
-                self.failing = ""
+                self.failure = ""
             except (NoMajority, OSError, ValueError) as error:
-                if not self.failing:
+                if not self.failure:
                     log.warning("the fleet's state cannot be changed: %s", error)
-                self.failing = str(error)
-            await sleep(TURN_S)
+                self.failure = str(error)
+            await sleep(LOOP_INTERVAL_S)
 
-    async def turn(self) -> None:
+    async def run_once(self) -> None:
         """One look at what is due. Raises NoMajority or OSError."""
-        keeper, now = self.keeper, clock_ms()
-        if now - self.looked_at > LOOK_MS:
-            self.looked_at = now
-            self.mind.look(now)
-        if keeper.quiet(now):
-            await self._read()
-            if keeper.quiet(clock_ms()):
-                await self.change(keeper.take_over(clock_ms(), secrets.token_hex(8)))
-        elif keeper.ours() and (keeper.wants_read() or now - self.read_at > READ_MS):
-            await self._read()
-        if keeper.ours():
-            await self._order()
-            txn = self.mind.decide(clock_ms(), keeper.document, keeper)
-            if txn is not None:
-                await self.change(keeper.as_keeper(txn))
-        keeper.due(clock_ms())
-
-    async def _read(self) -> None:
-        begun = clock_ms()
-        self.read_at = begun
-        document = decode(await self.store.look(KEY))
-        self.keeper.read(clock_ms(), begun, document)
-
-    async def change(self, txn: Txn) -> bool:
+        leader, now = self.leader, clock_ms()
+        if now - self.list_refreshed_at_ms > LIST_REFRESH_INTERVAL_MS:
+            self.list_refreshed_at_ms = now
+            self.controller.refresh_worker_list(now)
+        if leader.is_leader_silent(now):
+            await self._read_document()
+            if leader.is_leader_silent(clock_ms()):
+                await self.commit(leader.takeover_transaction(clock_ms(), secrets.token_hex(8)))
+        elif leader.is_leader() and (
+            leader.needs_confirming_read() or now - self.last_read_at_ms > LEADER_READ_INTERVAL_MS
+        ):
+            await self._read_document()
+        if leader.is_leader():
+            await self._handle_orders()
+            transaction = self.controller.decide_next_change(clock_ms(), leader.document, leader)
+            if transaction is not None:
+                await self.commit(leader.on_condition_of_leadership(transaction))
+        leader.answer_due_renewals(clock_ms())
+
+    async def _read_document(self) -> None:
+        read_started_at = clock_ms()
+        self.last_read_at_ms = read_started_at
+        document = decode_document(await self.store.read_register(DOCUMENT_KEY))
+        self.leader.handle_read(clock_ms(), read_started_at, document)
+
+    async def commit(self, transaction: Transaction) -> bool:
         """Whether the transaction has taken hold. Raises NoMajority (it may have), ValueError."""
-        outcome: list[bool] = []
+        has_applied: list[bool] = []
 
         def apply(held: str | None) -> str | None:
-            outcome[:] = [False]
-            document = decode(held)
-            after = document.apply(txn)
-            outcome[:] = [after is not None]
-            return held if after is None or after is document else encode(after)
+            has_applied[:] = [False]
+            document = decode_document(held)
+            after = document.apply(transaction)
+            has_applied[:] = [after is not None]
+            return held if after is None or after is document else encode_document(after)
 
-        document = decode(await self.store.change(KEY, apply))
-        self.keeper.changed(clock_ms(), document)
-        return outcome[0]
+        document = decode_document(await self.store.change(DOCUMENT_KEY, apply))
+        self.leader.handle_change(clock_ms(), document)
+        return has_applied[0]
 
-    async def _order(self) -> None:
+    async def _handle_orders(self) -> None:
         """Carry out what was ordered, one after another."""
-        while self.orders:
-            submit, done = self.orders.pop(0)
+        while self.pending_orders:
+            message, result_future = self.pending_orders.pop(0)
             try:
-                txn, text = self.mind.order(clock_ms(), submit.order, self.keeper.document, self.keeper)
-                ok = txn is None or await self.change(self.keeper.as_keeper(txn))
-                reply = Done(submit.n, ok, text if ok else "another change came first: look and order again")
+                transaction, text = self.controller.handle_order(
+                    clock_ms(), message.order, self.leader.document, self.leader
+                )
+                is_accepted = transaction is None or await self.commit(
+                    self.leader.on_condition_of_leadership(transaction)
+                )
+                result = OrderResult(
+                    message.n,
+                    is_accepted,
+                    text if is_accepted else "another change came first: look and order again",
+                )
             except (ValueError, NoMajority, OSError) as error:
-                reply = Done(submit.n, False, str(error))
-            if not done.done():
-                done.set_result(reply)
+                result = OrderResult(message.n, False, str(error))
+            if not result_future.done():
+                result_future.set_result(result)
 
-    async def serve(self, message: Renew | Submit) -> Granted | Done:
+    async def handle_message(self, message: Renew | SubmitOrder) -> RenewalGranted | OrderResult:
         """The answer to a scheduler; by us where we keep, else by the keeper."""
-        keeps = self.keeper.keeps()
-        if not self.keeper.ours() and not message.passed and keeps is not None and keeps.member in self.peers:
-            return await self._pass(self.peers[keeps.member], message)
-        answered: Future = Future()
-        if not self.keeper.ours():
+        leadership = self.leader.leadership()
+        if (
+            not self.leader.is_leader()
+            and not message.passed
+            and leadership is not None
+            and leadership.member in self.peers
+        ):
+            return await self._forward_to_leader(self.peers[leadership.member], message)
+        answer_future: Future = Future()
+        if not self.leader.is_leader():
             # Who keeps may not be known here yet, and the scheduler asks again.
-            spawn(self._learn())
-            return _none(message, "this member does not keep, and knows of none that does")
+            spawn_task(self._learn_leader())
+            return _rejection(message, "this member does not keep, and knows of none that does")
         if isinstance(message, Renew):
-            self.keeper.renew(
-                clock_ms(), message, lambda granted: answered.done() or answered.set_result(granted)
+            self.leader.handle_renewal(
+                clock_ms(), message, lambda granted: answer_future.done() or answer_future.set_result(granted)
             )
-        elif len(self.orders) < ORDERS:
-            self.orders.append((message, answered))
+        elif len(self.pending_orders) < MAX_PENDING_ORDERS:
+            self.pending_orders.append((message, answer_future))
         else:
-            return Done(message.n, False, f"{ORDERS} orders wait already")
+            return OrderResult(message.n, False, f"{MAX_PENDING_ORDERS} orders wait already")
         try:
-            return await with_timeout(timedelta(seconds=WAIT_S), answered)
+            return await with_timeout(timedelta(seconds=ANSWER_TIMEOUT_S), answer_future)
         except WaitOver:
-            return _none(message, "no majority of the store's members answers")
+            return _rejection(message, "no majority of the store's members answers")
 
-    async def _learn(self) -> None:
-        if clock_ms() - self.read_at > HOLD_MS:
+    async def _learn_leader(self) -> None:
+        if clock_ms() - self.last_read_at_ms > POLL_HOLD_MS:
             try:
-                await self._read()
+                await self._read_document()
             except (NoMajority, OSError, ValueError):
                 pass  # it is asked for again
 
-    async def _pass(self, peer: Peer, message: Renew | Submit) -> Granted | Done:
-        n = next(self.store.numbers)
-        asked = peer.ask(msgspec.structs.replace(message, n=n, passed=True))
+    async def _forward_to_leader(
+        self, leader_peer: Peer, message: Renew | SubmitOrder
+    ) -> RenewalGranted | OrderResult:
+        message_id = next(self.store.message_ids)
+        pending_reply = leader_peer.send_request(msgspec.structs.replace(message, n=message_id, passed=True))
         try:
-            reply = await with_timeout(timedelta(seconds=WAIT_S), asked)
+            reply = await with_timeout(timedelta(seconds=ANSWER_TIMEOUT_S), pending_reply)
         except WaitOver:
-            asked.cancel()
+            pending_reply.cancel()
             reply = None
-        if not isinstance(reply, Granted | Done):
-            spawn(self._learn())
-            return _none(message, "the member that keeps does not answer")
+        if not isinstance(reply, RenewalGranted | OrderResult):
+            spawn_task(self._learn_leader())
+            return _rejection(message, "the member that keeps does not answer")
         return msgspec.structs.replace(reply, n=message.n)
 
 
-def _none(message: Renew | Submit, why: str) -> Granted | Done:
-    return Granted(message.n, why=why) if isinstance(message, Renew) else Done(message.n, False, why)
+def _rejection(message: Renew | SubmitOrder, reason: str) -> RenewalGranted | OrderResult:
+    return (
+        RenewalGranted(message.n, reason=reason)
+        if isinstance(message, Renew)
+        else OrderResult(message.n, False, reason)
+    )
 
 
-def document_of(store: Store) -> Document:
+def local_document(store: Store) -> Document:
     """Our own copy of the document, which may be old; nothing is asked."""
-    register = store.acceptor.registers.get(KEY)
-    return decode(None if register is None else register.value)
+    register = store.acceptor.registers.get(DOCUMENT_KEY)
+    return decode_document(None if register is None else register.value)
--- a/spanwing/store/shared.py
+++ b/spanwing/store/shared.py
@@ -9,28 +9,28 @@
 
 from spanwing.store.store import NoMajority, Store
 
-AGAIN_S = 0.5
+RETRY_INTERVAL_S = 0.5
 
 log = logging.getLogger("spanwing")
 
 
-class Shared(msgspec.Struct):
+class SharedSettings(msgspec.Struct):
     revision: int
     settings: str
 
 
-async def shared_settings(store: Store, revision: int, settings: str) -> str:
+async def agree_on_settings(store: Store, revision: int, settings: str) -> str:
     """Offer ours, take what stands. Without a majority it waits: a guess could differ from the others'."""
 
-    def change(held: str | None) -> str:
-        if held is not None and msgspec.json.decode(held, type=Shared).revision >= revision:
+    def keep_highest_revision(held: str | None) -> str:
+        if held is not None and msgspec.json.decode(held, type=SharedSettings).revision >= revision:
             return held
-        return msgspec.json.encode(Shared(revision, settings)).decode()
+        return msgspec.json.encode(SharedSettings(revision, settings)).decode()
 
     while True:
         try:
-            held = await store.change("settings", change)
-            return msgspec.json.decode(held, type=Shared).settings
+            held = await store.change("settings", keep_highest_revision)
+            return msgspec.json.decode(held, type=SharedSettings).settings
         except NoMajority as error:
             log.warning("settings: %s; asking again", error)
-            await sleep(AGAIN_S)
+            await sleep(RETRY_INTERVAL_S)
--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -12,13 +12,13 @@
 from tornado.gen import sleep, with_timeout
 
 from spanwing.store.acceptor import Acceptor
-from spanwing.store.messages import NONE, Accept, Ballot, Look, Ping, Prepare, Reply
+from spanwing.store.messages import NO_BALLOT, Accept, Ballot, Ping, Prepare, ReadRegister, RegisterReply
 from spanwing.store.peer import Peer
 
-ANSWER_MS = 500.0  # a round waits so long for a majority
-TRIES = 12  # rounds against other proposers
+ROUND_TIMEOUT_MS = 500.0  # a round waits so long for a majority
+MAX_ROUNDS = 12  # rounds against other proposers
 
-Change = Callable[[str | None], str | None]
+ChangeFunction = Callable[[str | None], str | None]
 
 
 class NoMajority(Exception):
@@ -34,96 +34,100 @@
         acceptor: Acceptor,
         peers: list[Peer],
         seed: int,
-        answer_ms: float = ANSWER_MS,
-        names: tuple[str, ...] = (),
+        round_timeout_ms: float = ROUND_TIMEOUT_MS,
+        peer_names: tuple[str, ...] = (),
     ) -> None:
-        self.names = names  # of the peers
+        self.peer_names = peer_names  # of the peers
         self.member, self.acceptor, self.peers = member, acceptor, peers
-        self.wait = timedelta(milliseconds=answer_ms)
+        self.round_timeout = timedelta(milliseconds=round_timeout_ms)
         self.majority = (len(peers) + 1) // 2 + 1
-        self.numbers = itertools.count(1)
-        self.random = random.Random(seed)
+        self.message_ids = itertools.count(1)
+        self.random_source = random.Random(seed)
 
-    async def change(self, key: str, change: Change) -> str | None:
+    async def change(self, key: str, compute_value: ChangeFunction) -> str | None:
         """Apply a change to the register's value; returns the value that stands then."""
-        highest: Ballot = NONE
-        for attempt in range(TRIES):
+        highest: Ballot = NO_BALLOT
+        for attempt in range(MAX_ROUNDS):
             if attempt:  # two proposers that keep stepping on each other part at random
-                await sleep(self.random.uniform(0.0, 0.01 * 2 ** min(attempt, 4)))
-            held = self.acceptor.registers.get(key)
+                await sleep(self.random_source.uniform(0.0, 0.01 * 2 ** min(attempt, 4)))
+            local_register = self.acceptor.registers.get(key)
             # Above every ballot of an earlier life too: our own member has kept the promise on disk.
-            counter = max(highest[0], held.promised[0] if held else 0) + 1
+            counter = max(highest[0], local_register.promised[0] if local_register else 0) + 1
             ballot = (counter, self.member)
-            replies = await self._round(lambda n, ballot=ballot: Prepare(n, key, ballot))
-            highest = max([highest, *(each.promised for each in replies)])
-            granted = [each for each in replies if each.granted]
-            if len(granted) < self.majority:
-                self._give_up_if_alone(replies)
+            replies = await self._ask_all_members(lambda n, ballot=ballot: Prepare(n, key, ballot))
+            highest = max([highest, *(each.promised_ballot for each in replies)])
+            promises = [each for each in replies if each.is_granted]
+            if len(promises) < self.majority:
+                self._require_majority(replies)
                 continue
-            latest = max(granted, key=lambda each: each.accepted)
-            value = change(latest.value)
+            latest = max(promises, key=lambda each: each.accepted_ballot)
+            value = compute_value(latest.value)
             if value is None:  # nothing there and nothing to be written
                 return None
-            replies = await self._round(lambda n, b=ballot, v=value: Accept(n, key, b, v))
-            highest = max([highest, *(each.promised for each in replies)])
-            if sum(each.granted for each in replies) >= self.majority:
+            replies = await self._ask_all_members(lambda n, b=ballot, v=value: Accept(n, key, b, v))
+            highest = max([highest, *(each.promised_ballot for each in replies)])
+            if sum(each.is_granted for each in replies) >= self.majority:
                 return value
-            self._give_up_if_alone(replies)
+            self._require_majority(replies)
         raise NoMajority(f"{key}: other members kept changing it")
 
-    async def reachable(self) -> int:
+    async def count_reachable_members(self) -> int:
         """How many members answer now, ourselves among them."""
-        return len(await self._round(Ping))
+        return len(await self._ask_all_members(Ping))
 
-    async def read(self, key: str) -> str | None:
+    async def read_through_change(self, key: str) -> str | None:
         return await self.change(key, lambda value: value)
 
-    async def look(self, key: str) -> str | None:
+    async def read_register(self, key: str) -> str | None:
         """What the register holds, linearizably, without a write where that can be told: if a majority names
         one ballot as accepted and nobody a higher one, its value is chosen, and no later write had ended when
         we began to ask. May raise NoMajority."""
-        replies = await self._round(lambda n: Look(n, key, self.member))
-        self._give_up_if_alone(replies)
-        latest = max(replies, key=lambda each: each.accepted)
-        if sum(each.accepted == latest.accepted for each in replies) >= self.majority:
-            return latest.value
-        return await self.read(key)
+        replies = await self._ask_all_members(lambda n: ReadRegister(n, key, self.member))
+        self._require_majority(replies)
+        newest = max(replies, key=lambda each: each.accepted_ballot)
+        if sum(each.accepted_ballot == newest.accepted_ballot for each in replies) >= self.majority:
+            return newest.value
+        return await self.read_through_change(key)
 
     async def compare_and_set(self, key: str, expected: str | None, value: str) -> str | None:
         """Returns what stands then; the caller won if that is its value, so values should be unique."""
         return await self.change(key, lambda held: value if held == expected else held)
 
-    def _give_up_if_alone(self, replies: list[Reply]) -> None:
+    def _require_majority(self, replies: list[RegisterReply]) -> None:
         if len(replies) < self.majority:
             raise NoMajority(
                 f"{len(replies)} of {len(self.peers) + 1} members answered, {self.majority} are needed"
             )
 
-    async def _round(self, make: Callable[[int], Prepare | Accept | Look | Ping]) -> list[Reply]:
+    async def _ask_all_members(
+        self, make_message: Callable[[int], Prepare | Accept | ReadRegister | Ping]
+    ) -> list[RegisterReply]:
         """Ask all members; the replies that came until a majority was clear or time was up."""
-        asked = [peer.ask(make(next(self.numbers))) for peer in self.peers]
-        replies = [self.acceptor.answer(make(next(self.numbers)))]
-        enough: Future[None] = Future()
-        heard_of = 0
-
-        def heard(done: Future[Reply | None]) -> None:
-            nonlocal heard_of
-            if done.cancelled() or enough.done():
+        pending_replies = [peer.send_request(make_message(next(self.message_ids))) for peer in self.peers]
+        replies = [self.acceptor.handle_message(make_message(next(self.message_ids)))]
+        majority_reached: Future[None] = Future()
+        settled_count = 0
+
+        def count_reply(done: Future[RegisterReply | None]) -> None:
+            nonlocal settled_count
+            if done.cancelled() or majority_reached.done():
                 return
             # A reply that is there but not yet heard must not be taken for one that will not come.
-            heard_of += 1
+            settled_count += 1
             if done.result() is not None:
                 replies.append(done.result())
-            if sum(each.granted for each in replies) >= self.majority or heard_of == len(asked):
-                enough.set_result(None)
+            if sum(each.is_granted for each in replies) >= self.majority or settled_count == len(
+                pending_replies
+            ):
+                majority_reached.set_result(None)
 
         if len(replies) < self.majority:
-            for each in asked:
-                each.add_done_callback(heard)
+            for each in pending_replies:
+                each.add_done_callback(count_reply)
             try:
-                await with_timeout(self.wait, enough)
+                await with_timeout(self.round_timeout, majority_reached)
             except WaitOver:
                 pass
-        for each in asked:
+        for each in pending_replies:
             each.cancel()
         return list(replies)
--- a/spanwing/wire/address.py
+++ b/spanwing/wire/address.py
@@ -20,7 +20,7 @@
     port: int
 
     @property
-    def target(self) -> tuple[str, int]:
+    def socket_address(self) -> tuple[str, int]:
         return (self.host, self.port)
 
     def __str__(self) -> str:
@@ -48,18 +48,20 @@
     return socket.socket(_family(address), socket.SOCK_STREAM)
 
 
-class Listening(NamedTuple):
+class ListeningSocket(NamedTuple):
     """A listening socket: its address, with the port that the system chose for 0, and what closes it."""
 
     address: Address
     close: Callable[[], None]
-    accepting: Callable[[bool], None] = lambda accepts: None  # stop accepting for a while, and go on
-    last: Callable[[], None] = lambda: None  # accept what waits to be, and close, with nothing in between
+    set_accepting: Callable[[bool], None] = lambda accepts: None  # stop accepting for a while, and go on
+    accept_pending_and_close: Callable[[], None] = lambda: (
+        None
+    )  # accept what waits to be, and close, with nothing in between
 
 
-def inherited(number: int) -> socket.socket:
+def adopt_listening_socket(descriptor: int) -> socket.socket:
     """The listening socket that whoever started us holds open under this descriptor. Raises OSError."""
-    sock = socket.socket(fileno=number)
+    sock = socket.socket(fileno=descriptor)
     if not (
         sock.family in (socket.AF_INET, socket.AF_INET6)
         and sock.type == socket.SOCK_STREAM
@@ -71,82 +73,88 @@
 
 
 def listen(
-    address: Address, accept: Callable[[socket.socket], None], shared: socket.socket | None = None
-) -> Listening:
+    address: Address,
+    on_connection: Callable[[socket.socket], None],
+    shared_socket: socket.socket | None = None,
+) -> ListeningSocket:
     """Listen on exactly this address, or take part in a socket that other processes accept on too: that one
     is closed here at the end, and never shut down. Raises OSError."""
-    sock = shared or open_socket(address)
-    sock.setblocking(False)
-    if shared is None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening_socket = shared_socket or open_socket(address)
+    listening_socket.setblocking(False)
+    if shared_socket is None:
+        listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            sock.bind(address.target)
+            listening_socket.bind(address.socket_address)
         except OSError:
-            sock.close()
+            listening_socket.close()
             raise
-        sock.listen(512)
-    removing: list[Callable[[], None]] = []
+        listening_socket.listen(512)
+    remove_handlers: list[Callable[[], None]] = []
 
-    def accepting(accepts: bool) -> None:
-        if accepts and not removing:
-            removing.append(add_accept_handler(sock, lambda connection, _: accept(connection)))
-        elif not accepts and removing:
-            removing.pop()()
+    def set_accepting(accepts: bool) -> None:
+        if accepts and not remove_handlers:
+            remove_handlers.append(
+                add_accept_handler(listening_socket, lambda connection, _: on_connection(connection))
+            )
+        elif not accepts and remove_handlers:
+            remove_handlers.pop()()
 
     def close() -> None:
-        accepting(False)
-        sock.close()
+        set_accepting(False)
+        listening_socket.close()
 
-    def last() -> None:
+    def accept_pending_and_close() -> None:
         with suppress(OSError):
-            while removing:  # what waits in the backlog of a listener that closes is reset
-                accept(sock.accept()[0])
+            while remove_handlers:  # what waits in the backlog of a listener that closes is reset
+                on_connection(listening_socket.accept()[0])
         close()
 
-    accepting(True)
-    return Listening(Address(*sock.getsockname()[:2]), close, accepting, last)
+    set_accepting(True)
+    return ListeningSocket(
+        Address(*listening_socket.getsockname()[:2]), close, set_accepting, accept_pending_and_close
+    )
 
 
-def listen_unix(path: str, accept: Callable[[socket.socket], None]) -> Listening:
+def listen_unix(path: str, on_connection: Callable[[socket.socket], None]) -> ListeningSocket:
     """Listen on a path that only our own user may use; one left by a process that has ended is replaced.
     Raises OSError."""
-    _remove_dead(path)
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    sock.setblocking(False)
+    _remove_stale_socket(path)
+    listening_socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    listening_socket.setblocking(False)
     mask = os.umask(0o177)  # its mode must be right from the first moment on
     try:
-        sock.bind(path)
+        listening_socket.bind(path)
     except OSError:
-        sock.close()
+        listening_socket.close()
         raise
     finally:
         os.umask(mask)
-    ours = os.stat(path)
-    sock.listen(16)
-    remove = add_accept_handler(sock, lambda connection, _: accept(connection))
+    own_stat = os.stat(path)
+    listening_socket.listen(16)
+    remove_handler = add_accept_handler(listening_socket, lambda connection, _: on_connection(connection))
 
     def close() -> None:
-        remove()
-        sock.close()
+        remove_handler()
+        listening_socket.close()
         try:
-            there = os.stat(path)
-            if (there.st_dev, there.st_ino) == (ours.st_dev, ours.st_ino):
+            current_stat = os.stat(path)
+            if (current_stat.st_dev, current_stat.st_ino) == (own_stat.st_dev, own_stat.st_ino):
                 os.unlink(path)
         except OSError:
             pass  # already gone
 
-    return Listening(Address(path, 0), close)
+    return ListeningSocket(Address(path, 0), close)
 
 
-def _remove_dead(path: str) -> None:
+def _remove_stale_socket(path: str) -> None:
     try:
         if not stat.S_ISSOCK(os.stat(path).st_mode):
             raise OSError(17, "something else is there")
     except FileNotFoundError:
         return
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as asked:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe_socket:
         try:
-            asked.connect(path)
+            probe_socket.connect(path)
         except ConnectionRefusedError:
             os.unlink(path)
             return
--- a/spanwing/wire/buffers.py
+++ b/spanwing/wire/buffers.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-SIZE = 8192
-KEPT = 256  # spare ones at most
-SINK = 65536
+BUFFER_BYTES = 8192
+MAX_SPARE_BUFFERS = 256  # spare ones at most
+SINK_BYTES = 65536
 
 
 class BufferPool:
     """Hands out buffers; whoever takes one gives it back."""
 
     def __init__(self) -> None:
-        self.spare: list[bytearray] = []
-        self.sink = bytearray(SINK)  # one for all, for bytes that nobody will look at
+        self.spare_buffers: list[bytearray] = []
+        self.sink = bytearray(SINK_BYTES)  # one for all, for bytes that nobody will look at
 
-    def take(self) -> bytearray:
-        return self.spare.pop() if self.spare else bytearray(SIZE)
+    def acquire(self) -> bytearray:
+        return self.spare_buffers.pop() if self.spare_buffers else bytearray(BUFFER_BYTES)
 
-    def give(self, buffer: bytearray) -> None:
-        if len(self.spare) < KEPT:
-            self.spare.append(buffer)
+    def release(self, buffer: bytearray) -> None:
+        if len(self.spare_buffers) < MAX_SPARE_BUFFERS:
+            self.spare_buffers.append(buffer)
