--- a/spanwing/wire/http.py
+++ b/spanwing/wire/http.py
@@ -11,11 +11,11 @@
 from spanwing.wire.buffers import BufferPool
 from spanwing.wire.stream import PooledStream
 
-MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024
-TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-TARGET = re.compile(r"[!-~]+")
-REASONS = {
+MAX_HEAD_BYTES = 16 * 1024
+MAX_BODY_BYTES = 64 * 1024
+TOKEN_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+TARGET_PATTERN = re.compile(r"[!-~]+")
+REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
     204: "No Content",
@@ -44,39 +44,39 @@
 
 
 @dataclass(slots=True)
-class Message:
+class HttpMessage:
     """A request (method, target) or a response (status)."""
 
     method: str
     target: str
     status: int
     headers: dict[str, str]  # names in lower case
-    keep: bool
+    keep_alive: bool
     body: bytes = b""
 
 
-class Parser:
+class HttpParser:
     """Bytes are appended to data as they come; gives whole messages."""
 
-    def __init__(self, responses: bool = False) -> None:
-        self.responses = responses
+    def __init__(self, parses_responses: bool = False) -> None:
+        self.parses_responses = parses_responses
         self.data = bytearray()
-        self.head: Message | None = None
-        self.left: int | None = 0  # of the body; None: until the connection ends
-        self.chunked = False
-        self.chunk = -1  # bytes left of a chunk with its line end; -1: its size line comes next
+        self.head: HttpMessage | None = None
+        self.remaining_body: int | None = 0  # of the body; None: until the connection ends
+        self.is_chunked = False
+        self.remaining_chunk = -1  # bytes left of a chunk with its line end; -1: its size line comes next
         self.body = bytearray()
 
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """Between messages, with nothing read ahead."""
         return self.head is None and not self.data
 
-    def next(self, ended: bool = False) -> Message | None:
+    def next_message(self, has_ended: bool = False) -> HttpMessage | None:
         """The next whole message, if it is there; ended: no more bytes will come."""
         if self.head is None and not self._read_head():
             return None
-        done = self._read_chunks() if self.chunked else self._read_plain(ended)
-        if not done:
+        is_complete = self._read_chunks() if self.is_chunked else self._read_body(has_ended)
+        if not is_complete:
             return None
         message, self.head = self.head, None
         message.body, self.body = bytes(self.body), bytearray()
@@ -86,71 +86,75 @@
         while self.data[:2] == b"\r\n":  # empty lines before a message are passed over, as RFC 9112 asks
             del self.data[:2]
         end = self.data.find(b"\r\n\r\n")
-        if end < 0 and len(self.data) <= MAX_HEAD:
+        if end < 0 and len(self.data) <= MAX_HEAD_BYTES:
             return False
-        if end < 0 or end > MAX_HEAD:
+        if end < 0 or end > MAX_HEAD_BYTES:
             raise HttpError(431, "head too large")
         lines = self.data[:end].decode("latin-1").split("\r\n")
         del self.data[: end + 4]
         headers: dict[str, str] = {}
         for line in lines[1:]:
             name, colon, value = line.partition(":")
-            if not colon or not TOKEN.fullmatch(name):
+            if not colon or not TOKEN_PATTERN.fullmatch(name):
                 raise HttpError(400, "malformed header")
             name, value = name.lower(), value.strip(" \t")
             if name in ("content-length", "host") and headers.get(name, value) != value:
                 raise HttpError(400, f"{name} differs")
             headers[name] = value
-        self.head = self._first_line(lines[0], headers)
-        self._frame(headers)
+        self.head = self._parse_first_line(lines[0], headers)
+        self._set_framing(headers)
         return True
 
-    def _first_line(self, line: str, headers: dict[str, str]) -> Message:
+    def _parse_first_line(self, line: str, headers: dict[str, str]) -> HttpMessage:
         parts = line.split(" ", 2)
-        if len(parts) < 2 or (not self.responses and len(parts) != 3):
+        if len(parts) < 2 or (not self.parses_responses and len(parts) != 3):
             raise HttpError(400, "malformed first line")
-        version = parts[0] if self.responses else parts[2]
+        version = parts[0] if self.parses_responses else parts[2]
         if not re.fullmatch(r"HTTP/\d\.\d", version):
             raise HttpError(400, "no HTTP version")
         if version not in ("HTTP/1.1", "HTTP/1.0"):
             raise HttpError(505, "another HTTP version")
-        words = headers.get("connection", "").lower()
-        keep = "close" not in words and (version == "HTTP/1.1" or "keep-alive" in words)
-        if self.responses:
+        connection_options = headers.get("connection", "").lower()
+        keep_alive = "close" not in connection_options and (
+            version == "HTTP/1.1" or "keep-alive" in connection_options
+        )
+        if self.parses_responses:
             if not re.fullmatch(r"[1-5]\d\d", parts[1]):
                 raise HttpError(400, "malformed status")
-            return Message("", "", int(parts[1]), headers, keep)
-        if not TOKEN.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1]):
+            return HttpMessage("", "", int(parts[1]), headers, keep_alive)
+        if not TOKEN_PATTERN.fullmatch(parts[0]) or not TARGET_PATTERN.fullmatch(parts[1]):
             raise HttpError(400, "malformed first line")
-        return Message(parts[0], parts[1], 0, headers, keep)
+        return HttpMessage(parts[0], parts[1], 0, headers, keep_alive)
 
-    def _frame(self, headers: dict[str, str]) -> None:
-        coding, length = headers.get("transfer-encoding"), headers.get("content-length")
-        self.chunked, self.left, self.chunk = coding is not None, 0, -1
-        if coding is not None:
+    def _set_framing(self, headers: dict[str, str]) -> None:
+        transfer_coding, length = headers.get("transfer-encoding"), headers.get("content-length")
+        self.is_chunked, self.remaining_body, self.remaining_chunk = transfer_coding is not None, 0, -1
+        if transfer_coding is not None:
             # Two lengths let a request be read in two ways; only one form is taken.
-            if length is not None or coding.lower() != "chunked":
+            if length is not None or transfer_coding.lower() != "chunked":
                 raise HttpError(400 if length is not None else 501, "transfer coding")
         elif length is not None:
             if not re.fullmatch(r"[0-9]{1,18}", length):
                 raise HttpError(400, "malformed content-length")
-            self.left = int(length)
-            if self.left > MAX_BODY:
+            self.remaining_body = int(length)
+            if self.remaining_body > MAX_BODY_BYTES:
                 raise HttpError(413, "body too large")
-        elif self.responses and self.head.status not in (204, 304):
-            self.left, self.head.keep = None, False
-
-    def _read_plain(self, ended: bool) -> bool:
-        take = len(self.data) if self.left is None else min(self.left, len(self.data))
-        self._move(take)
-        if self.left is None:
-            return ended
-        self.left -= take
-        return self.left == 0
+        elif self.parses_responses and self.head.status not in (204, 304):
+            self.remaining_body, self.head.keep_alive = None, False
+
+    def _read_body(self, has_ended: bool) -> bool:
+        available = (
+            len(self.data) if self.remaining_body is None else min(self.remaining_body, len(self.data))
+        )
+        self._append_body(available)
+        if self.remaining_body is None:
+            return has_ended
+        self.remaining_body -= available
+        return self.remaining_body == 0
 
     def _read_chunks(self) -> bool:
         while True:
-            if self.chunk < 0:
+            if self.remaining_chunk < 0:
                 end = self.data.find(b"\r\n")
                 if end < 0:
                     if len(self.data) > 1024:
@@ -162,30 +166,30 @@
                 if size.strip("0") == "":
                     return self._read_trailer(end)
                 del self.data[: end + 2]
-                self.chunk = int(size, 16)
-            if len(self.body) + self.chunk > MAX_BODY:
+                self.remaining_chunk = int(size, 16)
+            if len(self.body) + self.remaining_chunk > MAX_BODY_BYTES:
                 raise HttpError(413, "body too large")
-            if len(self.data) < self.chunk + 2:
+            if len(self.data) < self.remaining_chunk + 2:
                 return False
-            self._move(self.chunk)
+            self._append_body(self.remaining_chunk)
             if self.data[:2] != b"\r\n":
                 raise HttpError(400, "malformed chunk")
             del self.data[:2]
-            self.chunk = -1
+            self.remaining_chunk = -1
 
-    def _read_trailer(self, at: int) -> bool:
-        if self.data[at + 2 : at + 4] == b"\r\n":
-            del self.data[: at + 4]
+    def _read_trailer(self, offset: int) -> bool:
+        if self.data[offset + 2 : offset + 4] == b"\r\n":
+            del self.data[: offset + 4]
             return True
-        end = self.data.find(b"\r\n\r\n", at)
-        if end < 0 and len(self.data) > MAX_HEAD:
+        end = self.data.find(b"\r\n\r\n", offset)
+        if end < 0 and len(self.data) > MAX_HEAD_BYTES:
             raise HttpError(431, "trailer too large")
         if end >= 0:
             del self.data[: end + 4]
         return end >= 0
 
-    def _move(self, count: int) -> None:
-        if len(self.body) + count > MAX_BODY:
+    def _append_body(self, count: int) -> None:
+        if len(self.body) + count > MAX_BODY_BYTES:
             raise HttpError(413, "body too large")
         self.body += self.data[:count]
         del self.data[:count]
@@ -194,30 +198,34 @@
 class HttpStream(PooledStream):
     """A connection that carries HTTP messages."""
 
-    def __init__(self, stream: IOStream, buffers: BufferPool, responses: bool = False) -> None:
+    def __init__(self, stream: IOStream, buffers: BufferPool, parses_responses: bool = False) -> None:
         super().__init__(stream, buffers)
-        self.parser = Parser(responses)
+        self.parser = HttpParser(parses_responses)
 
-    async def receive(self, whole_s: float | None = None, fresh: bool = False) -> Message | None:
+    async def receive(self, timeout_s: float | None = None, is_fresh: bool = False) -> HttpMessage | None:
         """The next message; None when the connection ended first. One that has begun must be there whole
         after whole_s; on a fresh connection that time runs already."""
         try:
             while True:
-                message = self.parser.next()
+                message = self.parser.next_message()
                 if message is not None:
                     return message
-                if self.patience is None and whole_s is not None and (fresh or not self.parser.idle()):
-                    self.patience = IOLoop.current().call_later(whole_s, self._stalled)
+                if (
+                    self.message_timer is None
+                    and timeout_s is not None
+                    and (is_fresh or not self.parser.is_idle())
+                ):
+                    self.message_timer = IOLoop.current().call_later(timeout_s, self._handle_stall)
                 if not await self.read(self.parser.data):
-                    return self.parser.next(ended=True)
+                    return self.parser.next_message(has_ended=True)
         finally:
-            self.waits_no_more()
+            self.cancel_message_timer()
 
-    def take_ahead(self) -> None:
+    def collect_read_ahead(self) -> None:
         """While no message is waited for: what the stream has read of the next one is taken in now."""
-        if self.reading is not None:  # what came so far went where it was read ahead to
-            if self.reading.done():
-                self._take_in(self.parser.data)
+        if self.pending_read is not None:  # what came so far went where it was read ahead to
+            if self.pending_read.done():
+                self._collect_read(self.parser.data)
             return
         buffer = bytearray(self.stream.max_buffer_size)
         read = self.stream.read_into(buffer, partial=True)
@@ -226,46 +234,46 @@
         else:
             read.add_done_callback(lambda read: read.exception())  # nothing was there, and nobody waits
 
-    def _stalled(self) -> None:
+    def _handle_stall(self) -> None:
         """Half a message gets an answer; who said nothing is owed none."""
-        if self.parser.idle():
-            if self.silent():
+        if self.parser.is_idle():
+            if self.has_no_pending_input():
                 self.close()
             else:  # its request lies there, or its end: closing now would lose it
-                self.patience = IOLoop.current().call_later(0, self._stalled)
+                self.message_timer = IOLoop.current().call_later(0, self._handle_stall)
         else:
-            self.last_words(response_bytes(408, b"not whole in time", keep=False))
+            self.write_and_close(encode_response(408, b"not whole in time", keep_alive=False))
 
-    def fresh(self) -> bool:
+    def is_reusable(self) -> bool:
         """Whether a request may be written: the connection is open and stands between messages. The stream
         reads also while nobody asks it to, and what it has fetched so would be taken for the answer: the
         answer's read is begun here, and must find nothing."""
         try:
-            return self.parser.idle() and not self._begin().done() and self.silent()
+            return self.parser.is_idle() and not self._begin_read().done() and self.has_no_pending_input()
         except StreamClosedError:
             return False
 
 
-def request_bytes(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+def encode_request(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def response_bytes(
+def encode_response(
     status: int,
     body: bytes = b"",
-    keep: bool = True,
-    bare: bool = False,
+    keep_alive: bool = True,
+    head_only: bool = False,
     headers: dict[str, str] | None = None,
 ) -> bytes:
     """bare: the head alone, as a HEAD request asks for."""
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
+    lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Other')}"]
     if headers:
         lines += [f"{name}: {value}" for name, value in headers.items()]
     if status != 204:
         lines.append(f"Content-Length: {len(body)}")
-    if not keep:
+    if not keep_alive:
         lines.append("Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (b"" if bare else body)
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (b"" if head_only else body)
--- a/spanwing/wire/meter.py
+++ b/spanwing/wire/meter.py
@@ -18,29 +18,32 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.spent, self.since = 0.0, time.monotonic()
-        self.limit, self.alarm = math.inf, lambda: None
+        self.busy_total_s, self.woke_at_s = 0.0, time.monotonic()
+        self.alarm_at_busy_s, self.on_alarm = math.inf, lambda: None
 
     def select(self, timeout=None):
-        self.spent += time.monotonic() - self.since
-        if self.spent >= self.limit:
-            self.limit, timeout = math.inf, 0  # what the alarm has asked of the loop must not wait for input
-            self.alarm()
+        self.busy_total_s += time.monotonic() - self.woke_at_s
+        if self.busy_total_s >= self.alarm_at_busy_s:
+            self.alarm_at_busy_s, timeout = (
+                math.inf,
+                0,
+            )  # what the alarm has asked of the loop must not wait for input
+            self.on_alarm()
         try:
             return super().select(timeout)
         finally:
-            self.since = time.monotonic()
+            self.woke_at_s = time.monotonic()
 
-    def busy(self) -> float:
+    def busy_s(self) -> float:
         """Up to now, the present turn of the loop included."""
-        return self.spent + time.monotonic() - self.since
+        return self.busy_total_s + time.monotonic() - self.woke_at_s
 
-    def watch(self, seconds: float, alarm: Callable[[], None]) -> None:
+    def set_alarm(self, busy_s: float, on_alarm: Callable[[], None]) -> None:
         """Call once after so much more busy time, on the loop, between two of its turns."""
-        self.limit, self.alarm = self.spent + seconds, alarm
+        self.alarm_at_busy_s, self.on_alarm = self.busy_total_s + busy_s, on_alarm
 
 
-def install() -> MeteredSelector:
+def install_metered_loop() -> MeteredSelector:
     """Make an event loop with a meter the current one; before Tornado has made another."""
     selector = MeteredSelector()
     asyncio.set_event_loop(asyncio.SelectorEventLoop(selector))
--- a/spanwing/wire/proxied.py
+++ b/spanwing/wire/proxied.py
@@ -11,13 +11,13 @@
 
 from tornado.ioloop import IOLoop
 
-from spanwing.wire.proxy import Header, parse
+from spanwing.wire.proxy import ProxyHeader, parse_header
 from spanwing.wire.stream import PooledStream
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 
 
-def peer_of(sock: socket.socket) -> str:
+def peer_address_of(sock: socket.socket) -> str:
     """The other side's address; empty where the socket has none or is gone."""
     try:
         return str(sock.getpeername()[0])
@@ -25,30 +25,32 @@
         return ""
 
 
-def listed(peer: str, sources: tuple[Network, ...]) -> bool:
+def is_proxy_source(peer_address: str, sources: tuple[Network, ...]) -> bool:
     """Whether this address has to send a header."""
-    if not sources or not peer:
+    if not sources or not peer_address:
         return False
-    address = ipaddress.ip_address(peer.partition("%")[0])
+    address = ipaddress.ip_address(peer_address.partition("%")[0])
     address = getattr(address, "ipv4_mapped", None) or address
     return any(address in each for each in sources if each.version == address.version)
 
 
-async def real_peer(stream: PooledStream, data: bytearray, whole_s: float, peer: str) -> str | None:
+async def read_peer_address(
+    stream: PooledStream, data: bytearray, timeout_s: float, balancer_address: str
+) -> str | None:
     """Read the header that this balancer (peer) owes; returns whom it speaks for, itself where it tells of
     nobody, None as read_header() does. Raises ProxyError."""
-    header = await read_header(stream, data, whole_s)
+    header = await read_header(stream, data, timeout_s)
     if header is None:
         return None
-    return header.source[0] if header.source else peer
+    return header.source[0] if header.source else balancer_address
 
 
-async def read_header(stream: PooledStream, data: bytearray, whole_s: float) -> Header | None:
+async def read_header(stream: PooledStream, data: bytearray, timeout_s: float) -> ProxyHeader | None:
     """Read one header into data and take it off; None: the connection ended, or it was not whole in time.
     Raises ProxyError."""
-    timer = IOLoop.current().call_later(whole_s, stream.close)
+    timer = IOLoop.current().call_later(timeout_s, stream.close)
     try:
-        while (header := parse(data)) is None:
+        while (header := parse_header(data)) is None:
             if not await stream.read(data):
                 return None
         del data[: header.size]
--- a/spanwing/wire/proxy.py
+++ b/spanwing/wire/proxy.py
@@ -11,49 +11,49 @@
 import struct
 from typing import NamedTuple
 
-SIGNATURE = b"\r\n\r\n\x00\r\nQUIT\n"
-FIRST_V1 = b"PROXY "
-LONGEST_V1 = 107  # with its line end, as the specification has it
-LONGEST = 4096  # of version 2: addresses and all TLVs
-CRC32C = 0x03
-PORT = re.compile(r"0|[1-9][0-9]{0,4}")
-ADDRESS_SIZE = {0: 0, 1: 12, 2: 36, 3: 216}  # by address family
+SIGNATURE_V2 = b"\r\n\r\n\x00\r\nQUIT\n"
+PREFIX_V1 = b"PROXY "
+MAX_V1_BYTES = 107  # with its line end, as the specification has it
+MAX_V2_BYTES = 4096  # of version 2: addresses and all TLVs
+CRC32C_TYPE = 0x03
+PORT_PATTERN = re.compile(r"0|[1-9][0-9]{0,4}")
+ADDRESS_BYTES = {0: 0, 1: 12, 2: 36, 3: 216}  # by address family
 
 
 class ProxyError(ValueError):
     """Not a header of the PROXY protocol."""
 
 
-class Header(NamedTuple):
+class ProxyHeader(NamedTuple):
     """One whole header."""
 
     size: int  # bytes of it
-    local: bool  # the balancer speaks for itself (a check), or does not tell for whom
+    is_local: bool  # the balancer speaks for itself (a check), or does not tell for whom
     source: tuple[str, int] | None = None
     tlvs: tuple[tuple[int, bytes], ...] = ()
 
 
-def parse(data: bytes | bytearray) -> Header | None:
+def parse_header(data: bytes | bytearray) -> ProxyHeader | None:
     """The header that data begins with; None while more is needed. Raises ProxyError."""
-    begin = bytes(data[:12])
-    if len(begin) < 12 and (SIGNATURE.startswith(begin) or FIRST_V1.startswith(begin)):
+    prefix = bytes(data[:12])
+    if len(prefix) < 12 and (SIGNATURE_V2.startswith(prefix) or PREFIX_V1.startswith(prefix)):
         return None
-    if begin == SIGNATURE:
-        return _binary(data)
-    if begin.startswith(FIRST_V1):
-        return _text(data)
+    if prefix == SIGNATURE_V2:
+        return _parse_v2(data)
+    if prefix.startswith(PREFIX_V1):
+        return _parse_v1(data)
     raise ProxyError("no PROXY header")
 
 
-def _text(data: bytes | bytearray) -> Header | None:
-    end = data.find(b"\r\n", 0, LONGEST_V1)
+def _parse_v1(data: bytes | bytearray) -> ProxyHeader | None:
+    end = data.find(b"\r\n", 0, MAX_V1_BYTES)
     if end < 0:
-        if len(data) >= LONGEST_V1:
+        if len(data) >= MAX_V1_BYTES:
             raise ProxyError("PROXY line too long")
         return None
     words = bytes(data[:end]).decode("latin-1").split(" ")
     if words[1] == "UNKNOWN":
-        return Header(end + 2, True)
+        return ProxyHeader(end + 2, True)
     if len(words) != 6 or words[1] not in ("TCP4", "TCP6"):
         raise ProxyError("malformed PROXY line")
     family = ipaddress.IPv4Address if words[1] == "TCP4" else ipaddress.IPv6Address
@@ -61,12 +61,12 @@
         source, _ = family(words[2]), family(words[3])
     except ValueError:
         raise ProxyError("malformed address in a PROXY line") from None
-    if not all(PORT.fullmatch(each) and int(each) < 65536 for each in words[4:]):
+    if not all(PORT_PATTERN.fullmatch(each) and int(each) < 65536 for each in words[4:]):
         raise ProxyError("malformed port in a PROXY line")
-    return Header(end + 2, False, (str(source), int(words[4])))
+    return ProxyHeader(end + 2, False, (str(source), int(words[4])))
 
 
-def _binary(data: bytes | bytearray) -> Header | None:
+def _parse_v2(data: bytes | bytearray) -> ProxyHeader | None:
     if len(data) < 16:
         return None
     version_command, family_protocol, length = struct.unpack_from("!BBH", data, 12)
@@ -77,48 +77,48 @@
     if family > 3 or protocol > 2:
         raise ProxyError("unknown address family in a PROXY header")
     size = 16 + length
-    if size > LONGEST:
+    if size > MAX_V2_BYTES:
         raise ProxyError("PROXY header too long")
     if len(data) < size:
         return None
-    whole = bytes(data[:size])
+    header = bytes(data[:size])
     # A check of the balancer's own may name no addresses, whatever family it gives; its length still holds.
-    fixed = ADDRESS_SIZE[family] if command or length >= ADDRESS_SIZE[family] else 0
-    if length < fixed:
+    address_bytes = ADDRESS_BYTES[family] if command or length >= ADDRESS_BYTES[family] else 0
+    if length < address_bytes:
         raise ProxyError("PROXY header without room for its addresses")
-    tlvs = _tlvs(whole, 16 + fixed)
+    tlvs = _parse_tlvs(header, 16 + address_bytes)
     if command == 0 or family in (0, 3):
-        return Header(size, True, None, tlvs)
-    width = 4 if family == 1 else 16
-    source = ipaddress.ip_address(whole[16 : 16 + width])
-    port = struct.unpack_from("!H", whole, 16 + 2 * width)[0]
-    return Header(size, False, (str(source), port), tlvs)
+        return ProxyHeader(size, True, None, tlvs)
+    host_bytes = 4 if family == 1 else 16
+    source = ipaddress.ip_address(header[16 : 16 + host_bytes])
+    port = struct.unpack_from("!H", header, 16 + 2 * host_bytes)[0]
+    return ProxyHeader(size, False, (str(source), port), tlvs)
 
 
-def _tlvs(whole: bytes, at: int) -> tuple[tuple[int, bytes], ...]:
+def _parse_tlvs(header: bytes, offset: int) -> tuple[tuple[int, bytes], ...]:
     found = []
-    checked = False
-    while at < len(whole):
-        if at + 3 > len(whole):
+    has_checksum = False
+    while offset < len(header):
+        if offset + 3 > len(header):
             raise ProxyError("cut off TLV in a PROXY header")
-        kind, length = struct.unpack_from("!BH", whole, at)
-        value = whole[at + 3 : at + 3 + length]
+        kind, length = struct.unpack_from("!BH", header, offset)
+        value = header[offset + 3 : offset + 3 + length]
         if len(value) < length:
             raise ProxyError("cut off TLV in a PROXY header")
-        if kind == CRC32C:
-            if length != 4 or checked:
+        if kind == CRC32C_TYPE:
+            if length != 4 or has_checksum:
                 raise ProxyError("malformed checksum in a PROXY header")
-            checked = True
-            _check(whole, at + 3)
+            has_checksum = True
+            _verify_checksum(header, offset + 3)
         found.append((kind, value))
-        at += 3 + length
+        offset += 3 + length
     return tuple(found)
 
 
-def _check(whole: bytes, at: int) -> None:
+def _verify_checksum(header: bytes, offset: int) -> None:
     """The checksum counts the header with four zeros in its own place."""
     import google_crc32c  # of spanwing[tools], asked for at the start where this protocol is opened
 
-    told = struct.unpack_from("!I", whole, at)[0]
-    if google_crc32c.value(whole[:at] + bytes(4) + whole[at + 4 :]) != told:
+    expected = struct.unpack_from("!I", header, offset)[0]
+    if google_crc32c.value(header[:offset] + bytes(4) + header[offset + 4 :]) != expected:
         raise ProxyError("wrong checksum in a PROXY header")
--- a/spanwing/wire/stream.py
+++ b/spanwing/wire/stream.py
@@ -15,12 +15,14 @@
 from spanwing.wire.buffers import BufferPool
 
 #: What the kernel says of a side that has closed, also while bytes lie unread before its end.
-ENDED = getattr(select, "POLLRDHUP", 0) | select.POLLERR | select.POLLHUP
-LOOK_S = 0.1  # who has sent more than is taken in ahead is looked at so often: its end cannot be read
-PIECE = 16 * 1024  # bytes of an answer that have to be taken within one wait
+PEER_CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLERR | select.POLLHUP
+PEER_CHECK_INTERVAL_S = (
+    0.1  # who has sent more than is taken in ahead is looked at so often: its end cannot be read
+)
+WRITE_CHUNK_BYTES = 16 * 1024  # bytes of an answer that have to be taken within one wait
 
 
-class LineTooLong(Exception):
+class LineTooLongError(Exception):
     """A line that goes past the limit."""
 
 
@@ -29,105 +31,113 @@
 
     def __init__(self, stream: IOStream, buffers: BufferPool) -> None:
         self.stream, self.buffers = stream, buffers
-        self.reading: Future[int] | None = None
-        self.patience: object = None  # the timer that ends a wait for a message
+        self.pending_read: Future[int] | None = None
+        self.message_timer: object = None  # the timer that ends a wait for a message
         self.buffer: bytearray | None = None  # where the read that is under way puts its bytes
-        self.looking = False
-        self.ahead: tuple[bytearray, int] | None = None  # nobody reads: where what comes goes, and how much
-        self.read_at = 0.0  # of the loop's time: when something came last
+        self.is_checking_peer = False
+        self.read_ahead_into: tuple[bytearray, int] | None = (
+            None  # nobody reads: where what comes goes, and how much
+        )
+        self.last_read_s = 0.0  # of the loop's time: when something came last
         # Every message is one small write; waiting to fill a packet would only delay it.
         stream.set_nodelay(True)
 
     async def read(self, sink: bytearray) -> bool:
         """Append what comes next; False when the connection has ended."""
         try:
-            reading = self._begin()
+            reading = self._begin_read()
             await reading
         except StreamClosedError:
             pass
-        return self._take_in(sink)
+        return self._collect_read(sink)
 
-    def _begin(self) -> Future[int]:
+    def _begin_read(self) -> Future[int]:
         """The read under way; one that was begun ahead goes on."""
-        if self.reading is None:
-            self.buffer = self.buffers.take()
-            self.reading = self.stream.read_into(self.buffer, partial=True)
-        return self.reading
+        if self.pending_read is None:
+            self.buffer = self.buffers.acquire()
+            self.pending_read = self.stream.read_into(self.buffer, partial=True)
+        return self.pending_read
 
-    def _take_in(self, sink: bytearray) -> bool:
+    def _collect_read(self, sink: bytearray) -> bool:
         """What the read that is over has brought; False when the connection has ended."""
-        reading, buffer, self.reading, self.buffer = self.reading, self.buffer, None, None
+        reading, buffer, self.pending_read, self.buffer = self.pending_read, self.buffer, None, None
         if buffer is None:
             return False
-        brought = reading is not None and reading.done() and reading.exception() is None
-        if brought:
+        has_data = reading is not None and reading.done() and reading.exception() is None
+        if has_data:
             sink += memoryview(buffer)[: reading.result()]
-            self.read_at = IOLoop.current().time()
-        self.buffers.give(buffer)
-        return brought
+            self.last_read_s = IOLoop.current().time()
+        self.buffers.release(buffer)
+        return has_data
 
-    def read_ahead(self, sink: bytearray, most: int) -> None:
+    def start_read_ahead(self, sink: bytearray, max_bytes: int) -> None:
         """While nobody reads: take in what comes, so much at most, and with it the other side's end. An end
         behind bytes that lie unread would not be noticed."""
-        self.ahead = sink, most
-        self._go_ahead()
+        self.read_ahead_into = sink, max_bytes
+        self._continue_read_ahead()
 
-    def stop_ahead(self) -> None:
+    def stop_read_ahead(self) -> None:
         """Somebody is about to read. A read that was begun goes on for him."""
-        self.ahead = None
-
-    def _go_ahead(self) -> None:
-        while self.ahead is not None and not self.stream.closed():
-            sink, most = self.ahead
-            if len(sink) >= most:
-                if not self.looking:
-                    self.looking = True
-                    IOLoop.current().call_later(LOOK_S, self._look)
+        self.read_ahead_into = None
+
+    def _continue_read_ahead(self) -> None:
+        while self.read_ahead_into is not None and not self.stream.closed():
+            sink, max_bytes = self.read_ahead_into
+            if len(sink) >= max_bytes:
+                if not self.is_checking_peer:
+                    self.is_checking_peer = True
+                    IOLoop.current().call_later(PEER_CHECK_INTERVAL_S, self._check_peer)
                 return
             try:
-                reading = self._begin()
+                reading = self._begin_read()
             except StreamClosedError:
                 return
             if not reading.done():
-                reading.add_done_callback(self._came)
+                reading.add_done_callback(self._handle_read_ahead)
                 return
-            if not self._take_in(sink):
+            if not self._collect_read(sink):
                 return
 
-    def _came(self, reading: Future[int]) -> None:
-        if reading is self.reading and self.ahead is not None and self._take_in(self.ahead[0]):
-            self._go_ahead()
-
-    def _look(self) -> None:
-        self.looking = False
-        if self.ahead is not None:
-            if self.ended():
+    def _handle_read_ahead(self, reading: Future[int]) -> None:
+        if (
+            reading is self.pending_read
+            and self.read_ahead_into is not None
+            and self._collect_read(self.read_ahead_into[0])
+        ):
+            self._continue_read_ahead()
+
+    def _check_peer(self) -> None:
+        self.is_checking_peer = False
+        if self.read_ahead_into is not None:
+            if self.has_peer_closed():
                 self.close()
-            self._go_ahead()
+            self._continue_read_ahead()
 
-    def ended(self) -> bool:
+    def has_peer_closed(self) -> bool:
         """Whether the other side has closed, asked of the kernel, whatever lies unread before its end."""
         if self.stream.closed():
             return True
-        asked = select.poll()
-        asked.register(self.stream.socket.fileno(), ENDED)
-        return any(told & ENDED for _, told in asked.poll(0))
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), PEER_CLOSED_EVENTS)
+        return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
 
-    def waits(self) -> bool:
+    def is_waiting_for_input(self) -> bool:
         """Whether a read waits here, so that all that was read has been taken in."""
-        return self.reading is not None and not self.reading.done()
+        return self.pending_read is not None and not self.pending_read.done()
 
-    async def write(self, data: bytes, wait_s: float | None = None) -> None:
+    async def write(self, data: bytes, stall_timeout_s: float | None = None) -> None:
         """Write all of it. Where the other side takes nothing for wait_s, the connection is closed: whoever
         does not read would hold it, and a drain, for ever."""
-        if wait_s is None:
+        if stall_timeout_s is None:
             await self.stream.write(data)
             return
-        for start in range(0, len(data), PIECE):
-            written = self.stream.write(data[start : start + PIECE])
+        for start in range(0, len(data), WRITE_CHUNK_BYTES):
+            written = self.stream.write(data[start : start + WRITE_CHUNK_BYTES])
             try:
                 if not written.done():
-                    await with_timeout(timedelta(seconds=wait_s), written, quiet_exceptions=StreamClosedError)
+                    await with_timeout(
+                        timedelta(seconds=stall_timeout_s), written, quiet_exceptions=StreamClosedError
+                    )
             except WaitOver:
                 self.close()
                 raise StreamClosedError from None
@@ -136,29 +146,29 @@
     def close(self) -> None:
         self.stream.close()
 
-    def waits_no_more(self) -> None:
+    def cancel_message_timer(self) -> None:
         """The message that was waited for is there, or the connection has ended."""
-        if self.patience is not None:
-            IOLoop.current().remove_timeout(self.patience)
-            self.patience = None
+        if self.message_timer is not None:
+            IOLoop.current().remove_timeout(self.message_timer)
+            self.message_timer = None
 
-    def last_words(self, data: bytes) -> None:
+    def write_and_close(self, data: bytes) -> None:
         """Write from a timer, where a read still waits, and close: all that came has been read."""
         if not self.stream.closed():
             self.stream.write(data).add_done_callback(lambda written: written.exception())
             self.close()
 
-    async def finish(self, wait_s: float) -> None:
+    async def close_gracefully(self, timeout_s: float) -> None:
         """Close so that what was written last arrives. Closing on unread input makes the kernel send a reset,
         which may overtake the answer: what still comes is passed over until the other side has closed."""
-        self.ahead = None
+        self.read_ahead_into = None
         if self.stream.closed():
             return
-        timer = IOLoop.current().call_later(wait_s, self.close)
+        timer = IOLoop.current().call_later(timeout_s, self.close)
         try:
             self.stream.socket.shutdown(socket.SHUT_WR)
             self.stream.max_buffer_size = len(self.buffers.sink)
-            if self.reading is not None:  # begun ahead
+            if self.pending_read is not None:  # begun ahead
                 await self.read(bytearray())
             while True:
                 await self.stream.read_into(self.buffers.sink, partial=True)
@@ -169,10 +179,10 @@
             IOLoop.current().remove_timeout(timer)
             self.close()
 
-    def silent(self) -> bool:
+    def has_no_pending_input(self) -> bool:
         """Whether the other side neither closed nor said anything: asked of the kernel, just before use. What
         a read has fetched from there counts as said before the reader has its turn."""
-        if self.stream.closed() or (self.reading is not None and self.reading.done()):
+        if self.stream.closed() or (self.pending_read is not None and self.pending_read.done()):
             return False
         try:
             self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -186,38 +196,40 @@
 class LineStream(PooledStream):
     """Lines that end in LF or CRLF."""
 
-    def __init__(self, stream: IOStream, buffers: BufferPool, longest: int) -> None:
+    def __init__(self, stream: IOStream, buffers: BufferPool, max_line_bytes: int) -> None:
         super().__init__(stream, buffers)
-        self.data, self.longest = bytearray(), longest
+        self.data, self.max_line_bytes = bytearray(), max_line_bytes
 
-    async def line(
-        self, whole_s: float | None = None, fresh: bool = False, late: bytes = b""
+    async def read_line(
+        self, timeout_s: float | None = None, is_fresh: bool = False, timeout_reply: bytes = b""
     ) -> bytes | None:
         """The next line; None when the connection ended first. One that has begun must be there whole after
         whole_s, else late is said; on a fresh connection that time runs already."""
         try:
-            while (line := self._line()) is None:
-                if self.patience is None and whole_s is not None and (fresh or self.data):
-                    self.patience = IOLoop.current().call_later(whole_s, self._stalled, late)
+            while (line := self._next_line()) is None:
+                if self.message_timer is None and timeout_s is not None and (is_fresh or self.data):
+                    self.message_timer = IOLoop.current().call_later(
+                        timeout_s, self._handle_stall, timeout_reply
+                    )
                 if not await self.read(self.data):
                     return None
             return line
         finally:
-            self.waits_no_more()
+            self.cancel_message_timer()
 
-    def _stalled(self, late: bytes) -> None:
+    def _handle_stall(self, timeout_reply: bytes) -> None:
         if self.data:
-            self.last_words(late)
-        elif self.silent():
+            self.write_and_close(timeout_reply)
+        elif self.has_no_pending_input():
             self.close()
         else:  # something lies there: closing now would lose it
-            self.patience = IOLoop.current().call_later(0, self._stalled, late)
+            self.message_timer = IOLoop.current().call_later(0, self._handle_stall, timeout_reply)
 
-    def _line(self) -> bytes | None:
+    def _next_line(self) -> bytes | None:
         """The line that is there already."""
         end = self.data.find(b"\n")
-        if end > self.longest or (end < 0 and len(self.data) > self.longest):
-            raise LineTooLong
+        if end > self.max_line_bytes or (end < 0 and len(self.data) > self.max_line_bytes):
+            raise LineTooLongError
         if end < 0:
             return None
         line = bytes(self.data[:end])
--- a/spanwing/world/account.py
+++ b/spanwing/world/account.py
@@ -11,9 +11,9 @@
 from collections import Counter
 from typing import Literal, NamedTuple
 
-Place = Literal["client", "on its way", "scheduler", "answer on its way", "waits to retry", "over"]
+RequestStage = Literal["client", "on its way", "scheduler", "answer on its way", "waits to retry", "over"]
 #: From where a request may go where; a new one is at its client.
-MOVES: dict[str, frozenset[str]] = {
+STAGE_TRANSITIONS: dict[str, frozenset[str]] = {
     "client": frozenset({"on its way", "over"}),
     "on its way": frozenset({"scheduler", "answer on its way", "over"}),
     "scheduler": frozenset({"answer on its way", "over"}),
@@ -22,57 +22,60 @@
 }
 
 
-class Work(NamedTuple):
+class WorkTotals(NamedTuple):
     """Where work went, in ms at speed 1."""
 
     done: float
     wasted: float
     under_way: float
     withdrawn: float
-    still_to_do: float
-    busy: float  # what workers did, from their rates alone
+    remaining: float
+    processed: float  # what workers did, from their rates alone
 
 
-class Account:
+class RequestAccounting:
     """Of one world."""
 
     def __init__(self) -> None:
-        self.places: dict[str, str] = {}  # of requests that are not over
-        self.counts: Counter[str] = Counter()
-        self.made = 0
-        self.work_asked = 0.0  # of all attempts that workers took
+        self.stage_by_request: dict[str, str] = {}  # of requests that are not over
+        self.count_by_stage: Counter[str] = Counter()
+        self.request_count = 0
+        self.requested_work = 0.0  # of all attempts that workers took
 
-    def make(self, request: str) -> None:
-        assert request not in self.places, request
-        self.places[request] = "client"
-        self.counts["client"] += 1
-        self.made += 1
+    def add_request(self, request_id: str) -> None:
+        assert request_id not in self.stage_by_request, request_id
+        self.stage_by_request[request_id] = "client"
+        self.count_by_stage["client"] += 1
+        self.request_count += 1
 
-    def move(self, request: str, place: Place) -> None:
-        before = self.places[request]
-        assert place in MOVES[before], (request, before, place)
-        self.counts[before] -= 1
-        self.counts[place] += 1
-        if place == "over":
-            del self.places[request]
+    def set_stage(self, request_id: str, stage: RequestStage) -> None:
+        previous_stage = self.stage_by_request[request_id]
+        assert stage in STAGE_TRANSITIONS[previous_stage], (request_id, previous_stage, stage)
+        self.count_by_stage[previous_stage] -= 1
+        self.count_by_stage[stage] += 1
+        if stage == "over":
+            del self.stage_by_request[request_id]
         else:
-            self.places[request] = place
+            self.stage_by_request[request_id] = stage
 
-    def at(self, request: str) -> str:
-        return self.places.get(request, "over")
+    def stage_of(self, request_id: str) -> str:
+        return self.stage_by_request.get(request_id, "over")
 
-    def check(self) -> None:
+    def check_requests(self) -> None:
         """Raises AssertionError if a request is nowhere or in two places."""
-        assert sum(self.counts.values()) == self.made, (dict(self.counts), self.made)
-        assert self.made - self.counts["over"] == len(self.places)
-        assert min(self.counts.values(), default=0) >= 0, dict(self.counts)
+        assert sum(self.count_by_stage.values()) == self.request_count, (
+            dict(self.count_by_stage),
+            self.request_count,
+        )
+        assert self.request_count - self.count_by_stage["over"] == len(self.stage_by_request)
+        assert min(self.count_by_stage.values(), default=0) >= 0, dict(self.count_by_stage)
 
-    def work(self, work: Work, attempts: int) -> None:
+    def check_work(self, totals: WorkTotals, attempt_count: int) -> None:
         """Raises AssertionError if work was lost or made."""
-        nearly = 1e-3 * max(1, attempts)
-        worked = work.done + work.wasted + work.under_way
-        assert abs(worked - work.busy) <= nearly, work
-        assert abs(worked + work.withdrawn + work.still_to_do - self.work_asked) <= nearly, (
-            self.work_asked,
-            work,
+        tolerance = 1e-3 * max(1, attempt_count)
+        processed = totals.done + totals.wasted + totals.under_way
+        assert abs(processed - totals.processed) <= tolerance, totals
+        assert abs(processed + totals.withdrawn + totals.remaining - self.requested_work) <= tolerance, (
+            self.requested_work,
+            totals,
         )
--- a/spanwing/world/agenda.py
+++ b/spanwing/world/agenda.py
@@ -11,51 +11,65 @@
 from collections.abc import Callable
 from typing import Any
 
-MOST = 20_000_000
+MAX_SCHEDULED_CALLS = 20_000_000
 
 
-class Entry:
+class ScheduledCall:
     """One call that is due; strike() takes it back."""
 
-    __slots__ = ("call", "given", "order", "when")
+    __slots__ = ("callback", "arguments", "sequence", "due_at_ms")
 
-    def __init__(self, when: float, order: int, call: Callable[..., object], given: tuple[Any, ...]) -> None:
-        self.when, self.order, self.call, self.given = when, order, call, given
+    def __init__(
+        self, due_at_ms: float, sequence: int, callback: Callable[..., object], arguments: tuple[Any, ...]
+    ) -> None:
+        self.due_at_ms, self.sequence, self.callback, self.arguments = (
+            due_at_ms,
+            sequence,
+            callback,
+            arguments,
+        )
 
-    def strike(self) -> None:
-        self.call = None
+    def cancel(self) -> None:
+        self.callback = None
 
-    def __lt__(self, other: Entry) -> bool:
-        return (self.when, self.order) < (other.when, other.order)
+    def __lt__(self, other: ScheduledCall) -> bool:
+        return (self.due_at_ms, self.sequence) < (other.due_at_ms, other.sequence)
 
 
-class Agenda:
+class EventQueue:
     """Time and what is due."""
 
     def __init__(self) -> None:
-        self.now = 0.0  # ms
-        self.entered = self.made = 0
-        self.due: list[Entry] = []
+        self.now_ms = 0.0  # ms
+        self.scheduled_count = self.executed_count = 0
+        self.pending: list[ScheduledCall] = []
 
-    def at(self, when: float, call: Callable[..., object], *given: Any) -> Entry:
+    def schedule_at(
+        self, due_at_ms: float, callback: Callable[..., object], *arguments: Any
+    ) -> ScheduledCall:
         """Call at this time, at once where it is past."""
-        assert when == when and len(self.due) < MOST, (when, len(self.due))
-        self.entered += 1
-        entry = Entry(max(when, self.now), self.entered, call, given)
-        heapq.heappush(self.due, entry)
-        return entry
-
-    def after(self, delay: float, call: Callable[..., object], *given: Any) -> Entry:
-        return self.at(self.now + delay, call, *given)
-
-    def run(self, until: float) -> None:
+        assert due_at_ms == due_at_ms and len(self.pending) < MAX_SCHEDULED_CALLS, (
+            due_at_ms,
+            len(self.pending),
+        )
+        self.scheduled_count += 1
+        scheduled = ScheduledCall(max(due_at_ms, self.now_ms), self.scheduled_count, callback, arguments)
+        heapq.heappush(self.pending, scheduled)
+        return scheduled
+
+    def schedule_after(
+        self, delay_ms: float, callback: Callable[..., object], *arguments: Any
+    ) -> ScheduledCall:
+        return self.schedule_at(self.now_ms + delay_ms, callback, *arguments)
+
+    def run_until(self, end_ms: float) -> None:
         """Make all calls up to this time; now is that time afterwards."""
-        while self.due and self.due[0].when <= until:
-            entry = heapq.heappop(self.due)
-            if entry.call is None:
+        while self.pending and self.pending[0].due_at_ms <= end_ms:
+            scheduled = heapq.heappop(self.pending)
+            if scheduled.callback is None:
                 continue
-            assert entry.when >= self.now
-            self.now = entry.when
-            self.made += 1
-            entry.call(*entry.given)
-        self.now = max(self.now, until)
+            assert scheduled.due_at_ms >= self.now_ms
+            self.now_ms = scheduled.due_at_ms
+            self.executed_count += 1
+            scheduled.callback(*scheduled.arguments)
+        self.now_ms = max(self.now_ms, end_ms)
--- a/spanwing/world/clients.py
+++ b/spanwing/world/clients.py
@@ -12,10 +12,10 @@
 
 import numpy as np
 
-from spanwing.world.streams import Streams
+from spanwing.world.streams import RandomStreams
 
-Backoff = Literal["none", "at once", "fixed", "exponential"]
-DRAWN = 1024  # values drawn together
+BackoffKind = Literal["none", "at once", "fixed", "exponential"]
+DRAWS_PER_BATCH = 1024  # values drawn together
 
 
 class ClassSpec(NamedTuple):
@@ -23,51 +23,55 @@
 
     name: str
     share: float
-    work: float  # mean, at speed 1
-    dist: Literal["exp", "lognormal", "fixed"] = "exp"
-    cv: float = 1.0
-    aim: float = 300.0
-    deadline: float = 5000.0
-    stretch: float = 0.0  # the aim grows by this multiple of the job's own running time
-    worth: float = 1.0
-    late_worth: float = 0.0  # of its worth, after the aim
-    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    mean_work_ms: float  # mean, at speed 1
+    distribution: Literal["exp", "lognormal", "fixed"] = "exp"
+    work_cv: float = 1.0
+    latency_objective_ms: float = 300.0
+    deadline_ms: float = 5000.0
+    objective_stretch: float = 0.0  # the aim grows by this multiple of the job's own running time
+    priority_weight: float = 1.0
+    late_weight: float = 0.0  # of its worth, after the aim
+    idempotency: Literal["safe", "keyed", "unsafe"] = "safe"
     priority: int = 0
-    kind: str | None = None
-    window: float = 0.0
-    slots: tuple[float, ...] = (1.0,)  # shares of jobs that take 1, 2, 4, 8 slots
+    worker_kind: str | None = None
+    deduplication_window_ms: float = 0.0
+    slot_shares: tuple[float, ...] = (1.0,)  # shares of jobs that take 1, 2, 4, 8 slots
     memory: float = 0.0
 
     def mean_slots(self) -> float:
-        return sum(share * 2**power for power, share in enumerate(self.slots)) / sum(self.slots)
+        return sum(share * 2**power for power, share in enumerate(self.slot_shares)) / sum(self.slot_shares)
 
 
-class BrandSpec(NamedTuple):
+class TenantSpec(NamedTuple):
     """One brand (tenant): its share of the load, and the rate that its allowance permits."""
 
     name: str
     share: float
-    allowance: float = math.inf  # a second
+    quota: float = math.inf  # a second
 
 
-class Retries(NamedTuple):
+class RetrySpec(NamedTuple):
     """What a client does with a refusal."""
 
-    most: int = 0
-    backoff: Backoff = "none"
-    wait: float = 30.0
-    honour: float = 0.6  # of the clients heed a Retry-After
-    jitter: bool = True
+    max_retries: int = 0
+    backoff: BackoffKind = "none"
+    base_backoff_ms: float = 30.0
+    retry_after_honour_share: float = 0.6  # of the clients heed a Retry-After
+    has_jitter: bool = True
 
-    def delay(self, tries: int, told: float, heeds: bool, draw: float) -> float | None:
+    def next_delay_ms(
+        self, attempt_count: int, retry_after_ms: float, honours_retry_after: bool, jitter_draw: float
+    ) -> float | None:
         """ms until the next try after so many; None: no more. told: of Retry-After, draw: in [0, 1)."""
-        if tries > self.most or self.backoff == "none":
+        if attempt_count > self.max_retries or self.backoff == "none":
             return None
-        doubled = self.wait * 2.0 ** (tries - 1)
-        wait = {"at once": 0.0, "fixed": self.wait, "exponential": doubled}[self.backoff]
-        if self.jitter:  # full jitter, so that those who were refused together do not come back together
-            wait *= draw if self.backoff == "exponential" else 0.5 + draw
-        return max(wait, told) if heeds else wait
+        exponential_ms = self.base_backoff_ms * 2.0 ** (attempt_count - 1)
+        delay_ms = {"at once": 0.0, "fixed": self.base_backoff_ms, "exponential": exponential_ms}[
+            self.backoff
+        ]
+        if self.has_jitter:  # full jitter, so that those who were refused together do not come back together
+            delay_ms *= jitter_draw if self.backoff == "exponential" else 0.5 + jitter_draw
+        return max(delay_ms, retry_after_ms) if honours_retry_after else delay_ms
 
 
 class LoadSpec(NamedTuple):
@@ -76,134 +80,147 @@
     rate: float  # requests a second, on average
     swing: float = 0.0  # the rate moves by this part of it, once up and down over the day
     day_ms: float = 60_000.0
-    keys: int = 1000
-    zipf: float = 1.1  # of the keys' popularity
-    impatient: float = 0.0  # of the clients leave before the deadline
-    attempt_noise: float = 0.0  # coefficient of variation of the work from attempt to attempt
-    zones: tuple[tuple[str, float], ...] = ()  # shares of the clients by zone; none: they are of no zone
+    key_count: int = 1000
+    zipf_exponent: float = 1.1  # of the keys' popularity
+    impatient_share: float = 0.0  # of the clients leave before the deadline
+    attempt_work_cv: float = 0.0  # coefficient of variation of the work from attempt to attempt
+    client_zone_shares: tuple[
+        tuple[str, float], ...
+    ] = ()  # shares of the clients by zone; none: they are of no zone
 
 
-class Wanted(NamedTuple):
+class GeneratedRequest(NamedTuple):
     """One request as its client makes it."""
 
     id: str
-    at: float
-    cls: ClassSpec
-    brand: str
-    key: str
-    work: float
-    patience: float  # ms until the client leaves
-    heeds: float  # a draw in [0, 1): below `honour` it heeds a Retry-After
+    arrives_at_ms: float
+    class_spec: ClassSpec
+    tenant: str
+    sticky_key: str
+    work_ms: float
+    patience_ms: float  # ms until the client leaves
+    retry_after_draw: float  # a draw in [0, 1): below `honour` it heeds a Retry-After
     slots: int = 1
     zone: str = ""
 
 
-class Drawn:
+class BufferedDraws:
     """Values of one stream, drawn together and handed out one by one."""
 
-    def __init__(self, draw, count: int = DRAWN) -> None:
-        self.draw, self.count, self.left = draw, count, []
+    def __init__(self, draw_batch, batch_size: int = DRAWS_PER_BATCH) -> None:
+        self.draw_batch, self.batch_size, self.remaining = draw_batch, batch_size, []
 
     def __call__(self) -> float:
-        if not self.left:
-            self.left = self.draw(self.count)[::-1].tolist()
-        return self.left.pop()
+        if not self.remaining:
+            self.remaining = self.draw_batch(self.batch_size)[::-1].tolist()
+        return self.remaining.pop()
 
 
-class Clients:
+class ClientModel:
     """Makes requests one after another."""
 
     def __init__(
-        self, load: LoadSpec, classes: tuple[ClassSpec, ...], brands: tuple[BrandSpec, ...], streams: Streams
+        self,
+        load: LoadSpec,
+        classes: tuple[ClassSpec, ...],
+        tenants: tuple[TenantSpec, ...],
+        streams: RandomStreams,
     ) -> None:
-        assert load.rate > 0 and 0 <= load.swing < 1 and classes and brands
-        self.load, self.classes, self.brands, self.made = load, classes, brands, 0
-        self.floods: dict[str, float] = {}  # brand -> how many times its own load it sends now
-        self.time = 0.0
-        uniform = {
-            name: Drawn(streams.of("clients", name).random)
+        assert load.rate > 0 and 0 <= load.swing < 1 and classes and tenants
+        self.load_spec, self.classes, self.tenants, self.request_count = load, classes, tenants, 0
+        self.load_factor_by_tenant: dict[str, float] = {}  # brand -> how many times its own load it sends now
+        self.last_arrival_ms = 0.0
+        uniform_draws = {
+            name: BufferedDraws(streams.stream("clients", name).random)
             for name in ("thin", "class", "brand", "leave", "heed", "leave when", "slots", "zone")
         }
-        self.uniform = uniform
-        gaps = streams.of("clients", "gap")
-        self.gap = Drawn(lambda count: gaps.exponential(1.0, count))
-        self.work = {
-            each.name: Drawn(_work(each, streams.of("clients", "work", each.name))) for each in classes
+        self.uniform_draws = uniform_draws
+        gap_stream = streams.stream("clients", "gap")
+        self.draw_gap = BufferedDraws(lambda count: gap_stream.exponential(1.0, count))
+        self.draw_work_by_class = {
+            each.name: BufferedDraws(_work_distribution(each, streams.stream("clients", "work", each.name)))
+            for each in classes
         }
-        self.class_at = np.cumsum([each.share for each in classes]) / sum(each.share for each in classes)
-        ranks = np.arange(1, load.keys + 1, dtype=float) ** -load.zipf
-        popular = np.cumsum(ranks) / ranks.sum()
-        keys = streams.of("clients", "key")
-        self.key = Drawn(lambda count: np.searchsorted(popular, keys.random(count)).astype(float))
+        self.cumulative_class_shares = np.cumsum([each.share for each in classes]) / sum(
+            each.share for each in classes
+        )
+        rank_weights = np.arange(1, load.key_count + 1, dtype=float) ** -load.zipf_exponent
+        cumulative_popularity = np.cumsum(rank_weights) / rank_weights.sum()
+        key_stream = streams.stream("clients", "key")
+        self.draw_key = BufferedDraws(
+            lambda count: np.searchsorted(cumulative_popularity, key_stream.random(count)).astype(float)
+        )
 
-    def rate(self, at: float) -> float:
+    def rate_at(self, time_ms: float) -> float:
         """Requests a second at this time of the day."""
-        shape = 1.0 + self.load.swing * math.sin(2 * math.pi * (at / self.load.day_ms - 0.25))
-        return self.load.rate * shape * self._weights()[1]
+        shape = 1.0 + self.load_spec.swing * math.sin(2 * math.pi * (time_ms / self.load_spec.day_ms - 0.25))
+        return self.load_spec.rate * shape * self._tenant_weights()[1]
 
-    def _weights(self) -> tuple[list[float], float]:
-        weights = [each.share * self.floods.get(each.name, 1.0) for each in self.brands]
-        return weights, sum(weights) / sum(each.share for each in self.brands)
+    def _tenant_weights(self) -> tuple[list[float], float]:
+        weights = [each.share * self.load_factor_by_tenant.get(each.name, 1.0) for each in self.tenants]
+        return weights, sum(weights) / sum(each.share for each in self.tenants)
 
-    def next(self) -> Wanted:
+    def next_request(self) -> GeneratedRequest:
         """The next request; its time is never before the last one's."""
-        most = self.load.rate * (1.0 + self.load.swing) * self._weights()[1]
+        max_rate = self.load_spec.rate * (1.0 + self.load_spec.swing) * self._tenant_weights()[1]
         while True:
-            self.time += self.gap() * 1000.0 / most
-            if self.uniform["thin"]() * most <= self.rate(self.time):
-                return self._make()
-
-    def _make(self) -> Wanted:
-        self.made += 1
-        draw = self.uniform
-        cls = self.classes[int(np.searchsorted(self.class_at, draw["class"]()))]
-        weights, _ = self._weights()
-        at = draw["brand"]() * sum(weights)
-        brand = self.brands[-1].name
-        for each, weight in zip(self.brands, weights, strict=True):
-            at -= weight
-            if at < 0:
-                brand = each.name
+            self.last_arrival_ms += self.draw_gap() * 1000.0 / max_rate
+            if self.uniform_draws["thin"]() * max_rate <= self.rate_at(self.last_arrival_ms):
+                return self._make_request()
+
+    def _make_request(self) -> GeneratedRequest:
+        self.request_count += 1
+        uniform_draws = self.uniform_draws
+        class_spec = self.classes[
+            int(np.searchsorted(self.cumulative_class_shares, uniform_draws["class"]()))
+        ]
+        weights, _ = self._tenant_weights()
+        tenant_draw = uniform_draws["brand"]() * sum(weights)
+        tenant = self.tenants[-1].name
+        for each, weight in zip(self.tenants, weights, strict=True):
+            tenant_draw -= weight
+            if tenant_draw < 0:
+                tenant = each.name
                 break
-        patience = cls.deadline
-        leaves, when = draw["leave"](), draw["leave when"]()
-        if leaves < self.load.impatient:
-            patience *= when
-        return Wanted(
-            f"r{self.made:09d}",
-            self.time,
-            cls,
-            brand,
-            f"{cls.name}-{int(self.key())}",
-            self.work[cls.name](),
-            patience,
-            draw["heed"](),
-            2 ** _drawn(cls.slots, draw["slots"]()),
-            self._zone(draw["zone"]()),
+        patience_ms = class_spec.deadline_ms
+        leave_draw, leave_time_draw = uniform_draws["leave"](), uniform_draws["leave when"]()
+        if leave_draw < self.load_spec.impatient_share:
+            patience_ms *= leave_time_draw
+        return GeneratedRequest(
+            f"r{self.request_count:09d}",
+            self.last_arrival_ms,
+            class_spec,
+            tenant,
+            f"{class_spec.name}-{int(self.draw_key())}",
+            self.draw_work_by_class[class_spec.name](),
+            patience_ms,
+            uniform_draws["heed"](),
+            2 ** _index_of_draw(class_spec.slot_shares, uniform_draws["slots"]()),
+            self._draw_zone(uniform_draws["zone"]()),
         )
 
-    def _zone(self, at: float) -> str:
-        zones = self.load.zones
-        return zones[_drawn(tuple(share for _, share in zones), at)][0] if zones else ""
+    def _draw_zone(self, draw: float) -> str:
+        zones = self.load_spec.client_zone_shares
+        return zones[_index_of_draw(tuple(share for _, share in zones), draw)][0] if zones else ""
 
 
-def _drawn(shares: tuple[float, ...], at: float) -> int:
+def _index_of_draw(shares: tuple[float, ...], draw: float) -> int:
     """Which of these shares a draw in [0, 1) falls on."""
-    at *= sum(shares)
-    for place, share in enumerate(shares):
-        at -= share
-        if at < 0:
-            return place
+    draw *= sum(shares)
+    for index, share in enumerate(shares):
+        draw -= share
+        if draw < 0:
+            return index
     return len(shares) - 1
 
 
-def _work(cls: ClassSpec, stream: np.random.Generator):
+def _work_distribution(class_spec: ClassSpec, stream: np.random.Generator):
     """Draws of the work of one class, of its mean and coefficient of variation."""
-    if cls.dist == "fixed" or cls.cv == 0:
-        return lambda count: np.full(count, cls.work)
-    if cls.dist == "lognormal":
-        sigma = math.sqrt(math.log1p(cls.cv**2))
-        return lambda count: cls.work * stream.lognormal(-sigma * sigma / 2, sigma, count)
+    if class_spec.distribution == "fixed" or class_spec.work_cv == 0:
+        return lambda count: np.full(count, class_spec.mean_work_ms)
+    if class_spec.distribution == "lognormal":
+        sigma = math.sqrt(math.log1p(class_spec.work_cv**2))
+        return lambda count: class_spec.mean_work_ms * stream.lognormal(-sigma * sigma / 2, sigma, count)
     # An exponential one of another spread than its mean is a gamma.
-    shape = 1.0 / cls.cv**2
-    return lambda count: stream.gamma(shape, cls.work / shape, count)
+    shape = 1.0 / class_spec.work_cv**2
+    return lambda count: stream.gamma(shape, class_spec.mean_work_ms / shape, count)
--- a/spanwing/world/fleet.py
+++ b/spanwing/world/fleet.py
@@ -13,17 +13,17 @@
 from typing import NamedTuple
 
 from spanwing import interface as api
-from spanwing.world.account import Account, Work
-from spanwing.world.agenda import Agenda, Entry
-from spanwing.world.clients import BrandSpec, ClassSpec, Clients, LoadSpec, Retries, Wanted
-from spanwing.world.network import Delays, Network
-from spanwing.world.node import Node
-from spanwing.world.streams import Streams
-from spanwing.world.worker import Began, Job, JobWorker, Said, Spec
-
-CONNECT_MS = 250.0  # until a place that does not answer counts as unreachable
-TAKEN_MS = 2500.0  # until a worker that says neither yes nor no is given up
-RESULTS: dict[str, api.Result] = {
+from spanwing.world.account import RequestAccounting, WorkTotals
+from spanwing.world.agenda import EventQueue, ScheduledCall
+from spanwing.world.clients import ClassSpec, ClientModel, GeneratedRequest, LoadSpec, RetrySpec, TenantSpec
+from spanwing.world.network import NetworkDelays, NetworkModel
+from spanwing.world.node import SimulatedScheduler
+from spanwing.world.streams import RandomStreams
+from spanwing.world.worker import JobBegan, SimulatedWorker, WorkerJob, WorkerJobEvent, WorkerSpec
+
+CONNECT_TIMEOUT_MS = 250.0  # until a place that does not answer counts as unreachable
+ACCEPT_TIMEOUT_MS = 2500.0  # until a worker that says neither yes nor no is given up
+RESULT_OF_JOB: dict[str, api.Result] = {
     "ok": "ok",
     "error": "error",
     "full": "full",
@@ -32,520 +32,644 @@
 }  # one that only waited never ran
 
 
-class Plan(NamedTuple):
+class FleetPlan(NamedTuple):
     """Everything that a world is made of."""
 
-    workers: tuple[Spec, ...]
+    workers: tuple[WorkerSpec, ...]
     schedulers: tuple[tuple[str, str], ...]  # name and zone
     classes: tuple[ClassSpec, ...]
     load: LoadSpec
-    brands: tuple[BrandSpec, ...] = (BrandSpec("one", 1.0),)
-    retries: Retries = Retries()
-    delays: Delays = Delays()
-    settings: Callable[[int, str], api.Settings] | None = None  # of the nth scheduler, in its zone
-    discovery_ms: tuple[float, float] = (20.0, 120.0)  # until a scheduler hears of a change
+    tenants: tuple[TenantSpec, ...] = (TenantSpec("one", 1.0),)
+    retries: RetrySpec = RetrySpec()
+    network_delays: NetworkDelays = NetworkDelays()
+    settings_for: Callable[[int, str], api.Settings] | None = None  # of the nth scheduler, in its zone
+    discovery_lag_ms: tuple[float, float] = (20.0, 120.0)  # until a scheduler hears of a change
     decision_ms: float = 0.0  # of a scheduler's CPU for each thing that it hears
-    notice_ms: float = 1000.0  # until the layer ahead notices that a scheduler is gone
-    report_ms: float = 25.0  # how old a load report may be
+    scheduler_loss_notice_ms: float = 1000.0  # until the layer ahead notices that a scheduler is gone
+    load_report_interval_ms: float = 25.0  # how old a load report may be
 
 
-class Answered(NamedTuple):
+#: The digest of a world's answers is made with these names, so that it compares over all revisions.
+DIGEST_FIELDS = ("at", "cls", "brand", "kind", "took", "tries", "attempts", "running")
+
+
+class AnsweredRequest(NamedTuple):
     """How one request went."""
 
-    at: float
-    cls: str
-    brand: str
-    kind: str  # served, refused, failed, left, lost
-    took: float  # ms from the client's first try to its last answer
-    tries: int
-    attempts: int
-    running: float  # ms at speed 1: the aim of some classes grows with it
+    asked_at_ms: float
+    class_name: str
+    tenant: str
+    outcome: str  # served, refused, failed, left, lost
+    elapsed_ms: float  # ms from the client's first try to its last answer
+    submission_count: int
+    attempt_count: int
+    work_ms: float  # ms at speed 1: the aim of some classes grows with it
 
 
 @dataclass
-class Asked:
+class ClientRequestState:
     """A client's request and its present try."""
 
-    wanted: Wanted
-    tries: int = 0
-    attempts: int = 0
-    node: Node | None = None
-    patience: Entry | None = None
+    generated: GeneratedRequest
+    submission_count: int = 0
+    attempt_count: int = 0
+    scheduler: SimulatedScheduler | None = None
+    departure: ScheduledCall | None = None
 
 
 @dataclass
-class Place:
+class WorkerHost:
     """A worker with its wake-up."""
 
-    worker: JobWorker
-    number: int
-    wake: Entry | None = None
-    state: api.State = "healthy"
-    attempts: dict[str, tuple[Node, str, int]] = field(default_factory=dict)
-    told: dict[str, float] = field(default_factory=dict)  # its last report
-    noted: float = -1e12  # and when it was made
+    worker: SimulatedWorker
+    worker_id: int
+    wake_up: ScheduledCall | None = None
+    phase: api.State = "healthy"
+    attempts_by_key: dict[str, tuple[SimulatedScheduler, str, int]] = field(default_factory=dict)
+    last_load_report: dict[str, float] = field(default_factory=dict)  # its last report
+    load_reported_at_ms: float = -1e12  # and when it was made
 
 
-def number_of(name: str) -> int:
+def worker_id_of(name: str) -> int:
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-class Fleet:
+class FleetSimulation:
     """One world, from its making to the end of its day."""
 
-    def __init__(self, plan: Plan, seed: int, told: Callable[[Answered], None] | None = None) -> None:
-        self.plan, self.streams, self.agenda = plan, Streams(seed), Agenda()
-        self.network, self.account = Network(plan.delays, self.streams), Account()
-        self.clients = Clients(plan.load, plan.classes, plan.brands, self.streams)
-        self.told: Callable[[Answered], None] = told or (lambda answered: None)
-        self.places: dict[int, Place] = {}
+    def __init__(
+        self, plan: FleetPlan, seed: int, on_answered: Callable[[AnsweredRequest], None] | None = None
+    ) -> None:
+        self.plan, self.streams, self.event_queue = plan, RandomStreams(seed), EventQueue()
+        self.network, self.accounting = NetworkModel(plan.network_delays, self.streams), RequestAccounting()
+        self.clients = ClientModel(plan.load, plan.classes, plan.tenants, self.streams)
+        self.on_answered: Callable[[AnsweredRequest], None] = on_answered or (lambda answered: None)
+        self.worker_hosts: dict[int, WorkerHost] = {}
         for spec in plan.workers:
-            number = number_of(spec.name)
-            self.places[number] = Place(JobWorker(spec, started=-1e9), number)
-        self.by_name = {place.worker.spec.name: place for place in self.places.values()}
-        assert len(self.places) == len(plan.workers), "two workers of one name"
-        make = plan.settings or self._settings
-        self.nodes = [
-            Node(name, zone, make(place, zone), seed * 1000 + place, self.agenda, self)
+            number = worker_id_of(spec.name)
+            self.worker_hosts[number] = WorkerHost(SimulatedWorker(spec, started_at_ms=-1e9), number)
+        self.hosts_by_name = {place.worker.spec.name: place for place in self.worker_hosts.values()}
+        assert len(self.worker_hosts) == len(plan.workers), "two workers of one name"
+        settings_for = plan.settings_for or self._default_settings
+        self.schedulers = [
+            SimulatedScheduler(
+                name, zone, settings_for(place, zone), seed * 1000 + place, self.event_queue, self
+            )
             for place, (name, zone) in enumerate(plan.schedulers)
         ]
-        self.seen_up = list(self.nodes)  # by the layer ahead
-        self.asked: dict[str, Asked] = {}
-        self.tries: dict[str, str] = {}  # of a try: its request
-        self.pick = self.streams.of("front")
-        self.errors = self.streams.of("workers", "noise")
-        self.lags = self.streams.of("discovery")
-        self.tails = self.streams.of("workers", "tail")
+        self.schedulers_believed_up = list(self.schedulers)  # by the layer ahead
+        self.client_requests: dict[str, ClientRequestState] = {}
+        self.request_of_submission: dict[str, str] = {}  # of a try: its request
+        self.scheduler_choice_stream = self.streams.stream("front")
+        self.work_noise_stream = self.streams.stream("workers", "noise")
+        self.discovery_lag_stream = self.streams.stream("discovery")
+        self.heavy_tail_stream = self.streams.stream("workers", "tail")
         self.tail = (0.0, 1.0)  # share of attempts that take so many times their work
-        self.discovery_up, self.untold = True, set[int]()
-        self.attempts = 0
+        self.discovery_up, self.unannounced_workers = True, set[int]()
+        self.attempt_count = 0
         self.digest = hashlib.blake2b(digest_size=16)  # of everything that happened
-        for node in self.nodes:
-            node.decide(api.WorkerList("complete", tuple(self.entry(each) for each in self.places.values())))
+        for node in self.schedulers:
+            node.receive_event(
+                api.WorkerList(
+                    "complete", tuple(self.endpoint_of(each) for each in self.worker_hosts.values())
+                )
+            )
 
-    def _settings(self, node: int, zone: str) -> api.Settings:
+    def _default_settings(self, scheduler_index: int, zone: str) -> api.Settings:
         """Those of a plain deployment with the plan's classes."""
         classes = tuple(
             api.ServiceClass(
                 each.name,
-                aim=each.aim,
-                deadline=each.deadline,
-                worth=each.worth,
-                effect=each.effect,
-                late_worth=each.late_worth,
-                stretch=each.stretch,
-                window=each.window,
-                kind=each.kind,
+                aim=each.latency_objective_ms,
+                deadline=each.deadline_ms,
+                worth=each.priority_weight,
+                effect=each.idempotency,
+                late_worth=each.late_weight,
+                stretch=each.objective_stretch,
+                window=each.deduplication_window_ms,
+                kind=each.worker_kind,
                 priority=each.priority,
             )
             for each in self.plan.classes
         )
-        zones = tuple(sorted({each.zone for each in self.plan.workers} | {zone}))
-        specs = self.plan.workers
-        cold = [each for each in specs if each.cold_ms > 0]
-        brands = tuple(
-            api.Tenant(each.name, each.allowance) for each in self.plan.brands if each.allowance < 1e9
-        )
+        all_zones = tuple(sorted({each.zone for each in self.plan.workers} | {zone}))
+        worker_specs = self.plan.workers
+        warming_specs = [each for each in worker_specs if each.slow_start_ms > 0]
+        tenants = tuple(api.Tenant(each.name, each.quota) for each in self.plan.tenants if each.quota < 1e9)
         return api.Settings(
             classes=classes,
-            node=node,
+            node=scheduler_index,
             nodes=len(self.plan.schedulers),
             zone=zone,
-            zones=zones,
+            zones=all_zones,
             cancel=True,
             max_attempts=3,
             max_retry_after=2000.0,
             answer_grace=16.0,
             tells_start=True,
             tick=4.0,
-            tenants=brands,
-            over_share_worth=0.1 if brands else 1.0,
+            tenants=tenants,
+            over_share_worth=0.1 if tenants else 1.0,
             probes=True,
             report_fields=("latency", "queue", "free_slots", "free_memory"),
-            preempts=any(each.suspends for each in specs),
-            cold_from=min((each.cold_from for each in cold), default=1.0),
-            cold_ms=max((each.cold_ms for each in cold), default=0.0),
-            fall_multiple=min((each.fall_multiple for each in cold if each.fall_multiple < 1e9), default=1.0),
-            fall_ms=max((each.fall_ms for each in cold), default=0.0),
+            preempts=any(each.preempts for each in worker_specs),
+            cold_from=min((each.initial_capacity for each in warming_specs), default=1.0),
+            cold_ms=max((each.slow_start_ms for each in warming_specs), default=0.0),
+            fall_multiple=min(
+                (each.overload_multiple for each in warming_specs if each.overload_multiple < 1e9),
+                default=1.0,
+            ),
+            fall_ms=max((each.overload_window_ms for each in warming_specs), default=0.0),
         )
 
-    def run(self, until: float) -> None:
+    def run(self, day_end_ms: float) -> None:
         """The day up to this time, in ms; then whatever is under way ends."""
-        self._arrive(self.clients.next(), until)
-        self.agenda.run(until)
-        self.agenda.run(until + max(each.deadline for each in self.plan.classes) + 10_000.0)
-        self.check()
+        self._schedule_arrival(self.clients.next_request(), day_end_ms)
+        self.event_queue.run_until(day_end_ms)
+        self.event_queue.run_until(
+            day_end_ms + max(each.deadline_ms for each in self.plan.classes) + 10_000.0
+        )
+        self.check_conservation()
 
-    def check(self) -> None:
+    def check_conservation(self) -> None:
         """Raises AssertionError where something was lost or made."""
-        self.account.check()
-        workers = [place.worker for place in self.places.values()]
-        self.account.work(
-            Work(
-                *(sum(getattr(each.worked, name) for each in workers) for name in ("done", "wasted")),
-                sum(each.under_way() for each in workers),
-                sum(each.worked.withdrawn for each in workers),
-                sum(each.still_to_do() for each in workers),
-                sum(each.busy for each in workers),
+        self.accounting.check_requests()
+        workers = [place.worker for place in self.worker_hosts.values()]
+        self.accounting.check_work(
+            WorkTotals(
+                *(sum(getattr(each.work_totals, name) for each in workers) for name in ("done", "wasted")),
+                sum(each.unfinished_processed_work() for each in workers),
+                sum(each.work_totals.withdrawn for each in workers),
+                sum(each.remaining_work() for each in workers),
+                sum(each.processed_work for each in workers),
             ),
-            self.attempts,
+            self.attempt_count,
         )
 
-    def _arrive(self, wanted: Wanted, until: float) -> None:
+    def _schedule_arrival(self, generated: GeneratedRequest, day_end_ms: float) -> None:
         """Enter a request at its time, and the next one after it."""
-        if wanted.at <= until:
-            self.agenda.at(wanted.at, self._ask, wanted, until)
-
-    def _ask(self, wanted: Wanted, until: float) -> None:
-        self._arrive(self.clients.next(), until)
-        self.account.make(wanted.id)
-        asked = self.asked[wanted.id] = Asked(wanted)
-        asked.patience = self.agenda.after(wanted.patience, self._impatient, wanted.id)
-        self._try(wanted.id)
-
-    def _try(self, request: str) -> None:
-        asked = self.asked.get(request)
-        if asked is None:
+        if generated.arrives_at_ms <= day_end_ms:
+            self.event_queue.schedule_at(generated.arrives_at_ms, self._start_request, generated, day_end_ms)
+
+    def _start_request(self, generated: GeneratedRequest, day_end_ms: float) -> None:
+        self._schedule_arrival(self.clients.next_request(), day_end_ms)
+        self.accounting.add_request(generated.id)
+        client_request = self.client_requests[generated.id] = ClientRequestState(generated)
+        client_request.departure = self.event_queue.schedule_after(
+            generated.patience_ms, self._client_leaves, generated.id
+        )
+        self._submit(generated.id)
+
+    def _submit(self, request_id: str) -> None:
+        client_request = self.client_requests.get(request_id)
+        if client_request is None:
             return
-        asked.tries += 1
-        self.account.move(request, "on its way")
-        if not self.seen_up:
-            self._over(request, "lost")
+        client_request.submission_count += 1
+        self.accounting.set_stage(request_id, "on its way")
+        if not self.schedulers_believed_up:
+            self._finish_request(request_id, "lost")
             return
         # Clients come to the schedulers of their zone, as long as the layer ahead believes one to be up.
-        near = [each for each in self.seen_up if each.zone == asked.wanted.zone] or self.seen_up
-        node = asked.node = near[int(self.pick.integers(len(near)))]
-        delay = self.network.delay("", node.zone)
+        candidates = [
+            each for each in self.schedulers_believed_up if each.zone == client_request.generated.zone
+        ] or self.schedulers_believed_up
+        scheduler = client_request.scheduler = candidates[
+            int(self.scheduler_choice_stream.integers(len(candidates)))
+        ]
+        delay = self.network.message_delay_ms("", scheduler.zone)
         if delay is None:
-            self.agenda.after(CONNECT_MS, self._refused, request, asked.tries, 0.0)
+            self.event_queue.schedule_after(
+                CONNECT_TIMEOUT_MS, self._handle_rejection, request_id, client_request.submission_count, 0.0
+            )
         else:
-            node.later(delay, self.plan.decision_ms, self._at_node, request, asked.tries, node)
+            scheduler.schedule_work(
+                delay,
+                self.plan.decision_ms,
+                self._arrive_at_scheduler,
+                request_id,
+                client_request.submission_count,
+                scheduler,
+            )
 
-    def _at_node(self, request: str, tries: int, node: Node) -> None:
-        asked = self.asked.get(request)
-        if asked is None or asked.tries != tries:
+    def _arrive_at_scheduler(
+        self, request_id: str, submission_number: int, scheduler: SimulatedScheduler
+    ) -> None:
+        client_request = self.client_requests.get(request_id)
+        if client_request is None or client_request.submission_count != submission_number:
             return
-        if not node.up:  # nobody listens: the client is told at once, and tries another
-            self._refused(request, tries, 0.0)
+        if not scheduler.is_up:  # nobody listens: the client is told at once, and tries another
+            self._handle_rejection(request_id, submission_number, 0.0)
             return
-        wanted = asked.wanted
-        self.account.move(request, "scheduler")
-        name = f"{request}.{tries}"
-        self.tries[name] = request
-        node.request(
+        generated = client_request.generated
+        self.accounting.set_stage(request_id, "scheduler")
+        submission_id = f"{request_id}.{submission_number}"
+        self.request_of_submission[submission_id] = request_id
+        scheduler.request_arrived(
             api.Request(
-                name,
-                wanted.cls.name,
-                asked.patience.when,
-                wanted.brand,
-                wanted.slots,
-                wanted.cls.memory,
-                repeat=tries > 1,
+                submission_id,
+                generated.class_spec.name,
+                client_request.departure.due_at_ms,
+                generated.tenant,
+                generated.slots,
+                generated.class_spec.memory,
+                repeat=submission_number > 1,
             )
         )
 
-    def answer(self, node: Node, request: str, kind: str, retry_after: float) -> None:
+    def send_answer(
+        self, scheduler: SimulatedScheduler, request_id: str, outcome: str, retry_after_ms: float
+    ) -> None:
         """The scheduler's answer sets out."""
-        name = self.tries.pop(request)
-        asked = self.asked.get(name)
-        if asked is None:
+        client_request_id = self.request_of_submission.pop(request_id)
+        client_request = self.client_requests.get(client_request_id)
+        if client_request is None:
             return
-        self.account.move(name, "answer on its way")
-        delay = self.network.delay(node.zone, "")
+        self.accounting.set_stage(client_request_id, "answer on its way")
+        delay = self.network.message_delay_ms(scheduler.zone, "")
         if delay is None:
             return  # the client's patience ends it
-        self.agenda.after(delay, self._heard, name, asked.tries, kind, retry_after)
-
-    def _heard(self, request: str, tries: int, kind: str, retry_after: float) -> None:
-        if kind == "refused":
-            self._refused(request, tries, retry_after)
-        elif request in self.asked:
-            self._over(request, kind)
+        self.event_queue.schedule_after(
+            delay,
+            self._receive_answer,
+            client_request_id,
+            client_request.submission_count,
+            outcome,
+            retry_after_ms,
+        )
 
-    def _refused(self, request: str, tries: int, retry_after: float) -> None:
-        asked = self.asked.get(request)
-        if asked is None or asked.tries != tries:
+    def _receive_answer(
+        self, request_id: str, submission_number: int, outcome: str, retry_after_ms: float
+    ) -> None:
+        if outcome == "refused":
+            self._handle_rejection(request_id, submission_number, retry_after_ms)
+        elif request_id in self.client_requests:
+            self._finish_request(request_id, outcome)
+
+    def _handle_rejection(self, request_id: str, submission_number: int, retry_after_ms: float) -> None:
+        client_request = self.client_requests.get(request_id)
+        if client_request is None or client_request.submission_count != submission_number:
             return
-        retries = self.plan.retries
-        wait = retries.delay(
-            tries,
-            retry_after,
-            asked.wanted.heeds < retries.honour,
-            float(self.streams.of("clients", "backoff").random()),
+        retry_spec = self.plan.retries
+        delay_ms = retry_spec.next_delay_ms(
+            submission_number,
+            retry_after_ms,
+            client_request.generated.retry_after_draw < retry_spec.retry_after_honour_share,
+            float(self.streams.stream("clients", "backoff").random()),
         )
-        if wait is None or self.agenda.now + wait >= asked.patience.when:
-            self._over(request, "refused")
+        if delay_ms is None or self.event_queue.now_ms + delay_ms >= client_request.departure.due_at_ms:
+            self._finish_request(request_id, "refused")
             return
-        if self.account.at(request) == "on its way":
-            self.account.move(request, "answer on its way")
-        self.account.move(request, "waits to retry")
-        self.agenda.after(wait, self._try, request)
+        if self.accounting.stage_of(request_id) == "on its way":
+            self.accounting.set_stage(request_id, "answer on its way")
+        self.accounting.set_stage(request_id, "waits to retry")
+        self.event_queue.schedule_after(delay_ms, self._submit, request_id)
 
-    def _impatient(self, request: str) -> None:
+    def _client_leaves(self, request_id: str) -> None:
         """The client's time is over: it leaves, whatever comes afterwards."""
-        asked = self.asked.get(request)
-        if asked is None:
+        client_request = self.client_requests.get(request_id)
+        if client_request is None:
             return
-        if self.account.at(request) == "scheduler":
-            name = f"{request}.{asked.tries}"
-            self.tries.pop(name, None)
-            asked.node.left(name)
-        self._over(request, "left")
-
-    def _over(self, request: str, kind: str) -> None:
-        asked = self.asked.pop(request)
-        asked.patience.strike()
-        self.account.move(request, "over")
-        wanted, now = asked.wanted, self.agenda.now
-        answered = Answered(
-            wanted.at,
-            wanted.cls.name,
-            wanted.brand,
-            kind,
-            now - wanted.at,
-            asked.tries,
-            asked.attempts,
-            wanted.work,
+        if self.accounting.stage_of(request_id) == "scheduler":
+            submission_id = f"{request_id}.{client_request.submission_count}"
+            self.request_of_submission.pop(submission_id, None)
+            client_request.scheduler.client_disconnected(submission_id)
+        self._finish_request(request_id, "left")
+
+    def _finish_request(self, request_id: str, outcome: str) -> None:
+        client_request = self.client_requests.pop(request_id)
+        client_request.departure.cancel()
+        self.accounting.set_stage(request_id, "over")
+        generated, now = client_request.generated, self.event_queue.now_ms
+        answered = AnsweredRequest(
+            generated.arrives_at_ms,
+            generated.class_spec.name,
+            generated.tenant,
+            outcome,
+            now - generated.arrives_at_ms,
+            client_request.submission_count,
+            client_request.attempt_count,
+            generated.work_ms,
         )
-        self.digest.update(repr((request, answered)).encode())
-        self.told(answered)
+        fields = ", ".join(f"{name}={value!r}" for name, value in zip(DIGEST_FIELDS, answered, strict=True))
+        self.digest.update(f"({request_id!r}, Answered({fields}))".encode())
+        self.on_answered(answered)
 
-    def send(self, node: Node, request: str, number: int, worker: int) -> None:
+    def send_attempt(
+        self, scheduler: SimulatedScheduler, request_id: str, attempt_number: int, worker_id: int
+    ) -> None:
         """A delivery attempt sets out."""
-        asked = self.asked.get(self.tries.get(request, ""))
-        if asked is not None:
-            asked.attempts += 1
-        place = self.places.get(worker)
-        delay = None if place is None else self.network.delay(node.zone, place.worker.spec.zone)
-        if place is None or delay is None or place.state == "gone":
-            self.agenda.after(CONNECT_MS, node.ended, request, number, "unreachable")
+        client_request = self.client_requests.get(self.request_of_submission.get(request_id, ""))
+        if client_request is not None:
+            client_request.attempt_count += 1
+        host = self.worker_hosts.get(worker_id)
+        delay = None if host is None else self.network.message_delay_ms(scheduler.zone, host.worker.spec.zone)
+        if host is None or delay is None or host.phase == "gone":
+            self.event_queue.schedule_after(
+                CONNECT_TIMEOUT_MS, scheduler.attempt_ended, request_id, attempt_number, "unreachable"
+            )
             return
-        wanted = asked.wanted if asked is not None else None
-        self.agenda.after(delay, self._at_worker, node, request, number, place, wanted)
+        generated = client_request.generated if client_request is not None else None
+        self.event_queue.schedule_after(
+            delay, self._arrive_at_worker, scheduler, request_id, attempt_number, host, generated
+        )
 
-    def _at_worker(self, node: Node, request: str, number: int, place: Place, wanted: Wanted | None) -> None:
-        key, worker = f"{node.name} {request}#{number}", place.worker
-        if wanted is None or (request, number) not in node.out:  # given up on its way
-            self._back(node, place, request, number, "cancelled")
+    def _arrive_at_worker(
+        self,
+        scheduler: SimulatedScheduler,
+        request_id: str,
+        attempt_number: int,
+        host: WorkerHost,
+        generated: GeneratedRequest | None,
+    ) -> None:
+        attempt_key, worker = f"{scheduler.name} {request_id}#{attempt_number}", host.worker
+        if (
+            generated is None or (request_id, attempt_number) not in scheduler.open_attempts
+        ):  # given up on its way
+            self._return_outcome(scheduler, host, request_id, attempt_number, "cancelled")
             return
-        if worker.fallen:
-            self._back(node, place, request, number, "unreachable")
+        if worker.is_down:
+            self._return_outcome(scheduler, host, request_id, attempt_number, "unreachable")
             return
-        noise, cls = self.plan.load.attempt_noise, wanted.cls
-        work = wanted.work * (1.0 if noise <= 0 else float(self.errors.lognormal(-noise * noise / 2, noise)))
-        if self.tail[0] > 0 and float(self.tails.random()) < self.tail[0]:
+        work_cv, class_spec = self.plan.load.attempt_work_cv, generated.class_spec
+        work = generated.work_ms * (
+            1.0 if work_cv <= 0 else float(self.work_noise_stream.lognormal(-work_cv * work_cv / 2, work_cv))
+        )
+        if self.tail[0] > 0 and float(self.heavy_tail_stream.random()) < self.tail[0]:
             work *= self.tail[1]
-        job = Job(
-            key,
+        job = WorkerJob(
+            attempt_key,
             work,
-            wanted.slots,
-            cls.memory,
-            cls.priority,
-            cls.effect != "unsafe",
-            wanted.at + wanted.patience,
-            wanted.key if cls.effect == "keyed" else "",
-            cls.window,
+            generated.slots,
+            class_spec.memory,
+            class_spec.priority,
+            class_spec.idempotency != "unsafe",
+            generated.arrives_at_ms + generated.patience_ms,
+            generated.sticky_key if class_spec.idempotency == "keyed" else "",
+            class_spec.deduplication_window_ms,
         )
-        place.attempts[key] = node, request, number
-        said = worker.offer(self.agenda.now, job)
-        if key in worker.held:
-            self.account.work_asked += work
-            self.attempts += 1
-        if not worker.silent and key in worker.held:
-            delay = self.network.delay(worker.spec.zone, node.zone)
+        host.attempts_by_key[attempt_key] = scheduler, request_id, attempt_number
+        events = worker.submit_job(self.event_queue.now_ms, job)
+        if attempt_key in worker.accepted_jobs:
+            self.accounting.requested_work += work
+            self.attempt_count += 1
+        if not worker.silent and attempt_key in worker.accepted_jobs:
+            delay = self.network.message_delay_ms(worker.spec.zone, scheduler.zone)
             if delay is not None:
-                node.later(delay, self.plan.decision_ms, node.accepted, request, number)
+                scheduler.schedule_work(
+                    delay, self.plan.decision_ms, scheduler.attempt_accepted, request_id, attempt_number
+                )
         if worker.silent:
-            self.agenda.after(TAKEN_MS, self._untaken, place, key, node, request, number)
-        self._said(place, said)
-
-    def _untaken(self, place: Place, key: str, node: Node, request: str, number: int) -> None:
+            self.event_queue.schedule_after(
+                ACCEPT_TIMEOUT_MS,
+                self._accept_timed_out,
+                host,
+                attempt_key,
+                scheduler,
+                request_id,
+                attempt_number,
+            )
+        self._handle_worker_events(host, events)
+
+    def _accept_timed_out(
+        self,
+        host: WorkerHost,
+        attempt_key: str,
+        scheduler: SimulatedScheduler,
+        request_id: str,
+        attempt_number: int,
+    ) -> None:
         """It said neither yes nor no."""
-        place.attempts.pop(key, None)
-        node.ended(request, number, "timeout")
-
-    def give_up(self, node: Node, request: str, number: int, worker: int, result: api.Result) -> None:
+        host.attempts_by_key.pop(attempt_key, None)
+        scheduler.attempt_ended(request_id, attempt_number, "timeout")
+
+    def cancel_attempt(
+        self,
+        scheduler: SimulatedScheduler,
+        request_id: str,
+        attempt_number: int,
+        worker_id: int,
+        result: api.Result,
+    ) -> None:
         """The scheduler gives an attempt up: it has ended once the worker was told."""
-        place = self.places.get(worker)
-        delay = None if place is None else self.network.delay(node.zone, place.worker.spec.zone)
-        if delay is None or place.worker.fallen or place.worker.silent:
-            self.agenda.at(self.agenda.now, node.ended, request, number, result)
-            if place is not None and not place.worker.fallen:
-                self._cancel(f"{node.name} {request}#{number}", place)
+        host = self.worker_hosts.get(worker_id)
+        delay = None if host is None else self.network.message_delay_ms(scheduler.zone, host.worker.spec.zone)
+        if delay is None or host.worker.is_down or host.worker.silent:
+            self.event_queue.schedule_at(
+                self.event_queue.now_ms, scheduler.attempt_ended, request_id, attempt_number, result
+            )
+            if host is not None and not host.worker.is_down:
+                self._cancel_at_worker(f"{scheduler.name} {request_id}#{attempt_number}", host)
             return
-        self.agenda.after(delay, self._cancel, f"{node.name} {request}#{number}", place)
-        self.agenda.after(2 * delay, node.ended, request, number, result)
+        self.event_queue.schedule_after(
+            delay, self._cancel_at_worker, f"{scheduler.name} {request_id}#{attempt_number}", host
+        )
+        self.event_queue.schedule_after(
+            2 * delay, scheduler.attempt_ended, request_id, attempt_number, result
+        )
 
-    def _cancel(self, key: str, place: Place) -> None:
-        place.attempts.pop(key, None)
-        if not place.worker.fallen:
-            self._said(place, place.worker.cancel(self.agenda.now, key))
+    def _cancel_at_worker(self, attempt_key: str, host: WorkerHost) -> None:
+        host.attempts_by_key.pop(attempt_key, None)
+        if not host.worker.is_down:
+            self._handle_worker_events(host, host.worker.cancel_job(self.event_queue.now_ms, attempt_key))
 
-    def _wake(self, place: Place) -> None:
-        place.wake = None
-        self._said(place, place.worker.advance(self.agenda.now))
+    def _advance_worker(self, host: WorkerHost) -> None:
+        host.wake_up = None
+        self._handle_worker_events(host, host.worker.advance_to(self.event_queue.now_ms))
 
-    def _said(self, place: Place, said: list[Said]) -> None:
+    def _handle_worker_events(self, host: WorkerHost, events: list[WorkerJobEvent]) -> None:
         """Pass on what a worker said, and see when it is next due."""
-        worker = place.worker
-        for each in said:
-            entry = place.attempts.get(each.key)
-            if entry is None:
+        worker = host.worker
+        for each in events:
+            attempt = host.attempts_by_key.get(each.attempt_key)
+            if attempt is None:
                 continue
-            node, request, number = entry
-            if isinstance(each, Began):
-                delay = self.network.delay(worker.spec.zone, node.zone)
+            node, request, number = attempt
+            if isinstance(each, JobBegan):
+                delay = self.network.message_delay_ms(worker.spec.zone, node.zone)
                 if delay is not None:
-                    node.later(delay, self.plan.decision_ms, node.began, request, number)
+                    node.schedule_work(delay, self.plan.decision_ms, node.attempt_progressed, request, number)
             else:
-                del place.attempts[each.key]
-                self._back(node, place, request, number, RESULTS[each.result])
-        if worker.fallen and place.state != "gone":
-            self.fell(place)
-        if place.wake is not None:
-            place.wake.strike()
-            place.wake = None
-        due = worker.next_due()
-        if due is not None:
-            place.wake = self.agenda.at(due, self._wake, place)
-
-    def _back(self, node: Node, place: Place, request: str, number: int, result: api.Result) -> None:
-        delay = self.network.delay(place.worker.spec.zone, node.zone)
+                del host.attempts_by_key[each.attempt_key]
+                self._return_outcome(node, host, request, number, RESULT_OF_JOB[each.result])
+        if worker.is_down and host.phase != "gone":
+            self.worker_went_down(host)
+        if host.wake_up is not None:
+            host.wake_up.cancel()
+            host.wake_up = None
+        next_event_ms = worker.next_event_ms()
+        if next_event_ms is not None:
+            host.wake_up = self.event_queue.schedule_at(next_event_ms, self._advance_worker, host)
+
+    def _return_outcome(
+        self,
+        scheduler: SimulatedScheduler,
+        host: WorkerHost,
+        request_id: str,
+        attempt_number: int,
+        result: api.Result,
+    ) -> None:
+        delay = self.network.message_delay_ms(host.worker.spec.zone, scheduler.zone)
         if delay is not None:
-            node.later(delay, self.plan.decision_ms, node.ended, request, number, result)
+            scheduler.schedule_work(
+                delay, self.plan.decision_ms, scheduler.attempt_ended, request_id, attempt_number, result
+            )
 
-    def _report(self, node: Node, place: Place) -> tuple[float, ...]:
+    def _load_report(self, scheduler: SimulatedScheduler, host: WorkerHost) -> tuple[float, ...]:
         """What it last took note of: a report is up to so old."""
-        if self.agenda.now >= place.noted + self.plan.report_ms:
-            place.told, place.noted = place.worker.report(), self.agenda.now
-        return tuple(place.told.get(name, 0.0) for name in node.settings.report_fields)
-
-    def probe(self, node: Node, worker: int) -> None:
-        place = self.places.get(worker)
-        delay = None if place is None else self.network.delay(node.zone, place.worker.spec.zone)
-        if delay is None or place.worker.fallen or place.worker.silent:
-            self.agenda.after(500.0, node.decide, api.ProbeResult(worker, "unreachable", 500.0))
+        if self.event_queue.now_ms >= host.load_reported_at_ms + self.plan.load_report_interval_ms:
+            host.last_load_report, host.load_reported_at_ms = (
+                host.worker.load_report(),
+                self.event_queue.now_ms,
+            )
+        return tuple(host.last_load_report.get(name, 0.0) for name in scheduler.settings.report_fields)
+
+    def probe_worker(self, scheduler: SimulatedScheduler, worker_id: int) -> None:
+        host = self.worker_hosts.get(worker_id)
+        delay = None if host is None else self.network.message_delay_ms(scheduler.zone, host.worker.spec.zone)
+        if delay is None or host.worker.is_down or host.worker.silent:
+            self.event_queue.schedule_after(
+                500.0, scheduler.receive_event, api.ProbeResult(worker_id, "unreachable", 500.0)
+            )
         else:
-            self.agenda.after(
-                2 * delay, node.decide, api.ProbeResult(worker, "ok", 2 * delay, self._report(node, place))
+            self.event_queue.schedule_after(
+                2 * delay,
+                scheduler.receive_event,
+                api.ProbeResult(worker_id, "ok", 2 * delay, self._load_report(scheduler, host)),
             )
 
-    def watch(self, node: Node) -> None:
+    def watch_endpoints(self, scheduler: SimulatedScheduler) -> None:
         """Changes are told as they come."""
 
-    def fell(self, place: Place) -> None:
+    def worker_went_down(self, host: WorkerHost) -> None:
         """A worker is gone with all that it held: who waits for it sees its connections reset."""
-        for node, request, number in place.attempts.values():
-            self._back(node, place, request, number, "reset")
-        place.attempts.clear()
-        self.state(place, "gone")
+        for node, request, number in host.attempts_by_key.values():
+            self._return_outcome(node, host, request, number, "reset")
+        host.attempts_by_key.clear()
+        self.set_phase(host, "gone")
 
-    def state(self, place: Place, state: api.State) -> None:
+    def set_phase(self, host: WorkerHost, phase: api.State) -> None:
         """Discovery has news of a worker; each scheduler hears of it after a while of its own."""
-        place.state = state
+        host.phase = phase
         if not self.discovery_up:
-            self.untold.add(place.number)
+            self.unannounced_workers.add(host.worker_id)
             return
-        for node in self.nodes:
-            node.later(
-                float(self.lags.uniform(*self.plan.discovery_ms)),
+        for node in self.schedulers:
+            node.schedule_work(
+                float(self.discovery_lag_stream.uniform(*self.plan.discovery_lag_ms)),
                 self.plan.decision_ms,
-                node.decide,
-                api.WorkerList("partial", (self.entry(place),)),
+                node.receive_event,
+                api.WorkerList("partial", (self.endpoint_of(host),)),
             )
 
-    def discovery_back(self) -> None:
+    def restore_discovery(self) -> None:
         """It answers again, and tells what has changed meanwhile."""
         self.discovery_up = True
-        for number in sorted(self.untold):
-            self.state(self.places[number], self.places[number].state)
-        self.untold.clear()
+        for number in sorted(self.unannounced_workers):
+            self.set_phase(self.worker_hosts[number], self.worker_hosts[number].phase)
+        self.unannounced_workers.clear()
 
-    def heard_of(self, place: Place) -> None:
+    def advance_worker(self, host: WorkerHost) -> None:
         """Bring a worker up to the present."""
-        if not place.worker.fallen:
-            self._said(place, place.worker.advance(self.agenda.now))
+        if not host.worker.is_down:
+            self._handle_worker_events(host, host.worker.advance_to(self.event_queue.now_ms))
 
-    def crash(self, place: Place) -> None:
+    def crash_worker(self, host: WorkerHost) -> None:
         """A worker ends without a word."""
-        self._said(place, place.worker.crash(self.agenda.now))
+        self._handle_worker_events(host, host.worker.crash(self.event_queue.now_ms))
 
-    def drain(self, place: Place) -> None:
+    def drain_worker(self, host: WorkerHost) -> None:
         """It takes nothing new, and discovery says so."""
-        if not place.worker.fallen:
-            place.worker.draining = True
-            self.state(place, "draining")
+        if not host.worker.is_down:
+            host.worker.is_draining = True
+            self.set_phase(host, "draining")
 
-    def away(self, place: Place) -> None:
-        if not place.worker.fallen:
-            self.crash(place)
+    def crash_if_up(self, host: WorkerHost) -> None:
+        if not host.worker.is_down:
+            self.crash_worker(host)
 
-    def start_again(self, place: Place) -> None:
-        if place.worker.fallen:
-            self.start(place)
+    def start_if_down(self, host: WorkerHost) -> None:
+        if host.worker.is_down:
+            self.start_worker(host)
 
-    def join(self, place: Place) -> None:
+    def start_replacement(self, host: WorkerHost) -> None:
         """Another worker like this one starts, cold."""
-        spec = place.worker.spec._replace(name=f"{place.worker.spec.name}+")
-        number = number_of(spec.name)
-        new = self.places[number] = Place(JobWorker(spec, self.agenda.now, self.agenda.now), number)
-        self.by_name[spec.name] = new
-        self.state(new, "healthy")
+        spec = host.worker.spec._replace(name=f"{host.worker.spec.name}+")
+        worker_id = worker_id_of(spec.name)
+        replacement = self.worker_hosts[worker_id] = WorkerHost(
+            SimulatedWorker(spec, self.event_queue.now_ms, self.event_queue.now_ms), worker_id
+        )
+        self.hosts_by_name[spec.name] = replacement
+        self.set_phase(replacement, "healthy")
 
-    def start(self, place: Place) -> None:
+    def start_worker(self, host: WorkerHost) -> None:
         """A worker that was gone is back, cold."""
-        place.worker = JobWorker(
-            place.worker.spec,
-            self.agenda.now,
-            self.agenda.now,
-            worked=place.worker.worked,
-            busy=place.worker.busy,
+        host.worker = SimulatedWorker(
+            host.worker.spec,
+            self.event_queue.now_ms,
+            self.event_queue.now_ms,
+            work_totals=host.worker.work_totals,
+            processed_work=host.worker.processed_work,
         )
-        self.state(place, "healthy")
+        self.set_phase(host, "healthy")
 
-    def entry(self, place: Place) -> api.Worker:
-        spec = place.worker.spec
+    def endpoint_of(self, host: WorkerHost) -> api.Worker:
+        spec = host.worker.spec
         return api.Worker(
-            place.number,
-            place.state,
+            host.worker_id,
+            host.phase,
             spec.zone,
             spec.cell,
             spec.slots * spec.speed,
             spec.kind,
-            max(0.0, place.worker.started),
+            max(0.0, host.worker.started_at_ms),
         )
 
-    def stop_node(self, node: Node) -> None:
+    def stop_scheduler(self, scheduler: SimulatedScheduler) -> None:
         """A scheduler ends without a word."""
-        for name in node.stop():
-            request = self.tries.pop(name, None)
-            if request in self.asked:
-                self._over(request, "lost")
-        self.agenda.after(self.plan.notice_ms, self._notice, node)
+        for submission_id in scheduler.stop():
+            request_id = self.request_of_submission.pop(submission_id, None)
+            if request_id in self.client_requests:
+                self._finish_request(request_id, "lost")
+        self.event_queue.schedule_after(
+            self.plan.scheduler_loss_notice_ms, self._notice_scheduler_loss, scheduler
+        )
 
-    def start_node(self, name: str) -> None:
+    def start_scheduler(self, name: str) -> None:
         """A scheduler that was stopped starts from nothing, with the list as it last had it."""
-        number, old = next((place, each) for place, each in enumerate(self.nodes) if each.name == name)
-        if old.up:
+        index, previous = next(
+            (place, each) for place, each in enumerate(self.schedulers) if each.name == name
+        )
+        if previous.is_up:
             return
-        node = self.nodes[number] = Node(
-            old.name, old.zone, old.settings, old.seed + 500_000, self.agenda, self
+        restarted = self.schedulers[index] = SimulatedScheduler(
+            previous.name, previous.zone, previous.settings, previous.seed + 500_000, self.event_queue, self
+        )
+        restarted.decision_time_s, restarted.event_count, restarted.probe_count = (
+            previous.decision_time_s,
+            previous.event_count,
+            previous.probe_count,
+        )
+        if previous in self.schedulers_believed_up:
+            self.schedulers_believed_up.remove(previous)
+        self.schedulers_believed_up.append(restarted)
+        restarted.receive_event(
+            api.WorkerList("persisted", tuple(view.entry for view in previous.decision_module.views.values()))
         )
-        node.spent_s, node.decided, node.probed = old.spent_s, old.decided, old.probed
-        if old in self.seen_up:
-            self.seen_up.remove(old)
-        self.seen_up.append(node)
-        node.decide(api.WorkerList("persisted", tuple(view.entry for view in old.module.views.values())))
         # What it has missed comes with its first look at discovery.
-        self.agenda.after(float(self.lags.uniform(*self.plan.discovery_ms)) + 500.0, self._list_all, node)
+        self.event_queue.schedule_after(
+            float(self.discovery_lag_stream.uniform(*self.plan.discovery_lag_ms)) + 500.0,
+            self._send_endpoint_list,
+            restarted,
+        )
 
-    def _list_all(self, node: Node) -> None:
-        node.decide(
+    def _send_endpoint_list(self, scheduler: SimulatedScheduler) -> None:
+        scheduler.receive_event(
             api.WorkerList(
-                "complete", tuple(self.entry(each) for each in self.places.values() if each.state != "gone")
+                "complete",
+                tuple(self.endpoint_of(each) for each in self.worker_hosts.values() if each.phase != "gone"),
             )
         )
 
-    def _notice(self, node: Node) -> None:
-        if node in self.seen_up and not node.up:
-            self.seen_up.remove(node)
+    def _notice_scheduler_loss(self, scheduler: SimulatedScheduler) -> None:
+        if scheduler in self.schedulers_believed_up and not scheduler.is_up:
+            self.schedulers_believed_up.remove(scheduler)
--- a/spanwing/world/node.py
+++ b/spanwing/world/node.py
@@ -13,218 +13,247 @@
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.world.agenda import Agenda, Entry
+from spanwing.world.agenda import EventQueue, ScheduledCall
 
-EARLY_MS = 1.0  # as in the core: an attempt's time ends so long before the client's
+TIMEOUT_MARGIN_MS = 1.0  # as in the core: an attempt's time ends so long before the client's
 
 
-class Side(Protocol):
+class SchedulerEnvironment(Protocol):
     """What is around a scheduler."""
 
-    def send(self, node: Node, request: str, number: int, worker: int) -> None: ...
+    def send_attempt(
+        self, scheduler: SimulatedScheduler, request_id: str, attempt_number: int, worker_id: int
+    ) -> None: ...
 
-    def give_up(self, node: Node, request: str, number: int, worker: int, result: api.Result) -> None: ...
+    def cancel_attempt(
+        self,
+        scheduler: SimulatedScheduler,
+        request_id: str,
+        attempt_number: int,
+        worker_id: int,
+        result: api.Result,
+    ) -> None: ...
 
-    def answer(self, node: Node, request: str, kind: str, retry_after: float) -> None: ...
+    def send_answer(
+        self, scheduler: SimulatedScheduler, request_id: str, outcome: str, retry_after_ms: float
+    ) -> None: ...
 
-    def probe(self, node: Node, worker: int) -> None: ...
+    def probe_worker(self, scheduler: SimulatedScheduler, worker_id: int) -> None: ...
 
-    def watch(self, node: Node) -> None: ...
+    def watch_endpoints(self, scheduler: SimulatedScheduler) -> None: ...
 
 
-class Watch(Protocol):
+class ZoneRoutingModel(Protocol):
     """Which workers may be used, where the fleet leaves and returns to zones as one."""
 
-    def may(self, worker: int) -> bool: ...
+    def may_forward(self, worker_id: int) -> bool: ...
 
-    def screen(self, news: api.WorkerList) -> api.WorkerList: ...
+    def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList: ...
 
-    def sent(self, worker: int, job: tuple[str, int]) -> None: ...
+    def attempt_sent(self, worker_id: int, attempt: tuple[str, int]) -> None: ...
 
-    def accepted(self, worker: int, job: tuple[str, int]) -> None: ...
+    def attempt_accepted(self, worker_id: int, attempt: tuple[str, int]) -> None: ...
 
-    def ended(self, worker: int, job: tuple[str, int], result: str) -> None: ...
+    def attempt_ended(self, worker_id: int, attempt: tuple[str, int], result: str) -> None: ...
 
-    def probed(self, worker: int, result: str) -> None: ...
+    def probe_finished(self, worker_id: int, result: str) -> None: ...
 
 
 @dataclass
-class Call:
+class SimulatedRequest:
     """A request that owes its answer."""
 
-    deadline: float
-    sent: int = 0
+    deadline_ms: float
+    attempt_count: int = 0
 
 
 @dataclass
-class Out:
+class SimulatedAttempt:
     """An attempt that has not ended."""
 
-    worker: int
-    at: float
-    timer: Entry
+    worker_id: int
+    forwarded_at_ms: float
+    timeout: ScheduledCall
 
 
-class Node:
+class SimulatedScheduler:
     """A scheduler; up until it is stopped."""
 
     def __init__(
-        self, name: str, zone: str, settings: api.Settings, seed: int, agenda: Agenda, side: Side
+        self,
+        name: str,
+        zone: str,
+        settings: api.Settings,
+        seed: int,
+        event_queue: EventQueue,
+        environment: SchedulerEnvironment,
     ) -> None:
-        self.name, self.zone, self.agenda, self.side = name, zone, agenda, side
-        self.module = Dispatcher(settings, seed, agenda.now)
+        self.name, self.zone, self.event_queue, self.environment = name, zone, event_queue, environment
+        self.decision_module = Dispatcher(settings, seed, event_queue.now_ms)
         self.settings, self.seed = settings, seed
-        self.calls: dict[str, Call] = {}
-        self.out: dict[tuple[str, int], Out] = {}
-        self.watch: Watch | None = None
-        self.up = True
+        self.pending_requests: dict[str, SimulatedRequest] = {}
+        self.open_attempts: dict[tuple[str, int], SimulatedAttempt] = {}
+        self.zone_routing: ZoneRoutingModel | None = None
+        self.is_up = True
         self.stolen = 0.0  # part of its CPU that others take
-        self.busy_until = 0.0
-        self.decided = 0  # events that the module took
-        self.probed = 0
-        self.spent_s = 0.0  # of real time, in the module
+        self.cpu_busy_until_ms = 0.0
+        self.event_count = 0  # events that the module took
+        self.probe_count = 0
+        self.decision_time_s = 0.0  # of real time, in the module
 
-    def decide(self, event: api.Event) -> None:
-        if self.watch is not None and self.up:
+    def receive_event(self, event: api.Event) -> None:
+        if self.zone_routing is not None and self.is_up:
             if isinstance(event, api.WorkerList):
-                event = self.watch.screen(event)
+                event = self.zone_routing.filter_workers(event)
             elif isinstance(event, api.ProbeResult):
-                self.watch.probed(event.worker, event.result)
-        self.handle(event)
+                self.zone_routing.probe_finished(event.worker, event.result)
+        self.handle_event(event)
 
-    def handle(self, event: api.Event) -> None:
+    def handle_event(self, event: api.Event) -> None:
         """An event as the module is to have it."""
-        if not self.up:
+        if not self.is_up:
             return
-        begun = time.perf_counter()
-        actions = self.module.handle(self.agenda.now, event)
-        self.spent_s += time.perf_counter() - begun
-        self.decided += 1
+        started_at_s = time.perf_counter()
+        actions = self.decision_module.handle(self.event_queue.now_ms, event)
+        self.decision_time_s += time.perf_counter() - started_at_s
+        self.event_count += 1
         for action in actions:
-            self._act(action)
+            self._perform(action)
 
-    def later(self, delay: float, cost: float, call: Callable[..., object], *given: Any) -> None:
+    def schedule_work(
+        self, delay_ms: float, cpu_ms: float, callback: Callable[..., object], *arguments: Any
+    ) -> None:
         """Have it do what comes after delay and takes cost ms of its CPU, one thing after another."""
-        if cost <= 0:
-            self.agenda.after(delay, call, *given)
+        if cpu_ms <= 0:
+            self.event_queue.schedule_after(delay_ms, callback, *arguments)
         else:
-            self.agenda.after(delay, self._queue, cost, call, *given)
+            self.event_queue.schedule_after(delay_ms, self._queue_on_cpu, cpu_ms, callback, *arguments)
 
-    def _queue(self, cost: float, call: Callable[..., object], *given: Any) -> None:
-        self.busy_until = max(self.busy_until, self.agenda.now) + cost / (1.0 - self.stolen)
-        self.agenda.at(self.busy_until, call, *given)
+    def _queue_on_cpu(self, cpu_ms: float, callback: Callable[..., object], *arguments: Any) -> None:
+        self.cpu_busy_until_ms = max(self.cpu_busy_until_ms, self.event_queue.now_ms) + cpu_ms / (
+            1.0 - self.stolen
+        )
+        self.event_queue.schedule_at(self.cpu_busy_until_ms, callback, *arguments)
 
-    def request(self, event: api.Request) -> None:
+    def request_arrived(self, event: api.Request) -> None:
         """A client's request has arrived."""
-        assert event.id not in self.calls
-        self.calls[event.id] = Call(event.deadline)
-        self.decide(event)
+        assert event.id not in self.pending_requests
+        self.pending_requests[event.id] = SimulatedRequest(event.deadline)
+        self.receive_event(event)
 
-    def left(self, request: str) -> None:
+    def client_disconnected(self, request_id: str) -> None:
         """Its client is gone; nothing is owed any more."""
-        if self.calls.pop(request, None) is not None:
-            self.decide(api.ClientGone(request))
-
-    def ended(
-        self, request: str, number: int, result: api.Result, report: tuple[float, ...] | None = None
+        if self.pending_requests.pop(request_id, None) is not None:
+            self.receive_event(api.ClientGone(request_id))
+
+    def attempt_ended(
+        self,
+        request_id: str,
+        attempt_number: int,
+        result: api.Result,
+        load_report: tuple[float, ...] | None = None,
     ) -> None:
         """How an attempt ended; a second word on it changes nothing."""
-        out = self.out.pop((request, number), None)
-        if out is None or not self.up:
+        attempt = self.open_attempts.pop((request_id, attempt_number), None)
+        if attempt is None or not self.is_up:
             return
-        out.timer.strike()
-        if self.watch is not None:
-            self.watch.ended(out.worker, (request, number), result)
+        attempt.timeout.cancel()
+        if self.zone_routing is not None:
+            self.zone_routing.attempt_ended(attempt.worker_id, (request_id, attempt_number), result)
         if result == "ok":
-            self._answer(request, "served", 0.0)
-        self.decide(
+            self._send_answer(request_id, "served", 0.0)
+        self.receive_event(
             api.Outcome(
-                request,
-                number,
-                out.worker,
+                request_id,
+                attempt_number,
+                attempt.worker_id,
                 result,
-                request not in self.calls,
-                self.agenda.now - out.at,
-                report,
+                request_id not in self.pending_requests,
+                self.event_queue.now_ms - attempt.forwarded_at_ms,
+                load_report,
             )
         )
 
-    def began(self, request: str, number: int, started: bool = True) -> None:
-        out = self.out.get((request, number))
-        if out is not None:
-            self.decide(api.Note(request, number, out.worker, started))
+    def attempt_progressed(self, request_id: str, attempt_number: int, has_started: bool = True) -> None:
+        attempt = self.open_attempts.get((request_id, attempt_number))
+        if attempt is not None:
+            self.receive_event(api.Note(request_id, attempt_number, attempt.worker_id, has_started))
 
-    def accepted(self, request: str, number: int) -> None:
-        out = self.out.get((request, number))
-        if out is not None:
-            if self.watch is not None:
-                self.watch.accepted(out.worker, (request, number))
-            self.decide(api.Accepted(request, number, out.worker))
+    def attempt_accepted(self, request_id: str, attempt_number: int) -> None:
+        attempt = self.open_attempts.get((request_id, attempt_number))
+        if attempt is not None:
+            if self.zone_routing is not None:
+                self.zone_routing.attempt_accepted(attempt.worker_id, (request_id, attempt_number))
+            self.receive_event(api.Accepted(request_id, attempt_number, attempt.worker_id))
 
     def stop(self) -> list[str]:
         """It is gone at once; the requests that never get their answer."""
-        self.up = False
-        for each in self.out.values():
-            each.timer.strike()
-        self.out.clear()
-        lost = list(self.calls)
-        self.calls.clear()
-        return lost
-
-    def _act(self, action: api.Action) -> None:
+        self.is_up = False
+        for each in self.open_attempts.values():
+            each.timeout.cancel()
+        self.open_attempts.clear()
+        unanswered = list(self.pending_requests)
+        self.pending_requests.clear()
+        return unanswered
+
+    def _perform(self, action: api.Action) -> None:
         match action:
             case api.Send():
-                self._send(action)
+                self._forward(action)
             case api.Cancel():
-                self._give_up(action.request, action.attempt, "cancelled")
+                self._cancel_attempt(action.request, action.attempt, "cancelled")
             case api.Refuse():
-                self._answer(action.request, "refused", action.retry_after)
+                self._send_answer(action.request, "refused", action.retry_after)
             case api.Fail():
-                self._answer(action.request, "failed", 0.0)
+                self._send_answer(action.request, "failed", 0.0)
             case api.SetTimer():
-                self.agenda.after(action.delay, self._due, action.token)
+                self.event_queue.schedule_after(action.delay, self._handle_timer, action.token)
             case api.Probe():
-                self.probe(action.worker)
+                self.send_probe(action.worker)
             case api.Watch():
-                self.side.watch(self)
+                self.environment.watch_endpoints(self)
 
-    def probe(self, worker: int) -> None:
-        self.probed += 1
-        self.side.probe(self, worker)
+    def send_probe(self, worker_id: int) -> None:
+        self.probe_count += 1
+        self.environment.probe_worker(self, worker_id)
 
-    def recall(self, request: str, number: int) -> None:
+    def cancel_if_idempotent(self, request_id: str, attempt_number: int) -> None:
         """Give up an attempt that may be repeated anywhere, if it is out and its answer is owed."""
-        if request in self.calls and (request, number) in self.out:
-            cls = self.module.jobs[request].cls if request in self.module.jobs else None
-            if cls is not None and cls.effect == "safe":
-                self._give_up(request, number, "cancelled")
-
-    def _due(self, token: int) -> None:
-        self.decide(api.TimerDue(token))
-
-    def _send(self, action: api.Send) -> None:
-        call, now = self.calls[action.request], self.agenda.now
-        number, call.sent = call.sent, call.sent + 1
-        budget = call.deadline - now - EARLY_MS
+        if request_id in self.pending_requests and (request_id, attempt_number) in self.open_attempts:
+            service_class = (
+                self.decision_module.jobs[request_id].cls if request_id in self.decision_module.jobs else None
+            )
+            if service_class is not None and service_class.effect == "safe":
+                self._cancel_attempt(request_id, attempt_number, "cancelled")
+
+    def _handle_timer(self, token: int) -> None:
+        self.receive_event(api.TimerDue(token))
+
+    def _forward(self, action: api.Send) -> None:
+        pending, now = self.pending_requests[action.request], self.event_queue.now_ms
+        attempt_number, pending.attempt_count = pending.attempt_count, pending.attempt_count + 1
+        remaining_ms = pending.deadline_ms - now - TIMEOUT_MARGIN_MS
         if action.timeout:
-            budget = min(budget, action.timeout)
-        timer = self.agenda.after(max(0.0, budget), self._give_up, action.request, number, "timeout")
-        self.out[action.request, number] = Out(action.worker, now, timer)
-        if budget <= 0 or number >= self.settings.max_attempts:
-            self.agenda.at(now, self.ended, action.request, number, "moot")
+            remaining_ms = min(remaining_ms, action.timeout)
+        timeout = self.event_queue.schedule_after(
+            max(0.0, remaining_ms), self._cancel_attempt, action.request, attempt_number, "timeout"
+        )
+        self.open_attempts[action.request, attempt_number] = SimulatedAttempt(action.worker, now, timeout)
+        if remaining_ms <= 0 or attempt_number >= self.settings.max_attempts:
+            self.event_queue.schedule_at(now, self.attempt_ended, action.request, attempt_number, "moot")
             return
-        if self.watch is not None:
-            if not self.watch.may(action.worker):
-                self.agenda.at(now, self.ended, action.request, number, "moot")
+        if self.zone_routing is not None:
+            if not self.zone_routing.may_forward(action.worker):
+                self.event_queue.schedule_at(now, self.attempt_ended, action.request, attempt_number, "moot")
                 return
-            self.watch.sent(action.worker, (action.request, number))
-        self.side.send(self, action.request, number, action.worker)
+            self.zone_routing.attempt_sent(action.worker, (action.request, attempt_number))
+        self.environment.send_attempt(self, action.request, attempt_number, action.worker)
 
-    def _give_up(self, request: str, number: int, result: api.Result) -> None:
-        out = self.out.get((request, number))
-        if out is not None:
-            self.side.give_up(self, request, number, out.worker, result)
+    def _cancel_attempt(self, request_id: str, attempt_number: int, result: api.Result) -> None:
+        attempt = self.open_attempts.get((request_id, attempt_number))
+        if attempt is not None:
+            self.environment.cancel_attempt(self, request_id, attempt_number, attempt.worker_id, result)
 
-    def _answer(self, request: str, kind: str, retry_after: float) -> None:
-        if self.calls.pop(request, None) is not None:
-            self.side.answer(self, request, kind, retry_after)
+    def _send_answer(self, request_id: str, outcome: str, retry_after_ms: float) -> None:
+        if self.pending_requests.pop(request_id, None) is not None:
+            self.environment.send_answer(self, request_id, outcome, retry_after_ms)
--- a/spanwing/world/troubles.py
+++ b/spanwing/world/troubles.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from spanwing.world.fleet import Fleet, Place
-from spanwing.world.node import Node
+from spanwing.world.fleet import FleetSimulation, WorkerHost
+from spanwing.world.node import SimulatedScheduler
 
-What = Literal[
+FaultKind = Literal[
     "silent",
     "fast_failing",
     "neighbour",
@@ -36,10 +36,10 @@
 ]
 
 
-class Trouble(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+class FaultSpec(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """As a scenario has it; times in seconds from the day's begin."""
 
-    what: What
+    what: FaultKind
     at: float
     lasts: float = 0.0  # 0: to the end of the day
     share: float = 0.0  # of the workers, or of one scheduler's CPU, or of the requests
@@ -50,37 +50,39 @@
     scheduler: str = ""
     zone: str = ""
 
-    def wrong(
-        self, zones: set[str], brands: set[str], kinds: set[str], schedulers: set[str], seconds: float
+    def find_errors(
+        self, zones: set[str], tenants: set[str], kinds: set[str], schedulers: set[str], day_s: float
     ) -> list[tuple[str, str]]:
         """What is not possible: field and fault."""
-        found = []
-        if not 0 <= self.at < seconds:
-            found.append(("at", f"{self.at:g} is not within the day, 0 to {seconds:g}"))
-        if not 0 <= self.lasts <= seconds:
-            found.append(("lasts", f"{self.lasts:g} is not possible"))
-        for name, needed in NEEDS[self.what].items():
+        errors = []
+        if not 0 <= self.at < day_s:
+            errors.append(("at", f"{self.at:g} is not within the day, 0 to {day_s:g}"))
+        if not 0 <= self.lasts <= day_s:
+            errors.append(("lasts", f"{self.lasts:g} is not possible"))
+        for name, bounds in REQUIRED_FIGURES[self.what].items():
             value = getattr(self, name)
-            least, most = needed
-            if not least <= value <= most:
-                found.append((name, f"{value:g} is not possible for {self.what}, {least:g} to {most:g} are"))
-        for name, value, known, owner in (
-            ("brand", self.brand, brands, ("flood",)),
+            minimum, maximum = bounds
+            if not minimum <= value <= maximum:
+                errors.append(
+                    (name, f"{value:g} is not possible for {self.what}, {minimum:g} to {maximum:g} are")
+                )
+        for name, value, known_names, fault_kinds in (
+            ("brand", self.brand, tenants, ("flood",)),
             ("zone", self.zone, zones, ("zone_lost",)),
             ("scheduler", self.scheduler, schedulers, ("stolen_cpu", "scheduler_stop")),
         ):
-            if self.what in owner and value not in known:
-                found.append((name, f"{value!r} is none of {', '.join(sorted(known))}"))
+            if self.what in fault_kinds and value not in known_names:
+                errors.append((name, f"{value!r} is none of {', '.join(sorted(known_names))}"))
         if self.kind and self.kind not in kinds:
-            found.append(("kind", f"{self.kind!r} is none of {', '.join(sorted(kinds))}"))
+            errors.append(("kind", f"{self.kind!r} is none of {', '.join(sorted(kinds))}"))
         if self.what == "partition" and (not set(self.between) <= zones or len(set(self.between)) < 2):
-            found.append(("between", f"needs two of {', '.join(sorted(zones))}"))
-        return found
+            errors.append(("between", f"needs two of {', '.join(sorted(zones))}"))
+        return errors
 
 
 ANY = (0.0, math.inf)
 #: By trouble: the figures that it needs, with their bounds.
-NEEDS: dict[str, dict[str, tuple[float, float]]] = {
+REQUIRED_FIGURES: dict[str, dict[str, tuple[float, float]]] = {
     "silent": {"share": (0.001, 1.0)},
     "fast_failing": {"share": (0.001, 1.0)},
     "neighbour": {"share": (0.001, 1.0), "times": (0.01, 1.0)},
@@ -97,190 +99,217 @@
     "join": {"share": (0.001, 1.0)},
     "zone_lost": {},
 }
-DRAIN_MS, DOWN_MS = 2000.0, 1000.0  # of a worker in a deploy: it drains so long, then is away so long
+DEPLOY_DRAIN_MS, DEPLOY_DOWN_MS = (
+    2000.0,
+    1000.0,
+)  # of a worker in a deploy: it drains so long, then is away so long
 
 
-class Troubles:
+class FaultInjector:
     """Enters a list of troubles into a fleet's agenda."""
 
-    def __init__(self, fleet: Fleet, troubles: tuple[Trouble, ...], day_ms: float) -> None:
-        self.fleet, self.count = fleet, Counter[tuple[str, int]]()
-        for number, each in enumerate(troubles):
-            begin = each.at * 1000.0
-            end = begin + each.lasts * 1000.0 if each.lasts else day_ms
-            start, stop = getattr(self, f"_{each.what}")(each, number, begin, end)
-            fleet.agenda.at(begin, start)
+    def __init__(self, simulation: FleetSimulation, faults: tuple[FaultSpec, ...], day_ms: float) -> None:
+        self.simulation, self.active_count = simulation, Counter[tuple[str, int]]()
+        for number, each in enumerate(faults):
+            begin_ms = each.at * 1000.0
+            end_ms = begin_ms + each.lasts * 1000.0 if each.lasts else day_ms
+            start, stop = getattr(self, f"_{each.what}")(each, number, begin_ms, end_ms)
+            simulation.event_queue.schedule_at(begin_ms, start)
             if stop is not None:
-                fleet.agenda.at(end, stop)
+                simulation.event_queue.schedule_at(end_ms, stop)
 
-    def _struck(self, trouble: Trouble, number: int) -> list[Place]:
+    def _select_workers(self, fault: FaultSpec, fault_index: int) -> list[WorkerHost]:
         """The workers that it strikes, one at least."""
-        fit = [each for each in self.fleet.places.values() if trouble.kind in ("", each.worker.spec.kind)]
-        count = max(1, round(trouble.share * len(fit)))
-        chosen = self.fleet.streams.of("trouble", number).permutation(len(fit))[:count]
-        return [fit[each] for each in sorted(chosen.tolist())]
-
-    def _each(self, what: str, places: list[Place], change: Callable[[Place, bool], None]):
+        eligible = [
+            each
+            for each in self.simulation.worker_hosts.values()
+            if fault.kind in ("", each.worker.spec.kind)
+        ]
+        count = max(1, round(fault.share * len(eligible)))
+        chosen = self.simulation.streams.stream("trouble", fault_index).permutation(len(eligible))[:count]
+        return [eligible[each] for each in sorted(chosen.tolist())]
+
+    def _apply_to_workers(
+        self, fault_kind: str, hosts: list[WorkerHost], change_worker: Callable[[WorkerHost, bool], None]
+    ):
         """Calls that begin and end something on each; it ends with the last of its kind."""
 
         def begin() -> None:
-            for place in places:
-                self.count[what, place.number] += 1
-                if self.count[what, place.number] == 1:
-                    self._change(place, change, True)
+            for place in hosts:
+                self.active_count[fault_kind, place.worker_id] += 1
+                if self.active_count[fault_kind, place.worker_id] == 1:
+                    self._change_worker(place, change_worker, True)
 
         def end() -> None:
-            for place in places:
-                self.count[what, place.number] -= 1
-                if self.count[what, place.number] == 0:
-                    self._change(place, change, False)
+            for place in hosts:
+                self.active_count[fault_kind, place.worker_id] -= 1
+                if self.active_count[fault_kind, place.worker_id] == 0:
+                    self._change_worker(place, change_worker, False)
 
         return begin, end
 
-    def _change(self, place: Place, change: Callable[[Place, bool], None], on: bool) -> None:
-        self.fleet.heard_of(place)  # what it did until now was done as it was until now
-        change(place, on)
-        self.fleet.heard_of(place)
-
-    def _silent(self, trouble: Trouble, number: int, *_: float):
-        return self._each(
-            "silent", self._struck(trouble, number), lambda place, on: setattr(place.worker, "silent", on)
+    def _change_worker(
+        self, host: WorkerHost, change_worker: Callable[[WorkerHost, bool], None], is_active: bool
+    ) -> None:
+        self.simulation.advance_worker(host)  # what it did until now was done as it was until now
+        change_worker(host, is_active)
+        self.simulation.advance_worker(host)
+
+    def _silent(self, fault: FaultSpec, fault_index: int, *_: float):
+        return self._apply_to_workers(
+            "silent",
+            self._select_workers(fault, fault_index),
+            lambda place, on: setattr(place.worker, "silent", on),
         )
 
-    def _fast_failing(self, trouble: Trouble, number: int, *_: float):
-        return self._each(
+    def _fast_failing(self, fault: FaultSpec, fault_index: int, *_: float):
+        return self._apply_to_workers(
             "fast_failing",
-            self._struck(trouble, number),
+            self._select_workers(fault, fault_index),
             lambda place, on: setattr(place.worker, "fast_failing", on),
         )
 
-    def _neighbour(self, trouble: Trouble, number: int, *_: float):
-        return self._each(
+    def _neighbour(self, fault: FaultSpec, fault_index: int, *_: float):
+        return self._apply_to_workers(
             "neighbour",
-            self._struck(trouble, number),
-            lambda place, on: setattr(place.worker, "slowed", trouble.times if on else 1.0),
+            self._select_workers(fault, fault_index),
+            lambda place, on: setattr(place.worker, "slowed", fault.times if on else 1.0),
         )
 
-    def _heavy_tail(self, trouble: Trouble, *_: float):
-        fleet = self.fleet
+    def _heavy_tail(self, fault: FaultSpec, *_: float):
+        simulation = self.simulation
         return (
-            lambda: setattr(fleet, "tail", (trouble.share, trouble.times)),
-            lambda: setattr(fleet, "tail", (0.0, 1.0)),
+            lambda: setattr(simulation, "tail", (fault.share, fault.times)),
+            lambda: setattr(simulation, "tail", (0.0, 1.0)),
         )
 
-    def _cold_snap(self, trouble: Trouble, *_: float):
-        return self._flooded([each.name for each in self.fleet.plan.brands], trouble.times)
+    def _cold_snap(self, fault: FaultSpec, *_: float):
+        return self._multiply_load([each.name for each in self.simulation.plan.tenants], fault.times)
 
-    def _flood(self, trouble: Trouble, *_: float):
-        return self._flooded([trouble.brand], trouble.times)
+    def _flood(self, fault: FaultSpec, *_: float):
+        return self._multiply_load([fault.brand], fault.times)
 
-    def _flooded(self, brands: list[str], times: float):
-        floods = self.fleet.clients.floods
+    def _multiply_load(self, tenants: list[str], factor: float):
+        load_factors = self.simulation.clients.load_factor_by_tenant
 
         def begin() -> None:
-            floods.update({each: floods.get(each, 1.0) * times for each in brands})
+            load_factors.update({each: load_factors.get(each, 1.0) * factor for each in tenants})
 
         def end() -> None:
-            floods.update({each: floods[each] / times for each in brands})
+            load_factors.update({each: load_factors[each] / factor for each in tenants})
 
         return begin, end
 
-    def _partition(self, trouble: Trouble, *_: float):
-        network, between = self.fleet.network, trouble.between
-        return lambda: network.part(*between), lambda: network.heal(*between)
+    def _partition(self, fault: FaultSpec, *_: float):
+        network, between = self.simulation.network, fault.between
+        return lambda: network.partition(*between), lambda: network.heal_partition(*between)
 
-    def _stolen_cpu(self, trouble: Trouble, *_: float):
-        node = self._node(trouble)
-        return lambda: setattr(node, "stolen", trouble.share), lambda: setattr(node, "stolen", 0.0)
+    def _stolen_cpu(self, fault: FaultSpec, *_: float):
+        scheduler = self._find_scheduler(fault)
+        return lambda: setattr(scheduler, "stolen", fault.share), lambda: setattr(scheduler, "stolen", 0.0)
 
-    def _scheduler_stop(self, trouble: Trouble, *_: float):
-        return lambda: self.fleet.stop_node(self._node(trouble)), None
+    def _scheduler_stop(self, fault: FaultSpec, *_: float):
+        return lambda: self.simulation.stop_scheduler(self._find_scheduler(fault)), None
 
-    def _node(self, trouble: Trouble):
-        return next(each for each in self.fleet.nodes if each.name == trouble.scheduler)
+    def _find_scheduler(self, fault: FaultSpec):
+        return next(each for each in self.simulation.schedulers if each.name == fault.scheduler)
 
     def _discovery_down(self, *_: object):
-        fleet = self.fleet
-        return lambda: setattr(fleet, "discovery_up", False), fleet.discovery_back
+        simulation = self.simulation
+        return lambda: setattr(simulation, "discovery_up", False), simulation.restore_discovery
 
-    def _schedulers_killed(self, trouble: Trouble, number: int, *_: float):
+    def _schedulers_killed(self, fault: FaultSpec, fault_index: int, *_: float):
         """All at once; they are back, one after another within a second, when it ends."""
-        fleet, stream = self.fleet, self.fleet.streams.of("trouble", number)
-        names = [each.name for each in fleet.nodes]
-        count = max(1, round(trouble.share * len(names)))
+        simulation, stream = self.simulation, self.simulation.streams.stream("trouble", fault_index)
+        names = [each.name for each in simulation.schedulers]
+        count = max(1, round(fault.share * len(names)))
         chosen = {names[at] for at in stream.permutation(len(names))[:count]}
-        return self._stopped(lambda each: each.name in chosen)
+        return self._stop_schedulers(lambda each: each.name in chosen)
 
-    def _stopped(self, struck: Callable[[Node], bool]):
+    def _stop_schedulers(self, is_affected: Callable[[SimulatedScheduler], bool]):
         """Calls that stop the schedulers that are struck, and start them within a second."""
-        fleet, stopped = self.fleet, list[str]()
+        simulation, stopped = self.simulation, list[str]()
 
         def begin() -> None:
-            stopped.extend(each.name for each in fleet.nodes if struck(each) and each.up)
-            for node in [each for each in fleet.nodes if each.name in stopped]:
-                fleet.stop_node(node)
+            stopped.extend(each.name for each in simulation.schedulers if is_affected(each) and each.is_up)
+            for node in [each for each in simulation.schedulers if each.name in stopped]:
+                simulation.stop_scheduler(node)
 
         def end() -> None:
             for turn, name in enumerate(stopped):
-                fleet.agenda.after(1000.0 * turn / len(stopped), fleet.start_node, name)
+                simulation.event_queue.schedule_after(
+                    1000.0 * turn / len(stopped), simulation.start_scheduler, name
+                )
 
         return begin, end
 
-    def _zone_lost(self, trouble: Trouble, *_: float):
+    def _zone_lost(self, fault: FaultSpec, *_: float):
         """Its schedulers and workers are gone without a word; all come back, the workers cold."""
-        fleet = self.fleet
-        lose, back = self._stopped(lambda each: each.zone == trouble.zone)
-        places = [each for each in fleet.places.values() if each.worker.spec.zone == trouble.zone]
+        simulation = self.simulation
+        stop_schedulers, restart_schedulers = self._stop_schedulers(lambda each: each.zone == fault.zone)
+        hosts = [each for each in simulation.worker_hosts.values() if each.worker.spec.zone == fault.zone]
 
         def begin() -> None:
-            lose()
-            for place in places:
-                fleet.away(place)
+            stop_schedulers()
+            for place in hosts:
+                simulation.crash_if_up(place)
 
         def end() -> None:
-            back()
-            for place in places:
-                fleet.start_again(place)
+            restart_schedulers()
+            for place in hosts:
+                simulation.start_if_down(place)
 
         return begin, end
 
-    def _join(self, trouble: Trouble, number: int, begin: float, end: float):
+    def _join(self, fault: FaultSpec, fault_index: int, begin_ms: float, end_ms: float):
         """Others start beside them, cold, evenly over the time; each drains when its successor is up."""
-        places = self._struck(trouble, number)
+        hosts = self._select_workers(fault, fault_index)
 
         def start() -> None:
-            for turn, place in enumerate(places):
-                when = (end - begin) * turn / len(places)
-                self.fleet.agenda.after(when, self.fleet.join, place)
-                self.fleet.agenda.after(when + DRAIN_MS, self.fleet.drain, place)
-                self.fleet.agenda.after(when + 4 * DRAIN_MS, self.fleet.away, place)
+            for turn, place in enumerate(hosts):
+                when = (end_ms - begin_ms) * turn / len(hosts)
+                self.simulation.event_queue.schedule_after(when, self.simulation.start_replacement, place)
+                self.simulation.event_queue.schedule_after(
+                    when + DEPLOY_DRAIN_MS, self.simulation.drain_worker, place
+                )
+                self.simulation.event_queue.schedule_after(
+                    when + 4 * DEPLOY_DRAIN_MS, self.simulation.crash_if_up, place
+                )
 
         return start, None
 
-    def _crash(self, trouble: Trouble, number: int, *_: float):
-        places = self._struck(trouble, number)
+    def _crash(self, fault: FaultSpec, fault_index: int, *_: float):
+        hosts = self._select_workers(fault, fault_index)
 
         def begin() -> None:
-            for place in places:
-                if not place.worker.fallen:
-                    self.fleet.crash(place)
+            for place in hosts:
+                if not place.worker.is_down:
+                    self.simulation.crash_worker(place)
 
         def end() -> None:
-            for place in places:
-                if place.worker.fallen:
-                    self.fleet.start(place)
+            for place in hosts:
+                if place.worker.is_down:
+                    self.simulation.start_worker(place)
 
         return begin, end
 
-    def _deploy(self, trouble: Trouble, number: int, begin: float, end: float):
+    def _deploy(self, fault: FaultSpec, fault_index: int, begin_ms: float, end_ms: float):
         """One after another drains, is away and starts cold, evenly over the time."""
-        places = self._struck(trouble, number)
-        gap = max(0.0, end - begin - DRAIN_MS - DOWN_MS) / max(1, len(places))
+        hosts = self._select_workers(fault, fault_index)
+        interval_ms = max(0.0, end_ms - begin_ms - DEPLOY_DRAIN_MS - DEPLOY_DOWN_MS) / max(1, len(hosts))
 
         def start() -> None:
-            for turn, place in enumerate(places):
-                self.fleet.agenda.after(turn * gap, self.fleet.drain, place)
-                self.fleet.agenda.after(turn * gap + DRAIN_MS, self.fleet.away, place)
-                self.fleet.agenda.after(turn * gap + DRAIN_MS + DOWN_MS, self.fleet.start_again, place)
+            for turn, place in enumerate(hosts):
+                self.simulation.event_queue.schedule_after(
+                    turn * interval_ms, self.simulation.drain_worker, place
+                )
+                self.simulation.event_queue.schedule_after(
+                    turn * interval_ms + DEPLOY_DRAIN_MS, self.simulation.crash_if_up, place
+                )
+                self.simulation.event_queue.schedule_after(
+                    turn * interval_ms + DEPLOY_DRAIN_MS + DEPLOY_DOWN_MS,
+                    self.simulation.start_if_down,
+                    place,
+                )
 
         return start, None
--- a/spanwing/world/worker.py
+++ b/spanwing/world/worker.py
@@ -20,13 +20,13 @@
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
 
-Order = Literal["fifo", "backfill", "priority"]
-Result = Literal["ok", "error", "full", "cancelled", "expired"]
-STEP_MS = 50.0  # a cold worker's capacity grows in steps of this
-TINY = 1e-6  # ms: sums of times may miss their mark by less
+QueueDiscipline = Literal["fifo", "backfill", "priority"]
+JobResult = Literal["ok", "error", "full", "cancelled", "expired"]
+WARM_UP_STEP_MS = 50.0  # a cold worker's capacity grows in steps of this
+TIME_TOLERANCE_MS = 1e-6  # ms: sums of times may miss their mark by less
 
 
-class Spec(NamedTuple):
+class WorkerSpec(NamedTuple):
     """What a worker is; times in ms."""
 
     name: str
@@ -36,57 +36,57 @@
     cores: float = 4.0
     speed: float = 1.0  # work of one ms at speed 1 takes 1 / speed ms
     slots: int = 4
-    queue: int = 40  # jobs that may wait
+    queue_length: int = 40  # jobs that may wait
     memory: float = math.inf
-    order: Order = "priority"
-    suspends: bool = False  # repeatable work gives its slots to work of a higher priority, and goes on later
-    cold_from: float = 1.0  # part of its capacity at a start
-    cold_ms: float = 0.0
-    fall_multiple: float = math.inf
-    fall_ms: float = 0.0
+    queue_discipline: QueueDiscipline = "priority"
+    preempts: bool = False  # repeatable work gives its slots to work of a higher priority, and goes on later
+    initial_capacity: float = 1.0  # part of its capacity at a start
+    slow_start_ms: float = 0.0
+    overload_multiple: float = math.inf
+    overload_window_ms: float = 0.0
 
 
-class Job(NamedTuple):
+class WorkerJob(NamedTuple):
     """One delivery attempt as a worker sees it."""
 
-    key: str  # of the attempt
-    work: float  # ms at speed 1
+    attempt_key: str  # of the attempt
+    work_ms: float  # ms at speed 1
     slots: int = 1
     memory: float = 0.0
     priority: int = 0  # the highest goes first
-    repeatable: bool = True
-    deadline: float = math.inf  # a job still waiting then is dropped
-    effect: str = ""  # of what has a window: done again within it, it is not worked on again
-    window_ms: float = 0.0
-    fails: bool = False
+    is_repeatable: bool = True
+    deadline_ms: float = math.inf  # a job still waiting then is dropped
+    idempotency_key: str = ""  # of what has a window: done again within it, it is not worked on again
+    deduplication_window_ms: float = 0.0
+    will_fail: bool = False
 
 
-class Began(NamedTuple):
-    key: str
+class JobBegan(NamedTuple):
+    attempt_key: str
 
 
-class Ended(NamedTuple):
-    key: str
-    result: Result
+class JobEnded(NamedTuple):
+    attempt_key: str
+    result: JobResult
 
 
-Said = Began | Ended
+WorkerJobEvent = JobBegan | JobEnded
 
 
 @dataclass(eq=False)
-class Held:
+class AcceptedJob:
     """A job here."""
 
-    job: Job
-    came: int  # order of arrival
-    left: float  # work still to be done while it does not run
-    mark: float = 0.0  # of the work clock, while it runs
-    began: bool = False
-    gone: bool = False
+    job: WorkerJob
+    arrival_number: int  # order of arrival
+    remaining_work: float  # work still to be done while it does not run
+    ends_at_work: float = 0.0  # of the work clock, while it runs
+    has_begun: bool = False
+    is_removed: bool = False
 
 
 @dataclass
-class Worked:
+class WorkerWorkTotals:
     """Where work went, in ms at speed 1."""
 
     done: float = 0.0
@@ -95,244 +95,276 @@
 
 
 @dataclass
-class JobWorker:
+class SimulatedWorker:
     """One worker from its start on."""
 
-    spec: Spec
-    started: float = 0.0
-    now: float = 0.0
-    clock: float = 0.0  # work done on each job that ran all the time
+    spec: WorkerSpec
+    started_at_ms: float = 0.0
+    now_ms: float = 0.0
+    work_clock: float = 0.0  # work done on each job that ran all the time
     slowed: float = 1.0  # by a neighbour or stolen CPU: part of the speed that is left
     silent: bool = False  # takes what comes and says nothing
     fast_failing: bool = False
-    draining: bool = False
-    fallen: bool = False
-    worked: Worked = field(default_factory=Worked)
-    held: dict[str, Held] = field(default_factory=dict)
-    running: list[tuple[float, int, Held]] = field(default_factory=list)  # heap by mark
-    waiting: list[Held] = field(default_factory=list)  # in the order in which they are looked at
-    windows: dict[str, float] = field(default_factory=dict)  # effect -> until when
-    over_since: float | None = None
-    arrivals: int = 0
-    used: int = 0  # slots
-    busy: float = 0.0  # all work that was done here, from the rate alone
-    memory: float = 0.0
-
-    def warmth(self) -> float:
+    is_draining: bool = False
+    is_down: bool = False
+    work_totals: WorkerWorkTotals = field(default_factory=WorkerWorkTotals)
+    accepted_jobs: dict[str, AcceptedJob] = field(default_factory=dict)
+    running_jobs: list[tuple[float, int, AcceptedJob]] = field(default_factory=list)  # heap by mark
+    queued_jobs: list[AcceptedJob] = field(default_factory=list)  # in the order in which they are looked at
+    deduplicated_until: dict[str, float] = field(default_factory=dict)  # effect -> until when
+    overloaded_since_ms: float | None = None
+    arrival_count: int = 0
+    slots_in_use: int = 0  # slots
+    processed_work: float = 0.0  # all work that was done here, from the rate alone
+    memory_in_use: float = 0.0
+
+    def capacity_fraction(self) -> float:
         """The part of its capacity that it has now; it grows in a straight line, in steps."""
         spec = self.spec
-        if spec.cold_ms <= 0:
+        if spec.slow_start_ms <= 0:
             return 1.0
-        age = max(0.0, self.now - self.started)
-        steps = math.floor(age / STEP_MS + 1e-9) * STEP_MS
-        return min(1.0, spec.cold_from + (1.0 - spec.cold_from) * steps / spec.cold_ms)
+        age = max(0.0, self.now_ms - self.started_at_ms)
+        steps = math.floor(age / WARM_UP_STEP_MS + 1e-9) * WARM_UP_STEP_MS
+        return min(1.0, spec.initial_capacity + (1.0 - spec.initial_capacity) * steps / spec.slow_start_ms)
 
-    def rate(self) -> float:
+    def work_rate(self) -> float:
         """Work done on each running job in a ms."""
-        share = min(1.0, self.spec.cores / self.used) if self.used else 1.0
-        return self.spec.speed * self.warmth() * self.slowed * share
+        share = min(1.0, self.spec.cores / self.slots_in_use) if self.slots_in_use else 1.0
+        return self.spec.speed * self.capacity_fraction() * self.slowed * share
 
-    def load(self) -> float:
+    def load_ratio(self) -> float:
         """Slots asked for, of those that it has capacity for now."""
-        asked = sum(each.job.slots for each in self.held.values())
-        return asked / (self.spec.slots * self.warmth())
+        asked = sum(each.job.slots for each in self.accepted_jobs.values())
+        return asked / (self.spec.slots * self.capacity_fraction())
 
-    def offer(self, now: float, job: Job) -> list[Said]:
+    def submit_job(self, now_ms: float, job: WorkerJob) -> list[WorkerJobEvent]:
         """A delivery attempt arrives."""
-        said = self.advance(now)
-        assert job.key not in self.held and job.slots >= 1 and job.work >= 0
-        if self.fallen:
-            return said
-        if self.draining or job.slots > self.spec.slots or job.memory > self.spec.memory:
-            return [*said, Ended(job.key, "full")]
+        events = self.advance_to(now_ms)
+        assert job.attempt_key not in self.accepted_jobs and job.slots >= 1 and job.work_ms >= 0
+        if self.is_down:
+            return events
+        if self.is_draining or job.slots > self.spec.slots or job.memory > self.spec.memory:
+            return [*events, JobEnded(job.attempt_key, "full")]
         if self.fast_failing:
-            return [*said, Ended(job.key, "error")]
-        if job.effect and self.windows.get(job.effect, -math.inf) > now:
-            return [*said, Began(job.key), Ended(job.key, "ok")]  # its effect stands already
-        if len(self.waiting) >= self.spec.queue and not self._fits(job):
-            return [*said, Ended(job.key, "full")]
-        self.arrivals += 1
-        held = self.held[job.key] = Held(job, self.arrivals, job.work)
-        self.waiting.append(held)
-        return said + self._serve()
-
-    def cancel(self, now: float, key: str) -> list[Said]:
+            return [*events, JobEnded(job.attempt_key, "error")]
+        if job.idempotency_key and self.deduplicated_until.get(job.idempotency_key, -math.inf) > now_ms:
+            return [
+                *events,
+                JobBegan(job.attempt_key),
+                JobEnded(job.attempt_key, "ok"),
+            ]  # its effect stands already
+        if len(self.queued_jobs) >= self.spec.queue_length and not self._fits(job):
+            return [*events, JobEnded(job.attempt_key, "full")]
+        self.arrival_count += 1
+        accepted = self.accepted_jobs[job.attempt_key] = AcceptedJob(job, self.arrival_count, job.work_ms)
+        self.queued_jobs.append(accepted)
+        return events + self._start_queued_jobs()
+
+    def cancel_job(self, now_ms: float, attempt_key: str) -> list[WorkerJobEvent]:
         """Give an attempt up: what was worked on it is wasted."""
-        said = self.advance(now)
-        held = self.held.get(key)
-        if held is None or self.fallen:
-            return said
-        self._take_out(held, "cancelled")
-        return [*said, Ended(key, "cancelled"), *self._serve()]
-
-    def advance(self, now: float) -> list[Said]:
+        events = self.advance_to(now_ms)
+        accepted = self.accepted_jobs.get(attempt_key)
+        if accepted is None or self.is_down:
+            return events
+        self._remove_job(accepted, "cancelled")
+        return [*events, JobEnded(attempt_key, "cancelled"), *self._start_queued_jobs()]
+
+    def advance_to(self, now_ms: float) -> list[WorkerJobEvent]:
         """Let time pass; what was said meanwhile, in order."""
-        assert now >= self.now, (now, self.now)
-        said: list[Said] = []
-        while not self.fallen and (due := self.next_due()) is not None and due <= now:
-            self._pass(due)
-            said += self._settle()
-        if not self.fallen:
-            self._pass(now)
-            said += self._settle()
-        self.now = now
-        return said
-
-    def next_due(self) -> float | None:
+        assert now_ms >= self.now_ms, (now_ms, self.now_ms)
+        events: list[WorkerJobEvent] = []
+        while (
+            not self.is_down and (event_at_ms := self.next_event_ms()) is not None and event_at_ms <= now_ms
+        ):
+            self._process_until(event_at_ms)
+            events += self._finish_due_jobs()
+        if not self.is_down:
+            self._process_until(now_ms)
+            events += self._finish_due_jobs()
+        self.now_ms = now_ms
+        return events
+
+    def next_event_ms(self) -> float | None:
         """When something happens here by itself; None: never."""
-        if self.fallen:
+        if self.is_down:
             return None
         times = []
-        if self.running and self.rate() > 0:
-            times.append(self.now + max(0.0, self.running[0][0] - self.clock) / self.rate())
-        if self.spec.cold_ms > 0 and self.warmth() < 1.0 and self.held:
-            steps = math.floor((self.now - self.started) / STEP_MS + 1e-9) + 1
-            times.append(self.started + steps * STEP_MS)
-        if self.over_since is not None:
-            times.append(self.over_since + self.spec.fall_ms)
+        if self.running_jobs and self.work_rate() > 0:
+            times.append(self.now_ms + max(0.0, self.running_jobs[0][0] - self.work_clock) / self.work_rate())
+        if self.spec.slow_start_ms > 0 and self.capacity_fraction() < 1.0 and self.accepted_jobs:
+            steps = math.floor((self.now_ms - self.started_at_ms) / WARM_UP_STEP_MS + 1e-9) + 1
+            times.append(self.started_at_ms + steps * WARM_UP_STEP_MS)
+        if self.overloaded_since_ms is not None:
+            times.append(self.overloaded_since_ms + self.spec.overload_window_ms)
         times += [
-            each.job.deadline for each in self.waiting if each.job.deadline < math.inf and not each.began
+            each.job.deadline_ms
+            for each in self.queued_jobs
+            if each.job.deadline_ms < math.inf and not each.has_begun
         ]
-        return max(self.now, min(times)) if times else None
+        return max(self.now_ms, min(times)) if times else None
 
-    def lost(self) -> list[str]:
+    def lost_attempts(self) -> list[str]:
         """Attempts of which nothing will be heard."""
-        return list(self.held) if self.fallen else []
+        return list(self.accepted_jobs) if self.is_down else []
 
-    def crash(self, now: float) -> list[Said]:
+    def crash(self, now_ms: float) -> list[WorkerJobEvent]:
         """It is gone with all that it held; what was said before is returned."""
-        said = self.advance(now)
-        self._fall()
-        return said
+        events = self.advance_to(now_ms)
+        self._go_down()
+        return events
 
-    def still_to_do(self) -> float:
+    def remaining_work(self) -> float:
         """Work that is still to be done on what is here, in ms at speed 1."""
-        return 0.0 if self.fallen else sum(self._left(each) for each in self.held.values())
+        return (
+            0.0
+            if self.is_down
+            else sum(self._remaining_work_of(each) for each in self.accepted_jobs.values())
+        )
 
-    def under_way(self) -> float:
+    def unfinished_processed_work(self) -> float:
         """Work that was done on what is still here."""
-        return 0.0 if self.fallen else sum(each.job.work - self._left(each) for each in self.held.values())
+        return (
+            0.0
+            if self.is_down
+            else sum(each.job.work_ms - self._remaining_work_of(each) for each in self.accepted_jobs.values())
+        )
 
-    def report(self) -> dict[str, float]:
+    def load_report(self) -> dict[str, float]:
         """What a load report says."""
         return {
-            "inflight": float(len(self.held) - len(self.waiting)),
-            "queue": float(len(self.waiting)),
-            "free_slots": float(self.spec.slots - self.used),
-            "free_memory": self.spec.memory - self.memory,
+            "inflight": float(len(self.accepted_jobs) - len(self.queued_jobs)),
+            "queue": float(len(self.queued_jobs)),
+            "free_slots": float(self.spec.slots - self.slots_in_use),
+            "free_memory": self.spec.memory - self.memory_in_use,
         }
 
-    def _pass(self, now: float) -> None:
-        step = self.rate() * (now - self.now)
-        self.clock += step
-        self.busy += step * (len(self.held) - len(self.waiting))
-        self.now = now
+    def _process_until(self, now_ms: float) -> None:
+        work_per_job = self.work_rate() * (now_ms - self.now_ms)
+        self.work_clock += work_per_job
+        self.processed_work += work_per_job * (len(self.accepted_jobs) - len(self.queued_jobs))
+        self.now_ms = now_ms
 
-    def _settle(self) -> list[Said]:
+    def _finish_due_jobs(self) -> list[WorkerJobEvent]:
         """Whatever is over at this moment."""
-        said: list[Said] = []
-        while self.running and (self.running[0][2].gone or self.running[0][0] <= self.clock + TINY):
-            held = self.running[0][2]
-            if held.gone:
-                heapq.heappop(self.running)
+        events: list[WorkerJobEvent] = []
+        while self.running_jobs and (
+            self.running_jobs[0][2].is_removed
+            or self.running_jobs[0][0] <= self.work_clock + TIME_TOLERANCE_MS
+        ):
+            accepted = self.running_jobs[0][2]
+            if accepted.is_removed:
+                heapq.heappop(self.running_jobs)
                 continue
-            result: Result = "error" if held.job.fails else "ok"
-            self._take_out(held, result)
+            result: JobResult = "error" if accepted.job.will_fail else "ok"
+            self._remove_job(accepted, result)
             if not self.silent:
-                said.append(Ended(held.job.key, result))
-            said += self._serve()
-        for held in [each for each in self.waiting if each.job.deadline <= self.now and not each.began]:
-            self._take_out(held, "expired")
-            said.append(Ended(held.job.key, "expired"))
-        self._weigh()
-        return said
-
-    def _weigh(self) -> None:
+                events.append(JobEnded(accepted.job.attempt_key, result))
+            events += self._start_queued_jobs()
+        for accepted in [
+            each for each in self.queued_jobs if each.job.deadline_ms <= self.now_ms and not each.has_begun
+        ]:
+            self._remove_job(accepted, "expired")
+            events.append(JobEnded(accepted.job.attempt_key, "expired"))
+        self._check_overload()
+        return events
+
+    def _check_overload(self) -> None:
         """Whether it is asked for too much while it is cold, and has been for too long."""
         spec = self.spec
-        if self.warmth() >= 1.0 or self.load() <= spec.fall_multiple:
-            self.over_since = None
-        elif self.over_since is None:
-            self.over_since = self.now
-        elif self.now - self.over_since >= spec.fall_ms - TINY:
-            self._fall()
-
-    def _fall(self) -> None:
-        for held in self.held.values():
-            self.worked.wasted += held.job.work - self._left(held)
-            self.worked.withdrawn += self._left(held)
-        self.fallen, self.over_since = True, None
-
-    def _left(self, held: Held) -> float:
-        return held.left if held in self.waiting else max(0.0, held.mark - self.clock)
-
-    def _take_out(self, held: Held, result: Result) -> None:
-        left = self._left(held)
-        worked = held.job.work - left
-        if held in self.waiting:
-            self.waiting.remove(held)
+        if self.capacity_fraction() >= 1.0 or self.load_ratio() <= spec.overload_multiple:
+            self.overloaded_since_ms = None
+        elif self.overloaded_since_ms is None:
+            self.overloaded_since_ms = self.now_ms
+        elif self.now_ms - self.overloaded_since_ms >= spec.overload_window_ms - TIME_TOLERANCE_MS:
+            self._go_down()
+
+    def _go_down(self) -> None:
+        for accepted in self.accepted_jobs.values():
+            self.work_totals.wasted += accepted.job.work_ms - self._remaining_work_of(accepted)
+            self.work_totals.withdrawn += self._remaining_work_of(accepted)
+        self.is_down, self.overloaded_since_ms = True, None
+
+    def _remaining_work_of(self, accepted: AcceptedJob) -> float:
+        return (
+            accepted.remaining_work
+            if accepted in self.queued_jobs
+            else max(0.0, accepted.ends_at_work - self.work_clock)
+        )
+
+    def _remove_job(self, accepted: AcceptedJob, result: JobResult) -> None:
+        remaining = self._remaining_work_of(accepted)
+        processed = accepted.job.work_ms - remaining
+        if accepted in self.queued_jobs:
+            self.queued_jobs.remove(accepted)
         else:
-            held.gone = True
-            self.used -= held.job.slots
-            self.memory -= held.job.memory
-        del self.held[held.job.key]
+            accepted.is_removed = True
+            self.slots_in_use -= accepted.job.slots
+            self.memory_in_use -= accepted.job.memory
+        del self.accepted_jobs[accepted.job.attempt_key]
         if result == "ok":
-            self.worked.done += worked
-            if held.job.effect and held.job.window_ms > 0:
-                self.windows[held.job.effect] = self.now + held.job.window_ms
-                self._forget()
+            self.work_totals.done += processed
+            if accepted.job.idempotency_key and accepted.job.deduplication_window_ms > 0:
+                self.deduplicated_until[accepted.job.idempotency_key] = (
+                    self.now_ms + accepted.job.deduplication_window_ms
+                )
+                self._expire_deduplication()
         else:
-            self.worked.wasted += worked
-            self.worked.withdrawn += left
+            self.work_totals.wasted += processed
+            self.work_totals.withdrawn += remaining
 
-    def _forget(self) -> None:
+    def _expire_deduplication(self) -> None:
         """Windows that are over are of no use; looked for when there are many."""
-        if len(self.windows) % 1024 == 0:
-            self.windows = {effect: until for effect, until in self.windows.items() if until > self.now}
-
-    def _fits(self, job: Job) -> bool:
-        return self.used + job.slots <= self.spec.slots and self.memory + job.memory <= self.spec.memory
+        if len(self.deduplicated_until) % 1024 == 0:
+            self.deduplicated_until = {
+                effect: until for effect, until in self.deduplicated_until.items() if until > self.now_ms
+            }
+
+    def _fits(self, job: WorkerJob) -> bool:
+        return (
+            self.slots_in_use + job.slots <= self.spec.slots
+            and self.memory_in_use + job.memory <= self.spec.memory
+        )
 
-    def _serve(self) -> list[Said]:
+    def _start_queued_jobs(self) -> list[WorkerJobEvent]:
         """Start what may start."""
-        said: list[Said] = []
-        if self.spec.order == "priority":
-            self.waiting.sort(key=lambda each: (-each.job.priority, each.came))
-        place = 0
-        while place < len(self.waiting):
-            held = self.waiting[place]
-            if not self._fits(held.job) and not self._make_room(held.job):
-                if self.spec.order == "backfill":
-                    place += 1
+        events: list[WorkerJobEvent] = []
+        if self.spec.queue_discipline == "priority":
+            self.queued_jobs.sort(key=lambda each: (-each.job.priority, each.arrival_number))
+        index = 0
+        while index < len(self.queued_jobs):
+            accepted = self.queued_jobs[index]
+            if not self._fits(accepted.job) and not self._preempt_for(accepted.job):
+                if self.spec.queue_discipline == "backfill":
+                    index += 1
                     continue
                 break
-            self.waiting.remove(held)
-            self.used += held.job.slots
-            self.memory += held.job.memory
-            held.mark = self.clock + held.left
-            heapq.heappush(self.running, (held.mark, held.came, held))
-            if not held.began:
-                held.began = True
+            self.queued_jobs.remove(accepted)
+            self.slots_in_use += accepted.job.slots
+            self.memory_in_use += accepted.job.memory
+            accepted.ends_at_work = self.work_clock + accepted.remaining_work
+            heapq.heappush(self.running_jobs, (accepted.ends_at_work, accepted.arrival_number, accepted))
+            if not accepted.has_begun:
+                accepted.has_begun = True
                 if not self.silent:
-                    said.append(Began(held.job.key))
-            place = 0 if self.spec.order == "backfill" else place
-        self._weigh()
-        return said
+                    events.append(JobBegan(accepted.job.attempt_key))
+            index = 0 if self.spec.queue_discipline == "backfill" else index
+        self._check_overload()
+        return events
 
-    def _make_room(self, job: Job) -> bool:
+    def _preempt_for(self, job: WorkerJob) -> bool:
         """Suspend repeatable work of a lower priority, the latest first, if that makes enough room."""
-        if not self.spec.suspends:
+        if not self.spec.preempts:
             return False
         lower = sorted(
             (
                 each
-                for _, _, each in self.running
-                if not each.gone and each.job.repeatable and each.job.priority < job.priority
+                for _, _, each in self.running_jobs
+                if not each.is_removed and each.job.is_repeatable and each.job.priority < job.priority
             ),
-            key=lambda each: -each.came,
+            key=lambda each: -each.arrival_number,
         )
-        chosen: list[Held] = []
-        slots, memory = self.used, self.memory
+        chosen: list[AcceptedJob] = []
+        slots, memory = self.slots_in_use, self.memory_in_use
         for each in lower:
             if slots + job.slots <= self.spec.slots and memory + job.memory <= self.spec.memory:
                 break
@@ -341,12 +373,12 @@
         if slots + job.slots > self.spec.slots or memory + job.memory > self.spec.memory:
             return False
         for each in chosen:
-            each.left = max(0.0, each.mark - self.clock)
-            self.running = [entry for entry in self.running if entry[2] is not each]
-            heapq.heapify(self.running)
-            self.used -= each.job.slots
-            self.memory -= each.job.memory
-            self.waiting.append(each)
-        if self.spec.order == "priority":
-            self.waiting.sort(key=lambda each: (-each.job.priority, each.came))
+            each.remaining_work = max(0.0, each.ends_at_work - self.work_clock)
+            self.running_jobs = [entry for entry in self.running_jobs if entry[2] is not each]
+            heapq.heapify(self.running_jobs)
+            self.slots_in_use -= each.job.slots
+            self.memory_in_use -= each.job.memory
+            self.queued_jobs.append(each)
+        if self.spec.queue_discipline == "priority":
+            self.queued_jobs.sort(key=lambda each: (-each.job.priority, each.arrival_number))
         return True
