--- a/spanwing/world/zoned.py
+++ b/spanwing/world/zoned.py
@@ -14,332 +14,418 @@
 import msgspec
 
 from spanwing import interface as api
-from spanwing.store.document import Document, caught_up
-from spanwing.store.keeper import KEEPER, Keeper, Keeps
+from spanwing.store.document import Document, catch_up
+from spanwing.store.keeper import LEADERSHIP_KEY, Leader, Leadership
 from spanwing.store.lease import Lease
-from spanwing.store.messages import Granted, Renew
-from spanwing.world.fleet import Fleet
-from spanwing.world.node import Node
+from spanwing.store.messages import Renew, RenewalGranted
+from spanwing.world.fleet import FleetSimulation
+from spanwing.world.node import SimulatedScheduler
 from spanwing.zones import trial
-from spanwing.zones.gate import ON_ITS_WAY_MS, Rules
-from spanwing.zones.local import Local
-from spanwing.zones.solo import TURN_MS as SOLO_MS
-from spanwing.zones.solo import Solo
-from spanwing.zones.state import read
-from spanwing.zones.steward import Bounds, Listed, Steward
-from spanwing.zones.strand import Stranded
-
-LEASE_MS, MEMBERS = 2000.0, 3
-TURN_MS, TAKEN_OVER_MS, TICK_MS, STRANDED_MS = 25.0, 1500.0, 50.0, 250.0
-LOOK_MS = 1000.0
-GAP_MS, ANSWER_MS, TELL_MS, RECALL_MS = 100.0, 1200.0, 100.0, 1000.0
-
-
-class Follower:
+from spanwing.zones.gate import MAX_TRANSIT_MS, RoutingRules
+from spanwing.zones.local import ZoneAgent
+from spanwing.zones.solo import EVALUATION_INTERVAL_MS as SOLO_MS
+from spanwing.zones.solo import StandaloneController
+from spanwing.zones.state import read_fleet_zones
+from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
+from spanwing.zones.strand import ZoneUnreachable
+
+LEASE_MS, STORE_MEMBER_COUNT = 2000.0, 3
+LEADER_INTERVAL_MS, TAKEOVER_DELAY_MS, LEASE_CHECK_INTERVAL_MS, UNREACHABLE_CHECK_INTERVAL_MS = (
+    25.0,
+    1500.0,
+    50.0,
+    250.0,
+)
+LIST_REFRESH_INTERVAL_MS = 1000.0
+MIN_RENEWAL_INTERVAL_MS, ANSWER_TIMEOUT_MS, EVIDENCE_DELAY_MS, MAX_CANCEL_DELAY_MS = (
+    100.0,
+    1200.0,
+    100.0,
+    1000.0,
+)
+
+
+class SimulatedFollower:
     """One scheduler's side of it, in one life."""
 
-    def __init__(self, fleet: ZonedFleet, node: Node, life: int) -> None:
-        self.fleet, self.node, self.agenda = fleet, node, fleet.agenda
-        settings = node.settings
-        self.session, self.position = f"{node.name}.{life}", settings.node
-        self.random = random.Random(node.seed)
-        rules = Rules(self.session, node.zone, settings.cold_ms, settings.fall_ms, node.module.feeders)
-        self.local = Local(rules, settings.node, settings.nodes, node.module.feeds, self.random)
+    def __init__(self, simulation: LeaderFleet, scheduler: SimulatedScheduler, incarnation: int) -> None:
+        self.simulation, self.scheduler, self.event_queue = simulation, scheduler, simulation.event_queue
+        settings = scheduler.settings
+        self.session_id, self.position = f"{scheduler.name}.{incarnation}", settings.node
+        self.random_source = random.Random(scheduler.seed)
+        rules = RoutingRules(
+            self.session_id,
+            scheduler.zone,
+            settings.cold_ms,
+            settings.fall_ms,
+            scheduler.decision_module.feeders,
+        )
+        self.zone_agent = ZoneAgent(
+            rules, settings.node, settings.nodes, scheduler.decision_module.feeds, self.random_source
+        )
         self.lease, self.document = Lease(), Document()
-        self.renewals = self.heard = 0
-        self.held, self.next_ms, self.stranded_at = False, math.inf, 0.0
-        node.watch = self
-        self.agenda.after(self.random.uniform(0, GAP_MS), self._renew)
-        self.agenda.after(TICK_MS, self._tick)
-        self.agenda.after(self.random.uniform(0, 1000.0), self._around)
+        self.last_renewal_number = self.last_answered_renewal = 0
+        self.had_lease, self.next_change_ms, self.unreachable_checked_at_ms = False, math.inf, 0.0
+        scheduler.zone_routing = self
+        self.event_queue.schedule_after(
+            self.random_source.uniform(0, MIN_RENEWAL_INTERVAL_MS), self._send_renewal
+        )
+        self.event_queue.schedule_after(LEASE_CHECK_INTERVAL_MS, self._check_lease)
+        self.event_queue.schedule_after(self.random_source.uniform(0, 1000.0), self._probe_in_background)
 
     # -- what the node asks and tells
 
-    def may(self, worker: int) -> bool:
-        now = self.agenda.now
-        return self.local.gate.may(worker, now, self.lease.valid(now), now)
+    def may_forward(self, worker_id: int) -> bool:
+        now = self.event_queue.now_ms
+        return self.zone_agent.routing_filter.may_forward(worker_id, now, self.lease.is_valid(now), now)
 
-    def screen(self, news: api.WorkerList) -> api.WorkerList:
-        now = self.agenda.now
-        return self.local.screen(news, now, now, self.lease.valid(now))
+    def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList:
+        now = self.event_queue.now_ms
+        return self.zone_agent.filter_workers(endpoint_list, now, now, self.lease.is_valid(now))
 
-    def sent(self, worker: int, job: tuple[str, int]) -> None:
-        self.local.sent(self.agenda.now, worker, job)
+    def attempt_sent(self, worker_id: int, attempt: tuple[str, int]) -> None:
+        self.zone_agent.attempt_sent(self.event_queue.now_ms, worker_id, attempt)
 
-    def accepted(self, worker: int, job: tuple[str, int]) -> None:
-        self.local.witness.answered(self.agenda.now, worker, job)
+    def attempt_accepted(self, worker_id: int, attempt: tuple[str, int]) -> None:
+        self.zone_agent.evidence_collector.attempt_accepted(self.event_queue.now_ms, worker_id, attempt)
 
-    def ended(self, worker: int, job: tuple[str, int], result: str) -> None:
-        self._ask(self.local.ended(self.agenda.now, worker, job, result))
+    def attempt_ended(self, worker_id: int, attempt: tuple[str, int], result: str) -> None:
+        self._probe_workers(
+            self.zone_agent.attempt_ended(self.event_queue.now_ms, worker_id, attempt, result)
+        )
 
-    def probed(self, worker: int, result: str) -> None:
-        self._ask(self.local.probed(self.agenda.now, worker, result))
+    def probe_finished(self, worker_id: int, result: str) -> None:
+        self._probe_workers(self.zone_agent.probe_finished(self.event_queue.now_ms, worker_id, result))
 
-    def _ask(self, workers: list[int]) -> None:
-        for each in workers:
-            self.node.probe(each)
-        if workers:
-            self.agenda.after(TELL_MS, self._renew)
+    def _probe_workers(self, worker_ids: list[int]) -> None:
+        for each in worker_ids:
+            self.scheduler.send_probe(each)
+        if worker_ids:
+            self.event_queue.schedule_after(EVIDENCE_DELAY_MS, self._send_renewal)
 
     # -- messages
 
-    def _renew(self) -> None:
-        if not self.node.up:
+    def _send_renewal(self) -> None:
+        if not self.scheduler.is_up:
             return
-        self.renewals += 1
-        n, now, module = self.renewals, self.agenda.now, self.node.module
-        self.lease.ask(n, now)
-        payload = msgspec.json.encode(self.local.report(now, module.views.values(), now))
+        self.last_renewal_number += 1
+        renewal_number, now, decision_module = (
+            self.last_renewal_number,
+            self.event_queue.now_ms,
+            self.scheduler.decision_module,
+        )
+        self.lease.record_renewal(renewal_number, now)
+        evidence = msgspec.json.encode(
+            self.zone_agent.build_evidence_report(now, decision_module.views.values(), now)
+        )
         message = Renew(
-            n, self.session, self.node.zone, self.position, self.document.revision, msgspec.Raw(payload)
+            renewal_number,
+            self.session_id,
+            self.scheduler.zone,
+            self.position,
+            self.document.revision,
+            msgspec.Raw(evidence),
         )
-        self.fleet.renewal(self, message, len(payload))
-        self.agenda.after(ANSWER_MS, self._unanswered, n)
+        self.simulation.forward_renewal(self, message, len(evidence))
+        self.event_queue.schedule_after(ANSWER_TIMEOUT_MS, self._renew_if_unanswered, renewal_number)
 
-    def _unanswered(self, n: int) -> None:
-        if self.heard < n == self.renewals:
-            self._renew()
+    def _renew_if_unanswered(self, renewal_number: int) -> None:
+        if self.last_answered_renewal < renewal_number == self.last_renewal_number:
+            self._send_renewal()
 
-    def hear(self, granted: Granted) -> None:
-        if not self.node.up:
+    def handle_grant(self, grant: RenewalGranted) -> None:
+        if not self.scheduler.is_up:
             return
-        before = self.document
-        self.document = caught_up(before, granted.changes, granted.whole)
-        self.lease.granted(granted.n, granted.lease_ms)
-        if self.document is not before:
-            self._changed()
-        if granted.look:
-            self._ask(self.local.look(granted.look))
-            now = self.agenda.now
-            trial.begin(self.node.module, self.local.tries(now, granted.look), now)
-        if granted.n == self.renewals and granted.n > self.heard:
-            self.heard = granted.n
-            self.agenda.after(GAP_MS, self._renew)
+        previous = self.document
+        self.document = catch_up(previous, grant.changes, grant.document)
+        self.lease.extend(grant.n, grant.lease_ms)
+        if self.document is not previous:
+            self._handle_document_change()
+        if grant.zones_to_probe:
+            self._probe_workers(self.zone_agent.choose_workers_to_probe(grant.zones_to_probe))
+            now = self.event_queue.now_ms
+            trial.start_trials(
+                self.scheduler.decision_module, self.zone_agent.tries(now, grant.zones_to_probe), now
+            )
+        if grant.n == self.last_renewal_number and grant.n > self.last_answered_renewal:
+            self.last_answered_renewal = grant.n
+            self.event_queue.schedule_after(MIN_RENEWAL_INTERVAL_MS, self._send_renewal)
 
     # -- news
 
-    def _changed(self) -> None:
-        before, fleet, now = self.local.fleet, read(self.document), self.agenda.now
-        self.local.gate.follow(fleet, now, now)
-        self._retell()
-        for name, zone in fleet.zones.items():
-            if zone.state == "leaving" and (before is None or before.zone(name).state != "leaving"):
-                for (request, number), out in self.node.out.items():
-                    entry = self.local.gate.workers.get(out.worker)
-                    if entry is not None and entry.zone == name and not self.may(out.worker):
-                        wait = self.random.uniform(0.0, RECALL_MS)
-                        self.agenda.after(wait, self.node.recall, request, number)
-
-    def _retell(self) -> None:
-        now = self.agenda.now
-        self.held, self.next_ms = self.lease.valid(now), self.local.gate.next_change(now)
-        changed = self.local.news(now, self.held)
-        if changed:
-            self.node.handle(api.WorkerList("partial", tuple(changed)))
-            self.local.prove(self.node.module)
-
-    def _tick(self) -> None:
-        if not self.node.up:
+    def _handle_document_change(self) -> None:
+        previous_zones, fleet_zones, now = (
+            self.zone_agent.fleet,
+            read_fleet_zones(self.document),
+            self.event_queue.now_ms,
+        )
+        self.zone_agent.routing_filter.update_zones(fleet_zones, now, now)
+        self._update_endpoints()
+        for name, zone in fleet_zones.zones.items():
+            if zone.state == "leaving" and (
+                previous_zones is None or previous_zones.get_zone(name).state != "leaving"
+            ):
+                for (request, number), attempt in self.scheduler.open_attempts.items():
+                    endpoint = self.zone_agent.routing_filter.workers.get(attempt.worker_id)
+                    if (
+                        endpoint is not None
+                        and endpoint.zone == name
+                        and not self.may_forward(attempt.worker_id)
+                    ):
+                        delay_ms = self.random_source.uniform(0.0, MAX_CANCEL_DELAY_MS)
+                        self.event_queue.schedule_after(
+                            delay_ms, self.scheduler.cancel_if_idempotent, request, number
+                        )
+
+    def _update_endpoints(self) -> None:
+        now = self.event_queue.now_ms
+        self.had_lease, self.next_change_ms = (
+            self.lease.is_valid(now),
+            self.zone_agent.routing_filter.next_change_ms(now),
+        )
+        changed_workers = self.zone_agent.changed_workers(now, self.had_lease)
+        if changed_workers:
+            self.scheduler.handle_event(api.WorkerList("partial", tuple(changed_workers)))
+            self.zone_agent.restart_concurrency_limits(self.scheduler.decision_module)
+
+    def _check_lease(self) -> None:
+        if not self.scheduler.is_up:
             return
-        now = self.agenda.now
-        if self.lease.valid(now) != self.held or now >= self.next_ms:
-            self._retell()
-        if self.held and now >= self.stranded_at + STRANDED_MS:
-            self.stranded_at = now
-            for name in self.local.shut():
-                self.node.handle(Stranded(name))
-        self.agenda.after(TICK_MS, self._tick)
-
-    def _around(self) -> None:
-        if self.node.up:
-            for worker in self.local.ask_around():
-                self.node.probe(worker)
-            self.agenda.after(self.random.uniform(800.0, 1200.0), self._around)
-
-
-class SoloFollower(Follower):
+        now = self.event_queue.now_ms
+        if self.lease.is_valid(now) != self.had_lease or now >= self.next_change_ms:
+            self._update_endpoints()
+        if self.had_lease and now >= self.unreachable_checked_at_ms + UNREACHABLE_CHECK_INTERVAL_MS:
+            self.unreachable_checked_at_ms = now
+            for name in self.zone_agent.unused_zones():
+                self.scheduler.handle_event(ZoneUnreachable(name))
+        self.event_queue.schedule_after(LEASE_CHECK_INTERVAL_MS, self._check_lease)
+
+    def _probe_in_background(self) -> None:
+        if self.scheduler.is_up:
+            for worker in self.zone_agent.choose_background_probes():
+                self.scheduler.send_probe(worker)
+            self.event_queue.schedule_after(
+                self.random_source.uniform(800.0, 1200.0), self._probe_in_background
+            )
+
+
+class StandaloneSimulatedFollower(SimulatedFollower):
     """One scheduler that judges by its own evidence alone."""
 
-    def __init__(self, fleet: SoloFleet, node: Node, life: int) -> None:
-        settings = node.settings
-        bounds = Bounds(settings.fall_ms + ON_ITS_WAY_MS, settings.cold_ms, 1, fleet.regions, sampled=True)
-        mind = Steward(
-            bounds, self._listing, lambda: self.agenda.now, node.name, lambda: f"{self.random.random()}"
+    def __init__(self, simulation: StandaloneFleet, scheduler: SimulatedScheduler, incarnation: int) -> None:
+        settings = scheduler.settings
+        limits = ZoneLimits(
+            settings.fall_ms + MAX_TRANSIT_MS, settings.cold_ms, 1, simulation.regions, is_sampled=True
         )
-        super().__init__(fleet, node, life)
-        self.local.gate.rules = self.local.rules = self.local.rules._replace(solo=True)
-        self.solo = Solo(self.session, node.zone, mind, self.agenda.now)
-        self.lease = self.solo.lease
+        controller = ZoneController(
+            limits,
+            self._listed_workers,
+            lambda: self.event_queue.now_ms,
+            scheduler.name,
+            lambda: f"{self.random_source.random()}",
+        )
+        super().__init__(simulation, scheduler, incarnation)
+        self.zone_agent.routing_filter.rules = self.zone_agent.rules = self.zone_agent.rules._replace(
+            solo=True
+        )
+        self.standalone = StandaloneController(
+            self.session_id, scheduler.zone, controller, self.event_queue.now_ms
+        )
+        self.lease = self.standalone.lease
 
-    def _listing(self) -> dict[str, list[Listed]]:
-        return listing(self.local, self.agenda.now, self.node.settings.cold_ms)
+    def _listed_workers(self) -> dict[str, list[ListedWorker]]:
+        return listed_workers(self.zone_agent, self.event_queue.now_ms, self.scheduler.settings.cold_ms)
 
-    def _renew(self) -> None:
-        if not self.node.up:
+    def _send_renewal(self) -> None:
+        if not self.scheduler.is_up:
             return
-        now, module = self.agenda.now, self.node.module
-        report = msgspec.json.encode(self.local.report(now, module.views.values(), now))
-        before = read(self.document)
-        if self.solo.turn(now, report):
-            self.document = self.solo.document
-            self.fleet.note(now, before, read(self.document))
-            self._changed()
-        if self.solo.look:
-            self._ask(self.local.look(self.solo.look))
-        self.agenda.after(SOLO_MS, self._renew)
-
-    def _ask(self, workers: list[int]) -> None:
-        for each in workers:
-            self.node.probe(each)
-
-
-def listing(local: Local, now: float, cold_ms: float) -> dict[str, list[Listed]]:
+        now, decision_module = self.event_queue.now_ms, self.scheduler.decision_module
+        evidence = msgspec.json.encode(
+            self.zone_agent.build_evidence_report(now, decision_module.views.values(), now)
+        )
+        previous_zones = read_fleet_zones(self.document)
+        if self.standalone.evaluate(now, evidence):
+            self.document = self.standalone.document
+            self.simulation.note(now, previous_zones, read_fleet_zones(self.document))
+            self._handle_document_change()
+        if self.standalone.zones_to_probe:
+            self._probe_workers(self.zone_agent.choose_workers_to_probe(self.standalone.zones_to_probe))
+        self.event_queue.schedule_after(SOLO_MS, self._send_renewal)
+
+    def _probe_workers(self, worker_ids: list[int]) -> None:
+        for each in worker_ids:
+            self.scheduler.send_probe(each)
+
+
+def listed_workers(
+    zone_agent: ZoneAgent, now_ms: float, slow_start_ms: float
+) -> dict[str, list[ListedWorker]]:
     """The list of job workers as a scheduler's steward has it."""
-    found: dict[str, list[Listed]] = {}
-    for each in local.gate.workers.values():
-        cold = each.started > 0 and now < each.started + cold_ms
-        found.setdefault(each.zone, []).append(Listed(each.id, each.started, cold))
+    found: dict[str, list[ListedWorker]] = {}
+    for each in zone_agent.routing_filter.workers.values():
+        is_warming_up = each.started > 0 and now_ms < each.started + slow_start_ms
+        found.setdefault(each.zone, []).append(ListedWorker(each.id, each.started, is_warming_up))
     return found
 
 
-class JoinedFleet(Fleet):
+class ZoneFleet(FleetSimulation):
     """A fleet each of whose schedulers has a side of its own in each life."""
 
-    def _join(self, node: Node) -> None:
+    def _attach_follower(self, scheduler: SimulatedScheduler) -> None:
         raise NotImplementedError
 
-    def start_node(self, name: str) -> None:
-        before = next(each for each in self.nodes if each.name == name)
-        super().start_node(name)
-        node = next(each for each in self.nodes if each.name == name)
-        if node is not before:
-            self._join(node)
+    def start_scheduler(self, name: str) -> None:
+        previous = next(each for each in self.schedulers if each.name == name)
+        super().start_scheduler(name)
+        restarted = next(each for each in self.schedulers if each.name == name)
+        if restarted is not previous:
+            self._attach_follower(restarted)
 
 
-class SoloFleet(JoinedFleet):
+class StandaloneFleet(ZoneFleet):
     """A fleet whose schedulers leave and return to zones each by itself."""
 
     def __init__(self, *given: Any, regions: dict[str, tuple[str, ...]] | None = None, **more: Any) -> None:
         super().__init__(*given, **more)
-        self.regions, self.lives = regions or {}, 0
-        self.changes: list[tuple[float, str, str, str]] = []  # when, zone, state, reason; of any scheduler
-        for node in self.nodes:
-            self._join(node)
-
-    def _join(self, node: Node) -> None:
-        self.lives += 1
-        SoloFollower(self, node, self.lives)
-        node.decide(api.WorkerList("persisted", tuple(view.entry for view in node.module.views.values())))
+        self.regions, self.incarnation_count = regions or {}, 0
+        self.zone_changes: list[
+            tuple[float, str, str, str]
+        ] = []  # when, zone, state, reason; of any scheduler
+        for node in self.schedulers:
+            self._attach_follower(node)
+
+    def _attach_follower(self, scheduler: SimulatedScheduler) -> None:
+        self.incarnation_count += 1
+        StandaloneSimulatedFollower(self, scheduler, self.incarnation_count)
+        scheduler.receive_event(
+            api.WorkerList(
+                "persisted", tuple(view.entry for view in scheduler.decision_module.views.values())
+            )
+        )
 
-    def note(self, now: float, before: Any, after: Any) -> None:
-        self.changes += changes(now, before, after)
+    def note(self, now_ms: float, previous: Any, current: Any) -> None:
+        self.zone_changes += zone_state_changes(now_ms, previous, current)
 
 
-def changes(now: float, before: Any, after: Any) -> list[tuple[float, str, str, str]]:
+def zone_state_changes(now_ms: float, previous: Any, current: Any) -> list[tuple[float, str, str, str]]:
     return [
-        (now, name, zone.state, zone.reason)
-        for name, zone in after.zones.items()
-        if before.zone(name) != zone
+        (now_ms, name, zone.state, zone.reason)
+        for name, zone in current.zones.items()
+        if previous.get_zone(name) != zone
     ]
 
 
-class ZonedFleet(JoinedFleet):
+class LeaderFleet(ZoneFleet):
     """A fleet with a keeper."""
 
     def __init__(self, *given: Any, regions: dict[str, tuple[str, ...]] | None = None, **more: Any) -> None:
         super().__init__(*given, **more)
-        self.regions, self.document, self.lives = regions or {}, Document(), 0
+        self.regions, self.document, self.incarnation_count = regions or {}, Document(), 0
         self.bytes = self.messages = 0  # of renewals
-        self.changes: list[tuple[float, str, str, str]] = []  # when, zone, state, reason
-        self.draw = random.Random(self.nodes[0].seed + 1)
-        self.followers: dict[str, Follower] = {}
-        self.minds: dict[str, Steward] = {}
-        for node in self.nodes:
-            self._join(node)
-        self.keeper: Keeper | None = None
-        self.at = ""  # the member that keeps
-        self.minds = {each.name: self._mind(each) for each in self.nodes[:MEMBERS]}
-        self._look()
-        self._keep()
-
-    def _join(self, node: Node) -> None:
-        self.lives += 1
-        self.followers[node.name] = Follower(self, node, self.lives)
-        if node.name in self.minds:
-            self.minds[node.name] = self._mind(node)
-        node.decide(api.WorkerList("persisted", tuple(view.entry for view in node.module.views.values())))
-
-    def _mind(self, node: Node) -> Steward:
-        settings, name = node.settings, node.name
-        bounds = Bounds(settings.fall_ms + ON_ITS_WAY_MS, settings.cold_ms, settings.nodes, self.regions)
-        return Steward(
-            bounds,
-            lambda: self._listing(name),
-            lambda: self.agenda.now,
+        self.zone_changes: list[tuple[float, str, str, str]] = []  # when, zone, state, reason
+        self.random_source = random.Random(self.schedulers[0].seed + 1)
+        self.followers: dict[str, SimulatedFollower] = {}
+        self.controllers: dict[str, ZoneController] = {}
+        for node in self.schedulers:
+            self._attach_follower(node)
+        self.leader: Leader | None = None
+        self.leading_member = ""  # the member that keeps
+        self.controllers = {
+            each.name: self._make_controller(each) for each in self.schedulers[:STORE_MEMBER_COUNT]
+        }
+        self._refresh_worker_lists()
+        self._start_leading()
+
+    def _attach_follower(self, scheduler: SimulatedScheduler) -> None:
+        self.incarnation_count += 1
+        self.followers[scheduler.name] = SimulatedFollower(self, scheduler, self.incarnation_count)
+        if scheduler.name in self.controllers:
+            self.controllers[scheduler.name] = self._make_controller(scheduler)
+        scheduler.receive_event(
+            api.WorkerList(
+                "persisted", tuple(view.entry for view in scheduler.decision_module.views.values())
+            )
+        )
+
+    def _make_controller(self, scheduler: SimulatedScheduler) -> ZoneController:
+        settings, name = scheduler.settings, scheduler.name
+        limits = ZoneLimits(settings.fall_ms + MAX_TRANSIT_MS, settings.cold_ms, settings.nodes, self.regions)
+        return ZoneController(
+            limits,
+            lambda: self._listed_workers(name),
+            lambda: self.event_queue.now_ms,
             name,
-            lambda: f"{self.draw.random()}",
+            lambda: f"{self.random_source.random()}",
         )
 
-    def _look(self) -> None:
+    def _refresh_worker_lists(self) -> None:
         """Every member that is up keeps the list in mind."""
-        for node in self.nodes[:MEMBERS]:
-            if node.up:
-                self.minds[node.name].look(self.agenda.now)
-        self.agenda.after(LOOK_MS, self._look)
+        for scheduler in self.schedulers[:STORE_MEMBER_COUNT]:
+            if scheduler.is_up:
+                self.controllers[scheduler.name].refresh_worker_list(self.event_queue.now_ms)
+        self.event_queue.schedule_after(LIST_REFRESH_INTERVAL_MS, self._refresh_worker_lists)
 
-    def _member(self) -> Node | None:
-        return next((each for each in self.nodes[:MEMBERS] if each.up), None)
+    def _first_member_up(self) -> SimulatedScheduler | None:
+        return next((each for each in self.schedulers[:STORE_MEMBER_COUNT] if each.is_up), None)
 
-    def _keep(self) -> None:
+    def _start_leading(self) -> None:
         """Some member that is up keeps from now on."""
-        node, now = self._member(), self.agenda.now
-        if node is None:
-            self.agenda.after(TAKEN_OVER_MS, self._keep)
+        scheduler, now = self._first_member_up(), self.event_queue.now_ms
+        if scheduler is None:
+            self.event_queue.schedule_after(TAKEOVER_DELAY_MS, self._start_leading)
             return
-        self.at = node.name
-        self.keeper = Keeper(node.name, LEASE_MS, self.minds[node.name], now, self.draw.random)
-        mine = msgspec.json.encode(Keeps(node.name, self.document.revision)).decode()
-        txn = self.keeper.take_over(now, f"{self.draw.random()}")
-        self.document = self.document.apply(msgspec.structs.replace(txn, writes={KEEPER: mine}, at={}))
-        self.keeper.changed(now, self.document)
-        self._turn(node)
-
-    def _turn(self, node: Node) -> None:
-        now = self.agenda.now
-        if not node.up:
-            self.keeper = None
-            self.agenda.after(TAKEN_OVER_MS, self._keep)
+        self.leading_member = scheduler.name
+        self.leader = Leader(
+            scheduler.name, LEASE_MS, self.controllers[scheduler.name], now, self.random_source.random
+        )
+        leadership = msgspec.json.encode(Leadership(scheduler.name, self.document.revision)).decode()
+        transaction = self.leader.takeover_transaction(now, f"{self.random_source.random()}")
+        self.document = self.document.apply(
+            msgspec.structs.replace(transaction, writes={LEADERSHIP_KEY: leadership}, at={})
+        )
+        self.leader.handle_change(now, self.document)
+        self._run_leader(scheduler)
+
+    def _run_leader(self, scheduler: SimulatedScheduler) -> None:
+        now = self.event_queue.now_ms
+        if not scheduler.is_up:
+            self.leader = None
+            self.event_queue.schedule_after(TAKEOVER_DELAY_MS, self._start_leading)
             return
-        keeper = self.keeper
-        keeper.read(now, now, self.document)
-        txn = keeper.mind.decide(now, self.document, keeper)
-        if txn is not None:
-            before, self.document = read(self.document), self.document.apply(txn)
-            self.changes += changes(now, before, read(self.document))
-            keeper.changed(now, self.document)
-        keeper.due(now)
-        self.agenda.after(TURN_MS, self._turn, node)
-
-    def _listing(self, name: str) -> dict[str, list[Listed]]:
+        leader = self.leader
+        leader.handle_read(now, now, self.document)
+        transaction = leader.controller.decide_next_change(now, self.document, leader)
+        if transaction is not None:
+            previous_zones, self.document = read_fleet_zones(self.document), self.document.apply(transaction)
+            self.zone_changes += zone_state_changes(now, previous_zones, read_fleet_zones(self.document))
+            leader.handle_change(now, self.document)
+        leader.answer_due_renewals(now)
+        self.event_queue.schedule_after(LEADER_INTERVAL_MS, self._run_leader, scheduler)
+
+    def _listed_workers(self, name: str) -> dict[str, list[ListedWorker]]:
         follower = self.followers[name]
-        return listing(follower.local, self.agenda.now, follower.node.settings.cold_ms)
+        return listed_workers(
+            follower.zone_agent, self.event_queue.now_ms, follower.scheduler.settings.cold_ms
+        )
 
-    def renewal(self, follower: Follower, message: Renew, size: int) -> None:
+    def forward_renewal(self, follower: SimulatedFollower, renewal: Renew, evidence_bytes: int) -> None:
         """It sets out to the keeper, and is answered by it."""
-        self.messages, self.bytes = self.messages + 1, self.bytes + size
-        keeper = self.keeper
-        zone = self.followers[self.at].node.zone if keeper is not None else ""
-        delay = None if keeper is None else self.network.delay(follower.node.zone, zone)
-        if delay is None:
+        self.messages, self.bytes = self.messages + 1, self.bytes + evidence_bytes
+        leader = self.leader
+        leader_zone = self.followers[self.leading_member].scheduler.zone if leader is not None else ""
+        delay_ms = (
+            None if leader is None else self.network.message_delay_ms(follower.scheduler.zone, leader_zone)
+        )
+        if delay_ms is None:
             return
 
-        def answer(granted: Granted) -> None:
-            back = self.network.delay(zone, follower.node.zone)
+        def answer(granted: RenewalGranted) -> None:
+            back = self.network.message_delay_ms(leader_zone, follower.scheduler.zone)
             if back is not None:
-                self.agenda.after(back, follower.hear, granted)
+                self.event_queue.schedule_after(back, follower.handle_grant, granted)
 
         def come() -> None:
-            if self.keeper is keeper:
-                keeper.renew(self.agenda.now, message, answer)
+            if self.leader is leader:
+                leader.handle_renewal(self.event_queue.now_ms, renewal, answer)
 
-        self.agenda.after(delay, come)
+        self.event_queue.schedule_after(delay_ms, come)
--- a/spanwing/zones/gate.py
+++ b/spanwing/zones/gate.py
@@ -13,13 +13,13 @@
 from typing import NamedTuple
 
 from spanwing import interface as api
-from spanwing.zones.evidence import short
-from spanwing.zones.state import STEPS, Fleet, Zone, feeders_of, rank
+from spanwing.zones.evidence import short_worker_id
+from spanwing.zones.state import RETURN_STEPS, FleetZones, ZoneState, admission_order, choose_feeders
 
-ON_ITS_WAY_MS = 2500.0  # a job that a worker neither takes nor turns down within this is given up
+MAX_TRANSIT_MS = 2500.0  # a job that a worker neither takes nor turns down within this is given up
 
 
-class Rules(NamedTuple):
+class RoutingRules(NamedTuple):
     """Of the settings, what cold workers bear, and our place among the schedulers."""
 
     session: str
@@ -29,152 +29,211 @@
     feeders: int  # of one cold worker
     solo: bool = False  # the state is our own: nobody deals, cold workers are fed as the module has it
 
-    def wait_ms(self) -> float:
+    def feeder_change_delay_ms(self) -> float:
         """Until whoever fed before has surely spent nothing within a window."""
-        return self.fall_ms + ON_ITS_WAY_MS
+        return self.fall_ms + MAX_TRANSIT_MS
 
 
-class Use(NamedTuple):
+class WorkerRouting(NamedTuple):
     """Of one worker: with a lease, and alone."""
 
-    admit: bool = True
-    feeds: bool | None = None  # it while it is cold; None: as the module has it
-    from_ms: float = -math.inf  # by the lease's clock: feeding begins
-    full_ms: float = -math.inf  # and until this, it does so with half its share
-    alone: bool = True
-    alone_feeds: bool = False
-    started: float = 0.0  # by the module's clock, as the fleet has it; 0: long ago
+    is_admitted: bool = True
+    is_feeder: bool | None = None  # it while it is cold; None: as the module has it
+    feeding_from_ms: float = -math.inf  # by the lease's clock: feeding begins
+    full_budget_from_ms: float = -math.inf  # and until this, it does so with half its share
+    is_admitted_without_lease: bool = True
+    is_feeder_without_lease: bool = False
+    started_at_ms: float = 0.0  # by the module's clock, as the fleet has it; 0: long ago
 
 
-class Gate:
+class RoutingFilter:
     """Follows the fleet's state and the list of job workers."""
 
-    def __init__(self, rules: Rules, first: Callable[[int], bool]) -> None:
+    def __init__(self, rules: RoutingRules, is_first_position: Callable[[int], bool]) -> None:
         """first: whether we are the first of all positions, by hash, for a worker."""
-        self.rules, self.first = rules, first
-        self.fleet: Fleet | None = None
+        self.rules, self.is_first_position = rules, is_first_position
+        self.fleet: FleetZones | None = None
         self.workers: dict[int, api.Worker] = {}
-        self.uses: dict[int, Use] = {}
-        self.ready: dict[int, float] = {}  # workers that are dealt to us, and when we begin to feed each
-        self.begun: dict[str, tuple[float, float]] = {}  # zones that return: when we heard, by both clocks
-
-    def listed(self, news: api.WorkerList, now: float, clock: float) -> None:
-        if news.scope == "error":
+        self.routing: dict[int, WorkerRouting] = {}
+        self.feeding_starts_ms: dict[
+            int, float
+        ] = {}  # workers that are dealt to us, and when we begin to feed each
+        self.return_started_at: dict[
+            str, tuple[float, float]
+        ] = {}  # zones that return: when we heard, by both clocks
+
+    def update_workers(self, endpoint_list: api.WorkerList, now: float, module_now: float) -> None:
+        if endpoint_list.scope == "error":
             return
-        if news.scope != "partial":
+        if endpoint_list.scope != "partial":
             self.workers = {}
-        self.workers.update((each.id, each) for each in news.workers)
+        self.workers.update((each.id, each) for each in endpoint_list.workers)
         for each in [each for each in self.workers.values() if each.state == "gone"]:
             del self.workers[each.id]
-        self._all(now)
+        self._update_routing(now)
 
-    def follow(self, fleet: Fleet, now: float, clock: float) -> None:
+    def update_zones(self, fleet: FleetZones, now: float, module_now: float) -> None:
         """The state has changed; now: by the lease's clock, clock: by the module's."""
         self.fleet = fleet
-        self.begun = {
-            name: self.begun.get(name, (now, clock))
+        self.return_started_at = {
+            name: self.return_started_at.get(name, (now, module_now))
             for name, zone in fleet.zones.items()
             if zone.state == "returning"
         }
-        self._all(now)
+        self._update_routing(now)
 
-    def zones(self) -> dict[str, list[int]]:
+    def workers_by_zone(self) -> dict[str, list[int]]:
         """The listed workers of each zone, in the order in which they are admitted."""
         found: dict[str, list[int]] = {}
         for each in self.workers.values():
             found.setdefault(each.zone, []).append(each.id)
-        return {zone: rank(ids) for zone, ids in found.items()}
-
-    def _all(self, now: float) -> None:
-        uses: dict[int, Use] = {}
-        dealt: set[int] = set()
-        for name, ids in self.zones().items():
-            zone = self.fleet.zone(name) if self.fleet is not None else Zone()
-            admitted = set(ids[: admits(zone, len(ids), name == self.rules.zone)])
+        return {zone: admission_order(ids) for zone, ids in found.items()}
+
+    def _update_routing(self, now: float) -> None:
+        routing: dict[int, WorkerRouting] = {}
+        assigned: set[int] = set()
+        for name, ids in self.workers_by_zone().items():
+            zone = self.fleet.get_zone(name) if self.fleet is not None else ZoneState()
+            admitted = set(ids[: admitted_count(zone, len(ids), name == self.rules.zone)])
             for worker in ids:
-                uses[worker] = self._use(zone, self.workers[worker], worker in admitted, dealt, now)
-        self.ready = {worker: at for worker, at in self.ready.items() if worker in dealt}
-        self.uses = uses
+                routing[worker] = self._worker_routing(
+                    zone, self.workers[worker], worker in admitted, assigned, now
+                )
+        self.feeding_starts_ms = {
+            worker: at for worker, at in self.feeding_starts_ms.items() if worker in assigned
+        }
+        self.routing = routing
 
-    def _use(self, zone: Zone, worker: api.Worker, admit: bool, dealt: set[int], now: float) -> Use:
+    def _worker_routing(
+        self, zone: ZoneState, worker: api.Worker, is_admitted: bool, assigned: set[int], now: float
+    ) -> WorkerRouting:
         rules = self.rules
-        first = self.first(worker.id)
+        is_first = self.is_first_position(worker.id)
         # With one feeder its part is all that is dealt, and another one's would go beyond the budget.
-        alone_feeds = first and rules.feeders > 1
+        feeds_without_lease = is_first and rules.feeders > 1
         if rules.solo:
-            return Use(admit, alone=admit, alone_feeds=True, started=worker.started)
+            return WorkerRouting(
+                is_admitted,
+                is_admitted_without_lease=is_admitted,
+                is_feeder_without_lease=True,
+                started_at_ms=worker.started,
+            )
         if zone.state == "open":
-            return Use(True, None, alone=True, alone_feeds=alone_feeds, started=worker.started)
-        alone = first and not (zone.held and zone.state != "returning")
-        feeds, from_ms, full_ms, started = False, -math.inf, -math.inf, worker.started
+            return WorkerRouting(
+                True,
+                None,
+                is_admitted_without_lease=True,
+                is_feeder_without_lease=feeds_without_lease,
+                started_at_ms=worker.started,
+            )
+        without_lease = is_first and not (zone.held and zone.state != "returning")
+        is_feeder, feeding_from_ms, full_budget_from_ms, started = False, -math.inf, -math.inf, worker.started
         if zone.state == "returning":
             # The list may be late here or there: what the fleet knows of a new life counts for all.
-            heard, begun = self.begun[worker.zone]
-            told = zone.starts.get(str(short(worker.id)), begun)
-            started = max(started, told)
-            if self._deals(worker.id, now):
-                dealt.add(worker.id)
+            return_seen_at, return_seen_module_time = self.return_started_at[worker.zone]
+            start_time = zone.starts.get(str(short_worker_id(worker.id)), return_seen_module_time)
+            started = max(started, start_time)
+            if self._is_assigned_feeder(worker.id, now):
+                assigned.add(worker.id)
                 # Until then, whoever fed by the hash of all positions may have spent within a window.
-                feeds, from_ms, full_ms = True, self.ready[worker.id], heard + rules.wait_ms()
-        return Use(admit, feeds, from_ms, full_ms, alone, alone and alone_feeds, started)
+                is_feeder, feeding_from_ms, full_budget_from_ms = (
+                    True,
+                    self.feeding_starts_ms[worker.id],
+                    return_seen_at + rules.feeder_change_delay_ms(),
+                )
+        return WorkerRouting(
+            is_admitted,
+            is_feeder,
+            feeding_from_ms,
+            full_budget_from_ms,
+            without_lease,
+            without_lease and feeds_without_lease,
+            started,
+        )
 
-    def _deals(self, worker: int, now: float) -> bool:
+    def _is_assigned_feeder(self, worker: int, now: float) -> bool:
         """Whether the deal makes us feed this worker, from self.ready[worker] on."""
-        deal, rules = self.fleet.deal, self.rules
-        if deal is None or rules.session not in feeders_of(worker, deal.sessions, rules.feeders):
+        assignment, rules = self.fleet.feeder_assignment, self.rules
+        if assignment is None or rules.session not in choose_feeders(
+            worker, assignment.sessions, rules.feeders
+        ):
             return False
-        if worker not in self.ready or self.ready[worker] == math.inf:
+        if worker not in self.feeding_starts_ms or self.feeding_starts_ms[worker] == math.inf:
             # Who is new waits until whoever fed before has stopped, and what that one sent has aged.
-            wait = rules.wait_ms() if deal.before else 0.0
-            self.ready[worker] = now + wait if deal.in_force else math.inf
+            delay_ms = rules.feeder_change_delay_ms() if assignment.previous_sessions else 0.0
+            self.feeding_starts_ms[worker] = now + delay_ms if assignment.in_force else math.inf
         return True
 
-    def may(self, worker: int, now: float, lease: bool, clock: float) -> bool:
+    def may_forward(self, worker: int, now: float, has_lease: bool, module_now: float) -> bool:
         """Whether a job may go there; now: by the lease's clock, clock: by the module's."""
-        use = self.uses.get(worker)
-        if use is None:
+        worker_routing = self.routing.get(worker)
+        if worker_routing is None:
             return True  # not listed here: the core ends such an attempt itself
-        if not (use.admit if lease else use.alone):
+        if not (worker_routing.is_admitted if has_lease else worker_routing.is_admitted_without_lease):
             return False
-        if use.started <= 0 or clock >= use.started + self.rules.cold_ms:
+        if (
+            worker_routing.started_at_ms <= 0
+            or module_now >= worker_routing.started_at_ms + self.rules.cold_ms
+        ):
             return True
-        if not lease:
-            return use.alone_feeds
-        return use.feeds is None or (use.feeds and now >= use.from_ms)
+        if not has_lease:
+            return worker_routing.is_feeder_without_lease
+        return worker_routing.is_feeder is None or (
+            worker_routing.is_feeder and now >= worker_routing.feeding_from_ms
+        )
 
-    def screened(
-        self, workers: Iterable[api.Worker], now: float, lease: bool, feeds: Callable[[int], bool]
+    def filter_workers(
+        self,
+        workers: Iterable[api.Worker],
+        now: float,
+        has_lease: bool,
+        is_hashed_feeder: Callable[[int], bool],
     ) -> tuple[api.Worker, ...]:
         """The workers as the module is to see them; feeds: whether we feed one by the hash of all
         positions."""
         found = []
         for each in workers:
-            use = self.uses.get(each.id)
-            if use is None:
+            worker_routing = self.routing.get(each.id)
+            if worker_routing is None:
                 found.append(each)
                 continue
-            if not (use.admit if lease else use.alone) and each.state == "healthy":
+            if (
+                not (worker_routing.is_admitted if has_lease else worker_routing.is_admitted_without_lease)
+                and each.state == "healthy"
+            ):
                 each = each._replace(state="draining")
-            if not lease:
-                feeder = float(use.alone_feeds)
-            elif use.feeds is None:
-                feeder = float(feeds(each.id))
+            if not has_lease:
+                feeder_share = float(worker_routing.is_feeder_without_lease)
+            elif worker_routing.is_feeder is None:
+                feeder_share = float(is_hashed_feeder(each.id))
             else:
-                feeder = 0.0 if not use.feeds or now < use.from_ms else 0.5 if now < use.full_ms else 1.0
-            found.append(each._replace(feeder=feeder, started=use.started))
+                feeder_share = (
+                    0.0
+                    if not worker_routing.is_feeder or now < worker_routing.feeding_from_ms
+                    else 0.5
+                    if now < worker_routing.full_budget_from_ms
+                    else 1.0
+                )
+            found.append(each._replace(feeder=feeder_share, started=worker_routing.started_at_ms))
         return tuple(found)
 
-    def next_change(self, now: float) -> float:
+    def next_change_ms(self, now: float) -> float:
         """When feeding next begins by itself, by the lease's clock."""
         return min(
-            (at for use in self.uses.values() if use.feeds for at in (use.from_ms, use.full_ms) if now < at),
+            (
+                at
+                for use in self.routing.values()
+                if use.is_feeder
+                for at in (use.feeding_from_ms, use.full_budget_from_ms)
+                if now < at
+            ),
             default=math.inf,
         )
 
 
-def admits(zone: Zone, workers: int, own: bool) -> int:
+def admitted_count(zone: ZoneState, worker_count: int, is_own_zone: bool) -> int:
     """How many of a zone's workers are in use, the first by rank."""
-    if zone.state == "open" or (zone.inside and own):
-        return workers
-    share = zone.step / STEPS if zone.state == "returning" else zone.share
-    return math.ceil(share * workers - 1e-9)
+    if zone.state == "open" or (zone.inside and is_own_zone):
+        return worker_count
+    share = zone.step / RETURN_STEPS if zone.state == "returning" else zone.share
+    return math.ceil(share * worker_count - 1e-9)
--- a/spanwing/zones/local.py
+++ b/spanwing/zones/local.py
@@ -16,129 +16,171 @@
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
 from spanwing.state import View, mix
-from spanwing.zones.evidence import SUSPECT_MS, Report, Witness, suspects
-from spanwing.zones.gate import Gate, Rules
-from spanwing.zones.state import Fleet
-
-SOLO_ASKS = 4  # workers of such a zone that one scheduler asks a second where all act alone
-PROBERS = 3.0  # a worker of a zone that is not open is asked so often a second, by all schedulers together
-
-
-class Local:
+from spanwing.zones.evidence import (
+    FAULT_PROBE_INTERVAL_MS,
+    EvidenceCollector,
+    EvidenceReport,
+    choose_workers_to_probe,
+)
+from spanwing.zones.gate import RoutingFilter, RoutingRules
+from spanwing.zones.state import FleetZones
+
+STANDALONE_PROBES_PER_ZONE = 4  # workers of such a zone that one scheduler asks a second where all act alone
+PROBES_PER_WORKER_S = (
+    3.0  # a worker of a zone that is not open is asked so often a second, by all schedulers together
+)
+
+
+class ZoneAgent:
     """One scheduler's part."""
 
     def __init__(
-        self, rules: Rules, node: int, nodes: int, feeds: Callable[[int], bool], draw: random.Random
+        self,
+        rules: RoutingRules,
+        position: int,
+        scheduler_count: int,
+        is_hashed_feeder: Callable[[int], bool],
+        random_source: random.Random,
     ) -> None:
         """feeds: whether we feed a worker by the hash of all positions."""
-        self.rules, self.node, self.nodes, self.feeds, self.random = rules, node, nodes, feeds, draw
-        self.gate, self.witness = Gate(rules, lambda worker: self._first(worker) == node), Witness(rules.zone)
-        self.firsts: dict[int, int] = {}
-        self.fed: dict[int, bool] = {}
-        self.told: dict[int, api.Worker] = {}  # as the module has them
-        self.admitted: set[int] = set()  # since prove() was last called
-        self.suspected = -math.inf
-        self.suspect_zones: frozenset[str] = frozenset()  # that we looked at last on bad news
-        self.around: set[int] = set()  # workers of open zones that were asked without any news
+        self.rules, self.position, self.scheduler_count, self.is_hashed_feeder, self.random_source = (
+            rules,
+            position,
+            scheduler_count,
+            is_hashed_feeder,
+            random_source,
+        )
+        self.routing_filter, self.evidence_collector = (
+            RoutingFilter(rules, lambda worker: self._first_position(worker) == position),
+            EvidenceCollector(rules.zone),
+        )
+        self.first_positions: dict[int, int] = {}
+        self.hashed_feeders: dict[int, bool] = {}
+        self.announced_workers: dict[int, api.Worker] = {}  # as the module has them
+        self.newly_admitted: set[int] = set()  # since prove() was last called
+        self.last_fault_probe_ms = -math.inf
+        self.probed_zones: frozenset[str] = frozenset()  # that we looked at last on bad news
+        self.background_probes: set[int] = set()  # workers of open zones that were asked without any news
 
     @property
-    def fleet(self) -> Fleet | None:
-        return self.gate.fleet
+    def fleet(self) -> FleetZones | None:
+        return self.routing_filter.fleet
 
     def is_open(self, zone: str) -> bool:
-        return self.fleet is None or self.fleet.zone(zone).state == "open"
+        return self.fleet is None or self.fleet.get_zone(zone).state == "open"
 
     # -- job workers as the module has them
 
-    def screen(self, news: api.WorkerList, now: float, clock: float, lease: bool) -> api.WorkerList:
+    def filter_workers(
+        self, endpoint_list: api.WorkerList, now: float, module_now: float, has_lease: bool
+    ) -> api.WorkerList:
         """News of job workers as the module is to have them."""
-        self.gate.listed(news, now, clock)
-        if news.scope == "error":
-            return news
-        if news.scope != "partial":
-            self.told.clear()
-        gone = [each for each in news.workers if each.state == "gone"]
-        for each in gone:
-            self.told.pop(each.id, None)
-        return api.WorkerList(news.scope, (*self.news(now, lease), *gone))
-
-    def news(self, now: float, lease: bool) -> list[api.Worker]:
+        self.routing_filter.update_workers(endpoint_list, now, module_now)
+        if endpoint_list.scope == "error":
+            return endpoint_list
+        if endpoint_list.scope != "partial":
+            self.announced_workers.clear()
+        removed = [each for each in endpoint_list.workers if each.state == "gone"]
+        for each in removed:
+            self.announced_workers.pop(each.id, None)
+        return api.WorkerList(endpoint_list.scope, (*self.changed_workers(now, has_lease), *removed))
+
+    def changed_workers(self, now: float, has_lease: bool) -> list[api.Worker]:
         """The workers that the module has otherwise than they are now."""
-        seen = self.gate.screened(self.gate.workers.values(), now, lease, self._feeds)
-        changed = [each for each in seen if self.told.get(each.id) != each]
+        filtered = self.routing_filter.filter_workers(
+            self.routing_filter.workers.values(), now, has_lease, self._is_hashed_feeder
+        )
+        changed = [each for each in filtered if self.announced_workers.get(each.id) != each]
         for each in changed:
-            before = self.told.get(each.id)
-            tried = self.fleet is not None and self.fleet.zone(each.zone).step == 1
-            if tried and each.state == "healthy" and before is not None and before.state != "healthy":
-                self.admitted.add(each.id)
-        self.told.update((each.id, each) for each in changed)
+            previous = self.announced_workers.get(each.id)
+            is_first_step = self.fleet is not None and self.fleet.get_zone(each.zone).step == 1
+            if (
+                is_first_step
+                and each.state == "healthy"
+                and previous is not None
+                and previous.state != "healthy"
+            ):
+                self.newly_admitted.add(each.id)
+        self.announced_workers.update((each.id, each) for each in changed)
         return changed
 
-    def prove(self, module: Dispatcher) -> None:
+    def restart_concurrency_limits(self, scheduler: Dispatcher) -> None:
         """Have workers that are used again prove themselves on a job that may be repeated, as after a rest;
         called once the module has heard of them."""
-        for worker in self.admitted:
-            view = module.views.get(worker)
-            if view is not None and view.entry.state == "healthy":
-                view.limit = 1.0
-        self.admitted.clear()
-
-    def _feeds(self, worker: int) -> bool:
-        if worker not in self.fed:
-            if len(self.fed) > 2 * len(self.gate.workers) + 64:
-                self.fed.clear()
-            self.fed[worker] = self.feeds(worker)
-        return self.fed[worker]
-
-    def _first(self, worker: int) -> int:
-        if worker not in self.firsts:
-            if len(self.firsts) > 2 * len(self.gate.workers) + 64:
-                self.firsts.clear()
-            self.firsts[worker] = nlargest(1, range(self.nodes), key=lambda node: mix(worker, node))[0]
-        return self.firsts[worker]
-
-    def shut(self) -> Iterator[str]:
+        for worker in self.newly_admitted:
+            worker_state = scheduler.views.get(worker)
+            if worker_state is not None and worker_state.entry.state == "healthy":
+                worker_state.limit = 1.0
+        self.newly_admitted.clear()
+
+    def _is_hashed_feeder(self, worker: int) -> bool:
+        if worker not in self.hashed_feeders:
+            if len(self.hashed_feeders) > 2 * len(self.routing_filter.workers) + 64:
+                self.hashed_feeders.clear()
+            self.hashed_feeders[worker] = self.is_hashed_feeder(worker)
+        return self.hashed_feeders[worker]
+
+    def _first_position(self, worker: int) -> int:
+        if worker not in self.first_positions:
+            if len(self.first_positions) > 2 * len(self.routing_filter.workers) + 64:
+                self.first_positions.clear()
+            self.first_positions[worker] = nlargest(
+                1, range(self.scheduler_count), key=lambda node: mix(worker, node)
+            )[0]
+        return self.first_positions[worker]
+
+    def unused_zones(self) -> Iterator[str]:
         """Zones that we may send nothing to, with a lease."""
         for name, zone in self.fleet.zones.items() if self.fleet is not None else ():
-            inside = zone.inside and name == self.rules.zone
-            if zone.state in ("leaving", "left") and zone.share <= 0 and not inside:
+            is_used_inside = zone.inside and name == self.rules.zone
+            if zone.state in ("leaving", "left") and zone.share <= 0 and not is_used_inside:
                 yield name
 
     # -- evidence
 
-    def sent(self, now: float, worker: int, job: tuple[str, int]) -> None:
-        entry = self.gate.workers.get(worker)
+    def attempt_sent(self, now: float, worker: int, attempt: tuple[str, int]) -> None:
+        entry = self.routing_filter.workers.get(worker)
         if entry is not None:
-            self.witness.sent(now, worker, entry.zone, job)
+            self.evidence_collector.attempt_sent(now, worker, entry.zone, attempt)
 
-    def ended(self, now: float, worker: int, job: tuple[str, int], result: str) -> list[int]:
+    def attempt_ended(self, now: float, worker: int, attempt: tuple[str, int], result: str) -> list[int]:
         """How a job ended; whom to ask about it."""
-        return self._suspect(now, worker) if self.witness.ended(now, worker, job, result) else []
+        return (
+            self._probe_after_fault(now, worker)
+            if self.evidence_collector.attempt_ended(now, worker, attempt, result)
+            else []
+        )
 
-    def probed(self, now: float, worker: int, result: str) -> list[int]:
+    def probe_finished(self, now: float, worker: int, result: str) -> list[int]:
         """How a probe ended; whom to ask about it."""
-        entry = self.gate.workers.get(worker)
+        entry = self.routing_filter.workers.get(worker)
         if entry is None:
             return []
-        mine = self.is_open(entry.zone) and (entry.zone in self.suspect_zones or worker in self.around)
-        self.around.discard(worker)
-        bad = self.witness.probed(now, worker, entry.zone, result, mine)
-        return self._suspect(now, worker) if bad else []
-
-    def _suspect(self, now: float, worker: int) -> list[int]:
+        is_fault_probe = self.is_open(entry.zone) and (
+            entry.zone in self.probed_zones or worker in self.background_probes
+        )
+        self.background_probes.discard(worker)
+        is_new_fault = self.evidence_collector.probe_finished(now, worker, entry.zone, result, is_fault_probe)
+        return self._probe_after_fault(now, worker) if is_new_fault else []
+
+    def _probe_after_fault(self, now: float, worker: int) -> list[int]:
         """Bad news of a worker that was well: look at some of its zone and of others."""
-        entry = self.gate.workers.get(worker)
-        if entry is None or now < self.suspected + SUSPECT_MS:
+        entry = self.routing_filter.workers.get(worker)
+        if entry is None or now < self.last_fault_probe_ms + FAULT_PROBE_INTERVAL_MS:
             return []
-        self.suspected = now
-        return self.look((entry.zone,))
+        self.last_fault_probe_ms = now
+        return self.choose_workers_to_probe((entry.zone,))
 
-    def look(self, zones: Iterable[str]) -> list[int]:
+    def choose_workers_to_probe(self, zones: Iterable[str]) -> list[int]:
         """Whom to ask whether these zones' workers answer."""
         zones = tuple(zones)
-        self.suspect_zones = frozenset(zones)
-        workers = self.gate.workers.values()
-        return [worker for zone in zones for worker in suspects(zone, workers, self.random, self.rules.zone)]
+        self.probed_zones = frozenset(zones)
+        workers = self.routing_filter.workers.values()
+        return [
+            worker
+            for zone in zones
+            for worker in choose_workers_to_probe(zone, workers, self.random_source, self.rules.zone)
+        ]
 
     def tries(self, now: float, zones: Iterable[str]) -> list[int]:
         """When the keeper has us look at these zones: a worker of each that we have no word on, for a job on
@@ -149,34 +191,55 @@
         found = []
         for zone in zones:
             unseen = [
-                worker for worker in self.gate.zones().get(zone, ()) if self.witness.word(now, worker) is None
+                worker
+                for worker in self.routing_filter.workers_by_zone().get(zone, ())
+                if self.evidence_collector.word(now, worker) is None
             ]
-            found += [self.random.choice(unseen)] if unseen else []
+            found += [self.random_source.choice(unseen)] if unseen else []
         return found
 
-    def ask_around(self) -> list[int]:
+    def choose_background_probes(self) -> list[int]:
         """Once a second: whom to ask of the zones that are not open, and one of those that are: where we send
         little, it is all that we see."""
-        part, wide, found = min(1.0, PROBERS / self.nodes), [], []
-        for name, ids in self.gate.zones().items():
+        probe_probability, open_zone_workers, found = (
+            min(1.0, PROBES_PER_WORKER_S / self.scheduler_count),
+            [],
+            [],
+        )
+        for name, ids in self.routing_filter.workers_by_zone().items():
             if self.is_open(name):
-                wide += ids
+                open_zone_workers += ids
             else:
                 found += (
-                    self.random.sample(ids, min(SOLO_ASKS, len(ids)))
+                    self.random_source.sample(ids, min(STANDALONE_PROBES_PER_ZONE, len(ids)))
                     if self.rules.solo
-                    else [worker for worker in ids if self.random.random() < part]
+                    else [worker for worker in ids if self.random_source.random() < probe_probability]
                 )
-        self.around = {self.random.choice(wide)} if wide else set()
-        return [*found, *self.around]
-
-    def report(self, now: float, views: Iterable[View], clock: float) -> Report:
+        self.background_probes = (
+            {self.random_source.choice(open_zone_workers)} if open_zone_workers else set()
+        )
+        return [*found, *self.background_probes]
+
+    def build_evidence_report(
+        self, now: float, worker_states: Iterable[View], module_now: float
+    ) -> EvidenceReport:
         """views: the module's."""
-        return self.witness.report(now, _slots(views, clock))
+        return self.evidence_collector.build_report(now, slots_by_zone(worker_states, module_now))
 
 
-def _slots(views: Iterable[View], clock: float) -> Iterator[tuple[str, float, float]]:
-    for view in views:
-        if view.entry.state != "gone":
-            idle = max(0.0, view.total - view.held - view.others) if view.home else 0.0
-            yield view.entry.zone, float(view.held), idle if view.rest_until <= clock else 0.0
+def slots_by_zone(worker_states: Iterable[View], module_now: float) -> Iterator[tuple[str, float, float]]:
+    for worker_state in worker_states:
+        if worker_state.entry.state != "gone":
+            idle = (
+                max(
+                    0.0,
+                    worker_state.total - worker_state.held - worker_state.others,
+                )
+                if worker_state.home
+                else 0.0
+            )
+            yield (
+                worker_state.entry.zone,
+                float(worker_state.held),
+                idle if worker_state.rest_until <= module_now else 0.0,
+            )
--- a/spanwing/zones/side.py
+++ b/spanwing/zones/side.py
@@ -18,33 +18,33 @@
 from tornado.ioloop import IOLoop
 
 from spanwing import interface as api
-from spanwing.actor import spawn
-from spanwing.core.exchange import Exchange
-from spanwing.log import tell
+from spanwing.actor import spawn_task
+from spanwing.core.exchange import RequestManager
+from spanwing.log import log_event
 from spanwing.store.document import Document
-from spanwing.store.follower import Follower
+from spanwing.store.follower import DocumentFollower
 from spanwing.store.lease import clock_ms
-from spanwing.store.messages import Done
+from spanwing.store.messages import OrderResult
 from spanwing.store.peer import PeerListener
-from spanwing.store.service import FleetService
+from spanwing.store.service import DocumentService
 from spanwing.store.store import Store
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
 from spanwing.zones import trial
-from spanwing.zones.gate import ON_ITS_WAY_MS, Rules
-from spanwing.zones.local import Local
-from spanwing.zones.solo import TURN_MS, Solo
-from spanwing.zones.state import STEPS, Zone, read
-from spanwing.zones.steward import Bounds, Listed, Order, Steward
-from spanwing.zones.strand import Stranded
+from spanwing.zones.gate import MAX_TRANSIT_MS, RoutingRules
+from spanwing.zones.local import ZoneAgent
+from spanwing.zones.solo import EVALUATION_INTERVAL_MS, StandaloneController
+from spanwing.zones.state import RETURN_STEPS, ZoneState, read_fleet_zones
+from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits, ZoneOrder
+from spanwing.zones.strand import ZoneUnreachable
 
-TICK_S = 0.05
-RECALL_S = 1.0
-STRANDED_S = 0.25
-TELL_S = 0.1  # after a look
+TIMER_INTERVAL_S = 0.05
+RECALL_SPREAD_S = 1.0
+UNREACHABLE_CHECK_INTERVAL_S = 0.25
+PROBE_RESULT_DELAY_S = 0.1  # after a look
 
 
-class Wanted(Protocol):
+class ZoneSettings(Protocol):
     """The operator's table, checked; with no members each acts alone."""
 
     members: dict[str, Address]
@@ -52,315 +52,369 @@
     lease_ms: float
 
 
-class Contact(Protocol):
+class DocumentConnection(Protocol):
     """Whoever follows the fleet's document already, before the core is there."""
 
-    follower: Follower
-    service: FleetService | None
-    look: Callable[[tuple[str, ...]], None]
-    also: Callable[[Document], None]  # hears of each change
-    began: list[Callable[[api.Settings], None]]  # hear of each policy that takes hold here
+    follower: DocumentFollower
+    document_service: DocumentService | None
+    on_probe_request: Callable[[tuple[str, ...]], None]
+    on_document_change: Callable[[Document], None]  # hears of each change
+    on_policy_change: list[Callable[[api.Settings], None]]  # hear of each policy that takes hold here
 
 
-class Alone:
+class StandaloneFollower:
     """Stands where a follower would, for a scheduler that follows nobody."""
 
-    by, why = "itself", ""
+    connected_member, last_failure = "itself", ""
 
     def __init__(
         self,
-        solo: Solo,
-        brings: Callable[[], bytes],
-        changed: Callable[[Document], None],
-        look: Callable[[tuple[str, ...]], None],
+        controller: StandaloneController,
+        collect_evidence: Callable[[], bytes],
+        on_change: Callable[[Document], None],
+        on_probe_request: Callable[[tuple[str, ...]], None],
     ) -> None:
-        self.solo, self.brings, self.changed, self.look = solo, brings, changed, look
-        self.session, self.lease = solo.session, solo.lease
+        self.controller, self.collect_evidence, self.on_change, self.on_probe_request = (
+            controller,
+            collect_evidence,
+            on_change,
+            on_probe_request,
+        )
+        self.session, self.lease = controller.session, controller.lease
 
     @property
     def document(self) -> Document:
-        return self.solo.document
+        return self.controller.document
 
-    def urge(self) -> None:
+    def renew_now(self) -> None:
         """What is seen is judged at each turn anyway."""
 
-    async def order(self, order: Order) -> Done:
+    async def submit_order(self, order: ZoneOrder) -> OrderResult:
         try:
-            text = self.solo.order(clock_ms(), order)
+            text = self.controller.handle_order(clock_ms(), order)
         except ValueError as error:
-            return Done(0, False, str(error))
-        self.changed(self.document)
-        return Done(0, True, text)
+            return OrderResult(0, False, str(error))
+        self.on_change(self.document)
+        return OrderResult(0, True, text)
 
     async def run(self) -> None:
         while True:
-            await sleep(TURN_MS / 1000.0)
-            if self.solo.turn(clock_ms(), self.brings()):
-                self.changed(self.document)
-            if self.solo.look:
-                self.look(self.solo.look)
+            await sleep(EVALUATION_INTERVAL_MS / 1000.0)
+            if self.controller.evaluate(clock_ms(), self.collect_evidence()):
+                self.on_change(self.document)
+            if self.controller.zones_to_probe:
+                self.on_probe_request(self.controller.zones_to_probe)
 
 
-class ZoneSide:
+class ZoneService:
     """One scheduler's part in the fleet's zones."""
 
     def __init__(
         self,
         name: str,
-        wanted: Wanted,
-        core: Exchange,
+        zone_settings: ZoneSettings,
+        request_manager: RequestManager,
         buffers: BufferPool,
         seed: int,
-        contact: Contact | None = None,
+        connection: DocumentConnection | None = None,
     ) -> None:
         """contact: a follower that is there already, with what else hears by it."""
-        settings = core.settings
-        self.name, self.wanted, self.core, self.random = name, wanted, core, random.Random(seed)
-        self.held: bool | None = None  # whether we held a lease when we last told the module
-        self.next_ms = float("inf")
-        self.service: FleetService | None = None
-
-        def look(zones: tuple[str, ...]) -> None:
-            self._ask(self.local.look(zones))
-            trial.begin(self.core.module, self.local.tries(clock_ms(), zones), self.core.clock.now())
-
-        self.contact = contact
-        if contact is not None:
-            self.follower = contact.follower
-            self.follower.brings, contact.look, contact.also = self._brings, look, self._changed
-            contact.began.append(self._began)
-        elif wanted.members:
-            self.follower = Follower(
-                name, settings.zone, settings.node, wanted.members, buffers, self._brings, self._changed, look
+        settings = request_manager.settings
+        self.name, self.zone_settings, self.request_manager, self.random_source = (
+            name,
+            zone_settings,
+            request_manager,
+            random.Random(seed),
+        )
+        self.announced_lease: bool | None = None  # whether we held a lease when we last told the module
+        self.next_change_ms = float("inf")
+        self.document_service: DocumentService | None = None
+
+        def probe_zones(zones: tuple[str, ...]) -> None:
+            self._probe_workers(self.agent.choose_workers_to_probe(zones))
+            trial.start_trials(
+                self.request_manager.scheduler,
+                self.agent.tries(clock_ms(), zones),
+                self.request_manager.clock.now_ms(),
+            )
+
+        self.connection = connection
+        if connection is not None:
+            self.follower = connection.follower
+            self.follower.collect_evidence, connection.on_probe_request, connection.on_document_change = (
+                self._collect_evidence,
+                probe_zones,
+                self._handle_document_change,
+            )
+            connection.on_policy_change.append(self._handle_policy_change)
+        elif zone_settings.members:
+            self.follower = DocumentFollower(
+                name,
+                settings.zone,
+                settings.node,
+                zone_settings.members,
+                buffers,
+                self._collect_evidence,
+                self._handle_document_change,
+                probe_zones,
             )
         else:
-            mind = self._steward(name)
-            self.follower = Alone(
-                Solo(name, settings.zone, mind, clock_ms()), self._brings, self._changed, look
+            controller = self._create_controller(name)
+            self.follower = StandaloneFollower(
+                StandaloneController(name, settings.zone, controller, clock_ms()),
+                self._collect_evidence,
+                self._handle_document_change,
+                probe_zones,
             )
-        rules = Rules(
+        rules = RoutingRules(
             self.follower.session,
             settings.zone,
             settings.cold_ms,
             settings.fall_ms,
-            core.module.feeders,
-            not wanted.members,
+            request_manager.scheduler.feeders,
+            not zone_settings.members,
         )
-        self.local = Local(
-            rules, settings.node, settings.nodes, lambda worker: core.module.feeds(worker), self.random
+        self.agent = ZoneAgent(
+            rules,
+            settings.node,
+            settings.nodes,
+            lambda worker: request_manager.scheduler.feeds(worker),
+            self.random_source,
         )
-        core.zones = self
-        if contact is not None and self.follower.document.revision:
-            self._changed(self.follower.document)
+        request_manager.zone_routing = self
+        if connection is not None and self.follower.document.revision:
+            self._handle_document_change(self.follower.document)
 
-    def serve(self, store: Store, listener: PeerListener) -> None:
+    def serve_as_member(self, store: Store, listener: PeerListener) -> None:
         """We are a member of the store: keep, when it is our turn."""
-        steward = self._steward(store.member)
-        if self.contact is not None:
-            self.service = self.contact.service
-            self.service.mind.join(steward)
+        controller = self._create_controller(store.member)
+        if self.connection is not None:
+            self.document_service = self.connection.document_service
+            self.document_service.controller.join(controller)
         else:
-            self.service = FleetService(store, listener, steward, self.wanted.lease_ms)
+            self.document_service = DocumentService(store, listener, controller, self.zone_settings.lease_ms)
 
-    def _steward(self, author: str) -> Steward:
-        settings, together = self.core.settings, bool(self.wanted.members)
-        bounds = Bounds(
-            settings.fall_ms + ON_ITS_WAY_MS,
+    def _create_controller(self, author: str) -> ZoneController:
+        settings, has_members = self.request_manager.settings, bool(self.zone_settings.members)
+        limits = ZoneLimits(
+            settings.fall_ms + MAX_TRANSIT_MS,
             settings.cold_ms,
-            settings.nodes if together else 1,
-            self.wanted.regions,
+            settings.nodes if has_members else 1,
+            self.zone_settings.regions,
             settings.probes,
-            not together,
+            not has_members,
         )
-        return Steward(bounds, self._listing, lambda: time.time() * 1000.0, author)
+        return ZoneController(limits, self._list_workers, lambda: time.time() * 1000.0, author)
 
     def start(self) -> None:
-        if self.contact is None:
-            spawn(self.follower.run())
-            if self.service is not None:
-                spawn(self.service.run())
-        spawn(self._tick())
-        if self.core.settings.probes:
-            spawn(self._probe())
+        if self.connection is None:
+            spawn_task(self.follower.run())
+            if self.document_service is not None:
+                spawn_task(self.document_service.run())
+        spawn_task(self._run_timer())
+        if self.request_manager.settings.probes:
+            spawn_task(self._run_background_probes())
 
     # -- what the core asks and tells
 
-    def may(self, worker: int) -> bool:
+    def may_forward(self, worker: int) -> bool:
         """Whether a job may be sent there now: asked before it is handed on, and again before its last
         byte."""
         now = clock_ms()
-        return self.local.gate.may(worker, now, self.follower.lease.valid(now), self.core.clock.now())
+        return self.agent.routing_filter.may_forward(
+            worker, now, self.follower.lease.is_valid(now), self.request_manager.clock.now_ms()
+        )
 
-    def screen(self, news: api.WorkerList) -> api.WorkerList:
+    def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList:
         """News of job workers as the module is to have them."""
         now = clock_ms()
-        self.held = self.follower.lease.valid(now)
-        return self.local.screen(news, now, self.core.clock.now(), self.held)
+        self.announced_lease = self.follower.lease.is_valid(now)
+        return self.agent.filter_workers(
+            endpoint_list, now, self.request_manager.clock.now_ms(), self.announced_lease
+        )
 
-    def sent(self, worker: int, job: tuple[str, int]) -> None:
-        self.local.sent(clock_ms(), worker, job)
+    def attempt_sent(self, worker: int, attempt: tuple[str, int]) -> None:
+        self.agent.attempt_sent(clock_ms(), worker, attempt)
 
-    def accepted(self, worker: int, job: tuple[str, int]) -> None:
-        self.local.witness.answered(clock_ms(), worker, job)
+    def attempt_accepted(self, worker: int, attempt: tuple[str, int]) -> None:
+        self.agent.evidence_collector.attempt_accepted(clock_ms(), worker, attempt)
 
-    def ended(self, worker: int, job: tuple[str, int], result: str) -> None:
-        self._ask(self.local.ended(clock_ms(), worker, job, result))
+    def attempt_ended(self, worker: int, attempt: tuple[str, int], result: str) -> None:
+        self._probe_workers(self.agent.attempt_ended(clock_ms(), worker, attempt, result))
 
-    def probed(self, worker: int, result: str) -> None:
-        self._ask(self.local.probed(clock_ms(), worker, result))
+    def probe_finished(self, worker: int, result: str) -> None:
+        self._probe_workers(self.agent.probe_finished(clock_ms(), worker, result))
 
-    def _ask(self, workers: list[int]) -> None:
+    def _probe_workers(self, workers: list[int]) -> None:
         """Ask these for a sign of life, and tell what came of it."""
         if not workers:
             return
-        if self.core.settings.probes:
+        if self.request_manager.settings.probes:
             for each in workers:
-                self.core.probe(each)
-        IOLoop.current().call_later(TELL_S, self.follower.urge)
+                self.request_manager.probe_worker(each)
+        IOLoop.current().call_later(PROBE_RESULT_DELAY_S, self.follower.renew_now)
 
     # -- news
 
-    def _changed(self, document: Document) -> None:
+    def _handle_document_change(self, document: Document) -> None:
         """The fleet's state is another; the change is acknowledged once we return."""
-        before, fleet = self.local.fleet, read(document)
-        self.local.gate.follow(fleet, clock_ms(), self.core.clock.now())
-        self._retell()
+        previous_zones, fleet = self.agent.fleet, read_fleet_zones(document)
+        self.agent.routing_filter.update_zones(fleet, clock_ms(), self.request_manager.clock.now_ms())
+        self._announce_changed_workers()
         for name, zone in fleet.zones.items():
-            old = before.zone(name) if before is not None else Zone()
-            if zone == old:
+            previous = previous_zones.get_zone(name) if previous_zones is not None else ZoneState()
+            if zone == previous:
                 continue
-            tell(
+            log_event(
                 "zone",
-                bounded=False,
+                rate_limited=False,
                 zone=name,
                 state=zone.state,
                 step=zone.step,
                 held=zone.held,
-                number=fleet.numbers[name],
+                number=fleet.revisions[name],
                 reason=zone.reason,
                 author=zone.author,
             )
-            if zone.state == "leaving" and old.state != "leaving":
-                self._recall(name)
-        for key in fleet.unread:
-            tell("zones_unread", level="error", key=key)
+            if zone.state == "leaving" and previous.state != "leaving":
+                self._recall_attempts(name)
+        for key in fleet.unreadable_keys:
+            log_event("zones_unread", level="error", key=key)
 
-    def _began(self, settings: api.Settings) -> None:
+    def _handle_policy_change(self, settings: api.Settings) -> None:
         """Another policy: what cold workers bear, and who feeds them."""
-        rules = self.local.rules._replace(
-            cold_ms=settings.cold_ms, fall_ms=settings.fall_ms, feeders=self.core.module.feeders
+        rules = self.agent.rules._replace(
+            cold_ms=settings.cold_ms,
+            fall_ms=settings.fall_ms,
+            feeders=self.request_manager.scheduler.feeders,
         )
-        self.local.rules = self.local.gate.rules = rules
-        self.local.fed.clear()
-        self._retell()
+        self.agent.rules = self.agent.routing_filter.rules = rules
+        self.agent.hashed_feeders.clear()
+        self._announce_changed_workers()
 
-    def _retell(self) -> None:
+    def _announce_changed_workers(self) -> None:
         now = clock_ms()
-        self.held = self.follower.lease.valid(now)
-        self.next_ms = self.local.gate.next_change(now)
-        changed = self.local.news(now, self.held)
+        self.announced_lease = self.follower.lease.is_valid(now)
+        self.next_change_ms = self.agent.routing_filter.next_change_ms(now)
+        changed = self.agent.changed_workers(now, self.announced_lease)
         if changed:
-            self.core.tell(api.WorkerList("partial", tuple(changed)))
-            self.local.prove(self.core.module)
+            self.request_manager.notify_schedulers(api.WorkerList("partial", tuple(changed)))
+            self.agent.restart_concurrency_limits(self.request_manager.scheduler)
 
-    async def _tick(self) -> None:
+    async def _run_timer(self) -> None:
         """What changes without news: our lease ends or is back, feeding begins."""
         loop = IOLoop.current()
-        told, stranded_at = None, 0.0
+        announced_lease, unreachable_checked_at = None, 0.0
         while True:
-            await sleep(TICK_S)
+            await sleep(TIMER_INTERVAL_S)
             now = clock_ms()
-            valid = self.follower.lease.valid(now)
-            if valid != told:
-                told = valid
-                tell("zones_contact", contact=valid, reason="" if valid else self.follower.why)
-            if valid != self.held or now >= self.next_ms:
-                self._retell()
-            if valid and loop.time() >= stranded_at + STRANDED_S:
-                stranded_at = loop.time()
-                for name in self.local.shut():
-                    self.core.tell(Stranded(name))
-
-    def _recall(self, zone: str) -> None:
+            has_lease = self.follower.lease.is_valid(now)
+            if has_lease != announced_lease:
+                announced_lease = has_lease
+                log_event(
+                    "zones_contact", contact=has_lease, reason="" if has_lease else self.follower.last_failure
+                )
+            if has_lease != self.announced_lease or now >= self.next_change_ms:
+                self._announce_changed_workers()
+            if has_lease and loop.time() >= unreachable_checked_at + UNREACHABLE_CHECK_INTERVAL_S:
+                unreachable_checked_at = loop.time()
+                for name in self.agent.unused_zones():
+                    self.request_manager.notify_schedulers(ZoneUnreachable(name))
+
+    def _recall_attempts(self, zone: str) -> None:
         """What may be repeated anywhere is called back from the zone, all schedulers' work spread over a
         time."""
         loop = IOLoop.current()
-        for (request, number), out in list(self.core.out.items()):
-            entry = self.local.gate.workers.get(out.worker)
-            if entry is not None and entry.zone == zone and not self.may(out.worker):
-                loop.call_later(self.random.uniform(0.0, RECALL_S), self.core.recall, request, number)
+        for (request, number), attempt in list(self.request_manager.in_flight.items()):
+            entry = self.agent.routing_filter.workers.get(attempt.worker)
+            if entry is not None and entry.zone == zone and not self.may_forward(attempt.worker):
+                loop.call_later(
+                    self.random_source.uniform(0.0, RECALL_SPREAD_S),
+                    self.request_manager.cancel_repeatable,
+                    request,
+                    number,
+                )
 
     # -- evidence
 
-    def _brings(self) -> bytes:
-        module = self.core.module
-        return msgspec.json.encode(self.local.report(clock_ms(), module.views.values(), module.now))
+    def _collect_evidence(self) -> bytes:
+        module = self.request_manager.scheduler
+        return msgspec.json.encode(
+            self.agent.build_evidence_report(clock_ms(), module.views.values(), module.now)
+        )
 
-    async def _probe(self) -> None:
+    async def _run_background_probes(self) -> None:
         while True:
-            await sleep(self.random.uniform(0.8, 1.2))
-            for worker in self.local.ask_around():
-                self.core.probe(worker)
+            await sleep(self.random_source.uniform(0.8, 1.2))
+            for worker in self.agent.choose_background_probes():
+                self.request_manager.probe_worker(worker)
 
-    def _listing(self) -> dict[str, list[Listed]]:
+    def _list_workers(self) -> dict[str, list[ListedWorker]]:
         """Our own list, for the keeper."""
-        found: dict[str, list[Listed]] = {}
-        now, cold_ms = self.core.clock.now(), self.core.settings.cold_ms
-        for each in self.local.gate.workers.values():
-            cold = each.started > 0 and now < each.started + cold_ms
-            found.setdefault(each.zone, []).append(Listed(each.id, each.started, cold))
+        found: dict[str, list[ListedWorker]] = {}
+        now, cold_ms = self.request_manager.clock.now_ms(), self.request_manager.settings.cold_ms
+        for each in self.agent.routing_filter.workers.values():
+            is_warming_up = each.started > 0 and now < each.started + cold_ms
+            found.setdefault(each.zone, []).append(ListedWorker(each.id, each.started, is_warming_up))
         return found
 
     # -- orders and status
 
     async def order(self, do: str, name: str, over_s: float) -> str:
         """An operator's order; what came of it. Raises ValueError with what is wrong."""
-        done = await self.follower.order(Order(do, name, over_s, f"operator at {self.name}"))
-        if not done.ok:
-            raise ValueError(done.text)
-        return done.text
+        result = await self.follower.submit_order(ZoneOrder(do, name, over_s, f"operator at {self.name}"))
+        if not result.is_accepted:
+            raise ValueError(result.text)
+        return result.text
 
     def status(self) -> dict[str, Any]:
         """Everything that is known here of the fleet's zones."""
-        fleet, valid = self.local.fleet or read(Document()), self.follower.lease.valid(clock_ms())
-        words = self.local.witness.words(clock_ms())
-        ids = self.local.gate.zones()
+        fleet, has_lease = (
+            self.agent.fleet or read_fleet_zones(Document()),
+            self.follower.lease.is_valid(clock_ms()),
+        )
+        evidence = self.agent.evidence_collector.evidence_by_zone(clock_ms())
+        workers_by_zone = self.agent.routing_filter.workers_by_zone()
         zones = {}
-        for name in sorted({*ids, *fleet.zones}):
-            zone = fleet.zone(name)
-            seen = words.get(name)
+        for name in sorted({*workers_by_zone, *fleet.zones}):
+            zone = fleet.get_zone(name)
+            zone_evidence = evidence.get(name)
             zones[name] = {
                 "state": zone.state,
                 "step": zone.step,
-                "steps": STEPS,
+                "steps": RETURN_STEPS,
                 "held": zone.held,
                 "share": zone.share,
                 "inside": zone.inside,
-                "number": fleet.numbers.get(name, 0),
+                "number": fleet.revisions.get(name, 0),
                 "reason": zone.reason,
                 "author": zone.author,
                 "failures": zone.failures,
-                "workers": len(ids.get(name, ())),
-                "seen_good": len(seen.good) if seen else 0,
-                "seen_bad": len(seen.bad) if seen else 0,
-                "used": sum(self.may(each) for each in ids.get(name, ())),
+                "workers": len(workers_by_zone.get(name, ())),
+                "seen_good": len(zone_evidence.good) if zone_evidence else 0,
+                "seen_bad": len(zone_evidence.faulty_workers) if zone_evidence else 0,
+                "used": sum(self.may_forward(each) for each in workers_by_zone.get(name, ())),
             }
-        deal = fleet.deal
-        refused = self.service.keeper.refused if self.service is not None else 0
+        assignment = fleet.feeder_assignment
+        refused = self.document_service.leader.rejected_renewals if self.document_service is not None else 0
         return {
             "refused": refused,
-            "contact": valid,
-            "by": self.follower.by,
-            "why": self.follower.why,
+            "contact": has_lease,
+            "by": self.follower.connected_member,
+            "why": self.follower.last_failure,
             "revision": self.follower.document.revision,
             "session": self.follower.session,
             "zones": zones,
-            "regions": {name: list(each) for name, each in self.wanted.regions.items()},
+            "regions": {name: list(each) for name, each in self.zone_settings.regions.items()},
             "deal": None
-            if deal is None
-            else {"number": deal.number, "in_force": deal.in_force, "sessions": len(deal.sessions)},
+            if assignment is None
+            else {
+                "number": assignment.number,
+                "in_force": assignment.in_force,
+                "sessions": len(assignment.sessions),
+            },
         }
 
     def history(self) -> list[dict[str, Any]]:
-        past = self.local.fleet.past if self.local.fleet is not None else []
-        return [msgspec.structs.asdict(each) for each in past]
+        entries = self.agent.fleet.history if self.agent.fleet is not None else []
+        return [msgspec.structs.asdict(each) for each in entries]
--- a/spanwing/zones/solo.py
+++ b/spanwing/zones/solo.py
@@ -11,59 +11,61 @@
 
 import msgspec
 
-from spanwing.store.document import Document, Txn
-from spanwing.store.keeper import Keeper
-from spanwing.store.messages import Granted, Renew
-from spanwing.zones.state import DEAL
-from spanwing.zones.steward import Steward
+from spanwing.store.document import Document, Transaction
+from spanwing.store.keeper import Leader
+from spanwing.store.messages import Renew, RenewalGranted
+from spanwing.zones.state import ASSIGNMENT_KEY
+from spanwing.zones.steward import ZoneController
 
-TURN_MS = 50.0
-LEASE_MS = 10.0 * TURN_MS  # our own, which we renew at each turn
+EVALUATION_INTERVAL_MS = 50.0
+STANDALONE_LEASE_MS = 10.0 * EVALUATION_INTERVAL_MS  # our own, which we renew at each turn
 
 
-class Always:
+class PermanentLease:
     """A lease of what is ours alone."""
 
-    until = math.inf
+    expires_at_ms = math.inf
 
-    def valid(self, now: float) -> bool:
+    def is_valid(self, now: float) -> bool:
         return True
 
 
-class Solo:
+class StandaloneController:
     """Keeper and follower in one."""
 
-    def __init__(self, session: str, zone: str, mind: Steward, now: float) -> None:
-        self.session, self.zone, self.mind = session, zone, mind
-        self.lease, self.document = Always(), Document()
-        self.keeper = Keeper("alone", LEASE_MS, mind, now, lambda: 0.0)
-        self._apply(now, self.keeper.take_over(now, "begin"))
-        self.look: tuple[str, ...] = ()
+    def __init__(self, session: str, zone: str, controller: ZoneController, now: float) -> None:
+        self.session, self.zone, self.controller = session, zone, controller
+        self.lease, self.document = PermanentLease(), Document()
+        self.leader = Leader("alone", STANDALONE_LEASE_MS, controller, now, lambda: 0.0)
+        self._apply_transaction(now, self.leader.takeover_transaction(now, "begin"))
+        self.zones_to_probe: tuple[str, ...] = ()
 
-    def _apply(self, now: float, txn: Txn) -> None:
-        after = self.document.apply(txn)
+    def _apply_transaction(self, now: float, transaction: Transaction) -> None:
+        after = self.document.apply(transaction)
         if after is not None:
             self.document = after
-            self.keeper.changed(now, after)
+            self.leader.handle_change(now, after)
 
-    def turn(self, now: float, report: bytes) -> bool:
+    def evaluate(self, now: float, evidence: bytes) -> bool:
         """Take in what we saw; whether the state is another now. self.look: what is to be asked."""
-        before, self.look = self.document, ()
-        message = Renew(0, self.session, self.zone, 0, before.revision, msgspec.Raw(report))
-        self.keeper.renew(now, message, self._heard)
-        self.keeper.read(now, now, before)
-        txn = self.mind.decide(now, before, self.keeper)
-        if txn is not None and DEAL not in txn.writes:
-            self._apply(now, txn)
-        self.keeper.due(now)
-        return self.document is not before
-
-    def _heard(self, granted: Granted) -> None:
-        self.look = self.look or granted.look
-
-    def order(self, now: float, order: object) -> str:
+        previous, self.zones_to_probe = self.document, ()
+        renewal = Renew(0, self.session, self.zone, 0, previous.revision, msgspec.Raw(evidence))
+        self.leader.handle_renewal(now, renewal, self._handle_grant)
+        self.leader.handle_read(now, now, previous)
+        transaction = self.controller.decide_next_change(now, previous, self.leader)
+        if transaction is not None and ASSIGNMENT_KEY not in transaction.writes:
+            self._apply_transaction(now, transaction)
+        self.leader.answer_due_renewals(now)
+        return self.document is not previous
+
+    def _handle_grant(self, grant: RenewalGranted) -> None:
+        self.zones_to_probe = self.zones_to_probe or grant.zones_to_probe
+
+    def handle_order(self, now: float, order: object) -> str:
         """An operator's, for this scheduler. Raises ValueError: refused."""
-        txn, text = self.mind.order(now, msgspec.Raw(msgspec.json.encode(order)), self.document, self.keeper)
-        if txn is not None:
-            self._apply(now, txn)
+        transaction, text = self.controller.handle_order(
+            now, msgspec.Raw(msgspec.json.encode(order)), self.document, self.leader
+        )
+        if transaction is not None:
+            self._apply_transaction(now, transaction)
         return text
--- a/spanwing/zones/state.py
+++ b/spanwing/zones/state.py
@@ -16,16 +16,16 @@
 from spanwing.state import mix
 from spanwing.store.document import Document
 
-STEPS = 4
-HISTORY = 40
-ZONE, DEAL, PAST = "zone/", "deal", "zones/history"
-Is = Literal["open", "leaving", "left", "returning"]
+RETURN_STEPS = 4
+MAX_HISTORY_ENTRIES = 40
+ZONE_KEY_PREFIX, ASSIGNMENT_KEY, HISTORY_KEY = "zone/", "deal", "zones/history"
+ZonePhase = Literal["open", "leaving", "left", "returning"]
 
 
-class Zone(msgspec.Struct, frozen=True, omit_defaults=True):
+class ZoneState(msgspec.Struct, frozen=True, omit_defaults=True):
     """One zone's state; its number is the revision that it came with."""
 
-    state: Is = "open"
+    state: ZonePhase = "open"
     step: int = 0  # of a return, 1 to STEPS
     share: float = 0.0  # of its workers that stay in use while it is left
     inside: bool = False  # its own schedulers go on using it
@@ -37,16 +37,18 @@
     starts: dict[str, float] = {}
 
 
-class Deal(msgspec.Struct, frozen=True):
+class FeederAssignment(msgspec.Struct, frozen=True):
     """Who feeds the cold workers of returning zones."""
 
     number: int
     sessions: list[str]
-    before: list[str] = []  # of the deal before, while and after this one is announced
+    previous_sessions: list[str] = msgspec.field(
+        default=[], name="before"
+    )  # of the deal before, while and after this one is announced
     in_force: bool = False
 
 
-class Past(msgspec.Struct, frozen=True, array_like=True):
+class ZoneHistoryEntry(msgspec.Struct, frozen=True, array_like=True):
     """One change, for the history."""
 
     number: int
@@ -59,55 +61,60 @@
     share: float = 0.0  # of its workers that stay in use
 
 
-class Fleet(msgspec.Struct, frozen=True):
+class FleetZones(msgspec.Struct, frozen=True):
     """All of it, as read from a document."""
 
-    zones: dict[str, Zone]
-    numbers: dict[str, int]
-    deal: Deal | None
-    deal_number: int  # the revision of the deal's last change
-    past: list[Past]
-    unread: tuple[str, ...] = ()
+    zones: dict[str, ZoneState]
+    revisions: dict[str, int] = msgspec.field(name="numbers")
+    feeder_assignment: FeederAssignment | None = msgspec.field(name="deal")
+    assignment_revision: int = msgspec.field(name="deal_number")  # the revision of the deal's last change
+    history: list[ZoneHistoryEntry] = msgspec.field(name="past")
+    unreadable_keys: tuple[str, ...] = msgspec.field(default=(), name="unread")
 
-    def zone(self, name: str) -> Zone:
-        return self.zones.get(name, OPEN)
+    def get_zone(self, name: str) -> ZoneState:
+        return self.zones.get(name, OPEN_ZONE)
 
 
-OPEN = Zone()
+OPEN_ZONE = ZoneState()
 
 
-def encode(value: object) -> str:
+def encode_value(value: object) -> str:
     return msgspec.json.encode(value).decode()
 
 
-def read(document: Document) -> Fleet:
-    zones, numbers, unread = {}, {}, []
-    deal, deal_number, past = None, 0, []
+def read_fleet_zones(document: Document) -> FleetZones:
+    zones, revisions, unreadable_keys = {}, {}, []
+    feeder_assignment, assignment_revision, history = None, 0, []
     for key, entry in document.entries.items():
         try:
-            if key.startswith(ZONE):
-                name = key[len(ZONE) :]
-                zones[name] = msgspec.json.decode(entry.value, type=Zone)
-                numbers[name] = entry.revision
-            elif key == DEAL:
-                deal, deal_number = msgspec.json.decode(entry.value, type=Deal), entry.revision
-            elif key == PAST:
-                past = msgspec.json.decode(entry.value, type=list[Past])
+            if key.startswith(ZONE_KEY_PREFIX):
+                name = key[len(ZONE_KEY_PREFIX) :]
+                zones[name] = msgspec.json.decode(entry.value, type=ZoneState)
+                revisions[name] = entry.revision
+            elif key == ASSIGNMENT_KEY:
+                feeder_assignment, assignment_revision = (
+                    msgspec.json.decode(entry.value, type=FeederAssignment),
+                    entry.revision,
+                )
+            elif key == HISTORY_KEY:
+                history = msgspec.json.decode(entry.value, type=list[ZoneHistoryEntry])
         except ValueError:
-            unread.append(key)
-    return Fleet(zones, numbers, deal, deal_number, past, tuple(unread))
+            unreadable_keys.append(key)
+    return FleetZones(
+        zones, revisions, feeder_assignment, assignment_revision, history, tuple(unreadable_keys)
+    )
 
 
-def rank(workers: list[int]) -> list[int]:
+def admission_order(worker_ids: list[int]) -> list[int]:
     """The order in which a zone's workers are admitted, the same everywhere."""
-    return sorted(workers, key=lambda each: (mix(each, 104729), each))
+    return sorted(worker_ids, key=lambda each: (mix(each, 104729), each))
 
 
 @lru_cache(4096)
-def place(session: str) -> int:
+def session_hash(session: str) -> int:
     return int.from_bytes(hashlib.blake2b(session.encode(), digest_size=8).digest(), "big")
 
 
-def feeders_of(worker: int, sessions: list[str], most: int) -> list[str]:
+def choose_feeders(worker: int, sessions: list[str], count: int) -> list[str]:
     """Those of the sessions that feed this worker: the ones that hash highest with it."""
-    return nlargest(most, sessions, key=lambda each: (mix(worker, place(each)), each))
+    return nlargest(count, sessions, key=lambda each: (mix(worker, session_hash(each)), each))
--- a/spanwing/zones/steward.py
+++ b/spanwing/zones/steward.py
@@ -15,314 +15,430 @@
 
 import msgspec
 
-from spanwing.store.document import Document, Txn
-from spanwing.store.keeper import Keeper, Session
-from spanwing.zones.evidence import BAD_MS, GOOD_MS, MOST_ZONES, Report, Words, read_report, short
-from spanwing.zones.state import DEAL, HISTORY, PAST, STEPS, ZONE, Deal, Fleet, Past, Zone, encode, rank, read
-from spanwing.zones.verdict import DOWN, SAMPLE, Observer, Verdict, enough, judge
-
-STAY_MS, STAY_MOST_MS = 1000.0, 120_000.0  # a zone is left so long at least, and at most by itself
-FORGIVEN_MS = 600_000.0  # open for so long, a zone's earlier failures count no more
-STEP_MS = 600.0  # a step of the return is held so long at least
-DEAL_MS = 1000.0  # between two deals
-LISTED_MS = 60_000.0  # a zone has as many workers as it had at most in so long
-OVER_MOST_S = 3600.0
-MOST_LOOKS = 4
-
-
-def _token() -> str:
+from spanwing.store.document import Document, Transaction
+from spanwing.store.keeper import Leader, SchedulerSession
+from spanwing.zones.evidence import (
+    BAD_EVIDENCE_MAX_AGE_MS,
+    GOOD_EVIDENCE_MAX_AGE_MS,
+    MAX_ZONES,
+    EvidenceReport,
+    ZoneEvidence,
+    decode_report,
+    short_worker_id,
+)
+from spanwing.zones.state import (
+    ASSIGNMENT_KEY,
+    HISTORY_KEY,
+    MAX_HISTORY_ENTRIES,
+    RETURN_STEPS,
+    ZONE_KEY_PREFIX,
+    FeederAssignment,
+    FleetZones,
+    ZoneHistoryEntry,
+    ZoneState,
+    admission_order,
+    encode_value,
+    read_fleet_zones,
+)
+from spanwing.zones.verdict import (
+    DOWN_FRACTION,
+    MIN_SAMPLE_WORKERS,
+    Observer,
+    ZoneVerdict,
+    judge_zone,
+    required_observers,
+)
+
+MIN_HOLD_DOWN_MS, MAX_HOLD_DOWN_MS = (
+    1000.0,
+    120_000.0,
+)  # a zone is left so long at least, and at most by itself
+FAILURE_RESET_MS = 600_000.0  # open for so long, a zone's earlier failures count no more
+MIN_RETURN_STEP_MS = 600.0  # a step of the return is held so long at least
+MIN_ASSIGNMENT_INTERVAL_MS = 1000.0  # between two deals
+WORKER_COUNT_WINDOW_MS = 60_000.0  # a zone has as many workers as it had at most in so long
+MAX_GRADUAL_LEAVE_S = 3600.0
+MAX_ZONES_TO_PROBE = 4
+
+
+def _random_id() -> str:
     return secrets.token_hex(8)
 
 
-class Listed(NamedTuple):
+class ListedWorker(NamedTuple):
     """A job worker as the keeper's own list has it."""
 
     id: int
-    started: float  # wall clock; 0: long ago
-    cold: bool
+    started_at_ms: float  # wall clock; 0: long ago
+    is_warming_up: bool
 
 
-class Bounds(NamedTuple):
+class ZoneLimits(NamedTuple):
     """From settings and the operator's file."""
 
-    wait_ms: float  # a window of cold budgets, and what may be on its way
-    cold_ms: float = 0.0  # a worker is cold for so long after its start
-    schedulers: int = 1  # that there are, up or down
+    feeder_change_delay_ms: float  # a window of cold budgets, and what may be on its way
+    slow_start_ms: float = 0.0  # a worker is cold for so long after its start
+    scheduler_count: int = 1  # that there are, up or down
     regions: Mapping[str, tuple[str, ...]] = {}
-    probes: bool = True  # schedulers may ask a zone that was left
-    sampled: bool = False  # one scheduler's own evidence: it never sees all workers of a zone
+    probes_enabled: bool = True  # schedulers may ask a zone that was left
+    is_sampled: bool = False  # one scheduler's own evidence: it never sees all workers of a zone
 
 
-class Order(msgspec.Struct, forbid_unknown_fields=True):
+class ZoneOrder(msgspec.Struct, forbid_unknown_fields=True):
     """An operator's."""
 
-    do: str
-    name: str
-    over_s: float = 0.0
-    by: str = "operator"
+    action: str = msgspec.field(name="do")
+    target: str = msgspec.field(name="name")
+    duration_s: float = msgspec.field(default=0.0, name="over_s")
+    author: str = msgspec.field(default="operator", name="by")
 
 
-class Steward:
+class ZoneController:
     """The keeper's mind."""
 
     def __init__(
         self,
-        bounds: Bounds,
-        workers: Callable[[], Mapping[str, list[Listed]]],
-        wall_ms: Callable[[], float],
+        limits: ZoneLimits,
+        list_workers: Callable[[], Mapping[str, list[ListedWorker]]],
+        wall_clock_ms: Callable[[], float],
         author: str,
-        draw: Callable[[], str] = _token,
+        new_id: Callable[[], str] = _random_id,
     ) -> None:
         """workers: of each zone, as our own list has them; draw: an id for a change."""
-        self.bounds, self.workers, self.wall_ms = bounds, workers, wall_ms
-        self.author, self.draw = author, draw
-        self.reports: dict[str, tuple[float, str, Report]] = {}  # by session: when, zone, what
-        self.entered: dict[str, tuple[int, float]] = {}  # by zone, or the deal: when first seen
-        self.most: dict[str, dict[int, float]] = {}  # by zone: its workers, and when last listed
-        self.begun: dict[str, float] = {}  # zones that return, and since when
-        self.cut_since: dict[str, float] = {}  # zones that seem cut off
-        self.leaving_over: dict[str, tuple[float, float]] = {}  # ordered over a time: from, for ms
-        self.read_of: Document | None = None
-        self.fleet = read(Document())
+        self.limits, self.list_workers, self.wall_clock_ms = limits, list_workers, wall_clock_ms
+        self.author, self.new_id = author, new_id
+        self.reports: dict[str, tuple[float, str, EvidenceReport]] = {}  # by session: when, zone, what
+        self.revision_seen_at: dict[str, tuple[int, float]] = {}  # by zone, or the deal: when first seen
+        self.recent_workers: dict[str, dict[int, float]] = {}  # by zone: its workers, and when last listed
+        self.returning_since: dict[str, float] = {}  # zones that return, and since when
+        self.cut_off_since: dict[str, float] = {}  # zones that seem cut off
+        self.gradual_leaves: dict[str, tuple[float, float]] = {}  # ordered over a time: from, for ms
+        self.parsed_document: Document | None = None
+        self.fleet = read_fleet_zones(Document())
 
     # -- what comes in
 
-    def look(self, now: float) -> None:
+    def refresh_worker_list(self, now: float) -> None:
         """Keep in mind how many workers each zone has: the list may drop them before we come to keep."""
-        self._listing(now)
+        self._refresh_listed_workers(now)
 
-    def heard(self, now: float, session: Session, payload: msgspec.Raw) -> None:
+    def record_evidence(self, now: float, session: SchedulerSession, evidence: msgspec.Raw) -> None:
         """Raises ValueError where it is no evidence, or comes from nobody that the settings know."""
-        if not 0 <= session.position < self.bounds.schedulers:
-            raise ValueError(f"position {session.position} is none of {self.bounds.schedulers}")
-        self.reports[session.id] = now, session.zone, read_report(bytes(payload))
+        if not 0 <= session.position < self.limits.scheduler_count:
+            raise ValueError(f"position {session.position} is none of {self.limits.scheduler_count}")
+        self.reports[session.id] = now, session.zone, decode_report(bytes(evidence))
 
-    def _fleet(self, document: Document) -> Fleet:
-        if document is not self.read_of:
-            self.read_of, self.fleet = document, read(document)
+    def _parse_document(self, document: Document) -> FleetZones:
+        if document is not self.parsed_document:
+            self.parsed_document, self.fleet = document, read_fleet_zones(document)
         return self.fleet
 
-    def _since(self, now: float, what: str, number: int) -> float:
+    def _time_since_seen(self, now: float, name: str, revision: int) -> float:
         """For how long we have seen this number; an earlier keeper's time does not count."""
-        known = self.entered.get(what)
-        if known is None or known[0] != number:
-            known = self.entered[what] = number, now
+        known = self.revision_seen_at.get(name)
+        if known is None or known[0] != revision:
+            known = self.revision_seen_at[name] = revision, now
         return now - known[1]
 
-    def _listing(self, now: float) -> dict[str, list[Listed]]:
-        listed = dict(sorted(self.workers().items())[:MOST_ZONES])
+    def _refresh_listed_workers(self, now: float) -> dict[str, list[ListedWorker]]:
+        listed = dict(sorted(self.list_workers().items())[:MAX_ZONES])
         for zone, workers in listed.items():
-            seen = self.most.setdefault(zone, {})
-            seen.update((short(each.id), now) for each in workers)
-        for zone, seen in list(self.most.items()):
-            self.most[zone] = {each: at for each, at in seen.items() if now - at <= LISTED_MS}
-            if not self.most[zone]:
-                del self.most[zone]
+            last_listed = self.recent_workers.setdefault(zone, {})
+            last_listed.update((short_worker_id(each.id), now) for each in workers)
+        for zone, last_listed in list(self.recent_workers.items()):
+            self.recent_workers[zone] = {
+                each: at for each, at in last_listed.items() if now - at <= WORKER_COUNT_WINDOW_MS
+            }
+            if not self.recent_workers[zone]:
+                del self.recent_workers[zone]
         return listed
 
-    def observers(self, now: float, keeper: Keeper) -> list[Observer]:
+    def recent_observers(self, now: float, leader: Leader) -> list[Observer]:
         """Those in contact, with what they saw lately."""
-        contact = {each.id for each in keeper.in_contact(now)}
-        self.reports = {id: each for id, each in self.reports.items() if id in keeper.sessions}
+        active_sessions = {each.id for each in leader.active_sessions(now)}
+        self.reports = {id: each for id, each in self.reports.items() if id in leader.sessions}
         return [
-            Observer(zone, report.zones if now - at <= GOOD_MS else _only_bad(report.zones))
+            Observer(
+                zone,
+                report.zones
+                if now - at <= GOOD_EVIDENCE_MAX_AGE_MS
+                else _without_good_evidence(report.zones),
+            )
             for id, (at, zone, report) in self.reports.items()
-            if id in contact and now - at <= BAD_MS
+            if id in active_sessions and now - at <= BAD_EVIDENCE_MAX_AGE_MS
         ]
 
-    def _judge(self, name: str, observers: list[Observer]) -> Verdict:
-        return judge(name, observers, self.most[name], self.bounds.schedulers, self.bounds.sampled)
+    def _judge_zone(self, name: str, observers: list[Observer]) -> ZoneVerdict:
+        return judge_zone(
+            name, observers, self.recent_workers[name], self.limits.scheduler_count, self.limits.is_sampled
+        )
 
-    def wonders(self, now: float, keeper: Keeper) -> tuple[str, ...]:
+    def zones_to_probe(self, now: float, leader: Leader) -> tuple[str, ...]:
         """Open zones of which an observer that counts sees a worker down, and too few say anything."""
         found = []
-        observers = self.observers(now, keeper)
-        for name in self.most:
-            zone = self.fleet.zone(name)
+        observers = self.recent_observers(now, leader)
+        for name in self.recent_workers:
+            zone = self.fleet.get_zone(name)
             if zone.state == "open" and not zone.held:
-                verdict = self._judge(name, observers)
-                if verdict.agree and verdict.finding == "unknown":
+                verdict = self._judge_zone(name, observers)
+                if verdict.agreeing_observers and verdict.finding == "unknown":
                     found.append(name)
-        return tuple(found[:MOST_LOOKS])
+        return tuple(found[:MAX_ZONES_TO_PROBE])
 
     # -- what comes out
 
-    def decide(self, now: float, document: Document, keeper: Keeper) -> Txn | None:
-        fleet, listed = self._fleet(document), self._listing(now)
-        for name, number in fleet.numbers.items():
-            self._since(now, name, number)
-            if fleet.zone(name).state == "returning":
-                self.begun.setdefault(name, now)
+    def decide_next_change(self, now: float, document: Document, leader: Leader) -> Transaction | None:
+        fleet, listed = self._parse_document(document), self._refresh_listed_workers(now)
+        for name, revision in fleet.revisions.items():
+            self._time_since_seen(now, name, revision)
+            if fleet.get_zone(name).state == "returning":
+                self.returning_since.setdefault(name, now)
             else:
-                self.begun.pop(name, None)
-        observers = self.observers(now, keeper)
-        made = (
-            self._leave(now, fleet, listed, observers)
-            or self._left(now, fleet, keeper)
-            or self._return(now, fleet, listed, observers, keeper)
+                self.returning_since.pop(name, None)
+        observers = self.recent_observers(now, leader)
+        changed_zones = (
+            self._leave_failed_zones(now, fleet, listed, observers)
+            or self._finish_leaving(now, fleet, leader)
+            or self._advance_return(now, fleet, listed, observers, leader)
         )
-        if made:
-            return self._txn(document, fleet, made)
-        return self._deal(now, document, fleet, listed, keeper)
+        if changed_zones:
+            return self._zones_transaction(document, fleet, changed_zones)
+        return self._assign_feeders(now, document, fleet, listed, leader)
 
-    def _txn(self, document: Document, fleet: Fleet, made: Mapping[str, Zone]) -> Txn:
+    def _zones_transaction(
+        self, document: Document, fleet: FleetZones, changed_zones: Mapping[str, ZoneState]
+    ) -> Transaction:
         """The change of some zones, with its lines in the history."""
-        number, wall = document.revision + 1, self.wall_ms()
-        past = [
-            *fleet.past,
+        revision, wall_ms = document.revision + 1, self.wall_clock_ms()
+        history = [
+            *fleet.history,
             *(
-                Past(number, wall, name, _called(each), each.step, each.reason, each.author, each.share)
-                for name, each in made.items()
+                ZoneHistoryEntry(
+                    revision,
+                    wall_ms,
+                    name,
+                    _state_label(each),
+                    each.step,
+                    each.reason,
+                    each.author,
+                    each.share,
+                )
+                for name, each in changed_zones.items()
             ),
         ]
-        writes = {ZONE + name: encode(each) for name, each in made.items()}
-        at = document.at(*writes, PAST)
-        return Txn(self.draw(), {**writes, PAST: encode(past[-HISTORY:])}, at)
+        writes = {ZONE_KEY_PREFIX + name: encode_value(each) for name, each in changed_zones.items()}
+        expected_revisions = document.current_revisions(*writes, HISTORY_KEY)
+        return Transaction(
+            self.new_id(),
+            {**writes, HISTORY_KEY: encode_value(history[-MAX_HISTORY_ENTRIES:])},
+            expected_revisions,
+        )
 
-    def _stay(self, zone: Zone) -> float:
-        return min(STAY_MOST_MS, STAY_MS * 2 ** min(10, max(0, zone.failures - 1)))
+    def _hold_down_ms(self, zone: ZoneState) -> float:
+        return min(MAX_HOLD_DOWN_MS, MIN_HOLD_DOWN_MS * 2 ** min(10, max(0, zone.failures - 1)))
 
-    def _leave(
-        self, now: float, fleet: Fleet, listed: Mapping[str, list[Listed]], observers: list[Observer]
-    ) -> dict[str, Zone]:
+    def _leave_failed_zones(
+        self,
+        now: float,
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
+        observers: list[Observer],
+    ) -> dict[str, ZoneState]:
         """Zones that have failed, as far as the others can bear it."""
-        found: dict[str, tuple[Verdict, str]] = {}
-        for name in self.most:  # also one of which the list has just dropped all workers
-            zone = fleet.zone(name)
+        failed_zones: dict[str, tuple[ZoneVerdict, str]] = {}
+        for name in self.recent_workers:  # also one of which the list has just dropped all workers
+            zone = fleet.get_zone(name)
             if zone.state == "open" and not zone.held:
-                verdict = self._judge(name, observers)
+                verdict = self._judge_zone(name, observers)
                 if verdict.finding != "cut":
-                    self.cut_since.pop(name, None)
+                    self.cut_off_since.pop(name, None)
                 # What its own schedulers saw good may be older than its loss, until that has aged.
-                cut = verdict.finding == "cut" and now - self.cut_since.setdefault(name, now) > 2 * GOOD_MS
-                if verdict.finding == "failed" or cut:
-                    found[name] = verdict, f"{verdict.finding}: {verdict}"
-        if not found:
+                is_cut_off = (
+                    verdict.finding == "cut"
+                    and now - self.cut_off_since.setdefault(name, now) > 2 * GOOD_EVIDENCE_MAX_AGE_MS
+                )
+                if verdict.finding == "failed" or is_cut_off:
+                    failed_zones[name] = verdict, f"{verdict.finding}: {verdict}"
+        if not failed_zones:
             return {}
-        out = {name for name, zone in fleet.zones.items() if zone.state in ("leaving", "left")}
-        for region, names in self.bounds.regions.items():
-            lost = [name for name in names if name in found or name in out]
-            if len(lost) >= max(2, math.ceil(len(names) / 2)):
+        left_zones = {name for name, zone in fleet.zones.items() if zone.state in ("leaving", "left")}
+        for region, names in self.limits.regions.items():
+            lost_zones = [name for name in names if name in failed_zones or name in left_zones]
+            if len(lost_zones) >= max(2, math.ceil(len(names) / 2)):
                 for name in names:
-                    if name in listed and name not in found and name not in out and not fleet.zone(name).held:
-                        verdict = self._judge(name, observers)
-                        found[name] = verdict, f"region {region}: {', '.join(lost)} have failed; {verdict}"
+                    if (
+                        name in listed
+                        and name not in failed_zones
+                        and name not in left_zones
+                        and not fleet.get_zone(name).held
+                    ):
+                        verdict = self._judge_zone(name, observers)
+                        failed_zones[name] = (
+                            verdict,
+                            f"region {region}: {', '.join(lost_zones)} have failed; {verdict}",
+                        )
         # One that returns may go back at any step, and takes a part of the work until then: it bears nothing.
-        whole = {name for name in listed if listed[name] and fleet.zone(name).state == "open"}
-        if whole <= set(found):  # one is kept: the one of which most is seen good
-            keep = sorted(whole) or sorted(found)
-            del found[max(keep, key=lambda name: found[name][0].good / max(1, found[name][0].of))]
+        whole = {name for name in listed if listed[name] and fleet.get_zone(name).state == "open"}
+        if whole <= set(failed_zones):  # one is kept: the one of which most is seen good
+            candidates_to_keep = sorted(whole) or sorted(failed_zones)
+            del failed_zones[
+                max(
+                    candidates_to_keep,
+                    key=lambda name: (
+                        failed_zones[name][0].good_workers / max(1, failed_zones[name][0].known_workers)
+                    ),
+                )
+            ]
         return {
-            name: self._gone(now, name, fleet, verdict, reason, observers, set(found) | out)
-            for name, (verdict, reason) in found.items()
+            name: self._leaving_state(
+                now, name, fleet, verdict, reason, observers, set(failed_zones) | left_zones
+            )
+            for name, (verdict, reason) in failed_zones.items()
         }
 
-    def _gone(
+    def _leaving_state(
         self,
         now: float,
         name: str,
-        fleet: Fleet,
-        verdict: Verdict,
+        fleet: FleetZones,
+        verdict: ZoneVerdict,
         reason: str,
         observers: list[Observer],
-        without: set[str],
-    ) -> Zone:
-        zone = fleet.zone(name)
-        calm = name in fleet.numbers and self._since(now, name, fleet.numbers[name]) > FORGIVEN_MS
-        words = [(zone_name, each) for observer in observers for zone_name, each in observer.words.items()]
-        held = sum(each.held for zone_name, each in words if zone_name == name)
-        idle = sum(each.idle for zone_name, each in words if zone_name not in without)
+        unavailable_zones: set[str],
+    ) -> ZoneState:
+        zone = fleet.get_zone(name)
+        has_been_stable = (
+            name in fleet.revisions
+            and self._time_since_seen(now, name, fleet.revisions[name]) > FAILURE_RESET_MS
+        )
+        evidence = [
+            (zone_name, each) for observer in observers for zone_name, each in observer.evidence.items()
+        ]
+        slots_in_flight = sum(each.slots_in_flight for zone_name, each in evidence if zone_name == name)
+        idle_slots = sum(
+            each.idle_slots for zone_name, each in evidence if zone_name not in unavailable_zones
+        )
         share = 0.0
-        if verdict.finding == "failed" and verdict.good and held > idle:
-            share = min(verdict.good / verdict.of, 1.0 - idle / held)
-            reason += f"; in part, {idle:.0f} slots are idle elsewhere for {held:.0f}"
-        failures = 1 if calm else zone.failures + 1
-        return Zone("leaving", 0, share, verdict.finding == "cut", False, failures, reason, self.author)
+        if verdict.finding == "failed" and verdict.good_workers and slots_in_flight > idle_slots:
+            share = min(verdict.good_workers / verdict.known_workers, 1.0 - idle_slots / slots_in_flight)
+            reason += f"; in part, {idle_slots:.0f} slots are idle elsewhere for {slots_in_flight:.0f}"
+        failures = 1 if has_been_stable else zone.failures + 1
+        return ZoneState("leaving", 0, share, verdict.finding == "cut", False, failures, reason, self.author)
 
-    def _left(self, now: float, fleet: Fleet, keeper: Keeper) -> dict[str, Zone]:
+    def _finish_leaving(self, now: float, fleet: FleetZones, leader: Leader) -> dict[str, ZoneState]:
         """A zone is left once all have heard of it, or can act no more."""
-        made = {}
+        changed_zones = {}
         for name, zone in fleet.zones.items():
             if zone.state != "leaving":
                 continue
-            over = self.leaving_over.get(name)
-            if over is not None:
-                rest = 1.0 - (now - over[0]) / over[1]
-                if rest > 0:
-                    share = math.ceil(rest * STEPS) / STEPS
+            gradual_leave = self.gradual_leaves.get(name)
+            if gradual_leave is not None:
+                remaining_share = 1.0 - (now - gradual_leave[0]) / gradual_leave[1]
+                if remaining_share > 0:
+                    share = math.ceil(remaining_share * RETURN_STEPS) / RETURN_STEPS
                     if share < zone.share:
-                        made[name] = _with(zone, share=share)
+                        changed_zones[name] = _zone_with(zone, share=share)
                     continue
-                del self.leaving_over[name]
-                made[name] = _with(zone, share=0.0)
-            elif self._heard_by_all(now, fleet.numbers[name], keeper):
-                made[name] = _with(zone, state="left", share=0.0 if zone.held else zone.share)
-        return made
+                del self.gradual_leaves[name]
+                changed_zones[name] = _zone_with(zone, share=0.0)
+            elif self._is_known_to_all(now, fleet.revisions[name], leader):
+                changed_zones[name] = _zone_with(zone, state="left", share=0.0 if zone.held else zone.share)
+        return changed_zones
 
-    def _heard_by_all(self, now: float, number: int, keeper: Keeper) -> bool:
+    def _is_known_to_all(self, now: float, revision: int, leader: Leader) -> bool:
         # Sessions that only an earlier keeper knew of count as lapsed once ours have lasted for a lease.
-        return keeper.lapsed("", now) and keeper.acknowledged(number, list(keeper.sessions), now)
+        return leader.has_lease_expired("", now) and leader.is_acknowledged_by(
+            revision, list(leader.sessions), now
+        )
 
-    def _return(
+    def _advance_return(
         self,
         now: float,
-        fleet: Fleet,
-        listed: Mapping[str, list[Listed]],
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
         observers: list[Observer],
-        keeper: Keeper,
-    ) -> dict[str, Zone]:
+        leader: Leader,
+    ) -> dict[str, ZoneState]:
         for name, zone in fleet.zones.items():
             if zone.held or zone.state not in ("left", "returning"):
                 continue
-            number, workers = fleet.numbers[name], listed.get(name, [])
-            since = self._since(now, name, number)
+            revision, workers = fleet.revisions[name], listed.get(name, [])
+            elapsed_ms = self._time_since_seen(now, name, revision)
             if zone.state == "left":
-                if not workers or since < self._stay(zone) or not self._heard_by_all(now, number, keeper):
+                if (
+                    not workers
+                    or elapsed_ms < self._hold_down_ms(zone)
+                    or not self._is_known_to_all(now, revision, leader)
+                ):
                     continue
-                word = self._seen(name, observers, [each.id for each in workers])
-                if not self.bounds.probes or word.well >= DOWN * self._count(word, len(workers)):
-                    why = f"{word.well} of {len(workers)} answer again after {since / 1000:.1f} s"
-                    return {name: self._begin(now, zone, workers, since, why, self.author)}
+                summary = self._summarize_evidence(name, observers, [each.id for each in workers])
+                if (
+                    not self.limits.probes_enabled
+                    or summary.good_workers >= DOWN_FRACTION * self._expected_count(summary, len(workers))
+                ):
+                    elapsed_s = elapsed_ms / 1000
+                    reason = f"{summary.good_workers} of {len(workers)} answer again after {elapsed_s:.1f} s"
+                    return {name: self._begin_return(now, zone, workers, elapsed_ms, reason, self.author)}
                 continue
-            admitted = rank([each.id for each in workers])[: math.ceil(zone.step / STEPS * len(workers))]
-            word = self._seen(name, observers, admitted)
-            most = max(1, math.ceil(DOWN * (word.well + word.bad)))
-            if admitted and word.bad >= most and since >= STEP_MS / 2:
-                back = zone.step - 1
-                why = f"{word.bad} of {len(admitted)} admitted workers are down at step {zone.step}"
-                if back:
-                    return {name: _with(zone, step=back, reason=why, author=self.author)}
+            admitted = admission_order([each.id for each in workers])[
+                : math.ceil(zone.step / RETURN_STEPS * len(workers))
+            ]
+            summary = self._summarize_evidence(name, observers, admitted)
+            down_threshold = max(1, math.ceil(DOWN_FRACTION * (summary.good_workers + summary.bad_workers)))
+            if admitted and summary.bad_workers >= down_threshold and elapsed_ms >= MIN_RETURN_STEP_MS / 2:
+                previous_step = zone.step - 1
+                reason = (
+                    f"{summary.bad_workers} of {len(admitted)} admitted workers are down at step {zone.step}"
+                )
+                if previous_step:
+                    return {name: _zone_with(zone, step=previous_step, reason=reason, author=self.author)}
                 return {
-                    name: _with(
+                    name: _zone_with(
                         zone,
                         state="leaving",
                         step=0,
                         failures=zone.failures + 1,
-                        reason=why,
+                        reason=reason,
                         author=self.author,
                     )
                 }
-            if since < STEP_MS or word.well < DOWN * self._count(word, len(admitted)):
+            if elapsed_ms < MIN_RETURN_STEP_MS or summary.good_workers < DOWN_FRACTION * self._expected_count(
+                summary, len(admitted)
+            ):
                 continue
-            if zone.step < STEPS:
+            if zone.step < RETURN_STEPS:
                 return {
-                    name: _with(
+                    name: _zone_with(
                         zone,
                         step=zone.step + 1,
                         author=self.author,
-                        reason=f"{word.well} of {len(admitted)} admitted workers are well",
+                        reason=f"{summary.good_workers} of {len(admitted)} admitted workers are well",
                     )
                 }
-            if now - self.begun[name] >= self.bounds.cold_ms and not any(each.cold for each in workers):
-                return {name: _with(zone, state="open", step=0, reason="whole", author=self.author)}
+            if now - self.returning_since[name] >= self.limits.slow_start_ms and not any(
+                each.is_warming_up for each in workers
+            ):
+                return {name: _zone_with(zone, state="open", step=0, reason="whole", author=self.author)}
         return {}
 
-    def _begin(self, now: float, zone: Zone, workers: list[Listed], since: float, why: str, by: str) -> Zone:
+    def _begin_return(
+        self,
+        now: float,
+        zone: ZoneState,
+        workers: list[ListedWorker],
+        elapsed_ms: float,
+        reason: str,
+        author: str,
+    ) -> ZoneState:
         """The first step of a return. A worker that the list shows to have begun anew since the zone was left
         is as cold as that; of any other the list may be late, so it counts as just begun."""
-        gone = self.wall_ms() - since - self.bounds.wait_ms
-        starts = {str(short(each.id)): each.started for each in workers if each.started >= gone}
-        return _with(
+        left_at_wall_ms = self.wall_clock_ms() - elapsed_ms - self.limits.feeder_change_delay_ms
+        starts = {
+            str(short_worker_id(each.id)): each.started_at_ms
+            for each in workers
+            if each.started_at_ms >= left_at_wall_ms
+        }
+        return _zone_with(
             zone,
             state="returning",
             step=1,
@@ -330,174 +446,215 @@
             share=0.0,
             held=False,
             starts=starts,
-            reason=why,
-            author=by,
+            reason=reason,
+            author=author,
         )
 
-    def _deal(
-        self, now: float, document: Document, fleet: Fleet, listed: Mapping[str, list[Listed]], keeper: Keeper
-    ) -> Txn | None:
+    def _assign_feeders(
+        self,
+        now: float,
+        document: Document,
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
+        leader: Leader,
+    ) -> Transaction | None:
         """Who feeds the cold workers of returning zones."""
-        deal, at = fleet.deal, document.at(DEAL)
+        assignment, expected_revisions = fleet.feeder_assignment, document.current_revisions(ASSIGNMENT_KEY)
         returning = [name for name, zone in fleet.zones.items() if zone.state == "returning"]
         if not returning:
-            return None if deal is None else Txn(self.draw(), {DEAL: None}, at)
-        sessions = sorted(each.id for each in keeper.in_contact(now))
-        if deal is None:
-            return Txn(self.draw(), {DEAL: encode(Deal(1, sessions, [], True))}, at) if sessions else None
-        since = self._since(now, DEAL, fleet.deal_number)
-        if not deal.in_force:
-            if keeper.acknowledged(fleet.deal_number, deal.before, now):
-                return Txn(self.draw(), {DEAL: encode(_as(deal, in_force=True))}, at)
+            return (
+                None
+                if assignment is None
+                else Transaction(self.new_id(), {ASSIGNMENT_KEY: None}, expected_revisions)
+            )
+        sessions = sorted(each.id for each in leader.active_sessions(now))
+        if assignment is None:
+            return (
+                Transaction(
+                    self.new_id(),
+                    {ASSIGNMENT_KEY: encode_value(FeederAssignment(1, sessions, [], True))},
+                    expected_revisions,
+                )
+                if sessions
+                else None
+            )
+        elapsed_ms = self._time_since_seen(now, ASSIGNMENT_KEY, fleet.assignment_revision)
+        if not assignment.in_force:
+            if leader.is_acknowledged_by(fleet.assignment_revision, assignment.previous_sessions, now):
+                return Transaction(
+                    self.new_id(),
+                    {ASSIGNMENT_KEY: encode_value(_assignment_with(assignment, in_force=True))},
+                    expected_revisions,
+                )
             return None
-        if since < DEAL_MS or sessions == deal.sessions or not sessions:
+        if elapsed_ms < MIN_ASSIGNMENT_INTERVAL_MS or sessions == assignment.sessions or not sessions:
             return None
-        new = Deal(deal.number + 1, sessions, deal.sessions)
-        return Txn(self.draw(), {DEAL: encode(new)}, at)
+        next_assignment = FeederAssignment(assignment.number + 1, sessions, assignment.sessions)
+        return Transaction(self.new_id(), {ASSIGNMENT_KEY: encode_value(next_assignment)}, expected_revisions)
 
-    def _seen(self, name: str, observers: list[Observer], workers: list[int]) -> Seen:
+    def _summarize_evidence(
+        self, name: str, observers: list[Observer], workers: list[int]
+    ) -> EvidenceSummary:
         """What is seen of these workers by all that see anything as good; one alone calls none of them bad
         where there are more than two schedulers."""
-        known = {short(each) for each in workers}
-        votes, told = dict.fromkeys(known, 0), set[int]()
+        worker_ids = {short_worker_id(each) for each in workers}
+        votes, reported_workers = dict.fromkeys(worker_ids, 0), set[int]()
         for each in observers:
-            words = each.words.get(name)
-            if words is None or not any(other.good for other in each.words.values()):
+            zone_evidence = each.evidence.get(name)
+            if zone_evidence is None or not any(other.good for other in each.evidence.values()):
                 continue
-            for into, weight in ((words.good, 1), (words.bad, -1)):
-                for worker in known.intersection(into):
+            for reported_ids, weight in ((zone_evidence.good, 1), (zone_evidence.faulty_workers, -1)):
+                for worker in worker_ids.intersection(reported_ids):
                     votes[worker] += weight
-                    told.add(worker)
-        well = sum(votes[each] > 0 or (votes[each] == 0 and each in told) for each in known)
-        least = enough(min(3, self.bounds.schedulers), len(observers))
-        return Seen(well, sum(votes[each] <= -least for each in known), len(told))
+                    reported_workers.add(worker)
+        good_count = sum(
+            votes[each] > 0 or (votes[each] == 0 and each in reported_workers) for each in worker_ids
+        )
+        required_votes = required_observers(min(3, self.limits.scheduler_count), len(observers))
+        return EvidenceSummary(
+            good_count, sum(votes[each] <= -required_votes for each in worker_ids), len(reported_workers)
+        )
 
-    def _count(self, word: Seen, workers: int) -> int:
+    def _expected_count(self, summary: EvidenceSummary, worker_count: int) -> int:
         """Of how many workers it is told how many are well."""
-        return max(word.told, min(SAMPLE, workers)) if self.bounds.sampled else workers
+        return (
+            max(summary.reported_workers, min(MIN_SAMPLE_WORKERS, worker_count))
+            if self.limits.is_sampled
+            else worker_count
+        )
 
     # -- orders
 
-    def order(
-        self, now: float, order: msgspec.Raw, document: Document, keeper: Keeper
-    ) -> tuple[Txn | None, str]:
-        wanted = msgspec.json.decode(bytes(order), type=Order)
-        fleet, listed = self._fleet(document), self._listing(now)
-        names = self.bounds.regions.get(wanted.name, (wanted.name,))
-        unknown = [name for name in names if name not in self.most and name not in fleet.zones]
+    def handle_order(
+        self, now: float, order: msgspec.Raw, document: Document, leader: Leader
+    ) -> tuple[Transaction | None, str]:
+        zone_order = msgspec.json.decode(bytes(order), type=ZoneOrder)
+        fleet, listed = self._parse_document(document), self._refresh_listed_workers(now)
+        names = self.limits.regions.get(zone_order.target, (zone_order.target,))
+        unknown = [name for name in names if name not in self.recent_workers and name not in fleet.zones]
         if unknown:
             raise ValueError(
                 f"{unknown[0]!r} is no zone or region that has job workers; "
-                f"known: {', '.join(sorted({*self.most, *self.bounds.regions}))}"
+                f"known: {', '.join(sorted({*self.recent_workers, *self.limits.regions}))}"
             )
-        if not 0 <= wanted.over_s <= OVER_MOST_S:
-            raise ValueError(f"--over: 0 to {OVER_MOST_S:.0f} seconds are possible")
-        made = getattr(self, f"_order_{wanted.do}", self._order_unknown)(now, wanted, names, fleet, listed)
-        said = f"{wanted.name}: {wanted.do} ordered, number {document.revision + 1}"
-        return self._txn(document, fleet, made), said
+        if not 0 <= zone_order.duration_s <= MAX_GRADUAL_LEAVE_S:
+            raise ValueError(f"--over: 0 to {MAX_GRADUAL_LEAVE_S:.0f} seconds are possible")
+        changed_zones = getattr(self, f"_order_{zone_order.action}", self._order_unknown)(
+            now, zone_order, names, fleet, listed
+        )
+        message = f"{zone_order.target}: {zone_order.action} ordered, number {document.revision + 1}"
+        return self._zones_transaction(document, fleet, changed_zones), message
 
-    def _order_unknown(self, now: float, wanted: Order, *_: object) -> dict[str, Zone]:
-        raise ValueError(f"unknown order {wanted.do[:20]!r}")
+    def _order_unknown(self, now: float, order: ZoneOrder, *_: object) -> dict[str, ZoneState]:
+        raise ValueError(f"unknown order {order.action[:20]!r}")
 
     def _order_leave(
         self,
         now: float,
-        wanted: Order,
+        order: ZoneOrder,
         names: tuple[str, ...],
-        fleet: Fleet,
-        listed: Mapping[str, list[Listed]],
-    ) -> dict[str, Zone]:
-        rest = [
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
+    ) -> dict[str, ZoneState]:
+        remaining_zones = [
             name
             for name, workers in listed.items()
-            if workers and name not in names and fleet.zone(name).state in ("open", "returning")
+            if workers and name not in names and fleet.get_zone(name).state in ("open", "returning")
         ]
-        if not rest:
-            raise ValueError(f"{wanted.name}: no other zone is in use, and the last one is never left")
-        if all(fleet.zone(name).state in ("leaving", "left") and fleet.zone(name).held for name in names):
-            raise ValueError(f"{wanted.name} is left already, by an order")
-        share = 1.0 if wanted.over_s else 0.0
+        if not remaining_zones:
+            raise ValueError(f"{order.target}: no other zone is in use, and the last one is never left")
+        if all(
+            fleet.get_zone(name).state in ("leaving", "left") and fleet.get_zone(name).held for name in names
+        ):
+            raise ValueError(f"{order.target} is left already, by an order")
+        share = 1.0 if order.duration_s else 0.0
         for name in names:
-            self.leaving_over.pop(name, None)
-            if wanted.over_s:
-                self.leaving_over[name] = now, wanted.over_s * 1000.0
+            self.gradual_leaves.pop(name, None)
+            if order.duration_s:
+                self.gradual_leaves[name] = now, order.duration_s * 1000.0
         return {
-            name: Zone("leaving", 0, share, False, True, fleet.zone(name).failures, "ordered", wanted.by)
+            name: ZoneState(
+                "leaving", 0, share, False, True, fleet.get_zone(name).failures, "ordered", order.author
+            )
             for name in names
         }
 
     def _order_return(
         self,
         now: float,
-        wanted: Order,
+        order: ZoneOrder,
         names: tuple[str, ...],
-        fleet: Fleet,
-        listed: Mapping[str, list[Listed]],
-    ) -> dict[str, Zone]:
-        made = {}
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
+    ) -> dict[str, ZoneState]:
+        changed_zones = {}
         for name in names:
-            zone = fleet.zone(name)
+            zone = fleet.get_zone(name)
             if zone.state == "leaving":
                 raise ValueError(f"{name} is still being left: not all schedulers have heard, or lapsed")
             if zone.state == "left":
-                since = self._since(now, name, fleet.numbers[name])
-                made[name] = self._begin(now, zone, listed.get(name, []), since, "ordered", wanted.by)
-        if not made:
-            raise ValueError(f"{wanted.name} is not left")
-        return made
+                elapsed_ms = self._time_since_seen(now, name, fleet.revisions[name])
+                changed_zones[name] = self._begin_return(
+                    now, zone, listed.get(name, []), elapsed_ms, "ordered", order.author
+                )
+        if not changed_zones:
+            raise ValueError(f"{order.target} is not left")
+        return changed_zones
 
     def _order_hold(
         self,
         now: float,
-        wanted: Order,
+        order: ZoneOrder,
         names: tuple[str, ...],
-        fleet: Fleet,
-        listed: Mapping[str, list[Listed]],
-    ) -> dict[str, Zone]:
-        return self._held(wanted, names, fleet, True)
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
+    ) -> dict[str, ZoneState]:
+        return self._set_hold(order, names, fleet, True)
 
     def _order_release(
         self,
         now: float,
-        wanted: Order,
+        order: ZoneOrder,
         names: tuple[str, ...],
-        fleet: Fleet,
-        listed: Mapping[str, list[Listed]],
-    ) -> dict[str, Zone]:
-        return self._held(wanted, names, fleet, False)
-
-    def _held(self, wanted: Order, names: tuple[str, ...], fleet: Fleet, held: bool) -> dict[str, Zone]:
-        reason = "held by order" if held else "released by order"
-        made = {
-            name: _with(fleet.zone(name), held=held, reason=reason, author=wanted.by)
+        fleet: FleetZones,
+        listed: Mapping[str, list[ListedWorker]],
+    ) -> dict[str, ZoneState]:
+        return self._set_hold(order, names, fleet, False)
+
+    def _set_hold(
+        self, order: ZoneOrder, names: tuple[str, ...], fleet: FleetZones, on_hold: bool
+    ) -> dict[str, ZoneState]:
+        reason = "held by order" if on_hold else "released by order"
+        changed_zones = {
+            name: _zone_with(fleet.get_zone(name), held=on_hold, reason=reason, author=order.author)
             for name in names
-            if fleet.zone(name).held != held
+            if fleet.get_zone(name).held != on_hold
         }
-        if not made:
-            raise ValueError(f"{wanted.name} is {'held already' if held else 'not held'}")
-        return made
+        if not changed_zones:
+            raise ValueError(f"{order.target} is {'held already' if on_hold else 'not held'}")
+        return changed_zones
 
 
-def _only_bad(zones: Mapping[str, Words]) -> dict[str, Words]:
+def _without_good_evidence(zones: Mapping[str, ZoneEvidence]) -> dict[str, ZoneEvidence]:
     """A report whose good words have aged."""
     return {name: msgspec.structs.replace(words, good=[]) for name, words in zones.items()}
 
 
-class Seen(NamedTuple):
+class EvidenceSummary(NamedTuple):
     """Of some workers of one zone, whoever saw them."""
 
-    well: int
-    bad: int
-    told: int  # workers of which anything was seen
+    good_workers: int
+    bad_workers: int
+    reported_workers: int  # workers of which anything was seen
 
 
-def _with(zone: Zone, **changes: object) -> Zone:
+def _zone_with(zone: ZoneState, **changes: object) -> ZoneState:
     return msgspec.structs.replace(zone, **changes)
 
 
-def _as(deal: Deal, **changes: object) -> Deal:
-    return msgspec.structs.replace(deal, **changes)
+def _assignment_with(assignment: FeederAssignment, **changes: object) -> FeederAssignment:
+    return msgspec.structs.replace(assignment, **changes)
 
 
-def _called(zone: Zone) -> str:
+def _state_label(zone: ZoneState) -> str:
     return f"{zone.state}, held" if zone.held else zone.state
--- a/spanwing/zones/strand.py
+++ b/spanwing/zones/strand.py
@@ -11,19 +11,23 @@
 from spanwing.choice import HANDLERS, Dispatcher
 
 
-class Stranded(NamedTuple):
+class ZoneUnreachable(NamedTuple):
     """An event of the module: nothing is sent to this zone any more."""
 
     zone: str
 
 
-def _stranded(module: Dispatcher, event: Stranded) -> None:
+def _fail_unreachable_work(module: Dispatcher, event: ZoneUnreachable) -> None:
     if not module.waiting:
         return
     for job in [each for each in module.jobs.values() if each.held and each.cls.effect == "keyed"]:
-        ran = [each for each in job.attempts if not each.proof]
-        if ran and job.cls.group != "all" and all(each.view.entry.zone == event.zone for each in ran):
+        attempts_maybe_run = [each for each in job.attempts if not each.proof]
+        if (
+            attempts_maybe_run
+            and job.cls.group != "all"
+            and all(each.view.entry.zone == event.zone for each in attempts_maybe_run)
+        ):
             module._end(job)
 
 
-HANDLERS[Stranded] = _stranded
+HANDLERS[ZoneUnreachable] = _fail_unreachable_work
--- a/spanwing/zones/trial.py
+++ b/spanwing/zones/trial.py
@@ -11,31 +11,31 @@
 from spanwing.choice import Dispatcher
 from spanwing.state import Job, View
 
-TRIAL_MS = 1000.0  # a worker gets a job within so long, or none
+TRIAL_WINDOW_MS = 1000.0  # a worker gets a job within so long, or none
 
 
-class Trials:
+class TrialPlacement:
     """Asked first by the module where a job is to go."""
 
-    def __init__(self, module: Dispatcher, workers: Iterable[int], now: float) -> None:
-        self.module, self.workers, self.until = module, set(workers), now + TRIAL_MS
+    def __init__(self, scheduler: Dispatcher, workers: Iterable[int], now: float) -> None:
+        self.scheduler, self.untried_workers, self.ends_at_ms = scheduler, set(workers), now + TRIAL_WINDOW_MS
 
     def __call__(self, job: Job) -> View | None:
         """A worker that is still to be tried, and bears this job; None: the job goes where it always does."""
-        if self.module.now >= self.until or not self.workers:
-            self.module.first = None
+        if self.scheduler.now >= self.ends_at_ms or not self.untried_workers:
+            self.scheduler.first = None
             return None
-        if job.attempts or job.cls.effect != "safe" or self.module.set.max_attempts < 2:
+        if job.attempts or job.cls.effect != "safe" or self.scheduler.set.max_attempts < 2:
             return None
-        for worker in sorted(self.workers):
-            view = self.module.views.get(worker)
-            if view is not None and self.module._fits(view, job):
-                self.workers.discard(worker)
+        for worker in sorted(self.untried_workers):
+            view = self.scheduler.views.get(worker)
+            if view is not None and self.scheduler._fits(view, job):
+                self.untried_workers.discard(worker)
                 return view
         return None
 
 
-def begin(module: Dispatcher, workers: list[int], now: float) -> None:
+def start_trials(scheduler: Dispatcher, workers: list[int], now: float) -> None:
     """Have each of these workers get one job that would have gone elsewhere; now: by the module's clock. What
     was to be tried before is tried no more."""
-    module.first = Trials(module, workers, now) if workers else None
+    scheduler.first = TrialPlacement(scheduler, workers, now) if workers else None
--- a/spanwing/zones/verdict.py
+++ b/spanwing/zones/verdict.py
@@ -14,11 +14,11 @@
 from collections.abc import Collection, Mapping
 from typing import Literal, NamedTuple
 
-from spanwing.zones.evidence import Words
+from spanwing.zones.evidence import ZoneEvidence
 
-DOWN, GOOD, INSIDE = 2 / 3, 1 / 6, 1 / 3  # parts of a zone's workers
-MOST_AGREE = 5
-SAMPLE = 3  # workers of a zone that stand for all, where nobody sees more
+DOWN_FRACTION, MAX_GOOD_FRACTION, MIN_GOOD_INSIDE_FRACTION = 2 / 3, 1 / 6, 1 / 3  # parts of a zone's workers
+MAX_REQUIRED_OBSERVERS = 5
+MIN_SAMPLE_WORKERS = 3  # workers of a zone that stand for all, where nobody sees more
 Finding = Literal["failed", "cut", "well", "unknown"]
 
 
@@ -26,92 +26,115 @@
     """A scheduler in contact, and what it saw."""
 
     zone: str
-    words: Mapping[str, Words]
+    evidence: Mapping[str, ZoneEvidence]
 
 
-class Verdict(NamedTuple):
+class ZoneVerdict(NamedTuple):
     """On one zone."""
 
     finding: Finding
-    down: int  # workers
-    good: int
-    of: int
-    agree: int  # observers that see it as down
+    down_workers: int  # workers
+    good_workers: int
+    known_workers: int
+    agreeing_observers: int  # observers that see it as down
 
     def __str__(self) -> str:
-        return f"{self.down} of {self.of} workers down, {self.good} good, {self.agree} observers"
+        return (
+            f"{self.down_workers} of {self.known_workers} workers down, "
+            f"{self.good_workers} good, {self.agreeing_observers} observers"
+        )
 
 
-def counts(zone: str, observer: Observer) -> bool:
+def is_credible(zone: str, observer: Observer) -> bool:
     """Whether its word on the zone counts: it sees others as good, also some that are not its own."""
     others = {
-        name: words for name, words in observer.words.items() if name != zone and (words.good or words.bad)
+        name: words
+        for name, words in observer.evidence.items()
+        if name != zone and (words.good or words.faulty_workers)
     }
     if not any(words.good for words in others.values()):
         return False
-    far = [words for name, words in others.items() if name != observer.zone]
-    return not far or any(words.good for words in far)
+    remote_evidence = [words for name, words in others.items() if name != observer.zone]
+    return not remote_evidence or any(words.good for words in remote_evidence)
 
 
-def enough(schedulers: int, observers: int) -> int:
+def required_observers(scheduler_count: int, observer_count: int) -> int:
     """How many have to agree: one alone is never enough where there are more than two, and of many a third,
     up to MOST_AGREE; but no more than all but one of those that are in contact."""
-    least = max(1, min(2, schedulers - 1))
-    return max(least, min(MOST_AGREE, math.ceil(schedulers / 3), observers - 1))
+    minimum = max(1, min(2, scheduler_count - 1))
+    return max(minimum, min(MAX_REQUIRED_OBSERVERS, math.ceil(scheduler_count / 3), observer_count - 1))
 
 
-def judge(
+def judge_zone(
     zone: str,
     observers: Collection[Observer],
-    workers: Collection[int],
-    schedulers: int,
-    sampled: bool = False,
-) -> Verdict:
+    worker_ids: Collection[int],
+    scheduler_count: int,
+    is_sampled: bool = False,
+) -> ZoneVerdict:
     """workers: all of the zone, by their short numbers; schedulers: that there are, up or down: where there
     are more than two, one alone is never enough. sampled: the observers cannot know all workers, and those
     that they know something of stand for all, if they are SAMPLE."""
-    known, inside = set(workers), Counter[int]()
-    votes: dict[str, Counter[int]] = defaultdict(Counter)  # by the observers' zone: good less bad words
-    speakers, agree, from_zones = 0, 0, set[str]()
+    known_workers, good_inside = set(worker_ids), Counter[int]()
+    votes_by_zone: dict[str, Counter[int]] = defaultdict(
+        Counter
+    )  # by the observers' zone: good less bad words
+    credible_observers, agreeing_observers, agreeing_zones = 0, 0, set[str]()
     for each in observers:
-        words = each.words.get(zone)
-        if words is None or not (words.good or words.bad):
+        zone_evidence = each.evidence.get(zone)
+        if zone_evidence is None or not (zone_evidence.good or zone_evidence.faulty_workers):
             continue
         if each.zone == zone:
-            inside.update(known.intersection(words.good))
-        if not counts(zone, each):
+            good_inside.update(known_workers.intersection(zone_evidence.good))
+        if not is_credible(zone, each):
             continue
-        votes[each.zone].subtract(known.intersection(words.bad))
-        votes[each.zone].update(known.intersection(words.good))
-        speakers += 1
-        if len(words.bad) > len(words.good):
-            agree += 1
-            from_zones.add(each.zone)
+        votes_by_zone[each.zone].subtract(known_workers.intersection(zone_evidence.faulty_workers))
+        votes_by_zone[each.zone].update(known_workers.intersection(zone_evidence.good))
+        credible_observers += 1
+        if len(zone_evidence.faulty_workers) > len(zone_evidence.good):
+            agreeing_observers += 1
+            agreeing_zones.add(each.zone)
     # A cut link between two zones gives one zone's many bad words, which last for longer than the good
     # ones of all others: so zones are counted, not schedulers.
-    bad, good = Counter[int](), Counter[int]()
-    for vote in votes.values():
-        bad.update(worker for worker, count in vote.items() if count < 0)
-        good.update(worker for worker, count in vote.items() if count >= 0)
-    if sampled:
-        known = {each for each in known if each in bad or each in good or each in inside}
-        if len(known) < min(SAMPLE, len(workers)):
-            return Verdict("unknown", 0, 0, len(known), agree)
-    of = len(known)
-    down = sum(bad[worker] > good[worker] for worker in known)
-    well = sum(good[worker] >= max(1, bad[worker]) for worker in known)
+    zones_calling_bad, zones_calling_good = Counter[int](), Counter[int]()
+    for vote in votes_by_zone.values():
+        zones_calling_bad.update(worker for worker, count in vote.items() if count < 0)
+        zones_calling_good.update(worker for worker, count in vote.items() if count >= 0)
+    if is_sampled:
+        known_workers = {
+            each
+            for each in known_workers
+            if each in zones_calling_bad or each in zones_calling_good or each in good_inside
+        }
+        if len(known_workers) < min(MIN_SAMPLE_WORKERS, len(worker_ids)):
+            return ZoneVerdict("unknown", 0, 0, len(known_workers), agreeing_observers)
+    worker_count = len(known_workers)
+    down_count = sum(zones_calling_bad[worker] > zones_calling_good[worker] for worker in known_workers)
+    good_count = sum(
+        zones_calling_good[worker] >= max(1, zones_calling_bad[worker]) for worker in known_workers
+    )
     # Those of one zone may be cut off together, and what they last saw of others may be older than that.
-    zones = min(2, len({each.zone for each in observers}))
-    agreed = (
-        agree >= enough(schedulers, len(observers)) and 2 * agree >= speakers and len(from_zones) >= zones
+    required_zones = min(2, len({each.zone for each in observers}))
+    is_agreed = (
+        agreeing_observers >= required_observers(scheduler_count, len(observers))
+        and 2 * agreeing_observers >= credible_observers
+        and len(agreeing_zones) >= required_zones
+    )
+    mostly_down = worker_count > 0 and down_count >= max(
+        min(2, worker_count), math.ceil(DOWN_FRACTION * worker_count - 1e-9)
     )
-    most = of > 0 and down >= max(min(2, of), math.ceil(DOWN * of - 1e-9))
-    if most and agreed:
-        if len(inside) >= INSIDE * of:
-            cut = len(from_zones - {zone}) >= 2
-            return Verdict("cut" if cut else "unknown", down, len(inside), of, agree)
-        if well <= GOOD * of:
-            return Verdict("failed", down, well, of, agree)
-    if of and well >= math.ceil(DOWN * of - 1e-9):
-        return Verdict("well", down, well, of, agree)
-    return Verdict("unknown", down, well, of, agree)
+    if mostly_down and is_agreed:
+        if len(good_inside) >= MIN_GOOD_INSIDE_FRACTION * worker_count:
+            is_cut_off = len(agreeing_zones - {zone}) >= 2
+            return ZoneVerdict(
+                "cut" if is_cut_off else "unknown",
+                down_count,
+                len(good_inside),
+                worker_count,
+                agreeing_observers,
+            )
+        if good_count <= MAX_GOOD_FRACTION * worker_count:
+            return ZoneVerdict("failed", down_count, good_count, worker_count, agreeing_observers)
+    if worker_count and good_count >= math.ceil(DOWN_FRACTION * worker_count - 1e-9):
+        return ZoneVerdict("well", down_count, good_count, worker_count, agreeing_observers)
+    return ZoneVerdict("unknown", down_count, good_count, worker_count, agreeing_observers)
--- a/tests/golden_folders.py
+++ b/tests/golden_folders.py
@@ -18,51 +18,51 @@
 
 import msgspec
 
-from spanwing.cli.journal import plain as row_as_json
-from spanwing.journal.book import Book
-from spanwing.journal.files import Folder
-from spanwing.journal.frames import Frame, frame_bytes
-from spanwing.journal.keeper import Keeper as JournalKeeper
-from spanwing.journal.log import Bounds as JournalBounds
-from spanwing.journal.log import Log, Reader
-from spanwing.journal.query import FIELDS, parse
+from spanwing.cli.journal import row_as_json as row_as_json
+from spanwing.journal.book import JournalReader
+from spanwing.journal.files import LocalFolder
+from spanwing.journal.frames import RecordFrame, encode_frame
+from spanwing.journal.keeper import JournalWriter as JournalKeeper
+from spanwing.journal.log import RetentionLimits as JournalBounds
+from spanwing.journal.log import SegmentLog, SegmentReader
+from spanwing.journal.query import FIELDS, parse_query
 from spanwing.journal.records import (
-    Answered,
-    Closed,
-    Gap,
-    GivenUp,
-    Intent,
-    LastByte,
-    Outcome,
-    Started,
-    Taken,
-    Unsent,
-    encode,
+    AttemptCancelled,
+    AttemptClosed,
+    AttemptCompleted,
+    AttemptIntent,
+    AttemptUnsent,
+    JournalGap,
+    LastByteWritten,
+    ProcessStarted,
+    RequestAccepted,
+    RequestAnswered,
+    encode_record,
 )
-from spanwing.journal.snapshot import read_snapshot
-from spanwing.journal.thinning import Thinner
+from spanwing.journal.snapshot import decode_snapshot
+from spanwing.journal.thinning import SegmentCompactor
 from spanwing.policy import record
-from spanwing.policy.chair import Bounds as ChairBounds
-from spanwing.policy.chair import Chair, Says
-from spanwing.policy.hand import Hand
-from spanwing.policy.kept import Kept
-from spanwing.policy.side import PolicySide
+from spanwing.policy.chair import PermitSettings as ChairBounds
+from spanwing.policy.chair import PolicyCoordinator, PolicyVote
+from spanwing.policy.hand import PolicyParticipant
+from spanwing.policy.kept import PolicyCache
+from spanwing.policy.side import PolicyService
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claim, Claims
-from spanwing.store.disk import Disk
-from spanwing.store.document import Document, Txn
-from spanwing.store.document import decode as document_of
-from spanwing.store.document import encode as document_text
-from spanwing.store.keeper import KEEPER, Keeper
+from spanwing.store.disk import RegisterLog
+from spanwing.store.document import Document, Transaction
+from spanwing.store.document import decode_document as document_of
+from spanwing.store.document import encode_document as document_text
+from spanwing.store.keeper import LEADERSHIP_KEY, Leader
 from spanwing.store.lease import Lease
 from spanwing.store.messages import Accept, Prepare
-from spanwing.store.service import KEY
-from spanwing.store.shared import Shared, shared_settings
+from spanwing.store.service import DOCUMENT_KEY
+from spanwing.store.shared import SharedSettings, agree_on_settings
 from spanwing.zones import state
-from spanwing.zones.evidence import Words
-from spanwing.zones.side import ZoneSide
-from spanwing.zones.steward import Bounds as StewardBounds
-from spanwing.zones.steward import Listed, Order, Steward
+from spanwing.zones.evidence import ZoneEvidence
+from spanwing.zones.side import ZoneService
+from spanwing.zones.steward import ListedWorker, ZoneController, ZoneOrder
+from spanwing.zones.steward import ZoneLimits as StewardBounds
 
 WALL_MS = 1700000000000.0
 BOOT = "0b0b0b0b-0000-4000-8000-000000000001"
@@ -97,9 +97,9 @@
 JOURNAL_BOUNDS = JournalBounds(
     segment_bytes=900,
     segment_ms=1e9,
-    keep_ms=1e12,
-    keep_bytes=1 << 40,
-    keep_ms_of={"look": 1000.0},
+    retention_ms=1e12,
+    retention_bytes=1 << 40,
+    retention_ms_by_class={"look": 1000.0},
 )
 EXPRESSIONS = (
     "",
@@ -128,7 +128,7 @@
     name, worker = f"job-{number}", f"worker-{number % 3 + 1}"
     own = {"request": name}
     made = [
-        Taken(
+        RequestAccepted(
             **own,
             **tick(),
             cls=cls,
@@ -137,21 +137,21 @@
             front="platform",
             budget_ms=25000.5,
         ),
-        Intent(**own, **tick(), attempt=0, worker=worker, address=f"127.0.0.1:{4000 + number}"),
+        AttemptIntent(**own, **tick(), attempt=0, worker=worker, address=f"127.0.0.1:{4000 + number}"),
     ]
     if ends == "intent":
         return made
     if ends == "retried":
         made += [
-            Unsent(**own, **tick(), attempt=0, why="unreachable"),
-            Intent(**own, **tick(), attempt=1, worker="worker-3", address="127.0.0.1:4999"),
-            GivenUp(**own, **tick(), attempt=1, why="deadline"),
+            AttemptUnsent(**own, **tick(), attempt=0, why="unreachable"),
+            AttemptIntent(**own, **tick(), attempt=1, worker="worker-3", address="127.0.0.1:4999"),
+            AttemptCancelled(**own, **tick(), attempt=1, why="deadline"),
         ]
-    made.append(LastByte(**own, **tick(), attempt=1 if ends == "retried" else 0))
+    made.append(LastByteWritten(**own, **tick(), attempt=1 if ends == "retried" else 0))
     if ends == "last byte":
         return made
-    made.append(Outcome(**own, **tick(), attempt=1 if ends == "retried" else 0, result="ok"))
-    return made if ends == "outcome" else [*made, Answered(**own, **tick(), kind="served")]
+    made.append(AttemptCompleted(**own, **tick(), attempt=1 if ends == "retried" else 0, result="ok"))
+    return made if ends == "outcome" else [*made, RequestAnswered(**own, **tick(), kind="served")]
 
 
 def write_journal(path: Path) -> None:
@@ -160,16 +160,19 @@
     tick = _Ticks()
 
     def life(number: int, certain: bool, batches: list[list[Any]], closes: bool = True) -> None:
-        files = Folder(str(path))
-        log = Log(files, JOURNAL_BOUNDS)
-        started = Started(request="", **tick(), name="scheduler-a", life=f"{number:016x}", certain=certain)
+        files = LocalFolder(str(path))
+        log = SegmentLog(files, JOURNAL_BOUNDS)
+        started = ProcessStarted(
+            request="", **tick(), name="scheduler-a", life=f"{number:016x}", certain=certain
+        )
         log.write(
-            [started, *(log.ledger.closing(*tick().values()) if closes else [])], WALL_MS + number * 5e5
+            [started, *(log.request_states.closing_records(*tick().values()) if closes else [])],
+            WALL_MS + number * 5e5,
         )
         for batch in batches:
             log.write(batch, WALL_MS + number * 5e5)
         log.close()
-        files.stop()
+        files.close_all()
 
     life(1, True, [_job(tick, n, "look" if n % 2 else "schedule-apply", "answer") for n in range(1, 7)])
     life(
@@ -182,7 +185,7 @@
             _job(tick, 14, "schedule-apply", "outcome"),
         ],
     )
-    gap = Gap(request="", **tick(), since_wall_ms=WALL_MS + 1.5, count=7, why="the disk is slow")
+    gap = JournalGap(request="", **tick(), since_wall_ms=WALL_MS + 1.5, count=7, why="the disk is slow")
     life(
         3,
         False,
@@ -190,82 +193,92 @@
             _job(tick, 21, "bill", "answer"),
             [gap],
             _job(tick, 22, "bill", "intent"),
-            [Taken(request="job-23", **tick(), cls="bill", tenant="corrib")],
+            [RequestAccepted(request="job-23", **tick(), cls="bill", tenant="corrib")],
             _job(tick, 24, "schedule-apply", "answer"),
             _job(tick, 25, "bill", "last byte"),
             _job(tick, 26, "schedule-apply", "retried"),
-            [Closed(request="job-27", **tick(), attempt=2, worker="worker-1")],
+            [AttemptClosed(request="job-27", **tick(), attempt=2, worker="worker-1")],
         ],
     )
-    files = Folder(str(path))
-    torn = frame_bytes(1 << 22, encode(Answered(request="job-25", **tick(), kind="served")))
-    with open(path / Reader(files).segments()[-1], "ab") as segment:
+    files = LocalFolder(str(path))
+    torn = encode_frame(1 << 22, encode_record(RequestAnswered(request="job-25", **tick(), kind="served")))
+    with open(path / SegmentReader(files).segment_names()[-1], "ab") as segment:
         segment.write(torn[:-5])
-    for _ in Thinner(files, JOURNAL_BOUNDS).run(None, WALL_MS + 1e9):
+    for _ in SegmentCompactor(files, JOURNAL_BOUNDS).compact(None, WALL_MS + 1e9):
         pass
-    files.stop()
-    list(Book(str(path)).of({"job-1"}))  # leaves an index beside each segment but the last
+    files.close_all()
+    list(
+        JournalReader(str(path)).find_requests({"job-1"})
+    )  # leaves an index beside each segment but the last
 
 
 def read_journal(path: Path) -> dict[str, Any]:
     """All that the reader, the query language and a start find in a folder."""
-    book, files = Book(str(path)), Folder(str(path), write=False)
-    log = Log(files, JOURNAL_BOUNDS)
-    snapshots = [read_snapshot(files.read(each)) for each in files.names() if each.endswith(".snap")]
+    book, files = JournalReader(str(path)), LocalFolder(str(path), for_writing=False)
+    log = SegmentLog(files, JOURNAL_BOUNDS)
+    snapshots = [decode_snapshot(files.read(each)) for each in files.names() if each.endswith(".snap")]
     return plain(
         {
-            "sizes": book.sizes(),
-            "frames": [(name, isinstance(each, Frame), *each[:2]) for name, each in book.frames()],
+            "sizes": book.segment_sizes(),
+            "frames": [(name, isinstance(each, RecordFrame), *each[:2]) for name, each in book.read_frames()],
             "records": [
-                msgspec.to_builtins(each.record) for _, each in book.frames() if isinstance(each, Frame)
+                msgspec.to_builtins(each.record)
+                for _, each in book.read_frames()
+                if isinstance(each, RecordFrame)
             ],
-            "gaps": list(book.gaps()),
-            "verify": [(each.segment, each.skipped, each.harmless) for each in book.verify()],
-            "rows": {text: list(book.rows(parse(text, WALL_MS + 1e9))) for text in EXPRESSIONS},
-            "rows as JSON": [row_as_json(each)["class"] for each in book.rows(parse("", WALL_MS))],
-            "keys of a row": list(row_as_json(next(book.rows(parse("", WALL_MS))))),
+            "gaps": list(book.read_gaps()),
+            "verify": [(each.segment, each.damage, each.is_harmless) for each in book.verify()],
+            "rows": {text: list(book.find_rows(parse_query(text, WALL_MS + 1e9))) for text in EXPRESSIONS},
+            "rows as JSON": [row_as_json(each)["class"] for each in book.find_rows(parse_query("", WALL_MS))],
+            "keys of a row": list(row_as_json(next(book.find_rows(parse_query("", WALL_MS))))),
             "fields of the language": FIELDS,
             "requests": {
-                name: book.request(name) for name in ("job-1", "job-2", "job-11", "job-13", "job-26", "none")
+                name: book.find_request(name)
+                for name in ("job-1", "job-2", "job-11", "job-13", "job-26", "none")
             },
-            "last": log.last,
-            "next": log.number,
-            "skipped": log.skipped,
-            "open": log.ledger.open,
-            "lost": log.ledger.lost,
-            "left open": log.ledger.left_open(),
-            "snapshots": [(last, ledger.open, ledger.lost, ledger.certain) for ledger, last in snapshots],
-            "segments": Reader(files).segments(),
+            "last": log.last_number,
+            "next": log.next_number,
+            "skipped": log.damaged,
+            "open": log.request_states.open_requests,
+            "lost": log.request_states.interrupted,
+            "left open": log.request_states.unfinished_attempts(),
+            "snapshots": [
+                (last, ledger.open_requests, ledger.interrupted, ledger.has_every_intent)
+                for ledger, last in snapshots
+            ],
+            "segments": SegmentReader(files).segment_names(),
         }
     )
 
 
 def restart_journal(path: Path) -> dict[str, Any]:
     """The daemon's side starts on a folder that a crash left, writes one request of its own, and stops."""
-    files = Folder(str(path))
+    files = LocalFolder(str(path))
     with _fixed_clock():
-        keeper = JournalKeeper(Log(files), "refuse", "scheduler-b", lambda call, *args: call(*args))
+        keeper = JournalKeeper(SegmentLog(files), "refuse", "scheduler-b", lambda call, *args: call(*args))
         may: list[bool] = []
-        keeper.taken("job-31", "bill", "corrib", "key-31", "platform", 25000.5)
+        keeper.record_accepted("job-31", "bill", "corrib", "key-31", "platform", 25000.5)
         for attempt in (0, 1):
-            keeper.intent("job-31", attempt, f"worker-{attempt}", "127.0.0.1:4031", may.append)
-        keeper.unsent("job-31", 0, "unreachable")
-        keeper.given_up("job-31", 1, "deadline")
-        keeper.last_byte("job-31", 1)
-        keeper.outcome("job-31", 1, "ok")
-        keeper.answered("job-31", "served")
-        known = {name: keeper.earlier(name) for name in ("job-1", "job-11", "job-12", "job-22", "job-25")}
+            keeper.record_intent("job-31", attempt, f"worker-{attempt}", "127.0.0.1:4031", may.append)
+        keeper.record_unsent("job-31", 0, "unreachable")
+        keeper.record_cancelled("job-31", 1, "deadline")
+        keeper.record_last_byte("job-31", 1)
+        keeper.record_outcome("job-31", 1, "ok")
+        keeper.record_answered("job-31", "served")
+        known = {
+            name: keeper.find_interrupted(name) for name in ("job-1", "job-11", "job-12", "job-22", "job-25")
+        }
         closed = keeper.close()
-    files.stop()
+    files.close_all()
     return plain(
         {
-            "left open": keeper.left_open,
-            "lost": keeper.lost,
-            "skipped": keeper.skipped,
+            "left open": keeper.unfinished_attempts,
+            "lost": keeper.interrupted,
+            "skipped": keeper.damaged,
             "earlier": known,
             "may be sent": may,
             "closed": closed,
-            "refusing": keeper.refusing(),
+            "refusing": keeper.unavailable_reason(),
         }
     )
 
@@ -293,12 +306,12 @@
     claims = Claims(store)
     found = []
     for number, ending in enumerate(("served", "failed", "refused", None)):
-        ours, claim = await claims.take(f"job-{number}")
+        ours, claim = await claims.claim(f"job-{number}")
         found.append([ours, claim])
         if ending is not None:
             await claims.settle(f"job-{number}", claim, ending)
-    found.append(await claims.take("job-0"))
-    found += [await shared_settings(store, revision, f'{{"revision":{revision}}}') for revision in (3, 2)]
+    found.append(await claims.claim("job-0"))
+    found += [await agree_on_settings(store, revision, f'{{"revision":{revision}}}') for revision in (3, 2)]
     return found
 
 
@@ -310,37 +323,51 @@
 def _transactions() -> Iterator[Document]:
     """The fleet's document after each change that its writers make to it."""
     draw, document = _ids(), Document()
-    keeper = Keeper("member-a", 900.0, SimpleNamespace(), 0.0, lambda: 0.5)
+    keeper = Leader("member-a", 900.0, SimpleNamespace(), 0.0, lambda: 0.5)
 
-    def taken(txn: Txn | None) -> Document:
+    def taken(txn: Transaction | None) -> Document:
         nonlocal document
         document = keeper.document = document.apply(txn)
         return document
 
-    yield taken(keeper.take_over(0.0, draw()))
-    chair = Chair(ChairBounds(60000.0), lambda: WALL_MS + 1.5, draw)
-    chair.first = POLICY_TEXT % 1
-    known = SimpleNamespace(confirmed=1.0, seen=1)
-    sessions = SimpleNamespace(since=0.0, sessions={"a.01": known, "b.02": known})
-    yield taken(chair.decide(1.0, document, sessions))
-    chair.heard("a.01", Says(wants=True))
-    chair.heard("b.02", Says(wants=True))
-    yield taken(chair.decide(2.0, document, sessions))
-    proposal = {"base": 1, "author": "operator", "reason": "more room", "wait_ms": 60000.0, "gone": ["b"]}
+    yield taken(keeper.takeover_transaction(0.0, draw()))
+    chair = PolicyCoordinator(ChairBounds(60000.0), lambda: WALL_MS + 1.5, draw)
+    chair.initial_policy = POLICY_TEXT % 1
+    known = SimpleNamespace(confirmed_at_ms=1.0, acknowledged_revision=1)
+    sessions = SimpleNamespace(leading_since_ms=0.0, sessions={"a.01": known, "b.02": known})
+    yield taken(chair.decide_next_change(1.0, document, sessions))
+    chair.record_vote("a.01", PolicyVote(wants_permit=True))
+    chair.record_vote("b.02", PolicyVote(wants_permit=True))
+    yield taken(chair.decide_next_change(2.0, document, sessions))
+    proposal = {
+        "base_version": 1,
+        "author": "operator",
+        "reason": "more room",
+        "timeout_ms": 60000.0,
+        "removed_names": ["b"],
+    }
     yield taken(chair.propose(document, POLICY_TEXT % 2, **proposal))
     yield taken(chair.abort(document, "operator"))
     yield taken(chair.propose(document, POLICY_TEXT % 3, **proposal))
     for word in ("a.01", "b.02"):
-        change = record.read(document).change
-        chair.heard(word, Says(wants=True, change=change.id))
-    yield taken(chair.decide(3.0, document, sessions))
-    workers = {"galway": [Listed(1, 0.0, False)], "sligo": [Listed(2, 5.5, False)]}
-    steward = Steward(StewardBounds(1000.0), lambda: workers, lambda: WALL_MS + 2.5, "member-a", draw)
+        change = record.read_policy(document).change
+        chair.record_vote(word, PolicyVote(wants_permit=True, change_id=change.id))
+    yield taken(chair.decide_next_change(3.0, document, sessions))
+    workers = {"galway": [ListedWorker(1, 0.0, False)], "sligo": [ListedWorker(2, 5.5, False)]}
+    steward = ZoneController(StewardBounds(1000.0), lambda: workers, lambda: WALL_MS + 2.5, "member-a", draw)
     for do, name in (("leave", "galway"), ("hold", "sligo"), ("release", "sligo")):
-        order = msgspec.Raw(msgspec.json.encode(Order(do=do, name=name, by="operator at a")))
-        yield taken(steward.order(4.0, order, document, keeper)[0])
-    deal = state.Deal(number=document.revision, sessions=["a.01", "b.02"], before=["a.01"], in_force=False)
-    yield taken(Txn(draw(), {state.DEAL: state.encode(deal)}, document.at(state.DEAL)))
+        order = msgspec.Raw(msgspec.json.encode(ZoneOrder(action=do, target=name, author="operator at a")))
+        yield taken(steward.handle_order(4.0, order, document, keeper)[0])
+    deal = state.FeederAssignment(
+        number=document.revision, sessions=["a.01", "b.02"], previous_sessions=["a.01"], in_force=False
+    )
+    yield taken(
+        Transaction(
+            draw(),
+            {state.ASSIGNMENT_KEY: state.encode_value(deal)},
+            document.current_revisions(state.ASSIGNMENT_KEY),
+        )
+    )
 
 
 def write_store(path: Path) -> None:
@@ -348,15 +375,15 @@
     held = _HeldValues()
     with _fixed_clock():
         asyncio.run(_claims_and_settings(held))
-    held.values[KEY] = [document_text(each) for each in _transactions()]
-    disk = Disk(str(path))
+    held.values[DOCUMENT_KEY] = [document_text(each) for each in _transactions()]
+    disk = RegisterLog(str(path))
     acceptor, counter = Acceptor(disk), itertools.count(1)
     for key, values in held.values.items():
         for value in values:
             ballot = (next(counter), "member-a")
-            acceptor.answer(Prepare(1, key, ballot))
-            acceptor.answer(Accept(2, key, ballot, value))
-    acceptor.answer(Prepare(3, KEY, (next(counter), "member-b")))
+            acceptor.handle_message(Prepare(1, key, ballot))
+            acceptor.handle_message(Accept(2, key, ballot, value))
+    acceptor.handle_message(Prepare(3, DOCUMENT_KEY, (next(counter), "member-b")))
     _close(disk)
     _tear_last_line(path)
 
@@ -367,22 +394,22 @@
         log.write(b'{"key":"flee')
 
 
-def _close(disk: Disk) -> None:
-    disk.file.close()
-    disk.lock.close()
+def _close(disk: RegisterLog) -> None:
+    disk.log_file.close()
+    disk.lock_file.close()
 
 
 def read_store(path: Path) -> dict[str, Any]:
     """All that a member finds in its folder; opening writes it anew without what was overwritten."""
-    disk = Disk(str(path))
+    disk = RegisterLog(str(path))
     registers = dict(disk.registers)
     _close(disk)
-    document = document_of(registers[KEY].value)
+    document = document_of(registers[DOCUMENT_KEY].value)
     claims = {
         key: msgspec.json.decode(each.value, type=Claim) for key, each in registers.items() if "/" in key
     }
-    settings = msgspec.json.decode(registers["settings"].value, type=Shared)
-    keeper = Keeper("member-a", 900.0, SimpleNamespace(), 0.0, lambda: 0.5)
+    settings = msgspec.json.decode(registers["settings"].value, type=SharedSettings)
+    keeper = Leader("member-a", 900.0, SimpleNamespace(), 0.0, lambda: 0.5)
     keeper.document = document
     return plain(
         {
@@ -390,11 +417,18 @@
             "document": document,
             "claims": claims,
             "settings": settings,
-            "keeps": keeper.keeps(),
-            "ours": keeper.ours(),
-            "zones": state.read(document),
-            "policy": record.read(document),
-            "keys": [KEY, KEEPER, state.ZONE, state.DEAL, state.PAST, *record.KINDS],
+            "keeps": keeper.leadership(),
+            "ours": keeper.is_leader(),
+            "zones": state.read_fleet_zones(document),
+            "policy": record.read_policy(document),
+            "keys": [
+                DOCUMENT_KEY,
+                LEADERSHIP_KEY,
+                state.ZONE_KEY_PREFIX,
+                state.ASSIGNMENT_KEY,
+                state.HISTORY_KEY,
+                *record.FIELDS_BY_KEY,
+            ],
         }
     )
 
@@ -410,11 +444,11 @@
 # -- the policy
 
 
-def _version(number: int) -> record.Version:
+def _version(number: int) -> record.PolicyVersion:
     text = POLICY_TEXT % number
-    return record.Version(
+    return record.PolicyVersion(
         number=number,
-        digest=record.digest(text),
+        digest=record.policy_digest(text),
         text=text,
         author="operator",
         reason="more room",
@@ -422,29 +456,31 @@
     )
 
 
-def _close_kept(kept: Kept) -> None:
-    kept.lock.close()
+def _close_kept(kept: PolicyCache) -> None:
+    kept.lock_file.close()
 
 
 def write_policy(path: Path) -> None:
-    with patch("spanwing.policy.kept.boot", lambda: BOOT):
-        kept = Kept(str(path))
+    with patch("spanwing.policy.kept.current_boot_id", lambda: BOOT):
+        kept = PolicyCache(str(path))
         for number in (1, 2, 3):
-            kept.put(_version(number))
-        kept.put_permit(2, 5000.5)
-        kept.put_permit(3, 6000.5)
+            kept.store_version(_version(number))
+        kept.store_permit(2, 5000.5)
+        kept.store_permit(3, 6000.5)
         _close_kept(kept)
 
 
 def read_policy(path: Path) -> dict[str, Any]:
     """What a scheduler may start with, in the boot of the permit and in another one."""
-    kept = Kept(str(path))
-    with patch("spanwing.policy.kept.boot", lambda: BOOT):
-        here = kept.permit()
-    with patch("spanwing.policy.kept.boot", lambda: "another"):
-        elsewhere = kept.permit()
+    kept = PolicyCache(str(path))
+    with patch("spanwing.policy.kept.current_boot_id", lambda: BOOT):
+        here = kept.load_permit()
+    with patch("spanwing.policy.kept.current_boot_id", lambda: "another"):
+        elsewhere = kept.load_permit()
     _close_kept(kept)
-    return plain({"versions": kept.versions, "skipped": kept.skipped, "permit": here, "elsewhere": elsewhere})
+    return plain(
+        {"versions": kept.versions, "skipped": kept.skipped_files, "permit": here, "elsewhere": elsewhere}
+    )
 
 
 # -- what the status commands show of the document
@@ -453,40 +489,44 @@
 def status() -> dict[str, Any]:
     """The JSON that operators see, with its names, from the document that write_store() leaves."""
     document = list(_transactions())[-1]
-    fleet, policy, lease = state.read(document), record.read(document), Lease()
-    lease.until = 1e18
+    fleet, policy, lease = state.read_fleet_zones(document), record.read_policy(document), Lease()
+    lease.expires_at_ms = 1e18
     local = SimpleNamespace(
         fleet=fleet,
-        witness=SimpleNamespace(words=lambda now: {"galway": Words(good=[1], bad=[2, 3])}),
-        gate=SimpleNamespace(zones=lambda: {"galway": [1, 2, 3], "sligo": [4]}),
+        evidence_collector=SimpleNamespace(
+            evidence_by_zone=lambda now: {"galway": ZoneEvidence(good=[1], faulty_workers=[2, 3])}
+        ),
+        routing_filter=SimpleNamespace(workers_by_zone=lambda: {"galway": [1, 2, 3], "sligo": [4]}),
     )
     follower = SimpleNamespace(
         lease=lease,
         permit=lease,
-        by="member-a",
-        why="",
+        connected_member="member-a",
+        last_failure="",
         document=document,
         session="a.01",
-        holds=lambda: True,
+        has_lease=lambda: True,
     )
     zones = SimpleNamespace(
-        local=local,
+        agent=local,
         follower=follower,
-        wanted=SimpleNamespace(regions={"west": ("galway", "sligo")}),
-        service=SimpleNamespace(keeper=SimpleNamespace(refused=2)),
-        may=lambda worker: worker > 2,
+        zone_settings=SimpleNamespace(regions={"west": ("galway", "sligo")}),
+        document_service=SimpleNamespace(leader=SimpleNamespace(rejected_renewals=2)),
+        may_forward=lambda worker: worker > 2,
+    )
+    hand = PolicyParticipant("a.01", lambda text: "", lease)
+    hand.update_policy(0.0, policy)
+    core = SimpleNamespace(scheduler_by_request={"job-1": 1})
+    side = SimpleNamespace(
+        active_version=_version(1), participant=hand, follower=follower, request_manager=core
     )
-    hand = Hand("a.01", lambda text: "", lease)
-    hand.follow(0.0, policy)
-    core = SimpleNamespace(under={"job-1": 1})
-    side = SimpleNamespace(version=_version(1), hand=hand, follower=follower, core=core)
-    shown = PolicySide.status(side)
+    shown = PolicyService.status(side)
     del shown["permit_ms"]  # counted by the machine's clock
     return {
-        "zones": ZoneSide.status(zones),
-        "zones history": ZoneSide.history(zones),
+        "zones": ZoneService.status(zones),
+        "zones history": ZoneService.history(zones),
         "policy": shown,
-        "policy history": PolicySide.history(side),
+        "policy history": PolicyService.history(side),
     }
 
 
