--- a/tests/golden_messages.py
+++ b/tests/golden_messages.py
@@ -20,9 +20,9 @@
 from spanwing import interface as api
 from spanwing import settings
 from spanwing.choice import Dispatcher
-from spanwing.core.messages import Envelope
+from spanwing.core.messages import JobRequest
 from spanwing.handover import learned, messages
-from spanwing.hops.transportmap import Member, MemberList
+from spanwing.hops.transportmap import DiscoveredEndpoints, DiscoveredWorker
 from spanwing.journal import records, snapshot
 from spanwing.policy import chair, kept, minds, record
 from spanwing.state import Attempt, Job, View
@@ -48,7 +48,11 @@
     messages,
     settings,
 )  # every struct that one of these defines has a golden form
-NOT_STORED = {records.Record, state.Fleet, record.Policy}  # a base, and what is made of a document
+NOT_STORED = {
+    records.JournalRecord,
+    state.FleetZones,
+    record.PolicyState,
+}  # a base, and what is made of a document
 
 
 class Subject(NamedTuple):
@@ -68,14 +72,14 @@
     return msgspec.json.decode(data, type=kind)
 
 
-_REQUEST, _RESPONSE = msgspec.json.Decoder(peer.Request), msgspec.json.Decoder(peer.Response)
+_REQUEST, _RESPONSE = msgspec.json.Decoder(peer.StoreRequest), msgspec.json.Decoder(peer.StoreResponse)
 
 
 def _peer_value(data: bytes, kind: type) -> Any:
     return (_RESPONSE if kind in _RESPONSES else _REQUEST).decode(data)
 
 
-_RESPONSES = (store_messages.Reply, store_messages.Granted, store_messages.Done)
+_RESPONSES = (store_messages.RegisterReply, store_messages.RenewalGranted, store_messages.OrderResult)
 
 
 def _journal_records() -> dict[str, Any]:
@@ -83,23 +87,27 @@
     life = {"request": "", "wall_ms": 1700000000000.0, "mono_ms": 4000.0}
     names = {
         "started": (
-            records.Started,
+            records.ProcessStarted,
             life,
             {"name": "scheduler-a", "life": "0123456789abcdef", "certain": False},
         ),
-        "taken": (records.Taken, request, _TAKEN),
+        "taken": (records.RequestAccepted, request, _TAKEN),
         "intent": (
-            records.Intent,
+            records.AttemptIntent,
             request,
             {"attempt": 2, "worker": "worker-1", "address": "127.0.0.1:4001"},
         ),
-        "last byte": (records.LastByte, request, {"attempt": 2}),
-        "unsent": (records.Unsent, request, {"attempt": 2, "why": "unreachable"}),
-        "given up": (records.GivenUp, request, {"attempt": 2, "why": "deadline"}),
-        "outcome": (records.Outcome, request, {"attempt": 2, "result": "ok"}),
-        "answered": (records.Answered, request, {"kind": "served"}),
-        "closed": (records.Closed, request, {"attempt": 2, "worker": "worker-1"}),
-        "gap": (records.Gap, life, {"since_wall_ms": 1699999999000.5, "count": 7, "why": "the disk is slow"}),
+        "last byte": (records.LastByteWritten, request, {"attempt": 2}),
+        "unsent": (records.AttemptUnsent, request, {"attempt": 2, "why": "unreachable"}),
+        "given up": (records.AttemptCancelled, request, {"attempt": 2, "why": "deadline"}),
+        "outcome": (records.AttemptCompleted, request, {"attempt": 2, "result": "ok"}),
+        "answered": (records.RequestAnswered, request, {"kind": "served"}),
+        "closed": (records.AttemptClosed, request, {"attempt": 2, "worker": "worker-1"}),
+        "gap": (
+            records.JournalGap,
+            life,
+            {"since_wall_ms": 1699999999000.5, "count": 7, "why": "the disk is slow"},
+        ),
     }
     full = {f"{name} full": kind(**common, **own) for name, (kind, common, own) in names.items()}
     return full | {f"{name} least": kind(**common) for name, (kind, common, _) in names.items()}
@@ -112,8 +120,10 @@
     "front": "platform",
     "budget_ms": 25000.5,
 }
-_CHANGE = document.Change(revision=8, id="change-8", writes={"zone/galway": '{"state":"left"}', "deal": None})
-_ENTRY = document.Entry(value='{"member":"a","term":3}', revision=7)
+_CHANGE = document.DocumentChange(
+    revision=8, transaction_id="change-8", writes={"zone/galway": '{"state":"left"}', "deal": None}
+)
+_ENTRY = document.DocumentEntry(value='{"member":"a","term":3}', revision=7)
 _DOCUMENT = document.Document(8, {"keeper": _ENTRY}, (_CHANGE,))
 
 
@@ -124,8 +134,8 @@
         "prepare full": own.Prepare(1, "claim/job-1", ballot),
         "accept full": own.Accept(2, "claim/job-1", ballot, "value"),
         "ping full": own.Ping(3),
-        "look full": own.Look(4, "fleet", "member-b"),
-        "look least": own.Look(4, "fleet"),
+        "look full": own.ReadRegister(4, "fleet", "member-b"),
+        "look least": own.ReadRegister(4, "fleet"),
         "renew full": own.Renew(
             5,
             "a.01",
@@ -137,13 +147,13 @@
             raw(b'[true,"change-1","no"]'),
         ),
         "renew least": own.Renew(5, "a.01", "galway", 2, 8),
-        "submit full": own.Submit(6, "a.01", raw(b'{"do":"leave","name":"galway"}'), True),
-        "submit least": own.Submit(6, "a.01", raw(b'{"do":"leave","name":"galway"}')),
-        "granted full": own.Granted(7, 900.5, "why", (_CHANGE,), _DOCUMENT, ("galway",), 60000.5),
-        "granted least": own.Granted(7),
-        "done full": own.Done(8, True, "ordered"),
-        "reply full": own.Reply(9, True, ballot, (3, "member-a"), "value"),
-        "reply least": own.Reply(9, True, ballot),
+        "submit full": own.SubmitOrder(6, "a.01", raw(b'{"do":"leave","name":"galway"}'), True),
+        "submit least": own.SubmitOrder(6, "a.01", raw(b'{"do":"leave","name":"galway"}')),
+        "granted full": own.RenewalGranted(7, 900.5, "why", (_CHANGE,), _DOCUMENT, ("galway",), 60000.5),
+        "granted least": own.RenewalGranted(7),
+        "done full": own.OrderResult(8, True, "ordered"),
+        "reply full": own.RegisterReply(9, True, ballot, (3, "member-a"), "value"),
+        "reply least": own.RegisterReply(9, True, ballot),
     }
 
 
@@ -156,11 +166,11 @@
         "change full": _CHANGE,
         "document full": _DOCUMENT,
         "document least": document.Document(),
-        "txn full": document.Txn("txn-1", {"deal": "x", "zone/galway": None}, {"deal": 4}),
-        "txn least": document.Txn("txn-1", {"deal": "x"}),
-        "keeps full": keeper.Keeps("member-a", 3),
+        "txn full": document.Transaction("txn-1", {"deal": "x", "zone/galway": None}, {"deal": 4}),
+        "txn least": document.Transaction("txn-1", {"deal": "x"}),
+        "keeps full": keeper.Leadership("member-a", 3),
         "claim full": claims.Claim("0123456789abcdef", "served"),
-        "shared full": shared.Shared(3, '{"a":1}'),
+        "shared full": shared.SharedSettings(3, '{"a":1}'),
     } | {f"claim {name}": claims.Claim("01", name) for name in ("claimed", "failed", "refused")}
 
 
@@ -173,31 +183,31 @@
     "reason": "silent",
     "author": "member-a",
 }
-_WORDS = evidence.Words(good=[1, 2], bad=[3], held=4.5, idle=5.5)
+_WORDS = evidence.ZoneEvidence(good=[1, 2], faulty_workers=[3], slots_in_flight=4.5, idle_slots=5.5)
 
 
 def _zones() -> dict[str, Any]:
     return {
-        "zone full": state.Zone(
+        "zone full": state.ZoneState(
             "returning", 2, 0.5, True, True, 3, "silent", "member-a", {"17": 1700000000123.5}
         ),
-        "zone least": state.Zone(),
-        "deal full": state.Deal(4, ["a.01"], ["b.02"], True),
-        "deal least": state.Deal(4, ["a.01"]),
-        "past full": state.Past(**_ZONE_PAST, share=0.25),
-        "past least": state.Past(**_ZONE_PAST),
+        "zone least": state.ZoneState(),
+        "deal full": state.FeederAssignment(4, ["a.01"], ["b.02"], True),
+        "deal least": state.FeederAssignment(4, ["a.01"]),
+        "past full": state.ZoneHistoryEntry(**_ZONE_PAST, share=0.25),
+        "past least": state.ZoneHistoryEntry(**_ZONE_PAST),
         "words full": _WORDS,
-        "words least": evidence.Words(good=[1, 2], bad=[3]),
-        "report full": evidence.Report(zones={"galway": _WORDS}),
-        "order full": steward.Order("leave", "galway", 30.5, "operator at a"),
-        "order least": steward.Order("return", "galway"),
-    } | {f"zone {name}": state.Zone(name) for name in ("leaving", "left")}
+        "words least": evidence.ZoneEvidence(good=[1, 2], faulty_workers=[3]),
+        "report full": evidence.EvidenceReport(zones={"galway": _WORDS}),
+        "order full": steward.ZoneOrder("leave", "galway", 30.5, "operator at a"),
+        "order least": steward.ZoneOrder("return", "galway"),
+    } | {f"zone {name}": state.ZoneState(name) for name in ("leaving", "left")}
 
 
 def _policy() -> dict[str, Any]:
-    version = record.Version(3, "0123456789abcdef", '{"a":1}', "operator", "more room", 1700000000123.5)
-    change = record.Change("change-1", "closing", 60000.5, ["b.02"], 2)
-    past = record.Past(
+    version = record.PolicyVersion(3, "0123456789abcdef", '{"a":1}', "operator", "more room", 1700000000123.5)
+    change = record.PolicyChange("change-1", "closing", 60000.5, ["b.02"], 2)
+    past = record.PolicyHistoryEntry(
         number=3,
         wall_ms=1700000000123.5,
         taken=True,
@@ -207,55 +217,57 @@
     )
     return {
         "version full": version,
-        "version least": record.Version(),
+        "version least": record.PolicyVersion(),
         "change full": change,
-        "change least": record.Change("change-1", "asking", 60000.5),
+        "change least": record.PolicyChange("change-1", "asking", 60000.5),
         "past full": past,
-        "says full": chair.Says(wants=True, change="change-1", no="no"),
-        "says least": chair.Says(),
+        "says full": chair.PolicyVote(wants_permit=True, change_id="change-1", objection="no"),
+        "says least": chair.PolicyVote(),
         "order full": minds.PolicyOrder("propose", '{"a":1}', 2, "operator at a", "more room", 30.5, ["b"]),
         "order least": minds.PolicyOrder("abort"),
         "order waits": minds.PolicyOrder("waits"),
-        "permit full": kept.Permit(3, 5000.5, "0b0b0b0b-0000-4000-8000-000000000001"),
+        "permit full": kept.CachedPermit(3, 5000.5, "0b0b0b0b-0000-4000-8000-000000000001"),
     }
 
 
-_SEEN = messages.WorkerSeen(
-    id=11,
-    total=4.5,
-    learned=True,
-    held=2,
-    others=1.5,
-    seen=90.5,
-    heard=80.5,
-    tells=False,
-    rest_until=70.5,
-    strikes=3,
-    limit=2.5,
-    peak=6.5,
-    no_raise=60.5,
-    pace=1.25,
-    sent=[(50.5, 40.5)],
+_SEEN = messages.WorkerEstimates(
+    worker_id=11,
+    estimated_slots=4.5,
+    slots_reported=True,
+    reserved_slots=2,
+    foreign_slots=1.5,
+    last_observed_ms=90.5,
+    last_heard_ms=80.5,
+    reports_progress=False,
+    ejected_until_ms=70.5,
+    ejection_count=3,
+    concurrency_limit=2.5,
+    peak_running_slots=6.5,
+    capacity_fixed_until_ms=60.5,
+    relative_service_time=1.25,
+    recent_work=[(50.5, 40.5)],
+)
+_NEVER_SEEN = messages.WorkerEstimates(
+    worker_id=12,
+    estimated_slots=4.5,
+    slots_reported=False,
+    reserved_slots=0,
+    foreign_slots=0.0,
+    last_observed_ms=None,
+    last_heard_ms=0.0,
+    reports_progress=False,
+    ejected_until_ms=0.0,
+    ejection_count=0,
+    concurrency_limit=None,
+    peak_running_slots=0.0,
+    capacity_fixed_until_ms=0.0,
+    relative_service_time=1.0,
+    recent_work=[],
 )
-_NEVER_SEEN = messages.WorkerSeen(
-    id=12,
-    total=4.5,
-    learned=False,
-    held=0,
-    others=0.0,
-    seen=None,
-    heard=0.0,
-    tells=False,
-    rest_until=0.0,
-    strikes=0,
-    limit=None,
-    peak=0.0,
-    no_raise=0.0,
-    pace=1.0,
-    sent=[],
+_MEMBER = DiscoveredWorker(
+    "worker-1", "127.0.0.1:4001", "galway", "large", 7, "leaving", 8.5, 1700000000123.5
 )
-_MEMBER = Member("worker-1", "127.0.0.1:4001", "galway", "large", 7, "leaving", 8.5, 1700000000123.5)
-_ENVELOPE = Envelope(
+_ENVELOPE = JobRequest(
     "job-1",
     "schedule-apply",
     25000.5,
@@ -272,20 +284,22 @@
     "application/json",
     "platform",
 )
-_PASSED = messages.Passed(b"read already", True, True, "127.0.0.1:5001")
-_TRIED = messages.Tried(worker=11, at=1.5, open=False, started=2.5, noted=3.5, proof=True)
+_PASSED = messages.TransferredConnection(b"read already", True, True, "127.0.0.1:5001")
+_TRIED = messages.TransferredAttempt(
+    worker_id=11, forwarded_ms=1.5, is_open=False, started_ms=2.5, last_progress_ms=3.5, never_ran=True
+)
 
 
 def _handover() -> dict[str, Any]:
     own = messages
-    plain = own.Passed(b"", False, False, "")
+    plain = own.TransferredConnection(b"", False, False, "")
     return {
-        "hello full": own.Hello(own.VERSION),
-        "held full": own.Held(100, 200),
-        "ready full": own.Ready(),
-        "workers full": own.Workers([_MEMBER], [_SEEN, _NEVER_SEEN]),
-        "workers plain": own.Workers([Member("worker-1")], []),
-        "learned full": own.Learned(
+        "hello full": own.SuccessorHello(own.VERSION),
+        "held full": own.ConnectionCounts(100, 200),
+        "ready full": own.SuccessorReady(),
+        "workers full": own.WorkerEstimatesBatch([_MEMBER], [_SEEN, _NEVER_SEEN]),
+        "workers plain": own.WorkerEstimatesBatch([DiscoveredWorker("worker-1")], []),
+        "learned full": own.SchedulerEstimates(
             7,
             "127.0.0.1:6001",
             1.5,
@@ -297,27 +311,33 @@
             True,
             {"corrib": (1.5, 2.5, 3.5)},
         ),
-        "learned plain": own.Learned(None, "", 0.0, {}, {}, {}, 0.0, 0.0, False, {}),
-        "ids full": own.Ids(["job-1"], ["job-2"]),
-        "ids least": own.Ids(),
-        "over full": own.Over(),
-        "called full": own.Called("worker-1", "job-1", "done", b"body", (1.5, 2.5)),
-        "called plain": own.Called("worker-1", "job-1", "started", b"", None),
+        "learned plain": own.SchedulerEstimates(None, "", 0.0, {}, {}, {}, 0.0, 0.0, False, {}),
+        "ids full": own.RequestIdChanges(["job-1"], ["job-2"]),
+        "ids least": own.RequestIdChanges(),
+        "over full": own.AcceptingStopped(),
+        "called full": own.ForwardedCallback("worker-1", "job-1", "done", b"body", (1.5, 2.5)),
+        "called plain": own.ForwardedCallback("worker-1", "job-1", "started", b"", None),
         "passed full": _PASSED,
-        "moved full": own.Moved(
+        "moved full": own.TransferredRequest(
             _PASSED, True, _ENVELOPE, 1.5, 2.5, True, True, 3, [_TRIED], "worker-1", "127.0.0.1:4001", 4.5
         ),
-        "moved least": own.Moved(
-            plain, False, Envelope("job-1", "schedule-apply", 1.5), 1.5, 2.5, False, False, 0, []
+        "moved least": own.TransferredRequest(
+            plain, False, JobRequest("job-1", "schedule-apply", 1.5), 1.5, 2.5, False, False, 0, []
+        ),
+        "bye full": own.PredecessorDone(),
+        "state of workers": own.WorkerEstimatesBatch(
+            [], [learned.export_worker(_view()), learned.export_worker(_unseen())]
         ),
-        "bye full": own.Bye(),
-        "state of workers": own.Workers([], [learned.of_worker(_view()), learned.of_worker(_unseen())]),
-        "state of workers, told on": own.Workers(
-            [], [msgspec.structs.replace(_SEEN, held=0, others=3.5, seen=100.5), _NEVER_SEEN]
+        "state of workers, told on": own.WorkerEstimatesBatch(
+            [],
+            [
+                msgspec.structs.replace(_SEEN, reserved_slots=0, foreign_slots=3.5, last_observed_ms=100.5),
+                _NEVER_SEEN,
+            ],
         ),
-        "state of the module": learned.of_module(_dispatcher(), 7, "127.0.0.1:6001"),
-        "state of a job": own.Moved(
-            plain, False, _ENVELOPE, 1.5, 2.5, False, False, 1, learned.of_job(_job())
+        "state of the module": learned.export_scheduler(_dispatcher(), 7, "127.0.0.1:6001"),
+        "state of a job": own.TransferredRequest(
+            plain, False, _ENVELOPE, 1.5, 2.5, False, False, 1, learned.export_attempts(_job())
         ),
     }
 
@@ -329,9 +349,9 @@
         "worker never seen": _NEVER_SEEN,
         "tried full": _TRIED,
         "member full": _MEMBER,
-        "member least": Member("worker-1"),
+        "member least": DiscoveredWorker("worker-1"),
         "envelope full": _ENVELOPE,
-        "envelope least": Envelope("job-1", "schedule-apply", 1.5),
+        "envelope least": JobRequest("job-1", "schedule-apply", 1.5),
     }
 
 
@@ -372,7 +392,13 @@
         (cls,), zone="galway", zones=("galway", "sligo"), tenants=(api.Tenant("corrib", 2.0),)
     )
     module = Dispatcher(told, 1, 1.5)
-    module.work, module.kinds, module.busy, module.keys, module.accepts = (
+    (
+        module.work,
+        module.kinds,
+        module.busy,
+        module.keys,
+        module.accepts,
+    ) = (
         [2.5],
         {"large": 4.5},
         0.75,
@@ -388,49 +414,57 @@
     request = api.Request("job-1", "schedule-apply", 25000.0)
     job = Job(request, api.ServiceClass("schedule-apply", aim=300.0, deadline=5000.0), 0, 1.5)
     job.attempts.append(
-        Attempt(job=job, view=_view(), at=1.5, open=False, started=2.5, noted=3.5, proof=True)
+        Attempt(
+            job=job,
+            view=_view(),
+            at=1.5,
+            open=False,
+            started=2.5,
+            noted=3.5,
+            proof=True,
+        )
     )
     return job
 
 
 def taken_over(workers: bytes, module: bytes) -> tuple[bytes, bytes]:
     """The state of a fresh module after it took over these two messages, told on in the same form."""
-    told, of_all = messages.decode(workers), messages.decode(module)
+    told, of_all = messages.decode_message(workers), messages.decode_message(module)
     fresh = Dispatcher(_dispatcher().set, 2, 0.0)
-    learned.into_module(fresh, of_all, 0.0)
+    learned.import_scheduler(fresh, of_all, 0.0)
     views = []
-    for seen in told.seen:
-        view = View(api.Worker(seen.id), 0.0, 1.0)
-        learned.into_worker(view, seen, 100.5)
-        views.append(learned.of_worker(view))
+    for seen in told.estimates:
+        view = View(api.Worker(seen.worker_id), 0.0, 1.0)
+        learned.import_worker(view, seen, 100.5)
+        views.append(learned.export_worker(view))
     return (
-        messages.encode(messages.Workers([], views)),
-        messages.encode(learned.of_module(fresh, of_all.revision, of_all.discovery)),
+        messages.encode_message(messages.WorkerEstimatesBatch([], views)),
+        messages.encode_message(learned.export_scheduler(fresh, of_all.revision, of_all.discovery)),
     )
 
 
 def _snapshot_parts() -> dict[str, Any]:
-    attempt = snapshot.KeptAttempt(
+    attempt = snapshot.AttemptSnapshot(
         number=2,
         worker="worker-1",
         address="127.0.0.1:4001",
         intent_ms=1.5,
         last_byte_ms=2.5,
-        unsent="unreachable",
-        given_up="deadline",
+        unsent_reason="unreachable",
+        cancel_reason="deadline",
         result="ok",
-        closed=True,
+        is_closed_at_start=True,
     )
-    taken = records.Taken(request="job-1", wall_ms=1.5, mono_ms=2.5, **_TAKEN)
-    request = snapshot.KeptRequest(
+    taken = records.RequestAccepted(request="job-1", wall_ms=1.5, mono_ms=2.5, **_TAKEN)
+    request = snapshot.RequestSnapshot(
         id="job-1",
-        first=9,
-        taken=taken,
+        first_number=9,
+        accepted=taken,
         answer="served",
         answered_ms=3.5,
-        cut_short=True,
+        is_interrupted=True,
         attempts=[attempt],
-        doubtful=False,
+        may_lack_attempts=False,
     )
     return {
         "kept attempt full": attempt,
@@ -441,21 +475,23 @@
 def _settings() -> dict[str, Any]:
     """What a policy's text in the store is read as, and the list of job workers in a settings file."""
     own = settings
-    cls = own.Class("bill", 300.5, 5000.5, 2.5, 0.5, 1.5, "keyed", "zone", 4000.5, True)
-    org = own.Org("corrib", 2.5)
-    report = own.Report(["rif", "q", "x0"], "header")
-    permissions = own.Permissions(True, True, True, 5, True, 900.5, 14000.5, 240.5)
-    rules = own.Rules(16.5, 500.5, 9000.5, 0.25, 10000.5, 3.5, 1000.5)
-    specifics = own.Specifics([1], [2], [1.25], "mb", "priority", "free slots", "free memory", True, 100.5)
-    options = own.Options(
+    cls = own.ClassSettings("bill", 300.5, 5000.5, 2.5, 0.5, 1.5, "keyed", "zone", 4000.5, True)
+    org = own.TenantSettings("corrib", 2.5)
+    report = own.ReportSettings(["rif", "q", "x0"], "header")
+    permissions = own.PermissionSettings(True, True, True, 5, True, 900.5, 14000.5, 240.5)
+    rules = own.RuleSettings(16.5, 500.5, 9000.5, 0.25, 10000.5, 3.5, 1000.5)
+    specifics = own.SpecificSettings(
+        [1], [2], [1.25], "mb", "priority", "free slots", "free memory", True, 100.5
+    )
+    options = own.PlatformSettings(
         classes=[cls],
-        position=2,
-        balancers=3,
+        node_index=2,
+        node_count=3,
         zone="galway",
-        areas=["galway", "sligo"],
+        zones=["galway", "sligo"],
         kinds=["small", "large"],
-        orgs=[org],
-        over_share_worth=0.5,
+        tenants=[org],
+        over_quota_weight=0.5,
         tick_ms=1.5,
         discovery="subscribe",
         weight_source="live",
@@ -466,28 +502,28 @@
     )
     return {
         "class full": cls,
-        "class least": own.Class("bill", 300.5, 5000.5),
+        "class least": own.ClassSettings("bill", 300.5, 5000.5),
         "org full": org,
         "report full": report,
-        "report least": own.Report(),
+        "report least": own.ReportSettings(),
         "permissions full": permissions,
-        "permissions least": own.Permissions(),
+        "permissions least": own.PermissionSettings(),
         "rules full": rules,
-        "rules least": own.Rules(),
+        "rules least": own.RuleSettings(),
         "specifics full": specifics,
-        "specifics least": own.Specifics(),
+        "specifics least": own.SpecificSettings(),
         "options full": options,
-        "options least": own.Options([]),
+        "options least": own.PlatformSettings([]),
         "member full": _MEMBER,
-        "member least": Member("worker-1"),
-        "member list full": MemberList(7, True, [_MEMBER]),
-        "member list least": MemberList(),
+        "member least": DiscoveredWorker("worker-1"),
+        "member list full": DiscoveredEndpoints(7, True, [_MEMBER]),
+        "member list least": DiscoveredEndpoints(),
     }
 
 
 def settings_read(text: bytes) -> list[Any]:
     """What the module is told at its start, from a policy's text, by position."""
-    made = settings.settings_of(msgspec.json.decode(text, type=settings.Options))
+    made = settings.scheduler_settings(msgspec.json.decode(text, type=settings.PlatformSettings))
     return [
         [dataclasses.astuple(part) if dataclasses.is_dataclass(part) else part for part in value]
         if isinstance(value, tuple)
@@ -502,7 +538,7 @@
 
 SUBJECTS = {
     "journal-records": Subject(
-        records.encode, lambda data, _: records.decode(data), _journal_records(), True
+        records.encode_record, lambda data, _: records.decode_record(data), _journal_records(), True
     ),
     "journal-snapshot": Subject(msgspec.msgpack.encode, _msgpack_value, _snapshot_parts(), True),
     "store-messages": Subject(_json_bytes, _peer_value, _store_messages()),
@@ -510,7 +546,9 @@
     "zones": Subject(_json_bytes, _json_value, _zones()),
     "settings": Subject(_json_bytes, _json_value, _settings()),
     "policy": Subject(_json_bytes, _json_value, _policy()),
-    "handover-messages": Subject(messages.encode, lambda data, _: messages.decode(data), _handover(), True),
+    "handover-messages": Subject(
+        messages.encode_message, lambda data, _: messages.decode_message(data), _handover(), True
+    ),
     "handover-parts": Subject(msgspec.msgpack.encode, _msgpack_value, _parts(), True),
 }
 
--- a/tests/oddly.py
+++ b/tests/oddly.py
@@ -39,7 +39,7 @@
     gate, pause = os.open(WORDS["hold"], os.O_RDWR), nexthop.sleep
 
     async def held(seconds: float) -> None:
-        if seconds == nexthop.HELD_S:
+        if seconds == nexthop.LAST_BYTE_DELAY_S:
             await asyncio.get_running_loop().run_in_executor(None, os.read, gate, 1)
         else:
             await pause(seconds)
@@ -47,8 +47,8 @@
     nexthop.sleep = held
 
 if "ahead" in WORDS:
-    plain_now = Clock.now
-    Clock.now = lambda clock: plain_now(clock) + os.path.getsize(WORDS["ahead"])
+    plain_now = Clock.now_ms
+    Clock.now_ms = lambda clock: plain_now(clock) + os.path.getsize(WORDS["ahead"])
 
 status = serve()
 if "end" in WORDS:
--- a/tests/simdisk.py
+++ b/tests/simdisk.py
@@ -31,8 +31,8 @@
     def names(self) -> list[str]:
         return sorted(self.files)
 
-    def read(self, name: str, most: int = -1) -> bytes:
-        return self.files[name] if most < 0 else self.files[name][:most]
+    def read(self, name: str, max_bytes: int = -1) -> bytes:
+        return self.files[name] if max_bytes < 0 else self.files[name][:max_bytes]
 
     def size(self, name: str) -> int:
         return len(self.files[name])
@@ -82,7 +82,7 @@
         self._call("sync_folder")
         self.synced = {name: self.contents.get(name, b"") for name in self.files}
 
-    def stop(self) -> None:
+    def close_all(self) -> None:
         pass
 
     def after_power_loss(self) -> SimDisk:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from spanwing.adapter import run
+from spanwing.adapter import serve
 
 ROOT = Path(__file__).parent.parent
 OPTIONS = {
@@ -32,15 +32,15 @@
     return [["Sync", now], *messages, ["Go"]]
 
 
-def serve(*messages) -> tuple[int, list, str]:
+def run_adapter(*messages) -> tuple[int, list, str]:
     source = io.BytesIO("\n".join(m if isinstance(m, str) else json.dumps(m) for m in messages).encode())
     sink = io.BytesIO()
-    code = run(source, sink)
+    code = serve(source, sink)
     return code, [json.loads(line) for line in sink.getvalue().splitlines()], sink.getvalue().decode()
 
 
 def test_start_request_outcome_and_crash_in_one_session():
-    code, out, _ = serve(
+    code, out, _ = run_adapter(
         *batch(0.0, INIT, LIST),
         *batch(10.0, SUBMIT, ["Novelty", "node_0", 1]),
         *batch(20.0, ["Returned", "node_0", "t/1", 9.0, None, 0, 11, "OK", True, None]),
@@ -63,14 +63,14 @@
     ],
 )
 def test_broken_frame_ends_with_code_2_and_a_plain_line(lines, capsys):
-    code, out, _ = serve(*lines)
+    code, out, _ = run_adapter(*lines)
     assert code == 2 and out == []
     assert capsys.readouterr().err.startswith(f"line {len(lines)}: ")
 
 
 def test_exception_in_a_decision_is_told(capsys):
     wrong = {**OPTIONS, "balancers": -3}
-    code, out, _ = serve(*batch(0.0, ["Init", "node_0", 5, wrong]))
+    code, out, _ = run_adapter(*batch(0.0, ["Init", "node_0", 5, wrong]))
     assert code == 0 and out[0][:2] == ["Die", "node_0"] and "nodes" in out[0][2]
     assert "Traceback" in capsys.readouterr().err
 
--- a/tests/test_adapter_golden.py
+++ b/tests/test_adapter_golden.py
@@ -16,7 +16,7 @@
     sys.path.insert(0, str(Path(__file__).parent.parent))
 
 # -- names of the program: here alone
-from spanwing.adapter import run
+from spanwing.adapter import serve
 
 GOLDEN = Path(__file__).parent / "golden"
 
@@ -24,7 +24,7 @@
 def output() -> bytes:
     sink = io.BytesIO()
     with (GOLDEN / "adapter-input.txt").open("rb") as source:
-        assert run(source, sink) == 0
+        assert serve(source, sink) == 0
     return sink.getvalue()
 
 
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -23,10 +23,10 @@
 from measure.balancers import PROTOCOLS, Backend, Judge, Seen, agent_reply
 from measure.drains import Lane
 from spanwing.cli import client
-from spanwing.health.machine import Health
-from spanwing.health.policy import Policy
-from spanwing.health.signals import ClassLoad, Cpu, Signals, Workers
-from spanwing.log.limit import KINDS, Limiter
+from spanwing.health.machine import HealthStateMachine
+from spanwing.health.policy import HealthSettings
+from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, WorkerCounts
+from spanwing.log.limit import MAX_EVENT_NAMES, RateLimiter
 from spanwing.wire.meter import MeteredSelector
 
 
@@ -129,11 +129,11 @@
                 ("drain", b"drain\n"),
                 ("undrain", b"ready"),
             ):
-                client.ask(path, do=do)
+                client.send_command(path, do=do)
                 self.assertTrue(ask(agent, b"").startswith(says), do)
                 self.assertIn(b"200", up())  # a connection without a client's request is left alone
-            client.ask(path, do="drain")
-            self.until(lambda: client.ask(path, do="status")["state"] == "drained", "drained")
+            client.send_command(path, do="drain")
+            self.until(lambda: client.send_command(path, do="status")["state"] == "drained", "drained")
         refused = ask(
             daemon.addresses["clients"],
             b"POST /status-read HTTP/1.1\r\nX-Call-Id: late-1\r\nContent-Length: 0\r\n\r\n",
@@ -149,8 +149,8 @@
         with daemon.connect("clients") as waiting:
             waiting.settimeout(PATIENCE_S)
             waiting.sendall(b"POST /status-read HTTP/1.1\r\nX-Call-Id: job-1\r\nContent-Length: 0\r\n\r\n")
-            self.until(lambda: client.ask(path, do="status")["owed"] == 1, "taken")
-            client.ask(path, do="drain")
+            self.until(lambda: client.send_command(path, do="status")["owed"] == 1, "taken")
+            client.send_command(path, do="drain")
             place = daemon.addresses["agent_check"]
             self.assertEqual(ask(place, b""), b"drain\n")
             daemon.process.kill()
@@ -285,12 +285,12 @@
             )
 
         self.assertEqual(push("job-00001"), "+OK")
-        client.ask(path, do="drain")
+        client.send_command(path, do="drain")
         self.assertEqual(worker.ask("BEAT", '{"wid":"w"}'), '+{"state":"quiet"}')
         self.assertRegex(push("job-00002"), "^-BUSY")
         job = json.loads(worker.ask("FETCH", "status-read"))  # what was taken is still handed out
         self.assertEqual((job["jid"], worker.ask("ACK", '{"jid":"job-00001"}')), ("job-00001", "+OK"))
-        client.ask(path, do="undrain")
+        client.send_command(path, do="undrain")
         self.assertEqual((worker.ask("BEAT", '{"wid":"w"}'), push("job-00003")), ("+OK", "+OK"))
 
     def test_a_kind_of_job_worker_that_is_gone(self) -> None:
@@ -332,16 +332,16 @@
             each.ready()
 
         def state(name: str) -> dict:
-            return client.ask(str(self.folder / name), do="status")
+            return client.send_command(str(self.folder / name), do="status")
 
-        client.ask(str(self.folder / "a"), do="drain", member="b")
+        client.send_command(str(self.folder / "a"), do="drain", member="b")
         self.until(lambda: state("b")["state"] == "drained", "b is drained through the store")
         self.assertEqual(state("b")["drained_by"], ["store"])
         daemons["b"].process.kill()
         daemons["b"].process.wait()
         daemons["b"] = start("b").ready()
         self.until(lambda: state("b")["state"] in ("draining", "drained"), "the order outlives a restart")
-        client.ask(str(self.folder / "c"), do="undrain", member="b")
+        client.send_command(str(self.folder / "c"), do="undrain", member="b")
         self.until(lambda: state("b")["state"] in ("weighted", "ready"), "b serves again")
         for name in "bc":
             daemons[name].process.kill()
@@ -352,8 +352,8 @@
             b"cannot serve schedule-apply",
             ask(daemons["a"].addresses["health"], b"GET /health/schedule-apply HTTP/1.0\r\n\r\n"),
         )
-        with self.assertRaises(client.Refused):
-            client.ask(str(self.folder / "a"), do="drain", member="b")
+        with self.assertRaises(client.CommandRefusedError):
+            client.send_command(str(self.folder / "a"), do="drain", member="b")
 
 
 class StolenCpu(unittest.TestCase):
@@ -364,7 +364,7 @@
     ) -> tuple[float, float]:
         """When it first says short, and when work first waits longer than slack_s."""
         classes = (ClassLoad("status-read", 150.0),)
-        health, policy = Health(Policy(), 0.0), Policy()
+        health, policy = HealthStateMachine(HealthSettings(), 0.0), HealthSettings()
         now, backlog, short, late = 0.0, 0.0, float("inf"), float("inf")
         tick = 0.05
         while now < 60.0 and late == float("inf"):
@@ -375,8 +375,10 @@
             served = min(backlog + came, given * tick)
             backlog += came - served
             busy = served / given / tick
-            cpu = Cpu(served / tick, min(1.0, busy), min(1.0, busy) - served / tick, 1000 * backlog / given)
-            health.observe(now, Signals(cpu, classes, (Workers("a", "", 1, 1),), "a"))
+            cpu = CpuUsage(
+                served / tick, min(1.0, busy), min(1.0, busy) - served / tick, 1000 * backlog / given
+            )
+            health.observe(now, HealthSignals(cpu, classes, (WorkerCounts("a", "", 1, 1),), "a"))
             if health.verdict.state == "short":
                 short = min(short, now)
             if backlog / given > slack_s:
@@ -399,24 +401,24 @@
     def test_a_loop_that_is_busy_again_is_looked_at_before_its_next_sample(self) -> None:
         async def main() -> float:
             loop, seen = asyncio.get_running_loop(), asyncio.Event()
-            selector.watch(0.05, lambda: loop.call_soon(seen.set))
-            begun = selector.busy()
+            selector.set_alarm(0.05, lambda: loop.call_soon(seen.set))
+            begun = selector.busy_s()
             while not seen.is_set():
                 sum(range(10000))
                 await asyncio.sleep(0)
-            return selector.busy() - begun
+            return selector.busy_s() - begun
 
         selector = MeteredSelector()
         with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
             self.assertGreaterEqual(runner.run(main()), 0.05)
-        self.assertEqual(selector.limit, float("inf"))  # once
+        self.assertEqual(selector.alarm_at_busy_s, float("inf"))  # once
 
     def test_a_loop_that_waits_is_not_busy(self) -> None:
         selector = MeteredSelector()
         with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
-            before = selector.busy()
+            before = selector.busy_s()
             runner.run(asyncio.sleep(0.2))
-            self.assertLess(selector.busy() - before, 0.2)
+            self.assertLess(selector.busy_s() - before, 0.2)
 
 
 class Small(unittest.TestCase):
@@ -442,21 +444,21 @@
         self.assertEqual(Backend("a", ("", 0), ("", 0), PROTOCOLS["envoy-http"]).judge.share, 100)
 
     def test_lines_are_bounded_in_rate_and_kinds(self) -> None:
-        limiter = Limiter(1.0, 2.0)
+        limiter = RateLimiter(1.0, 2.0)
         self.assertEqual([limiter.admit("e", 0.0) for _ in range(4)], [0, 0, None, None])
         self.assertEqual(limiter.admit("e", 5.0), 2)
-        for number in range(KINDS * 2):
+        for number in range(MAX_EVENT_NAMES * 2):
             limiter.admit(str(number), 0.0)
-        self.assertLessEqual(len(limiter.buckets), KINDS)
+        self.assertLessEqual(len(limiter.buckets), MAX_EVENT_NAMES)
 
     def test_structured_lines_and_a_reader_that_does_not_read(self) -> None:
         code = (
-            "import logging, sys, time\nfrom spanwing.log.events import LOG\n"
-            "LOG.open(sys.argv[1], 1000.0, {'name': 'n1'})\nbegun = time.monotonic()\n"
-            "LOG.tell('health', state='short', reasons=['a b', 'c'])\n"
+            "import logging, sys, time\nfrom spanwing.log.events import EVENT_LOG\n"
+            "EVENT_LOG.open(sys.argv[1], 1000.0, {'name': 'n1'})\nbegun = time.monotonic()\n"
+            "EVENT_LOG.log_event('health', state='short', reasons=['a b', 'c'])\n"
             "logging.getLogger('spanwing').warning('plain %s', 'text')\n"
-            "for n in range(int(sys.argv[2])): LOG.tell('flood', n=n, pad='x' * 2000)\n"
-            "assert time.monotonic() - begun < 20\nLOG.close()\n"
+            "for n in range(int(sys.argv[2])): EVENT_LOG.log_event('flood', n=n, pad='x' * 2000)\n"
+            "assert time.monotonic() - begun < 20\nEVENT_LOG.close()\n"
         )
 
         def run(form: str, flood: str) -> subprocess.Popen:
--- a/tests/test_decider_digests.py
+++ b/tests/test_decider_digests.py
@@ -28,22 +28,22 @@
 from measure import policymodel
 from measure.fleet import simulated
 from spanwing import interface as api
-from spanwing.experiment.cell import changed
-from spanwing.faults import Faults
-from spanwing.health.machine import Health
-from spanwing.health.policy import Policy
-from spanwing.health.signals import ClassLoad, Cpu, Signals, Use, Workers
+from spanwing.experiment.cell import apply_changes
+from spanwing.faults import ErrorCollector
+from spanwing.health.machine import HealthStateMachine
+from spanwing.health.policy import HealthSettings
+from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
 from spanwing.store.document import Document
-from spanwing.store.keeper import Session
-from spanwing.world.fleet import Fleet
-from spanwing.world.scenario import parse
-from spanwing.world.troubles import Troubles
-from spanwing.world.zoned import ZonedFleet
+from spanwing.store.keeper import SchedulerSession
+from spanwing.world.fleet import FleetSimulation
+from spanwing.world.scenario import parse_scenario
+from spanwing.world.troubles import FaultInjector
+from spanwing.world.zoned import LeaderFleet
 from spanwing.zones import state as zones
-from spanwing.zones.evidence import Witness, Words
-from spanwing.zones.gate import Gate, Rules
-from spanwing.zones.steward import Bounds, Listed, Steward
-from spanwing.zones.verdict import Observer, judge
+from spanwing.zones.evidence import EvidenceCollector, ZoneEvidence
+from spanwing.zones.gate import RoutingFilter, RoutingRules
+from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
+from spanwing.zones.verdict import Observer, judge_zone
 
 
 def plain(value: object) -> object:
@@ -73,26 +73,29 @@
 def evidence(seed: int) -> list:
     """One scheduler's witness under drawn jobs and probes."""
     rng, found, now = Random(f"evidence {seed}"), [], 0.0
-    witness, zone_of = Witness(rng.choice(["", "a"])), {n: "abc"[n % 3] for n in range(1, 3000, 241)}
+    witness, zone_of = (
+        EvidenceCollector(rng.choice(["", "a"])),
+        {n: "abc"[n % 3] for n in range(1, 3000, 241)},
+    )
     open_jobs: list[tuple] = []
     results = ("ok", "ok", "ok", "full", "error", "reset", "unreachable", "timeout", "cancelled", "rejected")
     for number in range(600):
         now += rng.expovariate(1 / rng.choice([5.0, 60.0, 400.0]))
         roll, worker = rng.random(), rng.choice(list(zone_of))
         if roll < 0.4:
-            witness.sent(now, worker, zone_of[worker], (f"j{number}", 0))
+            witness.attempt_sent(now, worker, zone_of[worker], (f"j{number}", 0))
             open_jobs.append((worker, (f"j{number}", 0)))
         elif roll < 0.55 and open_jobs:
-            witness.answered(now, *rng.choice(open_jobs))
+            witness.attempt_accepted(now, *rng.choice(open_jobs))
         elif roll < 0.75 and open_jobs:
             where, job = open_jobs.pop(rng.randrange(len(open_jobs)))
-            found.append(witness.ended(now, where, job, rng.choice(results)))
+            found.append(witness.attempt_ended(now, where, job, rng.choice(results)))
         elif roll < 0.9:
             result = rng.choice(["ok", "ok", "unreachable"])
-            found.append(witness.probed(now, worker, zone_of[worker], result, rng.random() < 0.3))
+            found.append(witness.probe_finished(now, worker, zone_of[worker], result, rng.random() < 0.3))
         else:
             slots = [(zone, rng.uniform(0, 9), rng.uniform(0, 9)) for zone in "abd"]
-            found.append(plain(witness.report(now, slots if rng.random() < 0.5 else ())))
+            found.append(plain(witness.build_report(now, slots if rng.random() < 0.5 else ())))
     return found
 
 
@@ -108,9 +111,9 @@
                 seen = rng.sample(workers, rng.randrange(len(workers) + 1))
                 share = bad if zone == "a" else 0.1
                 down = [each for each in seen if rng.random() < share]
-                words[zone] = Words([each for each in seen if each not in down], down)
+                words[zone] = ZoneEvidence([each for each in seen if each not in down], down)
             observers.append(Observer(rng.choice("abbcc"), words))
-        verdict = judge("a", observers, workers, rng.choice([1, 2, 5, 20]), rng.random() < 0.3)
+        verdict = judge_zone("a", observers, workers, rng.choice([1, 2, 5, 20]), rng.random() < 0.3)
         found.append([*plain(verdict), str(verdict)])
     return found
 
@@ -119,8 +122,8 @@
     """Which workers one scheduler may use while zones leave and return and deals change."""
     rng, found, now = Random(f"gate {seed}"), [], 0.0
     sessions = [f"s{n}" for n in range(6)]
-    gate = Gate(
-        Rules("s1", "a", 8000.0, 3000.0, rng.choice([1, 3]), rng.random() < 0.15),
+    gate = RoutingFilter(
+        RoutingRules("s1", "a", 8000.0, 3000.0, rng.choice([1, 3]), rng.random() < 0.15),
         lambda worker: worker % 3 == 1,
     )
     deal, number = None, 1
@@ -138,12 +141,14 @@
                 )
                 for n in range(1, 1 + count)
             )
-            gate.listed(api.WorkerList(rng.choice(["complete", "partial", "error"]), workers), now, clock)
+            gate.update_workers(
+                api.WorkerList(rng.choice(["complete", "partial", "error"]), workers), now, clock
+            )
         if rng.random() < 0.3:
             before = deal.sessions if deal is not None and rng.random() < 0.7 else []
-            deal = zones.Deal(number, rng.sample(sessions, 4), before, rng.random() < 0.6)
+            deal = zones.FeederAssignment(number, rng.sample(sessions, 4), before, rng.random() < 0.6)
         states = {
-            zone: zones.Zone(
+            zone: zones.ZoneState(
                 rng.choice(["open", "leaving", "left", "returning"]),
                 rng.randrange(1, 5),
                 rng.choice([0.0, 0.5]),
@@ -152,13 +157,18 @@
             )
             for zone in "ab"
         }
-        gate.follow(zones.Fleet(states, {"a": number, "b": number}, deal, number, []), now, clock)
+        gate.update_zones(zones.FleetZones(states, {"a": number, "b": number}, deal, number, []), now, clock)
         lease = rng.random() < 0.7
         found.append(
-            [[gate.may(n, now + wait, lease, clock + wait) for wait in (0.0, 6000.0)] for n in range(1, 9)]
+            [
+                [gate.may_forward(n, now + wait, lease, clock + wait) for wait in (0.0, 6000.0)]
+                for n in range(1, 9)
+            ]
+        )
+        found.append(
+            plain(gate.filter_workers(gate.workers.values(), now, lease, lambda worker: worker % 2 == 0))
         )
-        found.append(plain(gate.screened(gate.workers.values(), now, lease, lambda worker: worker % 2 == 0)))
-        found += [gate.next_change(now), gate.zones()]
+        found += [gate.next_change_ms(now), gate.workers_by_zone()]
     return plain(found)
 
 
@@ -168,13 +178,13 @@
     def __init__(self, rng: Random, sessions: list) -> None:
         self.rng, self.sessions = rng, {each.id: each for each in sessions}
 
-    def in_contact(self, now: float) -> list:
+    def active_sessions(self, now: float) -> list:
         return list(self.sessions.values())
 
-    def lapsed(self, session: str, now: float) -> bool:
+    def has_lease_expired(self, session: str, now: float) -> bool:
         return self.rng.random() < 0.8
 
-    def acknowledged(self, number: int, sessions: list, now: float) -> bool:
+    def is_acknowledged_by(self, number: int, sessions: list, now: float) -> bool:
         return self.rng.random() < 0.6
 
 
@@ -182,10 +192,10 @@
     """The changes that a keeper makes of drawn evidence and of orders, and the orders that it refuses."""
     rng, found, now, document, draws = Random(f"steward {seed}"), [], 10_000.0, Document(), []
     listed = {
-        zone: [Listed(10 * place + n, 0.0, False) for n in range(rng.choice([1, 3, 6]))]
+        zone: [ListedWorker(10 * place + n, 0.0, False) for n in range(rng.choice([1, 3, 6]))]
         for place, zone in enumerate("abc")
     }
-    bounds = Bounds(
+    bounds = ZoneLimits(
         5500.0,
         rng.choice([0.0, 4000.0]),
         6,
@@ -193,8 +203,10 @@
         rng.random() < 0.7,
         rng.random() < 0.2,
     )
-    mind = Steward(bounds, lambda: listed, lambda: now, "me", lambda: draws.append(0) or f"t{len(draws)}")
-    sessions = [Session(f"s{n}.0", "abc"[n % 3], n, now, 0) for n in range(6)]
+    mind = ZoneController(
+        bounds, lambda: listed, lambda: now, "me", lambda: draws.append(0) or f"t{len(draws)}"
+    )
+    sessions = [SchedulerSession(f"s{n}.0", "abc"[n % 3], n, now, 0) for n in range(6)]
     keeper = Contact(rng, sessions)
     bad = dict.fromkeys("abc", 0.0)
     for number in range(150):
@@ -203,7 +215,7 @@
             bad[rng.choice("abc")] = rng.choice([0.0, 0.0, 0.6, 1.0])
             zone = rng.choice("abc")
             listed[zone] = [
-                each._replace(started=rng.choice([0.0, now]), cold=rng.random() < 0.1)
+                each._replace(started_at_ms=rng.choice([0.0, now]), is_warming_up=rng.random() < 0.1)
                 for each in listed[zone]
             ]
         for each in sessions if rng.random() < 0.8 else ():
@@ -216,7 +228,7 @@
                     rng.uniform(0, 9),
                     rng.uniform(0, 9),
                 ]
-            mind.heard(now, each, msgspec.Raw(msgspec.json.encode([words])))
+            mind.record_evidence(now, each, msgspec.Raw(msgspec.json.encode([words])))
         if rng.random() < 0.1:
             order = {
                 "do": rng.choice(["leave", "return", "hold", "release", "dance"]),
@@ -224,13 +236,13 @@
                 "over_s": rng.choice([0.0, 0.0, 3.0]),
             }
             try:
-                txn, said = mind.order(now, msgspec.Raw(msgspec.json.encode(order)), document, keeper)
+                txn, said = mind.handle_order(now, msgspec.Raw(msgspec.json.encode(order)), document, keeper)
             except ValueError as error:
                 txn, said = None, str(error)
             found.append(said)
         else:
-            txn = mind.decide(now, document, keeper)
-        found += [list(mind.wonders(now, keeper)), plain(txn)]
+            txn = mind.decide_next_change(now, document, keeper)
+        found += [list(mind.zones_to_probe(now, keeper)), plain(txn)]
         document = document if txn is None else document.apply(txn) or document
     return plain(found)
 
@@ -248,20 +260,25 @@
         found.append([*step, world.document.revision, [[key, entries[key].value] for key in sorted(entries)]])
         found.append(
             [
-                plain(each.hand.may(world.now + wait))
+                plain(each.hand.decide_admission(world.now + wait))
                 for each in world.schedulers
                 for wait in (0.0, 249.0, 250.0)
             ]
         )
         keeper = world.members[world.keeps()]
-        found.append(sorted(keeper.chair.waits_for(world.now, keeper.document, keeper).items()))
+        found.append(sorted(keeper.chair.blocking_schedulers(world.now, keeper.document, keeper).items()))
     return found
 
 
 def health(seed: int) -> list:
     """What balancers are told under drawn samples and orders."""
     rng, found, now = Random(f"health {seed}"), [], 100.0
-    health, answered, refused, signals = Health(Policy(), now), 0, 0, Signals(heard=False)
+    health, answered, refused, signals = (
+        HealthStateMachine(HealthSettings(), now),
+        0,
+        0,
+        HealthSignals(endpoints_known=False),
+    )
     for number in range(600):
         now += rng.choice([0.05, 0.05, 0.05, 0.5, 3.0])
         if number % 12 == 0:
@@ -279,16 +296,18 @@
                 for name, kind in (("look", None), ("push", "big"), ("bill", "old"))
             )
             workers = tuple(
-                Workers(zone, kind, 4, rng.choice([0, 2, 4, 4])) for zone in "ab" for kind in ("big", "old")
+                WorkerCounts(zone, kind, 4, rng.choice([0, 2, 4, 4]))
+                for zone in "ab"
+                for kind in ("big", "old")
             )
-            signals = Signals(
-                Cpu(),
+            signals = HealthSignals(
+                CpuUsage(),
                 classes,
                 workers if rng.random() < 0.95 else (),
                 "a",
                 0,
                 0,
-                *(Use(rng.choice([1, 50, 85, 100]), 100) for _ in range(3)),
+                *(ResourceUsage(rng.choice([1, 50, 85, 100]), 100) for _ in range(3)),
                 rng.choice([None, True, False]),
                 rng.choice([None, 1.0, 60.0]),
                 rng.random() < 0.97,
@@ -297,7 +316,7 @@
         demand = min(1.0, rng.uniform(0.5, 1.3) * pressed)
         answered, refused = answered + rng.randrange(9), refused + rng.randrange(3)
         sample = [
-            Cpu(
+            CpuUsage(
                 demand / 2,
                 demand,
                 rng.choice([0.0, demand * rng.random()]),
@@ -309,7 +328,7 @@
             refused,
             *list(signals)[6:],
         ]
-        found.append(plain(health.observe(now, Signals(*sample))))
+        found.append(plain(health.observe(now, HealthSignals(*sample))))
         roll, source = rng.random(), rng.choice(["signal", "command", "store"])
         if roll < 0.01 and (source != "signal" or number > 500):
             found.append(plain(health.drain(source, now, rng.choice([5.0, 30.0]))))
@@ -317,33 +336,33 @@
             found.append(plain(health.undrain(source, now)))
         elif roll < 0.06:
             found.append(plain(health.set_weight(rng.choice([0, 40.0, 100.0, 100.0]), now)))
-        found.append([health.drains.phase(at) for at in (now, health.drains.closes)])
-        found.append([health.drains.end, health.drains.closes])
+        found.append([health.drain_orders.phase(at) for at in (now, health.drain_orders.notice_ends_at_s)])
+        found.append([health.drain_orders.earliest_deadline_s, health.drain_orders.notice_ends_at_s])
     return found
 
 
 def scenario(name: str, seed: int, seconds: float, changes: str = "{}") -> list:
     """The first seconds of a scenario's day: every answer, and where all requests were at the end."""
     text = (resources.files("spanwing.world") / "scenarios" / f"{name}.toml").read_bytes()
-    day, answers = changed(parse(text, Faults()), json.loads(changes)), []
-    plan = day.plan(seed)
+    day, answers = apply_changes(parse_scenario(text, ErrorCollector()), json.loads(changes)), []
+    plan = day.build_plan(seed)
 
     def told(answered: object) -> None:
         answers.append(plain(answered))
 
-    if day.together:
+    if day.has_zone_leader:
         regions = {region: tuple(each) for region, each in day.regions.items()}
-        fleet = ZonedFleet(plan, seed, told, regions=regions)
+        fleet = LeaderFleet(plan, seed, told, regions=regions)
     else:
-        fleet = Fleet(plan, seed, told)
-    Troubles(fleet, tuple(day.troubles), day.day_ms)
+        fleet = FleetSimulation(plan, seed, told)
+    FaultInjector(fleet, tuple(day.faults), day.day_ms)
     fleet.run(seconds * 1000.0)
     return [
         answers,
-        sorted(fleet.account.counts.items()),
-        fleet.account.made,
-        fleet.account.work_asked,
-        fleet.agenda.made,
+        sorted(fleet.accounting.count_by_stage.items()),
+        fleet.accounting.request_count,
+        fleet.accounting.requested_work,
+        fleet.event_queue.executed_count,
     ]
 
 
--- a/tests/test_decision_digests.py
+++ b/tests/test_decision_digests.py
@@ -25,8 +25,8 @@
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.settings import Options, settings_of
-from spanwing.zones.strand import Stranded
+from spanwing.settings import PlatformSettings, scheduler_settings
+from spanwing.zones.strand import ZoneUnreachable
 
 EVENTS = {
     "list": api.WorkerList,
@@ -39,7 +39,7 @@
     "streamed": api.StreamStarted,
     "timer": api.TimerDue,
     "peer": api.PeerMessage,
-    "stranded": Stranded,
+    "stranded": ZoneUnreachable,
 }
 WORDS = {
     api.Send: "send",
@@ -62,7 +62,7 @@
     """The module under test: options and events in plain words, actions as tuples of a word and values."""
 
     def __init__(self, options: dict, seed: int, now: float) -> None:
-        self.module = Dispatcher(settings_of(msgspec.convert(options, Options)), seed, now)
+        self.module = Dispatcher(scheduler_settings(msgspec.convert(options, PlatformSettings)), seed, now)
 
     def take(self, now: float, word: str, values: tuple) -> list[tuple]:
         return [(WORDS[type(each)], *each) for each in self.module.handle(now, EVENTS[word](*values))]
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,12 +19,12 @@
 from standins import FaktorySpeaker, read_http
 from tornado.concurrent import Future
 
-from spanwing.core.messages import Delivery, Ended, Envelope
+from spanwing.core.messages import AttemptEnded, DeliveryAttempt, JobRequest
 from spanwing.hops import nexthop
-from spanwing.hops.faktoryworker import FaktoryNextHop, Fetch
-from spanwing.hops.load import LoadReader
-from spanwing.hops.nexthop import HttpNextHop
-from spanwing.hops.pool import MOST, ConnectionPool, Descriptors, PooledHttp
+from spanwing.hops.faktoryworker import FaktoryWorker, FetchRequested
+from spanwing.hops.load import LoadReportReader
+from spanwing.hops.nexthop import HttpWorker
+from spanwing.hops.pool import MAX_CONNECTIONS, ConnectionPool, DescriptorBudget, PooledConnection
 from spanwing.wire.address import Address
 from spanwing.wire.buffers import BufferPool
 
@@ -393,18 +393,20 @@
 
     async def asyncSetUp(self) -> None:
         self.worker, self.ended = Hears(self), asyncio.Queue()
-        pool = ConnectionPool(Address("127.0.0.1", self.worker.port), BufferPool(), Descriptors(99), 9e3, 9e3)
-        self.hop = HttpNextHop("w1", pool, LoadReader(()), lambda hop: None)
+        pool = ConnectionPool(
+            Address("127.0.0.1", self.worker.port), BufferPool(), DescriptorBudget(99), 9e3, 9e3
+        )
+        self.hop = HttpWorker("w1", pool, LoadReportReader(()), lambda hop: None)
         self.pool, self.may = pool, True
 
     def post(self, message: object) -> None:
-        if isinstance(message, Ended):
-            self.ended.put_nowait((message.result, message.unsent))
+        if isinstance(message, AttemptEnded):
+            self.ended.put_nowait((message.result, message.is_unsent))
 
     async def deliver(self, repeatable: bool) -> None:
-        envelope = Envelope("job-1", "look", 9e3)
-        self.hop.deliver(Delivery(envelope, 0, 9e5, repeatable, may=lambda: self.may), self)
-        while "job-1" not in self.hop.jobs:
+        envelope = JobRequest("job-1", "look", 9e3)
+        self.hop.deliver(DeliveryAttempt(envelope, 0, 9e5, repeatable, may_send=lambda: self.may), self)
+        while "job-1" not in self.hop.attempts:
             await asyncio.sleep(0)
 
 
@@ -415,12 +417,12 @@
         await self.deliver(True)
         connection = await asyncio.to_thread(self.worker.accept)
         self.assertEqual((await asyncio.to_thread(connection.read))[1]["x-call-id"], "job-1")
-        while not self.hop.jobs["job-1"].last:
+        while not self.hop.attempts["job-1"].is_last_byte_written:
             await asyncio.sleep(0)
         return connection
 
     async def given_up(self) -> None:
-        while self.hop.jobs["job-1"].given_up is None:
+        while self.hop.attempts["job-1"].cancel_result is None:
             await asyncio.sleep(0)
 
     async def is_told(self, result: str, says: bytes = b"HTTP/1.1 204 X\r\n\r\n") -> None:
@@ -439,13 +441,13 @@
 
     async def test_a_202_that_was_on_its_way_is_read_and_its_job_called_off(self) -> None:
         worker = await self.sent()
-        self.hop.give_up("job-1", 0, "cancelled")
+        self.hop.cancel("job-1", 0, "cancelled")
         await self.given_up()
         worker.say(202)  # before the loop's next turn
         await self.is_told("cancelled")
 
     async def test_so_is_one_that_came_as_the_wait_for_it_ended(self) -> None:
-        with mock.patch.object(nexthop, "TAKEN_S", 0.0):
+        with mock.patch.object(nexthop, "ACCEPT_TIMEOUT_S", 0.0):
             worker = await self.sent()
             await self.given_up()
             worker.say(202)
@@ -459,12 +461,12 @@
     async def test_or_does_not_come_to_an_end(self) -> None:
         worker = await self.sent()
         worker.socket.sendall(b"HTTP/1.1 202 Accepted\r\nX-Load-Report: ")
-        self.hop.give_up("job-1", 0, "cancelled")
+        self.hop.cancel("job-1", 0, "cancelled")
         await self.is_told("cancelled")
 
     async def test_another_answer_on_its_way_counts(self) -> None:
         worker = await self.sent()
-        self.hop.give_up("job-1", 0, "cancelled")
+        self.hop.cancel("job-1", 0, "cancelled")
         await self.given_up()
         worker.say(503, X_Rejected="1")
         self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("full", False))
@@ -478,11 +480,11 @@
 
     async def test_one_that_says_nothing_is_told_by_the_end_of_the_connection(self) -> None:
         worker = await self.sent()
-        self.hop.give_up("job-1", 0, "cancelled")
+        self.hop.cancel("job-1", 0, "cancelled")
         self.assertEqual(await asyncio.to_thread(worker.rest), b"")
         self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("cancelled", False))
         self.assertTrue(self.worker.none_waits())
-        self.assertEqual(self.pool.descriptors.held, 0)
+        self.assertEqual(self.pool.descriptors.open_count, 0)
 
 
 class Busy(Hop):
@@ -490,15 +492,15 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        for _ in range(MOST):
-            await self.pool.room.acquire()
+        for _ in range(MAX_CONNECTIONS):
+            await self.pool.connection_slots.acquire()
 
     async def goes_nowhere(self) -> None:
         self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
-        self.pool.room.release()  # a place is free; nothing takes it
-        await self.pool.room.acquire()
+        self.pool.connection_slots.release()  # a place is free; nothing takes it
+        await self.pool.connection_slots.acquire()
         self.assertTrue(self.worker.none_waits())
-        self.assertEqual(self.pool.descriptors.held, 0)
+        self.assertEqual(self.pool.descriptors.open_count, 0)
 
     async def test_what_is_withdrawn_while_it_waits_for_a_place_takes_none(self) -> None:
         for repeatable in (True, False):
@@ -511,10 +513,10 @@
             self.may = True
             await self.deliver(repeatable)
             self.may = False
-            self.pool.room.release()
+            self.pool.connection_slots.release()
             self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
             self.assertTrue(self.worker.none_waits())
-            await self.pool.room.acquire()
+            await self.pool.connection_slots.acquire()
 
 
 def fill(sock: socket.socket) -> int:
@@ -532,19 +534,19 @@
     async def stuck(self, repeatable: bool) -> Speaks:
         """All is written but what is written last, which finds no room; what the test put before it is read
         with it."""
-        fresh = PooledHttp.fresh
+        fresh = PooledConnection.is_reusable
 
-        def fill_before_last_write(connection: PooledHttp) -> bool:
+        def fill_before_last_write(connection: PooledConnection) -> bool:
             while fill(connection.stream.socket):
                 time.sleep(SETTLES_S)  # what the job worker's kernel takes in late makes room again
             return fresh(connection)
 
-        with mock.patch.object(PooledHttp, "fresh", fill_before_last_write):
+        with mock.patch.object(PooledConnection, "is_reusable", fill_before_last_write):
             await self.deliver(repeatable)
             worker = await asyncio.to_thread(self.worker.accept)
-            while not self.hop.jobs["job-1"].last:
+            while not self.hop.attempts["job-1"].is_last_byte_written:
                 await asyncio.sleep(0)
-        self.assertTrue(self.hop.jobs["job-1"].connection.stream.writing())
+        self.assertTrue(self.hop.attempts["job-1"].connection.stream.writing())
         return worker
 
     async def test_what_may_not_be_sent_once_there_is_room_is_not(self) -> None:
@@ -557,7 +559,7 @@
                 said = await asyncio.to_thread(worker.rest)
                 self.assertEqual(said[-1:], FILLING[-1:])
                 self.assertEqual(await asyncio.wait_for(self.ended.get(), PATIENCE_S), ("moot", True))
-                self.assertEqual(self.pool.descriptors.held, 0)
+                self.assertEqual(self.pool.descriptors.open_count, 0)
 
     async def test_what_may_be_sent_is_sent_once_there_is_room(self) -> None:
         worker = await self.stuck(False)
@@ -569,20 +571,20 @@
 
 class Fetches(unittest.IsolatedAsyncioTestCase):
     async def test_what_may_not_be_sent_any_more_leaves_its_fetch_to_the_next(self) -> None:
-        told: asyncio.Queue[Ended] = asyncio.Queue()
+        told: asyncio.Queue[AttemptEnded] = asyncio.Queue()
 
         class Listens:
             def post(self, message: object) -> None:
-                if isinstance(message, Ended):
+                if isinstance(message, AttemptEnded):
                     told.put_nowait(message)
 
-        hop, reply = FaktoryNextHop("w1", "here"), Future()
+        hop, reply = FaktoryWorker("w1", "here"), Future()
         for job, may in (("job-1", False), ("job-2", True)):
-            delivery = Delivery(Envelope(job, "look", 9e3), 0, 9e3, may=lambda may=may: may)
+            delivery = DeliveryAttempt(JobRequest(job, "look", 9e3), 0, 9e3, may_send=lambda may=may: may)
             hop.deliver(delivery, Listens())
-        hop.post(Fetch(("look",), reply))
+        hop.post(FetchRequested(("look",), reply))
         ended = await asyncio.wait_for(told.get(), PATIENCE_S)
-        self.assertEqual((ended.request, ended.result, ended.unsent), ("job-1", "moot", True))
+        self.assertEqual((ended.request, ended.result, ended.is_unsent), ("job-1", "moot", True))
         self.assertIn(b"job-2", (await asyncio.wait_for(reply, PATIENCE_S))[0])
 
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -15,12 +15,12 @@
 import numpy as np
 from player import PATIENCE_S, ROOT
 
-from spanwing.experiment.cell import changed
-from spanwing.experiment.compare import difference, differences
-from spanwing.experiment.matrix import build, cells, read_plan, run, source_digest
-from spanwing.experiment.report import page, parquet
-from spanwing.faults import ConfigError, Faults
-from spanwing.world.scenario import load
+from spanwing.experiment.cell import apply_changes
+from spanwing.experiment.compare import compare_columns, compare_paired
+from spanwing.experiment.matrix import list_cells, prepare_build, read_plan, run_experiment, source_digest
+from spanwing.experiment.report import render_page, write_parquet
+from spanwing.faults import ConfigurationError, ErrorCollector
+from spanwing.world.scenario import load_scenario
 
 PLAN = """name = "small"
 scenarios = ["calm-day", "retry-storm"]
@@ -53,7 +53,7 @@
         self.plan.write_text(PLAN)
 
     def test_a_killed_run_goes_on_and_gives_the_same_table(self) -> None:
-        whole = run(read_plan(self.plan), self.folder / "whole", 4, lambda there, of: None)
+        whole = run_experiment(read_plan(self.plan), self.folder / "whole", 4, lambda there, of: None)
         self.assertEqual(len(whole), 8)
         broken = self.folder / "broken"
         process = subprocess.Popen(
@@ -83,20 +83,20 @@
         self.assertTrue(2 <= len(there) < 8, there)
         before = {name: (broken / "cells" / name).stat().st_mtime_ns for name in there}
         told: list[tuple[int, int]] = []
-        again = run(read_plan(self.plan), broken, 4, lambda done, of: told.append((done, of)))
+        again = run_experiment(read_plan(self.plan), broken, 4, lambda done, of: told.append((done, of)))
         self.assertEqual((told[0], told[-1]), ((len(there), 8), (8, 8)))
         self.assertEqual(figures(again), figures(whole))
         self.assertEqual({name: (broken / "cells" / name).stat().st_mtime_ns for name in there}, before)
-        self.assertIn("<svg", page("small", again))
-        parquet(again, self.folder / "rows.parquet")
+        self.assertIn("<svg", render_page("small", again))
+        write_parquet(again, self.folder / "rows.parquet")
         import pyarrow.parquet as pq
 
         self.assertEqual(pq.read_table(self.folder / "rows.parquet").num_rows, 8)
 
     def test_builds_do_not_mix(self) -> None:
-        wanted = list(cells(read_plan(self.plan), self.folder))
+        wanted = list(list_cells(read_plan(self.plan), self.folder))
         self.assertEqual(len({each.digest for each in wanted}), 8)
-        here = build("here", self.folder)
+        here = prepare_build("here", self.folder)
         copy = self.folder / "copy"
         for name in ("spanwing", "spanwing/world", "spanwing/experiment"):
             (copy / name).mkdir(parents=True)
@@ -119,34 +119,34 @@
             ("seeds = 2", 'builds = ["-"]', "builds"),
         ):
             self.plan.write_text(PLAN.replace(old, new))
-            with self.assertRaisesRegex(ConfigError, word) as caught:
-                list(cells(read_plan(self.plan), self.folder))
+            with self.assertRaisesRegex(ConfigurationError, word) as caught:
+                list(list_cells(read_plan(self.plan), self.folder))
             self.assertNotIn("\n", str(caught.exception))
 
     def test_changes_reach_their_place(self) -> None:
-        day = load("calm-day", Faults())
-        made = changed(day, {"workers[1].speed": 0.5, "retries.most": 4, "seconds": 10})
-        self.assertEqual((made.workers[1].speed, made.retries.most, made.seconds), (0.5, 4, 10))
+        day = load_scenario("calm-day", ErrorCollector())
+        made = apply_changes(day, {"workers[1].speed": 0.5, "retries.most": 4, "seconds": 10})
+        self.assertEqual((made.workers[1].speed, made.retries.max_retries, made.seconds), (0.5, 4, 10))
         self.assertEqual((made.workers[0], made.classes), (day.workers[0], day.classes))
 
 
 class Comparisons(unittest.TestCase):
     def test_the_same_twice_is_no_difference(self) -> None:
         values = np.random.default_rng(1).normal(size=30)
-        self.assertEqual(difference("x", values, values).verdict, "no difference seen")
-        self.assertEqual(difference("x", values[:4], values[:4] + 1).verdict, "too few pairs")
+        self.assertEqual(compare_paired("x", values, values).verdict, "no difference seen")
+        self.assertEqual(compare_paired("x", values[:4], values[:4] + 1).verdict, "too few pairs")
 
     def test_a_difference_is_seen_in_pairs_that_noise_would_hide(self) -> None:
         source = np.random.default_rng(2)
         seeds = source.normal(scale=5.0, size=20)
-        found = difference("x", seeds, seeds - 0.3 + source.normal(scale=0.1, size=20))
+        found = compare_paired("x", seeds, seeds - 0.3 + source.normal(scale=0.1, size=20))
         self.assertEqual(found.verdict, "lower")
-        self.assertTrue(found.low < -0.3 < found.high)
+        self.assertTrue(found.interval_low < -0.3 < found.interval_high)
 
     def test_no_difference_is_wrongly_seen_about_as_often_as_stated(self) -> None:
         source, wrong = np.random.default_rng(3), 0
         for _ in range(200):
-            seen = difference("x", source.normal(size=20), source.normal(size=20)).verdict
+            seen = compare_paired("x", source.normal(size=20), source.normal(size=20)).verdict
             wrong += seen != "no difference seen"
         self.assertTrue(2 <= wrong <= 28, wrong)  # 5% of 200, and what small samples add
 
@@ -156,8 +156,8 @@
             for variant, seeds in (("a", range(6)), ("b", range(2, 9)))
             for seed in seeds
         ]
-        found = differences(rows, {"variant": "a"}, {"variant": "b"}, ["x"])[0]
-        self.assertEqual((found.pairs, found.mean, json.dumps(found.a)), (4, 0.0, "3.5"))
+        found = compare_columns(rows, {"variant": "a"}, {"variant": "b"}, ["x"])[0]
+        self.assertEqual((found.pair_count, found.mean_difference, json.dumps(found.mean_a)), (4, 0.0, "3.5"))
 
 
 if __name__ == "__main__":
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,8 +15,8 @@
 from measure.fleet import check
 from measure.fleet.ground import Ground
 from spanwing.cli.main import main as command
-from spanwing.hops.transportmap import number_of
-from spanwing.zones.evidence import short
+from spanwing.hops.transportmap import worker_id_of
+from spanwing.zones.evidence import short_worker_id
 
 OUT = {"leaving", "left"}
 AWAY = {"leaving", "left", "returning"}
@@ -580,8 +580,8 @@
             renew(payload=payload)  # the lease is granted, the evidence is not taken
         refused = ground.zones_of("s1")["refused"] + ground.zones_of("s0")["refused"]
         # Observers that the settings do not know tell of a zone that is lost: nobody listens.
-        bad = [short(number_of(name)) for name in ground.of_zone("a")]
-        good = [short(number_of(name)) for zone in "bc" for name in ground.of_zone(zone)]
+        bad = [short_worker_id(worker_id_of(name)) for name in ground.of_zone("a")]
+        good = [short_worker_id(worker_id_of(name)) for zone in "bc" for name in ground.of_zone(zone)]
         for number in range(30):
             renew(
                 session=f"x{number % 6}.1",
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -16,9 +16,9 @@
 
 from measure.daemons import ROOT
 from measure.fleet.ground import Ground
-from spanwing.core.messages import Envelope, Take
-from spanwing.policy.hand import HOLD_MS, May
-from spanwing.policy.side import PolicySide
+from spanwing.core.messages import JobRequest, RequestSubmitted
+from spanwing.policy.hand import MAX_ADMISSION_WAIT_MS, AdmissionDecision
+from spanwing.policy.side import PolicyService
 from spanwing.store.lease import clock_ms
 
 
@@ -236,14 +236,21 @@
 
 class Held(unittest.TestCase):
     def test_a_job_that_waited_has_that_much_less_time(self) -> None:
-        side, posted = object.__new__(PolicySide), []
-        side.core = SimpleNamespace(post=posted.append)
-        side.hand = SimpleNamespace(may=lambda now: May("take", 2))
-        waited, side.passing = 100.0, []
-        side.held = deque([(clock_ms() + HOLD_MS - waited, Take(Envelope("j", "look", 900.0), None))])
-        side._release()
-        self.assertAlmostEqual(posted[0].envelope.budget, 900.0 - waited, delta=50.0)
-        self.assertLessEqual(posted[0].envelope.budget, 900.0 - waited)
+        side, posted = object.__new__(PolicyService), []
+        side.request_manager = SimpleNamespace(post=posted.append)
+        side.participant = SimpleNamespace(decide_admission=lambda now: AdmissionDecision("take", 2))
+        waited, side.resubmitted_requests = 100.0, []
+        side.queued_requests = deque(
+            [
+                (
+                    clock_ms() + MAX_ADMISSION_WAIT_MS - waited,
+                    RequestSubmitted(JobRequest("j", "look", 900.0), None),
+                )
+            ]
+        )
+        side._release_queued()
+        self.assertAlmostEqual(posted[0].request.budget, 900.0 - waited, delta=50.0)
+        self.assertLessEqual(posted[0].request.budget, 900.0 - waited)
 
 
 class Off(unittest.TestCase):
--- a/tests/test_golden_log.py
+++ b/tests/test_golden_log.py
@@ -7,19 +7,19 @@
 from goldenfiles import compare_text
 from player import ROOT
 
-OF_THE_LOG = {"level", "bounded"}  # how it is told, not what
+OF_THE_LOG = {"level", "rate_limited"}  # how it is told, not what
 
 
 def told_in(tree: ast.AST) -> list[str]:
-    """`event key key ...` of each call of the log's tell(), as written in the code."""
+    """`event key key ...` of each call of log_event(), as written in the code."""
     found: list[str] = []
     imported = {
         each.name for node in ast.walk(tree) if isinstance(node, ast.ImportFrom) for each in node.names
     }
-    if "tell" not in imported:  # another function of this name
+    if "log_event" not in imported:  # another function of this name
         return found
     for node in ast.walk(tree):
-        if isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and node.func.id == "tell":
+        if isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and node.func.id == "log_event":
             event = node.args[0].value if node.args and isinstance(node.args[0], ast.Constant) else "?"
             keys = sorted(each.arg or "**" for each in node.keywords if each.arg not in OF_THE_LOG)
             found.append(" ".join([str(event), *keys]))
@@ -34,7 +34,7 @@
             isinstance(node, ast.Call)
             and isinstance(node.func, ast.Attribute)
             and isinstance(node.func.value, ast.Name)
-            and node.func.value.id == "log"
+            and node.func.value.id in ("log", "logger")
             and node.func.attr in ("debug", "info", "warning", "error", "exception", "critical")
         ):
             text = node.args[0].value if node.args and isinstance(node.args[0], ast.Constant) else "?"
--- a/tests/test_golden_settings.py
+++ b/tests/test_golden_settings.py
@@ -17,10 +17,10 @@
 from goldenfiles import GOLDEN, compare_text
 
 from spanwing.cli.main import main
-from spanwing.config import Platform, load
-from spanwing.faults import ConfigError
-from spanwing.frontsfile import Fronts
-from spanwing.settings import Options
+from spanwing.config import PlatformFile, load_configuration
+from spanwing.faults import ConfigurationError
+from spanwing.frontsfile import OperatorFile
+from spanwing.settings import PlatformSettings
 
 PLATFORM = json.loads((GOLDEN / "settings" / "platform.json").read_text())
 FRONTS = tomllib.loads((GOLDEN / "settings" / "fronts.toml").read_text())
@@ -99,8 +99,8 @@
         """The line that ends a start; a name, where the files are taken."""
         both = {"ROUTER_CONFIG": str(self.config), "SPANWING_FRONTS": str(self.fronts)}
         try:
-            return f"taken, as {load({**both, **environment}).name}\n"
-        except ConfigError as error:
+            return f"taken, as {load_configuration({**both, **environment}).name}\n"
+        except ConfigurationError as error:
             return self.plain(f"{error}\n")
 
     def plain(self, text: str) -> str:
@@ -178,7 +178,8 @@
 
 
 @pytest.mark.parametrize(
-    ("form", "whole"), [(Platform, PLATFORM), (Options, PLATFORM["settings"]), (Fronts, FRONTS)]
+    ("form", "whole"),
+    [(PlatformFile, PLATFORM), (PlatformSettings, PLATFORM["settings"]), (OperatorFile, FRONTS)],
 )
 def test_the_two_files_name_every_setting(form: type, whole: dict) -> None:
     known = set(named_in(msgspec.inspect.type_info(form)))
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -17,10 +17,18 @@
 from hypothesis import strategies as st
 from player import PATIENCE_S, Daemon, config, member
 
-from spanwing.fronts.balancers.grpc import CHECK, CONTROLS, HEAD, STREAMS, WATCH, Session, service_of
-from spanwing.health.machine import Verdict
-
-UP = Verdict("ready", 100, (), (("status-read", ""), ("setpoint-push", "no big-box")))
+from spanwing.fronts.balancers.grpc import (
+    CHECK_PATH,
+    MAX_CONTROL_FRAMES,
+    MAX_HEADER_BYTES,
+    MAX_STREAMS,
+    WATCH_PATH,
+    GrpcSession,
+    parse_service,
+)
+from spanwing.health.machine import HealthVerdict
+
+UP = HealthVerdict("ready", 100, (), (("status-read", ""), ("setpoint-push", "no big-box")))
 DRAINING = UP._replace(state="draining", weight=0, reasons=("draining",))
 HEADERS = [
     (":method", "POST"),
@@ -41,7 +49,7 @@
 
     def __init__(self) -> None:
         self.verdict, self.now = UP, 0.0
-        self.session = Session(lambda: self.verdict)
+        self.session = GrpcSession(lambda: self.verdict)
         self.client = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8"))
         self.client.initiate_connection()
         self.seen: list = []
@@ -51,9 +59,9 @@
         fresh = []
         while True:
             out = self.client.data_to_send()
-            if out and not self.session.closed:
+            if out and not self.session.is_closed:
                 self.session.receive(out, self.now)
-            back = self.session.take()
+            back = self.session.pending_output()
             if not out and not back:
                 break
             fresh += self.client.receive_data(back) if back else []
@@ -79,31 +87,31 @@
 class Sessions(unittest.TestCase):
     def test_check_by_service(self) -> None:
         pair = Pair()
-        self.assertEqual(pair.answer(CHECK, ""), ([1], "0"))
-        self.assertEqual(pair.answer(CHECK, "status-read"), ([1], "0"))
-        self.assertEqual(pair.answer(CHECK, "setpoint-push"), ([2], "0"))
-        self.assertEqual(pair.answer(CHECK, "nobody"), ([], "5"))
+        self.assertEqual(pair.answer(CHECK_PATH, ""), ([1], "0"))
+        self.assertEqual(pair.answer(CHECK_PATH, "status-read"), ([1], "0"))
+        self.assertEqual(pair.answer(CHECK_PATH, "setpoint-push"), ([2], "0"))
+        self.assertEqual(pair.answer(CHECK_PATH, "nobody"), ([], "5"))
         self.assertEqual(pair.answer("/grpc.health.v1.Health/List", ""), ([], "12"))
         pair.verdict = DRAINING
-        self.assertEqual(pair.answer(CHECK, "status-read"), ([2], "0"))
+        self.assertEqual(pair.answer(CHECK_PATH, "status-read"), ([2], "0"))
 
     def test_watch_hears_of_changes_alone(self) -> None:
         pair = Pair()
-        self.assertEqual(pair.answer(WATCH, "status-read"), ([1], None))
-        self.assertEqual(pair.answer(WATCH, "nobody"), ([3], None))
+        self.assertEqual(pair.answer(WATCH_PATH, "status-read"), ([1], None))
+        self.assertEqual(pair.answer(WATCH_PATH, "nobody"), ([3], None))
         for verdict, told in ((UP, []), (DRAINING, [2]), (DRAINING, []), (UP, [1])):
             pair.verdict = verdict
-            pair.session.publish()
+            pair.session.publish_verdict()
             self.assertEqual([each.data[-1] for each in pair.pump() if isinstance(each, DataReceived)], told)
 
     def test_a_watch_whose_window_is_shut_is_owed_the_newest_only(self) -> None:
         pair = Pair()
         pair.client.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: 0})
-        stream = pair.ask(WATCH, "")
+        stream = pair.ask(WATCH_PATH, "")
         pair.pump()
         for verdict in (DRAINING, UP, DRAINING):
             pair.verdict = verdict
-            pair.session.publish()
+            pair.session.publish_verdict()
         self.assertEqual([each for each in pair.pump() if isinstance(each, DataReceived)], [])
         pair.client.increment_flow_control_window(100, stream)
         self.assertEqual([each.data[-1] for each in pair.pump() if isinstance(each, DataReceived)], [2])
@@ -118,24 +126,24 @@
         ):
             pair = Pair()
             stream = pair.client.get_next_available_stream_id()
-            pair.client.send_headers(stream, [(":path", CHECK), *HEADERS])
+            pair.client.send_headers(stream, [(":path", CHECK_PATH), *HEADERS])
             pair.client.send_data(stream, data, end_stream=True)
             ends = [dict(each.headers) for each in pair.pump() if isinstance(each, ResponseReceived)]
             self.assertEqual(ends[0]["grpc-status"], status, data)
-            self.assertEqual(pair.answer(CHECK, ""), ([1], "0"))  # the connection goes on
+            self.assertEqual(pair.answer(CHECK_PATH, ""), ([1], "0"))  # the connection goes on
         pair = Pair()
-        pair.ask(CHECK, "", [each for each in HEADERS if each[0] != "content-type"])
+        pair.ask(CHECK_PATH, "", [each for each in HEADERS if each[0] != "content-type"])
         heads = [dict(each.headers) for each in pair.pump() if isinstance(each, ResponseReceived)]
         self.assertEqual([each[":status"] for each in heads], ["415"])
 
     def flooded(self, pair: Pair, code: ErrorCodes) -> None:
         ended = [each for each in pair.seen if isinstance(each, ConnectionTerminated)]
-        self.assertTrue(pair.session.closed)
+        self.assertTrue(pair.session.is_closed)
         self.assertEqual([each.error_code for each in ended], [code])
 
     def test_floods_end_the_connection(self) -> None:
         def reset(pair: Pair) -> None:
-            pair.client.reset_stream(pair.ask(CHECK, ""), ErrorCodes.CANCEL)
+            pair.client.reset_stream(pair.ask(CHECK_PATH, ""), ErrorCodes.CANCEL)
 
         for what in (
             lambda pair: pair.client.ping(bytes(8)),
@@ -144,23 +152,23 @@
         ):
             pair = Pair()
             pair.pump()
-            for _ in range(CONTROLS + 2):
-                if not pair.session.closed:
+            for _ in range(MAX_CONTROL_FRAMES + 2):
+                if not pair.session.is_closed:
                     what(pair)
                     pair.pump()
             self.flooded(pair, ErrorCodes.ENHANCE_YOUR_CALM)
 
     def test_control_frames_at_a_common_pace_are_no_flood(self) -> None:
         pair = Pair()
-        for _ in range(CONTROLS * 3):
+        for _ in range(MAX_CONTROL_FRAMES * 3):
             pair.now += 1.0
             pair.client.ping(bytes(8))
             pair.pump()
-        self.assertEqual(pair.answer(CHECK, ""), ([1], "0"))
+        self.assertEqual(pair.answer(CHECK_PATH, ""), ([1], "0"))
 
     def test_a_peer_that_gives_no_sign_of_life_is_not_kept(self) -> None:
         pair = Pair()
-        pair.answer(WATCH, "")
+        pair.answer(WATCH_PATH, "")
         self.assertTrue(pair.session.keep_alive())
         pair.pump()  # it answers
         self.assertTrue(pair.session.keep_alive())
@@ -169,35 +177,35 @@
     def test_streams_and_heads_are_bounded(self) -> None:
         pair = Pair()
         pair.pump()
-        pair.client.remote_settings.max_concurrent_streams = STREAMS + 10  # as one that heeds no limit
-        for _ in range(STREAMS + 1):
-            pair.ask(WATCH, "")
+        pair.client.remote_settings.max_concurrent_streams = MAX_STREAMS + 10  # as one that heeds no limit
+        for _ in range(MAX_STREAMS + 1):
+            pair.ask(WATCH_PATH, "")
         pair.pump()
-        self.assertTrue(pair.session.closed or len(pair.session.calls) <= STREAMS)
+        self.assertTrue(pair.session.is_closed or len(pair.session.calls) <= MAX_STREAMS)
         pair = Pair()
-        pair.ask(CHECK, "", [*HEADERS, ("x-long", "y" * (HEAD + 1))])
+        pair.ask(CHECK_PATH, "", [*HEADERS, ("x-long", "y" * (MAX_HEADER_BYTES + 1))])
         pair.pump()
-        self.assertTrue(pair.session.closed or any(isinstance(each, StreamReset) for each in pair.seen))
+        self.assertTrue(pair.session.is_closed or any(isinstance(each, StreamReset) for each in pair.seen))
 
     @given(st.lists(st.binary(max_size=40), max_size=8))
     def test_any_bytes_never_raise(self, pieces) -> None:
-        session = Session(lambda: UP)
+        session = GrpcSession(lambda: UP)
         session.receive(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 0.0)
         for piece in pieces:
-            if not session.closed:
+            if not session.is_closed:
                 session.receive(piece, 0.0)
-        session.take()
+        session.pending_output()
 
     @given(st.binary(max_size=40))
     def test_any_message_is_a_name_or_an_error(self, data: bytes) -> None:
         try:
-            self.assertIsInstance(service_of(data), str)
+            self.assertIsInstance(parse_service(data), str)
         except ValueError:
             pass
 
     @given(st.text(max_size=40))
     def test_names_are_read_as_protobuf_writes_them(self, name: str) -> None:
-        self.assertEqual(service_of(health_pb2.HealthCheckRequest(service=name).SerializeToString()), name)
+        self.assertEqual(parse_service(health_pb2.HealthCheckRequest(service=name).SerializeToString()), name)
 
 
 class Published(unittest.TestCase):
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -7,27 +7,27 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from spanwing.health.cpu import CpuMeter, Reading
-from spanwing.health.machine import TAKING, Health
-from spanwing.health.policy import Policy
-from spanwing.health.signals import ClassLoad, Cpu, Signals, Use, Workers
+from spanwing.health.cpu import CpuMeter, CpuReading
+from spanwing.health.machine import ACCEPTING_STATES, HealthStateMachine
+from spanwing.health.policy import HealthSettings
+from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
 
 CLASSES = (ClassLoad("status-read", 150.0), ClassLoad("setpoint-push", 300.0, "big-box"))
-FLEET = (Workers("a", "big-box", 4, 4), Workers("a", "old-box", 4, 4))
-CALM = Signals(Cpu(0.1, 0.1, 0.0, 1.0), CLASSES, FLEET, "a")
+FLEET = (WorkerCounts("a", "big-box", 4, 4), WorkerCounts("a", "old-box", 4, 4))
+CALM = HealthSignals(CpuUsage(0.1, 0.1, 0.0, 1.0), CLASSES, FLEET, "a")
 STEP_S = 0.05
 
 
 class Run:
     """One daemon's health under samples every 50 ms."""
 
-    def __init__(self, policy: Policy | None = None, settled: bool = True) -> None:
-        self.now, self.health = 100.0, Health(policy or Policy(), 100.0)
+    def __init__(self, policy: HealthSettings | None = None, settled: bool = True) -> None:
+        self.now, self.health = 100.0, HealthStateMachine(policy or HealthSettings(), 100.0)
         self.told = [self.health.verdict]
         if settled:
             self.go(20.0, CALM)
 
-    def go(self, seconds: float, signals: Signals):
+    def go(self, seconds: float, signals: HealthSignals):
         end = self.now + seconds
         while self.now < end - 1e-9:
             self.now += STEP_S
@@ -38,7 +38,7 @@
 class States(unittest.TestCase):
     def test_start_is_slow_and_ends_ready(self) -> None:
         run = Run(settled=False)
-        self.assertEqual(run.go(1.0, Signals(heard=False)).state, "starting")
+        self.assertEqual(run.go(1.0, HealthSignals(endpoints_known=False)).state, "starting")
         first = run.go(STEP_S, CALM)
         self.assertEqual((first.state, first.weight), ("weighted", 10))
         self.assertIn("slow start", first.reasons)
@@ -47,27 +47,29 @@
 
     def test_no_list_in_time_is_absence(self) -> None:
         run = Run(settled=False)
-        self.assertEqual(run.go(5.2, Signals(heard=False)).state, "absent")
+        self.assertEqual(run.go(5.2, HealthSignals(endpoints_known=False)).state, "absent")
 
     def test_short_of_cpu_is_said_at_once_and_weight_follows_what_is_stolen(self) -> None:
         run = Run()
-        stolen = CALM._replace(cpu=Cpu(0.25, 1.0, 0.75, 40.0))
+        stolen = CALM._replace(cpu=CpuUsage(0.25, 1.0, 0.75, 40.0))
         verdict = run.go(STEP_S, stolen)
         self.assertEqual(verdict.state, "short")
         self.assertIn("others take 75%", verdict.reason)
         self.assertLess(run.go(1.4, stolen).weight, 30)
         own = Run()
-        self.assertIn("busy 100%", own.go(STEP_S, CALM._replace(cpu=Cpu(1.0, 1.0, 0.0, 90.0))).reason)
+        self.assertIn("busy 100%", own.go(STEP_S, CALM._replace(cpu=CpuUsage(1.0, 1.0, 0.0, 90.0))).reason)
 
     def test_shortage_never_goes_below_the_floor_and_ends_with_hysteresis(self) -> None:
         run = Run()
-        short = CALM._replace(cpu=Cpu(0.25, 1.0, 0.75, 400.0))
-        pause = CALM._replace(cpu=Cpu(0.25, 0.9, 0.6, 90.0))
+        short = CALM._replace(cpu=CpuUsage(0.25, 1.0, 0.75, 400.0))
+        pause = CALM._replace(cpu=CpuUsage(0.25, 0.9, 0.6, 90.0))
         self.assertEqual(run.go(0.1, pause).state, "ready")  # one pause of the machine is no shortage
         self.assertEqual(run.go(0.2, pause).state, "short")
         self.assertEqual((run.go(60.0, short).state, run.told[-1].weight), ("short", 10))
         self.assertEqual(run.go(1.0, CALM).state, "short")  # not yet easy for long enough
-        self.assertEqual(run.go(5.0, CALM._replace(cpu=Cpu(0.7, 0.7))).state, "short")  # between the marks
+        self.assertEqual(
+            run.go(5.0, CALM._replace(cpu=CpuUsage(0.7, 0.7))).state, "short"
+        )  # between the marks
         self.assertEqual(run.go(2.2, CALM).state, "weighted")
         self.assertEqual(run.go(30.0, CALM).state, "ready")
 
@@ -75,12 +77,12 @@
         runs = [Run() for _ in range(4)]
         for _ in range(600):
             for run in runs:
-                run.go(STEP_S, CALM._replace(cpu=Cpu(0.2, 1.0, 0.8, 500.0)))
-            self.assertTrue(all(run.told[-1].taking and run.told[-1].weight >= 10 for run in runs))
+                run.go(STEP_S, CALM._replace(cpu=CpuUsage(0.2, 1.0, 0.8, 500.0)))
+            self.assertTrue(all(run.told[-1].accepts_work and run.told[-1].weight >= 10 for run in runs))
 
     def test_a_kind_that_is_gone_counts_for_its_class_alone(self) -> None:
         run = Run()
-        gone = CALM._replace(workers=(Workers("a", "big-box", 4, 0), Workers("a", "old-box", 4, 4)))
+        gone = CALM._replace(workers=(WorkerCounts("a", "big-box", 4, 0), WorkerCounts("a", "old-box", 4, 4)))
         verdict = run.go(2.0, gone)
         self.assertEqual((verdict.state, dict(verdict.classes)["status-read"]), ("weighted", ""))
         self.assertIn("big-box", dict(verdict.classes)["setpoint-push"])
@@ -92,27 +94,27 @@
     def test_the_stores_majority_counts_where_a_class_needs_it(self) -> None:
         run = Run()
         needs = (CLASSES[0], CLASSES[1]._replace(needs_store=True))
-        self.assertEqual(run.go(1.0, CALM._replace(majority=False)).state, "ready")
-        verdict = run.go(1.0, CALM._replace(classes=needs, majority=False))
+        self.assertEqual(run.go(1.0, CALM._replace(has_store_quorum=False)).state, "ready")
+        verdict = run.go(1.0, CALM._replace(classes=needs, has_store_quorum=False))
         self.assertIn("no majority", dict(verdict.classes)["setpoint-push"])
 
     def test_a_class_that_is_turned_away_counts_as_unserved_and_the_others_go_on(self) -> None:
         run = Run()
-        classes = (CLASSES[0], CLASSES[1]._replace(turned_away="journal: No space left on device"))
+        classes = (CLASSES[0], CLASSES[1]._replace(rejection_reason="journal: No space left on device"))
         verdict = run.go(1.0, CALM._replace(classes=classes))
         self.assertIn("No space left", dict(verdict.classes)["setpoint-push"])
         self.assertEqual(dict(verdict.classes)["status-read"], "")
         self.assertLess(verdict.weight, 100)
 
     def test_each_shortage_has_its_reason(self) -> None:
-        waits = (CLASSES[0]._replace(held=7, oldest_ms=200.0), CLASSES[1])
+        waits = (CLASSES[0]._replace(queued=7, oldest_queued_ms=200.0), CLASSES[1])
         for changes, word in (
-            ({"table": Use(95, 100)}, "connection table"),
-            ({"descriptors": Use(95, 100)}, "descriptors"),
-            ({"memory_mb": Use(190, 192)}, "memory"),
+            ({"client_connections": ResourceUsage(95, 100)}, "connection table"),
+            ({"descriptors": ResourceUsage(95, 100)}, "descriptors"),
+            ({"memory_mb": ResourceUsage(190, 192)}, "memory"),
             ({"discovery_age_s": 40.0}, "discovery silent"),
             ({"classes": waits}, "7 status-read held"),
-            ({"zone": "b", "workers": (Workers("b", "big-box", 2, 0), *FLEET)}, "zone b"),
+            ({"zone": "b", "workers": (WorkerCounts("b", "big-box", 2, 0), *FLEET)}, "zone b"),
         ):
             verdict = Run().go(3.0, CALM._replace(**changes))
             self.assertEqual(verdict.state, "weighted", word)
@@ -123,9 +125,11 @@
         run, answered = Run(), 0
         for _ in range(60):
             answered += 2
-            run.go(STEP_S, CALM._replace(answered=answered, refused=answered // 2))
+            run.go(STEP_S, CALM._replace(answered=answered, rejected=answered // 2))
         self.assertIn("refusals", run.told[-1].reason)
-        self.assertEqual(run.go(10.0, CALM._replace(answered=answered, refused=answered // 2)).state, "ready")
+        self.assertEqual(
+            run.go(10.0, CALM._replace(answered=answered, rejected=answered // 2)).state, "ready"
+        )
 
     def test_the_operators_weight_is_an_upper_bound(self) -> None:
         run = Run()
@@ -133,7 +137,7 @@
         self.assertEqual(run.go(3.0, CALM).weight, 40)
         run.health.set_weight(0, run.now)
         verdict = run.go(3.0, CALM)
-        self.assertEqual((verdict.weight, verdict.taking), (0, False))
+        self.assertEqual((verdict.weight, verdict.accepts_work), (0, False))
         with self.assertRaisesRegex(ValueError, "weight"):
             run.health.set_weight(101, run.now)
 
@@ -144,7 +148,7 @@
         verdict = run.health.drain("command", run.now)
         self.assertEqual((verdict.state, verdict.weight), ("draining", 0))
         self.assertEqual(run.go(1.7, CALM).state, "draining")  # nothing is owed, but balancers still learn
-        self.assertEqual(run.go(1.0, CALM._replace(owed=1)).state, "draining")
+        self.assertEqual(run.go(1.0, CALM._replace(outstanding=1)).state, "draining")
         self.assertEqual(run.go(STEP_S, CALM).state, "drained")
 
     def test_undrain_goes_back_with_a_slow_start(self) -> None:
@@ -162,9 +166,9 @@
 
     def test_the_reasons_are_those_of_now_though_the_weight_stays(self) -> None:
         run = Run()
-        full = run.go(5.0, CALM._replace(table=Use(100, 100)))
-        other = run.go(5.0, CALM._replace(memory_mb=Use(192, 192)))
-        self.assertEqual((full.told, "table" in full.reason), (other.told, True))
+        full = run.go(5.0, CALM._replace(client_connections=ResourceUsage(100, 100)))
+        other = run.go(5.0, CALM._replace(memory_mb=ResourceUsage(192, 192)))
+        self.assertEqual((full.announced, "table" in full.reason), (other.announced, True))
         self.assertIn("memory", other.reason)
 
     def test_sigterm_is_never_withdrawn_and_two_sources_both_count(self) -> None:
@@ -196,9 +200,9 @@
 
 class Meter(unittest.TestCase):
     def test_own_use_and_stolen_time_are_told_apart(self) -> None:
-        meter, cpu = CpuMeter(), Cpu()
+        meter, cpu = CpuMeter(), CpuUsage()
         for step in range(20):
-            cpu = meter.read(Reading(step * 0.05, step * 0.0125, step * 0.05, 0.004))
+            cpu = meter.add_reading(CpuReading(step * 0.05, step * 0.0125, step * 0.05, 0.004))
         self.assertAlmostEqual(cpu.demand, 1.0)
         self.assertAlmostEqual(cpu.stolen, 0.75)
         self.assertAlmostEqual(cpu.used, 0.25)
@@ -206,43 +210,45 @@
 
     def test_a_neighbour_that_takes_most_is_told_from_own_load_within_a_few_readings(self) -> None:
         for part, robbed in ((0.25, True), (0.9, False)):
-            meter, cpu = CpuMeter(), Cpu()
+            meter, cpu = CpuMeter(), CpuUsage()
             for step in range(20):
-                cpu = meter.read(Reading(step * 0.05, step * 0.02, step * 0.021, 0.0))
+                cpu = meter.add_reading(CpuReading(step * 0.05, step * 0.02, step * 0.021, 0.0))
             for step in range(1, 5):
-                cpu = meter.read(
-                    Reading(0.95 + step * 0.05, 0.38 + step * 0.05 * part, 0.399 + step * 0.05, 0.0)
+                cpu = meter.add_reading(
+                    CpuReading(0.95 + step * 0.05, 0.38 + step * 0.05 * part, 0.399 + step * 0.05, 0.0)
                 )
-            self.assertEqual(cpu.robbed, robbed)
+            self.assertEqual(cpu.is_contended, robbed)
             self.assertLess(cpu.demand, 0.85)
 
     def test_part_of_a_core_is_the_measure(self) -> None:
-        meter, cpu = CpuMeter(cores=0.5), Cpu()
+        meter, cpu = CpuMeter(cores=0.5), CpuUsage()
         for step in range(20):
-            cpu = meter.read(Reading(step * 0.05, step * 0.0225, step * 0.0225, 0.0))
+            cpu = meter.add_reading(CpuReading(step * 0.05, step * 0.0225, step * 0.0225, 0.0))
         self.assertAlmostEqual(cpu.demand, 0.9)
 
     def test_without_the_loops_meter_late_timers_count(self) -> None:
-        meter, cpu = CpuMeter(), Cpu()
+        meter, cpu = CpuMeter(), CpuUsage()
         for step in range(20):
-            cpu = meter.read(Reading(step * 0.1, step * 0.05, None, 0.05))
+            cpu = meter.add_reading(CpuReading(step * 0.1, step * 0.05, None, 0.05))
         self.assertGreater(cpu.demand, 0.9)
 
     def test_a_clock_that_stands_still_is_no_division_by_zero(self) -> None:
         meter = CpuMeter()
-        self.assertEqual([meter.read(Reading(1.0, 1.0, 1.0, 0.0)) for _ in range(3)], [Cpu()] * 3)
+        self.assertEqual(
+            [meter.add_reading(CpuReading(1.0, 1.0, 1.0, 0.0)) for _ in range(3)], [CpuUsage()] * 3
+        )
 
 
 share = st.floats(0, 1)
 samples = st.builds(
-    Signals,
-    cpu=st.builds(Cpu, share, share, share, st.floats(0, 5000)),
+    HealthSignals,
+    cpu=st.builds(CpuUsage, share, share, share, st.floats(0, 5000)),
     classes=st.just(CLASSES),
     zone=st.sampled_from(["a", "b", ""]),
-    heard=st.booleans(),
+    endpoints_known=st.booleans(),
     workers=st.lists(
         st.builds(
-            lambda z, k, n, t: Workers(z, k, n + t, t),
+            lambda z, k, n, t: WorkerCounts(z, k, n + t, t),
             st.sampled_from("ab"),
             st.sampled_from(["big-box", "old-box"]),
             st.integers(1, 9),
@@ -250,14 +256,14 @@
         ),
         max_size=4,
     ).map(tuple),
-    table=st.builds(Use, st.floats(0, 200), st.just(100.0)),
-    descriptors=st.just(Use(1, 100)),
-    memory_mb=st.builds(Use, st.floats(0, 300), st.just(192.0)),
+    client_connections=st.builds(ResourceUsage, st.floats(0, 200), st.just(100.0)),
+    descriptors=st.just(ResourceUsage(1, 100)),
+    memory_mb=st.builds(ResourceUsage, st.floats(0, 300), st.just(192.0)),
     answered=st.just(0),
-    refused=st.just(0),
-    majority=st.sampled_from([None, True, False]),
+    rejected=st.just(0),
+    has_store_quorum=st.sampled_from([None, True, False]),
     discovery_age_s=st.none() | st.floats(0, 100),
-    owed=st.integers(0, 3),
+    outstanding=st.integers(0, 3),
 )
 orders = st.sampled_from(["none", "drain", "undrain", "store", "unstore", "weight"])
 
@@ -266,7 +272,7 @@
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.tuples(samples, orders, st.floats(0.01, 3.0)), min_size=1, max_size=20))
     def test_whatever_comes(self, steps) -> None:
-        health, now = Health(Policy(), 0.0), 0.0
+        health, now = HealthStateMachine(HealthSettings(), 0.0), 0.0
         for sample, order, passed in steps:
             before, now = health.verdict, now + passed
             match order:
@@ -282,10 +288,10 @@
                     health.set_weight(50, now)
             verdict = health.observe(now, sample)
             self.assertTrue(verdict.state == "ready" or verdict.reason)
-            self.assertEqual(verdict.state in ("draining", "drained"), health.drains.active)
-            if verdict.state in TAKING:
+            self.assertEqual(verdict.state in ("draining", "drained"), health.drain_orders.is_draining)
+            if verdict.state in ACCEPTING_STATES:
                 self.assertGreaterEqual(verdict.weight, 10)
-                if before.state in TAKING and order == "none":
+                if before.state in ACCEPTING_STATES and order == "none":
                     # Two steps of the clock may lie between what was told and what is.
                     self.assertLessEqual(verdict.weight - before.weight, 10 * passed + 3 + 1)
             else:
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -18,15 +18,24 @@
 from measure.crashes import measure
 from spanwing import interface as api
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import Exchange
-from spanwing.core.messages import Answer, Delivery, Ended, Envelope, LastByte, Left, Listed, Take
-from spanwing.hops.faktoryworker import FaktoryNextHop, Fetch, Finished
-from spanwing.journal.committer import REST_S
-from spanwing.journal.frames import Frame
-from spanwing.journal.keeper import Keeper
-from spanwing.journal.ledger import Ledger
-from spanwing.journal.log import Bounds, Log, Reader
-from spanwing.journal.records import Intent
+from spanwing.core.exchange import RequestManager
+from spanwing.core.messages import (
+    AttemptEnded,
+    ClientDisconnected,
+    DeliveryAttempt,
+    EndpointsChanged,
+    FinalAnswer,
+    JobRequest,
+    LastByteSent,
+    RequestSubmitted,
+)
+from spanwing.hops.faktoryworker import FaktoryWorker, FetchRequested, JobFinished
+from spanwing.journal.committer import DISK_BACKOFF_S
+from spanwing.journal.frames import RecordFrame
+from spanwing.journal.keeper import JournalWriter
+from spanwing.journal.ledger import RequestStates
+from spanwing.journal.log import RetentionLimits, SegmentLog, SegmentReader
+from spanwing.journal.records import AttemptIntent
 
 PATIENCE_S = 20.0
 CLS = "bill"  # unsafe
@@ -48,26 +57,26 @@
 class Hop:
     """A next hop that keeps what it is handed, with whether the journal had the intent by then."""
 
-    name, place, asks = "w1", "127.0.0.1:9", False
+    name, address, records_intent_itself = "w1", "127.0.0.1:9", False
 
     def __init__(self, disk: SimDisk) -> None:
         self.disk, self.got, self.early = disk, [], 0
         self.intents: set[tuple[str, int]] = set()
 
-    def deliver(self, delivery: Delivery, listener: Exchange) -> None:
-        key = (delivery.envelope.id, delivery.number)
+    def deliver(self, delivery: DeliveryAttempt, listener: RequestManager) -> None:
+        key = (delivery.request.id, delivery.number)
         self.got.append(key)
         if key not in self.intents:
             self.intents |= {
                 (each.record.request, each.record.attempt)
-                for _, each in Reader(Synced(self.disk)).read()
-                if isinstance(each, Frame) and isinstance(each.record, Intent)
+                for _, each in SegmentReader(Synced(self.disk)).read_all()
+                if isinstance(each, RecordFrame) and isinstance(each.record, AttemptIntent)
             }
         self.early += key not in self.intents
-        listener.post(LastByte(*key))
-        listener.post(Ended(*key, "ok", b"done"))
+        listener.post(LastByteSent(*key))
+        listener.post(AttemptEnded(*key, "ok", b"done"))
 
-    def give_up(self, request: str, number: int, result: api.Result) -> None:
+    def cancel(self, request: str, number: int, result: api.Result) -> None:
         raise AssertionError("it was never handed anything that lasts")
 
 
@@ -80,29 +89,29 @@
     def names(self) -> list[str]:
         return sorted(self.files)
 
-    def read(self, name: str, most: int = -1) -> bytes:
-        return self.files[name] if most < 0 else self.files[name][:most]
+    def read(self, name: str, max_bytes: int = -1) -> bytes:
+        return self.files[name] if max_bytes < 0 else self.files[name][:max_bytes]
 
 
 class Sender:
     """Keeps answers and when they came."""
 
     def __init__(self) -> None:
-        self.answers: dict[str, tuple[Answer, float]] = {}
+        self.answers: dict[str, tuple[FinalAnswer, float]] = {}
 
-    def answer(self, envelope: Envelope, answer: Answer) -> None:
-        assert envelope.id not in self.answers
-        self.answers[envelope.id] = answer, time.monotonic()
+    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
+        assert request.id not in self.answers
+        self.answers[request.id] = answer, time.monotonic()
 
 
 class CoreWithJournal(AsyncTestCase):
     def begin(self, policy: str = "refuse", wait_s: float = 10.0, **changes) -> None:
         self.disk, self.sender = GatedDisk(), Sender()
-        self.core = Exchange(settings(max_retry_after=2000.0, **changes), 1, Clock())
+        self.core = RequestManager(settings(max_retry_after=2000.0, **changes), 1, Clock())
         self.hop = Hop(self.disk)
-        self.core.post(Listed(api.WorkerList("complete", (api.Worker(1),)), {1: self.hop}))
-        self.keeper = Keeper(
-            Log(self.disk, Bounds()),
+        self.core.post(EndpointsChanged(api.WorkerList("complete", (api.Worker(1),)), {1: self.hop}))
+        self.keeper = JournalWriter(
+            SegmentLog(self.disk, RetentionLimits()),
             policy,
             "test",
             self.io_loop.add_callback,
@@ -118,7 +127,7 @@
         self.keeper.close()
 
     def ask(self, name: str, cls: str = CLS, budget: float = 5000.0) -> None:
-        self.core.post(Take(Envelope(name, cls, budget, front="test"), self.sender))
+        self.core.post(RequestSubmitted(JobRequest(name, cls, budget, front="test"), self.sender))
 
     async def until(self, holds) -> None:
         end = time.monotonic() + PATIENCE_S
@@ -126,11 +135,11 @@
             self.assertLess(time.monotonic(), end)
             await sleep(0.002)
 
-    def ledger(self) -> tuple[Ledger, dict]:
+    def ledger(self) -> tuple[RequestStates, dict]:
         """What a reader finds, open and settled."""
-        ledger, settled = Ledger(), {}
-        for _, each in Reader(self.disk).read():
-            request = ledger.take(each.number, each.record) if isinstance(each, Frame) else None
+        ledger, settled = RequestStates(), {}
+        for _, each in SegmentReader(self.disk).read_all():
+            request = ledger.apply(each.number, each.record) if isinstance(each, RecordFrame) else None
             if request is not None:
                 settled[request.id] = request
         return ledger, settled
@@ -151,7 +160,7 @@
         self.assertTrue(self.keeper.close())
         ledger, settled = self.ledger()
         found = settled["job-1"]
-        self.assertEqual((found.finding, found.answer, ledger.open), ("sent", "served", {}))
+        self.assertEqual((found.delivery_state, found.answer, ledger.open_requests), ("sent", "served", {}))
         self.assertEqual((found.attempts[0].worker, found.attempts[0].result), ("w1", "ok"))
         self.assertNotIn("look-1", settled)
 
@@ -169,7 +178,7 @@
         self.assertTrue(self.keeper.close())
         _, settled = self.ledger()
         self.assertEqual(
-            {name for name, each in settled.items() if each.finding == "sent"},
+            {name for name, each in settled.items() if each.delivery_state == "sent"},
             {name for name, _ in self.hop.got},
         )
         self.assertLess(self.keeper.committer.syncs, len(self.hop.got))
@@ -186,7 +195,7 @@
             begun = time.monotonic()
             await self.until(lambda: "job-2" in self.sender.answers)
             answer, at = self.sender.answers["job-2"]
-            self.assertEqual((answer.kind, answer.retry_after > 0), (kind, kind == "refused"))
+            self.assertEqual((answer.kind, answer.retry_after_ms > 0), (kind, kind == "refused"))
             if policy == "refuse":  # the disk is known to be slow: nothing waits for it again
                 self.assertNotIn("job-2", {name for name, _ in self.hop.got})
                 self.assertLess(at - begun, 5.0)
@@ -204,20 +213,22 @@
             self.disk.gate.set()
             self.assertTrue(self.keeper.close())
             ledger, settled = self.ledger()
-            found = settled.get("job-1") or ledger.open["job-1"]
-            self.assertEqual(found.finding, finding)
+            found = settled.get("job-1") or ledger.open_requests["job-1"]
+            self.assertEqual(found.delivery_state, finding)
 
     @gen_test(timeout=60)
     async def test_a_name_of_any_length_fits_a_record(self) -> None:
         self.begin()
         long = "\N{SNOWMAN}" * 100_000
-        self.core.post(Take(Envelope("job-1", CLS, 5000.0, tenant=long, effect_key=long), self.sender))
+        self.core.post(
+            RequestSubmitted(JobRequest("job-1", CLS, 5000.0, tenant=long, effect_key=long), self.sender)
+        )
         self.ask("job-2")
         await self.until(lambda: len(self.sender.answers) == 2)
         self.assertEqual({answer.kind for answer, _ in self.sender.answers.values()}, {"served"})
         self.assertTrue(self.keeper.close())
         _, settled = self.ledger()
-        self.assertEqual(len(settled["job-1"].taken.key), 200)
+        self.assertEqual(len(settled["job-1"].accepted.key), 200)
 
     @gen_test(timeout=60)
     async def test_a_failing_disk_refuses_and_is_tried_again_by_itself(self) -> None:
@@ -228,16 +239,16 @@
         self.ask("job-2")
         await self.until(lambda: "job-2" in self.sender.answers)
         self.assertEqual({answer.kind for answer, _ in self.sender.answers.values()}, {"refused"})
-        self.assertEqual(self.keeper.refusing(), "Input/output error")
+        self.assertEqual(self.keeper.unavailable_reason(), "Input/output error")
         self.assertEqual(self.hop.got, [])
-        turned = self.core.turning_away()
+        turned = self.core.unavailable_classes()
         self.assertEqual(
             (sorted(turned), set(turned.values())), (["bill", "book"], {"journal: Input/output error"})
         )
         self.disk.fail.clear()
         begun = time.monotonic()
-        await self.until(lambda: not self.keeper.refusing())
-        self.assertLess(time.monotonic() - begun, 10 * REST_S)
+        await self.until(lambda: not self.keeper.unavailable_reason())
+        self.assertLess(time.monotonic() - begun, 10 * DISK_BACKOFF_S)
         self.ask("job-3")
         await self.until(lambda: "job-3" in self.sender.answers)
         self.assertEqual((self.sender.answers["job-3"][0].kind, self.hop.early), ("served", 0))
@@ -254,12 +265,12 @@
         await self.until(lambda: "job-1" in self.sender.answers)
         self.assertIn(("job-1", 0), self.hop.got)
         self.disk.fail.clear()
-        log = Log(self.disk)  # as after a crash at this very moment
-        kept = Keeper(log, "refuse", "again", lambda *_: None)
+        log = SegmentLog(self.disk)  # as after a crash at this very moment
+        kept = JournalWriter(log, "refuse", "again", lambda *_: None)
         kept.close()
         ledger, settled = self.ledger()
         found = settled.get("job-1")
-        self.assertTrue(found is None or found.finding != "not sent", found)
+        self.assertTrue(found is None or found.delivery_state != "not sent", found)
 
     @gen_test(timeout=60)
     async def test_a_client_that_leaves_while_the_disk_is_awaited_causes_no_send(self) -> None:
@@ -273,32 +284,33 @@
         self.begin(cancel=cancel)
         self.disk.gate.clear()
         self.ask("job-1")
-        await self.until(lambda: self.core.out)
-        self.core.post(Left("job-1", self.sender))
-        await self.until(lambda: not self.core.out)
+        await self.until(lambda: self.core.in_flight)
+        self.core.post(ClientDisconnected("job-1", self.sender))
+        await self.until(lambda: not self.core.in_flight)
         self.disk.gate.set()
         self.assertTrue(self.keeper.close())
         _, settled = self.ledger()
-        self.assertEqual((self.hop.got, settled["job-1"].finding), ([], "not sent"))
+        self.assertEqual((self.hop.got, settled["job-1"].delivery_state), ([], "not sent"))
         self.assertEqual(settled["job-1"].answer, "left")
 
     @gen_test(timeout=60)
     async def test_what_a_crash_left_is_told_and_never_runs_again(self) -> None:
         self.begin()
         hop = self.hop
-        hop.deliver = lambda delivery, listener: hop.got.append((delivery.envelope.id, delivery.number))
+        hop.deliver = lambda delivery, listener: hop.got.append((delivery.request.id, delivery.number))
         self.ask("job-1")
         await self.until(lambda: hop.got)
         self.keeper.committer.stop()
-        again = Keeper(Log(self.disk), "refuse", "again", self.io_loop.add_callback)
+        again = JournalWriter(SegmentLog(self.disk), "refuse", "again", self.io_loop.add_callback)
         self.assertEqual(
-            [(request.id, attempt.worker) for request, attempt in again.left_open], [("job-1", "w1")]
+            [(request.id, attempt.worker) for request, attempt in again.unfinished_attempts],
+            [("job-1", "w1")],
         )
-        core = Exchange(settings(), 1, Clock())
+        core = RequestManager(settings(), 1, Clock())
         core.recorder = again
-        core.post(Listed(api.WorkerList("complete", (api.Worker(1),)), {1: hop}))
+        core.post(EndpointsChanged(api.WorkerList("complete", (api.Worker(1),)), {1: hop}))
         sender = Sender()
-        core.post(Take(Envelope("job-1", CLS, 5000.0), sender))
+        core.post(RequestSubmitted(JobRequest("job-1", CLS, 5000.0), sender))
         await self.until(lambda: sender.answers)
         answer = sender.answers["job-1"][0]
         self.assertEqual((answer.kind, len(hop.got)), ("repeated", 1))
@@ -311,27 +323,27 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.hop, self.ended, self.asked = FaktoryNextHop("w1", "127.0.0.1"), {}, {}
+        self.hop, self.ended, self.asked = FaktoryWorker("w1", "127.0.0.1"), {}, {}
 
     def post(self, message: object) -> None:
-        if isinstance(message, Ended):
+        if isinstance(message, AttemptEnded):
             self.ended[message.request] = message
 
     def deliver(self, name: str) -> None:
         self.hop.deliver(
-            Delivery(
-                Envelope(name, CLS, 5000.0),
+            DeliveryAttempt(
+                JobRequest(name, CLS, 5000.0),
                 0,
                 5000.0,
-                recorded=True,
-                intent=lambda then: self.asked.setdefault(name, then),
+                is_recorded=True,
+                record_intent=lambda then: self.asked.setdefault(name, then),
             ),
             self,
         )
 
     def fetch(self) -> Future:
         reply: Future = Future()
-        self.hop.post(Fetch((CLS,), reply))
+        self.hop.post(FetchRequested((CLS,), reply))
         return reply
 
     @gen_test(timeout=60)
@@ -346,22 +358,22 @@
         data, written = await reply
         self.assertIn(b"job-1", data)
         written(True)
-        self.hop.post(Finished("job-1", "ok"))
+        self.hop.post(JobFinished("job-1", "ok"))
         await sleep(0.01)
-        self.assertEqual((self.ended["job-1"].result, self.ended["job-1"].unsent), ("ok", False))
+        self.assertEqual((self.ended["job-1"].result, self.ended["job-1"].is_unsent), ("ok", False))
 
     @gen_test(timeout=60)
     async def test_a_job_given_up_or_refused_meanwhile_leaves_its_fetch_to_the_next(self) -> None:
         reply = self.fetch()
         for name, end in (
-            ("job-1", lambda: self.hop.give_up("job-1", 0, "timeout")),
+            ("job-1", lambda: self.hop.cancel("job-1", 0, "timeout")),
             ("job-2", lambda: self.asked["job-2"](False)),
         ):
             self.deliver(name)
             await sleep(0.01)
             end()
             await sleep(0.01)
-            self.assertTrue(self.ended[name].unsent)
+            self.assertTrue(self.ended[name].is_unsent)
             self.assertFalse(reply.done())
         self.asked["job-1"](True)  # too late: it is over
         self.deliver("job-3")
--- a/tests/test_journal_query.py
+++ b/tests/test_journal_query.py
@@ -11,18 +11,26 @@
 from hypothesis import strategies as st
 
 from spanwing.journal import index
-from spanwing.journal.book import Book
-from spanwing.journal.files import Folder
-from spanwing.journal.log import Bounds, Log
-from spanwing.journal.query import FIELDS, QueryError, parse
-from spanwing.journal.records import Answered, Closed, Intent, LastByte, Outcome, Taken, Unsent
-from spanwing.journal.rows import Row
+from spanwing.journal.book import JournalReader
+from spanwing.journal.files import LocalFolder
+from spanwing.journal.log import RetentionLimits, SegmentLog
+from spanwing.journal.query import FIELDS, QueryError, parse_query
+from spanwing.journal.records import (
+    AttemptClosed,
+    AttemptCompleted,
+    AttemptIntent,
+    AttemptUnsent,
+    LastByteWritten,
+    RequestAccepted,
+    RequestAnswered,
+)
+from spanwing.journal.rows import AttemptRow
 
 NOW = 1_000_000_000.0
-SMALL = Bounds(segment_bytes=4000, segment_ms=1e15, keep_ms=1e15, keep_bytes=1 << 40)
+SMALL = RetentionLimits(segment_bytes=4000, segment_ms=1e15, retention_ms=1e15, retention_bytes=1 << 40)
 
 
-def row(**values) -> Row:
+def row(**values) -> AttemptRow:
     base = dict(
         request="r1",
         cls="schedule-apply",
@@ -42,12 +50,12 @@
         answered=NOW,
         closed=False,
     )
-    return Row(**{**base, **values})
+    return AttemptRow(**{**base, **values})
 
 
 class Language(unittest.TestCase):
     def holds(self, text: str, **values) -> bool:
-        return parse(text, NOW).test(row(**values))
+        return parse_query(text, NOW).matches(row(**values))
 
     def test_what_holds(self) -> None:
         for text in (
@@ -104,13 +112,13 @@
             ("x" * 5000, 4096, "more than"),
         ):
             with self.subTest(text[:20]), self.assertRaisesRegex(QueryError, word) as wrong:
-                parse(text, NOW)
+                parse_query(text, NOW)
             self.assertEqual(wrong.exception.column, column, text[:20])
 
     @given(st.text(alphabet="abclstime =!<>~()',\"andortnwk12-", max_size=40))
     def test_any_text_is_a_filter_or_an_error(self, text: str) -> None:
         try:
-            parse(text, NOW).test(row())
+            parse_query(text, NOW).matches(row())
         except QueryError:
             pass
 
@@ -138,14 +146,14 @@
 
         for _ in range(400):
             text = expression(source.randrange(3))
-            plan = parse(text, NOW)
+            plan = parse_query(text, NOW)
             for name in ("r1", "r2", "r3"):
                 for worker in ("w1", "w2", "w3"):
                     for ago in (0, 30_000, 70_000):
                         each = row(request=name, worker=worker, time=NOW - ago)
-                        if plan.test(each):
-                            self.assertTrue(plan.after <= each.time <= plan.before, text)
-                            self.assertTrue(plan.requests is None or name in plan.requests, text)
+                        if plan.matches(each):
+                            self.assertTrue(plan.after_ms <= each.time <= plan.before_ms, text)
+                            self.assertTrue(plan.request_ids is None or name in plan.request_ids, text)
                             self.assertTrue(plan.workers is None or worker in plan.workers, text)
 
     def test_all_fields_are_there(self) -> None:
@@ -156,21 +164,24 @@
 
 def written(path: str, requests: int, seed: int) -> None:
     """A journal of several segments, with every kind of end."""
-    source, files = random.Random(seed), Folder(path)
-    log = Log(files, SMALL)
+    source, files = random.Random(seed), LocalFolder(path)
+    log = SegmentLog(files, SMALL)
     for number in range(requests):
         name, now = f"job-{number}", NOW + number * 1000.0
         cls = source.choice(("schedule-apply", "setpoint-push"))
-        batch = [Taken(name, now, now, cls, source.choice("ab"))]
+        batch = [RequestAccepted(name, now, now, cls, source.choice("ab"))]
         for attempt in range(source.randrange(3)):
-            batch.append(Intent(name, now + 1, now, attempt, f"w{source.randrange(4)}", "127.0.0.1:1"))
-            sent = [LastByte(name, now + 2, now, attempt), Outcome(name, now + 3, now, attempt, "ok")]
-            batch += source.choice(([], [Unsent(name, now + 2, now, attempt, "unreachable")], sent))
-        ends = [], [Answered(name, now + 4, now, "served")], [Closed(name, now + 4, now, -1)]
+            batch.append(AttemptIntent(name, now + 1, now, attempt, f"w{source.randrange(4)}", "127.0.0.1:1"))
+            sent = [
+                LastByteWritten(name, now + 2, now, attempt),
+                AttemptCompleted(name, now + 3, now, attempt, "ok"),
+            ]
+            batch += source.choice(([], [AttemptUnsent(name, now + 2, now, attempt, "unreachable")], sent))
+        ends = [], [RequestAnswered(name, now + 4, now, "served")], [AttemptClosed(name, now + 4, now, -1)]
         batch += source.choice(ends)
         log.write(batch, now)
     log.close()
-    files.stop()
+    files.close_all()
 
 
 class Folders(unittest.TestCase):
@@ -181,18 +192,20 @@
         written(self.path, 300, 7)
 
     def test_the_index_finds_what_a_look_at_everything_finds(self) -> None:
-        book = Book(self.path)
-        self.assertGreater(len(book.reader.segments()), 5)
-        every = [each for request in book.requests() for each in [request]]
+        book = JournalReader(self.path)
+        self.assertGreater(len(book.segment_reader.segment_names()), 5)
+        every = [each for request in book.read_requests() for each in [request]]
         by_name = {each.id: each for each in every}
         self.assertEqual(len(by_name), 300)
         for name, request in by_name.items():
-            found = Book(self.path).request(name) if name == "job-17" else book.request(name)
+            found = (
+                JournalReader(self.path).find_request(name) if name == "job-17" else book.find_request(name)
+            )
             self.assertEqual(
-                (found.attempts, found.answer, found.taken, found.finding),
-                (request.attempts, request.answer, request.taken, request.finding),
+                (found.attempts, found.answer, found.accepted, found.delivery_state),
+                (request.attempts, request.answer, request.accepted, request.delivery_state),
             )
-        self.assertIsNone(book.request("nobody"))
+        self.assertIsNone(book.find_request("nobody"))
         for text in (
             "worker = w1 and time > 1970-01-12T13:48Z",
             "worker in (w0, w3) and attempt = 1",
@@ -200,40 +213,40 @@
             'state = "possibly sent"',
             "answer = ''",
         ):
-            plan = parse(text, NOW)
-            plain = sorted(each for each in self.all_rows(book) if plan.test(each))
-            self.assertEqual(sorted(book.rows(plan)), plain, text)
+            plan = parse_query(text, NOW)
+            plain = sorted(each for each in self.all_rows(book) if plan.matches(each))
+            self.assertEqual(sorted(book.find_rows(plan)), plain, text)
             self.assertTrue(plain, text)
 
-    def all_rows(self, book: Book) -> list[Row]:
-        return list(book.rows(parse("", NOW)))
+    def all_rows(self, book: JournalReader) -> list[AttemptRow]:
+        return list(book.find_rows(parse_query("", NOW)))
 
     def test_an_index_that_is_damaged_old_or_missing_is_made_again(self) -> None:
-        Book(self.path).request("job-1")
+        JournalReader(self.path).find_request("job-1")
         kept = sorted(Path(self.path).glob("*.idx"))
         self.assertGreater(len(kept), 4)
         kept[0].unlink()
         kept[1].write_bytes(kept[1].read_bytes()[:-3])
         kept[2].write_bytes(kept[3].read_bytes())
-        book = Book(self.path)
+        book = JournalReader(self.path)
         for number in range(0, 300, 7):
-            self.assertIsNotNone(book.request(f"job-{number}"))
+            self.assertIsNotNone(book.find_request(f"job-{number}"))
         with self.assertRaises(ValueError):
-            index.read(kept[1], 0)
+            index.read_index(kept[1], 0)
 
     def test_damage_is_told_and_a_torn_tail_is_none(self) -> None:
-        book = Book(self.path)
+        book = JournalReader(self.path)
         self.assertEqual(list(book.verify()), [])
-        segments = book.reader.segments()
+        segments = book.segment_reader.segment_names()
         last, middle = Path(self.path) / segments[-1], Path(self.path) / segments[2]
         last.write_bytes(last.read_bytes()[:-5])
-        self.assertEqual([each.harmless for each in Book(self.path).verify()], [True])
+        self.assertEqual([each.is_harmless for each in JournalReader(self.path).verify()], [True])
         data = bytearray(middle.read_bytes())
         data[200] ^= 1
         middle.write_bytes(data)
-        found = list(Book(self.path).verify())
+        found = list(JournalReader(self.path).verify())
         self.assertEqual(
-            [(each.segment, each.harmless) for each in found], [(segments[2], False), (segments[-1], True)]
+            [(each.segment, each.is_harmless) for each in found], [(segments[2], False), (segments[-1], True)]
         )
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -12,15 +12,17 @@
 from test_cli import spanwing
 
 from measure.workers import Workers
-from spanwing.load.openloop import OpenLoop
-from spanwing.world.clients import BrandSpec, ClassSpec, Clients, LoadSpec
-from spanwing.world.streams import Streams
+from spanwing.load.openloop import OpenLoopGenerator
+from spanwing.world.clients import ClassSpec, ClientModel, LoadSpec, TenantSpec
+from spanwing.world.streams import RandomStreams
 
-CLASSES = (ClassSpec("status-read", 1.0, 10.0, deadline=10_000.0),)
+CLASSES = (ClassSpec("status-read", 1.0, 10.0, deadline_ms=10_000.0),)
 
 
 def wanted(rate: float):
-    return iter(Clients(LoadSpec(rate), CLASSES, (BrandSpec("one", 1.0),), Streams(1)).next, None)
+    return iter(
+        ClientModel(LoadSpec(rate), CLASSES, (TenantSpec("one", 1.0),), RandomStreams(1)).next_request, None
+    )
 
 
 class Stalling:
@@ -55,7 +57,7 @@
         async def run(most: int):
             server = Stalling(1.0, 2.0)
             place = await server.start()
-            report = await OpenLoop([place], "x", most).run(wanted(100.0), 4.0)
+            report = await OpenLoopGenerator([place], "x", most).run(wanted(100.0), 4.0)
             server.server.close()
             return report
 
@@ -74,7 +76,7 @@
             server = Stalling(0.0, 0.0)
             place = await server.start()
             asyncio.get_running_loop().call_later(0.5, time.sleep, 0.4)  # something else has the core
-            report = await OpenLoop([place], "x").run(wanted(100.0), 2.0)
+            report = await OpenLoopGenerator([place], "x").run(wanted(100.0), 2.0)
             server.server.close()
             return report
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -12,13 +12,13 @@
 from measure import policymodel
 from measure.policymodel import World, begun, calm
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import Exchange
-from spanwing.core.messages import Answer, Envelope, Left, Take
-from spanwing.policy.chair import Says
-from spanwing.policy.hand import HOLD_MS
-from spanwing.policy.record import CHANGE, LONGEST, read
-from spanwing.policy.side import PolicySide
-from spanwing.store.document import Document, Txn
+from spanwing.core.exchange import RequestManager
+from spanwing.core.messages import ClientDisconnected, FinalAnswer, JobRequest, RequestSubmitted
+from spanwing.policy.chair import PolicyVote
+from spanwing.policy.hand import MAX_ADMISSION_WAIT_MS
+from spanwing.policy.record import CHANGE_KEY, MAX_POLICY_BYTES, read_policy
+from spanwing.policy.side import PolicyService
+from spanwing.store.document import Document, Transaction
 from spanwing.wire.buffers import BufferPool
 
 
@@ -47,15 +47,15 @@
         world = begun("")
         turn(world, (0, 1, 2))
         self.assertEqual(world.can_take(), {"s0": 2, "s1": 2, "s2": 2})
-        past = read(world.document).past[-1]
+        past = read_policy(world.document).past[-1]
         self.assertEqual((past.number, past.taken), (2, True))
 
     def test_one_no_ends_it_and_names_who(self) -> None:
         world = begun("")
-        world.schedulers[1].hand.check = lambda text: "class look has open jobs"
+        world.schedulers[1].hand.find_objection = lambda text: "class look has open jobs"
         rounds(world, (0, 1, 2), 2)
         world.do(("decide", 0))
-        policy = read(world.document)
+        policy = read_policy(world.document)
         self.assertEqual((policy.change, policy.now.number), (None, 1))
         self.assertEqual(policy.past[-1].reason, "s1 no: class look has open jobs")
         calm(world, 2)
@@ -65,7 +65,9 @@
         world = begun("")
         turn(world, (0, 1))
         self.assertEqual(set(world.can_take().values()), {1})
-        self.assertIn("s2", world.members[0].chair.waits_for(world.now, world.document, world.members[0]))
+        self.assertIn(
+            "s2", world.members[0].chair.blocking_schedulers(world.now, world.document, world.members[0])
+        )
         for _ in range(3):
             world.do(("tick", 0))
             rounds(world, (0, 1))
@@ -80,14 +82,14 @@
         for _ in range(5):
             world.do(("tick", 0))
             rounds(world, (0, 1))
-            world.schedulers[2].lease.asked.clear()
+            world.schedulers[2].lease.renewals_sent.clear()
             world.do(("renew", 2))
             world.do(("come", 2))
             world.do(("read", 0))  # it renews, and never hears
             world.do(("lose", 2))
             world.do(("decide", 0))
         world.do(("decide", 0))
-        policy = read(world.document)
+        policy = read_policy(world.document)
         self.assertEqual((policy.change, policy.now.number), (None, 1))
         self.assertIn("s2 has not answered", policy.past[-1].reason)
 
@@ -98,19 +100,24 @@
         rounds(world, (0, 1, 2))
         hand, now = world.schedulers[0].hand, world.now
         self.assertEqual(
-            [hand.may(now + wait).do for wait in (0.0, HOLD_MS - 1, HOLD_MS)], ["hold", "hold", "refuse"]
+            [
+                hand.decide_admission(now + wait).action
+                for wait in (0.0, MAX_ADMISSION_WAIT_MS - 1, MAX_ADMISSION_WAIT_MS)
+            ],
+            ["hold", "hold", "refuse"],
         )
 
     def test_closing_goes_back_before_jobs_wait_for_long(self) -> None:
         world = begun("")
         rounds(world, (0, 1, 2), 2)
         world.do(("decide", 0))
-        self.assertEqual(read(world.document).change.state, "closing")
+        self.assertEqual(read_policy(world.document).change.state, "closing")
         world.do(("decide", 0))  # it sees its own change
         world.do(("tick", 0))
         world.do(("decide", 0))
         self.assertEqual(
-            (read(world.document).change.state, read(world.document).change.tries), ("asking", 1)
+            (read_policy(world.document).change.state, read_policy(world.document).change.tries),
+            ("asking", 1),
         )
 
     def test_proposals_that_cannot_stand_are_refused(self) -> None:
@@ -119,10 +126,10 @@
         with self.assertRaisesRegex(ValueError, "version 2 by o is under way"):
             chair.propose(document, "x", 1, "p", "", 1000.0, [])
         done = document.apply(chair.abort(document, "p"))
-        self.assertEqual(read(done).past[-1].reason, "given up by p")
+        self.assertEqual(read_policy(done).past[-1].reason, "given up by p")
         for text, base, gone, why in (
             ("x", 0, [], "made from version 0, and 1"),
-            ("x" * (LONGEST + 1), 1, [], "bytes"),
+            ("x" * (MAX_POLICY_BYTES + 1), 1, [], "bytes"),
             ("x", 1, ["mars"], "no scheduler that is known"),
         ):
             with self.assertRaisesRegex(ValueError, why):
@@ -132,22 +139,22 @@
 
     def test_what_cannot_be_read_closes(self) -> None:
         world = begun("")
-        document = world.document.apply(Txn("x", {CHANGE: '{"state": "of a newer program"}'}))
+        document = world.document.apply(Transaction("x", {CHANGE_KEY: '{"state": "of a newer program"}'}))
         hand = world.schedulers[0].hand
-        hand.follow(world.now, read(document))
-        self.assertEqual(hand.may(world.now).do, "refuse")
-        self.assertIsNone(world.members[0].chair.decide(world.now, document, world.members[0]))
+        hand.update_policy(world.now, read_policy(document))
+        self.assertEqual(hand.decide_admission(world.now).action, "refuse")
+        self.assertIsNone(world.members[0].chair.decide_next_change(world.now, document, world.members[0]))
 
     def test_names_beyond_the_bounds_are_not_registered(self) -> None:
         world = begun("")
         chair, member = world.members[0].chair, world.members[0]
         for session in ("x" * 60 + ".1", ".1"):
             member.sessions[session] = policymodel.Session(world.now, 0)
-            chair.heard(session, Says(True))
-        chair.decide(world.now, world.document, member)
-        self.assertEqual(set(read(world.document).register), {"s0", "s1", "s2"})
-        self.assertFalse(chair.may_hold("s0.9", world.document))
-        self.assertFalse(chair.may_hold("s0.0", Document()))
+            chair.record_vote(session, PolicyVote(True))
+        chair.decide_next_change(world.now, world.document, member)
+        self.assertEqual(set(read_policy(world.document).register), {"s0", "s1", "s2"})
+        self.assertFalse(chair.may_hold_permit("s0.9", world.document))
+        self.assertFalse(chair.may_hold_permit("s0.0", Document()))
 
 
 class Waiting(unittest.IsolatedAsyncioTestCase):
@@ -157,39 +164,46 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         wanted = SimpleNamespace(directory=folder.name, away_ms=1e4, members={}, lease_ms=2e3)
-        self.side = PolicySide("a", wanted, settings(), BufferPool(), 1)
-        self.core = Exchange(settings(), 1, Clock())
-        self.core.policy, self.side.core = self.side, self.core
+        self.side = PolicyService("a", wanted, settings(), BufferPool(), 1)
+        self.core = RequestManager(settings(), 1, Clock())
+        self.core.policy_admission, self.side.request_manager = self.side, self.core
         self.does = "wait"
-        self.side.hand = SimpleNamespace(may=lambda now: SimpleNamespace(do=self.does, version=0))
+        self.side.participant = SimpleNamespace(
+            decide_admission=lambda now: SimpleNamespace(action=self.does, version=0)
+        )
 
-    def answer(self, envelope: Envelope, answer: Answer) -> None:
+    def answer(self, envelope: JobRequest, answer: FinalAnswer) -> None:
         raise AssertionError("its client has gone")
 
     async def settled(self) -> None:
-        while self.core.running or self.core.mailbox:
+        while self.core.is_scheduled or self.core.mailbox:
             await asyncio.sleep(0)
 
     async def leaves(self, *turns) -> None:
         """It was handed in, and waits; then all of this comes in one turn of the loop."""
-        self.core.post(Take(Envelope("job-1", "look", 5e3), self))
+        self.core.post(RequestSubmitted(JobRequest("job-1", "look", 5e3), self))
         await self.settled()
-        self.assertEqual(len(self.side.held), 1)
+        self.assertEqual(len(self.side.queued_requests), 1)
         self.does = "take"
         for each in turns:
             each()
         await self.settled()
         self.assertNotIn("taken", self.core.counters)
-        self.assertEqual((len(self.side.held), self.side.passing, self.side.gone), (0, [], []))
+        self.assertEqual(
+            (len(self.side.queued_requests), self.side.resubmitted_requests, self.side.abandoned_requests),
+            (0, [], []),
+        )
 
     async def test_a_client_that_leaves_while_its_job_waits(self) -> None:
-        await self.leaves(lambda: self.core.post(Left("job-1", self)))
-        self.side._release()
+        await self.leaves(lambda: self.core.post(ClientDisconnected("job-1", self)))
+        self.side._release_queued()
         await self.settled()
         self.assertNotIn("taken", self.core.counters)
 
     async def test_one_whose_leaving_lies_ahead_of_its_job_in_the_mailbox(self) -> None:
-        await self.leaves(lambda: self.core.post(Left("job-1", self)), self.side._release)
+        await self.leaves(
+            lambda: self.core.post(ClientDisconnected("job-1", self)), self.side._release_queued
+        )
 
 
 class Model(unittest.TestCase):
--- a/tests/test_policy_sound.py
+++ b/tests/test_policy_sound.py
@@ -11,9 +11,15 @@
 from hypothesis import strategies as st
 
 from measure.daemons import settings
-from spanwing.policy.record import LONGEST
-from spanwing.policy.sound import MOST_CLASSES, Running, differences, parse, unsound
-from spanwing.settings import Options, settings_of
+from spanwing.policy.record import MAX_POLICY_BYTES
+from spanwing.policy.sound import (
+    MAX_CLASSES,
+    RunningState,
+    describe_differences,
+    find_objection,
+    parse_policy,
+)
+from spanwing.settings import PlatformSettings, scheduler_settings
 
 NAMES = st.sampled_from(["classes", "orgs", "name", "rules", "aim_ms", "x"])
 JSON = st.recursive(
@@ -28,16 +34,16 @@
     return {name: copy.deepcopy(each) for name, each in settings(**changes).items() if name not in own}
 
 
-def running(**more) -> Running:
-    options = msgspec.json.decode(json.dumps(policy()), type=Options)
+def running(**more) -> RunningState:
+    options = msgspec.json.decode(json.dumps(policy()), type=PlatformSettings)
     options.zone = "a"
-    return Running(settings_of(options), **more)
+    return RunningState(scheduler_settings(options), **more)
 
 
 class Sound(unittest.TestCase):
     def says(self, wanted: dict | str, **more) -> str:
         text = wanted if isinstance(wanted, str) else json.dumps(wanted)
-        said = unsound(text, running(**more))
+        said = find_objection(text, running(**more))
         self.assertNotIn("\n", said)
         return said
 
@@ -45,20 +51,19 @@
         self.assertEqual(self.says(policy()), "")
         wanted = policy()
         wanted["classes"][0]["aim_ms"] = 500.0
-        self.assertEqual(self.says(wanted, open={"status-read": 7}), "")
-        self.assertEqual(parse(json.dumps(wanted), running().settings).classes[0].aim, 500.0)
+        self.assertEqual(self.says(wanted, open_requests={"status-read": 7}), "")
+        self.assertEqual(parse_policy(json.dumps(wanted), running().settings).classes[0].aim, 500.0)
 
     def test_bad_versions_each_with_its_reason(self) -> None:
         wanted = policy()
-        longer = policy(kinds=["x" * LONGEST])
+        longer = policy(kinds=["x" * MAX_POLICY_BYTES])
         newer = copy.deepcopy(wanted)
         newer["classes"][1]["preempts"] = True
         aim = copy.deepcopy(wanted)
         aim["classes"][0]["aim_ms"] = -1.0
         many = policy(
             classes=[
-                {"name": f"c{number}", "aim_ms": 1.0, "deadline_ms": 2.0}
-                for number in range(MOST_CLASSES + 1)
+                {"name": f"c{number}", "aim_ms": 1.0, "deadline_ms": 2.0} for number in range(MAX_CLASSES + 1)
             ]
         )
         for text, why in (
@@ -78,7 +83,7 @@
             ),
         ):
             with self.subTest(why):
-                self.assertRegex(self.says(text, spare_mb=0.1), why)
+                self.assertRegex(self.says(text, available_memory_mb=0.1), why)
 
     def test_what_runs_forbids(self) -> None:
         gone = policy()
@@ -89,11 +94,11 @@
         shrinks["classes"][2]["window_ms"] = 1000.0
         grows = policy()
         grows["classes"][2]["window_ms"] = 99000.0
-        keys = {"windows": {"setpoint-push": 800.0}}
+        keys = {"idempotency_windows_ms": {"setpoint-push": 800.0}}
         for wanted, more, why in (
-            (gone, {"open": {"schedule-apply": 2}}, "goes, while 2 jobs"),
+            (gone, {"open_requests": {"schedule-apply": 2}}, "goes, while 2 jobs"),
             (gone, {}, "^$"),
-            (safe, {"open": {"schedule-apply": 1}}, "effect turns from unsafe to safe, while 1 job"),
+            (safe, {"open_requests": {"schedule-apply": 1}}, "effect turns from unsafe to safe, while 1 job"),
             (safe, {}, "^$"),
             (shrinks, keys, "may come again for 0.8 s"),
             (shrinks, {}, "^$"),
@@ -116,7 +121,7 @@
         del new["kinds"]
         new["orgs"] = [{"name": "corrib", "allowance_per_s": 3.0}]
         self.assertEqual(
-            differences(json.dumps(policy()), json.dumps(new)),
+            describe_differences(json.dumps(policy()), json.dumps(new)),
             [
                 "  classes[status-read].aim_ms: 850.0 -> 500.0",
                 "- kinds = ['big']",
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from player import Daemon, config, member
 
-from spanwing.wire.proxied import listed
-from spanwing.wire.proxy import LONGEST, SIGNATURE, ProxyError, parse
+from spanwing.wire.proxied import is_proxy_source
+from spanwing.wire.proxy import MAX_V2_BYTES, SIGNATURE_V2, ProxyError, parse_header
 
 V1 = b"PROXY TCP4 192.0.2.7 192.0.2.1 51000 8080\r\n"
 
@@ -21,7 +21,7 @@
     if not body and family == 0x11 and command == 1:
         body = bytes((192, 0, 2, 7, 192, 0, 2, 1)) + struct.pack("!HH", 51000, 8080)
     rest = body + tlvs
-    return SIGNATURE + struct.pack("!BBH", 0x20 | command, family, len(rest)) + rest
+    return SIGNATURE_V2 + struct.pack("!BBH", 0x20 | command, family, len(rest)) + rest
 
 
 def with_checksum(flip: int = 0) -> bytes:
@@ -46,9 +46,9 @@
             (with_checksum(), False, ("192.0.2.7", 51000)),
         ):
             for cut in range(len(data)):
-                self.assertIsNone(parse(data[:cut]), data[:cut])
-            header = parse(data + b"GET /")
-            self.assertEqual((header.size, header.local, header.source), (len(data), local, source))
+                self.assertIsNone(parse_header(data[:cut]), data[:cut])
+            header = parse_header(data + b"GET /")
+            self.assertEqual((header.size, header.is_local, header.source), (len(data), local, source))
 
     def test_what_is_no_header(self) -> None:
         for data in (
@@ -59,7 +59,7 @@
             b"PROXY TCP4 1.2.3.4 5.6.7.8 1 65536\r\n",
             b"PROXY TCP4 ::1 ::1 1 2\r\n",
             b"PROXY " + b"x" * 120,
-            SIGNATURE + b"\x11\x11\x00\x0c" + bytes(12),
+            SIGNATURE_V2 + b"\x11\x11\x00\x0c" + bytes(12),
             v2(command=2),
             v2(family=0x41),
             v2(family=0x13, body=bytes(12)),
@@ -68,15 +68,15 @@
             v2(tlvs=b"\x04"),
             v2(tlvs=b"\x03\x00\x03abc"),
             with_checksum(flip=1),
-            SIGNATURE + struct.pack("!BBH", 0x21, 0x11, LONGEST),
+            SIGNATURE_V2 + struct.pack("!BBH", 0x21, 0x11, MAX_V2_BYTES),
         ):
             with self.assertRaises(ProxyError, msg=data):
-                parse(data)
+                parse_header(data)
 
-    @given(st.binary(max_size=64) | st.binary(max_size=64).map(lambda data: SIGNATURE + data))
+    @given(st.binary(max_size=64) | st.binary(max_size=64).map(lambda data: SIGNATURE_V2 + data))
     def test_any_bytes_end_in_one_of_three_ways(self, data: bytes) -> None:
         try:
-            header = parse(data)
+            header = parse_header(data)
         except ProxyError:
             return
         self.assertTrue(header is None or header.size <= len(data))
@@ -93,7 +93,7 @@
             ("::ffff:10.0.0.1", True),
             ("fe80::1%eth0", False),
         ):
-            self.assertEqual(listed(peer, sources), is_listed, peer)
+            self.assertEqual(is_proxy_source(peer, sources), is_listed, peer)
 
 
 class Fronts(unittest.TestCase):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,23 +5,23 @@
 import re
 import unittest
 
-from spanwing.faults import ConfigError, Faults
-from spanwing.world.fleet import Answered, Fleet
-from spanwing.world.scenario import LIBRARY, Scenario, load, parse
-from spanwing.world.troubles import Trouble, Troubles
+from spanwing.faults import ConfigurationError, ErrorCollector
+from spanwing.world.fleet import AnsweredRequest, FleetSimulation
+from spanwing.world.scenario import SCENARIO_LIBRARY, Scenario, load_scenario, parse_scenario
+from spanwing.world.troubles import FaultInjector, FaultSpec
 
-READY = sorted(each.stem for each in LIBRARY.glob("*.toml"))
+READY = sorted(each.stem for each in SCENARIO_LIBRARY.glob("*.toml"))
 
 
 def scenario(name: str = "calm-day", more: str = "") -> Scenario:
-    faults = Faults()
-    return parse((LIBRARY / f"{name}.toml").read_bytes() + more.encode(), faults)
+    faults = ErrorCollector()
+    return parse_scenario((SCENARIO_LIBRARY / f"{name}.toml").read_bytes() + more.encode(), faults)
 
 
-def play(made: Scenario, seconds: float, seed: int = 1) -> tuple[Fleet, list[Answered]]:
-    told: list[Answered] = []
-    fleet = Fleet(made.plan(seed), seed, told.append)
-    Troubles(fleet, made.troubles, made.day_ms)
+def play(made: Scenario, seconds: float, seed: int = 1) -> tuple[FleetSimulation, list[AnsweredRequest]]:
+    told: list[AnsweredRequest] = []
+    fleet = FleetSimulation(made.build_plan(seed), seed, told.append)
+    FaultInjector(fleet, made.faults, made.day_ms)
     fleet.run(seconds * 1000.0)
     return fleet, told
 
@@ -30,13 +30,13 @@
     def test_all_ready_ones_are_good(self) -> None:
         self.assertGreaterEqual(len(READY), 8)
         for name in READY:
-            faults = Faults(collect=True)
-            self.assertEqual((load(name, faults).name, faults.found), (name, []))
+            faults = ErrorCollector(collects_all=True)
+            self.assertEqual((load_scenario(name, faults).name, faults.errors), (name, []))
 
     def test_damaged_ones_are_refused_each_with_a_plain_line(self) -> None:
         tried = 0
         for name in READY:
-            lines = (LIBRARY / f"{name}.toml").read_text().splitlines()
+            lines = (SCENARIO_LIBRARY / f"{name}.toml").read_text().splitlines()
             for at, line in enumerate(lines):
                 if not (match := re.match(r"(\w+) = (.*)", line)):
                     continue
@@ -46,22 +46,22 @@
                     damages += [f"{key} = -1", f"{key} = nan"]
                 for damage in damages:
                     text = "\n".join([*lines[:at], damage, *lines[at + 1 :]]).encode()
-                    faults = Faults(collect=True)
-                    self.assertIsNone(parse(text, faults), damage)
-                    self.assertTrue(faults.found, damage)
-                    for place, fault in faults.found:
+                    faults = ErrorCollector(collects_all=True)
+                    self.assertIsNone(parse_scenario(text, faults), damage)
+                    self.assertTrue(faults.errors, damage)
+                    for place, fault in faults.errors:
                         self.assertTrue(place and fault and "\n" not in place + fault, (place, fault))
-                    with self.assertRaises(ConfigError):
-                        parse(text, Faults())
+                    with self.assertRaises(ConfigurationError):
+                        parse_scenario(text, ErrorCollector())
                     tried += 1
         self.assertGreater(tried, 100)
 
     def test_all_faults_are_named_at_once_with_their_places(self) -> None:
-        text = (LIBRARY / "calm-day.toml").read_text().replace("level = 0.5", "level = -1")
+        text = (SCENARIO_LIBRARY / "calm-day.toml").read_text().replace("level = 0.5", "level = -1")
         text = text.replace("speed = 0.9", 'speed = "fast"').replace("work_ms = 660", "work = 660")
-        faults = Faults(collect=True)
-        self.assertIsNone(parse(text.encode(), faults))
-        places = {place for place, _ in faults.found}
+        faults = ErrorCollector(collects_all=True)
+        self.assertIsNone(parse_scenario(text.encode(), faults))
+        places = {place for place, _ in faults.errors}
         self.assertLessEqual(
             {"workers[1].speed", "classes[2].work", "classes[2].work_ms", "load.level"}, places
         )
@@ -75,7 +75,7 @@
             ('what = "stolen_cpu"\nat = 1\nshare = 0.5\nscheduler = "s9"', "troubles[0].scheduler"),
             ('what = "crash"\nat = 1\nshare = 0.5\nkind = "tiny"', "troubles[0].kind"),
         ):
-            with self.assertRaisesRegex(ConfigError, re.escape(place)):
+            with self.assertRaisesRegex(ConfigurationError, re.escape(place)):
                 scenario(more=f"\n[[troubles]]\n{more}\n")
 
 
@@ -83,7 +83,7 @@
     def test_every_trouble_begins_and_ends(self) -> None:
         common = {"at": 2.0, "lasts": 2.0}
         troubles = [
-            Trouble(**common, **each)
+            FaultSpec(**common, **each)
             for each in (
                 {"what": "silent", "share": 0.3},
                 {"what": "fast_failing", "share": 0.3},
@@ -98,96 +98,115 @@
             )
         ]
         made = scenario()
-        fleet = Fleet(made.plan(1), 1)
-        Troubles(fleet, (*troubles, *troubles), made.day_ms)  # each twice: one end does not end the other
-        fleet.agenda.run(3000.0)
-        workers = [place.worker for place in fleet.places.values()]
+        fleet = FleetSimulation(made.build_plan(1), 1)
+        FaultInjector(
+            fleet, (*troubles, *troubles), made.day_ms
+        )  # each twice: one end does not end the other
+        fleet.event_queue.run_until(3000.0)
+        workers = [place.worker for place in fleet.worker_hosts.values()]
         during = (
             sum(each.silent for each in workers),
             sum(each.fast_failing for each in workers),
             sum(each.slowed < 1 for each in workers),
-            sum(each.fallen for each in workers),
+            sum(each.is_down for each in workers),
         )
         self.assertTrue(all(during), during)
         self.assertEqual(
-            (fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)), (100.0, False, 1)
+            (
+                fleet.clients.load_factor_by_tenant["burren"],
+                fleet.discovery_up,
+                len(fleet.network.partitioned_pairs),
+            ),
+            (100.0, False, 1),
         )
-        fleet.agenda.run(4100.0)
-        workers = [place.worker for place in fleet.places.values()]
+        fleet.event_queue.run_until(4100.0)
+        workers = [place.worker for place in fleet.worker_hosts.values()]
         self.assertFalse(
-            any(each.silent or each.fast_failing or each.slowed < 1 or each.fallen for each in workers)
+            any(each.silent or each.fast_failing or each.slowed < 1 or each.is_down for each in workers)
         )
         self.assertEqual(
-            (fleet.clients.floods["burren"], fleet.discovery_up, len(fleet.network.cut)), (1.0, True, 0)
+            (
+                fleet.clients.load_factor_by_tenant["burren"],
+                fleet.discovery_up,
+                len(fleet.network.partitioned_pairs),
+            ),
+            (1.0, True, 0),
         )
-        self.assertEqual((fleet.tail, fleet.nodes[0].stolen), ((0.0, 1.0), 0.0))
+        self.assertEqual((fleet.tail, fleet.schedulers[0].stolen), ((0.0, 1.0), 0.0))
 
     def test_a_zone_is_lost_and_schedulers_are_killed_and_all_come_back(self) -> None:
         made = scenario("fleet-calm")
-        fleet = Fleet(made.plan(1), 1)
-        Troubles(
+        fleet = FleetSimulation(made.build_plan(1), 1)
+        FaultInjector(
             fleet,
             (
-                Trouble(what="zone_lost", at=1.0, lasts=2.0, zone="galway"),
-                Trouble(what="schedulers_killed", at=1.5, lasts=2.0, share=0.5),
+                FaultSpec(what="zone_lost", at=1.0, lasts=2.0, zone="galway"),
+                FaultSpec(what="schedulers_killed", at=1.5, lasts=2.0, share=0.5),
             ),
             made.day_ms,
         )
-        fleet.agenda.run(2000.0)
-        up = [each for each in fleet.nodes if each.up]
+        fleet.event_queue.run_until(2000.0)
+        up = [each for each in fleet.schedulers if each.is_up]
         self.assertEqual(
-            {each.worker.spec.zone for each in fleet.places.values() if each.worker.fallen}, {"galway"}
+            {each.worker.spec.zone for each in fleet.worker_hosts.values() if each.worker.is_down}, {"galway"}
         )
         self.assertTrue(0 < len(up) <= 20 and all(each.zone != "galway" for each in up))
-        fleet.agenda.run(5600.0)
-        self.assertTrue(all(each.up for each in fleet.nodes) and len(fleet.seen_up) == len(fleet.nodes))
-        self.assertFalse(any(each.worker.fallen for each in fleet.places.values()))
-        fleet.agenda.run(7000.0)  # by now the last has its list
-        self.assertEqual({len(each.module.views) for each in fleet.nodes}, {60})
+        fleet.event_queue.run_until(5600.0)
+        self.assertTrue(
+            all(each.is_up for each in fleet.schedulers)
+            and len(fleet.schedulers_believed_up) == len(fleet.schedulers)
+        )
+        self.assertFalse(any(each.worker.is_down for each in fleet.worker_hosts.values()))
+        fleet.event_queue.run_until(7000.0)  # by now the last has its list
+        self.assertEqual({len(each.decision_module.views) for each in fleet.schedulers}, {60})
 
     def test_workers_are_replaced_by_cold_ones_while_all_is_accounted_for(self) -> None:
         made = scenario("fleet-join")
-        fleet, told = Fleet(made.plan(1), 1), []
-        fleet.told = told.append
-        Troubles(fleet, (Trouble(what="join", at=1.0, lasts=2.0, share=0.6),), made.day_ms)
+        fleet, told = FleetSimulation(made.build_plan(1), 1), []
+        fleet.on_answered = told.append
+        FaultInjector(fleet, (FaultSpec(what="join", at=1.0, lasts=2.0, share=0.6),), made.day_ms)
         fleet.run(4000.0)
-        alive = [each for each in fleet.places.values() if not each.worker.fallen]
-        self.assertEqual((len(fleet.places), len(alive), len(told)), (96, 60, fleet.account.made))
-        self.assertEqual({each.slots for each in [fleet.clients.next() for _ in range(200)]}, {1, 2, 4})
+        alive = [each for each in fleet.worker_hosts.values() if not each.worker.is_down]
+        self.assertEqual(
+            (len(fleet.worker_hosts), len(alive), len(told)), (96, 60, fleet.accounting.request_count)
+        )
+        self.assertEqual(
+            {each.slots for each in [fleet.clients.next_request() for _ in range(200)]}, {1, 2, 4}
+        )
 
     def test_troubled_days_account_for_everything(self) -> None:
         for name in ("deploy-with-silent", "retry-storm", "brand-flood"):
             fleet, told = play(scenario(name), 16.0)  # run() checks places and work
-            self.assertEqual(len(told), fleet.account.made)
-            self.assertGreater(sum(each.kind == "served" for each in told), 0.5 * len(told))
+            self.assertEqual(len(told), fleet.accounting.request_count)
+            self.assertGreater(sum(each.outcome == "served" for each in told), 0.5 * len(told))
 
     def test_one_of_two_seeds_moves_nothing_of_the_other(self) -> None:
         """More retries leave arrivals and work as they are, so that runs compare pair by pair."""
         plain, storm = (scenario(name) for name in ("calm-day", "retry-storm"))
-        first, second = (Fleet(each.plan(5), 5) for each in (plain, storm))
+        first, second = (FleetSimulation(each.build_plan(5), 5) for each in (plain, storm))
         for _ in range(200):
-            one, other = first.clients.next(), second.clients.next()
+            one, other = first.clients.next_request(), second.clients.next_request()
             self.assertEqual(
-                (one.cls.name, one.brand, one.key, one.work),
-                (other.cls.name, other.brand, other.key, other.work),
+                (one.class_spec.name, one.tenant, one.sticky_key, one.work_ms),
+                (other.class_spec.name, other.tenant, other.sticky_key, other.work_ms),
             )
 
     def test_stolen_cpu_holds_up_what_a_scheduler_decides(self) -> None:
         took = []
         for share in (0.0, 0.99):
             made = scenario()
-            fleet, told = Fleet(made.plan(2)._replace(decision_ms=0.5), 2), []
-            fleet.told = told.append
+            fleet, told = FleetSimulation(made.build_plan(2)._replace(decision_ms=0.5), 2), []
+            fleet.on_answered = told.append
             if share:
-                Troubles(
+                FaultInjector(
                     fleet,
                     tuple(
-                        Trouble(what="stolen_cpu", at=0.0, share=share, scheduler=f"s{n}") for n in range(4)
+                        FaultSpec(what="stolen_cpu", at=0.0, share=share, scheduler=f"s{n}") for n in range(4)
                     ),
                     made.day_ms,
                 )
             fleet.run(8000.0)
-            took.append(sum(each.took for each in told if each.kind == "served") / len(told))
+            took.append(sum(each.elapsed_ms for each in told if each.outcome == "served") / len(told))
         self.assertGreater(took[1], took[0] + 50.0)
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,9 +14,16 @@
 from standins import figures, thread
 
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import Exchange
-from spanwing.core.figures import figures as figures_of
-from spanwing.core.messages import Answer, Envelope, Left, Listed, Take, Turned
+from spanwing.core.exchange import RequestManager
+from spanwing.core.figures import collect_statistics as figures_of
+from spanwing.core.messages import (
+    ClientDisconnected,
+    EndpointsChanged,
+    FinalAnswer,
+    JobRequest,
+    RequestRejected,
+    RequestSubmitted,
+)
 from spanwing.interface import Outcome, Worker, WorkerList
 
 
@@ -128,20 +135,20 @@
 
 class Sender:
     def __init__(self) -> None:
-        self.answers: list[Answer] = []
+        self.answers: list[FinalAnswer] = []
 
-    def answer(self, envelope: Envelope, answer: Answer) -> None:
+    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
         self.answers.append(answer)
 
 
 class Hop:
     """A next hop that only remembers."""
 
-    name, place, asks = "w", "here", False
+    name, address, records_intent_itself = "w", "here", False
 
     def deliver(self, delivery, listener) -> None: ...
 
-    def give_up(self, request, number, result) -> None: ...
+    def cancel(self, request, number, result) -> None: ...
 
     def probe(self, worker, listener) -> None: ...
 
@@ -152,11 +159,13 @@
     def setUp(self) -> None:
         loop = mock.Mock(time=lambda: 0.0)
         with mock.patch("spanwing.actor.IOLoop.current", return_value=loop):
-            self.core = Exchange(settings(max_attempts=1, cancel=False), 1, Clock())
+            self.core = RequestManager(settings(max_attempts=1, cancel=False), 1, Clock())
         self.taken = 0
 
     def list(self, *workers: Worker, scope: str = "complete") -> None:
-        self.core.take(Listed(WorkerList(scope, workers), {each.id: Hop() for each in workers}))
+        self.core.handle_message(
+            EndpointsChanged(WorkerList(scope, workers), {each.id: Hop() for each in workers})
+        )
 
     def told(self) -> dict[str, int]:
         told = figures_of(self.core)
@@ -167,30 +176,30 @@
     def ask(self, request: str, cls: str = "look", budget: float = 5000.0) -> Sender:
         sender = Sender()
         self.taken += 1
-        self.core.take(Take(Envelope(request, cls, budget), sender))
+        self.core.handle_message(RequestSubmitted(JobRequest(request, cls, budget), sender))
         return sender
 
     def test_every_way_to_end(self) -> None:
-        from spanwing.core.messages import Ended, LastByte
+        from spanwing.core.messages import AttemptEnded, LastByteSent
 
         self.list(Worker(1), Worker(2))
         self.ask("served")
         self.assertEqual(self.told()["active"], 1)
-        self.core.take(LastByte("served", 0))
-        self.core.take(Ended("served", 0, "ok", b"yes"))
+        self.core.handle_message(LastByteSent("served", 0))
+        self.core.handle_message(AttemptEnded("served", 0, "ok", b"yes"))
         self.ask("failed", "bill")
-        self.core.take(LastByte("failed", 0))
-        self.core.take(Ended("failed", 0, "reset"))
+        self.core.handle_message(LastByteSent("failed", 0))
+        self.core.handle_message(AttemptEnded("failed", 0, "reset"))
         self.ask("refused")
-        self.core.take(Ended("refused", 0, "full"))
+        self.core.handle_message(AttemptEnded("refused", 0, "full"))
         gone = self.ask("gone")
-        self.core.take(Left("gone", gone))
+        self.core.handle_message(ClientDisconnected("gone", gone))
         self.ask("twice")
         self.ask("twice")
         self.taken += 1
-        self.core.take(Turned("book"))
+        self.core.handle_message(RequestRejected("book"))
         # An attempt whose last byte comes after it was given up was made all the same.
-        self.core.take(LastByte("gone", 0))
+        self.core.handle_message(LastByteSent("gone", 0))
         told = self.told()
         self.assertEqual(
             {name: value for name, value in told.items() if value},
@@ -209,22 +218,28 @@
 
     def test_pool_when_the_list_shrinks_and_a_worker_set_aside_leaves_and_comes_back(self) -> None:
         self.list(Worker(1), Worker(2), Worker(3, "draining"))
-        self.assertEqual(self.core.pool(), (3, 0))
-        view = self.core.module.views[1]
-        self.core.module.now = self.core.clock.now()
-        self.core.module._strike(view, "error")
-        self.assertEqual(self.core.pool(), (3, 1))
+        self.assertEqual(self.core.pool_counts(), (3, 0))
+        view = self.core.scheduler.views[1]
+        self.core.scheduler.now = self.core.clock.now_ms()
+        self.core.scheduler._strike(view, "error")
+        self.assertEqual(self.core.pool_counts(), (3, 1))
         self.list(Worker(2), Worker(3, "draining"))  # it left while it rested
-        self.assertEqual(self.core.pool(), (2, 0))
-        self.list(Worker(1, "healthy", started=self.core.clock.now()), Worker(2))
-        self.assertEqual(self.core.pool(), (2, 0))
+        self.assertEqual(self.core.pool_counts(), (2, 0))
+        self.list(Worker(1, "healthy", started=self.core.clock.now_ms()), Worker(2))
+        self.assertEqual(self.core.pool_counts(), (2, 0))
 
 
 class OneFeeder(unittest.TestCase):
     """Predecessor and successor keep one budget for a cold job worker."""
 
     def test_what_the_predecessor_sent_counts_and_it_feeds_no_more(self) -> None:
-        from spanwing.handover.learned import feed_no_more, into_module, into_worker, of_module, of_worker
+        from spanwing.handover.learned import (
+            export_scheduler,
+            export_worker,
+            import_scheduler,
+            import_worker,
+            stop_feeding,
+        )
         from spanwing.interface import Send
 
         cold = WorkerList("persisted", (Worker(1, started=1.0),))
@@ -237,9 +252,9 @@
             sent.append(sum(isinstance(each, Send) for each in old.ask()[1]))
         first = sum(sent)
         self.assertGreater(first, 0)
-        feed_no_more(old.node)
-        into_module(new.node, of_module(old.node, 1, "x"), new.now)
-        into_worker(new.node.views[1], of_worker(old.node.views[1]), new.now)
+        stop_feeding(old.node)
+        import_scheduler(new.node, export_scheduler(old.node, 1, "x"), new.now)
+        import_worker(new.node.views[1], export_worker(old.node.views[1]), new.now)
         new.now = old.now = 600.0
         # As other jobs end there the slots are free again, but the budget of the window is spent.
         new.node.views[1].others = 0.0
@@ -258,16 +273,19 @@
 
     def test_a_request_that_goes_over_is_held_once(self) -> None:
         from spanwing import interface as api
-        from spanwing.handover.learned import Resumed, forget, of_job
+        from spanwing.handover.learned import RequestResumed, export_attempts, release_request
 
         old, new = Driver(workers=3), Driver(workers=3)
         rid, actions = old.ask("bill")
         worker = actions[0].worker
         job = old.node.jobs[rid]
-        told = of_job(job)
-        forget(old.node, rid)
-        self.assertEqual((old.node.views[worker].held, old.node.jobs, old.node.open), (0, {}, {}))
-        actions = new.feed(Resumed(api.Request(rid, "bill", 5000.0), job.born, False, False, told))
+        told = export_attempts(job)
+        release_request(old.node, rid)
+        self.assertEqual(
+            (old.node.views[worker].held, old.node.jobs, old.node.open),
+            (0, {}, {}),
+        )
+        actions = new.feed(RequestResumed(api.Request(rid, "bill", 5000.0), job.born, False, False, told))
         self.assertEqual(actions, [])  # an attempt is out: nothing is sent
         self.assertEqual(new.node.views[worker].held, 1)
         # Its end is the old one's no more, and answers at the new one: what must not run twice goes no more.
@@ -278,15 +296,15 @@
 
     def test_a_held_request_goes_over_and_is_sent_there(self) -> None:
         from spanwing import interface as api
-        from spanwing.handover.learned import Resumed, forget, of_job
+        from spanwing.handover.learned import RequestResumed, export_attempts, release_request
 
         old, new = Driver(), Driver(workers=1)
         rid, _ = old.ask()
         job = old.node.jobs[rid]
-        told = of_job(job)
-        forget(old.node, rid)
+        told = export_attempts(job)
+        release_request(old.node, rid)
         self.assertEqual(old.node.waiting, 0)
-        actions = new.feed(Resumed(api.Request(rid, "look", 5000.0), job.born, False, False, told))
+        actions = new.feed(RequestResumed(api.Request(rid, "look", 5000.0), job.born, False, False, told))
         self.assertEqual(actions, [api.Send(rid, 1)])
 
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -20,7 +20,7 @@
         pooled, sink, seen = PooledStream(IOStream(one), BufferPool()), bytearray(), []
         reading = asyncio.ensure_future(pooled.read(sink))
         await asyncio.sleep(0)
-        self.assertTrue(pooled.silent())
+        self.assertTrue(pooled.has_no_pending_input())
         other.sendall(b"x")
         loop = asyncio.get_running_loop()
 
@@ -28,14 +28,14 @@
             """Once a turn, ahead of whoever the turn before has woken."""
             if sink:
                 return
-            seen.append(pooled.silent())
+            seen.append(pooled.has_no_pending_input())
             loop.call_soon(look)
 
         loop.call_soon(look)
         self.assertTrue(await reading)
         self.assertEqual((sink, seen), (b"x", [False] * len(seen)))
         self.assertGreater(len(seen), 1)
-        self.assertTrue(pooled.silent())
+        self.assertTrue(pooled.has_no_pending_input())
         pooled.close()
         other.close()
 
@@ -46,7 +46,7 @@
         for make, sent in ((HttpStream, b"GET /up HTTP/1.1\r\n\r\n"), (Lines, b"END\r\n")):
             one, other = _pair()
             stream = make(IOStream(one), BufferPool())
-            read = stream.receive if make is HttpStream else stream.line
+            read = stream.receive if make is HttpStream else stream.read_line
             reading = asyncio.ensure_future(read(0.05, True))
             await asyncio.sleep(0)
             other.sendall(sent)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -9,15 +9,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from spanwing.core.messages import Listed
+from spanwing.core.messages import EndpointsChanged
 from spanwing.hops.transportmap import (
-    LEFT_S,
-    SILENCE_S,
-    TOLD_S,
-    Member,
-    MemberList,
-    Pace,
-    TransportMap,
+    OVERDUE_ANSWER_NOTIFIED_S,
+    SILENT_WATCH_NOTIFIED_S,
+    WATCH_REOPEN_MARGIN_S,
+    DiscoveredEndpoints,
+    DiscoveredWorker,
+    DiscoveryClient,
+    WatchTiming,
 )
 from spanwing.wire.address import parse_address
 from spanwing.wire.buffers import BufferPool
@@ -25,13 +25,13 @@
 
 class Passed(unittest.TestCase):
     def test_a_successor_hears_what_discovery_told_whatever_the_module_was_told(self) -> None:
-        listed = MemberList(
+        listed = DiscoveredEndpoints(
             3,
             True,
             [
-                Member("w1", "127.0.0.1:1", "a"),
-                Member("w2", "127.0.0.1:2", "b", phase="leaving"),
-                Member("w3", "127.0.0.1:3", "b", phase="left"),
+                DiscoveredWorker("w1", "127.0.0.1:1", "a"),
+                DiscoveredWorker("w2", "127.0.0.1:2", "b", phase="leaving"),
+                DiscoveredWorker("w3", "127.0.0.1:3", "b", phase="left"),
             ],
         )
 
@@ -39,12 +39,15 @@
             def post(self, _: object) -> None:
                 """The core, which may screen workers of a zone that was left as leaving."""
 
-            def leave(self) -> None:
+            def start_draining(self) -> None:
                 """A next hop."""
 
-        found = TransportMap(listed, parse_address("127.0.0.1:9"), Hears(), BufferPool(), lambda *_: Hears())
+        found = DiscoveryClient(
+            listed, parse_address("127.0.0.1:9"), Hears(), BufferPool(), lambda *_: Hears()
+        )
         self.assertEqual(
-            sorted((each.id, each.phase) for each in found.members()), [("w1", "active"), ("w2", "leaving")]
+            sorted((each.id, each.phase) for each in found.listed_workers()),
+            [("w1", "active"), ("w2", "leaving")],
         )
 
 
@@ -58,13 +61,13 @@
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
         self.told: asyncio.Queue[str] = asyncio.Queue()
         host, port = self.server.sockets[0].getsockname()
-        self.map = TransportMap(
-            MemberList(revision=7),
+        self.map = DiscoveryClient(
+            DiscoveredEndpoints(revision=7),
             parse_address(f"{host}:{port}"),
             self,
             BufferPool(),
             lambda *_: None,
-            Pace(0.1, 0.1, 0.05, self.again_s),
+            WatchTiming(0.1, 0.1, 0.05, self.again_s),
         )
         self.told.get_nowait()  # of the list that it began with
         self.map.watch()
@@ -72,8 +75,8 @@
     async def asyncTearDown(self) -> None:
         self.server.close()
 
-    def post(self, message: Listed) -> None:
-        self.told.put_nowait(message.news.scope)
+    def post(self, message: EndpointsChanged) -> None:
+        self.told.put_nowait(message.update.scope)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
@@ -171,17 +174,19 @@
         self, grace_ms: float, pushed: bool, ask_every_ms: float
     ) -> None:
         """Wherever in its wait it fell silent, there is time left for the call that opens it anew."""
-        pace, grace_s = Pace.of(grace_ms, pushed, ask_every_ms), grace_ms / 1000.0
-        opened = pace.watch_s + pace.answer_s + pace.silent_s  # after its call, at the latest
-        for fell in (0.0, pace.watch_s / 2.0, pace.watch_s):
-            due = max(fell + SILENCE_S, pace.watch_s + TOLD_S) + grace_s
-            self.assertGreaterEqual(due - opened, LEFT_S - 1e-6)
-        self.assertTrue(pace.again_s > 0 or not pushed)
+        pace, grace_s = WatchTiming.from_settings(grace_ms, pushed, ask_every_ms), grace_ms / 1000.0
+        opened = (
+            pace.poll_hold_s + pace.answer_margin_s + pace.reopen_within_s
+        )  # after its call, at the latest
+        for fell in (0.0, pace.poll_hold_s / 2.0, pace.poll_hold_s):
+            due = max(fell + SILENT_WATCH_NOTIFIED_S, pace.poll_hold_s + OVERDUE_ANSWER_NOTIFIED_S) + grace_s
+            self.assertGreaterEqual(due - opened, WATCH_REOPEN_MARGIN_S - 1e-6)
+        self.assertTrue(pace.retry_within_s > 0 or not pushed)
         if pushed and grace_ms >= 100.0:
-            self.assertLessEqual(pace.again_s, grace_s / 2.0)
+            self.assertLessEqual(pace.retry_within_s, grace_s / 2.0)
 
     def test_the_usual_settings_keep_the_long_wait(self) -> None:
-        self.assertEqual(Pace.of(2000.0, False, 10000.0), Pace())
+        self.assertEqual(WatchTiming.from_settings(2000.0, False, 10000.0), WatchTiming())
 
 
 if __name__ == "__main__":
