--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -15,57 +15,72 @@
 from measure.zoneday import play
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.store.document import Document, Txn
-from spanwing.store.keeper import Keeper
-from spanwing.store.messages import Granted, Renew
+from spanwing.store.document import Document, Transaction
+from spanwing.store.keeper import Leader
+from spanwing.store.messages import Renew, RenewalGranted
 from spanwing.zones import trial
-from spanwing.zones.evidence import LONGEST, Report, Witness, Words, read_report
-from spanwing.zones.gate import Gate, Rules, admits
-from spanwing.zones.local import Local
-from spanwing.zones.state import STEPS, ZONE, Deal, Fleet, Zone, encode, feeders_of, read
-from spanwing.zones.steward import Bounds, Listed, Steward
-from spanwing.zones.strand import Stranded
-from spanwing.zones.verdict import MOST_AGREE, Observer, enough, judge
+from spanwing.zones.evidence import (
+    MAX_REPORT_BYTES,
+    EvidenceCollector,
+    EvidenceReport,
+    ZoneEvidence,
+    decode_report,
+)
+from spanwing.zones.gate import RoutingFilter, RoutingRules, admitted_count
+from spanwing.zones.local import ZoneAgent
+from spanwing.zones.state import (
+    RETURN_STEPS,
+    ZONE_KEY_PREFIX,
+    FeederAssignment,
+    FleetZones,
+    ZoneState,
+    choose_feeders,
+    encode_value,
+    read_fleet_zones,
+)
+from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
+from spanwing.zones.strand import ZoneUnreachable
+from spanwing.zones.verdict import MAX_REQUIRED_OBSERVERS, Observer, judge_zone, required_observers
 
 SEEDS = range(1, 13)
 
 
 def observer(zone: str, **words: tuple[list[int], list[int]]) -> Observer:
-    return Observer(zone, {name: Words(*each) for name, each in words.items()})
+    return Observer(zone, {name: ZoneEvidence(*each) for name, each in words.items()})
 
 
 class Numbers(unittest.TestCase):
     """What the keeper answers to renewals that name an old number, one from the future, or none."""
 
-    def ask(self, seen: int, session: str = "s.1") -> Granted:
-        keeper = Keeper("a", 2000.0, mock.Mock(wonders=lambda *_: ()), 0.0, lambda: 0.5)
-        document = Document().apply(Txn("k", {"keeper": '{"member":"a","term":1}'}))
+    def ask(self, seen: int, session: str = "s.1") -> RenewalGranted:
+        keeper = Leader("a", 2000.0, mock.Mock(zones_to_probe=lambda *_: ()), 0.0, lambda: 0.5)
+        document = Document().apply(Transaction("k", {"keeper": '{"member":"a","term":1}'}))
         for number in range(80):
-            document = document.apply(Txn(f"t{number}", {"x": str(number)}))
-        told: list[Granted] = []
-        keeper.read(1.0, 1.0, document)
-        keeper.renew(2.0, Renew(7, session, "a", 0, seen), told.append)
-        keeper.due(3.0)
+            document = document.apply(Transaction(f"t{number}", {"x": str(number)}))
+        told: list[RenewalGranted] = []
+        keeper.handle_read(1.0, 1.0, document)
+        keeper.handle_renewal(2.0, Renew(7, session, "a", 0, seen), told.append)
+        keeper.answer_due_renewals(3.0)
         self.assertFalse(any(each.lease_ms for each in told), "granted before a read")
-        keeper.read(5.0, 4.0, document)
-        keeper.due(600.0)
+        keeper.handle_read(5.0, 4.0, document)
+        keeper.answer_due_renewals(600.0)
         self.assertEqual(len(told), 1)
         return told[0]
 
     def test_each_gets_what_it_lacks_or_nothing(self) -> None:
-        self.assertEqual(self.ask(0).whole.revision, 81)  # the history does not reach back so far
+        self.assertEqual(self.ask(0).document.revision, 81)  # the history does not reach back so far
         self.assertEqual([each.revision for each in self.ask(79).changes], [80, 81])
         self.assertEqual((self.ask(81).changes, self.ask(81).lease_ms), ((), 2000.0))
         for refused in (self.ask(82), self.ask(-1), self.ask(0, ""), self.ask(0, "s" * 99)):
-            self.assertEqual((refused.lease_ms, refused.whole, refused.changes), (0.0, None, None))
-            self.assertTrue(refused.why)
+            self.assertEqual((refused.lease_ms, refused.document, refused.changes), (0.0, None, None))
+            self.assertTrue(refused.reason)
 
 
 class Verdicts(unittest.TestCase):
     A = (1, 2, 3)
 
     def find(self, observers: list[Observer], schedulers: int = 5) -> str:
-        return judge("a", observers, self.A, schedulers).finding
+        return judge_zone("a", observers, self.A, schedulers).finding
 
     def test_failed_by_observers_of_other_zones(self) -> None:
         others = [
@@ -110,24 +125,27 @@
 
     def test_a_sample_stands_for_all_where_one_acts_alone(self) -> None:
         def finding(bad: list[int], good: list[int], elsewhere: list[int] = [9]) -> str:  # noqa: B006
-            words = {"b": Words(good, bad), "a": Words(elsewhere, [])}
-            return judge("b", [Observer("a", words)], range(1, 31), 1, sampled=True).finding
+            words = {"b": ZoneEvidence(good, bad), "a": ZoneEvidence(elsewhere, [])}
+            return judge_zone("b", [Observer("a", words)], range(1, 31), 1, is_sampled=True).finding
 
         self.assertEqual(finding([1, 2, 3], []), "failed")
         self.assertEqual(finding([1, 2], []), "unknown")  # two of thirty say nothing of all
         self.assertNotEqual(finding([1, 2, 3], [4, 5]), "failed")
         self.assertNotEqual(finding([1, 2, 3], [], []), "failed")  # nothing else is seen well
         self.assertEqual(
-            judge(
-                "b", [Observer("a", {"b": Words([], [1, 2, 3]), "a": Words([9], [])})], range(1, 31), 1
+            judge_zone(
+                "b",
+                [Observer("a", {"b": ZoneEvidence([], [1, 2, 3]), "a": ZoneEvidence([9], [])})],
+                range(1, 31),
+                1,
             ).finding,
             "unknown",
         )
 
     @given(st.integers(3, 400), st.integers(0, 400))
     def test_enough_is_two_at_least_and_within_reach(self, schedulers: int, observers: int) -> None:
-        least = enough(schedulers, min(schedulers, observers))
-        self.assertTrue(2 <= least <= MOST_AGREE)
+        least = required_observers(schedulers, min(schedulers, observers))
+        self.assertTrue(2 <= least <= MAX_REQUIRED_OBSERVERS)
         self.assertLessEqual(least, max(2, observers - 1))
 
 
@@ -138,26 +156,34 @@
 
     def left(self, states: dict[str, str]) -> set[str]:
         """Zones that the keeper leaves while c fails and a is seen well."""
-        zones = {name: Zone(state, step=int(state == "returning")) for name, state in states.items()}
-        writes = {ZONE + name: encode(zone) for name, zone in zones.items()}
-        document = Document().apply(Txn("states", writes))
-        listed = {name: [Listed(each, 0.0, False) for each in ids] for name, ids in self.WORKERS.items()}
-        steward = Steward(Bounds(3500.0, schedulers=3), lambda: listed, lambda: 0.0, "s0", lambda: "change")
+        zones = {name: ZoneState(state, step=int(state == "returning")) for name, state in states.items()}
+        writes = {ZONE_KEY_PREFIX + name: encode_value(zone) for name, zone in zones.items()}
+        document = Document().apply(Transaction("states", writes))
+        listed = {
+            name: [ListedWorker(each, 0.0, False) for each in ids] for name, ids in self.WORKERS.items()
+        }
+        steward = ZoneController(
+            ZoneLimits(3500.0, scheduler_count=3), lambda: listed, lambda: 0.0, "s0", lambda: "change"
+        )
         sessions = {
             f"s{number}": mock.Mock(id=f"s{number}", zone=zone, position=number)
             for number, zone in enumerate("abc")
         }
         keeper = mock.Mock(
             sessions=sessions,
-            in_contact=lambda now: list(sessions.values()),
-            lapsed=lambda *_: False,
-            acknowledged=lambda *_: False,
+            active_sessions=lambda now: list(sessions.values()),
+            has_lease_expired=lambda *_: False,
+            is_acknowledged_by=lambda *_: False,
+        )
+        evidence = msgspec.Raw(
+            msgspec.json.encode(
+                EvidenceReport({"a": ZoneEvidence([1, 2], []), "c": ZoneEvidence([], [5, 6])})
+            )
         )
-        evidence = msgspec.Raw(msgspec.json.encode(Report({"a": Words([1, 2], []), "c": Words([], [5, 6])})))
         for each in sessions.values():
-            steward.heard(10.0, each, evidence)
-        made = steward.decide(20.0, document, keeper)
-        changed = read(document.apply(made)) if made is not None else read(document)
+            steward.record_evidence(10.0, each, evidence)
+        made = steward.decide_next_change(20.0, document, keeper)
+        changed = read_fleet_zones(document.apply(made)) if made is not None else read_fleet_zones(document)
         return {name for name, zone in changed.zones.items() if zone.state == "leaving"}
 
     def test_a_zone_that_fails_is_left_while_another_is_open(self) -> None:
@@ -172,37 +198,37 @@
 
     WORKERS = tuple(api.Worker(number, zone=zone) for number, zone in enumerate("aabbcc", 1))
 
-    def scheduler(self, zone: str, node: int, **changes) -> tuple[Local, Driver]:
+    def scheduler(self, zone: str, node: int, **changes) -> tuple[ZoneAgent, Driver]:
         driver = Driver(settings(zone=zone, node=node, nodes=3, **changes))
         driver.feed(api.WorkerList("complete", self.WORKERS))
-        rules = Rules(f"s{node}.1", zone, 2000.0, 1000.0, 2)
-        local = Local(rules, node, 3, driver.node.feeds, random.Random(node))
-        local.screen(api.WorkerList("complete", self.WORKERS), 0.0, 0.0, True)
+        rules = RoutingRules(f"s{node}.1", zone, 2000.0, 1000.0, 2)
+        local = ZoneAgent(rules, node, 3, driver.node.feeds, random.Random(node))
+        local.filter_workers(api.WorkerList("complete", self.WORKERS), 0.0, 0.0, True)
         return local, driver
 
-    def look(self, local: Local, driver: Driver, zone: str = "c") -> None:
+    def look(self, local: ZoneAgent, driver: Driver, zone: str = "c") -> None:
         """The keeper asks, and every worker answers probes; jobs fail in this zone alone."""
-        for worker in local.look((zone,)):
-            local.probed(driver.now, worker, "ok")
-        trial.begin(driver.node, local.tries(driver.now, (zone,)), driver.now)
+        for worker in local.choose_workers_to_probe((zone,)):
+            local.probe_finished(driver.now, worker, "ok")
+        trial.start_trials(driver.node, local.tries(driver.now, (zone,)), driver.now)
         rid, actions = driver.ask()
         worker = sends(actions)[0].worker
-        local.sent(driver.now, worker, (rid, 0))
+        local.attempt_sent(driver.now, worker, (rid, 0))
         result = "error" if self.WORKERS[worker - 1].zone == zone else "ok"
-        local.ended(driver.now, worker, (rid, 0), result)
+        local.attempt_ended(driver.now, worker, (rid, 0), result)
         driver.end(rid, 0, worker, result)
 
     def test_others_come_to_a_word_of_their_own_when_the_keeper_asks(self) -> None:
         observers = [observer("b", a=([1, 2], []), c=([], [5, 6]))]  # who sends jobs there
-        self.assertEqual(judge("c", observers, (5, 6), 3).finding, "unknown")
+        self.assertEqual(judge_zone("c", observers, (5, 6), 3).finding, "unknown")
         for zone, node in (("a", 0), ("c", 2)):
             local, driver = self.scheduler(zone, node)
             for _ in range(2):
                 self.look(local, driver)
                 driver.run(driver.now + 500.0)
-            observers.append(Observer(zone, local.report(driver.now, (), driver.now).zones))
-            self.assertEqual(sorted(observers[-1].words["c"].bad), [5, 6])
-        self.assertEqual(judge("c", observers, (5, 6), 3).finding, "failed")
+            observers.append(Observer(zone, local.build_evidence_report(driver.now, (), driver.now).zones))
+            self.assertEqual(sorted(observers[-1].evidence["c"].faulty_workers), [5, 6])
+        self.assertEqual(judge_zone("c", observers, (5, 6), 3).finding, "failed")
 
     def test_a_worker_with_a_word_is_not_tried(self) -> None:
         local, driver = self.scheduler("a", 0)
@@ -221,7 +247,7 @@
             with self.subTest(cls=cls, max_attempts=max_attempts, after=after):
                 _, driver = self.scheduler("a", 0, max_attempts=max_attempts)
                 away = next(each.entry.id for each in driver.node.far)
-                trial.begin(driver.node, [away], driver.now)
+                trial.start_trials(driver.node, [away], driver.now)
                 driver.run(after)
                 sent = [each.worker for _ in range(2) for each in sends(driver.ask(cls)[1])]
                 self.assertEqual(sent.count(away), int(tried), sent)
@@ -230,143 +256,149 @@
         _, driver = self.scheduler("a", 0)
         away = next(each for each in driver.node.far if not each.owner)
         driver.feed(api.WorkerList("partial", (away.entry._replace(started=1.0, feeder=0.0),)))
-        trial.begin(driver.node, [away.entry.id], driver.now)
+        trial.start_trials(driver.node, [away.entry.id], driver.now)
         self.assertNotEqual(sends(driver.ask()[1])[0].worker, away.entry.id)
 
 
 class Words16(unittest.TestCase):
     def test_silence_counts_only_from_jobs_and_ends_with_a_word(self) -> None:
-        witness = Witness()
-        witness.report(0.0)
-        witness.sent(0.0, 5, "a", ("j", 0))
-        self.assertEqual(witness.words(400.0), {})
-        witness.probed(450.0, 9, "b", "ok")  # others answer
-        self.assertEqual(witness.words(600.0)["a"].bad, [5])
-        witness.answered(650.0, 5, ("j", 0))  # too late to be good
-        self.assertEqual(witness.words(700.0)["a"].bad, [5])
-        witness.sent(700.0, 5, "a", ("k", 0))
-        witness.answered(720.0, 5, ("k", 0))
-        self.assertEqual(witness.words(730.0)["a"].good, [5])
-        self.assertEqual(witness.words(5000.0), {})
+        witness = EvidenceCollector()
+        witness.build_report(0.0)
+        witness.attempt_sent(0.0, 5, "a", ("j", 0))
+        self.assertEqual(witness.evidence_by_zone(400.0), {})
+        witness.probe_finished(450.0, 9, "b", "ok")  # others answer
+        self.assertEqual(witness.evidence_by_zone(600.0)["a"].faulty_workers, [5])
+        witness.attempt_accepted(650.0, 5, ("j", 0))  # too late to be good
+        self.assertEqual(witness.evidence_by_zone(700.0)["a"].faulty_workers, [5])
+        witness.attempt_sent(700.0, 5, "a", ("k", 0))
+        witness.attempt_accepted(720.0, 5, ("k", 0))
+        self.assertEqual(witness.evidence_by_zone(730.0)["a"].good, [5])
+        self.assertEqual(witness.evidence_by_zone(5000.0), {})
 
     def test_who_was_stopped_or_sees_nothing_but_bad_takes_back_what_it_saw(self) -> None:
-        witness = Witness()
-        witness.report(0.0)
-        witness.sent(0.0, 5, "a", ("j", 0))
-        self.assertEqual(witness.report(9000.0).zones, {})  # it was stopped itself
+        witness = EvidenceCollector()
+        witness.build_report(0.0)
+        witness.attempt_sent(0.0, 5, "a", ("j", 0))
+        self.assertEqual(witness.build_report(9000.0).zones, {})  # it was stopped itself
         for worker, zone in ((5, "a"), (6, "b")):
-            witness.probed(9100.0, worker, zone, "unreachable")
-        self.assertEqual(witness.report(9200.0).zones, {})
-        witness.probed(9300.0, 6, "b", "ok")
-        self.assertEqual(witness.report(9400.0).zones["b"].good, [6])
+            witness.probe_finished(9100.0, worker, zone, "unreachable")
+        self.assertEqual(witness.build_report(9200.0).zones, {})
+        witness.probe_finished(9300.0, 6, "b", "ok")
+        self.assertEqual(witness.build_report(9400.0).zones["b"].good, [6])
 
     def test_silence_counts_only_if_others_answer_meanwhile(self) -> None:
-        witness = Witness("own")
+        witness = EvidenceCollector("own")
         for worker, zone in ((1, "own"), (2, "near"), (3, "far")):
-            witness.probed(0.0, worker, zone, "ok")
-        witness.sent(100.0, 3, "far", ("r", 0))
-        self.assertEqual(witness.words(650.0)["far"].bad, [])  # all are silent: the network between stalls
-        witness.ended(700.0, 3, ("r", 0), "unreachable")
-        self.assertEqual(witness.words(700.0)["far"].bad, [])
-        witness.probed(1000.0, 2, "near", "ok")
-        witness.sent(900.0, 3, "far", ("s", 0))
-        self.assertEqual(witness.words(1200.0).get("far"), None)
-        witness.probed(1300.0, 2, "near", "ok")
-        self.assertEqual(witness.words(1400.0)["far"].bad, [3])
+            witness.probe_finished(0.0, worker, zone, "ok")
+        witness.attempt_sent(100.0, 3, "far", ("r", 0))
+        self.assertEqual(
+            witness.evidence_by_zone(650.0)["far"].faulty_workers, []
+        )  # all are silent: the network between stalls
+        witness.attempt_ended(700.0, 3, ("r", 0), "unreachable")
+        self.assertEqual(witness.evidence_by_zone(700.0)["far"].faulty_workers, [])
+        witness.probe_finished(1000.0, 2, "near", "ok")
+        witness.attempt_sent(900.0, 3, "far", ("s", 0))
+        self.assertEqual(witness.evidence_by_zone(1200.0).get("far"), None)
+        witness.probe_finished(1300.0, 2, "near", "ok")
+        self.assertEqual(witness.evidence_by_zone(1400.0)["far"].faulty_workers, [3])
 
     def test_who_was_cut_off_from_other_zones_takes_back_what_it_saw_of_them(self) -> None:
-        witness = Witness("own")
+        witness = EvidenceCollector("own")
         for worker, zone in ((1, "own"), (2, "near"), (3, "far")):
-            witness.probed(0.0, worker, zone, "ok")
+            witness.probe_finished(0.0, worker, zone, "ok")
         for worker in (2, 3):
-            witness.sent(900.0, worker, {2: "near", 3: "far"}[worker], (f"r{worker}", 0))
-            witness.ended(1000.0, worker, (f"r{worker}", 0), "unreachable")
-        witness.sent(1600.0, 2, "near", ("back", 0))
-        witness.ended(1700.0, 2, ("back", 0), "ok")
-        words = witness.words(1700.0)
+            witness.attempt_sent(900.0, worker, {2: "near", 3: "far"}[worker], (f"r{worker}", 0))
+            witness.attempt_ended(1000.0, worker, (f"r{worker}", 0), "unreachable")
+        witness.attempt_sent(1600.0, 2, "near", ("back", 0))
+        witness.attempt_ended(1700.0, 2, ("back", 0), "ok")
+        words = witness.evidence_by_zone(1700.0)
         self.assertEqual(words["near"].good, [2])
         self.assertNotIn("far", words)
         # One other zone that fails, while another one is seen well, stays bad.
-        witness.probed(1750.0, 3, "far", "unreachable")
-        witness.sent(1760.0, 2, "near", ("more", 0))
-        witness.ended(1800.0, 2, ("more", 0), "ok")
-        self.assertEqual(witness.words(1800.0)["far"].bad, [3])
+        witness.probe_finished(1750.0, 3, "far", "unreachable")
+        witness.attempt_sent(1760.0, 2, "near", ("more", 0))
+        witness.attempt_ended(1800.0, 2, ("more", 0), "ok")
+        self.assertEqual(witness.evidence_by_zone(1800.0)["far"].faulty_workers, [3])
 
     def test_probes_do_not_outvote_jobs_that_failed(self) -> None:
-        witness = Witness()
-        witness.sent(0.0, 5, "a", ("j", 0))
-        self.assertTrue(witness.ended(10.0, 5, ("j", 0), "error"))
-        witness.probed(20.0, 5, "a", "ok")
-        self.assertEqual(witness.words(30.0)["a"].bad, [5])
+        witness = EvidenceCollector()
+        witness.attempt_sent(0.0, 5, "a", ("j", 0))
+        self.assertTrue(witness.attempt_ended(10.0, 5, ("j", 0), "error"))
+        witness.probe_finished(20.0, 5, "a", "ok")
+        self.assertEqual(witness.evidence_by_zone(30.0)["a"].faulty_workers, [5])
 
     @given(st.binary(max_size=200))
     def test_garbage_is_a_plain_error(self, data: bytes) -> None:
         try:
-            read_report(data)
+            decode_report(data)
         except ValueError:
             pass
 
     def test_bounds(self) -> None:
         for report in (
-            Report({"a": Words([1] * 25, [])}),
-            Report({"a": Words([70000], [])}),
-            Report({f"z{n}": Words([], []) for n in range(33)}),
+            EvidenceReport({"a": ZoneEvidence([1] * 25, [])}),
+            EvidenceReport({"a": ZoneEvidence([70000], [])}),
+            EvidenceReport({f"z{n}": ZoneEvidence([], []) for n in range(33)}),
         ):
             with self.assertRaises(ValueError):
-                read_report(msgspec.json.encode(report))
+                decode_report(msgspec.json.encode(report))
         with self.assertRaises(ValueError):
-            read_report(b" " * (LONGEST + 1))
+            decode_report(b" " * (MAX_REPORT_BYTES + 1))
 
 
 class Gates(unittest.TestCase):
-    RULES = Rules("s1", "a", 8000.0, 3000.0, 3)
+    RULES = RoutingRules("s1", "a", 8000.0, 3000.0, 3)
 
-    def gate(self, zone: Zone, deal: Deal | None = None, started: float = 0.0) -> Gate:
-        gate = Gate(self.RULES, lambda worker: worker == 1)
-        gate.follow(Fleet({"b": zone}, {"b": 4}, deal, 4, []), 0.0, 100_000.0)
+    def gate(
+        self, zone: ZoneState, deal: FeederAssignment | None = None, started: float = 0.0
+    ) -> RoutingFilter:
+        gate = RoutingFilter(self.RULES, lambda worker: worker == 1)
+        gate.update_zones(FleetZones({"b": zone}, {"b": 4}, deal, 4, []), 0.0, 100_000.0)
         workers = tuple(api.Worker(n, zone="b", started=started) for n in range(1, 9))
-        gate.listed(api.WorkerList("complete", workers), 0.0, 100_000.0)
+        gate.update_workers(api.WorkerList("complete", workers), 0.0, 100_000.0)
         return gate
 
-    def used(self, gate: Gate, lease: bool = True, now: float = 0.0) -> set[int]:
-        return {n for n in range(1, 9) if gate.may(n, now, lease, 100_000.0)}
+    def used(self, gate: RoutingFilter, lease: bool = True, now: float = 0.0) -> set[int]:
+        return {n for n in range(1, 9) if gate.may_forward(n, now, lease, 100_000.0)}
 
     def test_left_and_held_and_alone(self) -> None:
-        self.assertEqual(self.used(self.gate(Zone())), set(range(1, 9)))
-        self.assertEqual(self.used(self.gate(Zone("left"))), set())
-        self.assertEqual(self.used(self.gate(Zone("left")), lease=False), {1})  # one scheduler for each
-        self.assertEqual(self.used(self.gate(Zone("left", held=True)), lease=False), set())
-        self.assertEqual(len(self.used(self.gate(Zone("leaving", share=0.5)))), 4)
+        self.assertEqual(self.used(self.gate(ZoneState())), set(range(1, 9)))
+        self.assertEqual(self.used(self.gate(ZoneState("left"))), set())
+        self.assertEqual(self.used(self.gate(ZoneState("left")), lease=False), {1})  # one scheduler for each
+        self.assertEqual(self.used(self.gate(ZoneState("left", held=True)), lease=False), set())
+        self.assertEqual(len(self.used(self.gate(ZoneState("leaving", share=0.5)))), 4)
 
     def test_cold_workers_are_fed_by_the_dealt_alone_and_first_with_half_a_share(self) -> None:
-        deal = Deal(1, ["s1", "s2", "s3", "s4", "s5", "s6"], [], True)
-        gate = self.gate(Zone("returning", step=STEPS), deal, started=99_000.0)
-        mine = {n for n in range(1, 9) if "s1" in feeders_of(n, deal.sessions, 3)}
+        deal = FeederAssignment(1, ["s1", "s2", "s3", "s4", "s5", "s6"], [], True)
+        gate = self.gate(ZoneState("returning", step=RETURN_STEPS), deal, started=99_000.0)
+        mine = {n for n in range(1, 9) if "s1" in choose_feeders(n, deal.sessions, 3)}
         self.assertEqual(self.used(gate), mine)
         self.assertEqual(self.used(gate, lease=False), {1})
         for now, part in ((0.0, 0.5), (5499.0, 0.5), (5500.0, 1.0)):
-            seen = gate.screened(gate.workers.values(), now, True, lambda _: False)
+            seen = gate.filter_workers(gate.workers.values(), now, True, lambda _: False)
             self.assertEqual({each.id for each in seen if each.feeder == part}, mine)
 
     def test_who_is_dealt_anew_waits_and_who_stays_goes_on(self) -> None:
-        deal = Deal(1, ["s2", "s3", "s4"], [], True)
-        gate = self.gate(Zone("returning", step=STEPS), deal, started=99_000.0)
+        deal = FeederAssignment(1, ["s2", "s3", "s4"], [], True)
+        gate = self.gate(ZoneState("returning", step=RETURN_STEPS), deal, started=99_000.0)
         self.assertEqual(self.used(gate), set())
-        zones = {"b": Zone("returning", step=STEPS)}
-        new = Deal(2, ["s1", "s3", "s4"], deal.sessions)
-        gate.follow(Fleet(zones, {"b": 4}, new, 5, []), 1000.0, 101_000.0)
+        zones = {"b": ZoneState("returning", step=RETURN_STEPS)}
+        new = FeederAssignment(2, ["s1", "s3", "s4"], deal.sessions)
+        gate.update_zones(FleetZones(zones, {"b": 4}, new, 5, []), 1000.0, 101_000.0)
         self.assertEqual(self.used(gate, now=1e9), set())  # announced, not in force
         taken = msgspec.structs.replace(new, in_force=True)
-        gate.follow(Fleet(zones, {"b": 4}, taken, 6, []), 2000.0, 102_000.0)
+        gate.update_zones(FleetZones(zones, {"b": 4}, taken, 6, []), 2000.0, 102_000.0)
         self.assertEqual(self.used(gate, now=7499.0), set())
         self.assertEqual(self.used(gate, now=7500.0), set(range(1, 9)))
-        third = Deal(3, ["s1", "s3", "s5"], new.sessions)
-        gate.follow(Fleet(zones, {"b": 4}, third, 7, []), 7600.0, 107_600.0)
+        third = FeederAssignment(3, ["s1", "s3", "s5"], new.sessions)
+        gate.update_zones(FleetZones(zones, {"b": 4}, third, 7, []), 7600.0, 107_600.0)
         self.assertEqual(self.used(gate, now=7600.0), set(range(1, 9)))
 
     @given(st.integers(1, 4), st.integers(1, 50))
     def test_steps_admit_a_quarter_more_each(self, step: int, workers: int) -> None:
-        self.assertEqual(admits(Zone("returning", step=step), workers, False), -(-step * workers // 4))
+        self.assertEqual(
+            admitted_count(ZoneState("returning", step=step), workers, False), -(-step * workers // 4)
+        )
 
 
 class Worlds(unittest.TestCase):
@@ -396,16 +428,28 @@
 
 class Strands(unittest.TestCase):
     def test_keyed_work_of_a_zone_that_was_left_is_answered_at_once(self) -> None:
-        cls = api.ServiceClass("push", aim=300, deadline=5000, effect="keyed", group="zone", window=4000)
+        cls = api.ServiceClass(
+            "push",
+            aim=300,
+            deadline=5000,
+            effect="keyed",
+            group="zone",
+            window=4000,
+        )
         node = Dispatcher(api.Settings(classes=(cls,), max_attempts=5, cancel=True), 1, 0.0)
-        node.handle(0.0, api.WorkerList("persisted", (api.Worker(1, zone="a"), api.Worker(2, zone="b"))))
+        node.handle(
+            0.0,
+            api.WorkerList("persisted", (api.Worker(1, zone="a"), api.Worker(2, zone="b"))),
+        )
         did = node.handle(1.0, api.Request("r", "push", 5001.0))
         sent = next(each for each in did if type(each) is api.Send)
         zone = "a" if sent.worker == 1 else "b"
         node.handle(2.0, api.WorkerList("partial", (api.Worker(sent.worker, "draining", zone=zone),)))
         node.handle(10.0, api.Outcome("r", 0, sent.worker, "reset", False, 9.0))
-        self.assertEqual([each for each in node.handle(11.0, Stranded("c")) if type(each) is api.Fail], [])
-        self.assertIn(api.Fail("r"), node.handle(12.0, Stranded(zone)))
+        self.assertEqual(
+            [each for each in node.handle(11.0, ZoneUnreachable("c")) if type(each) is api.Fail], []
+        )
+        self.assertIn(api.Fail("r"), node.handle(12.0, ZoneUnreachable(zone)))
 
 
 if __name__ == "__main__":
