--- a/benchmarks/journal_latency.py
+++ b/benchmarks/journal_latency.py
@@ -30,8 +30,6 @@
 
 from spanwing.journal.files import LocalFolder
 from spanwing.journal.frames import encode_frame
-from spanwing.journal.keeper import JournalWriter
-from spanwing.journal.log import SegmentLog
 from spanwing.journal.records import (
     AttemptCompleted,
     AttemptIntent,
@@ -40,6 +38,8 @@
     RequestAnswered,
     encode_record,
 )
+from spanwing.journal.segment_log import SegmentLog
+from spanwing.journal.writer import JournalWriter
 
 RATES = (45, 450, 2000)
 RUNNING_S = 0.05  # from the intent to the other records
--- a/benchmarks/journal_scale.py
+++ b/benchmarks/journal_scale.py
@@ -17,7 +17,6 @@
 import click
 
 from spanwing.journal.files import LocalFolder
-from spanwing.journal.log import SNAPSHOT_SUFFIX, RetentionLimits, SegmentLog
 from spanwing.journal.records import (
     AttemptCompleted,
     AttemptIntent,
@@ -25,6 +24,7 @@
     RequestAccepted,
     RequestAnswered,
 )
+from spanwing.journal.segment_log import SNAPSHOT_SUFFIX, RetentionLimits, SegmentLog
 
 BATCH = 200  # requests in one write
 A_RECORD = 5  # records of a request
--- a/measure/crashes.py
+++ b/measure/crashes.py
@@ -33,7 +33,7 @@
 from measure.daemons import ROOT, settings
 from measure.faktory import Speaker
 from measure.killed import HOP_HOST, Order
-from spanwing.journal.book import JournalReader
+from spanwing.journal.reader import JournalReader
 
 KINDS = ("first", "second", "race")
 LOAD_RATE, LOAD_S, FETCHERS = 45.0, (0.4, 1.6), 24
--- a/measure/fleet/bugged.py
+++ b/measure/fleet/bugged.py
@@ -20,7 +20,9 @@
 
 
 def minority() -> None:
-    from spanwing.zones import evidence, steward, verdict
+    from spanwing.zones import controller as steward
+    from spanwing.zones import evidence
+    from spanwing.zones import failure_detector as verdict
 
     verdict.is_credible = lambda zone, observer: True
     verdict.required_observers = steward.required_observers = lambda schedulers, observers: 1
@@ -30,8 +32,8 @@
 
 
 def unsafe() -> None:
-    from spanwing.core.exchange import RequestManager
     from spanwing.core.messages import AttemptEnded
+    from spanwing.core.request_manager import RequestManager
 
     def recall(self: RequestManager, request: str, number: int) -> None:
         if (request, number) in self.in_flight and request in self.pending_requests:
@@ -41,7 +43,7 @@
 
 
 def no_wait() -> None:
-    from spanwing.zones.gate import RoutingRules
+    from spanwing.zones.routing_filter import RoutingRules
 
     RoutingRules.feeder_change_delay_ms = lambda self: 0.0
 
--- a/measure/fleet/followers.py
+++ b/measure/fleet/followers.py
@@ -20,9 +20,9 @@
 from measure.daemons import ROOT, TICKS
 from measure.fleet.ground import HOST, Ground
 from spanwing.actor import spawn_task
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
 from spanwing.store.follower import DocumentFollower
-from spanwing.wire.address import Address
-from spanwing.wire.buffers import BufferPool
 
 SETTLE_S, LOOK_S, PROCESSES = 6.0, 10.0, 4
 WORDS = json.dumps(
--- a/measure/fleet/simulated.py
+++ b/measure/fleet/simulated.py
@@ -27,16 +27,16 @@
 import msgspec
 
 from spanwing import interface as api
+from spanwing.simulation.event_queue import EventQueue
 from spanwing.state import mix
 from spanwing.store.document import Document, Transaction, catch_up
-from spanwing.store.keeper import Leader
+from spanwing.store.leader import Leader
 from spanwing.store.lease import Lease
 from spanwing.store.messages import Renew, RenewalGranted
-from spanwing.world.agenda import EventQueue
-from spanwing.zones.gate import RoutingRules
-from spanwing.zones.local import ZoneAgent
+from spanwing.zones.agent import ZoneAgent
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneLimits
+from spanwing.zones.routing_filter import RoutingRules
 from spanwing.zones.state import read_fleet_zones
-from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
 
 LEASE_MS, COLD_MS, FALL_MS, FEEDERS = 2000.0, 8600.0, 3000.0, 3
 ZONES = ("athlone", "galway", "limerick")
--- a/measure/fleet/watched.py
+++ b/measure/fleet/watched.py
@@ -16,8 +16,8 @@
 
 def watch(folder: str, bug: str) -> None:
     from spanwing.core.messages import RequestSubmitted
-    from spanwing.policy.hand import AdmissionDecision, PolicyParticipant
-    from spanwing.policy.side import PolicyService
+    from spanwing.policy.participant import AdmissionDecision, PolicyParticipant
+    from spanwing.policy.service import PolicyService
     from spanwing.store.lease import Lease
 
     log, admits, may = (
--- a/measure/holds.py
+++ b/measure/holds.py
@@ -21,8 +21,8 @@
 from measure.daemons import Daemon
 from measure.workers import Workers
 from spanwing.load.openloop import LoadTestResult, OpenLoopGenerator
-from spanwing.world.clients import ClassSpec, ClientModel, LoadSpec, TenantSpec
-from spanwing.world.streams import RandomStreams
+from spanwing.simulation.clients import ClassSpec, ClientModel, LoadSpec, TenantSpec
+from spanwing.simulation.random_streams import RandomStreams
 
 RATES, WORKERS, BOUND_MS = (100, 400, 800, 1200, 1600, 2000, 2400), 12, 10.0
 PROFILED = 400
--- a/measure/killed.py
+++ b/measure/killed.py
@@ -113,7 +113,7 @@
 
 def main() -> None:
     import spanwing.daemon  # noqa: F401 - loaded once, for all runs
-    import spanwing.journal.keeper  # noqa: F401
+    import spanwing.journal.writer  # noqa: F401
 
     for line in sys.stdin:
         order = msgspec.json.decode(line, type=Order)
--- a/measure/policymodel.py
+++ b/measure/policymodel.py
@@ -28,9 +28,9 @@
 import click
 import msgspec
 
-from spanwing.policy.chair import PermitSettings, PolicyCoordinator, PolicyVote
-from spanwing.policy.hand import PolicyParticipant
-from spanwing.policy.record import (
+from spanwing.policy.coordinator import PermitSettings, PolicyCoordinator, PolicyVote
+from spanwing.policy.participant import PolicyParticipant
+from spanwing.policy.records import (
     CURRENT_KEY,
     PolicyState,
     PolicyVersion,
--- a/measure/scale.py
+++ b/measure/scale.py
@@ -17,8 +17,8 @@
 import click
 
 from spanwing.faults import ErrorCollector
-from spanwing.world.fleet import FleetSimulation
-from spanwing.world.scenario import load_scenario
+from spanwing.simulation.fleet import FleetSimulation
+from spanwing.simulation.scenario import load_scenario
 
 WORKERS, SCHEDULERS = (15, 150, 1500, 15_000), (4, 40, 400)
 REQUESTS = 4000
--- a/measure/zoneday.py
+++ b/measure/zoneday.py
@@ -21,11 +21,11 @@
 import msgspec
 
 from spanwing.faults import ErrorCollector
-from spanwing.world.fleet import AnsweredRequest, FleetSimulation, GeneratedRequest, WorkerHost
-from spanwing.world.node import SimulatedScheduler
-from spanwing.world.scenario import parse_scenario
-from spanwing.world.troubles import FaultInjector
-from spanwing.world.zoned import LeaderFleet, StandaloneFleet
+from spanwing.simulation.fault_injection import FaultInjector
+from spanwing.simulation.fleet import AnsweredRequest, FleetSimulation, GeneratedRequest, WorkerHost
+from spanwing.simulation.scenario import parse_scenario
+from spanwing.simulation.scheduler import SimulatedScheduler
+from spanwing.simulation.zone_fleet import LeaderFleet, StandaloneFleet
 
 BEFORE_S = 4.0  # the zone's work in this time before its loss is what it did
 WHOLE = 0.9  # of that work again: whole capacity
@@ -125,7 +125,7 @@
 
 def play(scenario: str, seed: int, way: str = "none", times: int = 1) -> dict[str, Any]:
     """One day; times: so many times the schedulers, the workers and the jobs."""
-    text = (resources.files("spanwing.world") / "scenarios" / f"{scenario}.toml").read_bytes()
+    text = (resources.files("spanwing.simulation") / "scenarios" / f"{scenario}.toml").read_bytes()
     day = msgspec.structs.replace(parse_scenario(text, ErrorCollector()), times=times)
     loss = next((each for each in day.faults if each.what == "zone_lost"), None)
     zone, lost, back = "", day.day_ms, day.day_ms  # a day on which no zone may be left
--- a/spanwing/cli/load.py
+++ b/spanwing/cli/load.py
@@ -11,9 +11,9 @@
 
 from spanwing.faults import ErrorCollector
 from spanwing.load.openloop import LoadTestResult, OpenLoopGenerator
-from spanwing.world.clients import ClientModel
-from spanwing.world.scenario import load_scenario as load_scenario
-from spanwing.world.streams import RandomStreams
+from spanwing.simulation.clients import ClientModel
+from spanwing.simulation.random_streams import RandomStreams
+from spanwing.simulation.scenario import load_scenario as load_scenario
 
 EXIT_FAULTY, EXIT_BROKEN = 1, 1
 
--- a/spanwing/cli/policy.py
+++ b/spanwing/cli/policy.py
@@ -93,7 +93,7 @@
 @pass_path
 def diff(path: str, file: str) -> None:
     """What FILE would change of the version in force."""
-    from spanwing.policy.sound import describe_differences
+    from spanwing.policy.validation import describe_differences
 
     for line in describe_differences(client.send_command(path, do="policy_text")["text"], _read_text(file)):
         click.echo(line)
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from spanwing import interface as api
+from spanwing.discovery.client import DiscoveredEndpoints
 from spanwing.faults import ErrorCollector
 from spanwing.frontsfile import (
     DEFAULT_OPERATOR_FILE,
@@ -31,9 +32,8 @@
     check_zones,
     parse_listen_address,
 )
-from spanwing.hops.transportmap import DiscoveredEndpoints
+from spanwing.net.address import Address, parse_address
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
-from spanwing.wire.address import Address, parse_address
 
 RESERVED_SOCKETS = 28  # listeners, logs, the loop, discovery, members of the store
 MAX_MANAGEMENT_CONNECTIONS = 16  # callers of the management address at once
--- a/spanwing/core/figures.py
+++ b/spanwing/core/statistics.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from spanwing.core.exchange import RequestManager
+    from spanwing.core.request_manager import RequestManager
 
 #: By figure, the core's counts of a class that make it up. A request that a front turned away was refused all
 #: the same, and one whose id was taken before got an error.
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -25,36 +25,36 @@
     parse_settings,
 )
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import RequestManager
-from spanwing.core.figures import collect_statistics
+from spanwing.core.request_manager import RequestManager
+from spanwing.core.statistics import collect_statistics
+from spanwing.discovery.client import DiscoveryClient, WatchTiming
 from spanwing.faults import ConfigurationError
-from spanwing.fronts.faktory import FaktoryFrontend
-from spanwing.fronts.platform import PlatformFrontend
-from spanwing.fronts.senderside import HttpServer
-from spanwing.hops.faktoryworker import FaktoryWorkerDirectory
-from spanwing.hops.load import LoadReportReader
-from spanwing.hops.nexthop import HttpWorker
-from spanwing.hops.pool import ConnectionPool, DescriptorBudget
-from spanwing.hops.transportmap import DiscoveryClient, WatchTiming
+from spanwing.frontends.faktory import FaktoryFrontend
+from spanwing.frontends.http_server import HttpServer
+from spanwing.frontends.platform import PlatformFrontend
 from spanwing.log import log_event
 from spanwing.log.events import EVENT_LOG
+from spanwing.net.address import Address, adopt_listening_socket
+from spanwing.net.buffers import BufferPool
+from spanwing.net.loop_meter import MeteredSelector, install_metered_loop
 from spanwing.settings import PermissionSettings, RuleSettings
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
 from spanwing.store.disk import RegisterLog, RegisterLogError
 from spanwing.store.peer import Peer, PeerListener
-from spanwing.store.shared import agree_on_settings
+from spanwing.store.shared_settings import agree_on_settings
 from spanwing.store.store import Store
-from spanwing.wire import meter
-from spanwing.wire.address import Address, adopt_listening_socket
-from spanwing.wire.buffers import BufferPool
+from spanwing.workers.connection_pool import ConnectionPool, DescriptorBudget
+from spanwing.workers.faktory_worker import FaktoryWorkerDirectory
+from spanwing.workers.http_worker import HttpWorker
+from spanwing.workers.load_report import LoadReportReader
 
 if TYPE_CHECKING:
-    from spanwing.fronts.balancers.side import BalancerService
-    from spanwing.handover.handover import HotRestart
-    from spanwing.journal.keeper import JournalWriter
-    from spanwing.policy.side import PolicyService
-    from spanwing.zones.side import ZoneService
+    from spanwing.frontends.balancers.service import BalancerService
+    from spanwing.hot_restart.hot_restart import HotRestart
+    from spanwing.journal.writer import JournalWriter
+    from spanwing.policy.service import PolicyService
+    from spanwing.zones.service import ZoneService
 
 HOUR_MS, DAY_MS = 3_600_000.0, 86_400_000.0
 SHUTDOWN_NOTICE_S = 0.5  # new connections still come this long after SIGTERM
@@ -69,7 +69,7 @@
 class Daemon:
     """All parts of one scheduler."""
 
-    def __init__(self, config: Configuration, loop_meter: meter.MeteredSelector | None = None) -> None:
+    def __init__(self, config: Configuration, loop_meter: MeteredSelector | None = None) -> None:
         self.config, self.is_stopping, self.loop_meter = config, False, loop_meter
         self.balancers: BalancerService | None = None
         self.last_answer_s = math.inf  # of the loop's time: when the latest answer is due
@@ -123,8 +123,8 @@
         )
         hot_restart = None
         if inherited_socket is not None:
-            from spanwing.handover.handover import HotRestart, HotRestartContext
-            from spanwing.handover.link import RendezvousSocket
+            from spanwing.hot_restart.hot_restart import HotRestart, HotRestartContext
+            from spanwing.hot_restart.link import RendezvousSocket
 
             name = str(Address(*inherited_socket.getsockname()[:2]))
             hot_restart = self.hot_restart = HotRestart(
@@ -221,7 +221,7 @@
         """Before all else, so that whoever asks hears no until clients are taken. Raises ConfigError."""
         address = self.config.management
         if address is not None:
-            from spanwing.fronts.management import ManagementFrontend
+            from spanwing.frontends.management import ManagementFrontend
 
             frontend = ManagementFrontend(
                 self.accepts_clients,
@@ -252,8 +252,8 @@
         if table is None:
             return
         from spanwing.journal.files import LocalFolder
-        from spanwing.journal.keeper import JournalWriter
-        from spanwing.journal.log import RetentionLimits, SegmentLog
+        from spanwing.journal.segment_log import RetentionLimits, SegmentLog
+        from spanwing.journal.writer import JournalWriter
 
         loop = IOLoop.current()
         limits = RetentionLimits(
@@ -321,9 +321,9 @@
 
     async def join_policy(self) -> str:
         """The policy in force in the fleet, once we may take jobs under it. Raises ConfigError."""
-        from spanwing.policy.kept import PolicyCacheError
-        from spanwing.policy.side import PolicyService
-        from spanwing.policy.sound import remove_member_settings
+        from spanwing.policy.policy_cache import PolicyCacheError
+        from spanwing.policy.service import PolicyService
+        from spanwing.policy.validation import remove_member_settings
 
         config = self.config
         try:
@@ -346,7 +346,7 @@
         config = self.config
         if config.zones is None:
             return
-        from spanwing.zones.side import ZoneService
+        from spanwing.zones.service import ZoneService
 
         self.zone_routing = ZoneService(
             config.name or config.store.member,
@@ -364,7 +364,7 @@
         """Open what the operator's file names. Where that is nothing, nothing of it is loaded either."""
         balancer_settings = config.balancers
         if self.balancers is None and balancer_settings.listener_count():
-            from spanwing.fronts.balancers.side import BalancerService, DaemonLimits, DaemonParts
+            from spanwing.frontends.balancers.service import BalancerService, DaemonLimits, DaemonParts
 
             parts = DaemonParts(
                 config.name or config.store.member,
@@ -531,7 +531,7 @@
 
 def run() -> None:
     config = load_configuration()
-    loop_meter = meter.install_metered_loop() if config.balancers.listener_count() else None
+    loop_meter = install_metered_loop() if config.balancers.listener_count() else None
     loop = IOLoop.current()
     if config.log.log_format != "plain":
         EVENT_LOG.open(config.log.log_format, config.log.max_per_second, {"name": config.name})
--- /dev/null
+++ b/spanwing/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Discovery: follows the endpoint list."""
--- a/spanwing/hops/transportmap.py
+++ b/spanwing/discovery/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 import random
 from collections.abc import Callable
@@ -18,10 +17,11 @@
 from spanwing import interface as api
 from spanwing.actor import Actor, spawn_task
 from spanwing.core.messages import AttemptListener, EndpointsChanged
-from spanwing.hops.nexthop import HttpWorker, RetireWorker, WorkerCallback
-from spanwing.wire.address import Address, open_socket, parse_address
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.http import HttpError, HttpMessage, HttpStream, encode_request
+from spanwing.net.address import Address, open_socket, parse_address
+from spanwing.net.buffers import BufferPool
+from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_request
+from spanwing.workers.http_worker import HttpWorker, RetireWorker, WorkerCallback
+from spanwing.workers.worker_id import worker_id_of
 
 RETRY_S = 0.5  # a call that may not wait for the core's pace is made again within this
 DISCOVERY_MOVE_GRACE_S = (
@@ -144,11 +144,6 @@
     worker: HttpWorker
 
 
-def worker_id_of(name: str) -> int:
-    """The module's number for a job worker: the same at every scheduler."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
-
-
 class DiscoveryClient(Actor):
     """Owns the list; tells the core of changes."""
 
--- a/spanwing/experiment/cell.py
+++ b/spanwing/experiment/cell.py
@@ -14,9 +14,9 @@
 
 from spanwing.experiment.score import OutcomeTally
 from spanwing.faults import ErrorCollector
-from spanwing.world.fleet import FleetPlan, FleetSimulation
-from spanwing.world.scenario import Scenario, parse_scenario
-from spanwing.world.troubles import FaultInjector
+from spanwing.simulation.fault_injection import FaultInjector
+from spanwing.simulation.fleet import FleetPlan, FleetSimulation
+from spanwing.simulation.scenario import Scenario, parse_scenario
 
 
 class CellOrder(msgspec.Struct):
@@ -84,7 +84,7 @@
 def _build_simulation(scenario: Scenario, plan: FleetPlan, seed: int, tally: OutcomeTally) -> FleetSimulation:
     if not scenario.has_zone_leader:
         return FleetSimulation(plan, seed, tally.record_answer)
-    from spanwing.world.zoned import LeaderFleet
+    from spanwing.simulation.zone_fleet import LeaderFleet
 
     regions = {name: tuple(each) for name, each in scenario.regions.items()}
     return LeaderFleet(plan, seed, tally.record_answer, regions=regions)
--- a/spanwing/experiment/matrix.py
+++ b/spanwing/experiment/matrix.py
@@ -23,7 +23,7 @@
 
 from spanwing.experiment.cell import apply_changes
 from spanwing.faults import ConfigurationError, ErrorCollector
-from spanwing.world.scenario import SCENARIO_LIBRARY, load_scenario
+from spanwing.simulation.scenario import SCENARIO_LIBRARY, load_scenario
 
 REPOSITORY_ROOT = Path(__file__).parent.parent.parent
 DECISION_FILES = ("choice.py", "state.py", "interface.py")
@@ -73,7 +73,7 @@
 def source_digest(folder: Path) -> str:
     """Of all source that a row can depend on."""
     digest = hashlib.blake2b(digest_size=10)
-    for name in ("spanwing", "spanwing/world", "spanwing/experiment"):
+    for name in ("spanwing", "spanwing/simulation", "spanwing/experiment"):
         for each in sorted((folder / name).glob("*.py")):
             digest.update(f"{name}/{each.name}\0".encode() + each.read_bytes())
     return digest.hexdigest()
@@ -84,7 +84,7 @@
     if name == THIS_SOURCE:
         return DecisionBuild(name, source_digest(REPOSITORY_ROOT), REPOSITORY_ROOT)
     folder = into / hashlib.blake2b(name.encode(), digest_size=6).hexdigest()
-    for part in ("spanwing", "spanwing/world", "spanwing/experiment"):
+    for part in ("spanwing", "spanwing/simulation", "spanwing/experiment"):
         (folder / part).mkdir(parents=True, exist_ok=True)
         for each in (REPOSITORY_ROOT / part).glob("*.py"):
             (folder / part / each.name).write_bytes(each.read_bytes())
--- a/spanwing/experiment/score.py
+++ b/spanwing/experiment/score.py
@@ -12,8 +12,8 @@
 
 import numpy as np
 
-from spanwing.world.clients import ClassSpec
-from spanwing.world.fleet import AnsweredRequest, FleetSimulation
+from spanwing.simulation.clients import ClassSpec
+from spanwing.simulation.fleet import AnsweredRequest, FleetSimulation
 
 PERCENTILES = (50.0, 95.0, 99.0)
 #: Figures of a row that a comparison may be about, and whether more is better.
--- /dev/null
+++ b/spanwing/frontends/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners: the platform's HTTP, Faktory, balancers, administration."""
--- a/spanwing/fronts/admin.py
+++ b/spanwing/frontends/admin.py
@@ -19,14 +19,13 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import spawn_task
-from spanwing.fronts.balancers.checks import health_report
-from spanwing.fronts.balancers.reporter import HealthReporter
-from spanwing.fronts.journalpage import JournalEndpoint
+from spanwing.frontends.balancers.health_checks import health_report
+from spanwing.frontends.balancers.health_reporter import HealthReporter
+from spanwing.frontends.journal_endpoint import JournalEndpoint
 from spanwing.log import log_event
-from spanwing.wire.address import listen_unix
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import LineStream, LineTooLongError
-from spanwing.wire.table import (
+from spanwing.net.address import listen_unix
+from spanwing.net.buffers import BufferPool
+from spanwing.net.connection_table import (
     LINGER_TIMEOUT_S,
     MESSAGE_TIMEOUT_S,
     RANK_FINISHED,
@@ -34,6 +33,7 @@
     RANK_SILENT,
     ConnectionTable,
 )
+from spanwing.net.stream import LineStream, LineTooLongError
 
 MAX_CONNECTIONS = 8
 MAX_LINE_BYTES = 64 * 1024  # a proposed policy is the longest
--- a/spanwing/fronts/balancers/lines.py
+++ b/spanwing/frontends/balancers/agent_check.py
@@ -12,9 +12,9 @@
 
 from tornado.ioloop import IOLoop
 
-from spanwing.health.machine import HealthVerdict
-from spanwing.wire.address import Address, ListeningSocket, listen
-from spanwing.wire.table import RANK_FINISHED, ConnectionTable
+from spanwing.health.state_machine import HealthVerdict
+from spanwing.net.address import Address, ListeningSocket, listen
+from spanwing.net.connection_table import RANK_FINISHED, ConnectionTable
 
 MAX_CONNECTIONS = 12  # connections to one listener
 CLOSE_TIMEOUT_S = 1.0
--- a/spanwing/fronts/balancers/storewatch.py
+++ b/spanwing/frontends/balancers/drain_watcher.py
@@ -12,7 +12,7 @@
 import msgspec
 from tornado.gen import sleep
 
-from spanwing.fronts.balancers.reporter import HealthReporter
+from spanwing.frontends.balancers.health_reporter import HealthReporter
 from spanwing.log import log_event
 from spanwing.store.store import NoMajority, Store
 
--- a/spanwing/fronts/balancers/grpc.py
+++ b/spanwing/frontends/balancers/grpc_health.py
@@ -35,11 +35,10 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import spawn_task
-from spanwing.health.machine import HealthVerdict
-from spanwing.wire.address import Address, listen
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import PooledStream
-from spanwing.wire.table import (
+from spanwing.health.state_machine import HealthVerdict
+from spanwing.net.address import Address, listen
+from spanwing.net.buffers import BufferPool
+from spanwing.net.connection_table import (
     LINGER_TIMEOUT_S,
     MESSAGE_TIMEOUT_S,
     RANK_FINISHED,
@@ -47,6 +46,7 @@
     RANK_SILENT,
     ConnectionTable,
 )
+from spanwing.net.stream import PooledStream
 
 MAX_STREAMS = 16  # at once on a connection
 MAX_HEADER_BYTES = 8 * 1024  # bytes of a request's headers
--- a/spanwing/fronts/balancers/checks.py
+++ b/spanwing/frontends/balancers/health_checks.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from spanwing.core.messages import FinalAnswer, JobRequest
-from spanwing.fronts.balancers.reporter import HealthReporter
-from spanwing.fronts.senderside import HttpReply
-from spanwing.health.machine import HealthVerdict
-from spanwing.wire.http import HttpMessage, encode_response
+from spanwing.frontends.balancers.health_reporter import HealthReporter
+from spanwing.frontends.http_server import HttpReply
+from spanwing.health.state_machine import HealthVerdict
+from spanwing.net.http import HttpMessage, encode_response
 
 READINESS_PATHS = frozenset({"/", "*", "/health", "/ready", "/readyz"})
 LIVENESS_PATHS = frozenset({"/live", "/livez"})
--- a/spanwing/fronts/balancers/reporter.py
+++ b/spanwing/frontends/balancers/health_reporter.py
@@ -16,14 +16,14 @@
 
 from tornado.ioloop import IOLoop
 
-from spanwing.core.exchange import RequestManager
-from spanwing.health.cpu import CpuMeter, CpuReading
-from spanwing.health.drain import DrainPhase, DrainSource
-from spanwing.health.machine import HealthStateMachine, HealthVerdict
-from spanwing.health.policy import HealthSettings
+from spanwing.core.request_manager import RequestManager
+from spanwing.health.cpu_meter import CpuMeter, CpuReading
+from spanwing.health.drain_orders import DrainPhase, DrainSource
+from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
+from spanwing.health.state_machine import HealthStateMachine, HealthVerdict
 from spanwing.log import log_event
-from spanwing.wire.meter import MeteredSelector
+from spanwing.net.loop_meter import MeteredSelector
 
 SAMPLE_INTERVAL_S, CALM_SAMPLE_INTERVAL_S = (
     0.05,
--- a/spanwing/fronts/balancers/opened.py
+++ b/spanwing/frontends/balancers/listeners.py
@@ -9,16 +9,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from spanwing.core.exchange import RequestManager
+from spanwing.core.request_manager import RequestManager
 from spanwing.faults import ConfigurationError
-from spanwing.fronts.admin import AdminFrontend, PolicyOrders, ZoneOrders
-from spanwing.fronts.balancers.checks import HealthFrontend
-from spanwing.fronts.balancers.lines import AgentCheckFrontend, agent_check_reply, feedback_reply
-from spanwing.fronts.balancers.reporter import HealthReporter
-from spanwing.fronts.senderside import HttpServer
+from spanwing.frontends.admin import AdminFrontend, PolicyOrders, ZoneOrders
+from spanwing.frontends.balancers.agent_check import AgentCheckFrontend, agent_check_reply, feedback_reply
+from spanwing.frontends.balancers.health_checks import HealthFrontend
+from spanwing.frontends.balancers.health_reporter import HealthReporter
+from spanwing.frontends.http_server import HttpServer
 from spanwing.frontsfile import BalancerSettings
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.proxied import Network
+from spanwing.net.buffers import BufferPool
+from spanwing.net.proxied_connections import Network
 
 MAX_HEALTH_CONNECTIONS = 12  # connections to the health listener
 
@@ -127,7 +127,7 @@
         return AgentCheckFrontend(address, lambda: self.reporter.verdict, feedback_reply)
 
     def _grpc(self, address):
-        from spanwing.fronts.balancers.grpc import GrpcFrontend  # h2 is loaded where this is opened
+        from spanwing.frontends.balancers.grpc_health import GrpcFrontend  # h2 is loaded where this is opened
 
         return GrpcFrontend(address, lambda: self.reporter.verdict, self.reporter.subscribe, self.buffers)
 
--- a/spanwing/fronts/balancers/side.py
+++ b/spanwing/frontends/balancers/service.py
@@ -10,20 +10,20 @@
 from typing import NamedTuple
 
 from spanwing.actor import spawn_task
-from spanwing.core.exchange import RequestManager
-from spanwing.fronts.admin import AdminError, PolicyOrders, ZoneOrders
-from spanwing.fronts.balancers.opened import Listeners
-from spanwing.fronts.balancers.reporter import HealthReporter
-from spanwing.fronts.balancers.storewatch import DrainOrder, DrainWatcher, write_drain_order
-from spanwing.fronts.faktory import FaktoryFrontend
-from spanwing.fronts.senderside import HttpServer
+from spanwing.core.request_manager import RequestManager
+from spanwing.frontends.admin import AdminError, PolicyOrders, ZoneOrders
+from spanwing.frontends.balancers.drain_watcher import DrainOrder, DrainWatcher, write_drain_order
+from spanwing.frontends.balancers.health_reporter import HealthReporter
+from spanwing.frontends.balancers.listeners import Listeners
+from spanwing.frontends.faktory import FaktoryFrontend
+from spanwing.frontends.http_server import HttpServer
 from spanwing.frontsfile import BalancerSettings
 from spanwing.health.signals import ResourceUsage
-from spanwing.hops.pool import DescriptorBudget
+from spanwing.net.buffers import BufferPool
+from spanwing.net.loop_meter import MeteredSelector
+from spanwing.net.proxied_connections import Network
 from spanwing.store.store import NoMajority, Store
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.meter import MeteredSelector
-from spanwing.wire.proxied import Network
+from spanwing.workers.connection_pool import DescriptorBudget
 
 
 class DaemonLimits(NamedTuple):
--- a/spanwing/fronts/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -25,27 +25,10 @@
     JobRequest,
     RequestSubmitted,
 )
-from spanwing.hops.faktoryworker import (
-    JOB_CONTENT_TYPE,
-    ConnectionClosed,
-    FaktoryWorker,
-    FaktoryWorkerDirectory,
-    FetchedJob,
-    FetchRequested,
-    HeartbeatReceived,
-    JobFinished,
-    WorkerJoined,
-)
 from spanwing.log import log_event
-from spanwing.store.claims import Claim, Claims
-from spanwing.store.store import NoMajority
-from spanwing.wire.address import Address, listen
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.proxied import Network, is_proxy_source, peer_address_of, read_peer_address
-from spanwing.wire.proxy import ProxyError
-from spanwing.wire.resp import OK, encode_bulk, encode_error, encode_simple
-from spanwing.wire.stream import LineStream, LineTooLongError
-from spanwing.wire.table import (
+from spanwing.net.address import Address, listen
+from spanwing.net.buffers import BufferPool
+from spanwing.net.connection_table import (
     LINGER_TIMEOUT_S,
     MESSAGE_TIMEOUT_S,
     PARTIAL_MESSAGE_S,
@@ -57,6 +40,23 @@
     WRITE_STALL_TIMEOUT_S,
     ConnectionTable,
 )
+from spanwing.net.proxied_connections import Network, is_proxy_source, peer_address_of, read_peer_address
+from spanwing.net.proxy_protocol import ProxyError
+from spanwing.net.resp import OK, encode_bulk, encode_error, encode_simple
+from spanwing.net.stream import LineStream, LineTooLongError
+from spanwing.store.claims import Claim, Claims
+from spanwing.store.store import NoMajority
+from spanwing.workers.faktory_worker import (
+    JOB_CONTENT_TYPE,
+    ConnectionClosed,
+    FaktoryWorker,
+    FaktoryWorkerDirectory,
+    FetchedJob,
+    FetchRequested,
+    HeartbeatReceived,
+    JobFinished,
+    WorkerJoined,
+)
 
 MAX_LINE_BYTES = 128 * 1024
 MAX_TIMEOUT_MS = 3_600_000.0
--- a/spanwing/fronts/senderside.py
+++ b/spanwing/frontends/http_server.py
@@ -23,12 +23,9 @@
     RequestSubmitted,
 )
 from spanwing.log import log_event
-from spanwing.wire.address import Address, listen
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.http import HttpError, HttpMessage, HttpStream, encode_response
-from spanwing.wire.proxied import Network, is_proxy_source, peer_address_of, read_peer_address
-from spanwing.wire.proxy import ProxyError
-from spanwing.wire.table import (
+from spanwing.net.address import Address, listen
+from spanwing.net.buffers import BufferPool
+from spanwing.net.connection_table import (
     LINGER_TIMEOUT_S,
     MESSAGE_TIMEOUT_S,
     PARTIAL_MESSAGE_S,
@@ -41,6 +38,9 @@
     WRITE_STALL_TIMEOUT_S,
     ConnectionTable,
 )
+from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_response
+from spanwing.net.proxied_connections import Network, is_proxy_source, peer_address_of, read_peer_address
+from spanwing.net.proxy_protocol import ProxyError
 
 HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
 ACCEPT_RETRY_S = 0.005  # a caller of a front with one request a connection waits so long for room, and again
--- a/spanwing/fronts/journalpage.py
+++ b/spanwing/frontends/journal_endpoint.py
@@ -25,7 +25,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.process import Subprocess
 
-from spanwing.wire.stream import LineStream
+from spanwing.net.stream import LineStream
 
 MAX_READERS = 2
 READER_TIMEOUT_S = 120.0
--- a/spanwing/fronts/management.py
+++ b/spanwing/frontends/management.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 
 from spanwing.core.messages import FinalAnswer, JobRequest
-from spanwing.fronts.senderside import HttpReply
-from spanwing.wire.http import HttpMessage, encode_response
+from spanwing.frontends.http_server import HttpReply
+from spanwing.net.http import HttpMessage, encode_response
 
 PATHS = ("/healthcheck", "/stats")
 
--- a/spanwing/fronts/platform.py
+++ b/spanwing/frontends/platform.py
@@ -10,10 +10,10 @@
 
 from spanwing import interface as api
 from spanwing.core.messages import FinalAnswer, JobRequest
-from spanwing.hops.load import LoadReportReader
-from spanwing.hops.nexthop import WorkerCallback
-from spanwing.hops.transportmap import WorkerCallbackReceived
-from spanwing.wire.http import HttpMessage, encode_response
+from spanwing.discovery.client import WorkerCallbackReceived
+from spanwing.net.http import HttpMessage, encode_response
+from spanwing.workers.http_worker import WorkerCallback
+from spanwing.workers.load_report import LoadReportReader
 
 JOB_EVENTS_PATH = "/v1/job-events"
 MAX_TIMEOUT_MS = 3_600_000.0
--- a/spanwing/fronts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Whatever listens for others: the platform, Faktory speakers, balancers."""
--- a/spanwing/frontsfile.py
+++ b/spanwing/frontsfile.py
@@ -13,11 +13,11 @@
 import msgspec
 
 from spanwing.faults import ErrorCollector
-from spanwing.health.policy import HealthSettings
+from spanwing.health.settings import HealthSettings
 from spanwing.log.events import LogFormat
+from spanwing.net.address import Address, parse_address
+from spanwing.net.proxied_connections import Network
 from spanwing.store.store import ROUND_TIMEOUT_MS
-from spanwing.wire.address import Address, parse_address
-from spanwing.wire.proxied import Network
 
 DEFAULT_OPERATOR_FILE = Path(__file__).parent.parent / "deploy" / "fronts.toml"
 PROXY_PROTOCOL_LISTENERS = ("clients", "faktory", "health")
--- a/spanwing/health/machine.py
+++ b/spanwing/health/state_machine.py
@@ -10,8 +10,8 @@
 
 from typing import Literal, NamedTuple
 
-from spanwing.health.drain import DrainOrders, DrainSource
-from spanwing.health.policy import HealthSettings
+from spanwing.health.drain_orders import DrainOrders, DrainSource
+from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import HealthSignals
 from spanwing.health.weight import CpuControl, RejectionRate, WeightSmoothing, find_shortages, unserved_reason
 
--- a/spanwing/health/weight.py
+++ b/spanwing/health/weight.py
@@ -10,7 +10,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from spanwing.health.policy import HealthSettings
+from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
 
 USAGE_RAMP_START, USAGE_MIN_FACTOR = (
--- a/spanwing/handover/handover.py
+++ b/spanwing/hot_restart/hot_restart.py
@@ -21,22 +21,17 @@
 
 from spanwing import interface as api
 from spanwing.actor import spawn_task
-from spanwing.core.exchange import InFlightAttempt, PendingRequest, RequestManager
 from spanwing.core.messages import ClientConnection, DeliveryAttempt, JobRequest
-from spanwing.fronts.senderside import HttpClientConnection, HttpServer
-from spanwing.handover.learned import (
-    RequestResumed,
-    export_attempts,
-    export_scheduler,
-    export_worker,
-    import_scheduler,
-    import_worker,
-    release_request,
-    resume_feeding,
-    stop_feeding,
+from spanwing.core.request_manager import InFlightAttempt, PendingRequest, RequestManager
+from spanwing.discovery.client import (
+    DiscoveredEndpoints,
+    DiscoveredWorker,
+    DiscoveryClient,
+    WorkerCallbackReceived,
 )
-from spanwing.handover.link import HotRestartLink, RendezvousSocket
-from spanwing.handover.messages import (
+from spanwing.frontends.http_server import HttpClientConnection, HttpServer
+from spanwing.hot_restart.link import HotRestartLink, RendezvousSocket
+from spanwing.hot_restart.messages import (
     ITEMS_PER_MESSAGE,
     MAX_BUFFERED_BYTES,
     VERSION,
@@ -54,14 +49,19 @@
     WorkerEstimates,
     WorkerEstimatesBatch,
 )
-from spanwing.hops.nexthop import HttpWorker, WorkerCallback
-from spanwing.hops.pool import DescriptorBudget
-from spanwing.hops.transportmap import (
-    DiscoveredEndpoints,
-    DiscoveredWorker,
-    DiscoveryClient,
-    WorkerCallbackReceived,
+from spanwing.hot_restart.state_transfer import (
+    RequestResumed,
+    export_attempts,
+    export_scheduler,
+    export_worker,
+    import_scheduler,
+    import_worker,
+    release_request,
+    resume_feeding,
+    stop_feeding,
 )
+from spanwing.workers.connection_pool import DescriptorBudget
+from spanwing.workers.http_worker import HttpWorker, WorkerCallback
 
 ANSWER_TIMEOUT_S = 1.0  # a predecessor that has not answered by then is taken for hung, and told nothing more
 WATCH_RESUME_S = 0.2  # a watch continues another if it begins within this, by the protocol
--- a/spanwing/handover/link.py
+++ b/spanwing/hot_restart/link.py
@@ -19,7 +19,7 @@
 import msgspec
 from tornado.ioloop import IOLoop
 
-from spanwing.handover.messages import MAX_MESSAGE_BYTES, HotRestartMessage, decode_message, encode_message
+from spanwing.hot_restart.messages import MAX_MESSAGE_BYTES, HotRestartMessage, decode_message, encode_message
 
 MAX_QUEUED_MESSAGES = 5000  # messages that wait to be sent
 MAX_READS_PER_EVENT = 64  # messages read in one turn of the loop
--- a/spanwing/handover/messages.py
+++ b/spanwing/hot_restart/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from spanwing.core.messages import JobRequest
-from spanwing.hops.transportmap import DiscoveredWorker
+from spanwing.discovery.client import DiscoveredWorker
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 160_000  # bytes of one message: a body, a head and what was read ahead
--- a/spanwing/handover/learned.py
+++ b/spanwing/hot_restart/state_transfer.py
@@ -12,7 +12,7 @@
 
 from spanwing import interface as api
 from spanwing.choice import GUESS, HANDLERS, MISSED, Dispatcher
-from spanwing.handover.messages import SchedulerEstimates, TransferredAttempt, WorkerEstimates
+from spanwing.hot_restart.messages import SchedulerEstimates, TransferredAttempt, WorkerEstimates
 from spanwing.state import Attempt, Job, Ledger, View
 
 
--- a/spanwing/journal/committer.py
+++ b/spanwing/journal/committer.py
@@ -16,8 +16,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from spanwing.journal.log import SegmentLog
 from spanwing.journal.records import AnyRecord, JournalGap
+from spanwing.journal.segment_log import SegmentLog
 
 MAX_PENDING_RECORDS = 20_000
 MAX_BATCH_RECORDS = 1024  # records in one write
--- a/spanwing/journal/thinning.py
+++ b/spanwing/journal/compaction.py
@@ -24,14 +24,14 @@
     encode_header,
     read_frames,
 )
-from spanwing.journal.log import (
+from spanwing.journal.records import RequestAccepted
+from spanwing.journal.segment_log import (
     PARTIAL_SUFFIX,
     SEGMENT_SUFFIX,
     RetentionLimits,
     SegmentReader,
     number_in_name,
 )
-from spanwing.journal.records import RequestAccepted
 
 FRAMES_PER_SLICE = 200  # frames between two pauses
 PAUSE_S = 0.005
--- a/spanwing/journal/index.py
+++ b/spanwing/journal/index.py
@@ -18,8 +18,8 @@
 import numpy as np
 
 from spanwing.journal.frames import COMPACTED_FLAG, HEADER_SIZE, RecordFrame, decode_header, read_frames
-from spanwing.journal.log import INDEX_SUFFIX
 from spanwing.journal.records import AttemptIntent
+from spanwing.journal.segment_log import INDEX_SUFFIX
 
 MAGIC, VERSION = b"SPWJINDX", 2
 # Magic, version, bytes of the segment, requests, intents, first and last time, checksum.
--- a/spanwing/journal/query.py
+++ b/spanwing/journal/query.py
@@ -23,7 +23,7 @@
 from lark import Lark, Token, Transformer
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput, VisitError
 
-from spanwing.journal.rows import AttemptRow
+from spanwing.journal.table import AttemptRow
 
 GRAMMAR = r"""
 ?start: any
--- a/spanwing/journal/book.py
+++ b/spanwing/journal/reader.py
@@ -22,11 +22,11 @@
     decode_header,
     read_frames,
 )
-from spanwing.journal.ledger import JournalRequest, RequestStates
-from spanwing.journal.log import SegmentReader, number_in_name
 from spanwing.journal.query import QueryPlan
 from spanwing.journal.records import JournalGap
-from spanwing.journal.rows import AttemptRow, attempt_rows
+from spanwing.journal.request_states import JournalRequest, RequestStates
+from spanwing.journal.segment_log import SegmentReader, number_in_name
+from spanwing.journal.table import AttemptRow, attempt_rows
 
 MAX_CLOCK_STEP_MS = 3_600_000.0  # by which a clock may have stepped back
 MAX_REQUEST_MS = 3_600_000.0  # that a front lets a client wait
--- a/spanwing/journal/repair.py
+++ b/spanwing/journal/repair.py
@@ -23,8 +23,8 @@
     encode_header,
     read_frames,
 )
-from spanwing.journal.log import PARTIAL_SUFFIX, SNAPSHOT_SUFFIX, SegmentReader, number_in_name
 from spanwing.journal.records import encode_record
+from spanwing.journal.segment_log import PARTIAL_SUFFIX, SNAPSHOT_SUFFIX, SegmentReader, number_in_name
 from spanwing.journal.snapshot import decode_snapshot
 
 DAMAGED_SUFFIX = ".damaged"
--- a/spanwing/journal/log.py
+++ b/spanwing/journal/segment_log.py
@@ -25,8 +25,8 @@
     encode_header,
     read_frames,
 )
-from spanwing.journal.ledger import RequestStates
 from spanwing.journal.records import AnyRecord, encode_record
+from spanwing.journal.request_states import RequestStates
 from spanwing.journal.snapshot import decode_snapshot, encode_snapshot
 
 SEGMENT_SUFFIX, SNAPSHOT_SUFFIX, PARTIAL_SUFFIX, INDEX_SUFFIX = ".log", ".snap", ".part", ".idx"
--- a/spanwing/journal/snapshot.py
+++ b/spanwing/journal/snapshot.py
@@ -11,8 +11,8 @@
 import google_crc32c
 import msgspec
 
-from spanwing.journal.ledger import InterruptedRequest, JournalAttempt, JournalRequest, RequestStates
 from spanwing.journal.records import RequestAccepted
+from spanwing.journal.request_states import InterruptedRequest, JournalAttempt, JournalRequest, RequestStates
 
 MAGIC, VERSION = b"SPWJSNAP", 2
 HEADER_STRUCT = struct.Struct("!8sHQI")
--- a/spanwing/journal/rows.py
+++ b/spanwing/journal/table.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from spanwing.journal.ledger import JournalAttempt, JournalRequest
+from spanwing.journal.request_states import JournalAttempt, JournalRequest
 
 RECORDS_MISSING = "records are missing"
 
--- a/spanwing/journal/keeper.py
+++ b/spanwing/journal/writer.py
@@ -16,8 +16,7 @@
 from typing import Literal
 
 from spanwing.journal.committer import Committer
-from spanwing.journal.ledger import InterruptedRequest, JournalAttempt, JournalRequest
-from spanwing.journal.log import SegmentLog
+from spanwing.journal.compaction import CompactionThread, SegmentCompactor
 from spanwing.journal.records import (
     AnyRecord,
     AttemptCancelled,
@@ -29,7 +28,8 @@
     RequestAccepted,
     RequestAnswered,
 )
-from spanwing.journal.thinning import CompactionThread, SegmentCompactor
+from spanwing.journal.request_states import InterruptedRequest, JournalAttempt, JournalRequest
+from spanwing.journal.segment_log import SegmentLog
 
 MAX_NAME_CHARS = 200  # of a tenant, key, worker or address, in characters
 
--- a/spanwing/load/openloop.py
+++ b/spanwing/load/openloop.py
@@ -18,7 +18,7 @@
 
 import numpy as np
 
-from spanwing.world.clients import GeneratedRequest
+from spanwing.simulation.clients import GeneratedRequest
 
 LATENESS_WARNING_MS = 5.0
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
--- a/spanwing/wire/http.py
+++ b/spanwing/net/http.py
@@ -8,8 +8,8 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import PooledStream
+from spanwing.net.buffers import BufferPool
+from spanwing.net.stream import PooledStream
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
--- a/spanwing/wire/proxied.py
+++ b/spanwing/net/proxied_connections.py
@@ -11,8 +11,8 @@
 
 from tornado.ioloop import IOLoop
 
-from spanwing.wire.proxy import ProxyHeader, parse_header
-from spanwing.wire.stream import PooledStream
+from spanwing.net.proxy_protocol import ProxyHeader, parse_header
+from spanwing.net.stream import PooledStream
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 
--- a/spanwing/wire/stream.py
+++ b/spanwing/net/stream.py
@@ -12,7 +12,7 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
-from spanwing.wire.buffers import BufferPool
+from spanwing.net.buffers import BufferPool
 
 #: What the kernel says of a side that has closed, also while bytes lie unread before its end.
 PEER_CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLERR | select.POLLHUP
--- a/spanwing/policy/minds.py
+++ b/spanwing/policy/combined_controller.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from spanwing.policy.chair import PolicyCoordinator
-from spanwing.policy.record import read_policy
+from spanwing.policy.coordinator import PolicyCoordinator
+from spanwing.policy.records import read_policy
 from spanwing.store.document import Document, Transaction
-from spanwing.store.keeper import Controller, Leader, SchedulerSession
+from spanwing.store.leader import Controller, Leader, SchedulerSession
 
 MIN_CHANGE_TIMEOUT_S, MAX_CHANGE_TIMEOUT_S = 1.0, 86_400.0
 
--- a/spanwing/policy/chair.py
+++ b/spanwing/policy/coordinator.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from spanwing.policy.record import (
+from spanwing.policy.records import (
     CHANGE_KEY,
     CURRENT_KEY,
     HISTORY_KEY,
--- a/spanwing/policy/hand.py
+++ b/spanwing/policy/participant.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Literal, NamedTuple
 
-from spanwing.policy.chair import MAX_REASON_LENGTH, PolicyVote
-from spanwing.policy.record import PolicyState, policy_digest
+from spanwing.policy.coordinator import MAX_REASON_LENGTH, PolicyVote
+from spanwing.policy.records import PolicyState, policy_digest
 from spanwing.store.lease import Lease
 
 MAX_ADMISSION_WAIT_MS = 250.0  # a job that comes while a change is closing waits so long at most
--- a/spanwing/policy/kept.py
+++ b/spanwing/policy/policy_cache.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from spanwing.policy.record import PolicyVersion, policy_digest
+from spanwing.policy.records import PolicyVersion, policy_digest
 
 MAX_CACHED_VERSIONS = 40
 
--- a/spanwing/policy/side.py
+++ b/spanwing/policy/service.py
@@ -22,24 +22,24 @@
 
 from spanwing import interface as api
 from spanwing.actor import spawn_task
-from spanwing.core.exchange import RequestManager
 from spanwing.core.messages import ClientConnection, FinalAnswer, RequestSubmitted
+from spanwing.core.request_manager import RequestManager
 from spanwing.log import log_event
-from spanwing.policy.anew import create_scheduler, known_workers, transfer_worker_estimates
-from spanwing.policy.chair import PermitSettings, PolicyCoordinator
-from spanwing.policy.hand import MAX_ADMISSION_WAIT_MS, PolicyParticipant
-from spanwing.policy.kept import PolicyCache
-from spanwing.policy.minds import CombinedController, PolicyOrder
-from spanwing.policy.record import PolicyVersion, read_policy
-from spanwing.policy.sound import RunningState, find_objection, parse_policy
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
+from spanwing.policy.combined_controller import CombinedController, PolicyOrder
+from spanwing.policy.coordinator import PermitSettings, PolicyCoordinator
+from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, PolicyParticipant
+from spanwing.policy.policy_cache import PolicyCache
+from spanwing.policy.records import PolicyVersion, read_policy
+from spanwing.policy.state_transfer import create_scheduler, known_workers, transfer_worker_estimates
+from spanwing.policy.validation import RunningState, find_objection, parse_policy
 from spanwing.store.document import Document
+from spanwing.store.document_service import DocumentService
 from spanwing.store.follower import DocumentFollower
 from spanwing.store.lease import clock_ms
 from spanwing.store.peer import PeerListener
-from spanwing.store.service import DocumentService
 from spanwing.store.store import Store
-from spanwing.wire.address import Address
-from spanwing.wire.buffers import BufferPool
 
 MAX_QUEUED_REQUESTS = 10_000
 TIMER_INTERVAL_S = 0.02
--- a/spanwing/policy/anew.py
+++ b/spanwing/policy/state_transfer.py
@@ -9,7 +9,7 @@
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.handover.learned import (
+from spanwing.hot_restart.state_transfer import (
     export_scheduler,
     export_worker,
     import_scheduler,
--- a/spanwing/policy/sound.py
+++ b/spanwing/policy/validation.py
@@ -15,7 +15,7 @@
 import msgspec.inspect
 
 from spanwing import interface as api
-from spanwing.policy.record import MAX_POLICY_BYTES
+from spanwing.policy.records import MAX_POLICY_BYTES
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
 
 MAX_CLASSES, MAX_TENANTS = 64, 2000
--- a/spanwing/world/clients.py
+++ b/spanwing/simulation/clients.py
@@ -12,7 +12,7 @@
 
 import numpy as np
 
-from spanwing.world.streams import RandomStreams
+from spanwing.simulation.random_streams import RandomStreams
 
 BackoffKind = Literal["none", "at once", "fixed", "exponential"]
 DRAWS_PER_BATCH = 1024  # values drawn together
--- a/spanwing/world/troubles.py
+++ b/spanwing/simulation/fault_injection.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from spanwing.world.fleet import FleetSimulation, WorkerHost
-from spanwing.world.node import SimulatedScheduler
+from spanwing.simulation.fleet import FleetSimulation, WorkerHost
+from spanwing.simulation.scheduler import SimulatedScheduler
 
 FaultKind = Literal[
     "silent",
--- a/spanwing/world/fleet.py
+++ b/spanwing/simulation/fleet.py
@@ -13,13 +13,20 @@
 from typing import NamedTuple
 
 from spanwing import interface as api
-from spanwing.world.account import RequestAccounting, WorkTotals
-from spanwing.world.agenda import EventQueue, ScheduledCall
-from spanwing.world.clients import ClassSpec, ClientModel, GeneratedRequest, LoadSpec, RetrySpec, TenantSpec
-from spanwing.world.network import NetworkDelays, NetworkModel
-from spanwing.world.node import SimulatedScheduler
-from spanwing.world.streams import RandomStreams
-from spanwing.world.worker import JobBegan, SimulatedWorker, WorkerJob, WorkerJobEvent, WorkerSpec
+from spanwing.simulation.clients import (
+    ClassSpec,
+    ClientModel,
+    GeneratedRequest,
+    LoadSpec,
+    RetrySpec,
+    TenantSpec,
+)
+from spanwing.simulation.event_queue import EventQueue, ScheduledCall
+from spanwing.simulation.network import NetworkDelays, NetworkModel
+from spanwing.simulation.random_streams import RandomStreams
+from spanwing.simulation.request_accounting import RequestAccounting, WorkTotals
+from spanwing.simulation.scheduler import SimulatedScheduler
+from spanwing.simulation.worker import JobBegan, SimulatedWorker, WorkerJob, WorkerJobEvent, WorkerSpec
 
 CONNECT_TIMEOUT_MS = 250.0  # until a place that does not answer counts as unreachable
 ACCEPT_TIMEOUT_MS = 2500.0  # until a worker that says neither yes nor no is given up
--- a/spanwing/world/network.py
+++ b/spanwing/simulation/network.py
@@ -10,7 +10,7 @@
 
 import numpy as np
 
-from spanwing.world.streams import RandomStreams
+from spanwing.simulation.random_streams import RandomStreams
 
 
 class NetworkDelays(NamedTuple):
--- a/spanwing/world/scenario.py
+++ b/spanwing/simulation/scenario.py
@@ -17,12 +17,12 @@
 
 from spanwing.everyfault import find_all_errors
 from spanwing.faults import ErrorCollector
-from spanwing.world.clients import BackoffKind, ClassSpec, LoadSpec, RetrySpec, TenantSpec
-from spanwing.world.fleet import FleetPlan
-from spanwing.world.network import NetworkDelays
-from spanwing.world.streams import RandomStreams
-from spanwing.world.troubles import FaultSpec
-from spanwing.world.worker import QueueDiscipline, WorkerSpec
+from spanwing.simulation.clients import BackoffKind, ClassSpec, LoadSpec, RetrySpec, TenantSpec
+from spanwing.simulation.fault_injection import FaultSpec
+from spanwing.simulation.fleet import FleetPlan
+from spanwing.simulation.network import NetworkDelays
+from spanwing.simulation.random_streams import RandomStreams
+from spanwing.simulation.worker import QueueDiscipline, WorkerSpec
 
 SCENARIO_LIBRARY = Path(__file__).parent / "scenarios"
 MAX_WORKERS, MAX_SCHEDULERS = 100_000, 10_000
--- a/spanwing/world/node.py
+++ b/spanwing/simulation/scheduler.py
@@ -13,7 +13,7 @@
 
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
-from spanwing.world.agenda import EventQueue, ScheduledCall
+from spanwing.simulation.event_queue import EventQueue, ScheduledCall
 
 TIMEOUT_MARGIN_MS = 1.0  # as in the core: an attempt's time ends so long before the client's
 
--- a/spanwing/world/zoned.py
+++ b/spanwing/simulation/zone_fleet.py
@@ -14,20 +14,20 @@
 import msgspec
 
 from spanwing import interface as api
+from spanwing.simulation.fleet import FleetSimulation
+from spanwing.simulation.scheduler import SimulatedScheduler
 from spanwing.store.document import Document, catch_up
-from spanwing.store.keeper import LEADERSHIP_KEY, Leader, Leadership
+from spanwing.store.leader import LEADERSHIP_KEY, Leader, Leadership
 from spanwing.store.lease import Lease
 from spanwing.store.messages import Renew, RenewalGranted
-from spanwing.world.fleet import FleetSimulation
-from spanwing.world.node import SimulatedScheduler
-from spanwing.zones import trial
-from spanwing.zones.gate import MAX_TRANSIT_MS, RoutingRules
-from spanwing.zones.local import ZoneAgent
-from spanwing.zones.solo import EVALUATION_INTERVAL_MS as SOLO_MS
-from spanwing.zones.solo import StandaloneController
+from spanwing.zones import trial_requests as trial
+from spanwing.zones.agent import ZoneAgent
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneLimits
+from spanwing.zones.routing_filter import MAX_TRANSIT_MS, RoutingRules
+from spanwing.zones.standalone import EVALUATION_INTERVAL_MS as SOLO_MS
+from spanwing.zones.standalone import StandaloneController
 from spanwing.zones.state import read_fleet_zones
-from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
-from spanwing.zones.strand import ZoneUnreachable
+from spanwing.zones.unreachable_work import ZoneUnreachable
 
 LEASE_MS, STORE_MEMBER_COUNT = 2000.0, 3
 LEADER_INTERVAL_MS, TAKEOVER_DELAY_MS, LEASE_CHECK_INTERVAL_MS, UNREACHABLE_CHECK_INTERVAL_MS = (
--- a/spanwing/store/service.py
+++ b/spanwing/store/document_service.py
@@ -19,7 +19,7 @@
 
 from spanwing.actor import spawn_task
 from spanwing.store.document import Document, Transaction, decode_document, encode_document
-from spanwing.store.keeper import POLL_HOLD_MS, Controller, Leader
+from spanwing.store.leader import POLL_HOLD_MS, Controller, Leader
 from spanwing.store.lease import clock_ms
 from spanwing.store.messages import OrderResult, Renew, RenewalGranted, SubmitOrder
 from spanwing.store.peer import Peer, PeerListener
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -20,14 +20,14 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import spawn_task
+from spanwing.net.address import Address, open_socket
+from spanwing.net.buffers import BufferPool
+from spanwing.net.stream import LineStream, LineTooLongError
 from spanwing.store.document import Document, catch_up
-from spanwing.store.keeper import POLL_HOLD_MS
+from spanwing.store.leader import POLL_HOLD_MS
 from spanwing.store.lease import Lease, clock_ms
 from spanwing.store.messages import OrderResult, Renew, RenewalGranted, SubmitOrder
 from spanwing.store.peer import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
-from spanwing.wire.address import Address, open_socket
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import LineStream, LineTooLongError
 
 ANSWER_TIMEOUT_S = POLL_HOLD_MS / 1000.0 + 0.8  # a member that takes longer is left for another
 MIN_RENEWAL_INTERVAL_S = 0.1
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -16,6 +16,9 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import Actor, spawn_task
+from spanwing.net.address import Address, listen, open_socket
+from spanwing.net.buffers import BufferPool
+from spanwing.net.stream import LineStream, LineTooLongError
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.messages import (
     Accept,
@@ -28,9 +31,6 @@
     RenewalGranted,
     SubmitOrder,
 )
-from spanwing.wire.address import Address, listen, open_socket
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.stream import LineStream, LineTooLongError
 
 MAX_FRAME_BYTES = 256 * 1024
 CONNECT_TIMEOUT_S = 0.3
--- a/spanwing/hops/pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -14,9 +14,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.locks import Semaphore
 
-from spanwing.wire.address import Address, open_socket
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.http import HttpStream
+from spanwing.net.address import Address, open_socket
+from spanwing.net.buffers import BufferPool
+from spanwing.net.http import HttpStream
 
 IDLE_TIMEOUT_FRACTION = 0.6  # of the idle time allowed: a late timer of ours must still be in time
 MAX_CONNECT_ATTEMPTS = 2  # connections opened at most until one stands
--- a/spanwing/hops/faktoryworker.py
+++ b/spanwing/workers/faktory_worker.py
@@ -23,14 +23,14 @@
     LastByteSent,
     ProbeEnded,
 )
-from spanwing.hops.hop import (
+from spanwing.workers.worker_connection import (
     CancelDelivery,
     DeliverAttempt,
     ProbeRequested,
     WithdrawAttempt,
     WorkerConnectionActor,
 )
-from spanwing.hops.transportmap import worker_id_of
+from spanwing.workers.worker_id import worker_id_of
 
 JOB_CONTENT_TYPE = "application/vnd.faktory.job+json"
 MAX_QUEUED_JOBS = 8  # jobs that may wait for a worker's FETCH, as in a job worker's queue
--- a/spanwing/hops/nexthop.py
+++ b/spanwing/workers/http_worker.py
@@ -24,16 +24,16 @@
     LastByteSent,
     ProbeEnded,
 )
-from spanwing.hops.hop import (
+from spanwing.net.http import HttpError, HttpMessage, encode_request
+from spanwing.workers.connection_pool import ConnectionPool, PooledConnection
+from spanwing.workers.load_report import LoadReportReader
+from spanwing.workers.worker_connection import (
     CancelDelivery,
     DeliverAttempt,
     ProbeRequested,
     WithdrawAttempt,
     WorkerConnectionActor,
 )
-from spanwing.hops.load import LoadReportReader
-from spanwing.hops.pool import ConnectionPool, PooledConnection
-from spanwing.wire.http import HttpError, HttpMessage, encode_request
 
 ACCEPT_TIMEOUT_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
 CANCEL_TIMEOUT_S = 1.0  # wait for the answer to a DELETE
--- a/spanwing/zones/local.py
+++ b/spanwing/zones/agent.py
@@ -22,7 +22,7 @@
     EvidenceReport,
     choose_workers_to_probe,
 )
-from spanwing.zones.gate import RoutingFilter, RoutingRules
+from spanwing.zones.routing_filter import RoutingFilter, RoutingRules
 from spanwing.zones.state import FleetZones
 
 STANDALONE_PROBES_PER_ZONE = 4  # workers of such a zone that one scheduler asks a second where all act alone
--- a/spanwing/zones/steward.py
+++ b/spanwing/zones/controller.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from spanwing.store.document import Document, Transaction
-from spanwing.store.keeper import Leader, SchedulerSession
+from spanwing.store.leader import Leader, SchedulerSession
 from spanwing.zones.evidence import (
     BAD_EVIDENCE_MAX_AGE_MS,
     GOOD_EVIDENCE_MAX_AGE_MS,
@@ -26,6 +26,14 @@
     decode_report,
     short_worker_id,
 )
+from spanwing.zones.failure_detector import (
+    DOWN_FRACTION,
+    MIN_SAMPLE_WORKERS,
+    Observer,
+    ZoneVerdict,
+    judge_zone,
+    required_observers,
+)
 from spanwing.zones.state import (
     ASSIGNMENT_KEY,
     HISTORY_KEY,
@@ -40,14 +48,6 @@
     encode_value,
     read_fleet_zones,
 )
-from spanwing.zones.verdict import (
-    DOWN_FRACTION,
-    MIN_SAMPLE_WORKERS,
-    Observer,
-    ZoneVerdict,
-    judge_zone,
-    required_observers,
-)
 
 MIN_HOLD_DOWN_MS, MAX_HOLD_DOWN_MS = (
     1000.0,
--- a/spanwing/zones/side.py
+++ b/spanwing/zones/service.py
@@ -19,24 +19,24 @@
 
 from spanwing import interface as api
 from spanwing.actor import spawn_task
-from spanwing.core.exchange import RequestManager
+from spanwing.core.request_manager import RequestManager
 from spanwing.log import log_event
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
 from spanwing.store.document import Document
+from spanwing.store.document_service import DocumentService
 from spanwing.store.follower import DocumentFollower
 from spanwing.store.lease import clock_ms
 from spanwing.store.messages import OrderResult
 from spanwing.store.peer import PeerListener
-from spanwing.store.service import DocumentService
 from spanwing.store.store import Store
-from spanwing.wire.address import Address
-from spanwing.wire.buffers import BufferPool
-from spanwing.zones import trial
-from spanwing.zones.gate import MAX_TRANSIT_MS, RoutingRules
-from spanwing.zones.local import ZoneAgent
-from spanwing.zones.solo import EVALUATION_INTERVAL_MS, StandaloneController
+from spanwing.zones import trial_requests as trial
+from spanwing.zones.agent import ZoneAgent
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneLimits, ZoneOrder
+from spanwing.zones.routing_filter import MAX_TRANSIT_MS, RoutingRules
+from spanwing.zones.standalone import EVALUATION_INTERVAL_MS, StandaloneController
 from spanwing.zones.state import RETURN_STEPS, ZoneState, read_fleet_zones
-from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits, ZoneOrder
-from spanwing.zones.strand import ZoneUnreachable
+from spanwing.zones.unreachable_work import ZoneUnreachable
 
 TIMER_INTERVAL_S = 0.05
 RECALL_SPREAD_S = 1.0
--- a/spanwing/zones/solo.py
+++ b/spanwing/zones/standalone.py
@@ -12,10 +12,10 @@
 import msgspec
 
 from spanwing.store.document import Document, Transaction
-from spanwing.store.keeper import Leader
+from spanwing.store.leader import Leader
 from spanwing.store.messages import Renew, RenewalGranted
+from spanwing.zones.controller import ZoneController
 from spanwing.zones.state import ASSIGNMENT_KEY
-from spanwing.zones.steward import ZoneController
 
 EVALUATION_INTERVAL_MS = 50.0
 STANDALONE_LEASE_MS = 10.0 * EVALUATION_INTERVAL_MS  # our own, which we renew at each turn
--- a/tests/golden_folders.py
+++ b/tests/golden_folders.py
@@ -19,13 +19,11 @@
 import msgspec
 
 from spanwing.cli.journal import row_as_json as row_as_json
-from spanwing.journal.book import JournalReader
+from spanwing.journal.compaction import SegmentCompactor
 from spanwing.journal.files import LocalFolder
 from spanwing.journal.frames import RecordFrame, encode_frame
-from spanwing.journal.keeper import JournalWriter as JournalKeeper
-from spanwing.journal.log import RetentionLimits as JournalBounds
-from spanwing.journal.log import SegmentLog, SegmentReader
 from spanwing.journal.query import FIELDS, parse_query
+from spanwing.journal.reader import JournalReader
 from spanwing.journal.records import (
     AttemptCancelled,
     AttemptClosed,
@@ -39,30 +37,32 @@
     RequestAnswered,
     encode_record,
 )
+from spanwing.journal.segment_log import RetentionLimits as JournalBounds
+from spanwing.journal.segment_log import SegmentLog, SegmentReader
 from spanwing.journal.snapshot import decode_snapshot
-from spanwing.journal.thinning import SegmentCompactor
-from spanwing.policy import record
-from spanwing.policy.chair import PermitSettings as ChairBounds
-from spanwing.policy.chair import PolicyCoordinator, PolicyVote
-from spanwing.policy.hand import PolicyParticipant
-from spanwing.policy.kept import PolicyCache
-from spanwing.policy.side import PolicyService
+from spanwing.journal.writer import JournalWriter as JournalKeeper
+from spanwing.policy import records as record
+from spanwing.policy.coordinator import PermitSettings as ChairBounds
+from spanwing.policy.coordinator import PolicyCoordinator, PolicyVote
+from spanwing.policy.participant import PolicyParticipant
+from spanwing.policy.policy_cache import PolicyCache
+from spanwing.policy.service import PolicyService
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.disk import RegisterLog
 from spanwing.store.document import Document, Transaction
 from spanwing.store.document import decode_document as document_of
 from spanwing.store.document import encode_document as document_text
-from spanwing.store.keeper import LEADERSHIP_KEY, Leader
+from spanwing.store.document_service import DOCUMENT_KEY
+from spanwing.store.leader import LEADERSHIP_KEY, Leader
 from spanwing.store.lease import Lease
 from spanwing.store.messages import Accept, Prepare
-from spanwing.store.service import DOCUMENT_KEY
-from spanwing.store.shared import SharedSettings, agree_on_settings
+from spanwing.store.shared_settings import SharedSettings, agree_on_settings
 from spanwing.zones import state
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneOrder
+from spanwing.zones.controller import ZoneLimits as StewardBounds
 from spanwing.zones.evidence import ZoneEvidence
-from spanwing.zones.side import ZoneService
-from spanwing.zones.steward import ListedWorker, ZoneController, ZoneOrder
-from spanwing.zones.steward import ZoneLimits as StewardBounds
+from spanwing.zones.service import ZoneService
 
 WALL_MS = 1700000000000.0
 BOOT = "0b0b0b0b-0000-4000-8000-000000000001"
@@ -461,7 +461,7 @@
 
 
 def write_policy(path: Path) -> None:
-    with patch("spanwing.policy.kept.current_boot_id", lambda: BOOT):
+    with patch("spanwing.policy.policy_cache.current_boot_id", lambda: BOOT):
         kept = PolicyCache(str(path))
         for number in (1, 2, 3):
             kept.store_version(_version(number))
@@ -473,9 +473,9 @@
 def read_policy(path: Path) -> dict[str, Any]:
     """What a scheduler may start with, in the boot of the permit and in another one."""
     kept = PolicyCache(str(path))
-    with patch("spanwing.policy.kept.current_boot_id", lambda: BOOT):
+    with patch("spanwing.policy.policy_cache.current_boot_id", lambda: BOOT):
         here = kept.load_permit()
-    with patch("spanwing.policy.kept.current_boot_id", lambda: "another"):
+    with patch("spanwing.policy.policy_cache.current_boot_id", lambda: "another"):
         elsewhere = kept.load_permit()
     _close_kept(kept)
     return plain(
--- a/tests/golden_messages.py
+++ b/tests/golden_messages.py
@@ -21,14 +21,21 @@
 from spanwing import settings
 from spanwing.choice import Dispatcher
 from spanwing.core.messages import JobRequest
-from spanwing.handover import learned, messages
-from spanwing.hops.transportmap import DiscoveredEndpoints, DiscoveredWorker
+from spanwing.discovery.client import DiscoveredEndpoints, DiscoveredWorker
+from spanwing.hot_restart import messages
+from spanwing.hot_restart import state_transfer as learned
 from spanwing.journal import records, snapshot
-from spanwing.policy import chair, kept, minds, record
+from spanwing.policy import combined_controller as minds
+from spanwing.policy import coordinator as chair
+from spanwing.policy import policy_cache as kept
+from spanwing.policy import records as record
 from spanwing.state import Attempt, Job, View
-from spanwing.store import claims, document, keeper, peer, shared
+from spanwing.store import claims, document, peer
+from spanwing.store import leader as keeper
 from spanwing.store import messages as store_messages
-from spanwing.zones import evidence, state, steward
+from spanwing.store import shared_settings as shared
+from spanwing.zones import controller as steward
+from spanwing.zones import evidence, state
 
 MODULES = (
     records,
--- a/tests/oddly.py
+++ b/tests/oddly.py
@@ -16,7 +16,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from spanwing.wire import address  # noqa: E402
+from spanwing.net import address
 
 SMALL = 4096
 WORDS = dict(word.partition("=")[::2] for word in sys.argv[1:])
@@ -33,18 +33,18 @@
 
 from spanwing.core.clock import Clock  # noqa: E402
 from spanwing.daemon import serve  # noqa: E402
-from spanwing.hops import nexthop  # noqa: E402
+from spanwing.workers import http_worker  # noqa: E402
 
 if "hold" in WORDS:
-    gate, pause = os.open(WORDS["hold"], os.O_RDWR), nexthop.sleep
+    gate, pause = os.open(WORDS["hold"], os.O_RDWR), http_worker.sleep
 
     async def held(seconds: float) -> None:
-        if seconds == nexthop.LAST_BYTE_DELAY_S:
+        if seconds == http_worker.LAST_BYTE_DELAY_S:
             await asyncio.get_running_loop().run_in_executor(None, os.read, gate, 1)
         else:
             await pause(seconds)
 
-    nexthop.sleep = held
+    http_worker.sleep = held
 
 if "ahead" in WORDS:
     plain_now = Clock.now_ms
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -23,11 +23,11 @@
 from measure.balancers import PROTOCOLS, Backend, Judge, Seen, agent_reply
 from measure.drains import Lane
 from spanwing.cli import client
-from spanwing.health.machine import HealthStateMachine
-from spanwing.health.policy import HealthSettings
+from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, WorkerCounts
+from spanwing.health.state_machine import HealthStateMachine
 from spanwing.log.limit import MAX_EVENT_NAMES, RateLimiter
-from spanwing.wire.meter import MeteredSelector
+from spanwing.net.loop_meter import MeteredSelector
 
 
 def ask(place: tuple[str, int], data: bytes) -> bytes:
--- a/tests/test_decider_digests.py
+++ b/tests/test_decider_digests.py
@@ -30,20 +30,20 @@
 from spanwing import interface as api
 from spanwing.experiment.cell import apply_changes
 from spanwing.faults import ErrorCollector
-from spanwing.health.machine import HealthStateMachine
-from spanwing.health.policy import HealthSettings
+from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
+from spanwing.health.state_machine import HealthStateMachine
+from spanwing.simulation.fault_injection import FaultInjector
+from spanwing.simulation.fleet import FleetSimulation
+from spanwing.simulation.scenario import parse_scenario
+from spanwing.simulation.zone_fleet import LeaderFleet
 from spanwing.store.document import Document
-from spanwing.store.keeper import SchedulerSession
-from spanwing.world.fleet import FleetSimulation
-from spanwing.world.scenario import parse_scenario
-from spanwing.world.troubles import FaultInjector
-from spanwing.world.zoned import LeaderFleet
+from spanwing.store.leader import SchedulerSession
 from spanwing.zones import state as zones
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneLimits
 from spanwing.zones.evidence import EvidenceCollector, ZoneEvidence
-from spanwing.zones.gate import RoutingFilter, RoutingRules
-from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
-from spanwing.zones.verdict import Observer, judge_zone
+from spanwing.zones.failure_detector import Observer, judge_zone
+from spanwing.zones.routing_filter import RoutingFilter, RoutingRules
 
 
 def plain(value: object) -> object:
@@ -343,7 +343,7 @@
 
 def scenario(name: str, seed: int, seconds: float, changes: str = "{}") -> list:
     """The first seconds of a scenario's day: every answer, and where all requests were at the end."""
-    text = (resources.files("spanwing.world") / "scenarios" / f"{name}.toml").read_bytes()
+    text = (resources.files("spanwing.simulation") / "scenarios" / f"{name}.toml").read_bytes()
     day, answers = apply_changes(parse_scenario(text, ErrorCollector()), json.loads(changes)), []
     plan = day.build_plan(seed)
 
--- a/tests/test_decision_digests.py
+++ b/tests/test_decision_digests.py
@@ -26,7 +26,7 @@
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
 from spanwing.settings import PlatformSettings, scheduler_settings
-from spanwing.zones.strand import ZoneUnreachable
+from spanwing.zones.unreachable_work import ZoneUnreachable
 
 EVENTS = {
     "list": api.WorkerList,
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -20,13 +20,18 @@
 from tornado.concurrent import Future
 
 from spanwing.core.messages import AttemptEnded, DeliveryAttempt, JobRequest
-from spanwing.hops import nexthop
-from spanwing.hops.faktoryworker import FaktoryWorker, FetchRequested
-from spanwing.hops.load import LoadReportReader
-from spanwing.hops.nexthop import HttpWorker
-from spanwing.hops.pool import MAX_CONNECTIONS, ConnectionPool, DescriptorBudget, PooledConnection
-from spanwing.wire.address import Address
-from spanwing.wire.buffers import BufferPool
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
+from spanwing.workers import http_worker
+from spanwing.workers.connection_pool import (
+    MAX_CONNECTIONS,
+    ConnectionPool,
+    DescriptorBudget,
+    PooledConnection,
+)
+from spanwing.workers.faktory_worker import FaktoryWorker, FetchRequested
+from spanwing.workers.http_worker import HttpWorker
+from spanwing.workers.load_report import LoadReportReader
 
 SYN_SENT = "02"  # of /proc/net/tcp
 WINDOW_MS = 12000  # in which job workers drop a repeat
@@ -447,7 +452,7 @@
         await self.is_told("cancelled")
 
     async def test_so_is_one_that_came_as_the_wait_for_it_ended(self) -> None:
-        with mock.patch.object(nexthop, "ACCEPT_TIMEOUT_S", 0.0):
+        with mock.patch.object(http_worker, "ACCEPT_TIMEOUT_S", 0.0):
             worker = await self.sent()
             await self.given_up()
             worker.say(202)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -20,7 +20,7 @@
 from spanwing.experiment.matrix import list_cells, prepare_build, read_plan, run_experiment, source_digest
 from spanwing.experiment.report import render_page, write_parquet
 from spanwing.faults import ConfigurationError, ErrorCollector
-from spanwing.world.scenario import load_scenario
+from spanwing.simulation.scenario import load_scenario
 
 PLAN = """name = "small"
 scenarios = ["calm-day", "retry-storm"]
@@ -98,7 +98,7 @@
         self.assertEqual(len({each.digest for each in wanted}), 8)
         here = prepare_build("here", self.folder)
         copy = self.folder / "copy"
-        for name in ("spanwing", "spanwing/world", "spanwing/experiment"):
+        for name in ("spanwing", "spanwing/simulation", "spanwing/experiment"):
             (copy / name).mkdir(parents=True)
             for each in (ROOT / name).glob("*.py"):
                 (copy / name / each.name).write_bytes(each.read_bytes())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 from measure.fleet import check
 from measure.fleet.ground import Ground
 from spanwing.cli.main import main as command
-from spanwing.hops.transportmap import worker_id_of
+from spanwing.workers.worker_id import worker_id_of
 from spanwing.zones.evidence import short_worker_id
 
 OUT = {"leaving", "left"}
@@ -637,7 +637,7 @@
     def test_nothing_of_it_is_loaded(self) -> None:
         code = (
             "import sys, spanwing.daemon; print([name for name in sys.modules if name.startswith("
-            "('spanwing.zones', 'spanwing.store.keeper', 'spanwing.store.service', "
+            "('spanwing.zones', 'spanwing.store.leader', 'spanwing.store.document_service', "
             "'spanwing.store.follower', 'spanwing.cli'))])"
         )
         said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -17,8 +17,8 @@
 from measure.daemons import ROOT
 from measure.fleet.ground import Ground
 from spanwing.core.messages import JobRequest, RequestSubmitted
-from spanwing.policy.hand import MAX_ADMISSION_WAIT_MS, AdmissionDecision
-from spanwing.policy.side import PolicyService
+from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, AdmissionDecision
+from spanwing.policy.service import PolicyService
 from spanwing.store.lease import clock_ms
 
 
@@ -257,7 +257,7 @@
     def test_nothing_of_it_is_loaded(self) -> None:
         code = (
             "import sys, spanwing.daemon; print([name for name in sys.modules "
-            "if name.startswith(('spanwing.policy', 'spanwing.handover'))])"
+            "if name.startswith(('spanwing.policy', 'spanwing.hot_restart'))])"
         )
         said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
         self.assertEqual(said.stdout.strip(), "[]", said.stderr)
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -17,7 +17,7 @@
 from hypothesis import strategies as st
 from player import PATIENCE_S, Daemon, config, member
 
-from spanwing.fronts.balancers.grpc import (
+from spanwing.frontends.balancers.grpc_health import (
     CHECK_PATH,
     MAX_CONTROL_FRAMES,
     MAX_HEADER_BYTES,
@@ -26,7 +26,7 @@
     GrpcSession,
     parse_service,
 )
-from spanwing.health.machine import HealthVerdict
+from spanwing.health.state_machine import HealthVerdict
 
 UP = HealthVerdict("ready", 100, (), (("status-read", ""), ("setpoint-push", "no big-box")))
 DRAINING = UP._replace(state="draining", weight=0, reasons=("draining",))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -246,7 +246,7 @@
             "from tornado.ioloop import IOLoop\n"
             "from spanwing.daemon import serve\n"
             "def tell():\n"
-            "    found = [each for each in sys.modules if 'handover' in each or 'management' in each]\n"
+            "    found = [each for each in sys.modules if 'hot_restart' in each or 'management' in each]\n"
             "    print(found, threading.active_count(), os.listdir(os.environ['TMPDIR']), flush=True)\n"
             "    os._exit(0)\n"
             "IOLoop.current().call_later(0.3, tell)\n"
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -7,10 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from spanwing.health.cpu import CpuMeter, CpuReading
-from spanwing.health.machine import ACCEPTING_STATES, HealthStateMachine
-from spanwing.health.policy import HealthSettings
+from spanwing.health.cpu_meter import CpuMeter, CpuReading
+from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
+from spanwing.health.state_machine import ACCEPTING_STATES, HealthStateMachine
 
 CLASSES = (ClassLoad("status-read", 150.0), ClassLoad("setpoint-push", 300.0, "big-box"))
 FLEET = (WorkerCounts("a", "big-box", 4, 4), WorkerCounts("a", "old-box", 4, 4))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,6 +11,7 @@
 from simdisk import Crash, SimDisk
 
 from spanwing.journal.committer import DISK_BACKOFF_S, MAX_PENDING_RECORDS, Committer
+from spanwing.journal.compaction import SegmentCompactor
 from spanwing.journal.files import FolderInUseError, LocalFolder
 from spanwing.journal.frames import (
     HEADER_SIZE,
@@ -23,8 +24,6 @@
     encode_header,
     read_frames,
 )
-from spanwing.journal.ledger import RequestStates
-from spanwing.journal.log import RetentionLimits, SegmentLog, SegmentReader
 from spanwing.journal.records import (
     MAX_RECORD_BYTES,
     AttemptCancelled,
@@ -39,7 +38,8 @@
     RequestAnswered,
     encode_record,
 )
-from spanwing.journal.thinning import SegmentCompactor
+from spanwing.journal.request_states import RequestStates
+from spanwing.journal.segment_log import RetentionLimits, SegmentLog, SegmentReader
 
 SMALL = RetentionLimits(segment_bytes=900, segment_ms=1e9, retention_ms=1e12, retention_bytes=1 << 40)
 
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -18,7 +18,6 @@
 from measure.crashes import measure
 from spanwing import interface as api
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import RequestManager
 from spanwing.core.messages import (
     AttemptEnded,
     ClientDisconnected,
@@ -29,13 +28,14 @@
     LastByteSent,
     RequestSubmitted,
 )
-from spanwing.hops.faktoryworker import FaktoryWorker, FetchRequested, JobFinished
+from spanwing.core.request_manager import RequestManager
 from spanwing.journal.committer import DISK_BACKOFF_S
 from spanwing.journal.frames import RecordFrame
-from spanwing.journal.keeper import JournalWriter
-from spanwing.journal.ledger import RequestStates
-from spanwing.journal.log import RetentionLimits, SegmentLog, SegmentReader
 from spanwing.journal.records import AttemptIntent
+from spanwing.journal.request_states import RequestStates
+from spanwing.journal.segment_log import RetentionLimits, SegmentLog, SegmentReader
+from spanwing.journal.writer import JournalWriter
+from spanwing.workers.faktory_worker import FaktoryWorker, FetchRequested, JobFinished
 
 PATIENCE_S = 20.0
 CLS = "bill"  # unsafe
--- a/tests/test_journal_query.py
+++ b/tests/test_journal_query.py
@@ -11,10 +11,9 @@
 from hypothesis import strategies as st
 
 from spanwing.journal import index
-from spanwing.journal.book import JournalReader
 from spanwing.journal.files import LocalFolder
-from spanwing.journal.log import RetentionLimits, SegmentLog
 from spanwing.journal.query import FIELDS, QueryError, parse_query
+from spanwing.journal.reader import JournalReader
 from spanwing.journal.records import (
     AttemptClosed,
     AttemptCompleted,
@@ -24,7 +23,8 @@
     RequestAccepted,
     RequestAnswered,
 )
-from spanwing.journal.rows import AttemptRow
+from spanwing.journal.segment_log import RetentionLimits, SegmentLog
+from spanwing.journal.table import AttemptRow
 
 NOW = 1_000_000_000.0
 SMALL = RetentionLimits(segment_bytes=4000, segment_ms=1e15, retention_ms=1e15, retention_bytes=1 << 40)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -13,8 +13,8 @@
 
 from measure.workers import Workers
 from spanwing.load.openloop import OpenLoopGenerator
-from spanwing.world.clients import ClassSpec, ClientModel, LoadSpec, TenantSpec
-from spanwing.world.streams import RandomStreams
+from spanwing.simulation.clients import ClassSpec, ClientModel, LoadSpec, TenantSpec
+from spanwing.simulation.random_streams import RandomStreams
 
 CLASSES = (ClassSpec("status-read", 1.0, 10.0, deadline_ms=10_000.0),)
 
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -39,7 +39,7 @@
         assert files(built / "spanwing") == files(copy / "spanwing")
         assert [each.name for each in built.iterdir()] == ["spanwing"]
         done = subprocess.run(
-            [sys.executable, "-c", "import spanwing.handover.handover"],
+            [sys.executable, "-c", "import spanwing.hot_restart.hot_restart"],
             cwd=built,
             capture_output=True,
             text=True,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -12,14 +12,14 @@
 from measure import policymodel
 from measure.policymodel import World, begun, calm
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import RequestManager
 from spanwing.core.messages import ClientDisconnected, FinalAnswer, JobRequest, RequestSubmitted
-from spanwing.policy.chair import PolicyVote
-from spanwing.policy.hand import MAX_ADMISSION_WAIT_MS
-from spanwing.policy.record import CHANGE_KEY, MAX_POLICY_BYTES, read_policy
-from spanwing.policy.side import PolicyService
+from spanwing.core.request_manager import RequestManager
+from spanwing.net.buffers import BufferPool
+from spanwing.policy.coordinator import PolicyVote
+from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
+from spanwing.policy.records import CHANGE_KEY, MAX_POLICY_BYTES, read_policy
+from spanwing.policy.service import PolicyService
 from spanwing.store.document import Document, Transaction
-from spanwing.wire.buffers import BufferPool
 
 
 def rounds(world: World, who: tuple[int, ...], count: int = 1) -> None:
--- a/tests/test_policy_sound.py
+++ b/tests/test_policy_sound.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 
 from measure.daemons import settings
-from spanwing.policy.record import MAX_POLICY_BYTES
-from spanwing.policy.sound import (
+from spanwing.policy.records import MAX_POLICY_BYTES
+from spanwing.policy.validation import (
     MAX_CLASSES,
     RunningState,
     describe_differences,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from player import Daemon, config, member
 
-from spanwing.wire.proxied import is_proxy_source
-from spanwing.wire.proxy import MAX_V2_BYTES, SIGNATURE_V2, ProxyError, parse_header
+from spanwing.net.proxied_connections import is_proxy_source
+from spanwing.net.proxy_protocol import MAX_V2_BYTES, SIGNATURE_V2, ProxyError, parse_header
 
 V1 = b"PROXY TCP4 192.0.2.7 192.0.2.1 51000 8080\r\n"
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,9 +6,9 @@
 import unittest
 
 from spanwing.faults import ConfigurationError, ErrorCollector
-from spanwing.world.fleet import AnsweredRequest, FleetSimulation
-from spanwing.world.scenario import SCENARIO_LIBRARY, Scenario, load_scenario, parse_scenario
-from spanwing.world.troubles import FaultInjector, FaultSpec
+from spanwing.simulation.fault_injection import FaultInjector, FaultSpec
+from spanwing.simulation.fleet import AnsweredRequest, FleetSimulation
+from spanwing.simulation.scenario import SCENARIO_LIBRARY, Scenario, load_scenario, parse_scenario
 
 READY = sorted(each.stem for each in SCENARIO_LIBRARY.glob("*.toml"))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,8 +14,6 @@
 from standins import figures, thread
 
 from spanwing.core.clock import Clock
-from spanwing.core.exchange import RequestManager
-from spanwing.core.figures import collect_statistics as figures_of
 from spanwing.core.messages import (
     ClientDisconnected,
     EndpointsChanged,
@@ -24,6 +22,8 @@
     RequestRejected,
     RequestSubmitted,
 )
+from spanwing.core.request_manager import RequestManager
+from spanwing.core.statistics import collect_statistics as figures_of
 from spanwing.interface import Outcome, Worker, WorkerList
 
 
@@ -233,7 +233,7 @@
     """Predecessor and successor keep one budget for a cold job worker."""
 
     def test_what_the_predecessor_sent_counts_and_it_feeds_no_more(self) -> None:
-        from spanwing.handover.learned import (
+        from spanwing.hot_restart.state_transfer import (
             export_scheduler,
             export_worker,
             import_scheduler,
@@ -273,7 +273,7 @@
 
     def test_a_request_that_goes_over_is_held_once(self) -> None:
         from spanwing import interface as api
-        from spanwing.handover.learned import RequestResumed, export_attempts, release_request
+        from spanwing.hot_restart.state_transfer import RequestResumed, export_attempts, release_request
 
         old, new = Driver(workers=3), Driver(workers=3)
         rid, actions = old.ask("bill")
@@ -296,7 +296,7 @@
 
     def test_a_held_request_goes_over_and_is_sent_there(self) -> None:
         from spanwing import interface as api
-        from spanwing.handover.learned import RequestResumed, export_attempts, release_request
+        from spanwing.hot_restart.state_transfer import RequestResumed, export_attempts, release_request
 
         old, new = Driver(), Driver(workers=1)
         rid, _ = old.ask()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,13 +8,13 @@
 from tornado.gen import multi
 from tornado.testing import AsyncTestCase, gen_test
 
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
 from spanwing.store.messages import Accept, Prepare
 from spanwing.store.peer import Peer, PeerListener
 from spanwing.store.store import NoMajority, Store
-from spanwing.wire.address import Address
-from spanwing.wire.buffers import BufferPool
 
 ANY = Address("127.0.0.1", 0)
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -9,9 +9,9 @@
 
 from tornado.iostream import IOStream
 
-from spanwing.wire.buffers import BufferPool
-from spanwing.wire.http import HttpStream
-from spanwing.wire.stream import LineStream, PooledStream
+from spanwing.net.buffers import BufferPool
+from spanwing.net.http import HttpStream
+from spanwing.net.stream import LineStream, PooledStream
 
 
 class Silent(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from spanwing.core.messages import EndpointsChanged
-from spanwing.hops.transportmap import (
+from spanwing.discovery.client import (
     OVERDUE_ANSWER_NOTIFIED_S,
     SILENT_WATCH_NOTIFIED_S,
     WATCH_REOPEN_MARGIN_S,
@@ -19,8 +19,8 @@
     DiscoveryClient,
     WatchTiming,
 )
-from spanwing.wire.address import parse_address
-from spanwing.wire.buffers import BufferPool
+from spanwing.net.address import parse_address
+from spanwing.net.buffers import BufferPool
 
 
 class Passed(unittest.TestCase):
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -10,12 +10,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from spanwing.world.agenda import EventQueue
-from spanwing.world.clients import ClassSpec, ClientModel, LoadSpec, RetrySpec
-from spanwing.world.fleet import AnsweredRequest, FleetPlan, FleetSimulation
-from spanwing.world.network import NetworkDelays, NetworkModel
-from spanwing.world.streams import RandomStreams
-from spanwing.world.worker import WARM_UP_STEP_MS, JobBegan, JobEnded, SimulatedWorker, WorkerJob, WorkerSpec
+from spanwing.simulation.clients import ClassSpec, ClientModel, LoadSpec, RetrySpec
+from spanwing.simulation.event_queue import EventQueue
+from spanwing.simulation.fleet import AnsweredRequest, FleetPlan, FleetSimulation
+from spanwing.simulation.network import NetworkDelays, NetworkModel
+from spanwing.simulation.random_streams import RandomStreams
+from spanwing.simulation.worker import (
+    WARM_UP_STEP_MS,
+    JobBegan,
+    JobEnded,
+    SimulatedWorker,
+    WorkerJob,
+    WorkerSpec,
+)
 
 CLASSES = (
     ClassSpec("look", 0.5, 30.0, latency_objective_ms=150.0, deadline_ms=2000.0, priority_weight=5.0),
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -16,9 +16,11 @@
 from spanwing import interface as api
 from spanwing.choice import Dispatcher
 from spanwing.store.document import Document, Transaction
-from spanwing.store.keeper import Leader
+from spanwing.store.leader import Leader
 from spanwing.store.messages import Renew, RenewalGranted
-from spanwing.zones import trial
+from spanwing.zones import trial_requests as trial
+from spanwing.zones.agent import ZoneAgent
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneLimits
 from spanwing.zones.evidence import (
     MAX_REPORT_BYTES,
     EvidenceCollector,
@@ -26,8 +28,8 @@
     ZoneEvidence,
     decode_report,
 )
-from spanwing.zones.gate import RoutingFilter, RoutingRules, admitted_count
-from spanwing.zones.local import ZoneAgent
+from spanwing.zones.failure_detector import MAX_REQUIRED_OBSERVERS, Observer, judge_zone, required_observers
+from spanwing.zones.routing_filter import RoutingFilter, RoutingRules, admitted_count
 from spanwing.zones.state import (
     RETURN_STEPS,
     ZONE_KEY_PREFIX,
@@ -38,9 +40,7 @@
     encode_value,
     read_fleet_zones,
 )
-from spanwing.zones.steward import ListedWorker, ZoneController, ZoneLimits
-from spanwing.zones.strand import ZoneUnreachable
-from spanwing.zones.verdict import MAX_REQUIRED_OBSERVERS, Observer, judge_zone, required_observers
+from spanwing.zones.unreachable_work import ZoneUnreachable
 
 SEEDS = range(1, 13)
 
