Write the docstrings of the zone controller, agent and evidence in plain terms

Cause: docstrings and comments still used the former names after the renaming. Change: docstrings and comments of controller.py, agent.py, evidence.py and the package; no code.

--- a/spanwing/zones/__init__.py
+++ b/spanwing/zones/__init__.py
@@ -1,2 +1,4 @@
-"""Zones of the fleet: left and returned to by all schedulers as one. Loaded where the operator's file asks
-for it."""
+"""Zones of the fleet, which all schedulers leave and return to together.
+
+Loaded only where the operator's file asks for it.
+"""
--- a/spanwing/zones/agent.py
+++ b/spanwing/zones/agent.py
@@ -1,9 +1,9 @@
-"""What one scheduler does about the fleet's zones, without its I/O: gate and witness, whom to ask, what to
-tell.
+"""One scheduler's decisions about the fleet's zones, without I/O.
 
-Guarantees: pure, time passed in (now: by the lease's clock, clock: by the module's). The module hears of
-every change of what it may use, and of none twice. Bounds: of the gate and the witness; one look a SUSPECT_MS
-on bad news of our own.
+Joins the routing filter and the evidence collector; says which workers to probe and what to report. Pure;
+time is passed in (now: by the lease's clock; module_now: by the scheduler's). The scheduler is notified of
+every change of what it may use, and of none twice. Bounds: those of the routing filter and the evidence
+collector; one round of probes per FAULT_PROBE_INTERVAL_MS after this scheduler's own bad evidence.
 """
 
 from __future__ import annotations
@@ -25,14 +25,12 @@
 from spanwing.zones.routing_filter import RoutingFilter, RoutingRules
 from spanwing.zones.state import FleetZones
 
-STANDALONE_PROBES_PER_ZONE = 4  # workers of such a zone that one scheduler asks a second where all act alone
-PROBES_PER_WORKER_S = (
-    3.0  # a worker of a zone that is not open is asked so often a second, by all schedulers together
-)
+STANDALONE_PROBES_PER_ZONE = 4  # probes per second at a zone that is not open, in standalone mode
+PROBES_PER_WORKER_S = 3.0  # to each worker of a zone that is not open, by all schedulers together
 
 
 class ZoneAgent:
-    """One scheduler's part."""
+    """One scheduler's part in the zones: routing filter, evidence collector, choice of probes."""
 
     def __init__(
         self,
@@ -42,7 +40,7 @@
         is_hashed_feeder: Callable[[int], bool],
         random_source: random.Random,
     ) -> None:
-        """feeds: whether we feed a worker by the hash of all positions."""
+        """is_hashed_feeder: whether this scheduler feeds a worker by the hash of all positions."""
         self.rules, self.position, self.scheduler_count, self.is_hashed_feeder, self.random_source = (
             rules,
             position,
@@ -56,25 +54,27 @@
         )
         self.first_positions: dict[int, int] = {}
         self.hashed_feeders: dict[int, bool] = {}
-        self.announced_workers: dict[int, api.Worker] = {}  # as the module has them
-        self.newly_admitted: set[int] = set()  # since prove() was last called
+        self.announced_workers: dict[int, api.Worker] = {}  # as the scheduler has them
+        self.newly_admitted: set[int] = set()  # since restart_concurrency_limits() was last called
         self.last_fault_probe_ms = -math.inf
-        self.probed_zones: frozenset[str] = frozenset()  # that we looked at last on bad news
-        self.background_probes: set[int] = set()  # workers of open zones that were asked without any news
+        self.probed_zones: frozenset[str] = frozenset()  # zones of the last round of probes
+        self.background_probes: set[int] = set()  # workers of open zones probed without bad evidence
 
     @property
     def fleet(self) -> FleetZones | None:
+        """The fleet's zones as last followed; None before the first update."""
         return self.routing_filter.fleet
 
     def is_open(self, zone: str) -> bool:
+        """Returns whether the zone is open; all are before the first update."""
         return self.fleet is None or self.fleet.get_zone(zone).state == "open"
 
-    # -- job workers as the module has them
+    # -- workers as the scheduler has them
 
     def filter_workers(
         self, endpoint_list: api.WorkerList, now: float, module_now: float, has_lease: bool
     ) -> api.WorkerList:
-        """News of job workers as the module is to have them."""
+        """Returns the watch event with the workers as the scheduler is to see them."""
         self.routing_filter.update_workers(endpoint_list, now, module_now)
         if endpoint_list.scope == "error":
             return endpoint_list
@@ -86,7 +86,7 @@
         return api.WorkerList(endpoint_list.scope, (*self.changed_workers(now, has_lease), *removed))
 
     def changed_workers(self, now: float, has_lease: bool) -> list[api.Worker]:
-        """The workers that the module has otherwise than they are now."""
+        """Returns, and remembers as announced, the workers that differ from what the scheduler has."""
         filtered = self.routing_filter.filter_workers(
             self.routing_filter.workers.values(), now, has_lease, self._is_hashed_feeder
         )
@@ -105,8 +105,11 @@
         return changed
 
     def restart_concurrency_limits(self, scheduler: Dispatcher) -> None:
-        """Have workers that are used again prove themselves on a job that may be repeated, as after a rest;
-        called once the module has heard of them."""
+        """Sets the limit of newly admitted workers to one request, as after a backoff.
+
+        Such a worker first has to succeed on an idempotent request. Called once the scheduler has these
+        workers.
+        """
         for worker in self.newly_admitted:
             worker_state = scheduler.views.get(worker)
             if worker_state is not None and worker_state.entry.state == "healthy":
@@ -130,7 +133,7 @@
         return self.first_positions[worker]
 
     def unused_zones(self) -> Iterator[str]:
-        """Zones that we may send nothing to, with a lease."""
+        """Yields zones that this scheduler may send nothing to while it has a lease."""
         for name, zone in self.fleet.zones.items() if self.fleet is not None else ():
             is_used_inside = zone.inside and name == self.rules.zone
             if zone.state in ("leaving", "left") and zone.share <= 0 and not is_used_inside:
@@ -139,12 +142,13 @@
     # -- evidence
 
     def attempt_sent(self, now: float, worker: int, attempt: tuple[str, int]) -> None:
+        """Records that an attempt was sent to a worker."""
         entry = self.routing_filter.workers.get(worker)
         if entry is not None:
             self.evidence_collector.attempt_sent(now, worker, entry.zone, attempt)
 
     def attempt_ended(self, now: float, worker: int, attempt: tuple[str, int], result: str) -> list[int]:
-        """How a job ended; whom to ask about it."""
+        """Records how an attempt ended; returns the workers to probe because of it."""
         return (
             self._probe_after_fault(now, worker)
             if self.evidence_collector.attempt_ended(now, worker, attempt, result)
@@ -152,7 +156,7 @@
         )
 
     def probe_finished(self, now: float, worker: int, result: str) -> list[int]:
-        """How a probe ended; whom to ask about it."""
+        """Records how a probe ended; returns the workers to probe because of it."""
         entry = self.routing_filter.workers.get(worker)
         if entry is None:
             return []
@@ -164,7 +168,10 @@
         return self._probe_after_fault(now, worker) if is_new_fault else []
 
     def _probe_after_fault(self, now: float, worker: int) -> list[int]:
-        """Bad news of a worker that was well: look at some of its zone and of others."""
+        """Returns workers of its zone and of others to probe after a healthy worker's fault.
+
+        At most one round per FAULT_PROBE_INTERVAL_MS.
+        """
         entry = self.routing_filter.workers.get(worker)
         if entry is None or now < self.last_fault_probe_ms + FAULT_PROBE_INTERVAL_MS:
             return []
@@ -172,7 +179,7 @@
         return self.choose_workers_to_probe((entry.zone,))
 
     def choose_workers_to_probe(self, zones: Iterable[str]) -> list[int]:
-        """Whom to ask whether these zones' workers answer."""
+        """Returns the workers to probe to find out whether these zones answer."""
         zones = tuple(zones)
         self.probed_zones = frozenset(zones)
         workers = self.routing_filter.workers.values()
@@ -183,9 +190,12 @@
         ]
 
     def tries(self, now: float, zones: Iterable[str]) -> list[int]:
-        """When the keeper has us look at these zones: a worker of each that we have no word on, for a job on
-        trial. A zone that fails with jobs may well answer probes, and who sends it nothing has no word on it:
-        one scheduler alone would go on sending there, and no verdict would fall."""
+        """Returns, for each of these zones, one worker without evidence, to get a trial request.
+
+        Called when the leader asks for probes. A zone that fails requests may well answer probes, and a
+        scheduler that sends it nothing has no evidence on it: a single scheduler would go on sending there
+        without a verdict. Empty in standalone mode.
+        """
         if self.rules.solo:
             return []
         found = []
@@ -199,8 +209,10 @@
         return found
 
     def choose_background_probes(self) -> list[int]:
-        """Once a second: whom to ask of the zones that are not open, and one of those that are: where we send
-        little, it is all that we see."""
+        """Returns the workers to probe in this second: some of zones not open, one of the open zones.
+
+        Where this scheduler sends little, these probes are all its evidence.
+        """
         probe_probability, open_zone_workers, found = (
             min(1.0, PROBES_PER_WORKER_S / self.scheduler_count),
             [],
@@ -223,11 +235,15 @@
     def build_evidence_report(
         self, now: float, worker_states: Iterable[View], module_now: float
     ) -> EvidenceReport:
-        """views: the module's."""
+        """Returns the report for the next renewal; worker_states: the scheduler's."""
         return self.evidence_collector.build_report(now, slots_by_zone(worker_states, module_now))
 
 
 def slots_by_zone(worker_states: Iterable[View], module_now: float) -> Iterator[tuple[str, float, float]]:
+    """Yields zone, slots in flight and idle slots of each listed worker.
+
+    Only owned workers that are not in backoff have idle slots.
+    """
     for worker_state in worker_states:
         if worker_state.entry.state != "gone":
             idle = (
--- a/spanwing/zones/controller.py
+++ b/spanwing/zones/controller.py
@@ -1,9 +1,10 @@
-"""What the keeper makes of all evidence: the next change of the fleet's zones.
+"""The zone controller: decides the next change of the fleet's zones from all schedulers' evidence.
 
-Guarantees: pure, time passed in; one change at a time, each on the condition that what it was made from still
-stands; the last open zone is never left, and one that returns is none; a zone returns only once nobody can
-still use it by an older state, and a new deal of feeders is in force only once nobody can still feed by the
-former. What an operator holds changes by orders alone. Bounds: one report a session, MOST_ZONES zones.
+Pure; time is passed in. It makes one change at a time, on the condition that the keys it was computed from
+are unchanged. The last open zone is never left, and a returning zone does not count as open. A zone returns
+only once nobody can still use it by an older state, and a new feeder assignment comes into force only once
+nobody can still feed by the former one. A zone on hold by an operator changes by orders alone. Bounds: one
+report per session, MAX_ZONES zones.
 """
 
 from __future__ import annotations
@@ -52,11 +53,11 @@
 MIN_HOLD_DOWN_MS, MAX_HOLD_DOWN_MS = (
     1000.0,
     120_000.0,
-)  # a zone is left so long at least, and at most by itself
-FAILURE_RESET_MS = 600_000.0  # open for so long, a zone's earlier failures count no more
-MIN_RETURN_STEP_MS = 600.0  # a step of the return is held so long at least
-MIN_ASSIGNMENT_INTERVAL_MS = 1000.0  # between two deals
-WORKER_COUNT_WINDOW_MS = 60_000.0  # a zone has as many workers as it had at most in so long
+)  # hold-down of a zone that was left
+FAILURE_RESET_MS = 600_000.0  # after so long open, earlier failures no longer count
+MIN_RETURN_STEP_MS = 600.0  # minimum duration of a step of a return
+MIN_ASSIGNMENT_INTERVAL_MS = 1000.0  # between two feeder assignments
+WORKER_COUNT_WINDOW_MS = 60_000.0  # a zone's worker count is its maximum within this
 MAX_GRADUAL_LEAVE_S = 3600.0
 MAX_ZONES_TO_PROBE = 4
 
@@ -66,26 +67,26 @@
 
 
 class ListedWorker(NamedTuple):
-    """A job worker as the keeper's own list has it."""
+    """A worker as the leader's own endpoint list has it."""
 
     id: int
-    started_at_ms: float  # wall clock; 0: long ago
+    started_at_ms: float  # wall clock, ms; 0: long ago
     is_warming_up: bool
 
 
 class ZoneLimits(NamedTuple):
-    """From settings and the operator's file."""
+    """Limits from the settings and the operator's file."""
 
-    feeder_change_delay_ms: float  # a window of cold budgets, and what may be on its way
-    slow_start_ms: float = 0.0  # a worker is cold for so long after its start
-    scheduler_count: int = 1  # that there are, up or down
+    feeder_change_delay_ms: float  # a window of warm-up budgets, plus MAX_TRANSIT_MS
+    slow_start_ms: float = 0.0  # a worker warms up for so long after its start
+    scheduler_count: int = 1  # configured, up or down
     regions: Mapping[str, tuple[str, ...]] = {}
-    probes_enabled: bool = True  # schedulers may ask a zone that was left
-    is_sampled: bool = False  # one scheduler's own evidence: it never sees all workers of a zone
+    probes_enabled: bool = True  # schedulers may probe a zone that was left
+    is_sampled: bool = False  # standalone: one scheduler never sees all workers of a zone
 
 
 class ZoneOrder(msgspec.Struct, forbid_unknown_fields=True):
-    """An operator's."""
+    """An operator's order."""
 
     action: str = msgspec.field(name="do")
     target: str = msgspec.field(name="name")
@@ -94,7 +95,7 @@
 
 
 class ZoneController:
-    """The keeper's mind."""
+    """Decides the next change of the zones while this member leads (spanwing.store.leader.Controller)."""
 
     def __init__(
         self,
@@ -104,26 +105,44 @@
         author: str,
         new_id: Callable[[], str] = _random_id,
     ) -> None:
-        """workers: of each zone, as our own list has them; draw: an id for a change."""
+        """Creates a controller.
+
+        list_workers: returns each zone's workers as this process lists them; new_id: returns an id for a
+        transaction.
+        """
         self.limits, self.list_workers, self.wall_clock_ms = limits, list_workers, wall_clock_ms
         self.author, self.new_id = author, new_id
-        self.reports: dict[str, tuple[float, str, EvidenceReport]] = {}  # by session: when, zone, what
-        self.revision_seen_at: dict[str, tuple[int, float]] = {}  # by zone, or the deal: when first seen
-        self.recent_workers: dict[str, dict[int, float]] = {}  # by zone: its workers, and when last listed
-        self.returning_since: dict[str, float] = {}  # zones that return, and since when
-        self.cut_off_since: dict[str, float] = {}  # zones that seem cut off
-        self.gradual_leaves: dict[str, tuple[float, float]] = {}  # ordered over a time: from, for ms
+        self.reports: dict[
+            str, tuple[float, str, EvidenceReport]
+        ] = {}  # by session: received at, zone, report
+        self.revision_seen_at: dict[
+            str, tuple[int, float]
+        ] = {}  # by zone or ASSIGNMENT_KEY: revision, first seen at
+        self.recent_workers: dict[str, dict[int, float]] = {}  # by zone: short worker id -> last listed at
+        self.returning_since: dict[str, float] = {}  # by returning zone
+        self.cut_off_since: dict[str, float] = {}  # by zone whose verdict is "cut"
+        self.gradual_leaves: dict[
+            str, tuple[float, float]
+        ] = {}  # by zone left gradually by order: start, duration in ms
         self.parsed_document: Document | None = None
         self.fleet = read_fleet_zones(Document())
 
-    # -- what comes in
+    # -- input
 
     def refresh_worker_list(self, now: float) -> None:
-        """Keep in mind how many workers each zone has: the list may drop them before we come to keep."""
+        """Records how many workers each zone has.
+
+        Called also while another member leads: the list may drop a zone's workers before this member takes
+        over.
+        """
         self._refresh_listed_workers(now)
 
     def record_evidence(self, now: float, session: SchedulerSession, evidence: msgspec.Raw) -> None:
-        """Raises ValueError where it is no evidence, or comes from nobody that the settings know."""
+        """Records a session's evidence report, in place of its former one.
+
+        Raises ValueError if it is not a valid report or the session's position is not among the settings'
+        schedulers.
+        """
         if not 0 <= session.position < self.limits.scheduler_count:
             raise ValueError(f"position {session.position} is none of {self.limits.scheduler_count}")
         self.reports[session.id] = now, session.zone, decode_report(bytes(evidence))
@@ -134,7 +153,10 @@
         return self.fleet
 
     def _time_since_seen(self, now: float, name: str, revision: int) -> float:
-        """For how long we have seen this number; an earlier keeper's time does not count."""
+        """Returns for how many ms this process has seen the revision under this name.
+
+        The time under an earlier leader does not count.
+        """
         known = self.revision_seen_at.get(name)
         if known is None or known[0] != revision:
             known = self.revision_seen_at[name] = revision, now
@@ -154,7 +176,7 @@
         return listed
 
     def recent_observers(self, now: float, leader: Leader) -> list[Observer]:
-        """Those in contact, with what they saw lately."""
+        """Returns the sessions with a lease and their recent evidence, aged good evidence left out."""
         active_sessions = {each.id for each in leader.active_sessions(now)}
         self.reports = {id: each for id, each in self.reports.items() if id in leader.sessions}
         return [
@@ -174,7 +196,10 @@
         )
 
     def zones_to_probe(self, now: float, leader: Leader) -> tuple[str, ...]:
-        """Open zones of which an observer that counts sees a worker down, and too few say anything."""
+        """Returns open zones that a credible observer sees as down while too few report on them.
+
+        At most MAX_ZONES_TO_PROBE; zones on hold are left out.
+        """
         found = []
         observers = self.recent_observers(now, leader)
         for name in self.recent_workers:
@@ -185,9 +210,13 @@
                     found.append(name)
         return tuple(found[:MAX_ZONES_TO_PROBE])
 
-    # -- what comes out
+    # -- decisions
 
     def decide_next_change(self, now: float, document: Document, leader: Leader) -> Transaction | None:
+        """Returns the next change that is due, or None.
+
+        Order: leave failed zones, finish leaving, advance a return, assign feeders.
+        """
         fleet, listed = self._parse_document(document), self._refresh_listed_workers(now)
         for name, revision in fleet.revisions.items():
             self._time_since_seen(now, name, revision)
@@ -208,7 +237,7 @@
     def _zones_transaction(
         self, document: Document, fleet: FleetZones, changed_zones: Mapping[str, ZoneState]
     ) -> Transaction:
-        """The change of some zones, with its lines in the history."""
+        """Returns the transaction that writes these zones and their history entries."""
         revision, wall_ms = document.revision + 1, self.wall_clock_ms()
         history = [
             *fleet.history,
@@ -244,15 +273,15 @@
         listed: Mapping[str, list[ListedWorker]],
         observers: list[Observer],
     ) -> dict[str, ZoneState]:
-        """Zones that have failed, as far as the others can bear it."""
+        """Returns the failed zones as leaving, as far as the other zones can bear it."""
         failed_zones: dict[str, tuple[ZoneVerdict, str]] = {}
-        for name in self.recent_workers:  # also one of which the list has just dropped all workers
+        for name in self.recent_workers:  # also a zone whose workers the list has just dropped
             zone = fleet.get_zone(name)
             if zone.state == "open" and not zone.held:
                 verdict = self._judge_zone(name, observers)
                 if verdict.finding != "cut":
                     self.cut_off_since.pop(name, None)
-                # What its own schedulers saw good may be older than its loss, until that has aged.
+                # Good evidence from inside may predate the zone's loss until it has aged.
                 is_cut_off = (
                     verdict.finding == "cut"
                     and now - self.cut_off_since.setdefault(name, now) > 2 * GOOD_EVIDENCE_MAX_AGE_MS
@@ -277,9 +306,9 @@
                             verdict,
                             f"region {region}: {', '.join(lost_zones)} have failed; {verdict}",
                         )
-        # One that returns may go back at any step, and takes a part of the work until then: it bears nothing.
+        # A returning zone may go back at any step and takes only part of the work: it does not count.
         whole = {name for name in listed if listed[name] and fleet.get_zone(name).state == "open"}
-        if whole <= set(failed_zones):  # one is kept: the one of which most is seen good
+        if whole <= set(failed_zones):  # keep the zone with the largest part of good workers
             candidates_to_keep = sorted(whole) or sorted(failed_zones)
             del failed_zones[
                 max(
@@ -326,7 +355,7 @@
         return ZoneState("leaving", 0, share, verdict.finding == "cut", False, failures, reason, self.author)
 
     def _finish_leaving(self, now: float, fleet: FleetZones, leader: Leader) -> dict[str, ZoneState]:
-        """A zone is left once all have heard of it, or can act no more."""
+        """Returns leaving zones as left once all sessions have acknowledged that, or have expired."""
         changed_zones = {}
         for name, zone in fleet.zones.items():
             if zone.state != "leaving":
@@ -346,7 +375,7 @@
         return changed_zones
 
     def _is_known_to_all(self, now: float, revision: int, leader: Leader) -> bool:
-        # Sessions that only an earlier keeper knew of count as lapsed once ours have lasted for a lease.
+        # Sessions that only an earlier leader knew have expired once this leadership has lasted for a lease.
         return leader.has_lease_expired("", now) and leader.is_acknowledged_by(
             revision, list(leader.sessions), now
         )
@@ -430,8 +459,11 @@
         reason: str,
         author: str,
     ) -> ZoneState:
-        """The first step of a return. A worker that the list shows to have begun anew since the zone was left
-        is as cold as that; of any other the list may be late, so it counts as just begun."""
+        """Returns the first step of a return.
+
+        A worker that the list shows as started since the zone was left warms up from that start. For any
+        other worker the list may be late, so it counts as just started.
+        """
         left_at_wall_ms = self.wall_clock_ms() - elapsed_ms - self.limits.feeder_change_delay_ms
         starts = {
             str(short_worker_id(each.id)): each.started_at_ms
@@ -458,7 +490,7 @@
         listed: Mapping[str, list[ListedWorker]],
         leader: Leader,
     ) -> Transaction | None:
-        """Who feeds the cold workers of returning zones."""
+        """Returns the next change of the feeder assignment for workers that warm up in returning zones."""
         assignment, expected_revisions = fleet.feeder_assignment, document.current_revisions(ASSIGNMENT_KEY)
         returning = [name for name, zone in fleet.zones.items() if zone.state == "returning"]
         if not returning:
@@ -495,8 +527,10 @@
     def _summarize_evidence(
         self, name: str, observers: list[Observer], workers: list[int]
     ) -> EvidenceSummary:
-        """What is seen of these workers by all that see anything as good; one alone calls none of them bad
-        where there are more than two schedulers."""
+        """Counts good and bad workers by the observers that see anything as good.
+
+        With more than two schedulers, a single observer cannot make a worker count as bad.
+        """
         worker_ids = {short_worker_id(each) for each in workers}
         votes, reported_workers = dict.fromkeys(worker_ids, 0), set[int]()
         for each in observers:
@@ -516,7 +550,7 @@
         )
 
     def _expected_count(self, summary: EvidenceSummary, worker_count: int) -> int:
-        """Of how many workers it is told how many are well."""
+        """Returns how many workers the good ones are compared with."""
         return (
             max(summary.reported_workers, min(MIN_SAMPLE_WORKERS, worker_count))
             if self.limits.is_sampled
@@ -528,6 +562,10 @@
     def handle_order(
         self, now: float, order: msgspec.Raw, document: Document, leader: Leader
     ) -> tuple[Transaction | None, str]:
+        """Returns the transaction for an operator's order, and the text of the answer.
+
+        Raises ValueError, with the reason, if the order is rejected.
+        """
         zone_order = msgspec.json.decode(bytes(order), type=ZoneOrder)
         fleet, listed = self._parse_document(document), self._refresh_listed_workers(now)
         names = self.limits.regions.get(zone_order.target, (zone_order.target,))
@@ -636,16 +674,16 @@
 
 
 def _without_good_evidence(zones: Mapping[str, ZoneEvidence]) -> dict[str, ZoneEvidence]:
-    """A report whose good words have aged."""
+    """Returns a report's evidence without its good part, which has aged."""
     return {name: msgspec.structs.replace(words, good=[]) for name, words in zones.items()}
 
 
 class EvidenceSummary(NamedTuple):
-    """Of some workers of one zone, whoever saw them."""
+    """Evidence on some workers of one zone, over all observers."""
 
     good_workers: int
     bad_workers: int
-    reported_workers: int  # workers of which anything was seen
+    reported_workers: int  # workers with any evidence
 
 
 def _zone_with(zone: ZoneState, **changes: object) -> ZoneState:
--- a/spanwing/zones/evidence.py
+++ b/spanwing/zones/evidence.py
@@ -1,8 +1,9 @@
-"""What one scheduler saw of each job worker lately, and the few bytes of it that it tells.
+"""Evidence: what one scheduler saw of each worker lately, and the short report of it.
 
-Guarantees: pure, time passed in. A word is good (it answered at all), bad (refused, reset, an error, or
-silent on a job for SILENT_MS), or none after GOOD_MS or BAD_MS. Bounds: MOST_WORKERS workers, MOST_OPEN
-unanswered jobs a worker, TOLD words of each kind and zone, MOST_ZONES zones.
+Pure; time is passed in. A worker's evidence is good (it answered at all), bad (connection refused or reset,
+an error, or no answer to a request within ACCEPT_TIMEOUT_MS), or none once it is older than
+GOOD_EVIDENCE_MAX_AGE_MS or BAD_EVIDENCE_MAX_AGE_MS. Bounds: MAX_WORKERS workers, MAX_UNANSWERED_REQUESTS per
+worker, MAX_REPORTED_WORKERS of each kind per zone, MAX_ZONES zones, MAX_REPORT_BYTES per report.
 """
 
 from __future__ import annotations
@@ -16,34 +17,34 @@
 
 from spanwing.interface import Worker
 
-MAX_REPORT_GAP_MS = 1000.0  # between two of our own reports
-ACCEPT_TIMEOUT_MS = 500.0  # a worker that lives says by then that it has a job, or that it will not take it
+MAX_REPORT_GAP_MS = 1000.0  # longest gap between two own reports
+ACCEPT_TIMEOUT_MS = 500.0  # a live worker accepts or rejects a request within this
 GOOD_EVIDENCE_MAX_AGE_MS, BAD_EVIDENCE_MAX_AGE_MS = (
     800.0,
     5000.0,
-)  # how long a word is told: good ones are quick to come again, and bad ones
-# have to outlast the change of a keeper that is lost together with the zone
+)  # age at which evidence is dropped: good evidence is soon renewed, bad evidence
+# has to outlast the change of a leader that is lost together with the zone
 MAX_WORKERS, MAX_UNANSWERED_REQUESTS, MAX_REPORTED_WORKERS, MAX_ZONES = 4096, 64, 24, 32
-CONNECT_FAILURE_WINDOW_MS = 200.0  # less than any time to connect: others have answered within it
+CONNECT_FAILURE_WINDOW_MS = 200.0  # less than any connect timeout; others must have answered within it
 FAULT_PROBE_INTERVAL_MS, PROBES_INSIDE_ZONE, PROBES_OUTSIDE_ZONE = (
     500.0,
     3,
     2,
-)  # on bad news, so many are asked so often at most
-MAX_REPORT_BYTES = 8192  # bytes of one report
+)  # on a fault: probes per round, one round per interval
+MAX_REPORT_BYTES = 8192
 
 
 class ZoneEvidence(msgspec.Struct, array_like=True):
-    """On one zone: workers by the last 16 bits of their number, and slots."""
+    """Evidence on one zone: workers by the last 16 bits of their id, and slots."""
 
     good: list[int]
     faulty_workers: list[int]
-    slots_in_flight: float = 0.0  # slots of our jobs there
-    idle_slots: float = 0.0  # slots believed idle at the workers of our own part of the fleet
+    slots_in_flight: float = 0.0  # slots of this scheduler's requests there
+    idle_slots: float = 0.0  # slots believed idle at owned workers
 
 
 class EvidenceReport(msgspec.Struct, array_like=True):
-    """What goes with a renewal."""
+    """The evidence that goes with a renewal."""
 
     zones: dict[str, ZoneEvidence]
 
@@ -52,11 +53,12 @@
 
 
 def short_worker_id(worker_id: int) -> int:
+    """Returns the last 16 bits of a worker's id."""
     return worker_id & 0xFFFF
 
 
 def decode_report(payload: bytes) -> EvidenceReport:
-    """Raises ValueError where it is none, or beyond the bounds."""
+    """Decodes a report. Raises ValueError if it is malformed or beyond the bounds."""
     if len(payload) > MAX_REPORT_BYTES:
         raise ValueError(f"{len(payload)} bytes of evidence, {MAX_REPORT_BYTES} at most")
     report = REPORT_DECODER.decode(payload)
@@ -75,8 +77,11 @@
 def choose_workers_to_probe(
     zone: str, workers: Iterable[Worker], random: Random, own_zone: str = ""
 ) -> list[int]:
-    """Whom to ask on bad news of a zone: some of its workers, and some of others, so that our word counts; of
-    our own zone only where there is no third."""
+    """Returns at random the workers to probe on a fault in a zone.
+
+    PROBES_INSIDE_ZONE of the zone, and PROBES_OUTSIDE_ZONE of others so that this scheduler's evidence is
+    credible; workers of its own zone serve for these only where there is no third zone.
+    """
     in_zone, in_other_zones, in_own_zone = [], [], []
     for each in workers:
         if each.state == "healthy":
@@ -91,19 +96,20 @@
 
 @dataclass(slots=True)
 class WorkerObservation:
-    """Of one job worker."""
+    """What was seen of one worker."""
 
     zone: str
     last_good_ms: float = -math.inf
     last_bad_ms: float = -math.inf
-    last_failed_request_ms: float = -math.inf  # a job there was refused, or came to nothing
-    unanswered_since_ms: dict[tuple[str, int], float] = field(
-        default_factory=dict
-    )  # jobs, and when each was sent
+    last_failed_request_ms: float = -math.inf  # a request there failed
+    unanswered_since_ms: dict[tuple[str, int], float] = field(default_factory=dict)  # by attempt: sent at
 
     def is_healthy(self, now: float, last_good_elsewhere: float = math.inf) -> bool | None:
-        """Good or bad; None: nothing was seen lately. elsewhere: when another zone last gave a good word.
-        While all are silent it is the network between, or we ourselves, that stalls."""
+        """Returns True for good evidence, False for bad, None for none lately.
+
+        last_good_elsewhere: when another zone last gave good evidence. While all zones are silent, the
+        network between or this process itself is stalled, and silence is not held against the worker.
+        """
         last_bad = self.last_bad_ms
         for sent_at in self.unanswered_since_ms.values():
             if (
@@ -119,21 +125,21 @@
 
 
 class EvidenceCollector:
-    """Takes in what becomes of jobs and probes."""
+    """Collects evidence from the results of attempts and probes."""
 
     def __init__(self, own_zone: str = "") -> None:
-        """zone: our own."""
+        """own_zone: this scheduler's zone."""
         self.own_zone = own_zone
         self.observations: dict[int, WorkerObservation] = {}
         self.last_report_ms = -math.inf
-        self.last_good_remote_ms = -math.inf  # the last good word of another zone than our own
-        self.last_good_by_zone: dict[str, float] = {}  # by zone: its last good word
+        self.last_good_remote_ms = -math.inf  # last good evidence of a remote zone
+        self.last_good_by_zone: dict[str, float] = {}  # last good evidence by zone
 
     def _observation(self, worker: int, zone: str) -> WorkerObservation:
         observation = self.observations.get(worker)
         if observation is None:
             if len(self.observations) >= MAX_WORKERS:
-                del self.observations[next(iter(self.observations))]  # the one known for longest
+                del self.observations[next(iter(self.observations))]  # the oldest
             observation = self.observations[worker] = WorkerObservation(zone)
         observation.zone = zone
         return observation
@@ -141,22 +147,28 @@
     def _record_good(self, now: float, observation: WorkerObservation) -> None:
         if observation.zone != self.own_zone:
             if now - self.last_good_remote_ms > ACCEPT_TIMEOUT_MS:
-                self._discard_if_cut_off(self.evidence_by_zone(now))  # the first good word for a while
+                self._discard_if_cut_off(self.evidence_by_zone(now))  # the first good evidence for a while
             self.last_good_remote_ms = now
         observation.last_good_ms = self.last_good_by_zone[observation.zone] = now
 
     def _last_good_outside(self, zone: str) -> float:
-        """When a zone other than this last gave a good word."""
+        """Returns when a zone other than this one last gave good evidence."""
         return max((at for name, at in self.last_good_by_zone.items() if name != zone), default=-math.inf)
 
     def _record_bad(self, now: float, observation: WorkerObservation, since: float) -> None:
-        """No answer to what we asked then or later: it is bad only if others answered meanwhile."""
+        """Records bad evidence for silence since then.
+
+        It counts only if another zone has answered meanwhile.
+        """
         if self._last_good_outside(observation.zone) >= since:
             observation.last_bad_ms = now
 
     def _discard_if_cut_off(self, evidence: dict[str, ZoneEvidence]) -> None:
-        """Who sees nothing good in two other zones or more is cut off from them itself: what it saw until now
-        is no evidence, least of all once it is back."""
+        """Drops evidence on remote zones if this scheduler is cut off from them.
+
+        It is if it sees two or more other zones and nothing good in any: what it saw until now is no
+        evidence, least of all once it is connected again.
+        """
         remote_zones = [name for name in evidence if name != self.own_zone]
         if len(remote_zones) > 1 and not any(evidence[name].good for name in remote_zones):
             for observation in self.observations.values():
@@ -167,12 +179,13 @@
                 del evidence[name]
 
     def attempt_sent(self, now: float, worker: int, zone: str, attempt: tuple[str, int]) -> None:
+        """Records that an attempt was sent and is unanswered."""
         observation = self._observation(worker, zone)
         if len(observation.unanswered_since_ms) < MAX_UNANSWERED_REQUESTS:
             observation.unanswered_since_ms[attempt] = now
 
     def attempt_accepted(self, now: float, worker: int, attempt: tuple[str, int]) -> None:
-        """It has taken the job; later than it should is as bad as not at all."""
+        """Records that a worker accepted an attempt; after ACCEPT_TIMEOUT_MS that counts as silence."""
         observation = self.observations.get(worker)
         if observation is not None:
             sent_at = observation.unanswered_since_ms.pop(attempt, now)
@@ -182,7 +195,7 @@
                 self._record_bad(now, observation, sent_at + ACCEPT_TIMEOUT_MS / 2)
 
     def attempt_ended(self, now: float, worker: int, attempt: tuple[str, int], result: str) -> bool:
-        """How the job ended there; whether that is bad news of a worker that was well."""
+        """Records how an attempt ended; returns whether that is the fault of a worker not known as bad."""
         observation = self.observations.get(worker)
         if observation is None:
             return False
@@ -204,14 +217,17 @@
         ):
             self._record_bad(
                 now, observation, sent_at + ACCEPT_TIMEOUT_MS / 2
-            )  # given up by us, after its time to answer
+            )  # cancelled here after its time to answer
         return False
 
     def probe_finished(
         self, now: float, worker: int, zone: str, result: str, is_fault_probe: bool = False
     ) -> bool:
-        """Whether it is bad news of a worker that was well, or unknown. suspected: it was asked on bad news
-        of its zone. What fails with jobs may well answer probes, so such an answer is no good word."""
+        """Records how a probe ended; returns whether that is the fault of a worker not known as bad.
+
+        is_fault_probe: the probe was sent on a fault in its zone. A worker that fails requests may well
+        answer probes, so such an answer is not good evidence.
+        """
         observation = self._observation(worker, zone)
         if result != "ok":
             was_healthy = observation.is_healthy(now)
@@ -222,12 +238,12 @@
         return False
 
     def word(self, now: float, worker: int) -> bool | None:
-        """On one worker: good or bad; None: nothing was seen lately."""
+        """Returns True for good evidence on a worker, False for bad, None for none lately."""
         sight = self.observations.get(worker)
         return None if sight is None else sight.is_healthy(now, self._last_good_outside(sight.zone))
 
     def evidence_by_zone(self, now: float) -> dict[str, ZoneEvidence]:
-        """What would be told of each zone now."""
+        """Returns the evidence on each zone as it would be reported now."""
         found: dict[str, ZoneEvidence] = {}
         last_good_elsewhere = {
             zone: self._last_good_outside(zone) for zone in {each.zone for each in self.observations.values()}
@@ -242,16 +258,19 @@
         return found
 
     def build_report(self, now: float, slots: Iterable[tuple[str, float, float]] = ()) -> EvidenceReport:
-        """slots: zone, held and idle, of each worker or of many. It is called several times a second; where
-        it was not, we were stopped or stalled ourselves, and silence until now says nothing of a worker."""
+        """Builds the report for a renewal.
+
+        slots: zone, slots in flight and idle slots, one item per worker or for several. Expected several
+        times a second: after a gap above MAX_REPORT_GAP_MS this process was stopped or stalled itself, and
+        silence until now says nothing about a worker.
+        """
         if now - self.last_report_ms > MAX_REPORT_GAP_MS:
             for observation in self.observations.values():
                 observation.unanswered_since_ms.clear()
         self.last_report_ms = now
         found = self.evidence_by_zone(now)
         if len(found) > 1 and not any(words.good for words in found.values()):
-            # Who sees all zones as bad is cut off itself: once it is back, what it saw until now is no
-            # evidence.
+            # A scheduler that sees all zones as bad is cut off itself: its evidence until now is void.
             for observation in self.observations.values():
                 observation.last_bad_ms = -math.inf
                 observation.unanswered_since_ms.clear()
