Write the docstrings of the other modules of the zones in plain terms

Cause: docstrings and comments still used the former names after the renaming. Change: docstrings and comments of spanwing/zones/; no code.

--- a/spanwing/zones/controller.py
+++ b/spanwing/zones/controller.py
@@ -112,18 +112,12 @@
         """
         self.limits, self.list_workers, self.wall_clock_ms = limits, list_workers, wall_clock_ms
         self.author, self.new_id = author, new_id
-        self.reports: dict[
-            str, tuple[float, str, EvidenceReport]
-        ] = {}  # by session: received at, zone, report
-        self.revision_seen_at: dict[
-            str, tuple[int, float]
-        ] = {}  # by zone or ASSIGNMENT_KEY: revision, first seen at
+        self.reports: dict[str, tuple[float, str, EvidenceReport]] = {}  # by session: at, zone, report
+        self.revision_seen_at: dict[str, tuple[int, float]] = {}  # by zone or ASSIGNMENT_KEY: when first seen
         self.recent_workers: dict[str, dict[int, float]] = {}  # by zone: short worker id -> last listed at
         self.returning_since: dict[str, float] = {}  # by returning zone
         self.cut_off_since: dict[str, float] = {}  # by zone whose verdict is "cut"
-        self.gradual_leaves: dict[
-            str, tuple[float, float]
-        ] = {}  # by zone left gradually by order: start, duration in ms
+        self.gradual_leaves: dict[str, tuple[float, float]] = {}  # ordered over a time: start, duration (ms)
         self.parsed_document: Document | None = None
         self.fleet = read_fleet_zones(Document())
 
--- a/spanwing/zones/failure_detector.py
+++ b/spanwing/zones/failure_detector.py
@@ -1,10 +1,9 @@
-"""Tells a failed zone from a scheduler that is cut off, from a few bad workers, and from a zone that is only
-full.
+"""Detects a failed zone, and tells it from a cut-off scheduler, a few bad workers or a full zone.
 
-Guarantees: pure. The rule (docs/design/zones.md has the reasons): the observers of one zone that count have
-one vote on a worker; it is down if more zones call it bad than good; a zone has failed if two thirds of its
-workers are down, a sixth at most is seen good, and enough observers agree, of two zones where schedulers of
-two are in contact. An observer that is itself cut off does not count.
+Pure. The rule (docs/design/zones.md has the reasons): all credible observers of one zone together have one
+vote on a worker; a worker is down if more zones call it bad than good. A zone has failed if two thirds of
+its workers are down, at most a sixth are seen good, and enough observers agree, from two zones where
+schedulers of two are in contact. An observer that is itself cut off does not count.
 """
 
 from __future__ import annotations
@@ -16,27 +15,31 @@
 
 from spanwing.zones.evidence import ZoneEvidence
 
-DOWN_FRACTION, MAX_GOOD_FRACTION, MIN_GOOD_INSIDE_FRACTION = 2 / 3, 1 / 6, 1 / 3  # parts of a zone's workers
+DOWN_FRACTION, MAX_GOOD_FRACTION, MIN_GOOD_INSIDE_FRACTION = (
+    2 / 3,
+    1 / 6,
+    1 / 3,
+)  # fractions of a zone's workers
 MAX_REQUIRED_OBSERVERS = 5
-MIN_SAMPLE_WORKERS = 3  # workers of a zone that stand for all, where nobody sees more
+MIN_SAMPLE_WORKERS = 3  # workers that stand for a whole zone if is_sampled
 Finding = Literal["failed", "cut", "well", "unknown"]
 
 
 class Observer(NamedTuple):
-    """A scheduler in contact, and what it saw."""
+    """A scheduler in contact, and its evidence by zone."""
 
     zone: str
     evidence: Mapping[str, ZoneEvidence]
 
 
 class ZoneVerdict(NamedTuple):
-    """On one zone."""
+    """The verdict on one zone."""
 
     finding: Finding
-    down_workers: int  # workers
+    down_workers: int
     good_workers: int
     known_workers: int
-    agreeing_observers: int  # observers that see it as down
+    agreeing_observers: int  # observers that see the zone as down
 
     def __str__(self) -> str:
         return (
@@ -46,7 +49,7 @@
 
 
 def is_credible(zone: str, observer: Observer) -> bool:
-    """Whether its word on the zone counts: it sees others as good, also some that are not its own."""
+    """Returns whether the observer's evidence counts: it sees other zones good, also remote ones if any."""
     others = {
         name: words
         for name, words in observer.evidence.items()
@@ -59,8 +62,11 @@
 
 
 def required_observers(scheduler_count: int, observer_count: int) -> int:
-    """How many have to agree: one alone is never enough where there are more than two, and of many a third,
-    up to MOST_AGREE; but no more than all but one of those that are in contact."""
+    """Returns how many observers have to agree.
+
+    One is never enough where there are more than two schedulers; of many it is a third, up to
+    MAX_REQUIRED_OBSERVERS, but at most all but one of those in contact.
+    """
     minimum = max(1, min(2, scheduler_count - 1))
     return max(minimum, min(MAX_REQUIRED_OBSERVERS, math.ceil(scheduler_count / 3), observer_count - 1))
 
@@ -72,13 +78,16 @@
     scheduler_count: int,
     is_sampled: bool = False,
 ) -> ZoneVerdict:
-    """workers: all of the zone, by their short numbers; schedulers: that there are, up or down: where there
-    are more than two, one alone is never enough. sampled: the observers cannot know all workers, and those
-    that they know something of stand for all, if they are SAMPLE."""
+    """Computes the verdict on a zone from all evidence.
+
+    worker_ids: all workers of the zone, as short ids. scheduler_count: configured schedulers, up or down;
+    where there are more than two, one alone is never enough. is_sampled: the observers cannot know all
+    workers, and those with evidence stand for all if there are at least MIN_SAMPLE_WORKERS.
+    """
     known_workers, good_inside = set(worker_ids), Counter[int]()
     votes_by_zone: dict[str, Counter[int]] = defaultdict(
         Counter
-    )  # by the observers' zone: good less bad words
+    )  # by the observers' zone: good minus bad evidence
     credible_observers, agreeing_observers, agreeing_zones = 0, 0, set[str]()
     for each in observers:
         zone_evidence = each.evidence.get(zone)
@@ -94,8 +103,8 @@
         if len(zone_evidence.faulty_workers) > len(zone_evidence.good):
             agreeing_observers += 1
             agreeing_zones.add(each.zone)
-    # A cut link between two zones gives one zone's many bad words, which last for longer than the good
-    # ones of all others: so zones are counted, not schedulers.
+    # A cut link between two zones makes many schedulers of one zone report bad evidence, which lasts longer
+    # than the good evidence of all others: so zones are counted, not schedulers.
     zones_calling_bad, zones_calling_good = Counter[int](), Counter[int]()
     for vote in votes_by_zone.values():
         zones_calling_bad.update(worker for worker, count in vote.items() if count < 0)
@@ -113,7 +122,7 @@
     good_count = sum(
         zones_calling_good[worker] >= max(1, zones_calling_bad[worker]) for worker in known_workers
     )
-    # Those of one zone may be cut off together, and what they last saw of others may be older than that.
+    # Schedulers of one zone may be cut off together, with older good evidence on others still counting.
     required_zones = min(2, len({each.zone for each in observers}))
     is_agreed = (
         agreeing_observers >= required_observers(scheduler_count, len(observers))
--- a/spanwing/zones/routing_filter.py
+++ b/spanwing/zones/routing_filter.py
@@ -1,9 +1,9 @@
-"""Which job workers this scheduler may use now: the one local structure that the hot path reads.
+"""Which workers this scheduler may use now: the one local structure that the hot path reads.
 
-Guarantees: pure, time passed in; may() takes no time that grows with the fleet. Without a valid lease the
-last state is not acted on: it acts alone, and with that never as one of the dealt feeders
-(docs/design/zones.md has the proof that all schedulers together stay within a cold worker's budget). Bounds:
-one Use for each listed worker.
+Pure; time is passed in. may_forward() takes constant time, whatever the size of the fleet. Without a valid
+lease the last state is not acted on: the scheduler routes standalone, and never as one of the assigned
+feeders (docs/design/zones.md has the proof that all schedulers together stay within the budget of a worker
+that is warming up). Bounds: one WorkerRouting per listed worker.
 """
 
 from __future__ import annotations
@@ -16,53 +16,54 @@
 from spanwing.zones.evidence import short_worker_id
 from spanwing.zones.state import RETURN_STEPS, FleetZones, ZoneState, admission_order, choose_feeders
 
-MAX_TRANSIT_MS = 2500.0  # a job that a worker neither takes nor turns down within this is given up
+MAX_TRANSIT_MS = 2500.0  # an attempt that a worker neither accepts nor rejects within this is cancelled
 
 
 class RoutingRules(NamedTuple):
-    """Of the settings, what cold workers bear, and our place among the schedulers."""
+    """What workers bear while they warm up, from the settings, and this scheduler's session and zone."""
 
     session: str
     zone: str
     cold_ms: float
     fall_ms: float
-    feeders: int  # of one cold worker
-    solo: bool = False  # the state is our own: nobody deals, cold workers are fed as the module has it
+    feeders: int  # feeders of one worker that is warming up
+    solo: bool = False  # standalone: no feeder assignment, feeding as the scheduler computes it
 
     def feeder_change_delay_ms(self) -> float:
-        """Until whoever fed before has surely spent nothing within a window."""
+        """Returns after how many ms a former feeder has surely spent nothing within a window."""
         return self.fall_ms + MAX_TRANSIT_MS
 
 
 class WorkerRouting(NamedTuple):
-    """Of one worker: with a lease, and alone."""
+    """Routing of one worker, with a lease and without."""
 
     is_admitted: bool = True
-    is_feeder: bool | None = None  # it while it is cold; None: as the module has it
-    feeding_from_ms: float = -math.inf  # by the lease's clock: feeding begins
-    full_budget_from_ms: float = -math.inf  # and until this, it does so with half its share
+    is_feeder: bool | None = None  # while it is warming up; None: as the scheduler computes it
+    feeding_from_ms: float = -math.inf  # by the lease's clock
+    full_budget_from_ms: float = -math.inf  # before this, feeding uses half the budget
     is_admitted_without_lease: bool = True
     is_feeder_without_lease: bool = False
-    started_at_ms: float = 0.0  # by the module's clock, as the fleet has it; 0: long ago
+    started_at_ms: float = 0.0  # by the scheduler's clock, as the fleet knows it; 0: long ago
 
 
 class RoutingFilter:
-    """Follows the fleet's state and the list of job workers."""
+    """Filters workers by the fleet's zones and the endpoint list."""
 
     def __init__(self, rules: RoutingRules, is_first_position: Callable[[int], bool]) -> None:
-        """first: whether we are the first of all positions, by hash, for a worker."""
+        """is_first_position: whether this scheduler is first of all positions, by hash, for a worker."""
         self.rules, self.is_first_position = rules, is_first_position
         self.fleet: FleetZones | None = None
         self.workers: dict[int, api.Worker] = {}
         self.routing: dict[int, WorkerRouting] = {}
         self.feeding_starts_ms: dict[
             int, float
-        ] = {}  # workers that are dealt to us, and when we begin to feed each
+        ] = {}  # by worker assigned to this scheduler: feeding begins at
         self.return_started_at: dict[
             str, tuple[float, float]
-        ] = {}  # zones that return: when we heard, by both clocks
+        ] = {}  # by returning zone: when that was learned, by both clocks
 
     def update_workers(self, endpoint_list: api.WorkerList, now: float, module_now: float) -> None:
+        """Applies a watch event of the endpoint list."""
         if endpoint_list.scope == "error":
             return
         if endpoint_list.scope != "partial":
@@ -73,7 +74,7 @@
         self._update_routing(now)
 
     def update_zones(self, fleet: FleetZones, now: float, module_now: float) -> None:
-        """The state has changed; now: by the lease's clock, clock: by the module's."""
+        """Applies a new state of the zones; now: by the lease's clock, module_now: by the scheduler's."""
         self.fleet = fleet
         self.return_started_at = {
             name: self.return_started_at.get(name, (now, module_now))
@@ -83,7 +84,7 @@
         self._update_routing(now)
 
     def workers_by_zone(self) -> dict[str, list[int]]:
-        """The listed workers of each zone, in the order in which they are admitted."""
+        """Returns the listed workers of each zone in admission order."""
         found: dict[str, list[int]] = {}
         for each in self.workers.values():
             found.setdefault(each.zone, []).append(each.id)
@@ -109,7 +110,7 @@
     ) -> WorkerRouting:
         rules = self.rules
         is_first = self.is_first_position(worker.id)
-        # With one feeder its part is all that is dealt, and another one's would go beyond the budget.
+        # With one feeder its part is the whole budget, and a second feeder would exceed it.
         feeds_without_lease = is_first and rules.feeders > 1
         if rules.solo:
             return WorkerRouting(
@@ -129,7 +130,7 @@
         without_lease = is_first and not (zone.held and zone.state != "returning")
         is_feeder, feeding_from_ms, full_budget_from_ms, started = False, -math.inf, -math.inf, worker.started
         if zone.state == "returning":
-            # The list may be late here or there: what the fleet knows of a new life counts for all.
+            # Endpoint lists may be late: what the fleet knows of a new incarnation counts for all.
             return_seen_at, return_seen_module_time = self.return_started_at[worker.zone]
             start_time = zone.starts.get(str(short_worker_id(worker.id)), return_seen_module_time)
             started = max(started, start_time)
@@ -152,20 +153,23 @@
         )
 
     def _is_assigned_feeder(self, worker: int, now: float) -> bool:
-        """Whether the deal makes us feed this worker, from self.ready[worker] on."""
+        """Returns whether the feeder assignment has this scheduler feed the worker.
+
+        It may do so from self.feeding_starts_ms[worker] on.
+        """
         assignment, rules = self.fleet.feeder_assignment, self.rules
         if assignment is None or rules.session not in choose_feeders(
             worker, assignment.sessions, rules.feeders
         ):
             return False
         if worker not in self.feeding_starts_ms or self.feeding_starts_ms[worker] == math.inf:
-            # Who is new waits until whoever fed before has stopped, and what that one sent has aged.
+            # A new feeder waits until the former one has stopped and what that sent has aged.
             delay_ms = rules.feeder_change_delay_ms() if assignment.previous_sessions else 0.0
             self.feeding_starts_ms[worker] = now + delay_ms if assignment.in_force else math.inf
         return True
 
     def may_forward(self, worker: int, now: float, has_lease: bool, module_now: float) -> bool:
-        """Whether a job may go there; now: by the lease's clock, clock: by the module's."""
+        """Returns whether a request may go there; now: lease's clock, module_now: scheduler's clock."""
         worker_routing = self.routing.get(worker)
         if worker_routing is None:
             return True  # not listed here: the core ends such an attempt itself
@@ -189,8 +193,11 @@
         has_lease: bool,
         is_hashed_feeder: Callable[[int], bool],
     ) -> tuple[api.Worker, ...]:
-        """The workers as the module is to see them; feeds: whether we feed one by the hash of all
-        positions."""
+        """Returns the workers as the scheduler is to see them.
+
+        A worker that may not be used shows as draining. is_hashed_feeder: whether this scheduler feeds a
+        worker by the hash of all positions.
+        """
         found = []
         for each in workers:
             worker_routing = self.routing.get(each.id)
@@ -218,7 +225,7 @@
         return tuple(found)
 
     def next_change_ms(self, now: float) -> float:
-        """When feeding next begins by itself, by the lease's clock."""
+        """Returns when feeding next begins or grows by itself, by the lease's clock; inf: never."""
         return min(
             (
                 at
@@ -232,7 +239,7 @@
 
 
 def admitted_count(zone: ZoneState, worker_count: int, is_own_zone: bool) -> int:
-    """How many of a zone's workers are in use, the first by rank."""
+    """Returns how many of a zone's workers are in use, the first in admission order."""
     if zone.state == "open" or (zone.inside and is_own_zone):
         return worker_count
     share = zone.step / RETURN_STEPS if zone.state == "returning" else zone.share
--- a/spanwing/zones/service.py
+++ b/spanwing/zones/service.py
@@ -1,10 +1,14 @@
-"""The fleet's zones in the daemon: follower, gate and witness around the core; at a member also the keeper.
+"""The zones in the scheduler process: follower, routing filter and evidence collector around the core.
 
-Guarantees: nothing in the core waits for it; the core asks may() of one local structure. What changes is told
-to the module as news of job workers, and as one event a zone. Probes: one worker of an open zone a second; at
-a zone that is not open, PROBERS a worker and second over the whole fleet; on bad news of an open one, five a
-SUSPECT_MS at most, and as many when the keeper asks, with one job on trial for each zone that it asks about.
-What waits at a zone that is left is called back within RECALL_S, at random."""
+At a member of the store it also runs the zone controller. Nothing in the core waits for this service: the
+core calls may_forward(), which reads one local structure. Changes reach the scheduler as watch events of
+workers, and the log as one event per zone.
+
+Probes: one worker of an open zone about every second; at a zone that is not open, PROBES_PER_WORKER_S to
+each worker by all schedulers together; on a fault in an open zone at most five per FAULT_PROBE_INTERVAL_MS,
+and as many, with one trial request per zone named, when the leader asks. Idempotent requests in flight
+to a zone that is left are recalled at random within RECALL_SPREAD_S.
+"""
 
 from __future__ import annotations
 
@@ -41,11 +45,11 @@
 TIMER_INTERVAL_S = 0.05
 RECALL_SPREAD_S = 1.0
 UNREACHABLE_CHECK_INTERVAL_S = 0.25
-PROBE_RESULT_DELAY_S = 0.1  # after a look
+PROBE_RESULT_DELAY_S = 0.1  # after the probes were sent
 
 
 class ZoneSettings(Protocol):
-    """The operator's table, checked; with no members each acts alone."""
+    """The checked table of the operator's file; without members each scheduler is standalone."""
 
     members: dict[str, Address]
     regions: dict[str, tuple[str, ...]]
@@ -53,17 +57,17 @@
 
 
 class DocumentConnection(Protocol):
-    """Whoever follows the fleet's document already, before the core is there."""
+    """A follower of the fleet's document that runs before the core exists."""
 
     follower: DocumentFollower
     document_service: DocumentService | None
     on_probe_request: Callable[[tuple[str, ...]], None]
-    on_document_change: Callable[[Document], None]  # hears of each change
-    on_policy_change: list[Callable[[api.Settings], None]]  # hear of each policy that takes hold here
+    on_document_change: Callable[[Document], None]  # called at each change
+    on_policy_change: list[Callable[[api.Settings], None]]  # called when a policy takes effect here
 
 
 class StandaloneFollower:
-    """Stands where a follower would, for a scheduler that follows nobody."""
+    """Takes the place of a DocumentFollower in standalone mode."""
 
     connected_member, last_failure = "itself", ""
 
@@ -84,12 +88,14 @@
 
     @property
     def document(self) -> Document:
+        """The document of the standalone controller."""
         return self.controller.document
 
     def renew_now(self) -> None:
-        """What is seen is judged at each turn anyway."""
+        """Does nothing: the evidence is evaluated every EVALUATION_INTERVAL_MS anyway."""
 
     async def submit_order(self, order: ZoneOrder) -> OrderResult:
+        """Carries out an operator's order; returns its result."""
         try:
             text = self.controller.handle_order(clock_ms(), order)
         except ValueError as error:
@@ -98,6 +104,7 @@
         return OrderResult(0, True, text)
 
     async def run(self) -> None:
+        """Evaluates the evidence every EVALUATION_INTERVAL_MS, to the end of the program."""
         while True:
             await sleep(EVALUATION_INTERVAL_MS / 1000.0)
             if self.controller.evaluate(clock_ms(), self.collect_evidence()):
@@ -118,7 +125,7 @@
         seed: int,
         connection: DocumentConnection | None = None,
     ) -> None:
-        """contact: a follower that is there already, with what else hears by it."""
+        """connection: a follower that runs already, with its other listeners; None: start one here."""
         settings = request_manager.settings
         self.name, self.zone_settings, self.request_manager, self.random_source = (
             name,
@@ -126,7 +133,7 @@
             request_manager,
             random.Random(seed),
         )
-        self.announced_lease: bool | None = None  # whether we held a lease when we last told the module
+        self.announced_lease: bool | None = None  # whether the lease was valid at the last announcement
         self.next_change_ms = float("inf")
         self.document_service: DocumentService | None = None
 
@@ -186,7 +193,7 @@
             self._handle_document_change(self.follower.document)
 
     def serve_as_member(self, store: Store, listener: PeerListener) -> None:
-        """We are a member of the store: keep, when it is our turn."""
+        """Serves as a member of the store, whose controller decides while this member leads."""
         controller = self._create_controller(store.member)
         if self.connection is not None:
             self.document_service = self.connection.document_service
@@ -207,6 +214,7 @@
         return ZoneController(limits, self._list_workers, lambda: time.time() * 1000.0, author)
 
     def start(self) -> None:
+        """Starts the background tasks; they run to the end of the program."""
         if self.connection is None:
             spawn_task(self.follower.run())
             if self.document_service is not None:
@@ -215,18 +223,20 @@
         if self.request_manager.settings.probes:
             spawn_task(self._run_background_probes())
 
-    # -- what the core asks and tells
+    # -- called by the core
 
     def may_forward(self, worker: int) -> bool:
-        """Whether a job may be sent there now: asked before it is handed on, and again before its last
-        byte."""
+        """Returns whether a request may be sent to this worker now.
+
+        Called before an attempt is handed to the connection, and again before its last byte is written.
+        """
         now = clock_ms()
         return self.agent.routing_filter.may_forward(
             worker, now, self.follower.lease.is_valid(now), self.request_manager.clock.now_ms()
         )
 
     def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList:
-        """News of job workers as the module is to have them."""
+        """Returns the watch event with the workers as the scheduler is to see them."""
         now = clock_ms()
         self.announced_lease = self.follower.lease.is_valid(now)
         return self.agent.filter_workers(
@@ -234,19 +244,23 @@
         )
 
     def attempt_sent(self, worker: int, attempt: tuple[str, int]) -> None:
+        """Records that an attempt was sent to a worker."""
         self.agent.attempt_sent(clock_ms(), worker, attempt)
 
     def attempt_accepted(self, worker: int, attempt: tuple[str, int]) -> None:
+        """Records that a worker accepted an attempt."""
         self.agent.evidence_collector.attempt_accepted(clock_ms(), worker, attempt)
 
     def attempt_ended(self, worker: int, attempt: tuple[str, int], result: str) -> None:
+        """Records how an attempt ended, and probes workers if that was a fault."""
         self._probe_workers(self.agent.attempt_ended(clock_ms(), worker, attempt, result))
 
     def probe_finished(self, worker: int, result: str) -> None:
+        """Records how a probe ended, and probes workers if that was a fault."""
         self._probe_workers(self.agent.probe_finished(clock_ms(), worker, result))
 
     def _probe_workers(self, workers: list[int]) -> None:
-        """Ask these for a sign of life, and tell what came of it."""
+        """Probes these workers, and renews PROBE_RESULT_DELAY_S later to report the results."""
         if not workers:
             return
         if self.request_manager.settings.probes:
@@ -254,10 +268,10 @@
                 self.request_manager.probe_worker(each)
         IOLoop.current().call_later(PROBE_RESULT_DELAY_S, self.follower.renew_now)
 
-    # -- news
+    # -- changes
 
     def _handle_document_change(self, document: Document) -> None:
-        """The fleet's state is another; the change is acknowledged once we return."""
+        """Applies a new document; the change is acknowledged once this returns."""
         previous_zones, fleet = self.agent.fleet, read_fleet_zones(document)
         self.agent.routing_filter.update_zones(fleet, clock_ms(), self.request_manager.clock.now_ms())
         self._announce_changed_workers()
@@ -282,7 +296,7 @@
             log_event("zones_unread", level="error", key=key)
 
     def _handle_policy_change(self, settings: api.Settings) -> None:
-        """Another policy: what cold workers bear, and who feeds them."""
+        """Applies another policy: the slow start of workers and their feeders."""
         rules = self.agent.rules._replace(
             cold_ms=settings.cold_ms,
             fall_ms=settings.fall_ms,
@@ -302,7 +316,10 @@
             self.agent.restart_concurrency_limits(self.request_manager.scheduler)
 
     async def _run_timer(self) -> None:
-        """What changes without news: our lease ends or is back, feeding begins."""
+        """Applies changes that come without a watch event, every TIMER_INTERVAL_S.
+
+        These are the loss or return of the lease and the start of feeding.
+        """
         loop = IOLoop.current()
         announced_lease, unreachable_checked_at = None, 0.0
         while True:
@@ -322,8 +339,10 @@
                     self.request_manager.notify_schedulers(ZoneUnreachable(name))
 
     def _recall_attempts(self, zone: str) -> None:
-        """What may be repeated anywhere is called back from the zone, all schedulers' work spread over a
-        time."""
+        """Recalls the attempts of idempotent requests in flight to a zone.
+
+        Each is cancelled at random within RECALL_SPREAD_S, which spreads the work of all schedulers.
+        """
         loop = IOLoop.current()
         for (request, number), attempt in list(self.request_manager.in_flight.items()):
             entry = self.agent.routing_filter.workers.get(attempt.worker)
@@ -350,7 +369,7 @@
                 self.request_manager.probe_worker(worker)
 
     def _list_workers(self) -> dict[str, list[ListedWorker]]:
-        """Our own list, for the keeper."""
+        """Returns this process's endpoint list by zone, for the controller."""
         found: dict[str, list[ListedWorker]] = {}
         now, cold_ms = self.request_manager.clock.now_ms(), self.request_manager.settings.cold_ms
         for each in self.agent.routing_filter.workers.values():
@@ -361,14 +380,14 @@
     # -- orders and status
 
     async def order(self, do: str, name: str, over_s: float) -> str:
-        """An operator's order; what came of it. Raises ValueError with what is wrong."""
+        """Submits an operator's order; returns the answer. Raises ValueError with the reason if rejected."""
         result = await self.follower.submit_order(ZoneOrder(do, name, over_s, f"operator at {self.name}"))
         if not result.is_accepted:
             raise ValueError(result.text)
         return result.text
 
     def status(self) -> dict[str, Any]:
-        """Everything that is known here of the fleet's zones."""
+        """Returns all that this scheduler knows of the fleet's zones."""
         fleet, has_lease = (
             self.agent.fleet or read_fleet_zones(Document()),
             self.follower.lease.is_valid(clock_ms()),
@@ -416,5 +435,6 @@
         }
 
     def history(self) -> list[dict[str, Any]]:
+        """Returns the last MAX_HISTORY_ENTRIES changes of the zones, oldest first."""
         entries = self.agent.fleet.history if self.agent.fleet is not None else []
         return [msgspec.structs.asdict(each) for each in entries]
--- a/spanwing/zones/standalone.py
+++ b/spanwing/zones/standalone.py
@@ -1,8 +1,9 @@
-"""One scheduler's zones by its own evidence alone, for where schedulers may not talk.
+"""Standalone mode: one scheduler's zones by its own evidence alone, where schedulers may not talk.
 
-Guarantees: pure, time passed in. The same steward, verdict, steps and stays as for a fleet, over a document
-of our own; a zone fails if two thirds of the workers that we know something of, SAMPLE at least, are down and
-another zone is seen well. Nothing is dealt: cold workers are fed as without it. Bounds: of the document.
+Pure; time is passed in. The same zone controller, verdict, steps and hold-down as for a fleet, over a
+document of the process's own. A zone fails if two thirds of the workers with evidence, MIN_SAMPLE_WORKERS at
+least, are down and another zone is seen well. There is no feeder assignment: workers that warm up are fed as
+without zones. Bounds: those of the document.
 """
 
 from __future__ import annotations
@@ -18,20 +19,21 @@
 from spanwing.zones.state import ASSIGNMENT_KEY
 
 EVALUATION_INTERVAL_MS = 50.0
-STANDALONE_LEASE_MS = 10.0 * EVALUATION_INTERVAL_MS  # our own, which we renew at each turn
+STANDALONE_LEASE_MS = 10.0 * EVALUATION_INTERVAL_MS  # the own session's, renewed at each evaluation
 
 
 class PermanentLease:
-    """A lease of what is ours alone."""
+    """A lease that never expires: the document is the process's own."""
 
     expires_at_ms = math.inf
 
     def is_valid(self, now: float) -> bool:
+        """Returns True."""
         return True
 
 
 class StandaloneController:
-    """Keeper and follower in one."""
+    """Leader and follower in one."""
 
     def __init__(self, session: str, zone: str, controller: ZoneController, now: float) -> None:
         self.session, self.zone, self.controller = session, zone, controller
@@ -47,7 +49,10 @@
             self.leader.handle_change(now, after)
 
     def evaluate(self, now: float, evidence: bytes) -> bool:
-        """Take in what we saw; whether the state is another now. self.look: what is to be asked."""
+        """Takes in this scheduler's evidence; returns whether the document has changed.
+
+        Sets self.zones_to_probe.
+        """
         previous, self.zones_to_probe = self.document, ()
         renewal = Renew(0, self.session, self.zone, 0, previous.revision, msgspec.Raw(evidence))
         self.leader.handle_renewal(now, renewal, self._handle_grant)
@@ -62,7 +67,7 @@
         self.zones_to_probe = self.zones_to_probe or grant.zones_to_probe
 
     def handle_order(self, now: float, order: object) -> str:
-        """An operator's, for this scheduler. Raises ValueError: refused."""
+        """Carries out an operator's order; returns the answer. Raises ValueError if rejected."""
         transaction, text = self.controller.handle_order(
             now, msgspec.Raw(msgspec.json.encode(order)), self.document, self.leader
         )
--- a/spanwing/zones/state.py
+++ b/spanwing/zones/state.py
@@ -1,7 +1,7 @@
-"""The fleet's zones as the store's document has them.
+"""The fleet's zones as stored in the store's document.
 
-Guarantees: pure; what cannot be read counts as open, and is told by the reader. One key a zone, one for the
-deal of feeders, one for the last HISTORY changes.
+Pure. What cannot be decoded counts as open, and the reader reports its key. One key per zone, one for the
+feeder assignment, one for the last MAX_HISTORY_ENTRIES changes.
 """
 
 from __future__ import annotations
@@ -23,33 +23,33 @@
 
 
 class ZoneState(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One zone's state; its number is the revision that it came with."""
+    """One zone's state; its revision is that of its document entry."""
 
     state: ZonePhase = "open"
-    step: int = 0  # of a return, 1 to STEPS
-    share: float = 0.0  # of its workers that stay in use while it is left
-    inside: bool = False  # its own schedulers go on using it
-    held: bool = False  # by an operator: nothing changes by itself
-    failures: int = 0  # in a row; each doubles the stay
+    step: int = 0  # of a return, 1 to RETURN_STEPS
+    share: float = 0.0  # fraction of its workers in use while it is left
+    inside: bool = False  # schedulers of this zone go on using it
+    held: bool = False  # on hold by an operator: changes by orders alone
+    failures: int = 0  # in a row; each doubles the hold-down
     reason: str = ""
     author: str = ""
-    #: Of a return: when workers began their lives, by short number, where that is known.
+    #: Of a return: start of workers' incarnations by short id, wall clock in ms, where known.
     starts: dict[str, float] = {}
 
 
 class FeederAssignment(msgspec.Struct, frozen=True):
-    """Who feeds the cold workers of returning zones."""
+    """Which sessions feed workers that warm up in returning zones."""
 
     number: int
     sessions: list[str]
     previous_sessions: list[str] = msgspec.field(
         default=[], name="before"
-    )  # of the deal before, while and after this one is announced
+    )  # of the former assignment, while and after this one is announced
     in_force: bool = False
 
 
 class ZoneHistoryEntry(msgspec.Struct, frozen=True, array_like=True):
-    """One change, for the history."""
+    """One change in the history."""
 
     number: int
     wall_ms: float
@@ -58,20 +58,21 @@
     step: int
     reason: str
     author: str
-    share: float = 0.0  # of its workers that stay in use
+    share: float = 0.0  # fraction of its workers in use
 
 
 class FleetZones(msgspec.Struct, frozen=True):
-    """All of it, as read from a document."""
+    """All zones, the feeder assignment and the history, as decoded from a document."""
 
     zones: dict[str, ZoneState]
     revisions: dict[str, int] = msgspec.field(name="numbers")
     feeder_assignment: FeederAssignment | None = msgspec.field(name="deal")
-    assignment_revision: int = msgspec.field(name="deal_number")  # the revision of the deal's last change
+    assignment_revision: int = msgspec.field(name="deal_number")  # revision of the assignment's last change
     history: list[ZoneHistoryEntry] = msgspec.field(name="past")
     unreadable_keys: tuple[str, ...] = msgspec.field(default=(), name="unread")
 
     def get_zone(self, name: str) -> ZoneState:
+        """Returns the zone's state; an unknown zone is open."""
         return self.zones.get(name, OPEN_ZONE)
 
 
@@ -79,10 +80,12 @@
 
 
 def encode_value(value: object) -> str:
+    """Encodes a value of the document as JSON."""
     return msgspec.json.encode(value).decode()
 
 
 def read_fleet_zones(document: Document) -> FleetZones:
+    """Decodes the zones of a document; keys that cannot be decoded are in unreadable_keys."""
     zones, revisions, unreadable_keys = {}, {}, []
     feeder_assignment, assignment_revision, history = None, 0, []
     for key, entry in document.entries.items():
@@ -106,15 +109,16 @@
 
 
 def admission_order(worker_ids: list[int]) -> list[int]:
-    """The order in which a zone's workers are admitted, the same everywhere."""
+    """Returns a zone's workers in the order of admission, the same at every scheduler."""
     return sorted(worker_ids, key=lambda each: (mix(each, 104729), each))
 
 
 @lru_cache(4096)
 def session_hash(session: str) -> int:
+    """Returns the first 64 bits of the session's BLAKE2b hash."""
     return int.from_bytes(hashlib.blake2b(session.encode(), digest_size=8).digest(), "big")
 
 
 def choose_feeders(worker: int, sessions: list[str], count: int) -> list[str]:
-    """Those of the sessions that feed this worker: the ones that hash highest with it."""
+    """Returns the sessions that feed this worker: those with the highest hash (rendezvous hashing)."""
     return nlargest(count, sessions, key=lambda each: (mix(worker, session_hash(each)), each))
--- a/spanwing/zones/trial_requests.py
+++ b/spanwing/zones/trial_requests.py
@@ -1,7 +1,7 @@
-"""Jobs on trial: a word on workers that would get no job, when the keeper asks for one.
+"""Trial requests: evidence on workers that would get no request, when the leader asks for it.
 
-Guarantees: pure. One job a worker, of those that come within TRIAL_MS, and only one that may be repeated and
-has an attempt left; what the module allows at a worker (rests, budgets of cold ones, room) holds here too.
+Pure. One request per worker, of those that arrive within TRIAL_WINDOW_MS, and only an idempotent one with an
+attempt left. What the scheduler allows at a worker (backoff, warm-up budget, free slots) holds here too.
 """
 
 from __future__ import annotations
@@ -11,17 +11,17 @@
 from spanwing.choice import Dispatcher
 from spanwing.state import Job, View
 
-TRIAL_WINDOW_MS = 1000.0  # a worker gets a job within so long, or none
+TRIAL_WINDOW_MS = 1000.0  # a worker gets its trial within this, or none
 
 
 class TrialPlacement:
-    """Asked first by the module where a job is to go."""
+    """A placement that the scheduler consults first for each request."""
 
     def __init__(self, scheduler: Dispatcher, workers: Iterable[int], now: float) -> None:
         self.scheduler, self.untried_workers, self.ends_at_ms = scheduler, set(workers), now + TRIAL_WINDOW_MS
 
     def __call__(self, job: Job) -> View | None:
-        """A worker that is still to be tried, and bears this job; None: the job goes where it always does."""
+        """Returns a worker still to be tried that can take this request; None: place it as usual."""
         if self.scheduler.now >= self.ends_at_ms or not self.untried_workers:
             self.scheduler.first = None
             return None
@@ -36,6 +36,8 @@
 
 
 def start_trials(scheduler: Dispatcher, workers: list[int], now: float) -> None:
-    """Have each of these workers get one job that would have gone elsewhere; now: by the module's clock. What
-    was to be tried before is tried no more."""
+    """Has each of these workers get one request that would have gone elsewhere.
+
+    now: ms, by the scheduler's clock. Replaces the trials of an earlier call.
+    """
     scheduler.first = TrialPlacement(scheduler, workers, now) if workers else None
--- a/spanwing/zones/unreachable_work.py
+++ b/spanwing/zones/unreachable_work.py
@@ -1,7 +1,7 @@
-"""Work that only a zone which was left could still do: it gets its own answer now, and not at its deadline.
+"""Ends work that only a zone which was left could still do: it fails now, not at its deadline.
 
-Guarantees: pure. A keyed job of which an attempt may have run in the zone, and whose repeat only that zone's
-workers would drop, is ended as failed (no promise is made as to its effect); nothing else changes.
+Pure. A keyed request of which an attempt may have run in the zone, and whose repeat only that zone's workers
+would drop, fails (no promise as to its effect). Nothing else changes.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 
 class ZoneUnreachable(NamedTuple):
-    """An event of the module: nothing is sent to this zone any more."""
+    """An event for the scheduler: nothing is sent to this zone any more."""
 
     zone: str
 
