Write the docstrings of the store in plain terms

Cause: docstrings and comments still used the former names after the renaming. Change: docstrings and comments of spanwing/store/; no code.

--- a/spanwing/store/acceptor.py
+++ b/spanwing/store/acceptor.py
@@ -1,4 +1,4 @@
-"""One member's registers: promises and accepted values."""
+"""The acceptor: one member's registers, with its promises and accepted values."""
 
 from __future__ import annotations
 
@@ -9,13 +9,14 @@
 
 
 class Acceptor:
-    """Answers proposers; with a disk, only what is already on it."""
+    """Answers proposers; with a log, only with what is already on disk."""
 
     def __init__(self, log: RegisterLog | None) -> None:
         self.log = log
         self.registers: dict[str, Register] = log.registers if log else {}
 
     def handle_message(self, message: Prepare | Accept | ReadRegister | Ping) -> RegisterReply:
+        """Returns the reply to a proposer, after the log has saved what it says."""
         if isinstance(message, Ping):
             return RegisterReply(message.n, True, NO_BALLOT)
         register = self.registers.get(message.key) or Register(message.key)
--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -1,4 +1,4 @@
-"""Claims on jobs that must never run twice: taken in the store before anything is sent."""
+"""Claims on non-idempotent requests: taken in the store before anything is sent."""
 
 from __future__ import annotations
 
@@ -17,23 +17,26 @@
 
 
 class Claim(msgspec.Struct):
-    """What the store holds of a job; the token makes each taking its own."""
+    """What the store records of a request; the token tells one claim from another."""
 
     token: str
     state: ClaimState
 
 
 class Claims:
-    """Takes and settles claims; without a majority it refuses and never guesses."""
+    """Takes and settles claims; without a majority it raises NoMajority and never guesses."""
 
     def __init__(self, store: Store) -> None:
         self.store = store
-        self.settling_count = 0  # outcomes on their way into the store
-        self.settling_claims: dict[str, Claim] = {}  # and what they are, by job: as many as `settling`
-        self.unconfirmed_tokens: dict[str, set[str]] = {}  # our tokens of which no majority was heard, by job
+        self.settling_count = 0  # outcomes not yet in the store
+        self.settling_claims: dict[str, Claim] = {}  # these outcomes, by request
+        self.unconfirmed_tokens: dict[str, set[str]] = {}  # tokens that no majority has confirmed, by request
 
     async def claim(self, request_id: str) -> tuple[bool, Claim]:
-        """Whether the job is ours to run now, and the claim that stands. May raise NoMajority."""
+        """Returns whether the request is now this process's to run, and the claim in force.
+
+        Raises NoMajority; nothing may be sent then.
+        """
         token = secrets.token_hex(8)
         encoded_claim = msgspec.json.encode(Claim(token, "claimed")).decode()
         earlier_tokens = frozenset(self.unconfirmed_tokens.get(request_id, ()))
@@ -41,7 +44,7 @@
         def replace_if_free(held: str | None) -> str:
             if held is not None:
                 claim = msgspec.json.decode(held, type=Claim)
-                # A refused job never ran; neither did one whose claim we doubted, for we sent nothing then.
+                # A rejected request never ran, nor did one with an unconfirmed claim: nothing was sent.
                 if claim.state != "refused" and claim.token not in {token, *earlier_tokens}:
                     return held
             return encoded_claim
@@ -53,14 +56,14 @@
             raise
         self.unconfirmed_tokens.pop(request_id, None)
         claim = msgspec.json.decode(held, type=Claim)
-        # A client that has its answer may ask again before the store has the outcome: we know it already.
+        # A client may retry before the store has the outcome, which is known here already.
         settled = self.settling_claims.get(request_id)
         if settled is not None and settled.token == claim.token:
             claim = settled
         return claim.token == token, claim
 
     def settle(self, request_id: str, claim: Claim, state: ClaimState) -> Coroutine[Any, Any, None]:
-        """Write down how a job of ours ended; known from the call on, whenever what it returns is run."""
+        """Records how a claimed request ended: here at once, in the store when the result is awaited."""
         self.settling_count += 1
         self.settling_claims[request_id] = Claim(claim.token, state)
         return self._write_outcome(request_id, claim, state)
--- a/spanwing/store/disk.py
+++ b/spanwing/store/disk.py
@@ -1,8 +1,9 @@
-"""Registers on disk: a log of their states, each one there before it is spoken of.
+"""The registers' log on disk; each state is there before a reply mentions it.
 
-Guarantees: what save() returned from is read again after any crash; a log that has grown beyond GROWN times
-what is in it, and LEAST bytes, is written anew without what was overwritten, so the disk is bounded by the
-registers."""
+What save() has returned from is read again after any crash. A log that has grown beyond COMPACTION_FACTOR
+times its compacted size and MIN_COMPACTION_BYTES is written anew without overwritten states, which bounds
+the disk by the registers.
+"""
 
 from __future__ import annotations
 
@@ -22,7 +23,10 @@
 
 
 class RegisterLog:
-    """Appends and syncs; at its start it reads the log and writes it anew without what was overwritten."""
+    """Appends states of registers and syncs them; reads and compacts the log at its start.
+
+    Raises RegisterLogError there if the directory is in use, unreadable or damaged.
+    """
 
     def __init__(self, directory: str) -> None:
         self.folder = Path(directory)
@@ -42,7 +46,7 @@
     def _load(self) -> dict[str, Register]:
         registers: dict[str, Register] = {}
         lines = self.path.read_bytes().split(b"\n") if self.path.exists() else []
-        # A last line without its end was being written when the process died: it was never spoken of.
+        # A last line without its end was being written when the process died: no reply mentioned it.
         for number, line in enumerate(lines[:-1], 1):
             try:
                 register = msgspec.json.decode(line, type=Register)
@@ -66,6 +70,7 @@
         return open(self.path, "ab", buffering=0)
 
     def save(self, register: Register) -> None:
+        """Appends the register's state and syncs it. Raises OSError."""
         line = msgspec.json.encode(register) + b"\n"
         self.log_file.write(line)
         os.fsync(self.log_file.fileno())
@@ -75,5 +80,5 @@
             try:
                 old_file, self.log_file = self.log_file, self._compact()
                 old_file.close()
-            except OSError:  # what was saved stands in the old log, which goes on
+            except OSError:  # the old log has all that was saved, and stays in use
                 self.compacted_bytes = self.log_bytes
--- a/spanwing/store/document.py
+++ b/spanwing/store/document.py
@@ -1,10 +1,10 @@
-"""One document of keys, changed by transactions of several keys at once; its history lets watchers catch up.
+"""One document of keys, changed by transactions of several keys; its history lets watchers catch up.
 
-Guarantees: pure. A transaction holds or changes nothing. Revisions go up by one at each change.
-changes_after() names every change after a revision, or says that the history no longer reaches back. A
-transaction is known by its id while it is in the history, so that one whose outcome was not heard can be
-asked for again. Bounds: MOST_KEYS keys of LONGEST_KEY bytes, values of LONGEST_VALUE, LARGEST bytes in all,
-KEPT changes and KEPT_BYTES of history.
+Pure. A transaction applies as a whole or not at all, and each change raises the revision by one.
+changes_after() returns every change after a revision, or says that the history no longer reaches back. A
+transaction is known by its id while it is in the history, so that one with an unknown outcome can be
+retried. Bounds: MAX_KEYS keys of MAX_KEY_BYTES, values of MAX_VALUE_BYTES, MAX_DOCUMENT_BYTES in all, and a
+history of MAX_HISTORY_CHANGES changes and MAX_HISTORY_BYTES.
 """
 
 from __future__ import annotations
@@ -17,25 +17,26 @@
 
 
 class DocumentEntry(msgspec.Struct, frozen=True, array_like=True):
-    """A value, and the revision that it came with."""
+    """A value, and the revision in which it was written."""
 
     value: str
     revision: int
 
 
 class DocumentChange(msgspec.Struct, frozen=True, array_like=True):
-    """What one transaction wrote; None: a key that went."""
+    """What one transaction wrote; None: the key was deleted."""
 
     revision: int
     transaction_id: str
     writes: dict[str, str | None]
 
     def size_in_bytes(self) -> int:
+        """Returns the approximate size of the change in the history, with 40 bytes of overhead."""
         return 40 + sum(len(key) + len(value or "") for key, value in self.writes.items())
 
 
 class Transaction(msgspec.Struct, frozen=True):
-    """Writes that hold only if each named key is still at its revision; 0: it is not there."""
+    """Writes that apply only if each key of `at` is still at its revision; 0: the key does not exist."""
 
     id: str
     writes: dict[str, str | None]
@@ -43,27 +44,31 @@
 
 
 class Document(msgspec.Struct, frozen=True):
-    """Never changed: apply() makes another one."""
+    """An immutable document; apply() returns the next one."""
 
     revision: int = 0
     entries: dict[str, DocumentEntry] = {}
     history: tuple[DocumentChange, ...] = ()
 
     def get_value(self, key: str) -> str | None:
+        """Returns the key's value, or None if the key does not exist."""
         entry = self.entries.get(key)
         return None if entry is None else entry.value
 
     def current_revisions(self, *keys: str) -> dict[str, int]:
-        """The conditions that these keys stay as they are."""
+        """Returns these keys' revisions, as conditions that they stay unchanged."""
         return {key: self.entries[key].revision if key in self.entries else 0 for key in keys}
 
     def has_applied(self, transaction_id: str) -> bool:
-        """Whether this transaction has taken hold, as far as the history reaches."""
+        """Returns whether this transaction has been applied, as far as the history reaches."""
         return any(each.transaction_id == transaction_id for each in self.history)
 
     def apply(self, transaction: Transaction) -> Document | None:
-        """The document with the transaction; itself where that has taken hold already; None where a condition
-        does not hold. Raises ValueError where it goes beyond the bounds."""
+        """Returns the document after the transaction, or None if a condition does not hold.
+
+        Returns the document itself if the transaction has been applied already. Raises ValueError if the
+        result would exceed the bounds.
+        """
         if self.has_applied(transaction.id):
             return self
         if self.current_revisions(*transaction.at) != transaction.at:
@@ -94,8 +99,10 @@
         return Document(revision, entries, tuple(reversed(history)))
 
     def changes_after(self, revision: int) -> tuple[DocumentChange, ...] | None:
-        """Every change after this revision, in order; None where the history does not reach so far back, or
-        where the revision is none of ours."""
+        """Returns every change after this revision, in order.
+
+        None if the history does not reach so far back, or this document never had the revision.
+        """
         if revision == self.revision:
             return ()
         if not self.history or not self.history[0].revision - 1 <= revision < self.revision:
@@ -103,7 +110,7 @@
         return self.history[revision + 1 - self.history[0].revision :]
 
     def apply_changes(self, changes: tuple[DocumentChange, ...]) -> Document:
-        """A watcher's copy with the next changes. Raises ValueError where one is missing between."""
+        """Returns a watcher's copy with the next changes. Raises ValueError if one is missing between."""
         entries, revision = dict(self.entries), self.revision
         for change in changes:
             if change.revision != revision + 1:
@@ -120,8 +127,10 @@
 def catch_up(
     local_copy: Document, changes: tuple[DocumentChange, ...] | None, document: Document | None
 ) -> Document:
-    """A watcher's copy after an answer of the keeper: later changes, or the whole. Raises ValueError at a
-    gap."""
+    """Returns a watcher's copy after an answer of the leader: with later changes, or the complete document.
+
+    Raises ValueError at a gap.
+    """
     if document is not None:
         return document if document.revision > local_copy.revision else local_copy
     later = tuple(each for each in changes or () if each.revision > local_copy.revision)
@@ -132,9 +141,10 @@
 
 
 def encode_document(document: Document) -> str:
+    """Encodes the document as JSON."""
     return msgspec.json.encode(document).decode()
 
 
 def decode_document(text: str | None) -> Document:
-    """Raises ValueError where it is none."""
+    """Decodes a document; None is an empty one. Raises ValueError if it is malformed."""
     return Document() if text is None else DOCUMENT_DECODER.decode(text)
--- a/spanwing/store/document_service.py
+++ b/spanwing/store/document_service.py
@@ -1,8 +1,8 @@
-"""The driver of the keeper at a member: reads, takes over, changes the document, answers schedulers.
+"""Runs the document's leader at a member: reads, takes over, commits changes, answers schedulers.
 
-Guarantees: what a scheduler asks here is answered within WAIT_S, whoever keeps; a renewal that comes to
-another member is passed to the keeper, once. The loop ends with the program; a disk or a majority that fails
-is told once until it is back, and changes nothing that was granted. Bounds: ORDERS orders wait.
+A scheduler's message is answered within ANSWER_TIMEOUT_S, whoever leads; one that comes to another member is
+forwarded to the leader, once. The loop ends with the program. A disk or a majority that fails is logged once
+until it is back, and changes nothing that was granted. Bounds: MAX_PENDING_ORDERS orders wait.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 DOCUMENT_KEY = "fleet"
 LOOP_INTERVAL_S = 0.025
 LEADER_READ_INTERVAL_MS = (
-    300.0  # the keeper reads so often at least, which is how the others know that it lives
+    300.0  # the leader's longest time between reads, which show the others that it lives
 )
 LIST_REFRESH_INTERVAL_MS = 1000.0
 ANSWER_TIMEOUT_S = 3.0
@@ -38,7 +38,7 @@
 
 
 class DocumentService:
-    """One member's side of the fleet's document."""
+    """One member's service for the fleet's document."""
 
     def __init__(self, store: Store, listener: PeerListener, controller: Controller, lease_ms: float) -> None:
         self.store, self.controller = store, controller
@@ -51,6 +51,7 @@
         listener.on_read = lambda member: self.leader.record_read(clock_ms(), member)
 
     async def run(self) -> None:
+        """Runs run_once() every LOOP_INTERVAL_S, to the end of the program."""
         while True:
             try:
                 await self.run_once()
@@ -64,7 +65,7 @@
             await sleep(LOOP_INTERVAL_S)
 
     async def run_once(self) -> None:
-        """One look at what is due. Raises NoMajority or OSError."""
+        """Does what is due. Raises NoMajority, OSError or ValueError."""
         leader, now = self.leader, clock_ms()
         if now - self.list_refreshed_at_ms > LIST_REFRESH_INTERVAL_MS:
             self.list_refreshed_at_ms = now
@@ -91,7 +92,7 @@
         self.leader.handle_read(clock_ms(), read_started_at, document)
 
     async def commit(self, transaction: Transaction) -> bool:
-        """Whether the transaction has taken hold. Raises NoMajority (it may have), ValueError."""
+        """Returns whether the transaction was applied. Raises NoMajority (it may have been), ValueError."""
         has_applied: list[bool] = []
 
         def apply(held: str | None) -> str | None:
@@ -106,7 +107,7 @@
         return has_applied[0]
 
     async def _handle_orders(self) -> None:
-        """Carry out what was ordered, one after another."""
+        """Carries out the pending orders, one after another."""
         while self.pending_orders:
             message, result_future = self.pending_orders.pop(0)
             try:
@@ -127,7 +128,7 @@
                 result_future.set_result(result)
 
     async def handle_message(self, message: Renew | SubmitOrder) -> RenewalGranted | OrderResult:
-        """The answer to a scheduler; by us where we keep, else by the keeper."""
+        """Returns the answer to a scheduler: this member's if it leads, else the leader's."""
         leadership = self.leader.leadership()
         if (
             not self.leader.is_leader()
@@ -138,7 +139,7 @@
             return await self._forward_to_leader(self.peers[leadership.member], message)
         answer_future: Future = Future()
         if not self.leader.is_leader():
-            # Who keeps may not be known here yet, and the scheduler asks again.
+            # The leader may not be known here yet; the scheduler retries.
             spawn_task(self._learn_leader())
             return _rejection(message, "this member does not keep, and knows of none that does")
         if isinstance(message, Renew):
@@ -159,7 +160,7 @@
             try:
                 await self._read_document()
             except (NoMajority, OSError, ValueError):
-                pass  # it is asked for again
+                pass  # retried at the next message
 
     async def _forward_to_leader(
         self, leader_peer: Peer, message: Renew | SubmitOrder
@@ -186,6 +187,6 @@
 
 
 def local_document(store: Store) -> Document:
-    """Our own copy of the document, which may be old; nothing is asked."""
+    """Decodes this member's own copy of the document, which may be stale; no member is asked."""
     register = store.acceptor.registers.get(DOCUMENT_KEY)
     return decode_document(None if register is None else register.value)
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -1,9 +1,10 @@
-"""A scheduler's side of the fleet's document: its session, its lease, and its copy, which misses no change.
+"""Follows the fleet's document: the scheduler's session, lease and copy, which misses no change.
 
-Guarantees: nothing waits for it; changed() is called after each change, before that is acknowledged to the
-keeper. A member that does not answer, or grants nothing, is left for another, after a wait at random that
-doubles from FIRST_S to MOST_S (full jitter): members that come back are not met by all schedulers at once.
-Bounds: one connection, one renewal a GAP_S at most, ORDERS orders out.
+Nothing waits for it. on_change is called after each change, before that is acknowledged to the leader. A
+member that does not answer or grants nothing is left for another, after a random wait of at most
+MIN_BACKOFF_S, which doubles up to MAX_BACKOFF_S (full jitter), so that members that come back are not met by
+all schedulers at once. Bounds: one connection, one renewal per MIN_RENEWAL_INTERVAL_S, MAX_PENDING_ORDERS
+orders in flight.
 """
 
 from __future__ import annotations
@@ -29,7 +30,7 @@
 from spanwing.store.messages import OrderResult, Renew, RenewalGranted, SubmitOrder
 from spanwing.store.peer import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
 
-ANSWER_TIMEOUT_S = POLL_HOLD_MS / 1000.0 + 0.8  # a member that takes longer is left for another
+ANSWER_TIMEOUT_S = POLL_HOLD_MS / 1000.0 + 0.8  # for a renewal; then another member is used
 MIN_RENEWAL_INTERVAL_S = 0.1
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.1, 2.0
 ORDER_TIMEOUT_S = 4.0
@@ -39,7 +40,7 @@
 
 
 class DocumentFollower:
-    """One session."""
+    """Follows the document in one session, by one member at a time."""
 
     def __init__(
         self,
@@ -52,7 +53,11 @@
         on_change: Callable[[Document], None],
         on_probe_request: Callable[[tuple[str, ...]], None],
     ) -> None:
-        """brings: what goes with a renewal, JSON; look: the keeper would have us look at these."""
+        """Creates a session; run() connects it.
+
+        collect_evidence: returns the JSON that goes with a renewal; on_change: called with each new
+        document; on_probe_request: called with the zones that the leader wants probed.
+        """
         self.session = f"{name[:60]}.{secrets.token_hex(4)}"
         self.zone, self.position, self.members, self.buffers = zone, position, members, buffers
         self.collect_evidence, self.on_change, self.on_probe_request = (
@@ -62,26 +67,30 @@
         )
         self.lease, self.document = Lease(), Document()
         self.permit = Lease()
-        self.policy_vote: Callable[[], msgspec.Raw] | None = None  # of the policy
+        self.policy_vote: Callable[[], msgspec.Raw] | None = None  # vote on the policy; JSON
         self.last_message_id, self.stream = 0, None
         self.pending_orders: dict[int, Future[OrderResult]] = {}
         self.pending_grant: Future[RenewalGranted | None] | None = (
-            None  # what is waited for; None: we were urged
+            None  # a None result: renew_now() was called
         )
         self.renewal_id, self.renewed_at_s = 0, float("-inf")
         self.last_failure = "no member has been asked yet"
-        self.connected_member = ""  # the member that is asked
+        self.connected_member = ""  # the member in use
 
     def has_lease(self) -> bool:
+        """Returns whether the lease is valid now."""
         return self.lease.is_valid(clock_ms())
 
     def renew_now(self) -> None:
-        """There is something to be told now: the renewal that waits does not bring it."""
+        """Has a renewal sent beside the waiting one, as there is new evidence to report."""
         if self.pending_grant is not None and not self.pending_grant.done():
             self.pending_grant.set_result(None)
 
     async def submit_order(self, order: object) -> OrderResult:
-        """Give an order; what came of it, or that nobody answered."""
+        """Submits an order; returns its result, or a rejection if no member answers.
+
+        Waits ORDER_TIMEOUT_S at most; without an answer the order may still be carried out.
+        """
         if self.stream is None or len(self.pending_orders) >= MAX_PENDING_ORDERS:
             return OrderResult(0, False, f"no member of the store is reached: {self.last_failure}")
         self.last_message_id += 1
@@ -100,7 +109,7 @@
             self.pending_orders.pop(message_id, None)
 
     async def run(self) -> None:
-        """Stay in contact, to the end of the program."""
+        """Follows one member after another, to the end of the program."""
         names, backoff_s = list(self.members), MIN_BACKOFF_S
         random.shuffle(names)
         attempt = 0
@@ -113,7 +122,7 @@
             backoff_s = min(2.0 * backoff_s, MAX_BACKOFF_S)
 
     async def _follow_member(self, name: str, address: Address) -> bool:
-        """Renew by one member until that fails; whether it ever granted."""
+        """Renews by one member until that fails; returns whether it ever granted."""
         stream = IOStream(open_socket(address), max_write_buffer_size=MAX_FRAME_BYTES)
         try:
             await with_timeout(
@@ -138,11 +147,11 @@
         return granted
 
     async def _wait_for_next_renewal(self) -> None:
-        """Until the next renewal may go."""
+        """Waits until MIN_RENEWAL_INTERVAL_S after the last renewal."""
         await sleep(max(0.0, self.renewed_at_s + MIN_RENEWAL_INTERVAL_S - clock_ms() / 1000.0))
 
     async def _renew(self, member: str) -> bool:
-        """One renewal, and another beside it when urged; whether it was granted."""
+        """Renews, and again when renew_now() is called; returns whether a lease was granted."""
         while True:
             grant_future = self.pending_grant = Future()
             self.last_message_id += 1
@@ -171,7 +180,7 @@
             except WaitOver:
                 self.last_failure = f"{member} does not answer"
                 return False
-            if reply is None:  # urged: another one goes, which has the keeper answer this one
+            if reply is None:  # renew_now(): another renewal, upon which the leader answers this one
                 await self._wait_for_next_renewal()
                 continue
             self.last_failure = f"{member}: {reply.reason}" if reply.reason else ""
@@ -189,7 +198,7 @@
             while (line := await stream.read_line()) is not None:
                 self._handle_reply(msgspec.json.decode(line, type=LeaderReply))
         except (LineTooLongError, ValueError):
-            pass  # what speaks otherwise is no member
+            pass  # a peer with another protocol is no member
         stream.close()
         for message_id, result_future in self.pending_orders.items():
             if not result_future.done():
--- a/spanwing/store/leader.py
+++ b/spanwing/store/leader.py
@@ -1,10 +1,10 @@
-"""Sessions of the schedulers, as the keeper has them, and who keeps: pure, time passed in.
+"""The leader's record of schedulers' sessions, and the leadership itself. Pure; time is passed in.
 
-Guarantees: a lease is granted only for a renewal that had come before a read by majority began which showed
-that we still keep (docs/design/zones.md has the proof); lapsed() holds only once a session's holder can act
-no more, also
-for sessions that an earlier keeper granted. An answer names every change after the revision that was asked
-with. Bounds: MOST_SESSIONS, one waiting renewal each, forgotten FORGET_MS after they lapsed.
+A lease is granted only for a renewal received before a majority read began that showed this member still
+leads (docs/design/zones.md has the proof). has_lease_expired() holds only once a session's holder can act no
+more, also for sessions granted by an earlier leader. An answer has every change after the revision of the
+renewal. Bounds: MAX_SESSIONS, with one pending renewal each, removed SESSION_RETENTION_MS after their last
+renewal.
 """
 
 from __future__ import annotations
@@ -20,20 +20,22 @@
 from spanwing.store.lease import lease_expiry_ms
 from spanwing.store.messages import Renew, RenewalGranted
 
-LEADERSHIP_KEY = "keeper"  # the key that says who keeps
-POLL_HOLD_MS = 400.0  # a renewal that nothing is new for is answered after this
-LEADER_SILENCE_MS = 1000.0  # another member keeps if the keeper has not read for this, and up to as much more
+LEADERSHIP_KEY = "keeper"  # the key of the Leadership record
+POLL_HOLD_MS = 400.0  # long poll: a renewal is answered after this without a change
+LEADER_SILENCE_MS = (
+    1000.0  # a takeover is due once the leader has not read for this, plus up to as much at random
+)
 PROBE_REQUEST_INTERVAL_MS, MAX_PROBE_REQUESTS = (
     500.0,
     8,
-)  # so many schedulers are asked to look so often at most
+)  # at most so many schedulers are asked to probe per interval
 MAX_SESSIONS = 1000
 SESSION_RETENTION_MS = 60_000.0
 MAX_SESSION_NAME_LENGTH = 80
 
 
 class Leadership(msgspec.Struct, frozen=True):
-    """Who keeps; each taking over has the next term."""
+    """The leading member; each takeover has the next term."""
 
     member: str
     term: int
@@ -51,50 +53,53 @@
 
 @dataclass(slots=True)
 class SchedulerSession:
-    """A scheduler in one life."""
+    """A scheduler in one incarnation."""
 
     id: str
     zone: str
     position: int
-    acknowledged_revision: int  # the revision that it follows, and so has acknowledged
-    confirmed_at_ms: float = -math.inf  # when a renewal was last granted, by our clock
+    acknowledged_revision: int  # the last revision that it follows
+    confirmed_at_ms: float = -math.inf  # when a renewal was last confirmed, by this member's clock
     pending_renewal: PendingRenewal | None = None
-    last_renewal_at_ms: float = -math.inf  # when its last renewal came
+    last_renewal_at_ms: float = -math.inf  # when the last renewal was received
 
 
 class Controller(Protocol):
-    """Decides what the document becomes while we keep."""
+    """Decides what the document becomes while this member leads."""
 
     def refresh_worker_list(self, now: float) -> None:
-        """Called now and then at every member: what has to be known already when it comes to keep."""
+        """Records what has to be known at a takeover; called about once a second at every member."""
 
     def record_evidence(self, now: float, session: SchedulerSession, evidence: msgspec.Raw) -> None:
-        """What a renewal brought."""
+        """Records the evidence of a renewal. Raises ValueError if it is invalid."""
 
     def zones_to_probe(self, now: float, leader: Leader) -> tuple[str, ...]:
-        """What some schedulers should look at, as too few have seen it."""
+        """Returns zones that some schedulers should probe, as there is too little evidence."""
 
     def decide_next_change(self, now: float, document: Document, leader: Leader) -> Transaction | None:
-        """The next change, if one is due."""
+        """Returns the next change, if one is due."""
 
     def handle_order(
         self, now: float, order: msgspec.Raw, document: Document, leader: Leader
     ) -> tuple[Transaction | None, str]:
-        """What an order comes to: a change, or none; and what is said of it. Raises ValueError: refused."""
+        """Returns the change that an order requires, if any, and the text of the answer.
+
+        Raises ValueError if the order is rejected.
+        """
 
 
 class PermitAuthority(Protocol):
-    """Grants what lasts for longer than a lease, to sessions that the document names."""
+    """Grants permits, which last longer than a lease, to sessions that the document names."""
 
     def record_vote(self, session: str, vote: msgspec.Raw) -> None:
-        """What a renewal brought. Raises ValueError."""
+        """Records the vote of a renewal. Raises ValueError."""
 
     def permit_duration_ms(self, session: str, document: Document) -> float:
-        """For how many ms; 0: none."""
+        """Returns the permit's duration in ms; 0: none."""
 
 
 class Leader:
-    """One member's part."""
+    """One member's part in the leadership: sessions while it leads, takeover while another is silent."""
 
     permit_authority: PermitAuthority | None = None
 
@@ -106,7 +111,7 @@
         now: float,
         draw_random: Callable[[], float],
     ) -> None:
-        """draw: a number from 0 to 1 at random."""
+        """draw_random: returns a random number from 0 to 1."""
         self.member, self.lease_ms, self.controller, self.draw_random = (
             member,
             lease_ms,
@@ -114,22 +119,24 @@
             draw_random,
         )
         self.document, self.sessions = Document(), dict[str, SchedulerSession]()
-        self.leading_since_ms = now  # when we took over, or began
-        self.leader_seen_at_ms = now  # when the keeper last showed that it reads
-        self.probes_requested_at_ms = -math.inf  # when we last had schedulers look at something
+        self.leading_since_ms = now  # takeover or start of the process
+        self.leader_seen_at_ms = now  # the leader's last known read
+        self.probes_requested_at_ms = -math.inf  # when schedulers were last asked to probe
         self.takeover_delay_ms = LEADER_SILENCE_MS * (1.0 + draw_random())
-        self.rejected_renewals = 0  # renewals that were none
+        self.rejected_renewals = 0  # invalid renewals, and those beyond MAX_SESSIONS
 
     def leadership(self) -> Leadership | None:
+        """Returns the leadership as recorded in the document, or None."""
         text = self.document.get_value(LEADERSHIP_KEY)
         return None if text is None else msgspec.json.decode(text, type=Leadership)
 
     def is_leader(self) -> bool:
+        """Returns whether this member leads, by its last document."""
         keeps = self.leadership()
         return keeps is not None and keeps.member == self.member
 
     def record_read(self, now: float, member: str) -> None:
-        """A member has read the document; where it is the keeper, it lives."""
+        """Records that a member has read the document; if it is the leader, that is its sign of life."""
         keeps = self.leadership()
         if keeps is not None and keeps.member == member:
             self.leader_seen_at_ms = now
@@ -137,7 +144,11 @@
     def handle_renewal(
         self, now: float, renewal: Renew, send_answer: Callable[[RenewalGranted], None]
     ) -> None:
-        """A renewal has come to us as the keeper; it is answered once, now or by due()."""
+        """Takes in a renewal, which is answered exactly once.
+
+        It is rejected now or by handle_read(), or answered by answer_due_renewals(), a later renewal or the
+        loss of the leadership.
+        """
         if not 0 < len(renewal.session) <= MAX_SESSION_NAME_LENGTH or renewal.acknowledged_revision < 0:
             self.rejected_renewals += 1
             send_answer(RenewalGranted(renewal.n, reason="no renewal of ours"))
@@ -165,18 +176,19 @@
             self.rejected_renewals += 1
 
     def needs_confirming_read(self) -> bool:
+        """Returns whether a pending renewal still needs a majority read before it can be granted."""
         return any(
             each.pending_renewal is not None and not each.pending_renewal.is_confirmed
             for each in self.sessions.values()
         )
 
     def handle_read(self, now: float, read_started_at: float, document: Document) -> None:
-        """The document as a majority has it, from a read that began then."""
+        """Takes in the document of a majority read that began at read_started_at."""
         was_leader, previous_leadership = self.is_leader(), self.document.get_value(LEADERSHIP_KEY)
         if document.revision >= self.document.revision:
             self.document = document
         if self.document.get_value(LEADERSHIP_KEY) != previous_leadership:
-            self.leader_seen_at_ms = now  # whoever keeps now has its own time to show that it lives
+            self.leader_seen_at_ms = now  # a new leader gets the full time to show that it lives
         if not self.is_leader():
             if was_leader:
                 self.reject_pending_renewals("another member keeps now")
@@ -190,7 +202,7 @@
                 continue
             if (
                 pending.renewal.acknowledged_revision > document.revision
-            ):  # a number from the future: no document of ours had it
+            ):  # a revision that no document has had
                 self.rejected_renewals += 1
                 session.pending_renewal = None
                 pending.send_answer(
@@ -207,18 +219,22 @@
             )
 
     def handle_change(self, now: float, document: Document) -> None:
-        """A change of ours has been taken by a majority."""
+        """Takes in the document after this member's change was accepted by a majority."""
         was_leader = self.is_leader()
         self.document = document
         if self.is_leader() and not was_leader:
             self._begin_leading(now)
 
     def _begin_leading(self, now: float) -> None:
-        """We keep from now on: whatever was granted before may be in use for one more lease."""
+        """Starts the leadership: leases granted before may be in use for one more lease."""
         self.leading_since_ms = now
 
     def answer_due_renewals(self, now: float) -> None:
-        """Answer what can be answered."""
+        """Answers confirmed renewals that are due, and removes old sessions.
+
+        Due are those with changes to report, those pending for POLL_HOLD_MS, and at most MAX_PROBE_REQUESTS
+        drawn at random per PROBE_REQUEST_INTERVAL_MS to ask for probes.
+        """
         if (
             self.is_leader()
             and now - self.probes_requested_at_ms >= PROBE_REQUEST_INTERVAL_MS
@@ -269,7 +285,7 @@
         )
 
     def reject_pending_renewals(self, reason: str) -> None:
-        """We do not keep: nobody waits here for nothing."""
+        """Rejects all pending renewals and forgets the sessions, as this member does not lead."""
         for session in self.sessions.values():
             pending, session.pending_renewal = session.pending_renewal, None
             if pending is not None:
@@ -277,7 +293,10 @@
         self.sessions.clear()
 
     def has_lease_expired(self, session_id: str, now: float) -> bool:
-        """Whether this session's holder can act no more; it never can again without a new grant."""
+        """Returns whether this session's holder can act no more.
+
+        If so, it cannot act again without a new grant.
+        """
         known_session = self.sessions.get(session_id)
         confirmed_at = (
             self.leading_since_ms
@@ -287,7 +306,7 @@
         return now >= lease_expiry_ms(confirmed_at, self.lease_ms)
 
     def active_sessions(self, now: float) -> list[SchedulerSession]:
-        """Those that hold a lease of ours, as far as we know."""
+        """Returns the sessions that, as far as this member knows, have a valid lease from it."""
         return [
             each
             for each in self.sessions.values()
@@ -295,7 +314,7 @@
         ]
 
     def is_acknowledged_by(self, revision: int, session_ids: list[str], now: float) -> bool:
-        """Whether each of these follows this revision, or has lapsed."""
+        """Returns whether each of these sessions follows this revision or has expired."""
         for session_id in session_ids:
             session = self.sessions.get(session_id)
             if not self.has_lease_expired(session_id, now) and (
@@ -305,11 +324,11 @@
         return True
 
     def is_leader_silent(self, now: float) -> bool:
-        """Whether the keeper has been silent for so long that we should keep."""
+        """Returns whether the leader has been silent for so long that this member should take over."""
         return not self.is_leader() and now - self.leader_seen_at_ms > self.takeover_delay_ms
 
     def takeover_transaction(self, now: float, transaction_id: str) -> Transaction:
-        """The change by which we keep. Another try waits anew."""
+        """Returns the change by which this member takes over, and restarts its takeover delay."""
         self.leader_seen_at_ms, self.takeover_delay_ms = now, LEADER_SILENCE_MS * (1.0 + self.draw_random())
         previous = self.leadership()
         mine = Leadership(self.member, 1 if previous is None else previous.term + 1)
@@ -320,7 +339,7 @@
         )
 
     def on_condition_of_leadership(self, transaction: Transaction) -> Transaction:
-        """The change on the condition that we still keep."""
+        """Returns the change with the condition that this member still leads."""
         return Transaction(
             transaction.id,
             transaction.writes,
--- a/spanwing/store/messages.py
+++ b/spanwing/store/messages.py
@@ -1,4 +1,4 @@
-"""What proposers and acceptors say to each other; JSON, one message a line."""
+"""Messages between schedulers and the store's members: JSON, one message per line."""
 
 from __future__ import annotations
 
@@ -11,12 +11,16 @@
 
 
 class Prepare(msgspec.Struct, tag="prepare"):
+    """CASPaxos, first phase: asks for a promise for this ballot."""
+
     n: int
     key: str
     ballot: Ballot
 
 
 class Accept(msgspec.Struct, tag="accept"):
+    """CASPaxos, second phase: asks to accept this value under the ballot."""
+
     n: int
     key: str
     ballot: Ballot
@@ -24,13 +28,13 @@
 
 
 class Ping(msgspec.Struct, tag="ping"):
-    """Asks for a sign of life; nothing is promised and nothing written."""
+    """Asks for a sign of life; nothing is promised or written."""
 
     n: int
 
 
 class ReadRegister(msgspec.Struct, tag="look"):
-    """Asks what a register holds; nothing is promised and nothing written."""
+    """Asks for a register's state; nothing is promised or written."""
 
     n: int
     key: str
@@ -38,7 +42,7 @@
 
 
 class Renew(msgspec.Struct, tag="renew"):
-    """A scheduler renews its session's lease, names the revision that it follows, and brings what it saw."""
+    """Renews a session's lease, acknowledges the revision that it follows, and brings its evidence."""
 
     n: int
     session: str
@@ -46,14 +50,14 @@
     position: int
     acknowledged_revision: int = msgspec.field(name="seen")
     evidence: msgspec.Raw = msgspec.field(default=msgspec.Raw(b"null"), name="payload")
-    passed: bool = False  # by a member that does not keep
+    passed: bool = False  # forwarded by a member that does not lead
     policy_vote: msgspec.Raw = msgspec.field(
         default=msgspec.Raw(b"null"), name="says"
-    )  # of the policy, where that is the fleet's
+    )  # vote on the fleet's policy; null: none
 
 
 class SubmitOrder(msgspec.Struct, tag="submit"):
-    """An order for the keeper."""
+    """Submits an operator's order to the leader."""
 
     n: int
     session: str
@@ -62,21 +66,23 @@
 
 
 class RenewalGranted(msgspec.Struct, tag="granted"):
-    """Answers a Renew: the lease counts from when that was sent; 0: none is granted here and now."""
+    """Answers a Renew; the lease counts from when that was sent. lease_ms 0: none is granted."""
 
     n: int
     lease_ms: float = 0.0
-    reason: str = msgspec.field(default="", name="why")  # where none is granted
-    changes: tuple[DocumentChange, ...] | None = None  # all that came after `seen`; None: `whole` is there
+    reason: str = msgspec.field(default="", name="why")  # if no lease is granted
+    changes: tuple[DocumentChange, ...] | None = (
+        None  # all after the acknowledged revision; None: see document
+    )
     document: Document | None = msgspec.field(default=None, name="whole")
     zones_to_probe: tuple[str, ...] = msgspec.field(
         default=(), name="look"
-    )  # what the keeper would have this scheduler look at
-    permit_ms: float = 0.0  # to take jobs under the policy in force, counted as the lease is
+    )  # zones that the leader wants this scheduler to probe
+    permit_ms: float = 0.0  # permit under the policy in force, counted as the lease is
 
 
 class OrderResult(msgspec.Struct, tag="done"):
-    """Answers a Submit."""
+    """Answers a SubmitOrder."""
 
     n: int
     is_accepted: bool = msgspec.field(name="ok")
@@ -84,7 +90,7 @@
 
 
 class RegisterReply(msgspec.Struct, tag="reply"):
-    """Whether it was granted, and what the register holds."""
+    """Answers Prepare, Accept, ReadRegister and Ping: whether granted, and the register's state."""
 
     n: int
     is_granted: bool = msgspec.field(name="granted")
@@ -94,7 +100,7 @@
 
 
 class Register(msgspec.Struct):
-    """One key at one member."""
+    """The state of one key at one member."""
 
     key: str
     promised: Ballot = NO_BALLOT
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -1,7 +1,8 @@
-"""Other members over TCP: the actor of each peer, and the listener that answers them and the schedulers.
+"""Connections between members over TCP: an actor per peer, and the listener for peers and schedulers.
 
-Guarantees: a frame is LONGEST bytes at most; a peer that leaves all unanswered for SILENT_S is dropped with
-what waits for it, so a link that is open but dead keeps nothing; MOST_LINKS connections come in at most.
+A frame has at most MAX_FRAME_BYTES. The connection to a peer that answers nothing for SILENCE_TIMEOUT_S is
+closed and what waits for it fails, so that an open but dead connection retains nothing. At most
+MAX_CONNECTIONS incoming connections.
 """
 
 from __future__ import annotations
@@ -34,41 +35,36 @@
 
 MAX_FRAME_BYTES = 256 * 1024
 CONNECT_TIMEOUT_S = 0.3
-SILENCE_TIMEOUT_S = (
-    2.0  # four rounds: a connection that answers none of them is dead, whatever TCP still hopes
-)
+SILENCE_TIMEOUT_S = 2.0  # four rounds: a connection that answers none is dead, whatever TCP says
 MAX_CONNECTIONS = 1024
 
 StoreRequest = Prepare | Accept | ReadRegister | Ping | Renew | SubmitOrder
 StoreResponse = RegisterReply | RenewalGranted | OrderResult
-#: Answers what schedulers ask; what it returns is awaited and written back.
+#: Answers schedulers' messages; its result is awaited and written back.
 MessageHandler = Callable[[Renew | SubmitOrder], Awaitable[RenewalGranted | OrderResult]]
 
 
 class Peer(Actor):
-    """Sends what is posted, over one connection that is opened when needed."""
+    """Sends requests to one member, over one connection that is opened when needed."""
 
     def __init__(self, address: Address, buffers: BufferPool) -> None:
         super().__init__()
         self.address, self.buffers = address, buffers
         self.pending_replies: dict[int, Future[StoreResponse | None]] = {}
-        self.unanswered_since_s: float | None = (
-            None  # of the loop's time: since when all that was asked is unanswered
-        )
+        self.unanswered_since_s: float | None = None  # loop time of the first request since the last reply
         self.stream: LineStream | None = None
-        self.queued_until_open: list[StoreRequest] | None = (
-            None  # what is to be sent once the connection is up
-        )
+        self.queued_until_open: list[StoreRequest] | None = None  # to be sent once the connection is up
 
     def send_request(self, message: StoreRequest) -> Future[StoreResponse | None]:
-        """The peer's reply, or None when there is no connection; the asker keeps the time."""
+        """Returns a future of the reply, None without a connection; the caller applies a timeout."""
         reply: Future[StoreResponse | None] = Future()
         self.post((message, reply))
         return reply
 
     def handle_message(self, message: tuple[StoreRequest, Future[StoreResponse | None]]) -> None:
+        """Sends a request, after a new connection if there is none."""
         request, reply = message
-        for n in [n for n, each in self.pending_replies.items() if each.done()]:  # the asker's time was over
+        for n in [n for n, each in self.pending_replies.items() if each.done()]:  # the caller has timed out
             del self.pending_replies[n]
         self.pending_replies[request.n] = reply
         now = self.loop.time()
@@ -129,12 +125,12 @@
 
 
 class PeerListener:
-    """Answers other members' proposers from our registers, and schedulers where something serves them."""
+    """Answers other members' proposers from the acceptor, and schedulers by handle_message, if set."""
 
     def __init__(self, address: Address, acceptor: Acceptor, buffers: BufferPool) -> None:
         self.acceptor, self.buffers = acceptor, buffers
         self.handle_message: MessageHandler | None = None
-        self.on_read: Callable[[str], None] | None = None  # hears which member reads
+        self.on_read: Callable[[str], None] | None = None  # called with the member that reads
         self.open_connections = 0
         self.decoder = msgspec.json.Decoder(StoreRequest)
         self.address = listen(address, lambda conn: spawn_task(self._serve_connection(conn))).address
@@ -161,7 +157,7 @@
                     self.on_read(message.reader)
                 await stream.write(msgspec.json.encode(self.acceptor.handle_message(message)) + b"\n")
         except (LineTooLongError, ValueError, StreamClosedError, StreamBufferFullError):
-            pass  # whatever speaks otherwise is no member: a clean close is all it gets
+            pass  # a peer with another protocol is no member: close
         finally:
             self.open_connections -= 1
             stream.close()
--- a/spanwing/store/shared_settings.py
+++ b/spanwing/store/shared_settings.py
@@ -1,4 +1,4 @@
-"""The settings that all members share: those of the highest revision that any of them brought."""
+"""The settings shared by all members: those of the highest revision that any member has offered."""
 
 from __future__ import annotations
 
@@ -15,12 +15,17 @@
 
 
 class SharedSettings(msgspec.Struct):
+    """The settings' register: a revision and the settings' text."""
+
     revision: int
     settings: str
 
 
 async def agree_on_settings(store: Store, revision: int, settings: str) -> str:
-    """Offer ours, take what stands. Without a majority it waits: a guess could differ from the others'."""
+    """Offers this member's settings; returns those in force.
+
+    Without a majority it retries every RETRY_INTERVAL_S: a guess could differ from other members' settings.
+    """
 
     def keep_highest_revision(held: str | None) -> str:
         if held is not None and msgspec.json.decode(held, type=SharedSettings).revision >= revision:
--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -1,4 +1,4 @@
-"""The proposer: changes a register by majority, or says that there is none."""
+"""The proposer: changes a register by majority (CASPaxos), or raises NoMajority."""
 
 from __future__ import annotations
 
@@ -15,18 +15,18 @@
 from spanwing.store.messages import NO_BALLOT, Accept, Ballot, Ping, Prepare, ReadRegister, RegisterReply
 from spanwing.store.peer import Peer
 
-ROUND_TIMEOUT_MS = 500.0  # a round waits so long for a majority
-MAX_ROUNDS = 12  # rounds against other proposers
+ROUND_TIMEOUT_MS = 500.0  # each phase waits so long for a majority
+MAX_ROUNDS = 12  # attempts against competing proposers
 
 ChangeFunction = Callable[[str | None], str | None]
 
 
 class NoMajority(Exception):
-    """Too few members answered, or others kept winning; what was asked for may or may not come true."""
+    """Too few members answered, or other proposers kept winning; the change may or may not happen."""
 
 
 class Store:
-    """Registers shared with the peers; alone, a dictionary with ballots."""
+    """Registers replicated among this member and its peers; without peers, a dictionary with ballots."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         round_timeout_ms: float = ROUND_TIMEOUT_MS,
         peer_names: tuple[str, ...] = (),
     ) -> None:
-        self.peer_names = peer_names  # of the peers
+        self.peer_names = peer_names  # in the order of peers
         self.member, self.acceptor, self.peers = member, acceptor, peers
         self.round_timeout = timedelta(milliseconds=round_timeout_ms)
         self.majority = (len(peers) + 1) // 2 + 1
@@ -45,13 +45,17 @@
         self.random_source = random.Random(seed)
 
     async def change(self, key: str, compute_value: ChangeFunction) -> str | None:
-        """Apply a change to the register's value; returns the value that stands then."""
+        """Applies a change to the register; returns the value that was accepted.
+
+        Each of the two phases of a round waits round_timeout_ms at most, over at most MAX_ROUNDS rounds.
+        Raises NoMajority.
+        """
         highest: Ballot = NO_BALLOT
         for attempt in range(MAX_ROUNDS):
-            if attempt:  # two proposers that keep stepping on each other part at random
+            if attempt:  # random backoff, so that competing proposers part
                 await sleep(self.random_source.uniform(0.0, 0.01 * 2 ** min(attempt, 4)))
             local_register = self.acceptor.registers.get(key)
-            # Above every ballot of an earlier life too: our own member has kept the promise on disk.
+            # Above every ballot of an earlier incarnation too: this member's promise is on disk.
             counter = max(highest[0], local_register.promised[0] if local_register else 0) + 1
             ballot = (counter, self.member)
             replies = await self._ask_all_members(lambda n, ballot=ballot: Prepare(n, key, ballot))
@@ -62,7 +66,7 @@
                 continue
             latest = max(promises, key=lambda each: each.accepted_ballot)
             value = compute_value(latest.value)
-            if value is None:  # nothing there and nothing to be written
+            if value is None:  # no value, and none to be written
                 return None
             replies = await self._ask_all_members(lambda n, b=ballot, v=value: Accept(n, key, b, v))
             highest = max([highest, *(each.promised_ballot for each in replies)])
@@ -72,16 +76,19 @@
         raise NoMajority(f"{key}: other members kept changing it")
 
     async def count_reachable_members(self) -> int:
-        """How many members answer now, ourselves among them."""
+        """Returns how many members answer now, this one included; a majority may end the count."""
         return len(await self._ask_all_members(Ping))
 
     async def read_through_change(self, key: str) -> str | None:
+        """Reads the register by an identity change, which is linearizable. Raises NoMajority."""
         return await self.change(key, lambda value: value)
 
     async def read_register(self, key: str) -> str | None:
-        """What the register holds, linearizably, without a write where that can be told: if a majority names
-        one ballot as accepted and nobody a higher one, its value is chosen, and no later write had ended when
-        we began to ask. May raise NoMajority."""
+        """Returns the register's value, linearizably, without a write where possible.
+
+        If a majority names one ballot as accepted and nobody a higher one, its value is chosen, and no later
+        write had completed when the read began. Else it reads through a change. Raises NoMajority.
+        """
         replies = await self._ask_all_members(lambda n: ReadRegister(n, key, self.member))
         self._require_majority(replies)
         newest = max(replies, key=lambda each: each.accepted_ballot)
@@ -90,7 +97,7 @@
         return await self.read_through_change(key)
 
     async def compare_and_set(self, key: str, expected: str | None, value: str) -> str | None:
-        """Returns what stands then; the caller won if that is its value, so values should be unique."""
+        """Returns the value then in force; the caller won if it is its own, so values should be unique."""
         return await self.change(key, lambda held: value if held == expected else held)
 
     def _require_majority(self, replies: list[RegisterReply]) -> None:
@@ -102,7 +109,7 @@
     async def _ask_all_members(
         self, make_message: Callable[[int], Prepare | Accept | ReadRegister | Ping]
     ) -> list[RegisterReply]:
-        """Ask all members; the replies that came until a majority was clear or time was up."""
+        """Asks all members; returns the replies until a majority was clear or the round timed out."""
         pending_replies = [peer.send_request(make_message(next(self.message_ids))) for peer in self.peers]
         replies = [self.acceptor.handle_message(make_message(next(self.message_ids)))]
         majority_reached: Future[None] = Future()
@@ -112,7 +119,7 @@
             nonlocal settled_count
             if done.cancelled() or majority_reached.done():
                 return
-            # A reply that is there but not yet heard must not be taken for one that will not come.
+            # Counted here, as a future that is done may not have run its callback yet.
             settled_count += 1
             if done.result() is not None:
                 replies.append(done.result())
