Write the policy package's docstrings in the field's terms

Cause: after the renames the docstrings and comments still used the former terms, and names that no longer exist (HELD_MOST, LONGEST, KeptError). Change: docstrings and comments only; every public class and function of spanwing/policy has a docstring.

--- a/spanwing/policy/__init__.py
+++ b/spanwing/policy/__init__.py
@@ -1,1 +1,1 @@
-"""One policy for the whole fleet: a change takes hold everywhere or nowhere."""
+"""The fleet-wide policy: one version is in force at every scheduler, or the change is dropped."""
--- a/spanwing/policy/combined_controller.py
+++ b/spanwing/policy/combined_controller.py
@@ -1,6 +1,7 @@
-"""The keeper's two minds as one: the fleet's zones and its policy, in one document.
+"""The leader's controller for both parts of the document: the zones and the policy.
 
-Guarantees: pure. The policy goes first, as jobs may wait for it; an order goes to the one that it names.
+Pure. The policy's change is decided first, as requests may be waiting for it; an order goes to the controller
+that it names.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 
 class PolicyOrder(msgspec.Struct, forbid_unknown_fields=True):
-    """An operator's, of the policy."""
+    """An operator's order that concerns the policy."""
 
     action: Literal["propose", "abort", "waits"] = msgspec.field(name="policy")
     text: str = ""
@@ -30,26 +31,34 @@
 
 
 class CombinedController:
-    """Both; zones come once the scheduler has its policy."""
+    """The policy coordinator and the zone controller as one controller.
+
+    The zone controller joins once the scheduler has its policy; until then there is none.
+    """
 
     def __init__(self, policy_coordinator: PolicyCoordinator) -> None:
         self.policy_coordinator, self.zone_controller = policy_coordinator, None
 
     def join(self, zone_controller: Controller) -> None:
+        """Sets the zone controller, once the scheduler has its policy."""
         self.zone_controller = zone_controller
 
     def refresh_worker_list(self, now: float) -> None:
+        """Has the zone controller note the worker list, at every member, in case this one comes to lead."""
         if self.zone_controller is not None:
             self.zone_controller.refresh_worker_list(now)
 
     def record_evidence(self, now: float, session: SchedulerSession, evidence: msgspec.Raw) -> None:
+        """Passes a session's evidence on to the zone controller."""
         if self.zone_controller is not None:
             self.zone_controller.record_evidence(now, session, evidence)
 
     def zones_to_probe(self, now: float, leader: Leader) -> tuple[str, ...]:
+        """Returns the zones that the schedulers should probe; none without a zone controller."""
         return () if self.zone_controller is None else self.zone_controller.zones_to_probe(now, leader)
 
     def decide_next_change(self, now: float, document: Document, leader: Leader) -> Transaction | None:
+        """Returns the next transaction: the policy's, else the zones'; None if neither has one."""
         transaction = self.policy_coordinator.decide_next_change(now, document, leader)
         return (
             self.zone_controller.decide_next_change(now, document, leader)
@@ -60,6 +69,10 @@
     def handle_order(
         self, now: float, order: msgspec.Raw, document: Document, leader: Leader
     ) -> tuple[Transaction | None, str]:
+        """Returns the transaction of an operator's order, if it has one, and the text for the operator.
+
+        Raises ValueError if the order cannot be read or is rejected.
+        """
         try:
             policy_order = msgspec.json.decode(order, type=PolicyOrder)
         except ValueError:
--- a/spanwing/policy/coordinator.py
+++ b/spanwing/policy/coordinator.py
@@ -1,9 +1,11 @@
-"""At the member that keeps: registers schedulers, and brings a change of policy to its one end.
+"""The policy coordinator, at the leader: registers schedulers and brings each change of policy to one
+outcome.
 
-Guarantees: pure, time passed in; each change of the document holds only if what it was made from still
-stands. A version comes in force only once every session that may hold a permit has acknowledged that the
-former is closed, or can act no more (docs/design/policy.md has the proof). Bounds: one change, MOST_NAMES
-names, one word and one time for each.
+Pure: the time is passed in. Each transaction holds only if the entries that it was made from still stand. A
+version comes into force only once every session that may hold a permit has acknowledged that the former
+version is closed, or can no longer accept requests (docs/design/policy.md has the proof).
+
+Bounds: one change at a time, MAX_SCHEDULERS names, one vote and one permit time for each.
 """
 
 from __future__ import annotations
@@ -36,74 +38,77 @@
 from spanwing.store.document import Document, Transaction
 from spanwing.store.lease import lease_expiry_ms
 
-CLOSING_TIMEOUT_MS = 200.0  # jobs wait while a change is closing: after this it goes back to asking
-MAX_CONTACT_AGE_MS = 1000.0  # closing begins only if everybody was heard of within this
-REVERT_BACKOFF_MS = 500.0  # and not sooner than this after it had to go back
+CLOSING_TIMEOUT_MS = 200.0  # requests wait while a change is closing: after this it returns to asking
+MAX_CONTACT_AGE_MS = 1000.0  # closing begins only if every participant was in contact within this
+REVERT_BACKOFF_MS = 500.0  # after a return to asking, closing begins no sooner than this
 MAX_REASON_LENGTH = 200
 
 
 class PolicyVote(msgspec.Struct, frozen=True, array_like=True):
-    """What a renewal brings of the policy."""
+    """A participant's vote, as its renewal brings it."""
 
-    wants_permit: bool = False  # a permit
-    change_id: str = ""  # the id of the change that was looked at
-    objection: str = ""  # why it cannot be taken over; empty: ready
+    wants_permit: bool = False  # asks for a permit
+    change_id: str = ""  # of the change that was validated; empty: none
+    objection: str = ""  # why the change cannot be applied there; empty: ready
 
 
 class ParticipantSession(Protocol):
-    """A session as the keeper has it."""
+    """A session as the leader has it."""
 
     confirmed_at_ms: float
     acknowledged_revision: int
 
 
 class SessionRegistry(Protocol):
-    """What is asked of the keeper."""
+    """What the coordinator reads of the leader."""
 
     leading_since_ms: float
     sessions: Mapping[str, ParticipantSession]
 
 
 class PermitSettings(NamedTuple):
-    """From the operator's file."""
+    """Permit settings from the operator's file."""
 
-    permit_duration_ms: float  # a permit
+    permit_duration_ms: float  # for which a permit is granted
 
 
 class PolicyCoordinator:
-    """The keeper's mind for the policy."""
+    """The leader's controller for the policy."""
 
     def __init__(
         self, permit_settings: PermitSettings, wall_clock_ms: Callable[[], float], new_id: Callable[[], str]
     ) -> None:
-        """draw: an id for a change."""
+        """Takes the wall clock (ms) and a source of unique ids for changes and transactions."""
         self.permit_settings, self.wall_clock_ms, self.new_id = permit_settings, wall_clock_ms, new_id
-        self.votes: dict[str, PolicyVote] = {}  # by session: the last
+        self.votes: dict[str, PolicyVote] = {}  # by session: the last vote
         self.permit_confirmed_at_ms: dict[
             str, float
-        ] = {}  # by session: when a permit of it was last granted, or may be
+        ] = {}  # by session: when its permit was last granted, or may have been
         self.change_revision_seen: tuple[int, float] = (
             0,
             0.0,
-        )  # the change's number, and when we first saw it
-        self.change_started: tuple[str, float] = ("", 0.0)  # the change's id, and since when we know of it
+        )  # the change's revision, and when this leader first saw it
+        self.change_started: tuple[str, float] = ("", 0.0)  # the change's id, and since when it is known
         self.leading_since_ms = -math.inf
-        self.initial_policy = ""  # the policy that a fleet without any begins with
+        self.initial_policy = ""  # for a fleet that has no policy yet
 
     # -- what comes in
 
     def record_vote(self, session: str, vote: PolicyVote | msgspec.Raw) -> None:
-        """Raises ValueError where it says nothing of ours."""
+        """Records a session's vote. Raises ValueError if it cannot be read."""
         self.votes[session] = (
             vote if isinstance(vote, PolicyVote) else msgspec.json.decode(vote, type=PolicyVote)
         )
 
     def permit_duration_ms(self, session: str, document: Document) -> float:
+        """Returns how long a permit this session may be granted, in ms; 0: none."""
         return self.permit_settings.permit_duration_ms if self.may_hold_permit(session, document) else 0.0
 
     def may_hold_permit(self, session: str, document: Document) -> bool:
-        """Whether a permit may be granted to this session: the document names it. Asked after the read that
-        confirms the renewal."""
+        """Returns whether the document's register names this session, so that it may be granted a permit.
+
+        Called after the read that confirms the renewal.
+        """
         return read_policy(document).register.get(scheduler_name(session)) == session
 
     # -- who may still act
@@ -111,7 +116,7 @@
     def _update_session_state(self, now: float, leader: SessionRegistry, policy: PolicyState) -> None:
         if (
             leader.leading_since_ms != self.leading_since_ms
-        ):  # we keep anew: whatever was granted before may still be held
+        ):  # a new term of leadership: permits granted before may still be valid
             self.leading_since_ms, self.permit_confirmed_at_ms = leader.leading_since_ms, {}
         registered = set(policy.register.values())
         self.permit_confirmed_at_ms = {
@@ -131,14 +136,14 @@
             self.change_started = change.id, now
 
     def has_permit_expired(self, now: float, session: str, leader: SessionRegistry) -> bool:
-        """Whether its permit has ended, whoever granted it."""
+        """Returns whether the session's permit has expired, whichever leader granted it."""
         granted_at = max(leader.leading_since_ms, self.permit_confirmed_at_ms.get(session, -math.inf))
         return now >= lease_expiry_ms(granted_at, self.permit_settings.permit_duration_ms)
 
     def _possible_permit_holders(
         self, now: float, policy: PolicyState, leader: SessionRegistry
     ) -> dict[str, str]:
-        """Sessions that may hold a permit, by name."""
+        """Returns, by name, the sessions that may hold a permit."""
         removed_sessions = set(policy.change.removed_sessions) if policy.change is not None else set()
         return {
             name: session
@@ -147,7 +152,7 @@
         }
 
     def blocking_schedulers(self, now: float, document: Document, leader: SessionRegistry) -> dict[str, str]:
-        """By name, why the change has not gone on."""
+        """Returns, by name, the schedulers that keep the change from going on, and why."""
         policy = read_policy(document)
         change = policy.change
         if change is None:
@@ -171,6 +176,11 @@
     def decide_next_change(
         self, now: float, document: Document, leader: SessionRegistry
     ) -> Transaction | None:
+        """Returns the next transaction, or None: the initial policy, then registrations, then a step of the
+        change.
+
+        None as well if a part of the policy in the document cannot be read.
+        """
         policy = read_policy(document)
         if policy.unread:
             return None
@@ -196,7 +206,7 @@
     def _register_sessions(
         self, policy: PolicyState, leader: SessionRegistry, document: Document
     ) -> Transaction | None:
-        """All that ask for a permit and are not in the register, in one change."""
+        """Registers, in one transaction, all sessions that ask for a permit and are not in the register."""
         register = dict(policy.register)
         for session, vote in self.votes.items():
             name, participant = scheduler_name(session), leader.sessions.get(session)
@@ -245,7 +255,7 @@
             )
         if blocking or (change.tries and state_age_ms < REVERT_BACKOFF_MS):
             return None
-        # The register stays as it is from here to the end: who comes anew hears `closing` first.
+        # The end holds only for an unchanged register; a session that registers anew sees `closing` first.
         closing = msgspec.structs.replace(change, state="closing")
         return Transaction(
             self.new_id(),
@@ -256,8 +266,10 @@
     def _end_change(
         self, policy: PolicyState, document: Document, is_accepted: bool, reason: str
     ) -> Transaction:
-        """The decision: one change of the document, whichever it is. The register must be the one that was
-        looked at, as who is in it may hold a permit."""
+        """Returns the transaction that ends the change, accepted or not, in one step.
+
+        It holds only for the register that was evaluated, as every session in it may hold a permit.
+        """
         proposed = policy.next
         history_entry = PolicyHistoryEntry(
             proposed.number,
@@ -292,7 +304,9 @@
         timeout_ms: float,
         removed_names: list[str],
     ) -> Transaction:
-        """Raises ValueError with why it is refused."""
+        """Returns the transaction that proposes a policy. Raises ValueError with the reason if it is
+        rejected.
+        """
         policy = read_policy(document)
         if policy.unread:
             raise ValueError(f"{policy.unread[0]} cannot be read: it is of a newer program, or damaged")
@@ -315,7 +329,7 @@
             reason[:MAX_REASON_LENGTH],
             self.wall_clock_ms(),
         )
-        # Their sessions: a later life of the same name is another matter.
+        # By session: a later incarnation of the same name is not removed.
         change = PolicyChange(
             self.new_id(), "asking", timeout_ms, sorted(policy.register[name] for name in removed_names)
         )
@@ -326,7 +340,7 @@
         )
 
     def abort(self, document: Document, author: str) -> Transaction:
-        """Raises ValueError where there is nothing to give up."""
+        """Returns the transaction that aborts the change. Raises ValueError if none is under way."""
         policy = read_policy(document)
         if policy.change is None or policy.next is None:
             raise ValueError("no change is under way")
--- a/spanwing/policy/participant.py
+++ b/spanwing/policy/participant.py
@@ -1,7 +1,7 @@
-"""At each scheduler: under which version it may take a job now.
+"""The policy participant, at each scheduler: under which version it may accept a request now.
 
-Guarantees: pure, time passed in; may() looks at one permit and one copy of the document, both at the moment
-of use. Copies only go forward. Bounds: one word on one change.
+Pure: the time is passed in. decide_admission() evaluates one permit and one copy of the document, both at the
+moment of use. Copies of the document only go forward. Bounds: one vote, on one change.
 """
 
 from __future__ import annotations
@@ -13,11 +13,11 @@
 from spanwing.policy.records import PolicyState, policy_digest
 from spanwing.store.lease import Lease
 
-MAX_ADMISSION_WAIT_MS = 250.0  # a job that comes while a change is closing waits so long at most
+MAX_ADMISSION_WAIT_MS = 250.0  # the longest wait of a request that arrives while a change is closing
 
 
 class AdmissionDecision(NamedTuple):
-    """What to do with a job that comes now."""
+    """What to do with a request that arrives now: accept it, queue it or reject it."""
 
     action: Literal["take", "hold", "refuse"]
     version: int = 0
@@ -25,17 +25,17 @@
 
 
 class PolicyParticipant:
-    """One scheduler's part, in one life."""
+    """One scheduler's part in changes of policy, for one incarnation."""
 
     def __init__(self, session: str, find_objection: Callable[[str], str], permit: Lease) -> None:
-        """check: why a policy's text cannot be taken over here; empty: it can."""
+        """Takes find_objection, which returns why a policy's text cannot be applied here; empty: it can."""
         self.session, self.find_objection, self.permit = session, find_objection, permit
         self.policy = PolicyState()
         self.vote = PolicyVote(True)
         self.closed_since_ms: float | None = None
 
     def update_policy(self, now: float, policy: PolicyState) -> bool:
-        """A later copy of the document; whether another version is in force now."""
+        """Takes a later copy of the document; returns whether another version is in force now."""
         previous, self.policy = self.policy, policy
         if not policy.is_closed():
             self.closed_since_ms = None
@@ -51,7 +51,11 @@
         return policy.now != previous.now
 
     def decide_admission(self, now: float) -> AdmissionDecision:
-        """now: by the permit's clock."""
+        """Returns whether a request may be accepted now, and under which version.
+
+        `now` is in ms, by the permit's clock. While a change is closing a request is queued, for
+        MAX_ADMISSION_WAIT_MS after the closing was first seen; then it is rejected.
+        """
         policy = self.policy
         if policy.unread:
             return AdmissionDecision("refuse", reason=f"{policy.unread[0]} cannot be read here")
--- a/spanwing/policy/policy_cache.py
+++ b/spanwing/policy/policy_cache.py
@@ -1,8 +1,8 @@
-"""A scheduler's policies in a folder of its own: what it may start with while the store is away.
+"""The policy cache: a scheduler's own folder of policies, to start from while the store is unreachable.
 
-Guarantees: a version is whole and synced under its name before it counts; a torn or foreign file counts as
-none and is told; one process at a time holds the folder, to its end. A permit is kept with the boot of the
-machine that its clock belongs to. Bounds: KEPT versions.
+A version counts only once its file is complete and synced under its name; a torn or foreign file is skipped
+and reported. One process at a time locks the folder, until it exits. A permit is stored with the id of the
+boot that its clock belongs to. Bounds: MAX_CACHED_VERSIONS versions.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 class CachedPermit(msgspec.Struct):
-    """What is left of one, by the clock of one boot."""
+    """A stored permit: the version, and its expiry in ms by the clock of one boot."""
 
     version: int
     expires_at_ms: float = msgspec.field(name="until")
@@ -31,18 +31,21 @@
 
 
 def current_boot_id() -> str:
-    """Which boot of the machine this is; a clock since the start says nothing of another one."""
+    """Returns the id of the machine's current boot.
+
+    A monotonic clock's value means nothing after another boot.
+    """
     return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
 
 
 class PolicyCache:
-    """The folder."""
+    """The cache folder, locked for this process. Raises PolicyCacheError."""
 
     def __init__(self, directory: str) -> None:
         self.folder, self.skipped_files = Path(directory), list[str]()
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
-            self.lock_file = open(self.folder / "lock", "w")  # noqa: SIM115 - held for the life of the process
+            self.lock_file = open(self.folder / "lock", "w")  # noqa: SIM115 - locked until the process exits
             fcntl.flock(self.lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
             self.versions = self._load_versions()
         except BlockingIOError:
@@ -65,7 +68,9 @@
         return dict(sorted(found.items()))
 
     def store_version(self, version: PolicyVersion) -> None:
-        """Raises OSError; then nothing has changed."""
+        """Stores a version and drops the oldest beyond the bound. Raises OSError if its file cannot be
+        written.
+        """
         if self.versions.get(version.number) == version:
             return
         self._write_file(f"version-{version.number}.json", msgspec.json.encode(version))
@@ -75,13 +80,13 @@
             (self.folder / f"version-{number}.json").unlink(missing_ok=True)
 
     def store_permit(self, version_number: int, expires_at_ms: float) -> None:
-        """Raises OSError."""
+        """Stores the permit with the current boot's id. Raises OSError."""
         self._write_file(
             "permit.json", msgspec.json.encode(CachedPermit(version_number, expires_at_ms, current_boot_id()))
         )
 
     def load_permit(self) -> tuple[PolicyVersion, float] | None:
-        """What may be started with, and until when, by this boot's clock."""
+        """Returns the version to start with and its permit's expiry in ms; None unless it is of this boot."""
         try:
             permit = msgspec.json.decode((self.folder / "permit.json").read_bytes(), type=CachedPermit)
         except (OSError, ValueError):
--- a/spanwing/policy/records.py
+++ b/spanwing/policy/records.py
@@ -1,8 +1,8 @@
-"""What the fleet's document says of the policy.
+"""The records of the policy in the fleet's document.
 
-Guarantees: pure; what cannot be read is told by the reader and counts as a closed policy, under which nobody
-takes anything. Bounds: one change at a time, HISTORY lines of history, a policy of LONGEST bytes, MOST_NAMES
-schedulers in the register, whose names have LONGEST_NAME bytes.
+Pure. A record that cannot be read is named by the reader and counts as a closed policy, under which no
+scheduler accepts requests. Bounds: one change at a time, MAX_HISTORY_ENTRIES of history, MAX_POLICY_BYTES of
+policy text, MAX_SCHEDULERS in the register, with names of MAX_NAME_BYTES.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 
 class PolicyVersion(msgspec.Struct, frozen=True):
-    """One policy; number 0 is none."""
+    """One version of the policy; number 0 means none."""
 
     number: int = 0
     digest: str = ""
@@ -38,15 +38,15 @@
 
 
 class PolicyChange(msgspec.Struct, frozen=True):
-    """What is being made of a proposal, which stands under NEXT."""
+    """The state of the change to the proposed version (under PROPOSED_KEY)."""
 
     id: str
     state: Literal["asking", "closing"]
-    timeout_ms: float = msgspec.field(name="wait_ms")  # in all, by the clock of whoever keeps
+    timeout_ms: float = msgspec.field(name="wait_ms")  # for the whole change, by the leader's clock
     removed_sessions: list[str] = msgspec.field(
         default=[], name="gone"
-    )  # sessions that the operator says are gone for good
-    tries: int = 0  # times that it was closing and had to go back
+    )  # sessions that the operator has declared gone for good
+    tries: int = 0  # how often it returned from closing to asking
 
 
 class PolicyHistoryEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -61,19 +61,19 @@
 
 
 class PolicyState(msgspec.Struct, frozen=True):
-    """All of it, as read from a document."""
+    """Everything that a document holds of the policy."""
 
     now: PolicyVersion = PolicyVersion()
     next: PolicyVersion | None = None
     change: PolicyChange | None = None
-    change_number: int = 0  # the document's revision that the change last came with
+    change_number: int = 0  # the revision of the document that last wrote the change
     register: dict[str, str] = {}  # by name: the session that may hold a permit
     register_number: int = 0
     past: list[PolicyHistoryEntry] = []
     unread: tuple[str, ...] = ()
 
     def is_closed(self) -> bool:
-        """Whether nobody may take anything now."""
+        """Returns whether no scheduler may accept requests now."""
         return bool(self.unread) or (self.change is not None and self.change.state == "closing")
 
 
@@ -87,6 +87,7 @@
 
 
 def read_policy(document: Document) -> PolicyState:
+    """Reads the policy's records from a document; keys that cannot be decoded are listed in `unread`."""
     fields: dict[str, object] = {}
     unreadable_keys = []
     for key, (name, value_type) in FIELDS_BY_KEY.items():
@@ -104,13 +105,15 @@
 
 
 def encode_value(value: object) -> str:
+    """Encodes a record as the JSON text of a document entry."""
     return msgspec.json.encode(value).decode()
 
 
 def policy_digest(text: str) -> str:
+    """Returns the digest of a policy's text: the first 16 hex digits of its SHA-256."""
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
 def scheduler_name(session: str) -> str:
-    """The scheduler's name, of which a session is one life."""
+    """Returns the name of the scheduler of which a session is one incarnation."""
     return session.rpartition(".")[0]
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -1,9 +1,9 @@
-"""The fleet's policy in the daemon: the hand around the core, its folder, and at a member the chair.
+"""The fleet's policy in the daemon: the participant, the policy cache and, at a member, the coordinator.
 
-Guarantees: no job is taken but under the version in force, with a permit, looked at in the turn in which it
-is taken; jobs that come while a change is closing wait HOLD_MS at most, HELD_MOST of them; a version takes
-hold here in one turn of the loop. A folder that fails is told, and stops nothing: it is needed for a start
-without the store alone.
+A request is accepted only under the version in force and with a valid permit, both checked in the turn of the
+loop that accepts it. While a change is closing, at most MAX_QUEUED_REQUESTS requests are queued, each for at
+most MAX_ADMISSION_WAIT_MS. A version is applied here in one turn of the loop. A cache folder that fails is
+logged and stops nothing: only a start without the store needs it.
 """
 
 from __future__ import annotations
@@ -43,12 +43,12 @@
 
 MAX_QUEUED_REQUESTS = 10_000
 TIMER_INTERVAL_S = 0.02
-CACHE_RENEWAL_FRACTION = 0.25  # of a permit: the folder's copy is renewed as often
-MAX_RETIRING_VERSIONS = 4  # earlier policies under which jobs may still be open
+CACHE_RENEWAL_FRACTION = 0.25  # of a permit's duration: the interval between writes of the cache
+MAX_RETIRING_VERSIONS = 4  # earlier versions under which requests may still be open
 
 
 class PolicySettings(Protocol):
-    """The operator's table, checked."""
+    """The operator's table for the policy, checked."""
 
     directory: str
     away_ms: float
@@ -57,7 +57,7 @@
 
 
 class PolicyService:
-    """One scheduler's part."""
+    """One scheduler's part in the fleet's policy."""
 
     def __init__(
         self,
@@ -67,7 +67,7 @@
         buffers: BufferPool,
         seed: int,
     ) -> None:
-        """own: of our own file, of which our position and our zone count. Raises KeptError."""
+        """Takes, of own_settings, this scheduler's position and zone. Raises PolicyCacheError."""
         self.name, self.policy_settings, self.own_settings, self.seed = (
             name,
             policy_settings,
@@ -89,23 +89,23 @@
             self.follower.session, self._find_objection, self.follower.permit
         )
         self.follower.policy_vote = lambda: msgspec.Raw(msgspec.json.encode(self.participant.vote))
-        self.on_probe_request: Callable[[tuple[str, ...]], None] = lambda zones: None  # the zones'
+        self.on_probe_request: Callable[[tuple[str, ...]], None] = lambda zones: None  # set by the zones
         self.on_document_change: Callable[[Document], None] = lambda document: None
         self.on_policy_change: list[
             Callable[[api.Settings], None]
-        ] = []  # hear of each policy that takes hold here
+        ] = []  # called with each policy that is applied here
         self.request_manager: RequestManager | None = None
-        self.active_version = PolicyVersion()  # under which our module is
+        self.active_version = PolicyVersion()  # under which the scheduler runs
         self.queued_requests: deque[tuple[float, RequestSubmitted]] = deque()
-        self.resubmitted_requests: list[RequestSubmitted] = []  # posted again, until they come here anew
-        self.abandoned_requests: list[RequestSubmitted] = []  # of these, those whose client left meanwhile
+        self.resubmitted_requests: list[RequestSubmitted] = []  # posted again, until admit() sees them
+        self.abandoned_requests: list[RequestSubmitted] = []  # of these, those whose client has disconnected
         self.first_version: Future[PolicyVersion] = Future()
         self.cache_written_at_ms, self.is_writing_cache = -1e9, False
         self.document_service: DocumentService | None = None
         for each in self.cache.skipped_files:
             log_event("policy_skipped", level="warning", rate_limited=False, file=each)
         cached_permit = self.cache.load_permit()
-        if cached_permit is not None:  # until we hear more: what an earlier life had
+        if cached_permit is not None:  # the earlier incarnation's, until the store is reached
             self.follower.permit.expires_at_ms = cached_permit[1]
             self.participant.update_policy(
                 clock_ms(), msgspec.structs.replace(self.participant.policy, now=cached_permit[0])
@@ -114,7 +114,10 @@
     def serve_as_member(
         self, store: Store, listener: PeerListener, initial_policy: str
     ) -> CombinedController:
-        """We are a member: keep, when it is our turn; text: what a fleet without a policy begins with."""
+        """Sets up this member's leader part: the document service and the coordinator.
+
+        initial_policy is the text that a fleet without a policy starts with.
+        """
         coordinator = PolicyCoordinator(
             PermitSettings(self.policy_settings.away_ms), lambda: time.time() * 1000.0, _random_id
         )
@@ -127,29 +130,31 @@
         return combined_controller
 
     def start(self) -> None:
+        """Starts the background tasks: the follower, the timer and, at a member, the document service."""
         if self.document_service is not None:
             spawn_task(self.document_service.run())
         spawn_task(self.follower.run())
         spawn_task(self._run_timer())
 
     async def wait_for_policy(self) -> str:
-        """The version in force, once we may take jobs under it."""
+        """Returns the text of the version in force, once requests may be accepted under it."""
         self._resolve_first_version()
         self.active_version = await self.first_version
         return self.active_version.text
 
     def attach_request_manager(self, request_manager: RequestManager) -> None:
+        """Connects the request manager, which then asks admit(), and applies the current version."""
         self.request_manager = request_manager
         request_manager.policy_admission = self
         self._apply_current_version()
 
-    # -- jobs
+    # -- requests
 
     def admit(self, submitted: RequestSubmitted) -> bool:
-        """Whether it may be taken now; else it is answered, or posted again."""
+        """Returns whether the request may be accepted now; if not, it is queued here or rejected."""
         if any(
             submitted is each for each in self.abandoned_requests
-        ):  # the word of its leaving was ahead of it in the mailbox
+        ):  # the notice of its disconnect was ahead of it in the mailbox
             self.abandoned_requests = [each for each in self.abandoned_requests if each is not submitted]
             return False
         self.resubmitted_requests = [each for each in self.resubmitted_requests if each is not submitted]
@@ -157,7 +162,7 @@
         if decision.action == "take" and decision.version == self.active_version.number:
             if submitted.request.cls in self.request_manager.scheduler.index:
                 return True
-            self._reject(submitted)  # its class went while it waited
+            self._reject(submitted)  # its class was removed while it waited
             return False
         if decision.action != "refuse" and len(self.queued_requests) < MAX_QUEUED_REQUESTS:
             self.request_manager.counters["policy.held"] += 1
@@ -167,7 +172,7 @@
         return False
 
     def client_disconnected(self, request_id: str, client: ClientConnection) -> None:
-        """Its client is gone: it is not taken any more."""
+        """Drops the request of a client that has disconnected."""
 
         def is_of_client(take: RequestSubmitted) -> bool:
             return take.request.id == request_id and take.client is client
@@ -184,12 +189,14 @@
         )
 
     def _release_queued(self) -> None:
-        """What waited is taken, in its order, once it may be; or refused when it has waited for too long."""
+        """Posts queued requests again, in their order, once they may be accepted; rejects those that waited
+        too long.
+        """
         now = clock_ms()
         action = self.participant.decide_admission(now).action
         while self.queued_requests and (action == "take" or now >= self.queued_requests[0][0]):
             wait_ends_at, submitted = self.queued_requests.popleft()
-            if action == "take":  # what it has waited is gone of its client's time
+            if action == "take":  # the wait counts against the client's budget
                 remaining_ms = max(
                     1.0, submitted.request.budget - (now - wait_ends_at + MAX_ADMISSION_WAIT_MS)
                 )
@@ -199,12 +206,12 @@
             else:
                 self._reject(submitted)
 
-    # -- news
+    # -- changes of the document
 
     def _handle_document_change(self, document: Document) -> None:
-        """The document is another; acknowledged once we return."""
+        """Applies a new copy of the document; it is acknowledged once this returns."""
         previous, policy = self.participant.policy, read_policy(document)
-        if policy.now.number >= previous.now.number:  # what our folder had may be newer than nothing at all
+        if policy.now.number >= previous.now.number:  # an empty document does not undo the cached version
             self.participant.update_policy(clock_ms(), policy)
         self._log_change_steps(previous, policy)
         self._resolve_first_version()
@@ -212,7 +219,7 @@
         self.on_document_change(document)
 
     def _log_change_steps(self, previous: Any, policy: Any) -> None:
-        """One event for each step."""
+        """Logs one event for each step of a change."""
         change, previous_change = policy.change, previous.change
         if change is not None and (
             previous_change is None
@@ -246,7 +253,7 @@
             self.first_version.set_result(self.participant.policy.now)
 
     def _apply_current_version(self) -> None:
-        """Have the module be the one of the version in force."""
+        """Replaces the scheduler by one for the version in force."""
         current = self.participant.policy.now
         request_manager = self.request_manager
         if request_manager is None or current.number == 0 or self.active_version.number >= current.number:
@@ -254,7 +261,7 @@
         started_at_s = time.perf_counter()
         try:
             settings = parse_policy(current.text, self.own_settings)
-        except ValueError as error:  # it was taken without our word: jobs are refused here until it is mended
+        except ValueError as error:  # accepted without this scheduler's vote: it rejects until corrected
             log_event("policy_unfit", level="error", version=current.number, reason=str(error))
             return
         previous_scheduler, module_now = request_manager.scheduler, request_manager.clock.now_ms()
@@ -276,7 +283,7 @@
         self._start_cache_write(clock_ms())
 
     def _find_objection(self, text: str) -> str:
-        """Whether we could take it over now."""
+        """Returns why the policy cannot be applied here now; empty: it can."""
         if self.request_manager is None:
             return find_objection(text, RunningState(self.own_settings))
         if len(self.request_manager.retiring_schedulers) >= MAX_RETIRING_VERSIONS:
@@ -297,8 +304,10 @@
         )
 
     def _idempotency_windows_ms(self) -> dict[str, float]:
-        """By keyed class, how long a key that is open now may come again: as long as its window, while jobs
-        of it are open."""
+        """Returns, by keyed class, how long (ms) a key that is open now may be used again.
+
+        It is the class's window while requests of the class are open.
+        """
         return {
             each.name: each.window
             for each in self.request_manager.settings.classes
@@ -307,7 +316,7 @@
         }
 
     async def _run_timer(self) -> None:
-        """What changes without news: a permit ends or is granted, a wait is over."""
+        """Handles what changes with time alone: a permit is granted or expires, a wait ends."""
         logged_permit = None
         while True:
             await sleep(TIMER_INTERVAL_S)
@@ -328,7 +337,7 @@
                 self._start_cache_write(now)
 
     def _start_cache_write(self, now: float) -> None:
-        """Have the folder written, beside the loop: no job waits for a disk."""
+        """Starts a write of the cache outside the event loop, so that no request waits for a disk."""
         if self.active_version.number and not self.is_writing_cache:
             self.is_writing_cache, self.cache_written_at_ms = True, now
             IOLoop.current().run_in_executor(
@@ -358,7 +367,10 @@
         timeout_s: float = 60.0,
         removed_names: list[str] = (),
     ) -> str:
-        """Raises ValueError with what is wrong."""
+        """Sends an operator's order to the leader and returns its answer.
+
+        timeout_s bounds the change as a whole. Raises ValueError with the reason if the order is rejected.
+        """
         order = PolicyOrder(
             action, text, base_version, f"{author} at {self.name}", reason, timeout_s, list(removed_names)
         )
@@ -368,6 +380,7 @@
         return result.text
 
     def status(self) -> dict[str, Any]:
+        """Returns the state of the policy here, for the operator's status page."""
         policy, now = self.participant.policy, clock_ms()
         change = policy.change
         return {
@@ -398,13 +411,17 @@
         }
 
     def history(self) -> list[dict[str, Any]]:
+        """Returns how the last changes ended, oldest first."""
         return [msgspec.structs.asdict(each) for each in self.participant.policy.past]
 
     def check(self, text: str) -> str:
+        """Returns why a policy's text cannot be applied here; empty: it can."""
         return self._find_objection(text)
 
     def text(self, version_number: int) -> str:
-        """Of a version; 0: of the one in force. Raises ValueError."""
+        """Returns the text of a version; 0 means the version in force here. Raises ValueError if it is not
+        cached.
+        """
         version_number = version_number or self.active_version.number
         version = self.cache.versions.get(version_number)
         if version_number == self.active_version.number:
--- a/spanwing/policy/state_transfer.py
+++ b/spanwing/policy/state_transfer.py
@@ -1,8 +1,8 @@
-"""The module made anew for another policy, with what the former one had learned.
+"""Rebuilds the scheduler for another policy, with the estimates of the former one.
 
-Guarantees: pure. The new module knows the same job workers, estimates, counts and cold budgets; what the
-former one still has out counts as others' load, as it goes on deciding about its own jobs. Cold workers are
-fed by the new one alone: one budget, one feeder. A brand's credit moves in proportion to its share.
+Pure. The new scheduler knows the same workers, estimates, counts and warm-up budgets. The former one goes on
+deciding about its own requests, so its slots in flight count as load of others. Workers that are warming up
+are fed by the new one alone: one budget, one feeder. A tenant's credit is scaled in proportion to its quota.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 
 def create_scheduler(settings: api.Settings, seed: int, now: float, previous: Dispatcher) -> Dispatcher:
-    """One that has heard of no list yet: see known()."""
+    """Returns a scheduler for the new settings, which knows no worker list yet (see known_workers)."""
     scheduler = Dispatcher(settings, seed, now)
     import_scheduler(scheduler, export_scheduler(previous, None, ""), now)
     for name, account in scheduler.ledgers.items():
@@ -31,13 +31,15 @@
 
 
 def known_workers(previous: Dispatcher) -> api.WorkerList:
-    """The list that the former module has, for the new one."""
+    """Returns the former scheduler's worker list, without workers that are gone."""
     entries = (view.entry for view in previous.views.values() if view.entry.state != "gone")
     return api.WorkerList("persisted", tuple(entries))
 
 
 def transfer_worker_estimates(scheduler: Dispatcher, previous: Dispatcher, now: float) -> None:
-    """What was learned of each worker; called once the new module knows the list."""
+    """Copies each worker's estimates, once the new scheduler has the worker list; the former one stops
+    feeding.
+    """
     for worker, worker_state in scheduler.views.items():
         previous_state = previous.views.get(worker)
         if previous_state is not None:
--- a/spanwing/policy/validation.py
+++ b/spanwing/policy/validation.py
@@ -1,9 +1,11 @@
-"""Whether a proposed policy can be taken over here and now: ready, or no with one reason.
+"""Validates a proposed policy against this process and its state: no objection, or one reason.
 
-Guarantees: pure; never raises, whatever the text is. A policy of a newer program, which names what this one
-does not know, is refused rather than read in part. What runs forbids what would break a promise that was
-made: a class cannot go, change its effect or its group while jobs of it are open, and a window cannot shrink
-while a key of it may still come again. Bounds: LONGEST bytes of text, MOST_CLASSES, MOST_BRANDS.
+Pure; find_objection() never raises: text that cannot be read is an objection. A policy with fields that this
+program does not know (of a newer program) is rejected, not applied in part. Promises made to clients must
+hold: a class cannot be removed, nor change its effect or its group, while requests of it are open, and an
+idempotency window cannot shrink while a key of it may be used again.
+
+Bounds: MAX_POLICY_BYTES of text, MAX_CLASSES, MAX_TENANTS.
 """
 
 from __future__ import annotations
@@ -19,26 +21,24 @@
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
 
 MAX_CLASSES, MAX_TENANTS = 64, 2000
-MEMBER_SETTINGS = ("position", "zone")  # a member's own, which no policy says
-RESTART_SETTINGS = ("report_fields", "max_retry_after", "subscribe", "probes")  # read at a start alone
+MEMBER_SETTINGS = ("position", "zone")  # a member's own, never part of a policy
+RESTART_SETTINGS = ("report_fields", "max_retry_after", "subscribe", "probes")  # read only at the start
 CONNECTION_SETTINGS = ("conn_idle_ms", "connect_timeout_ms")
-TENANT_MEMORY_KB, TENANT_CLASS_MEMORY_KB = 0.4, 0.1  # of a brand, and of a class of it
+TENANT_MEMORY_KB, TENANT_CLASS_MEMORY_KB = 0.4, 0.1  # for each tenant, and for each class of a tenant
 
 
 class RunningState(NamedTuple):
-    """What is going on at this scheduler."""
+    """What a policy is validated against at this scheduler."""
 
-    settings: api.Settings  # in use, with our own position and zone
-    open_requests: Mapping[str, int] = {}  # by class: jobs that owe their answer or have an attempt out
-    idempotency_windows_ms: Mapping[
-        str, float
-    ] = {}  # by keyed class: ms until the last key that is open may come no more
+    settings: api.Settings  # in use, with this scheduler's own position and zone
+    open_requests: Mapping[str, int] = {}  # by class: unanswered, or with an attempt in flight
+    idempotency_windows_ms: Mapping[str, float] = {}  # by keyed class: ms until no open key may be used again
     available_memory_mb: float = 64.0
     policy_text: str = ""  # of the policy in use
 
 
 def find_objection(text: str, state: RunningState) -> str:
-    """Why it cannot be taken over, one line; empty: it can."""
+    """Returns why the policy cannot be applied, in one line; empty: it can."""
     try:
         return next(_objections(text, state), "")
     except (ValueError, TypeError, RecursionError) as error:
@@ -46,7 +46,7 @@
 
 
 def remove_member_settings(text: str) -> str:
-    """The policy in a settings object. Raises ValueError."""
+    """Returns the policy part of a settings object, as JSON. Raises ValueError."""
     raw = msgspec.json.decode(text)
     return msgspec.json.encode(
         {name: each for name, each in raw.items() if name not in MEMBER_SETTINGS}
@@ -54,7 +54,7 @@
 
 
 def parse_policy(text: str, own_settings: api.Settings) -> api.Settings:
-    """The settings that a scheduler with this position and zone makes of a policy. Raises ValueError."""
+    """Returns the settings of a scheduler with this position and zone under a policy. Raises ValueError."""
     options = msgspec.json.decode(text, type=PlatformSettings)
     options.node_index, options.zone = own_settings.node, own_settings.zone
     return scheduler_settings(options)
@@ -100,7 +100,7 @@
 
 
 def _broken_promises(new_settings: api.Settings, state: RunningState) -> Iterator[str]:
-    """What jobs and windows that are open here forbid."""
+    """Yields objections from requests and idempotency windows that are open here."""
     classes = {each.name: each for each in new_settings.classes}
     for old_class in state.settings.classes:
         count, remaining_window_ms = (
@@ -147,7 +147,7 @@
 
 
 def _unknown_fields(value: Any, known_type: msgspec.inspect.Type, path: str) -> Iterator[str]:
-    """Places of the text that no field of ours has."""
+    """Yields the paths of the text that are no fields of the settings."""
     if isinstance(known_type, msgspec.inspect.UnionType):
         for each in known_type.types:
             if isinstance(each, msgspec.inspect.StructType | msgspec.inspect.ListType):
@@ -170,7 +170,7 @@
 
 
 def describe_differences(old: str, new: str) -> list[str]:
-    """What changes from one policy to another, a line each; for an operator to read. Raises ValueError."""
+    """Returns what changes from one policy to another, a line each, for an operator. Raises ValueError."""
     before, after = (dict(_flatten(msgspec.json.decode(text), "")) for text in (old, new))
     found = []
     for path in sorted({*before, *after}):
@@ -184,7 +184,7 @@
 
 
 def _flatten(value: Any, path: str) -> Iterator[tuple[str, Any]]:
-    """Every leaf with its place; things of a list by their name, where they have one."""
+    """Yields every leaf with its path; items of a list by their name, where they have one."""
     if isinstance(value, dict) and value:
         for name, each in value.items():
             yield from _flatten(each, f"{path}.{name}" if path else name)
