Write the hot restart package's docstrings in the field's terms

Cause: after the renames the docstrings and comments still used the former terms, and names that no longer exist (ANSWER_S, MOST, View's words). Change: docstrings and comments only; every public class and function of spanwing/hot_restart has a docstring. state_transfer now also says that a resumed attempt's unknown worker counts as gone from the list.

--- a/spanwing/hot_restart/__init__.py
+++ b/spanwing/hot_restart/__init__.py
@@ -1,1 +1,1 @@
-"""Two processes as one scheduler, for the seconds in which one replaces the other."""
+"""Hot restart: two processes act as one scheduler while one replaces the other."""
--- a/spanwing/hot_restart/hot_restart.py
+++ b/spanwing/hot_restart/hot_restart.py
@@ -1,10 +1,12 @@
-"""One process takes the place of another on the platform's listening socket.
+"""Hot restart: one process replaces another on the same listening socket.
 
-Guarantees, for both sides: no wait here is longer than ANSWER_S, so no start and no answer hangs on the
-other process; whatever ends the link, each side goes on as the only process. The predecessor accepts until
-its successor is ready, tells all it has learned at that moment, feeds no cold job worker from then on, and
-never shuts the shared socket down. After SIGTERM its connections go over whole. Both together hold no more
-connections than one may: what the predecessor holds is taken off the successor's shares.
+For both sides: no wait for the other process is longer than ANSWER_TIMEOUT_S, so no start and no answer hangs
+on it; however the link ends, each side goes on as the only process.
+
+The predecessor accepts until its successor is ready, transfers all its estimates at that moment, feeds no
+worker that is warming up from then on, and never shuts the shared socket down. After SIGTERM its connections
+are transferred, each complete. Both processes together hold no more connections than one may: what the
+predecessor holds is deducted from the successor's limits.
 """
 
 from __future__ import annotations
@@ -63,14 +65,14 @@
 from spanwing.workers.connection_pool import DescriptorBudget
 from spanwing.workers.http_worker import HttpWorker, WorkerCallback
 
-ANSWER_TIMEOUT_S = 1.0  # a predecessor that has not answered by then is taken for hung, and told nothing more
-WATCH_RESUME_S = 0.2  # a watch continues another if it begins within this, by the protocol
-COUNTS_INTERVAL_S = 0.05  # between looks at how much is held here
-TRANSFER_INTERVAL_S = 0.005  # between looks at which connections can go
+ANSWER_TIMEOUT_S = 1.0  # a predecessor that has not answered by then counts as hung; its link is closed
+WATCH_RESUME_S = 0.2  # by the protocol, a watch continues another if it begins within this
+COUNTS_INTERVAL_S = 0.05  # between checks of the connection counts
+TRANSFER_INTERVAL_S = 0.005  # between checks of which connections can be transferred
 
 
 class HotRestartContext(NamedTuple):
-    """The daemon's parts that are told of, or taken over."""
+    """The daemon's parts whose state is transferred."""
 
     core: RequestManager
     discovery_client: DiscoveryClient
@@ -78,23 +80,23 @@
 
 
 class HotRestart:
-    """Both roles of this process: successor of the one before, predecessor of the next."""
+    """Both roles of this process: successor of the process before it, predecessor of the next."""
 
     def __init__(self, rendezvous: RendezvousSocket, divide_connections: Callable[[], None]) -> None:
         self.rendezvous, self.divide_connections = rendezvous, divide_connections
         self.context: HotRestartContext | None = None
         self.server: HttpServer | None = None
-        self.predecessor: HotRestartLink | None = None  # the process that we replace
-        self.successor: HotRestartLink | None = None  # the one that replaces us
-        self.predecessor_counts = ConnectionCounts(0, 0)  # what the predecessor holds
-        self.has_transferred_state = False  # all was told to the successor
-        self.is_draining = self.is_finished = False  # done: nothing is left here
+        self.predecessor: HotRestartLink | None = None  # the process that this one replaces
+        self.successor: HotRestartLink | None = None  # the process that replaces this one
+        self.predecessor_counts = ConnectionCounts(0, 0)  # connections that the predecessor holds
+        self.has_transferred_state = False  # the successor has the estimates
+        self.is_draining = self.is_finished = False  # finished: nothing is left here
         self.peer_request_ids: set[str] = (
             set()
-        )  # requests open at the other process: no more than it has connections
+        )  # requests open at the other process: at most one for each of its connections
         self.transferred_request_ids: set[str] = (
             set()
-        )  # requests that went to the successor, each with a connection of ours
+        )  # requests transferred to the successor, each with its client's connection
         self.answer_received: Future[None] | None = None
         self.members: list[DiscoveredWorker] = []
         self.worker_estimates: list[WorkerEstimates] = []
@@ -104,7 +106,7 @@
     # As the successor.
 
     async def connect_to_predecessor(self) -> None:
-        """Find the process before us, if there is one, and hear what it holds."""
+        """Connects to the predecessor, if there is one, and waits for its connection counts."""
         link = self.rendezvous.connect()
         if link is None:
             return
@@ -114,7 +116,7 @@
         await self._wait_for_answer()
 
     async def take_over(self, context: HotRestartContext) -> None:
-        """Say that we are ready, and take in what the process before us has learned."""
+        """Reports that this process is ready, and imports the predecessor's estimates."""
         self._attach(context)
         if self.predecessor is None:
             return
@@ -126,7 +128,7 @@
             discovery_client.adopt_endpoints(
                 DiscoveredEndpoints(self.scheduler_estimates.revision or 0, True, self.members)
             )
-        while core.mailbox:  # the list comes first
+        while core.mailbox:  # the worker list has to be applied first
             await sleep(0)
         now = core.clock.now_ms()
         import_scheduler(core.scheduler, self.scheduler_estimates, now)
@@ -134,16 +136,16 @@
             if each.worker_id in core.scheduler.views:
                 import_worker(core.scheduler.views[each.worker_id], each, now)
         self.members, self.worker_estimates, self.scheduler_estimates = [], [], None
-        # The watch goes on where the predecessor's ends; 200 that are replaced at once call apart.
+        # The watch continues the predecessor's; the random delay spreads 200 schedulers restarted at once.
         discovery_client.loop.call_later(random.uniform(0.0, WATCH_RESUME_S), discovery_client.watch)
 
     def start_serving(self, server: HttpServer) -> None:
-        """We take clients from now on, and a successor may come. Raises OSError."""
+        """Starts to accept clients and listens for a successor. Raises OSError."""
         self.server = server
         self.stop_listening = self.rendezvous.listen(self._accept_successor)
 
     async def _wait_for_answer(self) -> bool:
-        """Whether the predecessor's answer came in time; where not, it is given up."""
+        """Returns whether the predecessor answered within ANSWER_TIMEOUT_S; if not, its link is closed."""
         self.answer_received = Future()
         timer = IOLoop.current().call_later(ANSWER_TIMEOUT_S, self._handle_answer_timeout)
         await self.answer_received
@@ -167,7 +169,7 @@
         self.divide_connections()
 
     def _handle_predecessor_message(self, message: HotRestartMessage, fd: int | None) -> None:
-        if fd is not None and self.server is None:  # nothing goes over before our yes
+        if fd is not None and self.server is None:  # nothing is transferred before this process is ready
             os.close(fd)
             return
         if isinstance(message, TransferredConnection):
@@ -301,7 +303,7 @@
         link.send(AcceptingStopped())
 
     async def _report_connection_counts(self, link: HotRestartLink) -> None:
-        """What the successor may not use, at each change, for as long as the link stands."""
+        """Reports the connections that the successor may not use, at each change, while the link is open."""
         reported = None
         while link.is_open:
             counts = self.connection_counts()
@@ -310,7 +312,7 @@
             await sleep(COUNTS_INTERVAL_S)
 
     def connection_counts(self) -> ConnectionCounts:
-        """What we hold, or may still open."""
+        """Returns the connections that this process holds, or may still open."""
         descriptors = self.context.descriptors
         return ConnectionCounts(
             len(self.server.table.connections),
@@ -318,7 +320,7 @@
         )
 
     def _handle_successor_closed(self) -> None:
-        """The successor is gone, and this process is the only one again; or all has gone to it."""
+        """Resumes as the only process, unless everything was transferred."""
         if self.is_finished:
             return
         self.successor, had_transferred_state, self.has_transferred_state = (
@@ -335,7 +337,11 @@
         self.divide_connections()
 
     async def transfer_connections(self) -> bool:
-        """After SIGTERM: pass everything on until nothing is left here; False if the successor went first."""
+        """Transfers all connections after SIGTERM, until nothing is left here.
+
+        Returns False if the successor ended first. The last wait, for the successor to close the link, is
+        bounded by ANSWER_TIMEOUT_S.
+        """
         self.is_draining = True
         while self.has_transferred_state and (
             self.server.table.connections or not self.context.core.is_idle() or self.successor.queue
@@ -343,7 +349,7 @@
             for each in list(self.server.table.connections):
                 self._transfer_connection(each)
             await sleep(TRANSFER_INTERVAL_S)
-        # Ended from this side, the link could lose what is still on it.
+        # The successor closes the link: closed from this side, it could lose messages still on it.
         self.is_finished = self.has_transferred_state
         if self.is_finished:
             deadline = IOLoop.current().time() + ANSWER_TIMEOUT_S
@@ -353,7 +359,7 @@
         return self.is_finished
 
     def _transfer_connection(self, connection: HttpClientConnection) -> None:
-        """Give one connection to the successor, with the request that waits there, if it can go now."""
+        """Transfers one connection, with the request that is pending on it, if it can go now."""
         pending, link, transferred_request = connection.pending_request, self.successor, None
         if link is None or not link.is_open:
             return
@@ -384,8 +390,10 @@
     def _build_transferred_request(
         self, connection: HttpClientConnection, request: JobRequest, keep_alive: bool
     ) -> TransferredRequest | None:
-        """What there is to tell of a request; None while an attempt of it is being sent or given up, and
-        where a journal has it."""
+        """Returns the message that describes a request.
+
+        None while an attempt of it is being sent or cancelled, and if it is recorded in a journal.
+        """
         core = self.context.core
         call, job = core.pending_requests.get(request.id), core.scheduler.jobs.get(request.id)
         if call is None or call.client is not connection or job is None or core.recorder is not None:
@@ -414,7 +422,7 @@
             )
         return transferred
 
-    # Both.
+    # In both roles.
 
     def _attach(self, context: HotRestartContext) -> None:
         self.context = context
@@ -423,10 +431,11 @@
         context.discovery_client.on_unknown_callback = self._forward_callback
 
     def peer_link(self) -> HotRestartLink | None:
-        """The other process, once both know of each other."""
+        """Returns the link to the other process, once both know of each other; None without one."""
         return self.successor if self.has_transferred_state else self.predecessor
 
     def has_peer(self) -> bool:
+        """Returns whether there is a predecessor or a successor."""
         return self.predecessor is not None or self.successor is not None
 
     def _handle_common_message(self, message: HotRestartMessage) -> None:
@@ -435,7 +444,7 @@
             and message.request_id in self.transferred_request_ids
             and self.successor is not None
         ):
-            self.successor.send(message)  # it met the request on its way
+            self.successor.send(message)  # the request went to the successor meanwhile
         elif isinstance(message, ForwardedCallback):
             event = WorkerCallback(message.request_id, message.state, message.body, message.report)
             self.context.discovery_client.post(WorkerCallbackReceived(message.worker_name, event, True))
@@ -467,6 +476,7 @@
             self.stop_listening = None
 
     def close(self) -> None:
+        """Stops listening for a successor and closes both links."""
         self._stop_listening()
         for link in (self.predecessor, self.successor):
             if link is not None:
--- a/spanwing/hot_restart/link.py
+++ b/spanwing/hot_restart/link.py
@@ -1,10 +1,10 @@
-"""A link between two processes on one machine: whole messages, with descriptors.
+"""A link between two processes on one machine, for complete messages with file descriptors.
 
-Guarantees: messages arrive whole, in order, once, or the link has ended, which is told once; nothing here
-waits. What the other side does not take is kept up to MOST messages, beyond which the link ends. A descriptor
-that was handed in is closed here once it is sent, or when the link ends.
+Messages arrive complete, in order and once, or the link has ended, which is reported once. Nothing here
+blocks. Up to MAX_QUEUED_MESSAGES messages are queued for a peer that does not read; beyond that the link
+ends. A descriptor passed to send() is closed here once it is sent, or when the link ends.
 
-SOCK_SEQPACKET keeps messages apart by itself, so nothing is cut off at a byte; IOStream knows no descriptors.
+SOCK_SEQPACKET preserves message boundaries; IOStream is not used, as it cannot pass descriptors.
 """
 
 from __future__ import annotations
@@ -21,12 +21,15 @@
 
 from spanwing.hot_restart.messages import MAX_MESSAGE_BYTES, HotRestartMessage, decode_message, encode_message
 
-MAX_QUEUED_MESSAGES = 5000  # messages that wait to be sent
+MAX_QUEUED_MESSAGES = 5000  # messages queued to be sent
 MAX_READS_PER_EVENT = 64  # messages read in one turn of the loop
 
 
 class HotRestartLink:
-    """One end; hear is called with each message and its descriptor, which is then the hearer's to close."""
+    """One end of the link.
+
+    on_message is called with each message and its descriptor, which is then the callee's to close.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.loop, self.is_open = sock, IOLoop.current(), True
@@ -37,6 +40,10 @@
         self.loop.add_handler(sock.fileno(), self._handle_events, IOLoop.READ)
 
     def send(self, message: HotRestartMessage, fd: int | None = None) -> None:
+        """Queues a message with its descriptor and sends what the socket takes.
+
+        Closes the link if the message is longer than MAX_MESSAGE_BYTES or MAX_QUEUED_MESSAGES are queued.
+        """
         data = encode_message(message)
         if not self.is_open or len(data) > MAX_MESSAGE_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES:
             if fd is not None:
@@ -84,7 +91,7 @@
             if flags & socket.MSG_TRUNC:
                 raise ValueError("a message too long")
             message = decode_message(data)
-        except (ValueError, msgspec.MsgspecError):  # the other side has closed, or is no kin of ours
+        except (ValueError, msgspec.MsgspecError):  # the peer has closed, or speaks another protocol
             if fd is not None:
                 os.close(fd)
             self.close()
@@ -93,6 +100,7 @@
         return True
 
     def close(self) -> None:
+        """Closes the link and all queued descriptors; on_close is called in a later turn of the loop."""
         if not self.is_open:
             return
         self.is_open = False
@@ -106,18 +114,18 @@
 
 
 class RendezvousSocket:
-    """Where the successor finds us: a Unix socket in a folder, however long the folder's path is."""
+    """The Unix socket by which a successor finds this process, however long its folder's path is."""
 
     def __init__(self, folder: str, client_address: str) -> None:
-        """listening: the clients' address, as other schedulers may use the same folder."""
+        """Takes the clients' address as part of the name, as other schedulers may use the same folder."""
         self.folder, self.socket_name = folder, f"spanwing-{client_address}"
 
     def _path(self, folder: int) -> str:
-        # The kernel bounds a socket's path at 108 bytes; that of an open folder is short.
+        # The kernel limits a socket's path to 108 bytes; the path of an open folder's descriptor is short.
         return f"/proc/self/fd/{folder}/{self.socket_name}"
 
     def connect(self) -> HotRestartLink | None:
-        """A link to whoever listens there; None where nobody does."""
+        """Returns a link to the process that listens there; None if none does."""
         sock = None
         try:
             folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
@@ -125,7 +133,7 @@
             return None
         try:
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-            sock.setblocking(False)  # a backlog that is full is as good as nobody
+            sock.setblocking(False)  # a full backlog counts as no listener
             sock.connect(self._path(folder))
         except OSError:
             if sock is not None:
@@ -136,7 +144,10 @@
         return HotRestartLink(sock)
 
     def listen(self, on_connect: Callable[[HotRestartLink], None]) -> Callable[[], None]:
-        """Listen, in the place of whoever did; returns what ends it. Raises OSError."""
+        """Listens in place of any earlier process, and calls on_connect with each new link.
+
+        Returns the function that stops listening. Raises OSError.
+        """
         folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
--- a/spanwing/hot_restart/messages.py
+++ b/spanwing/hot_restart/messages.py
@@ -1,7 +1,7 @@
-"""What two processes on one listening socket say to each other.
+"""The messages between two processes on one listening socket.
 
-Guarantees: each message is whole or not there; the first one carries the version, and another version, or
-anything that cannot be read, ends the link: the processes then go on as strangers.
+A message is either complete or absent. The first one carries the version; another version, or anything that
+cannot be decoded, ends the link, and the processes go on independently.
 """
 
 from __future__ import annotations
@@ -12,35 +12,35 @@
 from spanwing.discovery.client import DiscoveredWorker
 
 VERSION = 1
-MAX_MESSAGE_BYTES = 160_000  # bytes of one message: a body, a head and what was read ahead
-ITEMS_PER_MESSAGE = 100  # job workers, or ids, told at once
-MAX_BUFFERED_BYTES = 64_000  # bytes of a half-read message that go over with a connection
+MAX_MESSAGE_BYTES = 160_000  # of one message: a body, a head and the bytes read ahead
+ITEMS_PER_MESSAGE = 100  # workers, or request ids, in one message
+MAX_BUFFERED_BYTES = 64_000  # of a partly read message, transferred with its connection
 
 
 class SuccessorHello(msgspec.Struct, tag="hello"):
-    """The successor's first word."""
+    """The successor's first message."""
 
     version: int
 
 
 class ConnectionCounts(msgspec.Struct, tag="held"):
-    """How many connections the predecessor holds, or may open: the successor has the rest."""
+    """The connections that the predecessor holds, or may open; the successor may use the rest."""
 
     client_connections: int = msgspec.field(name="clients")
     worker_connections: int = msgspec.field(name="hops")
 
 
 class SuccessorReady(msgspec.Struct, tag="ready"):
-    """The successor can take clients."""
+    """The successor can accept clients."""
 
 
 class WorkerEstimates(msgspec.Struct, tag="worker", array_like=True):
-    """What was learned of a job worker, in the words of the module's View."""
+    """The estimates of one worker, from the scheduler's state of it."""
 
     worker_id: int
     estimated_slots: float
     slots_reported: bool
-    reserved_slots: int  # slots of the predecessor's open attempts
+    reserved_slots: int  # slots of the predecessor's attempts in flight
     foreign_slots: float
     last_observed_ms: float | None
     last_heard_ms: float
@@ -55,17 +55,17 @@
 
 
 class WorkerEstimatesBatch(msgspec.Struct, tag="workers"):
-    """The list as the predecessor has it, and what it learned; in parts."""
+    """A part of the predecessor's endpoint list and of its estimates of the workers."""
 
     members: list[DiscoveredWorker]
     estimates: list[WorkerEstimates] = msgspec.field(name="seen")
 
 
 class SchedulerEstimates(msgspec.Struct, tag="learned"):
-    """What the module has learned in all."""
+    """The scheduler's estimates that concern no single worker."""
 
-    revision: int | None  # of discovery's list
-    discovery: str  # whose list it is
+    revision: int | None  # of the endpoint list
+    discovery: str  # the address of the discovery service that the list is from
     started_ms: float = msgspec.field(name="born")
     mean_service_ms: dict[str, float] = msgspec.field(name="work")  # by class
     start_delay_by_zone: dict[str, float] = msgspec.field(name="quick")  # by zone
@@ -79,18 +79,18 @@
 
 
 class RequestIdChanges(msgspec.Struct, tag="ids"):
-    """Requests that are open from now on here, or no longer."""
+    """Requests that have opened or ended at the sender."""
 
     opened: list[str] = []
     ended: list[str] = []
 
 
 class AcceptingStopped(msgspec.Struct, tag="over"):
-    """The predecessor accepts no more and feeds no cold job worker: all that it learned has been told."""
+    """The predecessor has sent all estimates, accepts no clients and feeds no worker that is warming up."""
 
 
 class ForwardedCallback(msgspec.Struct, tag="called"):
-    """A call-back about an attempt that is not ours."""
+    """A worker's callback about an attempt that is not the sender's."""
 
     worker_name: str = msgspec.field(name="name")
     request_id: str = msgspec.field(name="request")
@@ -100,16 +100,16 @@
 
 
 class TransferredConnection(msgspec.Struct, tag="passed"):
-    """A client's or a job worker's connection, which comes with this message as a descriptor."""
+    """A client's or a worker's connection; its descriptor comes with this message."""
 
-    buffered_bytes: bytes = msgspec.field(name="data")  # read already, and no whole message
+    buffered_bytes: bytes = msgspec.field(name="data")  # read already, and not a complete HTTP message
     has_sent_request: bool = msgspec.field(name="heard")
     is_client: bool = msgspec.field(name="asks")
     peer_address: str = msgspec.field(name="peer")
 
 
 class TransferredAttempt(msgspec.Struct, tag="tried", array_like=True):
-    """One attempt of a request, in the words of the module's Attempt."""
+    """One attempt of a request, from the scheduler's state of it."""
 
     worker_id: int
     forwarded_ms: float
@@ -120,10 +120,10 @@
 
 
 class TransferredRequest(msgspec.Struct, tag="moved"):
-    """An open request, with its client's connection as a descriptor: the predecessor knows it no more."""
+    """An open request, with its client's connection as a descriptor; the predecessor has dropped it."""
 
     connection: TransferredConnection
-    keep_alive: bool = msgspec.field(name="keep")  # the connection goes on after the answer
+    keep_alive: bool = msgspec.field(name="keep")  # the connection stays open after the answer
     request: JobRequest = msgspec.field(name="envelope")
     deadline_ms: float = msgspec.field(name="deadline")
     arrived_ms: float = msgspec.field(name="born")
@@ -133,13 +133,13 @@
     attempts: list[TransferredAttempt] = msgspec.field(name="tried")
     worker_name: str = msgspec.field(
         default="", name="hop"
-    )  # the job worker that has the attempt which is out, and where it is reached
+    )  # the worker that has the attempt in flight; its address follows
     worker_address: str = msgspec.field(default="", name="place")
-    expires_ms: float = msgspec.field(default=0.0, name="until")  # when that attempt's time is over
+    expires_ms: float = msgspec.field(default=0.0, name="until")  # when that attempt expires
 
 
 class PredecessorDone(msgspec.Struct, tag="bye"):
-    """The predecessor has nothing left; the successor ends the link, so that nothing on it is lost."""
+    """The predecessor has nothing left; the successor closes the link, so that no message on it is lost."""
 
 
 HotRestartMessage = (
--- a/spanwing/hot_restart/state_transfer.py
+++ b/spanwing/hot_restart/state_transfer.py
@@ -1,8 +1,9 @@
-"""What the module has learned and what it has open, told to the process that takes its place.
+"""Transfers the scheduler's estimates and open requests to the process that replaces this one.
 
-Guarantees: pure; what comes out of one module goes into another as it was, by the same clock, and nothing
-that the other side names wrongly (a class, a tenant, a job worker unknown here) changes anything. Budgets of
-cold job workers go over with what was sent to them, so both processes together stay under them.
+Pure. State is imported as it was exported, by the same clock; estimates of a class, tenant or worker that is
+unknown here are ignored, and a resumed attempt's unknown worker counts as gone from the list. The budgets of
+workers that are warming up are transferred with the work already forwarded to them, so that both processes
+together stay within them.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 
 def export_worker(worker: View) -> WorkerEstimates:
+    """Returns the estimates of one worker."""
     return WorkerEstimates(
         worker.entry.id,
         worker.total,
@@ -37,7 +39,7 @@
 
 
 def import_worker(worker: View, estimates: WorkerEstimates, now: float) -> None:
-    """What the predecessor holds there counts as others', seen now."""
+    """Sets a worker's estimates; the predecessor's reserved slots count as load of others, seen now."""
     worker.total, worker.learned = estimates.estimated_slots, estimates.slots_reported
     worker.others = estimates.foreign_slots + estimates.reserved_slots
     worker.seen = (
@@ -65,15 +67,17 @@
 
 
 def stop_feeding(scheduler: Dispatcher) -> None:
-    """The successor feeds the cold job workers from now on: one budget, one feeder."""
+    """Stops feeding workers that are warming up; the successor feeds them: one budget, one feeder."""
     scheduler.feeding, scheduler.fed = False, []
     for view in scheduler.views.values():
         view.owner = 0.0
 
 
 def resume_feeding(scheduler: Dispatcher) -> None:
-    """There is no successor any more. What it sent is not known: feeding begins with halved parts, as after a
-    restart."""
+    """Resumes feeding, as the successor has gone.
+
+    What it forwarded is not known, so feeding begins with halved parts, as after a restart.
+    """
     scheduler.feeding, scheduler.born = True, scheduler.now
     for view in scheduler.views.values():
         view.owner = scheduler.feeds(view.entry.id)
@@ -81,6 +85,7 @@
 
 
 def export_scheduler(scheduler: Dispatcher, revision: int | None, discovery: str) -> SchedulerEstimates:
+    """Returns the scheduler's estimates that concern no single worker, and the list's revision."""
     class_names = [each.name for each in scheduler.set.classes]
     return SchedulerEstimates(
         revision,
@@ -101,6 +106,7 @@
 
 
 def import_scheduler(scheduler: Dispatcher, estimates: SchedulerEstimates, now: float) -> None:
+    """Sets the scheduler's estimates; classes and tenants that are unknown here are left out."""
     scheduler.born, scheduler.busy, scheduler.keys = (
         estimates.started_ms,
         estimates.fleet_utilization,
@@ -124,7 +130,7 @@
 
 
 class RequestResumed(NamedTuple):
-    """An event of the module: a request that another process had, with its attempts so far."""
+    """An event for the scheduler: another process's request, with its attempts so far."""
 
     request: api.Request
     arrived_ms: float
@@ -134,6 +140,7 @@
 
 
 def export_attempts(request: Job) -> list[TransferredAttempt]:
+    """Returns the attempts of a request, in their order."""
     return [
         TransferredAttempt(
             each.view.entry.id,
@@ -148,7 +155,7 @@
 
 
 def release_request(scheduler: Dispatcher, request_id: str) -> None:
-    """The request is another process's from now on: nothing is decided on it here, nor held for it."""
+    """Drops a request that another process now has: it is no longer queued, and its slots are released."""
     job = scheduler.jobs.pop(request_id)
     scheduler._unhold(job)
     for number, attempt in enumerate(job.attempts):
@@ -161,7 +168,7 @@
 
 
 def _resume_request(scheduler: Dispatcher, event: RequestResumed) -> None:
-    """As if this module had begun it: the same counts, the same alarms from the same moments."""
+    """Adds a request as if it had begun here: the same counts, the same alarms from the same moments."""
     req = event.request
     index = scheduler.index.get(req.cls, 0)
     job = Job(
@@ -176,7 +183,7 @@
     scheduler.alarms.add(req.deadline, scheduler._end, job)
     for number, transferred in enumerate(event.attempts):
         worker = scheduler.views.get(transferred.worker_id)
-        if worker is None:  # gone from the list, and what it has may still end
+        if worker is None:  # gone from the list; its attempt may still end
             worker = scheduler.views[transferred.worker_id] = View(
                 api.Worker(transferred.worker_id, "gone"), False, GUESS
             )
@@ -200,7 +207,7 @@
 
 def _reserve_slots(scheduler: Dispatcher, attempt: Attempt, number: int) -> None:
     job, worker, settings = attempt.job, attempt.view, scheduler.set
-    worker.others = max(0.0, worker.others - job.req.slots)  # counted there until now
+    worker.others = max(0.0, worker.others - job.req.slots)  # counted as load of others until now
     worker.held += job.req.slots
     worker.memory += job.req.memory
     start_delay_ms = scheduler.quick.get(worker.entry.zone, 10.0)
