--- a/spanwing/journal/__init__.py
+++ b/spanwing/journal/__init__.py
@@ -1,1 +1,1 @@
-"""The journal of unrepeatable work: what was sent, to whom and when. No wire, no decision."""
+"""The journal of non-idempotent work: what was forwarded, to which worker and when; it makes no decisions."""
--- a/spanwing/journal/committer.py
+++ b/spanwing/journal/committer.py
@@ -1,11 +1,10 @@
-"""Group commit: records are handed over on the loop, written and synced by a thread, and told back on the
-loop.
-
-Guarantees: submit() never waits for the disk; WAITING records at most wait, beyond them it says no; records
-reach the disk in the order of their submission; a callback hears "" only once its records are on disk, and
-a reason if they may not be. After a failure the disk is left alone for REST_S: what comes meanwhile hears
-the same reason at once, and then it is tried again, whether anything has come or not. What was lost or left
-out is written down as a Gap as soon as the disk takes records again.
+"""Group commit: records are submitted on the loop, written and synced by a thread, and reported on the loop.
+
+submit() never waits for the disk; at most MAX_PENDING_RECORDS records are pending, beyond them it returns
+False. Records reach the disk in the order of their submission. A callback gets "" only once its records are
+on disk, and a reason if they may not be. After a failure the disk is not tried for DISK_BACKOFF_S: records
+that come meanwhile get the same reason at once; then a write is retried, whether records are pending or not.
+Records that were lost or left out are written down as a JournalGap as soon as the disk takes records again.
 """
 
 from __future__ import annotations
@@ -20,7 +19,7 @@
 from spanwing.journal.segment_log import SegmentLog
 
 MAX_PENDING_RECORDS = 20_000
-MAX_BATCH_RECORDS = 1024  # records in one write
+MAX_BATCH_RECORDS = 1024  # in one write
 DISK_BACKOFF_S = 1.0
 BATCH_DELAY_S = 0.05
 RETENTION_INTERVAL_S = 60.0
@@ -29,14 +28,17 @@
 
 
 class PendingBatch(NamedTuple):
-    """Records that go together, and who hears of it."""
+    """Records that are written together, and the callback that gets the result."""
 
     records: list[AnyRecord]
     on_commit: CommitCallback | None
 
 
 class Committer:
-    """Owns the log from its start on; post: runs a call on the loop, from any thread."""
+    """Owns the log from start() on.
+
+    call_on_loop runs a call on the loop, from any thread.
+    """
 
     def __init__(
         self,
@@ -52,32 +54,36 @@
             clock,
         )
         self.pending: deque[PendingBatch] = deque()
-        self.pending_records = 0  # records that wait
-        self.has_waiter = False  # somebody waits for one of them
+        self.pending_records = 0  # records in `pending`
+        self.has_waiter = False  # a pending record has a callback
         self.condition = threading.Condition()
         self.is_stopping = False
         self.failure_reason, self.retry_at_s = "", 0.0
         self.lost_records, self.lost_since_ms, self.lost_reason = 0, 0.0, ""
         self.syncs = self.written_records = 0
-        self.write_started_at_s: float | None = None  # a write is going on
+        self.write_started_at_s: float | None = None  # set while a write is in progress
         self.last_retention_at_s = clock()
         self.oldest_needed_number = (
             segment_log.request_states.oldest_needed_number()
-        )  # as of the last look: the first record that is still needed
+        )  # as of the last retention run: the first record that is still needed
         self.thread = threading.Thread(target=self._run, name="journal", daemon=True)
 
     def start(self) -> None:
+        """Starts the thread that writes."""
         self.thread.start()
 
     def submit(self, records: list[AnyRecord], on_commit: CommitCallback | None = None) -> bool:
-        """Hand records over; False where too many wait: then nothing was taken, and told hears nothing."""
+        """Submits records; returns False if too many are pending.
+
+        Then, or once stop() was called, none is taken and on_commit is not called.
+        """
         with self.condition:
             if self.is_stopping or self.pending_records + len(records) > MAX_PENDING_RECORDS:
                 self._count_lost(len(records), "too many records wait")
                 return False
             self.pending.append(PendingBatch(records, on_commit))
             self.pending_records += len(records)
-            # What nobody waits for rides along with what somebody does, or goes LAZY_S later.
+            # Records without a callback are written with those that have one, or BATCH_DELAY_S later.
             if on_commit is not None or self.pending_records >= MAX_BATCH_RECORDS:
                 self.has_waiter = True
                 self.condition.notify()
@@ -86,15 +92,17 @@
         return True
 
     def unavailable_reason(self, slow_after_s: float) -> str:
-        """Why nothing can be relied on to be written soon; empty where it can. Slow: a write that goes on
-        for longer than this."""
+        """Returns why a write cannot be relied on soon; empty if it can.
+
+        A write that takes longer than slow_after_s counts as slow.
+        """
         started_at_s = self.write_started_at_s
         if started_at_s is not None and self.clock() - started_at_s > slow_after_s:
             return "the disk is slow"
         return self.failure_reason
 
     def stop(self, timeout_s: float = 5.0) -> bool:
-        """Write what waits, then end; whether that was done in time."""
+        """Writes what is pending, then ends the thread; returns whether that was done within timeout_s."""
         with self.condition:
             self.is_stopping = True
             self.condition.notify()
@@ -116,11 +124,14 @@
             self._apply_retention()
 
     def _is_retry_due(self) -> bool:
-        """A disk that failed has rested: who turns work away until it is back must hear that it is."""
+        """Returns whether the disk is to be tried again after a failure.
+
+        A retry needs no records: requests may be rejected until a write succeeds.
+        """
         return bool(self.failure_reason) and self.clock() >= self.retry_at_s
 
     def _dequeue_batch(self) -> list[PendingBatch]:
-        """What is written together; one that is larger than a batch goes alone."""
+        """Returns what is written together; submitted records larger than a batch are written alone."""
         batch: list[PendingBatch] = []
         size = 0
         while self.pending and (not batch or size + len(self.pending[0].records) <= MAX_BATCH_RECORDS):
@@ -139,8 +150,7 @@
         if reason:
             with self.condition:
                 self._count_lost(len(records), reason)
-        # All that were told the same way go back in one call: a wake-up of the loop for each would cost more
-        # than the sync that they shared.
+        # One call on the loop for all callbacks: a wake-up for each would cost more than the shared sync.
         callbacks = [handed.on_commit for handed in batch if handed.on_commit is not None]
         if callbacks:
             self.call_on_loop(_run_callbacks, callbacks, reason)
--- a/spanwing/journal/compaction.py
+++ b/spanwing/journal/compaction.py
@@ -1,10 +1,10 @@
-"""Thins out old segments: takes from them what no class keeps for so long any more.
+"""Compacts old segments: drops the records of classes whose retention has ended.
 
-Guarantees: only segments that no open request needs are touched; a segment is replaced whole at once, so a
-crash at any point leaves the old or the new one; records of a class that still keeps them stay, byte for
-byte, and so does whatever is not known to belong to a shorter one (lives, gaps, records whose taking stands
-in a segment that was thinned before). Work is cut into slices, with a pause between them, for a thread that
-shares its core with the scheduler. Memory: one segment.
+Only segments that no open request needs are touched. A segment is replaced atomically, so a crash at any
+point leaves the old or the new one. Records of a class that is still retained stay, byte for byte, and so
+does whatever is not known to belong to a class with a shorter retention (process starts, gaps, records whose
+acceptance is in a segment that was compacted before). Work is cut into slices of FRAMES_PER_SLICE frames with
+a pause of PAUSE_S between them, for a thread that shares its core with the scheduler. Memory: one segment.
 """
 
 from __future__ import annotations
@@ -33,27 +33,32 @@
     number_in_name,
 )
 
-FRAMES_PER_SLICE = 200  # frames between two pauses
+FRAMES_PER_SLICE = 200  # between two pauses
 PAUSE_S = 0.005
 INTERVAL_S = 600.0
 
 
 class SegmentCompactor:
-    """Knows which segments were looked at, and for which classes."""
+    """Compacts segments and remembers which classes were removed from each."""
 
     def __init__(self, files: FolderFiles, limits: RetentionLimits) -> None:
         self.files, self.limits = files, limits
-        self.removed_classes: dict[str, frozenset[str]] = {}  # by segment: the classes that are out of it
+        self.removed_classes: dict[
+            str, frozenset[str]
+        ] = {}  # by segment: the classes that were removed from it
 
     def remove_leftovers(self) -> None:
-        """Remove what a crash left of a thinning; once, before the first."""
+        """Removes files that a crash during a compaction left; called before each run."""
         for name in self.files.names():
             if name.endswith(SEGMENT_SUFFIX + PARTIAL_SUFFIX):
                 self.files.remove(name)
 
     def compact(self, oldest_needed: int | None, now_ms: float) -> Iterator[None]:
-        """Thin out what is due, in slices. oldest: the first record that an open request needs. Raises
-        OSError; what was done until then stands."""
+        """Compacts the segments that are due, in slices; yields between them.
+
+        oldest_needed is the number of the first record that an open request needs. Raises OSError; what was
+        done until then stands.
+        """
         reader = SegmentReader(self.files)
         names = reader.segment_names()
         self.removed_classes = {
@@ -65,7 +70,7 @@
                 return
             try:
                 ended_ms = decode_header(self.files.read(next_name, HEADER_SIZE)).started_ms
-                # No class has the empty name: it stands for all that have the general time.
+                # The empty name, which no class has, stands for all classes with the general retention.
                 expired_classes = frozenset(
                     cls
                     for cls in ("", *self.limits.retention_ms_by_class)
@@ -75,7 +80,7 @@
                     yield from self._compact_segment(previous, name, ended_ms, now_ms)
                     self.removed_classes[name] = expired_classes
             except (ValueError, FileNotFoundError):
-                pass  # damaged: repair's to mend; or removed meanwhile
+                pass  # damaged, left to repair; or removed meanwhile
             previous = name
 
     def _compact_segment(self, previous: str, name: str, ended_ms: float, now_ms: float) -> Iterator[None]:
@@ -98,7 +103,7 @@
         )
         for count, each in enumerate(read_frames(data, header.first_number, HEADER_SIZE, is_compacted), 1):
             if not isinstance(each, RecordFrame):
-                return  # what is damaged is left as it is
+                return  # a damaged segment is left as it is
             cls = classes.get(each.record.request)
             if cls is not None and now_ms - ended_ms > self.limits.retention_ms_for(cls):
                 dropped += 1
@@ -130,7 +135,7 @@
 
 
 class CompactionThread:
-    """Thins out every EVERY_S; asks at each time what is still needed."""
+    """Compacts every INTERVAL_S; asks at each run for the oldest record that is still needed."""
 
     def __init__(self, compactor: SegmentCompactor, oldest_needed: Callable[[], int | None]) -> None:
         self.compactor, self.oldest_needed = compactor, oldest_needed
@@ -139,10 +144,11 @@
         self.thread = threading.Thread(target=self._run, name="journal-thinning", daemon=True)
 
     def start(self) -> None:
+        """Starts the thread."""
         self.thread.start()
 
     def stop(self) -> None:
-        """It ends within a slice."""
+        """Stops the thread, within a slice; waits for at most 1 s."""
         self.stop_event.set()
         self.thread.join(1.0)
 
--- a/spanwing/journal/files.py
+++ b/spanwing/journal/files.py
@@ -1,7 +1,7 @@
-"""The few things that the journal asks of a disk, and the real one.
+"""The file operations that the journal needs, and their implementation on a real folder.
 
-Guarantees: append() returns once the operating system has the bytes, sync() once the disk has them; nothing
-is retried here, as a failed sync leaves unknown what the disk holds. Every error is an OSError.
+append() returns once the operating system has the bytes, sync() once the disk has them. Nothing is retried
+here, as a failed sync leaves it unknown what the disk holds. Every error is an OSError.
 """
 
 from __future__ import annotations
@@ -15,35 +15,43 @@
 class FolderFiles(Protocol):
     """One folder of append-only files."""
 
-    def names(self) -> list[str]: ...
+    def names(self) -> list[str]:
+        """Returns the names of the files, in any order."""
 
     def read(self, name: str, max_bytes: int = -1) -> bytes:
-        """Its first bytes, all of them by default. Raises FileNotFoundError."""
+        """Returns the file's first max_bytes bytes, by default all. Raises FileNotFoundError."""
 
-    def size(self, name: str) -> int: ...
+    def size(self, name: str) -> int:
+        """Returns the file's size in bytes."""
 
     def create(self, name: str) -> None:
-        """An empty file, open for append(); its name is lasting after sync_folder()."""
+        """Creates an empty file, open for append(); its name is durable after sync_folder()."""
 
-    def append(self, name: str, data: bytes) -> None: ...
+    def append(self, name: str, data: bytes) -> None:
+        """Appends all of the data to a file that create() opened."""
 
-    def sync(self, name: str) -> None: ...
+    def sync(self, name: str) -> None:
+        """Syncs the file's content to disk."""
 
-    def close(self, name: str) -> None: ...
+    def close(self, name: str) -> None:
+        """Closes the file, if it is open."""
 
-    def rename(self, old: str, new: str) -> None: ...
+    def rename(self, old: str, new: str) -> None:
+        """Renames a file, in place of any file of the new name."""
 
-    def remove(self, name: str) -> None: ...
+    def remove(self, name: str) -> None:
+        """Removes a file."""
 
-    def sync_folder(self) -> None: ...
+    def sync_folder(self) -> None:
+        """Syncs the folder, and so the names of its files."""
 
 
 class FolderInUseError(OSError):
-    """Another process writes this folder."""
+    """Another process writes to this folder."""
 
 
 class LocalFolder:
-    """A real folder; one process at a time may write it, any may read."""
+    """A real folder; one process at a time may write to it, any may read. Raises FolderInUseError."""
 
     def __init__(self, path: str, for_writing: bool = True) -> None:
         self.path = Path(path)
@@ -60,39 +68,49 @@
             raise FolderInUseError(f"{path} is in use by another process") from None
 
     def names(self) -> list[str]:
+        """Returns the names of the files, sorted."""
         return sorted(each.name for each in self.path.iterdir() if each.is_file())
 
     def read(self, name: str, max_bytes: int = -1) -> bytes:
+        """Returns the file's first max_bytes bytes, by default all. Raises FileNotFoundError."""
         with open(self.path / name, "rb") as file:
             return file.read(max_bytes)
 
     def size(self, name: str) -> int:
+        """Returns the file's size in bytes."""
         return (self.path / name).stat().st_size
 
     def create(self, name: str) -> None:
+        """Creates an empty file, open for append(); its name is durable after sync_folder()."""
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
         self.descriptors[name] = os.open(self.path / name, flags, 0o600)
 
     def append(self, name: str, data: bytes) -> None:
+        """Appends all of the data to a file that create() opened."""
         remaining = memoryview(data)
         while remaining:
             remaining = remaining[os.write(self.descriptors[name], remaining) :]
 
     def sync(self, name: str) -> None:
+        """Syncs the file's content to disk."""
         os.fsync(self.descriptors[name])
 
     def close(self, name: str) -> None:
+        """Closes the file, if it is open."""
         descriptor = self.descriptors.pop(name, -1)
         if descriptor >= 0:
             os.close(descriptor)
 
     def rename(self, old: str, new: str) -> None:
+        """Renames a file, in place of any file of the new name."""
         os.rename(self.path / old, self.path / new)
 
     def remove(self, name: str) -> None:
+        """Removes a file."""
         os.unlink(self.path / name)
 
     def sync_folder(self) -> None:
+        """Syncs the folder, and so the names of its files."""
         folder = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
             os.fsync(folder)
@@ -100,7 +118,7 @@
             os.close(folder)
 
     def close_all(self) -> None:
-        """Close everything; the lock goes last."""
+        """Closes all files, and the lock last."""
         for name in list(self.descriptors):
             self.close(name)
         if self.lock_descriptor >= 0:
--- a/spanwing/journal/frames.py
+++ b/spanwing/journal/frames.py
@@ -1,12 +1,12 @@
 """The bytes of a segment: a header, then frames, each with its length, number and checksum.
 
-Guarantees: a frame is whole or it is not taken, whatever tears, zeroes or swaps bytes; after damage the next
-whole frame is found again, however far away; a frame of another place or segment is never taken for one of
-here, as its number is part of the checksum and has to grow. The checksum is CRC32C (RFC 3720, B.4).
+A frame is read complete or not at all, whatever tears, zeroes or swaps bytes; after damage the next complete
+frame is found, however far away. A frame of another place or segment is never accepted here, as its number is
+part of the checksum and has to grow. The checksum is CRC32C (RFC 3720, B.4).
 
-Layout, big endian. Header: magic 8, version 2, flags 2, first number 8, begun (wall, ms) 8, last record
-before 8, checksum of these 4.
-Frame: mark 2, length 4, number 8, checksum of length, number and payload 4, payload.
+Layout, big endian, sizes in bytes. Header: magic 8, version 2, flags 2, first number 8, start (wall clock,
+ms) 8, last record before the segment 8, checksum of these 4. Frame: mark 2, length 4, number 8, checksum of
+length, number and payload 4, payload.
 """
 
 from __future__ import annotations
@@ -25,24 +25,26 @@
 FRAME_MARK = b"\xa5\x4a"
 FRAME_STRUCT = struct.Struct("!2sIQI")
 CHECKSUM_PREFIX_STRUCT = struct.Struct("!IQ")
-COMPACTED_FLAG = 1  # a flag: records that nobody wants any more were left out, so numbers may skip
+COMPACTED_FLAG = 1  # flag: records were dropped, so numbers may skip
 
 
 class FutureVersionError(ValueError):
-    """A segment that a newer program wrote."""
+    """The segment was written by a newer program."""
 
 
 class SegmentHeader(NamedTuple):
+    """The header of a segment."""
+
     first_number: int  # the number of its first record
-    started_ms: float  # wall clock
+    started_ms: float  # wall clock, ms
     flags: int = 0
     last_number_before: int = (
-        0  # the last record that was on disk before it: what of them is not there has been lost
+        0  # the last record that was on disk before it: any of those that are missing are lost
     )
 
 
 class RecordFrame(NamedTuple):
-    """A whole record and where it stands."""
+    """A complete record, its number and its offset."""
 
     number: int
     offset: int
@@ -50,7 +52,7 @@
 
 
 class DamagedBytes(NamedTuple):
-    """Bytes that are no whole frame; reason is one plain line. missing: numbers that are not there."""
+    """Bytes that are no complete frame; reason is one line, missing_numbers counts the missing records."""
 
     offset: int
     size: int
@@ -59,6 +61,7 @@
 
 
 def encode_header(header: SegmentHeader) -> bytes:
+    """Encodes a segment's header, with its checksum."""
     head = HEADER_STRUCT.pack(
         MAGIC, VERSION, header.flags, header.first_number, header.started_ms, header.last_number_before
     )
@@ -66,7 +69,7 @@
 
 
 def decode_header(data: bytes | memoryview) -> SegmentHeader:
-    """Raises FutureVersion, and ValueError on any other header that cannot be used."""
+    """Decodes a header. Raises FutureVersionError, and ValueError for any other unusable header."""
     if len(data) < HEADER_SIZE:
         raise ValueError("cut off within its header")
     head = bytes(data[: HEADER_STRUCT.size])
@@ -81,12 +84,13 @@
 
 
 def encode_frame(number: int, payload: bytes) -> bytes:
+    """Encodes one frame, with its checksum."""
     checksum = google_crc32c.value(CHECKSUM_PREFIX_STRUCT.pack(len(payload), number) + payload)
     return FRAME_STRUCT.pack(FRAME_MARK, len(payload), number, checksum) + payload
 
 
 def _decode_frame(data: memoryview, offset: int, last_number: int) -> RecordFrame | None:
-    """The frame that stands here, if its number is above after; None if none does."""
+    """Returns the frame at this offset if its number is above last_number; None if there is none."""
     if offset + FRAME_STRUCT.size > len(data):
         return None
     mark, length, number, checksum = FRAME_STRUCT.unpack_from(data, offset)
@@ -103,16 +107,17 @@
 
 
 def frame_size(data: memoryview, frame: RecordFrame) -> int:
-    """Bytes of a frame that was read there."""
+    """Returns the size in bytes of a frame that was read from this data."""
     return FRAME_STRUCT.size + FRAME_STRUCT.unpack_from(data, frame.offset)[1]
 
 
 def read_frames(
     data: bytes | memoryview, first_number: int, offset: int = HEADER_SIZE, is_compacted: bool = False
 ) -> Iterator[RecordFrame | DamagedBytes]:
-    """All whole frames from a place on, in order, and what lies between them.
+    """Yields all complete frames from an offset on, in order, and the damage between them.
 
-    first: the least number that the next frame may have. sparse: numbers may skip (a compacted segment)."""
+    first_number is the lowest number that the next frame may have; is_compacted: numbers may skip.
+    """
     view = memoryview(data)
     last_number = first_number - 1
     while offset < len(view):
@@ -145,7 +150,7 @@
 def _find_next_frame(
     data: bytes | memoryview, view: memoryview, start: int, last_number: int
 ) -> RecordFrame | None:
-    """The next whole frame; the mark makes the search fast, the checksum makes it right."""
+    """Returns the next complete frame: searched by its mark, confirmed by its checksum."""
     raw = data if isinstance(data, bytes) else bytes(data[start:])
     raw_start = 0 if isinstance(data, bytes) else start
     position = raw.find(FRAME_MARK, start - raw_start)
--- a/spanwing/journal/index.py
+++ b/spanwing/journal/index.py
@@ -1,9 +1,9 @@
-"""An index of one segment: where a request's records are, and a worker's intents by time.
+"""An index of one segment: the offsets of a request's records, and a worker's intents by time.
 
-Guarantees: it can always be made again from its segment, and is whenever it is missing, damaged or of
-another size; what it points at is read and compared, so a clash of hashes costs a look and never a wrong
-answer. It is made by the command line, never by the daemon. Arrays are numpy's, little endian, read from
-the file as it is.
+It can always be rebuilt from its segment, and is whenever it is missing, damaged or of another size. The
+records that it points at are read and compared, so a collision of hashes costs a read and never a wrong
+answer. The command line builds it, never the daemon. Arrays are numpy's, little endian, read from the file as
+they are.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 from spanwing.journal.segment_log import INDEX_SUFFIX
 
 MAGIC, VERSION = b"SPWJINDX", 2
-# Magic, version, bytes of the segment, requests, intents, first and last time, checksum.
+# Magic, version, bytes of the segment, requests, intents, first and last time (ms), checksum.
 HEADER_STRUCT = struct.Struct("<8sHQQQddI")
 REQUEST_DTYPE = np.dtype([("hash", "<u8"), ("at", "<u4")])
 INTENT_DTYPE = np.dtype([("hash", "<u8"), ("wall", "<i8"), ("at", "<u4")])
@@ -30,17 +30,18 @@
 
 
 def hash_name(text: str) -> int:
+    """Returns the 64-bit BLAKE2b hash of a name."""
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "little")
 
 
 def hash_names(names: Iterable[str]) -> np.ndarray:
-    """Of many names, in order."""
+    """Returns the hashes of many names, sorted and without duplicates."""
     return np.unique(np.array([hash_name(each) for each in names], np.uint64))
 
 
 @dataclass
 class SegmentIndex:
-    """Of one segment; times are of the wall clock, in ms."""
+    """The index of one segment; times are wall-clock ms."""
 
     segment_bytes: int
     requests: np.ndarray  # by hash
@@ -49,7 +50,7 @@
     last_ms: float
 
     def offsets_of_requests(self, request_hashes: np.ndarray) -> list[int]:
-        """Offsets of frames whose request has one of these hashes, in order."""
+        """Returns the offsets of frames whose request has one of these hashes, in order."""
         low = np.searchsorted(self.requests["hash"], request_hashes, "left")
         high = np.searchsorted(self.requests["hash"], request_hashes, "right")
         there = np.flatnonzero(high > low)
@@ -57,7 +58,7 @@
         return sorted(int(at) for part in parts for at in part)
 
     def offsets_of_intents(self, worker: str, after_ms: float, before_ms: float) -> list[int]:
-        """Offsets of intents for a worker of this hash between two times."""
+        """Returns the offsets of intents for a worker of this name's hash between two times (ms)."""
         wanted = np.uint64(hash_name(worker))
         low = np.searchsorted(self.intents["hash"], wanted, "left")
         high = np.searchsorted(self.intents["hash"], wanted, "right")
@@ -69,7 +70,7 @@
 
 
 def build_index(data: bytes) -> SegmentIndex:
-    """From a segment's bytes; damaged parts are left out. Raises ValueError on an unusable header."""
+    """Builds a segment's index, without its damaged parts. Raises ValueError if the header is unusable."""
     header = decode_header(data)
     requests, intents = [], []
     first_ms, last_ms = float("inf"), float("-inf")
@@ -78,7 +79,9 @@
             continue
         record = each.record
         first_ms, last_ms = min(first_ms, record.wall_ms), max(last_ms, record.wall_ms)
-        requests.append((hash_name(record.request), each.offset))  # lives and gaps: under no name
+        requests.append(
+            (hash_name(record.request), each.offset)
+        )  # process starts and gaps have the empty name
         if isinstance(record, AttemptIntent):
             intents.append((hash_name(record.worker), int(record.wall_ms), each.offset))
     by_request, by_worker = np.array(requests, REQUEST_DTYPE), np.array(intents, INTENT_DTYPE)
@@ -92,7 +95,7 @@
 
 
 def write_index(index: SegmentIndex, path: Path) -> None:
-    """Beside its segment, whole at once; a folder that cannot be written keeps none."""
+    """Writes the index beside its segment, atomically. Raises OSError if the folder cannot be written."""
     body = index.requests.tobytes() + index.intents.tobytes()
     head = HEADER_STRUCT.pack(
         MAGIC,
@@ -110,7 +113,7 @@
 
 
 def read_index(path: Path, segment_bytes: int) -> SegmentIndex:
-    """Raises ValueError where it is not the index of a segment of this size."""
+    """Reads an index. Raises ValueError if it is damaged or not of a segment of this size."""
     data = path.read_bytes()
     try:
         magic, version, indexed_bytes, requests, intents, first_ms, last_ms, checksum = (
--- a/spanwing/journal/query.py
+++ b/spanwing/journal/query.py
@@ -4,9 +4,8 @@
     state = "possibly sent" and not tenant ~ corrib*
     time >= 2026-12-01T06:00 and time < 2026-12-01T09:30 and attempt > 0
 
-Guarantees: pure; an expression either parses as a whole or raises QueryError with the column of the first
-thing that is wrong; Plan's bounds are never narrower than what the expression allows, so using them to skip
-files leaves nothing out.
+Pure. An expression either parses completely or raises QueryError with the column of the first error. The
+bounds of a QueryPlan are never narrower than the expression, so skipping files by them leaves nothing out.
 """
 
 from __future__ import annotations
@@ -77,7 +76,7 @@
 
 
 class QueryError(ValueError):
-    """What is wrong with an expression, and where."""
+    """An error in an expression, with its column."""
 
     def __init__(self, text: str, column: int) -> None:
         super().__init__(f"column {column}: {text}")
@@ -86,10 +85,10 @@
 
 @dataclass
 class QueryPlan:
-    """A filter, and what it tells of where to look."""
+    """A filter, and bounds on where matching rows can be."""
 
     matches: RowPredicate
-    after_ms: float = float("-inf")  # rows' times lie between these
+    after_ms: float = float("-inf")  # the times of matching rows lie between these
     before_ms: float = float("inf")
     request_ids: frozenset[str] | None = None  # only these ids can match; None: any
     workers: frozenset[str] | None = None
@@ -97,7 +96,7 @@
 
 @dataclass
 class _QueryNode:
-    """A part of an expression."""
+    """A part of an expression: its test and its bounds."""
 
     matches: RowPredicate
     after_ms: float = float("-inf")
@@ -106,8 +105,11 @@
 
 
 def parse_time(text: str, now_ms: float) -> float:
-    """A time as people write it, in wall-clock ms: ISO 8601 (local where it has no zone), `now`, or relative
-    to now as -90s, -15m, -2h, -1d. Raises ValueError."""
+    """Returns a time in wall-clock ms.
+
+    Accepts ISO 8601 (local time without a zone), `now`, or a time relative to now such as -90s, -15m, -2h,
+    -1d. Raises ValueError.
+    """
     if text == "now":
         return now_ms
     if match := re.fullmatch(r"([-+])(\d+(?:\.\d+)?)(ms|s|m|h|d)", text):
@@ -124,7 +126,7 @@
 
 
 class _PlanBuilder(Transformer):
-    """From the parse tree to a test and its bounds."""
+    """Builds the test and its bounds from the parse tree."""
 
     def __init__(self, now_ms: float) -> None:
         super().__init__()
@@ -167,7 +169,7 @@
 
         def matches_row(row: AttemptRow) -> bool:
             there = getattr(row, row_field)
-            # What is not known is neither before nor after anything, but it is not equal to it either.
+            # An unknown value is neither before nor after any other, nor equal to it.
             return compare(there, value) if there is not None else order == "!="
 
         node = _QueryNode(matches_row)
@@ -224,7 +226,7 @@
 
 
 def parse_query(text: str, now_ms: float) -> QueryPlan:
-    """An expression; an empty one lets everything through. Raises QueryError."""
+    """Parses an expression; an empty one matches every row. Raises QueryError."""
     if not text.strip():
         return QueryPlan(lambda row: True)
     if len(text) > MAX_EXPRESSION_CHARS:
--- a/spanwing/journal/reader.py
+++ b/spanwing/journal/reader.py
@@ -1,8 +1,8 @@
-"""Reads a journal's folder for people: beside a living daemon or after a dead one, without a lock.
+"""Reads a journal's folder for the command line: beside a running daemon or after its end, without a lock.
 
-Guarantees: it never writes to a segment and never holds the daemon up; a segment that is being written is
-read as far as it is whole, and a torn tail there is no damage. Memory: one segment's index at a time, the
-names that are asked for, and the requests that are not settled.
+It never writes to a segment and never blocks the daemon. A segment that is being written is read as far as it
+is complete, and a torn tail there is no damage. Memory: one segment's index at a time, the requested names,
+and the requests that are not settled.
 """
 
 from __future__ import annotations
@@ -28,21 +28,21 @@
 from spanwing.journal.segment_log import SegmentReader, number_in_name
 from spanwing.journal.table import AttemptRow, attempt_rows
 
-MAX_CLOCK_STEP_MS = 3_600_000.0  # by which a clock may have stepped back
-MAX_REQUEST_MS = 3_600_000.0  # that a front lets a client wait
+MAX_CLOCK_STEP_MS = 3_600_000.0  # the largest step back of a clock that is allowed for
+MAX_REQUEST_MS = 3_600_000.0  # the longest time that a frontend lets a client wait
 
 
 @dataclass
 class VerifyFinding:
-    """Something that is not as it should be."""
+    """Damage in a segment, and whether it is harmless."""
 
     segment: str
     damage: DamagedBytes
-    is_harmless: bool  # a crash may leave it: nothing that was acknowledged is missing
+    is_harmless: bool  # a crash may leave it: no acknowledged record is missing
 
 
 class JournalReader:
-    """One folder."""
+    """Reads one folder. Raises FileNotFoundError if there is none."""
 
     def __init__(self, path: str) -> None:
         self.path = Path(path)
@@ -51,10 +51,11 @@
         self.segment_reader = SegmentReader(LocalFolder(path, for_writing=False))
 
     def read_frames(self, after_number: int = 0) -> Iterator[tuple[str, RecordFrame | DamagedBytes]]:
+        """Yields the complete records with a number above after_number, and the damage, by segment."""
         return self.segment_reader.read_all(after_number)
 
     def read_requests(self) -> Iterator[JournalRequest]:
-        """All requests, each once it is settled, and at the end those that are not."""
+        """Yields each request once it is settled, and at the end those that are not."""
         states = RequestStates()
         for _, each in self.read_frames():
             if isinstance(each, RecordFrame):
@@ -64,7 +65,7 @@
         yield from states.open_requests.values()
 
     def find_rows(self, plan: QueryPlan) -> Iterator[AttemptRow]:
-        """Those that match; by the indexes where the plan names requests, or workers and a time."""
+        """Yields the rows that match; by the indexes if the plan names requests or workers."""
         if plan.request_ids is not None:
             chosen = self.find_requests(plan.request_ids)
         elif plan.workers is not None:
@@ -75,13 +76,16 @@
             yield from (row for row in attempt_rows(request) if plan.matches(row))
 
     def find_request(self, request_id: str) -> JournalRequest | None:
-        """All that is known of one request; None: the journal does not know it."""
+        """Returns all that is known of one request; None if the journal has no record of it."""
         return max(self.find_requests({request_id}), key=lambda each: each.first_number, default=None)
 
     def find_requests(self, request_ids: Collection[str]) -> Iterator[JournalRequest]:
-        """All that is known of these, in one pass over the indexes and no record of any other."""
+        """Yields all that is known of these requests.
+
+        One pass over the indexes; no record of any other request is read, but for a collision of hashes.
+        """
         states, request_hashes = RequestStates(), indexes.hash_names({"", *request_ids})
-        # Lives and gaps, which have no name, go along: what they make doubtful is the ledger's to say.
+        # Process starts and gaps (the empty name) are read too, as they can make requests doubtful.
         for segment in self.segment_reader.segment_names():
             data, header = self._map_segment(segment)
             if header is None:
@@ -97,8 +101,11 @@
         yield from states.open_requests.values()
 
     def _request_ids_of_workers(self, plan: QueryPlan) -> set[str]:
-        """Requests that had an intent for one of the workers. A request's time is that of its taking: its
-        intents come within the longest time that a client may wait, give or take what a clock has stepped."""
+        """Returns the requests that had an intent for one of the workers.
+
+        A request's time is that of its acceptance: its intents follow within MAX_REQUEST_MS, give or take
+        MAX_CLOCK_STEP_MS.
+        """
         request_ids: set[str] = set()
         for segment in self.segment_reader.segment_names():
             data, header = self._map_segment(segment)
@@ -117,7 +124,10 @@
         return request_ids
 
     def load_index(self, segment: str, data: mmap.mmap | bytes) -> indexes.SegmentIndex:
-        """From its file, or made anew; kept on disk once the segment is not the last one."""
+        """Returns a segment's index, from its file or rebuilt.
+
+        A rebuilt index is stored, if the folder can be written, unless the segment is the last one.
+        """
         path = (self.path / segment).with_suffix(indexes.FILE_SUFFIX)
         try:
             found = indexes.read_index(path, len(data))
@@ -127,38 +137,43 @@
                 try:
                     indexes.write_index(found, path)
                 except OSError:
-                    pass  # a folder that we may only read
+                    pass  # a folder that may only be read
         return found
 
     def _map_segment(self, segment: str) -> tuple[mmap.mmap | bytes, SegmentHeader | None]:
-        """Mapped, not read: only the pages that are looked at come into memory."""
+        """Maps a segment, so that only the pages that are used come into memory."""
         try:
             with open(self.path / segment, "rb") as file:
                 data = mmap.mmap(file.fileno(), 0, access=mmap.ACCESS_READ)
             return data, decode_header(data)
-        except (OSError, ValueError):  # gone, empty, or of no use
+        except (OSError, ValueError):  # removed, empty or unusable
             return b"", None
 
     def verify(self) -> Iterator[VerifyFinding]:
-        """Everything that is not whole, in order."""
+        """Yields all damage, in order."""
         for segment, each in self.read_frames():
             if isinstance(each, DamagedBytes):
                 yield VerifyFinding(segment, each, self.is_harmless(each))
 
     @staticmethod
     def is_harmless(damage: DamagedBytes) -> bool:
-        """A torn tail was never acknowledged: of the segments after it, none counts on more than is there."""
+        """Returns whether a crash may have left the damage.
+
+        A torn tail was never acknowledged; acknowledged records that are missing show as damage of their own,
+        by the header of the next segment.
+        """
         return damage.missing_numbers == 0 and (
             damage.reason.startswith("torn tail") or damage.offset + damage.size <= HEADER_SIZE
         )
 
     def read_gaps(self) -> Iterator[JournalGap]:
+        """Yields the gaps that the journal records."""
         for _, each in self.read_frames():
             if isinstance(each, RecordFrame) and isinstance(each.record, JournalGap):
                 yield each.record
 
     def segment_sizes(self) -> list[tuple[str, int, int]]:
-        """Segments, their first numbers and bytes."""
+        """Returns each segment's name, first number and size in bytes."""
         return [
             (name, number_in_name(name) or 0, self.segment_reader.files.size(name))
             for name in self.segment_reader.segment_names()
--- a/spanwing/journal/records.py
+++ b/spanwing/journal/records.py
@@ -1,19 +1,19 @@
-"""What the journal writes down, and how it stands on disk.
+"""The records of the journal, and their encoding on disk.
 
-Guarantees: every record names its request and carries both clocks (the wall's for people, the monotonic one
-for spans within one life of the daemon); fields are only ever added at the end, with a default, so that an
-older file reads in a newer program. Encoded by msgpack as an array that begins with its tag.
+Every record names its request and carries both clocks in ms (the wall clock for people, the monotonic one for
+spans within one incarnation of the daemon). Fields are only ever added at the end, with a default, so that a
+newer program reads an older file. Encoded by msgpack as an array that begins with its tag.
 """
 
 from __future__ import annotations
 
 import msgspec
 
-MAX_RECORD_BYTES = 16 * 1024  # bytes of one record: ids and keys are bounded by the fronts
+MAX_RECORD_BYTES = 16 * 1024  # of one record; the frontends bound ids and keys
 
 
 class JournalRecord(msgspec.Struct, array_like=True, frozen=True, omit_defaults=False):
-    """What all have."""
+    """The fields of every record."""
 
     request: str
     wall_ms: float
@@ -21,15 +21,15 @@
 
 
 class ProcessStarted(JournalRecord, tag="S"):
-    """A life of the daemon begins; request is empty."""
+    """An incarnation of the daemon begins; request is empty."""
 
     name: str = ""
-    life: str = ""  # drawn at each start
-    certain: bool = True  # in this life nothing is sent without an intent on disk
+    life: str = ""  # random, new at each start
+    certain: bool = True  # in this incarnation nothing is forwarded without an intent on disk
 
 
 class RequestAccepted(JournalRecord, tag="T"):
-    """A request that must not run twice was taken, and from whom."""
+    """A non-idempotent request was accepted, and from whom."""
 
     cls: str = ""
     tenant: str = ""
@@ -39,7 +39,7 @@
 
 
 class AttemptIntent(JournalRecord, tag="I"):
-    """An attempt is about to be sent; on disk before its first byte may leave."""
+    """An attempt is about to be forwarded; on disk before its first byte may leave."""
 
     attempt: int = 0
     worker: str = ""
@@ -47,27 +47,27 @@
 
 
 class LastByteWritten(JournalRecord, tag="L"):
-    """The attempt's last byte is written: from here on it counts."""
+    """The attempt's last byte was written: from here on it counts as sent."""
 
     attempt: int = 0
 
 
 class AttemptUnsent(JournalRecord, tag="U"):
-    """The attempt is over, and its last byte was certainly not written."""
+    """The attempt has ended, and its last byte was certainly not written."""
 
     attempt: int = 0
     why: str = ""
 
 
 class AttemptCancelled(JournalRecord, tag="G"):
-    """We stopped waiting for the attempt."""
+    """The scheduler stopped waiting for the attempt."""
 
     attempt: int = 0
     why: str = ""
 
 
 class AttemptCompleted(JournalRecord, tag="O"):
-    """What the job worker told of the attempt, or what became of its connection."""
+    """The worker's result of the attempt, or how its connection ended."""
 
     attempt: int = 0
     result: str = ""
@@ -80,14 +80,14 @@
 
 
 class AttemptClosed(JournalRecord, tag="C"):
-    """At a start: an attempt that an earlier life left open, possibly sent."""
+    """At a start: an attempt that an earlier incarnation left open, possibly sent."""
 
     attempt: int = 0
     worker: str = ""
 
 
 class JournalGap(JournalRecord, tag="X"):
-    """Work was served without being written down, as the operator chose; request is empty."""
+    """Requests were served without being recorded, as the operator chose; request is empty."""
 
     since_wall_ms: float = 0.0
     count: int = 0
@@ -107,7 +107,7 @@
     | JournalGap
 )
 
-#: What the command line calls each record.
+#: The command line's name for each record.
 RECORD_KINDS: dict[type[JournalRecord], str] = {
     ProcessStarted: "started",
     RequestAccepted: "taken",
@@ -126,7 +126,7 @@
 
 
 def encode_record(record: AnyRecord) -> bytes:
-    """Raises ValueError where the record is too long to be written."""
+    """Encodes a record. Raises ValueError if it is longer than MAX_RECORD_BYTES."""
     data = _encoder.encode(record)
     if len(data) > MAX_RECORD_BYTES:
         raise ValueError(f"a record of {len(data)} bytes, {MAX_RECORD_BYTES} are possible")
@@ -134,7 +134,7 @@
 
 
 def decode_record(data: bytes | memoryview) -> AnyRecord:
-    """Raises ValueError on what is no record."""
+    """Decodes a record. Raises ValueError if the data is none."""
     try:
         return _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/spanwing/journal/repair.py
+++ b/spanwing/journal/repair.py
@@ -1,7 +1,7 @@
-"""Puts a damaged folder in order, without losing a whole record and without hiding what is lost.
+"""Repairs a damaged folder, without losing a complete record and without hiding what is lost.
 
-Guarantees: nothing is changed unless the folder's lock is ours; a damaged segment keeps its bytes under
-another name (`.damaged`), and a copy of its whole records takes its place, whole at once. Steps are told
+Nothing is changed unless this process holds the folder's lock. A damaged segment keeps its bytes under
+another name (`.damaged`), and a copy of its complete records atomically takes its place. Steps are reported
 before they are taken, and a dry run takes none.
 """
 
@@ -31,7 +31,7 @@
 
 
 class RepairStep(NamedTuple):
-    """One thing to do, and why."""
+    """One step of the repair, and its reason."""
 
     file_name: str
     action: str  # remove, rewrite, or leave
@@ -39,7 +39,7 @@
 
 
 def plan_repair(files: FolderFiles) -> Iterator[RepairStep]:
-    """What there is to do."""
+    """Yields the steps that the folder needs."""
     names = files.names()
     for name in names:
         if name.endswith(PARTIAL_SUFFIX):
@@ -78,7 +78,7 @@
 
 
 def apply_step(files: FolderFiles, step: RepairStep) -> None:
-    """Carry one step out. Raises OSError."""
+    """Carries one step out. Raises OSError."""
     if step.action == "remove":
         files.remove(step.file_name)
     elif step.action == "rewrite":
--- a/spanwing/journal/request_states.py
+++ b/spanwing/journal/request_states.py
@@ -1,10 +1,12 @@
-"""What the records of a request add up to: certainly not sent, or possibly sent, with all that is known.
+"""The state of each request from its records: certainly not sent, or possibly sent, with all that is known.
 
-Guarantees: pure; any order and repetition of records that a crash can leave gives the same standing; an
-attempt counts as unsent only where its own last life wrote down that its last byte was not written, and a
-request without attempts only where no intent of it can have been left out: not across a gap, and not across
-the crash of a life that served without the journal. Whatever is not known counts as possibly sent. Bounded:
-settled requests leave, open ones are as many as the daemon has taken.
+Pure. Any order and repetition of records that a crash can leave gives the same state. An attempt counts as
+unsent only if the incarnation that made it recorded that its last byte was not written; a request without
+attempts only if none of its intents can be missing: not across a gap, and not across the crash of an
+incarnation that served without the journal. Whatever is not known counts as possibly sent.
+
+Bounds: settled requests are dropped, open ones are as many as the daemon has accepted; MAX_INTERRUPTED
+interrupted ones.
 """
 
 from __future__ import annotations
@@ -28,7 +30,7 @@
 )
 
 MAX_INTERRUPTED = 100_000
-NO_ATTEMPT = -1  # of a Closed: nothing of the request was out
+NO_ATTEMPT = -1  # in an AttemptClosed: no attempt of the request was in flight
 DeliveryState = Literal["not sent", "possibly sent", "sent"]
 #: Outcomes that prove that an attempt never ran (the decision module's NEVER_RAN, as text on disk).
 NEVER_RAN_OUTCOMES = frozenset({"full", "unreachable", "moot"})
@@ -36,7 +38,7 @@
 
 @dataclass(slots=True)
 class JournalAttempt:
-    """One delivery attempt as the journal knows it."""
+    """One attempt as the journal knows it."""
 
     number: int
     worker: str = ""
@@ -46,17 +48,18 @@
     unsent_reason: str = ""  # why its last byte was certainly not written
     cancel_reason: str = ""
     result: str = ""
-    is_closed_at_start: bool = False  # a later life found it open
+    is_closed_at_start: bool = False  # a later incarnation found it open
 
     @property
     def delivery_state(self) -> DeliveryState:
+        """Returns whether the attempt was sent, as far as the journal knows."""
         if self.last_byte_ms is not None:
             return "sent"
         return "not sent" if self.unsent_reason else "possibly sent"
 
     @property
     def is_ended(self) -> bool:
-        """Nothing more is to come of it."""
+        """Returns whether no further record of the attempt is due."""
         return bool(self.unsent_reason or self.result or self.is_closed_at_start)
 
 
@@ -69,13 +72,13 @@
     accepted: RequestAccepted | None = None
     answer: str = ""
     answered_ms: float | None = None
-    is_interrupted: bool = False  # a later life found it unanswered: it never will be
-    may_lack_attempts: bool = False  # an attempt of it may be missing here
+    is_interrupted: bool = False  # a later incarnation found it unanswered: it never will be answered
+    may_lack_attempts: bool = False  # the records of an attempt may be missing
     attempts: dict[int, JournalAttempt] = field(default_factory=dict)
 
     @property
     def delivery_state(self) -> DeliveryState:
-        """The gravest of its attempts."""
+        """Returns the gravest state of its attempts."""
         states = {each.delivery_state for each in self.attempts.values()}
         if self.is_incomplete:
             states.add("possibly sent")
@@ -83,21 +86,25 @@
 
     @property
     def is_incomplete(self) -> bool:
-        """Records of it may not be there."""
+        """Returns whether records of it may be missing."""
         return self.may_lack_attempts or self.accepted is None
 
     @property
     def is_settled(self) -> bool:
-        """Answered, or cut short by a crash, and every attempt is over: no later record is owed."""
+        """Returns whether it was answered, or cut short by a crash, and every attempt has ended.
+
+        No later record of it is due then.
+        """
         has_ended = self.answered_ms is not None or self.is_interrupted
         return has_ended and all(each.is_ended for each in self.attempts.values())
 
     def get_or_add_attempt(self, number: int) -> JournalAttempt:
+        """Returns the attempt of this number, added if it is new."""
         return self.attempts.setdefault(number, JournalAttempt(number))
 
 
 class InterruptedRequest(NamedTuple):
-    """A request that an earlier life left open, as far as a repeat of it is to be told."""
+    """What is told about a request that an earlier incarnation left open, when a client repeats it."""
 
     delivery_state: str
     worker: str
@@ -105,17 +112,17 @@
 
 
 class RequestStates:
-    """Requests that are not settled, from records in their order, and those that a crash has settled."""
+    """The requests that are not settled, from records in their order, and those that a crash interrupted."""
 
     def __init__(self) -> None:
         self.open_requests: dict[str, JournalRequest] = {}
         self.interrupted: OrderedDict[str, InterruptedRequest] = (
             OrderedDict()
-        )  # MOST_LOST at most, the oldest goes
-        self.has_every_intent = True  # of the life whose records come: none of its intents can be missing
+        )  # MAX_INTERRUPTED at most; the oldest is dropped
+        self.has_every_intent = True  # of the incarnation being read: none of its intents can be missing
 
     def apply(self, number: int, record: AnyRecord) -> JournalRequest | None:
-        """Add a record; returns the request if this settles it."""
+        """Adds a record; returns the request if the record settles it."""
         if not record.request:
             self._apply_process_record(record)
             return None
@@ -143,12 +150,14 @@
             self.has_every_intent = record.certain
 
     def oldest_needed_number(self) -> int | None:
-        """The number of the first record that is still needed."""
+        """Returns the number of the first record that is still needed; None if none is."""
         return min((each.first_number for each in self.open_requests.values()), default=None)
 
     def unfinished_attempts(self) -> list[tuple[JournalRequest, JournalAttempt]]:
-        """After a crash: attempts with an intent and no end; where records of a request may be missing, an
-        attempt of no number stands for what is not known."""
+        """Returns, after a crash, the attempts with an intent and no end.
+
+        If records of a request may be missing, an attempt numbered NO_ATTEMPT stands for what is not known.
+        """
         unfinished = []
         for request in self.open_requests.values():
             attempts = [
@@ -162,8 +171,10 @@
         return unfinished
 
     def closing_records(self, wall_ms: float, mono_ms: float) -> list[AttemptClosed]:
-        """What a new life writes down so that nothing of an earlier one stays open: for each attempt of which
-        the end is not known, and for each request that has none, that no answer will come."""
+        """Returns the records by which a new incarnation closes what earlier ones left open.
+
+        One for each attempt without a known end, and one for each request that has none: no answer will come.
+        """
         records = []
         for request in self.open_requests.values():
             attempts = [each for each in request.attempts.values() if not each.is_ended]
@@ -176,7 +187,7 @@
 
 
 def update_request(request: JournalRequest, record: AnyRecord) -> None:
-    """Take one record of a request into account."""
+    """Updates a request by one of its records."""
     match record:
         case RequestAccepted():
             request.accepted = record
@@ -200,5 +211,5 @@
                 return
             attempt = request.get_or_add_attempt(record.attempt)
             attempt.is_closed_at_start = True
-            if attempt.intent_ms is None:  # its intent was dropped with an old segment: it was there
+            if attempt.intent_ms is None:  # its intent was removed with an old segment, so there was one
                 attempt.intent_ms, attempt.worker = record.wall_ms, record.worker
--- a/spanwing/journal/segment_log.py
+++ b/spanwing/journal/segment_log.py
@@ -1,10 +1,10 @@
-"""The log itself: records in, segments on disk; and all of it read again.
+"""The segment log: writes records to segments on disk, and reads them.
 
-Guarantees: write() returns only when every record of the batch is on disk, its segment's header and name
-too; a batch that fails is not acknowledged, its segment is never written again, and the next batch begins
-another one. A segment is never cut or changed: a new life begins a new segment, so whatever a crash left
-stays to be looked at. Nothing is removed that an open request needs. All of it is blocking: a thread of its
-own runs it.
+write() returns only when every record of the batch is on disk, with its segment's header and name. A batch
+that fails is not acknowledged, its segment is never written again, and the next batch starts another one. A
+segment is never cut or changed by a write: a new incarnation starts a new segment, so whatever a crash left
+stays for inspection. Nothing that an open request needs is removed. All calls block: they run in a thread of
+their own.
 """
 
 from __future__ import annotations
@@ -35,11 +35,12 @@
 
 
 def segment_name(first_number: int) -> str:
+    """Returns the name of the segment that begins with this record's number."""
     return f"{first_number:016x}{SEGMENT_SUFFIX}"
 
 
 def number_in_name(name: str) -> int | None:
-    """The number in a file's name; None for a file that is not ours."""
+    """Returns the number in a file's name; None if it is no segment or snapshot."""
     stem, _, suffix = name.rpartition(".")
     if f".{suffix}" not in (SEGMENT_SUFFIX, SNAPSHOT_SUFFIX) or len(stem) != 16:
         return None
@@ -51,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RetentionLimits:
-    """When a segment ends, and what is kept."""
+    """When a segment ends, and how long and how much is retained."""
 
     segment_bytes: int = 64 * 1024 * 1024
     segment_ms: float = 3_600_000.0
@@ -60,11 +61,12 @@
     retention_ms_by_class: Mapping[str, float] = field(default_factory=dict)  # by class, where it differs
 
     def retention_ms_for(self, cls: str) -> float:
+        """Returns the retention of a class, in ms."""
         return self.retention_ms_by_class.get(cls, self.retention_ms)
 
     @property
     def longest_retention_ms(self) -> float:
-        """Nothing that is settled is kept for longer."""
+        """Returns the longest retention of any class, in ms; no settled request is kept for longer."""
         return (
             max(self.retention_ms, *self.retention_ms_by_class.values())
             if self.retention_ms_by_class
@@ -73,12 +75,13 @@
 
 
 class SegmentReader:
-    """All that a folder holds, in order, without a lock."""
+    """Reads the records of a folder, in order, without a lock."""
 
     def __init__(self, files: FolderFiles) -> None:
         self.files = files
 
     def segment_names(self) -> list[str]:
+        """Returns the names of the segments, in the order of their numbers."""
         return sorted(
             name
             for name in self.files.names()
@@ -86,16 +89,16 @@
         )
 
     def read_all(self, after_number: int = 0) -> Iterator[tuple[str, RecordFrame | DamagedBytes]]:
-        """Every whole record with a number above after, and whatever is not whole, by segment."""
+        """Yields the complete records with a number above after_number, and all damage, by segment."""
         names, last_number, expects_predecessor = self.segment_names(), after_number, bool(after_number)
         for position, name in enumerate(names):
             next_first_number = number_in_name(names[position + 1]) if position + 1 < len(names) else None
             if next_first_number is not None and next_first_number <= after_number + 1:
-                continue  # all of it is older
+                continue  # all of its records are older
             try:
                 data = self.files.read(name)
             except FileNotFoundError:
-                continue  # retention has removed it while we read
+                continue  # retention has removed it meanwhile
             try:
                 header = decode_header(data)
             except ValueError as error:
@@ -111,7 +114,7 @@
                         header.last_number_before - last_number,
                     ),
                 )
-            # Before the oldest segment that is there nothing is missed: retention has taken it.
+            # Records before the oldest segment are not missing: retention has removed them.
             expects_predecessor = not header.flags & COMPACTED_FLAG
             for each in read_frames(
                 data, header.first_number, HEADER_SIZE, bool(header.flags & COMPACTED_FLAG)
@@ -124,7 +127,7 @@
 
 
 class SegmentLog:
-    """Opened by one process at a time; the ledger follows what is on disk."""
+    """The log, open in one process at a time; request_states follows what is on disk."""
 
     def __init__(self, files: FolderFiles, limits: RetentionLimits = RetentionLimits()) -> None:  # noqa: B008 - immutable
         self.files, self.limits = files, limits
@@ -137,14 +140,14 @@
             except FutureVersionError as error:
                 raise ValueError(f"{name}: {error}") from None
             except ValueError:
-                pass  # told below, and nothing is written to it
+                pass  # reported below as damage; nothing is written to it
         for name, each in reader.read_all(self.last_number):
             if isinstance(each, DamagedBytes):
                 self.damaged.append((name, each))
             else:
                 self.last_number = each.number
                 self.request_states.apply(each.number, each.record)
-        # Numbers that a lost tail may have used are left out: they must not stand for two records.
+        # Numbers that a lost tail may have used are skipped: none may stand for two records.
         highest_number = max(
             [self.last_number, *(number_in_name(name) or 0 for name in reader.segment_names())]
         )
@@ -162,8 +165,10 @@
         return RequestStates(), 0
 
     def write(self, batch: list[AnyRecord], now_ms: float) -> int:
-        """Write and sync; returns the number of the last record. Raises OSError: then none of the batch may
-        be relied on, and all of it may be there."""
+        """Writes and syncs a batch; returns the number of its last record.
+
+        Raises OSError: then none of the batch may be relied on, though all of it may be on disk.
+        """
         numbers = range(self.next_number, self.next_number + len(batch))
         data = b"".join(
             encode_frame(number, encode_record(record)) for number, record in zip(numbers, batch, strict=True)
@@ -179,7 +184,7 @@
         name, self.next_number = (
             self.current_segment,
             numbers.stop,
-        )  # also where it fails: no number stands twice
+        )  # even if the write fails: no number is used twice
         try:
             self.files.append(name, data)
             self.files.sync(name)
@@ -193,7 +198,7 @@
         return self.last_number
 
     def _start_segment(self, now_ms: float) -> None:
-        """Begin a segment; it counts only once its header and its name are on disk."""
+        """Starts a segment; it counts only once its header and its name are on disk."""
         previous = self.current_segment
         self._close_segment()
         name = segment_name(self.next_number)
@@ -206,7 +211,7 @@
             self.files.sync_folder()
         except OSError:
             self.files.close(name)
-            self.next_number += 1  # another try makes another file
+            self.next_number += 1  # a retry creates another file
             raise
         self.current_segment, self.current_bytes, self.segment_started_ms = name, HEADER_SIZE, now_ms
         if previous is not None:
@@ -218,7 +223,7 @@
             self.current_segment = None
 
     def write_snapshot(self) -> None:
-        """Write down what is open; a crash at any point of it leaves the one before."""
+        """Writes a snapshot of the open requests; a crash at any point leaves the one before."""
         name = f"{self.last_number:016x}{SNAPSHOT_SUFFIX}"
         partial_name = name + PARTIAL_SUFFIX
         for each in self.files.names():
@@ -237,7 +242,10 @@
             self.files.remove(each)
 
     def remove_expired(self, now_ms: float) -> list[str]:
-        """Remove segments that are too old or too much, but none that is needed; returns their names."""
+        """Removes segments beyond the limits of time or size; returns their names.
+
+        A segment that an open request needs stays, and so does the last one.
+        """
         names = SegmentReader(self.files).segment_names()
         oldest_needed = self.request_states.oldest_needed_number()
         sizes = {name: self.files.size(name) for name in names}
@@ -257,7 +265,7 @@
                 break
             self.files.remove(name)
             index = name.removesuffix(SEGMENT_SUFFIX) + INDEX_SUFFIX
-            if index in self.files.names():  # made by the command line; it would outlive its segment for ever
+            if index in self.files.names():  # nothing else would remove it
                 self.files.remove(index)
             total_bytes -= sizes[name]
             removed.append(name)
@@ -266,4 +274,5 @@
         return removed
 
     def close(self) -> None:
+        """Closes the current segment."""
         self._close_segment()
--- a/spanwing/journal/snapshot.py
+++ b/spanwing/journal/snapshot.py
@@ -1,7 +1,7 @@
-"""What is open at one number, so that a start reads the log from there on only.
+"""A snapshot of the open requests at one record number, so that a start reads the log only from there on.
 
-Guarantees: a snapshot is whole or it is not taken (checksum over all of it); it is never needed, as the log
-alone gives the same; one of a newer version is passed over.
+A snapshot is used only if it is complete (a checksum covers all of it). It is never needed, as the log alone
+gives the same; one of another version is skipped.
 """
 
 from __future__ import annotations
@@ -19,6 +19,8 @@
 
 
 class AttemptSnapshot(msgspec.Struct, array_like=True):
+    """A JournalAttempt, as it is stored."""
+
     number: int
     worker: str
     address: str
@@ -31,6 +33,8 @@
 
 
 class RequestSnapshot(msgspec.Struct, array_like=True):
+    """A JournalRequest, as it is stored."""
+
     id: str
     first_number: int
     accepted: RequestAccepted | None
@@ -42,7 +46,7 @@
 
 
 def encode_snapshot(states: RequestStates, last_number: int) -> bytes:
-    """What is open after record `last`."""
+    """Encodes what is open after record last_number."""
     requests = [
         RequestSnapshot(
             each.id,
@@ -69,7 +73,7 @@
 
 
 def decode_snapshot(data: bytes) -> tuple[RequestStates, int]:
-    """The ledger and the last number in it. Raises ValueError on what cannot be used."""
+    """Returns the request states and the last record's number. Raises ValueError if it cannot be used."""
     try:
         magic, version, last_number, checksum = HEADER_STRUCT.unpack_from(data)
     except struct.error:
--- a/spanwing/journal/table.py
+++ b/spanwing/journal/table.py
@@ -1,7 +1,7 @@
 """The journal as a table: one row for each attempt, or for a request that has none.
 
-Guarantees: every row says `not sent`, `possibly sent` or `sent`; times are wall-clock milliseconds, None
-where nothing is known. The fields are those that a filter names (query.py).
+The state of every row is `not sent`, `possibly sent` or `sent`; times are wall-clock ms, None if unknown. The
+fields are those that a filter names (query.py).
 """
 
 from __future__ import annotations
@@ -26,18 +26,18 @@
     worker: str
     address: str
     state: str
-    time: float | None  # when the request was taken, or the attempt's intent where that is all there is
+    time: float | None  # when the request was accepted; the attempt's intent if that is not known
     intent: float | None
     last_byte: float | None
     given_up: str
     result: str
     answer: str
     answered: float | None
-    closed: bool  # a later life found it open
+    closed: bool  # a later incarnation found it open
 
 
 def attempt_rows(request: JournalRequest) -> Iterator[AttemptRow]:
-    """In the order of the attempts."""
+    """Yields a request's rows, in the order of its attempts."""
     attempts = sorted(request.attempts.values(), key=lambda each: each.number)
     for attempt in attempts:
         yield _build_row(request, attempt)
@@ -46,7 +46,7 @@
         or request.delivery_state == "possibly sent"
         and all(each.delivery_state == "not sent" for each in attempts)
     ):
-        yield _build_row(request, None)  # what is known of the request as a whole
+        yield _build_row(request, None)  # what is known of the request itself
 
 
 def _build_row(request: JournalRequest, attempt: JournalAttempt | None) -> AttemptRow:
--- a/spanwing/journal/writer.py
+++ b/spanwing/journal/writer.py
@@ -1,10 +1,10 @@
-"""The daemon's side of the journal: what the core tells, in records, and what an earlier life left.
+"""The daemon's side of the journal: records the request manager's events, and knows what was left open.
 
-Guarantees: an intent is told back durable before anything may be sent on it; every other record is handed
-over in the order in which it happened and waits for nothing. With `refuse`, an intent that cannot be made
-durable is told so and nothing is sent; with `serve` it is sent all the same, and the journal has a gap that
-says so; an intent that waits for longer than wait_s counts as one that cannot be. Nothing here sends,
-retries or decides.
+An intent is reported durable before anything may be forwarded on it; every other record is submitted in the
+order of the events and waits for nothing. With `refuse`, an intent that cannot be made durable is reported so
+and nothing is forwarded; with `serve` it is forwarded all the same, and the journal records a gap. An intent
+that is pending for longer than intent_timeout_s counts as one that cannot be made durable. Nothing here
+forwards, retries or decides.
 """
 
 from __future__ import annotations
@@ -31,18 +31,21 @@
 from spanwing.journal.request_states import InterruptedRequest, JournalAttempt, JournalRequest
 from spanwing.journal.segment_log import SegmentLog
 
-MAX_NAME_CHARS = 200  # of a tenant, key, worker or address, in characters
+MAX_NAME_CHARS = 200  # of a tenant, key, worker or address
 
 FailurePolicy = Literal["refuse", "serve"]
 
 
 def truncate(text: str) -> str:
-    """What a client names may be long, and a record that does not fit would take its whole batch with it."""
+    """Returns the text, cut to MAX_NAME_CHARS.
+
+    Clients choose these names, and a record that is too long would fail its whole batch.
+    """
     return text if len(text) <= MAX_NAME_CHARS else f"{text[: MAX_NAME_CHARS - 1]}…"
 
 
 class JournalWriter:
-    """Writes down the requests of some classes."""
+    """Records the requests of some classes."""
 
     def __init__(
         self,
@@ -54,15 +57,18 @@
         call_later: Callable[[float, Callable[[], None]], object] | None = None,
         cancel_timer: Callable[[object], None] = lambda timer: None,
     ) -> None:
-        """post: runs a call on the loop, from any thread; later and cancel: the loop's timers."""
+        """Takes call_on_loop, which runs a call on the loop from any thread, and the loop's timers.
+
+        Raises OSError if the first write fails.
+        """
         self.failure_policy = failure_policy
         self.intent_timeout_s, self.call_later, self.cancel_timer = intent_timeout_s, call_later, cancel_timer
         now = self._clocks_ms()
         self.unfinished_attempts: list[tuple[JournalRequest, JournalAttempt]] = (
             segment_log.request_states.unfinished_attempts()
         )
-        # The first write of this life: what earlier ones left is closed, and nothing of it is done again.
-        # It goes before anything else, and a disk that cannot take it is known before the first client comes.
+        # The first write of this incarnation closes what earlier ones left open; none of that is retried.
+        # It precedes everything else, so a disk that fails is known before the first client connects.
         closing_records = segment_log.request_states.closing_records(*now)
         segment_log.write(
             [
@@ -75,7 +81,7 @@
         self.damaged = segment_log.damaged
         self.committer = Committer(segment_log, call_on_loop)
         self.committer.start()
-        # Where all classes are kept for the same time, whole segments go, and nothing has to be thinned.
+        # If all classes have the same retention, entire segments are removed, and none is compacted.
         self.compaction: CompactionThread | None = None
         if segment_log.limits.retention_ms_by_class:
             self.compaction = CompactionThread(
@@ -86,11 +92,11 @@
 
     @staticmethod
     def _clocks_ms() -> tuple[float, float]:
-        """Both clocks, in ms."""
+        """Returns the wall clock and the monotonic clock, in ms."""
         return time.time() * 1000.0, time.monotonic() * 1000.0
 
     def unavailable_reason(self) -> str:
-        """Why work that has to be written down is turned away now; empty where it is taken."""
+        """Returns why requests that must be recorded are rejected now; empty if they are accepted."""
         return (
             self.committer.unavailable_reason(self.intent_timeout_s)
             if self.failure_policy == "refuse"
@@ -98,7 +104,7 @@
         )
 
     def find_interrupted(self, request: str) -> str:
-        """What is known of a request that an earlier life left open; empty where that is nothing."""
+        """Returns what is known of a request that an earlier incarnation left open; empty if nothing."""
         interrupted = self.interrupted.get(request)
         if interrupted is None:
             return ""
@@ -109,6 +115,7 @@
     def record_accepted(
         self, request: str, cls: str, tenant: str, key: str, front: str, budget_ms: float
     ) -> None:
+        """Records that a request was accepted, and its budget in ms."""
         self._submit(
             RequestAccepted(
                 request, *self._clocks_ms(), cls, truncate(tenant), truncate(key), front, budget_ms
@@ -118,7 +125,10 @@
     def record_intent(
         self, request: str, attempt: int, worker: str, address: str, then: Callable[[bool], None]
     ) -> None:
-        """then hears whether the attempt may be sent."""
+        """Records an intent; calls `then` with whether the attempt may be forwarded.
+
+        With the loop's timers, `then` is called after intent_timeout_s at the latest.
+        """
         is_decided, timer = False, None
 
         def decide(reason: str) -> None:
@@ -136,26 +146,35 @@
             timer = self.call_later(self.intent_timeout_s, lambda: decide("the disk is slow"))
 
     def record_last_byte(self, request: str, attempt: int) -> None:
+        """Records that the attempt's last byte was written."""
         self._submit(LastByteWritten(request, *self._clocks_ms(), attempt))
 
     def record_unsent(self, request: str, attempt: int, why: str) -> None:
+        """Records that the attempt ended and its last byte was certainly not written."""
         self._submit(AttemptUnsent(request, *self._clocks_ms(), attempt, why))
 
     def record_cancelled(self, request: str, attempt: int, why: str) -> None:
+        """Records that the scheduler stopped waiting for the attempt."""
         self._submit(AttemptCancelled(request, *self._clocks_ms(), attempt, why))
 
     def record_outcome(self, request: str, attempt: int, result: str) -> None:
+        """Records the attempt's result."""
         self._submit(AttemptCompleted(request, *self._clocks_ms(), attempt, result))
 
     def record_answered(self, request: str, kind: str) -> None:
+        """Records the request's final answer."""
         self._submit(RequestAnswered(request, *self._clocks_ms(), kind))
 
     def _submit(self, record: AnyRecord) -> None:
-        """What does not fit the queue is counted as a gap there."""
+        """Submits a record without a callback; one that does not fit the queue is counted in a gap."""
         self.committer.submit([record])
 
     def counters(self) -> dict[str, int]:
-        """Syncs and records since the start, records that wait, records that a gap will tell of."""
+        """Returns the journal's counters.
+
+        Syncs and records written since the start, records pending, records that a gap will count, and whether
+        writes fail now.
+        """
         committer = self.committer
         return {
             "syncs": committer.syncs,
@@ -166,7 +185,7 @@
         }
 
     def close(self) -> bool:
-        """Write what waits; whether all of it is on disk."""
+        """Writes what is pending; returns whether all of it is on disk."""
         if self.compaction is not None:
             self.compaction.stop()
         return self.committer.stop() and not self.committer.lost_records
--- a/spanwing/policy/coordinator.py
+++ b/spanwing/policy/coordinator.py
@@ -1,9 +1,9 @@
-"""The policy coordinator, at the leader: registers schedulers and brings each change of policy to one
-outcome.
+"""The policy coordinator, at the leader: brings each change of policy to one outcome.
 
-Pure: the time is passed in. Each transaction holds only if the entries that it was made from still stand. A
-version comes into force only once every session that may hold a permit has acknowledged that the former
-version is closed, or can no longer accept requests (docs/design/policy.md has the proof).
+It also registers schedulers. Pure: the time is passed in. Each transaction holds only if the entries that it
+was made from still stand. A version comes into force only once every session that may hold a permit has
+acknowledged that the former version is closed, or can no longer accept requests (docs/design/policy.md has
+the proof).
 
 Bounds: one change at a time, MAX_SCHEDULERS names, one vote and one permit time for each.
 """
@@ -176,10 +176,9 @@
     def decide_next_change(
         self, now: float, document: Document, leader: SessionRegistry
     ) -> Transaction | None:
-        """Returns the next transaction, or None: the initial policy, then registrations, then a step of the
-        change.
+        """Returns the next transaction: the initial policy, registrations, or a step of the change.
 
-        None as well if a part of the policy in the document cannot be read.
+        None if there is nothing to do, or if a part of the policy in the document cannot be read.
         """
         policy = read_policy(document)
         if policy.unread:
@@ -304,8 +303,9 @@
         timeout_ms: float,
         removed_names: list[str],
     ) -> Transaction:
-        """Returns the transaction that proposes a policy. Raises ValueError with the reason if it is
-        rejected.
+        """Returns the transaction that proposes a policy.
+
+        Raises ValueError with the reason if it is rejected.
         """
         policy = read_policy(document)
         if policy.unread:
--- a/spanwing/policy/policy_cache.py
+++ b/spanwing/policy/policy_cache.py
@@ -68,8 +68,9 @@
         return dict(sorted(found.items()))
 
     def store_version(self, version: PolicyVersion) -> None:
-        """Stores a version and drops the oldest beyond the bound. Raises OSError if its file cannot be
-        written.
+        """Stores a version and drops the oldest beyond the bound.
+
+        Raises OSError; if the version's own file could not be written, nothing has changed.
         """
         if self.versions.get(version.number) == version:
             return
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -189,9 +189,7 @@
         )
 
     def _release_queued(self) -> None:
-        """Posts queued requests again, in their order, once they may be accepted; rejects those that waited
-        too long.
-        """
+        """Posts queued requests again, in their order, once they may be accepted; rejects the overdue."""
         now = clock_ms()
         action = self.participant.decide_admission(now).action
         while self.queued_requests and (action == "take" or now >= self.queued_requests[0][0]):
@@ -419,8 +417,9 @@
         return self._find_objection(text)
 
     def text(self, version_number: int) -> str:
-        """Returns the text of a version; 0 means the version in force here. Raises ValueError if it is not
-        cached.
+        """Returns the text of a version; 0 means the version in force here.
+
+        Raises ValueError if the version is not cached.
         """
         version_number = version_number or self.active_version.number
         version = self.cache.versions.get(version_number)
--- a/spanwing/policy/state_transfer.py
+++ b/spanwing/policy/state_transfer.py
@@ -37,8 +37,9 @@
 
 
 def transfer_worker_estimates(scheduler: Dispatcher, previous: Dispatcher, now: float) -> None:
-    """Copies each worker's estimates, once the new scheduler has the worker list; the former one stops
-    feeding.
+    """Copies each worker's estimates; the former scheduler stops feeding.
+
+    Called once the new scheduler has the worker list.
     """
     for worker, worker_state in scheduler.views.items():
         previous_state = previous.views.get(worker)
