--- a/spanwing/__init__.py
+++ b/spanwing/__init__.py
@@ -1,1 +1,1 @@
-"""spanwing: the decisions of a dispatcher that pushes jobs to workers."""
+"""spanwing: a scheduler that dispatches jobs to workers."""
--- a/spanwing/__main__.py
+++ b/spanwing/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m spanwing`: bare it is the daemon, as the platform runs it; with arguments a command."""
+"""`python -m spanwing`: without arguments the daemon, as the platform runs it; with arguments a command."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 
 
 def main() -> int:
+    """Runs the daemon, or the command that the arguments name; returns the exit status."""
     if len(sys.argv) > 1:
-        from spanwing.cli.main import main as command  # click is loaded for a command alone
+        from spanwing.cli.main import main as command  # click is loaded only for a command
 
         return command()
     from spanwing.daemon import serve
--- a/spanwing/actor.py
+++ b/spanwing/actor.py
@@ -1,4 +1,4 @@
-"""Actors: a mailbox each, one message at a time, nothing shared."""
+"""Actors: each has a mailbox, handles one message at a time and shares no state."""
 
 from __future__ import annotations
 
@@ -13,7 +13,9 @@
 
 
 def spawn_task(coroutine: Coroutine[Any, Any, None]) -> None:
-    """Run a coroutine by itself; what it raises is a fault of ours and is logged, never swallowed."""
+    """Runs a coroutine on its own. An exception from it is a fault of the program: it is logged, never
+    swallowed.
+    """
 
     async def run_guarded() -> None:
         try:
@@ -25,7 +27,7 @@
 
 
 class Actor:
-    """Takes messages in the order they were posted, on the loop it was made on."""
+    """Handles messages in the order they were posted, on the event loop on which it was created."""
 
     def __init__(self) -> None:
         self.mailbox: deque[Any] = deque()
@@ -33,7 +35,9 @@
         self.is_scheduled = False
 
     def post(self, message: object) -> None:
-        """Leave a message. Nothing waits on an empty mailbox, so an actor no one knows simply goes."""
+        """Queues a message in the mailbox, which has no bound. Nothing waits on an empty mailbox, so an
+        actor without references is simply collected.
+        """
         self.mailbox.append(message)
         if not self.is_scheduled:
             self.is_scheduled = True
@@ -51,4 +55,7 @@
             self.is_scheduled = False
 
     def handle_message(self, message: Any) -> None:
+        """Handles one message; subclasses implement it. An exception is logged, and the next message
+        follows.
+        """
         raise NotImplementedError
--- a/spanwing/core/__init__.py
+++ b/spanwing/core/__init__.py
@@ -1,1 +1,1 @@
-"""Requests, delivery attempts and their one outcome; no wire is known here."""
+"""Requests, delivery attempts and their one final answer, independent of any wire protocol."""
--- a/spanwing/core/clock.py
+++ b/spanwing/core/clock.py
@@ -1,4 +1,4 @@
-"""The module's clock: Unix milliseconds as the list has them, that never step back."""
+"""The scheduler's clock: Unix time in ms, as in the endpoint list, that never steps back."""
 
 from __future__ import annotations
 
@@ -6,10 +6,11 @@
 
 
 class Clock:
-    """Anchored once to the wall clock, then carried on by the monotonic one."""
+    """Reads the wall clock once at its creation and adds monotonic time to it from then on."""
 
     def __init__(self) -> None:
         self.offset_s = time.time() - time.monotonic()
 
     def now_ms(self) -> float:
+        """Returns the current Unix time in ms."""
         return (self.offset_s + time.monotonic()) * 1000.0
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -1,4 +1,4 @@
-"""What the core is told and tells, and the two interfaces it stands between."""
+"""Messages to and from the request manager, and the protocols of the parts it works with."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRequest:
-    """A request as any front hands it in; target, body and key pass through unread."""
+    """A request as any frontend submits it; target, body and key are passed through unread."""
 
     id: str
     cls: str
@@ -28,8 +28,8 @@
     target: str = "/"
     body: bytes = b""
     effect_key: str | None = None
-    media: str = ""  # what the body is, where a front says so
-    front: str = ""  # which one took it
+    media: str = ""  # media type of the body, where the frontend gives one
+    front: str = ""  # the frontend that accepted it
 
 
 class FinalAnswer(NamedTuple):
@@ -41,134 +41,160 @@
 
 
 class ClientConnection(Protocol):
-    """Whoever handed in an envelope."""
+    """The connection that submitted a request and receives its answer."""
 
-    def answer(self, request: JobRequest, answer: FinalAnswer) -> None: ...
+    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
+        """Sends the final answer of a request to the client."""
 
 
 class DeliveryAttempt(NamedTuple):
-    """One delivery attempt of an envelope."""
+    """One delivery attempt of a request."""
 
     request: JobRequest
     number: int
-    timeout_ms: float  # ms from now that the core will wait
-    is_repeatable: bool = False  # no harm is done if it runs again
-    is_recorded: bool = False  # it is written down before its first byte
-    #: Where the next hop asks: to be called before its first byte, with what hears whether it may be sent.
+    timeout_ms: float  # ms from now after which the request manager cancels it
+    is_repeatable: bool = False  # idempotent: running it again does no harm
+    is_recorded: bool = False  # recorded in the journal before its first byte is sent
+    #: If the worker connection records the intent itself: called before the first byte, with the callback
+    #: that receives whether the attempt may be sent.
     record_intent: Callable[[Callable[[bool], None]], None] | None = None
-    #: Where it is set: asked just before the last byte; an attempt that may not be sent then ends as moot.
+    #: If set: called just before the last byte; an attempt that may not be sent then ends as moot.
     may_send: Callable[[], bool] | None = None
 
 
 class AttemptListener(Protocol):
-    """Where a next hop tells what became of a delivery attempt."""
+    """Receives the messages of a worker connection about its delivery attempts."""
 
-    def post(self, message: object) -> None: ...
+    def post(self, message: object) -> None:
+        """Queues a message for the listener."""
 
 
 class WorkerConnection(Protocol):
-    """A job worker, however it is reached. Each delivery ends in exactly one Ended."""
+    """A worker, however it is reached. Each delivery ends in exactly one AttemptEnded."""
 
-    name: str  # as its directory has it
-    address: str  # where it is reached
-    records_intent_itself: bool  # it asks for the intent by itself, as work may wait there for long
+    name: str  # as in its directory
+    address: str  # network address
+    records_intent_itself: bool  # it calls record_intent itself, since work may be queued there for long
 
-    def deliver(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None: ...
+    def deliver(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None:
+        """Starts a delivery attempt; the listener hears of its progress and its end."""
 
-    def cancel(self, request: str, number: int, result: api.Result) -> None: ...
+    def cancel(self, request: str, number: int, result: api.Result) -> None:
+        """Cancels an attempt; it ends with this result unless it has ended already."""
 
     def withdraw(self, request: str, number: int) -> None:
-        """Nobody wants it any more: it ends as moot if its last byte is unsent, and goes on otherwise."""
+        """Withdraws an attempt that nobody waits for: it ends as moot if its last byte is unsent, and
+        continues otherwise.
+        """
 
-    def probe(self, worker: int, listener: AttemptListener) -> None: ...
+    def probe(self, worker: int, listener: AttemptListener) -> None:
+        """Probes the worker for its load report; the listener receives ProbeEnded."""
 
 
 class EndpointDirectory(Protocol):
-    """Where news of job workers comes from."""
+    """Source of the worker list and its changes."""
 
-    def watch(self) -> None: ...
+    def watch(self) -> None:
+        """Starts to follow the worker list."""
 
 
 class AttemptRecorder(Protocol):
-    """Where work that must not run twice is written down. Records stand in the order of the calls; none of
-    them waits but an intent, which is told back on the loop."""
+    """Records work that must not run twice. Records are stored in the order of the calls; none of the calls
+    blocks, and only an intent is acknowledged, by a callback on the loop.
+    """
 
     def unavailable_reason(self) -> str:
-        """Why such work is turned away now; empty where it is taken."""
+        """Returns why such work is rejected now; empty if it is accepted."""
 
     def find_interrupted(self, request: str) -> str:
-        """What an earlier life left of a request of this id; empty where that is nothing."""
+        """Returns the state in which an earlier incarnation left a request of this id; empty if it left
+        none.
+        """
 
     def record_accepted(
         self, request: str, class_name: str, tenant: str, key: str, front: str, budget_ms: float
-    ) -> None: ...
+    ) -> None:
+        """Records that a request was accepted."""
 
     def record_intent(
         self, request: str, attempt: int, worker: str, address: str, on_recorded: Callable[[bool], None]
     ) -> None:
-        """then hears whether the attempt may be sent."""
+        """Records the intent to send an attempt, then calls on_recorded with whether the attempt may be
+        sent.
+        """
 
-    def record_last_byte(self, request: str, attempt: int) -> None: ...
+    def record_last_byte(self, request: str, attempt: int) -> None:
+        """Records that the attempt's last byte was written."""
 
-    def record_unsent(self, request: str, attempt: int, reason: str) -> None: ...
+    def record_unsent(self, request: str, attempt: int, reason: str) -> None:
+        """Records that the attempt ended with its last byte certainly unsent."""
 
-    def record_cancelled(self, request: str, attempt: int, reason: str) -> None: ...
+    def record_cancelled(self, request: str, attempt: int, reason: str) -> None:
+        """Records that the scheduler stopped waiting for the attempt."""
 
-    def record_outcome(self, request: str, attempt: int, result: str) -> None: ...
+    def record_outcome(self, request: str, attempt: int, result: str) -> None:
+        """Records the result of an attempt that may have run."""
 
-    def record_answered(self, request: str, kind: str) -> None: ...
+    def record_answered(self, request: str, kind: str) -> None:
+        """Records the kind of the final answer."""
 
 
 class ZoneRouting(Protocol):
-    """Which job workers may be used, where the fleet leaves and returns to zones as one; a worker by its
-    number."""
+    """Decides which workers may be used where the fleet leaves and returns to zones as one. Workers are
+    named by their number.
+    """
 
-    def may_forward(self, worker: int) -> bool: ...
+    def may_forward(self, worker: int) -> bool:
+        """Returns whether an attempt may be forwarded to the worker now."""
 
     def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList:
-        """The news as the module is to have it."""
+        """Returns the worker list as the scheduler is to see it."""
 
-    def attempt_sent(self, worker: int, attempt: tuple[str, int]) -> None: ...
+    def attempt_sent(self, worker: int, attempt: tuple[str, int]) -> None:
+        """Notes that an attempt was forwarded to the worker."""
 
-    def attempt_accepted(self, worker: int, attempt: tuple[str, int]) -> None: ...
+    def attempt_accepted(self, worker: int, attempt: tuple[str, int]) -> None:
+        """Notes that the worker accepted the attempt."""
 
-    def attempt_ended(self, worker: int, attempt: tuple[str, int], result: str) -> None: ...
+    def attempt_ended(self, worker: int, attempt: tuple[str, int], result: str) -> None:
+        """Notes the result of an attempt."""
 
-    def probe_finished(self, worker: int, result: str) -> None: ...
+    def probe_finished(self, worker: int, result: str) -> None:
+        """Notes the result of a probe."""
 
 
 class PolicyAdmission(Protocol):
-    """Whether a job may be taken now, where the policy is the fleet's."""
+    """Decides whether a request may be accepted now, where the policy is shared by the fleet."""
 
     def admit(self, submitted: RequestSubmitted) -> bool:
-        """False: it is not taken now; it is answered, or posted again."""
+        """Returns whether the request is accepted now; if not, it is answered or posted again later."""
 
     def client_disconnected(self, request: str, client: ClientConnection) -> None:
-        """The client of a job that was not taken has gone."""
+        """Notes that the client of a request that was not accepted has disconnected."""
 
 
 class RequestSubmitted(NamedTuple):
-    """A sender side hands in an envelope."""
+    """A client connection submits a request."""
 
     request: JobRequest
     client: ClientConnection
 
 
 class RequestRejected(NamedTuple):
-    """A front has refused a whole request by itself; it never became an envelope of ours."""
+    """A frontend has rejected a request by itself; it never reached the request manager."""
 
     class_name: str
 
 
 class ClientDisconnected(NamedTuple):
-    """The sender side went away; an id of another sender is left alone."""
+    """The client disconnected; a request of the same id from another client is not affected."""
 
     request: str
     client: ClientConnection
 
 
 class EndpointsChanged(NamedTuple):
-    """News of job workers, with all next hops of the directory that tells."""
+    """A change of the worker list, with all worker connections of the directory that reports it."""
 
     update: api.WorkerList
     connections: dict[int, WorkerConnection]
@@ -176,7 +202,7 @@
 
 
 class AttemptProgress(NamedTuple):
-    """A job worker tells of progress; began is true when the job has just started."""
+    """A worker reports progress; has_started is true when the job has just started."""
 
     request: str
     number: int
@@ -184,14 +210,14 @@
 
 
 class AttemptAccepted(NamedTuple):
-    """A job worker has taken a delivery attempt, which may still wait there."""
+    """A worker has accepted a delivery attempt, which may still be queued there."""
 
     request: str
     number: int
 
 
 class AttemptRecorded(NamedTuple):
-    """Whether an attempt that had to be written down first may be sent."""
+    """Whether an attempt that had to be recorded first may be sent."""
 
     request: str
     number: int
@@ -199,7 +225,7 @@
 
 
 class LastByteSent(NamedTuple):
-    """An attempt's last byte is written; told of each, also of one that was given up meanwhile."""
+    """An attempt's last byte is written; posted for each attempt, also if it was cancelled meanwhile."""
 
     request: str
     number: int
@@ -223,14 +249,14 @@
 
 
 class AttemptExpired(NamedTuple):
-    """The time of a delivery attempt is over."""
+    """The timeout of a delivery attempt has expired."""
 
     request: str
     number: int
 
 
 class TimerExpired(NamedTuple):
-    """A timer of a module has come; None: of the one in use."""
+    """A timer of a scheduler has expired; scheduler None stands for the one in use."""
 
     token: int
     scheduler: Any = None
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -1,4 +1,4 @@
-"""The module's actor: requests in, delivery attempts out, exactly one answer each."""
+"""The actor around the scheduler: requests in, delivery attempts out, exactly one answer each."""
 
 from __future__ import annotations
 
@@ -40,10 +40,9 @@
     ZoneRouting,
 )
 
-JOURNAL_RETRY_AFTER_MS = 1000.0  # a client whose work cannot be written down is told to come back after this
-TIMEOUT_MARGIN_MS = (
-    1.0  # an attempt's wait ends this long before the client's, so that its outcome comes first
-)
+JOURNAL_RETRY_AFTER_MS = 1000.0  # Retry-After for work that the journal cannot record
+# An attempt expires this long before its request's deadline, so that its outcome comes first.
+TIMEOUT_MARGIN_MS = 1.0
 
 log = logging.getLogger("spanwing")
 
@@ -56,7 +55,8 @@
     client: ClientConnection
     deadline_ms: float
     attempt_count: int = 0
-    send_until_ms: float = math.inf  # none may be sent later: job workers would no longer drop it as a repeat
+    # No attempt may be sent later: workers would no longer drop it as a repeat.
+    send_until_ms: float = math.inf
 
 
 @dataclass(slots=True)
@@ -68,12 +68,12 @@
     forwarded_ms: float
     expires_ms: float
     timer: object
-    is_recorded: bool = False  # its intent was handed to the journal
-    awaits_record: bool = False  # for its intent to be on disk: nothing of it has been handed to the hop
+    is_recorded: bool = False  # its intent was passed to the journal
+    awaits_record: bool = False  # for its intent to be on disk; the worker connection does not have it yet
 
 
 class RequestManager(Actor):
-    """Owns the decision module, the deadlines and the counters."""
+    """Owns the scheduler, the deadlines and the counters."""
 
     def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
         super().__init__()
@@ -86,22 +86,25 @@
         self.directory: EndpointDirectory | None = None
         self.zone_routing: ZoneRouting | None = None
         self.policy_admission: PolicyAdmission | None = None
-        # Modules of earlier policies decide to the end about the jobs that they took; and whose those are.
+        # Schedulers of earlier policies decide to the end about the requests that they accepted.
         self.retiring_schedulers: list[Dispatcher] = []
         self.scheduler_by_request: dict[str, Dispatcher] = {}
         self.acting_scheduler = self.scheduler
         self.pending_requests: dict[str, PendingRequest] = {}
         self.in_flight: dict[tuple[str, int], InFlightAttempt] = {}
-        self.connections_by_source: dict[str, dict[int, WorkerConnection]] = {}  # by the directory that told
+        self.connections_by_source: dict[str, dict[int, WorkerConnection]] = {}  # source: the directory
         self.counters: Counter[str] = Counter()
-        self.remote_open_ids: Container[str] = ()  # ids that are open at another process of this scheduler
-        self.on_open_change: Callable[[str, bool], None] | None = None  # hears of ids that open here or end
+        self.remote_open_ids: Container[str] = ()  # ids open in the other process of a hot restart
+        # Called with an id and True as it opens here, and with False as it ends.
+        self.on_open_change: Callable[[str, bool], None] | None = None
         self.idle_waiters: list[Future[None]] = []
-        self.on_endpoints_changed: Callable[[], None] | None = None  # called after each news of job workers
-        self.endpoints_known = False  # a list of job workers that names any, or that discovery told
-        self.discovery_heard_s = self.loop.time()  # when discovery last told one, or we began
+        # Called after each change of the worker list.
+        self.on_endpoints_changed: Callable[[], None] | None = None
+        self.endpoints_known = False  # a worker list came that is not empty, or is complete
+        self.discovery_heard_s = self.loop.time()  # time of the last list from discovery, or of the start
 
     def handle_message(self, message: Any) -> None:
+        """Handles one message, and wakes the waiters once nothing is open."""
         MESSAGE_HANDLERS[type(message)](self, message)
         if self.idle_waiters and self.is_idle():
             for waiting in self.idle_waiters:
@@ -109,8 +112,9 @@
             self.idle_waiters = []
 
     def worker_counts(self) -> dict[tuple[str, str], tuple[int, int]]:
-        """By zone and kind: how many job workers are listed, and how many of them take new work now: one that
-        drains, or that the module lets rest after failures, takes none."""
+        """Returns by zone and kind how many workers are listed, and how many of them accept new work now: a
+        draining or ejected worker accepts none.
+        """
         counts: dict[tuple[str, str], tuple[int, int]] = {}
         now_ms = self.clock.now_ms()
         for worker in self.scheduler.views.values():
@@ -122,13 +126,15 @@
         return counts
 
     def pool_counts(self) -> tuple[int, int]:
-        """How many job workers are listed, and how many of them are set aside now."""
+        """Returns how many workers are listed, and how many of them are ejected now."""
         now_ms = self.clock.now_ms()
         workers = [view for view in self.scheduler.views.values() if view.entry.state != "gone"]
         return len(workers), sum(view.rest_until > now_ms for view in workers)
 
     def queued_by_class(self) -> dict[str, tuple[int, float]]:
-        """By class with held work: how much, and for how many ms the oldest has waited."""
+        """Returns by class the number of queued requests and the age of the oldest in ms; classes without
+        queued requests are left out.
+        """
         if not self.scheduler.waiting:
             return {}
         now_ms, queued = self.clock.now_ms(), {}
@@ -139,7 +145,7 @@
         return queued
 
     def unavailable_classes(self) -> dict[str, str]:
-        """Classes of which nothing is taken now, with the reason."""
+        """Returns the classes of which all requests are rejected now, with the reason."""
         reason = self.recorder.unavailable_reason() if self.recorder is not None else ""
         return {
             each.name: f"journal: {reason}"
@@ -148,14 +154,17 @@
         }
 
     def discovery_age_s(self) -> float:
-        """Seconds since discovery last told anything, or since the start."""
+        """Returns the seconds since discovery last reported anything, or since the start."""
         return self.loop.time() - self.discovery_heard_s
 
     def is_idle(self) -> bool:
+        """Returns whether nothing is pending, in flight or in the mailbox."""
         return not self.pending_requests and not self.in_flight and not self.mailbox
 
     def wait_until_idle(self) -> Future[None]:
-        """Done once nothing taken is unanswered and nothing sent is out."""
+        """Returns a future that is done once every accepted request is answered and no attempt is in
+        flight.
+        """
         waiter: Future[None] = Future()
         if self.is_idle():
             waiter.set_result(None)
@@ -172,12 +181,12 @@
             self._drop_retired_schedulers()
 
     def _dispatch_to_all(self, event: api.Event) -> None:
-        """News that every module has to have."""
+        """Passes an event to every scheduler, including the retiring ones."""
         for scheduler in (*self.retiring_schedulers, self.scheduler):
             self._dispatch_event(event, scheduler)
 
     def _scheduler_of(self, request: str) -> Dispatcher:
-        """The module that decides about this request."""
+        """Returns the scheduler that decides about this request."""
         return (
             self.scheduler_by_request.get(request, self.scheduler)
             if self.scheduler_by_request
@@ -185,8 +194,9 @@
         )
 
     def switch_policy(self, settings: api.Settings, scheduler: Dispatcher) -> None:
-        """Another policy from now on, in this turn of the loop: its module decides about jobs that come, the
-        former one goes on about those that it took."""
+        """Puts another policy into force within this turn of the loop: its scheduler decides about new
+        requests, the previous one continues with those that it accepted.
+        """
         previous = self.scheduler
         self.scheduler_by_request.update(
             dict.fromkeys((*previous.jobs, *(request for request, _ in previous.open)), previous)
@@ -198,8 +208,10 @@
         self._update_class_sets()
 
     def _update_class_sets(self) -> None:
-        """What holds for each class by all policies under which jobs are open; where they differ, the more
-        careful one: a class counts as safe only if it is so in all."""
+        """Recomputes the class sets from all policies under which requests are open. Where they differ the
+        stricter one counts: a class is safe only if it is safe in all of them, and unsafe if it is so in
+        any.
+        """
         class_effects = [
             (each.name, each.effect)
             for module in (*self.retiring_schedulers, self.scheduler)
@@ -211,7 +223,7 @@
         }
 
     def _drop_retired_schedulers(self) -> None:
-        """Drop modules all of whose jobs have ended."""
+        """Drops retiring schedulers all of whose requests have ended."""
         remaining = [each for each in self.retiring_schedulers if each.jobs or each.open]
         if len(remaining) < len(self.retiring_schedulers):
             self.retiring_schedulers = remaining
@@ -226,8 +238,8 @@
         request = submission.request
         if self.policy_admission is not None and not self.policy_admission.admit(submission):
             return
-        # The first one of an id still owes its answer or has an attempt out, and must run once; an id taken
-        # up by another client must do it no harm.
+        # The earlier request of this id still owes its answer or has an attempt in flight, and must run once;
+        # another client that uses the same id must not disturb it.
         if request.id in self.remote_open_ids or self._is_open(request.id):
             self._answer_repeated(submission, "")
             return
@@ -252,7 +264,7 @@
                 request.front,
                 request.budget,
             )
-        if self.scheduler_by_request:  # an earlier request of this id is over, whatever its policy was
+        if self.scheduler_by_request:  # an earlier request of this id has ended, under whichever policy
             self.scheduler_by_request.pop(request.id, None)
         deadline_ms = self.clock.now_ms() + request.budget
         self.pending_requests[request.id] = PendingRequest(request, submission.client, deadline_ms)
@@ -281,10 +293,11 @@
         )
 
     def open_ids(self) -> set[str]:
-        """Requests that owe their answer or have an attempt out."""
+        """Returns the ids of requests that owe their answer or have an attempt in flight."""
         return {*self.pending_requests, *(request for request, _ in self.in_flight)}
 
     def in_flight_attempts(self, request: str) -> list[tuple[int, InFlightAttempt]]:
+        """Returns a request's attempts in flight, with their numbers."""
         return [
             (number, self.in_flight[request, number])
             for number in range(self._scheduler_of(request).set.max_attempts)
@@ -292,7 +305,9 @@
         ]
 
     def hand_over(self, request: str) -> None:
-        """Another process owes the answer from now on, and has what is out."""
+        """Forgets a request that another process has taken over, with its attempts in flight; that process
+        owes the answer from now on.
+        """
         del self.pending_requests[request]
         for number, attempt in self.in_flight_attempts(request):
             self.loop.remove_timeout(attempt.timer)
@@ -302,8 +317,10 @@
     def resume_request(
         self, pending: PendingRequest, numbered_attempt: tuple[int, InFlightAttempt] | None, event: Any
     ) -> None:
-        """A request that another process had; out: its attempt that is out, with its number. event: what the
-        module is told."""
+        """Takes over a request from another process.
+
+        numbered_attempt: its attempt in flight, with its number; event: what the scheduler is notified of.
+        """
         request, now_ms = pending.request.id, self.clock.now_ms()
         self.pending_requests[request] = pending
         self.counters["moved.here"] += 1
@@ -343,8 +360,10 @@
             self._notify_ended(message.request)
 
     def _withdraw_attempts(self, request: str) -> None:
-        """Nothing is owed for it any more: what of it still waits to be sent is not sent on, also where the
-        settings allow nothing to be called off. What has been sent keeps the rules of its class."""
+        """Withdraws the attempts of a request that is owed nothing any more: what is not yet sent is not
+        forwarded, even where the settings allow no cancellation. What has been sent follows the rules of
+        its class.
+        """
         for number, attempt in self.in_flight_attempts(request):
             if attempt.awaits_record:
                 self._cancel_attempt(request, number, "cancelled")
@@ -360,7 +379,7 @@
             if update.scope != "persisted" and message.source == "map":
                 self.discovery_heard_s = self.loop.time()
         if update.scope in ("complete", "persisted") and len(self.connections_by_source) > 1:
-            # A whole list of one directory says nothing of the job workers of another.
+            # A complete list of one directory says nothing about the workers of another.
             listed_ids = {each.id for each in update.workers}
             gone = [api.Worker(worker, "gone") for worker in previous_connections if worker not in listed_ids]
             update = api.WorkerList("partial", (*update.workers, *gone))
@@ -398,14 +417,14 @@
             return
         if attempt.is_recorded:
             self.recorder.record_cancelled(request, number, result)
-        if attempt.awaits_record:  # the hop does not know of it: it is over here and now
+        if attempt.awaits_record:  # the worker connection does not have it: it ends here
             attempt.awaits_record = False
             self.post(AttemptEnded(request, number, "moot", is_unsent=True))
         else:
             attempt.connection.cancel(request, number, result)
 
     def _handle_attempt_ended(self, message: AttemptEnded) -> None:
-        # A next hop's word on an attempt that is over already (a repeated call-back) changes nothing.
+        # A further message about an attempt that has ended (a repeated callback) changes nothing.
         attempt = self.in_flight.pop((message.request, message.number), None)
         if attempt is None:
             return
@@ -437,9 +456,7 @@
     def _handle_last_byte(self, message: LastByteSent) -> None:
         self.counters["tries"] += 1
         attempt = self.in_flight.get(message[:2])
-        if (
-            attempt is not None and attempt.is_recorded
-        ):  # of an attempt that is over nothing more is written down
+        if attempt is not None and attempt.is_recorded:  # of an ended attempt nothing more is recorded
             self.recorder.record_last_byte(*message)
 
     def _answer_request(self, request: str, answer: FinalAnswer) -> None:
@@ -512,7 +529,10 @@
         )
 
     def attempt_may_have_run(self, pending: PendingRequest, forwarded_ms: float) -> None:
-        """An attempt that was sent at this time may have run."""
+        """Notes that an attempt forwarded at this time (Unix ms) may have run. For a class with an
+        idempotency key, further attempts may be sent only within its deduplication window, less one
+        tick.
+        """
         scheduler = self._scheduler_of(pending.request.id)
         for each in scheduler.set.classes:
             if each.name == pending.request.cls and each.effect == "keyed":
@@ -521,8 +541,9 @@
                 )
 
     def _send_permission(self, pending: PendingRequest, worker: int) -> Callable[[], bool] | None:
-        """What is asked at the moment of use, just before an attempt is sent; None: nothing can forbid it. A
-        place in a pool, a connection and the journal may have taken their time since it was decided."""
+        """Returns the check to make just before an attempt is sent; None if nothing can forbid it. The wait
+        for a connection slot, a connection and the journal may have outlasted the decision.
+        """
         zones = self.zone_routing
         if zones is None and pending.send_until_ms == math.inf:
             return None
@@ -533,13 +554,15 @@
     def _handle_intent_recorded(
         self, key: tuple[str, int], on_recorded: Callable[[bool], None] | None, may_send: bool
     ) -> None:
-        """The journal's word on an intent; then: the hop that asked. A refusal is answered before it ends."""
+        """Handles the journal's answer on an intent; on_recorded: the worker connection's callback, if it
+        asked. AttemptRecorded is posted first, so a rejection is answered before the attempt ends.
+        """
         self.post(AttemptRecorded(*key, may_send))
         if on_recorded is not None:
             on_recorded(may_send)
 
     def _handle_recorded(self, message: AttemptRecorded) -> None:
-        """The intent of an attempt is on disk, or cannot be; it may have been given up meanwhile."""
+        """Handles an attempt whose intent is on disk, or cannot be; it may have been cancelled meanwhile."""
         key = message[:2]
         attempt, pending = self.in_flight.get(key), self.pending_requests.get(message.request)
         if attempt is None:
@@ -549,7 +572,7 @@
             self._answer_request(
                 message.request, FinalAnswer("refused", retry_after_ms=self.journal_retry_after_ms)
             )
-        if not attempt.awaits_record:  # the hop has asked, and goes on or ends by itself
+        if not attempt.awaits_record:  # the worker connection asked, and continues or ends the attempt itself
             return
         attempt.awaits_record = False
         if pending is None or not message.may_send:
@@ -569,6 +592,7 @@
         self.probe_worker(action.worker)
 
     def probe_worker(self, worker: int) -> None:
+        """Probes a worker for its load report; does nothing if it has no connection."""
         connection = self._connection_to(worker)
         if connection is not None:
             self.counters["probed"] += 1
@@ -580,11 +604,13 @@
         self._dispatch_to_all(message.result)
 
     def notify_schedulers(self, event: Any) -> None:
-        """An event for the module from beside the core."""
+        """Passes an event from outside the request manager to every scheduler."""
         self._dispatch_to_all(event)
 
     def cancel_repeatable(self, request: str, number: int) -> None:
-        """Give an attempt up that may be repeated anywhere, if it is still out and its answer is owed."""
+        """Cancels an attempt of a safe class if it is in flight and its answer is still owed; it may be
+        retried anywhere.
+        """
         pending = self.pending_requests.get(request)
         if pending is not None and pending.request.cls in self.safe_classes:
             self._cancel_attempt(request, number, "cancelled")
--- a/spanwing/core/statistics.py
+++ b/spanwing/core/statistics.py
@@ -1,8 +1,9 @@
-"""The figures that operators read, in the words of their page.
+"""The figures that operators read, under the names of their page.
 
-Guarantees: nothing is counted here. Outcomes and attempts are the core's own counts, made where it gives
-the one answer or hears of a last byte, whatever front or next hop it was; `active` and the pool's two are
-read off what the core and the module hold when asked. Every teller (management, counters, health) reads this.
+Nothing is counted here. Outcomes and attempts are the request manager's own counters, incremented where it
+gives the final answer or learns of a last byte, for every frontend and worker connection alike; `active`
+and the two pool figures are read from the request manager and the scheduler at the time of the call. All
+reports (management, counters, health) use this function, so they agree.
 """
 
 from __future__ import annotations
@@ -12,8 +13,8 @@
 if TYPE_CHECKING:
     from spanwing.core.request_manager import RequestManager
 
-#: By figure, the core's counts of a class that make it up. A request that a front turned away was refused all
-#: the same, and one whose id was taken before got an error.
+#: By figure, the per-class counters that it sums. A request rejected by a frontend counts as shed too, and a
+#: request whose id had been accepted before counts as an error.
 COUNTERS_BY_FIGURE = {
     "ok": ("answered.served",),
     "shed": ("answered.refused", "turned"),
@@ -22,7 +23,7 @@
 
 
 def collect_statistics(request_manager: RequestManager) -> dict[str, int]:
-    """All figures now; counts run from the start of the process."""
+    """Returns all figures as of now; counts run from the start of the process."""
     counts = request_manager.counters
     totals = {
         f"{name}.{each.name}": sum(counts[f"{part}.{each.name}"] for part in parts)
--- a/spanwing/everyfault.py
+++ b/spanwing/everyfault.py
@@ -1,7 +1,7 @@
-"""All that is wrong with a file's values at once, where decoding it stops at the first.
+"""Finds all errors in the values of a file at once, where decoding stops at the first.
 
-Guarantees: what the file's form allows is never named, and a file that it does not allow names one place at
-least. Loaded by `spanwing check` alone.
+A valid place is never reported, and an invalid file yields at least one place. Loaded only by `spanwing
+check`.
 """
 
 from __future__ import annotations
@@ -14,22 +14,15 @@
 import msgspec
 import msgspec.inspect
 
-CONSTRAINT_NAMES = (
-    "gt",
-    "ge",
-    "lt",
-    "le",
-    "multiple_of",
-    "min_length",
-    "max_length",
-    "pattern",
-)  # of plain types
-MAX_ROUNDS = 32  # a struct's own check comes once its values are right
+# Constraints of the plain types.
+CONSTRAINT_NAMES = ("gt", "ge", "lt", "le", "multiple_of", "min_length", "max_length", "pattern")
+MAX_ROUNDS = 32  # a struct's own check runs only once its values are valid
 
 
 def find_all_errors(data: bytes, struct_type: type, decode: Any) -> tuple[Any, list[tuple[str, str]]]:
-    """Each place in a file that its form does not allow, and why; and what is left without those places, or
-    None where that is nothing."""
+    """Returns the decoded value without its invalid places (None if nothing remains), and each invalid
+    place of the file with its message; an empty place stands for the whole file.
+    """
     try:
         value = decode(data)
     except (ValueError, UnicodeDecodeError) as error:
@@ -46,12 +39,12 @@
 
 
 def _convert(value: Any, target_type: Any) -> Any:
-    """By way of JSON: what a form keeps as raw text cannot be converted from values."""
+    """Converts by way of JSON: fields that a struct keeps as raw text cannot be converted from values."""
     return msgspec.json.decode(msgspec.json.encode(value), type=target_type)
 
 
 def _remove_path(value: Any, path: str) -> bool:
-    """Take a place out; whether there was one."""
+    """Removes a place from the value; returns whether it was there."""
     *parents, last = path.split(".")
     for each in parents:
         value = value.get(each) if isinstance(value, dict) else None
@@ -85,7 +78,7 @@
         try:
             _convert(value, _python_type(type_info))
         except ValueError as error:
-            # A struct names the field that it turns down itself.
+            # The own check of a struct names the field that it rejects.
             name, colon, message = str(error).partition(": ")
             if (
                 colon
@@ -98,7 +91,7 @@
 
 
 def _python_type(type_info: Any) -> Any:
-    """The Python type of a plain description, for the conversion of one value."""
+    """Returns the Python type of a type description, for the conversion of a single value."""
     inspect = msgspec.inspect
     match type_info:
         case inspect.UnionType():
--- a/spanwing/health/__init__.py
+++ b/spanwing/health/__init__.py
@@ -1,1 +1,3 @@
-"""What a scheduler says of itself to balancers: pure deciders; time and signals are passed in."""
+"""What a scheduler reports of itself to balancers; pure functions and classes that are given time and
+signals.
+"""
--- a/spanwing/health/cpu_meter.py
+++ b/spanwing/health/cpu_meter.py
@@ -1,11 +1,11 @@
-"""Decision CPU from cumulative readings.
+"""Computes CPU usage from cumulative readings.
 
-Guarantees: a bounded window of readings (64 at most); figures come from differences within it, so a clock's
-starting point does not matter and a reading that steps back is taken as no time at all.
+At most 64 readings are stored. All figures are differences within that window, so the starting point of a
+clock does not matter, and a reading that steps back counts as no time at all.
 
-The loop's own busy time tells shortage soonest: a process that needs 0.6 of a core and gets 0.5 uses only
-0.5, yet its loop is busy all the time (utilisation of a server with one queue, Little 1961). The kernel's
-figures of waiting time are no use: they are zero on many machines.
+The busy time of the event loop shows a shortage soonest: a process that needs 0.6 of a core and gets 0.5
+uses only 0.5, yet its loop is busy all the time (utilisation of a server with one queue, Little 1961). The
+kernel's figures of waiting time are not used: they are zero on many machines.
 """
 
 from __future__ import annotations
@@ -20,16 +20,16 @@
 
 
 class CpuReading(NamedTuple):
-    """Cumulative, in seconds of one clock each."""
+    """Cumulative times in seconds, each from one clock."""
 
     wall_s: float
     cpu_s: float  # of the whole process
-    busy_s: float | None  # the loop outside its wait for input; None: not metered
-    late_s: float  # by which the timer that took this reading came after its time
+    busy_s: float | None  # of the loop, outside its wait for input; None: not measured
+    late_s: float  # delay of the timer that took this reading
 
 
 class CpuMeter:
-    """Shares over the last window_s seconds."""
+    """Computes CPU usage over the last window_s seconds."""
 
     def __init__(self, cores: float = 1.0, window_s: float = 0.3) -> None:
         assert cores > 0 and window_s > 0
@@ -37,10 +37,10 @@
         self.readings: deque[CpuReading] = deque(maxlen=MAX_READINGS)
 
     def add_reading(self, reading: CpuReading) -> CpuUsage:
-        """Take a reading; returns the figures up to it."""
+        """Adds a reading; returns the usage up to it."""
         readings = self.readings
         readings.append(reading)
-        # The first reading kept is the last one that is older than the window: its end is where ours begins.
+        # The oldest reading that stays is the last one before the window: the window begins at it.
         while len(readings) > 2 and readings[1].wall_s <= reading.wall_s - self.window_s:
             readings.popleft()
         oldest = readings[0]
@@ -51,7 +51,7 @@
         used = cpu / (wall * self.cores)
         lag_ms = 1000.0 * max(each.late_s for each in list(readings)[1:])
         if reading.busy_s is None or oldest.busy_s is None:
-            # Without the loop's meter, late timers are the only sight of CPU that was wanted and not given.
+            # Without the loop's busy time, late timers are the only sign of CPU wanted and not given.
             waited_s = sum(each.late_s for each in list(readings)[1:])
             return CpuUsage(
                 used, min(1.0, max(used, (cpu + waited_s) / wall)), min(1.0, waited_s / wall), lag_ms
@@ -66,8 +66,10 @@
         )
 
     def _is_contended(self, latest: CpuReading) -> bool:
-        """Over the last ROBBED_S or a little more: a neighbour that takes most of the core fills the queue
-        within a few hundred ms, and the whole window would tell too late."""
+        """Returns whether others take most of the core, over the last CONTENTION_WINDOW_S (0.15 s) or a
+        little more: such a neighbour fills the queue within a few hundred ms, and the whole window would
+        show it too late.
+        """
         earlier = next(
             (each for each in reversed(self.readings) if each.wall_s <= latest.wall_s - CONTENTION_WINDOW_S),
             None,
--- a/spanwing/health/drain_orders.py
+++ b/spanwing/health/drain_orders.py
@@ -1,8 +1,7 @@
-"""Who asked for a drain, since when and until when.
+"""Drain orders: who asked for a drain, since when and until when.
 
-Guarantees: a drain holds as long as any that asked for it has not withdrawn; the one of SIGTERM is never
-withdrawn; times are those of the first announcement, so that a second source neither prolongs the notice
-nor starts it anew.
+A drain lasts as long as any source has not withdrawn its order; the order of SIGTERM is never withdrawn.
+The notice runs from the first order, so that a second source neither prolongs nor restarts it.
 """
 
 from __future__ import annotations
@@ -15,17 +14,18 @@
 
 
 class DrainOrders:
-    """The orders that stand."""
+    """The drain orders in force."""
 
     def __init__(self, notice_ms: float) -> None:
         self.notice_s = notice_ms / 1000.0
-        self.deadlines: dict[
-            DrainSource, float
-        ] = {}  # when each wants it done, of the caller's clock in seconds
+        # When each source wants the drain done, in seconds of the caller's clock.
+        self.deadlines: dict[DrainSource, float] = {}
         self.started_at_s: float | None = None
 
     def add(self, source: DrainSource, now: float, within_s: float = math.inf) -> bool:
-        """Ask for a drain, with all answered after within_s; whether it begins now."""
+        """Adds an order to drain, with all requests answered after within_s (s); returns whether the drain
+        begins now.
+        """
         is_first = not self.deadlines
         if is_first:
             self.started_at_s = now
@@ -33,7 +33,7 @@
         return is_first
 
     def withdraw(self, source: DrainSource) -> bool:
-        """Whether the drain ends."""
+        """Withdraws the order of a source; returns whether the drain ends."""
         if source == "signal" or self.deadlines.pop(source, None) is None:
             return False
         if self.deadlines:
@@ -43,23 +43,27 @@
 
     @property
     def is_draining(self) -> bool:
+        """Whether any order is in force."""
         return bool(self.deadlines)
 
     @property
     def earliest_deadline_s(self) -> float:
-        """When the first of the orders wants all answered."""
+        """The earliest time at which an order wants all requests answered; infinity without orders."""
         return min(self.deadlines.values(), default=math.inf)
 
     @property
     def notice_ends_at_s(self) -> float:
-        """When the notice ends; never where no drain stands."""
+        """When the notice ends; infinity if no drain is in force."""
         return math.inf if self.started_at_s is None else self.started_at_s + self.notice_s
 
     def phase(self, now: float) -> DrainPhase:
-        """notice: balancers still learn of it and new work is taken; closed: it is turned away."""
+        """Returns the phase: in "notice" balancers still learn of the drain and new work is accepted; in
+        "closed" it is rejected.
+        """
         if self.started_at_s is None:
             return "none"
         return "notice" if now < self.notice_ends_at_s else "closed"
 
     def describe(self) -> str:
+        """Returns a line that names the sources of the drain."""
         return "draining, asked for by " + " and ".join(sorted(self.deadlines))
--- a/spanwing/health/settings.py
+++ b/spanwing/health/settings.py
@@ -1,4 +1,4 @@
-"""The operator's settings of what is told to balancers, with their bounds."""
+"""The operator's settings of what is reported to balancers, with their bounds."""
 
 from __future__ import annotations
 
@@ -6,21 +6,21 @@
 
 
 class HealthSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Defaults suit checks every second; wrong values raise ValueError naming the setting."""
+    """The defaults suit checks every second. A wrong value raises ValueError that names the setting."""
 
-    notice_ms: float = 1750.0  # from a drain's announcement on new work is still taken: balancers hear of it
-    floor: float = 10.0  # percent: shortage alone never tells less
-    slow_from: float = 10.0  # percent: told first after a start, an undrain or an absence
+    notice_ms: float = 1750.0  # new work is still accepted so long after a drain: balancers learn of it
+    floor: float = 10.0  # percent: a shortage alone never reports less
+    slow_from: float = 10.0  # percent: reported first after a start, an undrain or an absence
     slow_start_ms: float = 10_000.0  # from there to 100 percent; no rise is ever faster
     fall_per_s: float = 60.0  # percentage points by which the weight may fall in a second
-    step: float = 3.0  # percentage points: a smaller change is not told
+    step: float = 3.0  # percentage points: a smaller change is not reported
     short_at: float = 0.85  # of the loop's time: from here on the daemon is short of CPU
     short_ms: float = 150.0  # for so long: one burst or one pause of the machine is no shortage
     ease_at: float = 0.6  # below this it has enough again
-    ease_ms: float = 2000.0  # for so long, before it says so
-    settle_ms: float = 1500.0  # between two cuts for CPU: a balancer has to hear of one before the next
-    starting_ms: float = 5000.0  # without a list of job workers the daemon is starting so long, then absent
-    discovery_ms: float = 30_000.0  # silent for longer, discovery's list is old news
+    ease_ms: float = 2000.0  # for so long, before the shortage is over
+    settle_ms: float = 1500.0  # between two cuts for CPU: balancers have to see one before the next
+    starting_ms: float = 5000.0  # without a worker list the daemon is starting so long, then absent
+    discovery_ms: float = 30_000.0  # if discovery is silent for longer, its list is stale
 
     def __post_init__(self) -> None:
         percents = ("floor", "slow_from", "step")
--- a/spanwing/health/state_machine.py
+++ b/spanwing/health/state_machine.py
@@ -1,9 +1,9 @@
 """The state that balancers are told: starting, ready, weighted, short, draining, drained or absent.
 
-Guarantees: every state has a reason; a drain is told at once and over everything else; shortage never tells
-a weight below the floor, however long it lasts, so that schedulers that are all short do not all leave;
-only a fleet that takes nothing at all makes the daemon absent. The order of the states is that of the
-checks below.
+Every state but ready has a reason. A drain is reported at once and takes precedence over everything else. A
+shortage never reports a weight below the floor, however long it lasts, so that schedulers that are all
+short do not all leave. Only a fleet that accepts no work at all makes the daemon absent. The states have
+the order of the checks below.
 """
 
 from __future__ import annotations
@@ -21,30 +21,32 @@
 
 
 class HealthVerdict(NamedTuple):
-    """What is told; it stays true until the next one."""
+    """What is reported; it holds until the next verdict."""
 
     state: HealthState = "starting"
     weight: int = 0  # percent; 0: no new work
     reasons: tuple[str, ...] = ("no list of job workers yet",)
-    classes: tuple[tuple[str, str], ...] = ()  # every class, and why it is not served ("" where it is)
-    state_since_s: float = 0.0  # of the caller's clock, when the state became this one
+    classes: tuple[tuple[str, str], ...] = ()  # every class, and why it is not served ("" if it is)
+    state_since_s: float = 0.0  # on the caller's clock, when this state began
 
     @property
     def accepts_work(self) -> bool:
+        """Whether new work is accepted."""
         return self.state in ACCEPTING_STATES and self.weight > 0
 
     @property
     def reason(self) -> str:
+        """The first reason; empty if there is none."""
         return self.reasons[0] if self.reasons else ""
 
     @property
     def announced(self) -> tuple[HealthState, int, tuple[tuple[str, str], ...]]:
-        """What protocols say of it; figures inside a reason move with every sample."""
+        """The part that protocols report; the figures within reasons change with every sample."""
         return self.state, self.weight, self.classes
 
 
 class HealthStateMachine:
-    """One daemon's; observe() is called often (every 50 ms or so), orders whenever they come."""
+    """The health of one daemon. observe() is called often (about every 50 ms), orders at any time."""
 
     def __init__(self, settings: HealthSettings, now: float) -> None:
         self.settings, self.started_at_s = settings, now
@@ -59,26 +61,32 @@
         self.signals = HealthSignals(endpoints_known=False)
 
     def observe(self, now: float, signals: HealthSignals) -> HealthVerdict:
-        """Take a sample; returns the verdict."""
+        """Takes a sample; returns the verdict."""
         self.signals = signals
         return self._update_verdict(now)
 
     def drain(self, source: DrainSource, now: float, within_s: float = float("inf")) -> HealthVerdict:
+        """Adds a drain order, with all requests answered after within_s (s); returns the verdict."""
         self.drain_orders.add(source, now, within_s)
         return self._update_verdict(now)
 
     def undrain(self, source: DrainSource, now: float) -> HealthVerdict:
+        """Withdraws the drain order of a source; returns the verdict. If the drain ends, the weight starts
+        slowly again.
+        """
         if self.drain_orders.withdraw(source):
             self.weight_smoothing.restart_slow_start()
         return self._update_verdict(now)
 
     def update_settings(self, settings: HealthSettings) -> None:
-        """Other settings from now on; what has been observed stays."""
+        """Puts other settings into force; what has been observed stays."""
         self.settings = self.cpu_control.settings = self.weight_smoothing.settings = settings
         self.drain_orders.notice_s = settings.notice_ms / 1000.0
 
     def set_weight(self, percent: float, now: float) -> HealthVerdict:
-        """The operator's own upper bound; 0 turns new work away without a drain."""
+        """Sets the upper bound of the weight in percent by the operator's command; 0 rejects new work
+        without a drain. Returns the verdict. Raises ValueError outside 0 to 100.
+        """
         if not 0 <= percent <= 100:
             raise ValueError(f"weight: {percent} is no percentage")
         self.operator_weight = percent
--- a/spanwing/health/weight.py
+++ b/spanwing/health/weight.py
@@ -1,8 +1,8 @@
-"""From signals to a weight: what each shortage leaves of it, and how fast it may move.
+"""Computes the weight from the signals: what each shortage leaves of it, and how fast it may change.
 
-Guarantees: a factor lies between 0 and 1 and has a reason whenever it is below 1; shortages are not
-multiplied with one another (they overlap: work is held because CPU is short), the least one counts; the
-announced weight never moves faster than the policy's bounds.
+A factor lies between 0 and 1 and has a reason whenever it is below 1. Shortages are not multiplied with one
+another, since they overlap (requests are queued because CPU is short): the least factor counts. The
+announced weight never changes faster than the settings allow, except by an operator's limit.
 """
 
 from __future__ import annotations
@@ -13,23 +13,15 @@
 from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, ResourceUsage, WorkerCounts
 
-USAGE_RAMP_START, USAGE_MIN_FACTOR = (
-    0.8,
-    0.2,
-)  # of a table, descriptors or memory: the weight falls from here to there
-QUEUEING_RAMP_START, QUEUEING_RAMP_END, QUEUEING_MIN_FACTOR = (
-    0.5,
-    1.5,
-    0.4,
-)  # oldest held, in aims of its class
-REJECTION_WINDOW_S, REJECTION_MIN_ANSWERS, REJECTION_MIN_FACTOR = (
-    5.0,
-    10,
-    0.5,
-)  # window, answers that it needs, at all refused
-OWN_ZONE_LOST_FACTOR = 0.5  # none of the own zone's job workers takes work, others' do
+# Of connections, descriptors or memory: from this use on the weight falls, at full use to this factor.
+USAGE_RAMP_START, USAGE_MIN_FACTOR = 0.8, 0.2
+# Age of the oldest queued request, in latency objectives of its class.
+QUEUEING_RAMP_START, QUEUEING_RAMP_END, QUEUEING_MIN_FACTOR = 0.5, 1.5, 0.4
+# The window, the answers that it needs, and the factor if all of them are rejections.
+REJECTION_WINDOW_S, REJECTION_MIN_ANSWERS, REJECTION_MIN_FACTOR = 5.0, 10, 0.5
+OWN_ZONE_LOST_FACTOR = 0.5  # no worker of the own zone accepts work, workers of others do
 STALE_ENDPOINTS_FACTOR = 0.5
-MIN_CUT_FACTOR = 0.25  # a single cut for CPU leaves so much at least
+MIN_CUT_FACTOR = 0.25  # a single cut for CPU leaves at least this
 MAX_SAMPLES = 256
 SATURATED_RATIO = 0.97  # of the loop's time
 
@@ -42,18 +34,22 @@
 
 
 def ramp_down(value: float, start: float, end: float, minimum: float) -> float:
-    """1 up to start, least from end on, a straight line between."""
+    """Returns 1 up to start, minimum from end on, and a straight line between."""
     if value <= start:
         return 1.0
     return max(minimum, 1.0 - (1.0 - minimum) * (value - start) / (end - start))
 
 
 def usage_factor(name: str, usage: ResourceUsage) -> WeightFactor:
+    """Computes the factor of a limited resource: it falls from 80% of use on."""
     value = ramp_down(usage.used_ratio, USAGE_RAMP_START, 1.0, USAGE_MIN_FACTOR)
     return WeightFactor(value, f"{name} {round(100 * usage.used_ratio)}% in use")
 
 
 def queueing_factor(load: ClassLoad) -> WeightFactor:
+    """Computes the factor of a class from the age of its oldest queued request, relative to its latency
+    objective.
+    """
     value = ramp_down(
         load.oldest_queued_ms / load.latency_objective_ms,
         QUEUEING_RAMP_START,
@@ -64,7 +60,7 @@
 
 
 def unserved_reason(load: ClassLoad, signals: HealthSignals) -> str:
-    """Why a class cannot be served at all; empty where it can."""
+    """Returns why a class cannot be served at all; empty if it can."""
     if not any(each.accepting for each in signals.workers if load.worker_kind in (None, each.kind)):
         return f"no job worker{f' of kind {load.worker_kind}' if load.worker_kind else ''} takes {load.name}"
     if load.needs_store and signals.has_store_quorum is False:
@@ -75,7 +71,7 @@
 
 
 def class_factor(load: ClassLoad, signals: HealthSignals) -> WeightFactor:
-    """What is left of the fleet that one class needs."""
+    """Computes the accepting part of the workers that can run a class."""
     if reason := unserved_reason(load, signals):
         return WeightFactor(0.0, reason)
     usable: list[WorkerCounts] = [each for each in signals.workers if load.worker_kind in (None, each.kind)]
@@ -92,7 +88,7 @@
 
 
 def fleet_factor(signals: HealthSignals) -> WeightFactor:
-    """The mean over the classes: what a class cannot be served with is no reason to turn the others away."""
+    """Computes the mean over the classes: a class that cannot be served is no reason to reject the others."""
     factors = [class_factor(load, signals) for load in signals.classes]
     if not factors:
         return WeightFactor(1.0, "")
@@ -101,12 +97,15 @@
 
 
 class RejectionRate:
-    """The share of refusals among the answers of the last seconds."""
+    """The ratio of rejections among the answers of the last REJECTION_WINDOW_S (5 s); 256 samples at most."""
 
     def __init__(self) -> None:
         self.samples: deque[tuple[float, int, int]] = deque(maxlen=MAX_SAMPLES)
 
     def add_sample(self, now: float, answered: int, rejected: int) -> WeightFactor:
+        """Adds a sample of the cumulative counts; returns the factor, which is 1 while the window has fewer
+        than REJECTION_MIN_ANSWERS (10) answers.
+        """
         samples = self.samples
         samples.append((now, answered, rejected))
         while len(samples) > 2 and samples[1][0] <= now - REJECTION_WINDOW_S:
@@ -121,7 +120,8 @@
 
 class CpuControl:
     """Cuts the weight while CPU is short and lets it rise again slowly: additive increase, multiplicative
-    decrease (Chiu and Jain 1989), so that several schedulers settle instead of swinging."""
+    decrease (Chiu and Jain 1989), so that several schedulers settle instead of oscillating.
+    """
 
     def __init__(self, settings: HealthSettings) -> None:
         self.settings = settings
@@ -133,7 +133,7 @@
         self.overloaded_since_s: float | None = None
 
     def add_sample(self, now: float, cpu: CpuUsage) -> WeightFactor:
-        """Take a sample; returns what is left of the weight."""
+        """Adds a sample; returns what is left of the weight."""
         settings = self.settings
         elapsed_s = min(1.0, max(0.0, now - self.last_sample_at_s))
         if cpu.demand < settings.short_at and not cpu.is_contended:
@@ -143,14 +143,14 @@
         if self.overloaded_since_s is not None:
             self.recovered_since_s = None
             is_sustained = now - self.overloaded_since_s >= settings.short_ms / 1000.0
-            # Busy without a pause over the whole window: every turn of waiting makes what comes later still.
+            # Busy without a pause over the whole window: every further wait delays new requests more.
             if not (is_sustained or self.is_short or cpu.is_contended or cpu.demand >= SATURATED_RATIO):
                 self.last_sample_at_s = now
                 return WeightFactor(self.remaining, self.reason)
             self.reason = cpu_shortage_reason(cpu)
             if not self.is_short or now - self.last_cut_at_s >= settings.settle_ms / 1000.0:
-                # What the process would have if its loop were busy only as long as is healthy, less what
-                # others take of it: known at once where CPU is stolen, found in steps where load is too high.
+                # What remains if the loop is busy only as long as is healthy, less what others take of it:
+                # known at once where CPU is stolen, found in steps where the load is too high.
                 given_ratio = 1.0 - min(1.0, cpu.stolen / max(cpu.demand, 0.01))
                 cut = max(MIN_CUT_FACTOR, settings.ease_at * given_ratio)
                 self.remaining, self.last_cut_at_s = max(settings.floor / 100.0, self.remaining * cut), now
@@ -168,14 +168,14 @@
 
 
 def cpu_shortage_reason(cpu: CpuUsage) -> str:
-    """Own use and what others take are told apart: the remedies differ."""
+    """Returns the reason, which tells the process's own use from what others take: the remedies differ."""
     stolen = cpu.stolen > cpu.demand / 4
     cause = f"others take {round(100 * cpu.stolen)}%" if stolen else f"busy {round(100 * cpu.demand)}%"
     return f"short of CPU: {cause} of the time, loop late by {cpu.lag_ms:.0f} ms"
 
 
 class WeightSmoothing:
-    """The weight as it is told, in percent: bounded in speed both ways, still for small changes."""
+    """The announced weight in percent: limited in speed both ways, unchanged by small moves."""
 
     def __init__(self, settings: HealthSettings) -> None:
         self.settings = settings
@@ -183,16 +183,18 @@
         self.last_step_at_s: float | None = None
 
     def restart_slow_start(self) -> None:
-        """After an absence or a drain: the others' load must not come back in one instant."""
+        """Restarts the slow start after an absence or a drain: the load must not return from the other
+        schedulers all at once.
+        """
         self.current = self.announced = self.settings.slow_from
-        self.last_step_at_s = None  # the time that passed meanwhile is no time in which it rose
+        self.last_step_at_s = None  # the weight does not rise for the time that passed meanwhile
 
     def limit_to(self, percent: float) -> None:
-        """An order of the operator counts at once."""
+        """Limits the weight at once, for an operator's order."""
         self.current = self.announced = min(self.current, percent)
 
     def advance(self, now: float, target: float) -> int:
-        """Move towards the target; returns whole percents."""
+        """Moves towards the target; returns whole percents."""
         settings = self.settings
         elapsed_s = 0.0 if self.last_step_at_s is None else max(0.0, now - self.last_step_at_s)
         self.last_step_at_s = now
@@ -200,7 +202,7 @@
             self.current = max(target, self.current - settings.fall_per_s * elapsed_s)
         else:
             self.current = min(target, self.current + 100_000.0 / settings.slow_start_ms * elapsed_s)
-        # The end of a move is always told, so that nothing stays a step away from the truth for good.
+        # The end of a move is always announced, so that the announced weight never stays a step off.
         if abs(self.current - self.announced) >= settings.step or self.current == target:
             self.announced = self.current
         return round(self.announced)
@@ -209,7 +211,7 @@
 def find_shortages(
     signals: HealthSignals, rejection: WeightFactor, cpu: WeightFactor, settings: HealthSettings
 ) -> list[WeightFactor]:
-    """All factors below 1, the least first."""
+    """Returns all factors below 1 (by 0.005 at least), the least first."""
     found = [
         cpu,
         rejection,
--- a/spanwing/log/__init__.py
+++ b/spanwing/log/__init__.py
@@ -1,4 +1,4 @@
-"""One event a line, for operators; see spanwing/log/events.py."""
+"""Logs events for operators, one a line; see spanwing/log/events.py."""
 
 from spanwing.log.events import log_event
 
--- a/spanwing/log/events.py
+++ b/spanwing/log/events.py
@@ -1,7 +1,7 @@
-"""tell(): one event a line, plain by default, by structlog where the operator's file asks for a form.
+"""log_event(): one event a line, plain by default, by structlog if the operator's file asks for a format.
 
-Guarantees: rate and memory are bounded (limit.py, writer.py), the loop never waits for a reader; structlog
-is loaded only by open_log(). Every change of state is told with its reason.
+Rate and memory are bounded (limit.py, writer.py), and the loop never waits for a reader. structlog is
+loaded only by EventLog.open(). Every change of state is logged with its reason.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 
 class EventLog:
-    """Where events go; opened once by the daemon."""
+    """The destination of events; opened once by the daemon."""
 
     def __init__(self) -> None:
         self.limiter = RateLimiter(DEFAULT_LINES_PER_S, DEFAULT_BURST_LINES)
@@ -29,7 +29,9 @@
         self.structured: Any = None
 
     def open(self, log_format: LogFormat, lines_per_s: float, fields: dict[str, str]) -> None:
-        """Write by structlog from now on, the standard library's records too; fields stand in each line."""
+        """Writes by structlog from now on, including records of the standard library; the given fields
+        stand in each line.
+        """
         import structlog
 
         self.limiter = RateLimiter(
@@ -67,11 +69,15 @@
         self.structured = structlog.get_logger("spanwing").bind(**fields)
 
     def close(self) -> None:
+        """Closes the writer, which has at most 0.5 s for the lines still queued."""
         if self.writer is not None:
             self.writer.close()
 
     def log_event(self, event: str, level: str = "info", rate_limited: bool = True, **fields: Any) -> None:
-        """bounded: false for events whose number the caller bounds."""
+        """Logs an event with its fields. rate_limited: False for events whose number the caller bounds.
+
+        A line after suppressed ones has their number as the field left_out.
+        """
         left_out = self.limiter.admit(event, time.monotonic()) if rate_limited else 0
         if left_out is None:
             return
@@ -86,7 +92,7 @@
 
 
 def _flatten_lists(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
-    """Lists as one word: a line of key=value has no other place for them."""
+    """Joins lists to one word: a line of key=value has no other form for them."""
     return {
         key: ",".join(map(str, value)) if isinstance(value, list | tuple) else value
         for key, value in fields.items()
@@ -98,7 +104,7 @@
 
 
 class _StderrHandler(logging.Handler):
-    """Records of the standard library, bounded by their message's text as it stands in the code."""
+    """Writes records of the standard library, rate-limited by their message template."""
 
     def __init__(self, writer: StderrWriter, limiter: RateLimiter, formatter: logging.Formatter) -> None:
         super().__init__()
@@ -106,12 +112,12 @@
         self.setFormatter(formatter)
 
     def emit(self, record: logging.LogRecord) -> None:
-        is_structured = isinstance(record.msg, dict)  # of structlog, and bounded by tell() already
+        is_structured = isinstance(record.msg, dict)  # from structlog, and limited by log_event() already
         if not is_structured and self.limiter.admit(str(record.msg), time.monotonic()) is None:
             return
         try:
             self.writer.enqueue(self.format(record))
-        except Exception:  # noqa: BLE001 - a line that cannot be formed must not end what it tells of
+        except Exception:  # noqa: BLE001 - a line that cannot be formatted must not end the caller
             self.writer.enqueue(f"event=log_fault message={record.msg!r}")
 
 
@@ -120,5 +126,5 @@
 
 
 def print_line(text: str) -> None:
-    """A line to whoever watches the start: plain, on standard error."""
+    """Prints a plain line on standard error, for whoever watches the start."""
     print(f"spanwing: {text}", file=sys.stderr, flush=True)
--- a/spanwing/log/limit.py
+++ b/spanwing/log/limit.py
@@ -1,7 +1,7 @@
-"""How often one event may be told.
+"""Limits how often one event is logged.
 
-Guarantees: a pure bucket for each event, KINDS of them at most (the one unused longest goes); what is left
-out is counted and told with the next line of that event, so nothing is lost without a trace.
+A token bucket for each event, MAX_EVENT_NAMES (256) of them at most; the least recently used one is
+dropped. Suppressed lines are counted, and the next line of that event carries the count.
 """
 
 from __future__ import annotations
@@ -12,15 +12,19 @@
 
 
 class RateLimiter:
-    """So many lines of an event in a second, with so many at once."""
+    """Allows lines_per_s lines of an event in a second, and bursts of this many."""
 
     def __init__(self, lines_per_s: float, burst: float) -> None:
         assert lines_per_s > 0 and burst >= 1
         self.lines_per_s, self.burst = lines_per_s, burst
-        self.buckets: OrderedDict[str, tuple[float, float, int]] = OrderedDict()  # tokens, when, left out
+        self.buckets: OrderedDict[str, tuple[float, float, int]] = (
+            OrderedDict()
+        )  # tokens, time of the last refill in s, suppressed lines
 
     def admit(self, event: str, now: float) -> int | None:
-        """How many of this event were left out since its last line; None: this one is left out too."""
+        """Returns how many lines of this event were suppressed since its last line, or None if this one is
+        suppressed too. now: seconds.
+        """
         tokens, refilled_at, left_out = self.buckets.pop(event, (self.burst, now, 0))
         tokens = min(self.burst, tokens + max(0.0, now - refilled_at) * self.lines_per_s)
         is_admitted = tokens >= 1.0
--- a/spanwing/log/writer.py
+++ b/spanwing/log/writer.py
@@ -1,7 +1,8 @@
-"""Lines to standard error without ever holding up the loop.
+"""Writes lines to standard error without ever blocking the loop.
 
-Guarantees: put() never waits; WAITING lines at most are kept for a reader that does not read, further ones
-are counted and the count is told once there is room; close() gives what waits LAST_S to leave.
+enqueue() never waits. MAX_QUEUED_LINES (1000) lines at most are queued for a reader that does not read;
+further ones are dropped and counted, and the count is written once there is room. close() gives the queued
+lines CLOSE_TIMEOUT_S (0.5 s) to be written.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 
 class StderrWriter:
-    """A thread of its own writes; a terminal or pipe may block it as long as it likes."""
+    """Writes in a thread of its own; a terminal or pipe may block it as long as it likes."""
 
     def __init__(self, descriptor: int = 2) -> None:
         self.descriptor, self.dropped_lines = descriptor, 0
@@ -24,6 +25,7 @@
         self.thread.start()
 
     def enqueue(self, line: str) -> None:
+        """Queues a line; drops and counts it if the queue is full."""
         try:
             self.lines.put_nowait(line.encode("utf-8", "replace") + b"\n")
         except queue.Full:
@@ -38,9 +40,10 @@
                 while line:
                     line = line[os.write(self.descriptor, line) :]
             except OSError:
-                self.dropped_lines += 1  # nobody reads any more; the daemon goes on
+                self.dropped_lines += 1  # nobody reads any more; the daemon continues
 
     def close(self) -> None:
+        """Ends the thread; waits 0.5 s at most for queued lines, and not at all if the queue is full."""
         try:
             self.lines.put_nowait(None)
         except queue.Full:
