Write the docstrings of the daemon and its settings in ordinary terms

Cause: they spoke of the module, fronts and what is told, and 20 public names had none. Change: docstrings and comments only, in daemon, config, settings, frontsfile and adapter, with a few words in core and health; comments that forced a value into brackets now stand above it.

--- a/spanwing/adapter.py
+++ b/spanwing/adapter.py
@@ -1,4 +1,6 @@
-"""The simulator's wire on standard input and output: one Dispatcher a node, no decision here."""
+"""The simulator's protocol on standard input and output: one Dispatcher for each node, and no decision
+here.
+"""
 
 from __future__ import annotations
 
@@ -145,7 +147,7 @@
 
 
 class AdapterSession:
-    """The nodes hosted by this process and the batch being read."""
+    """The nodes hosted by this process, and the batch being read."""
 
     def __init__(self) -> None:
         self.schedulers: dict[str, Dispatcher] = {}
@@ -153,7 +155,9 @@
         self.reply_lines: list[bytes] = []
 
     def handle_line(self, line: bytes) -> bytes | None:
-        """Take one input line; at the end of a batch, return the whole reply."""
+        """Handles one input line; returns the whole reply at the end of a batch, else None. Raises
+        FrameError if the line breaks the framing.
+        """
         try:
             message = msgspec.json.decode(line)
             name = message[0]
@@ -199,11 +203,11 @@
             raise FrameError(f"malformed {name}: too short")
 
     def _run_guarded(self, node_name: str, decide: Callable[[], list[api.Action] | None]) -> None:
-        """A fault in a decision ends the day with its text; it is never swallowed."""
+        """Runs a decision; a fault in it is reported as Die with its text, never swallowed."""
         try:
             for action in decide() or ():
                 self.reply_lines.append(msgspec.json.encode(ACTION_ENCODERS[type(action)](node_name, action)))
-        except Exception as error:  # noqa: BLE001 - reported on the wire, with the traceback on stderr
+        except Exception as error:  # noqa: BLE001 - reported to the simulator, with the traceback on stderr
             traceback.print_exc(file=sys.stderr)
             self.reply_lines.append(
                 msgspec.json.encode(["Die", node_name, f"{type(error).__name__}: {error}"])
@@ -211,7 +215,7 @@
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
-    """Serve the wire until the input ends."""
+    """Serves the protocol until the input ends; returns the exit status: 0, or 2 after a FrameError."""
     session = AdapterSession()
     for number, line in enumerate(source, 1):
         if not line.strip():
--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -1,4 +1,4 @@
-"""What the daemon is told at its start: the platform's configuration."""
+"""Reads the daemon's configuration: the platform's file and the operator's file."""
 
 from __future__ import annotations
 
@@ -36,21 +36,18 @@
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
 
 RESERVED_SOCKETS = 28  # listeners, logs, the loop, discovery, members of the store
-MAX_MANAGEMENT_CONNECTIONS = 16  # callers of the management address at once
-SOCKETS_PER_CHECK_LISTENER = 13  # a listener for balancers and its connections
+MAX_MANAGEMENT_CONNECTIONS = 16  # concurrent connections to the management address
+SOCKETS_PER_CHECK_LISTENER = 13  # a listener for balancers, with its connections
 MIN_SOCKETS = 64
-MIN_CONNECTION_SOCKETS = 16  # descriptors for connections, whatever else there is
-BASE_MEMORY_MB = 24  # of memory, with no connection open
-SECOND_PROCESS_SOCKETS, SECOND_PROCESS_MEMORY_MB = (
-    12,
-    18,
-)  # what a second process takes besides, by measurement
+MIN_CONNECTION_SOCKETS = 16  # descriptors for connections, whatever else needs some
+BASE_MEMORY_MB = 24  # without open connections
+SECOND_PROCESS_SOCKETS, SECOND_PROCESS_MEMORY_MB = 12, 18  # needs of a second process, as measured
 MIN_MEMORY_MB = 32
-CONNECTION_MEMORY_KB = 112  # a head, a body, what is read ahead and what is written, at their largest
+CONNECTION_MEMORY_KB = 112  # head, body, read and write buffers at their largest
 MIN_CONNECTIONS = 32
 MIN_CORES = 0.05
 
-#: By the fields of Config, what takes a restart to change.
+#: By field of Configuration, the settings that take a restart to change.
 RESTART_ONLY_SETTINGS = {
     "listen": "listen",
     "management": "management",
@@ -66,6 +63,8 @@
 
 
 class ResourceLimits(msgspec.Struct):
+    """The limits of the process: descriptors, memory in MB and cores."""
+
     sockets: int = 1024
     memory_mb: float = 192
     cores: float = 1.0
@@ -83,9 +82,8 @@
     """The file named by ROUTER_CONFIG."""
 
     settings: msgspec.Raw
-    settings_revision: int = msgspec.field(
-        default=0, name="revision"
-    )  # of the settings: the store keeps those of the highest
+    # The store holds the settings of the highest revision.
+    settings_revision: int = msgspec.field(default=0, name="revision")
     name: str = ""
     listen: str = ""
     management: str = ""
@@ -101,9 +99,8 @@
     name: str
     listen: Address
     discovery: Address
-    file_discovery: str = msgspec.field(
-        name="told"
-    )  # `discovery` as the file has it, whatever the environment says
+    # `discovery` as in the file, whatever the environment says.
+    file_discovery: str = msgspec.field(name="told")
     seed: int
     limits: ResourceLimits
     known_endpoints: DiscoveredEndpoints = msgspec.field(name="known")
@@ -112,9 +109,8 @@
     platform_settings: PlatformSettings = msgspec.field(name="options")
     settings: api.Settings
     management: Address | None
-    inherited_descriptor: int | None = msgspec.field(
-        name="shared"
-    )  # the descriptor of a listening socket that the platform holds
+    # Descriptor of a listening socket that the platform holds open.
+    inherited_descriptor: int | None = msgspec.field(name="shared")
     faktory: Address | None
     balancers: BalancerSettings
     proxy_protocol: ProxyProtocolSettings = msgspec.field(name="proxied")
@@ -127,8 +123,12 @@
     policy: PolicyConfiguration | None
 
     def connection_shares(self, process_count: int = 1) -> ConnectionShares:
-        """Half of what is free is the clients' side's, where clients are told to hold a third of all.
-        processes: that share the limits just now; the shares are those of all together."""
+        """Computes how many connections each side may hold.
+
+        Clients get half of the free descriptors at most, while they are told to hold a third of all.
+
+        process_count: the processes that share the limits now; the result is for all of them together.
+        """
         reserved_sockets = (
             RESERVED_SOCKETS
             + SOCKETS_PER_CHECK_LISTENER * self.balancers.listener_count()
@@ -146,7 +146,7 @@
         return ConnectionShares(client_sockets - faktory, faktory, free_sockets - client_sockets)
 
     def changed_restart_settings(self, previous: Configuration) -> list[str]:
-        """The settings that differ from the old ones and that a running program cannot take over."""
+        """Returns the settings that differ from the previous ones and take effect only after a restart."""
         return [
             setting
             for name, setting in RESTART_ONLY_SETTINGS.items()
@@ -155,7 +155,11 @@
 
 
 def read_file(path: str, setting: str, struct_type: type, decode: Any, errors: ErrorCollector) -> Any:
-    """Decode a file into its Struct; any fault is a plain line naming file, setting and place."""
+    """Decodes a file into its Struct; each error is a plain line that names file, setting and place.
+
+    Returns None if the file cannot be read or nothing of it is valid, and errors are collected; raises
+    ConfigurationError for the first error otherwise.
+    """
     try:
         data = Path(path).read_bytes()
     except OSError as error:
@@ -164,7 +168,7 @@
     try:
         return decode(data, type=struct_type)
     except (ValueError, UnicodeDecodeError) as error:
-        # Decoded at once, only the first fault would be known: where all are wanted, each value is looked at.
+        # Decoding reports only the first error; to collect all of them, each value is checked.
         if not errors.collects_all:
             errors.add_error(setting, f"{path}: {error}")
         from spanwing.everyfault import find_all_errors
@@ -178,7 +182,9 @@
 def parse_settings(
     text: str, own_settings: PlatformSettings | None = None, errors: ErrorCollector | None = None
 ) -> tuple[PlatformSettings, api.Settings] | None:
-    """Decode the settings object; what is a member's own (its number and zone) comes from its own file."""
+    """Decodes the settings object; number and zone of this member come from its own file. Returns None if
+    there are errors and they are collected; raises ConfigurationError otherwise.
+    """
     errors = errors or ErrorCollector()
     platform_settings = errors.run_check(
         "settings", lambda text: msgspec.json.decode(text, type=PlatformSettings), text
@@ -189,7 +195,7 @@
         platform_settings.node_index, platform_settings.zone = own_settings.node_index, own_settings.zone
     try:
         return platform_settings, scheduler_settings(platform_settings)
-    except api.SettingsError as error:  # the module names what is wrong in its own words
+    except api.SettingsError as error:  # with the scheduler's names of settings
         for message_line in error.faults:
             name, _, message = message_line.partition(": ")
             errors.add_error(f"settings.{SETTING_NAMES.get(name, name)}", message)
@@ -201,8 +207,11 @@
     previous: Configuration | None = None,
     errors: ErrorCollector | None = None,
 ) -> Configuration | None:
-    """Read both files; before: what was read last, where this is a reload. Raises the first fault as a
-    ConfigError; with faults that collect, all are there afterwards, and None is returned if there are any."""
+    """Reads both files.
+
+    previous: the configuration in use, for a reload. Raises ConfigurationError for the first error; if
+    errors collects all of them, returns None if there are any.
+    """
     errors = errors or ErrorCollector()
     path = environment.get("ROUTER_CONFIG")
     platform = None
@@ -241,7 +250,7 @@
         for region, names in zones.regions.items():
             for name in sorted(set(names) - set(settings[1].zones)):
                 errors.add_error(f"zones.regions.{region}", f"{name!r} is no zone of the settings")
-    # The environment is as old as the process: an address that the file has changed since then is newer.
+    # The environment dates from the start of the process: an address changed in the file since then is newer.
     uses_file_discovery = (
         previous is not None and platform.discovery and platform.discovery != previous.file_discovery
     )
@@ -297,7 +306,9 @@
 
 
 def read_operator_file(path: str | None, errors: ErrorCollector) -> OperatorFile | None:
-    """The file that SPANWING_FRONTS names, else the repository's own."""
+    """Reads the file that SPANWING_FRONTS names, or else the repository's own; without either, the
+    defaults.
+    """
     if path is None and not DEFAULT_OPERATOR_FILE.exists():
         return OperatorFile()
     return read_file(
--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -77,7 +77,7 @@
     records_intent_itself: bool  # it calls record_intent itself, since work may be queued there for long
 
     def deliver(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None:
-        """Starts a delivery attempt; the listener hears of its progress and its end."""
+        """Starts a delivery attempt; the listener receives its progress and its end."""
 
     def cancel(self, request: str, number: int, result: api.Result) -> None:
         """Cancels an attempt; it ends with this result unless it has ended already."""
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon: reads its configuration, wires the parts together and runs until SIGTERM."""
+"""The daemon: reads its configuration, connects the parts and runs until SIGTERM."""
 
 from __future__ import annotations
 
@@ -57,22 +57,22 @@
     from spanwing.zones.service import ZoneService
 
 HOUR_MS, DAY_MS = 3_600_000.0, 86_400_000.0
-SHUTDOWN_NOTICE_S = 0.5  # new connections still come this long after SIGTERM
-# SIGKILL comes no sooner than this after SIGTERM, or the longest deadline where that is shorter, and KILL_MS.
+SHUTDOWN_NOTICE_S = 0.5  # new connections still arrive for this long after SIGTERM
+# SIGKILL follows SIGTERM after at least this or the longest deadline, whichever is less, plus the margin.
 MAX_DRAIN_DEADLINE_MS, KILL_MARGIN_MS = 3000.0, 700.0
 ANSWER_MARGIN_MS = 400.0
-MAX_REPORTED_ATTEMPTS = 500  # attempts that a crash left, told one by one at a start
-MIN_SHARE = 8  # connections of either side while two processes share the limits
-MAX_SETTLING_CHECKS = 100  # looks, 10 ms apart, at whether the last outcomes are in the store
+MAX_REPORTED_ATTEMPTS = 500  # attempts left by a crash that are logged one by one at a start
+MIN_SHARE = 8  # connections of each side while two processes share the limits
+MAX_SETTLING_CHECKS = 100  # checks, 10 ms apart, whether the last outcomes are in the store
 
 
 class Daemon:
-    """All parts of one scheduler."""
+    """All parts of one scheduler process."""
 
     def __init__(self, config: Configuration, loop_meter: MeteredSelector | None = None) -> None:
         self.config, self.is_stopping, self.loop_meter = config, False, loop_meter
         self.balancers: BalancerService | None = None
-        self.last_answer_s = math.inf  # of the loop's time: when the latest answer is due
+        self.last_answer_s = math.inf  # loop time at which the last answer is due
         self.started = Event()
         self.buffer_pool = BufferPool()
         self.faktory_frontend: FaktoryFrontend | None = None
@@ -98,7 +98,7 @@
             self.print_address("store", self.store_listener.address)
 
     async def start(self) -> None:
-        """Take the shared settings, then open the fronts."""
+        """Agrees on the shared settings, then opens the frontends. Raises ConfigurationError."""
         config, buffers = self.config, self.buffer_pool
         if config.policy is not None:
             settings_json = await self.join_policy()
@@ -115,7 +115,7 @@
         if self.fleet_policy is not None:
             self.fleet_policy.attach_request_manager(self.request_manager)
 
-        # What is wrong with it must be said before the process in service hears of us.
+        # An error in it must be reported before this process contacts the predecessor.
         inherited_socket = (
             None
             if config.inherited_descriptor is None
@@ -154,7 +154,7 @@
             ),
         )
         self.request_manager.directory = discovery
-        if not settings.subscribe:  # the module asks for nothing then; what discovery has counts all the same
+        if not settings.subscribe:  # the scheduler requests no watch then; discovery counts all the same
             discovery.watch()
         platform_frontend = PlatformFrontend(
             settings.classes,
@@ -209,16 +209,18 @@
             self.apply_connection_shares()
         self.print_address("clients", self.http_server.address)
         self.started.set()
-        gc.freeze()  # what is loaded now stays: collections need not look at it again
+        gc.freeze()  # what is loaded now stays; collections skip it
 
     def update_classes(self, settings: api.Settings) -> None:
-        """Another policy: the fronts take jobs of its classes."""
+        """Gives the frontends the classes of a new policy."""
         for frontend in (self.http_server.frontend, self.faktory_frontend):
             if frontend is not None:
                 frontend.service_classes = {each.name: each for each in settings.classes}
 
     def open_management(self) -> None:
-        """Before all else, so that whoever asks hears no until clients are taken. Raises ConfigError."""
+        """Opens the management listener, before all else, so that callers learn that no clients are
+        accepted yet. Raises ConfigurationError.
+        """
         address = self.config.management
         if address is not None:
             from spanwing.frontends.management import ManagementFrontend
@@ -243,11 +245,13 @@
             self.print_address("management", server.address)
 
     def accepts_clients(self) -> bool:
-        """Whether this process takes clients."""
+        """Returns whether this process accepts clients."""
         return self.started.is_set() and not self.is_stopping
 
     def open_journal(self) -> None:
-        """Close what an earlier life left, tell of it, and write down from now on. Raises ConfigError."""
+        """Closes what an earlier incarnation left, logs it (500 attempts at most), and records from now on.
+        Raises ConfigurationError.
+        """
         table = self.config.journal
         if table is None:
             return
@@ -320,7 +324,9 @@
             )
 
     async def join_policy(self) -> str:
-        """The policy in force in the fleet, once we may take jobs under it. Raises ConfigError."""
+        """Waits until requests may be accepted under the policy in force in the fleet; returns its settings
+        as JSON. Raises ConfigurationError.
+        """
         from spanwing.policy.policy_cache import PolicyCacheError
         from spanwing.policy.service import PolicyService
         from spanwing.policy.validation import remove_member_settings
@@ -341,8 +347,9 @@
         return await participant.wait_for_policy()
 
     def join_zones(self) -> None:
-        """Follow the fleet's zones, and keep them as a member of the store; where the operator's file says
-        so."""
+        """Follows the fleet's zones, and serves them as a member of the store, if the operator's file says
+        so.
+        """
         config = self.config
         if config.zones is None:
             return
@@ -361,7 +368,7 @@
         self.zone_routing.start()
 
     def open_balancer_listeners(self, config: Configuration) -> None:
-        """Open what the operator's file names. Where that is nothing, nothing of it is loaded either."""
+        """Opens the listeners that the operator's file names. Without any, their code is not loaded."""
         balancer_settings = config.balancers
         if self.balancers is None and balancer_settings.listener_count():
             from spanwing.frontends.balancers.service import BalancerService, DaemonLimits, DaemonParts
@@ -391,10 +398,11 @@
                 self.print_address(name, address)
 
     def print_address(self, listener_name: str, address: Address | str) -> None:
+        """Prints the address of a listener on standard output."""
         print(f"spanwing: {listener_name} on {address}", flush=True)
 
     async def reload(self) -> None:
-        """Read the files anew. A bad one changes nothing: the old configuration goes on serving."""
+        """Reads the files again. An invalid one changes nothing: the configuration in use stays."""
         await self.started.wait()
         try:
             config = load_configuration(previous=self.config)
@@ -415,7 +423,9 @@
         print(f"spanwing: reloaded, discovery on {config.discovery}", flush=True)
 
     def apply_connection_shares(self) -> None:
-        """The shares of connections anew: limits or the other process of this scheduler have changed."""
+        """Applies the limits on connections after a change of the limits or of the other process of a hot
+        restart.
+        """
         if self.http_server is None:
             return
         hot_restart, table = self.hot_restart, self.http_server.table
@@ -423,9 +433,8 @@
         shares = self.config.connection_shares(1 + is_shared)
         if self.faktory_frontend is not None:
             self.faktory_frontend.table.max_connections = shares.faktory
-        if (
-            is_shared and hot_restart.successor is not None
-        ):  # our successor's connections come out of ours, one by one
+        # The successor's connections come out of the limit of this process, one by one.
+        if is_shared and hot_restart.successor is not None:
             table.trim(shares.clients - MIN_SHARE)
             self.descriptors.set_limit(max(MIN_SHARE, shares.workers // 2))
             return
@@ -439,6 +448,7 @@
         self.http_server.set_sharing(is_shared)
 
     def collect_counters(self) -> dict[str, int]:
+        """Returns all counters and statistics by name; empty before the start is complete."""
         if not self.started.is_set():
             return {}
         journal_counters = (
@@ -452,46 +462,47 @@
         return dict(sorted({**self.request_manager.counters, **journal_counters, **statistics}.items()))
 
     def print_counters(self) -> None:
+        """Prints the counters on standard output, as one line of JSON."""
         print("counters", msgspec.json.encode(self.collect_counters()).decode(), flush=True)
 
     def remaining_ms(self) -> float:
-        """How long a request that comes now may take."""
+        """Returns how many ms a request that arrives now may take."""
         remaining_s = self.last_answer_s - IOLoop.current().time()
         if self.balancers is not None:
             remaining_s = min(remaining_s, self.balancers.reporter.remaining_s())
         return remaining_s * 1000.0
 
     def answer_window_s(self) -> float:
-        """How long after SIGTERM an answer is surely still in time."""
+        """Returns how many seconds after SIGTERM an answer is certainly in time."""
         longest_ms = max(each.deadline for each in self.request_manager.settings.classes)
         return (min(longest_ms, MAX_DRAIN_DEADLINE_MS) + KILL_MARGIN_MS - ANSWER_MARGIN_MS) / 1000.0
 
     async def wait_until_settled(self) -> None:
-        """Until nobody is owed an answer, also for what has not been read yet."""
+        """Waits until no client is owed an answer, including requests that have not been read yet."""
         while self.http_server.owes_answers() or not self.request_manager.is_idle():
             await self.request_manager.wait_until_idle()
             await sleep(0.01)
 
     async def shut_down(self) -> None:
-        """Keep accepting for a while, answer all that was taken, then leave."""
+        """Accepts new connections for a while, answers all accepted requests, then stops the loop."""
         if self.is_stopping:
             return
         self.is_stopping = True
-        if not self.started.is_set():  # nothing was taken yet, and a store without a majority may not end
+        if not self.started.is_set():  # nothing accepted yet, and waiting for a majority may not end
             IOLoop.current().stop()
             return
         started_s, notice_s = IOLoop.current().time(), SHUTDOWN_NOTICE_S
         if self.hot_restart is not None and self.hot_restart.has_transferred_state:
             self.last_answer_s = started_s + self.answer_window_s()
-            if await self.hot_restart.transfer_connections():  # new connections come to the successor
+            if await self.hot_restart.transfer_connections():  # new connections go to the successor
                 started_s, notice_s = IOLoop.current().time(), 0.0
         if self.balancers is not None:
-            # Balancers have to hear of it before connections are turned away; what an earlier order has told
-            # them counts.
+            # Balancers have to learn of the drain before connections are rejected; the notice of an earlier
+            # order counts.
             self.balancers.reporter.drain("signal")
             notice_s = max(notice_s, self.balancers.reporter.health.drain_orders.notice_ends_at_s - started_s)
         await sleep(notice_s)
-        # What comes from here on and is not answered by SIGKILL would be lost: it gets its answer before.
+        # Requests from here on must be answered before SIGKILL, or they would be lost.
         self.last_answer_s = min(
             self.last_answer_s, started_s + notice_s - SHUTDOWN_NOTICE_S + self.answer_window_s()
         )
@@ -516,7 +527,7 @@
 
 
 def format_time(wall_ms: float | None) -> str:
-    """The wall clock's time, in ISO 8601; empty where none is known."""
+    """Returns a Unix time in ms as ISO 8601 in UTC; empty for None."""
     if wall_ms is None:
         return ""
     return datetime.fromtimestamp(wall_ms / 1000.0, UTC).isoformat(timespec="milliseconds")
@@ -530,13 +541,16 @@
 
 
 def run() -> None:
+    """Runs the daemon until it is stopped. Raises ConfigurationError, or RegisterLogError for the store's
+    log.
+    """
     config = load_configuration()
     loop_meter = install_metered_loop() if config.balancers.listener_count() else None
     loop = IOLoop.current()
     if config.log.log_format != "plain":
         EVENT_LOG.open(config.log.log_format, config.log.max_per_second, {"name": config.name})
     daemon = Daemon(config, loop_meter)
-    # The default of these ends the program; one that comes early is kept until the program serves.
+    # By default these signals end the process; one that arrives early is deferred until the loop runs.
     signal.signal(signal.SIGHUP, lambda *_: loop.add_callback_from_signal(daemon.reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.shut_down))
@@ -559,7 +573,7 @@
 
 
 def serve() -> int:
-    """The daemon, until SIGTERM; returns the exit status."""
+    """Runs the daemon until SIGTERM; returns the exit status: 0, or 2 after an error of the configuration."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(message)s")
     try:
         run()
--- a/spanwing/everyfault.py
+++ b/spanwing/everyfault.py
@@ -21,7 +21,7 @@
 
 def find_all_errors(data: bytes, struct_type: type, decode: Any) -> tuple[Any, list[tuple[str, str]]]:
     """Returns the decoded value without its invalid places (None if nothing remains), and each invalid
-    place of the file with its message; an empty place stands for the whole file.
+    place of the file with its message; an empty place stands for the entire file.
     """
     try:
         value = decode(data)
--- a/spanwing/frontsfile.py
+++ b/spanwing/frontsfile.py
@@ -1,6 +1,6 @@
-"""The operator's own file under deploy/: what listens besides the platform's front, and how.
+"""The operator's own file under deploy/: what listens besides the platform's frontend, and how.
 
-Guarantees: everything is off unless its table is there; a fault is a ConfigError that names the setting.
+Everything is off unless its table is there. An error is a ConfigurationError that names the setting.
 """
 
 from __future__ import annotations
@@ -23,11 +23,11 @@
 PROXY_PROTOCOL_LISTENERS = ("clients", "faktory", "health")
 MAX_AWAY_MS = 86_400_000.0
 MIN_LEASE_MS, MAX_LEASE_MS = 1500.0, 60_000.0  # three renewals at least
-MAX_SOCKET_PATH_BYTES = 100  # of a Unix socket, which the kernel bounds at 108 bytes
+MAX_SOCKET_PATH_BYTES = 100  # the kernel limits the path of a Unix socket to 108 bytes
 
 
 class ListenerTable(msgspec.Struct, forbid_unknown_fields=True):
-    """A front that listens."""
+    """A frontend that listens."""
 
     listen: str
 
@@ -36,12 +36,10 @@
     """HAProxy's agent-check."""
 
     listen: str
-    reports_maxconn: bool = msgspec.field(
-        default=False, name="maxconn"
-    )  # tell how many requests are taken at once
-    expects_class_name: bool = msgspec.field(
-        default=False, name="asks"
-    )  # wait for a line of `agent-send` that names a class
+    # Report how many requests are accepted at once.
+    reports_maxconn: bool = msgspec.field(default=False, name="maxconn")
+    # Wait for a line of `agent-send` that names a class.
+    expects_class_name: bool = msgspec.field(default=False, name="asks")
 
 
 class AdminTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -51,21 +49,22 @@
 
 
 class ProxyTable(msgspec.Struct, forbid_unknown_fields=True):
-    """The PROXY protocol: on these fronts, and there from these addresses only."""
+    """The PROXY protocol: on these frontends, and only from these addresses."""
 
     fronts: list[str]
     sources: list[str]
 
 
 class LogTable(msgspec.Struct, forbid_unknown_fields=True):
+    """The log: its format and the rate of each event's lines."""
+
     log_format: LogFormat = msgspec.field(default="plain", name="form")
-    max_per_second: float = msgspec.field(
-        default=5.0, name="per_second"
-    )  # of one event; a burst of four times as many passes
+    # Lines of one event; a burst may have four times as many.
+    max_per_second: float = msgspec.field(default=5.0, name="per_second")
 
 
 class StoreTable(msgspec.Struct, forbid_unknown_fields=True):
-    """Our member of the store; without a directory it lives in memory, alone."""
+    """This member of the store; without a directory the store is in memory and standalone."""
 
     member: str = "alone"
     directory: str = ""
@@ -79,19 +78,19 @@
 
     directory: str
     failure_mode: Literal["refuse", "serve"] = msgspec.field(default="refuse", name="when_failing")
-    wait_ms: float = 250.0  # a send waits so long for its intent to be on disk
+    wait_ms: float = 250.0  # longest wait of an attempt for its intent to be on disk
     segment_mb: float = 16.0
     segment_hours: float = 1.0
     keep_days: float = 90.0
     keep_gb: float = 4.0
-    keep_days_by_class: dict[str, float] = msgspec.field(
-        default={}, name="keep_days_of"
-    )  # by class, where it differs from keep_days
+    # Where a class differs from keep_days.
+    keep_days_by_class: dict[str, float] = msgspec.field(default={}, name="keep_days_of")
 
 
 class ZonesTable(msgspec.Struct, forbid_unknown_fields=True):
-    """The fleet leaves and returns to zones as one; by the members of a store that all schedulers follow. Or
-    each alone, by what it sees itself."""
+    """How schedulers leave and return to zones: together, by the members of a store that all of them
+    follow, or each standalone, by its own evidence.
+    """
 
     members: dict[str, str] = {}
     is_standalone: bool = msgspec.field(default=False, name="alone")
@@ -103,7 +102,7 @@
     """One policy for the whole fleet, by the members that [zones] names."""
 
     directory: str
-    away_ms: float = 10_000.0  # a scheduler goes on for so long without contact, also from a start
+    away_ms: float = 10_000.0  # a scheduler continues so long without contact, also after a start
 
 
 class OperatorFile(msgspec.Struct, forbid_unknown_fields=True):
@@ -125,7 +124,7 @@
 
 
 class AgentCheckSettings(msgspec.Struct, frozen=True):
-    """The agent-check, checked."""
+    """The settings of the agent-check, checked."""
 
     listen: Address
     reports_maxconn: bool = msgspec.field(name="maxconn")
@@ -133,7 +132,7 @@
 
 
 class BalancerSettings(msgspec.Struct, frozen=True):
-    """What is told to balancers and to the operator, and where; a reload follows all of it."""
+    """What is reported to balancers and to the operator, and where; a reload applies all of it."""
 
     health: Address | None = None
     agent_check: AgentCheckSettings | None = msgspec.field(default=None, name="agent")
@@ -143,14 +142,14 @@
     health_policy: HealthSettings = msgspec.field(name="policy", default_factory=HealthSettings)
 
     def listener_count(self) -> int:
-        """How many protocols are open."""
+        """Returns how many protocols are open."""
         return sum(
             bool(each) for each in (self.health, self.agent_check, self.feedback, self.grpc, self.admin)
         )
 
 
 class ZonesConfiguration(msgspec.Struct, frozen=True):
-    """The fleet's zones, checked."""
+    """The settings of the fleet's zones, checked."""
 
     members: dict[str, Address]
     regions: dict[str, tuple[str, ...]]
@@ -158,7 +157,7 @@
 
 
 class PolicyConfiguration(msgspec.Struct, frozen=True):
-    """The fleet's policy, checked."""
+    """The settings of the fleet's policy, checked."""
 
     directory: str
     away_ms: float
@@ -173,11 +172,12 @@
     sources: tuple[Network, ...] = ()
 
     def sources_for(self, listener: str) -> tuple[Network, ...]:
-        """The addresses that send a header to this front; all others speak plainly."""
+        """Returns the addresses that send a header to this listener; all others send none."""
         return self.sources if listener in self.listeners else ()
 
 
 def check_balancers(operator_file: OperatorFile, errors: ErrorCollector) -> BalancerSettings:
+    """Checks the tables of all balancer protocols and of the admin socket."""
     if operator_file.grpc:
         _require_package("grpc", "h2", errors)
     agent = operator_file.agent_check
@@ -200,10 +200,12 @@
 
 
 def parse_listen_address(name: str, table: Any, errors: ErrorCollector) -> Address | None:
+    """Parses the listen address of a table; returns None without a table."""
     return errors.run_check(f"{name}.listen", parse_address, table.listen) if table else None
 
 
 def check_proxy_protocol(table: ProxyTable | None, errors: ErrorCollector) -> ProxyProtocolSettings:
+    """Checks the listeners and source networks of the PROXY protocol."""
     if table is None:
         return ProxyProtocolSettings()
     _require_package("proxy", "google_crc32c", errors)
@@ -217,6 +219,7 @@
 
 
 def check_log(table: LogTable, errors: ErrorCollector) -> LogTable:
+    """Checks the log table: 0.1 to 10000 lines of an event per second."""
     if not 0.1 <= table.max_per_second <= 10_000:
         errors.add_error("log.per_second", f"{table.max_per_second} is not possible, 0.1 to 10000 are")
     if table.log_format != "plain":
@@ -225,6 +228,7 @@
 
 
 def check_store(table: StoreTable, errors: ErrorCollector) -> StoreTable:
+    """Checks the store table: peers need a directory and a listener."""
     if table.peers and not table.directory:
         # A member that forgets its promises can let two proposers win.
         errors.add_error("store.directory", "needed where store.peers are listed")
@@ -238,6 +242,7 @@
 
 
 def check_journal(table: JournalTable | None, errors: ErrorCollector) -> JournalTable | None:
+    """Checks the journal table: an absolute directory, bounds of all numbers, room for two segments."""
     if table is None:
         return None
     _require_package("journal", "google_crc32c", errors)
@@ -269,6 +274,7 @@
 def check_zones(
     table: ZonesTable | None, store: StoreTable, errors: ErrorCollector
 ) -> ZonesConfiguration | None:
+    """Checks the zones table: members that match the store's, the lease's bounds, each zone in one region."""
     if table is None:
         return None
     members = {
@@ -306,6 +312,7 @@
 def check_policy(
     table: PolicyTable | None, zones: ZonesConfiguration | None, errors: ErrorCollector
 ) -> PolicyConfiguration | None:
+    """Checks the policy table: it needs the members of [zones], and away_ms from the lease up to one day."""
     if table is None:
         return None
     if not table.directory.startswith("/"):
--- a/spanwing/health/drain_orders.py
+++ b/spanwing/health/drain_orders.py
@@ -1,4 +1,4 @@
-"""Drain orders: who asked for a drain, since when and until when.
+"""Drain orders: their sources, their start and their deadlines.
 
 A drain lasts as long as any source has not withdrawn its order; the order of SIGTERM is never withdrawn.
 The notice runs from the first order, so that a second source neither prolongs nor restarts it.
--- a/spanwing/health/state_machine.py
+++ b/spanwing/health/state_machine.py
@@ -1,4 +1,4 @@
-"""The state that balancers are told: starting, ready, weighted, short, draining, drained or absent.
+"""The state reported to balancers: starting, ready, weighted, short, draining, drained or absent.
 
 Every state but ready has a reason. A drain is reported at once and takes precedence over everything else. A
 shortage never reports a weight below the floor, however long it lasts, so that schedulers that are all
@@ -61,7 +61,7 @@
         self.signals = HealthSignals(endpoints_known=False)
 
     def observe(self, now: float, signals: HealthSignals) -> HealthVerdict:
-        """Takes a sample; returns the verdict."""
+        """Records a sample; returns the verdict."""
         self.signals = signals
         return self._update_verdict(now)
 
--- a/spanwing/health/weight.py
+++ b/spanwing/health/weight.py
@@ -168,7 +168,7 @@
 
 
 def cpu_shortage_reason(cpu: CpuUsage) -> str:
-    """Returns the reason, which tells the process's own use from what others take: the remedies differ."""
+    """Returns the reason; own use and what others use are told apart, since the remedies differ."""
     stolen = cpu.stolen > cpu.demand / 4
     cause = f"others take {round(100 * cpu.stolen)}%" if stolen else f"busy {round(100 * cpu.demand)}%"
     return f"short of CPU: {cause} of the time, loop late by {cpu.lag_ms:.0f} ms"
--- a/spanwing/settings.py
+++ b/spanwing/settings.py
@@ -1,4 +1,8 @@
-"""The settings object of the simulator's first message, which the daemon finds in its configuration."""
+"""The settings object, which the simulator sends in its first message and the daemon reads from its
+configuration.
+
+Times are in ms where a name says so.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,7 @@
 EXTRA_FIELD_NAMES = {"free slots": "free_slots", "free memory": "free_memory"}
 
 
-#: The module's names for what the settings object calls otherwise.
+#: By the scheduler's name of a setting, its name in the settings object where that differs.
 SETTING_NAMES = {
     "nodes": "balancers",
     "node": "position",
@@ -32,6 +36,8 @@
 
 
 class ClassSettings(msgspec.Struct):
+    """A class of requests: latency objective, deadline, priority weight and idempotency."""
+
     name: str
     latency_objective_ms: float = msgspec.field(name="aim_ms")
     deadline_ms: float
@@ -45,16 +51,22 @@
 
 
 class TenantSettings(msgspec.Struct):
+    """A tenant and its quota in requests per second."""
+
     name: str
     quota_per_s: float = msgspec.field(name="allowance_per_s")
 
 
 class ReportSettings(msgspec.Struct):
+    """The fields of the workers' load reports; via "off" means that there are none."""
+
     fields: list[str] | None = None
     via: str = ""
 
 
 class PermissionSettings(msgspec.Struct):
+    """What the scheduler may do, and the limits on connections to workers."""
+
     cancel: bool = False
     probes: bool = False
     peer_messages: bool = False
@@ -66,6 +78,8 @@
 
 
 class RuleSettings(msgspec.Struct):
+    """The rules of the platform: grace times, polling, slow start and recovery."""
+
     answer_grace_ms: float = msgspec.field(default=0.0, name="grace_to_answer_ms")
     drain_grace_ms: float = msgspec.field(default=0.0, name="stop_sending_within_ms")
     poll_interval_ms: float = msgspec.field(default=10000.0, name="ask_every_ms")
@@ -76,6 +90,8 @@
 
 
 class SpecificSettings(msgspec.Struct):
+    """Settings by position of the class, and details of queues and load reports."""
+
     class_kind: list[int] = []
     class_priority: list[int] = []
     class_stretch: list[float] = []
@@ -88,7 +104,7 @@
 
 
 class PlatformSettings(msgspec.Struct):
-    """The values in use; unknown keys are ignored, missing ones get the documented default."""
+    """The settings in use; unknown keys are ignored, missing ones have the documented default."""
 
     classes: list[ClassSettings]
     node_index: int = msgspec.field(default=0, name="position")
@@ -131,7 +147,7 @@
 
 
 def load_report_fields(options: PlatformSettings) -> tuple[str, ...]:
-    """The names of a load report's values, in the module's words."""
+    """Returns the names of a load report's values, as the scheduler names them."""
     report, specifics = options.report or ReportSettings(), options.specifics or SpecificSettings()
     extra_texts = {"x0": specifics.report_x0, "x1": specifics.report_x1}
     extra_names = {name: EXTRA_FIELD_NAMES.get(text or "", name) for name, text in extra_texts.items()}
@@ -140,7 +156,9 @@
 
 
 def scheduler_settings(options: PlatformSettings) -> api.Settings:
-    """Translate; a value that no decision could honour raises ValueError naming it."""
+    """Translates the settings for the scheduler; raises SettingsError (a ValueError) that names a value no
+    decision could honour.
+    """
     specifics = options.specifics or SpecificSettings()
     permissions, rules = options.permissions or PermissionSettings(), options.rules or RuleSettings()
     return api.Settings(
