--- a/spanwing/net/__init__.py
+++ b/spanwing/net/__init__.py
@@ -1,1 +1,1 @@
-"""Bytes and sockets: HTTP, RESP, streams, buffers, addresses, tables of connections; no core."""
+"""Bytes and sockets: HTTP, RESP, streams, buffers, addresses, connection tables; independent of the core."""
--- a/spanwing/net/address.py
+++ b/spanwing/net/address.py
@@ -14,13 +14,14 @@
 
 
 class Address(NamedTuple):
-    """A numeric address; names are not looked up (the platform has no DNS)."""
+    """A numeric address; names are not resolved (the platform has no DNS)."""
 
     host: str
     port: int
 
     @property
     def socket_address(self) -> tuple[str, int]:
+        """Returns the pair that the socket module takes."""
         return (self.host, self.port)
 
     def __str__(self) -> str:
@@ -28,6 +29,7 @@
 
 
 def parse_address(text: str) -> Address:
+    """Parses HOST:PORT with a numeric host ([HOST]:PORT for IPv6); raises ValueError."""
     host, colon, port = text.rpartition(":")
     host = host.strip("[]")
     try:
@@ -45,22 +47,24 @@
 
 
 def open_socket(address: Address) -> socket.socket:
+    """Creates an unconnected TCP socket of the address's family."""
     return socket.socket(_family(address), socket.SOCK_STREAM)
 
 
 class ListeningSocket(NamedTuple):
-    """A listening socket: its address, with the port that the system chose for 0, and what closes it."""
+    """A listening socket: its address, with the port the system chose for 0, and what closes it."""
 
     address: Address
     close: Callable[[], None]
-    set_accepting: Callable[[bool], None] = lambda accepts: None  # stop accepting for a while, and go on
-    accept_pending_and_close: Callable[[], None] = lambda: (
-        None
-    )  # accept what waits to be, and close, with nothing in between
+    set_accepting: Callable[[bool], None] = lambda accepts: None  # pause accepting, and resume
+    accept_pending_and_close: Callable[[], None] = lambda: None  # accepts the backlog and closes, in one step
 
 
 def adopt_listening_socket(descriptor: int) -> socket.socket:
-    """The listening socket that whoever started us holds open under this descriptor. Raises OSError."""
+    """Returns the listening socket that the parent process holds open as this descriptor.
+
+    Raises OSError.
+    """
     sock = socket.socket(fileno=descriptor)
     if not (
         sock.family in (socket.AF_INET, socket.AF_INET6)
@@ -77,8 +81,10 @@
     on_connection: Callable[[socket.socket], None],
     shared_socket: socket.socket | None = None,
 ) -> ListeningSocket:
-    """Listen on exactly this address, or take part in a socket that other processes accept on too: that one
-    is closed here at the end, and never shut down. Raises OSError."""
+    """Listens on exactly this address, or takes part in a socket that other processes accept on too.
+
+    A shared socket is closed here at the end and never shut down. Raises OSError.
+    """
     listening_socket = shared_socket or open_socket(address)
     listening_socket.setblocking(False)
     if shared_socket is None:
@@ -105,7 +111,7 @@
 
     def accept_pending_and_close() -> None:
         with suppress(OSError):
-            while remove_handlers:  # what waits in the backlog of a listener that closes is reset
+            while remove_handlers:  # the kernel resets what is in the backlog of a listener that closes
                 on_connection(listening_socket.accept()[0])
         close()
 
@@ -116,12 +122,14 @@
 
 
 def listen_unix(path: str, on_connection: Callable[[socket.socket], None]) -> ListeningSocket:
-    """Listen on a path that only our own user may use; one left by a process that has ended is replaced.
-    Raises OSError."""
+    """Listens on a Unix socket that only the process's own user may use (mode 0600).
+
+    A socket file left by a process that has ended is replaced. Raises OSError.
+    """
     _remove_stale_socket(path)
     listening_socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     listening_socket.setblocking(False)
-    mask = os.umask(0o177)  # its mode must be right from the first moment on
+    mask = os.umask(0o177)  # the mode must be right from the start
     try:
         listening_socket.bind(path)
     except OSError:
--- a/spanwing/net/buffers.py
+++ b/spanwing/net/buffers.py
@@ -1,22 +1,24 @@
-"""Read buffers of one size, used again."""
+"""Reusable read buffers of one size (BUFFER_BYTES)."""
 
 from __future__ import annotations
 
 BUFFER_BYTES = 8192
-MAX_SPARE_BUFFERS = 256  # spare ones at most
+MAX_SPARE_BUFFERS = 256  # spare buffers kept at most
 SINK_BYTES = 65536
 
 
 class BufferPool:
-    """Hands out buffers; whoever takes one gives it back."""
+    """Hands out buffers; whoever takes one must release it. At most MAX_SPARE_BUFFERS are kept."""
 
     def __init__(self) -> None:
         self.spare_buffers: list[bytearray] = []
-        self.sink = bytearray(SINK_BYTES)  # one for all, for bytes that nobody will look at
+        self.sink = bytearray(SINK_BYTES)  # shared; for bytes that are discarded
 
     def acquire(self) -> bytearray:
+        """Returns a spare buffer or a new one."""
         return self.spare_buffers.pop() if self.spare_buffers else bytearray(BUFFER_BYTES)
 
     def release(self, buffer: bytearray) -> None:
+        """Takes a buffer back; drops it if enough are spare."""
         if len(self.spare_buffers) < MAX_SPARE_BUFFERS:
             self.spare_buffers.append(buffer)
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 messages: an incremental parser, and a connection that reads through pooled buffers."""
+"""HTTP/1.1 messages (RFC 9112): an incremental parser, and a connection that reads through pooled buffers."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 
 class HttpError(Exception):
-    """Input that is no HTTP message we take; status is the answer to it."""
+    """Input that is no acceptable HTTP message; status is that of the response to it."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -50,29 +50,32 @@
     method: str
     target: str
     status: int
-    headers: dict[str, str]  # names in lower case
+    headers: dict[str, str]  # lower-case names
     keep_alive: bool
     body: bytes = b""
 
 
 class HttpParser:
-    """Bytes are appended to data as they come; gives whole messages."""
+    """Incremental parser: bytes are appended to data, next_message() returns complete messages."""
 
     def __init__(self, parses_responses: bool = False) -> None:
         self.parses_responses = parses_responses
         self.data = bytearray()
         self.head: HttpMessage | None = None
-        self.remaining_body: int | None = 0  # of the body; None: until the connection ends
+        self.remaining_body: int | None = 0  # body bytes left; None: until the connection ends
         self.is_chunked = False
-        self.remaining_chunk = -1  # bytes left of a chunk with its line end; -1: its size line comes next
+        self.remaining_chunk = -1  # bytes left of a chunk and its line end; -1: a size line comes next
         self.body = bytearray()
 
     def is_idle(self) -> bool:
-        """Between messages, with nothing read ahead."""
+        """Returns whether the parser is between messages with nothing read ahead."""
         return self.head is None and not self.data
 
     def next_message(self, has_ended: bool = False) -> HttpMessage | None:
-        """The next whole message, if it is there; ended: no more bytes will come."""
+        """Returns the next complete message, or None; has_ended: no more bytes will come.
+
+        Raises HttpError.
+        """
         if self.head is None and not self._read_head():
             return None
         is_complete = self._read_chunks() if self.is_chunked else self._read_body(has_ended)
@@ -83,7 +86,7 @@
         return message
 
     def _read_head(self) -> bool:
-        while self.data[:2] == b"\r\n":  # empty lines before a message are passed over, as RFC 9112 asks
+        while self.data[:2] == b"\r\n":  # empty lines before a message are skipped (RFC 9112, 2.2)
             del self.data[:2]
         end = self.data.find(b"\r\n\r\n")
         if end < 0 and len(self.data) <= MAX_HEAD_BYTES:
@@ -130,7 +133,7 @@
         transfer_coding, length = headers.get("transfer-encoding"), headers.get("content-length")
         self.is_chunked, self.remaining_body, self.remaining_chunk = transfer_coding is not None, 0, -1
         if transfer_coding is not None:
-            # Two lengths let a request be read in two ways; only one form is taken.
+            # Two lengths would allow request smuggling; only one form is accepted.
             if length is not None or transfer_coding.lower() != "chunked":
                 raise HttpError(400 if length is not None else 501, "transfer coding")
         elif length is not None:
@@ -203,8 +206,11 @@
         self.parser = HttpParser(parses_responses)
 
     async def receive(self, timeout_s: float | None = None, is_fresh: bool = False) -> HttpMessage | None:
-        """The next message; None when the connection ended first. One that has begun must be there whole
-        after whole_s; on a fresh connection that time runs already."""
+        """Returns the next message; None if the connection ended first.
+
+        A message must be complete timeout_s after its first byte; on a fresh connection the time starts at
+        once. Raises HttpError and StreamClosedError.
+        """
         try:
             while True:
                 message = self.parser.next_message()
@@ -222,8 +228,8 @@
             self.cancel_message_timer()
 
     def collect_read_ahead(self) -> None:
-        """While no message is waited for: what the stream has read of the next one is taken in now."""
-        if self.pending_read is not None:  # what came so far went where it was read ahead to
+        """Moves what was read ahead into the parser, while no message is awaited."""
+        if self.pending_read is not None:  # a read ahead is under way; use what it has
             if self.pending_read.done():
                 self._collect_read(self.parser.data)
             return
@@ -232,22 +238,24 @@
         if read.done() and read.exception() is None:
             self.parser.data += buffer[: read.result()]
         else:
-            read.add_done_callback(lambda read: read.exception())  # nothing was there, and nobody waits
+            read.add_done_callback(lambda read: read.exception())  # nothing was there; drop the read's error
 
     def _handle_stall(self) -> None:
-        """Half a message gets an answer; who said nothing is owed none."""
+        """Answers an incomplete message with 408; closes a silent connection without a response."""
         if self.parser.is_idle():
             if self.has_no_pending_input():
                 self.close()
-            else:  # its request lies there, or its end: closing now would lose it
+            else:  # a request or the end is unread: closing now would lose it
                 self.message_timer = IOLoop.current().call_later(0, self._handle_stall)
         else:
             self.write_and_close(encode_response(408, b"not whole in time", keep_alive=False))
 
     def is_reusable(self) -> bool:
-        """Whether a request may be written: the connection is open and stands between messages. The stream
-        reads also while nobody asks it to, and what it has fetched so would be taken for the answer: the
-        answer's read is begun here, and must find nothing."""
+        """Returns whether a request may be written: open, and between messages.
+
+        The stream reads also when nobody asked, and what it fetched would be taken for the response. The read
+        of the response is therefore begun here and must find nothing.
+        """
         try:
             return self.parser.is_idle() and not self._begin_read().done() and self.has_no_pending_input()
         except StreamClosedError:
@@ -255,6 +263,7 @@
 
 
 def encode_request(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """Encodes a request, with Content-Length if there is a body or the method is POST."""
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
@@ -268,7 +277,7 @@
     head_only: bool = False,
     headers: dict[str, str] | None = None,
 ) -> bytes:
-    """bare: the head alone, as a HEAD request asks for."""
+    """Encodes a response; head_only leaves out the body, as for a HEAD request."""
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Other')}"]
     if headers:
         lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/spanwing/net/loop_meter.py
+++ b/spanwing/net/loop_meter.py
@@ -1,7 +1,7 @@
-"""How long the event loop is busy: the time between one wait for input and the next.
+"""Measures how long the event loop is busy: the time between one wait for input and the next.
 
-Guarantees: one reading of the clock more before and after each wait, and one comparison; used only where
-health is told to balancers.
+Costs two readings of the clock and one comparison per turn of the loop; used only where health is reported to
+balancers.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 
 class MeteredSelector(selectors.DefaultSelector):
-    """The platform's selector; sums up, in seconds, the time outside of its waits."""
+    """The platform's selector; sums up the time outside its waits, in seconds."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -22,12 +22,13 @@
         self.alarm_at_busy_s, self.on_alarm = math.inf, lambda: None
 
     def select(self, timeout=None):
+        """Waits for input, and first runs an alarm that is due."""
         self.busy_total_s += time.monotonic() - self.woke_at_s
         if self.busy_total_s >= self.alarm_at_busy_s:
             self.alarm_at_busy_s, timeout = (
                 math.inf,
                 0,
-            )  # what the alarm has asked of the loop must not wait for input
+            )  # callbacks that the alarm schedules must not wait for input
             self.on_alarm()
         try:
             return super().select(timeout)
@@ -35,16 +36,16 @@
             self.woke_at_s = time.monotonic()
 
     def busy_s(self) -> float:
-        """Up to now, the present turn of the loop included."""
+        """Returns the busy time so far in seconds, the present turn of the loop included."""
         return self.busy_total_s + time.monotonic() - self.woke_at_s
 
     def set_alarm(self, busy_s: float, on_alarm: Callable[[], None]) -> None:
-        """Call once after so much more busy time, on the loop, between two of its turns."""
+        """Calls on_alarm once after this much more busy time (s), between two turns of the loop."""
         self.alarm_at_busy_s, self.on_alarm = self.busy_total_s + busy_s, on_alarm
 
 
 def install_metered_loop() -> MeteredSelector:
-    """Make an event loop with a meter the current one; before Tornado has made another."""
+    """Makes an event loop with a meter the current one; call it before Tornado makes another."""
     selector = MeteredSelector()
     asyncio.set_event_loop(asyncio.SelectorEventLoop(selector))
     return selector
--- a/spanwing/net/proxied_connections.py
+++ b/spanwing/net/proxied_connections.py
@@ -1,7 +1,7 @@
-"""Connections on which a balancer speaks the PROXY protocol: who does, and reading its header.
+"""Connections on which a balancer speaks the PROXY protocol: which peers do, and reading the header.
 
-Guarantees: a header is asked of listed addresses only, and of each of their connections; whoever else sends
-one sends what his protocol does not allow, so an address cannot be forged.
+A header is required on each connection of the listed addresses and accepted from no other, where it would
+break the protocol of the port. So a client cannot forge its address.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 def peer_address_of(sock: socket.socket) -> str:
-    """The other side's address; empty where the socket has none or is gone."""
+    """Returns the peer's IP address; empty if the socket has none or is closed."""
     try:
         return str(sock.getpeername()[0])
     except (OSError, IndexError):
@@ -26,7 +26,7 @@
 
 
 def is_proxy_source(peer_address: str, sources: tuple[Network, ...]) -> bool:
-    """Whether this address has to send a header."""
+    """Returns whether this peer has to send a header."""
     if not sources or not peer_address:
         return False
     address = ipaddress.ip_address(peer_address.partition("%")[0])
@@ -37,8 +37,11 @@
 async def read_peer_address(
     stream: PooledStream, data: bytearray, timeout_s: float, balancer_address: str
 ) -> str | None:
-    """Read the header that this balancer (peer) owes; returns whom it speaks for, itself where it tells of
-    nobody, None as read_header() does. Raises ProxyError."""
+    """Reads the balancer's header and returns the client's address.
+
+    Returns the balancer's address where the header names no client, and None as read_header() does. Raises
+    ProxyError.
+    """
     header = await read_header(stream, data, timeout_s)
     if header is None:
         return None
@@ -46,8 +49,10 @@
 
 
 async def read_header(stream: PooledStream, data: bytearray, timeout_s: float) -> ProxyHeader | None:
-    """Read one header into data and take it off; None: the connection ended, or it was not whole in time.
-    Raises ProxyError."""
+    """Reads one header into data and removes it.
+
+    Returns None if the connection ended or the header was not complete within timeout_s. Raises ProxyError.
+    """
     timer = IOLoop.current().call_later(timeout_s, stream.close)
     try:
         while (header := parse_header(data)) is None:
--- a/spanwing/net/proxy_protocol.py
+++ b/spanwing/net/proxy_protocol.py
@@ -1,7 +1,7 @@
-"""The PROXY protocol, versions 1 and 2, after its published specification (HAProxy, proxy-protocol.txt).
+"""Parser of the PROXY protocol, versions 1 and 2 (HAProxy, proxy-protocol.txt).
 
-Guarantees: a pure parser; it takes at most LONGEST bytes, gives a whole header, asks for more, or raises
-ProxyError on what can never become a header. It never guesses: who does not send one is at fault.
+Pure and bounded: takes at most MAX_V1_BYTES or MAX_V2_BYTES, and returns a complete header, asks for more, or
+raises ProxyError for input that can never become a header. A missing header is an error, never guessed.
 """
 
 from __future__ import annotations
@@ -13,28 +13,28 @@
 
 SIGNATURE_V2 = b"\r\n\r\n\x00\r\nQUIT\n"
 PREFIX_V1 = b"PROXY "
-MAX_V1_BYTES = 107  # with its line end, as the specification has it
-MAX_V2_BYTES = 4096  # of version 2: addresses and all TLVs
+MAX_V1_BYTES = 107  # with its line end (specification, 2.1)
+MAX_V2_BYTES = 4096  # header, addresses and all TLVs
 CRC32C_TYPE = 0x03
 PORT_PATTERN = re.compile(r"0|[1-9][0-9]{0,4}")
 ADDRESS_BYTES = {0: 0, 1: 12, 2: 36, 3: 216}  # by address family
 
 
 class ProxyError(ValueError):
-    """Not a header of the PROXY protocol."""
+    """The input is not a header of the PROXY protocol."""
 
 
 class ProxyHeader(NamedTuple):
-    """One whole header."""
+    """One complete header."""
 
-    size: int  # bytes of it
-    is_local: bool  # the balancer speaks for itself (a check), or does not tell for whom
+    size: int  # bytes of the header
+    is_local: bool  # the balancer's own connection (a check), or no client is named
     source: tuple[str, int] | None = None
     tlvs: tuple[tuple[int, bytes], ...] = ()
 
 
 def parse_header(data: bytes | bytearray) -> ProxyHeader | None:
-    """The header that data begins with; None while more is needed. Raises ProxyError."""
+    """Parses the header that data begins with; None while more bytes are needed. Raises ProxyError."""
     prefix = bytes(data[:12])
     if len(prefix) < 12 and (SIGNATURE_V2.startswith(prefix) or PREFIX_V1.startswith(prefix)):
         return None
@@ -82,7 +82,7 @@
     if len(data) < size:
         return None
     header = bytes(data[:size])
-    # A check of the balancer's own may name no addresses, whatever family it gives; its length still holds.
+    # A balancer's own check may carry no addresses, whatever its family; its length still counts.
     address_bytes = ADDRESS_BYTES[family] if command or length >= ADDRESS_BYTES[family] else 0
     if length < address_bytes:
         raise ProxyError("PROXY header without room for its addresses")
@@ -116,8 +116,8 @@
 
 
 def _verify_checksum(header: bytes, offset: int) -> None:
-    """The checksum counts the header with four zeros in its own place."""
-    import google_crc32c  # of spanwing[tools], asked for at the start where this protocol is opened
+    """Verifies the CRC-32c, which counts the header with zeros in place of the checksum."""
+    import google_crc32c  # of spanwing[tools]; checked at the start where this protocol is enabled
 
     expected = struct.unpack_from("!I", header, offset)[0]
     if google_crc32c.value(header[:offset] + bytes(4) + header[offset + 4 :]) != expected:
--- a/spanwing/net/resp.py
+++ b/spanwing/net/resp.py
@@ -1,18 +1,20 @@
-"""Replies of the Faktory work protocol, in RESP."""
+"""Replies of the Faktory work protocol, in RESP (Redis serialization protocol)."""
 
 from __future__ import annotations
 
 
 def encode_simple(text: str) -> bytes:
+    """Encodes a simple string."""
     return f"+{text}\r\n".encode()
 
 
 def encode_error(error_code: str, text: str) -> bytes:
-    """A line of its own: a line end inside would forge a second reply."""
+    """Encodes an error; white space is joined, as a line end inside would forge a second reply."""
     return f"-{error_code} {' '.join(text.split())}\r\n".encode()
 
 
 def encode_bulk(data: bytes | None) -> bytes:
+    """Encodes a bulk string; None as the null string."""
     return b"$-1\r\n" if data is None else b"$%d\r\n%s\r\n" % (len(data), data)
 
 
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -1,4 +1,4 @@
-"""A connection that reads through pooled buffers, and lines on top of it."""
+"""A connection that reads through pooled buffers, and a line reader on top of it."""
 
 from __future__ import annotations
 
@@ -14,36 +14,34 @@
 
 from spanwing.net.buffers import BufferPool
 
-#: What the kernel says of a side that has closed, also while bytes lie unread before its end.
+#: Poll events of a peer that has closed, also while bytes before its end are unread.
 PEER_CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLERR | select.POLLHUP
-PEER_CHECK_INTERVAL_S = (
-    0.1  # who has sent more than is taken in ahead is looked at so often: its end cannot be read
-)
-WRITE_CHUNK_BYTES = 16 * 1024  # bytes of an answer that have to be taken within one wait
+PEER_CHECK_INTERVAL_S = 0.1  # poll interval for the end of a peer that has sent more than is read ahead
+WRITE_CHUNK_BYTES = 16 * 1024  # bytes of a response that the peer has to read within one stall timeout
 
 
 class LineTooLongError(Exception):
-    """A line that goes past the limit."""
+    """A line exceeds the limit."""
 
 
 class PooledStream:
-    """Bytes in and out; a buffer is held only while a read waits."""
+    """Reads and writes bytes; occupies a buffer only while a read is pending."""
 
     def __init__(self, stream: IOStream, buffers: BufferPool) -> None:
         self.stream, self.buffers = stream, buffers
         self.pending_read: Future[int] | None = None
-        self.message_timer: object = None  # the timer that ends a wait for a message
-        self.buffer: bytearray | None = None  # where the read that is under way puts its bytes
+        self.message_timer: object = None  # ends the wait for a message
+        self.buffer: bytearray | None = None  # target of the pending read
         self.is_checking_peer = False
         self.read_ahead_into: tuple[bytearray, int] | None = (
-            None  # nobody reads: where what comes goes, and how much
+            None  # no reader: where input goes, and how much at most
         )
-        self.last_read_s = 0.0  # of the loop's time: when something came last
-        # Every message is one small write; waiting to fill a packet would only delay it.
+        self.last_read_s = 0.0  # loop time of the last input
+        # Every message is one small write; Nagle's algorithm would only delay it.
         stream.set_nodelay(True)
 
     async def read(self, sink: bytearray) -> bool:
-        """Append what comes next; False when the connection has ended."""
+        """Appends the next input to sink; returns False if the connection has ended."""
         try:
             reading = self._begin_read()
             await reading
@@ -52,14 +50,14 @@
         return self._collect_read(sink)
 
     def _begin_read(self) -> Future[int]:
-        """The read under way; one that was begun ahead goes on."""
+        """Returns the pending read; starts one if there is none."""
         if self.pending_read is None:
             self.buffer = self.buffers.acquire()
             self.pending_read = self.stream.read_into(self.buffer, partial=True)
         return self.pending_read
 
     def _collect_read(self, sink: bytearray) -> bool:
-        """What the read that is over has brought; False when the connection has ended."""
+        """Appends what the finished read has brought; returns False if the connection has ended."""
         reading, buffer, self.pending_read, self.buffer = self.pending_read, self.buffer, None, None
         if buffer is None:
             return False
@@ -71,13 +69,16 @@
         return has_data
 
     def start_read_ahead(self, sink: bytearray, max_bytes: int) -> None:
-        """While nobody reads: take in what comes, so much at most, and with it the other side's end. An end
-        behind bytes that lie unread would not be noticed."""
+        """Reads up to max_bytes into sink while nobody reads, and so notices the peer's end.
+
+        An end behind unread bytes would not be noticed. Beyond max_bytes the kernel is polled for the end
+        every PEER_CHECK_INTERVAL_S.
+        """
         self.read_ahead_into = sink, max_bytes
         self._continue_read_ahead()
 
     def stop_read_ahead(self) -> None:
-        """Somebody is about to read. A read that was begun goes on for him."""
+        """Stops reading ahead, before a read; a pending read goes on for the reader."""
         self.read_ahead_into = None
 
     def _continue_read_ahead(self) -> None:
@@ -114,7 +115,7 @@
             self._continue_read_ahead()
 
     def has_peer_closed(self) -> bool:
-        """Whether the other side has closed, asked of the kernel, whatever lies unread before its end."""
+        """Returns whether the peer has closed, asked of the kernel, whatever is unread before its end."""
         if self.stream.closed():
             return True
         poll = select.poll()
@@ -122,12 +123,16 @@
         return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
 
     def is_waiting_for_input(self) -> bool:
-        """Whether a read waits here, so that all that was read has been taken in."""
+        """Returns whether a read is pending, so that all input read was collected."""
         return self.pending_read is not None and not self.pending_read.done()
 
     async def write(self, data: bytes, stall_timeout_s: float | None = None) -> None:
-        """Write all of it. Where the other side takes nothing for wait_s, the connection is closed: whoever
-        does not read would hold it, and a drain, for ever."""
+        """Writes all of data.
+
+        With stall_timeout_s the connection is closed, and StreamClosedError raised, if the peer does not read
+        WRITE_CHUNK_BYTES in that time: a peer that never reads would block the connection, and a drain, for
+        ever.
+        """
         if stall_timeout_s is None:
             await self.stream.write(data)
             return
@@ -144,23 +149,27 @@
             written.result()
 
     def close(self) -> None:
+        """Closes the connection at once."""
         self.stream.close()
 
     def cancel_message_timer(self) -> None:
-        """The message that was waited for is there, or the connection has ended."""
+        """Cancels the message timer: the message is complete, or the connection has ended."""
         if self.message_timer is not None:
             IOLoop.current().remove_timeout(self.message_timer)
             self.message_timer = None
 
     def write_and_close(self, data: bytes) -> None:
-        """Write from a timer, where a read still waits, and close: all that came has been read."""
+        """Writes and closes, from a timer while a read is pending (so no input is unread)."""
         if not self.stream.closed():
             self.stream.write(data).add_done_callback(lambda written: written.exception())
             self.close()
 
     async def close_gracefully(self, timeout_s: float) -> None:
-        """Close so that what was written last arrives. Closing on unread input makes the kernel send a reset,
-        which may overtake the answer: what still comes is passed over until the other side has closed."""
+        """Closes so that the last write arrives, within timeout_s.
+
+        Closing with unread input makes the kernel send a reset, which may overtake the response. Input is
+        therefore discarded until the peer has closed.
+        """
         self.read_ahead_into = None
         if self.stream.closed():
             return
@@ -168,11 +177,11 @@
         try:
             self.stream.socket.shutdown(socket.SHUT_WR)
             self.stream.max_buffer_size = len(self.buffers.sink)
-            if self.pending_read is not None:  # begun ahead
+            if self.pending_read is not None:  # a read ahead is pending
                 await self.read(bytearray())
             while True:
                 await self.stream.read_into(self.buffers.sink, partial=True)
-                await sleep(0)  # who sends at full speed must not keep the loop to itself
+                await sleep(0)  # a peer that sends at full speed must not monopolize the loop
         except (StreamClosedError, OSError):
             pass
         finally:
@@ -180,8 +189,11 @@
             self.close()
 
     def has_no_pending_input(self) -> bool:
-        """Whether the other side neither closed nor said anything: asked of the kernel, just before use. What
-        a read has fetched from there counts as said before the reader has its turn."""
+        """Returns whether the peer has neither closed nor sent anything, asked of the kernel.
+
+        Call it just before use. Input that a finished read has fetched counts as pending until it is
+        collected.
+        """
         if self.stream.closed() or (self.pending_read is not None and self.pending_read.done()):
             return False
         try:
@@ -194,7 +206,7 @@
 
 
 class LineStream(PooledStream):
-    """Lines that end in LF or CRLF."""
+    """Reads lines that end in LF or CRLF."""
 
     def __init__(self, stream: IOStream, buffers: BufferPool, max_line_bytes: int) -> None:
         super().__init__(stream, buffers)
@@ -203,8 +215,11 @@
     async def read_line(
         self, timeout_s: float | None = None, is_fresh: bool = False, timeout_reply: bytes = b""
     ) -> bytes | None:
-        """The next line; None when the connection ended first. One that has begun must be there whole after
-        whole_s, else late is said; on a fresh connection that time runs already."""
+        """Returns the next line; None if the connection ended first.
+
+        A line must be complete timeout_s after its first byte, else timeout_reply is written and the
+        connection closed; on a fresh connection the time starts at once. Raises LineTooLongError.
+        """
         try:
             while (line := self._next_line()) is None:
                 if self.message_timer is None and timeout_s is not None and (is_fresh or self.data):
@@ -222,11 +237,11 @@
             self.write_and_close(timeout_reply)
         elif self.has_no_pending_input():
             self.close()
-        else:  # something lies there: closing now would lose it
+        else:  # input is unread: closing now would lose it
             self.message_timer = IOLoop.current().call_later(0, self._handle_stall, timeout_reply)
 
     def _next_line(self) -> bytes | None:
-        """The line that is there already."""
+        """Returns the next line if it has been read completely, else None."""
         end = self.data.find(b"\n")
         if end > self.max_line_bytes or (end < 0 and len(self.data) > self.max_line_bytes):
             raise LineTooLongError
--- a/spanwing/workers/__init__.py
+++ b/spanwing/workers/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to job workers, over HTTP and Faktory, and their pools."""
+"""Connections to workers over HTTP and Faktory, and their pools."""
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -1,4 +1,4 @@
-"""Connections to one next hop, kept open between delivery attempts."""
+"""Connections to one worker, kept open between delivery attempts."""
 
 from __future__ import annotations
 
@@ -18,20 +18,24 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpStream
 
-IDLE_TIMEOUT_FRACTION = 0.6  # of the idle time allowed: a late timer of ours must still be in time
-MAX_CONNECT_ATTEMPTS = 2  # connections opened at most until one stands
-MAX_IDLE_CONNECTIONS = 3  # idle ones kept open to one next hop
-MIN_IDLE_TIMEOUT_S = 0.02  # a connection may always be used again at once
-MAX_CONNECTIONS = 12  # connections in use at one next hop; further attempts wait for one
+IDLE_TIMEOUT_FRACTION = 0.6  # of the idle time allowed: a timer that fires late must still be in time
+MAX_CONNECT_ATTEMPTS = 2  # attempts to open one connection, at most
+MAX_IDLE_CONNECTIONS = 3  # idle connections kept open to one worker
+MIN_IDLE_TIMEOUT_S = 0.02  # lower bound of the adaptive idle timeout
+MAX_CONNECTIONS = 12  # connections in use to one worker; further attempts wait for one
 
 
 class GuardedStream(IOStream):
-    """Asks, each time bytes are handed to the kernel, whether they may still be sent. Bytes that the kernel
-    had no room for wait here, perhaps past the end of the permission under which they were written."""
+    """Checks, each time bytes are handed to the kernel, whether they may still be sent.
 
-    permit: Callable[[], bool] | None = None  # None: nothing can forbid it
+    Bytes that the kernel had no room for are buffered here, perhaps past the end of the permission under
+    which they were written.
+    """
+
+    permit: Callable[[], bool] | None = None  # None: always permitted
 
     def write_to_fd(self, data: memoryview) -> int:
+        """Writes to the socket; raises ConnectionAbortedError if the permission has ended."""
         if self.permit is not None and not self.permit():
             del data  # the traceback must not keep the buffer
             raise ConnectionAbortedError(errno.ECONNABORTED, "may not be sent any more")
@@ -39,44 +43,47 @@
 
 
 class PooledConnection(HttpStream):
-    """A connection to a next hop."""
+    """An HTTP connection to a worker."""
 
     stream: GuardedStream
-    idle_s = 0.0  # idle before its present use; 0: it is new
-    is_shut_down = False  # nothing more is written here
-    is_garbled = False  # what came was no whole answer, and we have ended it
+    idle_s = 0.0  # idle time before the present use; 0: new connection
+    is_shut_down = False  # the write side is closed
+    is_garbled = False  # aborted here in the middle of a response
 
     def shut_down_writing(self) -> None:
-        """Let the other side see our end, and still read what comes."""
+        """Closes the write side (FIN); what the peer still sends can be read."""
         self.is_shut_down = True
         if not self.stream.closed():
-            with suppress(OSError):  # the other side may just have reset it
+            with suppress(OSError):  # the peer may just have reset it
                 self.stream.socket.shutdown(socket.SHUT_WR)
 
     def abort(self) -> None:
-        """Close it, whatever is coming."""
+        """Closes the connection, even in the middle of a response."""
         if not self.stream.closed():
             self.is_garbled = not self.parser.is_idle()
             self.close()
 
 
 class DescriptorBudget:
-    """What the pools of all next hops may hold together; the oldest idle connection of any gives way."""
+    """Limits the connections that the pools of all workers hold open together.
+
+    At the limit the oldest idle connection of any pool is closed to make room.
+    """
 
     def __init__(self, max_open: int) -> None:
         self.max_open, self.open_count = max_open, 0
         self.idle_connections: dict[
             PooledConnection, Callable[[], None]
-        ] = {}  # oldest first, with what closes it
+        ] = {}  # oldest first, with the callback that closes it
 
     def set_limit(self, max_open: int) -> None:
-        """Another limit; idle connections beyond it are closed at once."""
+        """Sets another limit; idle connections beyond it are closed at once."""
         self.max_open = max_open
         while self.open_count > max_open and self.idle_connections:
             next(iter(self.idle_connections.values()))()
 
     def acquire(self) -> bool:
-        """Whether one more connection may be opened."""
+        """Reserves one more connection; returns False if the limit is reached."""
         if self.open_count >= self.max_open and self.idle_connections:
             next(iter(self.idle_connections.values()))()
         if self.open_count >= self.max_open:
@@ -86,7 +93,7 @@
 
 
 class ConnectionPool:
-    """Hands out connections that are certainly not stale, opens others."""
+    """Hands out idle connections that are certainly not stale, and opens new ones."""
 
     def __init__(
         self,
@@ -103,21 +110,25 @@
         )
         self.idle_timeout_s = (
             self.max_idle_timeout_s
-        )  # shorter while the other side drops idle connections without a word
+        )  # shorter while the worker drops idle connections silently
         self.loop = IOLoop.current()
         self.idle_connections: dict[
             PooledConnection, tuple[float, object]
-        ] = {}  # since when, and the timer that ends it
+        ] = {}  # idle since (loop time), and the expiry timer
         self.connection_slots = Semaphore(MAX_CONNECTIONS)
-        #: It has spoken where nothing was asked, as with a second answer to one request: the next such might
-        #: be taken for the answer to another request, so a connection carries one.
+        #: The worker has sent unsolicited data, such as a second response to one request. The next such might
+        #: be taken for the response to another request, so each connection carries one request only.
         self.had_unsolicited_data = False
 
     async def acquire(
         self, new_only: bool = False, is_wanted: Callable[[], bool] = lambda: True
     ) -> PooledConnection | None:
-        """A connection to write on, perhaps a new one only; None when none came up in time, or what it is for
-        is no longer wanted. Give it back, or drop it."""
+        """Returns a connection to write on; with new_only a new one.
+
+        Waits up to the connect timeout for a slot, and as long again for each of at most MAX_CONNECT_ATTEMPTS
+        connects. Returns None if none could be had in that time, or if is_wanted() no longer holds. The
+        caller must release() or discard() it.
+        """
         try:
             await self.connection_slots.acquire(timedelta(seconds=self.connect_timeout_s))
         except WaitOver:
@@ -125,8 +136,8 @@
         while self.idle_connections and not new_only:
             connection = next(reversed(self.idle_connections))
             idle_since_s = self._remove_idle(connection)
-            # A request written to a connection that the next hop has closed may count as run: never write
-            # on one that stood idle too long or that the kernel says was closed.
+            # A request written to a connection that the worker has closed may count as run: never write
+            # on one that was idle too long or that the kernel reports as closed.
             if self.loop.time() - idle_since_s < self.idle_timeout_s and connection.is_reusable():
                 connection.idle_s = self.loop.time() - idle_since_s
                 return connection
@@ -134,7 +145,7 @@
                 connection.has_no_pending_input() or connection.has_peer_closed()
             )
             self._close(connection)
-        # A reset of one that was only just opened says nothing of the next hop; a refusal or silence does.
+        # A reset of a connection just opened is no evidence against the worker; a refusal or a timeout is.
         for _ in range(MAX_CONNECT_ATTEMPTS):
             if not is_wanted() or not self.descriptors.acquire():
                 break
@@ -155,7 +166,7 @@
         return None
 
     def release(self, connection: PooledConnection) -> None:
-        """Take back a connection that is ready for another request."""
+        """Takes back a connection that is ready for another request."""
         self.connection_slots.release()
         if (
             connection.stream.closed()
@@ -169,18 +180,23 @@
         self.descriptors.idle_connections[connection] = lambda: self._expire(connection)
 
     def record_outcome(self, connection: PooledConnection, was_answered: bool) -> None:
-        """How a request fared on a connection that had stood idle: how long others may stand."""
+        """Adapts the idle timeout to the outcome of a request on a connection that had been idle.
+
+        Without an answer the timeout falls to half of the idle time (at least MIN_IDLE_TIMEOUT_S); after an
+        answer on a connection idle for more than half of the timeout it grows by half, up to its maximum.
+        """
         if connection.idle_s and not was_answered:
             self.idle_timeout_s = max(MIN_IDLE_TIMEOUT_S, min(self.idle_timeout_s, connection.idle_s / 2.0))
         elif connection.idle_s > self.idle_timeout_s / 2.0:
             self.idle_timeout_s = min(self.max_idle_timeout_s, self.idle_timeout_s * 1.5)
 
     def discard(self, connection: PooledConnection) -> None:
+        """Closes a connection in use and frees its slot."""
         self._close(connection)
         self.connection_slots.release()
 
     def close_idle(self) -> None:
-        """Close what is idle."""
+        """Closes all idle connections."""
         while self.idle_connections:
             self._expire(next(iter(self.idle_connections)))
 
@@ -189,7 +205,7 @@
         self._close(connection)
 
     def _remove_idle(self, connection: PooledConnection) -> float:
-        """No longer idle; since when it was."""
+        """Takes a connection off the idle ones; returns since when it was idle (loop time, s)."""
         idle_since_s, timer = self.idle_connections.pop(connection)
         del self.descriptors.idle_connections[connection]
         self.loop.remove_timeout(timer)
--- a/spanwing/workers/faktory_worker.py
+++ b/spanwing/workers/faktory_worker.py
@@ -1,4 +1,4 @@
-"""The actors of Faktory job workers: one for each, and one for the list of them."""
+"""Actors for Faktory job workers: one for each worker, and one for the directory of them."""
 
 from __future__ import annotations
 
@@ -33,9 +33,9 @@
 from spanwing.workers.worker_id import worker_id_of
 
 JOB_CONTENT_TYPE = "application/vnd.faktory.job+json"
-MAX_QUEUED_JOBS = 8  # jobs that may wait for a worker's FETCH, as in a job worker's queue
-FETCH_TIMEOUT_S = 2.0  # an empty FETCH is answered after this
-HEARTBEAT_TIMEOUT_S = 60.0  # a worker that has not sent a BEAT for so long is gone
+MAX_QUEUED_JOBS = 8  # jobs that may wait for a worker's FETCH, as in an HTTP worker's queue
+FETCH_TIMEOUT_S = 2.0  # a FETCH without a job is answered after this
+HEARTBEAT_TIMEOUT_S = 60.0  # a worker without a BEAT for this long is gone
 WORKER_STATES: dict[str, api.State] = {
     "quiet": "draining",
     "terminate": "draining",
@@ -46,14 +46,17 @@
 
 
 class FetchRequested(NamedTuple):
-    """A free slot: the future gets a job's bytes and what to call once they are written, or None."""
+    """A free slot of the worker asks for a job.
+
+    The future resolves to the job's bytes and the callback for "written", or to None.
+    """
 
     queues: tuple[str, ...]
     reply: Future[FetchedJob | None]
 
 
 class JobWritten(NamedTuple):
-    """Whether the bytes of a job reached the worker's connection whole."""
+    """Reports whether all bytes of a job were written to the worker's connection."""
 
     request: str
     number: int
@@ -61,7 +64,7 @@
 
 
 class JobPermitted(NamedTuple):
-    """Whether a job that has to be written down first may be handed over."""
+    """Reports whether a job whose intent had to be recorded first may be handed out."""
 
     request: str
     number: int
@@ -69,37 +72,40 @@
 
 
 class JobFinished(NamedTuple):
-    """ACK or FAIL."""
+    """The worker has sent ACK or FAIL for a job."""
 
     request: str
     result: api.Result
 
 
 class WorkerVanished(NamedTuple):
-    """The worker's last connection ended, or it fell silent."""
+    """The worker's last connection ended, or its heartbeat timed out."""
 
 
 @dataclass(slots=True, eq=False)
 class FaktoryAttempt:
-    """A delivery attempt here that has not ended."""
+    """A delivery attempt at this worker that has not ended."""
 
     delivery: DeliveryAttempt
     listener: AttemptListener
     is_handed_out: bool = False
     is_permitted: bool = False
-    reserved_fetch: WaitingFetch | None = None  # kept for it while its intent is on its way to the disk
+    reserved_fetch: WaitingFetch | None = None  # reserved while the intent is being written to disk
 
 
 @dataclass(slots=True, eq=False)
 class WaitingFetch:
-    """A FETCH that waits."""
+    """A FETCH that waits for a job."""
 
     fetch: FetchRequested
     timer: object
 
 
 def encode_job(request: JobRequest) -> bytes:
-    """The job as a worker gets it: its own text where it came by Faktory, else one made of the envelope."""
+    """Returns the job as a worker gets it.
+
+    A job that came by Faktory keeps its own text; any other is built from the request.
+    """
     if request.media == JOB_CONTENT_TYPE:
         return request.body
     return msgspec.json.encode(
@@ -114,9 +120,13 @@
 
 
 class FaktoryWorker(WorkerConnectionActor):
-    """A job worker that fetches. Each delivery ends in one Ended; a late ACK changes nothing."""
+    """Connection to a worker that fetches its jobs.
+
+    Each delivery ends in exactly one AttemptEnded; a late ACK changes nothing. At most MAX_QUEUED_JOBS
+    attempts wait for a FETCH; further ones end as "full".
+    """
 
-    records_intent_itself = True  # a job may wait here for its FETCH: until one comes nothing can leave
+    records_intent_itself = True  # nothing leaves before a FETCH: the intent is recorded then
 
     def __init__(self, name: str, address: str) -> None:
         super().__init__()
@@ -128,14 +138,14 @@
     def _handle_deliver(self, message: DeliverAttempt) -> None:
         attempt = FaktoryAttempt(*message)
         request = attempt.delivery.request
-        if request.id in self.attempts:  # one attempt of a request at a time goes to a job worker
+        if request.id in self.attempts:  # one attempt of a request at a time goes to a worker
             attempt.listener.post(AttemptEnded(request.id, attempt.delivery.number, "moot", is_unsent=True))
             return
         self.attempts[request.id] = attempt
         self._assign_fetch(attempt)
 
     def _assign_fetch(self, attempt: FaktoryAttempt) -> None:
-        """To a FETCH that waits, or among those that wait for one."""
+        """Gives the attempt to a waiting FETCH, or queues it."""
         waiting_fetch = next(
             (
                 each
@@ -178,7 +188,7 @@
             self.loop.remove_timeout(waiting_fetch.timer)
         if (
             attempt.delivery.may_send is not None and not attempt.delivery.may_send()
-        ):  # the moment of use: it has waited
+        ):  # checked at the moment of use: the attempt may have waited
             attempt.reserved_fetch = waiting_fetch
             self._end_attempt(attempt, "moot")
             return
@@ -203,7 +213,7 @@
             self._end_attempt(attempt, "moot")
             return
         attempt.is_permitted, waiting_fetch, attempt.reserved_fetch = True, attempt.reserved_fetch, None
-        if waiting_fetch.fetch.reply.done():  # its connection ended meanwhile
+        if waiting_fetch.fetch.reply.done():  # the fetching connection ended meanwhile
             self._assign_fetch(attempt)
         else:
             self._hand_out(attempt, waiting_fetch)
@@ -215,7 +225,7 @@
         if written.is_complete:
             attempt.listener.post(LastByteSent(written.request, written.number))
             attempt.listener.post(AttemptProgress(written.request, written.number, True))
-        else:  # the job's last byte was never written: it cannot have run
+        else:  # the last byte was never written: the job cannot have run
             self._end_attempt(attempt, "unreachable", is_unsent=True)
 
     def _handle_finished(self, finished: JobFinished) -> None:
@@ -226,7 +236,7 @@
     def _handle_cancel(self, message: CancelDelivery) -> None:
         attempt = self.attempts.get(message.request)
         if attempt is not None and attempt.delivery.number == message.number:
-            # What no FETCH has taken never ran, and says so: an unsafe job may then be refused, not failed.
+            # A job that no FETCH has taken never ran, so an unsafe job may be rejected instead of failed.
             self._end_attempt(attempt, message.result if attempt.is_handed_out else "full")
 
     def _handle_withdraw(self, message: WithdrawAttempt) -> None:
@@ -242,7 +252,7 @@
         del self.attempts[attempt.delivery.request.id]
         if attempt in self.queued_attempts:
             self.queued_attempts.remove(attempt)
-        if attempt.reserved_fetch is not None:  # another may have what was kept for it
+        if attempt.reserved_fetch is not None:  # another attempt may use the reserved FETCH
             waiting_fetch, attempt.reserved_fetch = attempt.reserved_fetch, None
             self._handle_fetch(waiting_fetch.fetch)
         attempt.listener.post(
@@ -272,7 +282,7 @@
 
 
 class WorkerJoined(NamedTuple):
-    """A connection said HELLO with a wid; the future gets the worker's next hop."""
+    """A connection sent HELLO with a wid; the future gets the connection actor of that worker."""
 
     wid: str
     labels: dict[str, str]
@@ -281,6 +291,8 @@
 
 
 class HeartbeatReceived(NamedTuple):
+    """A worker has sent BEAT, with its state."""
+
     wid: str
     state: str
 
@@ -292,14 +304,14 @@
 
 
 class HeartbeatMissed(NamedTuple):
-    """No BEAT came in time."""
+    """No BEAT came within HEARTBEAT_TIMEOUT_S."""
 
     wid: str
 
 
 @dataclass(slots=True, eq=False)
 class FaktoryMember:
-    """What the list knows of a worker."""
+    """What the directory knows of one worker."""
 
     endpoint: api.Worker
     worker: FaktoryWorker
@@ -308,7 +320,10 @@
 
 
 class FaktoryWorkerDirectory(Actor):
-    """The list of Faktory job workers; tells the core of changes."""
+    """The directory of Faktory workers; notifies the core of changes.
+
+    A worker is in it from its first HELLO until its last connection ends or its heartbeat times out.
+    """
 
     def __init__(self, listener: AttemptListener, default_zone: str) -> None:
         super().__init__()
@@ -316,6 +331,7 @@
         self.members: dict[str, FaktoryMember] = {}
 
     def handle_message(self, message: Any) -> None:
+        """Runs the handler of the message's type."""
         DIRECTORY_HANDLERS[type(message)](self, message)
 
     def _handle_joined(self, join: WorkerJoined) -> None:
@@ -347,7 +363,7 @@
         member.heartbeat_timer = self._start_heartbeat_timer(heartbeat.wid)
         state = WORKER_STATES.get(
             heartbeat.state, member.endpoint.state
-        )  # quiet is for good, as with Faktory
+        )  # "quiet" is permanent, as in Faktory
         if state != member.endpoint.state:
             member.endpoint = member.endpoint._replace(state=state)
             self._publish_change(member.endpoint)
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -1,4 +1,4 @@
-"""The actor of one job worker that is reached over HTTP."""
+"""The actor for one worker that is reached over HTTP."""
 
 from __future__ import annotations
 
@@ -35,13 +35,13 @@
     WorkerConnectionActor,
 )
 
-ACCEPT_TIMEOUT_S = 2.5  # wait for a job worker's 202, which comes before any work; its pauses are far shorter
-CANCEL_TIMEOUT_S = 1.0  # wait for the answer to a DELETE
-CANCEL_RETRY_MIN_S, CANCEL_RETRY_MAX_S = 0.1, 2.0  # first and longest pause before it is sent again
+ACCEPT_TIMEOUT_S = 2.5  # wait for a worker's 202, which comes before any work; its pauses are far shorter
+CANCEL_TIMEOUT_S = 1.0  # wait for the response to a DELETE
+CANCEL_RETRY_MIN_S, CANCEL_RETRY_MAX_S = 0.1, 2.0  # first and longest backoff before a DELETE is retried
 PROBE_TIMEOUT_S = 0.5
-MAX_SEND_CONNECTIONS = 3  # tried for one request, all but the first newly opened
-CLOSE_GRACE_S = 0.02  # a close has arrived by then: another job worker must not have the request before
-LAST_BYTE_DELAY_S = 0.002  # a round trip, rather more than less
+MAX_SEND_CONNECTIONS = 3  # connections used for one request at most; all but the first are new
+CLOSE_GRACE_S = 0.02  # a close has arrived by then: no other worker may get the request before
+LAST_BYTE_DELAY_S = 0.002  # upper estimate of a round trip
 
 CALLBACK_RESULTS: dict[str, api.Result] = {
     "done": "ok",
@@ -52,7 +52,7 @@
 
 
 class WorkerCallback(NamedTuple):
-    """What a job worker says of a job that it has taken."""
+    """State that a worker reports of a job it has accepted."""
 
     request: str
     state: str
@@ -61,30 +61,30 @@
 
 
 class RetireWorker(NamedTuple):
-    """The job worker is gone from the list (or is back): close up once nothing is out."""
+    """The worker has left the endpoint list (or is back): close once nothing is in flight."""
 
     is_retired: bool
 
 
 class WithdrawQueued(NamedTuple):
-    """What waits to be sent here is not sent any more."""
+    """Ends the attempts that have not been sent yet."""
 
 
 @dataclass(slots=True, eq=False)
 class HttpAttempt:
-    """A delivery attempt here that has not ended."""
+    """A delivery attempt at this worker that has not ended."""
 
     delivery: DeliveryAttempt
     listener: AttemptListener
-    expires_s: float = 0.0  # of the loop's time: nobody waits for it longer
-    connection: PooledConnection | None = None  # since its last byte may leave, and until the 202
-    is_last_byte_written: bool = False  # its last byte is being written, or is
-    is_accepted: bool = False  # the 202 has come
+    expires_s: float = 0.0  # loop time; nobody waits for it longer
+    connection: PooledConnection | None = None  # from the moment its last byte may leave until the 202
+    is_last_byte_written: bool = False  # the last byte is being written or was written
+    is_accepted: bool = False  # the 202 has arrived
     cancel_result: api.Result | None = None
 
 
 class HttpWorker(WorkerConnectionActor):
-    """Delivers, gives up and probes; each delivery ends in one Ended."""
+    """Delivers, cancels and probes over HTTP; each delivery ends in exactly one AttemptEnded."""
 
     def __init__(
         self,
@@ -98,11 +98,13 @@
         self.connection_pool, self.load_reader, self.on_retired = connection_pool, load_reader, on_retired
         self.attempts: dict[str, HttpAttempt] = {}
         self.is_retiring = False
-        self.is_draining = False  # it drains, or is gone: nothing new may be sent to it
+        self.is_draining = False  # draining or gone: nothing new may be sent to it
 
     def find_transferable(self, request: str, number: int) -> HttpAttempt | None:
-        """The attempt, if its job worker has taken it and nobody has given it up: it can go to another
-        process."""
+        """Returns the attempt if it may be transferred to another process, else None.
+
+        It may once the worker has accepted it, unless it was cancelled.
+        """
         attempt = self.attempts.get(request)
         is_transferable = (
             attempt is not None
@@ -113,12 +115,12 @@
         return attempt if is_transferable else None
 
     def release_attempt(self, request: str) -> None:
-        """The attempt is another process's from now on."""
+        """Drops an attempt that another process has taken over."""
         del self.attempts[request]
         self._close_if_retired()
 
     def resume_attempt(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None:
-        """An attempt that the job worker took from another process."""
+        """Takes over an attempt that the worker accepted from another process."""
         self.attempts[delivery.request.id] = HttpAttempt(
             delivery,
             listener,
@@ -131,7 +133,7 @@
         attempt = HttpAttempt(*message, self.loop.time() + message.delivery.timeout_ms / 1000.0)
         if (
             attempt.delivery.request.id in self.attempts
-        ):  # one attempt of a request at a time goes to a job worker
+        ):  # one attempt of a request at a time goes to a worker
             attempt.listener.post(
                 AttemptEnded(attempt.delivery.request.id, attempt.delivery.number, "moot", is_unsent=True)
             )
@@ -151,7 +153,7 @@
         data = encode_request(request.method, request.target, headers, request.body)
         holds_last_byte = not attempt.delivery.is_repeatable
         connection = await self._send_request(data, holds_last_byte, attempt)
-        if connection is None:  # its last byte was never written
+        if connection is None:  # the last byte was never written
             self._end_attempt(
                 attempt,
                 attempt.cancel_result or ("unreachable" if self._may_send(attempt) else "moot"),
@@ -159,8 +161,8 @@
             )
             return
         attempt.listener.post(LastByteSent(request.id, attempt.delivery.number))
-        # Who says neither yes nor no is waited for no longer: that would only keep its slots here, and the
-        # client, to the end of its time.
+        # A worker that neither accepts nor rejects is not waited for: that would only occupy its slots and
+        # make the client wait until its deadline.
         accept_timer = self.loop.call_later(ACCEPT_TIMEOUT_S, self._abort_unanswered, attempt, "timeout")
         response = await self._receive_response(connection)
         self.loop.remove_timeout(accept_timer)
@@ -170,11 +172,12 @@
     async def _send_request(
         self, data: bytes, hold_last_byte: bool, attempt: HttpAttempt | None = None
     ) -> PooledConnection | None:
-        """The connection that took a whole request, or None: then its last byte was written to none.
+        """Returns the connection that took the complete request, or None if none took its last byte.
 
-        A kept connection that the other side has dropped without a word looks open, and a request written to
-        it may count as run. What must not run twice therefore goes on a new connection, and its last byte,
-        which makes an attempt of it, is held back until a reset would have come."""
+        A pooled connection that the worker has dropped silently looks open, and a request written to it may
+        count as run. Requests that must not run twice therefore go on a new connection, and their last byte,
+        without which they cannot run, is held back until a reset would have arrived.
+        """
         for number in range(MAX_SEND_CONNECTIONS):
             connection = await self.connection_pool.acquire(
                 hold_last_byte or number > 0, lambda: self._is_wanted(attempt)
@@ -190,7 +193,7 @@
                         attempt.is_last_byte_written, attempt.connection = True, connection
                         connection.stream.permit = (
                             attempt.delivery.may_send
-                        )  # also of bytes that have to wait here
+                        )  # also for bytes buffered in the stream
                     await connection.write(data[-1:] if hold_last_byte else data)
                     connection.stream.permit = None
                     return connection
@@ -199,14 +202,14 @@
             self.connection_pool.discard(connection)
             if attempt is not None:
                 attempt.is_last_byte_written, attempt.connection = False, None
-            if not self._is_wanted(attempt):  # given up meanwhile: nothing may be sent any more
+            if not self._is_wanted(attempt):  # cancelled meanwhile: nothing may be sent any more
                 return None
         return None
 
     async def _receive_response(
         self, connection: PooledConnection, timeout_s: float | None = None
     ) -> HttpMessage | None:
-        """The reply; None where none came. The connection goes back to its pool."""
+        """Returns the response, or None; releases or discards the connection."""
         response, timeout = None, None if timeout_s is None else timedelta(seconds=timeout_s)
         try:
             incoming = connection.receive()
@@ -232,23 +235,23 @@
         if not self._is_current(attempt):
             return
         report = self.load_reader.read_text(response.headers.get("x-load-report", "")) if response else None
-        if response is None and is_garbled:  # whatever it was saying: perhaps that it has taken the job
+        if response is None and is_garbled:  # the garbled response may have been a 202
             attempt.cancel_result = attempt.cancel_result or "reset"
             spawn_task(self._cancel_at_worker(attempt))
         elif response is None and attempt.cancel_result is not None:
             self.loop.call_later(CLOSE_GRACE_S, self._end_attempt, attempt, attempt.cancel_result)
         elif response is None:
             self._end_attempt(attempt, "reset")
-        elif response.status == 202 and attempt.cancel_result is not None:  # it was on its way
+        elif response.status == 202 and attempt.cancel_result is not None:  # the 202 crossed the cancellation
             spawn_task(self._cancel_at_worker(attempt))
         elif response.status == 202:
             attempt.is_accepted = True
             attempt.listener.post(AttemptAccepted(attempt.delivery.request.id, attempt.delivery.number))
-        elif response.status == 200:  # an answer at once
+        elif response.status == 200:  # final answer without a callback
             self._end_attempt(attempt, "ok", response.body, report)
         elif response.status in (503, 504) and response.headers.get("x-rejected") == "1":
             self._end_attempt(attempt, "full", report=report)
-        elif 400 <= response.status < 500:  # what a client sent is at fault, not this next hop
+        elif 400 <= response.status < 500:  # the client's request is at fault, not this worker
             self._end_attempt(attempt, "rejected", report=report)
         else:
             self._end_attempt(attempt, "error", report=report)
@@ -259,8 +262,10 @@
         )
 
     def _may_send(self, attempt: HttpAttempt) -> bool:
-        """The moment of use: a lease that ended while the connection was made is seen here, and a job worker
-        that has begun to drain."""
+        """Checks the permission at the moment of use.
+
+        Sees a lease that ended while the connection was made, and a worker that has begun to drain.
+        """
         return not self.is_draining and (attempt.delivery.may_send is None or attempt.delivery.may_send())
 
     def _is_current(self, attempt: HttpAttempt) -> bool:
@@ -274,7 +279,7 @@
         report: tuple[float, ...] | None = None,
         is_unsent: bool = False,
     ) -> None:
-        # A call-back may come before the 202, or again: only the first word on an attempt counts.
+        # A callback may come before the 202, or twice: only the first end of an attempt counts.
         if not self._is_current(attempt):
             return
         del self.attempts[attempt.delivery.request.id]
@@ -310,9 +315,11 @@
             self._end_attempt(attempt, message.result, is_unsent=True)
 
     def _abort_unanswered(self, attempt: HttpAttempt, result: api.Result) -> None:
-        """Give up what was sent and not answered yet: before the 202, the end of the connection does that. A
-        202 may be on its way, and then the job is out there: what still comes is read, until that end has
-        certainly arrived."""
+        """Cancels an attempt that was sent and not answered yet.
+
+        Before the 202 the end of the connection cancels the job. A 202 may be on its way, and then the job
+        runs: responses are still read for CLOSE_GRACE_S, until the close has certainly arrived.
+        """
         if attempt.connection is not None and attempt.cancel_result is None:
             attempt.cancel_result = result
             attempt.connection.shut_down_writing()
@@ -327,13 +334,16 @@
             self._end_attempt(attempt, "moot", is_unsent=True)
         elif (
             attempt.connection is not None and attempt.connection.stream.writing()
-        ):  # the last byte is still here
+        ):  # the last byte has not left the stream's buffer
             attempt.cancel_result = attempt.cancel_result or "moot"
             attempt.connection.close()
 
     async def _cancel_at_worker(self, attempt: HttpAttempt) -> None:
-        """Give up a job that was taken; it has ended only once the job worker was told. One that is cut off
-        is told again, to the end of the job's time: sent elsewhere meanwhile, it would be out twice."""
+        """Cancels an accepted job; the attempt ends only once the worker was notified.
+
+        A DELETE that was cut off is retried with backoff until the attempt's deadline: forwarded elsewhere
+        meanwhile, the request would be in flight twice.
+        """
         backoff_s = CANCEL_RETRY_MIN_S
         try:
             while not await self._delete_job(f"/jobs/{attempt.delivery.request.id}") and self._is_current(
@@ -348,7 +358,7 @@
             self._end_attempt(attempt, attempt.cancel_result or "cancelled")
 
     async def _delete_job(self, target: str) -> bool:
-        """Whether the job worker has our DELETE: whatever it says to it, it has read it."""
+        """Returns whether the worker has read the DELETE, whatever its response."""
         connection = await self._send_bodiless("DELETE", target)
         return connection is not None and (
             await self._receive_response(connection, CANCEL_TIMEOUT_S) is not None or connection.is_garbled
@@ -377,7 +387,10 @@
         probe.listener.post(ProbeEnded(api.ProbeResult(probe.worker, result, elapsed_ms, report)))
 
     def start_draining(self) -> None:
-        """It drains, or is gone: at once nothing new is sent, and what waits here to be sent ends unsent."""
+        """Marks the worker as draining or gone.
+
+        Nothing new is sent from now on, and attempts not sent yet end as unsent.
+        """
         if not self.is_draining:
             self.is_draining = True
             self.post(WithdrawQueued())
--- a/spanwing/workers/load_report.py
+++ b/spanwing/workers/load_report.py
@@ -1,10 +1,10 @@
-"""Load reports of job workers: in a header, in a call-back object or as a probe's body."""
+"""Load reports of workers: in a header, in a callback object or as the body of a probe's response."""
 
 from __future__ import annotations
 
 import msgspec
 
-#: The names of a report's values on the sockets, in the module's words.
+#: Names of a report's values on the wire, and the scheduler's names for them.
 REPORT_FIELD_NAMES = {
     "x0": "free_slots",
     "x1": "free_memory",
@@ -18,13 +18,13 @@
 
 
 class LoadReportReader:
-    """Gives the values in the order in which the settings name them."""
+    """Returns a report's values in the order in which the settings name them."""
 
     def __init__(self, field_names: tuple[str, ...]) -> None:
         self.field_names = tuple(REPORT_FIELD_NAMES.get(name, name) for name in field_names)
 
     def read_values(self, report: dict[str, float] | None) -> tuple[float, ...] | None:
-        """None where the report is absent or lacks a value."""
+        """Returns the values, or None if the report is absent or lacks one."""
         if not report or not self.field_names:
             return None
         named = {REPORT_FIELD_NAMES.get(name, name): value for name, value in report.items()}
@@ -33,7 +33,7 @@
         return tuple(named[name] for name in self.field_names)
 
     def read_text(self, text: str) -> tuple[float, ...] | None:
-        """Read `TEXT name=value, name=value` or a JSON object of numbers."""
+        """Parses `TEXT name=value, name=value` or a JSON object of numbers; None if it cannot."""
         try:
             if text.lstrip().startswith("{"):
                 return self.read_values(msgspec.json.decode(text, type=dict[str, float]))
--- a/spanwing/workers/worker_id.py
+++ b/spanwing/workers/worker_id.py
@@ -1,4 +1,4 @@
-"""The number by which the decisions know a job worker."""
+"""The number by which the scheduler identifies a worker."""
 
 from __future__ import annotations
 
@@ -6,5 +6,5 @@
 
 
 def worker_id_of(name: str) -> int:
-    """The module's number for a job worker: the same at every scheduler."""
+    """Returns the scheduler's number for a worker: 48 bits of BLAKE2b, equal at every scheduler."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
