--- a/spanwing/cli/check.py
+++ b/spanwing/cli/check.py
@@ -1,4 +1,4 @@
-"""All that is wrong with a configuration, each fault with how to mend it."""
+"""Finds all faults of a configuration, each with its remedy."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     parse_listen_address,
 )
 
-#: By the setting's name, first match: what to do about it.
+#: Remedies by a pattern of the setting's name; the first match counts.
 REMEDIES = (
     (
         r"limits\.sockets",
@@ -66,13 +66,15 @@
 
 
 class ConfigurationFault(NamedTuple):
+    """One fault of a configuration and its remedy."""
+
     setting: str
     problem: str
     remedy: str
 
 
 def check_configuration(config: str | None, operator_file: str | None) -> list[ConfigurationFault]:
-    """Look at the platform's file, the fronts file, or both; an empty list if all is well."""
+    """Checks the platform's file, the fronts file, or both; returns no faults if all is well."""
     errors = ErrorCollector(collects_all=True)
     environment = dict(os.environ)
     if operator_file:
@@ -95,6 +97,7 @@
 
 
 def remedy_for(setting: str, problem: str) -> str:
+    """Returns the remedy for a fault of a setting."""
     if problem.startswith("unknown"):
         return UNKNOWN_SETTING_REMEDY
     if problem.startswith("Invalid enum"):
--- a/spanwing/cli/client.py
+++ b/spanwing/cli/client.py
@@ -1,6 +1,7 @@
-"""Speaks to a daemon's admin socket.
+"""Client of a daemon's admin socket.
 
-Guarantees: a reply within WAIT_S or a Refused or Unreachable that says in one line what is wrong.
+Waits at most REPLY_TIMEOUT_S for input, and reads at most MAX_REPLY_BYTES for a reply. A failure raises
+CommandRefusedError (rejected by the daemon) or DaemonUnreachableError, with the reason in one line.
 """
 
 from __future__ import annotations
@@ -20,15 +21,18 @@
 
 
 class DaemonUnreachableError(Exception):
-    """No daemon answers there."""
+    """No daemon answers at this socket."""
 
 
 class CommandRefusedError(Exception):
-    """The daemon answered that it will not, and why."""
+    """The daemon rejected the command; the text is its reason."""
 
 
 def socket_path(explicit_path: str | None, operator_file: str | None) -> str:
-    """From the flag, else SPANWING_ADMIN (click reads both), else the fronts file's admin.socket."""
+    """Returns the socket from the flag or SPANWING_ADMIN (click reads both), else from the fronts file.
+
+    Raises DaemonUnreachableError if the fronts file names none.
+    """
     if explicit_path:
         return explicit_path
     file = Path(operator_file or os.environ.get("SPANWING_FRONTS") or DEFAULT_OPERATOR_FILE)
@@ -42,7 +46,7 @@
 
 
 def stream_replies(path: str, **ask: Any) -> Iterator[dict[str, Any]]:
-    """The replies to one command, as they come."""
+    """Yields the replies to one command as they arrive."""
     try:
         with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as admin_socket:
             admin_socket.settimeout(REPLY_TIMEOUT_S)
@@ -59,7 +63,7 @@
 
 
 def send_command(path: str, **what: Any) -> dict[str, Any]:
-    """One command, one reply."""
+    """Sends one command and returns its one reply."""
     for reply in stream_replies(path, **what):
         return reply
     raise DaemonUnreachableError(f"{path}: closed without a reply")
--- a/spanwing/cli/experiment.py
+++ b/spanwing/cli/experiment.py
@@ -1,4 +1,4 @@
-"""`spanwing experiment`: a matrix of scenarios, variants, seeds and builds, played, shown and compared."""
+"""`spanwing experiment`: runs a matrix of scenarios, variants, seeds and builds, and compares its columns."""
 
 from __future__ import annotations
 
@@ -19,10 +19,13 @@
 
 
 class ExperimentCommandFailed(click.ClickException):
+    """A fault printed in one line, with exit status 1."""
+
     exit_code = EXIT_FAULTY
 
 
 def read_rows(folder: Path) -> tuple[str, list[dict[str, Any]]]:
+    """Returns the name and the rows of a finished experiment; raises ExperimentCommandFailed."""
     try:
         stored = json.loads((folder / "rows.json").read_text())
     except (OSError, ValueError) as error:
@@ -105,7 +108,7 @@
     for each in (a, b):
         if each not in known_columns:
             raise click.UsageError(f"{each!r} is no {by} here: {', '.join(known_columns)}")
-    if by == "scenario":  # pairs are of the same seed then
+    if by == "scenario":  # pairs then have the same seed
         rows = [{**row, "scenario": "", "was": row["scenario"]} for row in rows]
         by = "was"
     for each in compare_columns(rows, {by: a}, {by: b}, list(figures or COMPARABLE_FIGURES)):
--- a/spanwing/cli/journal.py
+++ b/spanwing/cli/journal.py
@@ -1,4 +1,4 @@
-"""`spanwing journal`: what was sent, to whom and when; beside a living daemon or after a dead one."""
+"""`spanwing journal`: reads the journal of a running daemon or of one that has ended."""
 
 from __future__ import annotations
 
@@ -26,18 +26,21 @@
 
 EXIT_FAULTY, EXIT_NOT_FOUND = 1, 1
 TAIL_INTERVAL_S = 0.2
-PARQUET_BATCH_ROWS = 10_000  # rows of a Parquet group
+PARQUET_BATCH_ROWS = 10_000  # rows of a Parquet row group
 TIME_FIELDS = ("time", "intent", "last_byte", "answered")
 
 
 class JournalCommandFailed(click.ClickException):
-    """A fault told in one line."""
+    """A fault printed in one line, with exit status 1."""
 
     exit_code = EXIT_FAULTY
 
 
 def find_journal_directory(directory: str | None, operator_file: str | None) -> str:
-    """From the flag, else the fronts file's journal.directory."""
+    """Returns the journal's folder from the flag, else from the fronts file's journal.directory.
+
+    Raises JournalCommandFailed.
+    """
     if directory:
         return directory
     file = Path(operator_file or DEFAULT_OPERATOR_FILE)
@@ -51,6 +54,7 @@
 
 
 def open_journal(directory: str | None, operator_file: str | None) -> JournalReader:
+    """Opens the journal for reading; raises JournalCommandFailed."""
     try:
         return JournalReader(find_journal_directory(directory, operator_file))
     except OSError as error:
@@ -58,6 +62,7 @@
 
 
 def parse_expression(expression: str) -> QueryPlan:
+    """Parses a query; raises click.UsageError with a mark at the fault's column."""
     try:
         return parse_query(expression, time.time() * 1000.0)
     except QueryError as error:
@@ -66,6 +71,7 @@
 
 
 def format_time(wall_ms: float | None) -> str:
+    """Formats a wall time (ms since 1970) as ISO 8601 in local time; "-" for None."""
     return (
         "-"
         if wall_ms is None
@@ -74,7 +80,7 @@
 
 
 def row_as_json(row: AttemptRow) -> dict[str, Any]:
-    """As JSON has it; times in ISO 8601."""
+    """Returns a row's values for JSON; times in ISO 8601."""
     values = row._asdict()
     values["class"] = values.pop("cls")
     return {
@@ -84,7 +90,7 @@
 
 
 def show_rows(rows: Iterable[AttemptRow], as_json: bool, limit: int) -> int:
-    """Returns how many were shown."""
+    """Prints rows, at most limit (0: all); returns how many."""
     shown = 0
     for row in rows:
         if limit and shown >= limit:
@@ -185,6 +191,7 @@
 
 
 def print_record(frame: RecordFrame) -> None:
+    """Prints one record as a line of JSON."""
     record = frame.record
     click.echo(
         json.dumps(
--- a/spanwing/cli/load.py
+++ b/spanwing/cli/load.py
@@ -1,4 +1,4 @@
-"""`spanwing load`: a scenario's requests to real schedulers."""
+"""`spanwing load`: sends a scenario's requests to real schedulers."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
 
 
 def parse_place(text: str) -> tuple[str, int]:
+    """Parses HOST:PORT; raises click.UsageError."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise click.UsageError(f"{text!r} is no HOST:PORT")
@@ -82,6 +83,7 @@
 
 
 def print_report(report: LoadTestResult) -> None:
+    """Prints the report as a table; latencies in ms."""
     click.echo(
         f"{report.asked} requests in {report.seconds:.1f} s: "
         + ", ".join(f"{count} {kind}" for kind, count in sorted(report.kinds.items()))
--- a/spanwing/cli/main.py
+++ b/spanwing/cli/main.py
@@ -1,7 +1,7 @@
-"""spanwing's commands.
+"""The `spanwing` command and its subcommands.
 
-Exit statuses: 0 done; 1 the daemon refused, a configuration has faults, or the daemon takes no work (status
---exit-code); 2 wrong usage; 3 no daemon was reached; 4 a drain was not over within its time.
+Exit statuses: 0 done; 1 the daemon rejected the command, a configuration has faults, or the daemon accepts no
+work (status --exit-code); 2 wrong usage; 3 no daemon was reached; 4 a drain did not end within its time.
 """
 
 from __future__ import annotations
@@ -48,9 +48,11 @@
     lazy_commands = ("experiment", "journal", "load", "policy", "zones")
 
     def list_commands(self, ctx: click.Context) -> list[str]:
+        """Returns the names of all commands, loaded or not."""
         return sorted([*super().list_commands(ctx), *self.lazy_commands])
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """Returns a command, loading its module if needed."""
         if name in self.lazy_commands:
             return getattr(import_module(f"spanwing.cli.{name}"), name)
         return super().get_command(ctx, name)
@@ -189,7 +191,7 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run a command; returns the exit status."""
+    """Runs a command; returns the exit status."""
     try:
         cli.main(args=arguments, prog_name="spanwing", standalone_mode=False)
     except click.exceptions.Exit as exit_request:
--- a/spanwing/cli/policy.py
+++ b/spanwing/cli/policy.py
@@ -1,6 +1,6 @@
 """`spanwing policy`: the fleet's policy as one daemon follows it, and changes of it.
 
-Guarantees: a proposal ends with taken or not taken and why, and so does the exit status: 0 taken, 1 not.
+A proposal ends with adopted or not adopted and the reason; the exit status is 0 if it was adopted, else 1.
 """
 
 from __future__ import annotations
@@ -18,7 +18,10 @@
 from spanwing.cli import client
 from spanwing.cli.main import fronts_option, socket_option
 
-POLL_INTERVAL_S, EXTRA_WAIT_S = 0.1, 10.0  # after the fleet's own time to wait, for the answer to come here
+POLL_INTERVAL_S, EXTRA_WAIT_S = (
+    0.1,
+    10.0,
+)  # extra: after the fleet's own limit, for the outcome to arrive
 json_option = click.option("--json", "as_json", is_flag=True, help="Everything that is known, as JSON.")
 
 
@@ -32,7 +35,7 @@
 
 
 def pass_path(command: Callable[..., None]) -> Callable[..., None]:
-    """Hand the command its daemon's socket, looked for once the command runs: its help needs no daemon."""
+    """Passes the command its daemon's socket, found only when the command runs: its help needs no daemon."""
 
     @click.pass_obj
     @wraps(command)
@@ -150,7 +153,7 @@
 ) -> None:
     current = client.send_command(path, do="policy")
     base = current["in_force"] if base is None else base
-    # The first word comes from this scheduler, before anybody else is asked.
+    # This scheduler checks the proposal before any other is asked.
     _raise_if_refused(client.send_command(path, do="policy_check", text=text)["no"])
     earlier_changes = client.send_command(path, do="policy_history")["history"]
     unconfirmed_error = None
@@ -169,7 +172,7 @@
     except client.CommandRefusedError as error:
         if "may still take hold" not in str(error):
             raise
-        unconfirmed_error = error  # nobody has answered: look whether it has come there
+        unconfirmed_error = error  # no answer: poll whether the proposal arrived
     started_s, last_waits = time.monotonic(), ""
     deadline_s = started_s + wait_s + EXTRA_WAIT_S
     while time.monotonic() < deadline_s:
--- a/spanwing/cli/zones.py
+++ b/spanwing/cli/zones.py
@@ -1,6 +1,6 @@
 """`spanwing zones`: the fleet's zones as one daemon follows them, and orders for them.
 
-Guarantees: what was not done is said in one line, with a status other than 0.
+An order that was not carried out prints one line with the reason, and the exit status is not 0.
 """
 
 from __future__ import annotations
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -1,4 +1,4 @@
-"""The transport map: discovery's list, the watch on it, and the next hops it names."""
+"""The discovery client: the endpoint list, the watch on it, and the connections of the workers it names."""
 
 from __future__ import annotations
 
@@ -23,16 +23,14 @@
 from spanwing.workers.http_worker import HttpWorker, RetireWorker, WorkerCallback
 from spanwing.workers.worker_id import worker_id_of
 
-RETRY_S = 0.5  # a call that may not wait for the core's pace is made again within this
-DISCOVERY_MOVE_GRACE_S = (
-    4.0  # after a move; until then a discovery may not be up yet, and from then on its list counts
-)
-FULL_LIST_TIMEOUT_S = 3.0  # for the whole list, which waits for its turn
-# The protocol's: what a silent watch has missed counts as told so long after it fell silent, and not before
-# so long after its call's wait is over.
+RETRY_S = 0.5  # a failed call that cannot wait for the core is retried within this
+DISCOVERY_MOVE_GRACE_S = 4.0  # after a change of address; by then a new discovery is up, and its list counts
+FULL_LIST_TIMEOUT_S = 3.0  # for the complete list, which discovery may queue
+# From the protocol: what a silent watch has missed counts as notified this long after it fell silent, and not
+# before this long after the end of its poll's hold time.
 SILENT_WATCH_NOTIFIED_S, OVERDUE_ANSWER_NOTIFIED_S = 6.0, 2.0
 WATCH_REOPEN_MARGIN_S = (
-    1.75  # of the time until sends must have stopped: for the call that opens a silent watch anew
+    1.75  # part of the time until forwarding must have stopped, reserved for reopening a silent watch
 )
 STATE_OF_PHASE: dict[str, api.State] = {"active": "healthy", "leaving": "draining", "left": "gone"}
 
@@ -40,19 +38,26 @@
 
 
 class WatchTiming(NamedTuple):
-    """How the calls to discovery are timed."""
+    """Timing of the calls to discovery."""
 
-    poll_hold_s: float = 10.0  # a quiet watch answers after this
-    answer_margin_s: float = 1.5  # and so much later at the latest, or it is broken; a connection stands then
-    reopen_within_s: float = 0.75  # a broken watch is opened anew within this, by all schedulers
-    retry_within_s: float = 0.0  # a failed call is made again within this; 0: when the core asks for it
+    poll_hold_s: float = 10.0  # discovery answers a poll without events after this
+    answer_margin_s: float = (
+        1.5  # answer due this long after the hold at the latest; also the connect timeout
+    )
+    reopen_within_s: float = (
+        0.75  # random delay before a broken watch is reopened, spread over all schedulers
+    )
+    retry_within_s: float = 0.0  # a failed call is retried within this; 0: when the core asks for it
 
     @classmethod
     def from_settings(cls, drain_grace_ms: float, is_pushed: bool, poll_interval_ms: float) -> WatchTiming:
-        """From what the settings hold us to. What a silent watch has missed counts as told SILENCE_S after
-        it fell silent, or TOLD_S after its wait, and sends must have stopped grace_ms later: by then the
-        watch has to be opened anew and to have answered. Where the list is pushed, what discovery has
-        counts at once, watch or no watch; where it is asked for, ask_every_ms after the last call."""
+        """Computes the timing from the settings.
+
+        What a silent watch has missed counts as notified SILENT_WATCH_NOTIFIED_S after it fell silent, or
+        OVERDUE_ANSWER_NOTIFIED_S after its hold time, and forwarding must have stopped drain_grace_ms later.
+        By then the watch must have been reopened and answered. Where the list is pushed, discovery's state
+        counts at once, watch or no watch; where it is polled, poll_interval_ms after the last call.
+        """
         grace_s, defaults = drain_grace_ms / 1000.0, cls()
         answer_margin_s = min(
             defaults.answer_margin_s,
@@ -64,7 +69,7 @@
         poll_hold_s = defaults.poll_hold_s
         if (
             OVERDUE_ANSWER_NOTIFIED_S + grace_s - answer_margin_s - reopen_within_s < WATCH_REOPEN_MARGIN_S
-        ):  # a shorter wait is held to SILENCE_S alone
+        ):  # a shorter hold is bound by SILENT_WATCH_NOTIFIED_S alone
             poll_hold_s = max(
                 1.0,
                 SILENT_WATCH_NOTIFIED_S + grace_s - answer_margin_s - reopen_within_s - WATCH_REOPEN_MARGIN_S,
@@ -79,7 +84,7 @@
 
 
 class DiscoveredWorker(msgspec.Struct):
-    """One job worker as discovery has it."""
+    """One worker as discovery lists it."""
 
     id: str
     host_port: str = ""
@@ -92,7 +97,7 @@
 
 
 class DiscoveredEndpoints(msgspec.Struct):
-    """The list, or what changed in it."""
+    """The endpoint list, or a change of it."""
 
     revision: int = 0
     complete: bool = False
@@ -101,19 +106,17 @@
 
 @dataclass(slots=True, eq=False)
 class DiscoveryWatch:
-    """The calls to one discovery; what they tell counts until the next watch has begun."""
+    """The calls to one discovery; their answers count until the next watch has begun."""
 
     address: Address
-    revision: int | None  # None: the whole list is asked for first
-    failures_hidden_until_s: (
-        float  # of the loop's time: before it failed calls are made again, and the core hears nothing
-    )
+    revision: int | None  # None: fetch the complete list first
+    failures_hidden_until_s: float  # loop time; before it failed calls are retried without notifying the core
     connection: HttpStream | None = None
-    is_silent: bool = False  # the last call was still open when its wait was over
+    is_silent: bool = False  # the last poll was still open at its timeout
 
 
 class StartWatch(NamedTuple):
-    """Begin to watch."""
+    """Start to watch."""
 
 
 class ChangeDiscovery(NamedTuple):
@@ -130,22 +133,22 @@
 
 
 class WorkerCallbackReceived(NamedTuple):
-    """A call-back for the next hop of this name."""
+    """A callback from the worker of this name."""
 
     worker_name: str
     callback: WorkerCallback
-    is_from_peer_process: bool = False  # by another process: it goes no further
+    is_from_peer_process: bool = False  # forwarded by another process; never forwarded again
 
 
 class WorkerRetired(NamedTuple):
-    """A next hop has closed up."""
+    """The connection actor of a worker has closed."""
 
     worker_name: str
     worker: HttpWorker
 
 
 class DiscoveryClient(Actor):
-    """Owns the list; tells the core of changes."""
+    """Owns the endpoint list; notifies the core of changes."""
 
     def __init__(
         self,
@@ -160,7 +163,7 @@
         self.timing = timing
         self.retiring_workers: dict[
             str, list[HttpWorker]
-        ] = {}  # those that were replaced, with what is out there
+        ] = {}  # replaced ones that still have attempts in flight
         self.discovery_address, self.listener, self.buffers, self.make_worker = (
             discovery_address,
             listener,
@@ -169,28 +172,30 @@
         )
         self.workers: dict[str, HttpWorker] = {}
         self.address_by_name: dict[str, str] = {}
-        self.listed_names: set[str] = set()  # not gone
-        self.discovered_by_name: dict[str, DiscoveredWorker] = {}  # what was last told of each that is listed
+        self.listed_names: set[str] = set()  # listed and not gone
+        self.discovered_by_name: dict[str, DiscoveredWorker] = {}  # the last entry of each listed worker
         self.revision: int | None = endpoints.revision
         self.on_unknown_callback: Callable[[WorkerCallbackReceived], None] | None = (
-            None  # hears call-backs about no attempt of ours
+            None  # gets callbacks about attempts that are not of this process
         )
         self.current_watch: DiscoveryWatch | None = None
         self._apply_endpoints(endpoints, "persisted")
 
     def listed_workers(self) -> list[DiscoveredWorker]:
-        """The list as discovery told it: what the fleet does with its zones is another matter."""
+        """Returns the list as discovery gave it, without the fleet's zone states."""
         return [self.discovered_by_name[name] for name in self.listed_names]
 
     def adopt_endpoints(self, endpoints: DiscoveredEndpoints) -> None:
-        """Take over a list that another process had from the same discovery, unless ours is newer."""
+        """Takes over another process's list of the same discovery, unless it is older."""
         if endpoints.members and (self.current_watch is None or endpoints.revision > (self.revision or 0)):
             self.revision = endpoints.revision
             self._apply_endpoints(endpoints, "persisted")
 
     def worker_at(self, name: str, address: str) -> HttpWorker:
-        """The next hop of this name; for one that is not listed (any more) a new one, which closes up once
-        nothing is out there."""
+        """Returns the worker of this name and address.
+
+        For one that is not listed (any more) a new one is made, which closes once nothing is in flight there.
+        """
         worker = self.workers.get(name)
         if worker is None or self.address_by_name[name] != address:
             worker = self.make_worker(
@@ -202,13 +207,15 @@
         return worker
 
     def watch(self) -> None:
+        """Starts the watch, unless one is running."""
         self.post(StartWatch())
 
     def change_discovery(self, address: Address) -> None:
-        """Ask another discovery from now on."""
+        """Watches the discovery at another address from now on."""
         self.post(ChangeDiscovery(address))
 
     def handle_message(self, message: Any) -> None:
+        """Runs the handler of the message's type."""
         MESSAGE_HANDLERS[type(message)](self, message)
 
     def _handle_start_watch(self, _: StartWatch) -> None:
@@ -218,8 +225,8 @@
     def _handle_change_discovery(self, move: ChangeDiscovery) -> None:
         if move.address == self.discovery_address:
             return
-        # Revisions are a discovery's own: another one is asked for its whole list, and nothing that the
-        # former still says may undo it. What is in flight at next hops does not depend on either.
+        # Revisions belong to one discovery: the new one is asked for its complete list, and late answers of
+        # the former cannot undo it. Attempts in flight at workers depend on neither.
         self.discovery_address, self.revision = move.address, None
         if self.current_watch is not None and self.current_watch.connection is not None:
             self.current_watch.connection.close()
@@ -232,7 +239,7 @@
         spawn_task(self._run_watch(self.current_watch))
 
     async def _run_watch(self, watch: DiscoveryWatch) -> None:
-        """One call of the watch, and the next at once: a pause of 200 ms would end the watch."""
+        """Polls discovery, each call right after the last: a pause of 200 ms would end the watch."""
         while self.current_watch is watch:
             target = "/discovery/hosts"
             if watch.revision is not None:
@@ -251,9 +258,7 @@
             if watch.connection is not None:
                 watch.connection.close()
             backoff_s, now = RETRY_S, self.loop.time()
-            if (
-                watch.is_silent
-            ):  # it is due again soon, however often, and also if it cannot be opened at once
+            if watch.is_silent:  # reopened soon, however often, also if the first attempt fails
                 watch.failures_hidden_until_s = max(
                     watch.failures_hidden_until_s, now + WATCH_REOPEN_MARGIN_S
                 )
@@ -297,7 +302,7 @@
         return response
 
     def _handle_watch_answer(self, answer: WatchAnswer) -> None:
-        if answer.watch is not self.current_watch:  # of a discovery that is no longer asked
+        if answer.watch is not self.current_watch:  # answer of a former watch
             return
         if answer.endpoints is None:
             self.current_watch = None
@@ -376,7 +381,7 @@
             retiring.remove(retired.worker)
             if not retiring:
                 del self.retiring_workers[retired.worker_name]
-        # One that came back while it closed up keeps its next hop, or its call-backs would be lost.
+        # A worker listed again while it closed keeps its connection actor, or its callbacks would be lost.
         if (
             self.workers.get(retired.worker_name) is retired.worker
             and retired.worker_name not in self.listed_names
@@ -384,7 +389,7 @@
             del self.workers[retired.worker_name], self.address_by_name[retired.worker_name]
 
     def _handle_callback(self, received: WorkerCallbackReceived) -> None:
-        # Under one name a job worker may have moved; what it took at its former address ends by its word too.
+        # A worker may have moved under one name; attempts accepted at its old address end by callback too.
         candidates = (
             self.workers.get(received.worker_name),
             *self.retiring_workers.get(received.worker_name, ()),
@@ -397,7 +402,7 @@
             worker.post(received.callback)
         elif (
             self.on_unknown_callback is not None and not received.is_from_peer_process
-        ):  # about no attempt of ours, or one that is over
+        ):  # the attempt is another process's, or has ended
             self.on_unknown_callback(received)
 
 
--- a/spanwing/frontends/__init__.py
+++ b/spanwing/frontends/__init__.py
@@ -1,1 +1,1 @@
-"""Listeners: the platform's HTTP, Faktory, balancers, administration."""
+"""Frontends and listeners: the platform's HTTP, Faktory, balancers, administration."""
--- a/spanwing/frontends/admin.py
+++ b/spanwing/frontends/admin.py
@@ -1,8 +1,9 @@
-"""The admin listener: a Unix socket for the command line, JSON, one message a line; and GET /journal/...
+"""The admin listener: a Unix socket for the command line, one JSON message a line; and GET /journal/...
 
-Guarantees: only the daemon's own user reaches it (mode 0600 from the socket's first moment); MOST
-connections, lines of LONGEST bytes, a whole line within WHOLE_S, a reply read within WRITE_S; a socket file
-that a dead daemon left is replaced, one that a living daemon serves is not.
+Only the daemon's own user reaches it (mode 0600 from the start). At most MAX_CONNECTIONS connections and
+lines of MAX_LINE_BYTES; a line must be complete within MESSAGE_TIMEOUT_S, and a reply read within
+WRITE_TIMEOUT_S. A socket file left by a daemon that has ended is replaced, one that a running daemon serves
+is not.
 """
 
 from __future__ import annotations
@@ -36,29 +37,29 @@
 from spanwing.net.stream import LineStream, LineTooLongError
 
 MAX_CONNECTIONS = 8
-MAX_LINE_BYTES = 64 * 1024  # a proposed policy is the longest
+MAX_LINE_BYTES = 64 * 1024  # the longest is a proposed policy
 MAX_BUFFERED_BYTES = 256 * 1024
 WATCH_INTERVAL_S = 1.0
-WRITE_TIMEOUT_S = 5.0  # a reader that does not read is closed after this, or it would keep its place
+WRITE_TIMEOUT_S = 5.0  # a peer that does not read its reply for this long is closed
 
 
 class AdminCommand(msgspec.Struct):
-    """One command."""
+    """One command of the command line."""
 
     name: str = msgspec.field(name="do")
     within_s: float | None = None
     percent: float | None = None
-    member: str = ""  # of the store: another daemon than this one
-    zone: str = ""  # or region
-    action: str = msgspec.field(default="", name="order")  # for it, or for the policy
-    text: str = ""  # of a policy
-    base_version: int = msgspec.field(default=0, name="base")  # the version that it was made from
+    member: str = ""  # of the store: the command is for that daemon
+    zone: str = ""  # a zone or region
+    action: str = msgspec.field(default="", name="order")  # of a zone or of the policy
+    text: str = ""  # text of a policy
+    base_version: int = msgspec.field(default=0, name="base")  # the version it is based on
     version: int = 0
     reason: str = ""
     author: str = msgspec.field(default="operator", name="by")
     departed_schedulers: list[str] = msgspec.field(
         default=[], name="gone"
-    )  # schedulers that are gone for good
+    )  # schedulers that are gone permanently
 
 
 class PolicyOrders(Protocol):
@@ -67,28 +68,32 @@
     async def order(
         self, do: str, by: str, text: str, base: int, reason: str, wait_s: float, gone: list[str]
     ) -> str:
-        """Raises ValueError with what is wrong."""
+        """Carries out an order and returns its outcome; raises ValueError with the reason."""
 
-    def status(self) -> dict[str, Any]: ...
+    def status(self) -> dict[str, Any]:
+        """Returns the state of the policy here, for the command line."""
 
-    def history(self) -> list[dict[str, Any]]: ...
+    def history(self) -> list[dict[str, Any]]:
+        """Returns how the last changes ended, the newest last."""
 
     def text(self, number: int) -> str:
-        """Raises ValueError."""
+        """Returns the text of a version (0: the one in force); raises ValueError."""
 
     def check(self, text: str) -> str:
-        """Why it could not be taken over here now; empty: it could."""
+        """Returns why this scheduler could not adopt the text now; empty if it could."""
 
 
 class ZoneOrders(Protocol):
     """The fleet's zones, as this daemon follows them."""
 
     async def order(self, do: str, name: str, over_s: float) -> str:
-        """What came of an order. Raises ValueError with what is wrong."""
+        """Carries out an order and returns its outcome; raises ValueError with the reason."""
 
-    def status(self) -> dict[str, Any]: ...
+    def status(self) -> dict[str, Any]:
+        """Returns the state of the zones, for the command line."""
 
-    def history(self) -> list[dict[str, Any]]: ...
+    def history(self) -> list[dict[str, Any]]:
+        """Returns the last changes, the newest last."""
 
 
 class AdminError(Exception):
@@ -104,6 +109,7 @@
         self.last_activity_s = IOLoop.current().time()
 
     async def serve(self) -> None:
+        """Answers commands until the connection ends."""
         try:
             while (
                 line := await self.line_stream.read_line(MESSAGE_TIMEOUT_S, not self.has_sent_command)
@@ -129,7 +135,7 @@
             self.frontend.table.connections.discard(self)
 
     async def _stream_status(self) -> None:
-        """The whole state every second until the other side goes."""
+        """Writes the complete state every WATCH_INTERVAL_S until the peer closes."""
         while not self.line_stream.stream.closed() and self.line_stream.has_no_pending_input():
             await self._write_reply({"ok": True, **self.frontend.status()})
             await sleep(WATCH_INTERVAL_S)
@@ -143,19 +149,22 @@
         )
 
     def eviction_rank(self, unchanged_s: float) -> int | None:
+        """Returns the rank for the connection table; None while a command runs."""
         if self.is_finished:
             return RANK_FINISHED
         return None if self.is_busy else RANK_IDLE if self.has_sent_command else RANK_SILENT
 
     def has_no_pending_input(self) -> bool:
+        """Returns whether nothing unread has come."""
         return self.line_stream.has_no_pending_input()
 
     def close(self) -> None:
+        """Closes the connection at once."""
         self.line_stream.close()
 
 
 class AdminFrontend:
-    """Listens on the socket's path."""
+    """Listens on the socket's path and carries out commands."""
 
     def __init__(
         self,
@@ -190,6 +199,7 @@
         spawn_task(connection.serve())
 
     def status(self) -> dict[str, Any]:
+        """Returns the daemon's state, for the command line."""
         drains = self.reporter.health.drain_orders
         version = {} if self.policy is None else {"policy": self.policy.status()}
         return {
@@ -202,7 +212,7 @@
         }
 
     async def execute(self, command: AdminCommand) -> dict[str, Any]:
-        """Carry out a command; raises Fault or ValueError with what is wrong with it."""
+        """Carries out a command and returns its reply; raises AdminError or ValueError with the fault."""
         if command.within_s is not None and not 0 < command.within_s <= 86_400:
             raise AdminError("within: 0 to 86400 seconds are possible")
         match command.name:
@@ -265,6 +275,7 @@
         raise AdminError(f"unknown command {command.name[:20]!r}")
 
     def close(self) -> None:
+        """Stops listening and closes all connections."""
         self.listening_socket.close()
         for each in list(self.table.connections):
             each.close()
--- a/spanwing/frontends/balancers/__init__.py
+++ b/spanwing/frontends/balancers/__init__.py
@@ -1,1 +1,1 @@
-"""What common balancers ask a scheduler, each protocol a module, all from one verdict."""
+"""Health protocols of common balancers, one module each, all from one verdict."""
--- a/spanwing/frontends/balancers/agent_check.py
+++ b/spanwing/frontends/balancers/agent_check.py
@@ -1,8 +1,8 @@
-"""Balancers that connect, read one line and close: HAProxy's agent-check, and feedback agents.
+"""Protocols whose client connects, reads one line and is closed: HAProxy's agent-check, and feedback agents.
 
-Guarantees: a line is written at once, whatever the other side sends, sends half of, or does not send; a
-connection lives ANSWERED_S and a SWEEP_S at most after that; MOST connections at once, a further one takes
-the place of the one that has been answered longest.
+A line is written at once, whatever the peer sends, sends partly, or does not send. After it the connection is
+closed within CLOSE_TIMEOUT_S plus SWEEP_INTERVAL_S. At most MAX_CONNECTIONS at once; a further one evicts the
+one answered longest ago.
 """
 
 from __future__ import annotations
@@ -18,15 +18,16 @@
 
 MAX_CONNECTIONS = 12  # connections to one listener
 CLOSE_TIMEOUT_S = 1.0
-REQUEST_TIMEOUT_S = 0.5  # a line that names a class is waited for so long
-SWEEP_INTERVAL_S = 0.1  # between looks at whose time is over
-MAX_REQUEST_BYTES = 256  # of that line
+REQUEST_TIMEOUT_S = 0.5  # wait for a line that names a class
+SWEEP_INTERVAL_S = 0.1  # between checks for expired connections
+MAX_REQUEST_BYTES = 256  # length of that line
 
 
 def agent_check_reply(verdict: HealthVerdict, class_name: str = "", maxconn: int | None = None) -> bytes:
-    """HAProxy's agent-check, as its configuration manual has it: words, and a comment where one is allowed.
+    """Returns the reply of HAProxy's agent-check (configuration manual): words, and a comment where allowed.
 
-    `ready` undoes a `drain` told before; a weight of 0% keeps new sessions away. cls: of one class alone.
+    `ready` undoes an earlier `drain`; a weight of 0% keeps new sessions away. With class_name the reply is
+    for that class alone.
     """
     if verdict.state in ("starting", "absent"):
         return f"down#{_comment_text(verdict.reason)}\n".encode()
@@ -42,18 +43,18 @@
 
 
 def feedback_reply(verdict: HealthVerdict, class_name: str = "", maxconn: int | None = None) -> bytes:
-    """What feedback agents of IPVS-like balancers are asked for: a bare percentage, 0% for no new work."""
+    """Returns the reply for feedback agents of IPVS-like balancers: a bare percentage, 0% for no new work."""
     weight = 0 if dict(verdict.classes).get(class_name, "") or not verdict.accepts_work else verdict.weight
     return b"%d%%\n" % weight
 
 
 def _comment_text(reason: str) -> str:
-    """A comment ends at a line end, and commas part words."""
+    """Removes line ends, which would end the comment, and commas, which separate words."""
     return " ".join(reason.replace(",", ";").split())
 
 
 class AgentCheckConnection:
-    """One connection: answered, then passed over until the other side has closed or its time is over."""
+    """One connection: answered, then drained until the peer has closed or its time is over."""
 
     def __init__(self, frontend: AgentCheckFrontend, sock: socket.socket) -> None:
         self.frontend, self.sock, self.loop = frontend, sock, IOLoop.current()
@@ -62,8 +63,11 @@
         self.loop.add_handler(sock, self._handle_readable, IOLoop.READ)
 
     def send_reply(self, class_name: str) -> None:
-        """Write the line and say that no more will come. Closing on unread input would send a reset, which
-        may overtake the line: what still comes is passed over."""
+        """Writes the line and closes the write side.
+
+        Closing with unread input would send a reset, which may overtake the line: input is therefore
+        discarded.
+        """
         self.is_finished, self.last_activity_s = True, self.loop.time()
         line = self.frontend.make_reply(
             self.frontend.verdict(), class_name, self.frontend.maxconn and self.frontend.maxconn()
@@ -71,7 +75,7 @@
         try:
             is_complete = self.sock.send(line) == len(
                 line
-            )  # into an empty buffer: all of it, or the other is gone
+            )  # the buffer is empty: all of it, or the peer is gone
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             is_complete = False
@@ -79,7 +83,7 @@
             self.close()
 
     def _handle_readable(self, *_: object) -> None:
-        """One look for each turn of the loop: who sends at full speed must not keep it to itself."""
+        """Reads once per turn of the loop, so that a fast sender cannot monopolize it."""
         try:
             data = self.sock.recv(4096)
         except BlockingIOError:
@@ -91,27 +95,30 @@
             self.data += data[: MAX_REQUEST_BYTES - len(self.data)]
             if not data or b"\n" in self.data or len(self.data) >= MAX_REQUEST_BYTES:
                 self.send_reply(self.requested_class())
-        if not data:  # all that was sent has been read
+        if not data:  # end of input
             self.close()
 
     def requested_class(self) -> str:
-        """The class that `agent-send` names; nothing: the whole daemon is meant."""
+        """Returns the class that `agent-send` names; empty: the whole daemon is meant."""
         return self.data.split(b"\n")[0].strip().decode("ascii", "replace")
 
     def enforce_timeouts(self, now: float) -> None:
-        """Called now and then."""
+        """Replies or closes if its time is over; called every SWEEP_INTERVAL_S."""
         if self.is_finished and now - self.last_activity_s >= CLOSE_TIMEOUT_S:
             self.close()
         elif not self.is_finished and now - self.last_activity_s >= REQUEST_TIMEOUT_S:
             self.send_reply(self.requested_class())
 
     def eviction_rank(self, unchanged_s: float) -> int | None:
-        return RANK_FINISHED  # its line is written or about to be; any of them may go
+        """Returns RANK_FINISHED: any connection may be evicted."""
+        return RANK_FINISHED  # its line is written or about to be
 
     def has_no_pending_input(self) -> bool:
+        """Returns True: unread input never prevents an eviction."""
         return True
 
     def close(self) -> None:
+        """Closes the connection and takes it off the table."""
         if self.sock.fileno() >= 0:
             self.loop.remove_handler(self.sock)
             self.sock.close()
@@ -119,8 +126,10 @@
 
 
 class AgentCheckFrontend:
-    """Listens for one of the two. No coroutine, Future or stream is made for a check: they would cost several
-    times what the check itself does."""
+    """Listens for one of the two protocols.
+
+    No coroutine, Future or stream is made for a check: they would cost several times the check itself.
+    """
 
     def __init__(
         self,
@@ -129,8 +138,8 @@
         make_reply: Callable[[HealthVerdict, str, int | None], bytes],
     ) -> None:
         self.verdict, self.make_reply = verdict, make_reply
-        self.maxconn: Callable[[], int] | None = None  # what is told as `maxconn:`
-        self.expects_class_name = False  # whether a line is waited for that names a class
+        self.maxconn: Callable[[], int] | None = None  # value of `maxconn:`
+        self.expects_class_name = False  # whether to wait for a line that names a class
         self.table: ConnectionTable[AgentCheckConnection] = ConnectionTable(MAX_CONNECTIONS)
         self.is_sweeping = False
         self.listening_socket: ListeningSocket = listen(address, self._accept)
@@ -149,7 +158,7 @@
             IOLoop.current().call_later(SWEEP_INTERVAL_S, self._enforce_timeouts)
 
     def _enforce_timeouts(self) -> None:
-        """One timer for all of them."""
+        """Checks all connections with one timer."""
         now = IOLoop.current().time()
         for connection in list(self.table.connections):
             connection.enforce_timeouts(now)
@@ -158,6 +167,7 @@
             IOLoop.current().call_later(SWEEP_INTERVAL_S, self._enforce_timeouts)
 
     def close(self) -> None:
+        """Stops listening and closes all connections."""
         self.listening_socket.close()
         for connection in list(self.table.connections):
             connection.close()
--- a/spanwing/frontends/balancers/drain_watcher.py
+++ b/spanwing/frontends/balancers/drain_watcher.py
@@ -1,8 +1,8 @@
-"""The replicated store as balancers' health sees it: its majority, and drains that are ordered through it.
+"""Watches the replicated store for balancers' health: its majority, and drains ordered through it.
 
-Guarantees: our own copy of our key is looked at every LOOK_S and costs nothing; a change there is confirmed
-by a majority before it counts, and so is the key every CONFIRM_S, should our copy have missed it. The
-majority is asked for every PING_S without a write to any disk.
+The local copy of this member's key is checked every LOCAL_CHECK_INTERVAL_S at no cost. A change there counts
+once a majority has confirmed it, and the key is confirmed every CONFIRM_INTERVAL_S in case the local copy
+missed a change. The majority is probed every QUORUM_CHECK_INTERVAL_S without a write to any disk.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class DrainOrder(msgspec.Struct):
-    """What the store holds for a member."""
+    """The drain order that the store holds for a member."""
 
     drain: bool
     by: str = ""
@@ -30,24 +30,26 @@
 
 
 def drain_key(member: str) -> str:
+    """Returns the store's key for a member's drain order."""
     return f"drain/{member}"
 
 
 async def write_drain_order(store: Store, member: str, drain_order: DrainOrder) -> None:
-    """Write an order for a member. Raises NoMajority."""
+    """Writes an order for a member; raises NoMajority."""
     text = msgspec.json.encode(drain_order).decode()
     await store.change(drain_key(member), lambda _: text)
 
 
 class DrainWatcher:
-    """Follows the orders for this member."""
+    """Follows the drain orders for this member."""
 
     def __init__(self, store: Store, reporter: HealthReporter) -> None:
         self.store, self.reporter = store, reporter
         self.has_quorum: bool | None = None
-        self.confirmed_value: str | None = None  # the value that was confirmed last
+        self.confirmed_value: str | None = None  # the last confirmed value
 
     async def run(self) -> None:
+        """Checks the key and the majority for ever, every LOCAL_CHECK_INTERVAL_S."""
         key, ticks = drain_key(self.store.member), 0
         while True:
             if ticks % round(QUORUM_CHECK_INTERVAL_S / LOCAL_CHECK_INTERVAL_S) == 0:
@@ -69,8 +71,8 @@
     async def _confirm_order(self, key: str) -> None:
         try:
             value = await self.store.read_through_change(key)
-        except (NoMajority, OSError):  # the latter of our own disk, to which a round writes
-            return  # what was ordered before still stands
+        except (NoMajority, OSError):  # OSError: of the local disk, to which a round writes
+            return  # the last order stays in force
         if value == self.confirmed_value:
             return
         self.confirmed_value = value
--- a/spanwing/frontends/balancers/grpc_health.py
+++ b/spanwing/frontends/balancers/grpc_health.py
@@ -1,9 +1,11 @@
 """gRPC health, `grpc.health.v1.Health`: Check and Watch, a service for each class, "" for the whole daemon.
 
-Guarantees: HTTP/2 is h2's, this core does no I/O; so many streams, bytes of a head, bytes of a message and
-control frames at most (below), beyond them a definite gRPC status or GOAWAY; each Watch owes at most one
-message, the newest, so a peer that does not read makes nothing grow. Sources: the gRPC health checking
-protocol, gRPC over HTTP/2, RFC 9113; floods as in CVE-2019-9512 to -9515 and CVE-2023-44487.
+HTTP/2 is done by h2; the session does no I/O. Streams, bytes of headers, bytes of a message and control
+frames are bounded (see below); beyond a bound the peer gets a definite gRPC status or GOAWAY. Each Watch has
+at most one pending message, the newest, so a peer that does not read makes nothing grow.
+
+Sources: the gRPC health checking protocol, gRPC over HTTP/2, RFC 9113; floods as in CVE-2019-9512 to -9515
+and CVE-2023-44487.
 """
 
 from __future__ import annotations
@@ -48,15 +50,13 @@
 )
 from spanwing.net.stream import PooledStream
 
-MAX_STREAMS = 16  # at once on a connection
+MAX_STREAMS = 16  # concurrent streams of a connection
 MAX_HEADER_BYTES = 8 * 1024  # bytes of a request's headers
 MAX_MESSAGE_BYTES = 512  # bytes of a request's message: a service's name
-MAX_CONTROL_FRAMES, CONTROL_WINDOW_S = 100, 10.0  # control frames and resets within so many seconds
-MAX_UNWRITTEN_BYTES = 64 * 1024  # bytes that wait to be written; a peer that lets more pile up is closed
-MAX_CONNECTIONS = 12  # connections
-KEEPALIVE_INTERVAL_S = (
-    20.0  # between signs of life that are asked for; one that gives none until the next is closed
-)
+MAX_CONTROL_FRAMES, CONTROL_WINDOW_S = 100, 10.0  # control frames and resets within this window (s)
+MAX_UNWRITTEN_BYTES = 64 * 1024  # unwritten bytes; a connection with more is closed
+MAX_CONNECTIONS = 12
+KEEPALIVE_INTERVAL_S = 20.0  # between PINGs; a peer that does not answer one before the next is closed
 CHECK_PATH, WATCH_PATH = "/grpc.health.v1.Health/Check", "/grpc.health.v1.Health/Watch"
 SERVING, NOT_SERVING, SERVICE_UNKNOWN = 1, 2, 3
 OK, INVALID_ARGUMENT, NOT_FOUND, RESOURCE_EXHAUSTED, UNIMPLEMENTED = 0, 3, 5, 8, 12
@@ -64,7 +64,7 @@
 
 
 def serving_status(verdict: HealthVerdict, service: str) -> int | None:
-    """The status of a service; None: there is none of this name."""
+    """Returns the status of a service; None: no service has this name."""
     if service and service not in dict(verdict.classes):
         return None
     is_up = verdict.accepts_work and not dict(verdict.classes).get(service, "")
@@ -72,7 +72,7 @@
 
 
 def parse_service(request: bytes) -> str:
-    """HealthCheckRequest: field 1 is the service's name, others are passed over. Raises ValueError."""
+    """Parses HealthCheckRequest: field 1 is the service's name, others are skipped. Raises ValueError."""
     offset, service = 0, ""
     while offset < len(request):
         key, offset = _read_varint(request, offset)
@@ -110,24 +110,24 @@
 
 
 def encode_status(status: int) -> bytes:
-    """HealthCheckResponse with gRPC's prefix: not compressed, and its length."""
+    """Encodes HealthCheckResponse with gRPC's prefix: not compressed, and its length."""
     body = bytes((8, status))
     return struct.pack("!BI", 0, len(body)) + body
 
 
 @dataclass(slots=True)
 class GrpcCall:
-    """One stream."""
+    """One call, a stream of the connection."""
 
     path: str
     data: bytearray = field(default_factory=bytearray)
-    service: str | None = None  # of a Watch that runs
+    service: str | None = None  # of a running Watch
     sent_status: int | None = None
-    pending_status: int | None = None  # a status that the peer's window has no room for yet
+    pending_status: int | None = None  # a status that awaits room in the peer's window
 
 
 class GrpcSession:
-    """One connection's HTTP/2 and gRPC; bytes in by receive(), bytes out by take()."""
+    """HTTP/2 and gRPC of one connection; bytes in by receive(), bytes out by pending_output()."""
 
     def __init__(self, verdict: Callable[[], HealthVerdict]) -> None:
         self.verdict = verdict
@@ -139,28 +139,28 @@
             }
         )
         self.h2.initiate_connection()
-        # Our settings bind the peer only once it has heard of them; these hold from its first frame.
+        # Local settings bind the peer only once it has received them; these hold from its first frame.
         self.h2.decoder.max_header_list_size = MAX_HEADER_BYTES
         self.calls: dict[int, GrpcCall] = {}
         self.control_frame_times: list[float] = []
         self.has_request = self.is_closed = False
-        self.awaits_pong = False  # and no sign of life since
+        self.awaits_pong = False  # a PING was sent, and nothing received since
 
     def pending_output(self) -> bytes:
-        """What is to be written."""
+        """Returns the bytes to write, once."""
         return self.h2.data_to_send()
 
     def receive(self, received: bytes, now: float) -> None:
-        """Take bytes; after it, take() and closed tell what to do."""
+        """Processes received bytes; check pending_output() and is_closed afterwards."""
         self.awaits_pong = False
         try:
             for event in self.h2.receive_data(received):
                 self._handle_event(event, now)
         except (ProtocolError, UnicodeDecodeError):
-            self.is_closed = True  # h2 has put the GOAWAY that says why into its output
+            self.is_closed = True  # h2's output has the GOAWAY with the reason
 
     def keep_alive(self) -> bool:
-        """Ask for a sign of life; False where the last one was never answered."""
+        """Sends a PING; returns False if the last one was never answered."""
         if self.awaits_pong or self.is_closed:
             return False
         self.awaits_pong = True
@@ -168,7 +168,7 @@
         return True
 
     def publish_verdict(self) -> None:
-        """The verdict has changed."""
+        """Sends a changed verdict to each Watch."""
         for stream, call in list(self.calls.items()):
             if call.service is not None and not self.is_closed:
                 try:
@@ -177,7 +177,7 @@
                     self.calls.pop(stream, None)
 
     def close_connection(self) -> None:
-        """No further streams; what is open has been told."""
+        """Sends GOAWAY: no further streams; open ones have been notified."""
         if not self.is_closed:
             self.is_closed = True
             self.h2.close_connection()
@@ -192,7 +192,7 @@
         try:
             self._dispatch_event(event)
         except StreamOver:
-            # The same bytes that asked have also cancelled: that is the stream's end, not the connection's.
+            # The bytes that opened the stream also cancelled it: this ends the stream, not the connection.
             self.calls.pop(event.stream_id, None)
 
     def _dispatch_event(self, event: Any) -> None:
@@ -229,7 +229,7 @@
 
     def _handle_request(self, stream: int, headers: dict[str, str]) -> None:
         self.calls[stream] = GrpcCall(headers.get(":path", ""))
-        assert len(self.calls) <= MAX_STREAMS  # h2 turns further ones away
+        assert len(self.calls) <= MAX_STREAMS  # h2 rejects further ones
         if not headers.get("content-type", "").startswith("application/grpc"):
             self.h2.send_headers(stream, [(":status", "415")], end_stream=True)
             self._drop_stream(stream)
@@ -259,7 +259,7 @@
             self._send_status(stream, call)
 
     def _send_status(self, stream: int, call: GrpcCall) -> None:
-        """Send what is newest, if the peer's window has room for it."""
+        """Sends the newest status, if the peer's window has room for it."""
         if call.service is not None:
             status = serving_status(self.verdict(), call.service)
             call.pending_status = SERVICE_UNKNOWN if status is None else status
@@ -275,7 +275,7 @@
             self._send_trailers(stream, OK)
 
     def _send_error(self, stream: int, status: int, text: str) -> None:
-        """An answer of trailers only; percent signs and line ends are not in our texts."""
+        """Sends a trailers-only response; the texts have no percent signs or line ends to escape."""
         self.h2.send_headers(
             stream,
             [
@@ -293,7 +293,7 @@
         self._drop_stream(stream)
 
     def _drop_stream(self, stream: int) -> None:
-        """The answer is whole; a peer that still sends is told that nobody reads it."""
+        """Ends a stream that was answered; a peer that still sends is notified that nobody reads."""
         del self.calls[stream]
         try:
             if self.h2.streams[stream].open:
@@ -310,10 +310,12 @@
         self.is_finished, self.last_activity_s = False, IOLoop.current().time()
 
     def publish_verdict(self, _: HealthVerdict) -> None:
+        """Sends a changed verdict to each Watch of the connection."""
         self.session.publish_verdict()
         self.flush()
 
     def flush(self) -> None:
+        """Writes the session's output; closes the connection if MAX_UNWRITTEN_BYTES are exceeded."""
         data = self.session.pending_output()
         if data and not self.stream.stream.closed():
             try:
@@ -322,13 +324,14 @@
                 self.stream.close()
 
     async def serve(self) -> None:
+        """Reads and answers until the connection ends."""
         loop, data = IOLoop.current(), bytearray()
-        # One that has asked may idle between its checks; the table takes it when there is no room.
+        # A peer that has sent a request may idle between checks; a full table evicts it.
         request_timer = loop.call_later(
             MESSAGE_TIMEOUT_S, lambda: self.session.has_request or self.stream.close()
         )
         unsubscribe = self.frontend.subscribe(self.publish_verdict)
-        # A balancer that vanished says nothing: without asking, its Watch would keep its place for good.
+        # Without PINGs the Watch of a balancer that vanished would keep its place for ever.
         keepalive_timer = PeriodicCallback(self._keep_alive, KEEPALIVE_INTERVAL_S * 1000.0)
         keepalive_timer.start()
         try:
@@ -353,6 +356,7 @@
             self.stream.close()
 
     def eviction_rank(self, unchanged_s: float) -> int | None:
+        """Returns the rank for the connection table; None while a call is open."""
         if self.is_finished:
             return RANK_FINISHED
         if not self.session.has_request:
@@ -360,9 +364,11 @@
         return None if self.session.calls else RANK_IDLE
 
     def has_no_pending_input(self) -> bool:
+        """Returns whether nothing unread has come."""
         return self.stream.has_no_pending_input()
 
     def close(self) -> None:
+        """Closes the connection at once."""
         self.stream.close()
 
 
@@ -393,6 +399,7 @@
         spawn_task(connection.serve())
 
     def close(self) -> None:
+        """Stops listening and closes all connections with a GOAWAY."""
         self.listening_socket.close()
         for each in list(self.table.connections):
             each.session.close_connection()
--- a/spanwing/frontends/balancers/health_checks.py
+++ b/spanwing/frontends/balancers/health_checks.py
@@ -1,9 +1,11 @@
-"""Health over HTTP, as HAProxy, NGINX, Envoy and keepalived ask for it.
+"""Health over HTTP, for HAProxy, NGINX, Envoy and keepalived.
 
-Guarantees: readiness answers 200 exactly while new work is taken, else 503; liveness answers 200 as long as
-the loop turns; the plain body depends on the state alone (keepalived compares digests); the same status and
-headers for GET, HEAD and OPTIONS. Sources: RFC 9110; Envoy's health checking and its `x-envoy-*` headers;
-draft-inadarei-api-health-check for the detail in JSON.
+Readiness answers 200 exactly while new work is accepted, else 503; liveness answers 200 as long as the loop
+turns. The plain body depends on the state alone (keepalived compares digests). Status and headers are the
+same for GET, HEAD and OPTIONS.
+
+Sources: RFC 9110; Envoy's health checking and its `x-envoy-*` headers; draft-inadarei-api-health-check for
+the detail in JSON.
 """
 
 from __future__ import annotations
@@ -25,14 +27,14 @@
 
 
 def check_status(verdict: HealthVerdict) -> str:
-    """In the words of the JSON form."""
+    """Returns the status in the terms of the JSON form: pass, warn or fail."""
     if not verdict.accepts_work:
         return "fail"
     return "pass" if verdict.state == "ready" else "warn"
 
 
 def health_report(reporter: HealthReporter) -> dict:
-    """Everything that is known, for people and for `spanwing status`."""
+    """Returns the complete state of health, for people and for `spanwing status`."""
     verdict, signals = reporter.verdict, reporter.health.signals
     now = reporter.loop.time()
 
@@ -80,12 +82,13 @@
 
 
 class HealthFrontend:
-    """Reads what balancers ask; it never hands in an envelope."""
+    """Answers balancers' checks; it submits no requests."""
 
     def __init__(self, reporter: HealthReporter, counters: Callable[[], dict[str, int]]) -> None:
         self.reporter, self.counters = reporter, counters
 
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
+        """Answers a check; never returns a request for the core."""
         path, _, query = message.target.partition("?")
         class_name = path.removeprefix("/health/") if path.startswith("/health/") else ""
         is_known = (
@@ -111,9 +114,9 @@
         unserved_reason = dict(verdict.classes).get(class_name, "")
         is_up = verdict.accepts_work and not unserved_reason
         if verdict.state in ("draining", "drained"):
-            # Envoy stops at once, without the failures that it otherwise waits for.
+            # Envoy stops at once, without waiting for its failure threshold.
             headers["x-envoy-immediate-health-check-fail"] = "true"
-        elif is_up and verdict.state == "short":  # it prefers others while enough of them are well
+        elif is_up and verdict.state == "short":  # Envoy prefers others while enough of them are healthy
             headers["x-envoy-degraded"] = "true"
         status = 200 if is_up else 503
         if as_json:
@@ -123,5 +126,5 @@
         return status, text.encode(), headers
 
     def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes:
-        """For a connection that finds no room: what it most likely came for."""
+        """Encodes the readiness for a connection that finds no room, as its most likely request."""
         return encode_response(*self._readiness("", False, {})[:2], keep_alive)
--- a/spanwing/frontends/balancers/health_reporter.py
+++ b/spanwing/frontends/balancers/health_reporter.py
@@ -1,9 +1,9 @@
-"""Samples the daemon, lets the health machine judge, and tells whoever listens.
+"""Samples the daemon, updates the health state machine, and notifies subscribers.
 
-Guarantees: a sample every TICK_S; every CALM_S while little is going on, and then also as soon as the loop
-has been busy for ALARM_S, the list of job workers has news or the store's majority changes. Subscribers
-hear of every change of what is told in the same turn of the loop, a drain included. Nothing of this is made
-before a balancer protocol is opened.
+Samples are SAMPLE_INTERVAL_S apart. While the load is low they are CALM_SAMPLE_INTERVAL_S apart, and one is
+also taken as soon as the loop has been busy for BUSY_ALARM_S, the endpoint list changes or the store's
+majority changes. Subscribers are notified of every change of the announced verdict in the same turn of the
+loop, a drain included. Nothing here is created before a balancer protocol is opened.
 """
 
 from __future__ import annotations
@@ -28,51 +28,58 @@
 SAMPLE_INTERVAL_S, CALM_SAMPLE_INTERVAL_S = (
     0.05,
     1.0,
-)  # between samples; the longer one while little is going on
-CALM_CPU_RATIO = 0.12  # of the loop's time busy, at most
+)  # between samples; the longer one while the load is low
+CALM_CPU_RATIO = 0.12  # upper bound of the busy part of the loop's time for a low load
 BUSY_ALARM_S, FREQUENT_SAMPLES_S = (
     CALM_CPU_RATIO * CALM_SAMPLE_INTERVAL_S,
     1.0,
-)  # busy so long since a sample: samples are frequent for a while
-FULL_SAMPLE_INTERVAL_S = 0.25  # between full samples: between them CPU and what is owed alone are looked at
+)  # busy time since a sample that raises the alarm; samples are frequent this long after it
+FULL_SAMPLE_INTERVAL_S = 0.25  # between full samples; others read only CPU and outstanding requests
 PAGE_SIZE_MB = os.sysconf("SC_PAGE_SIZE") / 1024 / 1024
 
 
 class WorkFrontend(Protocol):
-    """A front that takes work."""
+    """A frontend that accepts work."""
 
     def announce_drain(self) -> None:
-        """A drain has begun: say so with every answer."""
+        """Starts a drain, announced with every answer."""
 
     def drain(self, reject_new: bool) -> None:
-        """The notice is over: close what is idle, and turn new work away where refuse is set."""
+        """Ends the notice period: closes idle connections, and rejects new work if reject_new is set."""
 
-    def cancel_drain(self) -> None: ...
+    def cancel_drain(self) -> None:
+        """Ends the drain."""
 
 
 class DaemonGauges(Protocol):
     """Figures that only the daemon's other parts have."""
 
-    def client_connections(self) -> ResourceUsage: ...
+    def client_connections(self) -> ResourceUsage:
+        """Returns the use of the table of client connections."""
 
-    def descriptors(self) -> ResourceUsage: ...
+    def descriptors(self) -> ResourceUsage:
+        """Returns the use of file descriptors."""
 
-    def cpu_cores(self) -> float: ...
+    def cpu_cores(self) -> float:
+        """Returns the CPU limit in cores."""
 
-    def memory_limit_mb(self) -> float: ...
+    def memory_limit_mb(self) -> float:
+        """Returns the memory limit in MB."""
 
-    def has_store_quorum(self) -> bool | None: ...
+    def has_store_quorum(self) -> bool | None:
+        """Returns whether the store has a majority; None: not known, or no shared store."""
 
-    def classes_needing_store(self) -> frozenset[str]: ...
+    def classes_needing_store(self) -> frozenset[str]:
+        """Returns the classes that are accepted only with a majority of the store."""
 
 
 def resident_memory_mb(statm_fd: int) -> float:
-    """From an open /proc/self/statm; the second figure is the resident pages."""
+    """Returns the resident memory from an open /proc/self/statm; its second figure is the pages."""
     return int(os.pread(statm_fd, 128, 0).split()[1]) * PAGE_SIZE_MB
 
 
 class HealthReporter:
-    """Owns the health machine of this daemon."""
+    """Owns the health state machine of this daemon."""
 
     def __init__(
         self,
@@ -98,38 +105,40 @@
 
     @property
     def verdict(self) -> HealthVerdict:
+        """Returns the verdict announced last."""
         return self.announced_verdict
 
     def subscribe(self, subscriber: Callable[[HealthVerdict], None]) -> Callable[[], None]:
-        """Hear of changes from now on; returns what ends it."""
+        """Calls the subscriber at every change from now on; returns the function that unsubscribes."""
         self.subscribers.add(subscriber)
         return lambda: self.subscribers.discard(subscriber)
 
     def drain(self, source: DrainSource, within_s: float = math.inf) -> None:
-        """Announce a drain, to every protocol at once."""
+        """Announces a drain to every protocol at once; within_s is its time limit in s."""
         now = self.loop.time()
         self._publish(self.health.drain(source, now, within_s))
         if (
             notice_ends_at_s := self.health.drain_orders.notice_ends_at_s
-        ) > now:  # on time, not with the next sample
+        ) > now:  # exactly then, not with the next sample
             self.loop.call_at(notice_ends_at_s, self._update_frontends)
 
     def undrain(self, source: DrainSource) -> bool:
-        """Withdraw a drain; whether any is left."""
+        """Withdraws a drain; returns whether another one is left."""
         self._publish(self.health.undrain(source, self.loop.time()))
         return self.health.drain_orders.is_draining
 
     def set_weight(self, percent: float) -> None:
+        """Limits the announced weight to this percentage."""
         self._publish(self.health.set_weight(percent, self.loop.time()))
 
     def remaining_s(self) -> float:
-        """How long what is taken now may still take, for a drain with an end."""
+        """Returns how long (s) work accepted now may take; infinite without a drain with an end."""
         return self.health.drain_orders.earliest_deadline_s - self.loop.time()
 
     def _handle_sample_timer(self) -> None:
         try:
             self._take_sample()
-        finally:  # a fault in one sample must not end them all: what is told would stay as it was for good
+        finally:  # a fault in one sample must not end the sampling: the verdict would never change again
             now = self.loop.time()
             interval_s = SAMPLE_INTERVAL_S
             if (
@@ -144,12 +153,12 @@
             self.sample_timer = self.loop.call_at(self.next_sample_s, self._handle_sample_timer)
 
     def _handle_busy_alarm(self) -> None:
-        """Busy again while samples are rare: some are taken soon, one after the other."""
+        """Samples frequently for FREQUENT_SAMPLES_S: the loop is busy again."""
         self.frequent_samples_until_s = self.loop.time() + FREQUENT_SAMPLES_S
         self.sample_soon()
 
     def sample_soon(self) -> None:
-        """Take a full sample in the next turn of the loop: something has changed that is told."""
+        """Takes a full sample in the next turn of the loop, as a sampled figure has changed."""
         now = self.loop.time()
         if self.next_sample_s > now:
             self.loop.remove_timeout(self.sample_timer)
@@ -159,7 +168,7 @@
     def _take_sample(self) -> None:
         now = self.loop.time()
         busy_s = self.loop_meter.busy_s() if self.loop_meter else None
-        # A late timer is late for the loop's own work and for want of CPU alike; the meter tells them apart.
+        # A timer is late from the loop's own work or from lack of CPU; the meter tells them apart.
         self.cpu_meter.cores = self.gauges.cpu_cores()
         reading = CpuReading(now, time.process_time(), busy_s, max(0.0, now - self.next_sample_s))
         self.cpu_usage = self.cpu_meter.add_reading(reading)
@@ -175,10 +184,11 @@
             )
 
     def outstanding_requests(self) -> int:
+        """Returns the number of requests that are owed an answer."""
         return len(self.request_manager.pending_requests) + len(self.request_manager.in_flight)
 
     def collect_signals(self) -> HealthSignals:
-        """Everything that is known now."""
+        """Reads all signals of the health state machine."""
         request_manager, needing_store = self.request_manager, self.gauges.classes_needing_store()
         queued, unavailable = request_manager.queued_by_class(), request_manager.unavailable_classes()
         counters = request_manager.counters
--- a/spanwing/frontends/balancers/listeners.py
+++ b/spanwing/frontends/balancers/listeners.py
@@ -1,7 +1,7 @@
-"""All listeners for balancers and the operator: opened at the start, moved by a reload.
+"""All listeners for balancers and the operator: opened at the start, changed by a reload.
 
-Guarantees: what a reload opens is open before anything old is closed, and if one cannot be opened nothing
-changes; a listener whose address stays is not touched.
+A reload opens the new listeners before it closes old ones, and if one cannot be opened nothing changes. A
+listener whose address stays is not touched.
 """
 
 from __future__ import annotations
@@ -20,11 +20,11 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.net.proxied_connections import Network
 
-MAX_HEALTH_CONNECTIONS = 12  # connections to the health listener
+MAX_HEALTH_CONNECTIONS = 12  # connections of the health listener
 
 
 class Listeners:
-    """Owns what is open."""
+    """Owns the open listeners."""
 
     def __init__(
         self,
@@ -56,11 +56,14 @@
         self.journal_directory, self.zones = (
             journal_directory,
             zones,
-        )  # the folder that is written; None: not switched on
-        self.open_listeners: dict[str, tuple[Any, Any]] = {}  # by name: what was asked for, and the front
+        )  # the journal's folder; zones None: not enabled
+        self.open_listeners: dict[str, tuple[Any, Any]] = {}  # by name: its settings, and the frontend
 
     def reconfigure(self, settings: BalancerSettings) -> list[tuple[str, str]]:
-        """Open and close until all is as wanted; returns the new ones, and where. Raises ConfigError."""
+        """Opens and closes listeners to match the settings.
+
+        Returns the names and addresses of the new ones. Raises ConfigError.
+        """
         requested = {
             "health": settings.health,
             "agent_check": settings.agent_check,
@@ -82,7 +85,7 @@
                 frontend.close()
                 del self.open_listeners[name]
         self.open_listeners.update(opened)
-        if settings.agent_check is not None:  # its words may change where its address stays
+        if settings.agent_check is not None:  # its reply settings may change while its address stays
             frontend = self.open_listeners["agent_check"][1]
             frontend.maxconn = self.maxconn if settings.agent_check.reports_maxconn else None
             frontend.expects_class_name = settings.agent_check.expects_class_name
@@ -91,14 +94,14 @@
         return [(name, str(front.address)) for name, (_, front) in opened.items()]
 
     def _is_unchanged(self, name: str, settings: Any) -> bool:
-        """Whether a listener is open where it should be."""
+        """Returns whether a listener is open at the right address."""
         if name not in self.open_listeners:
             return False
         previous = self.open_listeners[name][0]
         return previous.listen == settings.listen if name == "agent_check" else previous == settings
 
     def frontends(self) -> list[Any]:
-        """All that are open; each has a table of its connections."""
+        """Returns all open frontends; each has a table of its connections."""
         return [front for _, front in self.open_listeners.values()]
 
     def _open_listener(self, name: str, settings: Any) -> Any:
@@ -127,7 +130,9 @@
         return AgentCheckFrontend(address, lambda: self.reporter.verdict, feedback_reply)
 
     def _grpc(self, address):
-        from spanwing.frontends.balancers.grpc_health import GrpcFrontend  # h2 is loaded where this is opened
+        from spanwing.frontends.balancers.grpc_health import (
+            GrpcFrontend,
+        )  # loads h2 only where this is enabled
 
         return GrpcFrontend(address, lambda: self.reporter.verdict, self.reporter.subscribe, self.buffers)
 
@@ -145,6 +150,7 @@
         )
 
     def close(self) -> None:
+        """Closes all listeners."""
         for _, frontend in self.open_listeners.values():
             frontend.close()
         self.open_listeners.clear()
--- a/spanwing/frontends/balancers/service.py
+++ b/spanwing/frontends/balancers/service.py
@@ -1,7 +1,7 @@
-"""Everything that balancers and the operator are told, put together; loaded where one of it is open.
+"""Health reporter, listeners and store watch together; loaded only where one of them is enabled.
 
-Guarantees: the figures that are sampled are those of the daemon's own tables, read when asked for; orders for
-other members go through the store and need its majority.
+The sampled figures are those of the daemon's own tables, read when needed. Orders for other members go
+through the store and need its majority.
 """
 
 from __future__ import annotations
@@ -32,11 +32,11 @@
     cpu_cores: float
     memory_mb: float
     sockets: int
-    reserved_sockets: int  # that are neither clients' nor job workers'
+    reserved_sockets: int  # used neither for clients nor for workers
 
 
 class DaemonParts(NamedTuple):
-    """The daemon's parts whose state is told."""
+    """The daemon's parts whose state is reported."""
 
     name: str
     request_manager: RequestManager
@@ -47,7 +47,7 @@
     buffers: BufferPool
     counters: Callable[[], dict[str, int]]
     proxy_sources: tuple[Network, ...]
-    journal_directory: str = ""  # the folder that is written
+    journal_directory: str = ""  # the journal's folder
     zones: ZoneOrders | None = None
     policy: PolicyOrders | None = None
 
@@ -87,7 +87,7 @@
             spawn_task(self.drain_watcher.run())
 
     async def order_drain(self, member: str, drain: bool, within_s: float | None) -> None:
-        """A drain of any member, through the store; raises Fault."""
+        """Orders a drain of any member, or its end, through the store; raises AdminError."""
         store = self.parts.store
         if not store.peers:
             raise AdminError("there is no shared store here: drain each daemon by its own socket")
@@ -99,10 +99,12 @@
             raise AdminError(f"the store has no majority: {reason}") from None
 
     def client_connections(self) -> ResourceUsage:
+        """Returns the use of the table of client connections."""
         table = self.parts.http_server.table
         return ResourceUsage(len(table.connections), table.max_connections)
 
     def descriptors(self) -> ResourceUsage:
+        """Returns the use of file descriptors: listeners, connections and the reserve."""
         frontends = [
             self.parts.http_server,
             *([self.parts.faktory_frontend] if self.parts.faktory_frontend else []),
@@ -116,16 +118,19 @@
         return ResourceUsage(open_count + limits.reserved_sockets, limits.sockets)
 
     def cpu_cores(self) -> float:
+        """Returns the CPU limit in cores."""
         return self.limits().cpu_cores
 
     def memory_limit_mb(self) -> float:
+        """Returns the memory limit in MB."""
         return self.limits().memory_mb
 
     def has_store_quorum(self) -> bool | None:
+        """Returns whether the store has a majority; None without a shared store."""
         return None if self.drain_watcher is None else self.drain_watcher.has_quorum
 
     def classes_needing_store(self) -> frozenset[str]:
-        """The classes that only a majority of the store lets in: by Faktory, what must not run twice."""
+        """Returns the non-idempotent classes, which Faktory accepts only with a majority of the store."""
         if self.parts.faktory_frontend is None or self.drain_watcher is None:
             return frozenset()
         return frozenset(
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -1,4 +1,4 @@
-"""The Faktory front: commands of clients and job workers to envelopes and outcomes, and answers back."""
+"""The Faktory frontend: converts clients' and workers' commands to requests and results, and answers back."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
 MAX_LINE_BYTES = 128 * 1024
 MAX_TIMEOUT_MS = 3_600_000.0
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
-MAX_TRACKED_JOBS = 10_000  # jobs that TRACK GET still knows
+MAX_TRACKED_JOBS = 10_000  # jobs that TRACK GET knows
 STATE_OF_ANSWER: dict[AnswerKind, str] = {
     "served": "success",
     "failed": "failed",
@@ -73,7 +73,7 @@
 
 
 class FaktoryHello(msgspec.Struct):
-    """HELLO; a wid makes the connection a job worker's, labels `name:value` tell its zone, kind, cell."""
+    """HELLO; a wid marks a worker's connection, labels `name:value` give its zone, kind and cell."""
 
     v: int = 2
     wid: str = ""
@@ -81,7 +81,7 @@
 
 
 class FaktoryCustom(msgspec.Struct):
-    """What a job's `custom` may say to us."""
+    """What a job's `custom` may contain for the scheduler."""
 
     tenant: str | None = None
     slots: int = 1
@@ -95,6 +95,8 @@
 
 
 class FaktoryJob(msgspec.Struct):
+    """A job as PUSH sends it."""
+
     jid: str
     jobtype: str
     args: list[msgspec.Raw]
@@ -104,16 +106,20 @@
 
 
 class FaktoryJobId(msgspec.Struct):
+    """The job that ACK or FAIL names."""
+
     jid: str
 
 
 class HeartbeatBody(msgspec.Struct):
+    """The arguments of BEAT."""
+
     wid: str
     current_state: str = ""
 
 
 class CommandError(Exception):
-    """A command that is answered with an error; the connection goes on."""
+    """A command that is answered with an error; the connection continues."""
 
     def __init__(self, text: str, error_code: str = "ERR") -> None:
         super().__init__(text)
@@ -121,7 +127,7 @@
 
 
 class FaktoryProtocolError(Exception):
-    """What no Faktory speaker sends here: an error, then a clean close."""
+    """Input that breaks the protocol: answered with an error, then a clean close."""
 
 
 class TrackedJob(msgspec.Struct):
@@ -134,7 +140,7 @@
 
 
 class FaktoryFrontend:
-    """The listener; it knows the classes, the states of recent jobs and its connections."""
+    """The listener; knows the classes, the states of recent jobs and its connections."""
 
     def __init__(
         self,
@@ -150,7 +156,7 @@
         find_interrupted: Callable[[str], str] = lambda jid: "",
     ) -> None:
         self.proxy_sources = proxy_sources
-        self.find_interrupted = find_interrupted  # what the journal knows of a jid that a crash left open
+        self.find_interrupted = find_interrupted  # the journal's state of a jid that a crash interrupted
         self.service_classes = {each.name: each for each in classes}
         self.request_manager, self.worker_directory, self.claims, self.buffers = (
             request_manager,
@@ -181,26 +187,34 @@
         spawn_task(connection.serve())
 
     def set_state(self, jid: str, state: str, description: str = "") -> None:
+        """Records a job's state for TRACK GET; the oldest beyond MAX_TRACKED_JOBS is dropped."""
         self.tracked_jobs[jid] = TrackedJob(jid, state, description, datetime.now(UTC).isoformat())
         self.tracked_jobs.move_to_end(jid)
         if len(self.tracked_jobs) > MAX_TRACKED_JOBS:
             self.tracked_jobs.popitem(last=False)
 
     def has_busy_connections(self) -> bool:
+        """Returns whether a command is being answered."""
         return any(each.is_busy for each in self.table.connections)
 
     def announce_drain(self) -> None:
-        """A drain has begun: producers are told with their next PUSH, job workers with their next BEAT."""
+        """Starts a drain: clients are notified at their next PUSH, workers at their next BEAT."""
         self.is_draining = True
 
     def drain(self, reject_new: bool = False) -> None:
+        """Starts a drain; Faktory clients are notified but their connections stay open."""
         self.is_draining = True
 
     def cancel_drain(self) -> None:
+        """Ends the drain."""
         self.is_draining = False
 
     async def claim_job(self, job: FaktoryJob, service_class: api.ServiceClass) -> Claim | FinalAnswer | None:
-        """The claim on a job that must never run twice, or the answer if it has been claimed before."""
+        """Claims a job that must never run twice.
+
+        Returns the claim, None for a class that needs none, or the answer if the job was claimed before.
+        Raises CommandError (BUSY) if the store has no majority.
+        """
         if service_class.effect != "unsafe":
             return None
         try:
@@ -212,6 +226,7 @@
         return FinalAnswer("repeated" if claim.state == "claimed" else claim.state)
 
     def build_request(self, job: FaktoryJob, service_class: api.ServiceClass, body: bytes) -> JobRequest:
+        """Converts a job to a request; raises CommandError if `custom` is out of range."""
         custom = job.custom or FaktoryCustom()
         timeout_ms = service_class.deadline if custom.budget_ms is None else custom.budget_ms
         if custom.slots < 1 or custom.memory < 0 or not 0 <= timeout_ms:
@@ -235,7 +250,7 @@
 
 
 class FaktoryClientJob:
-    """The sender side of one job: keeps its state, settles its claim, passes its one answer on."""
+    """The client's side of one job: keeps its state, settles its claim, passes on its one answer."""
 
     def __init__(
         self, frontend: FaktoryFrontend, claim: Claim | None, on_answer: Callable[[FinalAnswer], None] | None
@@ -243,7 +258,8 @@
         self.frontend, self.claim, self.on_answer = frontend, claim, on_answer
 
     def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
-        if answer.kind != "repeated":  # the first one of this id goes on and keeps its state
+        """Receives the final answer from the core."""
+        if answer.kind != "repeated":  # the first request of this id continues and keeps its state
             description = (
                 f"try again after {answer.retry_after_ms:.0f} ms" if answer.kind == "refused" else ""
             )
@@ -255,7 +271,7 @@
 
 
 class FaktoryConnection:
-    """One connection: a command at a time."""
+    """One connection, a command at a time."""
 
     def __init__(
         self,
@@ -267,7 +283,7 @@
         self.peer_address, self.awaits_proxy_header = (
             peer_address,
             awaits_proxy_header,
-        )  # the speaker's address; whether a balancer is to tell it
+        )  # the peer's address, and whether a PROXY header is due
         self.frontend, self.line_stream = frontend, LineStream(stream, frontend.buffers, MAX_LINE_BYTES)
         self.mailbox: Queue[FinalAnswer | None] = Queue()
         self.is_closed = False
@@ -282,11 +298,12 @@
     def _handle_close(self) -> None:
         self.is_closed = True
         self.mailbox.put_nowait(None)
-        # A slot of a connection that ended is no slot: a job handed to it would count as an attempt.
+        # A job handed to a connection that has ended would count as an attempt.
         if self.pending_fetch is not None and not self.pending_fetch.done():
             self.pending_fetch.set_result(None)
 
     async def serve(self) -> None:
+        """Reads and answers commands until the connection ends."""
         try:
             if self.awaits_proxy_header:
                 peer = await read_peer_address(
@@ -301,7 +318,7 @@
             ) is not None:
                 self.is_busy = True
                 verb, _, arguments = line.partition(b" ")
-                # Or the end of one that has sent more commands ahead would not show while this one waits.
+                # Notices the end of a peer that has pipelined commands while this one waits.
                 self.line_stream.start_read_ahead(self.line_stream.data, READ_AHEAD_BYTES)
                 try:
                     reply = await self._run_command(verb.decode("ascii", "replace").upper(), arguments)
@@ -313,7 +330,7 @@
                     await self.line_stream.write(reply, WRITE_STALL_TIMEOUT_S)
                 self.is_busy, self.idle_since_s = False, IOLoop.current().time()
                 if self.line_stream.data:
-                    await sleep(0)  # who sends many commands ahead must not keep the loop to itself
+                    await sleep(0)  # a peer that pipelines commands must not monopolize the loop
                 if verb.upper() == b"END":
                     break
         except (FaktoryProtocolError, LineTooLongError) as protocol_error:
@@ -331,22 +348,28 @@
 
     @property
     def last_activity_s(self) -> float:
-        """When it came, was answered, or something came last: a message that grows is no stalled one."""
+        """Returns the loop time of the accept, the last reply or the last input.
+
+        A message that still grows is therefore not stalled.
+        """
         return max(self.idle_since_s, self.line_stream.last_read_s)
 
     def eviction_rank(self, unchanged_s: float) -> int | None:
+        """Returns the rank for the connection table; None if it must not be evicted."""
         if self.is_finished:
             return RANK_FINISHED
-        if self.is_busy or self.worker is not None:  # a job worker's connection is its life
+        if self.is_busy or self.worker is not None:  # a worker counts as gone when its last connection ends
             return None
         if self.line_stream.data:
             return RANK_PARTIAL if unchanged_s > PARTIAL_MESSAGE_S else None
         return RANK_SILENT if self.hello is None else RANK_IDLE
 
     def has_no_pending_input(self) -> bool:
+        """Returns whether nothing unread has come."""
         return self.line_stream.has_no_pending_input()
 
     def close(self) -> None:
+        """Closes the connection at once."""
         self.line_stream.close()
 
     async def _write_last(self, data: bytes) -> None:
@@ -391,7 +414,7 @@
         return await self._submit_job(self._decode(body, FaktoryJob), body)
 
     async def _handle_push_bulk(self, body: bytes) -> bytes:
-        """Each job by itself; the reply names those that were not taken."""
+        """Submits each job by itself; the reply names those that were rejected."""
         errors = {}
         for raw in self._decode(body, list[msgspec.Raw]):
             jid = ""
@@ -425,11 +448,11 @@
             raise CommandError(interrupted_state, "REPEATED")
         claim = await self.frontend.claim_job(job, service_class)
         if isinstance(claim, FinalAnswer):
-            # Taken before, here or elsewhere: it never runs again, and only what is known is said.
+            # Claimed before, here or elsewhere: it never runs again; the known state is the reply.
             return (
                 OK if not waits_for_outcome and claim.kind in ("repeated", "served") else encode_answer(claim)
             )
-        if self.is_closed and claim is not None:  # nothing was sent: the claim is given back
+        if self.is_closed and claim is not None:  # nothing was sent: the claim is released
             await self.frontend.claims.settle(job.jid, claim, "refused")
             return OK
         if waits_for_outcome:
@@ -481,7 +504,7 @@
         jid = self._decode(body, FaktoryJobId).jid
         if self.worker is None:
             raise CommandError("only job workers tell of outcomes: HELLO named no wid")
-        # Late, repeated or unknown: the worker has done its part, and no second answer comes of it.
+        # Late, repeated or unknown: acknowledged, without a second answer to the client.
         self.worker.post(JobFinished(jid, result))
         return OK
 
@@ -518,7 +541,7 @@
 
 
 def encode_answer(answer: FinalAnswer) -> bytes:
-    """A final answer in words: OK served, BUSY refused and harmless to try again, ERR failed."""
+    """Encodes a final answer: OK served, BUSY rejected (a retry is harmless), ERR failed."""
     if answer.kind == "served":
         return OK
     if answer.kind == "refused":
--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -1,4 +1,4 @@
-"""The sender side over HTTP: an actor for each connection that clients or job workers opened to us."""
+"""Client connections over HTTP: an actor for each connection that clients or workers have opened."""
 
 from __future__ import annotations
 
@@ -43,17 +43,19 @@
 from spanwing.net.proxy_protocol import ProxyError
 
 HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
-ACCEPT_RETRY_S = 0.005  # a caller of a front with one request a connection waits so long for room, and again
-FRESH_CONNECTION_S = 0.1  # a client that has opened a connection has sent its request by then
-FULL_TABLE_RETRY_AFTER_MS = 100.0  # a client that finds no room is told to come back after this
+ACCEPT_RETRY_S = 0.005  # single-request frontends: a new connection without room is retried after this
+FRESH_CONNECTION_S = 0.1  # a client has sent its first request this long after connecting
+FULL_TABLE_RETRY_AFTER_MS = 100.0  # Retry-After for a client that finds no room
 
 
 class HttpFrontend(Protocol):
-    """Reads requests: an envelope goes to the core, a reply is the answer at once."""
+    """Parses messages: a request goes to the core, a reply is the immediate answer."""
 
-    def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply: ...
+    def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
+        """Converts a message to a request for the core, or to the immediate reply."""
 
-    def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes: ...
+    def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes:
+        """Encodes a final answer as a response."""
 
 
 class HttpClientConnection:
@@ -65,23 +67,25 @@
         self.peer_address, self.awaits_proxy_header = (
             peer_address,
             awaits_proxy_header,
-        )  # the client's address; whether a balancer is to tell it
+        )  # the client's address, and whether a PROXY header is due
         self.server, self.http = server, HttpStream(stream, server.buffers)
-        self.mailbox: Queue[FinalAnswer | None] = Queue()  # None: the other side went away
-        self.has_sent_request = False  # it has sent a whole request
+        self.mailbox: Queue[FinalAnswer | None] = Queue()  # None: the peer has closed
+        self.has_sent_request = False  # it has sent a complete request
         self.is_client = False  # it carried a client's request
         self.is_busy = False
         self.is_finished = False
         self.pending_request: tuple[JobRequest, bool] | None = (
-            None  # what waits for its answer; to go on then?
+            None  # the request that awaits its answer, and keep_alive
         )
         self.idle_since_s = IOLoop.current().time()
         stream.set_close_callback(lambda: self.mailbox.put_nowait(None))
 
     def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
+        """Receives the final answer from the core."""
         self.mailbox.put_nowait(answer)
 
     async def serve(self) -> None:
+        """Reads and answers requests until the connection ends."""
         try:
             if self.awaits_proxy_header:
                 peer = await read_peer_address(
@@ -92,9 +96,9 @@
                 self.peer_address, self.awaits_proxy_header = (
                     peer,
                     False,
-                )  # from here on like any other, also to a successor
+                )  # an ordinary connection from here on, also for a successor
             keep_alive = True
-            if self.pending_request is not None:  # by way of another process
+            if self.pending_request is not None:  # taken over from another process
                 keep_alive = await self._resume_request(*self.pending_request)
             while keep_alive:
                 message = await self.http.receive(MESSAGE_TIMEOUT_S, is_fresh=not self.has_sent_request)
@@ -105,7 +109,7 @@
                 self.is_busy, self.idle_since_s = False, IOLoop.current().time()
                 self.server.close_if_draining(self)
                 if not self.http.parser.is_idle():
-                    await sleep(0)  # who sends many requests ahead must not keep the loop to itself
+                    await sleep(0)  # a peer that pipelines requests must not monopolize the loop
         except HttpError as error:
             await self._reject_malformed(error)
         except ProxyError as error:
@@ -118,20 +122,18 @@
             self.server.table.connections.discard(self)
 
     async def _handle_request(self, message: HttpMessage) -> bool:
-        """Answer one request; whether the connection goes on."""
+        """Answers one request; returns whether the connection continues."""
         keep_alive = message.keep_alive and not self.server.is_single_request
         parsed = self.server.frontend.parse_request(message)
         if isinstance(parsed, tuple):
             status, body, *headers = parsed
-            head_only = message.method == "HEAD"  # a body would be taken for the next answer
+            head_only = message.method == "HEAD"  # a body would be taken for the next response
             await self.http.write(
                 encode_response(status, body, keep_alive, head_only, *headers), WRITE_STALL_TIMEOUT_S
             )
             return keep_alive
         self.is_client = True
-        if (
-            self.http.has_peer_closed()
-        ):  # its client went while it lay unread, or behind what was sent before it
+        if self.http.has_peer_closed():  # the client left while its request was unread
             return False
         if not self.server.is_rejecting and self.server.admit_request():
             self.server.request_manager.post(RequestSubmitted(parsed, self))
@@ -142,11 +144,9 @@
         )
 
     async def _await_answer(self, request: JobRequest, keep_alive: bool) -> bool:
-        """Wait for the answer and pass it on; whether the connection goes on."""
+        """Waits for the answer and writes it; returns whether the connection continues."""
         self.pending_request = request, keep_alive
-        self.http.start_read_ahead(
-            self.http.parser.data, READ_AHEAD_BYTES
-        )  # or a client's leaving would not show
+        self.http.start_read_ahead(self.http.parser.data, READ_AHEAD_BYTES)  # notices a client that closes
         answer = await self.mailbox.get()
         self.http.stop_read_ahead()
         self.pending_request = None
@@ -177,9 +177,13 @@
             pass
 
     def detach(self, max_bytes: int) -> tuple[int, bytes] | None:
-        """Give the connection away: a descriptor of it, and what was read of its next request, at most
-        longest bytes. None while it cannot go: what has begun to come must come whole, and what is answered
-        must be written. One that waits for its answer can, and owes it no more here."""
+        """Prepares the connection for transfer to another process.
+
+        Returns a duplicate of its descriptor and what was read of its next request (at most max_bytes), or
+        None if it cannot be transferred now: a message that has begun must be read completely, an answer must
+        be written. A connection that awaits its answer can be transferred, and the answer is no longer owed
+        here.
+        """
         parser, awaits_answer = self.http.parser, self.pending_request is not None and self.mailbox.empty()
         if (
             self.is_finished
@@ -195,19 +199,23 @@
             self.http.collect_read_ahead()
         fd, data = os.dup(self.http.stream.socket.fileno()), bytes(parser.data)
         parser.data.clear()
-        self.http.close()  # of ours: the other side does not notice
+        self.http.close()  # closes only this process's descriptor; the peer does not notice
         return fd, data
 
     def has_unfinished_request(self) -> bool:
-        """Whether a request here is being read or answered."""
+        """Returns whether a request here is being read or answered."""
         return self.is_busy or not (self.is_finished or self.http.parser.is_idle())
 
     @property
     def last_activity_s(self) -> float:
-        """When it came, was answered, or something came last: a message that grows is no stalled one."""
+        """Returns the loop time of the accept, the last answer or the last input.
+
+        A message that still grows is therefore not stalled.
+        """
         return max(self.idle_since_s, self.http.last_read_s)
 
     def eviction_rank(self, unchanged_s: float) -> int | None:
+        """Returns the rank for the connection table; None while a request is answered."""
         if self.is_finished:
             return RANK_FINISHED
         if self.is_busy:
@@ -219,14 +227,16 @@
         return RANK_STALE if unchanged_s > PARTIAL_MESSAGE_S else RANK_IDLE
 
     def has_no_pending_input(self) -> bool:
+        """Returns whether nothing unread has come."""
         return self.http.has_no_pending_input()
 
     def close(self) -> None:
+        """Closes the connection at once."""
         self.http.close()
 
 
 class HttpServer:
-    """Listens for one front and owns its connections."""
+    """Listens for one frontend and owns its connections."""
 
     def __init__(
         self,
@@ -242,28 +252,28 @@
         partial_message_s: float = PARTIAL_MESSAGE_S,
     ) -> None:
         self.proxy_sources = proxy_sources
-        self.is_single_request = is_single_request  # a connection carries one request
+        self.is_single_request = is_single_request  # each connection carries one request
         self.partial_message_s = (
-            partial_message_s  # a request that has begun may be cut off after this, if the table is full
+            partial_message_s  # if the table is full, an incomplete request may be cut off after this
         )
         self.frontend, self.request_manager, self.buffers = frontend, request_manager, buffers
         self.retry_after_ms = min(
             FULL_TABLE_RETRY_AFTER_MS, max_retry_after_ms
-        )  # 0: the settings allow no such advice
+        )  # 0: the settings allow no Retry-After
         self.table: ConnectionTable[HttpClientConnection] = ConnectionTable(max_connections)
-        self.pending_requests = 0  # clients' requests that the core has
-        self.is_closing = False  # a client's next answer is the last one on its connection
-        self.is_draining = False  # and connections between requests are closed
-        self.is_rejecting = False  # and what is new is turned away
-        self.has_stopped_accepting = False  # nothing more is accepted
-        self.is_sharing = False  # another process accepts here too, or will: without room, none is accepted
+        self.pending_requests = 0  # client requests in the core
+        self.is_closing = False  # a client's next answer is the last on its connection
+        self.is_draining = False  # also closes connections between requests
+        self.is_rejecting = False  # also rejects new requests
+        self.has_stopped_accepting = False  # no connection is accepted any more
+        self.is_sharing = False  # another process accepts here too, or will: accepts only while there is room
         self.listening_socket = listen(address, self._accept, shared_socket)
         self.address = self.listening_socket.address
 
     def _accept(self, sock) -> None:
         if not self.table.make_room():
             if self.is_single_request:
-                # Those here have sent what is not read yet; by the next turn of the loop one of them can go.
+                # The present ones have unread input; by the next turn of the loop one of them can be evicted.
                 self.set_accepting(False)
                 IOLoop.current().call_later(ACCEPT_RETRY_S, self._accept_waiting, sock)
                 return
@@ -288,13 +298,15 @@
             self.set_sharing(True)
 
     def _accept_waiting(self, sock: socket.socket) -> None:
-        """One that found no room, before any other is accepted."""
+        """Accepts the connection that found no room, before any other."""
         self.set_accepting(True)
         self._accept(sock)
 
     def set_sharing(self, is_sharing: bool) -> None:
-        """Whether another process still holds a part of what is ours. For as long, a connection that finds no
-        room here waits to be accepted: there will be soon."""
+        """Sets whether another process still accepts on this socket.
+
+        Meanwhile a connection that finds no room waits in the backlog, as there will be room soon.
+        """
         self.is_sharing = is_sharing
         if is_sharing:
             self.table.trim(self.table.max_connections - 1)
@@ -309,8 +321,10 @@
         peer_address: str,
         pending_request: tuple[JobRequest, bool] | None = None,
     ) -> HttpClientConnection:
-        """Go on with a connection that another process gave away; it is within both processes' limit.
-        asked: the request that waits there, and whether the connection goes on after its answer."""
+        """Continues a connection that another process transferred; both processes' limits hold.
+
+        pending_request is the request that awaits its answer, and whether the connection continues after it.
+        """
         connection = HttpClientConnection(
             self, IOStream(connected_socket, max_buffer_size=READ_AHEAD_BYTES), peer_address
         )
@@ -327,26 +341,34 @@
         return connection
 
     def set_accepting(self, is_accepting: bool) -> None:
+        """Pauses or resumes accepting."""
         self.listening_socket.set_accepting(is_accepting)
 
     def admit_request(self) -> bool:
-        """Whether one more client's request may wait here: a third of the table is left for call-backs."""
+        """Reserves a place for a client's request; returns False if there is none.
+
+        A third of the table is left for callbacks.
+        """
         has_room = self.pending_requests < self.table.max_connections * 2 // 3
         self.pending_requests += has_room
         return has_room
 
     def release_request(self) -> None:
+        """Frees the place of a client's request."""
         self.pending_requests -= 1
 
     def close_if_draining(self, connection: HttpClientConnection) -> None:
+        """Closes a client's connection between requests if a drain is on."""
         if (
             self.is_draining and connection.is_client and connection.has_no_pending_input()
-        ):  # else it is read, and answered
+        ):  # else its input is read and answered
             connection.http.close()
 
     def owes_answers(self) -> bool:
-        """Whether a client's request is being read or answered, or lies unread; or may be under way on a
-        connection that has only just been opened, where no other can come any more."""
+        """Returns whether a client's request is being read or answered, is unread or may be under way.
+
+        It may be under way on a connection opened less than FRESH_CONNECTION_S ago, once no other can come.
+        """
         fresh_since_s = (
             IOLoop.current().time() - FRESH_CONNECTION_S if self.has_stopped_accepting else math.inf
         )
@@ -362,26 +384,26 @@
         )
 
     def stop_listening(self) -> None:
-        """Accept what waits in the backlog, and listen no more."""
+        """Accepts the backlog and stops listening."""
         self.has_stopped_accepting = True
         self.listening_socket.accept_pending_and_close()
 
     def announce_drain(self) -> None:
-        """A drain has begun: with its next answer each client is told to come by another connection."""
+        """Starts a drain: with its next answer each client is notified to use another connection."""
         self.is_closing = True
 
     def cancel_drain(self) -> None:
-        """The drain was withdrawn."""
+        """Ends the drain."""
         self.is_closing = self.is_draining = self.is_rejecting = False
 
     def close(self) -> None:
-        """Listen no more, and close what is open: for fronts whose questions are answered at once."""
+        """Stops listening and closes all connections; for frontends that answer at once."""
         self.listening_socket.close()
         for each in list(self.table.connections):
             each.close()
 
     def drain(self, reject_new: bool = False) -> None:
-        """Close clients' connections between requests; those of call-backs stay, and so does the listener."""
+        """Closes clients' connections between requests; callback connections and the listener stay."""
         self.is_closing = self.is_draining = True
         self.is_rejecting |= reject_new
         for each in list(self.table.connections):
--- a/spanwing/frontends/journal_endpoint.py
+++ b/spanwing/frontends/journal_endpoint.py
@@ -1,14 +1,14 @@
-"""GET /journal/... on the admin socket: what `spanwing journal` prints, by a process of its own.
+"""GET /journal/... on the admin socket: the output of `spanwing journal`, run in a process of its own.
 
-Guarantees: the scheduler's loop reads no journal; AT_ONCE readers at most, each ended after WHOLE_S or as
-soon as the one who asked goes; its output is passed on as fast as it is read, HELD bytes at most are kept.
+The scheduler's loop reads no journal. At most MAX_READERS readers run, each ended after READER_TIMEOUT_S or
+as soon as its client closes; output is passed on as fast as the client reads it, with at most
+MAX_BUFFERED_BYTES buffered.
 
     GET /journal/list, /journal/show/REQUEST, /journal/query?q=EXPRESSION, /journal/tail?n=COUNT,
     /journal/export?format=csv&q=EXPRESSION, /journal/verify, /journal/stats
 
-Answers are closed by the end of the connection: JSON, one object a line, plain text from verify, CSV where
-it is asked for (Parquet needs a file of its own). 400 is a
-faulty question, 404 what the journal does not know, 503 no reader free.
+The end of the connection ends the response: JSON, one object a line; plain text from verify; CSV on request
+(Parquet needs a file of its own). 400 is a faulty query, 404 unknown to the journal, 503 no reader free.
 """
 
 from __future__ import annotations
@@ -30,8 +30,8 @@
 MAX_READERS = 2
 READER_TIMEOUT_S = 120.0
 MAX_BUFFERED_BYTES = 256 * 1024
-MAX_HEADER_LINES = 50  # lines
-MAX_ERROR_BYTES = 500  # bytes of a fault
+MAX_HEADER_LINES = 50  # header lines of a request
+MAX_ERROR_BYTES = 500  # bytes of an error text
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -42,7 +42,7 @@
 
 
 def command_arguments(target: str) -> list[str]:
-    """Those of the command. Raises ValueError on a path that there is not."""
+    """Returns the arguments of the journal command for a path; raises ValueError for an unknown path."""
     parts = urlsplit(target)
     query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
     path = [unquote(each) for each in parts.path.split("/")[2:]]
@@ -63,6 +63,7 @@
 
 
 def response_head(status: int, content_type: str = "text/plain") -> bytes:
+    """Encodes the head of a response that the end of the connection delimits."""
     return (
         f"HTTP/1.1 {status} {REASON_PHRASES[status]}\r\n"
         f"Content-Type: {content_type}\r\nConnection: close\r\n\r\n"
@@ -70,13 +71,13 @@
 
 
 class JournalEndpoint:
-    """Runs the readers."""
+    """Runs the reader processes."""
 
     def __init__(self, directory: str) -> None:
         self.directory, self.reader_count = directory, 0
 
     async def serve(self, line_stream: LineStream, request: bytes, timeout_s: float) -> None:
-        """Answer one question, of which the first line was read."""
+        """Answers one request, whose first line has been read."""
         for _ in range(MAX_HEADER_LINES):
             line = await line_stream.read_line(timeout_s)
             if not line:
@@ -121,7 +122,7 @@
         )
         reader.stdout.max_buffer_size = reader.stderr.max_buffer_size = MAX_BUFFERED_BYTES
         timer = IOLoop.current().call_later(READER_TIMEOUT_S, reader.proc.kill)
-        # Who goes away while nothing is written is noticed here, and the reader ends at once.
+        # Also notices a peer that closes while nothing is being written; the reader then ends at once.
         line_stream.stream.set_close_callback(reader.proc.kill)
         try:
             is_head_written = False
@@ -161,7 +162,7 @@
 
     @staticmethod
     async def _wait_for_exit(reader: Subprocess) -> int:
-        """Its exit status; it has closed its output, or was killed, and ends now."""
+        """Returns the exit status of a reader that has closed its output or was killed; -1 after 5 s."""
         with suppress(WaitOver):
             return await with_timeout(
                 timedelta(seconds=5), IOLoop.current().run_in_executor(None, reader.proc.wait)
--- a/spanwing/frontends/management.py
+++ b/spanwing/frontends/management.py
@@ -1,9 +1,9 @@
-"""The second address: whether this process takes clients, and the figures, for on-call staff and tools.
+"""The management listener: health and figures of this process, for on-call staff and tools.
 
-Guarantees: `GET /healthcheck` is answered 200 exactly while this process takes clients, else 503;
-`GET /stats` tells the core's figures as they are at that moment, one `app.NAME=VALUE` a line, 503 before
-there are any. One call a connection, which is closed after its answer; anything else is a 4xx. It never hands
-in an envelope. The connections are bounded by their own table, out of a reserve that clients cannot take.
+`GET /healthcheck` answers 200 exactly while this process accepts clients, else 503. `GET /stats` returns the
+core's present figures, one `app.NAME=VALUE` a line, or 503 before there are any. One call a connection, which
+is closed after its answer; anything else is a 4xx. It submits no requests. Its connections are bounded by
+their own table, from a reserve of descriptors that clients cannot use.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 class ManagementFrontend:
-    """Reads the calls; taking and figures are asked anew for each."""
+    """Answers the calls; acceptance and figures are read anew for each."""
 
     def __init__(
         self, accepts_clients: Callable[[], bool], collect_figures: Callable[[], dict[str, int]]
@@ -26,6 +26,7 @@
         self.accepts_clients, self.collect_figures = accepts_clients, collect_figures
 
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
+        """Answers a call; never returns a request for the core."""
         path = message.target.partition("?")[0]
         if path not in PATHS:
             return 404, b"/healthcheck, /stats"
@@ -38,5 +39,5 @@
         return (200, lines.encode(), {"Content-Type": "text/plain"}) if figures else (503, b"not yet\n")
 
     def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes:
-        """For a connection that finds no room."""
+        """Encodes the 503 for a connection that finds no room."""
         return encode_response(503, b"too many callers\n", keep_alive)
--- a/spanwing/frontends/platform.py
+++ b/spanwing/frontends/platform.py
@@ -1,4 +1,4 @@
-"""The platform's front: its paths and headers to envelopes and call-backs, and answers back."""
+"""The platform's frontend: converts its paths and headers to requests and callbacks, and answers back."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class JobEvent(msgspec.Struct):
-    """One call-back of a job worker."""
+    """One callback of a worker."""
 
     id: str
     state: str
@@ -34,15 +34,14 @@
 
 
 class InvalidRequestError(ValueError):
-    """A request that no envelope can be made of."""
+    """The message cannot be converted to a request."""
 
 
 def parse_number(text: str | None, name: str, default: float) -> float:
+    """Parses a decimal number below 1e12, or returns the default; raises InvalidRequestError."""
     if text is None:
         return default
-    if not DECIMAL_PATTERN.fullmatch(
-        text
-    ):  # float() takes more than a number: blanks, 1_0, infinity, other digits
+    if not DECIMAL_PATTERN.fullmatch(text):  # float() accepts more: blanks, 1_0, infinity, non-ASCII digits
         raise InvalidRequestError(f"{name} is no number")
     if (value := float(text)) >= 1e12:
         raise InvalidRequestError(f"{name} is out of range")
@@ -50,7 +49,7 @@
 
 
 class PlatformFrontend:
-    """Reads what clients, job workers and the layer in front send."""
+    """Parses what clients, workers and the platform's balancer send."""
 
     def __init__(
         self,
@@ -68,10 +67,11 @@
             counters,
             is_up,
         )
-        self.remaining_ms = remaining_ms  # how long a request that comes now may take at most
+        self.remaining_ms = remaining_ms  # upper bound of the time left to a request that comes now
         self.decoder = msgspec.json.Decoder(JobEvent)
 
     def parse_request(self, message: HttpMessage) -> JobRequest | tuple[int, bytes]:
+        """Converts a message to a request, or answers it at once (status, body)."""
         path = message.target.partition("?")[0]
         if path == JOB_EVENTS_PATH:
             return self._handle_job_event(message) if message.method == "POST" else (405, b"POST only")
@@ -140,6 +140,7 @@
         return 204, b""
 
     def render_answer(self, answer: FinalAnswer, keep_alive: bool) -> bytes:
+        """Encodes a final answer: 200, 409 (repeated), 502 (failed) or 503 (rejected)."""
         if answer.kind == "served":
             return encode_response(200, answer.body, keep_alive)
         if answer.kind == "repeated":
--- a/spanwing/net/buffers.py
+++ b/spanwing/net/buffers.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 BUFFER_BYTES = 8192
-MAX_SPARE_BUFFERS = 256  # spare buffers kept at most
+MAX_SPARE_BUFFERS = 256  # pooled spare buffers at most
 SINK_BYTES = 65536
 
 
 class BufferPool:
-    """Hands out buffers; whoever takes one must release it. At most MAX_SPARE_BUFFERS are kept."""
+    """Hands out buffers, which the borrower must release; at most MAX_SPARE_BUFFERS are pooled."""
 
     def __init__(self) -> None:
         self.spare_buffers: list[bytearray] = []
--- a/spanwing/net/connection_table.py
+++ b/spanwing/net/connection_table.py
@@ -56,8 +56,8 @@
     def trim(self, target: int) -> None:
         """Evicts unused connections beyond this many.
 
-        Only those that were useless for PARTIAL_MESSAGE_S go. Connections that are idle between requests, or
-        new, stay: their next request may be under way.
+        Only those unused for PARTIAL_MESSAGE_S are closed. Connections that are idle between requests, or
+        new, are spared: their next request may be under way.
         """
         while len(self.connections) > target and self._evict_one((RANK_STALE, RANK_IDLE), PARTIAL_MESSAGE_S):
             pass
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -253,8 +253,8 @@
     def is_reusable(self) -> bool:
         """Returns whether a request may be written: open, and between messages.
 
-        The stream reads also when nobody asked, and what it fetched would be taken for the response. The read
-        of the response is therefore begun here and must find nothing.
+        The stream also reads when no read is pending, and what it fetched would pass for the response. The
+        read of the response is therefore begun here and must find nothing.
         """
         try:
             return self.parser.is_idle() and not self._begin_read().done() and self.has_no_pending_input()
--- a/spanwing/net/proxy_protocol.py
+++ b/spanwing/net/proxy_protocol.py
@@ -1,7 +1,8 @@
 """Parser of the PROXY protocol, versions 1 and 2 (HAProxy, proxy-protocol.txt).
 
-Pure and bounded: takes at most MAX_V1_BYTES or MAX_V2_BYTES, and returns a complete header, asks for more, or
-raises ProxyError for input that can never become a header. A missing header is an error, never guessed.
+Pure and bounded: reads at most MAX_V1_BYTES or MAX_V2_BYTES, and returns a complete header, reports that more
+bytes are needed, or raises ProxyError for input that can never become a header. A missing header is an error,
+never guessed.
 """
 
 from __future__ import annotations
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -78,7 +78,7 @@
         self._continue_read_ahead()
 
     def stop_read_ahead(self) -> None:
-        """Stops reading ahead, before a read; a pending read goes on for the reader."""
+        """Stops reading ahead, before a read; a pending read continues for the reader."""
         self.read_ahead_into = None
 
     def _continue_read_ahead(self) -> None:
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -65,7 +65,7 @@
 
 
 class DescriptorBudget:
-    """Limits the connections that the pools of all workers hold open together.
+    """Limits the open connections of the pools of all workers together.
 
     At the limit the oldest idle connection of any pool is closed to make room.
     """
