Correct three docstrings of workers, net and discovery

Cause: they named an error that receive() never raises, and were loose on two meanings. Change: docstrings and comments only.

--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -44,9 +44,7 @@
     answer_margin_s: float = (
         1.5  # answer due this long after the hold at the latest; also the connect timeout
     )
-    reopen_within_s: float = (
-        0.75  # random delay before a broken watch is reopened, spread over all schedulers
-    )
+    reopen_within_s: float = 0.75  # longest random delay before a broken watch is reopened, by any scheduler
     retry_within_s: float = 0.0  # a failed call is retried within this; 0: when the core asks for it
 
     @classmethod
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -209,7 +209,7 @@
         """Returns the next message; None if the connection ended first.
 
         A message must be complete timeout_s after its first byte; on a fresh connection the time starts at
-        once. Raises HttpError and StreamClosedError.
+        once. Raises HttpError.
         """
         try:
             while True:
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -48,7 +48,7 @@
     stream: GuardedStream
     idle_s = 0.0  # idle time before the present use; 0: new connection
     is_shut_down = False  # the write side is closed
-    is_garbled = False  # aborted here in the middle of a response
+    is_garbled = False  # its response was malformed or cut off here
 
     def shut_down_writing(self) -> None:
         """Closes the write side (FIN); what the peer still sends can be read."""
