Reword the docstrings of the simulation's clients, network, queue and accounting

Cause: the docstrings still spoke the terms from before the renaming. Change: docstrings and comments only, in the terms of docs/glossary.md.

--- a/spanwing/simulation/clients.py
+++ b/spanwing/simulation/clients.py
@@ -1,8 +1,8 @@
-"""Clients: what they ask for, when, how long they wait, and what they do when turned away.
+"""Models clients: what they request, when, how long they wait, and how they react to a rejection.
 
-Guarantees: pure; arrivals are a Poisson process whose rate follows the day's shape (thinning, Lewis and
-Shedler 1979) and never wait for an answer, so a slow scheduler slows no load down; the work of the nth
-request is the same whatever happens to the others, as each property has a stream of its own.
+Pure. Arrivals are a Poisson process whose rate follows the shape of the day (thinning, Lewis and Shedler
+1979). They never wait for an answer, so a slow scheduler does not reduce the load. Each property has its
+own random stream, so the work of the nth request does not depend on what happens to the others.
 """
 
 from __future__ import annotations
@@ -15,11 +15,11 @@
 from spanwing.simulation.random_streams import RandomStreams
 
 BackoffKind = Literal["none", "at once", "fixed", "exponential"]
-DRAWS_PER_BATCH = 1024  # values drawn together
+DRAWS_PER_BATCH = 1024  # values drawn at once
 
 
 class ClassSpec(NamedTuple):
-    """One class of requests; times in ms."""
+    """Describes one class of requests; times in ms."""
 
     name: str
     share: float
@@ -28,22 +28,23 @@
     work_cv: float = 1.0
     latency_objective_ms: float = 300.0
     deadline_ms: float = 5000.0
-    objective_stretch: float = 0.0  # the aim grows by this multiple of the job's own running time
+    objective_stretch: float = 0.0  # the latency objective grows by this multiple of the work
     priority_weight: float = 1.0
-    late_weight: float = 0.0  # of its worth, after the aim
+    late_weight: float = 0.0  # part of the weight earned after the latency objective
     idempotency: Literal["safe", "keyed", "unsafe"] = "safe"
     priority: int = 0
     worker_kind: str | None = None
     deduplication_window_ms: float = 0.0
-    slot_shares: tuple[float, ...] = (1.0,)  # shares of jobs that take 1, 2, 4, 8 slots
+    slot_shares: tuple[float, ...] = (1.0,)  # shares of requests that take 1, 2, 4, 8 slots
     memory: float = 0.0
 
     def mean_slots(self) -> float:
+        """Returns the mean number of slots of a request of this class."""
         return sum(share * 2**power for power, share in enumerate(self.slot_shares)) / sum(self.slot_shares)
 
 
 class TenantSpec(NamedTuple):
-    """One brand (tenant): its share of the load, and the rate that its allowance permits."""
+    """One tenant: its share of the load, and its quota in requests a second."""
 
     name: str
     share: float
@@ -51,34 +52,37 @@
 
 
 class RetrySpec(NamedTuple):
-    """What a client does with a refusal."""
+    """Describes how clients react to a rejection."""
 
     max_retries: int = 0
     backoff: BackoffKind = "none"
     base_backoff_ms: float = 30.0
-    retry_after_honour_share: float = 0.6  # of the clients heed a Retry-After
+    retry_after_honour_share: float = 0.6  # of the clients honour a Retry-After
     has_jitter: bool = True
 
     def next_delay_ms(
         self, attempt_count: int, retry_after_ms: float, honours_retry_after: bool, jitter_draw: float
     ) -> float | None:
-        """ms until the next try after so many; None: no more. told: of Retry-After, draw: in [0, 1)."""
+        """Returns the ms until the next retry after `attempt_count` attempts, or None if there is no more.
+
+        `retry_after_ms` is the delay that the rejection named; `jitter_draw` is uniform in [0, 1).
+        """
         if attempt_count > self.max_retries or self.backoff == "none":
             return None
         exponential_ms = self.base_backoff_ms * 2.0 ** (attempt_count - 1)
         delay_ms = {"at once": 0.0, "fixed": self.base_backoff_ms, "exponential": exponential_ms}[
             self.backoff
         ]
-        if self.has_jitter:  # full jitter, so that those who were refused together do not come back together
+        if self.has_jitter:  # full jitter: clients rejected together do not retry together
             delay_ms *= jitter_draw if self.backoff == "exponential" else 0.5 + jitter_draw
         return max(delay_ms, retry_after_ms) if honours_retry_after else delay_ms
 
 
 class LoadSpec(NamedTuple):
-    """How much comes."""
+    """Describes how many requests arrive, and how they are distributed."""
 
     rate: float  # requests a second, on average
-    swing: float = 0.0  # the rate moves by this part of it, once up and down over the day
+    swing: float = 0.0  # relative amplitude of the rate's one cycle over the day
     day_ms: float = 60_000.0
     key_count: int = 1000
     zipf_exponent: float = 1.1  # of the keys' popularity
@@ -86,11 +90,11 @@
     attempt_work_cv: float = 0.0  # coefficient of variation of the work from attempt to attempt
     client_zone_shares: tuple[
         tuple[str, float], ...
-    ] = ()  # shares of the clients by zone; none: they are of no zone
+    ] = ()  # shares of the clients by zone; empty: clients have no zone
 
 
 class GeneratedRequest(NamedTuple):
-    """One request as its client makes it."""
+    """One request as its client makes it; times in ms."""
 
     id: str
     arrives_at_ms: float
@@ -99,13 +103,13 @@
     sticky_key: str
     work_ms: float
     patience_ms: float  # ms until the client leaves
-    retry_after_draw: float  # a draw in [0, 1): below `honour` it heeds a Retry-After
+    retry_after_draw: float  # in [0, 1); below retry_after_honour_share: honours Retry-After
     slots: int = 1
     zone: str = ""
 
 
 class BufferedDraws:
-    """Values of one stream, drawn together and handed out one by one."""
+    """Draws values of one stream in batches and returns them one by one."""
 
     def __init__(self, draw_batch, batch_size: int = DRAWS_PER_BATCH) -> None:
         self.draw_batch, self.batch_size, self.remaining = draw_batch, batch_size, []
@@ -117,7 +121,7 @@
 
 
 class ClientModel:
-    """Makes requests one after another."""
+    """Generates requests in order of arrival."""
 
     def __init__(
         self,
@@ -128,7 +132,7 @@
     ) -> None:
         assert load.rate > 0 and 0 <= load.swing < 1 and classes and tenants
         self.load_spec, self.classes, self.tenants, self.request_count = load, classes, tenants, 0
-        self.load_factor_by_tenant: dict[str, float] = {}  # brand -> how many times its own load it sends now
+        self.load_factor_by_tenant: dict[str, float] = {}  # tenant -> current multiple of its load
         self.last_arrival_ms = 0.0
         uniform_draws = {
             name: BufferedDraws(streams.stream("clients", name).random)
@@ -152,7 +156,7 @@
         )
 
     def rate_at(self, time_ms: float) -> float:
-        """Requests a second at this time of the day."""
+        """Returns the arrival rate at this time of the day, in requests a second."""
         shape = 1.0 + self.load_spec.swing * math.sin(2 * math.pi * (time_ms / self.load_spec.day_ms - 0.25))
         return self.load_spec.rate * shape * self._tenant_weights()[1]
 
@@ -161,7 +165,7 @@
         return weights, sum(weights) / sum(each.share for each in self.tenants)
 
     def next_request(self) -> GeneratedRequest:
-        """The next request; its time is never before the last one's."""
+        """Returns the next request; it never arrives before the previous one."""
         max_rate = self.load_spec.rate * (1.0 + self.load_spec.swing) * self._tenant_weights()[1]
         while True:
             self.last_arrival_ms += self.draw_gap() * 1000.0 / max_rate
@@ -205,7 +209,7 @@
 
 
 def _index_of_draw(shares: tuple[float, ...], draw: float) -> int:
-    """Which of these shares a draw in [0, 1) falls on."""
+    """Returns the index of the share that a draw in [0, 1) falls on."""
     draw *= sum(shares)
     for index, share in enumerate(shares):
         draw -= share
@@ -215,12 +219,12 @@
 
 
 def _work_distribution(class_spec: ClassSpec, stream: np.random.Generator):
-    """Draws of the work of one class, of its mean and coefficient of variation."""
+    """Returns a function that draws work of a class, with its mean and coefficient of variation."""
     if class_spec.distribution == "fixed" or class_spec.work_cv == 0:
         return lambda count: np.full(count, class_spec.mean_work_ms)
     if class_spec.distribution == "lognormal":
         sigma = math.sqrt(math.log1p(class_spec.work_cv**2))
         return lambda count: class_spec.mean_work_ms * stream.lognormal(-sigma * sigma / 2, sigma, count)
-    # An exponential one of another spread than its mean is a gamma.
+    # A gamma distribution generalises the exponential to other coefficients of variation.
     shape = 1.0 / class_spec.work_cv**2
     return lambda count: stream.gamma(shape, class_spec.mean_work_ms / shape, count)
--- a/spanwing/simulation/event_queue.py
+++ b/spanwing/simulation/event_queue.py
@@ -1,8 +1,8 @@
-"""What is due in simulated time.
+"""Event queue of simulated time.
 
-Guarantees: calls are made in order of their time, and at the same time in the order in which they were
-entered; time never steps back; a call that was struck out is not made. Bounded by MOST entries: a world that
-enters more than it works off is at fault, and says so.
+Calls are made in order of their time, and at the same time in the order in which they were scheduled. Time
+never steps back, and a cancelled call is not made. Bounded by MAX_SCHEDULED_CALLS pending entries: a
+simulation that schedules more than it executes fails with AssertionError.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 
 class ScheduledCall:
-    """One call that is due; strike() takes it back."""
+    """One call that is due; cancel() withdraws it."""
 
     __slots__ = ("callback", "arguments", "sequence", "due_at_ms")
 
@@ -30,6 +30,7 @@
         )
 
     def cancel(self) -> None:
+        """Withdraws the call; it stays in the queue and is skipped when due."""
         self.callback = None
 
     def __lt__(self, other: ScheduledCall) -> bool:
@@ -37,17 +38,20 @@
 
 
 class EventQueue:
-    """Time and what is due."""
+    """Holds the current simulated time and the calls that are due."""
 
     def __init__(self) -> None:
-        self.now_ms = 0.0  # ms
+        self.now_ms = 0.0
         self.scheduled_count = self.executed_count = 0
         self.pending: list[ScheduledCall] = []
 
     def schedule_at(
         self, due_at_ms: float, callback: Callable[..., object], *arguments: Any
     ) -> ScheduledCall:
-        """Call at this time, at once where it is past."""
+        """Schedules a call at this time (ms), or now if that time is past.
+
+        Raises AssertionError if the time is NaN or the queue is full.
+        """
         assert due_at_ms == due_at_ms and len(self.pending) < MAX_SCHEDULED_CALLS, (
             due_at_ms,
             len(self.pending),
@@ -60,10 +64,11 @@
     def schedule_after(
         self, delay_ms: float, callback: Callable[..., object], *arguments: Any
     ) -> ScheduledCall:
+        """Schedules a call after this delay, in ms."""
         return self.schedule_at(self.now_ms + delay_ms, callback, *arguments)
 
     def run_until(self, end_ms: float) -> None:
-        """Make all calls up to this time; now is that time afterwards."""
+        """Makes all calls that are due up to this time (ms), then sets the time to it."""
         while self.pending and self.pending[0].due_at_ms <= end_ms:
             scheduled = heapq.heappop(self.pending)
             if scheduled.callback is None:
--- a/spanwing/simulation/network.py
+++ b/spanwing/simulation/network.py
@@ -1,7 +1,7 @@
-"""The network between sites: how long a message takes, and whether it arrives.
+"""Models the network between sites: how long a message takes, and whether it arrives.
 
-Guarantees: pure; each pair of places has one figure drawn once from the seed, and each message its own jitter
-around it; messages between two sites that a partition separates do not arrive, in either direction.
+Pure. The base delay of each pair of zones is drawn once from the seed, and each message has its own jitter
+around it. Messages between two zones that a partition separates are lost, in both directions.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 
 class NetworkDelays(NamedTuple):
-    """One way, in ms: least and most of the pair's own figure, and the jitter's coefficient of variation."""
+    """One-way delays in ms: bounds of each pair's base delay, and the jitter's coefficient of variation."""
 
     same: tuple[float, float] = (0.1, 0.34)
     cross: tuple[float, float] = (0.48, 0.9)
@@ -23,7 +23,7 @@
 
 
 class NetworkModel:
-    """Places are named by their zone; the clients' side is the zone "" of its own."""
+    """Computes message delays between zones; the clients' side is the zone ""."""
 
     def __init__(self, delays: NetworkDelays, streams: RandomStreams) -> None:
         self.delays, self.streams = delays, streams
@@ -33,7 +33,7 @@
         self.buffered_jitter: list[float] = []
 
     def base_delay_ms(self, zone: str, other_zone: str) -> float:
-        """The pair's own figure, in ms."""
+        """Returns the base delay of a pair of zones, in ms."""
         pair = (min(zone, other_zone), max(zone, other_zone))
         if pair not in self.base_delays_ms:
             kind = "client" if "" in pair else "same" if zone == other_zone else "cross"
@@ -42,13 +42,16 @@
         return self.base_delays_ms[pair]
 
     def message_delay_ms(self, zone: str, other_zone: str) -> float | None:
-        """How long one message takes, in ms; None: it does not arrive."""
+        """Returns the one-way delay of one message, in ms, or None if it is lost."""
         if self.partitioned_pairs and frozenset((zone, other_zone)) in self.partitioned_pairs:
             return None
         return self.base_delay_ms(zone, other_zone) * self._jitter_factor()
 
     def _jitter_factor(self) -> float:
-        """Lognormal of mean 1; drawn by the thousand, as one by one costs more than all the rest."""
+        """Returns a lognormal factor of mean 1.
+
+        Drawn 1000 at a time, as single draws would cost more than the rest of the simulation.
+        """
         if self.delays.jitter_cv <= 0:
             return 1.0
         if not self.buffered_jitter:
@@ -57,7 +60,9 @@
         return self.buffered_jitter.pop()
 
     def partition(self, zone: str, other_zone: str) -> None:
+        """Loses all messages between the two zones from now on."""
         self.partitioned_pairs.add(frozenset((zone, other_zone)))
 
     def heal_partition(self, zone: str, other_zone: str) -> None:
+        """Ends the partition between the two zones."""
         self.partitioned_pairs.discard(frozenset((zone, other_zone)))
--- a/spanwing/simulation/random_streams.py
+++ b/spanwing/simulation/random_streams.py
@@ -1,7 +1,7 @@
-"""Randomness by name: each user of it has a stream of its own: one more draw here moves nothing there.
+"""Random number streams by name: one more draw from one stream does not move any other.
 
-Guarantees: the same seed and name give the same numbers, in whatever order and process streams are asked for;
-streams of different names are independent (numpy's SeedSequence, after M. E. O'Neill's seed_seq).
+The same seed and name give the same numbers, in whatever order and process the streams are created. Streams
+of different names are independent (numpy's SeedSequence, after M. E. O'Neill's seed_seq).
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 
 class RandomStreams:
-    """All streams of one seed."""
+    """Holds all streams of one seed."""
 
     def __init__(self, seed: int) -> None:
         assert seed >= 0
@@ -20,7 +20,7 @@
         self.generators: dict[tuple[str, ...], np.random.Generator] = {}
 
     def stream(self, *name: object) -> np.random.Generator:
-        """The stream of this name, from its beginning at the first call."""
+        """Returns the stream of this name; the first call creates it at its beginning."""
         key = tuple(str(each) for each in name)
         if key not in self.generators:
             digest = hashlib.blake2b("\0".join(key).encode(), digest_size=16).digest()
--- a/spanwing/simulation/request_accounting.py
+++ b/spanwing/simulation/request_accounting.py
@@ -1,9 +1,9 @@
-"""Where every request is, and where all work went.
+"""Accounts for every request and for all work of a simulation.
 
-Guarantees: a request is in exactly one place at any time, and moves only along MOVES; check() holds that as
-many are in all places together as were made. The work that was asked for is done, wasted, under way,
-withdrawn or still to do, and the first three are what workers were busy with, which work() holds to within a
-thousandth of a ms for each attempt.
+A request is in exactly one stage at any time and moves only along STAGE_TRANSITIONS; check_requests()
+checks that the stages together hold as many requests as were made. Requested work is done, wasted, under
+way, withdrawn or remaining. The first three add up to what workers processed, which check_work() checks to
+within a thousandth of a ms for each attempt.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from typing import Literal, NamedTuple
 
 RequestStage = Literal["client", "on its way", "scheduler", "answer on its way", "waits to retry", "over"]
-#: From where a request may go where; a new one is at its client.
+#: By stage: the stages that may follow it. A new request is at its client.
 STAGE_TRANSITIONS: dict[str, frozenset[str]] = {
     "client": frozenset({"on its way", "over"}),
     "on its way": frozenset({"scheduler", "answer on its way", "over"}),
@@ -30,25 +30,27 @@
     under_way: float
     withdrawn: float
     remaining: float
-    processed: float  # what workers did, from their rates alone
+    processed: float  # by workers, computed from their rates alone
 
 
 class RequestAccounting:
-    """Of one world."""
+    """Counts the requests and the work of one simulation."""
 
     def __init__(self) -> None:
         self.stage_by_request: dict[str, str] = {}  # of requests that are not over
         self.count_by_stage: Counter[str] = Counter()
         self.request_count = 0
-        self.requested_work = 0.0  # of all attempts that workers took
+        self.requested_work = 0.0  # of all attempts that workers accepted, in ms at speed 1
 
     def add_request(self, request_id: str) -> None:
+        """Adds a new request, at its client."""
         assert request_id not in self.stage_by_request, request_id
         self.stage_by_request[request_id] = "client"
         self.count_by_stage["client"] += 1
         self.request_count += 1
 
     def set_stage(self, request_id: str, stage: RequestStage) -> None:
+        """Moves a request to a stage. Raises AssertionError for a transition that is not allowed."""
         previous_stage = self.stage_by_request[request_id]
         assert stage in STAGE_TRANSITIONS[previous_stage], (request_id, previous_stage, stage)
         self.count_by_stage[previous_stage] -= 1
@@ -59,10 +61,11 @@
             self.stage_by_request[request_id] = stage
 
     def stage_of(self, request_id: str) -> str:
+        """Returns the stage of a request; "over" also for one that is unknown."""
         return self.stage_by_request.get(request_id, "over")
 
     def check_requests(self) -> None:
-        """Raises AssertionError if a request is nowhere or in two places."""
+        """Raises AssertionError if a request is in no stage or in two."""
         assert sum(self.count_by_stage.values()) == self.request_count, (
             dict(self.count_by_stage),
             self.request_count,
@@ -71,7 +74,7 @@
         assert min(self.count_by_stage.values(), default=0) >= 0, dict(self.count_by_stage)
 
     def check_work(self, totals: WorkTotals, attempt_count: int) -> None:
-        """Raises AssertionError if work was lost or made."""
+        """Raises AssertionError if work was lost or created."""
         tolerance = 1e-3 * max(1, attempt_count)
         processed = totals.done + totals.wasted + totals.under_way
         assert abs(processed - totals.processed) <= tolerance, totals
