Reword the docstrings of the simulated fleet, its schedulers and faults

Cause: the docstrings still spoke the terms from before the renaming. Change: docstrings and comments only, in the terms of docs/glossary.md. Measured: syntax trees without docstrings are the same as before.

--- a/spanwing/simulation/fault_injection.py
+++ b/spanwing/simulation/fault_injection.py
@@ -1,8 +1,8 @@
-"""Troubles: what goes wrong in a world, when, and for how long.
+"""Injects faults into a simulated fleet: what goes wrong, when, and for how long.
 
-Guarantees: pure; each is two calls on the fleet, one when it begins and one when it ends, so any may
-overlap; those of one kind on one worker count as one until the last has ended. Which workers are struck is
-drawn from a stream of the trouble's own place in the list.
+Pure. Each fault is two calls on the fleet, one at its begin and one at its end, so faults may overlap.
+Faults of one kind on one worker count as one until the last of them has ended. The affected workers are
+drawn from a random stream named by the fault's place in the list.
 """
 
 from __future__ import annotations
@@ -37,15 +37,15 @@
 
 
 class FaultSpec(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """As a scenario has it; times in seconds from the day's begin."""
+    """One fault of a scenario; times in seconds from the begin of the day."""
 
     what: FaultKind
     at: float
-    lasts: float = 0.0  # 0: to the end of the day
+    lasts: float = 0.0  # s; 0: until the end of the day
     share: float = 0.0  # of the workers, or of one scheduler's CPU, or of the requests
-    times: float = 0.0  # by which load or work grows, or what is left of a speed
+    times: float = 0.0  # multiple of the load or work, or the part of the speed that remains
     brand: str = ""
-    kind: str = ""  # of worker: others are left alone
+    kind: str = ""  # of worker; empty: all kinds
     between: tuple[str, str] = ("", "")  # two zones
     scheduler: str = ""
     zone: str = ""
@@ -53,7 +53,7 @@
     def find_errors(
         self, zones: set[str], tenants: set[str], kinds: set[str], schedulers: set[str], day_s: float
     ) -> list[tuple[str, str]]:
-        """What is not possible: field and fault."""
+        """Returns what is not possible, as pairs of field and error."""
         errors = []
         if not 0 <= self.at < day_s:
             errors.append(("at", f"{self.at:g} is not within the day, 0 to {day_s:g}"))
@@ -81,7 +81,7 @@
 
 
 ANY = (0.0, math.inf)
-#: By trouble: the figures that it needs, with their bounds.
+#: By fault: the figures that it needs, with their bounds.
 REQUIRED_FIGURES: dict[str, dict[str, tuple[float, float]]] = {
     "silent": {"share": (0.001, 1.0)},
     "fast_failing": {"share": (0.001, 1.0)},
@@ -102,11 +102,11 @@
 DEPLOY_DRAIN_MS, DEPLOY_DOWN_MS = (
     2000.0,
     1000.0,
-)  # of a worker in a deploy: it drains so long, then is away so long
+)  # how long a worker drains in a deploy, then how long it is down
 
 
 class FaultInjector:
-    """Enters a list of troubles into a fleet's agenda."""
+    """Schedules a list of faults in a fleet's event queue."""
 
     def __init__(self, simulation: FleetSimulation, faults: tuple[FaultSpec, ...], day_ms: float) -> None:
         self.simulation, self.active_count = simulation, Counter[tuple[str, int]]()
@@ -119,7 +119,7 @@
                 simulation.event_queue.schedule_at(end_ms, stop)
 
     def _select_workers(self, fault: FaultSpec, fault_index: int) -> list[WorkerHost]:
-        """The workers that it strikes, one at least."""
+        """Returns the workers that the fault affects, at least one."""
         eligible = [
             each
             for each in self.simulation.worker_hosts.values()
@@ -132,7 +132,10 @@
     def _apply_to_workers(
         self, fault_kind: str, hosts: list[WorkerHost], change_worker: Callable[[WorkerHost, bool], None]
     ):
-        """Calls that begin and end something on each; it ends with the last of its kind."""
+        """Returns the calls that begin and end a change of each worker.
+
+        The change of a worker ends with the last fault of its kind.
+        """
 
         def begin() -> None:
             for place in hosts:
@@ -151,7 +154,7 @@
     def _change_worker(
         self, host: WorkerHost, change_worker: Callable[[WorkerHost, bool], None], is_active: bool
     ) -> None:
-        self.simulation.advance_worker(host)  # what it did until now was done as it was until now
+        self.simulation.advance_worker(host)  # work up to now was done in the former condition
         change_worker(host, is_active)
         self.simulation.advance_worker(host)
 
@@ -219,7 +222,7 @@
         return lambda: setattr(simulation, "discovery_up", False), simulation.restore_discovery
 
     def _schedulers_killed(self, fault: FaultSpec, fault_index: int, *_: float):
-        """All at once; they are back, one after another within a second, when it ends."""
+        """Stops a share of the schedulers at once; at the end they restart one after another within 1 s."""
         simulation, stream = self.simulation, self.simulation.streams.stream("trouble", fault_index)
         names = [each.name for each in simulation.schedulers]
         count = max(1, round(fault.share * len(names)))
@@ -227,7 +230,7 @@
         return self._stop_schedulers(lambda each: each.name in chosen)
 
     def _stop_schedulers(self, is_affected: Callable[[SimulatedScheduler], bool]):
-        """Calls that stop the schedulers that are struck, and start them within a second."""
+        """Returns the calls that stop the affected schedulers, and restart them within 1 s."""
         simulation, stopped = self.simulation, list[str]()
 
         def begin() -> None:
@@ -244,7 +247,7 @@
         return begin, end
 
     def _zone_lost(self, fault: FaultSpec, *_: float):
-        """Its schedulers and workers are gone without a word; all come back, the workers cold."""
+        """Stops the zone's schedulers and workers without notice; all return, the workers warming up."""
         simulation = self.simulation
         stop_schedulers, restart_schedulers = self._stop_schedulers(lambda each: each.zone == fault.zone)
         hosts = [each for each in simulation.worker_hosts.values() if each.worker.spec.zone == fault.zone]
@@ -262,7 +265,7 @@
         return begin, end
 
     def _join(self, fault: FaultSpec, fault_index: int, begin_ms: float, end_ms: float):
-        """Others start beside them, cold, evenly over the time; each drains when its successor is up."""
+        """Starts replacements that warm up, evenly over the time; each worker then drains and stops."""
         hosts = self._select_workers(fault, fault_index)
 
         def start() -> None:
@@ -294,7 +297,10 @@
         return begin, end
 
     def _deploy(self, fault: FaultSpec, fault_index: int, begin_ms: float, end_ms: float):
-        """One after another drains, is away and starts cold, evenly over the time."""
+        """Drains, stops and restarts the workers one after another, evenly over the time.
+
+        Each worker is warming up after its restart.
+        """
         hosts = self._select_workers(fault, fault_index)
         interval_ms = max(0.0, end_ms - begin_ms - DEPLOY_DRAIN_MS - DEPLOY_DOWN_MS) / max(1, len(hosts))
 
--- a/spanwing/simulation/fleet.py
+++ b/spanwing/simulation/fleet.py
@@ -1,8 +1,8 @@
-"""A whole fleet in simulated time: clients, a plain layer ahead, schedulers, the network and job workers.
+"""Simulates a complete fleet: clients, a plain load balancer ahead, schedulers, the network and workers.
 
-Guarantees: the same Plan and seed give the same world, event for event; at the end of run() every request
-is in one place and all work is accounted for (account.py). Nothing is asked of the wall clock but the cost of
-the decision path, which changes nothing.
+The same FleetPlan and seed give the same run, event for event. At the end of run() every request is in one
+stage and all work is accounted for (request_accounting.py). The wall clock only measures the cost of the
+decision path, which does not affect the run.
 """
 
 from __future__ import annotations
@@ -28,19 +28,19 @@
 from spanwing.simulation.scheduler import SimulatedScheduler
 from spanwing.simulation.worker import JobBegan, SimulatedWorker, WorkerJob, WorkerJobEvent, WorkerSpec
 
-CONNECT_TIMEOUT_MS = 250.0  # until a place that does not answer counts as unreachable
-ACCEPT_TIMEOUT_MS = 2500.0  # until a worker that says neither yes nor no is given up
+CONNECT_TIMEOUT_MS = 250.0  # until a host that does not answer counts as unreachable
+ACCEPT_TIMEOUT_MS = 2500.0  # until an attempt neither accepted nor rejected times out
 RESULT_OF_JOB: dict[str, api.Result] = {
     "ok": "ok",
     "error": "error",
     "full": "full",
     "cancelled": "cancelled",
     "expired": "full",
-}  # one that only waited never ran
+}  # an expired job was only queued and never ran
 
 
 class FleetPlan(NamedTuple):
-    """Everything that a world is made of."""
+    """Describes everything that a simulated fleet is made of."""
 
     workers: tuple[WorkerSpec, ...]
     schedulers: tuple[tuple[str, str], ...]  # name and zone
@@ -49,33 +49,33 @@
     tenants: tuple[TenantSpec, ...] = (TenantSpec("one", 1.0),)
     retries: RetrySpec = RetrySpec()
     network_delays: NetworkDelays = NetworkDelays()
-    settings_for: Callable[[int, str], api.Settings] | None = None  # of the nth scheduler, in its zone
-    discovery_lag_ms: tuple[float, float] = (20.0, 120.0)  # until a scheduler hears of a change
-    decision_ms: float = 0.0  # of a scheduler's CPU for each thing that it hears
-    scheduler_loss_notice_ms: float = 1000.0  # until the layer ahead notices that a scheduler is gone
-    load_report_interval_ms: float = 25.0  # how old a load report may be
+    settings_for: Callable[[int, str], api.Settings] | None = None  # by index and zone of a scheduler
+    discovery_lag_ms: tuple[float, float] = (20.0, 120.0)  # until a scheduler learns of a change
+    decision_ms: float = 0.0  # a scheduler's CPU time for each message that it receives
+    scheduler_loss_notice_ms: float = 1000.0  # until the load balancer notices that a scheduler is gone
+    load_report_interval_ms: float = 25.0  # maximum age of a load report
 
 
-#: The digest of a world's answers is made with these names, so that it compares over all revisions.
+#: Field names in the digest of a run's answers; fixed, so that digests compare over all revisions.
 DIGEST_FIELDS = ("at", "cls", "brand", "kind", "took", "tries", "attempts", "running")
 
 
 class AnsweredRequest(NamedTuple):
-    """How one request went."""
+    """How one request ended."""
 
     asked_at_ms: float
     class_name: str
     tenant: str
     outcome: str  # served, refused, failed, left, lost
-    elapsed_ms: float  # ms from the client's first try to its last answer
+    elapsed_ms: float  # from the client's first submission to its last answer
     submission_count: int
     attempt_count: int
-    work_ms: float  # ms at speed 1: the aim of some classes grows with it
+    work_ms: float  # ms at speed 1; the latency objective of some classes grows with it
 
 
 @dataclass
 class ClientRequestState:
-    """A client's request and its present try."""
+    """A client's request and its current submission."""
 
     generated: GeneratedRequest
     submission_count: int = 0
@@ -86,23 +86,24 @@
 
 @dataclass
 class WorkerHost:
-    """A worker with its wake-up."""
+    """A worker with its next scheduled event and its open attempts."""
 
     worker: SimulatedWorker
     worker_id: int
     wake_up: ScheduledCall | None = None
     phase: api.State = "healthy"
     attempts_by_key: dict[str, tuple[SimulatedScheduler, str, int]] = field(default_factory=dict)
-    last_load_report: dict[str, float] = field(default_factory=dict)  # its last report
-    load_reported_at_ms: float = -1e12  # and when it was made
+    last_load_report: dict[str, float] = field(default_factory=dict)
+    load_reported_at_ms: float = -1e12
 
 
 def worker_id_of(name: str) -> int:
+    """Returns a worker's id: a 48-bit digest of its name."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
 class FleetSimulation:
-    """One world, from its making to the end of its day."""
+    """One simulated fleet, from its start to the end of its day."""
 
     def __init__(
         self, plan: FleetPlan, seed: int, on_answered: Callable[[AnsweredRequest], None] | None = None
@@ -124,17 +125,17 @@
             )
             for place, (name, zone) in enumerate(plan.schedulers)
         ]
-        self.schedulers_believed_up = list(self.schedulers)  # by the layer ahead
+        self.schedulers_believed_up = list(self.schedulers)  # by the load balancer
         self.client_requests: dict[str, ClientRequestState] = {}
-        self.request_of_submission: dict[str, str] = {}  # of a try: its request
+        self.request_of_submission: dict[str, str] = {}  # by submission id
         self.scheduler_choice_stream = self.streams.stream("front")
         self.work_noise_stream = self.streams.stream("workers", "noise")
         self.discovery_lag_stream = self.streams.stream("discovery")
         self.heavy_tail_stream = self.streams.stream("workers", "tail")
-        self.tail = (0.0, 1.0)  # share of attempts that take so many times their work
+        self.tail = (0.0, 1.0)  # share of attempts, and the multiple of their work
         self.discovery_up, self.unannounced_workers = True, set[int]()
         self.attempt_count = 0
-        self.digest = hashlib.blake2b(digest_size=16)  # of everything that happened
+        self.digest = hashlib.blake2b(digest_size=16)  # of all answers
         for node in self.schedulers:
             node.receive_event(
                 api.WorkerList(
@@ -143,7 +144,7 @@
             )
 
     def _default_settings(self, scheduler_index: int, zone: str) -> api.Settings:
-        """Those of a plain deployment with the plan's classes."""
+        """Returns the settings of a plain deployment with the plan's classes."""
         classes = tuple(
             api.ServiceClass(
                 each.name,
@@ -190,7 +191,10 @@
         )
 
     def run(self, day_end_ms: float) -> None:
-        """The day up to this time, in ms; then whatever is under way ends."""
+        """Runs the day until this time (ms), then until everything in flight has ended.
+
+        Raises AssertionError where requests or work were lost or created.
+        """
         self._schedule_arrival(self.clients.next_request(), day_end_ms)
         self.event_queue.run_until(day_end_ms)
         self.event_queue.run_until(
@@ -199,7 +203,7 @@
         self.check_conservation()
 
     def check_conservation(self) -> None:
-        """Raises AssertionError where something was lost or made."""
+        """Raises AssertionError where requests or work were lost or created."""
         self.accounting.check_requests()
         workers = [place.worker for place in self.worker_hosts.values()]
         self.accounting.check_work(
@@ -214,7 +218,7 @@
         )
 
     def _schedule_arrival(self, generated: GeneratedRequest, day_end_ms: float) -> None:
-        """Enter a request at its time, and the next one after it."""
+        """Schedules a request at its arrival time, unless that is after the end of the day."""
         if generated.arrives_at_ms <= day_end_ms:
             self.event_queue.schedule_at(generated.arrives_at_ms, self._start_request, generated, day_end_ms)
 
@@ -236,7 +240,7 @@
         if not self.schedulers_believed_up:
             self._finish_request(request_id, "lost")
             return
-        # Clients come to the schedulers of their zone, as long as the layer ahead believes one to be up.
+        # Clients use the schedulers of their zone while the load balancer believes one of them to be up.
         candidates = [
             each for each in self.schedulers_believed_up if each.zone == client_request.generated.zone
         ] or self.schedulers_believed_up
@@ -264,7 +268,7 @@
         client_request = self.client_requests.get(request_id)
         if client_request is None or client_request.submission_count != submission_number:
             return
-        if not scheduler.is_up:  # nobody listens: the client is told at once, and tries another
+        if not scheduler.is_up:  # connection refused: the client learns it at once and may retry
             self._handle_rejection(request_id, submission_number, 0.0)
             return
         generated = client_request.generated
@@ -286,7 +290,7 @@
     def send_answer(
         self, scheduler: SimulatedScheduler, request_id: str, outcome: str, retry_after_ms: float
     ) -> None:
-        """The scheduler's answer sets out."""
+        """Sends a scheduler's answer to the client."""
         client_request_id = self.request_of_submission.pop(request_id)
         client_request = self.client_requests.get(client_request_id)
         if client_request is None:
@@ -294,7 +298,7 @@
         self.accounting.set_stage(client_request_id, "answer on its way")
         delay = self.network.message_delay_ms(scheduler.zone, "")
         if delay is None:
-            return  # the client's patience ends it
+            return  # lost; ends when the client's patience is over
         self.event_queue.schedule_after(
             delay,
             self._receive_answer,
@@ -332,7 +336,7 @@
         self.event_queue.schedule_after(delay_ms, self._submit, request_id)
 
     def _client_leaves(self, request_id: str) -> None:
-        """The client's time is over: it leaves, whatever comes afterwards."""
+        """Ends a request whose client's patience is over, whatever happens afterwards."""
         client_request = self.client_requests.get(request_id)
         if client_request is None:
             return
@@ -364,7 +368,7 @@
     def send_attempt(
         self, scheduler: SimulatedScheduler, request_id: str, attempt_number: int, worker_id: int
     ) -> None:
-        """A delivery attempt sets out."""
+        """Sends an attempt to its worker."""
         client_request = self.client_requests.get(self.request_of_submission.get(request_id, ""))
         if client_request is not None:
             client_request.attempt_count += 1
@@ -391,7 +395,7 @@
         attempt_key, worker = f"{scheduler.name} {request_id}#{attempt_number}", host.worker
         if (
             generated is None or (request_id, attempt_number) not in scheduler.open_attempts
-        ):  # given up on its way
+        ):  # cancelled in transit
             self._return_outcome(scheduler, host, request_id, attempt_number, "cancelled")
             return
         if worker.is_down:
@@ -445,7 +449,7 @@
         request_id: str,
         attempt_number: int,
     ) -> None:
-        """It said neither yes nor no."""
+        """Ends an attempt that the worker neither accepted nor rejected."""
         host.attempts_by_key.pop(attempt_key, None)
         scheduler.attempt_ended(request_id, attempt_number, "timeout")
 
@@ -457,7 +461,7 @@
         worker_id: int,
         result: api.Result,
     ) -> None:
-        """The scheduler gives an attempt up: it has ended once the worker was told."""
+        """Cancels an attempt of a scheduler; it ends once the worker has been notified."""
         host = self.worker_hosts.get(worker_id)
         delay = None if host is None else self.network.message_delay_ms(scheduler.zone, host.worker.spec.zone)
         if delay is None or host.worker.is_down or host.worker.silent:
@@ -484,7 +488,7 @@
         self._handle_worker_events(host, host.worker.advance_to(self.event_queue.now_ms))
 
     def _handle_worker_events(self, host: WorkerHost, events: list[WorkerJobEvent]) -> None:
-        """Pass on what a worker said, and see when it is next due."""
+        """Delivers a worker's events to the schedulers, and schedules the worker's next event."""
         worker = host.worker
         for each in events:
             attempt = host.attempts_by_key.get(each.attempt_key)
@@ -522,7 +526,7 @@
             )
 
     def _load_report(self, scheduler: SimulatedScheduler, host: WorkerHost) -> tuple[float, ...]:
-        """What it last took note of: a report is up to so old."""
+        """Returns the worker's last load report, at most `load_report_interval_ms` old."""
         if self.event_queue.now_ms >= host.load_reported_at_ms + self.plan.load_report_interval_ms:
             host.last_load_report, host.load_reported_at_ms = (
                 host.worker.load_report(),
@@ -531,6 +535,7 @@
         return tuple(host.last_load_report.get(name, 0.0) for name in scheduler.settings.report_fields)
 
     def probe_worker(self, scheduler: SimulatedScheduler, worker_id: int) -> None:
+        """Probes a worker; the result arrives after a round trip, or as `unreachable` after 500 ms."""
         host = self.worker_hosts.get(worker_id)
         delay = None if host is None else self.network.message_delay_ms(scheduler.zone, host.worker.spec.zone)
         if delay is None or host.worker.is_down or host.worker.silent:
@@ -545,17 +550,17 @@
             )
 
     def watch_endpoints(self, scheduler: SimulatedScheduler) -> None:
-        """Changes are told as they come."""
+        """Does nothing: every scheduler receives changes as they happen."""
 
     def worker_went_down(self, host: WorkerHost) -> None:
-        """A worker is gone with all that it held: who waits for it sees its connections reset."""
+        """Marks a worker as gone; its open attempts end with their connections reset."""
         for node, request, number in host.attempts_by_key.values():
             self._return_outcome(node, host, request, number, "reset")
         host.attempts_by_key.clear()
         self.set_phase(host, "gone")
 
     def set_phase(self, host: WorkerHost, phase: api.State) -> None:
-        """Discovery has news of a worker; each scheduler hears of it after a while of its own."""
+        """Publishes a worker's new phase; each scheduler learns of it after a discovery lag of its own."""
         host.phase = phase
         if not self.discovery_up:
             self.unannounced_workers.add(host.worker_id)
@@ -569,37 +574,39 @@
             )
 
     def restore_discovery(self) -> None:
-        """It answers again, and tells what has changed meanwhile."""
+        """Restores discovery, and publishes what has changed meanwhile."""
         self.discovery_up = True
         for number in sorted(self.unannounced_workers):
             self.set_phase(self.worker_hosts[number], self.worker_hosts[number].phase)
         self.unannounced_workers.clear()
 
     def advance_worker(self, host: WorkerHost) -> None:
-        """Bring a worker up to the present."""
+        """Advances a worker to the current time."""
         if not host.worker.is_down:
             self._handle_worker_events(host, host.worker.advance_to(self.event_queue.now_ms))
 
     def crash_worker(self, host: WorkerHost) -> None:
-        """A worker ends without a word."""
+        """Stops a worker without notice."""
         self._handle_worker_events(host, host.worker.crash(self.event_queue.now_ms))
 
     def drain_worker(self, host: WorkerHost) -> None:
-        """It takes nothing new, and discovery says so."""
+        """Has a worker take nothing new, and discovery publish that it is draining."""
         if not host.worker.is_down:
             host.worker.is_draining = True
             self.set_phase(host, "draining")
 
     def crash_if_up(self, host: WorkerHost) -> None:
+        """Stops a worker without notice, unless it is down."""
         if not host.worker.is_down:
             self.crash_worker(host)
 
     def start_if_down(self, host: WorkerHost) -> None:
+        """Starts a worker, if it is down."""
         if host.worker.is_down:
             self.start_worker(host)
 
     def start_replacement(self, host: WorkerHost) -> None:
-        """Another worker like this one starts, cold."""
+        """Starts another worker of the same spec, which is warming up."""
         spec = host.worker.spec._replace(name=f"{host.worker.spec.name}+")
         worker_id = worker_id_of(spec.name)
         replacement = self.worker_hosts[worker_id] = WorkerHost(
@@ -609,7 +616,7 @@
         self.set_phase(replacement, "healthy")
 
     def start_worker(self, host: WorkerHost) -> None:
-        """A worker that was gone is back, cold."""
+        """Restarts a worker that was gone; it is warming up."""
         host.worker = SimulatedWorker(
             host.worker.spec,
             self.event_queue.now_ms,
@@ -620,6 +627,7 @@
         self.set_phase(host, "healthy")
 
     def endpoint_of(self, host: WorkerHost) -> api.Worker:
+        """Returns a worker's entry of the endpoint list."""
         spec = host.worker.spec
         return api.Worker(
             host.worker_id,
@@ -632,7 +640,7 @@
         )
 
     def stop_scheduler(self, scheduler: SimulatedScheduler) -> None:
-        """A scheduler ends without a word."""
+        """Stops a scheduler without notice; its unanswered requests are lost."""
         for submission_id in scheduler.stop():
             request_id = self.request_of_submission.pop(submission_id, None)
             if request_id in self.client_requests:
@@ -642,7 +650,7 @@
         )
 
     def start_scheduler(self, name: str) -> None:
-        """A scheduler that was stopped starts from nothing, with the list as it last had it."""
+        """Restarts a stopped scheduler without state but the endpoint list that it had last."""
         index, previous = next(
             (place, each) for place, each in enumerate(self.schedulers) if each.name == name
         )
@@ -662,7 +670,7 @@
         restarted.receive_event(
             api.WorkerList("persisted", tuple(view.entry for view in previous.decision_module.views.values()))
         )
-        # What it has missed comes with its first look at discovery.
+        # What it has missed arrives with its first poll of discovery.
         self.event_queue.schedule_after(
             float(self.discovery_lag_stream.uniform(*self.plan.discovery_lag_ms)) + 500.0,
             self._send_endpoint_list,
--- a/spanwing/simulation/scheduler.py
+++ b/spanwing/simulation/scheduler.py
@@ -1,7 +1,8 @@
-"""One scheduler in simulated time: the decision module, with what the daemon's core does around it.
+"""Simulates one scheduler: the decision module, with what the daemon's core does around it.
 
-Guarantees: each request that is handed in is answered exactly once; each attempt that is sent ends in exactly
-one outcome for the module. It knows no network: what it sends and answers goes out by the calls of its Side.
+Each request that arrives is answered exactly once, unless its client disconnects or the scheduler stops.
+Each attempt that is forwarded ends in exactly one outcome for the decision module. The scheduler knows no
+network: attempts and answers leave by the calls of its SchedulerEnvironment.
 """
 
 from __future__ import annotations
@@ -15,15 +16,16 @@
 from spanwing.choice import Dispatcher
 from spanwing.simulation.event_queue import EventQueue, ScheduledCall
 
-TIMEOUT_MARGIN_MS = 1.0  # as in the core: an attempt's time ends so long before the client's
+TIMEOUT_MARGIN_MS = 1.0  # as in the core: an attempt times out this long before the client's deadline
 
 
 class SchedulerEnvironment(Protocol):
-    """What is around a scheduler."""
+    """What a scheduler calls to reach clients, workers and discovery."""
 
     def send_attempt(
         self, scheduler: SimulatedScheduler, request_id: str, attempt_number: int, worker_id: int
-    ) -> None: ...
+    ) -> None:
+        """Forwards an attempt to a worker."""
 
     def cancel_attempt(
         self,
@@ -32,36 +34,46 @@
         attempt_number: int,
         worker_id: int,
         result: api.Result,
-    ) -> None: ...
+    ) -> None:
+        """Cancels an attempt; it then ends with this result."""
 
     def send_answer(
         self, scheduler: SimulatedScheduler, request_id: str, outcome: str, retry_after_ms: float
-    ) -> None: ...
+    ) -> None:
+        """Sends the final answer of a request to its client."""
 
-    def probe_worker(self, scheduler: SimulatedScheduler, worker_id: int) -> None: ...
+    def probe_worker(self, scheduler: SimulatedScheduler, worker_id: int) -> None:
+        """Probes a worker; the result arrives as an event."""
 
-    def watch_endpoints(self, scheduler: SimulatedScheduler) -> None: ...
+    def watch_endpoints(self, scheduler: SimulatedScheduler) -> None:
+        """Subscribes the scheduler to changes of the endpoint list."""
 
 
 class ZoneRoutingModel(Protocol):
-    """Which workers may be used, where the fleet leaves and returns to zones as one."""
+    """Decides which workers may be used, where schedulers leave and return to zones."""
 
-    def may_forward(self, worker_id: int) -> bool: ...
+    def may_forward(self, worker_id: int) -> bool:
+        """Returns whether an attempt may be forwarded to this worker now."""
 
-    def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList: ...
+    def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList:
+        """Returns the endpoint list as the decision module is to see it."""
 
-    def attempt_sent(self, worker_id: int, attempt: tuple[str, int]) -> None: ...
+    def attempt_sent(self, worker_id: int, attempt: tuple[str, int]) -> None:
+        """Notes that an attempt was forwarded."""
 
-    def attempt_accepted(self, worker_id: int, attempt: tuple[str, int]) -> None: ...
+    def attempt_accepted(self, worker_id: int, attempt: tuple[str, int]) -> None:
+        """Notes that the worker accepted an attempt."""
 
-    def attempt_ended(self, worker_id: int, attempt: tuple[str, int], result: str) -> None: ...
+    def attempt_ended(self, worker_id: int, attempt: tuple[str, int], result: str) -> None:
+        """Notes how an attempt ended."""
 
-    def probe_finished(self, worker_id: int, result: str) -> None: ...
+    def probe_finished(self, worker_id: int, result: str) -> None:
+        """Notes how a probe ended."""
 
 
 @dataclass
 class SimulatedRequest:
-    """A request that owes its answer."""
+    """A request that has not been answered yet."""
 
     deadline_ms: float
     attempt_count: int = 0
@@ -77,7 +89,7 @@
 
 
 class SimulatedScheduler:
-    """A scheduler; up until it is stopped."""
+    """One scheduler; it is up until stop()."""
 
     def __init__(
         self,
@@ -95,13 +107,14 @@
         self.open_attempts: dict[tuple[str, int], SimulatedAttempt] = {}
         self.zone_routing: ZoneRoutingModel | None = None
         self.is_up = True
-        self.stolen = 0.0  # part of its CPU that others take
+        self.stolen = 0.0  # part of its CPU that other processes take
         self.cpu_busy_until_ms = 0.0
-        self.event_count = 0  # events that the module took
+        self.event_count = 0  # events that the decision module handled
         self.probe_count = 0
-        self.decision_time_s = 0.0  # of real time, in the module
+        self.decision_time_s = 0.0  # wall-clock time spent in the decision module
 
     def receive_event(self, event: api.Event) -> None:
+        """Passes an event through the zone routing, if there is any, to the decision module."""
         if self.zone_routing is not None and self.is_up:
             if isinstance(event, api.WorkerList):
                 event = self.zone_routing.filter_workers(event)
@@ -110,7 +123,7 @@
         self.handle_event(event)
 
     def handle_event(self, event: api.Event) -> None:
-        """An event as the module is to have it."""
+        """Passes an event to the decision module and performs its actions."""
         if not self.is_up:
             return
         started_at_s = time.perf_counter()
@@ -123,7 +136,10 @@
     def schedule_work(
         self, delay_ms: float, cpu_ms: float, callback: Callable[..., object], *arguments: Any
     ) -> None:
-        """Have it do what comes after delay and takes cost ms of its CPU, one thing after another."""
+        """Schedules a call that arrives after `delay_ms` and takes `cpu_ms` of this scheduler's CPU.
+
+        The CPU takes one call after another; without CPU cost the call is made after the delay.
+        """
         if cpu_ms <= 0:
             self.event_queue.schedule_after(delay_ms, callback, *arguments)
         else:
@@ -136,13 +152,13 @@
         self.event_queue.schedule_at(self.cpu_busy_until_ms, callback, *arguments)
 
     def request_arrived(self, event: api.Request) -> None:
-        """A client's request has arrived."""
+        """Accepts a client's request."""
         assert event.id not in self.pending_requests
         self.pending_requests[event.id] = SimulatedRequest(event.deadline)
         self.receive_event(event)
 
     def client_disconnected(self, request_id: str) -> None:
-        """Its client is gone; nothing is owed any more."""
+        """Drops a request whose client has left; it needs no answer any more."""
         if self.pending_requests.pop(request_id, None) is not None:
             self.receive_event(api.ClientGone(request_id))
 
@@ -153,7 +169,7 @@
         result: api.Result,
         load_report: tuple[float, ...] | None = None,
     ) -> None:
-        """How an attempt ended; a second word on it changes nothing."""
+        """Ends an attempt with this result; any further result of it is ignored."""
         attempt = self.open_attempts.pop((request_id, attempt_number), None)
         if attempt is None or not self.is_up:
             return
@@ -175,11 +191,13 @@
         )
 
     def attempt_progressed(self, request_id: str, attempt_number: int, has_started: bool = True) -> None:
+        """Notifies the decision module of progress of an attempt, if it is open."""
         attempt = self.open_attempts.get((request_id, attempt_number))
         if attempt is not None:
             self.receive_event(api.Note(request_id, attempt_number, attempt.worker_id, has_started))
 
     def attempt_accepted(self, request_id: str, attempt_number: int) -> None:
+        """Notifies the decision module that the worker accepted an attempt."""
         attempt = self.open_attempts.get((request_id, attempt_number))
         if attempt is not None:
             if self.zone_routing is not None:
@@ -187,7 +205,7 @@
             self.receive_event(api.Accepted(request_id, attempt_number, attempt.worker_id))
 
     def stop(self) -> list[str]:
-        """It is gone at once; the requests that never get their answer."""
+        """Stops at once and returns the requests that never get an answer."""
         self.is_up = False
         for each in self.open_attempts.values():
             each.timeout.cancel()
@@ -214,11 +232,12 @@
                 self.environment.watch_endpoints(self)
 
     def send_probe(self, worker_id: int) -> None:
+        """Probes a worker, and counts the probe."""
         self.probe_count += 1
         self.environment.probe_worker(self, worker_id)
 
     def cancel_if_idempotent(self, request_id: str, attempt_number: int) -> None:
-        """Give up an attempt that may be repeated anywhere, if it is out and its answer is owed."""
+        """Cancels an attempt if it is open, its request is unanswered and its class is `safe`."""
         if request_id in self.pending_requests and (request_id, attempt_number) in self.open_attempts:
             service_class = (
                 self.decision_module.jobs[request_id].cls if request_id in self.decision_module.jobs else None
