Reword the docstrings of the simulated worker and the scenario files

Cause: the docstrings still spoke the terms from before the renaming. Change: docstrings and comments only, in the terms of docs/glossary.md.

--- a/spanwing/simulation/fault_injection.py
+++ b/spanwing/simulation/fault_injection.py
@@ -265,7 +265,10 @@
         return begin, end
 
     def _join(self, fault: FaultSpec, fault_index: int, begin_ms: float, end_ms: float):
-        """Starts replacements that warm up, evenly over the time; each worker then drains and stops."""
+        """Starts replacements, which warm up, one after another, evenly over the time.
+
+        Each worker drains 2 s after its replacement started (DEPLOY_DRAIN_MS), and stops 6 s later.
+        """
         hosts = self._select_workers(fault, fault_index)
 
         def start() -> None:
@@ -299,7 +302,7 @@
     def _deploy(self, fault: FaultSpec, fault_index: int, begin_ms: float, end_ms: float):
         """Drains, stops and restarts the workers one after another, evenly over the time.
 
-        Each worker is warming up after its restart.
+        Each drains for DEPLOY_DRAIN_MS, is down for DEPLOY_DOWN_MS, and warms up after its restart.
         """
         hosts = self._select_workers(fault, fault_index)
         interval_ms = max(0.0, end_ms - begin_ms - DEPLOY_DRAIN_MS - DEPLOY_DOWN_MS) / max(1, len(hosts))
--- a/spanwing/simulation/scenario.py
+++ b/spanwing/simulation/scenario.py
@@ -1,8 +1,8 @@
-"""Scenario files: a world written down in TOML, checked as a whole.
+"""Scenario files: a simulated fleet described in TOML, checked completely.
 
-Guarantees: a file gives a Scenario or every fault in it, each with its place; unknown keys are refused;
-the same Scenario and seed give the same Plan. `times` makes everything that many times as large: workers,
-schedulers and load.
+A file gives a Scenario or every error in it, each with its place; unknown keys are errors. The same
+Scenario and seed give the same FleetPlan. `times` multiplies the size of everything: workers, schedulers
+and load. Bounds: MAX_WORKERS workers and MAX_SCHEDULERS schedulers.
 """
 
 from __future__ import annotations
@@ -36,11 +36,11 @@
 
 
 class ScenarioTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """What all have."""
+    """Base of all tables: immutable, and unknown keys are errors."""
 
 
 class WorkersTable(ScenarioTable):
-    """Some job workers of one kind, spread over the zones."""
+    """Some workers of one kind, spread over the zones."""
 
     kind: ScenarioName
     count: PositiveCount
@@ -61,6 +61,8 @@
 
 
 class ClassTable(ScenarioTable):
+    """One class of requests; times in ms."""
+
     name: ScenarioName
     share: PositiveNumber
     work_ms: PositiveNumber
@@ -75,26 +77,32 @@
     priority: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     worker_kind: str = msgspec.field(default="", name="kind")
     deduplication_window_ms: NonNegativeNumber = msgspec.field(default=0.0, name="window_ms")
-    slots: PositiveCount | list[Fraction] = 1  # of each job, or shares of the jobs that take 1, 2, 4, 8
+    slots: PositiveCount | list[Fraction] = 1  # of each request, or shares of requests that take 1, 2, 4, 8
     memory: NonNegativeNumber = 0.0
 
     def slot_shares(self) -> tuple[float, ...]:
+        """Returns the shares of requests that take 1, 2, 4 and 8 slots, and so on."""
         if isinstance(self.slots, list):
             return tuple(self.slots)
         return (0.0,) * (self.slots.bit_length() - 1) + (1.0,)
 
     def max_slots(self) -> int:
+        """Returns the largest number of slots that a request of this class takes."""
         return max((2**power for power, share in enumerate(self.slot_shares()) if share > 0), default=1)
 
 
 class TenantTable(ScenarioTable):
+    """One tenant: its share of the load and its quota."""
+
     name: ScenarioName
     share: PositiveNumber
     quota: PositiveNumber | None = msgspec.field(default=None, name="allowance")  # requests a second
 
 
 class LoadTable(ScenarioTable):
-    level: Annotated[float, msgspec.Meta(gt=0, le=50)]  # of what the workers can do
+    """How much load arrives, and how it is distributed."""
+
+    level: Annotated[float, msgspec.Meta(gt=0, le=50)]  # of the workers' capacity
     daily_swing: Annotated[float, msgspec.Meta(ge=0, lt=1)] = msgspec.field(default=0.0, name="swing")
     key_count: PositiveCount = msgspec.field(default=1000, name="keys")
     zipf_exponent: Annotated[float, msgspec.Meta(ge=0, le=10)] = msgspec.field(default=1.1, name="zipf")
@@ -104,10 +112,12 @@
     )
     client_zone_shares: list[PositiveNumber] = msgspec.field(
         default=[], name="zones"
-    )  # shares of the clients by zone, in the order of `zones`; none: of no zone
+    )  # shares of the clients by zone, in the order of `zones`; empty: clients have no zone
 
 
 class RetryTable(ScenarioTable):
+    """How clients react to a rejection."""
+
     max_retries: Annotated[int, msgspec.Meta(ge=0, le=100)] = msgspec.field(default=0, name="most")
     backoff: BackoffKind = "none"
     base_backoff_ms: NonNegativeNumber = msgspec.field(default=30.0, name="wait_ms")
@@ -116,6 +126,8 @@
 
 
 class NetworkTable(ScenarioTable):
+    """Delays of the network and of discovery, in ms."""
+
     same_ms: DelayRange = (0.1, 0.34)
     cross_ms: DelayRange = (0.48, 0.9)
     client_ms: DelayRange = (0.23, 1.2)
@@ -125,7 +137,7 @@
 
 
 class Scenario(ScenarioTable, kw_only=True):
-    """The file as it is written."""
+    """A scenario file as it is written."""
 
     name: ScenarioName
     description: str = msgspec.field(default="", name="about")
@@ -136,8 +148,8 @@
     decision_ms: NonNegativeNumber = 0.0
     has_zone_leader: bool = msgspec.field(
         default=False, name="together"
-    )  # the schedulers leave and return to zones as one
-    regions: dict[str, list[ScenarioName]] = {}  # of zones that are left by one decision
+    )  # the schedulers leave and return to zones together
+    regions: dict[str, list[ScenarioName]] = {}  # zones that are left by one decision
     workers: list[WorkersTable]
     classes: list[ClassTable]
     tenants: list[TenantTable] = msgspec.field(default=[], name="brands")
@@ -148,13 +160,15 @@
 
     @property
     def day_ms(self) -> float:
+        """The length of the day in ms."""
         return self.seconds * 1000.0
 
     def scheduler_names_and_zones(self) -> list[tuple[str, str]]:
+        """Returns the name and zone of every scheduler."""
         return [(f"s{n}", self.zones[n % len(self.zones)]) for n in range(self.scheduler_count * self.times)]
 
     def mean_request_rate(self) -> float:
-        """Requests a second on average, from the level and what workers can do when warm."""
+        """Computes the mean rate in requests a second, from the level and the capacity of warm workers."""
         capacity = sum(
             each.count * self.times * min(each.cores, each.slots) * each.speed for each in self.workers
         )
@@ -171,6 +185,7 @@
         return self.load.level * capacity / mean_work_ms * 1000.0
 
     def build_plan(self, seed: int) -> FleetPlan:
+        """Builds the plan of the simulated fleet; worker speeds are drawn from the seed."""
         specs, speed_stream = [], RandomStreams(seed).stream("workers", "speed")
         for table in self.workers:
             for number in range(table.count * self.times):
@@ -247,7 +262,7 @@
         )
 
     def find_errors(self) -> Iterator[tuple[str, str]]:
-        """What is not possible together: place and fault."""
+        """Yields values that are not possible together, as pairs of place and error."""
         for name, values in (
             ("zones", self.zones),
             ("classes", [each.name for each in self.classes]),
@@ -308,14 +323,18 @@
 
 
 def parse_scenario(data: bytes, errors: ErrorCollector) -> Scenario | None:
-    """The scenario in a file; with faults that collect, None where there are any, and all are there."""
+    """Parses a scenario file.
+
+    With a collector that collects errors, all errors are added to it, and the result is None if there are
+    any.
+    """
     try:
         value = tomllib.loads(data.decode())
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         errors.add_error("file", str(error))
         return None
     errors_before = len(errors.errors)
-    # Tables are looked at one by one, so that each fault has its place; then the rest as a whole.
+    # Tables are checked one by one, so that each error has its place; then the file as a whole.
     checked_value = dict(value)
     for name, table_type in LIST_TABLES.items():
         if isinstance(value.get(name), list):
@@ -350,7 +369,7 @@
 
 
 def load_scenario(name: str, errors: ErrorCollector) -> Scenario | None:
-    """From a file, or one of the library by its name."""
+    """Loads a scenario from a file, or by its name from the library; None on errors."""
     path = Path(name)
     if not path.suffix and (SCENARIO_LIBRARY / f"{name}.toml").is_file():
         path = SCENARIO_LIBRARY / f"{name}.toml"
--- a/spanwing/simulation/worker.py
+++ b/spanwing/simulation/worker.py
@@ -1,16 +1,18 @@
-"""A job worker: cores, slots, a queue, memory, a cold start, and what takes it down.
+"""Simulates a worker: cores, slots, a queue, memory, slow start, and overload that stops it.
 
-Guarantees: pure; every job that is offered ends in exactly one Ended, or in none once the worker has fallen
-over (lost() names those); work is conserved: what a job needed was worked on it, or was withdrawn, and what
-was worked on jobs that did not end well is counted as wasted. Bounds: `queue` jobs wait at most, memory is
-never overdrawn.
+Pure. Every job that is submitted ends in exactly one JobEnded, or in none if the worker is silent or goes
+down (lost_attempts() names the jobs it had accepted then). Work is conserved: what a job needed was
+processed or withdrawn, and what was processed for jobs that did not end well counts as wasted. Bounds: a
+new job that cannot start is rejected (`full`) while `queue_length` jobs are queued; memory is never
+overcommitted.
 
-All running jobs go at one rate, so progress is kept as one clock of work done per job (as in the virtual time
-of processor sharing, Kleinrock 1967): a job ends when that clock reaches the mark set at its start.
+All running jobs progress at one rate, so progress is one clock of the work done per job (as the virtual
+time of processor sharing, Kleinrock 1967): a job ends when that clock reaches the value computed at its
+start.
 
-    worker.offer(now, job)      -> what is said at once
-    worker.advance(now)         -> what was said up to now
-    worker.next_due()           -> when there is something to say, if nothing comes before
+    worker.submit_job(now_ms, job)  -> events up to now, and those of the submission
+    worker.advance_to(now_ms)       -> events up to now
+    worker.next_event_ms()          -> when the next event is due, if nothing is submitted before
 """
 
 from __future__ import annotations
@@ -22,50 +24,54 @@
 
 QueueDiscipline = Literal["fifo", "backfill", "priority"]
 JobResult = Literal["ok", "error", "full", "cancelled", "expired"]
-WARM_UP_STEP_MS = 50.0  # a cold worker's capacity grows in steps of this
-TIME_TOLERANCE_MS = 1e-6  # ms: sums of times may miss their mark by less
+WARM_UP_STEP_MS = 50.0  # the capacity of a worker that is warming up grows in such steps
+TIME_TOLERANCE_MS = 1e-6  # rounding errors of summed times are smaller
 
 
 class WorkerSpec(NamedTuple):
-    """What a worker is; times in ms."""
+    """Describes a worker; times in ms."""
 
     name: str
     zone: str = ""
     kind: str = ""
     cell: int = 0
     cores: float = 4.0
-    speed: float = 1.0  # work of one ms at speed 1 takes 1 / speed ms
+    speed: float = 1.0  # 1 ms of work takes 1 / speed ms
     slots: int = 4
-    queue_length: int = 40  # jobs that may wait
+    queue_length: int = 40  # maximum of queued jobs
     memory: float = math.inf
     queue_discipline: QueueDiscipline = "priority"
-    preempts: bool = False  # repeatable work gives its slots to work of a higher priority, and goes on later
-    initial_capacity: float = 1.0  # part of its capacity at a start
+    preempts: bool = False  # repeatable jobs are suspended for jobs of a higher priority
+    initial_capacity: float = 1.0  # part of the capacity at a start
     slow_start_ms: float = 0.0
     overload_multiple: float = math.inf
     overload_window_ms: float = 0.0
 
 
 class WorkerJob(NamedTuple):
-    """One delivery attempt as a worker sees it."""
+    """One attempt as a worker sees it."""
 
-    attempt_key: str  # of the attempt
+    attempt_key: str
     work_ms: float  # ms at speed 1
     slots: int = 1
     memory: float = 0.0
-    priority: int = 0  # the highest goes first
+    priority: int = 0  # the highest runs first
     is_repeatable: bool = True
-    deadline_ms: float = math.inf  # a job still waiting then is dropped
-    idempotency_key: str = ""  # of what has a window: done again within it, it is not worked on again
+    deadline_ms: float = math.inf  # a job still queued then expires
+    idempotency_key: str = ""  # a repeat within the window is not run again
     deduplication_window_ms: float = 0.0
     will_fail: bool = False
 
 
 class JobBegan(NamedTuple):
+    """A job has started to run."""
+
     attempt_key: str
 
 
 class JobEnded(NamedTuple):
+    """A job has ended with this result."""
+
     attempt_key: str
     result: JobResult
 
@@ -75,12 +81,12 @@
 
 @dataclass(eq=False)
 class AcceptedJob:
-    """A job here."""
+    """A job that is queued or running at the worker."""
 
     job: WorkerJob
     arrival_number: int  # order of arrival
-    remaining_work: float  # work still to be done while it does not run
-    ends_at_work: float = 0.0  # of the work clock, while it runs
+    remaining_work: float  # while it does not run
+    ends_at_work: float = 0.0  # value of the work clock, while it runs
     has_begun: bool = False
     is_removed: bool = False
 
@@ -90,36 +96,41 @@
     """Where work went, in ms at speed 1."""
 
     done: float = 0.0
-    wasted: float = 0.0  # on what did not end well
-    withdrawn: float = 0.0  # never worked on, as the job was given up, dropped or lost before
+    wasted: float = 0.0  # on jobs that did not end well
+    withdrawn: float = 0.0  # not processed, as the job was cancelled, expired or lost before
 
 
 @dataclass
 class SimulatedWorker:
-    """One worker from its start on."""
+    """One worker, from its start on."""
 
     spec: WorkerSpec
     started_at_ms: float = 0.0
     now_ms: float = 0.0
-    work_clock: float = 0.0  # work done on each job that ran all the time
-    slowed: float = 1.0  # by a neighbour or stolen CPU: part of the speed that is left
-    silent: bool = False  # takes what comes and says nothing
+    work_clock: float = 0.0  # work done on a job that ran since the start
+    slowed: float = 1.0  # part of the speed left by a neighbour or stolen CPU
+    silent: bool = False  # accepts jobs and sends no events
     fast_failing: bool = False
     is_draining: bool = False
     is_down: bool = False
     work_totals: WorkerWorkTotals = field(default_factory=WorkerWorkTotals)
     accepted_jobs: dict[str, AcceptedJob] = field(default_factory=dict)
-    running_jobs: list[tuple[float, int, AcceptedJob]] = field(default_factory=list)  # heap by mark
-    queued_jobs: list[AcceptedJob] = field(default_factory=list)  # in the order in which they are looked at
-    deduplicated_until: dict[str, float] = field(default_factory=dict)  # effect -> until when
+    running_jobs: list[tuple[float, int, AcceptedJob]] = field(
+        default_factory=list
+    )  # heap by end on the work clock
+    queued_jobs: list[AcceptedJob] = field(default_factory=list)  # in the order in which they are considered
+    deduplicated_until: dict[str, float] = field(default_factory=dict)  # by idempotency key, in ms
     overloaded_since_ms: float | None = None
     arrival_count: int = 0
-    slots_in_use: int = 0  # slots
-    processed_work: float = 0.0  # all work that was done here, from the rate alone
+    slots_in_use: int = 0
+    processed_work: float = 0.0  # all work done here, computed from the rate alone
     memory_in_use: float = 0.0
 
     def capacity_fraction(self) -> float:
-        """The part of its capacity that it has now; it grows in a straight line, in steps."""
+        """Returns the available part of the capacity.
+
+        It grows linearly over `slow_start_ms`, in steps of WARM_UP_STEP_MS.
+        """
         spec = self.spec
         if spec.slow_start_ms <= 0:
             return 1.0
@@ -128,17 +139,17 @@
         return min(1.0, spec.initial_capacity + (1.0 - spec.initial_capacity) * steps / spec.slow_start_ms)
 
     def work_rate(self) -> float:
-        """Work done on each running job in a ms."""
+        """Returns the work done on each running job in one ms."""
         share = min(1.0, self.spec.cores / self.slots_in_use) if self.slots_in_use else 1.0
         return self.spec.speed * self.capacity_fraction() * self.slowed * share
 
     def load_ratio(self) -> float:
-        """Slots asked for, of those that it has capacity for now."""
+        """Returns the slots of all accepted jobs divided by the slots of the current capacity."""
         asked = sum(each.job.slots for each in self.accepted_jobs.values())
         return asked / (self.spec.slots * self.capacity_fraction())
 
     def submit_job(self, now_ms: float, job: WorkerJob) -> list[WorkerJobEvent]:
-        """A delivery attempt arrives."""
+        """Submits an attempt; returns the events up to now and its own."""
         events = self.advance_to(now_ms)
         assert job.attempt_key not in self.accepted_jobs and job.slots >= 1 and job.work_ms >= 0
         if self.is_down:
@@ -152,7 +163,7 @@
                 *events,
                 JobBegan(job.attempt_key),
                 JobEnded(job.attempt_key, "ok"),
-            ]  # its effect stands already
+            ]  # a repeat within its window has no further effect
         if len(self.queued_jobs) >= self.spec.queue_length and not self._fits(job):
             return [*events, JobEnded(job.attempt_key, "full")]
         self.arrival_count += 1
@@ -161,7 +172,7 @@
         return events + self._start_queued_jobs()
 
     def cancel_job(self, now_ms: float, attempt_key: str) -> list[WorkerJobEvent]:
-        """Give an attempt up: what was worked on it is wasted."""
+        """Cancels an attempt; the work already done on it is wasted."""
         events = self.advance_to(now_ms)
         accepted = self.accepted_jobs.get(attempt_key)
         if accepted is None or self.is_down:
@@ -170,7 +181,7 @@
         return [*events, JobEnded(attempt_key, "cancelled"), *self._start_queued_jobs()]
 
     def advance_to(self, now_ms: float) -> list[WorkerJobEvent]:
-        """Let time pass; what was said meanwhile, in order."""
+        """Advances the time and returns the events since then, in order."""
         assert now_ms >= self.now_ms, (now_ms, self.now_ms)
         events: list[WorkerJobEvent] = []
         while (
@@ -185,7 +196,7 @@
         return events
 
     def next_event_ms(self) -> float | None:
-        """When something happens here by itself; None: never."""
+        """Returns when the worker's next own event is due, or None for never."""
         if self.is_down:
             return None
         times = []
@@ -204,17 +215,17 @@
         return max(self.now_ms, min(times)) if times else None
 
     def lost_attempts(self) -> list[str]:
-        """Attempts of which nothing will be heard."""
+        """Returns the attempts that get no further event, as the worker is down."""
         return list(self.accepted_jobs) if self.is_down else []
 
     def crash(self, now_ms: float) -> list[WorkerJobEvent]:
-        """It is gone with all that it held; what was said before is returned."""
+        """Stops the worker with all its jobs; returns the events before that."""
         events = self.advance_to(now_ms)
         self._go_down()
         return events
 
     def remaining_work(self) -> float:
-        """Work that is still to be done on what is here, in ms at speed 1."""
+        """Returns the work still to be done on accepted jobs, in ms at speed 1."""
         return (
             0.0
             if self.is_down
@@ -222,7 +233,7 @@
         )
 
     def unfinished_processed_work(self) -> float:
-        """Work that was done on what is still here."""
+        """Returns the work done on accepted jobs so far, in ms at speed 1."""
         return (
             0.0
             if self.is_down
@@ -230,7 +241,7 @@
         )
 
     def load_report(self) -> dict[str, float]:
-        """What a load report says."""
+        """Returns the fields of a load report."""
         return {
             "inflight": float(len(self.accepted_jobs) - len(self.queued_jobs)),
             "queue": float(len(self.queued_jobs)),
@@ -245,7 +256,7 @@
         self.now_ms = now_ms
 
     def _finish_due_jobs(self) -> list[WorkerJobEvent]:
-        """Whatever is over at this moment."""
+        """Ends the jobs that are finished or expired now; returns the events."""
         events: list[WorkerJobEvent] = []
         while self.running_jobs and (
             self.running_jobs[0][2].is_removed
@@ -269,7 +280,7 @@
         return events
 
     def _check_overload(self) -> None:
-        """Whether it is asked for too much while it is cold, and has been for too long."""
+        """Stops the worker if it was overloaded for `overload_window_ms` while it is warming up."""
         spec = self.spec
         if self.capacity_fraction() >= 1.0 or self.load_ratio() <= spec.overload_multiple:
             self.overloaded_since_ms = None
@@ -313,7 +324,7 @@
             self.work_totals.withdrawn += remaining
 
     def _expire_deduplication(self) -> None:
-        """Windows that are over are of no use; looked for when there are many."""
+        """Removes deduplication windows that are over; checked at multiples of 1024 entries."""
         if len(self.deduplicated_until) % 1024 == 0:
             self.deduplicated_until = {
                 effect: until for effect, until in self.deduplicated_until.items() if until > self.now_ms
@@ -326,7 +337,7 @@
         )
 
     def _start_queued_jobs(self) -> list[WorkerJobEvent]:
-        """Start what may start."""
+        """Starts the queued jobs that the queue discipline permits."""
         events: list[WorkerJobEvent] = []
         if self.spec.queue_discipline == "priority":
             self.queued_jobs.sort(key=lambda each: (-each.job.priority, each.arrival_number))
@@ -352,7 +363,7 @@
         return events
 
     def _preempt_for(self, job: WorkerJob) -> bool:
-        """Suspend repeatable work of a lower priority, the latest first, if that makes enough room."""
+        """Suspends repeatable jobs of lower priority, the latest first, if that makes enough room."""
         if not self.spec.preempts:
             return False
         lower = sorted(
