Reword the docstrings of the zone fleet, the experiments and the load generator

Cause: the docstrings still spoke the terms from before the renaming. Change: docstrings and comments only, in the terms of docs/glossary.md.

--- a/spanwing/experiment/__init__.py
+++ b/spanwing/experiment/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments on the model: a matrix of scenarios, variants, seeds and builds, kept, compared and shown."""
+"""Experiments on the simulation: scenarios, variants, seeds and builds; played, compared and shown."""
--- a/spanwing/experiment/cell.py
+++ b/spanwing/experiment/cell.py
@@ -1,8 +1,8 @@
-"""One cell of an experiment: a scenario, a variant and a seed, played by the build that this process runs.
+"""Plays one cell of an experiment: a scenario, a variant and a seed, by the build of this process.
 
     python -m spanwing.experiment.cell < order.json > row.json
 
-Guarantees: the same order and build give the same row, but for `decision_us`, which is measured.
+The same order and build give the same row, but for `decision_us`, which is measured.
 """
 
 from __future__ import annotations
@@ -20,7 +20,10 @@
 
 
 class CellOrder(msgspec.Struct):
-    """What to play; changes: by place in the scenario, as `load.level` or `workers[0].count`."""
+    """The cell to play.
+
+    `changes` are by place in the scenario, as `load.level` or `workers[0].count`.
+    """
 
     scenario: str  # the file's text
     changes: dict[str, Any]
@@ -28,7 +31,10 @@
 
 
 def apply_changes(scenario: Scenario, changes: dict[str, Any]) -> Scenario:
-    """The scenario with some values replaced. Raises ConfigError where a place or value is not possible."""
+    """Returns the scenario with some values replaced.
+
+    Raises ConfigurationError where a place or value is not possible.
+    """
     value = msgspec.to_builtins(scenario)
     for path_in_scenario, new_value in changes.items():
         container: Any = value
@@ -50,7 +56,7 @@
 
 
 def _parse_path(path: str) -> list[str | int]:
-    """`workers[0].count` as workers, 0, count."""
+    """Splits a place: `workers[0].count` gives workers, 0, count."""
     steps: list[str | int] = []
     for part in path.split("."):
         name, _, indexes = part.partition("[")
@@ -60,7 +66,7 @@
 
 
 def play_cell(order: CellOrder) -> dict[str, Any]:
-    """A row of figures, the series, and the troubles' spans for a chart."""
+    """Plays a cell; returns its row of figures, the series, the digest and the faults' times in s."""
     scenario = apply_changes(parse_scenario(order.scenario.encode(), ErrorCollector()), order.changes)
     plan = scenario.build_plan(order.seed)
     tally = OutcomeTally(plan.classes)
@@ -91,6 +97,7 @@
 
 
 def main() -> None:
+    """Reads a CellOrder as JSON from stdin, plays it and writes the result as JSON to stdout."""
     order = msgspec.json.decode(sys.stdin.buffer.read(), type=CellOrder)
     sys.stdout.buffer.write(msgspec.json.encode(play_cell(order)))
 
--- a/spanwing/experiment/compare.py
+++ b/spanwing/experiment/compare.py
@@ -1,8 +1,9 @@
-"""Whether two columns of an experiment differ: a paired bootstrap over seeds.
+"""Compares two columns of an experiment by a paired bootstrap over seeds.
 
-Guarantees: pure; only pairs of the same scenario and seed count; the same rows give the same interval (the
-resampling has a seed of its own). "No difference seen" is said where the interval of the mean difference
-holds zero, "too few pairs" below FEWEST (Efron and Tibshirani 1993, percentile intervals).
+Pure. Only pairs of the same scenario and seed count. The same rows give the same interval, as the
+resampling has a seed of its own. The verdict is "no difference seen" where the interval of the mean
+difference contains zero, and "too few pairs" below MIN_PAIRS (Efron and Tibshirani 1993, percentile
+intervals).
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 
 class FigureDifference(NamedTuple):
-    """Of B against A in one figure."""
+    """The difference of column B from column A in one figure."""
 
     figure: str
     mean_a: float
@@ -27,6 +28,7 @@
 
     @property
     def verdict(self) -> str:
+        """Either "higher" or "lower" (B against A), "no difference seen" or "too few pairs"."""
         if self.pair_count < MIN_PAIRS:
             return "too few pairs"
         if self.interval_low <= 0.0 <= self.interval_high:
@@ -37,7 +39,10 @@
 def compare_columns(
     rows: list[dict[str, Any]], a: dict[str, str], b: dict[str, str], figures: list[str]
 ) -> list[FigureDifference]:
-    """a and b: what the rows of each side have in common, as {"variant": "at once"}."""
+    """Compares two columns in each of the figures.
+
+    `a` and `b` name what the rows of each column have in common, as {"variant": "at once"}.
+    """
     sides = [
         {
             (row["scenario"], row["seed"]): row["row"]
@@ -58,7 +63,7 @@
 
 
 def compare_paired(figure: str, a: np.ndarray, b: np.ndarray) -> FigureDifference:
-    """Of paired values."""
+    """Computes the mean difference of paired values, and its bootstrap interval."""
     if not len(a):
         return FigureDifference(figure, 0.0, 0.0, 0.0, 0.0, 0.0, 0)
     paired_differences = b - a
--- a/spanwing/experiment/matrix.py
+++ b/spanwing/experiment/matrix.py
@@ -1,8 +1,9 @@
-"""The plan of an experiment and its cells; which of them are still to be played.
+"""Expands an experiment's plan to its cells, and plays those that have no row yet.
 
-Guarantees: a cell is named by a digest of everything that its row depends on: the scenario's text, the
-changes, the seed and the build's own source; so a killed run goes on where it was, and rows of two builds
-never mix. A row is written whole at once.
+A cell is named by a digest of everything that its row depends on: the scenario's text, the changes, the
+seed and the build's source. So a run that was killed continues where it was, and rows of two builds never
+mix. A row is written to a temporary file and renamed, so it is complete or absent. Bounds: MAX_CELLS cells,
+and CELL_TIMEOUT_S for each.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
 
 
 class ExperimentPlan(msgspec.Struct, forbid_unknown_fields=True):
-    """The file as it is written."""
+    """An experiment file as it is written."""
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{1,60}$")]
     scenarios: Annotated[list[str], msgspec.Meta(min_length=1)]
@@ -53,6 +54,8 @@
 
 
 class ExperimentCell(NamedTuple):
+    """One cell, with the order to play it and the folder of its build."""
+
     scenario: str
     variant: str
     build: str
@@ -63,7 +66,7 @@
 
 
 def read_plan(path: Path) -> ExperimentPlan:
-    """Raises ConfigError in one line."""
+    """Reads an experiment file. Raises ConfigurationError with a message of one line."""
     try:
         return msgspec.convert(tomllib.loads(path.read_text()), ExperimentPlan)
     except (OSError, ValueError) as error:
@@ -71,7 +74,7 @@
 
 
 def source_digest(folder: Path) -> str:
-    """Of all source that a row can depend on."""
+    """Computes a digest of all source that a row can depend on."""
     digest = hashlib.blake2b(digest_size=10)
     for name in ("spanwing", "spanwing/simulation", "spanwing/experiment"):
         for each in sorted((folder / name).glob("*.py")):
@@ -80,7 +83,10 @@
 
 
 def prepare_build(name: str, into: Path) -> DecisionBuild:
-    """This source, or this model with another revision's or folder's decisions. Raises ConfigError."""
+    """Returns this source, or a copy of it with the decision module of another revision or folder.
+
+    Raises ConfigurationError if that cannot be read.
+    """
     if name == THIS_SOURCE:
         return DecisionBuild(name, source_digest(REPOSITORY_ROOT), REPOSITORY_ROOT)
     folder = into / hashlib.blake2b(name.encode(), digest_size=6).hexdigest()
@@ -106,7 +112,7 @@
 
 
 def list_cells(plan: ExperimentPlan, builds_folder: Path) -> Iterator[ExperimentCell]:
-    """All of them, checked. Raises ConfigError."""
+    """Yields all cells, checked. Raises ConfigurationError."""
     builds = [prepare_build(each, builds_folder) for each in plan.builds]
     variants = plan.variants or {"as it is": {}}
     if len(plan.scenarios) * len(variants) * len(builds) * plan.seeds > MAX_CELLS:
@@ -130,7 +136,10 @@
 
 
 def play_cell(cell: ExperimentCell) -> dict[str, Any]:
-    """In a process of the cell's build. Raises RuntimeError with its last line."""
+    """Plays a cell in a process of its build.
+
+    Raises RuntimeError with the last line of stderr, and TimeoutExpired after CELL_TIMEOUT_S.
+    """
     completed = subprocess.run(
         [sys.executable, "-m", "spanwing.experiment.cell"],
         cwd=cell.folder,
@@ -150,7 +159,10 @@
 def run_experiment(
     plan: ExperimentPlan, folder: Path, process_count: int, on_progress: Callable[[int, int], None]
 ) -> list[dict[str, Any]]:
-    """Play what is not there yet; all rows in the matrix's order. told: cells there, of how many."""
+    """Plays the cells that have no row yet; returns all rows in the matrix's order.
+
+    `on_progress` gets the number of cells that have a row, and of all cells.
+    """
     cells_folder = folder / "cells"
     cells_folder.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as into:
--- a/spanwing/experiment/report.py
+++ b/spanwing/experiment/report.py
@@ -1,5 +1,7 @@
-"""An experiment as a page that stands alone: a table with intervals, and charts as SVG inside it; and as
-Parquet for other programs."""
+"""Renders an experiment as a self-contained page, and as Parquet for other programs.
+
+The page has a table with intervals, and charts as inline SVG.
+"""
 
 from __future__ import annotations
 
@@ -25,7 +27,7 @@
 
 
 def group_rows(rows: Rows) -> dict[str, dict[str, Rows]]:
-    """By scenario, then by column: a variant, with its build where there are several."""
+    """Groups rows by scenario, then by column: a variant, with its build where there are several."""
     builds = {row["build"] for row in rows}
     found: dict[str, dict[str, Rows]] = defaultdict(lambda: defaultdict(list))
     for row in rows:
@@ -35,13 +37,13 @@
 
 
 def mean_and_interval(values: list[float]) -> tuple[float, float, float]:
-    """The mean over seeds and its bootstrap interval."""
+    """Returns the mean over seeds and its bootstrap interval."""
     found = compare_paired("", np.zeros(len(values)), np.array(values, float))
     return found.mean_difference, found.interval_low, found.interval_high
 
 
 def write_parquet(rows: Rows, out: Path) -> None:
-    """One row a cell, all figures as columns."""
+    """Writes one row for each cell, with all figures as columns."""
     import pyarrow as pa
     import pyarrow.parquet as pq
 
@@ -53,7 +55,7 @@
 
 
 def render_page(name: str, rows: Rows) -> str:
-    """The whole page."""
+    """Renders the complete HTML page."""
     parts = [
         f"<!doctype html><meta charset=utf-8><title>{html.escape(name)}</title><style>{PAGE_STYLE}</style>",
         f"<h1>{html.escape(name)}</h1>",
@@ -72,6 +74,7 @@
 
 
 def render_table(columns: dict[str, Rows]) -> str:
+    """Renders the HTML table of figures: a mean and its interval for each column."""
     head = "".join(f"<th>{html.escape(each)}</th>" for each in columns)
     lines = [f"<table><tr><th>figure</th>{head}</tr>"]
     first = next(iter(columns.values()))[0]["row"]
@@ -89,7 +92,7 @@
 
 
 def _render_svg(width: float, height: float, draw) -> str:
-    """An SVG of what draw puts on the axes."""
+    """Renders as SVG what `draw` puts on the figure; the size is in inches."""
     import matplotlib
 
     matplotlib.use("Agg")
@@ -104,7 +107,7 @@
 
 
 def outcome_chart(columns: dict[str, Rows]) -> str:
-    """What became of the requests, and goodput by class and brand."""
+    """Charts the outcomes of requests, and goodput by class and tenant."""
     names = list(columns)
 
     def draw(figure) -> None:
@@ -130,7 +133,7 @@
 
 
 def latency_chart(columns: dict[str, Rows]) -> str:
-    """Percentiles of what was served, by class."""
+    """Charts latency percentiles of served requests, in ms, by class."""
     first = next(iter(columns.values()))[0]["row"]
     classes = sorted(key.removesuffix(".p50") for key in first if key.endswith(".p50") and key != "p50")
 
@@ -148,7 +151,10 @@
 
 
 def time_chart(columns: dict[str, Rows]) -> str:
-    """Shares of late and refused by the second of arrival, and the work at workers; troubles are shaded."""
+    """Charts shares of late and rejected requests by second of arrival, and jobs at workers.
+
+    Faults are shaded.
+    """
 
     def draw(figure) -> None:
         axes = figure.subplots(3, 1, sharex=True)
--- a/spanwing/experiment/score.py
+++ b/spanwing/experiment/score.py
@@ -1,8 +1,8 @@
-"""What a day was worth: from the answers of one world to a row of figures and a series over time.
+"""Scores a day: from the answers of one simulation to a row of figures and a series over time.
 
-Guarantees: pure; every request counts once. In time is within its class's aim, which grows by `stretch` times
-the job's own running time; goodput is the worth of what was served (after the aim `late_worth` of it) over
-the worth of all that was asked for.
+Pure; every request counts once. A request is in time within its class's latency objective, which grows by
+`objective_stretch` times the request's work. Goodput is the priority weight of what was served (after the
+latency objective, `late_weight` of it) over the priority weight of all requests.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from spanwing.simulation.fleet import AnsweredRequest, FleetSimulation
 
 PERCENTILES = (50.0, 95.0, 99.0)
-#: Figures of a row that a comparison may be about, and whether more is better.
+#: Figures of a row that can be compared, and whether more is better.
 COMPARABLE_FIGURES = {
     "goodput": True,
     "in_time": True,
@@ -31,12 +31,12 @@
 
 
 class OutcomeTally:
-    """Takes answers as they come; hand take() to a Fleet."""
+    """Tallies answers as they come; pass record_answer to a FleetSimulation."""
 
     def __init__(self, classes: tuple[ClassSpec, ...]) -> None:
         self.classes = {each.name: each for each in classes}
         self.count_by_outcome: Counter[str] = Counter()
-        self.weight_offered: Counter[tuple[str, str]] = Counter()  # asked for and got, by class and by brand
+        self.weight_offered: Counter[tuple[str, str]] = Counter()  # by class and by tenant
         self.weight_earned: Counter[tuple[str, str]] = Counter()
         self.latencies_by_class: dict[str, list[float]] = {each.name: [] for each in classes}
         self.counts_by_second: dict[str, Counter[int]] = {
@@ -48,6 +48,7 @@
         ] = []  # each second: jobs at workers, and at the fullest one
 
     def record_answer(self, answered: AnsweredRequest) -> None:
+        """Counts one answered request."""
         class_spec = self.classes[answered.class_name]
         outcome = answered.outcome
         earned = 0.0
@@ -73,7 +74,7 @@
         self.submission_count += answered.submission_count
 
     def sample_workers(self, simulation: FleetSimulation) -> None:
-        """Once a second: what is at the workers."""
+        """Samples the jobs at the workers; to be called once a second."""
         jobs_per_worker = [
             len(each.worker.accepted_jobs)
             for each in simulation.worker_hosts.values()
@@ -82,7 +83,7 @@
         self.jobs_at_workers.append((sum(jobs_per_worker), max(jobs_per_worker, default=0)))
 
     def figures_row(self, simulation: FleetSimulation) -> dict[str, Any]:
-        """One number for each figure; shares are of all requests."""
+        """Returns one number for each figure; shares are of all requests."""
         offered = sum(self.count_by_outcome.values())
         request_count = max(1, offered)
         offered_weight = sum(worth for (kind, _), worth in self.weight_offered.items() if kind == "class")
@@ -113,7 +114,7 @@
         return row
 
     def series_by_second(self, seconds: int) -> dict[str, list[int]]:
-        """By second of the requests' arrival."""
+        """Returns the series by second of the requests' arrival."""
         found = {
             name: [counts[each] for each in range(seconds)] for name, counts in self.counts_by_second.items()
         }
--- a/spanwing/load/__init__.py
+++ b/spanwing/load/__init__.py
@@ -1,1 +1,1 @@
-"""A load on real schedulers, over sockets: arrivals that wait for no answer, from a scenario's clients."""
+"""Load on real schedulers, over sockets: open-loop arrivals from a scenario's clients."""
--- a/spanwing/load/openloop.py
+++ b/spanwing/load/openloop.py
@@ -1,11 +1,12 @@
-"""Sends a scenario's requests to schedulers at the times that the scenario says, whatever they answer.
-
-Guarantees: a request is due at its own time; its latency counts from there, not from when it was written, so
-a scheduler that stalls is charged for every request that came meanwhile (coordinated omission, G. Tene). How
-late the generator itself wrote is kept beside it, and told as a warning where that was LATE_MS or more at the
-99th percentile: then the load was not what was asked for. Bounds: `most` connections; requests that find
-none free wait for one, up to a second beyond their deadline, and that counts as their latency. Each request
-ends in exactly one Done.
+"""Sends a scenario's requests to schedulers at the scenario's times, whatever they answer (open loop).
+
+A request is due at its own time, and its latency counts from there, not from when it was written, so a
+scheduler that stalls is charged for every request that arrived meanwhile (coordinated omission, G. Tene).
+The generator's own lateness is recorded beside it, with a warning where it was LATENESS_WARNING_MS or more
+at the 99th percentile: then the load was not what was asked for.
+
+Bounds: `max_connections` connections. A request that finds none free waits for one, up to 1 s beyond its
+deadline, and the wait counts as latency. Each request ends in exactly one CompletedRequest.
 """
 
 from __future__ import annotations
@@ -27,17 +28,17 @@
 
 
 class CompletedRequest(NamedTuple):
-    """One request; times in ms."""
+    """The outcome of one request; times in ms."""
 
     class_name: str
-    outcome: str  # of KINDS, or `broken`: no whole answer came
+    outcome: str  # of OUTCOME_BY_STATUS, or `broken`: no complete answer came
     latency_ms: float  # from when it was due
     service_ms: float  # from when its last byte was written
-    lateness_ms: float  # the generator's own
+    lateness_ms: float  # the generator's own, when sending
 
 
 class LoadTestResult(NamedTuple):
-    """What a load came to."""
+    """The figures of a load test; times in ms by percentile."""
 
     asked: int
     seconds: float
@@ -49,6 +50,7 @@
 
     @property
     def warning(self) -> str:
+        """The warning that the generator ran late, or "" if it did not."""
         late = self.late["99"]
         return (
             ""
@@ -60,6 +62,7 @@
 
 
 def compute_percentiles(values: list[float]) -> dict[str, float]:
+    """Computes the PERCENTILES of the values; all are 0 without values."""
     if not values:
         return {f"{each:g}": 0.0 for each in PERCENTILES}
     found = np.percentile(values, PERCENTILES)
@@ -67,7 +70,7 @@
 
 
 class OpenLoopGenerator:
-    """One run against some schedulers, which are asked in turn."""
+    """One run against some schedulers, which get requests in turn (round robin)."""
 
     def __init__(self, endpoints: list[HostAndPort], run_id: str, max_connections: int = 2000) -> None:
         assert endpoints and max_connections > 0
@@ -80,7 +83,7 @@
         self.tasks: set[asyncio.Task] = set()
 
     async def run(self, requests: Iterable[GeneratedRequest], seconds: float) -> LoadTestResult:
-        """Send all that are due within so many seconds, and wait for their answers or deadlines."""
+        """Sends all requests due within so many seconds, and waits for their answers or deadlines."""
         started_at_s = time.perf_counter()
         for number, each in enumerate(requests):
             if each.arrives_at_ms >= seconds * 1000.0:
@@ -118,7 +121,10 @@
         )
 
     async def _exchange_http(self, request: GeneratedRequest, endpoint: HostAndPort) -> tuple[str, float]:
-        """Raises OSError or IncompleteReadError where no whole answer came."""
+        """Sends a request and reads its answer; returns the outcome and the time of writing, in s.
+
+        Raises OSError or IncompleteReadError where no complete answer came.
+        """
         body = b"x" * 64
         data = (
             f"POST /{request.class_spec.name} HTTP/1.1\r\nHost: x\r\n"
@@ -147,6 +153,7 @@
         return OUTCOME_BY_STATUS.get(int(head.split(" ")[1]), "failed"), written_at_s
 
     def build_result(self, seconds: float) -> LoadTestResult:
+        """Computes the figures of all completed requests; `seconds` is the run's duration."""
         classes = sorted({each.class_name for each in self.completed})
         return LoadTestResult(
             len(self.completed),
@@ -164,6 +171,7 @@
         )
 
     def close_idle_connections(self) -> None:
+        """Closes all idle connections."""
         for idle in self.idle_connections.values():
             while idle:
                 idle.pop()[1].close()
--- a/spanwing/simulation/clients.py
+++ b/spanwing/simulation/clients.py
@@ -115,6 +115,7 @@
         self.draw_batch, self.batch_size, self.remaining = draw_batch, batch_size, []
 
     def __call__(self) -> float:
+        """Returns the next value."""
         if not self.remaining:
             self.remaining = self.draw_batch(self.batch_size)[::-1].tolist()
         return self.remaining.pop()
--- a/spanwing/simulation/zone_fleet.py
+++ b/spanwing/simulation/zone_fleet.py
@@ -1,9 +1,10 @@
-"""The fleet whose schedulers leave and return to zones as one, in simulated time.
+"""Simulates a fleet whose schedulers leave and return to zones together.
 
-Guarantees: the program's own keeper, steward, lease, gate and witness decide; what is the model's is the way
-of the messages, which take the network's time and are lost where it is cut. The document is changed at one
-moment, and a member that ends is followed by another TAKEN_OVER_MS later. The same plan and seed give the
-same world."""
+The program's own leader, zone controller, lease, routing filter and evidence collector decide. The model
+adds the way of the messages, which take the network's time and are lost where it is partitioned. The
+document changes at one moment instead of by quorum, and a leader that ends is replaced by another member
+TAKEOVER_DELAY_MS later. The same plan and seed give the same run.
+"""
 
 from __future__ import annotations
 
@@ -46,7 +47,7 @@
 
 
 class SimulatedFollower:
-    """One scheduler's side of it, in one life."""
+    """One scheduler's side of the control plane, in one incarnation."""
 
     def __init__(self, simulation: LeaderFleet, scheduler: SimulatedScheduler, incarnation: int) -> None:
         self.simulation, self.scheduler, self.event_queue = simulation, scheduler, simulation.event_queue
@@ -73,28 +74,34 @@
         self.event_queue.schedule_after(LEASE_CHECK_INTERVAL_MS, self._check_lease)
         self.event_queue.schedule_after(self.random_source.uniform(0, 1000.0), self._probe_in_background)
 
-    # -- what the node asks and tells
+    # -- calls of the scheduler
 
     def may_forward(self, worker_id: int) -> bool:
+        """Returns whether the routing filter lets an attempt go to this worker now."""
         now = self.event_queue.now_ms
         return self.zone_agent.routing_filter.may_forward(worker_id, now, self.lease.is_valid(now), now)
 
     def filter_workers(self, endpoint_list: api.WorkerList) -> api.WorkerList:
+        """Returns the endpoint list as the decision module is to see it."""
         now = self.event_queue.now_ms
         return self.zone_agent.filter_workers(endpoint_list, now, now, self.lease.is_valid(now))
 
     def attempt_sent(self, worker_id: int, attempt: tuple[str, int]) -> None:
+        """Notes that an attempt was forwarded."""
         self.zone_agent.attempt_sent(self.event_queue.now_ms, worker_id, attempt)
 
     def attempt_accepted(self, worker_id: int, attempt: tuple[str, int]) -> None:
+        """Notes as evidence that the worker accepted an attempt."""
         self.zone_agent.evidence_collector.attempt_accepted(self.event_queue.now_ms, worker_id, attempt)
 
     def attempt_ended(self, worker_id: int, attempt: tuple[str, int], result: str) -> None:
+        """Notes how an attempt ended, and sends the probes that this calls for."""
         self._probe_workers(
             self.zone_agent.attempt_ended(self.event_queue.now_ms, worker_id, attempt, result)
         )
 
     def probe_finished(self, worker_id: int, result: str) -> None:
+        """Notes how a probe ended, and sends the probes that this calls for."""
         self._probe_workers(self.zone_agent.probe_finished(self.event_queue.now_ms, worker_id, result))
 
     def _probe_workers(self, worker_ids: list[int]) -> None:
@@ -134,6 +141,7 @@
             self._send_renewal()
 
     def handle_grant(self, grant: RenewalGranted) -> None:
+        """Takes over the leader's answer to a renewal: the lease, the document and zones to probe."""
         if not self.scheduler.is_up:
             return
         previous = self.document
@@ -151,7 +159,7 @@
             self.last_answered_renewal = grant.n
             self.event_queue.schedule_after(MIN_RENEWAL_INTERVAL_MS, self._send_renewal)
 
-    # -- news
+    # -- changes of the document and the lease
 
     def _handle_document_change(self) -> None:
         previous_zones, fleet_zones, now = (
@@ -210,7 +218,7 @@
 
 
 class StandaloneSimulatedFollower(SimulatedFollower):
-    """One scheduler that judges by its own evidence alone."""
+    """A scheduler in standalone mode: it decides by its own evidence alone."""
 
     def __init__(self, simulation: StandaloneFleet, scheduler: SimulatedScheduler, incarnation: int) -> None:
         settings = scheduler.settings
@@ -260,7 +268,7 @@
 def listed_workers(
     zone_agent: ZoneAgent, now_ms: float, slow_start_ms: float
 ) -> dict[str, list[ListedWorker]]:
-    """The list of job workers as a scheduler's steward has it."""
+    """Returns the workers by zone, as a scheduler's zone controller sees them."""
     found: dict[str, list[ListedWorker]] = {}
     for each in zone_agent.routing_filter.workers.values():
         is_warming_up = each.started > 0 and now_ms < each.started + slow_start_ms
@@ -269,12 +277,13 @@
 
 
 class ZoneFleet(FleetSimulation):
-    """A fleet each of whose schedulers has a side of its own in each life."""
+    """A fleet whose schedulers each get a new follower in each incarnation."""
 
     def _attach_follower(self, scheduler: SimulatedScheduler) -> None:
         raise NotImplementedError
 
     def start_scheduler(self, name: str) -> None:
+        """Restarts a stopped scheduler, with a follower for its new incarnation."""
         previous = next(each for each in self.schedulers if each.name == name)
         super().start_scheduler(name)
         restarted = next(each for each in self.schedulers if each.name == name)
@@ -290,7 +299,7 @@
         self.regions, self.incarnation_count = regions or {}, 0
         self.zone_changes: list[
             tuple[float, str, str, str]
-        ] = []  # when, zone, state, reason; of any scheduler
+        ] = []  # time (ms), zone, state, reason; of any scheduler
         for node in self.schedulers:
             self._attach_follower(node)
 
@@ -304,10 +313,12 @@
         )
 
     def note(self, now_ms: float, previous: Any, current: Any) -> None:
+        """Records the zone changes of one scheduler."""
         self.zone_changes += zone_state_changes(now_ms, previous, current)
 
 
 def zone_state_changes(now_ms: float, previous: Any, current: Any) -> list[tuple[float, str, str, str]]:
+    """Returns the changed zones as time (ms), zone, state and reason."""
     return [
         (now_ms, name, zone.state, zone.reason)
         for name, zone in current.zones.items()
@@ -316,20 +327,20 @@
 
 
 class LeaderFleet(ZoneFleet):
-    """A fleet with a keeper."""
+    """A fleet with a leader, which decides on zones for all schedulers."""
 
     def __init__(self, *given: Any, regions: dict[str, tuple[str, ...]] | None = None, **more: Any) -> None:
         super().__init__(*given, **more)
         self.regions, self.document, self.incarnation_count = regions or {}, Document(), 0
         self.bytes = self.messages = 0  # of renewals
-        self.zone_changes: list[tuple[float, str, str, str]] = []  # when, zone, state, reason
+        self.zone_changes: list[tuple[float, str, str, str]] = []  # time (ms), zone, state, reason
         self.random_source = random.Random(self.schedulers[0].seed + 1)
         self.followers: dict[str, SimulatedFollower] = {}
         self.controllers: dict[str, ZoneController] = {}
         for node in self.schedulers:
             self._attach_follower(node)
         self.leader: Leader | None = None
-        self.leading_member = ""  # the member that keeps
+        self.leading_member = ""  # name of the leader
         self.controllers = {
             each.name: self._make_controller(each) for each in self.schedulers[:STORE_MEMBER_COUNT]
         }
@@ -359,7 +370,7 @@
         )
 
     def _refresh_worker_lists(self) -> None:
-        """Every member that is up keeps the list in mind."""
+        """Refreshes the worker list of every member that is up, every LIST_REFRESH_INTERVAL_MS."""
         for scheduler in self.schedulers[:STORE_MEMBER_COUNT]:
             if scheduler.is_up:
                 self.controllers[scheduler.name].refresh_worker_list(self.event_queue.now_ms)
@@ -369,7 +380,7 @@
         return next((each for each in self.schedulers[:STORE_MEMBER_COUNT] if each.is_up), None)
 
     def _start_leading(self) -> None:
-        """Some member that is up keeps from now on."""
+        """Makes the first member that is up the leader; tries again after TAKEOVER_DELAY_MS if none is."""
         scheduler, now = self._first_member_up(), self.event_queue.now_ms
         if scheduler is None:
             self.event_queue.schedule_after(TAKEOVER_DELAY_MS, self._start_leading)
@@ -409,7 +420,7 @@
         )
 
     def forward_renewal(self, follower: SimulatedFollower, renewal: Renew, evidence_bytes: int) -> None:
-        """It sets out to the keeper, and is answered by it."""
+        """Sends a renewal to the leader, whose answer goes back to the follower."""
         self.messages, self.bytes = self.messages + 1, self.bytes + evidence_bytes
         leader = self.leader
         leader_zone = self.followers[self.leading_member].scheduler.zone if leader is not None else ""
