Correct some docstrings of the simulation after a second reading

Change: docstrings and comments only. Measured: 37 tests of world, scenarios, experiment and load pass; syntax trees without docstrings are the same.

--- a/spanwing/simulation/clients.py
+++ b/spanwing/simulation/clients.py
@@ -63,9 +63,10 @@
     def next_delay_ms(
         self, attempt_count: int, retry_after_ms: float, honours_retry_after: bool, jitter_draw: float
     ) -> float | None:
-        """Returns the ms until the next retry after `attempt_count` attempts, or None if there is no more.
+        """Returns the ms until the next retry, or None if there is no more.
 
-        `retry_after_ms` is the delay that the rejection named; `jitter_draw` is uniform in [0, 1).
+        `attempt_count` is the number of submissions so far, `retry_after_ms` the delay that the rejection
+        named; `jitter_draw` is uniform in [0, 1).
         """
         if attempt_count > self.max_retries or self.backoff == "none":
             return None
--- a/spanwing/simulation/scenario.py
+++ b/spanwing/simulation/scenario.py
@@ -81,7 +81,7 @@
     memory: NonNegativeNumber = 0.0
 
     def slot_shares(self) -> tuple[float, ...]:
-        """Returns the shares of requests that take 1, 2, 4 and 8 slots, and so on."""
+        """Returns the shares of requests that take 1, 2, 4, 8, ... slots."""
         if isinstance(self.slots, list):
             return tuple(self.slots)
         return (0.0,) * (self.slots.bit_length() - 1) + (1.0,)
@@ -334,7 +334,7 @@
         errors.add_error("file", str(error))
         return None
     errors_before = len(errors.errors)
-    # Tables are checked one by one, so that each error has its place; then the file as a whole.
+    # Tables are checked one by one, so that each error has its place; then the complete file.
     checked_value = dict(value)
     for name, table_type in LIST_TABLES.items():
         if isinstance(value.get(name), list):
--- a/spanwing/simulation/worker.py
+++ b/spanwing/simulation/worker.py
@@ -41,7 +41,7 @@
     queue_length: int = 40  # maximum of queued jobs
     memory: float = math.inf
     queue_discipline: QueueDiscipline = "priority"
-    preempts: bool = False  # repeatable jobs are suspended for jobs of a higher priority
+    preempts: bool = False  # repeatable jobs yield to a higher priority, and resume later
     initial_capacity: float = 1.0  # part of the capacity at a start
     slow_start_ms: float = 0.0
     overload_multiple: float = math.inf
@@ -280,7 +280,7 @@
         return events
 
     def _check_overload(self) -> None:
-        """Stops the worker if it was overloaded for `overload_window_ms` while it is warming up."""
+        """Stops the worker if it was overloaded for `overload_window_ms` while warming up."""
         spec = self.spec
         if self.capacity_fraction() >= 1.0 or self.load_ratio() <= spec.overload_multiple:
             self.overloaded_since_ms = None
--- a/spanwing/simulation/zone_fleet.py
+++ b/spanwing/simulation/zone_fleet.py
@@ -380,7 +380,7 @@
         return next((each for each in self.schedulers[:STORE_MEMBER_COUNT] if each.is_up), None)
 
     def _start_leading(self) -> None:
-        """Makes the first member that is up the leader; tries again after TAKEOVER_DELAY_MS if none is."""
+        """Makes the first member that is up the leader; retries after TAKEOVER_DELAY_MS if none is."""
         scheduler, now = self._first_member_up(), self.event_queue.now_ms
         if scheduler is None:
             self.event_queue.schedule_after(TAKEOVER_DELAY_MS, self._start_leading)
