--- a/spanwing/actor.py
+++ b/spanwing/actor.py
@@ -20,7 +20,7 @@
     async def run_guarded() -> None:
         try:
             await coroutine
-        except Exception:  # noqa: BLE001 - one connection's fault must not end the others
+        except Exception:  # one connection's fault must not end the others
             logger.exception("fault in %s", coroutine)
 
     IOLoop.current().spawn_callback(run_guarded)
@@ -49,7 +49,7 @@
                 message = self.mailbox.popleft()
                 try:
                     self.handle_message(message)
-                except Exception:  # noqa: BLE001 - later messages still need their answers
+                except Exception:  # later messages still need their answers
                     logger.exception("fault on %s", type(message).__name__)
         finally:
             self.is_scheduled = False
--- a/spanwing/adapter.py
+++ b/spanwing/adapter.py
@@ -207,7 +207,7 @@
         try:
             for action in decide() or ():
                 self.reply_lines.append(msgspec.json.encode(ACTION_ENCODERS[type(action)](node_name, action)))
-        except Exception as error:  # noqa: BLE001 - reported to the simulator, with the traceback on stderr
+        except Exception as error:  # reported to the simulator, with the traceback on stderr
             traceback.print_exc(file=sys.stderr)
             self.reply_lines.append(
                 msgspec.json.encode(["Die", node_name, f"{type(error).__name__}: {error}"])
--- a/spanwing/frontends/balancers/drain_watcher.py
+++ b/spanwing/frontends/balancers/drain_watcher.py
@@ -14,7 +14,7 @@
 
 from spanwing.frontends.balancers.health_reporter import HealthReporter
 from spanwing.log import log_event
-from spanwing.store.store import NoMajority, Store
+from spanwing.store.store import NoQuorumError, Store
 
 LOCAL_CHECK_INTERVAL_S, QUORUM_CHECK_INTERVAL_S, CONFIRM_INTERVAL_S = 0.25, 1.0, 10.0
 
@@ -35,7 +35,7 @@
 
 
 async def write_drain_order(store: Store, member: str, drain_order: DrainOrder) -> None:
-    """Writes an order for a member; raises NoMajority."""
+    """Writes an order for a member; raises NoQuorumError."""
     text = msgspec.json.encode(drain_order).decode()
     await store.change(drain_key(member), lambda _: text)
 
@@ -71,7 +71,7 @@
     async def _confirm_order(self, key: str) -> None:
         try:
             value = await self.store.read_through_change(key)
-        except (NoMajority, OSError):  # OSError: of the local disk, to which a round writes
+        except (NoQuorumError, OSError):  # OSError: of the local disk, to which a round writes
             return  # the last order stays in force
         if value == self.confirmed_value:
             return
--- a/spanwing/frontends/balancers/service.py
+++ b/spanwing/frontends/balancers/service.py
@@ -22,7 +22,7 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.net.loop_meter import MeteredSelector
 from spanwing.net.proxied_connections import Network
-from spanwing.store.store import NoMajority, Store
+from spanwing.store.store import NoQuorumError, Store
 from spanwing.workers.connection_pool import DescriptorBudget
 
 
@@ -95,7 +95,7 @@
             raise AdminError(f"{member!r} is no member of the store")
         try:
             await write_drain_order(store, member, DrainOrder(drain, store.member, within_s))
-        except NoMajority as reason:
+        except NoQuorumError as reason:
             raise AdminError(f"the store has no majority: {reason}") from None
 
     def client_connections(self) -> ResourceUsage:
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -45,7 +45,7 @@
 from spanwing.net.resp import OK, encode_bulk, encode_error, encode_simple
 from spanwing.net.stream import LineStream, LineTooLongError
 from spanwing.store.claims import Claim, Claims
-from spanwing.store.store import NoMajority
+from spanwing.store.store import NoQuorumError
 from spanwing.workers.faktory_worker import (
     JOB_CONTENT_TYPE,
     ConnectionClosed,
@@ -219,7 +219,7 @@
             return None
         try:
             is_new, claim = await self.claims.claim(job.jid)
-        except NoMajority as reason:
+        except NoQuorumError as reason:
             raise CommandError(f"not taken, the store has no majority: {reason}", "BUSY") from None
         if is_new:
             return claim
@@ -229,7 +229,7 @@
         """Converts a job to a request; raises CommandError if `custom` is out of range."""
         custom = job.custom or FaktoryCustom()
         timeout_ms = service_class.deadline if custom.budget_ms is None else custom.budget_ms
-        if custom.slots < 1 or custom.memory < 0 or not 0 <= timeout_ms:
+        if custom.slots < 1 or custom.memory < 0 or not timeout_ms >= 0:
             raise CommandError("custom: slots, memory or budget_ms out of range")
         return JobRequest(
             id=job.jid,
@@ -373,10 +373,8 @@
         self.line_stream.close()
 
     async def _write_last(self, data: bytes) -> None:
-        try:
+        with suppress(StreamClosedError):
             await self.line_stream.write(data)
-        except StreamClosedError:
-            pass
 
     async def _run_command(self, verb: str, arguments: bytes) -> bytes | None:
         if self.hello is None and verb not in ("HELLO", "END"):
--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -169,12 +169,10 @@
         return keep_alive
 
     async def _reject_malformed(self, error: HttpError) -> None:
-        try:
+        with suppress(StreamClosedError):
             await self.http.write(
                 encode_response(error.status, str(error).encode(), keep_alive=False), WRITE_STALL_TIMEOUT_S
             )
-        except StreamClosedError:
-            pass
 
     def detach(self, max_bytes: int) -> tuple[int, bytes] | None:
         """Prepares the connection for transfer to another process.
@@ -191,8 +189,7 @@
             or parser.head is not None
             or self.http.stream.closed()
             or (len(parser.data) > max_bytes - READ_AHEAD_BYTES)
-            or not awaits_answer
-            and (self.is_busy or not self.http.is_waiting_for_input())
+            or (not awaits_answer and (self.is_busy or not self.http.is_waiting_for_input()))
         ):
             return None
         if awaits_answer:
@@ -374,11 +371,12 @@
         )
         return any(
             each.has_unfinished_request()
-            or not each.is_finished
-            and (
-                not each.has_no_pending_input()
-                or each.idle_since_s > fresh_since_s
-                and not each.has_sent_request
+            or (
+                not each.is_finished
+                and (
+                    not each.has_no_pending_input()
+                    or (each.idle_since_s > fresh_since_s and not each.has_sent_request)
+                )
             )
             for each in self.table.connections
         )
--- a/spanwing/health/cpu_meter.py
+++ b/spanwing/health/cpu_meter.py
@@ -32,7 +32,8 @@
     """Computes CPU usage over the last window_s seconds."""
 
     def __init__(self, cores: float = 1.0, window_s: float = 0.3) -> None:
-        assert cores > 0 and window_s > 0
+        assert cores > 0
+        assert window_s > 0
         self.cores, self.window_s = cores, window_s
         self.readings: deque[CpuReading] = deque(maxlen=MAX_READINGS)
 
--- a/spanwing/journal/compaction.py
+++ b/spanwing/journal/compaction.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from itertools import pairwise
 
 from spanwing.journal.files import FolderFiles
 from spanwing.journal.frames import (
@@ -65,7 +66,7 @@
             name: classes for name, classes in self.removed_classes.items() if name in names
         }
         previous = ""
-        for name, next_name in zip(names, names[1:], strict=False):
+        for name, next_name in pairwise(names):
             if oldest_needed is not None and oldest_needed < number_in_name(next_name):
                 return
             try:
--- a/spanwing/journal/query.py
+++ b/spanwing/journal/query.py
@@ -150,7 +150,7 @@
             raise QueryError(fault, value.column) from None
         if name in FLAG_FIELDS:
             if text not in ("true", "false"):
-                raise QueryError(f"{str(name)} is true or false", value.column)
+                raise QueryError(f"{name!s} is true or false", value.column)
             return text == "true"
         return text
 
@@ -164,7 +164,7 @@
             pattern = re.compile(fnmatch.translate(value))
             return _QueryNode(lambda row: pattern.fullmatch(getattr(row, row_field)) is not None)
         if name in (*TEXT_FIELDS, *FLAG_FIELDS) and order not in ("=", "!="):
-            raise QueryError(f"{str(name)} has no order: = and != are possible, and ~ for text", order.column)
+            raise QueryError(f"{name!s} has no order: = and != are possible, and ~ for text", order.column)
         compare = COMPARISONS[order]
 
         def matches_row(row: AttemptRow) -> bool:
--- a/spanwing/journal/reader.py
+++ b/spanwing/journal/reader.py
@@ -9,6 +9,7 @@
 
 import mmap
 from collections.abc import Collection, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -134,10 +135,8 @@
         except (OSError, ValueError):
             found = indexes.build_index(data)
             if segment != self.segment_reader.segment_names()[-1]:
-                try:
+                with suppress(OSError):  # a folder that may only be read
                     indexes.write_index(found, path)
-                except OSError:
-                    pass  # a folder that may only be read
         return found
 
     def _map_segment(self, segment: str) -> tuple[mmap.mmap | bytes, SegmentHeader | None]:
--- a/spanwing/journal/segment_log.py
+++ b/spanwing/journal/segment_log.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 from spanwing.journal.files import FolderFiles
 from spanwing.journal.frames import (
@@ -129,7 +130,7 @@
 class SegmentLog:
     """The log, open in one process at a time; request_states follows what is on disk."""
 
-    def __init__(self, files: FolderFiles, limits: RetentionLimits = RetentionLimits()) -> None:  # noqa: B008 - immutable
+    def __init__(self, files: FolderFiles, limits: RetentionLimits = RetentionLimits()) -> None:
         self.files, self.limits = files, limits
         self.damaged: list[tuple[str, DamagedBytes]] = []
         self.request_states, self.last_number = self._load_snapshot()
@@ -250,7 +251,7 @@
         oldest_needed = self.request_states.oldest_needed_number()
         sizes = {name: self.files.size(name) for name in names}
         total_bytes, removed = sum(sizes.values()), []
-        for name, following in zip(names, names[1:], strict=False):
+        for name, following in pairwise(names):
             next_first_number = number_in_name(following)
             if oldest_needed is not None and oldest_needed < next_first_number:
                 break
--- a/spanwing/journal/table.py
+++ b/spanwing/journal/table.py
@@ -41,9 +41,8 @@
     attempts = sorted(request.attempts.values(), key=lambda each: each.number)
     for attempt in attempts:
         yield _build_row(request, attempt)
-    if (
-        not attempts
-        or request.delivery_state == "possibly sent"
+    if not attempts or (
+        request.delivery_state == "possibly sent"
         and all(each.delivery_state == "not sent" for each in attempts)
     ):
         yield _build_row(request, None)  # what is known of the request itself
--- a/spanwing/load/openloop.py
+++ b/spanwing/load/openloop.py
@@ -73,7 +73,8 @@
     """One run against some schedulers, which get requests in turn (round robin)."""
 
     def __init__(self, endpoints: list[HostAndPort], run_id: str, max_connections: int = 2000) -> None:
-        assert endpoints and max_connections > 0
+        assert endpoints
+        assert max_connections > 0
         self.endpoints, self.run_id, self.max_connections = endpoints, run_id, max_connections
         self.idle_connections: dict[HostAndPort, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {
             place: [] for place in endpoints
--- a/spanwing/log/events.py
+++ b/spanwing/log/events.py
@@ -117,7 +117,7 @@
             return
         try:
             self.writer.enqueue(self.format(record))
-        except Exception:  # noqa: BLE001 - a line that cannot be formatted must not end the caller
+        except Exception:  # a line that cannot be formatted must not end the caller
             self.writer.enqueue(f"event=log_fault message={record.msg!r}")
 
 
--- a/spanwing/log/limit.py
+++ b/spanwing/log/limit.py
@@ -15,7 +15,8 @@
     """Allows lines_per_s lines of an event in a second, and bursts of this many."""
 
     def __init__(self, lines_per_s: float, burst: float) -> None:
-        assert lines_per_s > 0 and burst >= 1
+        assert lines_per_s > 0
+        assert burst >= 1
         self.lines_per_s, self.burst = lines_per_s, burst
         self.buckets: OrderedDict[str, tuple[float, float, int]] = (
             OrderedDict()
--- a/spanwing/policy/coordinator.py
+++ b/spanwing/policy/coordinator.py
@@ -213,7 +213,7 @@
                 vote.wants_permit
                 and participant is not None
                 and participant.confirmed_at_ms > -math.inf
-                and 0 < len(name)
+                and len(name) > 0
                 and len(name) <= MAX_NAME_BYTES
                 and register.get(name) != session
                 and (name in register or len(register) < MAX_SCHEDULERS)
--- a/spanwing/simulation/clients.py
+++ b/spanwing/simulation/clients.py
@@ -132,7 +132,10 @@
         tenants: tuple[TenantSpec, ...],
         streams: RandomStreams,
     ) -> None:
-        assert load.rate > 0 and 0 <= load.swing < 1 and classes and tenants
+        assert load.rate > 0
+        assert 0 <= load.swing < 1
+        assert classes
+        assert tenants
         self.load_spec, self.classes, self.tenants, self.request_count = load, classes, tenants, 0
         self.load_factor_by_tenant: dict[str, float] = {}  # tenant -> current multiple of its load
         self.last_arrival_ms = 0.0
--- a/spanwing/simulation/event_queue.py
+++ b/spanwing/simulation/event_queue.py
@@ -17,7 +17,7 @@
 class ScheduledCall:
     """One call that is due; cancel() withdraws it."""
 
-    __slots__ = ("callback", "arguments", "sequence", "due_at_ms")
+    __slots__ = ("arguments", "callback", "due_at_ms", "sequence")
 
     def __init__(
         self, due_at_ms: float, sequence: int, callback: Callable[..., object], arguments: tuple[Any, ...]
@@ -52,10 +52,8 @@
 
         Raises AssertionError if the time is NaN or the queue is full.
         """
-        assert due_at_ms == due_at_ms and len(self.pending) < MAX_SCHEDULED_CALLS, (
-            due_at_ms,
-            len(self.pending),
-        )
+        assert due_at_ms == due_at_ms, due_at_ms
+        assert len(self.pending) < MAX_SCHEDULED_CALLS, len(self.pending)
         self.scheduled_count += 1
         scheduled = ScheduledCall(max(due_at_ms, self.now_ms), self.scheduled_count, callback, arguments)
         heapq.heappush(self.pending, scheduled)
--- a/spanwing/simulation/worker.py
+++ b/spanwing/simulation/worker.py
@@ -151,7 +151,9 @@
     def submit_job(self, now_ms: float, job: WorkerJob) -> list[WorkerJobEvent]:
         """Submits an attempt; returns the events up to now and its own."""
         events = self.advance_to(now_ms)
-        assert job.attempt_key not in self.accepted_jobs and job.slots >= 1 and job.work_ms >= 0
+        assert job.attempt_key not in self.accepted_jobs
+        assert job.slots >= 1
+        assert job.work_ms >= 0
         if self.is_down:
             return events
         if self.is_draining or job.slots > self.spec.slots or job.memory > self.spec.memory:
--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from spanwing.store.store import NoMajority, Store
+from spanwing.store.store import NoQuorumError, Store
 
 ClaimState = Literal["claimed", "served", "failed", "refused"]
 
@@ -24,7 +24,7 @@
 
 
 class Claims:
-    """Takes and settles claims; without a majority it raises NoMajority and never guesses."""
+    """Takes and settles claims; without a majority it raises NoQuorumError and never guesses."""
 
     def __init__(self, store: Store) -> None:
         self.store = store
@@ -35,7 +35,7 @@
     async def claim(self, request_id: str) -> tuple[bool, Claim]:
         """Returns whether the request is now this process's to run, and the claim in force.
 
-        Raises NoMajority; nothing may be sent then.
+        Raises NoQuorumError; nothing may be sent then.
         """
         token = secrets.token_hex(8)
         encoded_claim = msgspec.json.encode(Claim(token, "claimed")).decode()
@@ -51,7 +51,7 @@
 
         try:
             held = await self.store.change(f"claim/{request_id}", replace_if_free)
-        except NoMajority:
+        except NoQuorumError:
             self.unconfirmed_tokens.setdefault(request_id, set()).add(token)
             raise
         self.unconfirmed_tokens.pop(request_id, None)
@@ -76,7 +76,7 @@
 
         try:
             await self.store.change(f"claim/{request_id}", replace_if_ours)
-        except NoMajority as error:  # it stays claimed, which is safe: it cannot run again
+        except NoQuorumError as error:  # it stays claimed, which is safe: it cannot run again
             log.warning("outcome %s of job %s is not in the store: %s", state, request_id, error)
         finally:
             self.settling_count -= 1
--- a/spanwing/store/document_service.py
+++ b/spanwing/store/document_service.py
@@ -10,6 +10,7 @@
 import logging
 import random
 import secrets
+from contextlib import suppress
 from datetime import timedelta
 
 import msgspec
@@ -23,7 +24,7 @@
 from spanwing.store.lease import clock_ms
 from spanwing.store.messages import OrderResult, Renew, RenewalGranted, SubmitOrder
 from spanwing.store.peer import Peer, PeerListener
-from spanwing.store.store import NoMajority, Store
+from spanwing.store.store import NoQuorumError, Store
 
 DOCUMENT_KEY = "fleet"
 LOOP_INTERVAL_S = 0.025
@@ -58,14 +59,14 @@
                 if self.failure:
                     log.warning("the fleet's state can be changed again")
                 self.failure = ""
-            except (NoMajority, OSError, ValueError) as error:
+            except (NoQuorumError, OSError, ValueError) as error:
                 if not self.failure:
                     log.warning("the fleet's state cannot be changed: %s", error)
                 self.failure = str(error)
             await sleep(LOOP_INTERVAL_S)
 
     async def run_once(self) -> None:
-        """Does what is due. Raises NoMajority, OSError or ValueError."""
+        """Does what is due. Raises NoQuorumError, OSError or ValueError."""
         leader, now = self.leader, clock_ms()
         if now - self.list_refreshed_at_ms > LIST_REFRESH_INTERVAL_MS:
             self.list_refreshed_at_ms = now
@@ -92,7 +93,7 @@
         self.leader.handle_read(clock_ms(), read_started_at, document)
 
     async def commit(self, transaction: Transaction) -> bool:
-        """Returns whether the transaction was applied. Raises NoMajority (it may have been), ValueError."""
+        """Returns whether the transaction was applied. Raises NoQuorumError (it may be), ValueError."""
         has_applied: list[bool] = []
 
         def apply(held: str | None) -> str | None:
@@ -122,7 +123,7 @@
                     is_accepted,
                     text if is_accepted else "another change came first: look and order again",
                 )
-            except (ValueError, NoMajority, OSError) as error:
+            except (ValueError, NoQuorumError, OSError) as error:
                 result = OrderResult(message.n, False, str(error))
             if not result_future.done():
                 result_future.set_result(result)
@@ -157,10 +158,8 @@
 
     async def _learn_leader(self) -> None:
         if clock_ms() - self.last_read_at_ms > POLL_HOLD_MS:
-            try:
+            with suppress(NoQuorumError, OSError, ValueError):  # retried at the next message
                 await self._read_document()
-            except (NoMajority, OSError, ValueError):
-                pass  # retried at the next message
 
     async def _forward_to_leader(
         self, leader_peer: Peer, message: Renew | SubmitOrder
--- a/spanwing/store/shared_settings.py
+++ b/spanwing/store/shared_settings.py
@@ -7,7 +7,7 @@
 import msgspec
 from tornado.gen import sleep
 
-from spanwing.store.store import NoMajority, Store
+from spanwing.store.store import NoQuorumError, Store
 
 RETRY_INTERVAL_S = 0.5
 
@@ -36,6 +36,6 @@
         try:
             held = await store.change("settings", keep_highest_revision)
             return msgspec.json.decode(held, type=SharedSettings).settings
-        except NoMajority as error:
+        except NoQuorumError as error:
             log.warning("settings: %s; asking again", error)
             await sleep(RETRY_INTERVAL_S)
--- a/spanwing/store/store.py
+++ b/spanwing/store/store.py
@@ -1,10 +1,11 @@
-"""The proposer: changes a register by majority (CASPaxos), or raises NoMajority."""
+"""The proposer: changes a register by majority (CASPaxos), or raises NoQuorumError."""
 
 from __future__ import annotations
 
 import itertools
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 
 from tornado.concurrent import Future
@@ -21,7 +22,7 @@
 ChangeFunction = Callable[[str | None], str | None]
 
 
-class NoMajority(Exception):
+class NoQuorumError(Exception):
     """Too few members answered, or other proposers kept winning; the change may or may not happen."""
 
 
@@ -48,7 +49,7 @@
         """Applies a change to the register; returns the value that was accepted.
 
         Each of the two phases of a round waits round_timeout_ms at most, over at most MAX_ROUNDS rounds.
-        Raises NoMajority.
+        Raises NoQuorumError.
         """
         highest: Ballot = NO_BALLOT
         for attempt in range(MAX_ROUNDS):
@@ -73,21 +74,21 @@
             if sum(each.is_granted for each in replies) >= self.majority:
                 return value
             self._require_majority(replies)
-        raise NoMajority(f"{key}: other members kept changing it")
+        raise NoQuorumError(f"{key}: other members kept changing it")
 
     async def count_reachable_members(self) -> int:
         """Returns how many members answer now, this one included; a majority may end the count."""
         return len(await self._ask_all_members(Ping))
 
     async def read_through_change(self, key: str) -> str | None:
-        """Reads the register by an identity change, which is linearizable. Raises NoMajority."""
+        """Reads the register by an identity change, which is linearizable. Raises NoQuorumError."""
         return await self.change(key, lambda value: value)
 
     async def read_register(self, key: str) -> str | None:
         """Returns the register's value, linearizably, without a write where possible.
 
         If a majority names one ballot as accepted and nobody a higher one, its value is chosen, and no later
-        write had completed when the read began. Else it reads through a change. Raises NoMajority.
+        write had completed when the read began. Else it reads through a change. Raises NoQuorumError.
         """
         replies = await self._ask_all_members(lambda n: ReadRegister(n, key, self.member))
         self._require_majority(replies)
@@ -102,7 +103,7 @@
 
     def _require_majority(self, replies: list[RegisterReply]) -> None:
         if len(replies) < self.majority:
-            raise NoMajority(
+            raise NoQuorumError(
                 f"{len(replies)} of {len(self.peers) + 1} members answered, {self.majority} are needed"
             )
 
@@ -131,10 +132,8 @@
         if len(replies) < self.majority:
             for each in pending_replies:
                 each.add_done_callback(count_reply)
-            try:
+            with suppress(WaitOver):
                 await with_timeout(self.round_timeout, majority_reached)
-            except WaitOver:
-                pass
         for each in pending_replies:
             each.cancel()
         return list(replies)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,7 +14,7 @@
 from spanwing.store.claims import Claims
 from spanwing.store.messages import Accept, Prepare
 from spanwing.store.peer import Peer, PeerListener
-from spanwing.store.store import NoMajority, Store
+from spanwing.store.store import NoQuorumError, Store
 
 ANY = Address("127.0.0.1", 0)
 
@@ -83,7 +83,7 @@
         self.listen()
         claims = Claims(self.store("a", gone=("b", "c")))
         for _ in range(2):
-            with self.assertRaises(NoMajority):
+            with self.assertRaises(NoQuorumError):
                 await claims.claim("job")
         claims.store = self.store("a")
         self.assertTrue((await claims.claim("job"))[0])
