--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -246,8 +246,19 @@
                     reason=entry.reason,
                 )
 
+    def _has_asked_store(self) -> bool:
+        """Returns whether the store has answered, or each member has been tried without success.
+
+        Until then a permit of the policy cache is not used: the earlier incarnation may have been declared
+        gone, and the fleet may have changed its policy since.
+        """
+        follower = self.follower
+        return follower.document.revision > 0 or follower.failed_attempts >= len(follower.members)
+
     def _resolve_first_version(self) -> None:
-        if not self.first_version.done() and self.participant.decide_admission(clock_ms()).action == "take":
+        if self.first_version.done() or not self._has_asked_store():
+            return
+        if self.participant.decide_admission(clock_ms()).action == "take":
             self.first_version.set_result(self.participant.policy.now)
 
     def _apply_current_version(self) -> None:
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -76,6 +76,7 @@
         self.renewal_id, self.renewed_at_s = 0, float("-inf")
         self.last_failure = "no member has been asked yet"
         self.connected_member = ""  # the member in use
+        self.failed_attempts = 0  # members that were tried and granted nothing, in all
 
     def has_lease(self) -> bool:
         """Returns whether the lease is valid now."""
@@ -118,6 +119,8 @@
             attempt += 1
             if await self._follow_member(name, self.members[name]):
                 backoff_s = MIN_BACKOFF_S
+            else:
+                self.failed_attempts += 1
             await sleep(random.uniform(0.0, backoff_s))
             backoff_s = min(2.0 * backoff_s, MAX_BACKOFF_S)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -17,9 +17,10 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.policy.coordinator import PolicyVote
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
-from spanwing.policy.records import CHANGE_KEY, MAX_POLICY_BYTES, read_policy
+from spanwing.policy.records import CHANGE_KEY, MAX_POLICY_BYTES, PolicyVersion, policy_digest, read_policy
 from spanwing.policy.service import PolicyService
 from spanwing.store.document import Document, Transaction
+from spanwing.store.lease import clock_ms
 
 
 def rounds(world: World, who: tuple[int, ...], count: int = 1) -> None:
@@ -157,6 +158,27 @@
         self.assertFalse(chair.may_hold_permit("s0.0", Document()))
 
 
+class CachedPermit(unittest.IsolatedAsyncioTestCase):
+    """A start with a permit of an earlier incarnation, which an operator may have declared gone."""
+
+    async def test_it_is_not_used_before_the_store_was_asked(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        wanted = SimpleNamespace(directory=folder.name, away_ms=1e4, members={}, lease_ms=2e3)
+        earlier = PolicyService("a", wanted, settings(), BufferPool(), 1)
+        earlier.cache.store_version(PolicyVersion(1, policy_digest("{}"), "{}"))
+        earlier.cache.store_permit(1, clock_ms() + 60_000.0)
+        earlier.cache.lock_file.close()
+        wanted.members = {"m1": None, "m2": None}
+        service = PolicyService("a", wanted, settings(), BufferPool(), 1)
+        self.assertEqual(service.participant.decide_admission(clock_ms()).action, "take")
+        for failed, resolved in ((0, False), (1, False), (2, True)):
+            service.follower.failed_attempts = failed
+            service._resolve_first_version()
+            self.assertEqual(service.first_version.done(), resolved, failed)
+        self.assertEqual(service.first_version.result().number, 1)
+
+
 class Waiting(unittest.IsolatedAsyncioTestCase):
     """Jobs that wait for a change, in the core's own mailbox."""
 
