--- a/measure/fleet/bugged.py
+++ b/measure/fleet/bugged.py
@@ -20,12 +20,10 @@
 
 
 def minority() -> None:
-    from spanwing.zones import controller as steward
-    from spanwing.zones import evidence
-    from spanwing.zones import failure_detector as verdict
+    from spanwing.zones import controller, evidence, failure_detector
 
-    verdict.is_credible = lambda zone, observer: True
-    verdict.required_observers = steward.required_observers = lambda schedulers, observers: 1
+    failure_detector.is_credible = lambda zone, observer: True
+    failure_detector.required_observers = controller.required_observers = lambda schedulers, observers: 1
     evidence.EvidenceCollector.build_report = lambda self, now, slots=(): evidence.EvidenceReport(
         self.evidence_by_zone(now)
     )
--- a/tests/golden_folders.py
+++ b/tests/golden_folders.py
@@ -59,8 +59,7 @@
 from spanwing.store.messages import Accept, Prepare
 from spanwing.store.shared_settings import SharedSettings, agree_on_settings
 from spanwing.zones import state
-from spanwing.zones.controller import ListedWorker, ZoneController, ZoneOrder
-from spanwing.zones.controller import ZoneLimits as StewardBounds
+from spanwing.zones.controller import ListedWorker, ZoneController, ZoneLimits, ZoneOrder
 from spanwing.zones.evidence import ZoneEvidence
 from spanwing.zones.service import ZoneService
 
@@ -354,10 +353,10 @@
         chair.record_vote(word, PolicyVote(wants_permit=True, change_id=change.id))
     yield taken(chair.decide_next_change(3.0, document, sessions))
     workers = {"galway": [ListedWorker(1, 0.0, False)], "sligo": [ListedWorker(2, 5.5, False)]}
-    steward = ZoneController(StewardBounds(1000.0), lambda: workers, lambda: WALL_MS + 2.5, "member-a", draw)
+    controller = ZoneController(ZoneLimits(1000.0), lambda: workers, lambda: WALL_MS + 2.5, "member-a", draw)
     for do, name in (("leave", "galway"), ("hold", "sligo"), ("release", "sligo")):
         order = msgspec.Raw(msgspec.json.encode(ZoneOrder(action=do, target=name, author="operator at a")))
-        yield taken(steward.handle_order(4.0, order, document, keeper)[0])
+        yield taken(controller.handle_order(4.0, order, document, keeper)[0])
     deal = state.FeederAssignment(
         number=document.revision, sessions=["a.01", "b.02"], previous_sessions=["a.01"], in_force=False
     )
--- a/tests/test_decider_digests.py
+++ b/tests/test_decider_digests.py
@@ -248,7 +248,7 @@
 
 
 def policy_walk(seed: int) -> list:
-    """Chair and hand in a random walk: the documents and what each may, after every step."""
+    """Coordinator and participant in a random walk: the documents and what each may, after every step."""
     rng, world, found = Random(f"policy {seed}"), policymodel.begun("", seed % 2 == 1), []
     for number in range(150):
         if number % 15 == 14:
