Log what each discovery call brought, and bytes for workers known to drain

The incident's records do not show which call brought which version, why a watch ended, or what a scheduler knew of a worker when it wrote to it. One call is now a module of its own with a typed outcome; its behaviour is unchanged. Events: discovery_list, discovery_call_failed (reason, since, took, last byte, retry), write_to_draining_worker.

--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -6,20 +6,23 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import Any, NamedTuple
 
-import msgspec
-from tornado.gen import TimeoutError as WaitOver
-from tornado.gen import sleep, with_timeout
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.gen import sleep
 
 from spanwing import interface as api
 from spanwing.actor import Actor, spawn_task
 from spanwing.core.messages import AttemptListener, EndpointsChanged
-from spanwing.net.address import Address, open_socket, parse_address
+from spanwing.discovery.call import (
+    CallFailure,
+    CallResult,
+    DiscoveredEndpoints,
+    DiscoveredWorker,
+    DiscoveryConnection,
+)
+from spanwing.log.events import log_event
+from spanwing.net.address import Address, parse_address
 from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_request
 from spanwing.workers.http_worker import HttpWorker, RetireWorker, WorkerCallback
 from spanwing.workers.worker_id import worker_id_of
 
@@ -81,27 +84,6 @@
         )
 
 
-class DiscoveredWorker(msgspec.Struct):
-    """One worker as discovery lists it."""
-
-    id: str
-    host_port: str = ""
-    locality: str | None = None
-    flavor: str | None = None
-    cell: int | None = None
-    phase: str = "active"
-    size: float | None = None
-    up_since_ms: float | None = None
-
-
-class DiscoveredEndpoints(msgspec.Struct):
-    """The endpoint list, or a change of it."""
-
-    revision: int = 0
-    complete: bool = False
-    members: list[DiscoveredWorker] = []
-
-
 @dataclass(slots=True, eq=False)
 class DiscoveryWatch:
     """The calls to one discovery; their answers count until the next watch has begun."""
@@ -109,8 +91,7 @@
     address: Address
     revision: int | None  # None: fetch the complete list first
     failures_hidden_until_s: float  # loop time; before it failed calls are retried without notifying the core
-    connection: HttpStream | None = None
-    is_silent: bool = False  # the last poll was still open at its timeout
+    connection: DiscoveryConnection
 
 
 class StartWatch(NamedTuple):
@@ -226,78 +207,51 @@
         # Revisions belong to one discovery: the new one is asked for its complete list, and late answers of
         # the former cannot undo it. Attempts in flight at workers depend on neither.
         self.discovery_address, self.revision = move.address, None
-        if self.current_watch is not None and self.current_watch.connection is not None:
+        if self.current_watch is not None:
             self.current_watch.connection.close()
         self._start_watch(DISCOVERY_MOVE_GRACE_S)
 
     def _start_watch(self, failures_hidden_s: float) -> None:
+        connection = DiscoveryConnection(self.discovery_address, self.buffers, self.timing.answer_margin_s)
         self.current_watch = DiscoveryWatch(
-            self.discovery_address, self.revision, self.loop.time() + failures_hidden_s
+            self.discovery_address, self.revision, self.loop.time() + failures_hidden_s, connection
         )
         spawn_task(self._run_watch(self.current_watch))
 
     async def _run_watch(self, watch: DiscoveryWatch) -> None:
         """Polls discovery, each call right after the last: a pause of 200 ms would end the watch."""
+        last_list_s = self.loop.time()
         while self.current_watch is watch:
-            target = "/discovery/hosts"
-            if watch.revision is not None:
-                target += f"?since={watch.revision}&timeout_ms={self.timing.poll_hold_s * 1000.0:.0f}"
-            response = await self._poll(watch, target)
-            endpoints = None
-            if response is not None and response.status == 200:
-                try:
-                    endpoints = msgspec.json.decode(response.body, type=DiscoveredEndpoints)
-                except ValueError as error:
-                    logger.warning("discovery's list cannot be read: %s", error)
-            if endpoints is not None:
-                watch.revision, watch.failures_hidden_until_s = endpoints.revision, 0.0
-                self.post(WatchAnswer(endpoints, watch))
+            since, poll_hold_s = watch.revision, self.timing.poll_hold_s
+            answer_timeout_s = (
+                FULL_LIST_TIMEOUT_S if since is None else poll_hold_s + self.timing.answer_margin_s
+            )
+            result = await watch.connection.fetch(since, poll_hold_s, answer_timeout_s)
+            if result.endpoints is not None:
+                watch.revision, watch.failures_hidden_until_s = result.endpoints.revision, 0.0
+                last_list_s = self.loop.time()
+                _log_list(since, result, self.current_watch is watch)
+                self.post(WatchAnswer(result.endpoints, watch))
                 continue
-            if watch.connection is not None:
-                watch.connection.close()
             backoff_s, now = RETRY_S, self.loop.time()
-            if watch.is_silent:  # reopened soon, however often, also if the first attempt fails
+            if is_silent(result):  # reopened soon, however often, also if the first attempt fails
                 watch.failures_hidden_until_s = max(
                     watch.failures_hidden_until_s, now + WATCH_REOPEN_MARGIN_S
                 )
                 backoff_s = self.timing.reopen_within_s
             elif now >= watch.failures_hidden_until_s:
                 backoff_s = self.timing.retry_within_s
-                if not backoff_s:
-                    self.post(WatchAnswer(None, watch))
-                    return
-            await sleep(random.uniform(0.0, backoff_s))
-
-    async def _poll(self, watch: DiscoveryWatch, target: str) -> HttpMessage | None:
-        connection, watch.is_silent = watch.connection, False
-        is_poll_written = False
-        try:
-            if connection is None or not connection.is_reusable():
-                stream = IOStream(open_socket(watch.address))
-                connection = watch.connection = HttpStream(stream, self.buffers, parses_responses=True)
-                await with_timeout(
-                    timedelta(seconds=self.timing.answer_margin_s),
-                    stream.connect(watch.address.socket_address),
-                    quiet_exceptions=StreamClosedError,
-                )
-            await connection.write(encode_request("GET", target, {"Host": str(watch.address)}))
-            is_poll_written = watch.revision is not None
-            timeout = timedelta(
-                seconds=FULL_LIST_TIMEOUT_S
-                if watch.revision is None
-                else self.timing.poll_hold_s + self.timing.answer_margin_s
-            )
-            response = await with_timeout(
-                timeout, connection.receive(), quiet_exceptions=(HttpError, StreamClosedError)
-            )
-        except WaitOver:
-            watch.is_silent = is_poll_written
-            return None
-        except (StreamClosedError, HttpError):
-            return None
-        if response is not None and not response.keep_alive:
-            connection.close()
-        return response
+            retry_s = random.uniform(0.0, backoff_s) if backoff_s else None
+            # While nothing listens there, a line a call says nothing new: only once that lasts.
+            if (
+                result.failure is not CallFailure.CONNECT_FAILED
+                or now > last_list_s + SILENT_WATCH_NOTIFIED_S
+            ):
+                _log_failure(since, result, retry_s)
+            if retry_s is None:
+                self.post(WatchAnswer(None, watch))
+                return
+            await sleep(retry_s)
 
     def _handle_watch_answer(self, answer: WatchAnswer) -> None:
         if answer.watch is not self.current_watch:  # answer of a former watch
@@ -404,6 +358,39 @@
             self.on_unknown_callback(received)
 
 
+def is_silent(result: CallResult) -> bool:
+    """Returns whether a poll was written and no complete answer came in the time allowed."""
+    return result.is_poll_written and result.failure in (CallFailure.NO_ANSWER, CallFailure.STALLED)
+
+
+def _log_list(since: int | None, result: CallResult, is_current: bool) -> None:
+    endpoints = result.endpoints
+    if not endpoints.members and not endpoints.complete and is_current:
+        return  # the hold time is over, and nothing has changed
+    log_event(
+        "discovery_list",
+        since=since,
+        revision=endpoints.revision,
+        complete=endpoints.complete,
+        members=len(endpoints.members),
+        not_active=sum(each.phase != "active" for each in endpoints.members),
+        took_s=round(result.took_s, 3),
+        current=is_current,
+    )
+
+
+def _log_failure(since: int | None, result: CallResult, retry_s: float | None) -> None:
+    log_event(
+        "discovery_call_failed",
+        level="warning",
+        reason=str(result.failure),
+        since=since,
+        took_s=round(result.took_s, 3),
+        last_byte_s=None if result.answered_s is None else round(result.answered_s, 3),
+        retry_s=None if retry_s is None else round(retry_s, 3),
+    )
+
+
 MESSAGE_HANDLERS = {
     StartWatch: DiscoveryClient._handle_start_watch,
     ChangeDiscovery: DiscoveryClient._handle_change_discovery,
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -24,6 +24,7 @@
     LastByteSent,
     ProbeEnded,
 )
+from spanwing.log.events import log_event
 from spanwing.net.http import HttpError, HttpMessage, encode_request
 from spanwing.workers.connection_pool import ConnectionPool, PooledConnection
 from spanwing.workers.load_report import LoadReportReader
@@ -99,6 +100,7 @@
         self.attempts: dict[str, HttpAttempt] = {}
         self.is_retiring = False
         self.is_draining = False  # draining or gone: nothing new may be sent to it
+        self.draining_since_s = 0.0  # loop time of the list that said so
 
     def find_transferable(self, request: str, number: int) -> HttpAttempt | None:
         """Returns the attempt if it may be transferred to another process, else None.
@@ -194,6 +196,8 @@
                         connection.stream.permit = (
                             attempt.delivery.may_send
                         )  # also for bytes buffered in the stream
+                    if self.is_draining:
+                        self._log_write_to_draining(data, attempt)
                     await connection.write(data[-1:] if hold_last_byte else data)
                     connection.stream.permit = None
                     return connection
@@ -206,6 +210,19 @@
                 return None
         return None
 
+    def _log_write_to_draining(self, data: bytes, attempt: HttpAttempt | None) -> None:
+        """Logs bytes for a worker that is known to drain or to be gone: a DELETE is owed to it, a probe was
+        begun before, an attempt breaks the rule on drains.
+        """
+        method, target, _ = data.split(b" ", 2)
+        log_event(
+            "write_to_draining_worker",
+            worker=self.name,
+            method=method.decode(),
+            request=target.decode() if attempt is None else attempt.delivery.request.id,
+            draining_s=round(self.loop.time() - self.draining_since_s, 3),
+        )
+
     async def _receive_response(
         self, connection: PooledConnection, timeout_s: float | None = None
     ) -> HttpMessage | None:
@@ -392,7 +409,7 @@
         Nothing new is sent from now on, and attempts not sent yet end as unsent.
         """
         if not self.is_draining:
-            self.is_draining = True
+            self.is_draining, self.draining_since_s = True, self.loop.time()
             self.post(WithdrawQueued())
 
     def _withdraw_queued(self, _: WithdrawQueued) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -24,8 +24,8 @@
     "load": {"simulation"},
     "core": {"decisions", "actor"},
     "store": {"actor", "net"},
-    "workers": {"decisions", "actor", "core", "net"},
-    "discovery": {"decisions", "actor", "core", "net", "workers"},
+    "workers": {"decisions", "actor", "core", "net", "log"},
+    "discovery": {"decisions", "actor", "core", "net", "workers", "log"},
     "frontsfile": {"faults", "health", "log", "store", "net"},
     "frontends": {
         "decisions",
