--- /dev/null
+++ b/measure/soak/fleet.py
@@ -0,0 +1,212 @@
+"""A fleet for the soak: real scheduler processes, stand-ins for all else, a fault proxy on each link."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from measure.daemons import Program
+from measure.soak.fault_proxy import FaultProxy, RequestSplitter
+from measure.soak.oracle import RuleSet
+from measure.soak.records import Outage, Records, SentMessage
+from measure.soak.stand_ins import ClientStandIn, DiscoveryStandIn, Member, WorkerStandIn
+
+CLASSES: dict[str, dict[str, float]] = {
+    "status-read": {"share": 0.6, "deadline_ms": 3000.0, "run_s": 0.1},
+    "schedule-apply": {"share": 0.2, "deadline_ms": 8000.0, "run_s": 0.2},
+    "setpoint-push": {"share": 0.2, "deadline_ms": 4000.0, "run_s": 0.15},
+}
+EFFECTS = {"status-read": "safe", "schedule-apply": "unsafe", "setpoint-push": "keyed"}
+WINDOW_S = 3.0
+KEYED_SETTINGS = {"group": "all", "window_ms": WINDOW_S * 1000.0}
+KILL_MARGIN_S, LONGEST_DEADLINE_S = 0.7, 3.0  # SIGKILL after SIGTERM, from the protocol page
+
+
+@dataclass
+class FleetPlan:
+    """Size and settings of a fleet."""
+
+    schedulers: int = 1
+    workers: int = 2
+    drain_grace_s: float = 2.0
+    pushed: bool = False  # lists count as notified at once
+    rate_per_s: float = 10.0
+    command: tuple[str, ...] = ("-m", "spanwing")
+    environment: dict[str, str] = field(default_factory=dict)
+
+
+class Fleet:
+    """Started by start(); everything that was seen is in records."""
+
+    def __init__(self, plan: FleetPlan, seed: int) -> None:
+        self.plan, self.draw, self.records = plan, random.Random(seed), Records()
+        self.names = [f"n{number}" for number in range(plan.schedulers)]
+        self.discovery = DiscoveryStandIn(self.records, self.names)
+        run_s = {name: each["run_s"] for name, each in CLASSES.items()}
+        self.workers = {
+            f"w{number}": WorkerStandIn(f"w{number}", self.records, run_s, self.draw)
+            for number in range(plan.workers)
+        }
+        self.links: dict[tuple[str, str], FaultProxy] = {}  # by scheduler and worker
+        self.clients = {name: ClientStandIn(name, self.records, CLASSES, self.draw) for name in self.names}
+        self.programs: dict[str, Program] = {}
+        self.logs: dict[str, str] = dict.fromkeys(self.names, "")
+        self.exits: list[str] = []  # programs that ended by themselves, or with an unexpected status
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def rules(self) -> RuleSet:
+        """The figures that the oracle goes by."""
+        return RuleSet(self.plan.drain_grace_s, EFFECTS, {"setpoint-push": WINDOW_S})
+
+    async def start(self) -> None:
+        """Starts the stand-ins and links, then all schedulers side by side, then the clients."""
+        await self.discovery.listen()
+        for worker in self.workers.values():
+            await worker.listen()
+            self.discovery.members[worker.name] = Member(worker.name)
+            for name in self.names:
+                link = FaultProxy(worker.port, self._observer(name, worker.name))
+                self.links[name, worker.name] = link
+                self.discovery.members[worker.name].ports[name] = await link.listen()
+        await asyncio.gather(*(self.start_scheduler(name) for name in self.names))
+        for client in self.clients.values():
+            client.rate_per_s = self.plan.rate_per_s
+            self.tasks.append(asyncio.ensure_future(client.run()))
+
+    def _observer(self, scheduler: str, worker: str):
+        splitters: dict[int, RequestSplitter] = {}
+
+        def observe(connection: int, data: bytes) -> None:
+            now_s = time.monotonic()
+            for head, begun_s in splitters.setdefault(connection, RequestSplitter()).feed(data, now_s):
+                lines = head.decode("latin-1").split("\r\n")
+                fields = (line.partition(":") for line in lines[1:])
+                headers = {field_name.lower(): value.strip() for field_name, _, value in fields}
+                method, target, _ = lines[0].split(" ", 2)
+                budget = headers.get("x-budget-ms")
+                request = headers.get("x-call-id") or target.rsplit("/", 1)[-1]
+                self.records.messages.append(
+                    SentMessage(
+                        scheduler, worker, method, request, int(budget) if budget else None, begun_s, now_s
+                    )
+                )
+
+        return observe
+
+    def config(self, name: str) -> dict[str, Any]:
+        """Returns the configuration file of a scheduler."""
+        return {
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self.discovery.links[name].port}",
+            "seed": f"{self.names.index(name) + 16:x}",
+            "known": {"revision": 0, "complete": True, "members": []},
+            "limits": {"sockets": 1024, "memory_mb": 192},
+            "settings": {
+                "areas": ["a"],
+                "balancers": len(self.names),
+                "position": self.names.index(name),
+                "zone": "a",
+                "kinds": ["big"],
+                "tick_ms": 4.0,
+                "discovery": "push" if self.plan.pushed else "subscribe",
+                "classes": [
+                    {
+                        "name": cls,
+                        "aim_ms": each["deadline_ms"] / 3.0,
+                        "deadline_ms": each["deadline_ms"],
+                        "idempotency": EFFECTS[cls],
+                        **(KEYED_SETTINGS if EFFECTS[cls] == "keyed" else {}),
+                    }
+                    for cls, each in CLASSES.items()
+                ],
+                "permissions": {
+                    "max_attempts": 3,
+                    "cancel": True,
+                    "probes": True,
+                    "retry_after": True,
+                    "max_retry_after_ms": 2000.0,
+                    "conn_idle_ms": 15000.0,
+                    "connect_timeout_ms": 250.0,
+                },
+                "rules": {
+                    "grace_to_answer_ms": 16.0,
+                    "stop_sending_within_ms": self.plan.drain_grace_s * 1000.0,
+                    "cold_from": 0.3,
+                    "cold_ms": 2000.0,
+                    "fall_multiple": 3.0,
+                    "fall_ms": 1000.0,
+                },
+            },
+        }
+
+    async def start_scheduler(self, name: str) -> None:
+        """Starts a scheduler (again), and leads clients and callbacks to it."""
+        begun_s = time.monotonic()
+        program = Program(self.config(name), "", command=self.plan.command, environment=self.plan.environment)
+        self.programs[name] = program
+        if not await asyncio.to_thread(program.serving):
+            self.exits.append(f"{name} did not start: {program.said()}")
+            return
+        self.records.starts.append((name, begun_s))
+        port = program.addresses["clients"][1]
+        self.clients[name].port = port
+        self.clients[name].idle.clear()
+        for worker in self.workers.values():
+            worker.callback_ports[name] = port
+        for outage in self.records.process_outages:
+            if outage.scheduler == name and outage.end_s == float("inf"):
+                outage.end_s = time.monotonic()
+
+    async def restart_scheduler(self, name: str, by_kill: bool) -> None:
+        """Ends a scheduler by SIGKILL, or by SIGTERM with a SIGKILL as early as the protocol allows."""
+        program = self.programs[name]
+        begun_s = time.monotonic()
+        outage = Outage(name, begun_s if by_kill else begun_s + KILL_MARGIN_S)
+        self.records.process_outages.append(outage)
+        if not by_kill:
+            program.process.send_signal(signal.SIGTERM)
+            end_s = begun_s + LONGEST_DEADLINE_S + KILL_MARGIN_S
+            while program.process.poll() is None and time.monotonic() < end_s:
+                await asyncio.sleep(0.02)
+            if program.process.poll() not in (None, 0):
+                self.exits.append(f"{name} ended with {program.process.poll()}")
+        if program.process.poll() is None:
+            program.process.kill()
+        await asyncio.to_thread(program.process.wait)
+        self._keep_log(name)
+        await self.start_scheduler(name)
+
+    async def hold_up(self, name: str, span_s: float) -> None:
+        """Stops a scheduler for a while (SIGSTOP, SIGCONT)."""
+        process = self.programs[name].process
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(span_s)
+        process.send_signal(signal.SIGCONT)
+
+    def _keep_log(self, name: str) -> None:
+        program = self.programs.pop(name)
+        self.logs[name] += program.said()
+        program.close()
+
+    async def stop(self) -> None:
+        """Lets open requests end, then ends every process that was started here."""
+        for client in self.clients.values():
+            client.is_sending = False
+        pending = [task for client in self.clients.values() for task in client.tasks]
+        if pending:
+            await asyncio.wait(pending, timeout=12.0)
+        for name, program in list(self.programs.items()):
+            if program.process.poll() is not None:
+                self.exits.append(f"{name} ended with {program.process.poll()}")
+            else:
+                program.process.kill()
+                await asyncio.to_thread(program.process.wait)
+            self._keep_log(name)
+        for task in self.tasks:
+            task.cancel()
--- /dev/null
+++ b/measure/soak/oracle.py
@@ -0,0 +1,178 @@
+"""Judges a run from what clients, workers and discovery saw; nothing is asked of the schedulers.
+
+Pure. Each broken rule is one Violation. The terms are those of the protocol page and of STANDING.md; where
+two clauses disagree, the earlier one binds.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from measure.soak.records import ClientRequest, Outage, Records, SentMessage
+
+TIME_SLACK_S = 0.05  # each time limit grows by this much
+LATE_ANSWER_S = 0.5  # an answer up to so late earns nothing; later it is lost
+LEFT_S = 0.1  # an attempt that begins later than this after its client has left is a lost request
+BUDGET_SLACK_MS = 150.0
+NOTIFIED_S = 6.0  # after discovery had a change and could be reached
+LAG_S = 0.05  # between a scheduler's send and the proxy's clock, on a busy machine
+
+
+class RuleSet(NamedTuple):
+    """The figures of the settings that the rules go by."""
+
+    drain_grace_s: float
+    effects: dict[str, str]  # by class: safe, keyed or unsafe
+    windows_s: dict[str, float]  # by keyed class
+
+
+class Violation(NamedTuple):
+    """One broken rule."""
+
+    rule: str
+    at_s: float
+    text: str
+
+
+def judge(records: Records, rules: RuleSet) -> list[Violation]:
+    """Returns every violation, in the order of time."""
+    found = [
+        *lost_requests(records),
+        *late_attempts(records),
+        *draining_sends(records, rules),
+        *duplicates(records, rules),
+        *long_budgets(records),
+    ]
+    return sorted(found, key=lambda each: each.at_s)
+
+
+def _was_down(outages: list[Outage], scheduler: str, begin_s: float, end_s: float) -> bool:
+    return any(
+        each.scheduler == scheduler and each.begin_s <= end_s and each.end_s >= begin_s for each in outages
+    )
+
+
+def lost_requests(records: Records) -> Iterator[Violation]:
+    """Every request gets its final answer in time, unless its client left or its scheduler was killed."""
+    for each in records.requests:
+        due_s = each.sent_s + each.budget_ms / 1000.0 + LATE_ANSWER_S
+        if each.left_s is not None and each.left_s < due_s:
+            continue
+        if _was_down(records.process_outages, each.scheduler, each.sent_s, due_s):
+            continue
+        answered_s = each.answered_s
+        if answered_s is None or answered_s > due_s + TIME_SLACK_S + LAG_S:
+            ended_s = answered_s or each.ended_unanswered_s
+            fate = "no answer" if answered_s is None else "answered late"
+            took_s = None if ended_s is None else round(ended_s - each.sent_s, 3)
+            text = f"{each.id} ({each.cls}, {each.budget_ms} ms): {fate}, after {took_s} s"
+            yield Violation("lost", ended_s or due_s, text)
+
+
+def late_attempts(records: Records) -> Iterator[Violation]:
+    """No attempt begins over LEFT_S after its client has left."""
+    left_s = {each.id: each.left_s for each in records.requests if each.left_s is not None}
+    for each in _attempts(records):
+        gone_s = left_s.get(each.request)
+        if gone_s is not None and each.first_byte_s > gone_s + LEFT_S + LAG_S:
+            text = f"{each.request} to {each.worker} {each.first_byte_s - gone_s:.3f} s after its client left"
+            yield Violation("lost", each.first_byte_s, text)
+
+
+def _attempts(records: Records) -> list[SentMessage]:
+    return [each for each in records.messages if each.method == "POST"]
+
+
+def notified_s(records: Records, scheduler: str, revision: int, made_s: float) -> float:
+    """Returns when a change counts as notified to a scheduler."""
+    latest_s = made_s + NOTIFIED_S
+    for each in sorted(records.discovery_outages, key=lambda outage: outage.begin_s):
+        if each.scheduler == scheduler and each.begin_s < latest_s and each.end_s > made_s:
+            latest_s = max(latest_s, each.end_s + NOTIFIED_S)
+    delivered = [
+        each.at_s
+        for each in records.deliveries
+        if each.scheduler == scheduler
+        and each.revision >= revision
+        and (each.since is None or each.since < revision)
+    ]
+    return min([latest_s, *delivered])
+
+
+def draining_sends(records: Records, rules: RuleSet) -> Iterator[Violation]:
+    """No attempt goes to a worker later than the grace after its drain or removal counts as notified."""
+    phases: dict[str, list[tuple[float, str, int]]] = defaultdict(list)
+    for change in records.changes:
+        phases[change.worker].append((change.at_s, change.phase, change.revision))
+    known: dict[tuple[str, int], float] = {}
+    for each in _attempts(records):
+        history = phases.get(each.worker, [])
+        index = bisect.bisect(history, (each.first_byte_s, "~", 0)) - 1
+        if index < 0 or history[index][1] == "active":
+            continue
+        while index > 0 and history[index - 1][1] != "active":
+            index -= 1
+        made_s, phase, revision = history[index]
+        key = each.scheduler, revision
+        if key not in known:
+            known[key] = notified_s(records, each.scheduler, revision, made_s)
+        if _started_after(records, each.scheduler, made_s, each.first_byte_s):
+            continue  # a new process is notified by its own calls; judged by the notification's clauses later
+        late_s = each.first_byte_s - known[key]
+        if late_s > rules.drain_grace_s + TIME_SLACK_S + LAG_S:
+            text = (
+                f"{each.request} from {each.scheduler} to {each.worker} ({phase} in revision {revision}) "
+                f"{late_s:.3f} s after the notification"
+            )
+            yield Violation("drain", each.first_byte_s, text)
+
+
+def _started_after(records: Records, scheduler: str, made_s: float, sent_s: float) -> bool:
+    return any(
+        name == scheduler and made_s < at_s and sent_s < at_s + NOTIFIED_S for name, at_s in records.starts
+    )
+
+
+def duplicates(records: Records, rules: RuleSet) -> Iterator[Violation]:
+    """Effects happen once, and one attempt is out at a time."""
+    attempts: dict[str, list[SentMessage]] = defaultdict(list)
+    for each in _attempts(records):
+        if each.last_byte_s is not None:
+            attempts[each.request].append(each)
+    classes = {each.id: each.cls for each in records.requests}
+    outcomes: dict[tuple[str, str], list[tuple[float, str]]] = defaultdict(list)
+    for each in records.outcomes:
+        outcomes[each.request, each.worker].append((each.at_s, each.state))
+    for request, sent in attempts.items():
+        cls = classes.get(request, "")
+        for earlier, later in zip(sent, sent[1:], strict=False):
+            states = [
+                state
+                for at_s, state in outcomes[request, earlier.worker]
+                if earlier.last_byte_s - LAG_S <= at_s <= later.last_byte_s
+            ]
+            never_ran = not states or states == ["rejected"]
+            if rules.effects.get(cls) == "unsafe" and not never_ran:
+                text = (
+                    f"{request} ({cls}) to {later.worker} after it may have run at {earlier.worker}: {states}"
+                )
+                yield Violation("duplicate", later.first_byte_s, text)
+            window_s = rules.windows_s.get(cls)
+            if window_s and not never_ran and later.first_byte_s > earlier.last_byte_s + window_s:
+                yield Violation("duplicate", later.first_byte_s, f"{request} ({cls}) after its window")
+
+
+def long_budgets(records: Records) -> Iterator[Violation]:
+    """The time passed to a worker is at most what the client has left, with some slack."""
+    requests: dict[str, ClientRequest] = {each.id: each for each in records.requests}
+    for each in _attempts(records):
+        request = requests.get(each.request)
+        if request is None or each.budget_ms is None or each.last_byte_s is None:
+            continue
+        left_ms = request.budget_ms - (each.last_byte_s - request.sent_s) * 1000.0
+        if each.budget_ms > max(left_ms, 1.0) + BUDGET_SLACK_MS + LAG_S * 1000.0:
+            text = f"{each.request} to {each.worker}: passed {each.budget_ms} ms of {left_ms:.0f} left"
+            yield Violation("deadline", each.first_byte_s, text)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,44 @@
+"""Rules under faults, with real processes: what the soak's oracle sees of single, forced faults."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from measure.soak.fleet import Fleet, FleetPlan
+from measure.soak.oracle import Violation, judge
+from measure.soak.stand_ins import AnswerFault
+
+
+class UnfinishedLists(unittest.TestCase):
+    """The list that says that a worker is gone does not arrive whole; the worker goes on listening."""
+
+    async def play(self, faults: list[tuple[AnswerFault, float]], quiet_s: float) -> list[Violation]:
+        """Removes a worker while the next answers of discovery have these faults."""
+        fleet = Fleet(FleetPlan(rate_per_s=60.0), seed=1)
+        try:
+            await fleet.start()
+            await asyncio.sleep(quiet_s)
+            fleet.discovery.faults["n0"] = list(faults)
+            fleet.discovery.change(["w0"], "left")
+            await asyncio.sleep(14.0)
+        finally:
+            await fleet.stop()
+        self.assertTrue(any(each.worker == "w1" for each in fleet.records.messages))
+        return judge(fleet.records, fleet.rules)
+
+    async def play_all(self) -> dict[str, list[Violation]]:
+        cases = {
+            "stalled in its body": ([(AnswerFault.STALL, 0.95)], 1.5),
+            "stalled in its head": ([(AnswerFault.STALL, 0.05)], 1.5),
+            "stalled twice": ([(AnswerFault.STALL, 0.9)] * 2, 2.5),
+            "without its last chunk": ([(AnswerFault.NO_END, 1.0)], 1.5),
+            "cut off, then stalled": ([(AnswerFault.CUT, 0.9), (AnswerFault.STALL, 0.9)], 1.5),
+        }
+        found = await asyncio.gather(*(self.play(*each) for each in cases.values()))
+        return dict(zip(cases, found, strict=True))
+
+    def test_a_removed_worker_gets_nothing_after_the_grace_however_its_list_was_spoilt(self) -> None:
+        for name, violations in asyncio.run(self.play_all()).items():
+            with self.subTest(name):
+                self.assertEqual([str(each) for each in violations[:5]], [])
