Give the endpoint list one freshness deadline, and ask it before every send

Cause: each wait of the discovery client had a timer of its own (hold and margin 11.5 s over a whole answer, 0.75 s, 1.5 s connect, a pause of up to 4 s by the decisions), and nothing asked at a send how old the list was. An answer that stopped before its end was noticed after up to 11.5 s, and a second one kept the list old for as long again. Lines: _run_watch and _poll in discovery/client.py, WatchTiming.from_settings, _send_permission in request_manager.py. Change: discovery/freshness.py (pure) holds one deadline, 6 s and the grace less 0.15 s after the list was last known to be current; discovery/call.py bounds the gaps within an answer; after a failure a call has to be answered at once, its patience a share of the time left; the client repeats its own failures. core/send_guard.py is asked before bytes of attempts and probes leave, with typed reasons, and checks what was sent: violation.* counts and rule_violated. Tests that went: 'the core hears of an ended watch' (now: opened anew from the client, however often, as strict as the pushed case was) and the sums of WatchTiming (now test_freshness.py, on the deadline itself).

--- a/measure/soak/stand_ins.py
+++ b/measure/soak/stand_ins.py
@@ -311,6 +311,8 @@
         """Sends until is_sending is False."""
         while self.is_sending:
             await asyncio.sleep(self.draw.expovariate(self.rate_per_s))
+            if not self.is_sending:
+                return
             task = asyncio.ensure_future(self._send_one())
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -39,7 +39,9 @@
     WorkerConnection,
     ZoneRouting,
 )
+from spanwing.core.send_guard import SendGuard, SendRefusal
 
+DISCOVERY_SOURCE = "map"  # the directory of the workers that discovery names
 JOURNAL_RETRY_AFTER_MS = 1000.0  # Retry-After for work that the journal cannot record
 # An attempt expires this long before its request's deadline, so that its outcome comes first.
 TIMEOUT_MARGIN_MS = 1.0
@@ -57,6 +59,7 @@
     attempt_count: int = 0
     # No attempt may be sent later: workers would no longer drop it as a repeat.
     send_until_ms: float = math.inf
+    may_have_run: bool = False  # an attempt ended that may have run
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
     timer: object
     is_recorded: bool = False  # its intent was passed to the journal
     awaits_record: bool = False  # for its intent to be on disk; the worker connection does not have it yet
+    follows_list: bool = False  # the worker is one that discovery named
 
 
 class RequestManager(Actor):
@@ -94,6 +98,7 @@
         self.in_flight: dict[tuple[str, int], InFlightAttempt] = {}
         self.connections_by_source: dict[str, dict[int, WorkerConnection]] = {}  # source: the directory
         self.counters: Counter[str] = Counter()
+        self.guard = SendGuard(self, self.counters)
         self.remote_open_ids: Container[str] = ()  # ids open in the other process of a hot restart
         # Called with an id and True as it opens here, and with False as it ends.
         self.on_open_change: Callable[[str, bool], None] | None = None
@@ -376,7 +381,7 @@
         self.counters[f"listed.{update.scope}"] += 1
         if update.scope != "error":
             self.endpoints_known |= bool(update.workers) or update.scope == "complete"
-            if update.scope != "persisted" and message.source == "map":
+            if update.scope != "persisted" and message.source == DISCOVERY_SOURCE:
                 self.discovery_heard_s = self.loop.time()
         if update.scope in ("complete", "persisted") and len(self.connections_by_source) > 1:
             # A complete list of one directory says nothing about the workers of another.
@@ -480,12 +485,20 @@
         timer = self.loop.call_later(max(0.0, timeout_ms) / 1000.0, self.post, AttemptExpired(*key))
         connection = self._connection_to(action.worker)
         attempt = self.in_flight[key] = InFlightAttempt(
-            connection, action.worker, now_ms, now_ms + timeout_ms, timer
+            connection,
+            action.worker,
+            now_ms,
+            now_ms + timeout_ms,
+            timer,
+            follows_list=action.worker in self.connections_by_source.get(DISCOVERY_SOURCE, ()),
         )
         if timeout_ms <= 0 or number >= self.acting_scheduler.set.max_attempts or connection is None:
             self.post(AttemptEnded(*key, "moot"))
             return
-        may_send = self._send_permission(pending, action.worker)
+        may_send = self.guard.permit(action.request, number, connection.name)
+        if not may_send():
+            self.post(AttemptEnded(*key, "moot", is_unsent=True))
+            return
         if self.zone_routing is not None:
             if not self.zone_routing.may_forward(action.worker):
                 self.counters["zones.moot"] += 1
@@ -533,6 +546,7 @@
         idempotency key, further attempts may be sent only within its deduplication window, less one
         tick.
         """
+        pending.may_have_run = True
         scheduler = self._scheduler_of(pending.request.id)
         for each in scheduler.set.classes:
             if each.name == pending.request.cls and each.effect == "keyed":
@@ -540,16 +554,29 @@
                     pending.send_until_ms, forwarded_ms + each.window - scheduler.set.tick
                 )
 
-    def _send_permission(self, pending: PendingRequest, worker: int) -> Callable[[], bool] | None:
-        """Returns the check to make just before an attempt is sent; None if nothing can forbid it. The wait
-        for a connection slot, a connection and the journal may have outlasted the decision.
+    def send_refusal(self, request: str, number: int) -> SendRefusal | None:
+        """Returns why this attempt may not be sent now; None: it may.
+
+        The waits for a connection slot, a connection and the journal may have outlasted the decision.
         """
+        pending, attempt = self.pending_requests.get(request), self.in_flight.get((request, number))
+        if pending is None:
+            return SendRefusal.REQUEST_OVER
+        if attempt is None or number != pending.attempt_count - 1:
+            return SendRefusal.ATTEMPT_OVER
+        now_ms = self.clock.now_ms()
+        if now_ms >= attempt.expires_ms:
+            return SendRefusal.DEADLINE_PASSED
+        if now_ms >= pending.send_until_ms:
+            return SendRefusal.WINDOW_PASSED
+        if pending.may_have_run and pending.request.cls in self.unsafe_classes:
+            return SendRefusal.MAY_HAVE_RUN
+        if attempt.follows_list and self.guard.is_list_stale():
+            return SendRefusal.LIST_STALE
         zones = self.zone_routing
-        if zones is None and pending.send_until_ms == math.inf:
-            return None
-        return lambda: (
-            self.clock.now_ms() < pending.send_until_ms and (zones is None or zones.may_forward(worker))
-        )
+        if zones is not None and not zones.may_forward(attempt.worker):
+            return SendRefusal.ZONE_CLOSED
+        return None
 
     def _handle_intent_recorded(
         self, key: tuple[str, int], on_recorded: Callable[[bool], None] | None, may_send: bool
@@ -579,7 +606,7 @@
             self.post(AttemptEnded(*key, "moot", is_unsent=True))
             return
         timeout_ms = max(0.0, attempt.expires_ms - self.clock.now_ms())
-        may_send = self._send_permission(pending, attempt.worker)
+        may_send = self.guard.permit(message.request, message.number, attempt.connection.name)
         attempt.connection.deliver(
             DeliveryAttempt(pending.request, message.number, timeout_ms, is_recorded=True, may_send=may_send),
             self,
@@ -594,7 +621,8 @@
     def probe_worker(self, worker: int) -> None:
         """Probes a worker for its load report; does nothing if it has no connection."""
         connection = self._connection_to(worker)
-        if connection is not None:
+        follows_list = worker in self.connections_by_source.get(DISCOVERY_SOURCE, ())
+        if connection is not None and self.guard.may_probe(follows_list):
             self.counters["probed"] += 1
             connection.probe(worker, self)
 
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -27,7 +27,8 @@
 from spanwing.core.clock import Clock
 from spanwing.core.request_manager import RequestManager
 from spanwing.core.statistics import collect_statistics
-from spanwing.discovery.client import DiscoveryClient, WatchTiming
+from spanwing.discovery.client import DiscoveryClient
+from spanwing.discovery.freshness import CallTiming
 from spanwing.faults import ConfigurationError
 from spanwing.frontends.faktory import FaktoryFrontend
 from spanwing.frontends.http_server import HttpServer
@@ -37,7 +38,7 @@
 from spanwing.net.address import Address, adopt_listening_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.loop_meter import MeteredSelector, install_metered_loop
-from spanwing.settings import PermissionSettings, RuleSettings
+from spanwing.settings import PermissionSettings
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
 from spanwing.store.disk import RegisterLog, RegisterLogError
@@ -147,13 +148,10 @@
             self.request_manager,
             buffers,
             make_worker_connection,
-            WatchTiming.from_settings(
-                settings.drain_grace,
-                not settings.subscribe,
-                (platform_settings.rules or RuleSettings()).poll_interval_ms,
-            ),
+            CallTiming.from_settings(settings.drain_grace, not settings.subscribe),
         )
         self.request_manager.directory = discovery
+        self.request_manager.guard.is_list_stale = discovery.is_stale
         if not settings.subscribe:  # the scheduler requests no watch then; discovery counts all the same
             discovery.watch()
         platform_frontend = PlatformFrontend(
@@ -459,7 +457,11 @@
         statistics = {
             name: value for name, value in collect_statistics(self.request_manager).items() if value
         }
-        return dict(sorted({**self.request_manager.counters, **journal_counters, **statistics}.items()))
+        discovery_counters = {
+            f"discovery.failed.{reason}": count for reason, count in self.discovery.failed_calls.items()
+        }
+        counters = {**self.request_manager.counters, **discovery_counters, **journal_counters, **statistics}
+        return dict(sorted(counters.items()))
 
     def print_counters(self) -> None:
         """Prints the counters on standard output, as one line of JSON."""
--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -8,8 +8,9 @@
 from typing import NamedTuple
 
 import msgspec
+from tornado.concurrent import Future
 from tornado.gen import TimeoutError as WaitOver
-from tornado.gen import with_timeout
+from tornado.gen import sleep, with_timeout
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -55,94 +56,122 @@
     UNREADABLE = "unreadable"  # no endpoint list
 
 
+class CallLimits(NamedTuple):
+    """How long the stages of a call may take, in seconds."""
+
+    connect_s: float
+    begin_s: float  # from the start of the call to the first byte of the answer
+    stall_s: float  # longest gap within the answer
+    answer_s: float = 2.0  # from the first byte of the answer to its last
+
+
 class CallResult(NamedTuple):
     """How a call ended; exactly one of endpoints and failure is set."""
 
     endpoints: DiscoveredEndpoints | None
     failure: CallFailure | None
-    took_s: float
-    is_poll_written: bool = False  # the request left, and asked discovery to wait
-    answered_s: float | None = None  # from the start of the call to the last byte that came, if any
+    began_s: float  # loop time, as all
+    ended_s: float
+    first_byte_s: float | None  # of the answer; None: nothing came
+    last_byte_s: float | None
+
+
+class AnswerOverdueError(Exception):
+    """The next bytes of an answer did not come in time."""
+
+
+class AnswerStream(HttpStream):
+    """Reads one answer at a time, each read bounded by the limits of the call."""
+
+    def __init__(self, stream: IOStream, buffers: BufferPool) -> None:
+        super().__init__(stream, buffers, parses_responses=True)
+        self.loop = IOLoop.current()
+        self.limits: CallLimits | None = None
+        self.began_s = 0.0
+        self.first_byte_s: float | None = None
+
+    def begin_call(self, began_s: float, limits: CallLimits) -> None:
+        """Sets the limits for the next answer."""
+        self.began_s, self.limits, self.first_byte_s = began_s, limits, None
+
+    async def read(self, sink: bytearray) -> bool:
+        """Appends the next input to sink; returns False if the connection has ended.
+
+        Raises AnswerOverdueError. A process that was held up finds its timer over and its input unread: the
+        input counts.
+        """
+        reading = self._begin_read()
+        try:
+            while not reading.done():
+                await self._wait_for_input(reading)
+        except StreamClosedError:
+            pass
+        has_data = self._collect_read(sink)
+        if has_data and self.first_byte_s is None:
+            self.first_byte_s = self.last_read_s
+        return has_data
+
+    async def _wait_for_input(self, reading: Future[int]) -> None:
+        wait_s = self._due_s() - self.loop.time()
+        try:
+            await with_timeout(
+                timedelta(seconds=max(0.0, wait_s)), reading, quiet_exceptions=StreamClosedError
+            )
+        except WaitOver:
+            if self.has_no_pending_input():
+                raise AnswerOverdueError from None
+            await sleep(0)  # the loop reads it in its next turn
+
+    def _due_s(self) -> float:
+        if self.first_byte_s is None:
+            return self.began_s + self.limits.begin_s
+        return min(self.last_read_s + self.limits.stall_s, self.first_byte_s + self.limits.answer_s)
 
 
 class DiscoveryConnection:
     """The connection to one discovery; opened anew by the next call after any failure."""
 
-    def __init__(self, address: Address, buffers: BufferPool, connect_timeout_s: float) -> None:
-        self.address, self.buffers, self.connect_timeout_s = address, buffers, connect_timeout_s
-        self.stream: HttpStream | None = None
+    def __init__(self, address: Address, buffers: BufferPool) -> None:
+        self.address, self.buffers = address, buffers
+        self.stream: AnswerStream | None = None
 
     def close(self) -> None:
         """Closes the connection, if one is open; a call in progress fails."""
         if self.stream is not None:
             self.stream.close()
 
-    async def fetch(self, since: int | None, poll_hold_s: float, answer_timeout_s: float) -> CallResult:
+    async def fetch(self, since: int | None, hold_s: float, limits: CallLimits) -> CallResult:
         """Asks for the endpoint list.
 
-        since: the revision after which changes are awaited for poll_hold_s; None: the complete list, at once.
-        The whole answer has to come within answer_timeout_s of the request. Never raises.
+        since: the revision after which changes are awaited for hold_s; None: the complete list, at once.
+        Never raises; after a failure the connection is closed.
         """
-        began_s = IOLoop.current().time()
+        loop = IOLoop.current()
+        began_s = loop.time()
         target = "/discovery/hosts"
         if since is not None:
-            target += f"?since={since}&timeout_ms={poll_hold_s * 1000.0:.0f}"
-        failure = await self._open_and_write(encode_request("GET", target, {"Host": str(self.address)}))
-        is_poll_written = failure is None and since is not None
-        endpoints = None
+            target += f"?since={since}&timeout_ms={hold_s * 1000.0:.0f}"
+        endpoints, failure = None, await self._open(limits.connect_s)
+        stream = self.stream
         if failure is None:
-            endpoints, failure = await self._receive_endpoints(answer_timeout_s)
-        took_s = IOLoop.current().time() - began_s
-        answered_s = None
-        if self.stream is not None and self.stream.last_read_s > began_s:
-            answered_s = self.stream.last_read_s - began_s
+            stream.begin_call(began_s, limits)
+            request = encode_request("GET", target, {"Host": str(self.address)})
+            endpoints, failure = await _exchange(stream, request)
         if failure is not None:
-            self.close()
-        return CallResult(endpoints, failure, took_s, is_poll_written, answered_s)
-
-    async def _open_and_write(self, request: bytes) -> CallFailure | None:
-        """Writes the request, on a new connection if the present one cannot carry it."""
-        if self.stream is None or not self.stream.is_reusable():
-            failure = await self._connect()
-            if failure is not None:
-                return failure
-        try:
-            await self.stream.write(request)
-        except StreamClosedError:
-            return CallFailure.CLOSED
-        return None
-
-    async def _receive_endpoints(
-        self, answer_timeout_s: float
-    ) -> tuple[DiscoveredEndpoints | None, CallFailure | None]:
-        stream = self.stream
-        try:
-            response = await with_timeout(
-                timedelta(seconds=answer_timeout_s),
-                stream.receive(),
-                quiet_exceptions=(HttpError, StreamClosedError),
-            )
-        except WaitOver:
-            return None, CallFailure.NO_ANSWER if stream.parser.is_idle() else CallFailure.STALLED
-        except StreamClosedError:
-            return None, CallFailure.CLOSED
-        except HttpError:
-            return None, CallFailure.MALFORMED
-        if response is None:
-            return None, CallFailure.CLOSED if stream.parser.is_idle() else CallFailure.CUT_OFF
-        if response.status != 200:
-            return None, CallFailure.STATUS
-        if not response.keep_alive:
             stream.close()
-        endpoints = _read_endpoints(response)
-        return endpoints, None if endpoints is not None else CallFailure.UNREADABLE
-
-    async def _connect(self) -> CallFailure | None:
+        first_byte_s = stream.first_byte_s
+        last_byte_s = None if first_byte_s is None else stream.last_read_s
+        return CallResult(endpoints, failure, began_s, loop.time(), first_byte_s, last_byte_s)
+
+    async def _open(self, connect_s: float) -> CallFailure | None:
+        """Opens a connection, unless the present one can carry another request."""
+        if self.stream is not None and self.stream.is_reusable():
+            return None
         stream = IOStream(open_socket(self.address))
-        self.stream = HttpStream(stream, self.buffers, parses_responses=True)
+        self.stream = AnswerStream(stream, self.buffers)
         try:
             await with_timeout(
-                timedelta(seconds=self.connect_timeout_s),
+                timedelta(seconds=connect_s),
                 stream.connect(self.address.socket_address),
                 quiet_exceptions=StreamClosedError,
             )
@@ -153,6 +182,28 @@
         return None
 
 
+async def _exchange(
+    stream: AnswerStream, request: bytes
+) -> tuple[DiscoveredEndpoints | None, CallFailure | None]:
+    try:
+        await stream.write(request)
+        response = await stream.receive()
+    except AnswerOverdueError:
+        return None, CallFailure.NO_ANSWER if stream.first_byte_s is None else CallFailure.STALLED
+    except StreamClosedError:
+        return None, CallFailure.CLOSED
+    except HttpError:
+        return None, CallFailure.MALFORMED
+    if response is None:
+        return None, CallFailure.CLOSED if stream.first_byte_s is None else CallFailure.CUT_OFF
+    if response.status != 200:
+        return None, CallFailure.STATUS
+    if not response.keep_alive:
+        stream.close()
+    endpoints = _read_endpoints(response)
+    return endpoints, None if endpoints is not None else CallFailure.UNREADABLE
+
+
 def _read_endpoints(response: HttpMessage) -> DiscoveredEndpoints | None:
     try:
         return msgspec.json.decode(response.body, type=DiscoveredEndpoints)
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -15,82 +16,40 @@
 from spanwing.core.messages import AttemptListener, EndpointsChanged
 from spanwing.discovery.call import (
     CallFailure,
+    CallLimits,
     CallResult,
     DiscoveredEndpoints,
     DiscoveredWorker,
     DiscoveryConnection,
 )
+from spanwing.discovery.freshness import CallTiming, EndpointFreshness, Freshness
 from spanwing.log.events import log_event
 from spanwing.net.address import Address, parse_address
 from spanwing.net.buffers import BufferPool
 from spanwing.workers.http_worker import HttpWorker, RetireWorker, WorkerCallback
 from spanwing.workers.worker_id import worker_id_of
 
-RETRY_S = 0.5  # a failed call that cannot wait for the core is retried within this
-DISCOVERY_MOVE_GRACE_S = 4.0  # after a change of address; by then a new discovery is up, and its list counts
-FULL_LIST_TIMEOUT_S = 3.0  # for the complete list, which discovery may queue
-# From the protocol: what a silent watch has missed counts as notified this long after it fell silent, and not
-# before this long after the end of its poll's hold time.
-SILENT_WATCH_NOTIFIED_S, OVERDUE_ANSWER_NOTIFIED_S = 6.0, 2.0
-WATCH_REOPEN_MARGIN_S = (
-    1.75  # part of the time until forwarding must have stopped, reserved for reopening a silent watch
-)
+AT_ONCE_HOLD_S = 0.001  # after a failure, or at the start, a call is answered at once, changes or not
+CALLS_UNTIL_UNREACHABLE = 8  # failed in a row, before the state is logged: restarts and moves are ordinary
+#: Failures that show that discovery answers nobody, or that nothing reaches it; by the protocol page a call
+#: that fails ends with 503 or a reset.
+UNREACHABLE_FAILURES = {
+    CallFailure.CONNECT_TIMEOUT,
+    CallFailure.CONNECT_FAILED,
+    CallFailure.CLOSED,
+    CallFailure.STATUS,
+}
 STATE_OF_PHASE: dict[str, api.State] = {"active": "healthy", "leaving": "draining", "left": "gone"}
 
 logger = logging.getLogger("spanwing")
 
 
-class WatchTiming(NamedTuple):
-    """Timing of the calls to discovery."""
-
-    poll_hold_s: float = 10.0  # discovery answers a poll without events after this
-    answer_margin_s: float = (
-        1.5  # answer due this long after the hold at the latest; also the connect timeout
-    )
-    reopen_within_s: float = 0.75  # longest random delay before a broken watch is reopened, by any scheduler
-    retry_within_s: float = 0.0  # a failed call is retried within this; 0: when the core asks for it
-
-    @classmethod
-    def from_settings(cls, drain_grace_ms: float, is_pushed: bool, poll_interval_ms: float) -> WatchTiming:
-        """Computes the timing from the settings.
-
-        What a silent watch has missed counts as notified SILENT_WATCH_NOTIFIED_S after it fell silent, or
-        OVERDUE_ANSWER_NOTIFIED_S after its hold time, and forwarding must have stopped drain_grace_ms later.
-        By then the watch must have been reopened and answered. Where the list is pushed, discovery's state
-        counts at once, watch or no watch; where it is polled, poll_interval_ms after the last call.
-        """
-        grace_s, defaults = drain_grace_ms / 1000.0, cls()
-        answer_margin_s = min(
-            defaults.answer_margin_s,
-            defaults.answer_margin_s
-            * (OVERDUE_ANSWER_NOTIFIED_S + grace_s)
-            / (OVERDUE_ANSWER_NOTIFIED_S + 2.0),
-        )
-        reopen_within_s = answer_margin_s / 2.0
-        poll_hold_s = defaults.poll_hold_s
-        if (
-            OVERDUE_ANSWER_NOTIFIED_S + grace_s - answer_margin_s - reopen_within_s < WATCH_REOPEN_MARGIN_S
-        ):  # a shorter hold is bound by SILENT_WATCH_NOTIFIED_S alone
-            poll_hold_s = max(
-                1.0,
-                SILENT_WATCH_NOTIFIED_S + grace_s - answer_margin_s - reopen_within_s - WATCH_REOPEN_MARGIN_S,
-            )
-        retry_within_s = min(1.0, grace_s / 2.0) if is_pushed else poll_interval_ms / 2000.0
-        return cls(
-            poll_hold_s,
-            answer_margin_s,
-            reopen_within_s,
-            max(0.05, retry_within_s) if is_pushed or retry_within_s < DISCOVERY_MOVE_GRACE_S else 0.0,
-        )
-
-
 @dataclass(slots=True, eq=False)
 class DiscoveryWatch:
     """The calls to one discovery; their answers count until the next watch has begun."""
 
     address: Address
     revision: int | None  # None: fetch the complete list first
-    failures_hidden_until_s: float  # loop time; before it failed calls are retried without notifying the core
     connection: DiscoveryConnection
 
 
@@ -105,9 +64,9 @@
 
 
 class WatchAnswer(NamedTuple):
-    """Discovery has answered; None: the call failed."""
+    """Discovery has answered."""
 
-    endpoints: DiscoveredEndpoints | None
+    endpoints: DiscoveredEndpoints
     watch: DiscoveryWatch
 
 
@@ -136,10 +95,13 @@
         listener: AttemptListener,
         buffers: BufferPool,
         make_worker: Callable[[str, Address, Callable[[HttpWorker], None]], HttpWorker],
-        timing: WatchTiming = WatchTiming(),  # noqa: B008 - a tuple
+        timing: CallTiming = CallTiming(),  # noqa: B008 - a tuple
     ) -> None:
         super().__init__()
         self.timing = timing
+        self.freshness = EndpointFreshness(timing, self.loop.time())
+        self.logged_state = Freshness.CURRENT
+        self.failed_calls: Counter[str] = Counter()  # by reason, refused connects left out
         self.retiring_workers: dict[
             str, list[HttpWorker]
         ] = {}  # replaced ones that still have attempts in flight
@@ -199,7 +161,7 @@
 
     def _handle_start_watch(self, _: StartWatch) -> None:
         if self.current_watch is None:
-            self._start_watch(0.0)
+            self._start_watch()
 
     def _handle_change_discovery(self, move: ChangeDiscovery) -> None:
         if move.address == self.discovery_address:
@@ -209,57 +171,83 @@
         self.discovery_address, self.revision = move.address, None
         if self.current_watch is not None:
             self.current_watch.connection.close()
-        self._start_watch(DISCOVERY_MOVE_GRACE_S)
+        self.freshness.note_moved(self.loop.time())
+        self._start_watch()
 
-    def _start_watch(self, failures_hidden_s: float) -> None:
-        connection = DiscoveryConnection(self.discovery_address, self.buffers, self.timing.answer_margin_s)
-        self.current_watch = DiscoveryWatch(
-            self.discovery_address, self.revision, self.loop.time() + failures_hidden_s, connection
-        )
+    def _start_watch(self) -> None:
+        connection = DiscoveryConnection(self.discovery_address, self.buffers)
+        self.current_watch = DiscoveryWatch(self.discovery_address, self.revision, connection)
         spawn_task(self._run_watch(self.current_watch))
 
+    def is_stale(self) -> bool:
+        """Returns whether nothing may be sent by the list: discovery can be reached, and no whole answer came
+        in time.
+        """
+        return self.freshness.is_stale(self.loop.time())
+
     async def _run_watch(self, watch: DiscoveryWatch) -> None:
-        """Polls discovery, each call right after the last: a pause of 200 ms would end the watch."""
-        last_list_s = self.loop.time()
+        """Calls discovery until the watch is replaced, each call right after the last: a pause of 200 ms
+        would end the watch on the other side.
+
+        The first call, and each after a failure, has to be answered at once: the silence of a poll could be a
+        lost answer. Every failure is repeated from here, with a pause that the freshness of the list allows.
+        """
+        may_poll = False
         while self.current_watch is watch:
-            since, poll_hold_s = watch.revision, self.timing.poll_hold_s
-            answer_timeout_s = (
-                FULL_LIST_TIMEOUT_S if since is None else poll_hold_s + self.timing.answer_margin_s
-            )
-            result = await watch.connection.fetch(since, poll_hold_s, answer_timeout_s)
+            since, hold_s = watch.revision, self.timing.poll_hold_s if may_poll else AT_ONCE_HOLD_S
+            result = await watch.connection.fetch(since, hold_s, self._call_limits(may_poll))
+            if self.current_watch is not watch:
+                return
+            may_poll = result.failure is None
             if result.endpoints is not None:
-                watch.revision, watch.failures_hidden_until_s = result.endpoints.revision, 0.0
-                last_list_s = self.loop.time()
-                _log_list(since, result, self.current_watch is watch)
+                watch.revision = result.endpoints.revision
+                self.freshness.note_answer(result.first_byte_s)
+                self._log_state()
+                _log_list(since, result)
                 self.post(WatchAnswer(result.endpoints, watch))
                 continue
-            backoff_s, now = RETRY_S, self.loop.time()
-            if is_silent(result):  # reopened soon, however often, also if the first attempt fails
-                watch.failures_hidden_until_s = max(
-                    watch.failures_hidden_until_s, now + WATCH_REOPEN_MARGIN_S
-                )
-                backoff_s = self.timing.reopen_within_s
-            elif now >= watch.failures_hidden_until_s:
-                backoff_s = self.timing.retry_within_s
-            retry_s = random.uniform(0.0, backoff_s) if backoff_s else None
-            # While nothing listens there, a line a call says nothing new: only once that lasts.
-            if (
-                result.failure is not CallFailure.CONNECT_FAILED
-                or now > last_list_s + SILENT_WATCH_NOTIFIED_S
-            ):
-                _log_failure(since, result, retry_s)
-            if retry_s is None:
-                self.post(WatchAnswer(None, watch))
-                return
-            await sleep(retry_s)
+            await sleep(self._note_failure(since, result))
+
+    def _call_limits(self, is_poll: bool) -> CallLimits:
+        timing = self.timing
+        if is_poll:
+            begin_s = timing.poll_hold_s + timing.answer_margin_s
+            return CallLimits(timing.answer_margin_s, begin_s, timing.stall_s)
+        patience_s = self.freshness.patience_s(self.loop.time())
+        return CallLimits(patience_s, patience_s, timing.stall_s)
+
+    def _note_failure(self, since: int | None, result: CallResult) -> float:
+        """Notes a failed call; returns the pause in seconds before the next."""
+        if result.failure in UNREACHABLE_FAILURES:
+            self.freshness.note_unreachable(result.began_s)
+        else:
+            self.freshness.note_unanswered()
+        pause_s = self.freshness.pause_s(random, result.began_s, self.loop.time())
+        # While nothing listens there, a line a call says nothing new: the state is logged.
+        if result.failure is not CallFailure.CONNECT_FAILED:
+            self.failed_calls[str(result.failure)] += 1
+            _log_failure(since, result, pause_s)
+        self._log_state()
+        return pause_s
+
+    def _log_state(self) -> None:
+        """Logs a change of the list's freshness; a refused connect counts once it has lasted."""
+        state = self.freshness.state(self.loop.time())
+        if state is Freshness.UNREACHABLE and self.freshness.failed_calls < CALLS_UNTIL_UNREACHABLE:
+            return
+        if state is self.logged_state:
+            return
+        self.logged_state = state
+        log_event(
+            "discovery_freshness",
+            level="info" if state is Freshness.CURRENT else "warning",
+            state=str(state),
+            failed_calls=self.freshness.failed_calls,
+        )
 
     def _handle_watch_answer(self, answer: WatchAnswer) -> None:
         if answer.watch is not self.current_watch:  # answer of a former watch
             return
-        if answer.endpoints is None:
-            self.current_watch = None
-            self.listener.post(EndpointsChanged(api.WorkerList("error"), self._workers_by_id()))
-            return
         self.revision = answer.endpoints.revision
         self._apply_endpoints(answer.endpoints, "complete" if answer.endpoints.complete else "partial")
 
@@ -358,14 +346,9 @@
             self.on_unknown_callback(received)
 
 
-def is_silent(result: CallResult) -> bool:
-    """Returns whether a poll was written and no complete answer came in the time allowed."""
-    return result.is_poll_written and result.failure in (CallFailure.NO_ANSWER, CallFailure.STALLED)
-
-
-def _log_list(since: int | None, result: CallResult, is_current: bool) -> None:
+def _log_list(since: int | None, result: CallResult) -> None:
     endpoints = result.endpoints
-    if not endpoints.members and not endpoints.complete and is_current:
+    if not endpoints.members and not endpoints.complete:
         return  # the hold time is over, and nothing has changed
     log_event(
         "discovery_list",
@@ -374,20 +357,20 @@
         complete=endpoints.complete,
         members=len(endpoints.members),
         not_active=sum(each.phase != "active" for each in endpoints.members),
-        took_s=round(result.took_s, 3),
-        current=is_current,
+        took_s=round(result.ended_s - result.began_s, 3),
     )
 
 
-def _log_failure(since: int | None, result: CallResult, retry_s: float | None) -> None:
+def _log_failure(since: int | None, result: CallResult, retry_s: float) -> None:
+    last_byte_s = None if result.last_byte_s is None else round(result.last_byte_s - result.began_s, 3)
     log_event(
         "discovery_call_failed",
         level="warning",
         reason=str(result.failure),
         since=since,
-        took_s=round(result.took_s, 3),
-        last_byte_s=None if result.answered_s is None else round(result.answered_s, 3),
-        retry_s=None if retry_s is None else round(retry_s, 3),
+        took_s=round(result.ended_s - result.began_s, 3),
+        last_byte_s=last_byte_s,
+        retry_s=round(retry_s, 3),
     )
 
 
--- /dev/null
+++ b/spanwing/discovery/freshness.py
@@ -0,0 +1,131 @@
+"""How fresh the endpoint list is, by when it must be read again, and how the calls are timed to manage that.
+
+Pure; times are loop time in seconds. The figures are those of the protocol page and of STANDING.md: what
+discovery has counts as notified at the latest NOTIFIED_S after it had it and could be reached, whether or
+not it arrived, and sends have to stop drain_grace later. So one deadline rules all calls: by then a whole
+answer must have been read that discovery began to give after the last one. Past it the list is stale:
+nothing may be sent by it.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from typing import NamedTuple
+
+NOTIFIED_S = 6.0  # after discovery had a change and could be reached
+POLL_HOLD_S = 3.0  # a poll without changes is answered after this, so that silence is noticed soon
+DISCOVERY_MOVE_NOTIFIED_S = 4.0  # after a change of discovery's address
+HELD_UP_S = 0.15  # a process may be held up for this long between reading its clock and writing
+MAX_ANSWER_MARGIN_S = 1.5  # a poll's answer is due this long after its hold
+MAX_PATIENCE_S = 3.3  # discovery itself fails a call that waited 3 s: its word is worth waiting for
+MIN_PATIENCE_S = 0.25
+PATIENCE_SHARE = 0.6  # of the time that is left: the rest is for further calls
+MAX_STALL_S, MIN_STALL_S = 0.5, 0.1  # bounds on the longest gap within an answer
+MAX_SPREAD_S = 3.0  # calls to a discovery that was unreachable are spread over this, against a herd
+OWN_FAULT_RETRY_S = 0.25  # a call that failed in its answer concerns us alone: it is repeated within this
+
+
+class CallTiming(NamedTuple):
+    """The spans of the calls, from the settings."""
+
+    poll_hold_s: float = POLL_HOLD_S
+    answer_margin_s: float = MAX_ANSWER_MARGIN_S
+    stall_s: float = MAX_STALL_S  # an answer that has begun may pause for this long
+    stale_after_s: float = NOTIFIED_S + 2.0 - HELD_UP_S  # after the list was last known to be current
+    spread_s: float = MAX_SPREAD_S  # longest pause before a call to a discovery that was unreachable
+    moved_within_s: float = DISCOVERY_MOVE_NOTIFIED_S + 2.0 - HELD_UP_S
+    max_patience_s: float = MAX_PATIENCE_S
+
+    @classmethod
+    def from_settings(cls, drain_grace_ms: float, is_pushed: bool) -> CallTiming:
+        """Computes the spans.
+
+        is_pushed: what discovery has counts at once whenever no watch is open, so failed calls are repeated
+        within half of the grace.
+        """
+        grace_s = max(0.0, drain_grace_ms / 1000.0 - HELD_UP_S)
+        stale_after_s = NOTIFIED_S + grace_s
+        return cls(
+            poll_hold_s=POLL_HOLD_S,
+            answer_margin_s=min(MAX_ANSWER_MARGIN_S, (stale_after_s - POLL_HOLD_S) / 3.0),
+            stall_s=min(MAX_STALL_S, max(MIN_STALL_S, grace_s / 4.0)),
+            stale_after_s=stale_after_s,
+            spread_s=max(0.05, min(1.0, drain_grace_ms / 2000.0))
+            if is_pushed
+            else min(MAX_SPREAD_S, 0.4 * stale_after_s),
+            moved_within_s=DISCOVERY_MOVE_NOTIFIED_S + grace_s,
+            max_patience_s=max(MIN_PATIENCE_S, grace_s / 2.0) if is_pushed else MAX_PATIENCE_S,
+        )
+
+
+class Freshness(enum.StrEnum):
+    """What the list is worth."""
+
+    CURRENT = "current"  # a whole answer came in time
+    OVERDUE = "overdue"  # an answer was due; calls are being repeated, and there is time left
+    UNREACHABLE = "unreachable"  # discovery answers nobody: nothing counts as notified
+    STALE = (
+        "stale"  # discovery can be reached and no whole answer came in time: nothing may be sent by the list
+    )
+
+
+class EndpointFreshness:
+    """Keeps the deadline by which the list must be read again."""
+
+    def __init__(self, timing: CallTiming, now_s: float) -> None:
+        self.timing = timing
+        self.deadline_s = now_s + timing.stale_after_s
+        self.is_unreachable = False
+        self.failed_calls = 0  # in a row
+
+    def note_answer(self, current_as_of_s: float) -> None:
+        """Notes a whole answer, which discovery began to give at this time."""
+        self.is_unreachable, self.failed_calls = False, 0
+        self.deadline_s = max(self.deadline_s, current_as_of_s + self.timing.stale_after_s)
+
+    def note_unreachable(self, call_began_s: float) -> None:
+        """Notes a call that discovery refused, or that did not get through to it."""
+        self.is_unreachable = True
+        self.failed_calls += 1
+        self.deadline_s = max(self.deadline_s, call_began_s + self.timing.stale_after_s)
+
+    def note_unanswered(self) -> None:
+        """Notes a call that got through and brought no whole answer: the deadline stays."""
+        self.is_unreachable = False
+        self.failed_calls += 1
+
+    def note_moved(self, now_s: float) -> None:
+        """Notes that discovery has another address from now on."""
+        self.is_unreachable = False
+        self.deadline_s = now_s + self.timing.moved_within_s
+
+    def is_stale(self, now_s: float) -> bool:
+        """Returns whether nothing may be sent by the list any more."""
+        return now_s >= self.deadline_s
+
+    def state(self, now_s: float) -> Freshness:
+        """Returns the state, for logs and status."""
+        if self.is_stale(now_s):
+            return Freshness.STALE
+        if self.is_unreachable:
+            return Freshness.UNREACHABLE
+        return Freshness.OVERDUE if self.failed_calls else Freshness.CURRENT
+
+    def patience_s(self, now_s: float) -> float:
+        """Returns how long the next call may take that has to be answered at once."""
+        if self.is_stale(now_s):
+            return self.timing.max_patience_s
+        share_s = PATIENCE_SHARE * (self.deadline_s - now_s)
+        return min(self.timing.max_patience_s, max(MIN_PATIENCE_S, share_s))
+
+    def pause_s(self, draw: random.Random, call_began_s: float, now_s: float) -> float:
+        """Returns the pause before the next call, after one that failed (full jitter).
+
+        Calls to a discovery that was unreachable begin spread_s apart at most, so that a fleet does not come
+        back at once; the time that the failed call took is part of that.
+        """
+        pause_s = draw.uniform(0.0, min(OWN_FAULT_RETRY_S, self.timing.spread_s))
+        if self.is_unreachable:
+            pause_s = max(pause_s, call_began_s + draw.uniform(0.0, self.timing.spread_s) - now_s)
+        return pause_s
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -24,6 +24,7 @@
     LastByteSent,
     ProbeEnded,
 )
+from spanwing.core.send_guard import SendPermit, SendRefusal
 from spanwing.log.events import log_event
 from spanwing.net.http import HttpError, HttpMessage, encode_request
 from spanwing.workers.connection_pool import ConnectionPool, PooledConnection
@@ -196,8 +197,7 @@
                         connection.stream.permit = (
                             attempt.delivery.may_send
                         )  # also for bytes buffered in the stream
-                    if self.is_draining:
-                        self._log_write_to_draining(data, attempt)
+                    self._check_send(data, attempt)
                     await connection.write(data[-1:] if hold_last_byte else data)
                     connection.stream.permit = None
                     return connection
@@ -210,18 +210,22 @@
                 return None
         return None
 
-    def _log_write_to_draining(self, data: bytes, attempt: HttpAttempt | None) -> None:
-        """Logs bytes for a worker that is known to drain or to be gone: a DELETE is owed to it, a probe was
-        begun before, an attempt breaks the rule on drains.
+    def _check_send(self, data: bytes, attempt: HttpAttempt | None) -> None:
+        """Checks the rules for what is about to be written, and logs what goes to a draining worker: a DELETE
+        is owed to it, a probe was begun before.
         """
-        method, target, _ = data.split(b" ", 2)
-        log_event(
-            "write_to_draining_worker",
-            worker=self.name,
-            method=method.decode(),
-            request=target.decode() if attempt is None else attempt.delivery.request.id,
-            draining_s=round(self.loop.time() - self.draining_since_s, 3),
-        )
+        permit = None if attempt is None else attempt.delivery.may_send
+        if isinstance(permit, SendPermit):
+            permit.check_sent(self.is_draining)
+        if self.is_draining:
+            method, target, _ = data.split(b" ", 2)
+            log_event(
+                "write_to_draining_worker",
+                worker=self.name,
+                method=method.decode(),
+                request=target.decode() if attempt is None else attempt.delivery.request.id,
+                draining_s=round(self.loop.time() - self.draining_since_s, 3),
+            )
 
     async def _receive_response(
         self, connection: PooledConnection, timeout_s: float | None = None
@@ -283,7 +287,10 @@
 
         Sees a lease that ended while the connection was made, and a worker that has begun to drain.
         """
-        return not self.is_draining and (attempt.delivery.may_send is None or attempt.delivery.may_send())
+        permit = attempt.delivery.may_send
+        if self.is_draining and isinstance(permit, SendPermit):
+            permit.refuse(SendRefusal.WORKER_DRAINING)
+        return not self.is_draining and (permit is None or permit())
 
     def _is_current(self, attempt: HttpAttempt) -> bool:
         return self.attempts.get(attempt.delivery.request.id) is attempt
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,113 @@
+"""By when the endpoint list must be read again, and that the calls manage it; without sockets."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spanwing.discovery.freshness import (
+    HELD_UP_S,
+    MIN_PATIENCE_S,
+    NOTIFIED_S,
+    OWN_FAULT_RETRY_S,
+    CallTiming,
+    EndpointFreshness,
+    Freshness,
+)
+
+GRACES_MS = st.floats(0.0, 5000.0)
+
+
+class Timing(unittest.TestCase):
+    @given(GRACES_MS, st.booleans())
+    def test_two_calls_fit_after_a_poll_that_fell_silent_at_its_start(
+        self, grace_ms: float, is_pushed: bool
+    ) -> None:
+        timing = CallTiming.from_settings(grace_ms, is_pushed)
+        freshness = EndpointFreshness(timing, 0.0)
+        freshness.note_answer(0.0)
+        now_s = timing.poll_hold_s + timing.answer_margin_s
+        for _ in range(2):
+            freshness.note_unanswered()
+            now_s += OWN_FAULT_RETRY_S + freshness.patience_s(now_s + OWN_FAULT_RETRY_S)
+            self.assertLessEqual(now_s, freshness.deadline_s)
+
+    @given(GRACES_MS, st.booleans())
+    def test_sends_stop_before_the_grace_ends_also_in_a_process_that_is_held_up(
+        self, grace_ms: float, is_pushed: bool
+    ) -> None:
+        timing = CallTiming.from_settings(grace_ms, is_pushed)
+        allowed_s = NOTIFIED_S + grace_ms / 1000.0
+        self.assertLessEqual(timing.stale_after_s + min(HELD_UP_S, grace_ms / 1000.0), allowed_s + 1e-9)
+
+    @given(st.floats(200.0, 5000.0))
+    def test_an_answer_that_stalls_is_repeated_within_the_grace(self, grace_ms: float) -> None:
+        timing = CallTiming.from_settings(grace_ms, False)
+        self.assertLessEqual(timing.stall_s, max(0.1, grace_ms / 4000.0))
+        self.assertLessEqual(timing.stall_s, 0.5)
+
+    @given(st.floats(100.0, 5000.0), st.integers())
+    def test_pushed_lists_are_asked_for_again_within_half_of_the_grace(
+        self, grace_ms: float, seed: int
+    ) -> None:
+        timing = CallTiming.from_settings(grace_ms, True)
+        freshness = EndpointFreshness(timing, 0.0)
+        freshness.note_unreachable(0.0)
+        self.assertLessEqual(freshness.pause_s(random.Random(seed), 0.0, 0.0), grace_ms / 2000.0)
+
+
+class States(unittest.TestCase):
+    def setUp(self) -> None:
+        self.freshness = EndpointFreshness(CallTiming.from_settings(2000.0, False), 100.0)
+        self.freshness.note_answer(100.0)
+        self.stale_s = 100.0 + NOTIFIED_S + 2.0 - HELD_UP_S
+
+    def test_a_list_is_stale_from_the_deadline_on_however_many_calls_were_made(self) -> None:
+        for _ in range(20):
+            self.freshness.note_unanswered()
+        self.assertEqual(self.freshness.state(self.stale_s - 0.01), Freshness.OVERDUE)
+        self.assertEqual(self.freshness.state(self.stale_s), Freshness.STALE)
+
+    def test_a_whole_answer_counts_from_its_first_byte(self) -> None:
+        self.freshness.note_unanswered()
+        self.freshness.note_answer(105.0)
+        self.assertEqual(self.freshness.state(105.1), Freshness.CURRENT)
+        self.assertFalse(self.freshness.is_stale(self.stale_s + 4.99))
+        self.assertTrue(self.freshness.is_stale(self.stale_s + 5.0))
+
+    def test_while_discovery_answers_nobody_the_list_stays_in_use(self) -> None:
+        for call in range(60):
+            self.freshness.note_unreachable(100.0 + call)
+            self.assertFalse(self.freshness.is_stale(100.0 + call + 1.0))
+        self.assertEqual(self.freshness.state(160.0), Freshness.UNREACHABLE)
+
+    def test_once_it_can_be_reached_the_time_runs_from_the_last_call_that_could_not(self) -> None:
+        self.freshness.note_unreachable(150.0)
+        self.freshness.note_unanswered()
+        self.assertEqual(self.freshness.state(151.0), Freshness.OVERDUE)
+        self.assertTrue(self.freshness.is_stale(150.0 + NOTIFIED_S + 2.0 - HELD_UP_S))
+
+    def test_another_discovery_has_less_time(self) -> None:
+        self.freshness.note_moved(103.0)
+        self.assertTrue(self.freshness.is_stale(103.0 + 4.0 + 2.0 - HELD_UP_S))
+
+    def test_patience_is_a_share_of_the_time_that_is_left_and_has_bounds(self) -> None:
+        self.assertEqual(self.freshness.patience_s(100.0), 3.3)
+        self.assertLess(self.freshness.patience_s(self.stale_s - 1.0), 0.61)
+        self.assertEqual(self.freshness.patience_s(self.stale_s - 0.01), MIN_PATIENCE_S)
+        self.assertEqual(self.freshness.patience_s(self.stale_s + 10.0), 3.3)
+
+    def test_the_time_that_a_failed_call_waited_counts_into_the_pause(self) -> None:
+        self.freshness.note_unreachable(100.0)
+        draw = random.Random(1)
+        self.assertGreater(max(self.freshness.pause_s(draw, 100.0, 100.0) for _ in range(200)), 2.0)
+        self.assertLessEqual(
+            max(self.freshness.pause_s(draw, 100.0, 103.0) for _ in range(200)), OWN_FAULT_RETRY_S
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
