Add the incident's second failing test: new processes that send by an old persisted list

The oracle judges new processes by the same clauses, without an exemption, and no longer counts a list that was written to a dead process.

--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 import time
@@ -23,6 +24,7 @@
 EFFECTS = {"status-read": "safe", "schedule-apply": "unsafe", "setpoint-push": "keyed"}
 WINDOW_S = 3.0
 KEYED_SETTINGS = {"group": "all", "window_ms": WINDOW_S * 1000.0}
+NOTHING_KNOWN = {"revision": 0, "complete": True, "members": []}
 KILL_MARGIN_S, LONGEST_DEADLINE_S = 0.7, 3.0  # SIGKILL after SIGTERM, from the protocol page
 
 
@@ -55,6 +57,7 @@
         self.clients = {name: ClientStandIn(name, self.records, CLASSES, self.draw) for name in self.names}
         self.programs: dict[str, Program] = {}
         self.logs: dict[str, str] = dict.fromkeys(self.names, "")
+        self.known: dict[str, Any] = {}  # by scheduler: the list as its former process last had it
         self.exits: list[str] = []  # programs that ended by themselves, or with an unexpected status
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -105,7 +108,7 @@
             "listen": "127.0.0.1:0",
             "discovery": f"127.0.0.1:{self.discovery.links[name].port}",
             "seed": f"{self.names.index(name) + 16:x}",
-            "known": {"revision": 0, "complete": True, "members": []},
+            "known": self.known.get(name, NOTHING_KNOWN),
             "limits": {"sockets": 1024, "memory_mb": 192},
             "settings": {
                 "areas": ["a"],
@@ -163,8 +166,11 @@
             if outage.scheduler == name and outage.end_s == float("inf"):
                 outage.end_s = time.monotonic()
 
-    async def restart_scheduler(self, name: str, by_kill: bool) -> None:
-        """Ends a scheduler by SIGKILL, or by SIGTERM with a SIGKILL as early as the protocol allows."""
+    async def restart_scheduler(self, name: str, by_kill: bool, down_s: float = 0.0) -> None:
+        """Ends a scheduler by SIGKILL, or by SIGTERM with a SIGKILL as early as the protocol allows.
+
+        It is started again down_s later, with the list as it was when the former process ended.
+        """
         program = self.programs[name]
         begun_s = time.monotonic()
         outage = Outage(name, begun_s if by_kill else begun_s + KILL_MARGIN_S)
@@ -180,6 +186,8 @@
             program.process.kill()
         await asyncio.to_thread(program.process.wait)
         self._keep_log(name)
+        self.known[name] = json.loads(self.discovery.encoded(name, None))
+        await asyncio.sleep(down_s)
         await self.start_scheduler(name)
 
     async def hold_up(self, name: str, span_s: float) -> None:
@@ -189,6 +197,16 @@
         await asyncio.sleep(span_s)
         process.send_signal(signal.SIGCONT)
 
+    async def reload(self, name: str) -> None:
+        """Has a scheduler read its files anew (SIGHUP); its discovery has moved to another address."""
+        link = FaultProxy(self.discovery.links[name].target_port)
+        await link.listen()
+        link.set_state(self.discovery.links[name].state)
+        self.discovery.links[name] = link
+        program = self.programs[name]
+        program.write(self.config(name))
+        program.process.send_signal(signal.SIGHUP)
+
     def _keep_log(self, name: str) -> None:
         program = self.programs.pop(name)
         self.logs[name] += program.said()
--- a/measure/soak/oracle.py
+++ b/measure/soak/oracle.py
@@ -98,6 +98,7 @@
         if each.scheduler == scheduler
         and each.revision >= revision
         and (each.since is None or each.since < revision)
+        and not _was_down(records.process_outages, scheduler, each.at_s, each.at_s)
     ]
     return min([latest_s, *delivered])
 
@@ -119,8 +120,6 @@
         key = each.scheduler, revision
         if key not in known:
             known[key] = notified_s(records, each.scheduler, revision, made_s)
-        if _started_after(records, each.scheduler, made_s, each.first_byte_s):
-            continue  # a new process is notified by its own calls; judged by the notification's clauses later
         late_s = each.first_byte_s - known[key]
         if late_s > rules.drain_grace_s + TIME_SLACK_S + LAG_S:
             text = (
@@ -130,12 +129,6 @@
             yield Violation("drain", each.first_byte_s, text)
 
 
-def _started_after(records: Records, scheduler: str, made_s: float, sent_s: float) -> bool:
-    return any(
-        name == scheduler and made_s < at_s and sent_s < at_s + NOTIFIED_S for name, at_s in records.starts
-    )
-
-
 def duplicates(records: Records, rules: RuleSet) -> Iterator[Violation]:
     """Effects happen once, and one attempt is out at a time."""
     attempts: dict[str, list[SentMessage]] = defaultdict(list)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,3 +42,41 @@
         for name, violations in asyncio.run(self.play_all()).items():
             with self.subTest(name):
                 self.assertEqual([str(each) for each in violations[:5]], [])
+
+
+class Restarts(unittest.TestCase):
+    """The list that a scheduler starts with is from before the removal of a worker, which listens again."""
+
+    async def play(self, by_kill: bool, faults: list[tuple[AnswerFault, float]]) -> list[Violation]:
+        fleet = Fleet(FleetPlan(rate_per_s=60.0), seed=1)
+        try:
+            await fleet.start()
+            await asyncio.sleep(1.0)
+            restart = asyncio.ensure_future(fleet.restart_scheduler("n0", by_kill, down_s=9.0))
+            await asyncio.sleep(0.3)
+            fleet.discovery.change(["w0"], "left")
+            await asyncio.sleep(5.0)
+            fleet.discovery.faults["n0"] = list(faults)
+            await restart
+            await asyncio.sleep(3.0)
+        finally:
+            await fleet.stop()
+        started_s = fleet.records.starts[-1][1]
+        answered = [each for each in fleet.records.requests if each.sent_s > started_s and each.status == 200]
+        self.assertGreater(len(answered), 10)
+        return judge(fleet.records, fleet.rules)
+
+    async def play_all(self) -> dict[str, list[Violation]]:
+        cases = {
+            "killed": (True, []),
+            "terminated": (False, []),
+            "the first answer stalls": (True, [(AnswerFault.STALL, 0.9)]),
+            "the first answer is late": (True, [(AnswerFault.LATE, 1.0)]),
+        }
+        found = await asyncio.gather(*(self.play(*each) for each in cases.values()))
+        return dict(zip(cases, found, strict=True))
+
+    def test_a_new_process_sends_nothing_by_a_list_that_is_too_old(self) -> None:
+        for name, violations in asyncio.run(self.play_all()).items():
+            with self.subTest(name):
+                self.assertEqual([str(each) for each in violations[:5]], [])
