--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -28,6 +28,7 @@
 )
 from spanwing.core.clock import Clock
 from spanwing.core.request_manager import RequestManager
+from spanwing.core.send_guard import SendRule
 from spanwing.core.statistics import collect_statistics
 from spanwing.discovery.client import DiscoveryClient
 from spanwing.discovery.freshness import CallTiming, start_spread_s
@@ -184,6 +185,10 @@
                 inherited_socket,
             ),
         )
+        guard = self.request_manager.guard
+        self.http_server.on_unanswered_close = lambda request: guard.record_violation(
+            SendRule.LOST, request, "", "closed_unanswered"
+        )
         if config.faktory:
             workers = FaktoryWorkerDirectory(self.request_manager, settings.zone)
             self.faktory_frontend = _open_listener(
--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -5,6 +5,7 @@
 import math
 import os
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Protocol
 
@@ -228,7 +229,9 @@
         return self.http.has_no_pending_input()
 
     def close(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once; never while a request awaits its answer."""
+        if self.pending_request is not None and not self.http.stream.closed():
+            self.server.on_unanswered_close(self.pending_request[0].id)
         self.http.close()
 
 
@@ -259,6 +262,8 @@
         )  # 0: the settings allow no Retry-After
         self.table: ConnectionTable[HttpClientConnection] = ConnectionTable(max_connections)
         self.pending_requests = 0  # client requests in the core
+        #: Called with the id of a request that is owed an answer as its connection is closed from here.
+        self.on_unanswered_close: Callable[[str], None] = lambda _: None
         self.is_closing = False  # a client's next answer is the last on its connection
         self.is_draining = False  # also closes connections between requests
         self.is_rejecting = False  # also rejects new requests
