--- a/spanwing/cli/main.py
+++ b/spanwing/cli/main.py
@@ -179,6 +179,9 @@
         f"{reply['name']}: {reply['state']}, weight {reply['weight']}%, "
         f"since {reply['since_s']:.0f} s, {reply['owed']} owed"
     )
+    for name, count in reply.get("counters", {}).items():
+        if name.startswith("violation."):
+            click.echo(f"    rule violated: {name.removeprefix('violation.')}, {count} times; see the log")
     for note in reply["notes"]:
         click.echo(f"    {note}")
     for name, (observed, *_) in reply["checks"].items():
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import unittest
 from collections import Counter
+from contextlib import redirect_stdout
 from types import SimpleNamespace
 
 from spanwing import interface as api
+from spanwing.cli.main import _print_status
 from spanwing.core.clock import Clock
 from spanwing.core.messages import AttemptEnded, EndpointsChanged, JobRequest, RequestSubmitted
 from spanwing.core.request_manager import RequestManager
@@ -72,6 +75,16 @@
         self.assertTrue(self.guard.may_probe(follows_list=False))
 
 
+class Status(unittest.TestCase):
+    def test_violations_stand_in_the_status(self) -> None:
+        reply = {"name": "a", "status": "pass", "state": "ready", "weight": 100, "since_s": 1.0, "owed": 0}
+        shown = io.StringIO()
+        with redirect_stdout(shown):
+            _print_status({**reply, "notes": [], "checks": {}, "counters": {"sent": 3, "violation.drain": 2}})
+        self.assertIn("rule violated: drain, 2 times", shown.getvalue())
+        self.assertNotIn("sent", shown.getvalue())
+
+
 class Worker:
     """A connection that keeps the permits it is given."""
 
