--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -31,6 +31,8 @@
 from spanwing.workers.worker_id import worker_id_of
 
 AT_ONCE_HOLD_S = 0.001  # after a failure, or at the start, a call is answered at once, changes or not
+START_PATIENCE_S = 2.0  # a new process asks a discovery that rejects its calls for so long
+START_RETRY_S = 0.5  # longest pause between these calls
 CALLS_UNTIL_UNREACHABLE = 8  # failed in a row, before the state is logged: restarts and moves are ordinary
 #: Failures that show that discovery answers nobody, or that nothing reaches it; by the protocol page a call
 #: that fails ends with 503 or a reset.
@@ -126,6 +128,7 @@
         #: The core has the list. A persisted one is of unknown age: it is announced with the first answer
         #: merged into it, or as it is once discovery turned out to answer nobody.
         self.announced = Event()
+        self.first_call_s = 0.0  # loop time of this process's first call
         self._update_workers(endpoints, "persisted")
 
     def listed_workers(self) -> list[DiscoveredWorker]:
@@ -204,6 +207,8 @@
         lost answer. Every failure is repeated from here, with a pause that the freshness of the list allows.
         """
         await sleep(delay_s)
+        if not self.first_call_s:
+            self.first_call_s = self.loop.time()
         may_poll = False
         while self.current_watch is watch:
             since, hold_s = watch.revision, self.timing.poll_hold_s if may_poll else AT_ONCE_HOLD_S
@@ -234,9 +239,11 @@
             self.freshness.note_unreachable(result.began_s)
         else:
             self.freshness.note_unanswered()
-        if not self.announced.is_set() and result.failure in (*UNREACHABLE_FAILURES, CallFailure.NO_ANSWER):
-            self._announce_all("persisted")
         pause_s = self.freshness.pause_s(random, result.began_s, self.loop.time())
+        if not self.announced.is_set():
+            pause_s = min(pause_s, random.uniform(0.0, START_RETRY_S))
+            if self._may_start_by_persisted(result.failure):
+                self._announce_all("persisted")
         # While nothing listens there, a line a call says nothing new: the state is logged.
         if result.failure is not CallFailure.CONNECT_FAILED:
             self.failed_calls[str(result.failure)] += 1
@@ -244,6 +251,16 @@
         self._log_state()
         return pause_s
 
+    def _may_start_by_persisted(self, failure: CallFailure) -> bool:
+        """Returns whether a new process may serve by its persisted list, as discovery answers nobody.
+
+        One that rejects calls may be crowded by a fleet that starts at once: it is asked again for a while.
+        """
+        if failure in (CallFailure.CONNECT_FAILED, CallFailure.CONNECT_TIMEOUT, CallFailure.NO_ANSWER):
+            return True
+        has_waited = self.loop.time() >= self.first_call_s + START_PATIENCE_S
+        return failure in UNREACHABLE_FAILURES and has_waited
+
     def _log_state(self) -> None:
         """Logs a change of the list's freshness; a refused connect counts once it has lasted."""
         state = self.freshness.state(self.loop.time())
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,7 +10,7 @@
 
 from spanwing.core.messages import EndpointsChanged
 from spanwing.discovery.call import DiscoveredEndpoints, DiscoveredWorker
-from spanwing.discovery.client import DiscoveryClient
+from spanwing.discovery.client import START_PATIENCE_S, START_RETRY_S, DiscoveryClient
 from spanwing.discovery.freshness import CallTiming
 from spanwing.net.address import parse_address
 from spanwing.net.buffers import BufferPool
@@ -233,9 +233,20 @@
         await self.calls.get()
         self.assertTrue(self.told.empty())
 
-    async def test_once_discovery_answers_nobody_it_is_all_there_is(self) -> None:
-        writer = await self.calls.get()
-        writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+    async def test_a_discovery_that_rejects_its_calls_is_asked_again_for_a_while(self) -> None:
+        """It may be crowded. Once it has answered nobody for that long, the list is all there is."""
+        began_s, count = asyncio.get_running_loop().time(), 0
+        while self.told.empty():
+            with suppress(TimeoutError):
+                writer = await asyncio.wait_for(self.calls.get(), 0.5)
+                writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+                count += 1
+        self.assertEqual(await self.announced(), ("persisted", ["healthy", "healthy"]))
+        self.assertGreaterEqual(asyncio.get_running_loop().time() - began_s, START_PATIENCE_S)
+        self.assertGreater(count, START_PATIENCE_S / START_RETRY_S)
+
+    async def test_once_nothing_listens_there_it_is_all_there_is(self) -> None:
+        self.client.change_discovery(parse_address("127.0.0.1:9"))
         self.assertEqual(await self.announced(), ("persisted", ["healthy", "healthy"]))
 
     async def test_a_silent_discovery_is_waited_for_as_long_as_it_may_take(self) -> None:
