--- a/measure/soak/run.py
+++ b/measure/soak/run.py
@@ -51,6 +51,7 @@
     attempts: int
     statuses: dict[str, int]
     faults: list[Fault]
+    longest_stall_s: float  # of the stand-ins, added to the time limits
 
 
 class SoakRun:
@@ -86,7 +87,12 @@
         statuses = Counter(str(each.status) for each in records.requests)
         attempts = sum(each.method == "POST" for each in records.messages)
         return RunResult(
-            [*failures, *fleet.exits, *errors], len(records.requests), attempts, dict(statuses), faults
+            [*failures, *fleet.exits, *errors],
+            len(records.requests),
+            attempts,
+            dict(statuses),
+            faults,
+            fleet.longest_stall_s,
         )
 
     async def _play_fault(self, fault: Fault) -> None:
@@ -205,7 +211,8 @@
     verdict = f"{len(result.failures)} FAILURES" if result.failures else "ok"
     click.echo(
         f"seed {seed}: {verdict}; {result.requests} requests, {result.attempts} attempts, "
-        f"{len(result.faults)} faults, answers {dict(sorted(result.statuses.items()))}"
+        f"{len(result.faults)} faults, stall {result.longest_stall_s:.2f} s, "
+        f"answers {dict(sorted(result.statuses.items()))}"
     )
     for failure in result.failures[:SHOWN_FAILURES]:
         click.echo(f"  {failure}")
