--- a/measure/soak/faults.py
+++ b/measure/soak/faults.py
@@ -59,15 +59,16 @@
         begin_s = draw.uniform(QUIET_START_S, span_s - QUIET_END_S - 10.0)
         faults.append(_answers(draw, begin_s - 0.5, FaultKind.ANSWERS_OF_ALL, 0))
         drain_s = draw.uniform(8.0, 20.0)
+        drain_count = draw.randint(1, 2)
         if draw.random() < 0.5:  # a scheduler is away for longer than a change takes to count as notified
             target, down_s = draw.randrange(schedulers), draw.uniform(8.5, 12.0)
             faults.append(Fault(begin_s - 0.3, FaultKind.KILL, target, down_s))
             drain_s = max(drain_s, down_s + 4.0)
+            drain_count = workers // 2  # or its first requests go to others by chance
         if draw.random() < 0.4:
             target = draw.randrange(schedulers)
             faults.append(Fault(begin_s - 0.2, FaultKind.NO_WHOLE_ANSWER, target, draw.uniform(9.0, 14.0)))
-        for offset in range(draw.randint(1, 2)):
-            target = draw.randrange(workers // 2)
+        for offset, target in enumerate(draw.sample(range(workers), drain_count)):
             faults.append(Fault(begin_s + 0.4 * offset, FaultKind.WORKER_DRAIN, target, drain_s))
     return sorted(faults, key=lambda fault: fault.at_s)
 
