--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -32,6 +32,7 @@
 
 AT_ONCE_HOLD_S = 0.001  # after a failure, or at the start, a call is answered at once, changes or not
 START_PATIENCE_S = 2.0  # a new process asks a discovery that rejects its calls for so long
+SILENT_START_CALLS = 3  # calls without a byte, after which a new process takes it that nobody answers
 START_RETRY_S = 0.5  # longest pause between these calls
 CALLS_UNTIL_UNREACHABLE = 8  # failed in a row, before the state is logged: restarts and moves are ordinary
 #: Failures that show that discovery answers nobody, or that nothing reaches it; by the protocol page a call
@@ -129,6 +130,7 @@
         #: merged into it, or as it is once discovery turned out to answer nobody.
         self.announced = Event()
         self.first_call_s = 0.0  # loop time of this process's first call
+        self.silent_start_calls = 0  # before the list was announced
         self._update_workers(endpoints, "persisted")
 
     def listed_workers(self) -> list[DiscoveredWorker]:
@@ -254,10 +256,14 @@
     def _may_start_by_persisted(self, failure: CallFailure) -> bool:
         """Returns whether a new process may serve by its persisted list, as discovery answers nobody.
 
-        One that rejects calls may be crowded by a fleet that starts at once: it is asked again for a while.
+        One that rejects calls may be crowded by a fleet that starts at once, and one silent call may be a
+        lost answer: both are asked again for a while.
         """
-        if failure in (CallFailure.CONNECT_FAILED, CallFailure.CONNECT_TIMEOUT, CallFailure.NO_ANSWER):
+        if failure in (CallFailure.CONNECT_FAILED, CallFailure.CONNECT_TIMEOUT):
             return True
+        if failure is CallFailure.NO_ANSWER:
+            self.silent_start_calls += 1
+            return self.silent_start_calls >= SILENT_START_CALLS
         has_waited = self.loop.time() >= self.first_call_s + START_PATIENCE_S
         return failure in UNREACHABLE_FAILURES and has_waited
 
