--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -497,13 +497,11 @@
             return
         may_send = self.guard.permit(action.request, number, connection.name)
         if not may_send():
+            if may_send.refusal is SendRefusal.ZONE_CLOSED:
+                self.counters["zones.moot"] += 1
             self.post(AttemptEnded(*key, "moot", is_unsent=True))
             return
         if self.zone_routing is not None:
-            if not self.zone_routing.may_forward(action.worker):
-                self.counters["zones.moot"] += 1
-                self.post(AttemptEnded(*key, "moot", is_unsent=True))
-                return
             self.zone_routing.attempt_sent(action.worker, key)
         self.counters["sent"] += 1
         self.counters[f"sent.{pending.request.cls}"] += 1
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -137,6 +137,17 @@
                 await asyncio.sleep(0)
         self.assertEqual((self.answers, self.worker.permits), (["refused"], []))
 
+    async def test_a_closed_zone_is_counted_under_the_name_that_operators_know(self) -> None:
+        self.manager.zone_routing = SimpleNamespace(
+            may_forward=lambda _: False, attempt_ended=lambda *_: None, filter_workers=lambda update: update
+        )
+        self.manager.post(RequestSubmitted(JobRequest("job-1", "apply", 5000.0), self.client))
+        async with asyncio.timeout(10):
+            while not self.answers:
+                await asyncio.sleep(0)
+        self.assertEqual(self.worker.permits, [])
+        self.assertEqual(self.manager.counters["zones.moot"], SETTINGS.max_attempts)
+
     async def test_the_answer_of_the_request_refuses_it(self) -> None:
         permit = await self.submitted("read")
         del self.manager.pending_requests["job-1"]
