--- a/spanwing/core/send_guard.py
+++ b/spanwing/core/send_guard.py
@@ -3,8 +3,8 @@
 A send is decided in one turn of the loop and its bytes leave in a later one: a connection slot, a
 connection, the journal or the kernel's buffer may have come between. What was true at the decision is
 therefore asked again here, each time bytes are handed on, and the first refusal ends the attempt as unsent.
-Independently of that, every send that happened is checked against the rules: a violation is counted, logged
-and shown in the counters.
+A send whose bytes are handed on although its permit would be refused is a violation: counted, logged and
+shown in the counters. That finds a path that does not ask; a fault in the answers is for an oracle outside.
 """
 
 from __future__ import annotations
