Announce a predecessor's list at once, and check the list's age apart from the guard

Found on reading the change. Since the watch runs before a hot restart's take-over, so a predecessor's list of the persisted revision was not adopted, and its learned estimates met no workers: the test fails without the mend. The violation check asked what the guard had just asked. The list now has an age of its own, from the last answer or rejected call and without the deadline; a property test draws calls in any order: the deadline never outlasts it.

--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -552,6 +552,11 @@
                     pending.send_until_ms, forwarded_ms + each.window - scheduler.set.tick
                 )
 
+    def follows_list(self, request: str, number: int) -> bool:
+        """Returns whether the attempt goes to a worker that discovery named."""
+        attempt = self.in_flight.get((request, number))
+        return attempt is not None and attempt.follows_list
+
     def send_refusal(self, request: str, number: int) -> SendRefusal | None:
         """Returns why this attempt may not be sent now; None: it may.
 
--- a/spanwing/core/send_guard.py
+++ b/spanwing/core/send_guard.py
@@ -4,7 +4,8 @@
 connection, the journal or the kernel's buffer may have come between. What was true at the decision is
 therefore asked again here, each time bytes are handed on, and the first refusal ends the attempt as unsent.
 A send whose bytes are handed on although its permit would be refused is a violation: counted, logged and
-shown in the counters. That finds a path that does not ask; a fault in the answers is for an oracle outside.
+shown in the counters. That finds a path that does not ask. The age of the list is checked apart from the
+deadline that the guard goes by; other faults in the answers are for an oracle outside.
 """
 
 from __future__ import annotations
@@ -56,6 +57,9 @@
     def send_refusal(self, request: str, number: int) -> SendRefusal | None:
         """Returns why this attempt may not be sent now; None: it may."""
 
+    def follows_list(self, request: str, number: int) -> bool:
+        """Returns whether the attempt goes to a worker that discovery named."""
+
 
 class SendGuard:
     """Refuses sends, counts and logs the refusals and the violations."""
@@ -64,6 +68,7 @@
         self, state: SendState, counters: Counter[str], is_list_stale: Callable[[], bool] = lambda: False
     ) -> None:
         self.state, self.counters, self.is_list_stale = state, counters, is_list_stale
+        self.list_breaks_rule: Callable[[], bool] = lambda: False  # its age alone, whatever its deadline
 
     def permit(self, request: str, number: int, worker: str) -> SendPermit:
         """Returns the permit for one attempt; it is asked again at each use."""
@@ -125,3 +130,5 @@
             refusal = SendRefusal.WORKER_DRAINING
         if refusal in RULE_OF_REFUSAL:
             self.guard.record_violation(RULE_OF_REFUSAL[refusal], self.request, self.worker, str(refusal))
+        elif self.guard.state.follows_list(self.request, self.number) and self.guard.list_breaks_rule():
+            self.guard.record_violation(SendRule.DRAIN, self.request, self.worker, "list_too_old")
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -31,7 +31,8 @@
 from spanwing.core.send_guard import SendRule
 from spanwing.core.statistics import collect_statistics
 from spanwing.discovery.client import DiscoveryClient
-from spanwing.discovery.freshness import CallTiming, start_spread_s
+from spanwing.discovery.freshness import CallTiming
+from spanwing.discovery.persisted_list import start_spread_s
 from spanwing.faults import ConfigurationError
 from spanwing.frontends.faktory import FaktoryFrontend
 from spanwing.frontends.http_server import HttpServer
@@ -156,6 +157,7 @@
         )
         self.request_manager.directory = discovery
         self.request_manager.guard.is_list_stale = discovery.is_stale
+        self.request_manager.guard.list_breaks_rule = discovery.breaks_rule
         # Whatever the scheduler asks for: until the first answer nothing is sent by the persisted list.
         spread_s = start_spread_s(settings.nodes) if settings.subscribe else 0.0
         discovery.watch(spread_s)
--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import logging
 from datetime import timedelta
 from typing import NamedTuple
@@ -14,6 +13,7 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
+from spanwing.discovery.call_failure import CallFailure
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_request
@@ -42,21 +42,6 @@
     members: list[DiscoveredWorker] = []
 
 
-class CallFailure(enum.StrEnum):
-    """Why a call brought no list."""
-
-    NO_SOCKET = "no_socket"  # the system gave none
-    CONNECT_TIMEOUT = "connect_timeout"
-    CONNECT_FAILED = "connect_failed"
-    NO_ANSWER = "no_answer"  # no byte within the time allowed
-    STALLED = "stalled"  # the answer began and was not complete within the time allowed
-    CLOSED = "closed"  # the connection ended before the answer began
-    CUT_OFF = "cut_off"  # the connection ended within the answer
-    MALFORMED = "malformed"  # no HTTP
-    STATUS = "status"  # an answer that is not 200
-    UNREADABLE = "unreadable"  # no endpoint list
-
-
 class CallLimits(NamedTuple):
     """How long the stages of a call may take, in seconds."""
 
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -16,14 +16,16 @@
 from spanwing.actor import Actor, spawn_task
 from spanwing.core.messages import AttemptListener, EndpointsChanged
 from spanwing.discovery.call import (
-    CallFailure,
     CallLimits,
     CallResult,
     DiscoveredEndpoints,
     DiscoveredWorker,
     DiscoveryConnection,
 )
+from spanwing.discovery.call_failure import UNREACHABLE_FAILURES, CallFailure
+from spanwing.discovery.call_log import log_failure, log_list
 from spanwing.discovery.freshness import CallTiming, EndpointFreshness, Freshness
+from spanwing.discovery.persisted_list import START_RETRY_S, PersistedListPolicy
 from spanwing.log.events import log_event
 from spanwing.net.address import Address, parse_address
 from spanwing.net.buffers import BufferPool
@@ -31,18 +33,7 @@
 from spanwing.workers.worker_id import worker_id_of
 
 AT_ONCE_HOLD_S = 0.001  # after a failure, or at the start, a call is answered at once, changes or not
-START_PATIENCE_S = 2.0  # a new process asks a discovery that rejects its calls for so long
-SILENT_START_CALLS = 3  # calls without a byte, after which a new process takes it that nobody answers
-START_RETRY_S = 0.5  # longest pause between these calls
 CALLS_UNTIL_UNREACHABLE = 8  # failed in a row, before the state is logged: restarts and moves are ordinary
-#: Failures that show that discovery answers nobody, or that nothing reaches it; by the protocol page a call
-#: that fails ends with 503 or a reset.
-UNREACHABLE_FAILURES = {
-    CallFailure.CONNECT_TIMEOUT,
-    CallFailure.CONNECT_FAILED,
-    CallFailure.CLOSED,
-    CallFailure.STATUS,
-}
 STATE_OF_PHASE: dict[str, api.State] = {"active": "healthy", "leaving": "draining", "left": "gone"}
 
 logger = logging.getLogger("spanwing")
@@ -129,8 +120,7 @@
         #: The core has the list. A persisted one is of unknown age: it is announced with the first answer
         #: merged into it, or as it is once discovery turned out to answer nobody.
         self.announced = Event()
-        self.first_call_s = 0.0  # loop time of this process's first call
-        self.silent_start_calls = 0  # before the list was announced
+        self.persisted_list_policy = PersistedListPolicy()
         self._update_workers(endpoints, "persisted")
 
     def listed_workers(self) -> list[DiscoveredWorker]:
@@ -142,9 +132,13 @@
 
         That process sends by it at this moment; how much longer it may is not known here.
         """
-        if endpoints.members and (self.current_watch is None or endpoints.revision > (self.revision or 0)):
+        if not endpoints.members:
+            return
+        is_newer = endpoints.revision > (self.revision or 0)
+        if is_newer:
             self.revision = endpoints.revision
             self._update_workers(endpoints, "persisted")
+        if is_newer or not self.announced.is_set():
             self._announce_all("persisted")
             self.freshness.note_adopted(self.loop.time())
 
@@ -201,6 +195,10 @@
         """
         return self.freshness.is_stale(self.loop.time())
 
+    def breaks_rule(self) -> bool:
+        """Returns whether a send by the list would break the rule on drains, by its age alone."""
+        return self.freshness.breaks_rule(self.loop.time())
+
     async def _run_watch(self, watch: DiscoveryWatch, delay_s: float) -> None:
         """Calls discovery until the watch is replaced, each call right after the last: a pause of 200 ms
         would end the watch on the other side.
@@ -209,8 +207,6 @@
         lost answer. Every failure is repeated from here, with a pause that the freshness of the list allows.
         """
         await sleep(delay_s)
-        if not self.first_call_s:
-            self.first_call_s = self.loop.time()
         may_poll = False
         while self.current_watch is watch:
             since, hold_s = watch.revision, self.timing.poll_hold_s if may_poll else AT_ONCE_HOLD_S
@@ -222,7 +218,7 @@
                 watch.revision = result.endpoints.revision
                 self.freshness.note_answer(result.first_byte_s)
                 self._log_state()
-                _log_list(since, result)
+                log_list(since, result)
                 self.post(WatchAnswer(result.endpoints, watch))
                 continue
             await sleep(self._note_failure(since, result))
@@ -244,29 +240,16 @@
         pause_s = self.freshness.pause_s(random, result.began_s, self.loop.time())
         if not self.announced.is_set():
             pause_s = min(pause_s, random.uniform(0.0, START_RETRY_S))
-            if self._may_start_by_persisted(result.failure):
+            if self.persisted_list_policy.may_serve_after(result.failure, result.began_s, self.loop.time()):
+                self.freshness.note_unreachable(result.began_s)
                 self._announce_all("persisted")
         # While nothing listens there, a line a call says nothing new: the state is logged.
         if result.failure is not CallFailure.CONNECT_FAILED:
             self.failed_calls[str(result.failure)] += 1
-            _log_failure(since, result, pause_s)
+            log_failure(since, result, pause_s)
         self._log_state()
         return pause_s
 
-    def _may_start_by_persisted(self, failure: CallFailure) -> bool:
-        """Returns whether a new process may serve by its persisted list, as discovery answers nobody.
-
-        One that rejects calls may be crowded by a fleet that starts at once, and one silent call may be a
-        lost answer: both are asked again for a while.
-        """
-        if failure in (CallFailure.CONNECT_FAILED, CallFailure.CONNECT_TIMEOUT):
-            return True
-        if failure is CallFailure.NO_ANSWER:
-            self.silent_start_calls += 1
-            return self.silent_start_calls >= SILENT_START_CALLS
-        has_waited = self.loop.time() >= self.first_call_s + START_PATIENCE_S
-        return failure in UNREACHABLE_FAILURES and has_waited
-
     def _log_state(self) -> None:
         """Logs a change of the list's freshness; a refused connect counts once it has lasted."""
         state = self.freshness.state(self.loop.time())
@@ -398,34 +381,6 @@
     )
 
 
-def _log_list(since: int | None, result: CallResult) -> None:
-    endpoints = result.endpoints
-    if not endpoints.members and not endpoints.complete:
-        return  # the hold time is over, and nothing has changed
-    log_event(
-        "discovery_list",
-        since=since,
-        revision=endpoints.revision,
-        complete=endpoints.complete,
-        members=len(endpoints.members),
-        not_active=sum(each.phase != "active" for each in endpoints.members),
-        took_s=round(result.ended_s - result.began_s, 3),
-    )
-
-
-def _log_failure(since: int | None, result: CallResult, retry_s: float) -> None:
-    last_byte_s = None if result.last_byte_s is None else round(result.last_byte_s - result.began_s, 3)
-    log_event(
-        "discovery_call_failed",
-        level="warning",
-        reason=str(result.failure),
-        since=since,
-        took_s=round(result.ended_s - result.began_s, 3),
-        last_byte_s=last_byte_s,
-        retry_s=round(retry_s, 3),
-    )
-
-
 MESSAGE_HANDLERS = {
     StartWatch: DiscoveryClient._handle_start_watch,
     ChangeDiscovery: DiscoveryClient._handle_change_discovery,
--- a/spanwing/discovery/freshness.py
+++ b/spanwing/discovery/freshness.py
@@ -41,6 +41,7 @@
     spread_s: float = MAX_SPREAD_S  # longest pause before a call to a discovery that was unreachable
     moved_within_s: float = DISCOVERY_MOVE_NOTIFIED_S + 2.0 - HELD_UP_S
     max_patience_s: float = MAX_PATIENCE_S
+    drain_grace_s: float = 2.0  # as the settings have it
 
     @classmethod
     def from_settings(cls, drain_grace_ms: float, is_pushed: bool) -> CallTiming:
@@ -60,15 +61,11 @@
             if is_pushed
             else min(MAX_SPREAD_S, 0.4 * stale_after_s),
             moved_within_s=DISCOVERY_MOVE_NOTIFIED_S + grace_s,
+            drain_grace_s=drain_grace_ms / 1000.0,
             max_patience_s=max(MIN_PATIENCE_S, grace_s / 2.0) if is_pushed else MAX_PATIENCE_S,
         )
 
 
-def start_spread_s(schedulers: int) -> float:
-    """Returns within which time a new process makes its first call, in a fleet of this size."""
-    return min(MAX_START_SPREAD_S, START_SPREAD_PER_SCHEDULER_S * schedulers)
-
-
 class Freshness(enum.StrEnum):
     """What the list is worth."""
 
@@ -88,17 +85,21 @@
         self.deadline_s = now_s + timing.stale_after_s
         self.is_unreachable = False
         self.failed_calls = 0  # in a row
+        #: When the list was last known to be current, or discovery to answer nobody; None: never here.
+        self.confirmed_s: float | None = None
 
     def note_answer(self, current_as_of_s: float) -> None:
         """Notes a whole answer, which discovery began to give at this time."""
         self.is_unreachable, self.failed_calls = False, 0
         self.deadline_s = max(self.deadline_s, current_as_of_s + self.timing.stale_after_s)
+        self.confirmed_s = current_as_of_s
 
     def note_unreachable(self, call_began_s: float) -> None:
         """Notes a call that discovery refused, or that did not get through to it."""
         self.is_unreachable = True
         self.failed_calls += 1
         self.deadline_s = max(self.deadline_s, call_began_s + self.timing.stale_after_s)
+        self.confirmed_s = call_began_s
 
     def note_unanswered(self) -> None:
         """Notes a call that got through and brought no whole answer: the deadline stays."""
@@ -108,11 +109,23 @@
     def note_adopted(self, now_s: float) -> None:
         """Notes that the list is that of another process, of which only the revision is known."""
         self.deadline_s = min(self.deadline_s, now_s + ADOPTED_WITHIN_S)
+        self.confirmed_s = now_s
 
     def note_moved(self, now_s: float) -> None:
         """Notes that discovery has another address from now on."""
         self.is_unreachable = False
         self.deadline_s = now_s + self.timing.moved_within_s
+        if self.confirmed_s is not None:
+            self.confirmed_s = now_s + DISCOVERY_MOVE_NOTIFIED_S - NOTIFIED_S
+
+    def breaks_rule(self, now_s: float) -> bool:
+        """Returns whether a send by the list would break the rule on drains, by its age alone.
+
+        Computed apart from the deadline, to check it: the deadline ends HELD_UP_S earlier.
+        """
+        if self.confirmed_s is None:
+            return True
+        return now_s > self.confirmed_s + NOTIFIED_S + self.timing.drain_grace_s
 
     def is_stale(self, now_s: float) -> bool:
         """Returns whether nothing may be sent by the list any more."""
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -18,6 +18,7 @@
     Freshness,
 )
 
+EVENTS = ("note_answer", "note_unreachable", "note_unanswered", "note_adopted", "note_moved")
 GRACES_MS = st.floats(0.0, 5000.0)
 
 
@@ -94,6 +95,30 @@
         self.freshness.note_moved(103.0)
         self.assertTrue(self.freshness.is_stale(103.0 + 4.0 + 2.0 - HELD_UP_S))
 
+    def test_a_list_that_this_process_never_confirmed_breaks_the_rule(self) -> None:
+        freshness = EndpointFreshness(CallTiming.from_settings(2000.0, False), 100.0)
+        freshness.note_unanswered()
+        self.assertTrue(freshness.breaks_rule(100.1))
+        freshness.note_moved(100.2)
+        self.assertTrue(freshness.breaks_rule(100.3))
+        freshness.note_unreachable(100.4)
+        self.assertFalse(freshness.breaks_rule(100.5))
+
+    @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.floats(0.0, 4.0)), max_size=40), GRACES_MS)
+    def test_the_deadline_never_outlasts_the_rule(
+        self, events: list[tuple[str, float]], grace_ms: float
+    ) -> None:
+        """In whatever order calls end, fail and move: what the guard lets pass breaks no rule by its age."""
+        now_s, freshness = 100.0, EndpointFreshness(CallTiming.from_settings(grace_ms, False), 100.0)
+        freshness.note_answer(now_s)
+        for event, pause_s in events:
+            now_s += pause_s
+            note = getattr(freshness, event)
+            note(*([] if event == "note_unanswered" else [now_s]))
+            for later_s in (0.0, 0.1, 1.0, 4.0, 6.0, 8.0, 20.0):
+                if not freshness.is_stale(now_s + later_s):
+                    self.assertFalse(freshness.breaks_rule(now_s + later_s))
+
     def test_patience_is_a_share_of_the_time_that_is_left_and_has_bounds(self) -> None:
         self.assertEqual(self.freshness.patience_s(100.0), 3.3)
         self.assertLess(self.freshness.patience_s(self.stale_s - 1.0), 0.61)
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -31,7 +31,9 @@
     def setUp(self) -> None:
         self.refusal: SendRefusal | None = None
         self.counters: Counter[str] = Counter()
-        self.guard = SendGuard(SimpleNamespace(send_refusal=lambda *_: self.refusal), self.counters)
+        state = SimpleNamespace(send_refusal=lambda *_: self.refusal, follows_list=lambda *_: self.follows)
+        self.follows = True
+        self.guard = SendGuard(state, self.counters)
 
     def test_it_is_asked_at_each_use_and_refuses_for_good(self) -> None:
         permit = self.guard.permit("job-1", 0, "w1")
@@ -65,6 +67,15 @@
             self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=True)
         self.assertEqual(self.counters, {"violation.drain": 1})
 
+    def test_a_list_that_is_too_old_is_a_violation_also_if_the_guard_took_it_for_fresh(self) -> None:
+        self.guard.list_breaks_rule = lambda: True
+        with self.assertLogs("spanwing", "ERROR"):
+            self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
+        self.assertEqual(self.counters, {"violation.drain": 1})
+        self.follows = False
+        self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
+        self.assertEqual(self.counters, {"violation.drain": 1})
+
     def test_what_may_be_sent_is_none(self) -> None:
         self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
         self.assertEqual(self.counters, {})
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -14,13 +14,9 @@
 from spanwing.core.messages import EndpointsChanged
 from spanwing.discovery import call
 from spanwing.discovery.call import DiscoveredEndpoints, DiscoveredWorker
-from spanwing.discovery.client import (
-    SILENT_START_CALLS,
-    START_PATIENCE_S,
-    START_RETRY_S,
-    DiscoveryClient,
-)
+from spanwing.discovery.client import DiscoveryClient
 from spanwing.discovery.freshness import CallTiming
+from spanwing.discovery.persisted_list import SILENT_START_CALLS, START_PATIENCE_S, START_RETRY_S
 from spanwing.net.address import Address, parse_address
 from spanwing.net.buffers import BufferPool
 
@@ -247,6 +243,15 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         self.assertEqual(await self.announced(), ("complete", ["healthy"]))
 
+    async def test_the_list_of_a_predecessor_is_announced_at_once_also_if_it_is_the_persisted_one(
+        self,
+    ) -> None:
+        """The estimates that come with it are for workers that the decisions know."""
+        await self.calls.get()
+        self.client.adopt_endpoints(DiscoveredEndpoints(7, True, list(self.client.listed_workers())))
+        self.assertFalse(self.told.empty())  # nothing else announces it before
+        self.assertEqual(await self.announced(), ("persisted", ["healthy", "healthy"]))
+
     async def test_a_first_answer_that_breaks_off_announces_nothing(self) -> None:
         for _ in range(3):
             writer = await self.calls.get()
