--- a/measure/soak/fault_proxy.py
+++ b/measure/soak/fault_proxy.py
@@ -26,7 +26,10 @@
 
 
 class FaultProxy:
-    """Carries connections to a target port; observe gets what the source sends, by connection number."""
+    """Carries connections to a target port.
+
+    observe gets what the source sends, by connection number; an empty chunk is the source's end.
+    """
 
     def __init__(self, target_port: int, observe: Callable[[int, bytes], None] | None = None) -> None:
         self.target_port, self.observe = target_port, observe
@@ -78,6 +81,8 @@
             pass
         finally:
             reading.cancel()
+            if self.observe is not None:
+                self.observe(number, b"")
             for each in (writer, target):
                 if each is not None:
                     self.writers.discard(each)
@@ -89,8 +94,11 @@
         """Queues what comes; an empty chunk at the end."""
         data = b"-"
         while data:
-            data = await reader.read(CHUNK_BYTES)
-            if data and number is not None and self.observe is not None:
+            try:
+                data = await reader.read(CHUNK_BYTES)
+            except ConnectionError:
+                data = b""
+            if number is not None and self.observe is not None:
                 self.observe(number, data)
             await queue.put(data)
 
--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -11,9 +11,10 @@
 from typing import Any
 
 from measure.daemons import Program
+from measure.daemons import settings as daemon_settings
 from measure.soak.fault_proxy import FaultProxy, RequestSplitter
 from measure.soak.oracle import DEFAULT_LAG_S, RuleSet
-from measure.soak.records import Outage, Records, SentMessage
+from measure.soak.records import ConnectionEnd, Outage, Records, SentMessage
 from measure.soak.stand_ins import ClientStandIn, DiscoveryStandIn, Member, WorkerStandIn
 
 CLASSES: dict[str, dict[str, float]] = {
@@ -24,6 +25,7 @@
 EFFECTS = {"status-read": "safe", "schedule-apply": "unsafe", "setpoint-push": "keyed"}
 WINDOW_S = 3.0
 STALL_CHECK_S = 0.01
+SLOW_START = {"cold_ms": 2000.0, "fall_ms": 1000.0}
 USUAL_ODD_SHARE = 0.05  # of a run's clients that leave early
 KEYED_SETTINGS = {"group": "all", "window_ms": WINDOW_S * 1000.0}
 NOTHING_KNOWN = {"revision": 0, "complete": True, "members": []}
@@ -97,6 +99,10 @@
 
         def observe(connection: int, data: bytes) -> None:
             now_s = time.monotonic()
+            if not data:
+                splitters.pop(connection, None)
+                self.records.connection_ends.append(ConnectionEnd(scheduler, worker, connection, now_s))
+                return
             for head, begun_s in splitters.setdefault(connection, RequestSplitter()).feed(data, now_s):
                 lines = head.decode("latin-1").split("\r\n")
                 fields = (line.partition(":") for line in lines[1:])
@@ -106,7 +112,14 @@
                 request = headers.get("x-call-id") or target.rsplit("/", 1)[-1]
                 self.records.messages.append(
                     SentMessage(
-                        scheduler, worker, method, request, int(budget) if budget else None, begun_s, now_s
+                        scheduler,
+                        worker,
+                        method,
+                        request,
+                        int(budget) if budget else None,
+                        begun_s,
+                        now_s,
+                        connection,
                     )
                 )
 
@@ -114,6 +127,7 @@
 
     def config(self, name: str) -> dict[str, Any]:
         """Returns the configuration file of a scheduler."""
+        usual, grace_ms = daemon_settings(), self.plan.drain_grace_s * 1000.0
         return {
             "name": name,
             "listen": "127.0.0.1:0",
@@ -121,15 +135,8 @@
             "seed": f"{self.names.index(name) + 16:x}",
             "known": self.known.get(name, NOTHING_KNOWN),
             "limits": {"sockets": 1024, "memory_mb": 192},
-            "settings": {
-                "areas": ["a"],
-                "balancers": len(self.names),
-                "position": self.names.index(name),
-                "zone": "a",
-                "kinds": ["big"],
-                "tick_ms": 4.0,
-                "discovery": "push" if self.plan.pushed else "subscribe",
-                "classes": [
+            "settings": daemon_settings(
+                [
                     {
                         "name": cls,
                         "aim_ms": each["deadline_ms"] / 3.0,
@@ -139,24 +146,12 @@
                     }
                     for cls, each in CLASSES.items()
                 ],
-                "permissions": {
-                    "max_attempts": 3,
-                    "cancel": True,
-                    "probes": True,
-                    "retry_after": True,
-                    "max_retry_after_ms": 2000.0,
-                    "conn_idle_ms": 15000.0,
-                    "connect_timeout_ms": 250.0,
-                },
-                "rules": {
-                    "grace_to_answer_ms": 16.0,
-                    "stop_sending_within_ms": self.plan.drain_grace_s * 1000.0,
-                    "cold_from": 0.3,
-                    "cold_ms": 2000.0,
-                    "fall_multiple": 3.0,
-                    "fall_ms": 1000.0,
-                },
-            },
+                balancers=len(self.names),
+                position=self.names.index(name),
+                discovery="push" if self.plan.pushed else "subscribe",
+                permissions={**usual["permissions"], "probes": True},
+                rules={**usual["rules"], **SLOW_START, "stop_sending_within_ms": grace_ms},
+            ),
         }
 
     async def start_scheduler(self, name: str) -> None:
--- a/measure/soak/oracle.py
+++ b/measure/soak/oracle.py
@@ -46,6 +46,7 @@
         *late_attempts(records, rules.lag_s),
         *draining_sends(records, rules),
         *duplicates(records, rules),
+        *attempts_at_once(records, rules.lag_s),
         *long_budgets(records, rules.lag_s),
     ]
     return sorted(found, key=lambda each: each.at_s)
@@ -162,6 +163,39 @@
                 yield Violation("duplicate", later.first_byte_s, f"{request} ({cls}) after its window")
 
 
+def attempts_at_once(records: Records, lag_s: float) -> Iterator[Violation]:
+    """No attempt of a request goes out while another is neither ended nor given up.
+
+    It has ended with its worker's word; it is given up by a DELETE, or by the end of its connection.
+    """
+    over_s: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for each in records.outcomes:
+        if each.state != "accepted":
+            over_s[each.request, each.worker].append(each.at_s)
+    for each in records.messages:
+        if each.method == "DELETE":
+            over_s[each.request, each.worker].append(each.first_byte_s)
+    ends_s: dict[tuple[str, str, int], float] = {}
+    for each in records.connection_ends:
+        key = each.scheduler, each.worker, each.connection
+        ends_s[key] = min(each.at_s, ends_s.get(key, each.at_s))
+    earlier_by_request: dict[str, SentMessage] = {}
+    for each in _attempts(records):
+        if each.last_byte_s is None:
+            continue
+        earlier = earlier_by_request.get(each.request)
+        earlier_by_request[each.request] = each
+        if earlier is None:
+            continue
+        found_s = [
+            *(at_s for at_s in over_s[each.request, earlier.worker] if at_s >= earlier.first_byte_s - lag_s),
+            ends_s.get((earlier.scheduler, earlier.worker, earlier.connection), float("inf")),
+        ]
+        if min(found_s) > each.last_byte_s + lag_s:
+            text = f"{each.request} to {each.worker} while it was out at {earlier.worker}"
+            yield Violation("duplicate", each.first_byte_s, text)
+
+
 def long_budgets(records: Records, lag_s: float) -> Iterator[Violation]:
     """The time passed to a worker is at most what the client has left, with some slack."""
     requests: dict[str, ClientRequest] = {each.id: each for each in records.requests}
--- a/measure/soak/planted.py
+++ b/measure/soak/planted.py
@@ -64,6 +64,21 @@
     settings._service_class = as_safe
 
 
+def second_copy() -> None:
+    """An attempt that is called off ends here at once; its worker hears nothing of it."""
+    from spanwing.workers.http_worker import HttpWorker
+
+    def cancel(self, message):
+        attempt = self.attempts.get(message.request)
+        if attempt is not None and attempt.delivery.number == message.number:
+            self._end_attempt(attempt, message.result)
+
+    HttpWorker.handlers = {
+        kind: cancel if handler is HttpWorker._handle_cancel else handler
+        for kind, handler in HttpWorker.handlers.items()
+    }
+
+
 def client_forgotten() -> None:
     """Nobody hears that a client has left."""
     from spanwing.core import request_manager
@@ -108,6 +123,7 @@
     "no-stale": no_stale,
     "drain-unread": drain_unread,
     "unsafe-repeat": unsafe_repeat,
+    "second-copy": second_copy,
     "client-forgotten": client_forgotten,
     "answer-dropped": answer_dropped,
     "long-budget": long_budget,
--- a/measure/soak/records.py
+++ b/measure/soak/records.py
@@ -31,6 +31,17 @@
     budget_ms: int | None
     first_byte_s: float
     last_byte_s: float | None = None
+    connection: int = 0  # its number on that link
+
+
+@dataclass
+class ConnectionEnd:
+    """A scheduler ended a connection to a worker."""
+
+    scheduler: str
+    worker: str
+    connection: int
+    at_s: float
 
 
 @dataclass
@@ -79,6 +90,7 @@
     requests: list[ClientRequest] = field(default_factory=list)
     messages: list[SentMessage] = field(default_factory=list)
     outcomes: list[WorkerOutcome] = field(default_factory=list)
+    connection_ends: list[ConnectionEnd] = field(default_factory=list)
     changes: list[EndpointChange] = field(default_factory=list)
     deliveries: list[ListDelivery] = field(default_factory=list)
     discovery_outages: list[Outage] = field(default_factory=list)
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -212,7 +212,8 @@
         ground.serving("s0")
         ground.serving("s1")
         ground.until(lambda: all(self.of(ground, name)["may"] == "take" for name in ground.reached()))
-        self.assertEqual(self.versions(ground), {2})
+        found = {name: self.of(ground, name) for name in ground.reached()}
+        self.assertEqual({each["version"] for each in found.values()}, {2}, (said, found))
         self.end(ground, tuple(ground.schedulers))
 
     def test_all_are_killed_at_once_and_started_again(self) -> None:
--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -9,6 +9,7 @@
 from measure.soak.oracle import RuleSet, judge
 from measure.soak.records import (
     ClientRequest,
+    ConnectionEnd,
     EndpointChange,
     ListDelivery,
     Outage,
@@ -60,7 +61,7 @@
 
     def test_an_attempt_long_after_its_client_has_left_is_lost(self) -> None:
         self.request(left_s=100.3, status=None, answered_s=None)
-        self.attempt(100.38)
+        self.attempt(100.38, state="failed")
         self.assertEqual(self.rules(), [])
         self.attempt(100.6, "w1")
         self.assertEqual(self.rules(), ["lost"])
@@ -71,7 +72,7 @@
 
     def test_a_removed_worker_gets_nothing_once_6_s_and_the_grace_are_over(self) -> None:
         self.removed()
-        self.attempt(108.0)
+        self.attempt(108.0, state="failed")
         self.assertEqual(self.rules(), [])
         self.attempt(108.2)
         self.assertEqual(self.rules(), ["drain"])
@@ -85,7 +86,7 @@
     def test_while_discovery_cannot_be_reached_nothing_counts_as_notified(self) -> None:
         self.removed()
         self.records.discovery_outages.append(Outage("n0", 99.0, 110.0))
-        self.attempt(117.9)
+        self.attempt(117.9, state="failed")
         self.assertEqual(self.rules(), [])
         self.attempt(118.2)
         self.assertEqual(self.rules(), ["drain"])
@@ -103,10 +104,31 @@
         self.attempt(108.6)
         self.assertEqual(self.rules(), [])
 
+    def test_two_attempts_are_not_out_at_a_time(self) -> None:
+        self.request()
+        self.attempt(100.1, state="accepted")
+        self.attempt(100.3, "w1", state="done")
+        self.assertEqual(self.rules(), ["duplicate"])
+
+    def test_an_attempt_is_over_with_its_workers_word_a_delete_or_the_end_of_its_connection(self) -> None:
+        for over in (
+            lambda: self.records.outcomes.append(WorkerOutcome("w0", "n0x1", "failed", 100.2)),
+            lambda: self.records.messages.insert(
+                1, SentMessage("n0", "w0", "DELETE", "n0x1", None, 100.2, 100.2)
+            ),
+            lambda: self.records.connection_ends.append(ConnectionEnd("n0", "w0", 0, 100.2)),
+        ):
+            self.records = Records()
+            self.request()
+            self.attempt(100.1, state="accepted")
+            over()
+            self.attempt(100.3, "w1", state="done")
+            self.assertEqual(self.rules(), [])
+
     def test_unsafe_work_goes_out_again_only_if_it_never_ran(self) -> None:
         self.request("apply")
         self.attempt(100.1, state="rejected")
-        self.attempt(100.2, "w1", state="accepted")
+        self.attempt(100.2, "w1", state="failed")
         self.assertEqual(self.rules(), [])
         self.attempt(100.3, "w2")
         self.assertEqual(self.rules(), ["duplicate"])
@@ -121,7 +143,7 @@
 
     def test_a_worker_is_told_no_more_time_than_is_left(self) -> None:
         self.request()
-        self.attempt(100.4, budget_ms=750)
+        self.attempt(100.4, budget_ms=750, state="failed")
         self.assertEqual(self.rules(), [])
         self.attempt(100.5, "w1", budget_ms=750)
         self.assertEqual(self.rules(), ["deadline"])
