--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -157,8 +157,10 @@
     async def start_scheduler(self, name: str) -> None:
         """Starts a scheduler (again), and leads clients and callbacks to it."""
         begun_s = time.monotonic()
+        # Each scheduler has a script of its own where its system calls are made to fail.
+        command = tuple(each.replace("SCHEDULER", name) for each in self.plan.command)
         program = await asyncio.to_thread(
-            Program, self.config(name), "", command=self.plan.command, environment=self.plan.environment
+            Program, self.config(name), "", command=command, environment=self.plan.environment
         )
         self.programs[name] = program
         if not await asyncio.to_thread(program.serving):
--- a/measure/soak/run.py
+++ b/measure/soak/run.py
@@ -244,6 +244,7 @@
 @click.option("--rate", default=15.0, help="requests a second at each scheduler")
 @click.option("--pushed", is_flag=True, help="lists are pushed, not asked for")
 @click.option("--bug", type=click.Choice(sorted(PLANTED_BUGS)), help="plant this bug in the schedulers")
+@click.option("--shim", is_flag=True, help="system calls fail and wall clocks step, by scripts from the seed")
 @click.option("--log", type=click.Path(path_type=Path), help="append each run's lines to this file")
 def main(
     seed: int | None,
@@ -256,11 +257,13 @@
     rate: float,
     pushed: bool,
     bug: str | None,
+    shim: bool,
     log: Path | None,
 ) -> None:
     """Plays one seed, or many."""
     if seed is not None:
         command = ("-m", "measure.soak.planted", bug) if bug else ("-m", "spanwing")
+        command = ("-m", "measure.soak.shimmed", f"{seed} SCHEDULER") if shim else command
         plan = FleetPlan(schedulers, workers, grace, pushed, rate, command)
         sys.exit(1 if play_here(seed, seconds, plan, show=True) else 0)
     first, _, last = (seeds or "1..10").partition("..")
@@ -272,6 +275,7 @@
         f"--rate={rate}",
         *(["--pushed"] if pushed else []),
         *([f"--bug={bug}"] if bug else []),
+        *(["--shim"] if shim else []),
     ]
 
     def play(number: int) -> tuple[int, int]:
