Log what was wrong with an answer of discovery, its size, and which list is announced

The incident's record does not say why an answer was not taken nor by which list a process sends. discovery_call_failed gains detail and received_bytes, discovery_list gains received_bytes, discovery_freshness the revision; endpoints_announced is new.

--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -16,9 +15,7 @@
 from spanwing.discovery.call_failure import CallFailure
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_request
-
-logger = logging.getLogger("spanwing")
+from spanwing.net.http import HttpError, HttpStream, encode_request
 
 
 class DiscoveredWorker(msgspec.Struct):
@@ -60,6 +57,8 @@
     ended_s: float
     first_byte_s: float | None  # of the answer; None: nothing came
     last_byte_s: float | None
+    received_bytes: int = 0  # of the answer, its head included
+    detail: str = ""  # what was wrong with the answer
 
 
 class AnswerOverdueError(Exception):
@@ -75,10 +74,12 @@
         self.limits: CallLimits | None = None
         self.began_s = 0.0
         self.first_byte_s: float | None = None
+        self.received_bytes = 0  # of the present answer
 
     def begin_call(self, began_s: float, limits: CallLimits) -> None:
         """Sets the limits for the next answer."""
         self.began_s, self.limits, self.first_byte_s = began_s, limits, None
+        self.received_bytes = 0
 
     async def read(self, sink: bytearray) -> bool:
         """Appends the next input to sink; returns False if the connection has ended.
@@ -92,7 +93,9 @@
                 await self._wait_for_input(reading)
         except StreamClosedError:
             pass
+        buffered_bytes = len(sink)
         has_data = self._collect_read(sink)
+        self.received_bytes += len(sink) - buffered_bytes
         if has_data and self.first_byte_s is None:
             self.first_byte_s = self.last_read_s
         return has_data
@@ -137,19 +140,28 @@
         target = "/discovery/hosts"
         if since is not None:
             target += f"?since={since}&timeout_ms={hold_s * 1000.0:.0f}"
-        endpoints, failure = None, await self._open(limits.connect_s)
+        endpoints, failure, detail = None, await self._open(limits.connect_s), ""
         stream = self.stream
         if failure is CallFailure.NO_SOCKET:
             return CallResult(None, failure, began_s, loop.time(), None, None)
         if failure is None:
             stream.begin_call(began_s, limits)
             request = encode_request("GET", target, {"Host": str(self.address)})
-            endpoints, failure = await _exchange(stream, request)
+            endpoints, failure, detail = await _exchange(stream, request)
         if failure is not None:
             stream.close()
         first_byte_s = stream.first_byte_s
         last_byte_s = None if first_byte_s is None else stream.last_read_s
-        return CallResult(endpoints, failure, began_s, loop.time(), first_byte_s, last_byte_s)
+        return CallResult(
+            endpoints,
+            failure,
+            began_s,
+            loop.time(),
+            first_byte_s,
+            last_byte_s,
+            stream.received_bytes,
+            detail,
+        )
 
     async def _open(self, connect_s: float) -> CallFailure | None:
         """Opens a connection, unless the present one can carry another request."""
@@ -175,29 +187,25 @@
 
 async def _exchange(
     stream: AnswerStream, request: bytes
-) -> tuple[DiscoveredEndpoints | None, CallFailure | None]:
+) -> tuple[DiscoveredEndpoints | None, CallFailure | None, str]:
+    """Returns the list or the failure of one call, and what was wrong with its answer."""
     try:
         await stream.write(request)
         response = await stream.receive()
     except AnswerOverdueError:
-        return None, CallFailure.NO_ANSWER if stream.first_byte_s is None else CallFailure.STALLED
+        return None, CallFailure.NO_ANSWER if stream.first_byte_s is None else CallFailure.STALLED, ""
     except StreamClosedError:  # while the request was written
-        return None, CallFailure.CLOSED
-    except HttpError:
-        return None, CallFailure.MALFORMED
+        return None, CallFailure.CLOSED, ""
+    except HttpError as error:
+        return None, CallFailure.MALFORMED, str(error)
     if response is None:
-        return None, CallFailure.CLOSED if stream.first_byte_s is None else CallFailure.CUT_OFF
+        return None, CallFailure.CLOSED if stream.first_byte_s is None else CallFailure.CUT_OFF, ""
     if response.status != 200:
-        return None, CallFailure.STATUS
+        return None, CallFailure.STATUS, str(response.status)
     if not response.keep_alive:
         stream.close()
-    endpoints = _read_endpoints(response)
-    return endpoints, None if endpoints is not None else CallFailure.UNREADABLE
-
-
-def _read_endpoints(response: HttpMessage) -> DiscoveredEndpoints | None:
     try:
-        return msgspec.json.decode(response.body, type=DiscoveredEndpoints)
+        endpoints = msgspec.json.decode(response.body, type=DiscoveredEndpoints)
     except ValueError as error:
-        logger.warning("discovery's list cannot be read: %s", error)
-        return None
+        return None, CallFailure.UNREADABLE, str(error)
+    return endpoints, None, ""
--- a/spanwing/discovery/call_log.py
+++ b/spanwing/discovery/call_log.py
@@ -19,6 +19,7 @@
         members=len(endpoints.members),
         not_active=sum(each.phase != "active" for each in endpoints.members),
         took_s=round(result.ended_s - result.began_s, 3),
+        received_bytes=result.received_bytes,
     )
 
 
@@ -32,5 +33,12 @@
         since=since,
         took_s=round(result.ended_s - result.began_s, 3),
         last_byte_s=last_byte_s,
+        received_bytes=result.received_bytes,
+        detail=result.detail,
         retry_s=round(retry_s, 3),
     )
+
+
+def log_announcement(scope: str, revision: int | None, members: int) -> None:
+    """Logs that the decisions are given a whole list; scope: how this process came by it."""
+    log_event("endpoints_announced", scope=scope, revision=revision, members=members)
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -23,7 +23,7 @@
     DiscoveryConnection,
 )
 from spanwing.discovery.call_failure import UNREACHABLE_FAILURES, CallFailure
-from spanwing.discovery.call_log import log_failure, log_list
+from spanwing.discovery.call_log import log_announcement, log_failure, log_list
 from spanwing.discovery.freshness import CallTiming, EndpointFreshness, Freshness
 from spanwing.discovery.persisted_list import START_RETRY_S, PersistedListPolicy
 from spanwing.log.events import log_event
@@ -263,6 +263,7 @@
             level="info" if state is Freshness.CURRENT else "warning",
             state=str(state),
             failed_calls=self.freshness.failed_calls,
+            revision=self.revision,
         )
 
     def _handle_watch_answer(self, answer: WatchAnswer) -> None:
@@ -284,6 +285,7 @@
     def _announce_all(self, scope: str) -> None:
         """Announces the whole list as it is now."""
         self.announced.set()
+        log_announcement(scope, self.revision, len(self.listed_names))
         self._announce(self.listed_workers(), scope)
 
     def _announce(self, members: Iterable[DiscoveredWorker], scope: str) -> None:
