Show with real processes that lists over 64 KiB are never taken

A scheduler that begins with such a list serves none of its requests. The stand-in for discovery can list members that nobody listens for, so a large fleet costs it nothing.

--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -15,7 +15,13 @@
 from measure.soak.fault_proxy import FaultProxy, RequestSplitter
 from measure.soak.oracle import DEFAULT_LAG_S, RuleSet
 from measure.soak.records import ConnectionEnd, Outage, Records, SentMessage
-from measure.soak.stand_ins import ClientStandIn, DiscoveryStandIn, Member, WorkerStandIn
+from measure.soak.stand_ins import (
+    ClientStandIn,
+    DiscoveryStandIn,
+    Member,
+    WorkerStandIn,
+    unlinked_members,
+)
 
 CLASSES: dict[str, dict[str, float]] = {
     "status-read": {"share": 0.6, "deadline_ms": 3000.0, "run_s": 0.1},
@@ -43,6 +49,7 @@
     rate_per_s: float = 10.0
     command: tuple[str, ...] = ("-m", "spanwing")
     environment: dict[str, str] = field(default_factory=dict)
+    unlinked_workers: int = 0  # further members of the list, which drain from the start
 
 
 class Fleet:
@@ -82,6 +89,8 @@
         """Starts the stand-ins and links, then all schedulers side by side, then the clients."""
         self.tasks.append(asyncio.ensure_future(self._measure_stalls()))
         await self.discovery.listen()
+        for member in unlinked_members(self.plan.unlinked_workers, "leaving", self.discovery.revision):
+            self.discovery.members[member.id] = member
         for worker in self.workers.values():
             await worker.listen()
             self.discovery.members[worker.name] = Member(worker.name)
--- a/measure/soak/stand_ins.py
+++ b/measure/soak/stand_ins.py
@@ -20,6 +20,7 @@
 )
 
 CALLBACK_TRIES, CALLBACK_RETRY_S = 10, 0.2
+UNLINKED_PORT = 9
 MessageParts = tuple[str, dict[str, str], bytes]
 
 
@@ -63,6 +64,21 @@
     up_since_ms: float = 0.0
     ports: dict[str, int] = field(default_factory=dict)
     revision: int = 1
+    host: str = HOST
+
+    def address_for(self, scheduler: str) -> str:
+        """Returns host and port as this scheduler is told; a member without links has one for all."""
+        return f"{self.host}:{self.ports.get(scheduler, UNLINKED_PORT)}"
+
+
+def unlinked_members(count: int, phase: str, revision: int) -> list[Member]:
+    """Returns members that are listed and that nobody listens for, at addresses of their own."""
+    return [
+        Member(
+            f"s-{number:08x}", phase, revision=revision, host=f"127.77.{number // 250}.{1 + number % 250}"
+        )
+        for number in range(count)
+    ]
 
 
 class DiscoveryStandIn:
@@ -97,12 +113,17 @@
         for event in list(self.waiting):
             event.set()
 
+    def add_unlinked(self, count: int, phase: str) -> None:
+        """Lists further members, in the revision that the next change makes."""
+        for member in unlinked_members(count, phase, self.revision + 1):
+            self.members[member.id] = member
+
     def encoded(self, scheduler: str, since: int | None) -> bytes:
         """Returns the complete list, or what changed after a revision."""
         members = [
             {
                 "id": each.id,
-                "host_port": f"{HOST}:{each.ports[scheduler]}",
+                "host_port": each.address_for(scheduler),
                 "locality": "a",
                 "flavor": "big",
                 "cell": 0,
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,40 @@
+"""Fleets of thousands of workers, with real scheduler processes: what the soak's oracle sees."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from measure.soak.fleet import Fleet, FleetPlan
+from measure.soak.oracle import judge
+
+MANY = 3200  # the most job workers of a fleet, STANDING.md
+LAG_S = 0.8  # other tests take processor time
+RATE_PER_S = 40.0
+
+
+class Drains(unittest.IsolatedAsyncioTestCase):
+    """A worker drains in a change of the list that is larger than a request's body may be."""
+
+    async def play(self, before: int, joins: int) -> None:
+        """The list has so many workers before the change, and so many join in it."""
+        fleet = Fleet(FleetPlan(rate_per_s=RATE_PER_S, unlinked_workers=before), seed=1)
+        try:
+            await fleet.start()
+            await asyncio.sleep(1.5)
+            fleet.discovery.add_unlinked(joins, "leaving")
+            fleet.discovery.change(["w0"], "leaving")
+            changed = len(fleet.records.messages)
+            await asyncio.sleep(5.0)
+            sent = fleet.records.messages[changed:]
+        finally:
+            await fleet.stop()
+        self.assertGreater(sum(each.worker == "w1" for each in sent), 40)  # it goes on serving
+        violations = judge(fleet.records, fleet.rules._replace(lag_s=LAG_S))
+        self.assertEqual([str(each) for each in violations[:5]], [])
+
+    async def test_a_draining_worker_gets_requests_for_as_long_as_its_change_is_too_large(self) -> None:
+        await self.play(before=0, joins=MANY)
+
+    async def test_a_scheduler_never_serves_as_its_first_list_is_too_large(self) -> None:
+        await self.play(before=MANY, joins=0)
