Bound discovery's answers by the size of a fleet, not by that of a request body

Callers saw requests at draining workers, and new schedulers that served nobody, in fleets of some 490 workers and more: a list or change over 64 KiB was refused as malformed. The parser now takes its bound from its owner: 64 KiB for clients and workers, 1,280 bytes for each of 3,200 workers for discovery. What is larger still is a failure of its own, too_large.

--- a/measure/soak/stand_ins.py
+++ b/measure/soak/stand_ins.py
@@ -74,9 +74,7 @@
 def unlinked_members(count: int, phase: str, revision: int) -> list[Member]:
     """Returns members that are listed and that nobody listens for, at addresses of their own."""
     return [
-        Member(
-            f"s-{number:08x}", phase, revision=revision, host=f"127.77.{number // 250}.{1 + number % 250}"
-        )
+        Member(f"s-{number:08x}", phase, revision=revision, host=f"127.77.{number // 250}.{1 + number % 250}")
         for number in range(count)
     ]
 
--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -15,7 +15,12 @@
 from spanwing.discovery.call_failure import CallFailure
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpError, HttpStream, encode_request
+from spanwing.net.http import TOO_LARGE_STATUS, HttpError, HttpStream, encode_request
+
+
+MAX_WORKERS = 3200  # of one fleet
+MAX_ENTRY_BYTES = 1280  # of one worker in a list, indented
+MAX_LIST_BYTES = MAX_WORKERS * MAX_ENTRY_BYTES
 
 
 class DiscoveredWorker(msgspec.Struct):
@@ -69,7 +74,7 @@
     """Reads one answer at a time, each read bounded by the limits of the call."""
 
     def __init__(self, stream: IOStream, buffers: BufferPool) -> None:
-        super().__init__(stream, buffers, parses_responses=True)
+        super().__init__(stream, buffers, parses_responses=True, max_body_bytes=MAX_LIST_BYTES)
         self.loop = IOLoop.current()
         self.limits: CallLimits | None = None
         self.began_s = 0.0
@@ -197,7 +202,8 @@
     except StreamClosedError:  # while the request was written
         return None, CallFailure.CLOSED, ""
     except HttpError as error:
-        return None, CallFailure.MALFORMED, str(error)
+        is_too_large = error.status == TOO_LARGE_STATUS
+        return None, CallFailure.TOO_LARGE if is_too_large else CallFailure.MALFORMED, str(error)
     if response is None:
         return None, CallFailure.CLOSED if stream.first_byte_s is None else CallFailure.CUT_OFF, ""
     if response.status != 200:
--- a/spanwing/discovery/call_failure.py
+++ b/spanwing/discovery/call_failure.py
@@ -16,6 +16,7 @@
     CLOSED = "closed"  # the connection ended before the answer began
     CUT_OFF = "cut_off"  # the connection ended within the answer
     MALFORMED = "malformed"  # no HTTP
+    TOO_LARGE = "too_large"  # a list beyond MAX_LIST_BYTES
     STATUS = "status"  # an answer that is not 200
     UNREADABLE = "unreadable"  # no endpoint list
 
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -12,7 +12,8 @@
 from spanwing.net.stream import PooledStream
 
 MAX_HEAD_BYTES = 16 * 1024
-MAX_BODY_BYTES = 64 * 1024
+MAX_BODY_BYTES = 64 * 1024  # of a request or response that is one job's; the protocol page
+TOO_LARGE_STATUS = 413
 TOKEN_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 TARGET_PATTERN = re.compile(r"[!-~]+")
 REASON_PHRASES = {
@@ -58,8 +59,8 @@
 class HttpParser:
     """Incremental parser: bytes are appended to data, next_message() returns complete messages."""
 
-    def __init__(self, parses_responses: bool = False) -> None:
-        self.parses_responses = parses_responses
+    def __init__(self, parses_responses: bool = False, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        self.parses_responses, self.max_body_bytes = parses_responses, max_body_bytes
         self.data = bytearray()
         self.head: HttpMessage | None = None
         self.remaining_body: int | None = 0  # body bytes left; None: until the connection ends
@@ -140,8 +141,8 @@
             if not re.fullmatch(r"[0-9]{1,18}", length):
                 raise HttpError(400, "malformed content-length")
             self.remaining_body = int(length)
-            if self.remaining_body > MAX_BODY_BYTES:
-                raise HttpError(413, "body too large")
+            if self.remaining_body > self.max_body_bytes:
+                raise HttpError(TOO_LARGE_STATUS, "body too large")
         elif self.parses_responses and self.head.status not in (204, 304):
             self.remaining_body, self.head.keep_alive = None, False
 
@@ -170,8 +171,8 @@
                     return self._read_trailer(end)
                 del self.data[: end + 2]
                 self.remaining_chunk = int(size, 16)
-            if len(self.body) + self.remaining_chunk > MAX_BODY_BYTES:
-                raise HttpError(413, "body too large")
+            if len(self.body) + self.remaining_chunk > self.max_body_bytes:
+                raise HttpError(TOO_LARGE_STATUS, "body too large")
             if len(self.data) < self.remaining_chunk + 2:
                 return False
             self._append_body(self.remaining_chunk)
@@ -192,8 +193,8 @@
         return end >= 0
 
     def _append_body(self, count: int) -> None:
-        if len(self.body) + count > MAX_BODY_BYTES:
-            raise HttpError(413, "body too large")
+        if len(self.body) + count > self.max_body_bytes:
+            raise HttpError(TOO_LARGE_STATUS, "body too large")
         self.body += self.data[:count]
         del self.data[:count]
 
@@ -201,9 +202,15 @@
 class HttpStream(PooledStream):
     """A connection that carries HTTP messages."""
 
-    def __init__(self, stream: IOStream, buffers: BufferPool, parses_responses: bool = False) -> None:
+    def __init__(
+        self,
+        stream: IOStream,
+        buffers: BufferPool,
+        parses_responses: bool = False,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         super().__init__(stream, buffers)
-        self.parser = HttpParser(parses_responses)
+        self.parser = HttpParser(parses_responses, max_body_bytes)
 
     async def receive(self, timeout_s: float | None = None, is_fresh: bool = False) -> HttpMessage | None:
         """Returns the next message; None if the connection ended first.
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -33,8 +33,8 @@
         violations = judge(fleet.records, fleet.rules._replace(lag_s=LAG_S))
         self.assertEqual([str(each) for each in violations[:5]], [])
 
-    async def test_a_draining_worker_gets_requests_for_as_long_as_its_change_is_too_large(self) -> None:
+    async def test_a_change_over_64_kib_is_taken_and_its_worker_gets_nothing_more(self) -> None:
         await self.play(before=0, joins=MANY)
 
-    async def test_a_scheduler_never_serves_as_its_first_list_is_too_large(self) -> None:
+    async def test_a_scheduler_serves_by_a_first_list_over_64_kib(self) -> None:
         await self.play(before=MANY, joins=0)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -13,7 +13,7 @@
 
 from spanwing.core.messages import EndpointsChanged
 from spanwing.discovery import call
-from spanwing.discovery.call import DiscoveredEndpoints, DiscoveredWorker
+from spanwing.discovery.call import MAX_LIST_BYTES, DiscoveredEndpoints, DiscoveredWorker
 from spanwing.discovery.client import DiscoveryClient
 from spanwing.discovery.freshness import CallTiming
 from spanwing.discovery.persisted_list import SILENT_START_CALLS, START_PATIENCE_S, START_RETRY_S
@@ -178,7 +178,7 @@
             (b"Content-Length: 900\r\n\r\n" + part, True),
             (b"Content-Length: 900\r\n\r\n" + part, False),
             (b"Transfer-Encoding: chunked\r\n\r\n2\r\n{ \r\n", False),
-            (b"Content-Length: 70000\r\n\r\n", False),
+            (b"Content-Length: %d\r\n\r\n" % (MAX_LIST_BYTES + 1), False),
             (b"Content-Length: 4\r\n\r\nlist", False),
             (b'Content-Length: 16\r\n\r\n{"revision":"x"}', False),
             (b'Content-Length: 14\r\n\r\n{"members":{}}', False),
@@ -192,6 +192,7 @@
         for whole in (b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", b"what?\r\n\r\n"):
             (await self.called())[1].write(whole)
         self.assertTrue(self.told.empty())
+        self.assertEqual(self.map.failed_calls["too_large"], 1)
         body = b'\n{\n  "revision": 8,\n  "complete": false,\n  "members": [\n  ]\n}\n'
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         self.assertEqual(await self.heard(lambda writer: writer.write(whole)), "partial")
