--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -17,7 +17,6 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import TOO_LARGE_STATUS, HttpError, HttpStream, encode_request
 
-
 MAX_WORKERS = 3200  # of one fleet
 MAX_ENTRY_BYTES = 1280  # of one worker in a list, indented
 MAX_LIST_BYTES = MAX_WORKERS * MAX_ENTRY_BYTES
--- a/spanwing/discovery/call_log.py
+++ b/spanwing/discovery/call_log.py
@@ -37,8 +37,3 @@
         detail=result.detail,
         retry_s=round(retry_s, 3),
     )
-
-
-def log_announcement(scope: str, revision: int | None, members: int) -> None:
-    """Logs that the decisions are given a whole list; scope: how this process came by it."""
-    log_event("endpoints_announced", scope=scope, revision=revision, members=members)
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -23,7 +23,7 @@
     DiscoveryConnection,
 )
 from spanwing.discovery.call_failure import UNREACHABLE_FAILURES, CallFailure
-from spanwing.discovery.call_log import log_announcement, log_failure, log_list
+from spanwing.discovery.call_log import log_failure, log_list
 from spanwing.discovery.freshness import CallTiming, EndpointFreshness, Freshness
 from spanwing.discovery.persisted_list import START_RETRY_S, PersistedListPolicy
 from spanwing.log.events import log_event
@@ -121,6 +121,7 @@
         #: merged into it, or as it is once discovery turned out to answer nobody.
         self.announced = Event()
         self.persisted_list_policy = PersistedListPolicy()
+        self.has_answer = False  # the list holds an answer that this process read
         self._update_workers(endpoints, "persisted")
 
     def listed_workers(self) -> list[DiscoveredWorker]:
@@ -215,7 +216,7 @@
                 return
             may_poll = result.failure is None
             if result.endpoints is not None:
-                watch.revision = result.endpoints.revision
+                watch.revision, self.has_answer = result.endpoints.revision, True
                 self.freshness.note_answer(result.first_byte_s)
                 self._log_state()
                 log_list(since, result)
@@ -264,6 +265,7 @@
             state=str(state),
             failed_calls=self.freshness.failed_calls,
             revision=self.revision,
+            is_from_discovery=self.has_answer,
         )
 
     def _handle_watch_answer(self, answer: WatchAnswer) -> None:
@@ -285,7 +287,6 @@
     def _announce_all(self, scope: str) -> None:
         """Announces the whole list as it is now."""
         self.announced.set()
-        log_announcement(scope, self.revision, len(self.listed_names))
         self._announce(self.listed_workers(), scope)
 
     def _announce(self, members: Iterable[DiscoveredWorker], scope: str) -> None:
