Let a refused call renew only a list that missed no answer before

A change that did not arrive, and discovery down right after it: each refused call moved the deadline of the old list on, for as long as the outage lasted, though the change had counts as notified 6 s after it was made. A refusal now renews the list only if every call since the last whole answer was refused too.

--- a/spanwing/discovery/freshness.py
+++ b/spanwing/discovery/freshness.py
@@ -5,6 +5,9 @@
 not it arrived, and sends have to stop drain_grace later. What it has begun to write counts as notified at
 once. So one deadline rules all calls: by then a whole answer must have been applied that discovery began to
 give after the last one. Past it the list is stale: nothing may be sent by it.
+
+A discovery that answers nobody notifies nobody, so the deadline moves on with each call that it refuses;
+but only if nothing was missed before: what it had while it could be reached still counts.
 """
 
 from __future__ import annotations
@@ -88,6 +91,7 @@
         #: First byte of the earliest answer that is not applied yet; None: none has begun.
         self.unread_since_s: float | None = None
         self.unread_before_call_s: float | None = None  # the same, before the present call
+        self.has_missed = False  # discovery could be reached, and a call brought no whole answer since
         self.is_unreachable = False
         self.failed_calls = 0  # in a row
         #: When the list was last known to be current, or discovery to answer nobody; None: never here.
@@ -108,7 +112,7 @@
 
     def note_answer(self, current_as_of_s: float) -> None:
         """Notes that a whole answer was applied, which discovery began to give at this time."""
-        self.is_unreachable, self.failed_calls = False, 0
+        self.is_unreachable, self.has_missed, self.failed_calls = False, False, 0
         if self.unread_since_s is not None and self.unread_since_s <= current_as_of_s:
             self.unread_since_s = None
         self.unread_before_call_s = self.unread_since_s
@@ -123,12 +127,13 @@
         self.is_unreachable = True
         self.failed_calls += 1
         self.unread_since_s = self.unread_before_call_s
-        self.current_until_s = max(self.current_until_s, call_began_s + self.timing.stale_after_s)
-        self.confirmed_s = call_began_s
+        if not self.has_missed and self.unread_since_s is None:
+            self.current_until_s = max(self.current_until_s, call_began_s + self.timing.stale_after_s)
+            self.confirmed_s = call_began_s
 
     def note_unanswered(self) -> None:
         """Notes a call that got through and brought no whole answer: the deadline stays."""
-        self.is_unreachable = False
+        self.is_unreachable, self.has_missed = False, True
         self.unread_before_call_s = self.unread_since_s
         self.failed_calls += 1
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -110,6 +110,12 @@
         freshness.note_unreachable(100.4)
         self.assertFalse(freshness.breaks_rule(100.5))
 
+    def test_a_call_that_a_refusal_follows_does_not_confirm_a_list_that_missed_its_answer(self) -> None:
+        freshness = EndpointFreshness(CallTiming.from_settings(2000.0, False), 100.0)
+        freshness.note_unanswered()
+        freshness.note_unreachable(100.4)
+        self.assertTrue(freshness.breaks_rule(100.5))
+
     def test_an_answer_that_was_not_taken_counts_as_notified_from_its_first_byte(self) -> None:
         self.freshness.note_answer_begun(103.0)
         self.assertFalse(self.freshness.is_stale(103.0 + 2.0 - HELD_UP_S - 0.01))
@@ -125,6 +131,25 @@
         self.freshness.note_answer(102.0)
         self.assertTrue(self.freshness.is_stale(103.0 + 2.0 - HELD_UP_S))
 
+    def test_calls_that_are_refused_renew_no_list_that_missed_an_answer_before(self) -> None:
+        for begins in (False, True):
+            with self.subTest(begins=begins):
+                self.setUp()
+                if begins:
+                    self.freshness.note_answer_begun(101.0)
+                self.freshness.note_unanswered()
+                for call in range(1, 40):
+                    self.freshness.note_unreachable(100.0 + call)
+                self.assertTrue(self.freshness.is_stale(self.stale_s))
+
+    def test_a_list_that_was_read_after_a_missed_answer_is_renewed_by_refused_calls_again(self) -> None:
+        self.freshness.note_answer_begun(101.0)
+        self.freshness.note_unanswered()
+        self.freshness.note_answer_begun(102.0)
+        self.freshness.note_answer(102.0)
+        self.freshness.note_unreachable(108.0)
+        self.assertFalse(self.freshness.is_stale(112.0))
+
     def test_a_rejection_is_no_notification(self) -> None:
         self.freshness.note_answer_begun(102.0)
         self.freshness.note_unreachable(101.9)
