Give configurations in a row no more time than the first one left

Each SIGHUP with another discovery set the deadline to 5.85 s from then on, so that a series of them kept a list in use that nobody had confirmed, and revived one that was stale. A move never adds time now. The new test failed before (20 moves, 1 s apart).

--- a/spanwing/discovery/freshness.py
+++ b/spanwing/discovery/freshness.py
@@ -143,11 +143,11 @@
         self.confirmed_s = now_s
 
     def note_moved(self, now_s: float) -> None:
-        """Notes that discovery has another address from now on."""
+        """Notes that discovery has another address from now on: never more time than there was."""
         self.is_unreachable = False
-        self.current_until_s = now_s + self.timing.moved_within_s
+        self.current_until_s = min(self.current_until_s, now_s + self.timing.moved_within_s)
         if self.confirmed_s is not None:
-            self.confirmed_s = now_s + DISCOVERY_MOVE_NOTIFIED_S - NOTIFIED_S
+            self.confirmed_s = min(self.confirmed_s, now_s + DISCOVERY_MOVE_NOTIFIED_S - NOTIFIED_S)
 
     def breaks_rule(self, now_s: float) -> bool:
         """Returns whether a send by the list would break the rule on drains, by its age alone.
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -155,6 +155,11 @@
         self.freshness.note_unreachable(101.9)
         self.assertFalse(self.freshness.is_stale(107.0))
 
+    def test_configurations_in_a_row_give_no_more_time_than_the_first(self) -> None:
+        for call in range(20):
+            self.freshness.note_moved(100.5 + call)
+        self.assertTrue(self.freshness.is_stale(self.stale_s))
+
     @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.floats(0.0, 4.0)), max_size=40), GRACES_MS)
     def test_the_deadline_never_outlasts_the_rule(
         self, events: list[tuple[str, float]], grace_ms: float
