--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -17,6 +17,7 @@
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import TOO_LARGE_STATUS, HttpError, HttpStream, encode_request
+from spanwing.net.tcp_stream import TcpStream
 
 MAX_WORKERS = 3200  # of one fleet
 MAX_ENTRY_BYTES = 1280  # of one worker in a list, indented
@@ -185,7 +186,7 @@
         if self.stream is not None and self.stream.is_reusable():
             return None
         try:
-            stream = IOStream(open_socket(self.address))
+            stream = TcpStream(open_socket(self.address))
             self.stream = AnswerStream(stream, self.buffers)
             self.stream.on_first_byte = self.on_first_byte
         except OSError:  # no descriptor or buffer for the moment
--- a/spanwing/frontends/admin.py
+++ b/spanwing/frontends/admin.py
@@ -35,6 +35,7 @@
     ConnectionTable,
 )
 from spanwing.net.stream import LineStream, LineTooLongError
+from spanwing.net.tcp_stream import TcpStream
 
 MAX_CONNECTIONS = 8
 MAX_LINE_BYTES = 64 * 1024  # the longest is a proposed policy
@@ -193,7 +194,7 @@
         if not self.table.make_room():
             sock.close()
             return
-        stream = IOStream(sock, max_buffer_size=MAX_BUFFERED_BYTES, max_write_buffer_size=MAX_BUFFERED_BYTES)
+        stream = TcpStream(sock, max_buffer_size=MAX_BUFFERED_BYTES, max_write_buffer_size=MAX_BUFFERED_BYTES)
         connection = AdminConnection(self, stream)
         self.table.connections.add(connection)
         spawn_task(connection.serve())
--- a/spanwing/frontends/balancers/grpc_health.py
+++ b/spanwing/frontends/balancers/grpc_health.py
@@ -34,7 +34,7 @@
 from h2.exceptions import StreamClosedError as StreamOver
 from h2.settings import SettingCodes
 from tornado.ioloop import IOLoop, PeriodicCallback
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import spawn_task
 from spanwing.health.state_machine import HealthVerdict
@@ -49,6 +49,7 @@
     ConnectionTable,
 )
 from spanwing.net.stream import PooledStream
+from spanwing.net.tcp_stream import TcpStream
 
 MAX_STREAMS = 16  # concurrent streams of a connection
 MAX_HEADER_BYTES = 8 * 1024  # bytes of a request's headers
@@ -391,7 +392,7 @@
         if not self.table.make_room():
             sock.close()
             return
-        stream = IOStream(
+        stream = TcpStream(
             sock, max_buffer_size=MAX_UNWRITTEN_BYTES, max_write_buffer_size=MAX_UNWRITTEN_BYTES
         )
         connection = GrpcConnection(self, PooledStream(stream, self.buffers))
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -44,6 +44,7 @@
 from spanwing.net.proxy_protocol import ProxyError
 from spanwing.net.resp import OK, encode_bulk, encode_error, encode_simple
 from spanwing.net.stream import LineStream, LineTooLongError
+from spanwing.net.tcp_stream import TcpStream
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.store import NoQuorumError
 from spanwing.workers.faktory_worker import (
@@ -179,7 +180,7 @@
         peer_address = peer_address_of(sock)
         connection = FaktoryConnection(
             self,
-            IOStream(sock, max_buffer_size=MAX_LINE_BYTES + READ_AHEAD_BYTES),
+            TcpStream(sock, max_buffer_size=MAX_LINE_BYTES + READ_AHEAD_BYTES),
             peer_address,
             is_proxy_source(peer_address, self.proxy_sources),
         )
--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -42,6 +42,7 @@
 from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_response
 from spanwing.net.proxied_connections import Network, is_proxy_source, peer_address_of, read_peer_address
 from spanwing.net.proxy_protocol import ProxyError
+from spanwing.net.tcp_stream import TcpStream
 
 HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
 ACCEPT_RETRY_S = 0.005  # single-request frontends: a new connection without room is retried after this
@@ -290,7 +291,7 @@
         peer_address = peer_address_of(sock) if self.proxy_sources else ""
         connection = HttpClientConnection(
             self,
-            IOStream(sock, max_buffer_size=READ_AHEAD_BYTES),
+            TcpStream(sock, max_buffer_size=READ_AHEAD_BYTES),
             peer_address,
             is_proxy_source(peer_address, self.proxy_sources),
         )
@@ -328,7 +329,7 @@
         pending_request is the request that awaits its answer, and whether the connection continues after it.
         """
         connection = HttpClientConnection(
-            self, IOStream(connected_socket, max_buffer_size=READ_AHEAD_BYTES), peer_address
+            self, TcpStream(connected_socket, max_buffer_size=READ_AHEAD_BYTES), peer_address
         )
         connection.has_sent_request, connection.is_client, connection.pending_request = (
             has_sent_request,
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -18,12 +18,13 @@
 from tornado.concurrent import Future
 from tornado.gen import TimeoutError as WaitOver
 from tornado.gen import sleep, with_timeout
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import spawn_task
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.stream import LineStream, LineTooLongError
+from spanwing.net.tcp_stream import TcpStream
 from spanwing.store.document import Document, catch_up
 from spanwing.store.leader import POLL_HOLD_MS
 from spanwing.store.lease import Lease, clock_ms
@@ -126,7 +127,7 @@
 
     async def _follow_member(self, name: str, address: Address) -> bool:
         """Renews by one member until that fails; returns whether it ever granted."""
-        stream = IOStream(open_socket(address), max_write_buffer_size=MAX_FRAME_BYTES)
+        stream = TcpStream(open_socket(address), max_write_buffer_size=MAX_FRAME_BYTES)
         try:
             await with_timeout(
                 timedelta(seconds=CONNECT_TIMEOUT_S),
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -14,12 +14,13 @@
 from tornado.concurrent import Future, future_set_result_unless_cancelled
 from tornado.gen import TimeoutError as WaitOver
 from tornado.gen import with_timeout
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import Actor, spawn_task
 from spanwing.net.address import Address, listen, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.stream import LineStream, LineTooLongError
+from spanwing.net.tcp_stream import TcpStream
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.messages import (
     Accept,
@@ -82,7 +83,7 @@
             spawn_task(self._write_requests(self.stream, [request]))
 
     async def _open_connection(self) -> None:
-        stream = IOStream(open_socket(self.address))
+        stream = TcpStream(open_socket(self.address))
         try:
             await with_timeout(
                 timedelta(seconds=CONNECT_TIMEOUT_S),
@@ -141,7 +142,7 @@
             return
         self.open_connections += 1
         stream = LineStream(
-            IOStream(connected_socket, max_write_buffer_size=4 * MAX_FRAME_BYTES),
+            TcpStream(connected_socket, max_write_buffer_size=4 * MAX_FRAME_BYTES),
             self.buffers,
             MAX_FRAME_BYTES,
         )
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -11,12 +11,13 @@
 from tornado.gen import TimeoutError as WaitOver
 from tornado.gen import with_timeout
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 from tornado.locks import Semaphore
 
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpStream
+from spanwing.net.tcp_stream import TcpStream
 
 IDLE_TIMEOUT_FRACTION = 0.6  # of the idle time allowed: a timer that fires late must still be in time
 MAX_CONNECT_ATTEMPTS = 2  # attempts to open one connection, at most
@@ -25,7 +26,7 @@
 MAX_CONNECTIONS = 12  # connections in use to one worker; further attempts wait for one
 
 
-class GuardedStream(IOStream):
+class GuardedStream(TcpStream):
     """Checks, each time bytes are handed to the kernel, whether they may still be sent.
 
     Bytes that the kernel had no room for are buffered here, perhaps past the end of the permission under
