Pause accepting while accept fails for want of descriptors or memory

accept() with EMFILE, ENFILE, ENOBUFS or ENOMEM raised out of the loop's handler: a traceback a turn, 1,000 to 1,500 in 45 s, and a busy loop. The library's handler is replaced by our own: no resources, a pause of 50 ms with the connection left in the backlog, one line when it begins and one when it ends; a connection that broke before it was accepted (accept(2)) is passed over.

--- a/spanwing/net/address.py
+++ b/spanwing/net/address.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from tornado.netutil import add_accept_handler
+from spanwing.net.accepting import ConnectionAcceptor
 
 
 class Address(NamedTuple):
@@ -95,23 +95,21 @@
             listening_socket.close()
             raise
         listening_socket.listen(512)
-    remove_handlers: list[Callable[[], None]] = []
+    acceptor = ConnectionAcceptor(listening_socket, on_connection)
 
     def set_accepting(accepts: bool) -> None:
-        if accepts and not remove_handlers:
-            remove_handlers.append(
-                add_accept_handler(listening_socket, lambda connection, _: on_connection(connection))
-            )
-        elif not accepts and remove_handlers:
-            remove_handlers.pop()()
+        if accepts:
+            acceptor.start()
+        else:
+            acceptor.stop()
 
     def close() -> None:
-        set_accepting(False)
+        acceptor.stop()
         listening_socket.close()
 
     def accept_pending_and_close() -> None:
         with suppress(OSError):
-            while remove_handlers:  # the kernel resets what is in the backlog of a listener that closes
+            while acceptor.is_started:  # the kernel resets what is in the backlog of a listener that closes
                 on_connection(listening_socket.accept()[0])
         close()
 
@@ -139,10 +137,11 @@
         os.umask(mask)
     own_stat = os.stat(path)
     listening_socket.listen(16)
-    remove_handler = add_accept_handler(listening_socket, lambda connection, _: on_connection(connection))
+    acceptor = ConnectionAcceptor(listening_socket, on_connection)
+    acceptor.start()
 
     def close() -> None:
-        remove_handler()
+        acceptor.stop()
         listening_socket.close()
         try:
             current_stat = os.stat(path)
