Start the watch on discovery again, and end the attempt, after a fault of the program

An exception in the watch's task ended it unseen but for a log line: the list then went stale and everything was rejected until the process ended. One in an attempt's task left its request without an outcome until its deadline. Each has an owner now: the watch is run again after 0.1 s and the fault counted (discovery.failed.fault), the attempt ends as reset or, unsent, as unreachable.

--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -34,6 +34,7 @@
 
 AT_ONCE_HOLD_S = 0.001  # after a failure, or at the start, a call is answered at once, changes or not
 CALLS_UNTIL_UNREACHABLE = 8  # failed in a row, before the state is logged: restarts and moves are ordinary
+WATCH_RESTART_S = 0.1
 STATE_OF_PHASE: dict[str, api.State] = {"active": "healthy", "leaving": "draining", "left": "gone"}
 
 logger = logging.getLogger("spanwing")
@@ -190,7 +191,7 @@
         connection = DiscoveryConnection(self.discovery_address, self.buffers)
         watch = self.current_watch = DiscoveryWatch(self.discovery_address, self.revision, connection)
         connection.on_first_byte = lambda first_byte_s: self._note_answer_begun(watch, first_byte_s)
-        spawn_task(self._run_watch(watch, delay_s))
+        spawn_task(self._keep_watching(watch, delay_s))
 
     def _note_answer_begun(self, watch: DiscoveryWatch, first_byte_s: float) -> None:
         if watch is self.current_watch:
@@ -206,14 +207,27 @@
         """Returns whether a send by the list would break the rule on drains, by its age alone."""
         return self.freshness.breaks_rule(self.loop.time())
 
-    async def _run_watch(self, watch: DiscoveryWatch, delay_s: float) -> None:
+    async def _keep_watching(self, watch: DiscoveryWatch, delay_s: float) -> None:
+        """Runs the watch until it is replaced, and again after a fault of the program: a process without a
+        watch could only reject.
+        """
+        await sleep(delay_s)
+        while self.current_watch is watch:
+            try:
+                await self._run_watch(watch)
+            except Exception:  # counted and logged; the next call may well succeed
+                logger.exception("fault in the watch on discovery")
+                self.failed_calls["fault"] += 1
+                self.freshness.note_unanswered()
+                await sleep(WATCH_RESTART_S)
+
+    async def _run_watch(self, watch: DiscoveryWatch) -> None:
         """Calls discovery until the watch is replaced, each call right after the last: a pause of 200 ms
         would end the watch on the other side.
 
         The first call, and each after a failure, has to be answered at once: the silence of a poll could be a
         lost answer. Every failure is repeated from here, with a pause that the freshness of the list allows.
         """
-        await sleep(delay_s)
         may_poll = False
         while self.current_watch is watch:
             since, hold_s = watch.revision, self.timing.poll_hold_s if may_poll else AT_ONCE_HOLD_S
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -37,6 +38,8 @@
     WorkerConnectionActor,
 )
 
+logger = logging.getLogger("spanwing")
+
 ACCEPT_TIMEOUT_S = 2.5  # wait for a worker's 202, which comes before any work; its pauses are far shorter
 CANCEL_TIMEOUT_S = 1.0  # wait for the response to a DELETE
 CANCEL_RETRY_MIN_S, CANCEL_RETRY_MAX_S = 0.1, 2.0  # first and longest backoff before a DELETE is retried
@@ -142,7 +145,16 @@
             )
             return
         self.attempts[attempt.delivery.request.id] = attempt
-        spawn_task(self._run_attempt(attempt))
+        spawn_task(self._keep_attempt(attempt))
+
+    async def _keep_attempt(self, attempt: HttpAttempt) -> None:
+        """Runs the attempt, and ends it after a fault of the program: its request still owes its answer."""
+        try:
+            await self._run_attempt(attempt)
+        except Exception:  # one attempt's fault must not lose the request
+            logger.exception("fault in an attempt")
+            was_sent = attempt.is_last_byte_written
+            self._end_attempt(attempt, "reset" if was_sent else "unreachable", is_unsent=not was_sent)
 
     async def _run_attempt(self, attempt: HttpAttempt) -> None:
         request = attempt.delivery.request
