Make a worker's connection actor at its first use, and apply only entries that changed

A list of 3,200 workers held the loop for 116 ms in the discovery client: an address parsed and an actor with its pool built for each, of which a scheduler of 200 uses some 16; each change then walked through all of them. What it knows to be gone when two directories name workers, it keeps by itself.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Literal, NamedTuple, Protocol
 
@@ -194,10 +194,10 @@
 
 
 class EndpointsChanged(NamedTuple):
-    """A change of the worker list, with all worker connections of the directory that reports it."""
+    """A change of the worker list, with the worker connections of the directory that reports it."""
 
     update: api.WorkerList
-    connections: dict[int, WorkerConnection]
+    connections: Mapping[int, WorkerConnection]
     source: str = "map"
 
 
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -5,7 +5,7 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -96,7 +96,8 @@
         self.acting_scheduler = self.scheduler
         self.pending_requests: dict[str, PendingRequest] = {}
         self.in_flight: dict[tuple[str, int], InFlightAttempt] = {}
-        self.connections_by_source: dict[str, dict[int, WorkerConnection]] = {}  # source: the directory
+        self.connections_by_source: dict[str, Mapping[int, WorkerConnection]] = {}  # source: the directory
+        self.announced_ids: dict[str, set[int]] = {}  # by source: the workers that the scheduler knows of
         self.counters: Counter[str] = Counter()
         self.guard = SendGuard(self, self.counters)
         self.remote_open_ids: Container[str] = ()  # ids open in the other process of a hot restart
@@ -376,7 +377,7 @@
                 attempt.connection.withdraw(request, number)
 
     def _handle_endpoints_changed(self, message: EndpointsChanged) -> None:
-        update, previous_connections = message.update, self.connections_by_source.get(message.source, {})
+        update, announced = message.update, self.announced_ids.setdefault(message.source, set())
         self.connections_by_source[message.source] = message.connections
         self.counters[f"listed.{update.scope}"] += 1
         if update.scope != "error":
@@ -386,8 +387,15 @@
         if update.scope in ("complete", "persisted") and len(self.connections_by_source) > 1:
             # A complete list of one directory says nothing about the workers of another.
             listed_ids = {each.id for each in update.workers}
-            gone = [api.Worker(worker, "gone") for worker in previous_connections if worker not in listed_ids]
+            gone = [api.Worker(worker, "gone") for worker in announced - listed_ids]
             update = api.WorkerList("partial", (*update.workers, *gone))
+        if update.scope != "partial" and update.scope != "error":
+            announced.clear()
+        for each in update.workers:
+            if each.state == "gone":
+                announced.discard(each.id)
+            else:
+                announced.add(each.id)
         if self.zone_routing is not None:
             update = self.zone_routing.filter_workers(update)
         self._dispatch_to_all(update)
@@ -395,9 +403,9 @@
             self.on_endpoints_changed()
 
     def _connection_to(self, worker_id: int) -> WorkerConnection | None:
-        return next(
-            (hops[worker_id] for hops in self.connections_by_source.values() if worker_id in hops), None
-        )
+        directories = self.connections_by_source.values()
+        found = (directory.get(worker_id) for directory in directories)
+        return next((connection for connection in found if connection is not None), None)
 
     def _handle_progress(self, message: AttemptProgress) -> None:
         attempt = self.in_flight.get((message.request, message.number))
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -26,10 +26,11 @@
 from spanwing.discovery.call_log import log_failure, log_list
 from spanwing.discovery.freshness import CallTiming, EndpointFreshness, Freshness
 from spanwing.discovery.persisted_list import START_RETRY_S, PersistedListPolicy
+from spanwing.discovery.worker_table import WorkerFactory, WorkerTable
 from spanwing.log.events import log_event
-from spanwing.net.address import Address, parse_address
+from spanwing.net.address import Address
 from spanwing.net.buffers import BufferPool
-from spanwing.workers.http_worker import HttpWorker, RetireWorker, WorkerCallback
+from spanwing.workers.http_worker import HttpWorker, WorkerCallback
 from spanwing.workers.worker_id import worker_id_of
 
 AT_ONCE_HOLD_S = 0.001  # after a failure, or at the start, a call is answered at once, changes or not
@@ -93,7 +94,7 @@
         discovery_address: Address,
         listener: AttemptListener,
         buffers: BufferPool,
-        make_worker: Callable[[str, Address, Callable[[HttpWorker], None]], HttpWorker],
+        make_worker: WorkerFactory,
         timing: CallTiming = CallTiming(),  # noqa: B008 - a tuple
     ) -> None:
         super().__init__()
@@ -101,19 +102,8 @@
         self.freshness = EndpointFreshness(timing, self.loop.time())
         self.logged_state = Freshness.CURRENT
         self.failed_calls: Counter[str] = Counter()  # by reason, refused connects left out
-        self.retiring_workers: dict[
-            str, list[HttpWorker]
-        ] = {}  # replaced ones that still have attempts in flight
-        self.discovery_address, self.listener, self.buffers, self.make_worker = (
-            discovery_address,
-            listener,
-            buffers,
-            make_worker,
-        )
-        self.workers: dict[str, HttpWorker] = {}
-        self.address_by_name: dict[str, str] = {}
-        self.listed_names: set[str] = set()  # listed and not gone
-        self.discovered_by_name: dict[str, DiscoveredWorker] = {}  # the last entry of each listed worker
+        self.discovery_address, self.listener, self.buffers = discovery_address, listener, buffers
+        self.table = WorkerTable(make_worker, lambda name, worker: self.post(WorkerRetired(name, worker)))
         self.revision: int | None = endpoints.revision
         self.on_unknown_callback: Callable[[WorkerCallbackReceived], None] | None = (
             None  # gets callbacks about attempts that are not of this process
@@ -128,7 +118,7 @@
 
     def listed_workers(self) -> list[DiscoveredWorker]:
         """Returns the list as discovery gave it, without the fleet's zone states."""
-        return [self.discovered_by_name[name] for name in self.listed_names]
+        return list(self.table.entries.values())
 
     def adopt_endpoints(self, endpoints: DiscoveredEndpoints) -> None:
         """Takes over another process's list of the same discovery, unless it is older.
@@ -146,19 +136,8 @@
             self.freshness.note_adopted(self.loop.time())
 
     def worker_at(self, name: str, address: str) -> HttpWorker:
-        """Returns the worker of this name and address.
-
-        For one that is not listed (any more) a new one is made, which closes once nothing is in flight there.
-        """
-        worker = self.workers.get(name)
-        if worker is None or self.address_by_name[name] != address:
-            worker = self.make_worker(
-                name, parse_address(address), lambda hop: self.post(WorkerRetired(name, hop))
-            )
-            if name not in self.workers:
-                self.workers[name], self.address_by_name[name] = worker, address
-            worker.post(RetireWorker(True))
-        return worker
+        """Returns the worker of this name and address, listed or not."""
+        return self.table.worker_at(name, address)
 
     def watch(self, within_s: float = 0.0) -> None:
         """Starts the watch, unless one is running, at a random moment within this time."""
@@ -294,9 +273,6 @@
         self.freshness.note_answer(answer.first_byte_s)
         self._log_state()
 
-    def _workers_by_id(self) -> dict[int, HttpWorker]:
-        return {worker_id_of(name): hop for name, hop in self.workers.items()}
-
     def _apply_endpoints(self, endpoints: DiscoveredEndpoints, scope: str) -> None:
         self._update_workers(endpoints, scope)
         if self.announced.is_set():
@@ -311,79 +287,21 @@
 
     def _announce(self, members: Iterable[DiscoveredWorker], scope: str) -> None:
         update = api.WorkerList(scope, tuple(_worker_entry(each) for each in members))
-        self.listener.post(EndpointsChanged(update, self._workers_by_id()))
+        self.listener.post(EndpointsChanged(update, self.table))
 
     def _update_workers(self, endpoints: DiscoveredEndpoints, scope: str) -> None:
-        if scope != "partial":
-            for name in set(self.workers) - {each.id for each in endpoints.members}:
-                self._remove_worker(name)
-        for each in endpoints.members:
-            if each.phase not in STATE_OF_PHASE:
-                logger.warning("unknown phase %r of a job worker, taken as leaving", each.phase)
-            self._update_worker(each)
-
-    def _update_worker(self, member: DiscoveredWorker) -> None:
-        name = member.id
-        if member.phase == "left":
-            self._remove_worker(name)
-            return
-        self.listed_names.add(name)
-        self.discovered_by_name[name] = member
-        is_draining = member.phase != "active"
-        if name in self.workers and self.address_by_name[name] == member.host_port:
-            self._set_draining(self.workers[name], is_draining)
-            self.workers[name].post(RetireWorker(False))
-            return
-        try:
-            address = parse_address(member.host_port)
-        except ValueError as error:
-            logger.warning("a job worker's address: %s", error)
-            return
-        if name in self.workers:
-            previous = self.workers[name]
-            previous.start_draining()
-            previous.post(RetireWorker(True))
-            self.retiring_workers.setdefault(name, []).append(previous)
-        self.address_by_name[name] = member.host_port
-        self.workers[name] = self.make_worker(name, address, lambda hop: self.post(WorkerRetired(name, hop)))
-        self._set_draining(self.workers[name], is_draining)
-
-    def _set_draining(self, worker: HttpWorker, is_draining: bool) -> None:
-        if is_draining:
-            worker.start_draining()
+        for phase in {each.phase for each in endpoints.members} - STATE_OF_PHASE.keys():
+            logger.warning("unknown phase %r of a job worker, taken as leaving", phase)
+        if scope == "partial":
+            self.table.update(endpoints.members)
         else:
-            worker.is_draining = False
-
-    def _remove_worker(self, name: str) -> None:
-        self.listed_names.discard(name)
-        self.discovered_by_name.pop(name, None)
-        if name in self.workers:
-            self.workers[name].start_draining()
-            self.workers[name].post(RetireWorker(True))
+            self.table.replace(endpoints.members)
 
     def _handle_retired(self, retired: WorkerRetired) -> None:
-        retiring = self.retiring_workers.get(retired.worker_name, [])
-        if retired.worker in retiring:
-            retiring.remove(retired.worker)
-            if not retiring:
-                del self.retiring_workers[retired.worker_name]
-        # A worker listed again while it closed keeps its connection actor, or its callbacks would be lost.
-        if (
-            self.workers.get(retired.worker_name) is retired.worker
-            and retired.worker_name not in self.listed_names
-        ):
-            del self.workers[retired.worker_name], self.address_by_name[retired.worker_name]
+        self.table.drop_retired(retired.worker_name, retired.worker)
 
     def _handle_callback(self, received: WorkerCallbackReceived) -> None:
-        # A worker may have moved under one name; attempts accepted at its old address end by callback too.
-        candidates = (
-            self.workers.get(received.worker_name),
-            *self.retiring_workers.get(received.worker_name, ()),
-        )
-        worker = next(
-            (each for each in candidates if each is not None and received.callback.request in each.attempts),
-            None,
-        )
+        worker = self.table.actor_of(received.worker_name, received.callback.request)
         if worker is not None:
             worker.post(received.callback)
         elif (
