Find the feeders of cold workers alone, and deal out anew only when workers come or go

The same list held the decisions for 842 ms (59 with one scheduler): for each worker, warm or not, the hashes of all 200 schedulers were sorted to find its feeders; and each change of any entry dealt all workers out again. A warm worker has no feeder to be found; the search ends once enough hashes are larger; the hashes of the deal are kept, and a change of state alone moves nobody.

--- a/spanwing/choice.py
+++ b/spanwing/choice.py
@@ -11,18 +11,16 @@
 from bisect import bisect
 from collections import deque
 from collections.abc import Callable
-from heapq import nlargest
+from itertools import islice
 
 from spanwing import interface as api
-from spanwing.state import Alarms, Attempt, Job, Ledger, View, mix
+from spanwing.state import FRESH_MS, MEMORY_MS, Alarms, Attempt, Job, Ledger, View, mix
 
 GUESS = 4.0  # slots assumed at a worker before anything is learned
-MEMORY_MS = 400.0  # how long a view of what others hold at a worker lasts: about as long as a job runs
 FADED = 0.4  # of a slot: less than this, held by others as last seen, keeps no worker from its trial
 COLD_PART = 0.6  # of a cold worker's budget is dealt out; the rest is for jobs longer than the mean
 HOLD_MS = 20.0  # held jobs look again for idle slots this often
 SET_ASIDE_MS, MOST_ASIDE_MS = 1000.0, 8000.0  # first and longest rest of a failing worker
-FRESH_MS = 100.0  # a sight of a worker's idle slots is good for this long
 LOOKS, LOOK_AT = 1.0, 2  # probes earned by each arrival, as they are priced by the request; most for one job
 ACCEPT_MS = 500.0  # a worker that takes jobs says so at once; its pauses are shorter
 MISSED = 1.5  # of a worker's intervals of progress, without a word on a job
@@ -53,6 +51,8 @@
             2.0 * sum(each.aim for each in settings.classes) / len(settings.classes))
         self.feeders = max(1, min(settings.nodes, int(GUESS), int(jobs)))
         self.views: dict[int, View] = {}  # workers
+        self.members: dict[View, str] = {}  # workers with their kinds, as dealt out last
+        self.order: list[View] = []  # the same, in the order of the deal
         self.kinds: dict[str, float] = {}  # slots by kind
         self.ring: list[tuple[int, int]] = []  # hash ring of ids, if needed
         self.jobs: dict[str, Job] = {}  # unanswered jobs by id
@@ -94,9 +94,14 @@
             view = self.views.get(entry.id)
             if view is None:
                 changed, total = True, self.kinds.get(entry.kind, GUESS)
-                view = self.views[entry.id] = View(entry, self.feeds(entry.id), total)
+                view = self.views[entry.id] = View(entry, 0.0, total)
+            elif view.entry == entry and entry.feeder is None and not self.set.live_weights:
+                continue
             changed |= view.entry._replace(weight=entry.weight) != entry
-            view.owner = view.owner if entry.feeder is None else entry.feeder
+            if entry.feeder is not None:
+                view.owner, view.is_feeder_known = entry.feeder, True
+            elif entry.started > 0 and not view.is_feeder_known:  # nobody feeds a warm worker
+                view.owner, view.is_feeder_known = self.feeds(entry.id), True
             if entry.started > view.entry.started:  # a new life: what was known of the old one is void
                 view.rest_until, view.strikes, view.limit, view.others = 0.0, 0, math.inf, 0.0
             view.entry, view.size = entry, max(view.size, entry.weight)
@@ -107,21 +112,25 @@
         self._drain()
 
     def feeds(self, worker: int) -> bool:
-        by_hash = nlargest(self.feeders, range(self.set.nodes), key=lambda n: mix(worker, n))
-        return self.feeding and self.set.node in by_hash
+        own = mix(worker, self.set.node), -self.set.node
+        larger = (node for node in range(self.set.nodes) if (mix(worker, node), -node) > own)
+        return self.feeding and len(list(islice(larger, self.feeders))) < self.feeders
 
     def divide(self) -> None:
         """Deal the workers out evenly, so that a change moves few: own counts tell what own workers hold."""
         self.views = {i: v for i, v in self.views.items() if v.entry.state != "gone" or v.held}
         self.home, self.near, self.far = [], [], []
-        loads = [0] * self.set.nodes
-        dealt = sorted(self.views.values(), key=lambda v: (v.entry.kind, mix(v.entry.id)))
-        for rank, view in enumerate(dealt):
-            turn, most = 17, rank // self.set.nodes + 1
-            while loads[node := mix(view.entry.id, turn) % self.set.nodes] >= most:
-                turn += 1
-            loads[node] += 1
-            view.home = node == self.set.node
+        members = {view: view.entry.kind for view in self.views.values()}
+        if members != self.members:  # otherwise each stays where it was dealt to
+            self.members, self.order = members, sorted(members, key=View.deal_key)
+            count, loads = self.set.nodes, [0] * self.set.nodes
+            for rank, view in enumerate(self.order):
+                turn, most = 0, rank // count + 1
+                while loads[node := view.node_at(turn, count)] >= most:
+                    turn += 1
+                loads[node] += 1
+                view.home = node == self.set.node
+        for view in self.order:
             if view.entry.state == "healthy":
                 near = view.entry.zone == self.set.zone
                 (self.home if view.home else self.near if near else self.far).append(view)
@@ -131,9 +140,7 @@
 
     def _observe(self, view: View, inflight: float) -> None:
         """Take in a sight of how many jobs a worker holds; what is not ours is others'."""
-        others = max(0.0, inflight - view.held)
-        view.others += (0.3 if self.now - view.seen < MEMORY_MS else 1.0) * (others - view.others)
-        view.seen = self.now
+        view.observe(inflight, self.now)
         self.busy += 0.01 * (min(1.0, inflight / max(view.total, 1.0)) - self.busy)
 
     def _report(self, view: View, report: tuple[float, ...] | None) -> None:
@@ -185,13 +192,10 @@
             view.heard, view.seen = self.now, -math.inf  # what is asked for is no mean with what was seen
             self._report(view, event.report)
             view.seen = self.now
-            self.seen = [each for each in self.seen if self._fresh(each) and each is not view]
+            self.seen = [each for each in self.seen if each.is_fresh(self.now) and each is not view]
             self.seen += [] if view.home else [view]
             self._drain()
 
-    def _fresh(self, view: View) -> bool:
-        return self.now - view.seen < FRESH_MS
-
     def _ledger(self, job: Job) -> Ledger:
         return self.ledgers.get(job.req.tenant or "", self.ledgers[None])
 
@@ -340,11 +344,11 @@
         # What cannot be called back from a queue goes only where a slot was seen to be idle.
         own, blind = self.home + self.fed, not self.asks or job.cls.effect != "unsafe" or self.looks < 1.0
         for view in own if len(own) <= SCAN else self.rng.sample(own, SCAN):
-            known = blind or self._fresh(view) or view.seen < view.asked < self.now - FRESH_MS  # no answer
+            known = blind or view.is_fresh(self.now) or view.seen < view.asked < self.now - FRESH_MS
             if (best is None or view.pace < best.pace) and known and self._fits(view, job):
                 best = view
         for view in self.seen if best is None else ():
-            if (best is None or view.pace < best.pace) and self._fresh(view) and self._fits(view, job):
+            if (best is None or view.pace < best.pace) and view.is_fresh(self.now) and self._fits(view, job):
                 best = view
         for group in (self.near, self.far) if not self.asks else ():
             for view in [self.rng.choice(group) for _ in range(4)] if best is None and group else ():
@@ -419,7 +423,7 @@
             return
         view.others, view.seen = max(0.0, view.total - view.running), self.now
         if not again and view.running >= view.peak > 0 and view.total > view.peak and view.home:
-            self._lower(view)
+            view.lower(self.now + MOST_ASIDE_MS)
         if not self._may_move(attempt.job):
             return
         if self._room(attempt.job) is not None:
@@ -452,9 +456,6 @@
         return (self.set.cancel and job.cls.effect != "unsafe" and job.req.id in self.jobs
                 and len(job.attempts) < self.set.max_attempts - 1)
 
-    def _lower(self, view: View) -> None:
-        view.total, view.no_raise = max(1.0, view.total - 1.0), self.now + MOST_ASIDE_MS
-
     def _strike(self, view: View, why: str) -> None:
         """Set a failing worker aside, longer each time; a worker that fails fast only looks free."""
         if self.now < view.rest_until:
@@ -485,7 +486,7 @@
             view.heard = self.now
             view.others, view.seen = (2.0 if self.keyed() else 1.0) * view.total, self.now
             if view.home and full and not view.learned:
-                self._lower(view)
+                view.lower(self.now + MOST_ASIDE_MS)
         elif result in ("error", "unreachable", "timeout") or (  # a reset may be a push-out by priority
                 result == "reset" and not (self.set.preempts and job.cls.effect == "safe")):
             self._strike(view, result)
--- a/spanwing/state.py
+++ b/spanwing/state.py
@@ -10,6 +10,9 @@
 
 from spanwing.interface import Request, ServiceClass, SetTimer, Worker
 
+FIRST_TURN = 17  # of the hashes that deal the workers out
+MEMORY_MS = 400.0  # how long a view of what others hold at a worker lasts: about as long as a job runs
+FRESH_MS = 100.0  # a sight of a worker's idle slots is good for this long
 BURST_S = 2.0  # seconds of unused share that a tenant's later arrivals may use
 
 
@@ -65,6 +68,34 @@
     size: float = 0.0  # largest weight listed
     pace: float = 1.0  # time of a job here, against the mean
     sent: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=64))  # work
+    is_feeder_known: bool = False  # owner was computed, or given by the list
+    rank: int = 0  # hash of the id; 0: not computed yet
+    nodes: list[int] = field(default_factory=list)  # that the id's hashes name, in the order they are tried
+
+    def observe(self, inflight: float, now: float) -> None:
+        """Takes in how many jobs the worker holds; those that are not this node's are others'."""
+        others = max(0.0, inflight - self.held)
+        self.others += (0.3 if now - self.seen < MEMORY_MS else 1.0) * (others - self.others)
+        self.seen = now
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether its idle slots were seen just now."""
+        return now - self.seen < FRESH_MS
+
+    def lower(self, until: float) -> None:
+        """Assumes one slot less, and no more until then."""
+        self.total, self.no_raise = max(1.0, self.total - 1.0), until
+
+    def deal_key(self) -> tuple[str, int]:
+        """Returns the place of the worker in the order in which all are dealt out."""
+        self.rank = self.rank or mix(self.entry.id)
+        return self.entry.kind, self.rank
+
+    def node_at(self, turn: int, count: int) -> int:
+        """Returns the node that the id's hash number turn names, among count nodes."""
+        while turn >= len(self.nodes):
+            self.nodes.append(mix(self.entry.id, FIRST_TURN + len(self.nodes)) % count)
+        return self.nodes[turn]
 
 
 class Ledger:
