--- a/measure/soak/shimmed.py
+++ b/measure/soak/shimmed.py
@@ -1,6 +1,7 @@
 """A scheduler whose system calls fail and whose wall clock is stepped, by a script drawn from a seed.
 
     python -m measure.soak.shimmed SEED
+    python -m measure.soak.shimmed step:AT_S:BY_S      steps the wall clock once, and fails no call
 
 Errors are those that Linux documents. They come in spans of some hundred milliseconds. Only connections that
 the scheduler opened itself break: on its clients' an error would be a lost request of the shim's making.
@@ -43,6 +44,9 @@
 
 def draw_script(seed: str) -> tuple[list[FailureSpan], list[tuple[float, float]]]:
     """Returns the spans, and when (s from the start) the wall clock is stepped by how much."""
+    if seed.startswith("step:"):
+        _, at_s, by_s = seed.split(":")
+        return [], [(float(at_s), float(by_s))]
     draw, spans, steps, at_s = random.Random(seed), [], [], FIRST_FAULT_S
     while at_s < SCRIPT_S:
         at_s += draw.uniform(*GAP_S)
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -42,6 +42,7 @@
 from spanwing.net.address import Address, adopt_listening_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.loop_meter import MeteredSelector, install_metered_loop
+from spanwing.net.monotonic_loop import MonotonicLoop
 from spanwing.settings import PermissionSettings
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
@@ -561,7 +562,7 @@
     """
     config = load_configuration()
     loop_meter = install_metered_loop() if config.balancers.listener_count() else None
-    loop = IOLoop.current()
+    loop = MonotonicLoop()
     if config.log.log_format != "plain":
         EVENT_LOG.open(config.log.log_format, config.log.max_per_second, {"name": config.name})
     daemon = Daemon(config, loop_meter)
