--- a/measure/soak/stand_ins.py
+++ b/measure/soak/stand_ins.py
@@ -220,7 +220,7 @@
 
     def __init__(self, name: str, records: Records, run_s: dict[str, float], draw: random.Random) -> None:
         self.name, self.records, self.run_s, self.draw = name, records, run_s, draw
-        self.mode, self.port = WorkerMode.UP, 0
+        self.mode, self.port, self.drains = WorkerMode.UP, 0, False
         self.jobs: dict[str, asyncio.Task[None]] = {}
         self.callback_ports: dict[str, int] = {}
         self.writers: set[asyncio.StreamWriter] = set()
@@ -262,8 +262,8 @@
 
     def _handle(self, first: str, headers: dict[str, str], _: bytes) -> bytes | None:
         method, target, _ = first.split(" ", 2)
-        if method == "GET":
-            return response(200, b"{}")
+        if method == "GET":  # a worker that drains says so itself
+            return response(503 if self.drains else 200, b"{}")
         if method == "DELETE":
             request = target.rsplit("/", 1)[1]
             task = self.jobs.pop(request, None)
@@ -353,9 +353,10 @@
             if record.ended_unanswered_s is None:
                 return
             # The scheduler's close crossed the request: it is sent once more, on a new connection.
-            record.ended_unanswered_s, record.sent_s = None, time.monotonic()
+            record.ended_unanswered_s = None
         try:
             reader, writer = await asyncio.open_connection(HOST, self.port)
+            record.sent_s = time.monotonic()  # a request's time starts at its last byte
             writer.write(head.encode())
         except OSError:
             self.records.requests.remove(record)  # never taken
