Ask a worker whether it accepts work, while the list is of unknown age

Until discovery has answered for the first time, and where the settings allow probes, each worker is asked on the connection that the request goes on, and what it said holds for the grace less 0.15 s; whoever does not say 200 in 0.5 s gets nothing (guard.refused.worker_unconfirmed).

--- a/spanwing/core/send_guard.py
+++ b/spanwing/core/send_guard.py
@@ -103,11 +103,12 @@
 class SendPermit:
     """Whether one attempt may be sent; False for good once it was refused."""
 
-    __slots__ = ("guard", "number", "refusal", "request", "worker")
+    __slots__ = ("guard", "is_confirmed", "number", "refusal", "request", "worker")
 
     def __init__(self, guard: SendGuard, request: str, number: int, worker: str) -> None:
         self.guard, self.request, self.number, self.worker = guard, request, number, worker
         self.refusal: SendRefusal | None = None
+        self.is_confirmed = False  # its worker said just now that it accepts work
 
     def __call__(self) -> bool:
         """Returns whether bytes of the attempt may be handed on now."""
@@ -123,6 +124,10 @@
             self.refusal = refusal
             self.guard.record_refusal(self, refusal)
 
+    def note_unconfirmed(self) -> None:
+        """Notes that the worker, asked first, did not say that it accepts work."""
+        self.guard.counters["guard.refused.worker_unconfirmed"] += 1
+
     def check_sent(self, is_worker_draining: bool) -> None:
         """Checks the rules for a send whose last byte is being handed on."""
         refusal = self.guard.state.send_refusal(self.request, self.number)
@@ -130,5 +135,9 @@
             refusal = SendRefusal.WORKER_DRAINING
         if refusal in RULE_OF_REFUSAL:
             self.guard.record_violation(RULE_OF_REFUSAL[refusal], self.request, self.worker, str(refusal))
-        elif self.guard.state.follows_list(self.request, self.number) and self.guard.list_breaks_rule():
+        elif (
+            not self.is_confirmed
+            and self.guard.state.follows_list(self.request, self.number)
+            and self.guard.list_breaks_rule()
+        ):
             self.guard.record_violation(SendRule.DRAIN, self.request, self.worker, "list_too_old")
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -52,7 +52,7 @@
 from spanwing.store.store import Store
 from spanwing.workers.connection_pool import ConnectionPool, DescriptorBudget
 from spanwing.workers.faktory_worker import FaktoryWorkerDirectory
-from spanwing.workers.http_worker import HttpWorker
+from spanwing.workers.http_worker import Confirmation, HttpWorker
 from spanwing.workers.load_report import LoadReportReader
 
 if TYPE_CHECKING:
@@ -146,15 +146,19 @@
             pool = ConnectionPool(
                 address, buffers, self.descriptors, permissions.conn_idle_ms, permissions.connect_timeout_ms
             )
-            return HttpWorker(name, pool, load_reader, retired)
+            return HttpWorker(name, pool, load_reader, retired, confirmation)
 
+        timing = CallTiming.from_settings(settings.drain_grace, not settings.subscribe)
+        confirmation = Confirmation(
+            lambda: permissions.probes and discovery.is_unconfirmed(), timing.unread_after_s
+        )
         discovery = self.discovery = DiscoveryClient(
             config.known_endpoints,
             config.discovery,
             self.request_manager,
             buffers,
             make_worker_connection,
-            CallTiming.from_settings(settings.drain_grace, not settings.subscribe),
+            timing,
         )
         self.request_manager.directory = discovery
         self.request_manager.guard.is_list_stale = discovery.is_stale
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -113,7 +113,7 @@
         #: merged into it, or as it is once discovery turned out to answer nobody.
         self.announced = Event()
         self.persisted_list_policy = PersistedListPolicy()
-        self.has_answer = False  # the list holds an answer that this process read
+        self.has_answer = False  # the list was read, or taken over from a process that follows it
         self._update_workers(endpoints, "persisted")
 
     def listed_workers(self) -> list[DiscoveredWorker]:
@@ -133,6 +133,7 @@
             self._update_workers(endpoints, "persisted")
         if is_newer or not self.announced.is_set():
             self._announce_all("persisted")
+            self.has_answer = True
             self.freshness.note_adopted(self.loop.time())
 
     def worker_at(self, name: str, address: str) -> HttpWorker:
@@ -186,6 +187,10 @@
         """Returns whether a send by the list would break the rule on drains, by its age alone."""
         return self.freshness.breaks_rule(self.loop.time())
 
+    def is_unconfirmed(self) -> bool:
+        """Returns whether the list is still the one that the process was started with, of unknown age."""
+        return not self.has_answer
+
     async def _keep_watching(self, watch: DiscoveryWatch, delay_s: float) -> None:
         """Runs the watch until it is replaced, and again after a fault of the program: a process without a
         watch could only reject.
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -5,6 +5,7 @@
 import logging
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
@@ -65,6 +66,16 @@
     report: tuple[float, ...] | None
 
 
+class Confirmation(NamedTuple):
+    """When a worker is asked, before a request goes to it, whether it accepts work.
+
+    A draining worker answers GET /alive with 503. So even a list of unknown age sends nothing to it.
+    """
+
+    is_needed: Callable[[], bool] = lambda: False
+    valid_s: float = 0.0  # a worker that accepted work a moment ago is not asked again
+
+
 class RetireWorker(NamedTuple):
     """The worker has left the endpoint list (or is back): close once nothing is in flight."""
 
@@ -97,8 +108,10 @@
         connection_pool: ConnectionPool,
         load_reader: LoadReportReader,
         on_retired: Callable[[HttpWorker], None],
+        confirmation: Confirmation = Confirmation(),  # noqa: B008 - a tuple
     ) -> None:
         super().__init__()
+        self.confirmation, self.confirmed_until_s = confirmation, 0.0
         self.name, self.address = name, str(connection_pool.address)
         self.connection_pool, self.load_reader, self.on_retired = connection_pool, load_reader, on_retired
         self.attempts: dict[str, HttpAttempt] = {}
@@ -211,8 +224,11 @@
             connection = await self.connection_pool.acquire(hold_last_byte or number > 0, is_wanted)
             if connection is None:
                 return None
-            data = encode()
             try:
+                if attempt is not None and not await self._confirm(connection, attempt):
+                    self.connection_pool.discard(connection)
+                    return None
+                data = encode()
                 if hold_last_byte and is_wanted():
                     await connection.write(data[:-1])
                     await sleep(LAST_BYTE_DELAY_S)
@@ -234,6 +250,30 @@
                 return None
         return None
 
+    async def _confirm(self, connection: PooledConnection, attempt: HttpAttempt) -> bool:
+        """Returns whether the worker may get an attempt: asks it on this connection, if that is needed."""
+        permit = attempt.delivery.may_send
+        if not self.confirmation.is_needed():
+            return True
+        if self.loop.time() >= self.confirmed_until_s:
+            asked_s = self.loop.time()
+            await connection.write(encode_request("GET", "/alive", {"Host": self.address}))
+            response = None
+            with suppress(HttpError, WaitOver):
+                response = await with_timeout(
+                    timedelta(seconds=PROBE_TIMEOUT_S),
+                    connection.receive(),
+                    quiet_exceptions=(HttpError, StreamClosedError),
+                )
+            if response is None or response.status != 200 or not response.keep_alive:
+                if isinstance(permit, SendPermit):
+                    permit.note_unconfirmed()
+                return False
+            self.confirmed_until_s = asked_s + self.confirmation.valid_s
+        if isinstance(permit, SendPermit):
+            permit.is_confirmed = True
+        return True
+
     def _check_send(self, data: bytes, attempt: HttpAttempt | None) -> None:
         """Checks the rules for what is about to be written, and logs what goes to a draining worker: a DELETE
         is owed to it, a probe was begun before.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 
+from measure.soak.fault_proxy import LinkState
 from measure.soak.fleet import Fleet, FleetPlan
 from measure.soak.oracle import Violation, judge
+from measure.soak.records import Outage
 from measure.soak.run import SoakRun
 from measure.soak.stand_ins import AnswerFault
 
@@ -87,6 +90,37 @@
                 self.assertEqual([str(each) for each in violations[:5]], [])
 
 
+class StartsDuringOutages(unittest.TestCase):
+    """A scheduler is away while a worker begins to drain, and comes back while discovery is down."""
+
+    async def play(self) -> tuple[list[Violation], int]:
+        fleet = Fleet(FleetPlan(rate_per_s=30.0), seed=1)
+        try:
+            await fleet.start()
+            await asyncio.sleep(1.0)
+            restart = asyncio.ensure_future(fleet.restart_scheduler("n0", True, down_s=10.5))
+            await asyncio.sleep(0.3)
+            fleet.workers["w0"].drains = True
+            fleet.discovery.change(["w0"], "leaving")
+            await asyncio.sleep(8.0)
+            link = fleet.discovery.links["n0"]
+            link.set_state(LinkState(refuses=True))
+            link.reset_connections()
+            fleet.records.discovery_outages.append(Outage("n0", time.monotonic()))
+            await restart
+            await asyncio.sleep(6.0)
+        finally:
+            await fleet.stop()
+        started_s = fleet.records.starts[-1][1]
+        served = [each for each in fleet.records.requests if each.sent_s > started_s and each.status == 200]
+        return judge(fleet.records, fleet.rules._replace(lag_s=LAG_S)), len(served)
+
+    def test_a_new_process_serves_and_sends_nothing_to_a_worker_that_drains(self) -> None:
+        violations, served = asyncio.run(self.play())
+        self.assertEqual([str(each) for each in violations[:5]], [])
+        self.assertGreater(served, 40)
+
+
 class Seeds(unittest.TestCase):
     """A short fixed set of the randomized soak; more of it: python -m measure.soak.run."""
 
