Repeat a call to discovery ever more seldom while its answers cannot be taken

A call whose answer could not be taken was repeated within 0.25 s for as long as that went on: 27 calls in 4 s of one scheduler, 13 MB of lists, in a fleet of 200 all at once. After three in a row the pause doubles now, up to the spread (3 s, 1 s where lists are pushed); the first three fit into the deadline as before.

--- a/spanwing/discovery/freshness.py
+++ b/spanwing/discovery/freshness.py
@@ -32,6 +32,8 @@
 )
 MAX_START_SPREAD_S = 1.0
 OWN_FAULT_RETRY_S = 0.25  # a call that failed in its answer concerns us alone: it is repeated within this
+MAX_DOUBLINGS = 8
+FAST_RETRIES = 3  # in a row; then the pause doubles, as the failure may be one that never passes
 
 
 class CallTiming(NamedTuple):
@@ -186,7 +188,8 @@
         Calls to a discovery that was unreachable begin spread_s apart at most, so that a fleet does not come
         back at once; the time that the failed call took is part of that.
         """
-        pause_s = draw.uniform(0.0, min(OWN_FAULT_RETRY_S, self.timing.spread_s))
+        doublings = min(MAX_DOUBLINGS, max(0, self.failed_calls - FAST_RETRIES))
+        pause_s = draw.uniform(0.0, min(OWN_FAULT_RETRY_S * 2**doublings, self.timing.spread_s))
         if self.is_unreachable:
             pause_s = max(pause_s, call_began_s + draw.uniform(0.0, self.timing.spread_s) - now_s)
         return pause_s
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -181,6 +181,15 @@
         self.assertEqual(self.freshness.patience_s(self.stale_s - 0.01), MIN_PATIENCE_S)
         self.assertEqual(self.freshness.patience_s(self.stale_s + 10.0), 3.3)
 
+    def test_a_failure_that_never_passes_is_repeated_ever_more_seldom(self) -> None:
+        """The fleet asks for a large list again and again otherwise, several times a second each."""
+        draw, now_s, calls = random.Random(1), 100.0, 0
+        while now_s < 160.0:
+            self.freshness.note_unanswered()
+            now_s += self.freshness.pause_s(draw, now_s, now_s)
+            calls += 1
+        self.assertLess(calls, 65)  # some 480 at 0.125 s each
+
     def test_the_time_that_a_failed_call_waited_counts_into_the_pause(self) -> None:
         self.freshness.note_unreachable(100.0)
         draw = random.Random(1)
