--- a/measure/soak/faults.py
+++ b/measure/soak/faults.py
@@ -35,6 +35,14 @@
     RELOAD = "reload"
     CLIENTS_LEAVE = "clients_leave"
     BURST = "burst"
+    CROWD = "crowd"  # idle clients fill the descriptors
+    RELOADS = "reloads"  # new configurations in a row
+    SIGNALS = "signals"  # SIGHUP, SIGTERM and both again
+    LIST_CHANGE = "list_change"  # of many entries at once
+
+
+#: Drawn by draw_faults, whose seeds stay what they were; the others are drawn with a plan.
+FIRST_KINDS = list(FaultKind)[: list(FaultKind).index(FaultKind.CROWD)]
 
 
 class Fault(NamedTuple):
@@ -86,7 +94,7 @@
     lasts_s = min(
         draw.choice((0.5, 2.0, 5.0, 9.0)) * draw.uniform(0.5, 1.5), span_s - QUIET_END_S - at_s + 3.0
     )
-    kind = draw.choice(list(FaultKind))
+    kind = draw.choice(FIRST_KINDS)
     scheduler, worker = draw.randrange(schedulers), draw.randrange(workers)
     match kind:
         case FaultKind.ANSWERS | FaultKind.ANSWERS_OF_ALL:
--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -13,7 +13,7 @@
 from measure.daemons import Program
 from measure.daemons import settings as daemon_settings
 from measure.soak.fault_proxy import FaultProxy, RequestSplitter
-from measure.soak.oracle import DEFAULT_LAG_S, RuleSet
+from measure.soak.oracle import DEFAULT_LAG_S, RuleSet, SlowStartRule
 from measure.soak.records import ConnectionEnd, Outage, Records, SentMessage
 from measure.soak.stand_ins import (
     ClientStandIn,
@@ -31,11 +31,14 @@
 EFFECTS = {"status-read": "safe", "schedule-apply": "unsafe", "setpoint-push": "keyed"}
 WINDOW_S = 3.0
 STALL_CHECK_S = 0.01
+SIGNAL_GAP_S = 0.02
 SLOW_START = {"cold_ms": 2000.0, "fall_ms": 1000.0}
 USUAL_ODD_SHARE = 0.05  # of a run's clients that leave early
 KEYED_SETTINGS = {"group": "all", "window_ms": WINDOW_S * 1000.0}
 NOTHING_KNOWN = {"revision": 0, "complete": True, "members": []}
-KILL_MARGIN_S, LONGEST_DEADLINE_S = 0.7, 3.0  # SIGKILL after SIGTERM, from the protocol page
+# SIGKILL comes so long after SIGTERM: the longest deadline, counted as 3 s at most, and the margin.
+KILL_MARGIN_S, MAX_DRAIN_DEADLINE_S = 0.7, 3.0
+ASSUMED_SLOTS = 4.0  # of a worker, before it tells of any
 
 
 @dataclass
@@ -50,6 +53,11 @@
     command: tuple[str, ...] = ("-m", "spanwing")
     environment: dict[str, str] = field(default_factory=dict)
     unlinked_workers: int = 0  # further members of the list, which drain from the start
+    deadline_scale: float = 1.0  # of all classes
+    sockets: int = 1024
+    memory_mb: int = 192
+    lists_indented: bool = False
+    list_chunk_bytes: int = 0
 
 
 class Fleet:
@@ -59,13 +67,24 @@
         self.plan, self.draw, self.records = plan, random.Random(seed), Records()
         self.names = [f"n{number}" for number in range(plan.schedulers)]
         self.discovery = DiscoveryStandIn(self.records, self.names)
+        self.discovery.is_indented = plan.lists_indented
+        self.discovery.chunk_bytes = plan.list_chunk_bytes
+        scale = plan.deadline_scale
+        self.classes = {
+            name: {"share": each["share"], "deadline_ms": scale * each["deadline_ms"], "run_s": each["run_s"]}
+            for name, each in CLASSES.items()
+        }
+        longest_s = max(each["deadline_ms"] for each in self.classes.values()) / 1000.0
+        self.kill_after_s = min(longest_s, MAX_DRAIN_DEADLINE_S) + KILL_MARGIN_S
         run_s = {name: each["run_s"] for name, each in CLASSES.items()}
         self.workers = {
             f"w{number}": WorkerStandIn(f"w{number}", self.records, run_s, self.draw)
             for number in range(plan.workers)
         }
         self.links: dict[tuple[str, str], FaultProxy] = {}  # by scheduler and worker
-        self.clients = {name: ClientStandIn(name, self.records, CLASSES, self.draw) for name in self.names}
+        self.clients = {
+            name: ClientStandIn(name, self.records, self.classes, self.draw) for name in self.names
+        }
         self.programs: dict[str, Program] = {}
         self.logs: dict[str, str] = dict.fromkeys(self.names, "")
         self.known: dict[str, Any] = {}  # by scheduler: the list as its former process last had it
@@ -77,7 +96,16 @@
     def rules(self) -> RuleSet:
         """The figures that the oracle goes by; what held up the stand-ins is no scheduler's fault."""
         lag_s = DEFAULT_LAG_S + self.longest_stall_s
-        return RuleSet(self.plan.drain_grace_s, EFFECTS, {"setpoint-push": WINDOW_S}, lag_s)
+        rules = daemon_settings()["rules"]
+        mean_run_s = sum(each["share"] * each["run_s"] for each in CLASSES.values())
+        slow_start = SlowStartRule(
+            SLOW_START["cold_ms"] / 1000.0,
+            rules["cold_from"],
+            rules["fall_multiple"],
+            SLOW_START["fall_ms"] / 1000.0,
+            ASSUMED_SLOTS / mean_run_s,
+        )
+        return RuleSet(self.plan.drain_grace_s, EFFECTS, {"setpoint-push": WINDOW_S}, slow_start, lag_s)
 
     async def _measure_stalls(self) -> None:
         while True:
@@ -143,7 +171,7 @@
             "discovery": f"127.0.0.1:{self.discovery.links[name].port}",
             "seed": f"{self.names.index(name) + 16:x}",
             "known": self.known.get(name, NOTHING_KNOWN),
-            "limits": {"sockets": 1024, "memory_mb": 192},
+            "limits": {"sockets": self.plan.sockets, "memory_mb": self.plan.memory_mb},
             "settings": daemon_settings(
                 [
                     {
@@ -153,7 +181,7 @@
                         "idempotency": EFFECTS[cls],
                         **(KEYED_SETTINGS if EFFECTS[cls] == "keyed" else {}),
                     }
-                    for cls, each in CLASSES.items()
+                    for cls, each in self.classes.items()
                 ],
                 balancers=len(self.names),
                 position=self.names.index(name),
@@ -185,8 +213,15 @@
             if outage.scheduler == name and outage.end_s == float("inf"):
                 outage.end_s = time.monotonic()
 
-    async def restart_scheduler(self, name: str, by_kill: bool, down_s: float = 0.0) -> None:
-        """Ends a scheduler by SIGKILL, or by SIGTERM with a SIGKILL as early as the protocol allows.
+    async def restart_scheduler(
+        self,
+        name: str,
+        by_kill: bool,
+        down_s: float = 0.0,
+        signals: tuple[signal.Signals, ...] = (signal.SIGTERM,),
+    ) -> None:
+        """Ends a scheduler by SIGKILL, or by signals that begin with SIGTERM, and a SIGKILL as early as the
+        protocol allows.
 
         It is started again down_s later, with the list as it was when the former process ended.
         """
@@ -195,8 +230,10 @@
         outage = Outage(name, begun_s if by_kill else begun_s + KILL_MARGIN_S)
         self.records.process_outages.append(outage)
         if not by_kill:
-            program.process.send_signal(signal.SIGTERM)
-            end_s = begun_s + LONGEST_DEADLINE_S + KILL_MARGIN_S
+            for number in signals:
+                program.process.send_signal(number)
+                await asyncio.sleep(SIGNAL_GAP_S)
+            end_s = begun_s + self.kill_after_s
             while program.process.poll() is None and time.monotonic() < end_s:
                 await asyncio.sleep(0.02)
             if program.process.poll() not in (None, 0):
--- a/measure/soak/oracle.py
+++ b/measure/soak/oracle.py
@@ -22,12 +22,23 @@
 DEFAULT_LAG_S = 0.05  # between a scheduler's send and the proxy's clock, on a machine with free cores
 
 
+class SlowStartRule(NamedTuple):
+    """How much a worker that has just started bears."""
+
+    cold_s: float  # it is warm after this
+    cold_from: float  # share of its capacity at its start
+    fall_multiple: float  # of its present capacity
+    fall_s: float  # over this time
+    requests_per_s: float  # of mean work, that a warm worker does
+
+
 class RuleSet(NamedTuple):
     """The figures of the settings that the rules go by."""
 
     drain_grace_s: float
     effects: dict[str, str]  # by class: safe, keyed or unsafe
     windows_s: dict[str, float]  # by keyed class
+    slow_start: SlowStartRule | None = None
     lag_s: float = DEFAULT_LAG_S  # of these processes on a shared machine, on top of every time limit
 
 
@@ -48,6 +59,7 @@
         *duplicates(records, rules),
         *attempts_at_once(records, rules.lag_s),
         *long_budgets(records, rules.lag_s),
+        *slow_start_overloads(records, rules),
     ]
     return sorted(found, key=lambda each: each.at_s)
 
@@ -66,6 +78,8 @@
             continue
         if _was_down(records.process_outages, each.scheduler, each.sent_s, due_s):
             continue
+        if each.is_on_new_connection and _was_down(records.crowds, each.scheduler, each.sent_s, each.sent_s):
+            continue  # a new connection may be shut unread then
         answered_s = each.answered_s
         if answered_s is None or answered_s > due_s + TIME_SLACK_S + lag_s:
             ended_s = answered_s or each.ended_unanswered_s
@@ -209,3 +223,40 @@
         if each.budget_ms > max(left_ms, 1.0) + BUDGET_SLACK_MS + lag_s * 1000.0:
             text = f"{each.request} to {each.worker}: passed {each.budget_ms} ms of {left_ms:.0f} left"
             yield Violation("deadline", each.first_byte_s, text)
+
+
+def allowed_at_start(rule: SlowStartRule, age_s: float) -> float:
+    """Returns how many requests of mean work a worker of this age may get within fall_s (STANDING.md)."""
+    share = min(1.0, rule.cold_from + (1.0 - rule.cold_from) * age_s / rule.cold_s)
+    count = rule.fall_multiple * share * rule.requests_per_s * rule.fall_s
+    return count + (3.0 * count**0.5 + 3.0 if count < 30.0 else 2.0 * count**0.5 + 2.0)
+
+
+def slow_start_overloads(records: Records, rules: RuleSet) -> Iterator[Violation]:
+    """No worker that has just started falls by what schedulers send that were notified of its start."""
+    rule = rules.slow_start
+    if rule is None:
+        return
+    sent: dict[str, list[SentMessage]] = defaultdict(list)
+    for each in _attempts(records):
+        sent[each.worker].append(each)
+    for change in records.changes:
+        if change.phase != "active" or not change.is_start:
+            continue
+        end_s = change.at_s + rule.cold_s
+        attempts = [each for each in sent[change.worker] if change.at_s <= each.first_byte_s <= end_s]
+        for index, last in enumerate(attempts):
+            window = [
+                each for each in attempts[: index + 1] if each.first_byte_s > last.first_byte_s - rule.fall_s
+            ]
+            if len(window) <= allowed_at_start(rule, last.first_byte_s - change.at_s):
+                continue
+            notified = [
+                each
+                for each in window
+                if notified_s(records, each.scheduler, change.revision, change.at_s) <= each.first_byte_s
+            ]
+            if len(notified) > 2.0 / 3.0 * len(window):
+                text = f"{change.worker} got {len(window)} requests in {rule.fall_s} s"
+                yield Violation("failback", last.first_byte_s, text)
+                break
--- a/measure/soak/records.py
+++ b/measure/soak/records.py
@@ -18,6 +18,7 @@
     answered_s: float | None = None
     left_s: float | None = None  # the client closed its connection
     ended_unanswered_s: float | None = None  # the scheduler closed the connection
+    is_on_new_connection: bool = False
 
 
 @dataclass
@@ -62,6 +63,7 @@
     worker: str
     phase: str
     at_s: float
+    is_start: bool = False  # the worker is cold
 
 
 @dataclass
@@ -95,4 +97,5 @@
     deliveries: list[ListDelivery] = field(default_factory=list)
     discovery_outages: list[Outage] = field(default_factory=list)
     process_outages: list[Outage] = field(default_factory=list)
+    crowds: list[Outage] = field(default_factory=list)  # idle clients fill a scheduler's descriptors
     starts: list[tuple[str, float]] = field(default_factory=list)  # scheduler, time it was started
--- a/measure/soak/run.py
+++ b/measure/soak/run.py
@@ -2,6 +2,7 @@
 
     python -m measure.soak.run --seed 7                        plays one run again
     python -m measure.soak.run --seeds 1..40 --at-once 3       many, with a summary
+    python -m measure.soak.run --seeds 1..40 --drawn           sizes, limits and settings drawn too
     python -m measure.soak.run --seeds 1..5 --bug unsafe       with a planted bug, which has to be found
 
 Each run starts real schedulers and stand-ins on loopback, plays the faults that its seed draws, and is
@@ -13,10 +14,12 @@
 
 import asyncio
 import re
+import signal
 import sys
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 from subprocess import run as run_process
 from typing import NamedTuple
@@ -24,16 +27,20 @@
 import click
 
 from measure.daemons import ROOT
+from measure.soak.drawn_plan import draw_more_faults, draw_plan
 from measure.soak.fault_proxy import LinkState
 from measure.soak.faults import GRACE_OF_CRASH_S, Fault, FaultKind, draw_faults
 from measure.soak.fleet import USUAL_ODD_SHARE, Fleet, FleetPlan
 from measure.soak.oracle import judge
 from measure.soak.planted import PLANTED_BUGS
 from measure.soak.records import Outage
-from measure.soak.stand_ins import AnswerFault, WorkerMode
+from measure.soak.stand_ins import AnswerFault, CrowdStandIn, WorkerMode
 
 OWN_FAULTS = re.compile(r"rule_violated .*|Traceback .*|fault (?:in|on) .*")
 SHOWN_FAILURES = 8
+RELOADS_IN_A_ROW = 4
+CROWD_LEAVES_S = 0.5  # until a scheduler has noticed
+LIST_CHANGE_SHARE = 0.3
 BURST_FACTOR = 8.0
 WORKER_FAULTS = {
     FaultKind.WORKER_LINK,
@@ -57,9 +64,11 @@
 class SoakRun:
     """Plays the faults of one seed on one fleet."""
 
-    def __init__(self, seed: int, span_s: float, plan: FleetPlan, lag_s: float = 0.0) -> None:
-        """lag_s: added to the time limits, where other programs share the machine."""
-        self.seed, self.span_s, self.plan, self.lag_s = seed, span_s, plan, lag_s
+    def __init__(
+        self, seed: int, span_s: float, plan: FleetPlan, lag_s: float = 0.0, more: tuple[Fault, ...] = ()
+    ) -> None:
+        """lag_s: added to the time limits, where other programs share the machine; more: further faults."""
+        self.seed, self.span_s, self.plan, self.lag_s, self.more = seed, span_s, plan, lag_s, more
         self.fleet = Fleet(plan, seed)
         self.busy: set[str] = set()  # schedulers and workers that a lasting fault has already
         self.tasks: list[asyncio.Task[None]] = []
@@ -67,7 +76,8 @@
     async def play(self) -> RunResult:
         """Plays to the end, and judges."""
         fleet = self.fleet
-        faults = draw_faults(self.seed, self.span_s, self.plan.schedulers, self.plan.workers)
+        drawn = draw_faults(self.seed, self.span_s, self.plan.schedulers, self.plan.workers)
+        faults = sorted((*drawn, *self.more), key=lambda fault: fault.at_s)
         try:
             await fleet.start()
             for client in fleet.clients.values():
@@ -114,6 +124,8 @@
                 await self._disturb_discovery([scheduler], fault.link, fault.span_s)
             case FaultKind.DISCOVERY_DOWN:
                 await self._disturb_discovery(fleet.names, LinkState(refuses=True), fault.span_s)
+            case FaultKind.LIST_CHANGE:
+                fleet.discovery.toggle_unlinked(LIST_CHANGE_SHARE, fleet.draw)
             case FaultKind.DISCOVERY_RESET:
                 fleet.discovery.links[scheduler].reset_connections()
             case FaultKind.WORKER_RESET:
@@ -214,11 +226,28 @@
                 await self.fleet.restart_scheduler(name, by_kill, down_s=fault.span_s)
             case FaultKind.RELOAD:
                 await self.fleet.reload(name)
+            case FaultKind.RELOADS:
+                for _ in range(RELOADS_IN_A_ROW):
+                    await self.fleet.reload(name)
+                    await asyncio.sleep(self.fleet.draw.uniform(0.0, 1.0))
+            case FaultKind.SIGNALS:
+                signals = (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+                await self.fleet.restart_scheduler(name, False, fault.span_s, signals)
+            case FaultKind.CROWD:
+                await self._crowd(name, fault.span_s)
+
+    async def _crowd(self, name: str, span_s: float) -> None:
+        crowd, outage = CrowdStandIn(), Outage(name, time.monotonic())
+        self.fleet.records.crowds.append(outage)
+        await crowd.open(self.fleet.clients[name].port, self.plan.sockets)
+        await asyncio.sleep(span_s)
+        crowd.leave()
+        outage.end_s = time.monotonic() + CROWD_LEAVES_S
 
 
-def play_here(seed: int, span_s: float, plan: FleetPlan, show: bool) -> int:
+def play_here(seed: int, span_s: float, plan: FleetPlan, show: bool, more: tuple[Fault, ...] = ()) -> int:
     """Plays one seed in this process, and prints what it showed; returns the number of failures."""
-    result = asyncio.run(SoakRun(seed, span_s, plan).play())
+    result = asyncio.run(SoakRun(seed, span_s, plan, more=more).play())
     if show:
         for fault in result.faults:
             click.echo(
@@ -226,7 +255,8 @@
             )
     verdict = f"{len(result.failures)} FAILURES" if result.failures else "ok"
     click.echo(
-        f"seed {seed}: {verdict}; {result.requests} requests, {result.attempts} attempts, "
+        f"seed {seed}: {verdict}; {plan.schedulers}x{plan.workers}+{plan.unlinked_workers}, "
+        f"{result.requests} requests, {result.attempts} attempts, "
         f"{len(result.faults)} faults, stall {result.longest_stall_s:.2f} s, "
         f"answers {dict(sorted(result.statuses.items()))}"
     )
@@ -246,6 +276,7 @@
 @click.option("--rate", default=15.0, help="requests a second at each scheduler")
 @click.option("--pushed", is_flag=True, help="lists are pushed, not asked for")
 @click.option("--bug", type=click.Choice(sorted(PLANTED_BUGS)), help="plant this bug in the schedulers")
+@click.option("--drawn", is_flag=True, help="draw the fleet from the seed too, and more faults with it")
 @click.option("--shim", is_flag=True, help="system calls fail and wall clocks step, by scripts from the seed")
 @click.option("--log", type=click.Path(path_type=Path), help="append each run's lines to this file")
 def main(
@@ -259,6 +290,7 @@
     rate: float,
     pushed: bool,
     bug: str | None,
+    drawn: bool,
     shim: bool,
     log: Path | None,
 ) -> None:
@@ -266,8 +298,11 @@
     if seed is not None:
         command = ("-m", "measure.soak.planted", bug) if bug else ("-m", "spanwing")
         command = ("-m", "measure.soak.shimmed", f"{seed} SCHEDULER") if shim else command
-        plan = FleetPlan(schedulers, workers, grace, pushed, rate, command)
-        sys.exit(1 if play_here(seed, seconds, plan, show=True) else 0)
+        plan, more = FleetPlan(schedulers, workers, grace, pushed, rate, command), ()
+        if drawn:
+            plan = replace(draw_plan(seed, rate), command=command)
+            more = tuple(draw_more_faults(seed, seconds, plan))
+        sys.exit(1 if play_here(seed, seconds, plan, show=True, more=more) else 0)
     first, _, last = (seeds or "1..10").partition("..")
     flags = [
         f"--seconds={seconds}",
@@ -278,6 +313,7 @@
         *(["--pushed"] if pushed else []),
         *([f"--bug={bug}"] if bug else []),
         *(["--shim"] if shim else []),
+        *(["--drawn"] if drawn else []),
     ]
 
     def play(number: int) -> tuple[int, int]:
--- a/measure/soak/stand_ins.py
+++ b/measure/soak/stand_ins.py
@@ -90,6 +90,8 @@
         self.faults: dict[str, list[tuple[AnswerFault, float]]] = {name: [] for name in schedulers}
         self.links: dict[str, FaultProxy] = {}
         self.call_count = 0
+        self.is_indented = False
+        self.chunk_bytes = 0  # lists come in chunks of this size; 0: with their length
 
     async def listen(self) -> None:
         """Opens a listener, and a link to it, for each scheduler."""
@@ -107,7 +109,8 @@
             member.phase, member.revision = phase, self.revision
             if up_since_ms is not None:
                 member.up_since_ms = up_since_ms
-            self.records.changes.append(EndpointChange(self.revision, name, phase, now_s))
+            is_start = up_since_ms is not None
+            self.records.changes.append(EndpointChange(self.revision, name, phase, now_s, is_start))
         for event in list(self.waiting):
             event.set()
 
@@ -132,7 +135,27 @@
             for each in self.members.values()
             if (each.phase != "left" if since is None else each.revision > since)
         ]
-        return json.dumps({"revision": self.revision, "complete": since is None, "members": members}).encode()
+        whole = {"revision": self.revision, "complete": since is None, "members": members}
+        return json.dumps(whole, indent=2 if self.is_indented else None).encode()
+
+    def framed(self, body: bytes) -> bytes:
+        """Returns a whole answer, with its length or in chunks."""
+        size = self.chunk_bytes
+        if not size:
+            return response(200, body)
+        chunks = (body[start : start + size] for start in range(0, len(body), size))
+        framed = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
+        return b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + framed + b"0\r\n\r\n"
+
+    def toggle_unlinked(self, share: float, draw: random.Random) -> None:
+        """Changes a share of the members that nobody listens for, in one revision."""
+        unlinked = [each for each in self.members.values() if not each.ports]
+        self.revision += 1
+        for member in draw.sample(unlinked, int(share * len(unlinked))):
+            member.phase = "left" if member.phase == "leaving" else "leaving"
+            member.revision = self.revision
+        for event in list(self.waiting):
+            event.set()
 
     def _server_for(self, scheduler: str):
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -166,7 +189,7 @@
             self.records.deliveries.append(delivery)
         if fault is not None:
             return await self._spoil(fault, body, writer)
-        writer.write(response(200, body))
+        writer.write(self.framed(body))
         await writer.drain()
         return True
 
@@ -175,7 +198,7 @@
     ) -> bool:
         """Writes an answer with a fault; returns whether the connection goes on."""
         kind, share = fault
-        whole = response(200, body)
+        whole = self.framed(body)
         part = whole[: max(1, min(len(whole) - 1, int(len(whole) * share)))]
         match kind:
             case AnswerFault.STALL:
@@ -297,6 +320,26 @@
             await asyncio.sleep(CALLBACK_RETRY_S)
 
 
+class CrowdStandIn:
+    """Clients that open connections and send nothing."""
+
+    def __init__(self) -> None:
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def open(self, port: int, count: int) -> None:
+        """Opens connections; those that are refused or closed do not matter."""
+        for _ in range(count):
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(HOST, port)
+                self.writers.append(writer)
+
+    def leave(self) -> None:
+        """Closes them all."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+
 async def post_callback(port: int, body: bytes) -> bool:
     """Posts a worker's callback; returns whether it was answered with 200 or 204."""
     try:
@@ -356,6 +399,7 @@
             record.ended_unanswered_s = None
         try:
             reader, writer = await asyncio.open_connection(HOST, self.port)
+            record.is_on_new_connection = True
             record.sent_s = time.monotonic()  # a request's time starts at its last byte
             writer.write(head.encode())
         except OSError:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from measure.soak.drawn_plan import draw_more_faults, draw_plan
 from measure.soak.fault_proxy import LinkState
 from measure.soak.fleet import Fleet, FleetPlan
 from measure.soak.oracle import Violation, judge
@@ -131,3 +132,16 @@
                 result = asyncio.run(SoakRun(seed, 24.0, plan, LAG_S).play())
                 self.assertEqual(result.failures, [])
                 self.assertGreater(result.requests, 200)
+
+
+class DrawnFleets(unittest.TestCase):
+    """Sizes, limits, settings and faults drawn from a seed; more: measure.soak.run --seeds A..B --drawn."""
+
+    def test_no_rule_is_broken_in_fleets_of_any_size(self) -> None:
+        for seed in (9002, 9003):
+            with self.subTest(seed):
+                plan = draw_plan(seed, 8.0)
+                more = tuple(draw_more_faults(seed, 24.0, plan))
+                result = asyncio.run(SoakRun(seed, 24.0, plan, LAG_S, more).play())
+                self.assertEqual(result.failures, [])
+                self.assertGreater(result.statuses["200"], 50)
--- a/tests/test_soak_oracle.py
+++ b/tests/test_soak_oracle.py
@@ -6,7 +6,7 @@
 from itertools import pairwise
 
 from measure.soak.faults import FaultKind, draw_faults
-from measure.soak.oracle import RuleSet, judge
+from measure.soak.oracle import RuleSet, SlowStartRule, allowed_at_start, judge
 from measure.soak.records import (
     ClientRequest,
     ConnectionEnd,
@@ -18,7 +18,8 @@
     WorkerOutcome,
 )
 
-RULES = RuleSet(2.0, {"read": "safe", "apply": "unsafe", "push": "keyed"}, {"push": 3.0})
+SLOW_START = SlowStartRule(cold_s=2.0, cold_from=0.3, fall_multiple=3.0, fall_s=1.0, requests_per_s=10.0)
+RULES = RuleSet(2.0, {"read": "safe", "apply": "unsafe", "push": "keyed"}, {"push": 3.0}, SLOW_START)
 
 
 class Judged(unittest.TestCase):
@@ -53,6 +54,34 @@
         self.records.process_outages.append(Outage("n0", 100.2, 101.0))
         self.assertEqual(self.rules(), [])
 
+    def test_a_new_connection_may_be_shut_unread_while_a_crowd_is_there(self) -> None:
+        request = self.request(status=None, answered_s=None, is_on_new_connection=True)
+        self.records.crowds.append(Outage("n0", 99.0, 100.5))
+        self.assertEqual(self.rules(), [])
+        request.is_on_new_connection = False
+        self.assertEqual(self.rules(), ["lost"])
+
+    def start_of_worker(self, attempts: int, told_s: float) -> None:
+        self.records.changes.append(EndpointChange(2, "w0", "active", 100.0, is_start=True))
+        self.records.deliveries.append(ListDelivery("n0", 1, 2, told_s))
+        for number in range(attempts):
+            at_s = 100.5 + number * 0.001
+            message = SentMessage("n0", "w0", "POST", f"n0x{number}", None, at_s, at_s)
+            self.records.messages.append(message)
+
+    def test_a_worker_that_has_just_started_bears_so_many_requests_and_no_more(self) -> None:
+        allowed = int(allowed_at_start(SLOW_START, 0.5))
+        self.assertEqual(allowed, 28)  # 14.25 and 3 times its root and 3
+        self.start_of_worker(allowed, 100.1)
+        self.assertEqual(self.rules(), [])
+        self.records = Records()
+        self.start_of_worker(allowed + 2, 100.1)
+        self.assertEqual(self.rules(), ["failback"])
+
+    def test_whoever_was_not_notified_of_a_start_overloads_nobody(self) -> None:
+        self.start_of_worker(60, 103.0)
+        self.assertEqual(self.rules(), [])
+
     def test_an_answer_half_a_second_after_its_time_is_late_and_later_lost(self) -> None:
         request = self.request(answered_s=101.5)
         self.assertEqual(self.rules(), [])
