Find the order of eviction once for many connections of a crowd

Under a crowd each new connection evicts one, and for each the whole table was ranked and sorted: 500,000 ranks for 1,000 connections at a table of 500.

--- a/spanwing/net/connection_table.py
+++ b/spanwing/net/connection_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Generic, Protocol, TypeVar
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
 from tornado.ioloop import IOLoop
 
@@ -37,6 +37,16 @@
 
 
 ConnectionT = TypeVar("ConnectionT", bound=TableConnection)
+RANKING_AGE_S = 0.05  # the order of eviction is found anew after this
+
+
+class EvictionCandidate(NamedTuple):
+    """A connection that may be closed, ordered by how little it is needed."""
+
+    rank: int
+    last_activity_s: float
+    number: int  # its place in the scan; unique, so that connections are never compared
+    connection: Any
 
 
 class ConnectionTable(Generic[ConnectionT]):
@@ -48,10 +58,13 @@
     def __init__(self, max_connections: int) -> None:
         self.max_connections = max_connections
         self.connections: set[ConnectionT] = set()
+        #: The order of eviction as found last, the least needed connection at the end.
+        self.candidates: list[EvictionCandidate] = []
+        self.ranked_s = 0.0
 
     def make_room(self) -> bool:
         """Returns whether one more connection fits, if need be after an eviction."""
-        return len(self.connections) < self.max_connections or self._evict_one()
+        return len(self.connections) < self.max_connections or self._evict_next()
 
     def trim(self, target: int) -> None:
         """Evicts unused connections beyond this many.
@@ -59,23 +72,57 @@
         Only those unused for PARTIAL_MESSAGE_S are closed. Connections that are idle between requests, or
         new, are spared: their next request may be under way.
         """
-        while len(self.connections) > target and self._evict_one((RANK_STALE, RANK_IDLE), PARTIAL_MESSAGE_S):
-            pass
-
-    def _evict_one(self, spared_ranks: tuple[int, ...] = (), unchanged_s: float = 0.0) -> bool:
-        """Closes one connection whose rank is not spared and unchanged for this long (s)."""
         now = IOLoop.current().time()
-        ranked = [
-            (rank, each.last_activity_s, number, each)
+        for candidate in reversed(self._ranked(now)):
+            if len(self.connections) <= target:
+                return
+            is_spared = candidate.rank in (RANK_STALE, RANK_IDLE)
+            if not is_spared and now - candidate.last_activity_s >= PARTIAL_MESSAGE_S:
+                self._evict(candidate.connection)
+
+    def _evict_next(self) -> bool:
+        """Closes the least needed connection; returns False if none may be closed.
+
+        Under a crowd each new connection evicts one, so the order is found once for many of them. Those that
+        came since then are silent at least, so it counts for candidates that are silent or finished, while
+        their own state is unchanged.
+        """
+        now = IOLoop.current().time()
+        is_new = (
+            not self.candidates
+            or self.candidates[-1].rank > RANK_SILENT
+            or now - self.ranked_s > RANKING_AGE_S
+        )
+        if is_new:
+            self.candidates, self.ranked_s = self._ranked(now), now
+        while self.candidates:
+            if not is_new and self.candidates[-1].rank > RANK_SILENT:
+                break
+            candidate = self.candidates.pop()
+            if self._is_unchanged(candidate, now) and self._evict(candidate.connection):
+                return True
+        return False if is_new else self._evict_next()
+
+    def _ranked(self, now: float) -> list[EvictionCandidate]:
+        candidates = [
+            EvictionCandidate(rank, each.last_activity_s, number, each)
             for number, each in enumerate(self.connections)
             if (rank := each.eviction_rank(now - each.last_activity_s)) is not None
-            and rank not in spared_ranks
-            and now - each.last_activity_s >= unchanged_s
         ]
-        for *_, each in sorted(ranked):
-            # Unread input in the kernel may be a valid request, which a close would lose.
-            if each.is_finished or each.has_no_pending_input():
-                each.close()
-                self.connections.discard(each)
-                return True
-        return False
+        return sorted(candidates, reverse=True)
+
+    def _is_unchanged(self, candidate: EvictionCandidate, now: float) -> bool:
+        each = candidate.connection
+        return (
+            each in self.connections
+            and each.last_activity_s == candidate.last_activity_s
+            and each.eviction_rank(now - each.last_activity_s) == candidate.rank
+        )
+
+    def _evict(self, connection: ConnectionT) -> bool:
+        """Closes a connection, unless the kernel holds unread input of it: it may be a valid request."""
+        if not connection.is_finished and not connection.has_no_pending_input():
+            return False
+        connection.close()
+        self.connections.discard(connection)
+        return True
