Repeat a first call ever more seldom too, while its answer can never be taken

Only calls that discovery refuses are repeated that soon now. The list counts as read once it is applied, not a turn before. Two constants that stood twice are gone.

--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -220,7 +220,7 @@
                 return
             may_poll = result.failure is None
             if result.endpoints is not None:
-                watch.revision, self.has_answer = result.endpoints.revision, True
+                watch.revision = result.endpoints.revision
                 log_list(since, result)
                 self.post(WatchAnswer(result.endpoints, watch, result.first_byte_s))
                 continue
@@ -242,7 +242,8 @@
             self.freshness.note_unanswered()
         pause_s = self.freshness.pause_s(random, result.began_s, self.loop.time())
         if not self.announced.is_set():
-            pause_s = min(pause_s, random.uniform(0.0, START_RETRY_S))
+            if result.failure in UNREACHABLE_FAILURES:
+                pause_s = min(pause_s, random.uniform(0.0, START_RETRY_S))
             if self.persisted_list_policy.may_serve_after(result.failure, result.began_s, self.loop.time()):
                 self.freshness.note_unreachable(result.began_s)
                 self._announce_all("persisted")
@@ -275,6 +276,7 @@
             return
         self.revision = answer.endpoints.revision
         self._apply_endpoints(answer.endpoints, "complete" if answer.endpoints.complete else "partial")
+        self.has_answer = True
         self.freshness.note_answer(answer.first_byte_s)
         self._log_state()
 
--- a/spanwing/discovery/freshness.py
+++ b/spanwing/discovery/freshness.py
@@ -27,10 +27,6 @@
 MAX_STALL_S, MIN_STALL_S = 0.5, 0.1  # bounds on the longest gap within an answer
 MAX_SPREAD_S = 3.0  # calls to a discovery that was unreachable are spread over this, against a herd
 ADOPTED_WITHIN_S = 1.0  # a list taken over from another process has to be confirmed by a call within this
-START_SPREAD_PER_SCHEDULER_S = (
-    0.005  # first calls of a fleet that starts at once come so far apart on average
-)
-MAX_START_SPREAD_S = 1.0
 OWN_FAULT_RETRY_S = 0.25  # a call that failed in its answer concerns us alone: it is repeated within this
 MAX_DOUBLINGS = 8
 FAST_RETRIES = 3  # in a row; then the pause doubles, as the failure may be one that never passes
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -261,6 +261,17 @@
         await self.calls.get()
         self.assertTrue(self.told.empty())
 
+    async def test_a_first_answer_that_can_never_be_taken_is_asked_for_ever_more_seldom(self) -> None:
+        self.client.freshness.timing = self.client.freshness.timing._replace(spread_s=3.0)
+        count, end_s = 0, asyncio.get_running_loop().time() + 6.0
+        while (left_s := end_s - asyncio.get_running_loop().time()) > 0.0:
+            with suppress(TimeoutError):
+                writer = await asyncio.wait_for(self.calls.get(), left_s)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (MAX_LIST_BYTES + 1))
+                count += 1
+        self.assertTrue(self.told.empty())
+        self.assertLess(count, 16)  # some 24 within 0.5 s each
+
     async def test_a_discovery_that_rejects_its_calls_is_asked_again_for_a_while(self) -> None:
         """It may be crowded. Once it has answered nobody for that long, the list is all there is."""
         began_s, count = asyncio.get_running_loop().time(), 0
