--- a/tests/test_knownred.py
+++ b/tests/test_knownred.py
@@ -43,6 +43,13 @@
             self.assertEqual(ended, 1)
             self.assertIn(says, said)
 
+    def test_one_that_fails_at_times_is_printed_and_may_pass(self) -> None:
+        for name, says in (("test_red", "still red"), ("test_green", "passes this time")):
+            ended, said = self.run_with("check", f"test_cases.py::{name} | sometimes: a cause | 9")
+            self.assertEqual(ended, 0)
+            self.assertIn(says, said)
+        self.assertEqual(self.run_with("check", "test_cases.py::test_none | sometimes: a cause | 9")[0], 1)
+
     def test_another_form_and_a_fourth_fail(self) -> None:
         red = "test_cases.py::test_red | a cause | 9"
         for lines in ((red,) * 4, ("test_cases.py::test_red, a cause, 9",), ("all | a cause | 9",)):
