Review case 3: line ends in an idempotency key hide a request that a job worker runs

Cause: a header's value may hold line feeds, and Faktory's effect_key anything; both are written into the head of the request to the job worker as they came.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 plays it without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec .venv/bin/python review/3/case.py
