--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -339,6 +339,9 @@
         self.is_cut = False  # nothing passes in either direction; connections stay open and silent
         #: Returns, for each piece that passes, whether what comes back on its connection is lost from now on.
         self.loses_answer: Callable[[bytes], bool] = lambda data: False
+        #: Called with each piece that has passed back, and asked before each whether all of that gets lost.
+        self.after_answer: Callable[[bytes], object] = lambda data: None
+        self.is_mute: Callable[[], bool] = lambda: False
 
     async def start(self, port: int = 0) -> None:
         """Listens on this port, 0: on a free one."""
@@ -369,9 +372,10 @@
         async def pass_back() -> None:
             while data := await far_reader.read(65536):
                 await self._wait_while_cut()
-                if not is_lost:
+                if not is_lost and not self.is_mute():
                     writer.write(data)
-            if not is_lost:
+                    self.after_answer(data)
+            if not is_lost and not self.is_mute():
                 writer.close()
 
         await asyncio.gather(pass_on(), pass_back(), return_exceptions=True)
