Exit with 2 wherever a case of the review could not run

Cause: without the build run.sh ended with 127, a record that cannot be written with 1, and cases 1 and 3 said that the rule held where their situation had not come about. Change: these end with 2; the checks, bounds and disruptions are as they were.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -55,6 +55,7 @@
     await worker.start()
     bodies_handed_back: set[bytes] = set()
     calls_to_lose: set[str] = set()
+    lost_answers: set[str] = set()
 
     async def hand_back(job: Job) -> bool:
         """Hands a job back unstarted when it comes for the first time."""
@@ -73,6 +74,7 @@
         for request_id in list(calls_to_lose):
             if request_id.encode() in data and b'"returned"' in data:
                 calls_to_lose.discard(request_id)
+                lost_answers.add(request_id)
                 record(f"link: the call reaches the scheduler, its answer gets lost ({request_id})")
                 return True
         return False
@@ -88,6 +90,8 @@
         await asyncio.sleep(RUN_S + 0.5)
     finally:
         await scheduler.close()
+    if len(bodies_handed_back) < JOBS or len(lost_answers) < JOBS * has_trouble():
+        raise RuntimeError("not every job was handed back, or not every answer was lost as planned")
     is_broken = False
     for number in range(JOBS):
         runs = [request_id for _, request_id in worker.runs if request_id[14] == str(number)]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -75,7 +75,8 @@
     try:
         await scheduler.start()
         client = Client(scheduler.address, record)
-        await client.send("9b1f03aa5c7e2d40", "setpoint-push", 8000, b"{}", KEY)
+        if await client.send("9b1f03aa5c7e2d40", "setpoint-push", 8000, b"{}", KEY) != 200:
+            raise RuntimeError("a job with a sound key was not served")
         await push(faktory, record, "9b1f03aa5c7e2d41", KEY[::-1])
         if has_trouble():
             bad_key = hide("aaaa0000aaaa0000", "\n")
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -551,7 +551,11 @@
 
 def run_case(play: Callable[[Record], Awaitable[bool]], folder: Path) -> int:
     """Plays a case; returns 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    record = Record(folder)
+    try:
+        record = Record(folder)
+    except OSError as error:
+        print(f"the case could not run: {error}", file=sys.stderr)
+        return 2
 
     async def bounded() -> bool:
         # Connections that are still open at the end are no news.
