Keep a request from a worker that has handed it back, so a repeated report ends nothing

Cause: a worker's report names the request and the worker but no attempt. HttpWorker matched it with whatever attempt of the request was in flight there. After `returned` the scheduler could send the request to the same worker again; the same report, made again because its answer was lost, then ended the attempt that ran as "never ran".

Change: the ambiguity is taken away rather than guessed at. A worker that has handed a request back gets no further attempt of it (AttemptEnded and Outcome say so, the decision module bars it by id), and a request that has no worker left is rejected at once. A report on an attempt whose last byte is unsent, and a hand-back of a job that has started, are ignored and logged. Such a request stays with the predecessor of a hot restart, whose messages cannot name the worker.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -262,6 +262,7 @@
     body: bytes = b""
     report: tuple[float, ...] | None = None  # values of the worker's load report
     is_unsent: bool = False  # its last byte was certainly not written, and will not be
+    excludes_worker: bool = False  # the worker must get no further attempt of the request
 
 
 class ProbeEnded(NamedTuple):
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -488,6 +488,7 @@
                 message.request not in self.pending_requests,
                 self.clock.now_ms() - attempt.forwarded_ms,
                 message.report,
+                message.excludes_worker,
             ),
             self._scheduler_of(message.request),
         )
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -54,6 +54,7 @@
 from spanwing.workers.faktory_worker import FaktoryWorkerDirectory
 from spanwing.workers.http_worker import ConfirmationSettings, HttpWorker
 from spanwing.workers.load_report import LoadReportReader
+from spanwing.workers.reported_requests import ReportedRequests
 
 if TYPE_CHECKING:
     from spanwing.frontends.balancers.service import BalancerService
@@ -152,11 +153,13 @@
         shares = config.connection_shares()
         self.descriptors = DescriptorBudget(shares.workers)
 
+        reported_requests = ReportedRequests(IOLoop.current().time)
+
         def make_worker_connection(name, address, retired):
             pool = ConnectionPool(
                 address, buffers, self.descriptors, permissions.conn_idle_ms, permissions.connect_timeout_ms
             )
-            return HttpWorker(name, pool, load_reader, retired, confirmation)
+            return HttpWorker(name, pool, load_reader, retired, confirmation, reported_requests)
 
         timing = CallTiming.from_settings(settings.drain_grace, not settings.subscribe)
         confirmation = ConfirmationSettings(
--- a/spanwing/hot_restart/hot_restart.py
+++ b/spanwing/hot_restart/hot_restart.py
@@ -245,7 +245,9 @@
                 )
                 budget_ms = max(0.0, transferred.expires_ms - core.clock.now_ms())
                 worker_connection.resume_attempt(
-                    DeliveryAttempt(request, number, budget_ms, request.cls in core.safe_classes), core
+                    DeliveryAttempt(request, number, budget_ms, request.cls in core.safe_classes),
+                    core,
+                    has_started=attempt.started_ms > 0,
                 )
                 in_flight = (
                     number,
@@ -420,7 +422,8 @@
         """Returns the message that transfers a request, or None if it cannot be transferred now.
 
         It cannot be transferred while one of its attempts is being sent or cancelled, nor at all if requests
-        are recorded in a journal. The connection in the message is a placeholder, which the caller replaces.
+        are recorded in a journal or a worker must not get it again, which the message cannot tell. The
+        connection in the message is a placeholder, which the caller replaces.
         """
         core = self.context.core
         pending_request, job = core.pending_requests.get(request.id), core.scheduler.jobs.get(request.id)
@@ -429,6 +432,7 @@
             or pending_request.client is not connection
             or job is None
             or core.recorder is not None
+            or any(each.excludes_worker for each in job.attempts)
         ):
             return None
         transferred = TransferredRequest(
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -197,6 +197,7 @@
     complete: bool  # the client has its answer
     elapsed: float
     report: tuple[float, ...] | None = None  # load report, in the order of Settings.report_fields
+    excludes_worker: bool = False  # the worker must get no further attempt of the request
 
 
 class ProgressReport(NamedTuple):
--- a/spanwing/scheduler.py
+++ b/spanwing/scheduler.py
@@ -422,19 +422,30 @@
             foreign_slots = 0.0
         return min(worker.estimated_slots, worker.concurrency_limit) - worker.reserved_slots - foreign_slots
 
+    def _runs_class(self, worker: WorkerState, service_class: api.ServiceClass) -> bool:
+        return worker.entry.state == "healthy" and service_class.kind in (None, worker.entry.kind)
+
     def _may_use(self, worker: WorkerState, job: Job) -> bool:
         """Returns whether the job may go to this worker, whatever the worker's load."""
-        entry, cls, now = worker.entry, job.service_class, self.now
-        if entry.state != "healthy" or now < worker.ejected_until_ms or cls.kind not in (None, entry.kind):
+        if self.now < worker.ejected_until_ms or not self._runs_class(worker, job.service_class):
             return False
+        return self._may_repeat_at(worker, job) and self._warm_up_allows(worker, job)
+
+    def _may_repeat_at(self, worker: WorkerState, job: Job) -> bool:
+        """Returns whether the job's earlier attempts allow another one at this worker."""
+        cls, entry = job.service_class, worker.entry
         for each in job.attempts:
+            # Compared by id: a worker that has left the list and come back has a new state.
+            is_same_worker = each.worker.entry.id == entry.id
+            if is_same_worker and each.excludes_worker:
+                return False
             if not each.never_ran and (
                 cls.idempotency == "unsafe"
-                or each.worker is worker
+                or is_same_worker
                 or (cls.idempotency == "keyed" and not self._deduplicates(each, cls, entry))
             ):
                 return False
-        return self._warm_up_allows(worker, job)
+        return True
 
     def _deduplicates(self, attempt: Attempt, cls: api.ServiceClass, entry: api.Worker) -> bool:
         """Returns whether a worker still drops a keyed job that the attempt may have run already."""
@@ -737,6 +748,7 @@
         worker.reserved_memory -= job.request.memory
         worker.running_slots -= job.request.slots if attempt.started_ms else 0
         attempt.is_open, attempt.never_ran = False, result in api.NEVER_RAN
+        attempt.excludes_worker = event.excludes_worker
         self._apply_report(worker, event.report)
         if result == "ok":
             worker.last_heard_ms = self.now
@@ -807,11 +819,19 @@
             self.now >= job.request.deadline
             or len(job.attempts) >= self.settings.max_attempts
             or (may_have_run and job.service_class.idempotency == "unsafe")
+            or not self._has_worker_left(job)
         ):
             self._finish_unserved(job)
         else:
             self._enqueue(job)
 
+    def _has_worker_left(self, job: Job) -> bool:
+        """Returns whether a retry may find a worker; without excluded workers it always may."""
+        return not any(each.excludes_worker for each in job.attempts) or any(
+            self._runs_class(worker, job.service_class) and self._may_repeat_at(worker, job)
+            for worker in self.worker_states.values()
+        )
+
     def _finish_unserved(self, job: Job) -> None:
         """Rejects or fails a job that cannot be served any more: no retry is left, or its deadline passed."""
         if self.jobs.get(job.request.id) is job:  # not a later request under the same id
--- a/spanwing/scheduler_state.py
+++ b/spanwing/scheduler_state.py
@@ -44,6 +44,7 @@
     started_ms: float = 0.0  # when the worker reported the start; 0: not yet
     last_progress_ms: float = 0.0  # the worker's latest report on it; 0: none
     never_ran: bool = False  # it ended, and its result proves that it did not run
+    excludes_worker: bool = False  # the worker must get no further attempt of the job, whatever the result
 
 
 @dataclass(slots=True, eq=False)
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -35,6 +35,7 @@
 from spanwing.net.http import HttpError, HttpMessage, encode_request
 from spanwing.workers.connection_pool import ConnectionPool, PooledConnection
 from spanwing.workers.load_report import LoadReportReader
+from spanwing.workers.reported_requests import ReportedRequests
 from spanwing.workers.worker_connection import (
     CancelDelivery,
     DeliverAttempt,
@@ -105,6 +106,7 @@
     is_last_byte_written: bool = False  # the last byte is being written or was written
     is_accepted: bool = False  # the 202 has arrived
     cancel_result: api.Result | None = None  # the attempt is cancelled and will end with this result
+    has_started: bool = False  # the worker has reported that the job runs
 
 
 class HttpWorker(WorkerConnectionActor):
@@ -120,9 +122,14 @@
         load_reader: LoadReportReader,
         on_retired: Callable[[HttpWorker], None],
         confirmation: ConfirmationSettings = ConfirmationSettings(),  # noqa: B008 - a tuple
+        reported_requests: ReportedRequests | None = None,
     ) -> None:
-        """on_retired is called when the worker has left the endpoint list and no attempt is in flight."""
+        """Creates the actor; reported_requests may be shared by the actors of all workers.
+
+        on_retired is called when the worker has left the endpoint list and no attempt is in flight.
+        """
         super().__init__()
+        self.reported_requests = reported_requests or ReportedRequests(self.loop.time)
         self.confirmation, self.confirmed_until_s = confirmation, 0.0  # confirmed_until_s: loop time
         self.name, self.address = name, str(connection_pool.address)
         self.connection_pool, self.load_reader, self.on_retired = connection_pool, load_reader, on_retired
@@ -150,7 +157,9 @@
         del self.attempts[request]
         self._close_if_retired()
 
-    def resume_attempt(self, delivery: DeliveryAttempt, listener: AttemptListener) -> None:
+    def resume_attempt(
+        self, delivery: DeliveryAttempt, listener: AttemptListener, has_started: bool = False
+    ) -> None:
         """Takes over an attempt that the worker has accepted from another process."""
         self.attempts[delivery.request.id] = HttpAttempt(
             delivery,
@@ -158,17 +167,21 @@
             self.loop.time() + delivery.timeout_ms / 1000.0,
             is_last_byte_written=True,
             is_accepted=True,
+            has_started=has_started,
         )
 
     def _handle_deliver(self, message: DeliverAttempt) -> None:
         attempt = HttpAttempt(*message, self.loop.time() + message.delivery.timeout_ms / 1000.0)
+        request, number = attempt.delivery.request.id, attempt.delivery.number
         # A worker has at most one attempt of a request at a time.
-        if attempt.delivery.request.id in self.attempts:
-            attempt.listener.post(
-                AttemptEnded(attempt.delivery.request.id, attempt.delivery.number, "moot", is_unsent=True)
-            )
+        if request in self.attempts:
+            attempt.listener.post(AttemptEnded(request, number, "moot", is_unsent=True))
+            return
+        # An earlier request of this id has ended here. Its repeated report would end this attempt.
+        if self.reported_requests.may_be_repeated(self.name, request):
+            attempt.listener.post(AttemptEnded(request, number, "moot", is_unsent=True, excludes_worker=True))
             return
-        self.attempts[attempt.delivery.request.id] = attempt
+        self.attempts[request] = attempt
         spawn_task(self._supervise_attempt(attempt))
 
     async def _supervise_attempt(self, attempt: HttpAttempt) -> None:
@@ -390,6 +403,7 @@
         body: bytes = b"",
         report: tuple[float, ...] | None = None,
         is_unsent: bool = False,
+        excludes_worker: bool = False,
     ) -> None:
         """Ends the attempt with this result, unless it has ended already."""
         # A callback may arrive before the 202, or twice: only the first result counts.
@@ -398,7 +412,13 @@
         del self.attempts[attempt.delivery.request.id]
         attempt.listener.post(
             AttemptEnded(
-                attempt.delivery.request.id, attempt.delivery.number, result, body, report, is_unsent
+                attempt.delivery.request.id,
+                attempt.delivery.number,
+                result,
+                body,
+                report,
+                is_unsent,
+                excludes_worker,
             )
         )
         self._close_if_retired()
@@ -406,15 +426,47 @@
     def _handle_callback(self, callback: WorkerCallback) -> None:
         """Handles the worker's report on a job; reports on unknown jobs and in unknown states are ignored."""
         attempt = self.attempts.get(callback.request)
-        if attempt is None:
+        if attempt is None or self._belongs_to_earlier_attempt(callback, attempt):
             return
         if callback.state in CALLBACK_RESULTS:
-            self._end_attempt(attempt, CALLBACK_RESULTS[callback.state], callback.body, callback.report)
+            if callback.state != "done":  # a repeated "done" brings the job's own result
+                self.reported_requests.add(self.name, callback.request)
+            self._end_attempt(
+                attempt,
+                CALLBACK_RESULTS[callback.state],
+                callback.body,
+                callback.report,
+                # A job that was handed back may be repeated, but its report may come again as well.
+                excludes_worker=callback.state == "returned",
+            )
         elif callback.state in ("started", "running"):
+            attempt.has_started = True
             attempt.listener.post(
                 AttemptProgress(callback.request, attempt.delivery.number, callback.state == "started")
             )
 
+    def _belongs_to_earlier_attempt(self, callback: WorkerCallback, attempt: HttpAttempt) -> bool:
+        """Returns whether a report cannot be on this attempt of its request, and logs it if so.
+
+        A worker does not report on a job whose last byte it has not got, nor hands back one that has started.
+        """
+        if not attempt.is_last_byte_written:
+            reason = "the attempt is unsent"
+        elif callback.state == "returned" and attempt.has_started:
+            reason = "the job has started"
+        else:
+            return False
+        log_event(
+            "callback_ignored",
+            level="warning",
+            worker=self.name,
+            request=callback.request,
+            state=callback.state,
+            attempt=attempt.delivery.number,
+            reason=reason,
+        )
+        return True
+
     def _handle_cancel(self, message: CancelDelivery) -> None:
         """Cancels an attempt: by closing its connection, by a DELETE once accepted, or before it is sent."""
         attempt = self.attempts.get(message.request)
