Write no head with a control character in a value, so no request hides in a key

What callers saw: job workers ran a schedule-apply that no client had sent.

Cause: values went into heads as they came. HttpParser._read_head let every control character but CRLF through in a field value, Faktory's JSON can carry any, and encode_request and encode_response wrote what they were given.

Change: the encoders, through which every head passes, raise UnsendableHeadError. Requests with control characters in a field value get 400 (RFC 9110, 5.5); in a worker's response they become spaces, as the same section allows. A Faktory key that a header cannot carry unchanged (also with blanks at its ends, outside Latin-1, or over 8 KiB) is answered -ERR.

--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -44,6 +44,7 @@
     WRITE_STALL_TIMEOUT_S,
     ConnectionTable,
 )
+from spanwing.net.http import MAX_HEAD_BYTES, is_field_value
 from spanwing.net.proxied_connections import Network, is_proxy_source, peer_address_of, read_peer_address
 from spanwing.net.proxy_protocol import ProxyError
 from spanwing.net.resp import OK, encode_bulk, encode_error, encode_simple
@@ -65,6 +66,7 @@
 
 MAX_LINE_BYTES = 128 * 1024
 MAX_TIMEOUT_MS = 3_600_000.0
+MAX_EFFECT_KEY_LENGTH = MAX_HEAD_BYTES // 2  # it has to fit in the head of a request to a worker
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
 MAX_TRACKED_JOBS = 10_000  # jobs whose state TRACK GET can return
 STATE_OF_ANSWER: dict[AnswerKind, str] = {
@@ -126,6 +128,11 @@
     current_state: str = ""
 
 
+def is_idempotency_key(text: str) -> bool:
+    """Returns whether a key can be passed on as `Idempotency-Key`, which HTTP workers expect."""
+    return len(text) <= MAX_EFFECT_KEY_LENGTH and is_field_value(text)
+
+
 class CommandError(Exception):
     """A command cannot be executed; it is answered with an error, and the connection continues."""
 
@@ -240,6 +247,10 @@
         timeout_ms = service_class.deadline_ms if custom.budget_ms is None else custom.budget_ms
         if custom.slots < 1 or custom.memory < 0 or not timeout_ms >= 0:
             raise CommandError("custom: slots, memory or budget_ms out of range")
+        if custom.effect_key is not None and not is_idempotency_key(custom.effect_key):
+            raise CommandError(
+                "custom: effect_key has a character that a header cannot carry, or is too long"
+            )
         return JobRequest(
             id=job.jid,
             cls=service_class.name,
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -16,6 +16,8 @@
 TOO_LARGE_STATUS = 413
 TOKEN_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 TARGET_PATTERN = re.compile(r"[!-~]+")
+#: All but the tab. They are invalid in a field value (RFC 9110, 5.5); a line end would end the field.
+CONTROL_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
@@ -44,6 +46,10 @@
         self.status = status
 
 
+class UnsendableHeadError(ValueError):
+    """A line of a message head has a control character, or one that is not in Latin-1."""
+
+
 @dataclass(slots=True)
 class HttpMessage:
     """A request (method, target) or a response (status)."""
@@ -101,7 +107,7 @@
             name, colon, value = line.partition(":")
             if not colon or not TOKEN_PATTERN.fullmatch(name):
                 raise HttpError(400, "malformed header")
-            name, value = name.lower(), value.strip(" \t")
+            name, value = name.lower(), self._check_value(value.strip(" \t"))
             if name in ("content-length", "host") and headers.get(name, value) != value:
                 raise HttpError(400, f"{name} differs")
             headers[name] = value
@@ -109,6 +115,14 @@
         self._set_framing(headers)
         return True
 
+    def _check_value(self, value: str) -> str:
+        """Returns a field value without control characters; raises HttpError if a request has any."""
+        if not CONTROL_PATTERN.search(value):
+            return value
+        if not self.parses_responses:
+            raise HttpError(400, "control character in a header")
+        return CONTROL_PATTERN.sub(" ", value)
+
     def _parse_first_line(self, line: str, headers: dict[str, str]) -> HttpMessage:
         parts = line.split(" ", 2)
         if len(parts) < 2 or (not self.parses_responses and len(parts) != 3):
@@ -270,12 +284,39 @@
             return False
 
 
+def is_field_value(text: str) -> bool:
+    """Returns whether a header can carry this text unchanged (RFC 9110, 5.5)."""
+    return (
+        text == text.strip(" \t")
+        and not CONTROL_PATTERN.search(text)
+        and all(each < "\u0100" for each in text)
+    )
+
+
+def _encode_head(lines: list[str]) -> bytes:
+    """Encodes the lines of a head. Raises UnsendableHeadError.
+
+    Every head is written here, whatever its values come from: a line end within a value would let the
+    recipient read the rest of it as further headers, or as a request of its own.
+    """
+    for line in lines:
+        if CONTROL_PATTERN.search(line):
+            raise UnsendableHeadError(f"control character in the header {line.partition(':')[0][:40]!a}")
+    try:
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise UnsendableHeadError("a character of a header is not in Latin-1") from error
+
+
 def encode_request(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
-    """Encodes a request, with Content-Length if there is a body or the method is POST."""
+    """Encodes a request, with Content-Length if there is a body or the method is POST.
+
+    Raises UnsendableHeadError if a value cannot be part of the head.
+    """
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return _encode_head(lines) + body
 
 
 def encode_response(
@@ -285,7 +326,10 @@
     head_only: bool = False,
     headers: dict[str, str] | None = None,
 ) -> bytes:
-    """Encodes a response; head_only omits the body, as for a HEAD request."""
+    """Encodes a response; head_only omits the body, as for a HEAD request.
+
+    Raises UnsendableHeadError if a value cannot be part of the head.
+    """
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Other')}"]
     if headers:
         lines += [f"{name}: {value}" for name, value in headers.items()]
@@ -293,4 +337,4 @@
         lines.append(f"Content-Length: {len(body)}")
     if not keep_alive:
         lines.append("Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (b"" if head_only else body)
+    return _encode_head(lines) + (b"" if head_only else body)
--- /dev/null
+++ b/tests/test_hidden_requests.py
@@ -0,0 +1,110 @@
+"""Values from outside that end up in a head, a line or the log, with characters that would end it.
+
+They guard against a request hidden in a value: a worker would run what no client has sent.
+"""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+import pytest
+from player import member
+from standins import FaktoryClient
+from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn
+
+from spanwing.net.http import (
+    HttpError,
+    HttpParser,
+    UnsendableHeadError,
+    encode_request,
+    encode_response,
+    is_field_value,
+)
+
+FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
+CONTROL_CHARACTERS = [chr(code) for code in (*range(9), *range(10, 32), 127)]
+
+
+def hide_request(line_end: str) -> str:
+    """Returns an idempotency key that ends its request and holds another one."""
+    return line_end.join(
+        ["key", "Content-Length: 0", "", "POST /schedule-apply HTTP/1.1", "X-Call-Id: hidden-1", "", ""]
+    )
+
+
+class IdempotencyKeyTests(DaemonTestCase):
+    def test_line_ends_in_an_idempotency_key_over_http(self) -> None:
+        """Guards against a hidden request that a worker runs, as it takes a single LF for a line end."""
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port))
+        for line_end in ("\n", "\r", "\0"):
+            client = ConnectionStandIn(self, self.daemon.connect("clients"))
+            lines = (
+                "POST /setpoint-push HTTP/1.1",
+                "X-Call-Id: job-1",
+                f"Idempotency-Key: {hide_request(line_end)}",
+                "Content-Length: 0",
+            )
+            client.socket.sendall("\r\n".join([*lines, "", ""]).encode("latin-1"))
+            self.assertIn("400", client.read_message()[0])
+        self.assertTrue(listener.has_no_connection())
+
+    def test_line_ends_in_an_idempotency_key_over_faktory(self) -> None:
+        """Guards against the same by way of JSON, which can carry whole line ends and any character."""
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        client = FaktoryClient(self.daemon)
+        self.addCleanup(client.close)
+        for key in (
+            hide_request("\r\n"),
+            hide_request("\n"),
+            "a\0",
+            "a\x1b",
+            " a",
+            "a\t",
+            "ключ",
+            "a" * 9000,
+        ):
+            custom = {"answer": "outcome", "effect_key": key}
+            job = {"jid": "job-0001", "jobtype": "x", "queue": "setpoint-push", "args": [], "custom": custom}
+            self.assertRegex(client.ask("PUSH", json.dumps(job)), "^-ERR custom: effect_key")
+        self.assertTrue(listener.has_no_connection())
+
+
+class HeadTests(unittest.TestCase):
+    def test_no_head_is_written_with_a_control_character(self) -> None:
+        for character in CONTROL_CHARACTERS:
+            value = f"a{character}b"
+            with pytest.raises(UnsendableHeadError, match="Idempotency-Key"):
+                encode_request("POST", "/x", {"Idempotency-Key": value})
+            with pytest.raises(UnsendableHeadError):
+                encode_request("POST", f"/{value}", {})
+            with pytest.raises(UnsendableHeadError):
+                encode_response(200, headers={"X": value})
+        with pytest.raises(UnsendableHeadError, match="Latin-1"):
+            encode_request("POST", "/x", {"Idempotency-Key": "ключ"})
+        assert b"a: b\tc\xe9" in encode_request("POST", "/x", {"a": "b\tc\u00e9"})
+
+    def test_control_character_in_a_field_value_of_a_request(self) -> None:
+        for character in CONTROL_CHARACTERS:
+            parser = HttpParser()
+            parser.data += f"POST /x HTTP/1.1\r\nKey: a{character}b\r\n\r\n".encode("latin-1")
+            with pytest.raises(HttpError) as raised:
+                parser.next_message()
+            assert raised.value.status == 400
+        parser = HttpParser()
+        parser.data += b"POST /x HTTP/1.1\r\nKey: a\tb\xe9\r\n\r\n"
+        assert parser.next_message().headers["key"] == "a\tb\u00e9"
+
+    def test_control_character_in_a_field_value_of_a_response(self) -> None:
+        """Replaced by a space, as RFC 9110 (5.5) allows: a worker's odd header fails no attempt."""
+        parser = HttpParser(parses_responses=True)
+        parser.data += b"HTTP/1.1 202 X\r\nKey: a\nb\0c\r\nContent-Length: 0\r\n\r\n"
+        message = parser.next_message()
+        assert (message.status, message.headers["key"]) == (202, "a b c")
+
+    def test_field_value(self) -> None:
+        assert all(is_field_value(text) for text in ("", "key", "a b", "a\tb", "\u00e9"))
+        bad_texts = (" a", "a ", "\ta", "\u0100", "a\r\nb", *CONTROL_CHARACTERS)
+        assert not any(is_field_value(text) for text in bad_texts)
