Bound requests after SIGTERM by the time until SIGKILL, whatever notice balancers get

Cause: Daemon.shut_down set the bound on the time of a request only after the notice, which is 0.5 s without balancers, and with them notice_ms or what is left of an earlier drain order's notice. The bound itself was counted from the end of that notice too, later than SIGKILL.

Change: the bound follows from the time of SIGTERM alone. It holds for what comes 0.5 s and later after it, as it did without balancers, and at once where a successor takes connections.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -65,7 +65,8 @@
 
 HOUR_MS, DAY_MS = 3_600_000.0, 86_400_000.0
 ENDPOINT_LIST_TIMEOUT_S = 1.0  # a start waits this long for an endpoint list before it listens without one
-SHUTDOWN_NOTICE_S = 0.5  # after SIGTERM, new connections are still accepted for this long
+# After SIGTERM, new connections are still accepted for this long, and requests with their whole deadline.
+SHUTDOWN_NOTICE_S = 0.5
 # The platform sends SIGKILL no earlier than min(longest deadline, MAX_DRAIN_DEADLINE_MS) + KILL_MARGIN_MS
 # after SIGTERM.
 MAX_DRAIN_DEADLINE_MS, KILL_MARGIN_MS = 3000.0, 700.0
@@ -81,7 +82,8 @@
     def __init__(self, config: Configuration, loop_meter: MeteredSelector | None = None) -> None:
         self.config, self.is_stopping, self.loop_meter = config, False, loop_meter
         self.balancers: BalancerService | None = None
-        self.answer_deadline_s = math.inf  # loop time by which all answers are due; infinite until a shutdown
+        self.terminated_s = math.inf  # loop time of SIGTERM; infinite before it
+        self.has_successor = False  # a hot restart's successor takes new connections
         self.started = Event()
         self.buffer_pool = BufferPool()
         self.faktory_frontend: FaktoryFrontend | None = None
@@ -523,8 +525,14 @@
         print("counters", msgspec.json.encode(self.collect_counters()).decode(), flush=True)
 
     def remaining_ms(self) -> float:
-        """Returns how long (ms) a request that arrives now may take; infinite unless this process drains."""
-        remaining_s = self.answer_deadline_s - IOLoop.current().time()
+        """Returns how long (ms) a request that arrives now may take; infinite unless this process drains.
+
+        The bound after SIGTERM depends on nothing but the time of SIGTERM: neither on a balancers' notice nor
+        on an earlier drain order, which SIGKILL does not wait for.
+        """
+        now_s, remaining_s = IOLoop.current().time(), math.inf
+        if self.has_successor or now_s >= self.terminated_s + SHUTDOWN_NOTICE_S:
+            remaining_s = self.terminated_s + self.answer_window_s() - now_s
         if self.balancers is not None:
             remaining_s = min(remaining_s, self.balancers.reporter.remaining_s())
         return remaining_s * 1000.0
@@ -551,8 +559,9 @@
             IOLoop.current().stop()
             return
         drain_started_s, notice_s = IOLoop.current().time(), SHUTDOWN_NOTICE_S
+        self.terminated_s = drain_started_s
         if self.hot_restart is not None and self.hot_restart.has_transferred_state:
-            self.answer_deadline_s = drain_started_s + self.answer_window_s()
+            self.has_successor = True
             if await self.hot_restart.transfer_connections():  # new connections go to the successor
                 drain_started_s, notice_s = IOLoop.current().time(), 0.0
         if self.balancers is not None:
@@ -563,10 +572,6 @@
                 notice_s, self.balancers.reporter.health.drain_orders.notice_ends_at_s - drain_started_s
             )
         await sleep(notice_s)
-        # A request that is accepted from here on must be answered before SIGKILL, or it would be lost.
-        self.answer_deadline_s = min(
-            self.answer_deadline_s, drain_started_s + notice_s - SHUTDOWN_NOTICE_S + self.answer_window_s()
-        )
         self.http_server.drain()
         if self.faktory_frontend is not None:
             self.faktory_frontend.is_draining = True
