Percent-encode the id in DELETE /jobs/ID, so an id cannot name another client's job

What a caller could do: an X-Call-Id may hold `?`, `#`, `/` and `%`. A request of id `job-1?x` that was given up made the scheduler send `DELETE /jobs/job-1?x`, whose path is that of job-1: the worker gave up another client's job, and the scheduler went on waiting for it.

Cause: HttpWorker._cancel_at_worker put the id into the target as it came.

Change: the id is percent-encoded (RFC 3986, 2.1); ids of letters, digits and -._~ stay as they were. `.` and `..`, which a path cannot hold as a segment, are answered 400.

--- a/spanwing/frontends/platform.py
+++ b/spanwing/frontends/platform.py
@@ -11,13 +11,13 @@
 from spanwing import interface as api
 from spanwing.core.messages import FinalAnswer, JobRequest
 from spanwing.discovery.client import WorkerCallbackReceived
+from spanwing.frontends.request_id import is_request_id
 from spanwing.net.http import HttpMessage, encode_response
 from spanwing.workers.http_worker import WorkerCallback
 from spanwing.workers.load_report import LoadReportReader
 
 JOB_EVENTS_PATH = "/v1/job-events"
 MAX_TIMEOUT_MS = 3_600_000.0
-MAX_REQUEST_ID_LENGTH = 200
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 logger = logging.getLogger("spanwing")
@@ -97,12 +97,7 @@
     def _build_request(self, message: HttpMessage, service_class: api.ServiceClass) -> JobRequest:
         headers = message.headers
         request_id = headers.get("x-call-id", "")
-        if (
-            not request_id
-            or len(request_id) > MAX_REQUEST_ID_LENGTH
-            or not request_id.isprintable()
-            or " " in request_id
-        ):
+        if not is_request_id(request_id):
             raise InvalidRequestError("X-Call-Id is missing or malformed")
         call_info = dict(
             part.strip().split("=", 1) for part in headers.get("x-call-info", "").split(",") if "=" in part
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
+from urllib.parse import quote
 
 from tornado.gen import TimeoutError as TornadoTimeoutError
 from tornado.gen import sleep, with_timeout
@@ -65,6 +66,14 @@
 }
 
 
+def job_target(request: str) -> str:
+    """Returns the target that names a request's job at its worker.
+
+    The id is a client's, and percent-encoded (RFC 3986, 2.1): a `?` in it would name another client's job.
+    """
+    return f"/jobs/{quote(request, safe='', encoding='latin-1')}"
+
+
 class WorkerCallback(NamedTuple):
     """A worker reports the state of a job that it has accepted."""
 
@@ -513,11 +522,9 @@
         attempt ended earlier, the request could be forwarded to another worker while the job still runs at
         this one.
         """
-        backoff_s = CANCEL_RETRY_MIN_S
+        backoff_s, target = CANCEL_RETRY_MIN_S, job_target(attempt.delivery.request.id)
         try:
-            while not await self._delete_job(f"/jobs/{attempt.delivery.request.id}") and self._is_in_flight(
-                attempt
-            ):
+            while not await self._delete_job(target) and self._is_in_flight(attempt):
                 remaining_s = attempt.expires_s - self.loop.time()
                 if remaining_s <= 0:
                     break
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -21,6 +21,7 @@
     encode_response,
     is_field_value,
 )
+from spanwing.workers.http_worker import job_target
 
 FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
 CONTROL_CHARACTERS = [chr(code) for code in (*range(9), *range(10, 32), 127)]
@@ -72,6 +73,42 @@
         self.assertTrue(listener.has_no_connection())
 
 
+class RequestIdTests(DaemonTestCase):
+    def test_id_of_a_request_names_only_its_own_job_when_it_is_given_up(self) -> None:
+        """Guards against an id like `job-1?x` by which another client's job-1 is given up."""
+        for request_id, target in (
+            ("job-1?x", "/jobs/job-1%3Fx"),
+            ("job-1#x", "/jobs/job-1%23x"),
+            ("a/../job-1", "/jobs/a%2F..%2Fjob-1"),
+            ("job%2D1", "/jobs/job%252D1"),
+            ("9b1f03aa-_.~", "/jobs/9b1f03aa-_.~"),
+        ):
+            with self.subTest(request_id):
+                listener = ListenerStandIn(self)
+                self.start(member("w1", listener.port))
+                client = self.connect_client()
+                head = f"POST /status-read HTTP/1.1\r\nX-Call-Id: {request_id}\r\nContent-Length: 0\r\n\r\n"
+                client.socket.sendall(head.encode("latin-1"))
+                worker = listener.accept()
+                worker.read_message()
+                worker.respond(202)
+                self.wait_for_counter("tries", 1)
+                client.close()
+                self.assertEqual(worker.read_message()[0], f"DELETE {target} HTTP/1.1")
+                worker.respond(200)
+                self.stop()
+
+    def test_id_with_a_character_beyond_ascii_is_encoded_as_its_header_was(self) -> None:
+        self.assertEqual(job_target("job-\u00e9"), "/jobs/job-%E9")
+
+    def test_id_that_is_a_relative_path(self) -> None:
+        self.start()
+        for request_id in (".", ".."):
+            client = self.connect_client()
+            client.submit("status-read", request_id)
+            self.assertIn("400", client.read_message()[0])
+
+
 class HeadTests(unittest.TestCase):
     def test_no_head_is_written_with_a_control_character(self) -> None:
         for character in CONTROL_CHARACTERS:
