Refuse a Faktory jid that cannot be passed on unchanged as X-Call-Id

A jid with blanks at its ends would have reached the worker in another form than the client sent.

Cause: the Faktory front had a rule of its own for ids, weaker than that of the HTTP front. Change: both use frontends/request_id.py. Blanks within a jid are refused now too.

--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -29,6 +29,7 @@
     JobRequest,
     RequestSubmitted,
 )
+from spanwing.frontends.request_id import is_request_id
 from spanwing.log import log_event
 from spanwing.net.address import Address, listen
 from spanwing.net.buffers import BufferPool
@@ -66,6 +67,7 @@
 
 MAX_LINE_BYTES = 128 * 1024
 MAX_TIMEOUT_MS = 3_600_000.0
+MIN_JID_LENGTH = 8  # as in Faktory
 MAX_EFFECT_KEY_LENGTH = MAX_HEAD_BYTES // 2  # it has to fit in the head of a request to a worker
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
 MAX_TRACKED_JOBS = 10_000  # jobs whose state TRACK GET can return
@@ -450,7 +452,7 @@
         service_class = self.frontend.service_classes.get(job.queue)
         if service_class is None:
             raise CommandError(f"no class of the name of queue {job.queue[:40]!a}")
-        if len(job.jid) < 8 or len(job.jid) > 200 or not job.jid.isprintable() or not job.jobtype:
+        if len(job.jid) < MIN_JID_LENGTH or not is_request_id(job.jid) or not job.jobtype:
             raise CommandError("jid needs 8 to 200 plain characters, jobtype a name")
         if job.at is not None:
             raise CommandError("jobs for later are not taken")
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -74,6 +74,24 @@
 
 
 class RequestIdTests(DaemonTestCase):
+    def test_jid_that_a_header_cannot_carry_unchanged(self) -> None:
+        """Guards against a jid that no worker can be sent: each attempt kept a connection place for good."""
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        client = FaktoryClient(self.daemon)
+        self.addCleanup(client.close)
+        for jid in (
+            "\u0437\u0430\u0434\u0430\u0447\u0430-1",
+            "job 0001",
+            " job0001",
+            "job-0001\r\nX: y",
+            "short",
+            "a" * 201,
+        ):
+            job = {"jid": jid, "jobtype": "x", "queue": "status-read", "args": []}
+            self.assertRegex(client.ask("PUSH", json.dumps(job)), "^-ERR jid needs")
+        self.assertTrue(listener.has_no_connection())
+
     def test_id_of_a_request_names_only_its_own_job_when_it_is_given_up(self) -> None:
         """Guards against an id like `job-1?x` by which another client's job-1 is given up."""
         for request_id, target in (
