Release the connection of an attempt that ends by an exception, and blame no worker for it

Change: the connection is discarded whatever is raised. A request that no head can carry ends as "rejected": it is at fault, and no other worker is tried. Any other exception before the last byte ends the attempt as "moot". The send on one connection is a function of its own.

Result: both new tests failed before: every attempt ended as "unreachable", the 13th for want of a place.

--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -33,7 +33,7 @@
 )
 from spanwing.core.send_guard import SendPermit, SendRefusal
 from spanwing.log.events import log_event
-from spanwing.net.http import HttpError, HttpMessage, encode_request
+from spanwing.net.http import HttpError, HttpMessage, UnsendableHeadError, encode_request
 from spanwing.workers.connection_pool import ConnectionPool, PooledConnection
 from spanwing.workers.load_report import LoadReportReader
 from spanwing.workers.reported_requests import ReportedRequests
@@ -74,6 +74,10 @@
     return f"/jobs/{quote(request, safe='', encoding='latin-1')}"
 
 
+class _UnconfirmedWorkerError(Exception):
+    """The worker has not confirmed that it accepts work, so no attempt may be sent to it."""
+
+
 class WorkerCallback(NamedTuple):
     """A worker reports the state of a job that it has accepted."""
 
@@ -197,10 +201,14 @@
         """Runs an attempt; ends it if an exception occurs, as its request still needs an answer."""
         try:
             await self._run_attempt(attempt)
+        except UnsendableHeadError as error:  # the request is at fault: no worker can be sent it
+            log_event("unsendable", level="warning", request=attempt.delivery.request.id, reason=str(error))
+            self._end_attempt(attempt, "rejected", is_unsent=True)
         except Exception:  # a bug in one attempt must not lose the request
             logger.exception("fault in a delivery attempt; ending the attempt")
             was_sent = attempt.is_last_byte_written
-            self._end_attempt(attempt, "reset" if was_sent else "unreachable", is_unsent=not was_sent)
+            # An unsent attempt ends as moot: it says nothing about the worker.
+            self._end_attempt(attempt, "reset" if was_sent else "moot", is_unsent=not was_sent)
 
     async def _run_attempt(self, attempt: HttpAttempt) -> None:
         request = attempt.delivery.request
@@ -260,24 +268,16 @@
             if connection is None:
                 return None
             try:
-                if attempt is not None and not await self._confirm_worker(connection, attempt):
-                    self.connection_pool.discard(connection)
-                    return None
-                data = encode()
-                if hold_last_byte and is_wanted():
-                    await connection.write(data[:-1])
-                    await sleep(LAST_BYTE_DELAY_S)
-                if is_wanted() and connection.is_reusable():
-                    if attempt is not None:
-                        attempt.is_last_byte_written, attempt.connection = True, connection
-                        # Bytes may wait in the stream's buffer; permission is checked again as they go out.
-                        connection.stream.permit = lambda: self._may_send(attempt)
-                    self._check_send(data, attempt)
-                    await connection.write(data[-1:] if hold_last_byte else data)
-                    connection.stream.permit = None
+                if await self._send_on(connection, encode, hold_last_byte, is_wanted, attempt):
                     return connection
+            except _UnconfirmedWorkerError:
+                self.connection_pool.discard(connection)
+                return None
             except StreamClosedError:
                 pass
+            except Exception:
+                self.connection_pool.discard(connection)
+                raise
             self.connection_pool.discard(connection)
             if attempt is not None:
                 attempt.is_last_byte_written, attempt.connection = False, None
@@ -285,6 +285,35 @@
                 return None
         return None
 
+    async def _send_on(
+        self,
+        connection: PooledConnection,
+        encode: Callable[[], bytes],
+        hold_last_byte: bool,
+        is_wanted: Callable[[], bool],
+        attempt: HttpAttempt | None,
+    ) -> bool:
+        """Sends a request on this connection; returns whether its last byte was written.
+
+        Raises _UnconfirmedWorkerError if the worker has to confirm that it accepts work and does not.
+        """
+        if attempt is not None and not await self._confirm_worker(connection, attempt):
+            raise _UnconfirmedWorkerError
+        data = encode()
+        if hold_last_byte and is_wanted():
+            await connection.write(data[:-1])
+            await sleep(LAST_BYTE_DELAY_S)
+        if not is_wanted() or not connection.is_reusable():
+            return False
+        if attempt is not None:
+            attempt.is_last_byte_written, attempt.connection = True, connection
+            # Bytes may wait in the stream's buffer; permission is checked again as they go out.
+            connection.stream.permit = lambda: self._may_send(attempt)
+        self._check_send(data, attempt)
+        await connection.write(data[-1:] if hold_last_byte else data)
+        connection.stream.permit = None
+        return True
+
     async def _confirm_worker(self, connection: PooledConnection, attempt: HttpAttempt) -> bool:
         """Returns whether the worker has confirmed that it accepts work, or need not confirm it.
 
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -5,14 +5,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
+from unittest import mock
 
 import pytest
-from player import member
+from player import WAIT_TIMEOUT_S, member
 from standins import FaktoryClient
-from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn
+from test_termination_races import (
+    ATTEMPT_TIMEOUT_MS,
+    ConnectionStandIn,
+    DaemonTestCase,
+    HttpWorkerTestCase,
+    ListenerStandIn,
+)
 
+from spanwing.core.messages import DeliveryAttempt, JobRequest
 from spanwing.net.http import (
     HttpError,
     HttpParser,
@@ -21,6 +30,8 @@
     encode_response,
     is_field_value,
 )
+from spanwing.workers import http_worker
+from spanwing.workers.connection_pool import MAX_CONNECTIONS
 from spanwing.workers.http_worker import job_target
 
 FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
@@ -127,6 +138,29 @@
             self.assertIn("400", client.read_message()[0])
 
 
+class FailedAttemptTests(HttpWorkerTestCase):
+    """An attempt that fails within this process releases its connection place."""
+
+    async def deliver_one_more_than_there_are_places(self, effect_key: str | None) -> list[tuple[str, bool]]:
+        """Returns the results of the attempts. One that finds no place would wait for ever."""
+        request, results = JobRequest("job-1", "look", 9e3, effect_key=effect_key), []
+        for number in range(MAX_CONNECTIONS + 1):
+            self.http_worker.deliver(DeliveryAttempt(request, number, ATTEMPT_TIMEOUT_MS), self)
+            results.append(await asyncio.wait_for(self.results.get(), WAIT_TIMEOUT_S))
+        return results
+
+    async def test_request_that_no_head_can_carry(self) -> None:
+        """Such a request comes from a process of an earlier version, in a hot restart."""
+        for key in ("a\r\nb", "\u043a\u043b\u044e\u0447"):
+            results = await self.deliver_one_more_than_there_are_places(key)
+            self.assertEqual(set(results), {("rejected", True)})
+
+    async def test_exception_before_the_attempt_is_sent(self) -> None:
+        with mock.patch.object(http_worker, "encode_request", side_effect=RuntimeError), self.assertLogs():
+            results = await self.deliver_one_more_than_there_are_places(None)
+        self.assertEqual(set(results), {("moot", True)})
+
+
 class HeadTests(unittest.TestCase):
     def test_no_head_is_written_with_a_control_character(self) -> None:
         for character in CONTROL_CHARACTERS:
