Escape control characters in the fields of log events

In the plain form, log_event() wrote a worker's name, which discovery or a Faktory HELLO gives freely, as it came: a line end in it began a line of its own, which an operator's script takes for an event.

Change: unprintable characters of a field are escaped for every form of the log, in the one function that all events pass.

Result: the new test failed before (the log had a line `ERROR rule_violated rule=lost`); it passes.

--- a/spanwing/log/events.py
+++ b/spanwing/log/events.py
@@ -86,6 +86,7 @@
             return
         if suppressed_lines:
             fields["left_out"] = suppressed_lines
+        fields = {key: escape_control_characters(value) for key, value in fields.items()}
         if self.structlog_logger is not None:
             getattr(self.structlog_logger, level)(event, **fields)
         else:
@@ -94,6 +95,20 @@
             )
 
 
+def escape_control_characters(value: Any) -> Any:
+    """Returns a text with its unprintable characters escaped; any other value, and each item of a list, too.
+
+    Names of workers and texts of peers come from outside: a line end in one would begin another log line.
+    """
+    if isinstance(value, list | tuple):
+        return [escape_control_characters(each) for each in value]
+    if not isinstance(value, str) or value.isprintable():
+        return value
+    return "".join(
+        each if each.isprintable() else each.encode("unicode_escape").decode("ascii") for each in value
+    )
+
+
 def _flatten_lists(_: object, __: str, fields: dict[str, Any]) -> dict[str, Any]:
     """Joins the items of lists by commas, as lines of key=value pairs have no lists."""
     return {
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -12,7 +12,7 @@
 
 import pytest
 from player import WAIT_TIMEOUT_S, member
-from standins import FaktoryClient
+from standins import FaktoryClient, read_http
 from test_termination_races import (
     ATTEMPT_TIMEOUT_MS,
     ConnectionStandIn,
@@ -161,6 +161,31 @@
         self.assertEqual(set(results), {("moot", True)})
 
 
+class LogTests(DaemonTestCase):
+    def test_name_of_a_worker_adds_no_line_to_the_log(self) -> None:
+        """Guards against log lines that a worker's name or report makes up."""
+        listener = ListenerStandIn(self)
+        name = "w1\nERROR rule_violated rule=lost\x1b[2K"
+        self.start(member(name, listener.port))
+        self.connect_client().submit("status-read", "job-1")
+        worker = listener.accept()
+        worker.read_message()
+        worker.respond(202)
+        for state in ("started", "returned"):  # the second one is logged, as the job has started
+            event = json.dumps({"id": "job-1", "from": name, "state": state}).encode()
+            with self.daemon.connect("clients") as callback:
+                callback.sendall(
+                    b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(event), event)
+                )
+                self.assertIn("204", read_http(callback.makefile("rb"))[0])
+        with self.daemon.kill_on_timeout():
+            while "callback_ignored" not in (log := self.daemon.stderr_text()):
+                pass
+        self.assertNotIn("\nERROR", log)
+        self.assertNotIn("\x1b", log)
+        self.assertIn(r"worker=w1\nERROR rule_violated rule=lost\x1b[2K ", log)
+
+
 class HeadTests(unittest.TestCase):
     def test_no_head_is_written_with_a_control_character(self) -> None:
         for character in CONTROL_CHARACTERS:
