Tell balancers of the drain if a reload opens their listener after SIGTERM

A SIGHUP that opens the first listener for balancers while the process ends made a reporter that had not heard of SIGTERM: it went from starting to ready, and balancers were sent to a process about to leave.

Change: the reporter gets the drain order of SIGTERM as it is made.

Result: the new test failed before (the state was not draining); it passes.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -438,6 +438,8 @@
                 return DaemonLimits(limits.cores, limits.memory_mb, limits.sockets, RESERVED_SOCKETS)
 
             self.balancers = BalancerService(parts, resource_limits, balancer_settings, self.loop_meter)
+            if self.is_stopping:  # opened by a reload after SIGTERM
+                self.balancers.reporter.drain("signal")
         if self.balancers is not None:
             for name, address in self.balancers.listeners.reconfigure(balancer_settings):
                 self.print_address(name, address)
--- a/tests/test_shutdown_bounds.py
+++ b/tests/test_shutdown_bounds.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from player import SETTINGS, Daemon, config, member
+from standins import read_http
 from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn
 
 from spanwing.cli import client
@@ -91,6 +92,35 @@
             while True:
                 client.send_command(path, do="undrain")
 
+    def test_listener_for_balancers_that_a_reload_opens_after_sigterm(self) -> None:
+        """Guards against a process that ends and tells balancers that it is ready."""
+        listener = ListenerStandIn(self)
+        daemon = self.start_with_short_deadlines(listener, "")
+        self.connect_client().submit("schedule-apply", "job-1", budget_ms=1000)
+        worker = listener.accept()
+        worker.read_message()
+        daemon.process.send_signal(signal.SIGTERM)
+        with daemon.kill_on_timeout():
+            while "503" not in self.request("clients", "/up")[0]:
+                pass
+            fronts = Path(daemon.folder.name) / "fronts.toml"
+            fronts.write_text('[health]\nlisten = "127.0.0.1:0"\n')
+            daemon.process.send_signal(signal.SIGHUP)
+            while (printed := daemon.process.stdout.readline()) and " health on " not in printed:
+                pass
+        address, _, port = printed.rpartition(" ")[2].strip().rpartition(":")
+        daemon.addresses["health"] = (address, int(port))
+        status, body = self.request("health", "/health")
+        self.assertIn("503", status)
+        self.assertIn("draining", body)
+
+    def request(self, front: str, target: str) -> tuple[str, str]:
+        """Returns the status line and the body of the response."""
+        with self.daemon.connect(front) as connection:
+            connection.sendall(f"GET {target} HTTP/1.1\r\n\r\n".encode())
+            status, _, body = read_http(connection.makefile("rb"))
+            return status, body.decode()
+
     def test_without_a_listener_for_balancers(self) -> None:
         self.check_answers("")
 
