Keep a request that was given up at a worker from it for as long as reports may be late

An attempt that was given up (timeout, cancellation, a connection that broke before the 202) ends here before the worker's last word. If its request is submitted again under its id, as a Faktory client does after -ERR or -BUSY, the new attempt at that worker could be ended by a call about the former one, or given up by the DELETE meant for that.

Change: the memory of requests that a worker must not get again (30 s) covers every attempt that the worker may have, not only those that it reported on. A worker that answered with the result or a rejection has taken no job and is not remembered.

--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -120,6 +120,7 @@
     is_accepted: bool = False  # the 202 has arrived
     cancel_result: api.Result | None = None  # the attempt is cancelled and will end with this result
     has_started: bool = False  # the worker has reported that the job runs
+    is_answered: bool = False  # its response was the result, so the worker makes no call about it
 
 
 class HttpWorker(WorkerConnectionActor):
@@ -190,8 +191,9 @@
         if request in self.attempts:
             attempt.listener.post(AttemptEnded(request, number, "moot", is_unsent=True))
             return
-        # An earlier request of this id has ended here. Its repeated report would end this attempt.
-        if self.reported_requests.may_be_repeated(self.name, request):
+        # An earlier request of this id has ended here. A late report on it would end this attempt, and a late
+        # DELETE would give it up.
+        if self.reported_requests.may_be_reported(self.name, request):
             attempt.listener.post(AttemptEnded(request, number, "moot", is_unsent=True, excludes_worker=True))
             return
         self.attempts[request] = attempt
@@ -395,6 +397,7 @@
         if not self._is_in_flight(attempt):
             return
         report = self.load_reader.read_text(response.headers.get("x-load-report", "")) if response else None
+        attempt.is_answered = response is not None and response.status != 202
         if response is None and is_response_invalid:  # the invalid response may have been a 202
             attempt.cancel_result = attempt.cancel_result or "reset"
             spawn_task(self._cancel_at_worker(attempt))
@@ -448,6 +451,9 @@
         if not self._is_in_flight(attempt):
             return
         del self.attempts[attempt.delivery.request.id]
+        # A "done" that comes late or again brings the job's own result, and does no harm.
+        if attempt.is_last_byte_written and not attempt.is_answered and result != "ok":
+            self.reported_requests.add(self.name, attempt.delivery.request.id)
         attempt.listener.post(
             AttemptEnded(
                 attempt.delivery.request.id,
@@ -467,8 +473,6 @@
         if attempt is None or self._belongs_to_earlier_attempt(callback, attempt):
             return
         if callback.state in CALLBACK_RESULTS:
-            if callback.state != "done":  # a repeated "done" brings the job's own result
-                self.reported_requests.add(self.name, callback.request)
             self._end_attempt(
                 attempt,
                 CALLBACK_RESULTS[callback.state],
--- a/tests/test_repeated_callbacks.py
+++ b/tests/test_repeated_callbacks.py
@@ -133,22 +133,47 @@
         await self.report("done")
         self.assertEqual(await self.results.get(), ("ok", False))
 
+    async def deliver_again(self) -> AttemptEnded:
+        """Delivers the same id for another request; returns how this attempt ended."""
+        ended: asyncio.Queue[AttemptEnded] = asyncio.Queue()
+        delivery = DeliveryAttempt(JobRequest("job-1", "look", 9e3), 1, ATTEMPT_TIMEOUT_MS)
+        self.http_worker.deliver(delivery, SimpleNamespace(post=ended.put_nowait))
+        return await asyncio.wait_for(ended.get(), WAIT_TIMEOUT_S)
+
     async def test_attempt_of_an_id_that_the_worker_has_reported_as_ended_is_not_sent(self) -> None:
         for state in ("returned", "lost", "failed"):
             with self.subTest(state):
-                self.http_worker.reported_requests.reported_at_s.clear()
+                self.http_worker.reported_requests.ended_at_s.clear()
                 await self.deliver_and_accept()
                 await self.report(state)
                 await self.results.get()
-                ended: asyncio.Queue[AttemptEnded] = asyncio.Queue()
-                request = JobRequest("job-1", "look", 9e3)
-                self.http_worker.deliver(
-                    DeliveryAttempt(request, 1, ATTEMPT_TIMEOUT_MS), SimpleNamespace(post=ended.put_nowait)
-                )
-                message = await ended.get()
+                message = await self.deliver_again()
                 self.assertEqual(message.result, "moot")
                 self.assertTrue(message.is_unsent and message.excludes_worker)
 
+    async def test_attempt_of_an_id_that_was_given_up_at_the_worker_is_not_sent(self) -> None:
+        """The report on the attempt that was given up may still be on its way, and so may its DELETE."""
+        connection = await self.deliver_and_accept()
+        self.http_worker.cancel("job-1", 0, "timeout")
+        await asyncio.to_thread(connection.read_message)
+        connection.respond(200)
+        self.assertEqual(await self.results.get(), ("timeout", False))
+        message = await self.deliver_again()
+        self.assertEqual(message.result, "moot")
+        self.assertTrue(message.is_unsent and message.excludes_worker)
+
+    async def test_worker_that_has_rejected_a_request_in_its_response_gets_it_again(self) -> None:
+        """Such a worker has not taken the job, so no report on it can come."""
+        await self.deliver(is_idempotent=False)
+        connection = await asyncio.to_thread(self.listener.accept)
+        await asyncio.to_thread(connection.read_message)
+        connection.respond(503, X_Rejected="1")
+        self.assertEqual(await self.results.get(), ("full", False))
+        await self.deliver(is_idempotent=True)
+        await asyncio.to_thread(connection.read_message)
+        connection.respond(200, b"served")
+        self.assertEqual(await self.results.get(), ("ok", False))
+
 
 class ExcludedWorkerTests(unittest.TestCase):
     def hand_back(self, driver: Driver, request: str, number: int, worker: int) -> list[api.Action]:
@@ -182,14 +207,14 @@
         now_s = 100.0
         reported = ReportedRequests(lambda: now_s)
         reported.add("w1", "job-1")
-        self.assertTrue(reported.may_be_repeated("w1", "job-1"))
-        self.assertFalse(reported.may_be_repeated("w2", "job-1"))
+        self.assertTrue(reported.may_be_reported("w1", "job-1"))
+        self.assertFalse(reported.may_be_reported("w2", "job-1"))
         now_s += reported_requests.REPEAT_WINDOW_S + 0.1
-        self.assertFalse(reported.may_be_repeated("w1", "job-1"))
+        self.assertFalse(reported.may_be_reported("w1", "job-1"))
         for number in range(reported_requests.MAX_REPORTED_REQUESTS + 1):
             reported.add("w1", f"job-{number}")
-        self.assertFalse(reported.may_be_repeated("w1", "job-0"))
-        self.assertTrue(reported.may_be_repeated("w1", "job-1"))
+        self.assertFalse(reported.may_be_reported("w1", "job-0"))
+        self.assertTrue(reported.may_be_reported("w1", "job-1"))
 
 
 class HotRestartTests(unittest.TestCase):
