Match a Faktory job's write and its recorded intent with the attempt, not with its number

A jid that was given up may be pushed again, and its attempts are counted from 0 again. JobWritten and JobPermitted named id and number only. A FETCH connection that broke after its attempt had been given up ended the new attempt, which ran on another connection, as unsent: the job went elsewhere while it ran.

Change: both messages carry the attempt, and count only while that one is in flight.

--- a/spanwing/workers/faktory_worker.py
+++ b/spanwing/workers/faktory_worker.py
@@ -61,22 +61,6 @@
     reply: Future[FetchedJob | None]
 
 
-class JobWritten(NamedTuple):
-    """A job was written to the worker's connection, completely or in part."""
-
-    request: str
-    number: int
-    is_complete: bool
-
-
-class JobPermitted(NamedTuple):
-    """The recorder has answered for the intent of an attempt: the job may be handed out or not."""
-
-    request: str
-    number: int
-    may_send: bool
-
-
 class JobFinished(NamedTuple):
     """The worker has sent ACK or FAIL for a job."""
 
@@ -99,6 +83,20 @@
     reserved_fetch: WaitingFetch | None = None  # reserved while the intent is being recorded
 
 
+class JobWritten(NamedTuple):
+    """An attempt's job was written to the worker's connection, completely or in part."""
+
+    attempt: FaktoryAttempt
+    is_complete: bool
+
+
+class JobPermitted(NamedTuple):
+    """The recorder has answered for the intent of an attempt: the job may be handed out or not."""
+
+    attempt: FaktoryAttempt
+    may_send: bool
+
+
 @dataclass(slots=True, eq=False)
 class WaitingFetch:
     """A FETCH for which there is no job yet."""
@@ -200,24 +198,20 @@
             self._end_attempt(attempt, "moot")
             return
         if attempt.delivery.record_intent is not None and not attempt.is_permitted:
-            attempt.reserved_fetch, key = (
-                waiting_fetch,
-                (attempt.delivery.request.id, attempt.delivery.number),
-            )
-            attempt.delivery.record_intent(lambda may_send: self.post(JobPermitted(*key, may_send)))
+            attempt.reserved_fetch = waiting_fetch
+            attempt.delivery.record_intent(lambda may_send: self.post(JobPermitted(attempt, may_send)))
             return
         attempt.is_handed_out = True
-        key = (attempt.delivery.request.id, attempt.delivery.number)
         waiting_fetch.fetch.reply.set_result(
             (
                 encode_job(attempt.delivery.request),
-                lambda is_complete: self.post(JobWritten(*key, is_complete)),
+                lambda is_complete: self.post(JobWritten(attempt, is_complete)),
             )
         )
 
     def _handle_permitted(self, permitted: JobPermitted) -> None:
-        attempt = self.attempts.get(permitted.request)
-        if attempt is None or attempt.delivery.number != permitted.number or attempt.reserved_fetch is None:
+        attempt = permitted.attempt
+        if not self._is_in_flight(attempt) or attempt.reserved_fetch is None:
             return
         if not permitted.may_send:
             self._end_attempt(attempt, "moot")
@@ -229,15 +223,20 @@
             self._hand_out(attempt, waiting_fetch)
 
     def _handle_written(self, written: JobWritten) -> None:
-        attempt = self.attempts.get(written.request)
-        if attempt is None or attempt.delivery.number != written.number:
+        attempt = written.attempt
+        if not self._is_in_flight(attempt):
             return
         if written.is_complete:
-            attempt.listener.post(LastByteSent(written.request, written.number))
-            attempt.listener.post(AttemptProgress(written.request, written.number, True))
+            key = (attempt.delivery.request.id, attempt.delivery.number)
+            attempt.listener.post(LastByteSent(*key))
+            attempt.listener.post(AttemptProgress(*key, True))
         else:  # the last byte was not written, so the job cannot have run
             self._end_attempt(attempt, "unreachable", is_unsent=True)
 
+    def _is_in_flight(self, attempt: FaktoryAttempt) -> bool:
+        """Returns whether the attempt has not ended; its id and number may be another one's by now."""
+        return self.attempts.get(attempt.delivery.request.id) is attempt
+
     def _handle_finished(self, finished: JobFinished) -> None:
         attempt = self.attempts.get(finished.request)
         if attempt is not None and attempt.is_handed_out:
--- a/tests/test_repeated_callbacks.py
+++ b/tests/test_repeated_callbacks.py
@@ -23,11 +23,13 @@
     HttpWorkerTestCase,
     ListenerStandIn,
 )
+from tornado.concurrent import Future
 
 from spanwing import interface as api
 from spanwing.core.messages import AttemptEnded, DeliveryAttempt, JobRequest
 from spanwing.hot_restart.hot_restart import HotRestart
 from spanwing.workers import reported_requests
+from spanwing.workers.faktory_worker import FaktoryWorker, FetchRequested
 from spanwing.workers.http_worker import WorkerCallback
 from spanwing.workers.reported_requests import ReportedRequests
 
@@ -175,6 +177,62 @@
         self.assertEqual(await self.results.get(), ("ok", False))
 
 
+class FaktoryWorkerTests(unittest.IsolatedAsyncioTestCase):
+    """A message about an ended attempt does not concern another one of the same id and number."""
+
+    async def asyncSetUp(self) -> None:
+        self.results: asyncio.Queue[AttemptEnded] = asyncio.Queue()
+        self.worker = FaktoryWorker("w1", "here")
+
+    def post(self, message: object) -> None:
+        """Receives the messages of the worker actor, as its AttemptListener."""
+        if isinstance(message, AttemptEnded):
+            self.results.put_nowait(message)
+
+    def deliver(self, **more) -> None:
+        self.worker.deliver(
+            DeliveryAttempt(JobRequest("job-1", "look", 9e3), 0, ATTEMPT_TIMEOUT_MS, **more), self
+        )
+
+    async def fetch(self):
+        reply = Future()
+        self.worker.post(FetchRequested(("look",), reply))
+        return await asyncio.wait_for(reply, WAIT_TIMEOUT_S)
+
+    async def give_up(self) -> None:
+        self.worker.cancel("job-1", 0, "timeout")
+        await asyncio.wait_for(self.results.get(), WAIT_TIMEOUT_S)
+
+    async def test_write_that_fails_after_its_attempt_was_given_up(self) -> None:
+        """Guards against an attempt that runs and ends as unsent, so that its job goes elsewhere too."""
+        self.deliver()
+        _, on_written = await self.fetch()
+        await self.give_up()
+        self.deliver()
+        await self.fetch()
+        on_written(False)  # the first FETCH's connection breaks with bytes of the job unsent
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.results.empty())
+        self.assertIn("job-1", self.worker.attempts)
+
+    async def test_intent_recorded_after_its_attempt_was_given_up(self) -> None:
+        """Guards against a job that is handed out before its own intent is on disk."""
+        recorded = []
+        self.deliver(record_intent=recorded.append)
+        fetch = asyncio.create_task(self.fetch())
+        while not recorded:
+            await asyncio.sleep(0)
+        await self.give_up()
+        self.deliver(record_intent=recorded.append)
+        while len(recorded) < 2:
+            await asyncio.sleep(0)
+        recorded[0](True)
+        await asyncio.sleep(0.01)
+        self.assertFalse(fetch.done())
+        recorded[1](True)
+        self.assertIn(b"job-1", (await fetch)[0])
+
+
 class ExcludedWorkerTests(unittest.TestCase):
     def hand_back(self, driver: Driver, request: str, number: int, worker: int) -> list[api.Action]:
         return driver.feed(api.Outcome(request, number, worker, "full", False, 50.0, excludes_worker=True))
