Keep a job from a Faktory worker that still runs it for an earlier request

A job that was given up (deadline, cancellation) while a Faktory worker had it can be pushed again under its jid. It went to that worker a second time, where the FAIL of the first run then ended the attempt that ran, and the request was retried elsewhere beside it.

Change: the worker connection remembers the jobs that were given up there (1,000 at most) until their ACK, FAIL or broken write comes, and gives the worker no other attempt of them.

--- a/spanwing/workers/faktory_worker.py
+++ b/spanwing/workers/faktory_worker.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -38,6 +38,7 @@
 
 JOB_CONTENT_TYPE = "application/vnd.faktory.job+json"
 MAX_QUEUED_JOBS = 8  # jobs queued here for a worker's FETCH, as many as in the queue of an HTTP worker
+MAX_UNFINISHED_JOBS = 1000  # given-up jobs of a worker that are remembered; the oldest are dropped
 FETCH_TIMEOUT_S = 2.0  # a FETCH for which there is no job is answered after this
 HEARTBEAT_TIMEOUT_S = 60.0  # a worker that sends no BEAT for this long is removed
 #: By the state in a BEAT: the worker's state. Other states leave it unchanged.
@@ -138,6 +139,8 @@
         self.attempts: dict[str, FaktoryAttempt] = {}
         self.queued_attempts: deque[FaktoryAttempt] = deque()
         self.waiting_fetches: deque[WaitingFetch] = deque()
+        # Ids of jobs that were given up here while the worker had them; at most MAX_UNFINISHED_JOBS.
+        self.unfinished_jobs: OrderedDict[str, None] = OrderedDict()
 
     def _handle_deliver(self, message: DeliverAttempt) -> None:
         attempt = FaktoryAttempt(*message)
@@ -145,6 +148,14 @@
         if request.id in self.attempts:  # a worker has at most one attempt of a request at a time
             attempt.listener.post(AttemptEnded(request.id, attempt.delivery.number, "moot", is_unsent=True))
             return
+        # The worker still runs the job for an earlier request, and its ACK or FAIL would end this attempt.
+        if request.id in self.unfinished_jobs:
+            attempt.listener.post(
+                AttemptEnded(
+                    request.id, attempt.delivery.number, "moot", is_unsent=True, excludes_worker=True
+                )
+            )
+            return
         self.attempts[request.id] = attempt
         self._assign_fetch(attempt)
 
@@ -225,6 +236,8 @@
     def _handle_written(self, written: JobWritten) -> None:
         attempt = written.attempt
         if not self._is_in_flight(attempt):
+            if not written.is_complete:
+                self.unfinished_jobs.pop(attempt.delivery.request.id, None)
             return
         if written.is_complete:
             key = (attempt.delivery.request.id, attempt.delivery.number)
@@ -238,6 +251,7 @@
         return self.attempts.get(attempt.delivery.request.id) is attempt
 
     def _handle_finished(self, finished: JobFinished) -> None:
+        self.unfinished_jobs.pop(finished.request, None)
         attempt = self.attempts.get(finished.request)
         if attempt is not None and attempt.is_handed_out:
             self._end_attempt(attempt, finished.result)
@@ -245,9 +259,16 @@
     def _handle_cancel(self, message: CancelDelivery) -> None:
         attempt = self.attempts.get(message.request)
         if attempt is not None and attempt.delivery.number == message.number:
+            if attempt.is_handed_out:
+                self._note_unfinished(message.request)
             # A job that was not handed out has not run, so an unsafe one can be rejected instead of failed.
             self._end_attempt(attempt, message.result if attempt.is_handed_out else "full")
 
+    def _note_unfinished(self, request: str) -> None:
+        self.unfinished_jobs[request] = None
+        if len(self.unfinished_jobs) > MAX_UNFINISHED_JOBS:
+            self.unfinished_jobs.popitem(last=False)
+
     def _handle_withdraw(self, message: WithdrawAttempt) -> None:
         attempt = self.attempts.get(message.request)
         if attempt is not None and attempt.delivery.number == message.number and not attempt.is_handed_out:
