--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -243,6 +243,7 @@
 
     request: str
     number: int
+    attempt: object  # the attempt in flight; another one may have its request id and number by now
     may_send: bool
 
 
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -561,7 +561,7 @@
                     *key,
                     connection.name,
                     connection.address,
-                    partial(self._handle_intent_recorded, key, on_recorded),
+                    partial(self._handle_intent_recorded, key, attempt, on_recorded),
                 )
 
             connection.deliver(
@@ -578,7 +578,10 @@
             return
         attempt.is_recorded = attempt.awaits_record = True
         self.recorder.record_intent(
-            *key, connection.name, connection.address, partial(self._handle_intent_recorded, key, None)
+            *key,
+            connection.name,
+            connection.address,
+            partial(self._handle_intent_recorded, key, attempt, None),
         )
 
     def attempt_may_have_run(self, pending: PendingRequest, forwarded_ms: float) -> None:
@@ -627,14 +630,18 @@
         return None
 
     def _handle_intent_recorded(
-        self, key: tuple[str, int], on_recorded: Callable[[bool], None] | None, may_send: bool
+        self,
+        key: tuple[str, int],
+        attempt: InFlightAttempt,
+        on_recorded: Callable[[bool], None] | None,
+        may_send: bool,
     ) -> None:
         """Handles the journal's answer for an intent.
 
         on_recorded: the callback of a worker connection that records its intents itself, else None. It is
         called after AttemptRecorded is posted, so that the request is rejected before the attempt ends.
         """
-        self.post(AttemptRecorded(*key, may_send))
+        self.post(AttemptRecorded(*key, attempt, may_send))
         if on_recorded is not None:
             on_recorded(may_send)
 
@@ -645,7 +652,7 @@
         """
         key = message[:2]
         attempt, pending = self.in_flight.get(key), self.pending_requests.get(message.request)
-        if attempt is None:
+        if attempt is None or attempt is not message.attempt:
             return
         if not message.may_send:
             self.counters["refused.journal"] += 1
--- a/tests/test_journal_core.py
+++ b/tests/test_journal_core.py
@@ -11,6 +11,8 @@
 import time
 import unittest
 from collections import Counter
+from collections.abc import Callable
+from unittest import mock
 
 from conftest import settings
 from simulated_disk import SimulatedDisk
@@ -305,6 +307,27 @@
         self.assertEqual((self.worker.delivered, settled["job-1"].delivery_state), ([], "not sent"))
         self.assertEqual(settled["job-1"].answer, "left")
 
+    @gen_test(timeout=60)
+    async def test_intent_of_an_earlier_request_of_the_same_id_permits_nothing(self) -> None:
+        """Guards against an attempt that is sent before its own intent is on disk."""
+        self.start()
+        intents: list[Callable[[bool], None]] = []
+        recorder = mock.Mock(spec=JournalWriter)
+        recorder.unavailable_reason.return_value = recorder.find_interrupted.return_value = ""
+        recorder.record_intent.side_effect = lambda *arguments: intents.append(arguments[-1])
+        self.manager.recorder = recorder
+        self.submit("job-1", "book")
+        await self.wait_until(lambda: len(intents) == 1)
+        self.manager.post(ClientDisconnected("job-1", self.client))
+        await self.wait_until(self.manager.is_idle)
+        self.submit("job-1", "book")
+        await self.wait_until(lambda: len(intents) == 2)
+        intents[0](True)
+        await sleep(0.01)
+        self.assertEqual(self.worker.delivered, [])
+        intents[1](True)
+        await self.wait_until(lambda: self.worker.delivered == [("job-1", 0)])
+
     @gen_test(timeout=60)
     async def test_request_interrupted_by_a_crash_is_answered_as_repeated(self) -> None:
         self.start()
