Refuse class names that a target cannot carry

With a line end it would have ended the request's first line (the encoder refuses that since, and every job of the class with it); with / ? or # the worker would have read another class. One line names the setting; a name with a blank is taken as before, and its jobs are answered 4xx by the worker. The new test failed before; it passes.

--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -122,6 +122,10 @@
             yield from _check(value >= 0, name, value)
         yield from _check(not self.zones or self.zone in self.zones, "zone", self.zone)
         for each in self.classes:
+            # A class is the first segment of a job's target, where these marks would end it.
+            if not each.name.isprintable() or any(mark in each.name for mark in "/?#"):
+                yield f"classes: the name {each.name!a} is not possible"
+                continue
             where = f"classes[{each.name}]"
             yield from _check(each.latency_objective_ms > 0, f"{where}.aim", each.latency_objective_ms)
             yield from _check(
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -8,9 +8,11 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 import pytest
+from conftest import SAFE, settings
 from player import WAIT_TIMEOUT_S, member
 from standins import FaktoryClient, read_http
 from test_termination_races import (
@@ -22,6 +24,7 @@
 )
 
 from spanwing.core.messages import DeliveryAttempt, JobRequest
+from spanwing.interface import SettingsError
 from spanwing.net.http import (
     HttpError,
     HttpParser,
@@ -84,6 +87,15 @@
         self.assertTrue(listener.has_no_connection())
 
 
+class NameTests(unittest.TestCase):
+    def test_class_name_that_no_target_can_carry(self) -> None:
+        for name in ("a\r\nX: y", "a/b", "a?b", "a#b", "a\x1b"):
+            with pytest.raises(SettingsError, match="^classes: the name ") as raised:
+                settings(classes=(replace(SAFE, name=name),))
+            assert raised.value.faults == [f"classes: the name {name!a} is not possible"]
+        settings(classes=(replace(SAFE, name="status-read_2.x"),))
+
+
 class RequestIdTests(DaemonTestCase):
     def test_jid_that_a_header_cannot_carry_unchanged(self) -> None:
         """Guards against a jid that no worker can be sent: each attempt kept a connection place for good."""
