--- a/spanwing/net/address.py
+++ b/spanwing/net/address.py
@@ -32,11 +32,14 @@
     """Parses HOST:PORT with a numeric host ([HOST]:PORT for IPv6); raises ValueError if it is invalid."""
     host, colon, port = text.rpartition(":")
     host = host.strip("[]")
+    is_valid = text.isprintable()  # ip_address() takes any character in the scope of an IPv6 address
     try:
         ipaddress.ip_address(host)
         number = int(port)
     except ValueError:
-        raise ValueError(f"{text!r} is not HOST:PORT with a numeric host") from None
+        is_valid = False
+    if not is_valid:
+        raise ValueError(f"{text!r} is not HOST:PORT with a numeric host")
     if not colon or not 0 <= number <= 65535:
         raise ValueError(f"{text!r} has no port between 0 and 65535")
     return Address(host, number)
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -25,6 +25,7 @@
 
 from spanwing.core.messages import DeliveryAttempt, JobRequest
 from spanwing.interface import SettingsError
+from spanwing.net.address import parse_address
 from spanwing.net.http import (
     HttpError,
     HttpParser,
@@ -95,6 +96,13 @@
             assert raised.value.faults == [f"classes: the name {name!a} is not possible"]
         settings(classes=(replace(SAFE, name="status-read_2.x"),))
 
+    def test_address_whose_scope_has_a_control_character(self) -> None:
+        """Guards against a worker's address that would end the Host header of a request."""
+        assert parse_address("[fe80::1%eth0]:80").host == "fe80::1%eth0"
+        for text in ("[fe80::1%a\r\nX: y]:80", "[fe80::1%\n]:80", "127.0.0.1:80\n"):
+            with pytest.raises(ValueError, match="not HOST:PORT"):
+                parse_address(text)
+
 
 class RequestIdTests(DaemonTestCase):
     def test_jid_that_a_header_cannot_carry_unchanged(self) -> None:
