--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -249,6 +249,8 @@
         timeout_ms = service_class.deadline_ms if custom.budget_ms is None else custom.budget_ms
         if custom.slots < 1 or custom.memory < 0 or not timeout_ms >= 0:
             raise CommandError("custom: slots, memory or budget_ms out of range")
+        if not all((text or "").isprintable() for text in (custom.tenant, custom.route_key)):
+            raise CommandError("custom: tenant or route_key has a control character")
         if custom.effect_key is not None and not is_idempotency_key(custom.effect_key):
             raise CommandError(
                 "custom: effect_key has a character that a header cannot carry, or is too long"
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -104,6 +104,18 @@
                 parse_address(text)
 
 
+class FaktoryTextTests(DaemonTestCase):
+    def test_control_character_in_a_tenant_or_route_key(self) -> None:
+        """Guards against a tenant that writes to the terminal on which the journal is listed."""
+        self.start(fronts=FAKTORY)
+        client = FaktoryClient(self.daemon)
+        self.addCleanup(client.close)
+        for field in ("tenant", "route_key"):
+            custom = {"answer": "outcome", field: "a\x1b[2K\n"}
+            job = {"jid": "job-0001", "jobtype": "x", "queue": "status-read", "args": [], "custom": custom}
+            self.assertRegex(client.ask("PUSH", json.dumps(job)), "^-ERR custom: tenant or route_key")
+
+
 class RequestIdTests(DaemonTestCase):
     def test_jid_that_a_header_cannot_carry_unchanged(self) -> None:
         """Guards against a jid that no worker can be sent: each attempt kept a connection place for good."""
