Check the lines of a head at once, and earlier attempts only where there are any

Two of the review's mends cost on every request: a search in each header value, and two calls for each worker that a decision looks at.

--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -100,14 +100,14 @@
             return False
         if end < 0 or end > MAX_HEAD_BYTES:
             raise HttpError(431, "head too large")
-        lines = self.data[:end].decode("latin-1").split("\r\n")
+        lines = self._without_control_characters(self.data[:end].decode("latin-1").split("\r\n"))
         del self.data[: end + 4]
         headers: dict[str, str] = {}
         for line in lines[1:]:
             name, colon, value = line.partition(":")
             if not colon or not TOKEN_PATTERN.fullmatch(name):
                 raise HttpError(400, "malformed header")
-            name, value = name.lower(), self._check_value(value.strip(" \t"))
+            name, value = name.lower(), value.strip(" \t")
             if name in ("content-length", "host") and headers.get(name, value) != value:
                 raise HttpError(400, f"{name} differs")
             headers[name] = value
@@ -115,13 +115,13 @@
         self._set_framing(headers)
         return True
 
-    def _check_value(self, value: str) -> str:
-        """Returns a field value without control characters; raises HttpError if a request has any."""
-        if not CONTROL_PATTERN.search(value):
-            return value
+    def _without_control_characters(self, lines: list[str]) -> list[str]:
+        """Returns the lines of a head without control characters; raises HttpError if a request has any."""
+        if not CONTROL_PATTERN.search("".join(lines)):
+            return lines
         if not self.parses_responses:
             raise HttpError(400, "control character in a header")
-        return CONTROL_PATTERN.sub(" ", value)
+        return [CONTROL_PATTERN.sub(" ", line) for line in lines]
 
     def _parse_first_line(self, line: str, headers: dict[str, str]) -> HttpMessage:
         parts = line.split(" ", 2)
@@ -299,9 +299,9 @@
     Every head is written here, whatever its values come from: a line end within a value would let the
     recipient read the rest of it as further headers, or as a request of its own.
     """
-    for line in lines:
-        if CONTROL_PATTERN.search(line):
-            raise UnsendableHeadError(f"control character in the header {line.partition(':')[0][:40]!a}")
+    if CONTROL_PATTERN.search("".join(lines)):
+        name = next(line for line in lines if CONTROL_PATTERN.search(line)).partition(":")[0]
+        raise UnsendableHeadError(f"control character in the header {name[:40]!a}")
     try:
         return "\r\n".join([*lines, "", ""]).encode("latin-1")
     except UnicodeEncodeError as error:
--- a/spanwing/scheduler.py
+++ b/spanwing/scheduler.py
@@ -422,14 +422,14 @@
             foreign_slots = 0.0
         return min(worker.estimated_slots, worker.concurrency_limit) - worker.reserved_slots - foreign_slots
 
-    def _runs_class(self, worker: WorkerState, service_class: api.ServiceClass) -> bool:
-        return worker.entry.state == "healthy" and service_class.kind in (None, worker.entry.kind)
-
     def _may_use(self, worker: WorkerState, job: Job) -> bool:
         """Returns whether the job may go to this worker, whatever the worker's load."""
-        if self.now < worker.ejected_until_ms or not self._runs_class(worker, job.service_class):
+        entry, kind = worker.entry, job.service_class.kind
+        if entry.state != "healthy" or self.now < worker.ejected_until_ms or kind not in (None, entry.kind):
+            return False
+        if job.attempts and not self._may_repeat_at(worker, job):
             return False
-        return self._may_repeat_at(worker, job) and self._warm_up_allows(worker, job)
+        return self._warm_up_allows(worker, job)
 
     def _may_repeat_at(self, worker: WorkerState, job: Job) -> bool:
         """Returns whether the job's earlier attempts allow another one at this worker."""
@@ -828,7 +828,9 @@
     def _has_worker_left(self, job: Job) -> bool:
         """Returns whether a retry may find a worker; without excluded workers it always may."""
         return not any(each.excludes_worker for each in job.attempts) or any(
-            self._runs_class(worker, job.service_class) and self._may_repeat_at(worker, job)
+            worker.entry.state == "healthy"
+            and job.service_class.kind in (None, worker.entry.kind)
+            and self._may_repeat_at(worker, job)
             for worker in self.worker_states.values()
         )
 
