Withdraw the cached permit before the closing of a policy change is acknowledged

Cause: the leader stops waiting for a session that has acknowledged, while the permit that the policy cache had written stayed in the scheduler's folder, and a start without the store went by it. The proof in docs/design/policy.md ("Down") counted on the leader to wait for it.

Change: policy/cache_writer.py owns the writes of the cache. When a change closes, the permit is removed and the folder synced, after any write that is under way; up to then the follower acknowledges the revision before the closing. A failing disk means no acknowledgement.

--- a/spanwing/policy/policy_cache.py
+++ b/spanwing/policy/policy_cache.py
@@ -88,6 +88,11 @@
             "permit.json", msgspec.json.encode(CachedPermit(version_number, expires_at_ms, current_boot_id()))
         )
 
+    def remove_permit(self) -> None:
+        """Removes the stored permit, if there is one. Raises OSError."""
+        (self.folder / "permit.json").unlink(missing_ok=True)
+        self._sync_folder()
+
     def load_permit(self) -> tuple[PolicyVersion, float] | None:
         """Returns the version of the stored permit, and the permit's expiry in ms since boot.
 
@@ -111,6 +116,9 @@
             file.flush()
             os.fsync(file.fileno())
         os.replace(new_path, self.folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
         folder_descriptor = os.open(self.folder, os.O_RDONLY)
         try:
             os.fsync(folder_descriptor)
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -19,7 +19,6 @@
 import msgspec
 from tornado.concurrent import Future
 from tornado.gen import sleep
-from tornado.ioloop import IOLoop
 
 from spanwing import interface as api
 from spanwing.actor import spawn_task
@@ -28,6 +27,7 @@
 from spanwing.log import log_event
 from spanwing.net.address import Address
 from spanwing.net.buffers import BufferPool
+from spanwing.policy.cache_writer import NOT_CLOSING, PolicyCacheWriter
 from spanwing.policy.combined_controller import CombinedController, PolicyOrder
 from spanwing.policy.coordinator import PermitSettings, PolicyCoordinator
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, PolicyParticipant
@@ -102,7 +102,9 @@
         self.resubmitted_requests: list[RequestSubmitted] = []  # posted again, but not in admit() yet
         self.abandoned_requests: list[RequestSubmitted] = []  # resubmitted, but the client has disconnected
         self.first_version: Future[PolicyVersion] = Future()
-        self.cache_written_at_ms, self.is_writing_cache = -1e9, False
+        self.cache_writer = PolicyCacheWriter(self.cache, self.follower.renew_now)
+        self.follower.acknowledgeable = self.cache_writer.acknowledgeable
+        self.cache_written_at_ms = -1e9
         self.document_service: DocumentService | None = None
         for each in self.cache.skipped_files:
             log_event("policy_skipped", level="warning", rate_limited=False, file=each)
@@ -212,6 +214,7 @@
         previous, policy = self.participant.policy, read_policy(document)
         if policy.now.number >= previous.now.number:  # an empty document does not replace a cached version
             self.participant.update_policy(clock_ms(), policy)
+        self.cache_writer.update_closing(policy.change_revision if policy.is_closed() else NOT_CLOSING)
         self._log_change_steps(previous, policy)
         self._resolve_first_version()
         self._apply_current_version()
@@ -333,6 +336,7 @@
             await sleep(TIMER_INTERVAL_S)
             now = clock_ms()
             self._resolve_first_version()
+            self.cache_writer.withdraw_if_due()
             if self.queued_requests:
                 self._release_queued()
             has_permit = self.follower.permit.is_valid(now)
@@ -348,23 +352,11 @@
                 self._start_cache_write(now)
 
     def _start_cache_write(self, now: float) -> None:
-        """Writes the cache in a thread, so that no request waits for the disk."""
-        if self.active_version.number and not self.is_writing_cache:
-            self.is_writing_cache, self.cache_written_at_ms = True, now
-            IOLoop.current().run_in_executor(
-                None, self._write_cache, self.active_version, self.follower.permit.expires_at_ms
-            )
-
-    def _write_cache(self, version: PolicyVersion, expires_at_ms: float) -> None:
-        try:
-            self.cache.store_version(version)
-            self.cache.store_permit(version.number, expires_at_ms)
-        except OSError as error:
-            log_event(
-                "policy_kept", level="error", reason=f"{self.policy_settings.directory}: {error.strerror}"
-            )
-        finally:
-            self.is_writing_cache = False
+        """Begins to store the version in use and its permit."""
+        if self.active_version.number and self.cache_writer.store(
+            self.active_version, self.follower.permit.expires_at_ms
+        ):
+            self.cache_written_at_ms = now
 
     # -- orders and status
 
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -70,6 +70,8 @@
         self.permit = Lease()
         # Returns the vote on a change of the policy as JSON.
         self.policy_vote: Callable[[], msgspec.Raw] | None = None
+        # Returns up to which revision the copy may be acknowledged now; it never decreases.
+        self.acknowledgeable: Callable[[int], int] = lambda revision: revision
         self.last_message_id, self.stream = 0, None
         self.pending_orders: dict[int, Future[OrderResult]] = {}
         # The reply to the pending renewal; a result of None means that renew_now() was called.
@@ -175,7 +177,7 @@
                     self.session,
                     self.zone,
                     self.position,
-                    self.document.revision,
+                    self.acknowledgeable(self.document.revision),
                     msgspec.Raw(self.collect_evidence()),
                     False,
                     policy_vote,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import tempfile
+import threading
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from conftest import settings
+from player import WAIT_TIMEOUT_S
 
 from measure import policymodel
 from measure.policymodel import World, initial_world, run_without_faults
@@ -17,7 +20,17 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.policy.coordinator import PolicyVote
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
-from spanwing.policy.records import CHANGE_KEY, MAX_POLICY_BYTES, PolicyVersion, policy_digest, read_policy
+from spanwing.policy.records import (
+    CHANGE_KEY,
+    CURRENT_KEY,
+    MAX_POLICY_BYTES,
+    PROPOSED_KEY,
+    PolicyChange,
+    PolicyVersion,
+    encode_value,
+    policy_digest,
+    read_policy,
+)
 from spanwing.policy.service import PolicyService
 from spanwing.store.document import Document, Transaction
 from spanwing.store.lease import clock_ms
@@ -182,6 +195,87 @@
         self.assertEqual(service.first_version.result().number, 1)
 
 
+class WithdrawnPermitTests(unittest.IsolatedAsyncioTestCase):
+    """A closing is acknowledged only once the cached permit is gone from the disk.
+
+    Guards against a scheduler that closed for a change, is cut off and restarted, and accepts requests under
+    the version that the fleet has left, by the permit in its folder.
+    """
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        policy_settings = SimpleNamespace(directory=folder.name, away_ms=1e4, members={}, lease_ms=2e3)
+        self.service = PolicyService("a", policy_settings, settings(), BufferPool(), 1)
+        self.cache, self.follower = self.service.cache, self.service.follower
+        self.cache.store_version(PolicyVersion(1, policy_digest("{}"), "{}"))
+        self.cache.store_permit(1, clock_ms() + 60_000.0)
+
+    def apply_change(self, state: str) -> int:
+        """Gives the service a copy of the document with a change in this state; returns its revision."""
+        document = self.follower.document
+        writes = {CHANGE_KEY: encode_value(PolicyChange("change-1", state, 1e4))}
+        if document.revision == 0:
+            version = PolicyVersion(1, policy_digest("{}"), "{}")
+            writes |= {CURRENT_KEY: encode_value(version), PROPOSED_KEY: encode_value(version)}
+        self.follower.document = document.apply(Transaction(f"t{document.revision}", writes, {}))
+        self.service._handle_document_change(self.follower.document)
+        return self.follower.document.revision
+
+    def acknowledged(self) -> int:
+        return self.follower.acknowledgeable(self.follower.document.revision)
+
+    async def wait_until_acknowledged(self, revision: int) -> None:
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while self.acknowledged() < revision:
+                await asyncio.sleep(0.001)
+
+    async def test_closing_is_acknowledged_once_the_permit_is_withdrawn(self) -> None:
+        asking = self.apply_change("asking")
+        self.assertEqual(self.acknowledged(), asking)
+        closing = self.apply_change("closing")
+        self.assertEqual(self.acknowledged(), closing - 1)
+        await self.wait_until_acknowledged(closing)
+        self.assertIsNone(self.cache.load_permit())
+        self.assertFalse(self.service.cache_writer.store(PolicyVersion(1), clock_ms()))
+        # A change that has returned to asking lets the permit be stored again; the next closing withdraws it.
+        self.assertEqual(self.acknowledged(), closing)
+        self.apply_change("asking")
+        self.cache.store_permit(1, clock_ms() + 60_000.0)
+        closing = self.apply_change("closing")
+        self.assertEqual(self.acknowledged(), closing - 1)
+        await self.wait_until_acknowledged(closing)
+        self.assertIsNone(self.cache.load_permit())
+
+    async def test_permit_that_is_being_stored_as_the_change_closes(self) -> None:
+        self.apply_change("asking")
+        gate, store_permit = threading.Event(), self.cache.store_permit
+
+        def store_late(*arguments) -> None:
+            gate.wait(WAIT_TIMEOUT_S)
+            store_permit(*arguments)
+
+        with mock.patch.object(self.cache, "store_permit", store_late):
+            version = PolicyVersion(1, policy_digest("{}"), "{}")
+            self.assertTrue(self.service.cache_writer.store(version, clock_ms() + 60_000.0))
+            closing = self.apply_change("closing")
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.acknowledged(), closing - 1)
+            gate.set()
+            await self.wait_until_acknowledged(closing)
+        self.assertIsNone(self.cache.load_permit())
+
+    async def test_closing_is_not_acknowledged_while_the_disk_fails(self) -> None:
+        self.apply_change("asking")
+        with mock.patch.object(self.cache, "remove_permit", side_effect=OSError(5, "I/O error")):
+            closing = self.apply_change("closing")
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.acknowledged(), closing - 1)
+        self.service.cache_writer.withdraw_if_due()  # by the service's timer
+        await self.wait_until_acknowledged(closing)
+        self.assertIsNone(self.cache.load_permit())
+
+
 class QueuedRequestTests(unittest.IsolatedAsyncioTestCase):
     """Requests that are queued during a change and resubmitted to the request manager's mailbox."""
 
