--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -296,7 +296,7 @@
 def _encode_head(lines: list[str]) -> bytes:
     """Encodes the lines of a head. Raises UnsendableHeadError.
 
-    Every head is written here, whatever its values come from: a line end within a value would let the
+    Every head is written here, wherever its values come from: a line end within a value would let the
     recipient read the rest of it as further headers, or as a request of its own.
     """
     if CONTROL_PATTERN.search("".join(lines)):
