Let the test of a worker that came back see the send that it guards against

Found by taking each mend out in turn: with workers compared by object again, as before, ExcludedWorkerTests::test_excluded_worker_gets_no_attempt_after_it_left_and_came_back passed. It dropped the actions of the event in which the request goes back to the worker that had handed it back. It now looks at all actions, and fails with the comparison by object (2 subtests) as with the bar taken out.

The test of a worker that rejected a request waited without a bound where its mend is taken out; it ends after WAIT_TIMEOUT_S now.

--- a/tests/test_repeated_callbacks.py
+++ b/tests/test_repeated_callbacks.py
@@ -171,7 +171,8 @@
         await asyncio.to_thread(connection.read_message)
         connection.respond(503, X_Rejected="1")
         self.assertEqual(await self.results.get(), ("full", False))
-        await self.deliver(is_idempotent=True)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            await self.deliver(is_idempotent=True)
         await asyncio.to_thread(connection.read_message)
         connection.respond(200, b"served")
         self.assertEqual(await self.results.get(), ("ok", False))
@@ -270,8 +271,9 @@
                 driver.feed(api.WorkerList("partial", (api.Worker(first, "gone"),)))
                 driver.feed(api.WorkerList("partial", (api.Worker(first),)))
                 # The other worker is full: the job waits for it, and the excluded one stays excluded.
-                driver.feed(api.Outcome(request, 1, other, "full", False, 50.0))
-                self.assertNotIn(first, [each.worker for each in sends(driver.run(400.0))])
+                actions = driver.feed(api.Outcome(request, 1, other, "full", False, 50.0))
+                actions += driver.run(400.0)
+                self.assertNotIn(first, [each.worker for each in sends(actions)])
 
     def test_request_without_a_worker_left_is_rejected_at_once(self) -> None:
         driver = Driver(settings(), workers=2)
