--- a/review/lib2/parts.py
+++ b/review/lib2/parts.py
@@ -17,6 +17,7 @@
 import time
 import tomllib
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -360,3 +361,59 @@
                     record.write(f"log of {each.name}: {line}")
     sys.stdout.flush()
     os._exit(status)
+
+
+class Link:
+    """A link to a port: relays connections, and while it is cut says nothing on old and new ones."""
+
+    def __init__(self, record: Record, name: str, port: int) -> None:
+        self.record, self.name, self.target = record, name, port
+        self.is_cut = False
+        self.sockets: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        """Takes connections; one that comes while the link is cut is reset when the link is back."""
+        while True:
+            near = self.listener.accept()[0]
+            self.sockets.append(near)
+            if self.is_cut:
+                continue
+            try:
+                far = socket.create_connection(("127.0.0.1", self.target), 1.0)
+            except OSError:
+                near.close()
+                continue
+            far.settimeout(None)
+            self.sockets.append(far)
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(target=self.relay, args=(source, sink), daemon=True).start()
+
+    def relay(self, source: socket.socket, sink: socket.socket) -> None:
+        """Passes bytes on in one direction; those that come while the link is cut are lost."""
+        try:
+            while data := source.recv(65536):
+                if not self.is_cut:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        for each in (source, sink):
+            if not self.is_cut:
+                each.close()
+
+    def cut(self) -> None:
+        """Cuts the link."""
+        self.is_cut = True
+        self.record.write(f"link {self.name}: cut")
+
+    def heal(self) -> None:
+        """Ends the cut; the connections of before are closed, as bytes on them are lost."""
+        sockets, self.sockets = self.sockets, []
+        for each in sockets:
+            with suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+            each.close()
+        self.is_cut = False
+        self.record.write(f"link {self.name}: back")
