--- a/review/10/case.py
+++ b/review/10/case.py
@@ -43,7 +43,7 @@
         self.record, self.callbacks = record, callbacks
         self.runs: list[str] = []
         self.hangs: dict[str, threading.Event] = {}
-        self.members = [(f"s-{number}", self.listen(f"s-{number}")) for number in range(count)]
+        self.members = [(f"s-{number}", self.listen(f"s-{number}"), "a") for number in range(count)]
 
     def listen(self, name: str) -> int:
         """Opens the listener of one worker and returns its port."""
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -34,20 +34,21 @@
 AWAY_MS = 4000.0
 BUDGET_MS, LATE_MS = 3000, 550  # an answer that comes LATE_MS after its time is lost
 RUN_S = 0.1
+MAX_CUT_S = 6.0  # "for 6 s a zone is partitioned"
 
 
-def serve_worker(record: Record, callbacks: int) -> int:
-    """Opens the job worker as one scheduler reaches it; returns its port."""
+def serve_worker(record: Record, name: str, callbacks: int) -> int:
+    """Opens a job worker as one scheduler reaches it; returns its port."""
 
     def run(job: str) -> None:
         time.sleep(RUN_S)
-        event = json.dumps({"id": job, "from": "s-1", "state": "done", "result": f"result of {job}"})
+        event = json.dumps({"id": job, "from": name, "state": "done", "result": f"result of {job}"})
         exchange(callbacks, "POST", "/v1/job-events", {}, event)
 
     def handle(method: str, target: str, headers: dict, body: bytes) -> bytes:
         if method != "POST":
             return response(200)
-        record.write(f"s-1: gets {headers['x-call-id']}")
+        record.write(f"{name}: gets {headers['x-call-id']}")
         threading.Thread(target=run, args=(headers["x-call-id"],), daemon=True).start()
         return response(202)
 
@@ -84,11 +85,15 @@
 listen = "127.0.0.1:{store[name]}"
 peers = {{ {peers} }}
 """
-        roster = Discovery(record, [("s-1", serve_worker(record, clients[name]))])
+        # One job worker in each zone; each scheduler reaches it at an address of its own.
+        workers = [(f"s-{zone}", serve_worker(record, f"s-{zone}", clients[name]), zone) for zone in NAMES]
+        roster = Discovery(record, workers)
         config = {
             "listen": f"127.0.0.1:{clients[name]}",
             "discovery": f"127.0.0.1:{roster.port}",
-            "settings": settings(CLASSES, balancers=len(NAMES), position=position),
+            "settings": settings(
+                CLASSES, balancers=len(NAMES), position=position, areas=list(NAMES), zone=name
+            ),
         }
         daemons.append(Daemon(record, name, config, fronts, temporary))
         daemons[-1].start()
@@ -114,6 +119,7 @@
         wait_until(lambda name=name: exchange(clients[name], "GET", "/up")[0] == 200, 20, f"{name} is up")
         if ask(record, name, clients[name], 1):
             raise CannotRunError(f"{name} does not serve before the disruption")
+    cut_at = time.monotonic()
     if TROUBLE:
         for each in links.values():
             each.cut()
@@ -134,6 +140,8 @@
         wait_until(lambda: send_command(admin, do="policy")["version"] == 2, 30, "version 2 is in force")
         for each in links.values():
             each.heal()
+        if time.monotonic() - cut_at > MAX_CUT_S:
+            raise CannotRunError(f"the cut lasted longer than {MAX_CUT_S} s")
         wait_until(
             lambda: send_command(temporary / "admin-d", do="policy")["in_force"] == 2, 20, "d hears of it"
         )
--- a/review/lib2/parts.py
+++ b/review/lib2/parts.py
@@ -208,22 +208,25 @@
 
 
 class Discovery:
-    """Discovery with a list that never changes; each call is answered `delay_s` late."""
+    """Discovery with a list that never changes; each call is answered `delay_s` late.
 
-    def __init__(self, record: Record, members: list[tuple[str, int]], delay_s: float = 0.0) -> None:
+    `members` holds the names, ports and zones of the job workers.
+    """
+
+    def __init__(self, record: Record, members: list[tuple[str, int, str]], delay_s: float = 0.0) -> None:
         self.record, self.delay_s = record, delay_s
         self.members = [
             {
                 "id": name,
                 "host_port": f"127.0.0.1:{port}",
-                "locality": "a",
+                "locality": zone,
                 "flavor": "big",
                 "cell": 0,
                 "phase": "active",
                 "size": 1.0,
                 "up_since_ms": 0,
             }
-            for name, port in members
+            for name, port, zone in members
         ]
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
@@ -341,7 +344,11 @@
 
     The test appends the daemons that it starts to the list; all of them are ended here.
     """
-    record, daemons, status = Record(folder), [], 2
+    try:
+        record, daemons, status = Record(folder), [], 2
+    except OSError as error:
+        print(f"cannot run: {error!r}", file=sys.stderr)
+        sys.exit(2)
 
     def give_up(number: int, _: object) -> None:
         raise CannotRunError(f"ended by signal {number}")
@@ -373,56 +380,70 @@
 
 
 class Link:
-    """A link to a port: relays connections, and while it is cut says nothing on old and new ones."""
+    """A link to a port. While it is cut, open connections are silent and new ones do not come up."""
 
     def __init__(self, record: Record, name: str, port: int) -> None:
         self.record, self.name, self.target = record, name, port
-        self.is_cut = False
-        self.sockets: list[socket.socket] = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.is_open = threading.Event()
+        self.is_open.set()
+        self.listener = socket.create_server(("127.0.0.1", free_ports(1)[0]))
         self.port = self.listener.getsockname()[1]
+        self.listener.settimeout(0.05)
+        self.fillers: list[socket.socket] = []
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
-        """Takes connections; one that comes while the link is cut is reset when the link is back."""
+        """Takes connections while the link is open."""
         while True:
-            near = self.listener.accept()[0]
-            self.sockets.append(near)
-            if self.is_cut:
-                continue
-            try:
-                far = socket.create_connection(("127.0.0.1", self.target), 1.0)
-            except OSError:
-                near.close()
-                continue
-            far.settimeout(None)
-            self.sockets.append(far)
-            for source, sink in ((near, far), (far, near)):
-                threading.Thread(target=self.relay, args=(source, sink), daemon=True).start()
-
-    def relay(self, source: socket.socket, sink: socket.socket) -> None:
-        """Passes bytes on in one direction; those that come while the link is cut are lost."""
+            self.is_open.wait()
+            with suppress(TimeoutError):
+                near = self.listener.accept()[0]
+                near.settimeout(None)
+                threading.Thread(target=self.connect, args=(near,), daemon=True).start()
+
+    def connect(self, near: socket.socket) -> None:
+        """Connects to the target and relays both directions."""
+        self.is_open.wait()
         try:
-            while data := source.recv(65536):
-                if not self.is_cut:
-                    sink.sendall(data)
+            far = socket.create_connection(("127.0.0.1", self.target), 1.0)
         except OSError:
-            pass
+            near.close()
+            return
+        far.settimeout(None)
+        threading.Thread(target=self.relay, args=(far, near), daemon=True).start()
+        self.relay(near, far)
+
+    def relay(self, source: socket.socket, sink: socket.socket) -> None:
+        """Passes bytes and the end on in one direction; while the link is cut they wait, as with TCP."""
+        data = b"x"
+        while data:
+            try:
+                data = source.recv(65536)
+                self.is_open.wait()
+                sink.sendall(data)
+            except OSError:
+                data = b""
+        self.is_open.wait()
         for each in (source, sink):
-            if not self.is_cut:
-                each.close()
+            with suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
 
     def cut(self) -> None:
-        """Cuts the link."""
-        self.is_cut = True
+        """Cuts the link; the queue of the listener is filled, so that no connection comes up."""
+        self.is_open.clear()
+        time.sleep(0.1)  # the wait for a connection that had begun is over
+        self.listener.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.fillers.append(filler)
         self.record.write(f"link {self.name}: cut")
 
     def heal(self) -> None:
-        """Ends the cut; the connections of before are closed, as bytes on them are lost."""
-        sockets, self.sockets = self.sockets, []
-        for each in sockets:
-            with suppress(OSError):
-                each.shutdown(socket.SHUT_RDWR)
+        """Ends the cut."""
+        for each in self.fillers:
             each.close()
-        self.is_cut = False
+        self.listener.listen(128)
+        self.is_open.set()
         self.record.write(f"link {self.name}: back")
