Close the streams of tests and stand-ins before their event loop closes

Cause: streams that tests and stand-ins opened or accepted were closed by nobody, and were collected after their loop was closed. The destructor then raises; where the collector ran inside ast.parse, the report of that exception parses source too and leaves the interpreter's count off.

Change: measure/streams.py holds the streams of a stand-in until it is closed, and closes an accepted one when its handler returns. Used by test_watch, test_failing_calls, test_confirmation, the call-backs and checks of measure/workers.py and measure/balancers.py, the Faktory connections of measure/crashes.py, the clients and the discovery of the soak, and the parts of measure/fleet.

That such a leak is an error of the test that makes it is not part of this commit.

--- a/measure/balancers.py
+++ b/measure/balancers.py
@@ -22,6 +22,8 @@
 from h2.events import DataReceived, StreamEnded
 from h2.exceptions import ProtocolError
 
+from measure.streams import OpenStreams, Streams
+
 CHECK_TIMEOUT_S = 0.3  # a check that takes longer counts as failed
 
 HostPort = tuple[str, int]
@@ -141,11 +143,13 @@
     """A check that reuses its connection, as Envoy does by default."""
 
     def __init__(self) -> None:
-        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.open_streams = OpenStreams()
+        self.streams: Streams | None = None
 
     async def __call__(self, address: HostPort) -> CheckResult:
         if self.streams is None or self.streams[0].at_eof():
-            self.streams = await asyncio.open_connection(*address)
+            self.open_streams.close()
+            self.streams = await self.open_streams.connect(*address)
             self.on_connected()
         try:
             return await self.exchange(*self.streams)
@@ -154,6 +158,10 @@
             self.streams = None
             raise
 
+    def close(self) -> None:
+        """Closes the connection."""
+        self.open_streams.close()
+
     def on_connected(self) -> None:
         """Called after a new connection is opened."""
 
@@ -288,7 +296,8 @@
         check = protocol.check
         # A persistent check is instantiated per backend, because it holds that backend's connection.
         self.run_check = check() if isinstance(check, type) else check
-        self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.open_streams = OpenStreams()  # of requests
+        self.idle: list[Streams] = []
         self.checked_at = 0.0
         self.check_errors: list[str] = []
 
@@ -311,6 +320,12 @@
             self.checked_at = time.monotonic()
             await asyncio.sleep(max(0.0, begun + self.protocol.interval_s - time.monotonic()))
 
+    def close(self) -> None:
+        """Closes the connections of requests and of a persistent check."""
+        self.open_streams.close()
+        if isinstance(self.run_check, PersistentCheck):
+            self.run_check.close()
+
     def _on_watched_status(self, status: int) -> None:
         self.health_tracker.record(CheckResult(status == 1, immediate=True))
         self.checked_at = time.monotonic()
@@ -369,7 +384,9 @@
             reused = bool(backend.idle)
             try:
                 reader, writer = (
-                    backend.idle.pop() if reused else await asyncio.open_connection(*backend.client_address)
+                    backend.idle.pop()
+                    if reused
+                    else await backend.open_streams.connect(*backend.client_address)
                 )
             except OSError:
                 return sent
@@ -394,10 +411,9 @@
             return sent
 
     async def stop(self) -> None:
-        """Stops the checks and closes the idle connections."""
+        """Stops the checks and closes all connections."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for each in self.backends:
-            for _, writer in each.idle:
-                writer.close()
+            each.close()
--- a/measure/crashes.py
+++ b/measure/crashes.py
@@ -34,6 +34,7 @@
 from measure.daemons import ROOT, settings
 from measure.faktory import FaktoryConnection
 from measure.killed import HOP_HOST, RunOrder
+from measure.streams import OpenStreams
 from spanwing.journal.reader import JournalReader
 
 #: Scenarios that kill the daemon at one call.
@@ -189,6 +190,7 @@
         self.id = f"job-{seed:08d}"
         self.received: Counter[str] = Counter()
         self.tasks: list[asyncio.Task] = []
+        self.open_streams = OpenStreams()  # that a task closes, unless it is cancelled before
 
     def budget_ms(self) -> float:
         """Returns a random budget; that of a race is about as long as the attempt takes."""
@@ -214,6 +216,7 @@
             for each in self.tasks:
                 each.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
+            self.open_streams.close()
             end = time.monotonic() + 1.0
             while workers.open_connections and time.monotonic() < end:
                 await asyncio.sleep(0.002)
@@ -317,6 +320,7 @@
             self.kind == "second"
         ):  # the job waits for a FETCH of a worker that disconnects, and goes to the next one
             leaving = await self._worker_connection(address, "gone").open()
+            self.open_streams.add(leaving.writer)
             self.tasks.append(asyncio.ensure_future(self._disconnect_then_fetch(address, leaving)))
         else:
             delay_s = self.random.uniform(0.0, 0.016) if self.kind == "race" else 0.0
--- a/measure/faktory.py
+++ b/measure/faktory.py
@@ -23,8 +23,12 @@
     async def open(self) -> FaktoryConnection:
         """Connects and sends HELLO."""
         self.reader, self.writer = await asyncio.open_connection(*self.address, local_addr=self.local_address)
-        await self.reader.readline()
-        await self.command("HELLO", {"v": 2, **self.hello})
+        try:
+            await self.reader.readline()
+            await self.command("HELLO", {"v": 2, **self.hello})
+        except BaseException:  # a cancellation too: the caller has no connection to close yet
+            self.writer.close()
+            raise
         return self
 
     async def command(self, verb: str, payload: object) -> str | None:
--- a/measure/fleet/parts.py
+++ b/measure/fleet/parts.py
@@ -22,6 +22,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from measure.streams import OpenStreams
+
 HOST = "127.0.0.1"
 
 
@@ -274,7 +276,6 @@
                 await writer.drain()
             except ConnectionError:
                 return
-        writer.close()
 
     def _respond(self, method: str, target: str, headers: dict[str, str]) -> bytes:
         """Handles one request and returns the response: POST starts a job, DELETE cancels one."""
@@ -326,7 +327,8 @@
     An order may hold the mode (up, failing, full) as `how`, and new ports by scheduler as `back`.
     """
     job_worker = JobWorker(config)
-    server = await asyncio.start_server(job_worker.accept, HOST, config.get("port", 0), backlog=512)
+    accept = OpenStreams().accepting(job_worker.accept)
+    server = await asyncio.start_server(accept, HOST, config.get("port", 0), backlog=512)
 
     def handle_order(order: dict[str, Any]) -> None:
         job_worker.mode = order.get("how", job_worker.mode)
@@ -375,9 +377,8 @@
                     await writer.drain()
                 except ConnectionError:
                     return
-            writer.close()
 
-        return accept
+        return OpenStreams().accepting(accept)
 
     ports = {}
     for name in config["schedulers"]:
--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -219,7 +219,7 @@
         self.records.scheduler_starts.append((name, began_s))
         port = program.addresses["clients"][1]
         self.clients[name].port = port
-        self.clients[name].idle_connections.clear()
+        self.clients[name].close_idle_connections()
         for worker in self.workers.values():
             worker.callback_ports[name] = port
         for outage in self.records.process_outages:
@@ -298,5 +298,7 @@
                 program.process.kill()
                 await asyncio.to_thread(program.process.wait)
             self._collect_log(name)
+        for client in self.clients.values():
+            client.close()
         for task in self.tasks:
             task.cancel()
--- a/measure/soak/stand_ins.py
+++ b/measure/soak/stand_ins.py
@@ -18,6 +18,7 @@
     Records,
     WorkerOutcome,
 )
+from measure.streams import OpenStreams, Streams
 
 MAX_CALLBACK_ATTEMPTS, CALLBACK_RETRY_S = 10, 0.2  # a worker repeats a call-back that is not answered
 PLACEHOLDER_PORT = 9  # the discard service; no process listens there
@@ -171,9 +172,8 @@
                     self.call_count += 1
                     if not await self._answer(scheduler, message[0].split(" ")[1], writer):
                         break
-            writer.close()
 
-        return accept
+        return OpenStreams().accepting(accept)
 
     async def _answer(self, scheduler: str, target: str, writer: asyncio.StreamWriter) -> bool:
         """Answers a request for the list; returns whether the connection can be used again.
@@ -360,12 +360,16 @@
     """Posts a worker's call-back; returns whether it was answered with 200 or 204 within 1 s."""
     try:
         reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return False
+    try:
         head = f"POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
         message = await asyncio.wait_for(read_message(reader), 1.0)
-        writer.close()
     except (OSError, TimeoutError):
         return False
+    finally:
+        writer.close()
     return message is not None and message[0].split(" ")[1] in ("200", "204")
 
 
@@ -381,7 +385,8 @@
         self.scheduler, self.records, self.classes, self.rng = scheduler, records, classes, rng
         self.port, self.rate_per_s, self.is_sending, self.request_count = 0, 10.0, True, 0
         self.disconnect_share = 0.0  # share of requests whose client disconnects early
-        self.idle_connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.open_streams = OpenStreams()
+        self.idle_connections: list[Streams] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -394,6 +399,16 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def close_idle_connections(self) -> None:
+        """Closes the connections that wait for a request."""
+        for _, writer in self.idle_connections:
+            writer.close()
+        self.idle_connections.clear()
+
+    def close(self) -> None:
+        """Closes all connections, also those that wait for an answer."""
+        self.open_streams.close()
+
     async def _send_request(self) -> None:
         """Sends one request of a random class with its full budget or 30% of it."""
         names = list(self.classes)
@@ -419,7 +434,7 @@
             # The scheduler closed the idle connection while the request was on its way. Retries on a new one.
             record.closed_unanswered_s = None
         try:
-            reader, writer = await asyncio.open_connection(HOST, self.port)
+            reader, writer = await self.open_streams.connect(HOST, self.port)
             record.is_on_new_connection = True
             record.sent_s = time.monotonic()  # a request's budget starts at its last byte
             writer.write(encoded_request.encode())
--- a/measure/workers.py
+++ b/measure/workers.py
@@ -14,6 +14,8 @@
 from collections import Counter
 from contextlib import suppress
 
+from measure.streams import OpenStreams, Streams
+
 HostPort = tuple[str, int]
 PROGRESS_INTERVAL_S = 0.5  # between the progress reports of a job that may not complete yet
 
@@ -80,7 +82,8 @@
         self.most_attempts_at_once = (
             0  # of one request at once; one cancelled while its 202 is on the way counts too
         )
-        self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.open_streams = OpenStreams()  # to the scheduler
+        self.idle: list[Streams] = []
         self.tasks: set[asyncio.Task] = set()
         self.failed_callbacks = 0  # tries on a connection that was refused, reset or closed without an answer
         self.running: dict[tuple[str, str], asyncio.Task] = {}
@@ -142,21 +145,26 @@
         for _ in range(10):
             try:
                 reader, writer = (
-                    self.idle.pop() if self.idle else await asyncio.open_connection(*self.callback_address)
+                    self.idle.pop() if self.idle else await self.open_streams.connect(*self.callback_address)
                 )
+            except OSError:
+                self.failed_callbacks += 1
+                continue
+            try:
                 writer.write(data)
                 status = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
             except (OSError, asyncio.IncompleteReadError):
+                writer.close()
                 self.failed_callbacks += 1
                 continue
             if status in (b"200", b"204"):
                 self.idle.append((reader, writer))
                 return
+            writer.close()
 
     def stop(self) -> None:
-        """Stops listening, cancels the jobs and closes the idle connections."""
+        """Stops listening, cancels the jobs and closes the connections to the scheduler."""
         super().stop()
         for each in self.tasks:
             each.cancel()
-        for _, writer in self.idle:
-            writer.close()
+        self.open_streams.close()
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -9,6 +9,7 @@
 import asyncio
 import unittest
 
+from measure.streams import OpenStreams
 from spanwing.core.messages import AttemptEnded, DeliveryAttempt, JobRequest
 from spanwing.net.address import Address
 from spanwing.net.buffers import BufferPool
@@ -24,7 +25,9 @@
         self.received: list[str] = []  # method and target of each request
         self.alive_status: int | None = 200  # of GET /alive; None: no response
         self.is_needed = True
-        server = await asyncio.start_server(self.serve_worker, "127.0.0.1", 0)
+        streams = OpenStreams()
+        self.addCleanup(streams.close)
+        server = await asyncio.start_server(streams.accepting(self.serve_worker), "127.0.0.1", 0)
         self.addCleanup(server.close)
         address = Address(*server.sockets[0].getsockname()[:2])
         pool = ConnectionPool(address, BufferPool(), DescriptorBudget(99), 9e3, 9e3)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -15,6 +15,7 @@
 
 from measure.soak.fleet import Fleet, FleetPlan
 from measure.soak.oracle import judge
+from measure.streams import OpenStreams
 from spanwing.discovery import call
 from spanwing.discovery.call import DiscoveredEndpoints
 from spanwing.discovery.client import DiscoveryClient
@@ -35,7 +36,9 @@
     async def asyncSetUp(self) -> None:
         self.calls = 0
         self.called = asyncio.Event()
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        streams = OpenStreams()
+        self.addCleanup(streams.close)
+        self.server = await asyncio.start_server(streams.accepting(self.accept), "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def asyncTearDown(self) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -11,6 +11,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from measure.streams import OpenStreams
 from spanwing.core.messages import EndpointsChanged
 from spanwing.discovery import call
 from spanwing.discovery.call import MAX_LIST_BYTES, DiscoveredEndpoints, DiscoveredWorker
@@ -60,7 +61,9 @@
 
     async def asyncSetUp(self) -> None:
         self.calls: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        streams = OpenStreams()
+        self.addCleanup(streams.close)
+        self.server = await asyncio.start_server(streams.accepting(self.accept), "127.0.0.1", 0)
         self.announcements: asyncio.Queue[str] = asyncio.Queue()
         host, port = self.server.sockets[0].getsockname()
         self.client = DiscoveryClient(
@@ -214,7 +217,9 @@
 
     async def asyncSetUp(self) -> None:
         self.calls: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        streams = OpenStreams()
+        self.addCleanup(streams.close)
+        self.server = await asyncio.start_server(streams.accepting(self.accept), "127.0.0.1", 0)
         self.announcements: asyncio.Queue[EndpointsChanged] = asyncio.Queue()
         host, port = self.server.sockets[0].getsockname()
         worker = SimpleNamespace(
