Answer a Faktory PUSH with +OK only once the core has accepted its job

Cause: the front answered +OK and recorded "enqueued" before the core had said anything. The core still had an attempt of the refused request in flight (its DELETE waits for up to 1 s) and answered "repeated", which the front dropped as an answer to a job that is running. The front's own copy of the state then kept later PUSHes from the core altogether.

Change: RequestSubmitted.on_accepted tells when a request is pending; a PUSH waits for it, or for the answer that comes instead. An answer "repeated" says in which state the earlier request is (EarlierRequest): pending by an earlier PUSH is +OK, an attempt in flight is -BUSY, another front's request is -REPEATED. What TRACK GET reports decides nothing any more. Log event request_repeated says the state. The jobs of PUSH have a module of their own, faktory_jobs.py.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Literal, NamedTuple, Protocol
@@ -42,12 +43,29 @@
     front: str = ""  # name of the front end that accepted the request
 
 
+class EarlierState(enum.StrEnum):
+    """The state of the earlier request of an id under which another request is submitted."""
+
+    PENDING = "pending"  # it has no final answer yet
+    ATTEMPT_IN_FLIGHT = "attempt_in_flight"  # it is answered or was withdrawn, but an attempt has not ended
+    IN_OTHER_PROCESS = "in_other_process"  # it is open in the other process of a hot restart
+    INTERRUPTED = "interrupted"  # an earlier incarnation left it open, by the journal
+
+
+class EarlierRequest(NamedTuple):
+    """The earlier request of an id under which another request is submitted."""
+
+    state: EarlierState
+    client: ClientConnection | None = None  # of a pending request
+
+
 class FinalAnswer(NamedTuple):
     """The final answer of a request; each request gets exactly one."""
 
     kind: AnswerKind
     body: bytes = b""
     retry_after_ms: float = 0.0  # 0: the answer carries no Retry-After
+    earlier: EarlierRequest | None = None  # only of the kind "repeated"
 
 
 class ClientConnection(Protocol):
@@ -200,6 +218,9 @@
 
     request: JobRequest
     client: ClientConnection
+    #: Called when the request is pending: from then on its only answer is its final one. A request that is
+    #: answered before this call was not accepted.
+    on_accepted: Callable[[], None] | None = None
 
 
 class RequestRejected(NamedTuple):
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -29,6 +29,8 @@
     ClientConnection,
     ClientDisconnected,
     DeliveryAttempt,
+    EarlierRequest,
+    EarlierState,
     EndpointDirectory,
     EndpointsChanged,
     FinalAnswer,
@@ -43,6 +45,7 @@
     ZoneRouting,
 )
 from spanwing.core.send_guard import SendGuard, SendRefusal
+from spanwing.log import log_event
 from spanwing.scheduler import Scheduler
 
 DISCOVERY_SOURCE = "discovery"  # name of the directory whose workers come from discovery
@@ -261,14 +264,15 @@
             return
         # The earlier request of this id is not answered yet, or has an attempt in flight. It must run once,
         # and another client that uses the same id must not affect it.
-        if request.id in self.remote_open_ids or self._is_open(request.id):
-            self._answer_repeated(submission, "")
+        earlier = self._find_earlier(request.id)
+        if earlier is not None:
+            self._answer_repeated(submission, earlier)
             return
         if self._needs_record(request):
             if request.cls in self.unsafe_classes and (
                 earlier_state := self.recorder.find_interrupted(request.id)
             ):
-                self._answer_repeated(submission, earlier_state)
+                self._answer_repeated(submission, EarlierRequest(EarlierState.INTERRUPTED), earlier_state)
                 return
             if self.recorder.unavailable_reason():
                 self.counters["refused.journal"] += 1
@@ -293,6 +297,8 @@
             self.on_open_change(request.id, True)
         self.counters["taken"] += 1
         self.counters[f"taken.{request.cls}"] += 1
+        if submission.on_accepted is not None:
+            submission.on_accepted()
         self._dispatch_event(
             api.Request(
                 request.id,
@@ -307,6 +313,15 @@
             )
         )
 
+    def _find_earlier(self, request: str) -> EarlierRequest | None:
+        """Returns the open request of this id, or None if there is none."""
+        pending = self.pending_requests.get(request)
+        if pending is not None:
+            return EarlierRequest(EarlierState.PENDING, pending.client)
+        if request in self.remote_open_ids:
+            return EarlierRequest(EarlierState.IN_OTHER_PROCESS)
+        return EarlierRequest(EarlierState.ATTEMPT_IN_FLIGHT) if self._is_open(request) else None
+
     def _is_open(self, request: str) -> bool:
         """Returns whether the request is open."""
         return request in self.pending_requests or any(
@@ -360,11 +375,15 @@
         if self.on_open_change is not None and not self._is_open(request):
             self.on_open_change(request, False)
 
-    def _answer_repeated(self, submission: RequestSubmitted, earlier_state: str) -> None:
-        """Answers a request whose id was accepted before; earlier_state is the journal's text, or empty."""
+    def _answer_repeated(
+        self, submission: RequestSubmitted, earlier: EarlierRequest, journal_text: str = ""
+    ) -> None:
+        """Answers a request whose id was accepted before; journal_text is what the journal knows of it."""
+        request = submission.request
         self.counters["repeated"] += 1
-        self.counters[f"repeated.{submission.request.cls}"] += 1
-        submission.client.answer(submission.request, FinalAnswer("repeated", earlier_state.encode()))
+        self.counters[f"repeated.{request.cls}"] += 1
+        log_event("request_repeated", request=request.id, front=request.front, earlier=earlier.state)
+        submission.client.answer(request, FinalAnswer("repeated", journal_text.encode(), earlier=earlier))
 
     def _handle_rejected(self, message: RequestRejected) -> None:
         self.counters[f"turned.{message.class_name}"] += 1
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
-from datetime import UTC, datetime
 
 import msgspec
 from tornado.concurrent import Future
@@ -22,13 +20,12 @@
 from spanwing import interface as api
 from spanwing.actor import spawn_task
 from spanwing.core.messages import (
-    AnswerKind,
     AttemptListener,
     ClientDisconnected,
     FinalAnswer,
     JobRequest,
-    RequestSubmitted,
 )
+from spanwing.frontends.faktory_jobs import JobStates, PushedJob, encode_acceptance, encode_answer
 from spanwing.frontends.request_id import is_request_id
 from spanwing.log import log_event
 from spanwing.net.address import Address, listen
@@ -70,13 +67,6 @@
 MIN_JID_LENGTH = 8  # as in Faktory
 MAX_EFFECT_KEY_LENGTH = MAX_HEAD_BYTES // 2  # it has to fit in the head of a request to a worker
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
-MAX_TRACKED_JOBS = 10_000  # jobs whose state TRACK GET can return
-STATE_OF_ANSWER: dict[AnswerKind, str] = {
-    "served": "success",
-    "failed": "failed",
-    "refused": "dead",
-    "repeated": "dead",
-}
 
 logger = logging.getLogger("spanwing")
 
@@ -147,17 +137,8 @@
     """The input violates the protocol; it is answered with an error, and the connection is closed."""
 
 
-class TrackedJob(msgspec.Struct):
-    """The reply to TRACK GET."""
-
-    jid: str
-    state: str
-    desc: str = ""
-    updated_at: str = ""
-
-
 class FaktoryFrontend:
-    """The listener; owns its connections and the states of recent jobs."""
+    """The listener; owns its connections, and the states of recent jobs that it reports."""
 
     def __init__(
         self,
@@ -183,7 +164,7 @@
             buffers,
         )
         self.counters = counters
-        self.tracked_jobs: OrderedDict[str, TrackedJob] = OrderedDict()
+        self.job_states = JobStates()
         self.table: ConnectionTable[FaktoryConnection] = ConnectionTable(max_connections)
         self.is_draining = False
         self.address = listen(address, self._accept).address
@@ -204,13 +185,6 @@
         self.table.connections.add(connection)
         spawn_task(connection.serve())
 
-    def set_state(self, jid: str, state: str, description: str = "") -> None:
-        """Stores a job's state for TRACK GET; drops the oldest state beyond MAX_TRACKED_JOBS."""
-        self.tracked_jobs[jid] = TrackedJob(jid, state, description, datetime.now(UTC).isoformat())
-        self.tracked_jobs.move_to_end(jid)
-        if len(self.tracked_jobs) > MAX_TRACKED_JOBS:
-            self.tracked_jobs.popitem(last=False)
-
     def has_busy_connections(self) -> bool:
         """Returns whether any connection has a command that is being answered."""
         return any(each.is_busy for each in self.table.connections)
@@ -273,27 +247,6 @@
         )
 
 
-class FaktoryClientJob:
-    """Receives the final answer of one job: records its state, settles its claim and answers its client."""
-
-    def __init__(
-        self, frontend: FaktoryFrontend, claim: Claim | None, on_answer: Callable[[FinalAnswer], None] | None
-    ) -> None:
-        self.frontend, self.claim, self.on_answer = frontend, claim, on_answer
-
-    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
-        """Receives the final answer from the core."""
-        if answer.kind != "repeated":  # the first request with this id is still running and keeps its state
-            description = (
-                f"try again after {answer.retry_after_ms:.0f} ms" if answer.kind == "refused" else ""
-            )
-            self.frontend.set_state(request.id, STATE_OF_ANSWER[answer.kind], description)
-            if self.claim is not None:
-                spawn_task(self.frontend.claims.settle(request.id, self.claim, answer.kind))
-        if self.on_answer is not None:
-            self.on_answer(answer)
-
-
 class FaktoryConnection:
     """One connection of a client or worker; commands are executed one at a time."""
 
@@ -477,22 +430,20 @@
             await self.frontend.claims.settle(job.jid, claim, "refused")
             return OK
         if waits_for_outcome:
-            client = FaktoryClientJob(self.frontend, claim, self.mailbox.put_nowait)
-            self.frontend.request_manager.post(RequestSubmitted(request, client))
-            answer = await self.mailbox.get()
-            if answer is None:
-                self.frontend.request_manager.post(ClientDisconnected(request.id, client))
-                raise StreamClosedError
-            return encode_answer(answer)
-        if (
-            job.jid not in self.frontend.tracked_jobs
-            or self.frontend.tracked_jobs[job.jid].state != "enqueued"
-        ):
-            self.frontend.set_state(job.jid, "enqueued")
-            self.frontend.request_manager.post(
-                RequestSubmitted(request, FaktoryClientJob(self.frontend, claim, None))
-            )
-        return OK
+            return await self._submit_and_await_outcome(request, claim)
+        pushed = PushedJob(self.frontend.job_states, self.frontend.claims, claim)
+        pushed.submit(request, self.frontend.request_manager)
+        return encode_acceptance(await pushed.acceptance)
+
+    async def _submit_and_await_outcome(self, request: JobRequest, claim: Claim | None) -> bytes:
+        """Returns the reply with the job's outcome. Raises StreamClosedError if the client disconnects."""
+        pushed = PushedJob(self.frontend.job_states, self.frontend.claims, claim, self.mailbox.put_nowait)
+        pushed.submit(request, self.frontend.request_manager)
+        answer = await self.mailbox.get()
+        if answer is None:
+            self.frontend.request_manager.post(ClientDisconnected(request.id, pushed))
+            raise StreamClosedError
+        return encode_answer(answer)
 
     async def _handle_fetch(self, body: bytes) -> bytes | None:
         if self.worker is None:
@@ -553,28 +504,12 @@
         verb, _, jid = body.decode("utf-8", "replace").partition(" ")
         if verb.upper() != "GET" or not jid:
             raise CommandError("only TRACK GET JID is known")
-        return encode_bulk(
-            msgspec.json.encode(self.frontend.tracked_jobs.get(jid) or TrackedJob(jid, "unknown"))
-        )
+        return encode_bulk(msgspec.json.encode(self.frontend.job_states.find(jid)))
 
     async def _handle_end(self, _: bytes) -> bytes:
         return OK
 
 
-def encode_answer(answer: FinalAnswer) -> bytes:
-    """Encodes a final answer: OK (served), BUSY (rejected; a retry is safe), REPEATED, or ERR (failed)."""
-    if answer.kind == "served":
-        return OK
-    if answer.kind == "refused":
-        return encode_error("BUSY", f"refused, try again after {answer.retry_after_ms:.0f} ms")
-    if answer.kind == "repeated":
-        earlier_outcome = (
-            answer.body.decode() or "this jid was taken before, and its outcome is not known here"
-        )
-        return encode_error("REPEATED", earlier_outcome)
-    return encode_error("ERR", "failed")
-
-
 COMMANDS = {
     "HELLO": FaktoryConnection._handle_hello,
     "PUSH": FaktoryConnection._handle_push,
--- /dev/null
+++ b/tests/test_faktory_push.py
@@ -0,0 +1,155 @@
+"""Faktory's PUSH: `+OK` means that the core has accepted the job, whose outcome will then be recorded.
+
+They guard against a job that is answered `+OK` and neither run, refused nor failed.
+"""
+
+from __future__ import annotations
+
+import json
+import select
+import time
+import unittest
+from types import SimpleNamespace
+
+from conftest import settings
+from player import WAIT_TIMEOUT_S, member
+from standins import FaktoryClient
+from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn
+
+from spanwing import interface as api
+from spanwing.core.clock import Clock
+from spanwing.core.messages import EarlierRequest, EarlierState, FinalAnswer, JobRequest
+from spanwing.core.request_manager import RequestManager
+from spanwing.frontends.faktory_jobs import JobStates, PushedJob, encode_acceptance
+
+FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
+JID = "job-00001"
+
+
+class FaktoryPushTestCase(DaemonTestCase):
+    def connect_faktory(self) -> FaktoryClient:
+        client = FaktoryClient(self.daemon)
+        self.addCleanup(client.close)
+        return client
+
+    def push(self, client: FaktoryClient, cls: str = "status-read", **custom: object) -> str:
+        """Pushes the job; returns the reply."""
+        job = {"jid": JID, "jobtype": cls, "queue": cls, "args": [], "custom": custom}
+        return client.ask("PUSH", json.dumps(job))
+
+    def push_until_accepted(self, client: FaktoryClient, **custom: object) -> None:
+        """Pushes the job until the reply is not BUSY, which has to be OK."""
+        end_s = time.monotonic() + WAIT_TIMEOUT_S
+        while (reply := self.push(client, **custom)).startswith("-BUSY"):
+            self.assertLess(time.monotonic(), end_s)
+            time.sleep(0.02)
+        self.assertEqual(reply, "+OK")
+
+    def state(self, client: FaktoryClient) -> str:
+        return json.loads(client.ask("TRACK", f"GET {JID}"))["state"]
+
+    def wait_for_state(self, client: FaktoryClient, state: str) -> None:
+        end_s = time.monotonic() + WAIT_TIMEOUT_S
+        while (found := self.state(client)) != state:
+            self.assertLess(time.monotonic(), end_s, f"the job is {found}")
+            time.sleep(0.01)
+
+    def order_of_arrival(self, listeners: list[ListenerStandIn]) -> list[ListenerStandIn]:
+        """Waits for a connection; returns the listeners, the one with the connection first."""
+        connected = select.select([each.listener for each in listeners], [], [], WAIT_TIMEOUT_S)[0]
+        return sorted(listeners, key=lambda each: each.listener not in connected)
+
+    def accept_job(self, listener: ListenerStandIn) -> ConnectionStandIn:
+        """Accepts a connection and reads the job from it."""
+        worker = listener.accept()
+        self.assertEqual(worker.read_message()[1]["x-call-id"], JID)
+        return worker
+
+
+class AcceptedPushTests(FaktoryPushTestCase):
+    def test_job_pushed_again_while_a_hanging_worker_still_has_its_first_attempt(self) -> None:
+        """Guards against `+OK` for a job that the core does not accept: it stayed `enqueued` for good."""
+        listeners = [ListenerStandIn(self), ListenerStandIn(self)]
+        self.start(*(member(f"w{each.port}", each.port) for each in listeners), fronts=FAKTORY)
+        client = self.connect_faktory()
+        self.assertEqual(self.push(client, budget_ms=300), "+OK")
+        hanging, other = self.order_of_arrival(listeners)
+        self.accept_job(hanging).respond(202)  # and it answers nothing from now on
+        self.wait_for_state(client, "dead")
+        replies = [self.push(client) for _ in range(2)]
+        self.assertEqual([each[:5] for each in replies], ["-BUSY", "-BUSY"])
+        self.assertEqual(self.state(client), "dead")
+        self.push_until_accepted(client)
+        self.assertEqual(self.state(client), "enqueued")
+        self.accept_job(other).respond(200, b"served")
+        self.wait_for_state(client, "success")
+
+    def test_job_pushed_again_while_it_is_pending_is_accepted_and_runs_once(self) -> None:
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        client = self.connect_faktory()
+        self.assertEqual(self.push(client), "+OK")
+        worker = self.accept_job(listener)
+        self.assertEqual(self.push(client), "+OK")
+        worker.respond(200, b"served")
+        self.wait_for_state(client, "success")
+        self.assertEqual(self.read_counters()["sent"], 1)
+        self.assertTrue(listener.has_no_connection())
+
+    def test_job_whose_id_an_http_request_has_in_use(self) -> None:
+        """Guards against `+OK` for a job whose outcome nobody records, as the request is another front's."""
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        http_client = self.connect_client()
+        http_client.submit("status-read", JID)
+        worker = self.accept_job(listener)
+        client = self.connect_faktory()
+        self.assertRegex(self.push(client), "^-REPEATED")
+        self.assertEqual(self.state(client), "unknown")
+        worker.respond(200, b"served")
+        self.assertEqual(http_client.read_message()[2], b"served")
+
+
+class AcceptanceTests(unittest.IsolatedAsyncioTestCase):
+    """What the core says of a job that it does not accept reaches the reply to its PUSH."""
+
+    def push(self, manager: RequestManager) -> PushedJob:
+        pushed = PushedJob(JobStates(), claims=None, claim=None)
+        pushed.submit(JobRequest(JID, "look", 5e3, front="faktory"), manager)
+        return pushed
+
+    async def test_job_that_the_policy_rejects_is_not_accepted(self) -> None:
+        """Guards against `+OK` for a job that a fleet's policy does not let in."""
+        manager = RequestManager(settings(), 1, Clock())
+
+        def admit(submitted) -> bool:
+            submitted.client.answer(submitted.request, FinalAnswer("refused", retry_after_ms=50.0))
+            return False
+
+        manager.policy_admission = SimpleNamespace(admit=admit)
+        pushed = self.push(manager)
+        self.assertEqual(
+            encode_acceptance(await pushed.acceptance), b"-BUSY refused, try again after 50 ms\r\n"
+        )
+        self.assertEqual(pushed.states.find(JID).state, "unknown")
+
+    async def test_job_is_accepted_before_its_final_answer(self) -> None:
+        manager = RequestManager(settings(), 1, Clock())
+        manager.scheduler.handle(0.0, api.WorkerList("complete", ()))
+        pushed = self.push(manager)
+        self.assertEqual(encode_acceptance(await pushed.acceptance), b"+OK\r\n")
+        self.assertEqual(pushed.states.find(JID).state, "enqueued")
+
+    async def test_second_push_is_accepted_only_if_the_first_is_pending(self) -> None:
+        manager = RequestManager(settings(), 1, Clock())
+        first, second = self.push(manager), self.push(manager)
+        self.assertIsNone(await first.acceptance)
+        refusal = await second.acceptance
+        self.assertEqual(refusal.earlier, EarlierRequest(EarlierState.PENDING, first))
+        self.assertEqual(encode_acceptance(refusal), b"+OK\r\n")
+        in_flight = FinalAnswer("repeated", earlier=EarlierRequest(EarlierState.ATTEMPT_IN_FLIGHT))
+        self.assertRegex(encode_acceptance(in_flight), b"^-BUSY")
+
+
+if __name__ == "__main__":
+    unittest.main()
