Answer -REPEATED, not +OK, to a PUSH of a claimed jid that is not pending here

What callers saw: a schedule-apply whose first PUSH waited for the outcome and whose client left keeps its claim. A later PUSH of the jid that does not wait for the outcome was answered +OK, though nothing here holds the job, and TRACK GET says "unknown" for good. The same after a crash, and for a claim of another member.

The reply was made from the claim's state alone, and "claimed" was taken for "running".

Change: +OK only if the job of an earlier PUSH is pending in the core, which is asked (RequestManager.pending_client); otherwise the known outcome, or -REPEATED, as a PUSH that waits for the outcome always got.

--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -329,6 +329,11 @@
             for number in range(self._scheduler_of(request).settings.max_attempts)
         )
 
+    def pending_client(self, request: str) -> ClientConnection | None:
+        """Returns the client of a pending request; None if no request of this id is pending."""
+        pending = self.pending_requests.get(request)
+        return None if pending is None else pending.client
+
     def open_ids(self) -> set[str]:
         """Returns the ids of the open requests."""
         return {*self.pending_requests, *(request for request, _ in self.in_flight)}
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -20,12 +20,17 @@
 from spanwing import interface as api
 from spanwing.actor import spawn_task
 from spanwing.core.messages import (
-    AttemptListener,
     ClientDisconnected,
     FinalAnswer,
     JobRequest,
 )
-from spanwing.frontends.faktory_jobs import JobStates, PushedJob, encode_acceptance, encode_answer
+from spanwing.frontends.faktory_jobs import (
+    JobReceiver,
+    JobStates,
+    PushedJob,
+    encode_acceptance,
+    encode_answer,
+)
 from spanwing.frontends.request_id import is_request_id
 from spanwing.log import log_event
 from spanwing.net.address import Address, listen
@@ -144,7 +149,7 @@
         self,
         address: Address,
         classes: tuple[api.ServiceClass, ...],
-        request_manager: AttemptListener,
+        request_manager: JobReceiver,
         worker_directory: FaktoryWorkerDirectory,
         claims: Claims,
         buffers: BufferPool,
@@ -423,9 +428,8 @@
         if isinstance(claim, FinalAnswer):
             # The job was claimed before, by this or another scheduler. It never runs again, and the reply is
             # its known state.
-            return (
-                OK if not waits_for_outcome and claim.kind in ("repeated", "served") else encode_answer(claim)
-            )
+            is_pending = isinstance(self.frontend.request_manager.pending_client(job.jid), PushedJob)
+            return OK if is_pending and not waits_for_outcome else encode_answer(claim)
         if self.is_closed and claim is not None:  # nothing was sent to a worker, so the claim is released
             await self.frontend.claims.settle(job.jid, claim, "refused")
             return OK
--- a/spanwing/frontends/faktory_jobs.py
+++ b/spanwing/frontends/faktory_jobs.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from datetime import UTC, datetime
+from typing import Protocol
 
 import msgspec
 from tornado.concurrent import Future
@@ -13,6 +14,7 @@
 from spanwing.core.messages import (
     AnswerKind,
     AttemptListener,
+    ClientConnection,
     EarlierState,
     FinalAnswer,
     JobRequest,
@@ -53,6 +55,13 @@
         return self.jobs.get(jid) or TrackedJob(jid, "unknown")
 
 
+class JobReceiver(AttemptListener, Protocol):
+    """The core, as the Faktory frontend uses it."""
+
+    def pending_client(self, request: str) -> ClientConnection | None:
+        """Returns the client of a pending request; None if no request of this id is pending."""
+
+
 class PushedJob:
     """One job of one PUSH; the client of its request at the core.
 
@@ -72,7 +81,7 @@
         #: None once the core has accepted the job; the answer, if that comes first.
         self.acceptance: Future[FinalAnswer | None] = Future()
 
-    def submit(self, request: JobRequest, request_manager: AttemptListener) -> None:
+    def submit(self, request: JobRequest, request_manager: JobReceiver) -> None:
         """Submits the job to the core."""
         request_manager.post(RequestSubmitted(request, self, lambda: self._handle_accepted(request.id)))
 
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -14,7 +14,7 @@
 from conftest import settings
 from player import WAIT_TIMEOUT_S, member
 from standins import FaktoryClient
-from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn
+from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn, encode_push
 
 from spanwing import interface as api
 from spanwing.core.clock import Clock
@@ -110,6 +110,35 @@
         self.assertEqual(http_client.read_message()[2], b"served")
 
 
+class ClaimedPushTests(FaktoryPushTestCase):
+    """A job of a class that must not run twice is claimed, by the PUSH that the core then accepts."""
+
+    def test_claimed_job_that_no_client_waits_for_any_more(self) -> None:
+        """Guards against `+OK` for a job that nobody holds, as the client of its first PUSH has left."""
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        leaving = FaktoryClient(self.daemon)
+        leaving.socket.sendall(encode_push("schedule-apply", JID))
+        self.accept_job(listener)
+        leaving.close()
+        self.wait_for_counter("left", 1)
+        client = self.connect_faktory()
+        self.assertRegex(self.push(client, "schedule-apply"), "^-REPEATED")
+        self.assertEqual(self.state(client), "unknown")
+
+    def test_claimed_job_that_is_pending_is_accepted_again_and_runs_once(self) -> None:
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        client = self.connect_faktory()
+        self.assertEqual(self.push(client, "schedule-apply"), "+OK")
+        worker = self.accept_job(listener)
+        self.assertEqual(self.push(client, "schedule-apply"), "+OK")
+        worker.respond(200, b"served")
+        self.wait_for_state(client, "success")
+        self.assertEqual(self.push(client, "schedule-apply"), "+OK")  # the outcome is known
+        self.assertEqual(self.read_counters()["sent"], 1)
+
+
 class AcceptanceTests(unittest.IsolatedAsyncioTestCase):
     """What the core says of a job that it does not accept reaches the reply to its PUSH."""
 
