Keep a Faktory job that a second PUSH relies on when the first one's client leaves

What callers saw: a job whose first PUSH waits for the outcome is pushed again without waiting, and answered +OK. When the first client leaves, the job is withdrawn: it neither runs nor gets an outcome, and TRACK GET says "enqueued" (or "unknown") for good.

Cause: the second +OK was given on the first PUSH's behalf, whose client alone decided how long the job is wanted.

Change: a PUSH joins the pending one in the turn of the loop in which the core tells of it (PushedJob.join); a joined job stays when its client leaves. A job that is being withdrawn cannot be joined: -BUSY. The state for TRACK is set at the join, so that an outcome that comes before the reply is written stays.

--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -20,7 +20,6 @@
 from spanwing import interface as api
 from spanwing.actor import spawn_task
 from spanwing.core.messages import (
-    ClientDisconnected,
     FinalAnswer,
     JobRequest,
 )
@@ -428,8 +427,9 @@
         if isinstance(claim, FinalAnswer):
             # The job was claimed before, by this or another scheduler. It never runs again, and the reply is
             # its known state.
-            is_pending = isinstance(self.frontend.request_manager.pending_client(job.jid), PushedJob)
-            return OK if is_pending and not waits_for_outcome else encode_answer(claim)
+            pending = self.frontend.request_manager.pending_client(job.jid)
+            is_joined = not waits_for_outcome and isinstance(pending, PushedJob) and pending.join(job.jid)
+            return OK if is_joined else encode_answer(claim)
         if self.is_closed and claim is not None:  # nothing was sent to a worker, so the claim is released
             await self.frontend.claims.settle(job.jid, claim, "refused")
             return OK
@@ -445,7 +445,7 @@
         pushed.submit(request, self.frontend.request_manager)
         answer = await self.mailbox.get()
         if answer is None:
-            self.frontend.request_manager.post(ClientDisconnected(request.id, pushed))
+            pushed.withdraw(request, self.frontend.request_manager)
             raise StreamClosedError
         return encode_answer(answer)
 
--- a/spanwing/frontends/faktory_jobs.py
+++ b/spanwing/frontends/faktory_jobs.py
@@ -15,6 +15,8 @@
     AnswerKind,
     AttemptListener,
     ClientConnection,
+    ClientDisconnected,
+    EarlierRequest,
     EarlierState,
     FinalAnswer,
     JobRequest,
@@ -78,13 +80,32 @@
     ) -> None:
         """Takes on_answer for a PUSH that waits for the outcome."""
         self.states, self.claims, self.claim, self.on_answer = states, claims, claim, on_answer
-        #: None once the core has accepted the job; the answer, if that comes first.
+        self.is_joined = False  # another PUSH of the jid relies on the outcome
+        self.is_withdrawn = False  # its client has left, and the core is told so
+        #: None once the core has accepted the job, or an earlier job that it joins; else the answer instead.
         self.acceptance: Future[FinalAnswer | None] = Future()
 
     def submit(self, request: JobRequest, request_manager: JobReceiver) -> None:
         """Submits the job to the core."""
         request_manager.post(RequestSubmitted(request, self, lambda: self._handle_accepted(request.id)))
 
+    def withdraw(self, request: JobRequest, request_manager: JobReceiver) -> None:
+        """Tells the core that the client has left, unless another PUSH relies on the outcome."""
+        if not self.is_joined:
+            self.is_withdrawn = True
+            request_manager.post(ClientDisconnected(request.id, self))
+
+    def join(self, jid: str) -> bool:
+        """Lets another PUSH of the jid rely on the outcome of this job, which is pending at the core.
+
+        Returns False if the job has been withdrawn: then it has no outcome.
+        """
+        if self.is_withdrawn:
+            return False
+        self.is_joined = True
+        self.states.set(jid, STATE_ENQUEUED)
+        return True
+
     def _handle_accepted(self, jid: str) -> None:
         if self.on_answer is None:
             self.states.set(jid, STATE_ENQUEUED)
@@ -95,33 +116,25 @@
         if self.acceptance.done():
             self._record_state(request.id, answer)
         else:
-            self.acceptance.set_result(answer)
+            self.acceptance.set_result(None if self._joins_earlier(request.id, answer) else answer)
         if self.claim is not None and answer.kind != "repeated":
             spawn_task(self.claims.settle(request.id, self.claim, answer.kind))
         if self.on_answer is not None:
             self.on_answer(answer)
 
+    def _joins_earlier(self, jid: str, answer: FinalAnswer) -> bool:
+        """Joins the earlier PUSH of the jid that is pending, if there is one and no outcome is waited for."""
+        earlier = None if answer.earlier is None else answer.earlier.client
+        return self.on_answer is None and isinstance(earlier, PushedJob) and earlier.join(jid)
+
     def _record_state(self, jid: str, answer: FinalAnswer) -> None:
         description = f"try again after {answer.retry_after_ms:.0f} ms" if answer.kind == "refused" else ""
         self.states.set(jid, STATE_OF_ANSWER[answer.kind], description)
 
 
 def encode_acceptance(answer: FinalAnswer | None) -> bytes:
-    """Encodes the reply to a PUSH that does not wait for the outcome.
-
-    answer: None if the core has accepted the job, else the answer that it gave instead. A job of the same jid
-    that an earlier PUSH has submitted and that is pending is accepted too: its outcome will be recorded.
-    """
-    if answer is None:
-        return OK
-    earlier = answer.earlier
-    if (
-        earlier is not None
-        and earlier.state is EarlierState.PENDING
-        and isinstance(earlier.client, PushedJob)
-    ):
-        return OK
-    return encode_answer(answer)
+    """Encodes the reply to a PUSH that does not wait for the outcome, from PushedJob.acceptance."""
+    return OK if answer is None else encode_answer(answer)
 
 
 def encode_answer(answer: FinalAnswer) -> bytes:
@@ -136,8 +149,14 @@
 
 
 def _encode_repeated(answer: FinalAnswer) -> bytes:
-    if answer.earlier is not None and answer.earlier.state is EarlierState.ATTEMPT_IN_FLIGHT:
-        # The earlier job has its answer, and this one can be submitted once the attempt has ended.
+    if answer.earlier is not None and _is_ending(answer.earlier):
+        # The earlier job has or needs no answer, and this one can be submitted once the attempt has ended.
         return encode_error("BUSY", "an attempt of an earlier job of this jid has not ended, try again later")
     earlier_outcome = answer.body.decode() or "this jid was taken before, and its outcome is not known here"
     return encode_error("REPEATED", earlier_outcome)
+
+
+def _is_ending(earlier: EarlierRequest) -> bool:
+    """Returns whether the earlier request has no outcome to wait for, but is still open."""
+    is_withdrawn = isinstance(earlier.client, PushedJob) and earlier.client.is_withdrawn
+    return is_withdrawn or earlier.state is EarlierState.ATTEMPT_IN_FLIGHT
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -18,7 +18,7 @@
 
 from spanwing import interface as api
 from spanwing.core.clock import Clock
-from spanwing.core.messages import EarlierRequest, EarlierState, FinalAnswer, JobRequest
+from spanwing.core.messages import FinalAnswer, JobRequest
 from spanwing.core.request_manager import RequestManager
 from spanwing.frontends.faktory_jobs import JobStates, PushedJob, encode_acceptance
 
@@ -96,6 +96,25 @@
         self.assertEqual(self.read_counters()["sent"], 1)
         self.assertTrue(listener.has_no_connection())
 
+    def test_accepted_job_outlasts_the_client_of_an_earlier_push_that_waits_for_its_outcome(self) -> None:
+        """Guards against `+OK` for a job that is withdrawn when the client of its first PUSH leaves."""
+        for cls in ("status-read", "schedule-apply"):
+            with self.subTest(cls):
+                listener = ListenerStandIn(self)
+                self.start(member("w1", listener.port), fronts=FAKTORY)
+                leaving = FaktoryClient(self.daemon)
+                leaving.socket.sendall(encode_push(cls, JID))
+                worker = self.accept_job(listener)
+                client = self.connect_faktory()
+                self.assertEqual(self.push(client, cls), "+OK")
+                leaving.close()
+                time.sleep(0.1)  # the daemon reads the close; without the mend it withdraws the job
+                self.assertNotIn("left", self.read_counters())
+                self.assertEqual(self.state(client), "enqueued")
+                worker.respond(200, b"served")
+                self.wait_for_state(client, "success")
+                self.stop()
+
     def test_job_whose_id_an_http_request_has_in_use(self) -> None:
         """Guards against `+OK` for a job whose outcome nobody records, as the request is another front's."""
         listener = ListenerStandIn(self)
@@ -169,15 +188,31 @@
         self.assertEqual(encode_acceptance(await pushed.acceptance), b"+OK\r\n")
         self.assertEqual(pushed.states.find(JID).state, "enqueued")
 
-    async def test_second_push_is_accepted_only_if_the_first_is_pending(self) -> None:
+    async def test_second_push_is_accepted_while_the_first_is_pending(self) -> None:
         manager = RequestManager(settings(), 1, Clock())
         first, second = self.push(manager), self.push(manager)
         self.assertIsNone(await first.acceptance)
-        refusal = await second.acceptance
-        self.assertEqual(refusal.earlier, EarlierRequest(EarlierState.PENDING, first))
-        self.assertEqual(encode_acceptance(refusal), b"+OK\r\n")
-        in_flight = FinalAnswer("repeated", earlier=EarlierRequest(EarlierState.ATTEMPT_IN_FLIGHT))
-        self.assertRegex(encode_acceptance(in_flight), b"^-BUSY")
+        self.assertEqual(encode_acceptance(await second.acceptance), b"+OK\r\n")
+        self.assertTrue(first.is_joined)
+
+    async def test_second_push_does_not_join_a_job_that_is_being_withdrawn(self) -> None:
+        """Guards against `+OK` in the turn of the loop in which the client of the first PUSH leaves."""
+        manager = RequestManager(settings(), 1, Clock())
+        first = self.push(manager)
+        self.assertIsNone(await first.acceptance)
+        second = self.push(manager)
+        first.withdraw(JobRequest(JID, "look", 5e3), manager)
+        self.assertRegex(encode_acceptance(await second.acceptance), b"^-BUSY")
+
+    async def test_second_push_does_not_change_the_state_of_a_job_that_ends_before_its_reply(self) -> None:
+        """Guards against a job that stays `enqueued` for good after its outcome."""
+        manager = RequestManager(settings(), 1, Clock())
+        first, second = self.push(manager), self.push(manager)
+        second.states = first.states
+        manager._drain_mailbox()
+        manager._answer_request(JID, FinalAnswer("served"))
+        self.assertEqual(encode_acceptance(await second.acceptance), b"+OK\r\n")
+        self.assertEqual(first.states.find(JID).state, "success")
 
 
 if __name__ == "__main__":
