Release the claim of a Faktory job that the core does not accept

What callers saw: a schedule-apply is pushed while an HTTP request has its id in use, or while an attempt of an earlier job of the jid has not ended, and is not accepted.

Cause: a claim was settled with every answer but "repeated", on the assumption that the claim is the earlier job's. A PUSH that made a new claim and is then told "repeated" by the core has its own.

--- a/spanwing/frontends/faktory_jobs.py
+++ b/spanwing/frontends/faktory_jobs.py
@@ -23,7 +23,7 @@
     RequestSubmitted,
 )
 from spanwing.net.resp import OK, encode_error
-from spanwing.store.claims import Claim, Claims
+from spanwing.store.claims import Claim, Claims, ClaimState
 
 MAX_TRACKED_JOBS = 10_000  # jobs whose state TRACK GET can return
 STATE_ENQUEUED = "enqueued"  # accepted, without a final answer
@@ -117,8 +117,8 @@
             self._record_state(request.id, answer)
         else:
             self.acceptance.set_result(None if self._joins_earlier(request.id, answer) else answer)
-        if self.claim is not None and answer.kind != "repeated":
-            spawn_task(self.claims.settle(request.id, self.claim, answer.kind))
+        if self.claim is not None:
+            spawn_task(self.claims.settle(request.id, self.claim, _settled_state(answer)))
         if self.on_answer is not None:
             self.on_answer(answer)
 
@@ -132,6 +132,18 @@
         self.states.set(jid, STATE_OF_ANSWER[answer.kind], description)
 
 
+def _settled_state(answer: FinalAnswer) -> ClaimState:
+    """Returns the state in which a claim ends whose job got this answer.
+
+    Nothing was sent under the claim of a repeated job: the claim is released. It stays if the journal knows
+    of an earlier job of the jid that may have run.
+    """
+    if answer.kind != "repeated":
+        return answer.kind
+    is_interrupted = answer.earlier is not None and answer.earlier.state is EarlierState.INTERRUPTED
+    return "claimed" if is_interrupted else "refused"
+
+
 def encode_acceptance(answer: FinalAnswer | None) -> bytes:
     """Encodes the reply to a PUSH that does not wait for the outcome, from PushedJob.acceptance."""
     return OK if answer is None else encode_answer(answer)
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -157,6 +157,24 @@
         self.assertEqual(self.push(client, "schedule-apply"), "+OK")  # the outcome is known
         self.assertEqual(self.read_counters()["sent"], 1)
 
+    def test_claim_of_a_job_whose_id_an_http_request_has_in_use_is_released(self) -> None:
+        """Guards against a job that never runs, as the claim of a PUSH that was not accepted stays."""
+        for custom in ({}, {"answer": "outcome"}):
+            with self.subTest(**custom):
+                listener = ListenerStandIn(self)
+                self.start(member("w1", listener.port), fronts=FAKTORY)
+                http_client = self.connect_client()
+                http_client.submit("schedule-apply", JID)
+                worker = self.accept_job(listener)
+                client = self.connect_faktory()
+                self.assertRegex(self.push(client, "schedule-apply", **custom), "^-REPEATED")
+                worker.respond(200, b"served")
+                self.assertEqual(http_client.read_message()[2], b"served")
+                self.assertEqual(self.push(client, "schedule-apply"), "+OK")
+                self.accept_job(listener).respond(200, b"served")
+                self.wait_for_state(client, "success")
+                self.stop()
+
 
 class AcceptanceTests(unittest.IsolatedAsyncioTestCase):
     """What the core says of a job that it does not accept reaches the reply to its PUSH."""
