Wait at a planned restart for the reply to each Faktory PUSH that was read

Cause: Daemon.wait_until_all_answered asked the HTTP server and the core, and no request is in the core before its claim is there. FaktoryFrontend.has_busy_connections was used nowhere, and would have waited for FETCH too.

Change: has_unanswered_pushes in its place, and asked. What has not been read yet when the process ends is closed without an answer, as before.

Test: test_shutdown_waits_for_the_reply_to_a_push_that_waits_for_its_claim failed without the change of daemon.py (the wait had ended).

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -546,10 +546,19 @@
 
     async def wait_until_all_answered(self) -> None:
         """Waits until all requests are answered, including those that have not been read yet."""
-        while self.http_server.has_unanswered_requests() or not self.request_manager.is_idle():
+        while self._has_unanswered():
             await self.request_manager.wait_until_idle()
             await sleep(0.01)
 
+    def _has_unanswered(self) -> bool:
+        """Returns whether any frontend or the core owes an answer."""
+        faktory = self.faktory_frontend
+        return (
+            self.http_server.has_unanswered_requests()
+            or (faktory is not None and faktory.has_unanswered_pushes())
+            or not self.request_manager.is_idle()
+        )
+
     async def shut_down(self) -> None:
         """Accepts new connections for the notice period, answers all accepted requests, then stops the
         event loop.
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -70,6 +70,7 @@
 MAX_TIMEOUT_MS = 3_600_000.0
 MIN_JID_LENGTH = 8  # as in Faktory
 MAX_EFFECT_KEY_LENGTH = MAX_HEAD_BYTES // 2  # it has to fit in the head of a request to a worker
+PUSH_COMMANDS = ("PUSH", "PUSHB")
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
 
 logger = logging.getLogger("spanwing")
@@ -189,9 +190,9 @@
         self.table.connections.add(connection)
         spawn_task(connection.serve())
 
-    def has_busy_connections(self) -> bool:
-        """Returns whether any connection has a command that is being answered."""
-        return any(each.is_busy for each in self.table.connections)
+    def has_unanswered_pushes(self) -> bool:
+        """Returns whether a PUSH that was read has no reply: it waits for its claim or its acceptance."""
+        return any(each.is_pushing for each in self.table.connections)
 
     def announce_drain(self) -> None:
         """Starts a drain: clients are notified at their next PUSH, workers at their next BEAT."""
@@ -267,6 +268,7 @@
         self.mailbox: Queue[FinalAnswer | None] = Queue()
         self.is_closed = False
         self.is_busy = False
+        self.is_pushing = False  # a PUSH or PUSHB is being answered
         self.is_finished = False
         self.idle_since_s = IOLoop.current().time()  # loop time of the accept or the last reply
         self.hello: FaktoryHello | None = None
@@ -307,7 +309,8 @@
                     self.line_stream.stop_read_ahead()
                 if reply is not None:
                     await self.line_stream.write(reply, WRITE_STALL_TIMEOUT_S)
-                self.is_busy, self.idle_since_s = False, IOLoop.current().time()
+                self.is_busy = self.is_pushing = False
+                self.idle_since_s = IOLoop.current().time()
                 if self.line_stream.data:
                     await sleep(0)  # a peer that pipelines commands must not monopolize the event loop
                 if verb.upper() == b"END":
@@ -319,7 +322,8 @@
         except StreamClosedError:
             pass
         finally:
-            self.is_busy, self.is_finished = False, True
+            self.is_busy = self.is_pushing = False
+            self.is_finished = True
             if self.worker is not None:
                 self.frontend.worker_directory.post(ConnectionClosed(self.hello.wid))
             await self.line_stream.close_gracefully(LINGER_TIMEOUT_S)
@@ -361,6 +365,7 @@
         command = COMMANDS.get(verb)
         if command is None:
             raise CommandError(f"unknown command {verb[:20]!a}")
+        self.is_pushing = verb in PUSH_COMMANDS
         return await command(self, arguments)
 
     def _decode(self, data: bytes, message_type: type):
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -5,22 +5,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import select
 import time
 import unittest
 from types import SimpleNamespace
 
-from conftest import settings
+from conftest import UNSAFE, settings
 from player import WAIT_TIMEOUT_S, member
 from standins import FaktoryClient
 from test_termination_races import ConnectionStandIn, DaemonTestCase, ListenerStandIn, encode_push
 
+from measure.streams import OpenStreams
 from spanwing import interface as api
 from spanwing.core.clock import Clock
 from spanwing.core.messages import FinalAnswer, JobRequest
 from spanwing.core.request_manager import RequestManager
+from spanwing.daemon import Daemon
+from spanwing.frontends.faktory import FaktoryFrontend
 from spanwing.frontends.faktory_jobs import JobStates, PushedJob, encode_acceptance
+from spanwing.net.address import parse_address
+from spanwing.net.buffers import BufferPool
+from spanwing.store.store import NoQuorumError
 
 FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
 JID = "job-00001"
@@ -233,5 +240,34 @@
         self.assertEqual(first.states.find(JID).state, "success")
 
 
+class ShutdownTests(unittest.IsolatedAsyncioTestCase):
+    async def test_shutdown_waits_for_the_reply_to_a_push_that_waits_for_its_claim(self) -> None:
+        """Guards against a PUSH that was read and gets no answer, as the process ends before the store's."""
+        manager = RequestManager(settings(), 1, Clock())
+        claimed: asyncio.Future = asyncio.get_running_loop().create_future()
+        claims = SimpleNamespace(claim=lambda jid: claimed)
+        frontend = FaktoryFrontend(
+            parse_address("127.0.0.1:0"), (UNSAFE,), manager, None, claims, BufferPool(), 10, dict
+        )
+        daemon = object.__new__(Daemon)
+        daemon.http_server = SimpleNamespace(has_unanswered_requests=lambda: False)
+        daemon.faktory_frontend, daemon.request_manager = frontend, manager
+        streams = OpenStreams()
+        self.addCleanup(streams.close)
+        reader, writer = await streams.connect(*frontend.address)
+        push = {"jid": JID, "jobtype": "x", "queue": UNSAFE.name, "args": []}
+        writer.write(b'HELLO {"v":2}\r\nPUSH %s\r\n' % json.dumps(push).encode())
+        self.assertEqual([await reader.readline(), await reader.readline()], [b'+HI {"v":2}\r\n', b"+OK\r\n"])
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not any(each.is_busy for each in frontend.table.connections):
+                await asyncio.sleep(0)
+        waiting = asyncio.ensure_future(daemon.wait_until_all_answered())
+        await asyncio.sleep(0.05)
+        self.assertFalse(waiting.done())
+        claimed.set_exception(NoQuorumError("1 of 3 members answered"))
+        self.assertRegex(await reader.readline(), b"^-BUSY")
+        await asyncio.wait_for(waiting, WAIT_TIMEOUT_S)
+
+
 if __name__ == "__main__":
     unittest.main()
