Count a violation of the send rules only where the bytes are written

A deadline that passes after the first question was recorded as a violation, though the last question then held the bytes back. A process that is held up there for a moment is enough.

Tests: test_deadline_that_passes_between_two_checks_before_the_write_... failed before: one violation beside three refusals, for bytes that were held back. test_bytes_that_are_written_after_the_deadline_... shows with a permit that always allows that a real one is counted; it passed before too. The tests of check_sent test the two methods in its place.

--- a/spanwing/core/send_guard.py
+++ b/spanwing/core/send_guard.py
@@ -15,7 +15,7 @@
 import enum
 from collections import Counter
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from spanwing.log.events import log_event
 
@@ -53,6 +53,13 @@
 }
 
 
+class Violation(NamedTuple):
+    """A send that a rule forbids."""
+
+    rule: SendRule
+    reason: str
+
+
 class SendState(Protocol):
     """The present state of the attempts, which the request manager provides."""
 
@@ -135,19 +142,26 @@
         """Counts an attempt that is not sent because its worker did not confirm that it accepts work."""
         self.guard.counters["guard.refused.worker_unconfirmed"] += 1
 
-    def check_sent(self, is_worker_draining: bool) -> None:
-        """Records a violation if the attempt, whose last byte is written now, must not be sent.
+    def find_violation(self, is_worker_draining: bool) -> Violation | None:
+        """Returns the violation that writing the attempt's last byte now would be, or None.
 
-        A list that is too old is no violation if the worker has confirmed that it accepts work.
+        The caller asks before it asks the permit, and records the violation only if the byte is then written:
+        a condition that ends between the two is refused by the permit and violates nothing. A list that is
+        too old is no violation if the worker has confirmed that it accepts work.
         """
         refusal = self.guard.state.send_refusal(self.request, self.number)
         if is_worker_draining:
             refusal = SendRefusal.WORKER_DRAINING
         if refusal in RULE_OF_REFUSAL:
-            self.guard.record_violation(RULE_OF_REFUSAL[refusal], self.request, self.worker, str(refusal))
-        elif (
+            return Violation(RULE_OF_REFUSAL[refusal], str(refusal))
+        if (
             not self.is_confirmed
             and self.guard.state.to_discovered_worker(self.request, self.number)
             and self.guard.is_list_too_old()
         ):
-            self.guard.record_violation(SendRule.DRAIN, self.request, self.worker, "list_too_old")
+            return Violation(SendRule.DRAIN, "list_too_old")
+        return None
+
+    def record_violation(self, violation: Violation) -> None:
+        """Records a violation by the attempt, whose bytes are written now."""
+        self.guard.record_violation(violation.rule, self.request, self.worker, violation.reason)
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -310,8 +310,8 @@
         if attempt is not None:
             attempt.is_last_byte_written, attempt.connection = True, connection
             # Bytes may wait in the stream's buffer; permission is checked again as they go out.
-            connection.stream.permit = lambda: self._may_send(attempt)
-        self._check_send(data, attempt)
+            connection.stream.permit = lambda: self._may_write(attempt)
+        self._log_write_to_draining_worker(data, attempt)
         await connection.write(data[-1:] if hold_last_byte else data)
         connection.stream.permit = None
         return True
@@ -343,15 +343,24 @@
             permit.is_confirmed = True
         return True
 
-    def _check_send(self, data: bytes, attempt: HttpAttempt | None) -> None:
-        """Records violations of the send rules by a request that is about to be written.
+    def _may_write(self, attempt: HttpAttempt) -> bool:
+        """Returns whether bytes of the attempt may be written now; the caller then writes them.
 
-        Logs each request to a draining worker. Such a worker may still get a DELETE, or a probe that was
-        begun before it started to drain.
+        Records a violation of the send rules if the permit allows what they forbid.
+        """
+        permit = attempt.delivery.may_send
+        violation = permit.find_violation(self.is_draining) if isinstance(permit, SendPermit) else None
+        if not self._may_send(attempt):
+            return False
+        if violation is not None:
+            permit.record_violation(violation)
+        return True
+
+    def _log_write_to_draining_worker(self, data: bytes, attempt: HttpAttempt | None) -> None:
+        """Logs a request that is about to be written to a draining worker.
+
+        Such a worker may still get a DELETE, or a probe that was begun before it started to drain.
         """
-        permit = None if attempt is None else attempt.delivery.may_send
-        if isinstance(permit, SendPermit):
-            permit.check_sent(self.is_draining)
         if self.is_draining:
             method, target, _ = data.split(b" ", 2)
             log_event(
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -8,17 +8,31 @@
 
 import asyncio
 import io
+import itertools
 import unittest
 from collections import Counter
 from contextlib import redirect_stdout
 from types import SimpleNamespace
+from unittest import mock
 
+from measure.streams import OpenStreams
 from spanwing import interface as api
 from spanwing.cli.main import _print_status
 from spanwing.core.clock import Clock
-from spanwing.core.messages import AttemptEnded, EndpointsChanged, JobRequest, RequestSubmitted
+from spanwing.core.messages import (
+    AttemptEnded,
+    DeliveryAttempt,
+    EndpointsChanged,
+    JobRequest,
+    RequestSubmitted,
+)
 from spanwing.core.request_manager import RequestManager
 from spanwing.core.send_guard import SendGuard, SendPermit, SendRefusal
+from spanwing.net.address import Address
+from spanwing.net.buffers import BufferPool
+from spanwing.workers.connection_pool import ConnectionPool, DescriptorBudget
+from spanwing.workers.http_worker import HttpWorker
+from spanwing.workers.load_report import LoadReportReader
 
 SETTINGS = api.Settings(
     classes=(
@@ -47,6 +61,13 @@
         self.is_discovered_worker = True
         self.guard = SendGuard(state, self.counters)
 
+    def check_send(self, is_worker_draining: bool = False) -> None:
+        """Records the violation, if any, of a send that no permit is asked for."""
+        permit = self.guard.permit("job-1", 0, "w1")
+        violation = permit.find_violation(is_worker_draining)
+        if violation is not None:
+            permit.record_violation(violation)
+
     def test_permit_checks_at_each_call_and_stays_refused(self) -> None:
         permit = self.guard.permit("job-1", 0, "w1")
         self.assertTrue(permit())
@@ -67,7 +88,7 @@
         ):
             self.refusal = refusal
             with self.assertLogs("spanwing", "ERROR") as logged:
-                self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
+                self.check_send()
             self.assertIn(
                 f"rule_violated rule={rule} request=job-1 worker=w1 reason={refusal}", logged.output[0]
             )
@@ -76,20 +97,20 @@
 
     def test_send_to_a_draining_worker_is_a_violation_even_without_a_refusal(self) -> None:
         with self.assertLogs("spanwing", "ERROR"):
-            self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=True)
+            self.check_send(is_worker_draining=True)
         self.assertEqual(self.counters, {"violation.drain": 1})
 
     def test_send_with_a_list_that_is_too_old_is_a_violation_even_if_the_guard_allows_it(self) -> None:
         self.guard.is_list_too_old = lambda: True
         with self.assertLogs("spanwing", "ERROR"):
-            self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
+            self.check_send()
         self.assertEqual(self.counters, {"violation.drain": 1})
         self.is_discovered_worker = False
-        self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
+        self.check_send()
         self.assertEqual(self.counters, {"violation.drain": 1})
 
     def test_permitted_send_is_no_violation(self) -> None:
-        self.guard.permit("job-1", 0, "w1").check_sent(is_worker_draining=False)
+        self.check_send()
         self.assertEqual(self.counters, {})
 
     def test_stale_list_refuses_only_probes_of_discovered_workers(self) -> None:
@@ -98,6 +119,61 @@
         self.assertTrue(self.guard.may_probe(to_discovered_worker=False))
 
 
+class WriteTests(unittest.IsolatedAsyncioTestCase):
+    """The rules are checked apart from the permit, at the write of an attempt's bytes to a worker."""
+
+    async def asyncSetUp(self) -> None:
+        streams, self.counters = OpenStreams(), Counter()
+        self.addCleanup(streams.close)
+        server = await asyncio.start_server(streams.accepting(self.serve_worker), "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        self.pool = ConnectionPool(address, BufferPool(), DescriptorBudget(99), 9e3, 9e3)
+        self.addCleanup(self.pool.close_idle)
+        self.http_worker = HttpWorker("w1", self.pool, LoadReportReader(()), lambda _: None)
+        self.results: asyncio.Queue[str] = asyncio.Queue()
+
+    async def serve_worker(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            if line == b"\r\n":
+                writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+
+    def post(self, message: object) -> None:
+        """Receives the messages of the worker actor, as its AttemptListener."""
+        if isinstance(message, AttemptEnded):
+            self.results.put_nowait(message.result)
+
+    async def send(self, checks_before_deadline: int) -> str:
+        """Sends an attempt whose deadline passes after so many checks; returns its result."""
+        checks = itertools.count()
+        state = SimpleNamespace(
+            send_refusal=lambda *_: (
+                None if next(checks) < checks_before_deadline else SendRefusal.DEADLINE_PASSED
+            ),
+            to_discovered_worker=lambda *_: False,
+        )
+        permit = SendGuard(state, self.counters).permit("job-1", 0, "w1")
+        delivery = DeliveryAttempt(JobRequest("job-1", "read", 5e3), 0, 5e3, True, may_send=permit)
+        self.http_worker.deliver(delivery, self)
+        return await asyncio.wait_for(self.results.get(), 10)
+
+    async def test_deadline_that_passes_between_two_checks_before_the_write_is_no_violation(self) -> None:
+        """Guards against a violation that is counted for bytes which the permit then holds back."""
+        results = set()
+        for checks_before_deadline in range(12):
+            results.add(await self.send(checks_before_deadline))
+            self.assertNotIn("violation.lost", self.counters, checks_before_deadline)
+        self.assertEqual(results, {"moot", "ok"})
+
+    async def test_bytes_that_are_written_after_the_deadline_are_a_violation(self) -> None:
+        with (
+            mock.patch.object(SendPermit, "__call__", lambda permit: True),
+            self.assertLogs("spanwing", "ERROR"),
+        ):
+            self.assertEqual(await self.send(0), "ok")
+        self.assertEqual(self.counters, {"violation.lost": 1})
+
+
 class StatusTests(unittest.TestCase):
     def test_status_shows_violations(self) -> None:
         reply = {"name": "a", "status": "pass", "state": "ready", "weight": 100, "since_s": 1.0, "owed": 0}
