Refuse requests while the policy version in force cannot be used here

Cause: the version in force is not applied, so the scheduler runs under another one. admit() queues a request whose version is not the scheduler's, the next turn of the timer finds "take" and submits it again, and admit() queues it anew with a new wait. The request is in no decision module, so no deadline ends it. The record of the case decides it against other causes: policy_unfit at the moment of the first lost request, `may` "take" with `version` 1 and `in_force` 2, and no answer over HTTP at all.

Change: PolicyService.decide_admission is the only place that decides, for new and queued requests and for `status`: "take" of a version other than the scheduler's is a refusal. A version is applied in the turn in which it is heard of, so waiting for it ends nothing. What was queued is refused at once. The way back: the next version that can be used. policy_unfit is logged once for each version, no longer with each copy.

--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -14,7 +14,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 from tornado.concurrent import Future
@@ -30,7 +30,7 @@
 from spanwing.policy.cache_writer import NOT_CLOSING, PolicyCacheWriter
 from spanwing.policy.combined_controller import CombinedController, PolicyOrder
 from spanwing.policy.coordinator import PermitSettings, PolicyCoordinator
-from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, PolicyParticipant
+from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, AdmissionDecision, PolicyParticipant
 from spanwing.policy.policy_cache import PolicyCache
 from spanwing.policy.records import PolicyVersion, read_policy
 from spanwing.policy.state_transfer import create_scheduler, known_workers, transfer_worker_estimates
@@ -57,6 +57,13 @@
     lease_ms: float
 
 
+class UnusableVersion(NamedTuple):
+    """A version in force that this scheduler cannot run under."""
+
+    number: int
+    reason: str
+
+
 class PolicyService:
     """Applies the fleet's policy at one scheduler, and admits requests under it."""
 
@@ -97,6 +104,7 @@
         self.on_policy_change: list[Callable[[api.Settings], None]] = []
         self.request_manager: RequestManager | None = None
         self.active_version = PolicyVersion()  # the version that the scheduler runs under
+        self.unusable_version: UnusableVersion | None = None  # the version in force, while it cannot be used
         # Each with the time (ms) at which its wait ends.
         self.queued_requests: deque[tuple[float, RequestSubmitted]] = deque()
         self.resubmitted_requests: list[RequestSubmitted] = []  # posted again, but not in admit() yet
@@ -161,8 +169,8 @@
             self.abandoned_requests = [each for each in self.abandoned_requests if each is not submitted]
             return False
         self.resubmitted_requests = [each for each in self.resubmitted_requests if each is not submitted]
-        decision = self.participant.decide_admission(clock_ms())
-        if decision.action == "take" and decision.version == self.active_version.number:
+        decision = self.decide_admission()
+        if decision.action == "take":
             if submitted.request.cls in self.request_manager.scheduler.class_indexes:
                 return True
             self._reject(submitted)  # its class was removed while it was queued
@@ -174,6 +182,20 @@
             self._reject(submitted)
         return False
 
+    def decide_admission(self) -> AdmissionDecision:
+        """Returns whether a request may be accepted now; only under the version that is in force.
+
+        A version in force is applied in the turn of the loop in which it is heard of. If the scheduler still
+        runs under another one, it cannot use the version in force, and no wait ends that.
+        """
+        decision = self.participant.decide_admission(clock_ms())
+        if decision.action != "take" or decision.version == self.active_version.number:
+            return decision
+        reason = "" if self.unusable_version is None else f": {self.unusable_version.reason}"
+        return AdmissionDecision(
+            "refuse", decision.version, f"version {decision.version} cannot be used here{reason}"
+        )
+
     def client_disconnected(self, request_id: str, client: ClientConnection) -> None:
         """Drops a queued or resubmitted request whose client has disconnected."""
 
@@ -192,10 +214,13 @@
         )
 
     def _release_queued(self) -> None:
-        """Resubmits the queued requests in order once requests may be accepted; rejects overdue ones."""
+        """Resubmits the queued requests in order if requests may be accepted now, and rejects them if not.
+
+        While neither is decided, only those are rejected whose wait is over.
+        """
         now = clock_ms()
-        action = self.participant.decide_admission(now).action
-        while self.queued_requests and (action == "take" or now >= self.queued_requests[0][0]):
+        action = self.decide_admission().action
+        while self.queued_requests and (action in ("take", "refuse") or now >= self.queued_requests[0][0]):
             wait_ends_at_ms, submitted = self.queued_requests.popleft()
             if action == "take":  # the time in the queue is deducted from the client's budget
                 remaining_ms = max(
@@ -275,15 +300,14 @@
         try:
             settings = parse_policy(current.text, self.own_settings)
         except ValueError as error:
-            # It came into force without this scheduler's vote: no request is accepted under it here.
-            log_event("policy_unfit", level="error", version=current.number, reason=str(error))
+            self._note_unusable(current.number, str(error))
             return
         previous_scheduler, now_ms = request_manager.scheduler, request_manager.clock.now_ms()
         new_scheduler = create_scheduler(settings, self.seed + current.number, now_ms, previous_scheduler)
         request_manager.switch_policy(settings, new_scheduler)
         request_manager.notify_schedulers(known_workers(previous_scheduler))
         transfer_worker_estimates(new_scheduler, previous_scheduler, now_ms)
-        self.active_version = current
+        self.active_version, self.unusable_version = current, None
         for callback in self.on_policy_change:
             callback(settings)
         log_event(
@@ -296,6 +320,16 @@
         self._release_queued()
         self._start_cache_write(clock_ms())
 
+    def _note_unusable(self, number: int, reason: str) -> None:
+        """Notes that the version in force, which came without this scheduler's vote, cannot be used here.
+
+        No request is accepted until a version is in force that can be.
+        """
+        if self.unusable_version is None or self.unusable_version.number != number:
+            log_event("policy_unfit", level="error", version=number, reason=reason)
+        self.unusable_version = UnusableVersion(number, reason)
+        self._release_queued()
+
     def _find_objection(self, text: str) -> str:
         """Returns why a policy with this text cannot be applied here now; empty: it can."""
         if self.request_manager is None:
@@ -384,7 +418,7 @@
 
     def status(self) -> dict[str, Any]:
         """Returns the state of the policy at this scheduler, for the status commands."""
-        policy, now = self.participant.policy, clock_ms()
+        policy, now, decision = self.participant.policy, clock_ms(), self.decide_admission()
         change = policy.change
         return {
             "version": self.active_version.number,
@@ -392,8 +426,8 @@
             "author": self.active_version.author,
             "in_force": policy.now.number,
             "permit_ms": max(0.0, self.follower.permit.expires_at_ms - now),
-            "may": self.participant.decide_admission(now).action,
-            "why": self.participant.decide_admission(now).reason,
+            "may": decision.action,
+            "why": decision.reason,
             "by": self.follower.connected_member,
             "contact": self.follower.has_lease(),
             "schedulers": sorted(policy.register),
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -18,6 +18,7 @@
 from measure.fleet.ground import ProcessFleet
 from spanwing.core.messages import JobRequest, RequestSubmitted
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, AdmissionDecision
+from spanwing.policy.records import PolicyVersion
 from spanwing.policy.service import PolicyService
 from spanwing.store.lease import clock_ms
 
@@ -265,6 +266,7 @@
 class QueueTimeTests(unittest.TestCase):
     def test_the_time_in_the_queue_is_deducted_from_the_budget(self) -> None:
         service, posted = object.__new__(PolicyService), []
+        service.active_version = PolicyVersion(2)
         service.request_manager = SimpleNamespace(post=posted.append)
         service.participant = SimpleNamespace(decide_admission=lambda now: AdmissionDecision("take", 2))
         waited_ms, service.resubmitted_requests = 100.0, []
--- /dev/null
+++ b/tests/test_policy_unusable.py
@@ -0,0 +1,117 @@
+"""A version of the fleet's policy is in force that this scheduler cannot use, as it was away at the change.
+
+They guard against requests that get no answer, and against a scheduler that says that it serves meanwhile.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+import msgspec
+from test_policy_sound import create_policy, running_state
+
+from spanwing.core.clock import Clock
+from spanwing.core.messages import FinalAnswer, JobRequest, RequestSubmitted
+from spanwing.core.request_manager import RequestManager
+from spanwing.net.buffers import BufferPool
+from spanwing.policy.records import (
+    CHANGE_KEY,
+    CURRENT_KEY,
+    PROPOSED_KEY,
+    PolicyChange,
+    PolicyVersion,
+    encode_value,
+    policy_digest,
+)
+from spanwing.policy.service import PolicyService
+from spanwing.store.document import Transaction
+from spanwing.store.lease import clock_ms
+
+PERMIT_MS = 60_000.0
+
+
+class UnusableVersionTestCase(unittest.IsolatedAsyncioTestCase):
+    """A scheduler whose position is 3 runs under version 1, of four schedulers, with a permit."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        policy_settings = SimpleNamespace(directory=folder.name, away_ms=1e4, members={}, lease_ms=2e3)
+        self.own_settings = replace(running_state().settings, node_index=3, node_count=4)
+        self.service = PolicyService("d", policy_settings, self.own_settings, BufferPool(), 1)
+        self.request_manager = RequestManager(self.own_settings, 1, Clock())
+        self.answers: list[FinalAnswer] = []
+        self.request_count = 0
+        self.service.follower.permit.expires_at_ms = clock_ms() + PERMIT_MS
+        self.put_in_force(1, create_policy(balancers=4))
+        self.service.active_version = await self.service.first_version
+        self.service.attach_request_manager(self.request_manager)
+
+    def put_in_force(self, number: int, policy: dict, **changes: object) -> None:
+        """Gives the service a copy of the document in which this version is in force."""
+        text = msgspec.json.encode(policy).decode()
+        version = PolicyVersion(number, policy_digest(text), text)
+        version = msgspec.structs.replace(version, **changes)
+        self.apply({CURRENT_KEY: encode_value(version), PROPOSED_KEY: None, CHANGE_KEY: None})
+
+    def close_for_change(self) -> None:
+        """Gives the service a copy of the document in which a change is closing."""
+        self.apply(
+            {
+                PROPOSED_KEY: encode_value(PolicyVersion(2, policy_digest("{}"), "{}")),
+                CHANGE_KEY: encode_value(PolicyChange("change-1", "closing", 1e4)),
+            }
+        )
+
+    def apply(self, writes: dict[str, str | None]) -> None:
+        document = self.service.follower.document
+        self.service.follower.document = document.apply(Transaction(f"t{document.revision}", writes, {}))
+        self.service._handle_document_change(self.service.follower.document)
+
+    def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
+        """Receives the final answers, as the client of each request."""
+        self.answers.append(answer)
+
+    async def submit(self) -> None:
+        """Submits a request and waits until the request manager has handled it."""
+        self.request_count += 1
+        request = JobRequest(f"job-{self.request_count}", "status-read", 5e3)
+        self.request_manager.post(RequestSubmitted(request, self))
+        while self.request_manager.is_scheduled or self.request_manager.mailbox:
+            await asyncio.sleep(0)
+
+
+class RejectionTests(UnusableVersionTestCase):
+    async def test_requests_are_rejected_at_once_until_a_usable_version_is_in_force(self) -> None:
+        """Guards against requests that go round between two queues until their clients leave."""
+        with self.assertLogs("spanwing", "ERROR") as logged:
+            self.put_in_force(2, create_policy(balancers=3))
+            self.apply({})  # a later copy of the document tells nothing new
+        self.assertEqual(len([each for each in logged.output if "policy_unfit" in each]), 1)
+        await self.submit()
+        self.assertEqual([each.kind for each in self.answers], ["refused"])
+        self.assertEqual(len(self.service.queued_requests), 0)
+        status = self.service.status()
+        self.assertEqual((status["may"], status["version"], status["in_force"]), ("refuse", 1, 2))
+        self.assertRegex(status["why"], "^version 2 cannot be used here: .*3")
+        self.put_in_force(3, create_policy(balancers=4))
+        await self.submit()
+        self.assertEqual((len(self.answers), self.request_manager.counters["taken"]), (1, 1))
+        self.assertEqual(self.service.status()["may"], "take")
+
+    async def test_queued_requests_are_rejected_when_a_version_comes_that_cannot_be_used(self) -> None:
+        self.close_for_change()
+        await self.submit()
+        self.assertEqual((len(self.service.queued_requests), self.answers), (1, []))
+        with self.assertLogs("spanwing", "ERROR"):
+            self.put_in_force(2, create_policy(balancers=3))
+        self.assertEqual([each.kind for each in self.answers], ["refused"])
+        self.assertEqual(len(self.service.queued_requests), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
