Keep the end of a request's wait when it is queued again during a policy change

What callers would see: a request that is submitted again after its wait and finds the policy closed once more was queued as a new one, with another 250 ms, as often as that happens.

Cause: the end of the wait was computed at each call of admit(), and what had been submitted again was known by identity alone.

Change: AdmissionQueue (policy/admission_queue.py, out of PolicyService) keeps each request with the time at which it was queued first. The end of its wait and its budget follow from that, however often it comes back, and the queue is ordered by it. A look-up costs no scan of all that wait.

Tests: test_a_request_that_cannot_be_accepted_after_its_wait_is_not_queued _anew failed before (no answer after 400 ms of its clock); test_admission_queue.py tests the queue. QueueTimeTests asks the queue in place of a half-made service, to 0.001 ms in place of 50.

--- a/spanwing/policy/participant.py
+++ b/spanwing/policy/participant.py
@@ -17,10 +17,14 @@
 MAX_ADMISSION_WAIT_MS = 250.0  # of a request that arrives while a change is closing
 
 
+#: A request is accepted, queued or rejected.
+AdmissionAction = Literal["take", "hold", "refuse"]
+
+
 class AdmissionDecision(NamedTuple):
-    """Whether a request that arrives now is accepted ("take"), queued ("hold") or rejected ("refuse")."""
+    """What is done with a request that arrives now."""
 
-    action: Literal["take", "hold", "refuse"]
+    action: AdmissionAction
     version: int = 0
     reason: str = ""
 
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -2,18 +2,17 @@
 
 It connects the participant, the policy cache and, at a member of the store, the coordinator to the request
 manager. A request is accepted only under the version in force and with a valid permit; both are checked in
-the event loop iteration that accepts it. While a change is closing, at most MAX_QUEUED_REQUESTS requests are
-queued, each for at most MAX_ADMISSION_WAIT_MS. A new version is applied within one event loop iteration. A
-failing policy cache is logged and has no other effect, as only a start without the store needs the cache.
+the event loop iteration that accepts it. While a change is closing, requests wait in the AdmissionQueue. A
+new version is applied within one event loop iteration. A failing policy cache is logged and has no other
+effect, as only a start without the store needs the cache.
 """
 
 from __future__ import annotations
 
 import secrets
 import time
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any, NamedTuple, Protocol
 
 import msgspec
@@ -27,10 +26,11 @@
 from spanwing.log import log_event
 from spanwing.net.address import Address
 from spanwing.net.buffers import BufferPool
+from spanwing.policy.admission_queue import AdmissionQueue
 from spanwing.policy.cache_writer import NOT_CLOSING, PolicyCacheWriter
 from spanwing.policy.combined_controller import CombinedController, PolicyOrder
 from spanwing.policy.coordinator import PermitSettings, PolicyCoordinator
-from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, AdmissionDecision, PolicyParticipant
+from spanwing.policy.participant import AdmissionDecision, PolicyParticipant
 from spanwing.policy.policy_cache import PolicyCache
 from spanwing.policy.records import PolicyVersion, read_policy
 from spanwing.policy.state_transfer import create_scheduler, known_workers, transfer_worker_estimates
@@ -42,7 +42,6 @@
 from spanwing.store.peer import PeerListener
 from spanwing.store.store import Store
 
-MAX_QUEUED_REQUESTS = 10_000
 TIMER_INTERVAL_S = 0.02
 CACHE_RENEWAL_FRACTION = 0.25  # interval between writes of the cache, as a fraction of a permit's duration
 MAX_RETIRING_VERSIONS = 4  # earlier versions that may still have open requests
@@ -105,10 +104,9 @@
         self.request_manager: RequestManager | None = None
         self.active_version = PolicyVersion()  # the version that the scheduler runs under
         self.unusable_version: UnusableVersion | None = None  # the version in force, while it cannot be used
-        # Each with the time (ms) at which its wait ends.
-        self.queued_requests: deque[tuple[float, RequestSubmitted]] = deque()
-        self.resubmitted_requests: list[RequestSubmitted] = []  # posted again, but not in admit() yet
-        self.abandoned_requests: list[RequestSubmitted] = []  # resubmitted, but the client has disconnected
+        self.admission_queue = AdmissionQueue(
+            lambda submitted: self.request_manager.post(submitted), self._reject
+        )
         self.first_version: Future[PolicyVersion] = Future()
         self.cache_writer = PolicyCacheWriter(self.cache, self.follower.renew_now)
         self.follower.acknowledgeable = self.cache_writer.acknowledgeable
@@ -164,22 +162,19 @@
 
     def admit(self, submitted: RequestSubmitted) -> bool:
         """Returns whether the request may be accepted now; otherwise queues or rejects it here."""
-        if any(submitted is each for each in self.abandoned_requests):
-            # The notice of the client's disconnect was ahead of the request in the mailbox.
-            self.abandoned_requests = [each for each in self.abandoned_requests if each is not submitted]
-            return False
-        self.resubmitted_requests = [each for each in self.resubmitted_requests if each is not submitted]
+        queued = self.admission_queue.take_resubmitted(submitted)
+        if queued is not None and queued.is_abandoned:
+            return False  # the notice of the client's disconnect was ahead of the request in the mailbox
         decision = self.decide_admission()
         if decision.action == "take":
             if submitted.request.cls in self.request_manager.scheduler.class_indexes:
                 return True
             self._reject(submitted)  # its class was removed while it was queued
-            return False
-        if decision.action != "refuse" and len(self.queued_requests) < MAX_QUEUED_REQUESTS:
-            self.request_manager.counters["policy.held"] += 1
-            self.queued_requests.append((clock_ms() + MAX_ADMISSION_WAIT_MS, submitted))
-        else:
+        elif decision.action == "refuse":
             self._reject(submitted)
+        else:
+            self.request_manager.counters["policy.held"] += 1
+            self.admission_queue.add(clock_ms(), submitted, queued)
         return False
 
     def decide_admission(self) -> AdmissionDecision:
@@ -197,14 +192,8 @@
         )
 
     def client_disconnected(self, request_id: str, client: ClientConnection) -> None:
-        """Drops a queued or resubmitted request whose client has disconnected."""
-
-        def is_of_client(submitted: RequestSubmitted) -> bool:
-            return submitted.request.id == request_id and submitted.client is client
-
-        self.queued_requests = deque(each for each in self.queued_requests if not is_of_client(each[1]))
-        self.abandoned_requests += [each for each in self.resubmitted_requests if is_of_client(each)]
-        self.resubmitted_requests = [each for each in self.resubmitted_requests if not is_of_client(each)]
+        """Drops a request that is not accepted yet, whose client has disconnected."""
+        self.admission_queue.drop(request_id, client)
 
     def _reject(self, submitted: RequestSubmitted) -> None:
         self.request_manager.counters["policy.refused"] += 1
@@ -214,23 +203,8 @@
         )
 
     def _release_queued(self) -> None:
-        """Resubmits the queued requests in order if requests may be accepted now, and rejects them if not.
-
-        While neither is decided, only those are rejected whose wait is over.
-        """
-        now = clock_ms()
-        action = self.decide_admission().action
-        while self.queued_requests and (action in ("take", "refuse") or now >= self.queued_requests[0][0]):
-            wait_ends_at_ms, submitted = self.queued_requests.popleft()
-            if action == "take":  # the time in the queue is deducted from the client's budget
-                remaining_ms = max(
-                    1.0, submitted.request.budget - (now - wait_ends_at_ms + MAX_ADMISSION_WAIT_MS)
-                )
-                resubmitted = submitted._replace(request=replace(submitted.request, budget=remaining_ms))
-                self.resubmitted_requests.append(resubmitted)
-                self.request_manager.post(resubmitted)
-            else:
-                self._reject(submitted)
+        """Submits or rejects the queued requests as is decided now."""
+        self.admission_queue.release(clock_ms(), self.decide_admission().action)
 
     # -- changes of the document
 
@@ -371,7 +345,7 @@
             now = clock_ms()
             self._resolve_first_version()
             self.cache_writer.withdraw_if_due()
-            if self.queued_requests:
+            if self.admission_queue.waiting:
                 self._release_queued()
             has_permit = self.follower.permit.is_valid(now)
             if has_permit != logged_permit:
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -8,8 +8,6 @@
 import threading
 import time
 import unittest
-from collections import deque
-from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -17,9 +15,7 @@
 from measure.daemons import ROOT
 from measure.fleet.ground import ProcessFleet
 from spanwing.core.messages import JobRequest, RequestSubmitted
-from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS, AdmissionDecision
-from spanwing.policy.records import PolicyVersion
-from spanwing.policy.service import PolicyService
+from spanwing.policy.admission_queue import AdmissionQueue
 from spanwing.store.lease import clock_ms
 
 
@@ -265,22 +261,11 @@
 
 class QueueTimeTests(unittest.TestCase):
     def test_the_time_in_the_queue_is_deducted_from_the_budget(self) -> None:
-        service, posted = object.__new__(PolicyService), []
-        service.active_version = PolicyVersion(2)
-        service.request_manager = SimpleNamespace(post=posted.append)
-        service.participant = SimpleNamespace(decide_admission=lambda now: AdmissionDecision("take", 2))
-        waited_ms, service.resubmitted_requests = 100.0, []
-        service.queued_requests = deque(
-            [
-                (
-                    clock_ms() + MAX_ADMISSION_WAIT_MS - waited_ms,
-                    RequestSubmitted(JobRequest("j", "look", 900.0), None),
-                )
-            ]
-        )
-        service._release_queued()
-        self.assertAlmostEqual(posted[0].request.budget, 900.0 - waited_ms, delta=50.0)
-        self.assertLessEqual(posted[0].request.budget, 900.0 - waited_ms)
+        posted, waited_ms, now_ms = [], 100.0, clock_ms()
+        queue = AdmissionQueue(posted.append, lambda submitted: self.fail("rejected"))
+        queue.add(now_ms - waited_ms, RequestSubmitted(JobRequest("j", "look", 900.0), None), None)
+        queue.release(now_ms, "take")
+        self.assertAlmostEqual(posted[0].request.budget, 900.0 - waited_ms, delta=0.001)
 
 
 class WithoutPolicyTests(unittest.TestCase):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -289,7 +289,7 @@
             self.service,
             self.request_manager,
         )
-        self.action = "wait"
+        self.action = "hold"
         self.service.participant = SimpleNamespace(
             decide_admission=lambda now: SimpleNamespace(action=self.action, version=0)
         )
@@ -305,20 +305,14 @@
         """Runs all actions in one event loop iteration; the queued request must have been dropped then."""
         self.request_manager.post(RequestSubmitted(JobRequest("job-1", "look", 5e3), self))
         await self.wait_until_idle()
-        self.assertEqual(len(self.service.queued_requests), 1)
+        self.assertEqual(len(self.service.admission_queue.waiting), 1)
         self.action = "take"
         for action in actions:
             action()
         await self.wait_until_idle()
         self.assertNotIn("taken", self.request_manager.counters)
-        self.assertEqual(
-            (
-                len(self.service.queued_requests),
-                self.service.resubmitted_requests,
-                self.service.abandoned_requests,
-            ),
-            (0, [], []),
-        )
+        queue = self.service.admission_queue
+        self.assertEqual((queue.waiting, queue.resubmitted), ([], {}))
 
     async def test_a_client_disconnects_while_its_request_is_queued(self) -> None:
         await self.run_while_queued(lambda: self.request_manager.post(ClientDisconnected("job-1", self)))
@@ -326,6 +320,22 @@
         await self.wait_until_idle()
         self.assertNotIn("taken", self.request_manager.counters)
 
+    async def test_a_request_that_cannot_be_accepted_after_its_wait_is_not_queued_anew(self) -> None:
+        """Guards against a wait that is renewed each time that the policy closes again."""
+        answers, now_ms = [], clock_ms()
+        client = SimpleNamespace(answer=lambda _, answer: answers.append(answer.kind))
+        with mock.patch("spanwing.policy.service.clock_ms", lambda: now_ms):
+            self.request_manager.post(RequestSubmitted(JobRequest("job-1", "look", 5e3), client))
+            await self.wait_until_idle()
+            for _ in range(20):
+                now_ms += 20.0
+                self.action = "take"
+                self.service._release_queued()
+                self.action = "hold"  # the policy closes before the request manager handles its mailbox
+                await self.wait_until_idle()
+                self.service._release_queued()
+        self.assertEqual(answers, ["refused"])
+
     async def test_a_disconnect_is_ahead_of_the_resubmitted_request_in_the_mailbox(self) -> None:
         await self.run_while_queued(
             lambda: self.request_manager.post(ClientDisconnected("job-1", self)), self.service._release_queued
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -94,7 +94,7 @@
         self.assertEqual(len([each for each in logged.output if "policy_unfit" in each]), 1)
         await self.submit()
         self.assertEqual([each.kind for each in self.answers], ["refused"])
-        self.assertEqual(len(self.service.queued_requests), 0)
+        self.assertEqual(len(self.service.admission_queue.waiting), 0)
         status = self.service.status()
         self.assertEqual((status["may"], status["version"], status["in_force"]), ("refuse", 1, 2))
         self.assertRegex(status["why"], "^version 2 cannot be used here: .*3")
@@ -106,11 +106,11 @@
     async def test_queued_requests_are_rejected_when_a_version_comes_that_cannot_be_used(self) -> None:
         self.close_for_change()
         await self.submit()
-        self.assertEqual((len(self.service.queued_requests), self.answers), (1, []))
+        self.assertEqual((len(self.service.admission_queue.waiting), self.answers), (1, []))
         with self.assertLogs("spanwing", "ERROR"):
             self.put_in_force(2, create_policy(balancers=3))
         self.assertEqual([each.kind for each in self.answers], ["refused"])
-        self.assertEqual(len(self.service.queued_requests), 0)
+        self.assertEqual(len(self.service.admission_queue.waiting), 0)
 
 
 if __name__ == "__main__":
