Say that a scheduler is not ready while the fleet's policy rejects every request

Change: PolicyAdmission.rejection_reason, from the same decision as the requests' own. RequestManager.unavailable_classes names every class with it, so the health is absent with weight 0; accepts_clients is false. While requests only wait for a change, nothing is said.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -209,6 +209,9 @@
         Otherwise the implementation rejects it, or queues it and submits it again later.
         """
 
+    def rejection_reason(self) -> str:
+        """Returns why every request is rejected now; empty if requests are accepted or queued."""
+
     def client_disconnected(self, request: str, client: ClientConnection) -> None:
         """Called when the client of a request that is not accepted yet has disconnected."""
 
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -167,6 +167,8 @@
 
     def unavailable_classes(self) -> dict[str, str]:
         """Returns the reason, by class, for the classes whose requests are all rejected now."""
+        if policy_reason := self.policy_rejection_reason():
+            return {each.name: f"policy: {policy_reason}" for each in self.settings.classes}
         reason = self.recorder.unavailable_reason() if self.recorder is not None else ""
         return {
             each.name: f"journal: {reason}"
@@ -174,6 +176,10 @@
             if reason and each.name not in self.safe_classes
         }
 
+    def policy_rejection_reason(self) -> str:
+        """Returns why the fleet's policy lets no request in now; empty if it does, or if there is none."""
+        return "" if self.policy_admission is None else self.policy_admission.rejection_reason()
+
     def discovery_age_s(self) -> float:
         """Returns the seconds since discovery last reported its endpoint list, or since the start."""
         return self.loop.time() - self.last_discovery_report_s
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -279,8 +279,16 @@
             self.print_address("management", server.address)
 
     def accepts_clients(self) -> bool:
-        """Returns whether this process accepts clients: started, not stopping, with an endpoint list."""
-        return self.started.is_set() and not self.is_stopping and self.discovery.announced.is_set()
+        """Returns whether this process accepts clients.
+
+        It has started, is not stopping, and has an endpoint list, and the fleet's policy rejects no request.
+        """
+        return (
+            self.started.is_set()
+            and not self.is_stopping
+            and self.discovery.announced.is_set()
+            and not self.request_manager.policy_rejection_reason()
+        )
 
     def open_journal(self) -> None:
         """Opens the journal, if one is configured, and attaches it to the request manager.
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -191,6 +191,11 @@
             "refuse", decision.version, f"version {decision.version} cannot be used here{reason}"
         )
 
+    def rejection_reason(self) -> str:
+        """Returns why every request is rejected now; empty if requests are accepted or queued."""
+        decision = self.decide_admission()
+        return decision.reason if decision.action == "refuse" else ""
+
     def client_disconnected(self, request_id: str, client: ClientConnection) -> None:
         """Drops a request that is not accepted yet, whose client has disconnected."""
         self.admission_queue.drop(request_id, client)
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -17,7 +17,9 @@
 from spanwing.core.clock import Clock
 from spanwing.core.messages import FinalAnswer, JobRequest, RequestSubmitted
 from spanwing.core.request_manager import RequestManager
+from spanwing.daemon import Daemon
 from spanwing.net.buffers import BufferPool
+from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
 from spanwing.policy.records import (
     CHANGE_KEY,
     CURRENT_KEY,
@@ -113,5 +115,46 @@
         self.assertEqual(len(self.service.admission_queue.waiting), 0)
 
 
+class ReadinessTests(UnusableVersionTestCase):
+    """Guards against a scheduler that says that it is ready while it rejects every request."""
+
+    def accepts_clients(self) -> bool:
+        daemon = object.__new__(Daemon)
+        daemon.started, daemon.is_stopping = asyncio.Event(), False
+        daemon.started.set()
+        daemon.discovery = SimpleNamespace(announced=daemon.started)
+        daemon.request_manager = self.request_manager
+        return daemon.accepts_clients()
+
+    def check(self, reason: str) -> None:
+        """Checks what `GET /up`, the health check and the balancers' reporter go by."""
+        unavailable = self.request_manager.unavailable_classes()
+        if reason:
+            self.assertEqual(sorted(unavailable), sorted(each.name for each in self.own_settings.classes))
+        for text in unavailable.values():
+            self.assertRegex(text, f"^policy: {reason}")
+        self.assertEqual(self.accepts_clients(), not reason)
+
+    async def test_version_that_cannot_be_used(self) -> None:
+        self.check("")
+        with self.assertLogs("spanwing", "ERROR"):
+            self.put_in_force(2, create_policy(balancers=3))
+        self.check("version 2 cannot be used here: ")
+        self.put_in_force(3, create_policy(balancers=4))
+        self.check("")
+
+    async def test_no_permit(self) -> None:
+        self.service.follower.permit.expires_at_ms = clock_ms() - 1.0
+        self.check("no permit")
+        self.service.follower.permit.expires_at_ms = clock_ms() + PERMIT_MS
+        self.check("")
+
+    async def test_cut_off_while_a_change_is_closing(self) -> None:
+        self.close_for_change()
+        self.check("")  # requests wait
+        self.service.participant.closed_since_ms -= MAX_ADMISSION_WAIT_MS
+        self.check("cut off in a change of policy")
+
+
 if __name__ == "__main__":
     unittest.main()
