Close the policy while a record of it cannot be decoded, also the version in force

What callers saw: when a newer program writes the version in force in a form that this one cannot decode, the scheduler goes on accepting requests under the version before. An unreadable proposed version raises in the handling of the document, which then stays unapplied, and in `status`.

Cause: read_policy gives an unreadable version the number 0, and a copy of the document with a lower number than the one known was ignored as a whole, with the very list of unreadable records that closes the policy. The log of a change's step took the proposed version for given.

Change: an unreadable version in force keeps the number known before, so the copy counts and the policy is closed; a step is logged only if its version can be decoded; `status` then shows no change.

--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -32,7 +32,7 @@
 from spanwing.policy.coordinator import PermitSettings, PolicyCoordinator
 from spanwing.policy.participant import AdmissionDecision, PolicyParticipant
 from spanwing.policy.policy_cache import PolicyCache
-from spanwing.policy.records import PolicyVersion, read_policy
+from spanwing.policy.records import CURRENT_KEY, PolicyVersion, read_policy
 from spanwing.policy.state_transfer import create_scheduler, known_workers, transfer_worker_estimates
 from spanwing.policy.validation import RunningState, find_objection, parse_policy
 from spanwing.store.document import Document
@@ -216,6 +216,8 @@
     def _handle_document_change(self, document: Document) -> None:
         """Applies a new copy of the document; the follower acknowledges it after this returns."""
         previous, policy = self.participant.policy, read_policy(document)
+        if CURRENT_KEY in policy.unreadable_keys:  # the policy is closed, in no lower version
+            policy = msgspec.structs.replace(policy, now=previous.now)
         if policy.now.number >= previous.now.number:  # an empty document does not replace a cached version
             self.participant.update_policy(clock_ms(), policy)
         self.cache_writer.update_closing(policy.change_revision if policy.is_closed() else NOT_CLOSING)
@@ -227,10 +229,11 @@
     def _log_change_steps(self, previous: Any, policy: Any) -> None:
         """Logs an event if a change has begun, has changed its state or has ended."""
         change, previous_change = policy.change, previous.change
-        if change is not None and (
+        is_new_step = change is not None and (
             previous_change is None
             or (previous_change.id, previous_change.state) != (change.id, change.state)
-        ):
+        )
+        if is_new_step and policy.next is not None:  # None: the proposed version cannot be decoded
             vote = self.participant.vote
             log_event(
                 "policy",
@@ -305,7 +308,7 @@
         No request is accepted until a version is in force that can be.
         """
         if self.unusable_version is None or self.unusable_version.number != number:
-            log_event("policy_unfit", level="error", version=number, reason=reason)
+            log_event("policy_unfit", level="error", rate_limited=False, version=number, reason=reason)
         self.unusable_version = UnusableVersion(number, reason)
         self._release_queued()
 
@@ -414,7 +417,7 @@
             if self.request_manager is not None
             else 0,
             "change": None
-            if change is None
+            if change is None or policy.next is None
             else {
                 "version": policy.next.number,
                 "state": change.state,
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -23,7 +23,9 @@
 from spanwing.policy.records import (
     CHANGE_KEY,
     CURRENT_KEY,
+    HISTORY_KEY,
     PROPOSED_KEY,
+    REGISTER_KEY,
     PolicyChange,
     PolicyVersion,
     encode_value,
@@ -42,6 +44,7 @@
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.addAsyncCleanup(self.wait_for_cache)
         policy_settings = SimpleNamespace(directory=folder.name, away_ms=1e4, members={}, lease_ms=2e3)
         self.own_settings = replace(running_state().settings, node_index=3, node_count=4)
         self.service = PolicyService("d", policy_settings, self.own_settings, BufferPool(), 1)
@@ -53,6 +56,11 @@
         self.service.active_version = await self.service.first_version
         self.service.attach_request_manager(self.request_manager)
 
+    async def wait_for_cache(self) -> None:
+        """Waits until the thread of the policy cache writes nothing to the folder."""
+        while self.service.cache_writer.is_writing:
+            await asyncio.sleep(0.001)
+
     def put_in_force(self, number: int, policy: dict, **changes: object) -> None:
         """Gives the service a copy of the document in which this version is in force."""
         text = msgspec.json.encode(policy).decode()
@@ -156,5 +164,33 @@
         self.check("cut off in a change of policy")
 
 
+class UnreadableRecordTests(UnusableVersionTestCase):
+    async def test_requests_are_rejected_while_a_record_of_the_policy_cannot_be_decoded(self) -> None:
+        """Guards against requests that are accepted under a version which a newer program has replaced."""
+        for key in (CURRENT_KEY, PROPOSED_KEY, CHANGE_KEY, REGISTER_KEY, HISTORY_KEY):
+            with self.subTest(key):
+                self.apply({key: '"of a newer program"'})
+                self.answers.clear()
+                await self.submit()
+                self.assertEqual([each.kind for each in self.answers], ["refused"])
+                self.assertRegex(self.service.status()["why"], f"^{key} cannot be decoded")
+                self.apply({PROPOSED_KEY: None, CHANGE_KEY: None, REGISTER_KEY: None, HISTORY_KEY: None})
+                self.put_in_force(1, create_policy(balancers=4))
+                await self.submit()
+                self.assertEqual(len(self.answers), 1)
+
+    async def test_proposed_version_that_cannot_be_decoded_while_its_change_is_closing(self) -> None:
+        """Guards against an exception that leaves the scheduler on a former copy of the document."""
+        self.apply(
+            {
+                PROPOSED_KEY: '"of a newer program"',
+                CHANGE_KEY: encode_value(PolicyChange("change-1", "closing", 1e4)),
+            }
+        )
+        await self.submit()
+        self.assertEqual([each.kind for each in self.answers], ["refused"])
+        self.assertIsNone(self.service.status()["change"])
+
+
 if __name__ == "__main__":
     unittest.main()
