Use a policy version in force as a whole or not at all

What callers would see: a scheduler that was away while the fleet took a version of a newer program applies it without the fields that it does not know, and serves under a policy of its own. A text that does not match its digest was applied too.

Cause: the vote checks a proposed version for unknown fields and digest, but applying one, which may be in force without this scheduler's vote, only decoded it.

Change: settings_in_force (policy/validation.py) is what both a running scheduler and a start use: digest, form, bounds, unknown fields. Only the initial policy, the settings object of an operator's file, may have fields that the program does not know. An invalid setting is named as in the settings object, no longer as in the module.

Tests: WholeVersionTests; those for the unknown field and the digest failed before (nothing was logged, the version was applied).

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -372,12 +372,12 @@
         """Starts this scheduler's part in the fleet's policy, and waits until requests may be accepted under
         the policy in force.
 
-        Returns the settings of that policy as JSON. Raises ConfigurationError if the policy cache cannot be
-        used.
+        Returns the settings of that policy as JSON. Raises ConfigurationError if the policy cache or the
+        version in force cannot be used.
         """
         from spanwing.policy.policy_cache import PolicyCacheError
         from spanwing.policy.service import PolicyService
-        from spanwing.policy.validation import remove_per_scheduler_settings
+        from spanwing.policy.validation import UnusablePolicyError, remove_per_scheduler_settings
 
         config = self.config
         try:
@@ -392,7 +392,10 @@
                 self.store, self.store_listener, remove_per_scheduler_settings(config.settings_json)
             )
         participant.start()
-        return await participant.wait_for_policy()
+        try:
+            return await participant.wait_for_policy()
+        except UnusablePolicyError as error:
+            raise ConfigurationError(f"policy: the version in force cannot be used here: {error}") from None
 
     def start_zone_routing(self) -> None:
         """Starts routing by the state of zones, if [zones] is configured.
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -34,7 +34,12 @@
 from spanwing.policy.policy_cache import PolicyCache
 from spanwing.policy.records import CURRENT_KEY, PolicyVersion, read_policy
 from spanwing.policy.state_transfer import create_scheduler, known_workers, transfer_worker_estimates
-from spanwing.policy.validation import RunningState, find_objection, parse_policy
+from spanwing.policy.validation import (
+    RunningState,
+    UnusablePolicyError,
+    find_objection,
+    settings_in_force,
+)
 from spanwing.store.document import Document
 from spanwing.store.document_service import DocumentService
 from spanwing.store.follower import DocumentFollower
@@ -147,10 +152,15 @@
         spawn_task(self._run_timer())
 
     async def wait_for_policy(self) -> str:
-        """Waits until requests may be accepted; returns the text of the version in force."""
+        """Waits until requests may be accepted; returns the text of the version in force.
+
+        Raises UnusablePolicyError if this scheduler cannot run under that version.
+        """
         self._resolve_first_version()
-        self.active_version = await self.first_version
-        return self.active_version.text
+        version = await self.first_version
+        settings_in_force(version, self.own_settings)
+        self.active_version = version
+        return version.text
 
     def attach_request_manager(self, request_manager: RequestManager) -> None:
         """Has the request manager call admit() for each request, and applies the version in force to it."""
@@ -279,13 +289,13 @@
         if request_manager is None or current.number == 0 or self.active_version.number >= current.number:
             return
         started_at_s = time.perf_counter()
+        previous_scheduler, now_ms = request_manager.scheduler, request_manager.clock.now_ms()
         try:
-            settings = parse_policy(current.text, self.own_settings)
-        except ValueError as error:
+            settings = settings_in_force(current, self.own_settings)
+            new_scheduler = create_scheduler(settings, self.seed + current.number, now_ms, previous_scheduler)
+        except UnusablePolicyError as error:
             self._note_unusable(current.number, str(error))
             return
-        previous_scheduler, now_ms = request_manager.scheduler, request_manager.clock.now_ms()
-        new_scheduler = create_scheduler(settings, self.seed + current.number, now_ms, previous_scheduler)
         request_manager.switch_policy(settings, new_scheduler)
         request_manager.notify_schedulers(known_workers(previous_scheduler))
         transfer_worker_estimates(new_scheduler, previous_scheduler, now_ms)
--- a/spanwing/policy/validation.py
+++ b/spanwing/policy/validation.py
@@ -18,10 +18,11 @@
 import msgspec.inspect
 
 from spanwing import interface as api
-from spanwing.policy.records import MAX_POLICY_BYTES
+from spanwing.policy.records import MAX_POLICY_BYTES, PolicyVersion, policy_digest
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
 
 MAX_CLASSES, MAX_TENANTS = 64, 2000
+INITIAL_VERSION = 1  # number of the policy that the first leader's file brings
 PER_SCHEDULER_SETTINGS = ("position", "zone")  # never part of a policy
 # Read only when the process starts; the second tuple names settings of `permissions`.
 RESTART_SETTINGS = ("report_fields", "max_retry_after", "subscribe", "probes")
@@ -29,6 +30,10 @@
 TENANT_MEMORY_KB, TENANT_CLASS_MEMORY_KB = 0.4, 0.1  # per tenant, and per class of each tenant
 
 
+class UnusablePolicyError(ValueError):
+    """This scheduler cannot run under a version that is in force; the message says why, in one line."""
+
+
 class RunningState(NamedTuple):
     """The state of this scheduler that a policy is validated against."""
 
@@ -68,6 +73,33 @@
     return scheduler_settings(options)
 
 
+def settings_in_force(version: PolicyVersion, own_settings: api.Settings) -> api.Settings:
+    """Returns the settings under a version that is in force, with the position and zone of own_settings.
+
+    It may have come into force without this scheduler's vote. Raises UnusablePolicyError if this scheduler
+    cannot run under the whole of it. The initial policy is a settings object of an operator's file, in which
+    unknown fields are allowed; a later version has one only if a newer program knows it.
+    """
+    if version.digest and policy_digest(version.text) != version.digest:
+        raise UnusablePolicyError("its text does not match its digest")
+    try:
+        settings = parse_policy(version.text, own_settings)
+        raw = msgspec.json.decode(version.text)
+    except (ValueError, TypeError, RecursionError) as error:
+        raise UnusablePolicyError(_single_line(_describe(error))) from error
+    if version.number > INITIAL_VERSION:
+        for path in _unknown_fields(raw, msgspec.inspect.type_info(PlatformSettings), ""):
+            raise UnusablePolicyError(f"{path}: this program does not know it")
+    return settings
+
+
+def _describe(error: Exception) -> str:
+    """Returns the text of an error; an invalid setting has the name that it has in the settings object."""
+    name, separator, message = str(error).partition(": ")
+    is_setting = isinstance(error, api.SettingsError)
+    return f"{SETTING_NAMES.get(name, name)}{separator}{message}" if is_setting else str(error)
+
+
 def _objections(text: str, state: RunningState) -> Iterator[str]:
     if len(text.encode()) > MAX_POLICY_BYTES:
         yield f"{len(text.encode())} bytes of policy, {MAX_POLICY_BYTES} are allowed"
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -32,6 +32,7 @@
     policy_digest,
 )
 from spanwing.policy.service import PolicyService
+from spanwing.policy.validation import UnusablePolicyError, settings_in_force
 from spanwing.store.document import Transaction
 from spanwing.store.lease import clock_ms
 
@@ -107,7 +108,7 @@
         self.assertEqual(len(self.service.admission_queue.waiting), 0)
         status = self.service.status()
         self.assertEqual((status["may"], status["version"], status["in_force"]), ("refuse", 1, 2))
-        self.assertRegex(status["why"], "^version 2 cannot be used here: .*3")
+        self.assertRegex(status["why"], "^version 2 cannot be used here: position: 3")
         self.put_in_force(3, create_policy(balancers=4))
         await self.submit()
         self.assertEqual((len(self.answers), self.request_manager.counters["taken"]), (1, 1))
@@ -164,6 +165,36 @@
         self.check("cut off in a change of policy")
 
 
+class WholeVersionTests(UnusableVersionTestCase):
+    """A version is used as a whole or not at all."""
+
+    async def check_refused(self, reason: str) -> None:
+        await self.submit()
+        self.assertEqual([each.kind for each in self.answers], ["refused"])
+        self.assertRegex(self.service.status()["why"], f"^version 2 cannot be used here: {reason}")
+
+    async def test_field_that_only_a_newer_program_knows(self) -> None:
+        """Guards against a version that is applied without what this program does not know of it."""
+        with self.assertLogs("spanwing", "ERROR"):
+            self.put_in_force(2, {**create_policy(balancers=4), "newer": 1})
+        await self.check_refused("newer: this program does not know it")
+
+    async def test_text_that_does_not_match_its_digest(self) -> None:
+        with self.assertLogs("spanwing", "ERROR"):
+            self.put_in_force(2, create_policy(balancers=4), digest="0" * 16)
+        await self.check_refused("its text does not match its digest")
+
+    async def test_start_under_a_version_that_cannot_be_used(self) -> None:
+        self.service.first_version = asyncio.get_running_loop().create_future()
+        self.service.first_version.set_result(PolicyVersion(2, "", '{"newer": 1}'))
+        with self.assertRaisesRegex(UnusablePolicyError, "classes"):
+            await self.service.wait_for_policy()
+
+    async def test_initial_policy_may_have_fields_of_the_operators_file(self) -> None:
+        text = msgspec.json.encode({**create_policy(balancers=4), "comment": 1}).decode()
+        self.assertEqual(settings_in_force(PolicyVersion(1, "", text), self.own_settings).node_count, 4)
+
+
 class UnreadableRecordTests(UnusableVersionTestCase):
     async def test_requests_are_rejected_while_a_record_of_the_policy_cannot_be_decoded(self) -> None:
         """Guards against requests that are accepted under a version which a newer program has replaced."""
