Survive an exception while a policy version in force is applied

What callers would see: a version whose application raises ends the reading of the store's replies in the middle, so that the scheduler loses its contact, and nothing says why; the version is never applied, as its copy of the document counts as read.

Cause: only ValueError of the decoding was caught; a fault in the making of the scheduler went up through DocumentFollower._read_replies, which takes a ValueError for a foreign protocol and ends with any other.

Change: such a version cannot be used here (policy_unfit, requests are refused), and the fault is logged with its traceback. The next version is applied as ever.

Test: test_exception_while_the_version_is_applied failed before with the TypeError itself.

--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import logging
 import secrets
 import time
 from collections import Counter
@@ -51,6 +52,8 @@
 CACHE_RENEWAL_FRACTION = 0.25  # interval between writes of the cache, as a fraction of a permit's duration
 MAX_RETIRING_VERSIONS = 4  # earlier versions that may still have open requests
 
+logger = logging.getLogger("spanwing")
+
 
 class PolicySettings(Protocol):
     """The checked policy table of the operator's file; away_ms is the duration of a permit."""
@@ -296,6 +299,10 @@
         except UnusablePolicyError as error:
             self._note_unusable(current.number, str(error))
             return
+        except Exception as error:  # the connection to the store, which has brought the version, must not end
+            logger.exception("fault in the application of version %s of the policy", current.number)
+            self._note_unusable(current.number, repr(error))
+            return
         request_manager.switch_policy(settings, new_scheduler)
         request_manager.notify_schedulers(known_workers(previous_scheduler))
         transfer_worker_estimates(new_scheduler, previous_scheduler, now_ms)
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -10,6 +10,7 @@
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 import msgspec
 from test_policy_sound import create_policy, running_state
@@ -184,6 +185,15 @@
             self.put_in_force(2, create_policy(balancers=4), digest="0" * 16)
         await self.check_refused("its text does not match its digest")
 
+    async def test_exception_while_the_version_is_applied(self) -> None:
+        """Guards against one that ends the reading of the store's replies."""
+        with (
+            mock.patch("spanwing.policy.service.create_scheduler", side_effect=TypeError("fault")),
+            self.assertLogs("spanwing", "ERROR"),
+        ):
+            self.put_in_force(2, create_policy(balancers=4))
+        await self.check_refused("TypeError")
+
     async def test_start_under_a_version_that_cannot_be_used(self) -> None:
         self.service.first_version = asyncio.get_running_loop().create_future()
         self.service.first_version.set_result(PolicyVersion(2, "", '{"newer": 1}'))
