Store the permit in the policy's folder for the version in force alone

What callers would see: a scheduler that cannot use the version in force refuses requests. Restarted while it reaches no member of the store, it accepts them under the version that the fleet has left, for up to away_ms.

Cause: the timer stored the version that the scheduler runs under with the permit that the store grants for the version in force.

Change: nothing is stored while they differ. What was stored before has expired by then: the fleet waits for it before it takes a version.

Test: test_permit_is_not_stored_for_a_version_that_the_fleet_has_left failed before (a permit for version 1, valid for 60 s).

--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -385,10 +385,13 @@
                 self._start_cache_write(now)
 
     def _start_cache_write(self, now: float) -> None:
-        """Begins to store the version in use and its permit."""
-        if self.active_version.number and self.cache_writer.store(
-            self.active_version, self.follower.permit.expires_at_ms
-        ):
+        """Begins to store the version in force and its permit, if this scheduler runs under that version.
+
+        The permit is for the version in force: stored for another one, it would let a later start without the
+        store accept requests under a version that the fleet has left.
+        """
+        is_in_force = 0 < self.active_version.number == self.participant.policy.now.number
+        if is_in_force and self.cache_writer.store(self.active_version, self.follower.permit.expires_at_ms):
             self.cache_written_at_ms = now
 
     # -- orders and status
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -205,6 +205,24 @@
         self.assertEqual(settings_in_force(PolicyVersion(1, "", text), self.own_settings).node_count, 4)
 
 
+class CachedPermitTests(UnusableVersionTestCase):
+    async def write_cache(self) -> None:
+        """Does what the service's timer does from time to time."""
+        self.service._start_cache_write(clock_ms())
+        await self.wait_for_cache()
+
+    async def test_permit_is_not_stored_for_a_version_that_the_fleet_has_left(self) -> None:
+        """Guards against a start without the store that accepts requests under the former version."""
+        with self.assertLogs("spanwing", "ERROR"):
+            self.put_in_force(2, create_policy(balancers=3))
+        await self.write_cache()
+        self.assertIsNone(self.service.cache.load_permit())
+        self.put_in_force(3, create_policy(balancers=4))
+        await self.wait_for_cache()
+        await self.write_cache()
+        self.assertEqual(self.service.cache.load_permit()[0].number, 3)
+
+
 class UnreadableRecordTests(UnusableVersionTestCase):
     async def test_requests_are_rejected_while_a_record_of_the_policy_cannot_be_decoded(self) -> None:
         """Guards against requests that are accepted under a version which a newer program has replaced."""
