Follow a store that was set up anew, whose policy versions count from 1 again

Cause: a copy of the document with a lower number than the one known was ignored as a whole, also the change in it. That rule was for an empty document and for a member that lags; it cannot tell them from a new store.

Change: such a version is followed, and the permit that was granted before is void, so requests are refused until this store grants one. A member that lags behind cannot: a permit needs a majority. The same for an equal number with another digest. An empty document replaces nothing, as before.

Tests: OtherStoreTests; the two with another version failed before (the request was accepted). The mock of test_policy.py has a policy now.

--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import secrets
 import time
 from collections import Counter
@@ -197,7 +198,7 @@
         runs under another one, it cannot use the version in force, and no wait ends that.
         """
         decision = self.participant.decide_admission(clock_ms())
-        if decision.action != "take" or decision.version == self.active_version.number:
+        if decision.action != "take" or self._runs_under(self.participant.policy.now):
             return decision
         reason = "" if self.unusable_version is None else f": {self.unusable_version.reason}"
         return AdmissionDecision(
@@ -231,7 +232,11 @@
         previous, policy = self.participant.policy, read_policy(document)
         if CURRENT_KEY in policy.unreadable_keys:  # the policy is closed, in no lower version
             policy = msgspec.structs.replace(policy, now=previous.now)
-        if policy.now.number >= previous.now.number:  # an empty document does not replace a cached version
+        if _is_of_other_store(previous.now, policy.now):
+            self._start_over(previous.now, policy.now)
+        if (
+            policy.now.number or not previous.now.number
+        ):  # an empty document does not replace a cached version
             self.participant.update_policy(clock_ms(), policy)
         self.cache_writer.update_closing(policy.change_revision if policy.is_closed() else NOT_CLOSING)
         self._log_change_steps(previous, policy)
@@ -239,6 +244,21 @@
         self._apply_current_version()
         self.on_document_change(document)
 
+    def _start_over(self, previous: PolicyVersion, current: PolicyVersion) -> None:
+        """Follows a store in which the versions do not follow on those known here.
+
+        It was set up anew, or the member that answers lags behind the version of the policy cache. A permit
+        that was granted before counts for neither; one that this store grants, by a majority, decides it.
+        """
+        log_event(
+            "policy_restarted",
+            level="warning",
+            rate_limited=False,
+            version=current.number,
+            previous=previous.number,
+        )
+        self.follower.permit.expires_at_ms = -math.inf
+
     def _log_change_steps(self, previous: Any, policy: Any) -> None:
         """Logs an event if a change has begun, has changed its state or has ended."""
         change, previous_change = policy.change, previous.change
@@ -289,7 +309,7 @@
         """Replaces the request manager's scheduler by one for the version in force, if that is newer."""
         current = self.participant.policy.now
         request_manager = self.request_manager
-        if request_manager is None or current.number == 0 or self.active_version.number >= current.number:
+        if request_manager is None or current.number == 0 or self._runs_under(current):
             return
         started_at_s = time.perf_counter()
         previous_scheduler, now_ms = request_manager.scheduler, request_manager.clock.now_ms()
@@ -319,6 +339,10 @@
         self._release_queued()
         self._start_cache_write(clock_ms())
 
+    def _runs_under(self, version: PolicyVersion) -> bool:
+        """Returns whether this scheduler runs under this version."""
+        return (self.active_version.number, self.active_version.digest) == (version.number, version.digest)
+
     def _note_unusable(self, number: int, reason: str) -> None:
         """Notes that the version in force, which came without this scheduler's vote, cannot be used here.
 
@@ -390,8 +414,12 @@
         The permit is for the version in force: stored for another one, it would let a later start without the
         store accept requests under a version that the fleet has left.
         """
-        is_in_force = 0 < self.active_version.number == self.participant.policy.now.number
-        if is_in_force and self.cache_writer.store(self.active_version, self.follower.permit.expires_at_ms):
+        is_in_force = self._runs_under(self.participant.policy.now)
+        if (
+            self.active_version.number
+            and is_in_force
+            and self.cache_writer.store(self.active_version, self.follower.permit.expires_at_ms)
+        ):
             self.cache_written_at_ms = now
 
     # -- orders and status
@@ -471,5 +499,13 @@
         return version.text
 
 
+def _is_of_other_store(previous: PolicyVersion, current: PolicyVersion) -> bool:
+    """Returns whether a store with the current version in force has never had the previous one in force."""
+    if 0 < current.number < previous.number:
+        return True
+    is_same_number = 0 < current.number == previous.number
+    return is_same_number and bool(previous.digest) and current.digest != previous.digest
+
+
 def _random_id() -> str:
     return secrets.token_hex(8)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -26,6 +26,7 @@
     MAX_POLICY_BYTES,
     PROPOSED_KEY,
     PolicyChange,
+    PolicyState,
     PolicyVersion,
     encode_value,
     policy_digest,
@@ -291,7 +292,7 @@
         )
         self.action = "hold"
         self.service.participant = SimpleNamespace(
-            decide_admission=lambda now: SimpleNamespace(action=self.action, version=0)
+            decide_admission=lambda now: SimpleNamespace(action=self.action, version=0), policy=PolicyState()
         )
 
     def answer(self, envelope: JobRequest, answer: FinalAnswer) -> None:
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -20,6 +20,7 @@
 from spanwing.core.request_manager import RequestManager
 from spanwing.daemon import Daemon
 from spanwing.net.buffers import BufferPool
+from spanwing.policy.coordinator import PolicyVote
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
 from spanwing.policy.records import (
     CHANGE_KEY,
@@ -223,6 +224,45 @@
         self.assertEqual(self.service.cache.load_permit()[0].number, 3)
 
 
+class OtherStoreTests(UnusableVersionTestCase):
+    """The store was set up anew, and counts its versions from 1 again."""
+
+    async def test_version_with_a_lower_number_is_followed_once_its_store_grants_a_permit(self) -> None:
+        """Guards against a scheduler that runs under a version of the former store, and never votes again."""
+        self.put_in_force(5, create_policy(balancers=4))
+        self.put_in_force(2, create_policy(balancers=5))
+        await self.submit()
+        self.assertEqual(
+            [each.kind for each in self.answers], ["refused"]
+        )  # the permit was the former store's
+        self.service.follower.permit.expires_at_ms = clock_ms() + PERMIT_MS
+        await self.submit()
+        self.assertEqual((len(self.answers), self.request_manager.counters["taken"]), (1, 1))
+        self.assertEqual((self.service.status()["version"], self.request_manager.settings.node_count), (2, 5))
+        text = msgspec.json.encode(create_policy(balancers=4)).decode()
+        self.apply(
+            {
+                PROPOSED_KEY: encode_value(PolicyVersion(3, policy_digest(text), text)),
+                CHANGE_KEY: encode_value(PolicyChange("change-1", "asking", 1e4)),
+            }
+        )
+        self.assertEqual(self.service.participant.vote, PolicyVote(True, "change-1", ""))
+
+    async def test_version_with_the_same_number_and_another_text(self) -> None:
+        self.put_in_force(1, create_policy(balancers=5))
+        await self.submit()
+        self.assertEqual([each.kind for each in self.answers], ["refused"])
+        self.service.follower.permit.expires_at_ms = clock_ms() + PERMIT_MS
+        await self.submit()
+        self.assertEqual(self.request_manager.settings.node_count, 5)
+        self.assertEqual(len(self.answers), 1)
+
+    async def test_empty_document_does_not_replace_the_version(self) -> None:
+        self.apply({CURRENT_KEY: None})
+        await self.submit()
+        self.assertEqual((self.answers, self.request_manager.counters["taken"]), ([], 1))
+
+
 class UnreadableRecordTests(UnusableVersionTestCase):
     async def test_requests_are_rejected_while_a_record_of_the_policy_cannot_be_decoded(self) -> None:
         """Guards against requests that are accepted under a version which a newer program has replaced."""
