--- a/tests/golden_folders.py
+++ b/tests/golden_folders.py
@@ -546,12 +546,9 @@
     participant = PolicyParticipant("a.01", lambda text: "", lease)
     participant.update_policy(0.0, policy)
     request_manager = SimpleNamespace(scheduler_by_request={"job-1": 1})
-    service = SimpleNamespace(
-        active_version=_policy_version(1),
-        participant=participant,
-        follower=follower,
-        request_manager=request_manager,
-    )
+    service = object.__new__(PolicyService)
+    service.active_version, service.unusable_version = _policy_version(1), None
+    service.participant, service.follower, service.request_manager = participant, follower, request_manager
     policy_status = PolicyService.status(service)
     del policy_status["permit_ms"]  # depends on the clock
     return {
