--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hypothesis import settings as hypothesis_settings
+from stream_leaks import no_leaked_streams
 
 from spanwing.interface import (
     Action,
@@ -20,6 +21,8 @@
 )
 from spanwing.scheduler import Scheduler
 
+__all__ = ["no_leaked_streams"]  # a fixture of all tests
+
 # Reproducible results: examples come from a fixed seed, and none is kept between runs.
 hypothesis_settings.register_profile("same", derandomize=True, database=None, deadline=None)
 hypothesis_settings.load_profile("same")
