Let the frontends look up the classes of the policy version in use

Cause: each front kept its own copy of the classes, made from the settings with which the start began, and brought up to date by a callback that was subscribed only after the wait for discovery.

Change: RequestManager.service_classes, changed in the same step as the scheduler itself, is what both fronts look at for each request. The copies and Daemon.update_service_classes are gone, so there is nothing to forget.

--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -97,6 +97,8 @@
         # neither set: workers drop a repeat by its idempotency key within the deduplication window.
         self.safe_classes = {each.name for each in settings.classes if each.idempotency == "safe"}
         self.unsafe_classes = {each.name for each in settings.classes if each.idempotency == "unsafe"}
+        #: The classes of the policy in use by name; the frontends look them up for each request.
+        self.service_classes = classes_by_name(settings)
         self.recorder: AttemptRecorder | None = None  # the journal; None: nothing is recorded
         self.journal_retry_after_ms = min(JOURNAL_RETRY_AFTER_MS, settings.max_retry_after)
         self.directory: EndpointDirectory | None = None  # discovery
@@ -232,6 +234,7 @@
         if previous.jobs or previous.open_attempts:
             self.retiring_schedulers.append(previous)
         self.scheduler, self.settings = scheduler, settings
+        self.service_classes = classes_by_name(settings)
         self.journal_retry_after_ms = min(JOURNAL_RETRY_AFTER_MS, settings.max_retry_after)
         self._update_class_sets()
 
@@ -755,6 +758,11 @@
         logger.warning("sending messages to peers is not supported; dropped message: %s", action.payload)
 
 
+def classes_by_name(settings: api.Settings) -> dict[str, api.ServiceClass]:
+    """Returns the classes of the settings by name."""
+    return {each.name: each for each in settings.classes}
+
+
 MESSAGE_HANDLERS = {
     RequestSubmitted: RequestManager._handle_submitted,
     ClientDisconnected: RequestManager._handle_client_disconnected,
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -18,7 +18,6 @@
 from tornado.ioloop import IOLoop
 from tornado.locks import Event
 
-from spanwing import interface as api
 from spanwing.config import (
     MAX_MANAGEMENT_CONNECTIONS,
     RESERVED_SOCKETS,
@@ -183,7 +182,7 @@
         spread_s = start_spread_s(settings.node_count) if settings.subscribe else 0.0
         discovery.watch(spread_s)
         platform_frontend = PlatformFrontend(
-            settings.classes,
+            lambda: self.request_manager.service_classes,
             load_reader,
             discovery.post,
             self.collect_counters,
@@ -219,7 +218,6 @@
                 config.faktory,
                 lambda address: FaktoryFrontend(
                     address,
-                    settings.classes,
                     self.request_manager,
                     workers,
                     Claims(self.store),
@@ -231,8 +229,6 @@
                 ),
             )
             self.print_address("faktory", self.faktory_frontend.address)
-        if self.fleet_policy is not None:
-            self.fleet_policy.on_policy_change.append(self.update_service_classes)
         self.open_balancer_listeners(config)
         if hot_restart is not None:
             _open_listener(
@@ -243,12 +239,6 @@
         self.started.set()
         gc.freeze()  # objects that exist now live as long as the process; collections skip them
 
-    def update_service_classes(self, settings: api.Settings) -> None:
-        """Passes the service classes of a new policy to the frontends."""
-        for frontend in (self.http_server.frontend, self.faktory_frontend):
-            if frontend is not None:
-                frontend.service_classes = {each.name: each for each in settings.classes}
-
     def open_management(self) -> None:
         """Opens the management listener, if one is configured.
 
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -148,7 +148,6 @@
     def __init__(
         self,
         address: Address,
-        classes: tuple[api.ServiceClass, ...],
         request_manager: JobReceiver,
         worker_directory: FaktoryWorkerDirectory,
         claims: Claims,
@@ -161,7 +160,6 @@
         self.proxy_sources = proxy_sources
         #: Returns the journal's state of a job that a crash has interrupted, or an empty string.
         self.find_interrupted = find_interrupted
-        self.service_classes = {each.name: each for each in classes}
         self.request_manager, self.worker_directory, self.claims, self.buffers = (
             request_manager,
             worker_directory,
@@ -413,7 +411,7 @@
         return encode_bulk(msgspec.json.encode(errors))
 
     async def _submit_job(self, job: FaktoryJob, body: bytes) -> bytes:
-        service_class = self.frontend.service_classes.get(job.queue)
+        service_class = self.frontend.request_manager.service_classes.get(job.queue)
         if service_class is None:
             raise CommandError(f"no class of the name of queue {job.queue[:40]!a}")
         if len(job.jid) < MIN_JID_LENGTH or not is_request_id(job.jid) or not job.jobtype:
@@ -458,7 +456,8 @@
         if self.worker is None:
             raise CommandError("FETCH is for job workers: HELLO named no wid")
         queues = tuple(body.decode("utf-8", "replace").split())
-        unknown_queues = [each for each in queues if each not in self.frontend.service_classes]
+        known_classes = self.frontend.request_manager.service_classes
+        unknown_queues = [each for each in queues if each not in known_classes]
         if not queues or unknown_queues:
             raise CommandError(f"no class of the name of queue {' '.join(unknown_queues)[:40]!a}")
         self.pending_fetch = Future()
--- a/spanwing/frontends/faktory_jobs.py
+++ b/spanwing/frontends/faktory_jobs.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
 from typing import Protocol
 
 import msgspec
 from tornado.concurrent import Future
 
+from spanwing import interface as api
 from spanwing.actor import spawn_task
 from spanwing.core.messages import (
     AnswerKind,
@@ -60,6 +61,8 @@
 class JobReceiver(AttemptListener, Protocol):
     """The core, as the Faktory frontend uses it."""
 
+    service_classes: Mapping[str, api.ServiceClass]  # of the policy in use, by name
+
     def pending_client(self, request: str) -> ClientConnection | None:
         """Returns the client of a pending request; None if no request of this id is pending."""
 
--- a/spanwing/frontends/platform.py
+++ b/spanwing/frontends/platform.py
@@ -4,7 +4,7 @@
 
 import logging
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -56,14 +56,14 @@
 
     def __init__(
         self,
-        classes: tuple[api.ServiceClass, ...],
+        service_classes: Callable[[], Mapping[str, api.ServiceClass]],
         load_reader: LoadReportReader,
         on_callback: Callable[[WorkerCallbackReceived], None],
         counters: Callable[[], dict[str, int]],
         is_up: Callable[[], bool],
         remaining_ms: Callable[[], float],
     ) -> None:
-        self.service_classes = {each.name: each for each in classes}
+        self.service_classes = service_classes  # of the policy in use, by name
         self.load_reader, self.on_callback, self.counters, self.is_up = (
             load_reader,
             on_callback,
@@ -84,7 +84,7 @@
             if path == "/up":
                 return (200, b"up") if self.is_up() else (503, b"going down")
             return 200, msgspec.json.encode(self.counters())
-        service_class = self.service_classes.get(path.split("/")[1] if path.startswith("/") else "")
+        service_class = self.service_classes().get(path.split("/")[1] if path.startswith("/") else "")
         if service_class is None:
             return 404, b"no such class"
         if message.method != "POST":
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -247,7 +247,7 @@
         claimed: asyncio.Future = asyncio.get_running_loop().create_future()
         claims = SimpleNamespace(claim=lambda jid: claimed)
         frontend = FaktoryFrontend(
-            parse_address("127.0.0.1:0"), (UNSAFE,), manager, None, claims, BufferPool(), 10, dict
+            parse_address("127.0.0.1:0"), manager, None, claims, BufferPool(), 10, dict
         )
         daemon = object.__new__(Daemon)
         daemon.http_server = SimpleNamespace(has_unanswered_requests=lambda: False)
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -19,7 +19,11 @@
 from spanwing.core.messages import FinalAnswer, JobRequest, RequestSubmitted
 from spanwing.core.request_manager import RequestManager
 from spanwing.daemon import Daemon
+from spanwing.frontends.faktory import FaktoryFrontend
+from spanwing.frontends.platform import PlatformFrontend
+from spanwing.net.address import parse_address
 from spanwing.net.buffers import BufferPool
+from spanwing.net.http import HttpMessage
 from spanwing.policy.coordinator import PolicyVote
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
 from spanwing.policy.records import (
@@ -35,6 +39,7 @@
 )
 from spanwing.policy.service import PolicyService
 from spanwing.policy.validation import UnusablePolicyError, settings_in_force
+from spanwing.store.claims import Claims
 from spanwing.store.document import Transaction
 from spanwing.store.lease import clock_ms
 
@@ -126,6 +131,27 @@
         self.assertEqual(len(self.service.admission_queue.waiting), 0)
 
 
+class FrontendTests(UnusableVersionTestCase):
+    async def test_frontends_decide_by_the_classes_of_the_version_in_force(self) -> None:
+        """Guards against a frontend that keeps the classes of the version with which the process started."""
+        manager = self.request_manager
+        platform = PlatformFrontend(
+            lambda: manager.service_classes, None, None, dict, lambda: True, lambda: 1e9
+        )
+        faktory = FaktoryFrontend(
+            parse_address("127.0.0.1:0"), manager, None, Claims(None), BufferPool(), 10, dict
+        )
+        policy = create_policy(balancers=4)
+        policy["classes"][0]["idempotency"] = "unsafe"
+        policy["classes"].append({**policy["classes"][0], "name": "added"})
+        message = HttpMessage("POST", "/added", 0, {"x-call-id": "job-1"}, True)
+        self.assertEqual(platform.parse_request(message)[0], 404)
+        self.put_in_force(2, policy)
+        self.assertEqual(platform.parse_request(message).cls, "added")
+        self.assertEqual(faktory.request_manager.service_classes["status-read"].idempotency, "unsafe")
+        await self.wait_for_cache()
+
+
 class ReadinessTests(UnusableVersionTestCase):
     """Guards against a scheduler that says that it is ready while it rejects every request."""
 
