Let a policy's drain grace count at once for the age of the endpoint list

With a shorter grace a scheduler goes on sending by a list that is too old under the policy.

Cause: CallTiming was made from the settings with which the start began, and kept in three places: the client, its freshness and the confirmation of workers.

Change: the freshness alone has it; the client and the confirmation look there. It is made from the settings in use, and from each policy that is applied; a shorter lifetime counts for the present list too.

Test: ChangedTiming, drawn pairs of graces; change_timing is new, so it cannot be run on the old program.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -162,9 +162,9 @@
             )
             return HttpWorker(name, pool, load_reader, retired, confirmation, reported_requests)
 
-        timing = CallTiming.from_settings(settings.drain_grace, not settings.subscribe)
         confirmation = ConfirmationSettings(
-            lambda: permissions.probes and discovery.is_unconfirmed(), timing.stale_after_unapplied_s
+            lambda: permissions.probes and discovery.is_unconfirmed(),
+            lambda: discovery.freshness.timing.stale_after_unapplied_s,
         )
         discovery = self.discovery = DiscoveryClient(
             config.known_endpoints,
@@ -172,8 +172,12 @@
             self.request_manager,
             buffers,
             make_worker_connection,
-            timing,
+            CallTiming.of(self.request_manager.settings),
         )
+        if self.fleet_policy is not None:
+            self.fleet_policy.on_policy_change.append(
+                lambda changed: discovery.freshness.change_timing(CallTiming.of(changed))
+            )
         self.request_manager.directory = discovery
         self.request_manager.guard.is_list_stale = discovery.is_stale
         self.request_manager.guard.is_list_too_old = discovery.violates_drain_rule
--- a/spanwing/discovery/client.py
+++ b/spanwing/discovery/client.py
@@ -102,7 +102,6 @@
         timing: CallTiming = CallTiming(),  # noqa: B008 - a tuple
     ) -> None:
         super().__init__()
-        self.timing = timing
         self.freshness = EndpointFreshness(timing, self.loop.time())
         self.logged_state = Freshness.CURRENT
         self.failed_calls: Counter[str] = Counter()  # by reason; refused connections are not counted
@@ -216,7 +215,8 @@
         """
         may_poll = False
         while self.current_watch is watch:
-            since, hold_s = watch.revision, self.timing.poll_hold_s if may_poll else IMMEDIATE_POLL_HOLD_S
+            since = watch.revision
+            hold_s = self.freshness.timing.poll_hold_s if may_poll else IMMEDIATE_POLL_HOLD_S
             result = await watch.connection.fetch(since, hold_s, self._call_limits(may_poll))
             if self.current_watch is not watch:
                 return
@@ -229,7 +229,7 @@
             await sleep(self._note_failure(since, result))
 
     def _call_limits(self, is_poll: bool) -> CallLimits:
-        timing = self.timing
+        timing = self.freshness.timing
         if is_poll:
             first_byte_timeout_s = timing.poll_hold_s + timing.answer_margin_s
             return CallLimits(timing.answer_margin_s, first_byte_timeout_s, timing.stall_timeout_s)
--- a/spanwing/discovery/freshness.py
+++ b/spanwing/discovery/freshness.py
@@ -19,6 +19,8 @@
 import random
 from typing import NamedTuple
 
+from spanwing import interface as api
+
 MAX_NOTIFICATION_DELAY_S = 6.0  # after discovery had a change and was reachable
 POLL_HOLD_S = 3.0  # a poll without changes is answered after this; short, so that silence is noticed soon
 MAX_MOVE_NOTIFICATION_DELAY_S = 4.0  # after a change of discovery's address
@@ -51,6 +53,11 @@
     #: Lifetime of the list after an answer has begun, unless that answer is applied.
     stale_after_unapplied_s: float = 2.0 - MAX_PROCESS_PAUSE_S
 
+    @classmethod
+    def of(cls, settings: api.Settings) -> CallTiming:
+        """Computes the durations from the settings of the policy in use."""
+        return cls.from_settings(settings.drain_grace, not settings.subscribe)
+
     @classmethod
     def from_settings(cls, drain_grace_ms: float, is_pushed: bool) -> CallTiming:
         """Computes the durations from the settings.
@@ -101,6 +108,11 @@
         #: When this process last knew the list to be current or discovery to be unavailable; None: never.
         self.last_confirmed_s: float | None = None
 
+    def change_timing(self, timing: CallTiming) -> None:
+        """Takes other durations, as of a new policy; a shorter lifetime counts for the present list too."""
+        self.current_until_s += min(0.0, timing.stale_after_s - self.timing.stale_after_s)
+        self.timing = timing
+
     @property
     def deadline_s(self) -> float:
         """Returns the time by which a complete answer must have been applied."""
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -95,7 +95,8 @@
     """
 
     is_needed: Callable[[], bool] = lambda: False
-    valid_s: float = 0.0  # a worker is not asked again for this long after it has confirmed
+    #: For how long after its confirmation a worker is not asked again.
+    valid_s: Callable[[], float] = lambda: 0.0
 
 
 class RetireWorker(NamedTuple):
@@ -338,7 +339,7 @@
                 if isinstance(permit, SendPermit):
                     permit.note_unconfirmed()
                 return False
-            self.confirmed_until_s = asked_at_s + self.confirmation.valid_s
+            self.confirmed_until_s = asked_at_s + self.confirmation.valid_s()
         if isinstance(permit, SendPermit):
             permit.is_confirmed = True
         return True
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -31,7 +31,7 @@
         self.addCleanup(server.close)
         address = Address(*server.sockets[0].getsockname()[:2])
         pool = ConnectionPool(address, BufferPool(), DescriptorBudget(99), 9e3, 9e3)
-        confirmation = ConfirmationSettings(lambda: self.is_needed, VALID_S)
+        confirmation = ConfirmationSettings(lambda: self.is_needed, lambda: VALID_S)
         self.worker = HttpWorker("w1", pool, LoadReportReader(()), lambda _: None, confirmation)
         self.results: asyncio.Queue[tuple[str, bool]] = asyncio.Queue()
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -69,6 +69,26 @@
         self.assertLessEqual(freshness.pause_s(random.Random(seed), 0.0, 0.0), grace_ms / 2000.0)
 
 
+class ChangedTiming(unittest.TestCase):
+    """A policy changes the drain grace while the list is in use."""
+
+    @given(GRACES_MS, GRACES_MS)
+    def test_list_is_never_used_for_longer_than_the_grace_in_force_allows(
+        self, before_ms: float, after_ms: float
+    ) -> None:
+        """Guards against work for a draining worker, as the grace of the start counts for good."""
+        before, after = (CallTiming.from_settings(each, True) for each in (before_ms, after_ms))
+        freshness = EndpointFreshness(before, 0.0)
+        freshness.note_answer(10.0)
+        freshness.change_timing(after)
+        allowed_until_s = 10.0 + min(before.stale_after_s, after.stale_after_s)
+        self.assertTrue(freshness.is_stale(allowed_until_s + 0.001))
+        self.assertFalse(freshness.is_stale(allowed_until_s - 0.001))
+        freshness.note_answer(20.0)
+        self.assertTrue(freshness.is_stale(20.0 + after.stale_after_s + 0.001))
+        self.assertFalse(freshness.is_stale(20.0 + after.stale_after_s - 0.001))
+
+
 class States(unittest.TestCase):
     def setUp(self) -> None:
         self.freshness = EndpointFreshness(CallTiming.from_settings(2000.0, False), 100.0)
