Write the outcome of a claim again until a majority of the store has it

Cause: the outcome was written once; without a majority it was given up with a warning, and what the process knew of it was dropped. The claim stayed "claimed" for good.

Change: Claims keeps an outcome until a majority has confirmed it and writes it again, one pass after another with backoff, 10,000 at most. A claim whose refusal this process knows is free for its next claim, as nothing was sent under it.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -596,7 +596,7 @@
         await self.wait_until_all_answered()
         if self.faktory_frontend is not None:
             for _ in range(MAX_SETTLING_CHECKS):
-                if not self.faktory_frontend.claims.settling_count:
+                if not self.faktory_frontend.claims.settling_claims:
                     break
                 await sleep(0.01)
         if self.journal is not None and not self.journal.close():
--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -7,14 +7,22 @@
 from __future__ import annotations
 
 import logging
+import random
 import secrets
+from collections import OrderedDict
 from collections.abc import Coroutine
+from contextlib import suppress
 from typing import Any, Literal
 
 import msgspec
+from tornado.gen import sleep
 
+from spanwing.actor import spawn_task
 from spanwing.store.store import NoQuorumError, Store
 
+MAX_SETTLING_CLAIMS = 10_000
+MIN_RETRY_BACKOFF_S, MAX_RETRY_BACKOFF_S = 0.1, 2.0  # between passes over the outcomes that are left
+
 ClaimState = Literal["claimed", "served", "failed", "refused"]
 
 log = logging.getLogger("spanwing")
@@ -32,8 +40,9 @@
 
     def __init__(self, store: Store) -> None:
         self.store = store
-        self.settling_count = 0  # outcomes that are not in the store yet
-        self.settling_claims: dict[str, Claim] = {}  # the claims with these outcomes, by request
+        #: By request: the outcomes that no majority has confirmed yet. claim() goes by them.
+        self.settling_claims: OrderedDict[str, Claim] = OrderedDict()
+        self.is_retrying = False
         # By request: the tokens of claims that no majority has confirmed.
         self.unconfirmed_tokens: dict[str, set[str]] = {}
 
@@ -45,13 +54,16 @@
         """
         token = secrets.token_hex(8)
         encoded_claim = msgspec.json.encode(Claim(token, "claimed")).decode()
-        earlier_tokens = frozenset(self.unconfirmed_tokens.get(request_id, ()))
+        # Nothing was sent under an unconfirmed claim of this process.
+        free_tokens = {token, *self.unconfirmed_tokens.get(request_id, ())}
+        settled = self.settling_claims.get(request_id)
+        if settled is not None and settled.state == "refused":
+            free_tokens.add(settled.token)
 
         def replace_if_free(stored: str | None) -> str:
             if stored is not None:
                 claim = msgspec.json.decode(stored, type=Claim)
-                # Nothing was sent for a rejected request, nor under an unconfirmed claim of this process.
-                if claim.state != "refused" and claim.token not in {token, *earlier_tokens}:
+                if claim.state != "refused" and claim.token not in free_tokens:
                     return stored
             return encoded_claim
 
@@ -71,23 +83,55 @@
     def settle(self, request_id: str, claim: Claim, state: ClaimState) -> Coroutine[Any, Any, None]:
         """Records the outcome of a claimed request.
 
-        claim() returns it from now on; the store has it once the returned coroutine has been awaited. If no
-        majority confirms it, the coroutine logs a warning and the request stays claimed.
+        claim() goes by it from now on. The store has it once the returned coroutine has been awaited, unless
+        no majority confirms it: then it is written again until one does, or until the process ends.
         """
-        self.settling_count += 1
-        self.settling_claims[request_id] = Claim(claim.token, state)
-        return self._write_outcome(request_id, claim, state)
+        settled = Claim(claim.token, state)
+        self.settling_claims[request_id] = settled
+        self.settling_claims.move_to_end(request_id)
+        if len(self.settling_claims) > MAX_SETTLING_CLAIMS:  # such a request stays claimed in the store
+            self.settling_claims.popitem(last=False)
+        return self._settle(request_id, settled)
+
+    async def _settle(self, request_id: str, settled: Claim) -> None:
+        try:
+            await self._write_outcome(request_id, settled)
+        except NoQuorumError as error:
+            log.warning(
+                "outcome %s of request %s was not written to the store: %s", settled.state, request_id, error
+            )
+            self._start_retrying()
+
+    async def _write_outcome(self, request_id: str, settled: Claim) -> None:
+        """Writes an outcome to the store, unless another claim has replaced its own. Raises NoQuorumError."""
 
-    async def _write_outcome(self, request_id: str, claim: Claim, state: ClaimState) -> None:
         def replace_if_ours(stored: str | None) -> str | None:
-            if stored is None or msgspec.json.decode(stored, type=Claim).token != claim.token:
+            if stored is None or msgspec.json.decode(stored, type=Claim).token != settled.token:
                 return stored
-            return msgspec.json.encode(Claim(claim.token, state)).decode()
+            return msgspec.json.encode(settled).decode()
 
+        await self.store.change(f"claim/{request_id}", replace_if_ours)
+        if self.settling_claims.get(request_id) is settled:
+            del self.settling_claims[request_id]
+
+    def _start_retrying(self) -> None:
+        if not self.is_retrying:
+            self.is_retrying = True
+            spawn_task(self._retry())
+
+    async def _retry(self) -> None:
+        """Writes the outcomes that are left, one after another, until the store has all of them."""
+        backoff_s = MIN_RETRY_BACKOFF_S
         try:
-            await self.store.change(f"claim/{request_id}", replace_if_ours)
-        except NoQuorumError as error:  # the request stays claimed, so it cannot run again
-            log.warning("outcome %s of request %s was not written to the store: %s", state, request_id, error)
+            while self.settling_claims:
+                await sleep(random.uniform(0.5, 1.0) * backoff_s)
+                backoff_s = min(2.0 * backoff_s, MAX_RETRY_BACKOFF_S)
+                with suppress(NoQuorumError):
+                    await self._write_outcomes_left()
         finally:
-            self.settling_count -= 1
-            self.settling_claims.pop(request_id, None)
+            self.is_retrying = False
+
+    async def _write_outcomes_left(self) -> None:
+        """Writes the outcomes that are left. Raises NoQuorumError at the first one that cannot be written."""
+        for request_id, settled in list(self.settling_claims.items()):
+            await self._write_outcome(request_id, settled)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,106 @@
+"""Claims on requests that must not run twice, while the store has no majority and after it has one again."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+import msgspec
+
+from spanwing.store import claims
+from spanwing.store.claims import Claim, Claims
+from spanwing.store.store import NoQuorumError
+
+JID = "job-00001"
+
+
+class StoreStandIn:
+    """A store that has no majority while the test says so."""
+
+    def __init__(self) -> None:
+        self.registers: dict[str, str | None] = {}
+        self.has_majority, self.change_count = True, 0
+
+    async def change(self, key: str, update: Callable[[str | None], str | None]) -> str | None:
+        await asyncio.sleep(0)
+        self.change_count += 1
+        if not self.has_majority:
+            raise NoQuorumError("1 of 3 members answered, 2 are needed")
+        self.registers[key] = update(self.registers.get(key))
+        return self.registers[key]
+
+    def state(self, jid: str = JID) -> str:
+        return msgspec.json.decode(self.registers[f"claim/{jid}"], type=Claim).state
+
+
+class SettlementTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = StoreStandIn()
+        self.claims = Claims(self.store)
+        for name, value in (("MIN_RETRY_BACKOFF_S", 0.001), ("MAX_RETRY_BACKOFF_S", 0.004)):
+            patch = mock.patch.object(claims, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def settle_without_majority(self, state: str, jid: str = JID) -> None:
+        is_new, claim = await self.claims.claim(jid)
+        self.assertTrue(is_new)
+        self.store.has_majority = False
+        with self.assertLogs("spanwing", "WARNING"):
+            await self.claims.settle(jid, claim, state)
+        self.store.has_majority = True
+
+    async def wait_until_settled(self) -> None:
+        async with asyncio.timeout(10):
+            while self.claims.settling_claims:
+                await asyncio.sleep(0.001)
+
+    async def test_outcome_is_written_again_until_a_majority_confirms_it(self) -> None:
+        """Guards against a claim that outlives its refusal, so that the job never runs again."""
+        await self.settle_without_majority("refused")
+        await self.wait_until_settled()
+        self.assertEqual(self.store.state(), "refused")
+
+    async def test_refused_job_can_be_claimed_before_a_majority_has_its_outcome(self) -> None:
+        await self.settle_without_majority("refused")
+        is_new, claim = await self.claims.claim(JID)
+        self.assertTrue(is_new)
+        await self.wait_until_settled()
+        self.assertEqual(self.store.state(), "claimed")  # the earlier outcome does not end the later claim
+        await self.claims.settle(JID, claim, "served")
+        self.assertEqual((self.store.state(), self.claims.settling_claims), ("served", {}))
+
+    async def test_job_that_may_have_run_is_not_claimed_again(self) -> None:
+        for state in ("served", "failed"):
+            jid = f"job-{state}"
+            await self.settle_without_majority(state, jid)
+            is_new, claim = await self.claims.claim(jid)
+            self.assertEqual((is_new, claim.state), (False, state))
+            await self.wait_until_settled()
+            self.assertEqual(self.store.state(jid), state)
+
+    async def test_retries_of_many_outcomes_ask_a_store_without_a_majority_once_each_time(self) -> None:
+        """Guards against a crowd of retries that delays new claims."""
+        jids = [f"job-{number:05}" for number in range(200)]
+        pairs = [(jid, (await self.claims.claim(jid))[1]) for jid in jids]
+        self.store.has_majority = False
+        with self.assertLogs("spanwing", "WARNING"):
+            await asyncio.gather(*(self.claims.settle(jid, claim, "refused") for jid, claim in pairs))
+        before = self.store.change_count
+        await asyncio.sleep(0.1)
+        self.assertLess(self.store.change_count - before, 100)
+        self.store.has_majority = True
+        await self.wait_until_settled()
+        self.assertEqual({self.store.state(jid) for jid, _ in pairs}, {"refused"})
+
+    async def test_number_of_outcomes_that_are_left_is_bounded(self) -> None:
+        with mock.patch.object(claims, "MAX_SETTLING_CLAIMS", 3):
+            for number in range(5):
+                self.claims.settle(f"job-{number:05}", Claim("token", "claimed"), "refused").close()
+        self.assertEqual(list(self.claims.settling_claims), ["job-00002", "job-00003", "job-00004"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -75,9 +75,9 @@
         claims = Claims(Store("a", self.acceptors["a"], [], 1))
         _, claim = await claims.claim("j")
         settling = claims.settle("j", claim, "served")  # not awaited yet when the client retries
-        self.assertEqual([claims.settling_count, (await claims.claim("j"))[1].state], [1, "served"])
+        self.assertEqual([len(claims.settling_claims), (await claims.claim("j"))[1].state], [1, "served"])
         await settling
-        self.assertEqual([claims.settling_count, (await claims.claim("j"))[1].state], [0, "served"])
+        self.assertEqual([len(claims.settling_claims), (await claims.claim("j"))[1].state], [0, "served"])
 
     @gen_test(timeout=60)
     async def test_an_unconfirmed_claim_can_be_repeated_by_the_same_process(self) -> None:
