Answer a PUSH with -BUSY while the log of this store member cannot be written

What callers would see: while the disk of a member fails, a PUSH of a class that must not run twice ends with a closed connection and no answer, and the outcome of a claim is forgotten, so that it stays claimed.

Cause: a member that cannot save its part raises OSError, and Claims knew NoQuorumError alone.

Change: for a claim both are "no majority": -BUSY, as nothing was sent; an outcome is written again until it is confirmed.

Test: FailingDiskTests failed before with the OSError.

--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -18,7 +18,7 @@
 from tornado.gen import sleep
 
 from spanwing.actor import spawn_task
-from spanwing.store.store import NoQuorumError, Store
+from spanwing.store.store import ChangeFunction, NoQuorumError, Store
 
 MAX_SETTLING_CLAIMS = 10_000
 MIN_RETRY_BACKOFF_S, MAX_RETRY_BACKOFF_S = 0.1, 2.0  # between passes over the outcomes that are left
@@ -68,7 +68,7 @@
             return encoded_claim
 
         try:
-            stored = await self.store.change(f"claim/{request_id}", replace_if_free)
+            stored = await self._change(request_id, replace_if_free)
         except NoQuorumError:
             self.unconfirmed_tokens.setdefault(request_id, set()).add(token)
             raise
@@ -110,10 +110,17 @@
                 return stored
             return msgspec.json.encode(settled).decode()
 
-        await self.store.change(f"claim/{request_id}", replace_if_ours)
+        await self._change(request_id, replace_if_ours)
         if self.settling_claims.get(request_id) is settled:
             del self.settling_claims[request_id]
 
+    async def _change(self, request_id: str, change: ChangeFunction) -> str | None:
+        """Changes the record of a claim. Raises NoQuorumError, also if this member cannot save its part."""
+        try:
+            return await self.store.change(f"claim/{request_id}", change)
+        except OSError as error:
+            raise NoQuorumError(f"this member cannot write its log: {error.strerror}") from error
+
     def _start_retrying(self) -> None:
         if not self.is_retrying:
             self.is_retrying = True
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
 import unittest
 from collections.abc import Callable
 from unittest import mock
@@ -10,8 +11,10 @@
 import msgspec
 
 from spanwing.store import claims
+from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claim, Claims
-from spanwing.store.store import NoQuorumError
+from spanwing.store.disk import RegisterLog
+from spanwing.store.store import NoQuorumError, Store
 
 JID = "job-00001"
 
@@ -102,5 +105,29 @@
         self.assertEqual(list(self.claims.settling_claims), ["job-00002", "job-00003", "job-00004"])
 
 
+class FailingDiskTests(unittest.IsolatedAsyncioTestCase):
+    async def test_push_while_the_log_of_this_member_cannot_be_written(self) -> None:
+        """Guards against a PUSH that gets no answer, and an outcome that is forgotten, as a disk fails."""
+        with tempfile.TemporaryDirectory() as folder:
+            log = RegisterLog(folder)
+            claims = Claims(Store("a", Acceptor(log), [], 1))
+            with (
+                mock.patch.object(log, "save", side_effect=OSError(28, "No space left on device")),
+                self.assertRaisesRegex(NoQuorumError, "No space left on device"),
+            ):
+                await claims.claim(JID)
+            is_new, claim = await claims.claim(JID)  # nothing was sent under the first claim
+            self.assertTrue(is_new)
+            with (
+                mock.patch.object(log, "save", side_effect=OSError(5, "Input/output error")),
+                self.assertLogs("spanwing", "WARNING"),
+            ):
+                await claims.settle(JID, claim, "served")
+            async with asyncio.timeout(10):
+                while claims.settling_claims:
+                    await asyncio.sleep(0.001)
+            self.assertEqual((await claims.claim(JID))[1].state, "served")
+
+
 if __name__ == "__main__":
     unittest.main()
