Refuse a name that the fleet's policy cannot register as a configuration

Cause: the leader registers no such name, so there is never a permit, and the length was checked nowhere else.

Change: one line that names the setting ("name: has 25 characters, with [policy] 1 to 24 are possible") and a non-zero exit. The limit counts characters, as the leader does; the constant, which said bytes, stands in store/document.py, where both may look.

--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -40,6 +40,7 @@
     parse_listen_address,
 )
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
+from spanwing.store.document import MAX_SCHEDULER_NAME_LENGTH
 
 RESERVED_SOCKETS = 28  # for listeners, logs, the event loop, discovery and the members of the store
 MAX_MANAGEMENT_CONNECTIONS = 16  # concurrent connections to the management address
@@ -253,6 +254,9 @@
     }
     if platform is None:
         return None
+    scheduler_name = environment.get("ROUTER_NAME") or platform.name
+    if policy is not None:
+        _check_registered_name(scheduler_name or store.member, errors)
     settings_pair = parse_settings(bytes(platform.settings).decode(), errors=errors)
     if journal is not None and settings_pair is not None:
         for class_name in sorted(
@@ -293,7 +297,7 @@
     if errors.errors:
         return None
     return Configuration(
-        name=environment.get("ROUTER_NAME") or platform.name,
+        name=scheduler_name,
         listen=listen,
         discovery=discovery,
         management=management,
@@ -319,6 +323,15 @@
     )
 
 
+def _check_registered_name(name: str, errors: ErrorCollector) -> None:
+    """Checks the name under which the fleet's policy registers this scheduler."""
+    if not 0 < len(name) <= MAX_SCHEDULER_NAME_LENGTH:
+        errors.add_error(
+            "name",
+            f"has {len(name)} characters, with [policy] 1 to {MAX_SCHEDULER_NAME_LENGTH} are possible",
+        )
+
+
 def read_operator_file(path: str | None, errors: ErrorCollector) -> OperatorFile | None:
     """Reads the operator's file at this path, or DEFAULT_OPERATOR_FILE without one.
 
--- a/spanwing/policy/coordinator.py
+++ b/spanwing/policy/coordinator.py
@@ -22,7 +22,6 @@
     CURRENT_KEY,
     HISTORY_KEY,
     MAX_HISTORY_ENTRIES,
-    MAX_NAME_BYTES,
     MAX_POLICY_BYTES,
     MAX_SCHEDULERS,
     PROPOSED_KEY,
@@ -36,7 +35,7 @@
     read_policy,
     scheduler_name,
 )
-from spanwing.store.document import Document, Transaction
+from spanwing.store.document import MAX_SCHEDULER_NAME_LENGTH, Document, Transaction
 from spanwing.store.lease import lease_expiry_ms
 
 CLOSING_TIMEOUT_MS = 200.0  # after this a closing change returns to asking, as requests are queued meanwhile
@@ -216,7 +215,7 @@
                 and participant is not None
                 and participant.confirmed_at_ms > -math.inf
                 and len(name) > 0
-                and len(name) <= MAX_NAME_BYTES
+                and len(name) <= MAX_SCHEDULER_NAME_LENGTH
                 and register.get(name) != session
                 and (name in register or len(register) < MAX_SCHEDULERS)
             ):
--- a/spanwing/policy/records.py
+++ b/spanwing/policy/records.py
@@ -2,7 +2,7 @@
 
 Pure. read_policy() reports the keys of records that it cannot decode; the policy then counts as closed, and
 no scheduler accepts requests. Bounds: one change at a time, MAX_HISTORY_ENTRIES entries of history,
-MAX_POLICY_BYTES of policy text, MAX_SCHEDULERS schedulers in the register, with names of MAX_NAME_BYTES.
+MAX_POLICY_BYTES of policy text, MAX_SCHEDULERS schedulers in the register.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 )
 MAX_HISTORY_ENTRIES = 40
 MAX_POLICY_BYTES = 20 * 1024
-MAX_SCHEDULERS, MAX_NAME_BYTES = 500, 24
+MAX_SCHEDULERS = 500
 
 
 class PolicyVersion(msgspec.Struct, frozen=True):
--- a/spanwing/store/document.py
+++ b/spanwing/store/document.py
@@ -16,6 +16,7 @@
 MAX_KEYS, MAX_KEY_BYTES, MAX_VALUE_BYTES = 512, 128, 24 * 1024
 MAX_DOCUMENT_BYTES = 64 * 1024
 MAX_HISTORY_CHANGES, MAX_HISTORY_BYTES = 64, 24 * 1024
+MAX_SCHEDULER_NAME_LENGTH = 24  # characters of the name under which a session is registered
 
 
 class DocumentEntry(msgspec.Struct, frozen=True, array_like=True):
