Keep Faktory's claims on disk by default where a class must never run twice

Cause: without a [store] directory the register with the claim was in memory, and a directory was asked for only where there are peers.

Change: where Faktory is on and a class must never run twice, or may come with a policy, the store's directory is claims-NAME beside the operator's file unless it is set. Without such a class nothing changes.

The cost of a claim's syncs was not measured.

--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -37,6 +37,7 @@
     check_proxy_protocol,
     check_store,
     check_zones,
+    operator_file_path,
     parse_listen_address,
 )
 from spanwing.settings import SETTING_NAMES, PlatformSettings, scheduler_settings
@@ -296,6 +297,10 @@
         run_check(f"limits.{name}", partial(_check_minimum, minimum), getattr(limits, name))
     if errors.errors:
         return None
+    if faktory_address is not None and _needs_lasting_claims(settings_pair[1], policy):
+        store = store.with_default_directory(
+            operator_file_path(environment.get("SPANWING_FRONTS")), scheduler_name
+        )
     return Configuration(
         name=scheduler_name,
         listen=listen,
@@ -323,6 +328,11 @@
     )
 
 
+def _needs_lasting_claims(settings: api.Settings, policy: PolicyConfiguration | None) -> bool:
+    """Returns whether a class exists, or may come with a policy, whose Faktory jobs must never run twice."""
+    return policy is not None or any(each.idempotency == "unsafe" for each in settings.classes)
+
+
 def _check_registered_name(name: str, errors: ErrorCollector) -> None:
     """Checks the name under which the fleet's policy registers this scheduler."""
     if not 0 < len(name) <= MAX_SCHEDULER_NAME_LENGTH:
@@ -340,7 +350,7 @@
     if path is None and not DEFAULT_OPERATOR_FILE.exists():
         return OperatorFile()
     return read_file(
-        path or str(DEFAULT_OPERATOR_FILE), "SPANWING_FRONTS", OperatorFile, msgspec.toml.decode, errors
+        str(operator_file_path(path)), "SPANWING_FRONTS", OperatorFile, msgspec.toml.decode, errors
     )
 
 
--- a/spanwing/operator_file.py
+++ b/spanwing/operator_file.py
@@ -11,6 +11,7 @@
 import ipaddress
 from pathlib import Path
 from typing import Any, Literal
+from urllib.parse import quote
 
 import msgspec
 
@@ -66,8 +67,9 @@
 
 
 class StoreTable(msgspec.Struct, forbid_unknown_fields=True):
-    """The table [store]: this member of the store and its peers. Without a directory, the store is in memory
-    and standalone.
+    """The table [store]: this member of the store and its peers.
+
+    Without a directory the store is standalone, and in memory unless it keeps the claims of Faktory jobs.
     """
 
     member: str = "alone"
@@ -76,6 +78,16 @@
     peers: dict[str, str] = {}
     answer_timeout_ms: float = msgspec.field(default=ROUND_TIMEOUT_MS, name="answer_ms")
 
+    def with_default_directory(self, file: Path, scheduler_name: str) -> StoreTable:
+        """Returns the table with a directory: if it has none, one beside the operator's file.
+
+        Claims on Faktory jobs that must never run twice have to outlast a restart.
+        """
+        if self.directory:
+            return self
+        name = quote(scheduler_name or self.member, safe="")
+        return msgspec.structs.replace(self, directory=str(file.absolute().parent / f"claims-{name}"))
+
 
 class JournalTable(msgspec.Struct, forbid_unknown_fields=True):
     """The table [journal]: the journal of non-idempotent requests, and its retention limits."""
@@ -233,6 +245,11 @@
     return table
 
 
+def operator_file_path(path: str | None) -> Path:
+    """Returns the path of the operator's file, from the variable that names it."""
+    return Path(path) if path else DEFAULT_OPERATOR_FILE
+
+
 def check_store(table: StoreTable, errors: ErrorCollector) -> StoreTable:
     """Checks the store table: a member with peers needs a directory and a listener."""
     if table.peers and not table.directory:
