Give a keyed Faktory job without effect_key its jid as the idempotency key

Cause: the key was passed on only if the client gave one, though the class counts on it for each further attempt.

Change: the jid is the key by default, for classes with keys alone.

Test: test_keyed_job_without_an_effect_key_has_its_jid_as_the_key failed before (no such header).

--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -232,6 +232,8 @@
             raise CommandError(
                 "custom: effect_key has a character that a header cannot carry, or is too long"
             )
+        # Workers drop a repeat of a keyed job by its key, also one that this scheduler makes.
+        default_effect_key = job.jid if service_class.idempotency == "keyed" else None
         return JobRequest(
             id=job.jid,
             cls=service_class.name,
@@ -244,7 +246,7 @@
             repeat=custom.again,
             target=f"/{service_class.name}",
             body=body,
-            effect_key=custom.effect_key,
+            effect_key=custom.effect_key or default_effect_key,
             media=JOB_CONTENT_TYPE,
             front="faktory",
         )
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -136,6 +136,25 @@
         self.assertEqual(http_client.read_message()[2], b"served")
 
 
+class KeyedPushTests(FaktoryPushTestCase):
+    def test_keyed_job_without_an_effect_key_has_its_jid_as_the_key(self) -> None:
+        """Guards against a second run at another worker, which cannot drop a repeat without a key."""
+        for custom, key in (({}, JID), ({"effect_key": "key-1"}, "key-1")):
+            with self.subTest(key):
+                listener = ListenerStandIn(self)
+                self.start(member("w1", listener.port), fronts=FAKTORY)
+                self.assertEqual(self.push(self.connect_faktory(), "setpoint-push", **custom), "+OK")
+                _, headers, _ = listener.accept().read_message()
+                self.assertEqual(headers["idempotency-key"], key)
+                self.stop()
+
+    def test_job_of_another_class_has_no_key(self) -> None:
+        listener = ListenerStandIn(self)
+        self.start(member("w1", listener.port), fronts=FAKTORY)
+        self.push(self.connect_faktory())
+        self.assertNotIn("idempotency-key", listener.accept().read_message()[1])
+
+
 class ClaimedPushTests(FaktoryPushTestCase):
     """A job of a class that must not run twice is claimed, by the PUSH that the core then accepts."""
 
