Leave out good evidence from before a fault elsewhere at a lone scheduler

Cause: the zone whose connections fail first is judged while good evidence on the others, up to 0.8 s old, still counts. In a fleet two zones have to agree; a lone scheduler has nobody to ask.

Change: a lone scheduler's good evidence counts only if it is not older than the last beginning of a fault in another zone. If that zone has failed, any answer from elsewhere shows it at once. Reports of schedulers in a fleet are as before, and so are the digests of decisions.

Tests: test_good_evidence_before_a_fault_elsewhere_..., whose first half is the verdict without the change ("failed").

--- a/spanwing/zones/evidence.py
+++ b/spanwing/zones/evidence.py
@@ -102,11 +102,18 @@
     zone: str
     last_good_ms: float = -math.inf
     last_bad_ms: float = -math.inf
+    bad_since_ms: float = -math.inf  # when the last bad evidence came after good or none
     last_failed_request_ms: float = -math.inf  # when a request, not a probe, last failed there
     unanswered_since_ms: dict[tuple[str, int], float] = field(
         default_factory=dict
     )  # by attempt: when it was sent
 
+    def note_bad(self, now: float) -> None:
+        """Records bad evidence."""
+        if self.is_healthy(now) is not False:
+            self.bad_since_ms = now
+        self.last_bad_ms = now
+
     def is_healthy(self, now: float, last_good_elsewhere: float = math.inf) -> bool | None:
         """Returns True if the evidence is good, False if it is bad, None if there is none or it has expired.
 
@@ -137,6 +144,9 @@
         self.last_report_ms = -math.inf
         self.last_good_remote_ms = -math.inf  # last good evidence on a zone other than own_zone
         self.last_good_by_zone_ms: dict[str, float] = {}
+        #: No other scheduler's evidence counts: then good evidence that is older than a fault in another zone
+        #: does not show that this scheduler is connected, and is left out.
+        self.is_alone = False
 
     def _observation(self, worker: int, zone: str) -> WorkerObservation:
         observation = self.observations.get(worker)
@@ -165,7 +175,7 @@
     def _record_bad(self, now: float, observation: WorkerObservation, since: float) -> None:
         """Records bad evidence if any other zone has answered since this time."""
         if self._last_good_outside(observation.zone) >= since:
-            observation.last_bad_ms = now
+            observation.note_bad(now)
 
     def _discard_if_cut_off(self, evidence: dict[str, ZoneEvidence]) -> None:
         """Drops bad evidence and unanswered requests of remote zones if this scheduler is cut off from them.
@@ -213,7 +223,8 @@
                 self._record_good(now, observation)
         elif result in ("reset", "error"):
             was_healthy = observation.is_healthy(now)
-            observation.last_bad_ms = observation.last_failed_request_ms = now
+            observation.note_bad(now)
+            observation.last_failed_request_ms = now
             return was_healthy is not False
         elif result == "unreachable" or (result == "timeout" and sent_at is not None):
             was_healthy = observation.is_healthy(now)
@@ -259,15 +270,30 @@
         last_good_elsewhere = {
             zone: self._last_good_outside(zone) for zone in {each.zone for each in self.observations.values()}
         }
+        fault_by_zone_ms = self._last_fault_by_zone_ms(now) if self.is_alone else {}
         for worker, observation in self.observations.items():
             is_healthy = observation.is_healthy(now, last_good_elsewhere[observation.zone])
-            if is_healthy is not None:
+            is_outdated = is_healthy and any(
+                observation.last_good_ms < fault_ms
+                for zone, fault_ms in fault_by_zone_ms.items()
+                if zone != observation.zone
+            )
+            if is_healthy is not None and not is_outdated:
                 zone_evidence = evidence.setdefault(observation.zone, ZoneEvidence([], []))
                 target = zone_evidence.healthy_workers if is_healthy else zone_evidence.faulty_workers
                 if len(target) < MAX_REPORTED_WORKERS:
                     target.append(short_worker_id(worker))
         return evidence
 
+    def _last_fault_by_zone_ms(self, now: float) -> dict[str, float]:
+        """Returns, by zone with bad evidence, when a worker there last began to be bad."""
+        faults: dict[str, float] = {}
+        for observation in self.observations.values():
+            if observation.is_healthy(now) is False:
+                zone = observation.zone
+                faults[zone] = max(faults.get(zone, -math.inf), observation.bad_since_ms)
+        return faults
+
     def build_report(self, now: float, slots: Iterable[tuple[str, float, float]] = ()) -> EvidenceReport:
         """Builds the report for a renewal.
 
--- a/spanwing/zones/service.py
+++ b/spanwing/zones/service.py
@@ -193,6 +193,7 @@
             lambda worker: request_manager.scheduler.is_feeder(worker),
             self.random_source,
         )
+        self.agent.evidence_collector.is_alone = isinstance(self.follower, StandaloneFollower)
         request_manager.zone_routing = self
         if connection is not None and self.follower.document.revision:
             self._handle_document_change(self.follower.document)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -292,6 +292,23 @@
         self.assertEqual(collector.evidence_by_zone(730.0)["a"].healthy_workers, [5])
         self.assertEqual(collector.evidence_by_zone(5000.0), {})
 
+    def test_good_evidence_before_a_fault_elsewhere_does_not_count_for_a_lone_scheduler(
+        self,
+    ) -> None:
+        """Guards against a scheduler that is cut off and leaves the zone whose failures it sees first."""
+        for is_alone in (False, True):
+            collector = EvidenceCollector()
+            collector.is_alone = is_alone
+            collector.probe_finished(100.0, 7, "b", "ok")
+            for worker, at_ms in ((5, 200.0), (6, 210.0)):
+                collector.attempt_sent(at_ms - 10.0, worker, "a", ("j", worker))
+                collector.attempt_ended(at_ms, worker, ("j", worker), "reset")
+            verdict = judge_zone("a", [Observer("", collector.evidence_by_zone(220.0))], [5, 6], 1)
+            self.assertEqual(verdict.finding, "unknown" if is_alone else "failed")
+            collector.probe_finished(230.0, 7, "b", "ok")  # the zone has failed, and not the connection
+            verdict = judge_zone("a", [Observer("", collector.evidence_by_zone(240.0))], [5, 6], 1)
+            self.assertEqual(verdict.finding, "failed")
+
     def test_evidence_is_discarded_after_a_stall_and_if_all_zones_are_bad(self) -> None:
         collector = EvidenceCollector()
         collector.build_report(0.0)
