Keep a new connection at a full table until its first request can have come

Cause: a full table closed silent connections first, also those accepted 0.6 to 1.4 ms before, whose request was on its way.

Change: a connection counts as silent from 0.1 s after its accept (FRESH_CONNECTION_S, the time for which a shutdown already waits for first requests). While a full table has a younger one, the connection that needs room waits in the server and the next ones in the backlog, until a request is read, a connection ends, or the time is over; the order of eviction is as before. Stopping, pausing and closing answer the one that waits.

--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -50,7 +50,7 @@
 from spanwing.net.tcp_stream import TcpStream
 
 HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
-ACCEPT_RETRY_S = 0.005  # retry of a connection that finds a full table, on single-request listeners
+ACCEPT_RETRY_S = 0.005  # retry of a connection that waits for room in a full table
 FRESH_CONNECTION_S = 0.1  # a client is assumed to send its first request within this after connecting
 FULL_TABLE_RETRY_AFTER_MS = 100.0  # Retry-After for a client that is rejected by a full table
 
@@ -110,6 +110,7 @@
                 if message is None:
                     return
                 self.has_sent_request = self.is_busy = True
+                self.server.retry_waiting_connection()
                 keep_alive = await self._handle_request(message)
                 self.is_busy, self.idle_since_s = False, IOLoop.current().time()
                 self.server.close_if_draining(self)
@@ -123,6 +124,7 @@
             return
         finally:
             self.is_busy, self.is_finished = False, True
+            self.server.retry_waiting_connection()
             await self.http_stream.close_gracefully(LINGER_TIMEOUT_S)
             self.server.table.connections.discard(self)
 
@@ -239,9 +241,19 @@
         if not self.http_stream.parser.is_idle():
             return RANK_PARTIAL if inactive_s > self.server.partial_message_grace_s else None
         if not self.has_sent_request:
-            return RANK_SILENT
+            return None if self.is_fresh() else RANK_SILENT
         return RANK_STALE if inactive_s > EVICTION_GRACE_S else RANK_IDLE
 
+    def is_fresh(self) -> bool:
+        """Returns whether the first request of a new connection may be on its way.
+
+        A client whose request met the close of an idle connection sends it again on a new one, once: if that
+        one is closed too, the request is lost.
+        """
+        is_silent = not self.has_sent_request and self.http_stream.parser.is_idle()
+        age_s = IOLoop.current().time() - self.accepted_s
+        return is_silent and not self.is_finished and age_s < self.server.fresh_connection_s
+
     def has_no_pending_input(self) -> bool:
         """Returns whether the connection has no unread input and the peer has not closed."""
         return self.http_stream.has_no_pending_input()
@@ -275,6 +287,8 @@
     ) -> None:
         self.proxy_sources = proxy_sources
         self.is_single_request = is_single_request  # each connection carries one request
+        #: How long a new connection is kept for its first request, even if the table is full.
+        self.fresh_connection_s = 0.0 if is_single_request else FRESH_CONNECTION_S
         #: Inactivity after which a full table may close a connection with an incomplete request.
         self.partial_message_grace_s = partial_message_grace_s
         self.frontend, self.request_manager, self.buffers = frontend, request_manager, buffers
@@ -288,25 +302,51 @@
         self.is_draining = False  # clients' connections are also closed between requests
         self.is_rejecting = False  # new requests are also rejected
         self.has_stopped_accepting = False
+        self.is_accepting = True  # also while accepting is interrupted for waiting_socket
+        #: An accepted connection that waits for room in a full table; no other is accepted before it.
+        self.waiting_socket: socket.socket | None = None
+        self.waiting_timer: object = None  # of the next look for room
         self.is_sharing = False  # another process accepts on this socket too, or is about to
         self.listening_socket = listen(address, self._accept, shared_socket)
         self.address = self.listening_socket.address
 
-    def _accept(self, sock) -> None:
-        if not self.table.make_room():
-            if self.is_single_request:
-                # The connections in the table have unread input; one can be evicted after the next iteration.
-                self.set_accepting(False)
-                IOLoop.current().call_later(ACCEPT_RETRY_S, self._accept_waiting, sock)
-                return
-            with suppress(OSError):
-                sock.send(
-                    self.frontend.render_answer(
-                        FinalAnswer("refused", retry_after_ms=self.retry_after_ms), False
-                    )
-                )
-            sock.close()
+    def _accept(self, sock: socket.socket) -> None:
+        if self.table.has_room():
+            self._add_connection(sock)
             return
+        may_wait = self.is_accepting and not self.has_stopped_accepting
+        # A fresh connection can soon be evicted or has a request: until then only silent ones are closed.
+        has_fresh = may_wait and any(each.is_fresh() for each in self.table.connections)
+        if self.table.make_room(RANK_SILENT if has_fresh else RANK_IDLE):
+            self._add_connection(sock)
+        elif has_fresh or (may_wait and self.is_single_request):  # a single request is read and answered soon
+            self.waiting_socket = sock
+            self._update_accepting()
+            self.waiting_timer = IOLoop.current().call_later(ACCEPT_RETRY_S, self._accept_waiting)
+        else:
+            self._reject_connection(sock)
+
+    def retry_waiting_connection(self) -> None:
+        """Looks for room for the waiting connection, as the state of another one has changed."""
+        if self.waiting_socket is not None:
+            IOLoop.current().add_callback(self._accept_waiting)
+
+    def _accept_waiting(self) -> None:
+        """Handles the connection that waits for room before any other is accepted."""
+        sock, self.waiting_socket = self.waiting_socket, None
+        if sock is not None:
+            IOLoop.current().remove_timeout(self.waiting_timer)
+            self._update_accepting()
+            self._accept(sock)
+
+    def _reject_connection(self, sock: socket.socket) -> None:
+        with suppress(OSError):
+            sock.send(
+                self.frontend.render_answer(FinalAnswer("refused", retry_after_ms=self.retry_after_ms), False)
+            )
+        sock.close()
+
+    def _add_connection(self, sock: socket.socket) -> None:
         peer_address = peer_address_of(sock) if self.proxy_sources else ""
         connection = HttpClientConnection(
             self,
@@ -320,11 +360,6 @@
         if self.is_sharing:
             self.set_sharing(True)
 
-    def _accept_waiting(self, sock: socket.socket) -> None:
-        """Retries a connection that found a full table, before any other is accepted."""
-        self.set_accepting(True)
-        self._accept(sock)
-
     def set_sharing(self, is_sharing: bool) -> None:
         """Sets whether another process accepts on this socket too.
 
@@ -368,7 +403,13 @@
 
     def set_accepting(self, is_accepting: bool) -> None:
         """Pauses or resumes accepting."""
-        self.listening_socket.set_accepting(is_accepting)
+        self.is_accepting = is_accepting
+        if not is_accepting:
+            self._accept_waiting()
+        self._update_accepting()
+
+    def _update_accepting(self) -> None:
+        self.listening_socket.set_accepting(self.is_accepting and self.waiting_socket is None)
 
     def admit_request(self) -> bool:
         """Counts a client's request as pending; returns False if too many are.
@@ -397,7 +438,7 @@
         fresh_since_s = (
             IOLoop.current().time() - FRESH_CONNECTION_S if self.has_stopped_accepting else math.inf
         )
-        return any(
+        return self.waiting_socket is not None or any(
             each.has_unfinished_request()
             or (
                 not each.is_finished
@@ -412,6 +453,7 @@
     def stop_listening(self) -> None:
         """Accepts the backlog and stops listening."""
         self.has_stopped_accepting = True
+        self._accept_waiting()
         self.listening_socket.accept_pending_and_close()
 
     def announce_drain(self) -> None:
@@ -424,6 +466,8 @@
 
     def close(self) -> None:
         """Stops listening and closes all connections; for frontends that answer every request immediately."""
+        self.has_stopped_accepting = True
+        self._accept_waiting()
         self.listening_socket.close()
         for each in list(self.table.connections):
             each.close()
--- a/spanwing/net/connection_table.py
+++ b/spanwing/net/connection_table.py
@@ -61,9 +61,13 @@
         self.candidates: list[EvictionCandidate] = []
         self.ranked_at_s = 0.0
 
-    def make_room(self) -> bool:
-        """Returns whether one more connection fits; evicts a connection if the table is full."""
-        return len(self.connections) < self.max_connections or self._evict_next()
+    def has_room(self) -> bool:
+        """Returns whether one more connection fits."""
+        return len(self.connections) < self.max_connections
+
+    def make_room(self, max_rank: int = RANK_IDLE) -> bool:
+        """Returns whether one more connection fits; a full table evicts one of at most this rank."""
+        return self.has_room() or self._evict_next(max_rank)
 
     def trim(self, target: int) -> None:
         """Evicts connections until target are left, but only those inactive for EVICTION_GRACE_S.
@@ -78,7 +82,7 @@
             if not is_spared and now_s - candidate.last_activity_s >= EVICTION_GRACE_S:
                 self._evict(candidate.connection)
 
-    def _evict_next(self) -> bool:
+    def _evict_next(self, max_rank: int) -> bool:
         """Closes the least needed connection; returns False if none may be closed.
 
         During a burst, each new connection evicts another one, so the order is computed once for many
@@ -94,12 +98,12 @@
         if is_ranking_new:
             self.candidates, self.ranked_at_s = self._ranked(now_s), now_s
         while self.candidates:
-            if not is_ranking_new and self.candidates[-1].rank > RANK_SILENT:
+            if self.candidates[-1].rank > (max_rank if is_ranking_new else RANK_SILENT):
                 break
             candidate = self.candidates.pop()
             if self._is_unchanged(candidate, now_s) and self._evict(candidate.connection):
                 return True
-        return False if is_ranking_new else self._evict_next()
+        return False if is_ranking_new else self._evict_next(max_rank)
 
     def _ranked(self, now_s: float) -> list[EvictionCandidate]:
         candidates = [
