Count a lone scheduler's good evidence from when its request was sent

Of a process that is behind, several connections are ready at once: the resets of one zone may be read before another zone's answer that had arrived before them. That answer then counted as newer than the fault, and the first zone was left.

Change: a lone scheduler's good evidence counts if its request or probe was sent after the last fault in another zone began. Reports of schedulers in a fleet are as before, and so are the digests of decisions.

Tests: test_an_answer_to_a_request_from_before_a_fault_elsewhere_..., whose attempt failed before ("failed"; the probe's half needs a new argument). test_fleet, test_zones, the digests: 74 passed.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -196,8 +196,8 @@
     def attempt_ended(self, worker: int, attempt: tuple[str, int], result: str) -> None:
         """Called when an attempt has ended, with its result."""
 
-    def probe_finished(self, worker: int, result: str) -> None:
-        """Called when a probe of the worker has ended, with its result."""
+    def probe_finished(self, worker: int, result: str, elapsed_ms: float) -> None:
+        """Called when a probe of the worker has ended, with its result and how long it took."""
 
 
 class PolicyAdmission(Protocol):
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -721,7 +721,8 @@
 
     def _handle_probe_ended(self, message: ProbeEnded) -> None:
         if self.zone_routing is not None:
-            self.zone_routing.probe_finished(message.result.worker, message.result.result)
+            probe = message.result
+            self.zone_routing.probe_finished(probe.worker, probe.result, probe.elapsed)
         self._dispatch_to_all(message.result)
 
     def notify_schedulers(self, event: Any) -> None:
--- a/spanwing/zones/agent.py
+++ b/spanwing/zones/agent.py
@@ -166,8 +166,8 @@
             else []
         )
 
-    def probe_finished(self, now: float, worker: int, result: str) -> list[int]:
-        """Records how a probe ended; returns the workers to probe because of it."""
+    def probe_finished(self, now: float, worker: int, result: str, elapsed_ms: float = 0.0) -> list[int]:
+        """Records how a probe that took elapsed_ms ended; returns the workers to probe because of it."""
         entry = self.routing_filter.workers.get(worker)
         if entry is None:
             return []
@@ -175,7 +175,9 @@
             entry.zone in self.probed_zones or worker in self.background_probes
         )
         self.background_probes.discard(worker)
-        is_new_fault = self.evidence_collector.probe_finished(now, worker, entry.zone, result, is_fault_probe)
+        is_new_fault = self.evidence_collector.probe_finished(
+            now, worker, entry.zone, result, is_fault_probe, elapsed_ms
+        )
         return self._probe_after_fault(now, worker) if is_new_fault else []
 
     def _probe_after_fault(self, now: float, worker: int) -> list[int]:
--- a/spanwing/zones/evidence.py
+++ b/spanwing/zones/evidence.py
@@ -101,6 +101,7 @@
 
     zone: str
     last_good_ms: float = -math.inf
+    last_answered_ms: float = -math.inf  # when the latest request or probe was sent that gave good evidence
     last_bad_ms: float = -math.inf
     bad_since_ms: float = -math.inf  # when the last bad evidence came after good or none
     last_failed_request_ms: float = -math.inf  # when a request, not a probe, last failed there
@@ -144,8 +145,9 @@
         self.last_report_ms = -math.inf
         self.last_good_remote_ms = -math.inf  # last good evidence on a zone other than own_zone
         self.last_good_by_zone_ms: dict[str, float] = {}
-        #: No other scheduler's evidence counts: then good evidence that is older than a fault in another zone
-        #: does not show that this scheduler is connected, and is left out.
+        #: No other scheduler's evidence counts. Good evidence then shows that this scheduler is connected
+        #: only if its request was sent after the last fault in another zone; else it is left out. The answer
+        #: to an earlier request may have arrived before the fault and be read after it.
         self.is_alone = False
 
     def _observation(self, worker: int, zone: str) -> WorkerObservation:
@@ -157,13 +159,14 @@
         observation.zone = zone
         return observation
 
-    def _record_good(self, now: float, observation: WorkerObservation) -> None:
+    def _record_good(self, now: float, observation: WorkerObservation, sent_at: float) -> None:
         if observation.zone != self.own_zone:
             if now - self.last_good_remote_ms > ACCEPT_TIMEOUT_MS:
                 # The first good evidence on a remote zone after a gap.
                 self._discard_if_cut_off(self.evidence_by_zone(now))
             self.last_good_remote_ms = now
         observation.last_good_ms = self.last_good_by_zone_ms[observation.zone] = now
+        observation.last_answered_ms = max(observation.last_answered_ms, sent_at)
 
     def _last_good_outside(self, zone: str) -> float:
         """Returns when there last was good evidence on any other zone than this one; -inf: never."""
@@ -206,9 +209,11 @@
         """
         observation = self.observations.get(worker)
         if observation is not None:
-            sent_at = observation.unanswered_since_ms.pop(attempt, now)
-            if now - sent_at < ACCEPT_TIMEOUT_MS:
-                self._record_good(now, observation)
+            sent_at = observation.unanswered_since_ms.pop(attempt, None)
+            if sent_at is None:  # not recorded, as too many were unanswered, or discarded
+                self._record_good(now, observation, -math.inf)
+            elif now - sent_at < ACCEPT_TIMEOUT_MS:
+                self._record_good(now, observation, sent_at)
             else:
                 self._record_bad(now, observation, sent_at + ACCEPT_TIMEOUT_MS / 2)
 
@@ -220,7 +225,7 @@
         sent_at = observation.unanswered_since_ms.pop(attempt, None)
         if result in ("ok", "full", "rejected"):
             if sent_at is not None and now - sent_at < ACCEPT_TIMEOUT_MS:
-                self._record_good(now, observation)
+                self._record_good(now, observation, sent_at)
         elif result in ("reset", "error"):
             was_healthy = observation.is_healthy(now)
             observation.note_bad(now)
@@ -239,12 +244,18 @@
         return False
 
     def probe_finished(
-        self, now: float, worker: int, zone: str, result: str, is_fault_probe: bool = False
+        self,
+        now: float,
+        worker: int,
+        zone: str,
+        result: str,
+        is_fault_probe: bool = False,
+        elapsed_ms: float = 0.0,
     ) -> bool:
         """Records how a probe ended; returns whether it failed at a worker without bad evidence so far.
 
         is_fault_probe: the probe was sent because of a fault in its zone. Its answer is no good evidence, as
-        a worker that fails requests may still answer probes.
+        a worker that fails requests may still answer probes. elapsed_ms: how long the probe took.
         """
         observation = self._observation(worker, zone)
         if result != "ok":
@@ -252,7 +263,7 @@
             self._record_bad(now, observation, now - ACCEPT_TIMEOUT_MS)
             return was_healthy is not False
         if observation.last_failed_request_ms < now - BAD_EVIDENCE_MAX_AGE_MS and not is_fault_probe:
-            self._record_good(now, observation)
+            self._record_good(now, observation, now - elapsed_ms)
         return False
 
     def worker_health(self, now: float, worker: int) -> bool | None:
@@ -274,7 +285,7 @@
         for worker, observation in self.observations.items():
             is_healthy = observation.is_healthy(now, last_good_elsewhere[observation.zone])
             is_outdated = is_healthy and any(
-                observation.last_good_ms < fault_ms
+                observation.last_answered_ms < fault_ms
                 for zone, fault_ms in fault_by_zone_ms.items()
                 if zone != observation.zone
             )
--- a/spanwing/zones/service.py
+++ b/spanwing/zones/service.py
@@ -262,9 +262,9 @@
         """Records how an attempt ended, and probes workers if it ended in a fault."""
         self._probe_workers(self.agent.attempt_ended(clock_ms(), worker, attempt, result))
 
-    def probe_finished(self, worker: int, result: str) -> None:
+    def probe_finished(self, worker: int, result: str, elapsed_ms: float) -> None:
         """Records how a probe ended, and probes more workers if it ended in a fault."""
-        self._probe_workers(self.agent.probe_finished(clock_ms(), worker, result))
+        self._probe_workers(self.agent.probe_finished(clock_ms(), worker, result, elapsed_ms))
 
     def _probe_workers(self, workers: list[int]) -> None:
         """Probes these workers, and reports the results with a renewal after PROBE_RESULT_DELAY_S."""
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -309,6 +309,28 @@
             verdict = judge_zone("a", [Observer("", collector.evidence_by_zone(240.0))], [5, 6], 1)
             self.assertEqual(verdict.finding, "failed")
 
+    def test_an_answer_to_a_request_from_before_a_fault_elsewhere_does_not_count_for_a_lone_scheduler(
+        self,
+    ) -> None:
+        """Guards against a cut whose resets are read before answers that had arrived earlier."""
+        for is_late_probe in (False, True):
+            collector = EvidenceCollector()
+            collector.is_alone = True
+            collector.attempt_sent(100.0, 7, "b", ("k", 7))
+            for worker in (5, 6):
+                collector.attempt_sent(190.0, worker, "a", ("j", worker))
+                collector.attempt_ended(200.0, worker, ("j", worker), "reset")
+            if is_late_probe:
+                collector.probe_finished(201.0, 7, "b", "ok", elapsed_ms=10.0)
+            else:
+                collector.attempt_accepted(201.0, 7, ("k", 7))
+            verdict = judge_zone("a", [Observer("", collector.evidence_by_zone(210.0))], [5, 6], 1)
+            self.assertEqual(verdict.finding, "unknown")
+            collector.attempt_sent(220.0, 7, "b", ("m", 7))
+            collector.attempt_accepted(230.0, 7, ("m", 7))  # the zone has failed, and not the connection
+            verdict = judge_zone("a", [Observer("", collector.evidence_by_zone(240.0))], [5, 6], 1)
+            self.assertEqual(verdict.finding, "failed")
+
     def test_evidence_is_discarded_after_a_stall_and_if_all_zones_are_bad(self) -> None:
         collector = EvidenceCollector()
         collector.build_report(0.0)
