--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -240,6 +240,19 @@
         ground.wait_until(
             lambda: self.policy_status(ground, "s0")["change"] is not None or self.versions(ground) != {1}
         )
+        self.restart_all(ground)
+
+    def test_all_processes_are_killed_and_restarted_as_a_version_comes_into_force(self) -> None:
+        """Some started by their cached permits of version 1, while others had taken jobs under version 2."""
+        ground = self.start_fleet(seed=79)
+        self.propose_in_background(ground, "--wait", "5")
+        ground.wait_until(
+            lambda: any(self.policy_status(ground, name)["in_force"] != 1 for name in ground.schedulers)
+        )
+        self.restart_all(ground)
+
+    def restart_all(self, ground: ProcessFleet) -> None:
+        """Kills and restarts all processes, waits until they agree on a version, and checks the rules."""
         ground.kill(*ground.schedulers)
         for name in ground.schedulers:
             ground.start(name, wait=False)
