Release the claim of a waiting Faktory job whose client leaves before it is sent

What callers saw: a schedule-apply with answer "outcome" waits for a worker, its client leaves, and each later PUSH of the jid is -REPEATED, though nothing was ever sent.

Cause: a withdrawn request gets no answer, and the claim was settled by the answer alone.

Change: ClientDisconnected carries on_withdrawn. The core calls it with whether a worker may have run the request (an attempt in flight that is recorded, or one that ended so); a request that the policy queued was never sent. If nothing can have run, the claim ends as refused. A request that had its answer is left alone.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -212,8 +212,8 @@
     def rejection_reason(self) -> str:
         """Returns why every request is rejected now; empty if requests are accepted or queued."""
 
-    def client_disconnected(self, request: str, client: ClientConnection) -> None:
-        """Called when the client of a request that is not accepted yet has disconnected."""
+    def client_disconnected(self, request: str, client: ClientConnection) -> bool:
+        """Drops a request that is queued and whose client has disconnected; returns whether there was one."""
 
 
 class RequestSubmitted(NamedTuple):
@@ -237,6 +237,9 @@
 
     request: str
     client: ClientConnection
+    #: Called once the request is withdrawn, with whether a worker may have run it; not called if the request
+    #: had its answer before.
+    on_withdrawn: Callable[[bool], None] | None = None
 
 
 class EndpointsChanged(NamedTuple):
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -409,9 +409,14 @@
     def _handle_client_disconnected(self, message: ClientDisconnected) -> None:
         """Drops a pending request whose client has disconnected, and withdraws its attempts."""
         pending = self.pending_requests.get(message.request)
+        is_withdrawn, may_have_run = False, False
         if pending is None and self.policy_admission is not None:
-            self.policy_admission.client_disconnected(message.request, message.client)
+            is_withdrawn = self.policy_admission.client_disconnected(message.request, message.client)
         if pending is not None and pending.client is message.client:
+            is_withdrawn = True
+            may_have_run = pending.may_have_run or any(
+                not attempt.awaits_record for _, attempt in self.in_flight_attempts(message.request)
+            )
             del self.pending_requests[message.request]
             if self._needs_record(pending.request):
                 self.recorder.record_answered(message.request, "left")
@@ -419,6 +424,8 @@
             self._dispatch_event(api.ClientGone(message.request), self._scheduler_of(message.request))
             self._withdraw_attempts(message.request)
             self._notify_ended(message.request)
+        if is_withdrawn and message.on_withdrawn is not None:
+            message.on_withdrawn(may_have_run)
 
     def _withdraw_attempts(self, request: str) -> None:
         """Withdraws the attempts of a request that no longer needs an answer.
--- a/spanwing/frontends/faktory_jobs.py
+++ b/spanwing/frontends/faktory_jobs.py
@@ -96,7 +96,16 @@
         """Tells the core that the client has left, unless another PUSH relies on the outcome."""
         if not self.is_joined:
             self.is_withdrawn = True
-            request_manager.post(ClientDisconnected(request.id, self))
+            request_manager.post(
+                ClientDisconnected(
+                    request.id, self, lambda may_have_run: self._handle_withdrawn(request.id, may_have_run)
+                )
+            )
+
+    def _handle_withdrawn(self, jid: str, may_have_run: bool) -> None:
+        """Releases the claim of a job that no worker can have run; otherwise the job must not be repeated."""
+        if self.claim is not None and not may_have_run:
+            spawn_task(self.claims.settle(jid, self.claim, "refused"))
 
     def join(self, jid: str) -> bool:
         """Lets another PUSH of the jid rely on the outcome of this job, which is pending at the core.
--- a/spanwing/policy/admission_queue.py
+++ b/spanwing/policy/admission_queue.py
@@ -87,9 +87,12 @@
         self.resubmitted[id(submitted)] = queued  # the mailbox keeps the object until it is taken
         self.resubmit(submitted)
 
-    def drop(self, request_id: str, client: ClientConnection) -> None:
-        """Drops a request whose client has disconnected."""
+    def drop(self, request_id: str, client: ClientConnection) -> bool:
+        """Drops a request whose client has disconnected; returns whether it was queued."""
+        count = len(self.waiting)
         self.waiting = [each for each in self.waiting if not each.is_of_client(request_id, client)]
+        was_queued = len(self.waiting) < count
         for queued in self.resubmitted.values():
             if queued.is_of_client(request_id, client):
-                queued.is_abandoned = True
+                queued.is_abandoned = was_queued = True
+        return was_queued
--- a/spanwing/policy/service.py
+++ b/spanwing/policy/service.py
@@ -210,9 +210,9 @@
         decision = self.decide_admission()
         return decision.reason if decision.action == "refuse" else ""
 
-    def client_disconnected(self, request_id: str, client: ClientConnection) -> None:
-        """Drops a request that is not accepted yet, whose client has disconnected."""
-        self.admission_queue.drop(request_id, client)
+    def client_disconnected(self, request_id: str, client: ClientConnection) -> bool:
+        """Drops a request that is queued and whose client has disconnected; returns whether there was one."""
+        return self.admission_queue.drop(request_id, client)
 
     def _reject(self, submitted: RequestSubmitted) -> None:
         self.request_manager.counters["policy.refused"] += 1
--- a/tests/test_faktory_push.py
+++ b/tests/test_faktory_push.py
@@ -27,6 +27,7 @@
 from spanwing.frontends.faktory_jobs import JobStates, PushedJob, encode_acceptance
 from spanwing.net.address import parse_address
 from spanwing.net.buffers import BufferPool
+from spanwing.store.claims import Claim
 from spanwing.store.store import NoQuorumError
 
 FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
@@ -171,6 +172,18 @@
         self.assertRegex(self.push(client, "schedule-apply"), "^-REPEATED")
         self.assertEqual(self.state(client), "unknown")
 
+    def test_claim_of_a_job_that_was_never_sent_ends_when_its_client_leaves(self) -> None:
+        """Guards against a job that can never run, as its claim outlives the PUSH that was withdrawn."""
+        self.start(fronts=FAKTORY)  # without workers
+        leaving = FaktoryClient(self.daemon)
+        leaving.socket.sendall(encode_push("schedule-apply", JID))
+        self.wait_for_counter("taken", 1)
+        leaving.close()
+        self.wait_for_counter("left", 1)
+        client = self.connect_faktory()
+        self.assertEqual(self.push(client, "schedule-apply"), "+OK")
+        self.assertEqual(self.state(client), "enqueued")
+
     def test_claimed_job_that_is_pending_is_accepted_again_and_runs_once(self) -> None:
         listener = ListenerStandIn(self)
         self.start(member("w1", listener.port), fronts=FAKTORY)
@@ -248,6 +261,25 @@
         first.withdraw(JobRequest(JID, "look", 5e3), manager)
         self.assertRegex(encode_acceptance(await second.acceptance), b"^-BUSY")
 
+    async def test_claim_of_a_job_that_the_policy_queues_ends_when_its_client_leaves(self) -> None:
+        for was_queued, settled in ((True, ["refused"]), (False, [])):
+            with self.subTest(was_queued=was_queued):
+                manager, states = RequestManager(settings(), 1, Clock()), []
+
+                async def settle(jid: str, claim: Claim, state: str, states: list[str] = states) -> None:
+                    states.append(state)
+
+                manager.policy_admission = SimpleNamespace(
+                    admit=lambda _: False, client_disconnected=lambda *_, found=was_queued: found
+                )
+                pushed = PushedJob(JobStates(), SimpleNamespace(settle=settle), Claim("token", "claimed"))
+                request = JobRequest(JID, "look", 5e3, front="faktory")
+                pushed.submit(request, manager)
+                pushed.withdraw(request, manager)
+                manager._drain_mailbox()
+                await asyncio.sleep(0.01)
+                self.assertEqual(states, settled)
+
     async def test_second_push_does_not_change_the_state_of_a_job_that_ends_before_its_reply(self) -> None:
         """Guards against a job that stays `enqueued` for good after its outcome."""
         manager = RequestManager(settings(), 1, Clock())
