Bound the unconfirmed claims that a process remembers

Change: the latest 10,000 requests are remembered, with 16 claims each. A claim that is forgotten stays in force if a member had accepted it, which its jid hears as -REPEATED.

--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -9,7 +9,7 @@
 import logging
 import random
 import secrets
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Coroutine
 from contextlib import suppress
 from typing import Any, Literal
@@ -21,6 +21,8 @@
 from spanwing.store.store import ChangeFunction, NoQuorumError, Store
 
 MAX_SETTLING_CLAIMS = 10_000
+MAX_UNCONFIRMED_REQUESTS = 10_000  # a claim beyond it stays in force if a member has accepted it
+MAX_UNCONFIRMED_CLAIMS = 16  # of one request
 MIN_RETRY_BACKOFF_S, MAX_RETRY_BACKOFF_S = 0.1, 2.0  # between passes over the outcomes that are left
 
 ClaimState = Literal["claimed", "served", "failed", "refused"]
@@ -43,8 +45,8 @@
         #: By request: the outcomes that no majority has confirmed yet. claim() goes by them.
         self.settling_claims: OrderedDict[str, Claim] = OrderedDict()
         self.is_retrying = False
-        # By request: the tokens of claims that no majority has confirmed.
-        self.unconfirmed_tokens: dict[str, set[str]] = {}
+        # By request: the tokens of the latest claims that no majority has confirmed.
+        self.unconfirmed_tokens: OrderedDict[str, deque[str]] = OrderedDict()
 
     async def claim(self, request_id: str) -> tuple[bool, Claim]:
         """Claims a request; returns whether this call's claim is in force, and the claim in force.
@@ -70,7 +72,7 @@
         try:
             stored = await self._change(request_id, replace_if_free)
         except NoQuorumError:
-            self.unconfirmed_tokens.setdefault(request_id, set()).add(token)
+            self._add_unconfirmed(request_id, token)
             raise
         self.unconfirmed_tokens.pop(request_id, None)
         claim = msgspec.json.decode(stored, type=Claim)
@@ -80,6 +82,14 @@
             claim = settled
         return claim.token == token, claim
 
+    def _add_unconfirmed(self, request_id: str, token: str) -> None:
+        """Remembers a claim that no majority has confirmed; forgets the oldest ones beyond the limits."""
+        tokens = self.unconfirmed_tokens.setdefault(request_id, deque(maxlen=MAX_UNCONFIRMED_CLAIMS))
+        tokens.append(token)
+        self.unconfirmed_tokens.move_to_end(request_id)
+        if len(self.unconfirmed_tokens) > MAX_UNCONFIRMED_REQUESTS:
+            self.unconfirmed_tokens.popitem(last=False)
+
     def settle(self, request_id: str, claim: Claim, state: ClaimState) -> Coroutine[Any, Any, None]:
         """Records the outcome of a claimed request.
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -98,6 +98,20 @@
         await self.wait_until_settled()
         self.assertEqual({self.store.state(jid) for jid, _ in pairs}, {"refused"})
 
+    async def test_number_of_unconfirmed_claims_is_bounded(self) -> None:
+        """Guards against memory that grows with each PUSH while the store has no majority."""
+        self.store.has_majority = False
+        with mock.patch.multiple(claims, MAX_UNCONFIRMED_REQUESTS=3, MAX_UNCONFIRMED_CLAIMS=2):
+            for number in range(15):
+                with self.assertRaises(NoQuorumError):
+                    await self.claims.claim(f"job-{number % 5:05}")
+        counts = {jid: len(tokens) for jid, tokens in self.claims.unconfirmed_tokens.items()}
+        self.assertEqual(counts, {"job-00002": 1, "job-00003": 1, "job-00004": 1})
+        for _ in range(3):
+            with self.assertRaises(NoQuorumError):
+                await self.claims.claim(JID)
+        self.assertLessEqual(len(self.claims.unconfirmed_tokens[JID]), claims.MAX_UNCONFIRMED_CLAIMS)
+
     async def test_number_of_outcomes_that_are_left_is_bounded(self) -> None:
         with mock.patch.object(claims, "MAX_SETTLING_CLAIMS", 3):
             for number in range(5):
