End a claim that no majority has confirmed, so that other members can claim its jid

What callers saw: a PUSH is answered -BUSY, as the store loses its majority; the client tries again at another member, as -BUSY allows, and hears -REPEATED for good, though the job never ran.

Cause: the claim may stand in the store all the same, where a member had accepted it. Only the process that wrote it knew that nothing was sent under it, and only until the next PUSH there.

Change: such a claim is settled as a refused one, by the same writes that are repeated until a majority has them (SettlingClaim: the outcome and the tokens that it replaces). It is written also where no claim is seen: an acceptor that this write does not reach may hold one. It takes the place of unconfirmed_tokens; the bounds are 10,000 requests, 16 claims each.

--- a/spanwing/store/claims.py
+++ b/spanwing/store/claims.py
@@ -9,10 +9,10 @@
 import logging
 import random
 import secrets
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Coroutine
 from contextlib import suppress
-from typing import Any, Literal
+from typing import Any, Literal, NamedTuple
 
 import msgspec
 from tornado.gen import sleep
@@ -20,8 +20,7 @@
 from spanwing.actor import spawn_task
 from spanwing.store.store import ChangeFunction, NoQuorumError, Store
 
-MAX_SETTLING_CLAIMS = 10_000
-MAX_UNCONFIRMED_REQUESTS = 10_000  # a claim beyond it stays in force if a member has accepted it
+MAX_SETTLING_CLAIMS = 10_000  # requests; the claim of one beyond it stays in force
 MAX_UNCONFIRMED_CLAIMS = 16  # of one request
 MIN_RETRY_BACKOFF_S, MAX_RETRY_BACKOFF_S = 0.1, 2.0  # between passes over the outcomes that are left
 
@@ -37,16 +36,25 @@
     state: ClaimState
 
 
+class SettlingClaim(NamedTuple):
+    """An outcome that no majority has confirmed yet, and the tokens of the claims that it replaces."""
+
+    outcome: Claim
+    tokens: tuple[str, ...]
+
+
 class Claims:
-    """Claims requests and records their outcomes. Without a majority a claim fails."""
+    """Claims requests and records their outcomes.
+
+    Without a majority a claim fails. Some members may have accepted it all the same, and a later change may
+    complete it; so it is ended as one of a refused request, under which nothing was sent.
+    """
 
     def __init__(self, store: Store) -> None:
         self.store = store
         #: By request: the outcomes that no majority has confirmed yet. claim() goes by them.
-        self.settling_claims: OrderedDict[str, Claim] = OrderedDict()
+        self.settling_claims: OrderedDict[str, SettlingClaim] = OrderedDict()
         self.is_retrying = False
-        # By request: the tokens of the latest claims that no majority has confirmed.
-        self.unconfirmed_tokens: OrderedDict[str, deque[str]] = OrderedDict()
 
     async def claim(self, request_id: str) -> tuple[bool, Claim]:
         """Claims a request; returns whether this call's claim is in force, and the claim in force.
@@ -56,11 +64,7 @@
         """
         token = secrets.token_hex(8)
         encoded_claim = msgspec.json.encode(Claim(token, "claimed")).decode()
-        # Nothing was sent under an unconfirmed claim of this process.
-        free_tokens = {token, *self.unconfirmed_tokens.get(request_id, ())}
-        settled = self.settling_claims.get(request_id)
-        if settled is not None and settled.state == "refused":
-            free_tokens.add(settled.token)
+        free_tokens = {token, *self._refused_tokens(request_id)}
 
         def replace_if_free(stored: str | None) -> str:
             if stored is not None:
@@ -72,56 +76,69 @@
         try:
             stored = await self._change(request_id, replace_if_free)
         except NoQuorumError:
-            self._add_unconfirmed(request_id, token)
+            self._end_unconfirmed(request_id, token)
             raise
-        self.unconfirmed_tokens.pop(request_id, None)
         claim = msgspec.json.decode(stored, type=Claim)
         # A client may retry before the store has the outcome, which this process already knows.
-        settled = self.settling_claims.get(request_id)
-        if settled is not None and settled.token == claim.token:
-            claim = settled
+        settling = self.settling_claims.get(request_id)
+        if settling is not None and settling.outcome.token == claim.token:
+            claim = settling.outcome
         return claim.token == token, claim
 
-    def _add_unconfirmed(self, request_id: str, token: str) -> None:
-        """Remembers a claim that no majority has confirmed; forgets the oldest ones beyond the limits."""
-        tokens = self.unconfirmed_tokens.setdefault(request_id, deque(maxlen=MAX_UNCONFIRMED_CLAIMS))
-        tokens.append(token)
-        self.unconfirmed_tokens.move_to_end(request_id)
-        if len(self.unconfirmed_tokens) > MAX_UNCONFIRMED_REQUESTS:
-            self.unconfirmed_tokens.popitem(last=False)
-
     def settle(self, request_id: str, claim: Claim, state: ClaimState) -> Coroutine[Any, Any, None]:
         """Records the outcome of a claimed request.
 
         claim() goes by it from now on. The store has it once the returned coroutine has been awaited, unless
         no majority confirms it: then it is written again until one does, or until the process ends.
         """
-        settled = Claim(claim.token, state)
-        self.settling_claims[request_id] = settled
+        settling = SettlingClaim(Claim(claim.token, state), (claim.token,))
+        self._add_settling(request_id, settling)
+        return self._settle(request_id, settling)
+
+    def _refused_tokens(self, request_id: str) -> tuple[str, ...]:
+        """Returns the tokens of this process's claims on a request under which nothing was sent."""
+        settling = self.settling_claims.get(request_id)
+        return settling.tokens if settling is not None and settling.outcome.state == "refused" else ()
+
+    def _end_unconfirmed(self, request_id: str, token: str) -> None:
+        """Ends a claim that no majority has confirmed.
+
+        If the request has another outcome that is not confirmed either, its claim had a majority, and this
+        one was never written.
+        """
+        if request_id not in self.settling_claims or self._refused_tokens(request_id):
+            tokens = (*self._refused_tokens(request_id), token)[-MAX_UNCONFIRMED_CLAIMS:]
+            self._add_settling(request_id, SettlingClaim(Claim(token, "refused"), tokens))
+            self._start_retrying()
+
+    def _add_settling(self, request_id: str, settling: SettlingClaim) -> None:
+        self.settling_claims[request_id] = settling
         self.settling_claims.move_to_end(request_id)
-        if len(self.settling_claims) > MAX_SETTLING_CLAIMS:  # such a request stays claimed in the store
+        if len(self.settling_claims) > MAX_SETTLING_CLAIMS:
             self.settling_claims.popitem(last=False)
-        return self._settle(request_id, settled)
 
-    async def _settle(self, request_id: str, settled: Claim) -> None:
+    async def _settle(self, request_id: str, settling: SettlingClaim) -> None:
         try:
-            await self._write_outcome(request_id, settled)
+            await self._write_outcome(request_id, settling)
         except NoQuorumError as error:
-            log.warning(
-                "outcome %s of request %s was not written to the store: %s", settled.state, request_id, error
-            )
+            state = settling.outcome.state
+            log.warning("outcome %s of request %s was not written to the store: %s", state, request_id, error)
             self._start_retrying()
 
-    async def _write_outcome(self, request_id: str, settled: Claim) -> None:
-        """Writes an outcome to the store, unless another claim has replaced its own. Raises NoQuorumError."""
+    async def _write_outcome(self, request_id: str, settling: SettlingClaim) -> None:
+        """Writes an outcome to the store, unless another claim has replaced its own. Raises NoQuorumError.
+
+        It is also written if there is no claim: a member that this change does not reach may have accepted
+        one, which a later change would complete otherwise.
+        """
 
-        def replace_if_ours(stored: str | None) -> str | None:
-            if stored is None or msgspec.json.decode(stored, type=Claim).token != settled.token:
+        def replace_if_ours(stored: str | None) -> str:
+            if stored is not None and msgspec.json.decode(stored, type=Claim).token not in settling.tokens:
                 return stored
-            return msgspec.json.encode(settled).decode()
+            return msgspec.json.encode(settling.outcome).decode()
 
         await self._change(request_id, replace_if_ours)
-        if self.settling_claims.get(request_id) is settled:
+        if self.settling_claims.get(request_id) is settling:
             del self.settling_claims[request_id]
 
     async def _change(self, request_id: str, change: ChangeFunction) -> str | None:
@@ -150,5 +167,5 @@
 
     async def _write_outcomes_left(self) -> None:
         """Writes the outcomes that are left. Raises NoQuorumError at the first one that cannot be written."""
-        for request_id, settled in list(self.settling_claims.items()):
-            await self._write_outcome(request_id, settled)
+        for request_id, settling in list(self.settling_claims.items()):
+            await self._write_outcome(request_id, settling)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -25,10 +25,13 @@
     def __init__(self) -> None:
         self.registers: dict[str, str | None] = {}
         self.has_majority, self.change_count = True, 0
+        self.applies_without_majority = False  # some members accept a change that no majority confirms
 
     async def change(self, key: str, update: Callable[[str | None], str | None]) -> str | None:
         await asyncio.sleep(0)
         self.change_count += 1
+        if self.applies_without_majority and not self.has_majority:
+            self.registers[key] = update(self.registers.get(key))
         if not self.has_majority:
             raise NoQuorumError("1 of 3 members answered, 2 are needed")
         self.registers[key] = update(self.registers.get(key))
@@ -98,19 +101,52 @@
         await self.wait_until_settled()
         self.assertEqual({self.store.state(jid) for jid, _ in pairs}, {"refused"})
 
+    async def test_claim_that_no_majority_has_confirmed_is_free_for_other_members(self) -> None:
+        """Guards against a jid that is answered -BUSY, and -REPEATED for good at any other member."""
+        self.store.applies_without_majority, self.store.has_majority = True, False
+        with self.assertRaises(NoQuorumError):
+            await self.claims.claim(JID)
+        self.assertEqual(self.store.state(), "claimed")
+        self.store.has_majority = True
+        await self.wait_until_settled()
+        is_new, _ = await Claims(self.store).claim(JID)
+        self.assertTrue(is_new)
+
+    async def test_claim_after_unconfirmed_ones_is_not_ended_with_them(self) -> None:
+        self.store.applies_without_majority, self.store.has_majority = True, False
+        for _ in range(2):
+            with self.assertRaises(NoQuorumError):
+                await self.claims.claim(JID)
+        self.store.has_majority = True
+        is_new, claim = await self.claims.claim(JID)
+        self.assertTrue(is_new)
+        await self.wait_until_settled()
+        self.assertEqual(self.store.state(), "claimed")
+        self.assertEqual(await Claims(self.store).claim(JID), (False, claim))
+
+    async def test_failed_claim_does_not_replace_an_outcome_that_is_not_confirmed(self) -> None:
+        await self.settle_without_majority("served")
+        self.store.has_majority = False
+        with self.assertRaises(NoQuorumError):
+            await self.claims.claim(JID)
+        self.store.has_majority = True
+        await self.wait_until_settled()
+        self.assertEqual(self.store.state(), "served")
+
     async def test_number_of_unconfirmed_claims_is_bounded(self) -> None:
         """Guards against memory that grows with each PUSH while the store has no majority."""
         self.store.has_majority = False
-        with mock.patch.multiple(claims, MAX_UNCONFIRMED_REQUESTS=3, MAX_UNCONFIRMED_CLAIMS=2):
+        with mock.patch.multiple(claims, MAX_SETTLING_CLAIMS=3, MAX_UNCONFIRMED_CLAIMS=2):
             for number in range(15):
                 with self.assertRaises(NoQuorumError):
                     await self.claims.claim(f"job-{number % 5:05}")
-        counts = {jid: len(tokens) for jid, tokens in self.claims.unconfirmed_tokens.items()}
-        self.assertEqual(counts, {"job-00002": 1, "job-00003": 1, "job-00004": 1})
-        for _ in range(3):
-            with self.assertRaises(NoQuorumError):
-                await self.claims.claim(JID)
-        self.assertLessEqual(len(self.claims.unconfirmed_tokens[JID]), claims.MAX_UNCONFIRMED_CLAIMS)
+            for _ in range(3):
+                with self.assertRaises(NoQuorumError):
+                    await self.claims.claim(JID)
+            self.assertEqual(len(self.claims.settling_claims), 3)
+            self.assertEqual(len(self.claims.settling_claims[JID].tokens), 2)
+        self.store.has_majority = True
+        await self.wait_until_settled()
 
     async def test_number_of_outcomes_that_are_left_is_bounded(self) -> None:
         with mock.patch.object(claims, "MAX_SETTLING_CLAIMS", 3):
