Reject new work from the start of a member that was drained through the store

Cause: the order is read from the store after the fronts are open, and each process began a notice of its own for it. The notice is for balancers that still send; to a process that starts they have sent nothing.

Change: the order in the member's own copy of the store is applied before the first connection, without a notice, and so is one that a majority confirms in the first look. One that was withdrawn meanwhile is withdrawn by that look. Listeners that a reload opens later keep the notice.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -436,6 +436,7 @@
                 config.journal.directory if config.journal else "",
                 self.zone_routing,
                 self.fleet_policy,
+                is_starting=not self.started.is_set(),
             )
 
             def resource_limits() -> DaemonLimits:
--- a/spanwing/frontends/balancers/drain_watcher.py
+++ b/spanwing/frontends/balancers/drain_watcher.py
@@ -2,7 +2,9 @@
 
 The local copy of this member's key is checked every LOCAL_CHECK_INTERVAL_S without I/O. A change there takes
 effect once a majority has confirmed it. The key is also confirmed every CONFIRM_INTERVAL_S, in case the local
-copy has missed a change. The quorum is probed every QUORUM_CHECK_INTERVAL_S without a write to any disk.
+copy has missed a change. An order that is older than this process takes effect before the first request, by
+the local copy, and has no notice period. The quorum is probed every QUORUM_CHECK_INTERVAL_S without a write
+to any disk.
 """
 
 from __future__ import annotations
@@ -46,7 +48,15 @@
     def __init__(self, store: Store, reporter: HealthReporter) -> None:
         self.store, self.reporter = store, reporter
         self.has_quorum: bool | None = None  # None: not probed yet
-        self.confirmed_value: str | None = None  # the key's value that was confirmed last
+        self.confirmed_value: str | None = None  # the key's value that was applied last
+        self.is_starting = False  # an order that is confirmed now is older than this process
+
+    def apply_earlier_order(self) -> None:
+        """Applies the order of the local copy at the start of the process, before a majority confirms it."""
+        self.is_starting = True
+        register = self.store.acceptor.registers.get(drain_key(self.store.member))
+        if register is not None:
+            self._apply(register.value)
 
     async def run(self) -> None:
         """Checks the key and the quorum at their intervals; never returns."""
@@ -58,6 +68,7 @@
             changed = register is not None and register.value != self.confirmed_value
             if changed or ticks % round(CONFIRM_INTERVAL_S / LOCAL_CHECK_INTERVAL_S) == 0:
                 await self._confirm_order(key)
+            self.is_starting = False
             ticks += 1
             await sleep(LOCAL_CHECK_INTERVAL_S)
 
@@ -74,6 +85,10 @@
             value = await self.store.read_through_change(key)
         except (NoQuorumError, OSError):  # OSError: writing this member's state to its disk has failed
             return  # the last order stays in force
+        self._apply(value)
+
+    def _apply(self, value: str | None) -> None:
+        """Applies the key's value if it differs from the one that was applied last."""
         if value == self.confirmed_value:
             return
         self.confirmed_value = value
@@ -84,6 +99,6 @@
             return
         if drain_order.drain:
             within_s = float("inf") if drain_order.within_s is None else drain_order.within_s
-            self.reporter.drain("store", within_s)
+            self.reporter.drain("store", within_s, has_notice=not self.is_starting)
         else:
             self.reporter.undrain("store")
--- a/spanwing/frontends/balancers/health_reporter.py
+++ b/spanwing/frontends/balancers/health_reporter.py
@@ -112,13 +112,13 @@
         self.subscribers.add(subscriber)
         return lambda: self.subscribers.discard(subscriber)
 
-    def drain(self, source: DrainSource, within_s: float = math.inf) -> None:
+    def drain(self, source: DrainSource, within_s: float = math.inf, has_notice: bool = True) -> None:
         """Adds the drain order of a source, and announces the drain by every protocol at once.
 
-        All requests are to be answered within within_s seconds.
+        All requests are to be answered within within_s seconds. has_notice: see DrainOrders.add().
         """
         now = self.loop.time()
-        self._publish(self.health.drain(source, now, within_s))
+        self._publish(self.health.drain(source, now, within_s, has_notice))
         # The frontends are updated exactly at the end of the notice period, not with the next sample.
         if (notice_ends_at_s := self.health.drain_orders.notice_ends_at_s) > now:
             self.loop.call_at(notice_ends_at_s, self._update_frontends)
--- a/spanwing/frontends/balancers/service.py
+++ b/spanwing/frontends/balancers/service.py
@@ -50,6 +50,7 @@
     journal_directory: str = ""  # empty: no journal
     zones: ZoneOrders | None = None  # None: not enabled
     policy: PolicyOrders | None = None  # None: not enabled
+    is_starting: bool = False  # no client has been accepted yet
 
 
 class BalancerService:
@@ -84,6 +85,8 @@
         )
         self.drain_watcher = DrainWatcher(parts.store, self.reporter) if parts.store.peers else None
         if self.drain_watcher is not None:
+            if parts.is_starting:
+                self.drain_watcher.apply_earlier_order()
             spawn_task(self.drain_watcher.run())
 
     async def order_drain(self, member: str, drain: bool, within_s: float | None) -> None:
--- a/spanwing/health/drain_orders.py
+++ b/spanwing/health/drain_orders.py
@@ -2,7 +2,7 @@
 
 A drain lasts until every source has withdrawn its order. The order of SIGTERM (source "signal") cannot be
 withdrawn. The notice period starts with the first order; an order from a second source neither extends nor
-restarts it.
+restarts it. A drain that a process finds at its start has none, as balancers have sent it nothing.
 """
 
 from __future__ import annotations
@@ -22,15 +22,19 @@
         # By source: when all requests are to be answered, in seconds of the caller's clock.
         self.deadlines: dict[DrainSource, float] = {}
         self.started_at_s: float | None = None
+        self.has_notice = True  # of the drain in force
 
-    def add(self, source: DrainSource, now_s: float, within_s: float = math.inf) -> bool:
+    def add(
+        self, source: DrainSource, now_s: float, within_s: float = math.inf, has_notice: bool = True
+    ) -> bool:
         """Adds the order of a source to have all requests answered within within_s seconds.
 
-        A new order replaces an earlier one of the same source. Returns whether the drain starts with it.
+        A new order replaces an earlier one of the same source. has_notice: whether a drain that starts with
+        it has a notice period. Returns whether the drain starts with it.
         """
         is_first = not self.deadlines
         if is_first:
-            self.started_at_s = now_s
+            self.started_at_s, self.has_notice = now_s, has_notice
         self.deadlines[source] = now_s + within_s
         return is_first
 
@@ -56,7 +60,9 @@
     @property
     def notice_ends_at_s(self) -> float:
         """The end of the notice period; infinity if no drain is in force."""
-        return math.inf if self.started_at_s is None else self.started_at_s + self.notice_s
+        if self.started_at_s is None:
+            return math.inf
+        return self.started_at_s + (self.notice_s if self.has_notice else 0.0)
 
     def phase(self, now_s: float) -> DrainPhase:
         """Returns the phase of the drain.
--- a/spanwing/health/state_machine.py
+++ b/spanwing/health/state_machine.py
@@ -68,12 +68,14 @@
         self.signals = signals
         return self._update_verdict(now_s)
 
-    def drain(self, source: DrainSource, now_s: float, within_s: float = float("inf")) -> HealthVerdict:
+    def drain(
+        self, source: DrainSource, now_s: float, within_s: float = float("inf"), has_notice: bool = True
+    ) -> HealthVerdict:
         """Adds the drain order of a source and returns the new verdict.
 
-        All requests are to be answered within within_s seconds.
+        All requests are to be answered within within_s seconds. has_notice: see DrainOrders.add().
         """
-        self.drain_orders.add(source, now_s, within_s)
+        self.drain_orders.add(source, now_s, within_s, has_notice)
         return self._update_verdict(now_s)
 
     def undrain(self, source: DrainSource, now_s: float) -> HealthVerdict:
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -332,38 +332,54 @@
         self.assertTrue(reply.endswith(b"cannot serve setpoint-push"), reply)
         self.assertIn(b" 200 ", request_reply(health, b"GET /health/status-read HTTP/1.0\r\n\r\n"))
 
-    def test_drains_through_the_store_and_the_loss_of_its_majority(self) -> None:
-        ports, names = free_ports(3), "abc"
-        daemons = {}
-
-        def start(name: str) -> Daemon:
-            own_index = names.index(name)
-            addresses = zip(names, ports, strict=True)
-            peers = ", ".join(f'{other} = "127.0.0.1:{port}"' for other, port in addresses if other != name)
-            fronts = (
-                self.listener_tables(agent_check="127.0.0.1:0", faktory="127.0.0.1:0", health="127.0.0.1:0")
-                + f'[admin]\nsocket = "{self.folder / name}"\n[balancers]\nnotice_ms = 100\n'
-                f'[store]\nmember = "{name}"\ndirectory = "{self.folder / name}-store"\n'
-                f'listen = "127.0.0.1:{ports[own_index]}"\npeers = {{ {peers} }}\n'
-            )
-            worker = member("w1", 9)
-            started = Daemon({**config([worker]), "name": name}, fronts)
-            self.addCleanup(started.close)
-            return started
-
-        daemons = {name: start(name) for name in names}  # none serves before a majority is up
+    def start_members(self, notice_ms: float) -> dict[str, Daemon]:
+        """Starts three members of a store, and waits until they serve."""
+        self.ports, self.notice_ms = dict(zip("abc", free_ports(3), strict=True)), notice_ms
+        daemons = {name: self.start_member(name) for name in self.ports}  # none serves without a majority
         for each in daemons.values():
             each.wait_until_ready()
+        return daemons
 
-        def state(name: str) -> dict:
-            return client.send_command(str(self.folder / name), do="status")
+    def start_member(self, name: str) -> Daemon:
+        peers = ", ".join(
+            f'{other} = "127.0.0.1:{port}"' for other, port in self.ports.items() if other != name
+        )
+        fronts = (
+            self.listener_tables(agent_check="127.0.0.1:0", faktory="127.0.0.1:0", health="127.0.0.1:0")
+            + f'[admin]\nsocket = "{self.folder / name}"\n[balancers]\nnotice_ms = {self.notice_ms}\n'
+            f'[store]\nmember = "{name}"\ndirectory = "{self.folder / name}-store"\n'
+            f'listen = "127.0.0.1:{self.ports[name]}"\npeers = {{ {peers} }}\n'
+        )
+        started = Daemon({**config([member("w1", 9)]), "name": name}, fronts)
+        self.addCleanup(started.close)
+        return started
 
+    def state(self, name: str) -> dict:
+        return client.send_command(str(self.folder / name), do="status")
+
+    def test_drained_member_takes_no_new_work_after_a_restart(self) -> None:
+        """Guards against a drain whose notice begins anew with each restart."""
+        daemons = self.start_members(notice_ms=60_000)
+        client.send_command(str(self.folder / "a"), do="drain", member="b")
+        self.wait_until(lambda: self.state("b")["state"] == "draining", "b is drained through the store")
+        daemons["b"].process.kill()
+        daemons["b"].process.wait()
+        restarted = self.start_member("b").wait_until_ready()
+        request = b"POST /status-read HTTP/1.1\r\nX-Call-Id: job-1\r\nContent-Length: 0\r\n\r\n"
+        self.assertIn(b" 503 ", request_reply(restarted.addresses["clients"], request))
+        self.assertEqual(self.state("b")["state"], "drained")
+        client.send_command(str(self.folder / "a"), do="undrain", member="b")
+        self.wait_until(lambda: self.state("b")["state"] in ("weighted", "ready"), "b serves again")
+
+    def test_drains_through_the_store_and_the_loss_of_its_majority(self) -> None:
+        daemons = self.start_members(notice_ms=100)
+        state = self.state
         client.send_command(str(self.folder / "a"), do="drain", member="b")
         self.wait_until(lambda: state("b")["state"] == "drained", "b is drained through the store")
         self.assertEqual(state("b")["drained_by"], ["store"])
         daemons["b"].process.kill()
         daemons["b"].process.wait()
-        daemons["b"] = start("b").wait_until_ready()
+        daemons["b"] = self.start_member("b").wait_until_ready()
         self.wait_until(
             lambda: state("b")["state"] in ("draining", "drained"), "the order outlives a restart"
         )
