Run the stand-ins of a fleet outside of asyncio's debug mode in tests

Trace, by the message that a failure of it has now: start 0.40 s, longest stall 0.45 s, ten requests sent 0.1 to 0.5 s apart where 25 ms are drawn. So the stand-ins were slow, and the start was not.

Cause: IsolatedAsyncioTestCase runs its loop in debug mode, in which each callback extracts a stack.

Change: the tests that run a fleet's stand-ins have a base class that turns debug mode off. Checks, times and rates are unchanged.

--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from fleet_case import FleetTestCase
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
@@ -132,7 +133,7 @@
         listening.close()
 
 
-class BacklogWaits(unittest.IsolatedAsyncioTestCase):
+class BacklogWaits(FleetTestCase):
     async def test_budgets_are_reduced_by_the_wait_in_the_backlog(self) -> None:
         command = ("-m", "measure.soak.syscall_shim", "fail:accept:ENOBUFS:2.0:2.9")
         fleet = Fleet(FleetPlan(rate_per_s=60.0, command=command), seed=1)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import unittest
+
+from fleet_case import FleetTestCase
 
 from measure.soak.fleet import Fleet, FleetPlan
 from measure.soak.oracle import judge
@@ -13,7 +14,7 @@
 RATE_PER_S = 40.0
 
 
-class Drains(unittest.IsolatedAsyncioTestCase):
+class Drains(FleetTestCase):
     """A worker drains, in a change or after a list larger than the 64 KiB limit on a job's body."""
 
     async def run_drain(self, listed: int, joining: int) -> None:
--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+from fleet_case import FleetTestCase
+
 from measure.soak.fault_proxy import LinkState
 from measure.soak.fleet import Fleet, FleetPlan
 from measure.soak.oracle import judge
@@ -16,7 +18,7 @@
 STEP_AT_S = 3.0
 
 
-class ClockSteps(unittest.IsolatedAsyncioTestCase):
+class ClockSteps(FleetTestCase):
     async def run_step(self, step_s: float, is_silent: bool) -> None:
         """Steps the clock, then drains a worker; with is_silent, discovery's answers are withheld."""
         command = ("-m", "measure.soak.syscall_shim", f"step:{STEP_AT_S}:{step_s}")
