--- a/benchmarks/claim_cost.py
+++ b/benchmarks/claim_cost.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import json
-import socket
 import tempfile
 import time
 from pathlib import Path
@@ -21,21 +20,13 @@
 
 from measure.daemons import HostPort, Program, settings
 from measure.faktory import FaktoryConnection
+from measure.ports import free_ports
 
 MEMBERS = ("a", "b", "c")
 CLIENT_COUNTS = (1, 30, 200)
 BUDGET_MS = 300
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def start_members(folder: Path) -> list[Program]:
     """Starts three daemons that share a store, and waits until they serve."""
     ports = dict(zip(MEMBERS, free_ports(len(MEMBERS)), strict=True))
--- a/measure/soak/planted_bugs.py
+++ b/measure/soak/planted_bugs.py
@@ -125,7 +125,53 @@
     http_worker.encode_request = encode
 
 
+def outcome_written_once() -> None:
+    """Forgets the outcome of a claim that no majority has confirmed."""
+    from spanwing.store.claims import Claims
+
+    Claims._start_retrying = lambda self: self.settling_claims.clear()
+
+
+def repeated_as_accepted() -> None:
+    """Answers +OK for a jid that was taken before, whoever holds the job."""
+    from spanwing.frontends import faktory_jobs
+
+    faktory_jobs._encode_repeated = lambda answer: faktory_jobs.OK
+
+
+def accepted_before_the_core() -> None:
+    """Answers +OK, and records the job as enqueued, before the core has accepted it."""
+    from spanwing.frontends.faktory_jobs import STATE_ENQUEUED, PushedJob
+
+    original = PushedJob.submit
+
+    def submit(self, request, request_manager):
+        self.states.set(request.id, STATE_ENQUEUED)
+        original(self, request, request_manager)
+
+    PushedJob.submit = submit
+    repeated_as_accepted()
+
+
+def claim_skipped() -> None:
+    """Takes jobs that must not run twice without a claim."""
+    from spanwing.frontends.faktory import FaktoryFrontend
+
+    async def claim_job(self, job, service_class):
+        return None
+
+    FaktoryFrontend.claim_job = claim_job
+
+
+#: Bugs that the soak of Faktory jobs has to find.
+CLAIM_BUGS: dict[str, Callable[[], None]] = {
+    "written-once": outcome_written_once,
+    "repeated-as-accepted": repeated_as_accepted,
+    "accepted-early": accepted_before_the_core,
+    "claim-skipped": claim_skipped,
+}
 PLANTED_BUGS: dict[str, Callable[[], None]] = {
+    **CLAIM_BUGS,
     "patient": long_answer_timeout,
     "persisted-at-once": persisted_list_used_at_once,
     "no-stale": stale_list_accepted,
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -9,7 +9,6 @@
 import asyncio
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -26,6 +25,7 @@
 
 from measure.balancers import PROTOCOLS, Backend, CheckResult, HealthTracker, parse_agent_reply
 from measure.drains import DrainRun
+from measure.ports import free_ports
 from spanwing.cli import client
 from spanwing.health.settings import HealthSettings
 from spanwing.health.signals import ClassLoad, CpuUsage, HealthSignals, WorkerCounts
@@ -47,20 +47,6 @@
         return answer
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that are free at present, outside the kernel's range of ephemeral ports."""
-    random_source, sockets = random.SystemRandom(), []
-    while len(sockets) < count:
-        try:
-            sockets.append(socket.create_server(("127.0.0.1", random_source.randrange(20_000, 32_000))))
-        except OSError:
-            continue  # the port is in use
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class DaemonTestCase(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
