Wait at a start for the state of the zones, for one second at most

Cause: until the first document all zones count as open, and the clients' listener was opened without regard to it.

Change: with [zones] members a start waits for the first lease, which comes with the document, FIRST_CONTACT_TIMEOUT_S (1 s) at most. Without contact a scheduler acts alone afterwards, as docs/design/zones.md says.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -197,6 +197,8 @@
             await hot_restart.take_over(HotRestartContext(self.request_manager, discovery, self.descriptors))
         with suppress(TornadoTimeoutError):
             await discovery.announced.wait(timedelta(seconds=spread_s + ENDPOINT_LIST_TIMEOUT_S))
+        if self.zone_routing is not None:
+            await self.zone_routing.wait_for_first_contact()
         self.http_server = _open_listener(
             "ROUTER_LISTEN",
             config.listen,
--- a/spanwing/zones/service.py
+++ b/spanwing/zones/service.py
@@ -46,6 +46,7 @@
 TIMER_INTERVAL_S = 0.05
 MAX_CANCEL_DELAY_S = 1.0
 UNREACHABLE_CHECK_INTERVAL_S = 0.25
+FIRST_CONTACT_TIMEOUT_S, FIRST_CONTACT_CHECK_S = 1.0, 0.01  # of a start that waits for the state of the zones
 PROBE_RESULT_DELAY_S = 0.1  # from sending probes to reporting their results
 
 
@@ -229,6 +230,17 @@
         if self.request_manager.settings.probes:
             spawn_task(self._run_background_probes())
 
+    async def wait_for_first_contact(self) -> None:
+        """Waits for the state of the zones from a member, FIRST_CONTACT_TIMEOUT_S at most.
+
+        Until then all zones count as open. A scheduler that accepted clients would forward to zones that the
+        fleet has left.
+        """
+        due_s = IOLoop.current().time() + FIRST_CONTACT_TIMEOUT_S
+        is_followed = bool(self.zone_settings.members)
+        while is_followed and not self.follower.has_lease() and IOLoop.current().time() < due_s:
+            await sleep(FIRST_CONTACT_CHECK_S)
+
     # -- called by the request manager
 
     def may_forward(self, worker: int) -> bool:
