--- a/measure/soak/claims.py
+++ b/measure/soak/claims.py
@@ -29,19 +29,18 @@
 import tempfile
 import time
 from collections.abc import Iterable, Mapping
-from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from subprocess import run as run_process
 from typing import NamedTuple
 
 import click
 
-from measure.daemons import ROOT, Program, settings
+from measure.daemons import Program, settings
 from measure.faktory import FaktoryConnection
 from measure.ports import free_ports
 from measure.soak.planted_bugs import CLAIM_BUGS
+from measure.soak.seeds import run_seeds
 
 LOGGED_FAILURE = re.compile(r"rule_violated .*|Traceback .*|fault (?:in|on) .*")
 MEMBERS = ("a", "b", "c")
@@ -381,20 +380,12 @@
     if seed is not None:
         command = ("-m", "measure.soak.planted_bugs", bug) if bug else ("-m", "spanwing")
         sys.exit(1 if run_seed(seed, seconds, command) else 0)
-    first, _, last = seeds.partition("..")
     flags = [f"--seconds={seconds}", *([f"--bug={bug}"] if bug else [])]
 
-    def run_one(number: int) -> tuple[int, int]:
-        arguments = [sys.executable, "-m", "measure.soak.claims", f"--seed={number}", *flags]
-        completed = run_process(arguments, cwd=ROOT, capture_output=True, text=True)
-        click.echo(completed.stdout.strip() or f"seed {number}: harness failed: {completed.stderr[-600:]}")
-        return number, completed.returncode
-
-    with ThreadPoolExecutor(at_once) as pool:
-        results = list(pool.map(run_one, range(int(first), int(last) + 1)))
-    failed = [number for number, status in results if status]
-    click.echo(f"{len(results)} runs, {len(failed)} failed: {failed}")
-    sys.exit(1 if failed else 0)
+    def show(number: int, output: str, errors: str) -> None:
+        click.echo(output.strip() or f"seed {number}: harness failed: {errors[-600:]}")
+
+    sys.exit(run_seeds("measure.soak.claims", seeds, flags, at_once, show))
 
 
 if __name__ == "__main__":
--- a/measure/soak/run.py
+++ b/measure/soak/run.py
@@ -18,15 +18,12 @@
 import sys
 import time
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
-from subprocess import run as run_process
 from typing import NamedTuple
 
 import click
 
-from measure.daemons import ROOT
 from measure.soak.fault_proxy import LinkState
 from measure.soak.faults import CRASH_NOTICE_DELAY_S, Fault, FaultKind, draw_faults
 from measure.soak.fleet import DEFAULT_DISCONNECT_SHARE, Fleet, FleetPlan
@@ -34,6 +31,7 @@
 from measure.soak.planted_bugs import PLANTED_BUGS
 from measure.soak.random_plan import draw_extra_faults, draw_plan
 from measure.soak.records import Outage
+from measure.soak.seeds import run_seeds
 from measure.soak.stand_ins import AnswerFault, IdleConnectionFlood, WorkerMode
 
 #: Log lines of a scheduler that count as failures: violations that it detected itself, and exceptions.
@@ -331,7 +329,6 @@
             plan = replace(draw_plan(seed, rate), command=command)
             extra_faults = tuple(draw_extra_faults(seed, seconds, plan))
         sys.exit(1 if run_seed(seed, seconds, plan, prints_faults=True, extra_faults=extra_faults) else 0)
-    first, _, last = (seeds or "1..10").partition("..")
     flags = [
         f"--seconds={seconds}",
         f"--schedulers={schedulers}",
@@ -344,22 +341,15 @@
         *(["--drawn"] if drawn else []),
     ]
 
-    def run_one(number: int) -> tuple[int, int]:
-        arguments = [sys.executable, "-m", "measure.soak.run", f"--seed={number}", *flags]
-        completed = run_process(arguments, cwd=ROOT, capture_output=True, text=True)
-        lines = [line for line in completed.stdout.splitlines() if not re.match(r" +\d", line)]
-        text = "\n".join(lines) if lines else f"seed {number}: harness failed: {completed.stderr[-600:]}"
+    def show(number: int, output: str, errors: str) -> None:
+        lines = [line for line in output.splitlines() if not re.match(r" +\d", line)]
+        text = "\n".join(lines) if lines else f"seed {number}: harness failed: {errors[-600:]}"
         click.echo(text)
         if log is not None:
             with log.open("a") as file:
                 file.write(text + "\n")
-        return number, completed.returncode
 
-    with ThreadPoolExecutor(at_once) as pool:
-        results = list(pool.map(run_one, range(int(first), int(last) + 1)))
-    failed = [number for number, status in results if status]
-    click.echo(f"{len(results)} runs, {len(failed)} failed: {failed}")
-    sys.exit(1 if failed else 0)
+    sys.exit(run_seeds("measure.soak.run", seeds or "1..10", flags, at_once, show))
 
 
 if __name__ == "__main__":
--- a/spanwing/frontends/balancers/health_checks.py
+++ b/spanwing/frontends/balancers/health_checks.py
@@ -17,7 +17,7 @@
 
 from spanwing.core.messages import FinalAnswer, JobRequest
 from spanwing.frontends.balancers.health_reporter import HealthReporter
-from spanwing.frontends.http_server import HttpReply
+from spanwing.frontends.http_connection import HttpReply
 from spanwing.health.state_machine import HealthVerdict
 from spanwing.net.http import HttpMessage, encode_response
 
--- a/spanwing/frontends/management.py
+++ b/spanwing/frontends/management.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from spanwing.core.messages import FinalAnswer, JobRequest
-from spanwing.frontends.http_server import HttpReply
+from spanwing.frontends.http_connection import HttpReply
 from spanwing.net.http import HttpMessage, encode_response
 
 PATHS = ("/healthcheck", "/stats")
--- a/spanwing/hot_restart/hot_restart.py
+++ b/spanwing/hot_restart/hot_restart.py
@@ -31,7 +31,8 @@
     DiscoveryClient,
     WorkerCallbackReceived,
 )
-from spanwing.frontends.http_server import HttpClientConnection, HttpServer
+from spanwing.frontends.http_connection import HttpClientConnection
+from spanwing.frontends.http_server import HttpServer
 from spanwing.hot_restart.link import HotRestartLink, RendezvousSocket
 from spanwing.hot_restart.messages import (
     ITEMS_PER_MESSAGE,
--- a/tests/test_full_table.py
+++ b/tests/test_full_table.py
@@ -8,7 +8,8 @@
 
 from measure.streams import OpenStreams, Streams
 from spanwing.core.messages import FinalAnswer, JobRequest
-from spanwing.frontends.http_server import FRESH_CONNECTION_S, HttpReply, HttpServer
+from spanwing.frontends.http_connection import FRESH_CONNECTION_S, HttpReply
+from spanwing.frontends.http_server import HttpServer
 from spanwing.net.address import Address
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpMessage, encode_response
