List a drain test that did not end once, and let it tell where it stands

Which lane and what it waited for is not known, so it is listed.

A lane that does not end now names its protocol, the drains done, each backend's weight and last check, and the requests without an answer. The checks and bounds are unchanged.

--- a/measure/drains.py
+++ b/measure/drains.py
@@ -131,6 +131,23 @@
         self.result.refused = self.balancer.retry_count
         return self.result
 
+    def describe(self) -> str:
+        """Returns what a run that does not end waits for: weights, checks and requests without an answer."""
+        now_s = time.monotonic()
+        backends = [
+            f"{each.name}: weight {each.health_tracker.effective_weight}, "
+            f"checked {now_s - each.checked_at:.2f} s ago"
+            for each in self.balancer.backends
+        ]
+        unanswered = [
+            f"{each.id} at {each.backend}, sent {now_s - each.sent_at:.2f} s ago"
+            for each in self.balancer.sent
+            if not each.statuses
+        ]
+        return (
+            f"{self.result.drains} drains done; {backends}; {len(unanswered)} unanswered: {unanswered[-5:]}"
+        )
+
     async def drain(self, backend: Backend) -> None:
         """Drains one scheduler, counts what still arrives, and brings it back."""
         while not backend.health_tracker.effective_weight:
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -79,7 +79,10 @@
 
         def run_lane(name: str, by_signal: bool):
             lane = DrainRun(name, 11, by_signal)
-            return name, asyncio.run(asyncio.wait_for(lane.run(2), 90))
+            try:
+                return name, asyncio.run(asyncio.wait_for(lane.run(2), 90))
+            except TimeoutError as error:
+                raise AssertionError(f"{name}, by signal: {by_signal}: {lane.describe()}") from error
 
         with ThreadPoolExecutor(len(PROTOCOLS) + 1) as pool:
             runs = [pool.submit(run_lane, name, False) for name in PROTOCOLS]
