--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -133,6 +133,26 @@
         await self.wait_until_settled()
         self.assertEqual(self.store.state(), "served")
 
+    async def test_new_claims_do_not_wait_for_outcomes_that_are_left(self) -> None:
+        """Guards against new work that starves after the store had no majority, with 200 claims unsettled."""
+        jids = [f"job-{number:05}" for number in range(200)]
+        pairs = [(jid, (await self.claims.claim(jid))[1]) for jid in jids]
+        self.store.has_majority = False
+        with self.assertLogs("spanwing", "WARNING"):
+            await asyncio.gather(*(self.claims.settle(jid, claim, "served") for jid, claim in pairs))
+        self.store.has_majority = True
+        async with asyncio.timeout(10):
+            while len(self.claims.settling_claims) == len(jids):
+                await asyncio.sleep(0)
+        for number in range(20):
+            before = len(self.claims.settling_claims)
+            is_new, _ = await self.claims.claim(f"new-{number:05}")
+            self.assertTrue(is_new)
+            # One claim takes one change of the store, in which one outcome is written.
+            self.assertLessEqual(before - len(self.claims.settling_claims), 2)
+        await self.wait_until_settled()
+        self.assertEqual({self.store.state(jid) for jid in jids}, {"served"})
+
     async def test_number_of_unconfirmed_claims_is_bounded(self) -> None:
         """Guards against memory that grows with each PUSH while the store has no majority."""
         self.store.has_majority = False
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -21,6 +21,7 @@
 from spanwing.discovery.call import DiscoveredEndpoints
 from spanwing.discovery.client import DiscoveryClient
 from spanwing.discovery.freshness import CallTiming
+from spanwing.net.accepting import ACCEPT_PAUSE_S, MAX_FAILED_ACCEPTS
 from spanwing.net.address import Address, listen, parse_address
 from spanwing.net.buffers import BufferPool
 from spanwing.net.connection_table import RANK_SILENT, ConnectionTable
@@ -119,6 +120,27 @@
                 client.close()
                 listening.close()
 
+    async def test_accept_that_fails_in_a_row_for_whatever_reason_pauses(self) -> None:
+        """Guards against a loop that is never idle, and a wait in the backlog that nobody takes off."""
+        for error in (errno.ECONNABORTED, errno.EPERM, errno.EPROTO, errno.ENETDOWN):
+            with self.subTest(errno.errorcode[error]):
+                failing = FailingAccepts(socket.socket(), error)
+                accepted: asyncio.Queue[socket.socket] = asyncio.Queue()
+                with mock.patch("spanwing.net.address.open_socket", return_value=failing):
+                    listening = listen(Address("127.0.0.1", 0), accepted.put_nowait)
+                with self.assertLogs("spanwing", "WARNING"):
+                    client = socket.create_connection(listening.address)
+                    await asyncio.sleep(0.5)
+                    self.assertLessEqual(
+                        failing.failed_accepts, MAX_FAILED_ACCEPTS + 0.5 / ACCEPT_PAUSE_S + 1
+                    )
+                    self.assertGreater(listening.backlog_wait_s(), 0.4)
+                    failing.error = None
+                    async with asyncio.timeout(5):
+                        (await accepted.get()).close()
+                client.close()
+                listening.close()
+
     async def test_aborted_connections_are_skipped(self) -> None:
         accepted: asyncio.Queue[socket.socket] = asyncio.Queue()
         failing = FailingAccepts(socket.socket(), errno.ECONNABORTED)
