Accept the backlog at the end of a drain although accept() fails for a moment

A connection that was accepted by the machine, with its request written, was lost to one ECONNABORTED or ENFILE.

Change: ConnectionAcceptor.accept_pending passes over failures, fifteen in a row; a blocked call ends it. A want of resources that lasts still ends it.

--- a/spanwing/net/accepting.py
+++ b/spanwing/net/accepting.py
@@ -56,6 +56,20 @@
         else:
             self.loop.remove_handler(self.listening_socket)
 
+    def accept_pending(self) -> None:
+        """Accepts the connections in the backlog, unless it is stopped or accept() fails in a row."""
+        failures = 0
+        while self.is_started and failures < MAX_FAILED_ACCEPTS:
+            try:
+                connection, _ = self.listening_socket.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                failures += 1
+                continue
+            failures = 0
+            self.on_connection(connection)
+
     def backlog_wait_s(self) -> float:
         """Returns the longest time in seconds that the connection being accepted may have waited."""
         return 0.0 if self.waiting_since_s is None else self.loop.time() - self.waiting_since_s
--- a/spanwing/net/address.py
+++ b/spanwing/net/address.py
@@ -7,7 +7,6 @@
 import socket
 import stat
 from collections.abc import Callable
-from contextlib import suppress
 from typing import NamedTuple
 
 from spanwing.net.accepting import ConnectionAcceptor
@@ -113,9 +112,7 @@
         listening_socket.close()
 
     def accept_pending_and_close() -> None:
-        with suppress(OSError):
-            while acceptor.is_started:  # closing a listener makes the kernel reset connections in its backlog
-                on_connection(listening_socket.accept()[0])
+        acceptor.accept_pending()  # closing a listener makes the kernel reset connections in its backlog
         close()
 
     set_accepting(True)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import socket
 import unittest
 from collections import Counter
@@ -141,6 +142,20 @@
                 client.close()
                 listening.close()
 
+    async def test_backlog_is_accepted_before_a_listener_closes_although_accept_fails(self) -> None:
+        """Guards against a drain that closes its listener, and resets the backlog, at the first failure."""
+        for error, failure_count in ((errno.ECONNABORTED, 3), (errno.ENFILE, 3), (errno.EPERM, 15)):
+            with self.subTest(errno.errorcode[error]):
+                accepted: list[socket.socket] = []
+                failing = FailingAccepts(socket.socket(), error, failure_count)
+                with mock.patch("spanwing.net.address.open_socket", return_value=failing):
+                    listening = listen(Address("127.0.0.1", 0), accepted.append)
+                clients = [socket.create_connection(listening.address) for _ in range(2)]
+                listening.accept_pending_and_close()
+                self.assertEqual(len(accepted), len(clients))
+                for each in (*accepted, *clients):
+                    each.close()
+
     async def test_aborted_connections_are_skipped(self) -> None:
         accepted: asyncio.Queue[socket.socket] = asyncio.Queue()
         failing = FailingAccepts(socket.socket(), errno.ECONNABORTED)
@@ -205,13 +220,13 @@
 
 
 class FailingAccepts:
-    """A listening socket whose accept() fails for as long as error is set."""
+    """A listening socket whose accept() fails for as long as error is set, or failure_count times."""
 
-    def __init__(self, sock: socket.socket, error: int) -> None:
-        self.sock, self.error, self.failed_accepts = sock, error, 0
+    def __init__(self, sock: socket.socket, error: int, failure_count: float = math.inf) -> None:
+        self.sock, self.error, self.failed_accepts, self.failure_count = sock, error, 0, failure_count
 
     def accept(self) -> tuple[socket.socket, object]:
-        if self.error is not None:
+        if self.error is not None and self.failed_accepts < self.failure_count:
             self.failed_accepts += 1
             raise OSError(self.error, errno.errorcode[self.error])
         return self.sock.accept()
