Log long turns of the event loop and the memory in use, and count ended connections

Events loop_held_up, memory (at 50, 75, 90 and 100% of the limit) and process (on SIGUSR1, and at an exit after one of the others); 'process' in status; counters connections.evicted, connections.table_full and connections.status_N once there are any.

--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -42,6 +42,7 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.net.loop_meter import MeteredSelector, install_metered_loop
 from spanwing.net.monotonic_loop import MonotonicLoop
+from spanwing.resources.process_monitor import ProcessMonitor
 from spanwing.settings import PermissionSettings
 from spanwing.store.acceptor import Acceptor
 from spanwing.store.claims import Claims
@@ -85,6 +86,8 @@
         self.has_successor = False  # a hot restart's successor takes new connections
         self.started = Event()
         self.buffer_pool = BufferPool()
+        self.process_monitor = ProcessMonitor(lambda: self.config.limits.memory_mb)
+        self.process_monitor.start()
         self.faktory_frontend: FaktoryFrontend | None = None
         self.http_server: HttpServer | None = None
         self.hot_restart: HotRestart | None = None
@@ -438,6 +441,7 @@
                 config.journal.directory if config.journal else "",
                 self.zone_routing,
                 self.fleet_policy,
+                self.process_monitor.figures,
                 is_starting=not self.started.is_set(),
             )
 
@@ -527,13 +531,27 @@
         discovery_counters = {
             f"discovery.failed.{reason}": count for reason, count in self.discovery.failed_calls.items()
         }
-        counters = {**self.request_manager.counters, **discovery_counters, **journal_counters, **statistics}
+        connection_counters = {
+            f"connections.{name}": value for name, value in self.http_server.end_counts.items()
+        }
+        counters = {
+            **self.request_manager.counters,
+            **discovery_counters,
+            **journal_counters,
+            **statistics,
+            **connection_counters,
+        }
         return dict(sorted(counters.items()))
 
     def print_counters(self) -> None:
         """Prints the counters on standard output, as one line of JSON."""
         print("counters", msgspec.json.encode(self.collect_counters()).decode(), flush=True)
 
+    def report(self) -> None:
+        """Prints the counters and logs the figures of the process, as SIGUSR1 asks for."""
+        self.print_counters()
+        self.process_monitor.log_figures()
+
     def remaining_ms(self) -> float:
         """Returns how long (ms) a request that arrives now may take; infinite unless this process drains.
 
@@ -646,7 +664,7 @@
     signal.signal(signal.SIGHUP, lambda *_: loop.add_callback_from_signal(daemon.reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: loop.add_callback_from_signal(daemon.shut_down))
-    signal.signal(signal.SIGUSR1, lambda *_: loop.add_callback_from_signal(daemon.print_counters))
+    signal.signal(signal.SIGUSR1, lambda *_: loop.add_callback_from_signal(daemon.report))
     start_errors: list[ConfigurationError] = []
 
     async def start() -> None:
@@ -658,6 +676,8 @@
 
     loop.add_callback(start)
     loop.start()
+    if daemon.process_monitor.has_findings():
+        daemon.process_monitor.log_figures()
     EVENT_LOG.close()
     if start_errors:
         raise start_errors[0]
--- a/spanwing/frontends/admin.py
+++ b/spanwing/frontends/admin.py
@@ -184,6 +184,7 @@
         journal_directory: str = "",
         zones: ZoneOrders | None = None,
         policy: PolicyOrders | None = None,
+        process_figures: Callable[[], dict[str, int]] = dict,
     ) -> None:
         self.name, self.reporter, self.counters, self.order_drain = name, reporter, counters, order_drain
         self.buffers, self.journal_endpoint, self.zones, self.policy = (
@@ -192,6 +193,7 @@
             zones,
             policy,
         )
+        self.process_figures = process_figures
         self.table: ConnectionTable[AdminConnection] = ConnectionTable(MAX_CONNECTIONS)
         self.listening_socket = listen_unix(path, self._accept)
         self.address = path
@@ -216,6 +218,7 @@
             "drained_by": sorted(drains.deadlines),
             "owed": self.reporter.outstanding_requests(),
             "counters": self.counters(),
+            "process": self.process_figures(),
         }
 
     async def execute(self, command: AdminCommand) -> dict[str, Any]:
--- a/spanwing/frontends/balancers/listeners.py
+++ b/spanwing/frontends/balancers/listeners.py
@@ -44,6 +44,7 @@
         journal_directory: str = "",
         zones: ZoneOrders | None = None,
         policy: PolicyOrders | None = None,
+        process_figures: Callable[[], dict[str, int]] = dict,
     ) -> None:
         self.name, self.reporter, self.request_manager, self.buffers = (
             name,
@@ -57,7 +58,7 @@
             order_drain,
             proxy_sources,
         )
-        self.policy = policy
+        self.policy, self.process_figures = policy, process_figures
         self.journal_directory, self.zones = journal_directory, zones
         self.open_listeners: dict[str, tuple[Any, Any]] = {}  # by name: settings and frontend
 
@@ -148,6 +149,7 @@
             self.journal_directory,
             self.zones,
             self.policy,
+            self.process_figures,
         )
 
     def close(self) -> None:
--- a/spanwing/frontends/balancers/service.py
+++ b/spanwing/frontends/balancers/service.py
@@ -50,6 +50,7 @@
     journal_directory: str = ""  # empty: no journal
     zones: ZoneOrders | None = None  # None: not enabled
     policy: PolicyOrders | None = None  # None: not enabled
+    process_figures: Callable[[], dict[str, int]] = dict  # memory and event loop, for the status
     is_starting: bool = False  # no client has been accepted yet
 
 
@@ -82,6 +83,7 @@
             parts.journal_directory,
             parts.zones,
             parts.policy,
+            parts.process_figures,
         )
         self.drain_watcher = DrainWatcher(parts.store, self.reporter) if parts.store.peers else None
         if self.drain_watcher is not None:
--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -115,6 +115,7 @@
             return
         finally:
             self.is_busy, self.is_finished = False, True
+            self.server.end_counts.update(["status_408"] * self.http_stream.has_timed_out)
             self.server.retry_waiting_connection()
             await self.http_stream.close_gracefully(LINGER_TIMEOUT_S)
             self.server.table.connections.discard(self)
@@ -178,6 +179,7 @@
         return keep_alive
 
     async def _reject_malformed(self, error: HttpError) -> None:
+        self.server.end_counts[f"status_{error.status}"] += 1
         with suppress(StreamClosedError):
             await self.http_stream.write(
                 encode_response(error.status, str(error).encode(), keep_alive=False), WRITE_STALL_TIMEOUT_S
--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -8,6 +8,7 @@
 
 import math
 import socket
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -58,6 +59,8 @@
         #: Retry-After for clients rejected by a full table; 0 if the settings allow no Retry-After.
         self.retry_after_ms = min(FULL_TABLE_RETRY_AFTER_MS, max_retry_after_ms)
         self.table: ConnectionTable[HttpClientConnection] = ConnectionTable(max_connections)
+        self.end_counts: Counter[str] = Counter()  # connections that this server ended, by reason
+        self.table.on_evicted = lambda: self.end_counts.update(("evicted",))
         self.pending_requests = 0  # client requests that the core has not answered
         #: Called with the id of an unanswered request if this process closes its connection.
         self.on_unanswered_close: Callable[[str], None] = lambda _: None
@@ -103,6 +106,7 @@
             self._accept(sock)
 
     def _reject_connection(self, sock: socket.socket) -> None:
+        self.end_counts["table_full"] += 1
         with suppress(OSError):
             sock.send(
                 self.frontend.render_answer(FinalAnswer("refused", retry_after_ms=self.retry_after_ms), False)
--- a/spanwing/net/connection_table.py
+++ b/spanwing/net/connection_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
 from tornado.ioloop import IOLoop
@@ -60,6 +61,7 @@
         #: The latest order of eviction; the least needed connection is at the end.
         self.candidates: list[EvictionCandidate] = []
         self.ranked_at_s = 0.0
+        self.on_evicted: Callable[[], None] = lambda: None
 
     def has_room(self) -> bool:
         """Returns whether one more connection fits."""
@@ -127,4 +129,5 @@
             return False
         connection.close()
         self.connections.discard(connection)
+        self.on_evicted()
         return True
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -225,6 +225,7 @@
     ) -> None:
         super().__init__(stream, buffers)
         self.parser = HttpParser(parses_responses, max_body_bytes)
+        self.has_timed_out = False  # an incomplete message was answered with 408
 
     async def receive(self, timeout_s: float | None = None, is_fresh: bool = False) -> HttpMessage | None:
         """Returns the next message, or None if the connection ended first.
@@ -270,6 +271,7 @@
             else:  # an unread request would be lost by closing now
                 self.message_timer = IOLoop.current().call_later(0, self._handle_stall)
         else:
+            self.has_timed_out = True
             self.write_and_close(encode_response(408, b"not whole in time", keep_alive=False))
 
     def is_reusable(self) -> bool:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,6 +16,7 @@
     "config_errors": set(),
     "schema_validation": set(),
     "log": set(),
+    "resources": {"log"},
     "health": set(),
     "net": set(),
     "journal": set(),
@@ -68,6 +69,7 @@
         "hot_restart",
         "zones",
         "policy",
+        "resources",
     },
     "cli": {
         "config",
