--- /dev/null
+++ b/measure/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Hostile crowds of clients at one real scheduler, with ordinary clients beside them."""
