--- a/measure/crowds/shapes.py
+++ b/measure/crowds/shapes.py
@@ -101,6 +101,8 @@
 async def send_head_by_bytes(streams: Streams) -> None:
     """A head that comes byte by byte."""
     for byte in head_of_fields(request_head(4)):
+        if streams[1].is_closing():
+            return
         streams[1].write(bytes((byte,)))
         await asyncio.sleep(0)
     await read_until_closed(streams)
