Answer deeply nested JSON as any other malformed input, at every peer

What callers saw: a Faktory PUSH or PUSHB, a call-back of a job worker nested 2,000 deep were closed with no reply; an answer of discovery restarted the watch each time. Cause: msgspec raises RecursionError, which is no ValueError, and no decoder of outside bytes expected it.

Change: json_input.decode_json and decode_by raise ValueError instead; used by Faktory, the platform's call-backs, discovery, load reports, the store's peers, leader and followers, zones' evidence and orders, policy votes and orders, the admin socket, a hot restart's messages and both configuration files. So each peer gets its usual reply to malformed input.

--- a/spanwing/config.py
+++ b/spanwing/config.py
@@ -19,6 +19,7 @@
 from spanwing import interface as api
 from spanwing.config_errors import ErrorCollector
 from spanwing.discovery.client import DiscoveredEndpoints
+from spanwing.json_input import decode_json
 from spanwing.net.address import Address, parse_address
 from spanwing.operator_file import (
     DEFAULT_OPERATOR_FILE,
@@ -179,6 +180,9 @@
         return None
     try:
         return decode(data, type=struct_type)
+    except RecursionError:
+        errors.add_error(setting, f"{path}: nested too deeply")
+        return None
     except (ValueError, UnicodeDecodeError) as error:
         # The decoder reports only the first error. To collect all of them, each value is checked on its own.
         if not errors.collects_all:
@@ -201,9 +205,7 @@
     ConfigurationError.
     """
     errors = errors or ErrorCollector()
-    platform_settings = errors.run_check(
-        "settings", lambda text: msgspec.json.decode(text, type=PlatformSettings), text
-    )
+    platform_settings = errors.run_check("settings", lambda text: decode_json(text, PlatformSettings), text)
     if platform_settings is None:
         return None
     if own_settings is not None:
--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -17,6 +17,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing.discovery.call_failure import CallFailure
+from spanwing.json_input import decode_json
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import TOO_LARGE_STATUS, HttpError, HttpStream, encode_request
@@ -238,7 +239,7 @@
     if not response.keep_alive:
         stream.close()
     try:
-        endpoints = msgspec.json.decode(response.body, type=DiscoveredEndpoints)
+        endpoints = decode_json(response.body, DiscoveredEndpoints)
     except ValueError as error:
         return None, CallFailure.UNREADABLE, str(error)
     return endpoints, None, ""
--- a/spanwing/frontends/admin.py
+++ b/spanwing/frontends/admin.py
@@ -23,6 +23,7 @@
 from spanwing.frontends.balancers.health_checks import health_report
 from spanwing.frontends.balancers.health_reporter import HealthReporter
 from spanwing.frontends.journal_endpoint import JournalEndpoint
+from spanwing.json_input import decode_json
 from spanwing.log import log_event
 from spanwing.net.address import listen_unix
 from spanwing.net.buffers import BufferPool
@@ -126,7 +127,7 @@
                     await self.frontend.journal_endpoint.serve(self.line_stream, line, MESSAGE_TIMEOUT_S)
                     return
                 try:
-                    command = msgspec.json.decode(line, type=AdminCommand)
+                    command = decode_json(line, AdminCommand)
                     if command.name == "watch":
                         await self._stream_status()
                         return
--- a/spanwing/frontends/balancers/drain_watcher.py
+++ b/spanwing/frontends/balancers/drain_watcher.py
@@ -15,6 +15,7 @@
 from tornado.gen import sleep
 
 from spanwing.frontends.balancers.health_reporter import HealthReporter
+from spanwing.json_input import decode_json
 from spanwing.log import log_event
 from spanwing.store.store import NoQuorumError, Store
 
@@ -93,7 +94,7 @@
             return
         self.confirmed_value = value
         try:
-            drain_order = msgspec.json.decode(value or '{"drain":false}', type=DrainOrder)
+            drain_order = decode_json(value or '{"drain":false}', DrainOrder)
         except ValueError as error:
             logger.warning("ignoring an invalid drain order in the store: %s", error)
             return
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -31,6 +31,7 @@
     encode_answer,
 )
 from spanwing.frontends.request_id import is_request_id
+from spanwing.json_input import decode_json
 from spanwing.log import log_event
 from spanwing.net.address import Address, listen
 from spanwing.net.buffers import BufferPool
@@ -370,7 +371,7 @@
 
     def _decode(self, data: bytes, message_type: type):
         try:
-            return msgspec.json.decode(data, type=message_type)
+            return decode_json(data, message_type)
         except ValueError as error:
             raise CommandError(f"malformed: {error}") from None
 
@@ -378,7 +379,7 @@
         if self.hello is not None:
             raise FaktoryProtocolError("HELLO came before")
         try:
-            hello = msgspec.json.decode(body, type=FaktoryHello)
+            hello = decode_json(body, FaktoryHello)
             labels = dict(each.split(":", 1) for each in hello.labels if ":" in each)
             int(labels.get("cell", "0")), float(labels.get("started_ms", "0"))
         except ValueError as error:
--- a/spanwing/frontends/platform.py
+++ b/spanwing/frontends/platform.py
@@ -12,6 +12,7 @@
 from spanwing.core.messages import FinalAnswer, JobRequest
 from spanwing.discovery.client import WorkerCallbackReceived
 from spanwing.frontends.request_id import is_request_id
+from spanwing.json_input import decode_by
 from spanwing.net.http import HttpMessage, encode_response
 from spanwing.workers.http_worker import WorkerCallback
 from spanwing.workers.load_report import LoadReportReader
@@ -126,7 +127,7 @@
 
     def _handle_job_event(self, message: HttpMessage) -> tuple[int, bytes]:
         try:
-            event = self.decoder.decode(message.body)
+            event = decode_by(self.decoder, message.body)
         except ValueError:
             return 400, b"not a job event"
         report = self.load_reader.read_values(event.load)
--- a/spanwing/hot_restart/messages.py
+++ b/spanwing/hot_restart/messages.py
@@ -11,6 +11,7 @@
 
 from spanwing.core.messages import JobRequest
 from spanwing.discovery.client import DiscoveredWorker
+from spanwing.json_input import decode_by
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 160_000  # room for a request's body and headers, and for the input buffered after them
@@ -160,4 +161,9 @@
     | PredecessorDone
 )
 encode_message = msgspec.msgpack.Encoder().encode
-decode_message = msgspec.msgpack.Decoder(HotRestartMessage).decode
+decoder = msgspec.msgpack.Decoder(HotRestartMessage)
+
+
+def decode_message(data: bytes) -> HotRestartMessage:
+    """Decodes a message. Raises ValueError if it is malformed."""
+    return decode_by(decoder, data)
--- a/spanwing/policy/combined_controller.py
+++ b/spanwing/policy/combined_controller.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from spanwing.json_input import decode_json
 from spanwing.policy.coordinator import PolicyCoordinator
 from spanwing.policy.records import read_policy
 from spanwing.store.document import Document, Transaction
@@ -74,7 +75,7 @@
         Raises ValueError if the order cannot be decoded or is rejected.
         """
         try:
-            policy_order = msgspec.json.decode(order, type=PolicyOrder)
+            policy_order = decode_json(order, PolicyOrder)
         except ValueError:
             if self.zone_controller is None:
                 raise
--- a/spanwing/policy/coordinator.py
+++ b/spanwing/policy/coordinator.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from spanwing.json_input import decode_json
 from spanwing.policy.records import (
     CHANGE_KEY,
     CURRENT_KEY,
@@ -94,9 +95,7 @@
 
     def record_vote(self, session: str, vote: PolicyVote | msgspec.Raw) -> None:
         """Records a session's vote. Raises ValueError if it cannot be decoded."""
-        self.votes[session] = (
-            vote if isinstance(vote, PolicyVote) else msgspec.json.decode(vote, type=PolicyVote)
-        )
+        self.votes[session] = vote if isinstance(vote, PolicyVote) else decode_json(vote, PolicyVote)
 
     def permit_duration_ms(self, session: str, document: Document) -> float:
         """Returns the duration of the permit to grant to this session, in ms; 0: no permit."""
--- a/spanwing/store/follower.py
+++ b/spanwing/store/follower.py
@@ -21,6 +21,7 @@
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import spawn_task
+from spanwing.json_input import decode_json
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.stream import LineStream, LineTooLongError
@@ -207,7 +208,7 @@
     async def _read_replies(self, stream: LineStream) -> None:
         try:
             while (line := await stream.read_line()) is not None:
-                self._handle_reply(msgspec.json.decode(line, type=LeaderReply))
+                self._handle_reply(decode_json(line, LeaderReply))
         except (LineTooLongError, ValueError):
             pass  # not the store's protocol: close the connection
         stream.close()
--- a/spanwing/store/peer.py
+++ b/spanwing/store/peer.py
@@ -17,6 +17,7 @@
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from spanwing.actor import Actor, spawn_task
+from spanwing.json_input import decode_by, decode_json
 from spanwing.net.address import Address, listen, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.stream import LineStream, LineTooLongError
@@ -113,7 +114,7 @@
     async def _read_replies(self, stream: LineStream) -> None:
         try:
             while (line := await stream.read_line()) is not None:
-                reply = msgspec.json.decode(line, type=StoreResponse)
+                reply = decode_json(line, StoreResponse)
                 self.unanswered_since_s = None
                 pending = self.pending_replies.pop(reply.message_id, None)
                 if pending is not None:
@@ -154,7 +155,7 @@
         )
         try:
             while (line := await stream.read_line()) is not None:
-                message = self.decoder.decode(line)
+                message = decode_by(self.decoder, line)
                 if isinstance(message, Renew | SubmitOrder):
                     if self.handle_message is None:
                         break
--- a/spanwing/workers/load_report.py
+++ b/spanwing/workers/load_report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import msgspec
+from spanwing.json_input import decode_json
 
 #: By the name of a value on the wire, the scheduler's name for it. Other names are used as they are.
 REPORT_FIELD_NAMES = {
@@ -42,7 +42,7 @@
         """
         try:
             if text.lstrip().startswith("{"):
-                return self.read_values(msgspec.json.decode(text, type=dict[str, float]))
+                return self.read_values(decode_json(text, dict[str, float]))
             pairs = [part.split("=") for part in text.removeprefix("TEXT").split(",") if "=" in part]
             return self.read_values({name.strip(): float(value) for name, value in pairs})
         except ValueError:
--- a/spanwing/zones/controller.py
+++ b/spanwing/zones/controller.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from spanwing.json_input import decode_json
 from spanwing.store.document import Document, Transaction
 from spanwing.store.leader import Leader, SchedulerSession
 from spanwing.zones.evidence import (
@@ -619,7 +620,7 @@
 
         Raises ValueError with the reason if the order is rejected.
         """
-        zone_order = msgspec.json.decode(bytes(order), type=ZoneOrder)
+        zone_order = decode_json(bytes(order), ZoneOrder)
         fleet, listed = self._parse_document(document), self._record_listed_workers(now)
         names = self.limits.regions.get(zone_order.target, (zone_order.target,))
         unknown = [name for name in names if name not in self.recent_workers and name not in fleet.zones]
--- a/spanwing/zones/evidence.py
+++ b/spanwing/zones/evidence.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from spanwing.interface import Worker
+from spanwing.json_input import decode_by
 
 MAX_REPORT_GAP_MS = 1000.0  # a longer gap between two reports shows that this process was stalled
 ACCEPT_TIMEOUT_MS = 500.0  # a healthy worker accepts or rejects a request within this
@@ -59,7 +60,7 @@
     """Decodes a report. Raises ValueError if it is malformed or exceeds a bound."""
     if len(payload) > MAX_REPORT_BYTES:
         raise ValueError(f"{len(payload)} bytes in an evidence report; {MAX_REPORT_BYTES} are allowed")
-    report = REPORT_DECODER.decode(payload)
+    report = decode_by(REPORT_DECODER, payload)
     for zone_evidence in report.zones.values():
         if max(
             len(zone_evidence.healthy_workers), len(zone_evidence.faulty_workers)
