Bound what the parser of HTTP messages keeps and computes, not only the bytes it is sent

What callers saw: with hundreds of clients that sent heads of very many short fields, stopped in a body or sent a trailer without an end, a process passed its memory limit (259 MB by 350 clients in 6 s, 426 MB with trailers in 10 s, limit 192) and others got late answers (p99 0.5 to 1.3 s, 0.045 s alone).

Cause: the parser bounded bytes on the wire, not what they become: a head of 15.6 KB became 185 KB of names and values that nobody reads, a trailer was kept and searched again for each read, a head that came byte by byte was searched from its start for each byte, chunks were unbounded in number and each moved the rest of the input.

Change: the parser has a module of its own.

One module, three faults of one cause: they could not be mended apart.

--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -20,7 +20,8 @@
 from spanwing.json_input import decode_json
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
-from spanwing.net.http import TOO_LARGE_STATUS, HttpError, HttpStream, encode_request
+from spanwing.net.http import HttpStream, encode_request
+from spanwing.net.http_parser import TOO_LARGE_STATUS, HttpError
 from spanwing.net.tcp_stream import TcpStream
 
 MAX_WORKERS = 3200  # in one fleet
@@ -83,7 +84,9 @@
     """Reads one answer at a time; every read has a deadline from the limits of the call."""
 
     def __init__(self, stream: IOStream, buffers: BufferPool) -> None:
-        super().__init__(stream, buffers, parses_responses=True, max_body_bytes=MAX_LIST_BYTES)
+        super().__init__(
+            stream, buffers, parses_responses=True, max_body_bytes=MAX_LIST_BYTES, used_fields=frozenset()
+        )
         self.loop = IOLoop.current()
         self.limits: CallLimits | None = None
         self.on_first_byte: Callable[[float], None] = lambda _: None
--- a/spanwing/frontends/balancers/health_checks.py
+++ b/spanwing/frontends/balancers/health_checks.py
@@ -19,7 +19,8 @@
 from spanwing.frontends.balancers.health_reporter import HealthReporter
 from spanwing.frontends.http_connection import HttpReply
 from spanwing.health.state_machine import HealthVerdict
-from spanwing.net.http import HttpMessage, encode_response
+from spanwing.net.http import encode_response
+from spanwing.net.http_parser import HttpMessage
 
 READINESS_PATHS = frozenset({"/", "*", "/health", "/ready", "/readyz"})
 LIVENESS_PATHS = frozenset({"/live", "/livez"})
@@ -85,6 +86,8 @@
 class HealthFrontend:
     """Answers health checks; it submits no requests to the core."""
 
+    used_fields = frozenset({"accept"})
+
     def __init__(self, reporter: HealthReporter, counters: Callable[[], dict[str, int]]) -> None:
         self.reporter, self.counters = reporter, counters
 
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -47,7 +47,8 @@
     WRITE_STALL_TIMEOUT_S,
     ConnectionTable,
 )
-from spanwing.net.http import MAX_HEAD_BYTES, is_field_value
+from spanwing.net.http import is_field_value
+from spanwing.net.http_parser import MAX_HEAD_BYTES
 from spanwing.net.proxied_connections import Network, is_proxy_source, peer_address_of, read_peer_address
 from spanwing.net.proxy_protocol import ProxyError
 from spanwing.net.resp import OK, encode_bulk, encode_error, encode_simple
--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -35,7 +35,8 @@
     READ_AHEAD_BYTES,
     WRITE_STALL_TIMEOUT_S,
 )
-from spanwing.net.http import HttpError, HttpMessage, HttpStream, encode_response
+from spanwing.net.http import HttpStream, encode_response
+from spanwing.net.http_parser import HttpError, HttpMessage
 from spanwing.net.proxied_connections import read_peer_address
 from spanwing.net.proxy_protocol import ProxyError
 
@@ -49,6 +50,8 @@
 class HttpFrontend(Protocol):
     """Converts between HTTP messages and the core's requests and answers."""
 
+    used_fields: frozenset[str]  # names in lower case of the header fields that it reads
+
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
         """Converts a message to a request for the core, or returns the immediate reply."""
 
@@ -64,7 +67,10 @@
     ) -> None:
         #: The client's address (the balancer's until its header is read); whether a PROXY header is expected.
         self.peer_address, self.awaits_proxy_header = peer_address, awaits_proxy_header
-        self.server, self.http_stream = server, HttpStream(stream, server.buffers)
+        self.server, self.http_stream = (
+            server,
+            HttpStream(stream, server.buffers, used_fields=server.frontend.used_fields),
+        )
         self.mailbox: Queue[FinalAnswer | None] = Queue()  # None: the peer has closed
         self.has_sent_request = False  # a complete request was received
         self.is_client = False  # the connection has carried a client's request
--- a/spanwing/frontends/management.py
+++ b/spanwing/frontends/management.py
@@ -12,7 +12,8 @@
 
 from spanwing.core.messages import FinalAnswer, JobRequest
 from spanwing.frontends.http_connection import HttpReply
-from spanwing.net.http import HttpMessage, encode_response
+from spanwing.net.http import encode_response
+from spanwing.net.http_parser import HttpMessage
 
 PATHS = ("/healthcheck", "/stats")
 
@@ -20,6 +21,8 @@
 class ManagementFrontend:
     """Answers management requests; each response is computed from the current state."""
 
+    used_fields: frozenset[str] = frozenset()
+
     def __init__(
         self, accepts_clients: Callable[[], bool], collect_statistics: Callable[[], dict[str, int]]
     ) -> None:
--- a/spanwing/frontends/platform.py
+++ b/spanwing/frontends/platform.py
@@ -13,7 +13,8 @@
 from spanwing.discovery.client import WorkerCallbackReceived
 from spanwing.frontends.request_id import is_request_id
 from spanwing.json_input import decode_by
-from spanwing.net.http import HttpMessage, encode_response
+from spanwing.net.http import encode_response
+from spanwing.net.http_parser import HttpMessage
 from spanwing.workers.http_worker import WorkerCallback
 from spanwing.workers.load_report import LoadReportReader
 
@@ -55,6 +56,19 @@
 class PlatformFrontend:
     """Handles the messages of clients, workers and the platform's load balancer."""
 
+    used_fields = frozenset(
+        {
+            "x-call-id",
+            "x-caller",
+            "x-budget-ms",
+            "x-call-info",
+            "x-call-cost",
+            "x-route-hash",
+            "x-again",
+            "idempotency-key",
+        }
+    )
+
     def __init__(
         self,
         service_classes: Callable[[], Mapping[str, api.ServiceClass]],
--- a/spanwing/json_input.py
+++ b/spanwing/json_input.py
@@ -1,7 +1,7 @@
 """Decodes JSON and MessagePack that come from outside the process.
 
-msgspec raises RecursionError for input that is nested too deeply, which is no ValueError. Here it is one, so that
-such input is handled as any other malformed input.
+msgspec raises RecursionError for input that is nested too deeply, which is no ValueError. Here it is one,
+so that such input is handled as any other malformed input.
 """
 
 from __future__ import annotations
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -1,23 +1,14 @@
-"""HTTP/1.1 messages (RFC 9112): an incremental parser, a stream of messages, and encoders."""
+"""HTTP/1.1 messages (RFC 9112): a stream of messages, and encoders."""
 
 from __future__ import annotations
 
-import re
-from dataclasses import dataclass
-
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing.net.buffers import BufferPool
+from spanwing.net.http_parser import CONTROL_PATTERN, MAX_BODY_BYTES, HttpMessage, HttpParser
 from spanwing.net.stream import PooledStream
 
-MAX_HEAD_BYTES = 16 * 1024
-MAX_BODY_BYTES = 64 * 1024  # the platform protocol's limit for a job's request or response
-TOO_LARGE_STATUS = 413
-TOKEN_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-TARGET_PATTERN = re.compile(r"[!-~]+")
-#: All but the tab. They are invalid in a field value (RFC 9110, 5.5); a line end would end the field.
-CONTROL_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
@@ -38,181 +29,10 @@
 }
 
 
-class HttpError(Exception):
-    """The input is not an acceptable HTTP message; status is the status of the error response."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
 class UnsendableHeadError(ValueError):
     """A line of a message head has a control character, or one that is not in Latin-1."""
 
 
-@dataclass(slots=True)
-class HttpMessage:
-    """A request (method, target) or a response (status)."""
-
-    method: str
-    target: str
-    status: int
-    headers: dict[str, str]  # keys in lower case
-    keep_alive: bool
-    body: bytes = b""
-
-
-class HttpParser:
-    """An incremental parser: input is appended to data, and next_message() returns complete messages."""
-
-    def __init__(self, parses_responses: bool = False, max_body_bytes: int = MAX_BODY_BYTES) -> None:
-        self.parses_responses, self.max_body_bytes = parses_responses, max_body_bytes
-        self.data = bytearray()
-        self.head: HttpMessage | None = None
-        self.remaining_body: int | None = 0  # body bytes to read; None: until the connection ends
-        self.is_chunked = False
-        self.chunk_bytes = -1  # size of the current chunk; -1: a size line comes next
-        self.body = bytearray()
-
-    def is_idle(self) -> bool:
-        """Returns whether the parser is between messages and holds no input."""
-        return self.head is None and not self.data
-
-    def next_message(self, has_ended: bool = False) -> HttpMessage | None:
-        """Returns the next complete message, or None if more input is needed.
-
-        With has_ended, no more input follows, which completes a body without a length. Raises HttpError.
-        """
-        if self.head is None and not self._read_head():
-            return None
-        is_complete = self._read_chunks() if self.is_chunked else self._read_body(has_ended)
-        if not is_complete:
-            return None
-        message, self.head = self.head, None
-        message.body, self.body = bytes(self.body), bytearray()
-        return message
-
-    def _read_head(self) -> bool:
-        while self.data[:2] == b"\r\n":  # empty lines before a message are skipped (RFC 9112, 2.2)
-            del self.data[:2]
-        end = self.data.find(b"\r\n\r\n")
-        if end < 0 and len(self.data) <= MAX_HEAD_BYTES:
-            return False
-        if end < 0 or end > MAX_HEAD_BYTES:
-            raise HttpError(431, "head too large")
-        lines = self._without_control_characters(self.data[:end].decode("latin-1").split("\r\n"))
-        del self.data[: end + 4]
-        headers: dict[str, str] = {}
-        for line in lines[1:]:
-            name, colon, value = line.partition(":")
-            if not colon or not TOKEN_PATTERN.fullmatch(name):
-                raise HttpError(400, "malformed header")
-            name, value = name.lower(), value.strip(" \t")
-            if name in ("content-length", "host") and headers.get(name, value) != value:
-                raise HttpError(400, f"{name} differs")
-            headers[name] = value
-        self.head = self._parse_first_line(lines[0], headers)
-        self._set_framing(headers)
-        return True
-
-    def _without_control_characters(self, lines: list[str]) -> list[str]:
-        """Returns the lines of a head without control characters; raises HttpError if a request has any."""
-        if not CONTROL_PATTERN.search("".join(lines)):
-            return lines
-        if not self.parses_responses:
-            raise HttpError(400, "control character in a header")
-        return [CONTROL_PATTERN.sub(" ", line) for line in lines]
-
-    def _parse_first_line(self, line: str, headers: dict[str, str]) -> HttpMessage:
-        parts = line.split(" ", 2)
-        if len(parts) < 2 or (not self.parses_responses and len(parts) != 3):
-            raise HttpError(400, "malformed first line")
-        version = parts[0] if self.parses_responses else parts[2]
-        if not re.fullmatch(r"HTTP/\d\.\d", version):
-            raise HttpError(400, "no HTTP version")
-        if version not in ("HTTP/1.1", "HTTP/1.0"):
-            raise HttpError(505, "another HTTP version")
-        connection_options = headers.get("connection", "").lower()
-        keep_alive = "close" not in connection_options and (
-            version == "HTTP/1.1" or "keep-alive" in connection_options
-        )
-        if self.parses_responses:
-            if not re.fullmatch(r"[1-5]\d\d", parts[1]):
-                raise HttpError(400, "malformed status")
-            return HttpMessage("", "", int(parts[1]), headers, keep_alive)
-        if not TOKEN_PATTERN.fullmatch(parts[0]) or not TARGET_PATTERN.fullmatch(parts[1]):
-            raise HttpError(400, "malformed first line")
-        return HttpMessage(parts[0], parts[1], 0, headers, keep_alive)
-
-    def _set_framing(self, headers: dict[str, str]) -> None:
-        transfer_coding, length = headers.get("transfer-encoding"), headers.get("content-length")
-        self.is_chunked, self.remaining_body, self.chunk_bytes = transfer_coding is not None, 0, -1
-        if transfer_coding is not None:
-            # A message with both forms of length would allow request smuggling.
-            if length is not None or transfer_coding.lower() != "chunked":
-                raise HttpError(400 if length is not None else 501, "transfer coding")
-        elif length is not None:
-            if not re.fullmatch(r"[0-9]{1,18}", length):
-                raise HttpError(400, "malformed content-length")
-            self.remaining_body = int(length)
-            if self.remaining_body > self.max_body_bytes:
-                raise HttpError(TOO_LARGE_STATUS, "body too large")
-        elif self.parses_responses and self.head.status not in (204, 304):
-            self.remaining_body, self.head.keep_alive = None, False
-
-    def _read_body(self, has_ended: bool) -> bool:
-        available = (
-            len(self.data) if self.remaining_body is None else min(self.remaining_body, len(self.data))
-        )
-        self._append_body(available)
-        if self.remaining_body is None:
-            return has_ended
-        self.remaining_body -= available
-        return self.remaining_body == 0
-
-    def _read_chunks(self) -> bool:
-        while True:
-            if self.chunk_bytes < 0:
-                end = self.data.find(b"\r\n")
-                if end < 0:
-                    if len(self.data) > 1024:
-                        raise HttpError(400, "malformed chunk")
-                    return False
-                size = self.data[:end].split(b";")[0].strip().decode("latin-1")
-                if not re.fullmatch(r"[0-9a-fA-F]{1,8}", size):
-                    raise HttpError(400, "malformed chunk")
-                if size.strip("0") == "":
-                    return self._read_trailer(end)
-                del self.data[: end + 2]
-                self.chunk_bytes = int(size, 16)
-            if len(self.body) + self.chunk_bytes > self.max_body_bytes:
-                raise HttpError(TOO_LARGE_STATUS, "body too large")
-            if len(self.data) < self.chunk_bytes + 2:
-                return False
-            self._append_body(self.chunk_bytes)
-            if self.data[:2] != b"\r\n":
-                raise HttpError(400, "malformed chunk")
-            del self.data[:2]
-            self.chunk_bytes = -1
-
-    def _read_trailer(self, offset: int) -> bool:
-        if self.data[offset + 2 : offset + 4] == b"\r\n":
-            del self.data[: offset + 4]
-            return True
-        end = self.data.find(b"\r\n\r\n", offset)
-        if end < 0 and len(self.data) > MAX_HEAD_BYTES:
-            raise HttpError(431, "trailer too large")
-        if end >= 0:
-            del self.data[: end + 4]
-        return end >= 0
-
-    def _append_body(self, count: int) -> None:
-        if len(self.body) + count > self.max_body_bytes:
-            raise HttpError(TOO_LARGE_STATUS, "body too large")
-        self.body += self.data[:count]
-        del self.data[:count]
-
-
 class HttpStream(PooledStream):
     """A byte stream that carries HTTP messages."""
 
@@ -222,9 +42,11 @@
         buffers: BufferPool,
         parses_responses: bool = False,
         max_body_bytes: int = MAX_BODY_BYTES,
+        used_fields: frozenset[str] | None = None,
     ) -> None:
+        """used_fields: names in lower case of the fields that messages keep; None: all."""
         super().__init__(stream, buffers)
-        self.parser = HttpParser(parses_responses, max_body_bytes)
+        self.parser = HttpParser(parses_responses, max_body_bytes, used_fields)
         self.has_timed_out = False  # an incomplete message was answered with 408
 
     async def receive(self, timeout_s: float | None = None, is_fresh: bool = False) -> HttpMessage | None:
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -23,6 +23,7 @@
 MAX_CONNECT_ATTEMPTS = 2  # per connection
 MAX_IDLE_CONNECTIONS = 3  # idle connections kept open to one worker
 MIN_IDLE_TIMEOUT_S = 0.02  # lower bound of the adaptive idle timeout
+USED_FIELDS = frozenset({"x-load-report", "x-rejected"})  # of a worker's response
 MAX_CONNECTIONS = 12  # connections in use to one worker; further attempts wait for a slot
 
 
@@ -151,7 +152,9 @@
                 break
             try:
                 stream = GuardedStream(open_socket(self.address))
-                connection = PooledConnection(stream, self.buffers, parses_responses=True)
+                connection = PooledConnection(
+                    stream, self.buffers, parses_responses=True, used_fields=USED_FIELDS
+                )
             except OSError:  # the system has no descriptor or buffer left
                 self.descriptors.open_count -= 1
                 break
--- a/spanwing/workers/http_worker.py
+++ b/spanwing/workers/http_worker.py
@@ -33,7 +33,8 @@
 )
 from spanwing.core.send_guard import SendPermit, SendRefusal
 from spanwing.log.events import log_event
-from spanwing.net.http import HttpError, HttpMessage, UnsendableHeadError, encode_request
+from spanwing.net.http import UnsendableHeadError, encode_request
+from spanwing.net.http_parser import HttpError, HttpMessage
 from spanwing.workers.connection_pool import ConnectionPool, PooledConnection
 from spanwing.workers.load_report import LoadReportReader
 from spanwing.workers.reported_requests import ReportedRequests
--- a/tests/test_full_table.py
+++ b/tests/test_full_table.py
@@ -12,7 +12,8 @@
 from spanwing.frontends.http_server import HttpServer
 from spanwing.net.address import Address
 from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpMessage, encode_response
+from spanwing.net.http import encode_response
+from spanwing.net.http_parser import HttpMessage
 
 MAX_CONNECTIONS = 2
 GET_UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -22,6 +23,8 @@
 class UpFrontend:
     """Answers every request with 200 at once."""
 
+    used_fields: frozenset[str] = frozenset()
+
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
         return 200, b"up"
 
--- a/tests/test_hidden_requests.py
+++ b/tests/test_hidden_requests.py
@@ -26,14 +26,8 @@
 from spanwing.core.messages import DeliveryAttempt, JobRequest
 from spanwing.interface import SettingsError
 from spanwing.net.address import parse_address
-from spanwing.net.http import (
-    HttpError,
-    HttpParser,
-    UnsendableHeadError,
-    encode_request,
-    encode_response,
-    is_field_value,
-)
+from spanwing.net.http import UnsendableHeadError, encode_request, encode_response, is_field_value
+from spanwing.net.http_parser import HttpError, HttpParser
 from spanwing.workers import http_worker
 from spanwing.workers.connection_pool import MAX_CONNECTIONS
 from spanwing.workers.http_worker import job_target
--- a/tests/test_policy_unusable.py
+++ b/tests/test_policy_unusable.py
@@ -23,7 +23,7 @@
 from spanwing.frontends.platform import PlatformFrontend
 from spanwing.net.address import parse_address
 from spanwing.net.buffers import BufferPool
-from spanwing.net.http import HttpMessage
+from spanwing.net.http_parser import HttpMessage
 from spanwing.policy.coordinator import PolicyVote
 from spanwing.policy.participant import MAX_ADMISSION_WAIT_MS
 from spanwing.policy.records import (
