Free what a connection held at once when it ends, without the garbage collector

What callers saw: a process beside clients that came and went passed a small memory limit (700 clients that stop before the last bytes of a body, limit 64 MB: peak 97 to 122 MB), and an answered request stayed on a resting connection (104 MB, never given back).

Cause: each ended connection was in a reference cycle, and the collector's oldest generation seldom comes. A future keeps its exception, whose traceback refers to the frame of read() or write(), whose local variable was the future; a stream kept its error with a traceback into itself; the order of eviction kept connections; the loop over a connection's requests kept the last message, and its body, while it waited for the next one.

Change: the future is in no local variable after its end; the error is kept without its traceback; candidates for eviction are weak references; a message is local to the function that serves it. Discovery's answers have the same mend.

--- a/spanwing/discovery/call.py
+++ b/spanwing/discovery/call.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 import msgspec
-from tornado.concurrent import Future
 from tornado.gen import TimeoutError as TornadoTimeoutError
 from tornado.gen import sleep, with_timeout
 from tornado.ioloop import IOLoop
@@ -106,9 +105,8 @@
         paused beyond the deadline, input that has arrived meanwhile is still read.
         """
         try:
-            reading = self._begin_read()
-            while not reading.done():
-                await self._wait_for_input(reading)
+            while not self._begin_read().done():
+                await self._wait_for_input()
         except StreamClosedError:
             pass
         buffered_bytes = len(sink)
@@ -119,15 +117,15 @@
             self.on_first_byte(self.first_byte_s)
         return has_data
 
-    async def _wait_for_input(self, reading: Future[int]) -> None:
-        """Waits for the read, at most until the deadline.
+    async def _wait_for_input(self) -> None:
+        """Waits for the pending read, at most until the deadline.
 
         Raises AnswerOverdueError if the deadline has passed and no input is pending.
         """
         wait_s = self._next_byte_deadline_s() - self.loop.time()
         try:
             await with_timeout(
-                timedelta(seconds=max(0.0, wait_s)), reading, quiet_exceptions=StreamClosedError
+                timedelta(seconds=max(0.0, wait_s)), self._begin_read(), quiet_exceptions=StreamClosedError
             )
         except TornadoTimeoutError:
             if self.has_no_pending_input():
--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -100,17 +100,7 @@
             keep_alive = True
             if self.pending_request is not None:  # transferred from another process
                 keep_alive = await self._resume_request(*self.pending_request)
-            while keep_alive:
-                message = await self.http_stream.receive(
-                    MESSAGE_TIMEOUT_S, is_fresh=not self.has_sent_request
-                )
-                if message is None:
-                    return
-                self.has_sent_request = self.is_busy = True
-                self.server.retry_waiting_connection()
-                keep_alive = await self._handle_request(message)
-                self.is_busy, self.idle_since_s = False, IOLoop.current().time()
-                self.server.close_if_draining(self)
+            while keep_alive and await self._serve_request():
                 if not self.http_stream.parser.is_idle():
                     await sleep(0)  # a peer that pipelines requests must not monopolize the event loop
         except HttpError as error:
@@ -126,17 +116,38 @@
             await self.http_stream.close_gracefully(LINGER_TIMEOUT_S)
             self.server.table.connections.discard(self)
 
-    async def _handle_request(self, message: HttpMessage) -> bool:
-        """Answers one request; returns whether the connection is kept alive."""
+    async def _serve_request(self) -> bool:
+        """Reads and answers one request; returns whether another one may follow.
+
+        The request is only held here and in the functions below, so that nothing of it is left when the
+        connection rests.
+        """
+        message = await self.http_stream.receive(MESSAGE_TIMEOUT_S, is_fresh=not self.has_sent_request)
+        if message is None:
+            return False
+        self.has_sent_request = self.is_busy = True
+        self.server.retry_waiting_connection()
         keep_alive = message.keep_alive and not self.server.is_single_request
         parsed = self.server.frontend.parse_request(message)
         if isinstance(parsed, tuple):
-            status, body, *headers = parsed
-            head_only = message.method == "HEAD"  # the client would parse a body as the next response
-            await self.http_stream.write(
-                encode_response(status, body, keep_alive, head_only, *headers), WRITE_STALL_TIMEOUT_S
-            )
-            return keep_alive
+            # The client would parse a body of the response to HEAD as the next response.
+            keep_alive = await self._write_reply(parsed, keep_alive, head_only=message.method == "HEAD")
+        else:
+            del message
+            keep_alive = await self._handle_request(parsed, keep_alive)
+        self.is_busy, self.idle_since_s = False, IOLoop.current().time()
+        self.server.close_if_draining(self)
+        return keep_alive
+
+    async def _write_reply(self, reply: HttpReply, keep_alive: bool, head_only: bool) -> bool:
+        status, body, *headers = reply
+        await self.http_stream.write(
+            encode_response(status, body, keep_alive, head_only, *headers), WRITE_STALL_TIMEOUT_S
+        )
+        return keep_alive
+
+    async def _handle_request(self, parsed: JobRequest, keep_alive: bool) -> bool:
+        """Answers a request for the core; returns whether the connection is kept alive."""
         self.is_client = True
         parsed = self._without_backlog_wait(parsed)
         if self.http_stream.has_peer_closed():  # the client left before its request was read
--- a/spanwing/net/connection_table.py
+++ b/spanwing/net/connection_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import weakref
 from collections.abc import Callable
 from typing import Any, Generic, NamedTuple, Protocol, TypeVar
 
@@ -46,7 +47,7 @@
     rank: int
     last_activity_s: float
     number: int  # its position in the scan; unique, so that connections themselves are never compared
-    connection: Any
+    connection: weakref.ref[Any]
 
 
 class ConnectionTable(Generic[ConnectionT]):
@@ -81,8 +82,10 @@
             if len(self.connections) <= target:
                 return
             is_spared = candidate.rank in (RANK_STALE, RANK_IDLE)
-            if not is_spared and now_s - candidate.last_activity_s >= EVICTION_GRACE_S:
-                self._evict(candidate.connection)
+            connection = candidate.connection()
+            is_inactive = now_s - candidate.last_activity_s >= EVICTION_GRACE_S
+            if not is_spared and is_inactive and connection is not None:
+                self._evict(connection)
 
     def _evict_next(self, max_rank: int) -> bool:
         """Closes the least needed connection; returns False if none may be closed.
@@ -103,24 +106,28 @@
             if self.candidates[-1].rank > (max_rank if is_ranking_new else RANK_SILENT):
                 break
             candidate = self.candidates.pop()
-            if self._is_unchanged(candidate, now_s) and self._evict(candidate.connection):
+            connection = candidate.connection()
+            if (
+                connection is not None
+                and self._is_unchanged(connection, candidate, now_s)
+                and self._evict(connection)
+            ):
                 return True
         return False if is_ranking_new else self._evict_next(max_rank)
 
     def _ranked(self, now_s: float) -> list[EvictionCandidate]:
         candidates = [
-            EvictionCandidate(rank, each.last_activity_s, number, each)
+            EvictionCandidate(rank, each.last_activity_s, number, weakref.ref(each))
             for number, each in enumerate(self.connections)
             if (rank := each.eviction_rank(now_s - each.last_activity_s)) is not None
         ]
         return sorted(candidates, reverse=True)
 
-    def _is_unchanged(self, candidate: EvictionCandidate, now_s: float) -> bool:
-        each = candidate.connection
+    def _is_unchanged(self, connection: ConnectionT, candidate: EvictionCandidate, now_s: float) -> bool:
         return (
-            each in self.connections
-            and each.last_activity_s == candidate.last_activity_s
-            and each.eviction_rank(now_s - each.last_activity_s) == candidate.rank
+            connection in self.connections
+            and connection.last_activity_s == candidate.last_activity_s
+            and connection.eviction_rank(now_s - connection.last_activity_s) == candidate.rank
         )
 
     def _evict(self, connection: ConnectionT) -> bool:
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+from contextlib import suppress
 from datetime import timedelta
 
 from tornado.concurrent import Future
@@ -40,11 +41,9 @@
 
     async def read(self, sink: bytearray) -> bool:
         """Appends the next input to sink; returns False if the connection has ended."""
-        try:
-            reading = self._begin_read()
-            await reading
-        except StreamClosedError:
-            pass
+        with suppress(StreamClosedError):
+            # In no local variable: the future keeps its exception, whose traceback refers to this frame.
+            await self._begin_read()
         return self._collect_read(sink)
 
     def _begin_read(self) -> Future[int]:
@@ -135,16 +134,21 @@
             await self.stream.write(data)
             return
         for start in range(0, len(data), WRITE_CHUNK_BYTES):
-            written = self.stream.write(data[start : start + WRITE_CHUNK_BYTES])
             try:
-                if not written.done():
-                    await with_timeout(
-                        timedelta(seconds=stall_timeout_s), written, quiet_exceptions=StreamClosedError
-                    )
+                await self._write_piece(data[start : start + WRITE_CHUNK_BYTES], stall_timeout_s)
             except TornadoTimeoutError:
                 self.close()
                 raise StreamClosedError from None
+
+    async def _write_piece(self, data: bytes, timeout_s: float) -> None:
+        """Writes data; raises TornadoTimeoutError or StreamClosedError."""
+        written = self.stream.write(data)
+        try:
+            if not written.done():
+                await with_timeout(timedelta(seconds=timeout_s), written, quiet_exceptions=StreamClosedError)
             written.result()
+        finally:
+            del written  # it keeps its exception, whose traceback refers to this frame
 
     def close(self) -> None:
         """Closes the connection at once."""
--- a/spanwing/net/tcp_stream.py
+++ b/spanwing/net/tcp_stream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from tornado.iostream import IOStream
 
 
@@ -12,5 +14,14 @@
     EPIPE and others (tcp(7), ip(7)).
     """
 
+    def close(self, exc_info: Any = False) -> None:
+        """Closes the stream, as IOStream does.
+
+        The error is kept without its traceback, whose frames refer to the stream.
+        """
+        super().close(exc_info)
+        if self.error is not None:
+            self.error.__traceback__ = None
+
     def _is_connreset(self, exc: BaseException) -> bool:
         return isinstance(exc, OSError)
