Keep of a Faktory job and HELLO what is used, not one object for each argument and label

What callers saw: 250 PUSH of 60,000 arguments (120 KB each) took a process to 219 to 258 MB, 250 HELLOs of 14,000 labels to 335 MB, for as long as the connections stayed (limit 192 MB).

Cause: arguments were decoded into one object each, 70 bytes for two on the wire, and HELLO's labels, used or not, stayed with the connection and its worker; a wid had no bound but the line.

Change: args is kept as the text that came; of the labels only those that are used are kept, 64 at most with 200 characters each, as the wid; a PUSHB has as many jobs as its line can hold of the smallest, and drops each when it is submitted. More is a malformed HELLO or -ERR, as before for other faults.

--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
+from typing import TypeVar
 
 import msgspec
 from tornado.concurrent import Future
@@ -71,10 +72,18 @@
 MAX_LINE_BYTES = 128 * 1024
 MAX_TIMEOUT_MS = 3_600_000.0
 MIN_JID_LENGTH = 8  # as in Faktory
+MAX_WORKER_ID_LENGTH = 200
+MAX_LABELS = 64  # in a HELLO
+MAX_LABEL_LENGTH = 200
+USED_LABELS = frozenset({"zone", "kind", "cell", "started_ms"})
+MIN_JOB_BYTES = 40  # jid, jobtype and args with the least that is valid
+MAX_BULK_JOBS = MAX_LINE_BYTES // MIN_JOB_BYTES  # in a PUSHB
 MAX_EFFECT_KEY_LENGTH = MAX_HEAD_BYTES // 2  # it has to fit in the head of a request to a worker
 PUSH_COMMANDS = ("PUSH", "PUSHB")
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
 
+T = TypeVar("T")
+
 logger = logging.getLogger("spanwing")
 
 
@@ -89,6 +98,25 @@
     labels: list[str] = []
 
 
+def read_labels(hello: FaktoryHello) -> dict[str, str]:
+    """Returns the values of the labels that are used, by name. Raises ValueError if HELLO is malformed."""
+    if len(hello.wid) > MAX_WORKER_ID_LENGTH:
+        raise ValueError(f"wid has more than {MAX_WORKER_ID_LENGTH} characters")
+    if len(hello.labels) > MAX_LABELS or any(len(each) > MAX_LABEL_LENGTH for each in hello.labels):
+        raise ValueError(f"more than {MAX_LABELS} labels, or one of more than {MAX_LABEL_LENGTH} characters")
+    pairs = (each.split(":", 1) for each in hello.labels if ":" in each)
+    labels = {name: value for name, value in pairs if name in USED_LABELS}
+    int(labels.get("cell", "0")), float(labels.get("started_ms", "0"))
+    return labels
+
+
+def _consume(items: list[T]) -> Iterator[T]:
+    """Yields the items in order, and drops each from the list."""
+    items.reverse()
+    while items:
+        yield items.pop()
+
+
 class FaktoryCustom(msgspec.Struct):
     """The fields of a job's `custom` that the scheduler uses; unknown fields are ignored."""
 
@@ -108,7 +136,7 @@
 
     jid: str
     jobtype: str
-    args: list[msgspec.Raw]
+    args: msgspec.Raw  # an array; passed on unread
     queue: str = "default"
     at: str | None = None
     custom: FaktoryCustom | None = None
@@ -273,7 +301,7 @@
         self.is_pushing = False  # a PUSH or PUSHB is being answered
         self.is_finished = False
         self.idle_since_s = IOLoop.current().time()  # loop time of the accept or the last reply
-        self.hello: FaktoryHello | None = None
+        self.worker_id: str | None = None  # from HELLO, empty for a client; None before HELLO
         self.worker: FaktoryWorker | None = None
         self.pending_fetch: Future[FetchedJob | None] | None = None
         stream.set_close_callback(self._handle_close)
@@ -297,7 +325,9 @@
                 self.peer_address = peer
             await self.line_stream.write(encode_simple('HI {"v":2}'))
             while (
-                line := await self.line_stream.read_line(MESSAGE_TIMEOUT_S, self.hello is None, TIMEOUT_REPLY)
+                line := await self.line_stream.read_line(
+                    MESSAGE_TIMEOUT_S, self.worker_id is None, TIMEOUT_REPLY
+                )
             ) is not None:
                 self.is_busy = True
                 verb, _, arguments = line.partition(b" ")
@@ -327,7 +357,7 @@
             self.is_busy = self.is_pushing = False
             self.is_finished = True
             if self.worker is not None:
-                self.frontend.worker_directory.post(ConnectionClosed(self.hello.wid))
+                self.frontend.worker_directory.post(ConnectionClosed(self.worker_id))
             await self.line_stream.close_gracefully(LINGER_TIMEOUT_S)
             self.frontend.table.connections.discard(self)
 
@@ -347,7 +377,7 @@
             return None
         if self.line_stream.data:
             return RANK_PARTIAL if inactive_s > EVICTION_GRACE_S else None
-        return RANK_SILENT if self.hello is None else RANK_IDLE
+        return RANK_SILENT if self.worker_id is None else RANK_IDLE
 
     def has_no_pending_input(self) -> bool:
         """Returns whether the connection has no unread input and the peer has not closed."""
@@ -362,7 +392,7 @@
             await self.line_stream.write(data)
 
     async def _run_command(self, verb: str, arguments: bytes) -> bytes | None:
-        if self.hello is None and verb not in ("HELLO", "END"):
+        if self.worker_id is None and verb not in ("HELLO", "END"):
             raise FaktoryProtocolError("HELLO comes first")
         command = COMMANDS.get(verb)
         if command is None:
@@ -376,35 +406,45 @@
         except ValueError as error:
             raise CommandError(f"malformed: {error}") from None
 
+    def _decode_job(self, data: bytes | msgspec.Raw) -> FaktoryJob:
+        job = self._decode(data, FaktoryJob)
+        if memoryview(job.args)[0] != ord("["):
+            raise CommandError("malformed: Expected `array` - at `$.args`")
+        return job
+
     async def _handle_hello(self, body: bytes) -> bytes:
-        if self.hello is not None:
+        if self.worker_id is not None:
             raise FaktoryProtocolError("HELLO came before")
         try:
             hello = decode_json(body, FaktoryHello)
-            labels = dict(each.split(":", 1) for each in hello.labels if ":" in each)
-            int(labels.get("cell", "0")), float(labels.get("started_ms", "0"))
+            labels = read_labels(hello)
         except ValueError as error:
             raise FaktoryProtocolError(f"malformed HELLO: {error}") from None
         if hello.v > 2:
             raise FaktoryProtocolError(f"protocol version {hello.v} is not spoken here")
-        self.hello = hello
-        if hello.wid:
+        self.worker_id = hello.wid
+        if self.worker_id:
             worker: Future[FaktoryWorker] = Future()
-            self.frontend.worker_directory.post(WorkerJoined(hello.wid, labels, self.peer_address, worker))
+            self.frontend.worker_directory.post(
+                WorkerJoined(self.worker_id, labels, self.peer_address, worker)
+            )
             self.worker = await worker
         return OK
 
     async def _handle_push(self, body: bytes) -> bytes:
-        return await self._submit_job(self._decode(body, FaktoryJob), body)
+        return await self._submit_job(self._decode_job(body), body)
 
     async def _handle_push_bulk(self, body: bytes) -> bytes:
         """Submits each job separately; the reply maps the ids of rejected jobs to their errors."""
         errors = {}
-        for raw in self._decode(body, list[msgspec.Raw]):
+        jobs = self._decode(body, list[msgspec.Raw])
+        if len(jobs) > MAX_BULK_JOBS:
+            raise CommandError(f"PUSHB has more than {MAX_BULK_JOBS} jobs")
+        for raw in _consume(jobs):
             jid = ""
             try:
                 jid = self._decode(raw, FaktoryJobId).jid
-                job = self._decode(raw, FaktoryJob)
+                job = self._decode_job(raw)
                 if job.custom is not None:
                     job.custom.answer = "accepted"
                 reply = await self._submit_job(job, bytes(raw))
@@ -494,7 +534,7 @@
 
     async def _handle_heartbeat(self, body: bytes) -> bytes:
         heartbeat = self._decode(body, HeartbeatBody)
-        if self.worker is None or heartbeat.wid != self.hello.wid:
+        if self.worker is None or heartbeat.wid != self.worker_id:
             raise CommandError("BEAT names another wid than HELLO")
         self.frontend.worker_directory.post(HeartbeatReceived(heartbeat.wid, heartbeat.current_state))
         return encode_simple('{"state":"quiet"}') if self.frontend.is_draining else OK
