Keep one account of the bytes that peers make the process hold, and stay within it

What callers saw: 40 Faktory connections that push jobs of 100 KB without waiting for an outcome took a process to 573 MB (limit 64 MB, job workers hanging).

Cause: bounds in units (connections) times an assumed size. Pushed jobs, read-ahead, bodies, job workers' responses and messages being written were in no sum.

Change: MemoryAccount. Charged: connections (16 KB each), input not parsed or not complete, pending requests, messages being written, for HTTP and Faktory clients and HTTP job workers. The budget is measured every 0.5 s: what the limit leaves beside all that is not in the account (limit less 8 MB up to 64 MB, 0.75 of it from 75 MB on), 2 MB at least. Over it new requests get 503 with Retry-After or -BUSY, and the largest incomplete messages are given up with the same answer, never a request that waits, never a call-back. The account stands in status and in the events memory and process; counter connections.memory. A Faktory command is dropped once it is answered.

--- a/measure/crowds/shapes.py
+++ b/measure/crowds/shapes.py
@@ -69,6 +69,19 @@
     await read_until_closed(streams)
 
 
+async def send_half_body(streams: Streams) -> None:
+    """A small head and all but a few bytes of the largest body, then nothing."""
+    streams[1].write(request_head(65_536).encode() + b"\r\n" + b"x" * 65_000)
+    await read_until_closed(streams)
+
+
+async def send_large_jobs(streams: Streams) -> None:
+    """Sound requests with the largest body, one after the other."""
+    while True:
+        streams[1].write(request_head(65_536).encode() + b"\r\n" + b"x" * 65_536)
+        await streams[0].readuntil(b"\r\n\r\n")
+
+
 async def send_slowly(streams: Streams) -> None:
     """The same, 2 KB every 60 ms."""
     data = head_of_fields(request_head(BODY_BYTES)) + b"\r\n" + b"x" * BODY_BYTES
@@ -141,6 +154,16 @@
     await read_until_closed(streams)
 
 
+async def push_large_jobs(streams: Streams) -> None:
+    """Faktory jobs of 100 KB, without waiting for the outcome of one before the next."""
+    await hello(streams)
+    while True:
+        job = b'{"jid":"%s","jobtype":"x","queue":"schedule-apply","args":["%s"]}'
+        streams[1].write(b"PUSH " + job % (unique_id().encode(), b"x" * 100_000) + b"\r\n")
+        if not await streams[0].readline():
+            return
+
+
 async def stay_silent(streams: Streams) -> None:
     """Opens a connection and says nothing."""
     await read_until_closed(streams)
@@ -153,13 +176,19 @@
     "whole-body": send_whole_body,
     "slow": send_slowly,
     "last-bytes": stop_before_last_bytes,
+    "largest-half": send_half_body,
+    "largest": send_large_jobs,
     "up-and-rest": get_with_many_fields,
     "small-chunks": send_one_byte_chunks,
     "head-by-bytes": send_head_by_bytes,
     "unread": pipeline_unread,
     "silent": stay_silent,
 }
-FAKTORY_SHAPES: dict[str, Shape] = {"push": push_many_arguments, "hello": hello_with_many_labels}
+FAKTORY_SHAPES: dict[str, Shape] = {
+    "push": push_many_arguments,
+    "hello": hello_with_many_labels,
+    "push-large": push_large_jobs,
+}
 SHAPES = {**HTTP_SHAPES, **FAKTORY_SHAPES}
 
 
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -46,6 +46,7 @@
 )
 from spanwing.core.send_guard import SendGuard, SendRefusal
 from spanwing.log import log_event
+from spanwing.resources.memory_account import REQUEST_BYTES, MemoryAccount, MemoryCharge
 from spanwing.scheduler import Scheduler
 
 DISCOVERY_SOURCE = "discovery"  # name of the directory whose workers come from discovery
@@ -89,8 +90,11 @@
     A request is open while it is pending or has an attempt in flight.
     """
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Clock, account: MemoryAccount | None = None
+    ) -> None:
         super().__init__()
+        self.request_charge = MemoryCharge(account or MemoryAccount(), "requests")
         self.settings, self.clock = settings, clock
         self.scheduler = Scheduler(settings, seed, clock.now_ms())
         # Requests of a safe class may run twice, those of an unsafe class must not. Keyed classes are in
@@ -301,7 +305,7 @@
         if self.scheduler_by_request:  # an earlier request of this id, under an earlier policy, has ended
             self.scheduler_by_request.pop(request.id, None)
         deadline_ms = self.clock.now_ms() + request.budget
-        self.pending_requests[request.id] = PendingRequest(request, submission.client, deadline_ms)
+        self._add_pending(PendingRequest(request, submission.client, deadline_ms))
         if self.on_open_change is not None:
             self.on_open_change(request.id, True)
         self.counters["taken"] += 1
@@ -322,6 +326,14 @@
             )
         )
 
+    def _add_pending(self, pending: PendingRequest) -> None:
+        self.pending_requests[pending.request.id] = pending
+        self.request_charge.add(_held_bytes(pending.request))
+
+    def _drop_pending(self, request: str) -> None:
+        pending = self.pending_requests.pop(request)
+        self.request_charge.add(-_held_bytes(pending.request))
+
     def _find_earlier(self, request: str) -> EarlierRequest | None:
         """Returns the open request of this id, or None if there is none."""
         pending = self.pending_requests.get(request)
@@ -360,7 +372,7 @@
 
         The other process gives the answer from now on.
         """
-        del self.pending_requests[request]
+        self._drop_pending(request)
         for number, attempt in self.in_flight_attempts(request):
             self.loop.remove_timeout(attempt.timer)
             del self.in_flight[request, number]
@@ -375,7 +387,7 @@
         that tells the scheduler of the request.
         """
         request, now_ms = pending.request.id, self.clock.now_ms()
-        self.pending_requests[request] = pending
+        self._add_pending(pending)
         self.counters["moved.here"] += 1
         if numbered_attempt is not None:
             number, attempt = numbered_attempt
@@ -417,7 +429,7 @@
             may_have_run = pending.may_have_run or any(
                 not attempt.awaits_record for _, attempt in self.in_flight_attempts(message.request)
             )
-            del self.pending_requests[message.request]
+            self._drop_pending(message.request)
             if self._needs_record(pending.request):
                 self.recorder.record_answered(message.request, "left")
             self.counters["left"] += 1
@@ -542,8 +554,9 @@
 
     def _answer_request(self, request: str, answer: FinalAnswer) -> None:
         """Answers a pending request and withdraws its attempts; does nothing if it is not pending."""
-        pending = self.pending_requests.pop(request, None)
+        pending = self.pending_requests.get(request)
         if pending is not None:
+            self._drop_pending(request)
             self.counters["answered"] += 1
             self.counters[f"answered.{answer.kind}.{pending.request.cls}"] += 1
             if self._needs_record(pending.request):
@@ -766,6 +779,12 @@
         logger.warning("sending messages to peers is not supported; dropped message: %s", action.payload)
 
 
+def _held_bytes(request: JobRequest) -> int:
+    """Returns the bytes that a pending request holds."""
+    texts = (request.target, request.tenant, request.route_key, request.effect_key)
+    return REQUEST_BYTES + len(request.body) + sum(len(each or "") for each in texts)
+
+
 def classes_by_name(settings: api.Settings) -> dict[str, api.ServiceClass]:
     """Returns the classes of the settings by name."""
     return {each.name: each for each in settings.classes}
--- a/spanwing/daemon.py
+++ b/spanwing/daemon.py
@@ -21,6 +21,7 @@
 from spanwing.config import (
     MAX_MANAGEMENT_CONNECTIONS,
     RESERVED_SOCKETS,
+    SECOND_PROCESS_MEMORY_MB,
     Configuration,
     load_configuration,
     parse_settings,
@@ -87,7 +88,7 @@
         self.started = Event()
         self.buffer_pool = BufferPool()
         self.process_monitor = ProcessMonitor(
-            lambda: self.config.limits.memory_mb, self.buffer_pool.drop_spare
+            self.memory_limit_mb, self.buffer_pool.account, self.buffer_pool.drop_spare
         )
         self.process_monitor.start()
         self.faktory_frontend: FaktoryFrontend | None = None
@@ -117,6 +118,11 @@
             )
             self.print_address("store", self.store_listener.address)
 
+    def memory_limit_mb(self) -> float:
+        """Returns the memory limit for this process; the other process of a hot restart has its own part."""
+        is_shared = self.hot_restart is not None and self.hot_restart.has_peer()
+        return self.config.limits.memory_mb - is_shared * SECOND_PROCESS_MEMORY_MB
+
     async def start(self) -> None:
         """Obtains the settings from the fleet's policy or the store, then starts all components.
 
@@ -132,7 +138,7 @@
         platform_settings, settings = parse_settings(settings_json, config.platform_settings)
         load_reader = LoadReportReader(settings.report_fields)
         permissions = platform_settings.permissions or PermissionSettings()
-        self.request_manager = RequestManager(settings, config.seed, Clock())
+        self.request_manager = RequestManager(settings, config.seed, Clock(), buffers.account)
         self.open_journal()
         self.start_zone_routing()
         if self.fleet_policy is not None:
--- a/spanwing/frontends/balancers/health_checks.py
+++ b/spanwing/frontends/balancers/health_checks.py
@@ -86,6 +86,7 @@
 class HealthFrontend:
     """Answers health checks; it submits no requests to the core."""
 
+    kept_targets: frozenset[str] = frozenset()
     used_fields = frozenset({"accept"})
 
     def __init__(self, reporter: HealthReporter, counters: Callable[[], dict[str, int]]) -> None:
--- a/spanwing/frontends/faktory.py
+++ b/spanwing/frontends/faktory.py
@@ -55,6 +55,7 @@
 from spanwing.net.resp import OK, encode_bulk, encode_error, encode_simple
 from spanwing.net.stream import LineStream, LineTooLongError
 from spanwing.net.tcp_stream import TcpStream
+from spanwing.resources.memory_account import CONNECTION_BYTES, REQUEST_BYTES, MemoryCharge
 from spanwing.store.claims import Claim, Claims
 from spanwing.store.store import NoQuorumError
 from spanwing.workers.faktory_worker import (
@@ -81,6 +82,8 @@
 MAX_EFFECT_KEY_LENGTH = MAX_HEAD_BYTES // 2  # it has to fit in the head of a request to a worker
 PUSH_COMMANDS = ("PUSH", "PUSHB")
 TIMEOUT_REPLY = encode_error("ERR", "not whole in time")
+NO_MEMORY_TEXT = "not taken, too much memory is in use, try again later"
+NO_MEMORY_REPLY = encode_error("BUSY", NO_MEMORY_TEXT)
 
 T = TypeVar("T")
 
@@ -304,6 +307,9 @@
         self.worker_id: str | None = None  # from HELLO, empty for a client; None before HELLO
         self.worker: FaktoryWorker | None = None
         self.pending_fetch: Future[FetchedJob | None] | None = None
+        self.connection_charge = MemoryCharge(frontend.buffers.account, "connections")
+        self.connection_charge.set(CONNECTION_BYTES)
+        frontend.buffers.account.holders.add(self)
         stream.set_close_callback(self._handle_close)
 
     def _handle_close(self) -> None:
@@ -324,29 +330,9 @@
                     return
                 self.peer_address = peer
             await self.line_stream.write(encode_simple('HI {"v":2}'))
-            while (
-                line := await self.line_stream.read_line(
-                    MESSAGE_TIMEOUT_S, self.worker_id is None, TIMEOUT_REPLY
-                )
-            ) is not None:
-                self.is_busy = True
-                verb, _, arguments = line.partition(b" ")
-                # Notices if the peer closes while this command waits, even behind pipelined commands.
-                self.line_stream.start_read_ahead(self.line_stream.data, READ_AHEAD_BYTES)
-                try:
-                    reply = await self._run_command(verb.decode("ascii", "replace").upper(), arguments)
-                except CommandError as error:
-                    reply = encode_error(error.error_code, str(error))
-                finally:
-                    self.line_stream.stop_read_ahead()
-                if reply is not None:
-                    await self.line_stream.write(reply, WRITE_STALL_TIMEOUT_S)
-                self.is_busy = self.is_pushing = False
-                self.idle_since_s = IOLoop.current().time()
+            while await self._serve_command():
                 if self.line_stream.data:
                     await sleep(0)  # a peer that pipelines commands must not monopolize the event loop
-                if verb.upper() == b"END":
-                    break
         except (FaktoryProtocolError, LineTooLongError) as protocol_error:
             await self._write_last(encode_error("ERR", str(protocol_error) or "line too long"))
         except ProxyError as protocol_error:
@@ -359,8 +345,45 @@
             if self.worker is not None:
                 self.frontend.worker_directory.post(ConnectionClosed(self.worker_id))
             await self.line_stream.close_gracefully(LINGER_TIMEOUT_S)
+            self.connection_charge.set(0)
             self.frontend.table.connections.discard(self)
 
+    async def _serve_command(self) -> bool:
+        """Reads and answers one command; returns whether another one may follow.
+
+        The command is only held here and in the functions below, so that nothing of it is left when the
+        connection rests.
+        """
+        line = await self.line_stream.read_line(MESSAGE_TIMEOUT_S, self.worker_id is None, TIMEOUT_REPLY)
+        if line is None:
+            return False
+        self.is_busy = True
+        verb_bytes, _, arguments = line.partition(b" ")
+        verb = verb_bytes.decode("ascii", "replace").upper()
+        del line
+        # Notices if the peer closes while this command waits, even behind pipelined commands.
+        self.line_stream.start_read_ahead(self.line_stream.data, READ_AHEAD_BYTES)
+        try:
+            reply = await self._run_command(verb, arguments)
+        except CommandError as error:
+            reply = encode_error(error.error_code, str(error))
+        finally:
+            self.line_stream.stop_read_ahead()
+        if reply is not None:
+            await self.line_stream.write(reply, WRITE_STALL_TIMEOUT_S)
+        self.is_busy = self.is_pushing = False
+        self.idle_since_s = IOLoop.current().time()
+        return verb != "END"
+
+    def shed_bytes(self) -> int:
+        """Returns the bytes of an incomplete command that may be given up."""
+        return 0 if self.is_busy or self.is_finished else len(self.line_stream.data)
+
+    def shed(self) -> None:
+        """Gives up an incomplete command: it is answered with an error, and the connection ends."""
+        self.is_finished = True
+        self.line_stream.reject_input(NO_MEMORY_REPLY, LINGER_TIMEOUT_S)
+
     @property
     def last_activity_s(self) -> float:
         """Returns the loop time of the accept, the last reply or the last input, whichever is latest.
@@ -464,6 +487,8 @@
             raise CommandError("jobs for later are not taken")
         if self.frontend.is_draining:
             raise CommandError("going down, try another", "BUSY")
+        if not self.frontend.buffers.account.has_room(REQUEST_BYTES + len(body)):
+            raise CommandError(NO_MEMORY_TEXT, "BUSY")
         waits_for_outcome = job.custom is not None and job.custom.answer == "outcome"
         request = self.frontend.build_request(job, service_class, body)
         if service_class.idempotency == "unsafe" and (
--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -39,6 +39,7 @@
 from spanwing.net.http_parser import HttpError, HttpMessage
 from spanwing.net.proxied_connections import read_peer_address
 from spanwing.net.proxy_protocol import ProxyError
+from spanwing.resources.memory_account import CONNECTION_BYTES, MemoryCharge
 
 if TYPE_CHECKING:
     from spanwing.frontends.http_server import HttpServer
@@ -51,6 +52,7 @@
     """Converts between HTTP messages and the core's requests and answers."""
 
     used_fields: frozenset[str]  # names in lower case of the header fields that it reads
+    kept_targets: frozenset[str]  # of requests that are never given up for memory while they are incomplete
 
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
         """Converts a message to a request for the core, or returns the immediate reply."""
@@ -80,6 +82,9 @@
         self.pending_request: tuple[JobRequest, bool] | None = None
         self.idle_since_s = self.accepted_s = IOLoop.current().time()
         self.backlog_wait_s = 0.0  # longest time that the connection may have waited to be accepted
+        self.connection_charge = MemoryCharge(server.buffers.account, "connections")
+        self.connection_charge.set(CONNECTION_BYTES)
+        server.buffers.account.holders.add(self)
         stream.set_close_callback(lambda: self.mailbox.put_nowait(None))
 
     def answer(self, request: JobRequest, answer: FinalAnswer) -> None:
@@ -114,6 +119,7 @@
             self.server.end_counts.update(["status_408"] * self.http_stream.has_timed_out)
             self.server.retry_waiting_connection()
             await self.http_stream.close_gracefully(LINGER_TIMEOUT_S)
+            self.connection_charge.set(0)
             self.server.table.connections.discard(self)
 
     async def _serve_request(self) -> bool:
@@ -152,7 +158,7 @@
         parsed = self._without_backlog_wait(parsed)
         if self.http_stream.has_peer_closed():  # the client left before its request was read
             return False
-        if not self.server.is_rejecting and self.server.admit_request():
+        if not self.server.is_rejecting and self.server.admit_request(len(parsed.body)):
             self.server.request_manager.post(RequestSubmitted(parsed, self))
             return await self._await_answer(parsed, keep_alive)
         self.server.request_manager.post(RequestRejected(parsed.cls))
@@ -230,6 +236,20 @@
         self.http_stream.close()  # the duplicate keeps the connection open
         return fd, data
 
+    def shed_bytes(self) -> int:
+        """Returns the bytes of an incomplete request that may be given up."""
+        parser = self.http_stream.parser
+        is_kept = parser.head is not None and parser.head.target in self.server.frontend.kept_targets
+        if self.is_busy or self.is_finished or self.awaits_proxy_header or is_kept:
+            return 0
+        return parser.held_bytes()
+
+    def shed(self) -> None:
+        """Gives up an incomplete request: it is answered as rejected."""
+        self.server.end_counts["memory"] += 1
+        self.is_finished = True
+        self.http_stream.reject_input(self.server.encode_rejection(), LINGER_TIMEOUT_S)
+
     def has_unfinished_request(self) -> bool:
         """Returns whether a request is being read or answered."""
         return self.is_busy or not (self.is_finished or self.http_stream.parser.is_idle())
--- a/spanwing/frontends/http_server.py
+++ b/spanwing/frontends/http_server.py
@@ -28,6 +28,7 @@
 )
 from spanwing.net.proxied_connections import Network, is_proxy_source, peer_address_of
 from spanwing.net.tcp_stream import TcpStream
+from spanwing.resources.memory_account import REQUEST_BYTES
 
 ACCEPT_RETRY_S = 0.005  # retry of a connection that waits for room in a full table
 FULL_TABLE_RETRY_AFTER_MS = 100.0  # Retry-After for a client that is rejected by a full table
@@ -59,7 +60,7 @@
         #: Retry-After for clients rejected by a full table; 0 if the settings allow no Retry-After.
         self.retry_after_ms = min(FULL_TABLE_RETRY_AFTER_MS, max_retry_after_ms)
         self.table: ConnectionTable[HttpClientConnection] = ConnectionTable(max_connections)
-        self.end_counts: Counter[str] = Counter()  # connections that this server ended, by reason
+        self.end_counts: Counter[str] = Counter()  # connections ended and requests rejected, by reason
         self.table.on_evicted = lambda: self.end_counts.update(("evicted",))
         self.pending_requests = 0  # client requests that the core has not answered
         #: Called with the id of an unanswered request if this process closes its connection.
@@ -108,9 +109,7 @@
     def _reject_connection(self, sock: socket.socket) -> None:
         self.end_counts["table_full"] += 1
         with suppress(OSError):
-            sock.send(
-                self.frontend.render_answer(FinalAnswer("refused", retry_after_ms=self.retry_after_ms), False)
-            )
+            sock.send(self.encode_rejection())
         sock.close()
 
     def _add_connection(self, sock: socket.socket) -> None:
@@ -178,15 +177,22 @@
     def _update_accepting(self) -> None:
         self.listening_socket.set_accepting(self.is_accepting and self.waiting_socket is None)
 
-    def admit_request(self) -> bool:
-        """Counts a client's request as pending; returns False if too many are.
+    def admit_request(self, body_bytes: int) -> bool:
+        """Counts a client's request as pending; returns False if too many are, or if they hold too much.
 
         Clients may use two thirds of the table; the rest is reserved for call-backs.
         """
+        if not self.buffers.account.has_room(REQUEST_BYTES + body_bytes):
+            self.end_counts["memory"] += 1
+            return False
         has_room = self.pending_requests < self.table.max_connections * 2 // 3
         self.pending_requests += has_room
         return has_room
 
+    def encode_rejection(self) -> bytes:
+        """Returns the response to a request that is rejected by a full table or for want of memory."""
+        return self.frontend.render_answer(FinalAnswer("refused", retry_after_ms=self.retry_after_ms), False)
+
     def release_request(self) -> None:
         """Ends the count of a client's request as pending."""
         self.pending_requests -= 1
--- a/spanwing/frontends/management.py
+++ b/spanwing/frontends/management.py
@@ -21,6 +21,7 @@
 class ManagementFrontend:
     """Answers management requests; each response is computed from the current state."""
 
+    kept_targets: frozenset[str] = frozenset()
     used_fields: frozenset[str] = frozenset()
 
     def __init__(
--- a/spanwing/frontends/platform.py
+++ b/spanwing/frontends/platform.py
@@ -56,6 +56,7 @@
 class PlatformFrontend:
     """Handles the messages of clients, workers and the platform's load balancer."""
 
+    kept_targets = frozenset({JOB_EVENTS_PATH})
     used_fields = frozenset(
         {
             "x-call-id",
--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -49,6 +49,15 @@
         self.parser = HttpParser(parses_responses, max_body_bytes, used_fields)
         self.has_timed_out = False  # an incomplete message was answered with 408
 
+    def held_input_bytes(self) -> int:
+        """Returns the bytes of input that are held here."""
+        return self.parser.held_bytes()
+
+    def discard_input(self) -> None:
+        """Drops the input that is held; the connection is about to end."""
+        self.parser.discard()
+        super().discard_input()
+
     async def receive(self, timeout_s: float | None = None, is_fresh: bool = False) -> HttpMessage | None:
         """Returns the next message, or None if the connection ended first.
 
@@ -59,6 +68,7 @@
         try:
             while True:
                 message = self.parser.next_message()
+                self.charge_input()
                 if message is not None:
                     return message
                 if (
--- a/spanwing/net/http_parser.py
+++ b/spanwing/net/http_parser.py
@@ -86,7 +86,8 @@
 
     def discard(self) -> None:
         """Drops all input; no message can be parsed any more."""
-        self.data, self.body, self.head, self.searched_bytes = bytearray(), bytearray(), None, 0
+        self.data.clear()
+        self.body, self.head, self.searched_bytes = bytearray(), None, 0
 
     def next_message(self, has_ended: bool = False) -> HttpMessage | None:
         """Returns the next complete message, or None if more input is needed.
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -14,6 +14,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing.net.buffers import BufferPool
+from spanwing.resources.memory_account import MemoryCharge
 
 #: Poll events that report a close by the peer even if earlier input is still unread.
 PEER_CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLERR | select.POLLHUP
@@ -36,6 +37,9 @@
         self.is_checking_peer = False
         self.read_ahead_into: tuple[bytearray, int] | None = None  # while reading ahead: sink, max_bytes
         self.last_read_s = 0.0  # loop time of the last input
+        self.input_charge = MemoryCharge(buffers.account, "input")
+        self.output_charge = MemoryCharge(buffers.account, "output")
+        self.is_discarding = False  # further input is dropped
         # Every message is a single small write, which Nagle's algorithm would only delay.
         stream.set_nodelay(True)
 
@@ -60,11 +64,25 @@
             return False
         has_data = reading is not None and reading.done() and reading.exception() is None
         if has_data:
-            sink += memoryview(buffer)[: reading.result()]
+            if not self.is_discarding:
+                sink += memoryview(buffer)[: reading.result()]
             self.last_read_s = IOLoop.current().time()
         self.buffers.release(buffer)
+        self.charge_input()
         return has_data
 
+    def held_input_bytes(self) -> int:
+        """Returns the bytes of input that are held here."""
+        return 0
+
+    def charge_input(self) -> None:
+        """Charges the input that is held now."""
+        self.input_charge.set(self.held_input_bytes())
+
+    def discard_input(self) -> None:
+        """Drops the input that is held; the connection is about to end."""
+        self.input_charge.set(0)
+
     def start_read_ahead(self, sink: bytearray, max_bytes: int) -> None:
         """Reads up to max_bytes into sink while no reader is waiting, to notice if the peer closes.
 
@@ -130,6 +148,13 @@
         WRITE_CHUNK_BYTES in that time. A peer that never reads would otherwise block the connection, and a
         drain, forever.
         """
+        self.output_charge.add(len(data))
+        try:
+            await self._write_pieces(data, stall_timeout_s)
+        finally:
+            self.output_charge.add(-len(data))
+
+    async def _write_pieces(self, data: bytes, stall_timeout_s: float | None) -> None:
         if stall_timeout_s is None:
             await self.stream.write(data)
             return
@@ -151,8 +176,26 @@
             del written  # it keeps its exception, whose traceback refers to this frame
 
     def close(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once, and drops the input that is held."""
         self.stream.close()
+        self.discard_input()
+
+    def reject_input(self, reply: bytes, linger_s: float) -> None:
+        """Answers an incomplete message, drops it and all further input, and closes after linger_s.
+
+        The reader goes on reading until then. A close at once would reset the connection, as input is unread.
+        """
+        self.is_discarding = True
+        self.discard_input()
+        self.cancel_message_timer()
+        self.message_timer = IOLoop.current().call_later(linger_s, self.close)
+        if not self.stream.closed():
+            self.stream.write(reply).add_done_callback(self._shut_down_writing)
+
+    def _shut_down_writing(self, written: Future[None]) -> None:
+        if written.exception() is None and not self.stream.closed():
+            with suppress(OSError):
+                self.stream.socket.shutdown(socket.SHUT_WR)
 
     def cancel_message_timer(self) -> None:
         """Cancels the message timer, as the message is complete or the connection has ended."""
@@ -172,7 +215,8 @@
         If a socket is closed with unread input, the kernel sends a reset, which may overtake the response.
         Input is therefore discarded until the peer has closed.
         """
-        self.read_ahead_into = None
+        self.read_ahead_into, self.is_discarding = None, True
+        self.discard_input()
         if self.stream.closed():
             return
         timer = IOLoop.current().call_later(timeout_s, self.close)
@@ -214,6 +258,15 @@
         super().__init__(stream, buffers)
         self.data, self.max_line_bytes = bytearray(), max_line_bytes
 
+    def held_input_bytes(self) -> int:
+        """Returns the bytes of input that are held here."""
+        return len(self.data)
+
+    def discard_input(self) -> None:
+        """Drops the input that is held; the connection is about to end."""
+        self.data.clear()
+        super().discard_input()
+
     async def read_line(
         self, timeout_s: float | None = None, is_fresh: bool = False, timeout_reply: bytes = b""
     ) -> bytes | None:
@@ -252,4 +305,5 @@
             return None
         line = bytes(self.data[:end])
         del self.data[: end + 1]
+        self.charge_input()
         return line.removesuffix(b"\r")
--- a/spanwing/resources/process_monitor.py
+++ b/spanwing/resources/process_monitor.py
@@ -13,6 +13,7 @@
 from tornado.ioloop import IOLoop
 
 from spanwing.log import log_event
+from spanwing.resources.memory_account import MemoryAccount
 from spanwing.resources.memory_release import MemoryReleaser, trim_allocator
 
 CHECK_INTERVAL_S = 0.5
@@ -59,12 +60,16 @@
     """Checks the process every CHECK_INTERVAL_S, and counts what it finds."""
 
     def __init__(
-        self, memory_limit_mb: Callable[[], float], drop_spare_memory: Callable[[], None] = lambda: None
+        self,
+        memory_limit_mb: Callable[[], float],
+        account: MemoryAccount,
+        drop_spare_memory: Callable[[], None] = lambda: None,
     ) -> None:
         """memory_limit_mb returns the limit in MB, which a reload may change.
 
-        drop_spare_memory drops what is only kept to be used again.
+        account gets its budget from the checks. drop_spare_memory drops what is only kept to be used again.
         """
+        self.account = account
         self.drop_spare_memory, self.releaser = drop_spare_memory, MemoryReleaser(self._release_memory)
         self.memory_limit_mb, self.loop = memory_limit_mb, IOLoop.current()
         self.started_s = time.monotonic()
@@ -84,6 +89,7 @@
         if turn_s > LONG_TURN_S:
             self._note_long_turn(turn_s)
         self._check_memory()
+        self.account.update_budget(self.memory_limit_mb(), self.gauge.resident_bytes())
         self.releaser.check(self.gauge.resident_bytes(), self.loop.time())
         self.start()
 
@@ -112,6 +118,9 @@
                 level="warning" if level > MEMORY_LEVELS[0] else "info",
                 used_mb=round(used_bytes / MB, 1),
                 limit_mb=limit_mb,
+                held_kb=self.account.held_bytes // 1024,
+                budget_kb=self.account.figures()["budget_kb"],
+                messages_given_up=self.account.shed_count,
                 uptime_s=round(self.uptime_s(), 1),
             )
 
@@ -130,6 +139,8 @@
             rate_limited=False,
             used_kb=self.gauge.resident_bytes() // 1024,
             peak_kb=self.figures()["memory_peak_kb"],
+            held_kb=self.account.held_bytes // 1024,
+            messages_given_up=self.account.shed_count,
             long_turns=self.long_turns,
             longest_turn_ms=self.longest_turn_ms,
             uptime_s=round(self.uptime_s(), 1),
@@ -142,4 +153,5 @@
             "memory_peak_kb": max(self.peak_bytes, self.gauge.resident_bytes()) // 1024,
             "loop_long_turns": self.long_turns,
             "loop_longest_turn_ms": self.longest_turn_ms,
+            **self.account.figures(),
         }
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -18,6 +18,7 @@
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpStream
 from spanwing.net.tcp_stream import TcpStream
+from spanwing.resources.memory_account import CONNECTION_BYTES, MemoryCharge
 
 IDLE_TIMEOUT_FRACTION = 0.6  # of the configured idle time, so that a timer that fires late is still in time
 MAX_CONNECT_ATTEMPTS = 2  # per connection
@@ -52,6 +53,18 @@
     is_write_shut_down = False  # the write side is closed
     is_response_invalid = False  # the response is malformed, or was cut off by this side
 
+    def __init__(self, stream: GuardedStream, buffers: BufferPool) -> None:
+        super().__init__(stream, buffers, parses_responses=True, used_fields=USED_FIELDS)
+        self.connection_charge = MemoryCharge(buffers.account, "connections")
+
+    def shed_bytes(self) -> int:
+        """Returns the bytes of an incomplete response, which may be given up."""
+        return self.parser.held_bytes()
+
+    def shed(self) -> None:
+        """Gives up an incomplete response."""
+        self.abort()
+
     def shut_down_writing(self) -> None:
         """Closes the write side (FIN). Data from the worker can still be read."""
         self.is_write_shut_down = True
@@ -152,9 +165,9 @@
                 break
             try:
                 stream = GuardedStream(open_socket(self.address))
-                connection = PooledConnection(
-                    stream, self.buffers, parses_responses=True, used_fields=USED_FIELDS
-                )
+                connection = PooledConnection(stream, self.buffers)
+                connection.connection_charge.set(CONNECTION_BYTES)
+                self.buffers.account.holders.add(connection)
             except OSError:  # the system has no descriptor or buffer left
                 self.descriptors.open_count -= 1
                 break
@@ -223,4 +236,5 @@
 
     def _close(self, connection: PooledConnection) -> None:
         connection.close()
+        connection.connection_charge.set(0)
         self.descriptors.open_count -= 1
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -36,6 +36,7 @@
     FaktoryJob,
 )
 from spanwing.frontends.faktory_jobs import JobStates
+from spanwing.net.buffers import BufferPool
 from spanwing.store import claims as claims_module
 from spanwing.store.claims import Claims
 from spanwing.store.store import NoQuorumError
@@ -143,6 +144,7 @@
         self.is_sent = False
         self.service_classes = {SERVICE_CLASS.name: SERVICE_CLASS}
         self.frontend = SimpleNamespace(
+            buffers=BufferPool(),
             request_manager=self,
             claims=self.claims,
             job_states=JobStates(),
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -73,3 +73,13 @@
         result = attack("small-chunks", 100)
         self.check(result)
         self.assertGreater(result.beside.statuses.get("200", 0), 30, result.beside)
+
+    def test_faktory_jobs_that_nobody_waits_for_do_not_pass_a_small_memory_limit(self) -> None:
+        result = attack("push-large", 40, 64, fronts=FAKTORY, hanging=True)
+        self.assertTrue(result.is_alive, result.log)
+        self.assertLess(result.peak_mb, 64)
+
+    def test_large_requests_at_hanging_workers_do_not_pass_a_small_memory_limit(self) -> None:
+        result = attack("largest", 700, 64, hanging=True)
+        self.assertTrue(result.is_alive, result.log)
+        self.assertLess(result.peak_mb, 64)
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -30,6 +30,7 @@
 class JobFrontend:
     """Submits a request for each POST, and answers others at once with a body that fills buffers."""
 
+    kept_targets: frozenset[str] = frozenset()
     used_fields: frozenset[str] = frozenset()
 
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
--- a/tests/test_full_table.py
+++ b/tests/test_full_table.py
@@ -23,6 +23,7 @@
 class UpFrontend:
     """Answers every request with 200 at once."""
 
+    kept_targets: frozenset[str] = frozenset()
     used_fields: frozenset[str] = frozenset()
 
     def parse_request(self, message: HttpMessage) -> JobRequest | HttpReply:
