Bound the kernel's buffers of every TCP connection

What operators may see: a client that sends without a pause behind a request that waits made the kernel take 852 KB for one connection, which counts where the limit is that of a control group. Cause: reading stops at 32 KB ahead, the kernel's receive buffer had grown while it was read fast, and keeps its size.

Change: SO_RCVBUF and SO_SNDBUF of 64 KB (128 KB as the kernel counts) on listening sockets, which accepted ones inherit, on a shared listening socket, and on connections to job workers, discovery and store members.

--- a/measure/crowds/run.py
+++ b/measure/crowds/run.py
@@ -31,6 +31,7 @@
 SETTLE_S = 5.0
 WORKER_COUNT = 4
 SAMPLE_S = 0.05
+ESTABLISHED = "01"  # state of a connection in /proc/net/tcp
 
 
 class Answers(NamedTuple):
@@ -64,7 +65,7 @@
     beside: Answers
     is_alive: bool
     log: str
-    kernel_mb: float  # most memory of all TCP sockets of the machine, less that before the crowd
+    queued_mb: float  # most bytes in the kernel's queues of the scheduler's sockets
 
 
 def resident_mb(pid: int) -> float:
@@ -76,10 +77,14 @@
     return int(found[1]) / 1024 if found else 0.0
 
 
-def tcp_memory_mb() -> float:
-    """Returns the memory of all TCP sockets of the machine in MB (proc(5), sockstat counts pages)."""
-    found = re.search(r"TCP:.* mem (\d+)", Path("/proc/net/sockstat").read_text())
-    return int(found[1]) * 4096 / 1e6 if found else 0.0
+def queued_mb(port: int) -> float:
+    """Returns the MB in the kernel's queues of the sockets at this local port (proc(5), net/tcp)."""
+    queued = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if int(fields[1].split(":")[1], 16) == port and fields[3] == ESTABLISHED:
+            queued += sum(int(each, 16) for each in fields[4].split(":"))
+    return queued / 1e6
 
 
 async def send_ordinary(port: int, seconds: float, timeout_s: float = ORDINARY_TIMEOUT_S) -> Answers:
@@ -185,7 +190,7 @@
         """Measures ordinary clients alone, then beside a crowd, and the memory all the time."""
         front = "faktory" if set(shapes) <= set(FAKTORY_SHAPES) else "clients"
         alone = await send_ordinary(self.port(), min(4.0, seconds))
-        base_mb, kernel_base_mb = self.resident_mb(), tcp_memory_mb()
+        base_mb = self.resident_mb()
         crowd = multiprocessing.get_context("spawn").Process(
             target=run_crowd_process, args=(self.port(front), shapes, count, seconds, seed), daemon=True
         )
@@ -195,7 +200,7 @@
 
         async def sample() -> None:
             while True:
-                samples.append((time.monotonic() - began_s, self.resident_mb(), tcp_memory_mb()))
+                samples.append((time.monotonic() - began_s, self.resident_mb(), queued_mb(self.port(front))))
                 await asyncio.sleep(SAMPLE_S)
 
         sampler = asyncio.ensure_future(sample())
@@ -214,7 +219,7 @@
             beside,
             self.program.process.poll() is None,
             self.program.stderr_text(),
-            max(each[2] for each in samples) - kernel_base_mb,
+            max(each[2] for each in samples),
         )
 
 
@@ -255,7 +260,7 @@
     click.echo(
         f"{shapes} x {count}, {seconds:g} s, limit {memory_mb:g} MB: base {result.base_mb:.0f}, peak "
         f"{result.peak_mb:.0f}, late {result.late_peak_mb:.0f}, after {result.after_mb:.0f} MB; "
-        f"sockets {result.kernel_mb:.0f} MB; {'alive' if result.is_alive else 'ENDED'}"
+        f"queued {result.queued_mb:.0f} MB; {'alive' if result.is_alive else 'ENDED'}"
     )
     click.echo(f"  alone:  {result.alone}\n  beside: {result.beside}")
     if shows_log:
--- a/measure/crowds/shapes.py
+++ b/measure/crowds/shapes.py
@@ -122,11 +122,18 @@
 
 
 async def pipeline_unread(streams: Streams) -> None:
-    """Many requests at once, whose answers nobody reads."""
-    one = b"x" * 4000
-    for _ in range(400):
-        streams[1].write(request_head(len(one)).encode() + b"\r\n" + one)
-    await asyncio.sleep(HOLD_S)
+    """Large requests that are answered at once, then more without a pause, whose answers nobody reads.
+
+    While it reads fast, the kernel lets the receive buffer grow.
+    """
+    body = b"x" * BODY_BYTES
+    unknown = b"POST /unknown HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
+    for _ in range(40):
+        streams[1].write(unknown + body)
+        await streams[0].readuntil(b"no such class")
+    while True:
+        streams[1].write(request_head(BODY_BYTES).encode() + b"\r\n" + body)
+        await streams[1].drain()
 
 
 async def hello(streams: Streams, text: bytes = b'{"v":2}') -> None:
--- a/spanwing/net/address.py
+++ b/spanwing/net/address.py
@@ -7,10 +7,13 @@
 import socket
 import stat
 from collections.abc import Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 from spanwing.net.accepting import ConnectionAcceptor
 
+KERNEL_BUFFER_BYTES = 64 * 1024  # for each direction of a connection; room for one message
+
 
 class Address(NamedTuple):
     """A numeric IP address and a port; host names are not resolved, as the platform has no DNS."""
@@ -49,8 +52,21 @@
 
 
 def open_socket(address: Address) -> socket.socket:
-    """Creates an unconnected TCP socket of the address's family."""
-    return socket.socket(_family(address), socket.SOCK_STREAM)
+    """Creates an unconnected TCP socket of the address's family, with bounded kernel buffers."""
+    sock = socket.socket(_family(address), socket.SOCK_STREAM)
+    bound_kernel_buffers(sock)
+    return sock
+
+
+def bound_kernel_buffers(sock: socket.socket) -> None:
+    """Bounds the kernel's buffers of a TCP socket; accepted sockets inherit the bound.
+
+    The kernel would otherwise let them grow to several MB while nobody reads, and they count where the memory
+    limit is that of a control group. It doubles the values for its own structures (socket(7)).
+    """
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
 
 
 class ListeningSocket(NamedTuple):
@@ -91,6 +107,7 @@
     """
     listening_socket = shared_socket or open_socket(address)
     listening_socket.setblocking(False)
+    bound_kernel_buffers(listening_socket)
     if shared_socket is None:
         listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
