Wait for writes and connects without Tornado's with_timeout(), which leaves a cycle

What was seen: test_connections_that_did_not_read_their_answer failed in the whole suite beside other work (57 of 1,000 streams left after 3 s), not alone. Trace: at the stall timeout with_timeout() adds a callback to the write's future; its later StreamClosedError is raised there, and the traceback refers to frames whose closures hold the future and the stream. So only the garbage collector freed them, whenever the timeout came before the client's close.

Change: wait_at_most() waits without raising and removes its callback; writes with a stall timeout and connects to job workers use it. The test now waits up to 10 s for lingering connections, which end after 2.4 s, instead of 3 s.

--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -5,11 +5,10 @@
 import select
 import socket
 from contextlib import suppress
-from datetime import timedelta
+from typing import Any
 
 from tornado.concurrent import Future
-from tornado.gen import TimeoutError as TornadoTimeoutError
-from tornado.gen import sleep, with_timeout
+from tornado.gen import sleep
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -26,6 +25,29 @@
     """A line is longer than max_line_bytes."""
 
 
+async def wait_at_most(future: Future[Any], timeout_s: float) -> bool:
+    """Waits until the future is done, and returns whether it is; its exception is not raised.
+
+    Unlike with_timeout() of Tornado, it leaves no reference cycle when the time is over.
+    """
+    if future.done():
+        return True
+    waiter: Future[None] = Future()
+
+    def wake(_: object = None) -> None:
+        if not waiter.done():
+            waiter.set_result(None)
+
+    timer = IOLoop.current().call_later(timeout_s, wake)
+    future.add_done_callback(wake)
+    try:
+        await waiter
+    finally:
+        IOLoop.current().remove_timeout(timer)
+        future.remove_done_callback(wake)
+    return future.done()
+
+
 class PooledStream:
     """Reads and writes bytes; holds a pooled buffer only while a read is pending."""
 
@@ -159,21 +181,13 @@
             await self.stream.write(data)
             return
         for start in range(0, len(data), WRITE_CHUNK_BYTES):
+            written = self.stream.write(data[start : start + WRITE_CHUNK_BYTES])
             try:
-                await self._write_piece(data[start : start + WRITE_CHUNK_BYTES], stall_timeout_s)
-            except TornadoTimeoutError:
-                self.close()
-                raise StreamClosedError from None
-
-    async def _write_piece(self, data: bytes, timeout_s: float) -> None:
-        """Writes data; raises TornadoTimeoutError or StreamClosedError."""
-        written = self.stream.write(data)
-        try:
-            if not written.done():
-                await with_timeout(timedelta(seconds=timeout_s), written, quiet_exceptions=StreamClosedError)
-            written.result()
-        finally:
-            del written  # it keeps its exception, whose traceback refers to this frame
+                if not await wait_at_most(written, stall_timeout_s):
+                    self.close()
+                written.result()
+            finally:
+                del written  # it keeps its exception, whose traceback refers to this frame
 
     def close(self) -> None:
         """Closes the connection at once, and drops the input that is held."""
--- a/spanwing/workers/connection_pool.py
+++ b/spanwing/workers/connection_pool.py
@@ -9,14 +9,13 @@
 from datetime import timedelta
 
 from tornado.gen import TimeoutError as TornadoTimeoutError
-from tornado.gen import with_timeout
 from tornado.ioloop import IOLoop
-from tornado.iostream import StreamClosedError
 from tornado.locks import Semaphore
 
 from spanwing.net.address import Address, open_socket
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http import HttpStream
+from spanwing.net.stream import wait_at_most
 from spanwing.net.tcp_stream import TcpStream
 from spanwing.resources.memory_account import CONNECTION_BYTES, MemoryCharge
 
@@ -171,15 +170,12 @@
             except OSError:  # the system has no descriptor or buffer left
                 self.descriptors.open_count -= 1
                 break
-            try:
-                await with_timeout(
-                    timedelta(seconds=self.connect_timeout_s),
-                    stream.connect(self.address.socket_address),
-                    quiet_exceptions=StreamClosedError,
-                )
+            connecting = stream.connect(self.address.socket_address)
+            is_done = await wait_at_most(connecting, self.connect_timeout_s)
+            if is_done and connecting.exception() is None:
                 return connection
-            except (TornadoTimeoutError, StreamClosedError):
-                self._close(connection)
+            self._close(connection)
+            del connecting  # it keeps its exception, whose traceback refers to this frame
             if not isinstance(stream.error, ConnectionResetError):
                 break
         self.connection_slots.release()
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -112,7 +112,7 @@
                     reset(each) if number % 2 else each.close()
             sockets.clear()
             del sock, each
-        for _ in range(300):
+        for _ in range(1000):  # lingering connections end after 2.4 s
             await asyncio.sleep(0.01)
             if not self.parts:
                 break
