Remember the ids of unsafe requests that may have run and whose result did not arrive

Cause: an id was in use only while its request was pending or an attempt was out. When a client leaves, the attempt is given up, though the job may have started, and the id was free again; so it was in the other process of a hot restart.

Change: EndedRequests. The id of a request of an unsafe class stays for 600 s after an attempt that may have run, and comes again as 409 (-REPEATED). An id whose result was sent may be used again while its connection stays; if the connection ends before the next request, the id counts as undelivered. 8,192 ids at most, in the account; none is forgotten within 60 s: a flood gets 503 instead (counter refused.ids). A hot restart sends these ids with those of open requests, in the same message, and each process takes over those of the other when it ends. A PUSH whose claim meets such an id keeps the claim.

--- a/spanwing/core/messages.py
+++ b/spanwing/core/messages.py
@@ -49,6 +49,7 @@
     PENDING = "pending"  # it has no final answer yet
     ATTEMPT_IN_FLIGHT = "attempt_in_flight"  # it is answered or was withdrawn, but an attempt has not ended
     IN_OTHER_PROCESS = "in_other_process"  # it is open in the other process of a hot restart
+    ENDED = "ended"  # it has ended here or in another process, and may have run
     INTERRUPTED = "interrupted"  # an earlier incarnation left it open, by the journal
 
 
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -9,7 +9,7 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Callable, Container, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -19,6 +19,7 @@
 from spanwing import interface as api
 from spanwing.actor import Actor
 from spanwing.core.clock import Clock
+from spanwing.core.ended_requests import EndedRequests
 from spanwing.core.messages import (
     AttemptAccepted,
     AttemptEnded,
@@ -53,6 +54,8 @@
 JOURNAL_RETRY_AFTER_MS = 1000.0  # Retry-After for requests that the journal cannot record
 # An attempt expires this long before its request's deadline, so that its result is handled first.
 TIMEOUT_MARGIN_MS = 1.0
+IDS_RETRY_AFTER_MS = 1000.0  # Retry-After while no more ids can be remembered
+ENDED_TEXT = "a request of this id has ended and may have run"
 
 logger = logging.getLogger("spanwing")
 
@@ -82,6 +85,7 @@
     is_recorded: bool = False  # the intent was passed to the journal
     awaits_record: bool = False  # not delivered to the worker connection until the intent is on disk
     to_discovered_worker: bool = False  # the worker is from discovery's endpoint list
+    is_unsafe: bool = False  # the job must not run twice
 
 
 class RequestManager(Actor):
@@ -94,7 +98,9 @@
         self, settings: api.Settings, seed: int, clock: Clock, account: MemoryAccount | None = None
     ) -> None:
         super().__init__()
-        self.request_charge = MemoryCharge(account or MemoryAccount(), "requests")
+        account = account or MemoryAccount()
+        self.request_charge = MemoryCharge(account, "requests")
+        self.ended_requests = EndedRequests(self.loop.time, account)  # of classes that must not run twice
         self.settings, self.clock = settings, clock
         self.scheduler = Scheduler(settings, seed, clock.now_ms())
         # Requests of a safe class may run twice, those of an unsafe class must not. Keyed classes are in
@@ -275,25 +281,9 @@
         request = submission.request
         if self.policy_admission is not None and not self.policy_admission.admit(submission):
             return
-        # The earlier request of this id is not answered yet, or has an attempt in flight. It must run once,
-        # and another client that uses the same id must not affect it.
-        earlier = self._find_earlier(request.id)
-        if earlier is not None:
-            self._answer_repeated(submission, earlier)
+        if self._answer_without_accepting(submission):
             return
         if self._needs_record(request):
-            if request.cls in self.unsafe_classes and (
-                earlier_state := self.recorder.find_interrupted(request.id)
-            ):
-                self._answer_repeated(submission, EarlierRequest(EarlierState.INTERRUPTED), earlier_state)
-                return
-            if self.recorder.unavailable_reason():
-                self.counters["refused.journal"] += 1
-                self._handle_rejected(RequestRejected(request.cls))
-                submission.client.answer(
-                    request, FinalAnswer("refused", retry_after_ms=self.journal_retry_after_ms)
-                )
-                return
             self.recorder.record_accepted(
                 request.id,
                 request.cls,
@@ -326,6 +316,45 @@
             )
         )
 
+    def _answer_without_accepting(self, submission: RequestSubmitted) -> bool:
+        """Answers a request whose id is in use or may have run, or that cannot be recorded.
+
+        Returns whether it is answered.
+        """
+        request, earlier = submission.request, self._find_earlier(submission.request.id)
+        # The earlier request of this id is not answered yet, or has an attempt in flight. It must run once,
+        # and another client that uses the same id must not affect it.
+        if earlier is not None:
+            self._answer_repeated(submission, earlier)
+            return True
+        if request.cls in self.unsafe_classes and self._answer_repeated_unsafe(submission):
+            return True
+        if self._needs_record(request) and self.recorder.unavailable_reason():
+            self.counters["refused.journal"] += 1
+            self._reject(submission, self.journal_retry_after_ms)
+            return True
+        return False
+
+    def _answer_repeated_unsafe(self, submission: RequestSubmitted) -> bool:
+        """Answers a request that must not run twice if it may have run; returns whether it is answered."""
+        request = submission.request
+        if request.id in self.ended_requests:
+            self._answer_repeated(submission, EarlierRequest(EarlierState.ENDED), ENDED_TEXT)
+            return True
+        if not self.ended_requests.has_room():
+            self.counters["refused.ids"] += 1
+            self._reject(submission, min(IDS_RETRY_AFTER_MS, self.settings.max_retry_after))
+            return True
+        if self._needs_record(request) and (state := self.recorder.find_interrupted(request.id)):
+            self._answer_repeated(submission, EarlierRequest(EarlierState.INTERRUPTED), state)
+            return True
+        return False
+
+    def _reject(self, submission: RequestSubmitted, retry_after_ms: float) -> None:
+        """Answers a request as rejected before it is pending."""
+        self._handle_rejected(RequestRejected(submission.request.cls))
+        submission.client.answer(submission.request, FinalAnswer("refused", retry_after_ms=retry_after_ms))
+
     def _add_pending(self, pending: PendingRequest) -> None:
         self.pending_requests[pending.request.id] = pending
         self.request_charge.add(_held_bytes(pending.request))
@@ -356,8 +385,17 @@
         return None if pending is None else pending.client
 
     def open_ids(self) -> set[str]:
-        """Returns the ids of the open requests."""
-        return {*self.pending_requests, *(request for request, _ in self.in_flight)}
+        """Returns the ids of the open requests, and of those that have ended and must not run again."""
+        return {
+            *self.pending_requests,
+            *(request for request, _ in self.in_flight),
+            *self.ended_requests,
+        }
+
+    def remember_ended(self, requests: Iterable[str]) -> None:
+        """Remembers ids of another process that has ended; those of classes that must not run twice count."""
+        for request in requests:
+            self.ended_requests.add(request)
 
     def in_flight_attempts(self, request: str) -> list[tuple[int, InFlightAttempt]]:
         """Returns a request's attempts in flight, with their numbers."""
@@ -397,14 +435,15 @@
         self._dispatch_event(event)
 
     def _notify_ended(self, request: str) -> None:
-        """Calls on_open_change if the request is no longer open."""
-        if self.on_open_change is not None and not self._is_open(request):
+        """Calls on_open_change if the request is no longer open, unless it must not run again."""
+        is_over = not self._is_open(request) and request not in self.ended_requests
+        if self.on_open_change is not None and is_over:
             self.on_open_change(request, False)
 
     def _answer_repeated(
         self, submission: RequestSubmitted, earlier: EarlierRequest, journal_text: str = ""
     ) -> None:
-        """Answers a request whose id was accepted before; journal_text is what the journal knows of it."""
+        """Answers a request whose id was accepted before; journal_text is what is known of it."""
         request = submission.request
         self.counters["repeated"] += 1
         self.counters[f"repeated.{request.cls}"] += 1
@@ -422,6 +461,8 @@
         """Drops a pending request whose client has disconnected, and withdraws its attempts."""
         pending = self.pending_requests.get(message.request)
         is_withdrawn, may_have_run = False, False
+        if pending is None:
+            self._note_undelivered(message.request)
         if pending is None and self.policy_admission is not None:
             is_withdrawn = self.policy_admission.client_disconnected(message.request, message.client)
         if pending is not None and pending.client is message.client:
@@ -439,6 +480,12 @@
         if is_withdrawn and message.on_withdrawn is not None:
             message.on_withdrawn(may_have_run)
 
+    def _note_undelivered(self, request: str) -> None:
+        """Notes that a client left before it had the result of its request, which must not run again."""
+        self.ended_requests.note_undelivered(request)
+        if self.on_open_change is not None and request in self.ended_requests:
+            self.on_open_change(request, True)
+
     def _withdraw_attempts(self, request: str) -> None:
         """Withdraws the attempts of a request that no longer needs an answer.
 
@@ -527,6 +574,9 @@
         if attempt.is_recorded:
             record = self.recorder.record_unsent if message.is_unsent else self.recorder.record_outcome
             record(message.request, message.number, message.result)
+        if attempt.is_unsafe and not message.is_unsent and message.result not in api.NEVER_RAN:
+            is_served = message.result == "ok" and message.request in self.pending_requests
+            self.ended_requests.add(message.request, is_served)
         if message.result not in api.NEVER_RAN and message.request in self.pending_requests:
             self.attempt_may_have_run(self.pending_requests[message.request], attempt.forwarded_ms)
         if message.result == "ok":
@@ -586,6 +636,7 @@
             now_ms + timeout_ms,
             timer,
             to_discovered_worker=action.worker in self.connections_by_source.get(DISCOVERY_SOURCE, ()),
+            is_unsafe=pending.request.cls in self.unsafe_classes,
         )
         if timeout_ms <= 0 or number >= self.acting_scheduler.settings.max_attempts or connection is None:
             self.post(AttemptEnded(*key, "moot"))
--- a/spanwing/frontends/faktory_jobs.py
+++ b/spanwing/frontends/faktory_jobs.py
@@ -147,13 +147,16 @@
 def _settled_state(answer: FinalAnswer) -> ClaimState:
     """Returns the state in which a claim ends whose job got this answer.
 
-    Nothing was sent under the claim of a repeated job: the claim is released. It stays if the journal knows
-    of an earlier job of the jid that may have run.
+    Nothing was sent under the claim of a repeated job: the claim is released. It stays if an earlier job of
+    the jid has ended and may have run.
     """
     if answer.kind != "repeated":
         return answer.kind
-    is_interrupted = answer.earlier is not None and answer.earlier.state is EarlierState.INTERRUPTED
-    return "claimed" if is_interrupted else "refused"
+    may_have_run = answer.earlier is not None and answer.earlier.state in (
+        EarlierState.INTERRUPTED,
+        EarlierState.ENDED,
+    )
+    return "claimed" if may_have_run else "refused"
 
 
 def encode_acceptance(answer: FinalAnswer | None) -> bytes:
--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -78,6 +78,9 @@
         self.is_client = False  # the connection has carried a client's request
         self.is_busy = False
         self.is_finished = False
+        #: Id of the answered request after which nothing came: whether its client has read the answer is
+        #: not known.
+        self.answered_id = ""
         #: The request that is waiting for its answer, and whether the connection is kept alive after it.
         self.pending_request: tuple[JobRequest, bool] | None = None
         self.idle_since_s = self.accepted_s = IOLoop.current().time()
@@ -118,6 +121,8 @@
             self.is_busy, self.is_finished = False, True
             self.server.end_counts.update(["status_408"] * self.http_stream.has_timed_out)
             self.server.retry_waiting_connection()
+            if self.answered_id:
+                self.server.request_manager.post(ClientDisconnected(self.answered_id, self))
             await self.http_stream.close_gracefully(LINGER_TIMEOUT_S)
             self.connection_charge.set(0)
             self.server.table.connections.discard(self)
@@ -132,6 +137,7 @@
         if message is None:
             return False
         self.has_sent_request = self.is_busy = True
+        self.answered_id = ""
         self.server.retry_waiting_connection()
         keep_alive = message.keep_alive and not self.server.is_single_request
         parsed = self.server.frontend.parse_request(message)
@@ -185,6 +191,8 @@
         if answer is None:
             self.server.request_manager.post(ClientDisconnected(request.id, self))
             return False
+        self.answered_id = request.id
+        del request
         return await self._write_answer(answer, keep_alive)
 
     async def _write_answer(self, answer: FinalAnswer, keep_alive: bool) -> bool:
--- a/spanwing/hot_restart/hot_restart.py
+++ b/spanwing/hot_restart/hot_restart.py
@@ -96,7 +96,7 @@
         self.predecessor_counts = ConnectionCounts(0, 0)  # connections that the predecessor holds
         self.has_transferred_state = False  # whether the successor has received the estimates
         self.is_draining = self.is_finished = False  # finished: all connections have been transferred
-        # Requests open in the other process; at most one for each of its connections.
+        # Requests open in the other process, and ended ones that must not run again (EndedRequests).
         self.peer_request_ids: set[str] = set()
         # Requests transferred to the successor, each with its client's connection.
         self.transferred_request_ids: set[str] = set()
@@ -258,6 +258,7 @@
                         attempt.forwarded_ms,
                         transferred.expires_ms,
                         None,
+                        is_unsafe=request.cls in core.unsafe_classes,
                     ),
                 )
         core.resume_request(
@@ -509,6 +510,9 @@
             )
 
     def _forget_peer_requests(self) -> None:
+        """Takes over what the other process knew of ids that must not run again; it has ended."""
+        if self.context is not None:
+            self.context.core.remember_ended(self.peer_request_ids)
         self.peer_request_ids.clear()
 
     def _stop_listening(self) -> None:
