Give peers their turn to be parsed by processor time, not by messages

What callers saw: beside 100 clients that sent one-byte chunks (72 KB a request) others got 9 to 20 answers in 4 s, p99 2.5 to 6 s (0.045 s alone).

Cause: a read of 8 KB was parsed in one go, 1,365 chunks, for each of 100 connections in each turn of the event loop; a client at full speed was served without a pause.

Change: the parser returns after 128 chunks. Requests alone are counted, no responses.

While being written: is_interrupted stayed set when the input was dropped in the midst of chunks, and the reader spun (414,394 parses in 4 s, seen in a profile); mended, with a test.

--- a/spanwing/net/http.py
+++ b/spanwing/net/http.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import time
+
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from spanwing.net.buffers import BufferPool
 from spanwing.net.http_parser import CONTROL_PATTERN, MAX_BODY_BYTES, HttpMessage, HttpParser
 from spanwing.net.stream import PooledStream
+from spanwing.resources.processor_share import PeerTime
 
 REASON_PHRASES = {
     200: "OK",
@@ -47,6 +50,7 @@
         """used_fields: names in lower case of the fields that messages keep; None: all."""
         super().__init__(stream, buffers)
         self.parser = HttpParser(parses_responses, max_body_bytes, used_fields)
+        self.peer_time = PeerTime()
         self.has_timed_out = False  # an incomplete message was answered with 408
 
     def held_input_bytes(self) -> int:
@@ -67,8 +71,7 @@
         """
         try:
             while True:
-                message = self.parser.next_message()
-                self.charge_input()
+                message = await self._parse_next()
                 if message is not None:
                     return message
                 if (
@@ -77,11 +80,29 @@
                     and (is_fresh or not self.parser.is_idle())
                 ):
                     self.message_timer = IOLoop.current().call_later(timeout_s, self._handle_stall)
+                if self.parser.is_interrupted:
+                    continue
                 if not await self.read(self.parser.data):
                     return self.parser.next_message(has_ended=True)
         finally:
             self.cancel_message_timer()
 
+    async def _parse_next(self) -> HttpMessage | None:
+        """Parses input that is there; a peer that has used up its processor time waits. Raises HttpError."""
+        if self.parser.parses_responses:
+            message = self.parser.next_message()
+            self.charge_input()
+            return message
+        began_s = time.thread_time()
+        try:
+            return self.parser.next_message()
+        finally:
+            self.charge_input()
+            spent_s, now_s = time.thread_time() - began_s, IOLoop.current().time()
+            wait_s = self.buffers.processor_share.charge(self.peer_time, spent_s, now_s)
+            if wait_s > 0.0:
+                await self.buffers.processor_share.wait(wait_s)
+
     def collect_read_ahead(self) -> None:
         """Moves available input into the parser; must not be called during receive()."""
         if self.pending_read is not None:  # started by start_read_ahead()
--- a/spanwing/net/http_parser.py
+++ b/spanwing/net/http_parser.py
@@ -23,6 +23,7 @@
 VERSION_PATTERN = re.compile(r"HTTP/\d\.\d")
 STATUS_PATTERN = re.compile(r"[1-5]\d\d")
 LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
+CHUNKS_AT_ONCE = 128  # then next_message() returns, so that others get their turn
 EMPTY_LINES_PATTERN = re.compile(rb"(?:\r\n)+")
 CHUNK_LINE_PATTERN = re.compile(rb"[ \t]*([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r]*)?\r\n")
 #: Fields that the parser itself needs.
@@ -73,6 +74,7 @@
         self.is_chunked = False
         self.remaining_chunk: int | None = None  # bytes of the current chunk; None: a size line comes next
         self.chunk_count = 0
+        self.is_interrupted = False  # next_message() has returned although data holds more chunks
         self.trailer_bytes: int | None = None  # read of the trailer; None: it has not begun
         self.body = bytearray()
 
@@ -90,10 +92,11 @@
         self.body, self.head, self.searched_bytes = bytearray(), None, 0
 
     def next_message(self, has_ended: bool = False) -> HttpMessage | None:
-        """Returns the next complete message, or None if more input is needed.
+        """Returns the next complete message, or None if more input is needed, or after CHUNKS_AT_ONCE chunks.
 
         With has_ended, no more input follows, which completes a body without a length. Raises HttpError.
         """
+        self.is_interrupted = False
         if self.head is None and not self._read_head():
             return None
         is_complete = self._read_chunks() if self.is_chunked else self._read_body(has_ended)
@@ -200,9 +203,12 @@
         return self.remaining_body == 0
 
     def _read_chunks(self) -> bool:
-        position = 0
+        position, last_count = 0, self.chunk_count + CHUNKS_AT_ONCE
         try:
             while self.trailer_bytes is None:
+                if self.chunk_count >= last_count and self.remaining_chunk is None:
+                    self.is_interrupted = True
+                    return False
                 if self.remaining_chunk is None:
                     position, is_complete = self._read_chunk_line(position)
                 else:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -15,6 +15,7 @@
 FAKTORY = '[faktory]\nlisten = "127.0.0.1:0"\n'
 LARGE_LIMIT_MB = 96  # from here on the peak has to stay below LARGE_LIMIT_SHARE of the limit
 LARGE_LIMIT_SHARE = 0.8
+MAX_DELAY_FACTOR = 4  # of the ordinary clients' p99 beside a crowd, over that without
 CLIENT_BUFFER_BYTES = 16 * 1024
 RETURN_MB = 3.0  # how far above the base the memory may stay once the crowd has gone
 
@@ -107,10 +108,10 @@
         bound = READ_AHEAD_BYTES + 2 * KERNEL_BUFFER_BYTES + 2 * CLIENT_BUFFER_BYTES
         self.assertLessEqual(asyncio.run(run()), bound)
 
-    def test_small_chunks_of_some_do_not_keep_others_from_their_answers(self) -> None:
+    def test_small_chunks_of_some_do_not_delay_the_answers_of_others(self) -> None:
         result = attack("small-chunks", 100)
         self.check(result)
-        self.assertGreater(result.beside.statuses.get("200", 0), 30, result.beside)
+        self.assertLessEqual(result.beside.p99_s(), MAX_DELAY_FACTOR * result.alone.p99_s())
 
     def test_faktory_jobs_that_nobody_waits_for_do_not_pass_a_small_memory_limit(self) -> None:
         result = attack("push-large", 40, 64, fronts=FAKTORY, hanging=True)
--- a/tests/test_http_parser.py
+++ b/tests/test_http_parser.py
@@ -28,7 +28,9 @@
     try:
         for start in range(0, len(data), piece_bytes or len(data)):
             parser.data += data[start : start + (piece_bytes or len(data))]
-            if (message := parser.next_message()) is not None:
+            while (message := parser.next_message()) is None and parser.is_interrupted:
+                pass
+            if message is not None:
                 return message
     except HttpError as error:
         return error.status
@@ -84,6 +86,18 @@
                 self.assertEqual(parse(CHUNKED + rest), 400)
 
 
+class InterruptionTests(unittest.TestCase):
+    def test_a_parser_whose_input_was_dropped_in_the_midst_of_chunks_wants_more_input(self) -> None:
+        """The reader went on parsing nothing for ever, and the process served nobody."""
+        parser = HttpParser()
+        parser.data += CHUNKED + b"1\r\nx\r\n" * 1000
+        self.assertIsNone(parser.next_message())
+        self.assertTrue(parser.is_interrupted)
+        parser.discard()
+        self.assertIsNone(parser.next_message())
+        self.assertFalse(parser.is_interrupted)
+
+
 class MemoryTests(unittest.TestCase):
     def held_bytes(self, data: bytes) -> int:
         """Returns what a parser holds that has been given the data."""
@@ -93,7 +107,8 @@
             before = tracemalloc.get_traced_memory()[0]
             for start in range(0, len(data), 4096):
                 parser.data += data[start : start + 4096]
-                parser.next_message()
+                while parser.next_message() is None and parser.is_interrupted:
+                    pass
             return tracemalloc.get_traced_memory()[0] - before
         finally:
             tracemalloc.stop()
