Blame no worker whose report may lie unread as the event loop was held up

Cause: a timer that comes late was handled before what had arrived meanwhile: input needs about four turns of the loop from the kernel to the scheduler, a timer two.

Change: a scheduler's timer that is more than 50 ms late tells the schedulers first (event HostDelayed). For four times the delay they eject nobody as silent, and look again then, and eject nobody for a timeout. Counter timers.late.

--- a/measure/crowds/run.py
+++ b/measure/crowds/run.py
@@ -21,6 +21,7 @@
 
 from measure.crowds.shapes import FAKTORY_SHAPES, SHAPES, Crowd, unique_id
 from measure.daemons import Program, settings
+from measure.soak.fault_proxy import FaultProxy, LinkState
 from measure.soak.records import Records
 from measure.soak.stand_ins import DiscoveryStandIn, Member, read_message
 from measure.workers import CallingWorkers
@@ -145,7 +146,10 @@
         fronts: str = "",
         hanging: bool = False,
         command: tuple[str, ...] = ("-m", "spanwing"),
+        link_delay_s: float = 0.0,
     ) -> None:
+        """link_delay_s: delay of the links to the job workers, in each direction."""
+        self.link_delay_s = link_delay_s
         self.limits = {"memory_mb": memory_mb, "sockets": sockets}
         self.fronts, self.command = fronts, command
         self.workers = CallingWorkers((0.01, 0.04), 1, ("127.0.0.1", 0))
@@ -158,7 +162,10 @@
         """Starts all parts; keyword arguments are further settings."""
         await self.discovery.listen()
         for name, port in await self.workers.start(WORKER_COUNT):
-            self.discovery.members[name] = Member(name, ports={"n0": port})
+            link = FaultProxy(port)
+            link.set_state(LinkState(delay_s=self.link_delay_s))
+            link_port = await link.listen() if self.link_delay_s else port
+            self.discovery.members[name] = Member(name, ports={"n0": link_port})
         config = {
             "name": "n0",
             "listen": "127.0.0.1:0",
--- a/spanwing/core/request_manager.py
+++ b/spanwing/core/request_manager.py
@@ -54,6 +54,8 @@
 JOURNAL_RETRY_AFTER_MS = 1000.0  # Retry-After for requests that the journal cannot record
 # An attempt expires this long before its request's deadline, so that its result is handled first.
 TIMEOUT_MARGIN_MS = 1.0
+MAX_TIMER_DELAY_S = 0.05  # of a timer, from which on the event loop counts as held up
+TURNS_UNTIL_HANDLED = 4  # turns of the event loop from input in the kernel to the event for the scheduler
 IDS_RETRY_AFTER_MS = 1000.0  # Retry-After while no more ids can be remembered
 ENDED_TEXT = "a request of this id has ended and may have run"
 
@@ -810,9 +812,19 @@
             self._cancel_attempt(request, number, "cancelled")
 
     def _set_timer(self, action: api.SetTimer) -> None:
-        self.loop.call_later(
-            action.delay / 1000.0, self.post, TimerExpired(action.token, self.acting_scheduler)
-        )
+        due_s = self.loop.time() + action.delay / 1000.0
+        self.loop.call_at(due_s, self._post_timer, TimerExpired(action.token, self.acting_scheduler), due_s)
+
+    def _post_timer(self, message: TimerExpired, due_s: float) -> None:
+        """Posts an expired timer; if it is late, the schedulers learn first that reports may lie unread.
+
+        Whatever arrived while the event loop was held up is read in this turn and handled in the next ones.
+        """
+        late_s = self.loop.time() - due_s
+        if late_s > MAX_TIMER_DELAY_S:
+            self.counters["timers.late"] += 1
+            self._dispatch_to_all(api.HostDelayed(late_s * 1000.0 * TURNS_UNTIL_HANDLED))
+        self.post(message)
 
     def _handle_timer(self, message: TimerExpired) -> None:
         """Passes an expired timer to its scheduler, unless that has retired meanwhile."""
--- a/spanwing/interface.py
+++ b/spanwing/interface.py
@@ -236,6 +236,12 @@
     request: str
 
 
+class HostDelayed(NamedTuple):
+    """The host handles its input late, so reports of workers may lie unread for up to this time (ms)."""
+
+    delay: float
+
+
 class StreamStarted(NamedTuple):
     """The answer of a streamed class has begun; no other answer may follow."""
 
@@ -265,6 +271,7 @@
     | Accepted
     | ProbeResult
     | ClientGone
+    | HostDelayed
     | StreamStarted
     | TimerDue
     | PeerMessage
--- a/spanwing/scheduler.py
+++ b/spanwing/scheduler.py
@@ -104,6 +104,7 @@
         # Whether the host reports acceptance; whether warming workers may be fed from here.
         self.acceptance_reported, self.is_feeding_enabled = False, True
         self.has_safe_class = any(each.idempotency == "safe" for each in settings.classes)
+        self.excused_until_ms = -math.inf  # until then workers' reports may lie unread in the host
         self.timers = TimerQueue(settings.tick_ms)
         if settings.subscribe:
             self.timers.call_at(now + self.rng.uniform(0, 1000.0), lambda: self.actions.append(api.Watch()))
@@ -706,11 +707,17 @@
 
     def _check_heard(self, attempt: Attempt, number: int) -> None:
         """Ejects a worker not heard of since it should have accepted or ended the job, and moves the job."""
+        if self.now < self.excused_until_ms:
+            self.timers.call_at(self.excused_until_ms, self._check_heard, attempt, number)
+            return
         if attempt.is_open and attempt.worker.last_heard_ms <= attempt.forwarded_ms:
             self._eject(attempt.worker, "silent")
             if self._may_move(attempt.job):
                 self.actions.append(api.Cancel(attempt.job.request.id, number))
 
+    def _on_host_delayed(self, event: api.HostDelayed) -> None:
+        self.excused_until_ms = max(self.excused_until_ms, self.now + event.delay)
+
     def _may_move(self, job: Job) -> bool:
         """Returns whether the job's attempt may be cancelled, to be retried elsewhere once it has ended."""
         return (
@@ -761,6 +768,8 @@
             )
             if worker.is_owned and was_full and not worker.slots_reported:
                 worker.lower_capacity(self.now + MAX_EJECTION_MS)
+        elif result == "timeout" and self.now < self.excused_until_ms:
+            pass  # the worker's report may lie unread
         elif result in ("error", "unreachable", "timeout") or (
             # A preempted job ends with a reset too, which is no fault of the worker.
             result == "reset" and not (self.settings.preempts and job.service_class.idempotency == "safe")
@@ -875,5 +884,6 @@
     api.Accepted: Scheduler._on_accepted,
     api.ProbeResult: Scheduler._on_probe_result,
     api.ClientGone: Scheduler._drop_request,
+    api.HostDelayed: Scheduler._on_host_delayed,
     api.StreamStarted: Scheduler._drop_request,
 }
