--- a/measure/crowds/run.py
+++ b/measure/crowds/run.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import multiprocessing
-import re
 import statistics
 import time
 from pathlib import Path
@@ -19,6 +18,7 @@
 
 import click
 
+from measure.crowds.memory import resident_mb
 from measure.crowds.shapes import FAKTORY_SHAPES, SHAPES, Crowd, unique_id
 from measure.daemons import Program, settings
 from measure.soak.fault_proxy import FaultProxy, LinkState
@@ -69,15 +69,6 @@
     queued_mb: float  # most bytes in the kernel's queues of the scheduler's sockets
 
 
-def resident_mb(pid: int) -> float:
-    """Returns the resident memory of a process in MB; 0 if it has ended."""
-    try:
-        found = re.search(r"VmRSS:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    except OSError:
-        return 0.0
-    return int(found[1]) / 1024 if found else 0.0
-
-
 def queued_mb(port: int) -> float:
     """Returns the MB in the kernel's queues of the sockets at this local port (proc(5), net/tcp)."""
     queued = 0
--- a/measure/soak/faults.py
+++ b/measure/soak/faults.py
@@ -41,6 +41,7 @@
     REPEATED_RELOADS = "reloads"  # several new configurations, one after the other
     REPEATED_SIGNALS = "signals"  # SIGTERM, SIGHUP, SIGTERM, SIGINT
     LARGE_LIST_CHANGE = "list_change"  # many entries in one revision
+    HOSTILE_CROWD = "hostile"  # clients that send much, slowly, in part or without reading answers
 
 
 #: The kinds that draw_faults draws. Adding one changes the faults of every seed, so further kinds are drawn
@@ -62,6 +63,8 @@
     answer_faults: tuple[tuple[AnswerFault, float], ...] = ()
     link_state: LinkState | None = None
     worker_mode: WorkerMode | None = None
+    crowd_shapes: tuple[str, ...] = ()  # of measure.crowds.shapes
+    crowd_size: int = 0
 
 
 def draw_faults(seed: int, run_duration_s: float, scheduler_count: int, worker_count: int) -> list[Fault]:
--- a/measure/soak/fleet.py
+++ b/measure/soak/fleet.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from measure.crowds.memory import resident_mb
 from measure.daemons import Program
 from measure.daemons import settings as daemon_settings
 from measure.soak.fault_proxy import FaultProxy, RequestSplitter
@@ -32,6 +33,7 @@
 IDEMPOTENCY_BY_CLASS = {"status-read": "safe", "schedule-apply": "unsafe", "setpoint-push": "keyed"}
 DEDUPLICATION_WINDOW_S = 3.0
 STALL_CHECK_S = 0.01  # interval at which stalls of the stand-ins' event loop are measured
+MEMORY_CHECK_S = 0.05  # interval at which the schedulers' memory is read
 SIGNAL_GAP_S = 0.02  # pause after each signal
 SLOW_START = {"cold_ms": 2000.0, "fall_ms": 1000.0}
 DEFAULT_DISCONNECT_SHARE = 0.05  # of requests whose client disconnects early
@@ -96,6 +98,7 @@
         self.unexpected_exits: list[str] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.longest_stall_s = 0.0  # of this process's event loop
+        self.peak_memory_mb: dict[str, float] = {}  # by scheduler
 
     @property
     def rules(self) -> RuleSet:
@@ -125,9 +128,27 @@
             await asyncio.sleep(STALL_CHECK_S)
             self.longest_stall_s = max(self.longest_stall_s, time.monotonic() - began_s - STALL_CHECK_S)
 
+    async def _measure_memory(self) -> None:
+        """Records the peak memory of each scheduler until it is cancelled."""
+        while True:
+            for name, program in list(self.programs.items()):
+                used_mb = resident_mb(program.process.pid)
+                self.peak_memory_mb[name] = max(self.peak_memory_mb.get(name, 0.0), used_mb)
+            await asyncio.sleep(MEMORY_CHECK_S)
+
+    def memory_failures(self) -> list[str]:
+        """Returns a description of each scheduler that has passed its memory limit."""
+        limit_mb = self.plan.memory_limit_mb
+        return [
+            f"{name} used {used_mb:.1f} MB, its limit is {limit_mb} MB"
+            for name, used_mb in self.peak_memory_mb.items()
+            if used_mb > limit_mb
+        ]
+
     async def start(self) -> None:
         """Starts the stand-ins and links, then all schedulers at the same time, then the clients."""
         self.tasks.append(asyncio.ensure_future(self._measure_stalls()))
+        self.tasks.append(asyncio.ensure_future(self._measure_memory()))
         await self.discovery.listen()
         for member in placeholder_members(self.plan.placeholder_workers, "leaving", self.discovery.revision):
             self.discovery.members[member.id] = member
--- a/measure/soak/random_plan.py
+++ b/measure/soak/random_plan.py
@@ -4,12 +4,14 @@
 
 import random
 
+from measure.crowds.shapes import HTTP_SHAPES
 from measure.soak.faults import FAULT_FREE_END_S, FAULT_FREE_START_S, Fault, FaultKind
 from measure.soak.fleet import FleetPlan
 
 MANY_PLACEHOLDERS = (500, 1500, 3200)  # the platform allows at most 3,200 workers in a list
 PROCESS_LIMITS = ((1024, 192), (1024, 192), (256, 96), (96, 32))  # (descriptors, memory in MB)
 MAX_WORKER_RATE_PER_S = 8.0  # requests; a worker can complete about 30
+CROWD_SIZES = (50, 150, 400)  # connections
 EXTRA_KINDS = (
     FaultKind.CONNECTION_FLOOD,
     FaultKind.REPEATED_RELOADS,
@@ -41,6 +43,25 @@
     )
 
 
+def draw_crowds(seed: int, run_duration_s: float, plan: FleetPlan) -> list[Fault]:
+    """Returns 1 to 3 hostile crowds of one to three shapes each, in no particular order.
+
+    run_duration_s: length of the run. No crowd begins in its first 2 s or last 9 s.
+    """
+    rng = random.Random(f"{seed} crowds")
+    return [
+        Fault(
+            rng.uniform(FAULT_FREE_START_S, run_duration_s - FAULT_FREE_END_S),
+            FaultKind.HOSTILE_CROWD,
+            rng.randrange(plan.scheduler_count),
+            rng.uniform(2.0, 6.0),
+            crowd_shapes=tuple(rng.sample(sorted(HTTP_SHAPES), rng.randint(1, 3))),
+            crowd_size=rng.choice(CROWD_SIZES),
+        )
+        for _ in range(rng.randint(1, 3))
+    ]
+
+
 def draw_extra_faults(seed: int, run_duration_s: float, plan: FleetPlan) -> list[Fault]:
     """Returns 1 to 5 faults of the kinds in EXTRA_KINDS, in no particular order.
 
--- a/measure/soak/run.py
+++ b/measure/soak/run.py
@@ -3,6 +3,7 @@
     python -m measure.soak.run --seed 7                          runs one seed
     python -m measure.soak.run --seeds 1..40 --at-once 3         runs many seeds and prints a summary
     python -m measure.soak.run --seeds 1..40 --drawn             also draws sizes, limits and settings
+    python -m measure.soak.run --seeds 1..40 --drawn --crowds    also lets hostile crowds of clients attack
     python -m measure.soak.run --seeds 1..5 --bug no-stale       plants a bug, which the oracle has to detect
 
 Each run starts real schedulers and stand-ins on loopback and injects the faults that its seed draws. The
@@ -13,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import multiprocessing
 import re
 import signal
 import sys
@@ -24,12 +26,13 @@
 
 import click
 
+from measure.crowds.run import run_crowd_process
 from measure.soak.fault_proxy import LinkState
 from measure.soak.faults import CRASH_NOTICE_DELAY_S, Fault, FaultKind, draw_faults
 from measure.soak.fleet import DEFAULT_DISCONNECT_SHARE, Fleet, FleetPlan
 from measure.soak.oracle import judge
 from measure.soak.planted_bugs import PLANTED_BUGS
-from measure.soak.random_plan import draw_extra_faults, draw_plan
+from measure.soak.random_plan import draw_crowds, draw_extra_faults, draw_plan
 from measure.soak.records import Outage
 from measure.soak.seeds import run_seeds
 from measure.soak.stand_ins import AnswerFault, IdleConnectionFlood, WorkerMode
@@ -114,7 +117,7 @@
         status_counts = Counter(str(each.status) for each in records.requests)
         attempt_count = sum(each.method == "POST" for each in records.messages)
         return RunResult(
-            [*failures, *fleet.unexpected_exits, *errors],
+            [*failures, *fleet.unexpected_exits, *fleet.memory_failures(), *errors],
             len(records.requests),
             attempt_count,
             dict(status_counts),
@@ -255,6 +258,27 @@
                 await self.fleet.restart_scheduler(name, False, fault.duration_s, signals)
             case FaultKind.CONNECTION_FLOOD:
                 await self._flood_connections(name, fault.duration_s)
+            case FaultKind.HOSTILE_CROWD:
+                await self._attack(name, fault)
+
+    async def _attack(self, name: str, fault: Fault) -> None:
+        """Lets a hostile crowd, in a process of its own, attack a scheduler."""
+        outage = Outage(name, time.monotonic())
+        self.fleet.records.connection_floods.append(outage)
+        crowd = multiprocessing.get_context("spawn").Process(
+            target=run_crowd_process,
+            args=(
+                self.fleet.clients[name].port,
+                fault.crowd_shapes,
+                fault.crowd_size,
+                fault.duration_s,
+                self.seed,
+            ),
+            daemon=True,
+        )
+        crowd.start()
+        await asyncio.to_thread(crowd.join)
+        outage.end_s = time.monotonic() + FLOOD_CLOSE_LAG_S
 
     async def _flood_connections(self, name: str, duration_s: float) -> None:
         """Opens as many idle connections to a scheduler as its limit of descriptors."""
@@ -302,6 +326,7 @@
 @click.option("--rate", default=15.0, help="requests per second at each scheduler")
 @click.option("--pushed", is_flag=True, help="discovery pushes its lists")
 @click.option("--bug", type=click.Choice(sorted(PLANTED_BUGS)), help="plant this bug in the schedulers")
+@click.option("--crowds", is_flag=True, help="let hostile crowds attack")
 @click.option("--drawn", is_flag=True, help="also draw the fleet from the seed, and extra faults")
 @click.option("--shim", is_flag=True, help="fail system calls and step wall clocks, drawn from the seed")
 @click.option("--log", type=click.Path(path_type=Path), help="append the output of each run to this file")
@@ -317,6 +342,7 @@
     pushed: bool,
     bug: str | None,
     drawn: bool,
+    crowds: bool,
     shim: bool,
     log: Path | None,
 ) -> None:
@@ -328,6 +354,8 @@
         if drawn:
             plan = replace(draw_plan(seed, rate), command=command)
             extra_faults = tuple(draw_extra_faults(seed, seconds, plan))
+        if crowds:
+            extra_faults += tuple(draw_crowds(seed, seconds, plan))
         sys.exit(1 if run_seed(seed, seconds, plan, prints_faults=True, extra_faults=extra_faults) else 0)
     flags = [
         f"--seconds={seconds}",
@@ -339,6 +367,7 @@
         *([f"--bug={bug}"] if bug else []),
         *(["--shim"] if shim else []),
         *(["--drawn"] if drawn else []),
+        *(["--crowds"] if crowds else []),
     ]
 
     def show(number: int, output: str, errors: str) -> None:
