End the stand-in balancer's checks when a cancellation meets the end of a check

Cause: asyncio.wait_for() of Python 3.11 swallows a cancellation that meets the end of what it waits for, and Balancer.stop() cancels once.

--- a/measure/balancers.py
+++ b/measure/balancers.py
@@ -312,7 +312,9 @@
                 continue
             begun = time.monotonic()
             try:
-                result = await asyncio.wait_for(self.run_check(self.check_address), CHECK_TIMEOUT_S)
+                # wait_for() of Python 3.11 swallows a cancellation that meets the end of the check.
+                async with asyncio.timeout(CHECK_TIMEOUT_S):
+                    result = await self.run_check(self.check_address)
             except (OSError, TimeoutError, IndexError, ValueError, EOFError, ProtocolError) as error:
                 result = CheckResult(None if self.protocol.check in (check_agent, check_feedback) else False)
                 self.check_errors.append(repr(error))
