--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 from measure.soak.fault_proxy import LinkState
 from measure.soak.fleet import Fleet, FleetPlan
 from measure.soak.oracle import Violation, judge
-from measure.soak.random_plan import draw_extra_faults, draw_plan
+from measure.soak.random_plan import draw_crowds, draw_extra_faults, draw_plan
 from measure.soak.records import Outage
 from measure.soak.run import SoakRun
 from measure.soak.stand_ins import AnswerFault
@@ -151,3 +151,16 @@
                 result = asyncio.run(SoakRun(seed, 24.0, plan, LAG_S, extra_faults).run())
                 self.assertEqual(result.failures, [])
                 self.assertGreater(result.status_counts["200"], 50)
+
+
+class HostileCrowds(unittest.TestCase):
+    """Two runs with hostile crowds. `--drawn --crowds` of measure.soak.run runs more."""
+
+    def test_hostile_crowds_cause_no_violations_and_no_memory_beyond_the_limit(self) -> None:
+        for seed in (9504, 9506):
+            with self.subTest(seed):
+                plan = draw_plan(seed, 8.0)
+                crowds = tuple(draw_crowds(seed, 24.0, plan))
+                result = asyncio.run(SoakRun(seed, 24.0, plan, LAG_S, crowds).run())
+                self.assertEqual(result.failures, [])
+                self.assertGreater(result.status_counts["200"], 50)
