Read on behind a waiting request, so that the close of its client is seen

What callers saw: a client that had sent more behind its request than 32 KB and the kernel's window and then closed was not seen to leave; its request was sent on afterwards (an open bound in docs/design/endings.md; the bounded kernel buffers made the window smaller).

Change: when 32 KB lie ahead, the requests there are read and answered 503 in their turn (counter connections.read_ahead), 64 in a turn and 4,096 at most, so the end of the connection is reached. Each request still gets its answer; malformed input there gets its error after them.

Evidence: with the reading taken out both new tests of tests/test_termination_races.py fail; with it they pass.

--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -45,6 +45,8 @@
     from spanwing.frontends.http_server import HttpServer
 
 HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
+MAX_READ_AHEAD_AT_ONCE = 64  # requests behind a waiting one that are read in one turn
+MAX_REPLIES_AHEAD = 4096  # responses to such requests
 FRESH_CONNECTION_S = 0.1  # a client is assumed to send its first request within this after connecting
 
 
@@ -81,6 +83,10 @@
         #: Id of the answered request after which nothing came: whether its client has read the answer is
         #: not known.
         self.answered_id = ""
+        #: Responses to requests that were read behind the waiting one, and the fault of the input there.
+        self.replies_ahead: list[bytes] = []
+        self.error_ahead: tuple[int, str] | None = None
+        self.closes_ahead = False  # one of them ends the connection
         #: The request that is waiting for its answer, and whether the connection is kept alive after it.
         self.pending_request: tuple[JobRequest, bool] | None = None
         self.idle_since_s = self.accepted_s = IOLoop.current().time()
@@ -147,6 +153,8 @@
         else:
             del message
             keep_alive = await self._handle_request(parsed, keep_alive)
+        if keep_alive and (self.replies_ahead or self.error_ahead is not None):
+            keep_alive = await self._write_replies_ahead()
         self.is_busy, self.idle_since_s = False, IOLoop.current().time()
         self.server.close_if_draining(self)
         return keep_alive
@@ -183,7 +191,9 @@
         """Waits for the answer and writes it; returns whether the connection is kept alive."""
         self.pending_request = request, keep_alive
         # Reading ahead notices if the client closes.
-        self.http_stream.start_read_ahead(self.http_stream.parser.data, READ_AHEAD_BYTES)
+        self.http_stream.start_read_ahead(
+            self.http_stream.parser.data, READ_AHEAD_BYTES, self._make_room_ahead
+        )
         answer = await self.mailbox.get()
         self.http_stream.stop_read_ahead()
         self.pending_request = None
@@ -195,6 +205,53 @@
         del request
         return await self._write_answer(answer, keep_alive)
 
+    def _make_room_ahead(self) -> bool:
+        """Reads the requests that lie behind the waiting one, more than READ_AHEAD_BYTES, and rejects them.
+
+        Otherwise the close of a client would stay behind them in the kernel, and its waiting request would be
+        sent on. Returns whether there is room to read on.
+        """
+        parser = self.http_stream.parser
+        if self.error_ahead is not None or self.closes_ahead or len(self.replies_ahead) >= MAX_REPLIES_AHEAD:
+            return False
+        try:
+            for _ in range(MAX_READ_AHEAD_AT_ONCE):
+                message = parser.next_message()
+                if message is None:
+                    break
+                self.replies_ahead.append(self._reply_ahead(message))
+                self.closes_ahead = not message.keep_alive
+                if self.closes_ahead:
+                    break
+        except HttpError as error:
+            self.error_ahead = error.status, str(error)
+        self.http_stream.charge_input()
+        is_readable = self.error_ahead is None and not self.closes_ahead
+        return is_readable and len(parser.data) < READ_AHEAD_BYTES
+
+    def _reply_ahead(self, message: HttpMessage) -> bytes:
+        """Returns the response to a request that is read before the one ahead of it is answered."""
+        parsed = self.server.frontend.parse_request(message)
+        if isinstance(parsed, tuple):
+            status, body, *headers = parsed
+            return encode_response(status, body, message.keep_alive, message.method == "HEAD", *headers)
+        self.server.end_counts["read_ahead"] += 1
+        self.server.request_manager.post(RequestRejected(parsed.cls))
+        answer = FinalAnswer("refused", retry_after_ms=self.server.retry_after_ms)
+        return self.server.frontend.render_answer(answer, message.keep_alive)
+
+    async def _write_replies_ahead(self) -> bool:
+        """Writes the responses to requests that were read ahead; returns whether another one may follow.
+
+        Raises HttpError if the input behind them is malformed.
+        """
+        replies, self.replies_ahead = self.replies_ahead, []
+        for reply in replies:
+            await self.http_stream.write(reply, WRITE_STALL_TIMEOUT_S)
+        if self.error_ahead is not None:
+            raise HttpError(*self.error_ahead)
+        return not self.closes_ahead
+
     async def _write_answer(self, answer: FinalAnswer, keep_alive: bool) -> bool:
         keep_alive = keep_alive and not self.server.is_closing
         await self.http_stream.write(
@@ -231,6 +288,8 @@
         if (
             self.is_finished
             or self.awaits_proxy_header
+            or self.replies_ahead
+            or self.error_ahead is not None
             or parser.head is not None
             or self.http_stream.stream.closed()
             or (len(parser.data) > max_bytes - READ_AHEAD_BYTES)
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
@@ -57,7 +58,8 @@
         self.message_timer: object = None  # timeout of the message that is being read
         self.buffer: bytearray | None = None  # pooled buffer that the pending read fills
         self.is_checking_peer = False
-        self.read_ahead_into: tuple[bytearray, int] | None = None  # while reading ahead: sink, max_bytes
+        #: While reading ahead: sink, max_bytes, and what makes room in the sink.
+        self.read_ahead_into: tuple[bytearray, int, Callable[[], bool]] | None = None
         self.last_read_s = 0.0  # loop time of the last input
         self.input_charge = MemoryCharge(buffers.account, "input")
         self.output_charge = MemoryCharge(buffers.account, "output")
@@ -105,13 +107,16 @@
         """Drops the input that is held; the connection is about to end."""
         self.input_charge.set(0)
 
-    def start_read_ahead(self, sink: bytearray, max_bytes: int) -> None:
+    def start_read_ahead(
+        self, sink: bytearray, max_bytes: int, make_room: Callable[[], bool] = lambda: False
+    ) -> None:
         """Reads up to max_bytes into sink while no reader is waiting, to notice if the peer closes.
 
-        A close behind unread bytes would go unnoticed otherwise. Once sink holds max_bytes, the kernel is
-        polled for a close every PEER_CHECK_INTERVAL_S.
+        A close behind unread bytes would go unnoticed otherwise. Once sink holds max_bytes, make_room is
+        called, which returns whether it holds less now. If not, the kernel is polled for a close every
+        PEER_CHECK_INTERVAL_S.
         """
-        self.read_ahead_into = sink, max_bytes
+        self.read_ahead_into = sink, max_bytes, make_room
         self._continue_read_ahead()
 
     def stop_read_ahead(self) -> None:
@@ -120,8 +125,8 @@
 
     def _continue_read_ahead(self) -> None:
         while self.read_ahead_into is not None and not self.stream.closed():
-            sink, max_bytes = self.read_ahead_into
-            if len(sink) >= max_bytes:
+            sink, max_bytes, make_room = self.read_ahead_into
+            if len(sink) >= max_bytes and not make_room():
                 if not self.is_checking_peer:
                     self.is_checking_peer = True
                     IOLoop.current().call_later(PEER_CHECK_INTERVAL_S, self._check_peer)
--- a/tests/test_termination_races.py
+++ b/tests/test_termination_races.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
 import socket
 import tempfile
+import threading
 import time
 import unittest
 from contextlib import suppress
@@ -367,6 +369,51 @@
                 self.assertEqual(self.read_counters()["taken"], 2)
                 self.stop()
 
+    def test_while_it_is_queued_and_more_requests_than_the_kernel_takes_lie_behind_it(self) -> None:
+        """The close of the client stayed behind them, and its request was sent on."""
+        worker, discovery = ListenerStandIn(self), DiscoveryStandIn(self)
+        self.start(discovery=discovery)
+        discovery.next_watch()
+        client = self.connect_client()
+        client.submit("status-read", "job-1")
+        self.wait_for_counter("taken", 1)
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        behind = b"".join(encode_job("status-read", f"behind-{n}", bytes(2_000)) for n in range(300))
+        client.socket.settimeout(0.0)
+        sent = client.socket.send(behind)
+        self.assertGreater(sent, 400_000)
+        client.close()
+        self.wait_for_counter("left", 1)
+        discovery.publish(member("w1", worker.port))
+        self.connect_client().submit("status-read", "job-3")
+        self.assertEqual(worker.accept().read_message()[1]["x-call-id"], "job-3")
+        self.assertEqual(self.read_counters()["taken"], 2)
+
+    def test_each_request_that_is_pipelined_gets_its_answer_however_many_there_are(self) -> None:
+        worker, discovery = ListenerStandIn(self), DiscoveryStandIn(self)
+        self.start(discovery=discovery)
+        discovery.next_watch()
+        client = self.connect_client()
+        client.submit("status-read", "job-1")
+        self.wait_for_counter("taken", 1)
+        for number in range(200):
+            client.submit("status-read", f"behind-{number}", bytes(2_000))
+        time.sleep(0.3)
+        discovery.publish(member("w1", worker.port))
+        attempts = worker.accept()
+
+        def serve() -> None:
+            with contextlib.suppress(OSError, ValueError, IndexError):
+                while attempts.read_message()[0]:
+                    attempts.respond(200, b"served")
+
+        threading.Thread(target=serve, daemon=True).start()
+        statuses = [client.read_message()[0].split(" ")[1] for _ in range(201)]
+        self.assertEqual(statuses[0], "200")
+        self.assertEqual(set(statuses), {"200", "503"})
+        rejected = statuses.count("503")
+        self.assertGreater(rejected, 100)
+
     def test_before_it_was_read(self) -> None:
         """The daemon is stopped by a signal while the client sends and disconnects."""
         worker = ListenerStandIn(self)
