--- a/spanwing/frontends/http_connection.py
+++ b/spanwing/frontends/http_connection.py
@@ -45,7 +45,7 @@
     from spanwing.frontends.http_server import HttpServer
 
 HttpReply = tuple[int, bytes] | tuple[int, bytes, dict[str, str]]  # status, body, headers
-MAX_READ_AHEAD_AT_ONCE = 64  # requests behind a waiting one that are read in one turn
+MAX_READ_AHEAD_AT_ONCE = 4  # requests behind a waiting one that are read every PEER_CHECK_INTERVAL_S
 MAX_REPLIES_AHEAD = 4096  # responses to such requests
 FRESH_CONNECTION_S = 0.1  # a client is assumed to send its first request within this after connecting
 
@@ -205,15 +205,15 @@
         del request
         return await self._write_answer(answer, keep_alive)
 
-    def _make_room_ahead(self) -> bool:
+    def _make_room_ahead(self) -> None:
         """Reads the requests that lie behind the waiting one, more than READ_AHEAD_BYTES, and rejects them.
 
         Otherwise the close of a client would stay behind them in the kernel, and its waiting request would be
-        sent on. Returns whether there is room to read on.
+        sent on.
         """
         parser = self.http_stream.parser
         if self.error_ahead is not None or self.closes_ahead or len(self.replies_ahead) >= MAX_REPLIES_AHEAD:
-            return False
+            return
         try:
             for _ in range(MAX_READ_AHEAD_AT_ONCE):
                 message = parser.next_message()
@@ -226,8 +226,6 @@
         except HttpError as error:
             self.error_ahead = error.status, str(error)
         self.http_stream.charge_input()
-        is_readable = self.error_ahead is None and not self.closes_ahead
-        return is_readable and len(parser.data) < READ_AHEAD_BYTES
 
     def _reply_ahead(self, message: HttpMessage) -> bytes:
         """Returns the response to a request that is read before the one ahead of it is answered."""
--- a/spanwing/net/stream.py
+++ b/spanwing/net/stream.py
@@ -59,7 +59,7 @@
         self.buffer: bytearray | None = None  # pooled buffer that the pending read fills
         self.is_checking_peer = False
         #: While reading ahead: sink, max_bytes, and what makes room in the sink.
-        self.read_ahead_into: tuple[bytearray, int, Callable[[], bool]] | None = None
+        self.read_ahead_into: tuple[bytearray, int, Callable[[], None]] | None = None
         self.last_read_s = 0.0  # loop time of the last input
         self.input_charge = MemoryCharge(buffers.account, "input")
         self.output_charge = MemoryCharge(buffers.account, "output")
@@ -108,13 +108,12 @@
         self.input_charge.set(0)
 
     def start_read_ahead(
-        self, sink: bytearray, max_bytes: int, make_room: Callable[[], bool] = lambda: False
+        self, sink: bytearray, max_bytes: int, make_room: Callable[[], None] = lambda: None
     ) -> None:
         """Reads up to max_bytes into sink while no reader is waiting, to notice if the peer closes.
 
         A close behind unread bytes would go unnoticed otherwise. Once sink holds max_bytes, make_room is
-        called, which returns whether it holds less now. If not, the kernel is polled for a close every
-        PEER_CHECK_INTERVAL_S.
+        called, and every PEER_CHECK_INTERVAL_S the kernel is polled for a close and reading goes on.
         """
         self.read_ahead_into = sink, max_bytes, make_room
         self._continue_read_ahead()
@@ -126,7 +125,8 @@
     def _continue_read_ahead(self) -> None:
         while self.read_ahead_into is not None and not self.stream.closed():
             sink, max_bytes, make_room = self.read_ahead_into
-            if len(sink) >= max_bytes and not make_room():
+            if len(sink) >= max_bytes:
+                make_room()
                 if not self.is_checking_peer:
                     self.is_checking_peer = True
                     IOLoop.current().call_later(PEER_CHECK_INTERVAL_S, self._check_peer)
